Land the workspace and the seams of the core

Cause: everything later hangs on shared types, so they land before anything else. Conclusion: parts can be built side by side on these types.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,39 @@
+# Everything installs into .venv; Python 3.11, pip and make are all it needs.
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+PROJECTS := pyproject.toml $(wildcard packages/*/pyproject.toml)
+
+.PHONY: run test test-fast lint format check-model bench bench-decisions bench-capacity
+
+$(STAMP): $(PROJECTS)
+	test -x $(BIN)/python || python3 -m venv $(VENV)
+	test -x $(BIN)/uv || $(BIN)/python -m pip install --quiet uv==0.13.9
+	$(BIN)/uv sync --quiet --python $(BIN)/python
+	touch $(STAMP)
+
+run: $(STAMP)
+	$(BIN)/endive-node --embedded
+
+test: $(STAMP)
+	$(BIN)/pytest -n 6 --dist loadfile
+
+lint: $(STAMP)
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+
+format: $(STAMP)
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+check-model: $(STAMP)
+	$(BIN)/python -m spec
+
+bench: $(STAMP)
+	$(BIN)/python benchmarks/bench_path.py
+
+bench-decisions: $(STAMP)
+	$(BIN)/python benchmarks/bench_decisions.py
+
+bench-capacity: $(STAMP)
+	$(BIN)/python benchmarks/bench_capacity.py
--- /dev/null
+++ b/packages/endive_core/src/endive_core/fold.py
@@ -0,0 +1,149 @@
+"""The configuration, folded from the log's records in offset order.
+
+Every node replays the same records and decides each the same way: a change applies
+if its expected version matches, and conflicts otherwise. So the append-only log gives
+compare-and-set without any node being in charge.
+"""
+
+from collections import OrderedDict
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Any
+
+from endive_core.records import Change, Snapshot
+
+ABSENT = -1
+"""The version of a resource that does not exist; offset 0 is a version like others."""
+
+MAX_OUTCOMES = 20_000
+"""Change ids remembered: nearly two days at 11,000 changes a day, far longer than a
+writer keeps repeating an append whose answer was lost."""
+
+
+class Verdict(StrEnum):
+    """How the fold decided a change."""
+
+    APPLIED = "applied"
+    CONFLICT = "conflict"
+
+
+@dataclass(frozen=True)
+class Outcome:
+    """The decision on one change.
+
+    Attributes
+    ----------
+    version : int
+        The resource's version after the decision; for a conflict the winner's, and
+        :data:`ABSENT` if the resource does not exist.
+    """
+
+    change_id: str
+    verdict: Verdict
+    version: int
+
+
+@dataclass(frozen=True)
+class StoredResource:
+    """A resource in force, and the offset of the change that put it there."""
+
+    kind: str
+    name: str
+    version: int
+    body: dict[str, Any]
+
+
+class ConfigurationFold:
+    """The state of the configuration stream up to an offset.
+
+    A user meets it through every lookup a node makes; operators meet it as the
+    answers to get, list and watch.
+
+    Attributes
+    ----------
+    offset : int
+        The highest offset folded; -1 before the first record.
+    """
+
+    def __init__(self) -> None:
+        self.offset = -1
+        self.resources: dict[tuple[str, str], StoredResource] = {}
+        self.outcomes: OrderedDict[str, Outcome] = OrderedDict()
+
+    def apply(self, offset: int, record: Change | Snapshot) -> Outcome | None:
+        """Fold one record; return the outcome if it is a change.
+
+        Records at or below :attr:`offset` are ignored, so a replay never moves the
+        state back to an older one.
+        """
+        if offset <= self.offset:
+            return None
+        self.offset = offset
+        if isinstance(record, Change):
+            return self._decide(offset, record)
+        return None
+
+    def _decide(self, offset: int, change: Change) -> Outcome:
+        known = self.outcomes.get(change.change_id)
+        if known is not None:
+            return known
+        key = (change.kind, change.name)
+        current = self.resources.get(key)
+        version = current.version if current else ABSENT
+        if change.expected_version not in (None, version):
+            return self._remember(Outcome(change.change_id, Verdict.CONFLICT, version))
+        if change.body is None:
+            self.resources.pop(key, None)
+        else:
+            self.resources[key] = StoredResource(
+                change.kind, change.name, offset, change.body
+            )
+        return self._remember(Outcome(change.change_id, Verdict.APPLIED, offset))
+
+    def _remember(self, outcome: Outcome) -> Outcome:
+        self.outcomes[outcome.change_id] = outcome
+        while len(self.outcomes) > MAX_OUTCOMES:
+            self.outcomes.popitem(last=False)
+        return outcome
+
+    def get(self, kind: str, name: str) -> StoredResource | None:
+        """Return the resource in force, or ``None``."""
+        return self.resources.get((kind, name))
+
+    def listed(self, kind: str) -> list[StoredResource]:
+        """Return all resources of `kind`, by name."""
+        found = [r for r in self.resources.values() if r.kind == kind]
+        return sorted(found, key=lambda r: r.name)
+
+    def snapshot(self) -> Snapshot:
+        """Return the whole state; equal states give equal snapshots."""
+        return Snapshot(
+            through=self.offset,
+            resources=[
+                {"kind": r.kind, "name": r.name, "version": r.version, "body": r.body}
+                for _, r in sorted(self.resources.items())
+            ],
+            outcomes=[
+                {
+                    "change_id": o.change_id,
+                    "verdict": str(o.verdict),
+                    "version": o.version,
+                }
+                for o in self.outcomes.values()
+            ],
+        )
+
+    @classmethod
+    def from_snapshot(cls, snapshot: Snapshot) -> "ConfigurationFold":
+        """Return the state that `snapshot` holds."""
+        fold = cls()
+        fold.offset = snapshot.through
+        for entry in snapshot.resources:
+            stored = StoredResource(**entry)
+            fold.resources[(stored.kind, stored.name)] = stored
+        for entry in snapshot.outcomes:
+            outcome = Outcome(
+                entry["change_id"], Verdict(entry["verdict"]), entry["version"]
+            )
+            fold.outcomes[outcome.change_id] = outcome
+        return fold
--- /dev/null
+++ b/packages/endive_core/src/endive_core/hashing.py
@@ -0,0 +1,40 @@
+"""Stable hashes: rendezvous choice and fingerprints, equal on every node."""
+
+from collections.abc import Iterable, Sequence
+
+import xxhash
+
+
+def fingerprint(text: str | bytes) -> str:
+    """Return a 128-bit hexadecimal fingerprint of `text`."""
+    return xxhash.xxh3_128_hexdigest(text)
+
+
+def rendezvous_score(key: str, member: str) -> int:
+    """Return the weight of `member` for `key`; the highest weight wins."""
+    return xxhash.xxh3_64_intdigest(f"{key}\x00{member}")
+
+
+def rendezvous_order(key: str, members: Iterable[str]) -> list[str]:
+    """Return `members` from the best to the worst choice for `key`.
+
+    Every node that knows the same members computes the same order without talking,
+    and a member that leaves moves only the keys it held.
+    """
+    return sorted(members, key=lambda m: (rendezvous_score(key, m), m), reverse=True)
+
+
+def rendezvous_choice(key: str, members: Sequence[str]) -> str:
+    """Return the best member for `key`.
+
+    Raises
+    ------
+    ValueError
+        If there is no member.
+    """
+    return max(members, key=lambda m: (rendezvous_score(key, m), m))
+
+
+def shard_of(key: str, shards: int) -> int:
+    """Return the shard, 0 to `shards` - 1, that holds `key`."""
+    return xxhash.xxh3_64_intdigest(key) % shards
--- /dev/null
+++ b/packages/endive_core/src/endive_core/messages.py
@@ -0,0 +1,108 @@
+"""Data that travels inside a node: requests, pieces of answers, views of servers."""
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+from typing import Any
+
+CHARACTERS_PER_TOKEN = 4
+"""Rough length of a token, for estimates before an engine has counted."""
+
+
+class Endpoint(StrEnum):
+    """Caller endpoints that reach backend servers."""
+
+    CHAT = "/v1/chat/completions"
+    COMPLETIONS = "/v1/completions"
+    SERVICE = "/services"
+
+
+@dataclass
+class Request:
+    """One accepted request of a caller.
+
+    Attributes
+    ----------
+    body : dict
+        The caller's JSON body, checked; what the backend server is sent.
+    prompt : str
+        All prompt text in order, for prefix affinity and estimates.
+    max_tokens : int
+        Most tokens the answer may have.
+    deadline : float or None
+        Clock time in seconds after which the answer is worthless.
+    key : str
+        The caller's idempotency key, scoped by organisation; empty if none.
+    non_idempotent : bool
+        Whether the request may run at most once.
+    """
+
+    request_id: str
+    organisation: str
+    priority: str
+    model: str
+    endpoint: Endpoint
+    body: dict[str, Any]
+    prompt: str
+    max_tokens: int
+    stream: bool = False
+    deadline: float | None = None
+    key: str = ""
+    non_idempotent: bool = False
+    path: str = ""
+    method: str = "POST"
+    fingerprint: str = ""
+
+    @property
+    def prompt_tokens(self) -> int:
+        """Estimated number of prompt tokens."""
+        return max(1, len(self.prompt) // CHARACTERS_PER_TOKEN)
+
+
+@dataclass(frozen=True, slots=True)
+class Piece:
+    """One piece of an answer, named so that a late or foreign one is recognised.
+
+    Attributes
+    ----------
+    index : int
+        Position of the piece's first token in the answer.
+    text : str
+        The text of its tokens.
+    finish_reason : str
+        Empty until the last piece.
+    """
+
+    request_id: str
+    attempt: int
+    index: int
+    text: str
+    finish_reason: str = ""
+
+
+@dataclass
+class ServerView:
+    """What a node knows of one backend server when it decides.
+
+    Attributes
+    ----------
+    sent_since_report : int
+        Requests this node sent after the state that the last report describes.
+    reported_running, reported_waiting : int
+        The server's own last report, which lags.
+    """
+
+    id: str
+    address: str
+    zone: str
+    service: str
+    max_concurrent: int
+    prefill_tokens_per_s: float
+    decode_tokens_per_s: float
+    reclaimable: bool = True
+    in_flight: int = 0
+    sent_since_report: int = 0
+    reported_running: int = 0
+    reported_waiting: int = 0
+    report_age_s: float = field(default=1e9)
+    leaving: bool = False
+    failed_until: float = 0.0
--- /dev/null
+++ b/packages/endive_core/src/endive_core/records.py
@@ -0,0 +1,100 @@
+"""Typed records of the platform's log, and their codec.
+
+A record is one JSON object with a ``type`` tag. Unknown types are kept out of the
+folds (:class:`endive_core.exceptions.RecordError`), so that an older node meets a
+newer record without guessing.
+"""
+
+from typing import Any
+
+import msgspec
+
+from endive_core.exceptions import RecordError
+
+CONFIGURATION_STREAM = "configuration"
+CLAIM_STREAM = "claims-{shard:03d}"
+
+
+def claim_stream(shard: int) -> str:
+    """Return the name of the stream that orders the claims of `shard`."""
+    return CLAIM_STREAM.format(shard=shard)
+
+
+class Change(msgspec.Struct, tag="change", frozen=True, omit_defaults=True):
+    """An operator's change of one resource.
+
+    Attributes
+    ----------
+    change_id : str
+        Chosen by the writer; a second record with the same id is a no-op, so that an
+        append whose answer was lost can simply be repeated.
+    expected_version : int or None
+        The version the operator saw; -1 for "must not exist"; ``None`` for any.
+    body : dict or None
+        The whole resource, or ``None`` to delete it.
+    """
+
+    change_id: str
+    kind: str
+    name: str
+    operator: str = ""
+    expected_version: int | None = None
+    body: dict[str, Any] | None = None
+
+
+class Snapshot(msgspec.Struct, tag="snapshot", frozen=True):
+    """The whole fold of the configuration stream up to and including `through`."""
+
+    through: int
+    resources: list[dict[str, Any]]
+    outcomes: list[dict[str, Any]]
+
+
+class Claim(msgspec.Struct, tag="claim", frozen=True):
+    """A node's claim of the only right to send a request with `key`."""
+
+    claim_id: str
+    key: str
+    node: str
+    request_id: str
+    fingerprint: str = ""
+
+
+class Release(msgspec.Struct, tag="release", frozen=True):
+    """Voids a claim whose holder gave up before sending anything."""
+
+    claim_id: str
+    key: str
+
+
+class Lease(msgspec.Struct, tag="lease", frozen=True):
+    """The right to order one deployment's capacity; its offset is the fence."""
+
+    deployment: str
+    holder: str
+    duration_s: float
+
+
+Record = Change | Snapshot | Claim | Release | Lease
+
+_encoder = msgspec.json.Encoder(order="deterministic")
+_decoder = msgspec.json.Decoder(Record)
+
+
+def encode(record: Record) -> str:
+    """Return `record` as deterministic JSON text."""
+    return _encoder.encode(record).decode()
+
+
+def decode(text: str | bytes) -> Record:
+    """Return the record that `text` holds.
+
+    Raises
+    ------
+    RecordError
+        If the text is not a record of a known type.
+    """
+    try:
+        return _decoder.decode(text)
+    except msgspec.DecodeError as error:
+        raise RecordError(str(error)) from None
--- /dev/null
+++ b/packages/endive_ctl/src/endive_ctl/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line."""
--- /dev/null
+++ b/packages/endive_node/src/endive_node/__init__.py
@@ -0,0 +1,1 @@
+"""The serving process: callers, operators, peers, platform and backend servers."""
--- /dev/null
+++ b/packages/endive_standins/src/endive_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform and the backend servers, with faults to order."""
--- /dev/null
+++ b/spec/__init__.py
@@ -0,0 +1,1 @@
+"""Specification of the core protocol, checked with ``python -m spec``."""
