--- /dev/null
+++ b/packages/endive_core/src/endive_core/bodies.py
@@ -0,0 +1,96 @@
+"""Checks of callers' bodies for the endpoints that reach model engines."""
+
+from typing import Annotated, Any, Literal
+
+import msgspec
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from endive_core.exceptions import EndiveError, ErrorKind
+from endive_core.messages import Endpoint
+from endive_core.resources import field_errors
+
+DEFAULT_MAX_TOKENS = 256
+MAX_MAX_TOKENS = 131_072
+
+
+class _Body(BaseModel):
+    """Fields that both endpoints share; an unknown field is refused, not ignored."""
+
+    model_config = ConfigDict(extra="forbid")
+
+    model: str = Field(min_length=1, max_length=200)
+    max_tokens: int = Field(DEFAULT_MAX_TOKENS, ge=1, le=MAX_MAX_TOKENS)
+    stream: bool = False
+    temperature: float | None = Field(None, ge=0, le=2)
+    top_p: float | None = Field(None, ge=0, le=1)
+    seed: int | None = None
+    stop: str | list[str] | None = None
+    user: str | None = None
+
+
+class Message(BaseModel):
+    """One message of a chat."""
+
+    model_config = ConfigDict(extra="forbid")
+
+    role: Literal["system", "user", "assistant", "tool"]
+    content: str
+    name: str | None = None
+
+
+class ChatBody(_Body):
+    """Body of ``/v1/chat/completions``."""
+
+    messages: Annotated[list[Message], Field(min_length=1, max_length=10_000)]
+
+    def prompt_text(self) -> str:
+        """Return the contents of all messages, a line each."""
+        return "\n".join(message.content for message in self.messages)
+
+
+class CompletionBody(_Body):
+    """Body of ``/v1/completions``."""
+
+    prompt: str = Field(min_length=1)
+
+    def prompt_text(self) -> str:
+        """Return the prompt."""
+        return self.prompt
+
+
+_MODELS = {Endpoint.CHAT: ChatBody, Endpoint.COMPLETIONS: CompletionBody}
+
+
+def decode_json(data: bytes) -> Any:
+    """Return the JSON value in `data`.
+
+    Raises
+    ------
+    EndiveError
+        ``malformed_body``.
+    """
+    try:
+        return msgspec.json.decode(data)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise EndiveError(
+            ErrorKind.MALFORMED_BODY, f"the body is not JSON: {error}"
+        ) from None
+
+
+def parse_body(endpoint: Endpoint, data: bytes) -> ChatBody | CompletionBody:
+    """Return the checked body of a call to `endpoint`.
+
+    Raises
+    ------
+    EndiveError
+        ``malformed_body``, ``unknown_field`` or ``invalid_field``, with the fields.
+    """
+    value = decode_json(data)
+    try:
+        return _MODELS[endpoint].model_validate(value)
+    except ValidationError as error:
+        fields = field_errors(error)
+        unknown = any(e["type"] == "extra_forbidden" for e in error.errors())
+        kind = ErrorKind.UNKNOWN_FIELD if unknown else ErrorKind.INVALID_FIELD
+        message = "; ".join(f"{f['field']}: {f['problem']}" for f in fields)
+        raise EndiveError(kind, message, details={"fields": fields}) from None
--- a/packages/endive_core/src/endive_core/exceptions.py
+++ b/packages/endive_core/src/endive_core/exceptions.py
@@ -49,6 +49,7 @@
     BACKEND_REJECTED = "backend_rejected"
     BACKEND_FAILED = "backend_failed"
     OUTCOME_UNKNOWN = "outcome_unknown"
+    CANCELLED = "cancelled"
     INTERNAL = "internal"
 
 
@@ -104,6 +105,7 @@
     ErrorKind.BACKEND_REJECTED: Answer(502, _NO),
     ErrorKind.BACKEND_FAILED: Answer(502, _UNKNOWN, 1.0),
     ErrorKind.OUTCOME_UNKNOWN: Answer(502, _UNKNOWN),
+    ErrorKind.CANCELLED: Answer(499, _UNKNOWN),
     ErrorKind.INTERNAL: Answer(500, _UNKNOWN, 1.0),
 }
 """The answer for each kind; a test checks that no kind is missing."""
@@ -127,6 +129,8 @@
         ErrorKind.OUTCOME_UNKNOWN,
         ErrorKind.BACKEND_REJECTED,
         ErrorKind.BACKEND_FAILED,
+        ErrorKind.CANCELLED,
+        ErrorKind.INTERNAL,
     }
 )
 """Kinds that refuse a well-formed request; each has a counter of its own."""
--- /dev/null
+++ b/packages/endive_ctl/src/endive_ctl/files.py
@@ -0,0 +1,44 @@
+"""Resource files: TOML tables ``[[resources]]`` with kind, name, owner and spec."""
+
+import tomllib
+from pathlib import Path
+
+from endive_core.exceptions import EndiveError
+from endive_core.resources import Resource
+
+
+class FileError(Exception):
+    """A resource file cannot be used; one line says where and why."""
+
+
+def read_resources(path: str | Path) -> list[dict]:
+    """Return the checked resources of a file, in order.
+
+    Raises
+    ------
+    FileError
+        If the file is not TOML, or a resource in it is not valid.
+    """
+    try:
+        value = tomllib.loads(Path(path).read_text(encoding="utf-8"))
+    except OSError as error:
+        raise FileError(f"{path}: {error.strerror}") from None
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        raise FileError(f"{path}: not TOML: {error}") from None
+    entries = value.get("resources")
+    if not isinstance(entries, list) or set(value) != {"resources"}:
+        raise FileError(f"{path}: expected [[resources]] tables and nothing else")
+    return [_checked(path, number, entry) for number, entry in enumerate(entries, 1)]
+
+
+def _checked(path: str | Path, number: int, entry: dict) -> dict:
+    try:
+        Resource.from_body(entry)
+    except EndiveError as error:
+        problem = error.details["fields"][0]
+        where = entry.get("name", number)
+        raise FileError(
+            f"{path}: resource {where}: {problem['field']}: {problem['problem']}, "
+            f"found {problem['found']}"
+        ) from None
+    return entry
--- /dev/null
+++ b/packages/endive_node/src/endive_node/backends.py
@@ -0,0 +1,254 @@
+"""Adapters to backend servers: model engines and plain services."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+import msgspec
+import urllib3
+from endive_core.exceptions import RetryReason
+from endive_core.messages import Endpoint, Piece, Request
+
+from endive_node.interfaces import BackendError
+from endive_node.platform import CONNECT_ERRORS
+from endive_node.settings import BackendSection
+
+EVENT_END = b"\n\n"
+EVENT_START = b"data: "
+DONE = b"[DONE]"
+READ_BYTES = 65_536
+
+
+class Delta(msgspec.Struct):
+    """The new text of a chat event."""
+
+    content: str = ""
+
+
+class Choice(msgspec.Struct):
+    """The one choice of an engine's event."""
+
+    text: str = ""
+    delta: Delta | None = None
+    finish_reason: str | None = None
+
+
+class EngineEvent(msgspec.Struct):
+    """One event of an engine's stream; see docs/STANDINS.md."""
+
+    id: str
+    attempt: int
+    index: int
+    choices: list[Choice]
+
+
+_event_decoder = msgspec.json.Decoder(EngineEvent)
+
+
+@dataclass(frozen=True)
+class PlainAnswer:
+    """A plain service's whole answer."""
+
+    status: int
+    content_type: str
+    body: bytes
+
+
+class BackendClients:
+    """Connections to all backend servers; made once for a node.
+
+    Users meet its errors as ``backend_failed`` or ``backend_rejected``.
+    """
+
+    def __init__(self, settings: BackendSection) -> None:
+        self.settings = settings
+        self.pool = urllib3.PoolManager(num_pools=4096, maxsize=256, retries=False)
+
+    @classmethod
+    def from_settings(cls, settings: BackendSection) -> "BackendClients":
+        """Return clients with the time-outs in `settings`."""
+        return cls(settings)
+
+    def timeout(self) -> urllib3.Timeout:
+        """Return the time-outs of one attempt."""
+        return urllib3.Timeout(
+            connect=self.settings.connect_timeout_s, read=self.settings.stall_timeout_s
+        )
+
+    def open(self, method: str, url: str, body: bytes, headers: dict):
+        """Send one call; return the response with its body unread.
+
+        Raises
+        ------
+        BackendError
+            ``started`` is false only if no connection was made.
+        """
+        try:
+            return self.pool.request(
+                method,
+                url,
+                body=body,
+                headers=headers,
+                timeout=self.timeout(),
+                preload_content=False,
+            )
+        except CONNECT_ERRORS as error:
+            raise BackendError(
+                str(error), started=False, reason=RetryReason.CONNECT_FAILED
+            ) from None
+        except urllib3.exceptions.HTTPError as error:
+            raise BackendError(
+                str(error), started=True, reason=RetryReason.SERVER_FAILED
+            ) from None
+
+    def fetch_json(self, address: str, path: str) -> dict:
+        """Return the JSON at `path` of the server at `address`."""
+        response = self.pool.request(
+            "GET", f"http://{address}{path}", timeout=self.timeout()
+        )
+        return msgspec.json.decode(response.data)
+
+
+class EngineServer:
+    """One model engine, as :class:`endive_node.interfaces.BackendServer`."""
+
+    def __init__(self, clients: BackendClients, address: str) -> None:
+        self.clients = clients
+        self.address = address
+        self.response = None
+
+    def run(
+        self, request: Request, attempt: int, tokens: list[str], *, priority: int = 0
+    ) -> Iterator[list[Piece]]:
+        """Send `request`; yield pieces, all that one read brought at a time."""
+        body = request.body | {
+            "stream": True,
+            "request_id": request.request_id,
+            "attempt": attempt,
+            "priority": priority,
+        }
+        if tokens:
+            body["resume"] = {"tokens": tokens}
+        self.response = self.clients.open(
+            "POST",
+            f"http://{self.address}{request.endpoint}",
+            msgspec.json.encode(body),
+            {"Content-Type": "application/json"},
+        )
+        check_status(self.response)
+        return self._pieces()
+
+    def _pieces(self) -> Iterator[list[Piece]]:
+        finished = False
+        buffer = b""
+        try:
+            for data in self.response.stream(READ_BYTES, decode_content=False):
+                events, buffer = split_events(buffer + data)
+                pieces = [decode_piece(event) for event in events if event != DONE]
+                finished = finished or any(p.finish_reason for p in pieces)
+                if pieces:
+                    yield pieces
+        except (urllib3.exceptions.HTTPError, OSError, msgspec.DecodeError) as error:
+            if not finished:
+                raise BackendError(
+                    str(error), started=True, reason=RetryReason.SERVER_FAILED
+                ) from None
+        finally:
+            self._give_back(finished)
+        if not finished:
+            raise BackendError(
+                "the stream ended early", started=True, reason=RetryReason.SERVER_FAILED
+            )
+
+    def _give_back(self, finished: bool) -> None:
+        if finished:
+            self.response.release_conn()
+        else:
+            self.response.close()
+
+    def close(self) -> None:
+        """Cut the attempt off; the greenlet that reads gets a BackendError."""
+        if self.response is not None:
+            self.response.close()
+
+
+def split_events(buffer: bytes) -> tuple[list[bytes], bytes]:
+    """Return the data of all whole events in `buffer`, and the rest."""
+    *whole, rest = buffer.split(EVENT_END)
+    return [event.removeprefix(EVENT_START) for event in whole], rest
+
+
+def decode_piece(data: bytes) -> Piece:
+    """Return the piece that one engine event holds."""
+    event = _event_decoder.decode(data)
+    choice = event.choices[0]
+    text = choice.delta.content if choice.delta is not None else choice.text
+    return Piece(event.id, event.attempt, event.index, text, choice.finish_reason or "")
+
+
+def check_status(response) -> None:
+    """Raise unless the server started to answer.
+
+    Raises
+    ------
+    BackendError
+        A 503 that says ``executed: no`` did not start; a 4xx is the server's last
+        word on this request; anything else may have run.
+    """
+    if response.status == 200:
+        return
+    data = response.read()
+    response.release_conn()
+    if response.status == 503 and b'"executed":"no"' in data.replace(b" ", b""):
+        raise BackendError(
+            "the server is busy", started=False, reason=RetryReason.SERVER_BUSY
+        )
+    final = response.status if 400 <= response.status < 500 else None
+    raise BackendError(
+        f"the server answered {response.status}",
+        started=final is None,
+        reason=RetryReason.SERVER_FAILED,
+        final_status=final,
+    )
+
+
+class PlainServer:
+    """One server of a plain service: one call, one whole answer."""
+
+    def __init__(self, clients: BackendClients, address: str) -> None:
+        self.clients = clients
+        self.address = address
+
+    def call(self, request: Request, attempt: int, data: bytes) -> PlainAnswer:
+        """Send the call and return the whole answer.
+
+        Raises
+        ------
+        BackendError
+            If no whole answer came, or the server refused before starting.
+        """
+        response = self.clients.open(
+            request.method,
+            f"http://{self.address}{request.path}",
+            data,
+            {
+                "Content-Type": "application/json",
+                "X-Request-Id": request.request_id,
+                "X-Attempt": str(attempt),
+            },
+        )
+        if response.status == 503:
+            check_status(response)
+        try:
+            body = response.read()
+        except (urllib3.exceptions.HTTPError, OSError) as error:
+            raise BackendError(
+                str(error), started=True, reason=RetryReason.SERVER_FAILED
+            ) from None
+        response.release_conn()
+        content_type = response.headers.get("Content-Type", "application/octet-stream")
+        return PlainAnswer(response.status, content_type, body)
+
+
+def is_engine_endpoint(endpoint: Endpoint) -> bool:
+    """Return whether calls to `endpoint` reach model engines."""
+    return endpoint is not Endpoint.SERVICE
--- /dev/null
+++ b/packages/endive_node/src/endive_node/callers.py
@@ -0,0 +1,326 @@
+"""The callers' HTTP API: completions, chats, plain services, and resuming answers."""
+
+import math
+import time
+from collections.abc import Iterator
+
+import bottle
+import msgspec
+from endive_core.bodies import parse_body
+from endive_core.catalogue import DEFAULT_PRIORITY
+from endive_core.exceptions import EndiveError, ErrorKind
+from endive_core.messages import Endpoint, Request
+
+from endive_node.ledger import RequestRecord
+from endive_node.serving import Run, Serving
+from endive_node.telemetry import log_event
+
+BEARER = "Bearer "
+EVENT_STREAM = "text/event-stream"
+OBJECT_NAMES = {
+    Endpoint.CHAT: ("chat.completion", "chat.completion.chunk"),
+    Endpoint.COMPLETIONS: ("text_completion", "text_completion"),
+}
+ID_PREFIXES = {Endpoint.CHAT: "chatcmpl-", Endpoint.COMPLETIONS: "cmpl-"}
+
+encode_json = msgspec.json.encode
+
+
+class CallerApi:
+    """What callers reach on the node's public port.
+
+    Attributes
+    ----------
+    app : bottle.Bottle
+        The WSGI application.
+    """
+
+    def __init__(self, serving: Serving, max_body_bytes: int, is_ready) -> None:
+        self.serving = serving
+        self.max_body_bytes = max_body_bytes
+        self.is_ready = is_ready
+        self.app = bottle.Bottle()
+        route = self.app.route
+        route("/v1/completions", "POST", lambda: self.generate(Endpoint.COMPLETIONS))
+        route("/v1/chat/completions", "POST", lambda: self.generate(Endpoint.CHAT))
+        route("/v1/requests/<request_id>", "GET", self.resume)
+        route(
+            "/services/<service>/<path:path>",
+            ["GET", "POST", "PUT", "PATCH", "DELETE"],
+            self.call_service,
+        )
+        route("/healthz", "GET", self.health)
+        self.app.default_error_handler = self.answer_http_error
+
+    def generate(self, endpoint: Endpoint):
+        """Answer a completion or a chat."""
+        try:
+            run = self.serving.accept(self._generation_request(endpoint))
+            return self._answer(run, start=0)
+        except EndiveError as error:
+            return self._refuse(error)
+
+    def resume(self, request_id: str):
+        """Go on with an answer from the index in ``Last-Event-ID`` or ``from``."""
+        try:
+            organisation = self._organisation()
+            run = self.serving.ledger.get(request_id)
+            if run is None or run.record.request.organisation != organisation:
+                raise EndiveError(
+                    ErrorKind.UNKNOWN_REQUEST, "this node does not know the request"
+                )
+            return self._answer(run, start=self._start_index())
+        except EndiveError as error:
+            return self._refuse(error, request_id=request_id)
+
+    def call_service(self, service: str, path: str):
+        """Pass a call on to a plain service."""
+        try:
+            run = self.serving.accept(self._service_request(service, path))
+            for _ in run.read():
+                pass
+        except EndiveError as error:
+            return self._refuse(error)
+        answer = run.record.plain_answer
+        bottle.response.status = answer.status
+        bottle.response.content_type = answer.content_type
+        bottle.response.set_header("X-Request-Id", run.record.request.request_id)
+        return answer.body
+
+    def health(self):
+        """Tell the platform's balancer whether to send calls here."""
+        if self.serving.stopping or not self.is_ready():
+            bottle.response.status = 503
+            return "not ready\n"
+        return "ok\n"
+
+    def answer_http_error(self, error: bottle.HTTPError) -> bytes:
+        """Answer what bottle itself refuses, in the shape of all other errors."""
+        return http_error_body(error)
+
+    def _organisation(self) -> str:
+        if not self.is_ready():
+            raise EndiveError(ErrorKind.NOT_READY, "this node has no configuration yet")
+        header = bottle.request.get_header("Authorization", "")
+        if not header.startswith(BEARER):
+            raise EndiveError(ErrorKind.UNAUTHENTICATED, "a bearer key is required")
+        return self.serving.catalogue.organisation_for(header.removeprefix(BEARER))
+
+    def _read_body(self) -> bytes:
+        length = bottle.request.content_length
+        too_large = EndiveError(
+            ErrorKind.BODY_TOO_LARGE,
+            f"the body is over {self.max_body_bytes} bytes",
+        )
+        if length > self.max_body_bytes:
+            raise too_large
+        data = bottle.request.environ["wsgi.input"].read(
+            length if length >= 0 else self.max_body_bytes + 1
+        )
+        if len(data) > self.max_body_bytes:
+            raise too_large
+        return data
+
+    def _generation_request(self, endpoint: Endpoint) -> Request:
+        organisation = self._organisation()
+        body = parse_body(endpoint, self._read_body())
+        return Request(
+            request_id=self.serving.new_request_id(),
+            organisation=organisation,
+            model=body.model,
+            endpoint=endpoint,
+            body=body.model_dump(mode="json", exclude_none=True, exclude={"stream"}),
+            prompt=body.prompt_text(),
+            max_tokens=body.max_tokens,
+            stream=body.stream,
+            **self._common_fields(),
+        )
+
+    def _service_request(self, service: str, path: str) -> Request:
+        organisation = self._organisation()
+        data = self._read_body()
+        query = bottle.request.query_string
+        full_path = f"/{path}" + (f"?{query}" if query else "")
+        method = bottle.request.method
+        return Request(
+            request_id=self.serving.new_request_id(),
+            organisation=organisation,
+            model=service,
+            endpoint=Endpoint.SERVICE,
+            body={"data": data},
+            prompt=data.decode("utf-8", "replace"),
+            max_tokens=1,
+            path=full_path,
+            method=method,
+            **self._common_fields(),
+        )
+
+    def _common_fields(self) -> dict:
+        headers = bottle.request.headers
+        priority = headers.get("Endive-Priority", DEFAULT_PRIORITY)
+        self.serving.catalogue.priority(priority)
+        return {
+            "priority": priority,
+            "deadline": self._deadline(),
+            "key": headers.get("Idempotency-Key", ""),
+            "non_idempotent": headers.get("Endive-Non-Idempotent", "").lower()
+            == "true",
+        }
+
+    def _deadline(self) -> float | None:
+        text = bottle.request.get_header("Endive-Deadline-S")
+        if text is None:
+            return None
+        try:
+            seconds = float(text)
+        except ValueError:
+            seconds = math.nan
+        if not 0 < seconds < math.inf:
+            raise EndiveError(
+                ErrorKind.INVALID_FIELD, "Endive-Deadline-S must be seconds over 0"
+            )
+        return self.serving.clock.now() + seconds
+
+    def _start_index(self) -> int:
+        text = bottle.request.get_header("Last-Event-ID") or bottle.request.query.get(
+            "from", "0"
+        )
+        if not text.isdecimal():
+            raise EndiveError(
+                ErrorKind.INVALID_FIELD, "the index to go on from must be a number"
+            )
+        return int(text)
+
+    def _answer(self, run: Run, *, start: int):
+        request = run.record.request
+        bottle.response.set_header("X-Request-Id", request.request_id)
+        if not request.stream:
+            for _ in run.read():
+                pass
+            bottle.response.content_type = "application/json"
+            return encode_json(whole_answer(run.record))
+        batches = run.read(start)
+        first = next(batches, None)
+        bottle.response.content_type = EVENT_STREAM
+        bottle.response.set_header("Cache-Control", "no-cache")
+        return stream_events(run.record, first, batches, start)
+
+    def _refuse(self, error: EndiveError, *, request_id: str = ""):
+        log_event("call_refused", kind=error.kind, message=error.message)
+        return error_response(error, request_id)
+
+
+def error_response(error: EndiveError, request_id: str = "") -> bytes:
+    """Set status and headers for `error`; return its body."""
+    bottle.response.status = error.status
+    bottle.response.content_type = "application/json"
+    if error.retry_after_s is not None:
+        seconds = max(1, math.ceil(error.retry_after_s))
+        bottle.response.set_header("Retry-After", str(seconds))
+    return encode_json(error.to_body(request_id))
+
+
+def http_error_body(error: bottle.HTTPError) -> bytes:
+    """Return the body for an error that bottle raised: a path, method or crash."""
+    if error.status_code in (404, 405):
+        kind, message = ErrorKind.NOT_FOUND, "no such path or method"
+    else:
+        kind, message = ErrorKind.INTERNAL, "an internal error"
+        log_event("call_crashed", error=repr(error.exception))
+    error.content_type = "application/json"
+    return encode_json(EndiveError(kind, message).to_body())
+
+
+def answer_id(request: Request) -> str:
+    """Return the id that an answer carries, as callers of this API expect it."""
+    return ID_PREFIXES[request.endpoint] + request.request_id
+
+
+def whole_answer(record: RequestRecord) -> dict:
+    """Return the body of an answer that is not streamed."""
+    request = record.request
+    text = "".join(record.tokens)
+    choice = {"index": 0, "finish_reason": record.finish_reason}
+    if request.endpoint is Endpoint.CHAT:
+        choice["message"] = {"role": "assistant", "content": text}
+    else:
+        choice["text"] = text
+    return {
+        "id": answer_id(request),
+        "object": OBJECT_NAMES[request.endpoint][0],
+        "created": int(time.time()),
+        "model": request.model,
+        "choices": [choice],
+        "usage": {
+            "prompt_tokens": request.prompt_tokens,
+            "completion_tokens": len(record.tokens),
+            "total_tokens": request.prompt_tokens + len(record.tokens),
+        },
+    }
+
+
+class EventWriter:
+    """Turns tokens into server-sent events, with all that repeats encoded once.
+
+    The event's ``id`` is the index of the token after it: what a caller sends as
+    ``Last-Event-ID`` to go on.
+    """
+
+    def __init__(self, request: Request) -> None:
+        self.chat = request.endpoint is Endpoint.CHAT
+        head = {
+            "id": answer_id(request),
+            "object": OBJECT_NAMES[request.endpoint][1],
+            "created": int(time.time()),
+            "model": request.model,
+        }
+        self.head = b"data: " + encode_json(head)[:-1] + b',"choices":[{"index":0,'
+        self.text_key = b'"delta":{"content":' if self.chat else b'"text":'
+        self.text_end = b"}" if self.chat else b""
+
+    def event(self, index: int, text: str, finish_reason: str = "") -> bytes:
+        """Return the event of the token at `index`."""
+        reason = encode_json(finish_reason or None)
+        return b"".join(
+            (
+                b"id: %d\n" % (index + 1),
+                self.head,
+                self.text_key,
+                encode_json(text),
+                self.text_end,
+                b',"finish_reason":',
+                reason,
+                b"}]}\n\n",
+            )
+        )
+
+
+def stream_events(
+    record: RequestRecord, first: list[str] | None, batches: Iterator, start: int
+) -> Iterator[bytes]:
+    """Yield one chunk of events for each batch of tokens, then ``[DONE]``.
+
+    An error after the first token can no longer be a status: it is an event.
+    """
+    writer = EventWriter(record.request)
+    index = start
+    batch = first
+    try:
+        while batch is not None:
+            yield b"".join(_batch_events(writer, record, index, batch))
+            index += len(batch)
+            batch = next(batches, None)
+        yield b"data: [DONE]\n\n"
+    except EndiveError as error:
+        body = error.to_body(record.request.request_id)
+        yield b"event: error\ndata: " + encode_json(body) + b"\n\n"
+    finally:
+        batches.close()
+
+
+def _batch_events(
+    writer: EventWriter, record: RequestRecord, index: int, batch: list[str]
+) -> Iterator[bytes]:
+    for position, text in enumerate(batch, start=index):
+        is_last = record.finish_reason and position == len(record.tokens) - 1
+        yield writer.event(position, text, record.finish_reason if is_last else "")
--- /dev/null
+++ b/packages/endive_node/src/endive_node/embedded.py
@@ -0,0 +1,121 @@
+"""One process with everything: the node, and stand-ins for all it talks to.
+
+For a first look and for trying resources out; nothing here survives the process.
+"""
+
+from endive_core.catalogue import hash_key
+from endive_core.records import CONFIGURATION_STREAM, Change, encode
+from endive_core.resources import Resource
+from endive_standins.engine import Engine
+from endive_standins.log import Log
+from endive_standins.plain import Plain
+from endive_standins.serving import Server, serve
+
+from endive_node.node import Node
+from endive_node.settings import Settings
+
+CALLER_KEY = "demo"
+OPERATOR_TOKEN = "operator"
+OWNER = "demo"
+ZONES = ("zone-a", "zone-b")
+
+CURL_LINE = """\
+curl -N http://{address}:{port}/v1/chat/completions \\
+  -H 'Authorization: Bearer {key}' -H 'Content-Type: application/json' \\
+  -d '{{"model": "chat", "stream": true, "max_tokens": 8, \
+"messages": [{{"role": "user", "content": "Is court 3 free at six?"}}]}}'"""
+
+
+def start_embedded() -> Node:
+    """Start stand-ins and node, and print lines to paste."""
+    log = serve(Log.from_config())
+    engines = [serve(Engine.from_config(id=f"engine-{number}")) for number in (1, 2)]
+    plain = serve(Plain.from_config(id="reservation-1"))
+    node = Node.from_settings(embedded_settings(log))
+    for number, resource in enumerate(example_resources(engines, plain)):
+        node.log.append(CONFIGURATION_STREAM, [encode(creation(number, resource))])
+    node.start()
+    print_welcome(node)
+    return node
+
+
+def embedded_settings(log: Server) -> Settings:
+    """Return the settings of a lone node beside the log stand-in."""
+    return Settings.from_config(
+        {
+            "node": {"id": "node-1", "zone": ZONES[0]},
+            "platform": {"log": f"http://127.0.0.1:{log.port}"},
+            "operators": [
+                {
+                    "name": "admin",
+                    "token_hash": hash_key(OPERATOR_TOKEN),
+                    "organisation": "*",
+                }
+            ],
+        }
+    )
+
+
+def example_resources(engines: list[Server], plain: Server) -> list[Resource]:
+    """Return an organisation, two services, a model version and a deployment."""
+    bodies = [
+        ("organisation", OWNER, {"caller_key_hashes": [hash_key(CALLER_KEY)]}),
+        ("priority", "interactive", {"level": 10}),
+        ("priority", "bulk", {"level": -10, "bulk": True}),
+        ("model-version", "chat-1", {"model": "chat", "weights": "chat/1"}),
+        (
+            "backend-server-service",
+            "engines",
+            {"servers": listed("engine", engines), "decode_tokens_per_s": 50},
+        ),
+        (
+            "backend-server-service",
+            "reservations",
+            {"type": "plain", "servers": listed("reservation", [plain])},
+        ),
+        (
+            "deployment",
+            "chat",
+            {"model": "chat", "service": "engines", "version": "chat-1"},
+        ),
+    ]
+    return [
+        Resource.from_body({"kind": kind, "name": name, "owner": OWNER, "spec": spec})
+        for kind, name, spec in bodies
+    ]
+
+
+def listed(name: str, servers: list[Server]) -> list[dict]:
+    """Return the entries of a backend server service for stand-ins."""
+    return [
+        {
+            "id": f"{name}-{number}",
+            "address": f"127.0.0.1:{server.port}",
+            "zone": ZONES[number % len(ZONES)],
+        }
+        for number, server in enumerate(servers, 1)
+    ]
+
+
+def creation(number: int, resource: Resource) -> Change:
+    """Return the change that creates `resource`."""
+    return Change(
+        change_id=f"embedded-{number}",
+        kind=resource.kind,
+        name=resource.name,
+        operator="embedded",
+        body=resource.model_dump(mode="json"),
+    )
+
+
+def print_welcome(node: Node) -> None:
+    """Print a call and a look at the resources, to paste as they stand."""
+    address = node.settings.node.address
+    operators = f"http://{address}:{node.operators.port}"
+    print("endive-node runs with stand-ins in this process. Try, in another shell:\n")
+    print(CURL_LINE.format(address=address, port=node.callers.port, key=CALLER_KEY))
+    print(
+        f"\n.venv/bin/endivectl --server {operators} --token {OPERATOR_TOKEN} "
+        "list deployment\n",
+        flush=True,
+    )
--- /dev/null
+++ b/packages/endive_node/src/endive_node/interfaces.py
@@ -0,0 +1,173 @@
+"""The seams to everything outside the node, as Protocol types.
+
+The serving path knows only these; adapters for HTTP and thrift, and fakes in tests,
+take their places.
+"""
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from typing import Any, Protocol
+
+from endive_core.membership import Member
+from endive_core.messages import Piece, Request
+
+
+@dataclass(frozen=True)
+class LogEntry:
+    """One record of a stream, as the log keeps it."""
+
+    offset: int
+    body: str
+
+
+@dataclass(frozen=True)
+class LogPage:
+    """A run of records.
+
+    Attributes
+    ----------
+    first : int
+        Oldest offset that the log still keeps.
+    next : int
+        Offset to read on from.
+    """
+
+    first: int
+    next: int
+    entries: list[LogEntry] = field(default_factory=list)
+
+
+class LogService(Protocol):
+    """The platform's append-only log."""
+
+    def append(self, stream: str, records: list[str]) -> int:
+        """Append all of `records` or none; return the first one's offset.
+
+        Raises
+        ------
+        LogUncertainError
+            If the answer was lost: the records may or may not be there, or may still
+            arrive.
+        LogUnavailableError
+            If the log said that it did not append.
+        """
+        ...
+
+    def read(self, stream: str, start: int, *, wait_s: float = 0.0) -> LogPage:
+        """Read from `start`, waiting up to `wait_s` seconds for a first record.
+
+        Raises
+        ------
+        LogUnavailableError
+            If the log does not answer.
+        LogForgottenError
+            If `start` is older than the log keeps.
+        """
+        ...
+
+
+class InstanceList(Protocol):
+    """The platform's list of live and leaving instances; it lags."""
+
+    def instances(self) -> list[dict[str, Any]]:
+        """Return the listed instances."""
+        ...
+
+
+class CloudApi(Protocol):
+    """The cloud: instances, prices and reclaim notices."""
+
+    def notices(self) -> list[dict[str, Any]]:
+        """Return the reclaim notices in force."""
+        ...
+
+
+class WeightStore(Protocol):
+    """The rate-limited store of model weights."""
+
+    def describe(self, name: str) -> dict[str, Any]:
+        """Return what the store knows of one version's weights."""
+        ...
+
+
+class BackendServer(Protocol):
+    """One backend server, for one attempt at a time."""
+
+    def run(
+        self, request: Request, attempt: int, tokens: list[str]
+    ) -> Iterator[list[Piece]]:
+        """Send `request` and yield the answer's pieces as they come.
+
+        Parameters
+        ----------
+        tokens : list of str
+            The answer so far; generation goes on after it.
+
+        Raises
+        ------
+        BackendError
+            With ``started`` telling whether the server may have run it.
+        """
+        ...
+
+
+class Peer(Protocol):
+    """Another node."""
+
+    def pull_configuration(self) -> bytes:
+        """Return the peer's snapshot record, encoded."""
+        ...
+
+
+class Members(Protocol):
+    """The nodes this node knows to be there, itself among them."""
+
+    def live(self) -> list[Member]:
+        """Return the live members, ordered by id."""
+        ...
+
+
+class Clock(Protocol):
+    """Time that only goes forward."""
+
+    def now(self) -> float:
+        """Return seconds since some fixed moment."""
+        ...
+
+
+class LogUnavailableError(Exception):
+    """The log did not take effect: it refused, or could not be reached."""
+
+
+class LogUncertainError(Exception):
+    """The log's answer was lost; the append may have taken effect or still may."""
+
+
+class LogForgottenError(Exception):
+    """The offset asked for is older than the log keeps."""
+
+    def __init__(self, first: int) -> None:
+        super().__init__(f"oldest kept offset is {first}")
+        self.first = first
+
+
+class BackendError(Exception):
+    """An attempt at a backend server ended without a whole answer.
+
+    Parameters
+    ----------
+    started : bool
+        Whether the server may have run the request. ``False`` only if nothing was
+        sent or the server said that it refused before starting.
+    reason : RetryReason
+        Why, for the counters and the retry decision.
+    final_status : int or None
+        Set if the server rejected the request itself, so that no other server would
+        take it either.
+    """
+
+    def __init__(self, message, *, started, reason, final_status=None):
+        super().__init__(message)
+        self.started = started
+        self.reason = reason
+        self.final_status = final_status
--- /dev/null
+++ b/packages/endive_node/src/endive_node/peers.py
@@ -0,0 +1,120 @@
+"""Calls between nodes over thrift."""
+
+from pathlib import Path
+
+import thriftpy2
+from endive_core.records import encode
+from gevent.server import StreamServer
+from thriftpy2.protocol import TBinaryProtocolFactory
+from thriftpy2.rpc import make_client
+from thriftpy2.thrift import TException, TProcessor
+from thriftpy2.transport import TBufferedTransportFactory, TSocket, TTransportException
+
+from endive_node.configuration import Configuration
+from endive_node.listeners import listen_tcp
+
+IDL = thriftpy2.load(
+    str(Path(__file__).with_name("peers.thrift")), module_name="peers_thrift"
+)
+IDLE_TIMEOUT_S = 60.0
+CALL_TIMEOUT_S = 2.0
+
+
+class PeerUnavailableError(Exception):
+    """A peer did not answer; it may or may not have done what was asked."""
+
+
+class PeerHandler:
+    """What this node does for others: the methods of ``peers.thrift``."""
+
+    def __init__(self, node_id: str, configuration: Configuration) -> None:
+        self.node_id = node_id
+        self.configuration = configuration
+
+    def ping(self) -> str:
+        """Return this node's id."""
+        return self.node_id
+
+    def pull_configuration(self) -> str:
+        """Return the configuration in force, as a snapshot record."""
+        if not self.configuration.ready.is_set():
+            raise IDL.PeerError(kind="not_ready", message="no configuration yet")
+        return encode(self.configuration.fold.snapshot())
+
+
+class PeerListener:
+    """The thrift listener of a node.
+
+    thriftpy2's own threaded server prints a traceback when an idle connection times
+    out; this one closes the connection quietly.
+    """
+
+    def __init__(self, handler: PeerHandler, address: str, port: int) -> None:
+        self.processor = TProcessor(IDL.Peer, handler)
+        self.socket = listen_tcp(address, port)
+        self.port = self.socket.getsockname()[1]
+        self.server = StreamServer(self.socket, self.serve_connection)
+
+    def start(self) -> None:
+        """Begin to accept connections."""
+        self.server.start()
+
+    def stop(self) -> None:
+        """Close the listener and all connections."""
+        self.server.stop(timeout=0)
+
+    def serve_connection(self, connection, _address) -> None:
+        """Answer calls until the peer hangs up or stays idle."""
+        transport = TSocket()
+        transport.set_handle(connection)
+        transport.set_timeout(IDLE_TIMEOUT_S * 1000)
+        buffered = TBufferedTransportFactory().get_transport(transport)
+        protocol = TBinaryProtocolFactory().get_protocol(buffered)
+        try:
+            while True:
+                self.processor.process(protocol, protocol)
+        except (TTransportException, OSError):
+            pass
+        finally:
+            buffered.close()
+
+
+class PeerClient:
+    """Another node; one connection a call, since calls are rare."""
+
+    def __init__(self, peer_address: str, timeout_s: float = CALL_TIMEOUT_S) -> None:
+        host, port = peer_address.rsplit(":", 1)
+        self.host = host
+        self.port = int(port)
+        self.timeout_s = timeout_s
+
+    def call(self, method: str, *arguments):
+        """Call `method`; a ``PeerError`` the peer raised passes through.
+
+        Raises
+        ------
+        PeerUnavailableError
+            If no answer came.
+        """
+        try:
+            client = make_client(
+                IDL.Peer, self.host, self.port, timeout=self.timeout_s * 1000
+            )
+        except (TException, OSError) as error:
+            raise PeerUnavailableError(str(error)) from None
+        try:
+            return getattr(client, method)(*arguments)
+        except IDL.PeerError:
+            raise
+        except (TException, OSError) as error:
+            raise PeerUnavailableError(str(error)) from None
+        finally:
+            client.close()
+
+    def ping(self) -> str:
+        """Return the peer's id."""
+        return self.call("ping")
+
+    def pull_configuration(self) -> str:
+        """Return the peer's configuration as a snapshot record."""
+        return self.call("pull_configuration")
--- /dev/null
+++ b/packages/endive_node/src/endive_node/platform.py
@@ -0,0 +1,115 @@
+"""Adapters to the platform's services over their HTTP protocols."""
+
+from typing import Any
+from urllib.parse import quote
+
+import msgspec
+import urllib3
+
+from endive_node.interfaces import (
+    LogEntry,
+    LogForgottenError,
+    LogPage,
+    LogUnavailableError,
+    LogUncertainError,
+)
+
+READ_LIMIT = 1000
+"""Records asked for in one read: a page stays well under a megabyte."""
+
+CONNECT_ERRORS = (
+    urllib3.exceptions.NewConnectionError,
+    urllib3.exceptions.ConnectTimeoutError,
+)
+"""Errors after which nothing can have been sent."""
+
+
+class HttpService:
+    """One platform service behind a base address; the base of the adapters."""
+
+    def __init__(self, base: str, timeout_s: float) -> None:
+        self.base = base
+        self.timeout_s = timeout_s
+        self.pool = urllib3.PoolManager(maxsize=16, retries=False)
+
+    def call(
+        self, method: str, path: str, body: Any = None, *, extra_s: float = 0.0
+    ) -> tuple[int, Any]:
+        """Return status and decoded body; urllib3's errors pass through."""
+        response = self.pool.request(
+            method,
+            self.base + path,
+            body=None if body is None else msgspec.json.encode(body),
+            headers={"Content-Type": "application/json"},
+            timeout=urllib3.Timeout(
+                connect=self.timeout_s, read=self.timeout_s + extra_s
+            ),
+        )
+        return response.status, msgspec.json.decode(response.data or b"null")
+
+
+class HttpLog:
+    """The platform's log.
+
+    An append whose answer is lost is told apart from one that was refused, since the
+    first may have taken effect: the caller settles it by reading on.
+    """
+
+    def __init__(self, base: str, timeout_s: float) -> None:
+        self.service = HttpService(base, timeout_s)
+
+    def append(self, stream: str, records: list[str]) -> int:
+        """See :meth:`endive_node.interfaces.LogService.append`."""
+        path = f"/streams/{quote(stream)}/records"
+        try:
+            status, body = self.service.call("POST", path, {"records": records})
+        except CONNECT_ERRORS as error:
+            raise LogUnavailableError(str(error)) from None
+        except (urllib3.exceptions.HTTPError, msgspec.DecodeError) as error:
+            raise LogUncertainError(str(error)) from None
+        if status == 200:
+            return body["offset"]
+        if status in (429, 503):
+            raise LogUnavailableError(f"status {status}")
+        raise LogUncertainError(f"status {status}")
+
+    def read(self, stream: str, start: int, *, wait_s: float = 0.0) -> LogPage:
+        """See :meth:`endive_node.interfaces.LogService.read`."""
+        path = (
+            f"/streams/{quote(stream)}/records"
+            f"?from={start}&limit={READ_LIMIT}&wait_s={wait_s}"
+        )
+        try:
+            status, body = self.service.call("GET", path, extra_s=wait_s)
+        except (urllib3.exceptions.HTTPError, msgspec.DecodeError) as error:
+            raise LogUnavailableError(str(error)) from None
+        if status == 410:
+            raise LogForgottenError(body["first"])
+        if status != 200:
+            raise LogUnavailableError(f"status {status}")
+        entries = [LogEntry(r["offset"], r["body"]) for r in body["records"]]
+        return LogPage(body["first"], body["next"], entries)
+
+
+class HttpInstanceList:
+    """The platform's lagging list of instances."""
+
+    def __init__(self, base: str, timeout_s: float) -> None:
+        self.service = HttpService(base, timeout_s)
+
+    def instances(self) -> list[dict[str, Any]]:
+        """See :meth:`endive_node.interfaces.InstanceList.instances`."""
+        status, body = self.service.call("GET", "/instances")
+        return body["instances"] if status == 200 else []
+
+
+class HttpCloud:
+    """The cloud API."""
+
+    def __init__(self, base: str, timeout_s: float) -> None:
+        self.service = HttpService(base, timeout_s)
+
+    def notices(self) -> list[dict[str, Any]]:
+        """See :meth:`endive_node.interfaces.CloudApi.notices`."""
+        status, body = self.service.call("GET", "/notices")
+        return body["notices"] if status == 200 else []
--- /dev/null
+++ b/packages/endive_node/src/endive_node/serving.py
@@ -0,0 +1,330 @@
+"""The path of one request: accept, place, run, and run again elsewhere if need be."""
+
+import uuid
+from collections.abc import Iterator
+
+import gevent
+from endive_core.catalogue import Catalogue
+from endive_core.exceptions import EndiveError, ErrorKind, RetryReason
+from endive_core.hashing import fingerprint
+from endive_core.messages import Endpoint, Piece, Request, ServerView
+
+from endive_node.backends import BackendClients, EngineServer, PlainServer
+from endive_node.dispatching import AttemptResult, Dispatcher
+from endive_node.interfaces import BackendError, Clock
+from endive_node.ledger import Ledger, RequestRecord
+from endive_node.settings import LimitsSection
+from endive_node.telemetry import Metrics, log_event
+
+EXPIRE_EVERY_S = 1.0
+
+
+class Serving:
+    """All requests of one node, from acceptance to the end of the answer.
+
+    The caller API makes a :class:`Run` here for each call and reads its pieces.
+    """
+
+    def __init__(
+        self,
+        node_id: str,
+        catalogue: Catalogue,
+        dispatcher: Dispatcher,
+        clients: BackendClients,
+        limits: LimitsSection,
+        metrics: Metrics,
+        clock: Clock,
+    ) -> None:
+        self.node_id = node_id
+        self.catalogue = catalogue
+        self.dispatcher = dispatcher
+        self.clients = clients
+        self.limits = limits
+        self.metrics = metrics
+        self.clock = clock
+        self.ledger = Ledger(limits.keep_finished_s)
+        self.stopping = False
+
+    def new_request_id(self) -> str:
+        """Return an id that names this node, so that any other can find the answer."""
+        return f"{self.node_id}.{uuid.uuid4().hex[:20]}"
+
+    def accept(self, request: Request) -> "Run":
+        """Enter `request`; return the run to read the answer from.
+
+        The same request sent again with its key joins the answer under way.
+
+        Raises
+        ------
+        EndiveError
+            If the request is refused.
+        """
+        try:
+            return self._accept(request)
+        except EndiveError as error:
+            self.metrics.refused(error.kind)
+            raise
+
+    def _accept(self, request: Request) -> "Run":
+        if self.stopping:
+            raise EndiveError(ErrorKind.STOPPING, "this node takes no new requests")
+        request.fingerprint = fingerprint(
+            f"{request.endpoint}\0{request.path}\0{request.model}\0{request.prompt}"
+        )
+        known = self._joined(request)
+        if known is not None:
+            return known
+        if request.non_idempotent and not request.key:
+            raise EndiveError(
+                ErrorKind.KEY_REQUIRED,
+                "a non-idempotent request needs an Idempotency-Key header",
+            )
+        self.dispatcher.service_of(request)
+        run = Run(self, RequestRecord(request, self.clock.now()))
+        self.ledger.add(run)
+        self.metrics.accepted.add(1)
+        return run
+
+    def _joined(self, request: Request) -> "Run | None":
+        if not request.key:
+            return None
+        run = self.ledger.by_idempotency_key(request.organisation, request.key)
+        if run is None:
+            return None
+        if run.record.request.fingerprint != request.fingerprint:
+            raise EndiveError(
+                ErrorKind.KEY_REUSED, "the idempotency key was used for another request"
+            )
+        if run.record.error is not None and not run.record.dispatched:
+            return None
+        return run
+
+    def expire(self) -> None:
+        """Forget finished answers for ever; the body of a greenlet."""
+        while True:
+            gevent.sleep(EXPIRE_EVERY_S)
+            self.ledger.expire(self.clock.now())
+
+
+class Run:
+    """One request on its way; whoever reads the answer drives it.
+
+    The reader's own greenlet reads from the backend server, so that a token costs one
+    read and one write and no switch between greenlets. Other readers of the same
+    answer wait for the driver; when the driver leaves, the next one takes over.
+    """
+
+    def __init__(self, serving: Serving, record: RequestRecord) -> None:
+        self.serving = serving
+        self.record = record
+        self.backend: EngineServer | None = None
+        self.driving = False
+        self.readers = 0
+        self._steps = self._drive()
+
+    def read(self, start: int = 0) -> Iterator[list[str]]:
+        """Yield the answer's tokens from index `start`, as they come.
+
+        Raises
+        ------
+        EndiveError
+            Where the answer ends in an error.
+        """
+        position = start
+        self.readers += 1
+        try:
+            while True:
+                if position < len(self.record.tokens):
+                    fresh = self.record.tokens[position:]
+                    position += len(fresh)
+                    yield fresh
+                elif self.record.ended:
+                    break
+                else:
+                    self._progress()
+            if self.record.error is not None:
+                raise self.record.error
+        finally:
+            self.readers -= 1
+            self._reader_left()
+
+    def _progress(self) -> None:
+        if self.driving:
+            self.record.progressed.wait()
+        else:
+            self.advance()
+
+    def advance(self) -> None:
+        """Drive the request up to its next pieces, or its end."""
+        self.driving = True
+        try:
+            next(self._steps, None)
+        except EndiveError as error:
+            self._fail(error)
+        except Exception as error:
+            log_event(
+                "request_crashed",
+                request_id=self.record.request.request_id,
+                error=repr(error),
+            )
+            self._fail(EndiveError(ErrorKind.INTERNAL, "an internal error"))
+            raise
+        finally:
+            self.driving = False
+            self.record.wake()
+
+    def finish_in_background(self) -> None:
+        """Drive to the end without a reader."""
+        while not self.record.ended:
+            self._progress()
+
+    def _reader_left(self) -> None:
+        """Go on without readers only where stopping would lose what was accepted.
+
+        A caller that hangs up on a request without a key cannot come back for it, so
+        its server is freed; with a key it may send the request again and join.
+        """
+        if self.readers or self.record.ended:
+            return
+        if self.record.request.key:
+            gevent.spawn(self.finish_in_background)
+        elif not self.driving:
+            self._steps.close()
+            self._fail(EndiveError(ErrorKind.CANCELLED, "the caller hung up"))
+
+    def _fail(self, error: EndiveError) -> None:
+        if self.record.ended:
+            return
+        self.record.error = error
+        self.serving.metrics.refused(error.kind)
+        self._ended(outcome=error.kind)
+
+    def _ended(self, *, outcome: str) -> None:
+        record = self.record
+        record.finished_at = self.serving.clock.now()
+        self.serving.metrics.finished.add(1)
+        log_event(
+            "request_ended",
+            request_id=record.request.request_id,
+            organisation=record.request.organisation,
+            model=record.request.model,
+            outcome=outcome,
+            tokens=len(record.tokens),
+            attempts=record.attempt,
+            servers=",".join(record.servers),
+            seconds=record.finished_at - record.accepted_at,
+        )
+
+    def _drive(self) -> Iterator[None]:
+        """Run attempts until one ends the answer; yield after each batch of pieces."""
+        avoid: set[str] = set()
+        while True:
+            server = self.serving.dispatcher.acquire(
+                self.record.request, avoid=frozenset(avoid)
+            )
+            started_at = self.serving.clock.now()
+            tokens_before = len(self.record.tokens)
+            ok = False
+            try:
+                yield from self._attempt(server)
+                ok = True
+            except BackendError as error:
+                avoid.add(server.id)
+                self._decide_retry(error)
+            finally:
+                self._release(server, started_at, tokens_before, ok=ok)
+            if ok:
+                return
+
+    def _attempt(self, server: ServerView) -> Iterator[None]:
+        record = self.record
+        record.attempt += 1
+        record.servers.append(server.id)
+        if record.request.endpoint is Endpoint.SERVICE:
+            self._call_plain(server)
+        else:
+            yield from self._stream(server)
+        self._ended(outcome="ok")
+
+    def _call_plain(self, server: ServerView) -> None:
+        plain = PlainServer(self.serving.clients, server.address)
+        request = self.record.request
+        try:
+            self.record.plain_answer = plain.call(
+                request, self.record.attempt, request.body["data"]
+            )
+        except BackendError as error:
+            self.record.dispatched = self.record.dispatched or error.started
+            raise
+        self.record.dispatched = True
+        self.record.finish_reason = "stop"
+
+    def _stream(self, server: ServerView) -> Iterator[None]:
+        record = self.record
+        self.backend = EngineServer(self.serving.clients, server.address)
+        priority = self.serving.catalogue.priority(record.request.priority).level
+        try:
+            batches = self.backend.run(
+                record.request, record.attempt, record.tokens, priority=priority
+            )
+        except BackendError as error:
+            record.dispatched = record.dispatched or error.started
+            raise
+        record.dispatched = True
+        for pieces in batches:
+            self._take(pieces)
+            record.wake()
+            if record.finish_reason:
+                break
+            yield
+        if not record.finish_reason:
+            raise BackendError(
+                "pieces are missing",
+                started=True,
+                reason=RetryReason.SERVER_FAILED,
+            )
+
+    def _take(self, pieces: list[Piece]) -> None:
+        record = self.record
+        taken = 0
+        for piece in pieces:
+            reason = record.classify(piece)
+            if reason:
+                self.serving.metrics.dropped(reason)
+            else:
+                record.take(piece)
+                taken += 1
+        if taken and record.first_token_at is None:
+            record.first_token_at = self.serving.clock.now()
+            self.serving.metrics.first_token.record(
+                record.first_token_at - record.accepted_at
+            )
+        self.serving.metrics.tokens.add(taken)
+
+    def _decide_retry(self, error: BackendError) -> None:
+        """Return if another attempt is allowed; otherwise raise the final answer."""
+        record = self.record
+        if error.final_status is not None:
+            raise EndiveError(ErrorKind.BACKEND_REJECTED, str(error)) from None
+        if error.started and record.request.non_idempotent:
+            raise EndiveError(
+                ErrorKind.OUTCOME_UNKNOWN,
+                "the server may have run the request; it is not sent again",
+            ) from None
+        if record.attempt >= self.serving.limits.max_attempts:
+            kind = (
+                ErrorKind.BACKEND_FAILED if record.dispatched else ErrorKind.NO_SERVER
+            )
+            raise EndiveError(kind, f"all attempts failed; the last: {error}") from None
+        self.serving.metrics.retried(error.reason)
+
+    def _release(
+        self, server: ServerView, started_at: float, tokens_before: int, *, ok: bool
+    ) -> None:
+        first = self.record.first_token_at
+        result = AttemptResult(
+            ok=ok,
+            first_token_s=first - started_at if first and first >= started_at else None,
+            tokens=len(self.record.tokens) - tokens_before,
+        )
+        self.serving.dispatcher.release(self.record.request, server, result)
--- /dev/null
+++ b/packages/endive_node/src/endive_node/settings.py
@@ -0,0 +1,141 @@
+"""Settings of a node: TOML in, checked models out.
+
+Every setting has a unit in its name or its description and a default that
+docs/OPERATIONS.md lists.
+"""
+
+import tomllib
+from pathlib import Path
+from typing import Annotated
+
+from endive_core.exceptions import SettingsError
+from endive_core.resources import NAME_PATTERN, SHA256_HEX
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+Name = Annotated[str, Field(pattern=NAME_PATTERN.pattern)]
+Port = Annotated[int, Field(ge=0, le=65535)]
+Url = Annotated[str, Field(pattern=r"^http://\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")]
+
+
+class _Section(BaseModel):
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+class NodeSection(_Section):
+    """Who and where this node is."""
+
+    id: Name = Field(description="name of this node, unique among all nodes")
+    zone: Name = Field(description="availability zone it runs in")
+    region: Name = Field("local", description="region of the zone")
+    address: str = Field("127.0.0.1", description="IP number it listens on")
+    caller_port: Port = Field(8080, description="port for callers; 0 picks one")
+    operator_port: Port = Field(8081, description="port for operators; 0 picks one")
+    peer_port: Port = Field(8082, description="TCP port for other nodes")
+    gossip_port: Port = Field(8083, description="UDP port for heartbeats")
+
+
+class PlatformSection(_Section):
+    """Where the platform's services are."""
+
+    log: Url = Field(description="address of the log")
+    instances: Url | None = Field(None, description="address of the instance list")
+    cloud: Url | None = Field(None, description="address of the cloud API")
+    weights: Url | None = Field(None, description="address of the weight store")
+    timeout_s: float = Field(2.0, gt=0, description="time-out of one call, seconds")
+    notice_poll_s: float = Field(
+        0.5, gt=0, description="how often reclaim notices are asked for, seconds"
+    )
+
+
+class PeerEntry(_Section):
+    """A node to talk to before any heartbeat was heard."""
+
+    id: Name = Field(description="the peer's id")
+    zone: Name = Field(description="the peer's zone")
+    peer_address: str = Field(description="IP:port of its TCP peer listener")
+    gossip_address: str = Field(description="IP:port of its UDP heartbeat listener")
+
+
+class OperatorEntry(_Section):
+    """One operator's token and what it may touch."""
+
+    name: Name = Field(description="operator's name, written into each change")
+    token_hash: str = Field(
+        pattern=SHA256_HEX.pattern, description="SHA-256 of the token, hex"
+    )
+    organisation: str = Field(
+        description="organisation whose resources it may see and change; * for all"
+    )
+
+
+class LimitsSection(_Section):
+    """Bounds on one call and on what a node holds."""
+
+    max_body_bytes: int = Field(
+        4_000_000, ge=1, description="largest body a caller may send, bytes"
+    )
+    max_attempts: int = Field(
+        4, ge=1, le=20, description="attempts at backend servers for one request"
+    )
+    keep_finished_s: float = Field(
+        30.0, ge=0, description="how long a finished answer can be fetched, seconds"
+    )
+
+
+class BackendSection(_Section):
+    """How backend servers are called."""
+
+    connect_timeout_s: float = Field(0.5, gt=0, description="time to connect, seconds")
+    stall_timeout_s: float = Field(
+        10.0, gt=0, description="longest silence of a running answer, seconds"
+    )
+    report_poll_s: float = Field(
+        0.5, gt=0, description="how often load reports are read, seconds"
+    )
+
+
+class Settings(_Section):
+    """All settings of one node."""
+
+    node: NodeSection
+    platform: PlatformSection
+    peers: tuple[PeerEntry, ...] = ()
+    operators: tuple[OperatorEntry, ...] = ()
+    limits: LimitsSection = LimitsSection()
+    backends: BackendSection = BackendSection()
+
+    @classmethod
+    def from_file(cls, path: str | Path) -> "Settings":
+        """Read and check the settings in the TOML file at `path`.
+
+        Raises
+        ------
+        SettingsError
+            With one line that names the key, what was found and what is allowed.
+        """
+        try:
+            value = tomllib.loads(Path(path).read_text(encoding="utf-8"))
+        except OSError as error:
+            raise SettingsError(f"{path}: {error.strerror}") from None
+        except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+            raise SettingsError(f"{path}: not TOML: {error}") from None
+        return cls.from_config(value, source=str(path))
+
+    @classmethod
+    def from_config(cls, value: dict, *, source: str = "settings") -> "Settings":
+        """Check a decoded settings table; see :meth:`from_file`."""
+        try:
+            return cls.model_validate(value)
+        except ValidationError as error:
+            raise SettingsError(f"{source}: {_first_problem(error)}") from None
+
+
+def _first_problem(error: ValidationError) -> str:
+    entry = error.errors(include_url=False)[0]
+    key = ".".join(str(part) for part in entry["loc"])
+    if entry["type"] == "missing":
+        return f"{key}: found nothing, allowed: a value is required"
+    if entry["type"] == "extra_forbidden":
+        return f"{key}: found an unknown key, allowed: see docs/OPERATIONS.md"
+    found = str(entry.get("input")).replace("\n", " ")[:80]
+    return f"{key}: found {found!r}, allowed: {entry['msg']}"
--- /dev/null
+++ b/tests/builders.py
@@ -0,0 +1,363 @@
+"""Builders of test data, and of separate processes on loopback to test with."""
+
+import hashlib
+import itertools
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import msgspec
+import urllib3
+import xxhash
+
+CALLER_KEY = "demo"
+OPERATOR_TOKEN = "operator-token"
+ZONES = ("brest", "quimper", "lannion")
+PORTS_PER_WORKER = 400
+FIRST_PORT = int(os.environ.get("ENDIVE_TEST_PORT_BASE", "27000"))
+START_TIMEOUT_S = 20.0
+
+_worker = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw"))
+_offsets = itertools.count()
+http = urllib3.PoolManager(maxsize=64, retries=False)
+
+
+def sha256(text):
+    """Return the hex SHA-256 of `text`."""
+    return hashlib.sha256(text.encode()).hexdigest()
+
+
+def free_port():
+    """Return a port of this worker's own range that nothing listens on."""
+    while True:
+        offset = next(_offsets) % PORTS_PER_WORKER
+        port = FIRST_PORT + _worker * PORTS_PER_WORKER + offset
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return port
+
+
+def expected_tokens(prompt, count):
+    """Return the tokens that an engine stand-in answers to `prompt`."""
+    return [
+        xxhash.xxh3_64_hexdigest(f"{prompt}\0{index}".encode())[:6] + " "
+        for index in range(count)
+    ]
+
+
+def call(method, url, body=None, headers=None, **options):
+    """Return urllib3's response to one JSON call."""
+    return http.request(
+        method,
+        url,
+        body=None if body is None else msgspec.json.encode(body),
+        headers={"Content-Type": "application/json"} | (headers or {}),
+        timeout=options.pop("timeout", 30.0),
+        **options,
+    )
+
+
+def wait_until(condition, what, timeout_s=START_TIMEOUT_S):
+    """Wait until `condition()` is true; fail with `what` if it never is."""
+    deadline = time.monotonic() + timeout_s
+    while not condition():
+        assert time.monotonic() < deadline, f"waited in vain: {what}"
+        time.sleep(0.02)
+
+
+def answers_ok(url):
+    """Return whether a GET of `url` is answered with 200."""
+    try:
+        return http.request("GET", url, timeout=2.0).status == 200
+    except urllib3.exceptions.HTTPError:
+        return False
+
+
+@dataclass
+class Service:
+    """A process that was started, and the address it serves."""
+
+    name: str
+    process: subprocess.Popen
+    port: int
+    output: Path
+
+    @property
+    def address(self):
+        return f"127.0.0.1:{self.port}"
+
+    @property
+    def url(self):
+        return f"http://{self.address}"
+
+    def is_ready(self):
+        """Return whether the process listens."""
+        return "ready port=" in self.output.read_text()
+
+    def faults(self, **order):
+        """Order faults from a stand-in."""
+        assert call("POST", f"{self.url}/faults", order).status == 200
+
+    def stats(self):
+        """Return a stand-in's statistics."""
+        return call("GET", f"{self.url}/stats").json()
+
+    def signal(self, number):
+        self.process.send_signal(number)
+
+    def kill(self):
+        """End the process at once, as a reclaim does."""
+        self.process.kill()
+        self.process.wait()
+
+
+@dataclass
+class NodeProcess(Service):
+    """An ``endive-node`` process."""
+
+    node_id: str = ""
+    zone: str = ""
+    operator_port: int = 0
+    peer_port: int = 0
+    gossip_port: int = 0
+    settings_path: Path | None = None
+
+    @property
+    def operator_url(self):
+        return f"http://127.0.0.1:{self.operator_port}"
+
+    def is_ready(self):
+        """Return whether the node has a configuration."""
+        return answers_ok(self.url + "/healthz")
+
+    def post(self, path, body, **headers):
+        """Send a caller's call; underscores in header names become hyphens."""
+        named = {key.replace("_", "-"): value for key, value in headers.items()}
+        return call(
+            "POST",
+            self.url + path,
+            body,
+            {"Authorization": f"Bearer {CALLER_KEY}"} | named,
+        )
+
+    def operate(self, method, path, body=None, token=OPERATOR_TOKEN):
+        """Send an operator's call."""
+        return call(
+            method,
+            self.operator_url + path,
+            body,
+            {"Authorization": f"Bearer {token}"},
+        )
+
+
+@dataclass
+class Cluster:
+    """Separate processes for one test, all ended with it."""
+
+    folder: Path
+    services: list = field(default_factory=list)
+    nodes: list = field(default_factory=list)
+    log: Service | None = None
+    cloud: Service | None = None
+
+    def start(self, name, command, port, kind=Service, **fields):
+        """Start `command` and remember it; its output goes to a file."""
+        output = self.folder / f"{name}.out"
+        with output.open("ab") as sink:
+            process = subprocess.Popen(command, stdout=sink, stderr=sink)
+        service = kind(name, process, port, output, **fields)
+        self.services.append(service)
+        return service
+
+    def standin(self, module, name, **options):
+        """Start a stand-in; :meth:`wait_ready` waits until it listens."""
+        port = free_port()
+        flags = [f"--{key}={value}" for key, value in options.items()]
+        command = [
+            sys.executable,
+            "-m",
+            f"endive_standins.{module}",
+            f"--port={port}",
+            *flags,
+        ]
+        return self.start(name, command, port)
+
+    def with_log(self, **options):
+        """Start the log stand-in."""
+        self.log = self.standin("log", "log", **options)
+        return self.log
+
+    def with_cloud(self, **options):
+        """Start the cloud stand-in, for reclaim notices."""
+        self.cloud = self.standin("cloud", "cloud", **options)
+        return self.cloud
+
+    def engine(self, name, **options):
+        """Start an engine stand-in."""
+        return self.standin("engine", name, id=name, **options)
+
+    def plain(self, name, **options):
+        """Start a plain service's stand-in."""
+        return self.standin("plain", name, id=name, **options)
+
+    def add_nodes(self, count=2, *, ready=True, **sections):
+        """Start `count` nodes, in zones by turn, and wait until they listen."""
+        first = len(self.nodes)
+        plans = [self._plan(first + index) for index in range(count)]
+        known = [node_plan(node) for node in self.nodes] + plans
+        for plan in plans:
+            self.nodes.append(self._start_node(plan, known, sections))
+        if ready:
+            self.wait_ready()
+        return self.nodes[first:]
+
+    def wait_ready(self):
+        """Wait until every node has a configuration."""
+        for node in self.nodes:
+            if node.process.poll() is None:
+                wait_until(lambda url=node.url: answers_ok(url + "/healthz"), node.name)
+
+    def _plan(self, index):
+        return {
+            "id": f"node-{index + 1}",
+            "zone": ZONES[index % len(ZONES)],
+            "caller_port": free_port(),
+            "operator_port": free_port(),
+            "peer_port": free_port(),
+            "gossip_port": free_port(),
+        }
+
+    def _start_node(self, plan, known, sections):
+        path = self.folder / f"{plan['id']}.toml"
+        path.write_text(settings_toml(plan, known, self, sections))
+        command = [sys.executable, "-m", "endive_node.cli", "run", f"--settings={path}"]
+        return self.start(
+            plan["id"],
+            command,
+            plan["caller_port"],
+            NodeProcess,
+            node_id=plan["id"],
+            zone=plan["zone"],
+            operator_port=plan["operator_port"],
+            peer_port=plan["peer_port"],
+            gossip_port=plan["gossip_port"],
+            settings_path=path,
+        )
+
+    def restart(self, node):
+        """Start a stopped node again with the same settings, and nothing else kept."""
+        command = [
+            sys.executable,
+            "-m",
+            "endive_node.cli",
+            "run",
+            f"--settings={node.settings_path}",
+        ]
+        with node.output.open("ab") as sink:
+            node.process = subprocess.Popen(command, stdout=sink, stderr=sink)
+        wait_until(lambda: answers_ok(node.url + "/healthz"), node.name)
+
+    def apply(self, *resources, node=None):
+        """Apply resources through a node's operators' API."""
+        node = node or self.nodes[0]
+        for resource in resources:
+            path = f"/v1/resources/{resource['kind']}/{resource['name']}"
+            answer = node.operate("PUT", path, resource)
+            assert answer.status == 200, answer.data
+
+    def wait_in_force(self, node, model="chat"):
+        """Wait until `node` serves `model`."""
+        body = {"model": model, "prompt": "x", "max_tokens": 1}
+        wait_until(
+            lambda: node.post("/v1/completions", body).status == 200,
+            f"{model} on {node.name}",
+        )
+
+    def stop(self):
+        """End every process of this cluster."""
+        for service in self.services:
+            if service.process.poll() is None:
+                service.process.send_signal(signal.SIGCONT)
+                service.process.kill()
+        for service in self.services:
+            service.process.wait()
+
+
+def node_plan(node):
+    """Return the plan that a running node was started from."""
+    return {
+        "id": node.node_id,
+        "zone": node.zone,
+        "peer_port": node.peer_port,
+        "gossip_port": node.gossip_port,
+    }
+
+
+def settings_toml(plan, known, cluster, sections):
+    """Return a node's settings file."""
+    lines = ["[node]", *(f"{key} = {quoted(plan[key])}" for key in plan)]
+    lines += ["[platform]", f'log = "{cluster.log.url}"', "timeout_s = 1.0"]
+    if cluster.cloud:
+        lines += [f'cloud = "{cluster.cloud.url}"', "notice_poll_s = 0.1"]
+    for section, values in sections.items():
+        lines += [f"[{section}]", *(f"{k} = {quoted(v)}" for k, v in values.items())]
+    for peer in known:
+        if peer["id"] != plan["id"]:
+            lines += [
+                "[[peers]]",
+                f'id = "{peer["id"]}"',
+                f'zone = "{peer["zone"]}"',
+                f'peer_address = "127.0.0.1:{peer["peer_port"]}"',
+                f'gossip_address = "127.0.0.1:{peer["gossip_port"]}"',
+            ]
+    lines += [
+        "[[operators]]",
+        'name = "admin"',
+        f'token_hash = "{sha256(OPERATOR_TOKEN)}"',
+        'organisation = "*"',
+    ]
+    return "\n".join(lines) + "\n"
+
+
+def quoted(value):
+    """Return a TOML value."""
+    if isinstance(value, bool):
+        return str(value).lower()
+    return f'"{value}"' if isinstance(value, str) else str(value)
+
+
+def resource(kind, name, owner="kerloch", **spec):
+    """Return a resource body."""
+    return {"kind": kind, "name": name, "owner": owner, "spec": spec}
+
+
+def organisation(name="kerloch", key=CALLER_KEY, **spec):
+    """Return an organisation whose callers use `key`."""
+    hashes = [sha256(key)]
+    return resource("organisation", name, name, caller_key_hashes=hashes, **spec)
+
+
+def service(name, servers, kind="engine", **spec):
+    """Return a backend server service of running stand-ins, zones by turn."""
+    listed = [
+        {
+            "id": server.name,
+            "address": server.address,
+            "zone": ZONES[index % len(ZONES)],
+        }
+        for index, server in enumerate(servers)
+    ]
+    return resource("backend-server-service", name, type=kind, servers=listed, **spec)
+
+
+def deployment(model="chat", service="engines", **spec):
+    """Return a deployment of `model`."""
+    return resource("deployment", model, model=model, service=service, **spec)
--- /dev/null
+++ b/tests/test_path.py
@@ -0,0 +1,135 @@
+"""The whole path over real sockets and separate processes."""
+
+import json
+import subprocess
+import sys
+
+import builders
+import pytest
+
+
+@pytest.fixture(scope="module")
+def installation(tmp_path_factory):
+    """Log, two nodes in two zones, two engines and a plain service, declared."""
+    folder = tmp_path_factory.mktemp("installation")
+    cluster = builders.Cluster(folder)
+    try:
+        yield declared(cluster, folder)
+    finally:
+        cluster.stop()
+
+
+def declared(cluster, folder):
+    cluster.with_log()
+    engines = [cluster.engine(f"engine-{i}", decode_tokens_per_s=2000) for i in (1, 2)]
+    plain = cluster.plain("reservation-1")
+    nodes = cluster.add_nodes(2)
+    path = folder / "resources.toml"
+    path.write_text(resources_toml(engines, plain))
+    done = endivectl("apply", "-f", path, node=nodes[0])
+    assert done.returncode == 0, done.stderr
+    for node in nodes:
+        cluster.wait_in_force(node)
+    return cluster
+
+
+def endivectl(*arguments, node):
+    return subprocess.run(
+        [
+            sys.executable,
+            "-m",
+            "endive_ctl.cli",
+            *map(str, arguments),
+            f"--server={node.operator_url}",
+            f"--token={builders.OPERATOR_TOKEN}",
+        ],
+        capture_output=True,
+        text=True,
+    )
+
+
+def resources_toml(engines, plain):
+    """The example file, its addresses replaced by those of running stand-ins."""
+    with open("examples/resources.toml") as example:
+        text = example.read()
+    text = text.replace("127.0.0.1:8091", engines[0].address)
+    text = text.replace("127.0.0.1:8092", engines[1].address)
+    return text.replace("127.0.0.1:8093", plain.address)
+
+
+def events(data):
+    """Return the data of each server-sent event."""
+    return [
+        line.removeprefix(b"data: ")
+        for line in data.split(b"\n")
+        if line.startswith(b"data: ")
+    ]
+
+
+@pytest.mark.processes
+def test_completion_whole_and_streamed_byte_for_byte(installation):
+    expected = "".join(builders.expected_tokens("Which court is free?", 12))
+    body = {"model": "chat", "prompt": "Which court is free?", "max_tokens": 12}
+    for node in installation.nodes:
+        answer = node.post("/v1/completions", body)
+        assert answer.status == 200
+        value = answer.json()
+        assert value["choices"][0]["text"].encode() == expected.encode()
+        assert value["choices"][0]["finish_reason"] == "length"
+        assert value["usage"]["completion_tokens"] == 12
+        streamed = node.post("/v1/completions", body | {"stream": True})
+        *parts, done = events(streamed.data)
+        assert done == b"[DONE]"
+        texts = [json.loads(part)["choices"][0]["text"] for part in parts]
+        assert "".join(texts).encode() == expected.encode()
+
+
+@pytest.mark.processes
+def test_chat_whole_and_streamed_byte_for_byte(installation):
+    messages = [
+        {"role": "system", "content": "You book courts."},
+        {"role": "user", "content": "Tuesday at six?"},
+    ]
+    expected = "".join(builders.expected_tokens("You book courts.\nTuesday at six?", 7))
+    body = {"model": "chat", "messages": messages, "max_tokens": 7}
+    for node in installation.nodes:
+        value = node.post("/v1/chat/completions", body).json()
+        assert value["object"] == "chat.completion"
+        assert value["choices"][0]["message"]["content"] == expected
+        streamed = node.post("/v1/chat/completions", body | {"stream": True})
+        *parts, done = events(streamed.data)
+        assert done == b"[DONE]"
+        chunks = [json.loads(part) for part in parts]
+        assert {chunk["object"] for chunk in chunks} == {"chat.completion.chunk"}
+        deltas = [chunk["choices"][0]["delta"]["content"] for chunk in chunks]
+        assert "".join(deltas) == expected
+
+
+@pytest.mark.processes
+def test_plain_service_through_the_same_node(installation):
+    answer = installation.nodes[1].post("/services/reservations/courts/3", {"at": 18})
+    assert answer.status == 200
+    value = answer.json()
+    assert (value["method"], value["path"]) == ("POST", "/courts/3")
+    assert json.loads(value["body"]) == {"at": 18}
+
+
+@pytest.mark.processes
+@pytest.mark.parametrize(
+    ("body", "status", "code"),
+    [
+        ({"model": "none", "prompt": "x"}, 404, "unknown_model"),
+        ({"model": "chat", "prompt": "x", "colour": 1}, 400, "unknown_field"),
+        ({"model": "chat", "prompt": "x", "max_tokens": 0}, 400, "invalid_field"),
+        ({"model": "chat", "prompt": "x" * 4_100_000}, 413, "body_too_large"),
+    ],
+)
+def test_bad_calls_get_a_clear_answer_and_lose_nothing(
+    installation, body, status, code
+):
+    node = installation.nodes[0]
+    answer = node.post("/v1/completions", body)
+    assert answer.status == status
+    error = answer.json()["error"]
+    assert (error["code"], error["executed"]) == (code, "no")
+    installation.wait_in_force(node)
