Add membership and facts, spread by heartbeats over UDP

Nodes tell each other who is there, which configuration they have in force and what is under notice. One datagram, under 1,200 bytes, goes to one other node three times a second. Heartbeats travel as columns of a few numbers; names and addresses only for new members, or when asked for. Nothing that must be right depends on it.

A restarted node whose clock was behind was never heard again; its peers now tell it how far it had counted.

--- a/packages/endive_core/src/endive_core/membership.py
+++ b/packages/endive_core/src/endive_core/membership.py
@@ -1,7 +1,69 @@
-"""Which nodes are there: members, their zones and what they last said."""
+"""Which nodes are there: members, what they last said, and what to tell others.
 
-from dataclasses import dataclass
+Every node counts its own heartbeat up and passes on the highest it knows of others.
+Whoever's heartbeat stands still for long enough by this node's own clock is suspected,
+and later removed. Nothing that must be right depends on it: the log decides.
+"""
+
+import math
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass, field, replace
 from enum import StrEnum
+from typing import Protocol
+
+import xxhash
+
+from endive_core.facts import Fact, FactTable
+
+DATAGRAM_BYTES = 1200
+"""Most bytes of one datagram: under one MTU on every path, since a fragmented datagram
+is lost whole with any of its fragments."""
+
+DIGEST_HEAD_BYTES = 48
+BEAT_BYTES = 13
+MEMBER_BYTES = 38
+FACT_BYTES = 22
+"""Upper estimates of encoded sizes, without the text; a test holds them against the
+codec."""
+
+FACTS_SHARE_BYTES = 500
+"""Room for facts in a datagram, so that many facts can't push the heartbeats out."""
+
+NEWS_SHARE = 0.4
+NEWS_TOLD = 3
+"""Room for entries of new members, and datagrams that carry each. After a restart of
+the whole fleet everybody is new; without the limit their entries push the heartbeats
+out for a minute, and live members are suspected. Who misses an entry asks for it."""
+
+MAX_WANTED = 20
+"""Members asked for in one datagram; their entries fill the one that answers."""
+
+MEMBER_KEY_BITS = 34
+"""Members are named by a hash in heartbeats, which five bytes hold: two of 370 collide
+with a probability of 4e-6, and a collision would only hide one of the two."""
+
+BEAT_S = 1.0
+BEAT_PER_MEMBER_S = 0.011
+"""Time between two heartbeats of one member, at least, and for each member known. Each
+heartbeat is passed on by every node some :data:`BEAT_TOLD` times: at 370 members and
+three datagrams a second, faster ones would crowd each other out and all come late."""
+
+BEAT_TOLD = 3
+
+TOMBSTONE_S = 600.0
+"""How long a removed member's last heartbeat is remembered. Old news of it still goes
+round after its removal and would bring it back to life again and again."""
+
+LOST_TRIED_S = 3600.0
+"""How long the address of a removed member is still tried: regions lose each other for
+minutes, and find each other again by it."""
+
+HEARTBEATS_BEHIND = 30
+"""Heartbeats by which a node may speak too late because datagrams overtook each other;
+one that is further behind has restarted without knowing its last run's count."""
+
+STRANGER_SHARE = 0.1
+"""Share of the datagrams that go to a seed or a lost member instead of a member."""
 
 
 class MemberState(StrEnum):
@@ -22,6 +84,12 @@
         ``IP:port`` of the node's thrift listener.
     configuration_offset : int
         Highest offset of the configuration it has in force.
+    gossip_address : str
+        ``IP:port`` of its UDP heartbeat listener.
+    incarnation : int
+        Grows with each start of the node.
+    heartbeat : int
+        Grows as long as the node runs.
     """
 
     id: str
@@ -29,3 +97,498 @@
     peer_address: str
     state: MemberState = MemberState.LIVE
     configuration_offset: int = -1
+    region: str = "local"
+    gossip_address: str = ""
+    incarnation: int = 0
+    heartbeat: int = 0
+
+    @property
+    def age(self) -> tuple[int, int]:
+        """What orders two views of the same member; the larger is the newer."""
+        return (self.incarnation, self.heartbeat)
+
+
+@dataclass(frozen=True, slots=True)
+class Beat:
+    """The part of a member that changes, named by :func:`member_key`."""
+
+    member: int
+    heartbeat: int
+    state: MemberState
+    configuration_offset: int
+
+
+@dataclass
+class Digest:
+    """The content of one datagram.
+
+    Attributes
+    ----------
+    sender : Member
+        The node that sent it, as it describes itself.
+    wanted : list of int
+        Keys of members the sender has heard of and can't name; the receiver answers
+        with their entries.
+    highest_offset : int
+        Highest configuration offset the sender has heard of from anybody.
+    """
+
+    sender: Member
+    highest_offset: int = -1
+    beats: list[Beat] = field(default_factory=list)
+    members: list[Member] = field(default_factory=list)
+    facts: list[Fact] = field(default_factory=list)
+    wanted: list[int] = field(default_factory=list)
+
+
+class RandomSource(Protocol):
+    """The randomness that choosing a receiver needs."""
+
+    def random(self) -> float:
+        """Return a number from 0 to under 1."""
+        ...
+
+    def choice(self, options: Sequence[str]) -> str:
+        """Return one of `options`."""
+        ...
+
+
+@dataclass(frozen=True)
+class Timings:
+    """When a silent member is suspected and removed.
+
+    The larger the fleet, the longer news travels, for a datagram holds only some of
+    the heartbeats: each limit grows with the number of members.
+
+    Attributes
+    ----------
+    suspect_after_s, remove_after_s : float
+        Silence in seconds, in a fleet of few members.
+    per_member_s : float
+        Added to both for each member known.
+    """
+
+    suspect_after_s: float = 8.0
+    remove_after_s: float = 24.0
+    per_member_s: float = 0.03
+
+
+@dataclass
+class Known:
+    """A member as this node keeps it.
+
+    Attributes
+    ----------
+    heard_at : float
+        When its heartbeat last grew, on this node's clock.
+    told : int
+        Turn at which it was last put into a datagram.
+    times_told : int
+        Datagrams that carried its latest heartbeat.
+    news_left : int
+        Datagrams that still carry its whole entry first.
+    """
+
+    member: Member
+    heard_at: float
+    told: int = 0
+    times_told: int = 0
+    news_left: int = 0
+
+
+def member_key(member: Member) -> int:
+    """Return the number that names one run of a member in heartbeats.
+
+    A member that restarted has another one, so that nobody keeps the address of its
+    last run with the heartbeat of the new.
+    """
+    run = f"{member.id}\x00{member.incarnation}"
+    return xxhash.xxh3_64_intdigest(run.encode()) >> (64 - MEMBER_KEY_BITS)
+
+
+class Membership:
+    """The members that this node knows, itself among them.
+
+    Other parts of the node ask :meth:`live`; the UDP loop calls :meth:`tick`,
+    :meth:`receiver`, :meth:`digest` and :meth:`receive`.
+
+    Parameters
+    ----------
+    me : Member
+        This node; ``incarnation`` must be larger than at its last start.
+    now : callable
+        Returns seconds on this node's clock.
+    random : RandomSource
+        Chooses who gets the next datagram.
+    round_s : float
+        Seconds between two calls of :meth:`tick`, if nothing delays the node.
+    """
+
+    def __init__(
+        self,
+        me: Member,
+        facts: FactTable,
+        now: Callable[[], float],
+        random: RandomSource,
+        timings: Timings | None = None,
+        round_s: float = 1 / 3,
+    ) -> None:
+        self.me = me
+        self.facts = facts
+        self.now = now
+        self.random = random
+        self.timings = timings or Timings()
+        self.round_s = round_s
+        self.highest_offset = -1
+        self.known: dict[str, Known] = {}
+        self.ids: dict[int, str] = {member_key(me): me.id}
+        self.seeds: set[str] = set()
+        self.lost: dict[str, float] = {}
+        self.tombstones: dict[str, tuple[Member, float]] = {}
+        self.wanted: dict[int, None] = {}
+        self.corrections: list[Member] = []
+        self.fact_news: dict[tuple, int] = {}
+        self.fact_told: dict[tuple, int] = {}
+        self.turn = 0
+        self.last_tick = now()
+        self.last_beat = now()
+        self.view: list[Member] | None = None
+        facts.listeners.append(self._note_fact)
+
+    # What other parts ask.
+
+    def live(self) -> list[Member]:
+        """Return the live members that are not suspected, ordered by id."""
+        if self.view is None:
+            self.view = self._live()
+        return self.view
+
+    def get(self, member_id: str) -> Member | None:
+        """Return the member called `member_id`, whatever its state, or ``None``."""
+        if member_id == self.me.id:
+            return self.me
+        known = self.known.get(member_id)
+        return known.member if known else None
+
+    def reachable(self) -> list[Member]:
+        """Return all members but this one that are not suspected, in any state."""
+        return [k.member for k in self.known.values() if not self.is_suspected(k)]
+
+    def suspected(self) -> list[Member]:
+        """Return the members that have been silent for too long."""
+        return [k.member for k in self.known.values() if self.is_suspected(k)]
+
+    def is_suspected(self, known: Known) -> bool:
+        """Return whether a member has been silent for too long."""
+        return self.now() - known.heard_at > self._limit(self.timings.suspect_after_s)
+
+    def _live(self) -> list[Member]:
+        members = [m for m in self.reachable() if m.state is MemberState.LIVE]
+        if self.me.state is MemberState.LIVE:
+            members.append(self.me)
+        return sorted(members, key=lambda m: m.id)
+
+    def _limit(self, base_s: float) -> float:
+        return base_s + self.timings.per_member_s * len(self.known)
+
+    # What this node says of itself.
+
+    def set_state(self, state: MemberState) -> None:
+        """Change what this node says of itself."""
+        self.me = replace(self.me, state=state)
+        self._beat()
+
+    def set_offset(self, offset: int) -> None:
+        """Enter the configuration offset that this node has in force."""
+        if offset != self.me.configuration_offset:
+            self.me = replace(self.me, configuration_offset=offset)
+            self.highest_offset = max(self.highest_offset, offset)
+            self.view = None
+
+    # Sending.
+
+    def tick(self) -> None:
+        """Count the heartbeat up, and remove whoever was silent for too long."""
+        now = self.now()
+        self._forgive_pause(now - self.last_tick)
+        self.last_tick = now
+        if now - self.last_beat >= BEAT_S + BEAT_PER_MEMBER_S * len(self.known):
+            self._beat()
+        limit = self._limit(self.timings.remove_after_s)
+        for member_id, known in list(self.known.items()):
+            if now - known.heard_at > limit:
+                self._remove(member_id, known, now)
+        self._forget(now)
+        self.facts.expire()
+        self.view = None
+
+    def _beat(self) -> None:
+        self.me = replace(self.me, heartbeat=self.me.heartbeat + 1)
+        self.last_beat = self.now()
+        self.view = None
+
+    def _forgive_pause(self, elapsed_s: float) -> None:
+        """Leave the time in which this node itself stood still out of account.
+
+        After a pause every other member seems to have been silent, though nobody was
+        listening: all would be suspected at once, and the node would believe itself
+        alone until the next heartbeats come.
+        """
+        pause_s = elapsed_s - 2 * self.round_s
+        if pause_s > 0:
+            for known in self.known.values():
+                known.heard_at += pause_s
+
+    def _remove(self, member_id: str, known: Known, now: float) -> None:
+        del self.known[member_id]
+        self.tombstones[member_id] = (known.member, now)
+        self.lost[known.member.gossip_address] = now
+
+    def _forget(self, now: float) -> None:
+        for member_id, (member, since) in list(self.tombstones.items()):
+            if now - since > TOMBSTONE_S:
+                del self.tombstones[member_id]
+                self.ids.pop(member_key(member), None)
+        for address, since in list(self.lost.items()):
+            if now - since > LOST_TRIED_S:
+                del self.lost[address]
+
+    def receiver(self) -> str | None:
+        """Return the gossip address that the next datagram goes to."""
+        members = [k.member.gossip_address for k in self.known.values()]
+        strangers = self._strangers(members)
+        if strangers and (not members or self.random.random() < STRANGER_SHARE):
+            return self.random.choice(strangers)
+        return self.random.choice(members) if members else None
+
+    def _strangers(self, members: Iterable[str]) -> list[str]:
+        own = {self.me.gossip_address}
+        return sorted((self.seeds | self.lost.keys()) - set(members) - own)
+
+    def digest(self, wanted: Iterable[int] = ()) -> Digest:
+        """Return the content of the next datagram.
+
+        Entries the receiver asked for go first, then news, then whoever was not
+        mentioned for longest, as far as one datagram holds them.
+
+        Parameters
+        ----------
+        wanted : iterable of int
+            Keys of the members that the receiver asked for.
+        """
+        self.turn += 1
+        digest = Digest(self.me, self.highest_offset, wanted=list(self.wanted))
+        digest.members.extend(self.corrections)
+        self.wanted.clear()
+        self.corrections.clear()
+        room = DATAGRAM_BYTES - DIGEST_HEAD_BYTES - member_size(self.me)
+        room -= 6 * len(digest.wanted) + sum(map(member_size, digest.members))
+        room -= self._add_facts(digest, min(room, FACTS_SHARE_BYTES))
+        room -= self._add_members(digest, wanted, room)
+        self._add_beats(digest, room)
+        return digest
+
+    def _add_facts(self, digest: Digest, room: int) -> int:
+        used = 0
+        for key in sorted(self.fact_told, key=self._fact_order):
+            fact = self.facts.get(key)
+            if fact is None:
+                self.fact_news.pop(key, None)
+                del self.fact_told[key]
+                continue
+            size = fact_size(fact)
+            if used + size > room:
+                break
+            used += size
+            digest.facts.append(fact)
+            self.fact_told[key] = self.turn
+            self.fact_news[key] -= 1
+        return used
+
+    def _fact_order(self, key: tuple) -> tuple[bool, int]:
+        return (self.fact_news[key] <= 0, self.fact_told[key])
+
+    def _add_members(self, digest: Digest, wanted: Iterable[int], room: int) -> int:
+        news = [i for i, known in self.known.items() if known.news_left > 0]
+        news_room = int(room * NEWS_SHARE)
+        asked = [self.ids[key] for key in wanted if key in self.ids]
+        used = 0
+        for limit, ids in ((room, asked), (news_room, sorted(news, key=self._told))):
+            for member_id in ids:
+                known = self.known.get(member_id)
+                if known is None or known.told == self.turn:
+                    continue
+                size = member_size(known.member)
+                if used + size > limit:
+                    break
+                used += size
+                digest.members.append(known.member)
+                known.news_left -= 1
+                known.told = self.turn
+        return used
+
+    def _add_beats(self, digest: Digest, room: int) -> None:
+        order = sorted(self.known.values(), key=_beat_order)
+        for known in order[: room // BEAT_BYTES]:
+            if known.told == self.turn:
+                continue
+            known.told = self.turn
+            known.times_told += 1
+            member = known.member
+            beat = Beat(
+                member_key(member),
+                member.heartbeat,
+                member.state,
+                member.configuration_offset,
+            )
+            digest.beats.append(beat)
+
+    def _told(self, member_id: str) -> int:
+        return self.known[member_id].told
+
+    def _news_repeats(self) -> int:
+        """Return how often news is repeated: enough to reach all with few misses."""
+        return 2 * math.ceil(math.log2(len(self.known) + 2)) + 2
+
+    # Receiving.
+
+    def receive(self, digest: Digest) -> bool:
+        """Take over what `digest` adds; return whether to answer it at once.
+
+        An answer is due to a new node, and if either side has heard of members it
+        can't name, so that a new node knows all others within a few exchanges.
+        """
+        is_new = digest.sender.id not in self.known
+        self._correct(digest.sender)
+        self._merge_member(digest.sender)
+        for member in digest.members:
+            self._merge_member(member)
+        for beat in digest.beats:
+            self._merge_beat(beat)
+        for fact in digest.facts:
+            self.facts.merge(fact)
+        self.highest_offset = max(
+            self.highest_offset,
+            digest.highest_offset,
+            digest.sender.configuration_offset,
+        )
+        return bool(is_new or digest.wanted or self.wanted or self.corrections)
+
+    def _correct(self, sender: Member) -> None:
+        """Tell a restarted node how far its last run had counted.
+
+        Its clock may be behind, so that its incarnation is too. Its datagrams would be
+        taken for old ones, nobody would send it any, and it would never find out.
+        """
+        if sender.id in self.known:
+            latest = self.known[sender.id].member
+        elif sender.id in self.tombstones:
+            latest = self.tombstones[sender.id][0]
+        else:
+            return
+        if sender.age < (latest.incarnation, latest.heartbeat - HEARTBEATS_BEHIND):
+            self.corrections.append(latest)
+
+    def _merge_member(self, member: Member) -> None:
+        if member.id == self.me.id:
+            self._outbid(member)
+            return
+        known = self.known.get(member.id)
+        if known is not None:
+            if member.age > known.member.age:
+                self._replace(known, member)
+        elif not self._is_buried(member.id, member.age):
+            self._add(member)
+
+    def _merge_beat(self, beat: Beat) -> None:
+        member_id = self.ids.get(beat.member)
+        if member_id == self.me.id:
+            return
+        known = self.known.get(member_id)
+        if known is None:
+            if member_id is None or not self._is_buried_run(member_id, beat):
+                self._want(beat.member)
+        elif beat.heartbeat > known.member.heartbeat:
+            member = replace(
+                known.member,
+                heartbeat=beat.heartbeat,
+                state=beat.state,
+                configuration_offset=beat.configuration_offset,
+            )
+            self._replace(known, member)
+
+    def _want(self, key: int) -> None:
+        if len(self.wanted) < MAX_WANTED:
+            self.wanted[key] = None
+
+    def _outbid(self, former: Member) -> None:
+        """Start a new incarnation if others know a later one of this node.
+
+        A clock set back gives a restarted node a smaller incarnation than its last
+        run had; nobody would believe its heartbeats until they had caught up.
+        """
+        if former.age > self.me.age:
+            del self.ids[member_key(self.me)]
+            self.me = replace(self.me, incarnation=former.incarnation + 1)
+            self.ids[member_key(self.me)] = self.me.id
+
+    def _is_buried(self, member_id: str, age: tuple[int, int]) -> bool:
+        tombstone = self.tombstones.get(member_id)
+        return tombstone is not None and age <= tombstone[0].age
+
+    def _is_buried_run(self, member_id: str, beat: Beat) -> bool:
+        tombstone = self.tombstones.get(member_id)
+        return tombstone is not None and beat.heartbeat <= tombstone[0].heartbeat
+
+    def _add(self, member: Member) -> None:
+        key = member_key(member)
+        former = self.tombstones.pop(member.id, None)
+        if former is not None:
+            self.ids.pop(member_key(former[0]), None)
+        self.lost.pop(member.gossip_address, None)
+        self.wanted.pop(key, None)
+        self.ids[key] = member.id
+        known = Known(member, self.now(), news_left=NEWS_TOLD)
+        self.known[member.id] = known
+        self.view = None
+
+    def _replace(self, known: Known, member: Member) -> None:
+        before = known.member
+        if before.incarnation != member.incarnation:
+            self.ids.pop(member_key(before), None)
+            self.ids[member_key(member)] = member.id
+            known.news_left = NEWS_TOLD
+            self.view = None
+        if before.state is not member.state:
+            self.view = None
+        if before.configuration_offset != member.configuration_offset:
+            self.view = None
+        known.member = member
+        known.heard_at = self.now()
+        known.times_told = 0
+
+    def _note_fact(self, fact: Fact) -> None:
+        self.fact_news[fact.key] = self._news_repeats()
+        self.fact_told.setdefault(fact.key, 0)
+
+
+def _beat_order(known: Known) -> tuple[int, int]:
+    """Order heartbeats: those told least often, then those not told for longest."""
+    return (min(known.times_told, BEAT_TOLD), known.told)
+
+
+def member_size(member: Member) -> int:
+    """Return an upper estimate of a member's encoded size in bytes."""
+    texts = (
+        member.id,
+        member.zone,
+        member.region,
+        member.peer_address,
+        member.gossip_address,
+    )
+    return MEMBER_BYTES + sum(len(text) for text in texts)
+
+
+def fact_size(fact: Fact) -> int:
+    """Return an upper estimate of a fact's encoded size in bytes."""
+    return FACT_BYTES + len(fact.subject) + len(fact.origin)
--- a/packages/endive_node/src/endive_node/node.py
+++ b/packages/endive_node/src/endive_node/node.py
@@ -1,16 +1,18 @@
 """The node: the central object that holds every part and is started and stopped."""
 
 import gevent
+from endive_core.membership import MemberState
 from gevent.event import Event
 
 from endive_node.backends import BackendClients
 from endive_node.callers import CallerApi
 from endive_node.configuration import Configuration
 from endive_node.dispatching import Dispatcher
+from endive_node.gossip import Gossip
 from endive_node.listeners import HttpListener
 from endive_node.operators import OperatorApi
 from endive_node.peers import PeerHandler, PeerListener
-from endive_node.platform import HttpLog
+from endive_node.platform import HttpInstanceList, HttpLog
 from endive_node.serving import Serving
 from endive_node.settings import Settings
 from endive_node.telemetry import Metrics, MonotonicClock, log_event
@@ -71,12 +73,31 @@
             operators.app, section.address, section.operator_port
         )
         self.peers = PeerListener(handler, section.address, section.peer_port)
+        self._make_gossip()
+
+    def _make_gossip(self) -> None:
+        platform = self.settings.platform
+        self.gossip = Gossip.from_settings(
+            self.settings,
+            self.peers.port,
+            self.clock,
+            HttpInstanceList(platform.instances, platform.timeout_s)
+            if platform.instances
+            else None,
+        )
+        self.members = self.gossip.members
+        self.facts = self.gossip.facts
+        self.gossip.register_metrics(self.metrics)
+        self.configuration.listeners.append(
+            lambda _: self.members.set_offset(self.configuration.fold.offset)
+        )
 
     def start(self) -> None:
         """Start all listeners and loops."""
         for listener in (self.peers, self.operators, self.callers):
             listener.start()
-        for loop in (self.configuration.follow, self.serving.expire):
+        self.gossip.start()
+        for loop in (self.configuration.follow, self.serving.expire, self.join):
             self.greenlets.append(gevent.spawn(loop))
         log_event(
             "node_started",
@@ -87,11 +108,18 @@
             peers=self.peers.port,
         )
 
+    def join(self) -> None:
+        """Say that this node is live once it has a configuration."""
+        self.configuration.ready.wait()
+        if not self.serving.stopping:
+            self.gossip.set_state(MemberState.LIVE)
+
     def drain(self) -> None:
         """Stop as planned: take nothing new, finish every answer under way."""
         if self.serving.stopping:
             return
         self.serving.stopping = True
+        self.gossip.set_state(MemberState.LEAVING)
         log_event("node_draining", in_flight=len(self.serving.ledger.unfinished()))
         deadline = self.clock.now() + MAX_DRAIN_S
         while self.serving.ledger.unfinished() and self.clock.now() < deadline:
@@ -103,6 +131,7 @@
         self.callers.stop(timeout_s=1.0)
         self.operators.stop(timeout_s=1.0)
         self.peers.stop()
+        self.gossip.stop()
         gevent.killall(self.greenlets)
         log_event("node_stopped", id=self.settings.node.id)
         self.stopped.set()
--- a/packages/endive_node/src/endive_node/settings.py
+++ b/packages/endive_node/src/endive_node/settings.py
@@ -94,6 +94,20 @@
     )
 
 
+class MembershipSection(_Section):
+    """How nodes hear of each other."""
+
+    datagrams_per_s: float = Field(
+        3.0, gt=0, le=50, description="heartbeats a node sends, each to one other"
+    )
+    suspect_after_s: float = Field(
+        8.0, gt=0, description="silence after which a member gets no work, seconds"
+    )
+    remove_after_s: float = Field(
+        24.0, gt=0, description="silence after which a member is removed, seconds"
+    )
+
+
 class Settings(_Section):
     """All settings of one node."""
 
@@ -103,6 +117,7 @@
     operators: tuple[OperatorEntry, ...] = ()
     limits: LimitsSection = LimitsSection()
     backends: BackendSection = BackendSection()
+    membership: MembershipSection = MembershipSection()
 
     @classmethod
     def from_file(cls, path: str | Path) -> "Settings":
--- /dev/null
+++ b/packages/endive_node/tests/test_gossip.py
@@ -0,0 +1,110 @@
+import socket
+
+import builders
+import pytest
+from endive_core.facts import Fact, FactKind
+from endive_core.membership import DATAGRAM_BYTES, Digest, Timings
+from endive_node.gossip import (
+    ANSWERS_AT_ONCE,
+    DatagramError,
+    Gossip,
+    decode_digest,
+    encode_digest,
+    listen_udp,
+)
+from endive_node.telemetry import MonotonicClock
+from fleets import Fleet, member
+
+
+def full_fleet():
+    """A fleet that is larger than one datagram, with news, facts and questions."""
+    fleet = Fleet(80)
+    fleet.run(10)
+    node = next(iter(fleet.nodes.values()))
+    for number in range(200):
+        node.facts.crash(f"{number:032x}", f"node-{number:03d}", number)
+    for number in range(20):
+        node.wanted[(1 << 34) - 1 - number] = None
+    return fleet, node
+
+
+def test_datagrams_fit_one_mtu_and_come_back_whole():
+    fleet, node = full_fleet()
+    for _ in range(60):
+        digest = node.digest()
+        data = encode_digest(digest, fleet.time)
+        assert len(data) <= DATAGRAM_BYTES
+        back = decode_digest(data, fleet.time)
+        assert (back.sender, back.beats, back.members, back.wanted) == (
+            digest.sender,
+            digest.beats,
+            digest.members,
+            digest.wanted,
+        )
+        assert [fact.key for fact in back.facts] == [f.key for f in digest.facts]
+
+
+def test_garbled_datagrams_are_refused():
+    """Anything may arrive on an open port; one bad datagram must not end the loop,
+    which would leave the node deaf and soon removed by all others."""
+    fleet, node = full_fleet()
+    data = encode_digest(node.digest(), fleet.time)
+    garbled = [b"", b"x", b"\xff" * 500, data[:200], bytes(300), data[40:]]
+    garbled += [encode_digest(Digest(member(1, zone="")), 0.0)]
+    for bad in garbled:
+        with pytest.raises(DatagramError):
+            decode_digest(bad, fleet.time)
+
+
+def make_gossip(number):
+    udp = listen_udp("127.0.0.1", builders.free_port())
+    address = f"127.0.0.1:{udp.getsockname()[1]}"
+    return Gossip(
+        member(number, gossip_address=address),
+        udp,
+        MonotonicClock(),
+        datagrams_per_s=3.0,
+        timings=Timings(),
+        seeds=set(),
+        seed=number,
+    )
+
+
+def test_endless_questions_get_few_answers():
+    """A broken or forging node asks without end for members; answering each one would
+    use up the processor and the network of the node asked."""
+    gossip = make_gossip(1)
+    asker = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    asker.bind(("127.0.0.1", 0))
+    asking = member(2, gossip_address=f"127.0.0.1:{asker.getsockname()[1]}")
+    data = encode_digest(Digest(asking, wanted=[7]), 0.0)
+    sent = []
+    gossip.send = lambda digest, receiver: sent.append(receiver)
+    for _ in range(500):
+        gossip.receive(data, ("127.0.0.1", 1))
+    asker.close()
+    gossip.socket.close()
+    assert len(sent) <= ANSWERS_AT_ONCE + 5
+
+
+def test_listed_instances_only_add_addresses():
+    gossip = make_gossip(1)
+    port = gossip.members.me.gossip_address.rsplit(":", 1)[1]
+    listed = gossip._listed_addresses(
+        [
+            {"id": "a", "address": "10.0.0.1", "role": "node", "state": "live"},
+            {"id": "b", "address": "10.0.0.2:99", "role": "node", "state": "live"},
+            {"id": "c", "address": "10.0.0.3", "role": "node", "state": "leaving"},
+            {"id": "d", "address": "10.0.0.4", "role": "engine", "state": "live"},
+        ]
+    )
+    gossip.socket.close()
+    assert listed == {f"10.0.0.1:{port}", "10.0.0.2:99"}
+
+
+def test_fact_keeps_its_time_left_between_clocks():
+    sender = member(1)
+    fact = Fact(FactKind.SERVER_LEAVING, "engine-1", "", 1, until=1030.0)
+    data = encode_digest(Digest(sender, facts=[fact]), 1000.0)
+    (back,) = decode_digest(data, 50.0).facts
+    assert back.until == pytest.approx(80.0, abs=0.01)
--- /dev/null
+++ b/tests/fleets.py
@@ -0,0 +1,107 @@
+"""Builders of many memberships in one process, over a network made of a list."""
+
+import random
+from dataclasses import replace
+
+from endive_core.facts import FactTable
+from endive_core.membership import Member, Membership, MemberState, Timings
+
+ZONES = ("brest", "quimper", "lannion")
+ROUND_S = 1 / 3
+
+
+def member(number, **fields):
+    """Return a live member; its texts have the lengths of real ones."""
+    values = {
+        "id": f"node-{number:03d}",
+        "zone": ZONES[number % len(ZONES)],
+        "region": "brittany",
+        "peer_address": f"10.20.{number // 250}.{number % 250}:8082",
+        "gossip_address": f"10.20.{number // 250}.{number % 250}:8083",
+        "incarnation": 1_790_000_000,
+    }
+    return Member(**(values | fields))
+
+
+class Fleet:
+    """Memberships whose datagrams arrive at once, or are lost.
+
+    Attributes
+    ----------
+    blocked : callable
+        Tells for (sender, receiver) addresses whether the datagram is lost.
+    """
+
+    def __init__(self, count, seed=1, loss=0.0, timings=None):
+        self.random = random.Random(seed)
+        self.loss = loss
+        self.timings = timings or Timings()
+        self.time = 0.0
+        self.nodes = {}
+        self.blocked = lambda sender, receiver: False
+        self.paused = set()
+        for number in range(count):
+            self.add(member(number))
+
+    def now(self):
+        return self.time
+
+    def add(self, me, seeds=3):
+        """Start a node that knows some of the running ones, and return it."""
+        node = Membership(
+            me, FactTable(self.now), self.now, self.random, self.timings, ROUND_S
+        )
+        others = sorted(self.nodes)
+        node.seeds = set(self.random.sample(others, min(seeds, len(others))))
+        self.nodes[me.gossip_address] = node
+        return node
+
+    def stop(self, node):
+        """End a node without a word, as a killed process does."""
+        del self.nodes[node.me.gossip_address]
+
+    def restart(self, node, **fields):
+        """Start a stopped node again; it keeps nothing."""
+        fields = {"incarnation": node.me.incarnation + 60} | fields
+        return self.add(replace(node.me, heartbeat=0, **fields))
+
+    def send(self, sender, receiver, wanted=()):
+        digest = sender.digest(wanted)
+        target = self.nodes.get(receiver)
+        lost = self.random.random() < self.loss
+        if target is None or lost or self.blocked(sender.me.gossip_address, receiver):
+            return
+        if receiver not in self.paused and target.receive(digest):
+            self.send(target, sender.me.gossip_address, digest.wanted)
+
+    def round(self):
+        """Let every node send one datagram."""
+        for address, node in list(self.nodes.items()):
+            if address in self.paused or address not in self.nodes:
+                continue
+            node.tick()
+            receiver = node.receiver()
+            if receiver is not None:
+                self.send(node, receiver)
+        self.time += ROUND_S
+
+    def run(self, seconds):
+        for _ in range(int(seconds / ROUND_S)):
+            self.round()
+
+    def seconds_until(self, condition, limit_s=120.0):
+        """Run until `condition(node)` holds on every node; return the seconds."""
+        started = self.time
+        while not all(condition(node) for node in self.nodes.values()):
+            assert self.time - started < limit_s, "waited in vain"
+            self.round()
+        return self.time - started
+
+    def all_live(self):
+        """Return a condition: the node sees exactly the running nodes as live."""
+        ids = sorted(
+            node.me.id
+            for node in self.nodes.values()
+            if node.me.state is MemberState.LIVE
+        )
+        return lambda node: [m.id for m in node.live()] == ids
