Add the request's life as a chart that the code interprets

Cause: whether an error may say 'not run' was to be decided in many places. The chart says it once: 'refused' can be reached only while no server may have run the request; an end in doubt is 'failed'. A test steps sismic and the table through the whole chart for all flags and finds them equal.

--- /dev/null
+++ b/packages/endive_core/src/endive_core/lifecycle.py
@@ -0,0 +1,202 @@
+"""The life of a request, interpreted from the state chart ``charts/request.json``.
+
+The chart is in the form that `sismic` reads. Importing that library costs a node 9 MB
+and each step 79 us, so the file is compiled here, once, into a table from (flags,
+state, event) to the next state; a test steps `sismic` itself and this table through
+the whole chart and compares them. The model check under ``spec`` reads the same table.
+"""
+
+from dataclasses import dataclass
+from enum import StrEnum
+from importlib import resources
+from itertools import product
+from typing import Any
+
+import msgspec
+
+from endive_core.exceptions import Executed
+
+CHART = "charts/request.json"
+
+
+class State(StrEnum):
+    """Where a request is on this node."""
+
+    ACCEPTED = "accepted"
+    QUEUED = "queued"
+    CLAIMING = "claiming"
+    CLAIMED = "claimed"
+    DISPATCHED = "dispatched"
+    STREAMING = "streaming"
+    MOVING = "moving"
+    JOINING = "joining"
+    HANDING_OVER = "handing_over"
+    HANDED_OVER = "handed_over"
+    FINISHED = "finished"
+    FAILED = "failed"
+    REFUSED = "refused"
+
+
+class Event(StrEnum):
+    """What can happen to a request.
+
+    ``not_started`` is a server's own word, or a connection that was never made: the
+    attempt certainly did not run. ``server_stopped`` is a server's word that it makes
+    no further token. ``server_lost`` is neither, and so does not exist for a
+    non-idempotent request, which then can only ``fail``.
+    """
+
+    ENQUEUE = "enqueue"
+    CLAIM = "claim"
+    WON = "won"
+    LOST = "lost"
+    DISPATCH = "dispatch"
+    FIRST_PIECE = "first_piece"
+    COMPLETE = "complete"
+    NOT_STARTED = "not_started"
+    SERVER_LOST = "server_lost"
+    SERVER_STOPPED = "server_stopped"
+    HAND_OVER = "hand_over"
+    ACKNOWLEDGED = "acknowledged"
+    DECLINED = "declined"
+    UNACKNOWLEDGED = "unacknowledged"
+    FAIL = "fail"
+    REFUSE = "refuse"
+
+
+UNSENT = frozenset({State.ACCEPTED, State.QUEUED, State.CLAIMING, State.CLAIMED})
+FINAL = frozenset({State.HANDED_OVER, State.FINISHED, State.FAILED, State.REFUSED})
+
+
+@dataclass(frozen=True)
+class Flags:
+    """The data that the chart's guards read.
+
+    Attributes
+    ----------
+    non_idempotent : bool
+        The request may run at most once.
+    sent_before : bool
+        A server may have run the request before the present attempt, here or at the
+        node that handed it over.
+    """
+
+    non_idempotent: bool = False
+    sent_before: bool = False
+
+
+class IllegalEventError(Exception):
+    """Raised for an event that the chart does not allow in the request's state."""
+
+
+Table = dict[tuple[Flags, State, Event], tuple[State, Flags]]
+"""From flags, state and event to the next state and flags."""
+
+
+def load_chart() -> dict[str, Any]:
+    """Return the chart file's content, in the form of `sismic`."""
+    text = resources.files("endive_core").joinpath(CHART).read_bytes()
+    return msgspec.json.decode(text)
+
+
+def compile_chart(chart: dict[str, Any]) -> Table:
+    """Return the table of every transition in `chart`.
+
+    A state's own transitions go before those of the states around it.
+    """
+    table: Table = {}
+    sets_sent_before = set()
+    for flags in (Flags(*values) for values in product((False, True), repeat=2)):
+        _compile_state(chart["statechart"]["root state"], (), flags, table)
+    for state in _states(chart["statechart"]["root state"]):
+        if state.get("on entry") == "sent_before = True":
+            sets_sent_before.add(state["name"])
+    for key, (target, flags) in table.items():
+        if target in sets_sent_before:
+            table[key] = (target, Flags(flags.non_idempotent, True))
+    return table
+
+
+def _states(state: dict[str, Any]):
+    yield state
+    for child in state.get("states", ()):
+        yield from _states(child)
+
+
+def _compile_state(
+    state: dict[str, Any], inherited: tuple, flags: Flags, table: Table
+) -> None:
+    transitions = (*state.get("transitions", ()), *inherited)
+    for child in state.get("states", ()):
+        _compile_state(child, transitions, flags, table)
+    if "states" in state:
+        return
+    names = {
+        "non_idempotent": flags.non_idempotent,
+        "sent_before": flags.sent_before,
+    }
+    for transition in transitions:
+        guard = transition.get("guard", "True")
+        if eval(guard, {"__builtins__": {}}, names):
+            key = (flags, State(state["name"]), Event(transition["event"]))
+            table.setdefault(key, (State(transition["target"]), flags))
+
+
+TABLE = compile_chart(load_chart())
+
+
+class Lifecycle:
+    """The state of one request on one node.
+
+    Callers see it as the ``executed`` field of an error. Everything that sends,
+    refuses or hands over a request fires the event first, so a step that the chart
+    does not allow, such as refusing as not run after a dispatch, fails at once.
+
+    Attributes
+    ----------
+    history : list of Event
+        Every event so far; a few per request, none per token. Tests replay it against
+        the specification.
+    """
+
+    __slots__ = ("flags", "history", "state")
+
+    def __init__(self, non_idempotent: bool, sent_before: bool = False) -> None:
+        self.flags = Flags(non_idempotent, sent_before)
+        self.state = State.ACCEPTED
+        self.history: list[Event] = []
+
+    def allows(self, event: Event) -> bool:
+        """Return whether the chart allows `event` now."""
+        return (self.flags, self.state, event) in TABLE
+
+    def fire(self, event: Event) -> State:
+        """Take the transition of `event` and return the new state.
+
+        Raises
+        ------
+        IllegalEventError
+            If the chart does not allow it; nothing has changed then.
+        """
+        step = TABLE.get((self.flags, self.state, event))
+        if step is None:
+            raise IllegalEventError(f"{event} in {self.state} of {self.flags}")
+        self.state, self.flags = step
+        self.history.append(event)
+        return self.state
+
+    @property
+    def executed(self) -> Executed:
+        """Whether a server ran the request, as an error may tell it now."""
+        if self.state is State.FINISHED:
+            return Executed.YES
+        if self.state is State.REFUSED:
+            return Executed.NO
+        if self.state in UNSENT and not self.flags.sent_before:
+            return Executed.NO
+        return Executed.UNKNOWN
+
+    @property
+    def ended(self) -> bool:
+        """Whether this node has nothing left to do for the request."""
+        return self.state in FINAL
