Add the scheduler and the decisions behind it

Cause: the node's path needs one object that admits, queues, places, shifts and retries without I/O, so that the same code runs in a node and in a test. Free slots in a report are shared among nodes; a slot this node freed is its own at once. Ruled out: one scheduler a deployment, since deployments share servers. No load figures yet.

--- /dev/null
+++ b/packages/endive_core/src/endive_core/calls.py
@@ -0,0 +1,132 @@
+"""What the decisions know of one request: its call, its ticket, and the verdicts."""
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from endive_core.exceptions import ErrorKind
+from endive_core.resources import Weights
+
+BULK_LEVEL = -1000
+"""Added to the level of bulk work, below every declared priority level."""
+
+DEFAULT_WEIGHTS = Weights()
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """One request as admission, queueing and placement see it.
+
+    Attributes
+    ----------
+    level : int
+        Level of the priority; a higher level goes first.
+    bulk : bool
+        Whether it has no first-token target and only fills idle capacity.
+    prompt_tokens, max_tokens : int
+        Estimated prompt length, and the most tokens the answer may have.
+    blocks : tuple of str
+        Chained hashes of the leading prompt blocks; empty for plain services.
+    target_s : float
+        First-token target in seconds.
+    deadline : float or None
+        Clock time in seconds after which the answer is worthless.
+    """
+
+    request_id: str
+    organisation: str
+    deployment: str = ""
+    level: int = 0
+    bulk: bool = False
+    prompt_tokens: int = 0
+    max_tokens: int = 1
+    blocks: tuple[str, ...] = ()
+    target_s: float = 0.38
+    deadline: float | None = None
+    weights: Weights = DEFAULT_WEIGHTS
+    fingerprint: str = ""
+    non_idempotent: bool = False
+
+    @property
+    def rank(self) -> int:
+        """Level with bulk below everything else."""
+        return self.level + BULK_LEVEL if self.bulk else self.level
+
+    @property
+    def tokens(self) -> int:
+        """Most tokens the call can cost, prompt and answer."""
+        return self.prompt_tokens + self.max_tokens
+
+
+class Stage(StrEnum):
+    """Where a ticket is between admission and its end."""
+
+    QUEUED = "queued"
+    DISPATCHED = "dispatched"
+    STREAMING = "streaming"
+    ENDED = "ended"
+
+
+@dataclass(slots=True, eq=False)
+class Ticket:
+    """An admitted call on its way through the queue and its attempts.
+
+    Attributes
+    ----------
+    cost : float
+        Tokens charged to the organisation, an estimate until the end.
+    server : str
+        Server of the attempt under way; empty while queued.
+    uncached_tokens : float
+        Prompt tokens that placement expected the server to compute.
+    avoid : set of str
+        Servers where an earlier attempt failed.
+    suspect : bool
+        Whether a server crashed while it ran this call.
+    refusal : Refusal or None
+        Why a queued ticket was given up.
+    """
+
+    call: Call
+    accepted_at: float
+    cost: float
+    stage: Stage = Stage.QUEUED
+    attempt: int = 0
+    server: str = ""
+    dispatched_at: float = 0.0
+    first_token_at: float | None = None
+    tokens: int = 0
+    uncached_tokens: float = 0.0
+    predicted_s: float = 0.0
+    avoid: set[str] = field(default_factory=set)
+    suspect: bool = False
+    refusal: "Refusal | None" = None
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """A call that was not taken, and when coming back is worth it.
+
+    Attributes
+    ----------
+    retry_after_s : float or None
+        Seconds; ``None`` where coming back cannot help.
+    """
+
+    kind: ErrorKind
+    retry_after_s: float | None
+    message: str
+
+
+@dataclass(frozen=True, slots=True)
+class Dispatch:
+    """A ticket that may be sent to a server now."""
+
+    ticket: Ticket
+    server: str
+
+
+@dataclass(frozen=True, slots=True)
+class Retry:
+    """A failed ticket that may be queued again after a delay in seconds."""
+
+    delay_s: float
--- a/packages/endive_core/src/endive_core/hashing.py
+++ b/packages/endive_core/src/endive_core/hashing.py
@@ -7,12 +7,12 @@
 
 def fingerprint(text: str | bytes) -> str:
     """Return a 128-bit hexadecimal fingerprint of `text`."""
-    return xxhash.xxh3_128_hexdigest(text)
+    return xxhash.xxh3_128_hexdigest(text.encode() if isinstance(text, str) else text)
 
 
 def rendezvous_score(key: str, member: str) -> int:
     """Return the weight of `member` for `key`; the highest weight wins."""
-    return xxhash.xxh3_64_intdigest(f"{key}\x00{member}")
+    return xxhash.xxh3_64_intdigest(f"{key}\x00{member}".encode())
 
 
 def rendezvous_order(key: str, members: Iterable[str]) -> list[str]:
@@ -37,4 +37,4 @@
 
 def shard_of(key: str, shards: int) -> int:
     """Return the shard, 0 to `shards` - 1, that holds `key`."""
-    return xxhash.xxh3_64_intdigest(key) % shards
+    return xxhash.xxh3_64_intdigest(key.encode()) % shards
--- /dev/null
+++ b/packages/endive_core/src/endive_core/outliers.py
@@ -0,0 +1,76 @@
+"""Slow servers: found by comparison with their peers, and brought back by probes.
+
+The load this is for: one server of several becomes slow without failing. By counting
+requests alone it looks no worse than others until its queue is long, and 1 call in 5
+misses its target. An absolute limit would mark all servers when the load rises; the
+peers' median rises with them.
+"""
+
+from statistics import median
+
+from endive_core.policy import Policy
+from endive_core.servers import ServerLoad, ServerSet
+
+MIN_SAMPLES = 5
+"""Latencies before a server is judged; one slow call proves nothing."""
+
+
+class OutlierDetector:
+    """Compares each server's latency ratio with its peers' median.
+
+    The ratio is observed time over expected time, so long prompts are no sign of
+    slowness. Operators meet it as a server without new work but for a probe each few
+    seconds.
+    """
+
+    def __init__(self, policy: Policy, servers: ServerSet) -> None:
+        self.policy = policy
+        self.servers = servers
+        self.next_at = 0.0
+        self.slow: list[ServerLoad] = []
+
+    def observe(self, server: ServerLoad, *, seconds: float, expected_s: float) -> None:
+        """Take in one latency of `server`."""
+        ratio = seconds / max(expected_s, 1e-3)
+        weight = self.policy.latency_smoothing
+        if server.samples < MIN_SAMPLES:
+            weight = 1 / (server.samples + 1)
+        server.samples += 1
+        server.latency_ratio += weight * (ratio - server.latency_ratio)
+
+    def compare(self, now: float) -> None:
+        """Set each server's slowness, if it is time to; costs one pass over all.
+
+        At most a share of the servers is marked: with most of them "slow" the cause
+        lies elsewhere, and the rest could not carry the load.
+        """
+        if now < self.next_at:
+            return
+        self.next_at = now + self.policy.compare_every_s
+        judged = [s for s in self.servers.servers.values() if s.samples >= MIN_SAMPLES]
+        if len(judged) < 3:
+            return
+        middle = max(1e-6, median(server.latency_ratio for server in judged))
+        for server in judged:
+            server.slowness = max(1.0, server.latency_ratio / middle)
+        most = int(len(judged) * self.policy.max_slow_share)
+        worst = sorted(judged, key=lambda s: s.slowness, reverse=True)
+        for position, server in enumerate(worst):
+            slow = position < most and server.slowness >= self.policy.slow_ratio
+            self._mark(server, slow, now)
+
+    def _mark(self, server: ServerLoad, slow: bool, now: float) -> None:
+        if slow == server.slow:
+            return
+        server.slow = slow
+        server.next_probe_at = now + self.policy.probe_every_s
+        self.servers.refresh(server)
+        self.slow = [s for s in self.servers.servers.values() if s.slow]
+
+    def probe(self, now: float) -> ServerLoad | None:
+        """Return a slow server that is due for one call, so that it can come back."""
+        for server in self.slow:
+            if not server.view.leaving and now >= server.next_probe_at:
+                server.next_probe_at = now + self.policy.probe_every_s
+                return server
+        return None
--- /dev/null
+++ b/packages/endive_core/src/endive_core/policy.py
@@ -0,0 +1,99 @@
+"""Limits of the decisions under load: one validated model, units and defaults.
+
+The defaults are justified by ``make bench-decisions``; docs/DECISIONS.md has the
+figures. A node's TOML settings hold this model as a table.
+"""
+
+from pydantic import BaseModel, ConfigDict, Field
+
+
+class Policy(BaseModel):
+    """How one node admits, queues, places, shifts and retries.
+
+    Operators meet it as the ``[policy]`` table of a node's settings.
+    """
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    admission_margin: float = Field(
+        0.85,
+        gt=0,
+        le=1,
+        description="part of the first-token target a prediction may use up",
+    )
+    max_bulk_wait_s: float = Field(
+        600.0, gt=0, description="longest predicted wait of queued bulk work, seconds"
+    )
+    min_retry_after_s: float = Field(
+        0.2, gt=0, description="shortest time to come back told to a caller, seconds"
+    )
+    max_retry_after_s: float = Field(
+        900.0, gt=0, description="longest time to come back told to a caller, seconds"
+    )
+    reserved_share: float = Field(
+        0.08,
+        ge=0,
+        lt=1,
+        description="part of a server's slots kept from bulk and organisations over "
+        "their share",
+    )
+    queue_heads_tried: int = Field(
+        8, ge=1, description="organisations tried for one free slot"
+    )
+    affinity_candidates: int = Field(
+        2, ge=0, description="servers tried because the prefix hashes to them"
+    )
+    random_candidates: int = Field(
+        2, ge=1, description="servers with room tried at random"
+    )
+    load_bound: float = Field(
+        1.25, ge=1, description="load of an affinity server over the mean, at most"
+    )
+    ring_points: int = Field(
+        64, ge=1, description="points of one server on the hash ring"
+    )
+    max_known_blocks: int = Field(
+        20_000, ge=1, description="prompt blocks remembered with their servers"
+    )
+    slow_ratio: float = Field(
+        2.0, gt=1, description="latency over the peers' median that marks a slow server"
+    )
+    max_slow_share: float = Field(
+        0.34, ge=0, le=1, description="part of the servers that may be marked slow"
+    )
+    latency_smoothing: float = Field(
+        0.2, gt=0, le=1, description="weight of the newest latency in the mean"
+    )
+    compare_every_s: float = Field(
+        0.5, gt=0, description="how often servers are compared with peers, seconds"
+    )
+    probe_every_s: float = Field(
+        5.0, gt=0, description="time between probes of a slow server, seconds"
+    )
+    retry_base_s: float = Field(
+        0.05, gt=0, description="mean delay before the first retry, seconds"
+    )
+    retry_max_s: float = Field(
+        2.0, gt=0, description="longest delay before a retry, seconds"
+    )
+    retry_burst: float = Field(
+        10.0, ge=0, description="retries a deployment may make without any success"
+    )
+    failed_pause_s: float = Field(
+        1.0, ge=0, description="time a server that failed gets no work, seconds"
+    )
+    crashes_refused_from: int = Field(
+        2, ge=1, description="crashes after which a request is refused"
+    )
+    crash_memory_s: float = Field(
+        3600.0, gt=0, description="how long a crash is remembered, seconds"
+    )
+    max_crash_fingerprints: int = Field(
+        10_000, ge=1, description="fingerprints remembered with crashes"
+    )
+    export_tokens_per_s: float = Field(
+        100_000.0, gt=0, description="KV cache moved between servers, tokens a second"
+    )
+    notice_margin_s: float = Field(
+        1.0, ge=0, description="part of a reclaim notice left unused, seconds"
+    )
--- /dev/null
+++ b/packages/endive_core/src/endive_core/queueing.py
@@ -0,0 +1,216 @@
+"""Queueing: by priority, and within a priority fair among organisations by tokens.
+
+The load this is for: a broker's batch of thousands arrives at once while other
+organisations call. First come, first served would put every later call behind the
+whole batch. Start-time fair queueing gives each organisation its share of tokens: a
+call of an organisation with nothing queued goes next, whatever another has queued.
+"""
+
+import heapq
+from collections import deque
+from collections.abc import Iterator
+
+from endive_core.calls import Stage, Ticket
+
+
+class OrganisationQueue:
+    """The queued tickets of one organisation at one priority, oldest first."""
+
+    __slots__ = ("debt", "listed", "organisation", "share", "tag", "tickets", "tokens")
+
+    def __init__(self, organisation: str, share: float) -> None:
+        self.organisation = organisation
+        self.share = share
+        self.tag = 0.0
+        self.debt = 0.0
+        self.listed = False
+        self.tickets: deque[Ticket] = deque()
+        self.tokens = 0.0
+
+    def charge(self, tokens: float) -> None:
+        """Move the organisation's next turn back by `tokens` and by what it owes.
+
+        Called only while the queue stands in no heap under its old tag.
+        """
+        self.tag += tokens / self.share + self.debt
+        self.debt = 0.0
+
+    def skip_ended(self) -> None:
+        """Drop tickets at the head whose callers hung up while they were queued."""
+        while self.tickets and self.tickets[0].stage is Stage.ENDED:
+            self.tickets.popleft()
+
+
+class RankQueue:
+    """All organisations' queues of one priority.
+
+    ``virtual`` is the start tag of the ticket that went last, in tokens by share: an
+    organisation that was idle starts there, so it can't save up its idle time.
+    """
+
+    def __init__(self) -> None:
+        self.queues: dict[str, OrganisationQueue] = {}
+        self.heap: list[tuple[float, str]] = []
+        self.virtual = 0.0
+        self.tokens = 0.0
+
+    def queue_of(self, organisation: str, share: float) -> OrganisationQueue:
+        """Return the organisation's queue, made on first use."""
+        queue = self.queues.get(organisation)
+        if queue is None:
+            queue = self.queues[organisation] = OrganisationQueue(organisation, share)
+        queue.share = share
+        return queue
+
+    def push(self, ticket: Ticket, share: float, *, front: bool) -> None:
+        """Queue `ticket`; at its organisation's head if `front`."""
+        queue = self.queue_of(ticket.call.organisation, share)
+        if not queue.listed:
+            queue.charge(0.0)
+            queue.tag = max(queue.tag, self.virtual)
+            queue.listed = True
+            heapq.heappush(self.heap, (queue.tag, queue.organisation))
+        if front:
+            queue.tickets.appendleft(ticket)
+        else:
+            queue.tickets.append(ticket)
+        queue.tokens += ticket.cost
+        self.tokens += ticket.cost
+
+    def heads(self, limit: int) -> Iterator[Ticket]:
+        """Yield up to `limit` organisations' heads, the next in turn first."""
+        self._drop_empty()
+        if not self.heap:
+            return
+        yield self.queues[self.heap[0][1]].tickets[0]
+        if limit == 1 or len(self.heap) == 1:
+            return
+        for _, organisation in heapq.nsmallest(limit, self.heap)[1:]:
+            queue = self.queues[organisation]
+            queue.skip_ended()
+            if queue.tickets:
+                yield queue.tickets[0]
+
+    def _drop_empty(self) -> None:
+        while self.heap:
+            queue = self.queues[self.heap[0][1]]
+            queue.skip_ended()
+            if queue.tickets:
+                return
+            self._unlist(queue)
+
+    def pop(self, ticket: Ticket) -> None:
+        """Remove `ticket`, which is the head of its organisation's queue."""
+        queue = self.queues[ticket.call.organisation]
+        queue.tickets.popleft()
+        self.forget(ticket)
+        self.virtual = max(self.virtual, queue.tag)
+        self._unlist(queue)
+        queue.charge(ticket.cost)
+        queue.skip_ended()
+        if queue.tickets:
+            queue.listed = True
+            heapq.heappush(self.heap, (queue.tag, queue.organisation))
+
+    def _unlist(self, queue: OrganisationQueue) -> None:
+        queue.listed = False
+        entry = (queue.tag, queue.organisation)
+        if self.heap[0] == entry:
+            heapq.heappop(self.heap)
+        else:
+            self.heap.remove(entry)
+            heapq.heapify(self.heap)
+
+    def forget(self, ticket: Ticket) -> None:
+        """Take the tokens of a ticket that leaves the queue off the sums."""
+        self.queues[ticket.call.organisation].tokens -= ticket.cost
+        self.tokens -= ticket.cost
+
+    def tokens_ahead(self, organisation: str, share: float) -> float:
+        """Return the tokens that go before a new ticket of `organisation`."""
+        queue = self.queue_of(organisation, share)
+        start = max(queue.tag, self.virtual) + queue.tokens / share
+        ahead = queue.tokens
+        for _, name in self.heap:
+            other = self.queues[name]
+            if other is not queue:
+                turn = max(0.0, start - other.tag) * other.share
+                ahead += min(other.tokens, turn)
+        return ahead
+
+
+class FairQueue:
+    """The node's queue for one service.
+
+    Callers meet it as the wait before their request is sent; :meth:`tokens_ahead`
+    is what admission predicts that wait from.
+    """
+
+    def __init__(self, shares: dict[str, float] | None = None) -> None:
+        self.shares = shares or {}
+        self.ranks: dict[int, RankQueue] = {}
+        self.order: list[int] = []
+        self.length = 0
+
+    def __len__(self) -> int:
+        return self.length
+
+    def share(self, organisation: str) -> float:
+        """Return the declared share of `organisation`."""
+        return self.shares.get(organisation, 1.0)
+
+    def push(self, ticket: Ticket, *, front: bool = False) -> None:
+        """Queue `ticket`."""
+        rank = self._rank(ticket.call.rank)
+        rank.push(ticket, self.share(ticket.call.organisation), front=front)
+        self.length += 1
+
+    def _rank(self, rank: int) -> RankQueue:
+        if rank not in self.ranks:
+            self.ranks[rank] = RankQueue()
+            self.order = sorted(self.ranks, reverse=True)
+        return self.ranks[rank]
+
+    def heads(self, limit: int) -> Iterator[Ticket]:
+        """Yield the tickets that may go next, best first, `limit` a priority."""
+        for rank in self.order:
+            yield from self.ranks[rank].heads(limit)
+
+    def pop(self, ticket: Ticket) -> None:
+        """Remove a ticket that :meth:`heads` gave."""
+        self.ranks[ticket.call.rank].pop(ticket)
+        self.length -= 1
+
+    def cancel(self, ticket: Ticket) -> None:
+        """Forget a queued ticket; the caller marks it as ended."""
+        self.ranks[ticket.call.rank].forget(ticket)
+        self.length -= 1
+
+    def settle(self, ticket: Ticket, tokens: float) -> None:
+        """Charge what an ended ticket really cost in place of the estimate."""
+        organisation = ticket.call.organisation
+        queue = self._rank(ticket.call.rank).queue_of(
+            organisation, self.share(organisation)
+        )
+        queue.debt += (tokens - ticket.cost) / queue.share
+
+    def tokens_ahead(self, rank: int, organisation: str) -> float:
+        """Return the tokens that go before a new ticket."""
+        ahead = sum(self.ranks[other].tokens for other in self.order if other > rank)
+        if rank in self.ranks:
+            ahead += self.ranks[rank].tokens_ahead(
+                organisation, self.share(organisation)
+            )
+        return ahead
+
+    def active_part(self, rank: int, organisation: str) -> float:
+        """Return the organisation's share among those with tickets at `rank`."""
+        own = self.share(organisation)
+        total = own
+        if rank in self.ranks:
+            total += sum(
+                self.share(name)
+                for _, name in self.ranks[rank].heap
+                if name != organisation
+            )
+        return own / total
--- /dev/null
+++ b/packages/endive_core/src/endive_core/servers.py
@@ -0,0 +1,253 @@
+"""What a node believes about each server: the last report and its own sends since.
+
+The load this is for: several nodes send to the same servers, and each sees the others
+only through reports that lag. Two harms follow. A node that reads "4 slots free" and
+fills all four, as do six others, puts 28 requests before 4 slots. And a node that
+waits for the next report before it reuses a slot it has just freed leaves it idle for
+the whole lag. So a free slot in a report is shared by the nodes, while a slot that
+this node's own request has freed is this node's to use at once.
+"""
+
+from collections import deque
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from endive_core.messages import ServerView
+
+
+class Random(Protocol):
+    """Source of randomness, passed in so that runs can be repeated."""
+
+    def random(self) -> float:
+        """Return a number from 0 up to 1."""
+
+    def randrange(self, stop: int) -> int:
+        """Return an integer from 0 up to `stop`."""
+
+
+@dataclass(slots=True, eq=False)
+class ServerLoad:
+    """One server's load as this node sees it.
+
+    Attributes
+    ----------
+    grant, spare_grant : int
+        Slots of the last report that are this node's to take; `spare_grant` leaves
+        the reserve free.
+    changes : deque
+        Times and signs of this node's own sends (+1) and ends (-1).
+    change : int
+        Sum of the signs after the state that the last report describes.
+    starting_tokens : float
+        Uncached prompt tokens that this node sent and that gave no first token yet.
+    slowness : float
+        Latency compared with the peers' median, 1 or more.
+    """
+
+    view: ServerView
+    reserved: int
+    grant: int = 0
+    spare_grant: int = 0
+    changes: deque = field(default_factory=deque)
+    change: int = 0
+    starting_tokens: float = 0.0
+    starting_suspects: int = 0
+    slowness: float = 1.0
+    slow: bool = False
+    paused: bool = False
+    next_probe_at: float = 0.0
+    latency_ratio: float = 1.0
+    samples: int = 0
+
+    @property
+    def id(self) -> str:
+        """Id of the server."""
+        return self.view.id
+
+    @property
+    def load(self) -> int:
+        """Requests running and waiting, the report corrected by own changes."""
+        view = self.view
+        return max(
+            view.in_flight,
+            view.reported_running + view.reported_waiting + self.change,
+        )
+
+    @property
+    def utilisation(self) -> float:
+        """Load over slots."""
+        return self.load / self.view.max_concurrent
+
+    def room(self, *, spare: bool) -> int:
+        """Return how many requests this node may send now.
+
+        Parameters
+        ----------
+        spare : bool
+            Whether the reserve must stay free.
+        """
+        return (self.spare_grant if spare else self.grant) - self.change
+
+    def note(self, sign: int, now: float) -> None:
+        """Count an own send (+1) or end (-1) at `now`."""
+        self.changes.append((now, sign))
+        self.change += sign
+        self.view.in_flight += sign
+        self.view.sent_since_report += sign > 0
+
+
+class ServerSet:
+    """All servers of one service, and those with room, found without a scan.
+
+    Users meet it through the speed of a decision: it must not grow with the number
+    of servers, so the servers with room stand in lists that each send, end and
+    report update in constant time.
+    """
+
+    def __init__(self, random: Random, *, reserved_share: float) -> None:
+        self.random = random
+        self.reserved_share = reserved_share
+        self.servers: dict[str, ServerLoad] = {}
+        self.open = {False: MemberList(), True: MemberList()}
+        self.taking = MemberList()
+        self.nodes = 1
+        self.own_total = 0
+        self.reported_total = 0
+        self.slots_total = 0
+
+    def set_servers(self, views: Iterable[ServerView]) -> bool:
+        """Take over the declared servers; return whether the set changed."""
+        declared = {view.id: view for view in views}
+        gone = self.servers.keys() - declared.keys()
+        new = declared.keys() - self.servers.keys()
+        for server_id in gone:
+            self._remove(self.servers[server_id])
+        for server_id in sorted(new):
+            self._add(declared[server_id])
+        return bool(gone or new)
+
+    def _add(self, view: ServerView) -> None:
+        reserved = round(view.max_concurrent * self.reserved_share)
+        if self.reserved_share and view.max_concurrent > 1:
+            reserved = max(1, reserved)
+        server = ServerLoad(view, reserved)
+        self.servers[view.id] = server
+        self.slots_total += view.max_concurrent
+        self._grant(server)
+
+    def _remove(self, server: ServerLoad) -> None:
+        view = server.view
+        self.servers.pop(view.id)
+        self.slots_total -= view.max_concurrent
+        self.reported_total -= view.reported_running + view.reported_waiting
+        self.own_total -= view.in_flight
+        for members in (*self.open.values(), self.taking):
+            members.discard(server)
+
+    @property
+    def share(self) -> float:
+        """Part of the reported free slots that this node takes.
+
+        With even traffic it is one part in the number of nodes. A batch that arrives
+        at one node only would then fill an idle service slowly, so the share follows
+        this node's part of the whole load.
+        """
+        total = max(self.own_total, self.reported_total)
+        return min(1.0, (self.own_total + 1) / (total + self.nodes))
+
+    @property
+    def mean_utilisation(self) -> float:
+        """Load over slots of all servers."""
+        total = max(self.own_total, self.reported_total)
+        return total / self.slots_total if self.slots_total else 0.0
+
+    def report(
+        self, server_id: str, running: int, waiting: int, *, as_of: float
+    ) -> None:
+        """Take over a server's report of its state at `as_of`.
+
+        Own changes up to `as_of` are in the report; later ones still correct it.
+        """
+        server = self.servers.get(server_id)
+        if server is None:
+            return
+        view = server.view
+        self.reported_total += running + waiting
+        self.reported_total -= view.reported_running + view.reported_waiting
+        view.reported_running, view.reported_waiting = running, waiting
+        while server.changes and server.changes[0][0] <= as_of:
+            server.change -= server.changes.popleft()[1]
+        view.sent_since_report = sum(sign > 0 for _, sign in server.changes)
+        self._grant(server)
+
+    def _grant(self, server: ServerLoad) -> None:
+        view = server.view
+        free = view.max_concurrent - view.reported_running - view.reported_waiting
+        server.grant = self._rounded(free * self.share)
+        server.spare_grant = self._rounded((free - server.reserved) * self.share)
+        self.refresh(server)
+
+    def _rounded(self, value: float) -> int:
+        """Round at random, so that the nodes' parts add up to the whole on average."""
+        whole = int(value // 1)
+        return whole + (self.random.random() < value - whole)
+
+    def busy(self, server: ServerLoad) -> None:
+        """Expect no room until the next report: the server has just refused."""
+        server.grant = min(server.grant, server.change)
+        server.spare_grant = min(server.spare_grant, server.change)
+        self.refresh(server)
+
+    def note(self, server: ServerLoad, sign: int, now: float) -> None:
+        """Count an own send or end at `server`."""
+        server.note(sign, now)
+        self.own_total += sign
+        self.refresh(server)
+
+    def refresh(self, server: ServerLoad) -> None:
+        """Put `server` into or out of the lists of servers with room."""
+        taking = not (server.view.leaving or server.paused)
+        if taking:
+            self.taking.add(server)
+        else:
+            self.taking.discard(server)
+        usable = taking and not server.slow
+        for spare, members in self.open.items():
+            if usable and server.room(spare=spare) > 0:
+                members.add(server)
+            else:
+                members.discard(server)
+
+
+class MemberList:
+    """A set with constant-time random choice."""
+
+    def __init__(self) -> None:
+        self.items: list[ServerLoad] = []
+        self.positions: dict[str, int] = {}
+
+    def __len__(self) -> int:
+        return len(self.items)
+
+    def add(self, server: ServerLoad) -> None:
+        """Add `server` unless it is there."""
+        if server.id not in self.positions:
+            self.positions[server.id] = len(self.items)
+            self.items.append(server)
+
+    def discard(self, server: ServerLoad) -> None:
+        """Remove `server` if it is there."""
+        position = self.positions.pop(server.id, None)
+        if position is None:
+            return
+        last = self.items.pop()
+        if last is not server:
+            self.items[position] = last
+            self.positions[last.id] = position
+
+    def sample(self, count: int, randrange: Callable[[int], int]) -> list[ServerLoad]:
+        """Return up to `count` members at random, repeats possible."""
+        if len(self.items) <= count:
+            return list(self.items)
+        return [self.items[randrange(len(self.items))] for _ in range(count)]
