Drive each request through its state chart

Cause: an error after a lost attempt, such as no_server, told its caller 'not run' although a server may have run the request; the path had no single place that knows. Change: Run fires the chart's events; an error that denies an attempt is replaced by backend_failed or outcome_unknown; a non-idempotent request must win a claim before its dispatch, and until claims are kept each is refused as not run. Ruled out: a flag 'dispatched' beside the chart, which said the same less exactly. Conclusion: the path, the tests and the specification read one chart.

--- a/packages/endive_node/src/endive_node/backends.py
+++ b/packages/endive_node/src/endive_node/backends.py
@@ -68,6 +68,14 @@
         """Return clients with the time-outs in `settings`."""
         return cls(settings)
 
+    def engine(self, address: str) -> "EngineServer":
+        """Return the engine at `address`, for one attempt."""
+        return EngineServer(self, address)
+
+    def plain(self, address: str) -> "PlainServer":
+        """Return the plain service's server at `address`."""
+        return PlainServer(self, address)
+
     def timeout(self) -> urllib3.Timeout:
         """Return the time-outs of one attempt."""
         return urllib3.Timeout(
--- a/packages/endive_node/src/endive_node/interfaces.py
+++ b/packages/endive_node/src/endive_node/interfaces.py
@@ -127,6 +127,21 @@
         ...
 
 
+class Claims(Protocol):
+    """The right to send a non-idempotent request, decided by the log's order."""
+
+    def win(self, request: Request) -> None:
+        """Return once this node alone may send `request`.
+
+        Raises
+        ------
+        EndiveError
+            ``duplicate_request`` if another claim holds the key, ``log_unavailable``
+            if the log could not decide; nothing was sent.
+        """
+        ...
+
+
 class Clock(Protocol):
     """Time that only goes forward."""
 
--- a/packages/endive_node/src/endive_node/ledger.py
+++ b/packages/endive_node/src/endive_node/ledger.py
@@ -23,8 +23,6 @@
         Empty until the answer is whole.
     error : EndiveError or None
         Set instead, if the request ended without a whole answer.
-    dispatched : bool
-        Whether anything was ever sent to a backend server.
     """
 
     request: Request
@@ -33,7 +31,6 @@
     attempt: int = 0
     finish_reason: str = ""
     error: EndiveError | None = None
-    dispatched: bool = False
     plain_answer: PlainAnswer | None = None
     first_token_at: float | None = None
     finished_at: float | None = None
--- a/packages/endive_node/src/endive_node/node.py
+++ b/packages/endive_node/src/endive_node/node.py
@@ -5,6 +5,7 @@
 
 from endive_node.backends import BackendClients
 from endive_node.callers import CallerApi
+from endive_node.claiming import NoClaims
 from endive_node.configuration import Configuration
 from endive_node.dispatching import Dispatcher
 from endive_node.listeners import HttpListener
@@ -45,6 +46,7 @@
             limits=settings.limits,
             metrics=self.metrics,
             clock=self.clock,
+            claims=NoClaims(),
         )
         self._make_listeners()
         self.greenlets: list[gevent.Greenlet] = []
--- a/packages/endive_node/src/endive_node/serving.py
+++ b/packages/endive_node/src/endive_node/serving.py
@@ -5,13 +5,14 @@
 
 import gevent
 from endive_core.catalogue import Catalogue
-from endive_core.exceptions import EndiveError, ErrorKind, RetryReason
+from endive_core.exceptions import EndiveError, ErrorKind, Executed, RetryReason
 from endive_core.hashing import fingerprint
+from endive_core.lifecycle import Event, Lifecycle
 from endive_core.messages import Endpoint, Piece, Request, ServerView
 
-from endive_node.backends import BackendClients, EngineServer, PlainServer
+from endive_node.backends import BackendClients, EngineServer
 from endive_node.dispatching import AttemptResult, Dispatcher
-from endive_node.interfaces import BackendError, Clock
+from endive_node.interfaces import BackendError, Claims, Clock
 from endive_node.ledger import Ledger, RequestRecord
 from endive_node.settings import LimitsSection
 from endive_node.telemetry import Metrics, log_event
@@ -34,6 +35,7 @@
         limits: LimitsSection,
         metrics: Metrics,
         clock: Clock,
+        claims: Claims,
     ) -> None:
         self.node_id = node_id
         self.catalogue = catalogue
@@ -42,6 +44,7 @@
         self.limits = limits
         self.metrics = metrics
         self.clock = clock
+        self.claims = claims
         self.ledger = Ledger(limits.keep_finished_s)
         self.stopping = False
 
@@ -95,7 +98,7 @@
             raise EndiveError(
                 ErrorKind.KEY_REUSED, "the idempotency key was used for another request"
             )
-        if run.record.error is not None and not run.record.dispatched:
+        if run.life.executed is Executed.NO and run.life.ended:
             return None
         return run
 
@@ -117,6 +120,7 @@
     def __init__(self, serving: Serving, record: RequestRecord) -> None:
         self.serving = serving
         self.record = record
+        self.life = Lifecycle(record.request.non_idempotent)
         self.backend: EngineServer | None = None
         self.driving = False
         self.readers = 0
@@ -195,10 +199,28 @@
     def _fail(self, error: EndiveError) -> None:
         if self.record.ended:
             return
+        error = self._true_error(error)
+        self.life.fire(Event.REFUSE if self.life.allows(Event.REFUSE) else Event.FAIL)
         self.record.error = error
         self.serving.metrics.refused(error.kind)
         self._ended(outcome=error.kind)
 
+    def _true_error(self, error: EndiveError) -> EndiveError:
+        """Return `error`, or one that doesn't deny an attempt that may have run.
+
+        A later attempt that finds no server, say, would tell the caller "not run"
+        although an earlier one was sent; the caller would send a court confirmation
+        again.
+        """
+        if error.executed is not Executed.NO or self.life.executed is Executed.NO:
+            return error
+        kind = (
+            ErrorKind.OUTCOME_UNKNOWN
+            if self.record.request.non_idempotent
+            else ErrorKind.BACKEND_FAILED
+        )
+        return EndiveError(kind, f"after an attempt that may have run: {error.message}")
+
     def _ended(self, *, outcome: str) -> None:
         record = self.record
         record.finished_at = self.serving.clock.now()
@@ -218,6 +240,7 @@
     def _drive(self) -> Iterator[None]:
         """Run attempts until one ends the answer; yield after each batch of pieces."""
         avoid: set[str] = set()
+        self.life.fire(Event.ENQUEUE)
         while True:
             server = self.serving.dispatcher.acquire(
                 self.record.request, avoid=frozenset(avoid)
@@ -236,7 +259,17 @@
             if ok:
                 return
 
+    def _claim(self) -> None:
+        """Win the only right to send a non-idempotent request, once."""
+        if not self.life.allows(Event.CLAIM):
+            return
+        self.life.fire(Event.CLAIM)
+        self.serving.claims.win(self.record.request)
+        self.life.fire(Event.WON)
+
     def _attempt(self, server: ServerView) -> Iterator[None]:
+        self._claim()
+        self.life.fire(Event.DISPATCH)
         record = self.record
         record.attempt += 1
         record.servers.append(server.id)
@@ -244,33 +277,24 @@
             self._call_plain(server)
         else:
             yield from self._stream(server)
+        self.life.fire(Event.COMPLETE)
         self._ended(outcome="ok")
 
     def _call_plain(self, server: ServerView) -> None:
-        plain = PlainServer(self.serving.clients, server.address)
+        plain = self.serving.clients.plain(server.address)
         request = self.record.request
-        try:
-            self.record.plain_answer = plain.call(
-                request, self.record.attempt, request.body["data"]
-            )
-        except BackendError as error:
-            self.record.dispatched = self.record.dispatched or error.started
-            raise
-        self.record.dispatched = True
+        self.record.plain_answer = plain.call(
+            request, self.record.attempt, request.body["data"]
+        )
         self.record.finish_reason = "stop"
 
     def _stream(self, server: ServerView) -> Iterator[None]:
         record = self.record
-        self.backend = EngineServer(self.serving.clients, server.address)
+        self.backend = self.serving.clients.engine(server.address)
         priority = self.serving.catalogue.priority(record.request.priority).level
-        try:
-            batches = self.backend.run(
-                record.request, record.attempt, record.tokens, priority=priority
-            )
-        except BackendError as error:
-            record.dispatched = record.dispatched or error.started
-            raise
-        record.dispatched = True
+        batches = self.backend.run(
+            record.request, record.attempt, record.tokens, priority=priority
+        )
         for pieces in batches:
             self._take(pieces)
             record.wake()
@@ -294,6 +318,8 @@
             else:
                 record.take(piece)
                 taken += 1
+        if taken and self.life.allows(Event.FIRST_PIECE):
+            self.life.fire(Event.FIRST_PIECE)
         if taken and record.first_token_at is None:
             record.first_token_at = self.serving.clock.now()
             self.serving.metrics.first_token.record(
@@ -304,6 +330,10 @@
     def _decide_retry(self, error: BackendError) -> None:
         """Return if another attempt is allowed; otherwise raise the final answer."""
         record = self.record
+        if not error.started:
+            self.life.fire(Event.NOT_STARTED)
+        elif self.life.allows(Event.SERVER_LOST):
+            self.life.fire(Event.SERVER_LOST)
         if error.final_status is not None:
             raise EndiveError(ErrorKind.BACKEND_REJECTED, str(error)) from None
         if error.started and record.request.non_idempotent:
@@ -312,10 +342,9 @@
                 "the server may have run the request; it is not sent again",
             ) from None
         if record.attempt >= self.serving.limits.max_attempts:
-            kind = (
-                ErrorKind.BACKEND_FAILED if record.dispatched else ErrorKind.NO_SERVER
-            )
-            raise EndiveError(kind, f"all attempts failed; the last: {error}") from None
+            raise EndiveError(
+                ErrorKind.NO_SERVER, f"all attempts failed; the last: {error}"
+            ) from None
         self.serving.metrics.retried(error.reason)
 
     def _release(
--- /dev/null
+++ b/packages/endive_node/tests/test_serving.py
@@ -0,0 +1,81 @@
+import pytest
+from endive_core.exceptions import EndiveError, ErrorKind, Executed
+from node_builders import FakeEngines, not_started, request, serving
+
+WHOLE = ["t0 ", "t1 ", "t2 ", "t3 "]
+
+
+def answer(run):
+    """Return all tokens of an answer."""
+    return [token for batch in run.read() for token in batch]
+
+
+def error_of(run):
+    with pytest.raises(EndiveError) as caught:
+        answer(run)
+    return caught.value
+
+
+def test_answer_goes_on_at_another_server_with_the_tokens_so_far():
+    """A server dies in the middle of an answer. The caller sees no gap, no token
+    twice, and the second server is given what the first one made."""
+    engines = FakeEngines(2, None)
+    path = serving(engines)
+    assert answer(path.accept(request(path))) == WHOLE
+    (first, _, _), (second, attempt, tokens) = engines.sent
+    assert first != second
+    assert (attempt, tokens) == (2, ["t0 ", "t1 "])
+
+
+def test_attempt_that_did_not_start_is_sent_elsewhere_even_if_non_idempotent():
+    """No connection could be made, so nothing can have run; a court confirmation may
+    go to the next server."""
+    path = serving(FakeEngines(not_started(), None))
+    run = path.accept(request(path, key="k", non_idempotent=True))
+    assert answer(run) == WHOLE
+
+
+def test_non_idempotent_attempt_that_was_lost_is_not_sent_again():
+    """The server died after it was sent a court confirmation. Whether it ran is not
+    known, so the caller is told so, and no other server sees it."""
+    engines = FakeEngines(0, None)
+    path = serving(engines)
+    error = error_of(path.accept(request(path, key="k", non_idempotent=True)))
+    assert error.kind is ErrorKind.OUTCOME_UNKNOWN
+    assert len(engines.sent) == 1
+
+
+def test_no_server_left_after_a_lost_attempt_is_not_told_as_not_run():
+    """One server dies under a request and no other is there. Told "not run", its
+    caller would believe that nothing happened."""
+    path = serving(FakeEngines(0), servers=1)
+    error = error_of(path.accept(request(path)))
+    assert error.executed is Executed.UNKNOWN
+
+
+def test_all_servers_refusing_before_start_is_told_as_not_run():
+    path = serving(FakeEngines(not_started(), not_started()), servers=2)
+    error = error_of(path.accept(request(path)))
+    assert (error.kind, error.executed) == (ErrorKind.NO_SERVER, Executed.NO)
+
+
+def test_same_key_joins_the_answer_under_way_and_another_body_is_refused():
+    engines = FakeEngines(None)
+    path = serving(engines)
+    first = path.accept(request(path, key="k"))
+    reader = first.read()
+    assert next(reader) == ["t0 "]
+    assert path.accept(request(path, key="k")) is first
+    assert answer(first) == WHOLE
+    assert len(engines.sent) == 1
+    other = request(path, key="k")
+    other.prompt = "another"
+    with pytest.raises(EndiveError) as caught:
+        path.accept(other)
+    assert caught.value.kind is ErrorKind.KEY_REUSED
+
+
+def test_request_that_was_not_run_may_be_sent_again_with_its_key():
+    path = serving(FakeEngines(not_started(), None), servers=1)
+    assert error_of(path.accept(request(path, key="k"))).executed is Executed.NO
+    assert answer(path.accept(request(path, key="k"))) == WHOLE
