Add the engine stand-in

Cause: the thin path needs a model engine that batches, caches prefixes and streams. Ruled out: a sleep for each token, which would bound the rate of a fast engine by the timer; tokens due within 2 ms are made in one step instead. No test files yet.

--- /dev/null
+++ b/packages/endive_standins/src/endive_standins/batching.py
@@ -0,0 +1,276 @@
+"""Continuous batching: which sequences run, and when each token is due."""
+
+import time
+from bisect import insort
+from collections import deque
+from dataclasses import dataclass, field
+from heapq import heappop, heappush
+from typing import Protocol
+
+import msgspec
+import xxhash
+from gevent.event import Event
+
+from endive_standins.prefixes import PrefixCache
+
+# Tokens due within a step are made at once. Without it a fast engine would sleep for
+# each token, and the timer's resolution would set its rate.
+STEP_S = 0.002
+PROMPT_TOKEN_CHARACTERS = 4
+
+
+def prompt_tokens(prompt: str) -> list[str]:
+    """Split a prompt into what counts as its tokens."""
+    size = PROMPT_TOKEN_CHARACTERS
+    return [prompt[start : start + size] for start in range(0, len(prompt), size)]
+
+
+def answer_token(prompt: str, index: int) -> str:
+    """Return a token of the one right answer to a prompt."""
+    return xxhash.xxh3_64_hexdigest(f"{prompt}\0{index}".encode())[:6] + " "
+
+
+class Clock(Protocol):
+    """The engine's time, in seconds."""
+
+    def now(self) -> float:
+        """Return the time."""
+
+
+class WorkClock:
+    """Time that passes at the speed of the engine's work."""
+
+    def __init__(self) -> None:
+        self.speed = 1.0
+        self.at = 0.0
+        self.since = time.monotonic()
+
+    def now(self) -> float:
+        """Return the seconds of full-speed work that were possible so far."""
+        return self.at + (time.monotonic() - self.since) * self.speed
+
+    def set_speed(self, speed: float) -> None:
+        """Let the work go on at another speed; 0 stops it."""
+        self.at = self.now()
+        self.since = time.monotonic()
+        self.speed = speed
+
+
+class KvBlob(msgspec.Struct):
+    """The exported KV cache of a sequence."""
+
+    prompt: str
+    tokens: list[str]
+    computed: int
+
+
+@dataclass(eq=False)
+class Sequence:
+    """One generation.
+
+    Attributes
+    ----------
+    resumed : int
+        How many tokens of the answer the call brought along.
+    tokens : list of str
+        The whole answer so far.
+    covered : int
+        Leading tokens that needed no prefill.
+    finish_reason : str or None
+        Why it ended; None before.
+    """
+
+    serial: int
+    request_id: str
+    attempt: int
+    prompt: str
+    max_tokens: int
+    priority: int = 0
+    tokens: list[str] = field(default_factory=list)
+    kv: KvBlob | None = None
+    resumed: int = 0
+    covered: int = 0
+    started: bool = False
+    prefilled: bool = False
+    started_at: float = 0.0
+    prefill_end: float | None = None
+    next_token_at: float = 0.0
+    finish_reason: str | None = None
+    changed: Event = field(default_factory=Event)
+
+    def __post_init__(self) -> None:
+        self.resumed = len(self.tokens)
+        self.prompt_tokens = prompt_tokens(self.prompt)
+
+    @property
+    def context(self) -> list[str]:
+        """All tokens whose KV cache the sequence needs."""
+        return self.prompt_tokens + self.tokens
+
+    def rank(self) -> tuple[int, int]:
+        """Return the place among waiting sequences, lowest first."""
+        return (-self.priority, self.serial)
+
+    def imported(self) -> int:
+        """Return how many leading tokens an imported KV cache covers."""
+        if self.kv is None or self.kv.prompt != self.prompt:
+            return 0
+        common = 0
+        for ours, theirs in zip(self.tokens, self.kv.tokens, strict=False):
+            if ours != theirs:
+                break
+            common += 1
+        return min(self.kv.computed, len(self.prompt_tokens) + common)
+
+    def export(self) -> KvBlob:
+        """Return what another server needs to go on without prefill."""
+        computed = len(self.context) if self.prefilled else 0
+        return KvBlob(self.prompt, self.tokens, computed)
+
+
+@dataclass
+class TokenCounts:
+    """What the engine's work came to, in tokens."""
+
+    computed_tokens: int = 0
+    recomputed_tokens: int = 0
+    cached_tokens: int = 0
+    decoded_tokens: int = 0
+
+
+class Batch:
+    """The sequences that run and that wait, and the tokens that are due.
+
+    Prefill takes one sequence after another; every sequence past it decodes at the
+    same rate.
+
+    Parameters
+    ----------
+    settings : EngineSettings
+        Rates and limits.
+    cache : PrefixCache
+        What needs no prefill.
+    clock : Clock
+        The time.
+    on_start : callable
+        Called with each sequence that starts to run.
+    """
+
+    def __init__(self, settings, cache: PrefixCache, clock: Clock, on_start) -> None:
+        self.settings = settings
+        self.cache = cache
+        self.clock = clock
+        self.on_start = on_start
+        self.counts = TokenCounts()
+        self.waiting: list[Sequence] = []
+        self.running: set[Sequence] = set()
+        self.prefilling: deque[Sequence] = deque()
+        self.prefill_free_at = 0.0
+        self.decoding: list[tuple[float, int, Sequence]] = []
+
+    def add(self, sequence: Sequence) -> None:
+        """Queue a sequence; a full queue refuses whichever ranks last."""
+        insort(self.waiting, sequence, key=Sequence.rank)
+        self.step()
+        if len(self.waiting) > self.settings.max_waiting:
+            self.end(self.waiting[-1], "busy")
+
+    def step(self) -> None:
+        """Do all work that is due by the end of this step."""
+        horizon = self.clock.now() + STEP_S
+        freed = True
+        while freed:
+            self._start_waiting()
+            self._prefill(horizon)
+            freed = self._decode(horizon)
+
+    def next_due(self) -> float | None:
+        """Return when there is work again."""
+        due = [sequence.prefill_end for sequence in list(self.prefilling)[:1]]
+        due += [entry[0] for entry in self.decoding[:1]]
+        return min(due, default=None)
+
+    def end(self, sequence: Sequence, reason: str) -> None:
+        """End a sequence; it makes no further token."""
+        if sequence.finish_reason is not None:
+            return
+        sequence.finish_reason = reason
+        self.running.discard(sequence)
+        if sequence in self.waiting:
+            self.waiting.remove(sequence)
+        if sequence in self.prefilling:
+            self._abandon_prefill(sequence)
+        if sequence.prefilled:
+            self.cache.store(sequence.context)
+        sequence.changed.set()
+
+    def _abandon_prefill(self, sequence: Sequence) -> None:
+        if sequence is self.prefilling[0]:
+            self.prefill_free_at = self.clock.now()
+        self.prefilling.remove(sequence)
+
+    def _start_waiting(self) -> None:
+        while self.waiting and len(self.running) < self.settings.max_batch:
+            sequence = self.waiting.pop(0)
+            sequence.started = True
+            sequence.started_at = self.clock.now()
+            self.running.add(sequence)
+            self.prefilling.append(sequence)
+            self.on_start(sequence)
+
+    def _prefill(self, horizon: float) -> None:
+        while self.prefilling:
+            sequence = self.prefilling[0]
+            if sequence.prefill_end is None:
+                self._begin_prefill(sequence)
+            if sequence.prefill_end > horizon:
+                return
+            self.prefilling.popleft()
+            self._end_prefill(sequence)
+
+    def _begin_prefill(self, sequence: Sequence) -> None:
+        context = sequence.context
+        cached = self.cache.covered(context)
+        sequence.covered = max(cached, sequence.imported())
+        uncached = len(context) - sequence.covered
+        begin = max(sequence.started_at, self.prefill_free_at)
+        sequence.prefill_end = begin + uncached / self.settings.prefill_tokens_per_s
+
+    def _end_prefill(self, sequence: Sequence) -> None:
+        self.prefill_free_at = sequence.next_token_at = sequence.prefill_end
+        sequence.prefilled = True
+        context = sequence.context
+        self._count_prefill(sequence, len(context))
+        self.cache.store(context)
+        heappush(self.decoding, (sequence.prefill_end, sequence.serial, sequence))
+
+    def _count_prefill(self, sequence: Sequence, size: int) -> None:
+        fresh = 0 if sequence.attempt > 0 else len(sequence.prompt_tokens)
+        self.counts.computed_tokens += size - sequence.covered
+        self.counts.cached_tokens += sequence.covered
+        self.counts.recomputed_tokens += size - max(sequence.covered, fresh)
+
+    def _decode(self, horizon: float) -> bool:
+        freed = False
+        while self.decoding and self.decoding[0][0] <= horizon:
+            _, serial, sequence = heappop(self.decoding)
+            if sequence.finish_reason is not None:
+                continue
+            self._make_tokens(sequence, horizon)
+            if len(sequence.tokens) >= sequence.max_tokens:
+                self.end(sequence, "length")
+                freed = True
+            else:
+                heappush(self.decoding, (sequence.next_token_at, serial, sequence))
+        return freed
+
+    def _make_tokens(self, sequence: Sequence, horizon: float) -> None:
+        gap_s = 1 / self.settings.decode_tokens_per_s
+        made = len(sequence.tokens)
+        while made < sequence.max_tokens and sequence.next_token_at <= horizon:
+            sequence.tokens.append(answer_token(sequence.prompt, made))
+            sequence.next_token_at += gap_s
+            made += 1
+            self.counts.decoded_tokens += 1
+            self.counts.computed_tokens += 1
+        sequence.changed.set()
