Put the scheduler before a load model, and calibrate admission

Cause: the limits were guesses. A model of servers as queues with a rate, a cache and a lagging report drives the real objects of seven nodes that share nothing. Change: benchmarks/ holds model, callers, scenarios and baselines; slots are divided only when few are free; prefill of bulk and over-share calls is paced; affinity uses two depths; the prefix index remembers one block in four as an integer; admission adds the error of its own predictions.

--- /dev/null
+++ b/benchmarks/workloads.py
@@ -0,0 +1,283 @@
+"""Callers of the load model: conversations, batches, and what they get."""
+
+from collections import deque
+from dataclasses import dataclass, field
+from random import Random
+
+from endive_core.calls import Call
+from endive_core.hashing import rendezvous_score
+from endive_core.prefixes import BLOCK_TOKENS
+from endive_core.resources import Weights
+from load_model import Job, Model
+
+MAX_RETURNS = 5
+"""How often a refused caller comes back before it gives up."""
+
+
+@dataclass(frozen=True)
+class Traffic:
+    """Calls of one organisation, arriving at random at a mean rate.
+
+    Attributes
+    ----------
+    system_tokens : int
+        Prompt tokens that all calls of the organisation share.
+    turn_tokens, answer_tokens : tuple of int
+        Bounds of what one call adds to its conversation, and of its answer.
+    again : float
+        Part of the calls that go on with a conversation.
+    node : int or None
+        The one node that gets all calls, if the balancer is uneven.
+    """
+
+    organisation: str
+    rate: float
+    start: float = 0.0
+    end: float = 60.0
+    system_tokens: int = 512
+    turn_tokens: tuple[int, int] = (60, 180)
+    answer_tokens: tuple[int, int] = (100, 300)
+    again: float = 0.75
+    max_turns: int = 10
+    level: int = 0
+    bulk: bool = False
+    target_s: float = 0.38
+    weights: Weights = field(default_factory=Weights)
+    node: int | None = None
+
+
+@dataclass
+class Conversation:
+    """The prompt so far, as blocks."""
+
+    name: str
+    blocks: list[int]
+    tokens: int
+    turns: int = 0
+
+    def extend(self, tokens: int) -> list[int]:
+        """Add `tokens`; return the whole blocks that this completes."""
+        self.tokens += tokens
+        new = [
+            rendezvous_score(self.name, str(number))
+            for number in range(len(self.blocks), self.tokens // BLOCK_TOKENS)
+        ]
+        self.blocks += new
+        return new
+
+
+class Callers:
+    """Sends the calls of one :class:`Traffic` into a model."""
+
+    def __init__(self, model: Model, traffic: Traffic, seed: int) -> None:
+        self.model = model
+        self.traffic = traffic
+        self.random = Random(seed)
+        self.idle: deque[Conversation] = deque()
+        self.made = 0
+
+    def start(self) -> None:
+        """Schedule the first call."""
+        self.model.at(self.traffic.start + self._gap(), self._arrival)
+
+    def _gap(self) -> float:
+        return self.random.expovariate(self.traffic.rate)
+
+    def _arrival(self) -> None:
+        if self.model.now >= self.traffic.end:
+            return
+        self.send()
+        self.model.at(self.model.now + self._gap(), self._arrival)
+
+    def send(self) -> None:
+        """Send one call."""
+        conversation = self._conversation()
+        traffic = self.traffic
+        conversation.extend(self.random.randint(*traffic.turn_tokens))
+        conversation.turns += 1
+        answer = self.random.randint(*traffic.answer_tokens)
+        self.made += 1
+        call = Call(
+            request_id=f"{traffic.organisation}-{self.made}",
+            organisation=traffic.organisation,
+            level=traffic.level,
+            bulk=traffic.bulk,
+            prompt_tokens=conversation.tokens,
+            max_tokens=answer,
+            blocks=tuple(conversation.blocks),
+            target_s=traffic.target_s,
+            weights=traffic.weights,
+        )
+        answer_blocks = conversation.extend(answer)
+        job = Job(
+            call,
+            self.model.now,
+            answer,
+            answer_blocks,
+            lambda j: self._done(j, conversation),
+        )
+        self.model.offer(job, node=traffic.node)
+
+    def _conversation(self) -> Conversation:
+        if self.idle and self.random.random() < self.traffic.again:
+            return self.idle.popleft()
+        traffic = self.traffic
+        name = f"{traffic.organisation}.{self.made}"
+        shared = traffic.system_tokens // BLOCK_TOKENS
+        blocks = [
+            rendezvous_score(traffic.organisation, str(number))
+            for number in range(shared)
+        ]
+        return Conversation(name, blocks, traffic.system_tokens)
+
+    def _done(self, job: Job, conversation: Conversation) -> None:
+        if job.finished_at is not None:
+            if conversation.turns < self.traffic.max_turns:
+                self.idle.append(conversation)
+            return
+        told = job.refusals[-1].retry_after_s
+        if told is not None and job.offers <= MAX_RETURNS:
+            self.model.at(
+                self.model.now + told,
+                lambda: self.model.offer(job, node=self.traffic.node),
+            )
+
+
+class StandingBatch:
+    """A batch that stays as long as it was: each answer is followed by a new call."""
+
+    def __init__(self, model: Model, traffic: Traffic, size: int, seed: int) -> None:
+        self.callers = Callers(model, traffic, seed)
+        self.callers._done = self._done
+        self.model = model
+        self.size = size
+
+    def start(self) -> None:
+        """Schedule the whole batch at once."""
+        for _ in range(self.size):
+            self.model.at(self.callers.traffic.start, self.callers.send)
+
+    def _done(self, job: Job, conversation: Conversation) -> None:
+        if job.finished_at is not None:
+            self.callers.send()
+            return
+        told = job.refusals[-1].retry_after_s
+        self.model.at(
+            self.model.now + (told or 1.0),
+            lambda: self.model.offer(job, node=self.callers.traffic.node),
+        )
+
+
+@dataclass
+class Outcome:
+    """What callers and operators got out of one run.
+
+    Attributes
+    ----------
+    within : float
+        Part of the admitted interactive calls with the first token within target.
+    within_worst : float
+        The same for the organisation that fared worst.
+    refused : int
+        Interactive offers refused.
+    honest : float
+        Part of the calls that came back at the time told and were then admitted.
+    goodput : float
+        Tokens of good answers over what all slots could decode.
+    recomputed, wasted : int
+        Prompt tokens computed that some server had computed before; tokens spent on
+        calls without an answer.
+    server_s : float
+        Server-seconds for each good answer.
+    shares : dict
+        Tokens answered for each organisation.
+    """
+
+    within: float
+    within_worst: float
+    p95_s: float
+    refused: int
+    gave_up: int
+    honest: float
+    goodput: float
+    recomputed: int
+    prefilled: int
+    wasted: int
+    server_s: float
+    by_class: dict[tuple[str, int], float]
+    shares: dict[str, float]
+    offered: dict[str, float]
+
+
+def outcome(model: Model, *, start: float, end: float) -> Outcome:
+    """Sum up the calls offered, and the answers finished, between `start` and `end`."""
+    target = [j for j in model.jobs if not j.call.bulk]
+    judged = [
+        j for j in target if start <= j.first_offered_at < end and j.ticket is not None
+    ]
+    by_class: dict[tuple[str, int], list[bool]] = {}
+    for job in judged:
+        key = (job.call.organisation, job.call.level)
+        by_class.setdefault(key, []).append(_on_time(job))
+    parts = {key: sum(values) / len(values) for key, values in by_class.items()}
+    good = [
+        j
+        for j in model.jobs
+        if j.finished_at is not None
+        and start <= j.finished_at < end
+        and (j.call.bulk or _on_time(j))
+    ]
+    cluster = model.cluster
+    capacity = cluster.servers * cluster.slots * cluster.decode_tokens_per_s
+    shares: dict[str, float] = {}
+    offered: dict[str, float] = {}
+    for job in model.jobs:
+        name = job.call.organisation
+        if start <= job.first_offered_at < end:
+            offered[name] = offered.get(name, 0) + job.answer_tokens
+        if job.finished_at is not None and start <= job.finished_at < end:
+            shares[name] = shares.get(name, 0) + job.answer_tokens
+    returned = [j for j in model.jobs if j.offers > 1]
+    returns = sum(j.offers - 1 for j in returned)
+    admitted = sum(j.ticket is not None for j in returned)
+    waits = sorted((j.first_token_at or 1e9) - j.offered_at for j in judged)
+    alive = sum(not server.dead for server in model.servers.values())
+    return Outcome(
+        within=sum(_on_time(j) for j in judged) / max(1, len(judged)),
+        within_worst=min(parts.values(), default=0.0),
+        p95_s=waits[int(len(waits) * 0.95)] if waits else 0.0,
+        refused=sum(len(j.refusals) for j in target),
+        gave_up=sum(j.ticket is None for j in target),
+        honest=admitted / returns if returns else 1.0,
+        goodput=sum(j.answer_tokens for j in good) / (capacity * (end - start)),
+        recomputed=model.recomputed_tokens,
+        prefilled=model.prefilled_tokens,
+        wasted=model.wasted_tokens,
+        server_s=alive * (end - start) / max(1, len(good)),
+        by_class=parts,
+        shares=shares,
+        offered=offered,
+    )
+
+
+def _on_time(job: Job) -> bool:
+    if job.first_token_at is None:
+        return False
+    return job.first_token_at - job.offered_at <= job.call.target_s
+
+
+def max_min_shares(offered: dict[str, float], capacity: float) -> dict[str, float]:
+    """Return each organisation's fair part of `capacity`: no more than it offered."""
+    fair: dict[str, float] = {}
+    left = dict(offered)
+    while left:
+        part = capacity / len(left)
+        small = {name: value for name, value in left.items() if value <= part}
+        if not small:
+            fair.update(dict.fromkeys(left, part))
+            break
+        for name, value in small.items():
+            fair[name] = value
+            capacity -= value
+            del left[name]
+    return fair
--- a/packages/endive_core/src/endive_core/admission.py
+++ b/packages/endive_core/src/endive_core/admission.py
@@ -19,6 +19,13 @@
 """Weight of the newest finished call in the learned rates; about the last 20 calls,
 so that a change of the mix is followed within seconds of full load."""
 
+ERROR_MEMORY = 0.1
+"""Weight of the newest error of a prediction: a burst must be noticed within ten
+calls, for that many are late until then."""
+
+DEVIATIONS = 2.0
+"""Mean deviations added to a prediction; about 95 in 100 waits lie below."""
+
 
 @dataclass
 class ServiceRate:
@@ -60,6 +67,34 @@
         )
 
 
+@dataclass
+class WaitError:
+    """How far predictions of the wait have been off, like a round-trip estimator.
+
+    A prediction from the mean rate is too short for half of the calls. With the mean
+    error and twice the mean deviation on top, few admitted calls are late.
+
+    Attributes
+    ----------
+    mean_s, deviation_s : float
+        Smoothed error (observed less predicted) and its absolute deviation, seconds.
+    """
+
+    mean_s: float = 0.0
+    deviation_s: float = 0.0
+
+    def learn(self, error_s: float) -> None:
+        """Take in one call's observed wait less the predicted one."""
+        off = error_s - self.mean_s
+        self.mean_s += ERROR_MEMORY * off
+        self.deviation_s += ERROR_MEMORY * (abs(off) - self.deviation_s)
+
+    @property
+    def allowance_s(self) -> float:
+        """Seconds to add to a prediction so that few calls wait longer."""
+        return max(0.0, self.mean_s + DEVIATIONS * self.deviation_s)
+
+
 @dataclass(frozen=True)
 class Prediction:
     """When a call's first token is expected, in seconds from now.
@@ -67,7 +102,9 @@
     Attributes
     ----------
     wait_s : float
-        Time in the node's queue.
+        Mean time in the node's queue.
+    allowance_s : float
+        What to add to `wait_s` so that few calls wait longer.
     service_s : float
         Time at the server until the first token.
     drain_s : float
@@ -75,14 +112,20 @@
     """
 
     wait_s: float
+    allowance_s: float
     service_s: float
     drain_s: float
 
     @property
     def first_token_s(self) -> float:
-        """Seconds from now to the first token."""
+        """Mean seconds from now to the first token."""
         return self.wait_s + self.service_s
 
+    @property
+    def long_wait_s(self) -> float:
+        """Seconds in the queue that few calls exceed."""
+        return self.wait_s + self.allowance_s
+
 
 def allowed_wait_s(
     call: Call, prediction: Prediction, *, margin: float, max_bulk_wait_s: float
--- a/packages/endive_core/src/endive_core/calls.py
+++ b/packages/endive_core/src/endive_core/calls.py
@@ -24,7 +24,7 @@
         Whether it has no first-token target and only fills idle capacity.
     prompt_tokens, max_tokens : int
         Estimated prompt length, and the most tokens the answer may have.
-    blocks : tuple of str
+    blocks : tuple of int
         Chained hashes of the leading prompt blocks; empty for plain services.
     target_s : float
         First-token target in seconds.
@@ -39,7 +39,7 @@
     bulk: bool = False
     prompt_tokens: int = 0
     max_tokens: int = 1
-    blocks: tuple[str, ...] = ()
+    blocks: tuple[int, ...] = ()
     target_s: float = 0.38
     deadline: float | None = None
     weights: Weights = DEFAULT_WEIGHTS
@@ -80,6 +80,8 @@
         Prompt tokens that placement expected the server to compute.
     avoid : set of str
         Servers where an earlier attempt failed.
+    predicted_s : float
+        Mean wait in the queue that admission predicted, seconds.
     suspect : bool
         Whether a server crashed while it ran this call.
     refusal : Refusal or None
--- a/packages/endive_core/src/endive_core/placement.py
+++ b/packages/endive_core/src/endive_core/placement.py
@@ -9,16 +9,23 @@
 draws others, nodes that read the same late report don't all run to one server.
 """
 
+from itertools import islice
+
 from endive_core.calls import Call, Ticket
 from endive_core.policy import Policy
 from endive_core.prefixes import BLOCK_TOKENS, PrefixIndex
 from endive_core.ring import HashRing
 from endive_core.servers import Random, ServerLoad, ServerSet
 
-AFFINITY_BLOCKS = 8
-"""Leading blocks that choose the affinity server, 128 tokens: a system prompt and the
-start of a conversation. Fewer and one organisation's calls all meet on one server;
-more and the turns of one conversation no longer meet."""
+AFFINITY_DEPTHS = (8, 12, 18, 27, 41, 61, 92, 138)
+"""Numbers of leading blocks that may choose affinity servers; the deepest two that a
+prompt has are used. A single depth would be too short for a long system prompt, so
+that one organisation's calls all meet on one server, or too long for a short one. With
+two, a conversation that grows past a depth still meets its last turn's server."""
+
+
+KNOWN_HOLDERS = 2
+"""Servers tried because they are believed to hold the longest known prefix."""
 
 
 class Placement:
@@ -38,7 +45,7 @@
         """Place the servers that take work on the ring."""
         self.ring.set_members(members)
 
-    def choose(self, ticket: Ticket, *, spare: bool) -> ServerLoad | None:
+    def choose(self, ticket: Ticket, now: float, *, spare: bool) -> ServerLoad | None:
         """Return the best server with room, or ``None`` if no candidate has any.
 
         Parameters
@@ -46,64 +53,87 @@
         spare : bool
             Whether the servers' reserve must stay free.
         """
+        call = ticket.call
+        cached = self.prefixes.prefix_holders(call.blocks)
         best, best_score = None, 0.0
-        for server in self._candidates(ticket, spare=spare):
-            score = self.score(ticket.call, server)
+        for server in self._candidates(ticket, cached, spare=spare):
+            if spare and server.prefill_paced_until > now + self.policy.prefill_burst_s:
+                continue
+            score = self.score(call, server, cached.get(server.id, 0))
             if best is None or score < best_score:
                 best, best_score = server, score
+        if best is not None:
+            ticket.uncached_tokens = _uncached(call, cached.get(best.id, 0))
         return best
 
-    def _candidates(self, ticket: Ticket, *, spare: bool) -> list[ServerLoad]:
-        policy = self.policy
-        found = []
-        if ticket.call.blocks:
-            found = self._affinity(ticket.call, spare=spare)
-        found += self.servers.open[spare].sample(
-            policy.random_candidates, self.random.randrange
+    def pace(self, server: ServerLoad, tokens: float, now: float) -> None:
+        """Count prefill work sent to `server` against this node's part of its rate.
+
+        A batch that fills all free slots at once would leave a second of prefill work
+        before the next caller's first token, though slots are free.
+        """
+        rate = server.view.prefill_tokens_per_s * self.servers.share
+        begins = max(now, server.prefill_paced_until)
+        server.prefill_paced_until = begins + tokens / rate
+
+    def _candidates(
+        self, ticket: Ticket, cached: dict[str, int], *, spare: bool
+    ) -> list[ServerLoad]:
+        open_servers = self.servers.open[spare]
+        found = self._affinity(ticket.call, cached, spare=spare)
+        found += open_servers.sample(
+            self.policy.random_candidates, self.random.randrange
         )
-        allowed = [server for server in found if self._allowed(ticket, server)]
+        allowed = [s for s in found if self._allowed(ticket, s, spare=spare)]
         if allowed or not (ticket.avoid or ticket.suspect):
             return allowed
-        members = self.servers.open[spare].items
-        return [server for server in members if self._allowed(ticket, server)]
+        return [s for s in open_servers.items if self._allowed(ticket, s, spare=spare)]
 
-    def _allowed(self, ticket: Ticket, server: ServerLoad) -> bool:
+    def _allowed(self, ticket: Ticket, server: ServerLoad, *, spare: bool) -> bool:
         if server.id in ticket.avoid:
             return False
+        if not self.servers.has_room(server, spare=spare):
+            return False
         # Of several requests that ran on a crashed server one may be poison. Apart
         # from each other, the next crash names it and no innocent one is refused.
         return not (ticket.suspect and server.starting_suspects)
 
-    def _affinity(self, call: Call, *, spare: bool) -> list[ServerLoad]:
+    def _affinity(
+        self, call: Call, cached: dict[str, int], *, spare: bool
+    ) -> list[ServerLoad]:
         """Return the prefix's servers that have room and aren't over the load bound.
 
         The bound keeps one popular prefix from filling its server while others idle.
         """
-        depth = min(len(call.blocks), AFFINITY_BLOCKS)
-        names = self.ring.candidates(
-            call.blocks[depth - 1], self.policy.affinity_candidates
-        )
-        names += list(self.prefixes.deepest_holders(call.blocks))[:2]
+        if not call.blocks:
+            return []
+        names = [*islice(cached, KNOWN_HOLDERS), *self._hashed(call)]
+        open_servers = self.servers.open[spare].positions
         bound = self.policy.load_bound * self.servers.mean_utilisation
         found = []
         for name in names:
-            server = self.servers.servers.get(name)
-            if server is None or server.id not in self.servers.open[spare].positions:
+            if name not in open_servers:
                 continue
-            slots = server.view.max_concurrent
-            if server.load <= bound * slots + 1:
+            server = self.servers.servers[name]
+            if server.load <= bound * server.view.max_concurrent + 1:
                 found.append(server)
         return found
 
-    def score(self, call: Call, server: ServerLoad) -> float:
+    def _hashed(self, call: Call) -> list[str]:
+        """Return the servers that the deepest affinity depths hash to."""
+        depths = [depth for depth in AFFINITY_DEPTHS if depth <= len(call.blocks)]
+        wanted = depths[-self.policy.affinity_candidates :] or [len(call.blocks)]
+        names = []
+        for depth in reversed(wanted):
+            names += self.ring.candidates(str(call.blocks[depth - 1]), 1)
+        return names
+
+    def score(self, call: Call, server: ServerLoad, cached_blocks: int) -> float:
         """Return the weighed cost of sending `call` to `server`, in seconds."""
-        view = server.view
-        uncached = self.uncached_tokens(call, server)
-        wait = self.wait_s(server)
-        compute = uncached / view.prefill_tokens_per_s
+        compute = _uncached(call, cached_blocks) / server.view.prefill_tokens_per_s
         weights = call.weights
         return server.slowness * (
-            weights.wait * (wait + compute) + weights.recompute * compute
+            weights.wait * (self.wait_s(server) + compute) + weights.recompute * compute
         )
 
     def wait_s(self, server: ServerLoad) -> float:
@@ -113,9 +143,6 @@
         crowding = server.utilisation / view.decode_tokens_per_s
         return waiting + crowding
 
-    def uncached_tokens(self, call: Call, server: ServerLoad) -> float:
-        """Return the prompt tokens that `server` is believed to have to compute."""
-        if not call.blocks:
-            return float(call.prompt_tokens)
-        cached = self.prefixes.cached_blocks(server.id, call.blocks)
-        return float(max(0, call.prompt_tokens - cached * BLOCK_TOKENS))
+
+def _uncached(call: Call, cached_blocks: int) -> float:
+    return float(max(0, call.prompt_tokens - cached_blocks * BLOCK_TOKENS))
--- a/packages/endive_core/src/endive_core/policy.py
+++ b/packages/endive_core/src/endive_core/policy.py
@@ -37,6 +37,19 @@
         description="part of a server's slots kept from bulk and organisations over "
         "their share",
     )
+    divided_share: float = Field(
+        0.1,
+        ge=0,
+        le=1,
+        description="part of a server's slots that the nodes divide when no more are "
+        "free",
+    )
+    prefill_burst_s: float = Field(
+        0.1,
+        gt=0,
+        description="prefill work that bulk and organisations over their share may "
+        "bring to a server at once, seconds",
+    )
     queue_heads_tried: int = Field(
         8, ge=1, description="organisations tried for one free slot"
     )
@@ -53,7 +66,7 @@
         64, ge=1, description="points of one server on the hash ring"
     )
     max_known_blocks: int = Field(
-        20_000, ge=1, description="prompt blocks remembered with their servers"
+        32_000, ge=2, description="sampled prompt blocks remembered with servers"
     )
     slow_ratio: float = Field(
         2.0, gt=1, description="latency over the peers' median that marks a slow server"
--- a/packages/endive_core/src/endive_core/prefixes.py
+++ b/packages/endive_core/src/endive_core/prefixes.py
@@ -1,33 +1,37 @@
 """Prompt prefixes: their block hashes, and which servers are believed to hold them."""
 
-from collections import OrderedDict
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
+
+import xxhash
 
-from endive_core.hashing import fingerprint
 from endive_core.messages import CHARACTERS_PER_TOKEN
 
 BLOCK_TOKENS = 16
 """Tokens of one cache block of the engines."""
 
-MAX_BLOCKS = 64
-"""Leading blocks hashed, 1,024 tokens: enough to tell conversations apart, and the
-hashing of a long prompt stays cheap."""
+MAX_BLOCKS = 256
+"""Leading blocks hashed, 4,096 tokens: what lies beyond seldom tells two prompts apart
+that were equal so far, and the hashing of a long prompt stays cheap."""
+
+SAMPLING = 4
+"""One block in four is remembered. The prefix known to be cached is then up to three
+blocks too short (48 tokens, 2 ms of prefill), for a quarter of the memory."""
 
 
 def prefix_blocks(
     prompt: str, *, block_tokens: int = BLOCK_TOKENS, limit: int = MAX_BLOCKS
-) -> tuple[str, ...]:
-    """Return the chained hashes of the whole leading blocks of `prompt`.
+) -> tuple[int, ...]:
+    """Return the chained 64-bit hashes of the whole leading blocks of `prompt`.
 
     Each hash covers all text up to the end of its block, so equal hashes mean equal
     prefixes.
     """
     size = block_tokens * CHARACTERS_PER_TOKEN
+    state = xxhash.xxh3_64()
     blocks = []
-    previous = ""
     for start in range(0, min(len(prompt) - size + 1, limit * size), size):
-        previous = fingerprint(previous + prompt[start : start + size])
-        blocks.append(previous)
+        state.update(prompt[start : start + size].encode())
+        blocks.append(state.intdigest())
     return tuple(blocks)
 
 
@@ -36,38 +40,53 @@
 
     It is filled by this node's own dispatches at once, and corrected by the engines'
     cache events, which come late and with gaps. Being wrong costs a recomputed prefix
-    or a missed hit, never an answer; so a gap removes nothing by itself, and a block
-    counts as held only while it is among the newest of its server that fit here.
+    or a missed hit, never an answer. So a gap removes nothing by itself: blocks are
+    chained, and one that is known implies those before it.
+
+    Two generations bound it: when the younger is full it becomes the older, and what
+    was neither stored nor looked up since is forgotten.
     """
 
     def __init__(self, *, max_blocks: int) -> None:
-        self.max_blocks = max_blocks
-        self.holders: OrderedDict[str, set[str]] = OrderedDict()
+        self.generation_blocks = max(1, max_blocks // 2)
+        self.young: dict[int, tuple[str, ...]] = {}
+        self.old: dict[int, tuple[str, ...]] = {}
         self.next_seq: dict[str, int] = {}
         self.gaps = 0
 
-    def add(self, server: str, blocks: Iterable[str]) -> None:
+    def __len__(self) -> int:
+        return len(self.young) + len(self.old)
+
+    def holders(self, block: int) -> tuple[str, ...]:
+        """Return the servers believed to hold `block`, newest last."""
+        return self.young.get(block) or self.old.get(block, ())
+
+    def add(self, server: str, blocks: Iterable[int]) -> None:
         """Believe that `server` holds `blocks`."""
         for block in blocks:
-            holders = self.holders.get(block)
-            if holders is None:
-                self.holders[block] = {server}
+            if block % SAMPLING:
+                continue
+            holders = self.holders(block)
+            if server in holders:
+                if holders[-1] != server:
+                    holders = (*(h for h in holders if h != server), server)
             else:
-                holders.add(server)
-                self.holders.move_to_end(block)
-        while len(self.holders) > self.max_blocks:
-            self.holders.popitem(last=False)
+                holders = (*holders, server)
+            self.young[block] = holders
+        if len(self.young) >= self.generation_blocks:
+            self.old, self.young = self.young, {}
 
-    def remove(self, server: str, blocks: Iterable[str]) -> None:
+    def remove(self, server: str, blocks: Iterable[int]) -> None:
         """Stop believing that `server` holds `blocks`."""
         for block in blocks:
-            holders = self.holders.get(block)
-            if holders is not None:
-                holders.discard(server)
-                if not holders:
-                    del self.holders[block]
-
-    def event(self, server: str, seq: int, *, stored: bool, blocks: list[str]) -> None:
+            holders = self.holders(block)
+            if server in holders:
+                self.old.pop(block, None)
+                self.young[block] = tuple(h for h in holders if h != server)
+
+    def event(
+        self, server: str, seq: int, *, stored: bool, blocks: Sequence[int]
+    ) -> None:
         """Take over one cache event of `server`; one seen before does nothing."""
         expected = self.next_seq.get(server, seq)
         if seq < expected:
@@ -82,32 +101,20 @@
     def forget_server(self, server: str) -> None:
         """Forget the position in the events of a server that is gone.
 
-        Its blocks stay until they age out: placement only asks about live servers.
+        Its blocks age out: placement only asks about servers that take work.
         """
         self.next_seq.pop(server, None)
 
-    def cached_blocks(self, server: str, blocks: tuple[str, ...]) -> int:
-        """Return how many leading `blocks` the server is believed to hold.
+    def prefix_holders(self, blocks: Sequence[int]) -> dict[str, int]:
+        """Return the known holders of leading `blocks`, with how many each holds.
 
-        Blocks are chained, so the last one held implies those before it: a binary
-        search suffices, and an event lost in a gap costs at most its own block.
+        The deepest known block comes first; a server that holds a deeper block also
+        holds those before it.
         """
-        low, high = 0, len(blocks)
-        while low < high:
-            middle = (low + high + 1) // 2
-            if server in self.holders.get(blocks[middle - 1], ()):
-                low = middle
-            else:
-                high = middle - 1
-        return low
-
-    def deepest_holders(self, blocks: tuple[str, ...]) -> set[str]:
-        """Return the servers believed to hold the longest known prefix of `blocks`."""
-        low, high = 0, len(blocks)
-        while low < high:
-            middle = (low + high + 1) // 2
-            if blocks[middle - 1] in self.holders:
-                low = middle
-            else:
-                high = middle - 1
-        return self.holders[blocks[low - 1]] if low else set()
+        found: dict[str, int] = {}
+        for depth in range(len(blocks), 0, -1):
+            if blocks[depth - 1] % SAMPLING:
+                continue
+            for server in reversed(self.holders(blocks[depth - 1])):
+                found.setdefault(server, depth)
+        return found
--- a/packages/endive_core/src/endive_core/scheduler.py
+++ b/packages/endive_core/src/endive_core/scheduler.py
@@ -12,6 +12,7 @@
     Appointments,
     Prediction,
     ServiceRate,
+    WaitError,
     allowed_wait_s,
 )
 from endive_core.calls import Call, Dispatch, Refusal, Retry, Stage, Ticket
@@ -63,12 +64,17 @@
         self.policy = policy
         self.random = random
         self.service_type = service_type
-        self.servers = ServerSet(random, reserved_share=policy.reserved_share)
+        self.servers = ServerSet(
+            random,
+            reserved_share=policy.reserved_share,
+            divided_share=policy.divided_share,
+        )
         self.placement = Placement(policy, self.servers, random)
         self.outliers = OutlierDetector(policy, self.servers)
         self.queue = FairQueue()
         self.crashes = crashes or crash_table(policy)
         self.rate = _first_rate(service_type)
+        self.errors = {False: WaitError(), True: WaitError()}
         self.appointments = Appointments(
             min_s=policy.min_retry_after_s, max_s=policy.max_retry_after_s
         )
@@ -125,7 +131,7 @@
         self.servers.report(server_id, running, waiting, as_of=as_of)
 
     def cache_event(
-        self, server_id: str, seq: int, *, stored: bool, blocks: list[str]
+        self, server_id: str, seq: int, *, stored: bool, blocks: list[int]
     ) -> None:
         """Take over one cache event of a server."""
         self.placement.prefixes.event(server_id, seq, stored=stored, blocks=blocks)
@@ -154,7 +160,7 @@
         cost = call.prompt_tokens + call.max_tokens * self.rate.answer_part
         ticket = Ticket(call, now, cost)
         ticket.suspect = self.crashes.count(call.fingerprint, now) > 0
-        ticket.predicted_s = self.predict(call).first_token_s
+        ticket.predicted_s = self.predict(call).wait_s
         quota = self.quotas.get(call.organisation)
         if quota is not None:
             quota.spend(call.tokens)
@@ -193,12 +199,12 @@
                 "the deadline can't be met",
                 max(self.policy.min_retry_after_s, prediction.wait_s),
             )
-        if prediction.wait_s <= allowed:
+        if prediction.long_wait_s <= allowed:
             return None
         retry_after = self.appointments.give(
             (call.organisation, call.rank),
             now,
-            excess_s=prediction.wait_s - allowed,
+            excess_s=prediction.long_wait_s - allowed,
             cost_s=call.tokens * prediction.drain_s,
         )
         return _refuse(
@@ -210,12 +216,18 @@
         slots = max(1.0, self.servers.own_total + len(self.servers.open[False]))
         tokens_per_s = slots * self.rate.tokens_per_slot_s
         ahead = self.queue.tokens_ahead(call.rank, call.organisation)
-        wait = ahead / tokens_per_s
-        if not self.servers.open[self._must_spare(call)]:
+        wait, allowance = ahead / tokens_per_s, 0.0
+        if ahead or not self.servers.open[self._must_spare(call)]:
             wait += self.rate.held_s / slots
+            allowance = self._error(call).allowance_s
         prefill = call.prompt_tokens / self._prefill_tokens_per_s()
         share = self.queue.active_part(call.rank, call.organisation)
-        return Prediction(wait, self.rate.start_s + prefill, 1 / tokens_per_s / share)
+        return Prediction(
+            wait, allowance, self.rate.start_s + prefill, 1 / tokens_per_s / share
+        )
+
+    def _error(self, call: Call) -> WaitError:
+        return self.errors[call.bulk]
 
     def _prefill_tokens_per_s(self) -> float:
         for server in self.servers.servers.values():
@@ -255,9 +267,10 @@
         spare = self._must_spare(ticket.call)
         if not ticket.call.non_idempotent and not ticket.suspect:
             probe = self.outliers.probe(now)
-            if probe is not None and probe.room(spare=spare) > 0:
+            if probe is not None and self.servers.has_room(probe, spare=spare):
+                ticket.uncached_tokens = float(ticket.call.prompt_tokens)
                 return probe
-        return self.placement.choose(ticket, spare=spare)
+        return self.placement.choose(ticket, now, spare=spare)
 
     def _tick(self, now: float) -> None:
         self.outliers.compare(now)
@@ -276,13 +289,16 @@
         self.expired.append(ticket)
 
     def _dispatched(self, ticket: Ticket, server: ServerLoad, now: float) -> None:
+        if not ticket.attempt:
+            waited = now - ticket.accepted_at
+            self._error(ticket.call).learn(waited - ticket.predicted_s)
         ticket.stage = Stage.DISPATCHED
         ticket.server = server.id
         ticket.attempt += 1
         ticket.dispatched_at = now
         ticket.first_token_at = None
-        ticket.uncached_tokens = self.placement.uncached_tokens(ticket.call, server)
         server.starting_tokens += ticket.uncached_tokens
+        self.placement.pace(server, ticket.uncached_tokens, now)
         server.starting_suspects += ticket.suspect
         self.held[ticket.call.organisation] += 1
         self.running.setdefault(server.id, set()).add(ticket)
--- a/packages/endive_core/src/endive_core/servers.py
+++ b/packages/endive_core/src/endive_core/servers.py
@@ -4,8 +4,10 @@
 only through reports that lag. Two harms follow. A node that reads "4 slots free" and
 fills all four, as do six others, puts 28 requests before 4 slots. And a node that
 waits for the next report before it reuses a slot it has just freed leaves it idle for
-the whole lag. So a free slot in a report is shared by the nodes, while a slot that
-this node's own request has freed is this node's to use at once.
+the whole lag. So the last free slots in a report are divided among the nodes, while a
+slot that this node's own request has freed is this node's to use at once. Where many
+slots are free, a node may take any of them, less what the others have presumably taken
+by now: as much as this node has, for they see the same load.
 """
 
 from collections import deque
@@ -32,6 +34,8 @@
 
     Attributes
     ----------
+    reserved, divided : int
+        Slots kept from bulk, and the last free slots that the nodes divide.
     grant, spare_grant : int
         Slots of the last report that are this node's to take; `spare_grant` leaves
         the reserve free.
@@ -41,18 +45,23 @@
         Sum of the signs after the state that the last report describes.
     starting_tokens : float
         Uncached prompt tokens that this node sent and that gave no first token yet.
+    prefill_paced_until : float
+        Clock time by which this node's part of the prefill rate has done what this
+        node sent.
     slowness : float
         Latency compared with the peers' median, 1 or more.
     """
 
     view: ServerView
     reserved: int
+    divided: int
     grant: int = 0
     spare_grant: int = 0
     changes: deque = field(default_factory=deque)
     change: int = 0
     starting_tokens: float = 0.0
     starting_suspects: int = 0
+    prefill_paced_until: float = 0.0
     slowness: float = 1.0
     slow: bool = False
     paused: bool = False
@@ -79,8 +88,14 @@
         """Load over slots."""
         return self.load / self.view.max_concurrent
 
-    def room(self, *, spare: bool) -> int:
-        """Return how many requests this node may send now.
+    @property
+    def free(self) -> int:
+        """Slots free in the last report; below 0 if requests were waiting."""
+        view = self.view
+        return view.max_concurrent - view.reported_running - view.reported_waiting
+
+    def granted(self, *, spare: bool) -> int:
+        """Return how many requests this node may send from its part of the slots.
 
         Parameters
         ----------
@@ -89,6 +104,11 @@
         """
         return (self.spare_grant if spare else self.grant) - self.change
 
+    def plenty(self, *, spare: bool) -> int:
+        """Return the free slots beyond those that the nodes divide."""
+        kept = self.divided + (self.reserved if spare else 0)
+        return self.free - self.change - kept
+
     def note(self, sign: int, now: float) -> None:
         """Count an own send (+1) or end (-1) at `now`."""
         self.changes.append((now, sign))
@@ -105,14 +125,18 @@
     report update in constant time.
     """
 
-    def __init__(self, random: Random, *, reserved_share: float) -> None:
+    def __init__(
+        self, random: Random, *, reserved_share: float, divided_share: float
+    ) -> None:
         self.random = random
         self.reserved_share = reserved_share
+        self.divided_share = divided_share
         self.servers: dict[str, ServerLoad] = {}
         self.open = {False: MemberList(), True: MemberList()}
         self.taking = MemberList()
         self.nodes = 1
         self.own_total = 0
+        self.change_total = 0
         self.reported_total = 0
         self.slots_total = 0
 
@@ -128,10 +152,11 @@
         return bool(gone or new)
 
     def _add(self, view: ServerView) -> None:
-        reserved = round(view.max_concurrent * self.reserved_share)
-        if self.reserved_share and view.max_concurrent > 1:
+        slots = view.max_concurrent
+        reserved = round(slots * self.reserved_share)
+        if self.reserved_share and slots > 1:
             reserved = max(1, reserved)
-        server = ServerLoad(view, reserved)
+        server = ServerLoad(view, reserved, max(1, round(slots * self.divided_share)))
         self.servers[view.id] = server
         self.slots_total += view.max_concurrent
         self._grant(server)
@@ -142,6 +167,7 @@
         self.slots_total -= view.max_concurrent
         self.reported_total -= view.reported_running + view.reported_waiting
         self.own_total -= view.in_flight
+        self.change_total -= server.change
         for members in (*self.open.values(), self.taking):
             members.discard(server)
 
@@ -151,10 +177,12 @@
 
         With even traffic it is one part in the number of nodes. A batch that arrives
         at one node only would then fill an idle service slowly, so the share follows
-        this node's part of the whole load.
+        this node's part of the reported load. What was sent since the reports is left
+        out on both sides: the others' is not known.
         """
-        total = max(self.own_total, self.reported_total)
-        return min(1.0, (self.own_total + 1) / (total + self.nodes))
+        own = max(0, self.own_total - self.change_total)
+        total = max(own, self.reported_total)
+        return min(1.0, (own + 1) / (total + self.nodes))
 
     @property
     def mean_utilisation(self) -> float:
@@ -177,15 +205,16 @@
         self.reported_total -= view.reported_running + view.reported_waiting
         view.reported_running, view.reported_waiting = running, waiting
         while server.changes and server.changes[0][0] <= as_of:
-            server.change -= server.changes.popleft()[1]
+            sign = server.changes.popleft()[1]
+            server.change -= sign
+            self.change_total -= sign
         view.sent_since_report = sum(sign > 0 for _, sign in server.changes)
         self._grant(server)
 
     def _grant(self, server: ServerLoad) -> None:
-        view = server.view
-        free = view.max_concurrent - view.reported_running - view.reported_waiting
-        server.grant = self._rounded(free * self.share)
-        server.spare_grant = self._rounded((free - server.reserved) * self.share)
+        share = self.share
+        server.grant = self._rounded(server.free * share)
+        server.spare_grant = self._rounded((server.free - server.reserved) * share)
         self.refresh(server)
 
     def _rounded(self, value: float) -> int:
@@ -195,16 +224,39 @@
 
     def busy(self, server: ServerLoad) -> None:
         """Expect no room until the next report: the server has just refused."""
+        view = server.view
         server.grant = min(server.grant, server.change)
         server.spare_grant = min(server.spare_grant, server.change)
+        waiting = view.reported_waiting
+        self.reported_total += max(0, server.free - server.change)
+        view.reported_waiting = waiting + max(0, server.free - server.change)
         self.refresh(server)
 
     def note(self, server: ServerLoad, sign: int, now: float) -> None:
         """Count an own send or end at `server`."""
         server.note(sign, now)
         self.own_total += sign
+        self.change_total += sign
         self.refresh(server)
 
+    def has_room(self, server: ServerLoad, *, spare: bool) -> bool:
+        """Return whether this node may send to `server` now."""
+        if server.granted(spare=spare) > 0:
+            return True
+        plenty = server.plenty(spare=spare)
+        return plenty > 0 and plenty > self._taken_by_others(server)
+
+    def _taken_by_others(self, server: ServerLoad) -> float:
+        """Return the slots of `server` that other nodes presumably took by now.
+
+        The others see the same load, so they are taken to have grown as this node
+        has, where slots were free. This stops a burst that reaches all nodes at once
+        before all of them have filled the same slots.
+        """
+        free = max(1, self.slots_total - self.reported_total)
+        growth = max(0, self.change_total) * (1 / self.share - 1)
+        return growth * max(0, server.free) / free
+
     def refresh(self, server: ServerLoad) -> None:
         """Put `server` into or out of the lists of servers with room."""
         taking = not (server.view.leaving or server.paused)
@@ -214,7 +266,8 @@
             self.taking.discard(server)
         usable = taking and not server.slow
         for spare, members in self.open.items():
-            if usable and server.room(spare=spare) > 0:
+            room = server.granted(spare=spare) > 0 or server.plenty(spare=spare) > 0
+            if usable and room:
                 members.add(server)
             else:
                 members.discard(server)
