Give calls three tiers, and the refused a line to come back in

Cause: organisations just over their share competed with bulk for the same free slots, late calls of the rest waited in engines for a slot that another node had taken, and a zone's loss spent the retry budget of every node. Change: bulk leaves 3 of 32 slots, over-share calls 1; prediction errors are learned a tier; placement counts the risk of a last free slot; retries may reach half of the calls in flight at once; times to come back form a line that fresh calls can't jump.

--- a/packages/endive_core/src/endive_core/admission.py
+++ b/packages/endive_core/src/endive_core/admission.py
@@ -6,7 +6,8 @@
 the time to come back is one at which it will be taken.
 """
 
-from dataclasses import dataclass
+from collections import deque
+from dataclasses import dataclass, field
 
 from endive_core.calls import Call
 
@@ -26,6 +27,13 @@
 DEVIATIONS = 2.0
 """Mean deviations added to a prediction; about 95 in 100 waits lie below."""
 
+MAX_TIMES = 10_000
+"""Times remembered for one organisation and rank, 1 MB; later ones are given too."""
+
+DUE_MEMORY_S = 5.0
+"""Seconds after the last time given until callers who never came back are forgotten;
+until then each lets one other call in."""
+
 
 @dataclass
 class ServiceRate:
@@ -137,18 +145,68 @@
     return max(left, call.target_s * FLOOR_PART)
 
 
+@dataclass
+class Line:
+    """The times to come back given to one organisation at one rank.
+
+    Attributes
+    ----------
+    last_at : float
+        The latest time given.
+    times : deque of float
+        Times given that are not yet due, earliest first.
+    due : int
+        Times that have passed and whose callers have not been let in.
+    """
+
+    last_at: float = 0.0
+    times: deque[float] = field(default_factory=deque)
+    due: int = 0
+
+    def pass_to(self, now: float) -> None:
+        """Move the times that have passed from `times` to `due`."""
+        while self.times and self.times[0] <= now:
+            self.times.popleft()
+            self.due += 1
+        if not self.times and now - self.last_at > DUE_MEMORY_S:
+            self.due = 0
+
+
 class Appointments:
     """Times to come back, handed out so that not all who were refused come at once.
 
     The load this is for: thousands refused within one second. Told the same time,
     they would all come back in the same second, and all but a few be refused again.
     Each refused call moves its organisation's next time back by what the call costs.
+    While times are outstanding, a call beyond the number now due has jumped the line:
+    it is refused, or moves the line back, so that those told a time find room then.
+    Callers may come back to another node; all nodes count alike, so this holds on
+    average.
     """
 
     def __init__(self, *, min_s: float, max_s: float) -> None:
         self.min_s = min_s
         self.max_s = max_s
-        self.next_at: dict[tuple[str, int], float] = {}
+        self.lines: dict[tuple[str, int], Line] = {}
+
+    def may_enter(self, key: tuple[str, int], now: float) -> bool:
+        """Return whether a call may join the queue without jumping the line."""
+        line = self.lines.get(key)
+        if line is None:
+            return True
+        line.pass_to(now)
+        return line.due > 0 or not line.times
+
+    def entered(self, key: tuple[str, int], now: float, *, cost_s: float) -> None:
+        """Count a call let in."""
+        line = self.lines.get(key)
+        if line is None:
+            return
+        line.pass_to(now)
+        if line.due > 0:
+            line.due -= 1
+        elif line.times:
+            line.last_at += cost_s
 
     def give(
         self, key: tuple[str, int], now: float, *, excess_s: float, cost_s: float
@@ -164,8 +222,11 @@
         cost_s : float
             Time the organisation's share needs for this call.
         """
+        line = self.lines.setdefault(key, Line())
+        line.pass_to(now)
         earliest = now + max(self.min_s, excess_s)
-        at = max(earliest, self.next_at.get(key, 0.0) + cost_s)
-        at = min(at, now + self.max_s)
-        self.next_at[key] = at
+        at = min(max(earliest, line.last_at + cost_s), now + self.max_s)
+        line.last_at = max(line.last_at, at)
+        if len(line.times) < MAX_TIMES:
+            line.times.append(at)
         return at - now
--- a/packages/endive_core/src/endive_core/calls.py
+++ b/packages/endive_core/src/endive_core/calls.py
@@ -1,7 +1,7 @@
 """What the decisions know of one request: its call, its ticket, and the verdicts."""
 
 from dataclasses import dataclass, field
-from enum import StrEnum
+from enum import IntEnum, StrEnum
 
 from endive_core.exceptions import ErrorKind
 from endive_core.resources import Weights
@@ -57,6 +57,14 @@
         return self.prompt_tokens + self.max_tokens
 
 
+class Tier(IntEnum):
+    """How much of a server's slots a call must leave free."""
+
+    WITHIN_SHARE = 0
+    OVER_SHARE = 1
+    BULK = 2
+
+
 class Stage(StrEnum):
     """Where a ticket is between admission and its end."""
 
@@ -82,6 +90,8 @@
         Servers where an earlier attempt failed.
     predicted_s : float
         Mean wait in the queue that admission predicted, seconds.
+    tier : Tier
+        The tier for which it was predicted.
     suspect : bool
         Whether a server crashed while it ran this call.
     refusal : Refusal or None
@@ -99,6 +109,7 @@
     tokens: int = 0
     uncached_tokens: float = 0.0
     predicted_s: float = 0.0
+    tier: Tier = Tier.WITHIN_SHARE
     avoid: set[str] = field(default_factory=set)
     suspect: bool = False
     refusal: "Refusal | None" = None
--- a/packages/endive_core/src/endive_core/placement.py
+++ b/packages/endive_core/src/endive_core/placement.py
@@ -11,7 +11,7 @@
 
 from itertools import islice
 
-from endive_core.calls import Call, Ticket
+from endive_core.calls import Call, Ticket, Tier
 from endive_core.policy import Policy
 from endive_core.prefixes import BLOCK_TOKENS, PrefixIndex
 from endive_core.ring import HashRing
@@ -45,19 +45,13 @@
         """Place the servers that take work on the ring."""
         self.ring.set_members(members)
 
-    def choose(self, ticket: Ticket, now: float, *, spare: bool) -> ServerLoad | None:
-        """Return the best server with room, or ``None`` if no candidate has any.
-
-        Parameters
-        ----------
-        spare : bool
-            Whether the servers' reserve must stay free.
-        """
+    def choose(self, ticket: Ticket, now: float, tier: Tier) -> ServerLoad | None:
+        """Return the best server with room, or ``None`` if no candidate has any."""
         call = ticket.call
         cached = self.prefixes.prefix_holders(call.blocks)
         best, best_score = None, 0.0
-        for server in self._candidates(ticket, cached, spare=spare):
-            if spare and server.prefill_paced_until > now + self.policy.prefill_burst_s:
+        for server in self._candidates(ticket, cached, tier):
+            if tier and server.prefill_paced_until > now + self.policy.prefill_burst_s:
                 continue
             score = self.score(call, server, cached.get(server.id, 0))
             if best is None or score < best_score:
@@ -77,29 +71,29 @@
         server.prefill_paced_until = begins + tokens / rate
 
     def _candidates(
-        self, ticket: Ticket, cached: dict[str, int], *, spare: bool
+        self, ticket: Ticket, cached: dict[str, int], tier: Tier
     ) -> list[ServerLoad]:
-        open_servers = self.servers.open[spare]
-        found = self._affinity(ticket.call, cached, spare=spare)
+        open_servers = self.servers.open[tier]
+        found = self._affinity(ticket.call, cached, tier)
         found += open_servers.sample(
             self.policy.random_candidates, self.random.randrange
         )
-        allowed = [s for s in found if self._allowed(ticket, s, spare=spare)]
+        allowed = [s for s in found if self._allowed(ticket, s, tier)]
         if allowed or not (ticket.avoid or ticket.suspect):
             return allowed
-        return [s for s in open_servers.items if self._allowed(ticket, s, spare=spare)]
+        return [s for s in open_servers.items if self._allowed(ticket, s, tier)]
 
-    def _allowed(self, ticket: Ticket, server: ServerLoad, *, spare: bool) -> bool:
+    def _allowed(self, ticket: Ticket, server: ServerLoad, tier: Tier) -> bool:
         if server.id in ticket.avoid:
             return False
-        if not self.servers.has_room(server, spare=spare):
+        if not self.servers.has_room(server, tier):
             return False
         # Of several requests that ran on a crashed server one may be poison. Apart
         # from each other, the next crash names it and no innocent one is refused.
         return not (ticket.suspect and server.starting_suspects)
 
     def _affinity(
-        self, call: Call, cached: dict[str, int], *, spare: bool
+        self, call: Call, cached: dict[str, int], tier: Tier
     ) -> list[ServerLoad]:
         """Return the prefix's servers that have room and aren't over the load bound.
 
@@ -108,7 +102,7 @@
         if not call.blocks:
             return []
         names = [*islice(cached, KNOWN_HOLDERS), *self._hashed(call)]
-        open_servers = self.servers.open[spare].positions
+        open_servers = self.servers.open[tier].positions
         bound = self.policy.load_bound * self.servers.mean_utilisation
         found = []
         for name in names:
@@ -137,11 +131,15 @@
         )
 
     def wait_s(self, server: ServerLoad) -> float:
-        """Return the predicted wait for the first prefill step at `server`, seconds."""
+        """Return the predicted wait for the first prefill step at `server`, seconds.
+
+        The fewer slots the report leaves free, the likelier another node takes the
+        last one first, and the request waits for a stream to end.
+        """
         view = server.view
         waiting = server.starting_tokens / view.prefill_tokens_per_s
-        crowding = server.utilisation / view.decode_tokens_per_s
-        return waiting + crowding
+        free = max(0, view.max_concurrent - server.load)
+        return waiting + self.policy.crowding_s / (1 + free)
 
 
 def _uncached(call: Call, cached_blocks: int) -> float:
--- a/packages/endive_core/src/endive_core/policy.py
+++ b/packages/endive_core/src/endive_core/policy.py
@@ -34,8 +34,8 @@
         0.08,
         ge=0,
         lt=1,
-        description="part of a server's slots kept from bulk and organisations over "
-        "their share",
+        description="part of a server's slots kept from bulk; half of it is kept from "
+        "organisations over their share",
     )
     divided_share: float = Field(
         0.1,
@@ -59,6 +59,11 @@
     random_candidates: int = Field(
         2, ge=1, description="servers with room tried at random"
     )
+    crowding_s: float = Field(
+        0.1,
+        ge=0,
+        description="wait expected at a server whose last slot seems free, seconds",
+    )
     load_bound: float = Field(
         1.25, ge=1, description="load of an affinity server over the mean, at most"
     )
--- a/packages/endive_core/src/endive_core/retrying.py
+++ b/packages/endive_core/src/endive_core/retrying.py
@@ -10,6 +10,10 @@
 from endive_core.policy import Policy
 from endive_core.servers import Random
 
+LOST_SHARE = 0.5
+"""Part of the calls in flight that may be sent again at once: a zone's worth and more
+may break together, each stream once. Beyond it only successes earn retries."""
+
 
 @dataclass
 class RetryBudget:
@@ -20,26 +24,24 @@
     ratio : float
         Retries earned by each success.
     burst : float
-        Most retries saved up: what a quiet deployment needs to get over the loss of
-        one server, and what an outage multiplies at most.
+        Retries allowed without any success or call in flight.
+    spent : float
+        Retries made and not yet earned back.
     """
 
     ratio: float
     burst: float
-    left: float = 0.0
-
-    def __post_init__(self) -> None:
-        self.left = self.burst
+    spent: float = 0.0
 
     def earn(self) -> None:
         """Count a success."""
-        self.left = min(self.burst, self.left + self.ratio)
+        self.spent = max(0.0, self.spent - self.ratio)
 
-    def spend(self) -> bool:
+    def spend(self, *, in_flight: int) -> bool:
         """Take one retry; return whether there was one."""
-        if self.left < 1:
+        if self.spent + 1 > self.burst + LOST_SHARE * in_flight:
             return False
-        self.left -= 1
+        self.spent += 1
         return True
 
 
--- a/packages/endive_core/src/endive_core/scheduler.py
+++ b/packages/endive_core/src/endive_core/scheduler.py
@@ -15,7 +15,7 @@
     WaitError,
     allowed_wait_s,
 )
-from endive_core.calls import Call, Dispatch, Refusal, Retry, Stage, Ticket
+from endive_core.calls import Call, Dispatch, Refusal, Retry, Stage, Ticket, Tier
 from endive_core.crashes import Crash, CrashTable
 from endive_core.exceptions import ANSWERS, ErrorKind, RetryReason
 from endive_core.messages import ServerView
@@ -74,7 +74,7 @@
         self.queue = FairQueue()
         self.crashes = crashes or crash_table(policy)
         self.rate = _first_rate(service_type)
-        self.errors = {False: WaitError(), True: WaitError()}
+        self.errors = {tier: WaitError() for tier in Tier}
         self.appointments = Appointments(
             min_s=policy.min_retry_after_s, max_s=policy.max_retry_after_s
         )
@@ -161,6 +161,7 @@
         ticket = Ticket(call, now, cost)
         ticket.suspect = self.crashes.count(call.fingerprint, now) > 0
         ticket.predicted_s = self.predict(call).wait_s
+        ticket.tier = self._tier(call)
         quota = self.quotas.get(call.organisation)
         if quota is not None:
             quota.spend(call.tokens)
@@ -199,13 +200,18 @@
                 "the deadline can't be met",
                 max(self.policy.min_retry_after_s, prediction.wait_s),
             )
-        if prediction.long_wait_s <= allowed:
+        key = (call.organisation, call.rank)
+        cost_s = call.tokens * prediction.drain_s
+        if prediction.long_wait_s <= allowed and (
+            not prediction.wait_s or self.appointments.may_enter(key, now)
+        ):
+            self.appointments.entered(key, now, cost_s=cost_s)
             return None
         retry_after = self.appointments.give(
-            (call.organisation, call.rank),
+            key,
             now,
-            excess_s=prediction.long_wait_s - allowed,
-            cost_s=call.tokens * prediction.drain_s,
+            excess_s=max(0.0, prediction.long_wait_s - allowed),
+            cost_s=cost_s,
         )
         return _refuse(
             ErrorKind.OVERLOADED, "the latency target can't be met now", retry_after
@@ -213,38 +219,41 @@
 
     def predict(self, call: Call) -> Prediction:
         """Return when the first token of `call` is expected."""
-        slots = max(1.0, self.servers.own_total + len(self.servers.open[False]))
+        slots = max(
+            1.0, self.servers.own_total + len(self.servers.open[Tier.WITHIN_SHARE])
+        )
         tokens_per_s = slots * self.rate.tokens_per_slot_s
         ahead = self.queue.tokens_ahead(call.rank, call.organisation)
         wait, allowance = ahead / tokens_per_s, 0.0
-        if ahead or not self.servers.open[self._must_spare(call)]:
+        tier = self._tier(call)
+        if ahead or not self.servers.open[tier]:
             wait += self.rate.held_s / slots
-            allowance = self._error(call).allowance_s
+            allowance = self.errors[tier].allowance_s
         prefill = call.prompt_tokens / self._prefill_tokens_per_s()
         share = self.queue.active_part(call.rank, call.organisation)
         return Prediction(
             wait, allowance, self.rate.start_s + prefill, 1 / tokens_per_s / share
         )
 
-    def _error(self, call: Call) -> WaitError:
-        return self.errors[call.bulk]
-
     def _prefill_tokens_per_s(self) -> float:
         for server in self.servers.servers.values():
             return server.view.prefill_tokens_per_s
         return 1.0
 
-    def _must_spare(self, call: Call) -> bool:
-        """Return whether `call` must leave the servers' reserve free.
+    def _tier(self, call: Call) -> Tier:
+        """Return how much of the servers' slots `call` must leave free.
 
-        Bulk and organisations over their share of the slots must, so that a call of
-        an organisation under its share finds a slot at once while a batch runs.
+        Bulk leaves the most, organisations over their share of the slots some, so
+        that a call of an organisation within its share finds a slot at once while a
+        batch runs, and one over its share goes before bulk even of other nodes.
         """
         if call.bulk:
-            return True
+            return Tier.BULK
         part = self.queue.share(call.organisation) / self.shares_total
         slots = self.servers.slots_total * self.servers.share
-        return self.held[call.organisation] >= max(1.0, part * slots)
+        if self.held[call.organisation] >= max(1.0, part * slots):
+            return Tier.OVER_SHARE
+        return Tier.WITHIN_SHARE
 
     def next_dispatch(self, now: float) -> Dispatch | None:
         """Return the next ticket to send and its server, or ``None`` for now.
@@ -264,13 +273,13 @@
         return None
 
     def _server_for(self, ticket: Ticket, now: float) -> ServerLoad | None:
-        spare = self._must_spare(ticket.call)
+        tier = self._tier(ticket.call)
         if not ticket.call.non_idempotent and not ticket.suspect:
             probe = self.outliers.probe(now)
-            if probe is not None and self.servers.has_room(probe, spare=spare):
+            if probe is not None and self.servers.has_room(probe, tier):
                 ticket.uncached_tokens = float(ticket.call.prompt_tokens)
                 return probe
-        return self.placement.choose(ticket, now, spare=spare)
+        return self.placement.choose(ticket, now, tier)
 
     def _tick(self, now: float) -> None:
         self.outliers.compare(now)
@@ -291,7 +300,7 @@
     def _dispatched(self, ticket: Ticket, server: ServerLoad, now: float) -> None:
         if not ticket.attempt:
             waited = now - ticket.accepted_at
-            self._error(ticket.call).learn(waited - ticket.predicted_s)
+            self.errors[ticket.tier].learn(waited - ticket.predicted_s)
         ticket.stage = Stage.DISPATCHED
         ticket.server = server.id
         ticket.attempt += 1
@@ -419,7 +428,9 @@
         # A busy refusal cost the server next to nothing and a stream that has to move
         # did not fail; the budget is for repeated work.
         free = reason in (RetryReason.SERVER_BUSY, RetryReason.SERVER_LEAVING)
-        if not free and not self._budget(ticket).spend():
+        if not free and not self._budget(ticket).spend(
+            in_flight=self.servers.own_total
+        ):
             return _refuse(
                 ErrorKind.RETRY_BUDGET_SPENT, "too many calls are being sent again"
             )
--- a/packages/endive_core/src/endive_core/servers.py
+++ b/packages/endive_core/src/endive_core/servers.py
@@ -15,6 +15,7 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
+from endive_core.calls import Tier
 from endive_core.messages import ServerView
 
 
@@ -34,11 +35,12 @@
 
     Attributes
     ----------
-    reserved, divided : int
-        Slots kept from bulk, and the last free slots that the nodes divide.
-    grant, spare_grant : int
-        Slots of the last report that are this node's to take; `spare_grant` leaves
-        the reserve free.
+    reserved : tuple of int
+        Slots that a call of each tier must leave free.
+    divided : int
+        The last free slots, which the nodes divide.
+    grants : list of int
+        Slots of the last report that are this node's to take, for each tier.
     changes : deque
         Times and signs of this node's own sends (+1) and ends (-1).
     change : int
@@ -53,10 +55,9 @@
     """
 
     view: ServerView
-    reserved: int
+    reserved: tuple[int, int, int]
     divided: int
-    grant: int = 0
-    spare_grant: int = 0
+    grants: list[int] = field(default_factory=lambda: [0, 0, 0])
     changes: deque = field(default_factory=deque)
     change: int = 0
     starting_tokens: float = 0.0
@@ -94,20 +95,13 @@
         view = self.view
         return view.max_concurrent - view.reported_running - view.reported_waiting
 
-    def granted(self, *, spare: bool) -> int:
-        """Return how many requests this node may send from its part of the slots.
+    def granted(self, tier: Tier) -> int:
+        """Return how many requests this node may send from its part of the slots."""
+        return self.grants[tier] - self.change
 
-        Parameters
-        ----------
-        spare : bool
-            Whether the reserve must stay free.
-        """
-        return (self.spare_grant if spare else self.grant) - self.change
-
-    def plenty(self, *, spare: bool) -> int:
+    def plenty(self, tier: Tier) -> int:
         """Return the free slots beyond those that the nodes divide."""
-        kept = self.divided + (self.reserved if spare else 0)
-        return self.free - self.change - kept
+        return self.free - self.change - self.divided - self.reserved[tier]
 
     def note(self, sign: int, now: float) -> None:
         """Count an own send (+1) or end (-1) at `now`."""
@@ -132,7 +126,7 @@
         self.reserved_share = reserved_share
         self.divided_share = divided_share
         self.servers: dict[str, ServerLoad] = {}
-        self.open = {False: MemberList(), True: MemberList()}
+        self.open = {tier: MemberList() for tier in Tier}
         self.taking = MemberList()
         self.nodes = 1
         self.own_total = 0
@@ -156,7 +150,11 @@
         reserved = round(slots * self.reserved_share)
         if self.reserved_share and slots > 1:
             reserved = max(1, reserved)
-        server = ServerLoad(view, reserved, max(1, round(slots * self.divided_share)))
+        server = ServerLoad(
+            view,
+            reserved=(0, reserved // 2, reserved),
+            divided=max(1, round(slots * self.divided_share)),
+        )
         self.servers[view.id] = server
         self.slots_total += view.max_concurrent
         self._grant(server)
@@ -213,8 +211,9 @@
 
     def _grant(self, server: ServerLoad) -> None:
         share = self.share
-        server.grant = self._rounded(server.free * share)
-        server.spare_grant = self._rounded((server.free - server.reserved) * share)
+        for tier in Tier:
+            free = server.free - server.reserved[tier]
+            server.grants[tier] = self._rounded(free * share)
         self.refresh(server)
 
     def _rounded(self, value: float) -> int:
@@ -225,8 +224,7 @@
     def busy(self, server: ServerLoad) -> None:
         """Expect no room until the next report: the server has just refused."""
         view = server.view
-        server.grant = min(server.grant, server.change)
-        server.spare_grant = min(server.spare_grant, server.change)
+        server.grants = [min(grant, server.change) for grant in server.grants]
         waiting = view.reported_waiting
         self.reported_total += max(0, server.free - server.change)
         view.reported_waiting = waiting + max(0, server.free - server.change)
@@ -239,11 +237,11 @@
         self.change_total += sign
         self.refresh(server)
 
-    def has_room(self, server: ServerLoad, *, spare: bool) -> bool:
-        """Return whether this node may send to `server` now."""
-        if server.granted(spare=spare) > 0:
+    def has_room(self, server: ServerLoad, tier: Tier) -> bool:
+        """Return whether this node may send a call of `tier` to `server` now."""
+        if server.granted(tier) > 0:
             return True
-        plenty = server.plenty(spare=spare)
+        plenty = server.plenty(tier)
         return plenty > 0 and plenty > self._taken_by_others(server)
 
     def _taken_by_others(self, server: ServerLoad) -> float:
@@ -265,8 +263,8 @@
         else:
             self.taking.discard(server)
         usable = taking and not server.slow
-        for spare, members in self.open.items():
-            room = server.granted(spare=spare) > 0 or server.plenty(spare=spare) > 0
+        for tier, members in self.open.items():
+            room = server.granted(tier) > 0 or server.plenty(tier) > 0
             if usable and room:
                 members.add(server)
             else:
