--- a/packages/endive_core/src/endive_core/hashing.py
+++ b/packages/endive_core/src/endive_core/hashing.py
@@ -5,9 +5,9 @@
 import xxhash
 
 
-def fingerprint(text: str | bytes) -> str:
+def fingerprint(text: str) -> str:
     """Return a 128-bit hexadecimal fingerprint of `text`."""
-    return xxhash.xxh3_128_hexdigest(text.encode() if isinstance(text, str) else text)
+    return xxhash.xxh3_128_hexdigest(text.encode())
 
 
 def rendezvous_score(key: str, member: str) -> int:
--- a/packages/endive_core/tests/test_scheduler.py
+++ b/packages/endive_core/tests/test_scheduler.py
@@ -1,4 +1,4 @@
-from builders import call, dispatch_all, scheduler
+from core_builders import call, dispatch_all, scheduler
 from endive_core.calls import Refusal, Retry, Stage
 from endive_core.exceptions import ErrorKind, RetryReason
 
