Wire the scheduler into the node's path

Cause: the node took the server with the fewest own requests, admitted everything and retried four times whatever failed. Change: Dispatcher admits through a scheduler a service, greenlets wait for their server, failures go through the retry budget, servers' reports and cache events are read, [policy] holds the limits. A server that no longer listens has crashed; only what was starting on it is blamed. Hashed servers are believed to hold half of a prefix. Ruled out: a second set of server views in the node; the scheduler's are the views.

--- a/benchmarks/bench_decisions.py
+++ b/benchmarks/bench_decisions.py
@@ -69,10 +69,11 @@
         for name, make in selected("endive" if "-e" in names else "").items():
             o = run(scenario, make, SEED)
             print(
-                f"  {name:20} within {o.within:.3f} worst {o.within_worst:.3f} p95 {o.p95_s:7.2f}"
-                f" refused {o.refused:6} gaveup {o.gave_up:5} honest {o.honest:.2f}"
-                f" goodput {o.goodput:.3f} recomp {o.recomputed:9} of {o.prefilled:9} wasted {o.wasted:7}"
-                f" server-s {o.server_s:.3f}",
+                f"  {name:20} within {o.within:.3f} worst {o.within_worst:.3f}",
+                f"p95 {o.p95_s:7.2f} refused {o.refused:6} gave up {o.gave_up:5}",
+                f"honest {o.honest:.2f} goodput {o.goodput:.3f}",
+                f"recomputed {o.recomputed:9} of {o.prefilled:9}",
+                f"wasted {o.wasted:7} server-s {o.server_s:.3f}",
                 flush=True,
             )
 
--- a/benchmarks/load_model.py
+++ b/benchmarks/load_model.py
@@ -23,25 +23,46 @@
 
 
 class Decider(Protocol):
-    """What the model drives: the scheduler or a baseline."""
+    """What the model drives: the scheduler, or a baseline with the same methods."""
+
+    def offer(self, call: Call, now: float) -> Ticket | Refusal:
+        """Admit or refuse a call."""
+
+    def next_dispatch(self, now: float) -> Dispatch | None:
+        """Return what to send next."""
+
+    def started(self, ticket: Ticket, now: float) -> None:
+        """Note a first token."""
+
+    def finished(self, ticket: Ticket, now: float, *, tokens: int) -> None:
+        """Note a whole answer."""
 
-    def offer(self, call: Call, now: float) -> Ticket | Refusal: ...  # noqa: D102
-    def next_dispatch(self, now: float) -> Dispatch | None: ...  # noqa: D102
-    def started(self, ticket: Ticket, now: float) -> None: ...  # noqa: D102
-    def finished(self, ticket: Ticket, now: float, *, tokens: int) -> None: ...  # noqa: D102
     def failed(
         self, ticket: Ticket, now: float, reason: RetryReason, **how
-    ) -> Retry | Refusal: ...  # noqa: D102
-    def requeue(self, ticket: Ticket) -> None: ...  # noqa: D102
-    def moved(self, ticket: Ticket, now: float, *, tokens: int) -> None: ...  # noqa: D102
+    ) -> Retry | Refusal:
+        """Note a failed attempt."""
+
+    def requeue(self, ticket: Ticket) -> None:
+        """Queue a failed ticket again."""
+
+    def moved(self, ticket: Ticket, now: float, *, tokens: int) -> None:
+        """Queue a stopped stream again."""
+
     def report(
         self, server_id: str, running: int, waiting: int, *, as_of: float
-    ) -> None: ...  # noqa: D102
+    ) -> None:
+        """Take a load report in."""
+
     def cache_event(
         self, server_id: str, seq: int, *, stored: bool, blocks: list[int]
-    ) -> None: ...  # noqa: D102
-    def leaving(self, server_id: str) -> None: ...  # noqa: D102
-    def shifts(self, server_id: str, *, seconds_left: float) -> list[Shift]: ...  # noqa: D102
+    ) -> None:
+        """Take a cache event in."""
+
+    def leaving(self, server_id: str) -> None:
+        """Give a server no new work."""
+
+    def shifts(self, server_id: str, *, seconds_left: float) -> list[Shift]:
+        """Plan how streams leave a server."""
 
 
 @dataclass(frozen=True)
--- a/benchmarks/scenarios.py
+++ b/benchmarks/scenarios.py
@@ -56,7 +56,7 @@
 
 
 def burst_one_node(model: Model, seed: int) -> None:
-    """The same burst over connections that all end at one node."""
+    """Send the same burst over connections that all end at one node."""
     spread(model, seed, 0.4)
     _batch(model, seed, 4000, node=0)
 
@@ -71,7 +71,7 @@
 
 
 def saturation(model: Model, seed: int) -> None:
-    """A bulk batch of 20 times the slots stands; others call at 40% of capacity."""
+    """Stand a bulk batch of 20 times the slots; others call at 40% of capacity."""
     spread(model, seed, 0.4)
     traffic = Traffic("broker", 1.0, turn_tokens=(300, 700), again=0, bulk=True)
     size = BATCH_OVER_CAPACITY * model.cluster.servers * model.cluster.slots
@@ -79,7 +79,7 @@
 
 
 def saturation_same_priority(model: Model, seed: int) -> None:
-    """The same standing batch, not marked as bulk, so refused calls come back."""
+    """Stand the same batch, not marked as bulk, so that refused calls come back."""
     spread(model, seed, 0.4)
     traffic = Traffic("broker", 1.0, turn_tokens=(300, 700), again=0)
     size = BATCH_OVER_CAPACITY * model.cluster.servers * model.cluster.slots
--- a/packages/endive_core/src/endive_core/placement.py
+++ b/packages/endive_core/src/endive_core/placement.py
@@ -49,11 +49,19 @@
         """Return the best server with room, or ``None`` if no candidate has any."""
         call = ticket.call
         cached = self.prefixes.prefix_holders(call.blocks)
+        hashed = self._hashed(call) if call.blocks else {}
+        expected = {
+            name: max(cached.get(name, 0), int(depth * self.policy.affinity_belief))
+            for name, depth in hashed.items()
+        }
+        expected = cached | expected
         best, best_score = None, 0.0
-        for server in self._candidates(ticket, cached, tier):
+        for server in self._candidates(
+            ticket, [*islice(cached, KNOWN_HOLDERS), *hashed], tier
+        ):
             if tier and server.prefill_paced_until > now + self.policy.prefill_burst_s:
                 continue
-            score = self.score(call, server, cached.get(server.id, 0))
+            score = self.score(call, server, expected.get(server.id, 0))
             if best is None or score < best_score:
                 best, best_score = server, score
         if best is not None:
@@ -71,10 +79,10 @@
         server.prefill_paced_until = begins + tokens / rate
 
     def _candidates(
-        self, ticket: Ticket, cached: dict[str, int], tier: Tier
+        self, ticket: Ticket, names: list[str], tier: Tier
     ) -> list[ServerLoad]:
         open_servers = self.servers.open[tier]
-        found = self._affinity(ticket.call, cached, tier)
+        found = self._within_bound(names, tier)
         found += open_servers.sample(
             self.policy.random_candidates, self.random.randrange
         )
@@ -92,16 +100,11 @@
         # from each other, the next crash names it and no innocent one is refused.
         return not (ticket.suspect and server.starting_suspects)
 
-    def _affinity(
-        self, call: Call, cached: dict[str, int], tier: Tier
-    ) -> list[ServerLoad]:
+    def _within_bound(self, names: list[str], tier: Tier) -> list[ServerLoad]:
         """Return the prefix's servers that have room and aren't over the load bound.
 
         The bound keeps one popular prefix from filling its server while others idle.
         """
-        if not call.blocks:
-            return []
-        names = [*islice(cached, KNOWN_HOLDERS), *self._hashed(call)]
         open_servers = self.servers.open[tier].positions
         bound = self.policy.load_bound * self.servers.mean_utilisation
         found = []
@@ -113,14 +116,20 @@
                 found.append(server)
         return found
 
-    def _hashed(self, call: Call) -> list[str]:
-        """Return the servers that the deepest affinity depths hash to."""
+    def _hashed(self, call: Call) -> dict[str, int]:
+        """Return the servers that the deepest affinity depths hash to, with the depth.
+
+        They are believed to hold part of the prefix, though no event said so: every
+        node sends it there, so the belief comes true. A node that has just started,
+        or whose events were lost, thus still finds what others had computed.
+        """
         depths = [depth for depth in AFFINITY_DEPTHS if depth <= len(call.blocks)]
         wanted = depths[-self.policy.affinity_candidates :] or [len(call.blocks)]
-        names = []
+        found: dict[str, int] = {}
         for depth in reversed(wanted):
-            names += self.ring.candidates(str(call.blocks[depth - 1]), 1)
-        return names
+            for name in self.ring.candidates(str(call.blocks[depth - 1]), 1):
+                found.setdefault(name, depth)
+        return found
 
     def score(self, call: Call, server: ServerLoad, cached_blocks: int) -> float:
         """Return the weighed cost of sending `call` to `server`, in seconds."""
--- a/packages/endive_core/src/endive_core/policy.py
+++ b/packages/endive_core/src/endive_core/policy.py
@@ -56,6 +56,12 @@
     affinity_candidates: int = Field(
         2, ge=0, description="servers tried because the prefix hashes to them"
     )
+    affinity_belief: float = Field(
+        0.5,
+        ge=0,
+        le=1,
+        description="part of a prefix that the servers it hashes to are taken to hold",
+    )
     random_candidates: int = Field(
         2, ge=1, description="servers with room tried at random"
     )
@@ -100,6 +106,12 @@
     failed_pause_s: float = Field(
         1.0, ge=0, description="time a server that failed gets no work, seconds"
     )
+    no_server_wait_s: float = Field(
+        5.0,
+        ge=0,
+        description="longest that queued requests wait while no server takes work, "
+        "seconds",
+    )
     crashes_refused_from: int = Field(
         2, ge=1, description="crashes after which a request is refused"
     )
--- a/packages/endive_core/src/endive_core/prefixes.py
+++ b/packages/endive_core/src/endive_core/prefixes.py
@@ -23,15 +23,16 @@
 ) -> tuple[int, ...]:
     """Return the chained 64-bit hashes of the whole leading blocks of `prompt`.
 
-    Each hash covers all text up to the end of its block, so equal hashes mean equal
-    prefixes.
+    Each hash covers the hash before it, so equal hashes mean equal prefixes. The
+    engines publish the same hashes in their cache events.
     """
     size = block_tokens * CHARACTERS_PER_TOKEN
-    state = xxhash.xxh3_64()
-    blocks = []
+    blocks: list[int] = []
+    parent = ""
     for start in range(0, min(len(prompt) - size + 1, limit * size), size):
-        state.update(prompt[start : start + size].encode())
-        blocks.append(state.intdigest())
+        text = f"{parent}\0{prompt[start : start + size]}"
+        blocks.append(xxhash.xxh3_64_intdigest(text.encode()))
+        parent = f"{blocks[-1]:016x}"
     return tuple(blocks)
 
 
--- a/packages/endive_core/src/endive_core/queueing.py
+++ b/packages/endive_core/src/endive_core/queueing.py
@@ -176,6 +176,16 @@
         for rank in self.order:
             yield from self.ranks[rank].heads(limit)
 
+    def tickets(self) -> list[Ticket]:
+        """Return all queued tickets."""
+        return [
+            ticket
+            for rank in self.ranks.values()
+            for queue in rank.queues.values()
+            for ticket in queue.tickets
+            if ticket.stage is Stage.QUEUED
+        ]
+
     def pop(self, ticket: Ticket) -> None:
         """Remove a ticket that :meth:`heads` gave."""
         self.ranks[ticket.call.rank].pop(ticket)
--- a/packages/endive_core/src/endive_core/scheduler.py
+++ b/packages/endive_core/src/endive_core/scheduler.py
@@ -37,6 +37,9 @@
 PLAIN_HELD_S = 0.05
 """The same for a plain service, whose calls cost one token each."""
 
+MAX_BLAMED = 64
+"""Crashes whose suspects are kept while their broken streams come in one by one."""
+
 DEFAULT_DEPLOYMENT = Deployment(model="default", service="default")
 
 
@@ -83,8 +86,10 @@
         self.budgets: dict[str, RetryBudget] = {}
         self.running: dict[str, set[Ticket]] = {}
         self.held: Counter[str] = Counter()
+        self.blamed: dict[str, set[Ticket]] = {}
         self.paused: list[ServerLoad] = []
         self.expired: list[Ticket] = []
+        self.no_server_since: float | None = None
         self.refusals: Counter[ErrorKind] = Counter()
         self.retries: Counter[RetryReason] = Counter()
 
@@ -263,7 +268,11 @@
         self._tick(now)
         for ticket in self.queue.heads(self.policy.queue_heads_tried):
             if ticket.call.deadline is not None and now >= ticket.call.deadline:
-                self._expire(ticket)
+                self._expire(
+                    ticket,
+                    ErrorKind.DEADLINE_EXCEEDED,
+                    "the deadline passed before a server was free",
+                )
                 continue
             server = self._server_for(ticket, now)
             if server is not None:
@@ -288,15 +297,40 @@
             server.paused = False
             self.servers.refresh(server)
 
-    def _expire(self, ticket: Ticket) -> None:
+        self._expire_without_servers(now)
+
+    def _expire_without_servers(self, now: float) -> None:
+        """Give up what is queued when no server has taken work for a while.
+
+        Servers may be replaced within seconds of a reclaim; after that a caller is
+        better told that its request was not run than left waiting.
+        """
+        if self.servers.taking:
+            self.no_server_since = None
+            return
+        if self.no_server_since is None:
+            self.no_server_since = now
+        if now - self.no_server_since >= self.policy.no_server_wait_s:
+            for ticket in self.queue.tickets():
+                self._expire(ticket, ErrorKind.NO_SERVER, "no server takes work")
+
+    def _expire(self, ticket: Ticket, kind: ErrorKind, message: str) -> None:
         self.queue.cancel(ticket)
         self._end(ticket)
-        ticket.refusal = _refuse(
-            ErrorKind.DEADLINE_EXCEEDED, "the deadline passed before a server was free"
-        )
-        self.refusals[ErrorKind.DEADLINE_EXCEEDED] += 1
+        ticket.refusal = _refuse(kind, message)
+        self.refusals[kind] += 1
         self.expired.append(ticket)
 
+    def close(self) -> None:
+        """Give up what is queued: the service is no longer declared."""
+        for ticket in self.queue.tickets():
+            self._expire(ticket, ErrorKind.NO_SERVER, "the service was deleted")
+
+    def take_expired(self) -> list[Ticket]:
+        """Return the queued tickets given up since the last call."""
+        expired, self.expired = self.expired, []
+        return expired
+
     def _dispatched(self, ticket: Ticket, server: ServerLoad, now: float) -> None:
         if not ticket.attempt:
             waited = now - ticket.accepted_at
@@ -380,13 +414,14 @@
             If the server crashed: its name with the number of its incarnation.
         """
         server = self.servers.servers.get(ticket.server)
-        ticket.avoid.add(ticket.server)
+        if crashed and self._is_blamed(ticket, crashed):
+            self.crashes.add(Crash(ticket.call.fingerprint, crashed, now))
+            ticket.suspect = True
+        if reason is not RetryReason.SERVER_BUSY:
+            ticket.avoid.add(ticket.server)
         self._release(ticket, now)
         if server is not None:
             self._blame(server, reason, now)
-        if crashed:
-            self.crashes.add(Crash(ticket.call.fingerprint, crashed, now))
-            ticket.suspect = True
         refusal = self._no_retry(ticket, now, reason, started, max_attempts)
         if refusal is not None:
             self.refusals[refusal.kind] += 1
@@ -395,15 +430,31 @@
         self.retries[reason] += 1
         return Retry(retry_delay_s(ticket.attempt, self.policy, self.random))
 
+    def _is_blamed(self, ticket: Ticket, crashed: str) -> bool:
+        """Return whether `ticket` may have caused the crash that ended it.
+
+        All that ran on the server broke, but what was starting is the likeliest
+        cause; streams are blamed only if nothing was. A server under notice was
+        reclaimed, and no request is to blame. Blaming every stream would refuse
+        innocent ones after the second reclaimed zone.
+        """
+        if crashed not in self.blamed:
+            running = self.running.get(ticket.server, set())
+            starting = {t for t in running if t.stage is Stage.DISPATCHED}
+            server = self.servers.servers.get(ticket.server)
+            leaving = server is not None and server.view.leaving
+            self.blamed[crashed] = set() if leaving else starting or set(running)
+            if len(self.blamed) > MAX_BLAMED:
+                del self.blamed[next(iter(self.blamed))]
+        return ticket in self.blamed[crashed]
+
     def _blame(self, server: ServerLoad, reason: RetryReason, now: float) -> None:
         if reason is RetryReason.SERVER_BUSY:
             self.servers.busy(server)
         elif reason in (RetryReason.CONNECT_FAILED, RetryReason.SERVER_FAILED):
             server.view.failed_until = now + self.policy.failed_pause_s
-            if not server.paused:
-                server.paused = True
+            if self.servers.pause(server):
                 self.paused.append(server)
-            self.servers.refresh(server)
 
     def _no_retry(
         self,
@@ -423,8 +474,9 @@
                 ErrorKind.OUTCOME_UNKNOWN,
                 "the server may have run the request; it is not sent again",
             )
-        if ticket.attempt >= max_attempts:
-            return _refuse(ErrorKind.BACKEND_FAILED, "all attempts failed")
+        if ticket.attempt >= max_attempts or self.servers.all_tried(ticket.avoid):
+            kind = ErrorKind.BACKEND_FAILED if started else ErrorKind.NO_SERVER
+            return _refuse(kind, "all attempts failed")
         # A busy refusal cost the server next to nothing and a stream that has to move
         # did not fail; the budget is for repeated work.
         free = reason in (RetryReason.SERVER_BUSY, RetryReason.SERVER_LEAVING)
--- a/packages/endive_core/src/endive_core/servers.py
+++ b/packages/endive_core/src/endive_core/servers.py
@@ -55,8 +55,8 @@
     """
 
     view: ServerView
-    reserved: tuple[int, int, int]
-    divided: int
+    reserved: tuple[int, int, int] = (0, 0, 0)
+    divided: int = 1
     grants: list[int] = field(default_factory=lambda: [0, 0, 0])
     changes: deque = field(default_factory=deque)
     change: int = 0
@@ -142,27 +142,24 @@
         for server_id in gone:
             self._remove(self.servers[server_id])
         for server_id in sorted(new):
-            self._add(declared[server_id])
+            self.servers[server_id] = ServerLoad(declared[server_id])
+        self.slots_total = sum(view.max_concurrent for view in declared.values())
+        for server in self.servers.values():
+            self._size(server)
         return bool(gone or new)
 
-    def _add(self, view: ServerView) -> None:
-        slots = view.max_concurrent
+    def _size(self, server: ServerLoad) -> None:
+        slots = server.view.max_concurrent
         reserved = round(slots * self.reserved_share)
         if self.reserved_share and slots > 1:
             reserved = max(1, reserved)
-        server = ServerLoad(
-            view,
-            reserved=(0, reserved // 2, reserved),
-            divided=max(1, round(slots * self.divided_share)),
-        )
-        self.servers[view.id] = server
-        self.slots_total += view.max_concurrent
+        server.reserved = (0, reserved // 2, reserved)
+        server.divided = max(1, round(slots * self.divided_share))
         self._grant(server)
 
     def _remove(self, server: ServerLoad) -> None:
         view = server.view
         self.servers.pop(view.id)
-        self.slots_total -= view.max_concurrent
         self.reported_total -= view.reported_running + view.reported_waiting
         self.own_total -= view.in_flight
         self.change_total -= server.change
@@ -255,6 +252,20 @@
         growth = max(0, self.change_total) * (1 / self.share - 1)
         return growth * max(0, server.free) / free
 
+    def pause(self, server: ServerLoad) -> bool:
+        """Give a server that failed no work for now; never the last one left."""
+        if server.paused or (len(self.taking) == 1 and not server.view.leaving):
+            return False
+        server.paused = True
+        self.refresh(server)
+        return True
+
+    def all_tried(self, tried: set[str]) -> bool:
+        """Return whether every server that takes work is among `tried`."""
+        if len(tried) < len(self.taking):
+            return False
+        return all(server.id in tried for server in self.taking.items)
+
     def refresh(self, server: ServerLoad) -> None:
         """Put `server` into or out of the lists of servers with room."""
         taking = not (server.view.leaving or server.paused)
--- a/packages/endive_node/src/endive_node/backends.py
+++ b/packages/endive_node/src/endive_node/backends.py
@@ -108,6 +108,16 @@
                 str(error), started=True, reason=RetryReason.SERVER_FAILED
             ) from None
 
+    def is_listening(self, address: str) -> bool:
+        """Return whether a process listens at `address`."""
+        try:
+            self.fetch_json(address, "/load")
+        except CONNECT_ERRORS:
+            return False
+        except (urllib3.exceptions.HTTPError, msgspec.DecodeError):
+            return True
+        return True
+
     def fetch_json(self, address: str, path: str) -> dict:
         """Return the JSON at `path` of the server at `address`."""
         response = self.pool.request(
--- a/packages/endive_node/src/endive_node/dispatching.py
+++ b/packages/endive_node/src/endive_node/dispatching.py
@@ -1,59 +1,115 @@
-"""Where a request waits for a server, and which server it gets."""
+"""Where a request waits for a server, and which server it gets.
 
-from dataclasses import dataclass
+The decisions are made by :mod:`endive_core.scheduler`; this module gives it time,
+randomness and what the configuration declares, and lets greenlets wait for it.
+"""
 
+import random
+import time
+from collections.abc import Callable
+
+import gevent
+from endive_core.calls import Call, Refusal, Stage, Ticket
 from endive_core.catalogue import Catalogue
-from endive_core.exceptions import EndiveError, ErrorKind
+from endive_core.exceptions import EndiveError, ErrorKind, RetryReason
 from endive_core.messages import Endpoint, Request, ServerView
+from endive_core.policy import Policy
+from endive_core.prefixes import prefix_blocks
+from endive_core.resources import (
+    BackendServer,
+    BackendServerService,
+    Deployment,
+    ServiceType,
+)
+from endive_core.scheduler import Scheduler, crash_table
+from gevent.event import AsyncResult
 
+from endive_node.interfaces import BackendError, Clock
+from endive_node.telemetry import Metrics
 
-@dataclass(frozen=True)
-class AttemptResult:
-    """How one attempt at a server ended, for the load and latency views.
-
-    Attributes
-    ----------
-    first_token_s : float or None
-        Seconds from sending to the first piece; ``None`` if none came.
-    """
+PUMP_S = 0.01
+"""How often queues are tried when nothing else makes them: pacing and pauses lapse
+with time alone, and a hundredth of a second is little against a 0.38 s target."""
 
-    ok: bool
-    first_token_s: float | None = None
-    tokens: int = 0
+CRASH_WINDOW_S = 10.0
+"""Crashes of one server within a window of the wall clock are one crash. A server
+needs longer than this to load its model again."""
 
 
 class Dispatcher:
-    """Gives each request a server, or refuses it.
+    """Admits each request, and gives each of its attempts a server.
 
-    The serving path meets it once for each attempt: :meth:`acquire`, then
-    :meth:`release`.
+    The serving path meets it as :meth:`admit` when a request comes in, then
+    :meth:`acquire`, :meth:`started` and :meth:`finished` or :meth:`failed` for each
+    attempt, and :meth:`end` whatever happened.
     """
 
-    def __init__(self, catalogue: Catalogue) -> None:
+    def __init__(
+        self,
+        catalogue: Catalogue,
+        clock: Clock,
+        metrics: Metrics,
+        policy: Policy | None = None,
+        *,
+        seed: int | None = None,
+        max_attempts: int = 4,
+        is_listening: Callable[[str], bool] = lambda address: True,
+    ) -> None:
         self.catalogue = catalogue
+        self.clock = clock
+        self.metrics = metrics
+        self.policy = policy or Policy()
+        self.max_attempts = max_attempts
+        self.is_listening = is_listening
+        self.wall_time = time.time
+        self.random = random.Random(seed)
+        self.crashes = crash_table(self.policy)
+        self.nodes = 1
+        self.schedulers: dict[str, Scheduler] = {}
         self.servers: dict[str, dict[str, ServerView]] = {}
+        self.tickets: dict[Ticket, Scheduler] = {}
+        self.waiting: dict[Ticket, AsyncResult] = {}
+
+    # What the configuration and the membership say
 
     def refresh(self) -> None:
-        """Take over the servers that the configuration now declares."""
-        for name, service in self.catalogue.services.items():
-            views = self.servers.setdefault(name, {})
-            declared = {server.id for server in service.servers}
-            for gone in views.keys() - declared:
-                del views[gone]
-            for server in service.servers:
-                if server.id not in views:
-                    views[server.id] = ServerView(
-                        id=server.id,
-                        address=server.address,
-                        zone=server.zone,
-                        service=name,
-                        max_concurrent=service.max_concurrent,
-                        prefill_tokens_per_s=service.prefill_tokens_per_s,
-                        decode_tokens_per_s=service.decode_tokens_per_s,
-                        reclaimable=server.reclaimable,
-                    )
-        for gone in self.servers.keys() - self.catalogue.services.keys():
+        """Take over what the configuration now declares."""
+        services = self.catalogue.services
+        for gone in self.schedulers.keys() - services.keys():
+            scheduler = self.schedulers.pop(gone)
+            scheduler.close()
+            self.pump(scheduler)
             del self.servers[gone]
+        for name in services:
+            self._refresh_service(name)
+
+    def _refresh_service(self, name: str) -> None:
+        service = self.catalogue.services[name]
+        known = self.servers.get(name, {})
+        self.servers[name] = {
+            server.id: _view(name, service, server, known.get(server.id))
+            for server in service.servers
+        }
+        if name not in self.schedulers:
+            self.schedulers[name] = Scheduler.from_policy(
+                self.policy,
+                self.random,
+                service_type=service.type,
+                crashes=self.crashes,
+            )
+        scheduler = self.schedulers[name]
+        scheduler.set_servers(self.servers[name].values())
+        scheduler.set_nodes(self.nodes)
+        scheduler.set_organisations(self.catalogue.organisations)
+        scheduler.set_deployments(
+            {d: s for d, s in self.catalogue.deployments.items() if s.service == name}
+        )
+
+    def set_nodes(self, nodes: int) -> None:
+        """Take over the number of live nodes, this one included."""
+        self.nodes = nodes
+        for scheduler in self.schedulers.values():
+            scheduler.set_nodes(nodes)
 
     def service_of(self, request: Request) -> str:
         """Return the backend server service that answers `request`."""
@@ -65,32 +121,160 @@
             return request.model
         return self.catalogue.deployment_for(request.model)[1].service
 
-    def acquire(
-        self, request: Request, *, avoid: frozenset[str] = frozenset()
-    ) -> ServerView:
-        """Return the server for the next attempt, counting the attempt against it.
+    # One request's way
+
+    def admit(self, request: Request) -> Ticket:
+        """Admit `request` into its service's queue.
 
         Raises
         ------
         EndiveError
-            ``no_server`` if none is left.
+            If it is refused, with an honest time to come back.
         """
         service = self.service_of(request)
-        usable = [
-            view
-            for view in self.servers.get(service, {}).values()
-            if not view.leaving and view.id not in avoid
-        ]
-        if not usable:
-            raise EndiveError(
-                ErrorKind.NO_SERVER, f"no server of {service!r} can take the request"
-            )
-        server = min(usable, key=lambda view: (view.in_flight, view.id))
-        server.in_flight += 1
-        return server
+        scheduler = self.schedulers.get(service)
+        if scheduler is None:
+            raise EndiveError(ErrorKind.NO_SERVER, f"no server of {service!r} is known")
+        verdict = scheduler.offer(self._call(request, service), self.clock.now())
+        if isinstance(verdict, Refusal):
+            raise _error(verdict)
+        self.tickets[verdict] = scheduler
+        self.waiting[verdict] = AsyncResult()
+        self.pump(scheduler)
+        return verdict
 
-    def release(
-        self, request: Request, server: ServerView, result: AttemptResult
-    ) -> None:
-        """Note the end of an attempt."""
-        server.in_flight -= 1
+    def _call(self, request: Request, service: str) -> Call:
+        priority = self.catalogue.priority(request.priority)
+        engine = self.catalogue.services[service].type is ServiceType.ENGINE
+        name, deployment = "", Deployment(model="plain", service=service)
+        if request.endpoint is not Endpoint.SERVICE:
+            name, deployment = self.catalogue.deployment_for(request.model)
+        return Call(
+            request_id=request.request_id,
+            organisation=request.organisation,
+            deployment=name,
+            level=priority.level,
+            bulk=priority.bulk,
+            prompt_tokens=request.prompt_tokens if engine else 0,
+            max_tokens=request.max_tokens if engine else 1,
+            blocks=prefix_blocks(request.prompt) if engine else (),
+            target_s=deployment.latency.first_token_s,
+            deadline=request.deadline,
+            weights=deployment.weights,
+            fingerprint=request.fingerprint,
+            non_idempotent=request.non_idempotent,
+        )
+
+    def acquire(self, ticket: Ticket) -> ServerView:
+        """Wait for the server of the ticket's next attempt.
+
+        Raises
+        ------
+        EndiveError
+            If the ticket was given up in the queue.
+        """
+        return self.waiting[ticket].get()
+
+    def started(self, ticket: Ticket) -> None:
+        """Note the first piece of an attempt."""
+        if ticket.stage is Stage.DISPATCHED:
+            self.tickets[ticket].started(ticket, self.clock.now())
+
+    def finished(self, ticket: Ticket, tokens: int) -> None:
+        """Note the whole answer of `tokens` tokens."""
+        scheduler = self.tickets[ticket]
+        scheduler.finished(ticket, self.clock.now(), tokens=tokens)
+        self.pump(scheduler)
+
+    def failed(self, ticket: Ticket, error: BackendError) -> None:
+        """Queue the ticket again after a delay, or raise the final answer.
+
+        Raises
+        ------
+        EndiveError
+            If there must be no further attempt.
+        """
+        scheduler = self.tickets[ticket]
+        verdict = scheduler.failed(
+            ticket,
+            self.clock.now(),
+            error.reason,
+            started=error.started,
+            crashed=self._crash(ticket, error),
+            max_attempts=self.max_attempts,
+        )
+        self.pump(scheduler)
+        if isinstance(verdict, Refusal):
+            raise _error(verdict, f"{verdict.message}; the last: {error}")
+        self.metrics.retried(error.reason)
+        self.waiting[ticket] = AsyncResult()
+        gevent.sleep(verdict.delay_s)
+        scheduler.requeue(ticket)
+        self.pump(scheduler)
+
+    def end(self, ticket: Ticket) -> None:
+        """Forget the ticket; frees its slot if its caller hung up."""
+        scheduler = self.tickets.pop(ticket, None)
+        if scheduler is None:
+            return
+        del self.waiting[ticket]
+        scheduler.cancelled(ticket, self.clock.now())
+        self.pump(scheduler)
+
+    def _crash(self, ticket: Ticket, error: BackendError) -> str:
+        """Return the name of the crash that ended an attempt; empty if none did.
+
+        A connection may break for many reasons; only a server that no longer listens
+        crashed. Nodes that saw it within the same few seconds give it one name.
+        """
+        if not error.started or error.reason is not RetryReason.SERVER_FAILED:
+            return ""
+        server = self.tickets[ticket].servers.servers.get(ticket.server)
+        if server is None or self.is_listening(server.view.address):
+            return ""
+        return f"{server.id}@{int(self.wall_time() // CRASH_WINDOW_S)}"
+
+    # Keeping the queues moving
+
+    def pump(self, scheduler: Scheduler) -> None:
+        """Wake the greenlets of all tickets that may be sent now."""
+        now = self.clock.now()
+        while (dispatch := scheduler.next_dispatch(now)) is not None:
+            view = scheduler.servers.servers[dispatch.server].view
+            self.waiting[dispatch.ticket].set(view)
+        for ticket in scheduler.take_expired():
+            if ticket in self.waiting:
+                self.waiting[ticket].set_exception(_error(ticket.refusal))
+
+    def pump_often(self) -> None:
+        """Try the queues for ever; the body of a greenlet."""
+        while True:
+            gevent.sleep(PUMP_S)
+            for scheduler in list(self.schedulers.values()):
+                if len(scheduler.queue):
+                    self.pump(scheduler)
+
+
+def _error(refusal: Refusal, message: str = "") -> EndiveError:
+    return EndiveError(
+        refusal.kind,
+        message or refusal.message,
+        retry_after_s=refusal.retry_after_s,
+    )
+
+
+def _view(
+    name: str,
+    service: BackendServerService,
+    server: BackendServer,
+    known: ServerView | None,
+) -> ServerView:
+    """Return the view of a declared server, with the state known so far."""
+    view = known or ServerView(server.id, "", "", name, 1, 1.0, 1.0)
+    view.address = server.address
+    view.zone = server.zone
+    view.reclaimable = server.reclaimable
+    view.max_concurrent = service.max_concurrent
+    view.prefill_tokens_per_s = service.prefill_tokens_per_s
+    view.decode_tokens_per_s = service.decode_tokens_per_s
+    return view
--- a/packages/endive_node/src/endive_node/node.py
+++ b/packages/endive_node/src/endive_node/node.py
@@ -9,6 +9,7 @@
 from endive_node.configuration import Configuration
 from endive_node.dispatching import Dispatcher
 from endive_node.listeners import HttpListener
+from endive_node.observing import Observer
 from endive_node.operators import OperatorApi
 from endive_node.peers import PeerHandler, PeerListener
 from endive_node.platform import HttpLog
@@ -36,8 +37,18 @@
         self.log = HttpLog(platform.log, platform.timeout_s)
         self.configuration = Configuration(self.log, self.clock)
         self.clients = BackendClients.from_settings(settings.backends)
-        self.dispatcher = Dispatcher(self.configuration.catalogue)
+        self.dispatcher = Dispatcher(
+            self.configuration.catalogue,
+            self.clock,
+            self.metrics,
+            settings.policy,
+            max_attempts=settings.limits.max_attempts,
+            is_listening=self.clients.is_listening,
+        )
         self.configuration.listeners.append(lambda _: self.dispatcher.refresh())
+        self.observer = Observer(
+            self.dispatcher, self.clients, settings.backends, self.clock
+        )
         self.serving = Serving(
             node_id=settings.node.id,
             catalogue=self.configuration.catalogue,
@@ -78,7 +89,12 @@
         """Start all listeners and loops."""
         for listener in (self.peers, self.operators, self.callers):
             listener.start()
-        for loop in (self.configuration.follow, self.serving.expire):
+        for loop in (
+            self.configuration.follow,
+            self.serving.expire,
+            self.dispatcher.pump_often,
+            self.observer.follow,
+        ):
             self.greenlets.append(gevent.spawn(loop))
         log_event(
             "node_started",
--- /dev/null
+++ b/packages/endive_node/src/endive_node/observing.py
@@ -0,0 +1,111 @@
+"""Reading the servers' load reports and cache events for the decisions."""
+
+import time
+
+import gevent
+import msgspec
+import urllib3
+from endive_core.messages import ServerView
+from endive_core.resources import ServiceType
+from endive_core.scheduler import Scheduler
+from gevent.pool import Pool
+
+from endive_node.backends import BackendClients
+from endive_node.dispatching import Dispatcher
+from endive_node.interfaces import Clock
+from endive_node.settings import BackendSection
+
+READERS = 16
+"""Reports read at a time: one server that hangs must not delay the others' reports."""
+
+ROUNDS_PER_EVENTS = 2
+"""Cache events are read every second time: they are late anyway, and a conversation's
+next turn comes seconds later."""
+
+READ_ERRORS = (
+    urllib3.exceptions.HTTPError,
+    msgspec.DecodeError,
+    KeyError,
+    TypeError,
+    ValueError,
+)
+"""A report that can't be read is left out: the last one and what this node sent since
+still stand, and calls that fail show whether the server is there."""
+
+
+class Observer:
+    """Follows load and cache of all servers.
+
+    Operators meet it through the settings that bound it: with many servers each one's
+    report is read less often, so that reading costs a node the same.
+    """
+
+    def __init__(
+        self,
+        dispatcher: Dispatcher,
+        clients: BackendClients,
+        settings: BackendSection,
+        clock: Clock,
+    ) -> None:
+        self.dispatcher = dispatcher
+        self.clients = clients
+        self.settings = settings
+        self.clock = clock
+        self.pool = Pool(READERS)
+        self.round = 0
+        self.next_event: dict[str, int] = {}
+
+    def follow(self) -> None:
+        """Read all reports again and again; the body of a greenlet."""
+        while True:
+            started_at = self.clock.now()
+            self.round += 1
+            count = 0
+            for scheduler in list(self.dispatcher.schedulers.values()):
+                for server in list(scheduler.servers.servers.values()):
+                    self.pool.spawn(self.read, scheduler, server.view)
+                    count += 1
+            round_s = max(
+                self.settings.report_poll_s,
+                count / self.settings.max_report_polls_per_s,
+            )
+            gevent.sleep(max(0.0, started_at + round_s - self.clock.now()))
+
+    def read(self, scheduler: Scheduler, view: ServerView) -> None:
+        """Read one server's report, and an engine's cache events."""
+        try:
+            self._read_load(scheduler, view)
+            if scheduler.service_type is ServiceType.ENGINE and self._wants_events():
+                self._read_events(scheduler, view)
+        except READ_ERRORS:
+            return
+        self.dispatcher.pump(scheduler)
+
+    def _wants_events(self) -> bool:
+        return self.round % ROUNDS_PER_EVENTS == 0
+
+    def _read_load(self, scheduler: Scheduler, view: ServerView) -> None:
+        sent_at = self.clock.now()
+        body = self.clients.fetch_json(view.address, "/load")
+        # The state is as old as the report says, and at least as old as the question:
+        # with a clock ahead of ours, own sends would be taken to be in it already.
+        age = max(0.0, time.time() - float(body.get("time", time.time())))
+        as_of = min(sent_at, self.clock.now() - age)
+        scheduler.report(
+            view.id, int(body["running"]), int(body.get("waiting", 0)), as_of=as_of
+        )
+
+    def _read_events(self, scheduler: Scheduler, view: ServerView) -> None:
+        start = self.next_event.get(view.id, 0)
+        body = self.clients.fetch_json(view.address, f"/cache/events?from={start}")
+        if body["next"] < start:
+            # The numbers start again at 0 after a restart, with an empty cache.
+            scheduler.placement.prefixes.forget_server(view.id)
+        for event in body["events"]:
+            scheduler.cache_event(
+                view.id,
+                event["seq"],
+                stored=event["kind"] == "stored",
+                blocks=[int(block, 16) for block in event["blocks"]],
+            )
+        self.next_event[view.id] = body["next"]
--- a/packages/endive_node/src/endive_node/serving.py
+++ b/packages/endive_node/src/endive_node/serving.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterator
 
 import gevent
+from endive_core.calls import Ticket
 from endive_core.catalogue import Catalogue
 from endive_core.exceptions import EndiveError, ErrorKind, Executed, RetryReason
 from endive_core.hashing import fingerprint
@@ -11,7 +12,7 @@
 from endive_core.messages import Endpoint, Piece, Request, ServerView
 
 from endive_node.backends import BackendClients, EngineServer
-from endive_node.dispatching import AttemptResult, Dispatcher
+from endive_node.dispatching import Dispatcher
 from endive_node.interfaces import BackendError, Claims, Clock
 from endive_node.ledger import Ledger, RequestRecord
 from endive_node.settings import LimitsSection
@@ -82,8 +83,8 @@
                 ErrorKind.KEY_REQUIRED,
                 "a non-idempotent request needs an Idempotency-Key header",
             )
-        self.dispatcher.service_of(request)
-        run = Run(self, RequestRecord(request, self.clock.now()))
+        ticket = self.dispatcher.admit(request)
+        run = Run(self, RequestRecord(request, self.clock.now()), ticket)
         self.ledger.add(run)
         self.metrics.accepted.add(1)
         return run
@@ -117,9 +118,10 @@
     answer wait for the driver; when the driver leaves, the next one takes over.
     """
 
-    def __init__(self, serving: Serving, record: RequestRecord) -> None:
+    def __init__(self, serving: Serving, record: RequestRecord, ticket: Ticket) -> None:
         self.serving = serving
         self.record = record
+        self.ticket = ticket
         self.life = Lifecycle(record.request.non_idempotent)
         self.backend: EngineServer | None = None
         self.driving = False
@@ -224,6 +226,7 @@
     def _ended(self, *, outcome: str) -> None:
         record = self.record
         record.finished_at = self.serving.clock.now()
+        self.serving.dispatcher.end(self.ticket)
         self.serving.metrics.finished.add(1)
         log_event(
             "request_ended",
@@ -239,25 +242,13 @@
 
     def _drive(self) -> Iterator[None]:
         """Run attempts until one ends the answer; yield after each batch of pieces."""
-        avoid: set[str] = set()
         self.life.fire(Event.ENQUEUE)
-        while True:
-            server = self.serving.dispatcher.acquire(
-                self.record.request, avoid=frozenset(avoid)
-            )
-            started_at = self.serving.clock.now()
-            tokens_before = len(self.record.tokens)
-            ok = False
+        while not self.record.ended:
+            server = self.serving.dispatcher.acquire(self.ticket)
             try:
                 yield from self._attempt(server)
-                ok = True
             except BackendError as error:
-                avoid.add(server.id)
                 self._decide_retry(error)
-            finally:
-                self._release(server, started_at, tokens_before, ok=ok)
-            if ok:
-                return
 
     def _claim(self) -> None:
         """Win the only right to send a non-idempotent request, once."""
@@ -278,6 +269,7 @@
         else:
             yield from self._stream(server)
         self.life.fire(Event.COMPLETE)
+        self.serving.dispatcher.finished(self.ticket, len(record.tokens) or 1)
         self._ended(outcome="ok")
 
     def _call_plain(self, server: ServerView) -> None:
@@ -291,9 +283,11 @@
     def _stream(self, server: ServerView) -> Iterator[None]:
         record = self.record
         self.backend = self.serving.clients.engine(server.address)
-        priority = self.serving.catalogue.priority(record.request.priority).level
         batches = self.backend.run(
-            record.request, record.attempt, record.tokens, priority=priority
+            record.request,
+            record.attempt,
+            record.tokens,
+            priority=self.ticket.call.rank,
         )
         for pieces in batches:
             self._take(pieces)
@@ -320,6 +314,7 @@
                 taken += 1
         if taken and self.life.allows(Event.FIRST_PIECE):
             self.life.fire(Event.FIRST_PIECE)
+            self.serving.dispatcher.started(self.ticket)
         if taken and record.first_token_at is None:
             record.first_token_at = self.serving.clock.now()
             self.serving.metrics.first_token.record(
@@ -329,31 +324,10 @@
 
     def _decide_retry(self, error: BackendError) -> None:
         """Return if another attempt is allowed; otherwise raise the final answer."""
-        record = self.record
         if not error.started:
             self.life.fire(Event.NOT_STARTED)
         elif self.life.allows(Event.SERVER_LOST):
             self.life.fire(Event.SERVER_LOST)
         if error.final_status is not None:
             raise EndiveError(ErrorKind.BACKEND_REJECTED, str(error)) from None
-        if error.started and record.request.non_idempotent:
-            raise EndiveError(
-                ErrorKind.OUTCOME_UNKNOWN,
-                "the server may have run the request; it is not sent again",
-            ) from None
-        if record.attempt >= self.serving.limits.max_attempts:
-            raise EndiveError(
-                ErrorKind.NO_SERVER, f"all attempts failed; the last: {error}"
-            ) from None
-        self.serving.metrics.retried(error.reason)
-
-    def _release(
-        self, server: ServerView, started_at: float, tokens_before: int, *, ok: bool
-    ) -> None:
-        first = self.record.first_token_at
-        result = AttemptResult(
-            ok=ok,
-            first_token_s=first - started_at if first and first >= started_at else None,
-            tokens=len(self.record.tokens) - tokens_before,
-        )
-        self.serving.dispatcher.release(self.record.request, server, result)
+        self.serving.dispatcher.failed(self.ticket, error)
--- a/packages/endive_node/src/endive_node/settings.py
+++ b/packages/endive_node/src/endive_node/settings.py
@@ -9,6 +9,7 @@
 from typing import Annotated
 
 from endive_core.exceptions import SettingsError
+from endive_core.policy import Policy
 from endive_core.resources import NAME_PATTERN, SHA256_HEX
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
@@ -92,6 +93,9 @@
     report_poll_s: float = Field(
         0.5, gt=0, description="how often load reports are read, seconds"
     )
+    max_report_polls_per_s: float = Field(
+        50.0, gt=0, description="reports read a second, over all servers, at most"
+    )
 
 
 class Settings(_Section):
@@ -103,6 +107,7 @@
     operators: tuple[OperatorEntry, ...] = ()
     limits: LimitsSection = LimitsSection()
     backends: BackendSection = BackendSection()
+    policy: Policy = Policy()
 
     @classmethod
     def from_file(cls, path: str | Path) -> "Settings":
--- a/packages/endive_node/tests/node_builders.py
+++ b/packages/endive_node/tests/node_builders.py
@@ -88,16 +88,20 @@
 def serving(engines, *, claims=None, servers=3, **limits):
     """Return the serving path over fake engines."""
     shown = catalogue(servers)
-    dispatcher = Dispatcher(shown)
+    clock, metrics = FakeClock(), Metrics()
+    settings = LimitsSection(**limits)
+    dispatcher = Dispatcher(
+        shown, clock, metrics, seed=1, max_attempts=settings.max_attempts
+    )
     dispatcher.refresh()
     return Serving(
         node_id="node-1",
         catalogue=shown,
         dispatcher=dispatcher,
         clients=engines,
-        limits=LimitsSection(**limits),
-        metrics=Metrics(),
-        clock=FakeClock(),
+        limits=settings,
+        metrics=metrics,
+        clock=clock,
         claims=claims or AnyClaims(),
     )
 
