--- a/packages/endive_core/src/endive_core/calls.py
+++ b/packages/endive_core/src/endive_core/calls.py
@@ -1,7 +1,7 @@
 """What the decisions know of one request: its call, its ticket, and the verdicts."""
 
 from dataclasses import dataclass, field
-from enum import StrEnum
+from enum import IntEnum, StrEnum
 
 from endive_core.exceptions import ErrorKind
 from endive_core.resources import Weights
@@ -24,7 +24,7 @@
         Whether it has no first-token target and only fills idle capacity.
     prompt_tokens, max_tokens : int
         Estimated prompt length, and the most tokens the answer may have.
-    blocks : tuple of str
+    blocks : tuple of int
         Chained hashes of the leading prompt blocks; empty for plain services.
     target_s : float
         First-token target in seconds.
@@ -39,7 +39,7 @@
     bulk: bool = False
     prompt_tokens: int = 0
     max_tokens: int = 1
-    blocks: tuple[str, ...] = ()
+    blocks: tuple[int, ...] = ()
     target_s: float = 0.38
     deadline: float | None = None
     weights: Weights = DEFAULT_WEIGHTS
@@ -57,6 +57,14 @@
         return self.prompt_tokens + self.max_tokens
 
 
+class Tier(IntEnum):
+    """How much of a server's slots a call must leave free."""
+
+    WITHIN_SHARE = 0
+    OVER_SHARE = 1
+    BULK = 2
+
+
 class Stage(StrEnum):
     """Where a ticket is between admission and its end."""
 
@@ -80,6 +88,10 @@
         Prompt tokens that placement expected the server to compute.
     avoid : set of str
         Servers where an earlier attempt failed.
+    predicted_s : float
+        Mean wait in the queue that admission predicted, seconds.
+    tier : Tier
+        The tier for which it was predicted.
     suspect : bool
         Whether a server crashed while it ran this call.
     refusal : Refusal or None
@@ -97,6 +109,7 @@
     tokens: int = 0
     uncached_tokens: float = 0.0
     predicted_s: float = 0.0
+    tier: Tier = Tier.WITHIN_SHARE
     avoid: set[str] = field(default_factory=set)
     suspect: bool = False
     refusal: "Refusal | None" = None
--- a/packages/endive_core/src/endive_core/policy.py
+++ b/packages/endive_core/src/endive_core/policy.py
@@ -34,8 +34,21 @@
         0.08,
         ge=0,
         lt=1,
-        description="part of a server's slots kept from bulk and organisations over "
-        "their share",
+        description="part of a server's slots kept from bulk; half of it is kept from "
+        "organisations over their share",
+    )
+    divided_share: float = Field(
+        0.1,
+        ge=0,
+        le=1,
+        description="part of a server's slots that the nodes divide when no more are "
+        "free",
+    )
+    prefill_burst_s: float = Field(
+        0.1,
+        gt=0,
+        description="prefill work that bulk and organisations over their share may "
+        "bring to a server at once, seconds",
     )
     queue_heads_tried: int = Field(
         8, ge=1, description="organisations tried for one free slot"
@@ -43,9 +56,20 @@
     affinity_candidates: int = Field(
         2, ge=0, description="servers tried because the prefix hashes to them"
     )
+    affinity_belief: float = Field(
+        0.5,
+        ge=0,
+        le=1,
+        description="part of a prefix that the servers it hashes to are taken to hold",
+    )
     random_candidates: int = Field(
         2, ge=1, description="servers with room tried at random"
     )
+    crowding_s: float = Field(
+        0.1,
+        ge=0,
+        description="wait expected at a server whose last slot seems free, seconds",
+    )
     load_bound: float = Field(
         1.25, ge=1, description="load of an affinity server over the mean, at most"
     )
@@ -53,7 +77,7 @@
         64, ge=1, description="points of one server on the hash ring"
     )
     max_known_blocks: int = Field(
-        20_000, ge=1, description="prompt blocks remembered with their servers"
+        32_000, ge=2, description="sampled prompt blocks remembered with servers"
     )
     slow_ratio: float = Field(
         2.0, gt=1, description="latency over the peers' median that marks a slow server"
@@ -82,6 +106,12 @@
     failed_pause_s: float = Field(
         1.0, ge=0, description="time a server that failed gets no work, seconds"
     )
+    no_server_wait_s: float = Field(
+        5.0,
+        ge=0,
+        description="longest that queued requests wait while no server takes work, "
+        "seconds",
+    )
     crashes_refused_from: int = Field(
         2, ge=1, description="crashes after which a request is refused"
     )
--- a/packages/endive_core/src/endive_core/servers.py
+++ b/packages/endive_core/src/endive_core/servers.py
@@ -4,8 +4,10 @@
 only through reports that lag. Two harms follow. A node that reads "4 slots free" and
 fills all four, as do six others, puts 28 requests before 4 slots. And a node that
 waits for the next report before it reuses a slot it has just freed leaves it idle for
-the whole lag. So a free slot in a report is shared by the nodes, while a slot that
-this node's own request has freed is this node's to use at once.
+the whole lag. So the last free slots in a report are divided among the nodes, while a
+slot that this node's own request has freed is this node's to use at once. Where many
+slots are free, a node may take any of them, less what the others have presumably taken
+by now: as much as this node has, for they see the same load.
 """
 
 from collections import deque
@@ -13,6 +15,7 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
+from endive_core.calls import Tier
 from endive_core.messages import ServerView
 
 
@@ -32,27 +35,34 @@
 
     Attributes
     ----------
-    grant, spare_grant : int
-        Slots of the last report that are this node's to take; `spare_grant` leaves
-        the reserve free.
+    reserved : tuple of int
+        Slots that a call of each tier must leave free.
+    divided : int
+        The last free slots, which the nodes divide.
+    grants : list of int
+        Slots of the last report that are this node's to take, for each tier.
     changes : deque
         Times and signs of this node's own sends (+1) and ends (-1).
     change : int
         Sum of the signs after the state that the last report describes.
     starting_tokens : float
         Uncached prompt tokens that this node sent and that gave no first token yet.
+    prefill_paced_until : float
+        Clock time by which this node's part of the prefill rate has done what this
+        node sent.
     slowness : float
         Latency compared with the peers' median, 1 or more.
     """
 
     view: ServerView
-    reserved: int
-    grant: int = 0
-    spare_grant: int = 0
+    reserved: tuple[int, int, int] = (0, 0, 0)
+    divided: int = 1
+    grants: list[int] = field(default_factory=lambda: [0, 0, 0])
     changes: deque = field(default_factory=deque)
     change: int = 0
     starting_tokens: float = 0.0
     starting_suspects: int = 0
+    prefill_paced_until: float = 0.0
     slowness: float = 1.0
     slow: bool = False
     paused: bool = False
@@ -79,15 +89,19 @@
         """Load over slots."""
         return self.load / self.view.max_concurrent
 
-    def room(self, *, spare: bool) -> int:
-        """Return how many requests this node may send now.
+    @property
+    def free(self) -> int:
+        """Slots free in the last report; below 0 if requests were waiting."""
+        view = self.view
+        return view.max_concurrent - view.reported_running - view.reported_waiting
 
-        Parameters
-        ----------
-        spare : bool
-            Whether the reserve must stay free.
-        """
-        return (self.spare_grant if spare else self.grant) - self.change
+    def granted(self, tier: Tier) -> int:
+        """Return how many requests this node may send from its part of the slots."""
+        return self.grants[tier] - self.change
+
+    def plenty(self, tier: Tier) -> int:
+        """Return the free slots beyond those that the nodes divide."""
+        return self.free - self.change - self.divided - self.reserved[tier]
 
     def note(self, sign: int, now: float) -> None:
         """Count an own send (+1) or end (-1) at `now`."""
@@ -105,14 +119,18 @@
     report update in constant time.
     """
 
-    def __init__(self, random: Random, *, reserved_share: float) -> None:
+    def __init__(
+        self, random: Random, *, reserved_share: float, divided_share: float
+    ) -> None:
         self.random = random
         self.reserved_share = reserved_share
+        self.divided_share = divided_share
         self.servers: dict[str, ServerLoad] = {}
-        self.open = {False: MemberList(), True: MemberList()}
+        self.open = {tier: MemberList() for tier in Tier}
         self.taking = MemberList()
         self.nodes = 1
         self.own_total = 0
+        self.change_total = 0
         self.reported_total = 0
         self.slots_total = 0
 
@@ -124,24 +142,27 @@
         for server_id in gone:
             self._remove(self.servers[server_id])
         for server_id in sorted(new):
-            self._add(declared[server_id])
+            self.servers[server_id] = ServerLoad(declared[server_id])
+        self.slots_total = sum(view.max_concurrent for view in declared.values())
+        for server in self.servers.values():
+            self._size(server)
         return bool(gone or new)
 
-    def _add(self, view: ServerView) -> None:
-        reserved = round(view.max_concurrent * self.reserved_share)
-        if self.reserved_share and view.max_concurrent > 1:
+    def _size(self, server: ServerLoad) -> None:
+        slots = server.view.max_concurrent
+        reserved = round(slots * self.reserved_share)
+        if self.reserved_share and slots > 1:
             reserved = max(1, reserved)
-        server = ServerLoad(view, reserved)
-        self.servers[view.id] = server
-        self.slots_total += view.max_concurrent
+        server.reserved = (0, reserved // 2, reserved)
+        server.divided = max(1, round(slots * self.divided_share))
         self._grant(server)
 
     def _remove(self, server: ServerLoad) -> None:
         view = server.view
         self.servers.pop(view.id)
-        self.slots_total -= view.max_concurrent
         self.reported_total -= view.reported_running + view.reported_waiting
         self.own_total -= view.in_flight
+        self.change_total -= server.change
         for members in (*self.open.values(), self.taking):
             members.discard(server)
 
@@ -151,10 +172,12 @@
 
         With even traffic it is one part in the number of nodes. A batch that arrives
         at one node only would then fill an idle service slowly, so the share follows
-        this node's part of the whole load.
+        this node's part of the reported load. What was sent since the reports is left
+        out on both sides: the others' is not known.
         """
-        total = max(self.own_total, self.reported_total)
-        return min(1.0, (self.own_total + 1) / (total + self.nodes))
+        own = max(0, self.own_total - self.change_total)
+        total = max(own, self.reported_total)
+        return min(1.0, (own + 1) / (total + self.nodes))
 
     @property
     def mean_utilisation(self) -> float:
@@ -177,15 +200,17 @@
         self.reported_total -= view.reported_running + view.reported_waiting
         view.reported_running, view.reported_waiting = running, waiting
         while server.changes and server.changes[0][0] <= as_of:
-            server.change -= server.changes.popleft()[1]
+            sign = server.changes.popleft()[1]
+            server.change -= sign
+            self.change_total -= sign
         view.sent_since_report = sum(sign > 0 for _, sign in server.changes)
         self._grant(server)
 
     def _grant(self, server: ServerLoad) -> None:
-        view = server.view
-        free = view.max_concurrent - view.reported_running - view.reported_waiting
-        server.grant = self._rounded(free * self.share)
-        server.spare_grant = self._rounded((free - server.reserved) * self.share)
+        share = self.share
+        for tier in Tier:
+            free = server.free - server.reserved[tier]
+            server.grants[tier] = self._rounded(free * share)
         self.refresh(server)
 
     def _rounded(self, value: float) -> int:
@@ -195,16 +220,52 @@
 
     def busy(self, server: ServerLoad) -> None:
         """Expect no room until the next report: the server has just refused."""
-        server.grant = min(server.grant, server.change)
-        server.spare_grant = min(server.spare_grant, server.change)
+        view = server.view
+        server.grants = [min(grant, server.change) for grant in server.grants]
+        waiting = view.reported_waiting
+        self.reported_total += max(0, server.free - server.change)
+        view.reported_waiting = waiting + max(0, server.free - server.change)
         self.refresh(server)
 
     def note(self, server: ServerLoad, sign: int, now: float) -> None:
         """Count an own send or end at `server`."""
         server.note(sign, now)
         self.own_total += sign
+        self.change_total += sign
         self.refresh(server)
 
+    def has_room(self, server: ServerLoad, tier: Tier) -> bool:
+        """Return whether this node may send a call of `tier` to `server` now."""
+        if server.granted(tier) > 0:
+            return True
+        plenty = server.plenty(tier)
+        return plenty > 0 and plenty > self._taken_by_others(server)
+
+    def _taken_by_others(self, server: ServerLoad) -> float:
+        """Return the slots of `server` that other nodes presumably took by now.
+
+        The others see the same load, so they are taken to have grown as this node
+        has, where slots were free. This stops a burst that reaches all nodes at once
+        before all of them have filled the same slots.
+        """
+        free = max(1, self.slots_total - self.reported_total)
+        growth = max(0, self.change_total) * (1 / self.share - 1)
+        return growth * max(0, server.free) / free
+
+    def pause(self, server: ServerLoad) -> bool:
+        """Give a server that failed no work for now; never the last one left."""
+        if server.paused or (len(self.taking) == 1 and not server.view.leaving):
+            return False
+        server.paused = True
+        self.refresh(server)
+        return True
+
+    def all_tried(self, tried: set[str]) -> bool:
+        """Return whether every server that takes work is among `tried`."""
+        if len(tried) < len(self.taking):
+            return False
+        return all(server.id in tried for server in self.taking.items)
+
     def refresh(self, server: ServerLoad) -> None:
         """Put `server` into or out of the lists of servers with room."""
         taking = not (server.view.leaving or server.paused)
@@ -213,8 +274,9 @@
         else:
             self.taking.discard(server)
         usable = taking and not server.slow
-        for spare, members in self.open.items():
-            if usable and server.room(spare=spare) > 0:
+        for tier, members in self.open.items():
+            room = server.granted(tier) > 0 or server.plenty(tier) > 0
+            if usable and room:
                 members.add(server)
             else:
                 members.discard(server)
