--- a/packages/endive_core/src/endive_core/catalogue.py
+++ b/packages/endive_core/src/endive_core/catalogue.py
@@ -76,8 +76,17 @@
         resource = Resource.model_validate(stored.body)
         self._table(stored.kind)[stored.name] = resource.parsed()
 
+    def named(self, kind: str, name: str):
+        """Return the parsed spec of a resource, or ``None``."""
+        return self._table(kind).get(name)
+
     def _index(self) -> None:
-        self.by_model = {d.model: name for name, d in self.deployments.items()}
+        # The first by name answers for a model that two deployments name, so that
+        # every node agrees on it whatever order it learnt of them in.
+        self.by_model = {
+            deployment.model: name
+            for name, deployment in sorted(self.deployments.items(), reverse=True)
+        }
         self.by_key_hash = {
             key_hash: name
             for name, organisation in self.organisations.items()
--- a/packages/endive_core/src/endive_core/exceptions.py
+++ b/packages/endive_core/src/endive_core/exceptions.py
@@ -160,6 +160,11 @@
         Seconds until coming back is worth it, when known better than the table.
     details : dict, optional
         Further JSON values for the error body, such as the winning version.
+
+    Attributes
+    ----------
+    request_id : str
+        Set where the request that the error answers is known.
     """
 
     def __init__(
@@ -174,6 +179,7 @@
         self.kind = kind
         self.message = message
         self.details = details or {}
+        self.request_id = ""
         answer = ANSWERS[kind]
         self.status = answer.status
         self.executed = answer.executed
@@ -188,7 +194,7 @@
             "type": "invalid_request_error" if self.status < 429 else "server_error",
             "code": str(self.kind),
             "executed": str(self.executed),
-            "request_id": request_id,
+            "request_id": request_id or self.request_id,
         }
         if self.retry_after_s is not None:
             error["retry_after_s"] = round(self.retry_after_s, 3)
--- a/packages/endive_core/src/endive_core/fold.py
+++ b/packages/endive_core/src/endive_core/fold.py
@@ -6,11 +6,11 @@
 """
 
 from collections import OrderedDict
-from dataclasses import dataclass
+from dataclasses import asdict, dataclass
 from enum import StrEnum
 from typing import Any
 
-from endive_core.records import Change, Snapshot
+from endive_core.records import ALL_ORGANISATIONS, Change, Snapshot
 
 ABSENT = -1
 """The version of a resource that does not exist; offset 0 is a version like others."""
@@ -25,6 +25,7 @@
 
     APPLIED = "applied"
     CONFLICT = "conflict"
+    FORBIDDEN = "forbidden"
 
 
 @dataclass(frozen=True)
@@ -42,15 +43,29 @@
     verdict: Verdict
     version: int
 
+    def applied_at(self, offset: int) -> bool:
+        """Return whether the record at `offset` itself was applied."""
+        return self.verdict is Verdict.APPLIED and self.version == offset
+
 
 @dataclass(frozen=True)
 class StoredResource:
-    """A resource in force, and the offset of the change that put it there."""
+    """A resource in force, and the change that put it there.
+
+    Attributes
+    ----------
+    version : int
+        The change's offset.
+    operator, at
+        Who changed it, and when by the writer's clock, seconds since 1970.
+    """
 
     kind: str
     name: str
     version: int
     body: dict[str, Any]
+    operator: str = ""
+    at: float = 0.0
 
 
 class ConfigurationFold:
@@ -87,18 +102,37 @@
         known = self.outcomes.get(change.change_id)
         if known is not None:
             return known
-        key = (change.kind, change.name)
-        current = self.resources.get(key)
+        verdict, version = self.verdict(change)
+        if verdict is Verdict.APPLIED:
+            self._put(offset, change)
+            version = offset
+        return self._remember(Outcome(change.change_id, verdict, version))
+
+    def verdict(self, change: Change) -> tuple[Verdict, int]:
+        """Return how `change` would be decided now, and the version in force."""
+        current = self.resources.get((change.kind, change.name))
         version = current.version if current else ABSENT
+        if current is not None and not _in_scope(change, current):
+            # Two organisations race for one name and the writers' nodes saw neither:
+            # without this the second would silently take the first one's resource.
+            return Verdict.FORBIDDEN, version
         if change.expected_version not in (None, version):
-            return self._remember(Outcome(change.change_id, Verdict.CONFLICT, version))
+            return Verdict.CONFLICT, version
+        return Verdict.APPLIED, version
+
+    def _put(self, offset: int, change: Change) -> None:
+        key = (change.kind, change.name)
         if change.body is None:
             self.resources.pop(key, None)
-        else:
-            self.resources[key] = StoredResource(
-                change.kind, change.name, offset, change.body
-            )
-        return self._remember(Outcome(change.change_id, Verdict.APPLIED, offset))
+            return
+        self.resources[key] = StoredResource(
+            change.kind,
+            change.name,
+            offset,
+            change.body,
+            change.operator,
+            change.at,
+        )
 
     def _remember(self, outcome: Outcome) -> Outcome:
         self.outcomes[outcome.change_id] = outcome
@@ -119,10 +153,7 @@
         """Return the whole state; equal states give equal snapshots."""
         return Snapshot(
             through=self.offset,
-            resources=[
-                {"kind": r.kind, "name": r.name, "version": r.version, "body": r.body}
-                for _, r in sorted(self.resources.items())
-            ],
+            resources=[asdict(stored) for _, stored in sorted(self.resources.items())],
             outcomes=[
                 {
                     "change_id": o.change_id,
@@ -147,3 +178,7 @@
             )
             fold.outcomes[outcome.change_id] = outcome
         return fold
+
+
+def _in_scope(change: Change, current: StoredResource) -> bool:
+    return change.scope in (ALL_ORGANISATIONS, current.body.get("owner"))
--- /dev/null
+++ b/packages/endive_core/src/endive_core/history.py
@@ -0,0 +1,101 @@
+"""The latest changes of the configuration, for watches."""
+
+from collections import deque
+from dataclasses import dataclass
+from typing import Any
+
+from endive_core.exceptions import EndiveError, ErrorKind
+from endive_core.fold import StoredResource
+from endive_core.records import Change
+
+MAX_EVENTS = 11_000
+"""A day of changes: a watcher that was away for longer lists the resources anew."""
+
+
+@dataclass(frozen=True)
+class ChangeEvent:
+    """One applied change, as a watch shows it.
+
+    Attributes
+    ----------
+    owner : str
+        Organisation that the resource belongs to, or belonged to when it was deleted.
+    body : dict or None
+        The resource, or ``None`` if it was deleted.
+    """
+
+    version: int
+    kind: str
+    name: str
+    owner: str
+    operator: str
+    change_id: str
+    at: float
+    body: dict[str, Any] | None
+
+
+class ChangeHistory:
+    """Applied changes by version; operators meet it through a watch.
+
+    Every node folds the same records at the same offsets, so a watch that broke goes
+    on at any other node from the last version it saw.
+
+    Attributes
+    ----------
+    oldest : int
+        The lowest version from which a watch can go on without a gap.
+    """
+
+    def __init__(self, max_events: int = MAX_EVENTS) -> None:
+        self.events: deque[ChangeEvent] = deque()
+        self.max_events = max_events
+        self.oldest = -1
+
+    def add(self, offset: int, change: Change, before: StoredResource | None) -> None:
+        """Note a change that was applied; `before` is what it replaced."""
+        body = change.body if change.body is not None else before and before.body
+        self.events.append(
+            ChangeEvent(
+                version=offset,
+                kind=change.kind,
+                name=change.name,
+                owner=(body or {}).get("owner", ""),
+                operator=change.operator,
+                change_id=change.change_id,
+                at=change.at,
+                body=change.body,
+            )
+        )
+        while len(self.events) > self.max_events:
+            self.oldest = self.events.popleft().version
+
+    def restart(self, version: int) -> None:
+        """Forget everything: the fold was replaced by a snapshot at `version`.
+
+        The changes before it are not known here one by one, so a watch from an older
+        version is told so instead of missing some.
+        """
+        self.events.clear()
+        self.oldest = version
+
+    def since(self, version: int) -> list[ChangeEvent]:
+        """Return the changes after `version`, in order.
+
+        Raises
+        ------
+        EndiveError
+            ``watch_too_old`` if some of them are no longer known here.
+        """
+        if version < self.oldest:
+            raise EndiveError(
+                ErrorKind.WATCH_TOO_OLD,
+                f"changes after {version} are no longer kept one by one; list the "
+                f"resources and watch from the version of the list",
+                details={"oldest": self.oldest},
+            )
+        found = []
+        for event in reversed(self.events):
+            if event.version <= version:
+                break
+            found.append(event)
+        return found[::-1]
--- a/packages/endive_core/src/endive_core/records.py
+++ b/packages/endive_core/src/endive_core/records.py
@@ -12,6 +12,7 @@
 from endive_core.exceptions import RecordError
 
 CONFIGURATION_STREAM = "configuration"
+ALL_ORGANISATIONS = "*"
 CLAIM_STREAM = "claims-{shard:03d}"
 
 
@@ -32,6 +33,12 @@
         The version the operator saw; -1 for "must not exist"; ``None`` for any.
     body : dict or None
         The whole resource, or ``None`` to delete it.
+    scope : str
+        The organisation whose resources the operator may change, or ``*``. The fold
+        holds it against the owner in force, since the writer's own view lags.
+    at : float
+        When the writer sent it, seconds since 1970 by its own clock; shown to people,
+        and never decided by.
     """
 
     change_id: str
@@ -40,6 +47,8 @@
     operator: str = ""
     expected_version: int | None = None
     body: dict[str, Any] | None = None
+    scope: str = ALL_ORGANISATIONS
+    at: float = 0.0
 
 
 class Snapshot(msgspec.Struct, tag="snapshot", frozen=True):
--- a/packages/endive_core/tests/test_fold.py
+++ b/packages/endive_core/tests/test_fold.py
@@ -33,3 +33,14 @@
     restored = ConfigurationFold.from_snapshot(decode(text))
     assert encode(restored.snapshot()) == text
     assert restored.offset == fold.offset
+
+
+def test_change_of_another_organisations_resource_is_forbidden():
+    """Two organisations create the same name at once, each on a node that has seen
+    neither; without the check in the fold, the second would replace the first."""
+    fold = ConfigurationFold()
+    mine = Change("a", "priority", "vip", scope="kerloch", body={"owner": "kerloch"})
+    theirs = Change("b", "priority", "vip", scope="yunhai", body={"owner": "yunhai"})
+    assert fold.apply(0, mine).verdict is Verdict.APPLIED
+    assert fold.apply(1, theirs).verdict is Verdict.FORBIDDEN
+    assert fold.get("priority", "vip").body["owner"] == "kerloch"
--- a/packages/endive_ctl/src/endive_ctl/cli.py
+++ b/packages/endive_ctl/src/endive_ctl/cli.py
@@ -1,17 +1,36 @@
-"""The command line of ``endivectl``."""
+"""The command line of ``endivectl``.
+
+Exit codes: 0 done, 1 refused by the node, 2 bad input or usage, 3 no node answered,
+4 another change was applied first.
+"""
 
 import os
 import sys
+import time
+from enum import IntEnum
 
 import fire
 import msgspec
 
-from endive_ctl.client import ApiError, OperatorClient
+from endive_ctl import tables
+from endive_ctl.client import UNREACHABLE, ApiError, OperatorClient
 from endive_ctl.files import FileError, read_resources
 
-EXIT_REFUSED = 1
-EXIT_BAD_INPUT = 2
-DEFAULT_SERVER = "http://127.0.0.1:8081"
+DEFAULT_SERVERS = "http://127.0.0.1:8081"
+WATCH_PAUSE_S = 1.0
+
+
+class ExitCode(IntEnum):
+    """How ``endivectl`` ends."""
+
+    DONE = 0
+    REFUSED = 1
+    BAD_INPUT = 2
+    UNREACHABLE = 3
+    CONFLICT = 4
+
+
+EXIT_CODES = {UNREACHABLE: ExitCode.UNREACHABLE, "version_conflict": ExitCode.CONFLICT}
 
 
 class Commands:
@@ -20,35 +39,124 @@
     Parameters
     ----------
     server
-        Address of a node's operators' port; or ``ENDIVE_SERVER``.
+        Addresses of nodes' operators' ports, separated by commas; any node will do.
+        Without it ``ENDIVE_SERVER``, or http://127.0.0.1:8081.
     token
-        The operator's token; or ``ENDIVE_TOKEN``.
+        The operator's token. Without it ``ENDIVE_TOKEN``.
+    output
+        ``table`` for people, ``json`` for programs.
     """
 
-    def __init__(self, server: str = "", token: str = "") -> None:
+    def __init__(
+        self, server: str = "", token: str = "", output: str = "table"
+    ) -> None:
+        if output not in ("table", "json"):
+            raise FileError(f"--output: found {output!r}, allowed: table, json")
+        servers = server or os.environ.get("ENDIVE_SERVER", DEFAULT_SERVERS)
+        listed = servers.split(",") if isinstance(servers, str) else list(servers)
         self._client = OperatorClient(
-            server or os.environ.get("ENDIVE_SERVER", DEFAULT_SERVER),
-            str(token) or os.environ.get("ENDIVE_TOKEN", ""),
+            listed, str(token) or os.environ.get("ENDIVE_TOKEN", "")
         )
-
-    def apply(self, file: str) -> None:
-        """Create or change every resource in FILE, in order."""
-        for resource in read_resources(file):
-            answer = self._client.put(resource)
-            print(f"{resource['kind']}/{resource['name']} version {answer['version']}")
+        self._json = output == "json"
+
+    def apply(
+        self, file: str, dry_run: bool = False, expected_version: int | None = None
+    ) -> None:
+        """Create or change every resource in FILE, in order.
+
+        With --dry_run everything is checked and nothing changed. With
+        --expected_version a file of one resource is applied only over that version.
+        """
+        resources = read_resources(file)
+        if expected_version is not None and len(resources) != 1:
+            raise FileError("--expected_version goes with a file of one resource")
+        options = {"expected_version": expected_version}
+        if dry_run:
+            options["dry_run"] = "true"
+        for resource in resources:
+            answer = self._client.put(resource, **options)
+            name = f"{resource['kind']}/{resource['name']}"
+            self._show(answer, applied_line(name, answer))
+
+    def check(self, file: str) -> None:
+        """Check FILE without a node."""
+        count = len(read_resources(file))
+        self._show({"resources": count}, f"{file}: {count} resources, ok")
 
     def get(self, kind: str, name: str) -> None:
-        """Show one resource."""
-        print_json(self._client.get(kind, name))
+        """Show one resource and its status."""
+        answer = self._client.get(kind, name)
+        self._show(answer, json_text(answer))
 
     def list(self, kind: str) -> None:
-        """Show all resources of a kind."""
-        print_json(self._client.list(kind))
-
-
-def print_json(value) -> None:
-    """Print a JSON value for programs and people."""
-    print(msgspec.json.format(msgspec.json.encode(value), indent=2).decode())
+        """Show all resources of KIND."""
+        answer = self._client.list(kind)
+        self._show(answer, tables.resources(answer["items"]))
+
+    def delete(self, kind: str, name: str, expected_version: int | None = None) -> None:
+        """Delete one resource, if it is still as this command sees it."""
+        answer = self._client.delete(kind, name, expected_version=expected_version)
+        self._show(answer, f"{kind}/{name} deleted, version {answer['version']}")
+
+    def watch(
+        self, kind: str | None = None, start: int | None = None, count: int = 0
+    ) -> None:
+        """Show changes as they come, from version START on; stop after COUNT of them.
+
+        A watch that breaks goes on at the next node from the last version seen.
+        """
+        seen = 0
+        while True:
+            try:
+                for event in self._client.watch(start, kind):
+                    start = event.version
+                    if event.name == "error":
+                        error = event.data["error"]
+                        raise ApiError(error["code"], error["message"], error)
+                    if event.name != "change":
+                        continue
+                    self._show(event.data, tables.event(event.version, event.data))
+                    seen += 1
+                    if seen == count:
+                        return
+            except ApiError as error:
+                if error.kind != UNREACHABLE:
+                    raise
+                print(f"endivectl: {error}; going on", file=sys.stderr)
+                time.sleep(WATCH_PAUSE_S)
+
+    def status(self) -> None:
+        """Show nodes, servers, refusals and configuration, as one node sees them."""
+        answer = self._client.status()
+        self._show(answer, tables.status(answer))
+
+    def explain(self, request_id: str) -> None:
+        """Show what became of a request, and why."""
+        answer = self._client.explain(request_id)
+        self._show(answer, tables.explanation(answer))
+
+    def _show(self, answer: dict, text: str) -> None:
+        print(json_text(answer) if self._json else text, flush=True)
+
+
+def applied_line(name: str, answer: dict) -> str:
+    """Return the line that tells what became of one applied resource."""
+    if not answer.get("dry_run"):
+        return f"{name} version {answer['version']}"
+    verb = "change" if answer["before"] else "create"
+    return f"{name} would {verb}"
+
+
+def json_text(value) -> str:
+    """Return a JSON value, indented."""
+    return msgspec.json.format(msgspec.json.encode(value), indent=2).decode()
+
+
+def error_lines(error: ApiError) -> str:
+    """Return one line for an error, with each field at fault."""
+    fields = error.details.get("fields", ())
+    reasons = "; ".join(f"{f['field']}: {f['problem']}" for f in fields)
+    return f"endivectl: {error}" + (f" ({reasons})" if reasons else "")
 
 
 def main() -> None:
@@ -57,10 +165,12 @@
         fire.Fire(Commands, name="endivectl")
     except FileError as error:
         print(f"endivectl: {error}", file=sys.stderr)
-        sys.exit(EXIT_BAD_INPUT)
+        sys.exit(ExitCode.BAD_INPUT)
     except ApiError as error:
-        print(f"endivectl: {error}", file=sys.stderr)
-        sys.exit(EXIT_REFUSED)
+        print(error_lines(error), file=sys.stderr)
+        sys.exit(EXIT_CODES.get(error.kind, ExitCode.REFUSED))
+    except KeyboardInterrupt:
+        sys.exit(ExitCode.DONE)
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/packages/endive_ctl/src/endive_ctl/tables.py
@@ -0,0 +1,115 @@
+"""Answers as tables for people."""
+
+import time
+from collections.abc import Iterable, Sequence
+
+GAP = "  "
+NO_VALUE = "-"
+
+
+def table(head: Sequence[str], rows: Iterable[Sequence[object]]) -> str:
+    """Return aligned columns; an empty table is its head alone."""
+    cells = [list(head), *([str(cell) for cell in row] for row in rows)]
+    widths = [max(len(row[i]) for row in cells) for i in range(len(head))]
+    lines = (
+        GAP.join(cell.ljust(width) for cell, width in zip(row, widths, strict=True))
+        for row in cells
+    )
+    return "\n".join(line.rstrip() for line in lines)
+
+
+def resources(items: list[dict]) -> str:
+    """Return one row a resource: what it is, and whether it is in force."""
+    head = ("KIND", "NAME", "OWNER", "VERSION", "IN FORCE", "NODES", "WHY NOT")
+    return table(head, map(_resource_row, items))
+
+
+def _resource_row(item: dict) -> tuple:
+    status = item["status"]
+    return (
+        item["kind"],
+        item["name"],
+        item["owner"],
+        item["version"],
+        "yes" if status["in_force"] else "no",
+        f"{status['nodes_in_force']}/{status['nodes_live']}",
+        "; ".join(status["reasons"]) or NO_VALUE,
+    )
+
+
+def event(version: int, data: dict) -> str:
+    """Return one line for a change that a watch shows."""
+    return (
+        f"{clock(data['at'])} version {version} {data['type']} "
+        f"{data['kind']}/{data['name']} by {data['operator'] or NO_VALUE}"
+    )
+
+
+def status(answer: dict) -> str:
+    """Return the state of a node as a page."""
+    configuration = answer["configuration"]
+    age = configuration["log_read_s_ago"]
+    parts = [
+        f"node {answer['node']} in {answer['zone']}: "
+        + ("ready" if answer["ready"] else "not ready")
+        + (", stopping" if answer["stopping"] else ""),
+        f"configuration version {configuration['version']}, log read "
+        + (NO_VALUE if age is None else f"{age:.1f} s ago"),
+        f"requests in flight: {answer['in_flight']}",
+        "",
+        _nodes(answer["nodes"], configuration["version"]),
+        "",
+        _servers(answer["servers"]),
+    ]
+    for title in ("zones_under_notice", "queues", "refusals", "retries"):
+        parts += _section(title, answer.get(title))
+    return "\n".join(parts)
+
+
+def _nodes(nodes: list[dict], version: int) -> str:
+    rows = (
+        (n["id"], n["zone"], n["state"], n["version"], max(0, version - n["version"]))
+        for n in nodes
+    )
+    return table(("NODE", "ZONE", "STATE", "VERSION", "BEHIND"), rows)
+
+
+def _servers(servers: list[dict]) -> str:
+    rows = (
+        (
+            server["service"],
+            server["id"],
+            server["zone"],
+            "leaving" if server["leaving"] else "taking work",
+            server["in_flight"],
+            server["reported_running"],
+            server["reported_waiting"],
+        )
+        for server in servers
+    )
+    head = ("SERVICE", "SERVER", "ZONE", "STATE", "OURS", "RUNNING", "WAITING")
+    return table(head, rows)
+
+
+def _section(title: str, value) -> list[str]:
+    if not value:
+        return []
+    head = title.replace("_", " ").upper()
+    if isinstance(value, dict):
+        return ["", table((head, "COUNT"), value.items())]
+    return ["", f"{head}: {', '.join(map(str, value))}"]
+
+
+def explanation(answer: dict) -> str:
+    """Return what became of a request, an event a line."""
+    lines = [
+        f"request {answer['request_id']} of {answer['organisation']}: "
+        f"{answer['state']}, executed: {answer['executed']}",
+    ]
+    lines += [f"{note['after_s']:9.3f} s  {note['text']}" for note in answer["notes"]]
+    return "\n".join(lines)
+
+
+def clock(at: float) -> str:
+    """Return a time of day in UTC."""
+    return time.strftime("%Y-%m-%dT%H:%M:%SZ", time.gmtime(at))
--- a/packages/endive_node/src/endive_node/cli.py
+++ b/packages/endive_node/src/endive_node/cli.py
@@ -13,7 +13,7 @@
 from endive_core.exceptions import SettingsError  # noqa: E402
 
 from endive_node.node import Node  # noqa: E402
-from endive_node.settings import Settings  # noqa: E402
+from endive_node.settings import Settings, setting_rows  # noqa: E402
 
 EXIT_BAD_SETTINGS = 2
 
@@ -49,6 +49,12 @@
     print(f"{settings}: ok")
 
 
+def settings() -> None:
+    """Print every setting with its default, as rows of the operators' page."""
+    for row in setting_rows():
+        print(f"| `{row.key}` | {row.default} | {row.description} |")
+
+
 def load(path: str) -> Settings:
     """Return the settings at `path`, or end the process with one line and code 2."""
     try:
@@ -61,15 +67,12 @@
 
 
 def main() -> None:
-    """Run ``endive-node [run] [--settings FILE | --embedded]`` or ``check FILE``."""
+    """Run one of the commands; without a name, flags go to ``run``."""
     arguments = sys.argv[1:]
-    if (
-        not arguments
-        or arguments[0].startswith("--settings")
-        or (arguments[0] == "--embedded")
-    ):
+    if not arguments or arguments[0].startswith("--"):
         arguments.insert(0, "run")
-    fire.Fire({"run": run, "check": check}, command=arguments, name="endive-node")
+    commands = {"run": run, "check": check, "settings": settings}
+    fire.Fire(commands, command=arguments, name="endive-node")
 
 
 if __name__ == "__main__":
--- a/packages/endive_node/src/endive_node/configuration.py
+++ b/packages/endive_node/src/endive_node/configuration.py
@@ -8,6 +8,7 @@
 from endive_core.catalogue import Catalogue
 from endive_core.exceptions import EndiveError, ErrorKind, RecordError
 from endive_core.fold import ConfigurationFold, Outcome, Verdict
+from endive_core.history import ChangeHistory
 from endive_core.records import CONFIGURATION_STREAM, Change, Snapshot, decode, encode
 from gevent.event import Event
 
@@ -44,6 +45,7 @@
     fold: ConfigurationFold = field(default_factory=ConfigurationFold)
     catalogue: Catalogue = field(default_factory=Catalogue)
     listeners: list[Callable] = field(default_factory=list)
+    history: ChangeHistory = field(default_factory=ChangeHistory)
     ready: Event = field(default_factory=Event)
     changed: Event = field(default_factory=Event)
     last_read: float | None = None
@@ -78,9 +80,18 @@
             log_event("record_not_understood", offset=offset, error=error)
             self.fold.offset = offset
             return
-        if isinstance(record, Change | Snapshot):
+        if isinstance(record, Change):
+            self._fold_change(offset, record)
+        elif isinstance(record, Snapshot):
             self.fold.apply(offset, record)
 
+    def _fold_change(self, offset: int, change: Change) -> None:
+        before = self.fold.get(change.kind, change.name)
+        outcome = self.fold.apply(offset, change)
+        # A repeated change id answers with its first outcome, at an older version.
+        if outcome is not None and outcome.applied_at(offset):
+            self.history.add(offset, change, before)
+
     def _restart_from(self, first: int) -> None:
         """Go on from the oldest record kept, which is a snapshot's neighbour."""
         self.fold.offset = max(self.fold.offset, first - 1)
@@ -121,14 +132,26 @@
                         raise _not_settled(False) from None
                     gevent.sleep(RETRY_S)
             self.changed.wait(timeout=RETRY_S)
-        if outcome.verdict is Verdict.CONFLICT:
-            raise EndiveError(
-                ErrorKind.VERSION_CONFLICT,
-                "another change was applied first",
-                details={"version": outcome.version},
-            )
+        _check_verdict(outcome.verdict, outcome.version)
         return outcome
 
+    def check(self, change: Change) -> None:
+        """Raise what :meth:`submit` would raise if `change` were decided now."""
+        _check_verdict(*self.fold.verdict(change))
+
+
+def _check_verdict(verdict: Verdict, version: int) -> None:
+    if verdict is Verdict.FORBIDDEN:
+        raise EndiveError(
+            ErrorKind.FORBIDDEN, "the resource belongs to another organisation"
+        )
+    if verdict is Verdict.CONFLICT:
+        raise EndiveError(
+            ErrorKind.VERSION_CONFLICT,
+            f"another change was applied first; the version in force is {version}",
+            details={"version": version},
+        )
+
 
 def _not_settled(maybe: bool) -> EndiveError:
     if maybe:
--- /dev/null
+++ b/packages/endive_node/src/endive_node/explaining.py
@@ -0,0 +1,112 @@
+"""What became of each request, and why: notes for ``endivectl explain``."""
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+from endive_core.exceptions import EndiveError, ErrorKind
+from endive_core.messages import Request
+
+from endive_node.interfaces import Clock
+
+
+@dataclass(frozen=True, slots=True)
+class Note:
+    """One decision or event of a request."""
+
+    at: float
+    text: str
+
+
+@dataclass
+class Trail:
+    """All notes of one request.
+
+    Attributes
+    ----------
+    state, executed : str
+        As in the request's state chart, at the last note.
+    """
+
+    request_id: str
+    organisation: str
+    model: str
+    clock: Clock
+    state: str = "accepted"
+    executed: str = "no"
+    notes: list[Note] = field(default_factory=list)
+
+    def note(self, text: str) -> None:
+        """Add a note; a few for each request, never one for each token."""
+        self.notes.append(Note(self.clock.now(), text))
+
+    def shown(self, node_id: str) -> dict:
+        """Return the trail as operators read it."""
+        start = self.notes[0].at if self.notes else 0.0
+        return {
+            "request_id": self.request_id,
+            "organisation": self.organisation,
+            "model": self.model,
+            "node": node_id,
+            "state": self.state,
+            "executed": self.executed,
+            "notes": [
+                {"after_s": round(note.at - start, 6), "text": note.text}
+                for note in self.notes
+            ],
+        }
+
+
+class Trails:
+    """The trails of the latest requests of a node, refused ones among them.
+
+    Operators meet it as ``endivectl explain``. The number is bounded, and so is the
+    memory: a trail is about 1 kB, and 5,000 of them are the last minute at the peak.
+    """
+
+    def __init__(self, clock: Clock, max_trails: int) -> None:
+        self.clock = clock
+        self.max_trails = max_trails
+        self.by_id: OrderedDict[str, Trail] = OrderedDict()
+
+    def begin(self, request: Request) -> Trail:
+        """Return the trail of `request`, new if it has none yet."""
+        trail = self.by_id.get(request.request_id)
+        if trail is None:
+            trail = Trail(
+                request.request_id, request.organisation, request.model, self.clock
+            )
+            self.by_id[request.request_id] = trail
+            if len(self.by_id) > self.max_trails:
+                self.by_id.popitem(last=False)
+        return trail
+
+    def refused(self, request: Request, error: EndiveError) -> None:
+        """Note a request that was refused before it was accepted."""
+        trail = self.begin(request)
+        trail.state = "refused"
+        trail.executed = str(error.executed)
+        trail.note(ending(error))
+
+    def get(self, request_id: str) -> Trail:
+        """Return the trail of a request.
+
+        Raises
+        ------
+        EndiveError
+            ``unknown_request`` if it never came here, or too long ago.
+        """
+        trail = self.by_id.get(request_id)
+        if trail is None:
+            raise EndiveError(
+                ErrorKind.UNKNOWN_REQUEST,
+                f"no notes of {request_id!r}: never seen here, or too long ago",
+            )
+        return trail
+
+
+def ending(error: EndiveError) -> str:
+    """Return the note of a request that ends in `error`."""
+    when = (
+        "" if error.retry_after_s is None else f"; come back in {error.retry_after_s} s"
+    )
+    return f"{error.kind}: {error.message}{when}"
--- a/packages/endive_node/src/endive_node/node.py
+++ b/packages/endive_node/src/endive_node/node.py
@@ -9,6 +9,7 @@
 from endive_node.configuration import Configuration
 from endive_node.dispatching import Dispatcher
 from endive_node.listeners import HttpListener
+from endive_node.members import StaticMembers
 from endive_node.observing import Observer
 from endive_node.operators import OperatorApi
 from endive_node.peers import PeerHandler, PeerListener
@@ -59,6 +60,7 @@
             clock=self.clock,
             claims=NoClaims(),
         )
+        self.members = StaticMembers.from_settings(settings)
         self._make_listeners()
         self.greenlets: list[gevent.Greenlet] = []
         self.stopped = Event()
@@ -75,10 +77,8 @@
             self.settings.limits.max_body_bytes,
             self.configuration.ready.is_set,
         )
-        operators = OperatorApi(
-            self.configuration, self.settings.operators, self.metrics
-        )
-        handler = PeerHandler(section.id, self.configuration)
+        operators = OperatorApi(self)
+        handler = PeerHandler(section.id, self.configuration, self.serving.trails)
         self.callers = HttpListener(callers.app, section.address, section.caller_port)
         self.operators = HttpListener(
             operators.app, section.address, section.operator_port
--- a/packages/endive_node/src/endive_node/operators.py
+++ b/packages/endive_node/src/endive_node/operators.py
@@ -1,27 +1,33 @@
-"""The operators' HTTP API: resources, their versions, metrics and node status."""
+"""The operators' HTTP API: resources, watches, status and metrics."""
 
 import hmac
+import time
 from dataclasses import dataclass
 
 import bottle
 from endive_core.bodies import decode_json
 from endive_core.catalogue import hash_key
 from endive_core.exceptions import EndiveError, ErrorKind
-from endive_core.fold import StoredResource
-from endive_core.records import Change
-from endive_core.resources import Resource, ResourceKind
+from endive_core.fold import ABSENT, StoredResource
+from endive_core.records import ALL_ORGANISATIONS, Change
+from endive_core.resources import Resource, ResourceKind, field_errors
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
 from endive_node.callers import (
     BEARER,
+    EVENT_STREAM,
     encode_json,
     error_response,
     http_error_body,
 )
-from endive_node.configuration import Configuration, new_change_id
+from endive_node.configuration import new_change_id
+from endive_node.reporting import Reports, shown
 from endive_node.settings import OperatorEntry
-from endive_node.telemetry import Metrics, log_event
+from endive_node.telemetry import log_event
+from endive_node.watching import Watch
 
-ALL_ORGANISATIONS = "*"
+MAX_BODY_BYTES = 1_000_000
+"""Largest resource: 2,600 servers in one service are about 300 kB."""
 
 
 @dataclass(frozen=True)
@@ -36,6 +42,38 @@
         return self.organisation in (ALL_ORGANISATIONS, owner)
 
 
+class ChangeOptions(BaseModel):
+    """Query parameters of a change.
+
+    Attributes
+    ----------
+    expected_version : int or None
+        Apply only over this version; -1 for "must not exist".
+    change_id : str
+        Chosen by the caller; a change sent again with the same id is applied once.
+    dry_run : bool
+        Check everything and change nothing.
+    """
+
+    model_config = ConfigDict(extra="forbid")
+
+    expected_version: int | None = Field(None, ge=ABSENT)
+    change_id: str = Field(default_factory=new_change_id, max_length=100, min_length=1)
+    dry_run: bool = False
+
+    @classmethod
+    def from_query(cls, query) -> "ChangeOptions":
+        """Return the checked options of a call."""
+        try:
+            return cls.model_validate(dict(query))
+        except ValidationError as error:
+            raise EndiveError(
+                ErrorKind.INVALID_FIELD,
+                "a query parameter is not valid",
+                details={"fields": field_errors(error)},
+            ) from None
+
+
 class OperatorApi:
     """What operators reach on the node's operators' port.
 
@@ -45,15 +83,11 @@
         The WSGI application.
     """
 
-    def __init__(
-        self,
-        configuration: Configuration,
-        operators: tuple[OperatorEntry, ...],
-        metrics: Metrics,
-    ) -> None:
-        self.configuration = configuration
-        self.operators = operators
-        self.metrics = metrics
+    def __init__(self, node) -> None:
+        self.configuration = node.configuration
+        self.operators: tuple[OperatorEntry, ...] = node.settings.operators
+        self.metrics = node.metrics
+        self.reports = Reports(node)
         self.app = bottle.Bottle()
         self.app.default_error_handler = http_error_body
         route = self.app.route
@@ -61,6 +95,9 @@
         route("/v1/resources/<kind>/<name>", "GET", self.guarded(self.get))
         route("/v1/resources/<kind>/<name>", "PUT", self.guarded(self.put))
         route("/v1/resources/<kind>/<name>", "DELETE", self.guarded(self.delete))
+        route("/v1/watch", "GET", self.guarded(self.watch))
+        route("/v1/requests/<request_id>", "GET", self.guarded(self.explain))
+        route("/v1/status", "GET", self.guarded(self.status))
         route("/metrics", "GET", self.scrape)
 
     def guarded(self, method):
@@ -69,10 +106,11 @@
         def call(**path):
             bottle.response.content_type = "application/json"
             try:
-                return encode_json(method(self.authenticate(), **path))
+                answer = method(self.authenticate(), **path)
             except EndiveError as error:
                 log_event("order_refused", kind=error.kind, message=error.message)
                 return error_response(error)
+            return encode_json(answer) if isinstance(answer, dict) else answer
 
         return call
 
@@ -94,62 +132,142 @@
             )
         return found
 
-    def list(self, operator: Operator, kind: str):
+    def list(self, operator: Operator, kind: str) -> dict:
         """Return all resources of a kind that the operator may see."""
         fold = self.configuration.fold
         return {
             "version": fold.offset,
             "items": [
-                shown(stored)
+                self.reports.resource(stored)
                 for stored in fold.listed(parse_kind(kind))
                 if operator.may_touch(stored.body["owner"])
             ],
         }
 
-    def get(self, operator: Operator, kind: str, name: str):
-        """Return one resource."""
-        return shown(self._visible(operator, parse_kind(kind), name))
+    def get(self, operator: Operator, kind: str, name: str) -> dict:
+        """Return one resource with its status."""
+        return self.reports.resource(self._visible(operator, parse_kind(kind), name))
+
+    def put(self, operator: Operator, kind: str, name: str) -> dict:
+        """Create or change a resource."""
+        options = ChangeOptions.from_query(bottle.request.query)
+        resource = self._resource(parse_kind(kind), name)
+        if not operator.may_touch(resource.owner):
+            raise forbidden()
+        body = resource.model_dump(mode="json")
+        return self._submit(operator, options, resource.kind, name, body)
+
+    def delete(self, operator: Operator, kind: str, name: str) -> dict:
+        """Delete a resource."""
+        options = ChangeOptions.from_query(bottle.request.query)
+        stored = self._visible(operator, parse_kind(kind), name)
+        if options.expected_version is None:
+            options.expected_version = stored.version
+        return self._submit(operator, options, stored.kind, name, None)
+
+    def watch(self, operator: Operator):
+        """Stream the changes after the version in ``from`` or ``Last-Event-ID``."""
+        kind = bottle.request.query.get("kind")
+        wanted = None if kind is None else parse_kind(kind)
+
+        def is_visible(event) -> bool:
+            return operator.may_touch(event.owner) and wanted in (None, event.kind)
+
+        watch = Watch(self.configuration, is_visible, self._watch_version())
+        bottle.response.content_type = EVENT_STREAM
+        bottle.response.set_header("Cache-Control", "no-cache")
+        return watch.events()
+
+    def status(self, operator: Operator) -> dict:
+        """Return this node's state; an organisation's operator sees no others'."""
+        status = self.reports.status()
+        if operator.organisation != ALL_ORGANISATIONS:
+            visible = {
+                stored.name
+                for stored in self.configuration.fold.listed(
+                    ResourceKind.BACKEND_SERVER_SERVICE
+                )
+                if operator.may_touch(stored.body["owner"])
+            }
+            servers = status["servers"]
+            status["servers"] = [s for s in servers if s["service"] in visible]
+        return status
+
+    def explain(self, operator: Operator, request_id: str) -> dict:
+        """Return what became of a request, wherever it was accepted."""
+        trail = self.reports.explanation(request_id)
+        if not operator.may_touch(trail["organisation"]):
+            raise EndiveError(ErrorKind.UNKNOWN_REQUEST, "no notes of this request")
+        return trail
+
+    def scrape(self) -> bytes:
+        """Return the metrics page, which holds no names of organisations."""
+        bottle.response.content_type = "text/plain; version=0.0.4"
+        return self.metrics.page()
+
+    def _watch_version(self) -> int:
+        query, headers = bottle.request.query, bottle.request.headers
+        text = headers.get("Last-Event-ID") or query.get("from")
+        if text is None:
+            return self.configuration.fold.offset
+        try:
+            return int(text)
+        except ValueError:
+            raise EndiveError(
+                ErrorKind.INVALID_FIELD, "the version to watch from must be a number"
+            ) from None
 
-    def put(self, operator: Operator, kind: str, name: str):
-        """Create or change a resource; ``expected_version`` makes it conditional."""
-        body = decode_json(bottle.request.body.read())
+    def _resource(self, kind: ResourceKind, name: str) -> Resource:
+        body = decode_json(bottle.request.body.read(MAX_BODY_BYTES + 1))
         if not isinstance(body, dict):
             raise EndiveError(ErrorKind.MALFORMED_BODY, "the body must be an object")
-        options = {
-            key: body.pop(key)
-            for key in ("expected_version", "change_id") & body.keys()
-        }
-        resource = Resource.from_body(body | {"kind": parse_kind(kind), "name": name})
-        self._check_owner(operator, resource)
+        for key, value in (("kind", str(kind)), ("name", name)):
+            if body.setdefault(key, value) != value:
+                raise EndiveError(
+                    ErrorKind.INVALID_RESOURCE,
+                    f"the {key} in the body is not the one in the path",
+                )
+        return Resource.from_body(body)
+
+    def _submit(
+        self,
+        operator: Operator,
+        options: ChangeOptions,
+        kind: str,
+        name: str,
+        body: dict | None,
+    ) -> dict:
         change = Change(
-            change_id=options.get("change_id") or new_change_id(),
-            kind=resource.kind,
+            change_id=options.change_id,
+            kind=str(kind),
             name=name,
             operator=operator.name,
-            expected_version=options.get("expected_version"),
-            body=resource.model_dump(mode="json"),
+            scope=operator.organisation,
+            at=time.time(),
+            expected_version=options.expected_version,
+            body=body,
         )
+        if options.dry_run:
+            return self._try_out(change)
         outcome = self.configuration.submit(change)
-        return {"version": outcome.version, "change_id": change.change_id}
-
-    def delete(self, operator: Operator, kind: str, name: str):
-        """Delete a resource."""
-        stored = self._visible(operator, parse_kind(kind), name)
-        expected = bottle.request.query.get("expected_version")
-        change = Change(
-            change_id=bottle.request.query.get("change_id") or new_change_id(),
-            kind=stored.kind,
+        log_event(
+            "resource_changed",
+            kind=kind,
             name=name,
             operator=operator.name,
-            expected_version=int(expected) if expected else stored.version,
+            version=outcome.version,
         )
-        outcome = self.configuration.submit(change)
         return {"version": outcome.version, "change_id": change.change_id}
 
-    def scrape(self):
-        """Return the metrics page."""
-        bottle.response.content_type = "text/plain; version=0.0.4"
-        return self.metrics.page()
+    def _try_out(self, change: Change) -> dict:
+        """Answer as if `change` were made now; another may still come before it."""
+        stored = self.configuration.fold.get(change.kind, change.name)
+        self.configuration.check(change)
+        return {
+            "dry_run": True,
+            "before": shown(stored) if stored else None,
+            "after": change.body,
+        }
 
     def _visible(self, operator: Operator, kind: str, name: str) -> StoredResource:
         stored = self.configuration.fold.get(kind, name)
@@ -157,14 +275,12 @@
             raise EndiveError(ErrorKind.NOT_FOUND, f"there is no {kind} {name!r}")
         return stored
 
-    def _check_owner(self, operator: Operator, resource: Resource) -> None:
-        """Refuse to write for another organisation, or over its resource."""
-        stored = self.configuration.fold.get(resource.kind, resource.name)
-        owners = {resource.owner} | ({stored.body["owner"]} if stored else set())
-        if not all(operator.may_touch(owner) for owner in owners):
-            raise EndiveError(
-                ErrorKind.FORBIDDEN, "the resource belongs to another organisation"
-            )
+
+def forbidden() -> EndiveError:
+    """Return the error for a resource of another organisation."""
+    return EndiveError(
+        ErrorKind.FORBIDDEN, "the resource belongs to another organisation"
+    )
 
 
 def parse_kind(kind: str) -> ResourceKind:
@@ -176,8 +292,3 @@
         raise EndiveError(
             ErrorKind.NOT_FOUND, f"no kind is called {kind!r}; there are {allowed}"
         ) from None
-
-
-def shown(stored: StoredResource) -> dict:
-    """Return a resource as operators see it."""
-    return stored.body | {"version": stored.version}
--- a/packages/endive_node/src/endive_node/peers.py
+++ b/packages/endive_node/src/endive_node/peers.py
@@ -2,7 +2,9 @@
 
 from pathlib import Path
 
+import msgspec
 import thriftpy2
+from endive_core.exceptions import EndiveError
 from endive_core.records import encode
 from gevent.server import StreamServer
 from thriftpy2.protocol import TBinaryProtocolFactory
@@ -11,6 +13,7 @@
 from thriftpy2.transport import TBufferedTransportFactory, TSocket, TTransportException
 
 from endive_node.configuration import Configuration
+from endive_node.explaining import Trails
 from endive_node.listeners import listen_tcp
 
 IDL = thriftpy2.load(
@@ -27,9 +30,12 @@
 class PeerHandler:
     """What this node does for others: the methods of ``peers.thrift``."""
 
-    def __init__(self, node_id: str, configuration: Configuration) -> None:
+    def __init__(
+        self, node_id: str, configuration: Configuration, trails: Trails
+    ) -> None:
         self.node_id = node_id
         self.configuration = configuration
+        self.trails = trails
 
     def ping(self) -> str:
         """Return this node's id."""
@@ -41,6 +47,14 @@
             raise IDL.PeerError(kind="not_ready", message="no configuration yet")
         return encode(self.configuration.fold.snapshot())
 
+    def explain_request(self, request_id: str) -> str:
+        """Return the notes of a request, as JSON."""
+        try:
+            shown = self.trails.get(request_id).shown(self.node_id)
+        except EndiveError as error:
+            raise IDL.PeerError(kind=str(error.kind), message=error.message) from None
+        return msgspec.json.encode(shown).decode()
+
 
 class PeerListener:
     """The thrift listener of a node.
@@ -118,3 +132,7 @@
     def pull_configuration(self) -> str:
         """Return the peer's configuration as a snapshot record."""
         return self.call("pull_configuration")
+
+    def explain_request(self, request_id: str) -> str:
+        """Return the notes of a request that the peer accepted, as JSON."""
+        return self.call("explain_request", request_id)
--- a/packages/endive_node/src/endive_node/peers.thrift
+++ b/packages/endive_node/src/endive_node/peers.thrift
@@ -9,4 +9,6 @@
   string ping()
   // The snapshot record of the configuration this node has in force.
   string pull_configuration() throws (1: PeerError error)
+  // The notes of a request that this node accepted, as JSON.
+  string explain_request(1: string request_id) throws (1: PeerError error)
 }
--- /dev/null
+++ b/packages/endive_node/src/endive_node/reporting.py
@@ -0,0 +1,113 @@
+"""What operators are shown: the state of a resource, and of this node."""
+
+from dataclasses import asdict
+
+import msgspec
+from endive_core.exceptions import EndiveError, ErrorKind
+from endive_core.findings import findings
+from endive_core.fold import StoredResource
+from endive_core.membership import Member
+
+from endive_node.peers import IDL, PeerClient, PeerUnavailableError
+
+
+def shown(stored: StoredResource) -> dict:
+    """Return a resource as operators read and write it, with its version."""
+    return stored.body | {"version": stored.version}
+
+
+class Reports:
+    """Answers operators' questions from the parts of one node.
+
+    Operators meet it as the ``status`` of a resource and as ``endivectl status``.
+    """
+
+    def __init__(self, node) -> None:
+        self.node = node
+
+    def resource(self, stored: StoredResource) -> dict:
+        """Return a resource with its status."""
+        return shown(stored) | {"status": self.resource_status(stored)}
+
+    def resource_status(self, stored: StoredResource) -> dict:
+        """Return what is in force, since when, where, and why something is not."""
+        members = self.node.members.live()
+        behind = behind_of(members, stored.version)
+        reasons = findings(self.node.configuration.catalogue, stored.kind, stored.name)
+        if behind:
+            reasons.append(f"not yet in force on {', '.join(behind)}")
+        return {
+            "in_force": not reasons,
+            "since": stored.at,
+            "changed_by": stored.operator,
+            "nodes_live": len(members),
+            "nodes_in_force": len(members) - len(behind),
+            "reasons": reasons,
+        }
+
+    def explanation(self, request_id: str) -> dict:
+        """Return the notes of a request, from the node that its id names."""
+        own_id = self.node.settings.node.id
+        accepted_by = request_id.rpartition(".")[0]
+        peer = self._member(accepted_by)
+        if accepted_by == own_id or peer is None:
+            return self.node.serving.trails.get(request_id).shown(own_id)
+        try:
+            answer = PeerClient(peer.peer_address).explain_request(request_id)
+        except (IDL.PeerError, PeerUnavailableError) as error:
+            raise EndiveError(
+                ErrorKind.UNKNOWN_REQUEST, f"{accepted_by} has no notes of it: {error}"
+            ) from None
+        return msgspec.json.decode(answer)
+
+    def _member(self, node_id: str) -> Member | None:
+        found = (m for m in self.node.members.live() if m.id == node_id)
+        return next(found, None)
+
+    def status(self) -> dict:
+        """Return the state of this node and what it knows of the others."""
+        node = self.node
+        return {
+            "node": node.settings.node.id,
+            "zone": node.settings.node.zone,
+            "ready": node.configuration.ready.is_set(),
+            "stopping": node.serving.stopping,
+            "configuration": self.configuration(),
+            "nodes": [shown_member(member) for member in node.members.live()],
+            "in_flight": len(node.serving.ledger.unfinished()),
+            "servers": self.servers(),
+            "refusals": {
+                str(kind): count
+                for kind, count in sorted(node.metrics.refused_counts.items())
+            },
+        }
+
+    def configuration(self) -> dict:
+        """Return the version in force, and how long ago the log was last read."""
+        configuration = self.node.configuration
+        last = configuration.last_read
+        age = None if last is None else self.node.clock.now() - last
+        return {"version": configuration.fold.offset, "log_read_s_ago": age}
+
+    def servers(self) -> list[dict]:
+        """Return the backend servers as this node sees them."""
+        return [
+            asdict(view)
+            for views in self.node.dispatcher.servers.values()
+            for view in views.values()
+        ]
+
+
+def behind_of(members: list[Member], version: int) -> list[str]:
+    """Return the ids of the members that don't have `version` in force."""
+    return [m.id for m in members if m.configuration_offset < version]
+
+
+def shown_member(member: Member) -> dict:
+    """Return a member as operators see it."""
+    return {
+        "id": member.id,
+        "zone": member.zone,
+        "state": str(member.state),
+        "version": member.configuration_offset,
+    }
--- a/packages/endive_node/src/endive_node/serving.py
+++ b/packages/endive_node/src/endive_node/serving.py
@@ -13,6 +13,7 @@
 
 from endive_node.backends import BackendClients, EngineServer
 from endive_node.dispatching import Dispatcher
+from endive_node.explaining import Trails, ending
 from endive_node.interfaces import BackendError, Claims, Clock
 from endive_node.ledger import Ledger, RequestRecord
 from endive_node.settings import LimitsSection
@@ -47,6 +48,7 @@
         self.clock = clock
         self.claims = claims
         self.ledger = Ledger(limits.keep_finished_s)
+        self.trails = Trails(clock, limits.explained_requests)
         self.stopping = False
 
     def new_request_id(self) -> str:
@@ -67,6 +69,8 @@
             return self._accept(request)
         except EndiveError as error:
             self.metrics.refused(error.kind)
+            self.trails.refused(request, error)
+            error.request_id = request.request_id
             raise
 
     def _accept(self, request: Request) -> "Run":
@@ -123,6 +127,8 @@
         self.record = record
         self.ticket = ticket
         self.life = Lifecycle(record.request.non_idempotent)
+        self.trail = serving.trails.begin(record.request)
+        self.trail.note(f"accepted by {serving.node_id}")
         self.backend: EngineServer | None = None
         self.driving = False
         self.readers = 0
@@ -204,6 +210,7 @@
         error = self._true_error(error)
         self.life.fire(Event.REFUSE if self.life.allows(Event.REFUSE) else Event.FAIL)
         self.record.error = error
+        self.trail.note(ending(error))
         self.serving.metrics.refused(error.kind)
         self._ended(outcome=error.kind)
 
@@ -226,6 +233,8 @@
     def _ended(self, *, outcome: str) -> None:
         record = self.record
         record.finished_at = self.serving.clock.now()
+        self.trail.state = str(self.life.state)
+        self.trail.executed = str(self.life.executed)
         self.serving.dispatcher.end(self.ticket)
         self.serving.metrics.finished.add(1)
         log_event(
@@ -264,11 +273,16 @@
         record = self.record
         record.attempt += 1
         record.servers.append(server.id)
+        self.trail.note(
+            f"attempt {record.attempt} at {server.id} in {server.zone}"
+            f" from token {len(record.tokens)}"
+        )
         if record.request.endpoint is Endpoint.SERVICE:
             self._call_plain(server)
         else:
             yield from self._stream(server)
         self.life.fire(Event.COMPLETE)
+        self.trail.note(f"whole, {len(record.tokens)} tokens")
         self.serving.dispatcher.finished(self.ticket, len(record.tokens) or 1)
         self._ended(outcome="ok")
 
@@ -316,6 +330,7 @@
             self.life.fire(Event.FIRST_PIECE)
             self.serving.dispatcher.started(self.ticket)
         if taken and record.first_token_at is None:
+            self.trail.note("first token")
             record.first_token_at = self.serving.clock.now()
             self.serving.metrics.first_token.record(
                 record.first_token_at - record.accepted_at
@@ -324,6 +339,9 @@
 
     def _decide_retry(self, error: BackendError) -> None:
         """Return if another attempt is allowed; otherwise raise the final answer."""
+        self.trail.note(
+            f"attempt {self.record.attempt} failed: {error.reason}: {error}"
+        )
         if not error.started:
             self.life.fire(Event.NOT_STARTED)
         elif self.life.allows(Event.SERVER_LOST):
--- a/packages/endive_node/src/endive_node/settings.py
+++ b/packages/endive_node/src/endive_node/settings.py
@@ -5,8 +5,9 @@
 """
 
 import tomllib
+from dataclasses import dataclass
 from pathlib import Path
-from typing import Annotated
+from typing import Annotated, get_args
 
 from endive_core.exceptions import SettingsError
 from endive_core.policy import Policy
@@ -81,6 +82,9 @@
     keep_finished_s: float = Field(
         30.0, ge=0, description="how long a finished answer can be fetched, seconds"
     )
+    explained_requests: int = Field(
+        5000, ge=0, description="latest requests that `endivectl explain` knows"
+    )
 
 
 class BackendSection(_Section):
@@ -144,3 +148,44 @@
         return f"{key}: found an unknown key, allowed: see docs/OPERATIONS.md"
     found = str(entry.get("input")).replace("\n", " ")[:80]
     return f"{key}: found {found!r}, allowed: {entry['msg']}"
+
+
+@dataclass(frozen=True)
+class SettingRow:
+    """One setting, as the operators' page lists it."""
+
+    key: str
+    default: str
+    description: str
+
+
+def setting_rows(
+    model: type[BaseModel] = Settings, prefix: str = ""
+) -> list[SettingRow]:
+    """Return every setting with its default and description, in order.
+
+    The key of a setting in a table that may be repeated ends its table in ``[]``.
+    """
+    rows = []
+    for name, field in model.model_fields.items():
+        section, repeated = _section_of(field.annotation)
+        if section is not None:
+            marker = "[]." if repeated else "."
+            rows += setting_rows(section, prefix + name + marker)
+        else:
+            default = "required" if field.is_required() else _shown(field.default)
+            rows.append(SettingRow(prefix + name, default, field.description or ""))
+    return rows
+
+
+def _section_of(annotation) -> tuple[type[BaseModel] | None, bool]:
+    """Return the model behind a field's type, if it is a table, and if it repeats."""
+    candidates = [annotation, *get_args(annotation)]
+    for candidate in candidates:
+        if isinstance(candidate, type) and issubclass(candidate, BaseModel):
+            return candidate, candidate is not annotation
+    return None, False
+
+
+def _shown(default) -> str:
+    return "none" if default is None else f"`{default}`"
--- a/packages/endive_node/src/endive_node/telemetry.py
+++ b/packages/endive_node/src/endive_node/telemetry.py
@@ -1,6 +1,7 @@
 """Logs of one key=value line an event, and metrics through OpenTelemetry."""
 
 import time
+from collections import Counter
 from typing import Any
 
 from absl import logging
@@ -56,6 +57,7 @@
         self.refusals = {
             kind: self.counter(f"endive_refused_{kind}") for kind in REFUSAL_KINDS
         }
+        self.refused_counts: Counter[ErrorKind] = Counter()
         self.retries = {
             reason: self.counter(f"endive_retried_{reason}") for reason in RetryReason
         }
@@ -84,6 +86,7 @@
 
     def refused(self, kind: ErrorKind) -> None:
         """Count a refusal."""
+        self.refused_counts[kind] += 1
         if kind in self.refusals:
             self.refusals[kind].add(1)
 
--- /dev/null
+++ b/packages/endive_node/src/endive_node/watching.py
@@ -0,0 +1,72 @@
+"""Watches: the stream of applied changes from a version on."""
+
+from collections.abc import Callable, Iterator
+from dataclasses import asdict
+
+import msgspec
+from endive_core.exceptions import EndiveError
+from endive_core.history import ChangeEvent
+
+from endive_node.configuration import Configuration
+
+HEARTBEAT_S = 2.0
+"""How often a quiet watch says which version it has reached: well inside the 13 s in
+which a change is in force, so that a watcher soon sees that a node hangs."""
+
+encode_json = msgspec.json.encode
+
+
+class Watch:
+    """One operator's watch; it ends when the operator hangs up.
+
+    Parameters
+    ----------
+    is_visible : callable
+        Whether the operator may see an event, by its owner.
+    version : int
+        The last version that the operator has seen.
+
+    Raises
+    ------
+    EndiveError
+        ``watch_too_old`` if the changes after `version` are no longer known.
+    """
+
+    def __init__(
+        self,
+        configuration: Configuration,
+        is_visible: Callable[[ChangeEvent], bool],
+        version: int,
+    ) -> None:
+        self.configuration = configuration
+        self.is_visible = is_visible
+        self.version = version
+        configuration.history.since(version)
+
+    def events(self) -> Iterator[bytes]:
+        """Yield server-sent events; each one's id is the version to go on from."""
+        while True:
+            try:
+                fresh = self.configuration.history.since(self.version)
+            except EndiveError as error:
+                yield server_sent("error", self.version, error.to_body())
+                return
+            for event in fresh:
+                self.version = event.version
+                if self.is_visible(event):
+                    yield server_sent("change", event.version, shown_event(event))
+            reached = max(self.version, self.configuration.fold.offset)
+            if fresh or not self.configuration.changed.wait(timeout=HEARTBEAT_S):
+                self.version = reached
+                yield server_sent("reached", reached, {"version": reached})
+
+
+def shown_event(event: ChangeEvent) -> dict:
+    """Return a change as a watcher reads it."""
+    return asdict(event) | {"type": "deleted" if event.body is None else "applied"}
+
+
+def server_sent(name: str, version: int, data: dict) -> bytes:
+    """Return one server-sent event."""
+    head = f"id: {version}\nevent: {name}\ndata: ".encode()
+    return head + encode_json(data) + b"\n\n"
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -167,6 +167,7 @@
     nodes: list = field(default_factory=list)
     log: Service | None = None
     cloud: Service | None = None
+    operators: list = field(default_factory=list)
 
     def start(self, name, command, port, kind=Service, **fields):
         """Start `command` and remember it; its output goes to a file."""
@@ -318,12 +319,14 @@
                 f'peer_address = "127.0.0.1:{peer["peer_port"]}"',
                 f'gossip_address = "127.0.0.1:{peer["gossip_port"]}"',
             ]
-    lines += [
-        "[[operators]]",
-        'name = "admin"',
-        f'token_hash = "{sha256(OPERATOR_TOKEN)}"',
-        'organisation = "*"',
-    ]
+    admin = {
+        "name": "admin",
+        "token_hash": sha256(OPERATOR_TOKEN),
+        "organisation": "*",
+    }
+    for operator in (admin, *cluster.operators):
+        pairs = (f"{key} = {quoted(value)}" for key, value in operator.items())
+        lines += ["[[operators]]", *pairs]
     return "\n".join(lines) + "\n"
 
 
