--- a/packages/endive_standins/src/endive_standins/batching.py
+++ b/packages/endive_standins/src/endive_standins/batching.py
@@ -3,9 +3,10 @@
 import time
 from bisect import insort
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from heapq import heappop, heappush
-from typing import Protocol
+from typing import Any
 
 import msgspec
 import xxhash
@@ -16,13 +17,13 @@
 # Tokens due within a step are made at once. Without it a fast engine would sleep for
 # each token, and the timer's resolution would set its rate.
 STEP_S = 0.002
-PROMPT_TOKEN_CHARACTERS = 4
+TOKEN_CHARACTERS = 4
 
 
 def prompt_tokens(prompt: str) -> list[str]:
     """Split a prompt into what counts as its tokens."""
-    size = PROMPT_TOKEN_CHARACTERS
-    return [prompt[start : start + size] for start in range(0, len(prompt), size)]
+    starts = range(0, len(prompt), TOKEN_CHARACTERS)
+    return [prompt[start : start + TOKEN_CHARACTERS] for start in starts]
 
 
 def answer_token(prompt: str, index: int) -> str:
@@ -30,13 +31,6 @@
     return xxhash.xxh3_64_hexdigest(f"{prompt}\0{index}".encode())[:6] + " "
 
 
-class Clock(Protocol):
-    """The engine's time, in seconds."""
-
-    def now(self) -> float:
-        """Return the time."""
-
-
 class WorkClock:
     """Time that passes at the speed of the engine's work."""
 
@@ -51,9 +45,7 @@
 
     def set_speed(self, speed: float) -> None:
         """Let the work go on at another speed; 0 stops it."""
-        self.at = self.now()
-        self.since = time.monotonic()
-        self.speed = speed
+        self.at, self.since, self.speed = self.now(), time.monotonic(), speed
 
 
 class KvBlob(msgspec.Struct):
@@ -66,19 +58,7 @@
 
 @dataclass(eq=False)
 class Sequence:
-    """One generation.
-
-    Attributes
-    ----------
-    resumed : int
-        How many tokens of the answer the call brought along.
-    tokens : list of str
-        The whole answer so far.
-    covered : int
-        Leading tokens that needed no prefill.
-    finish_reason : str or None
-        Why it ended; None before.
-    """
+    """One generation; `tokens` is the whole answer so far, `resumed` of it given."""
 
     serial: int
     request_id: str
@@ -88,12 +68,10 @@
     priority: int = 0
     tokens: list[str] = field(default_factory=list)
     kv: KvBlob | None = None
-    resumed: int = 0
     covered: int = 0
-    started: bool = False
-    prefilled: bool = False
-    started_at: float = 0.0
+    started_at: float | None = None
     prefill_end: float | None = None
+    prefilled: bool = False
     next_token_at: float = 0.0
     finish_reason: str | None = None
     changed: Event = field(default_factory=Event)
@@ -102,29 +80,26 @@
         self.resumed = len(self.tokens)
         self.prompt_tokens = prompt_tokens(self.prompt)
 
-    @property
-    def context(self) -> list[str]:
-        """All tokens whose KV cache the sequence needs."""
-        return self.prompt_tokens + self.tokens
-
     def rank(self) -> tuple[int, int]:
         """Return the place among waiting sequences, lowest first."""
         return (-self.priority, self.serial)
 
+    def context(self) -> list[str]:
+        """Return all tokens whose KV cache the sequence needs."""
+        return self.prompt_tokens + self.tokens
+
     def imported(self) -> int:
         """Return how many leading tokens an imported KV cache covers."""
         if self.kv is None or self.kv.prompt != self.prompt:
             return 0
-        common = 0
-        for ours, theirs in zip(self.tokens, self.kv.tokens, strict=False):
-            if ours != theirs:
-                break
-            common += 1
+        common = min(len(self.tokens), len(self.kv.tokens))
+        if self.kv.tokens[:common] != self.tokens[:common]:
+            return 0
         return min(self.kv.computed, len(self.prompt_tokens) + common)
 
     def export(self) -> KvBlob:
         """Return what another server needs to go on without prefill."""
-        computed = len(self.context) if self.prefilled else 0
+        computed = len(self.context()) if self.prefilled else 0
         return KvBlob(self.prompt, self.tokens, computed)
 
 
@@ -142,21 +117,12 @@
     """The sequences that run and that wait, and the tokens that are due.
 
     Prefill takes one sequence after another; every sequence past it decodes at the
-    same rate.
-
-    Parameters
-    ----------
-    settings : EngineSettings
-        Rates and limits.
-    cache : PrefixCache
-        What needs no prefill.
-    clock : Clock
-        The time.
-    on_start : callable
-        Called with each sequence that starts to run.
+    same rate. `on_start` is called with each sequence that starts to run.
     """
 
-    def __init__(self, settings, cache: PrefixCache, clock: Clock, on_start) -> None:
+    def __init__(
+        self, settings: Any, cache: PrefixCache, clock: WorkClock, on_start: Callable
+    ) -> None:
         self.settings = settings
         self.cache = cache
         self.clock = clock
@@ -199,20 +165,16 @@
         if sequence in self.waiting:
             self.waiting.remove(sequence)
         if sequence in self.prefilling:
-            self._abandon_prefill(sequence)
+            self.prefilling.remove(sequence)
+            if sequence.prefill_end is not None:
+                self.prefill_free_at = self.clock.now()
         if sequence.prefilled:
-            self.cache.store(sequence.context)
+            self.cache.store(sequence.context())
         sequence.changed.set()
 
-    def _abandon_prefill(self, sequence: Sequence) -> None:
-        if sequence is self.prefilling[0]:
-            self.prefill_free_at = self.clock.now()
-        self.prefilling.remove(sequence)
-
     def _start_waiting(self) -> None:
         while self.waiting and len(self.running) < self.settings.max_batch:
             sequence = self.waiting.pop(0)
-            sequence.started = True
             sequence.started_at = self.clock.now()
             self.running.add(sequence)
             self.prefilling.append(sequence)
@@ -229,9 +191,8 @@
             self._end_prefill(sequence)
 
     def _begin_prefill(self, sequence: Sequence) -> None:
-        context = sequence.context
-        cached = self.cache.covered(context)
-        sequence.covered = max(cached, sequence.imported())
+        context = sequence.context()
+        sequence.covered = max(self.cache.covered(context), sequence.imported())
         uncached = len(context) - sequence.covered
         begin = max(sequence.started_at, self.prefill_free_at)
         sequence.prefill_end = begin + uncached / self.settings.prefill_tokens_per_s
@@ -239,17 +200,15 @@
     def _end_prefill(self, sequence: Sequence) -> None:
         self.prefill_free_at = sequence.next_token_at = sequence.prefill_end
         sequence.prefilled = True
-        context = sequence.context
-        self._count_prefill(sequence, len(context))
+        context = sequence.context()
+        size, covered = len(context), sequence.covered
+        first_time = 0 if sequence.attempt > 0 else len(sequence.prompt_tokens)
+        self.counts.computed_tokens += size - covered
+        self.counts.recomputed_tokens += size - max(covered, first_time)
+        self.counts.cached_tokens += covered
         self.cache.store(context)
         heappush(self.decoding, (sequence.prefill_end, sequence.serial, sequence))
 
-    def _count_prefill(self, sequence: Sequence, size: int) -> None:
-        fresh = 0 if sequence.attempt > 0 else len(sequence.prompt_tokens)
-        self.counts.computed_tokens += size - sequence.covered
-        self.counts.cached_tokens += sequence.covered
-        self.counts.recomputed_tokens += size - max(sequence.covered, fresh)
-
     def _decode(self, horizon: float) -> bool:
         freed = False
         while self.decoding and self.decoding[0][0] <= horizon:
@@ -265,12 +224,11 @@
         return freed
 
     def _make_tokens(self, sequence: Sequence, horizon: float) -> None:
-        gap_s = 1 / self.settings.decode_tokens_per_s
-        made = len(sequence.tokens)
+        before = made = len(sequence.tokens)
         while made < sequence.max_tokens and sequence.next_token_at <= horizon:
             sequence.tokens.append(answer_token(sequence.prompt, made))
-            sequence.next_token_at += gap_s
+            sequence.next_token_at += 1 / self.settings.decode_tokens_per_s
             made += 1
-            self.counts.decoded_tokens += 1
-            self.counts.computed_tokens += 1
+        self.counts.decoded_tokens += made - before
+        self.counts.computed_tokens += made - before
         sequence.changed.set()
--- a/packages/endive_standins/src/endive_standins/log.py
+++ b/packages/endive_standins/src/endive_standins/log.py
@@ -1,31 +1,16 @@
 """Stand-in for the platform's append-only log service."""
 
-if __name__ == "__main__":
-    from gevent import monkey
-
-    monkey.patch_all()
-
 import time
 from collections import deque
 from dataclasses import dataclass, field
-from typing import Annotated
+from typing import Annotated, Any
 
 import gevent
 import msgspec
 from bottle import HTTPResponse
 from gevent.event import Event
 
-from endive_standins.serving import (
-    Faults,
-    StandIn,
-    TokenBucket,
-    answer,
-    failure,
-    main,
-    over_rate,
-    query,
-    read,
-)
+from endive_standins import serving
 
 DEFAULT_LIMIT = 1000
 
@@ -50,7 +35,7 @@
     offset: int
 
 
-class LogFaults(Faults):
+class LogFaults(serving.Faults):
     """The log's faults."""
 
     late_appends: LateAppends | None = None
@@ -63,7 +48,6 @@
 
     appends_per_s: float = 0.0
     retention_s: float = 0.0
-    seed: int = 0
 
 
 @dataclass
@@ -71,7 +55,7 @@
     """The records of one stream that are still kept."""
 
     first: int = 0
-    records: deque[tuple[float, str]] = field(default_factory=deque)
+    records: deque[dict[str, Any]] = field(default_factory=deque)
     changed: Event = field(default_factory=Event)
 
     @property
@@ -81,40 +65,32 @@
 
     def append(self, bodies: list[str]) -> int:
         """Add records; return the offset of the first of them."""
-        offset = self.next
-        now = time.time()
-        self.records.extend((now, body) for body in bodies)
+        start, now = self.next, time.time()
+        for offset, body in enumerate(bodies, start):
+            self.records.append({"offset": offset, "time": now, "body": body})
         self.wake()
-        return offset
+        return start
 
     def wake(self) -> None:
         """Let every reader that waits look again."""
         self.changed.set()
         self.changed = Event()
 
-    def forget(self, before: int) -> None:
-        """Drop the records under an offset."""
-        while self.records and self.first < before:
-            self.records.popleft()
-            self.first += 1
-
-    def forget_older(self, than: float) -> None:
-        """Drop the records from before a time."""
-        while self.records and self.records[0][0] < than:
+    def forget(self, offset: int, written: float) -> None:
+        """Drop the records below an offset or from before a time."""
+        while self.records and (
+            self.first < offset or self.records[0]["time"] < written
+        ):
             self.records.popleft()
             self.first += 1
 
-    def view(self, start: int, limit: int) -> list[dict[str, object]]:
+    def view(self, start: int, limit: int) -> list[dict[str, Any]]:
         """Return up to `limit` records from an offset that is kept or to come."""
         stop = min(self.next, start + limit)
-        return [self._record(offset) for offset in range(start, stop)]
+        return [self.records[i - self.first] for i in range(start, stop)]
 
-    def _record(self, offset: int) -> dict[str, object]:
-        written, body = self.records[offset - self.first]
-        return {"offset": offset, "time": written, "body": body}
 
-
-class Log(StandIn):
+class Log(serving.StandIn):
     """Append-only streams of records with offsets from 0."""
 
     settings_type = LogSettings
@@ -123,17 +99,17 @@
     def __init__(self, settings: LogSettings) -> None:
         super().__init__(settings)
         self.streams: dict[str, Stream] = {}
-        self.bucket = TokenBucket(settings.appends_per_s)
-        self.app.route("/streams", "GET", self.get_streams)
-        self.app.route("/streams/<name>/records", "POST", self.post_records)
-        self.app.route("/streams/<name>/records", "GET", self.get_records)
+        self.bucket = serving.TokenBucket(settings.appends_per_s)
+        self.route("GET", "/streams", self.get_streams)
+        self.route("POST", "/streams/<name>/records", self.post_records, Append)
+        self.route("GET", "/streams/<name>/records", self.get_records)
 
-    def ordered(self, given: dict[str, object]) -> None:
+    def ordered(self, given: dict[str, Any]) -> None:
         """Let the ordered faults begin; readers that wait meet an outage too."""
         super().ordered(given)
-        if given.get("forget_before"):
-            order = self.faults.forget_before
-            self.stream(order.stream).forget(order.offset)
+        forget = self.faults.forget_before
+        if "forget_before" in given and forget is not None:
+            self.stream(forget.stream).forget(forget.offset, 0.0)
         for stream in self.streams.values():
             stream.wake()
 
@@ -141,49 +117,53 @@
         """Return a stream without the records that are past retention."""
         stream = self.streams.setdefault(name, Stream())
         if self.settings.retention_s:
-            stream.forget_older(time.time() - self.settings.retention_s)
+            stream.forget(0, time.time() - self.settings.retention_s)
         return stream
 
-    def get_streams(self) -> HTTPResponse:
+    def get_streams(self) -> dict[str, Any]:
         """List the streams."""
         streams = {name: self.stream(name) for name in self.streams}
-        kept = {n: {"first": s.first, "next": s.next} for n, s in streams.items()}
-        return answer({"streams": kept})
+        bounds = {n: {"first": s.first, "next": s.next} for n, s in streams.items()}
+        return {"streams": bounds}
 
-    def post_records(self, name: str) -> HTTPResponse:
+    def post_records(self, append: Append, name: str) -> Any:
         """Append records: all of them or none."""
-        bodies = read(Append).records
         wait_s = self.bucket.take()
         if wait_s:
-            return over_rate(wait_s)
+            return serving.over_rate(wait_s)
         late = self.faults.late_appends
         if late is not None and late.count > 0:
             late.count -= 1
-            gevent.spawn_later(late.delay_s, self.append, name, bodies)
-            return failure(504, "timeout")
-        offset = self.append(name, bodies)
-        return answer({"offset": offset, "next": offset + len(bodies)})
+            gevent.spawn_later(late.delay_s, self.append, name, append.records)
+            return serving.failure(504, "timeout")
+        offset = self.append(name, append.records)
+        return {"offset": offset, "next": offset + len(append.records)}
 
     def append(self, name: str, bodies: list[str]) -> int:
         """Append records; return the offset of the first of them."""
         return self.stream(name).append(bodies)
 
-    def get_records(self, name: str) -> HTTPResponse:
+    def get_records(self, name: str) -> Any:
         """Read records, waiting for the first of them."""
-        start = query("from", int, 0)
-        limit = query("limit", int, DEFAULT_LIMIT)
-        deadline = time.monotonic() + query("wait_s", float, 0.0)
+        start = serving.query("from", int, 0)
+        limit = serving.query("limit", int, DEFAULT_LIMIT)
+        deadline = time.monotonic() + serving.query("wait_s", float, 0.0)
+        refusal = self.wait(self.stream(name), start, deadline)
         stream = self.stream(name)
-        while stream.next <= start and (left_s := deadline - time.monotonic()) > 0:
+        if refusal is None and start < stream.first:
+            refusal = serving.failure(410, "forgotten", first=stream.first)
+        records = stream.view(max(start, stream.first), limit)
+        seen = {"first": stream.first, "next": stream.next, "records": records}
+        return refusal or seen
+
+    def wait(self, stream: Stream, offset: int, deadline: float) -> HTTPResponse | None:
+        """Wait for a record; return the refusal if an outage comes instead."""
+        while stream.next <= offset and (left_s := deadline - time.monotonic()) > 0:
             stream.changed.wait(left_s)
             if self.in_outage():
-                return failure(503, "outage")
-        stream = self.stream(name)
-        if start < stream.first:
-            return failure(410, "forgotten", first=stream.first)
-        records = stream.view(start, limit)
-        return answer({"first": stream.first, "next": stream.next, "records": records})
+                return serving.failure(503, "outage")
+        return None
 
 
 if __name__ == "__main__":
-    main(Log)
+    serving.main(Log)
--- a/packages/endive_standins/src/endive_standins/plain.py
+++ b/packages/endive_standins/src/endive_standins/plain.py
@@ -1,20 +1,14 @@
 """Stand-in for a plain service beside the model engines."""
 
-if __name__ == "__main__":
-    from gevent import monkey
-
-    monkey.patch_all()
-
 import time
 from collections import Counter
 from dataclasses import dataclass
+from typing import Any
 
 import gevent
-from bottle import HTTPResponse, request
+from bottle import request
 
-from endive_standins.serving import BODY, Delayed, StandIn, answer, main
-
-OWN_PATHS = {"/faults", "/load", "/stats"}
+from endive_standins import serving
 
 
 @dataclass
@@ -25,43 +19,34 @@
     service_s: float = 0.0
     capacity: int = 64
     report_lag_s: float = 0.0
-    seed: int = 0
 
 
-class Plain(StandIn):
+class Plain(serving.StandIn):
     """Service that answers any call with what it was asked."""
 
     settings_type = PlainSettings
 
     def __init__(self, settings: PlainSettings) -> None:
         super().__init__(settings)
-        self.count = 0
-        self.running = 0
-        self.load = Delayed(settings.report_lag_s, 0)
+        self.count = self.running = 0
+        self.load = serving.Delayed(settings.report_lag_s, 0)
         self.executions: Counter[str] = Counter()
-        self.app.route("/load", "GET", self.get_load)
-        self.app.route("/stats", "GET", self.get_stats)
-        self.app.route(["/", "/<:path>"], "ANY", self.run)
+        self.route("GET", "/load", self.get_load)
+        self.route("GET", "/stats", lambda: {"executions": self.executions})
+        self.route("ANY", "/", self.run)
+        self.route("ANY", "/<path:path>", self.run)
 
     def is_work(self, method: str, path: str) -> bool:
         """Return whether the call is one that the service runs."""
-        return path not in OWN_PATHS
+        return path not in ("/load", "/stats")
 
-    def get_load(self) -> HTTPResponse:
+    def get_load(self) -> dict[str, Any]:
         """Report the load as it was a while ago."""
-        report = {
-            "running": self.load.get(),
-            "waiting": 0,
-            "capacity": self.settings.capacity,
-            "time": time.time() - self.settings.report_lag_s,
-        }
-        return answer(report)
-
-    def get_stats(self) -> HTTPResponse:
-        """Report how often each request was run."""
-        return answer({"executions": self.executions})
+        seen = time.time() - self.settings.report_lag_s
+        running, capacity = self.load.get(), self.settings.capacity
+        return {"running": running, "waiting": 0, "capacity": capacity, "time": seen}
 
-    def run(self) -> HTTPResponse:
+    def run(self, path: str = "") -> dict[str, Any]:
         """Run a call."""
         self.count += 1
         request_id = request.get_header("X-Request-Id", "")
@@ -70,21 +55,22 @@
             "server": self.settings.id,
             "method": request.method,
             "path": request.path,
-            "body": request.environ[BODY].decode(errors="replace"),
+            "body": request.environ[serving.BODY].decode(errors="replace"),
             "request_id": request_id,
             "count": self.count,
         }
-        self._set_running(self.running + 1)
+        self.change_running(1)
         try:
             gevent.sleep(self.settings.service_s)
         finally:
-            self._set_running(self.running - 1)
-        return answer(echo)
+            self.change_running(-1)
+        return echo
 
-    def _set_running(self, running: int) -> None:
-        self.running = running
-        self.load.set(running)
+    def change_running(self, by: int) -> None:
+        """Note that a call begins or ends."""
+        self.running += by
+        self.load.set(self.running)
 
 
 if __name__ == "__main__":
-    main(Plain)
+    serving.main(Plain)
--- a/packages/endive_standins/src/endive_standins/prefixes.py
+++ b/packages/endive_standins/src/endive_standins/prefixes.py
@@ -2,7 +2,8 @@
 
 import random
 from collections import OrderedDict, deque
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
+from typing import Any
 
 import xxhash
 
@@ -10,10 +11,8 @@
 
 KEPT_EVENTS = 4096
 
-Report = Callable[[str, list[str]], None]
 
-
-def block_hashes(tokens: Sequence[str], block_tokens: int) -> list[str]:
+def block_hashes(tokens: list[str], block_tokens: int) -> list[str]:
     """Return the chained hashes of the full blocks of a prefix."""
     hashes: list[str] = []
     parent = ""
@@ -27,22 +26,19 @@
 class PrefixCache:
     """Bounded set of blocks; the least recently used goes first."""
 
-    def __init__(self, capacity: int, block_tokens: int, report: Report) -> None:
+    def __init__(self, capacity: int, block_tokens: int, report: Callable) -> None:
         self.capacity = capacity
         self.block_tokens = block_tokens
         self.report = report
         self.blocks: OrderedDict[str, None] = OrderedDict()
 
-    def covered(self, tokens: Sequence[str]) -> int:
+    def covered(self, tokens: list[str]) -> int:
         """Return how many leading tokens are cached."""
-        blocks = 0
-        for block in block_hashes(tokens, self.block_tokens):
-            if block not in self.blocks:
-                break
-            blocks += 1
-        return blocks * self.block_tokens
-
-    def store(self, tokens: Sequence[str]) -> None:
+        hashes = block_hashes(tokens, self.block_tokens)
+        missing = (i for i, block in enumerate(hashes) if block not in self.blocks)
+        return next(missing, len(hashes)) * self.block_tokens
+
+    def store(self, tokens: list[str]) -> None:
         """Cache the full blocks of a prefix."""
         hashes = block_hashes(tokens, self.block_tokens)[: self.capacity]
         stored = [block for block in hashes if block not in self.blocks]
@@ -53,10 +49,9 @@
             self.blocks.move_to_end(block)
         excess = range(len(self.blocks) - self.capacity)
         evicted = [self.blocks.popitem(last=False)[0] for _ in excess]
-        if stored:
-            self.report("stored", stored)
-        if evicted:
-            self.report("evicted", evicted)
+        for kind, blocks in (("stored", stored), ("evicted", evicted)):
+            if blocks:
+                self.report(kind, blocks)
 
 
 class CacheEvents:
@@ -67,7 +62,7 @@
         self.random = random.Random(seed)
         self.next = 0
         self.seen = Delayed(lag_s, 0)
-        self.events: deque[dict[str, object]] = deque(maxlen=KEPT_EVENTS)
+        self.events: deque[dict[str, Any]] = deque(maxlen=KEPT_EVENTS)
 
     def add(self, kind: str, blocks: list[str]) -> None:
         """Publish an event, or lose it."""
@@ -76,7 +71,7 @@
         self.next += 1
         self.seen.set(self.next)
 
-    def view(self, start: int) -> dict[str, object]:
+    def view(self, start: int) -> dict[str, Any]:
         """Return the events from a number on that can be seen by now."""
         seen = self.seen.get()
         events = [event for event in self.events if start <= event["seq"] < seen]
--- a/packages/endive_standins/src/endive_standins/serving.py
+++ b/packages/endive_standins/src/endive_standins/serving.py
@@ -4,13 +4,14 @@
 import os
 import time
 from collections.abc import Callable, Iterable
+from contextlib import suppress
 from functools import partial
 from typing import Any
 
 import fire
 import gevent
 import msgspec
-from bottle import Bottle, HTTPResponse, request
+from bottle import Bottle, HTTPResponse, request, response
 from gevent import socket
 from gevent.event import Event
 from gevent.pool import Pool
@@ -19,18 +20,17 @@
 HOST = "127.0.0.1"
 BACKLOG = 1024
 CRASH_STATUS = 1
-
 BODY = "endive_standins.body"
 SOCKET = "endive_standins.socket"
 
 
-def answer(body: object, status: int = 200, **headers: str) -> HTTPResponse:
+def answer(body: Any, status: int = 200, **headers: str) -> HTTPResponse:
     """Return a JSON answer."""
     headers = {"Content-Type": "application/json", **headers}
     return HTTPResponse(msgspec.json.encode(body), status, headers)
 
 
-def failure(status: int, code: str, **details: object) -> HTTPResponse:
+def failure(status: int, code: str, **details: Any) -> HTTPResponse:
     """Return a JSON answer that carries an error code."""
     return answer({"error": {"code": code, **details}}, status)
 
@@ -46,19 +46,14 @@
     return answer(body, 429, **{"Retry-After": str(int(wait_s) + 1)})
 
 
-def convert(body: bytes, kind: Any) -> Any:
-    """Return a JSON body, validated as `kind`."""
+def read(kind: Any) -> Any:
+    """Return the JSON body of the current request, validated as `kind`."""
     try:
-        return msgspec.json.decode(body, type=kind)
+        return msgspec.json.decode(request.environ[BODY], type=kind)
     except msgspec.DecodeError as error:
         raise failure(400, "invalid", message=str(error)) from error
 
 
-def read(kind: Any) -> Any:
-    """Return the JSON body of the current request, validated as `kind`."""
-    return convert(request.environ[BODY], kind)
-
-
 def query(name: str, kind: Callable[[str], Any], default: Any) -> Any:
     """Return a parameter of the current request's query."""
     try:
@@ -88,31 +83,12 @@
         connection.settimeout(None)
 
 
-class Faults(msgspec.Struct, forbid_unknown_fields=True):
-    """The faults that any stand-in takes; what is counted applies to its work calls."""
-
-    crash: bool = False
-    outage_s: float = 0.0
-    freeze_s: float = 0.0
-    delay_s: float = 0.0
-    reject_next: int = 0
-    lose_answers: int = 0
-
-    def take(self, name: str) -> bool:
-        """Use up one of a number of ordered faults; return whether one was left."""
-        left = getattr(self, name)
-        if left > 0:
-            setattr(self, name, left - 1)
-        return left > 0
-
-
 class TokenBucket:
-    """Rate limit that lets through a burst of one second; a rate of 0 is no limit."""
+    """Rate limit with a burst of one second; a rate of 0 is no limit."""
 
     def __init__(self, per_s: float) -> None:
         self.per_s = per_s
-        self.burst = max(1.0, per_s)
-        self.level = self.burst
+        self.burst = self.level = max(1.0, per_s)
         self.filled_at = time.monotonic()
 
     def take(self) -> float:
@@ -130,7 +106,7 @@
 
 
 class Delayed:
-    """A value as it was some time ago."""
+    """A value that is seen as it was some time ago."""
 
     def __init__(self, lag_s: float, value: Any) -> None:
         self.lag_s = lag_s
@@ -138,18 +114,33 @@
 
     def set(self, value: Any) -> None:
         """Change the value."""
-        self._forget()
-        self.history.append((time.time(), value))
+        if value != self.history[-1][1]:
+            self.history.append((time.time(), value))
+        self.get()
 
     def get(self) -> Any:
         """Return the newest value that is old enough to be seen."""
-        self._forget()
-        return self.history[0][1]
-
-    def _forget(self) -> None:
         seen = time.time() - self.lag_s
         while len(self.history) > 1 and self.history[1][0] <= seen:
             del self.history[0]
+        return self.history[0][1]
+
+
+class Faults(msgspec.Struct, forbid_unknown_fields=True):
+    """The faults that any stand-in takes; what is counted applies to its work calls."""
+
+    crash: bool = False
+    outage_s: float = 0.0
+    freeze_s: float = 0.0
+    delay_s: float = 0.0
+    reject_next: int = 0
+    lose_answers: int = 0
+
+    def take(self, name: str) -> bool:
+        """Use up one of a number of ordered faults; return whether one was left."""
+        left = getattr(self, name)
+        setattr(self, name, max(0, left - 1))
+        return left > 0
 
 
 class App(Bottle):
@@ -157,12 +148,13 @@
 
     Bottle keeps the current request and response in thread locals, which greenlets
     share in a process without monkey patching. So whatever may block comes before
-    routing; a handler reads its request before it first blocks, and returns an
-    `HTTPResponse`.
+    routing, a handler reads its request before it first blocks, and the first part of
+    an answer is there when the handler returns.
     """
 
     def __init__(self, stand_in: "StandIn") -> None:
-        super().__init__(catchall=False, autojson=False)
+        super().__init__()
+        self.config.update({"catchall": False, "json.enable": False})
         self.stand_in = stand_in
 
     def wsgi(self, environ: dict[str, Any], start_response: Callable) -> Iterable:
@@ -175,29 +167,15 @@
         if refusal is not None:
             start_response(refusal.status_line, refusal.headerlist)
             return [refusal.body]
-        statuses = []
-
-        def start(status: str, headers: list, exc_info: Any = None) -> None:
-            statuses.append(status)
-            start_response(status, headers, exc_info)
-
-        result = super().wsgi(environ, start)
-        took_effect = work and statuses[0].startswith("2")
+        result = super().wsgi(environ, start_response)
+        took_effect = work and response.status_code < 300
         if took_effect and self.stand_in.faults.take("lose_answers"):
             raise connection_lost()
         return result
 
 
 class StandIn:
-    """A program that takes the place of one service, with faults to order.
-
-    Attributes
-    ----------
-    app : App
-        The WSGI application.
-    crash : callable
-        Ends the process, or the server that embeds the stand-in.
-    """
+    """A program that takes the place of one service, with faults to order."""
 
     settings_type: type
     faults_type: type[Faults] = Faults
@@ -205,20 +183,24 @@
     def __init__(self, settings: Any) -> None:
         self.settings = settings
         self.faults = self.faults_type()
-        self.outage_until = 0.0
-        self.frozen_until = 0.0
+        self.outage_until = self.frozen_until = 0.0
         self.crash: Callable[[], None] = partial(os._exit, CRASH_STATUS)
         self.app = App(self)
-        self.app.route("/faults", "POST", self.post_faults)
+        self.route("POST", "/faults", self.post_faults)
 
     @classmethod
     def from_config(cls, **settings: Any) -> "StandIn":
         """Build the stand-in from its flags, spelt with underscores."""
         return cls(cls.settings_type(**settings))
 
-    def is_work(self, method: str, path: str) -> bool:
-        """Return whether counted faults apply to such a call."""
-        return method != "GET"
+    def route(self, method: str, path: str, handler: Callable, body: Any = None):
+        """Let a handler answer calls; it gets the body validated as `body`."""
+
+        def call(**parts: str) -> HTTPResponse:
+            result = handler(*([read(body)] if body else []), **parts)
+            return result if isinstance(result, HTTPResponse) else answer(result)
+
+        self.app.route(path, method, call)
 
     def start(self) -> None:
         """Start what runs beside the calls."""
@@ -226,15 +208,18 @@
     def stop(self) -> None:
         """End what runs beside the calls."""
 
-    def post_faults(self) -> HTTPResponse:
+    def is_work(self, method: str, path: str) -> bool:
+        """Return whether counted faults apply to such a call."""
+        return method != "GET"
+
+    def post_faults(self) -> dict[str, Any]:
         """Order faults; fields that aren't given stay as they are."""
-        body = request.environ[BODY]
-        order = convert(body, self.faults_type)
-        given = msgspec.json.decode(body)
+        order = read(self.faults_type)
+        given = read(dict)
         for name in given:
             setattr(self.faults, name, getattr(order, name))
         self.ordered(given)
-        return answer({"ordered": sorted(given)})
+        return {"ordered": sorted(given)}
 
     def ordered(self, given: dict[str, Any]) -> None:
         """Let the faults that were just ordered begin."""
@@ -268,8 +253,8 @@
 
     def handle(self) -> None:
         """Serve one connection."""
-        self.server.connections.add(self.socket)
         connection = self.socket
+        self.server.connections.add(connection)
         try:
             super().handle()
         finally:
@@ -294,13 +279,7 @@
 
 
 class Server:
-    """Serves one stand-in inside the current process.
-
-    Attributes
-    ----------
-    port : int
-        The port on 127.0.0.1 that it listens on.
-    """
+    """Listens on `port` of 127.0.0.1 for one stand-in."""
 
     def __init__(self, stand_in: StandIn, port: int = 0) -> None:
         self.stand_in = stand_in
@@ -310,18 +289,17 @@
             listener, stand_in.app, spawn=Pool(), handler_class=Handler, log=None
         )
         self.wsgi.connections = set()
-        stand_in.crash = self.crash
 
-    def start(self) -> "Server":
+    def start(self) -> None:
         """Begin to accept calls."""
         self.stand_in.start()
         self.wsgi.start()
-        return self
 
     def stop(self) -> None:
         """End at once, as a process does: every connection closes unanswered."""
         for connection in list(self.wsgi.connections):
-            connection.close()
+            with suppress(OSError):
+                connection.shutdown(socket.SHUT_RDWR)
         self.wsgi.stop(timeout=0)
         self.stand_in.stop()
 
@@ -332,17 +310,18 @@
 
 
 def serve(stand_in: StandIn, port: int = 0) -> Server:
-    """Start a stand-in inside the current process and return its server."""
-    return Server(stand_in, port).start()
+    """Start a stand-in inside the current process; a crash stops only its server."""
+    server = Server(stand_in, port)
+    stand_in.crash = server.crash
+    server.start()
+    return server
 
 
 def main(kind: type[StandIn]) -> None:
     """Run a stand-in as a program; its flags are the fields of its settings."""
 
     def run(port: int = 0, **settings: Any) -> None:
-        stand_in = kind.from_config(**settings)
-        server = Server(stand_in, port)
-        stand_in.crash = partial(os._exit, CRASH_STATUS)
+        server = Server(kind.from_config(**settings), port)
         server.start()
         print(f"ready port={server.port}", flush=True)
         Event().wait()
--- /dev/null
+++ b/packages/endive_standins/src/endive_standins/weights.py
@@ -0,0 +1,36 @@
+"""Stand-in for the platform's weight store."""
+
+from dataclasses import dataclass
+from typing import Any
+
+from endive_standins import serving
+
+
+@dataclass
+class WeightsSettings:
+    """The store's flags; a rate of 0 is no limit."""
+
+    loads_per_s: float = 0.0
+    size_bytes: int = 14_000_000_000
+
+
+class Weights(serving.StandIn):
+    """Rate-limited store in which every version has the same size."""
+
+    settings_type = WeightsSettings
+
+    def __init__(self, settings: WeightsSettings) -> None:
+        super().__init__(settings)
+        self.bucket = serving.TokenBucket(settings.loads_per_s)
+        self.route("GET", "/weights/<name:path>", self.get_weights)
+
+    def get_weights(self, name: str) -> Any:
+        """Load a version, which comes to its size here."""
+        wait_s = self.bucket.take()
+        if wait_s:
+            return serving.over_rate(wait_s)
+        return {"name": name, "size_bytes": self.settings.size_bytes}
+
+
+if __name__ == "__main__":
+    serving.main(Weights)
