--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -133,3 +133,25 @@
     error = answer.json()["error"]
     assert (error["code"], error["executed"]) == (code, "no")
     installation.wait_in_force(node)
+
+
+@pytest.mark.processes
+def test_organisation_over_its_limit_is_told_when_to_come_back(installation):
+    """One organisation sends more than it may. It is told so at once and when to come
+    back, and others' calls go on as if nothing were."""
+    node = installation.nodes[0]
+    small = builders.organisation("small", key="small", tokens_per_s=20)
+    node.operate("PUT", "/v1/resources/organisation/small", small)
+    body = {"model": "chat", "prompt": "x", "max_tokens": 30}
+    answers = []
+
+    def limited():
+        answers.append(node.post("/v1/completions", body, Authorization="Bearer small"))
+        return answers[-1].status == 429
+
+    builders.wait_until(limited, "the limit")
+    error = answers[-1].json()["error"]
+    assert (error["code"], error["executed"]) == ("limit_exceeded", "no")
+    assert error["request_id"]
+    assert int(answers[-1].headers["Retry-After"]) >= 1
+    assert node.post("/v1/completions", body).status == 200
