--- a/tests/test_embedded.py
+++ b/tests/test_embedded.py
@@ -37,7 +37,9 @@
 
 def curl_line(text):
     """Return the curl line in `text`, its continuations joined."""
-    return re.search(r"^curl -(?:.*\\\n)*.*$", text, re.MULTILINE)[0].replace("\\\n", "")
+    return re.search(r"^curl -(?:.*\\\n)*.*$", text, re.MULTILINE)[0].replace(
+        "\\\n", ""
+    )
 
 
 @pytest.mark.processes
