--- a/packages/endive_core/src/endive_core/membership.py
+++ b/packages/endive_core/src/endive_core/membership.py
@@ -252,6 +252,7 @@
         self.turn = 0
         self.last_tick = now()
         self.last_beat = now()
+        self.offset_is_news = False
         self.view: list[Member] | None = None
         facts.listeners.append(self._note_fact)
 
@@ -303,6 +304,7 @@
         if offset != self.me.configuration_offset:
             self.me = replace(self.me, configuration_offset=offset)
             self.highest_offset = max(self.highest_offset, offset)
+            self.offset_is_news = True
             self.view = None
 
     # Sending.
@@ -312,7 +314,7 @@
         now = self.now()
         self._forgive_pause(now - self.last_tick)
         self.last_tick = now
-        if now - self.last_beat >= BEAT_S + BEAT_PER_MEMBER_S * len(self.known):
+        if self.offset_is_news or now - self.last_beat >= self._beat_s():
             self._beat()
         limit = self._limit(self.timings.remove_after_s)
         for member_id, known in list(self.known.items()):
@@ -322,7 +324,11 @@
         self.facts.expire()
         self.view = None
 
+    def _beat_s(self) -> float:
+        return BEAT_S + BEAT_PER_MEMBER_S * len(self.known)
+
     def _beat(self) -> None:
+        self.offset_is_news = False
         self.me = replace(self.me, heartbeat=self.me.heartbeat + 1)
         self.last_beat = self.now()
         self.view = None
--- a/packages/endive_core/tests/test_membership.py
+++ b/packages/endive_core/tests/test_membership.py
@@ -128,3 +128,14 @@
         )
     )
     assert seconds < 10
+
+
+def test_configuration_of_every_member_is_known_soon():
+    """An operator changes a resource and watches on how many nodes it is in force."""
+    fleet = joined(30)
+    for node in fleet.nodes.values():
+        node.set_offset(78)
+    seconds = fleet.seconds_until(
+        lambda node: all(m.configuration_offset == 78 for m in node.live())
+    )
+    assert seconds < 13
--- a/packages/endive_node/src/endive_node/backends.py
+++ b/packages/endive_node/src/endive_node/backends.py
@@ -68,6 +68,14 @@
         """Return clients with the time-outs in `settings`."""
         return cls(settings)
 
+    def engine(self, address: str) -> "EngineServer":
+        """Return the engine at `address`, for one attempt."""
+        return EngineServer(self, address)
+
+    def plain(self, address: str) -> "PlainServer":
+        """Return the plain service's server at `address`."""
+        return PlainServer(self, address)
+
     def timeout(self) -> urllib3.Timeout:
         """Return the time-outs of one attempt."""
         return urllib3.Timeout(
@@ -100,6 +108,16 @@
                 str(error), started=True, reason=RetryReason.SERVER_FAILED
             ) from None
 
+    def is_listening(self, address: str) -> bool:
+        """Return whether a process listens at `address`."""
+        try:
+            self.fetch_json(address, "/load")
+        except CONNECT_ERRORS:
+            return False
+        except (urllib3.exceptions.HTTPError, msgspec.DecodeError):
+            return True
+        return True
+
     def fetch_json(self, address: str, path: str) -> dict:
         """Return the JSON at `path` of the server at `address`."""
         response = self.pool.request(
--- a/packages/endive_node/src/endive_node/node.py
+++ b/packages/endive_node/src/endive_node/node.py
@@ -6,10 +6,12 @@
 
 from endive_node.backends import BackendClients
 from endive_node.callers import CallerApi
+from endive_node.claiming import NoClaims
 from endive_node.configuration import Configuration
 from endive_node.dispatching import Dispatcher
 from endive_node.gossip import Gossip
 from endive_node.listeners import HttpListener
+from endive_node.observing import Observer
 from endive_node.operators import OperatorApi
 from endive_node.peers import PeerHandler, PeerListener
 from endive_node.platform import HttpInstanceList, HttpLog
@@ -37,8 +39,18 @@
         self.log = HttpLog(platform.log, platform.timeout_s)
         self.configuration = Configuration(self.log, self.clock)
         self.clients = BackendClients.from_settings(settings.backends)
-        self.dispatcher = Dispatcher(self.configuration.catalogue)
+        self.dispatcher = Dispatcher(
+            self.configuration.catalogue,
+            self.clock,
+            self.metrics,
+            settings.policy,
+            max_attempts=settings.limits.max_attempts,
+            is_listening=self.clients.is_listening,
+        )
         self.configuration.listeners.append(lambda _: self.dispatcher.refresh())
+        self.observer = Observer(
+            self.dispatcher, self.clients, settings.backends, self.clock
+        )
         self.serving = Serving(
             node_id=settings.node.id,
             catalogue=self.configuration.catalogue,
@@ -47,6 +59,7 @@
             limits=settings.limits,
             metrics=self.metrics,
             clock=self.clock,
+            claims=NoClaims(),
         )
         self._make_listeners()
         self.greenlets: list[gevent.Greenlet] = []
@@ -64,10 +77,8 @@
             self.settings.limits.max_body_bytes,
             self.configuration.ready.is_set,
         )
-        operators = OperatorApi(
-            self.configuration, self.settings.operators, self.metrics
-        )
-        handler = PeerHandler(section.id, self.configuration)
+        operators = OperatorApi(self)
+        handler = PeerHandler(section.id, self.configuration, self.serving.trails)
         self.callers = HttpListener(callers.app, section.address, section.caller_port)
         self.operators = HttpListener(
             operators.app, section.address, section.operator_port
@@ -97,7 +108,13 @@
         for listener in (self.peers, self.operators, self.callers):
             listener.start()
         self.gossip.start()
-        for loop in (self.configuration.follow, self.serving.expire, self.join):
+        for loop in (
+            self.configuration.follow,
+            self.join,
+            self.serving.expire,
+            self.dispatcher.pump_often,
+            self.observer.follow,
+        ):
             self.greenlets.append(gevent.spawn(loop))
         log_event(
             "node_started",
