Keep the configuration through outages, retention and late appends

The log adapter also read the oldest kept offset of a 410 from the wrong place, which ended the loop that follows the log for good; an answer of another shape now counts as an outage.

A state is never replaced by an older one. A change carries the offset that its writer had folded; over 4,000 records later it is refused, so ids need not be kept for longer. A conflict names the winning operator.

--- a/packages/endive_core/src/endive_core/fold.py
+++ b/packages/endive_core/src/endive_core/fold.py
@@ -10,14 +10,20 @@
 from enum import StrEnum
 from typing import Any
 
-from endive_core.records import ALL_ORGANISATIONS, Change, Snapshot
+from endive_core.records import ALL_ORGANISATIONS, Change, Record, Snapshot
 
 ABSENT = -1
 """The version of a resource that does not exist; offset 0 is a version like others."""
 
-MAX_OUTCOMES = 20_000
-"""Change ids remembered: nearly two days at 11,000 changes a day, far longer than a
-writer keeps repeating an append whose answer was lost."""
+MAX_OUTCOMES = 4_000
+"""Change ids remembered: nearly nine hours at 11,000 changes a day, far longer than a
+writer keeps repeating an append whose answer was lost, and few enough that a snapshot
+stays well under a megabyte. The bound is a number of records and not a time, so that
+every node forgets the same id at the same record.
+
+A copy of an append can still arrive after that: the log answered 504 and took it much
+later. Its id is forgotten, and applied again it would bring back an older resource. It
+is refused by its basis, which then lies more than this many records back."""
 
 
 class Verdict(StrEnum):
@@ -85,7 +91,7 @@
         self.resources: dict[tuple[str, str], StoredResource] = {}
         self.outcomes: OrderedDict[str, Outcome] = OrderedDict()
 
-    def apply(self, offset: int, record: Change | Snapshot) -> Outcome | None:
+    def apply(self, offset: int, record: Record) -> Outcome | None:
         """Fold one record; return the outcome if it is a change.
 
         Records at or below :attr:`offset` are ignored, so a replay never moves the
@@ -103,6 +109,8 @@
         if known is not None:
             return known
         verdict, version = self.verdict(change)
+        if change.basis is not None and offset - change.basis > MAX_OUTCOMES:
+            verdict = Verdict.CONFLICT
         if verdict is Verdict.APPLIED:
             self._put(offset, change)
             version = offset
@@ -155,12 +163,7 @@
             through=self.offset,
             resources=[asdict(stored) for _, stored in sorted(self.resources.items())],
             outcomes=[
-                {
-                    "change_id": o.change_id,
-                    "verdict": str(o.verdict),
-                    "version": o.version,
-                }
-                for o in self.outcomes.values()
+                [o.change_id, str(o.verdict), o.version] for o in self.outcomes.values()
             ],
         )
 
@@ -172,11 +175,8 @@
         for entry in snapshot.resources:
             stored = StoredResource(**entry)
             fold.resources[(stored.kind, stored.name)] = stored
-        for entry in snapshot.outcomes:
-            outcome = Outcome(
-                entry["change_id"], Verdict(entry["verdict"]), entry["version"]
-            )
-            fold.outcomes[outcome.change_id] = outcome
+        for change_id, verdict, version in snapshot.outcomes:
+            fold.outcomes[change_id] = Outcome(change_id, Verdict(verdict), version)
         return fold
 
 
--- a/packages/endive_core/src/endive_core/records.py
+++ b/packages/endive_core/src/endive_core/records.py
@@ -12,6 +12,10 @@
 from endive_core.exceptions import RecordError
 
 CONFIGURATION_STREAM = "configuration"
+SNAPSHOT_STREAM = "configuration-snapshots"
+"""Snapshots have a stream of their own: a node that follows the changes never reads
+them, and a new node reads only the last one."""
+
 ALL_ORGANISATIONS = "*"
 CLAIM_STREAM = "claims-{shard:03d}"
 
@@ -36,6 +40,9 @@
     scope : str
         The organisation whose resources the operator may change, or ``*``. The fold
         holds it against the owner in force, since the writer's own view lags.
+    basis : int or None
+        Offset that the writer had folded. A copy of the append that arrives after its
+        change id was forgotten is refused by it; see :mod:`endive_core.fold`.
     at : float
         When the writer sent it, seconds since 1970 by its own clock; shown to people,
         and never decided by.
@@ -49,6 +56,7 @@
     body: dict[str, Any] | None = None
     scope: str = ALL_ORGANISATIONS
     at: float = 0.0
+    basis: int | None = None
 
 
 class Snapshot(msgspec.Struct, tag="snapshot", frozen=True):
@@ -56,7 +64,13 @@
 
     through: int
     resources: list[dict[str, Any]]
-    outcomes: list[dict[str, Any]]
+    outcomes: list[tuple[str, str, int]]
+
+
+class SnapshotTaken(msgspec.Struct, tag="snapshot_taken", frozen=True):
+    """Tells followers of the changes that a snapshot up to `through` is in the log."""
+
+    through: int
 
 
 class Claim(msgspec.Struct, tag="claim", frozen=True):
@@ -84,7 +98,7 @@
     duration_s: float
 
 
-Record = Change | Snapshot | Claim | Release | Lease
+Record = Change | Snapshot | SnapshotTaken | Claim | Release | Lease
 
 _encoder = msgspec.json.Encoder(order="deterministic")
 _decoder = msgspec.json.Decoder(Record)
--- a/packages/endive_core/tests/test_fold.py
+++ b/packages/endive_core/tests/test_fold.py
@@ -1,4 +1,5 @@
-from endive_core.fold import ABSENT, ConfigurationFold, Verdict
+import msgspec
+from endive_core.fold import ABSENT, MAX_OUTCOMES, ConfigurationFold, Verdict
 from endive_core.records import Change, decode, encode
 
 
@@ -44,3 +45,42 @@
     assert fold.apply(0, mine).verdict is Verdict.APPLIED
     assert fold.apply(1, theirs).verdict is Verdict.FORBIDDEN
     assert fold.get("priority", "vip").body["owner"] == "kerloch"
+
+
+def test_copy_of_an_append_arriving_after_its_id_was_forgotten_changes_nothing():
+    """The log answered 504 to an append and took it hours later, when the change had
+    long been made by the second append and undone by a colleague. Nobody would know
+    why the old value is back."""
+    fold = ConfigurationFold()
+    late = msgspec.structs.replace(change("c-1", body={"spec": {"level": 1}}), basis=-1)
+    fold.apply(0, late)
+    for offset in range(1, MAX_OUTCOMES + 2):
+        newer = change(f"n-{offset}", body={"spec": {"level": 2}})
+        fold.apply(offset, msgspec.structs.replace(newer, basis=offset - 1))
+    assert "c-1" not in fold.outcomes
+    outcome = fold.apply(MAX_OUTCOMES + 2, late)
+    assert outcome.verdict is Verdict.CONFLICT
+    assert fold.get("priority", "vip").body == {"spec": {"level": 2}}
+
+
+def test_snapshot_of_the_size_designed_for_stays_under_a_megabyte():
+    """The log or a peer would refuse a record that is too large, and new nodes would
+    find no snapshot."""
+    fold = ConfigurationFold()
+    servers = [
+        {
+            "id": f"engine-{number:04d}",
+            "address": f"10.20.{number // 250}.{number % 250}:8000",
+            "zone": "brest",
+            "machine_class": "standard",
+            "reclaimable": True,
+        }
+        for number in range(2600)
+    ]
+    for offset in range(26):
+        group = servers[100 * offset : 100 * offset + 100]
+        body = {"owner": "kerloch", "spec": {"servers": group}}
+        fold.apply(offset, change(f"s-{offset}", body=body, name=f"service-{offset}"))
+    for offset in range(26, MAX_OUTCOMES + 26):
+        fold.apply(offset, change(f"{offset:032x}"))
+    assert len(encode(fold.snapshot())) < 1_000_000
--- a/packages/endive_node/src/endive_node/configuration.py
+++ b/packages/endive_node/src/endive_node/configuration.py
@@ -5,24 +5,40 @@
 from dataclasses import dataclass, field
 
 import gevent
+import msgspec
 from endive_core.catalogue import Catalogue
 from endive_core.exceptions import EndiveError, ErrorKind, RecordError
 from endive_core.fold import ConfigurationFold, Outcome, Verdict
 from endive_core.history import ChangeHistory
-from endive_core.records import CONFIGURATION_STREAM, Change, Snapshot, decode, encode
+from endive_core.records import (
+    CONFIGURATION_STREAM,
+    Change,
+    Snapshot,
+    SnapshotTaken,
+    decode,
+    encode,
+)
 from gevent.event import Event
 
 from endive_node.interfaces import (
     Clock,
+    ConfigurationSource,
     LogForgottenError,
     LogService,
     LogUnavailableError,
     LogUncertainError,
 )
+from endive_node.snapshots import newest_snapshot
 from endive_node.telemetry import log_event
 
 LONG_POLL_S = 5.0
 RETRY_S = 0.2
+GAP_RETRY_S = 1.0
+LAG_CHECK_S = 0.5
+LAG_ALLOWED_S = 1.5
+"""How long this node may be behind what others have in force before it asks one of
+them: the log normally brings the same change within milliseconds."""
+
 SUBMIT_TIMEOUT_S = 8.0
 """How long a writer waits for its own change to come back: well inside the 13 s in
 which a change must be in force everywhere."""
@@ -38,6 +54,12 @@
     ----------
     listeners : list of callable
         Called with the set of (kind, name) pairs after each batch of changes.
+    source : ConfigurationSource or None
+        Other nodes, asked when the log is down or has forgotten too much.
+    snapshot_through, snapshot_at
+        Offset of the newest snapshot known to be in the log, and when it was noted.
+    pulls : int
+        States taken over from other nodes.
     """
 
     log: LogService
@@ -49,18 +71,38 @@
     ready: Event = field(default_factory=Event)
     changed: Event = field(default_factory=Event)
     last_read: float | None = None
+    source: ConfigurationSource | None = None
+    snapshot_through: int = -1
+    snapshot_at: float = 0.0
+    pulls: int = 0
+
+    def __post_init__(self) -> None:
+        self.snapshot_at = self.clock.now()
 
     def follow(self) -> None:
         """Fold the stream for ever; the body of a greenlet."""
         while True:
             try:
-                self.read_once(wait_s=LONG_POLL_S if self.ready.is_set() else 0.0)
+                self.step()
             except LogUnavailableError as error:
                 log_event("configuration_read_failed", error=error)
+                self._start_from_peers()
                 gevent.sleep(RETRY_S)
-            except LogForgottenError as error:
-                log_event("configuration_forgotten", first=error.first)
-                self._restart_from(error.first)
+
+    def step(self) -> None:
+        """Read one page, from a snapshot on if there is no other way.
+
+        Raises
+        ------
+        LogUnavailableError
+            If the log does not answer.
+        """
+        if self.fold.offset < 0:
+            self._adopt_from_log(first=0)
+        try:
+            self.read_once(wait_s=LONG_POLL_S if self.ready.is_set() else 0.0)
+        except LogForgottenError as error:
+            self._close_gap(error.first)
 
     def read_once(self, *, wait_s: float = 0.0) -> None:
         """Read and fold one page."""
@@ -78,12 +120,20 @@
             record = decode(body)
         except RecordError as error:
             log_event("record_not_understood", offset=offset, error=error)
-            self.fold.offset = offset
+            self.fold.offset = max(self.fold.offset, offset)
             return
         if isinstance(record, Change):
             self._fold_change(offset, record)
-        elif isinstance(record, Snapshot):
-            self.fold.apply(offset, record)
+            return
+        self.fold.apply(offset, record)
+        if isinstance(record, SnapshotTaken):
+            self.note_snapshot(record.through)
+
+    def note_snapshot(self, through: int) -> None:
+        """Note that the log holds a snapshot up to the offset `through`."""
+        if through > self.snapshot_through:
+            self.snapshot_through = through
+            self.snapshot_at = self.clock.now()
 
     def _fold_change(self, offset: int, change: Change) -> None:
         before = self.fold.get(change.kind, change.name)
@@ -92,9 +142,78 @@
         if outcome is not None and outcome.applied_at(offset):
             self.history.add(offset, change, before)
 
-    def _restart_from(self, first: int) -> None:
-        """Go on from the oldest record kept, which is a snapshot's neighbour."""
-        self.fold.offset = max(self.fold.offset, first - 1)
+    def adopt(self, snapshot: Snapshot) -> bool:
+        """Go on from `snapshot`, unless that would go back; return whether it was."""
+        if snapshot.through <= self.fold.offset:
+            return False
+        self.fold = ConfigurationFold.from_snapshot(snapshot)
+        self.history.restart(snapshot.through)
+        self._publish()
+        log_event("configuration_adopted", through=snapshot.through)
+        return True
+
+    def _adopt_from_log(self, first: int) -> bool:
+        """Go on from the newest snapshot after which the log still has everything."""
+        snapshot = newest_snapshot(
+            self.log, lambda s: s.through + 1 >= first and s.through > self.fold.offset
+        )
+        if snapshot is None or not self.adopt(snapshot):
+            return False
+        self.note_snapshot(snapshot.through)
+        return True
+
+    def _close_gap(self, first: int) -> None:
+        """Find a state to go on from: the records up to `first` are forgotten.
+
+        To go on with the records that are left would skip changes, and nobody would
+        notice: a deleted organisation could still call, a new server never be used.
+        Without a state this node stays as it is, and a new one stays not ready.
+        """
+        if self._adopt_from_log(first):
+            return
+        if self.pull() and self.fold.offset + 1 >= first:
+            return
+        log_event("configuration_gap", offset=self.fold.offset, first=first)
+        gevent.sleep(GAP_RETRY_S)
+
+    def pull(self) -> bool:
+        """Take over the newest state that other nodes hold; return whether one came."""
+        if self.source is None:
+            return False
+        snapshot = self.source.pull()
+        if snapshot is None:
+            return False
+        if self.adopt(snapshot):
+            self.pulls += 1
+        return snapshot.through >= self.source.highest_offset()
+
+    def _start_from_peers(self) -> None:
+        """While the log is down, begin with the newest state that others hold."""
+        if not self.ready.is_set() and self.pull():
+            self.ready.set()
+
+    def watch_lag(self) -> None:
+        """Pull from another node when this one lags; the body of a greenlet.
+
+        The log may answer this node late or not at all while others have read on. It
+        would route by an older configuration and nobody would see it but in the
+        offsets that the heartbeats carry.
+        """
+        in_step_at = self.clock.now()
+        while True:
+            gevent.sleep(LAG_CHECK_S)
+            if not self.is_behind():
+                in_step_at = self.clock.now()
+            elif self.clock.now() - in_step_at > LAG_ALLOWED_S:
+                self.pull()
+
+    def is_behind(self) -> bool:
+        """Return whether another node has a later configuration in force."""
+        return (
+            self.ready.is_set()
+            and self.source is not None
+            and self.source.highest_offset() > self.fold.offset
+        )
 
     def _publish(self) -> None:
         touched = self.catalogue.refresh(self.fold)
@@ -115,6 +234,7 @@
             ``version_conflict`` with the winner's version; ``log_unavailable`` if it
             was not appended; ``outcome_unknown`` if that could not be found out.
         """
+        change = msgspec.structs.replace(change, basis=self.fold.offset)
         deadline = self.clock.now() + SUBMIT_TIMEOUT_S
         uncertain = False
         appended = False
@@ -132,25 +252,28 @@
                         raise _not_settled(False) from None
                     gevent.sleep(RETRY_S)
             self.changed.wait(timeout=RETRY_S)
-        _check_verdict(outcome.verdict, outcome.version)
+        self._check_verdict(change, outcome.verdict, outcome.version)
         return outcome
 
     def check(self, change: Change) -> None:
         """Raise what :meth:`submit` would raise if `change` were decided now."""
-        _check_verdict(*self.fold.verdict(change))
+        self._check_verdict(change, *self.fold.verdict(change))
 
-
-def _check_verdict(verdict: Verdict, version: int) -> None:
-    if verdict is Verdict.FORBIDDEN:
-        raise EndiveError(
-            ErrorKind.FORBIDDEN, "the resource belongs to another organisation"
-        )
-    if verdict is Verdict.CONFLICT:
-        raise EndiveError(
-            ErrorKind.VERSION_CONFLICT,
-            f"another change was applied first; the version in force is {version}",
-            details={"version": version},
-        )
+    def _check_verdict(self, change: Change, verdict: Verdict, version: int) -> None:
+        if verdict is Verdict.FORBIDDEN:
+            raise EndiveError(
+                ErrorKind.FORBIDDEN, "the resource belongs to another organisation"
+            )
+        if verdict is Verdict.CONFLICT:
+            stored = self.fold.get(change.kind, change.name)
+            raise EndiveError(
+                ErrorKind.VERSION_CONFLICT,
+                f"another change was applied first; the version in force is {version}",
+                details={
+                    "version": version,
+                    "operator": stored.operator if stored else "",
+                },
+            )
 
 
 def _not_settled(maybe: bool) -> EndiveError:
--- a/packages/endive_node/src/endive_node/interfaces.py
+++ b/packages/endive_node/src/endive_node/interfaces.py
@@ -10,6 +10,10 @@
 
 from endive_core.membership import Member
 from endive_core.messages import Piece, Request
+from endive_core.records import Snapshot
+
+READ_LIMIT = 1000
+"""Records asked for in one read: a page of changes stays well under a megabyte."""
 
 
 @dataclass(frozen=True)
@@ -29,7 +33,7 @@
     first : int
         Oldest offset that the log still keeps.
     next : int
-        Offset to read on from.
+        Offset that the stream's next record will get.
     """
 
     first: int
@@ -53,9 +57,13 @@
         """
         ...
 
-    def read(self, stream: str, start: int, *, wait_s: float = 0.0) -> LogPage:
+    def read(
+        self, stream: str, start: int, *, wait_s: float = 0.0, limit: int = READ_LIMIT
+    ) -> LogPage:
         """Read from `start`, waiting up to `wait_s` seconds for a first record.
 
+        At most `limit` records come; :attr:`LogPage.next` is the stream's end.
+
         Raises
         ------
         LogUnavailableError
@@ -119,6 +127,18 @@
         ...
 
 
+class ConfigurationSource(Protocol):
+    """Other nodes, as a place to get the configuration from."""
+
+    def highest_offset(self) -> int:
+        """Return the highest offset that any of them has in force; -1 if unknown."""
+        ...
+
+    def pull(self) -> Snapshot | None:
+        """Return the newest state that one of them holds, or ``None``."""
+        ...
+
+
 class Members(Protocol):
     """The nodes this node knows to be there, itself among them."""
 
--- a/packages/endive_node/src/endive_node/node.py
+++ b/packages/endive_node/src/endive_node/node.py
@@ -13,10 +13,11 @@
 from endive_node.listeners import HttpListener
 from endive_node.observing import Observer
 from endive_node.operators import OperatorApi
-from endive_node.peers import PeerHandler, PeerListener
+from endive_node.peers import PeerConfigurations, PeerHandler, PeerListener
 from endive_node.platform import HttpInstanceList, HttpLog
 from endive_node.serving import Serving
 from endive_node.settings import Settings
+from endive_node.snapshot_writer import SnapshotWriter
 from endive_node.telemetry import Metrics, MonotonicClock, log_event
 
 DRAIN_POLL_S = 0.05
@@ -99,6 +100,27 @@
         self.members = self.gossip.members
         self.facts = self.gossip.facts
         self.gossip.register_metrics(self.metrics)
+        self._make_snapshots()
+
+    def _make_snapshots(self) -> None:
+        configuration = self.configuration
+        configuration.source = PeerConfigurations(
+            self.members, self.gossip.random.shuffle
+        )
+        self.snapshots = SnapshotWriter(
+            configuration,
+            self.members,
+            self.settings.node.id,
+            self.settings.configuration,
+        )
+        gauge = self.metrics.gauge
+        gauge("endive_configuration_offset", lambda: configuration.fold.offset)
+        gauge("endive_configuration_behind", lambda: int(configuration.is_behind()))
+        gauge("endive_configuration_pulls", lambda: configuration.pulls)
+        gauge(
+            "endive_configuration_snapshot_offset",
+            lambda: configuration.snapshot_through,
+        )
         self.configuration.listeners.append(
             lambda _: self.members.set_offset(self.configuration.fold.offset)
         )
@@ -110,6 +132,8 @@
         self.gossip.start()
         for loop in (
             self.configuration.follow,
+            self.configuration.watch_lag,
+            self.snapshots.run,
             self.join,
             self.serving.expire,
             self.dispatcher.pump_often,
--- a/packages/endive_node/src/endive_node/peers.py
+++ b/packages/endive_node/src/endive_node/peers.py
@@ -1,11 +1,13 @@
 """Calls between nodes over thrift."""
 
+from collections.abc import Callable
 from pathlib import Path
 
 import msgspec
 import thriftpy2
-from endive_core.exceptions import EndiveError
-from endive_core.records import encode
+from endive_core.exceptions import EndiveError, RecordError
+from endive_core.membership import Membership
+from endive_core.records import Snapshot, decode, encode
 from gevent.server import StreamServer
 from thriftpy2.protocol import TBinaryProtocolFactory
 from thriftpy2.rpc import make_client
@@ -15,12 +17,15 @@
 from endive_node.configuration import Configuration
 from endive_node.explaining import Trails
 from endive_node.listeners import listen_tcp
+from endive_node.telemetry import log_event
 
 IDL = thriftpy2.load(
     str(Path(__file__).with_name("peers.thrift")), module_name="peers_thrift"
 )
 IDLE_TIMEOUT_S = 60.0
 CALL_TIMEOUT_S = 2.0
+PEERS_ASKED = 3
+"""Members asked for the configuration in one try, those with the latest first."""
 
 
 class PeerUnavailableError(Exception):
@@ -56,6 +61,36 @@
         return msgspec.json.encode(shown).decode()
 
 
+class PeerConfigurations:
+    """The members, as :class:`~.interfaces.ConfigurationSource`.
+
+    Parameters
+    ----------
+    shuffle : callable
+        Shuffles a list in place: else all nodes that lag would ask the same member.
+    """
+
+    def __init__(self, members: Membership, shuffle: Callable[[list], None]) -> None:
+        self.members = members
+        self.shuffle = shuffle
+
+    def highest_offset(self) -> int:
+        """See :meth:`endive_node.interfaces.ConfigurationSource.highest_offset`."""
+        return self.members.highest_offset
+
+    def pull(self) -> Snapshot | None:
+        """See :meth:`endive_node.interfaces.ConfigurationSource.pull`."""
+        peers = self.members.reachable()
+        self.shuffle(peers)
+        peers.sort(key=lambda peer: peer.configuration_offset, reverse=True)
+        for peer in peers[:PEERS_ASKED]:
+            try:
+                return decode(PeerClient(peer.peer_address).pull_configuration())
+            except (IDL.PeerError, PeerUnavailableError, RecordError) as error:
+                log_event("configuration_not_pulled", peer=peer.id, error=error)
+        return None
+
+
 class PeerListener:
     """The thrift listener of a node.
 
--- a/packages/endive_node/src/endive_node/platform.py
+++ b/packages/endive_node/src/endive_node/platform.py
@@ -7,6 +7,7 @@
 import urllib3
 
 from endive_node.interfaces import (
+    READ_LIMIT,
     LogEntry,
     LogForgottenError,
     LogPage,
@@ -14,9 +15,6 @@
     LogUncertainError,
 )
 
-READ_LIMIT = 1000
-"""Records asked for in one read: a page stays well under a megabyte."""
-
 CONNECT_ERRORS = (
     urllib3.exceptions.NewConnectionError,
     urllib3.exceptions.ConnectTimeoutError,
@@ -73,22 +71,33 @@
             raise LogUnavailableError(f"status {status}")
         raise LogUncertainError(f"status {status}")
 
-    def read(self, stream: str, start: int, *, wait_s: float = 0.0) -> LogPage:
+    def read(
+        self, stream: str, start: int, *, wait_s: float = 0.0, limit: int = READ_LIMIT
+    ) -> LogPage:
         """See :meth:`endive_node.interfaces.LogService.read`."""
         path = (
             f"/streams/{quote(stream)}/records"
-            f"?from={start}&limit={READ_LIMIT}&wait_s={wait_s}"
+            f"?from={start}&limit={limit}&wait_s={wait_s}"
         )
         try:
             status, body = self.service.call("GET", path, extra_s=wait_s)
         except (urllib3.exceptions.HTTPError, msgspec.DecodeError) as error:
             raise LogUnavailableError(str(error)) from None
-        if status == 410:
-            raise LogForgottenError(body["first"])
-        if status != 200:
-            raise LogUnavailableError(f"status {status}")
-        entries = [LogEntry(r["offset"], r["body"]) for r in body["records"]]
-        return LogPage(body["first"], body["next"], entries)
+        try:
+            return _page(status, body)
+        except (KeyError, TypeError) as error:
+            # An answer of another shape must not end the loop that reads on: the node
+            # would keep an old configuration for ever.
+            raise LogUnavailableError(f"not understood: {error!r}") from None
+
+
+def _page(status: int, body: Any) -> LogPage:
+    if status == 410:
+        raise LogForgottenError(body["error"]["first"])
+    if status != 200:
+        raise LogUnavailableError(f"status {status}")
+    entries = [LogEntry(r["offset"], r["body"]) for r in body["records"]]
+    return LogPage(body["first"], body["next"], entries)
 
 
 class HttpInstanceList:
--- a/packages/endive_node/src/endive_node/settings.py
+++ b/packages/endive_node/src/endive_node/settings.py
@@ -102,6 +102,20 @@
     )
 
 
+class ConfigurationSection(_Section):
+    """How the configuration is kept in the log."""
+
+    snapshot_every_s: float = Field(
+        3600.0,
+        gt=0,
+        description="longest age of the newest snapshot while changes come, seconds; "
+        "keep it well under the log's retention",
+    )
+    snapshot_every_records: int = Field(
+        1000, ge=1, description="records after which a snapshot is written earlier"
+    )
+
+
 class MembershipSection(_Section):
     """How nodes hear of each other."""
 
@@ -125,6 +139,7 @@
     operators: tuple[OperatorEntry, ...] = ()
     limits: LimitsSection = LimitsSection()
     backends: BackendSection = BackendSection()
+    configuration: ConfigurationSection = ConfigurationSection()
     membership: MembershipSection = MembershipSection()
     policy: Policy = Policy()
 
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -253,8 +253,8 @@
             settings_path=path,
         )
 
-    def restart(self, node):
-        """Start a stopped node again with the same settings, and nothing else kept."""
+    def start_again(self, node):
+        """Start a stopped node with the same settings, and nothing else kept."""
         command = [
             sys.executable,
             "-m",
@@ -264,6 +264,10 @@
         ]
         with node.output.open("ab") as sink:
             node.process = subprocess.Popen(command, stdout=sink, stderr=sink)
+
+    def restart(self, node):
+        """Start a stopped node again and wait until it has a configuration."""
+        self.start_again(node)
         wait_until(lambda: answers_ok(node.url + "/healthz"), node.name)
 
     def apply(self, *resources, node=None):
