Add the seams of handover, moves and notices

Cause: a reclaimed node takes its requests along and a reclaimed server its streams. Ruled out: a directory of holders, which would be a store of our own; asking nodes for every key, which costs each keyed request a round trip. Change: request ids carry a route from which any node works out the holder; thrift calls hand records and answers over; a board of notices; a mover for servers' streams; stand-ins for the cloud and the instance list. Conclusion: the seams are there for others to build on.

--- a/packages/endive_node/src/endive_node/backends.py
+++ b/packages/endive_node/src/endive_node/backends.py
@@ -16,6 +16,8 @@
 EVENT_START = b"data: "
 DONE = b"[DONE]"
 READ_BYTES = 65_536
+ORDER_TIMEOUT_S = 1.0
+"""Time-out of an order about one stream: a notice lasts about three seconds."""
 
 
 class Delta(msgspec.Struct):
@@ -117,9 +119,19 @@
         self.response = None
 
     def run(
-        self, request: Request, attempt: int, tokens: list[str], *, priority: int = 0
+        self,
+        request: Request,
+        attempt: int,
+        tokens: list[str],
+        *,
+        priority: int = 0,
+        blob: dict | None = None,
     ) -> Iterator[list[Piece]]:
-        """Send `request`; yield pieces, all that one read brought at a time."""
+        """Send `request`; yield pieces, all that one read brought at a time.
+
+        `blob` is the KV cache that another server exported; if this one can't take it
+        in, prompt and tokens so far are computed again.
+        """
         body = request.body | {
             "stream": True,
             "request_id": request.request_id,
@@ -128,6 +140,8 @@
         }
         if tokens:
             body["resume"] = {"tokens": tokens}
+        if blob is not None and (handle := self._import_kv(blob)):
+            body["kv_handle"] = handle
         self.response = self.clients.open(
             "POST",
             f"http://{self.address}{request.endpoint}",
@@ -137,6 +151,39 @@
         check_status(self.response)
         return self._pieces()
 
+    def _import_kv(self, blob: dict) -> str | None:
+        answer = self._order("/kv/import", {"blob": blob})
+        return None if answer is None else answer.get("kv_handle")
+
+    def export_kv(self, request_id: str) -> tuple[list[str], dict] | None:
+        """Stop a request; return its tokens and KV cache.
+
+        ``None`` if the server didn't confirm that it stopped.
+        """
+        answer = self._order("/kv/export", {"request_id": request_id})
+        return None if answer is None else (answer["tokens"], answer["blob"])
+
+    def cancel(self, request_id: str) -> list[str] | None:
+        """Stop a request; return its tokens, or ``None`` if that isn't confirmed."""
+        answer = self._order("/cancel", {"request_id": request_id})
+        if answer is None or not answer["stopped"]:
+            return None
+        return answer["tokens"]
+
+    def _order(self, path: str, body: dict) -> dict | None:
+        try:
+            response = self.clients.pool.request(
+                "POST",
+                f"http://{self.address}{path}",
+                body=msgspec.json.encode(body),
+                headers={"Content-Type": "application/json"},
+                timeout=ORDER_TIMEOUT_S,
+            )
+            value = msgspec.json.decode(response.data)
+        except (urllib3.exceptions.HTTPError, OSError, msgspec.DecodeError):
+            return None
+        return value if response.status == 200 else None
+
     def _pieces(self) -> Iterator[list[Piece]]:
         finished = False
         buffer = b""
--- a/packages/endive_node/src/endive_node/callers.py
+++ b/packages/endive_node/src/endive_node/callers.py
@@ -54,42 +54,49 @@
 
     def generate(self, endpoint: Endpoint):
         """Answer a completion or a chat."""
+        run = None
         try:
             run = self.serving.accept(self._generation_request(endpoint))
             return self._answer(run, start=0)
         except EndiveError as error:
-            return self._refuse(error)
+            return self._refuse(error, request_id=id_of(run))
 
     def resume(self, request_id: str):
         """Go on with an answer from the index in ``Last-Event-ID`` or ``from``."""
         try:
             organisation = self._organisation()
-            run = self.serving.ledger.get(request_id)
-            if run is None or run.record.request.organisation != organisation:
-                raise EndiveError(
-                    ErrorKind.UNKNOWN_REQUEST, "this node does not know the request"
-                )
+            run = self._run_of(organisation, request_id)
             return self._answer(run, start=self._start_index())
         except EndiveError as error:
             return self._refuse(error, request_id=request_id)
 
+    def _run_of(self, organisation: str, request_id: str):
+        run = self.serving.ledger.get(request_id)
+        if run is not None and run.record.request.organisation != organisation:
+            run = None
+        elif (run is None or run.moved) and self.serving.elsewhere is not None:
+            run = self.serving.elsewhere.find_id(organisation, request_id)
+        if run is None:
+            raise EndiveError(
+                ErrorKind.UNKNOWN_REQUEST, "no node that was asked knows the request"
+            )
+        return run
+
     def call_service(self, service: str, path: str):
         """Pass a call on to a plain service."""
+        run = None
         try:
             run = self.serving.accept(self._service_request(service, path))
             for _ in run.read():
                 pass
         except EndiveError as error:
-            return self._refuse(error)
-        answer = run.record.plain_answer
-        bottle.response.status = answer.status
-        bottle.response.content_type = answer.content_type
-        bottle.response.set_header("X-Request-Id", run.record.request.request_id)
-        return answer.body
+            return self._refuse(error, request_id=id_of(run))
+        return plain_answer(run.record)
 
     def health(self):
         """Tell the platform's balancer whether to send calls here."""
-        if self.serving.stopping or not self.is_ready():
+        leaving = self.serving.leaving or self.serving.stopping
+        if leaving or not self.is_ready():
             bottle.response.status = 503
             return "not ready\n"
         return "ok\n"
@@ -125,7 +132,7 @@
         organisation = self._organisation()
         body = parse_body(endpoint, self._read_body())
         return Request(
-            request_id=self.serving.new_request_id(),
+            request_id=self._new_id(organisation),
             organisation=organisation,
             model=body.model,
             endpoint=endpoint,
@@ -143,7 +150,7 @@
         full_path = f"/{path}" + (f"?{query}" if query else "")
         method = bottle.request.method
         return Request(
-            request_id=self.serving.new_request_id(),
+            request_id=self._new_id(organisation),
             organisation=organisation,
             model=service,
             endpoint=Endpoint.SERVICE,
@@ -155,6 +162,10 @@
             **self._common_fields(),
         )
 
+    def _new_id(self, organisation: str) -> str:
+        key = bottle.request.get_header("Idempotency-Key", "")
+        return self.serving.new_request_id(organisation, key)
+
     def _common_fields(self) -> dict:
         headers = bottle.request.headers
         priority = headers.get("Endive-Priority", DEFAULT_PRIORITY)
@@ -197,6 +208,8 @@
         if not request.stream:
             for _ in run.read():
                 pass
+            if request.endpoint is Endpoint.SERVICE:
+                return plain_answer(run.record)
             bottle.response.content_type = "application/json"
             return encode_json(whole_answer(run.record))
         batches = run.read(start)
@@ -210,6 +223,11 @@
         return error_response(error, request_id)
 
 
+def id_of(run: Run | None) -> str:
+    """Return the id under which a caller can come back, if the call was accepted."""
+    return "" if run is None else run.record.request.request_id
+
+
 def error_response(error: EndiveError, request_id: str = "") -> bytes:
     """Set status and headers for `error`; return its body."""
     bottle.response.status = error.status
@@ -236,6 +254,15 @@
     return ID_PREFIXES[request.endpoint] + request.request_id
 
 
+def plain_answer(record: RequestRecord) -> bytes:
+    """Set status and headers of a plain service's answer; return its body."""
+    answer = record.plain_answer
+    bottle.response.status = answer.status
+    bottle.response.content_type = answer.content_type
+    bottle.response.set_header("X-Request-Id", record.request.request_id)
+    return answer.body
+
+
 def whole_answer(record: RequestRecord) -> dict:
     """Return the body of an answer that is not streamed."""
     request = record.request
--- a/packages/endive_node/src/endive_node/dispatching.py
+++ b/packages/endive_node/src/endive_node/dispatching.py
@@ -55,6 +55,12 @@
         for gone in self.servers.keys() - self.catalogue.services.keys():
             del self.servers[gone]
 
+    def leave(self, server_id: str) -> None:
+        """Give a server that is being reclaimed no new work."""
+        for views in self.servers.values():
+            if server_id in views:
+                views[server_id].leaving = True
+
     def service_of(self, request: Request) -> str:
         """Return the backend server service that answers `request`."""
         if request.endpoint is Endpoint.SERVICE:
--- /dev/null
+++ b/packages/endive_node/src/endive_node/handover.py
@@ -0,0 +1,404 @@
+"""Announced reclaim of this node: its unfinished requests go to other nodes."""
+
+from dataclasses import dataclass, field
+
+import gevent
+import msgspec
+from endive_core.exceptions import EndiveError, ErrorKind
+from endive_core.handover import (
+    AnswerTransfer,
+    Departure,
+    RequestTransfer,
+    batches,
+    departure_order,
+    request_of,
+    route_in,
+    targets,
+    transfer_of,
+)
+from endive_core.messages import Endpoint
+
+from endive_node.interfaces import Members
+from endive_node.ledger import RequestRecord
+from endive_node.locating import page_of
+from endive_node.notices import Notice, NoticeBoard
+from endive_node.peers import (
+    IDL,
+    PeerClient,
+    PeerUnavailableError,
+    PeerUnreachableError,
+)
+from endive_node.serving import Run, Serving
+from endive_node.settings import NodeSection
+from endive_node.telemetry import log_event
+
+BATCH_RECORDS = 200
+BATCH_BYTES = 262_144
+"""One call of a few milliseconds: a kill in the middle loses at most one batch."""
+
+CALL_TIMEOUT_S = 1.0
+"""A target that is slower than this is passed over: the notice lasts about three
+seconds and the next target needs its share."""
+
+START_MARGIN_S = 0.5
+"""Added to the notice before a target takes the sender for dead."""
+
+ROUND_PAUSE_S = 0.1
+ROUNDS_AFTER_NOTICE_S = 30.0
+"""How long a node that outlives its notice goes on trying."""
+
+encode = msgspec.msgpack.encode
+
+
+class Handover:
+    """Gives this node's unfinished requests away when it is told to go.
+
+    What goes wrong without it: the node is killed three seconds after its notice and
+    takes every waiting and running request along; callers see broken connections and
+    nobody has their answers. First all records go, then the answers so far; a request
+    is stopped here before it may start there, so that it has one owner.
+
+    Attributes
+    ----------
+    holders : dict
+        Peer address by request id, of what has gone.
+    """
+
+    def __init__(
+        self,
+        serving: Serving,
+        section: NodeSection,
+        members: Members,
+        board: NoticeBoard,
+    ) -> None:
+        self.serving = serving
+        self.section = section
+        self.members = members
+        self.board = board
+        self.holders: dict[str, str] = {}
+        self.begun = False
+        metrics = serving.metrics
+        self.given = metrics.counter("endive_handover_requests_given")
+        self.declined = metrics.counter("endive_handover_calls_declined")
+        self.taken = metrics.counter("endive_handover_requests_taken")
+        board.listeners.append(self.on_notice)
+
+    def on_notice(self, notice: Notice) -> None:
+        """Begin if `notice` takes this node."""
+        if self.begun:
+            return
+        if self.board.concerning(self.section.id, self.section.zone) is notice:
+            self.begun = True
+            gevent.spawn(self.run, notice)
+
+    def run(self, notice: Notice) -> None:
+        """Hand everything over; the body of a greenlet."""
+        clock = self.serving.clock
+        started_at = clock.now()
+        self.serving.leaving = self.serving.stopping = True
+        self.members.leave()
+        count = len(self.serving.ledger.unfinished())
+        log_event("handover_started", in_flight=count)
+        round_ = Round(self, notice)
+        until = notice.ends_at + ROUNDS_AFTER_NOTICE_S
+        while round_.unsettled() and clock.now() < until:
+            round_.records(round_.left())
+            if round_.first_done_s is None:
+                round_.first_done_s = clock.now() - started_at
+                log_event(
+                    "handover_records_acknowledged",
+                    requests=len(round_.acknowledged),
+                    in_flight=count,
+                    seconds=round_.first_done_s,
+                )
+            round_.answers()
+            if round_.unsettled():
+                gevent.sleep(ROUND_PAUSE_S)
+        log_event(
+            "handover_finished",
+            given=len(self.holders),
+            seconds=clock.now() - started_at,
+        )
+
+    # What other nodes give to this one
+
+    def take_requests(self, sender: str, encoded: list[bytes]) -> list[str]:
+        """Hold requests that `sender` gives away; return the ids held."""
+        if self.serving.stopping:
+            raise IDL.PeerError(kind="stopping", message="this node leaves too")
+        held = []
+        for data in encoded:
+            transfer = msgspec.msgpack.decode(data, type=RequestTransfer)
+            self._hold(transfer)
+            held.append(transfer.head.request_id)
+        log_event("handover_requests_taken", sender=sender, requests=len(held))
+        return held
+
+    def _hold(self, transfer: RequestTransfer) -> None:
+        ledger, clock = self.serving.ledger, self.serving.clock
+        known = ledger.get(transfer.head.request_id)
+        if known is not None and not known.moved:
+            return
+        now = clock.now()
+        left = transfer.deadline_in_s
+        request = request_of(transfer, None if left is None else now + left)
+        record = RequestRecord(
+            request,
+            now - transfer.age_s,
+            attempt=transfer.attempt,
+            first_attempt=transfer.attempt,
+            dispatched=transfer.dispatched,
+        )
+        run = self.serving.adopt(record)
+        self.taken.add(1)
+        if transfer.stopped:
+            run.go_on(in_background=True)
+        else:
+            gevent.spawn_later(transfer.starts_in_s, self.sender_gone, run)
+
+    def sender_gone(self, run: Run) -> None:
+        """Settle a request whose former holder never said that it had stopped.
+
+        An idempotent one starts. A non-idempotent one may have been sent to a server
+        in the holder's last moments, so it must not run again.
+        """
+        if not run.held or run.record.ended:
+            return
+        if run.record.request.non_idempotent:
+            run.end_unknown()
+        else:
+            run.go_on(in_background=True)
+
+    def take_answers(self, sender: str, encoded: list[bytes]) -> list[str]:
+        """Take the answers so far and go on with them; return the ids that do."""
+        if self.serving.stopping:
+            raise IDL.PeerError(kind="stopping", message="this node leaves too")
+        taken = []
+        for data in encoded:
+            transfer = msgspec.msgpack.decode(data, type=AnswerTransfer)
+            run = self.serving.ledger.get(transfer.request_id)
+            if run is not None and not run.moved:
+                self._continue(run, transfer)
+                taken.append(transfer.request_id)
+        return taken
+
+    def _continue(self, run: Run, transfer: AnswerTransfer) -> None:
+        record = run.record
+        if not run.held or record.ended:
+            return
+        record.tokens[:] = transfer.tokens
+        record.attempt = record.first_attempt = transfer.attempt
+        record.dispatched = transfer.dispatched
+        if transfer.finish_reason:
+            run.end_whole(transfer.finish_reason)
+        elif transfer.error:
+            run.end_failed(EndiveError(ErrorKind(transfer.error), transfer.message))
+        else:
+            run.go_on(in_background=True)
+
+    def read_answer(
+        self, organisation: str, request_id: str, key: str, start: int, wait_s: float
+    ):
+        """Return a page of an answer that this node holds, or who holds it."""
+        ledger = self.serving.ledger
+        run = ledger.get(request_id) if request_id else None
+        if run is None and key:
+            run = ledger.by_idempotency_key(organisation, key)
+        if run is None or run.record.request.organisation != organisation:
+            return IDL.AnswerPage(known=False, moved_to="")
+        if run.moved:
+            return page_of(run, start, self.holders[run.record.request.request_id])
+        if run.held and not self.begun and not run.record.request.non_idempotent:
+            run.go_on(in_background=True)
+        if len(run.record.tokens) <= start and not run.record.ended:
+            run.record.progressed.wait(timeout=wait_s)
+        return page_of(run, start)
+
+
+@dataclass
+class Round:
+    """The rounds of one handover: records to each target, then answers.
+
+    Attributes
+    ----------
+    acknowledged : dict
+        Target address by id of the requests whose record a target holds, and which
+        this node still owns.
+    passed_over : set of str
+        Nodes that declined or did not answer.
+    """
+
+    handover: Handover
+    notice: Notice
+    acknowledged: dict[str, str] = field(default_factory=dict)
+    passed_over: set[str] = field(default_factory=set)
+    first_done_s: float | None = None
+
+    def left(self) -> list[Run]:
+        """Return the runs that this node still owns."""
+        return [r for r in self.handover.serving.ledger.unfinished() if not r.moved]
+
+    def unsettled(self) -> bool:
+        """Return whether anything is left to give away or to tell a target."""
+        return bool(self.acknowledged or self.left())
+
+    def records(self, runs: list[Run]) -> None:
+        """Send the records of `runs` that no target holds yet."""
+        for run in runs:
+            request = run.record.request
+            if request.non_idempotent and not run.record.dispatched:
+                run.pause()
+        gevent.sleep(0)
+        by_id = {run.record.request.request_id: run for run in runs}
+        order = departure_order(
+            self._departure(run) for name, run in by_id.items() if self._waits(name)
+        )
+        groups: dict[tuple[str, str], list[Run]] = {}
+        for name in order:
+            target = self._target(name)
+            if target is not None:
+                groups.setdefault((target.id, target.peer_address), []).append(
+                    by_id[name]
+                )
+        jobs = [
+            gevent.spawn(self._send_records, peer_id, address, group)
+            for (peer_id, address), group in groups.items()
+        ]
+        gevent.joinall(jobs)
+
+    def _waits(self, request_id: str) -> bool:
+        return request_id not in self.acknowledged
+
+    def _departure(self, run: Run) -> Departure:
+        request = run.record.request
+        level = self.handover.serving.catalogue.priority(request.priority).level
+        size = len(request.prompt)
+        return Departure(request.request_id, level, size, not run.record.dispatched)
+
+    def _target(self, request_id: str):
+        handover = self.handover
+        order = targets(
+            route_in(request_id),
+            handover.members.live(),
+            zones_under_notice=handover.board.zones(),
+            without=frozenset(
+                {handover.section.id} | handover.board.instances() | self.passed_over
+            ),
+        )
+        return order[0] if order else None
+
+    def _transfer(self, run: Run) -> RequestTransfer:
+        now = self.handover.serving.clock.now()
+        record, request = run.record, run.record.request
+        left = None if request.deadline is None else request.deadline - now
+        return transfer_of(
+            request,
+            age_s=now - record.accepted_at,
+            deadline_in_s=left,
+            attempt=record.attempt,
+            dispatched=record.dispatched,
+            stopped=False,
+            starts_in_s=max(0.0, self.notice.ends_at - now) + START_MARGIN_S,
+        )
+
+    def _send_records(self, peer_id: str, address: str, runs: list[Run]) -> None:
+        encoded = [encode(self._transfer(run)) for run in runs]
+        taken, _ = self._send("take_requests", peer_id, address, encoded)
+        for request_id in taken:
+            self.acknowledged[request_id] = address
+
+    def _send(
+        self, method: str, peer_id: str, address: str, encoded: list[bytes]
+    ) -> tuple[list[str], bool]:
+        """Send in batches; return the ids that the peer holds now.
+
+        The second value tells whether an answer was lost, so that the peer may hold
+        more.
+        """
+        client = PeerClient(address, CALL_TIMEOUT_S)
+        taken: list[str] = []
+        sizes = [len(data) for data in encoded]
+        for part in batches(sizes, BATCH_BYTES, BATCH_RECORDS):
+            try:
+                taken += client.call(method, self.handover.section.id, encoded[part])
+            except (PeerUnavailableError, IDL.PeerError) as error:
+                self.handover.declined.add(1)
+                self.passed_over.add(peer_id)
+                log_event("handover_declined", peer=peer_id, error=error)
+                certain = isinstance(error, IDL.PeerError | PeerUnreachableError)
+                return taken, not certain
+        return taken, False
+
+    def answers(self) -> None:
+        """Stop what targets hold, and tell them to go on with the answers so far."""
+        ledger = self.handover.serving.ledger
+        groups: dict[str, list[Run]] = {}
+        for request_id, address in list(self.acknowledged.items()):
+            run = ledger.get(request_id)
+            if run is None or run.moved:
+                del self.acknowledged[request_id]
+            elif self._may_stop(run):
+                groups.setdefault(address, []).append(run)
+        peers = {m.peer_address: m.id for m in self.handover.members.live()}
+        jobs = [
+            gevent.spawn(self._send_answers, peers.get(address, ""), address, runs)
+            for address, runs in groups.items()
+        ]
+        gevent.joinall(jobs)
+
+    def _may_stop(self, run: Run) -> bool:
+        """Return whether a run may be stopped now.
+
+        A non-idempotent request that a server may be running moves only if it ends
+        here first, or its server confirms that it stopped. A call to a plain service
+        has no answer so far that could be gone on with, and is short.
+        """
+        record = run.record
+        if record.ended or not record.dispatched:
+            return True
+        if record.request.non_idempotent:
+            return self._late() and run.stop_at_server()
+        return self._late() or record.request.endpoint is not Endpoint.SERVICE
+
+    def _late(self) -> bool:
+        now = self.handover.serving.clock.now()
+        return self.notice.ends_at - now < START_MARGIN_S
+
+    def _send_answers(self, peer_id: str, address: str, runs: list[Run]) -> None:
+        for start in range(0, len(runs), BATCH_RECORDS):
+            self._send_answer_batch(
+                peer_id, address, runs[start : start + BATCH_RECORDS]
+            )
+
+    def _send_answer_batch(self, peer_id: str, address: str, runs: list[Run]) -> None:
+        for run in runs:
+            run.pause()
+        gevent.sleep(0)
+        encoded = [encode(answer_of(run)) for run in runs]
+        taken, uncertain = self._send("take_answers", peer_id, address, encoded)
+        for run in runs:
+            request = run.record.request
+            self.acknowledged.pop(request.request_id, None)
+            # If the target's answer was lost it may have started: an idempotent
+            # request may go on here as well, any other must not.
+            if request.request_id in taken or (uncertain and request.non_idempotent):
+                self.handover.holders[request.request_id] = address
+                self.handover.given.add(1)
+                run.end_moved()
+            else:
+                run.go_on()
+
+
+def answer_of(run: Run) -> AnswerTransfer:
+    """Return a stopped run's answer so far."""
+    record = run.record
+    error = record.error
+    return AnswerTransfer(
+        request_id=record.request.request_id,
+        tokens=record.tokens,
+        attempt=record.attempt,
+        dispatched=record.dispatched,
+        finish_reason=record.finish_reason,
+        error=str(error.kind) if error else "",
+        message=error.message if error else "",
+    )
--- a/packages/endive_node/src/endive_node/interfaces.py
+++ b/packages/endive_node/src/endive_node/interfaces.py
@@ -126,6 +126,22 @@
         """Return the live members, ordered by id."""
         ...
 
+    def leave(self) -> None:
+        """Tell the others that this node takes nothing new."""
+        ...
+
+
+class Elsewhere(Protocol):
+    """Finds requests that other nodes hold."""
+
+    def find_id(self, organisation: str, request_id: str) -> Any:
+        """Return a run to read the answer of `request_id` from, or ``None``."""
+        ...
+
+    def find_key(self, organisation: str, key: str) -> Any:
+        """Return a run to read the answer from that `key` started, or ``None``."""
+        ...
+
 
 class Clock(Protocol):
     """Time that only goes forward."""
@@ -159,6 +175,8 @@
     started : bool
         Whether the server may have run the request. ``False`` only if nothing was
         sent or the server said that it refused before starting.
+    stopped : bool
+        Whether the server confirmed that it makes no further token.
     reason : RetryReason
         Why, for the counters and the retry decision.
     final_status : int or None
@@ -166,8 +184,9 @@
         take it either.
     """
 
-    def __init__(self, message, *, started, reason, final_status=None):
+    def __init__(self, message, *, started, reason, final_status=None, stopped=False):
         super().__init__(message)
         self.started = started
+        self.stopped = stopped
         self.reason = reason
         self.final_status = final_status
--- a/packages/endive_node/src/endive_node/ledger.py
+++ b/packages/endive_node/src/endive_node/ledger.py
@@ -19,6 +19,9 @@
         The answer's tokens in order; the position is the token's index.
     attempt : int
         Number of the current attempt; pieces of any other are dropped.
+    first_attempt : int
+        Attempts before this node held the request, and moves since: they are not
+        counted against the limit of attempts.
     finish_reason : str
         Empty until the answer is whole.
     error : EndiveError or None
@@ -31,6 +34,7 @@
     accepted_at: float
     tokens: list[str] = field(default_factory=list)
     attempt: int = 0
+    first_attempt: int = 0
     finish_reason: str = ""
     error: EndiveError | None = None
     dispatched: bool = False
@@ -67,6 +71,10 @@
         self.tokens.append(piece.text)
         self.finish_reason = piece.finish_reason
 
+    def extend(self, tokens: list[str]) -> None:
+        """Take over the whole answer so far from the server that made it."""
+        self.tokens += tokens[len(self.tokens) :]
+
     def wake(self) -> None:
         """Let every other reader of this answer look again."""
         self.progressed.set()
--- a/packages/endive_node/src/endive_node/listeners.py
+++ b/packages/endive_node/src/endive_node/listeners.py
@@ -2,7 +2,7 @@
 
 import socket
 
-from gevent.pywsgi import WSGIServer
+from gevent.pywsgi import WSGIHandler, WSGIServer
 
 BACKLOG = 1024
 
@@ -22,13 +22,33 @@
     return listener
 
 
+class CountingHandler(WSGIHandler):
+    """Handler that counts the calls whose answers are not yet written out."""
+
+    def handle_one_response(self) -> None:
+        """Answer one call."""
+        self.server.calls += 1
+        try:
+            super().handle_one_response()
+        finally:
+            self.server.calls -= 1
+
+
 class HttpListener:
     """One bottle application on one port, started and stopped as a whole."""
 
     def __init__(self, app, address: str, port: int) -> None:
         self.socket = listen_tcp(address, port)
         self.port = self.socket.getsockname()[1]
-        self.server = WSGIServer(self.socket, app, log=None)
+        self.server = WSGIServer(
+            self.socket, app, log=None, handler_class=CountingHandler
+        )
+        self.server.calls = 0
+
+    @property
+    def calls(self) -> int:
+        """Number of calls that are being answered."""
+        return self.server.calls
 
     def start(self) -> None:
         """Begin to accept calls."""
--- /dev/null
+++ b/packages/endive_node/src/endive_node/locating.py
@@ -0,0 +1,237 @@
+"""Finding the node that holds a request, and passing its answer on."""
+
+from collections.abc import Iterator
+
+import gevent
+import msgspec
+from endive_core.exceptions import EndiveError, ErrorKind
+from endive_core.handover import (
+    CANDIDATES,
+    RequestHead,
+    origin_in,
+    route_in,
+    route_of,
+    targets,
+)
+
+from endive_node.backends import PlainAnswer
+from endive_node.interfaces import Clock, Members
+from endive_node.ledger import RequestRecord
+from endive_node.notices import NoticeBoard
+from endive_node.peers import IDL, PeerClient, PeerConnection, PeerUnavailableError
+
+LOOKUP_TIMEOUT_S = 0.5
+"""A lookup asks nodes that may be dead; a live one answers in milliseconds."""
+
+WIDER_CANDIDATES = 8
+"""Asked when the likely ones do not know it: after a zone's worth of nodes has been
+replaced, more than two new ones may come before the holder in the order."""
+
+PAGE_WAIT_S = 1.0
+LOST_AFTER_S = 4.0
+"""How long a holder that went silent is looked for: a notice's few seconds."""
+
+RETRY_S = 0.1
+
+
+class Locator:
+    """Finds requests that other nodes hold, by id or by idempotency key.
+
+    Callers meet it when they resume an answer at a node that did not accept it.
+    """
+
+    def __init__(
+        self, node_id: str, members: Members, board: NoticeBoard, clock: Clock
+    ) -> None:
+        self.node_id = node_id
+        self.members = members
+        self.board = board
+        self.clock = clock
+
+    def find_id(self, organisation: str, request_id: str) -> "RemoteRun | None":
+        """Return the run of `request_id` at another node, or ``None``."""
+        return self._find(Lookup(organisation, request_id, route_in(request_id)))
+
+    def find_key(self, organisation: str, key: str) -> "RemoteRun | None":
+        """Return the run that was started with `key`, if it may have moved.
+
+        Outside a reclaim nobody is asked: it would cost each request with a key a
+        round trip to three nodes.
+        """
+        if not self.board.recent():
+            return None
+        route = route_of(organisation, key, "")
+        return self._find(Lookup(organisation, "", route, key))
+
+    def _find(self, lookup: "Lookup") -> "RemoteRun | None":
+        found = self.holder(lookup)
+        return None if found is None else RemoteRun(self, lookup, *found)
+
+    def holder(self, lookup: "Lookup"):
+        """Return (address, first page) of the node that holds the request, or ``None``.
+
+        All candidates are asked at once, since a dead one costs a time-out.
+        """
+        order = self._candidates(lookup)
+        for asked in (order[: CANDIDATES + 1], order[CANDIDATES + 1 :]):
+            found = self._ask_all(asked[:WIDER_CANDIDATES], lookup)
+            if found is not None:
+                return found
+        return None
+
+    def _candidates(self, lookup: "Lookup") -> list[str]:
+        live = self.members.live()
+        own = frozenset({self.node_id})
+        order = targets(
+            lookup.route,
+            live,
+            zones_under_notice=self.board.zones(),
+            without=own,
+        )
+        origin = origin_in(lookup.request_id)
+        first = [m for m in live if m.id == origin and m.id != self.node_id]
+        addresses = [member.peer_address for member in first + order]
+        return list(dict.fromkeys(addresses))
+
+    def _ask_all(self, addresses: list[str], lookup: "Lookup"):
+        jobs = [gevent.spawn(self._ask, address, lookup) for address in addresses]
+        for job in gevent.iwait(jobs):
+            if job.value is not None:
+                gevent.killall(jobs, block=False)
+                return job.value
+        return None
+
+    def _ask(self, address: str, lookup: "Lookup"):
+        seen = set()
+        while address and address not in seen:
+            seen.add(address)
+            client = PeerClient(address, LOOKUP_TIMEOUT_S)
+            try:
+                page = client.call("read_answer", *lookup.arguments(0, 0.0))
+            except (PeerUnavailableError, IDL.PeerError):
+                return None
+            if page.known and not page.moved_to:
+                return address, page
+            address = page.moved_to
+        return None
+
+
+class Lookup:
+    """What a request is looked for by."""
+
+    def __init__(
+        self, organisation: str, request_id: str, route: str, key: str = ""
+    ) -> None:
+        self.organisation = organisation
+        self.request_id = request_id
+        self.route = route
+        self.key = key
+
+    def arguments(self, start: int, wait_s: float) -> tuple:
+        """Return the arguments of ``read_answer``."""
+        return (self.organisation, self.request_id, self.key, start, wait_s)
+
+
+class RemoteRun:
+    """A request that another node drives; read like a run of this node.
+
+    Attributes
+    ----------
+    record : RequestRecord
+        Copy of the answer so far; its ``request`` is only the request's head.
+    """
+
+    moved = False
+
+    def __init__(self, locator: Locator, lookup: Lookup, address: str, page) -> None:
+        self.locator = locator
+        self.lookup = lookup
+        self.address = address
+        head = msgspec.msgpack.decode(page.head, type=RequestHead)
+        lookup.request_id = head.request_id
+        lookup.route = route_in(head.request_id)
+        self.record = RequestRecord(head, locator.clock.now())
+        self._take(page)
+
+    def read(self, start: int = 0) -> Iterator[list[str]]:
+        """Yield the answer's tokens from index `start`, as they come.
+
+        Raises
+        ------
+        EndiveError
+            Where the answer ends in an error, or no node holds it any more.
+        """
+        position = start
+        connection = None
+        try:
+            while True:
+                if position < len(self.record.tokens):
+                    fresh = self.record.tokens[position:]
+                    position += len(fresh)
+                    yield fresh
+                elif self.record.ended:
+                    break
+                else:
+                    connection = self._read_on(connection)
+            if self.record.error is not None:
+                raise self.record.error
+        finally:
+            if connection is not None:
+                connection.close()
+
+    def _read_on(self, connection):
+        arguments = self.lookup.arguments(len(self.record.tokens), PAGE_WAIT_S)
+        try:
+            connection = connection or PeerConnection(self.address)
+            page = connection.call("read_answer", *arguments)
+        except (PeerUnavailableError, IDL.PeerError):
+            page = None
+        if page is not None and page.known and not page.moved_to:
+            self._take(page)
+            return connection
+        if connection is not None:
+            connection.close()
+        self._find_again()
+        return None
+
+    def _find_again(self) -> None:
+        """Look for the holder anew: it was reclaimed in its turn, or has died."""
+        deadline = self.locator.clock.now() + LOST_AFTER_S
+        while (found := self.locator.holder(self.lookup)) is None:
+            if self.locator.clock.now() > deadline:
+                raise EndiveError(
+                    ErrorKind.UNKNOWN_REQUEST,
+                    "the node that held the request is gone; send it again",
+                )
+            gevent.sleep(RETRY_S)
+        self.address = found[0]
+
+    def _take(self, page) -> None:
+        record = self.record
+        record.tokens += page.tokens
+        record.finish_reason = page.finish_reason
+        record.dispatched = page.dispatched
+        if page.status:
+            record.plain_answer = PlainAnswer(page.status, page.content_type, page.body)
+        if page.error_kind:
+            record.error = EndiveError(ErrorKind(page.error_kind), page.error_message)
+
+
+def page_of(run, start: int, moved_to: str = ""):
+    """Return the part of a run's answer from index `start` on."""
+    record = run.record
+    answer, error = record.plain_answer, record.error
+    head = b"" if start else msgspec.msgpack.encode(run.head())
+    return IDL.AnswerPage(
+        known=True,
+        moved_to=moved_to,
+        head=head,
+        tokens=record.tokens[start:],
+        finish_reason=record.finish_reason,
+        error_kind=str(error.kind) if error else "",
+        error_message=error.message if error else "",
+        status=answer.status if answer else 0,
+        content_type=answer.content_type if answer else "",
+        body=answer.body if answer else b"",
+        dispatched=record.dispatched,
+    )
--- /dev/null
+++ b/packages/endive_node/src/endive_node/moving.py
@@ -0,0 +1,108 @@
+"""Streams that leave a backend server under notice."""
+
+from collections.abc import Iterator
+
+import gevent
+from endive_core.messages import Endpoint, ServerView
+from gevent.pool import Pool
+
+from endive_node.dispatching import Dispatcher
+from endive_node.notices import Notice, NoticeBoard
+from endive_node.serving import Move, Run, Serving
+from endive_node.telemetry import log_event
+
+AT_ONCE = 8
+"""Exports under way at one server: its network is shared by all, so more of them
+would only make the dearest one wait for the others."""
+
+MARGIN_S = 0.5
+"""Kept free at the end of a notice, since the killer may come early."""
+
+
+class Mover:
+    """Moves streams off servers that are being reclaimed, the dearest first.
+
+    What goes wrong without it: the server is killed and each of its streams is
+    computed again from the prompt on, at other servers that are short already.
+    """
+
+    def __init__(
+        self, serving: Serving, dispatcher: Dispatcher, board: NoticeBoard
+    ) -> None:
+        self.serving = serving
+        self.dispatcher = dispatcher
+        self.board = board
+        metrics = serving.metrics
+        self.exported = metrics.counter("endive_streams_exported")
+        self.resumed = metrics.counter("endive_streams_resumed")
+        board.listeners.append(self.on_notice)
+
+    def on_notice(self, notice: Notice) -> None:
+        """Give the servers that `notice` takes no new work, and empty them."""
+        for server in self.mark():
+            if self.board.concerning(server.id, server.zone) is notice:
+                gevent.spawn(self.empty, server, notice)
+
+    def mark(self) -> list[ServerView]:
+        """Take all servers under notice out of the choice; return them."""
+        found = []
+        for server in list(self._servers()):
+            if self.board.concerning(server.id, server.zone) is not None:
+                self.dispatcher.leave(server.id)
+                found.append(server)
+        return found
+
+    def _servers(self) -> Iterator[ServerView]:
+        for views in self.dispatcher.servers.values():
+            yield from views.values()
+
+    def empty(self, server: ServerView, notice: Notice) -> None:
+        """Move what runs at `server`; the body of a greenlet."""
+        left_s = notice.ends_at - self.serving.clock.now() - MARGIN_S
+        runs = [run for run in self.serving.ledger.unfinished() if at(run, server)]
+        moving = [run for run in runs if not ends_within(run, server, left_s)]
+        moving.sort(key=recompute_tokens, reverse=True)
+        log_event(
+            "server_leaving", server=server.id, streams=len(runs), moving=len(moving)
+        )
+        pool = Pool(AT_ONCE)
+        for run in moving:
+            pool.spawn(self.move, run, server)
+        pool.join()
+
+    def move(self, run: Run, server: ServerView) -> None:
+        """Stop one stream at `server`; its driver goes on elsewhere."""
+        if not at(run, server):
+            return
+        move = run.move = Move()
+        request_id = run.record.request.request_id
+        exported = run.backend.export_kv(request_id)
+        if exported is not None:
+            self.exported.add(1)
+            move.settle(*exported)
+        else:
+            self.resumed.add(1)
+            move.settle(run.backend.cancel(request_id))
+        log_event("stream_moved", request_id=request_id, tokens=len(move.tokens))
+
+
+def at(run: Run, server: ServerView) -> bool:
+    """Return whether an engine's attempt of `run` is under way at `server`."""
+    return (
+        run.driving
+        and run.backend is not None
+        and run.server is not None
+        and run.server.id == server.id
+        and run.record.request.endpoint is not Endpoint.SERVICE
+    )
+
+
+def ends_within(run: Run, server: ServerView, seconds: float) -> bool:
+    """Return whether the answer will be whole before the server goes."""
+    left = run.record.request.max_tokens - len(run.record.tokens)
+    return left / server.decode_tokens_per_s <= seconds
+
+
+def recompute_tokens(run: Run) -> int:
+    """Return the tokens to compute again if the stream's KV cache is lost."""
+    return run.record.request.prompt_tokens + len(run.record.tokens)
--- a/packages/endive_node/src/endive_node/node.py
+++ b/packages/endive_node/src/endive_node/node.py
@@ -7,10 +7,15 @@
 from endive_node.callers import CallerApi
 from endive_node.configuration import Configuration
 from endive_node.dispatching import Dispatcher
+from endive_node.handover import Handover
 from endive_node.listeners import HttpListener
+from endive_node.locating import Locator
+from endive_node.members import StaticMembers
+from endive_node.moving import Mover
+from endive_node.notices import NoticeBoard, NoticeWatcher
 from endive_node.operators import OperatorApi
 from endive_node.peers import PeerHandler, PeerListener
-from endive_node.platform import HttpLog
+from endive_node.platform import HttpCloud, HttpInstanceList, HttpLog
 from endive_node.serving import Serving
 from endive_node.settings import Settings
 from endive_node.telemetry import Metrics, MonotonicClock, log_event
@@ -46,6 +51,7 @@
             metrics=self.metrics,
             clock=self.clock,
         )
+        self._make_reclaim()
         self._make_listeners()
         self.greenlets: list[gevent.Greenlet] = []
         self.stopped = Event()
@@ -55,6 +61,22 @@
         """Return a node that is not started yet, its ports already bound."""
         return cls(settings)
 
+    def _make_reclaim(self) -> None:
+        settings, platform = self.settings, self.settings.platform
+        self.members = StaticMembers.from_settings(settings)
+        self.board = NoticeBoard(self.clock)
+        cloud = platform.cloud and HttpCloud(platform.cloud, platform.timeout_s)
+        listed = platform.instances and HttpInstanceList(
+            platform.instances, platform.timeout_s
+        )
+        self.notices = NoticeWatcher(self.board, cloud, listed, platform.notice_poll_s)
+        self.handover = Handover(self.serving, settings.node, self.members, self.board)
+        self.mover = Mover(self.serving, self.dispatcher, self.board)
+        self.configuration.listeners.append(lambda _: self.mover.mark())
+        self.serving.elsewhere = Locator(
+            settings.node.id, self.members, self.board, self.clock
+        )
+
     def _make_listeners(self) -> None:
         section = self.settings.node
         callers = CallerApi(
@@ -65,7 +87,7 @@
         operators = OperatorApi(
             self.configuration, self.settings.operators, self.metrics
         )
-        handler = PeerHandler(section.id, self.configuration)
+        handler = PeerHandler(section.id, self.configuration, self.handover)
         self.callers = HttpListener(callers.app, section.address, section.caller_port)
         self.operators = HttpListener(
             operators.app, section.address, section.operator_port
@@ -76,7 +98,13 @@
         """Start all listeners and loops."""
         for listener in (self.peers, self.operators, self.callers):
             listener.start()
-        for loop in (self.configuration.follow, self.serving.expire):
+        loops = (
+            self.configuration.follow,
+            self.serving.expire,
+            self.notices.watch_notices,
+            self.notices.watch_list,
+        )
+        for loop in loops:
             self.greenlets.append(gevent.spawn(loop))
         log_event(
             "node_started",
@@ -88,16 +116,29 @@
         )
 
     def drain(self) -> None:
-        """Stop as planned: take nothing new, finish every answer under way."""
-        if self.serving.stopping:
+        """Stop as planned: take nothing new, finish every answer under way.
+
+        The balancer learns from /healthz, some time later, that this node goes. A
+        node that refuses calls at once, or closes its port, fails those that the
+        balancer still sends; so it says 503 there first and takes calls until the
+        balancer has looked.
+        """
+        if self.serving.leaving:
             return
+        self.serving.leaving = True
+        self.members.leave()
+        gevent.sleep(self.settings.node.drain_settle_s)
         self.serving.stopping = True
         log_event("node_draining", in_flight=len(self.serving.ledger.unfinished()))
         deadline = self.clock.now() + MAX_DRAIN_S
-        while self.serving.ledger.unfinished() and self.clock.now() < deadline:
+        while self._busy() and self.clock.now() < deadline:
             gevent.sleep(DRAIN_POLL_S)
         self.stop()
 
+    def _busy(self) -> bool:
+        """Return whether an answer is under way, to a caller or from a server."""
+        return bool(self.serving.ledger.unfinished() or self.callers.calls)
+
     def stop(self) -> None:
         """Stop at once what still runs."""
         self.callers.stop(timeout_s=1.0)
--- a/packages/endive_node/src/endive_node/peers.py
+++ b/packages/endive_node/src/endive_node/peers.py
@@ -1,6 +1,7 @@
 """Calls between nodes over thrift."""
 
 from pathlib import Path
+from typing import Protocol
 
 import thriftpy2
 from endive_core.records import encode
@@ -24,12 +25,25 @@
     """A peer did not answer; it may or may not have done what was asked."""
 
 
+class PeerUnreachableError(PeerUnavailableError):
+    """No connection to a peer was made; it has done nothing."""
+
+
 class PeerHandler:
     """What this node does for others: the methods of ``peers.thrift``."""
 
-    def __init__(self, node_id: str, configuration: Configuration) -> None:
+    def __init__(
+        self,
+        node_id: str,
+        configuration: Configuration,
+        handover: "RequestTaker | None" = None,
+    ) -> None:
         self.node_id = node_id
         self.configuration = configuration
+        if handover is not None:
+            self.take_requests = handover.take_requests
+            self.take_answers = handover.take_answers
+            self.read_answer = handover.read_answer
 
     def ping(self) -> str:
         """Return this node's id."""
@@ -42,6 +56,24 @@
         return encode(self.configuration.fold.snapshot())
 
 
+class RequestTaker(Protocol):
+    """Takes over requests of a node that leaves, and tells their answers."""
+
+    def take_requests(self, sender: str, encoded: list[bytes]) -> list[str]:
+        """Return the ids of the requests that this node holds now."""
+        ...
+
+    def take_answers(self, sender: str, encoded: list[bytes]) -> list[str]:
+        """Return the ids of the requests that go on at this node now."""
+        ...
+
+    def read_answer(
+        self, organisation: str, request_id: str, key: str, start: int, wait_s: float
+    ):
+        """Return an ``AnswerPage``."""
+        ...
+
+
 class PeerListener:
     """The thrift listener of a node.
 
@@ -101,7 +133,7 @@
                 IDL.Peer, self.host, self.port, timeout=self.timeout_s * 1000
             )
         except (TException, OSError) as error:
-            raise PeerUnavailableError(str(error)) from None
+            raise PeerUnreachableError(str(error)) from None
         try:
             return getattr(client, method)(*arguments)
         except IDL.PeerError:
@@ -118,3 +150,32 @@
     def pull_configuration(self) -> str:
         """Return the peer's configuration as a snapshot record."""
         return self.call("pull_configuration")
+
+
+class PeerConnection:
+    """Another node, over one connection that is kept between calls.
+
+    For a caller's answer that is passed on page by page.
+    """
+
+    def __init__(self, peer_address: str, timeout_s: float = CALL_TIMEOUT_S) -> None:
+        host, port = peer_address.rsplit(":", 1)
+        try:
+            self.client = make_client(
+                IDL.Peer, host, int(port), timeout=timeout_s * 1000
+            )
+        except (TException, OSError) as error:
+            raise PeerUnreachableError(str(error)) from None
+
+    def call(self, method: str, *arguments):
+        """Call `method`; see :meth:`PeerClient.call`."""
+        try:
+            return getattr(self.client, method)(*arguments)
+        except IDL.PeerError:
+            raise
+        except (TException, OSError) as error:
+            raise PeerUnavailableError(str(error)) from None
+
+    def close(self) -> None:
+        """Close the connection."""
+        self.client.close()
--- a/packages/endive_node/src/endive_node/serving.py
+++ b/packages/endive_node/src/endive_node/serving.py
@@ -6,17 +6,32 @@
 import gevent
 from endive_core.catalogue import Catalogue
 from endive_core.exceptions import EndiveError, ErrorKind, RetryReason
+from endive_core.handover import RequestHead, head_of, request_id_for
 from endive_core.hashing import fingerprint
 from endive_core.messages import Endpoint, Piece, Request, ServerView
+from gevent.event import Event
 
 from endive_node.backends import BackendClients, EngineServer, PlainServer
 from endive_node.dispatching import AttemptResult, Dispatcher
-from endive_node.interfaces import BackendError, Clock
+from endive_node.interfaces import BackendError, Clock, Elsewhere
 from endive_node.ledger import Ledger, RequestRecord
 from endive_node.settings import LimitsSection
 from endive_node.telemetry import Metrics, log_event
 
 EXPIRE_EVERY_S = 1.0
+MOVE_TIMEOUT_S = 2.0
+"""Longest an attempt that was cut off waits to hear whether its stream has moved."""
+
+CANCELLED = "cancelled"
+"""The reason with which an engine ends a sequence that it was told to stop."""
+
+
+class Paused(BaseException):
+    """Thrown into the greenlet that drives a request which must stop here.
+
+    Like gevent's own time-outs it is no ``Exception``, so that code on the way which
+    handles failures doesn't take it for one.
+    """
 
 
 class Serving:
@@ -44,10 +59,13 @@
         self.clock = clock
         self.ledger = Ledger(limits.keep_finished_s)
         self.stopping = False
+        self.leaving = False
+        self.elsewhere: Elsewhere | None = None
 
-    def new_request_id(self) -> str:
-        """Return an id that names this node, so that any other can find the answer."""
-        return f"{self.node_id}.{uuid.uuid4().hex[:20]}"
+    def new_request_id(self, organisation: str = "", key: str = "") -> str:
+        """Return an id from which any node can work out where the answer is."""
+        unique = uuid.uuid4().hex[:12]
+        return request_id_for(self.node_id, organisation, key, unique)
 
     def accept(self, request: Request) -> "Run":
         """Enter `request`; return the run to read the answer from.
@@ -66,14 +84,14 @@
             raise
 
     def _accept(self, request: Request) -> "Run":
-        if self.stopping:
-            raise EndiveError(ErrorKind.STOPPING, "this node takes no new requests")
         request.fingerprint = fingerprint(
             f"{request.endpoint}\0{request.path}\0{request.model}\0{request.prompt}"
         )
         known = self._joined(request)
         if known is not None:
             return known
+        if self.stopping:
+            raise EndiveError(ErrorKind.STOPPING, "this node takes no new requests")
         if request.non_idempotent and not request.key:
             raise EndiveError(
                 ErrorKind.KEY_REQUIRED,
@@ -89,6 +107,8 @@
         if not request.key:
             return None
         run = self.ledger.by_idempotency_key(request.organisation, request.key)
+        if self.elsewhere is not None and (run is None or run.moved):
+            run = self.elsewhere.find_key(request.organisation, request.key)
         if run is None:
             return None
         if run.record.request.fingerprint != request.fingerprint:
@@ -99,6 +119,13 @@
             return None
         return run
 
+    def adopt(self, record: RequestRecord) -> "Run":
+        """Enter a request that another node handed over, not yet started."""
+        run = Run(self, record)
+        run.held = True
+        self.ledger.add(run)
+        return run
+
     def expire(self) -> None:
         """Forget finished answers for ever; the body of a greenlet."""
         while True:
@@ -106,6 +133,34 @@
             self.ledger.expire(self.clock.now())
 
 
+class Move:
+    """A stream on its way off a server: who stops it there fills in what it had.
+
+    Attributes
+    ----------
+    blob : dict or None
+        The exported KV cache; without it the next server computes prompt and tokens
+        again.
+    """
+
+    def __init__(self) -> None:
+        self.tokens: list[str] = []
+        self.blob: dict | None = None
+        self.settled = Event()
+        self.stopped = False
+
+    def settle(self, tokens: list[str] | None, blob: dict | None = None) -> None:
+        """Note what the server gave up, or with ``None`` that it did not answer."""
+        self.stopped = tokens is not None
+        self.tokens = tokens or []
+        self.blob = blob
+        self.settled.set()
+
+    def wait(self) -> bool:
+        """Return whether the server confirmed that the stream stopped there."""
+        return self.settled.wait(MOVE_TIMEOUT_S) and self.stopped
+
+
 class Run:
     """One request on its way; whoever reads the answer drives it.
 
@@ -118,7 +173,13 @@
         self.serving = serving
         self.record = record
         self.backend: EngineServer | None = None
+        self.server: ServerView | None = None
+        self.driver: gevent.Greenlet | None = None
         self.driving = False
+        self.held = False
+        self.moved = False
+        self.move: Move | None = None
+        self.blob: dict | None = None
         self.readers = 0
         self._steps = self._drive()
 
@@ -149,7 +210,7 @@
             self._reader_left()
 
     def _progress(self) -> None:
-        if self.driving:
+        if self.driving or self.held:
             self.record.progressed.wait()
         else:
             self.advance()
@@ -157,8 +218,11 @@
     def advance(self) -> None:
         """Drive the request up to its next pieces, or its end."""
         self.driving = True
+        self.driver = gevent.getcurrent()
         try:
             next(self._steps, None)
+        except Paused:
+            pass
         except EndiveError as error:
             self._fail(error)
         except Exception as error:
@@ -178,6 +242,83 @@
         while not self.record.ended:
             self._progress()
 
+    def pause(self) -> None:
+        """Stop driving; readers wait until the request goes on here or has moved.
+
+        The driver is thrown out of whatever it waits for: a server, a place in the
+        queue or the log. That happens in the hub, as for gevent's own time-outs, so
+        it is done once the caller of this method has yielded.
+        """
+        self.held = True
+        if self.driving:
+            gevent.get_hub().loop.run_callback(self._interrupt)
+
+    def _interrupt(self) -> None:
+        if self.driving and self.held:
+            self.driver.throw(Paused)
+
+    def go_on(self, *, in_background: bool = False) -> None:
+        """Drive a request again that was paused or adopted."""
+        if not self.held or self.record.ended:
+            return
+        self.held = False
+        self._steps = self._drive()
+        if in_background or not self.readers:
+            gevent.spawn(self.finish_in_background)
+        self.record.wake()
+
+    def end_moved(self) -> None:
+        """End the answer here, since another node goes on with it."""
+        self.moved = True
+        self._fail(
+            EndiveError(
+                ErrorKind.MOVED,
+                "this node is being reclaimed; go on at any other node with "
+                "GET /v1/requests/ID and Last-Event-ID, or send the request again "
+                "with its key",
+            )
+        )
+        self.record.wake()
+
+    def end_whole(self, finish_reason: str) -> None:
+        """End an answer that its former holder had whole."""
+        self.record.finish_reason = finish_reason
+        self._ended(outcome="ok")
+        self.record.wake()
+
+    def end_failed(self, error: EndiveError) -> None:
+        """End an answer as its former holder did."""
+        self._fail(error)
+        self.record.wake()
+
+    def head(self) -> RequestHead:
+        """Return what another node needs to pass the answer on."""
+        return head_of(self.record.request)
+
+    def stop_at_server(self) -> bool:
+        """Make the server stop; return whether it confirmed that nothing runs on."""
+        if self.backend is None or self.record.request.endpoint is Endpoint.SERVICE:
+            return False
+        self.pause()
+        gevent.sleep(0)
+        tokens = self.backend.cancel(self.record.request.request_id)
+        if tokens is None:
+            self.end_unknown()
+            return False
+        self.record.extend(tokens)
+        return True
+
+    def end_unknown(self) -> None:
+        """End a request of which its former holder left the outcome open."""
+        self._fail(
+            EndiveError(
+                ErrorKind.OUTCOME_UNKNOWN,
+                "the node that held the request was reclaimed before it could tell "
+                "whether a server ran it",
+            )
+        )
+        self.record.wake()
+
     def _reader_left(self) -> None:
         """Go on without readers only where stopping would lose what was accepted.
 
@@ -230,7 +371,8 @@
                 ok = True
             except BackendError as error:
                 avoid.add(server.id)
-                self._decide_retry(error)
+                if not self._take_move():
+                    self._decide_retry(error)
             finally:
                 self._release(server, started_at, tokens_before, ok=ok)
             if ok:
@@ -240,6 +382,7 @@
         record = self.record
         record.attempt += 1
         record.servers.append(server.id)
+        self.server = server
         if record.request.endpoint is Endpoint.SERVICE:
             self._call_plain(server)
         else:
@@ -263,15 +406,27 @@
         record = self.record
         self.backend = EngineServer(self.serving.clients, server.address)
         priority = self.serving.catalogue.priority(record.request.priority).level
+        blob, self.blob = self.blob, None
         try:
             batches = self.backend.run(
-                record.request, record.attempt, record.tokens, priority=priority
+                record.request,
+                record.attempt,
+                record.tokens,
+                priority=priority,
+                blob=blob,
             )
         except BackendError as error:
             record.dispatched = record.dispatched or error.started
             raise
         record.dispatched = True
         for pieces in batches:
+            if pieces[-1].finish_reason == CANCELLED:
+                raise BackendError(
+                    "the server was told to stop",
+                    started=True,
+                    reason=RetryReason.SERVER_LEAVING,
+                    stopped=True,
+                )
             self._take(pieces)
             record.wake()
             if record.finish_reason:
@@ -301,6 +456,22 @@
             )
         self.serving.metrics.tokens.add(taken)
 
+    def _take_move(self) -> bool:
+        """Return whether the attempt ended because the stream moves off its server.
+
+        Whoever stopped it there has the tokens up to the stop, and the KV cache if
+        there was time to export it. A move is no failure: it does not count against
+        the limit of attempts.
+        """
+        move, self.move = self.move, None
+        if move is None or not move.wait():
+            return False
+        self.record.extend(move.tokens)
+        self.record.first_attempt += 1
+        self.blob = move.blob
+        self.serving.metrics.retried(RetryReason.SERVER_LEAVING)
+        return True
+
     def _decide_retry(self, error: BackendError) -> None:
         """Return if another attempt is allowed; otherwise raise the final answer."""
         record = self.record
@@ -311,7 +482,8 @@
                 ErrorKind.OUTCOME_UNKNOWN,
                 "the server may have run the request; it is not sent again",
             ) from None
-        if record.attempt >= self.serving.limits.max_attempts:
+        attempts = record.attempt - record.first_attempt
+        if attempts >= self.serving.limits.max_attempts:
             kind = (
                 ErrorKind.BACKEND_FAILED if record.dispatched else ErrorKind.NO_SERVER
             )
--- a/packages/endive_node/src/endive_node/settings.py
+++ b/packages/endive_node/src/endive_node/settings.py
@@ -32,6 +32,12 @@
     operator_port: Port = Field(8081, description="port for operators; 0 picks one")
     peer_port: Port = Field(8082, description="TCP port for other nodes")
     gossip_port: Port = Field(8083, description="UDP port for heartbeats")
+    drain_settle_s: float = Field(
+        2.0,
+        ge=0,
+        description="after SIGTERM /healthz says 503 but calls are still taken for "
+        "so long, seconds: at least two looks of the balancer",
+    )
 
 
 class PlatformSection(_Section):
