--- /dev/null
+++ b/packages/endive_core/src/endive_core/placement.py
@@ -0,0 +1,148 @@
+"""Placement: which server a call goes to.
+
+The load this is for: skewed demand, where many calls share a few prompt prefixes.
+Without affinity each server computes each prefix again; with affinity alone, the
+servers of the popular prefixes drown while others idle. So a few candidates are
+compared (the prefix's own servers, those believed to hold it, and some with room at
+random) by predicted wait against prompt tokens to compute, with the deployment's own
+weights. A few random candidates are enough to find a short wait, and since each node
+draws others, nodes that read the same late report don't all run to one server.
+"""
+
+from itertools import islice
+
+from endive_core.calls import Call, Ticket
+from endive_core.policy import Policy
+from endive_core.prefixes import BLOCK_TOKENS, PrefixIndex
+from endive_core.ring import HashRing
+from endive_core.servers import Random, ServerLoad, ServerSet
+
+AFFINITY_DEPTHS = (8, 12, 18, 27, 41, 61, 92, 138)
+"""Numbers of leading blocks that may choose affinity servers; the deepest two that a
+prompt has are used. A single depth would be too short for a long system prompt, so
+that one organisation's calls all meet on one server, or too long for a short one. With
+two, a conversation that grows past a depth still meets its last turn's server."""
+
+
+KNOWN_HOLDERS = 2
+"""Servers tried because they are believed to hold the longest known prefix."""
+
+
+class Placement:
+    """Chooses the server for a ticket among those with room.
+
+    Callers meet it as the wait for the first token, operators as recomputed tokens.
+    """
+
+    def __init__(self, policy: Policy, servers: ServerSet, random: Random) -> None:
+        self.policy = policy
+        self.servers = servers
+        self.random = random
+        self.ring = HashRing(points=policy.ring_points)
+        self.prefixes = PrefixIndex(max_blocks=policy.max_known_blocks)
+
+    def set_members(self, members: list[str]) -> None:
+        """Place the servers that take work on the ring."""
+        self.ring.set_members(members)
+
+    def choose(self, ticket: Ticket, now: float, *, spare: bool) -> ServerLoad | None:
+        """Return the best server with room, or ``None`` if no candidate has any.
+
+        Parameters
+        ----------
+        spare : bool
+            Whether the servers' reserve must stay free.
+        """
+        call = ticket.call
+        cached = self.prefixes.prefix_holders(call.blocks)
+        best, best_score = None, 0.0
+        for server in self._candidates(ticket, cached, spare=spare):
+            if spare and server.prefill_paced_until > now + self.policy.prefill_burst_s:
+                continue
+            score = self.score(call, server, cached.get(server.id, 0))
+            if best is None or score < best_score:
+                best, best_score = server, score
+        if best is not None:
+            ticket.uncached_tokens = _uncached(call, cached.get(best.id, 0))
+        return best
+
+    def pace(self, server: ServerLoad, tokens: float, now: float) -> None:
+        """Count prefill work sent to `server` against this node's part of its rate.
+
+        A batch that fills all free slots at once would leave a second of prefill work
+        before the next caller's first token, though slots are free.
+        """
+        rate = server.view.prefill_tokens_per_s * self.servers.share
+        begins = max(now, server.prefill_paced_until)
+        server.prefill_paced_until = begins + tokens / rate
+
+    def _candidates(
+        self, ticket: Ticket, cached: dict[str, int], *, spare: bool
+    ) -> list[ServerLoad]:
+        open_servers = self.servers.open[spare]
+        found = self._affinity(ticket.call, cached, spare=spare)
+        found += open_servers.sample(
+            self.policy.random_candidates, self.random.randrange
+        )
+        allowed = [s for s in found if self._allowed(ticket, s, spare=spare)]
+        if allowed or not (ticket.avoid or ticket.suspect):
+            return allowed
+        return [s for s in open_servers.items if self._allowed(ticket, s, spare=spare)]
+
+    def _allowed(self, ticket: Ticket, server: ServerLoad, *, spare: bool) -> bool:
+        if server.id in ticket.avoid:
+            return False
+        if not self.servers.has_room(server, spare=spare):
+            return False
+        # Of several requests that ran on a crashed server one may be poison. Apart
+        # from each other, the next crash names it and no innocent one is refused.
+        return not (ticket.suspect and server.starting_suspects)
+
+    def _affinity(
+        self, call: Call, cached: dict[str, int], *, spare: bool
+    ) -> list[ServerLoad]:
+        """Return the prefix's servers that have room and aren't over the load bound.
+
+        The bound keeps one popular prefix from filling its server while others idle.
+        """
+        if not call.blocks:
+            return []
+        names = [*islice(cached, KNOWN_HOLDERS), *self._hashed(call)]
+        open_servers = self.servers.open[spare].positions
+        bound = self.policy.load_bound * self.servers.mean_utilisation
+        found = []
+        for name in names:
+            if name not in open_servers:
+                continue
+            server = self.servers.servers[name]
+            if server.load <= bound * server.view.max_concurrent + 1:
+                found.append(server)
+        return found
+
+    def _hashed(self, call: Call) -> list[str]:
+        """Return the servers that the deepest affinity depths hash to."""
+        depths = [depth for depth in AFFINITY_DEPTHS if depth <= len(call.blocks)]
+        wanted = depths[-self.policy.affinity_candidates :] or [len(call.blocks)]
+        names = []
+        for depth in reversed(wanted):
+            names += self.ring.candidates(str(call.blocks[depth - 1]), 1)
+        return names
+
+    def score(self, call: Call, server: ServerLoad, cached_blocks: int) -> float:
+        """Return the weighed cost of sending `call` to `server`, in seconds."""
+        compute = _uncached(call, cached_blocks) / server.view.prefill_tokens_per_s
+        weights = call.weights
+        return server.slowness * (
+            weights.wait * (self.wait_s(server) + compute) + weights.recompute * compute
+        )
+
+    def wait_s(self, server: ServerLoad) -> float:
+        """Return the predicted wait for the first prefill step at `server`, seconds."""
+        view = server.view
+        waiting = server.starting_tokens / view.prefill_tokens_per_s
+        crowding = server.utilisation / view.decode_tokens_per_s
+        return waiting + crowding
+
+
+def _uncached(call: Call, cached_blocks: int) -> float:
+    return float(max(0, call.prompt_tokens - cached_blocks * BLOCK_TOKENS))
--- a/packages/endive_node/src/endive_node/handover.py
+++ b/packages/endive_node/src/endive_node/handover.py
@@ -147,9 +147,8 @@
             now - transfer.age_s,
             attempt=transfer.attempt,
             first_attempt=transfer.attempt,
-            dispatched=transfer.dispatched,
         )
-        run = self.serving.adopt(record)
+        run = self.serving.adopt(record, sent_before=transfer.dispatched)
         self.taken.add(1)
         if transfer.stopped:
             run.go_on(in_background=True)
@@ -188,7 +187,7 @@
             return
         record.tokens[:] = transfer.tokens
         record.attempt = record.first_attempt = transfer.attempt
-        record.dispatched = transfer.dispatched
+        run.sent_before = run.sent_before or transfer.dispatched
         if transfer.finish_reason:
             run.end_whole(transfer.finish_reason)
         elif transfer.error:
@@ -246,7 +245,7 @@
         """Send the records of `runs` that no target holds yet."""
         for run in runs:
             request = run.record.request
-            if request.non_idempotent and not run.record.dispatched:
+            if request.non_idempotent and not run.dispatched:
                 run.pause()
         gevent.sleep(0)
         by_id = {run.record.request.request_id: run for run in runs}
@@ -273,7 +272,7 @@
         request = run.record.request
         level = self.handover.serving.catalogue.priority(request.priority).level
         size = len(request.prompt)
-        return Departure(request.request_id, level, size, not run.record.dispatched)
+        return Departure(request.request_id, level, size, not run.dispatched)
 
     def _target(self, request_id: str):
         handover = self.handover
@@ -296,7 +295,7 @@
             age_s=now - record.accepted_at,
             deadline_in_s=left,
             attempt=record.attempt,
-            dispatched=record.dispatched,
+            dispatched=run.dispatched,
             stopped=False,
             starts_in_s=max(0.0, self.notice.ends_at - now) + START_MARGIN_S,
         )
@@ -354,7 +353,7 @@
         has no answer so far that could be gone on with, and is short.
         """
         record = run.record
-        if record.ended or not record.dispatched:
+        if record.ended or not run.dispatched:
             return True
         if record.request.non_idempotent:
             return self._late() and run.stop_at_server()
@@ -374,19 +373,22 @@
         for run in runs:
             run.pause()
         gevent.sleep(0)
+        for run in runs:
+            run.hand_over()
         encoded = [encode(answer_of(run)) for run in runs]
         taken, uncertain = self._send("take_answers", peer_id, address, encoded)
         for run in runs:
             request = run.record.request
             self.acknowledged.pop(request.request_id, None)
-            # If the target's answer was lost it may have started: an idempotent
-            # request may go on here as well, any other must not.
-            if request.request_id in taken or (uncertain and request.non_idempotent):
+            if request.request_id in taken:
                 self.handover.holders[request.request_id] = address
                 self.handover.given.add(1)
                 run.end_moved()
+            elif uncertain and request.non_idempotent:
+                # The target may have started it although its answer was lost.
+                run.end_unknown()
             else:
-                run.go_on()
+                run.take_back(uncertain=uncertain)
 
 
 def answer_of(run: Run) -> AnswerTransfer:
@@ -397,7 +399,7 @@
         request_id=record.request.request_id,
         tokens=record.tokens,
         attempt=record.attempt,
-        dispatched=record.dispatched,
+        dispatched=run.dispatched,
         finish_reason=record.finish_reason,
         error=str(error.kind) if error else "",
         message=error.message if error else "",
--- a/packages/endive_node/src/endive_node/locating.py
+++ b/packages/endive_node/src/endive_node/locating.py
@@ -4,7 +4,7 @@
 
 import gevent
 import msgspec
-from endive_core.exceptions import EndiveError, ErrorKind
+from endive_core.exceptions import EndiveError, ErrorKind, Executed
 from endive_core.handover import (
     CANDIDATES,
     RequestHead,
@@ -153,6 +153,12 @@
         self.record = RequestRecord(head, locator.clock.now())
         self._take(page)
 
+    @property
+    def not_run(self) -> bool:
+        """Whether the request ended and no server ran anything of it."""
+        error = self.record.error
+        return error is not None and error.executed is Executed.NO
+
     def read(self, start: int = 0) -> Iterator[list[str]]:
         """Yield the answer's tokens from index `start`, as they come.
 
@@ -210,7 +216,6 @@
         record = self.record
         record.tokens += page.tokens
         record.finish_reason = page.finish_reason
-        record.dispatched = page.dispatched
         if page.status:
             record.plain_answer = PlainAnswer(page.status, page.content_type, page.body)
         if page.error_kind:
@@ -233,5 +238,4 @@
         status=answer.status if answer else 0,
         content_type=answer.content_type if answer else "",
         body=answer.body if answer else b"",
-        dispatched=record.dispatched,
     )
--- a/packages/endive_node/src/endive_node/peers.thrift
+++ b/packages/endive_node/src/endive_node/peers.thrift
@@ -21,7 +21,6 @@
   8: i32 status
   9: string content_type
   10: binary body
-  11: bool dispatched
 }
 
 service Peer {
--- a/packages/endive_node/src/endive_node/serving.py
+++ b/packages/endive_node/src/endive_node/serving.py
@@ -5,23 +5,21 @@
 
 import gevent
 from endive_core.catalogue import Catalogue
-from endive_core.exceptions import EndiveError, ErrorKind, RetryReason
+from endive_core.exceptions import EndiveError, ErrorKind, Executed, RetryReason
 from endive_core.handover import RequestHead, head_of, request_id_for
 from endive_core.hashing import fingerprint
+from endive_core.lifecycle import Event, Lifecycle, State
 from endive_core.messages import Endpoint, Piece, Request, ServerView
-from gevent.event import Event
 
-from endive_node.backends import BackendClients, EngineServer, PlainServer
+from endive_node.backends import BackendClients, EngineServer
 from endive_node.dispatching import AttemptResult, Dispatcher
-from endive_node.interfaces import BackendError, Clock, Elsewhere
+from endive_node.interfaces import BackendError, Claims, Clock, Elsewhere
 from endive_node.ledger import Ledger, RequestRecord
+from endive_node.moves import Move
 from endive_node.settings import LimitsSection
 from endive_node.telemetry import Metrics, log_event
 
 EXPIRE_EVERY_S = 1.0
-MOVE_TIMEOUT_S = 2.0
-"""Longest an attempt that was cut off waits to hear whether its stream has moved."""
-
 CANCELLED = "cancelled"
 """The reason with which an engine ends a sequence that it was told to stop."""
 
@@ -49,6 +47,7 @@
         limits: LimitsSection,
         metrics: Metrics,
         clock: Clock,
+        claims: Claims,
     ) -> None:
         self.node_id = node_id
         self.catalogue = catalogue
@@ -57,6 +56,7 @@
         self.limits = limits
         self.metrics = metrics
         self.clock = clock
+        self.claims = claims
         self.ledger = Ledger(limits.keep_finished_s)
         self.stopping = False
         self.leaving = False
@@ -107,22 +107,26 @@
         if not request.key:
             return None
         run = self.ledger.by_idempotency_key(request.organisation, request.key)
-        if self.elsewhere is not None and (run is None or run.moved):
+        moved = run is not None and run.moved
+        if self.elsewhere is not None and (run is None or moved):
             run = self.elsewhere.find_key(request.organisation, request.key)
+        if run is None and moved:
+            raise EndiveError(ErrorKind.MOVED, "another node goes on with the request")
         if run is None:
             return None
         if run.record.request.fingerprint != request.fingerprint:
             raise EndiveError(
                 ErrorKind.KEY_REUSED, "the idempotency key was used for another request"
             )
-        if run.record.error is not None and not run.record.dispatched:
-            return None
-        return run
+        return None if run.not_run else run
 
-    def adopt(self, record: RequestRecord) -> "Run":
-        """Enter a request that another node handed over, not yet started."""
+    def adopt(self, record: RequestRecord, *, sent_before: bool) -> "Run":
+        """Enter a request of another node, which may still be running it there.
+
+        Until it is told to go on, it only waits for the other's answer.
+        """
         run = Run(self, record)
-        run.held = True
+        run.wait_for_holder(sent_before=sent_before)
         self.ledger.add(run)
         return run
 
@@ -133,34 +137,6 @@
             self.ledger.expire(self.clock.now())
 
 
-class Move:
-    """A stream on its way off a server: who stops it there fills in what it had.
-
-    Attributes
-    ----------
-    blob : dict or None
-        The exported KV cache; without it the next server computes prompt and tokens
-        again.
-    """
-
-    def __init__(self) -> None:
-        self.tokens: list[str] = []
-        self.blob: dict | None = None
-        self.settled = Event()
-        self.stopped = False
-
-    def settle(self, tokens: list[str] | None, blob: dict | None = None) -> None:
-        """Note what the server gave up, or with ``None`` that it did not answer."""
-        self.stopped = tokens is not None
-        self.tokens = tokens or []
-        self.blob = blob
-        self.settled.set()
-
-    def wait(self) -> bool:
-        """Return whether the server confirmed that the stream stopped there."""
-        return self.settled.wait(MOVE_TIMEOUT_S) and self.stopped
-
-
 class Run:
     """One request on its way; whoever reads the answer drives it.
 
@@ -172,11 +148,13 @@
     def __init__(self, serving: Serving, record: RequestRecord) -> None:
         self.serving = serving
         self.record = record
+        self.life = Lifecycle(record.request.non_idempotent)
         self.backend: EngineServer | None = None
         self.server: ServerView | None = None
         self.driver: gevent.Greenlet | None = None
         self.driving = False
         self.held = False
+        self.sent_before = False
         self.moved = False
         self.move: Move | None = None
         self.blob: dict | None = None
@@ -237,6 +215,16 @@
             self.driving = False
             self.record.wake()
 
+    @property
+    def not_run(self) -> bool:
+        """Whether the request ended and no server ran anything of it."""
+        return self.life.ended and self.life.executed is Executed.NO
+
+    @property
+    def dispatched(self) -> bool:
+        """Whether a server may have run anything of it."""
+        return self.life.executed is not Executed.NO
+
     def finish_in_background(self) -> None:
         """Drive to the end without a reader."""
         while not self.record.ended:
@@ -257,11 +245,32 @@
         if self.driving and self.held:
             self.driver.throw(Paused)
 
+    def wait_for_holder(self, *, sent_before: bool) -> None:
+        """Hold a request that another node has not stopped yet."""
+        self.held = True
+        self.sent_before = sent_before
+        self.life.state = State.JOINING
+
+    def hand_over(self) -> None:
+        """Give a paused request up: nothing of it is sent from here any more."""
+        if self.life.allows(Event.SERVER_LOST):
+            self.life.fire(Event.SERVER_LOST)
+        if self.life.allows(Event.HAND_OVER):
+            self.life.fire(Event.HAND_OVER)
+
+    def take_back(self, *, uncertain: bool) -> None:
+        """Go on with a request that no other node took, or may have taken."""
+        if self.life.state is State.HANDING_OVER:
+            self.life.fire(Event.UNACKNOWLEDGED if uncertain else Event.DECLINED)
+        self.go_on()
+
     def go_on(self, *, in_background: bool = False) -> None:
         """Drive a request again that was paused or adopted."""
         if not self.held or self.record.ended:
             return
         self.held = False
+        if self.life.state is State.JOINING:
+            self.life = Lifecycle(self.record.request.non_idempotent, self.sent_before)
         self._steps = self._drive()
         if in_background or not self.readers:
             gevent.spawn(self.finish_in_background)
@@ -270,7 +279,10 @@
     def end_moved(self) -> None:
         """End the answer here, since another node goes on with it."""
         self.moved = True
-        self._fail(
+        if self.record.ended:
+            return
+        self.life.fire(Event.ACKNOWLEDGED)
+        self._end_in(
             EndiveError(
                 ErrorKind.MOVED,
                 "this node is being reclaimed; go on at any other node with "
@@ -278,10 +290,10 @@
                 "with its key",
             )
         )
-        self.record.wake()
 
     def end_whole(self, finish_reason: str) -> None:
         """End an answer that its former holder had whole."""
+        self.life.fire(Event.COMPLETE)
         self.record.finish_reason = finish_reason
         self._ended(outcome="ok")
         self.record.wake()
@@ -289,7 +301,6 @@
     def end_failed(self, error: EndiveError) -> None:
         """End an answer as its former holder did."""
         self._fail(error)
-        self.record.wake()
 
     def head(self) -> RequestHead:
         """Return what another node needs to pass the answer on."""
@@ -305,6 +316,7 @@
         if tokens is None:
             self.end_unknown()
             return False
+        self.life.fire(Event.SERVER_STOPPED)
         self.record.extend(tokens)
         return True
 
@@ -317,7 +329,6 @@
                 "whether a server ran it",
             )
         )
-        self.record.wake()
 
     def _reader_left(self) -> None:
         """Go on without readers only where stopping would lose what was accepted.
@@ -336,9 +347,31 @@
     def _fail(self, error: EndiveError) -> None:
         if self.record.ended:
             return
+        error = self._true_error(error)
+        self.life.fire(Event.REFUSE if self.life.allows(Event.REFUSE) else Event.FAIL)
+        self._end_in(error)
+
+    def _end_in(self, error: EndiveError) -> None:
         self.record.error = error
         self.serving.metrics.refused(error.kind)
         self._ended(outcome=error.kind)
+        self.record.wake()
+
+    def _true_error(self, error: EndiveError) -> EndiveError:
+        """Return `error`, or one that doesn't deny an attempt that may have run.
+
+        A later attempt that finds no server, say, would tell the caller "not run"
+        although an earlier one was sent; the caller would send a court confirmation
+        again.
+        """
+        if error.executed is not Executed.NO or self.life.executed is Executed.NO:
+            return error
+        kind = (
+            ErrorKind.OUTCOME_UNKNOWN
+            if self.record.request.non_idempotent
+            else ErrorKind.BACKEND_FAILED
+        )
+        return EndiveError(kind, f"after an attempt that may have run: {error.message}")
 
     def _ended(self, *, outcome: str) -> None:
         record = self.record
@@ -359,6 +392,8 @@
     def _drive(self) -> Iterator[None]:
         """Run attempts until one ends the answer; yield after each batch of pieces."""
         avoid: set[str] = set()
+        if self.life.allows(Event.ENQUEUE):
+            self.life.fire(Event.ENQUEUE)
         while True:
             server = self.serving.dispatcher.acquire(
                 self.record.request, avoid=frozenset(avoid)
@@ -371,14 +406,24 @@
                 ok = True
             except BackendError as error:
                 avoid.add(server.id)
-                if not self._take_move():
+                if not self._take_move(error):
                     self._decide_retry(error)
             finally:
                 self._release(server, started_at, tokens_before, ok=ok)
             if ok:
                 return
 
+    def _claim(self) -> None:
+        """Win the only right to send a non-idempotent request, once."""
+        if not self.life.allows(Event.CLAIM):
+            return
+        self.life.fire(Event.CLAIM)
+        self.serving.claims.win(self.record.request)
+        self.life.fire(Event.WON)
+
     def _attempt(self, server: ServerView) -> Iterator[None]:
+        self._claim()
+        self.life.fire(Event.DISPATCH)
         record = self.record
         record.attempt += 1
         record.servers.append(server.id)
@@ -387,38 +432,29 @@
             self._call_plain(server)
         else:
             yield from self._stream(server)
+        self.life.fire(Event.COMPLETE)
         self._ended(outcome="ok")
 
     def _call_plain(self, server: ServerView) -> None:
-        plain = PlainServer(self.serving.clients, server.address)
+        plain = self.serving.clients.plain(server.address)
         request = self.record.request
-        try:
-            self.record.plain_answer = plain.call(
-                request, self.record.attempt, request.body["data"]
-            )
-        except BackendError as error:
-            self.record.dispatched = self.record.dispatched or error.started
-            raise
-        self.record.dispatched = True
+        self.record.plain_answer = plain.call(
+            request, self.record.attempt, request.body["data"]
+        )
         self.record.finish_reason = "stop"
 
     def _stream(self, server: ServerView) -> Iterator[None]:
         record = self.record
-        self.backend = EngineServer(self.serving.clients, server.address)
+        self.backend = self.serving.clients.engine(server.address)
         priority = self.serving.catalogue.priority(record.request.priority).level
         blob, self.blob = self.blob, None
-        try:
-            batches = self.backend.run(
-                record.request,
-                record.attempt,
-                record.tokens,
-                priority=priority,
-                blob=blob,
-            )
-        except BackendError as error:
-            record.dispatched = record.dispatched or error.started
-            raise
-        record.dispatched = True
+        batches = self.backend.run(
+            record.request,
+            record.attempt,
+            record.tokens,
+            priority=priority,
+            blob=blob,
+        )
         for pieces in batches:
             if pieces[-1].finish_reason == CANCELLED:
                 raise BackendError(
@@ -449,6 +485,8 @@
             else:
                 record.take(piece)
                 taken += 1
+        if taken and self.life.allows(Event.FIRST_PIECE):
+            self.life.fire(Event.FIRST_PIECE)
         if taken and record.first_token_at is None:
             record.first_token_at = self.serving.clock.now()
             self.serving.metrics.first_token.record(
@@ -456,7 +494,7 @@
             )
         self.serving.metrics.tokens.add(taken)
 
-    def _take_move(self) -> bool:
+    def _take_move(self, error: BackendError) -> bool:
         """Return whether the attempt ended because the stream moves off its server.
 
         Whoever stopped it there has the tokens up to the stop, and the KV cache if
@@ -466,6 +504,7 @@
         move, self.move = self.move, None
         if move is None or not move.wait():
             return False
+        self.life.fire(Event.SERVER_STOPPED if error.started else Event.NOT_STARTED)
         self.record.extend(move.tokens)
         self.record.first_attempt += 1
         self.blob = move.blob
@@ -475,6 +514,10 @@
     def _decide_retry(self, error: BackendError) -> None:
         """Return if another attempt is allowed; otherwise raise the final answer."""
         record = self.record
+        if not error.started:
+            self.life.fire(Event.NOT_STARTED)
+        elif self.life.allows(Event.SERVER_LOST):
+            self.life.fire(Event.SERVER_LOST)
         if error.final_status is not None:
             raise EndiveError(ErrorKind.BACKEND_REJECTED, str(error)) from None
         if error.started and record.request.non_idempotent:
@@ -482,12 +525,10 @@
                 ErrorKind.OUTCOME_UNKNOWN,
                 "the server may have run the request; it is not sent again",
             ) from None
-        attempts = record.attempt - record.first_attempt
-        if attempts >= self.serving.limits.max_attempts:
-            kind = (
-                ErrorKind.BACKEND_FAILED if record.dispatched else ErrorKind.NO_SERVER
-            )
-            raise EndiveError(kind, f"all attempts failed; the last: {error}") from None
+        if record.attempt - record.first_attempt >= self.serving.limits.max_attempts:
+            raise EndiveError(
+                ErrorKind.NO_SERVER, f"all attempts failed; the last: {error}"
+            ) from None
         self.serving.metrics.retried(error.reason)
 
     def _release(
