--- a/packages/endive_core/src/endive_core/scheduler.py
+++ b/packages/endive_core/src/endive_core/scheduler.py
@@ -15,7 +15,7 @@
     WaitError,
     allowed_wait_s,
 )
-from endive_core.calls import Call, Dispatch, Refusal, Retry, Stage, Ticket
+from endive_core.calls import Call, Dispatch, Refusal, Retry, Stage, Ticket, Tier
 from endive_core.crashes import Crash, CrashTable
 from endive_core.exceptions import ANSWERS, ErrorKind, RetryReason
 from endive_core.messages import ServerView
@@ -37,6 +37,9 @@
 PLAIN_HELD_S = 0.05
 """The same for a plain service, whose calls cost one token each."""
 
+MAX_BLAMED = 64
+"""Crashes whose suspects are kept while their broken streams come in one by one."""
+
 DEFAULT_DEPLOYMENT = Deployment(model="default", service="default")
 
 
@@ -74,7 +77,7 @@
         self.queue = FairQueue()
         self.crashes = crashes or crash_table(policy)
         self.rate = _first_rate(service_type)
-        self.errors = {False: WaitError(), True: WaitError()}
+        self.errors = {tier: WaitError() for tier in Tier}
         self.appointments = Appointments(
             min_s=policy.min_retry_after_s, max_s=policy.max_retry_after_s
         )
@@ -83,8 +86,10 @@
         self.budgets: dict[str, RetryBudget] = {}
         self.running: dict[str, set[Ticket]] = {}
         self.held: Counter[str] = Counter()
+        self.blamed: dict[str, set[Ticket]] = {}
         self.paused: list[ServerLoad] = []
         self.expired: list[Ticket] = []
+        self.no_server_since: float | None = None
         self.refusals: Counter[ErrorKind] = Counter()
         self.retries: Counter[RetryReason] = Counter()
 
@@ -157,10 +162,29 @@
         if refusal is not None:
             self.refusals[refusal.kind] += 1
             return refusal
+        return self._enter(call, now)
+
+    def take_over(self, call: Call, now: float) -> Ticket | Refusal:
+        """Queue a call that was accepted already, here or at another node.
+
+        The load this is for: a zone's nodes hand thousands of calls over within a
+        second. What is accepted is answered, so they are neither refused for the
+        wait that they cause nor held to a limit they have passed; only a call that
+        crashes servers ends here.
+        """
+        if self.crashes.is_poison(call.fingerprint, now):
+            self.refusals[ErrorKind.POISON_REQUEST] += 1
+            return _refuse(
+                ErrorKind.POISON_REQUEST, "servers crashed while running this request"
+            )
+        return self._enter(call, now)
+
+    def _enter(self, call: Call, now: float) -> Ticket:
         cost = call.prompt_tokens + call.max_tokens * self.rate.answer_part
         ticket = Ticket(call, now, cost)
         ticket.suspect = self.crashes.count(call.fingerprint, now) > 0
         ticket.predicted_s = self.predict(call).wait_s
+        ticket.tier = self._tier(call)
         quota = self.quotas.get(call.organisation)
         if quota is not None:
             quota.spend(call.tokens)
@@ -199,13 +223,18 @@
                 "the deadline can't be met",
                 max(self.policy.min_retry_after_s, prediction.wait_s),
             )
-        if prediction.long_wait_s <= allowed:
+        key = (call.organisation, call.rank)
+        cost_s = call.tokens * prediction.drain_s
+        if prediction.long_wait_s <= allowed and (
+            not prediction.wait_s or self.appointments.may_enter(key, now)
+        ):
+            self.appointments.entered(key, now, cost_s=cost_s)
             return None
         retry_after = self.appointments.give(
-            (call.organisation, call.rank),
+            key,
             now,
-            excess_s=prediction.long_wait_s - allowed,
-            cost_s=call.tokens * prediction.drain_s,
+            excess_s=max(0.0, prediction.long_wait_s - allowed),
+            cost_s=cost_s,
         )
         return _refuse(
             ErrorKind.OVERLOADED, "the latency target can't be met now", retry_after
@@ -213,38 +242,41 @@
 
     def predict(self, call: Call) -> Prediction:
         """Return when the first token of `call` is expected."""
-        slots = max(1.0, self.servers.own_total + len(self.servers.open[False]))
+        slots = max(
+            1.0, self.servers.own_total + len(self.servers.open[Tier.WITHIN_SHARE])
+        )
         tokens_per_s = slots * self.rate.tokens_per_slot_s
         ahead = self.queue.tokens_ahead(call.rank, call.organisation)
         wait, allowance = ahead / tokens_per_s, 0.0
-        if ahead or not self.servers.open[self._must_spare(call)]:
+        tier = self._tier(call)
+        if ahead or not self.servers.open[tier]:
             wait += self.rate.held_s / slots
-            allowance = self._error(call).allowance_s
+            allowance = self.errors[tier].allowance_s
         prefill = call.prompt_tokens / self._prefill_tokens_per_s()
         share = self.queue.active_part(call.rank, call.organisation)
         return Prediction(
             wait, allowance, self.rate.start_s + prefill, 1 / tokens_per_s / share
         )
 
-    def _error(self, call: Call) -> WaitError:
-        return self.errors[call.bulk]
-
     def _prefill_tokens_per_s(self) -> float:
         for server in self.servers.servers.values():
             return server.view.prefill_tokens_per_s
         return 1.0
 
-    def _must_spare(self, call: Call) -> bool:
-        """Return whether `call` must leave the servers' reserve free.
+    def _tier(self, call: Call) -> Tier:
+        """Return how much of the servers' slots `call` must leave free.
 
-        Bulk and organisations over their share of the slots must, so that a call of
-        an organisation under its share finds a slot at once while a batch runs.
+        Bulk leaves the most, organisations over their share of the slots some, so
+        that a call of an organisation within its share finds a slot at once while a
+        batch runs, and one over its share goes before bulk even of other nodes.
         """
         if call.bulk:
-            return True
+            return Tier.BULK
         part = self.queue.share(call.organisation) / self.shares_total
         slots = self.servers.slots_total * self.servers.share
-        return self.held[call.organisation] >= max(1.0, part * slots)
+        if self.held[call.organisation] >= max(1.0, part * slots):
+            return Tier.OVER_SHARE
+        return Tier.WITHIN_SHARE
 
     def next_dispatch(self, now: float) -> Dispatch | None:
         """Return the next ticket to send and its server, or ``None`` for now.
@@ -254,7 +286,11 @@
         self._tick(now)
         for ticket in self.queue.heads(self.policy.queue_heads_tried):
             if ticket.call.deadline is not None and now >= ticket.call.deadline:
-                self._expire(ticket)
+                self._expire(
+                    ticket,
+                    ErrorKind.DEADLINE_EXCEEDED,
+                    "the deadline passed before a server was free",
+                )
                 continue
             server = self._server_for(ticket, now)
             if server is not None:
@@ -264,13 +300,13 @@
         return None
 
     def _server_for(self, ticket: Ticket, now: float) -> ServerLoad | None:
-        spare = self._must_spare(ticket.call)
+        tier = self._tier(ticket.call)
         if not ticket.call.non_idempotent and not ticket.suspect:
             probe = self.outliers.probe(now)
-            if probe is not None and self.servers.has_room(probe, spare=spare):
+            if probe is not None and self.servers.has_room(probe, tier):
                 ticket.uncached_tokens = float(ticket.call.prompt_tokens)
                 return probe
-        return self.placement.choose(ticket, now, spare=spare)
+        return self.placement.choose(ticket, now, tier)
 
     def _tick(self, now: float) -> None:
         self.outliers.compare(now)
@@ -279,19 +315,44 @@
             server.paused = False
             self.servers.refresh(server)
 
-    def _expire(self, ticket: Ticket) -> None:
+        self._expire_without_servers(now)
+
+    def _expire_without_servers(self, now: float) -> None:
+        """Give up what is queued when no server has taken work for a while.
+
+        Servers may be replaced within seconds of a reclaim; after that a caller is
+        better told that its request was not run than left waiting.
+        """
+        if self.servers.taking:
+            self.no_server_since = None
+            return
+        if self.no_server_since is None:
+            self.no_server_since = now
+        if now - self.no_server_since >= self.policy.no_server_wait_s:
+            for ticket in self.queue.tickets():
+                self._expire(ticket, ErrorKind.NO_SERVER, "no server takes work")
+
+    def _expire(self, ticket: Ticket, kind: ErrorKind, message: str) -> None:
         self.queue.cancel(ticket)
         self._end(ticket)
-        ticket.refusal = _refuse(
-            ErrorKind.DEADLINE_EXCEEDED, "the deadline passed before a server was free"
-        )
-        self.refusals[ErrorKind.DEADLINE_EXCEEDED] += 1
+        ticket.refusal = _refuse(kind, message)
+        self.refusals[kind] += 1
         self.expired.append(ticket)
 
+    def close(self) -> None:
+        """Give up what is queued: the service is no longer declared."""
+        for ticket in self.queue.tickets():
+            self._expire(ticket, ErrorKind.NO_SERVER, "the service was deleted")
+
+    def take_expired(self) -> list[Ticket]:
+        """Return the queued tickets given up since the last call."""
+        expired, self.expired = self.expired, []
+        return expired
+
     def _dispatched(self, ticket: Ticket, server: ServerLoad, now: float) -> None:
         if not ticket.attempt:
             waited = now - ticket.accepted_at
-            self._error(ticket.call).learn(waited - ticket.predicted_s)
+            self.errors[ticket.tier].learn(waited - ticket.predicted_s)
         ticket.stage = Stage.DISPATCHED
         ticket.server = server.id
         ticket.attempt += 1
@@ -371,13 +432,14 @@
             If the server crashed: its name with the number of its incarnation.
         """
         server = self.servers.servers.get(ticket.server)
-        ticket.avoid.add(ticket.server)
+        if crashed and self._is_blamed(ticket, crashed):
+            self.crashes.add(Crash(ticket.call.fingerprint, crashed, now))
+            ticket.suspect = True
+        if reason is not RetryReason.SERVER_BUSY:
+            ticket.avoid.add(ticket.server)
         self._release(ticket, now)
         if server is not None:
             self._blame(server, reason, now)
-        if crashed:
-            self.crashes.add(Crash(ticket.call.fingerprint, crashed, now))
-            ticket.suspect = True
         refusal = self._no_retry(ticket, now, reason, started, max_attempts)
         if refusal is not None:
             self.refusals[refusal.kind] += 1
@@ -386,15 +448,31 @@
         self.retries[reason] += 1
         return Retry(retry_delay_s(ticket.attempt, self.policy, self.random))
 
+    def _is_blamed(self, ticket: Ticket, crashed: str) -> bool:
+        """Return whether `ticket` may have caused the crash that ended it.
+
+        All that ran on the server broke, but what was starting is the likeliest
+        cause; streams are blamed only if nothing was. A server under notice was
+        reclaimed, and no request is to blame. Blaming every stream would refuse
+        innocent ones after the second reclaimed zone.
+        """
+        if crashed not in self.blamed:
+            running = self.running.get(ticket.server, set())
+            starting = {t for t in running if t.stage is Stage.DISPATCHED}
+            server = self.servers.servers.get(ticket.server)
+            leaving = server is not None and server.view.leaving
+            self.blamed[crashed] = set() if leaving else starting or set(running)
+            if len(self.blamed) > MAX_BLAMED:
+                del self.blamed[next(iter(self.blamed))]
+        return ticket in self.blamed[crashed]
+
     def _blame(self, server: ServerLoad, reason: RetryReason, now: float) -> None:
         if reason is RetryReason.SERVER_BUSY:
             self.servers.busy(server)
         elif reason in (RetryReason.CONNECT_FAILED, RetryReason.SERVER_FAILED):
             server.view.failed_until = now + self.policy.failed_pause_s
-            if not server.paused:
-                server.paused = True
+            if self.servers.pause(server):
                 self.paused.append(server)
-            self.servers.refresh(server)
 
     def _no_retry(
         self,
@@ -414,12 +492,15 @@
                 ErrorKind.OUTCOME_UNKNOWN,
                 "the server may have run the request; it is not sent again",
             )
-        if ticket.attempt >= max_attempts:
-            return _refuse(ErrorKind.BACKEND_FAILED, "all attempts failed")
+        if ticket.attempt >= max_attempts or self.servers.all_tried(ticket.avoid):
+            kind = ErrorKind.BACKEND_FAILED if started else ErrorKind.NO_SERVER
+            return _refuse(kind, "all attempts failed")
         # A busy refusal cost the server next to nothing and a stream that has to move
         # did not fail; the budget is for repeated work.
         free = reason in (RetryReason.SERVER_BUSY, RetryReason.SERVER_LEAVING)
-        if not free and not self._budget(ticket).spend():
+        if not free and not self._budget(ticket).spend(
+            in_flight=self.servers.own_total
+        ):
             return _refuse(
                 ErrorKind.RETRY_BUDGET_SPENT, "too many calls are being sent again"
             )
@@ -453,6 +534,8 @@
         self.requeue(ticket)
 
     def _release(self, ticket: Ticket, now: float) -> None:
+        if not ticket.server:  # released already: cancelled while waiting to retry
+            return
         self.held[ticket.call.organisation] -= 1
         self.running.get(ticket.server, set()).discard(ticket)
         server = self.servers.servers.get(ticket.server)
--- a/packages/endive_core/src/endive_core/servers.py
+++ b/packages/endive_core/src/endive_core/servers.py
@@ -15,6 +15,7 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
+from endive_core.calls import Tier
 from endive_core.messages import ServerView
 
 
@@ -34,11 +35,12 @@
 
     Attributes
     ----------
-    reserved, divided : int
-        Slots kept from bulk, and the last free slots that the nodes divide.
-    grant, spare_grant : int
-        Slots of the last report that are this node's to take; `spare_grant` leaves
-        the reserve free.
+    reserved : tuple of int
+        Slots that a call of each tier must leave free.
+    divided : int
+        The last free slots, which the nodes divide.
+    grants : list of int
+        Slots of the last report that are this node's to take, for each tier.
     changes : deque
         Times and signs of this node's own sends (+1) and ends (-1).
     change : int
@@ -53,10 +55,9 @@
     """
 
     view: ServerView
-    reserved: int
-    divided: int
-    grant: int = 0
-    spare_grant: int = 0
+    reserved: tuple[int, int, int] = (0, 0, 0)
+    divided: int = 1
+    grants: list[int] = field(default_factory=lambda: [0, 0, 0])
     changes: deque = field(default_factory=deque)
     change: int = 0
     starting_tokens: float = 0.0
@@ -94,20 +95,13 @@
         view = self.view
         return view.max_concurrent - view.reported_running - view.reported_waiting
 
-    def granted(self, *, spare: bool) -> int:
-        """Return how many requests this node may send from its part of the slots.
+    def granted(self, tier: Tier) -> int:
+        """Return how many requests this node may send from its part of the slots."""
+        return self.grants[tier] - self.change
 
-        Parameters
-        ----------
-        spare : bool
-            Whether the reserve must stay free.
-        """
-        return (self.spare_grant if spare else self.grant) - self.change
-
-    def plenty(self, *, spare: bool) -> int:
+    def plenty(self, tier: Tier) -> int:
         """Return the free slots beyond those that the nodes divide."""
-        kept = self.divided + (self.reserved if spare else 0)
-        return self.free - self.change - kept
+        return self.free - self.change - self.divided - self.reserved[tier]
 
     def note(self, sign: int, now: float) -> None:
         """Count an own send (+1) or end (-1) at `now`."""
@@ -132,7 +126,7 @@
         self.reserved_share = reserved_share
         self.divided_share = divided_share
         self.servers: dict[str, ServerLoad] = {}
-        self.open = {False: MemberList(), True: MemberList()}
+        self.open = {tier: MemberList() for tier in Tier}
         self.taking = MemberList()
         self.nodes = 1
         self.own_total = 0
@@ -148,23 +142,24 @@
         for server_id in gone:
             self._remove(self.servers[server_id])
         for server_id in sorted(new):
-            self._add(declared[server_id])
+            self.servers[server_id] = ServerLoad(declared[server_id])
+        self.slots_total = sum(view.max_concurrent for view in declared.values())
+        for server in self.servers.values():
+            self._size(server)
         return bool(gone or new)
 
-    def _add(self, view: ServerView) -> None:
-        slots = view.max_concurrent
+    def _size(self, server: ServerLoad) -> None:
+        slots = server.view.max_concurrent
         reserved = round(slots * self.reserved_share)
         if self.reserved_share and slots > 1:
             reserved = max(1, reserved)
-        server = ServerLoad(view, reserved, max(1, round(slots * self.divided_share)))
-        self.servers[view.id] = server
-        self.slots_total += view.max_concurrent
+        server.reserved = (0, reserved // 2, reserved)
+        server.divided = max(1, round(slots * self.divided_share))
         self._grant(server)
 
     def _remove(self, server: ServerLoad) -> None:
         view = server.view
         self.servers.pop(view.id)
-        self.slots_total -= view.max_concurrent
         self.reported_total -= view.reported_running + view.reported_waiting
         self.own_total -= view.in_flight
         self.change_total -= server.change
@@ -213,8 +208,9 @@
 
     def _grant(self, server: ServerLoad) -> None:
         share = self.share
-        server.grant = self._rounded(server.free * share)
-        server.spare_grant = self._rounded((server.free - server.reserved) * share)
+        for tier in Tier:
+            free = server.free - server.reserved[tier]
+            server.grants[tier] = self._rounded(free * share)
         self.refresh(server)
 
     def _rounded(self, value: float) -> int:
@@ -225,8 +221,7 @@
     def busy(self, server: ServerLoad) -> None:
         """Expect no room until the next report: the server has just refused."""
         view = server.view
-        server.grant = min(server.grant, server.change)
-        server.spare_grant = min(server.spare_grant, server.change)
+        server.grants = [min(grant, server.change) for grant in server.grants]
         waiting = view.reported_waiting
         self.reported_total += max(0, server.free - server.change)
         view.reported_waiting = waiting + max(0, server.free - server.change)
@@ -239,11 +234,11 @@
         self.change_total += sign
         self.refresh(server)
 
-    def has_room(self, server: ServerLoad, *, spare: bool) -> bool:
-        """Return whether this node may send to `server` now."""
-        if server.granted(spare=spare) > 0:
+    def has_room(self, server: ServerLoad, tier: Tier) -> bool:
+        """Return whether this node may send a call of `tier` to `server` now."""
+        if server.granted(tier) > 0:
             return True
-        plenty = server.plenty(spare=spare)
+        plenty = server.plenty(tier)
         return plenty > 0 and plenty > self._taken_by_others(server)
 
     def _taken_by_others(self, server: ServerLoad) -> float:
@@ -257,6 +252,20 @@
         growth = max(0, self.change_total) * (1 / self.share - 1)
         return growth * max(0, server.free) / free
 
+    def pause(self, server: ServerLoad) -> bool:
+        """Give a server that failed no work for now; never the last one left."""
+        if server.paused or (len(self.taking) == 1 and not server.view.leaving):
+            return False
+        server.paused = True
+        self.refresh(server)
+        return True
+
+    def all_tried(self, tried: set[str]) -> bool:
+        """Return whether every server that takes work is among `tried`."""
+        if len(tried) < len(self.taking):
+            return False
+        return all(server.id in tried for server in self.taking.items)
+
     def refresh(self, server: ServerLoad) -> None:
         """Put `server` into or out of the lists of servers with room."""
         taking = not (server.view.leaving or server.paused)
@@ -265,8 +274,8 @@
         else:
             self.taking.discard(server)
         usable = taking and not server.slow
-        for spare, members in self.open.items():
-            room = server.granted(spare=spare) > 0 or server.plenty(spare=spare) > 0
+        for tier, members in self.open.items():
+            room = server.granted(tier) > 0 or server.plenty(tier) > 0
             if usable and room:
                 members.add(server)
             else:
--- a/packages/endive_node/src/endive_node/backends.py
+++ b/packages/endive_node/src/endive_node/backends.py
@@ -110,6 +110,16 @@
                 str(error), started=True, reason=RetryReason.SERVER_FAILED
             ) from None
 
+    def is_listening(self, address: str) -> bool:
+        """Return whether a process listens at `address`."""
+        try:
+            self.fetch_json(address, "/load")
+        except CONNECT_ERRORS:
+            return False
+        except (urllib3.exceptions.HTTPError, msgspec.DecodeError):
+            return True
+        return True
+
     def fetch_json(self, address: str, path: str) -> dict:
         """Return the JSON at `path` of the server at `address`."""
         response = self.pool.request(
@@ -125,21 +135,12 @@
         self.clients = clients
         self.address = address
         self.response = None
+        self.kv_handle: str | None = None
 
     def run(
-        self,
-        request: Request,
-        attempt: int,
-        tokens: list[str],
-        *,
-        priority: int = 0,
-        blob: dict | None = None,
+        self, request: Request, attempt: int, tokens: list[str], *, priority: int = 0
     ) -> Iterator[list[Piece]]:
-        """Send `request`; yield pieces, all that one read brought at a time.
-
-        `blob` is the KV cache that another server exported; if this one can't take it
-        in, prompt and tokens so far are computed again.
-        """
+        """Send `request`; yield pieces, all that one read brought at a time."""
         body = request.body | {
             "stream": True,
             "request_id": request.request_id,
@@ -148,8 +149,8 @@
         }
         if tokens:
             body["resume"] = {"tokens": tokens}
-        if blob is not None and (handle := self._import_kv(blob)):
-            body["kv_handle"] = handle
+        if self.kv_handle is not None:
+            body["kv_handle"] = self.kv_handle
         self.response = self.clients.open(
             "POST",
             f"http://{self.address}{request.endpoint}",
@@ -159,9 +160,13 @@
         check_status(self.response)
         return self._pieces()
 
-    def _import_kv(self, blob: dict) -> str | None:
+    def import_kv(self, blob: dict) -> None:
+        """Bring the KV cache that another server exported, for the next attempt.
+
+        If this server can't take it in, it computes prompt and tokens again.
+        """
         answer = self._order("/kv/import", {"blob": blob})
-        return None if answer is None else answer.get("kv_handle")
+        self.kv_handle = None if answer is None else answer["kv_handle"]
 
     def export_kv(self, request_id: str) -> tuple[list[str], dict] | None:
         """Stop a request; return its tokens and KV cache.
--- a/packages/endive_node/src/endive_node/handover.py
+++ b/packages/endive_node/src/endive_node/handover.py
@@ -146,7 +146,6 @@
             request,
             now - transfer.age_s,
             attempt=transfer.attempt,
-            first_attempt=transfer.attempt,
         )
         run = self.serving.adopt(record, sent_before=transfer.dispatched)
         self.taken.add(1)
@@ -186,7 +185,7 @@
         if not run.held or record.ended:
             return
         record.tokens[:] = transfer.tokens
-        record.attempt = record.first_attempt = transfer.attempt
+        record.attempt = transfer.attempt
         run.sent_before = run.sent_before or transfer.dispatched
         if transfer.finish_reason:
             run.end_whole(transfer.finish_reason)
--- a/packages/endive_node/src/endive_node/ledger.py
+++ b/packages/endive_node/src/endive_node/ledger.py
@@ -19,9 +19,6 @@
         The answer's tokens in order; the position is the token's index.
     attempt : int
         Number of the current attempt; pieces of any other are dropped.
-    first_attempt : int
-        Attempts before this node held the request, and moves since: they are not
-        counted against the limit of attempts.
     finish_reason : str
         Empty until the answer is whole.
     error : EndiveError or None
@@ -32,7 +29,6 @@
     accepted_at: float
     tokens: list[str] = field(default_factory=list)
     attempt: int = 0
-    first_attempt: int = 0
     finish_reason: str = ""
     error: EndiveError | None = None
     plain_answer: PlainAnswer | None = None
--- a/packages/endive_node/src/endive_node/moving.py
+++ b/packages/endive_node/src/endive_node/moving.py
@@ -4,6 +4,7 @@
 
 import gevent
 from endive_core.messages import Endpoint, ServerView
+from endive_core.shifting import ShiftMethod
 from gevent.pool import Pool
 
 from endive_node.dispatching import Dispatcher
@@ -15,9 +16,6 @@
 """Exports under way at one server: its network is shared by all, so more of them
 would only make the dearest one wait for the others."""
 
-MARGIN_S = 0.5
-"""Kept free at the end of a notice, since the killer may come early."""
-
 
 class Mover:
     """Moves streams off servers that are being reclaimed, the dearest first.
@@ -58,25 +56,34 @@
 
     def empty(self, server: ServerView, notice: Notice) -> None:
         """Move what runs at `server`; the body of a greenlet."""
-        left_s = notice.ends_at - self.serving.clock.now() - MARGIN_S
-        runs = [run for run in self.serving.ledger.unfinished() if at(run, server)]
-        moving = [run for run in runs if not ends_within(run, server, left_s)]
-        moving.sort(key=recompute_tokens, reverse=True)
+        left_s = notice.ends_at - self.serving.clock.now()
+        runs = {
+            run.ticket: run
+            for run in self.serving.ledger.unfinished()
+            if at(run, server)
+        }
+        for ticket, run in runs.items():
+            ticket.tokens = len(run.record.tokens)
+        shifts = self.dispatcher.shifts(server, seconds_left=left_s)
+        moving = [s for s in shifts if s.method is not ShiftMethod.FINISH]
         log_event(
             "server_leaving", server=server.id, streams=len(runs), moving=len(moving)
         )
         pool = Pool(AT_ONCE)
-        for run in moving:
-            pool.spawn(self.move, run, server)
+        for shift in moving:
+            if shift.ticket in runs:
+                pool.spawn(self.move, runs[shift.ticket], server, shift.method)
         pool.join()
 
-    def move(self, run: Run, server: ServerView) -> None:
+    def move(self, run: Run, server: ServerView, method: ShiftMethod) -> None:
         """Stop one stream at `server`; its driver goes on elsewhere."""
         if not at(run, server):
             return
         move = run.move = Move()
         request_id = run.record.request.request_id
-        exported = run.backend.export_kv(request_id)
+        exported = None
+        if method is ShiftMethod.EXPORT:
+            exported = run.backend.export_kv(request_id)
         if exported is not None:
             self.exported.add(1)
             move.settle(*exported)
@@ -90,19 +97,9 @@
     """Return whether an engine's attempt of `run` is under way at `server`."""
     return (
         run.driving
+        and run.ticket is not None
         and run.backend is not None
         and run.server is not None
         and run.server.id == server.id
         and run.record.request.endpoint is not Endpoint.SERVICE
     )
-
-
-def ends_within(run: Run, server: ServerView, seconds: float) -> bool:
-    """Return whether the answer will be whole before the server goes."""
-    left = run.record.request.max_tokens - len(run.record.tokens)
-    return left / server.decode_tokens_per_s <= seconds
-
-
-def recompute_tokens(run: Run) -> int:
-    """Return the tokens to compute again if the stream's KV cache is lost."""
-    return run.record.request.prompt_tokens + len(run.record.tokens)
--- a/packages/endive_node/src/endive_node/node.py
+++ b/packages/endive_node/src/endive_node/node.py
@@ -14,6 +14,7 @@
 from endive_node.members import StaticMembers
 from endive_node.moving import Mover
 from endive_node.notices import NoticeBoard, NoticeWatcher
+from endive_node.observing import Observer
 from endive_node.operators import OperatorApi
 from endive_node.peers import PeerHandler, PeerListener
 from endive_node.platform import HttpCloud, HttpInstanceList, HttpLog
@@ -41,8 +42,18 @@
         self.log = HttpLog(platform.log, platform.timeout_s)
         self.configuration = Configuration(self.log, self.clock)
         self.clients = BackendClients.from_settings(settings.backends)
-        self.dispatcher = Dispatcher(self.configuration.catalogue)
+        self.dispatcher = Dispatcher(
+            self.configuration.catalogue,
+            self.clock,
+            self.metrics,
+            settings.policy,
+            max_attempts=settings.limits.max_attempts,
+            is_listening=self.clients.is_listening,
+        )
         self.configuration.listeners.append(lambda _: self.dispatcher.refresh())
+        self.observer = Observer(
+            self.dispatcher, self.clients, settings.backends, self.clock
+        )
         self.serving = Serving(
             node_id=settings.node.id,
             catalogue=self.configuration.catalogue,
@@ -103,6 +114,8 @@
         loops = (
             self.configuration.follow,
             self.serving.expire,
+            self.dispatcher.pump_often,
+            self.observer.follow,
             self.notices.watch_notices,
             self.notices.watch_list,
         )
--- a/packages/endive_node/src/endive_node/serving.py
+++ b/packages/endive_node/src/endive_node/serving.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterator
 
 import gevent
+from endive_core.calls import Ticket
 from endive_core.catalogue import Catalogue
 from endive_core.exceptions import EndiveError, ErrorKind, Executed, RetryReason
 from endive_core.handover import RequestHead, head_of, request_id_for
@@ -12,7 +13,7 @@
 from endive_core.messages import Endpoint, Piece, Request, ServerView
 
 from endive_node.backends import BackendClients, EngineServer
-from endive_node.dispatching import AttemptResult, Dispatcher
+from endive_node.dispatching import Dispatcher
 from endive_node.interfaces import BackendError, Claims, Clock, Elsewhere
 from endive_node.ledger import Ledger, RequestRecord
 from endive_node.moves import Move
@@ -97,8 +98,8 @@
                 ErrorKind.KEY_REQUIRED,
                 "a non-idempotent request needs an Idempotency-Key header",
             )
-        self.dispatcher.service_of(request)
-        run = Run(self, RequestRecord(request, self.clock.now()))
+        ticket = self.dispatcher.admit(request)
+        run = Run(self, RequestRecord(request, self.clock.now()), ticket)
         self.ledger.add(run)
         self.metrics.accepted.add(1)
         return run
@@ -125,7 +126,7 @@
 
         Until it is told to go on, it only waits for the other's answer.
         """
-        run = Run(self, record)
+        run = Run(self, record, None)
         run.wait_for_holder(sent_before=sent_before)
         self.ledger.add(run)
         return run
@@ -145,9 +146,12 @@
     answer wait for the driver; when the driver leaves, the next one takes over.
     """
 
-    def __init__(self, serving: Serving, record: RequestRecord) -> None:
+    def __init__(
+        self, serving: Serving, record: RequestRecord, ticket: Ticket | None
+    ) -> None:
         self.serving = serving
         self.record = record
+        self.ticket = ticket
         self.life = Lifecycle(record.request.non_idempotent)
         self.backend: EngineServer | None = None
         self.server: ServerView | None = None
@@ -257,6 +261,12 @@
             self.life.fire(Event.SERVER_LOST)
         if self.life.allows(Event.HAND_OVER):
             self.life.fire(Event.HAND_OVER)
+        self._give_up_ticket()
+
+    def _give_up_ticket(self) -> None:
+        if self.ticket is not None:
+            self.serving.dispatcher.end(self.ticket)
+            self.ticket = None
 
     def take_back(self, *, uncertain: bool) -> None:
         """Go on with a request that no other node took, or may have taken."""
@@ -376,6 +386,7 @@
     def _ended(self, *, outcome: str) -> None:
         record = self.record
         record.finished_at = self.serving.clock.now()
+        self._give_up_ticket()
         self.serving.metrics.finished.add(1)
         log_event(
             "request_ended",
@@ -391,27 +402,17 @@
 
     def _drive(self) -> Iterator[None]:
         """Run attempts until one ends the answer; yield after each batch of pieces."""
-        avoid: set[str] = set()
         if self.life.allows(Event.ENQUEUE):
             self.life.fire(Event.ENQUEUE)
-        while True:
-            server = self.serving.dispatcher.acquire(
-                self.record.request, avoid=frozenset(avoid)
-            )
-            started_at = self.serving.clock.now()
-            tokens_before = len(self.record.tokens)
-            ok = False
+        if self.ticket is None:
+            self.ticket = self.serving.dispatcher.take_over(self.record.request)
+        while not self.record.ended:
+            server = self.serving.dispatcher.acquire(self.ticket)
             try:
                 yield from self._attempt(server)
-                ok = True
             except BackendError as error:
-                avoid.add(server.id)
                 if not self._take_move(error):
                     self._decide_retry(error)
-            finally:
-                self._release(server, started_at, tokens_before, ok=ok)
-            if ok:
-                return
 
     def _claim(self) -> None:
         """Win the only right to send a non-idempotent request, once."""
@@ -433,6 +434,7 @@
         else:
             yield from self._stream(server)
         self.life.fire(Event.COMPLETE)
+        self.serving.dispatcher.finished(self.ticket, len(record.tokens) or 1)
         self._ended(outcome="ok")
 
     def _call_plain(self, server: ServerView) -> None:
@@ -446,14 +448,14 @@
     def _stream(self, server: ServerView) -> Iterator[None]:
         record = self.record
         self.backend = self.serving.clients.engine(server.address)
-        priority = self.serving.catalogue.priority(record.request.priority).level
-        blob, self.blob = self.blob, None
+        if self.blob is not None:
+            self.backend.import_kv(self.blob)
+            self.blob = None
         batches = self.backend.run(
             record.request,
             record.attempt,
             record.tokens,
-            priority=priority,
-            blob=blob,
+            priority=self.ticket.call.rank,
         )
         for pieces in batches:
             if pieces[-1].finish_reason == CANCELLED:
@@ -487,6 +489,7 @@
                 taken += 1
         if taken and self.life.allows(Event.FIRST_PIECE):
             self.life.fire(Event.FIRST_PIECE)
+            self.serving.dispatcher.started(self.ticket)
         if taken and record.first_token_at is None:
             record.first_token_at = self.serving.clock.now()
             self.serving.metrics.first_token.record(
@@ -506,38 +509,16 @@
             return False
         self.life.fire(Event.SERVER_STOPPED if error.started else Event.NOT_STARTED)
         self.record.extend(move.tokens)
-        self.record.first_attempt += 1
         self.blob = move.blob
-        self.serving.metrics.retried(RetryReason.SERVER_LEAVING)
+        self.serving.dispatcher.moved(self.ticket, len(self.record.tokens))
         return True
 
     def _decide_retry(self, error: BackendError) -> None:
         """Return if another attempt is allowed; otherwise raise the final answer."""
-        record = self.record
         if not error.started:
             self.life.fire(Event.NOT_STARTED)
         elif self.life.allows(Event.SERVER_LOST):
             self.life.fire(Event.SERVER_LOST)
         if error.final_status is not None:
             raise EndiveError(ErrorKind.BACKEND_REJECTED, str(error)) from None
-        if error.started and record.request.non_idempotent:
-            raise EndiveError(
-                ErrorKind.OUTCOME_UNKNOWN,
-                "the server may have run the request; it is not sent again",
-            ) from None
-        if record.attempt - record.first_attempt >= self.serving.limits.max_attempts:
-            raise EndiveError(
-                ErrorKind.NO_SERVER, f"all attempts failed; the last: {error}"
-            ) from None
-        self.serving.metrics.retried(error.reason)
-
-    def _release(
-        self, server: ServerView, started_at: float, tokens_before: int, *, ok: bool
-    ) -> None:
-        first = self.record.first_token_at
-        result = AttemptResult(
-            ok=ok,
-            first_token_s=first - started_at if first and first >= started_at else None,
-            tokens=len(self.record.tokens) - tokens_before,
-        )
-        self.serving.dispatcher.release(self.record.request, server, result)
+        self.serving.dispatcher.failed(self.ticket, error)
--- a/packages/endive_standins/src/endive_standins/engine.py
+++ b/packages/endive_standins/src/endive_standins/engine.py
@@ -362,11 +362,14 @@
         """Wait for more than the tokens seen or for the end of a sequence."""
         while len(sequence.tokens) == seen and sequence.finish_reason is None:
             sequence.changed.clear()
-            if sequence.changed.wait(DISCONNECT_CHECK_S):
-                continue
-            if disconnected(environ):
-                self.stop_sequence(sequence)
-                raise connection_lost()
+            if not sequence.changed.wait(DISCONNECT_CHECK_S):
+                self.check_connection(sequence, environ)
+
+    def check_connection(self, sequence: Sequence, environ: dict[str, Any]) -> None:
+        """End a sequence whose client is gone, as nobody wants its tokens."""
+        if disconnected(environ):
+            self.stop_sequence(sequence)
+            raise connection_lost()
 
     def stop_sequence(self, sequence: Sequence) -> None:
         """End a sequence before its answer is whole."""
@@ -402,6 +405,7 @@
             return HTTPResponse(stream, 200, headers)
         while sequence.finish_reason is None:
             self.wait(sequence, len(sequence.tokens), environ)
+            self.check_connection(sequence, environ)
         return answer(whole(sequence, call, chat))
 
     def new_sequence(self, call: Call, prompt: str) -> Sequence:
