--- a/packages/endive_standins/src/endive_standins/instances.py
+++ b/packages/endive_standins/src/endive_standins/instances.py
@@ -1,25 +1,20 @@
 """Stand-in for the platform's list of live and leaving instances."""
 
-if __name__ == "__main__":
-    from gevent import monkey
-
-    monkey.patch_all()
-
 from dataclasses import dataclass
+from typing import Any, Literal
 
 import msgspec
-from bottle import HTTPResponse
 
-from endive_standins.serving import Delayed, StandIn, answer, main, read
+from endive_standins import serving
 
 
 class Entry(msgspec.Struct):
-    """What the list says of one instance."""
+    """What the list says of an instance."""
 
-    address: str = ""
-    zone: str = ""
+    address: str
+    zone: str
     role: str = ""
-    state: str = "live"
+    state: Literal["live", "leaving"] = "live"
 
 
 @dataclass
@@ -27,43 +22,37 @@
     """The list's flags."""
 
     lag_s: float = 0.0
-    seed: int = 0
 
 
-class Instances(StandIn):
-    """Instance list that shows the truth only after its lag."""
+class Instances(serving.StandIn):
+    """List of instances that lags behind the truth."""
 
     settings_type = InstancesSettings
 
     def __init__(self, settings: InstancesSettings) -> None:
         super().__init__(settings)
         self.truth: dict[str, Entry] = {}
-        self.shown = Delayed(settings.lag_s, {})
-        route = self.app.route
-        route("/instances", "GET", self.get_instances)
-        route("/instances/<name>", "PUT", self.put_instance)
-        route("/instances/<name>", "DELETE", self.delete_instance)
-
-    def get_instances(self) -> HTTPResponse:
-        """Return the list as it was the lag ago."""
-        listed = [
-            {"id": name, **msgspec.to_builtins(entry)}
-            for name, entry in self.shown.get().items()
-        ]
-        return answer({"instances": listed})
-
-    def put_instance(self, name: str) -> HTTPResponse:
-        """Set what is true of an instance."""
-        self.truth[name] = read(Entry)
-        self.shown.set(dict(self.truth))
-        return answer({"set": name})
-
-    def delete_instance(self, name: str) -> HTTPResponse:
+        self.seen = serving.Delayed(settings.lag_s, [])
+        self.route("GET", "/instances", lambda: {"instances": self.seen.get()})
+        self.route("PUT", "/instances/<id>", self.put_instance, Entry)
+        self.route("DELETE", "/instances/<id>", self.delete_instance)
+
+    def put_instance(self, entry: Entry, id: str) -> dict[str, Any]:
+        """Set the truth about an instance."""
+        self.truth[id] = entry
+        return self.changed(id)
+
+    def delete_instance(self, id: str) -> dict[str, Any]:
         """Take an instance off the list."""
-        self.truth.pop(name, None)
-        self.shown.set(dict(self.truth))
-        return answer({"deleted": name})
+        self.truth.pop(id, None)
+        return self.changed(id)
+
+    def changed(self, id: str) -> dict[str, Any]:
+        """Let the list follow the truth."""
+        entries = self.truth.items()
+        self.seen.set([{"id": i, **msgspec.structs.asdict(e)} for i, e in entries])
+        return {"id": id}
 
 
 if __name__ == "__main__":
-    main(Instances)
+    serving.main(Instances)
