--- a/packages/endive_core/src/endive_core/scheduler.py
+++ b/packages/endive_core/src/endive_core/scheduler.py
@@ -162,6 +162,24 @@
         if refusal is not None:
             self.refusals[refusal.kind] += 1
             return refusal
+        return self._enter(call, now)
+
+    def take_over(self, call: Call, now: float) -> Ticket | Refusal:
+        """Queue a call that was accepted already, here or at another node.
+
+        The load this is for: a zone's nodes hand thousands of calls over within a
+        second. What is accepted is answered, so they are neither refused for the
+        wait that they cause nor held to a limit they have passed; only a call that
+        crashes servers ends here.
+        """
+        if self.crashes.is_poison(call.fingerprint, now):
+            self.refusals[ErrorKind.POISON_REQUEST] += 1
+            return _refuse(
+                ErrorKind.POISON_REQUEST, "servers crashed while running this request"
+            )
+        return self._enter(call, now)
+
+    def _enter(self, call: Call, now: float) -> Ticket:
         cost = call.prompt_tokens + call.max_tokens * self.rate.answer_part
         ticket = Ticket(call, now, cost)
         ticket.suspect = self.crashes.count(call.fingerprint, now) > 0
@@ -516,6 +534,8 @@
         self.requeue(ticket)
 
     def _release(self, ticket: Ticket, now: float) -> None:
+        if not ticket.server:  # released already: cancelled while waiting to retry
+            return
         self.held[ticket.call.organisation] -= 1
         self.running.get(ticket.server, set()).discard(ticket)
         server = self.servers.servers.get(ticket.server)
--- a/packages/endive_node/src/endive_node/backends.py
+++ b/packages/endive_node/src/endive_node/backends.py
@@ -16,6 +16,8 @@
 EVENT_START = b"data: "
 DONE = b"[DONE]"
 READ_BYTES = 65_536
+ORDER_TIMEOUT_S = 1.0
+"""Time-out of an order about one stream: a notice lasts about three seconds."""
 
 
 class Delta(msgspec.Struct):
@@ -133,6 +135,7 @@
         self.clients = clients
         self.address = address
         self.response = None
+        self.kv_handle: str | None = None
 
     def run(
         self, request: Request, attempt: int, tokens: list[str], *, priority: int = 0
@@ -146,6 +149,8 @@
         }
         if tokens:
             body["resume"] = {"tokens": tokens}
+        if self.kv_handle is not None:
+            body["kv_handle"] = self.kv_handle
         self.response = self.clients.open(
             "POST",
             f"http://{self.address}{request.endpoint}",
@@ -155,6 +160,43 @@
         check_status(self.response)
         return self._pieces()
 
+    def import_kv(self, blob: dict) -> None:
+        """Bring the KV cache that another server exported, for the next attempt.
+
+        If this server can't take it in, it computes prompt and tokens again.
+        """
+        answer = self._order("/kv/import", {"blob": blob})
+        self.kv_handle = None if answer is None else answer["kv_handle"]
+
+    def export_kv(self, request_id: str) -> tuple[list[str], dict] | None:
+        """Stop a request; return its tokens and KV cache.
+
+        ``None`` if the server didn't confirm that it stopped.
+        """
+        answer = self._order("/kv/export", {"request_id": request_id})
+        return None if answer is None else (answer["tokens"], answer["blob"])
+
+    def cancel(self, request_id: str) -> list[str] | None:
+        """Stop a request; return its tokens, or ``None`` if that isn't confirmed."""
+        answer = self._order("/cancel", {"request_id": request_id})
+        if answer is None or not answer["stopped"]:
+            return None
+        return answer["tokens"]
+
+    def _order(self, path: str, body: dict) -> dict | None:
+        try:
+            response = self.clients.pool.request(
+                "POST",
+                f"http://{self.address}{path}",
+                body=msgspec.json.encode(body),
+                headers={"Content-Type": "application/json"},
+                timeout=ORDER_TIMEOUT_S,
+            )
+            value = msgspec.json.decode(response.data)
+        except (urllib3.exceptions.HTTPError, OSError, msgspec.DecodeError):
+            return None
+        return value if response.status == 200 else None
+
     def _pieces(self) -> Iterator[list[Piece]]:
         finished = False
         buffer = b""
