--- a/packages/endive_core/src/endive_core/facts.py
+++ b/packages/endive_core/src/endive_core/facts.py
@@ -45,7 +45,8 @@
     subject : str
         Server id, zone or request fingerprint.
     origin : str
-        The node that counted, for crashes; otherwise empty.
+        Who counted, for crashes: a node, or the name of one crash that counts once;
+        otherwise empty.
     value : int
         Crash count; 1 for the other kinds.
     until : float
@@ -99,8 +100,12 @@
 
     def crash(self, fingerprint: str, node: str, count: int) -> None:
         """Enter that `node` saw a request crash `count` servers so far."""
+        self.merge(self.crash_fact(fingerprint, node, count))
+
+    def crash_fact(self, fingerprint: str, origin: str, count: int) -> Fact:
+        """Return the fact that a request crashed `count` servers, counted from now."""
         until = self.now() + CRASH_KEPT_S
-        self.merge(Fact(FactKind.CRASH, fingerprint, node, count, until))
+        return Fact(FactKind.CRASH, fingerprint, origin, count, until)
 
     def leaving_servers(self) -> set[str]:
         """Return the ids of servers under notice."""
--- a/packages/endive_core/src/endive_core/membership.py
+++ b/packages/endive_core/src/endive_core/membership.py
@@ -222,6 +222,11 @@
         Chooses who gets the next datagram.
     round_s : float
         Seconds between two calls of :meth:`tick`, if nothing delays the node.
+
+    Attributes
+    ----------
+    state_listeners : list of callable
+        Called when this node says that it is live, or leaving.
     """
 
     def __init__(
@@ -242,6 +247,7 @@
         self.highest_offset = -1
         self.known: dict[str, Known] = {}
         self.ids: dict[int, str] = {member_key(me): me.id}
+        self.state_listeners: list[Callable[[], None]] = []
         self.seeds: set[str] = set()
         self.lost: dict[str, float] = {}
         self.tombstones: dict[str, tuple[Member, float]] = {}
@@ -298,6 +304,16 @@
         """Change what this node says of itself."""
         self.me = replace(self.me, state=state)
         self._beat()
+        for listener in self.state_listeners:
+            listener()
+
+    def leave(self) -> None:
+        """Say that this node takes nothing new."""
+        self.set_state(MemberState.LEAVING)
+
+    def set_peer_address(self, address: str) -> None:
+        """Enter where this node's thrift listener is bound."""
+        self.me = replace(self.me, peer_address=address)
 
     def set_offset(self, offset: int) -> None:
         """Enter the configuration offset that this node has in force."""
--- a/packages/endive_node/src/endive_node/dispatching.py
+++ b/packages/endive_node/src/endive_node/dispatching.py
@@ -22,6 +22,7 @@
     ServiceType,
 )
 from endive_core.scheduler import Scheduler, crash_table
+from endive_core.shifting import Shift
 from gevent.event import AsyncResult
 
 from endive_node.interfaces import BackendError, Clock
@@ -111,6 +112,11 @@
         for scheduler in self.schedulers.values():
             scheduler.set_nodes(nodes)
 
+    def leave(self, server_id: str) -> None:
+        """Give a server that is being reclaimed no new work."""
+        for scheduler in self.schedulers.values():
+            scheduler.leaving(server_id)
+
     def service_of(self, request: Request) -> str:
         """Return the backend server service that answers `request`."""
         if request.endpoint is Endpoint.SERVICE:
@@ -138,10 +144,31 @@
         verdict = scheduler.offer(self._call(request, service), self.clock.now())
         if isinstance(verdict, Refusal):
             raise _error(verdict)
-        self.tickets[verdict] = scheduler
-        self.waiting[verdict] = AsyncResult()
+        return self._enter(verdict, scheduler)
+
+    def take_over(self, request: Request) -> Ticket:
+        """Queue a request that is accepted already, here or at another node.
+
+        Raises
+        ------
+        EndiveError
+            If its service is not declared here, or it has crashed servers.
+        """
+        service = self.service_of(request)
+        scheduler = self.schedulers.get(service)
+        if scheduler is None:
+            raise EndiveError(ErrorKind.NO_SERVER, f"no server of {service!r} is known")
+        call = self._call(request, service)
+        verdict = scheduler.take_over(call, self.clock.now())
+        if isinstance(verdict, Refusal):
+            raise _error(verdict)
+        return self._enter(verdict, scheduler)
+
+    def _enter(self, ticket: Ticket, scheduler: Scheduler) -> Ticket:
+        self.tickets[ticket] = scheduler
+        self.waiting[ticket] = AsyncResult()
         self.pump(scheduler)
-        return verdict
+        return ticket
 
     def _call(self, request: Request, service: str) -> Call:
         priority = self.catalogue.priority(request.priority)
@@ -212,6 +239,19 @@
         scheduler.requeue(ticket)
         self.pump(scheduler)
 
+    def shifts(self, server: ServerView, *, seconds_left: float) -> list[Shift]:
+        """Return how the streams at `server` leave it, in the order to act."""
+        scheduler = self.schedulers[server.service]
+        return scheduler.shifts(server.id, seconds_left=seconds_left)
+
+    def moved(self, ticket: Ticket, tokens: int) -> None:
+        """Queue a stream again that its server has stopped for a move."""
+        scheduler = self.tickets[ticket]
+        self.waiting[ticket] = AsyncResult()
+        scheduler.moved(ticket, self.clock.now(), tokens=tokens)
+        self.metrics.retried(RetryReason.SERVER_LEAVING)
+        self.pump(scheduler)
+
     def end(self, ticket: Ticket) -> None:
         """Forget the ticket; frees its slot if its caller hung up."""
         scheduler = self.tickets.pop(ticket, None)
--- a/packages/endive_node/src/endive_node/gossip.py
+++ b/packages/endive_node/src/endive_node/gossip.py
@@ -84,6 +84,7 @@
             me, self.facts, clock.now, self.random, timings, self.round_s
         )
         self.members.seeds = seeds
+        self.members.state_listeners.append(self.announce)
         self.instance_list = instance_list
         self.sent_bytes = 0
         self.received_bytes = 0
@@ -96,7 +97,6 @@
     def from_settings(
         cls,
         settings: Settings,
-        peer_port: int,
         clock: Clock,
         instance_list: InstanceList | None = None,
     ) -> "Gossip":
@@ -107,7 +107,7 @@
             id=section.id,
             zone=section.zone,
             region=section.region,
-            peer_address=f"{section.address}:{peer_port}",
+            peer_address=f"{section.address}:{section.peer_port}",
             gossip_address=f"{section.address}:{udp.getsockname()[1]}",
             state=MemberState.STARTING,
             incarnation=int(time.time()),
@@ -209,11 +209,6 @@
         for address in addresses[:ANNOUNCE_TO]:
             self.send(self.members.digest(), address)
 
-    def set_state(self, state: MemberState) -> None:
-        """Say of this node that it is live, or leaving, and tell others at once."""
-        self.members.set_state(state)
-        self.announce()
-
     def follow_instance_list(self) -> None:
         """Take addresses to try from the platform's list; the body of a greenlet.
 
--- a/packages/endive_node/src/endive_node/node.py
+++ b/packages/endive_node/src/endive_node/node.py
@@ -10,14 +10,19 @@
 from endive_node.configuration import Configuration
 from endive_node.dispatching import Dispatcher
 from endive_node.gossip import Gossip
+from endive_node.handover import Handover
 from endive_node.listeners import HttpListener
+from endive_node.locating import Locator
+from endive_node.moving import Mover
+from endive_node.notices import NoticeBoard, NoticeWatcher
 from endive_node.observing import Observer
 from endive_node.operators import OperatorApi
 from endive_node.peers import PeerConfigurations, PeerHandler, PeerListener
-from endive_node.platform import HttpInstanceList, HttpLog
+from endive_node.platform import HttpCloud, HttpInstanceList, HttpLog
 from endive_node.serving import Serving
 from endive_node.settings import Settings
 from endive_node.snapshot_writer import SnapshotWriter
+from endive_node.spreading import Spreader
 from endive_node.telemetry import Metrics, MonotonicClock, log_event
 
 DRAIN_POLL_S = 0.05
@@ -62,6 +67,8 @@
             clock=self.clock,
             claims=NoClaims(),
         )
+        self._make_gossip()
+        self._make_reclaim()
         self._make_listeners()
         self.greenlets: list[gevent.Greenlet] = []
         self.stopped = Event()
@@ -71,6 +78,21 @@
         """Return a node that is not started yet, its ports already bound."""
         return cls(settings)
 
+    def _make_reclaim(self) -> None:
+        settings, platform = self.settings, self.settings.platform
+        self.board = NoticeBoard(self.clock)
+        cloud = platform.cloud and HttpCloud(platform.cloud, platform.timeout_s)
+        self.notices = NoticeWatcher(
+            self.board, cloud, self.instance_list, platform.notice_poll_s
+        )
+        self.handover = Handover(self.serving, settings.node, self.members, self.board)
+        self.spreader = Spreader(self.gossip, self.board, self.dispatcher.crashes)
+        self.mover = Mover(self.serving, self.dispatcher, self.board)
+        self.configuration.listeners.append(lambda _: self.mover.mark())
+        self.serving.elsewhere = Locator(
+            settings.node.id, self.members, self.board, self.clock
+        )
+
     def _make_listeners(self) -> None:
         section = self.settings.node
         callers = CallerApi(
@@ -79,23 +101,23 @@
             self.configuration.ready.is_set,
         )
         operators = OperatorApi(self)
-        handler = PeerHandler(section.id, self.configuration, self.serving.trails)
+        handler = PeerHandler(
+            section.id, self.configuration, self.serving.trails, self.handover
+        )
         self.callers = HttpListener(callers.app, section.address, section.caller_port)
         self.operators = HttpListener(
             operators.app, section.address, section.operator_port
         )
         self.peers = PeerListener(handler, section.address, section.peer_port)
-        self._make_gossip()
+        self.members.set_peer_address(f"{section.address}:{self.peers.port}")
 
     def _make_gossip(self) -> None:
         platform = self.settings.platform
+        self.instance_list = platform.instances and HttpInstanceList(
+            platform.instances, platform.timeout_s
+        )
         self.gossip = Gossip.from_settings(
-            self.settings,
-            self.peers.port,
-            self.clock,
-            HttpInstanceList(platform.instances, platform.timeout_s)
-            if platform.instances
-            else None,
+            self.settings, self.clock, self.instance_list
         )
         self.members = self.gossip.members
         self.facts = self.gossip.facts
@@ -130,7 +152,7 @@
         for listener in (self.peers, self.operators, self.callers):
             listener.start()
         self.gossip.start()
-        for loop in (
+        loops = (
             self.configuration.follow,
             self.configuration.watch_lag,
             self.snapshots.run,
@@ -138,7 +160,10 @@
             self.serving.expire,
             self.dispatcher.pump_often,
             self.observer.follow,
-        ):
+            self.notices.watch_notices,
+            self.notices.watch_list,
+        )
+        for loop in loops:
             self.greenlets.append(gevent.spawn(loop))
         log_event(
             "node_started",
@@ -152,21 +177,33 @@
     def join(self) -> None:
         """Say that this node is live once it has a configuration."""
         self.configuration.ready.wait()
-        if not self.serving.stopping:
-            self.gossip.set_state(MemberState.LIVE)
+        if not self.serving.leaving:
+            self.members.set_state(MemberState.LIVE)
 
     def drain(self) -> None:
-        """Stop as planned: take nothing new, finish every answer under way."""
-        if self.serving.stopping:
+        """Stop as planned: take nothing new, finish every answer under way.
+
+        The balancer learns from /healthz, some time later, that this node goes. A
+        node that refuses calls at once, or closes its port, fails those that the
+        balancer still sends; so it says 503 there first and takes calls until the
+        balancer has looked.
+        """
+        if self.serving.leaving:
             return
+        self.serving.leaving = True
+        self.members.leave()
+        gevent.sleep(self.settings.node.drain_settle_s)
         self.serving.stopping = True
-        self.gossip.set_state(MemberState.LEAVING)
         log_event("node_draining", in_flight=len(self.serving.ledger.unfinished()))
         deadline = self.clock.now() + MAX_DRAIN_S
-        while self.serving.ledger.unfinished() and self.clock.now() < deadline:
+        while self._busy() and self.clock.now() < deadline:
             gevent.sleep(DRAIN_POLL_S)
         self.stop()
 
+    def _busy(self) -> bool:
+        """Return whether an answer is under way, to a caller or from a server."""
+        return bool(self.serving.ledger.unfinished() or self.callers.calls)
+
     def stop(self) -> None:
         """Stop at once what still runs."""
         self.callers.stop(timeout_s=1.0)
--- a/packages/endive_node/src/endive_node/serving.py
+++ b/packages/endive_node/src/endive_node/serving.py
@@ -7,19 +7,31 @@
 from endive_core.calls import Ticket
 from endive_core.catalogue import Catalogue
 from endive_core.exceptions import EndiveError, ErrorKind, Executed, RetryReason
+from endive_core.handover import RequestHead, head_of, request_id_for
 from endive_core.hashing import fingerprint
-from endive_core.lifecycle import Event, Lifecycle
+from endive_core.lifecycle import Event, Lifecycle, State
 from endive_core.messages import Endpoint, Piece, Request, ServerView
 
 from endive_node.backends import BackendClients, EngineServer
 from endive_node.dispatching import Dispatcher
 from endive_node.explaining import Trails, ending
-from endive_node.interfaces import BackendError, Claims, Clock
+from endive_node.interfaces import BackendError, Claims, Clock, Elsewhere
 from endive_node.ledger import Ledger, RequestRecord
+from endive_node.moves import Move
 from endive_node.settings import LimitsSection
 from endive_node.telemetry import Metrics, log_event
 
 EXPIRE_EVERY_S = 1.0
+CANCELLED = "cancelled"
+"""The reason with which an engine ends a sequence that it was told to stop."""
+
+
+class Paused(BaseException):
+    """Thrown into the greenlet that drives a request which must stop here.
+
+    Like gevent's own time-outs it is no ``Exception``, so that code on the way which
+    handles failures doesn't take it for one.
+    """
 
 
 class Serving:
@@ -50,10 +62,13 @@
         self.ledger = Ledger(limits.keep_finished_s)
         self.trails = Trails(clock, limits.explained_requests)
         self.stopping = False
+        self.leaving = False
+        self.elsewhere: Elsewhere | None = None
 
-    def new_request_id(self) -> str:
-        """Return an id that names this node, so that any other can find the answer."""
-        return f"{self.node_id}.{uuid.uuid4().hex[:20]}"
+    def new_request_id(self, organisation: str = "", key: str = "") -> str:
+        """Return an id from which any node can work out where the answer is."""
+        unique = uuid.uuid4().hex[:12]
+        return request_id_for(self.node_id, organisation, key, unique)
 
     def accept(self, request: Request) -> "Run":
         """Enter `request`; return the run to read the answer from.
@@ -74,14 +89,14 @@
             raise
 
     def _accept(self, request: Request) -> "Run":
-        if self.stopping:
-            raise EndiveError(ErrorKind.STOPPING, "this node takes no new requests")
         request.fingerprint = fingerprint(
             f"{request.endpoint}\0{request.path}\0{request.model}\0{request.prompt}"
         )
         known = self._joined(request)
         if known is not None:
             return known
+        if self.stopping:
+            raise EndiveError(ErrorKind.STOPPING, "this node takes no new requests")
         if request.non_idempotent and not request.key:
             raise EndiveError(
                 ErrorKind.KEY_REQUIRED,
@@ -97,14 +112,27 @@
         if not request.key:
             return None
         run = self.ledger.by_idempotency_key(request.organisation, request.key)
+        moved = run is not None and run.moved
+        if self.elsewhere is not None and (run is None or moved):
+            run = self.elsewhere.find_key(request.organisation, request.key)
+        if run is None and moved:
+            raise EndiveError(ErrorKind.MOVED, "another node goes on with the request")
         if run is None:
             return None
         if run.record.request.fingerprint != request.fingerprint:
             raise EndiveError(
                 ErrorKind.KEY_REUSED, "the idempotency key was used for another request"
             )
-        if run.life.executed is Executed.NO and run.life.ended:
-            return None
+        return None if run.not_run else run
+
+    def adopt(self, record: RequestRecord, *, sent_before: bool) -> "Run":
+        """Enter a request of another node, which may still be running it there.
+
+        Until it is told to go on, it only waits for the other's answer.
+        """
+        run = Run(self, record, None)
+        run.wait_for_holder(sent_before=sent_before)
+        self.ledger.add(run)
         return run
 
     def expire(self) -> None:
@@ -122,7 +150,9 @@
     answer wait for the driver; when the driver leaves, the next one takes over.
     """
 
-    def __init__(self, serving: Serving, record: RequestRecord, ticket: Ticket) -> None:
+    def __init__(
+        self, serving: Serving, record: RequestRecord, ticket: Ticket | None
+    ) -> None:
         self.serving = serving
         self.record = record
         self.ticket = ticket
@@ -130,7 +160,14 @@
         self.trail = serving.trails.begin(record.request)
         self.trail.note(f"accepted by {serving.node_id}")
         self.backend: EngineServer | None = None
+        self.server: ServerView | None = None
+        self.driver: gevent.Greenlet | None = None
         self.driving = False
+        self.held = False
+        self.sent_before = False
+        self.moved = False
+        self.move: Move | None = None
+        self.blob: dict | None = None
         self.readers = 0
         self._steps = self._drive()
 
@@ -161,7 +198,7 @@
             self._reader_left()
 
     def _progress(self) -> None:
-        if self.driving:
+        if self.driving or self.held:
             self.record.progressed.wait()
         else:
             self.advance()
@@ -169,8 +206,11 @@
     def advance(self) -> None:
         """Drive the request up to its next pieces, or its end."""
         self.driving = True
+        self.driver = gevent.getcurrent()
         try:
             next(self._steps, None)
+        except Paused:
+            pass
         except EndiveError as error:
             self._fail(error)
         except Exception as error:
@@ -185,11 +225,127 @@
             self.driving = False
             self.record.wake()
 
+    @property
+    def not_run(self) -> bool:
+        """Whether the request ended and no server ran anything of it."""
+        return self.life.ended and self.life.executed is Executed.NO
+
+    @property
+    def dispatched(self) -> bool:
+        """Whether a server may have run anything of it."""
+        return self.life.executed is not Executed.NO
+
     def finish_in_background(self) -> None:
         """Drive to the end without a reader."""
         while not self.record.ended:
             self._progress()
 
+    def pause(self) -> None:
+        """Stop driving; readers wait until the request goes on here or has moved.
+
+        The driver is thrown out of whatever it waits for: a server, a place in the
+        queue or the log. That happens in the hub, as for gevent's own time-outs, so
+        it is done once the caller of this method has yielded.
+        """
+        self.held = True
+        if self.driving:
+            gevent.get_hub().loop.run_callback(self._interrupt)
+
+    def _interrupt(self) -> None:
+        if self.driving and self.held:
+            self.driver.throw(Paused)
+
+    def wait_for_holder(self, *, sent_before: bool) -> None:
+        """Hold a request that another node has not stopped yet."""
+        self.held = True
+        self.sent_before = sent_before
+        self.life.state = State.JOINING
+
+    def hand_over(self) -> None:
+        """Give a paused request up: nothing of it is sent from here any more."""
+        if self.life.allows(Event.SERVER_LOST):
+            self.life.fire(Event.SERVER_LOST)
+        if self.life.allows(Event.HAND_OVER):
+            self.life.fire(Event.HAND_OVER)
+        self._give_up_ticket()
+
+    def _give_up_ticket(self) -> None:
+        if self.ticket is not None:
+            self.serving.dispatcher.end(self.ticket)
+            self.ticket = None
+
+    def take_back(self, *, uncertain: bool) -> None:
+        """Go on with a request that no other node took, or may have taken."""
+        if self.life.state is State.HANDING_OVER:
+            self.life.fire(Event.UNACKNOWLEDGED if uncertain else Event.DECLINED)
+        self.go_on()
+
+    def go_on(self, *, in_background: bool = False) -> None:
+        """Drive a request again that was paused or adopted."""
+        if not self.held or self.record.ended:
+            return
+        self.held = False
+        if self.life.state is State.JOINING:
+            self.life = Lifecycle(self.record.request.non_idempotent, self.sent_before)
+        self._steps = self._drive()
+        if in_background or not self.readers:
+            gevent.spawn(self.finish_in_background)
+        self.record.wake()
+
+    def end_moved(self) -> None:
+        """End the answer here, since another node goes on with it."""
+        self.moved = True
+        if self.record.ended:
+            return
+        self.life.fire(Event.ACKNOWLEDGED)
+        self._end_in(
+            EndiveError(
+                ErrorKind.MOVED,
+                "this node is being reclaimed; go on at any other node with "
+                "GET /v1/requests/ID and Last-Event-ID, or send the request again "
+                "with its key",
+            )
+        )
+
+    def end_whole(self, finish_reason: str) -> None:
+        """End an answer that its former holder had whole."""
+        self.life.fire(Event.COMPLETE)
+        self.record.finish_reason = finish_reason
+        self._ended(outcome="ok")
+        self.record.wake()
+
+    def end_failed(self, error: EndiveError) -> None:
+        """End an answer as its former holder did."""
+        self._fail(error)
+
+    def head(self) -> RequestHead:
+        """Return what another node needs to pass the answer on."""
+        return head_of(self.record.request)
+
+    def stop_at_server(self) -> bool:
+        """Make the server stop; return whether it confirmed that nothing runs on."""
+        if self.backend is None or self.record.request.endpoint is Endpoint.SERVICE:
+            return False
+        self.pause()
+        gevent.sleep(0)
+        tokens = self.backend.cancel(self.record.request.request_id)
+        if tokens is None:
+            self.end_unknown()
+            return False
+        self.life.fire(Event.SERVER_STOPPED)
+        self.record.extend(tokens)
+        return True
+
+    def end_unknown(self) -> None:
+        """End a request of which its former holder left the outcome open."""
+        self._fail(
+            EndiveError(
+                ErrorKind.OUTCOME_UNKNOWN,
+                "the node that held the request was reclaimed before it could tell "
+                "whether a server ran it",
+            )
+        )
+
     def _reader_left(self) -> None:
         """Go on without readers only where stopping would lose what was accepted.
 
@@ -209,10 +365,14 @@
             return
         error = self._true_error(error)
         self.life.fire(Event.REFUSE if self.life.allows(Event.REFUSE) else Event.FAIL)
+        self._end_in(error)
+
+    def _end_in(self, error: EndiveError) -> None:
         self.record.error = error
         self.trail.note(ending(error))
         self.serving.metrics.refused(error.kind)
         self._ended(outcome=error.kind)
+        self.record.wake()
 
     def _true_error(self, error: EndiveError) -> EndiveError:
         """Return `error`, or one that doesn't deny an attempt that may have run.
@@ -235,7 +395,7 @@
         record.finished_at = self.serving.clock.now()
         self.trail.state = str(self.life.state)
         self.trail.executed = str(self.life.executed)
-        self.serving.dispatcher.end(self.ticket)
+        self._give_up_ticket()
         self.serving.metrics.finished.add(1)
         log_event(
             "request_ended",
@@ -251,13 +411,17 @@
 
     def _drive(self) -> Iterator[None]:
         """Run attempts until one ends the answer; yield after each batch of pieces."""
-        self.life.fire(Event.ENQUEUE)
+        if self.life.allows(Event.ENQUEUE):
+            self.life.fire(Event.ENQUEUE)
+        if self.ticket is None:
+            self.ticket = self.serving.dispatcher.take_over(self.record.request)
         while not self.record.ended:
             server = self.serving.dispatcher.acquire(self.ticket)
             try:
                 yield from self._attempt(server)
             except BackendError as error:
-                self._decide_retry(error)
+                if not self._take_move(error):
+                    self._decide_retry(error)
 
     def _claim(self) -> None:
         """Win the only right to send a non-idempotent request, once."""
@@ -277,6 +441,7 @@
             f"attempt {record.attempt} at {server.id} in {server.zone}"
             f" from token {len(record.tokens)}"
         )
+        self.server = server
         if record.request.endpoint is Endpoint.SERVICE:
             self._call_plain(server)
         else:
@@ -297,6 +462,9 @@
     def _stream(self, server: ServerView) -> Iterator[None]:
         record = self.record
         self.backend = self.serving.clients.engine(server.address)
+        if self.blob is not None:
+            self.backend.import_kv(self.blob)
+            self.blob = None
         batches = self.backend.run(
             record.request,
             record.attempt,
@@ -304,6 +472,13 @@
             priority=self.ticket.call.rank,
         )
         for pieces in batches:
+            if pieces[-1].finish_reason == CANCELLED:
+                raise BackendError(
+                    "the server was told to stop",
+                    started=True,
+                    reason=RetryReason.SERVER_LEAVING,
+                    stopped=True,
+                )
             self._take(pieces)
             record.wake()
             if record.finish_reason:
@@ -337,6 +512,22 @@
             )
         self.serving.metrics.tokens.add(taken)
 
+    def _take_move(self, error: BackendError) -> bool:
+        """Return whether the attempt ended because the stream moves off its server.
+
+        Whoever stopped it there has the tokens up to the stop, and the KV cache if
+        there was time to export it. A move is no failure: it does not count against
+        the limit of attempts.
+        """
+        move, self.move = self.move, None
+        if move is None or not move.wait():
+            return False
+        self.life.fire(Event.SERVER_STOPPED if error.started else Event.NOT_STARTED)
+        self.record.extend(move.tokens)
+        self.blob = move.blob
+        self.serving.dispatcher.moved(self.ticket, len(self.record.tokens))
+        return True
+
     def _decide_retry(self, error: BackendError) -> None:
         """Return if another attempt is allowed; otherwise raise the final answer."""
         self.trail.note(
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -308,11 +308,13 @@
 
 def settings_toml(plan, known, cluster, sections):
     """Return a node's settings file."""
-    lines = ["[node]", *(f"{key} = {quoted(plan[key])}" for key in plan)]
-    lines += ["[platform]", f'log = "{cluster.log.url}"', "timeout_s = 1.0"]
+    platform = {"log": cluster.log.url, "timeout_s": 1.0}
     if cluster.cloud:
-        lines += [f'cloud = "{cluster.cloud.url}"', "notice_poll_s = 0.1"]
-    for section, values in sections.items():
+        platform |= {"cloud": cluster.cloud.url, "notice_poll_s": 0.1}
+    given = {"node": plan, "platform": platform}
+    lines = []
+    for section in given | sections:
+        values = given.get(section, {}) | sections.get(section, {})
         lines += [f"[{section}]", *(f"{k} = {quoted(v)}" for k, v in values.items())]
     for peer in known:
         if peer["id"] != plan["id"]:
