--- a/packages/endive_core/src/endive_core/crashes.py
+++ b/packages/endive_core/src/endive_core/crashes.py
@@ -6,7 +6,7 @@
 """
 
 from collections import OrderedDict
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 
@@ -34,6 +34,11 @@
     Two crashes refuse a request: one may have any cause, and a third costs another
     server with all its streams. Nodes tell each other with :meth:`recent` and
     :meth:`merge`; repeats and order do not matter.
+
+    Attributes
+    ----------
+    listeners : list of callable
+        Called with each :class:`Crash` that is new here.
     """
 
     def __init__(
@@ -43,6 +48,7 @@
         self.memory_s = memory_s
         self.max_fingerprints = max_fingerprints
         self.crashes: OrderedDict[str, dict[str, float]] = OrderedDict()
+        self.listeners: list[Callable[[Crash], None]] = []
 
     def add(self, crash: Crash) -> bool:
         """Take in `crash`; return whether it was new."""
@@ -54,7 +60,11 @@
         self.crashes.move_to_end(crash.fingerprint)
         while len(self.crashes) > self.max_fingerprints:
             self.crashes.popitem(last=False)
-        return not known
+        if known:
+            return False
+        for listener in self.listeners:
+            listener(crash)
+        return True
 
     def merge(self, crashes: Iterable[Crash]) -> int:
         """Take in what another node saw; return how many were new."""
