--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -143,6 +143,24 @@
     assert tail[-1]["type"] == "deleted"
 
 
+@pytest.mark.processes
+def test_status_tells_on_how_many_nodes_a_resource_is_in_force(installation):
+    first, _ = installation.nodes
+    body = builders.deployment("quotes", service="missing")
+    first.operate("PUT", "/v1/resources/deployment/quotes", body)
+
+    def status():
+        path = "/v1/resources/deployment/quotes"
+        return first.operate("GET", path).json()["status"]
+
+    builders.wait_until(lambda: status()["nodes_in_force"] == 2, "both nodes")
+    shown = status()
+    assert shown["nodes_live"] == 2
+    assert shown["in_force"] is False
+    assert shown["reasons"] == ["there is no backend server service 'missing'"]
+    assert shown["changed_by"] == "admin"
+
+
 @pytest.mark.processes
 def test_explain_tells_of_a_refused_request_at_any_node(installation):
     """A caller complains about a refusal; the operator has the request id, and no idea
