Count tokens without an OpenTelemetry call for each

Cause: of a stream's processor time 15 % went into adding to one OpenTelemetry counter (sampled profile of a node with 100 streams at 50 tokens/s). Ruled out: waiting between reads so as to pass on several tokens at once: tokens come 20 ms apart, so two at a time are 40 ms apart for the caller, over the 29 ms allowed.

Change: the tokens' counter is a number that the scrape page reads.

The next largest parts are the read through urllib3's chunks (35 %), of it gevent's time-out for each read (10 %), and the write (16 %).

--- a/packages/endive_node/src/endive_node/telemetry.py
+++ b/packages/endive_node/src/endive_node/telemetry.py
@@ -39,6 +39,21 @@
         return time.monotonic()
 
 
+class FastCounter:
+    """A counter for each token of each stream.
+
+    OpenTelemetry's own takes as long as decoding the token: 15 % of a stream's
+    processor time. This one adds to a number.
+    """
+
+    def __init__(self) -> None:
+        self.value = 0
+
+    def add(self, amount: int) -> None:
+        """Count `amount` more."""
+        self.value += amount
+
+
 class Metrics:
     """The node's counters and histograms, and the page that shows them.
 
@@ -67,7 +82,7 @@
         }
         self.accepted = self.counter("endive_requests_accepted")
         self.finished = self.counter("endive_requests_finished")
-        self.tokens = self.counter("endive_tokens_sent")
+        self.tokens = self.fast_counter("endive_tokens_sent")
         self.first_token = self.meter.create_histogram(
             "endive_first_token_seconds", unit="s"
         )
@@ -78,6 +93,14 @@
         counter.add(0)
         return counter
 
+    def fast_counter(self, name: str) -> "FastCounter":
+        """Return a counter that is read only when the page is asked for."""
+        counter = FastCounter()
+        self.meter.create_observable_counter(
+            name, [lambda _options: [Observation(counter.value)]]
+        )
+        return counter
+
     def gauge(self, name: str, read, description: str = ""):
         """Register a gauge whose value `read()` gives when the page is asked for."""
         return self.meter.create_observable_gauge(
--- a/packages/endive_node/tests/test_telemetry.py
+++ b/packages/endive_node/tests/test_telemetry.py
@@ -21,3 +21,11 @@
 def test_an_event_is_one_line_of_key_value_pairs():
     line = format_event("request_ended", outcome="ok", note='two\n"words"', seconds=0.5)
     assert line == "event=request_ended outcome=ok note=\"two\\n'words'\" seconds=0.5"
+
+
+def test_tokens_are_counted_on_the_page():
+    metrics = Metrics()
+    assert "endive_tokens_sent_total 0.0" in metrics.page().decode()
+    metrics.tokens.add(3)
+    metrics.tokens.add(4)
+    assert "endive_tokens_sent_total 7.0" in metrics.page().decode()
