--- a/benchmarks/bench_capacity.py
+++ b/benchmarks/bench_capacity.py
@@ -10,7 +10,9 @@
 import subprocess
 import sys
 import tempfile
+import threading
 import time
+import tracemalloc
 from collections.abc import Callable
 from pathlib import Path
 
@@ -22,7 +24,10 @@
 from endive_core.catalogue import Catalogue  # noqa: E402
 from endive_core.facts import FactTable  # noqa: E402
 from endive_core.fold import MAX_OUTCOMES, ConfigurationFold  # noqa: E402
-from endive_core.records import Change, encode  # noqa: E402
+from endive_core.membership import Digest  # noqa: E402
+from endive_core.records import CONFIGURATION_STREAM, Change, encode  # noqa: E402
+from endive_node.platform import HttpLog  # noqa: E402
+from fleets import Fleet, member  # noqa: E402
 
 TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 STREAM_COUNTS = (50, 100, 200)
@@ -33,6 +38,16 @@
 SERVERS_IN_SERVICE = 100
 CHANGES = 50
 LOAD_CLIENTS = (1, 8, 32)
+NODE_COUNTS = (2, 4, 8)
+FOLLOWER_COUNTS = (8, 64, 370)
+OBSERVED_COUNTS = (1, 10, 100, 500)
+IDLE_S = 8.0
+REPORTS_PER_S = 50.0
+TRIES = 5
+LIBRARIES = {
+    "gevent, bottle, urllib3": "import gevent, bottle, urllib3",
+    "all libraries of a node": "import endive_node.node",
+}
 
 
 def cpu_s(pid: int) -> float:
@@ -151,16 +166,32 @@
     return Change(f"{offset:032x}", body["kind"], body["name"], "ann", body=body)
 
 
+def build(count: int) -> tuple[ConfigurationFold, Catalogue]:
+    """Return a configuration with `count` servers."""
+    fold, catalogue = ConfigurationFold(), Catalogue()
+    for first in range(0, count, SERVERS_IN_SERVICE):
+        fold.apply(fold.offset + 1, change(fold.offset + 1, service_body(first)))
+    catalogue.refresh(fold)
+    return fold, catalogue
+
+
+def kept_kb(make: Callable[[], object]) -> float:
+    """Return the memory that what `make` returns takes, in kB."""
+    gc.collect()
+    tracemalloc.start()
+    kept = make()
+    gc.collect()
+    size, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    del kept
+    return size / 1e3
+
+
 def measure_configuration() -> None:
     """Print what servers and changes cost in state, bytes and time."""
     for count in SERVER_COUNTS:
-        gc.collect()
-        memory = resident_mb(os.getpid())
-        fold, catalogue = ConfigurationFold(), Catalogue()
-        for first in range(0, count, SERVERS_IN_SERVICE):
-            fold.apply(fold.offset + 1, change(fold.offset + 1, service_body(first)))
-        catalogue.refresh(fold)
-        memory = resident_mb(os.getpid()) - memory
+        memory = kept_kb(lambda count=count: build(count))
+        fold, catalogue = build(count)
         body = builders.resource("priority", "vip", level=1)
         each_us = timed_us(lambda b=body, f=fold, c=catalogue: put(f, c, b))
         service = service_body(0)
@@ -171,13 +202,138 @@
         size = len(encode(fold.snapshot()))
         snapshot_ms = (time.process_time() - started) * 1e3
         print(
-            f"{count:5} servers: {memory:.1f} MB; a change {each_us:.0f} us, of a "
+            f"{count:5} servers: {memory:.0f} kB; a change {each_us:.0f} us, of a "
             f"service with {SERVERS_IN_SERVICE} servers {wide_us:.0f} us; snapshot "
             f"{size} bytes, {snapshot_ms:.0f} ms",
             flush=True,
         )
 
 
+def measure_in_force() -> None:
+    """Print how long a change takes to be in force on all nodes, over processes."""
+    for count in NODE_COUNTS:
+        with tempfile.TemporaryDirectory() as folder:
+            cluster = builders.Cluster(Path(folder))
+            try:
+                cluster.with_log()
+                nodes = cluster.add_nodes(count)
+                times = [time_in_force(nodes, level) for level in range(TRIES)]
+                print(
+                    f"{count:3} nodes: answered {max(t[0] for t in times):.3f} s, in "
+                    f"force on all {max(t[1] for t in times):.3f} s after sending "
+                    f"(slowest of {TRIES})",
+                    flush=True,
+                )
+            finally:
+                cluster.stop()
+
+
+def time_in_force(nodes: list, level: int) -> tuple[float, float]:
+    """Return seconds from sending a change to its answer, and to the last node."""
+    path = "/v1/resources/priority/vip"
+    body = builders.resource("priority", "vip", level=level)
+    started = time.monotonic()
+    assert nodes[0].operate("PUT", path, body).status == 200
+    answered_s = time.monotonic() - started
+    for node in nodes:
+        while True:
+            answer = node.operate("GET", path)
+            if answer.status == 200 and answer.json()["spec"]["level"] == level:
+                break
+    return answered_s, time.monotonic() - started
+
+
+def measure_idle() -> None:
+    """Print what a node without callers spends, by the number of its servers."""
+    for count in OBSERVED_COUNTS:
+        with tempfile.TemporaryDirectory() as folder:
+            cluster = builders.Cluster(Path(folder))
+            try:
+                cluster.with_log()
+                engine = cluster.engine("engine-0")
+                (node,) = cluster.add_nodes(1)
+                builders.wait_until(engine.is_ready, "the engine")
+                listed = [
+                    {"id": f"engine-{n}", "address": engine.address, "zone": "brest"}
+                    for n in range(count)
+                ]
+                cluster.apply(
+                    builders.resource("backend-server-service", "e", servers=listed)
+                )
+                time.sleep(2.0)
+                before, started = cpu_s(node.process.pid), time.monotonic()
+                # Two whole rounds of reports: at 50 a second, 500 servers take 10 s.
+                time.sleep(max(IDLE_S, 2 * count / REPORTS_PER_S))
+                used = cpu_s(node.process.pid) - before
+                share = used / (time.monotonic() - started)
+                print(
+                    f"{count:5} servers: {share * 100:.1f} % of a core, "
+                    f"resident {resident_mb(node.process.pid):.1f} MB",
+                    flush=True,
+                )
+            finally:
+                cluster.stop()
+
+
+def measure_followers() -> None:
+    """Print how long the log stand-in takes to tell many followers of one record."""
+    with tempfile.TemporaryDirectory() as folder:
+        cluster = builders.Cluster(Path(folder))
+        try:
+            cluster.with_log()
+            builders.wait_until(cluster.log.is_ready, "the log")
+            for count in FOLLOWER_COUNTS:
+                seconds = max(time_followers(cluster.log.url, count) for _ in "12")
+                print(f"{count:4} followers: the last has it after {seconds:.3f} s")
+        finally:
+            cluster.stop()
+
+
+def time_followers(url: str, count: int) -> float:
+    """Return the seconds from an append until `count` waiting readers have it."""
+    log = HttpLog(url, 30.0)
+    start = log.append(CONFIGURATION_STREAM, ["x"]) + 1
+    readers = [
+        threading.Thread(
+            target=HttpLog(url, 30.0).read,
+            args=(CONFIGURATION_STREAM, start),
+            kwargs={"wait_s": 20.0},
+        )
+        for _ in range(count)
+    ]
+    for reader in readers:
+        reader.start()
+    time.sleep(2.0)
+    started = time.monotonic()
+    log.append(CONFIGURATION_STREAM, ["x"])
+    for reader in readers:
+        reader.join()
+    return time.monotonic() - started
+
+
+def measure_memory() -> None:
+    """Print resident memory of the libraries alone, and the state of control."""
+    for name, line in LIBRARIES.items():
+        code = f"{line}; print(open('/proc/self/statm').read().split()[1])"
+        pages = subprocess.run(
+            [sys.executable, "-W", "ignore", "-c", code],
+            capture_output=True,
+            text=True,
+            check=True,
+        )
+        size = int(pages.stdout) * os.sysconf("SC_PAGE_SIZE") / 1e6
+        print(f"{name}: {size:.1f} MB resident")
+    for count in MEMBER_COUNTS:
+        print(f"{count:5} members: {kept_kb(lambda c=count: known(c)):.0f} kB")
+
+
+def known(count: int):
+    """Return a membership that knows `count` members."""
+    (node,) = Fleet(1).nodes.values()
+    node.receive(Digest(member(0), members=[member(n) for n in range(count)]))
+    return node
+
+
 def put(fold: ConfigurationFold, catalogue: Catalogue, body: dict) -> None:
     """Fold one change and take it over."""
     fold.apply(fold.offset + 1, change(fold.offset + 1, body))
@@ -219,6 +375,14 @@
     measure_configuration()
     print("\nFacts")
     measure_facts()
+    print("\nMemory")
+    measure_memory()
+    print("\nA node without callers, by servers whose load it reads")
+    measure_idle()
+    print("\nA change in force (nodes in processes of their own)")
+    measure_in_force()
+    print("\nThe log's followers (the stand-in, readers in one process)")
+    measure_followers()
 
 
 if __name__ == "__main__":
