--- a/packages/endive_node/src/endive_node/ledger.py
+++ b/packages/endive_node/src/endive_node/ledger.py
@@ -18,7 +18,7 @@
     tokens : list of str
         The answer's tokens in order; the position is the token's index.
     attempt : int
-        Number of the current attempt; pieces of any other are dropped.
+        Number of the current attempt, from 0; pieces of any other are dropped.
     finish_reason : str
         Empty until the answer is whole.
     error : EndiveError or None
@@ -28,7 +28,7 @@
     request: Request
     accepted_at: float
     tokens: list[str] = field(default_factory=list)
-    attempt: int = 0
+    attempt: int = -1
     finish_reason: str = ""
     error: EndiveError | None = None
     plain_answer: PlainAnswer | None = None
--- a/packages/endive_node/src/endive_node/serving.py
+++ b/packages/endive_node/src/endive_node/serving.py
@@ -395,7 +395,7 @@
             model=record.request.model,
             outcome=outcome,
             tokens=len(record.tokens),
-            attempts=record.attempt,
+            attempts=record.attempt + 1,
             servers=",".join(record.servers),
             seconds=record.finished_at - record.accepted_at,
         )
