--- a/packages/endive_node/src/endive_node/node.py
+++ b/packages/endive_node/src/endive_node/node.py
@@ -97,10 +97,10 @@
             self.settings.limits.max_body_bytes,
             self.configuration.ready.is_set,
         )
-        operators = OperatorApi(
-            self.configuration, self.settings.operators, self.metrics
+        operators = OperatorApi(self)
+        handler = PeerHandler(
+            section.id, self.configuration, self.serving.trails, self.handover
         )
-        handler = PeerHandler(section.id, self.configuration, self.handover)
         self.callers = HttpListener(callers.app, section.address, section.caller_port)
         self.operators = HttpListener(
             operators.app, section.address, section.operator_port
--- a/packages/endive_node/src/endive_node/peers.py
+++ b/packages/endive_node/src/endive_node/peers.py
@@ -3,7 +3,9 @@
 from pathlib import Path
 from typing import Protocol
 
+import msgspec
 import thriftpy2
+from endive_core.exceptions import EndiveError
 from endive_core.records import encode
 from gevent.server import StreamServer
 from thriftpy2.protocol import TBinaryProtocolFactory
@@ -12,6 +14,7 @@
 from thriftpy2.transport import TBufferedTransportFactory, TSocket, TTransportException
 
 from endive_node.configuration import Configuration
+from endive_node.explaining import Trails
 from endive_node.listeners import listen_tcp
 
 IDL = thriftpy2.load(
@@ -36,10 +39,12 @@
         self,
         node_id: str,
         configuration: Configuration,
+        trails: Trails,
         handover: "RequestTaker | None" = None,
     ) -> None:
         self.node_id = node_id
         self.configuration = configuration
+        self.trails = trails
         if handover is not None:
             self.take_requests = handover.take_requests
             self.take_answers = handover.take_answers
@@ -55,6 +60,14 @@
             raise IDL.PeerError(kind="not_ready", message="no configuration yet")
         return encode(self.configuration.fold.snapshot())
 
+    def explain_request(self, request_id: str) -> str:
+        """Return the notes of a request, as JSON."""
+        try:
+            shown = self.trails.get(request_id).shown(self.node_id)
+        except EndiveError as error:
+            raise IDL.PeerError(kind=str(error.kind), message=error.message) from None
+        return msgspec.json.encode(shown).decode()
+
 
 class RequestTaker(Protocol):
     """Takes over requests of a node that leaves, and tells their answers."""
@@ -151,6 +164,10 @@
         """Return the peer's configuration as a snapshot record."""
         return self.call("pull_configuration")
 
+    def explain_request(self, request_id: str) -> str:
+        """Return the notes of a request that the peer accepted, as JSON."""
+        return self.call("explain_request", request_id)
+
 
 class PeerConnection:
     """Another node, over one connection that is kept between calls.
--- a/packages/endive_node/src/endive_node/peers.thrift
+++ b/packages/endive_node/src/endive_node/peers.thrift
@@ -27,6 +27,8 @@
   string ping()
   // The snapshot record of the configuration this node has in force.
   string pull_configuration() throws (1: PeerError error)
+  // The notes of a request that this node accepted, as JSON.
+  string explain_request(1: string request_id) throws (1: PeerError error)
   // Unfinished requests of a node that leaves; returns the ids that this node holds now.
   list<string> take_requests(1: string sender, 2: list<binary> requests) throws (1: PeerError error)
   // Their answers so far: the sender has stopped; returns the ids that go on here.
--- a/packages/endive_node/src/endive_node/serving.py
+++ b/packages/endive_node/src/endive_node/serving.py
@@ -14,6 +14,7 @@
 
 from endive_node.backends import BackendClients, EngineServer
 from endive_node.dispatching import Dispatcher
+from endive_node.explaining import Trails, ending
 from endive_node.interfaces import BackendError, Claims, Clock, Elsewhere
 from endive_node.ledger import Ledger, RequestRecord
 from endive_node.moves import Move
@@ -59,6 +60,7 @@
         self.clock = clock
         self.claims = claims
         self.ledger = Ledger(limits.keep_finished_s)
+        self.trails = Trails(clock, limits.explained_requests)
         self.stopping = False
         self.leaving = False
         self.elsewhere: Elsewhere | None = None
@@ -82,6 +84,8 @@
             return self._accept(request)
         except EndiveError as error:
             self.metrics.refused(error.kind)
+            self.trails.refused(request, error)
+            error.request_id = request.request_id
             raise
 
     def _accept(self, request: Request) -> "Run":
@@ -153,6 +157,8 @@
         self.record = record
         self.ticket = ticket
         self.life = Lifecycle(record.request.non_idempotent)
+        self.trail = serving.trails.begin(record.request)
+        self.trail.note(f"accepted by {serving.node_id}")
         self.backend: EngineServer | None = None
         self.server: ServerView | None = None
         self.driver: gevent.Greenlet | None = None
@@ -363,6 +369,7 @@
 
     def _end_in(self, error: EndiveError) -> None:
         self.record.error = error
+        self.trail.note(ending(error))
         self.serving.metrics.refused(error.kind)
         self._ended(outcome=error.kind)
         self.record.wake()
@@ -386,6 +393,8 @@
     def _ended(self, *, outcome: str) -> None:
         record = self.record
         record.finished_at = self.serving.clock.now()
+        self.trail.state = str(self.life.state)
+        self.trail.executed = str(self.life.executed)
         self._give_up_ticket()
         self.serving.metrics.finished.add(1)
         log_event(
@@ -429,11 +438,16 @@
         record.attempt += 1
         record.servers.append(server.id)
         self.server = server
+        self.trail.note(
+            f"attempt {record.attempt} at {server.id} in {server.zone}"
+            f" from token {len(record.tokens)}"
+        )
         if record.request.endpoint is Endpoint.SERVICE:
             self._call_plain(server)
         else:
             yield from self._stream(server)
         self.life.fire(Event.COMPLETE)
+        self.trail.note(f"whole, {len(record.tokens)} tokens")
         self.serving.dispatcher.finished(self.ticket, len(record.tokens) or 1)
         self._ended(outcome="ok")
 
@@ -491,6 +505,7 @@
             self.life.fire(Event.FIRST_PIECE)
             self.serving.dispatcher.started(self.ticket)
         if taken and record.first_token_at is None:
+            self.trail.note("first token")
             record.first_token_at = self.serving.clock.now()
             self.serving.metrics.first_token.record(
                 record.first_token_at - record.accepted_at
@@ -510,11 +525,18 @@
         self.life.fire(Event.SERVER_STOPPED if error.started else Event.NOT_STARTED)
         self.record.extend(move.tokens)
         self.blob = move.blob
+        self.trail.note(
+            f"stopped at {self.record.servers[-1]} for a move, with "
+            f"{len(move.tokens)} tokens{' and the KV cache' if move.blob else ''}"
+        )
         self.serving.dispatcher.moved(self.ticket, len(self.record.tokens))
         return True
 
     def _decide_retry(self, error: BackendError) -> None:
         """Return if another attempt is allowed; otherwise raise the final answer."""
+        self.trail.note(
+            f"attempt {self.record.attempt} failed: {error.reason}: {error}"
+        )
         if not error.started:
             self.life.fire(Event.NOT_STARTED)
         elif self.life.allows(Event.SERVER_LOST):
