--- a/packages/endive_node/src/endive_node/node.py
+++ b/packages/endive_node/src/endive_node/node.py
@@ -1,6 +1,7 @@
 """The node: the central object that holds every part and is started and stopped."""
 
 import gevent
+from endive_core.membership import MemberState
 from gevent.event import Event
 
 from endive_node.backends import BackendClients
@@ -8,18 +9,20 @@
 from endive_node.claiming import NoClaims
 from endive_node.configuration import Configuration
 from endive_node.dispatching import Dispatcher
+from endive_node.gossip import Gossip
 from endive_node.handover import Handover
 from endive_node.listeners import HttpListener
 from endive_node.locating import Locator
-from endive_node.members import StaticMembers
 from endive_node.moving import Mover
 from endive_node.notices import NoticeBoard, NoticeWatcher
 from endive_node.observing import Observer
 from endive_node.operators import OperatorApi
-from endive_node.peers import PeerHandler, PeerListener
+from endive_node.peers import PeerConfigurations, PeerHandler, PeerListener
 from endive_node.platform import HttpCloud, HttpInstanceList, HttpLog
 from endive_node.serving import Serving
 from endive_node.settings import Settings
+from endive_node.snapshot_writer import SnapshotWriter
+from endive_node.spreading import Spreader
 from endive_node.telemetry import Metrics, MonotonicClock, log_event
 
 DRAIN_POLL_S = 0.05
@@ -64,6 +67,7 @@
             clock=self.clock,
             claims=NoClaims(),
         )
+        self._make_gossip()
         self._make_reclaim()
         self._make_listeners()
         self.greenlets: list[gevent.Greenlet] = []
@@ -76,14 +80,13 @@
 
     def _make_reclaim(self) -> None:
         settings, platform = self.settings, self.settings.platform
-        self.members = StaticMembers.from_settings(settings)
         self.board = NoticeBoard(self.clock)
         cloud = platform.cloud and HttpCloud(platform.cloud, platform.timeout_s)
-        listed = platform.instances and HttpInstanceList(
-            platform.instances, platform.timeout_s
+        self.notices = NoticeWatcher(
+            self.board, cloud, self.instance_list, platform.notice_poll_s
         )
-        self.notices = NoticeWatcher(self.board, cloud, listed, platform.notice_poll_s)
         self.handover = Handover(self.serving, settings.node, self.members, self.board)
+        self.spreader = Spreader(self.gossip, self.board, self.dispatcher.crashes)
         self.mover = Mover(self.serving, self.dispatcher, self.board)
         self.configuration.listeners.append(lambda _: self.mover.mark())
         self.serving.elsewhere = Locator(
@@ -106,13 +109,54 @@
             operators.app, section.address, section.operator_port
         )
         self.peers = PeerListener(handler, section.address, section.peer_port)
+        self.members.set_peer_address(f"{section.address}:{self.peers.port}")
+
+    def _make_gossip(self) -> None:
+        platform = self.settings.platform
+        self.instance_list = platform.instances and HttpInstanceList(
+            platform.instances, platform.timeout_s
+        )
+        self.gossip = Gossip.from_settings(
+            self.settings, self.clock, self.instance_list
+        )
+        self.members = self.gossip.members
+        self.facts = self.gossip.facts
+        self.gossip.register_metrics(self.metrics)
+        self._make_snapshots()
+
+    def _make_snapshots(self) -> None:
+        configuration = self.configuration
+        configuration.source = PeerConfigurations(
+            self.members, self.gossip.random.shuffle
+        )
+        self.snapshots = SnapshotWriter(
+            configuration,
+            self.members,
+            self.settings.node.id,
+            self.settings.configuration,
+        )
+        gauge = self.metrics.gauge
+        gauge("endive_configuration_offset", lambda: configuration.fold.offset)
+        gauge("endive_configuration_behind", lambda: int(configuration.is_behind()))
+        gauge("endive_configuration_pulls", lambda: configuration.pulls)
+        gauge(
+            "endive_configuration_snapshot_offset",
+            lambda: configuration.snapshot_through,
+        )
+        self.configuration.listeners.append(
+            lambda _: self.members.set_offset(self.configuration.fold.offset)
+        )
 
     def start(self) -> None:
         """Start all listeners and loops."""
         for listener in (self.peers, self.operators, self.callers):
             listener.start()
+        self.gossip.start()
         loops = (
             self.configuration.follow,
+            self.configuration.watch_lag,
+            self.snapshots.run,
+            self.join,
             self.serving.expire,
             self.dispatcher.pump_often,
             self.observer.follow,
@@ -130,6 +174,12 @@
             peers=self.peers.port,
         )
 
+    def join(self) -> None:
+        """Say that this node is live once it has a configuration."""
+        self.configuration.ready.wait()
+        if not self.serving.leaving:
+            self.members.set_state(MemberState.LIVE)
+
     def drain(self) -> None:
         """Stop as planned: take nothing new, finish every answer under way.
 
@@ -159,6 +209,7 @@
         self.callers.stop(timeout_s=1.0)
         self.operators.stop(timeout_s=1.0)
         self.peers.stop()
+        self.gossip.stop()
         gevent.killall(self.greenlets)
         log_event("node_stopped", id=self.settings.node.id)
         self.stopped.set()
--- a/packages/endive_node/src/endive_node/reporting.py
+++ b/packages/endive_node/src/endive_node/reporting.py
@@ -6,6 +6,7 @@
 from endive_core.exceptions import EndiveError, ErrorKind
 from endive_core.findings import findings
 from endive_core.fold import StoredResource
+from endive_core.handover import origin_in
 from endive_core.membership import Member
 
 from endive_node.peers import IDL, PeerClient, PeerUnavailableError
@@ -48,7 +49,7 @@
     def explanation(self, request_id: str) -> dict:
         """Return the notes of a request, from the node that its id names."""
         own_id = self.node.settings.node.id
-        accepted_by = request_id.rpartition(".")[0]
+        accepted_by = origin_in(request_id)
         peer = self._member(accepted_by)
         if accepted_by == own_id or peer is None:
             return self.node.serving.trails.get(request_id).shown(own_id)
--- a/packages/endive_node/src/endive_node/settings.py
+++ b/packages/endive_node/src/endive_node/settings.py
@@ -108,6 +108,34 @@
     )
 
 
+class ConfigurationSection(_Section):
+    """How the configuration is kept in the log."""
+
+    snapshot_every_s: float = Field(
+        3600.0,
+        gt=0,
+        description="longest age of the newest snapshot while changes come, seconds; "
+        "keep it well under the log's retention",
+    )
+    snapshot_every_records: int = Field(
+        1000, ge=1, description="records after which a snapshot is written earlier"
+    )
+
+
+class MembershipSection(_Section):
+    """How nodes hear of each other."""
+
+    datagrams_per_s: float = Field(
+        3.0, gt=0, le=50, description="heartbeats a node sends, each to one other"
+    )
+    suspect_after_s: float = Field(
+        8.0, gt=0, description="silence after which a member gets no work, seconds"
+    )
+    remove_after_s: float = Field(
+        24.0, gt=0, description="silence after which a member is removed, seconds"
+    )
+
+
 class Settings(_Section):
     """All settings of one node."""
 
@@ -117,6 +145,8 @@
     operators: tuple[OperatorEntry, ...] = ()
     limits: LimitsSection = LimitsSection()
     backends: BackendSection = BackendSection()
+    configuration: ConfigurationSection = ConfigurationSection()
+    membership: MembershipSection = MembershipSection()
     policy: Policy = Policy()
 
     @classmethod
