--- a/packages/endive_node/src/endive_node/ledger.py
+++ b/packages/endive_node/src/endive_node/ledger.py
@@ -8,6 +8,11 @@
 
 from endive_node.backends import PlainAnswer
 
+REORDERED = "reordered"
+MAX_EARLY_PIECES = 16
+"""Pieces kept that came before their turn; an engine that leaves a longer gap has lost
+a piece, and the answer goes on with another attempt."""
+
 
 @dataclass
 class RequestRecord:
@@ -36,6 +41,8 @@
     finished_at: float | None = None
     servers: list[str] = field(default_factory=list)
     progressed: Event = field(default_factory=Event)
+    early: dict[int, Piece] = field(default_factory=dict)
+    early_attempt: int = -1
 
     @property
     def ended(self) -> bool:
@@ -56,13 +63,34 @@
         if piece.index < len(self.tokens):
             return "repeated"
         if piece.index > len(self.tokens):
-            return "reordered"
+            return REORDERED
         return ""
 
     def take(self, piece: Piece) -> None:
-        """Append a piece that :meth:`classify` let through."""
+        """Append a piece that :meth:`classify` let through, and any that waited."""
         self.tokens.append(piece.text)
         self.finish_reason = piece.finish_reason
+        if self.early:
+            self._take_early()
+
+    def keep_early(self, piece: Piece) -> None:
+        """Keep a piece that came before its turn until those before it are there.
+
+        An engine that swaps two pieces would otherwise leave a gap, and the rest of
+        the answer would have to be generated again.
+        """
+        if piece.attempt != self.early_attempt:
+            self.early.clear()
+            self.early_attempt = piece.attempt
+        if len(self.early) < MAX_EARLY_PIECES:
+            self.early[piece.index] = piece
+
+    def _take_early(self) -> None:
+        if self.early_attempt != self.attempt:
+            self.early.clear()
+        while (piece := self.early.pop(len(self.tokens), None)) is not None:
+            self.tokens.append(piece.text)
+            self.finish_reason = piece.finish_reason
 
     def extend(self, tokens: list[str]) -> None:
         """Take over the whole answer so far from the server that made it."""
--- a/packages/endive_node/src/endive_node/serving.py
+++ b/packages/endive_node/src/endive_node/serving.py
@@ -16,7 +16,7 @@
 from endive_node.dispatching import Dispatcher
 from endive_node.explaining import Trails, ending
 from endive_node.interfaces import BackendError, Claims, Clock, Elsewhere
-from endive_node.ledger import Ledger, RequestRecord
+from endive_node.ledger import REORDERED, Ledger, RequestRecord
 from endive_node.moves import Move
 from endive_node.settings import LimitsSection
 from endive_node.telemetry import Metrics, log_event
@@ -493,14 +493,16 @@
 
     def _take(self, pieces: list[Piece]) -> None:
         record = self.record
-        taken = 0
+        before = len(record.tokens)
         for piece in pieces:
             reason = record.classify(piece)
             if reason:
                 self.serving.metrics.dropped(reason)
+                if reason == REORDERED:
+                    record.keep_early(piece)
             else:
                 record.take(piece)
-                taken += 1
+        taken = len(record.tokens) - before
         if taken and self.life.allows(Event.FIRST_PIECE):
             self.life.fire(Event.FIRST_PIECE)
             self.serving.dispatcher.started(self.ticket)
--- /dev/null
+++ b/tests/test_poison.py
@@ -0,0 +1,43 @@
+"""A request that crashes the servers that run it."""
+
+import time
+
+import builders
+import pytest
+from reclaims import metric, started
+
+
+def alive(servers):
+    return [server for server in servers if server.process.poll() is None]
+
+
+@pytest.mark.processes
+def test_a_request_that_crashes_servers_takes_down_two_at_most(tmp_path):
+    """One request crashes each server that runs it, and its caller sends it again.
+
+    Each node that tries it anew would take down server after server, with all that
+    ran there. After the second crash every node refuses it at once, and others are
+    served.
+    """
+    with started(tmp_path, engines=5) as (cluster, servers):
+        for node in cluster.nodes:
+            builders.wait_until(
+                lambda node=node: metric(node, "endive_members_live") == 3, "members"
+            )
+        for server in servers:
+            server.faults(crash_on="crash")
+        body = {"model": "chat", "prompt": "please crash", "max_tokens": 5}
+        answers = []
+        for turn in range(9):
+            answers.append(cluster.nodes[turn % 3].post("/v1/completions", body))
+            time.sleep(0.05)
+        assert len(alive(servers)) >= 3
+        codes = [answer.json()["error"]["code"] for answer in answers]
+        assert set(codes[1:]) == {"poison_request"}, codes
+        started_at = time.monotonic()
+        cluster.nodes[1].post("/v1/completions", body)
+        assert time.monotonic() - started_at < 1.0
+        good = body | {"prompt": "a quote"}
+        for node in cluster.nodes:
+            assert node.post("/v1/completions", good).status == 200
+        assert len(alive(servers)) >= 3
