--- a/packages/endive_node/src/endive_node/interfaces.py
+++ b/packages/endive_node/src/endive_node/interfaces.py
@@ -146,6 +146,10 @@
         """Return the live members, ordered by id."""
         ...
 
+    def get(self, member_id: str) -> Member | None:
+        """Return the member called `member_id`, whatever its state, or ``None``."""
+        ...
+
     def leave(self) -> None:
         """Tell the others that this node takes nothing new."""
         ...
