--- a/packages/endive_core/src/endive_core/fold.py
+++ b/packages/endive_core/src/endive_core/fold.py
@@ -6,6 +6,7 @@
 """
 
 from collections import OrderedDict
+from collections.abc import Iterable
 from dataclasses import dataclass
 from enum import StrEnum
 from typing import Any
@@ -147,3 +148,24 @@
             )
             fold.outcomes[outcome.change_id] = outcome
         return fold
+
+
+def newest_usable(
+    first: int, snapshots: Iterable[tuple[int, Snapshot]]
+) -> Snapshot | None:
+    """Return the snapshot that a node without a state should start from.
+
+    A snapshot whose append took effect late may describe a state so old that the log
+    no longer keeps the records after it. A node that started from it would skip
+    accepted changes, differ from its peers for ever, and say nothing; so only a
+    snapshot that the kept records follow without a gap is usable.
+
+    Parameters
+    ----------
+    first : int
+        Oldest offset that the log still keeps.
+    snapshots : iterable of (int, Snapshot)
+        Those found in the kept records, with their offsets.
+    """
+    usable = [s for _, s in snapshots if s.through >= first - 1]
+    return max(usable, key=lambda s: s.through, default=None)
--- a/spec/mutants.py
+++ b/spec/mutants.py
@@ -4,9 +4,12 @@
 """
 
 from endive_core.claims import ClaimEvent, ClaimTable, ClaimVerdict
+from endive_core.fold import ConfigurationFold
 from endive_core.lifecycle import Event, State
+from endive_core.records import Change, Snapshot, decode
 
 from spec.claims import CRASHED, Append, ClaimsModel, fire, fire_claim
+from spec.configuration import CHANGES, ConfigurationModel, fold_one, read, write
 
 
 class ActsOnOwnClaim(ClaimsModel):
@@ -118,3 +121,85 @@
     ReleasesByKey((1, 1, 1)),
     IgnoresEarlyRelease((1, 1)),
 )
+
+
+class StartsAfterSnapshotRecord(ConfigurationModel):
+    """A node goes on after the snapshot's own record, not after what it holds."""
+
+    def start(self, log, first):
+        """Return the snapshot's state as if it were that of its own offset."""
+        for offset in range(len(log) - 1, first - 1, -1):
+            record = decode(log[offset])
+            if isinstance(record, Snapshot):
+                held = ConfigurationFold.from_snapshot(record)
+                held.offset = offset
+                return write(held)
+        return super().start(log, first)
+
+
+class SkipsForgottenRecords(ConfigurationModel):
+    """A node that fell behind goes on from the oldest record still kept."""
+
+    def node_steps(self, state, node, i):
+        """Yield stepping over the gap."""
+        yield from super().node_steps(state, node, i)
+        if node.state and read(node.state).offset + 1 < state[1]:
+            held = ConfigurationFold.from_snapshot(decode(node.state))
+            held.offset = state[1] - 1
+            yield "skip", node._replace(state=write(held))
+
+
+class PullsFromAnyPeer(ConfigurationModel):
+    """A node takes the state of any peer, also of one that lags."""
+
+    def better(self, found, held):
+        """Return whether there is a difference."""
+        return found != held
+
+
+class TellsOnAppend(ConfigurationModel):
+    """An operator is told "applied" once the change is in the log."""
+
+    def outcome(self, state, i):
+        """Return success without reading back."""
+        ids = [getattr(decode(record), "change_id", "") for record in state[0]]
+        if CHANGES[i].change_id not in ids:
+            return ()
+        return ("applied", ids.index(CHANGES[i].change_id))
+
+
+class ForgetsChangeIds(ConfigurationModel):
+    """A node starts from a snapshot without the change ids decided before."""
+
+    def start(self, log, first):
+        """Return the state without its outcomes."""
+        found = super().start(log, first)
+        if not found:
+            return found
+        held = ConfigurationFold.from_snapshot(decode(found))
+        held.outcomes.clear()
+        return write(held)
+
+
+class IgnoresExpectedVersion(ConfigurationModel):
+    """A node lets the last writer win."""
+
+    def fold(self, state, record):
+        """Apply a change whatever its writer had seen."""
+        decoded = decode(record)
+        if not isinstance(decoded, Change):
+            return fold_one(state, record)
+        fold = ConfigurationFold.from_snapshot(decode(state))
+        blind = Change(decoded.change_id, decoded.kind, decoded.name, body=decoded.body)
+        fold.apply(fold.offset + 1, blind)
+        return write(fold)
+
+
+FOLD_MUTANTS = (
+    StartsAfterSnapshotRecord(),
+    SkipsForgottenRecords(),
+    PullsFromAnyPeer(),
+    TellsOnAppend(),
+    ForgetsChangeIds(changes=1, copies=2),
+    IgnoresExpectedVersion(),
+)
--- a/spec/suite.py
+++ b/spec/suite.py
@@ -1,12 +1,16 @@
 """Everything that ``python -m spec`` sweeps."""
 
 from spec.claims import ClaimsModel
-from spec.mutants import CLAIM_MUTANTS
+from spec.configuration import ConfigurationModel
+from spec.mutants import CLAIM_MUTANTS, FOLD_MUTANTS
 
 SAFETY = (
     ClaimsModel((2, 1), copies=2, dispatches=2),
     ClaimsModel((1, 1, 1), copies=2),
     ClaimsModel((2, 1, 1)),
+    ConfigurationModel(copies=2),
+    ConfigurationModel(changes=3),
+    ConfigurationModel(nodes=3),
 )
-LIVENESS = (ClaimsModel((2, 1), dispatches=2),)
-MUTANTS = CLAIM_MUTANTS
+LIVENESS = (ClaimsModel((2, 1), dispatches=2), ConfigurationModel(forgets=0))
+MUTANTS = CLAIM_MUTANTS + FOLD_MUTANTS
