--- a/packages/endive_core/src/endive_core/charts/__init__.py
+++ b/packages/endive_core/src/endive_core/charts/__init__.py
@@ -48,8 +48,9 @@
             key = (flags, state, transition["event"])
             if key in table or not _holds(transition.get("guard"), flags):
                 continue
-            target = transition["target"]
-            table[key] = (target, _enter(on_entry.get(target), flags))
+            target = transition.get("target", state)
+            after = _act(transition.get("action"), flags)
+            table[key] = (target, _act(on_entry.get(target), after))
     return table
 
 
@@ -73,7 +74,7 @@
     return guard is None or eval(guard, {"__builtins__": {}}, asdict(flags))
 
 
-def _enter(action: str | None, flags: Any) -> Any:
+def _act(action: str | None, flags: Any) -> Any:
     if action is None:
         return flags
     name, value = action.split(" = ")
--- a/packages/endive_core/src/endive_core/lifecycle.py
+++ b/packages/endive_core/src/endive_core/lifecycle.py
@@ -32,7 +32,9 @@
     ``not_started`` is a server's own word, or a connection that was never made: the
     attempt certainly did not run. ``server_stopped`` is a server's word that it makes
     no further token. ``server_lost`` is neither, and so does not exist for a
-    non-idempotent request, which then can only ``fail``.
+    non-idempotent request, which then can only ``fail``. ``offer`` is a record of the
+    request on its way to another node, which may run it from then on, so that nobody
+    may be told "not run". ``unclaim`` is a claim that was withdrawn.
     """
 
     ENQUEUE = "enqueue"
@@ -49,6 +51,8 @@
     ACKNOWLEDGED = "acknowledged"
     DECLINED = "declined"
     UNACKNOWLEDGED = "unacknowledged"
+    UNCLAIM = "unclaim"
+    OFFER = "offer"
     FAIL = "fail"
     REFUSE = "refuse"
 
@@ -66,8 +70,8 @@
     non_idempotent : bool
         The request may run at most once.
     sent_before : bool
-        A server may have run the request before the present attempt, here or at the
-        node that handed it over.
+        A server may have run the request before the present attempt, here or at
+        another node that handed it over or was offered it.
     """
 
     non_idempotent: bool = False
--- a/packages/endive_core/tests/test_lifecycle.py
+++ b/packages/endive_core/tests/test_lifecycle.py
@@ -28,6 +28,9 @@
     for event in path:
         steps += interpreter.queue(str(event)).execute()
     entered = [name for step in steps for name in step.entered_states]
+    if not interpreter.final:
+        leaf = max(interpreter.configuration, key=interpreter.statechart.depth_for)
+        assert leaf == entered[-1]
     context = interpreter.context
     return entered[-1], Flags(context["non_idempotent"], context["sent_before"])
 
--- a/spec/__main__.py
+++ b/spec/__main__.py
@@ -14,11 +14,10 @@
     """Sweep the specifications and their mutants."""
     started = time.monotonic()
     with ProcessPoolExecutor(WORKERS) as pool:
-        sound = [
-            *pool.map(sweep, SAFETY),
-            *pool.map(sweep_liveness, LIVENESS),
-        ]
+        safety = pool.map(sweep, SAFETY)
+        liveness = pool.map(sweep_liveness, LIVENESS)
         mutants = list(pool.map(sweep, MUTANTS))
+        sound = [*safety, *liveness]
     for result in (*sound, *mutants):
         print(result.describe())
     survivors = [mutant for mutant in mutants if not mutant.traces]
--- a/spec/mutants.py
+++ b/spec/mutants.py
@@ -10,6 +10,7 @@
 
 from spec.claims import CRASHED, Append, ClaimsModel, fire, fire_claim
 from spec.configuration import CHANGES, ConfigurationModel, fold_one, read, write
+from spec.handover import HandoverModel
 
 
 class ActsOnOwnClaim(ClaimsModel):
@@ -203,3 +204,58 @@
     ForgetsChangeIds(changes=1, copies=2),
     IgnoresExpectedVersion(),
 )
+
+
+class RefusesAfterRecord(HandoverModel):
+    """A node refuses as not run what it has already sent a record of."""
+
+    def offered(self, state, i, node, record):
+        """Send the record and note nothing."""
+        return self.changed(state, i, node, send=[record])
+
+
+class TrustsRecord(HandoverModel):
+    """A node whose sender fell silent believes that nothing was sent since."""
+
+    def holder_silent(self, node):
+        """Go on as if the record still told the state."""
+        return self.gone_on(node, False)
+
+
+class PassesClaim(HandoverModel):
+    """A claim goes along with the request, and back if no answer came."""
+
+    def freed(self, state, i, node):
+        """Keep the register."""
+        return self.changed(state, i, node)
+
+    def gone_on(self, node, sent_before):
+        """Use the sender's claim."""
+        return super().gone_on(node, sent_before)._replace(life=State.CLAIMED)
+
+
+class MovesWithoutConfirmation(HandoverModel):
+    """A stream moves although its server did not confirm that it stopped."""
+
+    def stop_steps(self, state, i, node, j):
+        """Yield handing over while the server runs on."""
+        for label, (nodes, sent, claimed) in super().stop_steps(state, i, node, j):
+            left = nodes[i]._replace(server=node.server)
+            yield label, ((*nodes[:i], left, *nodes[i + 1 :]), sent, claimed)
+
+
+class BelievesSilence(HandoverModel):
+    """A node runs a non-idempotent request whose sender fell silent."""
+
+    def holder_silent(self, node):
+        """Go on without a word from the sender, under a claim of its own key."""
+        return self.gone_on(node, True)._replace(life=State.CLAIMED)
+
+
+HANDOVER_MUTANTS = (
+    RefusesAfterRecord(False, count=2),
+    TrustsRecord(False, count=2),
+    PassesClaim(True),
+    MovesWithoutConfirmation(True),
+    BelievesSilence(True),
+)
--- a/spec/suite.py
+++ b/spec/suite.py
@@ -2,7 +2,8 @@
 
 from spec.claims import ClaimsModel
 from spec.configuration import ConfigurationModel
-from spec.mutants import CLAIM_MUTANTS, FOLD_MUTANTS
+from spec.handover import HandoverModel
+from spec.mutants import CLAIM_MUTANTS, FOLD_MUTANTS, HANDOVER_MUTANTS
 
 SAFETY = (
     ClaimsModel((2, 1), copies=2, dispatches=2),
@@ -11,6 +12,13 @@
     ConfigurationModel(copies=2),
     ConfigurationModel(changes=3),
     ConfigurationModel(nodes=3),
+    HandoverModel(non_idempotent=True),
+    HandoverModel(non_idempotent=False),
 )
-LIVENESS = (ClaimsModel((2, 1), dispatches=2), ConfigurationModel(forgets=0))
-MUTANTS = CLAIM_MUTANTS + FOLD_MUTANTS
+LIVENESS = (
+    ClaimsModel((2, 1), dispatches=2),
+    ConfigurationModel(forgets=0),
+    HandoverModel(non_idempotent=True),
+    HandoverModel(non_idempotent=False, count=2),
+)
+MUTANTS = CLAIM_MUTANTS + FOLD_MUTANTS + HANDOVER_MUTANTS
