--- a/tests/builders.py
+++ b/tests/builders.py
@@ -167,6 +167,7 @@
     nodes: list = field(default_factory=list)
     log: Service | None = None
     cloud: Service | None = None
+    operators: list = field(default_factory=list)
 
     def start(self, name, command, port, kind=Service, **fields):
         """Start `command` and remember it; its output goes to a file."""
@@ -303,11 +304,13 @@
 
 def settings_toml(plan, known, cluster, sections):
     """Return a node's settings file."""
-    lines = ["[node]", *(f"{key} = {quoted(plan[key])}" for key in plan)]
-    lines += ["[platform]", f'log = "{cluster.log.url}"', "timeout_s = 1.0"]
+    platform = {"log": cluster.log.url, "timeout_s": 1.0}
     if cluster.cloud:
-        lines += [f'cloud = "{cluster.cloud.url}"', "notice_poll_s = 0.1"]
-    for section, values in sections.items():
+        platform |= {"cloud": cluster.cloud.url, "notice_poll_s": 0.1}
+    given = {"node": plan, "platform": platform}
+    lines = []
+    for section in given | sections:
+        values = given.get(section, {}) | sections.get(section, {})
         lines += [f"[{section}]", *(f"{k} = {quoted(v)}" for k, v in values.items())]
     for peer in known:
         if peer["id"] != plan["id"]:
@@ -318,12 +321,14 @@
                 f'peer_address = "127.0.0.1:{peer["peer_port"]}"',
                 f'gossip_address = "127.0.0.1:{peer["gossip_port"]}"',
             ]
-    lines += [
-        "[[operators]]",
-        'name = "admin"',
-        f'token_hash = "{sha256(OPERATOR_TOKEN)}"',
-        'organisation = "*"',
-    ]
+    admin = {
+        "name": "admin",
+        "token_hash": sha256(OPERATOR_TOKEN),
+        "organisation": "*",
+    }
+    for operator in (admin, *cluster.operators):
+        pairs = (f"{key} = {quoted(value)}" for key, value in operator.items())
+        lines += ["[[operators]]", *pairs]
     return "\n".join(lines) + "\n"
 
 
