Claim non-idempotent requests in the log

Cause: the thin path refused every non-idempotent request. A claim now goes to its shard's writer over thrift, many in one append paced to the fleet's budget, is read back, and only a held claim may be used; the log is asked while the request waits for its server. A silent writer is passed over and the same claim id appended by the next node or by oneself; the first copy decides. A claim that is given up is withdrawn here before its release is written, also when a handover interrupts the wait.

--- a/packages/endive_core/src/endive_core/messages.py
+++ b/packages/endive_core/src/endive_core/messages.py
@@ -34,6 +34,8 @@
         The caller's idempotency key, scoped by organisation; empty if none.
     non_idempotent : bool
         Whether the request may run at most once.
+    key_time : float or None
+        When the caller first sent the key, seconds since 1970, if it told.
     """
 
     request_id: str
@@ -48,6 +50,7 @@
     deadline: float | None = None
     key: str = ""
     non_idempotent: bool = False
+    key_time: float | None = None
     path: str = ""
     method: str = "POST"
     fingerprint: str = ""
--- a/packages/endive_node/src/endive_node/callers.py
+++ b/packages/endive_node/src/endive_node/callers.py
@@ -174,10 +174,27 @@
             "priority": priority,
             "deadline": self._deadline(),
             "key": headers.get("Idempotency-Key", ""),
+            "key_time": self._key_time(),
             "non_idempotent": headers.get("Endive-Non-Idempotent", "").lower()
             == "true",
         }
 
+    def _key_time(self) -> float | None:
+        text = bottle.request.get_header("Endive-Key-Time")
+        if text is None:
+            return None
+        try:
+            seconds = float(text)
+        except ValueError:
+            seconds = math.nan
+        if not 0 < seconds < math.inf:
+            raise EndiveError(
+                ErrorKind.INVALID_FIELD,
+                "Endive-Key-Time must be seconds since 1970, when the key was first "
+                "sent",
+            )
+        return seconds
+
     def _deadline(self) -> float | None:
         text = bottle.request.get_header("Endive-Deadline-S")
         if text is None:
--- a/packages/endive_node/src/endive_node/claiming.py
+++ b/packages/endive_node/src/endive_node/claiming.py
@@ -1,14 +1,470 @@
-"""Claims of non-idempotent requests, through the log."""
+"""Claims of non-idempotent requests, through the log.
 
-from endive_core.exceptions import EndiveError, ErrorKind
+A claim goes to the node that writes its key's shard, is appended there together with
+others, read back, and decided by :class:`endive_core.claims.ClaimTable`. Which node
+writes a shard matters only for batching: two that both do stay correct, since the log
+orders their records.
+"""
+
+import contextlib
+import random
+import time
+import uuid
+
+import gevent
+from endive_core.claims import (
+    SHARDS,
+    Claimant,
+    ClaimOutcome,
+    ClaimState,
+    ClaimTable,
+    ClaimVerdict,
+    claim_shard,
+)
+from endive_core.exceptions import EndiveError, ErrorKind, RecordError
+from endive_core.hashing import rendezvous_order
+from endive_core.membership import Member
 from endive_core.messages import Request
+from endive_core.records import Claim, Release, claim_stream, decode, encode
+from gevent.event import AsyncResult, Event
+
+from endive_node.interfaces import (
+    Clock,
+    LogForgottenError,
+    LogService,
+    LogThrottledError,
+    LogUnavailableError,
+    LogUncertainError,
+    Members,
+)
+from endive_node.peers import IDL, PeerConnection, PeerUnavailableError
+from endive_node.settings import ClaimsSection
+from endive_node.telemetry import Metrics, log_event
+
+MAX_BATCH = 500
+"""Records of one append: about 120 kB, a few milliseconds at the log."""
+
+RETRY_S = 0.2
+AVOID_S = 2.0
+"""How long a writer that did not answer is passed over, so that a paused node costs
+one claim a time-out and not each."""
+
+OWN_RELEASE_RETRY_S = 0.1
+CONNECTIONS_KEPT = 8
+WRITERS_ASKED = 2
+"""Other nodes that are asked before a node appends its claim itself."""
+
+CLOCK_SKEW_S = 60.0
+"""Allowance for callers' clocks in the time at which a key was first sent."""
+
+
+class ShardWriter:
+    """Appends and reads back one shard's claims, many in one append.
+
+    An idle writer appends at once; a busy one waits until its share of the fleet's
+    append budget allows the next append, and takes all that came meanwhile.
+
+    Attributes
+    ----------
+    pending : dict
+        Encoded records still to be appended, by id. Appending one twice is harmless.
+    waiting : dict
+        Who waits for a claim's decision, by claim id.
+    """
+
+    def __init__(
+        self,
+        shard: int,
+        log: LogService,
+        clock: Clock,
+        settings: ClaimsSection,
+        metrics: Metrics,
+    ) -> None:
+        self.stream = claim_stream(shard)
+        self.log = log
+        self.clock = clock
+        self.gap_s = SHARDS / settings.appends_per_s
+        self.table = ClaimTable(settings.window_s)
+        self.pending: dict[str, str] = {}
+        self.waiting: dict[str, list[AsyncResult]] = {}
+        self.wake = Event()
+        self.last_append = -self.gap_s
+        self.appends = metrics.counter("endive_claim_appends")
+        self.appended = metrics.counter("endive_claim_records_appended")
+        self.greenlet: gevent.Greenlet | None = None
+
+    def decide(self, claim: Claim, timeout_s: float) -> ClaimOutcome:
+        """Append `claim` and return how the log decided it.
+
+        Raises
+        ------
+        EndiveError
+            ``log_unavailable`` if that can't be found out in time; the record may be
+            there all the same, or still arrive.
+        """
+        result = AsyncResult()
+        self.waiting.setdefault(claim.claim_id, []).append(result)
+        self._put(claim.claim_id, encode(claim))
+        try:
+            return result.get(timeout=timeout_s)
+        except gevent.Timeout:
+            raise log_unavailable("the log did not decide the claim in time") from None
+        finally:
+            self._stop_waiting(claim.claim_id, result)
+
+    def _stop_waiting(self, claim_id: str, result: AsyncResult) -> None:
+        left = [r for r in self.waiting.get(claim_id, ()) if r is not result]
+        if left:
+            self.waiting[claim_id] = left
+            return
+        self.waiting.pop(claim_id, None)
+        self.pending.pop(claim_id, None)
+
+    def release(self, release: Release) -> None:
+        """Append `release` as soon as the log takes it."""
+        self._put(f"release {release.claim_id}", encode(release))
+
+    def _put(self, name: str, text: str) -> None:
+        self.pending[name] = text
+        self.wake.set()
+        if not self.greenlet:
+            self.greenlet = gevent.spawn(self._run)
+
+    def _run(self) -> None:
+        while True:
+            self.wake.wait()
+            self.wake.clear()
+            while self.pending:
+                gevent.sleep(self.last_append + self.gap_s - self.clock.now())
+                self._append_and_read()
+
+    def _append_and_read(self) -> None:
+        batch = dict(list(self.pending.items())[:MAX_BATCH])
+        if not batch:
+            return
+        self.last_append = self.clock.now()
+        try:
+            end = self.log.append(self.stream, list(batch.values())) + len(batch)
+        except LogThrottledError:
+            return
+        except LogUnavailableError as error:
+            self._refuse(batch, str(error))
+            gevent.sleep(RETRY_S)
+            return
+        except LogUncertainError as error:
+            # The records may be there, may still come, or never. What the read below
+            # does not find is appended again: the first copy decides.
+            log_event("claim_append_uncertain", stream=self.stream, error=error)
+            self._read_to(0)
+            self._settle()
+            return
+        self.appends.add(1)
+        self.appended.add(len(batch))
+        for name in batch:
+            self.pending.pop(name, None)
+        self._read_to(end)
+        self._settle()
+
+    def _refuse(self, batch: dict[str, str], reason: str) -> None:
+        """Tell those who wait that the log took nothing; releases are kept."""
+        for name in batch.keys() & self.waiting.keys():
+            for result in self.waiting[name]:
+                result.set_exception(
+                    log_unavailable(f"the log takes no claims: {reason}")
+                )
+            self.pending.pop(name, None)
+
+    def _read_to(self, end: int) -> None:
+        """Fold records up to offset `end`, or to the last one there is."""
+        while self.waiting or end == 0:
+            try:
+                page = self.log.read(self.stream, self.table.offset + 1)
+            except LogForgottenError as error:
+                self.table.offset = error.first - 1
+                continue
+            except LogUnavailableError as error:
+                log_event("claim_read_failed", stream=self.stream, error=error)
+                if end == 0:
+                    return
+                gevent.sleep(RETRY_S)
+                continue
+            for entry in page.entries:
+                self._fold(entry)
+            if self.table.offset + 1 >= max(end, page.next):
+                return
+
+    def _fold(self, entry) -> None:
+        try:
+            record = decode(entry.body)
+        except RecordError as error:
+            log_event("record_not_understood", offset=entry.offset, error=error)
+            return
+        if isinstance(record, Claim | Release):
+            self.table.apply(entry.offset, entry.time, record)
+        self.table.offset = entry.offset
+
+    def _settle(self) -> None:
+        for claim_id, results in list(self.waiting.items()):
+            outcome = self.table.outcome(claim_id)
+            if outcome is not None:
+                self.pending.pop(claim_id, None)
+                for result in results:
+                    result.set(outcome)
+
+
+class LogClaims:
+    """Claims as :class:`endive_node.interfaces.Claims`, decided by the log.
+
+    Callers meet it as ``duplicate_request``, ``key_reused``, ``key_expired`` and
+    ``log_unavailable``.
+    """
 
+    def __init__(
+        self,
+        node_id: str,
+        log: LogService,
+        members: Members,
+        clock: Clock,
+        settings: ClaimsSection,
+        metrics: Metrics,
+    ) -> None:
+        self.node_id = node_id
+        self.log = log
+        self.members = members
+        self.clock = clock
+        self.settings = settings
+        self.metrics = metrics
+        self.writers: dict[int, ShardWriter] = {}
+        self.avoided: dict[str, float] = {}
+        self.connections: dict[str, list[PeerConnection]] = {}
+        self.wall_time = time.time
+        self.won = metrics.counter("endive_claims_won")
+        self.lost = metrics.counter("endive_claims_lost")
+        self.withdrawn = metrics.counter("endive_claims_withdrawn")
+        self.unreleased = metrics.counter("endive_claims_not_released")
+        self.wait = metrics.meter.create_histogram("endive_claim_seconds", unit="s")
 
-class NoClaims:
-    """Refuses every non-idempotent request: without claims none may be sent."""
+    # For the node's own requests
 
-    def win(self, request: Request) -> None:
+    def check_age(self, request: Request) -> None:
+        """Refuse a key that was first sent longer ago than claims are kept.
+
+        Raises
+        ------
+        EndiveError
+            ``key_expired``: whether it ran can't be known any more.
+        """
+        if request.key_time is None:
+            return
+        age = self.wall_time() - request.key_time
+        if age + CLOCK_SKEW_S > self.settings.window_s:
+            raise EndiveError(
+                ErrorKind.KEY_EXPIRED,
+                f"the key was first sent {age:.0f} s ago; claims are kept for "
+                f"{self.settings.window_s:.0f} s",
+            )
+
+    def win(self, request: Request, continues: int = 0) -> Claimant:
         """See :meth:`endive_node.interfaces.Claims.win`."""
-        raise EndiveError(
-            ErrorKind.LOG_UNAVAILABLE, "this node can't claim non-idempotent requests"
+        started = self.clock.now()
+        deadline = started + self.settings.timeout_s
+        if request.deadline is not None:
+            deadline = min(deadline, request.deadline)
+        key = claim_key(request, continues)
+        while True:
+            claimant = self._attempt(request, key, deadline)
+            if claimant.state is ClaimState.HELD:
+                self.won.add(1)
+                self.wait.record(self.clock.now() - started)
+                return claimant
+            holder = claimant.holder
+            own = holder is not None and holder.request_id == request.request_id
+            if not own or self.clock.now() + OWN_RELEASE_RETRY_S > deadline:
+                self.lost.add(1)
+                raise lost_error(request, holder)
+            # An earlier try of this same request was withdrawn, here or at the node
+            # that handed it over, and its release is still on its way.
+            gevent.sleep(OWN_RELEASE_RETRY_S)
+
+    def _attempt(self, request: Request, key: str, deadline: float) -> Claimant:
+        claimant = Claimant(
+            Claim(
+                claim_id=uuid.uuid4().hex,
+                key=key,
+                node=self.node_id,
+                request_id=request.request_id,
+                fingerprint=request.fingerprint,
+            )
+        )
+        try:
+            outcome = self._decide(claimant.claim, deadline)
+        except BaseException:
+            # Also when the request is paused for a handover: whatever the log holds
+            # of this claim, or will hold, it must never be used.
+            self.give_up(claimant)
+            raise
+        release = claimant.settle(outcome)
+        if release is not None:
+            self._spawn_release(release)
+        return claimant
+
+    def give_up(self, claimant: Claimant) -> None:
+        """Withdraw a claim that was not used, and free its key for the next try."""
+        if claimant.state not in (ClaimState.PENDING, ClaimState.HELD):
+            return
+        release = claimant.withdraw()
+        self.withdrawn.add(1)
+        self._spawn_release(release)
+
+    def _decide(self, claim: Claim, deadline: float) -> ClaimOutcome:
+        shard = claim_shard(claim.key)
+        for member in self._candidates(shard):
+            left = deadline - self.clock.now()
+            if left <= 0:
+                break
+            if member.id == self.node_id:
+                return self.writer(shard).decide(claim, left)
+            try:
+                return self._ask(member, claim, min(left, self.settings.peer_timeout_s))
+            except PeerUnavailableError as error:
+                log_event("claim_writer_silent", peer=member.id, error=error)
+                self.avoided[member.id] = self.clock.now() + AVOID_S
+        raise log_unavailable("no node could write the claim in time")
+
+    def _candidates(self, shard: int) -> list[Member]:
+        """Return whom to ask: the shard's writer, the next one, then this node."""
+        now = self.clock.now()
+        live = {member.id: member for member in self.members.live()}
+        found: list[Member] = []
+        for name in rendezvous_order(f"claims {shard}", live):
+            if name == self.node_id or len(found) == WRITERS_ASKED:
+                break
+            if self.avoided.get(name, 0.0) <= now:
+                found.append(live[name])
+        return [*found, Member(self.node_id, "", "")]
+
+    def _ask(self, member: Member, claim: Claim, timeout_s: float) -> ClaimOutcome:
+        try:
+            answer = self._call(member, "claim", timeout_s, encode(claim))
+        except IDL.PeerError as error:
+            raise log_unavailable(error.message) from None
+        holder = decode(answer.holder) if answer.holder else None
+        return ClaimOutcome(claim.claim_id, ClaimVerdict(answer.verdict), holder)
+
+    def _call(self, member: Member, method: str, timeout_s: float, *arguments):
+        """Call `method` over a kept connection, or a new one.
+
+        A kept connection may long be closed at the other end, which shows only when
+        it is used; claims and releases can be sent twice, so a new one is tried.
+        """
+        kept = self.connections.setdefault(member.peer_address, [])
+        with time_limit(timeout_s):
+            while kept:
+                with contextlib.suppress(PeerUnavailableError):
+                    return self._call_over(kept.pop(), kept, method, arguments)
+            connection = PeerConnection(member.peer_address, self.settings.timeout_s)
+            return self._call_over(connection, kept, method, arguments)
+
+    def _call_over(self, connection: PeerConnection, kept, method: str, arguments):
+        usable = False
+        try:
+            answer = connection.call(method, *arguments)
+            usable = True
+            return answer
+        except IDL.PeerError:
+            usable = True
+            raise
+        finally:
+            if usable and len(kept) < CONNECTIONS_KEPT:
+                kept.append(connection)
+            else:
+                connection.close()
+
+    def _spawn_release(self, release: Release) -> None:
+        gevent.spawn(self._release, release)
+
+    def _release(self, release: Release) -> None:
+        """Have the release appended, by the writer or else by this node."""
+        shard = claim_shard(release.key)
+        for member in self._candidates(shard):
+            if member.id == self.node_id:
+                self.writer(shard).release(release)
+                return
+            try:
+                timeout_s = self.settings.peer_timeout_s
+                self._call(member, "release", timeout_s, encode(release))
+                return
+            except (PeerUnavailableError, IDL.PeerError) as error:
+                log_event("release_writer_silent", peer=member.id, error=error)
+                self.avoided[member.id] = self.clock.now() + AVOID_S
+
+    # For other nodes
+
+    def writer(self, shard: int) -> ShardWriter:
+        """Return this node's writer of `shard`."""
+        if shard not in self.writers:
+            self.writers[shard] = ShardWriter(
+                shard, self.log, self.clock, self.settings, self.metrics
+            )
+        return self.writers[shard]
+
+    def take_claim(self, record: str):
+        """Decide a claim for another node."""
+        claim = decode(record)
+        writer = self.writer(claim_shard(claim.key))
+        try:
+            outcome = writer.decide(claim, self.settings.timeout_s)
+        except EndiveError as error:
+            raise IDL.PeerError(kind=str(error.kind), message=error.message) from None
+        holder = encode(outcome.holder) if outcome.holder else ""
+        return IDL.ClaimAnswer(verdict=str(outcome.verdict), holder=holder)
+
+    def take_release(self, record: str) -> None:
+        """Append a release for another node."""
+        release = decode(record)
+        self.writer(claim_shard(release.key)).release(release)
+
+
+@contextlib.contextmanager
+def time_limit(seconds: float):
+    """End what runs inside as an unavailable peer once `seconds` have passed."""
+    timeout = gevent.Timeout(seconds)
+    try:
+        with timeout:
+            yield
+    except gevent.Timeout as error:
+        if error is not timeout:
+            raise
+        raise PeerUnavailableError(f"no answer within {seconds} s") from None
+
+
+def claim_key(request: Request, continues: int) -> str:
+    """Return the key to claim; a continued request has one of its own.
+
+    The claim of the key itself was used by the node that sent the request first and
+    so stays for ever; going on after a server confirmed that it stopped is a right of
+    its own, of which again only one node may make use.
+    """
+    key = f"{request.organisation}/{request.key}"
+    return f"{key}#{continues}" if continues else key
+
+
+def log_unavailable(message: str) -> EndiveError:
+    """Return the refusal of a request whose claim the log could not decide."""
+    return EndiveError(
+        ErrorKind.LOG_UNAVAILABLE, message, retry_after_s=random.uniform(1.0, 5.0)
+    )
+
+
+def lost_error(request: Request, holder: Claim | None) -> EndiveError:
+    """Return the answer to a request whose key another one holds."""
+    if holder is not None and holder.fingerprint != request.fingerprint:
+        return EndiveError(
+            ErrorKind.KEY_REUSED, "the idempotency key was used for another request"
         )
+    holder_id = holder.request_id if holder else ""
+    return EndiveError(
+        ErrorKind.DUPLICATE_REQUEST,
+        "another request holds the key; its answer is at GET /v1/requests/ID",
+        details={"holder_request_id": holder_id},
+    )
--- a/packages/endive_node/src/endive_node/interfaces.py
+++ b/packages/endive_node/src/endive_node/interfaces.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 from typing import Any, Protocol
 
+from endive_core.claims import Claimant
 from endive_core.membership import Member
 from endive_core.messages import Piece, Request
 
@@ -18,6 +19,7 @@
 
     offset: int
     body: str
+    time: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -146,8 +148,24 @@
 class Claims(Protocol):
     """The right to send a non-idempotent request, decided by the log's order."""
 
-    def win(self, request: Request) -> None:
-        """Return once this node alone may send `request`.
+    def check_age(self, request: Request) -> None:
+        """Refuse a key that is older than claims are kept.
+
+        Raises
+        ------
+        EndiveError
+            ``key_expired``.
+        """
+        ...
+
+    def win(self, request: Request, continues: int = 0) -> Claimant:
+        """Return a held claim once this node alone may send `request`.
+
+        Parameters
+        ----------
+        continues : int
+            For a request of which another node sent attempts and confirmed that they
+            were stopped, the number of the last one.
 
         Raises
         ------
@@ -157,6 +175,10 @@
         """
         ...
 
+    def give_up(self, claimant: Claimant) -> None:
+        """Withdraw a claim under which nothing was sent; free its key."""
+        ...
+
 
 class Clock(Protocol):
     """Time that only goes forward."""
@@ -170,6 +192,10 @@
     """The log did not take effect: it refused, or could not be reached."""
 
 
+class LogThrottledError(LogUnavailableError):
+    """The log takes no append just now because of its rate limit."""
+
+
 class LogUncertainError(Exception):
     """The log's answer was lost; the append may have taken effect or still may."""
 
--- a/packages/endive_node/src/endive_node/node.py
+++ b/packages/endive_node/src/endive_node/node.py
@@ -5,7 +5,7 @@
 
 from endive_node.backends import BackendClients
 from endive_node.callers import CallerApi
-from endive_node.claiming import NoClaims
+from endive_node.claiming import LogClaims
 from endive_node.configuration import Configuration
 from endive_node.dispatching import Dispatcher
 from endive_node.handover import Handover
@@ -54,6 +54,15 @@
         self.observer = Observer(
             self.dispatcher, self.clients, settings.backends, self.clock
         )
+        self.members = StaticMembers.from_settings(settings)
+        self.claims = LogClaims(
+            settings.node.id,
+            self.log,
+            self.members,
+            self.clock,
+            settings.claims,
+            self.metrics,
+        )
         self.serving = Serving(
             node_id=settings.node.id,
             catalogue=self.configuration.catalogue,
@@ -62,7 +71,7 @@
             limits=settings.limits,
             metrics=self.metrics,
             clock=self.clock,
-            claims=NoClaims(),
+            claims=self.claims,
         )
         self._make_reclaim()
         self._make_listeners()
@@ -76,7 +85,6 @@
 
     def _make_reclaim(self) -> None:
         settings, platform = self.settings, self.settings.platform
-        self.members = StaticMembers.from_settings(settings)
         self.board = NoticeBoard(self.clock)
         cloud = platform.cloud and HttpCloud(platform.cloud, platform.timeout_s)
         listed = platform.instances and HttpInstanceList(
@@ -99,7 +107,11 @@
         )
         operators = OperatorApi(self)
         handler = PeerHandler(
-            section.id, self.configuration, self.serving.trails, self.handover
+            section.id,
+            self.configuration,
+            self.serving.trails,
+            self.handover,
+            self.claims,
         )
         self.callers = HttpListener(callers.app, section.address, section.caller_port)
         self.operators = HttpListener(
--- a/packages/endive_node/src/endive_node/peers.py
+++ b/packages/endive_node/src/endive_node/peers.py
@@ -41,6 +41,7 @@
         configuration: Configuration,
         trails: Trails,
         handover: "RequestTaker | None" = None,
+        claims: "ClaimTaker | None" = None,
     ) -> None:
         self.node_id = node_id
         self.configuration = configuration
@@ -49,6 +50,9 @@
             self.take_requests = handover.take_requests
             self.take_answers = handover.take_answers
             self.read_answer = handover.read_answer
+        if claims is not None:
+            self.claim = claims.take_claim
+            self.release = claims.take_release
 
     def ping(self) -> str:
         """Return this node's id."""
@@ -87,6 +91,18 @@
         ...
 
 
+class ClaimTaker(Protocol):
+    """Appends other nodes' claims and releases to the log."""
+
+    def take_claim(self, record: str):
+        """Return a ``ClaimAnswer``."""
+        ...
+
+    def take_release(self, record: str) -> None:
+        """Append a release."""
+        ...
+
+
 class PeerListener:
     """The thrift listener of a node.
 
--- a/packages/endive_node/src/endive_node/peers.thrift
+++ b/packages/endive_node/src/endive_node/peers.thrift
@@ -23,12 +23,23 @@
   10: binary body
 }
 
+// How the log decided a claim.
+struct ClaimAnswer {
+  1: string verdict
+  // The record of the claim that was in its way; empty if there is none.
+  2: string holder
+}
+
 service Peer {
   string ping()
   // The snapshot record of the configuration this node has in force.
   string pull_configuration() throws (1: PeerError error)
   // The notes of a request that this node accepted, as JSON.
   string explain_request(1: string request_id) throws (1: PeerError error)
+  // Append a claim record to its shard and read its decision back.
+  ClaimAnswer claim(1: string record) throws (1: PeerError error)
+  // Append a release record to its shard.
+  void release(1: string record) throws (1: PeerError error)
   // Unfinished requests of a node that leaves; returns the ids that this node holds now.
   list<string> take_requests(1: string sender, 2: list<binary> requests) throws (1: PeerError error)
   // Their answers so far: the sender has stopped; returns the ids that go on here.
--- a/packages/endive_node/src/endive_node/platform.py
+++ b/packages/endive_node/src/endive_node/platform.py
@@ -10,6 +10,7 @@
     LogEntry,
     LogForgottenError,
     LogPage,
+    LogThrottledError,
     LogUnavailableError,
     LogUncertainError,
 )
@@ -69,7 +70,9 @@
             raise LogUncertainError(str(error)) from None
         if status == 200:
             return body["offset"]
-        if status in (429, 503):
+        if status == 429:
+            raise LogThrottledError("over the log's rate limit")
+        if status == 503:
             raise LogUnavailableError(f"status {status}")
         raise LogUncertainError(f"status {status}")
 
@@ -87,7 +90,7 @@
             raise LogForgottenError(body["first"])
         if status != 200:
             raise LogUnavailableError(f"status {status}")
-        entries = [LogEntry(r["offset"], r["body"]) for r in body["records"]]
+        entries = [LogEntry(r["offset"], r["body"], r["time"]) for r in body["records"]]
         return LogPage(body["first"], body["next"], entries)
 
 
--- a/packages/endive_node/src/endive_node/serving.py
+++ b/packages/endive_node/src/endive_node/serving.py
@@ -6,6 +6,7 @@
 import gevent
 from endive_core.calls import Ticket
 from endive_core.catalogue import Catalogue
+from endive_core.claims import Claimant, ClaimState
 from endive_core.exceptions import EndiveError, ErrorKind, Executed, RetryReason
 from endive_core.handover import RequestHead, head_of, request_id_for
 from endive_core.hashing import fingerprint
@@ -102,6 +103,8 @@
                 ErrorKind.KEY_REQUIRED,
                 "a non-idempotent request needs an Idempotency-Key header",
             )
+        if request.non_idempotent:
+            self.claims.check_age(request)
         ticket = self.dispatcher.admit(request)
         run = Run(self, RequestRecord(request, self.clock.now()), ticket)
         self.ledger.add(run)
@@ -159,6 +162,7 @@
         self.life = Lifecycle(record.request.non_idempotent)
         self.trail = serving.trails.begin(record.request)
         self.trail.note(f"accepted by {serving.node_id}")
+        self.claim: Claimant | None = None
         self.backend: EngineServer | None = None
         self.server: ServerView | None = None
         self.driver: gevent.Greenlet | None = None
@@ -267,6 +271,7 @@
             self.life.fire(Event.SERVER_LOST)
         if self.life.allows(Event.HAND_OVER):
             self.life.fire(Event.HAND_OVER)
+            self._give_up_claim()
         self._give_up_ticket()
 
     def _give_up_ticket(self) -> None:
@@ -365,6 +370,7 @@
             return
         error = self._true_error(error)
         self.life.fire(Event.REFUSE if self.life.allows(Event.REFUSE) else Event.FAIL)
+        self._give_up_claim()
         self._end_in(error)
 
     def _end_in(self, error: EndiveError) -> None:
@@ -415,6 +421,7 @@
             self.life.fire(Event.ENQUEUE)
         if self.ticket is None:
             self.ticket = self.serving.dispatcher.take_over(self.record.request)
+        self._claim()
         while not self.record.ended:
             server = self.serving.dispatcher.acquire(self.ticket)
             try:
@@ -424,15 +431,40 @@
                     self._decide_retry(error)
 
     def _claim(self) -> None:
-        """Win the only right to send a non-idempotent request, once."""
+        """Win the only right to send a non-idempotent request, once.
+
+        The log is asked while the request waits in its queue, so that most of the
+        time it adds nothing to the wait for a server.
+        """
         if not self.life.allows(Event.CLAIM):
             return
         self.life.fire(Event.CLAIM)
-        self.serving.claims.win(self.record.request)
+        continues = self.record.attempt if self.life.flags.sent_before else 0
+        try:
+            self.claim = self.serving.claims.win(self.record.request, continues)
+        except Paused:
+            self.life.fire(Event.UNCLAIM)
+            raise
         self.life.fire(Event.WON)
 
+    def _use_claim(self) -> None:
+        """Mark the claim as used before anything is sent under it."""
+        if self.claim is not None and self.claim.state is not ClaimState.USED:
+            self.claim.use()
+
+    def _not_started(self) -> None:
+        """Note that an attempt certainly did not run; its claim holds as before."""
+        self.life.fire(Event.NOT_STARTED)
+        if self.claim is not None and self.life.state is State.CLAIMED:
+            self.claim.not_started()
+
+    def _give_up_claim(self) -> None:
+        """Free the key if nothing was sent; called once the chart rules that out."""
+        if self.claim is not None:
+            self.serving.claims.give_up(self.claim)
+
     def _attempt(self, server: ServerView) -> Iterator[None]:
-        self._claim()
+        self._use_claim()
         self.life.fire(Event.DISPATCH)
         record = self.record
         record.attempt += 1
@@ -522,7 +554,10 @@
         move, self.move = self.move, None
         if move is None or not move.wait():
             return False
-        self.life.fire(Event.SERVER_STOPPED if error.started else Event.NOT_STARTED)
+        if error.started:
+            self.life.fire(Event.SERVER_STOPPED)
+        else:
+            self._not_started()
         self.record.extend(move.tokens)
         self.blob = move.blob
         self.serving.dispatcher.moved(self.ticket, len(self.record.tokens))
@@ -534,7 +569,7 @@
             f"attempt {self.record.attempt} failed: {error.reason}: {error}"
         )
         if not error.started:
-            self.life.fire(Event.NOT_STARTED)
+            self._not_started()
         elif self.life.allows(Event.SERVER_LOST):
             self.life.fire(Event.SERVER_LOST)
         if error.final_status is not None:
--- a/packages/endive_node/src/endive_node/settings.py
+++ b/packages/endive_node/src/endive_node/settings.py
@@ -9,6 +9,7 @@
 from pathlib import Path
 from typing import Annotated, get_args
 
+from endive_core.claims import WINDOW_S
 from endive_core.exceptions import SettingsError
 from endive_core.policy import Policy
 from endive_core.resources import NAME_PATTERN, SHA256_HEX
@@ -108,6 +109,26 @@
     )
 
 
+class ClaimsSection(_Section):
+    """How non-idempotent requests are claimed in the log."""
+
+    window_s: float = Field(
+        WINDOW_S,
+        gt=0,
+        description="how long a claim holds its key, seconds; below the log's "
+        "retention, and the same on all nodes",
+    )
+    appends_per_s: float = Field(
+        200.0, gt=0, description="appends of claims a second, all nodes together"
+    )
+    timeout_s: float = Field(
+        2.0, gt=0, description="longest wait for the log's decision, seconds"
+    )
+    peer_timeout_s: float = Field(
+        0.7, gt=0, description="longest wait for a shard's writer, seconds"
+    )
+
+
 class Settings(_Section):
     """All settings of one node."""
 
@@ -117,6 +138,7 @@
     operators: tuple[OperatorEntry, ...] = ()
     limits: LimitsSection = LimitsSection()
     backends: BackendSection = BackendSection()
+    claims: ClaimsSection = ClaimsSection()
     policy: Policy = Policy()
 
     @classmethod
--- a/packages/endive_node/tests/node_builders.py
+++ b/packages/endive_node/tests/node_builders.py
@@ -1,8 +1,10 @@
 """Builders for tests of one node's parts, with fakes at the interfaces."""
 
 from endive_core.catalogue import Catalogue
+from endive_core.claims import Claimant, ClaimOutcome, ClaimVerdict
 from endive_core.exceptions import RetryReason
 from endive_core.messages import Endpoint, Piece, Request
+from endive_core.records import Claim
 from endive_core.resources import BackendServerService, Deployment
 from endive_node.dispatching import Dispatcher
 from endive_node.interfaces import BackendError
@@ -63,7 +65,15 @@
 class AnyClaims:
     """Claims that are always won."""
 
-    def win(self, request):
+    def check_age(self, request):
+        pass
+
+    def win(self, request, continues=0):
+        claimant = Claimant(Claim("c", request.key, "node-1", request.request_id))
+        claimant.settle(ClaimOutcome("c", ClaimVerdict.WON))
+        return claimant
+
+    def give_up(self, claimant):
         pass
 
 
--- /dev/null
+++ b/tests/test_claims.py
@@ -0,0 +1,239 @@
+"""At-most-once over real sockets; every fault has a fixed schedule."""
+
+import signal
+import threading
+import time
+
+import builders
+import pytest
+
+pytestmark = pytest.mark.processes
+PATH = "/services/bookings/courts/7"
+
+
+class Booking:
+    """A cluster with one plain service and one engine service."""
+
+    def __init__(self, cluster, nodes=3, **options):
+        self.cluster = cluster
+        cluster.with_log()
+        self.servers = [cluster.plain(f"court-{i}", **options) for i in (1, 2)]
+        self.engines = [cluster.engine(f"engine-{i}") for i in (1, 2)]
+        self.nodes = cluster.add_nodes(nodes)
+        cluster.apply(
+            builders.organisation(),
+            builders.service("bookings", self.servers, kind="plain"),
+            builders.service("engines", self.engines),
+            builders.deployment(),
+        )
+        for node in self.nodes:
+            cluster.wait_in_force(node)
+        self.before = self.runs_now()
+
+    def runs_now(self):
+        alive = [s for s in self.servers + self.engines if s.process.poll() is None]
+        return sum(sum(s.stats()["executions"].values()) for s in alive)
+
+    @property
+    def runs(self):
+        """How often any server that is still there ran anything since the start."""
+        return self.runs_now() - self.before
+
+    def book(self, node, key, **headers):
+        """Send a confirmation that must not run twice."""
+        return node.post(
+            PATH,
+            {"at": 18},
+            Idempotency_Key=key,
+            Endive_Non_Idempotent="true",
+            **headers,
+        )
+
+    def quote(self, node, key):
+        """Ask a model for a priced quote that must not be made twice."""
+        return node.post(
+            "/v1/completions",
+            {"model": "chat", "prompt": "quote", "max_tokens": 4},
+            Idempotency_Key=key,
+            Endive_Non_Idempotent="true",
+        )
+
+
+def code(answer):
+    return "ok" if answer.status == 200 else answer.json()["error"]["code"]
+
+
+class Background:
+    """A call under way in a thread."""
+
+    def __init__(self, function, *arguments):
+        self.answer = None
+        self.thread = threading.Thread(target=self.run, args=(function, arguments))
+        self.thread.start()
+
+    def run(self, function, arguments):
+        self.answer = function(*arguments)
+
+    def result(self):
+        self.thread.join(30)
+        assert self.answer is not None, "no answer came"
+        return self.answer
+
+
+def all_at_once(calls):
+    started = [Background(*call) for call in calls]
+    return [call.result() for call in started]
+
+
+def test_key_sent_to_three_nodes_at_once_runs_once(cluster):
+    """A caller whose connection broke sends its confirmation to every node at once.
+    One node runs it; the others tell which request holds the key."""
+    booking = Booking(cluster)
+    for number in range(5):
+        for send in (booking.book, booking.quote):
+            key = f"{send.__name__}-{number}"
+            before = booking.runs
+            answers = all_at_once([(send, node, key) for node in booking.nodes])
+            codes = sorted(code(answer) for answer in answers)
+            assert codes == ["duplicate_request", "duplicate_request", "ok"]
+            assert booking.runs - before == 1
+            lost = next(a for a in answers if a.status != 200).json()["error"]
+            won = next(a for a in answers if a.status == 200)
+            assert lost["holder_request_id"] == won.headers["X-Request-Id"]
+            assert lost["executed"] == "unknown"
+
+
+def test_same_key_with_another_body_is_refused(cluster):
+    booking = Booking(cluster, nodes=2)
+    assert code(booking.book(booking.nodes[0], "k")) == "ok"
+    before = booking.runs
+    assert code(booking.quote(booking.nodes[1], "k")) == "key_reused"
+    assert booking.runs == before
+
+
+def test_lost_append_answers_do_not_run_twice_or_lose_the_request(cluster):
+    """The log takes the claim and its answer is lost; the claim is read back, or
+    appended again under the same id, and the first copy decides."""
+    booking = Booking(cluster)
+    for number in range(3):
+        cluster.log.faults(lose_answers=2)
+        assert code(booking.book(booking.nodes[number], f"k{number}")) == "ok"
+    assert booking.runs == 3
+
+
+def test_append_that_takes_effect_late_burns_no_key(cluster):
+    """The log answers 504 and takes the claim a second later. By then its node has
+    appended it again, or told its caller "not run" and released it."""
+    booking = Booking(cluster)
+    cluster.log.faults(late_appends={"count": 1, "delay_s": 1.0})
+    first = booking.book(booking.nodes[0], "k")
+    assert code(first) in ("ok", "log_unavailable")
+    time.sleep(1.2)
+    second = booking.book(booking.nodes[1], "k")
+    assert sorted([code(first), code(second)]) in (
+        ["duplicate_request", "ok"],
+        ["log_unavailable", "ok"],
+    )
+    assert booking.runs == 1
+
+
+def test_log_outage_refuses_at_once_as_not_run_and_the_next_try_runs(cluster):
+    """With the log down nobody can be sure to be the only one. The caller learns at
+    once that nothing ran and when to come back."""
+    booking = Booking(cluster)
+    cluster.log.faults(outage_s=3.0)
+    for node in booking.nodes:
+        answer = booking.book(node, "k")
+        error = answer.json()["error"]
+        assert (error["code"], error["executed"]) == ("log_unavailable", "no")
+        assert int(answer.headers["Retry-After"]) >= 1
+    assert booking.runs == 0
+    builders.wait_until(
+        lambda: code(booking.book(booking.nodes[0], "k")) == "ok", "the next try"
+    )
+    assert booking.runs == 1
+
+
+def test_paused_claimant_that_wakes_does_not_run_what_a_peer_ran(cluster):
+    """A node is paused while its claim is on the way. Its caller goes to another node.
+    When the first one wakes, only one of the two may have run the request."""
+    booking = Booking(cluster)
+    for number, paused in enumerate(booking.nodes):
+        cluster.log.faults(delay_s=0.3)
+        key, before = f"k{number}", booking.runs
+        first = Background(booking.book, paused, key)
+        time.sleep(0.15)
+        paused.signal(signal.SIGSTOP)
+        others = [node for node in booking.nodes if node is not paused]
+        time.sleep(0.5)
+        seconds = all_at_once([(booking.book, node, key) for node in others])
+        paused.signal(signal.SIGCONT)
+        codes = [code(first.result()), *map(code, seconds)]
+        cluster.log.faults(delay_s=0.0)
+        time.sleep(0.5)
+        assert booking.runs - before == codes.count("ok") <= 1, codes
+        assert code(booking.book(others[0], key)) in ("ok", "duplicate_request")
+        assert booking.runs - before == 1
+
+
+def test_paused_writer_is_passed_over(cluster):
+    """Every node but one is paused, among them the writers of most shards. Requests at
+    the node that is left still get their claims."""
+    booking = Booking(cluster)
+    for node in booking.nodes[1:]:
+        node.signal(signal.SIGSTOP)
+    codes = [code(booking.book(booking.nodes[0], f"k{i}")) for i in range(6)]
+    for node in booking.nodes[1:]:
+        node.signal(signal.SIGCONT)
+    assert codes == ["ok"] * 6
+    assert booking.runs == 6
+
+
+def test_restarted_node_still_knows_that_the_key_was_used(cluster):
+    """The node that confirmed a court is replaced and remembers nothing; its caller
+    sends the confirmation again, to it and to another."""
+    booking = Booking(cluster)
+    node = booking.nodes[0]
+    assert code(booking.book(node, "k")) == "ok"
+    node.kill()
+    cluster.restart(node)
+    cluster.wait_in_force(node)
+    assert code(booking.book(node, "k")) == "duplicate_request"
+    assert code(booking.book(booking.nodes[1], "k")) == "duplicate_request"
+
+
+def test_server_reclaimed_between_claim_and_dispatch(cluster):
+    """The server goes while the claim is being decided. Nothing was sent to it, so
+    the request runs at the other one, under the same claim."""
+    booking = Booking(cluster)
+    cluster.log.faults(delay_s=0.5)
+    calls = [Background(booking.book, booking.nodes[0], f"k{i}") for i in range(4)]
+    time.sleep(0.2)
+    booking.servers[0].kill()
+    assert [code(call.result()) for call in calls] == ["ok"] * 4
+    assert sum(booking.servers[1].stats()["executions"].values()) == 4
+
+
+def test_lost_answer_of_a_server_is_unknown_and_stays_so(cluster):
+    """The service confirmed the court and its answer was lost. The caller is told that
+    the outcome is unknown; sending the key again books no second court."""
+    booking = Booking(cluster)
+    for server in booking.servers:
+        server.faults(lose_answers=1)
+    answer = booking.book(booking.nodes[0], "k")
+    error = answer.json()["error"]
+    assert (error["code"], error["executed"]) == ("outcome_unknown", "unknown")
+    assert code(booking.book(booking.nodes[1], "k")) == "duplicate_request"
+    assert booking.runs == 1
+
+
+def test_key_older_than_the_window_is_refused(cluster):
+    """The log has forgotten whether the key ran; the caller says when it first sent
+    it and is told that this can't be known any more."""
+    booking = Booking(cluster, nodes=1)
+    old = str(time.time() - 3600)
+    answer = booking.book(booking.nodes[0], "k", Endive_Key_Time=old)
+    assert code(answer) == "key_expired"
+    assert booking.runs == 0
+    fresh = str(time.time() - 10)
+    assert code(booking.book(booking.nodes[0], "k", Endive_Key_Time=fresh)) == "ok"
