--- a/packages/endive_core/src/endive_core/fold.py
+++ b/packages/endive_core/src/endive_core/fold.py
@@ -6,19 +6,24 @@
 """
 
 from collections import OrderedDict
-from collections.abc import Iterable
 from dataclasses import asdict, dataclass
 from enum import StrEnum
 from typing import Any
 
-from endive_core.records import ALL_ORGANISATIONS, Change, Snapshot
+from endive_core.records import ALL_ORGANISATIONS, Change, Record, Snapshot
 
 ABSENT = -1
 """The version of a resource that does not exist; offset 0 is a version like others."""
 
-MAX_OUTCOMES = 20_000
-"""Change ids remembered: nearly two days at 11,000 changes a day, far longer than a
-writer keeps repeating an append whose answer was lost."""
+MAX_OUTCOMES = 4_000
+"""Change ids remembered: nearly nine hours at 11,000 changes a day, far longer than a
+writer keeps repeating an append whose answer was lost, and few enough that a snapshot
+stays well under a megabyte. The bound is a number of records and not a time, so that
+every node forgets the same id at the same record.
+
+A copy of an append can still arrive after that: the log answered 504 and took it much
+later. Its id is forgotten, and applied again it would bring back an older resource. It
+is refused by its basis, which then lies more than this many records back."""
 
 
 class Verdict(StrEnum):
@@ -86,7 +91,7 @@
         self.resources: dict[tuple[str, str], StoredResource] = {}
         self.outcomes: OrderedDict[str, Outcome] = OrderedDict()
 
-    def apply(self, offset: int, record: Change | Snapshot) -> Outcome | None:
+    def apply(self, offset: int, record: Record) -> Outcome | None:
         """Fold one record; return the outcome if it is a change.
 
         Records at or below :attr:`offset` are ignored, so a replay never moves the
@@ -104,6 +109,8 @@
         if known is not None:
             return known
         verdict, version = self.verdict(change)
+        if change.basis is not None and offset - change.basis > MAX_OUTCOMES:
+            verdict = Verdict.CONFLICT
         if verdict is Verdict.APPLIED:
             self._put(offset, change)
             version = offset
@@ -156,12 +163,7 @@
             through=self.offset,
             resources=[asdict(stored) for _, stored in sorted(self.resources.items())],
             outcomes=[
-                {
-                    "change_id": o.change_id,
-                    "verdict": str(o.verdict),
-                    "version": o.version,
-                }
-                for o in self.outcomes.values()
+                [o.change_id, str(o.verdict), o.version] for o in self.outcomes.values()
             ],
         )
 
@@ -173,34 +175,10 @@
         for entry in snapshot.resources:
             stored = StoredResource(**entry)
             fold.resources[(stored.kind, stored.name)] = stored
-        for entry in snapshot.outcomes:
-            outcome = Outcome(
-                entry["change_id"], Verdict(entry["verdict"]), entry["version"]
-            )
-            fold.outcomes[outcome.change_id] = outcome
+        for change_id, verdict, version in snapshot.outcomes:
+            fold.outcomes[change_id] = Outcome(change_id, Verdict(verdict), version)
         return fold
 
 
-def newest_usable(
-    first: int, snapshots: Iterable[tuple[int, Snapshot]]
-) -> Snapshot | None:
-    """Return the snapshot that a node without a state should start from.
-
-    A snapshot whose append took effect late may describe a state so old that the log
-    no longer keeps the records after it. A node that started from it would skip
-    accepted changes, differ from its peers for ever, and say nothing; so only a
-    snapshot that the kept records follow without a gap is usable.
-
-    Parameters
-    ----------
-    first : int
-        Oldest offset that the log still keeps.
-    snapshots : iterable of (int, Snapshot)
-        Those found in the kept records, with their offsets.
-    """
-    usable = [s for _, s in snapshots if s.through >= first - 1]
-    return max(usable, key=lambda s: s.through, default=None)
-
-
 def _in_scope(change: Change, current: StoredResource) -> bool:
     return change.scope in (ALL_ORGANISATIONS, current.body.get("owner"))
--- a/spec/configuration.py
+++ b/spec/configuration.py
@@ -6,11 +6,11 @@
 :mod:`spec.claims`.
 """
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from functools import lru_cache
 from typing import Any, NamedTuple
 
-from endive_core.fold import ABSENT, ConfigurationFold, newest_usable
+from endive_core.fold import ABSENT, ConfigurationFold
 from endive_core.records import Change, Snapshot, decode, encode
 
 CHANGES = (
@@ -164,6 +164,27 @@
         )
 
 
+def newest_usable(
+    first: int, snapshots: Iterable[tuple[int, Snapshot]]
+) -> Snapshot | None:
+    """Return the snapshot that a node without a state should start from.
+
+    A snapshot whose append took effect late may describe a state so old that the log
+    no longer keeps the records after it. A node that started from it would skip
+    accepted changes, differ from its peers for ever, and say nothing; so only a
+    snapshot that the kept records follow without a gap is usable.
+
+    Parameters
+    ----------
+    first : int
+        Oldest offset that the log still keeps.
+    snapshots : iterable of (int, Snapshot)
+        Those found in the kept records, with their offsets.
+    """
+    usable = [s for _, s in snapshots if s.through >= first - 1]
+    return max(usable, key=lambda s: s.through, default=None)
+
+
 def replaced(items: tuple, index: int, item: Any) -> tuple:
     """Return `items` with the one at `index` replaced."""
     return (*items[:index], item, *items[index + 1 :])
--- a/spec/tests/test_configuration_model.py
+++ b/spec/tests/test_configuration_model.py
@@ -1,9 +1,9 @@
 import pytest
-from endive_core.fold import ConfigurationFold, newest_usable
+from endive_core.fold import ConfigurationFold
 from endive_core.records import Change
 
 from spec.checker import sweep, sweep_liveness
-from spec.configuration import ConfigurationModel
+from spec.configuration import ConfigurationModel, newest_usable
 from spec.mutants import FOLD_MUTANTS
 
 
