Replay runs of real nodes against the specification of claims

Nodes log each request's events when it ends, the log keeps the order of claims and releases; a run conforms if some interleaving is a path of the model.

--- a/packages/endive_node/src/endive_node/serving.py
+++ b/packages/endive_node/src/endive_node/serving.py
@@ -409,6 +409,7 @@
             organisation=record.request.organisation,
             model=record.request.model,
             outcome=outcome,
+            events=",".join(self.life.history),
             tokens=len(record.tokens),
             attempts=record.attempt,
             servers=",".join(record.servers),
