Hold every 'not run' against what the servers saw

Not caused over sockets: backend_rejected (the engine stand-in rejects nothing that the node lets through; held with a fake engine) and four kinds of the operators' API.

--- a/packages/endive_node/tests/test_serving.py
+++ b/packages/endive_node/tests/test_serving.py
@@ -1,5 +1,7 @@
 import pytest
-from endive_core.exceptions import EndiveError, ErrorKind, Executed
+from endive_core.claims import ClaimState
+from endive_core.exceptions import EndiveError, ErrorKind, Executed, RetryReason
+from endive_node.interfaces import BackendError
 from node_builders import FakeEngines, not_started, request, serving
 
 WHOLE = ["t0 ", "t1 ", "t2 ", "t3 "]
@@ -79,3 +81,21 @@
     path = serving(FakeEngines(not_started(), None), servers=1)
     assert error_of(path.accept(request(path, key="k"))).executed is Executed.NO
     assert answer(path.accept(request(path, key="k"))) == WHOLE
+
+
+def test_request_that_its_server_rejects_is_told_as_not_run_and_sent_nowhere_else():
+    """An engine answers 400 before it starts. Another one would do the same, and the
+    caller may mend the request and send it again with its key."""
+    rejected = BackendError(
+        "the server answered 400",
+        started=False,
+        reason=RetryReason.SERVER_FAILED,
+        final_status=400,
+    )
+    engines = FakeEngines(rejected, None)
+    path = serving(engines)
+    run = path.accept(request(path, key="k", non_idempotent=True))
+    error = error_of(run)
+    assert (error.kind, error.executed) == (ErrorKind.BACKEND_REJECTED, Executed.NO)
+    assert len(engines.sent) == 1
+    assert run.claim.state is ClaimState.HELD
