--- a/packages/endive_node/src/endive_node/node.py
+++ b/packages/endive_node/src/endive_node/node.py
@@ -6,7 +6,7 @@
 
 from endive_node.backends import BackendClients
 from endive_node.callers import CallerApi
-from endive_node.claiming import NoClaims
+from endive_node.claiming import LogClaims
 from endive_node.configuration import Configuration
 from endive_node.dispatching import Dispatcher
 from endive_node.gossip import Gossip
@@ -57,6 +57,15 @@
         self.observer = Observer(
             self.dispatcher, self.clients, settings.backends, self.clock
         )
+        self._make_gossip()
+        self.claims = LogClaims(
+            settings.node.id,
+            self.log,
+            self.members,
+            self.clock,
+            settings.claims,
+            self.metrics,
+        )
         self.serving = Serving(
             node_id=settings.node.id,
             catalogue=self.configuration.catalogue,
@@ -65,9 +74,8 @@
             limits=settings.limits,
             metrics=self.metrics,
             clock=self.clock,
-            claims=NoClaims(),
+            claims=self.claims,
         )
-        self._make_gossip()
         self._make_reclaim()
         self._make_listeners()
         self.greenlets: list[gevent.Greenlet] = []
@@ -102,7 +110,11 @@
         )
         operators = OperatorApi(self)
         handler = PeerHandler(
-            section.id, self.configuration, self.serving.trails, self.handover
+            section.id,
+            self.configuration,
+            self.serving.trails,
+            self.handover,
+            self.claims,
         )
         self.callers = HttpListener(callers.app, section.address, section.caller_port)
         self.operators = HttpListener(
