Tell refused callers a time that their turn will keep, and spare dead servers

Cause: under lasting overload 3 in 4 callers who came back when told were refused again: first calls had taken the room, and the line ran at the whole node's rate. After a zone's loss, calls kept being sent to its dead servers and used up the retry budget. Change: a caller's turns follow from its fingerprint, alike on every node, so that in a line only those whose turn it is join; the line runs at what the other organisations leave, at least the share. A failed server is paused for longer each time and tried with one call; retries of calls that never started are free of the budget. The test that times to come back are sorted asks for more now: they move back by line, each in its caller's own turn, for turns make them differ by up to one period.

--- a/benchmarks/workloads.py
+++ b/benchmarks/workloads.py
@@ -100,6 +100,7 @@
         call = Call(
             request_id=f"{traffic.organisation}-{self.made}",
             organisation=traffic.organisation,
+            fingerprint=f"{traffic.organisation}-{self.made}",
             level=traffic.level,
             bulk=traffic.bulk,
             prompt_tokens=conversation.tokens,
--- a/packages/endive_core/src/endive_core/admission.py
+++ b/packages/endive_core/src/endive_core/admission.py
@@ -6,10 +6,10 @@
 the time to come back is one at which it will be taken.
 """
 
-from collections import deque
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from endive_core.calls import Call
+from endive_core.hashing import shard_of
 
 FLOOR_PART = 0.25
 """Part of the target that a call may always wait. A prompt whose own computation takes
@@ -24,12 +24,16 @@
 """Weight of the newest error of a prediction: a burst must be noticed within ten
 calls, for that many are late until then."""
 
-MAX_TIMES = 10_000
-"""Times remembered for one organisation and rank, 1 MB; later ones are given too."""
+TURN_S = 0.5
+"""Length of the window in which a refused call has its turn, seconds: longer than
+clocks differ and networks delay."""
 
-DUE_MEMORY_S = 5.0
-"""Seconds after the last time given until callers who never came back are forgotten;
-until then each lets one other call in."""
+TURN_PERIOD = 8
+"""Windows between two turns of one call: a caller waits 2 s longer on average than the
+line demands, and one first call in eight comes in its turn by chance."""
+
+LATE_PART = 0.5
+"""Part of the next window in which a caller who is late still has its turn."""
 
 
 @dataclass
@@ -141,71 +145,45 @@
     return max(left, call.target_s * FLOOR_PART)
 
 
-@dataclass
-class Line:
-    """The times to come back given to one organisation at one rank.
+class ReturnTimes:
+    """Times to come back, handed out so that those who keep them are let in.
 
-    Attributes
-    ----------
-    last_at : float
-        The latest time given.
-    times : deque of float
-        Times given that are not yet due, earliest first.
-    due : int
-        Times that have passed and whose callers have not been let in.
-    """
+    The load this is for: thousands refused within one second, or more work than
+    capacity for minutes. Told the same time, all would come back in the same second;
+    and callers who come for the first time would take the room that those who waited
+    were told of. So each refused call moves its organisation's line back by what it
+    costs, and while the line is not empty a call may join the queue only in its turn.
 
-    last_at: float = 0.0
-    times: deque[float] = field(default_factory=deque)
-    due: int = 0
-
-    def pass_to(self, now: float) -> None:
-        """Move the times that have passed from `times` to `due`."""
-        while self.times and self.times[0] <= now:
-            self.times.popleft()
-            self.due += 1
-        if not self.times and now - self.last_at > DUE_MEMORY_S:
-            self.due = 0
-
-
-class Appointments:
-    """Times to come back, handed out so that not all who were refused come at once.
-
-    The load this is for: thousands refused within one second. Told the same time,
-    they would all come back in the same second, and all but a few be refused again.
-    Each refused call moves its organisation's next time back by what the call costs.
-    While times are outstanding, a call beyond the number now due has jumped the line:
-    it is refused, or moves the line back, so that those told a time find room then.
-    Callers may come back to another node; all nodes count alike, so this holds on
-    average.
+    A caller may come back to another node, which has not heard of it. So its turns
+    follow from its fingerprint: one window in `TURN_PERIOD`, the same on every node.
+    Nobody has to remember or to be told anything, and only one first call in a few
+    comes in its turn by chance.
     """
 
     def __init__(self, *, min_s: float, max_s: float) -> None:
         self.min_s = min_s
         self.max_s = max_s
-        self.lines: dict[tuple[str, int], Line] = {}
+        self.ends_at: dict[tuple[str, int], float] = {}
 
-    def may_enter(self, key: tuple[str, int], now: float) -> bool:
+    def may_enter(self, key: tuple[str, int], fingerprint: str, now: float) -> bool:
         """Return whether a call may join the queue without jumping the line."""
-        line = self.lines.get(key)
-        if line is None:
+        if self.ends_at.get(key, 0.0) <= now:
             return True
-        line.pass_to(now)
-        return line.due > 0 or not line.times
-
-    def entered(self, key: tuple[str, int], now: float, *, cost_s: float) -> None:
-        """Count a call let in."""
-        line = self.lines.get(key)
-        if line is None:
-            return
-        line.pass_to(now)
-        if line.due > 0:
-            line.due -= 1
-        elif line.times:
-            line.last_at += cost_s
+        return is_turn(fingerprint, now)
+
+    def jumped(self, key: tuple[str, int], now: float, *, cost_s: float) -> None:
+        """Move the line back for a call that found room out of its turn."""
+        if self.ends_at.get(key, 0.0) > now:
+            self.ends_at[key] += cost_s
 
     def give(
-        self, key: tuple[str, int], now: float, *, excess_s: float, cost_s: float
+        self,
+        key: tuple[str, int],
+        fingerprint: str,
+        now: float,
+        *,
+        excess_s: float,
+        cost_s: float,
     ) -> float:
         """Return the seconds after which the refused call should come back.
 
@@ -213,16 +191,38 @@
         ----------
         key : tuple of str and int
             Organisation and rank.
+        fingerprint : str
+            The call's fingerprint, which decides its turns.
         excess_s : float
             Time until the queue is short enough for one more call.
         cost_s : float
             Time the organisation's share needs for this call.
         """
-        line = self.lines.setdefault(key, Line())
-        line.pass_to(now)
         earliest = now + max(self.min_s, excess_s)
-        at = min(max(earliest, line.last_at + cost_s), now + self.max_s)
-        line.last_at = max(line.last_at, at)
-        if len(line.times) < MAX_TIMES:
-            line.times.append(at)
-        return at - now
+        end = max(earliest, self.ends_at.get(key, 0.0) + cost_s)
+        self.ends_at[key] = min(end, now + self.max_s)
+        return min(next_turn(fingerprint, end) - now, self.max_s)
+
+
+def is_turn(fingerprint: str, now: float) -> bool:
+    """Return whether a call with `fingerprint` has its turn at `now`."""
+    window = int(now // TURN_S)
+    offset = int(now % TURN_S < TURN_S * LATE_PART)
+    turn = _turn(fingerprint)
+    return turn in (window % TURN_PERIOD, (window - offset) % TURN_PERIOD)
+
+
+def next_turn(fingerprint: str, start: float) -> float:
+    """Return the first time from `start` on at which a call has its turn.
+
+    Spread over the window, so that not all of one turn come at its start.
+    """
+    window = int(start // TURN_S)
+    if (_turn(fingerprint) - window) % TURN_PERIOD == 0:
+        return start
+    window += (_turn(fingerprint) - window) % TURN_PERIOD
+    return (window + start % TURN_S / TURN_S) * TURN_S
+
+
+def _turn(fingerprint: str) -> int:
+    return shard_of(fingerprint, TURN_PERIOD)
--- a/packages/endive_core/src/endive_core/policy.py
+++ b/packages/endive_core/src/endive_core/policy.py
@@ -122,7 +122,13 @@
         10.0, ge=0, description="retries a deployment may make without any success"
     )
     failed_pause_s: float = Field(
-        1.0, ge=0, description="time a server that failed gets no work, seconds"
+        1.0,
+        ge=0,
+        description="time a server that failed gets no work, doubled for each further "
+        "failure, seconds",
+    )
+    max_failed_pause_s: float = Field(
+        10.0, ge=0, description="longest time a failed server gets no work, seconds"
     )
     no_server_wait_s: float = Field(
         5.0,
--- a/packages/endive_core/src/endive_core/queueing.py
+++ b/packages/endive_core/src/endive_core/queueing.py
@@ -212,15 +212,3 @@
                 organisation, self.share(organisation)
             )
         return ahead
-
-    def active_part(self, rank: int, organisation: str) -> float:
-        """Return the organisation's share among those with tickets at `rank`."""
-        own = self.share(organisation)
-        total = own
-        if rank in self.ranks:
-            total += sum(
-                self.share(name)
-                for _, name in self.ranks[rank].heap
-                if name != organisation
-            )
-        return own / total
--- a/packages/endive_core/src/endive_core/scheduler.py
+++ b/packages/endive_core/src/endive_core/scheduler.py
@@ -9,8 +9,8 @@
 from collections.abc import Iterable
 
 from endive_core.admission import (
-    Appointments,
     Prediction,
+    ReturnTimes,
     ServiceRate,
     WaitError,
     allowed_wait_s,
@@ -37,6 +37,9 @@
 PLAIN_HELD_S = 0.05
 """The same for a plain service, whose calls cost one token each."""
 
+FAILURES = (RetryReason.CONNECT_FAILED, RetryReason.SERVER_FAILED)
+"""Reasons after which a server gets no work for a while."""
+
 MAX_BLAMED = 64
 """Crashes whose suspects are kept while their broken streams come in one by one."""
 
@@ -80,7 +83,7 @@
         self.crashes = crashes or crash_table(policy)
         self.rate = _first_rate(service_type)
         self.errors = {tier: WaitError() for tier in Tier}
-        self.appointments = Appointments(
+        self.return_times = ReturnTimes(
             min_s=policy.min_retry_after_s, max_s=policy.max_retry_after_s
         )
         self.quotas: dict[str, Quota] = {}
@@ -209,13 +212,14 @@
             )
         key = (call.organisation, call.rank)
         cost_s = call.tokens * prediction.drain_s
-        if prediction.long_wait_s <= allowed and (
-            not prediction.wait_s or self.appointments.may_enter(key, now)
-        ):
-            self.appointments.entered(key, now, cost_s=cost_s)
+        turn = self.return_times.may_enter(key, call.fingerprint, now)
+        if prediction.long_wait_s <= allowed and (turn or not prediction.wait_s):
+            if not turn:
+                self.return_times.jumped(key, now, cost_s=cost_s)
             return None
-        retry_after = self.appointments.give(
+        retry_after = self.return_times.give(
             key,
+            call.fingerprint,
             now,
             excess_s=max(0.0, prediction.long_wait_s - allowed),
             cost_s=cost_s,
@@ -237,16 +241,30 @@
             wait += self.rate.held_s / slots
             allowance = self.errors[tier].allowance_s(self.policy.wait_deviations)
         prefill = call.prompt_tokens / self._prefill_tokens_per_s()
-        share = self.queue.active_part(call.rank, call.organisation)
-        return Prediction(
-            wait, allowance, self.rate.start_s + prefill, 1 / tokens_per_s / share
-        )
+        drain = self.rate.tokens_per_slot_s * self._slots_of(call.organisation)
+        return Prediction(wait, allowance, self.rate.start_s + prefill, 1 / drain)
 
     def _prefill_tokens_per_s(self) -> float:
         for server in self.servers.servers.values():
             return server.view.prefill_tokens_per_s
         return 1.0
 
+    def _slots_of(self, organisation: str) -> float:
+        """Return how many of this node's slots `organisation` can count on.
+
+        What the others leave, but at least its share among those that hold slots.
+        """
+        slots = max(
+            self.servers.own_total, self.servers.slots_total * self.servers.share
+        )
+        own = self.queue.share(organisation)
+        shares, held = own, 0
+        for name, count in self.held.items():
+            if count > 0 and name != organisation:
+                shares += self.queue.share(name)
+                held += count
+        return max(1.0, slots - held, slots * own / shares)
+
     def _tier(self, call: Call) -> Tier:
         """Return how much of the servers' slots `call` must leave free.
 
@@ -364,6 +382,7 @@
         prefill = ticket.uncached_tokens / self._prefill_tokens_per_s()
         self.rate.learn_start(seconds - prefill)
         if server is not None:
+            self.servers.answered(server)
             self._no_longer_starting(ticket, server)
             self.outliers.observe(
                 server, seconds=seconds, expected_s=self.rate.start_s + prefill
@@ -453,10 +472,12 @@
     def _blame(self, server: ServerLoad, reason: RetryReason, now: float) -> None:
         if reason is RetryReason.SERVER_BUSY:
             self.servers.busy(server)
-        elif reason in (RetryReason.CONNECT_FAILED, RetryReason.SERVER_FAILED):
-            server.view.failed_until = now + self.policy.failed_pause_s
-            if self.servers.pause(server):
-                self.paused.append(server)
+        elif reason in FAILURES and self.servers.pause(server):
+            pause = self.policy.failed_pause_s * 2 ** min(server.failures - 1, 16)
+            pause = min(pause, self.policy.max_failed_pause_s)
+            server.view.failed_until = now + pause
+            self.paused.append(server)
+            self.paused.sort(key=lambda paused: paused.view.failed_until)
 
     def _no_retry(
         self,
@@ -479,12 +500,9 @@
         if ticket.attempt >= max_attempts or self.servers.all_tried(ticket.avoid):
             kind = ErrorKind.BACKEND_FAILED if started else ErrorKind.NO_SERVER
             return _refuse(kind, "all attempts failed")
-        # A busy refusal cost the server next to nothing and a stream that has to move
-        # did not fail; the budget is for repeated work.
-        free = reason in (RetryReason.SERVER_BUSY, RetryReason.SERVER_LEAVING)
-        if not free and not self._budget(ticket).spend(
-            in_flight=self.servers.own_total
-        ):
+        # The budget is for work that is repeated. What was never started cost next to
+        # nothing, and a zone's dead servers would use it up for streams they broke.
+        if started and not self._budget(ticket).spend(in_flight=self.servers.own_total):
             return _refuse(
                 ErrorKind.RETRY_BUDGET_SPENT, "too many calls are being sent again"
             )
--- a/packages/endive_core/src/endive_core/servers.py
+++ b/packages/endive_core/src/endive_core/servers.py
@@ -50,6 +50,8 @@
     prefill_paced_until : float
         Clock time by which this node's part of the prefill rate has done what this
         node sent.
+    failures : int
+        Failures in a row.
     slowness : float
         Latency compared with the peers' median, 1 or more.
     """
@@ -66,6 +68,7 @@
     slowness: float = 1.0
     slow: bool = False
     paused: bool = False
+    failures: int = 0
     next_probe_at: float = 0.0
     latency_ratio: float = 1.0
     samples: int = 0
@@ -264,13 +267,25 @@
         return growth * max(0, server.free) / free
 
     def pause(self, server: ServerLoad) -> bool:
-        """Give a server that failed no work for now; never the last one left."""
+        """Give a server that failed no work for now; never the last one left.
+
+        Until it answers again it then gets one request at a time: a dead server that
+        nobody has taken out of the configuration would otherwise fail a slot's worth
+        of requests after each pause.
+        """
+        server.failures += 1
         if server.paused or (len(self.taking) == 1 and not server.view.leaving):
             return False
         server.paused = True
         self.refresh(server)
         return True
 
+    def answered(self, server: ServerLoad) -> None:
+        """Note that a server works."""
+        if server.failures:
+            server.failures = 0
+            self.refresh(server)
+
     def all_tried(self, tried: set[str]) -> bool:
         """Return whether every server that takes work is among `tried`."""
         if len(tried) < len(self.taking):
@@ -284,7 +299,8 @@
             self.taking.add(server)
         else:
             self.taking.discard(server)
-        usable = taking and not server.slow
+        trying = server.failures > 0 and server.view.in_flight > 0
+        usable = taking and not server.slow and not trying
         for tier, members in self.open.items():
             room = server.granted(tier) > 0 or server.plenty(tier) > 0
             if usable and room:
