--- /dev/null
+++ b/benchmarks/decision_cost.py
@@ -0,0 +1,132 @@
+"""What one decision costs in time and memory, against servers and queued requests."""
+
+import time
+import tracemalloc
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+from statistics import median
+
+from endive_core.calls import Call
+from endive_core.hashing import rendezvous_choice
+from endive_core.messages import ServerView
+from endive_core.policy import Policy
+from endive_core.resources import Organisation
+from endive_core.scheduler import Scheduler
+
+SERVER_COUNTS = (8, 100, 1000, 2600)
+QUEUE_LENGTHS = (10, 1000, 10_000, 100_000)
+ROUNDS = 400
+BLOCKS = 100
+"""Leading blocks of the measured prompts, 1,600 tokens."""
+
+
+@dataclass(frozen=True)
+class Cost:
+    """Medians in microseconds, and kilobytes held."""
+
+    servers: int
+    queued: int
+    offer_us: float
+    dispatch_us: float
+    finish_us: float
+    report_us: float
+    kilobytes: float
+
+
+def make_scheduler(servers: int, *, nodes: int) -> Scheduler:
+    """Return a scheduler before `servers` engines."""
+    made = Scheduler.from_policy(Policy(max_bulk_wait_s=1e9), Random(1))
+    made.set_nodes(nodes)
+    made.set_organisations({f"o{number}": Organisation() for number in range(20)})
+    made.set_servers(
+        ServerView(f"s{n}", "", f"z{n % 10}", "engines", 64, 20_000.0, 50.0)
+        for n in range(servers)
+    )
+    return made
+
+
+def make_call(number: int) -> Call:
+    """Return a bulk call, which is queued however long the queue is."""
+    blocks = tuple(hash((number % 50, block)) & (2**63 - 1) for block in range(BLOCKS))
+    return Call(
+        f"r{number}",
+        f"o{number % 20}",
+        bulk=True,
+        prompt_tokens=1700,
+        max_tokens=200,
+        blocks=blocks,
+        fingerprint=f"f{number}",
+    )
+
+
+def cost(servers: int, queued: int) -> Cost:
+    """Measure one request's decisions with `queued` others before it."""
+    tracemalloc.start()
+    made = make_scheduler(servers, nodes=max(1, servers // 7))
+    base = tracemalloc.get_traced_memory()[0]
+    for number in range(queued):
+        made.offer(make_call(number), 0.0)
+    held = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    offers, dispatches, finishes, reports = [], [], [], []
+    now = 1.0
+    for number in range(ROUNDS):
+        call = make_call(queued + number)
+        now += 0.001
+        offers.append(_timed(lambda call=call, now=now: made.offer(call, now))[0])
+        spent, dispatch = _timed(lambda now=now: made.next_dispatch(now))
+        if dispatch is not None:
+            dispatches.append(spent)
+            ticket = dispatch.ticket
+            made.started(ticket, now)
+            finishes.append(
+                _timed(lambda t=ticket, now=now: made.finished(t, now, tokens=200))[0]
+            )
+        name = f"s{number % servers}"
+        reports.append(
+            _timed(lambda n=name, now=now: made.report(n, 40, 0, as_of=now))[0]
+        )
+    size = (held - base) / max(1, queued) * queued + base
+    return Cost(
+        servers,
+        queued,
+        median(offers),
+        median(dispatches),
+        median(finishes),
+        median(reports),
+        size / 1024,
+    )
+
+
+def _timed(action: Callable):
+    started = time.perf_counter()
+    result = action()
+    return (time.perf_counter() - started) * 1e6, result
+
+
+def affinity_costs(servers: int) -> tuple[float, float]:
+    """Return microseconds of one look-up by rendezvous hashing and by the ring."""
+    made = make_scheduler(servers, nodes=1)
+    names = list(made.servers.servers)
+    ring = made.placement.ring
+    rendezvous = [
+        _timed(lambda n=n: rendezvous_choice(str(n), names))[0] for n in range(50)
+    ]
+    looked_up = [_timed(lambda n=n: ring.candidates(str(n), 1))[0] for n in range(50)]
+    return median(rendezvous), median(looked_up)
+
+
+def comparison_ms(servers: int) -> float:
+    """Return milliseconds of one comparison of all servers, every half second."""
+    made = make_scheduler(servers, nodes=1)
+    for server in made.servers.servers.values():
+        server.samples = 10
+    return _timed(lambda: made.outliers.compare(10.0))[0] / 1000
+
+
+def ring_ms(servers: int) -> float:
+    """Return milliseconds of making the ring, when the servers change."""
+    made = make_scheduler(servers, nodes=1)
+    names = list(made.servers.servers)
+    return _timed(lambda: made.placement.set_members(names))[0] / 1000
--- a/benchmarks/workloads.py
+++ b/benchmarks/workloads.py
@@ -179,10 +179,11 @@
         Part of the admitted interactive calls with the first token within target.
     within_worst : float
         The same for the organisation that fared worst.
-    refused : int
-        Interactive offers refused.
+    refused, gave_up : int
+        Interactive offers refused, and calls whose callers came back in vain until
+        they gave up or the run ended.
     honest : float
-        Part of the calls that came back at the time told and were then admitted.
+        Part of the returns at the time told that were then admitted.
     goodput : float
         Tokens of good answers over what all slots could decode.
     recomputed, wasted : int
@@ -200,6 +201,7 @@
     refused: int
     gave_up: int
     honest: float
+    returns: int
     goodput: float
     recomputed: int
     prefilled: int
@@ -238,7 +240,7 @@
             offered[name] = offered.get(name, 0) + job.answer_tokens
         if job.finished_at is not None and start <= job.finished_at < end:
             shares[name] = shares.get(name, 0) + job.answer_tokens
-    returned = [j for j in model.jobs if j.offers > 1]
+    returned = [j for j in target if j.offers > 1]
     returns = sum(j.offers - 1 for j in returned)
     admitted = sum(j.ticket is not None for j in returned)
     waits = sorted((j.first_token_at or 1e9) - j.offered_at for j in judged)
@@ -250,6 +252,7 @@
         refused=sum(len(j.refusals) for j in target),
         gave_up=sum(j.ticket is None for j in target),
         honest=admitted / returns if returns else 1.0,
+        returns=returns,
         goodput=sum(j.answer_tokens for j in good) / (capacity * (end - start)),
         recomputed=model.recomputed_tokens,
         prefilled=model.prefilled_tokens,
