Measure shares among those who call, and keep more from those over theirs

Change: an organisation's part is its share among those that hold slots, at most half; over it, calls leave two slots of 32 free in place of one. A node plans with at least an even part of the slots.

--- a/packages/endive_core/src/endive_core/policy.py
+++ b/packages/endive_core/src/endive_core/policy.py
@@ -39,7 +39,7 @@
         0.08,
         ge=0,
         lt=1,
-        description="part of a server's slots kept from bulk; half of it is kept from "
+        description="part of a server's slots kept from bulk; two thirds of it from "
         "organisations over their share",
     )
     giving_way: float = Field(
--- a/packages/endive_core/src/endive_core/scheduler.py
+++ b/packages/endive_core/src/endive_core/scheduler.py
@@ -37,6 +37,10 @@
 PLAIN_HELD_S = 0.05
 """The same for a plain service, whose calls cost one token each."""
 
+MOST_WITHIN_SHARE = 0.5
+"""Part of the slots up to which one organisation is within its share, also when it is
+alone: beyond it, it leaves the reserve free for others who may call at any moment."""
+
 FAILURES = (RetryReason.CONNECT_FAILED, RetryReason.SERVER_FAILED)
 """Reasons after which a server gets no work for a while."""
 
@@ -87,7 +91,6 @@
             min_s=policy.min_retry_after_s, max_s=policy.max_retry_after_s
         )
         self.quotas: dict[str, Quota] = {}
-        self.shares_total = 1.0
         self.budgets: dict[str, RetryBudget] = {}
         self.running: dict[str, set[Ticket]] = {}
         self.held: Counter[str] = Counter()
@@ -121,7 +124,6 @@
         for gone in self.quotas.keys() - organisations.keys():
             del self.quotas[gone]
         self.queue.shares = {name: o.share for name, o in organisations.items()}
-        self.shares_total = sum(self.queue.shares.values()) or 1.0
 
     def set_deployments(self, deployments: dict[str, Deployment]) -> None:
         """Take over the deployments that use this service."""
@@ -252,18 +254,26 @@
     def _slots_of(self, organisation: str) -> float:
         """Return how many of this node's slots `organisation` can count on.
 
-        What the others leave, but at least its share among those that hold slots.
+        What the others leave, but at least its share.
         """
-        slots = max(
-            self.servers.own_total, self.servers.slots_total * self.servers.share
-        )
+        slots = self._slots()
+        held = self.servers.own_total - self.held[organisation]
+        return max(1.0, slots - held, slots * self._share_now(organisation))
+
+    def _slots(self) -> float:
+        """Return this node's part of all slots."""
+        part = max(self.servers.share, 1 / self.servers.nodes)
+        return max(self.servers.own_total, self.servers.slots_total * part)
+
+    def _share_now(self, organisation: str) -> float:
+        """Return the organisation's share among those that hold slots now."""
         own = self.queue.share(organisation)
-        shares, held = own, 0
-        for name, count in self.held.items():
-            if count > 0 and name != organisation:
-                shares += self.queue.share(name)
-                held += count
-        return max(1.0, slots - held, slots * own / shares)
+        others = sum(
+            self.queue.share(name)
+            for name, held in self.held.items()
+            if held > 0 and name != organisation
+        )
+        return own / (own + others)
 
     def _tier(self, call: Call) -> Tier:
         """Return how much of the servers' slots `call` must leave free.
@@ -274,9 +284,8 @@
         """
         if call.bulk:
             return Tier.BULK
-        part = self.queue.share(call.organisation) / self.shares_total
-        slots = self.servers.slots_total * self.servers.share
-        if self.held[call.organisation] >= max(1.0, part * slots):
+        part = min(MOST_WITHIN_SHARE, self._share_now(call.organisation))
+        if self.held[call.organisation] >= max(1.0, part * self._slots()):
             return Tier.OVER_SHARE
         return Tier.WITHIN_SHARE
 
--- a/packages/endive_core/src/endive_core/servers.py
+++ b/packages/endive_core/src/endive_core/servers.py
@@ -165,7 +165,7 @@
         if self.reserved_share and slots > 1:
             reserved = max(1, reserved)
         waiting = round(slots * self.engine_queue_share)
-        server.reserved = (-waiting, reserved // 2, reserved)
+        server.reserved = (-waiting, (2 * reserved + 1) // 3, reserved)
         server.divided = max(1, round(slots * self.divided_share))
         self._grant(server)
 
