--- a/packages/endive_node/src/endive_node/interfaces.py
+++ b/packages/endive_node/src/endive_node/interfaces.py
@@ -10,6 +10,10 @@
 
 from endive_core.membership import Member
 from endive_core.messages import Piece, Request
+from endive_core.records import Snapshot
+
+READ_LIMIT = 1000
+"""Records asked for in one read: a page of changes stays well under a megabyte."""
 
 
 @dataclass(frozen=True)
@@ -29,7 +33,7 @@
     first : int
         Oldest offset that the log still keeps.
     next : int
-        Offset to read on from.
+        Offset that the stream's next record will get.
     """
 
     first: int
@@ -53,9 +57,13 @@
         """
         ...
 
-    def read(self, stream: str, start: int, *, wait_s: float = 0.0) -> LogPage:
+    def read(
+        self, stream: str, start: int, *, wait_s: float = 0.0, limit: int = READ_LIMIT
+    ) -> LogPage:
         """Read from `start`, waiting up to `wait_s` seconds for a first record.
 
+        At most `limit` records come; :attr:`LogPage.next` is the stream's end.
+
         Raises
         ------
         LogUnavailableError
@@ -119,6 +127,18 @@
         ...
 
 
+class ConfigurationSource(Protocol):
+    """Other nodes, as a place to get the configuration from."""
+
+    def highest_offset(self) -> int:
+        """Return the highest offset that any of them has in force; -1 if unknown."""
+        ...
+
+    def pull(self) -> Snapshot | None:
+        """Return the newest state that one of them holds, or ``None``."""
+        ...
+
+
 class Members(Protocol):
     """The nodes this node knows to be there, itself among them."""
 
@@ -126,6 +146,22 @@
         """Return the live members, ordered by id."""
         ...
 
+    def leave(self) -> None:
+        """Tell the others that this node takes nothing new."""
+        ...
+
+
+class Elsewhere(Protocol):
+    """Finds requests that other nodes hold."""
+
+    def find_id(self, organisation: str, request_id: str) -> Any:
+        """Return a run to read the answer of `request_id` from, or ``None``."""
+        ...
+
+    def find_key(self, organisation: str, key: str) -> Any:
+        """Return a run to read the answer from that `key` started, or ``None``."""
+        ...
+
 
 class Claims(Protocol):
     """The right to send a non-idempotent request, decided by the log's order."""
@@ -174,6 +210,8 @@
     started : bool
         Whether the server may have run the request. ``False`` only if nothing was
         sent or the server said that it refused before starting.
+    stopped : bool
+        Whether the server confirmed that it makes no further token.
     reason : RetryReason
         Why, for the counters and the retry decision.
     final_status : int or None
@@ -181,8 +219,9 @@
         take it either.
     """
 
-    def __init__(self, message, *, started, reason, final_status=None):
+    def __init__(self, message, *, started, reason, final_status=None, stopped=False):
         super().__init__(message)
         self.started = started
+        self.stopped = stopped
         self.reason = reason
         self.final_status = final_status
--- a/packages/endive_node/src/endive_node/ledger.py
+++ b/packages/endive_node/src/endive_node/ledger.py
@@ -64,6 +64,10 @@
         self.tokens.append(piece.text)
         self.finish_reason = piece.finish_reason
 
+    def extend(self, tokens: list[str]) -> None:
+        """Take over the whole answer so far from the server that made it."""
+        self.tokens += tokens[len(self.tokens) :]
+
     def wake(self) -> None:
         """Let every other reader of this answer look again."""
         self.progressed.set()
--- a/packages/endive_node/src/endive_node/observing.py
+++ b/packages/endive_node/src/endive_node/observing.py
@@ -1,4 +1,4 @@
-"""Reading the servers' load reports and cache events for the decisions."""
+"""Reading what the decisions need: load reports, cache events, the number of nodes."""
 
 import time
 
@@ -12,7 +12,7 @@
 
 from endive_node.backends import BackendClients
 from endive_node.dispatching import Dispatcher
-from endive_node.interfaces import Clock
+from endive_node.interfaces import Clock, Members
 from endive_node.settings import BackendSection
 
 READERS = 16
@@ -46,11 +46,13 @@
         clients: BackendClients,
         settings: BackendSection,
         clock: Clock,
+        members: Members | None = None,
     ) -> None:
         self.dispatcher = dispatcher
         self.clients = clients
         self.settings = settings
         self.clock = clock
+        self.members = members
         self.pool = Pool(READERS)
         self.round = 0
         self.next_event: dict[str, int] = {}
@@ -60,6 +62,8 @@
         while True:
             started_at = self.clock.now()
             self.round += 1
+            if self.members is not None:
+                self.dispatcher.set_nodes(max(1, len(self.members.live())))
             count = 0
             for scheduler in list(self.dispatcher.schedulers.values()):
                 for server in list(scheduler.servers.servers.values()):
--- a/packages/endive_node/src/endive_node/peers.py
+++ b/packages/endive_node/src/endive_node/peers.py
@@ -1,11 +1,14 @@
 """Calls between nodes over thrift."""
 
+from collections.abc import Callable
 from pathlib import Path
+from typing import Protocol
 
 import msgspec
 import thriftpy2
-from endive_core.exceptions import EndiveError
-from endive_core.records import encode
+from endive_core.exceptions import EndiveError, RecordError
+from endive_core.membership import Membership
+from endive_core.records import Snapshot, decode, encode
 from gevent.server import StreamServer
 from thriftpy2.protocol import TBinaryProtocolFactory
 from thriftpy2.rpc import make_client
@@ -15,27 +18,42 @@
 from endive_node.configuration import Configuration
 from endive_node.explaining import Trails
 from endive_node.listeners import listen_tcp
+from endive_node.telemetry import log_event
 
 IDL = thriftpy2.load(
     str(Path(__file__).with_name("peers.thrift")), module_name="peers_thrift"
 )
 IDLE_TIMEOUT_S = 60.0
 CALL_TIMEOUT_S = 2.0
+PEERS_ASKED = 3
+"""Members asked for the configuration in one try, those with the latest first."""
 
 
 class PeerUnavailableError(Exception):
     """A peer did not answer; it may or may not have done what was asked."""
 
 
+class PeerUnreachableError(PeerUnavailableError):
+    """No connection to a peer was made; it has done nothing."""
+
+
 class PeerHandler:
     """What this node does for others: the methods of ``peers.thrift``."""
 
     def __init__(
-        self, node_id: str, configuration: Configuration, trails: Trails
+        self,
+        node_id: str,
+        configuration: Configuration,
+        trails: Trails,
+        handover: "RequestTaker | None" = None,
     ) -> None:
         self.node_id = node_id
         self.configuration = configuration
         self.trails = trails
+        if handover is not None:
+            self.take_requests = handover.take_requests
+            self.take_answers = handover.take_answers
+            self.read_answer = handover.read_answer
 
     def ping(self) -> str:
         """Return this node's id."""
@@ -56,6 +74,54 @@
         return msgspec.json.encode(shown).decode()
 
 
+class PeerConfigurations:
+    """The members, as :class:`~.interfaces.ConfigurationSource`.
+
+    Parameters
+    ----------
+    shuffle : callable
+        Shuffles a list in place: else all nodes that lag would ask the same member.
+    """
+
+    def __init__(self, members: Membership, shuffle: Callable[[list], None]) -> None:
+        self.members = members
+        self.shuffle = shuffle
+
+    def highest_offset(self) -> int:
+        """See :meth:`endive_node.interfaces.ConfigurationSource.highest_offset`."""
+        return self.members.highest_offset
+
+    def pull(self) -> Snapshot | None:
+        """See :meth:`endive_node.interfaces.ConfigurationSource.pull`."""
+        peers = self.members.reachable()
+        self.shuffle(peers)
+        peers.sort(key=lambda peer: peer.configuration_offset, reverse=True)
+        for peer in peers[:PEERS_ASKED]:
+            try:
+                return decode(PeerClient(peer.peer_address).pull_configuration())
+            except (IDL.PeerError, PeerUnavailableError, RecordError) as error:
+                log_event("configuration_not_pulled", peer=peer.id, error=error)
+        return None
+
+
+class RequestTaker(Protocol):
+    """Takes over requests of a node that leaves, and tells their answers."""
+
+    def take_requests(self, sender: str, encoded: list[bytes]) -> list[str]:
+        """Return the ids of the requests that this node holds now."""
+        ...
+
+    def take_answers(self, sender: str, encoded: list[bytes]) -> list[str]:
+        """Return the ids of the requests that go on at this node now."""
+        ...
+
+    def read_answer(
+        self, organisation: str, request_id: str, key: str, start: int, wait_s: float
+    ):
+        """Return an ``AnswerPage``."""
+        ...
+
+
 class PeerListener:
     """The thrift listener of a node.
 
@@ -115,7 +181,7 @@
                 IDL.Peer, self.host, self.port, timeout=self.timeout_s * 1000
             )
         except (TException, OSError) as error:
-            raise PeerUnavailableError(str(error)) from None
+            raise PeerUnreachableError(str(error)) from None
         try:
             return getattr(client, method)(*arguments)
         except IDL.PeerError:
@@ -136,3 +202,32 @@
     def explain_request(self, request_id: str) -> str:
         """Return the notes of a request that the peer accepted, as JSON."""
         return self.call("explain_request", request_id)
+
+
+class PeerConnection:
+    """Another node, over one connection that is kept between calls.
+
+    For a caller's answer that is passed on page by page.
+    """
+
+    def __init__(self, peer_address: str, timeout_s: float = CALL_TIMEOUT_S) -> None:
+        host, port = peer_address.rsplit(":", 1)
+        try:
+            self.client = make_client(
+                IDL.Peer, host, int(port), timeout=timeout_s * 1000
+            )
+        except (TException, OSError) as error:
+            raise PeerUnreachableError(str(error)) from None
+
+    def call(self, method: str, *arguments):
+        """Call `method`; see :meth:`PeerClient.call`."""
+        try:
+            return getattr(self.client, method)(*arguments)
+        except IDL.PeerError:
+            raise
+        except (TException, OSError) as error:
+            raise PeerUnavailableError(str(error)) from None
+
+    def close(self) -> None:
+        """Close the connection."""
+        self.client.close()
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -253,8 +253,8 @@
             settings_path=path,
         )
 
-    def restart(self, node):
-        """Start a stopped node again with the same settings, and nothing else kept."""
+    def start_again(self, node):
+        """Start a stopped node with the same settings, and nothing else kept."""
         command = [
             sys.executable,
             "-m",
@@ -264,6 +264,10 @@
         ]
         with node.output.open("ab") as sink:
             node.process = subprocess.Popen(command, stdout=sink, stderr=sink)
+
+    def restart(self, node):
+        """Start a stopped node again and wait until it has a configuration."""
+        self.start_again(node)
         wait_until(lambda: answers_ok(node.url + "/healthz"), node.name)
 
     def apply(self, *resources, node=None):
@@ -304,11 +308,13 @@
 
 def settings_toml(plan, known, cluster, sections):
     """Return a node's settings file."""
-    lines = ["[node]", *(f"{key} = {quoted(plan[key])}" for key in plan)]
-    lines += ["[platform]", f'log = "{cluster.log.url}"', "timeout_s = 1.0"]
+    platform = {"log": cluster.log.url, "timeout_s": 1.0}
     if cluster.cloud:
-        lines += [f'cloud = "{cluster.cloud.url}"', "notice_poll_s = 0.1"]
-    for section, values in sections.items():
+        platform |= {"cloud": cluster.cloud.url, "notice_poll_s": 0.1}
+    given = {"node": plan, "platform": platform}
+    lines = []
+    for section in given | sections:
+        values = given.get(section, {}) | sections.get(section, {})
         lines += [f"[{section}]", *(f"{k} = {quoted(v)}" for k, v in values.items())]
     for peer in known:
         if peer["id"] != plan["id"]:
