Show zones under notice, queues and retries in the status

Change: the three are shown; the example bears the time; attempts count from 1. Ruled out: a page of its own for queues, since one page is what somebody on call opens.

--- a/packages/endive_node/src/endive_node/embedded.py
+++ b/packages/endive_node/src/endive_node/embedded.py
@@ -3,6 +3,8 @@
 For a first look and for trying resources out; nothing here survives the process.
 """
 
+import time
+
 from endive_core.catalogue import hash_key
 from endive_core.records import CONFIGURATION_STREAM, Change, encode
 from endive_core.resources import Resource
@@ -105,6 +107,7 @@
         name=resource.name,
         operator="embedded",
         body=resource.model_dump(mode="json"),
+        at=time.time(),
     )
 
 
--- a/packages/endive_node/src/endive_node/reporting.py
+++ b/packages/endive_node/src/endive_node/reporting.py
@@ -76,11 +76,17 @@
             "configuration": self.configuration(),
             "nodes": [shown_member(member) for member in node.members.live()],
             "in_flight": len(node.serving.ledger.unfinished()),
+            "zones_under_notice": sorted(node.board.zones()),
+            "queues": self.queues(),
             "servers": self.servers(),
             "refusals": {
                 str(kind): count
                 for kind, count in sorted(node.metrics.refused_counts.items())
             },
+            "retries": {
+                str(reason): count
+                for reason, count in sorted(node.metrics.retried_counts.items())
+            },
         }
 
     def configuration(self) -> dict:
@@ -90,6 +96,11 @@
         age = None if last is None else self.node.clock.now() - last
         return {"version": configuration.fold.offset, "log_read_s_ago": age}
 
+    def queues(self) -> dict[str, int]:
+        """Return how many requests wait in each service's queue."""
+        schedulers = self.node.dispatcher.schedulers.items()
+        return {name: len(scheduler.queue) for name, scheduler in schedulers}
+
     def servers(self) -> list[dict]:
         """Return the backend servers as this node sees them."""
         return [
--- a/packages/endive_node/src/endive_node/serving.py
+++ b/packages/endive_node/src/endive_node/serving.py
@@ -472,7 +472,7 @@
         record.servers.append(server.id)
         self.server = server
         self.trail.note(
-            f"attempt {record.attempt} at {server.id} in {server.zone}"
+            f"attempt {record.attempt + 1} at {server.id} in {server.zone}"
             f" from token {len(record.tokens)}"
         )
         if record.request.endpoint is Endpoint.SERVICE:
@@ -573,7 +573,7 @@
     def _decide_retry(self, error: BackendError) -> None:
         """Return if another attempt is allowed; otherwise raise the final answer."""
         self.trail.note(
-            f"attempt {self.record.attempt} failed: {error.reason}: {error}"
+            f"attempt {self.record.attempt + 1} failed: {error.reason}: {error}"
         )
         if not error.started:
             self._not_started()
--- a/packages/endive_node/src/endive_node/telemetry.py
+++ b/packages/endive_node/src/endive_node/telemetry.py
@@ -73,6 +73,7 @@
             kind: self.counter(f"endive_refused_{kind}") for kind in REFUSAL_KINDS
         }
         self.refused_counts: Counter[ErrorKind] = Counter()
+        self.retried_counts: Counter[RetryReason] = Counter()
         self.retries = {
             reason: self.counter(f"endive_retried_{reason}") for reason in RetryReason
         }
@@ -115,6 +116,7 @@
 
     def retried(self, reason: RetryReason) -> None:
         """Count a further attempt."""
+        self.retried_counts[reason] += 1
         self.retries[reason].add(1)
 
     def dropped(self, reason: str) -> None:
--- a/tests/test_endivectl.py
+++ b/tests/test_endivectl.py
@@ -71,7 +71,24 @@
     page = endivectl("status", node=node)
     assert page.returncode == 0, page.stderr
     assert "node node-1 in brest: ready" in page.stdout
-    assert "NODE" in page.stdout
+    for head in ("NODE", "SERVER", "configuration version", "requests in flight"):
+        assert head in page.stdout
+
+
+@pytest.mark.processes
+def test_status_shows_zones_queues_and_reasons(node):
+    """An operator is woken by refusals and wants one page that tells where they are."""
+    shown = json.loads(endivectl("status", "--output=json", node=node).stdout)
+    assert shown["zones_under_notice"] == []
+    assert {"queues", "refusals", "retries", "servers", "nodes"} <= shown.keys()
+    assert node.post("/v1/completions", {}).status == 401
+    service = builders.service("engines", [])
+    node.operate("PUT", "/v1/resources/backend-server-service/engines", service)
+
+    def queues():
+        return node.operate("GET", "/v1/status").json()["queues"]
+
+    builders.wait_until(lambda: queues() == {"engines": 0}, "the service's queue")
 
 
 @pytest.mark.processes
