Bound the history of changes by size

Change: the kept records have 2,000,000 characters at most, besides the bound on their number.

A watch from before is told watch_too_old, as it was beyond 11,000.

--- a/packages/endive_core/src/endive_core/history.py
+++ b/packages/endive_core/src/endive_core/history.py
@@ -11,6 +11,11 @@
 MAX_EVENTS = 11_000
 """A day of changes: a watcher that was away for longer lists the resources anew."""
 
+MAX_SIZE = 2_000_000
+"""Characters of the kept changes' records, some 10 MB of memory: a day of ordinary
+changes, but only some hundred of services with a hundred servers each. Without it a
+script that changes such services all day takes hundreds of MB on every node."""
+
 
 @dataclass(frozen=True)
 class ChangeEvent:
@@ -20,6 +25,8 @@
     ----------
     owner : str
         Organisation that the resource belongs to, or belonged to when it was deleted.
+    size : int
+        Characters of the change's record in the log.
     body : dict or None
         The resource, or ``None`` if it was deleted.
     """
@@ -32,6 +39,7 @@
     change_id: str
     at: float
     body: dict[str, Any] | None
+    size: int = 0
 
 
 class ChangeHistory:
@@ -46,13 +54,29 @@
         The lowest version from which a watch can go on without a gap.
     """
 
-    def __init__(self, max_events: int = MAX_EVENTS) -> None:
+    def __init__(self, max_events: int = MAX_EVENTS, max_size: int = MAX_SIZE) -> None:
         self.events: deque[ChangeEvent] = deque()
         self.max_events = max_events
+        self.max_size = max_size
+        self.size = 0
         self.oldest = -1
 
-    def add(self, offset: int, change: Change, before: StoredResource | None) -> None:
-        """Note a change that was applied; `before` is what it replaced."""
+    def add(
+        self,
+        offset: int,
+        change: Change,
+        before: StoredResource | None,
+        size: int = 0,
+    ) -> None:
+        """Note a change that was applied.
+
+        Parameters
+        ----------
+        before : StoredResource or None
+            What the change replaced.
+        size : int
+            Characters of the change's record.
+        """
         body = change.body if change.body is not None else before and before.body
         self.events.append(
             ChangeEvent(
@@ -64,10 +88,14 @@
                 change_id=change.change_id,
                 at=change.at,
                 body=change.body,
+                size=size,
             )
         )
-        while len(self.events) > self.max_events:
-            self.oldest = self.events.popleft().version
+        self.size += size
+        while len(self.events) > self.max_events or self.size > self.max_size:
+            gone = self.events.popleft()
+            self.oldest = gone.version
+            self.size -= gone.size
 
     def restart(self, version: int) -> None:
         """Forget everything: the fold was replaced by a snapshot at `version`.
@@ -76,6 +104,7 @@
         version is told so instead of missing some.
         """
         self.events.clear()
+        self.size = 0
         self.oldest = version
 
     def since(self, version: int) -> list[ChangeEvent]:
--- a/packages/endive_core/tests/test_history.py
+++ b/packages/endive_core/tests/test_history.py
@@ -40,3 +40,14 @@
     assert history.since(50) == []
     with pytest.raises(EndiveError):
         history.since(3)
+
+
+def test_large_changes_are_kept_by_size():
+    """A script changes large services all day; every node's memory would grow by all
+    of them."""
+    history = ChangeHistory(max_size=100)
+    for offset in range(50):
+        history.add(offset, change("p", {"owner": "kerloch"}), None, size=30)
+    assert [event.version for event in history.since(46)] == [47, 48, 49]
+    with pytest.raises(EndiveError):
+        history.since(45)
--- a/packages/endive_node/src/endive_node/configuration.py
+++ b/packages/endive_node/src/endive_node/configuration.py
@@ -123,7 +123,7 @@
             self.fold.offset = max(self.fold.offset, offset)
             return
         if isinstance(record, Change):
-            self._fold_change(offset, record)
+            self._fold_change(offset, record, len(body))
             return
         self.fold.apply(offset, record)
         if isinstance(record, SnapshotTaken):
@@ -135,12 +135,12 @@
             self.snapshot_through = through
             self.snapshot_at = self.clock.now()
 
-    def _fold_change(self, offset: int, change: Change) -> None:
+    def _fold_change(self, offset: int, change: Change, size: int) -> None:
         before = self.fold.get(change.kind, change.name)
         outcome = self.fold.apply(offset, change)
         # A repeated change id answers with its first outcome, at an older version.
         if outcome is not None and outcome.applied_at(offset):
-            self.history.add(offset, change, before)
+            self.history.add(offset, change, before, size)
 
     def adopt(self, snapshot: Snapshot) -> bool:
         """Go on from `snapshot`, unless that would go back; return whether it was."""
--- a/packages/endive_node/src/endive_node/watching.py
+++ b/packages/endive_node/src/endive_node/watching.py
@@ -63,7 +63,9 @@
 
 def shown_event(event: ChangeEvent) -> dict:
     """Return a change as a watcher reads it."""
-    return asdict(event) | {"type": "deleted" if event.body is None else "applied"}
+    shown = asdict(event) | {"type": "deleted" if event.body is None else "applied"}
+    del shown["size"]
+    return shown
 
 
 def server_sent(name: str, version: int, data: dict) -> bytes:
