Start in an outage although the holder of the last change is gone

Cause: found by reading: a new node waited for the highest offset that anybody had ever told of. If its only holder was reclaimed during an outage of the log, no new node would have served until the log was back, and every node asked a member for the whole state twice a second.

Change: what counts is what members hold that can be asked; a new node waits 5 s for the highest offset heard of, since members are heard one after the other.

--- a/packages/endive_node/src/endive_node/configuration.py
+++ b/packages/endive_node/src/endive_node/configuration.py
@@ -34,6 +34,11 @@
 LONG_POLL_S = 5.0
 RETRY_S = 0.2
 GAP_RETRY_S = 1.0
+SETTLE_S = 5.0
+"""How long a new node waits, the log being down, for a member that holds the highest
+offset heard of. Members are heard one after the other, so the first may be behind; but
+the only node that had read the last change may be gone for good."""
+
 LAG_CHECK_S = 0.5
 LAG_ALLOWED_S = 1.5
 """How long this node may be behind what others have in force before it asks one of
@@ -75,6 +80,7 @@
     snapshot_through: int = -1
     snapshot_at: float = 0.0
     pulls: int = 0
+    pulled_at: float | None = None
 
     def __post_init__(self) -> None:
         self.snapshot_at = self.clock.now()
@@ -177,7 +183,10 @@
         gevent.sleep(GAP_RETRY_S)
 
     def pull(self) -> bool:
-        """Take over the newest state that other nodes hold; return whether one came."""
+        """Take over the newest state that other nodes hold; return whether one came.
+
+        It counts only if no node that can be asked is known to hold a newer one.
+        """
         if self.source is None:
             return False
         snapshot = self.source.pull()
@@ -185,11 +194,16 @@
             return False
         if self.adopt(snapshot):
             self.pulls += 1
-        return snapshot.through >= self.source.highest_offset()
+        return snapshot.through >= self.source.held_offset()
 
     def _start_from_peers(self) -> None:
         """While the log is down, begin with the newest state that others hold."""
-        if not self.ready.is_set() and self.pull():
+        if self.ready.is_set() or not self.pull():
+            return
+        if self.pulled_at is None:
+            self.pulled_at = self.clock.now()
+        has_latest = self.fold.offset >= self.source.highest_offset()
+        if has_latest or self.clock.now() - self.pulled_at > SETTLE_S:
             self.ready.set()
 
     def watch_lag(self) -> None:
@@ -204,7 +218,10 @@
             gevent.sleep(LAG_CHECK_S)
             if not self.is_behind():
                 in_step_at = self.clock.now()
-            elif self.clock.now() - in_step_at > LAG_ALLOWED_S:
+            elif (
+                self.clock.now() - in_step_at > LAG_ALLOWED_S
+                and self.source.held_offset() > self.fold.offset
+            ):
                 self.pull()
 
     def is_behind(self) -> bool:
--- a/packages/endive_node/src/endive_node/interfaces.py
+++ b/packages/endive_node/src/endive_node/interfaces.py
@@ -131,7 +131,11 @@
     """Other nodes, as a place to get the configuration from."""
 
     def highest_offset(self) -> int:
-        """Return the highest offset that any of them has in force; -1 if unknown."""
+        """Return the highest offset heard of, also from nodes that are gone."""
+        ...
+
+    def held_offset(self) -> int:
+        """Return the highest offset of a node that can be asked; -1 if none can."""
         ...
 
     def pull(self) -> Snapshot | None:
--- a/packages/endive_node/src/endive_node/peers.py
+++ b/packages/endive_node/src/endive_node/peers.py
@@ -91,6 +91,11 @@
         """See :meth:`endive_node.interfaces.ConfigurationSource.highest_offset`."""
         return self.members.highest_offset
 
+    def held_offset(self) -> int:
+        """See :meth:`endive_node.interfaces.ConfigurationSource.held_offset`."""
+        reachable = self.members.reachable()
+        return max((peer.configuration_offset for peer in reachable), default=-1)
+
     def pull(self) -> Snapshot | None:
         """See :meth:`endive_node.interfaces.ConfigurationSource.pull`."""
         peers = self.members.reachable()
--- a/packages/endive_node/tests/test_configuration.py
+++ b/packages/endive_node/tests/test_configuration.py
@@ -1,3 +1,4 @@
+import gevent
 import pytest
 from endive_core.exceptions import EndiveError, ErrorKind
 from endive_core.fold import ConfigurationFold
@@ -8,7 +9,12 @@
     SnapshotTaken,
     encode,
 )
-from endive_node.configuration import Configuration
+from endive_node.configuration import (
+    LAG_ALLOWED_S,
+    LAG_CHECK_S,
+    SETTLE_S,
+    Configuration,
+)
 from endive_node.interfaces import (
     LogEntry,
     LogForgottenError,
@@ -17,6 +23,7 @@
 )
 from endive_node.settings import ConfigurationSection
 from endive_node.snapshot_writer import RANK_WAIT_S, SnapshotWriter
+from endive_node.telemetry import MonotonicClock
 from fleets import member
 from node_builders import FakeClock
 
@@ -47,15 +54,21 @@
 
 
 class FakeSource:
-    """Another node, whose state is a fold."""
+    """Another node, whose state is a fold; `heard` is what a third one had."""
 
-    def __init__(self, fold):
+    def __init__(self, fold, heard=-1):
         self.fold = fold
+        self.heard = heard
+        self.asked = 0
 
     def highest_offset(self):
+        return max(self.heard, self.fold.offset)
+
+    def held_offset(self):
         return self.fold.offset
 
     def pull(self):
+        self.asked += 1
         return self.fold.snapshot()
 
 
@@ -111,6 +124,33 @@
     assert level(configuration) == 4
 
 
+def test_change_whose_only_holder_is_gone_keeps_nobody_from_starting():
+    """In an outage of the log the one node that had read the last change is reclaimed.
+    A new node that waited for that change would not serve until the log is back."""
+    configuration = Configuration(written(4), FakeClock())
+    configuration.log.down = True
+    configuration.source = FakeSource(folded(4), heard=4)
+    configuration._start_from_peers()
+    assert not configuration.ready.is_set(), "a member not heard yet may have it"
+    configuration.clock.time += SETTLE_S + 1
+    configuration._start_from_peers()
+    assert configuration.ready.is_set()
+    assert configuration.is_behind()
+
+
+def test_node_that_the_log_leaves_behind_asks_a_member_once():
+    """The log answers others and not this node, which would route by an older
+    configuration. When no member has more, asking again and again would only load
+    them with half a megabyte each time."""
+    configuration = Configuration(written(4), MonotonicClock())
+    configuration.step()
+    configuration.source = FakeSource(folded(9), heard=12)
+    loop = gevent.spawn(configuration.watch_lag)
+    gevent.sleep(LAG_ALLOWED_S + 4 * LAG_CHECK_S)
+    loop.kill()
+    assert (configuration.fold.offset, configuration.source.asked) == (8, 1)
+
+
 def test_watch_across_a_gap_is_told_so():
     """The node took over a state and doesn't know the changes before it one by one. A
     watch that simply went on would miss them."""
