--- a/packages/endive_core/src/endive_core/scheduler.py
+++ b/packages/endive_core/src/endive_core/scheduler.py
@@ -9,8 +9,8 @@
 from collections.abc import Iterable
 
 from endive_core.admission import (
-    Appointments,
     Prediction,
+    ReturnTimes,
     ServiceRate,
     WaitError,
     allowed_wait_s,
@@ -37,6 +37,13 @@
 PLAIN_HELD_S = 0.05
 """The same for a plain service, whose calls cost one token each."""
 
+MOST_WITHIN_SHARE = 0.5
+"""Part of the slots up to which one organisation is within its share, also when it is
+alone: beyond it, it leaves the reserve free for others who may call at any moment."""
+
+FAILURES = (RetryReason.CONNECT_FAILED, RetryReason.SERVER_FAILED)
+"""Reasons after which a server gets no work for a while."""
+
 MAX_BLAMED = 64
 """Crashes whose suspects are kept while their broken streams come in one by one."""
 
@@ -71,6 +78,8 @@
             random,
             reserved_share=policy.reserved_share,
             divided_share=policy.divided_share,
+            engine_queue_share=policy.engine_queue_share,
+            giving_way=policy.giving_way,
         )
         self.placement = Placement(policy, self.servers, random)
         self.outliers = OutlierDetector(policy, self.servers)
@@ -78,11 +87,10 @@
         self.crashes = crashes or crash_table(policy)
         self.rate = _first_rate(service_type)
         self.errors = {tier: WaitError() for tier in Tier}
-        self.appointments = Appointments(
+        self.return_times = ReturnTimes(
             min_s=policy.min_retry_after_s, max_s=policy.max_retry_after_s
         )
         self.quotas: dict[str, Quota] = {}
-        self.shares_total = 1.0
         self.budgets: dict[str, RetryBudget] = {}
         self.running: dict[str, set[Ticket]] = {}
         self.held: Counter[str] = Counter()
@@ -116,7 +124,6 @@
         for gone in self.quotas.keys() - organisations.keys():
             del self.quotas[gone]
         self.queue.shares = {name: o.share for name, o in organisations.items()}
-        self.shares_total = sum(self.queue.shares.values()) or 1.0
 
     def set_deployments(self, deployments: dict[str, Deployment]) -> None:
         """Take over the deployments that use this service."""
@@ -225,13 +232,14 @@
             )
         key = (call.organisation, call.rank)
         cost_s = call.tokens * prediction.drain_s
-        if prediction.long_wait_s <= allowed and (
-            not prediction.wait_s or self.appointments.may_enter(key, now)
-        ):
-            self.appointments.entered(key, now, cost_s=cost_s)
+        turn = self.return_times.may_enter(key, call.fingerprint, now)
+        if prediction.long_wait_s <= allowed and (turn or not prediction.wait_s):
+            if not turn:
+                self.return_times.jumped(key, now, cost_s=cost_s)
             return None
-        retry_after = self.appointments.give(
+        retry_after = self.return_times.give(
             key,
+            call.fingerprint,
             now,
             excess_s=max(0.0, prediction.long_wait_s - allowed),
             cost_s=cost_s,
@@ -251,18 +259,40 @@
         tier = self._tier(call)
         if ahead or not self.servers.open[tier]:
             wait += self.rate.held_s / slots
-            allowance = self.errors[tier].allowance_s
+            allowance = self.errors[tier].allowance_s(self.policy.wait_deviations)
         prefill = call.prompt_tokens / self._prefill_tokens_per_s()
-        share = self.queue.active_part(call.rank, call.organisation)
-        return Prediction(
-            wait, allowance, self.rate.start_s + prefill, 1 / tokens_per_s / share
-        )
+        drain = self.rate.tokens_per_slot_s * self._slots_of(call.organisation)
+        return Prediction(wait, allowance, self.rate.start_s + prefill, 1 / drain)
 
     def _prefill_tokens_per_s(self) -> float:
         for server in self.servers.servers.values():
             return server.view.prefill_tokens_per_s
         return 1.0
 
+    def _slots_of(self, organisation: str) -> float:
+        """Return how many of this node's slots `organisation` can count on.
+
+        What the others leave, but at least its share.
+        """
+        slots = self._slots()
+        held = self.servers.own_total - self.held[organisation]
+        return max(1.0, slots - held, slots * self._share_now(organisation))
+
+    def _slots(self) -> float:
+        """Return this node's part of all slots."""
+        part = max(self.servers.share, 1 / self.servers.nodes)
+        return max(self.servers.own_total, self.servers.slots_total * part)
+
+    def _share_now(self, organisation: str) -> float:
+        """Return the organisation's share among those that hold slots now."""
+        own = self.queue.share(organisation)
+        others = sum(
+            self.queue.share(name)
+            for name, held in self.held.items()
+            if held > 0 and name != organisation
+        )
+        return own / (own + others)
+
     def _tier(self, call: Call) -> Tier:
         """Return how much of the servers' slots `call` must leave free.
 
@@ -272,9 +302,8 @@
         """
         if call.bulk:
             return Tier.BULK
-        part = self.queue.share(call.organisation) / self.shares_total
-        slots = self.servers.slots_total * self.servers.share
-        if self.held[call.organisation] >= max(1.0, part * slots):
+        part = min(MOST_WITHIN_SHARE, self._share_now(call.organisation))
+        if self.held[call.organisation] >= max(1.0, part * self._slots()):
             return Tier.OVER_SHARE
         return Tier.WITHIN_SHARE
 
@@ -380,6 +409,7 @@
         prefill = ticket.uncached_tokens / self._prefill_tokens_per_s()
         self.rate.learn_start(seconds - prefill)
         if server is not None:
+            self.servers.answered(server)
             self._no_longer_starting(ticket, server)
             self.outliers.observe(
                 server, seconds=seconds, expected_s=self.rate.start_s + prefill
@@ -469,10 +499,12 @@
     def _blame(self, server: ServerLoad, reason: RetryReason, now: float) -> None:
         if reason is RetryReason.SERVER_BUSY:
             self.servers.busy(server)
-        elif reason in (RetryReason.CONNECT_FAILED, RetryReason.SERVER_FAILED):
-            server.view.failed_until = now + self.policy.failed_pause_s
-            if self.servers.pause(server):
-                self.paused.append(server)
+        elif reason in FAILURES and self.servers.pause(server):
+            pause = self.policy.failed_pause_s * 2 ** min(server.failures - 1, 16)
+            pause = min(pause, self.policy.max_failed_pause_s)
+            server.view.failed_until = now + pause
+            self.paused.append(server)
+            self.paused.sort(key=lambda paused: paused.view.failed_until)
 
     def _no_retry(
         self,
@@ -495,12 +527,9 @@
         if ticket.attempt >= max_attempts or self.servers.all_tried(ticket.avoid):
             kind = ErrorKind.BACKEND_FAILED if started else ErrorKind.NO_SERVER
             return _refuse(kind, "all attempts failed")
-        # A busy refusal cost the server next to nothing and a stream that has to move
-        # did not fail; the budget is for repeated work.
-        free = reason in (RetryReason.SERVER_BUSY, RetryReason.SERVER_LEAVING)
-        if not free and not self._budget(ticket).spend(
-            in_flight=self.servers.own_total
-        ):
+        # The budget is for work that is repeated. What was never started cost next to
+        # nothing, and a zone's dead servers would use it up for streams they broke.
+        if started and not self._budget(ticket).spend(in_flight=self.servers.own_total):
             return _refuse(
                 ErrorKind.RETRY_BUDGET_SPENT, "too many calls are being sent again"
             )
--- a/packages/endive_node/src/endive_node/node.py
+++ b/packages/endive_node/src/endive_node/node.py
@@ -6,7 +6,7 @@
 
 from endive_node.backends import BackendClients
 from endive_node.callers import CallerApi
-from endive_node.claiming import NoClaims
+from endive_node.claiming import LogClaims
 from endive_node.configuration import Configuration
 from endive_node.dispatching import Dispatcher
 from endive_node.gossip import Gossip
@@ -54,8 +54,21 @@
             is_listening=self.clients.is_listening,
         )
         self.configuration.listeners.append(lambda _: self.dispatcher.refresh())
+        self._make_gossip()
         self.observer = Observer(
-            self.dispatcher, self.clients, settings.backends, self.clock
+            self.dispatcher,
+            self.clients,
+            settings.backends,
+            self.clock,
+            self.members,
+        )
+        self.claims = LogClaims(
+            settings.node.id,
+            self.log,
+            self.members,
+            self.clock,
+            settings.claims,
+            self.metrics,
         )
         self.serving = Serving(
             node_id=settings.node.id,
@@ -65,9 +78,8 @@
             limits=settings.limits,
             metrics=self.metrics,
             clock=self.clock,
-            claims=NoClaims(),
+            claims=self.claims,
         )
-        self._make_gossip()
         self._make_reclaim()
         self._make_listeners()
         self.greenlets: list[gevent.Greenlet] = []
@@ -102,7 +114,11 @@
         )
         operators = OperatorApi(self)
         handler = PeerHandler(
-            section.id, self.configuration, self.serving.trails, self.handover
+            section.id,
+            self.configuration,
+            self.serving.trails,
+            self.handover,
+            self.claims,
         )
         self.callers = HttpListener(callers.app, section.address, section.caller_port)
         self.operators = HttpListener(
