Tell no offered request as not run, and name the claim it goes on under

Runs are marked as offered before their record leaves; a receiver whose sender fell silent assumes a run. Also: the key for going on after a confirmed stop is used only if the sender's claim was used; an attempt number alone, which counts attempts that never started, could have given two nodes two different keys to win.

--- a/packages/endive_core/src/endive_core/handover.py
+++ b/packages/endive_core/src/endive_core/handover.py
@@ -80,6 +80,9 @@
 
     Attributes
     ----------
+    continues : int
+        For a non-idempotent request that a server ran and confirmed to have stopped,
+        the number of that attempt; 0 if the sender's claim was not used.
     finish_reason, error : str
         Set if the answer ended at the sender after all; ``error`` is an error kind.
     """
@@ -89,6 +92,7 @@
     attempt: int
     dispatched: bool
     stopped: bool = True
+    continues: int = 0
     finish_reason: str = ""
     error: str = ""
     message: str = ""
--- a/packages/endive_node/src/endive_node/handover.py
+++ b/packages/endive_node/src/endive_node/handover.py
@@ -165,6 +165,8 @@
         if run.record.request.non_idempotent:
             run.end_unknown()
         else:
+            # The holder may have sent it to a server after its record had left.
+            run.sent_before = True
             run.go_on(in_background=True)
 
     def take_answers(self, sender: str, encoded: list[bytes]) -> list[str]:
@@ -187,6 +189,7 @@
         record.tokens[:] = transfer.tokens
         record.attempt = transfer.attempt
         run.sent_before = run.sent_before or transfer.dispatched
+        run.continues = transfer.continues
         if transfer.finish_reason:
             run.end_whole(transfer.finish_reason)
         elif transfer.error:
@@ -301,6 +304,8 @@
 
     def _send_records(self, peer_id: str, address: str, runs: list[Run]) -> None:
         encoded = [encode(self._transfer(run)) for run in runs]
+        for run in runs:
+            run.offer()
         taken, _ = self._send("take_requests", peer_id, address, encoded)
         for request_id in taken:
             self.acknowledged[request_id] = address
@@ -399,6 +404,7 @@
         tokens=record.tokens,
         attempt=record.attempt,
         dispatched=run.dispatched,
+        continues=run.claim_continues,
         finish_reason=record.finish_reason,
         error=str(error.kind) if error else "",
         message=error.message if error else "",
--- a/packages/endive_node/src/endive_node/serving.py
+++ b/packages/endive_node/src/endive_node/serving.py
@@ -10,7 +10,7 @@
 from endive_core.exceptions import EndiveError, ErrorKind, Executed, RetryReason
 from endive_core.handover import RequestHead, head_of, request_id_for
 from endive_core.hashing import fingerprint
-from endive_core.lifecycle import Event, Lifecycle, State
+from endive_core.lifecycle import UNSENT, Event, Lifecycle, State
 from endive_core.messages import Endpoint, Piece, Request, ServerView
 
 from endive_node.backends import BackendClients, EngineServer
@@ -169,6 +169,7 @@
         self.driving = False
         self.held = False
         self.sent_before = False
+        self.continues = 0
         self.moved = False
         self.move: Move | None = None
         self.blob: dict | None = None
@@ -236,8 +237,24 @@
 
     @property
     def dispatched(self) -> bool:
-        """Whether a server may have run anything of it."""
-        return self.life.executed is not Executed.NO
+        """Whether a server may have run anything of it, here or before."""
+        return self.sent_before or self.life.state not in UNSENT
+
+    @property
+    def claim_continues(self) -> int:
+        """Number of the last attempt under a used claim; 0 if none was used.
+
+        Only a used claim is held for ever. Were a request to go on under a key of its
+        own after its claim was released, the caller's key could be won by another.
+        """
+        if self.claim is not None and self.claim.state is ClaimState.USED:
+            return self.record.attempt
+        return self.continues
+
+    def offer(self) -> None:
+        """Note that another node is sent a record of the request and may run it."""
+        if self.life.allows(Event.OFFER):
+            self.life.fire(Event.OFFER)
 
     def finish_in_background(self) -> None:
         """Drive to the end without a reader."""
@@ -440,9 +457,9 @@
         if not self.life.allows(Event.CLAIM):
             return
         self.life.fire(Event.CLAIM)
-        continues = self.record.attempt if self.life.flags.sent_before else 0
+        self.continues = self.claim_continues
         try:
-            self.claim = self.serving.claims.win(self.record.request, continues)
+            self.claim = self.serving.claims.win(self.record.request, self.continues)
         except Paused:
             self.life.fire(Event.UNCLAIM)
             raise
--- /dev/null
+++ b/packages/endive_node/tests/test_run_handover.py
@@ -0,0 +1,51 @@
+"""What a request may say of itself while a handover is under way."""
+
+from endive_core.claims import ClaimState
+from endive_core.exceptions import Executed
+from endive_core.membership import Member
+from endive_node.handover import Handover, answer_of
+from endive_node.ledger import RequestRecord
+from endive_node.notices import NoticeBoard
+from endive_node.settings import NodeSection
+from node_builders import FakeEngines, not_started, request, serving
+from test_serving import error_of
+
+
+class OneMember:
+    def live(self):
+        return [Member("node-1", "brest", "127.0.0.1:1")]
+
+
+def handover(path):
+    section = NodeSection(id="node-1", zone="brest")
+    return Handover(path, section, OneMember(), NoticeBoard(path.clock))
+
+
+def test_request_whose_record_left_is_not_told_as_not_run():
+    """A node under notice has sent a peer the record of a waiting request. Then no
+    server takes the request, and the caller is told "not run"; the peer takes the
+    node for dead and runs it."""
+    path = serving(FakeEngines(not_started()), servers=1)
+    run = path.accept(request(path))
+    run.offer()
+    assert error_of(run).executed is Executed.UNKNOWN
+
+
+def test_receiver_whose_sender_fell_silent_does_not_say_not_run():
+    """The record left before its sender sent the request to a server, and then the
+    sender was killed. The receiver finds no server; the request may have run."""
+    path = serving(FakeEngines(not_started()), servers=1)
+    run = path.adopt(RequestRecord(request(path), 0.0), sent_before=False)
+    handover(path).sender_gone(run)
+    assert error_of(run).executed is Executed.UNKNOWN
+
+
+def test_receiver_claims_the_key_itself_unless_a_server_was_stopped():
+    """Were a receiver to go on under a key of its own although the sender's claim was
+    released, a second sending of the caller's key could win that one, and both run."""
+    path = serving(FakeEngines(not_started(), not_started()), servers=1)
+    run = path.accept(request(path, key="k", non_idempotent=True))
+    assert error_of(run).executed is Executed.NO
+    assert run.claim.state is ClaimState.HELD
+    assert run.record.attempt == 1
+    assert answer_of(run).continues == 0
