--- a/packages/endive_node/src/endive_node/node.py
+++ b/packages/endive_node/src/endive_node/node.py
@@ -54,10 +54,14 @@
             is_listening=self.clients.is_listening,
         )
         self.configuration.listeners.append(lambda _: self.dispatcher.refresh())
+        self._make_gossip()
         self.observer = Observer(
-            self.dispatcher, self.clients, settings.backends, self.clock
+            self.dispatcher,
+            self.clients,
+            settings.backends,
+            self.clock,
+            self.members,
         )
-        self._make_gossip()
         self.claims = LogClaims(
             settings.node.id,
             self.log,
--- a/packages/endive_node/src/endive_node/serving.py
+++ b/packages/endive_node/src/endive_node/serving.py
@@ -17,7 +17,7 @@
 from endive_node.dispatching import Dispatcher
 from endive_node.explaining import Trails, ending
 from endive_node.interfaces import BackendError, Claims, Clock, Elsewhere
-from endive_node.ledger import Ledger, RequestRecord
+from endive_node.ledger import REORDERED, Ledger, RequestRecord
 from endive_node.moves import Move
 from endive_node.settings import LimitsSection
 from endive_node.telemetry import Metrics, log_event
@@ -428,7 +428,7 @@
             outcome=outcome,
             events=",".join(self.life.history),
             tokens=len(record.tokens),
-            attempts=record.attempt,
+            attempts=record.attempt + 1,
             servers=",".join(record.servers),
             seconds=record.finished_at - record.accepted_at,
         )
@@ -487,11 +487,11 @@
         record = self.record
         record.attempt += 1
         record.servers.append(server.id)
+        self.server = server
         self.trail.note(
             f"attempt {record.attempt} at {server.id} in {server.zone}"
             f" from token {len(record.tokens)}"
         )
-        self.server = server
         if record.request.endpoint is Endpoint.SERVICE:
             self._call_plain(server)
         else:
@@ -543,14 +543,16 @@
 
     def _take(self, pieces: list[Piece]) -> None:
         record = self.record
-        taken = 0
+        before = len(record.tokens)
         for piece in pieces:
             reason = record.classify(piece)
             if reason:
                 self.serving.metrics.dropped(reason)
+                if reason == REORDERED:
+                    record.keep_early(piece)
             else:
                 record.take(piece)
-                taken += 1
+        taken = len(record.tokens) - before
         if taken and self.life.allows(Event.FIRST_PIECE):
             self.life.fire(Event.FIRST_PIECE)
             self.serving.dispatcher.started(self.ticket)
@@ -578,6 +580,10 @@
             self._not_started()
         self.record.extend(move.tokens)
         self.blob = move.blob
+        self.trail.note(
+            f"stopped at {self.record.servers[-1]} for a move, with "
+            f"{len(move.tokens)} tokens{' and the KV cache' if move.blob else ''}"
+        )
         self.serving.dispatcher.moved(self.ticket, len(self.record.tokens))
         return True
 
