--- a/benchmarks/bench_handover.py
+++ b/benchmarks/bench_handover.py
@@ -27,6 +27,7 @@
 MAX_TOKENS = 100
 """Five seconds each: few end while the others are still being accepted."""
 
+ARRIVALS_PER_S = 300
 WAIT_S = 110.0
 LINE = re.compile(r"event=(handover_\w+) .*?seconds=(\S+)")
 IN_FLIGHT = re.compile(r"event=handover_started in_flight=(\d+)")
@@ -40,7 +41,12 @@
     ):
         first = cluster.nodes[0]
         fleet = reclaims.start_fleet(
-            cluster, count, MAX_TOKENS, padding=padding, only_first=True
+            cluster,
+            count,
+            MAX_TOKENS,
+            padding=padding,
+            only_first=True,
+            per_s=ARRIVALS_PER_S,
         )
         try:
             reclaims.wait_accepted([first], count, timeout_s=WAIT_S)
