Send the longest answers first, and hand over only on a node that goes itself

Ruled out: a longer time-out of a call to a target; the notice is three seconds. Change: a node that was slow is asked again when no other is left; answers leave by length; a node under notice does not also move streams off servers under notice.

--- a/packages/endive_node/src/endive_node/handover.py
+++ b/packages/endive_node/src/endive_node/handover.py
@@ -88,7 +88,7 @@
         if self.begun:
             return
         if self.board.concerning(self.section.id, self.section.zone) is notice:
-            self.begun = True
+            self.begun = self.serving.handing_over = True
             gevent.spawn(self.run, notice)
 
     def run(self, notice: Notice) -> None:
@@ -275,15 +275,16 @@
 
     def _target(self, request_id: str):
         handover = self.handover
+        gone = {handover.section.id} | handover.board.instances()
         order = targets(
             route_in(request_id),
             handover.members.live(),
             zones_under_notice=handover.board.zones(),
-            without=frozenset(
-                {handover.section.id} | handover.board.instances() | self.passed_over
-            ),
+            without=frozenset(gone),
         )
-        return order[0] if order else None
+        # A node that was slow once is better than none.
+        fresh = [member for member in order if member.id not in self.passed_over]
+        return (fresh or order or [None])[0]
 
     def _transfer(self, run: Run) -> RequestTransfer:
         now = self.handover.serving.clock.now()
@@ -328,7 +329,11 @@
         return taken, False
 
     def answers(self) -> None:
-        """Stop what targets hold, and tell them to go on with the answers so far."""
+        """Stop what targets hold, and tell them to go on with the answers so far.
+
+        The longest answers go first: a request that isn't told of before the kill
+        starts again from nothing, which costs nothing for one that still waits.
+        """
         ledger = self.handover.serving.ledger
         groups: dict[str, list[Run]] = {}
         for request_id, address in list(self.acknowledged.items()):
@@ -337,6 +342,8 @@
                 del self.acknowledged[request_id]
             elif self._may_stop(run):
                 groups.setdefault(address, []).append(run)
+        for runs in groups.values():
+            runs.sort(key=lambda run: len(run.record.tokens), reverse=True)
         peers = {m.peer_address: m.id for m in self.handover.members.live()}
         jobs = [
             gevent.spawn(self._send_answers, peers.get(address, ""), address, runs)
--- a/packages/endive_node/src/endive_node/moving.py
+++ b/packages/endive_node/src/endive_node/moving.py
@@ -36,8 +36,14 @@
         board.listeners.append(self.on_notice)
 
     def on_notice(self, notice: Notice) -> None:
-        """Give the servers that `notice` takes no new work, and empty them."""
+        """Give the servers that `notice` takes no new work, and empty them.
+
+        If this node goes too, it only hands over: exports would hold up the records,
+        and its streams are stopped and go on at other nodes in the same moment.
+        """
         for server in self.mark():
+            if self.serving.handing_over:
+                continue
             if self.board.concerning(server.id, server.zone) is notice:
                 gevent.spawn(self.empty, server, notice)
 
--- a/packages/endive_node/src/endive_node/serving.py
+++ b/packages/endive_node/src/endive_node/serving.py
@@ -63,6 +63,7 @@
         self.trails = Trails(clock, limits.explained_requests)
         self.stopping = False
         self.leaving = False
+        self.handing_over = False
         self.elsewhere: Elsewhere | None = None
 
     def new_request_id(self, organisation: str = "", key: str = "") -> str:
@@ -265,6 +266,7 @@
         """Give a paused request up: nothing of it is sent from here any more."""
         if self.life.allows(Event.SERVER_LOST):
             self.life.fire(Event.SERVER_LOST)
+        self.move = None
         if self.life.allows(Event.HAND_OVER):
             self.life.fire(Event.HAND_OVER)
         self._give_up_ticket()
