--- a/packages/endive_core/src/endive_core/policy.py
+++ b/packages/endive_core/src/endive_core/policy.py
@@ -16,11 +16,16 @@
     model_config = ConfigDict(extra="forbid", frozen=True)
 
     admission_margin: float = Field(
-        0.85,
+        0.75,
         gt=0,
         le=1,
         description="part of the first-token target a prediction may use up",
     )
+    wait_deviations: float = Field(
+        3.0,
+        ge=0,
+        description="mean deviations of earlier waits added to a predicted wait",
+    )
     max_bulk_wait_s: float = Field(
         600.0, gt=0, description="longest predicted wait of queued bulk work, seconds"
     )
@@ -34,9 +39,22 @@
         0.08,
         ge=0,
         lt=1,
-        description="part of a server's slots kept from bulk; half of it is kept from "
+        description="part of a server's slots kept from bulk; two thirds of it from "
         "organisations over their share",
     )
+    giving_way: float = Field(
+        4.0,
+        ge=1,
+        description="slots that bulk and organisations over their share free for each "
+        "reserved slot that is taken",
+    )
+    engine_queue_share: float = Field(
+        0.0,
+        ge=0,
+        le=1,
+        description="requests within their share that may wait in a server, over its "
+        "slots",
+    )
     divided_share: float = Field(
         0.1,
         ge=0,
@@ -104,7 +122,13 @@
         10.0, ge=0, description="retries a deployment may make without any success"
     )
     failed_pause_s: float = Field(
-        1.0, ge=0, description="time a server that failed gets no work, seconds"
+        1.0,
+        ge=0,
+        description="time a server that failed gets no work, doubled for each further "
+        "failure, seconds",
+    )
+    max_failed_pause_s: float = Field(
+        10.0, ge=0, description="longest time a failed server gets no work, seconds"
     )
     no_server_wait_s: float = Field(
         5.0,
