--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 STAMP := $(VENV)/.installed
 PROJECTS := pyproject.toml $(wildcard packages/*/pyproject.toml)
 
-.PHONY: bench-handover run test test-fast lint format check-model bench bench-decisions bench-capacity
+.PHONY: bench-handover run test test-fast lint format check-model bench bench-decisions bench-capacity bench-claims
 
 $(STAMP): $(PROJECTS)
 	test -x $(BIN)/python || python3 -m venv $(VENV)
@@ -40,3 +40,6 @@
 
 bench-handover: $(STAMP)
 	$(BIN)/python benchmarks/bench_handover.py
+
+bench-claims: $(STAMP)
+	PYTHONPATH=tests $(BIN)/python benchmarks/bench_claims.py
--- /dev/null
+++ b/benchmarks/bench_claims.py
@@ -0,0 +1,175 @@
+"""Measure what a claim adds to latency, claims an append, and appends a second.
+
+Eight nodes' claims, each with its own thrift listener, in one process on loopback; the
+log's stand-in is a process of its own. Claims come at a steady rate (Poisson, fixed
+seed), each at a node by turn, and are used at once.
+"""
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import random  # noqa: E402
+import resource  # noqa: E402
+import sys  # noqa: E402
+import tempfile  # noqa: E402
+import time  # noqa: E402
+from dataclasses import dataclass  # noqa: E402
+from pathlib import Path  # noqa: E402
+
+import builders  # noqa: E402
+import gevent  # noqa: E402
+from endive_core.exceptions import EndiveError  # noqa: E402
+from endive_core.membership import Member  # noqa: E402
+from endive_core.messages import Endpoint, Request  # noqa: E402
+from endive_node.claiming import LogClaims  # noqa: E402
+from endive_node.peers import PeerHandler, PeerListener  # noqa: E402
+from endive_node.platform import HttpLog  # noqa: E402
+from endive_node.settings import ClaimsSection  # noqa: E402
+from endive_node.telemetry import Metrics, MonotonicClock  # noqa: E402
+
+NODES = 8
+SECONDS = 6.0
+SEED = 4
+CASES = ((5, 200.0), (50, 200.0), (200, 200.0), (400, 200.0), (400, 100.0), (400, 50.0))
+"""(claims a second, fleet's append budget a second)."""
+
+LINE = "{:>9} {:>9} {:>8} {:>8} {:>8} {:>8} {:>9} {:>7} {:>7}"
+
+
+class FixedMembers:
+    """All nodes, always there."""
+
+    def __init__(self):
+        self.members = []
+
+    def live(self):
+        """Return every node."""
+        return self.members
+
+
+class CountingLog(HttpLog):
+    """The log's adapter, which counts appends and records."""
+
+    appends = records = 0
+
+    def append(self, stream, records):
+        """Append and count."""
+        offset = super().append(stream, records)
+        CountingLog.appends += 1
+        CountingLog.records += len(records)
+        return offset
+
+
+@dataclass
+class Result:
+    """What one case gave."""
+
+    rate: float
+    budget: float
+    waits: list
+    refused: int
+    seconds: float
+    cpu_s: float
+
+    def line(self):
+        """Return the case's row."""
+        waits = sorted(self.waits)
+        return LINE.format(
+            self.rate,
+            self.budget,
+            *(f"{1000 * quantile(waits, q):.1f}" for q in (0.5, 0.95, 0.99)),
+            self.refused,
+            f"{CountingLog.records / max(1, CountingLog.appends):.2f}",
+            f"{CountingLog.appends / self.seconds:.0f}",
+            f"{1000 * self.cpu_s / max(1, len(waits)):.2f}",
+        )
+
+
+def quantile(ordered, q):
+    """Return the value below which a share `q` lies."""
+    return ordered[min(len(ordered) - 1, int(q * len(ordered)))] if ordered else 0.0
+
+
+def make_nodes(url, budget):
+    """Return the claims of each node, and their listeners."""
+    members, clock = FixedMembers(), MonotonicClock()
+    settings = ClaimsSection(appends_per_s=budget)
+    nodes, listeners = [], []
+    for number in range(NODES):
+        name = f"node-{number}"
+        claims = LogClaims(
+            name, CountingLog(url, 2.0), members, clock, settings, Metrics()
+        )
+        handler = PeerHandler(name, None, None, claims=claims)
+        listener = PeerListener(handler, "127.0.0.1", 0)
+        listener.start()
+        members.members.append(Member(name, "zone", f"127.0.0.1:{listener.port}"))
+        nodes.append(claims)
+        listeners.append(listener)
+    return nodes, listeners
+
+
+def run_case(url, rate, budget, prefix):
+    """Claim at `rate` for a while; return what came of it."""
+    nodes, listeners = make_nodes(url, budget)
+    chance = random.Random(SEED)
+    waits, refused, jobs = [], [], []
+    CountingLog.appends = CountingLog.records = 0
+
+    def claim(number):
+        request = Request(
+            request_id=f"{prefix}-{number}",
+            organisation="yunhai",
+            priority="default",
+            model="quotes",
+            endpoint=Endpoint.SERVICE,
+            body={},
+            prompt="",
+            max_tokens=1,
+            key=f"{prefix}-{number}",
+            non_idempotent=True,
+        )
+        began = time.monotonic()
+        try:
+            nodes[number % NODES].win(request).use()
+            waits.append(time.monotonic() - began)
+        except EndiveError:
+            refused.append(number)
+
+    cpu = resource.getrusage(resource.RUSAGE_SELF)
+    began = time.monotonic()
+    number = 0
+    due = began
+    while time.monotonic() < began + SECONDS:
+        due += chance.expovariate(rate)
+        gevent.sleep(max(0.0, due - time.monotonic()))
+        jobs.append(gevent.spawn(claim, number))
+        number += 1
+    gevent.joinall(jobs)
+    seconds = time.monotonic() - began
+    after = resource.getrusage(resource.RUSAGE_SELF)
+    cpu_s = after.ru_utime + after.ru_stime - cpu.ru_utime - cpu.ru_stime
+    for listener in listeners:
+        listener.stop()
+    return Result(rate, budget, waits, len(refused), seconds, cpu_s)
+
+
+def main():
+    """Print one row for each case."""
+    cluster = builders.Cluster(Path(tempfile.mkdtemp()))
+    log = cluster.with_log(appends_per_s=1000)
+    builders.wait_until(log.is_ready, "log")
+    try:
+        print(f"{NODES} nodes, {SECONDS:.0f} s a case, seed {SEED}")
+        names = "claims/s budget/s p50_ms p95_ms p99_ms refused per_append app/s cpu_ms"
+        print(LINE.format(*names.split()))
+        for number, (rate, budget) in enumerate(CASES):
+            print(run_case(log.url, rate, budget, f"case-{number}").line(), flush=True)
+    finally:
+        cluster.stop()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
