--- a/packages/endive_core/src/endive_core/handover.py
+++ b/packages/endive_core/src/endive_core/handover.py
@@ -82,7 +82,7 @@
     ----------
     continues : int
         For a non-idempotent request that a server ran and confirmed to have stopped,
-        the number of that attempt; 0 if the sender's claim was not used.
+        one more than that attempt; 0 if the sender's claim was not used.
     finish_reason, error : str
         Set if the answer ended at the sender after all; ``error`` is an error kind.
     """
--- a/packages/endive_node/src/endive_node/claiming.py
+++ b/packages/endive_node/src/endive_node/claiming.py
@@ -281,6 +281,13 @@
             own = holder is not None and holder.request_id == request.request_id
             if not own or self.clock.now() + OWN_RELEASE_RETRY_S > deadline:
                 self.lost.add(1)
+                log_event(
+                    "claim_lost",
+                    request_id=request.request_id,
+                    key=key,
+                    holder_request_id=holder.request_id if holder else "",
+                    holder_node=holder.node if holder else "",
+                )
                 raise lost_error(request, holder)
             # An earlier try of this same request was withdrawn, here or at the node
             # that handed it over, and its release is still on its way.
--- a/packages/endive_node/src/endive_node/interfaces.py
+++ b/packages/endive_node/src/endive_node/interfaces.py
@@ -189,7 +189,7 @@
         ----------
         continues : int
             For a request of which another node sent attempts and confirmed that they
-            were stopped, the number of the last one.
+            were stopped, one more than the last one; else 0.
 
         Raises
         ------
--- a/packages/endive_node/src/endive_node/serving.py
+++ b/packages/endive_node/src/endive_node/serving.py
@@ -242,13 +242,13 @@
 
     @property
     def claim_continues(self) -> int:
-        """Number of the last attempt under a used claim; 0 if none was used.
+        """One more than the last attempt under a used claim; 0 if none was used.
 
         Only a used claim is held for ever. Were a request to go on under a key of its
         own after its claim was released, the caller's key could be won by another.
         """
         if self.claim is not None and self.claim.state is ClaimState.USED:
-            return self.record.attempt
+            return self.record.attempt + 1
         return self.continues
 
     def offer(self) -> None:
