--- a/benchmarks/bench_capacity.py
+++ b/benchmarks/bench_capacity.py
@@ -20,13 +20,24 @@
 sys.path.insert(0, str(HERE.parent / "tests"))
 
 import builders  # noqa: E402
-from bench_membership import measure_alone  # noqa: E402
+import gevent  # noqa: E402
+from bench_membership import measure_alone  # noqa: E402  (patches the standard library)
 from endive_core.catalogue import Catalogue  # noqa: E402
+from endive_core.claims import ClaimTable  # noqa: E402
 from endive_core.facts import FactTable  # noqa: E402
 from endive_core.fold import MAX_OUTCOMES, ConfigurationFold  # noqa: E402
 from endive_core.membership import Digest  # noqa: E402
-from endive_core.records import CONFIGURATION_STREAM, Change, encode  # noqa: E402
+from endive_core.records import (  # noqa: E402
+    CONFIGURATION_STREAM,
+    Change,
+    Claim,
+    decode,
+    encode,
+)
+from endive_node.claiming import ShardWriter  # noqa: E402
 from endive_node.platform import HttpLog  # noqa: E402
+from endive_node.settings import ClaimsSection  # noqa: E402
+from endive_node.telemetry import Metrics, MonotonicClock  # noqa: E402
 from fleets import Fleet, member  # noqa: E402
 
 TICKS_PER_S = os.sysconf("SC_CLK_TCK")
@@ -43,6 +54,9 @@
 OBSERVED_COUNTS = (1, 10, 100, 500)
 IDLE_S = 8.0
 REPORTS_PER_S = 50.0
+CLAIM_RATES = (25, 100, 400)
+CLAIM_S = 3.0
+CLAIM_COUNTS = (1000, 5000, 20_000)
 TRIES = 5
 LIBRARIES = {
     "gevent, bottle, urllib3": "import gevent, bottle, urllib3",
@@ -275,6 +289,70 @@
                 cluster.stop()
 
 
+def claim(number: int) -> Claim:
+    """Return a claim of a key of its own; its texts have real lengths."""
+    return Claim(
+        claim_id=f"{number:032x}",
+        key=f"kerloch/{number:032x}",
+        node="node-001",
+        request_id=f"node-001.{number:020x}",
+        fingerprint=f"{number:032x}",
+    )
+
+
+def measure_claims() -> None:
+    """Print what one shard's writer spends, by claims a second."""
+    with tempfile.TemporaryDirectory() as folder:
+        cluster = builders.Cluster(Path(folder))
+        try:
+            cluster.with_log()
+            builders.wait_until(cluster.log.is_ready, "the log")
+            for shard, rate in enumerate(CLAIM_RATES):
+                print_claims(cluster.log.url, shard, rate)
+        finally:
+            cluster.stop()
+    for count in CLAIM_COUNTS:
+        print(f"{count:6} claims kept: {kept_kb(lambda c=count: claimed(c)):.0f} kB")
+
+
+def print_claims(url: str, shard: int, rate: int) -> None:
+    """Let claims come at `rate` to one writer, and print its figures."""
+    log = HttpLog(url, 5.0)
+    writer = ShardWriter(shard, log, MonotonicClock(), ClaimsSection(), Metrics())
+    latencies: list[float] = []
+
+    def decide(number: int) -> None:
+        started = time.monotonic()
+        writer.decide(claim(number), 5.0)
+        latencies.append(time.monotonic() - started)
+
+    before, started = time.process_time(), time.monotonic()
+    jobs = []
+    for number in range(int(rate * CLAIM_S)):
+        gevent.sleep(max(0.0, started + number / rate - time.monotonic()))
+        jobs.append(gevent.spawn(decide, number))
+    gevent.joinall(jobs)
+    used = time.process_time() - before
+    latencies.sort()
+    streams = builders.call("GET", f"{url}/streams").json()["streams"]
+    records = streams[writer.stream]["next"]
+    print(
+        f"{rate:4} claims/s: {used / len(jobs) * 1e6:.0f} us each, "
+        f"{len(encode(claim(0)))} bytes a record, {records} records for {len(jobs)}, "
+        f"decided after {latencies[len(latencies) // 2] * 1e3:.0f} ms in the median, "
+        f"{latencies[int(len(latencies) * 0.95)] * 1e3:.0f} ms at 95 in 100",
+        flush=True,
+    )
+
+
+def claimed(count: int) -> ClaimTable:
+    """Return a table that keeps `count` claims."""
+    table = ClaimTable()
+    for number in range(count):
+        table.apply(number, 0.0, decode(encode(claim(number))))
+    return table
+
+
 def measure_followers() -> None:
     """Print how long the log stand-in takes to tell many followers of one record."""
     with tempfile.TemporaryDirectory() as folder:
@@ -377,6 +455,8 @@
     measure_facts()
     print("\nMemory")
     measure_memory()
+    print("\nClaims (one shard's writer in this process, the log's stand-in)")
+    measure_claims()
     print("\nA node without callers, by servers whose load it reads")
     measure_idle()
     print("\nA change in force (nodes in processes of their own)")
