Split the scheduler by decision

Cause: scheduler.py had grown to 592 lines with six jobs. Change: admission, usage of slots, learned rates, times to come back and failures have modules of their own; the facade has 367 lines.

--- a/packages/endive_core/src/endive_core/admission.py
+++ b/packages/endive_core/src/endive_core/admission.py
@@ -8,100 +8,23 @@
 
 from dataclasses import dataclass
 
-from endive_core.calls import Call
-from endive_core.hashing import shard_of
+from endive_core.calls import Call, Refusal, Ticket, Tier
+from endive_core.crashes import CrashTable
+from endive_core.exceptions import ErrorKind
+from endive_core.policy import Policy
+from endive_core.queueing import FairQueue
+from endive_core.quotas import Quota
+from endive_core.rates import ServiceRate, WaitError
+from endive_core.resources import Organisation, ServiceType
+from endive_core.returning import ReturnTimes
+from endive_core.servers import ServerSet
+from endive_core.usage import Usage
 
 FLOOR_PART = 0.25
 """Part of the target that a call may always wait. A prompt whose own computation takes
 longer than the target can never meet it, and to send its caller away for later would
 be no honest answer; it is admitted while the wait is short."""
 
-RATE_MEMORY = 0.05
-"""Weight of the newest finished call in the learned rates; about the last 20 calls,
-so that a change of the mix is followed within seconds of full load."""
-
-ERROR_MEMORY = 0.1
-"""Weight of the newest error of a prediction: a burst must be noticed within ten
-calls, for that many are late until then."""
-
-TURN_S = 0.5
-"""Length of the window in which a refused call has its turn, seconds: longer than
-clocks differ and networks delay."""
-
-TURN_PERIOD = 8
-"""Windows between two turns of one call: a caller waits 2 s longer on average than the
-line demands, and one first call in eight comes in its turn by chance."""
-
-LATE_PART = 0.5
-"""Part of the next window in which a caller who is late still has its turn."""
-
-
-@dataclass
-class ServiceRate:
-    """What one slot does a second, learned from finished calls.
-
-    Attributes
-    ----------
-    tokens_per_slot_s : float
-        Tokens charged for each second that a slot was held.
-    held_s : float
-        Mean seconds for which a call holds its slot.
-    start_s : float
-        Mean time from sending to the first token, without the call's own prefill.
-    answer_part : float
-        Part of the most tokens allowed that answers really have.
-    """
-
-    tokens_per_slot_s: float
-    held_s: float
-    start_s: float = 0.0
-    answer_part: float = 1.0
-
-    def learn(self, *, tokens: float, held_s: float) -> None:
-        """Take in one finished call."""
-        if held_s > 0:
-            self.held_s += RATE_MEMORY * (held_s - self.held_s)
-            self.tokens_per_slot_s += RATE_MEMORY * (
-                tokens / held_s - self.tokens_per_slot_s
-            )
-
-    def learn_start(self, start_s: float) -> None:
-        """Take in one first token's time."""
-        self.start_s += RATE_MEMORY * (max(0.0, start_s) - self.start_s)
-
-    def learn_answer(self, tokens: int, max_tokens: int) -> None:
-        """Take in one answer's length."""
-        self.answer_part += RATE_MEMORY * (
-            tokens / max(1, max_tokens) - self.answer_part
-        )
-
-
-@dataclass
-class WaitError:
-    """How far predictions of the wait have been off, like a round-trip estimator.
-
-    A prediction from the mean rate is too short for half of the calls. With the mean
-    error and some mean deviations on top, few admitted calls are late.
-
-    Attributes
-    ----------
-    mean_s, deviation_s : float
-        Smoothed error (observed less predicted) and its absolute deviation, seconds.
-    """
-
-    mean_s: float = 0.0
-    deviation_s: float = 0.0
-
-    def learn(self, error_s: float) -> None:
-        """Take in one call's observed wait less the predicted one."""
-        off = error_s - self.mean_s
-        self.mean_s += ERROR_MEMORY * off
-        self.deviation_s += ERROR_MEMORY * (abs(off) - self.deviation_s)
-
-    def allowance_s(self, deviations: float) -> float:
-        """Return the seconds to add to a prediction so that few calls wait longer."""
-        return max(0.0, self.mean_s + deviations * self.deviation_s)
-
 
 @dataclass(frozen=True)
 class Prediction:
@@ -145,84 +68,140 @@
     return max(left, call.target_s * FLOOR_PART)
 
 
-class ReturnTimes:
-    """Times to come back, handed out so that those who keep them are let in.
-
-    The load this is for: thousands refused within one second, or more work than
-    capacity for minutes. Told the same time, all would come back in the same second;
-    and callers who come for the first time would take the room that those who waited
-    were told of. So each refused call moves its organisation's line back by what it
-    costs, and while the line is not empty a call may join the queue only in its turn.
+class Admission:
+    """Admits a call, or says why not and when to come back.
 
-    A caller may come back to another node, which has not heard of it. So its turns
-    follow from its fingerprint: one window in `TURN_PERIOD`, the same on every node.
-    Nobody has to remember or to be told anything, and only one first call in a few
-    comes in its turn by chance.
+    Callers meet it as ``overloaded``, ``limit_exceeded``, ``deadline_exceeded``,
+    ``no_server`` and ``poison_request``, each within a millisecond.
     """
 
-    def __init__(self, *, min_s: float, max_s: float) -> None:
-        self.min_s = min_s
-        self.max_s = max_s
-        self.ends_at: dict[tuple[str, int], float] = {}
-
-    def may_enter(self, key: tuple[str, int], fingerprint: str, now: float) -> bool:
-        """Return whether a call may join the queue without jumping the line."""
-        if self.ends_at.get(key, 0.0) <= now:
-            return True
-        return is_turn(fingerprint, now)
-
-    def jumped(self, key: tuple[str, int], now: float, *, cost_s: float) -> None:
-        """Move the line back for a call that found room out of its turn."""
-        if self.ends_at.get(key, 0.0) > now:
-            self.ends_at[key] += cost_s
-
-    def give(
+    def __init__(
         self,
-        key: tuple[str, int],
-        fingerprint: str,
-        now: float,
-        *,
-        excess_s: float,
-        cost_s: float,
-    ) -> float:
-        """Return the seconds after which the refused call should come back.
-
-        Parameters
-        ----------
-        key : tuple of str and int
-            Organisation and rank.
-        fingerprint : str
-            The call's fingerprint, which decides its turns.
-        excess_s : float
-            Time until the queue is short enough for one more call.
-        cost_s : float
-            Time the organisation's share needs for this call.
-        """
-        earliest = now + max(self.min_s, excess_s)
-        end = max(earliest, self.ends_at.get(key, 0.0) + cost_s)
-        self.ends_at[key] = min(end, now + self.max_s)
-        return min(next_turn(fingerprint, end) - now, self.max_s)
-
-
-def is_turn(fingerprint: str, now: float) -> bool:
-    """Return whether a call with `fingerprint` has its turn at `now`."""
-    window = int(now // TURN_S)
-    offset = int(now % TURN_S < TURN_S * LATE_PART)
-    turn = _turn(fingerprint)
-    return turn in (window % TURN_PERIOD, (window - offset) % TURN_PERIOD)
-
-
-def next_turn(fingerprint: str, start: float) -> float:
-    """Return the first time from `start` on at which a call has its turn.
-
-    Spread over the window, so that not all of one turn come at its start.
-    """
-    window = int(start // TURN_S)
-    if (_turn(fingerprint) - window) % TURN_PERIOD == 0:
-        return start
-    window += (_turn(fingerprint) - window) % TURN_PERIOD
-    return (window + start % TURN_S / TURN_S) * TURN_S
-
+        policy: Policy,
+        servers: ServerSet,
+        queue: FairQueue,
+        usage: Usage,
+        crashes: CrashTable,
+        service_type: ServiceType,
+    ) -> None:
+        self.policy = policy
+        self.servers = servers
+        self.queue = queue
+        self.usage = usage
+        self.crashes = crashes
+        self.rate = ServiceRate.for_service(service_type)
+        self.errors = {tier: WaitError() for tier in Tier}
+        self.return_times = ReturnTimes(
+            min_s=policy.min_retry_after_s, max_s=policy.max_retry_after_s
+        )
+        self.quotas: dict[str, Quota] = {}
+
+    def set_organisations(self, organisations: dict[str, Organisation]) -> None:
+        """Take over the declared organisations with their limits."""
+        for name, spec in organisations.items():
+            self.quotas.setdefault(name, Quota(spec)).spec = spec
+        for gone in self.quotas.keys() - organisations.keys():
+            del self.quotas[gone]
+
+    def refusal(self, call: Call, now: float) -> Refusal | None:
+        """Return why `call` is refused, or ``None``."""
+        if self.crashes.is_poison(call.fingerprint, now):
+            return Refusal.because(
+                ErrorKind.POISON_REQUEST, "servers crashed while running this request"
+            )
+        if not self.servers.taking:
+            return Refusal.because(ErrorKind.NO_SERVER, "no server takes work")
+        quota = self.quotas.get(call.organisation)
+        if quota is not None:
+            wait = quota.wait_s(call.tokens, now, self.servers.nodes)
+            if wait > 0:
+                return Refusal.because(
+                    ErrorKind.LIMIT_EXCEEDED,
+                    "the organisation's limit is used up",
+                    wait,
+                )
+        return self._overloaded(call, now)
+
+    def _overloaded(self, call: Call, now: float) -> Refusal | None:
+        prediction = self.predict(call)
+        allowed = allowed_wait_s(
+            call,
+            prediction,
+            margin=self.policy.admission_margin,
+            max_bulk_wait_s=self.policy.max_bulk_wait_s,
+        )
+        if call.deadline is not None and now + prediction.first_token_s > call.deadline:
+            return Refusal.because(
+                ErrorKind.DEADLINE_EXCEEDED,
+                "the deadline can't be met",
+                max(self.policy.min_retry_after_s, prediction.wait_s),
+            )
+        key = (call.organisation, call.rank)
+        cost_s = call.tokens * prediction.drain_s
+        turn = self.return_times.may_enter(key, call.fingerprint, now)
+        if prediction.long_wait_s <= allowed and (turn or not prediction.wait_s):
+            if not turn:
+                self.return_times.jumped(key, now, cost_s=cost_s)
+            return None
+        retry_after = self.return_times.give(
+            key,
+            call.fingerprint,
+            now,
+            excess_s=max(0.0, prediction.long_wait_s - allowed),
+            cost_s=cost_s,
+        )
+        return Refusal.because(
+            ErrorKind.OVERLOADED, "the latency target can't be met now", retry_after
+        )
 
-def _turn(fingerprint: str) -> int:
-    return shard_of(fingerprint, TURN_PERIOD)
+    def predict(self, call: Call) -> Prediction:
+        """Return when the first token of `call` is expected."""
+        slots = max(
+            1.0, self.servers.own_total + len(self.servers.open[Tier.WITHIN_SHARE])
+        )
+        tokens_per_s = slots * self.rate.tokens_per_slot_s
+        ahead = self.queue.tokens_ahead(call.rank, call.organisation)
+        wait, allowance = ahead / tokens_per_s, 0.0
+        tier = self.usage.tier(call)
+        if ahead or not self.servers.open[tier]:
+            wait += self.rate.held_s / slots
+            allowance = self.errors[tier].allowance_s(self.policy.wait_deviations)
+        prefill = call.prompt_tokens / self.prefill_tokens_per_s()
+        drain = self.rate.tokens_per_slot_s * self.usage.slots_of(call.organisation)
+        return Prediction(wait, allowance, self.rate.start_s + prefill, 1 / drain)
+
+    def prefill_tokens_per_s(self) -> float:
+        """Return the declared prefill rate; all servers of a service share it."""
+        for server in self.servers.servers.values():
+            return server.view.prefill_tokens_per_s
+        return 1.0
+
+    def enter(self, call: Call, now: float) -> Ticket:
+        """Return the ticket of a call that is admitted."""
+        cost = call.prompt_tokens + call.max_tokens * self.rate.answer_part
+        ticket = Ticket(call, now, cost)
+        ticket.suspect = self.crashes.count(call.fingerprint, now) > 0
+        ticket.predicted_s = self.predict(call).wait_s
+        ticket.tier = self.usage.tier(call)
+        quota = self.quotas.get(call.organisation)
+        if quota is not None:
+            quota.spend(call.tokens)
+        return ticket
+
+    def left(self, ticket: Ticket) -> None:
+        """Note that an admitted call has ended."""
+        quota = self.quotas.get(ticket.call.organisation)
+        if quota is not None:
+            quota.in_flight -= 1
+
+    def waited(self, ticket: Ticket, seconds: float) -> None:
+        """Learn how long an admitted call waited in the queue."""
+        self.errors[ticket.tier].learn(seconds - ticket.predicted_s)
+
+    def answered(self, ticket: Ticket, now: float) -> None:
+        """Learn from a whole answer."""
+        self.rate.learn(
+            tokens=ticket.call.prompt_tokens + ticket.tokens,
+            held_s=now - ticket.dispatched_at,
+        )
+        self.rate.learn_answer(ticket.tokens, ticket.call.max_tokens)
--- a/packages/endive_core/src/endive_core/calls.py
+++ b/packages/endive_core/src/endive_core/calls.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 from enum import IntEnum, StrEnum
 
-from endive_core.exceptions import ErrorKind
+from endive_core.exceptions import ANSWERS, ErrorKind
 from endive_core.resources import Weights
 
 BULK_LEVEL = -1000
@@ -129,6 +129,15 @@
     retry_after_s: float | None
     message: str
 
+    @classmethod
+    def because(
+        cls, kind: ErrorKind, message: str, retry_after_s: float | None = None
+    ) -> "Refusal":
+        """Return a refusal; the table's time to come back if none is known better."""
+        if retry_after_s is None:
+            retry_after_s = ANSWERS[kind].retry_after_s
+        return cls(kind, retry_after_s, message)
+
 
 @dataclass(frozen=True, slots=True)
 class Dispatch:
--- a/packages/endive_core/src/endive_core/policy.py
+++ b/packages/endive_core/src/endive_core/policy.py
@@ -48,13 +48,6 @@
         description="slots that bulk and organisations over their share free for each "
         "reserved slot that is taken",
     )
-    engine_queue_share: float = Field(
-        0.0,
-        ge=0,
-        le=1,
-        description="requests within their share that may wait in a server, over its "
-        "slots",
-    )
     divided_share: float = Field(
         0.1,
         ge=0,
--- a/packages/endive_core/src/endive_core/scheduler.py
+++ b/packages/endive_core/src/endive_core/scheduler.py
@@ -8,46 +8,20 @@
 from collections import Counter
 from collections.abc import Iterable
 
-from endive_core.admission import (
-    Prediction,
-    ReturnTimes,
-    ServiceRate,
-    WaitError,
-    allowed_wait_s,
-)
-from endive_core.calls import Call, Dispatch, Refusal, Retry, Stage, Ticket, Tier
-from endive_core.crashes import Crash, CrashTable
-from endive_core.exceptions import ANSWERS, ErrorKind, RetryReason
+from endive_core.admission import Admission
+from endive_core.calls import Call, Dispatch, Refusal, Retry, Stage, Ticket
+from endive_core.crashes import CrashTable
+from endive_core.exceptions import ErrorKind, RetryReason
+from endive_core.failures import Failures
 from endive_core.messages import ServerView
 from endive_core.outliers import OutlierDetector
 from endive_core.placement import Placement
 from endive_core.policy import Policy
 from endive_core.queueing import FairQueue
-from endive_core.quotas import Quota
 from endive_core.resources import Deployment, Organisation, ServiceType
-from endive_core.retrying import RetryBudget, retry_delay_s
 from endive_core.servers import Random, ServerLoad, ServerSet
 from endive_core.shifting import Shift, plan_shifts
-
-FIRST_TOKENS_PER_SLOT_S = 50.0
-FIRST_HELD_S = 4.0
-"""Guesses until calls have finished: an engine's decode rate, and 200 tokens at it."""
-
-PLAIN_CALLS_PER_SLOT_S = 20.0
-PLAIN_HELD_S = 0.05
-"""The same for a plain service, whose calls cost one token each."""
-
-MOST_WITHIN_SHARE = 0.5
-"""Part of the slots up to which one organisation is within its share, also when it is
-alone: beyond it, it leaves the reserve free for others who may call at any moment."""
-
-FAILURES = (RetryReason.CONNECT_FAILED, RetryReason.SERVER_FAILED)
-"""Reasons after which a server gets no work for a while."""
-
-MAX_BLAMED = 64
-"""Crashes whose suspects are kept while their broken streams come in one by one."""
-
-DEFAULT_DEPLOYMENT = Deployment(model="default", service="default")
+from endive_core.usage import Usage
 
 
 class Scheduler:
@@ -78,24 +52,18 @@
             random,
             reserved_share=policy.reserved_share,
             divided_share=policy.divided_share,
-            engine_queue_share=policy.engine_queue_share,
             giving_way=policy.giving_way,
         )
         self.placement = Placement(policy, self.servers, random)
         self.outliers = OutlierDetector(policy, self.servers)
         self.queue = FairQueue()
         self.crashes = crashes or crash_table(policy)
-        self.rate = _first_rate(service_type)
-        self.errors = {tier: WaitError() for tier in Tier}
-        self.return_times = ReturnTimes(
-            min_s=policy.min_retry_after_s, max_s=policy.max_retry_after_s
+        self.usage = Usage(self.servers, self.queue)
+        self.admission = Admission(
+            policy, self.servers, self.queue, self.usage, self.crashes, service_type
         )
-        self.quotas: dict[str, Quota] = {}
-        self.budgets: dict[str, RetryBudget] = {}
-        self.running: dict[str, set[Ticket]] = {}
-        self.held: Counter[str] = Counter()
-        self.blamed: dict[str, set[Ticket]] = {}
-        self.paused: list[ServerLoad] = []
+        self.failures = Failures(policy, self.servers, self.crashes, random)
+        self.running = self.failures.running
         self.expired: list[Ticket] = []
         self.no_server_since: float | None = None
         self.refusals: Counter[ErrorKind] = Counter()
@@ -119,22 +87,12 @@
 
     def set_organisations(self, organisations: dict[str, Organisation]) -> None:
         """Take over the declared organisations with their shares and limits."""
-        for name, spec in organisations.items():
-            self.quotas.setdefault(name, Quota(spec)).spec = spec
-        for gone in self.quotas.keys() - organisations.keys():
-            del self.quotas[gone]
+        self.admission.set_organisations(organisations)
         self.queue.shares = {name: o.share for name, o in organisations.items()}
 
     def set_deployments(self, deployments: dict[str, Deployment]) -> None:
         """Take over the deployments that use this service."""
-        for name, spec in deployments.items():
-            budget = self.budgets.get(name)
-            if budget is None:
-                budget = RetryBudget(spec.retry_ratio, self.policy.retry_burst)
-                self.budgets[name] = budget
-            budget.ratio = spec.retry_ratio
-        for gone in self.budgets.keys() - deployments.keys():
-            del self.budgets[gone]
+        self.failures.set_deployments(deployments)
 
     def report(
         self, server_id: str, running: int, waiting: int, *, as_of: float
@@ -165,7 +123,7 @@
 
     def offer(self, call: Call, now: float) -> Ticket | Refusal:
         """Admit `call` into the queue, or refuse it."""
-        refusal = self._refusal(call, now)
+        refusal = self.admission.refusal(call, now)
         if refusal is not None:
             self.refusals[refusal.kind] += 1
             return refusal
@@ -181,132 +139,16 @@
         """
         if self.crashes.is_poison(call.fingerprint, now):
             self.refusals[ErrorKind.POISON_REQUEST] += 1
-            return _refuse(
+            return Refusal.because(
                 ErrorKind.POISON_REQUEST, "servers crashed while running this request"
             )
         return self._enter(call, now)
 
     def _enter(self, call: Call, now: float) -> Ticket:
-        cost = call.prompt_tokens + call.max_tokens * self.rate.answer_part
-        ticket = Ticket(call, now, cost)
-        ticket.suspect = self.crashes.count(call.fingerprint, now) > 0
-        ticket.predicted_s = self.predict(call).wait_s
-        ticket.tier = self._tier(call)
-        quota = self.quotas.get(call.organisation)
-        if quota is not None:
-            quota.spend(call.tokens)
+        ticket = self.admission.enter(call, now)
         self.queue.push(ticket)
         return ticket
 
-    def _refusal(self, call: Call, now: float) -> Refusal | None:
-        if self.crashes.is_poison(call.fingerprint, now):
-            return _refuse(
-                ErrorKind.POISON_REQUEST, "servers crashed while running this request"
-            )
-        if not self.servers.taking:
-            return _refuse(ErrorKind.NO_SERVER, "no server takes work")
-        quota = self.quotas.get(call.organisation)
-        if quota is not None:
-            wait = quota.wait_s(call.tokens, now, self.servers.nodes)
-            if wait > 0:
-                return _refuse(
-                    ErrorKind.LIMIT_EXCEEDED,
-                    "the organisation's limit is used up",
-                    wait,
-                )
-        return self._overloaded(call, now)
-
-    def _overloaded(self, call: Call, now: float) -> Refusal | None:
-        prediction = self.predict(call)
-        allowed = allowed_wait_s(
-            call,
-            prediction,
-            margin=self.policy.admission_margin,
-            max_bulk_wait_s=self.policy.max_bulk_wait_s,
-        )
-        if call.deadline is not None and now + prediction.first_token_s > call.deadline:
-            return _refuse(
-                ErrorKind.DEADLINE_EXCEEDED,
-                "the deadline can't be met",
-                max(self.policy.min_retry_after_s, prediction.wait_s),
-            )
-        key = (call.organisation, call.rank)
-        cost_s = call.tokens * prediction.drain_s
-        turn = self.return_times.may_enter(key, call.fingerprint, now)
-        if prediction.long_wait_s <= allowed and (turn or not prediction.wait_s):
-            if not turn:
-                self.return_times.jumped(key, now, cost_s=cost_s)
-            return None
-        retry_after = self.return_times.give(
-            key,
-            call.fingerprint,
-            now,
-            excess_s=max(0.0, prediction.long_wait_s - allowed),
-            cost_s=cost_s,
-        )
-        return _refuse(
-            ErrorKind.OVERLOADED, "the latency target can't be met now", retry_after
-        )
-
-    def predict(self, call: Call) -> Prediction:
-        """Return when the first token of `call` is expected."""
-        slots = max(
-            1.0, self.servers.own_total + len(self.servers.open[Tier.WITHIN_SHARE])
-        )
-        tokens_per_s = slots * self.rate.tokens_per_slot_s
-        ahead = self.queue.tokens_ahead(call.rank, call.organisation)
-        wait, allowance = ahead / tokens_per_s, 0.0
-        tier = self._tier(call)
-        if ahead or not self.servers.open[tier]:
-            wait += self.rate.held_s / slots
-            allowance = self.errors[tier].allowance_s(self.policy.wait_deviations)
-        prefill = call.prompt_tokens / self._prefill_tokens_per_s()
-        drain = self.rate.tokens_per_slot_s * self._slots_of(call.organisation)
-        return Prediction(wait, allowance, self.rate.start_s + prefill, 1 / drain)
-
-    def _prefill_tokens_per_s(self) -> float:
-        for server in self.servers.servers.values():
-            return server.view.prefill_tokens_per_s
-        return 1.0
-
-    def _slots_of(self, organisation: str) -> float:
-        """Return how many of this node's slots `organisation` can count on.
-
-        What the others leave, but at least its share.
-        """
-        slots = self._slots()
-        held = self.servers.own_total - self.held[organisation]
-        return max(1.0, slots - held, slots * self._share_now(organisation))
-
-    def _slots(self) -> float:
-        """Return this node's part of all slots."""
-        part = max(self.servers.share, 1 / self.servers.nodes)
-        return max(self.servers.own_total, self.servers.slots_total * part)
-
-    def _share_now(self, organisation: str) -> float:
-        """Return the organisation's share among those that hold slots now."""
-        own = self.queue.share(organisation)
-        others = sum(
-            self.queue.share(name)
-            for name, held in self.held.items()
-            if held > 0 and name != organisation
-        )
-        return own / (own + others)
-
-    def _tier(self, call: Call) -> Tier:
-        """Return how much of the servers' slots `call` must leave free.
-
-        Bulk leaves the most, organisations over their share of the slots some, so
-        that a call of an organisation within its share finds a slot at once while a
-        batch runs, and one over its share goes before bulk even of other nodes.
-        """
-        if call.bulk:
-            return Tier.BULK
-        part = min(MOST_WITHIN_SHARE, self._share_now(call.organisation))
-        if self.held[call.organisation] >= max(1.0, part * self._slots()):
-            return Tier.OVER_SHARE
-        return Tier.WITHIN_SHARE
-
     def next_dispatch(self, now: float) -> Dispatch | None:
         """Return the next ticket to send and its server, or ``None`` for now.
 
@@ -329,7 +171,7 @@
         return None
 
     def _server_for(self, ticket: Ticket, now: float) -> ServerLoad | None:
-        tier = self._tier(ticket.call)
+        tier = self.usage.tier(ticket.call)
         if not ticket.call.non_idempotent and not ticket.suspect:
             probe = self.outliers.probe(now)
             if probe is not None and self.servers.has_room(probe, tier):
@@ -339,11 +181,7 @@
 
     def _tick(self, now: float) -> None:
         self.outliers.compare(now)
-        while self.paused and self.paused[0].view.failed_until <= now:
-            server = self.paused.pop(0)
-            server.paused = False
-            self.servers.refresh(server)
-
+        self.failures.resume(now)
         self._expire_without_servers(now)
 
     def _expire_without_servers(self, now: float) -> None:
@@ -364,7 +202,7 @@
     def _expire(self, ticket: Ticket, kind: ErrorKind, message: str) -> None:
         self.queue.cancel(ticket)
         self._end(ticket)
-        ticket.refusal = _refuse(kind, message)
+        ticket.refusal = Refusal.because(kind, message)
         self.refusals[kind] += 1
         self.expired.append(ticket)
 
@@ -380,8 +218,7 @@
 
     def _dispatched(self, ticket: Ticket, server: ServerLoad, now: float) -> None:
         if not ticket.attempt:
-            waited = now - ticket.accepted_at
-            self.errors[ticket.tier].learn(waited - ticket.predicted_s)
+            self.admission.waited(ticket, now - ticket.accepted_at)
         ticket.stage = Stage.DISPATCHED
         ticket.server = server.id
         ticket.attempt += 1
@@ -390,7 +227,7 @@
         server.starting_tokens += ticket.uncached_tokens
         self.placement.pace(server, ticket.uncached_tokens, now)
         server.starting_suspects += ticket.suspect
-        self.held[ticket.call.organisation] += 1
+        self.usage.take(ticket.call.organisation)
         self.running.setdefault(server.id, set()).add(ticket)
         self.servers.note(server, 1, now)
         if ticket.call.blocks:
@@ -406,13 +243,15 @@
         ticket.first_token_at = now
         server = self.servers.servers.get(ticket.server)
         seconds = now - ticket.dispatched_at
-        prefill = ticket.uncached_tokens / self._prefill_tokens_per_s()
-        self.rate.learn_start(seconds - prefill)
+        prefill = ticket.uncached_tokens / self.admission.prefill_tokens_per_s()
+        self.admission.rate.learn_start(seconds - prefill)
         if server is not None:
             self.servers.answered(server)
             self._no_longer_starting(ticket, server)
             self.outliers.observe(
-                server, seconds=seconds, expected_s=self.rate.start_s + prefill
+                server,
+                seconds=seconds,
+                expected_s=self.admission.rate.start_s + prefill,
             )
 
     def _no_longer_starting(self, ticket: Ticket, server: ServerLoad) -> None:
@@ -423,12 +262,8 @@
         """Note the whole answer; `tokens` is its length."""
         ticket.tokens = tokens
         self.queue.settle(ticket, ticket.call.prompt_tokens + tokens)
-        self.rate.learn(
-            tokens=ticket.call.prompt_tokens + tokens,
-            held_s=now - ticket.dispatched_at,
-        )
-        self.rate.learn_answer(tokens, ticket.call.max_tokens)
-        self._budget(ticket).earn()
+        self.admission.answered(ticket, now)
+        self.failures.budget(ticket.call.deployment).earn()
         self._release(ticket, now)
         self._end(ticket)
 
@@ -462,78 +297,21 @@
             If the server crashed: its name with the number of its incarnation.
         """
         server = self.servers.servers.get(ticket.server)
-        if crashed and self._is_blamed(ticket, crashed):
-            self.crashes.add(Crash(ticket.call.fingerprint, crashed, now))
-            ticket.suspect = True
+        self.failures.suspect(ticket, crashed, now)
         if reason is not RetryReason.SERVER_BUSY:
             ticket.avoid.add(ticket.server)
         self._release(ticket, now)
         if server is not None:
-            self._blame(server, reason, now)
-        refusal = self._no_retry(ticket, now, reason, started, max_attempts)
-        if refusal is not None:
-            self.refusals[refusal.kind] += 1
+            self.failures.blame(server, reason, now)
+        verdict = self.failures.verdict(
+            ticket, now, started=started, max_attempts=max_attempts
+        )
+        if isinstance(verdict, Refusal):
+            self.refusals[verdict.kind] += 1
             self._end(ticket)
-            return refusal
-        self.retries[reason] += 1
-        return Retry(retry_delay_s(ticket.attempt, self.policy, self.random))
-
-    def _is_blamed(self, ticket: Ticket, crashed: str) -> bool:
-        """Return whether `ticket` may have caused the crash that ended it.
-
-        All that ran on the server broke, but what was starting is the likeliest
-        cause; streams are blamed only if nothing was. A server under notice was
-        reclaimed, and no request is to blame. Blaming every stream would refuse
-        innocent ones after the second reclaimed zone.
-        """
-        if crashed not in self.blamed:
-            running = self.running.get(ticket.server, set())
-            starting = {t for t in running if t.stage is Stage.DISPATCHED}
-            server = self.servers.servers.get(ticket.server)
-            leaving = server is not None and server.view.leaving
-            self.blamed[crashed] = set() if leaving else starting or set(running)
-            if len(self.blamed) > MAX_BLAMED:
-                del self.blamed[next(iter(self.blamed))]
-        return ticket in self.blamed[crashed]
-
-    def _blame(self, server: ServerLoad, reason: RetryReason, now: float) -> None:
-        if reason is RetryReason.SERVER_BUSY:
-            self.servers.busy(server)
-        elif reason in FAILURES and self.servers.pause(server):
-            pause = self.policy.failed_pause_s * 2 ** min(server.failures - 1, 16)
-            pause = min(pause, self.policy.max_failed_pause_s)
-            server.view.failed_until = now + pause
-            self.paused.append(server)
-            self.paused.sort(key=lambda paused: paused.view.failed_until)
-
-    def _no_retry(
-        self,
-        ticket: Ticket,
-        now: float,
-        reason: RetryReason,
-        started: bool,
-        max_attempts: int,
-    ) -> Refusal | None:
-        call = ticket.call
-        if self.crashes.is_poison(call.fingerprint, now):
-            return _refuse(
-                ErrorKind.POISON_REQUEST, "servers crashed while running this request"
-            )
-        if call.non_idempotent and started:
-            return _refuse(
-                ErrorKind.OUTCOME_UNKNOWN,
-                "the server may have run the request; it is not sent again",
-            )
-        if ticket.attempt >= max_attempts or self.servers.all_tried(ticket.avoid):
-            kind = ErrorKind.BACKEND_FAILED if started else ErrorKind.NO_SERVER
-            return _refuse(kind, "all attempts failed")
-        # The budget is for work that is repeated. What was never started cost next to
-        # nothing, and a zone's dead servers would use it up for streams they broke.
-        if started and not self._budget(ticket).spend(in_flight=self.servers.own_total):
-            return _refuse(
-                ErrorKind.RETRY_BUDGET_SPENT, "too many calls are being sent again"
-            )
-        return None
+        else:
+            self.retries[reason] += 1
+        return verdict
 
     def requeue(self, ticket: Ticket) -> None:
         """Queue a failed or moving ticket again, before its organisation's others."""
@@ -565,7 +343,7 @@
     def _release(self, ticket: Ticket, now: float) -> None:
         if not ticket.server:  # released already: cancelled while waiting to retry
             return
-        self.held[ticket.call.organisation] -= 1
+        self.usage.give_back(ticket.call.organisation)
         self.running.get(ticket.server, set()).discard(ticket)
         server = self.servers.servers.get(ticket.server)
         if server is not None:
@@ -576,17 +354,7 @@
 
     def _end(self, ticket: Ticket) -> None:
         ticket.stage = Stage.ENDED
-        quota = self.quotas.get(ticket.call.organisation)
-        if quota is not None:
-            quota.in_flight -= 1
-
-    def _budget(self, ticket: Ticket) -> RetryBudget:
-        name = ticket.call.deployment
-        if name not in self.budgets:
-            self.budgets[name] = RetryBudget(
-                DEFAULT_DEPLOYMENT.retry_ratio, self.policy.retry_burst
-            )
-        return self.budgets[name]
+        self.admission.left(ticket)
 
 
 def crash_table(policy: Policy) -> CrashTable:
@@ -596,17 +364,3 @@
         memory_s=policy.crash_memory_s,
         max_fingerprints=policy.max_crash_fingerprints,
     )
-
-
-def _first_rate(service_type: ServiceType) -> ServiceRate:
-    if service_type is ServiceType.PLAIN:
-        return ServiceRate(PLAIN_CALLS_PER_SLOT_S, PLAIN_HELD_S)
-    return ServiceRate(FIRST_TOKENS_PER_SLOT_S, FIRST_HELD_S)
-
-
-def _refuse(
-    kind: ErrorKind, message: str, retry_after_s: float | None = None
-) -> Refusal:
-    if retry_after_s is None:
-        retry_after_s = ANSWERS[kind].retry_after_s
-    return Refusal(kind, retry_after_s, message)
--- a/packages/endive_core/src/endive_core/servers.py
+++ b/packages/endive_core/src/endive_core/servers.py
@@ -128,13 +128,11 @@
         *,
         reserved_share: float,
         divided_share: float,
-        engine_queue_share: float = 0.0,
         giving_way: float = 1.0,
     ) -> None:
         self.random = random
         self.reserved_share = reserved_share
         self.divided_share = divided_share
-        self.engine_queue_share = engine_queue_share
         self.giving_way = giving_way
         self.servers: dict[str, ServerLoad] = {}
         self.open = {tier: MemberList() for tier in Tier}
@@ -164,8 +162,7 @@
         reserved = round(slots * self.reserved_share)
         if self.reserved_share and slots > 1:
             reserved = max(1, reserved)
-        waiting = round(slots * self.engine_queue_share)
-        server.reserved = (-waiting, 2 * reserved // 3, reserved)
+        server.reserved = (0, 2 * reserved // 3, reserved)
         server.divided = max(1, round(slots * self.divided_share))
         self._grant(server)
 
