Count this request too when guessing what other nodes took

Cause: a new test showed that of 4 free slots, with all others taken, seven nodes filled 7: each takes one before it has grown at all. With 370 nodes it would be 370. Change: other nodes are taken to send as many as this one, the request at hand included. Ruled out: dividing all free slots, not just the last (affinity finds no room).

--- a/packages/endive_core/src/endive_core/servers.py
+++ b/packages/endive_core/src/endive_core/servers.py
@@ -256,11 +256,11 @@
         """Return the slots of `server` that other nodes presumably took by now.
 
         The others see the same load, so they are taken to have grown as this node
-        has, where slots were free. This stops a burst that reaches all nodes at once
-        before all of them have filled the same slots.
+        has, this request included, where slots were free. This stops a burst that
+        reaches all nodes at once before all of them have filled the same slots.
         """
         free = max(1, self.slots_total - self.reported_total)
-        growth = max(0, self.change_total) * (1 / self.share - 1)
+        growth = (max(0, self.change_total) + 1) * (1 / self.share - 1)
         return growth * max(0, server.free) / free
 
     def pause(self, server: ServerLoad) -> bool:
--- /dev/null
+++ b/packages/endive_core/tests/test_failures.py
@@ -0,0 +1,96 @@
+from core_builders import call, dispatch_all, scheduler
+from endive_core.calls import Refusal, Retry
+from endive_core.crashes import Crash
+from endive_core.exceptions import ErrorKind, RetryReason
+
+
+def start(made, count, now=0.0):
+    sent = []
+    for number in range(count):
+        made.offer(call(number, fingerprint=f"f{number}"), now)
+        sent += dispatch_all(made, now)
+    return [dispatch.ticket for dispatch in sent]
+
+
+def test_outage_does_not_multiply_the_load():
+    """Every server fails everything it is sent. Without a budget each call would be
+    sent four times, and the servers could not recover."""
+    made = scheduler(servers=8, slots=32, retry_burst=2)
+    tickets = start(made, 40)
+    verdicts = [
+        made.failed(t, 0.1, RetryReason.SERVER_FAILED, started=True) for t in tickets
+    ]
+    retried = sum(isinstance(verdict, Retry) for verdict in verdicts)
+    assert 0 < retried < 0.6 * len(tickets)
+    assert made.refusals[ErrorKind.RETRY_BUDGET_SPENT] > 0
+    assert sum(made.refusals.values()) == len(tickets) - retried
+    assert made.retries[RetryReason.SERVER_FAILED] == retried
+
+
+def test_retries_are_jittered():
+    made = scheduler(servers=8, slots=32)
+    tickets = start(made, 10)
+    delays = {
+        made.failed(t, 0.1, RetryReason.CONNECT_FAILED, started=False).delay_s
+        for t in tickets
+    }
+    assert len(delays) == len(tickets)
+
+
+def test_request_that_crashed_two_servers_is_refused_wherever_it_comes():
+    """One request crashes each server that runs it, and its caller sends it again to
+    another node, which has only heard of the crashes."""
+    made = scheduler(servers=4, slots=8)
+    ticket = made.offer(call(fingerprint="bad"), 0.0)
+    for crash in ("s0@1", "s1@1"):
+        made.next_dispatch(0.0)
+        verdict = made.failed(
+            ticket, 0.0, RetryReason.SERVER_FAILED, started=True, crashed=crash
+        )
+        if isinstance(verdict, Retry):
+            made.requeue(ticket)
+    assert verdict.kind is ErrorKind.POISON_REQUEST
+    other = scheduler()
+    other.crashes.merge(made.crashes.recent(1.0, limit=10))
+    assert other.offer(call(fingerprint="bad"), 1.0).kind is ErrorKind.POISON_REQUEST
+    assert not isinstance(other.offer(call(fingerprint="good"), 1.0), Refusal)
+
+
+def test_streams_under_way_are_not_blamed_for_what_another_started():
+    made = scheduler(servers=1, slots=8, admission_margin=1.0)
+    streaming, starting = start(made, 2)
+    made.started(streaming, 0.1)
+    for ticket in (starting, streaming):
+        made.failed(
+            ticket, 0.2, RetryReason.SERVER_FAILED, started=True, crashed="s0@1"
+        )
+    assert made.crashes.count(starting.call.fingerprint, 1.0) == 1
+    assert made.crashes.count(streaming.call.fingerprint, 1.0) == 0
+
+
+def test_reclaimed_server_blames_no_request():
+    made = scheduler(servers=2, slots=8)
+    (ticket,) = start(made, 1)
+    made.leaving(ticket.server)
+    made.failed(ticket, 0.2, RetryReason.SERVER_FAILED, started=True, crashed="s0@1")
+    assert made.crashes.count(ticket.call.fingerprint, 1.0) == 0
+
+
+def test_crashes_are_forgotten_in_time_and_one_crash_is_counted_once():
+    made = scheduler(crash_memory_s=60.0)
+    for at in (0.0, 1.0):
+        made.crashes.add(Crash("f", "s0@1", at))
+    assert made.crashes.count("f", 2.0) == 1
+    assert made.crashes.count("f", 100.0) == 0
+
+
+def test_queued_calls_are_given_up_when_no_server_is_left():
+    made = scheduler(servers=1, slots=1, max_bulk_wait_s=1e6)
+    start(made, 1)
+    waiting = made.offer(call(9, bulk=True), 0.0)
+    made.leaving("s0")
+    assert made.next_dispatch(1.0) is None
+    assert made.take_expired() == []
+    made.next_dispatch(7.0)
+    assert made.take_expired() == [waiting]
+    assert waiting.refusal.kind is ErrorKind.NO_SERVER
--- /dev/null
+++ b/packages/endive_core/tests/test_outliers.py
@@ -0,0 +1,57 @@
+from random import Random
+
+from core_builders import view
+from endive_core.calls import Tier
+from endive_core.outliers import MIN_SAMPLES, OutlierDetector
+from endive_core.policy import Policy
+from endive_core.servers import ServerSet
+
+
+def detector(latencies):
+    servers = ServerSet(Random(1), reserved_share=0.08, divided_share=0.1)
+    servers.set_servers(view(f"s{i}", slots=8) for i in range(len(latencies)))
+    made = OutlierDetector(Policy(), servers)
+    observe(made, latencies)
+    made.compare(1.0)
+    return made
+
+
+def observe(made, latencies, times=3 * MIN_SAMPLES):
+    for server, seconds in zip(made.servers.servers.values(), latencies, strict=True):
+        for _ in range(times):
+            made.observe(server, seconds=seconds, expected_s=0.1)
+
+
+def test_slow_server_gets_only_probes_until_it_is_as_fast_as_its_peers():
+    """One of five servers has become four times slower without failing, so that 1 call
+    in 5 misses its target."""
+    made = detector([0.1, 0.1, 0.4, 0.1, 0.1])
+    slow = made.servers.servers["s2"]
+    assert slow.slow
+    assert "s2" not in made.servers.open[Tier.WITHIN_SHARE].positions
+    assert made.probe(2.0) is None
+    assert made.probe(7.0) is slow
+    assert made.probe(7.1) is None
+    observe(made, [0.1] * 5)
+    made.compare(8.0)
+    assert not slow.slow
+    assert "s2" in made.servers.open[Tier.WITHIN_SHARE].positions
+
+
+def test_load_that_slows_all_servers_marks_none():
+    made = detector([0.9, 1.0, 1.1, 0.9, 1.0])
+    assert not made.slow
+
+
+def test_at_most_a_third_is_marked():
+    made = detector([0.1, 0.1, 0.1, 0.1, 0.5, 0.6, 0.7])
+    assert len(made.slow) == 2
+
+
+def test_too_few_latencies_mark_nothing():
+    made = detector([0.1, 0.1, 0.1])
+    server = made.servers.servers["s0"]
+    server.samples = 1
+    made.observe(server, seconds=5.0, expected_s=0.1)
+    made.compare(3.0)
+    assert not made.slow
--- /dev/null
+++ b/packages/endive_core/tests/test_queueing.py
@@ -0,0 +1,79 @@
+from core_builders import call
+from endive_core.calls import Stage, Ticket
+from endive_core.queueing import FairQueue
+
+
+def ticket(number, organisation="yunhai", *, tokens=100, **more):
+    return Ticket(
+        call(number, organisation=organisation, **more), 0.0, cost=float(tokens)
+    )
+
+
+def drain(queue):
+    order = []
+    while (head := next(queue.heads(1), None)) is not None:
+        queue.pop(head)
+        order.append(head)
+    return order
+
+
+def test_batch_does_not_delay_another_organisation():
+    """A broker's 1,000 calls are queued when a club member calls. First come, first
+    served would put the member last."""
+    queue = FairQueue()
+    for number in range(1000):
+        queue.push(ticket(number, "broker"))
+    queue.pop(next(queue.heads(1)))
+    member = ticket(1000, "kerloch")
+    queue.push(member)
+    assert member in drain(queue)[:2]
+
+
+def test_tokens_not_calls_are_shared():
+    queue = FairQueue({"long": 1.0, "short": 1.0})
+    for number in range(40):
+        queue.push(ticket(number, "long", tokens=400))
+        queue.push(ticket(number, "short", tokens=100))
+    first = drain(queue)[:25]
+    assert sum(t.call.organisation == "short" for t in first) == 20
+
+
+def test_higher_priority_goes_first_and_bulk_last():
+    queue = FairQueue()
+    bulk, normal = ticket(0, level=100, bulk=True), ticket(1)
+    high = ticket(2, level=10)
+    for queued in (bulk, normal, high):
+        queue.push(queued)
+    assert drain(queue) == [high, normal, bulk]
+
+
+def test_idle_time_is_not_saved_up():
+    queue = FairQueue()
+    for number in range(10):
+        queue.push(ticket(number, "busy"))
+    drain(queue)
+    for number in range(10):
+        queue.push(ticket(number, "late"))
+        queue.push(ticket(number, "busy"))
+    first = [t.call.organisation for t in drain(queue)[:10]]
+    assert first.count("busy") >= 4
+
+
+def test_cancelled_ticket_is_skipped_and_forgotten():
+    queue = FairQueue()
+    gone, kept = ticket(0), ticket(1)
+    queue.push(gone)
+    queue.push(kept)
+    queue.cancel(gone)
+    gone.stage = Stage.ENDED
+    assert queue.tokens_ahead(0, "yunhai") == 100
+    assert drain(queue) == [kept]
+    assert len(queue) == 0
+
+
+def test_tokens_ahead_of_a_newcomer_leave_out_the_batch():
+    queue = FairQueue()
+    for number in range(1000):
+        queue.push(ticket(number, "broker"))
+    assert queue.tokens_ahead(0, "kerloch") == 0
+    assert queue.tokens_ahead(0, "broker") == 100_000
--- /dev/null
+++ b/packages/endive_core/tests/test_servers.py
@@ -0,0 +1,86 @@
+from random import Random
+
+from core_builders import view
+from endive_core.calls import Tier
+from endive_core.servers import ServerSet
+
+
+def servers(*, count=1, slots=32, nodes=7, seed=1):
+    made = ServerSet(Random(seed), reserved_share=0.08, divided_share=0.1)
+    made.nodes = nodes
+    made.set_servers(view(f"s{i}", slots=slots) for i in range(count))
+    return made
+
+
+def fill(made, tier, now=1.0):
+    sent = 0
+    while open_servers := [s for s in made.open[tier].items if made.has_room(s, tier)]:
+        made.note(made.random.choice(open_servers), 1, now)
+        sent += 1
+    return sent
+
+
+def test_nodes_that_read_the_same_report_do_not_all_fill_its_free_slots():
+    """Seven nodes, each with a queue, read that 4 of 32 slots are free. If each filled
+    them, 28 requests would come to 4 slots and wait for streams to end."""
+    sent = 0
+    for seed in range(70):
+        made = servers(seed=seed)
+        for _ in range(4):
+            made.note(made.servers["s0"], 1, 0.1)
+        made.report("s0", 28, 0, as_of=0.5)
+        sent += fill(made, Tier.WITHIN_SHARE)
+    assert 0.6 * 40 < sent < 1.6 * 40
+
+
+def test_burst_at_all_nodes_does_not_overrun_idle_servers():
+    """A batch reaches all nodes in the same second. The servers' reports say that all
+    is free until half a second later."""
+    sent = sum(fill(servers(count=8, seed=seed), Tier.BULK) for seed in range(7))
+    assert 8 * 32 * 0.5 < sent <= 8 * 32 * 1.1
+
+
+def test_slot_freed_by_this_node_is_used_before_the_next_report():
+    made = servers()
+    made.report("s0", 31, 0, as_of=0.5)
+    server = made.servers["s0"]
+    server.grants[Tier.WITHIN_SHARE] = 0
+    made.refresh(server)
+    assert not made.has_room(server, Tier.WITHIN_SHARE)
+    made.note(server, -1, 1.0)
+    assert made.has_room(server, Tier.WITHIN_SHARE)
+
+
+def test_bulk_leaves_the_reserve_free():
+    made = servers(nodes=1)
+    made.report("s0", 0, 0, as_of=0.5)
+    sent = fill(made, Tier.BULK)
+    assert sent == 32 - made.servers["s0"].reserved[Tier.BULK]
+    assert fill(made, Tier.WITHIN_SHARE) == 32 - sent
+
+
+def test_own_sends_before_the_report_are_not_counted_twice():
+    made = servers()
+    server = made.servers["s0"]
+    made.note(server, 1, 1.0)
+    made.note(server, 1, 2.0)
+    made.report("s0", 1, 0, as_of=1.5)
+    assert server.load == 2
+
+
+def test_dead_server_gets_one_request_at_a_time_until_it_answers():
+    made = servers(count=2)
+    server = made.servers["s0"]
+    made.pause(server)
+    server.paused = False
+    made.refresh(server)
+    made.note(server, 1, 1.0)
+    assert server.id not in made.open[Tier.WITHIN_SHARE].positions
+    made.answered(server)
+    assert server.id in made.open[Tier.WITHIN_SHARE].positions
+
+
+def test_last_server_is_never_paused():
+    made = servers()
+    assert not made.pause(made.servers["s0"])
+    assert len(made.taking) == 1
--- /dev/null
+++ b/packages/endive_core/tests/test_shifting.py
@@ -0,0 +1,50 @@
+from core_builders import call
+from endive_core.calls import Ticket
+from endive_core.shifting import ShiftMethod, plan_shifts
+
+
+def stream(number, *, prompt_tokens, tokens=10, left=1000, **more):
+    made = Ticket(
+        call(number, prompt_tokens=prompt_tokens, max_tokens=tokens + left, **more),
+        0.0,
+        1.0,
+    )
+    made.tokens = tokens
+    return made
+
+
+def plan(tickets, seconds_left=3.0):
+    shifts = plan_shifts(
+        tickets,
+        seconds_left=seconds_left,
+        decode_tokens_per_s=50.0,
+        export_tokens_per_s=1000.0,
+        margin_s=1.0,
+    )
+    return {shift.ticket: shift for shift in shifts}, shifts
+
+
+def test_dearest_streams_are_exported_first_and_the_rest_resume():
+    """A server is reclaimed in 3 s, and 2 s of exports move 2,000 tokens. What doesn't
+    fit is computed again, so that must be the cheapest."""
+    cheap = stream(0, prompt_tokens=300)
+    dear = stream(1, prompt_tokens=1500)
+    middle = stream(2, prompt_tokens=400)
+    planned, shifts = plan([cheap, dear, middle])
+    assert [shift.ticket for shift in shifts] == [dear, middle, cheap]
+    assert planned[dear].starts_at_s == 0
+    assert planned[middle].starts_at_s > 1
+    assert planned[cheap].method is ShiftMethod.RESUME
+
+
+def test_stream_that_ends_in_time_is_left_alone():
+    planned, _ = plan([ending := stream(0, prompt_tokens=900, left=50)])
+    assert planned[ending].method is ShiftMethod.FINISH
+
+
+def test_non_idempotent_stream_is_never_computed_again():
+    """A priced quote doesn't fit into the exports. Resumed elsewhere it might run
+    twice."""
+    quote = stream(0, prompt_tokens=9000, non_idempotent=True)
+    planned, _ = plan([quote])
+    assert planned[quote].method is ShiftMethod.FINISH
