--- a/packages/endive_core/src/endive_core/servers.py
+++ b/packages/endive_core/src/endive_core/servers.py
@@ -128,13 +128,11 @@
         *,
         reserved_share: float,
         divided_share: float,
-        engine_queue_share: float = 0.0,
         giving_way: float = 1.0,
     ) -> None:
         self.random = random
         self.reserved_share = reserved_share
         self.divided_share = divided_share
-        self.engine_queue_share = engine_queue_share
         self.giving_way = giving_way
         self.servers: dict[str, ServerLoad] = {}
         self.open = {tier: MemberList() for tier in Tier}
@@ -164,8 +162,7 @@
         reserved = round(slots * self.reserved_share)
         if self.reserved_share and slots > 1:
             reserved = max(1, reserved)
-        waiting = round(slots * self.engine_queue_share)
-        server.reserved = (-waiting, 2 * reserved // 3, reserved)
+        server.reserved = (0, 2 * reserved // 3, reserved)
         server.divided = max(1, round(slots * self.divided_share))
         self._grant(server)
 
@@ -259,11 +256,11 @@
         """Return the slots of `server` that other nodes presumably took by now.
 
         The others see the same load, so they are taken to have grown as this node
-        has, where slots were free. This stops a burst that reaches all nodes at once
-        before all of them have filled the same slots.
+        has, this request included, where slots were free. This stops a burst that
+        reaches all nodes at once before all of them have filled the same slots.
         """
         free = max(1, self.slots_total - self.reported_total)
-        growth = max(0, self.change_total) * (1 / self.share - 1)
+        growth = (max(0, self.change_total) + 1) * (1 / self.share - 1)
         return growth * max(0, server.free) / free
 
     def pause(self, server: ServerLoad) -> bool:
