See a server that is still closing its sockets as crashed

Cause: test_request_that_crashed_servers_elsewhere_is_refused lost a third server once, on a machine at load 37. Whether a server crashed was asked once, and a dying process closes its sockets one after the other: a kept connection was reset while the port was not refused yet, and the server passed for alive. Ruled out: the heartbeats being late, for the third crash came under the first node. Change: a reset is asked again, five times 50 ms apart; a whole answer or a time-out ends the asking, now after 1 s and not 10. Measured: test_server_that_is_still_closing_its_sockets_is_seen_as_crashed failed before and passes now; tests of membership and poison pass. Conclusion: the race in seeing a crash is closed; a process that takes longer than a quarter of a second to close its port would still be missed.

--- a/packages/endive_node/src/endive_node/backends.py
+++ b/packages/endive_node/src/endive_node/backends.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
+import gevent
 import msgspec
 import urllib3
 from endive_core.exceptions import RetryReason
@@ -19,6 +20,11 @@
 ORDER_TIMEOUT_S = 1.0
 """Time-out of an order about one stream: a notice lasts about three seconds."""
 
+LISTEN_CHECKS = 5
+LISTEN_CHECK_PAUSE_S = 0.05
+"""A quarter of a second in all: a process that is gone has closed its port by then,
+and a request whose stream broke can wait that long for its next attempt."""
+
 
 class Delta(msgspec.Struct):
     """The new text of a chat event."""
@@ -111,19 +117,40 @@
             ) from None
 
     def is_listening(self, address: str) -> bool:
-        """Return whether a process listens at `address`."""
-        try:
-            self.fetch_json(address, "/load")
-        except CONNECT_ERRORS:
-            return False
-        except (urllib3.exceptions.HTTPError, msgspec.DecodeError):
-            return True
+        """Return whether a process listens at `address`; asked after a stream broke.
+
+        A dying process closes its sockets one after the other, so that a kept
+        connection may be reset while the port still takes new ones. Asked only once,
+        such a server looks alive, its crash is not counted against the request, and
+        the request takes down one more. Whole answers and time-outs end the asking.
+        """
+        for _ in range(LISTEN_CHECKS):
+            try:
+                self.fetch_json(address, "/load", timeout=ORDER_TIMEOUT_S)
+            except CONNECT_ERRORS:
+                return False
+            except urllib3.exceptions.TimeoutError:
+                return True
+            except (urllib3.exceptions.HTTPError, OSError):
+                gevent.sleep(LISTEN_CHECK_PAUSE_S)
+            except msgspec.DecodeError:
+                return True
+            else:
+                return True
         return True
 
-    def fetch_json(self, address: str, path: str) -> dict:
-        """Return the JSON at `path` of the server at `address`."""
+    def fetch_json(
+        self, address: str, path: str, *, timeout: float | None = None
+    ) -> dict:
+        """Return the JSON at `path` of the server at `address`.
+
+        Parameters
+        ----------
+        timeout : float, optional
+            Seconds; without it the time-outs of an attempt.
+        """
         response = self.pool.request(
-            "GET", f"http://{address}{path}", timeout=self.timeout()
+            "GET", f"http://{address}{path}", timeout=timeout or self.timeout()
         )
         return msgspec.json.decode(response.data)
 
