--- a/packages/endive_node/src/endive_node/configuration.py
+++ b/packages/endive_node/src/endive_node/configuration.py
@@ -268,7 +268,10 @@
                     if not uncertain:
                         raise _not_settled(False) from None
                     gevent.sleep(RETRY_S)
-            self.changed.wait(timeout=RETRY_S)
+            # The loop that follows the log may have folded it before the append was
+            # answered: its wake-up is then over, and waiting would add RETRY_S.
+            if change.change_id not in self.fold.outcomes:
+                self.changed.wait(timeout=RETRY_S)
         self._check_verdict(change, outcome.verdict, outcome.version)
         return outcome
 
