--- a/packages/endive_core/src/endive_core/handover.py
+++ b/packages/endive_core/src/endive_core/handover.py
@@ -82,6 +82,8 @@
     ----------
     finish_reason, error : str
         Set if the answer ended at the sender after all; ``error`` is an error kind.
+    status : int
+        Set with ``content_type`` and ``data`` for a plain service's whole answer.
     """
 
     request_id: str
@@ -92,6 +94,9 @@
     finish_reason: str = ""
     error: str = ""
     message: str = ""
+    status: int = 0
+    content_type: str = ""
+    data: bytes = b""
 
 
 def route_of(organisation: str, key: str, unique: str) -> str:
--- a/packages/endive_node/src/endive_node/handover.py
+++ b/packages/endive_node/src/endive_node/handover.py
@@ -18,6 +18,7 @@
 )
 from endive_core.messages import Endpoint
 
+from endive_node.backends import PlainAnswer
 from endive_node.interfaces import Members
 from endive_node.ledger import RequestRecord
 from endive_node.locating import page_of
@@ -187,6 +188,10 @@
         record.tokens[:] = transfer.tokens
         record.attempt = transfer.attempt
         run.sent_before = run.sent_before or transfer.dispatched
+        if transfer.status:
+            record.plain_answer = PlainAnswer(
+                transfer.status, transfer.content_type, transfer.data
+            )
         if transfer.finish_reason:
             run.end_whole(transfer.finish_reason)
         elif transfer.error:
@@ -400,7 +405,7 @@
 def answer_of(run: Run) -> AnswerTransfer:
     """Return a stopped run's answer so far."""
     record = run.record
-    error = record.error
+    error, plain = record.error, record.plain_answer
     return AnswerTransfer(
         request_id=record.request.request_id,
         tokens=record.tokens,
@@ -409,4 +414,7 @@
         finish_reason=record.finish_reason,
         error=str(error.kind) if error else "",
         message=error.message if error else "",
+        status=plain.status if plain else 0,
+        content_type=plain.content_type if plain else "",
+        data=plain.body if plain else b"",
     )
--- a/packages/endive_node/src/endive_node/serving.py
+++ b/packages/endive_node/src/endive_node/serving.py
@@ -442,7 +442,8 @@
         if not self.life.allows(Event.CLAIM):
             return
         self.life.fire(Event.CLAIM)
-        continues = self.record.attempt if self.life.flags.sent_before else 0
+        sent = self.record.attempt + 1
+        continues = sent if self.life.flags.sent_before else 0
         try:
             self.claim = self.serving.claims.win(self.record.request, continues)
         except Paused:
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -7,6 +7,7 @@
 
 import builders
 import pytest
+import urllib3
 from reclaims import (
     assert_all_whole,
     in_zone,
@@ -147,3 +148,65 @@
             server.stats()["executions"].get(request_id, 0) for server in servers
         )
         assert runs == 2  # once before the handover, once after it
+
+
+@pytest.mark.processes
+def test_non_idempotent_requests_change_nodes_and_run_once(tmp_path):
+    """A node is reclaimed with court confirmations queued, claimed and running.
+
+    One that two nodes sent would book a court twice. Each runs at most once, and a
+    caller who is told that its request was not run can trust that.
+    """
+    with started(tmp_path) as (cluster, _):
+        first, *others = cluster.nodes
+        plain = cluster.plain("court-1", service_s=0.5)
+        builders.wait_until(plain.is_ready, plain.name)
+        cluster.apply(builders.service("courts", [plain], "plain", max_concurrent=8))
+        outcomes = {}
+
+        def confirm(number):
+            headers = {"Idempotency_Key": f"c-{number}"}
+            headers["Endive_Non_Idempotent"] = "true"
+            for turn in range(12):
+                node = others[turn % 2] if turn else first
+                try:
+                    answer = node.post(
+                        "/services/courts/book", {"n": number}, **headers
+                    )
+                except urllib3.exceptions.HTTPError:
+                    continue
+                code = 200 if answer.status == 200 else answer.json()["error"]["code"]
+                outcomes.setdefault(number, []).append(code)
+                if code in (200, "outcome_unknown"):
+                    return
+                time.sleep(0.5)
+
+        builders.wait_until(
+            lambda: first.post("/services/courts/warm", {}).status == 200, "courts"
+        )
+        callers = [threading.Thread(target=confirm, args=(n,)) for n in range(24)]
+        for caller in callers:
+            caller.start()
+        time.sleep(0.8)
+        reclaim(cluster, instance=first.node_id, seconds=2.0)
+        time.sleep(2.0)
+        first.kill()
+        for caller in callers:
+            caller.join()
+        again = [
+            others[0].post(
+                "/services/courts/book",
+                {"n": number},
+                Idempotency_Key=f"c-{number}",
+                Endive_Non_Idempotent="true",
+            )
+            for number in range(24)
+        ]
+        assert {answer.status for answer in again} <= {200, 409}
+        runs = plain.stats()["executions"]
+        assert max(runs.values()) == 1, runs
+        ended = [codes[-1] for codes in outcomes.values()]
+        assert ended.count(200) + ended.count("outcome_unknown") == 24, outcomes
+        booked = sum(runs.values()) - 1  # the call that warmed up
+        assert ended.count(200) <= booked <= 24
+        assert ended.count(200) >= 20, outcomes
