--- a/packages/endive_node/src/endive_node/locating.py
+++ b/packages/endive_node/src/endive_node/locating.py
@@ -89,7 +89,9 @@
             without=own,
         )
         origin = origin_in(lookup.request_id)
-        first = [m for m in live if m.id == origin and m.id != self.node_id]
+        # Also one that is leaving: it goes on answering, or knows who does.
+        known = None if origin == self.node_id else self.members.get(origin)
+        first = [] if known is None else [known]
         addresses = [member.peer_address for member in first + order]
         return list(dict.fromkeys(addresses))
 
--- /dev/null
+++ b/tests/reclaims.py
@@ -0,0 +1,133 @@
+"""Installations in three zones, callers and reclaims, for tests and benchmarks."""
+
+import contextlib
+import json
+import subprocess
+import sys
+from pathlib import Path
+
+import builders
+
+FLEET = Path(__file__).with_name("fleet.py")
+
+
+@contextlib.contextmanager
+def started(
+    folder,
+    nodes=3,
+    engines=2,
+    informed=None,
+    list_lag_s=None,
+    max_concurrent=None,
+    **engine,
+):
+    """Run a cloud, engines and nodes in three zones, with one deployment.
+
+    Of the nodes, only the first `informed` ones know where the cloud is.
+    """
+    cluster = builders.Cluster(folder)
+    slots = {} if max_concurrent is None else {"max_concurrent": max_concurrent}
+    try:
+        cluster.with_log()
+        cluster.with_cloud()
+        options = {"decode_tokens_per_s": 40, "max_batch": 32} | engine
+        servers = [cluster.engine(f"engine-{i}", **options) for i in range(engines)]
+        sections = {"node": {"drain_settle_s": 0.5}}
+        if list_lag_s is not None:
+            cluster.list = cluster.standin("instances", "list", lag_s=list_lag_s)
+            sections["platform"] = {"instances": cluster.list.url}
+        for server in [cluster.cloud, *servers]:
+            builders.wait_until(server.is_ready, server.name)
+        add_nodes(cluster, nodes, nodes if informed is None else informed, sections)
+        cluster.apply(
+            builders.organisation(),
+            builders.service("engines", servers, **slots),
+            builders.resource("model-version", "chat-1", model="chat", weights="w"),
+            # Admission must not refuse the burst that these tests reclaim under.
+            builders.deployment(version="chat-1", latency={"first_token_s": 600}),
+        )
+        for node in cluster.nodes:
+            cluster.wait_in_force(node)
+        yield cluster, servers
+    finally:
+        cluster.stop()
+
+
+def add_nodes(cluster, nodes, informed, sections):
+    """Start nodes, the first `informed` of which know the cloud."""
+    cluster.add_nodes(informed, **sections)
+    if nodes > informed:
+        cloud, cluster.cloud = cluster.cloud, None
+        cluster.add_nodes(nodes - informed, **sections)
+        cluster.cloud = cloud
+
+
+def start_fleet(cluster, requests, max_tokens, **options):
+    """Start callers in a process of their own."""
+    urls = ",".join(node.url for node in cluster.nodes)
+    flags = [f"--{key}={value}" for key, value in options.items()]
+    return subprocess.Popen(
+        [
+            sys.executable,
+            str(FLEET),
+            f"--nodes={urls}",
+            f"--requests={requests}",
+            f"--max_tokens={max_tokens}",
+            *flags,
+        ],
+        stdout=subprocess.PIPE,
+        text=True,
+    )
+
+
+def result_of(fleet):
+    output, _ = fleet.communicate(timeout=60)
+    return json.loads(output.splitlines()[-1])
+
+
+def metric(node, name):
+    """Return a counter of `node`."""
+    page = node.operate("GET", "/metrics").data.decode()
+    values = [line.split()[-1] for line in page.splitlines() if line.startswith(name)]
+    return sum(float(value) for value in values)
+
+
+def wait_accepted(nodes, count, timeout_s=builders.START_TIMEOUT_S):
+    """Wait until `nodes` have accepted `count` requests of the fleet."""
+    before = len(nodes)
+    builders.wait_until(
+        lambda: (
+            sum(metric(n, "endive_requests_accepted") for n in nodes) >= count + before
+        ),
+        "all requests accepted",
+        timeout_s,
+    )
+
+
+def reclaim(cluster, zone=None, seconds=3.0, instance=None):
+    """Announce the reclaim of a zone, or of one instance."""
+    order = {"zone": zone, "instance": instance, "seconds": seconds}
+    given = {key: value for key, value in order.items() if value is not None}
+    answer = builders.call("POST", f"{cluster.cloud.url}/notices", given)
+    assert answer.status == 200, answer.data
+
+
+def assert_all_whole(result, requests):
+    """Check that each caller got the one right answer, whole and once."""
+    counts = result["counts"]
+    assert counts.get("whole") == requests, result
+    assert "changed" not in counts
+    assert "foreign" not in counts
+
+
+def text_of(answer):
+    """Return the text of an answer, streamed or whole."""
+    if not answer.headers["Content-Type"].startswith("text/event-stream"):
+        return answer.json()["choices"][0]["text"]
+    lines = [line for line in answer.data.split(b"\n") if line.startswith(b"data: {")]
+    events = [json.loads(line.removeprefix(b"data: ")) for line in lines]
+    return "".join(event["choices"][0]["text"] for event in events)
+
+
+def in_zone(cluster, zone):
+    return [node for node in cluster.nodes if node.zone == zone]
