--- a/benchmarks/bench_decisions.py
+++ b/benchmarks/bench_decisions.py
@@ -140,7 +140,8 @@
         c = decision_cost.cost(servers, queued)
         rows.append(
             f"| {servers:,} | {queued:,} | {c.offer_us:.0f} | {c.dispatch_us:.0f} | "
-            f"{c.finish_us:.0f} | {c.report_us:.0f} | {c.kilobytes:,.0f} |"
+            f"{c.finish_us:.0f} | {c.report_us:.0f} | "
+            f"{f'{c.kilobytes:,.0f}' if c.kilobytes else '-'} |"
         )
     rows += [
         "",
