Split the longest modules by what they hold

Cause: read as a newcomer: serving.py held 603 lines and two matters, claiming.py two more; reading an answer stood twice, for runs here and elsewhere; so did checking a header of seconds; tests/fleets.py and tests/fleet.py were different things. Change: runs.py (one request) beside serving.py (all of a node's); shards.py (writing a shard) beside claiming.py; ledger.read_tokens and callers.seconds_header serve both places; fleets.py is made_network.py. Ruled out: splitting membership.py too, whose parts share one state.

--- a/benchmarks/bench_capacity.py
+++ b/benchmarks/bench_capacity.py
@@ -38,7 +38,7 @@
 from endive_node.platform import HttpLog  # noqa: E402
 from endive_node.settings import ClaimsSection  # noqa: E402
 from endive_node.telemetry import Metrics, MonotonicClock  # noqa: E402
-from fleets import Fleet, member  # noqa: E402
+from made_network import Fleet, member  # noqa: E402
 
 TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 STREAM_COUNTS = (50, 100, 200)
--- a/benchmarks/bench_membership.py
+++ b/benchmarks/bench_membership.py
@@ -26,7 +26,7 @@
     listen_udp,
 )
 from endive_node.telemetry import MonotonicClock  # noqa: E402
-from fleets import Fleet, member  # noqa: E402
+from made_network import Fleet, member  # noqa: E402
 
 SIZES = (8, 32, 64)
 FULL_SIZE = 370
--- a/packages/endive_core/tests/test_membership.py
+++ b/packages/endive_core/tests/test_membership.py
@@ -1,7 +1,7 @@
 from dataclasses import replace
 
 from endive_core.membership import Digest, MemberState, Timings
-from fleets import Fleet, member
+from made_network import Fleet, member
 
 
 def joined(count, **options):
--- a/packages/endive_node/src/endive_node/callers.py
+++ b/packages/endive_node/src/endive_node/callers.py
@@ -12,7 +12,8 @@
 from endive_core.messages import Endpoint, Request
 
 from endive_node.ledger import RequestRecord
-from endive_node.serving import Run, Serving
+from endive_node.runs import Run
+from endive_node.serving import Serving
 from endive_node.telemetry import log_event
 
 BEARER = "Bearer "
@@ -174,40 +175,16 @@
             "priority": priority,
             "deadline": self._deadline(),
             "key": headers.get("Idempotency-Key", ""),
-            "key_time": self._key_time(),
+            "key_time": seconds_header(
+                "Endive-Key-Time", "seconds since 1970, when the key was first sent"
+            ),
             "non_idempotent": headers.get("Endive-Non-Idempotent", "").lower()
             == "true",
         }
 
-    def _key_time(self) -> float | None:
-        text = bottle.request.get_header("Endive-Key-Time")
-        if text is None:
-            return None
-        try:
-            seconds = float(text)
-        except ValueError:
-            seconds = math.nan
-        if not 0 < seconds < math.inf:
-            raise EndiveError(
-                ErrorKind.INVALID_FIELD,
-                "Endive-Key-Time must be seconds since 1970, when the key was first "
-                "sent",
-            )
-        return seconds
-
     def _deadline(self) -> float | None:
-        text = bottle.request.get_header("Endive-Deadline-S")
-        if text is None:
-            return None
-        try:
-            seconds = float(text)
-        except ValueError:
-            seconds = math.nan
-        if not 0 < seconds < math.inf:
-            raise EndiveError(
-                ErrorKind.INVALID_FIELD, "Endive-Deadline-S must be seconds over 0"
-            )
-        return self.serving.clock.now() + seconds
+        seconds = seconds_header("Endive-Deadline-S", "seconds over 0")
+        return None if seconds is None else self.serving.clock.now() + seconds
 
     def _start_index(self) -> int:
         text = bottle.request.get_header("Last-Event-ID") or bottle.request.query.get(
@@ -245,6 +222,26 @@
     return "" if run is None else run.record.request.request_id
 
 
+def seconds_header(name: str, meaning: str) -> float | None:
+    """Return the seconds in a call's header, or ``None`` if it has no such header.
+
+    Raises
+    ------
+    EndiveError
+        ``invalid_field`` unless they are a finite number over 0.
+    """
+    text = bottle.request.get_header(name)
+    if text is None:
+        return None
+    try:
+        seconds = float(text)
+    except ValueError:
+        seconds = math.nan
+    if not 0 < seconds < math.inf:
+        raise EndiveError(ErrorKind.INVALID_FIELD, f"{name} must be {meaning}")
+    return seconds
+
+
 def error_response(error: EndiveError, request_id: str = "") -> bytes:
     """Set status and headers for `error`; return its body."""
     bottle.response.status = error.status
--- a/packages/endive_node/src/endive_node/claiming.py
+++ b/packages/endive_node/src/endive_node/claiming.py
@@ -7,44 +7,33 @@
 """
 
 import contextlib
-import random
 import time
 import uuid
 
 import gevent
 from endive_core.claims import (
-    SHARDS,
     Claimant,
     ClaimOutcome,
     ClaimState,
-    ClaimTable,
     ClaimVerdict,
     claim_shard,
 )
-from endive_core.exceptions import EndiveError, ErrorKind, RecordError
+from endive_core.exceptions import EndiveError, ErrorKind
 from endive_core.hashing import rendezvous_order
 from endive_core.membership import Member
 from endive_core.messages import Request
-from endive_core.records import Claim, Release, claim_stream, decode, encode
-from gevent.event import AsyncResult, Event
+from endive_core.records import Claim, Release, decode, encode
 
 from endive_node.interfaces import (
     Clock,
-    LogForgottenError,
     LogService,
-    LogThrottledError,
-    LogUnavailableError,
-    LogUncertainError,
     Members,
 )
 from endive_node.peers import IDL, PeerConnection, PeerUnavailableError
 from endive_node.settings import ClaimsSection
+from endive_node.shards import ShardWriter, log_unavailable
 from endive_node.telemetry import Metrics, log_event
 
-MAX_BATCH = 500
-"""Records of one append: about 120 kB, a few milliseconds at the log."""
-
-RETRY_S = 0.2
 AVOID_S = 2.0
 """How long a writer that did not answer is passed over, so that a paused node costs
 one claim a time-out and not each."""
@@ -58,160 +47,6 @@
 """Allowance for callers' clocks in the time at which a key was first sent."""
 
 
-class ShardWriter:
-    """Appends and reads back one shard's claims, many in one append.
-
-    An idle writer appends at once; a busy one waits until its share of the fleet's
-    append budget allows the next append, and takes all that came meanwhile.
-
-    Attributes
-    ----------
-    pending : dict
-        Encoded records still to be appended, by id. Appending one twice is harmless.
-    waiting : dict
-        Who waits for a claim's decision, by claim id.
-    """
-
-    def __init__(
-        self,
-        shard: int,
-        log: LogService,
-        clock: Clock,
-        settings: ClaimsSection,
-        metrics: Metrics,
-    ) -> None:
-        self.stream = claim_stream(shard)
-        self.log = log
-        self.clock = clock
-        self.gap_s = SHARDS / settings.appends_per_s
-        self.table = ClaimTable(settings.window_s)
-        self.pending: dict[str, str] = {}
-        self.waiting: dict[str, list[AsyncResult]] = {}
-        self.wake = Event()
-        self.last_append = -self.gap_s
-        self.appends = metrics.counter("endive_claim_appends")
-        self.appended = metrics.counter("endive_claim_records_appended")
-        self.greenlet: gevent.Greenlet | None = None
-
-    def decide(self, claim: Claim, timeout_s: float) -> ClaimOutcome:
-        """Append `claim` and return how the log decided it.
-
-        Raises
-        ------
-        EndiveError
-            ``log_unavailable`` if that can't be found out in time; the record may be
-            there all the same, or still arrive.
-        """
-        result = AsyncResult()
-        self.waiting.setdefault(claim.claim_id, []).append(result)
-        self._put(claim.claim_id, encode(claim))
-        try:
-            return result.get(timeout=timeout_s)
-        except gevent.Timeout:
-            raise log_unavailable("the log did not decide the claim in time") from None
-        finally:
-            self._stop_waiting(claim.claim_id, result)
-
-    def _stop_waiting(self, claim_id: str, result: AsyncResult) -> None:
-        left = [r for r in self.waiting.get(claim_id, ()) if r is not result]
-        if left:
-            self.waiting[claim_id] = left
-            return
-        self.waiting.pop(claim_id, None)
-        self.pending.pop(claim_id, None)
-
-    def release(self, release: Release) -> None:
-        """Append `release` as soon as the log takes it."""
-        self._put(f"release {release.claim_id}", encode(release))
-
-    def _put(self, name: str, text: str) -> None:
-        self.pending[name] = text
-        self.wake.set()
-        if not self.greenlet:
-            self.greenlet = gevent.spawn(self._run)
-
-    def _run(self) -> None:
-        while True:
-            self.wake.wait()
-            self.wake.clear()
-            while self.pending:
-                gevent.sleep(self.last_append + self.gap_s - self.clock.now())
-                self._append_and_read()
-
-    def _append_and_read(self) -> None:
-        batch = dict(list(self.pending.items())[:MAX_BATCH])
-        if not batch:
-            return
-        self.last_append = self.clock.now()
-        try:
-            end = self.log.append(self.stream, list(batch.values())) + len(batch)
-        except LogThrottledError:
-            return
-        except LogUnavailableError as error:
-            self._refuse(batch, str(error))
-            gevent.sleep(RETRY_S)
-            return
-        except LogUncertainError as error:
-            # The records may be there, may still come, or never. What the read below
-            # does not find is appended again: the first copy decides.
-            log_event("claim_append_uncertain", stream=self.stream, error=error)
-            self._read_to(0)
-            self._settle()
-            return
-        self.appends.add(1)
-        self.appended.add(len(batch))
-        for name in batch:
-            self.pending.pop(name, None)
-        self._read_to(end)
-        self._settle()
-
-    def _refuse(self, batch: dict[str, str], reason: str) -> None:
-        """Tell those who wait that the log took nothing; releases are kept."""
-        for name in batch.keys() & self.waiting.keys():
-            for result in self.waiting[name]:
-                result.set_exception(
-                    log_unavailable(f"the log takes no claims: {reason}")
-                )
-            self.pending.pop(name, None)
-
-    def _read_to(self, end: int) -> None:
-        """Fold records up to offset `end`, or to the last one there is."""
-        while self.waiting or end == 0:
-            try:
-                page = self.log.read(self.stream, self.table.offset + 1)
-            except LogForgottenError as error:
-                self.table.offset = error.first - 1
-                continue
-            except LogUnavailableError as error:
-                log_event("claim_read_failed", stream=self.stream, error=error)
-                if end == 0:
-                    return
-                gevent.sleep(RETRY_S)
-                continue
-            for entry in page.entries:
-                self._fold(entry)
-            if self.table.offset + 1 >= max(end, page.next):
-                return
-
-    def _fold(self, entry) -> None:
-        try:
-            record = decode(entry.body)
-        except RecordError as error:
-            log_event("record_not_understood", offset=entry.offset, error=error)
-            return
-        if isinstance(record, Claim | Release):
-            self.table.apply(entry.offset, entry.time, record)
-        self.table.offset = entry.offset
-
-    def _settle(self) -> None:
-        for claim_id, results in list(self.waiting.items()):
-            outcome = self.table.outcome(claim_id)
-            if outcome is not None:
-                self.pending.pop(claim_id, None)
-                for result in results:
-                    result.set(outcome)
-
-
 class LogClaims:
     """Claims as :class:`endive_node.interfaces.Claims`, decided by the log.
 
@@ -456,13 +291,6 @@
     return f"{key}#{continues}" if continues else key
 
 
-def log_unavailable(message: str) -> EndiveError:
-    """Return the refusal of a request whose claim the log could not decide."""
-    return EndiveError(
-        ErrorKind.LOG_UNAVAILABLE, message, retry_after_s=random.uniform(1.0, 5.0)
-    )
-
-
 def lost_error(request: Request, holder: Claim | None) -> EndiveError:
     """Return the answer to a request whose key another one holds."""
     if holder is not None and holder.fingerprint != request.fingerprint:
--- a/packages/endive_node/src/endive_node/handover.py
+++ b/packages/endive_node/src/endive_node/handover.py
@@ -29,7 +29,8 @@
     PeerUnavailableError,
     PeerUnreachableError,
 )
-from endive_node.serving import Run, Serving
+from endive_node.runs import Run
+from endive_node.serving import Serving
 from endive_node.settings import NodeSection
 from endive_node.telemetry import log_event
 
--- a/packages/endive_node/src/endive_node/ledger.py
+++ b/packages/endive_node/src/endive_node/ledger.py
@@ -1,5 +1,6 @@
 """The requests a node has accepted, and their answers so far."""
 
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
 from endive_core.exceptions import EndiveError
@@ -147,3 +148,32 @@
     def unfinished(self) -> list:
         """Return the runs that have not ended."""
         return [run for run in self.runs.values() if not run.record.ended]
+
+
+def read_tokens(
+    record: RequestRecord, start: int, progress: Callable[[], None]
+) -> Iterator[list[str]]:
+    """Yield a record's tokens from index `start`, as they come.
+
+    Parameters
+    ----------
+    progress : callable
+        Brings the record forward, or waits until somebody else has.
+
+    Raises
+    ------
+    EndiveError
+        Where the answer ends in an error.
+    """
+    position = start
+    while True:
+        if position < len(record.tokens):
+            fresh = record.tokens[position:]
+            position += len(fresh)
+            yield fresh
+        elif record.ended:
+            break
+        else:
+            progress()
+    if record.error is not None:
+        raise record.error
--- a/packages/endive_node/src/endive_node/locating.py
+++ b/packages/endive_node/src/endive_node/locating.py
@@ -16,7 +16,7 @@
 
 from endive_node.backends import PlainAnswer
 from endive_node.interfaces import Clock, Members
-from endive_node.ledger import RequestRecord
+from endive_node.ledger import RequestRecord, read_tokens
 from endive_node.notices import NoticeBoard
 from endive_node.peers import IDL, PeerClient, PeerConnection, PeerUnavailableError
 
@@ -149,6 +149,7 @@
         self.locator = locator
         self.lookup = lookup
         self.address = address
+        self.connection: PeerConnection | None = None
         head = msgspec.msgpack.decode(page.head, type=RequestHead)
         lookup.request_id = head.request_id
         lookup.route = route_in(head.request_id)
@@ -169,38 +170,29 @@
         EndiveError
             Where the answer ends in an error, or no node holds it any more.
         """
-        position = start
-        connection = None
         try:
-            while True:
-                if position < len(self.record.tokens):
-                    fresh = self.record.tokens[position:]
-                    position += len(fresh)
-                    yield fresh
-                elif self.record.ended:
-                    break
-                else:
-                    connection = self._read_on(connection)
-            if self.record.error is not None:
-                raise self.record.error
+            yield from read_tokens(self.record, start, self._read_on)
         finally:
-            if connection is not None:
-                connection.close()
+            self._hang_up()
 
-    def _read_on(self, connection):
+    def _read_on(self) -> None:
+        """Take the next page from the holder, or look for a new holder."""
         arguments = self.lookup.arguments(len(self.record.tokens), PAGE_WAIT_S)
         try:
-            connection = connection or PeerConnection(self.address)
-            page = connection.call("read_answer", *arguments)
+            self.connection = self.connection or PeerConnection(self.address)
+            page = self.connection.call("read_answer", *arguments)
         except (PeerUnavailableError, IDL.PeerError):
             page = None
         if page is not None and page.known and not page.moved_to:
             self._take(page)
-            return connection
-        if connection is not None:
-            connection.close()
+            return
+        self._hang_up()
         self._find_again()
-        return None
+
+    def _hang_up(self) -> None:
+        if self.connection is not None:
+            self.connection.close()
+            self.connection = None
 
     def _find_again(self) -> None:
         """Look for the holder anew: it was reclaimed in its turn, or has died."""
--- /dev/null
+++ b/packages/endive_node/src/endive_node/runs.py
@@ -0,0 +1,479 @@
+"""One request on its way: attempts at servers, moves, handovers and its end."""
+
+from collections.abc import Iterator
+from typing import TYPE_CHECKING
+
+import gevent
+from endive_core.calls import Ticket
+from endive_core.claims import Claimant, ClaimState
+from endive_core.exceptions import EndiveError, ErrorKind, Executed, RetryReason
+from endive_core.handover import RequestHead, head_of
+from endive_core.lifecycle import UNSENT, Event, Lifecycle, State
+from endive_core.messages import Endpoint, Piece, ServerView
+
+from endive_node.backends import EngineServer
+from endive_node.explaining import ending
+from endive_node.interfaces import BackendError
+from endive_node.ledger import REORDERED, RequestRecord, read_tokens
+from endive_node.moves import Move
+from endive_node.telemetry import log_event
+
+if TYPE_CHECKING:
+    from endive_node.serving import Serving
+
+CANCELLED = "cancelled"
+"""The reason with which an engine ends a sequence that it was told to stop."""
+
+
+class Paused(BaseException):
+    """Thrown into the greenlet that drives a request which must stop here.
+
+    Like gevent's own time-outs it is no ``Exception``, so that code on the way which
+    handles failures doesn't take it for one.
+    """
+
+
+class Run:
+    """One request on its way; whoever reads the answer drives it.
+
+    The reader's own greenlet reads from the backend server, so that a token costs one
+    read and one write and no switch between greenlets. Other readers of the same
+    answer wait for the driver; when the driver leaves, the next one takes over.
+    """
+
+    def __init__(
+        self, serving: "Serving", record: RequestRecord, ticket: Ticket | None
+    ) -> None:
+        self.serving = serving
+        self.record = record
+        self.ticket = ticket
+        self.life = Lifecycle(record.request.non_idempotent)
+        self.trail = serving.trails.begin(record.request)
+        self.trail.note(f"accepted by {serving.node_id}")
+        self.claim: Claimant | None = None
+        self.backend: EngineServer | None = None
+        self.server: ServerView | None = None
+        self.driver: gevent.Greenlet | None = None
+        self.driving = False
+        self.held = False
+        self.sent_before = False
+        self.continues = 0
+        self.moved = False
+        self.move: Move | None = None
+        self.blob: dict | None = None
+        self.readers = 0
+        self._steps = self._drive()
+
+    def read(self, start: int = 0) -> Iterator[list[str]]:
+        """Yield the answer's tokens from index `start`, as they come.
+
+        Raises
+        ------
+        EndiveError
+            Where the answer ends in an error.
+        """
+        self.readers += 1
+        try:
+            yield from read_tokens(self.record, start, self._progress)
+        finally:
+            self.readers -= 1
+            self._reader_left()
+
+    def _progress(self) -> None:
+        if self.driving or self.held:
+            self.record.progressed.wait()
+        else:
+            self.advance()
+
+    def advance(self) -> None:
+        """Drive the request up to its next pieces, or its end."""
+        self.driving = True
+        self.driver = gevent.getcurrent()
+        try:
+            next(self._steps, None)
+        except Paused:
+            pass
+        except EndiveError as error:
+            self._fail(error)
+        except Exception as error:
+            log_event(
+                "request_crashed",
+                request_id=self.record.request.request_id,
+                error=repr(error),
+            )
+            self._fail(EndiveError(ErrorKind.INTERNAL, "an internal error"))
+            raise
+        finally:
+            self.driving = False
+            self.record.wake()
+
+    @property
+    def not_run(self) -> bool:
+        """Whether the request ended and no server ran anything of it."""
+        return self.life.ended and self.life.executed is Executed.NO
+
+    @property
+    def dispatched(self) -> bool:
+        """Whether a server may have run anything of it, here or before."""
+        return self.sent_before or self.life.state not in UNSENT
+
+    @property
+    def claim_continues(self) -> int:
+        """One more than the last attempt under a used claim; 0 if none was used.
+
+        Only a used claim is held for ever. Were a request to go on under a key of its
+        own after its claim was released, the caller's key could be won by another.
+        """
+        if self.claim is not None and self.claim.state is ClaimState.USED:
+            return self.record.attempt + 1
+        return self.continues
+
+    def offer(self) -> None:
+        """Note that another node is sent a record of the request and may run it."""
+        if self.life.allows(Event.OFFER):
+            self.life.fire(Event.OFFER)
+
+    def finish_in_background(self) -> None:
+        """Drive to the end without a reader."""
+        while not self.record.ended:
+            self._progress()
+
+    def pause(self) -> None:
+        """Stop driving; readers wait until the request goes on here or has moved.
+
+        The driver is thrown out of whatever it waits for: a server, a place in the
+        queue or the log. That happens in the hub, as for gevent's own time-outs, so
+        it is done once the caller of this method has yielded.
+        """
+        self.held = True
+        if self.driving:
+            gevent.get_hub().loop.run_callback(self._interrupt)
+
+    def _interrupt(self) -> None:
+        if self.driving and self.held:
+            self.driver.throw(Paused)
+
+    def wait_for_holder(self, *, sent_before: bool) -> None:
+        """Hold a request that another node has not stopped yet."""
+        self.held = True
+        self.sent_before = sent_before
+        self.life.state = State.JOINING
+
+    def hand_over(self) -> None:
+        """Give a paused request up: nothing of it is sent from here any more."""
+        if self.life.allows(Event.SERVER_LOST):
+            self.life.fire(Event.SERVER_LOST)
+        self.move = None
+        if self.life.allows(Event.HAND_OVER):
+            self.life.fire(Event.HAND_OVER)
+            self._give_up_claim()
+        self._give_up_ticket()
+
+    def _give_up_ticket(self) -> None:
+        if self.ticket is not None:
+            self.serving.dispatcher.end(self.ticket)
+            self.ticket = None
+
+    def take_back(self, *, uncertain: bool) -> None:
+        """Go on with a request that no other node took, or may have taken."""
+        if self.life.state is State.HANDING_OVER:
+            self.life.fire(Event.UNACKNOWLEDGED if uncertain else Event.DECLINED)
+        self.go_on()
+
+    def go_on(self, *, in_background: bool = False) -> None:
+        """Drive a request again that was paused or adopted."""
+        if not self.held or self.record.ended:
+            return
+        self.held = False
+        if self.life.state is State.JOINING:
+            self.life = Lifecycle(self.record.request.non_idempotent, self.sent_before)
+        self._steps = self._drive()
+        if in_background or not self.readers:
+            gevent.spawn(self.finish_in_background)
+        self.record.wake()
+
+    def end_moved(self) -> None:
+        """End the answer here, since another node goes on with it."""
+        self.moved = True
+        if self.record.ended:
+            return
+        self.life.fire(Event.ACKNOWLEDGED)
+        self._end_in(
+            EndiveError(
+                ErrorKind.MOVED,
+                "this node is being reclaimed; go on at any other node with "
+                "GET /v1/requests/ID and Last-Event-ID, or send the request again "
+                "with its key",
+            )
+        )
+
+    def end_whole(self, finish_reason: str) -> None:
+        """End an answer that its former holder had whole."""
+        self.life.fire(Event.COMPLETE)
+        self.record.finish_reason = finish_reason
+        self._ended(outcome="ok")
+        self.record.wake()
+
+    def end_failed(self, error: EndiveError) -> None:
+        """End an answer as its former holder did."""
+        self._fail(error)
+
+    def head(self) -> RequestHead:
+        """Return what another node needs to pass the answer on."""
+        return head_of(self.record.request)
+
+    def stop_at_server(self) -> bool:
+        """Make the server stop; return whether it confirmed that nothing runs on."""
+        if self.backend is None or self.record.request.endpoint is Endpoint.SERVICE:
+            return False
+        self.pause()
+        gevent.sleep(0)
+        tokens = self.backend.cancel(self.record.request.request_id)
+        if tokens is None:
+            self.end_unknown()
+            return False
+        self.life.fire(Event.SERVER_STOPPED)
+        self.record.extend(tokens)
+        return True
+
+    def end_unknown(self) -> None:
+        """End a request of which its former holder left the outcome open."""
+        self._fail(
+            EndiveError(
+                ErrorKind.OUTCOME_UNKNOWN,
+                "the node that held the request was reclaimed before it could tell "
+                "whether a server ran it",
+            )
+        )
+
+    def _reader_left(self) -> None:
+        """Go on without readers only where stopping would lose what was accepted.
+
+        A caller that hangs up on a request without a key cannot come back for it, so
+        its server is freed; with a key it may send the request again and join.
+        """
+        if self.readers or self.record.ended:
+            return
+        if self.record.request.key:
+            gevent.spawn(self.finish_in_background)
+        elif not self.driving:
+            self._steps.close()
+            self._fail(EndiveError(ErrorKind.CANCELLED, "the caller hung up"))
+
+    def _fail(self, error: EndiveError) -> None:
+        if self.record.ended:
+            return
+        error = self._true_error(error)
+        self.life.fire(Event.REFUSE if self.life.allows(Event.REFUSE) else Event.FAIL)
+        self._give_up_claim()
+        self._end_in(error)
+
+    def _end_in(self, error: EndiveError) -> None:
+        self.record.error = error
+        self.trail.note(ending(error))
+        self.serving.metrics.refused(error.kind)
+        self._ended(outcome=error.kind)
+        self.record.wake()
+
+    def _true_error(self, error: EndiveError) -> EndiveError:
+        """Return `error`, or one that doesn't deny an attempt that may have run.
+
+        A later attempt that finds no server, say, would tell the caller "not run"
+        although an earlier one was sent; the caller would send a court confirmation
+        again.
+        """
+        if error.executed is not Executed.NO or self.life.executed is Executed.NO:
+            return error
+        kind = (
+            ErrorKind.OUTCOME_UNKNOWN
+            if self.record.request.non_idempotent
+            else ErrorKind.BACKEND_FAILED
+        )
+        return EndiveError(kind, f"after an attempt that may have run: {error.message}")
+
+    def _ended(self, *, outcome: str) -> None:
+        record = self.record
+        record.finished_at = self.serving.clock.now()
+        self.trail.state = str(self.life.state)
+        self.trail.executed = str(self.life.executed)
+        self._give_up_ticket()
+        self.serving.metrics.finished.add(1)
+        log_event(
+            "request_ended",
+            request_id=record.request.request_id,
+            organisation=record.request.organisation,
+            model=record.request.model,
+            outcome=outcome,
+            events=",".join(self.life.history),
+            tokens=len(record.tokens),
+            attempts=record.attempt + 1,
+            servers=",".join(record.servers),
+            seconds=record.finished_at - record.accepted_at,
+        )
+
+    def _drive(self) -> Iterator[None]:
+        """Run attempts until one ends the answer; yield after each batch of pieces."""
+        if self.life.allows(Event.ENQUEUE):
+            self.life.fire(Event.ENQUEUE)
+        if self.ticket is None:
+            self.ticket = self.serving.dispatcher.take_over(self.record.request)
+        self._claim()
+        while not self.record.ended:
+            server = self.serving.dispatcher.acquire(self.ticket)
+            try:
+                yield from self._attempt(server)
+            except BackendError as error:
+                if not self._take_move(error):
+                    self._decide_retry(error)
+
+    def _claim(self) -> None:
+        """Win the only right to send a non-idempotent request, once.
+
+        The log is asked while the request waits in its queue, so that most of the
+        time it adds nothing to the wait for a server.
+        """
+        if not self.life.allows(Event.CLAIM):
+            return
+        self.life.fire(Event.CLAIM)
+        self.continues = self.claim_continues
+        try:
+            self.claim = self.serving.claims.win(self.record.request, self.continues)
+        except Paused:
+            self.life.fire(Event.UNCLAIM)
+            raise
+        self.life.fire(Event.WON)
+
+    def _use_claim(self) -> None:
+        """Mark the claim as used before anything is sent under it."""
+        if self.claim is not None and self.claim.state is not ClaimState.USED:
+            self.claim.use()
+
+    def _not_started(self) -> None:
+        """Note that an attempt certainly did not run; its claim holds as before."""
+        self.life.fire(Event.NOT_STARTED)
+        if self.claim is not None and self.life.state is State.CLAIMED:
+            self.claim.not_started()
+
+    def _give_up_claim(self) -> None:
+        """Free the key if nothing was sent; called once the chart rules that out."""
+        if self.claim is not None:
+            self.serving.claims.give_up(self.claim)
+
+    def _attempt(self, server: ServerView) -> Iterator[None]:
+        self._use_claim()
+        self.life.fire(Event.DISPATCH)
+        record = self.record
+        record.attempt += 1
+        record.servers.append(server.id)
+        self.server = server
+        self.trail.note(
+            f"attempt {record.attempt + 1} at {server.id} in {server.zone}"
+            f" from token {len(record.tokens)}"
+        )
+        if record.request.endpoint is Endpoint.SERVICE:
+            self._call_plain(server)
+        else:
+            yield from self._stream(server)
+        self.life.fire(Event.COMPLETE)
+        self.trail.note(f"whole, {len(record.tokens)} tokens")
+        self.serving.dispatcher.finished(self.ticket, len(record.tokens) or 1)
+        self._ended(outcome="ok")
+
+    def _call_plain(self, server: ServerView) -> None:
+        plain = self.serving.clients.plain(server.address)
+        request = self.record.request
+        self.record.plain_answer = plain.call(
+            request, self.record.attempt, request.body["data"]
+        )
+        self.record.finish_reason = "stop"
+
+    def _stream(self, server: ServerView) -> Iterator[None]:
+        record = self.record
+        self.backend = self.serving.clients.engine(server.address)
+        if self.blob is not None:
+            self.backend.import_kv(self.blob)
+            self.blob = None
+        batches = self.backend.run(
+            record.request,
+            record.attempt,
+            record.tokens,
+            priority=self.ticket.call.rank,
+        )
+        for pieces in batches:
+            if pieces[-1].finish_reason == CANCELLED:
+                raise BackendError(
+                    "the server was told to stop",
+                    started=True,
+                    reason=RetryReason.SERVER_LEAVING,
+                    stopped=True,
+                )
+            self._take(pieces)
+            record.wake()
+            if record.finish_reason:
+                break
+            yield
+        if not record.finish_reason:
+            raise BackendError(
+                "pieces are missing",
+                started=True,
+                reason=RetryReason.SERVER_FAILED,
+            )
+
+    def _take(self, pieces: list[Piece]) -> None:
+        record = self.record
+        before = len(record.tokens)
+        for piece in pieces:
+            reason = record.classify(piece)
+            if reason:
+                self.serving.metrics.dropped(reason)
+                if reason == REORDERED:
+                    record.keep_early(piece)
+            else:
+                record.take(piece)
+        taken = len(record.tokens) - before
+        if taken and self.life.allows(Event.FIRST_PIECE):
+            self.life.fire(Event.FIRST_PIECE)
+            self.serving.dispatcher.started(self.ticket)
+        if taken and record.first_token_at is None:
+            self.trail.note("first token")
+            record.first_token_at = self.serving.clock.now()
+            self.serving.metrics.first_token.record(
+                record.first_token_at - record.accepted_at
+            )
+        self.serving.metrics.tokens.add(taken)
+
+    def _take_move(self, error: BackendError) -> bool:
+        """Return whether the attempt ended because the stream moves off its server.
+
+        Whoever stopped it there has the tokens up to the stop, and the KV cache if
+        there was time to export it. A move is no failure: it does not count against
+        the limit of attempts.
+        """
+        move, self.move = self.move, None
+        if move is None or not move.wait():
+            return False
+        if error.started:
+            self.life.fire(Event.SERVER_STOPPED)
+        else:
+            self._not_started()
+        self.record.extend(move.tokens)
+        self.blob = move.blob
+        self.trail.note(
+            f"stopped at {self.record.servers[-1]} for a move, with "
+            f"{len(move.tokens)} tokens{' and the KV cache' if move.blob else ''}"
+        )
+        self.serving.dispatcher.moved(self.ticket, len(self.record.tokens))
+        return True
+
+    def _decide_retry(self, error: BackendError) -> None:
+        """Return if another attempt is allowed; otherwise raise the final answer."""
+        self.trail.note(
+            f"attempt {self.record.attempt + 1} failed: {error.reason}: {error}"
+        )
+        if not error.started:
+            self._not_started()
+        elif self.life.allows(Event.SERVER_LOST):
+            self.life.fire(Event.SERVER_LOST)
+        if error.final_status is not None:
+            raise EndiveError(ErrorKind.BACKEND_REJECTED, str(error)) from None
+        self.serving.dispatcher.failed(self.ticket, error)
--- a/packages/endive_node/tests/test_configuration.py
+++ b/packages/endive_node/tests/test_configuration.py
@@ -24,7 +24,7 @@
 from endive_node.settings import ConfigurationSection
 from endive_node.snapshot_writer import RANK_WAIT_S, SnapshotWriter
 from endive_node.telemetry import MonotonicClock
-from fleets import member
+from made_network import member
 from node_builders import FakeClock
 
 
--- a/packages/endive_node/tests/test_gossip.py
+++ b/packages/endive_node/tests/test_gossip.py
@@ -13,7 +13,7 @@
     encode_digest,
     listen_udp,
 )
-from fleets import Fleet, member
+from made_network import Fleet, member
 from node_builders import FakeClock
 
 
