Give callers a page, and mend two tests that a busy machine upset

Two tests failed once or twice each at load averages of 16 to 25 and passed alone: one took the shortest of three runs of some milliseconds for its reference, the other expected a stream of 0.6 s to be still running after sleeps that a busy machine draws out. Change: docs/CALLERS.md, its errors held against the code; the reference is the shortest of thirty runs, the ratio's bound stays; the stream lasts 30 s, the lag is 1 s and its lower bound is measured, which the old test did not do. Ruled out: a lower bound of the ratio, which would let a stall of some ms pass. Conclusion: both checks are as strict.

--- a/packages/endive_node/tests/test_listeners.py
+++ b/packages/endive_node/tests/test_listeners.py
@@ -36,20 +36,22 @@
     return time.perf_counter() - started
 
 
-def shortest(listener, path):
-    """Return the least seconds of a few runs of `path` on `listener`."""
+def shortest(listener, path, runs):
+    """Return the least seconds of some runs of `path` on `listener`."""
     listener.start()
     try:
         time_calls(listener.port, path)
-        return min(time_calls(listener.port, path) for _ in range(3))
+        return min(time_calls(listener.port, path) for _ in range(runs))
     finally:
         listener.stop(0)
 
 
 def slowdown(listener):
     """Return how many times longer many small events take than one large one."""
-    large = shortest(HttpListener(application, "127.0.0.1", 0), "/large")
-    return shortest(listener, "/small") / large
+    # The short one is measured more often: on a busy machine a few runs of some
+    # milliseconds may all be disturbed, one of thirty is not.
+    large = shortest(HttpListener(application, "127.0.0.1", 0), "/large", runs=30)
+    return shortest(listener, "/small", runs=3) / large
 
 
 def test_small_events_are_not_held_back():
--- a/packages/endive_standins/tests/test_engine.py
+++ b/packages/endive_standins/tests/test_engine.py
@@ -132,12 +132,15 @@
 
 
 def test_load_is_reported_late(call, build):
-    engine = build(decode_tokens_per_s=10, report_lag_s=0.15)
+    engine = build(decode_tokens_per_s=0.2, report_lag_s=1.0)
+    started = time.monotonic()
     gevent.spawn(call, engine, "POST", COMPLETIONS, CALL)
     gevent.sleep(0.05)
     assert call(engine, "GET", "/load")[1]["running"] == 0
-    gevent.sleep(0.2)
-    load = call(engine, "GET", "/load")[1]
+    with gevent.Timeout(20):
+        while (load := call(engine, "GET", "/load")[1])["running"] == 0:
+            gevent.sleep(0.02)
+    assert time.monotonic() - started >= 1.0
     assert (load["running"], load["waiting"], load["capacity"]) == (1, 0, 16)
 
 
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -4,7 +4,7 @@
 from pathlib import Path
 
 import pytest
-from endive_core.exceptions import REFUSAL_KINDS, RetryReason
+from endive_core.exceptions import ANSWERS, REFUSAL_KINDS, RetryReason
 from endive_ctl.cli import Commands, ExitCode
 from endive_node.settings import setting_rows
 from endive_node.telemetry import DROP_REASONS
@@ -26,6 +26,18 @@
     assert table.splitlines() == rows, "paste the output of `endive-node settings`"
 
 
+def test_errors_table_is_that_of_the_code():
+    """A caller reads that a kind was not run, and the code says unknown."""
+    page = text_of("docs/CALLERS.md")
+    table = page.split("<!-- errors -->\n")[1].split("<!-- end of errors -->")[0]
+    rows = [
+        f"| `{kind}` | {answer.status} | {answer.executed} "
+        f"| {answer.retry_after_s or 'no use'} |"
+        for kind, answer in ANSWERS.items()
+    ]
+    assert table.splitlines() == rows
+
+
 def test_every_setting_is_described():
     assert not [row.key for row in setting_rows() if not row.description]
 
