Explain placements, guard the scrape page, and measure moves and limits

Change: notes of the predicted wait and of uncached prompt tokens; the token check before /metrics; make bench-moves and make bench-limits. Ruled out: a second port for scrapers, one more thing to guard. Measured: tests of operators, serving and docs, 47 passed; test_without_a_valid_token fails for /metrics on the commit before.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,8 @@
 STAMP := $(VENV)/.installed
 PROJECTS := pyproject.toml $(wildcard packages/*/pyproject.toml)
 
-.PHONY: bench-handover run test test-fast lint format check-model bench bench-decisions bench-capacity bench-claims
+.PHONY: run test lint format check-model bench bench-decisions bench-limits bench-capacity
+.PHONY: bench-handover bench-moves bench-claims
 
 $(STAMP): $(PROJECTS)
 	test -x $(BIN)/python || python3 -m venv $(VENV)
@@ -43,3 +44,9 @@
 
 bench-claims: $(STAMP)
 	PYTHONPATH=tests $(BIN)/python benchmarks/bench_claims.py
+
+bench-moves: $(STAMP)
+	$(BIN)/python benchmarks/bench_moves.py
+
+bench-limits: $(STAMP)
+	$(BIN)/python benchmarks/bench_limits.py
--- a/packages/endive_node/src/endive_node/operators.py
+++ b/packages/endive_node/src/endive_node/operators.py
@@ -98,7 +98,7 @@
         route("/v1/watch", "GET", self.guarded(self.watch))
         route("/v1/requests/<request_id>", "GET", self.guarded(self.explain))
         route("/v1/status", "GET", self.guarded(self.status))
-        route("/metrics", "GET", self.scrape)
+        route("/metrics", "GET", self.guarded(self.scrape))
 
     def guarded(self, method):
         """Return `method` behind the token check, its errors made into answers."""
@@ -200,8 +200,8 @@
             raise EndiveError(ErrorKind.UNKNOWN_REQUEST, "no notes of this request")
         return trail
 
-    def scrape(self) -> bytes:
-        """Return the metrics page, which holds no names of organisations."""
+    def scrape(self, _operator: Operator) -> bytes:
+        """Return the metrics page; it holds no names, so any operator may read it."""
         bottle.response.content_type = "text/plain; version=0.0.4"
         return self.metrics.page()
 
--- a/packages/endive_node/src/endive_node/runs.py
+++ b/packages/endive_node/src/endive_node/runs.py
@@ -49,7 +49,7 @@
         self.ticket = ticket
         self.life = Lifecycle(record.request.non_idempotent)
         self.trail = serving.trails.begin(record.request)
-        self.trail.note(f"accepted by {serving.node_id}")
+        self.trail.note(f"accepted by {serving.node_id}{_predicted(ticket)}")
         self.claim: Claimant | None = None
         self.backend: EngineServer | None = None
         self.server: ServerView | None = None
@@ -368,7 +368,9 @@
         self.server = server
         self.trail.note(
             f"attempt {record.attempt + 1} at {server.id} in {server.zone}"
-            f" from token {len(record.tokens)}"
+            f" from token {len(record.tokens)}, "
+            f"{self.ticket.uncached_tokens:.0f} of {self.ticket.call.prompt_tokens} "
+            f"prompt tokens not expected in its cache"
         )
         if record.request.endpoint is Endpoint.SERVICE:
             self._call_plain(server)
@@ -477,3 +479,13 @@
         if error.final_status is not None:
             raise EndiveError(ErrorKind.BACKEND_REJECTED, str(error)) from None
         self.serving.dispatcher.failed(self.ticket, error)
+
+
+def _predicted(ticket: Ticket | None) -> str:
+    if ticket is None:
+        return ", handed over by another node"
+    call = ticket.call
+    return (
+        f"; queued at level {call.level}{' as bulk' if call.bulk else ''}, "
+        f"wait predicted {ticket.predicted_s:.3f} s"
+    )
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -61,7 +61,8 @@
 @pytest.mark.processes
 def test_without_a_valid_token_nothing_is_shown(installation):
     node = installation.nodes[0]
-    for path in (PRIORITY, f"{PRIORITY}/x", "/v1/status", "/v1/watch"):
+    paths = (PRIORITY, f"{PRIORITY}/x", "/v1/status", "/v1/watch", "/metrics")
+    for path in paths:
         answer = node.operate("GET", path, token="wrong")
         assert (answer.status, code(answer)) == (401, "unauthenticated")
 
