--- a/benchmarks/bench_moves.py
+++ b/benchmarks/bench_moves.py
@@ -31,7 +31,7 @@
         super().__init__(daemon=True)
         self.url = f"{server.url}/v1/completions"
         self.body = {
-            "prompt": " ".join(["word"] * PADDING) + f" {number}",
+            "prompt": f"direct {number}" + " pad" * PADDING,
             "max_tokens": MAX_TOKENS,
             "stream": True,
             "request_id": f"direct-{number}",
--- a/packages/endive_node/src/endive_node/backends.py
+++ b/packages/endive_node/src/endive_node/backends.py
@@ -20,6 +20,10 @@
 ORDER_TIMEOUT_S = 1.0
 """Time-out of an order about one stream: a notice lasts about three seconds."""
 
+END_OF_ANSWER_S = 0.05
+"""Engines write the end together with the last piece; waiting longer than this costs
+more than a new connection."""
+
 LISTEN_CHECKS = 5
 LISTEN_CHECK_PAUSE_S = 0.05
 """A quarter of a second in all: a process that is gone has closed its port by then,
@@ -247,11 +251,25 @@
             )
 
     def _give_back(self, finished: bool) -> None:
+        """Keep the connection for the next call, if the server has ended its answer.
+
+        What follows the last piece must be read, or the next call finds unread bytes
+        on the connection, drops it and connects anew. It is read beside the answer's
+        way to the caller, which is whole already and waits for nothing.
+        """
         if finished:
-            self.response.release_conn()
+            gevent.spawn(self._drain)
         else:
             self.response.close()
 
+    def _drain(self) -> None:
+        """Read the answer's end and keep the connection, or give it up."""
+        with gevent.Timeout(END_OF_ANSWER_S, False):
+            self.response.drain_conn()
+            self.response.release_conn()
+            return
+        self.response.close()
+
     def close(self) -> None:
         """Cut the attempt off; the greenlet that reads gets a BackendError."""
         if self.response is not None:
--- a/packages/endive_node/tests/test_backends.py
+++ b/packages/endive_node/tests/test_backends.py
@@ -1,3 +1,4 @@
+import gevent
 import urllib3
 from endive_node.backends import BackendClients
 from endive_node.settings import BackendSection
@@ -43,3 +44,41 @@
     assert clients(reset(), answer).is_listening("127.0.0.1:1")
     hangs = [urllib3.exceptions.ReadTimeoutError(None, "", "slow") for _ in range(9)]
     assert clients(*hangs).is_listening("127.0.0.1:1")
+
+
+class Response:
+    """A whole answer whose end takes `seconds` to come."""
+
+    def __init__(self, seconds):
+        self.seconds = seconds
+        self.done = []
+
+    def drain_conn(self):
+        gevent.sleep(self.seconds)
+        self.done.append("drained")
+
+    def release_conn(self):
+        self.done.append("released")
+
+    def close(self):
+        self.done.append("closed")
+
+
+def given_back(response, *, finished=True):
+    engine = clients().engine("127.0.0.1:1")
+    engine.response = response
+    engine._give_back(finished)
+    assert "released" not in response.done
+    gevent.sleep(0.2)
+    return response.done
+
+
+def test_connection_is_drained_before_it_is_kept():
+    """The end of an answer stayed unread on a kept connection, so that the next call
+    dropped it: every call connected anew."""
+    assert given_back(Response(0.0)) == ["drained", "released"]
+
+
+def test_server_that_is_slow_to_end_an_answer_loses_its_connection():
+    assert given_back(Response(5.0)) == ["closed"]
+    assert given_back(Response(0.0), finished=False) == ["closed"]
