--- a/packages/endive_node/src/endive_node/backends.py
+++ b/packages/endive_node/src/endive_node/backends.py
@@ -7,7 +7,7 @@
 import msgspec
 import urllib3
 from endive_core.exceptions import RetryReason
-from endive_core.messages import Endpoint, Piece, Request
+from endive_core.messages import Piece, Request
 
 from endive_node.interfaces import BackendError
 from endive_node.platform import CONNECT_ERRORS
@@ -352,8 +352,3 @@
         response.release_conn()
         content_type = response.headers.get("Content-Type", "application/octet-stream")
         return PlainAnswer(response.status, content_type, body)
-
-
-def is_engine_endpoint(endpoint: Endpoint) -> bool:
-    """Return whether calls to `endpoint` reach model engines."""
-    return endpoint is not Endpoint.SERVICE
