--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
-PROJECTS := pyproject.toml $(wildcard packages/*/pyproject.toml)
+PROJECTS := pyproject.toml $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
 
 .PHONY: run test lint format check-model bench bench-decisions bench-limits bench-capacity
 .PHONY: bench-handover bench-moves bench-claims
--- /dev/null
+++ b/deploy/build.sh
@@ -0,0 +1,12 @@
+#!/bin/sh
+# Puts the libraries and the workspace's packages under target/deps.
+set -eu
+if [ ! target/libraries -nt deploy/requirements.txt ]; then
+  rm -rf target/deps target/libraries
+  python3 -m pip install -q -U --target target/deps -r deploy/requirements.txt
+  touch target/libraries
+fi
+rm -rf target/deps/endive_*
+cp -r packages/endive_core/src/endive_core packages/endive_node/src/endive_node \
+  packages/endive_gateway/src/endive_gateway platform/src/endive_platform target/deps/
+python3 -m compileall -q target/deps/endive_*
--- a/packages/endive_core/src/endive_core/calls.py
+++ b/packages/endive_core/src/endive_core/calls.py
@@ -4,6 +4,7 @@
 from enum import IntEnum, StrEnum
 
 from endive_core.exceptions import ANSWERS, ErrorKind
+from endive_core.prefixes import BLOCK_TOKENS
 from endive_core.resources import Weights
 
 BULK_LEVEL = -1000
@@ -26,6 +27,9 @@
         Estimated prompt length, and the most tokens the answer may have.
     blocks : tuple of int
         Chained hashes of the leading prompt blocks; empty for plain services.
+    block_ends : tuple of int
+        Prompt tokens up to the end of each block, where the caller names parts of
+        its prompt that differ in length; empty where all blocks are equally long.
     target_s : float
         First-token target in seconds.
     deadline : float or None
@@ -40,6 +44,7 @@
     prompt_tokens: int = 0
     max_tokens: int = 1
     blocks: tuple[int, ...] = ()
+    block_ends: tuple[int, ...] = ()
     target_s: float = 0.38
     deadline: float | None = None
     weights: Weights = DEFAULT_WEIGHTS
@@ -51,6 +56,12 @@
         """Level with bulk below everything else."""
         return self.level + BULK_LEVEL if self.bulk else self.level
 
+    def cached_tokens(self, blocks: int) -> int:
+        """Return the prompt tokens that the first `blocks` blocks hold."""
+        if blocks and self.block_ends:
+            return self.block_ends[blocks - 1]
+        return blocks * BLOCK_TOKENS
+
     @property
     def tokens(self) -> int:
         """Most tokens the call can cost, prompt and answer."""
--- a/packages/endive_core/src/endive_core/placement.py
+++ b/packages/endive_core/src/endive_core/placement.py
@@ -13,7 +13,7 @@
 
 from endive_core.calls import Call, Ticket, Tier
 from endive_core.policy import Policy
-from endive_core.prefixes import BLOCK_TOKENS, PrefixIndex
+from endive_core.prefixes import PrefixIndex
 from endive_core.ring import HashRing
 from endive_core.servers import Random, ServerLoad, ServerSet
 
@@ -123,7 +123,12 @@
         node sends it there, so the belief comes true. A node that has just started,
         or whose events were lost, thus still finds what others had computed.
         """
-        depths = [depth for depth in AFFINITY_DEPTHS if depth <= len(call.blocks)]
+        if call.block_ends:
+            # The last part belongs to one request or session; those before it are
+            # what requests share.
+            depths = list(range(1, max(2, len(call.blocks))))
+        else:
+            depths = [depth for depth in AFFINITY_DEPTHS if depth <= len(call.blocks)]
         wanted = depths[-self.policy.affinity_candidates :] or [len(call.blocks)]
         found: dict[str, int] = {}
         for depth in reversed(wanted):
@@ -152,4 +157,4 @@
 
 
 def _uncached(call: Call, cached_blocks: int) -> float:
-    return float(max(0, call.prompt_tokens - cached_blocks * BLOCK_TOKENS))
+    return float(max(0, call.prompt_tokens - call.cached_tokens(cached_blocks)))
--- a/packages/endive_core/src/endive_core/prefixes.py
+++ b/packages/endive_core/src/endive_core/prefixes.py
@@ -36,6 +36,28 @@
     return tuple(blocks)
 
 
+def part_blocks(
+    model: str, parts: Iterable[tuple[int, int]]
+) -> tuple[tuple[int, ...], tuple[int, ...]]:
+    """Return the chained hashes of a prompt's named parts, and where each part ends.
+
+    Parameters
+    ----------
+    parts : iterable of (int, int)
+        Hash and tokens of each part, in order.
+    """
+    blocks: list[int] = []
+    ends: list[int] = []
+    parent, end = model, 0
+    for part_id, tokens in parts:
+        hashed = xxhash.xxh3_64_intdigest(f"{parent}\0{part_id}".encode())
+        blocks.append(hashed - hashed % SAMPLING)  # few and long: remember them all
+        parent = f"{hashed:016x}"
+        end += tokens
+        ends.append(end)
+    return tuple(blocks), tuple(ends)
+
+
 class PrefixIndex:
     """Which servers are believed to hold a prompt block, bounded in size.
 
--- a/packages/endive_core/src/endive_core/retrying.py
+++ b/packages/endive_core/src/endive_core/retrying.py
@@ -5,6 +5,7 @@
 budget lets retries be only a share of the successes.
 """
 
+from collections import deque
 from dataclasses import dataclass
 
 from endive_core.policy import Policy
@@ -15,6 +16,11 @@
 may break together, each stream once. Beyond it only successes earn retries."""
 
 
+FLEET_MARGIN = 0.8
+"""Part of the fleet's repeats that is used: requests and repeats arrive at a server
+some milliseconds after they are counted, and a node that restarts forgets its own."""
+
+
 @dataclass
 class RetryBudget:
     """Retries that one deployment may still make.
@@ -45,6 +51,50 @@
         return True
 
 
+class FleetRetryBudget:
+    """A node's part of the repeats that all nodes may make together.
+
+    The load this is for: an outage of some servers. Each node may repeat a share of
+    its own recent requests and an even part of a fixed slack, so that all nodes
+    together stay within the limit without asking each other.
+
+    Parameters
+    ----------
+    ratio : float
+        Repeats allowed for each request.
+    slack : float
+        Repeats allowed besides, over all nodes.
+    window_s : float
+        Span in which both are counted, seconds.
+    """
+
+    def __init__(self, *, ratio: float, slack: float, window_s: float) -> None:
+        self.ratio = ratio
+        self.slack = slack
+        self.window_s = window_s
+        self.requests: deque[float] = deque()
+        self.repeats: deque[float] = deque()
+
+    def request(self, now: float) -> None:
+        """Count a caller's request."""
+        self.requests.append(now)
+        self._forget(self.requests, now)
+
+    def spend(self, now: float, *, nodes: int) -> bool:
+        """Take one repeat; return whether there was one."""
+        self._forget(self.requests, now)
+        self._forget(self.repeats, now)
+        allowed = self.ratio * len(self.requests) + self.slack / max(1, nodes)
+        if len(self.repeats) + 1 > FLEET_MARGIN * allowed:
+            return False
+        self.repeats.append(now)
+        return True
+
+    def _forget(self, times: deque[float], now: float) -> None:
+        while times and times[0] <= now - self.window_s:
+            times.popleft()
+
+
 def retry_delay_s(attempt: int, policy: Policy, random: Random) -> float:
     """Return the delay before the retry that follows `attempt`, in seconds.
 
--- /dev/null
+++ b/packages/endive_gateway/src/endive_gateway/callers.py
@@ -0,0 +1,312 @@
+"""Callers' connections: requests in, answers out."""
+
+import json
+import socket
+import time
+from collections.abc import Callable
+from typing import Protocol
+
+import gevent
+from endive_core.exceptions import EndiveError
+from endive_core.routing import CallerLimits
+from endive_node.listeners import listen_tcp
+from endive_node.telemetry import log_event
+from gevent import socket as gsocket
+from gevent.hub import get_hub
+
+from endive_gateway.http import (
+    BadMessageError,
+    RequestMessage,
+    RequestParser,
+    encode_head,
+    status_line,
+)
+from endive_gateway.interfaces import Headers
+
+READ_BYTES = 65_536
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+
+
+class CallerGoneError(Exception):
+    """Raised in a request's greenlet when its caller has closed the connection."""
+
+
+class Exchange:
+    """One request of a caller, and what has been answered so far.
+
+    Attributes
+    ----------
+    received_at : float
+        When its first byte came, seconds on the monotonic clock.
+    answered : bool
+        Whether any byte of an answer has been sent.
+    """
+
+    def __init__(
+        self,
+        sock,
+        message: RequestMessage,
+        received_at: float,
+        is_closing: Callable[[], bool] = lambda: False,
+    ) -> None:
+        self.sock = sock
+        self.message = message
+        self.body = b"".join(message.body)
+        self.received_at = received_at
+        self.answered = False
+        self.broken = False
+        self.is_closing = is_closing
+
+    @property
+    def keep_alive(self) -> bool:
+        """Whether the connection may carry another request after this answer."""
+        return self.message.keep_alive and not self.broken and not self.is_closing()
+
+    def begin(self, status: int, reason: bytes, headers: Headers) -> None:
+        """Send the head of an answer whose body comes in pieces."""
+        headers = [*headers, (b"Transfer-Encoding", b"chunked")]
+        self._send(encode_head(status_line(status, reason), self._closed(headers)))
+
+    def pass_on(self, data: bytes) -> None:
+        """Send a piece of the body."""
+        if data:
+            self._send(b"%x\r\n%b\r\n" % (len(data), data))
+
+    def end(self) -> None:
+        """End an answer sent in pieces."""
+        self._send(b"0\r\n\r\n")
+
+    def answer(self, status: int, reason: bytes, headers: Headers, body: bytes) -> None:
+        """Send a whole answer."""
+        if not (status < 200 or status in (204, 304)):
+            headers = [*headers, (b"Content-Length", b"%d" % len(body))]
+        if self.message.method == b"HEAD":
+            body = b""
+        self._send(
+            encode_head(status_line(status, reason), self._closed(headers)) + body
+        )
+
+    def refuse(self, error: EndiveError, status: int, headers: Headers) -> None:
+        """Send an answer of this node's own."""
+        body = json.dumps(error.to_body()).encode()
+        headers = [(b"Content-Type", b"application/json"), *headers]
+        if error.retry_after_s is not None:
+            headers.append((b"Retry-After", b"%.3f" % error.retry_after_s))
+        self.answer(status, b"", headers, body)
+
+    def abort(self) -> None:
+        """End an answer that can't be completed, so that it doesn't look whole."""
+        self.broken = True
+
+    def _closed(self, headers: Headers) -> Headers:
+        if not self.keep_alive:
+            return [*headers, (b"Connection", b"close")]
+        return headers
+
+    def _send(self, data: bytes) -> None:
+        self.answered = True
+        try:
+            self.sock.sendall(data)
+        except OSError:
+            self.broken = True
+            raise CallerGoneError from None
+
+
+class CallerWatch:
+    """Ends the greenlet of a request whose caller closes the connection.
+
+    A request that nobody waits for any more would hold its place at a server, and a
+    queued one would still be sent to one.
+    """
+
+    def __init__(self, sock, greenlet: gevent.Greenlet) -> None:
+        self.sock = sock
+        self.greenlet = greenlet
+        self.watcher = get_hub().loop.io(sock.fileno(), 1)
+
+    def __enter__(self) -> "CallerWatch":
+        self.watcher.start(self._readable)
+        return self
+
+    def __exit__(self, *_exc_info) -> None:
+        self.watcher.stop()
+        self.watcher.close()
+
+    def _readable(self) -> None:
+        try:
+            data = self.sock._sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return
+        except OSError:
+            data = b""
+        self.watcher.stop()
+        if not data:  # else it is the next request, which waits its turn
+            self.greenlet.kill(CallerGoneError, block=False)
+
+
+class Server(Protocol):
+    """Answers one request."""
+
+    def serve(self, exchange: Exchange) -> None:
+        """Answer `exchange`; raises :class:`CallerGoneError`."""
+        ...
+
+
+class CallerListener:
+    """Accepts callers' connections and serves one request after another on each.
+
+    Attributes
+    ----------
+    stopping : bool
+        Whether each answer tells its caller that the connection closes after it.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        port: int,
+        server: Server,
+        limits: Callable[[], CallerLimits],
+    ) -> None:
+        self.listener = listen_tcp(address, port)
+        self.port = self.listener.getsockname()[1]
+        self.server = server
+        self.limits = limits
+        self.stopping = False
+        self.connections: dict[object, CallerConnection] = {}
+        self.acceptor: gevent.Greenlet | None = None
+
+    def start(self) -> None:
+        """Begin to accept."""
+        self.acceptor = gevent.spawn(self._accept)
+
+    def _accept(self) -> None:
+        sock = gsocket.socket(fileno=self.listener.detach())
+        while True:
+            try:
+                accepted, _ = sock.accept()
+            except OSError as error:
+                # Out of descriptors, for one: those in use end sooner or later.
+                log_event("accept_failed", error=error)
+                gevent.sleep(0.05)
+                continue
+            connection = CallerConnection(self, accepted)
+            self.connections[connection] = connection
+            connection.greenlet = gevent.spawn(connection.run)
+
+    @property
+    def busy(self) -> int:
+        """Number of requests that are being read or answered."""
+        return sum(not c.idle for c in self.connections.values())
+
+    def close_idle(self) -> None:
+        """Close the connections on which no request is under way."""
+        for connection in list(self.connections.values()):
+            if connection.idle:
+                connection.greenlet.kill(block=False)
+
+
+class CallerConnection:
+    """One caller's connection."""
+
+    def __init__(self, listener: CallerListener, sock) -> None:
+        self.listener = listener
+        self.sock = sock
+        self.idle = True
+        self.greenlet: gevent.Greenlet | None = None
+        limits = listener.limits()
+        self.parser = RequestParser(limits.max_header_bytes, limits.max_body_bytes)
+
+    def run(self) -> None:
+        """Serve requests until the connection ends; the body of a greenlet."""
+        try:
+            while self._serve_next():
+                pass
+        except (CallerGoneError, OSError):
+            pass
+        finally:
+            self.listener.connections.pop(self, None)
+            self.sock.close()
+
+    def _serve_next(self) -> bool:
+        try:
+            message, received_at = self._read_request()
+        except BadMessageError as error:
+            log_event("request_malformed", status=error.status, error=error)
+            self._reject(error)
+            return False
+        if message is None:
+            return False
+        exchange = Exchange(
+            self.sock, message, received_at, lambda: self.listener.stopping
+        )
+        with CallerWatch(self.sock, self.greenlet):
+            self.listener.server.serve(exchange)
+        self.idle = True
+        return exchange.keep_alive
+
+    def _reject(self, error: BadMessageError) -> None:
+        """Answer what is no proper request, and let the answer arrive.
+
+        Closing with unread bytes resets the connection, and the caller may lose the
+        answer; so what still comes is read for a moment.
+        """
+        body = json.dumps({"error": {"message": str(error)}}).encode()
+        headers = [
+            (b"Content-Type", b"application/json"),
+            (b"Content-Length", b"%d" % len(body)),
+            (b"Connection", b"close"),
+        ]
+        self.sock.sendall(encode_head(status_line(error.status), headers) + body)
+        self.sock.shutdown(socket.SHUT_WR)
+        with gevent.Timeout(1.0, False):
+            while self.sock.recv(READ_BYTES):
+                pass
+
+    def _read_request(self) -> tuple[RequestMessage | None, float]:
+        """Return the next request and when its first byte came.
+
+        Returns ``None`` if the caller closed, or was idle for too long.
+        """
+        limits = self.listener.limits()
+        received_at = time.monotonic()
+        if not self.parser.messages:
+            data = self._receive(limits.idle_timeout_s)
+            if not data:
+                return None, 0.0
+            received_at = time.monotonic()
+            self.idle = False
+            self.parser.feed(data)
+        self.idle = False
+        header_until = received_at + limits.header_timeout_s
+        continued = False
+        while True:
+            message = self.parser.messages[0] if self.parser.messages else None
+            if message is not None and message.complete:
+                self.parser.messages.popleft()
+                if not self.parser.messages:
+                    self.parser.current = None
+                return message, received_at
+            if message is not None and message.head_done:
+                if message.expects_continue and not continued:
+                    self.sock.sendall(CONTINUE)
+                    continued = True
+                left = limits.idle_timeout_s
+            else:
+                left = header_until - time.monotonic()
+            data = self._receive(left) if left > 0 else None
+            if data is None:
+                raise BadMessageError("the request took too long", 408)
+            if not data:
+                return None, 0.0
+            self.parser.feed(data)
+
+    def _receive(self, timeout_s: float) -> bytes | None:
+        """Return bytes, nothing at the end of the connection, None if too late."""
+        self.sock.settimeout(timeout_s)
+        try:
+            return self.sock.recv(READ_BYTES)
+        except TimeoutError:
+            return None
+        finally:
+            self.sock.settimeout(None)
--- /dev/null
+++ b/packages/endive_gateway/src/endive_gateway/following.py
@@ -0,0 +1,207 @@
+"""What the store says, followed: the configuration and the list of servers."""
+
+import time
+
+import gevent
+from endive_node.telemetry import log_event
+
+from endive_gateway.context import Context
+from endive_gateway.interfaces import (
+    Record,
+    StoreError,
+    StoreForgottenError,
+    Topic,
+    UndecodableError,
+)
+
+CONFIGURATION_WAIT_S = 20.0
+"""How long a read of the configuration waits for a change, seconds: under the store's
+longest, and long enough that an idle hour costs few calls."""
+
+CONFIGURATION_GAP_S = 0.15
+"""Least time between two reads of the configuration, seconds: a storm of changes is
+read a few at a time, well within the two seconds allowed."""
+
+SERVERS_GAP_S = 0.7
+"""Time between two reads of the servers, seconds. A leaving server may get requests
+for two seconds after its entry changed, and each read is paid for."""
+
+FAILED_GAP_S = 0.25
+MAX_FAILED_GAP_S = 1.0
+"""Time before the next try after a failed read, doubled each time, seconds. Callers
+notice a configuration that is late by one more second than the store was away."""
+
+OUTAGE_TAIL_S = 4.0
+"""Time after the store's return for which a lapsed entry may be its own outage's
+doing, seconds: servers write again within one heartbeat and some margin."""
+
+CONFIGURATION_KEY = "config"
+
+
+class Follower:
+    """Follows one keyed topic of the store.
+
+    Attributes
+    ----------
+    lost_at, back_at : float or None
+        When the store stopped answering, and when it answered again.
+    """
+
+    topic: Topic
+
+    def __init__(self, context: Context) -> None:
+        self.context = context
+        self.next = 0
+        self.gap_s = FAILED_GAP_S
+        self.lost_at: float | None = None
+        self.back_at: float | None = None
+        self.synced = False
+
+    def run(self) -> None:
+        """Follow for ever; the body of a greenlet."""
+        while True:
+            gevent.sleep(self.step())
+
+    def step(self) -> float:
+        """Read once; return the seconds until the next time."""
+        try:
+            if not self.synced:
+                self._read_newest()
+            else:
+                self._read_on()
+        except StoreForgottenError:
+            log_event("store_forgot", topic=self.topic, next=self.next)
+            self.synced = False
+            return 0.0
+        except StoreError as error:
+            self._lost(error)
+            return self._backed_off()
+        self._answered()
+        return self.pause_s()
+
+    def pause_s(self) -> float:
+        """Return the time between two reads that succeed."""
+        raise NotImplementedError
+
+    def wait_s(self) -> float:
+        """Return how long a read waits for a record."""
+        return 0.0
+
+    def take(self, record: Record) -> None:
+        """Take over one record."""
+        raise NotImplementedError
+
+    def taken(self, keys: set[str] | None) -> None:
+        """Act on what was taken; `keys` are all keys there are, if that is known."""
+
+    def _read_newest(self) -> None:
+        page = self.context.store.newest(self.topic)
+        self._note_return()
+        for record in page.records:
+            self.take(record)
+        self.next = page.end
+        self.synced = True
+        self.taken({record.key for record in page.records})
+
+    def _read_on(self) -> None:
+        page = self.context.store.read(self.topic, self.next, wait_s=self.wait_s())
+        self._note_return()
+        for record in page.records:
+            if record.offset >= self.next:
+                self.take(record)
+                self.next = record.offset + 1
+        self.taken(None)
+
+    def _note_return(self) -> None:
+        if self.lost_at is not None:
+            self.back_at = time.monotonic()
+            away = self.back_at - self.lost_at
+            log_event("store_regained", topic=self.topic, away_s=away)
+            self.lost_at = None
+
+    def _answered(self) -> None:
+        self.gap_s = FAILED_GAP_S
+
+    def _lost(self, error: StoreError) -> None:
+        if self.lost_at is None:
+            self.lost_at = time.monotonic()
+            log_event("store_lost", topic=self.topic, error=error)
+
+    def _backed_off(self) -> float:
+        gap, self.gap_s = self.gap_s, min(MAX_FAILED_GAP_S, 2 * self.gap_s)
+        return gap * self.context.random.uniform(0.7, 1.0)
+
+
+class ConfigurationFollower(Follower):
+    """Puts each new configuration in force as soon as the store has it."""
+
+    topic = Topic.CONFIGURATION
+
+    def pause_s(self) -> float:
+        """See :meth:`Follower.pause_s`."""
+        return CONFIGURATION_GAP_S
+
+    def wait_s(self) -> float:
+        """See :meth:`Follower.wait_s`."""
+        return CONFIGURATION_WAIT_S
+
+    def take(self, record: Record) -> None:
+        """See :meth:`Follower.take`."""
+        if record.key != CONFIGURATION_KEY or not record.value:
+            return
+        try:
+            table = self.context.wire.decode_configuration(record.value)
+        except UndecodableError as error:
+            log_event("configuration_undecodable", offset=record.offset, error=error)
+            return
+        self.context.configure(table, record.value, "store")
+
+
+class ServerFollower(Follower):
+    """Keeps the list of servers."""
+
+    topic = Topic.SERVERS
+
+    def __init__(self, context: Context) -> None:
+        super().__init__(context)
+        self.dirty = False
+
+    def pause_s(self) -> float:
+        """See :meth:`Follower.pause_s`."""
+        return SERVERS_GAP_S
+
+    @property
+    def after_outage(self) -> bool:
+        """Whether a lapsed entry may be the store's doing."""
+        if self.back_at is None:
+            return False
+        return time.monotonic() - self.back_at < OUTAGE_TAIL_S
+
+    def take(self, record: Record) -> None:
+        """See :meth:`Follower.take`."""
+        registry = self.context.registry
+        now = time.monotonic()
+        if record.value is None:
+            self.dirty |= registry.drop(record.key, now, after_outage=self.after_outage)
+            return
+        try:
+            entry = self.context.wire.decode_server(record.key, record.value)
+        except UndecodableError as error:
+            log_event("server_entry_undecodable", server=record.key, error=error)
+            return
+        self.dirty |= registry.put(entry, now)
+
+    def taken(self, keys: set[str] | None) -> None:
+        """See :meth:`Follower.taken`."""
+        registry = self.context.registry
+        now = time.monotonic()
+        if keys is not None:
+            for missing in registry.servers.keys() - keys:
+                self.dirty |= registry.drop(
+                    missing, now, after_outage=self.after_outage
+                )
+        self.dirty |= registry.sweep(now)
+        registry.known_once = True
+        if self.dirty:
+            self.dirty = False
+            registry.changed()
--- /dev/null
+++ b/packages/endive_gateway/src/endive_gateway/forwarding.py
@@ -0,0 +1,565 @@
+"""One request's way: checked, admitted, sent to a server, and its answer passed on."""
+
+import time
+from dataclasses import dataclass
+
+import gevent
+from endive_core.calls import Call, Stage, Ticket
+from endive_core.exceptions import EndiveError, ErrorKind, RetryReason
+from endive_core.hashing import fingerprint
+from endive_core.messages import ServerView
+from endive_core.prefixes import part_blocks
+from endive_core.routing import OrganisationTerms, Route, RouteKind
+from endive_node.telemetry import log_event
+
+from endive_gateway.callers import CallerGoneError, Exchange
+from endive_gateway.connections import BrokenError, ServerConnection
+from endive_gateway.context import Context
+from endive_gateway.events import EventSplitter
+from endive_gateway.http import AnswerMessage, encode_head, end_to_end
+from endive_gateway.interfaces import (
+    AnswerFacts,
+    BadHeaderError,
+    RequestFacts,
+    Sending,
+    header_value,
+)
+
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+"""Statuses by which a caller knows that its request has not run and never will."""
+
+LATE_ANSWER_S = 0.1
+"""Time for a server's own answer at the end of its budget to arrive, seconds; a route
+is late only half a second after its time-out."""
+
+LEAST_LEFT_S = 0.02
+"""Time below which nothing is sent any more: a round trip and the shortest work."""
+
+MOST_URGENCY = 9
+
+
+class OutOfTimeError(Exception):
+    """Raised in a request's greenlet when its time is over."""
+
+
+@dataclass(frozen=True)
+class ServerAnswer:
+    """A whole answer that a server gave."""
+
+    status: int
+    reason: bytes
+    headers: list
+    body: bytes
+
+
+class AttemptError(Exception):
+    """An attempt at one server that gave no success.
+
+    Attributes
+    ----------
+    started : bool
+        Whether the server may have run the request.
+    counts : bool
+        Whether the attempt counts against the route's most attempts.
+    answer : ServerAnswer or None
+        The failure that the server answered itself.
+    """
+
+    def __init__(
+        self,
+        message: str,
+        reason: RetryReason,
+        *,
+        started: bool,
+        counts: bool = True,
+        answer: ServerAnswer | None = None,
+    ) -> None:
+        super().__init__(message)
+        self.reason = reason
+        self.started = started
+        self.counts = counts
+        self.answer = answer
+
+
+class Forwarder:
+    """Answers the requests that a listener reads."""
+
+    def __init__(self, context: Context) -> None:
+        self.context = context
+
+    def serve(self, exchange: Exchange) -> None:
+        """Answer one request."""
+        Forwarding(self.context, exchange).run()
+
+
+class Forwarding:
+    """The state of one request.
+
+    Attributes
+    ----------
+    may_have_run : bool
+        Whether any attempt may have been run by its server.
+    uncounted : int
+        Attempts that reached no server of the service.
+    """
+
+    def __init__(self, context: Context, exchange: Exchange) -> None:
+        self.context = context
+        self.exchange = exchange
+        self.facts = RequestFacts("")
+        self.route: Route | None = None
+        self.terms: OrganisationTerms | None = None
+        self.organisation = ""
+        self.ticket: Ticket | None = None
+        self.connection: ServerConnection | None = None
+        self.splitter = EventSplitter()
+        self.may_have_run = False
+        self.in_flight = False
+        self.begun = False
+        self.uncounted = 0
+        self.units = 0.0
+        self.outcome = ""
+        self.servers: list[str] = []
+
+    @property
+    def now(self) -> float:
+        """Seconds on the clock of :attr:`Exchange.received_at`."""
+        return time.monotonic()
+
+    def run(self) -> None:
+        """Answer the request, whatever happens."""
+        try:
+            self._check()
+            with gevent.Timeout(
+                max(0.0, self.left_s()) + LATE_ANSWER_S, OutOfTimeError
+            ):
+                self._forward()
+        except OutOfTimeError:
+            self._finish_late()
+        except EndiveError as error:
+            self._refuse(error)
+        except CallerGoneError:
+            self.outcome = "caller_gone"
+            raise
+        finally:
+            self._release()
+
+    # Before anything is sent
+
+    def _check(self) -> None:
+        """Find out what the request is, and whether it may go on."""
+        context = self.context
+        message = self.exchange.message
+        try:
+            self.facts = context.wire.decode_request(message.headers)
+        except BadHeaderError as error:
+            raise EndiveError(ErrorKind.INVALID_FIELD, str(error)) from None
+        table = context.table
+        if table is None:
+            raise EndiveError(
+                ErrorKind.NOT_READY, "no configuration yet", retry_after_s=0.5
+            )
+        host = header_value(message.headers, b"host").decode("latin-1").lower()
+        path = message.target.decode("latin-1").partition("?")[0]
+        self.route = table.match(_without_port(host), path)
+        if self.route is None:
+            raise EndiveError(ErrorKind.NOT_FOUND, "no route")
+        if not table.allows(self.route, self.facts.key):
+            raise EndiveError(ErrorKind.UNAUTHENTICATED, "unknown key")
+        self.organisation = table.keys.get(self.facts.key, "")
+        if table.organisations is not None:
+            self.terms = table.organisations.get(self.organisation)
+
+    def left_s(self) -> float:
+        """Return the time that the request has left, seconds."""
+        budget = self.route.timeout_s
+        if self.facts.budget_s is not None:
+            budget = min(budget, self.facts.budget_s)
+        return budget - (self.now - self.exchange.received_at)
+
+    def _admit(self) -> None:
+        if self.left_s() <= LEAST_LEFT_S:
+            raise EndiveError(ErrorKind.DEADLINE_EXCEEDED, "no time left")
+        call = self._call()
+        if self.context.placer.crashes.is_poison(call.fingerprint, self.now):
+            raise EndiveError(
+                ErrorKind.POISON_REQUEST, "servers crashed while running this request"
+            )
+        self._spend_quota(call)
+        table = self.context.table
+        service = self.route.choose(self.context.random.random())
+        self.context.retries(service).request(self.now)
+        self.service = service
+        self.engine = (
+            table.services[service].engine if service in table.services else None
+        )
+        self.ticket = self.context.placer.admit(service, call)
+
+    def _call(self) -> Call:
+        facts, route = self.facts, self.route
+        priority = route.priority
+        if self.terms is not None and self.terms.priority is not None:
+            priority = self.terms.priority
+        self.urgency = min(MOST_URGENCY, priority)
+        blocks, ends = part_blocks(
+            facts.model, [(part.id, part.tokens) for part in facts.parts]
+        )
+        now = self.now
+        spent = now - self.exchange.received_at
+        content = b"\0".join(
+            (self.exchange.message.target, facts.key.encode(), self.exchange.body)
+        )
+        return Call(
+            request_id=facts.id,
+            organisation=self.organisation,
+            deployment=route.name,
+            level=-priority,
+            prompt_tokens=(facts.prompt_tokens or 0) if route.engine else 0,
+            max_tokens=max(1, facts.max_tokens or 1) if route.engine else 1,
+            blocks=blocks if route.engine else (),
+            block_ends=ends if route.engine else (),
+            target_s=max(0.01, route.target_s - spent),
+            deadline=now + self.left_s(),
+            fingerprint=fingerprint(content.decode("latin-1")),
+            non_idempotent=not route.repeatable,
+        )
+
+    def _spend_quota(self, call: Call) -> None:
+        terms = self.terms
+        if terms is None or terms.rate <= 0:
+            return
+        units = 1.0
+        if terms.counts_tokens:
+            named = self.facts.prompt_tokens is not None
+            units = float(terms.plain_tokens)
+            if named:
+                units = float(self.facts.prompt_tokens + (self.facts.max_tokens or 0))
+        wait = self.context.limits.wait_s(
+            terms.name, units, self.now, rate=terms.rate, burst=terms.burst
+        )
+        if wait > 0:
+            raise EndiveError(
+                ErrorKind.LIMIT_EXCEEDED,
+                "the organisation's limit is used up",
+                retry_after_s=wait,
+            )
+        self.units = units
+
+    # Attempts
+
+    def _forward(self) -> None:
+        self._admit()
+        while True:
+            view = self.context.placer.acquire(self.ticket)
+            try:
+                self._attempt(view)
+            except AttemptError as error:
+                self._fail(error)
+            else:
+                return
+
+    def _attempt(self, view: ServerView) -> None:
+        known = self.context.registry.get(view.id)
+        if known is None or not known.usable:
+            raise AttemptError(
+                "the server is leaving",
+                RetryReason.SERVER_LEAVING,
+                started=False,
+                counts=False,
+            )
+        self.servers.append(view.id)
+        try:
+            self.connection = self.context.pool.take(view.id, view.address)
+        except BrokenError as error:
+            raise AttemptError(
+                f"connecting: {error}",
+                RetryReason.CONNECT_FAILED,
+                started=False,
+                counts=False,
+            ) from None
+        self.in_flight = True
+        self.sent_at = self.context.true_time.now()
+        try:
+            self._send(view)
+            message, facts = self.connection.read_head(self.facts.id)
+            self._judge(view, message, facts)
+        except BrokenError as error:
+            self._count_plain_loss()
+            raise AttemptError(
+                str(error), RetryReason.SERVER_FAILED, started=True
+            ) from None
+        finally:
+            self._drop_connection()
+        self.in_flight = False
+
+    def _send(self, view: ServerView) -> None:
+        message = self.exchange.message
+        sending = Sending(
+            server_id=view.id,
+            organisation=self.organisation,
+            left_s=max(0.001, self.left_s()),
+            urgency=self.urgency,
+            last_event=self.splitter.last_id or self.facts.last_event,
+        )
+        headers = self.context.wire.encode_request(
+            end_to_end(message.headers, self.context.wire.kept()), self.facts, sending
+        )
+        body = self.exchange.body
+        if message.has_length or body:
+            headers.append((b"Content-Length", b"%d" % len(body)))
+        line = b"%s %s HTTP/1.1" % (message.method, message.target)
+        self.connection.send(encode_head(line, headers), body)
+
+    def _judge(
+        self, view: ServerView, message: AnswerMessage, facts: AnswerFacts
+    ) -> None:
+        """Pass a success on; raise AttemptError for all else."""
+        if facts.running is not None:
+            self.context.placer.report(view.id, facts.running, facts.waiting or 0)
+        if message.status == 421:
+            self.context.registry.contradict(view.id)
+            raise AttemptError(
+                "another server has the address",
+                RetryReason.SERVER_LEAVING,
+                started=False,
+                counts=False,
+            )
+        if facts.not_run:
+            self._keep_connection(view, message, self._read_all(message))
+            raise AttemptError(
+                f"the server refused with {message.status}",
+                RetryReason.SERVER_BUSY,
+                started=False,
+            )
+        if 200 <= message.status < 300:
+            self._check_success(message, facts)
+            if self.route.kind is RouteKind.STREAM:
+                self._pass_stream(view, message)
+            else:
+                self._pass_whole(view, message)
+            return
+        answer = self._whole(message)
+        self._keep_connection(view, message, answer.body)
+        self._count_start()
+        raise AttemptError(
+            f"the server answered {message.status}",
+            RetryReason.SERVER_SLOW,
+            started=True,
+            answer=answer,
+        )
+
+    def _check_success(self, message: AnswerMessage, facts: AnswerFacts) -> None:
+        """Refuse a success that is not the server's own."""
+        encoding = header_value(message.headers, b"content-encoding").lower()
+        if not facts.sealed or encoding not in (b"", b"identity"):
+            raise BrokenError("an answer without a signature", sent=True)
+
+    def _read_all(self, message: AnswerMessage) -> bytes:
+        pieces = []
+        while data := self.connection.read_body(message):
+            pieces.append(data)
+        return b"".join(pieces)
+
+    def _whole(self, message: AnswerMessage) -> ServerAnswer:
+        body = (
+            self._read_all(message) if self.exchange.message.method != b"HEAD" else b""
+        )
+        return ServerAnswer(
+            message.status, message.reason, end_to_end(message.headers), body
+        )
+
+    def _pass_whole(self, view: ServerView, message: AnswerMessage) -> None:
+        answer = self._whole(message)
+        self.context.placer.started(self.ticket)
+        self._count_start()
+        self._keep_connection(view, message, answer.body)
+        self.context.placer.finished(self.ticket, 1)
+        self.outcome = "ok"
+        self.exchange.answer(answer.status, answer.reason, answer.headers, answer.body)
+
+    def _pass_stream(self, view: ServerView, message: AnswerMessage) -> None:
+        """Pass a stream's events on as they come.
+
+        The head waits for the first event: until then another server may take over.
+        """
+        exchange = self.exchange
+        resumable = self.route.resumable
+        while data := self.connection.read_body(message):
+            self.context.placer.started(self.ticket)
+            self._count_start()
+            if resumable:
+                data = self.splitter.feed(data)
+            if data and not exchange.answered:
+                exchange.begin(
+                    message.status, message.reason, end_to_end(message.headers)
+                )
+            exchange.pass_on(data)
+        self._keep_connection(view, message, b"")
+        self.context.placer.finished(self.ticket, self._tokens())
+        if not exchange.answered:
+            exchange.begin(message.status, message.reason, end_to_end(message.headers))
+        exchange.pass_on(self.splitter.rest())
+        self.outcome = "ok"
+        exchange.end()
+
+    def _tokens(self) -> int:
+        if self.engine is None or not self.splitter.count:
+            return max(1, self.facts.max_tokens or 1)
+        return self.splitter.count * self.engine.tokens_per_event
+
+    def _keep_connection(
+        self, view: ServerView, message: AnswerMessage, _body: bytes
+    ) -> None:
+        connection, self.connection = self.connection, None
+        if connection.finish(message):
+            self.context.pool.give_back(view.id, connection)
+        else:
+            connection.close()
+
+    def _drop_connection(self) -> None:
+        if self.connection is not None:
+            self.connection.close()
+            self.connection = None
+
+    def _count_start(self) -> None:
+        """Count that a server began the request, once."""
+        if not self.begun:
+            self.begun = True
+            stream = self.route.kind is RouteKind.STREAM
+            at = self.context.true_time.now() if stream else self.sent_at
+            self.context.meter.begin(self.organisation, at)
+
+    # After a failed attempt
+
+    def _fail(self, error: AttemptError) -> None:
+        """Queue the request once more, or raise or send its final answer.
+
+        Raises
+        ------
+        EndiveError
+            If there must be no further attempt.
+        """
+        self.in_flight = False
+        self.may_have_run |= error.started
+        self.uncounted += not error.counts
+        log_event(
+            "attempt_failed",
+            request=self.facts.id,
+            server=self.servers[-1] if self.servers else "",
+            attempt=self.ticket.attempt,
+            reason=error.reason,
+            started=error.started,
+            error=error,
+        )
+        try:
+            self._allow_retry(error)
+            self.context.placer.failed(
+                self.ticket,
+                error.reason,
+                started=error.started,
+                max_attempts=self.route.max_attempts + self.uncounted,
+            )
+        except EndiveError:
+            if error.answer is None or self.exchange.answered:
+                raise
+            self._pass_failure(error.answer)
+        self.splitter.restart()
+
+    def _allow_retry(self, error: AttemptError) -> None:
+        """Refuse a further attempt that there must not be; raises EndiveError."""
+        if self.exchange.answered and not self.route.resumable:
+            raise EndiveError(ErrorKind.OUTCOME_UNKNOWN, "the stream broke off")
+        if error.answer is not None and error.answer.status < 500:
+            raise EndiveError(ErrorKind.BACKEND_REJECTED, "the server refused")
+        if not error.counts:
+            return
+        if error.started and not self.route.repeatable:
+            raise EndiveError(ErrorKind.OUTCOME_UNKNOWN, "the request may have run")
+        if self.ticket.attempt >= self.route.max_attempts + self.uncounted:
+            raise EndiveError(
+                ErrorKind.BACKEND_FAILED if self.may_have_run else ErrorKind.OVERLOADED,
+                f"all attempts failed, the last: {error}",
+            )
+        budget = self.context.retries(self.service)
+        if not budget.spend(self.now, nodes=self.context.nodes):
+            raise EndiveError(ErrorKind.RETRY_BUDGET_SPENT, "too many repeats")
+
+    def _pass_failure(self, answer: ServerAnswer) -> None:
+        """Pass on a server's own failure, unless it would promise too much."""
+        self.outcome = f"server_{answer.status}"
+        if answer.status in NOT_RUN_STATUSES:
+            raise EndiveError(
+                ErrorKind.BACKEND_FAILED, f"the server answered {answer.status}"
+            )
+        self.exchange.answer(answer.status, answer.reason, answer.headers, answer.body)
+        raise _AnsweredError
+
+    def _finish_late(self) -> None:
+        self.may_have_run |= self.in_flight
+        self._refuse(EndiveError(ErrorKind.DEADLINE_EXCEEDED, "the time is over"))
+
+    def _refuse(self, error: EndiveError) -> None:
+        """Send an answer of this node's own, true about whether the request ran."""
+        if isinstance(error, _AnsweredError):
+            return
+        self.outcome = str(error.kind)
+        if self.exchange.answered:
+            self.exchange.abort()
+            return
+        status = _status(error, self.may_have_run)
+        if status not in (429, 503):
+            error.retry_after_s = None
+        elif error.retry_after_s is None:
+            error.retry_after_s = DEFAULT_RETRY_AFTER_S
+        if self.units and not self.may_have_run:
+            self.context.limits.give_back(self.terms.name, self.units)
+        self.exchange.refuse(error, status, self.context.wire.own_answer(self.facts))
+
+    def _release(self) -> None:
+        self._drop_connection()
+        if self.ticket is not None:
+            if self.ticket.stage is not Stage.ENDED and self.in_flight:
+                self._count_plain_loss()
+            self.context.placer.end(self.ticket)
+        log_event(
+            "request",
+            request=self.facts.id,
+            route=self.route.name if self.route else "",
+            organisation=self.organisation,
+            outcome=self.outcome or "failed",
+            servers=",".join(self.servers),
+            ms=round((self.now - self.exchange.received_at) * 1000),
+            version=self.context.version,
+        )
+
+    def _count_plain_loss(self) -> None:
+        """Count a plain request that a server has very likely begun."""
+        if self.route.kind is not RouteKind.STREAM:
+            self._count_start()
+
+
+DEFAULT_RETRY_AFTER_S = 0.3
+"""Time to come back where nothing better is known, seconds: a queue of short work has
+moved on by then."""
+
+
+class _AnsweredError(EndiveError):
+    """Raised after a server's own failure has been passed on."""
+
+    def __init__(self) -> None:
+        super().__init__(ErrorKind.BACKEND_FAILED, "answered")
+
+
+def _status(error: EndiveError, may_have_run: bool) -> int:
+    """Return the status for an error, never promising what isn't so."""
+    if error.status in (400, 401, 404, 413, 431):
+        return error.status
+    if may_have_run:
+        late = error.kind is ErrorKind.DEADLINE_EXCEEDED
+        return 504 if late else 502
+    return 429 if error.kind is ErrorKind.LIMIT_EXCEEDED else 503
+
+
+def _without_port(host: str) -> str:
+    name, _, port = host.rpartition(":")
+    return name if name and port.isdigit() else host
--- /dev/null
+++ b/packages/endive_gateway/src/endive_gateway/gateway.py
@@ -0,0 +1,109 @@
+"""One gateway: its parts, its start and its stop."""
+
+import time
+
+import gevent
+from endive_node.listeners import listen_tcp
+from endive_node.telemetry import log_event
+from gevent.event import Event
+from gevent.server import StreamServer
+
+from endive_gateway.callers import CallerListener
+from endive_gateway.context import Context
+from endive_gateway.following import ConfigurationFollower, ServerFollower
+from endive_gateway.forwarding import Forwarder
+from endive_gateway.interfaces import Cloud, GatewaySettings, Store, Wire
+
+SWEEP_S = 0.5
+"""How often idle connections to servers are looked at, seconds: their time-outs are
+whole seconds."""
+
+ROTATION_S = 3.0
+"""Time after the signal to stop for which idle callers' connections stay open, seconds.
+The balancer asks once a second and takes a node out after two misses; until then new
+connections come, and a close could cross a request."""
+
+EXIT_MARGIN_S = 0.4
+"""Time before the end of the grace period at which the process ends by itself, seconds:
+it closes its connections in good order, which the kill would not."""
+
+READY_ANSWER = b"HTTP/1.1 %s\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+
+
+class Gateway:
+    """Everything that one process runs."""
+
+    def __init__(
+        self, settings: GatewaySettings, wire: Wire, store: Store, cloud: Cloud
+    ) -> None:
+        self.settings = settings
+        self.context = Context(settings, wire, store, cloud)
+        place = settings.place
+        self.callers = CallerListener(
+            place.address,
+            place.caller_port,
+            Forwarder(self.context),
+            self.context.caller_limits,
+        )
+        self.readiness = StreamServer(
+            listen_tcp(place.address, place.ready_port), self._answer_ready
+        )
+        self.configuration = ConfigurationFollower(self.context)
+        self.servers = ServerFollower(self.context)
+        self.stopped = Event()
+        self.stopping_at: float | None = None
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether new callers' connections are welcome."""
+        return (
+            self.stopping_at is None
+            and self.context.table is not None
+            and self.context.registry.known_once
+        )
+
+    def start(self) -> None:
+        """Start all parts."""
+        place = self.settings.place
+        log_event("start", node=place.node, zone=place.zone, address=place.address)
+        loops = [
+            self.configuration.run,
+            self.servers.run,
+            self.context.placer.pump_often,
+            self._sweep,
+        ]
+        for loop in loops:
+            gevent.spawn(loop)
+        self.readiness.start()
+        self.callers.start()
+
+    def _answer_ready(self, sock, _address) -> None:
+        """Answer the balancer's question; whatever it asks for, there is one answer."""
+        with gevent.Timeout(1.0, False):
+            while sock.recv(4096):
+                status = b"200 OK" if self.is_ready else b"503 Service Unavailable"
+                sock.sendall(READY_ANSWER % status)
+                break
+
+    def _sweep(self) -> None:
+        while True:
+            gevent.sleep(SWEEP_S)
+            self.context.pool.sweep()
+
+    def drain(self) -> None:
+        """Stop: take nothing new, finish what was accepted, then end."""
+        if self.stopping_at is not None:
+            return
+        self.stopping_at = time.monotonic()
+        log_event("stopping", busy=self.callers.busy)
+        self.callers.stopping = True
+        grace = self.settings.bounds.grace_s - EXIT_MARGIN_S
+        end = self.stopping_at + grace
+        gevent.sleep(min(ROTATION_S, grace))
+        while time.monotonic() < end:
+            self.callers.close_idle()
+            if not self.callers.busy:
+                break
+            gevent.sleep(0.05)
+        log_event("stopped", unfinished=self.callers.busy)
+        self.stopped.set()
--- /dev/null
+++ b/packages/endive_gateway/src/endive_gateway/placing.py
@@ -0,0 +1,228 @@
+"""Where requests wait for a server: a scheduler a service, and greenlets that wait."""
+
+import random
+import time
+from collections import Counter
+
+import gevent
+from endive_core.calls import Call, Refusal, Retry, Stage, Ticket
+from endive_core.exceptions import EndiveError, ErrorKind, RetryReason
+from endive_core.messages import ServerView
+from endive_core.policy import Policy
+from endive_core.resources import ServiceType
+from endive_core.routing import RoutingTable, Service
+from endive_core.scheduler import Scheduler, crash_table
+from gevent.event import AsyncResult, Event
+
+from endive_gateway.interfaces import ServerEntry
+from endive_gateway.servers import ServerRegistry
+
+PUMP_S = 0.01
+"""How often queues are tried when nothing else makes them: pacing and pauses lapse
+with time alone, and a hundredth of a second is little against targets of 0.2 s."""
+
+ENGINE_PREFILL_TOKENS_PER_S = 100_000.0
+"""Prompt tokens that a model server reads a second, for predictions; the servers
+don't tell. Measured on the users' engines: 92,000 and 110,000."""
+
+FAILURES_PAUSE = 2
+"""Failures in a row after which a server gets no work for a while. A single lost
+answer says little of the server; the second in a row is likely a crash."""
+
+GATEWAY_POLICY = Policy(
+    no_server_wait_s=0.4,
+    max_retry_after_s=2.0,
+    retry_base_s=0.005,
+    retry_max_s=0.1,
+    failed_pause_s=0.5,
+    max_failed_pause_s=4.0,
+    retry_burst=1e9,
+    crash_memory_s=600.0,
+)
+"""The product's policy for callers that wait for a few seconds only: what can't be
+sent within less than a second is refused. Retries are bounded by the fleet's budget."""
+
+
+class Placer:
+    """Admits each request and gives each of its attempts a server."""
+
+    def __init__(
+        self,
+        registry: ServerRegistry,
+        policy: Policy = GATEWAY_POLICY,
+        *,
+        seed: int | None = None,
+    ) -> None:
+        self.registry = registry
+        self.policy = policy
+        self.random = random.Random(seed)
+        self.crashes = crash_table(policy)
+        self.now = time.monotonic
+        self.nodes = 1
+        self.services: dict[str, Service] = {}
+        self.schedulers: dict[str, Scheduler] = {}
+        self.views: dict[str, ServerView] = {}
+        self.owners: dict[Ticket, Scheduler] = {}
+        self.waiting: dict[Ticket, AsyncResult] = {}
+        self.in_a_row: Counter[str] = Counter()
+        self.queued = Event()
+        registry.listeners.append(self.refresh)
+
+    def configure(self, table: RoutingTable) -> None:
+        """Take over the services in force."""
+        self.services = dict(table.services)
+        for gone in self.schedulers.keys() - self.services.keys():
+            scheduler = self.schedulers.pop(gone)
+            scheduler.close()
+            self.pump(scheduler)
+        self.refresh()
+
+    def set_nodes(self, nodes: int) -> None:
+        """Take over the number of live nodes, this one included."""
+        if nodes != self.nodes:
+            self.nodes = nodes
+            for scheduler in self.schedulers.values():
+                scheduler.set_nodes(nodes)
+
+    def refresh(self) -> None:
+        """Take over the servers that may get requests."""
+        for name, service in self.services.items():
+            scheduler = self.schedulers.get(name)
+            if scheduler is None:
+                scheduler = self.schedulers[name] = Scheduler.from_policy(
+                    self.policy,
+                    self.random,
+                    service_type=_type(service),
+                    crashes=self.crashes,
+                )
+                scheduler.set_nodes(self.nodes)
+            usable = [s.entry for s in self.registry.of_service(name) if s.usable]
+            scheduler.set_servers([self._view(entry, service) for entry in usable])
+            self.pump(scheduler)
+        for gone in self.views.keys() - self.registry.servers.keys():
+            del self.views[gone]
+            self.in_a_row.pop(gone, None)
+
+    def _view(self, entry: ServerEntry, service: Service) -> ServerView:
+        view = self.views.get(entry.id)
+        engine = _type(service) is ServiceType.ENGINE
+        if view is None:
+            rate = ENGINE_PREFILL_TOKENS_PER_S if engine else 1.0
+            view = ServerView(entry.id, "", "", service.name, 1, rate, 50.0)
+            self.views[entry.id] = view
+        view.address = entry.address
+        view.zone = entry.zone
+        view.service = service.name
+        view.max_concurrent = max(1, entry.slots)
+        view.reclaimable = entry.reclaimable
+        return view
+
+    # One request's way
+
+    def admit(self, service: str, call: Call) -> Ticket:
+        """Queue a request for a server of `service`; raises EndiveError."""
+        scheduler = self.schedulers.get(service)
+        if scheduler is None:
+            raise EndiveError(ErrorKind.NO_SERVER, f"no service {service!r}")
+        verdict = scheduler.offer(call, self.now())
+        if isinstance(verdict, Refusal):
+            raise refusal_error(verdict)
+        self.owners[verdict] = scheduler
+        self.waiting[verdict] = AsyncResult()
+        self.pump(scheduler)
+        return verdict
+
+    def acquire(self, ticket: Ticket) -> ServerView:
+        """Wait for the server of the next attempt; raises EndiveError."""
+        return self.waiting[ticket].get()
+
+    def started(self, ticket: Ticket) -> None:
+        """Note the first bytes of an answer."""
+        if ticket.stage is Stage.DISPATCHED:
+            self.owners[ticket].started(ticket, self.now())
+
+    def report(self, server_id: str, running: int, waiting: int) -> None:
+        """Take over the load that a server's answer told."""
+        view = self.views.get(server_id)
+        scheduler = self.schedulers.get(view.service) if view else None
+        if scheduler is not None:
+            scheduler.report(server_id, running, waiting, as_of=self.now())
+            self.pump(scheduler)
+
+    def finished(self, ticket: Ticket, tokens: int) -> None:
+        """Note a whole answer."""
+        self.in_a_row.pop(ticket.server, None)
+        scheduler = self.owners[ticket]
+        scheduler.finished(ticket, self.now(), tokens=tokens)
+        self.pump(scheduler)
+
+    def failed(
+        self, ticket: Ticket, reason: RetryReason, *, started: bool, max_attempts: int
+    ) -> None:
+        """Queue a ticket again after a failed attempt.
+
+        Raises
+        ------
+        EndiveError
+            If there must be no further attempt.
+        """
+        scheduler = self.owners[ticket]
+        if reason is RetryReason.SERVER_FAILED:
+            self.in_a_row[ticket.server] += 1
+            if self.in_a_row[ticket.server] < FAILURES_PAUSE:
+                reason = RetryReason.SERVER_SLOW
+        verdict = scheduler.failed(
+            ticket, self.now(), reason, started=started, max_attempts=max_attempts
+        )
+        self.pump(scheduler)
+        if not isinstance(verdict, Retry):
+            raise refusal_error(verdict)
+        self.waiting[ticket] = AsyncResult()
+        gevent.sleep(verdict.delay_s)
+        scheduler.requeue(ticket)
+        self.pump(scheduler)
+
+    def end(self, ticket: Ticket) -> None:
+        """Forget a ticket; frees its slot if its caller left."""
+        scheduler = self.owners.pop(ticket, None)
+        if scheduler is None:
+            return
+        del self.waiting[ticket]
+        scheduler.cancelled(ticket, self.now())
+        self.pump(scheduler)
+
+    # Keeping the queues moving
+
+    def pump(self, scheduler: Scheduler) -> None:
+        """Wake the greenlets of all tickets that may be sent now."""
+        now = self.now()
+        while (dispatch := scheduler.next_dispatch(now)) is not None:
+            view = scheduler.servers.servers[dispatch.server].view
+            self.waiting[dispatch.ticket].set(view)
+        for ticket in scheduler.take_expired():
+            if ticket in self.waiting:
+                self.waiting[ticket].set_exception(refusal_error(ticket.refusal))
+        if len(scheduler.queue):
+            self.queued.set()
+
+    def pump_often(self) -> None:
+        """Try the queues for ever; the body of a greenlet."""
+        while True:
+            self.queued.wait()
+            gevent.sleep(PUMP_S)
+            waiting = [s for s in self.schedulers.values() if len(s.queue)]
+            if not waiting:
+                self.queued.clear()
+            for scheduler in waiting:
+                self.pump(scheduler)
+
+
+def refusal_error(refusal: Refusal) -> EndiveError:
+    """Return the error that tells a refusal."""
+    return EndiveError(
+        refusal.kind, refusal.message, retry_after_s=refusal.retry_after_s
+    )
+
+
+def _type(service: Service) -> ServiceType:
+    return ServiceType.ENGINE if service.engine else ServiceType.PLAIN
