Share limits, report usage and order servers on the platform

Change: nodes tell each other their spending, work and usage over UDP; one holder by a conditional append reports usage and orders servers; spot servers spread so that a zone may go, on-demand ones ordered at the first reclaim.

--- a/packages/endive_core/src/endive_core/calls.py
+++ b/packages/endive_core/src/endive_core/calls.py
@@ -95,6 +95,9 @@
         Tokens charged to the organisation, an estimate until the end.
     server : str
         Server of the attempt under way; empty while queued.
+    load : object
+        The state of that server to which the attempt was counted; a server that goes
+        and comes back under its id starts with another one.
     uncached_tokens : float
         Prompt tokens that placement expected the server to compute.
     avoid : set of str
@@ -115,6 +118,7 @@
     stage: Stage = Stage.QUEUED
     attempt: int = 0
     server: str = ""
+    load: object = None
     dispatched_at: float = 0.0
     first_token_at: float | None = None
     tokens: int = 0
--- a/packages/endive_core/src/endive_core/capacity.py
+++ b/packages/endive_core/src/endive_core/capacity.py
@@ -1,10 +1,11 @@
 """How many servers to order where, and of which kind.
 
 The load this is for: most servers are reclaimable, and a zone's worth of them goes at
-once, often one zone after another, while no new ones are to be had. The decision is
-the cheapest mix that still carries the load when the zone with most reclaimable
-servers is gone, and that replaces what is under notice with on-demand servers at
-once, for those are to be had always and need some seconds to start.
+once, often one zone after another within seconds, while no new ones are to be had.
+The decision is the cheapest mix that still carries the load when the zone with most
+reclaimable servers is gone. At the first notice on-demand servers are ordered for the
+whole load: they are to be had always, but need some seconds to start, and the other
+zones may go within that time.
 
 It is a desired state, not a step: repeated or late orders do no harm.
 """
@@ -21,6 +22,13 @@
 
 MAX_BACKOFF_S = 8.0
 
+ROUNDED = 0.05
+"""Part of a server that may be missing: measured load is no more exact than that."""
+
+WAVE_S = 10.0
+"""Time after a reclaim in which the other zones are expected to follow, seconds:
+waves came 5 to 6 s apart."""
+
 
 @dataclass(frozen=True, slots=True)
 class Pool:
@@ -64,6 +72,10 @@
         Servers that carry the load at the latency target, a fraction included.
     refused : mapping of Pool to float
         Pools that refused, with the time until which not to ask them.
+    ordered : mapping of Pool to int
+        What is on order now.
+    reclaimed_at : float
+        When a zone's reclaimable servers were last seen to be taken.
     """
 
     scaling: Scaling
@@ -71,48 +83,56 @@
     needed: float
     now: float
     refused: Mapping[Pool, float] = field(default_factory=dict)
+    ordered: Mapping[Pool, int] = field(default_factory=dict)
+    reclaimed_at: float = float("-inf")
 
     def ready(self, zone: str, reclaimable: bool) -> int:
         """Return the ready servers of one pool."""
         state = self.pools.get(Pool(zone, reclaimable))
         return state.ready if state else 0
 
-    def price(self, pool: Pool) -> float:
-        """Return the price of one server of `pool` for a second."""
-        price = self.scaling.zone_prices.get(pool.zone, 1.0)
-        return price * (self.scaling.reclaimable_price if pool.reclaimable else 1.0)
+    def refusing_zones(self) -> set[str]:
+        """Return the zones that have no reclaimable servers to give."""
+        return {pool.zone for pool, until in self.refused.items() if until > self.now}
 
 
 def desired_servers(view: CapacityView) -> dict[Pool, int]:
     """Return the number of servers to order of each pool.
 
-    Reclaimable servers are spread evenly over the zones, so many that any one zone may
-    go; what is not there of them now (refused, under notice, still starting) is made
-    up by on-demand servers in the cheapest zones with room, until they are.
+    Reclaimable servers are spread over the zones, so many that any one zone may go;
+    what is not there of them now (refused, under notice, still starting) is made up by
+    on-demand servers until they are.
     """
     scaling = view.scaling
-    zones = sorted(scaling.zone_prices)
-    spread = _spread(view.needed, len(zones), scaling)
-    wanted = {Pool(zone, True): spread for zone in zones}
+    zones = sorted(scaling.zone_prices, key=lambda z: (scaling.zone_prices[z], z))
+    spread = _spread(view.needed, zones, scaling)
+    wanted = {Pool(zone, True): spread[zone] for zone in zones}
     for pool in wanted:
         if view.refused.get(pool, 0.0) > view.now:
             wanted[pool] = view.ready(pool.zone, True)
     on_demand = _on_demand(view, zones, wanted)
     for zone in zones:
-        wanted[Pool(zone, False)] = on_demand.get(zone, 0)
-        short = scaling.min_servers - sum(
-            wanted[Pool(zone, kind)] for kind in (True, False)
-        )
-        if short > 0:
-            wanted[Pool(zone, False)] += short
+        least = scaling.min_servers - wanted[Pool(zone, True)]
+        if zone in view.refusing_zones():
+            least = 0  # what is missing comes back, and makes up for it
+        wanted[Pool(zone, False)] = max(on_demand[zone], least)
     return wanted
 
 
-def _spread(needed: float, zones: int, scaling: Scaling) -> int:
-    """Return the reclaimable servers of each zone that carry the load without one."""
-    left = max(1, zones - 1)
-    spread = math.ceil(needed / left)
-    return max(scaling.min_servers, 1, min(spread, scaling.max_servers))
+def _spread(needed: float, zones: list[str], scaling: Scaling) -> dict[str, int]:
+    """Return the reclaimable servers of each zone that carry the load without one.
+
+    With the largest zone gone, the rest must be enough; the cheapest zones get one
+    more than the others where the number doesn't divide.
+    """
+    servers = max(1, math.ceil(needed - ROUNDED))
+    largest = math.ceil(servers / max(1, len(zones) - 1))
+    total = servers + largest if len(zones) > 1 else servers
+    spread = {}
+    for position, zone in enumerate(zones):
+        share = total // len(zones) + (position < total % len(zones))
+        spread[zone] = max(scaling.min_servers, min(share, scaling.max_servers))
+    return spread
 
 
 def _on_demand(
@@ -121,23 +141,28 @@
     """Return the on-demand servers by zone that make up for missing reclaimable ones.
 
     Counted are the reclaimable ones that are ready, less the zone that has most of
-    them: it may get its notice next.
+    them: it may get its notice next. In a wave of reclaims none counts.
+
+    What is ordered stays where it is: moved to a cheaper zone, it would have to start
+    again.
     """
     ready = {zone: view.ready(zone, True) for zone in zones}
     sure = sum(ready.values()) - max(ready.values(), default=0)
-    missing = max(0, math.ceil(view.needed - sure - 1e-9))
-    placed = dict.fromkeys(zones, 0)
-    by_price = sorted(zones, key=lambda zone: view.price(Pool(zone, False)))
-    while missing > 0:
+    if view.now - view.reclaimed_at < WAVE_S:
+        sure = 0
+    placed = {zone: view.ordered.get(Pool(zone, False), 0) for zone in zones}
+    missing = math.ceil(view.needed - sure - ROUNDED)
+    while sum(placed.values()) > max(0, missing):
+        dearest = [zone for zone in zones if placed[zone]][-1]
+        placed[dearest] -= 1
+    while sum(placed.values()) < missing:
         open_zones = [
             zone
-            for zone in by_price
+            for zone in zones
             if placed[zone] + max(wanted[Pool(zone, True)], ready[zone])
             < view.scaling.max_servers
         ]
         if not open_zones:
             break
-        best = min(open_zones, key=lambda z: (placed[z], view.price(Pool(z, False))))
-        placed[best] += 1
-        missing -= 1
+        placed[min(open_zones, key=lambda zone: placed[zone])] += 1
     return placed
--- a/packages/endive_core/src/endive_core/leases.py
+++ b/packages/endive_core/src/endive_core/leases.py
@@ -19,7 +19,6 @@
     RENEWAL = "renewal"
     RELEASE = "release"
     USAGE = "usage"
-    ORDERS = "orders"
 
 
 @dataclass(frozen=True, slots=True)
@@ -32,6 +31,11 @@
         The node that wrote it.
     incarnation : int
         Which start of that node.
+    fence : int
+        Fencing number of the holder's claim; 0 in the claim itself.
+    reported : int
+        Newest window of usage that is decided, so that it is known also when the
+        record that decided it is forgotten.
     body : dict
         What the record's kind adds.
     """
@@ -39,6 +43,8 @@
     kind: DutyKind
     holder: str
     incarnation: int
+    fence: int = 0
+    reported: int = -1
     body: dict[str, Any] = field(default_factory=dict)
 
 
@@ -72,7 +78,7 @@
         self.former: list[str] = []
         self.moved_at: float | None = None
         self.usage: dict[int, dict[str, int]] = {}
-        self.orders: dict[str, Any] = {}
+        self.reported = -1
 
     def see_end(self, end: int, now: float) -> None:
         """Note the log's end as read at `now`; a log that moved starts the wait."""
@@ -91,8 +97,12 @@
                 del self.former[:-4]
             self.tenure = Tenure(record.holder, record.incarnation, offset + 1)
             return
-        if self.tenure is None or not self._by_holder(record):
+        if self.tenure is None:
+            # The claim is forgotten, and what follows it tells as much.
+            self.tenure = Tenure(record.holder, record.incarnation, record.fence)
+        if not self._by_holder(record):
             return
+        self.reported = max(self.reported, record.reported)
         if record.kind is DutyKind.RELEASE:
             self.tenure = Tenure(
                 record.holder, record.incarnation, self.tenure.fence, released=True
@@ -100,16 +110,16 @@
         elif record.kind is DutyKind.USAGE:
             window = int(record.body["window"])
             self.usage.setdefault(window, dict(record.body["counts"]))
+            self.reported = max(self.reported, window)
             for old in sorted(self.usage)[:-12]:
                 del self.usage[old]
-        elif record.kind is DutyKind.ORDERS:
-            self.orders = record.body
 
     def _by_holder(self, record: DutyRecord) -> bool:
         tenure = self.tenure
-        return (tenure.holder, tenure.incarnation) == (
+        return (tenure.holder, tenure.incarnation, tenure.fence) == (
             record.holder,
             record.incarnation,
+            record.fence,
         )
 
     def may_claim(self, node: str, now: float) -> bool:
--- a/packages/endive_core/src/endive_core/load_sizing.py
+++ b/packages/endive_core/src/endive_core/load_sizing.py
@@ -2,9 +2,9 @@
 
 from collections import deque
 
-USED_PART = 0.5
-"""Part of a server's prefill time that may be used on average. Above it prompts queue
-behind one another and first tokens come late in a burst of twice the mean."""
+USED_PART = 0.65
+"""Part of a server's time that the highest load of late may use. Above it prompts queue
+behind one another and first tokens come late."""
 
 PEAK_MEMORY_S = 20.0
 """Time for which the highest load counts, seconds: a wave's half period, so that
--- a/packages/endive_core/src/endive_core/outliers.py
+++ b/packages/endive_core/src/endive_core/outliers.py
@@ -70,6 +70,8 @@
     def probe(self, now: float) -> ServerLoad | None:
         """Return a slow server that is due for one call, so that it can come back."""
         for server in self.slow:
+            if self.servers.servers.get(server.id) is not server:
+                continue
             if not server.view.leaving and now >= server.next_probe_at:
                 server.next_probe_at = now + self.policy.probe_every_s
                 return server
--- a/packages/endive_core/src/endive_core/scheduler.py
+++ b/packages/endive_core/src/endive_core/scheduler.py
@@ -221,6 +221,7 @@
             self.admission.waited(ticket, now - ticket.accepted_at)
         ticket.stage = Stage.DISPATCHED
         ticket.server = server.id
+        ticket.load = server
         ticket.attempt += 1
         ticket.dispatched_at = now
         ticket.first_token_at = None
@@ -241,7 +242,7 @@
             return
         ticket.stage = Stage.STREAMING
         ticket.first_token_at = now
-        server = self.servers.servers.get(ticket.server)
+        server = self._load_of(ticket)
         seconds = now - ticket.dispatched_at
         prefill = ticket.uncached_tokens / self.admission.prefill_tokens_per_s()
         self.admission.rate.learn_start(seconds - prefill)
@@ -296,7 +297,7 @@
         crashed : str
             If the server crashed: its name with the number of its incarnation.
         """
-        server = self.servers.servers.get(ticket.server)
+        server = self._load_of(ticket)
         self.failures.suspect(ticket, crashed, now)
         if reason is not RetryReason.SERVER_BUSY:
             ticket.avoid.add(ticket.server)
@@ -340,12 +341,17 @@
         self.retries[RetryReason.SERVER_LEAVING] += 1
         self.requeue(ticket)
 
+    def _load_of(self, ticket: Ticket) -> ServerLoad | None:
+        """Return the server of the attempt under way, unless it went meanwhile."""
+        server = self.servers.servers.get(ticket.server)
+        return server if server is ticket.load else None
+
     def _release(self, ticket: Ticket, now: float) -> None:
         if not ticket.server:  # released already: cancelled while waiting to retry
             return
         self.usage.give_back(ticket.call.organisation)
         self.running.get(ticket.server, set()).discard(ticket)
-        server = self.servers.servers.get(ticket.server)
+        server = self._load_of(ticket)
         if server is not None:
             if ticket.stage is Stage.DISPATCHED:
                 self._no_longer_starting(ticket, server)
--- a/packages/endive_core/src/endive_core/servers.py
+++ b/packages/endive_core/src/endive_core/servers.py
@@ -290,7 +290,13 @@
         return all(server.id in tried for server in self.taking.items)
 
     def refresh(self, server: ServerLoad) -> None:
-        """Put `server` into or out of the lists of servers with room."""
+        """Put `server` into or out of the lists of servers with room.
+
+        One that is no longer declared stays out, whatever still ends or resumes there:
+        it would be chosen, and could not be found.
+        """
+        if self.servers.get(server.id) is not server:
+            return
         taking = not (server.view.leaving or server.paused)
         if taking:
             self.taking.add(server)
--- a/packages/endive_core/src/endive_core/sharing.py
+++ b/packages/endive_core/src/endive_core/sharing.py
@@ -1,120 +1,124 @@
-"""Limits over all nodes together: each node spends a share that follows its demand.
+"""Limits over all nodes together: each node counts what all of them spend.
 
 The load this is for: an organisation sends many times what it may, to all nodes at
-once. A limit kept at each node alone would let it have the limit once a node; asking
-one place for each request would cost a round trip. So the nodes tell each other what
-is asked of them, and each spends the part of the limit that its demand is of all.
+once. A limit kept at each node alone would let it have the limit once a node. A fixed
+part of it for each node would refuse callers who are far below it: the requests of one
+organisation at one node are few and large, and come in bunches. Asking one place for
+each request would cost a round trip.
+
+So the nodes tell each other what they have spent, several times a second, and each
+keeps the same allowance, from which everybody's spending is taken: its own at once,
+the others' when it hears of it. What is overspent meanwhile is a debt that all of them
+pay back.
 """
 
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 
-FLOOR_PART = 0.25
-"""Part of the limit that is divided evenly among the nodes, whatever they were asked
-for. A node whose callers have only just arrived starts from it; the other three
-quarters follow demand within a few tellings."""
-
-DEMAND_MEMORY_S = 2.0
-"""Time constant of the demand told to others, seconds: short against the windows in
-which limits are counted (8 s), long against the bunching of single requests."""
-
-SILENT_S = 1.5
-"""A node unheard for longer may be cut off and go on spending. Its part is left to it,
-so that the sides of a cut together stay within the limit."""
+SILENT_S = 0.9
+"""A node unheard for longer may be cut off and go on spending. Its even part of each
+limit is left to it, so that the sides of a cut together stay within the limit. Four
+tellings may be lost in a row before that."""
 
 FORGOTTEN_S = 30.0
 """A node unheard for longer is taken to be gone for good, and its part is divided.
-Longer than any cut the platform's figures speak of."""
+Longer than the cuts of up to 12 s that the platform's figures speak of."""
 
+SLACK_PART = 0.4
+"""Part of the operators' tolerance that is used as further burst. The rest covers what
+several nodes admit within one telling, a quarter of a second of all that is asked."""
 
-@dataclass
-class Demand:
-    """What one organisation asks of this node, in units a second."""
-
-    rate: float = 0.0
-    updated_at: float = 0.0
-    units: float = 0.0
-
-    def add(self, units: float) -> None:
-        """Count a request, served or not."""
-        self.units += units
-
-    def settle(self, now: float) -> float:
-        """Return the smoothed rate up to `now`."""
-        passed = now - self.updated_at
-        if passed > 0:
-            weight = min(1.0, passed / DEMAND_MEMORY_S)
-            self.rate += weight * (self.units / passed - self.rate)
-            self.units = 0.0
-            self.updated_at = now
-        return self.rate
+YOUNG_TELLINGS = 25
+"""Number of tellings up to which a node heard for the first time has only just
+started, so that all it has spent counts; of an older one only what comes now."""
 
 
 @dataclass
-class PeerDemand:
-    """What another node was asked for, as it last said."""
+class PeerSpending:
+    """What another node has spent since it started, as it last said."""
 
-    rates: dict[str, float] = field(default_factory=dict)
+    spent: dict[str, float] = field(default_factory=dict)
+    incarnation: int = 0
     heard_at: float = 0.0
 
 
 @dataclass
 class Allowance:
-    """Units that one organisation may still spend at this node.
-
-    It may go below zero by one request, which the next seconds pay back: a large
-    request would otherwise never fit a small node's share.
+    """Units of one organisation's limit that are left, over all nodes.
 
-    It starts empty: after a restart nobody knows what was spent a moment before.
+    It starts empty: after a restart nobody knows what was spent a moment before. It
+    may go below zero by a request, which the next seconds pay back: a request larger
+    than what is left would otherwise never fit.
     """
 
     units: float = 0.0
-    updated_at: float | None = None
+    updated_at: float = 0.0
 
     def refill(self, now: float, *, rate: float, burst: float) -> None:
         """Add what `rate` has given since the last time, up to `burst`."""
-        if self.updated_at is not None:
-            self.units += rate * max(0.0, now - self.updated_at)
+        self.units += rate * max(0.0, now - self.updated_at)
         self.units = min(self.units, burst)
         self.updated_at = now
 
-    def wait_s(self, rate: float) -> float:
-        """Return 0 if a request may come now, else the seconds until one may."""
-        if self.units > 0:
-            return 0.0
-        return -self.units / rate + 0.001 if rate > 0 else 1.0
-
 
 class SharedLimits:
-    """A node's part of every organisation's limit.
+    """Every organisation's limit, as this node can keep it with the others.
 
     Callers meet it as 429 with the time to come back.
+
+    Parameters
+    ----------
+    now : float
+        When this node started: allowances have been empty then.
+    slack : float
+        Units beyond rate and burst that operators tolerate in their windows.
     """
 
-    def __init__(self) -> None:
-        self.demands: dict[str, Demand] = {}
-        self.told: dict[str, float] = {}
-        self.peers: dict[str, PeerDemand] = {}
+    def __init__(self, now: float = 0.0, *, slack: float = 0.0) -> None:
+        self.slack = slack
+        self.begun_at = now
+        self.spent: dict[str, float] = {}
+        self.peers: dict[str, PeerSpending] = {}
         self.allowances: dict[str, Allowance] = {}
 
-    def tell(self, now: float) -> dict[str, float]:
-        """Return the demand by organisation that the other nodes are to hear.
+    def tell(self) -> dict[str, float]:
+        """Return what this node has spent since it started, by organisation."""
+        return self.spent
+
+    def hear(
+        self,
+        node: str,
+        spent: Mapping[str, float],
+        now: float,
+        *,
+        incarnation: int,
+        tellings: int,
+    ) -> None:
+        """Take over what another node has spent since it started.
 
-        This node computes its own part from the same figures, so that all nodes'
-        parts add up to one.
+        Parameters
+        ----------
+        tellings : int
+            How often it has told since it started.
         """
-        self.told = {name: demand.settle(now) for name, demand in self.demands.items()}
-        return self.told
-
-    def hear(self, node: str, rates: dict[str, float], now: float) -> None:
-        """Take over what another node was asked for."""
-        self.peers[node] = PeerDemand(rates, now)
+        peer = self.peers.get(node)
+        known = peer is not None and peer.incarnation == incarnation
+        if known:
+            before = peer.spent
+        else:
+            before = {} if tellings <= YOUNG_TELLINGS else dict(spent)
+        for organisation, units in spent.items():
+            new = units - before.get(organisation, 0.0)
+            if new:
+                self._allowance(organisation).units -= new
+        self.peers[node] = PeerSpending(dict(spent), incarnation, now)
 
     def expect(self, node: str, now: float) -> None:
         """Count a node that is known to be there, though it was not heard yet."""
-        self.peers.setdefault(node, PeerDemand({}, now - SILENT_S))
+        self.peers.setdefault(node, PeerSpending(heard_at=now - SILENT_S))
 
     def leave(self, node: str) -> None:
-        """Divide the part of a node that said it stops."""
+        """Divide the part of a node that said it has stopped."""
         self.peers.pop(node, None)
 
     def forget_silent(self, now: float) -> None:
@@ -123,21 +127,11 @@
             if now - peer.heard_at > FORGOTTEN_S:
                 del self.peers[node]
 
-    def share(self, organisation: str, now: float) -> float:
-        """Return the part of the organisation's limit that is this node's."""
+    def part(self, now: float) -> float:
+        """Return the part of each limit for the nodes that hear each other."""
+        silent = sum(now - peer.heard_at > SILENT_S for peer in self.peers.values())
         nodes = len(self.peers) + 1
-        own = self.told.get(organisation, 0.0)
-        others = silent = 0.0
-        for peer in self.peers.values():
-            if now - peer.heard_at > SILENT_S:
-                silent += 1
-            else:
-                others += peer.rates.get(organisation, 0.0)
-        heard_part = (nodes - silent) / nodes
-        even = 1.0 / (nodes - silent)
-        total = own + others
-        by_demand = own / total if total > 0 else even
-        return heard_part * (FLOOR_PART * even + (1 - FLOOR_PART) * by_demand)
+        return (nodes - silent) / nodes
 
     def wait_s(
         self, organisation: str, units: float, now: float, *, rate: float, burst: float
@@ -149,17 +143,25 @@
         rate, burst : float
             The whole limit, of all nodes together.
         """
-        demand = self.demands.setdefault(organisation, Demand(updated_at=now))
-        demand.add(units)
-        share = self.share(organisation, now)
-        allowance = self.allowances.setdefault(organisation, Allowance())
-        allowance.refill(now, rate=rate * share, burst=burst * share)
-        wait = allowance.wait_s(rate * share)
-        if wait == 0.0:
-            allowance.units -= units
-        return wait
+        part = self.part(now)
+        allowance = self._allowance(organisation)
+        allowance.refill(
+            now, rate=rate * part, burst=(burst + SLACK_PART * self.slack) * part
+        )
+        if allowance.units <= 0:
+            return 0.001 - allowance.units / (rate * part)
+        self._spend(organisation, units)
+        return 0.0
 
     def give_back(self, organisation: str, units: float) -> None:
         """Return what a request took that was not run after all."""
-        if organisation in self.allowances:
-            self.allowances[organisation].units += units
+        self._spend(organisation, -units)
+
+    def _spend(self, organisation: str, units: float) -> None:
+        self._allowance(organisation).units -= units
+        self.spent[organisation] = self.spent.get(organisation, 0.0) + units
+
+    def _allowance(self, organisation: str) -> Allowance:
+        return self.allowances.setdefault(
+            organisation, Allowance(updated_at=self.begun_at)
+        )
--- a/packages/endive_core/tests/test_outliers.py
+++ b/packages/endive_core/tests/test_outliers.py
@@ -55,3 +55,11 @@
     made.observe(server, seconds=5.0, expected_s=0.1)
     made.compare(3.0)
     assert not made.slow
+
+
+def test_a_slow_server_that_is_gone_gets_no_probe():
+    """A slow server leaves before its probe is due. The probe's request would go to a
+    server that nobody knows any more, and fail."""
+    made = detector([0.1, 0.1, 0.4, 0.1, 0.1])
+    made.servers.set_servers(view(f"s{i}", slots=8) for i in (0, 1, 3, 4))
+    assert made.probe(7.0) is None
--- a/packages/endive_core/tests/test_servers.py
+++ b/packages/endive_core/tests/test_servers.py
@@ -84,3 +84,18 @@
     made = servers()
     assert not made.pause(made.servers["s0"])
     assert len(made.taking) == 1
+
+
+def test_a_server_that_is_gone_is_not_offered_again_when_its_last_work_ends():
+    """A server is paused or marked slow, then leaves for good, and what still ran there
+    ends. Put back among those with room, it would be chosen for a request, which fails
+    because nobody knows the server any more."""
+    made = servers(count=2)
+    gone = made.servers["s0"]
+    made.pause(gone)
+    made.set_servers([view("s1", slots=32)])
+    gone.paused = False
+    made.refresh(gone)
+    made.answered(gone)
+    for members in (made.taking, *made.open.values()):
+        assert "s0" not in members.positions
--- a/packages/endive_gateway/src/endive_gateway/callers.py
+++ b/packages/endive_gateway/src/endive_gateway/callers.py
@@ -178,13 +178,24 @@
 
     def start(self) -> None:
         """Begin to accept."""
+        self.listener = gsocket.socket(fileno=self.listener.detach())
         self.acceptor = gevent.spawn(self._accept)
 
+    @property
+    def accepting(self) -> bool:
+        """Whether new connections are taken."""
+        return not self.acceptor.dead
+
+    def stop_accepting(self) -> None:
+        """Take no new connection; those that no request was read from are closed."""
+        self.acceptor.kill()
+        self.listener.close()
+        self.close_idle()
+
     def _accept(self) -> None:
-        sock = gsocket.socket(fileno=self.listener.detach())
         while True:
             try:
-                accepted, _ = sock.accept()
+                accepted, _ = self.listener.accept()
             except OSError as error:
                 # Out of descriptors, for one: those in use end sooner or later.
                 log_event("accept_failed", error=error)
--- a/packages/endive_gateway/src/endive_gateway/context.py
+++ b/packages/endive_gateway/src/endive_gateway/context.py
@@ -12,8 +12,9 @@
 
 from endive_gateway.connections import ConnectionPool
 from endive_gateway.interfaces import Cloud, GatewaySettings, Store, Wire
-from endive_gateway.placing import Placer
+from endive_gateway.placing import ENGINE_PREFILL_TOKENS_PER_S, Placer
 from endive_gateway.servers import ServerRegistry
+from endive_gateway.working import WorkMeter
 
 
 class Context:
@@ -26,7 +27,11 @@
     document : bytes
         The same as the operators wrote it, for other nodes.
     nodes : int
-        Live nodes, this one included.
+        Known nodes, this one included.
+    started_at : float
+        When this node started, seconds on the monotonic clock.
+    reported : int
+        Newest window of usage that any node is known to have reported.
     """
 
     def __init__(
@@ -43,11 +48,14 @@
         self.registry = ServerRegistry()
         self.placer = Placer(self.registry)
         self.pool = ConnectionPool(wire)
-        self.limits = SharedLimits()
+        self.limits = SharedLimits(time.monotonic(), slack=settings.bounds.quota_slack)
         self.meter = Meter(settings.bounds.usage_window_s)
         self.true_time = TrueTime(time.monotonic, time.time)
         self.budgets: dict[str, FleetRetryBudget] = {}
+        self.work = WorkMeter(ENGINE_PREFILL_TOKENS_PER_S)
         self.incarnation = time.time_ns() // 1000
+        self.started_at = time.monotonic()
+        self.reported = -1
 
     @property
     def version(self) -> int:
--- a/packages/endive_gateway/src/endive_gateway/forwarding.py
+++ b/packages/endive_gateway/src/endive_gateway/forwarding.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 import gevent
+from absl import logging
 from endive_core.calls import Call, Stage, Ticket
 from endive_core.exceptions import EndiveError, ErrorKind, RetryReason
 from endive_core.hashing import fingerprint
@@ -141,6 +142,10 @@
         except CallerGoneError:
             self.outcome = "caller_gone"
             raise
+        except Exception as error:
+            logging.exception("request %s failed", self.facts.id)
+            self.may_have_run |= self.in_flight
+            self._refuse(EndiveError(ErrorKind.INTERNAL, repr(error)))
         finally:
             self._release()
 
@@ -238,6 +243,15 @@
             terms.name, units, self.now, rate=terms.rate, burst=terms.burst
         )
         if wait > 0:
+            log_event(
+                "limit_exceeded",
+                request=self.facts.id,
+                organisation=terms.name,
+                units=units,
+                rate=terms.rate,
+                wait_s=wait,
+                part=self.context.limits.part(self.now),
+            )
             raise EndiveError(
                 ErrorKind.LIMIT_EXCEEDED,
                 "the organisation's limit is used up",
@@ -251,6 +265,7 @@
         self._admit()
         while True:
             view = self.context.placer.acquire(self.ticket)
+            self.context.work.sent(self.service, self.ticket.uncached_tokens)
             try:
                 self._attempt(view)
             except AttemptError as error:
--- a/packages/endive_gateway/src/endive_gateway/gateway.py
+++ b/packages/endive_gateway/src/endive_gateway/gateway.py
@@ -1,8 +1,10 @@
 """One gateway: its parts, its start and its stop."""
 
 import time
+from collections.abc import Callable
 
 import gevent
+from absl import logging
 from endive_node.listeners import listen_tcp
 from endive_node.telemetry import log_event
 from gevent.event import Event
@@ -10,9 +12,12 @@
 
 from endive_gateway.callers import CallerListener
 from endive_gateway.context import Context
+from endive_gateway.duties import Duties
 from endive_gateway.following import ConfigurationFollower, ServerFollower
 from endive_gateway.forwarding import Forwarder
 from endive_gateway.interfaces import Cloud, GatewaySettings, Store, Wire
+from endive_gateway.ordering import Ordering
+from endive_gateway.peers import Peers
 
 SWEEP_S = 0.5
 """How often idle connections to servers are looked at, seconds: their time-outs are
@@ -23,13 +28,33 @@
 The balancer asks once a second and takes a node out after two misses; until then new
 connections come, and a close could cross a request."""
 
+DRAIN_LOOK_S = 0.05
+"""How often a node that stops looks whether all requests are answered, seconds."""
+
 EXIT_MARGIN_S = 0.4
 """Time before the end of the grace period at which the process ends by itself, seconds:
 it closes its connections in good order, which the kill would not."""
 
+LOOP_RESTART_S = 0.5
+"""Time before a loop that failed starts again, seconds."""
+
 READY_ANSWER = b"HTTP/1.1 %s\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 
 
+def keep_running(loop: Callable[[], None]) -> None:
+    """Run `loop`, and again after an error; the body of a greenlet.
+
+    A loop that died of one odd record would leave the node on old news for good.
+    """
+    while True:
+        try:
+            loop()
+        except Exception as error:
+            log_event("loop_failed", loop=loop.__qualname__, error=repr(error))
+            logging.exception("loop failed")
+            gevent.sleep(LOOP_RESTART_S)
+
+
 class Gateway:
     """Everything that one process runs."""
 
@@ -50,6 +75,10 @@
         )
         self.configuration = ConfigurationFollower(self.context)
         self.servers = ServerFollower(self.context)
+        self.peers = Peers(self.context)
+        self.duties = Duties(
+            self.context, self.peers, Ordering(self.context, self.peers)
+        )
         self.stopped = Event()
         self.stopping_at: float | None = None
 
@@ -72,8 +101,11 @@
             self.context.placer.pump_often,
             self._sweep,
         ]
+        if self.settings.duties:
+            loops.append(self.duties.run)
+        self.peers.start()
         for loop in loops:
-            gevent.spawn(loop)
+            gevent.spawn(keep_running, loop)
         self.readiness.start()
         self.callers.start()
 
@@ -97,13 +129,20 @@
         self.stopping_at = time.monotonic()
         log_event("stopping", busy=self.callers.busy)
         self.callers.stopping = True
+        gevent.spawn(self.duties.release)
         grace = self.settings.bounds.grace_s - EXIT_MARGIN_S
         end = self.stopping_at + grace
         gevent.sleep(min(ROTATION_S, grace))
         while time.monotonic() < end:
             self.callers.close_idle()
             if not self.callers.busy:
-                break
-            gevent.sleep(0.05)
+                if not self.callers.accepting:
+                    break
+                # A connection accepted from here on would bring a request that this
+                # process ends in the middle of.
+                self.callers.stop_accepting()
+                continue
+            gevent.sleep(DRAIN_LOOK_S)
+        self.peers.tell(gone=True)
         log_event("stopped", unfinished=self.callers.busy)
         self.stopped.set()
--- a/packages/endive_gateway/src/endive_gateway/interfaces.py
+++ b/packages/endive_gateway/src/endive_gateway/interfaces.py
@@ -60,7 +60,11 @@
 
 
 class StoreForgottenError(StoreError):
-    """The records asked for are older than the store keeps."""
+    """Records that are older than the store keeps; ``first`` is the oldest kept."""
+
+    def __init__(self, first: int) -> None:
+        super().__init__(f"the oldest record kept is {first}")
+        self.first = first
 
 
 class StoreConflictError(StoreError):
@@ -367,7 +371,7 @@
     retry_ratio: float = 0.2
     retry_window_s: float = 10.0
     retry_slack: float = 50.0
-    lease_s: float = 3.0
+    quota_slack: float = 0.0
     usage_window_s: float = 5.0
     usage_late_s: float = 10.0
 
--- /dev/null
+++ b/packages/endive_gateway/src/endive_gateway/ordering.py
@@ -0,0 +1,241 @@
+"""Orders of servers, from the capacity decision to the cloud's calls."""
+
+from endive_core.capacity import (
+    MAX_BACKOFF_S,
+    RECLAIMED_BACKOFF_S,
+    CapacityView,
+    Pool,
+    PoolState,
+    Refused,
+    desired_servers,
+)
+from endive_core.leases import Lease
+from endive_core.load_sizing import USED_PART, LoadMeter
+from endive_core.routing import Service
+from endive_node.telemetry import log_event
+
+from endive_gateway.context import Context
+from endive_gateway.interfaces import CloudEmptyError, CloudError, Order
+from endive_gateway.peers import Peers
+
+CALL_S = 0.4
+"""Time that a call to the cloud needs, seconds; none is begun with less lease left."""
+
+RETRY_S = 0.7
+"""Time before a call that failed is tried again, seconds."""
+
+REPEAT_S = 15.0
+"""Time after which an order is sent again though it was taken, seconds: a lost change
+at the cloud would otherwise never be noticed."""
+
+UNMEASURED_S = 8.0
+"""Time of traffic after which the measured load is trusted, seconds. Until then the
+servers that are there at the start say how many are needed."""
+
+UNMEASURED_PART = 0.6
+"""Part of the servers at the start that is taken to be needed at least until then: the
+operators started with some to spare for the loss of a zone."""
+
+LOWER_AFTER_S = 5.0
+"""Time for which fewer servers must be wanted before any is given back, seconds: a
+little more than one takes to start."""
+
+LOWER_IDLE_S = 0.5
+"""The same before the first request of all: nothing is lost by it."""
+
+SETTLED_S = 2.5
+"""Time after the list of servers was first read until it is taken to be whole,
+seconds: each server writes once in 1.2 s."""
+
+LEAST_NEEDED = 1.6
+"""Servers needed at the least, whatever the load: with fewer, one crash leaves one."""
+
+
+class Ordering:
+    """Keeps each scaled service at the size that the decision wants."""
+
+    def __init__(self, context: Context, peers: Peers) -> None:
+        self.context = context
+        self.peers = peers
+        self.loads: dict[str, LoadMeter] = {}
+        self.begun_with: dict[str, int] = {}
+        self.traffic_since: float | None = None
+        self.taken: dict[tuple[str, Pool], tuple[int, float]] = {}
+        self.refused: dict[tuple[str, Pool], Refused] = {}
+        self.next_try_at = 0.0
+        self.reclaimed_at: dict[str, float] = {}
+        self.lower_since: dict[tuple[str, Pool], float] = {}
+        self.known_at: float | None = None
+        self.had_ready: dict[tuple[str, Pool], int] = {}
+
+    def begin(self, now: float) -> None:
+        """Start a tenure: what others ordered isn't known for sure."""
+        self.taken.clear()
+        self.refused.clear()
+        self.next_try_at = now
+
+    def step(self, node: str, lease: Lease, now: float) -> None:
+        """Send the orders that are due."""
+        self._measure(now)
+        if now < self.next_try_at or not self._settled(now):
+            return
+        for service in self._scaled():
+            for pool, servers in self._wanted(service, now).items():
+                if not lease.held(now + CALL_S):
+                    return
+                self._order(node, lease, service, pool, servers, now)
+
+    def _scaled(self) -> list[Service]:
+        table = self.context.table
+        services = table.services.values() if table else ()
+        return [service for service in services if service.scaling]
+
+    def _measure(self, now: float) -> None:
+        total: dict[str, float] = dict(self.context.work.told)
+        for peer in self.peers.live():
+            for service, work in peer.work.items():
+                total[service] = total.get(service, 0.0) + work
+        for service, work in total.items():
+            if work > 0 and self.traffic_since is None:
+                self.traffic_since = now
+            self.loads.setdefault(service, LoadMeter()).add(work, now)
+
+    def needed(self, service: Service, now: float) -> float:
+        """Return the servers that carry the service's load."""
+        load = self.loads.get(service.name)
+        needed = max(LEAST_NEEDED, load.peak() / USED_PART if load else 0.0)
+        since = self.traffic_since
+        if since is None or now - since < UNMEASURED_S:
+            if since is None:
+                self._count_first(service)
+            needed = max(needed, UNMEASURED_PART * self.begun_with.get(service.name, 0))
+        return needed
+
+    def _settled(self, now: float) -> bool:
+        """Return whether the servers there are have had time to register.
+
+        Sized by the first few that wrote their entries, a service would shrink before
+        the first request comes.
+        """
+        if not self.context.registry.known_once:
+            return False
+        if self.known_at is None:
+            self.known_at = now
+        return self.traffic_since is not None or now - self.known_at >= SETTLED_S
+
+    def _count_first(self, service: Service) -> None:
+        """Count the servers that the operators started with."""
+        servers = self.context.registry.of_service(service.name)
+        first = sum(s.usable and not s.entry.reclaimable for s in servers)
+        self.begun_with[service.name] = max(first, self.begun_with.get(service.name, 0))
+
+    def _wanted(self, service: Service, now: float) -> dict[Pool, int]:
+        pools: dict[Pool, PoolState] = {}
+        for known in self.context.registry.of_service(service.name):
+            pool = Pool(known.entry.zone, known.entry.reclaimable)
+            state = pools.setdefault(pool, PoolState())
+            if known.usable:
+                state.ready += 1
+            else:
+                state.leaving += 1
+        self._see_reclaims(service, pools, now)
+        refused = {
+            pool: refusal.until
+            for (name, pool), refusal in self.refused.items()
+            if name == service.name
+        }
+        return desired_servers(
+            CapacityView(
+                service.scaling,
+                pools,
+                self.needed(service, now),
+                now,
+                refused,
+                self._ordered(service, pools),
+                self.reclaimed_at.get(service.name, float("-inf")),
+            )
+        )
+
+    def _ordered(
+        self, service: Service, pools: dict[Pool, PoolState]
+    ) -> dict[Pool, int]:
+        """Return what is on order, or what is there where this node ordered nothing."""
+        ordered = {pool: state.ready for pool, state in pools.items()}
+        for (name, pool), (servers, _) in self.taken.items():
+            if name == service.name:
+                ordered[pool] = servers
+        return ordered
+
+    def _see_reclaims(
+        self, service: Service, pools: dict[Pool, PoolState], now: float
+    ) -> None:
+        """Note a zone that lost all its reclaimable servers though some were ordered.
+
+        Some servers never say that they leave, so the notice itself can be missed.
+        """
+        zones = {pool.zone for pool in pools}
+        for pool in (Pool(zone, True) for zone in zones):
+            key = (service.name, pool)
+            ready = pools[pool].ready if pool in pools else 0
+            taken = self.taken.get(key)
+            if self.had_ready.get(key) and not ready and (not taken or taken[0]):
+                self.reclaimed_at[service.name] = now
+                self.taken.pop(key, None)
+                log_event("zone_reclaimed", service=service.name, zone=pool.zone)
+            self.had_ready[key] = ready
+
+    def _may_lower(
+        self, key: tuple[str, Pool], servers: int, taken: int, now: float
+    ) -> bool:
+        """Return whether fewer servers have been wanted for long enough.
+
+        Reclaimable ones come and go within seconds of a reclaim; what is given back in
+        between has to start again.
+        """
+        if servers >= taken:
+            self.lower_since.pop(key, None)
+            return True
+        since = self.lower_since.setdefault(key, now)
+        idle = self.traffic_since is None
+        return now - since >= (LOWER_IDLE_S if idle else LOWER_AFTER_S)
+
+    def _order(
+        self, node: str, lease: Lease, service: Service, pool: Pool, servers: int, now
+    ) -> None:
+        key = (service.name, pool)
+        refusal = self.refused.get(key)
+        if refusal is not None and now < refusal.until:
+            return
+        taken = self.taken.get(key)
+        if taken is not None and not self._may_lower(key, servers, taken[0], now):
+            return
+        if taken is not None and taken[0] == servers and now - taken[1] < REPEAT_S:
+            return
+        order = Order(service.name, pool.zone, servers, pool.reclaimable)
+        try:
+            self.context.cloud.order(node, lease.fence, order)
+        except CloudEmptyError:
+            self._note_refusal(key, refusal, now)
+            return
+        except CloudError as error:
+            log_event("order_failed", order=order, error=error)
+            self.next_try_at = now + RETRY_S
+            return
+        self.refused.pop(key, None)
+        self.taken[key] = (servers, now)
+        log_event(
+            "ordered",
+            service=service.name,
+            zone=pool.zone,
+            servers=servers,
+            reclaimable=pool.reclaimable,
+            needed=self.needed(service, now),
+        )
+
+    def _note_refusal(self, key, refusal: Refused | None, now: float) -> None:
+        pause = RECLAIMED_BACKOFF_S
+        if refusal is not None:
+            pause = min(MAX_BACKOFF_S, 2 * refusal.pause_s)
+        self.refused[key] = Refused(now + pause, pause)
+        self.taken.pop(key, None)
+        log_event("order_refused", service=key[0], pool=key[1], pause_s=pause)
--- /dev/null
+++ b/packages/endive_gateway/src/endive_gateway/peers.py
@@ -0,0 +1,334 @@
+"""What gateways tell each other: small datagrams, and configurations on request.
+
+Nothing here has to arrive. A datagram holds whole figures, never changes of figures,
+so the next one makes good for one that was lost.
+"""
+
+import socket
+import struct
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import gevent
+import msgspec
+import thriftpy2
+from endive_core.crashes import Crash
+from endive_node.gossip import listen_udp
+from endive_node.listeners import listen_tcp
+from endive_node.telemetry import log_event
+from gevent import socket as gsocket
+from gevent.server import StreamServer
+from thriftpy2.protocol import TCyBinaryProtocolFactory
+from thriftpy2.utils import deserialize, serialize
+
+from endive_gateway.context import Context
+from endive_gateway.interfaces import StoreError, Topic, UndecodableError
+
+IDL = thriftpy2.load(
+    str(Path(__file__).with_name("gateway.thrift")), module_name="gateway_thrift"
+)
+PROTOCOL = TCyBinaryProtocolFactory()
+
+TELL_S = 0.2
+TELL_PER_NODE_S = 0.01
+"""Time between two tellings, seconds, at least and for each node known. What one node
+sends and receives then stays under 200 datagrams a second however many nodes there
+are; the limits shared by them are counted over 8 seconds."""
+
+MOST_DATAGRAM_BYTES = 65_535
+MOST_CRASHES = 4
+"""Crashes in one telling; each is told again until it is forgotten."""
+
+HEARD_S = 1.5
+"""Time after which a silent node isn't counted as live, seconds: several tellings may
+be lost in a row."""
+
+FORGOTTEN_S = 30.0
+"""Time after which nothing is sent to a silent node any more, seconds."""
+
+LIST_AGAIN_S = 20.0
+"""How often the list of nodes in the store is read again, seconds: two nodes that
+never heard each other meet there."""
+
+LIST_RETRY_S = 0.4
+BEHIND_S = 0.25
+"""Time for which another node may have a newer configuration before it is asked for,
+seconds: the store mostly tells both within that time."""
+
+PULL_TIMEOUT_S = 1.0
+MOST_DOCUMENT_BYTES = 16_777_216
+LENGTH = struct.Struct(">I")
+
+
+class NodeEntry(msgspec.Struct):
+    """A node, as it lists itself in the store."""
+
+    address: str
+    incarnation: int
+
+
+@dataclass
+class Peer:
+    """Another node.
+
+    Attributes
+    ----------
+    heard_at : float
+        When its last telling came, seconds on the monotonic clock; 0 if never.
+    fence : int
+        Fencing number of the duties that it holds; 0 if it doesn't.
+    """
+
+    address: str
+    node: str = ""
+    incarnation: int = 0
+    sequence: int = 0
+    heard_at: float = 0.0
+    known_at: float = 0.0
+    version: int = -1
+    fence: int = 0
+    work: dict[str, float] = field(default_factory=dict)
+
+
+class Peers:
+    """The other nodes, and the loops that talk with them.
+
+    Attributes
+    ----------
+    fence : int
+        Fencing number of the duties that this node holds; 0 if it doesn't.
+    """
+
+    def __init__(self, context: Context) -> None:
+        self.context = context
+        place = context.settings.place
+        self.me = place.node
+        self.address = place.address
+        self.port = place.peer_port
+        self.known: dict[str, Peer] = {}
+        self.sequence = 0
+        self.fence = 0
+        self.behind_since: float | None = None
+        self.socket: socket.socket | None = None
+        for seed in place.seeds:
+            self._add(seed)
+
+    def start(self) -> None:
+        """Start listening and telling."""
+        self.socket = listen_udp(self.address, self.port)
+        listener = listen_tcp(self.address, self.port + 1)
+        self.documents = StreamServer(listener, self._serve_document)
+        self.documents.start()
+        for loop in (self._receive_all, self._tell_all, self._follow_list):
+            gevent.spawn(loop)
+
+    def live(self) -> list[Peer]:
+        """Return the nodes heard a short while ago."""
+        now = time.monotonic()
+        return [p for p in self.known.values() if now - p.heard_at < HEARD_S]
+
+    def _add(self, address: str) -> Peer | None:
+        if address == self.address:
+            return None
+        peer = self.known.get(address)
+        if peer is None:
+            peer = self.known[address] = Peer(address, known_at=time.monotonic())
+        return peer
+
+    # Telling
+
+    def _tell_all(self) -> None:
+        while True:
+            self.tell()
+            nodes = len(self.known) + 1
+            gap = max(TELL_S, TELL_PER_NODE_S * nodes)
+            gevent.sleep(gap * self.context.random.uniform(0.9, 1.1))
+            self._look_after()
+
+    def tell(self, *, gone: bool = False) -> None:
+        """Send this node's figures to all others."""
+        self.sequence += 1
+        data = serialize(self._telling(gone), PROTOCOL)
+        for peer in list(self.known.values()):
+            try:
+                self.socket.sendto(data, (peer.address, self.port))
+            except OSError as error:
+                log_event("tell_failed", peer=peer.address, error=error)
+
+    def _telling(self, gone: bool):
+        context = self.context
+        for service, parts in context.placer.held_parts().items():
+            context.work.hold(service, parts)
+        now = time.monotonic()
+        recent = context.placer.crashes.recent(now, limit=MOST_CRASHES)
+        return IDL.Telling(
+            node=self.me,
+            incarnation=context.incarnation,
+            sequence=self.sequence,
+            wall_ms=int(time.time() * 1000),
+            version=context.version,
+            gone=gone,
+            spent=context.limits.tell(),
+            work=context.work.tell(now),
+            windows=[
+                IDL.Window(number=number, counts=counts)
+                for number, counts in context.meter.tell().items()
+            ],
+            crashes=[
+                IDL.Crash(
+                    fingerprint=crash.fingerprint,
+                    server=crash.server,
+                    age_ms=int((now - crash.at) * 1000),
+                )
+                for crash in recent
+            ],
+            fence=self.fence,
+            reported=context.reported,
+        )
+
+    def _look_after(self) -> None:
+        """Count who is there, and ask for a configuration that came past this node."""
+        now = time.monotonic()
+        for address, peer in list(self.known.items()):
+            if now - max(peer.heard_at, peer.known_at) > FORGOTTEN_S:
+                del self.known[address]
+        self.context.limits.forget_silent(now)
+        self.context.set_nodes(len(self.known) + 1)
+        ahead = [p for p in self.live() if p.version > self.context.version]
+        if not ahead:
+            self.behind_since = None
+        elif self.behind_since is None:
+            self.behind_since = now
+        elif now - self.behind_since > BEHIND_S:
+            self.behind_since = None
+            gevent.spawn(self._pull_document, self.context.random.choice(ahead))
+
+    # Hearing
+
+    def _receive_all(self) -> None:
+        while True:
+            try:
+                data, source = self.socket.recvfrom(MOST_DATAGRAM_BYTES)
+            except OSError as error:
+                log_event("tellings_not_received", error=error)
+                gevent.sleep(TELL_S)
+                continue
+            try:
+                self.hear(deserialize(IDL.Telling(), data, PROTOCOL), source[0])
+            except Exception as error:  # garbled bytes raise errors of many types
+                log_event("telling_rejected", source=source[0], error=repr(error))
+
+    def hear(self, telling, address: str) -> None:
+        """Take over what another node tells."""
+        peer = self._add(address)
+        if peer is None:
+            return
+        age = (telling.incarnation, telling.sequence)
+        if age <= (peer.incarnation, peer.sequence):
+            return
+        now = time.monotonic()
+        if not peer.heard_at or now - peer.heard_at > HEARD_S:
+            log_event("peer_heard", peer=telling.node, address=address)
+        peer.node, peer.incarnation, peer.sequence = telling.node, *age
+        peer.heard_at = now
+        peer.version = telling.version
+        peer.fence = telling.fence
+        peer.work = telling.work
+        context = self.context
+        context.reported = max(context.reported, telling.reported)
+        context.true_time.hear(address, telling.wall_ms / 1000)
+        context.limits.hear(
+            address,
+            telling.spent,
+            now,
+            incarnation=telling.incarnation,
+            tellings=telling.sequence,
+        )
+        counts = {window.number: window.counts for window in telling.windows}
+        context.meter.hear(address, telling.incarnation, counts)
+        for crash in telling.crashes:
+            at = now - crash.age_ms / 1000
+            context.placer.crashes.add(Crash(crash.fingerprint, crash.server, at))
+        if telling.gone:
+            log_event("peer_gone", peer=telling.node)
+            context.limits.leave(address)
+            self.known.pop(address, None)
+
+    # The list of nodes in the store
+
+    def _follow_list(self) -> None:
+        """List this node, and learn of the others; the body of a greenlet."""
+        listed = False
+        entry = NodeEntry(self.address, self.context.incarnation)
+        while True:
+            try:
+                if not listed:
+                    value = msgspec.json.encode(entry)
+                    self.context.store.put(Topic.NODES, self.me, value)
+                    listed = True
+                self._read_list()
+            except StoreError as error:
+                log_event("nodes_not_read", error=error)
+                gevent.sleep(LIST_RETRY_S * self.context.random.uniform(0.7, 1.3))
+            else:
+                gevent.sleep(LIST_AGAIN_S * self.context.random.uniform(0.7, 1.3))
+
+    def _read_list(self) -> None:
+        for record in self.context.store.newest(Topic.NODES).records:
+            try:
+                entry = msgspec.json.decode(record.value or b"", type=NodeEntry)
+            except msgspec.MsgspecError as error:
+                log_event("node_entry_undecodable", node=record.key, error=error)
+                continue
+            known = entry.address in self.known
+            if self._add(entry.address) is not None and not known:
+                self.context.limits.expect(entry.address, time.monotonic())
+        self.context.set_nodes(len(self.known) + 1)
+        self.tell()
+
+    # Configurations from one node to another
+
+    def _serve_document(self, sock, _address) -> None:
+        """Send the configuration in force, its length first."""
+        document = self.context.document
+        with gevent.Timeout(PULL_TIMEOUT_S, False):
+            sock.sendall(LENGTH.pack(len(document)) + document)
+
+    def _pull_document(self, peer: Peer) -> None:
+        """Take the configuration of a node that has a newer one.
+
+        The store may turn this node away and serve the others and the operators; keys
+        that were taken away meanwhile must end here as well.
+        """
+        try:
+            with gevent.Timeout(PULL_TIMEOUT_S, TimeoutError("pull")):
+                document = _receive_document(peer.address, self.port + 1)
+            if document:
+                table = self.context.wire.decode_configuration(document)
+                self.context.configure(table, document, peer.node)
+        except (OSError, UndecodableError) as error:
+            log_event("configuration_not_pulled", peer=peer.node, error=error)
+
+
+def _receive_document(address: str, port: int) -> bytes:
+    sock = gsocket.create_connection((address, port))
+    try:
+        data = _receive(sock, LENGTH.size)
+        (length,) = LENGTH.unpack(data)
+        if length > MOST_DOCUMENT_BYTES:
+            raise OSError(f"a document of {length} bytes")
+        return _receive(sock, length)
+    finally:
+        sock.close()
+
+
+def _receive(sock, length: int) -> bytes:
+    pieces, left = [], length
+    while left:
+        piece = sock.recv(min(left, 65_536))
+        if not piece:
+            raise OSError("the document ends early")
+        pieces.append(piece)
+        left -= len(piece)
+    return b"".join(pieces)
--- a/packages/endive_gateway/src/endive_gateway/placing.py
+++ b/packages/endive_gateway/src/endive_gateway/placing.py
@@ -99,7 +99,8 @@
             usable = [s.entry for s in self.registry.of_service(name) if s.usable]
             scheduler.set_servers([self._view(entry, service) for entry in usable])
             self.pump(scheduler)
-        for gone in self.views.keys() - self.registry.servers.keys():
+        taking = {s.entry.id for s in self.registry.servers.values() if s.usable}
+        for gone in self.views.keys() - taking:
             del self.views[gone]
             self.in_a_row.pop(gone, None)
 
@@ -117,6 +118,15 @@
         view.reclaimable = entry.reclaimable
         return view
 
+    def held_parts(self) -> dict[str, float]:
+        """Return by service how many servers' slots this node's requests hold."""
+        parts = {}
+        for name, scheduler in self.schedulers.items():
+            servers = scheduler.servers
+            slots = servers.slots_total / max(1, len(servers.servers))
+            parts[name] = servers.own_total / slots if slots else 0.0
+        return parts
+
     # One request's way
 
     def admit(self, service: str, call: Call) -> Ticket:
