--- a/benchmarks/bench_limits.py
+++ b/benchmarks/bench_limits.py
@@ -8,6 +8,7 @@
 
 from bench_decisions import SEED, make_scheduler
 from endive_core.policy import Policy
+from endive_node.settings import PolicySection
 from pydantic import ValidationError
 from scenarios import SCENARIOS, run
 from workloads import Outcome
@@ -24,7 +25,7 @@
     if value == default:
         return None
     try:
-        return Policy.model_validate({limit: value})
+        return PolicySection.model_validate({limit: value})
     except ValidationError:
         return None
 
@@ -38,7 +39,7 @@
 def cases() -> list[tuple[str, Policy]]:
     """Return the policies to run, by name; the default first."""
     found = [("default", Policy())]
-    for limit in Policy.model_fields:
+    for limit in PolicySection.model_fields:
         for factor in FACTORS:
             policy = changed(limit, factor)
             if policy is not None:
--- a/packages/endive_core/src/endive_core/admission.py
+++ b/packages/endive_core/src/endive_core/admission.py
@@ -7,6 +7,7 @@
 """
 
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
 from endive_core.calls import Call, Refusal, Ticket, Tier
 from endive_core.crashes import CrashTable
@@ -15,11 +16,14 @@
 from endive_core.queueing import FairQueue
 from endive_core.quotas import Quota
 from endive_core.rates import ServiceRate, WaitError
-from endive_core.resources import Organisation, ServiceType
 from endive_core.returning import ReturnTimes
 from endive_core.servers import ServerSet
+from endive_core.service_types import ServiceType
 from endive_core.usage import Usage
 
+if TYPE_CHECKING:
+    from endive_core.resources import Organisation
+
 FLOOR_PART = 0.25
 """Part of the target that a call may always wait. A prompt whose own computation takes
 longer than the target can never meet it, and to send its caller away for later would
@@ -96,7 +100,7 @@
         )
         self.quotas: dict[str, Quota] = {}
 
-    def set_organisations(self, organisations: dict[str, Organisation]) -> None:
+    def set_organisations(self, organisations: dict[str, "Organisation"]) -> None:
         """Take over the declared organisations with their limits."""
         for name, spec in organisations.items():
             self.quotas.setdefault(name, Quota(spec)).spec = spec
--- a/packages/endive_core/src/endive_core/calls.py
+++ b/packages/endive_core/src/endive_core/calls.py
@@ -5,12 +5,20 @@
 
 from endive_core.exceptions import ANSWERS, ErrorKind
 from endive_core.prefixes import BLOCK_TOKENS
-from endive_core.resources import Weights
 
 BULK_LEVEL = -1000
 """Added to the level of bulk work, below every declared priority level."""
 
-DEFAULT_WEIGHTS = Weights()
+
+@dataclass(frozen=True, slots=True)
+class CallWeights:
+    """How a call's deployment weighs waiting against recomputing, both in seconds."""
+
+    wait: float = 1.0
+    recompute: float = 1.0
+
+
+DEFAULT_WEIGHTS = CallWeights()
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,7 +55,7 @@
     block_ends: tuple[int, ...] = ()
     target_s: float = 0.38
     deadline: float | None = None
-    weights: Weights = DEFAULT_WEIGHTS
+    weights: CallWeights = DEFAULT_WEIGHTS
     fingerprint: str = ""
     non_idempotent: bool = False
 
--- a/packages/endive_core/src/endive_core/failures.py
+++ b/packages/endive_core/src/endive_core/failures.py
@@ -1,21 +1,23 @@
 """What a failed attempt means: for its server, for the request, and for a retry."""
 
+from typing import TYPE_CHECKING
+
 from endive_core.calls import Refusal, Retry, Stage, Ticket
 from endive_core.crashes import Crash, CrashTable
 from endive_core.exceptions import ErrorKind, RetryReason
 from endive_core.policy import Policy
-from endive_core.resources import Deployment
-from endive_core.retrying import RetryBudget, retry_delay_s
+from endive_core.retrying import DEFAULT_RETRY_RATIO, RetryBudget, retry_delay_s
 from endive_core.servers import Random, ServerLoad, ServerSet
 
+if TYPE_CHECKING:
+    from endive_core.resources import Deployment
+
 FAILURES = (RetryReason.CONNECT_FAILED, RetryReason.SERVER_FAILED)
 """Reasons after which a server gets no work for a while."""
 
 MAX_BLAMED = 64
 """Crashes whose suspects are kept while their broken streams come in one by one."""
 
-DEFAULT_RETRY_RATIO = Deployment(model="default", service="default").retry_ratio
-
 
 class Failures:
     """Decides after each failed attempt: pause the server, blame, retry or refuse.
@@ -36,7 +38,7 @@
         self.blamed: dict[str, set[Ticket]] = {}
         self.paused: list[ServerLoad] = []
 
-    def set_deployments(self, deployments: dict[str, Deployment]) -> None:
+    def set_deployments(self, deployments: dict[str, "Deployment"]) -> None:
         """Take over the deployments with their retry ratios."""
         for name, spec in deployments.items():
             self.budget(name).ratio = spec.retry_ratio
--- a/packages/endive_core/src/endive_core/policy.py
+++ b/packages/endive_core/src/endive_core/policy.py
@@ -1,146 +1,209 @@
-"""Limits of the decisions under load: one validated model, units and defaults.
+"""Limits of the decisions under load: units, bounds and defaults.
 
 The defaults are justified by ``make bench-decisions``; docs/DECISIONS.md has the
-figures. A node's TOML settings hold this model as a table.
+figures. A node's settings hold them as a table, which is checked against the bounds
+given here; inside, they are a plain data class, so that a process that takes them as
+they are starts without a validation library.
 """
 
-from pydantic import BaseModel, ConfigDict, Field
+from dataclasses import dataclass, field
+from typing import Any
 
 
-class Policy(BaseModel):
+def limit(default: Any, description: str, **bounds: float) -> Any:
+    """Return the field of one limit.
+
+    Parameters
+    ----------
+    description : str
+        What it bounds, with its unit; shown to operators.
+    **bounds : float
+        Least and most values, by the names ``gt``, ``ge``, ``lt`` and ``le``.
+    """
+    return field(
+        default=default, metadata={"description": description, "bounds": bounds}
+    )
+
+
+@dataclass(frozen=True)
+class Policy:
     """How one node admits, queues, places, shifts and retries.
 
     Operators meet it as the ``[policy]`` table of a node's settings.
     """
 
-    model_config = ConfigDict(extra="forbid", frozen=True)
-
-    admission_margin: float = Field(
+    admission_margin: float = limit(
         0.75,
+        "part of the first-token target a prediction may use up",
         gt=0,
         le=1,
-        description="part of the first-token target a prediction may use up",
     )
-    wait_deviations: float = Field(
+    wait_deviations: float = limit(
         3.0,
+        "mean deviations of earlier waits added to a predicted wait",
         ge=0,
-        description="mean deviations of earlier waits added to a predicted wait",
     )
-    max_bulk_wait_s: float = Field(
-        600.0, gt=0, description="longest predicted wait of queued bulk work, seconds"
+    max_bulk_wait_s: float = limit(
+        600.0,
+        "longest predicted wait of queued bulk work, seconds",
+        gt=0,
     )
-    min_retry_after_s: float = Field(
-        0.2, gt=0, description="shortest time to come back told to a caller, seconds"
+    min_retry_after_s: float = limit(
+        0.2,
+        "shortest time to come back told to a caller, seconds",
+        gt=0,
     )
-    max_retry_after_s: float = Field(
-        900.0, gt=0, description="longest time to come back told to a caller, seconds"
+    max_retry_after_s: float = limit(
+        900.0,
+        "longest time to come back told to a caller, seconds",
+        gt=0,
     )
-    reserved_share: float = Field(
+    reserved_share: float = limit(
         0.08,
+        "part of a server's slots kept from bulk; two thirds of it from "
+        "organisations over their share",
         ge=0,
         lt=1,
-        description="part of a server's slots kept from bulk; two thirds of it from "
-        "organisations over their share",
     )
-    giving_way: float = Field(
+    giving_way: float = limit(
         4.0,
+        "slots that bulk and organisations over their share free for each reserved "
+        "slot that is taken",
         ge=1,
-        description="slots that bulk and organisations over their share free for each "
-        "reserved slot that is taken",
     )
-    divided_share: float = Field(
+    divided_share: float = limit(
         0.1,
+        "part of a server's slots that the nodes divide when no more are free",
         ge=0,
         le=1,
-        description="part of a server's slots that the nodes divide when no more are "
-        "free",
     )
-    prefill_burst_s: float = Field(
+    prefill_burst_s: float = limit(
         0.1,
+        "prefill work that bulk and organisations over their share may bring to a "
+        "server at once, seconds",
         gt=0,
-        description="prefill work that bulk and organisations over their share may "
-        "bring to a server at once, seconds",
     )
-    queue_heads_tried: int = Field(
-        8, ge=1, description="organisations tried for one free slot"
+    queue_heads_tried: int = limit(
+        8,
+        "organisations tried for one free slot",
+        ge=1,
     )
-    affinity_candidates: int = Field(
-        2, ge=0, description="servers tried because the prefix hashes to them"
+    affinity_candidates: int = limit(
+        2,
+        "servers tried because the prefix hashes to them",
+        ge=0,
     )
-    affinity_belief: float = Field(
+    affinity_belief: float = limit(
         0.5,
+        "part of a prefix that the servers it hashes to are taken to hold",
         ge=0,
         le=1,
-        description="part of a prefix that the servers it hashes to are taken to hold",
     )
-    random_candidates: int = Field(
-        2, ge=1, description="servers with room tried at random"
+    random_candidates: int = limit(
+        2,
+        "servers with room tried at random",
+        ge=1,
     )
-    crowding_s: float = Field(
+    crowding_s: float = limit(
         0.1,
+        "wait expected at a server whose last slot seems free, seconds",
         ge=0,
-        description="wait expected at a server whose last slot seems free, seconds",
     )
-    load_bound: float = Field(
-        1.25, ge=1, description="load of an affinity server over the mean, at most"
+    load_bound: float = limit(
+        1.25,
+        "load of an affinity server over the mean, at most",
+        ge=1,
     )
-    ring_points: int = Field(
-        64, ge=1, description="points of one server on the hash ring"
+    ring_points: int = limit(
+        64,
+        "points of one server on the hash ring",
+        ge=1,
     )
-    max_known_blocks: int = Field(
-        32_000, ge=2, description="sampled prompt blocks remembered with servers"
+    max_known_blocks: int = limit(
+        32000,
+        "sampled prompt blocks remembered with servers",
+        ge=2,
     )
-    slow_ratio: float = Field(
-        2.0, gt=1, description="latency over the peers' median that marks a slow server"
+    slow_ratio: float = limit(
+        2.0,
+        "latency over the peers' median that marks a slow server",
+        gt=1,
     )
-    max_slow_share: float = Field(
-        0.34, ge=0, le=1, description="part of the servers that may be marked slow"
+    max_slow_share: float = limit(
+        0.34,
+        "part of the servers that may be marked slow",
+        ge=0,
+        le=1,
     )
-    latency_smoothing: float = Field(
-        0.2, gt=0, le=1, description="weight of the newest latency in the mean"
+    latency_smoothing: float = limit(
+        0.2,
+        "weight of the newest latency in the mean",
+        gt=0,
+        le=1,
     )
-    compare_every_s: float = Field(
-        0.5, gt=0, description="how often servers are compared with peers, seconds"
+    compare_every_s: float = limit(
+        0.5,
+        "how often servers are compared with peers, seconds",
+        gt=0,
     )
-    probe_every_s: float = Field(
-        5.0, gt=0, description="time between probes of a slow server, seconds"
+    probe_every_s: float = limit(
+        5.0,
+        "time between probes of a slow server, seconds",
+        gt=0,
     )
-    retry_base_s: float = Field(
-        0.05, gt=0, description="mean delay before the first retry, seconds"
+    retry_base_s: float = limit(
+        0.05,
+        "mean delay before the first retry, seconds",
+        gt=0,
     )
-    retry_max_s: float = Field(
-        2.0, gt=0, description="longest delay before a retry, seconds"
+    retry_max_s: float = limit(
+        2.0,
+        "longest delay before a retry, seconds",
+        gt=0,
     )
-    retry_burst: float = Field(
-        10.0, ge=0, description="retries a deployment may make without any success"
+    retry_burst: float = limit(
+        10.0,
+        "retries a deployment may make without any success",
+        ge=0,
     )
-    failed_pause_s: float = Field(
+    failed_pause_s: float = limit(
         1.0,
+        "time a server that failed gets no work, doubled for each further failure, "
+        "seconds",
         ge=0,
-        description="time a server that failed gets no work, doubled for each further "
-        "failure, seconds",
     )
-    max_failed_pause_s: float = Field(
-        10.0, ge=0, description="longest time a failed server gets no work, seconds"
+    max_failed_pause_s: float = limit(
+        10.0,
+        "longest time a failed server gets no work, seconds",
+        ge=0,
     )
-    no_server_wait_s: float = Field(
+    no_server_wait_s: float = limit(
         5.0,
+        "longest that queued requests wait while no server takes work, seconds",
         ge=0,
-        description="longest that queued requests wait while no server takes work, "
-        "seconds",
     )
-    crashes_refused_from: int = Field(
-        2, ge=1, description="crashes after which a request is refused"
+    crashes_refused_from: int = limit(
+        2,
+        "crashes after which a request is refused",
+        ge=1,
     )
-    crash_memory_s: float = Field(
-        3600.0, gt=0, description="how long a crash is remembered, seconds"
+    crash_memory_s: float = limit(
+        3600.0,
+        "how long a crash is remembered, seconds",
+        gt=0,
     )
-    max_crash_fingerprints: int = Field(
-        10_000, ge=1, description="fingerprints remembered with crashes"
+    max_crash_fingerprints: int = limit(
+        10000,
+        "fingerprints remembered with crashes",
+        ge=1,
     )
-    export_tokens_per_s: float = Field(
-        100_000.0, gt=0, description="KV cache moved between servers, tokens a second"
+    export_tokens_per_s: float = limit(
+        100000.0,
+        "KV cache moved between servers, tokens a second",
+        gt=0,
     )
-    notice_margin_s: float = Field(
-        1.0, ge=0, description="part of a reclaim notice left unused, seconds"
+    notice_margin_s: float = limit(
+        1.0,
+        "part of a reclaim notice left unused, seconds",
+        ge=0,
     )
--- a/packages/endive_core/src/endive_core/quotas.py
+++ b/packages/endive_core/src/endive_core/quotas.py
@@ -6,8 +6,10 @@
 """
 
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
-from endive_core.resources import Organisation
+if TYPE_CHECKING:
+    from endive_core.resources import Organisation
 
 BURST_S = 2.0
 """Seconds of the declared rate that may come at once."""
@@ -17,7 +19,7 @@
 class Quota:
     """What one organisation may still spend at this node."""
 
-    spec: Organisation
+    spec: "Organisation"
     tokens: float = 0.0
     updated_at: float = float("-inf")
     in_flight: int = 0
--- a/packages/endive_core/src/endive_core/rates.py
+++ b/packages/endive_core/src/endive_core/rates.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from endive_core.resources import ServiceType
+from endive_core.service_types import ServiceType
 
 FIRST_TOKENS_PER_SLOT_S = 50.0
 FIRST_HELD_S = 4.0
--- a/packages/endive_core/src/endive_core/resources.py
+++ b/packages/endive_core/src/endive_core/resources.py
@@ -11,6 +11,8 @@
 from pydantic import BaseModel, ConfigDict, Field, ValidationError, field_validator
 
 from endive_core.exceptions import EndiveError, ErrorKind
+from endive_core.retrying import DEFAULT_RETRY_RATIO
+from endive_core.service_types import ServiceType
 
 NAME_PATTERN = re.compile(r"^[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?$")
 """Names are DNS labels with dots, so that they fit in paths and metrics."""
@@ -56,14 +58,7 @@
     version: Name | None = None
     latency: LatencyTarget = LatencyTarget()
     weights: Weights = Weights()
-    retry_ratio: float = Field(0.1, ge=0, le=1)
-
-
-class ServiceType(StrEnum):
-    """What kind of server a backend server service runs."""
-
-    ENGINE = "engine"
-    PLAIN = "plain"
+    retry_ratio: float = Field(DEFAULT_RETRY_RATIO, ge=0, le=1)
 
 
 class BackendServer(_Spec):
--- a/packages/endive_core/src/endive_core/retrying.py
+++ b/packages/endive_core/src/endive_core/retrying.py
@@ -16,6 +16,9 @@
 may break together, each stream once. Beyond it only successes earn retries."""
 
 
+DEFAULT_RETRY_RATIO = 0.1
+"""Retries earned by each success where a deployment declares nothing else."""
+
 FLEET_MARGIN = 0.8
 """Part of the fleet's repeats that is used: requests and repeats arrive at a server
 some milliseconds after they are counted, and a node that restarts forgets its own."""
--- a/packages/endive_core/src/endive_core/scheduler.py
+++ b/packages/endive_core/src/endive_core/scheduler.py
@@ -7,6 +7,7 @@
 
 from collections import Counter
 from collections.abc import Iterable
+from typing import TYPE_CHECKING
 
 from endive_core.admission import Admission
 from endive_core.calls import Call, Dispatch, Refusal, Retry, Stage, Ticket
@@ -18,11 +19,14 @@
 from endive_core.placement import Placement
 from endive_core.policy import Policy
 from endive_core.queueing import FairQueue
-from endive_core.resources import Deployment, Organisation, ServiceType
 from endive_core.servers import Random, ServerLoad, ServerSet
+from endive_core.service_types import ServiceType
 from endive_core.shifting import Shift, plan_shifts
 from endive_core.usage import Usage
 
+if TYPE_CHECKING:
+    from endive_core.resources import Deployment, Organisation
+
 
 class Scheduler:
     """Decides for one service at one node.
@@ -85,12 +89,12 @@
         """Take over the number of live nodes, this one included."""
         self.servers.nodes = max(1, nodes)
 
-    def set_organisations(self, organisations: dict[str, Organisation]) -> None:
+    def set_organisations(self, organisations: dict[str, "Organisation"]) -> None:
         """Take over the declared organisations with their shares and limits."""
         self.admission.set_organisations(organisations)
         self.queue.shares = {name: o.share for name, o in organisations.items()}
 
-    def set_deployments(self, deployments: dict[str, Deployment]) -> None:
+    def set_deployments(self, deployments: dict[str, "Deployment"]) -> None:
         """Take over the deployments that use this service."""
         self.failures.set_deployments(deployments)
 
--- a/packages/endive_core/src/endive_core/sharing.py
+++ b/packages/endive_core/src/endive_core/sharing.py
@@ -28,6 +28,11 @@
 """Part of the operators' tolerance that is used as further burst. The rest covers what
 several nodes admit within one telling, a quarter of a second of all that is asked."""
 
+HEAD_START_S = 0.5
+"""Seconds of the rate that a node that starts has to spend at once. What was spent a
+moment before isn't known; but nothing was while all nodes were down, and one that
+starts alone is one of several."""
+
 YOUNG_TELLINGS = 25
 """Number of tellings up to which a node heard for the first time has only just
 started, so that all it has spent counts; of an older one only what comes now."""
@@ -46,9 +51,8 @@
 class Allowance:
     """Units of one organisation's limit that are left, over all nodes.
 
-    It starts empty: after a restart nobody knows what was spent a moment before. It
-    may go below zero by a request, which the next seconds pay back: a request larger
-    than what is left would otherwise never fit.
+    It may go below zero by a request, which the next seconds pay back: a request
+    larger than what is left would otherwise never fit.
     """
 
     units: float = 0.0
@@ -69,14 +73,14 @@
     Parameters
     ----------
     now : float
-        When this node started: allowances have been empty then.
+        When this node started.
     slack : float
         Units beyond rate and burst that operators tolerate in their windows.
     """
 
     def __init__(self, now: float = 0.0, *, slack: float = 0.0) -> None:
         self.slack = slack
-        self.begun_at = now
+        self.begun_at = now - HEAD_START_S
         self.spent: dict[str, float] = {}
         self.peers: dict[str, PeerSpending] = {}
         self.allowances: dict[str, Allowance] = {}
--- a/packages/endive_gateway/src/endive_gateway/callers.py
+++ b/packages/endive_gateway/src/endive_gateway/callers.py
@@ -9,8 +9,8 @@
 import gevent
 from endive_core.exceptions import EndiveError
 from endive_core.routing import CallerLimits
-from endive_node.listeners import listen_tcp
-from endive_node.telemetry import log_event
+from endive_node.logs import log_event
+from endive_node.sockets import listen_tcp
 from gevent import socket as gsocket
 from gevent.hub import get_hub
 
@@ -213,8 +213,18 @@
     def close_idle(self) -> None:
         """Close the connections on which no request is under way."""
         for connection in list(self.connections.values()):
-            if connection.idle:
-                connection.greenlet.kill(block=False)
+            connection.close_if_quiet()
+
+
+def _is_quiet(sock) -> bool:
+    """Return whether a socket is open and nothing has come on it."""
+    try:
+        sock._sock.recv(1, socket.MSG_PEEK)
+    except BlockingIOError:
+        return True
+    except OSError:
+        pass
+    return False
 
 
 class CallerConnection:
@@ -239,6 +249,15 @@
             self.listener.connections.pop(self, None)
             self.sock.close()
 
+    def close_if_quiet(self) -> None:
+        """Close the connection unless a request is on it or has just come.
+
+        Ending the greenlet instead would hit it a moment later, when it may have read
+        a request and passed it on already.
+        """
+        if self.idle and _is_quiet(self.sock):
+            self.sock.close()
+
     def _serve_next(self) -> bool:
         try:
             message, received_at = self._read_request()
--- a/packages/endive_gateway/src/endive_gateway/context.py
+++ b/packages/endive_gateway/src/endive_gateway/context.py
@@ -8,7 +8,7 @@
 from endive_core.retrying import FleetRetryBudget
 from endive_core.routing import CallerLimits, RoutingTable
 from endive_core.sharing import SharedLimits
-from endive_node.telemetry import log_event
+from endive_node.logs import log_event
 
 from endive_gateway.connections import ConnectionPool
 from endive_gateway.interfaces import Cloud, GatewaySettings, Store, Wire
--- a/packages/endive_gateway/src/endive_gateway/duties.py
+++ b/packages/endive_gateway/src/endive_gateway/duties.py
@@ -5,7 +5,7 @@
 import gevent
 import msgspec
 from endive_core.leases import DutyKind, DutyLog, DutyRecord, Lease
-from endive_node.telemetry import log_event
+from endive_node.logs import log_event
 
 from endive_gateway.context import Context
 from endive_gateway.interfaces import (
--- a/packages/endive_gateway/src/endive_gateway/following.py
+++ b/packages/endive_gateway/src/endive_gateway/following.py
@@ -3,7 +3,7 @@
 import time
 
 import gevent
-from endive_node.telemetry import log_event
+from endive_node.logs import log_event
 
 from endive_gateway.context import Context
 from endive_gateway.interfaces import (
@@ -13,6 +13,7 @@
     Topic,
     UndecodableError,
 )
+from endive_gateway.servers import RETURN_GRACE_S
 
 CONFIGURATION_WAIT_S = 20.0
 """How long a read of the configuration waits for a change, seconds: under the store's
@@ -35,6 +36,10 @@
 """Time after the store's return for which a lapsed entry may be its own outage's
 doing, seconds: servers write again within one heartbeat and some margin."""
 
+TIMER_EARLY_S = 0.02
+"""By how much a timer may fire before the clock says so, seconds: the event loop counts
+from its last look at the clock."""
+
 CONFIGURATION_KEY = "config"
 
 
@@ -200,8 +205,14 @@
                 self.dirty |= registry.drop(
                     missing, now, after_outage=self.after_outage
                 )
-        self.dirty |= registry.sweep(now)
         registry.known_once = True
+        if registry.has_lapsed:
+            gevent.spawn_later(RETURN_GRACE_S + TIMER_EARLY_S, self._sweep)
         if self.dirty:
             self.dirty = False
             registry.changed()
+
+    def _sweep(self) -> None:
+        """Give up the servers whose grace is over, without waiting for a read."""
+        if self.context.registry.sweep(time.monotonic()):
+            self.context.registry.changed()
--- a/packages/endive_gateway/src/endive_gateway/forwarding.py
+++ b/packages/endive_gateway/src/endive_gateway/forwarding.py
@@ -11,7 +11,7 @@
 from endive_core.messages import ServerView
 from endive_core.prefixes import part_blocks
 from endive_core.routing import OrganisationTerms, Route, RouteKind
-from endive_node.telemetry import log_event
+from endive_node.logs import log_event
 
 from endive_gateway.callers import CallerGoneError, Exchange
 from endive_gateway.connections import BrokenError, ServerConnection
--- a/packages/endive_gateway/src/endive_gateway/gateway.py
+++ b/packages/endive_gateway/src/endive_gateway/gateway.py
@@ -5,8 +5,8 @@
 
 import gevent
 from absl import logging
-from endive_node.listeners import listen_tcp
-from endive_node.telemetry import log_event
+from endive_node.logs import log_event
+from endive_node.sockets import listen_tcp
 from gevent.event import Event
 from gevent.server import StreamServer
 
@@ -133,15 +133,11 @@
         grace = self.settings.bounds.grace_s - EXIT_MARGIN_S
         end = self.stopping_at + grace
         gevent.sleep(min(ROTATION_S, grace))
-        while time.monotonic() < end:
+        # A request that comes later than this may last longer than the grace period,
+        # and this process would end in the middle of its answer.
+        self.callers.stop_accepting()
+        while time.monotonic() < end and self.callers.busy:
             self.callers.close_idle()
-            if not self.callers.busy:
-                if not self.callers.accepting:
-                    break
-                # A connection accepted from here on would bring a request that this
-                # process ends in the middle of.
-                self.callers.stop_accepting()
-                continue
             gevent.sleep(DRAIN_LOOK_S)
         self.peers.tell(gone=True)
         log_event("stopped", unfinished=self.callers.busy)
--- a/packages/endive_gateway/src/endive_gateway/ordering.py
+++ b/packages/endive_gateway/src/endive_gateway/ordering.py
@@ -12,7 +12,7 @@
 from endive_core.leases import Lease
 from endive_core.load_sizing import USED_PART, LoadMeter
 from endive_core.routing import Service
-from endive_node.telemetry import log_event
+from endive_node.logs import log_event
 
 from endive_gateway.context import Context
 from endive_gateway.interfaces import CloudEmptyError, CloudError, Order
--- a/packages/endive_gateway/src/endive_gateway/peers.py
+++ b/packages/endive_gateway/src/endive_gateway/peers.py
@@ -1,5 +1,9 @@
 """What gateways tell each other: small datagrams, and configurations on request.
 
+The datagrams are msgpack by ``msgspec``, which each process needs anyway: thrift's
+library takes a fifth of the time in which a node starts, and while all nodes start
+anew, no caller is served.
+
 Nothing here has to arrive. A datagram holds whole figures, never changes of figures,
 so the next one makes good for one that was lost.
 """
@@ -8,28 +12,18 @@
 import struct
 import time
 from dataclasses import dataclass, field
-from pathlib import Path
 
 import gevent
 import msgspec
-import thriftpy2
 from endive_core.crashes import Crash
-from endive_node.gossip import listen_udp
-from endive_node.listeners import listen_tcp
-from endive_node.telemetry import log_event
+from endive_node.logs import log_event
+from endive_node.sockets import listen_tcp, listen_udp
 from gevent import socket as gsocket
 from gevent.server import StreamServer
-from thriftpy2.protocol import TCyBinaryProtocolFactory
-from thriftpy2.utils import deserialize, serialize
 
 from endive_gateway.context import Context
 from endive_gateway.interfaces import StoreError, Topic, UndecodableError
 
-IDL = thriftpy2.load(
-    str(Path(__file__).with_name("gateway.thrift")), module_name="gateway_thrift"
-)
-PROTOCOL = TCyBinaryProtocolFactory()
-
 TELL_S = 0.2
 TELL_PER_NODE_S = 0.01
 """Time between two tellings, seconds, at least and for each node known. What one node
@@ -61,6 +55,51 @@
 LENGTH = struct.Struct(">I")
 
 
+class Telling(msgspec.Struct, array_like=True):
+    """What a node tells the others, whole figures and no changes.
+
+    Attributes
+    ----------
+    sequence : int
+        Grows with each telling of one incarnation.
+    wall_ms : int
+        The sender's time of day.
+    version : int
+        Version of the configuration in force there.
+    gone : bool
+        Whether the sender has stopped and this is its last telling.
+    spent : dict of str to float
+        Units of each organisation's limit spent since the start.
+    work : dict of str to float
+        Servers of each service kept busy.
+    windows : dict of int to dict of str to int
+        Requests begun by window and organisation.
+    crashes : list of (str, str, float)
+        Fingerprint, server and age in seconds of crashes seen of late.
+    fence : int
+        Fencing number of the duties that the sender holds; 0 if it doesn't.
+    reported : int
+        Newest window of usage known to be reported.
+    """
+
+    node: str
+    incarnation: int
+    sequence: int
+    wall_ms: int
+    version: int
+    gone: bool
+    spent: dict[str, float]
+    work: dict[str, float]
+    windows: dict[int, dict[str, int]]
+    crashes: list[tuple[str, str, float]]
+    fence: int
+    reported: int
+
+
+ENCODER = msgspec.msgpack.Encoder()
+DECODER = msgspec.msgpack.Decoder(Telling)
+
+
 class NodeEntry(msgspec.Struct):
     """A node, as it lists itself in the store."""
 
@@ -149,20 +188,20 @@
     def tell(self, *, gone: bool = False) -> None:
         """Send this node's figures to all others."""
         self.sequence += 1
-        data = serialize(self._telling(gone), PROTOCOL)
+        data = ENCODER.encode(self._telling(gone))
         for peer in list(self.known.values()):
             try:
                 self.socket.sendto(data, (peer.address, self.port))
             except OSError as error:
                 log_event("tell_failed", peer=peer.address, error=error)
 
-    def _telling(self, gone: bool):
+    def _telling(self, gone: bool) -> "Telling":
         context = self.context
         for service, parts in context.placer.held_parts().items():
             context.work.hold(service, parts)
         now = time.monotonic()
         recent = context.placer.crashes.recent(now, limit=MOST_CRASHES)
-        return IDL.Telling(
+        return Telling(
             node=self.me,
             incarnation=context.incarnation,
             sequence=self.sequence,
@@ -171,17 +210,9 @@
             gone=gone,
             spent=context.limits.tell(),
             work=context.work.tell(now),
-            windows=[
-                IDL.Window(number=number, counts=counts)
-                for number, counts in context.meter.tell().items()
-            ],
+            windows=context.meter.tell(),
             crashes=[
-                IDL.Crash(
-                    fingerprint=crash.fingerprint,
-                    server=crash.server,
-                    age_ms=int((now - crash.at) * 1000),
-                )
-                for crash in recent
+                (crash.fingerprint, crash.server, now - crash.at) for crash in recent
             ],
             fence=self.fence,
             reported=context.reported,
@@ -215,11 +246,11 @@
                 gevent.sleep(TELL_S)
                 continue
             try:
-                self.hear(deserialize(IDL.Telling(), data, PROTOCOL), source[0])
-            except Exception as error:  # garbled bytes raise errors of many types
-                log_event("telling_rejected", source=source[0], error=repr(error))
+                self.hear(DECODER.decode(data), source[0])
+            except msgspec.MsgspecError as error:
+                log_event("telling_rejected", source=source[0], error=error)
 
-    def hear(self, telling, address: str) -> None:
+    def hear(self, telling: "Telling", address: str) -> None:
         """Take over what another node tells."""
         peer = self._add(address)
         if peer is None:
@@ -245,11 +276,9 @@
             incarnation=telling.incarnation,
             tellings=telling.sequence,
         )
-        counts = {window.number: window.counts for window in telling.windows}
-        context.meter.hear(address, telling.incarnation, counts)
-        for crash in telling.crashes:
-            at = now - crash.age_ms / 1000
-            context.placer.crashes.add(Crash(crash.fingerprint, crash.server, at))
+        context.meter.hear(address, telling.incarnation, telling.windows)
+        for fingerprint, server, age_s in telling.crashes:
+            context.placer.crashes.add(Crash(fingerprint, server, now - age_s))
         if telling.gone:
             log_event("peer_gone", peer=telling.node)
             context.limits.leave(address)
--- a/packages/endive_gateway/src/endive_gateway/placing.py
+++ b/packages/endive_gateway/src/endive_gateway/placing.py
@@ -9,9 +9,9 @@
 from endive_core.exceptions import EndiveError, ErrorKind, RetryReason
 from endive_core.messages import ServerView
 from endive_core.policy import Policy
-from endive_core.resources import ServiceType
 from endive_core.routing import RoutingTable, Service
 from endive_core.scheduler import Scheduler, crash_table
+from endive_core.service_types import ServiceType
 from gevent.event import AsyncResult, Event
 
 from endive_gateway.interfaces import ServerEntry
--- a/packages/endive_gateway/src/endive_gateway/servers.py
+++ b/packages/endive_gateway/src/endive_gateway/servers.py
@@ -3,14 +3,15 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from endive_node.telemetry import log_event
+from endive_node.logs import log_event
 
 from endive_gateway.interfaces import ServerEntry, ServerState
 
-RETURN_GRACE_S = 1.6
+RETURN_GRACE_S = 1.0
 """Time for which a server whose entry lapsed while the store was away is still used,
-seconds. Such entries are back within two seconds of the store's return; a server that
-is really leaving may get requests for two seconds after its entry went."""
+seconds. Such entries are back within two seconds of its return. But the server may
+really be leaving, and may get no request two seconds after its entry went: that may
+have been one read, 0.7 s, before this node saw it, and 0.3 s are left for the way."""
 
 
 @dataclass(slots=True)
@@ -119,6 +120,11 @@
         log_event("server_gone", server=server_id)
         return True
 
+    @property
+    def has_lapsed(self) -> bool:
+        """Whether any server is in its grace."""
+        return any(known.gone_at is not None for known in self.servers.values())
+
     def sweep(self, now: float) -> bool:
         """Give up the servers whose grace is over; return whether any was."""
         over = [
--- a/packages/endive_node/src/endive_node/callers.py
+++ b/packages/endive_node/src/endive_node/callers.py
@@ -12,9 +12,9 @@
 from endive_core.messages import Endpoint, Request
 
 from endive_node.ledger import RequestRecord
+from endive_node.logs import log_event
 from endive_node.runs import Run
 from endive_node.serving import Serving
-from endive_node.telemetry import log_event
 
 BEARER = "Bearer "
 EVENT_STREAM = "text/event-stream"
--- a/packages/endive_node/src/endive_node/claiming.py
+++ b/packages/endive_node/src/endive_node/claiming.py
@@ -29,10 +29,11 @@
     LogService,
     Members,
 )
+from endive_node.logs import log_event
 from endive_node.peers import IDL, PeerConnection, PeerUnavailableError
 from endive_node.settings import ClaimsSection
 from endive_node.shards import ShardWriter, log_unavailable
-from endive_node.telemetry import Metrics, log_event
+from endive_node.telemetry import Metrics
 
 AVOID_S = 2.0
 """How long a writer that did not answer is passed over, so that a paused node costs
--- a/packages/endive_node/src/endive_node/configuration.py
+++ b/packages/endive_node/src/endive_node/configuration.py
@@ -28,8 +28,8 @@
     LogUnavailableError,
     LogUncertainError,
 )
+from endive_node.logs import log_event
 from endive_node.snapshots import newest_snapshot
-from endive_node.telemetry import log_event
 
 LONG_POLL_S = 5.0
 RETRY_S = 0.2
--- a/packages/endive_node/src/endive_node/gossip.py
+++ b/packages/endive_node/src/endive_node/gossip.py
@@ -20,8 +20,10 @@
 from thriftpy2.utils import deserialize, serialize
 
 from endive_node.interfaces import Clock, InstanceList
+from endive_node.logs import log_event
 from endive_node.settings import Settings
-from endive_node.telemetry import Metrics, log_event
+from endive_node.sockets import listen_udp
+from endive_node.telemetry import Metrics
 
 IDL = thriftpy2.load(
     str(Path(__file__).with_name("gossip.thrift")), module_name="gossip_thrift"
@@ -239,13 +241,6 @@
         }
 
 
-def listen_udp(address: str, port: int) -> socket.socket:
-    """Return a bound UDP socket."""
-    udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-    udp.bind((address, port))
-    return udp
-
-
 def encode_digest(digest: Digest, now: float) -> bytes:
     """Return the datagram that holds `digest`.
 
--- a/packages/endive_node/src/endive_node/handover.py
+++ b/packages/endive_node/src/endive_node/handover.py
@@ -22,6 +22,7 @@
 from endive_node.interfaces import Members
 from endive_node.ledger import RequestRecord
 from endive_node.locating import page_of
+from endive_node.logs import log_event
 from endive_node.notices import Notice, NoticeBoard
 from endive_node.peers import (
     IDL,
@@ -32,7 +33,6 @@
 from endive_node.runs import Run
 from endive_node.serving import Serving
 from endive_node.settings import NodeSection
-from endive_node.telemetry import log_event
 
 BATCH_RECORDS = 200
 BATCH_BYTES = 262_144
--- a/packages/endive_node/src/endive_node/listeners.py
+++ b/packages/endive_node/src/endive_node/listeners.py
@@ -1,25 +1,8 @@
 """HTTP listeners: bottle applications on gevent's server, without Nagle's delay."""
 
-import socket
-
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
-BACKLOG = 1024
-
-
-def listen_tcp(address: str, port: int) -> socket.socket:
-    """Return a listening socket with ``TCP_NODELAY``, which accepted ones inherit.
-
-    Without it Nagle's algorithm holds a small event back until the receiver's delayed
-    ACK comes, 40 ms later: a stream's tokens arrive in bursts.
-    """
-    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    listener.bind((address, port))
-    listener.listen(BACKLOG)
-    listener.setblocking(False)
-    return listener
+from endive_node.sockets import listen_tcp
 
 
 class CountingHandler(WSGIHandler):
--- a/packages/endive_node/src/endive_node/moving.py
+++ b/packages/endive_node/src/endive_node/moving.py
@@ -8,11 +8,11 @@
 from gevent.pool import Pool
 
 from endive_node.dispatching import Dispatcher
+from endive_node.logs import log_event
 from endive_node.moves import Move
 from endive_node.notices import Notice, NoticeBoard
 from endive_node.runs import Run
 from endive_node.serving import Serving
-from endive_node.telemetry import log_event
 
 AT_ONCE = 8
 """Exports under way at one server: its network is shared by all, so more of them
--- a/packages/endive_node/src/endive_node/node.py
+++ b/packages/endive_node/src/endive_node/node.py
@@ -13,6 +13,7 @@
 from endive_node.handover import Handover
 from endive_node.listeners import HttpListener
 from endive_node.locating import Locator
+from endive_node.logs import log_event
 from endive_node.moving import Mover
 from endive_node.notices import NoticeBoard, NoticeWatcher
 from endive_node.observing import Observer
@@ -23,7 +24,7 @@
 from endive_node.settings import Settings
 from endive_node.snapshot_writer import SnapshotWriter
 from endive_node.spreading import Spreader
-from endive_node.telemetry import Metrics, MonotonicClock, log_event
+from endive_node.telemetry import Metrics, MonotonicClock
 
 DRAIN_POLL_S = 0.05
 MAX_DRAIN_S = 600.0
--- a/packages/endive_node/src/endive_node/notices.py
+++ b/packages/endive_node/src/endive_node/notices.py
@@ -8,7 +8,7 @@
 import urllib3
 
 from endive_node.interfaces import Clock, CloudApi, InstanceList
-from endive_node.telemetry import log_event
+from endive_node.logs import log_event
 
 LEAVING = "leaving"
 LIST_POLL_S = 2.0
--- a/packages/endive_node/src/endive_node/operators.py
+++ b/packages/endive_node/src/endive_node/operators.py
@@ -21,9 +21,9 @@
     http_error_body,
 )
 from endive_node.configuration import new_change_id
+from endive_node.logs import log_event
 from endive_node.reporting import Reports, shown
 from endive_node.settings import OperatorEntry
-from endive_node.telemetry import log_event
 from endive_node.watching import Watch
 
 MAX_BODY_BYTES = 1_000_000
--- a/packages/endive_node/src/endive_node/peers.py
+++ b/packages/endive_node/src/endive_node/peers.py
@@ -17,8 +17,8 @@
 
 from endive_node.configuration import Configuration
 from endive_node.explaining import Trails
-from endive_node.listeners import listen_tcp
-from endive_node.telemetry import log_event
+from endive_node.logs import log_event
+from endive_node.sockets import listen_tcp
 
 IDL = thriftpy2.load(
     str(Path(__file__).with_name("peers.thrift")), module_name="peers_thrift"
--- a/packages/endive_node/src/endive_node/runs.py
+++ b/packages/endive_node/src/endive_node/runs.py
@@ -15,8 +15,8 @@
 from endive_node.explaining import ending
 from endive_node.interfaces import BackendError
 from endive_node.ledger import REORDERED, RequestRecord, read_tokens
+from endive_node.logs import log_event
 from endive_node.moves import Move
-from endive_node.telemetry import log_event
 
 if TYPE_CHECKING:
     from endive_node.serving import Serving
--- a/packages/endive_node/src/endive_node/settings.py
+++ b/packages/endive_node/src/endive_node/settings.py
@@ -5,7 +5,7 @@
 """
 
 import tomllib
-from dataclasses import dataclass
+from dataclasses import dataclass, fields
 from pathlib import Path
 from typing import Annotated, get_args
 
@@ -13,7 +13,7 @@
 from endive_core.exceptions import SettingsError
 from endive_core.policy import Policy
 from endive_core.resources import NAME_PATTERN, SHA256_HEX
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic import BaseModel, ConfigDict, Field, ValidationError, create_model
 
 Name = Annotated[str, Field(pattern=NAME_PATTERN.pattern)]
 Port = Annotated[int, Field(ge=0, le=65535)]
@@ -24,6 +24,22 @@
     model_config = ConfigDict(extra="forbid", frozen=True)
 
 
+def _policy_section() -> type[_Section]:
+    """Return the model that checks a table of :class:`Policy`'s limits."""
+    checked = {}
+    for limit in fields(Policy):
+        declared = Field(
+            limit.default,
+            description=limit.metadata["description"],
+            **limit.metadata["bounds"],
+        )
+        checked[limit.name] = (limit.type, declared)
+    return create_model("PolicySection", __base__=_Section, **checked)
+
+
+PolicySection = _policy_section()
+
+
 class NodeSection(_Section):
     """Who and where this node is."""
 
@@ -169,7 +185,7 @@
     claims: ClaimsSection = ClaimsSection()
     configuration: ConfigurationSection = ConfigurationSection()
     membership: MembershipSection = MembershipSection()
-    policy: Policy = Policy()
+    policy: PolicySection = PolicySection()
 
     @classmethod
     def from_file(cls, path: str | Path) -> "Settings":
--- a/packages/endive_node/src/endive_node/shards.py
+++ b/packages/endive_node/src/endive_node/shards.py
@@ -16,8 +16,9 @@
     LogUnavailableError,
     LogUncertainError,
 )
+from endive_node.logs import log_event
 from endive_node.settings import ClaimsSection
-from endive_node.telemetry import Metrics, log_event
+from endive_node.telemetry import Metrics
 
 MAX_BATCH = 500
 """Records of one append: about 120 kB, a few milliseconds at the log."""
--- a/packages/endive_node/src/endive_node/snapshot_writer.py
+++ b/packages/endive_node/src/endive_node/snapshot_writer.py
@@ -11,8 +11,8 @@
 
 from endive_node.configuration import Configuration
 from endive_node.interfaces import LogUnavailableError, LogUncertainError, Members
+from endive_node.logs import log_event
 from endive_node.settings import ConfigurationSection
-from endive_node.telemetry import log_event
 
 CHECK_S = 1.0
 RANK_WAIT_S = 10.0
--- a/packages/endive_node/src/endive_node/snapshots.py
+++ b/packages/endive_node/src/endive_node/snapshots.py
@@ -6,7 +6,7 @@
 from endive_core.records import SNAPSHOT_STREAM, Snapshot, decode
 
 from endive_node.interfaces import LogForgottenError, LogService
-from endive_node.telemetry import log_event
+from endive_node.logs import log_event
 
 
 def newest_snapshot(
--- a/packages/endive_node/src/endive_node/telemetry.py
+++ b/packages/endive_node/src/endive_node/telemetry.py
@@ -1,10 +1,8 @@
-"""Logs of one key=value line an event, and metrics through OpenTelemetry."""
+"""Metrics through OpenTelemetry."""
 
 import time
 from collections import Counter
-from typing import Any
 
-from absl import logging
 from endive_core.exceptions import REFUSAL_KINDS, ErrorKind, RetryReason
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
 from opentelemetry.metrics import Observation
@@ -15,22 +13,6 @@
 """Why a piece of an answer is dropped instead of being shown to a caller."""
 
 
-def log_event(event: str, **fields: Any) -> None:
-    """Write one line: ``event=NAME key=value ...``; values with spaces are quoted."""
-    logging.info("%s", format_event(event, **fields))
-
-
-def format_event(event: str, **fields: Any) -> str:
-    """Return the line that :func:`log_event` writes."""
-    pairs = [f"event={event}"]
-    for key, value in fields.items():
-        text = f"{value:.6g}" if isinstance(value, float) else str(value)
-        if not text or any(c in text for c in ' ="\n'):
-            text = '"' + text.replace('"', "'").replace("\n", "\\n") + '"'
-        pairs.append(f"{key}={text}")
-    return " ".join(pairs)
-
-
 class MonotonicClock:
     """The process's clock."""
 
--- a/packages/endive_node/tests/test_telemetry.py
+++ b/packages/endive_node/tests/test_telemetry.py
@@ -1,5 +1,6 @@
 from endive_core.exceptions import REFUSAL_KINDS, RetryReason
-from endive_node.telemetry import Metrics, format_event
+from endive_node.logs import format_event
+from endive_node.telemetry import Metrics
 
 
 def test_scrape_page_has_a_counter_for_each_refusal_and_retry_reason():
