--- a/packages/endive_core/tests/test_prefixes.py
+++ b/packages/endive_core/tests/test_prefixes.py
@@ -1,4 +1,4 @@
-from endive_core.prefixes import SAMPLING, PrefixIndex, prefix_blocks
+from endive_core.prefixes import SAMPLING, PrefixIndex, part_blocks, prefix_blocks
 
 BLOCKS = tuple(range(0, 40 * SAMPLING, SAMPLING))
 
@@ -35,3 +35,18 @@
     assert len(index) <= 1000
     index.add("s1", BLOCKS[:5])
     assert index.prefix_holders(BLOCKS[:5])["s1"] == 5
+
+
+def test_named_parts_are_chained_and_end_where_they_say():
+    blocks, ends = part_blocks("m", [(1, 100), (2, 50)])
+    assert ends == (100, 150)
+    assert part_blocks("m", [(1, 100), (3, 10)])[0][0] == blocks[0]
+    assert part_blocks("m", [(9, 100), (2, 50)])[0][1] != blocks[1]
+    assert part_blocks("n", [(1, 100)])[0][0] != blocks[0]
+
+
+def test_every_named_part_is_remembered():
+    index = PrefixIndex(max_blocks=100)
+    blocks, _ = part_blocks("m", [(part, 10) for part in range(8)])
+    index.add("s", blocks)
+    assert index.prefix_holders(blocks[:3]) == {"s": 3}
--- /dev/null
+++ b/packages/endive_core/tests/test_sharing.py
@@ -0,0 +1,131 @@
+from endive_core.sharing import (
+    FORGOTTEN_S,
+    HEAD_START_S,
+    SILENT_S,
+    YOUNG_TELLINGS,
+    SharedLimits,
+)
+
+RATE, BURST = 1000.0, 1000.0
+TELL_S = 0.2
+
+
+class Fleet:
+    """Nodes that keep one limit and tell each other, some of them cut off."""
+
+    def __init__(self, count):
+        self.nodes = [SharedLimits(0.0) for _ in range(count)]
+        self.sides = [set(range(count))]
+        self.tellings = 0
+        for index, node in enumerate(self.nodes):
+            for other in range(count):
+                if other != index:
+                    node.expect(str(other), 0.0)
+
+    def tell(self, now):
+        self.tellings += 1
+        for side in self.sides:
+            for sender in side:
+                for receiver in side - {sender}:
+                    self.nodes[receiver].hear(
+                        str(sender),
+                        dict(self.nodes[sender].tell()),
+                        now,
+                        incarnation=1,
+                        tellings=self.tellings,
+                    )
+
+    def play(self, start, end, asked_per_s, size):
+        """Ask all nodes evenly; return the units admitted."""
+        admitted, step = 0.0, size / asked_per_s
+        now, told, turn = start, start, 0
+        while now < end:
+            if now - told >= TELL_S:
+                self.tell(now)
+                told = now
+            node = self.nodes[turn % len(self.nodes)]
+            if not node.wait_s("o", size, now, rate=RATE, burst=BURST):
+                admitted += size
+            turn += 1
+            now += step
+        return admitted
+
+
+def test_a_flood_to_all_nodes_gets_one_limit():
+    """One organisation sends eight times its limit, spread over eight nodes. Had each
+    node its own limit, all of it would pass, and other organisations would wait."""
+    fleet = Fleet(8)
+    fleet.tell(0.0)
+    admitted = fleet.play(0.0, 8.0, 8 * RATE, 20.0)
+    assert admitted <= (8 * RATE + BURST) * 1.1
+    assert admitted >= 8 * RATE * 0.95
+
+
+def test_few_large_requests_below_the_limit_all_pass():
+    """An organisation sends half of its limit, in requests that are each larger than a
+    node's even part of the burst. Refusing any of them would be worth lost."""
+    fleet = Fleet(8)
+    fleet.tell(0.0)
+    admitted = fleet.play(2.0, 10.0, 0.5 * RATE, 300.0)
+    assert admitted >= 0.5 * RATE * 8.0
+
+
+def test_a_cut_fleet_stays_within_the_limit():
+    """Two of eight nodes are cut off from the others and go on serving. Neither side
+    hears what the other spends; together they must stay within the limit."""
+    fleet = Fleet(8)
+    fleet.tell(0.0)
+    fleet.play(0.0, 4.0, 8 * RATE, 20.0)
+    fleet.sides = [set(range(6)), {6, 7}]
+    fleet.play(4.0, 4.0 + SILENT_S, 8 * RATE, 20.0)
+    admitted = fleet.play(4.0 + SILENT_S, 12.0 + SILENT_S, 8 * RATE, 20.0)
+    assert admitted <= (8 * RATE + BURST) * 1.1
+
+
+def test_a_node_that_is_gone_for_good_gives_its_part_back():
+    made = SharedLimits(0.0)
+    made.expect("other", 0.0)
+    assert made.part(0.0 + SILENT_S) == 0.5
+    made.forget_silent(FORGOTTEN_S + SILENT_S + 1.0)
+    assert made.part(FORGOTTEN_S + 2.0) == 1.0
+
+
+def test_a_node_that_said_it_stopped_gives_its_part_back_at_once():
+    made = SharedLimits(0.0)
+    made.hear("other", {}, 1.0, incarnation=1, tellings=1)
+    made.leave("other")
+    assert made.part(5.0) == 1.0
+
+
+def test_what_an_old_peer_spent_before_is_not_taken_again():
+    """A node starts anew and hears what the others have spent in an hour. Taken off at
+    once, it would refuse the organisation's callers for an hour."""
+    made = SharedLimits(0.0)
+    made.hear("old", {"o": 1e9}, 1.0, incarnation=1, tellings=YOUNG_TELLINGS + 1)
+    assert made.wait_s("o", 1.0, 1.0, rate=RATE, burst=BURST) == 0.0
+
+
+def test_a_restarted_peer_counts_from_zero():
+    made = SharedLimits(0.0)
+    made.hear("p", {"o": 5000.0}, 1.0, incarnation=1, tellings=100)
+    made.hear("p", {"o": 10.0}, 1.5, incarnation=2, tellings=1)
+    made.hear("p", {"o": 10.0}, 1.7, incarnation=2, tellings=2)
+    assert made.allowances["o"].units == -10.0
+
+
+def test_a_refused_caller_is_told_when_the_debt_is_paid():
+    made = SharedLimits(0.0)
+    start = HEAD_START_S
+    assert made.wait_s("o", 3000.0, start, rate=RATE, burst=BURST) == 0.0
+    wait = made.wait_s("o", 1.0, start, rate=RATE, burst=BURST)
+    assert 1.9 < wait < 2.6
+    assert made.wait_s("o", 1.0, start + wait + 0.01, rate=RATE, burst=BURST) == 0.0
+
+
+def test_what_was_not_run_is_given_back():
+    made = SharedLimits(0.0)
+    made.wait_s("o", 500.0, 1.0, rate=RATE, burst=BURST)
+    before = made.allowances["o"].units
+    made.give_back("o", 500.0)
+    assert made.allowances["o"].units == before + 500.0
+    assert made.tell()["o"] == 0.0
--- /dev/null
+++ b/packages/endive_gateway/tests/test_forwarding.py
@@ -0,0 +1,493 @@
+import time
+
+import gevent
+import pytest
+from endive_core.routing import CallerLimits, OrganisationTerms, RouteKind
+from endive_gateway.interfaces import ServerState
+from gateway_builders import (
+    HOST,
+    Running,
+    ScriptedServer,
+    answer,
+    closed_table,
+    elsewhere,
+    encoded,
+    event,
+    events,
+    failing,
+    full,
+    make_entry,
+    make_route,
+    make_table,
+    ok,
+    raw,
+    reset,
+    silent,
+)
+
+UNSAFE = {"kind": RouteKind.NON_IDEMPOTENT, "max_attempts": 1}
+STREAM = {"kind": RouteKind.STREAM, "max_attempts": 2}
+RESUMABLE = STREAM | {"resumable": True}
+
+
+def two(first, second=ok, **route):
+    """Return a gateway before two servers of which the first asked follows `first`."""
+    script = [first, second]
+
+    def next_entry(sock, seen):
+        return (script.pop(0) if script else ok)(sock, seen)
+
+    servers = [
+        ScriptedServer(next_entry, next_entry, server_id=name)
+        for name in ("i-1", "i-2")
+    ]
+    return Running(*servers, table=make_table(make_route(**route)))
+
+
+def arrivals(running):
+    return sum(len(server.seen) for server in running.servers)
+
+
+def test_method_target_body_and_headers_arrive_unchanged():
+    body = bytes(range(256)) * 300
+    with Running(ScriptedServer()) as running:
+        got = running.call("/x/%2e%2e/y?q=a%20b&c", method="PATCH", body=body, X_A="ä")
+        seen = running.servers[0].seen[0]
+    assert got.status == 200
+    assert got.body == b"fine"
+    assert (seen.method, seen.target, seen.body) == (
+        "PATCH",
+        "/x/%2e%2e/y?q=a%20b&c",
+        body,
+    )
+    assert seen.headers["host"] == HOST
+
+
+def test_a_chunked_body_arrives_with_a_length():
+    with Running(ScriptedServer()) as running:
+        caller = running.caller()
+        caller.raw(
+            b"POST /x HTTP/1.1\r\nHost: a.example\r\nId: q\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+        )
+        assert caller.receive().status == 200
+        seen = running.servers[0].seen[0]
+    assert seen.body == b"abcde"
+    assert seen.headers["content-length"] == "5"
+    assert "transfer-encoding" not in seen.headers
+
+
+def test_a_smuggled_request_never_reaches_a_server():
+    """A caller hides a second request in the body of a first one whose length is
+    ambiguous. If a server ran it, it would run under somebody else's name."""
+    with Running(ScriptedServer()) as running:
+        caller = running.caller()
+        caller.raw(
+            b"POST /x HTTP/1.1\r\nHost: a.example\r\nId: q\r\nContent-Length: 4\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+            b"GET /y HTTP/1.1\r\nHost: a.example\r\nId: z\r\n\r\n"
+        )
+        assert caller.receive().status == 400
+        assert caller.ended()
+        assert arrivals(running) == 0
+
+
+def test_what_a_caller_may_not_set_is_replaced():
+    with Running(ScriptedServer(), table=closed_table()) as running:
+        got = running.call(Key="k", Organisation="other", Meant="i-9", Wait_Ms="5000")
+        seen = running.servers[0].seen[0]
+    assert got.status == 200
+    assert seen.headers["organisation"] == "o"
+    assert seen.headers["meant"] == "i-1"
+    assert int(seen.headers["wait-ms"]) <= 2000
+    assert "key" not in seen.headers
+
+
+@pytest.mark.parametrize(
+    ("options", "status"),
+    [({"Key": "other"}, 401), ({}, 401), ({"target": "/none", "Key": "k"}, 404)],
+)
+def test_what_the_configuration_does_not_allow_is_refused(options, status):
+    table = closed_table(path_prefix="/x/")
+    with Running(ScriptedServer(), table=table) as running:
+        options = {"target": "/x/", **options}
+        assert running.call(**options).status == status
+        assert arrivals(running) == 0
+
+
+def test_without_a_configuration_nothing_is_denied_for_good():
+    """A node has just started and the store is away. A 404 or 401 would tell callers
+    that their request or key is wrong, and they would not come back."""
+    with Running(ScriptedServer()) as running:
+        running.context.table = None
+        got = running.call()
+    assert got.status == 503
+    assert float(got.headers["retry-after"]) > 0
+
+
+def test_kept_connections_carry_one_request_after_another():
+    with Running(ScriptedServer()) as running:
+        caller = running.caller()
+        for _ in range(5):
+            caller.send()
+            assert caller.receive().status == 200
+        assert running.servers[0].connections == 1
+
+
+def test_pipelined_requests_are_answered_in_order():
+    with Running(ScriptedServer()) as running:
+        caller = running.caller()
+        for number in range(3):
+            caller.send(request_id=f"p{number}")
+        got = [caller.receive().headers["id"] for _ in range(3)]
+    assert got == ["p0", "p1", "p2"]
+
+
+def test_an_idempotent_request_goes_to_a_second_server_after_a_failure():
+    for first in (failing, reset, full, raw(b"junk\r\n\r\n", close=True)):
+        with two(first) as running:
+            assert running.call().status == 200
+            assert arrivals(running) == 2
+
+
+def test_a_request_that_may_have_run_is_not_sent_again():
+    """A server resets the connection after it got a booking. Sent to another server,
+    the court would be booked twice; told "not run", the caller would do it."""
+    with two(reset, **UNSAFE | {"max_attempts": 3}) as running:
+        got = running.call(method="POST", body=b"{}")
+        assert arrivals(running) == 1
+    assert got.status == 502
+    assert "retry-after" not in got.headers
+
+
+def test_a_server_that_did_not_run_a_request_lets_another_run_it():
+    with two(full, **UNSAFE | {"max_attempts": 2}) as running:
+        assert running.call(method="POST", body=b"{}").status == 200
+        assert arrivals(running) == 2
+
+
+def test_not_run_is_said_with_a_time_to_come_back():
+    with Running(
+        ScriptedServer(full), table=make_table(make_route(**UNSAFE))
+    ) as running:
+        got = running.call(method="POST", body=b"{}")
+    assert got.status == 503
+    assert float(got.headers["retry-after"]) > 0
+    assert "signed" not in got.headers
+
+
+def test_a_servers_503_that_promises_nothing_is_not_passed_as_a_promise():
+    """A server fails with 503 after it began to work. Passed on as it is, the caller
+    would take it for "not run" and send a booking again."""
+    with two(answer(503, b"oops"), **UNSAFE) as running:
+        got = running.call(method="POST", body=b"{}")
+    assert got.status == 502
+    assert "signed" not in got.headers
+
+
+def test_a_servers_own_failure_is_passed_on_unchanged():
+    with two(failing, **UNSAFE) as running:
+        got = running.call(method="POST", body=b"{}")
+    assert (got.status, got.body, got.headers["signed"]) == (500, b"failed", "yes")
+
+
+def test_a_server_at_anothers_address_is_not_asked_again():
+    """A server ended and its address went to another one, which refuses what is not
+    meant for it. Asked again and again, each request would lose a round trip."""
+    with two(elsewhere, **UNSAFE) as running:
+        for _ in range(3):
+            assert running.call(method="POST", body=b"{}").status == 200
+        assert arrivals(running) == 4
+
+
+@pytest.mark.parametrize(
+    "garbled",
+    [
+        answer(signed=False),
+        answer(extra="Content-Encoding: gzip\r\n"),
+        answer(request_id="other"),
+        raw(
+            b"HTTP/1.1 200 OK\r\nId: %ID\r\nSigned: y\r\nContent-Length: 9\r\n\r\nabc",
+            close=True,
+        ),
+        raw(
+            b"HTTP/1.1 200 OK\r\nSigned: y\r\nContent-Length: 3\r\n\r\nabc", close=True
+        ),
+        raw(
+            b"HTTP/1.1 200 OK\r\nId: %ID\r\nSigned: y\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+            close=True,
+        ),
+    ],
+)
+def test_a_success_that_is_not_the_servers_whole_answer_never_passes(garbled):
+    with Running(
+        ScriptedServer(garbled), table=make_table(make_route(**UNSAFE, timeout_s=0.5))
+    ) as running:
+        got = running.call(method="POST", body=b"{}")
+    assert got.status in (502, 504)
+
+
+def test_an_answer_that_ends_with_its_connection_is_whole():
+    data = b"HTTP/1.1 200 OK\r\nId: %ID\r\nSigned: y\r\n\r\nabc"
+    with Running(ScriptedServer(raw(data, close=True))) as running:
+        got = running.call()
+    assert (got.status, got.body, got.whole) == (200, b"abc", True)
+
+
+def test_a_late_extra_answer_is_nobodys():
+    """A server answers one request twice. The second answer comes where the next
+    request's is due, and its caller would get a stranger's data."""
+
+    def twice(sock, seen):
+        sock.sendall(encoded(seen) + encoded(seen, body=b"again"))
+
+    with Running(ScriptedServer(twice, answer(body=b"second"))) as running:
+        caller = running.caller()
+        caller.send()
+        assert caller.receive().body == b"fine"
+        caller.send()
+        assert caller.receive().body == b"second"
+
+
+def test_an_extra_answer_after_the_next_request_went_out_is_skipped():
+    def late(sock, seen):
+        sock.sendall(encoded(seen, body=b"stale", request_id="q-before"))
+        gevent.sleep(0.02)
+        sock.sendall(encoded(seen, body=b"mine"))
+
+    with Running(ScriptedServer(late)) as running:
+        assert running.call().body == b"mine"
+
+
+def test_an_early_answer_to_a_long_body_spoils_no_other_request():
+    """A server rejects a long request before it has read it, keeps the connection and
+    reads on. The next request's head would be read as the rest of that body."""
+
+    with Running(ScriptedServer()) as running:
+        server = running.servers[0]
+
+        def early(sock, seen):
+            sock.sendall(encoded(seen, 400, b"too long"))
+
+        server.script.append(early)
+        assert running.call(method="POST", body=b"x" * 1_000_000).status == 400
+        assert running.call(method="POST", body=b"y").status == 200
+        assert [len(seen.body) for seen in server.seen] == [1_000_000, 1]
+
+
+def test_a_caller_that_leaves_ends_its_request_at_the_server():
+    """Nobody waits for the answer any more; a server that works on holds a slot."""
+    with Running(ScriptedServer(silent)) as running:
+        caller = running.caller()
+        caller.send()
+        gevent.sleep(0.1)
+        caller.close()
+        gevent.sleep(0.1)
+        (scheduler,) = running.context.placer.schedulers.values()
+        assert scheduler.servers.own_total == 0
+        assert not running.context.placer.owners
+        assert not running.context.pool.idle["i-1"]
+
+
+def test_the_routes_timeout_ends_a_request_with_a_true_answer():
+    with two(silent, timeout_s=0.3, **UNSAFE) as running:
+        started = time.monotonic()
+        got = running.call(method="POST", body=b"{}")
+    assert got.status == 504
+    assert time.monotonic() - started < 0.8
+
+
+def test_servers_are_given_no_more_time_than_is_left():
+    with Running(ScriptedServer()) as running:
+        running.call(Wait_Ms="500")
+        running.call(Wait_Ms="50000")
+        left = [int(seen.headers["wait-ms"]) for seen in running.servers[0].seen]
+    assert left[0] <= 500
+    assert left[1] <= 2000
+
+
+def test_a_limit_is_told_as_not_run_and_costs_no_server():
+    terms = OrganisationTerms("o", rate=1.0, burst=1.0)
+    table = make_table(
+        make_route(public=False), organisations={"o": terms}, keys={"k": "o"}
+    )
+    with Running(ScriptedServer(), table=table) as running:
+        got = [running.call(Key="k") for _ in range(3)]
+        assert arrivals(running) == sum(answer.status == 200 for answer in got)
+    assert got[-1].status == 429
+    assert float(got[-1].headers["retry-after"]) > 0
+
+
+def test_a_request_that_crashes_servers_is_refused_from_the_second_crash_on():
+    with Running(ScriptedServer(), ScriptedServer(server_id="i-2")) as running:
+        running.context.placer.crashes.refused_from = 0
+        got = running.call()
+        assert arrivals(running) == 0
+    assert got.status == 503
+
+
+def test_no_server_is_told_at_once():
+    with Running(table=make_table()) as running:
+        started = time.monotonic()
+        got = running.call()
+    assert got.status == 503
+    assert time.monotonic() - started < 0.2
+
+
+def test_a_leaving_server_gets_nothing_new():
+    with two(ok) as running:
+        leaving = running.servers[0]
+        running.context.registry.put(
+            make_entry(
+                leaving.id,
+                address=leaving.address,
+                state=ServerState.LEAVING,
+                sequence=5,
+            ),
+            time.monotonic(),
+        )
+        running.context.registry.changed()
+        for _ in range(2):
+            running.servers[1].script.clear()
+            assert running.call().status == 200
+        assert not leaving.seen
+
+
+# Streams
+
+
+def test_events_pass_as_they_come():
+    route = make_route(**STREAM)
+    server = ScriptedServer(events(1, 5, gap_s=0.1))
+    with Running(server, table=make_table(route)) as running:
+        caller = running.caller()
+        caller.send()
+        started = time.monotonic()
+        while event(1) not in caller.buffer:
+            caller._more()
+        assert time.monotonic() - started < 0.09
+        got = caller.receive()
+    assert got.whole
+    assert got.body == b"".join(event(number) for number in range(1, 6))
+
+
+def test_a_broken_stream_goes_on_at_another_server_after_its_last_event():
+    """A server crashes in the middle of an event. The caller sees one stream: each
+    event once, none missing, none made of two halves."""
+    with two(
+        events(1, 3, cut=b"id: 4\nda", end=False), events(4, 6), **RESUMABLE
+    ) as running:
+        got = running.call()
+        second = [s for server in running.servers for s in server.seen][-1]
+    assert got.whole
+    assert got.body == b"".join(event(number) for number in range(1, 7))
+    assert (
+        "after" in second.headers or running.servers[0].seen[-1].headers["after"] == "3"
+    )
+
+
+def test_a_broken_stream_that_can_not_be_resumed_does_not_look_whole():
+    with two(events(1, 3, end=False), events(4, 6), **STREAM) as running:
+        got = running.call()
+        assert arrivals(running) == 1
+    assert got.status == 200
+    assert not got.whole
+
+
+def test_a_stream_whose_second_server_fails_too_does_not_look_whole():
+    with two(events(1, 3, end=False), reset, **RESUMABLE) as running:
+        got = running.call()
+    assert not got.whole
+    assert got.body == b"".join(event(number) for number in range(1, 4))
+
+
+def test_a_callers_own_place_in_a_stream_is_passed_on():
+    server = ScriptedServer(events(8, 9))
+    with Running(server, table=make_table(make_route(**RESUMABLE))) as running:
+        got = running.call(After="7")
+    assert got.body == event(8) + event(9)
+    assert server.seen[0].headers["after"] == "7"
+
+
+# Callers' connections
+
+
+def limited(**limits):
+    return make_table(limits=CallerLimits(**limits))
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"GET /x HTTP/1.1\r\nHost: a.example\r\nX: " + b"a" * 2000 + b"\r\n\r\n", 431),
+        (b"POST /x HTTP/1.1\r\nHost: a.example\r\nContent-Length: 5000\r\n\r\n", 413),
+        (b"GET /x HTTP/1.1\r\nHost: a.ex", 408),
+        (b"GET /x HTTP/1.1\r\nHost: a.example\r\n\r\n", 400),
+        (b"no request\r\n\r\n", 400),
+    ],
+)
+def test_a_bad_request_gets_a_clear_answer(data, status):
+    table = limited(max_header_bytes=1000, max_body_bytes=1000, header_timeout_s=0.2)
+    with Running(ScriptedServer(), table=table) as running:
+        caller = running.caller()
+        caller.raw(data)
+        got = caller.receive()
+        assert arrivals(running) == 0
+    assert got.status == status
+    assert got.json["error"]["message"]
+
+
+def test_a_caller_that_expects_to_be_asked_is_asked():
+    with Running(ScriptedServer()) as running:
+        caller = running.caller()
+        caller.raw(
+            b"POST /x HTTP/1.1\r\nHost: a.example\r\nId: q\r\nContent-Length: 2\r\n"
+            b"Expect: 100-continue\r\n\r\n"
+        )
+        assert caller.receive().status == 100
+        caller.raw(b"ab")
+        assert caller.receive().status == 200
+        assert "expect" not in running.servers[0].seen[0].headers
+
+
+def test_an_idle_connection_is_closed_only_after_its_time():
+    with Running(ScriptedServer(), table=limited(idle_timeout_s=0.3)) as running:
+        caller = running.caller()
+        caller.send()
+        caller.receive()
+        gevent.sleep(0.2)
+        caller.send()
+        assert caller.receive().status == 200
+        started = time.monotonic()
+        assert caller.ended()
+        assert time.monotonic() - started > 0.2
+
+
+def test_a_stopping_node_says_so_and_closes_quiet_connections_only():
+    """A node is stopped while a caller sends on a kept connection. A request that was
+    read is answered; the connection closes after it and not before."""
+    with Running(ScriptedServer(answer(body=b"one"))) as running:
+        busy, idle = running.caller(), running.caller()
+        running.listener.stopping = True
+        busy.send()
+        running.listener.close_idle()
+        got = busy.receive()
+        assert got.body == b"one"
+        assert got.headers["connection"] == "close"
+        assert busy.ended()
+        gevent.sleep(0.05)
+        running.listener.close_idle()
+        assert idle.ended()
+
+
+def test_a_request_that_just_came_survives_the_closing_of_idle_connections():
+    """Idle connections are closed at the very moment at which a request comes on one.
+    Ended by a kill, its greenlet would pass the request on and then drop it."""
+    with Running(ScriptedServer()) as running:
+        caller = running.caller()
+        gevent.sleep(0.05)
+        caller.send()
+        time.sleep(0.01)  # the bytes are there, and no greenlet has run yet
+        running.listener.close_idle()
+        assert caller.receive().status == 200
