Test servers, duties, orders, peers and the platform's adapter

Change: tests with a store and a cloud in memory and clocks that tests move; the peers' socket is the library's own, since a plain one blocked the whole process wherever it is not patched (found by the test of pulled configurations, which hung). Ruled out: tests over the platform's real calls; its codec has tests of its own.

--- a/packages/endive_gateway/src/endive_gateway/peers.py
+++ b/packages/endive_gateway/src/endive_gateway/peers.py
@@ -150,17 +150,27 @@
         self.fence = 0
         self.behind_since: float | None = None
         self.socket: socket.socket | None = None
+        self.loops: list[gevent.Greenlet] = []
         for seed in place.seeds:
             self._add(seed)
 
     def start(self) -> None:
         """Start listening and telling."""
-        self.socket = listen_udp(self.address, self.port)
+        udp = listen_udp(self.address, self.port)
+        self.socket = gsocket.socket(
+            socket.AF_INET, socket.SOCK_DGRAM, fileno=udp.detach()
+        )
         listener = listen_tcp(self.address, self.port + 1)
         self.documents = StreamServer(listener, self._serve_document)
         self.documents.start()
-        for loop in (self._receive_all, self._tell_all, self._follow_list):
-            gevent.spawn(loop)
+        loops = (self._receive_all, self._tell_all, self._follow_list)
+        self.loops = [gevent.spawn(loop) for loop in loops]
+
+    def stop(self) -> None:
+        """Stop the loops and close the ports."""
+        gevent.killall(self.loops)
+        self.documents.stop(0)
+        self.socket.close()
 
     def live(self) -> list[Peer]:
         """Return the nodes heard a short while ago."""
--- /dev/null
+++ b/packages/endive_gateway/tests/test_duties.py
@@ -0,0 +1,249 @@
+import time
+
+import pytest
+from endive_gateway import duties as duties_module
+from endive_gateway.duties import LEASE_S, MARGIN_S, RANK_S, Duties
+from endive_gateway.interfaces import StoreError, StoreUncertainError, Topic
+from endive_gateway.ordering import Ordering
+from endive_gateway.peers import Peers
+from gateway_builders import (
+    MemoryStore,
+    RecordingCloud,
+    fixed_time,
+    make_context,
+    make_table,
+    store_down,
+)
+
+WALL = 1_000_000.0
+WINDOW_S = 5.0
+
+
+class Clock:
+    """Both clocks of the duties, moved by a test."""
+
+    def __init__(self):
+        self.time = time.monotonic()
+
+    def now(self):
+        return self.time
+
+
+@pytest.fixture
+def clock(monkeypatch):
+    made = Clock()
+    monkeypatch.setattr(duties_module, "boot_time", made.now)
+    monkeypatch.setattr(duties_module.time, "monotonic", made.now)
+    return made
+
+
+class Node:
+    """One node's duties over a shared store and cloud."""
+
+    def __init__(self, name, store, cloud):
+        self.context = make_context(make_table(), store=store, cloud=cloud, node=name)
+        self.context.started_at -= 3600
+        self.peers = Peers(self.context)
+        self.duties = Duties(
+            self.context, self.peers, Ordering(self.context, self.peers)
+        )
+        self.at(WALL)
+
+    def at(self, wall):
+        fixed_time(self.context, wall)
+
+    def step(self):
+        try:
+            self.duties.step()
+        except StoreError as error:
+            return error
+        return None
+
+    @property
+    def holds(self):
+        return self.duties._held()
+
+
+@pytest.fixture
+def store():
+    return MemoryStore()
+
+
+@pytest.fixture
+def cloud():
+    return RecordingCloud()
+
+
+def begin(node, window, count, organisation="o"):
+    for _ in range(count):
+        node.context.meter.begin(organisation, window * WINDOW_S + 1)
+
+
+def test_one_of_two_claimants_holds(clock, store, cloud):
+    first, second = Node("a", store, cloud), Node("b", store, cloud)
+    first.step()
+    second.step()
+    assert first.holds
+    assert not second.holds
+
+
+def test_a_dead_holder_is_replaced_and_never_beside_itself(clock, store, cloud):
+    """The holder freezes for longer than its lease and wakes up. It must not act any
+    more, and the fencing number of its successor is higher."""
+    first, second = Node("a", store, cloud), Node("b", store, cloud)
+    first.step()
+    fence = first.duties.lease.fence
+    second.step()
+    clock.time += LEASE_S + MARGIN_S + 0.1
+    second.step()
+    assert second.holds
+    assert not first.holds
+    assert second.duties.lease.fence > fence
+    first.step()
+    assert not first.holds
+
+
+def test_a_holder_renews_and_keeps_others_out(clock, store, cloud):
+    first, second = Node("a", store, cloud), Node("b", store, cloud)
+    for _ in range(40):
+        first.step()
+        second.step()
+        clock.time += 0.25
+        assert first.holds
+    assert len(store.topics[Topic.DUTIES]) < 20
+
+
+def test_a_release_hands_over_at_once(clock, store, cloud):
+    first, second = Node("a", store, cloud), Node("b", store, cloud)
+    first.step()
+    first.duties.release()
+    assert not first.holds
+    second.step()
+    assert second.holds
+
+
+def test_a_node_that_hears_a_holder_does_not_ask_the_store(clock, store, cloud):
+    node = Node("a", store, cloud)
+    peer = node.peers._add("127.0.0.9")
+    peer.heard_at, peer.fence, peer.node = time.monotonic(), 4, "b"
+    node.step()
+    assert not store.calls
+
+
+def test_who_runs_for_longer_goes_first(clock, store, cloud):
+    node = Node("a", store, cloud)
+    peer = node.peers._add("127.0.0.9")
+    peer.heard_at, peer.node, peer.incarnation = clock.time, "b", 1
+    node.step()
+    assert not node.holds
+    clock.time += RANK_S + 0.01
+    peer.heard_at = clock.time
+    node.step()
+    assert node.holds
+
+
+def test_a_claim_whose_answer_was_lost_is_found_in_the_log(clock, store, cloud):
+    store.lost = [True]
+    node = Node("a", store, cloud)
+    node.step()
+    assert node.holds
+    assert len(store.topics[Topic.DUTIES]) == 1
+
+
+def test_a_claim_that_was_never_done_holds_nothing(clock, store, cloud):
+    def uncertain(name):
+        if name == "append":
+            raise StoreUncertainError("no answer")
+
+    store.fault = uncertain
+    node = Node("a", store, cloud)
+    assert node.step()
+    assert not node.holds
+
+
+def test_a_holder_without_the_store_stops_in_time(clock, store, cloud):
+    node = Node("a", store, cloud)
+    node.step()
+    store.fault = store_down
+    while node.holds:
+        node.step()
+        clock.time += 0.1
+    begin(node, 199_999, 3)
+    node.at(WALL + 60)
+    node.step()
+    assert not cloud.usage
+
+
+def test_windows_are_reported_once_with_all_nodes_counts(clock, store, cloud):
+    node = Node("a", store, cloud)
+    window = int(WALL // WINDOW_S)
+    begin(node, window, 3)
+    node.context.meter.hear("b", 1, {window: {"o": 2, "p": 1}})
+    node.step()
+    node.at(WALL + WINDOW_S + 2)
+    for _ in range(4):
+        node.step()
+    ours = [report for report in cloud.usage if report[2] == window]
+    assert [counts for _, _, _, counts in ours] == [{"o": 5, "p": 1}]
+
+
+def test_a_successor_repeats_exactly_what_was_recorded(clock, store, cloud):
+    """A holder records a window, sends it and dies before it hears the answer. The
+    successor counts more by then; if it sent that, the platform would get two."""
+    first, second = Node("a", store, cloud), Node("b", store, cloud)
+    window = int(WALL // WINDOW_S)
+    begin(first, window, 3)
+    first.step()
+    first.at(WALL + WINDOW_S + 2)
+    first.step()
+    second.at(WALL + WINDOW_S + 2)
+    second.step()
+    clock.time += LEASE_S + MARGIN_S + 0.1
+    begin(second, window, 9)
+    second.at(WALL + WINDOW_S + 6)
+    second.step()
+    second.step()
+    counts = {str(c) for _, _, w, c in cloud.usage if w == window}
+    holders = {holder for holder, _, w, _ in cloud.usage if w == window}
+    assert len(counts) == 1
+    assert holders == {"a", "b"}
+
+
+def test_a_report_that_failed_is_tried_again_with_the_same_counts(clock, store, cloud):
+    node = Node("a", store, cloud)
+    window = int(WALL // WINDOW_S)
+    begin(node, window, 3)
+    node.step()
+    node.at(WALL + WINDOW_S + 2)
+    cloud.down = True
+    node.step()
+    begin(node, window, 4)
+    cloud.down = False
+    clock.time += 1.0
+    node.step()
+    node.step()
+    assert [c for _, _, w, c in cloud.usage if w == window] == [{"o": 3}]
+
+
+def test_a_window_another_node_told_of_is_not_decided_again(clock, store, cloud):
+    """The store forgot its history, and with it what was reported. The nodes told each
+    other, and a successor reports nothing that they know of."""
+    node = Node("a", store, cloud)
+    window = int(WALL // WINDOW_S)
+    begin(node, window, 3)
+    node.context.reported = window
+    node.step()
+    node.at(WALL + WINDOW_S + 2)
+    node.step()
+    assert not [report for report in cloud.usage if report[2] <= window]
+
+
+def test_a_node_that_just_started_leaves_older_windows_alone(clock, store, cloud):
+    node = Node("a", store, cloud)
+    node.context.started_at = clock.time
+    node.step()
+    node.at(WALL + WINDOW_S + 2)
+    clock.time += 1.0
+    node.step()
+    window = int(WALL // WINDOW_S)
+    assert all(report[2] >= window for report in cloud.usage)
--- /dev/null
+++ b/packages/endive_gateway/tests/test_ordering.py
@@ -0,0 +1,133 @@
+import pytest
+from endive_core.leases import Lease
+from endive_core.routing import Scaling, Service
+from endive_gateway.interfaces import ServerState
+from endive_gateway.ordering import LOWER_AFTER_S, SETTLED_S, Ordering
+from endive_gateway.peers import Peers
+from gateway_builders import RecordingCloud, make_context, make_entry, make_table
+
+SCALING = Scaling(1, 6, 4.0, 0.22, {"a": 0.85, "b": 1.2, "c": 1.0})
+
+
+class Fleet:
+    """Orders of one holder against a cloud that starts servers at once."""
+
+    def __init__(self):
+        self.cloud = RecordingCloud()
+        table = make_table()
+        table.services["s"] = Service("s", scaling=SCALING)
+        self.context = make_context(table, cloud=self.cloud)
+        self.context.registry.known_once = True
+        self.ordering = Ordering(self.context, Peers(self.context))
+        self.now = 1000.0
+        self.lease = Lease(7, 1e9)
+        self.numbers = iter(range(1, 1000))
+
+    def add(self, zone, count, *, reclaimable=True):
+        for _ in range(count):
+            entry = make_entry(
+                f"i-{next(self.numbers)}", zone=zone, reclaimable=reclaimable
+            )
+            self.context.registry.put(entry, self.now)
+
+    def reclaim(self, zone):
+        for known in list(self.context.registry.servers.values()):
+            entry = known.entry
+            if entry.zone == zone and entry.reclaimable:
+                leaving = make_entry(
+                    entry.id,
+                    zone=zone,
+                    reclaimable=True,
+                    state=ServerState.LEAVING,
+                    sequence=9,
+                )
+                self.context.registry.put(leaving, self.now)
+
+    def play(self, seconds, work=1.0):
+        """Step for `seconds`; return the orders given, newest by pool."""
+        before = len(self.cloud.orders)
+        end = self.now + seconds
+        while self.now < end:
+            self.context.work.told = {"s": work}
+            self.ordering.step("n1", self.lease, self.now)
+            self.now += 0.25
+        return {
+            (order.zone, order.reclaimable): order.servers
+            for _, _, order in self.cloud.orders[before:]
+        }
+
+
+@pytest.fixture
+def fleet():
+    return Fleet()
+
+
+def test_nothing_is_ordered_before_the_servers_have_registered(fleet):
+    """A holder that has just started sees the first two servers of nine. Sized by
+    them, the service would shrink before the first request comes."""
+    fleet.add("a", 2, reclaimable=False)
+    assert not fleet.play(SETTLED_S - 0.5, work=0.0)
+
+
+def test_an_order_is_not_repeated_while_nothing_changes(fleet):
+    for zone in "abc":
+        fleet.add(zone, 2)
+    fleet.play(12.0)
+    assert not fleet.play(2.0)
+
+
+def test_a_reclaimed_zone_is_made_up_at_once_and_given_back_later(fleet):
+    for zone in "abc":
+        fleet.add(zone, 2)
+    fleet.play(10.0)
+    fleet.reclaim("b")
+    fleet.cloud.empty = {"b"}
+    orders = fleet.play(0.5)
+    assert sum(n for (_, spot), n in orders.items() if not spot) >= 2
+    fleet.cloud.empty = set()
+    fleet.add("b", 2)
+    orders = fleet.play(30.0)
+    assert sum(n for (_, spot), n in orders.items() if not spot) == 0
+
+
+def test_a_pool_that_refused_is_asked_again_with_growing_pauses(fleet):
+    fleet.cloud.empty = {"a", "b", "c"}
+    asked = []
+    order = fleet.cloud.order
+
+    def count(holder, fence, given):
+        if given.reclaimable and given.zone == "a":
+            asked.append(fleet.now)
+        order(holder, fence, given)
+
+    fleet.cloud.order = count
+    fleet.play(30.0)
+    gaps = [later - earlier for earlier, later in zip(asked, asked[1:], strict=False)]
+    assert 3 <= len(asked) <= 8
+    assert gaps == sorted(gaps)
+
+
+def test_servers_are_given_back_only_after_a_while(fleet):
+    for zone in "abc":
+        fleet.add(zone, 2)
+    fleet.play(12.0, work=3.0)
+    fleet.ordering.loads["s"].samples.clear()
+    early = fleet.play(LOWER_AFTER_S - 1.0, work=0.1)
+    assert not any(reclaimable for _, reclaimable in early)
+    late = fleet.play(LOWER_AFTER_S, work=0.1)
+    assert any(reclaimable for _, reclaimable in late)
+
+
+def test_no_order_is_begun_without_enough_lease(fleet):
+    """A holder's lease ends while its order is on the way, and the successor has given
+    another one. The platform would see the older holder last."""
+    fleet.lease.until = fleet.now + 0.1
+    fleet.play(0.2)
+    assert not fleet.cloud.orders
+
+
+def test_a_cloud_that_is_down_is_asked_again(fleet):
+    fleet.cloud.down = True
+    fleet.play(3.0)
+    fleet.cloud.down = False
+    assert fleet.play(2.0)
--- /dev/null
+++ b/packages/endive_gateway/tests/test_peers.py
@@ -0,0 +1,108 @@
+import time
+
+import gevent
+import pytest
+from endive_core.crashes import Crash
+from endive_gateway.interfaces import Topic
+from endive_gateway.peers import DECODER, ENCODER, Peers, Telling
+from gateway_builders import MemoryStore, make_context, make_table
+
+
+def telling(**options):
+    values = {
+        "node": "b",
+        "incarnation": 1,
+        "sequence": 1,
+        "wall_ms": 1_000_000,
+        "version": 1,
+        "gone": False,
+        "spent": {"o": 5.0},
+        "work": {"s": 0.5},
+        "windows": {7: {"o": 3}},
+        "crashes": [("f", "i-1", 1.0)],
+        "fence": 0,
+        "reported": 4,
+    }
+    return Telling(**(values | options))
+
+
+@pytest.fixture
+def peers():
+    return Peers(make_context(make_table()))
+
+
+def test_a_telling_comes_back_from_its_bytes():
+    assert DECODER.decode(ENCODER.encode(telling())) == telling()
+
+
+def test_a_telling_fits_one_datagram():
+    """A datagram over one frame is lost whole with any of its pieces."""
+    organisations = {f"organisation-{n}": 123456.789 for n in range(8)}
+    counts = dict.fromkeys(organisations, 1000)
+    told = telling(spent=organisations, windows=dict.fromkeys((1, 2, 3), counts))
+    assert len(ENCODER.encode(told)) < 1400
+
+
+def test_what_a_peer_tells_is_taken_over(peers):
+    peers.hear(telling(), "127.0.0.2")
+    context = peers.context
+    assert context.meter.total(7) == {"o": 3}
+    assert context.reported == 4
+    assert context.placer.crashes.count("f", time.monotonic()) == 1
+    assert [peer.node for peer in peers.live()] == ["b"]
+
+
+def test_a_telling_that_was_overtaken_is_dropped(peers):
+    peers.hear(telling(sequence=5, fence=3), "127.0.0.2")
+    peers.hear(telling(sequence=4, fence=0), "127.0.0.2")
+    assert peers.known["127.0.0.2"].fence == 3
+    peers.hear(telling(incarnation=2, sequence=1, fence=0), "127.0.0.2")
+    assert peers.known["127.0.0.2"].fence == 0
+
+
+def test_a_peer_that_stopped_is_forgotten_at_once(peers):
+    peers.hear(telling(), "127.0.0.2")
+    peers.hear(telling(sequence=2, gone=True), "127.0.0.2")
+    assert not peers.known
+    assert peers.context.limits.part(time.monotonic() + 5) == 1.0
+
+
+def test_crashes_are_told_on(peers):
+    peers.context.placer.crashes.add(Crash("f", "i-1@3", time.monotonic()))
+    assert peers._telling(False).crashes[0][:2] == ("f", "i-1@3")
+
+
+def test_nodes_find_each_other_by_the_store():
+    store = MemoryStore()
+    one, two = (Peers(make_context(make_table(), store=store, node=n)) for n in "ab")
+    one.address, two.address = "127.0.0.2", "127.0.0.3"
+    one.tell = two.tell = lambda **_options: None
+    listing = [gevent.spawn(peers._follow_list) for peers in (one, two)]
+    gevent.sleep(0.05)
+    gevent.killall(listing)
+    one._read_list()
+    assert set(one.known) == {"127.0.0.3"}
+    assert set(two.known) == {"127.0.0.2"}
+    assert len(store.topics[Topic.NODES]) == 2
+
+
+def test_a_node_the_store_turned_away_gets_the_configuration_from_another():
+    """The store refuses one node and serves the others and the operators. A key that
+    was taken away meanwhile would stay valid at that node."""
+    ahead, behind = (make_context(make_table(), node=name) for name in "ab")
+    ahead.configure(make_table(version=9), b"9", "test")
+    port = 17_611
+    serving, asking = Peers(ahead), Peers(behind)
+    serving.port = asking.port = port
+    serving.address = "127.0.0.1"
+    asking.address = "127.0.0.4"
+    serving.start()
+    try:
+        asking.hear(telling(version=9), "127.0.0.1")
+        asking._look_after()
+        asking.behind_since -= 1.0
+        asking._look_after()
+        gevent.sleep(0.1)
+    finally:
+        serving.stop()
+    assert behind.version == 9
--- /dev/null
+++ b/tests/test_platform_documents.py
@@ -0,0 +1,183 @@
+import json
+
+import pytest
+from endive_core.exceptions import SettingsError
+from endive_core.routing import RouteKind
+from endive_gateway.interfaces import ServerState, UndecodableError
+from endive_platform.configuration import decode_configuration
+from endive_platform.entries import decode_server
+from endive_platform.settings import read_settings, to_gateway_settings
+
+
+def route(**options):
+    return {
+        "name": "r",
+        "host": "A.example",
+        "path_prefix": "/a/",
+        "kind": "streaming",
+        "service": "s",
+        "timeout_ms": 3000,
+        "can_resume": True,
+        "sticky": True,
+    } | options
+
+
+def document(**options):
+    values = {
+        "version": 7,
+        "routes": [route()],
+        "services": [
+            {
+                "name": "s",
+                "max_conns": 300,
+                "engine": {"slots": 48, "kv_capacity": 5, "stride": 3, "moves": True},
+                "autoscale": {
+                    "min_replicas": 1,
+                    "max_replicas": 6,
+                    "boot_s": 4.0,
+                    "spot_price": 0.2,
+                    "zone_prices": {"a": 0.85},
+                },
+            }
+        ],
+        "limits": {"max_header_bytes": 100, "idle_timeout_ms": 15000},
+        "tenants": [
+            {
+                "name": "o",
+                "api_keys": ["k1", "k2"],
+                "unit": "tokens",
+                "plain_tokens": 200,
+                "rate_per_s": 10,
+                "burst": 20,
+                "priority": 1,
+            }
+        ],
+    }
+    return json.dumps(values | options).encode()
+
+
+def test_a_configuration_is_decoded_whole():
+    table = decode_configuration(document())
+    found = table.match("a.example", "/a/b")
+    assert (found.kind, found.timeout_s, found.resumable) == (RouteKind.STREAM, 3, True)
+    assert found.choose(0.5) == "s"
+    assert table.keys == {"k1": "o", "k2": "o"}
+    terms = table.organisations["o"]
+    assert (terms.rate, terms.burst, terms.counts_tokens) == (10, 20, True)
+    service = table.services["s"]
+    assert service.engine.tokens_per_event == 3
+    assert service.scaling.zone_prices == {"a": 0.85}
+    assert table.limits.idle_timeout_s == 15
+
+
+def test_without_tenants_no_key_is_needed():
+    assert decode_configuration(document(tenants=None)).organisations is None
+
+
+def test_splits_and_unknown_kinds_are_understood():
+    split = [{"service": "s", "weight": 90}, {"service": "t", "weight": 10}]
+    routes = [route(traffic_split=split, service=None, kind="new")]
+    (found,) = decode_configuration(document(routes=routes)).routes
+    assert [s.service for s in found.splits] == ["s", "t"]
+    assert found.kind is RouteKind.NON_IDEMPOTENT
+
+
+@pytest.mark.parametrize(
+    "value",
+    [b"", b"{", b"[]", b"\xff\xfe", document(version="x"), document(routes=[{}])],
+)
+def test_a_configuration_that_can_not_be_read_is_refused(value):
+    with pytest.raises(UndecodableError):
+        decode_configuration(value)
+
+
+def entry(**options):
+    values = {
+        "service": "s",
+        "address": "10.0.0.1:80",
+        "zone": "z",
+        "version": "v1",
+        "slots": 8,
+        "state": "ready",
+        "cold_left_ms": 0,
+        "sequence": 4,
+    }
+    return json.dumps(values | options).encode()
+
+
+def test_an_entry_is_decoded_whole():
+    value = entry(spot=True, leaves_ms=2500, state="draining", born=1700000000000)
+    found = decode_server("i-1", value)
+    assert found.state is ServerState.LEAVING
+    assert found.reclaimable
+    assert found.leaves_in_s == 2.5
+    assert (found.incarnation, found.sequence) == (1700000000000, 4)
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"",
+        b"\x00\xff",
+        b"null",
+        b'"ready"',
+        entry(state="asleep"),
+        entry(address="nowhere"),
+        entry(address="a.example:80"),
+        entry(slots=0),
+        entry(slots="8"),
+        entry(sequence="4"),
+        entry(sequence=1.5),
+        entry(born="x"),
+        entry(born=1.5),
+        entry(service=None),
+        json.dumps({"service": "s"}).encode(),
+    ],
+)
+def test_an_entry_of_another_writer_names_no_server(value):
+    with pytest.raises(UndecodableError):
+        decode_server("i-1", value)
+
+
+def settings(**options):
+    values = {
+        "node_name": "front-a-1",
+        "ip": "10.1.0.14",
+        "zone": "a",
+        "zones": {"a": "r", "b": "r"},
+        "listen": {"front": "10.1.0.14:8221", "ready_addr": "10.1.0.14:8224"},
+        "port_range": [7600, 7615],
+        "seeds": ["10.2.0.4:8229"],
+        "bounds": {"drain_ms": 2000, "grace_s": 8, "new_bound": 1},
+        "platform": {"address": "10.200.1.7:8225", "form": "log"},
+        "cloud": {"address": "10.200.0.35:8225", "duties": ["usage", "scale"]},
+        "unknown": {"x": 1},
+    }
+    return values | options
+
+
+def test_settings_are_decoded_and_what_is_new_is_ignored(tmp_path):
+    path = tmp_path / "local.json"
+    path.write_text(json.dumps(settings()))
+    found = to_gateway_settings(read_settings(str(path)))
+    assert found.place.caller_port == 8221
+    assert found.place.peer_port == 7600
+    assert found.place.seeds == ("10.2.0.4",)
+    assert found.bounds.drain_s == 2.0
+    assert found.duties == {"usage", "scale"}
+
+
+@pytest.mark.parametrize(
+    "value", ["", "{", "[]", json.dumps(settings(port_range="x")), "{}"]
+)
+def test_bad_settings_say_what_is_wrong(tmp_path, value):
+    path = tmp_path / "local.json"
+    path.write_text(value)
+    with pytest.raises(SettingsError, match=r"local\.json: ."):
+        read_settings(str(path))
+
+
+def test_no_settings_say_where_they_are_looked_for(monkeypatch):
+    monkeypatch.delenv("ENDIVESTACK_BOOT", raising=False)
+    with pytest.raises(SettingsError, match="ENDIVESTACK_BOOT"):
+        read_settings()
--- /dev/null
+++ b/tests/test_platform_headers.py
@@ -0,0 +1,114 @@
+import pytest
+from endive_gateway.interfaces import BadHeaderError, RequestFacts, Sending
+from endive_platform.headers import decode_answer, decode_request, encode_request
+
+
+def headers(**values):
+    pairs = {"Request_Id": "r1"} | values
+    return [(n.replace("_", "-").encode(), v.encode()) for n, v in pairs.items()]
+
+
+def test_a_request_is_decoded_whole():
+    facts = decode_request(
+        headers(
+            Deadline_Ms="1500",
+            Authorization="Bearer k",
+            Model="m",
+            Token_Counts="1460,80",
+            Prompt_Prefix="5c1e07a2:800,91bd3f06:410",
+            Last_Event_Id="7",
+        )
+    )
+    assert facts.id == "r1"
+    assert facts.budget_s == 1.5
+    assert facts.key == "k"
+    assert (facts.prompt_tokens, facts.max_tokens) == (1460, 80)
+    assert [(p.id, p.tokens) for p in facts.parts] == [
+        (0x5C1E07A2, 800),
+        (0x91BD3F06, 410),
+    ]
+    assert facts.last_event == "7"
+
+
+@pytest.mark.parametrize(
+    "bad",
+    [
+        {"Request_Id": ""},
+        {"Deadline_Ms": "soon"},
+        {"Deadline_Ms": "-1"},
+        {"Deadline_Ms": "nan"},
+        {"Deadline_Ms": "1e400"},
+        {"Token_Counts": "12"},
+        {"Token_Counts": "1,-2"},
+    ],
+)
+def test_a_bad_header_is_refused(bad):
+    with pytest.raises(BadHeaderError):
+        decode_request(headers(**bad))
+
+
+@pytest.mark.parametrize("name", [b"Request-Id", b"authorization", b"DEADLINE-MS"])
+def test_a_header_that_counts_may_come_once_only(name):
+    """A caller sends two ids or two keys. This node would go by one of them and the
+    server by the other."""
+    twice = [*headers(), (name, b"5"), (name.lower(), b"6")]
+    with pytest.raises(BadHeaderError):
+        decode_request(twice)
+
+
+def test_an_unreadable_prompt_list_only_costs_the_cache():
+    assert decode_request(headers(Prompt_Prefix="x:y")).parts == ()
+
+
+def test_what_callers_may_not_set_is_left_out_or_replaced():
+    sent = dict(
+        encode_request(
+            headers(
+                Tenant="other",
+                Expect_Instance="i-9",
+                Deadline_Ms="99999",
+                Authorization="Bearer k",
+                Hold="h",
+                Pin_Ms="5",
+                Kv_Backup="1.2.3.4:5",
+                Kv_From="1.2.3.4:5/x",
+                Kv_Fetch="1.2.3.4:5",
+                Request_Priority="0",
+                X_Own="kept",
+            ),
+            RequestFacts("r1", prompt_tokens=5),
+            Sending("i-1", "o", 0.25, urgency=3),
+        )
+    )
+    assert sent == {
+        b"Request-Id": b"r1",
+        b"X-Own": b"kept",
+        b"Deadline-Ms": b"250",
+        b"Expect-Instance": b"i-1",
+        b"Tenant": b"o",
+        b"Request-Priority": b"3",
+    }
+
+
+def test_a_resumed_run_names_its_place_and_copy():
+    sending = Sending("i-1", "", 1.0, last_event="12", copy="1.2.3.4:5/h")
+    sent = dict(encode_request(headers(), RequestFacts("r1"), sending))
+    assert sent[b"Last-Event-Id"] == b"12"
+    assert sent[b"Kv-From"] == b"1.2.3.4:5/h"
+    assert b"Tenant" not in sent
+
+
+def test_an_answer_is_decoded_whole():
+    facts = decode_answer(
+        headers(Response_Seal="3e", Not_Run="1", Server_Load="3,1,8", Instance_Id="i-1")
+    )
+    assert facts.request_id == "r1"
+    assert facts.sealed
+    assert facts.not_run
+    assert (facts.running, facts.waiting, facts.slots) == (3, 1, 8)
+    assert facts.server_id == "i-1"
+
+
+@pytest.mark.parametrize("load", ["", "3", "3,1", "a,b,c", "3,1,8,9", "-1,0,8"])
+def test_an_unreadable_load_is_none(load):
+    assert decode_answer(headers(Server_Load=load)).running is None
--- /dev/null
+++ b/tests/test_platform_store.py
@@ -0,0 +1,155 @@
+import base64
+import json
+import struct
+
+import pytest
+from endive_gateway.interfaces import (
+    CloudEmptyError,
+    CloudError,
+    Order,
+    StoreConflictError,
+    StoreError,
+    StoreForgottenError,
+    StoreUncertainError,
+    Topic,
+)
+from endive_platform.calls import CallFailedError, PlatformCalls
+from endive_platform.cloud import PlatformCloud
+from endive_platform.store import PlatformStore
+
+
+class Response:
+    def __init__(self, status, data=b""):
+        self.status = status
+        self.data = data if isinstance(data, bytes) else json.dumps(data).encode()
+
+
+class ScriptedCalls:
+    """Answers of the platform, one for each call."""
+
+    def __init__(self, *script):
+        self.script = list(script)
+        self.made = []
+
+    def call(self, method, path, *, query=None, body=None, headers=None, wait_s=0.0):
+        self.made.append((method, path, query, body, headers))
+        entry = self.script.pop(0)
+        if isinstance(entry, Exception):
+            raise entry
+        return entry
+
+
+def keyed(key, value):
+    return bytes([len(key)]) + key + value
+
+
+def framed(*records, end, first=0):
+    data = struct.pack(">QQ", end, first)
+    return data + b"".join(struct.pack(">I", len(r)) + r for r in records)
+
+
+def store(*script):
+    return PlatformStore(ScriptedCalls(*script))
+
+
+def test_records_are_read_with_their_offsets_and_keys():
+    data = framed(keyed(b"i-1", b"{}"), keyed(b"i-2", b""), end=9)
+    page = store(Response(200, data)).read(Topic.SERVERS, 7)
+    assert [(r.offset, r.key, r.value) for r in page.records] == [
+        (7, "i-1", b"{}"),
+        (8, "i-2", None),
+    ]
+    assert page.end == 9
+
+
+def test_records_without_keys_are_whole():
+    page = store(Response(200, framed(b"abc", end=1))).read(Topic.DUTIES, 0)
+    assert page.records[0].value == b"abc"
+
+
+@pytest.mark.parametrize("data", [b"", b"short", framed(b"abc", end=1)[:-1]])
+def test_an_answer_that_ends_early_is_no_answer(data):
+    with pytest.raises(StoreError):
+        store(Response(200, data)).read(Topic.DUTIES, 0)
+
+
+def test_forgotten_records_tell_the_oldest_kept():
+    with pytest.raises(StoreForgottenError) as caught:
+        store(Response(410, {"first": 12})).read(Topic.SERVERS, 7)
+    assert caught.value.first == 12
+
+
+def test_the_newest_records_come_page_by_page():
+    def page(*keys, truncated):
+        items = [
+            {"key": k, "value": base64.b64encode(b"x").decode(), "offset": 1}
+            for k in keys
+        ]
+        return Response(200, {"items": items, "truncated": truncated, "end": 5})
+
+    made = store(page("a", "b", truncated=True), page("c", truncated=False))
+    found = made.newest(Topic.SERVERS)
+    assert [record.key for record in found.records] == ["a", "b", "c"]
+    assert made.calls.made[1][2]["after"] == "b"
+    assert found.end == 5
+
+
+def test_an_append_on_a_condition_tells_where_it_went_or_the_end():
+    made = store(Response(200, {"offset": 4, "end": 5}), Response(412, {"end": 9}))
+    assert made.append(Topic.DUTIES, b"x", at=4) == 4
+    assert made.calls.made[0][3] == b"\x00\x00\x00\x01x"
+    with pytest.raises(StoreConflictError) as caught:
+        made.append(Topic.DUTIES, b"x", at=5)
+    assert caught.value.end == 9
+
+
+def test_a_lost_answer_is_uncertain_and_a_refused_connection_is_not():
+    with pytest.raises(StoreUncertainError):
+        store(CallFailedError("lost", sent=True)).append(Topic.DUTIES, b"x")
+    with pytest.raises(StoreError) as caught:
+        store(CallFailedError("refused", sent=False)).append(Topic.DUTIES, b"x")
+    assert not isinstance(caught.value, StoreUncertainError)
+
+
+@pytest.mark.parametrize("status", [429, 503, 507, 500])
+def test_a_refusal_is_an_error(status):
+    with pytest.raises(StoreError):
+        store(Response(status)).read(Topic.SERVERS, 0)
+
+
+def test_a_read_that_was_lost_did_nothing():
+    with pytest.raises(StoreError) as caught:
+        store(CallFailedError("lost", sent=True)).read(Topic.SERVERS, 0)
+    assert not isinstance(caught.value, StoreUncertainError)
+
+
+def cloud(*script):
+    return PlatformCloud(ScriptedCalls(*script))
+
+
+def test_usage_names_holder_and_fence():
+    made = cloud(Response(200))
+    made.report_usage("n1", 12, 7, {"p": 1, "o": 2})
+    method, path, _, body, headers = made.calls.made[0]
+    assert (method, path) == ("POST", "/usage")
+    assert json.loads(body) == {"window_id": 7, "counts": {"o": 2, "p": 1}}
+    assert (headers["Duty-Holder"], headers["Fencing-Token"]) == ("n1", "12")
+
+
+def test_orders_of_both_kinds():
+    made = cloud(Response(200), Response(200), Response(409), Response(503))
+    made.order("n1", 1, Order("s", "a", 2, True))
+    made.order("n1", 1, Order("s", "a", 2, False))
+    bodies = [json.loads(call[3]) for call in made.calls.made]
+    assert bodies[0] == {"service": "s", "zone": "a", "desired": 2, "spot": True}
+    assert "spot" not in bodies[1]
+    with pytest.raises(CloudEmptyError):
+        made.order("n1", 1, Order("s", "a", 2, True))
+    with pytest.raises(CloudError):
+        made.order("n1", 1, Order("s", "a", 2, True))
+
+
+def test_nobody_there_is_told_apart_from_a_lost_answer():
+    with pytest.raises(CallFailedError) as caught:
+        PlatformCalls("127.0.0.1:1").call("GET", "/x")
+    assert not caught.value.sent
