--- a/packages/endive_gateway/src/endive_gateway/gateway.py
+++ b/packages/endive_gateway/src/endive_gateway/gateway.py
@@ -2,6 +2,7 @@
 
 import time
 from collections.abc import Callable
+from dataclasses import replace
 
 import gevent
 from absl import logging
@@ -122,6 +123,17 @@
             gevent.sleep(SWEEP_S)
             self.context.pool.sweep()
 
+    def reload(self, settings: GatewaySettings) -> None:
+        """Take over changed settings; the node's own addresses need a new start."""
+        if settings == self.settings:
+            log_event("reload", changed="nothing")
+            return
+        if settings.place != self.settings.place:
+            log_event("reload", kept=self.settings.place, found=settings.place)
+            settings = replace(settings, place=self.settings.place)
+        log_event("reload", bounds=settings.bounds, duties=sorted(settings.duties))
+        self.settings = self.context.settings = settings
+
     def drain(self) -> None:
         """Stop: take nothing new, finish what was accepted, then end."""
         if self.stopping_at is not None:
--- /dev/null
+++ b/packages/endive_gateway/tests/test_gateway.py
@@ -0,0 +1,46 @@
+from dataclasses import replace
+
+import pytest
+from endive_gateway.gateway import Gateway
+from endive_gateway.interfaces import Bounds, GatewaySettings, Place
+from gateway_builders import Caller, MemoryStore, PlainWire, RecordingCloud, make_table
+
+PLACE = Place("n1", "127.0.0.1", "z", 0, 0, 17_621)
+
+
+@pytest.fixture
+def gateway():
+    made = Gateway(GatewaySettings(PLACE), PlainWire(), MemoryStore(), RecordingCloud())
+    made.readiness.start()
+    yield made
+    made.readiness.stop(0)
+
+
+def ask(gateway):
+    caller = Caller(gateway.readiness.server_port)
+    caller.raw(b"GET /any HTTP/1.1\r\nHost: x\r\n\r\n")
+    return caller.receive().status
+
+
+def test_a_node_is_ready_once_it_knows_routes_and_servers(gateway):
+    assert ask(gateway) == 503
+    gateway.context.configure(make_table(), b"", "test")
+    assert ask(gateway) == 503
+    gateway.context.registry.known_once = True
+    assert ask(gateway) == 200
+
+
+def test_a_stopping_node_is_not_ready_at_once(gateway):
+    gateway.context.configure(make_table(), b"", "test")
+    gateway.context.registry.known_once = True
+    gateway.stopping_at = 1.0
+    assert ask(gateway) == 503
+
+
+def test_changed_bounds_are_taken_over_and_addresses_kept(gateway):
+    """The platform writes the settings file anew while the node runs, with or without
+    a signal. The node goes on; what it can't change without a new start it keeps."""
+    moved = replace(PLACE, caller_port=9999)
+    gateway.reload(GatewaySettings(moved, Bounds(grace_s=20)))
+    assert gateway.settings.place == PLACE
+    assert gateway.context.settings.bounds.grace_s == 20
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -6,7 +6,11 @@
 from endive_gateway.interfaces import ServerState, UndecodableError
 from endive_platform.configuration import decode_configuration
 from endive_platform.entries import decode_server
-from endive_platform.settings import read_settings, to_gateway_settings
+from endive_platform.settings import (
+    SettingsChanges,
+    read_settings,
+    to_gateway_settings,
+)
 
 
 def route(**options):
@@ -181,3 +185,15 @@
     monkeypatch.delenv("ENDIVESTACK_BOOT", raising=False)
     with pytest.raises(SettingsError, match="ENDIVESTACK_BOOT"):
         read_settings()
+
+
+def test_a_settings_file_written_anew_is_noticed_once(tmp_path):
+    path = tmp_path / "local.json"
+    path.write_text("1")
+    changes = SettingsChanges(str(path))
+    assert not changes.changed()
+    path.write_text("22")
+    assert changes.changed()
+    assert not changes.changed()
+    path.unlink()
+    assert not changes.changed()
