--- a/packages/endive_core/src/endive_core/capacity.py
+++ b/packages/endive_core/src/endive_core/capacity.py
@@ -20,7 +20,7 @@
 """Time before reclaimable servers are asked for again where they were refused, doubled
 up to :data:`MAX_BACKOFF_S`. They were refused for 12 to 15 s after a reclaim."""
 
-MAX_BACKOFF_S = 8.0
+MAX_BACKOFF_S = 4.0
 
 ROUNDED = 0.05
 """Part of a server that may be missing: measured load is no more exact than that."""
