--- a/packages/endive_core/src/endive_core/sharing.py
+++ b/packages/endive_core/src/endive_core/sharing.py
@@ -28,7 +28,7 @@
 """Part of the operators' tolerance that is used as further burst. The rest covers what
 several nodes admit within one telling, a quarter of a second of all that is asked."""
 
-HEAD_START_S = 0.5
+HEAD_START_S = 1.0
 """Seconds of the rate that a node that starts has to spend at once. What was spent a
 moment before isn't known; but nothing was while all nodes were down, and one that
 starts alone is one of several."""
@@ -118,8 +118,12 @@
         self.peers[node] = PeerSpending(dict(spent), incarnation, now)
 
     def expect(self, node: str, now: float) -> None:
-        """Count a node that is known to be there, though it was not heard yet."""
-        self.peers.setdefault(node, PeerSpending(heard_at=now - SILENT_S))
+        """Count a node that is known to be there, though it was not heard yet.
+
+        It gets the usual time to be heard: after a power loss all nodes start within
+        a second, and each alone would refuse most callers until then.
+        """
+        self.peers.setdefault(node, PeerSpending(heard_at=now))
 
     def leave(self, node: str) -> None:
         """Divide the part of a node that said it has stopped."""
--- a/packages/endive_gateway/src/endive_gateway/context.py
+++ b/packages/endive_gateway/src/endive_gateway/context.py
@@ -12,6 +12,7 @@
 
 from endive_gateway.connections import ConnectionPool, is_listening
 from endive_gateway.interfaces import Cloud, GatewaySettings, Store, Wire
+from endive_gateway.metrics import GatewayMetrics
 from endive_gateway.placing import ENGINE_PREFILL_TOKENS_PER_S, Placer
 from endive_gateway.servers import ServerRegistry
 from endive_gateway.working import WorkMeter
@@ -52,6 +53,7 @@
         self.meter = Meter(settings.bounds.usage_window_s)
         self.true_time = TrueTime(time.monotonic, time.time)
         self.budgets: dict[str, FleetRetryBudget] = {}
+        self.metrics = GatewayMetrics()
         self.work = WorkMeter(ENGINE_PREFILL_TOKENS_PER_S)
         self.incarnation = time.time_ns() // 1000
         self.started_at = time.monotonic()
--- a/packages/endive_gateway/src/endive_gateway/forwarding.py
+++ b/packages/endive_gateway/src/endive_gateway/forwarding.py
@@ -440,6 +440,8 @@
         """Count that a server began the request, once."""
         if not self.begun:
             self.begun = True
+            since = self.exchange.received_at
+            self.context.metrics.first_bytes.add(self.now - since)
             stream = self.route.kind is RouteKind.STREAM
             at = self.context.true_time.now() if stream else self.sent_at
             self.context.meter.begin(self.organisation, at)
@@ -457,6 +459,7 @@
         self.in_flight = False
         self.may_have_run |= error.started
         self.uncounted += not error.counts
+        self.context.metrics.retries[str(error.reason)] += 1
         log_event(
             "attempt_failed",
             request=self.facts.id,
@@ -538,6 +541,7 @@
             if self.ticket.stage is not Stage.ENDED and self.in_flight:
                 self._count_plain_loss()
             self.context.placer.end(self.ticket)
+        self._count_outcome()
         log_event(
             "request",
             request=self.facts.id,
@@ -549,6 +553,12 @@
             version=self.context.version,
         )
 
+    def _count_outcome(self) -> None:
+        metrics = self.context.metrics
+        metrics.outcomes[self.outcome or "failed"] += 1
+        if self.outcome == "ok":
+            metrics.whole.add(self.now - self.exchange.received_at)
+
     def _count_plain_loss(self) -> None:
         """Count a plain request that a server has very likely begun."""
         if self.route.kind is not RouteKind.STREAM:
--- a/packages/endive_gateway/src/endive_gateway/gateway.py
+++ b/packages/endive_gateway/src/endive_gateway/gateway.py
@@ -17,6 +17,7 @@
 from endive_gateway.following import ConfigurationFollower, ServerFollower
 from endive_gateway.forwarding import Forwarder
 from endive_gateway.interfaces import Cloud, GatewaySettings, Store, Wire
+from endive_gateway.metrics import MetricsServer
 from endive_gateway.ordering import Ordering
 from endive_gateway.peers import Peers
 
@@ -106,6 +107,11 @@
         ]
         if self.settings.duties:
             loops.append(self.duties.run)
+        if place.metrics_port:
+            self.metrics = MetricsServer(
+                place.address, place.metrics_port, self.context.metrics
+            )
+            self.metrics.start()
         self.peers.start()
         for loop in loops:
             gevent.spawn(keep_running, loop)
--- a/packages/endive_gateway/src/endive_gateway/interfaces.py
+++ b/packages/endive_gateway/src/endive_gateway/interfaces.py
@@ -1,9 +1,9 @@
 """The seams to the platform, as Protocol types, and what passes through them."""
 
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from enum import StrEnum
-from typing import Any, Protocol
+from typing import Protocol
 
 from endive_core.routing import RoutingTable
 
@@ -413,6 +413,7 @@
     peer_port: int
     seeds: tuple[str, ...] = ()
     zones: tuple[str, ...] = ()
+    metrics_port: int = 0
 
 
 @dataclass(frozen=True)
@@ -422,8 +423,6 @@
     place: Place
     bounds: Bounds = Bounds()
     duties: frozenset[str] = frozenset()
-    metrics_port: int = 0
-    extra: Mapping[str, Any] = field(default_factory=dict)
 
 
 def header_value(headers: Iterable[tuple[bytes, bytes]], name: bytes) -> bytes:
--- /dev/null
+++ b/packages/endive_gateway/src/endive_gateway/logstream.py
@@ -0,0 +1,77 @@
+"""Where log lines go: standard output, bounded, and never waited for.
+
+A reader of the logs may stall, and a flood of requests may bring a line each. Written
+as usual, the first would stop every request of the process in the middle of a line, and
+the second would cost more than the requests themselves.
+"""
+
+import os
+import time
+
+LINES_PER_S = 400.0
+LINES_AT_ONCE = 2000.0
+"""Lines written each second, and at once beyond that. The busiest node of the users
+writes 60 a second; a line costs 40 us."""
+
+PENDING_BYTES = 65_536
+"""Most bytes kept for a reader that is slow: what a pipe holds once more."""
+
+
+class LogStream:
+    """A text stream over a descriptor that drops lines instead of waiting.
+
+    Attributes
+    ----------
+    dropped : int
+        Lines not written since the last line that says so.
+    """
+
+    def __init__(self, descriptor: int) -> None:
+        self.descriptor = descriptor
+        os.set_blocking(descriptor, False)
+        self.pending = b""
+        self.dropped = 0
+        self.tokens = LINES_AT_ONCE
+        self.filled_at = time.monotonic()
+
+    def write(self, text: str) -> int:
+        """Write a line, or drop it."""
+        if not text.strip():
+            return len(text)
+        if not self._may_write():
+            self.dropped += 1
+            return len(text)
+        line = text if text.endswith("\n") else text + "\n"
+        if self.dropped:
+            line = f"event=logs_dropped lines={self.dropped}\n{line}"
+        if len(self.pending) + len(line) > PENDING_BYTES:
+            self.dropped += 1
+            self.flush()
+            return len(text)
+        self.dropped = 0
+        self.pending += line.encode("utf-8", "replace")
+        self.flush()
+        return len(text)
+
+    def _may_write(self) -> bool:
+        now = time.monotonic()
+        self.tokens += (now - self.filled_at) * LINES_PER_S
+        self.tokens = min(LINES_AT_ONCE, self.tokens)
+        self.filled_at = now
+        if self.tokens < 1:
+            return False
+        self.tokens -= 1
+        return True
+
+    def flush(self) -> None:
+        """Hand over as much as the reader takes at once."""
+        while self.pending:
+            try:
+                written = os.write(self.descriptor, self.pending)
+            except BlockingIOError:
+                return
+            except OSError:
+                # The reader is gone for good; there is nobody left to tell.
+                self.pending = b""
+                return
+            self.pending = self.pending[written:]
--- /dev/null
+++ b/packages/endive_gateway/tests/test_logstream.py
@@ -0,0 +1,69 @@
+import os
+import time
+
+import pytest
+from endive_gateway.logstream import LINES_AT_ONCE, PENDING_BYTES, LogStream
+
+
+@pytest.fixture
+def pipe():
+    reading, writing = os.pipe()
+    os.set_blocking(reading, False)
+    yield reading, writing
+    os.close(reading)
+    os.close(writing)
+
+
+def read_all(reading):
+    data = b""
+    while True:
+        try:
+            piece = os.read(reading, 65_536)
+        except BlockingIOError:
+            return data.decode()
+        if not piece:
+            return data.decode()
+        data += piece
+
+
+def test_lines_come_whole_and_in_order(pipe):
+    stream = LogStream(pipe[1])
+    for number in range(50):
+        stream.write(f"event=x number={number}\n")
+    assert read_all(pipe[0]).splitlines() == [f"event=x number={n}" for n in range(50)]
+
+
+def test_a_reader_that_stalls_holds_nothing_up(pipe):
+    """Whoever collects the logs stops reading. The process must go on answering, and
+    say afterwards how many lines are missing."""
+    stream = LogStream(pipe[1])
+    started = time.monotonic()
+    for _ in range(1500):
+        stream.write("event=x " + "a" * 200 + "\n")
+    assert time.monotonic() - started < 1.0
+    assert len(stream.pending) <= PENDING_BYTES
+    assert stream.dropped > 0
+    read_all(pipe[0])
+    stream.flush()
+    stream.write("event=later\n")
+    text = read_all(pipe[0])
+    assert "event=logs_dropped lines=" in text
+    assert text.endswith("event=later\n")
+
+
+def test_a_flood_of_lines_is_bounded(pipe):
+    stream = LogStream(pipe[1])
+    total = 0
+    for _ in range(20_000):
+        stream.write("event=x\n")
+        total += len(read_all(pipe[0]).splitlines())
+    assert total < LINES_AT_ONCE * 1.5
+
+
+def test_a_reader_that_is_gone_is_no_error(pipe):
+    reading, writing = os.pipe()
+    stream = LogStream(writing)
+    os.close(reading)
+    stream.write("event=x\n")
+    os.close(writing)
+    assert not stream.pending
