Split the gateway's long modules by what they hold

Change: attempts, tellings, documents and exceptions are modules of their own; what was unused is gone; a connection whose answer isn't whole (HEAD) is not kept. Ruled out: splitting interfaces by adapter, which would put one call's types in two places.

--- /dev/null
+++ b/packages/endive_gateway/src/endive_gateway/attempts.py
@@ -0,0 +1,212 @@
+"""One attempt at one server: the request sent, its answer judged and passed on."""
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from endive_core.exceptions import RetryReason
+from endive_core.messages import ServerView
+from endive_core.routing import RouteKind
+
+from endive_gateway.connections import ServerConnection
+from endive_gateway.exceptions import AttemptError, BrokenError
+from endive_gateway.http import AnswerMessage, encode_head, end_to_end
+from endive_gateway.interfaces import AnswerFacts, Sending, header_value
+
+if TYPE_CHECKING:
+    from endive_gateway.forwarding import Forwarding
+
+
+@dataclass(frozen=True)
+class ServerAnswer:
+    """A whole answer that a server gave."""
+
+    status: int
+    reason: bytes
+    headers: list
+    body: bytes
+
+
+class Attempt:
+    """One attempt of a request at one server.
+
+    Attributes
+    ----------
+    request : Forwarding
+        The request's own state, which outlives its attempts.
+    """
+
+    def __init__(self, request: "Forwarding", view: ServerView) -> None:
+        self.request = request
+        self.context = request.context
+        self.view = view
+        self.connection: ServerConnection | None = None
+
+    def run(self) -> None:
+        """Make the attempt; raises AttemptError unless a success was passed on."""
+        view = self.view
+        known = self.context.registry.get(view.id)
+        if known is None or not known.usable:
+            raise AttemptError(
+                "the server is leaving",
+                RetryReason.SERVER_LEAVING,
+                started=False,
+                counts=False,
+            )
+        self.request.servers.append(view.id)
+        try:
+            self.connection = self.context.pool.take(view.id, view.address)
+        except BrokenError as error:
+            raise AttemptError(
+                f"connecting: {error}",
+                RetryReason.CONNECT_FAILED,
+                started=False,
+                counts=False,
+            ) from None
+        self.request.in_flight = True
+        self.request.sent_at = self.context.true_time.now()
+        try:
+            self._send()
+            message, facts = self.connection.read_head(self.request.facts.id)
+            self._judge(message, facts)
+        except BrokenError as error:
+            self.request.count_plain_loss()
+            raise AttemptError(
+                str(error), RetryReason.SERVER_FAILED, started=True
+            ) from None
+        finally:
+            self._drop_connection()
+        self.request.in_flight = False
+
+    def _send(self) -> None:
+        message = self.request.exchange.message
+        sending = Sending(
+            server_id=self.view.id,
+            organisation=self.request.organisation,
+            left_s=max(0.001, self.request.left_s()),
+            urgency=self.request.urgency,
+            last_event=self.request.splitter.last_id or self.request.facts.last_event,
+        )
+        headers = self.context.wire.encode_request(
+            end_to_end(message.headers, self.context.wire.kept()),
+            self.request.facts,
+            sending,
+        )
+        body = self.request.exchange.body
+        if message.has_length or body:
+            headers.append((b"Content-Length", b"%d" % len(body)))
+        line = b"%s %s HTTP/1.1" % (message.method, message.target)
+        self.connection.send(encode_head(line, headers), body)
+
+    def _judge(self, message: AnswerMessage, facts: AnswerFacts) -> None:
+        """Pass a success on; raise AttemptError for all else."""
+        view = self.view
+        if facts.running is not None:
+            self.context.placer.report(view.id, facts.running, facts.waiting or 0)
+        if message.status == 421:
+            self.context.registry.contradict(view.id)
+            raise AttemptError(
+                "another server has the address",
+                RetryReason.SERVER_LEAVING,
+                started=False,
+                counts=False,
+            )
+        if facts.not_run:
+            self._read_all(message)
+            self._keep_connection(message)
+            raise AttemptError(
+                f"the server refused with {message.status}",
+                RetryReason.SERVER_BUSY,
+                started=False,
+            )
+        if 200 <= message.status < 300:
+            self._check_success(message, facts)
+            if self.request.route.kind is RouteKind.STREAM:
+                self._pass_stream(message)
+            else:
+                self._pass_whole(message)
+            return
+        answer = self._whole(message)
+        self._keep_connection(message)
+        self.request.count_start()
+        raise AttemptError(
+            f"the server answered {message.status}",
+            RetryReason.SERVER_SLOW,
+            started=True,
+            answer=answer,
+        )
+
+    def _check_success(self, message: AnswerMessage, facts: AnswerFacts) -> None:
+        """Refuse a success that is not the server's own."""
+        encoding = header_value(message.headers, b"content-encoding").lower()
+        if not facts.sealed or encoding not in (b"", b"identity"):
+            raise BrokenError("an answer without a signature", sent=True)
+
+    def _read_all(self, message: AnswerMessage) -> bytes:
+        pieces = []
+        while data := self.connection.read_body(message):
+            pieces.append(data)
+        return b"".join(pieces)
+
+    def _whole(self, message: AnswerMessage) -> ServerAnswer:
+        body = (
+            self._read_all(message)
+            if self.request.exchange.message.method != b"HEAD"
+            else b""
+        )
+        return ServerAnswer(
+            message.status, message.reason, end_to_end(message.headers), body
+        )
+
+    def _pass_whole(self, message: AnswerMessage) -> None:
+        answer = self._whole(message)
+        self.context.placer.started(self.request.ticket)
+        self.request.count_start()
+        self._keep_connection(message)
+        self.context.placer.finished(self.request.ticket, 1)
+        self.request.outcome = "ok"
+        self.request.exchange.answer(
+            answer.status, answer.reason, answer.headers, answer.body
+        )
+
+    def _pass_stream(self, message: AnswerMessage) -> None:
+        """Pass a stream's events on as they come.
+
+        The head waits for the first event: until then another server may take over.
+        """
+        exchange = self.request.exchange
+        resumable = self.request.route.resumable
+        while data := self.connection.read_body(message):
+            self.context.placer.started(self.request.ticket)
+            self.request.count_start()
+            if resumable:
+                data = self.request.splitter.feed(data)
+            if data and not exchange.answered:
+                exchange.begin(
+                    message.status, message.reason, end_to_end(message.headers)
+                )
+            exchange.pass_on(data)
+        self._keep_connection(message)
+        self.context.placer.finished(self.request.ticket, self._tokens())
+        if not exchange.answered:
+            exchange.begin(message.status, message.reason, end_to_end(message.headers))
+        exchange.pass_on(self.request.splitter.rest())
+        self.request.outcome = "ok"
+        exchange.end()
+
+    def _tokens(self) -> int:
+        if self.request.engine is None or not self.request.splitter.count:
+            return max(1, self.request.facts.max_tokens or 1)
+        return self.request.splitter.count * self.request.engine.tokens_per_event
+
+    def _keep_connection(self, message: AnswerMessage) -> None:
+        """Keep the connection for another request, if its answer is whole."""
+        connection, self.connection = self.connection, None
+        if connection.finish(message):
+            self.context.pool.give_back(self.view.id, connection)
+        else:
+            connection.close()
+
+    def _drop_connection(self) -> None:
+        if self.connection is not None:
+            self.connection.close()
+            self.connection = None
--- a/packages/endive_gateway/src/endive_gateway/callers.py
+++ b/packages/endive_gateway/src/endive_gateway/callers.py
@@ -14,23 +14,14 @@
 from gevent import socket as gsocket
 from gevent.hub import get_hub
 
-from endive_gateway.http import (
-    BadMessageError,
-    RequestMessage,
-    RequestParser,
-    encode_head,
-    status_line,
-)
+from endive_gateway.exceptions import BadMessageError, CallerGoneError
+from endive_gateway.http import RequestMessage, RequestParser, encode_head, status_line
 from endive_gateway.interfaces import Headers
 
 READ_BYTES = 65_536
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
-class CallerGoneError(Exception):
-    """Raised in a request's greenlet when its caller has closed the connection."""
-
-
 class Exchange:
     """One request of a caller, and what has been answered so far.
 
--- a/packages/endive_gateway/src/endive_gateway/connections.py
+++ b/packages/endive_gateway/src/endive_gateway/connections.py
@@ -7,7 +7,8 @@
 import gevent
 from gevent import socket as gsocket
 
-from endive_gateway.http import AnswerMessage, AnswerParser, BadMessageError
+from endive_gateway.exceptions import BadMessageError, BrokenError, ConnectionEndedError
+from endive_gateway.http import AnswerMessage, AnswerParser
 from endive_gateway.interfaces import AnswerFacts, Wire, header_value
 
 CONNECT_TIMEOUT_S = 0.6
@@ -42,23 +43,6 @@
 """Idle time-out where a server tells none."""
 
 
-class BrokenError(Exception):
-    """A connection to a server that ended or failed in the middle.
-
-    Attributes
-    ----------
-    sent : bool
-        Whether anything of the request was sent.
-    refused : bool
-        Whether the server's machine refused the connection: nothing listens there.
-    """
-
-    def __init__(self, message: str, *, sent: bool, refused: bool = False) -> None:
-        super().__init__(message)
-        self.sent = sent
-        self.refused = refused
-
-
 class ServerConnection:
     """One connection to one server."""
 
@@ -198,7 +182,8 @@
             self.idle_s = timeout
         sending = self.sender is not None and not self.sender.ready()
         alone = len(self.parser.messages) == 1
-        return self.reusable and message.keep_alive and alone and not sending
+        whole = message.complete and alone and not sending
+        return self.reusable and message.keep_alive and whole
 
     def close(self) -> None:
         """Close at once; the server takes it as the end of the request."""
@@ -207,10 +192,6 @@
         self.sock.close()
 
 
-class ConnectionEndedError(BrokenError):
-    """The server closed the connection in good order."""
-
-
 def watch_for_silence(sock: socket.socket) -> None:
     """Let the kernel notice a peer that went dark."""
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
--- a/packages/endive_gateway/src/endive_gateway/duties.py
+++ b/packages/endive_gateway/src/endive_gateway/duties.py
@@ -8,14 +8,14 @@
 from endive_node.logs import log_event
 
 from endive_gateway.context import Context
-from endive_gateway.interfaces import (
+from endive_gateway.exceptions import (
     CloudError,
     StoreConflictError,
     StoreError,
     StoreForgottenError,
     StoreUncertainError,
-    Topic,
 )
+from endive_gateway.interfaces import Topic
 from endive_gateway.ordering import Ordering
 from endive_gateway.peers import Peers
 
--- a/packages/endive_gateway/src/endive_gateway/following.py
+++ b/packages/endive_gateway/src/endive_gateway/following.py
@@ -8,14 +8,8 @@
 from endive_node.logs import log_event
 
 from endive_gateway.context import Context
-from endive_gateway.interfaces import (
-    Record,
-    ServerNews,
-    StoreError,
-    StoreForgottenError,
-    Topic,
-    UndecodableError,
-)
+from endive_gateway.exceptions import StoreError, StoreForgottenError, UndecodableError
+from endive_gateway.interfaces import Record, ServerNews, Topic
 from endive_gateway.servers import RETURN_GRACE_S
 
 CONFIGURATION_WAIT_S = 20.0
--- a/packages/endive_gateway/src/endive_gateway/forwarding.py
+++ b/packages/endive_gateway/src/endive_gateway/forwarding.py
@@ -1,30 +1,27 @@
 """One request's way: checked, admitted, sent to a server, and its answer passed on."""
 
 import time
-from dataclasses import dataclass
 
 import gevent
 from absl import logging
 from endive_core.calls import Call, Stage, Ticket
-from endive_core.exceptions import EndiveError, ErrorKind, RetryReason
+from endive_core.exceptions import EndiveError, ErrorKind
 from endive_core.hashing import fingerprint
-from endive_core.messages import ServerView
 from endive_core.prefixes import part_blocks
 from endive_core.routing import OrganisationTerms, Route, RouteKind
 from endive_node.logs import log_event
 
-from endive_gateway.callers import CallerGoneError, Exchange
-from endive_gateway.connections import BrokenError, ServerConnection
+from endive_gateway.attempts import Attempt, ServerAnswer
+from endive_gateway.callers import Exchange
 from endive_gateway.context import Context
 from endive_gateway.events import EventSplitter
-from endive_gateway.http import AnswerMessage, encode_head, end_to_end
-from endive_gateway.interfaces import (
-    AnswerFacts,
+from endive_gateway.exceptions import (
+    AttemptError,
     BadHeaderError,
-    RequestFacts,
-    Sending,
-    header_value,
+    CallerGoneError,
+    OutOfTimeError,
 )
+from endive_gateway.interfaces import RequestFacts, header_value
 
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 """Statuses by which a caller knows that its request has not run and never will."""
@@ -39,49 +36,6 @@
 MOST_URGENCY = 9
 
 
-class OutOfTimeError(Exception):
-    """Raised in a request's greenlet when its time is over."""
-
-
-@dataclass(frozen=True)
-class ServerAnswer:
-    """A whole answer that a server gave."""
-
-    status: int
-    reason: bytes
-    headers: list
-    body: bytes
-
-
-class AttemptError(Exception):
-    """An attempt at one server that gave no success.
-
-    Attributes
-    ----------
-    started : bool
-        Whether the server may have run the request.
-    counts : bool
-        Whether the attempt counts against the route's most attempts.
-    answer : ServerAnswer or None
-        The failure that the server answered itself.
-    """
-
-    def __init__(
-        self,
-        message: str,
-        reason: RetryReason,
-        *,
-        started: bool,
-        counts: bool = True,
-        answer: ServerAnswer | None = None,
-    ) -> None:
-        super().__init__(message)
-        self.reason = reason
-        self.started = started
-        self.counts = counts
-        self.answer = answer
-
-
 class Forwarder:
     """Answers the requests that a listener reads."""
 
@@ -112,7 +66,6 @@
         self.terms: OrganisationTerms | None = None
         self.organisation = ""
         self.ticket: Ticket | None = None
-        self.connection: ServerConnection | None = None
         self.splitter = EventSplitter()
         self.may_have_run = False
         self.in_flight = False
@@ -267,176 +220,13 @@
             view = self.context.placer.acquire(self.ticket)
             self.context.work.sent(self.service, self.ticket.uncached_tokens)
             try:
-                self._attempt(view)
+                Attempt(self, view).run()
             except AttemptError as error:
                 self._fail(error)
             else:
                 return
 
-    def _attempt(self, view: ServerView) -> None:
-        known = self.context.registry.get(view.id)
-        if known is None or not known.usable:
-            raise AttemptError(
-                "the server is leaving",
-                RetryReason.SERVER_LEAVING,
-                started=False,
-                counts=False,
-            )
-        self.servers.append(view.id)
-        try:
-            self.connection = self.context.pool.take(view.id, view.address)
-        except BrokenError as error:
-            raise AttemptError(
-                f"connecting: {error}",
-                RetryReason.CONNECT_FAILED,
-                started=False,
-                counts=False,
-            ) from None
-        self.in_flight = True
-        self.sent_at = self.context.true_time.now()
-        try:
-            self._send(view)
-            message, facts = self.connection.read_head(self.facts.id)
-            self._judge(view, message, facts)
-        except BrokenError as error:
-            self._count_plain_loss()
-            raise AttemptError(
-                str(error), RetryReason.SERVER_FAILED, started=True
-            ) from None
-        finally:
-            self._drop_connection()
-        self.in_flight = False
-
-    def _send(self, view: ServerView) -> None:
-        message = self.exchange.message
-        sending = Sending(
-            server_id=view.id,
-            organisation=self.organisation,
-            left_s=max(0.001, self.left_s()),
-            urgency=self.urgency,
-            last_event=self.splitter.last_id or self.facts.last_event,
-        )
-        headers = self.context.wire.encode_request(
-            end_to_end(message.headers, self.context.wire.kept()), self.facts, sending
-        )
-        body = self.exchange.body
-        if message.has_length or body:
-            headers.append((b"Content-Length", b"%d" % len(body)))
-        line = b"%s %s HTTP/1.1" % (message.method, message.target)
-        self.connection.send(encode_head(line, headers), body)
-
-    def _judge(
-        self, view: ServerView, message: AnswerMessage, facts: AnswerFacts
-    ) -> None:
-        """Pass a success on; raise AttemptError for all else."""
-        if facts.running is not None:
-            self.context.placer.report(view.id, facts.running, facts.waiting or 0)
-        if message.status == 421:
-            self.context.registry.contradict(view.id)
-            raise AttemptError(
-                "another server has the address",
-                RetryReason.SERVER_LEAVING,
-                started=False,
-                counts=False,
-            )
-        if facts.not_run:
-            self._keep_connection(view, message, self._read_all(message))
-            raise AttemptError(
-                f"the server refused with {message.status}",
-                RetryReason.SERVER_BUSY,
-                started=False,
-            )
-        if 200 <= message.status < 300:
-            self._check_success(message, facts)
-            if self.route.kind is RouteKind.STREAM:
-                self._pass_stream(view, message)
-            else:
-                self._pass_whole(view, message)
-            return
-        answer = self._whole(message)
-        self._keep_connection(view, message, answer.body)
-        self._count_start()
-        raise AttemptError(
-            f"the server answered {message.status}",
-            RetryReason.SERVER_SLOW,
-            started=True,
-            answer=answer,
-        )
-
-    def _check_success(self, message: AnswerMessage, facts: AnswerFacts) -> None:
-        """Refuse a success that is not the server's own."""
-        encoding = header_value(message.headers, b"content-encoding").lower()
-        if not facts.sealed or encoding not in (b"", b"identity"):
-            raise BrokenError("an answer without a signature", sent=True)
-
-    def _read_all(self, message: AnswerMessage) -> bytes:
-        pieces = []
-        while data := self.connection.read_body(message):
-            pieces.append(data)
-        return b"".join(pieces)
-
-    def _whole(self, message: AnswerMessage) -> ServerAnswer:
-        body = (
-            self._read_all(message) if self.exchange.message.method != b"HEAD" else b""
-        )
-        return ServerAnswer(
-            message.status, message.reason, end_to_end(message.headers), body
-        )
-
-    def _pass_whole(self, view: ServerView, message: AnswerMessage) -> None:
-        answer = self._whole(message)
-        self.context.placer.started(self.ticket)
-        self._count_start()
-        self._keep_connection(view, message, answer.body)
-        self.context.placer.finished(self.ticket, 1)
-        self.outcome = "ok"
-        self.exchange.answer(answer.status, answer.reason, answer.headers, answer.body)
-
-    def _pass_stream(self, view: ServerView, message: AnswerMessage) -> None:
-        """Pass a stream's events on as they come.
-
-        The head waits for the first event: until then another server may take over.
-        """
-        exchange = self.exchange
-        resumable = self.route.resumable
-        while data := self.connection.read_body(message):
-            self.context.placer.started(self.ticket)
-            self._count_start()
-            if resumable:
-                data = self.splitter.feed(data)
-            if data and not exchange.answered:
-                exchange.begin(
-                    message.status, message.reason, end_to_end(message.headers)
-                )
-            exchange.pass_on(data)
-        self._keep_connection(view, message, b"")
-        self.context.placer.finished(self.ticket, self._tokens())
-        if not exchange.answered:
-            exchange.begin(message.status, message.reason, end_to_end(message.headers))
-        exchange.pass_on(self.splitter.rest())
-        self.outcome = "ok"
-        exchange.end()
-
-    def _tokens(self) -> int:
-        if self.engine is None or not self.splitter.count:
-            return max(1, self.facts.max_tokens or 1)
-        return self.splitter.count * self.engine.tokens_per_event
-
-    def _keep_connection(
-        self, view: ServerView, message: AnswerMessage, _body: bytes
-    ) -> None:
-        connection, self.connection = self.connection, None
-        if connection.finish(message):
-            self.context.pool.give_back(view.id, connection)
-        else:
-            connection.close()
-
-    def _drop_connection(self) -> None:
-        if self.connection is not None:
-            self.connection.close()
-            self.connection = None
-
-    def _count_start(self) -> None:
+    def count_start(self) -> None:
         """Count that a server began the request, once."""
         if not self.begun:
             self.begun = True
@@ -536,10 +326,9 @@
         self.exchange.refuse(error, status, self.context.wire.own_answer(self.facts))
 
     def _release(self) -> None:
-        self._drop_connection()
         if self.ticket is not None:
             if self.ticket.stage is not Stage.ENDED and self.in_flight:
-                self._count_plain_loss()
+                self.count_plain_loss()
             self.context.placer.end(self.ticket)
         self._count_outcome()
         log_event(
@@ -559,10 +348,10 @@
         if self.outcome == "ok":
             metrics.whole.add(self.now - self.exchange.received_at)
 
-    def _count_plain_loss(self) -> None:
+    def count_plain_loss(self) -> None:
         """Count a plain request that a server has very likely begun."""
         if self.route.kind is not RouteKind.STREAM:
-            self._count_start()
+            self.count_start()
 
 
 DEFAULT_RETRY_AFTER_S = 0.3
--- a/packages/endive_gateway/src/endive_gateway/http.py
+++ b/packages/endive_gateway/src/endive_gateway/http.py
@@ -9,6 +9,7 @@
 
 import httptools
 
+from endive_gateway.exceptions import BadMessageError
 from endive_gateway.interfaces import Headers
 
 HOP_BY_HOP = frozenset(
@@ -46,20 +47,6 @@
 }
 
 
-class BadMessageError(ValueError):
-    """Bytes that are no message, or one that breaks a limit.
-
-    Attributes
-    ----------
-    status : int
-        What a caller who sent them is answered.
-    """
-
-    def __init__(self, message: str, status: int = 400) -> None:
-        super().__init__(message)
-        self.status = status
-
-
 class Message:
     """What requests and answers share, filled in by the parser."""
 
--- a/packages/endive_gateway/src/endive_gateway/interfaces.py
+++ b/packages/endive_gateway/src/endive_gateway/interfaces.py
@@ -51,30 +51,6 @@
     records: list[Record]
 
 
-class StoreError(Exception):
-    """A call to the store that did nothing: refused, or never arrived."""
-
-
-class StoreUncertainError(StoreError):
-    """A call without an answer: it may have been done, or may still be."""
-
-
-class StoreForgottenError(StoreError):
-    """Records that are older than the store keeps; ``first`` is the oldest kept."""
-
-    def __init__(self, first: int) -> None:
-        super().__init__(f"the oldest record kept is {first}")
-        self.first = first
-
-
-class StoreConflictError(StoreError):
-    """An append on a condition that did not hold; ``end`` is the topic's end."""
-
-    def __init__(self, end: int) -> None:
-        super().__init__(f"the topic ends at {end}")
-        self.end = end
-
-
 class Store(Protocol):
     """The platform's store, as a log of records by topic."""
 
@@ -123,14 +99,6 @@
     reclaimable: bool
 
 
-class CloudError(Exception):
-    """A call to the cloud that was refused or not answered."""
-
-
-class CloudEmptyError(CloudError):
-    """The cloud has no servers of the kind ordered just now."""
-
-
 class Cloud(Protocol):
     """The platform's calls that one node makes at a time."""
 
@@ -198,14 +166,6 @@
     changes: list[tuple[int, str, bytes | None]]
 
 
-class UndecodableError(ValueError):
-    """Bytes that hold no valid entry or configuration."""
-
-
-class BadHeaderError(ValueError):
-    """A caller's header that can't be used; the message names it."""
-
-
 @dataclass(frozen=True, slots=True)
 class PromptPart:
     """A part of a prompt that other requests may share.
@@ -329,47 +289,6 @@
         ...
 
 
-class Runs(Protocol):
-    """Calls about runs at a server, beside the requests themselves."""
-
-    def move(self, address: str, run: str, to: str) -> "MovedRun":
-        """Stop a run and copy its memory to the server at `to`; raises MoveError."""
-        ...
-
-
-@dataclass(frozen=True, slots=True)
-class MovedRun:
-    """A stopped run whose memory lies at another server."""
-
-    copy: str
-
-
-class MoveError(Exception):
-    """A run that was not moved.
-
-    Attributes
-    ----------
-    stopped : bool
-        Whether the run has stopped at its source all the same.
-    copy : str
-        Where the memory lies then.
-    """
-
-    def __init__(self, message: str, *, stopped: bool = False, copy: str = "") -> None:
-        super().__init__(message)
-        self.stopped = stopped
-        self.copy = copy
-
-
-@dataclass(frozen=True, slots=True)
-class StoreAddress:
-    """Where the store is, and how fast it may be asked."""
-
-    address: str
-    reads_per_s: float
-    writes_per_s: float
-
-
 @dataclass(frozen=True, slots=True)
 class Bounds:
     """Figures that operators promise callers.
--- a/packages/endive_gateway/src/endive_gateway/ordering.py
+++ b/packages/endive_gateway/src/endive_gateway/ordering.py
@@ -15,7 +15,8 @@
 from endive_node.logs import log_event
 
 from endive_gateway.context import Context
-from endive_gateway.interfaces import CloudEmptyError, CloudError, Order
+from endive_gateway.exceptions import CloudEmptyError, CloudError
+from endive_gateway.interfaces import Order
 from endive_gateway.peers import Peers
 
 CALL_S = 0.4
--- a/packages/endive_gateway/src/endive_gateway/peers.py
+++ b/packages/endive_gateway/src/endive_gateway/peers.py
@@ -9,7 +9,6 @@
 """
 
 import socket
-import struct
 import time
 from dataclasses import dataclass, field
 
@@ -22,13 +21,11 @@
 from gevent.server import StreamServer
 
 from endive_gateway.context import Context
+from endive_gateway.documents import receive_document, send_document
+from endive_gateway.exceptions import StoreError, UndecodableError
 from endive_gateway.following import ConfigurationFollower, ServerFollower
-from endive_gateway.interfaces import (
-    ServerNews,
-    StoreError,
-    Topic,
-    UndecodableError,
-)
+from endive_gateway.interfaces import Topic
+from endive_gateway.tellings import DECODER, ENCODER, Telling
 
 TELL_S = 0.2
 TELL_PER_NODE_S = 0.01
@@ -68,56 +65,8 @@
 seconds: the store mostly tells both within that time."""
 
 PULL_TIMEOUT_S = 1.0
-MOST_DOCUMENT_BYTES = 16_777_216
-LENGTH = struct.Struct(">I")
-
-
-class Telling(msgspec.Struct, array_like=True):
-    """What a node tells the others, whole figures and no changes.
-
-    Attributes
-    ----------
-    sequence : int
-        Grows with each telling of one incarnation.
-    wall_ms : int
-        The sender's time of day.
-    version : int
-        Version of the configuration in force there.
-    gone : bool
-        Whether the sender has stopped and this is its last telling.
-    spent : dict of str to float
-        Units of each organisation's limit spent since the start.
-    work : dict of str to float
-        Servers of each service kept busy.
-    windows : dict of int to dict of str to int
-        Requests begun by window and organisation.
-    crashes : list of (str, str, float)
-        Fingerprint, server and age in seconds of crashes seen of late.
-    fence : int
-        Fencing number of the duties that the sender holds; 0 if it doesn't.
-    reported : int
-        Newest window of usage known to be reported.
-    news : ServerNews or None
-        What the sender read of the servers, if it reads for others.
-    """
-
-    node: str
-    incarnation: int
-    sequence: int
-    wall_ms: int
-    version: int
-    gone: bool
-    spent: dict[str, float]
-    work: dict[str, float]
-    windows: dict[int, dict[str, int]]
-    crashes: list[tuple[str, str, float]]
-    fence: int
-    reported: int
-    news: ServerNews | None = None
-
-
-ENCODER = msgspec.msgpack.Encoder()
-DECODER = msgspec.msgpack.Decoder(Telling)
+"""Longest time to send or take a configuration, seconds: 100 KB take 0.2 s of the
+slowest link."""
 
 
 class NodeEntry(msgspec.Struct):
@@ -391,7 +340,7 @@
         """Send the configuration in force, its length first."""
         document = self.context.document
         with gevent.Timeout(PULL_TIMEOUT_S, False):
-            sock.sendall(LENGTH.pack(len(document)) + document)
+            send_document(sock, document)
 
     def _pull_document(self, peer: Peer) -> None:
         """Take the configuration of a node that has a newer one.
@@ -401,32 +350,9 @@
         """
         try:
             with gevent.Timeout(PULL_TIMEOUT_S, TimeoutError("pull")):
-                document = _receive_document(peer.address, self.port + 1)
+                document = receive_document(peer.address, self.port + 1)
             if document:
                 table = self.context.wire.decode_configuration(document)
                 self.context.configure(table, document, peer.node)
         except (OSError, UndecodableError) as error:
             log_event("configuration_not_pulled", peer=peer.node, error=error)
-
-
-def _receive_document(address: str, port: int) -> bytes:
-    sock = gsocket.create_connection((address, port))
-    try:
-        data = _receive(sock, LENGTH.size)
-        (length,) = LENGTH.unpack(data)
-        if length > MOST_DOCUMENT_BYTES:
-            raise OSError(f"a document of {length} bytes")
-        return _receive(sock, length)
-    finally:
-        sock.close()
-
-
-def _receive(sock, length: int) -> bytes:
-    pieces, left = [], length
-    while left:
-        piece = sock.recv(min(left, 65_536))
-        if not piece:
-            raise OSError("the document ends early")
-        pieces.append(piece)
-        left -= len(piece)
-    return b"".join(pieces)
--- /dev/null
+++ b/packages/endive_gateway/src/endive_gateway/tellings.py
@@ -0,0 +1,53 @@
+"""The datagram that gateways tell each other."""
+
+import msgspec
+
+from endive_gateway.interfaces import ServerNews
+
+
+class Telling(msgspec.Struct, array_like=True):
+    """What a node tells the others, whole figures and no changes.
+
+    Attributes
+    ----------
+    sequence : int
+        Grows with each telling of one incarnation.
+    wall_ms : int
+        The sender's time of day.
+    version : int
+        Version of the configuration in force there.
+    gone : bool
+        Whether the sender has stopped and this is its last telling.
+    spent : dict of str to float
+        Units of each organisation's limit spent since the start.
+    work : dict of str to float
+        Servers of each service kept busy.
+    windows : dict of int to dict of str to int
+        Requests begun by window and organisation.
+    crashes : list of (str, str, float)
+        Fingerprint, server and age in seconds of crashes seen of late.
+    fence : int
+        Fencing number of the duties that the sender holds; 0 if it doesn't.
+    reported : int
+        Newest window of usage known to be reported.
+    news : ServerNews or None
+        What the sender read of the servers, if it reads for others.
+    """
+
+    node: str
+    incarnation: int
+    sequence: int
+    wall_ms: int
+    version: int
+    gone: bool
+    spent: dict[str, float]
+    work: dict[str, float]
+    windows: dict[int, dict[str, int]]
+    crashes: list[tuple[str, str, float]]
+    fence: int
+    reported: int
+    news: ServerNews | None = None
+
+
+ENCODER = msgspec.msgpack.Encoder()
+DECODER = msgspec.msgpack.Decoder(Telling)
--- a/packages/endive_gateway/tests/gateway_builders.py
+++ b/packages/endive_gateway/tests/gateway_builders.py
@@ -16,14 +16,21 @@
 )
 from endive_gateway.callers import CallerListener
 from endive_gateway.context import Context
+from endive_gateway.exceptions import (
+    BadHeaderError,
+    CloudEmptyError,
+    CloudError,
+    StoreConflictError,
+    StoreError,
+    StoreForgottenError,
+    StoreUncertainError,
+    UndecodableError,
+)
 from endive_gateway.forwarding import Forwarder
 from endive_gateway.http import RequestParser
 from endive_gateway.interfaces import (
     AnswerFacts,
-    BadHeaderError,
     Bounds,
-    CloudEmptyError,
-    CloudError,
     GatewaySettings,
     Page,
     Place,
@@ -31,11 +38,6 @@
     Record,
     RequestFacts,
     ServerEntry,
-    StoreConflictError,
-    StoreError,
-    StoreForgottenError,
-    StoreUncertainError,
-    UndecodableError,
     header_value,
 )
 from endive_node.sockets import listen_tcp
--- a/packages/endive_gateway/tests/test_duties.py
+++ b/packages/endive_gateway/tests/test_duties.py
@@ -3,7 +3,8 @@
 import pytest
 from endive_gateway import duties as duties_module
 from endive_gateway.duties import LEASE_S, MARGIN_S, RANK_S, Duties
-from endive_gateway.interfaces import StoreError, StoreUncertainError, Topic
+from endive_gateway.exceptions import StoreError, StoreUncertainError
+from endive_gateway.interfaces import Topic
 from endive_gateway.ordering import Ordering
 from endive_gateway.peers import Peers
 from gateway_builders import (
--- a/packages/endive_gateway/tests/test_http.py
+++ b/packages/endive_gateway/tests/test_http.py
@@ -1,10 +1,6 @@
 import pytest
-from endive_gateway.http import (
-    AnswerParser,
-    BadMessageError,
-    RequestParser,
-    end_to_end,
-)
+from endive_gateway.exceptions import BadMessageError
+from endive_gateway.http import AnswerParser, RequestParser, end_to_end
 
 HEAD = b"POST /a HTTP/1.1\r\nHost: x\r\n"
 
--- a/packages/endive_gateway/tests/test_peers.py
+++ b/packages/endive_gateway/tests/test_peers.py
@@ -4,7 +4,8 @@
 import pytest
 from endive_core.crashes import Crash
 from endive_gateway.interfaces import Topic
-from endive_gateway.peers import DECODER, ENCODER, Peers, Telling
+from endive_gateway.peers import Peers
+from endive_gateway.tellings import DECODER, ENCODER, Telling
 from gateway_builders import MemoryStore, make_context, make_table
 
 
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -3,7 +3,8 @@
 import pytest
 from endive_core.exceptions import SettingsError
 from endive_core.routing import RouteKind
-from endive_gateway.interfaces import ServerState, UndecodableError
+from endive_gateway.exceptions import UndecodableError
+from endive_gateway.interfaces import ServerState
 from endive_platform.configuration import decode_configuration
 from endive_platform.entries import decode_server
 from endive_platform.settings import (
--- a/tests/test_platform_headers.py
+++ b/tests/test_platform_headers.py
@@ -1,5 +1,6 @@
 import pytest
-from endive_gateway.interfaces import BadHeaderError, RequestFacts, Sending
+from endive_gateway.exceptions import BadHeaderError
+from endive_gateway.interfaces import RequestFacts, Sending
 from endive_platform.headers import decode_answer, decode_request, encode_request
 
 
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -3,16 +3,15 @@
 import struct
 
 import pytest
-from endive_gateway.interfaces import (
+from endive_gateway.exceptions import (
     CloudEmptyError,
     CloudError,
-    Order,
     StoreConflictError,
     StoreError,
     StoreForgottenError,
     StoreUncertainError,
-    Topic,
 )
+from endive_gateway.interfaces import Order, Topic
 from endive_platform.calls import CallFailedError, PlatformCalls
 from endive_platform.cloud import PlatformCloud
 from endive_platform.store import PlatformStore
