--- a/packages/endive_gateway/src/endive_gateway/logstream.py
+++ b/packages/endive_gateway/src/endive_gateway/logstream.py
@@ -75,3 +75,7 @@
                 self.pending = b""
                 return
             self.pending = self.pending[written:]
+
+    def close(self) -> None:
+        """Hand over what is left; the descriptor stays open for the process's end."""
+        self.flush()
--- a/packages/endive_gateway/tests/test_logstream.py
+++ b/packages/endive_gateway/tests/test_logstream.py
@@ -67,3 +67,12 @@
     stream.write("event=x\n")
     os.close(writing)
     assert not stream.pending
+
+
+def test_the_end_of_the_process_is_quiet(pipe):
+    """The logging library closes its stream when the process ends; a stream that can't
+    be closed left a traceback as the last words of each planned stop."""
+    stream = LogStream(pipe[1])
+    stream.write("event=x\n")
+    stream.close()
+    assert read_all(pipe[0]) == "event=x\n"
