--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -2,6 +2,7 @@
 import json
 import struct
 
+import gevent
 import pytest
 from endive_gateway.exceptions import (
     CloudEmptyError,
@@ -12,9 +13,11 @@
     StoreUncertainError,
 )
 from endive_gateway.interfaces import Order, Topic
+from endive_platform import calls as calls_module
 from endive_platform.calls import CallFailedError, PlatformCalls
 from endive_platform.cloud import PlatformCloud
 from endive_platform.store import PlatformStore
+from gevent.server import StreamServer
 
 
 class Response:
@@ -148,6 +151,33 @@
         made.order("n1", 1, Order("s", "a", 2, True))
 
 
+def test_a_call_that_waits_lets_others_run():
+    """A read of the store waits for seconds. If it held up the process, no caller would
+    be answered meanwhile."""
+    server = StreamServer(("127.0.0.1", 0), lambda _sock, _address: gevent.sleep(5))
+    server.start()
+    calls = PlatformCalls(f"127.0.0.1:{server.server_port}")
+    waiting = gevent.spawn(calls.call, "GET", "/x")
+    turns = 0
+    with gevent.Timeout(0.3, False):
+        while True:
+            gevent.sleep(0.01)
+            turns += 1
+    waiting.kill()
+    server.stop(0)
+    assert turns > 15
+
+
+def test_a_call_without_an_answer_may_have_been_done(monkeypatch):
+    monkeypatch.setattr(calls_module, "READ_TIMEOUT_S", 0.1)
+    server = StreamServer(("127.0.0.1", 0), lambda _sock, _address: gevent.sleep(5))
+    server.start()
+    with pytest.raises(CallFailedError) as caught:
+        PlatformCalls(f"127.0.0.1:{server.server_port}").call("GET", "/x")
+    server.stop(0)
+    assert caught.value.sent
+
+
 def test_nobody_there_is_told_apart_from_a_lost_answer():
     with pytest.raises(CallFailedError) as caught:
         PlatformCalls("127.0.0.1:1").call("GET", "/x")
