Tell in the body, too, whether a request may have run

Cause: read in the diff: the body of a 504 took "executed: no" from the table of error kinds, though the request had been sent; the status and the promise were right. Change: the body says "unknown" where any attempt may have run, else "no"; three tests look at it. Ruled out: two kinds in the table for one reason.

--- a/packages/endive_gateway/src/endive_gateway/forwarding.py
+++ b/packages/endive_gateway/src/endive_gateway/forwarding.py
@@ -5,7 +5,7 @@
 import gevent
 from absl import logging
 from endive_core.calls import Call, Stage, Ticket
-from endive_core.exceptions import EndiveError, ErrorKind
+from endive_core.exceptions import EndiveError, ErrorKind, Executed
 from endive_core.hashing import fingerprint
 from endive_core.prefixes import part_blocks
 from endive_core.routing import OrganisationTerms, Route, RouteKind
@@ -317,6 +317,7 @@
             self.exchange.abort()
             return
         status = _status(error, self.may_have_run)
+        error.executed = Executed.UNKNOWN if self.may_have_run else Executed.NO
         if status not in (429, 503):
             error.retry_after_s = None
         elif error.retry_after_s is None:
--- a/packages/endive_gateway/tests/test_forwarding.py
+++ b/packages/endive_gateway/tests/test_forwarding.py
@@ -157,6 +157,7 @@
         got = running.call(method="POST", body=b"{}")
         assert arrivals(running) == 1
     assert got.status == 502
+    assert got.json["error"]["executed"] == "unknown"
     assert "retry-after" not in got.headers
 
 
@@ -172,6 +173,7 @@
     ) as running:
         got = running.call(method="POST", body=b"{}")
     assert got.status == 503
+    assert got.json["error"]["executed"] == "no"
     assert float(got.headers["retry-after"]) > 0
     assert "signed" not in got.headers
 
@@ -295,6 +297,7 @@
         started = time.monotonic()
         got = running.call(method="POST", body=b"{}")
     assert got.status == 504
+    assert got.json["error"]["executed"] == "unknown"
     assert time.monotonic() - started < 0.8
 
 
