Give many nodes longer to be heard

Cause: read in the diff: 87 nodes tell each other every 0.87 s, and a node unheard for 0.9 s counted as silent, so that up to half of each limit was left to nodes that were there, and the live nodes were miscounted. Change: a node is silent after three tellings that it should have sent, 0.9 s at least; live after as many, 1.5 s at least. Ruled out: more frequent tellings (the slowest links are at a sixth with these).

--- a/packages/endive_core/src/endive_core/sharing.py
+++ b/packages/endive_core/src/endive_core/sharing.py
@@ -76,10 +76,17 @@
         When this node started.
     slack : float
         Units beyond rate and burst that operators tolerate in their windows.
+
+    Attributes
+    ----------
+    silent_s : float
+        Time after which an unheard node counts as silent, seconds; longer where many
+        nodes tell each other less often.
     """
 
     def __init__(self, now: float = 0.0, *, slack: float = 0.0) -> None:
         self.slack = slack
+        self.silent_s = SILENT_S
         self.begun_at = now - HEAD_START_S
         self.spent: dict[str, float] = {}
         self.peers: dict[str, PeerSpending] = {}
@@ -137,7 +144,9 @@
 
     def part(self, now: float) -> float:
         """Return the part of each limit for the nodes that hear each other."""
-        silent = sum(now - peer.heard_at > SILENT_S for peer in self.peers.values())
+        silent = sum(
+            now - peer.heard_at > self.silent_s for peer in self.peers.values()
+        )
         nodes = len(self.peers) + 1
         return (nodes - silent) / nodes
 
--- a/packages/endive_gateway/src/endive_gateway/peers.py
+++ b/packages/endive_gateway/src/endive_gateway/peers.py
@@ -15,6 +15,7 @@
 import gevent
 import msgspec
 from endive_core.crashes import Crash
+from endive_core.sharing import SILENT_S
 from endive_node.logs import log_event
 from endive_node.sockets import listen_tcp, listen_udp
 from gevent import socket as gsocket
@@ -52,6 +53,9 @@
 """Time after which a silent node isn't counted as live, seconds: several tellings may
 be lost in a row."""
 
+MISSED_TELLINGS = 3
+"""Tellings in a row that may be missing before a node counts as silent."""
+
 FORGOTTEN_S = 30.0
 """Time after which nothing is sent to a silent node any more, seconds."""
 
@@ -118,6 +122,7 @@
         self.sequence = 0
         self.fence = 0
         self.logged_live = 0
+        self.heard_s = HEARD_S
         self.behind_since: float | None = None
         self.socket: socket.socket | None = None
         self.loops: list[gevent.Greenlet] = []
@@ -147,7 +152,7 @@
     def live(self) -> list[Peer]:
         """Return the nodes heard a short while ago."""
         now = time.monotonic()
-        return [p for p in self.known.values() if now - p.heard_at < HEARD_S]
+        return [p for p in self.known.values() if now - p.heard_at < self.heard_s]
 
     def is_reader(self) -> bool:
         """Return whether this node reads the store for the others.
@@ -178,10 +183,20 @@
         while True:
             nodes = len(self.known) + 1
             gap = max(TELL_S, TELL_PER_NODE_S * nodes)
+            self._expect_tellings_each(gap)
             gap *= self.context.random.uniform(0.9, 1.1)
             self._tell_in_steps(gap)
             self._look_after()
 
+    def _expect_tellings_each(self, gap_s: float) -> None:
+        """Set how long a node may be unheard, from how often it tells.
+
+        Had 87 nodes the time of eight, each would take half of the others for silent
+        and leave half of every limit to them.
+        """
+        self.heard_s = max(HEARD_S, MISSED_TELLINGS * gap_s)
+        self.context.limits.silent_s = max(SILENT_S, MISSED_TELLINGS * gap_s)
+
     def _tell_in_steps(self, gap_s: float) -> None:
         """Tell all others within `gap_s` seconds, a few at a time.
 
--- a/packages/endive_gateway/tests/test_peers.py
+++ b/packages/endive_gateway/tests/test_peers.py
@@ -107,3 +107,14 @@
     finally:
         serving.stop()
     assert behind.version == 9
+
+
+def test_many_nodes_that_tell_less_often_are_not_silent(peers):
+    """87 nodes tell each other every 0.9 s. Taken for silent between two tellings, they
+    would leave parts of every limit to nodes that are there, and refuse callers."""
+    peers._expect_tellings_each(0.87)
+    peers.hear(telling(), "127.0.0.2")
+    now = time.monotonic()
+    assert peers.context.limits.part(now + 2.0) == 1.0
+    assert peers.context.limits.part(now + 3.0) == 0.5
+    assert peers.heard_s > 2.5
