List the models that callers may ask for

Cause: the usual client library's list call got 404. Ruled out: deployments' names, which callers don't use. Measured: test over separate processes.

--- a/packages/endive_node/src/endive_node/callers.py
+++ b/packages/endive_node/src/endive_node/callers.py
@@ -44,6 +44,7 @@
         route = self.app.route
         route("/v1/completions", "POST", lambda: self.generate(Endpoint.COMPLETIONS))
         route("/v1/chat/completions", "POST", lambda: self.generate(Endpoint.CHAT))
+        route("/v1/models", "GET", self.models)
         route("/v1/requests/<request_id>", "GET", self.resume)
         route(
             "/services/<service>/<path:path>",
@@ -53,6 +54,21 @@
         route("/healthz", "GET", self.health)
         self.app.default_error_handler = self.answer_http_error
 
+    def models(self):
+        """List the models that callers may ask for, as their client libraries do."""
+        try:
+            self._organisation()
+        except EndiveError as error:
+            return self._refuse(error)
+        names = sorted(self.serving.catalogue.by_model)
+        return {
+            "object": "list",
+            "data": [
+                {"id": name, "object": "model", "created": 0, "owned_by": "endivestack"}
+                for name in names
+            ],
+        }
+
     def generate(self, endpoint: Endpoint):
         """Answer a completion or a chat."""
         run = None
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -84,6 +84,17 @@
         assert "".join(texts).encode() == expected.encode()
 
 
+@pytest.mark.processes
+def test_models_are_listed_for_those_with_a_key(installation):
+    """A caller's usual client library asks for the models before the first call."""
+    url = f"{installation.nodes[0].url}/v1/models"
+    key = {"Authorization": f"Bearer {builders.CALLER_KEY}"}
+    answer = builders.call("GET", url, headers=key)
+    assert answer.status == 200
+    assert "chat" in [model["id"] for model in answer.json()["data"]]
+    assert builders.call("GET", url).status == 401
+
+
 @pytest.mark.processes
 def test_chat_whole_and_streamed_byte_for_byte(installation):
     messages = [
