--- a/packages/endive_gateway/src/endive_gateway/peers.py
+++ b/packages/endive_gateway/src/endive_gateway/peers.py
@@ -65,8 +65,11 @@
 
 LIST_RETRY_S = 0.4
 BEHIND_S = 0.25
-"""Time for which another node may have a newer configuration before it is asked for,
-seconds: the store mostly tells both within that time."""
+"""Mean time for which another node may have a newer configuration before it is asked
+for, seconds: where each node reads the store, that mostly tells both in this time."""
+
+PULL_SPREAD_S = 0.1
+"""Time over which many nodes spread their asking for one configuration, seconds."""
 
 PULL_TIMEOUT_S = 1.0
 """Longest time to send or take a configuration, seconds: 100 KB take 0.2 s of the
@@ -123,7 +126,7 @@
         self.fence = 0
         self.logged_live = 0
         self.heard_s = HEARD_S
-        self.behind_since: float | None = None
+        self.pulling = False
         self.socket: socket.socket | None = None
         self.loops: list[gevent.Greenlet] = []
         self.servers: ServerFollower | None = None
@@ -244,7 +247,7 @@
         )
 
     def _look_after(self) -> None:
-        """Count who is there, and ask for a configuration that came past this node."""
+        """Count who is there."""
         now = time.monotonic()
         for address, peer in list(self.known.items()):
             if now - max(peer.heard_at, peer.known_at) > FORGOTTEN_S:
@@ -257,14 +260,6 @@
             self.logged_live = live
         self.context.limits.forget_silent(now)
         self.context.set_nodes(len(self.known) + 1)
-        ahead = [p for p in self.live() if p.version > self.context.version]
-        if not ahead:
-            self.behind_since = None
-        elif self.behind_since is None:
-            self.behind_since = now
-        elif now - self.behind_since > BEHIND_S:
-            self.behind_since = None
-            gevent.spawn(self._pull_document, self.context.random.choice(ahead))
 
     # Hearing
 
@@ -308,6 +303,9 @@
         context.meter.hear(address, telling.incarnation, telling.windows)
         for fingerprint, server, age_s in telling.crashes:
             context.placer.crashes.add(Crash(fingerprint, server, now - age_s))
+        if telling.version > context.version and not self.pulling:
+            self.pulling = True
+            gevent.spawn(self._pull_document, peer)
         if telling.news is not None and self.servers is not None:
             self.servers.hear(telling.news)
             if self.configuration is not None:
@@ -361,8 +359,20 @@
         """Take the configuration of a node that has a newer one.
 
         The store may turn this node away and serve the others and the operators; keys
-        that were taken away meanwhile must end here as well.
+        that were taken away meanwhile must end here as well. Among many nodes most get
+        every configuration this way.
         """
+        gevent.sleep(self.context.random.random() * self._pull_delay_s())
+        try:
+            if peer.version > self.context.version:
+                self._pull_from(peer)
+        finally:
+            self.pulling = False
+
+    def _pull_delay_s(self) -> float:
+        return 2 * BEHIND_S if self.reads_alone() else PULL_SPREAD_S
+
+    def _pull_from(self, peer: Peer) -> None:
         try:
             with gevent.Timeout(PULL_TIMEOUT_S, TimeoutError("pull")):
                 document = receive_document(peer.address, self.port + 1)
