Move members and datagrams out of the membership's module

Cause: membership.py had 616 lines, a fifth of them types and sizes that others import. Change: members.py holds them; nothing else changes. 508 lines are left there. Ruled out: splitting the merge rules from the telling, which share all state. Measured: 19 tests of membership, gossip and purity pass.

--- a/benchmarks/bench_membership.py
+++ b/benchmarks/bench_membership.py
@@ -17,7 +17,8 @@
 
 sys.path.insert(0, str(Path(__file__).parent.parent / "tests"))
 
-from endive_core.membership import Digest, MemberState, Timings  # noqa: E402
+from endive_core.members import Digest, MemberState  # noqa: E402
+from endive_core.membership import Timings  # noqa: E402
 from endive_node.gossip import (  # noqa: E402
     HEADER_BYTES,
     Gossip,
--- a/packages/endive_core/src/endive_core/handover.py
+++ b/packages/endive_core/src/endive_core/handover.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 from endive_core.hashing import fingerprint, rendezvous_order
-from endive_core.membership import Member, MemberState
+from endive_core.members import Member, MemberState
 from endive_core.messages import Endpoint, Request
 
 ROUTE_CHARACTERS = 16
--- a/packages/endive_core/src/endive_core/membership.py
+++ b/packages/endive_core/src/endive_core/membership.py
@@ -7,24 +7,22 @@
 
 import math
 from collections.abc import Callable, Iterable, Sequence
-from dataclasses import dataclass, field, replace
-from enum import StrEnum
+from dataclasses import dataclass, replace
 from typing import Protocol
 
-import xxhash
-
 from endive_core.facts import Fact, FactTable
-
-DATAGRAM_BYTES = 1200
-"""Most bytes of one datagram: under one MTU on every path, since a fragmented datagram
-is lost whole with any of its fragments."""
-
-DIGEST_HEAD_BYTES = 48
-BEAT_BYTES = 13
-MEMBER_BYTES = 38
-FACT_BYTES = 22
-"""Upper estimates of encoded sizes, without the text; a test holds them against the
-codec."""
+from endive_core.members import (
+    BEAT_BYTES,
+    DATAGRAM_BYTES,
+    DIGEST_HEAD_BYTES,
+    Beat,
+    Digest,
+    Member,
+    MemberState,
+    fact_size,
+    member_key,
+    member_size,
+)
 
 FACTS_SHARE_BYTES = 500
 """Room for facts in a datagram, so that many facts can't push the heartbeats out."""
@@ -38,10 +36,6 @@
 MAX_WANTED = 20
 """Members asked for in one datagram; their entries fill the one that answers."""
 
-MEMBER_KEY_BITS = 34
-"""Members are named by a hash in heartbeats, which five bytes hold: two of 370 collide
-with a probability of 4e-6, and a collision would only hide one of the two."""
-
 BEAT_S = 1.0
 BEAT_PER_MEMBER_S = 0.011
 """Time between two heartbeats of one member, at least, and for each member known. Each
@@ -66,81 +60,6 @@
 """Share of the datagrams that go to a seed or a lost member instead of a member."""
 
 
-class MemberState(StrEnum):
-    """What a member says of itself."""
-
-    STARTING = "starting"
-    LIVE = "live"
-    LEAVING = "leaving"
-
-
-@dataclass(frozen=True)
-class Member:
-    """One node as others see it.
-
-    Attributes
-    ----------
-    peer_address : str
-        ``IP:port`` of the node's thrift listener.
-    configuration_offset : int
-        Highest offset of the configuration it has in force.
-    gossip_address : str
-        ``IP:port`` of its UDP heartbeat listener.
-    incarnation : int
-        Grows with each start of the node.
-    heartbeat : int
-        Grows as long as the node runs.
-    """
-
-    id: str
-    zone: str
-    peer_address: str
-    state: MemberState = MemberState.LIVE
-    configuration_offset: int = -1
-    region: str = "local"
-    gossip_address: str = ""
-    incarnation: int = 0
-    heartbeat: int = 0
-
-    @property
-    def age(self) -> tuple[int, int]:
-        """What orders two views of the same member; the larger is the newer."""
-        return (self.incarnation, self.heartbeat)
-
-
-@dataclass(frozen=True, slots=True)
-class Beat:
-    """The part of a member that changes, named by :func:`member_key`."""
-
-    member: int
-    heartbeat: int
-    state: MemberState
-    configuration_offset: int
-
-
-@dataclass
-class Digest:
-    """The content of one datagram.
-
-    Attributes
-    ----------
-    sender : Member
-        The node that sent it, as it describes itself.
-    wanted : list of int
-        Keys of members the sender has heard of and can't name; the receiver answers
-        with their entries.
-    highest_offset : int
-        Highest configuration offset the sender has heard of from anybody.
-    """
-
-    sender: Member
-    highest_offset: int = -1
-    beats: list[Beat] = field(default_factory=list)
-    members: list[Member] = field(default_factory=list)
-    facts: list[Fact] = field(default_factory=list)
-    wanted: list[int] = field(default_factory=list)
-
-
 class RandomSource(Protocol):
     """The randomness that choosing a receiver needs."""
 
@@ -196,16 +115,6 @@
     news_left: int = 0
 
 
-def member_key(member: Member) -> int:
-    """Return the number that names one run of a member in heartbeats.
-
-    A member that restarted has another one, so that nobody keeps the address of its
-    last run with the heartbeat of the new.
-    """
-    run = f"{member.id}\x00{member.incarnation}"
-    return xxhash.xxh3_64_intdigest(run.encode()) >> (64 - MEMBER_KEY_BITS)
-
-
 class Membership:
     """The members that this node knows, itself among them.
 
@@ -597,20 +506,3 @@
 def _beat_order(known: Known) -> tuple[int, int]:
     """Order heartbeats: those told least often, then those not told for longest."""
     return (min(known.times_told, BEAT_TOLD), known.told)
-
-
-def member_size(member: Member) -> int:
-    """Return an upper estimate of a member's encoded size in bytes."""
-    texts = (
-        member.id,
-        member.zone,
-        member.region,
-        member.peer_address,
-        member.gossip_address,
-    )
-    return MEMBER_BYTES + sum(len(text) for text in texts)
-
-
-def fact_size(fact: Fact) -> int:
-    """Return an upper estimate of a fact's encoded size in bytes."""
-    return FACT_BYTES + len(fact.subject) + len(fact.origin)
--- a/packages/endive_core/tests/test_membership.py
+++ b/packages/endive_core/tests/test_membership.py
@@ -1,6 +1,7 @@
 from dataclasses import replace
 
-from endive_core.membership import Digest, MemberState, Timings
+from endive_core.members import Digest, MemberState
+from endive_core.membership import Timings
 from made_network import Fleet, member
 
 
--- a/packages/endive_node/src/endive_node/claiming.py
+++ b/packages/endive_node/src/endive_node/claiming.py
@@ -20,7 +20,7 @@
 )
 from endive_core.exceptions import EndiveError, ErrorKind
 from endive_core.hashing import rendezvous_order
-from endive_core.membership import Member
+from endive_core.members import Member
 from endive_core.messages import Request
 from endive_core.records import Claim, Release, decode, encode
 
--- a/packages/endive_node/src/endive_node/gossip.py
+++ b/packages/endive_node/src/endive_node/gossip.py
@@ -8,14 +8,8 @@
 import gevent
 import thriftpy2
 from endive_core.facts import Fact, FactKind, FactTable
-from endive_core.membership import (
-    Beat,
-    Digest,
-    Member,
-    Membership,
-    MemberState,
-    Timings,
-)
+from endive_core.members import Beat, Digest, Member, MemberState
+from endive_core.membership import Membership, Timings
 from thriftpy2.protocol import TCompactProtocolFactory
 from thriftpy2.utils import deserialize, serialize
 
--- a/packages/endive_node/src/endive_node/interfaces.py
+++ b/packages/endive_node/src/endive_node/interfaces.py
@@ -9,7 +9,7 @@
 from typing import Any, Protocol
 
 from endive_core.claims import Claimant
-from endive_core.membership import Member
+from endive_core.members import Member
 from endive_core.messages import Piece, Request
 from endive_core.records import Snapshot
 
--- a/packages/endive_node/src/endive_node/node.py
+++ b/packages/endive_node/src/endive_node/node.py
@@ -1,7 +1,7 @@
 """The node: the central object that holds every part and is started and stopped."""
 
 import gevent
-from endive_core.membership import MemberState
+from endive_core.members import MemberState
 from gevent.event import Event
 
 from endive_node.backends import BackendClients
--- a/packages/endive_node/src/endive_node/reporting.py
+++ b/packages/endive_node/src/endive_node/reporting.py
@@ -7,7 +7,7 @@
 from endive_core.findings import findings
 from endive_core.fold import StoredResource
 from endive_core.handover import origin_in
-from endive_core.membership import Member
+from endive_core.members import Member
 
 from endive_node.peers import IDL, PeerClient, PeerUnavailableError
 
--- a/packages/endive_node/tests/test_gossip.py
+++ b/packages/endive_node/tests/test_gossip.py
@@ -3,7 +3,8 @@
 import builders
 import pytest
 from endive_core.facts import Fact, FactKind
-from endive_core.membership import DATAGRAM_BYTES, Digest, Timings
+from endive_core.members import DATAGRAM_BYTES, Digest
+from endive_core.membership import Timings
 from endive_node.gossip import (
     ANSWERS_AT_ONCE,
     ANSWERS_PER_S,
--- a/packages/endive_node/tests/test_run_handover.py
+++ b/packages/endive_node/tests/test_run_handover.py
@@ -3,7 +3,7 @@
 from endive_core.claims import ClaimState
 from endive_core.exceptions import Executed
 from endive_core.lifecycle import Event
-from endive_core.membership import Member
+from endive_core.members import Member
 from endive_node.handover import Handover, answer_of
 from endive_node.ledger import RequestRecord
 from endive_node.notices import NoticeBoard
--- a/tests/made_network.py
+++ b/tests/made_network.py
@@ -4,7 +4,8 @@
 from dataclasses import replace
 
 from endive_core.facts import FactTable
-from endive_core.membership import Member, Membership, MemberState, Timings
+from endive_core.members import Member, MemberState
+from endive_core.membership import Membership, Timings
 
 ZONES = ("brest", "quimper", "lannion")
 ROUND_S = 1 / 3
