Look at the lease before each order, not only before the first

Cause: read in the diff: a round of orders checked the lease against the time at which the round began. At a cloud that takes half a second a call the sixth order would have gone out three seconds later, when a successor may hold the duties. Change: the clock is read before each order; the boot clock has a module of its own. Test: a slow cloud. Ruled out: fewer orders in a round.

--- a/packages/endive_gateway/src/endive_gateway/duties.py
+++ b/packages/endive_gateway/src/endive_gateway/duties.py
@@ -7,6 +7,7 @@
 from endive_core.leases import DutyKind, DutyLog, DutyRecord, Lease
 from endive_node.logs import log_event
 
+from endive_gateway.clocks import boot_time
 from endive_gateway.context import Context
 from endive_gateway.exceptions import (
     CloudError,
@@ -262,11 +263,3 @@
             return
         self.sent.add(window)
         log_event("usage_reported", window=window, counts=sum(counts.values()))
-
-
-def boot_time() -> float:
-    """Return seconds that also pass while the machine is suspended.
-
-    A lease counted by a clock that stands still then would outlast its end.
-    """
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/packages/endive_gateway/src/endive_gateway/ordering.py
+++ b/packages/endive_gateway/src/endive_gateway/ordering.py
@@ -1,5 +1,7 @@
 """Orders of servers, from the capacity decision to the cloud's calls."""
 
+from collections.abc import Callable
+
 from endive_core.capacity import (
     MAX_BACKOFF_S,
     RECLAIMED_BACKOFF_S,
@@ -14,6 +16,7 @@
 from endive_core.routing import Service
 from endive_node.logs import log_event
 
+from endive_gateway.clocks import boot_time
 from endive_gateway.context import Context
 from endive_gateway.exceptions import CloudEmptyError, CloudError
 from endive_gateway.interfaces import Order
@@ -58,6 +61,7 @@
     def __init__(self, context: Context, peers: Peers) -> None:
         self.context = context
         self.peers = peers
+        self.clock: Callable[[], float] = boot_time
         self.loads: dict[str, LoadMeter] = {}
         self.begun_with: dict[str, int] = {}
         self.traffic_since: float | None = None
@@ -91,7 +95,8 @@
             return
         for service in self._scaled():
             for pool, servers in self._wanted(service, now).items():
-                if not lease.held(now + CALL_S):
+                # The orders before this one may have taken seconds at a slow cloud.
+                if not lease.held(self.clock() + CALL_S):
                     return
                 self._order(node, lease, service, pool, servers, now)
 
--- a/packages/endive_gateway/tests/test_ordering.py
+++ b/packages/endive_gateway/tests/test_ordering.py
@@ -20,6 +20,7 @@
         self.context.registry.known_once = True
         self.ordering = Ordering(self.context, Peers(self.context))
         self.now = 1000.0
+        self.ordering.clock = lambda: self.now
         self.lease = Lease(7, 1e9)
         self.numbers = iter(range(1, 1000))
 
@@ -142,3 +143,22 @@
     fleet.ordering.begin(fleet.now)
     orders = fleet.play(6.0, work=0.3)
     assert all(count >= 3 for (_, spot), count in orders.items() if spot)
+
+
+def test_a_slow_cloud_does_not_carry_orders_past_the_lease(fleet):
+    """Each call to the cloud takes half a second. Checked only before the first, the
+    later orders of one round would go out when the successor holds the duties."""
+    given = []
+
+    def slow(holder, fence, order):
+        given.append(fleet.now)
+        fleet.now += 0.5
+
+    fleet.cloud.order = slow
+    fleet.play(SETTLED_S, work=1.0)
+    del given[:]
+    fleet.ordering.taken.clear()
+    fleet.lease.until = fleet.now + 1.6
+    fleet.ordering.step("n1", fleet.lease, fleet.now)
+    assert 1 <= len(given) <= 3
+    assert all(at + 0.4 <= fleet.lease.until for at in given)
