Tell a crash at once to nodes known by address only

Cause: a node that noticed a crash told its known members at once, but not the nodes whose addresses it only has from its settings. Nodes that start together serve callers before each has heard of each other one; a caller who tried again within 0.2 s at such a node crashed two more servers. Traced in the nodes' logs: node-1 had started 0.14 s before and told nobody of node-3.

A test of its own without processes fails before and passes after.

--- a/packages/endive_core/src/endive_core/membership.py
+++ b/packages/endive_core/src/endive_core/membership.py
@@ -287,14 +287,16 @@
     def receiver(self) -> str | None:
         """Return the gossip address that the next datagram goes to."""
         members = [k.member.gossip_address for k in self.known.values()]
-        strangers = self._strangers(members)
+        strangers = self.strangers()
         if strangers and (not members or self.random.random() < STRANGER_SHARE):
             return self.random.choice(strangers)
         return self.random.choice(members) if members else None
 
-    def _strangers(self, members: Iterable[str]) -> list[str]:
-        own = {self.me.gossip_address}
-        return sorted((self.seeds | self.lost.keys()) - set(members) - own)
+    def strangers(self) -> list[str]:
+        """Return the gossip addresses at which a node may be that is not known here."""
+        heard_of = {known.member.gossip_address for known in self.known.values()}
+        heard_of.add(self.me.gossip_address)
+        return sorted((self.seeds | self.lost.keys()) - heard_of)
 
     def digest(self, wanted: Iterable[int] = ()) -> Digest:
         """Return the content of the next datagram.
--- a/packages/endive_node/src/endive_node/gossip.py
+++ b/packages/endive_node/src/endive_node/gossip.py
@@ -199,8 +199,15 @@
         self.sent_bytes += len(data) + HEADER_BYTES
 
     def announce(self) -> None:
-        """Tell several members at once, after a change that can't wait."""
+        """Tell several nodes at once, after a change that can't wait.
+
+        Also those that are only known by address: a node serves callers before each
+        other one has heard of it. Without them, a request that crashed two servers
+        here crashed two more at a node that had just started, its caller trying again
+        within 0.2 s (one play in three, three nodes started together).
+        """
         addresses = [member.gossip_address for member in self.members.reachable()]
+        addresses += self.members.strangers()
         self.random.shuffle(addresses)
         for address in addresses[:ANNOUNCE_TO]:
             self.send(self.members.digest(), address)
--- a/packages/endive_node/tests/test_gossip.py
+++ b/packages/endive_node/tests/test_gossip.py
@@ -114,3 +114,16 @@
     data = encode_digest(Digest(sender, facts=[fact]), 1000.0)
     (back,) = decode_digest(data, 50.0).facts
     assert back.until == pytest.approx(80.0, abs=0.01)
+
+
+def test_crash_is_told_at_once_to_a_node_known_by_address_only():
+    """Nodes start together, and one has crashed two servers with a request before it
+    heard of the others. Told only with the next rounds, they would let the same
+    request, sent again by its caller, crash two servers each."""
+    first, second = make_gossip(1), make_gossip(2)
+    first.members.seeds = {second.members.me.gossip_address}
+    first.facts.crash("poison", "engine-1@7", 1)
+    first.announce()
+    second.socket.settimeout(2.0)
+    second.receive(*second.socket.recvfrom(65_535))
+    assert second.facts.crashes("poison") == 1
