Give both dispatchers one place for waiting requests

The gateway's Placer repeated how the node's Dispatcher lets greenlets wait, wakes them and queues them again: 100 lines stood twice and had begun to differ (only one slept while all queues were empty). endive_node.waiters.Waiters holds them now, and the name of a crash, which nodes must agree on. No behaviour changes but that the node's pump sleeps while nothing waits. Tests of both packages and tests/test_path.py pass.

--- a/packages/endive_gateway/src/endive_gateway/placing.py
+++ b/packages/endive_gateway/src/endive_gateway/placing.py
@@ -1,12 +1,11 @@
-"""Where requests wait for a server: a scheduler a service, and greenlets that wait."""
+"""Which server a request gets: a scheduler a service, and what the servers answered."""
 
 import random
 import time
 from collections import Counter
 from collections.abc import Callable
 
-import gevent
-from endive_core.calls import Call, Refusal, Retry, Stage, Ticket
+from endive_core.calls import Call, Retry, Ticket
 from endive_core.exceptions import EndiveError, ErrorKind, RetryReason
 from endive_core.messages import ServerView
 from endive_core.policy import Policy
@@ -14,15 +13,11 @@
 from endive_core.scheduler import Scheduler, crash_table
 from endive_core.service_types import ServiceType
 from endive_node.logs import log_event
-from gevent.event import AsyncResult, Event
+from endive_node.waiters import Waiters, crash_name, refusal_error
 
 from endive_gateway.interfaces import ServerEntry
 from endive_gateway.servers import ServerRegistry
 
-PUMP_S = 0.01
-"""How often queues are tried when nothing else makes them: pacing and pauses lapse
-with time alone, and a hundredth of a second is little against targets of 0.2 s."""
-
 ENGINE_PREFILL_TOKENS_PER_S = 100_000.0
 """Prompt tokens that a model server reads a second, for predictions; the servers
 don't tell. Measured on the users' engines: 92,000 and 110,000."""
@@ -31,10 +26,6 @@
 """Failures in a row after which a server gets no work for a while. A single lost
 answer says little of the server; the second in a row is likely a crash."""
 
-CRASH_WINDOW_S = 10.0
-"""Crashes of one server within a window of the time of day are one crash, so that nodes
-that saw it count it once."""
-
 GATEWAY_POLICY = Policy(
     no_server_wait_s=0.4,
     max_retry_after_s=2.0,
@@ -49,7 +40,7 @@
 sent within less than a second is refused. Retries are bounded by the fleet's budget."""
 
 
-class Placer:
+class Placer(Waiters):
     """Admits each request and gives each of its attempts a server."""
 
     def __init__(
@@ -60,19 +51,15 @@
         seed: int | None = None,
         is_listening: Callable[[str], bool] = lambda address: True,
     ) -> None:
+        super().__init__(time.monotonic)
         self.registry = registry
         self.policy = policy
         self.random = random.Random(seed)
         self.crashes = crash_table(policy)
-        self.now = time.monotonic
         self.nodes = 1
         self.services: dict[str, Service] = {}
-        self.schedulers: dict[str, Scheduler] = {}
         self.views: dict[str, ServerView] = {}
-        self.owners: dict[Ticket, Scheduler] = {}
-        self.waiting: dict[Ticket, AsyncResult] = {}
         self.in_a_row: Counter[str] = Counter()
-        self.queued = Event()
         self.is_listening = is_listening
         self.wall_time = time.time
         registry.listeners.append(self.refresh)
@@ -143,22 +130,7 @@
         scheduler = self.schedulers.get(service)
         if scheduler is None:
             raise EndiveError(ErrorKind.NO_SERVER, f"no service {service!r}")
-        verdict = scheduler.offer(call, self.now())
-        if isinstance(verdict, Refusal):
-            raise refusal_error(verdict)
-        self.owners[verdict] = scheduler
-        self.waiting[verdict] = AsyncResult()
-        self.pump(scheduler)
-        return verdict
-
-    def acquire(self, ticket: Ticket) -> ServerView:
-        """Wait for the server of the next attempt; raises EndiveError."""
-        return self.waiting[ticket].get()
-
-    def started(self, ticket: Ticket) -> None:
-        """Note the first bytes of an answer."""
-        if ticket.stage is Stage.DISPATCHED:
-            self.owners[ticket].started(ticket, self.now())
+        return self.enter(scheduler.offer(call, self.now()), scheduler)
 
     def report(self, server_id: str, running: int, waiting: int) -> None:
         """Take over the load that a server's answer told."""
@@ -171,9 +143,7 @@
     def finished(self, ticket: Ticket, tokens: int) -> None:
         """Note a whole answer."""
         self.in_a_row.pop(ticket.server, None)
-        scheduler = self.owners[ticket]
-        scheduler.finished(ticket, self.now(), tokens=tokens)
-        self.pump(scheduler)
+        super().finished(ticket, tokens)
 
     def failed(
         self, ticket: Ticket, reason: RetryReason, *, started: bool, max_attempts: int
@@ -200,10 +170,7 @@
         self.pump(scheduler)
         if not isinstance(verdict, Retry):
             raise refusal_error(verdict)
-        self.waiting[ticket] = AsyncResult()
-        gevent.sleep(verdict.delay_s)
-        scheduler.requeue(ticket)
-        self.pump(scheduler)
+        self.queue_again(ticket, verdict.delay_s)
 
     def note_break(self, ticket: Ticket, reason: RetryReason) -> None:
         """Count a crash against a request that a server broke off, if it was one.
@@ -218,50 +185,9 @@
         if self.is_listening(view.address):
             return
         log_event("server_crashed", server=view.id, request=ticket.call.request_id)
-        name = f"{view.id}@{int(self.wall_time() // CRASH_WINDOW_S)}"
+        name = crash_name(view.id, self.wall_time())
         self.owners[ticket].failures.suspect(ticket, name, self.now())
 
-    def end(self, ticket: Ticket) -> None:
-        """Forget a ticket; frees its slot if its caller left."""
-        scheduler = self.owners.pop(ticket, None)
-        if scheduler is None:
-            return
-        del self.waiting[ticket]
-        scheduler.cancelled(ticket, self.now())
-        self.pump(scheduler)
-
-    # Keeping the queues moving
-
-    def pump(self, scheduler: Scheduler) -> None:
-        """Wake the greenlets of all tickets that may be sent now."""
-        now = self.now()
-        while (dispatch := scheduler.next_dispatch(now)) is not None:
-            view = scheduler.servers.servers[dispatch.server].view
-            self.waiting[dispatch.ticket].set(view)
-        for ticket in scheduler.take_expired():
-            if ticket in self.waiting:
-                self.waiting[ticket].set_exception(refusal_error(ticket.refusal))
-        if len(scheduler.queue):
-            self.queued.set()
-
-    def pump_often(self) -> None:
-        """Try the queues for ever; the body of a greenlet."""
-        while True:
-            self.queued.wait()
-            gevent.sleep(PUMP_S)
-            waiting = [s for s in self.schedulers.values() if len(s.queue)]
-            if not waiting:
-                self.queued.clear()
-            for scheduler in waiting:
-                self.pump(scheduler)
-
-
-def refusal_error(refusal: Refusal) -> EndiveError:
-    """Return the error that tells a refusal."""
-    return EndiveError(
-        refusal.kind, refusal.message, retry_after_s=refusal.retry_after_s
-    )
-
 
 def _type(service: Service) -> ServiceType:
     return ServiceType.ENGINE if service.engine else ServiceType.PLAIN
--- a/packages/endive_node/src/endive_node/dispatching.py
+++ b/packages/endive_node/src/endive_node/dispatching.py
@@ -1,15 +1,14 @@
 """Where a request waits for a server, and which server it gets.
 
-The decisions are made by :mod:`endive_core.scheduler`; this module gives it time,
-randomness and what the configuration declares, and lets greenlets wait for it.
+The decisions are made by :mod:`endive_core.scheduler`; this module gives it randomness
+and what the configuration declares.
 """
 
 import random
 import time
 from collections.abc import Callable
 
-import gevent
-from endive_core.calls import Call, Refusal, Stage, Ticket
+from endive_core.calls import Call, Refusal, Ticket
 from endive_core.catalogue import Catalogue
 from endive_core.exceptions import EndiveError, ErrorKind, RetryReason
 from endive_core.messages import Endpoint, Request, ServerView
@@ -27,22 +26,15 @@
 
 from endive_node.interfaces import BackendError, Clock
 from endive_node.telemetry import Metrics
+from endive_node.waiters import Waiters, crash_name, refusal_error
 
-PUMP_S = 0.01
-"""How often queues are tried when nothing else makes them: pacing and pauses lapse
-with time alone, and a hundredth of a second is little against a 0.38 s target."""
 
-CRASH_WINDOW_S = 10.0
-"""Crashes of one server within a window of the wall clock are one crash. A server
-needs longer than this to load its model again."""
-
-
-class Dispatcher:
+class Dispatcher(Waiters):
     """Admits each request, and gives each of its attempts a server.
 
-    The serving path meets it as :meth:`admit` when a request comes in, then
-    :meth:`acquire`, :meth:`started` and :meth:`finished` or :meth:`failed` for each
-    attempt, and :meth:`end` whatever happened.
+    The serving path meets it as :meth:`admit` when a request comes in, then `acquire`,
+    `started` and `finished` or :meth:`failed` for each attempt, and `end` whatever
+    happened.
     """
 
     def __init__(
@@ -56,6 +48,7 @@
         max_attempts: int = 4,
         is_listening: Callable[[str], bool] = lambda address: True,
     ) -> None:
+        super().__init__(clock.now)
         self.catalogue = catalogue
         self.clock = clock
         self.metrics = metrics
@@ -66,10 +59,7 @@
         self.random = random.Random(seed)
         self.crashes = crash_table(self.policy)
         self.nodes = 1
-        self.schedulers: dict[str, Scheduler] = {}
         self.servers: dict[str, dict[str, ServerView]] = {}
-        self.tickets: dict[Ticket, Scheduler] = {}
-        self.waiting: dict[Ticket, AsyncResult] = {}
 
     # What the configuration and the membership say
 
@@ -142,9 +132,7 @@
         if scheduler is None:
             raise EndiveError(ErrorKind.NO_SERVER, f"no server of {service!r} is known")
         verdict = scheduler.offer(self._call(request, service), self.clock.now())
-        if isinstance(verdict, Refusal):
-            raise _error(verdict)
-        return self._enter(verdict, scheduler)
+        return self.enter(verdict, scheduler)
 
     def take_over(self, request: Request) -> Ticket:
         """Queue a request that is accepted already, here or at another node.
@@ -160,15 +148,7 @@
             raise EndiveError(ErrorKind.NO_SERVER, f"no server of {service!r} is known")
         call = self._call(request, service)
         verdict = scheduler.take_over(call, self.clock.now())
-        if isinstance(verdict, Refusal):
-            raise _error(verdict)
-        return self._enter(verdict, scheduler)
-
-    def _enter(self, ticket: Ticket, scheduler: Scheduler) -> Ticket:
-        self.tickets[ticket] = scheduler
-        self.waiting[ticket] = AsyncResult()
-        self.pump(scheduler)
-        return ticket
+        return self.enter(verdict, scheduler)
 
     def _call(self, request: Request, service: str) -> Call:
         priority = self.catalogue.priority(request.priority)
@@ -192,27 +172,6 @@
             non_idempotent=request.non_idempotent,
         )
 
-    def acquire(self, ticket: Ticket) -> ServerView:
-        """Wait for the server of the ticket's next attempt.
-
-        Raises
-        ------
-        EndiveError
-            If the ticket was given up in the queue.
-        """
-        return self.waiting[ticket].get()
-
-    def started(self, ticket: Ticket) -> None:
-        """Note the first piece of an attempt."""
-        if ticket.stage is Stage.DISPATCHED:
-            self.tickets[ticket].started(ticket, self.clock.now())
-
-    def finished(self, ticket: Ticket, tokens: int) -> None:
-        """Note the whole answer of `tokens` tokens."""
-        scheduler = self.tickets[ticket]
-        scheduler.finished(ticket, self.clock.now(), tokens=tokens)
-        self.pump(scheduler)
-
     def failed(self, ticket: Ticket, error: BackendError) -> None:
         """Queue the ticket again after a delay, or raise the final answer.
 
@@ -221,7 +180,7 @@
         EndiveError
             If there must be no further attempt.
         """
-        scheduler = self.tickets[ticket]
+        scheduler = self.owners[ticket]
         verdict = scheduler.failed(
             ticket,
             self.clock.now(),
@@ -232,12 +191,9 @@
         )
         self.pump(scheduler)
         if isinstance(verdict, Refusal):
-            raise _error(verdict, f"{verdict.message}; the last: {error}")
+            raise refusal_error(verdict, f"{verdict.message}; the last: {error}")
         self.metrics.retried(error.reason)
-        self.waiting[ticket] = AsyncResult()
-        gevent.sleep(verdict.delay_s)
-        scheduler.requeue(ticket)
-        self.pump(scheduler)
+        self.queue_again(ticket, verdict.delay_s)
 
     def shifts(self, server: ServerView, *, seconds_left: float) -> list[Shift]:
         """Return how the streams at `server` leave it, in the order to act."""
@@ -246,21 +202,12 @@
 
     def moved(self, ticket: Ticket, tokens: int) -> None:
         """Queue a stream again that its server has stopped for a move."""
-        scheduler = self.tickets[ticket]
+        scheduler = self.owners[ticket]
         self.waiting[ticket] = AsyncResult()
         scheduler.moved(ticket, self.clock.now(), tokens=tokens)
         self.metrics.retried(RetryReason.SERVER_LEAVING)
         self.pump(scheduler)
 
-    def end(self, ticket: Ticket) -> None:
-        """Forget the ticket; frees its slot if its caller hung up."""
-        scheduler = self.tickets.pop(ticket, None)
-        if scheduler is None:
-            return
-        del self.waiting[ticket]
-        scheduler.cancelled(ticket, self.clock.now())
-        self.pump(scheduler)
-
     def _crash(self, ticket: Ticket, error: BackendError) -> str:
         """Return the name of the crash that ended an attempt; empty if none did.
 
@@ -269,38 +216,10 @@
         """
         if not error.started or error.reason is not RetryReason.SERVER_FAILED:
             return ""
-        server = self.tickets[ticket].servers.servers.get(ticket.server)
+        server = self.owners[ticket].servers.servers.get(ticket.server)
         if server is None or self.is_listening(server.view.address):
             return ""
-        return f"{server.id}@{int(self.wall_time() // CRASH_WINDOW_S)}"
-
-    # Keeping the queues moving
-
-    def pump(self, scheduler: Scheduler) -> None:
-        """Wake the greenlets of all tickets that may be sent now."""
-        now = self.clock.now()
-        while (dispatch := scheduler.next_dispatch(now)) is not None:
-            view = scheduler.servers.servers[dispatch.server].view
-            self.waiting[dispatch.ticket].set(view)
-        for ticket in scheduler.take_expired():
-            if ticket in self.waiting:
-                self.waiting[ticket].set_exception(_error(ticket.refusal))
-
-    def pump_often(self) -> None:
-        """Try the queues for ever; the body of a greenlet."""
-        while True:
-            gevent.sleep(PUMP_S)
-            for scheduler in list(self.schedulers.values()):
-                if len(scheduler.queue):
-                    self.pump(scheduler)
-
-
-def _error(refusal: Refusal, message: str = "") -> EndiveError:
-    return EndiveError(
-        refusal.kind,
-        message or refusal.message,
-        retry_after_s=refusal.retry_after_s,
-    )
+        return crash_name(server.id, self.wall_time())
 
 
 def _view(
