End the circle between runs and serving

Run imported Serving for seven of its parts, and Serving imported Run. The parts are a data class of their own that is passed along, RunContext. No behaviour changes; the tests of endive_node and tests/test_path.py pass.

--- /dev/null
+++ b/packages/endive_node/src/endive_node/contexts.py
@@ -0,0 +1,22 @@
+"""What each request of a node is given on its way."""
+
+from dataclasses import dataclass
+
+from endive_node.backends import BackendClients
+from endive_node.dispatching import Dispatcher
+from endive_node.explaining import Trails
+from endive_node.interfaces import Claims, Clock
+from endive_node.telemetry import Metrics
+
+
+@dataclass(frozen=True, slots=True)
+class RunContext:
+    """The parts of a node that a run calls."""
+
+    node_id: str
+    dispatcher: Dispatcher
+    clients: BackendClients
+    metrics: Metrics
+    clock: Clock
+    claims: Claims
+    trails: Trails
--- a/packages/endive_node/src/endive_node/runs.py
+++ b/packages/endive_node/src/endive_node/runs.py
@@ -1,7 +1,6 @@
 """One request on its way: attempts at servers, moves, handovers and its end."""
 
 from collections.abc import Iterator
-from typing import TYPE_CHECKING
 
 import gevent
 from endive_core.calls import Ticket
@@ -12,15 +11,13 @@
 from endive_core.messages import Endpoint, Piece, ServerView
 
 from endive_node.backends import EngineServer
+from endive_node.contexts import RunContext
 from endive_node.explaining import ending
 from endive_node.interfaces import BackendError
 from endive_node.ledger import REORDERED, RequestRecord, read_tokens
 from endive_node.logs import log_event
 from endive_node.moves import Move
 
-if TYPE_CHECKING:
-    from endive_node.serving import Serving
-
 CANCELLED = "cancelled"
 """The reason with which an engine ends a sequence that it was told to stop."""
 
@@ -42,14 +39,14 @@
     """
 
     def __init__(
-        self, serving: "Serving", record: RequestRecord, ticket: Ticket | None
+        self, context: RunContext, record: RequestRecord, ticket: Ticket | None
     ) -> None:
-        self.serving = serving
+        self.context = context
         self.record = record
         self.ticket = ticket
         self.life = Lifecycle(record.request.non_idempotent)
-        self.trail = serving.trails.begin(record.request)
-        self.trail.note(f"accepted by {serving.node_id}{_predicted(ticket)}")
+        self.trail = context.trails.begin(record.request)
+        self.trail.note(f"accepted by {context.node_id}{_predicted(ticket)}")
         self.claim: Claimant | None = None
         self.backend: EngineServer | None = None
         self.server: ServerView | None = None
@@ -171,7 +168,7 @@
 
     def _give_up_ticket(self) -> None:
         if self.ticket is not None:
-            self.serving.dispatcher.end(self.ticket)
+            self.context.dispatcher.end(self.ticket)
             self.ticket = None
 
     def take_back(self, *, uncertain: bool) -> None:
@@ -271,7 +268,7 @@
     def _end_in(self, error: EndiveError) -> None:
         self.record.error = error
         self.trail.note(ending(error))
-        self.serving.metrics.refused(error.kind)
+        self.context.metrics.refused(error.kind)
         self._ended(outcome=error.kind)
         self.record.wake()
 
@@ -293,11 +290,11 @@
 
     def _ended(self, *, outcome: str) -> None:
         record = self.record
-        record.finished_at = self.serving.clock.now()
+        record.finished_at = self.context.clock.now()
         self.trail.state = str(self.life.state)
         self.trail.executed = str(self.life.executed)
         self._give_up_ticket()
-        self.serving.metrics.finished.add(1)
+        self.context.metrics.finished.add(1)
         log_event(
             "request_ended",
             request_id=record.request.request_id,
@@ -316,10 +313,10 @@
         if self.life.allows(Event.ENQUEUE):
             self.life.fire(Event.ENQUEUE)
         if self.ticket is None:
-            self.ticket = self.serving.dispatcher.take_over(self.record.request)
+            self.ticket = self.context.dispatcher.take_over(self.record.request)
         self._claim()
         while not self.record.ended:
-            server = self.serving.dispatcher.acquire(self.ticket)
+            server = self.context.dispatcher.acquire(self.ticket)
             try:
                 yield from self._attempt(server)
             except BackendError as error:
@@ -337,7 +334,7 @@
         self.life.fire(Event.CLAIM)
         self.continues = self.claim_continues
         try:
-            self.claim = self.serving.claims.win(self.record.request, self.continues)
+            self.claim = self.context.claims.win(self.record.request, self.continues)
         except Paused:
             self.life.fire(Event.UNCLAIM)
             raise
@@ -357,7 +354,7 @@
     def _give_up_claim(self) -> None:
         """Free the key if nothing was sent; called once the chart rules that out."""
         if self.claim is not None:
-            self.serving.claims.give_up(self.claim)
+            self.context.claims.give_up(self.claim)
 
     def _attempt(self, server: ServerView) -> Iterator[None]:
         self._use_claim()
@@ -378,11 +375,11 @@
             yield from self._stream(server)
         self.life.fire(Event.COMPLETE)
         self.trail.note(f"whole, {len(record.tokens)} tokens")
-        self.serving.dispatcher.finished(self.ticket, len(record.tokens) or 1)
+        self.context.dispatcher.finished(self.ticket, len(record.tokens) or 1)
         self._ended(outcome="ok")
 
     def _call_plain(self, server: ServerView) -> None:
-        plain = self.serving.clients.plain(server.address)
+        plain = self.context.clients.plain(server.address)
         request = self.record.request
         self.record.plain_answer = plain.call(
             request, self.record.attempt, request.body["data"]
@@ -391,7 +388,7 @@
 
     def _stream(self, server: ServerView) -> Iterator[None]:
         record = self.record
-        self.backend = self.serving.clients.engine(server.address)
+        self.backend = self.context.clients.engine(server.address)
         if self.blob is not None:
             self.backend.import_kv(self.blob)
             self.blob = None
@@ -427,7 +424,7 @@
         for piece in pieces:
             reason = record.classify(piece)
             if reason:
-                self.serving.metrics.dropped(reason)
+                self.context.metrics.dropped(reason)
                 if reason == REORDERED:
                     record.keep_early(piece)
             else:
@@ -435,14 +432,14 @@
         taken = len(record.tokens) - before
         if taken and self.life.allows(Event.FIRST_PIECE):
             self.life.fire(Event.FIRST_PIECE)
-            self.serving.dispatcher.started(self.ticket)
+            self.context.dispatcher.started(self.ticket)
         if taken and record.first_token_at is None:
             self.trail.note("first token")
-            record.first_token_at = self.serving.clock.now()
-            self.serving.metrics.first_token.record(
+            record.first_token_at = self.context.clock.now()
+            self.context.metrics.first_token.record(
                 record.first_token_at - record.accepted_at
             )
-        self.serving.metrics.tokens.add(taken)
+        self.context.metrics.tokens.add(taken)
 
     def _take_move(self, error: BackendError) -> bool:
         """Return whether the attempt ended because the stream moves off its server.
@@ -464,7 +461,7 @@
             f"stopped at {self.record.servers[-1]} for a move, with "
             f"{len(move.tokens)} tokens{' and the KV cache' if move.blob else ''}"
         )
-        self.serving.dispatcher.moved(self.ticket, len(self.record.tokens))
+        self.context.dispatcher.moved(self.ticket, len(self.record.tokens))
         return True
 
     def _decide_retry(self, error: BackendError) -> None:
@@ -478,7 +475,7 @@
             self.life.fire(Event.SERVER_LOST)
         if error.final_status is not None:
             raise EndiveError(ErrorKind.BACKEND_REJECTED, str(error)) from None
-        self.serving.dispatcher.failed(self.ticket, error)
+        self.context.dispatcher.failed(self.ticket, error)
 
 
 def _predicted(ticket: Ticket | None) -> str:
--- a/packages/endive_node/src/endive_node/serving.py
+++ b/packages/endive_node/src/endive_node/serving.py
@@ -10,6 +10,7 @@
 from endive_core.messages import Request
 
 from endive_node.backends import BackendClients
+from endive_node.contexts import RunContext
 from endive_node.dispatching import Dispatcher
 from endive_node.explaining import Trails
 from endive_node.interfaces import Claims, Clock, Elsewhere
@@ -41,13 +42,14 @@
         self.node_id = node_id
         self.catalogue = catalogue
         self.dispatcher = dispatcher
-        self.clients = clients
         self.limits = limits
         self.metrics = metrics
         self.clock = clock
-        self.claims = claims
         self.ledger = Ledger(limits.keep_finished_s)
         self.trails = Trails(clock, limits.explained_requests)
+        self.context = RunContext(
+            node_id, dispatcher, clients, metrics, clock, claims, self.trails
+        )
         self.stopping = False
         self.leaving = False
         self.handing_over = False
@@ -91,9 +93,9 @@
                 "a non-idempotent request needs an Idempotency-Key header",
             )
         if request.non_idempotent:
-            self.claims.check_age(request)
+            self.context.claims.check_age(request)
         ticket = self.dispatcher.admit(request)
-        run = Run(self, RequestRecord(request, self.clock.now()), ticket)
+        run = Run(self.context, RequestRecord(request, self.clock.now()), ticket)
         self.ledger.add(run)
         self.metrics.accepted.add(1)
         return run
@@ -120,7 +122,7 @@
 
         Until it is told to go on, it only waits for the other's answer.
         """
-        run = Run(self, record, None)
+        run = Run(self.context, record, None)
         run.wait_for_holder(sent_before=sent_before)
         self.ledger.add(run)
         return run
