Take the first configuration from a node that has it

A node had its configuration 0.65 s after its start, though it needs 0.02 s to read the servers: 1,177 routes are 390 KB in the store's form, 0.3 s of a link of 10 Mbit/s, beside the datagrams of 86 nodes that start too; and those that asked another node all asked the first that told of one (16 waited a second there in vain). Ruled out: the store's rate (4,000 Mbit/s, no call refused), decoding (7 ms), compressing (2 ms).

Now a node that starts among many waits 0.08 s to hear of a holder, takes the compressed document from a random one, and reads the store only if none has it. A holder serves two at once and turns others away; who hears a newcomer tells it at once what it has.

--- a/packages/endive_gateway/src/endive_gateway/following.py
+++ b/packages/endive_gateway/src/endive_gateway/following.py
@@ -67,6 +67,10 @@
         """Return whether the nodes are so few that each reads the configuration."""
         ...
 
+    def await_first_configuration(self) -> bool:
+        """Wait for another node's configuration; return whether it came."""
+        ...
+
 
 class Follower:
     """Follows one keyed topic of the store.
@@ -98,7 +102,7 @@
 
     def step(self) -> float:
         """Read once; return the seconds until the next time."""
-        if self.synced and self.is_relayed():
+        if self.has_begun and self.is_relayed():
             return RELAY_LOOK_S
         try:
             if not self.synced:
@@ -115,6 +119,11 @@
         self._answered()
         return self.pause_s()
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether this node has what changes are told of."""
+        return self.synced
+
     def is_relayed(self) -> bool:
         """Return whether other nodes read for this one and are in touch."""
         if self.readers is None or self.readers.is_reader():
@@ -179,6 +188,21 @@
 
     topic = Topic.CONFIGURATION
 
+    def run(self) -> None:
+        """See :meth:`Follower.run`."""
+        if self.readers is not None and self.readers.await_first_configuration():
+            # Who reads for the others tells within this time, or this node reads.
+            self.relayed_at = time.monotonic()
+        super().run()
+
+    @property
+    def has_begun(self) -> bool:
+        """See :meth:`Follower.has_begun`.
+
+        A configuration is whole, so one that another node gave will do.
+        """
+        return self.context.table is not None
+
     def is_relayed(self) -> bool:
         """See :meth:`Follower.is_relayed`.
 
--- a/packages/endive_gateway/src/endive_gateway/peers.py
+++ b/packages/endive_gateway/src/endive_gateway/peers.py
@@ -17,13 +17,13 @@
 from endive_core.crashes import Crash
 from endive_core.sharing import SILENT_S
 from endive_node.logs import log_event
-from endive_node.sockets import listen_tcp, listen_udp
+from endive_node.sockets import listen_udp
 from gevent import socket as gsocket
-from gevent.server import StreamServer
+from gevent.event import Event
 
 from endive_gateway.context import Context
-from endive_gateway.documents import receive_document, send_document
-from endive_gateway.exceptions import StoreError, UndecodableError
+from endive_gateway.documents import DocumentExchange
+from endive_gateway.exceptions import StoreError
 from endive_gateway.following import ConfigurationFollower, ServerFollower
 from endive_gateway.interfaces import Topic
 from endive_gateway.tellings import DECODER, ENCODER, Telling
@@ -64,16 +64,25 @@
 never heard each other meet there."""
 
 LIST_RETRY_S = 0.4
-BEHIND_S = 0.25
-"""Mean time for which another node may have a newer configuration before it is asked
-for, seconds: where each node reads the store, that mostly tells both in this time."""
 
-PULL_SPREAD_S = 0.1
-"""Time over which many nodes spread their asking for one configuration, seconds."""
+LOOK_S = 0.01
+"""How often a node that starts looks whether it has the configuration, seconds."""
 
-PULL_TIMEOUT_S = 1.0
-"""Longest time to send or take a configuration, seconds: 100 KB take 0.2 s of the
-slowest link."""
+LISTED_S = 0.1
+"""Longest time that a node that starts waits for the list of nodes, seconds; the store
+mostly gives it within 10 ms."""
+
+HOLDER_S = 0.08
+"""Time that a node that starts waits to hear of one that has the configuration,
+seconds: a few round trips of 7 ms, and the other's scheduling."""
+
+FIRST_PULL_S = 0.6
+"""Time after which a node that starts reads the store although it is still taking the
+configuration from another one, seconds: the longest of one try and some more."""
+
+GREETINGS = 6
+"""Nodes that tell a newcomer at once that they have a configuration. One is enough;
+several spread the newcomers that start together."""
 
 
 class NodeEntry(msgspec.Struct):
@@ -126,7 +135,8 @@
         self.fence = 0
         self.logged_live = 0
         self.heard_s = HEARD_S
-        self.pulling = False
+        self.documents = DocumentExchange(context, self.live)
+        self.listed = Event()
         self.socket: socket.socket | None = None
         self.loops: list[gevent.Greenlet] = []
         self.servers: ServerFollower | None = None
@@ -140,16 +150,14 @@
         self.socket = gsocket.socket(
             socket.AF_INET, socket.SOCK_DGRAM, fileno=udp.detach()
         )
-        listener = listen_tcp(self.address, self.port + 1)
-        self.documents = StreamServer(listener, self._serve_document)
-        self.documents.start()
+        self.documents.start(self.address, self.port + 1)
         loops = (self._receive_all, self._tell_all, self._follow_list)
         self.loops = [gevent.spawn(loop) for loop in loops]
 
     def stop(self) -> None:
         """Stop the loops and close the ports."""
         gevent.killall(self.loops)
-        self.documents.stop(0)
+        self.documents.stop()
         self.socket.close()
 
     def live(self) -> list[Peer]:
@@ -172,6 +180,30 @@
         """Return whether the nodes are so few that each reads the configuration."""
         return len(self.known) + 1 <= FEW_NODES
 
+    def await_first_configuration(self) -> bool:
+        """Let another node hand over its configuration; return whether one did.
+
+        With a thousand routes, the store's copy takes 0.3 s of a link of 10 Mbit/s,
+        another node's, which is compressed, 0.02 s. After a power loss, when all nodes
+        start, callers are turned away until it is here.
+        """
+        self.listed.wait(LISTED_S)
+        if self.reads_alone():
+            return False
+        started = time.monotonic()
+        while self.context.version < 0:
+            limit_s = FIRST_PULL_S if self.documents.pulling else HOLDER_S
+            if time.monotonic() - started >= limit_s:
+                return False
+            gevent.sleep(LOOK_S)
+        return True
+
+    def _greet(self, peer: Peer) -> None:
+        """Tell a node that has no configuration yet that this one has."""
+        holders = 1 + sum(other.version >= 0 for other in self.live())
+        if self.context.random.random() < GREETINGS / holders:
+            self.tell([peer])
+
     def _add(self, address: str) -> Peer | None:
         if address == self.address:
             return None
@@ -303,9 +335,10 @@
         context.meter.hear(address, telling.incarnation, telling.windows)
         for fingerprint, server, age_s in telling.crashes:
             context.placer.crashes.add(Crash(fingerprint, server, now - age_s))
-        if telling.version > context.version and not self.pulling:
-            self.pulling = True
-            gevent.spawn(self._pull_document, peer)
+        if telling.version < 0 <= context.version:
+            self._greet(peer)
+        if telling.version > context.version:
+            self.documents.pull(self.port + 1, alone=self.reads_alone())
         if telling.news is not None and self.servers is not None:
             self.servers.hear(telling.news)
             if self.configuration is not None:
@@ -346,38 +379,3 @@
                 self.context.limits.expect(entry.address, time.monotonic())
         self.context.set_nodes(len(self.known) + 1)
         self.tell()
-
-    # Configurations from one node to another
-
-    def _serve_document(self, sock, _address) -> None:
-        """Send the configuration in force, its length first."""
-        document = self.context.document
-        with gevent.Timeout(PULL_TIMEOUT_S, False):
-            send_document(sock, document)
-
-    def _pull_document(self, peer: Peer) -> None:
-        """Take the configuration of a node that has a newer one.
-
-        The store may turn this node away and serve the others and the operators; keys
-        that were taken away meanwhile must end here as well. Among many nodes most get
-        every configuration this way.
-        """
-        gevent.sleep(self.context.random.random() * self._pull_delay_s())
-        try:
-            if peer.version > self.context.version:
-                self._pull_from(peer)
-        finally:
-            self.pulling = False
-
-    def _pull_delay_s(self) -> float:
-        return 2 * BEHIND_S if self.reads_alone() else PULL_SPREAD_S
-
-    def _pull_from(self, peer: Peer) -> None:
-        try:
-            with gevent.Timeout(PULL_TIMEOUT_S, TimeoutError("pull")):
-                document = receive_document(peer.address, self.port + 1)
-            if document:
-                table = self.context.wire.decode_configuration(document)
-                self.context.configure(table, document, peer.node)
-        except (OSError, UndecodableError) as error:
-            log_event("configuration_not_pulled", peer=peer.node, error=error)
--- a/packages/endive_gateway/tests/test_following.py
+++ b/packages/endive_gateway/tests/test_following.py
@@ -9,7 +9,7 @@
     ServerFollower,
 )
 from endive_gateway.interfaces import Record, Topic
-from gateway_builders import MemoryStore, make_context, store_down
+from gateway_builders import MemoryStore, make_context, make_table, store_down
 
 
 class FewReaders:
@@ -21,6 +21,9 @@
     def reads_alone(self):
         return False
 
+    def await_first_configuration(self):
+        return True
+
 
 @pytest.fixture
 def store():
@@ -221,3 +224,16 @@
     news = reader.news()
     assert news.first == news.next
     assert not news.changes
+
+
+def test_a_configuration_from_another_node_is_not_read_again(context, store):
+    """After a power loss a node has the configuration from another one. Reading it from
+    the store all the same would fill its slow link while callers come back."""
+    write(store, Topic.CONFIGURATION, "config", 3)
+    follower = ConfigurationFollower(context, FewReaders())
+    context.configure(make_table(version=3), b"3", "b")
+    follower.relayed_at = time.monotonic()
+    reads = []
+    store.newest = lambda topic: reads.append(topic)
+    assert follower.step() > 0
+    assert not reads
--- a/packages/endive_gateway/tests/test_peers.py
+++ b/packages/endive_gateway/tests/test_peers.py
@@ -133,11 +133,61 @@
     for number in range(30):
         peers._add(f"127.0.1.{number}")
     assert not peers.reads_alone()
-    peers._pull_from = lambda peer: asked.append(time.monotonic())
     asked = []
+
+    def pull_from(_holder, _port, _timeout_s):
+        asked.append(time.monotonic())
+        peers.context.configure(make_table(version=9), b"9", "test")
+
+    peers.documents._pull_from = pull_from
     started = time.monotonic()
     peers.hear(telling(version=9), "127.0.0.2")
     peers.hear(telling(version=9, sequence=2), "127.0.0.2")
     gevent.sleep(0.2)
     assert len(asked) == 1
     assert asked[0] - started < 0.15
+
+
+def starting_among(number):
+    """Return the peers of a node that has just started and knows `number` others."""
+    starting = Peers(make_context())
+    for other in range(number):
+        starting._add(f"127.0.1.{other}")
+    starting.listed.set()
+    return starting
+
+
+def test_a_node_that_starts_among_many_takes_the_configuration_from_another():
+    """All nodes lose power together, and their links are slow. Were each to read a
+    thousand routes from the store, callers would be turned away 0.6 s longer."""
+    starting = starting_among(30)
+    pulled = []
+
+    def pull_from(holder, _port, _timeout_s):
+        pulled.append(holder.node)
+        starting.context.configure(make_table(version=9), b"9", "test")
+
+    starting.documents._pull_from = pull_from
+    starting.hear(telling(version=9), "127.0.0.2")
+    started = time.monotonic()
+    assert starting.await_first_configuration()
+    assert pulled == ["b"]
+    assert time.monotonic() - started < 0.1
+
+
+@pytest.mark.parametrize("number", [3, 30])
+def test_a_node_that_hears_of_no_configuration_reads_the_store_soon(number):
+    """The first nodes to start find none that has it. Waiting on, all would wait."""
+    started = time.monotonic()
+    assert not starting_among(number).await_first_configuration()
+    assert time.monotonic() - started < 0.15
+
+
+def test_a_newcomer_is_told_at_once_of_the_configuration(peers):
+    """A node that starts would hear of one only with the next round of tellings, up to
+    0.9 s later, and turn its callers away until then."""
+    told = []
+    peers.tell = told.extend
+    peers.hear(telling(version=-1), "127.0.0.2")
+    peers.hear(telling(version=1, node="c"), "127.0.0.3")
+    assert [peer.address for peer in told] == ["127.0.0.2"]
