Remove what nothing reads any more

Decoded from the platform and never used: a server's time until it is warm, the time in which a configuration must be in force, a service's connection limit, a model server's memory and whether it moves runs. In the registry: when a server will be taken away, and listeners to it; an entry's time of arrival goes with them. The tests' calls lose that argument and check the same. Tests of both packages and of the adapter pass.

--- a/packages/endive_core/src/endive_core/routing.py
+++ b/packages/endive_core/src/endive_core/routing.py
@@ -104,9 +104,7 @@
     """What the servers of a model service can do besides answering."""
 
     slots: int = 0
-    memory_tokens: int = 0
     tokens_per_event: int = 1
-    moves_runs: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -115,7 +113,6 @@
 
     name: str
     health_path: str = "/health"
-    max_connections: int = 100
     engine: Engine | None = None
     scaling: Scaling | None = None
 
--- a/packages/endive_gateway/src/endive_gateway/following.py
+++ b/packages/endive_gateway/src/endive_gateway/following.py
@@ -268,7 +268,7 @@
         except UndecodableError as error:
             log_event("server_entry_undecodable", server=record.key, error=error)
             return
-        if registry.put(entry, now):
+        if registry.put(entry):
             self.changes.append(record)
             self.dirty = True
 
--- a/packages/endive_gateway/src/endive_gateway/interfaces.py
+++ b/packages/endive_gateway/src/endive_gateway/interfaces.py
@@ -132,8 +132,6 @@
         Grows with each entry of one incarnation.
     leaves_in_s : float or None
         Time it has left when the entry was written, if it is being reclaimed.
-    warm_in_s : float
-        Time for which it stays slow after its start.
     """
 
     id: str
@@ -146,7 +144,6 @@
     sequence: int = 0
     reclaimable: bool = False
     leaves_in_s: float | None = None
-    warm_in_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -303,7 +300,6 @@
 
     drain_s: float = 2.0
     grace_s: float = 8.0
-    config_s: float = 2.0
     retry_ratio: float = 0.2
     retry_window_s: float = 10.0
     retry_slack: float = 50.0
--- a/packages/endive_gateway/src/endive_gateway/servers.py
+++ b/packages/endive_gateway/src/endive_gateway/servers.py
@@ -20,8 +20,6 @@
 
     Attributes
     ----------
-    leaves_at : float or None
-        When it will be taken away, seconds on the monotonic clock.
     gone_at : float or None
         When it is to be given up, if its entry lapsed during an outage.
     contradicted : bool
@@ -29,7 +27,6 @@
     """
 
     entry: ServerEntry
-    leaves_at: float | None = None
     gone_at: float | None = None
     contradicted: bool = False
 
@@ -46,14 +43,11 @@
     ----------
     listeners : list of callable
         Called without arguments after a change.
-    leaving_listeners : list of callable
-        Called with each :class:`KnownServer` that begins to leave.
     """
 
     def __init__(self) -> None:
         self.servers: dict[str, KnownServer] = {}
         self.listeners: list[Callable[[], None]] = []
-        self.leaving_listeners: list[Callable[[KnownServer], None]] = []
         self.known_once = False
 
     def get(self, server_id: str) -> KnownServer | None:
@@ -64,7 +58,7 @@
         """Return all known servers of a service."""
         return [s for s in self.servers.values() if s.entry.service == service]
 
-    def put(self, entry: ServerEntry, now: float) -> bool:
+    def put(self, entry: ServerEntry) -> bool:
         """Take over an entry; return whether anything but its number changed.
 
         An entry that is older than the one known came late, and says nothing new.
@@ -81,8 +75,6 @@
         elif _place(before) != _place(entry):
             known.contradicted = False
         known.entry = entry
-        if entry.leaves_in_s is not None:
-            known.leaves_at = now + entry.leaves_in_s
         changed = before is None or _meaning(before) != _meaning(entry)
         if changed:
             log_event(
@@ -95,9 +87,6 @@
                 reclaimable=entry.reclaimable,
                 leaves_in_s=entry.leaves_in_s,
             )
-            if entry.state is ServerState.LEAVING:
-                for listener in self.leaving_listeners:
-                    listener(known)
         return changed
 
     def drop(self, server_id: str, now: float, *, after_outage: bool) -> bool:
--- a/packages/endive_gateway/tests/gateway_builders.py
+++ b/packages/endive_gateway/tests/gateway_builders.py
@@ -388,9 +388,7 @@
         self.servers = servers
         self.context = make_context(table or make_table())
         for server in servers:
-            self.context.registry.put(
-                make_entry(server.id, address=server.address), time.monotonic()
-            )
+            self.context.registry.put(make_entry(server.id, address=server.address))
         self.context.registry.changed()
         self.listener = CallerListener(
             "127.0.0.1", 0, Forwarder(self.context), self.context.caller_limits
--- a/packages/endive_gateway/tests/test_forwarding.py
+++ b/packages/endive_gateway/tests/test_forwarding.py
@@ -365,8 +365,7 @@
                 address=leaving.address,
                 state=ServerState.LEAVING,
                 sequence=5,
-            ),
-            time.monotonic(),
+            )
         )
         running.context.registry.changed()
         for _ in range(2):
--- a/packages/endive_gateway/tests/test_ordering.py
+++ b/packages/endive_gateway/tests/test_ordering.py
@@ -29,7 +29,7 @@
             entry = make_entry(
                 f"i-{next(self.numbers)}", zone=zone, reclaimable=reclaimable
             )
-            self.context.registry.put(entry, self.now)
+            self.context.registry.put(entry)
 
     def reclaim(self, zone):
         for known in list(self.context.registry.servers.values()):
@@ -42,7 +42,7 @@
                     state=ServerState.LEAVING,
                     sequence=9,
                 )
-                self.context.registry.put(leaving, self.now)
+                self.context.registry.put(leaving)
 
     def play(self, seconds, work=1.0):
         """Step for `seconds`; return the orders given, newest by pool."""
