Tell news of servers compressed, and at once when one leaves

A telling had room for four servers' entries; when a zone was reclaimed or servers were ordered, each of 87 nodes read the store by itself, and again with each telling of the next three seconds, since what didn't fit was told as missing for as long.

It has a test that fails without the mend. test_more_changes_than_a_datagram_holds asked for thirty servers, which fit now; it asks for sixty and checks the same.

Nodes' entries and the record of another node move to a module of their own.

--- a/packages/endive_gateway/src/endive_gateway/following.py
+++ b/packages/endive_gateway/src/endive_gateway/following.py
@@ -9,8 +9,9 @@
 
 from endive_gateway.context import Context
 from endive_gateway.exceptions import StoreError, StoreForgottenError, UndecodableError
-from endive_gateway.interfaces import Record, ServerNews, Topic
+from endive_gateway.interfaces import Record, ServerNews, ServerState, Topic
 from endive_gateway.servers import RETURN_GRACE_S
+from endive_gateway.tellings import pack_changes, unpack_changes
 
 CONFIGURATION_WAIT_S = 20.0
 """How long a read of the configuration waits for a change, seconds: under the store's
@@ -42,8 +43,8 @@
 before a node has to read by itself."""
 
 HISTORY_BYTES = 800
-"""Most bytes of changes in one telling, so that it stays within one frame. Who misses
-what didn't fit reads by itself."""
+"""Most bytes of changes in one telling, so that it stays within one frame: some twenty
+servers, compressed. Who misses what didn't fit reads by itself."""
 
 OUTAGE_TAIL_S = 4.0
 """Time after the store's return for which a lapsed entry may be its own outage's
@@ -71,6 +72,10 @@
         """Wait for another node's configuration; return whether it came."""
         ...
 
+    def hasten(self) -> None:
+        """Tell the others soon, if this node reads for them."""
+        ...
+
 
 class Follower:
     """Follows one keyed topic of the store.
@@ -240,6 +245,7 @@
     def __init__(self, context: Context, readers: Readers | None = None) -> None:
         super().__init__(context, readers)
         self.dirty = False
+        self.leaving = False
         self.changes: deque[Record] = deque()
         self.marks: deque[tuple[float, int]] = deque()
         self.floor = 0
@@ -271,9 +277,17 @@
         if registry.put(entry):
             self.changes.append(record)
             self.dirty = True
+            self.leaving |= entry.state == ServerState.LEAVING
+
+    def _read_on(self) -> None:
+        super()._read_on()
+        if self.leaving and self.readers is not None:
+            self.readers.hasten()
+        self.leaving = False
 
     def _read_newest(self) -> None:
         super()._read_newest()
+        self.leaving = False
         self.changes.clear()
         self.marks.clear()
         self.marks.append((time.monotonic(), self.next))
@@ -287,14 +301,17 @@
         if not self.marks or now - self.marks[-1][0] > RELAYED_S:
             return None
         while self.marks and now - self.marks[0][0] > HISTORY_S:
-            self.floor = self.marks.popleft()[1]
+            self.floor = max(self.floor, self.marks.popleft()[1])
         while self.changes and self.changes[0].offset < self.floor:
             self.changes.popleft()
-        size = sum(len(c.key) + len(c.value or b"") + 16 for c in self.changes)
-        if size > HISTORY_BYTES:
-            return ServerNews(self.next, self.next, [])
-        told = [(c.offset, c.key, c.value) for c in self.changes]
-        return ServerNews(self.floor, self.next, told)
+        changes = pack_changes(self.changes)
+        if len(changes) > HISTORY_BYTES:
+            # All others have to read this once. Told as missing for the whole of the
+            # history, it would make each of them read five times.
+            self.changes.clear()
+            self.floor = self.next
+            changes = pack_changes(self.changes)
+        return ServerNews(self.floor, self.next, changes)
 
     def hear(self, news: ServerNews) -> None:
         """Take over what a reader read, if it joins what this node knows.
@@ -310,9 +327,15 @@
             self.relayed_at = float("-inf")
             return
         self._note_return()
-        for offset, key, value in news.changes:
-            if offset >= self.next:
-                self.take(Record(offset, key, value))
+        try:
+            changes = unpack_changes(news.changes)
+        except UndecodableError as error:
+            log_event("news_undecodable", error=error)
+            self.relayed_at = float("-inf")
+            return
+        for record in changes:
+            if record.offset >= self.next:
+                self.take(record)
         self.next = news.next
         self.relayed_at = time.monotonic()
         self.taken(None)
--- a/packages/endive_gateway/src/endive_gateway/interfaces.py
+++ b/packages/endive_gateway/src/endive_gateway/interfaces.py
@@ -154,13 +154,13 @@
     ----------
     first, next : int
         The offsets that `changes` cover, the last one not included.
-    changes : list of (int, str, bytes or None)
-        Offset, key and value of the records that changed anything.
+    changes : bytes
+        The records that changed anything, packed.
     """
 
     first: int
     next: int
-    changes: list[tuple[int, str, bytes | None]]
+    changes: bytes
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/endive_gateway/src/endive_gateway/peers.py
+++ b/packages/endive_gateway/src/endive_gateway/peers.py
@@ -10,7 +10,6 @@
 
 import socket
 import time
-from dataclasses import dataclass, field
 
 import gevent
 import msgspec
@@ -26,6 +25,7 @@
 from endive_gateway.exceptions import StoreError
 from endive_gateway.following import ConfigurationFollower, ServerFollower
 from endive_gateway.interfaces import Topic
+from endive_gateway.nodes import NodeEntry, Peer
 from endive_gateway.tellings import DECODER, ENCODER, Telling
 
 TELL_S = 0.2
@@ -45,6 +45,10 @@
 AT_ONCE = 10
 """Datagrams sent at once; 10 of a kilobyte take 16 ms of the slowest link."""
 
+URGENT_STEP_S = 0.025
+"""Time between ten datagrams and the next ten when a server leaves, seconds: 87 nodes
+are told within 0.23 s, at 3 Mbit/s."""
+
 MOST_DATAGRAM_BYTES = 65_535
 MOST_CRASHES = 4
 """Crashes in one telling; each is told again until it is forgotten."""
@@ -85,36 +89,6 @@
 several spread the newcomers that start together."""
 
 
-class NodeEntry(msgspec.Struct):
-    """A node, as it lists itself in the store."""
-
-    address: str
-    incarnation: int
-
-
-@dataclass
-class Peer:
-    """Another node.
-
-    Attributes
-    ----------
-    heard_at : float
-        When its last telling came, seconds on the monotonic clock; 0 if never.
-    fence : int
-        Fencing number of the duties that it holds; 0 if it doesn't.
-    """
-
-    address: str
-    node: str = ""
-    incarnation: int = 0
-    sequence: int = 0
-    heard_at: float = 0.0
-    known_at: float = 0.0
-    version: int = -1
-    fence: int = 0
-    work: dict[str, float] = field(default_factory=dict)
-
-
 class Peers:
     """The other nodes, and the loops that talk with them.
 
@@ -137,6 +111,7 @@
         self.heard_s = HEARD_S
         self.documents = DocumentExchange(context, self.live)
         self.listed = Event()
+        self.urgent = Event()
         self.socket: socket.socket | None = None
         self.loops: list[gevent.Greenlet] = []
         self.servers: ServerFollower | None = None
@@ -220,7 +195,11 @@
             gap = max(TELL_S, TELL_PER_NODE_S * nodes)
             self._expect_tellings_each(gap)
             gap *= self.context.random.uniform(0.9, 1.1)
-            self._tell_in_steps(gap)
+            steps = max(1, -(-(nodes - 1) // AT_ONCE))
+            if self.urgent.is_set():
+                self.urgent.clear()
+                gap = min(gap, URGENT_STEP_S * steps)
+            self._tell_in_steps(gap / steps)
             self._look_after()
 
     def _expect_tellings_each(self, gap_s: float) -> None:
@@ -232,17 +211,26 @@
         self.heard_s = max(HEARD_S, MISSED_TELLINGS * gap_s)
         self.context.limits.silent_s = max(SILENT_S, MISSED_TELLINGS * gap_s)
 
-    def _tell_in_steps(self, gap_s: float) -> None:
-        """Tell all others within `gap_s` seconds, a few at a time.
+    def _tell_in_steps(self, step_s: float) -> None:
+        """Tell all others, a few each `step_s` seconds, or until there is urgent news.
 
         The slowest links carry 5 Mbit/s. A hundred datagrams at once wait there for a
         fifth of a second, or are dropped, always the same ones.
         """
         peers = list(self.known.values())
-        steps = max(1, -(-len(peers) // AT_ONCE))
         for first in range(0, max(1, len(peers)), AT_ONCE):
             self.tell(peers[first : first + AT_ONCE])
-            gevent.sleep(gap_s / steps)
+            if self.urgent.wait(step_s):
+                return
+
+    def hasten(self) -> None:
+        """Tell all others soon of a server that leaves, if this node reads for them.
+
+        Among 87 nodes the next round takes 0.9 s, and a reclaimed server may be gone
+        after 1.1 s, with all requests that it got meanwhile.
+        """
+        if self.is_reader() and not self.reads_alone():
+            self.urgent.set()
 
     def tell(self, peers: list[Peer] | None = None, *, gone: bool = False) -> None:
         """Send this node's figures to `peers`, or to all others."""
--- a/packages/endive_gateway/src/endive_gateway/tellings.py
+++ b/packages/endive_gateway/src/endive_gateway/tellings.py
@@ -1,8 +1,12 @@
 """The datagram that gateways tell each other."""
 
+import zlib
+from collections.abc import Iterable
+
 import msgspec
 
-from endive_gateway.interfaces import ServerNews
+from endive_gateway.exceptions import UndecodableError
+from endive_gateway.interfaces import Record, ServerNews
 
 
 class Telling(msgspec.Struct, array_like=True):
@@ -51,3 +55,29 @@
 
 ENCODER = msgspec.msgpack.Encoder()
 DECODER = msgspec.msgpack.Decoder(Telling)
+
+CHANGES = msgspec.msgpack.Decoder(list[tuple[int, str, bytes | None]])
+MOST_CHANGES_BYTES = 1_000_000
+"""Largest size of unpacked changes: a datagram of zeros would else unpack to more
+memory than a node has."""
+
+
+def pack_changes(records: Iterable[Record]) -> bytes:
+    """Return `records` compressed: twenty entries of servers take 750 bytes, not 4,500.
+
+    Uncompressed, four fitted into a telling. When a zone was reclaimed or servers were
+    ordered, each node read the store by itself, 87 of them within a second.
+    """
+    changes = [(record.offset, record.key, record.value) for record in records]
+    return zlib.compress(msgspec.msgpack.encode(changes)) if changes else b""
+
+
+def unpack_changes(packed: bytes) -> list[Record]:
+    """Return the records in `packed`; raises UndecodableError."""
+    if not packed:
+        return []
+    try:
+        data = zlib.decompressobj().decompress(packed, MOST_CHANGES_BYTES)
+        return [Record(*change) for change in CHANGES.decode(data)]
+    except (zlib.error, msgspec.MsgspecError) as error:
+        raise UndecodableError(str(error)) from None
--- a/packages/endive_gateway/tests/test_following.py
+++ b/packages/endive_gateway/tests/test_following.py
@@ -1,14 +1,18 @@
 import json
+import random
 import time
+import uuid
+import zlib
 
 import pytest
 from endive_gateway.following import (
     FAILED_GAP_S,
+    HISTORY_S,
     MAX_FAILED_GAP_S,
     ConfigurationFollower,
     ServerFollower,
 )
-from endive_gateway.interfaces import Record, Topic
+from endive_gateway.interfaces import Record, ServerNews, Topic
 from gateway_builders import MemoryStore, make_context, make_table, store_down
 
 
@@ -24,6 +28,9 @@
     def await_first_configuration(self):
         return True
 
+    def hasten(self):
+        self.hastened = True
+
 
 @pytest.fixture
 def store():
@@ -216,16 +223,74 @@
     assert len(store.calls) == calls + 1
 
 
+def add_servers(store, number):
+    for _ in range(number):
+        server_id, port = f"i-{uuid.uuid4().hex}", random.randrange(1, 65_536)
+        entry = server(address=f"10.1.2.3:{port}", sequence=1)
+        write(store, Topic.SERVERS, server_id, entry)
+
+
 def test_more_changes_than_a_datagram_holds_are_not_told(store):
     reader, listener = told(store)
-    for number in range(30):
-        write(store, Topic.SERVERS, f"i-{number + 10}", server(sequence=1))
+    add_servers(store, 60)
     reader.step()
     news = reader.news()
     assert news.first == news.next
     assert not news.changes
 
 
+def test_changes_that_did_not_fit_are_read_once(store):
+    """Sixty servers start, more than a telling holds. Each node reads them once; were
+    they missing from all tellings of the next seconds, each would read five times."""
+    reader, listener = told(store)
+    listener.hear(reader.news())
+    add_servers(store, 60)
+    reader.step()
+    calls = len(store.calls)
+    for _ in range(5):
+        listener.hear(reader.news())
+        listener.step()
+    assert len(store.calls) == calls + 1
+    assert len(listener.context.registry.servers) == 61
+
+
+def test_what_did_not_fit_is_not_told_as_known_later(store, monkeypatch):
+    """Sixty servers start, more than a telling holds, and the history's end passes an
+    older moment. Were the tellings then to begin before the sixty, without them, a node
+    would take itself to know all, and leave its callers to the few it has."""
+    reader, listener = told(store)
+    listener.hear(reader.news())
+    add_servers(store, 60)
+    reader.step()
+    reader.news()
+    reader.marks.appendleft((time.monotonic() - 2 * HISTORY_S, 1))
+    listener.hear(reader.news())
+    listener.step()
+    assert len(listener.context.registry.servers) == 61
+
+
+def test_the_servers_of_a_zone_fit_into_one_telling(store):
+    """Fifteen servers are reclaimed at once. Each node is told of all of them, and need
+    not read the store."""
+    reader, listener = told(store)
+    listener.hear(reader.news())
+    add_servers(store, 15)
+    reader.step()
+    calls = len(store.calls)
+    listener.hear(reader.news())
+    listener.step()
+    assert len(store.calls) == calls
+    assert len(listener.context.registry.servers) == 16
+
+
+@pytest.mark.parametrize("packed", [b"x", zlib.compress(b"x"), zlib.compress(b"")])
+def test_news_that_can_not_be_read_lead_to_an_own_read(store, packed):
+    reader, listener = told(store)
+    listener.hear(ServerNews(0, 99, packed))
+    assert not listener.is_relayed()
+    assert listener.next == reader.next
+
+
 def test_a_configuration_from_another_node_is_not_read_again(context, store):
     """After a power loss a node has the configuration from another one. Reading it from
     the store all the same would fill its slow link while callers come back."""
@@ -237,3 +302,18 @@
     store.newest = lambda topic: reads.append(topic)
     assert follower.step() > 0
     assert not reads
+
+
+def test_a_reader_that_sees_a_server_leave_tells_the_others_at_once(store):
+    """A server is gone 1.1 s after its notice. Told with the next round, up to 0.9 s
+    later, the others would send it requests that it takes along."""
+    readers = FewReaders()
+    reader = ServerFollower(make_context(store=store), readers)
+    write(store, Topic.SERVERS, "i-1", server(sequence=1))
+    reader.step()
+    write(store, Topic.SERVERS, "i-2", server(sequence=1))
+    reader.step()
+    assert not hasattr(readers, "hastened")
+    write(store, Topic.SERVERS, "i-1", server(sequence=2, state="leaving"))
+    reader.step()
+    assert readers.hastened
--- a/packages/endive_gateway/tests/test_peers.py
+++ b/packages/endive_gateway/tests/test_peers.py
@@ -191,3 +191,19 @@
     peers.hear(telling(version=-1), "127.0.0.2")
     peers.hear(telling(version=1, node="c"), "127.0.0.3")
     assert [peer.address for peer in told] == ["127.0.0.2"]
+
+
+def test_urgent_news_reach_many_nodes_within_a_fraction_of_a_round(peers):
+    """Eighty nodes are told ten at a time over 0.8 s. A server that leaves within a
+    second can't wait for that."""
+    for number in range(80):
+        peers._add(f"127.0.1.{number}")
+    told = []
+    peers.tell = lambda some: told.extend(peer.address for peer in some)
+    loop = gevent.spawn(peers._tell_all)
+    gevent.sleep(0.02)
+    told.clear()
+    peers.hasten()
+    gevent.sleep(0.35)
+    loop.kill()
+    assert len(set(told)) == 80
