Count a successor's wait from when it was told of the log's last record

A zone was reclaimed 6 s after its last record, and the successor claimed 7.3 s after it and ordered 1.6 s after the reclaim: nodes that hear of a holder don't ask the store, a holder is heard of until its lease is over, and only then did the next one read the log for the first time and begin to wait out the lease. Ruled out: the rank among candidates (0.4 s each).

Each telling now names the newest known end of the duties' log. Who is told of it knows when it moved at the latest, so the wait has mostly passed when the lease has; the claim is still appended at the end as read, so a record that nobody told of costs a wait, not a second holder. Tests of the log's fold and of two nodes without the network.

--- a/packages/endive_core/src/endive_core/leases.py
+++ b/packages/endive_core/src/endive_core/leases.py
@@ -77,15 +77,26 @@
         self.tenure: Tenure | None = None
         self.former: list[str] = []
         self.moved_at: float | None = None
+        self.heard_end = 0
+        self.heard_at = 0.0
         self.usage: dict[int, dict[str, int]] = {}
         self.reported = -1
 
     def see_end(self, end: int, now: float) -> None:
-        """Note the log's end as read at `now`; a log that moved starts the wait."""
+        """Note the log's end as read at `now`; a log that moved starts the wait.
+
+        It moved before another node told of that end, so the wait counts from then.
+        """
         if end != self.end or self.moved_at is None:
-            self.moved_at = now
+            self.moved_at = self.heard_at if end == self.heard_end else now
         self.end = end
 
+    def hear_end(self, end: int, heard_at: float) -> None:
+        """Note an end of the log that another node told of at `heard_at`."""
+        if end > self.heard_end:
+            self.heard_end = end
+            self.heard_at = heard_at
+
     def fold(self, offset: int, record: DutyRecord) -> None:
         """Take over one record, in the log's order.
 
--- a/packages/endive_core/tests/test_leases.py
+++ b/packages/endive_core/tests/test_leases.py
@@ -103,3 +103,24 @@
     assert (made.tenure.holder, made.tenure.fence) == ("a", 12)
     assert made.reported == 6
     assert not made.may_claim("b", 10.1)
+
+
+def test_the_wait_counts_from_when_the_log_was_told_to_have_moved():
+    """A holder dies, and a candidate that never read the log takes over. Counted from
+    its first read, servers would not be ordered for three seconds more."""
+    made = log()
+    made.hear_end(1, 10.0)
+    made.fold(0, record(DutyKind.CLAIM, "a"))
+    made.see_end(1, 12.8)
+    assert not made.may_claim("b", 12.8)
+    assert made.may_claim("b", 10.0 + LEASE_S + MARGIN_S)
+
+
+def test_a_log_that_moved_on_since_it_was_told_of_starts_the_wait():
+    made = log()
+    made.hear_end(1, 10.0)
+    made.fold(0, record(DutyKind.CLAIM, "a"))
+    made.fold(1, record(DutyKind.RENEWAL, "a", 1))
+    made.see_end(2, 12.8)
+    assert not made.may_claim("b", 12.8 + LEASE_S)
+    assert made.may_claim("b", 12.8 + LEASE_S + MARGIN_S)
--- a/packages/endive_gateway/src/endive_gateway/duties.py
+++ b/packages/endive_gateway/src/endive_gateway/duties.py
@@ -85,6 +85,7 @@
                 gevent.sleep(RETRY_S)
             self.ordering.measure(boot_time())
             self.peers.fence = self.lease.fence if self._held() else 0
+            self.peers.see_duty_end(self.log.end)
             gevent.sleep(STEP_S)
 
     def step(self) -> None:
@@ -104,20 +105,44 @@
     # Taking over
 
     def _is_due(self) -> bool:
-        """Return whether no holder is heard, for as long as this node's rank says."""
-        live = self.peers.live()
-        if any(peer.fence for peer in live) or self.context.table is None:
+        """Return whether no holder is heard, for as long as this node's rank says.
+
+        A holder that dies or that the store turns away is heard of for seconds more.
+        Its records aren't: once none was told of for as long as a successor waits, the
+        duties are free. Orders of servers then stand still for 4 s instead of 7 s
+        (87 nodes, a third turned away by the store together with the holder).
+        """
+        if self.context.table is None:
+            return False
+        if self._has_lapsed():
+            return True
+        if any(peer.fence for peer in self.peers.live()):
             self.alone_since = None
             return False
         now = time.monotonic()
         if self.alone_since is None:
             self.alone_since = now
-        # Who has run for longest has the most complete counts of usage.
+        return now - self.alone_since >= self._rank_s()
+
+    def _rank_s(self) -> float:
+        """Return how much longer than the first candidate this node waits, seconds.
+
+        Who has run for longest has the most complete counts of usage.
+        """
         own = (self.context.incarnation, self.me)
-        older = sum((peer.incarnation, peer.node) < own for peer in live)
-        return now - self.alone_since >= RANK_S * older
+        live = self.peers.live()
+        return RANK_S * sum((peer.incarnation, peer.node) < own for peer in live)
+
+    def _has_lapsed(self) -> bool:
+        """Return whether no record was told of for as long as a successor waits."""
+        moved_at = self.peers.duty_moved_at
+        if moved_at is None:
+            return False
+        return boot_time() - moved_at >= LEASE_S + MARGIN_S + self._rank_s()
 
     def _try_claim(self) -> None:
+        if self.peers.duty_moved_at is not None:
+            self.log.hear_end(self.peers.duty_end, self.peers.duty_moved_at)
         self._read()
         if not self.log.may_claim(self.me, boot_time()):
             return
--- a/packages/endive_gateway/src/endive_gateway/peers.py
+++ b/packages/endive_gateway/src/endive_gateway/peers.py
@@ -20,6 +20,7 @@
 from gevent import socket as gsocket
 from gevent.event import Event
 
+from endive_gateway.clocks import boot_time
 from endive_gateway.context import Context
 from endive_gateway.documents import DocumentExchange
 from endive_gateway.exceptions import StoreError
@@ -96,6 +97,10 @@
     ----------
     fence : int
         Fencing number of the duties that this node holds; 0 if it doesn't.
+    duty_end : int
+        Newest known end of the duties' log.
+    duty_moved_at : float or None
+        When it was first heard of, on the boot clock; the log moved there earlier.
     """
 
     def __init__(self, context: Context) -> None:
@@ -107,6 +112,8 @@
         self.known: dict[str, Peer] = {}
         self.sequence = 0
         self.fence = 0
+        self.duty_end = 0
+        self.duty_moved_at: float | None = None
         self.logged_live = 0
         self.heard_s = HEARD_S
         self.documents = DocumentExchange(context, self.live)
@@ -264,6 +271,7 @@
             fence=self.fence,
             reported=context.reported,
             news=self.servers.news() if self.servers and self.is_reader() else None,
+            duty_end=self.duty_end,
         )
 
     def _look_after(self) -> None:
@@ -312,6 +320,7 @@
         peer.work = telling.work
         context = self.context
         context.reported = max(context.reported, telling.reported)
+        self.see_duty_end(telling.duty_end)
         context.true_time.hear(address, telling.wall_ms / 1000)
         context.limits.hear(
             address,
@@ -336,6 +345,12 @@
             context.limits.leave(address)
             self.known.pop(address, None)
 
+    def see_duty_end(self, end: int) -> None:
+        """Note how far the duties' log goes, as read or told."""
+        if end > self.duty_end:
+            self.duty_end = end
+            self.duty_moved_at = boot_time()
+
     # The list of nodes in the store
 
     def _follow_list(self) -> None:
--- a/packages/endive_gateway/src/endive_gateway/tellings.py
+++ b/packages/endive_gateway/src/endive_gateway/tellings.py
@@ -36,6 +36,8 @@
         Newest window of usage known to be reported.
     news : ServerNews or None
         What the sender read of the servers, if it reads for others.
+    duty_end : int
+        Newest end of the duties' log that the sender knows.
     """
 
     node: str
@@ -51,6 +53,7 @@
     fence: int
     reported: int
     news: ServerNews | None = None
+    duty_end: int = 0
 
 
 ENCODER = msgspec.msgpack.Encoder()
--- a/packages/endive_gateway/tests/test_duties.py
+++ b/packages/endive_gateway/tests/test_duties.py
@@ -2,6 +2,7 @@
 
 import pytest
 from endive_gateway import duties as duties_module
+from endive_gateway import peers as peers_module
 from endive_gateway.duties import LEASE_S, MARGIN_S, RANK_S, Duties
 from endive_gateway.exceptions import StoreError, StoreUncertainError
 from endive_gateway.interfaces import Topic
@@ -35,6 +36,7 @@
     made = Clock()
     monkeypatch.setattr(duties_module, "boot_time", made.now)
     monkeypatch.setattr(duties_module.time, "monotonic", made.now)
+    monkeypatch.setattr(peers_module, "boot_time", made.now)
     return made
 
 
@@ -131,6 +133,26 @@
     assert not store.calls
 
 
+def test_a_holder_that_the_store_turns_away_is_succeeded_at_once(clock, store, cloud):
+    """The holder can't renew, and every other node still hears that it holds. A
+    successor that only begins to wait when it no longer does leaves a reclaimed zone's
+    servers unordered for three seconds more."""
+    first, second = Node("a", store, cloud), Node("b", store, cloud)
+    first.step()
+    second.peers.see_duty_end(first.duties.log.end)
+    peer = second.peers._add("127.0.0.9")
+    peer.node, peer.fence = "a", 1
+    clock.time += LEASE_S + MARGIN_S - 0.1
+    peer.heard_at = clock.time
+    calls = len(store.calls)
+    second.step()
+    assert len(store.calls) == calls
+    clock.time += 0.2 + RANK_S
+    second.step()
+    assert second.holds
+    assert not first.holds
+
+
 def test_who_runs_for_longer_goes_first(clock, store, cloud):
     node = Node("a", store, cloud)
     peer = node.peers._add("127.0.0.9")
