See a reclaim that began before this node held the duties

Servers that are leaving now count as having been ready at a tenure's first look. A test of two moments fails without it.

--- a/packages/endive_gateway/src/endive_gateway/ordering.py
+++ b/packages/endive_gateway/src/endive_gateway/ordering.py
@@ -195,9 +195,11 @@
         zones = {pool.zone for pool in pools}
         for pool in (Pool(zone, True) for zone in zones):
             key = (service.name, pool)
-            ready = pools[pool].ready if pool in pools else 0
-            taken = self.taken.get(key)
-            if self.had_ready.get(key) and not ready and (not taken or taken[0]):
+            state = pools.get(pool, PoolState())
+            ready, taken = state.ready, self.taken.get(key)
+            # Who has just taken over sees the zone's servers leave, and never saw them.
+            had_ready = self.had_ready.get(key, state.leaving)
+            if had_ready and not ready and (not taken or taken[0]):
                 self.reclaimed_at[service.name] = now
                 self.taken.pop(key, None)
                 log_event("zone_reclaimed", service=service.name, zone=pool.zone)
--- a/packages/endive_gateway/tests/test_ordering.py
+++ b/packages/endive_gateway/tests/test_ordering.py
@@ -92,6 +92,20 @@
     assert sum(n for (_, spot), n in orders.items() if not spot) == 0
 
 
+def test_a_holder_that_takes_over_in_a_reclaim_orders_for_the_whole_load(fleet):
+    """The holder dies, and a zone gets its notice before the next one acts. It never
+    saw that zone's servers ready; taken for a zone that has none, the wave would be
+    met with servers for one zone only."""
+    for zone in "abc":
+        fleet.add(zone, 2)
+    fleet.reclaim("b")
+    fleet.cloud.empty = {"a", "b", "c"}
+    fleet.ordering.traffic_since = fleet.now - 60.0
+    fleet.ordering.begin(fleet.now)
+    orders = fleet.play(0.5, work=2.5)
+    assert sum(n for (_, spot), n in orders.items() if not spot) >= 3
+
+
 def test_a_pool_that_refused_is_asked_again_with_growing_pauses(fleet):
     fleet.cloud.empty = {"a", "b", "c"}
     asked = []
