Find failing servers by what all nodes see together

And one node of 64 sends each server a request in three seconds, too few to judge by: each telling now carries the sender's failures of the last two seconds by server, and one that fails under two nodes or more, six times and four times as often as the others, gets no work for 3 s, up to 12 s if it goes on. Ruled out: probes of slow servers (each 5 s a node).

A read of the nodes' list that fails is tried again ever less often, 0.4 to 3 s.

--- a/packages/endive_core/src/endive_core/outliers.py
+++ b/packages/endive_core/src/endive_core/outliers.py
@@ -10,6 +10,7 @@
 
 from endive_core.policy import Policy
 from endive_core.servers import ServerLoad, ServerSet
+from endive_core.suspicions import Suspicions
 
 MIN_SAMPLES = 5
 """Latencies before a server is judged; one slow call proves nothing."""
@@ -26,6 +27,12 @@
     The ratio is observed time over expected time, so long prompts are no sign of
     slowness. Operators meet it as a server without new work but for a probe each few
     seconds.
+
+    Attributes
+    ----------
+    suspicions : Suspicions or None
+        What all nodes see of failing servers, if they tell each other. A suspect gets
+        no probe: sixty nodes' probes would be a tenth of its usual work.
     """
 
     def __init__(self, policy: Policy, servers: ServerSet) -> None:
@@ -33,6 +40,8 @@
         self.servers = servers
         self.next_at = 0.0
         self.slow: list[ServerLoad] = []
+        self.suspicions: Suspicions | None = None
+        self.suspects: set[str] = set()
 
     def observe(self, server: ServerLoad, *, seconds: float, expected_s: float) -> None:
         """Take in one latency of `server`."""
@@ -60,6 +69,7 @@
         if now < self.next_at:
             return
         self.next_at = now + self.policy.compare_every_s
+        self._suspect(now)
         judged = [s for s in self.servers.servers.values() if s.samples >= MIN_SAMPLES]
         if len(judged) < 3:
             return
@@ -70,7 +80,18 @@
         worst = sorted(judged, key=lambda s: s.slowness, reverse=True)
         for position, server in enumerate(worst):
             slow = position < most and server.slowness >= self.policy.slow_ratio
-            self._mark(server, slow, now)
+            self._mark(server, slow or server.id in self.suspects, now)
+
+    def _suspect(self, now: float) -> None:
+        """Mark the servers that fail under all nodes together."""
+        if self.suspicions is None:
+            return
+        before = self.suspects
+        self.suspects = self.suspicions.suspects(self.servers.servers.keys(), now)
+        for server_id in before ^ self.suspects:
+            server = self.servers.servers.get(server_id)
+            if server is not None:
+                self._mark(server, server_id in self.suspects, now)
 
     def _mark(self, server: ServerLoad, slow: bool, now: float) -> None:
         if slow == server.slow:
@@ -85,6 +106,8 @@
         for server in self.slow:
             if self.servers.servers.get(server.id) is not server:
                 continue
+            if server.id in self.suspects:
+                continue
             if not server.view.leaving and now >= server.next_probe_at:
                 server.next_probe_at = now + self.policy.probe_every_s
                 return server
--- a/packages/endive_core/src/endive_core/scheduler.py
+++ b/packages/endive_core/src/endive_core/scheduler.py
@@ -306,10 +306,7 @@
         if reason is not RetryReason.SERVER_BUSY:
             ticket.avoid.add(ticket.server)
         self._release(ticket, now)
-        if server is not None:
-            self.failures.blame(server, reason, now)
-            if started and reason is not RetryReason.SERVER_LEAVING:
-                self.outliers.failed(server)
+        self._blame(server, now, reason, started=started)
         verdict = self.failures.verdict(
             ticket, now, started=started, max_attempts=max_attempts
         )
@@ -320,6 +317,30 @@
             self.retries[reason] += 1
         return verdict
 
+    def blame(
+        self, ticket: Ticket, now: float, reason: RetryReason, *, started: bool
+    ) -> None:
+        """Count a failed attempt against its server though there is no further one.
+
+        Most requests may not be sent twice. A server that fails them would else look
+        as good as the others, and better by how soon it is idle again.
+        """
+        self._blame(self._load_of(ticket), now, reason, started=started)
+
+    def _blame(
+        self,
+        server: ServerLoad | None,
+        now: float,
+        reason: RetryReason,
+        *,
+        started: bool,
+    ) -> None:
+        if server is None:
+            return
+        self.failures.blame(server, reason, now)
+        if started and reason is not RetryReason.SERVER_LEAVING:
+            self.outliers.failed(server)
+
     def requeue(self, ticket: Ticket) -> None:
         """Queue a failed or moving ticket again, before its organisation's others."""
         ticket.stage = Stage.QUEUED
--- a/packages/endive_core/tests/test_outliers.py
+++ b/packages/endive_core/tests/test_outliers.py
@@ -5,6 +5,7 @@
 from endive_core.outliers import MIN_SAMPLES, OutlierDetector
 from endive_core.policy import Policy
 from endive_core.servers import ServerSet
+from endive_core.suspicions import HOLD_S, Suspicions
 
 
 def detector(latencies):
@@ -90,3 +91,17 @@
                 made.observe(server, seconds=0.1, expected_s=0.1)
     made.compare(3.0)
     assert not made.slow
+
+
+def test_a_server_that_fails_under_all_nodes_gets_no_work_and_no_probe():
+    """Other nodes tell of a server that fails. This one has hardly sent it anything,
+    and each of its probes would be one more caller's failure."""
+    made = detector([0.1] * 5)
+    made.suspicions = Suspicions()
+    made.suspicions.hear("b", {"s2": 9}, 1.5)
+    made.suspicions.hear("c", {"s2": 9}, 1.5)
+    made.compare(2.0)
+    assert "s2" not in made.servers.open[Tier.WITHIN_SHARE].positions
+    assert made.probe(4.5) is None
+    made.compare(2.0 + HOLD_S + 0.1)
+    assert "s2" in made.servers.open[Tier.WITHIN_SHARE].positions
--- a/packages/endive_gateway/src/endive_gateway/exceptions.py
+++ b/packages/endive_gateway/src/endive_gateway/exceptions.py
@@ -91,6 +91,10 @@
     """Raised in a request's greenlet when its time is over."""
 
 
+OUT_OF_TIME = 504
+"""Status with which a server ends a request whose caller's time is over."""
+
+
 class AttemptError(Exception):
     """An attempt at one server that gave no success.
 
@@ -118,3 +122,13 @@
         self.started = started
         self.counts = counts
         self.answer = answer
+
+    @property
+    def blames_server(self) -> bool:
+        """Whether the failure says something of the server.
+
+        A refusal of what was asked doesn't, nor does the end of the caller's time.
+        """
+        if self.answer is None:
+            return self.counts
+        return self.answer.status >= 500 and self.answer.status != OUT_OF_TIME
--- a/packages/endive_gateway/src/endive_gateway/forwarding.py
+++ b/packages/endive_gateway/src/endive_gateway/forwarding.py
@@ -262,19 +262,29 @@
         if error.started:
             self.context.placer.note_break(self.ticket, error.reason)
         try:
-            self._allow_retry(error)
-            self.context.placer.failed(
-                self.ticket,
-                error.reason,
-                started=error.started,
-                max_attempts=self.route.max_attempts + self.uncounted,
-            )
+            self._try_again(error)
         except EndiveError:
             if error.answer is None or self.exchange.answered:
                 raise
             self._pass_failure(error.answer)
         self.splitter.restart()
 
+    def _try_again(self, error: AttemptError) -> None:
+        """Queue the request once more; raises EndiveError if it must not be."""
+        placer = self.context.placer
+        try:
+            self._allow_retry(error)
+        except EndiveError:
+            if error.blames_server:
+                placer.gave_up(self.ticket, error.reason, started=error.started)
+            raise
+        placer.failed(
+            self.ticket,
+            error.reason,
+            started=error.started,
+            max_attempts=self.route.max_attempts + self.uncounted,
+        )
+
     def _allow_retry(self, error: AttemptError) -> None:
         """Refuse a further attempt that there must not be; raises EndiveError."""
         if self.exchange.answered and not self.route.resumable:
--- a/packages/endive_gateway/src/endive_gateway/peers.py
+++ b/packages/endive_gateway/src/endive_gateway/peers.py
@@ -69,6 +69,10 @@
 never heard each other meet there."""
 
 LIST_RETRY_S = 0.4
+MOST_LIST_RETRY_S = 3.0
+"""Time before a read of the list that failed is tried again, doubled each time,
+seconds. Each call is paid for, and a node that is turned away for 9 s would else make
+22, a third of a fleet at a time."""
 
 LOOK_S = 0.01
 """How often a node that starts looks whether it has the configuration, seconds."""
@@ -272,6 +276,7 @@
             reported=context.reported,
             news=self.servers.news() if self.servers and self.is_reader() else None,
             duty_end=self.duty_end,
+            failing=context.placer.suspicions.tell(now),
         )
 
     def _look_after(self) -> None:
@@ -332,6 +337,7 @@
         context.meter.hear(address, telling.incarnation, telling.windows)
         for fingerprint, server, age_s in telling.crashes:
             context.placer.crashes.add(Crash(fingerprint, server, now - age_s))
+        context.placer.suspicions.hear(address, telling.failing, now)
         if telling.version < 0 <= context.version:
             self._greet(peer)
         if telling.version > context.version:
@@ -356,6 +362,7 @@
     def _follow_list(self) -> None:
         """List this node, and learn of the others; the body of a greenlet."""
         listed = False
+        retry_s = LIST_RETRY_S
         entry = NodeEntry(self.address, self.context.incarnation)
         while True:
             try:
@@ -366,8 +373,10 @@
                 self._read_list()
             except StoreError as error:
                 log_event("nodes_not_read", error=error)
-                gevent.sleep(LIST_RETRY_S * self.context.random.uniform(0.7, 1.3))
+                gevent.sleep(retry_s * self.context.random.uniform(0.7, 1.3))
+                retry_s = min(MOST_LIST_RETRY_S, 2 * retry_s)
             else:
+                retry_s = LIST_RETRY_S
                 gevent.sleep(LIST_AGAIN_S * self.context.random.uniform(0.7, 1.3))
 
     def _read_list(self) -> None:
--- a/packages/endive_gateway/src/endive_gateway/placing.py
+++ b/packages/endive_gateway/src/endive_gateway/placing.py
@@ -12,6 +12,7 @@
 from endive_core.routing import RoutingTable, Service
 from endive_core.scheduler import Scheduler, crash_table
 from endive_core.service_types import ServiceType
+from endive_core.suspicions import Suspicions
 from endive_node.logs import log_event
 from endive_node.waiters import Waiters, crash_name, refusal_error
 
@@ -60,6 +61,7 @@
         self.services: dict[str, Service] = {}
         self.views: dict[str, ServerView] = {}
         self.in_a_row: Counter[str] = Counter()
+        self.suspicions = Suspicions()
         self.is_listening = is_listening
         self.wall_time = time.time
         registry.listeners.append(self.refresh)
@@ -92,6 +94,7 @@
                     crashes=self.crashes,
                 )
                 scheduler.set_nodes(self.nodes)
+                scheduler.outliers.suspicions = self.suspicions
             usable = [s.entry for s in self.registry.of_service(name) if s.usable]
             scheduler.set_servers([self._view(entry, service) for entry in usable])
             self.pump(scheduler)
@@ -156,14 +159,10 @@
             If there must be no further attempt.
         """
         scheduler = self.owners[ticket]
-        if reason is RetryReason.SERVER_FAILED:
-            self.in_a_row[ticket.server] += 1
-            if self.in_a_row[ticket.server] < FAILURES_PAUSE:
-                reason = RetryReason.SERVER_SLOW
         verdict = scheduler.failed(
             ticket,
             self.now(),
-            reason,
+            self._weighed(ticket, reason, started=started),
             started=started,
             max_attempts=max_attempts,
         )
@@ -172,6 +171,25 @@
             raise refusal_error(verdict)
         self.queue_again(ticket, verdict.delay_s)
 
+    def gave_up(self, ticket: Ticket, reason: RetryReason, *, started: bool) -> None:
+        """Count a failed attempt after which there is no further one."""
+        scheduler = self.owners[ticket]
+        reason = self._weighed(ticket, reason, started=started)
+        scheduler.blame(ticket, self.now(), reason, started=started)
+
+    def _weighed(
+        self, ticket: Ticket, reason: RetryReason, *, started: bool
+    ) -> RetryReason:
+        """Return the reason that counts: one lost answer says little of a server."""
+        if started and reason in (RetryReason.SERVER_FAILED, RetryReason.SERVER_SLOW):
+            self.suspicions.failed(ticket.server, self.now())
+        if reason is not RetryReason.SERVER_FAILED:
+            return reason
+        self.in_a_row[ticket.server] += 1
+        if self.in_a_row[ticket.server] < FAILURES_PAUSE:
+            return RetryReason.SERVER_SLOW
+        return reason
+
     def note_break(self, ticket: Ticket, reason: RetryReason) -> None:
         """Count a crash against a request that a server broke off, if it was one.
 
--- a/packages/endive_gateway/src/endive_gateway/tellings.py
+++ b/packages/endive_gateway/src/endive_gateway/tellings.py
@@ -38,6 +38,8 @@
         What the sender read of the servers, if it reads for others.
     duty_end : int
         Newest end of the duties' log that the sender knows.
+    failing : dict of str to int
+        Failures that the sender met of late, by server.
     """
 
     node: str
@@ -54,6 +56,7 @@
     reported: int
     news: ServerNews | None = None
     duty_end: int = 0
+    failing: dict[str, int] = {}
 
 
 ENCODER = msgspec.msgpack.Encoder()
--- a/packages/endive_gateway/tests/test_forwarding.py
+++ b/packages/endive_gateway/tests/test_forwarding.py
@@ -193,6 +193,21 @@
     assert (got.status, got.body, got.headers["signed"]) == (500, b"failed", "yes")
 
 
+def test_a_server_that_fails_what_is_not_sent_again_gets_little_more():
+    """One of three servers answers each request with 500 at once and looks idle, and
+    no request may be sent twice. Judged by repeats only, it would go on to get a third
+    of all requests, and each of their callers a failure."""
+    servers = [ScriptedServer(server_id=f"i-{number}") for number in range(3)]
+    servers[1].script = [failing] * 90
+    got = []
+    with Running(*servers, table=make_table(make_route(**UNSAFE))) as running:
+        for _ in range(90):
+            got.append(running.call(method="POST", body=b"{}").status)
+            gevent.sleep(0.02)
+    assert got.count(500) <= 15
+    assert got.count(500) + got.count(200) == 90
+
+
 def test_a_server_at_anothers_address_is_not_asked_again():
     """A server ended and its address went to another one, which refuses what is not
     meant for it. Asked again and again, each request would lose a round trip."""
--- a/packages/endive_gateway/tests/test_peers.py
+++ b/packages/endive_gateway/tests/test_peers.py
@@ -4,11 +4,12 @@
 import gevent
 import pytest
 from endive_core.crashes import Crash
+from endive_gateway import peers as peers_module
 from endive_gateway.documents import unpacked
 from endive_gateway.interfaces import Topic
 from endive_gateway.peers import Peers
 from endive_gateway.tellings import DECODER, ENCODER, Telling
-from gateway_builders import MemoryStore, make_context, make_table
+from gateway_builders import MemoryStore, make_context, make_table, store_down
 
 
 def telling(**options):
@@ -75,6 +76,17 @@
     assert peers._telling(False).crashes[0][:2] == ("f", "i-1@3")
 
 
+def test_failures_of_servers_are_told_to_all(peers):
+    """A server fails each request. One node of sixty sends it one in three seconds,
+    and would go on; only all together can tell."""
+    placer = peers.context.placer
+    placer.suspicions.failed("i-1", time.monotonic())
+    assert peers._telling(gone=False).failing == {"i-1": 1}
+    peers.hear(telling(failing={"i-1": 9}), "127.0.0.2")
+    servers = [f"i-{number}" for number in range(8)]
+    assert placer.suspicions.suspects(servers, time.monotonic()) == {"i-1"}
+
+
 def test_nodes_find_each_other_by_the_store():
     store = MemoryStore()
     one, two = (Peers(make_context(make_table(), store=store, node=n)) for n in "ab")
@@ -207,3 +219,21 @@
     gevent.sleep(0.35)
     loop.kill()
     assert len(set(told)) == 80
+
+
+def test_a_store_that_turns_a_node_away_is_asked_ever_less_often(monkeypatch):
+    """A third of 87 nodes are turned away for seconds, and each call is paid for."""
+    gaps = []
+
+    def sleep(gap):
+        gaps.append(gap)
+        if len(gaps) == 12:
+            raise gevent.GreenletExit
+
+    monkeypatch.setattr(peers_module.gevent, "sleep", sleep)
+    store = MemoryStore()
+    store.fault = store_down
+    with pytest.raises(gevent.GreenletExit):
+        Peers(make_context(make_table(), store=store))._follow_list()
+    assert 0.2 < gaps[0] < 0.6
+    assert all(1.5 < gap < 4.5 for gap in gaps[5:])
