--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -5,6 +5,8 @@
 
 import gevent
 
+from soak.standins import WORK_S
+
 SERIES_SHARE = 0.35
 MOST_IN_SERIES = 4
 GAP_S = 0.9
@@ -177,16 +179,18 @@
 
 def server_errs(fleet, fault):
     server = backend_of(fleet, fault).server
-    server.erring = fault.x
-    gevent.sleep(fault.for_s)
-    server.erring = 0.0
+    if server is not None:  # between a crash and the next start
+        server.erring = fault.x
+        gevent.sleep(fault.for_s)
+        server.erring = 0.0
 
 
 def server_slow(fleet, fault):
     server = backend_of(fleet, fault).server
-    server.work_s = fault.x
-    gevent.sleep(fault.for_s)
-    server.work_s = 0.02
+    if server is not None:
+        server.work_s = fault.x
+        gevent.sleep(fault.for_s)
+        server.work_s = WORK_S
 
 
 FAULTS = {
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -22,6 +22,7 @@
 SERVERS = "keyed.servers"
 EVENTS = 8
 EVENT_GAP_S = 0.03
+WORK_S = 0.02
 SLOTS = 6
 QUEUE = 6
 
@@ -217,7 +218,7 @@
         self.promises = promises
         self.running = 0
         self.erring = 0.0
-        self.work_s = 0.02
+        self.work_s = WORK_S
         self.number = 0
         super().__init__(host, port)
 
