Take what other nodes give away in a module of its own

handover.py had 427 lines and two jobs: giving this node's requests away and taking those of others. Takeover has the second (100 lines), handover.py 347. No behaviour changes; two tests name the new object.

--- a/packages/endive_node/src/endive_node/handover.py
+++ b/packages/endive_node/src/endive_node/handover.py
@@ -4,23 +4,19 @@
 
 import gevent
 import msgspec
-from endive_core.exceptions import EndiveError, ErrorKind
 from endive_core.handover import (
     AnswerTransfer,
     Departure,
     RequestTransfer,
     batches,
     departure_order,
-    request_of,
     route_in,
     targets,
     transfer_of,
 )
 from endive_core.messages import Endpoint
 
-from endive_node.backends import PlainAnswer
 from endive_node.interfaces import Members
-from endive_node.ledger import RequestRecord
 from endive_node.locating import page_of
 from endive_node.logs import log_event
 from endive_node.notices import Notice, NoticeBoard
@@ -33,6 +29,7 @@
 from endive_node.runs import Run
 from endive_node.serving import Serving
 from endive_node.settings import NodeSection
+from endive_node.takeover import Takeover
 
 BATCH_RECORDS = 200
 BATCH_BYTES = 262_144
@@ -79,10 +76,12 @@
         self.board = board
         self.holders: dict[str, str] = {}
         self.begun = False
+        self.takeover = Takeover(serving)
+        self.take_requests = self.takeover.take_requests
+        self.take_answers = self.takeover.take_answers
         metrics = serving.metrics
         self.given = metrics.counter("endive_handover_requests_given")
         self.declined = metrics.counter("endive_handover_calls_declined")
-        self.taken = metrics.counter("endive_handover_requests_taken")
         board.listeners.append(self.on_notice)
 
     def on_notice(self, notice: Notice) -> None:
@@ -122,86 +121,7 @@
             seconds=clock.now() - started_at,
         )
 
-    # What other nodes give to this one
-
-    def take_requests(self, sender: str, encoded: list[bytes]) -> list[str]:
-        """Hold requests that `sender` gives away; return the ids held."""
-        if self.serving.stopping:
-            raise IDL.PeerError(kind="stopping", message="this node leaves too")
-        held = []
-        for data in encoded:
-            transfer = msgspec.msgpack.decode(data, type=RequestTransfer)
-            self._hold(transfer)
-            held.append(transfer.head.request_id)
-        log_event("handover_requests_taken", sender=sender, requests=len(held))
-        return held
-
-    def _hold(self, transfer: RequestTransfer) -> None:
-        ledger, clock = self.serving.ledger, self.serving.clock
-        known = ledger.get(transfer.head.request_id)
-        if known is not None and not known.moved:
-            return
-        now = clock.now()
-        left = transfer.deadline_in_s
-        request = request_of(transfer, None if left is None else now + left)
-        record = RequestRecord(
-            request,
-            now - transfer.age_s,
-            attempt=transfer.attempt,
-        )
-        run = self.serving.adopt(record, sent_before=transfer.dispatched)
-        self.taken.add(1)
-        if transfer.stopped:
-            run.go_on(in_background=True)
-        else:
-            gevent.spawn_later(transfer.starts_in_s, self.sender_gone, run)
-
-    def sender_gone(self, run: Run) -> None:
-        """Settle a request whose former holder never said that it had stopped.
-
-        An idempotent one starts. A non-idempotent one may have been sent to a server
-        in the holder's last moments, so it must not run again.
-        """
-        if not run.held or run.record.ended:
-            return
-        if run.record.request.non_idempotent:
-            run.end_unknown()
-        else:
-            # The holder may have sent it to a server after its record had left.
-            run.sent_before = True
-            run.go_on(in_background=True)
-
-    def take_answers(self, sender: str, encoded: list[bytes]) -> list[str]:
-        """Take the answers so far and go on with them; return the ids that do."""
-        if self.serving.stopping:
-            raise IDL.PeerError(kind="stopping", message="this node leaves too")
-        taken = []
-        for data in encoded:
-            transfer = msgspec.msgpack.decode(data, type=AnswerTransfer)
-            run = self.serving.ledger.get(transfer.request_id)
-            if run is not None and not run.moved:
-                self._continue(run, transfer)
-                taken.append(transfer.request_id)
-        return taken
-
-    def _continue(self, run: Run, transfer: AnswerTransfer) -> None:
-        record = run.record
-        if not run.held or record.ended:
-            return
-        record.tokens[:] = transfer.tokens
-        record.attempt = transfer.attempt
-        run.sent_before = run.sent_before or transfer.dispatched
-        run.continues = transfer.continues
-        if transfer.status:
-            record.plain_answer = PlainAnswer(
-                transfer.status, transfer.content_type, transfer.data
-            )
-        if transfer.finish_reason:
-            run.end_whole(transfer.finish_reason)
-        elif transfer.error:
-            run.end_failed(EndiveError(ErrorKind(transfer.error), transfer.message))
-        else:
-            run.go_on(in_background=True)
+    # What other nodes ask this one
 
     def read_answer(
         self, organisation: str, request_id: str, key: str, start: int, wait_s: float
--- /dev/null
+++ b/packages/endive_node/src/endive_node/takeover.py
@@ -0,0 +1,100 @@
+"""Requests that other nodes give away: held here until they may go on."""
+
+import gevent
+import msgspec
+from endive_core.exceptions import EndiveError, ErrorKind
+from endive_core.handover import AnswerTransfer, RequestTransfer, request_of
+
+from endive_node.backends import PlainAnswer
+from endive_node.ledger import RequestRecord
+from endive_node.logs import log_event
+from endive_node.peers import IDL
+from endive_node.runs import Run
+from endive_node.serving import Serving
+
+
+class Takeover:
+    """Takes over the requests of nodes that are told to go."""
+
+    def __init__(self, serving: Serving) -> None:
+        self.serving = serving
+        self.taken = serving.metrics.counter("endive_handover_requests_taken")
+
+    def take_requests(self, sender: str, encoded: list[bytes]) -> list[str]:
+        """Hold requests that `sender` gives away; return the ids held."""
+        if self.serving.stopping:
+            raise IDL.PeerError(kind="stopping", message="this node leaves too")
+        held = []
+        for data in encoded:
+            transfer = msgspec.msgpack.decode(data, type=RequestTransfer)
+            self._hold(transfer)
+            held.append(transfer.head.request_id)
+        log_event("handover_requests_taken", sender=sender, requests=len(held))
+        return held
+
+    def _hold(self, transfer: RequestTransfer) -> None:
+        ledger, clock = self.serving.ledger, self.serving.clock
+        known = ledger.get(transfer.head.request_id)
+        if known is not None and not known.moved:
+            return
+        now = clock.now()
+        left = transfer.deadline_in_s
+        request = request_of(transfer, None if left is None else now + left)
+        record = RequestRecord(
+            request,
+            now - transfer.age_s,
+            attempt=transfer.attempt,
+        )
+        run = self.serving.adopt(record, sent_before=transfer.dispatched)
+        self.taken.add(1)
+        if transfer.stopped:
+            run.go_on(in_background=True)
+        else:
+            gevent.spawn_later(transfer.starts_in_s, self.sender_gone, run)
+
+    def sender_gone(self, run: Run) -> None:
+        """Settle a request whose former holder never said that it had stopped.
+
+        An idempotent one starts. A non-idempotent one may have been sent to a server
+        in the holder's last moments, so it must not run again.
+        """
+        if not run.held or run.record.ended:
+            return
+        if run.record.request.non_idempotent:
+            run.end_unknown()
+        else:
+            # The holder may have sent it to a server after its record had left.
+            run.sent_before = True
+            run.go_on(in_background=True)
+
+    def take_answers(self, sender: str, encoded: list[bytes]) -> list[str]:
+        """Take the answers so far and go on with them; return the ids that do."""
+        if self.serving.stopping:
+            raise IDL.PeerError(kind="stopping", message="this node leaves too")
+        taken = []
+        for data in encoded:
+            transfer = msgspec.msgpack.decode(data, type=AnswerTransfer)
+            run = self.serving.ledger.get(transfer.request_id)
+            if run is not None and not run.moved:
+                self._continue(run, transfer)
+                taken.append(transfer.request_id)
+        return taken
+
+    def _continue(self, run: Run, transfer: AnswerTransfer) -> None:
+        record = run.record
+        if not run.held or record.ended:
+            return
+        record.tokens[:] = transfer.tokens
+        record.attempt = transfer.attempt
+        run.sent_before = run.sent_before or transfer.dispatched
+        run.continues = transfer.continues
+        if transfer.status:
+            record.plain_answer = PlainAnswer(
+                transfer.status, transfer.content_type, transfer.data
+            )
+        if transfer.finish_reason:
+            run.end_whole(transfer.finish_reason)
+        elif transfer.error:
+            run.end_failed(EndiveError(ErrorKind(transfer.error), transfer.message))
+        else:
+            run.go_on(in_background=True)
--- a/packages/endive_node/tests/test_run_handover.py
+++ b/packages/endive_node/tests/test_run_handover.py
@@ -37,7 +37,7 @@
     sender was killed. The receiver finds no server; the request may have run."""
     path = serving(FakeEngines(not_started()), servers=1)
     run = path.adopt(RequestRecord(request(path), 0.0), sent_before=False)
-    handover(path).sender_gone(run)
+    handover(path).takeover.sender_gone(run)
     assert error_of(run).executed is Executed.UNKNOWN
 
 
@@ -65,5 +65,5 @@
     assert (sent.continues, sent.dispatched) == (1, True)
     receiver = serving(FakeEngines(None))
     taken = receiver.adopt(RequestRecord(request(receiver), 0.0), sent_before=False)
-    handover(receiver)._continue(taken, sent)
+    handover(receiver).takeover._continue(taken, sent)
     assert taken.claim_continues == 1
