--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -8,10 +8,11 @@
 """Loopback addresses of this worker's own, so that runs beside it don't meet."""
 
 SEEDS = (31, 21, 303924)
-"""A short run, and two seeds that broke a promise before it was mended. 21: all nodes were
-killed while the store was away; when it was back, each served for up to three seconds
-before it knew of the others: together they let through 3,100 units of 3,000. 303924: the same, since the store took
-their own entries and its answers were lost; 3,020 units."""
+"""A short run, and two seeds that broke a promise before it was mended. 21: all nodes
+were killed while the store was away; when it was back, each served for up to three
+seconds before it knew of the others, and together they let through 3,100 units of
+3,000. 303924: the same, since the store carried out writes and lost its answers; 3,020
+units."""
 
 BROKEN = {77: 100, 79: 100}
 """Nodes by seed, of each that ever broke a promise. Both: a hundred nodes tell each
