--- a/packages/endive_gateway/src/endive_gateway/peers.py
+++ b/packages/endive_gateway/src/endive_gateway/peers.py
@@ -395,4 +395,5 @@
             if self._add(entry.address) is not None and not known:
                 self.context.limits.expect(entry.address, time.monotonic())
         self.context.set_nodes(len(self.known) + 1)
+        self.listed.set()
         self.tell()
--- a/packages/endive_gateway/tests/test_peers.py
+++ b/packages/endive_gateway/tests/test_peers.py
@@ -196,6 +196,18 @@
     assert time.monotonic() - started < 0.15
 
 
+def test_a_node_that_starts_waits_no_longer_than_for_the_list():
+    """Few nodes start, and the store gives the list of nodes in milliseconds. Waiting
+    out the longest time for it, each turns its callers away for a tenth of a second."""
+    peers = Peers(make_context(make_table(), store=MemoryStore()))
+    peers.tell = lambda **_options: None
+    listing = gevent.spawn(peers._follow_list)
+    started = time.monotonic()
+    assert not peers.await_first_configuration()
+    listing.kill()
+    assert time.monotonic() - started < 0.05
+
+
 def test_a_newcomer_is_told_at_once_of_the_configuration(peers):
     """A node that starts would hear of one only with the next round of tellings, up to
     0.9 s later, and turn its callers away until then."""
