--- a/packages/endive_gateway/src/endive_gateway/ordering.py
+++ b/packages/endive_gateway/src/endive_gateway/ordering.py
@@ -32,6 +32,11 @@
 """Time after which an order is sent again though it was taken, seconds: a lost change
 at the cloud would otherwise never be noticed."""
 
+STARTED_S = 2.0
+"""Time beyond a server's start by which it must be in the list, seconds: it writes once
+in 1.2 s, and the list is read each 0.7 s. An order whose servers are missing then is
+sent again."""
+
 UNMEASURED_S = 8.0
 """Time of traffic after which the measured load is trusted, seconds. Until then the
 servers that are there at the start say how many are needed."""
@@ -44,6 +49,10 @@
 """Time for which fewer servers must be wanted before any is given back, seconds: a
 little more than one takes to start."""
 
+LOWER_ON_DEMAND_S = 1.0
+"""The same for on-demand servers, which go only when reclaimable ones are ready in
+their place: each second of four of them costs as much as 22 s of a reclaimable one."""
+
 LOWER_IDLE_S = 0.5
 """The same before the first request of all: nothing is lost by it."""
 
@@ -90,11 +99,19 @@
         self.next_try_at = now
 
     def step(self, node: str, lease: Lease, now: float) -> None:
-        """Send the orders that are due."""
-        if now < self.next_try_at or not self._settled(now):
+        """Send the orders that are due.
+
+        Before all servers have registered only reclaimable ones are ordered, so many as
+        the servers seen so far call for: they take 4 s to start, on-demand ones run
+        meanwhile, and more can be ordered at the next step.
+        """
+        if now < self.next_try_at or not self.context.registry.known_once:
             return
+        settled = self._settled(now)
         for service in self._scaled():
             for pool, servers in self._wanted(service, now).items():
+                if not (settled or pool.reclaimable):
+                    continue
                 # The orders before this one may have taken seconds at a slow cloud.
                 if not lease.held(self.clock() + CALL_S):
                     return
@@ -136,8 +153,6 @@
         Sized by the first few that wrote their entries, a service would shrink before
         the first request comes.
         """
-        if not self.context.registry.known_once:
-            return False
         if self.known_at is None:
             self.known_at = now
         return self.traffic_since is not None or now - self.known_at >= SETTLED_S
@@ -148,7 +163,8 @@
         first = sum(s.usable and not s.entry.reclaimable for s in servers)
         self.begun_with[service.name] = max(first, self.begun_with.get(service.name, 0))
 
-    def _wanted(self, service: Service, now: float) -> dict[Pool, int]:
+    def _pools(self, service: Service) -> dict[Pool, PoolState]:
+        """Count the servers that are there."""
         pools: dict[Pool, PoolState] = {}
         for known in self.context.registry.of_service(service.name):
             pool = Pool(known.entry.zone, known.entry.reclaimable)
@@ -157,6 +173,10 @@
                 state.ready += 1
             else:
                 state.leaving += 1
+        return pools
+
+    def _wanted(self, service: Service, now: float) -> dict[Pool, int]:
+        pools = self._pools(service)
         self._see_reclaims(service, pools, now)
         refused = {
             pool: refusal.until
@@ -219,7 +239,8 @@
         since = self.lower_since.setdefault(key, now)
         if self.traffic_since is None:
             return now - since >= LOWER_IDLE_S
-        return self._is_measured(now) and now - since >= LOWER_AFTER_S
+        after_s = LOWER_AFTER_S if key[1].reclaimable else LOWER_ON_DEMAND_S
+        return self._is_measured(now) and now - since >= after_s
 
     def _order(
         self, node: str, lease: Lease, service: Service, pool: Pool, servers: int, now
@@ -231,8 +252,10 @@
         taken = self.taken.get(key)
         if taken is not None and not self._may_lower(key, servers, taken[0], now):
             return
-        if taken is not None and taken[0] == servers and now - taken[1] < REPEAT_S:
-            return
+        if taken is not None and taken[0] == servers:
+            repeat_s = self._repeat_s(service, pool, servers)
+            if now - taken[1] < repeat_s:
+                return
         order = Order(service.name, pool.zone, servers, pool.reclaimable)
         try:
             self.context.cloud.order(node, lease.fence, order)
@@ -255,6 +278,12 @@
             ready=self.had_ready.get(key, 0),
         )
 
+    def _repeat_s(self, service: Service, pool: Pool, servers: int) -> float:
+        """Return the time after which the same order is sent again, seconds."""
+        if self._pools(service).get(pool, PoolState()).ready >= servers:
+            return REPEAT_S
+        return min(REPEAT_S, service.scaling.boot_s + STARTED_S)
+
     def _note_refusal(self, key, refusal: Refused | None, now: float) -> None:
         pause = RECLAIMED_BACKOFF_S
         if refusal is not None:
