--- a/packages/endive_core/src/endive_core/suspicions.py
+++ b/packages/endive_core/src/endive_core/suspicions.py
@@ -25,6 +25,12 @@
 MOST_SHARE = 0.25
 """Part of the servers that may be suspected: the rest must carry the load."""
 
+LEAST_SERVERS = 3
+"""Servers from which one may be suspected, though it is more than that part. A service
+of three has callers get a failure for one request in four for as long as one of them
+fails two in three: too few reach any one of a hundred nodes to be told by it alone.
+With two, nothing says which is the odd one."""
+
 HOLD_S = 3.0
 MOST_HOLD_S = 12.0
 """How long a suspect gets no work the first time, and at most, seconds. It doubles for
@@ -72,7 +78,10 @@
         """Return those of `servers` that get no work for now."""
         totals, nodes = self._totals(servers, now)
         total = sum(totals.values())
-        for server, failures in totals.most_common(int(MOST_SHARE * len(servers))):
+        most = int(MOST_SHARE * len(servers))
+        if len(servers) >= LEAST_SERVERS:
+            most = max(1, most)
+        for server, failures in totals.most_common(most):
             usual = (total - failures) / max(1, len(servers) - 1)
             enough = failures >= LEAST_FAILURES and nodes[server] >= LEAST_NODES
             if enough and failures >= RATIO * usual:
--- a/packages/endive_core/tests/test_suspicions.py
+++ b/packages/endive_core/tests/test_suspicions.py
@@ -1,8 +1,10 @@
 from random import Random
 
+import pytest
 from endive_core.suspicions import (
     HOLD_S,
     LEAST_FAILURES,
+    LEAST_SERVERS,
     MOST_SHARE,
     MOST_TOLD,
     RATIO,
@@ -14,6 +16,13 @@
 LIARS = set(SERVERS[:4])
 TELL_S = 0.7
 
+FEW_SERVERS = ("server-a", "server-b", "server-c")
+MANY_NODES = 100
+REQUESTS_PER_S = 35
+FAILING_SHARE = 0.69
+TOLD_EVERY_S = 1.0
+LENGTH_S = 25.0
+
 
 def failed(made, server, times, now=10.0):
     for _ in range(times):
@@ -107,3 +116,53 @@
     for server in SERVERS:
         made.failed(server, 1.0)
     assert len(made.tell(1.0)) == MOST_TOLD
+
+
+def failures_of_few(seed, failing):
+    """Play many nodes before three servers; return the part of requests that fail."""
+    random = Random(seed)
+    fleet = [Suspicions() for _ in range(MANY_NODES)]
+    told_at = [random.random() * TOLD_EVERY_S for _ in fleet]
+    asked = lost = 0
+    while (now := asked / REQUESTS_PER_S) < LENGTH_S:
+        for number, due_at in enumerate(told_at):
+            if now >= due_at:
+                told_at[number] += TOLD_EVERY_S
+                tell_others(fleet, number, now)
+        node = random.choice(fleet)
+        suspects = node.suspects(FEW_SERVERS, now)
+        server = random.choice([s for s in FEW_SERVERS if s not in suspects])
+        asked += 1
+        if server in failing and random.random() < FAILING_SHARE:
+            node.failed(server, now)
+            lost += 1
+    return lost / asked
+
+
+def tell_others(fleet, number, now):
+    told = fleet[number].tell(now)
+    for other, node in enumerate(fleet):
+        if other != number:
+            node.hear(str(number), told, now)
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_one_failing_server_of_three_is_found_by_many_nodes(seed):
+    """One of three servers answers two requests in three with a failure, and a hundred
+    nodes send it a request in ten seconds each. Callers would get a failure for 23
+    requests in 100 for as long as it goes on; under 10 do."""
+    assert failures_of_few(seed, FEW_SERVERS[:1]) < 0.1
+
+
+def test_one_of_two_servers_is_not_suspected():
+    """Without a third server nothing says which of two is the odd one."""
+    servers = FEW_SERVERS[: LEAST_SERVERS - 1]
+    made = Suspicions()
+    failed(made, servers[0], LEAST_FAILURES, now=1.0)
+    made.hear("other", {servers[0]: LEAST_FAILURES}, 1.0)
+    assert made.suspects(servers, 1.0) == set()
+
+
+def test_two_failing_servers_of_three_keep_their_work():
+    """Where most servers fail, the third alone could not carry the load."""
+    assert failures_of_few(1, FEW_SERVERS[:2]) == pytest.approx(0.46, abs=0.08)
