--- a/packages/endive_ctl/src/endive_ctl/cli.py
+++ b/packages/endive_ctl/src/endive_ctl/cli.py
@@ -4,6 +4,7 @@
 4 another change was applied first.
 """
 
+import dataclasses
 import os
 import sys
 import time
@@ -15,6 +16,8 @@
 from endive_ctl import tables
 from endive_ctl.client import UNREACHABLE, ApiError, OperatorClient
 from endive_ctl.files import FileError, read_resources
+from endive_ctl.loglines import read_lines
+from endive_ctl.losses import Losses
 
 DEFAULT_SERVERS = "http://127.0.0.1:8081"
 WATCH_PAUSE_S = 1.0
@@ -135,6 +138,28 @@
         answer = self._client.explain(request_id)
         self._show(answer, tables.explanation(answer))
 
+    def losses(self, *files: str, every: float = 2.0) -> None:
+        """Show where callers lost, by route and cause, from gateways' log FILES.
+
+        With --every SECONDS the steps of time get that length.
+        """
+        if not isinstance(every, int | float) or every <= 0:
+            raise FileError(f"--every: found {every!r}, allowed: seconds over 0")
+        found = Losses.from_lines(read_lines(files), every)
+        self._show(found.to_body(), tables.losses(found))
+
+    def trace(self, request_id: str, *files: str) -> None:
+        """Show the way of one request over all nodes, from gateways' log FILES."""
+        lines = [
+            line
+            for line in read_lines(files)
+            if line.fields.get("request") == str(request_id)
+        ]
+        if not lines:
+            raise FileError(f"no line of request {request_id} in these files")
+        answer = {"lines": [dataclasses.asdict(line) for line in lines]}
+        self._show(answer, tables.trace(lines))
+
     def _show(self, answer: dict, text: str) -> None:
         print(json_text(answer) if self._json else text, flush=True)
 
--- /dev/null
+++ b/packages/endive_ctl/src/endive_ctl/loglines.py
@@ -0,0 +1,75 @@
+"""Lines of the gateways' logs, read back."""
+
+import re
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, replace
+from pathlib import Path
+
+from endive_ctl.files import FileError
+
+LINE = re.compile(
+    r"(?:(?P<node>\S+) )?[IWEF]\d{4} (?P<hours>\d\d):(?P<minutes>\d\d):"
+    r"(?P<seconds>\d\d\.\d+) +\d+ \S+\] (?P<event>event=.*)"
+)
+PAIR = re.compile(r'(\w+)=("[^"]*"|\S+)')
+DAY_S = 86_400.0
+
+
+@dataclass(frozen=True, slots=True)
+class LogLine:
+    """One event of one node.
+
+    Attributes
+    ----------
+    at : float
+        Seconds since the earliest line.
+    node : str
+        What the collector of the logs put before the line; empty if nothing.
+    fields : dict of str to str
+        The key=value pairs, the event's name left out.
+    """
+
+    at: float
+    node: str
+    event: str
+    fields: dict[str, str]
+
+    def number(self, key: str) -> float:
+        """Return a field as a number; 0 where it is missing or none."""
+        try:
+            return float(self.fields.get(key, 0.0))
+        except ValueError:
+            return 0.0
+
+
+def read_lines(paths: Iterable[str | Path]) -> list[LogLine]:
+    """Return the events in log files, in order of time; other lines are left out.
+
+    Raises
+    ------
+    FileError
+        If a file can't be read, or none holds an event.
+    """
+    found = [line for path in paths for line in _read(path)]
+    if not found:
+        raise FileError("no line with event=... in these files")
+    # Half a day either side of the first line read, so that logs may span midnight.
+    middle = found[0].at
+    times = [(line.at - middle + DAY_S / 2) % DAY_S for line in found]
+    start = min(times)
+    lines = [
+        replace(line, at=at - start) for line, at in zip(found, times, strict=True)
+    ]
+    return sorted(lines, key=lambda line: line.at)
+
+
+def _read(path: str | Path) -> Iterator[LogLine]:
+    try:
+        text = Path(path).read_text(encoding="utf-8", errors="replace")
+    except OSError as error:
+        raise FileError(f"{path}: {error.strerror}") from None
+    for match in LINE.finditer(text):
+        pairs = {key: value.strip('"') for key, value in PAIR.findall(match["event"])}
+        clock = int(match["hours"]) * 3600 + int(match["minutes"]) * 60
+        at = clock + float(match["seconds"])
+        yield LogLine(at, match["node"] or "", pairs.pop("event"), pairs)
--- a/packages/endive_ctl/src/endive_ctl/tables.py
+++ b/packages/endive_ctl/src/endive_ctl/tables.py
@@ -1,8 +1,12 @@
 """Answers as tables for people."""
 
 import time
+from collections import Counter
 from collections.abc import Iterable, Sequence
 
+from endive_ctl.loglines import LogLine
+from endive_ctl.losses import Losses
+
 GAP = "  "
 NO_VALUE = "-"
 
@@ -110,6 +114,44 @@
     return "\n".join(lines)
 
 
+def losses(found: Losses) -> str:
+    """Return where callers lost, by route and by time, and what serving cost."""
+    causes = found.causes()
+
+    def rows(groups) -> list[tuple]:
+        return [(name, *(c[cause] for cause in causes)) for name, c in groups]
+
+    total = sum(found.by_route.values(), Counter())
+    by_route = [*sorted(found.by_route.items()), ("all", total)]
+    by_time = [(f"{at:.0f} s", c) for at, c in sorted(found.by_time.items())]
+    servers = [(*key, round(s)) for key, s in sorted(found.servers_s.items())]
+    dark = [(node, f"{s:.2f}") for node, s in sorted(found.dark_s.items())]
+    return "\n\n".join(
+        (
+            table(("ROUTE", *causes), rows(by_route)),
+            table(("FROM", *causes), rows(by_time)),
+            table(("SERVICE", "KIND", "SERVER SECONDS ORDERED"), servers),
+            table(("NODE", "DARK SECONDS"), dark),
+            f"prompt tokens sent {found.prompt_tokens:.0f}, "
+            f"expected to be computed {found.uncached_tokens:.0f}",
+        )
+    )
+
+
+def trace(lines: Iterable[LogLine]) -> str:
+    """Return all that was logged of one request, a line an event."""
+    rows = (
+        (
+            f"{line.at:.3f} s",
+            line.node or NO_VALUE,
+            line.event,
+            " ".join(f"{k}={v}" for k, v in line.fields.items() if k != "request"),
+        )
+        for line in lines
+    )
+    return table(("AT", "NODE", "EVENT", "FIELDS"), rows)
+
+
 def clock(at: float) -> str:
     """Return a time of day in UTC."""
     return time.strftime("%Y-%m-%dT%H:%M:%SZ", time.gmtime(at))
--- /dev/null
+++ b/packages/endive_ctl/tests/test_loglines.py
@@ -0,0 +1,50 @@
+import pytest
+from endive_ctl.files import FileError
+from endive_ctl.loglines import read_lines
+from log_builders import log_line
+
+
+def written(tmp_path, *names_and_texts):
+    paths = []
+    for name, text in names_and_texts:
+        paths.append(tmp_path / name)
+        paths[-1].write_text(text)
+    return paths
+
+
+def test_lines_of_several_nodes_stand_in_order_of_time(tmp_path):
+    paths = written(
+        tmp_path,
+        ("a", log_line("start", at=12, node="a") + "no event here\n"),
+        ("b", log_line("start", at=10, node="b", why='"a b"')),
+    )
+    lines = read_lines(paths)
+    assert [(line.node, line.at) for line in lines] == [("b", 0), ("a", 2)]
+    assert lines[0].fields == {"why": "a b"}
+
+
+def test_logs_may_span_midnight(tmp_path):
+    """An incident shortly before midnight goes on into the next day.
+
+    Read by the clock alone, its end would stand before its beginning.
+    """
+    before = log_line("start", at=86_399)
+    after = log_line("stopped", at=1)
+    (path,) = written(tmp_path, ("a", after + before))
+    events = [(line.event, line.at) for line in read_lines([path])]
+    assert events == [("start", 0), ("stopped", 2)]
+
+
+def test_a_field_that_is_no_number_counts_as_none(tmp_path):
+    (path,) = written(tmp_path, ("a", log_line("request", ms="None")))
+    (line,) = read_lines([path])
+    assert line.number("ms") == line.number("missing") == 0
+
+
+@pytest.mark.parametrize("text", [None, "nothing logged\n"])
+def test_a_file_without_events_is_a_clear_error(tmp_path, text):
+    path = tmp_path / "log"
+    if text is not None:
+        path.write_text(text)
+    with pytest.raises(FileError):
+        read_lines([path])
