--- a/Makefile
+++ b/Makefile
@@ -5,9 +5,11 @@
 PROJECTS := pyproject.toml $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
 
 .PHONY: run test lint format check-model bench bench-decisions bench-limits bench-capacity
-.PHONY: bench-handover bench-moves bench-claims soak
+.PHONY: bench-handover bench-moves bench-claims soak experiment
 
 SEEDS ?= 10
+POLICIES ?= all,no-backlogs,no-affinity
+DEPLOYMENT ?= benchmarks/experiments/deployments/seven-nodes.toml
 
 $(STAMP): $(PROJECTS)
 	test -x $(BIN)/python || python3 -m venv $(VENV)
@@ -55,3 +57,7 @@
 
 soak: $(STAMP)
 	PYTHONPATH=tests $(BIN)/python -m soak.play --seeds $(SEEDS)
+
+experiment: $(STAMP)
+	PYTHONPATH=benchmarks $(BIN)/python -m experiments compare $(DEPLOYMENT) \
+		--policies $(POLICIES) --seeds $(SEEDS)
--- /dev/null
+++ b/benchmarks/experiments/__main__.py
@@ -0,0 +1,72 @@
+"""The command: ``python -m experiments compare FILE --policies all,no-backlogs``."""
+
+from concurrent.futures import ProcessPoolExecutor
+from pathlib import Path
+
+import fire
+
+from experiments.deployment import Deployment
+from experiments.play import Options, Play
+from experiments.report import Figures, figures_of, plot, table
+
+WORKERS = 4
+
+POLICIES = {
+    "all": Options(),
+    "no-backlogs": Options(backlogs=False),
+    "no-affinity": Options().limits(affinity_candidates=0, max_known_blocks=2),
+    "half-belief": Options().limits(affinity_belief=0.5),
+    "no-load-bound": Options().limits(load_bound=100.0),
+    "no-crowding": Options().limits(crowding_s=0.0),
+    "fixed-rate": Options(learned_rate=False),
+    "fewer-servers": Options(used_part=1.15),
+    "more-servers": Options(used_part=0.65),
+}
+"""Policies by name: all decisions as a gateway has them, or one of them changed."""
+
+
+def compare(
+    file: str,
+    policies: str = "all,no-backlogs,no-affinity",
+    seeds: int = 6,
+    page: str = "",
+    picture: str = "",
+) -> None:
+    """Play policies on the same seeds; print a table with paired differences.
+
+    Parameters
+    ----------
+    file
+        A deployment in TOML; see ``benchmarks/experiments/deployments``.
+    policies
+        Names, the first of which the others are compared with.
+    page, picture
+        Where to write the table and the plot as well.
+    """
+    names = policies.split(",") if isinstance(policies, str) else list(policies)
+    unknown = set(names) - POLICIES.keys()
+    if unknown:
+        raise SystemExit(f"no policy {sorted(unknown)}, allowed: {', '.join(POLICIES)}")
+    jobs = [(file, name, seed) for name in names for seed in range(1, seeds + 1)]
+    with ProcessPoolExecutor(WORKERS) as pool:
+        found = list(pool.map(play, jobs))
+    plays = {name: [] for name in names}
+    for (_, name, _), figures in zip(jobs, found, strict=True):
+        plays[name].append(figures)
+    made = table(plays)
+    print(made)
+    if page:
+        Path(page).write_text(made + "\n")
+    if picture:
+        plot(plays, Path(picture))
+
+
+def play(job: tuple[str, str, int]) -> Figures:
+    """Play one policy on one seed."""
+    file, name, seed = job
+    deployment = Deployment.from_file(file)
+    return figures_of(deployment, Play(deployment, POLICIES[name], seed).run())
+
+
+if __name__ == "__main__":
+    fire.Fire({"compare": compare, "policies": lambda: print(*POLICIES, sep="\n")})
--- /dev/null
+++ b/benchmarks/experiments/report.py
@@ -0,0 +1,133 @@
+"""What plays brought, compared in pairs: a table and a plot."""
+
+import statistics
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+from pathlib import Path
+
+from experiments.deployment import Deployment
+from experiments.play import Result
+
+SERVER_PRICE = 3.2
+"""Price of one second of an on-demand engine, in the unit of the requests' worth: what
+the users' sheets charge."""
+
+LATE_PART = 0.1
+CONFIDENCE = 1.96
+"""Half width of a 95 % interval in standard errors."""
+
+
+@dataclass(frozen=True)
+class Figures:
+    """One play in figures.
+
+    Attributes
+    ----------
+    served : float
+        Worth of what callers got over the worth of all that they asked for.
+    servers : float
+        Price of the engines over the same.
+    late, lost : dict of str to float
+        Parts by class.
+    first_p99_s : dict of str to float
+        99th percentile of the time to the first token by class.
+    """
+
+    served: float
+    servers: float
+    read_again: float
+    late: Mapping[str, float]
+    lost: Mapping[str, float]
+    first_p99_s: Mapping[str, float]
+
+    @property
+    def worth(self) -> float:
+        """Served worth less the engines' price."""
+        return self.served - self.servers
+
+
+def figures_of(deployment: Deployment, result: Result) -> Figures:
+    """Return one play's figures."""
+    owed = earned = 0.0
+    late, lost, p99 = {}, {}, {}
+    for name, kind in deployment.requests.items():
+        ended = [end for end in result.ended if end.kind == name]
+        target_s = kind.target_ms / 1000
+        ok = [end for end in ended if end.outcome == "ok"]
+        late_ones = sum(end.first_s > target_s for end in ok)
+        owed += kind.worth * len(ended)
+        earned += kind.worth * (len(ok) - (1 - LATE_PART) * late_ones)
+        late[name] = late_ones / max(1, len(ended))
+        lost[name] = 1 - len(ok) / max(1, len(ended))
+        firsts = sorted(end.first_s for end in ok) or [0.0]
+        p99[name] = firsts[int(0.99 * (len(firsts) - 1))]
+    again = result.read_again / max(1.0, result.read)
+    servers = SERVER_PRICE * result.servers_s / owed
+    return Figures(earned / owed, servers, again, late, lost, p99)
+
+
+def table(plays: Mapping[str, Sequence[Figures]]) -> str:
+    """Return a Markdown table; differences are paired with the first policy.
+
+    Parameters
+    ----------
+    plays : mapping of str to sequence of Figures
+        For each policy one play a seed, in the same order of seeds.
+    """
+    first = next(iter(plays.values()))
+    kinds = list(first[0].late)
+    head = ["policy", "worth", "difference", "served", "engines", "read again"]
+    head += [f"{kind} late, p99 s" for kind in kinds]
+    lines = ["| " + " | ".join(head) + " |", "| --- " * len(head) + "|"]
+    for name, found in plays.items():
+        row = [
+            name,
+            f"{_mean(f.worth for f in found):.3f}",
+            _difference(found, first),
+            f"{_mean(f.served for f in found):.3f}",
+            f"{_mean(f.servers for f in found):.3f}",
+            f"{_mean(f.read_again for f in found):.3f}",
+        ]
+        for kind in kinds:
+            late = _mean(f.late[kind] for f in found)
+            p99 = _mean(f.first_p99_s[kind] for f in found)
+            row.append(f"{100 * late:.1f} %, {p99:.2f}")
+        lines.append("| " + " | ".join(row) + " |")
+    return "\n".join(lines)
+
+
+def plot(plays: Mapping[str, Sequence[Figures]], path: Path) -> None:
+    """Draw each policy's worth by seed, less the first policy's."""
+    from matplotlib.figure import Figure
+
+    first = next(iter(plays.values()))
+    figure = Figure(figsize=(7, 0.6 + 0.4 * len(plays)))
+    axes = figure.subplots()
+    for row, found in enumerate(plays.values()):
+        differences = _differences(found, first)
+        axes.plot(differences, [row] * len(differences), "o", alpha=0.5)
+        axes.plot([statistics.mean(differences)], [row], "k|", markersize=18)
+    axes.set_yticks(range(len(plays)), list(plays))
+    axes.axvline(0.0, color="grey", linewidth=0.8)
+    axes.set_xlabel("difference in worth to the first policy, a point a seed")
+    figure.tight_layout()
+    figure.savefig(path)
+
+
+def _difference(found: Sequence[Figures], first: Sequence[Figures]) -> str:
+    if found is first:
+        return ""
+    differences = _differences(found, first)
+    if len(differences) < 2:
+        return f"{differences[0]:+.3f}"
+    error = statistics.stdev(differences) / len(differences) ** 0.5
+    return f"{statistics.mean(differences):+.4f} ± {CONFIDENCE * error:.4f}"
+
+
+def _differences(found: Sequence[Figures], first: Sequence[Figures]) -> list[float]:
+    pairs = zip(found, first, strict=True)
+    return [one.worth - other.worth for one, other in pairs]
+
+
+def _mean(values) -> float:
+    return statistics.mean(list(values))
