Stop the clock where a test counts what a limit lets through

Cause: the limit of the test gains 100 units a second, and after two requests of 60 it is 20 below zero; the machine held the process up for more than 0.2 s, so the third one passed as it may. By the refusals' 0.585 s the limit stood at -58.4 after three, which is 0.216 s after it was full. Repeated with 10 ms a datagram: 3 each time.

Ruled out: a request let through twice, a node that did not ask (each one's spending is looked at by the same test and was 60 three times).

The clock now stands still for the limits, with the same bounds, and the slow datagrams are a test of their own, with the same bounds.

--- a/packages/endive_gateway/tests/test_spending.py
+++ b/packages/endive_gateway/tests/test_spending.py
@@ -1,4 +1,5 @@
 import time
+from types import SimpleNamespace
 
 import gevent
 import msgspec
@@ -197,11 +198,29 @@
     return nodes, takes
 
 
+@pytest.fixture
+def stopped_clock(monkeypatch):
+    """No time passes for the limits, however long the machine holds this process up.
+
+    In 0.2 s the limit of these tests gains 20 units, and a third request may come.
+    """
+    now = time.monotonic()
+    monkeypatch.setattr(spending, "time", SimpleNamespace(monotonic=lambda: now))
+
+
 def waits_of(takes):
     gevent.joinall(takes, timeout=2.0)
     return [take.value for take in takes]
 
 
+def assert_two_pass(nodes, waits):
+    assert waits.count(0.0) == 2
+    assert all(0.0 < wait < 1.0 for wait in waits if wait)
+    spent = [notes.context.limits.tell().get("o", 0.0) for notes in nodes]
+    assert sorted(spent)[-3:] == [0.0, 60.0, 60.0]
+
+
+@pytest.mark.usefixtures("stopped_clock")
 def test_among_many_nodes_more_than_the_even_part_is_asked_for(fleet, monkeypatch):
     """Thirty nodes believe that 100 units are left. Each could let through a request of
     60 units before it has heard of another's, 1,800 units together; the first that asks
@@ -210,13 +229,28 @@
     # Nobody is late here, however long the machine holds this process up.
     monkeypatch.setattr(spending, "ASK_S", 1.5)
     nodes, takes = ask_all_at_once(fleet)
-    waits = waits_of(takes)
-    assert waits.count(0.0) == 2
-    assert all(0.0 < wait < 1.0 for wait in waits if wait)
-    spent = [notes.context.limits.tell().get("o", 0.0) for notes in nodes]
-    assert sorted(spent)[-3:] == [0.0, 60.0, 60.0]
+    assert_two_pass(nodes, waits_of(takes))
+
+
+@pytest.mark.usefixtures("stopped_clock")
+def test_among_many_nodes_no_more_passes_where_each_datagram_is_slow(
+    fleet, monkeypatch
+):
+    """Each datagram takes the machine 10 ms to send, so the last node is answered after
+    the first has long spent. Nobody gets more for that."""
+    monkeypatch.setattr(spending, "ASK_S", 1.5)
+    send = Joined._send
+
+    def send_slowly(notes, message, addresses):
+        time.sleep(0.01)
+        send(notes, message, addresses)
+
+    monkeypatch.setattr(Joined, "_send", send_slowly)
+    nodes, takes = ask_all_at_once(fleet)
+    assert_two_pass(nodes, waits_of(takes))
 
 
+@pytest.mark.usefixtures("stopped_clock")
 def test_among_many_nodes_no_more_passes_where_all_answers_are_late(fleet):
     """The machine holds all nodes up for longer than an answer is waited for. A second
     node adds up then; still no more than two requests pass before all have heard."""
