Take servers that leave together out in one order

Cause: servers that left together were removed in the order of a set of their names, which decides the order of the servers drawn at random from.

--- a/packages/endive_core/src/endive_core/servers.py
+++ b/packages/endive_core/src/endive_core/servers.py
@@ -148,7 +148,7 @@
         declared = {view.id: view for view in views}
         gone = self.servers.keys() - declared.keys()
         new = declared.keys() - self.servers.keys()
-        for server_id in gone:
+        for server_id in sorted(gone):
             self._remove(self.servers[server_id])
         for server_id in sorted(new):
             self.servers[server_id] = ServerLoad(declared[server_id])
--- a/packages/endive_core/tests/test_servers.py
+++ b/packages/endive_core/tests/test_servers.py
@@ -110,3 +110,23 @@
     assert all(
         made.has_room(server, Tier.WITHIN_SHARE) for server in made.servers.values()
     )
+
+
+def test_servers_that_leave_together_leave_the_rest_in_the_same_order():
+    """A zone's servers are taken away at once. In the order of a set, which differs
+    from process to process, the servers drawn at random afterwards would differ too,
+    and two plays of one seed could not be compared."""
+    made = servers(count=40)
+    one_by_one = servers(count=40)
+    names = list(made.servers)
+    gone = names[5:30]
+    made.set_servers([made.servers[name].view for name in names if name not in gone])
+    left = set(names)
+    for name in sorted(gone):
+        left.discard(name)
+        one_by_one.set_servers([one_by_one.servers[n].view for n in names if n in left])
+    for tier in Tier:
+        assert list(made.open[tier].positions) == list(one_by_one.open[tier].positions)
+        assert [s.id for s in made.open[tier].items] == [
+            s.id for s in one_by_one.open[tier].items
+        ]
