Spread what gives way elsewhere over all servers

Cause: found by reading. What other nodes' late prompts at a server come to was taken as this node's own there, times the number of nodes. Right with seven nodes; among eighty nodes with forty servers one late prompt of 10,000 tokens made it 800,000, fourteen seconds, and who came next was refused for nothing. Now this node's whole, times the others, is spread over all servers: some 20,000 tokens more. Two tests, the first failed before.

--- a/packages/endive_core/src/endive_core/placement.py
+++ b/packages/endive_core/src/endive_core/placement.py
@@ -200,7 +200,8 @@
             return 0.0
         begins_s = self._begins_s(ticket, server, now)
         if self.gives_way(ticket, server, now):
-            begins_s += self._behind_s(server)
+            behind = self.servers.yielding_at(server)
+            begins_s += behind / server.view.prefill_tokens_per_s
         return max(0.0, now + begins_s - deadline)
 
     def gives_way(self, ticket: Ticket, server: ServerLoad, now: float) -> bool:
@@ -211,8 +212,8 @@
         little too late. So one that is expected after its target anyway goes behind
         those that can still be in time, and no longer counts in what they wait for.
         The worst two seconds of a day then have 0.58 of what is owed instead of 0.52
-        (mean of 33 days played both ways); twice a server's work for four seconds leaves
-        39 of 80 callers in time instead of 7.
+        (mean of 33 days played both ways); with twice a server's work for four seconds
+        39 of 80 callers are in time instead of 7.
 
         A prompt whose own computation takes longer than its target isn't put back while
         its wait is short: it would be the last one always. Nor is a further attempt,
@@ -230,14 +231,6 @@
         prefill_s = ticket.uncached_tokens / server.view.prefill_tokens_per_s
         return self.wait_s(server, now) + prefill_s
 
-    def _behind_s(self, server: ServerLoad) -> float:
-        """Return the work at `server` that gives way, seconds.
-
-        Others' isn't told. They are taken to have as much of it as of all requests.
-        """
-        tokens = server.yielding_tokens / self.servers.share
-        return tokens / server.view.prefill_tokens_per_s
-
 
 def _uncached(call: Call, cached_blocks: int) -> float:
     return float(max(0, call.prompt_tokens - call.cached_tokens(cached_blocks)))
--- a/packages/endive_core/src/endive_core/scheduler.py
+++ b/packages/endive_core/src/endive_core/scheduler.py
@@ -229,7 +229,9 @@
         ticket.attempt += 1
         ticket.dispatched_at = now
         ticket.first_token_at = None
-        server.note_prompt(1, ticket.uncached_tokens, gives_way=ticket.gives_way)
+        self.servers.note_prompt(
+            server, 1, ticket.uncached_tokens, gives_way=ticket.gives_way
+        )
         self.placement.pace(server, ticket.uncached_tokens, now)
         server.starting_suspects += ticket.suspect
         self.usage.take(ticket.call.organisation)
@@ -258,7 +260,9 @@
         )
 
     def _no_longer_starting(self, ticket: Ticket, server: ServerLoad) -> None:
-        server.note_prompt(-1, ticket.uncached_tokens, gives_way=ticket.gives_way)
+        self.servers.note_prompt(
+            server, -1, ticket.uncached_tokens, gives_way=ticket.gives_way
+        )
         server.starting_suspects -= ticket.suspect
 
     def finished(self, ticket: Ticket, now: float, *, tokens: int = 1) -> None:
--- a/packages/endive_core/src/endive_core/servers.py
+++ b/packages/endive_core/src/endive_core/servers.py
@@ -107,13 +107,6 @@
         """Return the free slots beyond those that the nodes divide."""
         return self.free - self.change - self.divided - self.reserved[tier]
 
-    def note_prompt(self, sign: int, tokens: float, *, gives_way: bool) -> None:
-        """Count the tokens of a prompt sent (+1), or of one begun or ended (-1)."""
-        if gives_way:
-            self.yielding_tokens += sign * tokens
-        else:
-            self.starting_tokens += sign * tokens
-
     def note(self, sign: int, now: float) -> None:
         """Count an own send (+1) or end (-1) at `now`."""
         self.changes.append((now, sign))
@@ -150,6 +143,7 @@
         self.change_total = 0
         self.reported_total = 0
         self.slots_total = 0
+        self.yielding_total = 0.0
 
     def set_servers(self, views: Iterable[ServerView]) -> bool:
         """Take over the declared servers; return whether the set changed."""
@@ -180,6 +174,7 @@
         self.reported_total -= view.reported_running + view.reported_waiting
         self.own_total -= view.in_flight
         self.change_total -= server.change
+        self.yielding_total -= server.yielding_tokens
         for members in (*self.open.values(), self.taking):
             members.discard(server)
 
@@ -253,6 +248,26 @@
         self.change_total += sign
         self.refresh(server)
 
+    def note_prompt(
+        self, server: ServerLoad, sign: int, tokens: float, *, gives_way: bool
+    ) -> None:
+        """Count the tokens of a prompt sent (+1), or of one begun or ended (-1)."""
+        if gives_way:
+            server.yielding_tokens += sign * tokens
+            self.yielding_total += sign * tokens
+        else:
+            server.starting_tokens += sign * tokens
+
+    def yielding_at(self, server: ServerLoad) -> float:
+        """Return the tokens at `server` that give way, of all nodes.
+
+        Others' aren't told. All of theirs are taken to be as many as their part of all
+        requests makes likely, spread evenly: at one server this node's own say nothing
+        of theirs, with many nodes and servers.
+        """
+        others = self.yielding_total * (1 / self.share - 1)
+        return server.yielding_tokens + others / max(1, len(self.taking))
+
     def has_room(self, server: ServerLoad, tier: Tier) -> bool:
         """Return whether this node may send a call of `tier` to `server` now."""
         if server.granted(tier) > 0:
--- a/packages/endive_core/tests/test_giving_way.py
+++ b/packages/endive_core/tests/test_giving_way.py
@@ -140,3 +140,28 @@
     one = scheduler(servers=1, slots=64)
     send(one, 20_000)
     assert not send(one, 1_000, number=1).gives_way
+
+
+def test_many_nodes_take_their_part_of_what_gives_way_elsewhere():
+    """Eighty nodes share forty servers. Taken for eighty times as much, the one late
+    prompt that a node has at a server would have it refuse whoever comes next, though
+    the server is free within a second."""
+    many = scheduler(servers=40, slots=64)
+    many.placement.backlogs = Backlogs()
+    many.set_nodes(80)
+    for server in many.servers.servers.values():
+        many.servers.note_prompt(server, 1, 20_000.0, gives_way=False)
+    late = send(many, 10_000)
+    assert late.gives_way
+    server = many.servers.servers[late.server]
+    assert 10_000 < many.servers.yielding_at(server) < 40_000
+
+
+def test_what_gave_way_at_a_server_that_left_counts_no_more(made):
+    """The server that all late prompts stood at is reclaimed. If they still counted,
+    callers would be refused for work that is gone."""
+    send(made, 20_000)
+    late = send(made, 10_000, number=1)
+    made.set_servers([])
+    made.cancelled(late, 1.0)
+    assert made.servers.yielding_total == 0.0
