--- a/benchmarks/bench_capacity.py
+++ b/benchmarks/bench_capacity.py
@@ -4,7 +4,6 @@
 the node's own objects in this process.
 """
 
-import gc
 import json
 import os
 import subprocess
@@ -12,7 +11,6 @@
 import tempfile
 import threading
 import time
-import tracemalloc
 from collections.abc import Callable
 from pathlib import Path
 
@@ -22,32 +20,28 @@
 import builders  # noqa: E402
 import gevent  # noqa: E402
 from bench_membership import measure_alone  # noqa: E402  (patches the standard library)
-from endive_core.catalogue import Catalogue  # noqa: E402
-from endive_core.claims import ClaimTable  # noqa: E402
-from endive_core.facts import FactTable  # noqa: E402
-from endive_core.fold import MAX_OUTCOMES, ConfigurationFold  # noqa: E402
-from endive_core.membership import Digest  # noqa: E402
+from capacity_state import (  # noqa: E402
+    MEMBER_COUNTS,
+    claim,
+    claimed,
+    kept_kb,
+    measure_configuration,
+    measure_facts,
+    measure_memory,
+)
 from endive_core.records import (  # noqa: E402
     CONFIGURATION_STREAM,
-    Change,
-    Claim,
-    decode,
     encode,
 )
 from endive_node.claiming import ShardWriter  # noqa: E402
 from endive_node.platform import HttpLog  # noqa: E402
 from endive_node.settings import ClaimsSection  # noqa: E402
 from endive_node.telemetry import Metrics, MonotonicClock  # noqa: E402
-from made_network import Fleet, member  # noqa: E402
 
 TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 STREAM_COUNTS = (50, 100, 200)
 TOKENS_PER_S = 50.0
 STREAM_S = 6.0
-MEMBER_COUNTS = (90, 180, 370)
-SERVER_COUNTS = (260, 1300, 2600)
-SERVERS_IN_SERVICE = 100
-CHANGES = 50
 LOAD_CLIENTS = (1, 8, 32)
 NODE_COUNTS = (2, 4, 8)
 FOLLOWER_COUNTS = (8, 64, 370)
@@ -58,10 +52,6 @@
 CLAIM_S = 3.0
 CLAIM_COUNTS = (1000, 5000, 20_000)
 TRIES = 5
-LIBRARIES = {
-    "gevent, bottle, urllib3": "import gevent, bottle, urllib3",
-    "all libraries of a node": "import endive_node.node",
-}
 
 
 def cpu_s(pid: int) -> float:
@@ -161,68 +151,6 @@
         )
 
 
-def service_body(first: int) -> dict:
-    """Return a resource with a hundred servers."""
-    servers = [
-        {
-            "id": f"engine-{number:04d}",
-            "address": f"10.20.{number // 250}.{number % 250}:8000",
-            "zone": "brest",
-        }
-        for number in range(first, first + SERVERS_IN_SERVICE)
-    ]
-    name = f"service-{first}"
-    return builders.resource("backend-server-service", name, servers=servers)
-
-
-def change(offset: int, body: dict) -> Change:
-    """Return the change that puts `body` in force."""
-    return Change(f"{offset:032x}", body["kind"], body["name"], "ann", body=body)
-
-
-def build(count: int) -> tuple[ConfigurationFold, Catalogue]:
-    """Return a configuration with `count` servers."""
-    fold, catalogue = ConfigurationFold(), Catalogue()
-    for first in range(0, count, SERVERS_IN_SERVICE):
-        fold.apply(fold.offset + 1, change(fold.offset + 1, service_body(first)))
-    catalogue.refresh(fold)
-    return fold, catalogue
-
-
-def kept_kb(make: Callable[[], object]) -> float:
-    """Return the memory that what `make` returns takes, in kB."""
-    gc.collect()
-    tracemalloc.start()
-    kept = make()
-    gc.collect()
-    size, _ = tracemalloc.get_traced_memory()
-    tracemalloc.stop()
-    del kept
-    return size / 1e3
-
-
-def measure_configuration() -> None:
-    """Print what servers and changes cost in state, bytes and time."""
-    for count in SERVER_COUNTS:
-        memory = kept_kb(lambda count=count: build(count))
-        fold, catalogue = build(count)
-        body = builders.resource("priority", "vip", level=1)
-        each_us = timed_us(lambda b=body, f=fold, c=catalogue: put(f, c, b))
-        service = service_body(0)
-        wide_us = timed_us(lambda b=service, f=fold, c=catalogue: put(f, c, b))
-        for _ in range(MAX_OUTCOMES):
-            fold.apply(fold.offset + 1, change(fold.offset + 1, body))
-        started = time.process_time()
-        size = len(encode(fold.snapshot()))
-        snapshot_ms = (time.process_time() - started) * 1e3
-        print(
-            f"{count:5} servers: {memory:.0f} kB; a change {each_us:.0f} us, of a "
-            f"service with {SERVERS_IN_SERVICE} servers {wide_us:.0f} us; snapshot "
-            f"{size} bytes, {snapshot_ms:.0f} ms",
-            flush=True,
-        )
-
-
 def measure_in_force() -> None:
     """Print how long a change takes to be in force on all nodes, over processes."""
     for count in NODE_COUNTS:
@@ -289,17 +217,6 @@
                 cluster.stop()
 
 
-def claim(number: int) -> Claim:
-    """Return a claim of a key of its own; its texts have real lengths."""
-    return Claim(
-        claim_id=f"{number:032x}",
-        key=f"kerloch/{number:032x}",
-        node="node-001",
-        request_id=f"node-001.{number:020x}",
-        fingerprint=f"{number:032x}",
-    )
-
-
 def measure_claims() -> None:
     """Print what one shard's writer spends, by claims a second."""
     with tempfile.TemporaryDirectory() as folder:
@@ -345,14 +262,6 @@
     )
 
 
-def claimed(count: int) -> ClaimTable:
-    """Return a table that keeps `count` claims."""
-    table = ClaimTable()
-    for number in range(count):
-        table.apply(number, 0.0, decode(encode(claim(number))))
-    return table
-
-
 def measure_followers() -> None:
     """Print how long the log stand-in takes to tell many followers of one record."""
     with tempfile.TemporaryDirectory() as folder:
@@ -389,54 +298,6 @@
     return time.monotonic() - started
 
 
-def measure_memory() -> None:
-    """Print resident memory of the libraries alone, and the state of control."""
-    for name, line in LIBRARIES.items():
-        code = f"{line}; print(open('/proc/self/statm').read().split()[1])"
-        pages = subprocess.run(
-            [sys.executable, "-W", "ignore", "-c", code],
-            capture_output=True,
-            text=True,
-            check=True,
-        )
-        size = int(pages.stdout) * os.sysconf("SC_PAGE_SIZE") / 1e6
-        print(f"{name}: {size:.1f} MB resident")
-    for count in MEMBER_COUNTS:
-        print(f"{count:5} members: {kept_kb(lambda c=count: known(c)):.0f} kB")
-
-
-def known(count: int):
-    """Return a membership that knows `count` members."""
-    (node,) = Fleet(1).nodes.values()
-    node.receive(Digest(member(0), members=[member(n) for n in range(count)]))
-    return node
-
-
-def put(fold: ConfigurationFold, catalogue: Catalogue, body: dict) -> None:
-    """Fold one change and take it over."""
-    fold.apply(fold.offset + 1, change(fold.offset + 1, body))
-    catalogue.refresh(fold)
-
-
-def timed_us(call: Callable[[], None]) -> float:
-    """Return the mean processor time of `call` in microseconds."""
-    started = time.process_time()
-    for _ in range(CHANGES):
-        call()
-    return (time.process_time() - started) / CHANGES * 1e6
-
-
-def measure_facts() -> None:
-    """Print what a fact costs."""
-    for count in (100, 1000, 4000):
-        table = FactTable(lambda: 0.0)
-        started = time.process_time()
-        for number in range(count):
-            table.crash(f"{number:032x}", "engine-1@1", 1)
-        used = time.process_time() - started
-        print(f"{count:5} facts: {used / count * 1e6:.1f} us each")
-
-
 def main() -> None:
     """Print all slopes."""
     print("Streaming (source and sink in processes of their own)")
--- a/benchmarks/load_model.py
+++ b/benchmarks/load_model.py
@@ -8,131 +8,20 @@
 import heapq
 from collections import OrderedDict
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, field
 from random import Random
-from typing import Protocol
 
-from endive_core.calls import Call, Dispatch, Refusal, Retry, Ticket
+from deciders import Decider
+from endive_core.calls import Refusal, Retry, Ticket
 from endive_core.exceptions import RetryReason
 from endive_core.messages import ServerView
 from endive_core.prefixes import BLOCK_TOKENS
-from endive_core.shifting import Shift, ShiftMethod
+from endive_core.shifting import ShiftMethod
+from load_jobs import Cluster, Job
 
 PUMP_S = 0.01
 """How often a node tries its queue when nothing else makes it, seconds."""
 
 
-class Decider(Protocol):
-    """What the model drives: the scheduler, or a baseline with the same methods."""
-
-    def offer(self, call: Call, now: float) -> Ticket | Refusal:
-        """Admit or refuse a call."""
-
-    def next_dispatch(self, now: float) -> Dispatch | None:
-        """Return what to send next."""
-
-    def started(self, ticket: Ticket, now: float) -> None:
-        """Note a first token."""
-
-    def finished(self, ticket: Ticket, now: float, *, tokens: int) -> None:
-        """Note a whole answer."""
-
-    def failed(
-        self, ticket: Ticket, now: float, reason: RetryReason, **how
-    ) -> Retry | Refusal:
-        """Note a failed attempt."""
-
-    def requeue(self, ticket: Ticket) -> None:
-        """Queue a failed ticket again."""
-
-    def moved(self, ticket: Ticket, now: float, *, tokens: int) -> None:
-        """Queue a stopped stream again."""
-
-    def report(
-        self, server_id: str, running: int, waiting: int, *, as_of: float
-    ) -> None:
-        """Take a load report in."""
-
-    def cache_event(
-        self, server_id: str, seq: int, *, stored: bool, blocks: list[int]
-    ) -> None:
-        """Take a cache event in."""
-
-    def leaving(self, server_id: str) -> None:
-        """Give a server no new work."""
-
-    def shifts(self, server_id: str, *, seconds_left: float) -> list[Shift]:
-        """Plan how streams leave a server."""
-
-
-@dataclass(frozen=True)
-class Cluster:
-    """Sizes and delays of one run; defaults near Yunhai's today."""
-
-    nodes: int = 7
-    servers: int = 8
-    zones: int = 3
-    slots: int = 32
-    prefill_tokens_per_s: float = 20_000.0
-    decode_tokens_per_s: float = 50.0
-    cache_blocks: int = 8_000
-    max_waiting: int = 100_000
-    report_every_s: float = 0.5
-    report_lag_s: float = 0.25
-    event_lag_s: float = 0.5
-    event_gap: float = 0.05
-    network_s: float = 0.001
-
-    def views(self) -> list[ServerView]:
-        """Return fresh views of all servers, for one node."""
-        return [
-            ServerView(
-                id=f"s{number}",
-                address="",
-                zone=f"z{number % self.zones}",
-                service="engines",
-                max_concurrent=self.slots,
-                prefill_tokens_per_s=self.prefill_tokens_per_s,
-                decode_tokens_per_s=self.decode_tokens_per_s,
-            )
-            for number in range(self.servers)
-        ]
-
-
-@dataclass(eq=False)
-class Job:
-    """One caller's request on its way through the model.
-
-    Attributes
-    ----------
-    answer_tokens : int
-        Length of the answer.
-    answer_blocks : list of int
-        Blocks that the answer adds to the conversation.
-    made : int
-        Tokens the caller has.
-    imported : bool
-        Whether the next attempt starts from an imported KV cache.
-    """
-
-    call: Call
-    first_offered_at: float
-    answer_tokens: int
-    answer_blocks: list[int]
-    done: Callable[["Job"], None]
-    node: "Node | None" = None
-    ticket: Ticket | None = None
-    offered_at: float = 0.0
-    told_s: float | None = None
-    offers: int = 0
-    made: int = 0
-    attempt: int = 0
-    imported: bool = False
-    first_token_at: float | None = None
-    finished_at: float | None = None
-    refusals: list[Refusal] = field(default_factory=list)
-
-
 class Model:
     """The clock, the event heap, and the counts that outcomes are made of."""
 
--- a/benchmarks/scenarios.py
+++ b/benchmarks/scenarios.py
@@ -3,8 +3,10 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from deciders import Decider
 from endive_core.resources import Weights
-from load_model import Cluster, Decider, Model, reclaim
+from load_jobs import Cluster
+from load_model import Model, reclaim
 from workloads import Callers, Outcome, StandingBatch, Traffic, outcome
 
 ORGANISATIONS = ("yunhai", "dadao", "tamsui", "kerloch", "armor")
--- a/benchmarks/workloads.py
+++ b/benchmarks/workloads.py
@@ -8,7 +8,8 @@
 from endive_core.hashing import rendezvous_score
 from endive_core.prefixes import BLOCK_TOKENS
 from endive_core.resources import Weights
-from load_model import Job, Model
+from load_jobs import Job
+from load_model import Model
 
 MAX_RETURNS = 5
 """How often a refused caller comes back before it gives up."""
