Name a late prompt's standing back yielding, and count it as a cause of its own

"Giving way" had two meanings: the policy's giving_way is about slots that bulk work frees. A request's last line says yielded=1, endivectl losses counts "late: behind others".

--- a/benchmarks/experiments/__main__.py
+++ b/benchmarks/experiments/__main__.py
@@ -17,7 +17,7 @@
     "no-affinity": Options().limits(affinity_candidates=0, max_known_blocks=2),
     "half-belief": Options().limits(affinity_belief=0.5),
     "no-load-bound": Options().limits(load_bound=100.0),
-    "no-giving-way": Options().limits(give_way_from=1e9),
+    "no-yielding": Options().limits(yield_wait_part=1e9),
     "no-crowding": Options().limits(crowding_s=0.0),
     "fixed-rate": Options(learned_rate=False),
     "fewer-servers": Options(used_part=1.15),
--- a/benchmarks/experiments/engines.py
+++ b/benchmarks/experiments/engines.py
@@ -25,7 +25,7 @@
         Called with the time of the first token, and of the end.
     owner : object
         Whose request it is.
-    gives_way : bool
+    yields : bool
         Whether it is read after all that don't.
     """
 
@@ -35,7 +35,7 @@
     on_first: Callable[[float], None]
     on_end: Callable[[float], None]
     owner: object = None
-    gives_way: bool = False
+    yields: bool = False
 
 
 @dataclass(eq=False)
@@ -82,7 +82,7 @@
                 self.read_again += tokens
             self._keep(part, tokens)
         self.read_before.update((part, now) for part, _ in sequence.parts[:-1])
-        (self.yielding if sequence.gives_way else self.reading).append(sequence)
+        (self.yielding if sequence.yields else self.reading).append(sequence)
 
     def _keep(self, part: int, tokens: float) -> None:
         self.kept[part] = tokens
--- a/benchmarks/experiments/play.py
+++ b/benchmarks/experiments/play.py
@@ -205,7 +205,7 @@
             lambda at: self.at(at, self._first, run),
             lambda at: self.at(at, self._end, run),
             run,
-            ticket.gives_way,
+            ticket.yields,
         )
         way_s = self.deployment.one_way_ms / 1000
         self.at(self.now + way_s, self._begin, engine, stream)
--- a/packages/endive_core/src/endive_core/calls.py
+++ b/packages/endive_core/src/endive_core/calls.py
@@ -116,7 +116,7 @@
         The tier for which it was predicted.
     suspect : bool
         Whether a server crashed while it ran this call.
-    gives_way : bool
+    yields : bool
         Whether it goes behind all others at its server, see :mod:`.placement`.
     refusal : Refusal or None
         Why a queued ticket was given up.
@@ -137,7 +137,7 @@
     tier: Tier = Tier.WITHIN_SHARE
     avoid: set[str] = field(default_factory=set)
     suspect: bool = False
-    gives_way: bool = False
+    yields: bool = False
     refusal: "Refusal | None" = None
 
 
--- a/packages/endive_core/src/endive_core/first_tokens.py
+++ b/packages/endive_core/src/endive_core/first_tokens.py
@@ -65,7 +65,7 @@
         tokens_per_s : float
             The prefill rate that was reckoned with.
         """
-        if ticket.gives_way:
+        if ticket.yields:
             return
         if self.prefill is not None:
             self.prefill.learn(ticket.uncached_tokens, seconds)
--- a/packages/endive_core/src/endive_core/placement.py
+++ b/packages/endive_core/src/endive_core/placement.py
@@ -199,12 +199,12 @@
         if self.backlogs is None or deadline is None:
             return 0.0
         begins_s = self._begins_s(ticket, server, now)
-        if self.gives_way(ticket, server, now):
+        if self.yields(ticket, server, now):
             behind = self.servers.yielding_at(server)
             begins_s += behind / server.view.prefill_tokens_per_s
         return max(0.0, now + begins_s - deadline)
 
-    def gives_way(self, ticket: Ticket, server: ServerLoad, now: float) -> bool:
+    def yields(self, ticket: Ticket, server: ServerLoad, now: float) -> bool:
         """Return whether a call goes behind all others at `server`.
 
         The load this is for: for some seconds after a reclaim one server does the work
@@ -222,7 +222,7 @@
         if self.backlogs is None or ticket.attempt:
             return False
         target_s = ticket.call.target_s
-        if self.wait_s(server, now) <= self.policy.give_way_from * target_s:
+        if self.wait_s(server, now) <= self.policy.yield_wait_part * target_s:
             return False
         due = ticket.accepted_at + target_s
         return now + self._begins_s(ticket, server, now) > due
--- a/packages/endive_core/src/endive_core/policy.py
+++ b/packages/endive_core/src/endive_core/policy.py
@@ -83,7 +83,7 @@
         "server at once, seconds",
         gt=0,
     )
-    give_way_from: float = limit(
+    yield_wait_part: float = limit(
         0.25,
         "wait at a server, as part of the target, from which a prompt that will be "
         "late goes behind the others there",
--- a/packages/endive_core/src/endive_core/scheduler.py
+++ b/packages/endive_core/src/endive_core/scheduler.py
@@ -222,7 +222,7 @@
     def _dispatched(self, ticket: Ticket, server: ServerLoad, now: float) -> None:
         if not ticket.attempt:
             self.admission.waited(ticket, now - ticket.accepted_at)
-        ticket.gives_way = self.placement.gives_way(ticket, server, now)
+        ticket.yields = self.placement.yields(ticket, server, now)
         ticket.stage = Stage.DISPATCHED
         ticket.server = server.id
         ticket.load = server
@@ -230,7 +230,7 @@
         ticket.dispatched_at = now
         ticket.first_token_at = None
         self.servers.note_prompt(
-            server, 1, ticket.uncached_tokens, gives_way=ticket.gives_way
+            server, 1, ticket.uncached_tokens, yields=ticket.yields
         )
         self.placement.pace(server, ticket.uncached_tokens, now)
         server.starting_suspects += ticket.suspect
@@ -261,7 +261,7 @@
 
     def _no_longer_starting(self, ticket: Ticket, server: ServerLoad) -> None:
         self.servers.note_prompt(
-            server, -1, ticket.uncached_tokens, gives_way=ticket.gives_way
+            server, -1, ticket.uncached_tokens, yields=ticket.yields
         )
         server.starting_suspects -= ticket.suspect
 
--- a/packages/endive_core/src/endive_core/servers.py
+++ b/packages/endive_core/src/endive_core/servers.py
@@ -249,10 +249,10 @@
         self.refresh(server)
 
     def note_prompt(
-        self, server: ServerLoad, sign: int, tokens: float, *, gives_way: bool
+        self, server: ServerLoad, sign: int, tokens: float, *, yields: bool
     ) -> None:
         """Count the tokens of a prompt sent (+1), or of one begun or ended (-1)."""
-        if gives_way:
+        if yields:
             server.yielding_tokens += sign * tokens
             self.yielding_total += sign * tokens
         else:
--- a/packages/endive_core/tests/test_giving_way.py
+++ b/packages/endive_core/tests/test_yielding.py
@@ -30,24 +30,24 @@
 def test_an_idle_server_puts_no_prompt_back(made):
     """A prompt whose own computation takes two seconds misses its target whatever is
     done. Behind all others its caller would wait for the longest, each time."""
-    assert not send(made, 40_000).gives_way
+    assert not send(made, 40_000).yields
 
 
-def test_a_prompt_behind_a_long_one_gives_way(made):
+def test_a_prompt_behind_a_long_one_yields(made):
     """A long prompt holds the only server for a second. What comes now is late, and
     whoever waits with it should not be made late too."""
     send(made, 20_000)
-    assert send(made, 1_000, number=1).gives_way
+    assert send(made, 1_000, number=1).yields
 
 
-def test_what_gives_way_holds_nobody_up(made):
+def test_what_yields_holds_nobody_up(made):
     """After a reclaim one server has work for seconds. Once the late ones stand back, a
     caller who comes when the others are read is in time."""
     first = send(made, 14_000)
     late = [send(made, 10_000, number=n) for n in range(1, 6)]
-    assert all(ticket.gives_way for ticket in late)
+    assert all(ticket.yields for ticket in late)
     made.started(first, 0.7)
-    assert not send(made, 2_000, number=9, now=0.7).gives_way
+    assert not send(made, 2_000, number=9, now=0.7).yields
 
 
 def play_overload(made):
@@ -60,7 +60,7 @@
     for number in range(80):
         now = number * 0.05
         ticket = send(made, 2_000, number=number, now=now)
-        if not ticket.gives_way:
+        if not ticket.yields:
             reading.append((now, ticket))
         while reading and max(free_at, reading[0][0]) + 0.1 <= now + 0.05:
             came, begun = reading.popleft()
@@ -75,7 +75,7 @@
     but the first callers are late: seven of 80 are in time. Where those that will be
     late stand back, 39 are."""
     in_turn, with_way = (
-        play_overload(lone_server(give_way_from=limit)) for limit in (1e9, 0.25)
+        play_overload(lone_server(yield_wait_part=limit)) for limit in (1e9, 0.25)
     )
     assert in_turn <= 8
     assert with_way >= 34
@@ -85,13 +85,13 @@
     """Its caller has lost one server already and is late by that alone."""
     first = send(made, 20_000)
     again = send(made, 1_000, number=1)
-    assert again.gives_way
+    assert again.yields
     made.failed(again, 0.1, RetryReason.SERVER_BUSY, started=False)
     made.report("s0", 1, 0, as_of=0.1)
     made.requeue(again)
     (sent,) = dispatch_all(made, 5.0)
     assert sent.ticket is again
-    assert not again.gives_way
+    assert not again.yields
     for ticket in (first, again):
         made.cancelled(ticket, 5.0)
     server = made.servers.servers["s0"]
@@ -101,9 +101,7 @@
 def test_what_is_counted_is_taken_off_again(made):
     tickets = [send(made, 9_000, number=n) for n in range(4)]
     server = made.servers.servers["s0"]
-    assert server.yielding_tokens == sum(
-        t.uncached_tokens for t in tickets if t.gives_way
-    )
+    assert server.yielding_tokens == sum(t.uncached_tokens for t in tickets if t.yields)
     for ticket in tickets:
         made.started(ticket, 1.0)
     assert (server.starting_tokens, server.yielding_tokens) == (0.0, 0.0)
@@ -116,7 +114,7 @@
     late = send(made, 8_000, number=1)
     before = made.admission.rate.start_s
     made.started(late, 9.0)
-    assert late.gives_way
+    assert late.yields
     assert made.admission.rate.start_s == before
     assert made.servers.servers["s0"].samples == 0
 
@@ -139,10 +137,10 @@
 def test_nodes_that_tell_nothing_put_nothing_back():
     one = scheduler(servers=1, slots=64)
     send(one, 20_000)
-    assert not send(one, 1_000, number=1).gives_way
+    assert not send(one, 1_000, number=1).yields
 
 
-def test_many_nodes_take_their_part_of_what_gives_way_elsewhere():
+def test_many_nodes_take_their_part_of_what_yields_elsewhere():
     """Eighty nodes share forty servers. Taken for eighty times as much, the one late
     prompt that a node has at a server would have it refuse whoever comes next, though
     the server is free within a second."""
@@ -150,14 +148,14 @@
     many.placement.backlogs = Backlogs()
     many.set_nodes(80)
     for server in many.servers.servers.values():
-        many.servers.note_prompt(server, 1, 20_000.0, gives_way=False)
+        many.servers.note_prompt(server, 1, 20_000.0, yields=False)
     late = send(many, 10_000)
-    assert late.gives_way
+    assert late.yields
     server = many.servers.servers[late.server]
     assert 10_000 < many.servers.yielding_at(server) < 40_000
 
 
-def test_what_gave_way_at_a_server_that_left_counts_no_more(made):
+def test_what_yielded_at_a_server_that_left_counts_no_more(made):
     """The server that all late prompts stood at is reclaimed. If they still counted,
     callers would be refused for work that is gone."""
     send(made, 20_000)
--- a/packages/endive_ctl/src/endive_ctl/losses.py
+++ b/packages/endive_ctl/src/endive_ctl/losses.py
@@ -14,6 +14,7 @@
 QUEUED = "late: queued"
 SENT_AGAIN = "late: sent again"
 AT_SERVER = "late: first byte"
+YIELDED = "late: behind others"
 PAUSED = "late: pause"
 NOT_ADMITTED = frozenset({"not_found", "unauthenticated"})
 """Outcomes of requests that no configuration allows: nothing is owed to them."""
@@ -36,7 +37,9 @@
     if line.number("target_ms") and over_ms > 0:
         if "," in line.fields.get("servers", ""):
             return SENT_AGAIN
-        return QUEUED if line.number("queued_ms") >= over_ms else AT_SERVER
+        if line.number("queued_ms") >= over_ms:
+            return QUEUED
+        return YIELDED if line.number("yielded") else AT_SERVER
     if pause_ms and line.number("gap_ms") > pause_ms:
         return PAUSED
     return IN_TIME
--- a/packages/endive_ctl/tests/test_losses.py
+++ b/packages/endive_ctl/tests/test_losses.py
@@ -18,6 +18,7 @@
         ({"outcome": "limit_exceeded"}, "limit_exceeded"),
         ({"first_ms": 1500, "queued_ms": 600}, "late: queued"),
         ({"first_ms": 1500, "queued_ms": 400}, "late: first byte"),
+        ({"first_ms": 1500, "yielded": 1}, "late: behind others"),
         ({"first_ms": 1500, "servers": "s1,s2"}, "late: sent again"),
         ({"pause_ms": 400, "gap_ms": 500}, "late: pause"),
         ({"pause_ms": 400, "gap_ms": 300}, "in time"),
--- a/packages/endive_gateway/src/endive_gateway/forwarding.py
+++ b/packages/endive_gateway/src/endive_gateway/forwarding.py
@@ -235,7 +235,7 @@
             self.progress.sent(
                 self.now - queued_at,
                 self.ticket.uncached_tokens,
-                gave_way=self.ticket.gives_way,
+                yielded=self.ticket.yields,
             )
             self._count_prompt(view.id)
             try:
@@ -248,14 +248,14 @@
     @property
     def urgency(self) -> int:
         """The rank at the server, from 0, which goes first."""
-        return LAST_URGENCY if self.ticket.gives_way else self.rank
+        return LAST_URGENCY if self.ticket.yields else self.rank
 
     def _count_prompt(self, server: str) -> None:
         """Count the work that goes to a server; tell of it if others wait for it."""
         tokens = self.ticket.uncached_tokens
         server_s = self.context.placer.server_s(self.service, tokens)
         self.context.work.sent(self.service, server_s)
-        if not self.ticket.gives_way:
+        if not self.ticket.yields:
             self.context.on_prompt(server, tokens, server_s)
 
     def count_start(self) -> None:
--- a/packages/endive_gateway/src/endive_gateway/progress.py
+++ b/packages/endive_gateway/src/endive_gateway/progress.py
@@ -19,7 +19,7 @@
         Time spent in this node's queue, over all attempts.
     prompt_tokens, uncached_tokens : float
         Length of the prompt, and what placement expected the server to compute.
-    gave_way : bool
+    yielded : bool
         Whether it went behind the other prompts at its server, being late anyway.
     first_s : float or None
         Time from `received_at` to the first byte of the answer.
@@ -31,18 +31,18 @@
     queued_s: float = 0.0
     prompt_tokens: float = 0.0
     uncached_tokens: float = 0.0
-    gave_way: bool = False
+    yielded: bool = False
     first_s: float | None = None
     gap_s: float = 0.0
     last_at: float = 0.0
 
     def sent(
-        self, queued_s: float, uncached_tokens: float, *, gave_way: bool = False
+        self, queued_s: float, uncached_tokens: float, *, yielded: bool = False
     ) -> None:
         """Note that the request goes to a server."""
         self.queued_s += queued_s
         self.uncached_tokens = uncached_tokens
-        self.gave_way = gave_way
+        self.yielded = yielded
 
     def passed(self, now: float) -> None:
         """Note that a piece of the answer goes to the caller."""
@@ -60,6 +60,6 @@
             "gap_ms": self.gap_s * 1000,
             "prompt": self.prompt_tokens,
             "uncached": self.uncached_tokens,
-            "gave_way": self.gave_way,
+            "yielded": self.yielded,
         }
         return {name: round(value) for name, value in values.items() if value >= 0.5}
