--- a/packages/endive_core/src/endive_core/placement.py
+++ b/packages/endive_core/src/endive_core/placement.py
@@ -198,8 +198,9 @@
         deadline = ticket.call.deadline
         if self.backlogs is None or deadline is None:
             return 0.0
-        begins_s = self._begins_s(ticket, server, now)
-        if self.yields(ticket, server, now):
+        wait_s = self.wait_s(server, now)
+        begins_s = wait_s + ticket.uncached_tokens / server.view.prefill_tokens_per_s
+        if self._stands_back(ticket, wait_s, begins_s, now):
             behind = self.servers.yielding_at(server)
             begins_s += behind / server.view.prefill_tokens_per_s
         return max(0.0, now + begins_s - deadline)
@@ -219,17 +220,19 @@
         its wait is short: it would be the last one always. Nor is a further attempt,
         whose caller has waited already.
         """
-        if self.backlogs is None or ticket.attempt:
+        if self.backlogs is None:
             return False
+        wait_s = self.wait_s(server, now)
+        begins_s = wait_s + ticket.uncached_tokens / server.view.prefill_tokens_per_s
+        return self._stands_back(ticket, wait_s, begins_s, now)
+
+    def _stands_back(
+        self, ticket: Ticket, wait_s: float, begins_s: float, now: float
+    ) -> bool:
         target_s = ticket.call.target_s
-        if self.wait_s(server, now) <= self.policy.yield_wait_part * target_s:
+        if ticket.attempt or wait_s <= self.policy.yield_wait_part * target_s:
             return False
-        due = ticket.accepted_at + target_s
-        return now + self._begins_s(ticket, server, now) > due
-
-    def _begins_s(self, ticket: Ticket, server: ServerLoad, now: float) -> float:
-        prefill_s = ticket.uncached_tokens / server.view.prefill_tokens_per_s
-        return self.wait_s(server, now) + prefill_s
+        return now + begins_s > ticket.accepted_at + target_s
 
 
 def _uncached(call: Call, cached_blocks: int) -> float:
