Keep a part of each limit for small requests

Cause: a limit may go below zero by a request.

Ruled out: nodes believed silent (no refusal says so), spending counted twice (it spends just its limit, 106,000 units a second).

Test: 26 in 100 bookings pass behind a flood before, over 80 after; floods stay in their bounds.

--- a/packages/endive_core/src/endive_core/sharing.py
+++ b/packages/endive_core/src/endive_core/sharing.py
@@ -39,6 +39,16 @@
 loss all nodes start within a second, and are heard within two more where they are a
 hundred."""
 
+SMALL_PART = 0.01
+"""Part of a limit's burst up to which a request is small: a booking has 200 units where
+a prompt has up to 23,000."""
+
+KEPT_PART = 0.05
+"""Part of each limit's rate that small requests may take though nothing is left,
+divided among the nodes. It is charged like all else, so the rate is kept; what the
+limit is below zero grows by this much a second at the most, half of what operators
+tolerate."""
+
 
 @dataclass(frozen=True, slots=True)
 class Spender:
@@ -124,6 +134,7 @@
         self.spent: dict[str, float] = {}
         self.peers: dict[str, PeerSpending] = {}
         self.allowances: dict[str, Allowance] = {}
+        self.kept: dict[str, Allowance] = {}
 
     def tell(self) -> dict[str, float]:
         """Return what this node has spent since it started, by organisation."""
@@ -229,11 +240,33 @@
             The whole limit, of all nodes together.
         """
         left, _ = self.left(organisation, now, rate=rate, burst=burst)
-        if left <= 0:
+        if left <= 0 and not self._take_kept(organisation, units, now, rate, burst):
             return self._until_some(left, rate, now)
         self.spend(organisation, units)
         return 0.0
 
+    def _take_kept(
+        self, organisation: str, units: float, now: float, rate: float, burst: float
+    ) -> bool:
+        """Return whether a small request may pass though nothing is left, and take it.
+
+        The load this is for: an organisation sends several times its limit in long
+        prompts. One of 23,000 units takes the limit so far below zero that nothing
+        passes for 0.2 s, again and again: 135 of 195 bookings of 200 units were refused
+        in nine seconds, though all of them are 2 in 100 of the limit. With a part kept
+        for them 0 and 6 bookings a day were refused instead of 40 and 65 (two days, one
+        play each).
+        """
+        if units > SMALL_PART * burst:
+            return False
+        part = KEPT_PART / (len(self.peers) + 1)
+        kept = self.kept.setdefault(organisation, Allowance(updated_at=now - 1.0))
+        kept.refill(now, rate=part * rate, burst=max(units, part * burst))
+        if kept.units < units:
+            return False
+        kept.units -= units
+        return True
+
     def grant(
         self,
         spender: Spender,
