Look once at what a call may expect at its server

Found in reading the change: whether a call is late and whether it yields were worked out by the same lines in two methods, and both for each call that is sent. One outlook says both now. Forwarding.rank, where 0 goes first, is the usual urgency now: a call's rank goes the other way.

--- a/packages/endive_core/src/endive_core/placement.py
+++ b/packages/endive_core/src/endive_core/placement.py
@@ -9,6 +9,7 @@
 draws others, nodes that read the same late report don't all run to one server.
 """
 
+from dataclasses import dataclass
 from itertools import islice
 
 from endive_core.backlogs import Backlogs
@@ -28,6 +29,25 @@
 """Servers tried because they are believed to hold the longest known prefix."""
 
 
+@dataclass(frozen=True, slots=True)
+class Outlook:
+    """What a call may expect at a server.
+
+    Attributes
+    ----------
+    late_s : float
+        How long after its deadline the server would begin it, seconds.
+    yields : bool
+        Whether it goes behind all others there.
+    """
+
+    late_s: float
+    yields: bool
+
+
+IN_TURN = Outlook(0.0, yields=False)
+
+
 class Placement:
     """Chooses the server for a ticket among those with room.
 
@@ -183,8 +203,8 @@
         allowed = self._all_allowed(ticket, tier)
         return min(allowed, key=lambda s: self.wait_s(s, now), default=None)
 
-    def late_s(self, ticket: Ticket, server: ServerLoad, now: float) -> float:
-        """Return how long after its deadline `server` would begin a call, seconds.
+    def outlook(self, ticket: Ticket, server: ServerLoad, now: float) -> Outlook:
+        """Return what a call may expect at `server`.
 
         The load this is for: reclaims leave fewer servers than the load needs. Engines
         take every prompt into their batches, so none waits in a node's queue, and each
@@ -193,20 +213,27 @@
         prompts refused at once it were 378, and 50 more short prompts came in time (one
         day with 85 nodes, one play each).
 
-        Where others' backlogs aren't told nothing is known well enough: 0 then.
+        Where others' backlogs aren't told nothing is known well enough to say more than
+        that the call has its turn. So it is for a further attempt, whose caller has
+        waited already.
         """
-        deadline = ticket.call.deadline
-        if self.backlogs is None or deadline is None:
-            return 0.0
+        if self.backlogs is None or ticket.attempt:
+            return IN_TURN
+        rate = server.view.prefill_tokens_per_s
         wait_s = self.wait_s(server, now)
-        begins_s = wait_s + ticket.uncached_tokens / server.view.prefill_tokens_per_s
-        if self._stands_back(ticket, wait_s, begins_s, now):
-            behind = self.servers.yielding_at(server)
-            begins_s += behind / server.view.prefill_tokens_per_s
-        return max(0.0, now + begins_s - deadline)
+        begins_s = wait_s + ticket.uncached_tokens / rate
+        yields = self._yields(ticket, wait_s, begins_s, now)
+        deadline = ticket.call.deadline
+        if deadline is None:
+            return Outlook(0.0, yields)
+        if yields:
+            begins_s += self.servers.yielding_at(server) / rate
+        return Outlook(max(0.0, now + begins_s - deadline), yields)
 
-    def yields(self, ticket: Ticket, server: ServerLoad, now: float) -> bool:
-        """Return whether a call goes behind all others at `server`.
+    def _yields(
+        self, ticket: Ticket, wait_s: float, begins_s: float, now: float
+    ) -> bool:
+        """Return whether a call goes behind all others at its server.
 
         The load this is for: for some seconds after a reclaim one server does the work
         of three. Taken in turn, each prompt waits behind all before it, and all come a
@@ -217,20 +244,10 @@
         39 of 80 callers are in time instead of 7.
 
         A prompt whose own computation takes longer than its target isn't put back while
-        its wait is short: it would be the last one always. Nor is a further attempt,
-        whose caller has waited already.
+        its wait is short: it would be the last one always.
         """
-        if self.backlogs is None:
-            return False
-        wait_s = self.wait_s(server, now)
-        begins_s = wait_s + ticket.uncached_tokens / server.view.prefill_tokens_per_s
-        return self._stands_back(ticket, wait_s, begins_s, now)
-
-    def _stands_back(
-        self, ticket: Ticket, wait_s: float, begins_s: float, now: float
-    ) -> bool:
         target_s = ticket.call.target_s
-        if ticket.attempt or wait_s <= self.policy.yield_wait_part * target_s:
+        if wait_s <= self.policy.yield_wait_part * target_s:
             return False
         return now + begins_s > ticket.accepted_at + target_s
 
--- a/packages/endive_core/src/endive_core/routing.py
+++ b/packages/endive_core/src/endive_core/routing.py
@@ -140,6 +140,14 @@
     counts_tokens: bool = False
     plain_tokens: int = 1
 
+    def units(self, prompt_tokens: int | None, max_tokens: int | None) -> float:
+        """Return the units of a request that names so many tokens, or none."""
+        if not self.counts_tokens:
+            return 1.0
+        if prompt_tokens is None:
+            return float(self.plain_tokens)
+        return float(prompt_tokens + (max_tokens or 0))
+
 
 @dataclass(frozen=True, slots=True)
 class CallerLimits:
--- a/packages/endive_core/src/endive_core/scheduler.py
+++ b/packages/endive_core/src/endive_core/scheduler.py
@@ -187,14 +187,16 @@
         self, ticket: Ticket, server: ServerLoad, now: float
     ) -> ServerLoad | None:
         """Return `server`, a sooner one if it would be late, or give the call up."""
-        if ticket.attempt or not self.placement.late_s(ticket, server, now):
-            return server
-        soonest = self.placement.soonest(ticket, now, self.usage.tier(ticket.call))
-        late_s = self.placement.late_s(ticket, soonest or server, now)
-        if late_s:
-            self.expiry.expire_late(ticket, late_s)
+        outlook = self.placement.outlook(ticket, server, now)
+        if outlook.late_s:
+            tier = self.usage.tier(ticket.call)
+            server = self.placement.soonest(ticket, now, tier) or server
+            outlook = self.placement.outlook(ticket, server, now)
+        if outlook.late_s:
+            self.expiry.expire_late(ticket, outlook.late_s)
             return None
-        return soonest
+        ticket.yields = outlook.yields
+        return server
 
     def _server_for(self, ticket: Ticket, now: float) -> ServerLoad | None:
         tier = self.usage.tier(ticket.call)
@@ -222,7 +224,6 @@
     def _dispatched(self, ticket: Ticket, server: ServerLoad, now: float) -> None:
         if not ticket.attempt:
             self.admission.waited(ticket, now - ticket.accepted_at)
-        ticket.yields = self.placement.yields(ticket, server, now)
         ticket.stage = Stage.DISPATCHED
         ticket.server = server.id
         ticket.load = server
--- a/packages/endive_core/tests/test_routing.py
+++ b/packages/endive_core/tests/test_routing.py
@@ -67,3 +67,12 @@
     assert not route("/", kind=RouteKind.NON_IDEMPOTENT).repeatable
     assert not route("/", kind=RouteKind.STREAM).repeatable
     assert route("/", kind=RouteKind.STREAM, resumable=True).repeatable
+
+
+def test_a_request_counts_by_its_tokens_only_where_the_limit_does():
+    plain = OrganisationTerms("o", plain_tokens=200)
+    by_tokens = OrganisationTerms("o", counts_tokens=True, plain_tokens=200)
+    assert plain.units(1500, 30) == 1.0
+    assert by_tokens.units(1500, 30) == 1530.0
+    assert by_tokens.units(1500, None) == 1500.0
+    assert by_tokens.units(None, None) == 200.0
--- a/packages/endive_gateway/src/endive_gateway/forwarding.py
+++ b/packages/endive_gateway/src/endive_gateway/forwarding.py
@@ -39,7 +39,7 @@
 targets, but no whole answer."""
 
 LAST_URGENCY = 9
-"""The last of the ranks that servers know; 0 goes first."""
+"""The last urgency that servers know; 0 goes first."""
 
 
 class Forwarder:
@@ -171,7 +171,7 @@
         priority = route.priority
         if self.terms is not None and self.terms.priority is not None:
             priority = self.terms.priority
-        self.rank = min(LAST_URGENCY, priority)
+        self.usual_urgency = min(LAST_URGENCY, priority)
         blocks, ends = part_blocks(
             facts.model, [(part.id, part.tokens) for part in facts.parts]
         )
@@ -200,12 +200,7 @@
         terms = self.terms
         if terms is None or terms.rate <= 0:
             return
-        units = 1.0
-        if terms.counts_tokens:
-            named = self.facts.prompt_tokens is not None
-            units = float(terms.plain_tokens)
-            if named:
-                units = float(self.facts.prompt_tokens + (self.facts.max_tokens or 0))
+        units = terms.units(self.facts.prompt_tokens, self.facts.max_tokens)
         wait = self.context.take_units(terms, units)
         if wait > 0:
             log_event(
@@ -247,8 +242,8 @@
 
     @property
     def urgency(self) -> int:
-        """The rank at the server, from 0, which goes first."""
-        return LAST_URGENCY if self.ticket.yields else self.rank
+        """The urgency at the server, from 0, which goes first."""
+        return LAST_URGENCY if self.ticket.yields else self.usual_urgency
 
     def _count_prompt(self, server: str) -> None:
         """Count the work that goes to a server; tell of it if others wait for it."""
