Show how fresh a node's news of the store are

Now the end of each read that waits is logged with what it returned and how long it took, a lost store with the time since its last answer, and the metrics show the version in force, the age of the last answer and the wait of the read under way, by topic. No behaviour changes.

--- a/packages/endive_gateway/src/endive_gateway/following.py
+++ b/packages/endive_gateway/src/endive_gateway/following.py
@@ -7,9 +7,10 @@
 import gevent
 from endive_node.logs import log_event
 
+from endive_gateway.clocks import boot_time
 from endive_gateway.context import Context
 from endive_gateway.exceptions import StoreError, StoreForgottenError, UndecodableError
-from endive_gateway.interfaces import Record, ServerNews, ServerState, Topic
+from endive_gateway.interfaces import Page, Record, ServerNews, ServerState, Topic
 from endive_gateway.servers import RETURN_GRACE_S
 from endive_gateway.tellings import pack_changes, unpack_changes
 
@@ -86,6 +87,10 @@
         Without it this node always reads by itself.
     lost_at, back_at : float or None
         When the store stopped answering, and when it answered again.
+    asked_at : float or None
+        When the read under way began, on the boot clock; ``None`` between two reads.
+    answered_at : float or None
+        When the store last answered a read, on the boot clock.
     """
 
     topic: Topic
@@ -98,6 +103,8 @@
         self.gap_s = FAILED_GAP_S
         self.lost_at: float | None = None
         self.back_at: float | None = None
+        self.asked_at: float | None = None
+        self.answered_at: float | None = None
         self.synced = False
 
     def run(self) -> None:
@@ -109,6 +116,7 @@
         """Read once; return the seconds until the next time."""
         if self.has_begun and self.is_relayed():
             return RELAY_LOOK_S
+        self.asked_at = boot_time()
         try:
             if not self.synced:
                 self._read_newest()
@@ -121,6 +129,8 @@
         except StoreError as error:
             self._lost(error)
             return self._backed_off()
+        finally:
+            self.asked_at = None
         self._answered()
         return self.pause_s()
 
@@ -160,7 +170,9 @@
         self.taken({record.key for record in page.records})
 
     def _read_on(self) -> None:
+        asked_at = boot_time()
         page = self.context.store.read(self.topic, self.next, wait_s=self.wait_s())
+        self._log_wait(boot_time() - asked_at, page)
         self._note_return()
         for record in page.records:
             if record.offset >= self.next:
@@ -177,11 +189,32 @@
 
     def _answered(self) -> None:
         self.gap_s = FAILED_GAP_S
+        self.answered_at = boot_time()
+
+    def _log_wait(self, waited_s: float, page: Page) -> None:
+        if self.wait_s():
+            log_event(
+                "store_waited",
+                topic=self.topic,
+                start=self.next,
+                end=page.end,
+                records=len(page.records),
+                waited_s=waited_s,
+            )
 
     def _lost(self, error: StoreError) -> None:
         if self.lost_at is None:
             self.lost_at = time.monotonic()
-            log_event("store_lost", topic=self.topic, error=error)
+            age_s = self.answer_age_s()
+            log_event("store_lost", topic=self.topic, error=error, answer_age_s=age_s)
+
+    def answer_age_s(self) -> float:
+        """Return the seconds since the store last answered; -1 before that."""
+        return -1.0 if self.answered_at is None else boot_time() - self.answered_at
+
+    def waiting_s(self) -> float:
+        """Return for how many seconds the read under way has waited; 0 without one."""
+        return 0.0 if self.asked_at is None else boot_time() - self.asked_at
 
     def _backed_off(self) -> float:
         gap, self.gap_s = self.gap_s, min(MAX_FAILED_GAP_S, 2 * self.gap_s)
--- a/packages/endive_gateway/src/endive_gateway/gateway.py
+++ b/packages/endive_gateway/src/endive_gateway/gateway.py
@@ -125,6 +125,7 @@
         if self.settings.duties:
             loops.append(self.duties.run)
         if place.metrics_port:
+            self._show_state()
             self.metrics = MetricsServer(
                 place.address, place.metrics_port, self.context.metrics
             )
@@ -138,6 +139,15 @@
         self.readiness.start()
         self.callers.start()
 
+    def _show_state(self) -> None:
+        """Let the metrics show how fresh what the store says is here."""
+        show = self.context.metrics.show
+        show("endive_configuration_version", lambda: self.context.version)
+        for follower in (self.configuration, self.servers):
+            topic = follower.topic.value
+            show("endive_store_answer_age_seconds", follower.answer_age_s, topic=topic)
+            show("endive_store_read_waiting_seconds", follower.waiting_s, topic=topic)
+
     def _answer_ready(self, sock, _address) -> None:
         """Answer the balancer's question; whatever it asks for, there is one answer."""
         with gevent.Timeout(1.0, False):
--- a/packages/endive_gateway/src/endive_gateway/metrics.py
+++ b/packages/endive_gateway/src/endive_gateway/metrics.py
@@ -7,7 +7,7 @@
 
 from bisect import bisect_left
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from endive_node.sockets import listen_tcp
 from gevent import Timeout
@@ -21,6 +21,8 @@
 
 ANSWER_TIMEOUT_S = 1.0
 
+Gauge = Callable[[], float]
+
 
 class Latencies:
     """Counts by bucket of a time in seconds."""
@@ -51,6 +53,8 @@
         Further attempts by reason.
     events : Counter
         Everything else that is counted, by name.
+    gauges : dict
+        Functions that return a state now, by the metric's name and its labels.
     """
 
     def __init__(self) -> None:
@@ -59,8 +63,13 @@
         self.events: Counter[str] = Counter()
         self.first_bytes = Latencies()
         self.whole = Latencies()
+        self.gauges: dict[str, dict[tuple[tuple[str, str], ...], Gauge]] = {}
         self.page_maker = None
 
+    def show(self, name: str, gauge: Gauge, **labels: str) -> None:
+        """Let the page show what `gauge` returns; before the page is first made."""
+        self.gauges.setdefault(name, {})[tuple(labels.items())] = gauge
+
     def page(self) -> bytes:
         """Return the scrape page."""
         if self.page_maker is None:
@@ -86,6 +95,19 @@
                 [lambda _options: [Observation(n, {label: k}) for k, n in counts()]],
             )
 
+        def watch(name: str, gauges) -> None:
+            meter.create_observable_gauge(
+                name,
+                [
+                    lambda _options: [
+                        Observation(gauge(), dict(labels))
+                        for labels, gauge in gauges.items()
+                    ]
+                ],
+            )
+
+        for name, gauges in self.gauges.items():
+            watch(name, gauges)
         observe("endive_requests", "outcome", self.outcomes.items)
         observe("endive_retries", "reason", self.retries.items)
         observe("endive_events", "name", self.events.items)
--- a/packages/endive_gateway/tests/test_following.py
+++ b/packages/endive_gateway/tests/test_following.py
@@ -5,6 +5,7 @@
 import zlib
 
 import pytest
+from endive_gateway import following
 from endive_gateway.following import (
     FAILED_GAP_S,
     HISTORY_S,
@@ -62,6 +63,28 @@
     assert context.version == 7
 
 
+def test_a_read_that_returns_nothing_can_be_told_from_one_that_waits(
+    context, store, monkeypatch
+):
+    """Both leave the configuration as it is."""
+    lines = []
+    monkeypatch.setattr(
+        following, "log_event", lambda event, **about: lines.append((event, about))
+    )
+    follower = ConfigurationFollower(context)
+    assert follower.answer_age_s() == -1.0
+    follower.step()
+    assert follower.waiting_s() == 0.0
+    waiting = []
+    store.fault = lambda name: waiting.append(follower.waiting_s())
+    follower.step()
+    assert waiting[0] > 0.0
+    assert 0.0 <= follower.answer_age_s() < 1.0
+    event, about = lines[-1]
+    assert event == "store_waited"
+    assert about["records"] == 0
+
+
 def test_no_path_brings_an_older_version_back(context, store):
     """A node has a version from another node, then reads the store, which is behind.
     A key that was taken away would be valid again."""
--- a/packages/endive_gateway/tests/test_metrics.py
+++ b/packages/endive_gateway/tests/test_metrics.py
@@ -34,6 +34,7 @@
     metrics.outcomes["ok"] = 5
     metrics.retries["connect_failed"] = 2
     metrics.whole.add(0.03)
+    metrics.show("endive_store_answer_age_seconds", lambda: 2.5, topic="servers")
     server = MetricsServer("127.0.0.1", 0, metrics)
     server.start()
     try:
@@ -45,6 +46,7 @@
     assert 'endive_requests_total{outcome="ok"} 5.0' in page
     assert 'endive_retries_total{reason="connect_failed"} 2.0' in page
     assert 'endive_answer_bucket_total{le="0.05"} 1.0' in page
+    assert 'endive_store_answer_age_seconds{topic="servers"} 2.5' in page
 
 
 def test_a_route_without_servers_counts_its_refusals():
