--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -293,6 +293,7 @@
         """End every fault that is under way."""
         for part in (self.store, self.cloud):
             part.down = part.losing = False
+        self.store.silent = False
         for backend in self.backends:
             backend.link.heal()
         for node in self.nodes:
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -94,12 +94,14 @@
         Whether every call is turned away.
     losing : bool
         Whether appends are carried out and their answers lost.
+    silent : bool
+        Whether calls that come now are never answered, their connections kept.
     """
 
     def __init__(self, host, port):
         self.topics = {}
         self.appended = Event()
-        self.down = self.losing = False
+        self.down = self.losing = self.silent = False
         super().__init__(host, port)
 
     def put(self, topic, key, value):
@@ -113,6 +115,8 @@
         self.appended.clear()
 
     def answer(self, environ, body, start):
+        if self.silent:
+            Event().wait()
         if self.down:
             return respond(start, 503)
         query = dict(parse_qsl(environ["QUERY_STRING"]))
--- /dev/null
+++ b/tests/test_store_silence.py
@@ -0,0 +1,57 @@
+import os
+import time
+
+import gevent
+import pytest
+from soak.fleet import Fleet
+
+WORKER = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw"))
+SLOT = 80 + WORKER
+"""Loopback addresses of this worker's own, so that runs beside it don't meet."""
+
+START_S = 20.0
+SILENT_S = 3.0
+TOUCH_S = 3.0
+IN_FORCE_S = 2.0
+"""What operators are promised: a change is in force this long after it was confirmed,
+once the store has been well for `TOUCH_S`."""
+
+
+@pytest.fixture
+def fleet(request, tmp_path):
+    made = Fleet(tmp_path, SLOT, nodes=request.param)
+    beating = gevent.spawn(made.beat)
+    try:
+        await_version(made, made.version, START_S)
+        yield made
+    finally:
+        beating.kill()
+        made.close()
+
+
+def behind(fleet, version):
+    """Return the nodes that never put `version` in force."""
+    line = f"event=configuration version={version} "
+    return [n.name for n in fleet.nodes if line not in n.output.read_text()]
+
+
+def await_version(fleet, version, seconds):
+    """Wait until all nodes have `version` in force, for `seconds` at most."""
+    end = time.monotonic() + seconds
+    while (late := behind(fleet, version)) and time.monotonic() < end:
+        gevent.sleep(0.05)
+    assert late == []
+
+
+@pytest.mark.parametrize("fleet", [3, 24], indirect=True)
+def test_a_change_is_in_force_in_time_after_the_store_was_silent(fleet):
+    """Reads that began while the store was silent are never answered."""
+    fleet.configure()
+    await_version(fleet, fleet.version, IN_FORCE_S)
+    fleet.store.silent = True
+    fleet.configure()
+    gevent.sleep(SILENT_S)
+    fleet.store.silent = False
+    gevent.sleep(TOUCH_S)
+    fleet.configure()
+    await_version(fleet, fleet.version, IN_FORCE_S)
