--- a/packages/endive_gateway/src/endive_gateway/following.py
+++ b/packages/endive_gateway/src/endive_gateway/following.py
@@ -1,4 +1,4 @@
-"""What the store says, followed: the configuration and the list of servers."""
+"""What the store says, followed: topics in general, and the list of servers."""
 
 import time
 from collections import deque
@@ -14,14 +14,6 @@
 from endive_gateway.servers import RETURN_GRACE_S
 from endive_gateway.tellings import pack_changes, unpack_changes
 
-CONFIGURATION_WAIT_S = 20.0
-"""How long a read of the configuration waits for a change, seconds: under the store's
-longest, and long enough that an idle hour costs few calls."""
-
-CONFIGURATION_GAP_S = 0.15
-"""Least time between two reads of the configuration, seconds: a storm of changes is
-read a few at a time, well within the two seconds allowed."""
-
 SERVERS_GAP_S = 0.7
 """Time between two reads of the servers, seconds. A leaving server may get requests
 for two seconds after its entry changed, and each read is paid for."""
@@ -55,8 +47,6 @@
 """By how much a timer may fire before the clock says so, seconds: the event loop counts
 from its last look at the clock."""
 
-CONFIGURATION_KEY = "config"
-
 
 class Readers(Protocol):
     """Who of the nodes reads the store for the others."""
@@ -221,55 +211,6 @@
         return gap * self.context.random.uniform(0.7, 1.0)
 
 
-class ConfigurationFollower(Follower):
-    """Puts each new configuration in force as soon as the store has it."""
-
-    topic = Topic.CONFIGURATION
-
-    def run(self) -> None:
-        """See :meth:`Follower.run`."""
-        if self.readers is not None and self.readers.await_first_configuration():
-            # Who reads for the others tells within this time, or this node reads.
-            self.relayed_at = time.monotonic()
-        super().run()
-
-    @property
-    def has_begun(self) -> bool:
-        """See :meth:`Follower.has_begun`.
-
-        A configuration is whole, so one that another node gave will do.
-        """
-        return self.context.table is not None
-
-    def is_relayed(self) -> bool:
-        """See :meth:`Follower.is_relayed`.
-
-        Few nodes read it all the same: a change then needs no second step.
-        """
-        if self.readers is None or self.readers.reads_alone():
-            return False
-        return super().is_relayed()
-
-    def pause_s(self) -> float:
-        """See :meth:`Follower.pause_s`."""
-        return CONFIGURATION_GAP_S
-
-    def wait_s(self) -> float:
-        """See :meth:`Follower.wait_s`."""
-        return CONFIGURATION_WAIT_S
-
-    def take(self, record: Record) -> None:
-        """See :meth:`Follower.take`."""
-        if record.key != CONFIGURATION_KEY or not record.value:
-            return
-        try:
-            table = self.context.wire.decode_configuration(record.value)
-        except UndecodableError as error:
-            log_event("configuration_undecodable", offset=record.offset, error=error)
-            return
-        self.context.configure(table, record.value, "store")
-
-
 class ServerFollower(Follower):
     """Keeps the list of servers."""
 
--- a/packages/endive_gateway/src/endive_gateway/gateway.py
+++ b/packages/endive_gateway/src/endive_gateway/gateway.py
@@ -2,21 +2,22 @@
 
 import socket
 import time
-from collections.abc import Callable
 from dataclasses import replace
 
 import gevent
-from endive_node.logs import log_event, log_failure
+from endive_node.logs import log_event
 from endive_node.sockets import listen_tcp
 from gevent.event import Event
 from gevent.server import StreamServer
 
 from endive_gateway.callers import CallerListener
+from endive_gateway.configuration import ConfigurationFollower
 from endive_gateway.context import Context
 from endive_gateway.duties import Duties
-from endive_gateway.following import ConfigurationFollower, ServerFollower
+from endive_gateway.following import ServerFollower
 from endive_gateway.forwarding import Forwarder
 from endive_gateway.interfaces import Cloud, GatewaySettings, Store, Wire
+from endive_gateway.loops import keep_running
 from endive_gateway.metrics import MetricsServer
 from endive_gateway.ordering import Ordering
 from endive_gateway.peers import Peers
@@ -39,25 +40,9 @@
 """Time before the end of the grace period at which the process ends by itself, seconds:
 it closes its connections in good order, which the kill would not."""
 
-LOOP_RESTART_S = 0.5
-"""Time before a loop that failed starts again, seconds."""
-
 READY_ANSWER = b"HTTP/1.1 %s\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 
 
-def keep_running(loop: Callable[[], None]) -> None:
-    """Run `loop`, and again after an error; the body of a greenlet.
-
-    A loop that died of one odd record would leave the node on old news for good.
-    """
-    while True:
-        try:
-            loop()
-        except Exception as error:
-            log_failure("loop_failed", loop=loop.__qualname__, error=repr(error))
-            gevent.sleep(LOOP_RESTART_S)
-
-
 class Gateway:
     """Everything that one process runs.
 
--- a/packages/endive_gateway/tests/gateway_builders.py
+++ b/packages/endive_gateway/tests/gateway_builders.py
@@ -164,10 +164,32 @@
         self.topics[topic].append(Record(offset, key, value))
 
 
+def write(store, topic, key, value):
+    records = store.topics[topic]
+    value = None if value is None else json.dumps(value).encode()
+    records.append(Record(len(records), key, value))
+
+
 def store_down(_name):
     raise StoreError("down")
 
 
+class FewReaders:
+    """Readers among which a node is not."""
+
+    def is_reader(self):
+        return False
+
+    def reads_alone(self):
+        return False
+
+    def await_first_configuration(self):
+        return True
+
+    def hasten(self):
+        self.hastened = True
+
+
 class RecordingCloud:
     """The platform's calls, recorded."""
 
--- a/packages/endive_gateway/tests/test_following.py
+++ b/packages/endive_gateway/tests/test_following.py
@@ -1,36 +1,15 @@
-import json
 import random
 import time
 import uuid
 import zlib
 
 import pytest
-from endive_gateway import following
 from endive_gateway.following import (
-    FAILED_GAP_S,
     HISTORY_S,
-    MAX_FAILED_GAP_S,
-    ConfigurationFollower,
     ServerFollower,
 )
-from endive_gateway.interfaces import Record, ServerNews, Topic
-from gateway_builders import MemoryStore, make_context, make_table, store_down
-
-
-class FewReaders:
-    """Readers among which a node is not."""
-
-    def is_reader(self):
-        return False
-
-    def reads_alone(self):
-        return False
-
-    def await_first_configuration(self):
-        return True
-
-    def hasten(self):
-        self.hastened = True
+from endive_gateway.interfaces import ServerNews, Topic
+from gateway_builders import FewReaders, MemoryStore, make_context, store_down, write
 
 
 @pytest.fixture
@@ -43,94 +22,10 @@
     return make_context(store=store)
 
 
-def write(store, topic, key, value):
-    records = store.topics[topic]
-    value = None if value is None else json.dumps(value).encode()
-    records.append(Record(len(records), key, value))
-
-
 def server(**options):
     return {"service": "s", "address": "127.0.0.1:1", "zone": "z", "slots": 8} | options
 
 
-def test_each_new_version_comes_into_force(context, store):
-    write(store, Topic.CONFIGURATION, "config", 3)
-    follower = ConfigurationFollower(context)
-    follower.step()
-    assert context.version == 3
-    write(store, Topic.CONFIGURATION, "config", 7)
-    follower.step()
-    assert context.version == 7
-
-
-def test_a_read_that_returns_nothing_can_be_told_from_one_that_waits(
-    context, store, monkeypatch
-):
-    """Both leave the configuration as it is."""
-    lines = []
-    monkeypatch.setattr(
-        following, "log_event", lambda event, **about: lines.append((event, about))
-    )
-    follower = ConfigurationFollower(context)
-    assert follower.answer_age_s() == -1.0
-    follower.step()
-    assert follower.waiting_s() == 0.0
-    waiting = []
-    store.fault = lambda name: waiting.append(follower.waiting_s())
-    follower.step()
-    assert waiting[0] > 0.0
-    assert 0.0 <= follower.answer_age_s() < 1.0
-    event, about = lines[-1]
-    assert event == "store_waited"
-    assert about["records"] == 0
-
-
-def test_no_path_brings_an_older_version_back(context, store):
-    """A node has a version from another node, then reads the store, which is behind.
-    A key that was taken away would be valid again."""
-    follower = ConfigurationFollower(context)
-    write(store, Topic.CONFIGURATION, "config", 9)
-    follower.step()
-    write(store, Topic.CONFIGURATION, "config", 8)
-    follower.step()
-    assert context.version == 9
-
-
-def test_an_undecodable_configuration_changes_nothing(context, store):
-    write(store, Topic.CONFIGURATION, "config", 9)
-    follower = ConfigurationFollower(context)
-    follower.step()
-    write(store, Topic.CONFIGURATION, "config", "none")
-    write(store, Topic.CONFIGURATION, "other", 12)
-    follower.step()
-    assert context.version == 9
-
-
-def test_a_forgotten_history_is_read_as_a_whole(context, store):
-    """The store drops its records while a node waits for the next one. A node that
-    only went on reading would miss the change that was among them."""
-    follower = ConfigurationFollower(context)
-    write(store, Topic.CONFIGURATION, "config", 1)
-    follower.step()
-    write(store, Topic.CONFIGURATION, "config", 2)
-    write(store, Topic.CONFIGURATION, "config", 3)
-    store.kept_from[Topic.CONFIGURATION] = 3
-    assert follower.step() == 0.0
-    follower.step()
-    assert context.version == 3
-
-
-def test_the_last_configuration_stays_while_the_store_is_away(context, store):
-    follower = ConfigurationFollower(context)
-    write(store, Topic.CONFIGURATION, "config", 1)
-    follower.step()
-    store.fault = store_down
-    gaps = [follower.step() for _ in range(6)]
-    assert context.version == 1
-    assert all(0.5 * FAILED_GAP_S < gap <= MAX_FAILED_GAP_S for gap in gaps)
-    assert gaps[-1] > gaps[0]
-
-
 def test_servers_come_and_go(context, store):
     follower = ServerFollower(context)
     write(store, Topic.SERVERS, "i-1", server())
@@ -314,19 +209,6 @@
     assert listener.next == reader.next
 
 
-def test_a_configuration_from_another_node_is_not_read_again(context, store):
-    """After a power loss a node has the configuration from another one. Reading it from
-    the store all the same would fill its slow link while callers come back."""
-    write(store, Topic.CONFIGURATION, "config", 3)
-    follower = ConfigurationFollower(context, FewReaders())
-    context.configure(make_table(version=3), b"3", "b")
-    follower.relayed_at = time.monotonic()
-    reads = []
-    store.newest = lambda topic: reads.append(topic)
-    assert follower.step() > 0
-    assert not reads
-
-
 def test_a_reader_that_sees_a_server_leave_tells_the_others_at_once(store):
     """A server is gone 1.1 s after its notice. Told with the next round, up to 0.9 s
     later, the others would send it requests that it takes along."""
