Ask for a newer configuration before a change could be late

Cause: a node learned of changes by one read that waits for 20 s, and took its silence for "nothing new". A read sent into a silent store is never answered, so all nodes, which ask again together right after a change, were deaf until it was given up. Among more than twenty nodes most are told by a few readers, and took news of the servers for a proof that the configuration was read as well. The class of fault: silence of a subscription taken for the absence of news.

Now the waiting read only makes changes fast. What holds the bound is a proof: an answer shows that the version in force was the newest when it was asked for. Each node keeps the time of its newest proof, tells it with its version, and takes others' proofs of versions that it has. A node whose proof is 0.4 of the bound old (the one that has run for longest; 0.6 the last) reads without waiting. So a fleet asks some 1.25 times a second however large it is, and a node that hears of no proof asks by itself before a change could be late. The bound comes from the settings. A change that came another way shows that the waiting read is dead, and it is begun anew. Times are on the clock that goes on in a suspension.

--- a/packages/endive_core/src/endive_core/__init__.py
+++ b/packages/endive_core/src/endive_core/__init__.py
@@ -15,5 +15,5 @@
 - membership: ``membership``, ``members``, ``digests``, ``facts``, ``leases``,
   ``clocks``
 - configuration: ``resources``, ``catalogue``, ``routing``, ``records``, ``fold``,
-  ``history``, ``findings``
+  ``history``, ``findings``, ``freshness``
 """
--- /dev/null
+++ b/packages/endive_core/src/endive_core/freshness.py
@@ -0,0 +1,54 @@
+"""How long ago a copy was known to be the newest, and when to ask again.
+
+A read that waits for a change says nothing until there is one, and as little when its
+connection is dead. So only an answer proves that a copy is the newest, as of the moment
+at which it was asked for.
+"""
+
+from dataclasses import dataclass
+
+PERIOD_PART = 0.4
+"""Part of the bound after which the first node asks."""
+
+RANK_PART = 0.1
+"""Part of the bound by which each further node waits longer. One of them asks, and the
+others hear of it before it is their turn."""
+
+LIMIT_PART = 0.6
+"""Part of the bound after which any node asks; the rest is for the answer."""
+
+
+@dataclass
+class Freshness:
+    """What a node knows of how new its copy is.
+
+    Times are seconds on one clock, which must go on while the machine is suspended.
+
+    Attributes
+    ----------
+    bound_s : float
+        Time within which a change must have reached the copy.
+    started_at : float
+        When there was no copy yet; the first proof is awaited from then on.
+    proven_at : float or None
+        When the copy was last known to be the newest.
+    """
+
+    bound_s: float
+    started_at: float
+    proven_at: float | None = None
+
+    def prove(self, at: float) -> None:
+        """Take that the copy was the newest at `at`."""
+        if self.proven_at is None or at > self.proven_at:
+            self.proven_at = at
+
+    def age_s(self, now: float) -> float | None:
+        """Return the seconds since the copy was known to be the newest."""
+        return None if self.proven_at is None else now - self.proven_at
+
+    def due_at(self, rank: int) -> float:
+        """Return when a node asks that `rank` others may ask before."""
+        part = min(LIMIT_PART, PERIOD_PART + RANK_PART * rank)
+        since = self.started_at if self.proven_at is None else self.proven_at
+        return since + part * self.bound_s
--- a/packages/endive_gateway/src/endive_gateway/__init__.py
+++ b/packages/endive_gateway/src/endive_gateway/__init__.py
@@ -6,11 +6,13 @@
 
 Its modules, by their work:
 
-- the whole: ``gateway``, ``context``, ``interfaces``, ``exceptions``, ``clocks``
+- the whole: ``gateway``, ``context``, ``interfaces``, ``exceptions``, ``clocks``,
+  ``loops``
 - callers' side: ``callers``, ``http``, ``statuses``, ``progress``
 - servers' side: ``forwarding``, ``attempts``, ``connections``, ``events``, ``placing``,
   ``working``
-- what the platform says: ``following``, ``servers``, ``documents``, ``listing``
+- what the platform says: ``following``, ``configuration``, ``servers``, ``documents``,
+  ``listing``
 - between nodes: ``peers``, ``nodes``, ``tellings``, ``datagrams``, ``spending``,
   ``prompts``
 - what one node does for all: ``duties``, ``ordering``
--- a/packages/endive_gateway/src/endive_gateway/duties.py
+++ b/packages/endive_gateway/src/endive_gateway/duties.py
@@ -129,7 +129,7 @@
 
         Who has run for longest has the most complete counts of usage.
         """
-        return RANK_S * self.peers.older_among(self.peers.live())
+        return RANK_S * self.peers.rank()
 
     def _has_lapsed(self) -> bool:
         """Return whether no record was told of for as long as a successor waits."""
--- a/packages/endive_gateway/src/endive_gateway/following.py
+++ b/packages/endive_gateway/src/endive_gateway/following.py
@@ -63,6 +63,10 @@
         """Wait for another node's configuration; return whether it came."""
         ...
 
+    def rank(self) -> int:
+        """Return how many live nodes come before this one."""
+        ...
+
     def hasten(self) -> None:
         """Tell the others soon, if this node reads for them."""
         ...
@@ -106,7 +110,7 @@
         """Read once; return the seconds until the next time."""
         if self.has_begun and self.is_relayed():
             return RELAY_LOOK_S
-        self.asked_at = boot_time()
+        asked_at = self.asked_at = boot_time()
         try:
             if not self.synced:
                 self._read_newest()
@@ -121,7 +125,7 @@
             return self._backed_off()
         finally:
             self.asked_at = None
-        self._answered()
+        self._answered(asked_at)
         return self.pause_s()
 
     @property
@@ -155,7 +159,7 @@
         self._note_return()
         for record in page.records:
             self.take(record)
-        self.next = page.end
+        self.next = max(self.next, page.end)
         self.synced = True
         self.taken({record.key for record in page.records})
 
@@ -163,6 +167,9 @@
         asked_at = boot_time()
         page = self.context.store.read(self.topic, self.next, wait_s=self.wait_s())
         self._log_wait(boot_time() - asked_at, page)
+        self._take_page(page)
+
+    def _take_page(self, page: Page) -> None:
         self._note_return()
         for record in page.records:
             if record.offset >= self.next:
@@ -177,7 +184,8 @@
             log_event("store_regained", topic=self.topic, away_s=away)
             self.lost_at = None
 
-    def _answered(self) -> None:
+    def _answered(self, asked_at: float) -> None:
+        """Take that a read asked at `asked_at`, on the boot clock, was answered."""
         self.gap_s = FAILED_GAP_S
         self.answered_at = boot_time()
 
--- a/packages/endive_gateway/src/endive_gateway/gateway.py
+++ b/packages/endive_gateway/src/endive_gateway/gateway.py
@@ -128,6 +128,7 @@
         """Let the metrics show how fresh what the store says is here."""
         show = self.context.metrics.show
         show("endive_configuration_version", lambda: self.context.version)
+        show("endive_configuration_proof_age_seconds", self.configuration.proof_age_s)
         for follower in (self.configuration, self.servers):
             topic = follower.topic.value
             show("endive_store_answer_age_seconds", follower.answer_age_s, topic=topic)
--- a/packages/endive_gateway/src/endive_gateway/interfaces.py
+++ b/packages/endive_gateway/src/endive_gateway/interfaces.py
@@ -306,10 +306,13 @@
         How long a leaving server may still get requests.
     grace_s : float
         Time between the signal to stop and the end.
+    config_s : float
+        Time within which a confirmed change is in force.
     """
 
     drain_s: float = 2.0
     grace_s: float = 8.0
+    config_s: float = 2.0
     retry_ratio: float = 0.2
     retry_window_s: float = 10.0
     retry_slack: float = 50.0
--- a/packages/endive_gateway/src/endive_gateway/peers.py
+++ b/packages/endive_gateway/src/endive_gateway/peers.py
@@ -147,6 +147,10 @@
         readers = max(LEAST_READERS, (len(live) + 1) // NODES_PER_READER)
         return self.older_among(live) < readers
 
+    def rank(self) -> int:
+        """Return how many live nodes have run for longer than this one."""
+        return self.older_among(self.live())
+
     def older_among(self, peers: list[Peer]) -> int:
         """Return how many of `peers` have run for longer than this node."""
         own = (self.context.incarnation, self.me)
@@ -264,6 +268,7 @@
             failing=context.placer.suspicions.tell(now),
             age_s=now - context.started_at,
             starting=context.placer.tell_backlogs(),
+            proof_age_s=self.configuration.proof_age_s() if self.configuration else -1,
         )
 
     def _look_after(self) -> None:
@@ -314,8 +319,8 @@
             self.documents.pull(self.port + 1, alone=self.reads_alone())
         if telling.news is not None and self.servers is not None:
             self.servers.hear(telling.news)
-            if self.configuration is not None:
-                self.configuration.relayed_at = now
+        if self.configuration is not None:
+            self.configuration.hear_proof(telling.version, telling.proof_age_s)
         if telling.gone:
             log_event("peer_gone", peer=telling.node)
             context.limits.leave(address)
--- a/packages/endive_gateway/src/endive_gateway/tellings.py
+++ b/packages/endive_gateway/src/endive_gateway/tellings.py
@@ -44,6 +44,8 @@
         Seconds since the sender started.
     starting : dict of str to float
         Prompt tokens by server for which the sender waits for a first token.
+    proof_age_s : float
+        Seconds since `version` was known to be the store's newest; -1 if unknown.
     """
 
     node: str
@@ -63,6 +65,7 @@
     failing: dict[str, int] = {}
     age_s: float = 0.0
     starting: dict[str, float] = {}
+    proof_age_s: float = -1.0
 
 
 DECODER = msgspec.msgpack.Decoder(Telling)
--- a/packages/endive_gateway/tests/gateway_builders.py
+++ b/packages/endive_gateway/tests/gateway_builders.py
@@ -186,6 +186,9 @@
     def await_first_configuration(self):
         return True
 
+    def rank(self):
+        return 9
+
     def hasten(self):
         self.hastened = True
 
@@ -383,11 +386,11 @@
     )
 
 
-def make_context(table=None, *, store=None, cloud=None, node="n1"):
+def make_context(table=None, *, store=None, cloud=None, node="n1", bounds=None):
     """Return a context without any loop running."""
     settings = GatewaySettings(
         place=Place(node, "127.0.0.1", "z", 0, 0, 0, zones=("z",)),
-        bounds=Bounds(),
+        bounds=bounds or Bounds(),
         duties=frozenset({"usage", "scale"}),
     )
     context = Context(
--- a/packages/endive_gateway/tests/test_configuration_follower.py
+++ b/packages/endive_gateway/tests/test_configuration_follower.py
@@ -1,10 +1,11 @@
-import time
-
+import gevent
 import pytest
 from endive_gateway import following
+from endive_gateway.clocks import boot_time
 from endive_gateway.configuration import ConfigurationFollower
+from endive_gateway.exceptions import StoreError
 from endive_gateway.following import FAILED_GAP_S, MAX_FAILED_GAP_S
-from endive_gateway.interfaces import Topic
+from endive_gateway.interfaces import Bounds, Topic
 from gateway_builders import (
     FewReaders,
     MemoryStore,
@@ -109,8 +110,105 @@
     write(store, Topic.CONFIGURATION, "config", 3)
     follower = ConfigurationFollower(context, FewReaders())
     context.configure(make_table(version=3), b"3", "b")
-    follower.relayed_at = time.monotonic()
     reads = []
     store.newest = lambda topic: reads.append(topic)
     assert follower.step() > 0
     assert not reads
+
+
+class DeafStore(MemoryStore):
+    """Never answers a read that waits, and all others."""
+
+    def __init__(self):
+        super().__init__()
+        self.unanswered = 0
+
+    def read(self, topic, start, *, wait_s=0.0):
+        if wait_s:
+            self.unanswered += 1
+            gevent.sleep(wait_s)
+            raise StoreError("no answer in time")
+        return super().read(topic, start)
+
+
+def overdue(follower):
+    """Let the last proof be as old as the bound."""
+    follower.freshness.proven_at = boot_time() - follower.freshness.bound_s
+
+
+def test_a_change_is_found_though_no_waiting_read_is_answered(monkeypatch):
+    """The store may fall silent while a node waits for a change, and stay so to it."""
+    store = DeafStore()
+    write(store, Topic.CONFIGURATION, "config", 3)
+    context = make_context(store=store, bounds=Bounds(config_s=0.2))
+    running = gevent.spawn(ConfigurationFollower(context).run)
+    try:
+        gevent.sleep(FAILED_GAP_S)
+        assert context.version == 3
+        write(store, Topic.CONFIGURATION, "config", 7)
+        gevent.sleep(0.2)
+        assert context.version == 7
+        gevent.sleep(0.05)
+        assert store.unanswered == 2
+    finally:
+        running.kill()
+
+
+def test_a_waiting_read_that_missed_a_change_is_begun_anew(context):
+    """Another node told of the change; this one's own read had been lost."""
+    follower = ConfigurationFollower(context)
+    context.configure(make_table(version=3), b"3", "store")
+    follower.taken(None)
+    follower.waiting = gevent.spawn(gevent.sleep, 9.0)
+    follower.asked_at = boot_time()
+    follower.freshness.prove(boot_time())
+    first = follower.waiting
+    follower.check()
+    assert follower.waiting is first
+    context.configure(make_table(version=4), b"4", "b")
+    follower.check()
+    gevent.sleep(0)
+    assert first.dead
+    assert not follower.waiting.dead
+    follower.waiting.kill()
+
+
+def test_a_node_does_not_ask_for_what_others_know(context, store):
+    follower = ConfigurationFollower(context, FewReaders())
+    write(store, Topic.CONFIGURATION, "config", 3)
+    context.configure(make_table(version=3), b"3", "b")
+    overdue(follower)
+    follower.hear_proof(3, 0.1)
+    assert follower.check() > 0
+    assert store.calls == []
+
+
+def test_a_proof_of_a_newer_version_says_nothing_of_an_older_one(context, store):
+    """A node that took it so would go on with the old one for as long."""
+    follower = ConfigurationFollower(context, FewReaders())
+    write(store, Topic.CONFIGURATION, "config", 4)
+    context.configure(make_table(version=3), b"3", "b")
+    overdue(follower)
+    follower.hear_proof(4, 0.1)
+    follower.check()
+    assert context.version == 4
+
+
+def test_a_node_that_is_told_reads_by_itself_once_nothing_is_proven(context, store):
+    """Readers that know of the servers may know nothing of the configuration."""
+    follower = ConfigurationFollower(context, FewReaders())
+    write(store, Topic.CONFIGURATION, "config", 4)
+    context.configure(make_table(version=3), b"3", "b")
+    overdue(follower)
+    follower.hear_proof(3, -1.0)
+    follower.check()
+    assert context.version == 4
+
+
+def test_a_check_that_fails_is_repeated_before_the_bound(context, store):
+    follower = ConfigurationFollower(context)
+    context.configure(make_table(version=3), b"3", "b")
+    store.fault = store_down
+    overdue(follower)
+    assert all(follower.check() <= MAX_FAILED_GAP_S for _ in range(6))
+    assert follower.lost_at is not None
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -153,7 +153,7 @@
         "listen": {"front": "10.1.0.14:8221", "ready_addr": "10.1.0.14:8224"},
         "port_range": [7600, 7615],
         "seeds": ["10.2.0.4:8229"],
-        "bounds": {"drain_ms": 2000, "grace_s": 8, "new_bound": 1},
+        "bounds": {"drain_ms": 2000, "config_ms": 1500, "new_bound": 1},
         "platform": {"address": "10.200.1.7:8225", "form": "log"},
         "cloud": {"address": "10.200.0.35:8225", "duties": ["usage", "scale"]},
         "unknown": {"x": 1},
@@ -169,6 +169,7 @@
     assert found.place.peer_port == 7600
     assert found.place.seeds == ("10.2.0.4",)
     assert found.bounds.drain_s == 2.0
+    assert found.bounds.config_s == 1.5
     assert found.duties == {"usage", "scale"}
 
 
