Let the soak's store and connections fall silent, and check that changes are in time

The store may now be silent, connections to it and to servers may go silent for good while new ones work, and the prober checks the bound of two seconds at nodes that nothing has kept from news or callers for three. Older seeds draw from the kinds that they had, so they play the same.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -7,7 +7,7 @@
 import gevent
 from gevent import socket as gsocket
 
-from soak.promises import LATE_S, Asked
+from soak.promises import IN_FORCE_S, IN_TOUCH_S, LATE_S, Asked
 from soak.standins import EVENTS, event, plain_body
 
 HOST = "made.example"
@@ -178,8 +178,19 @@
             node = self.random.choice(self.fleet.nodes)
             newest = self.fleet.version
             version = self.random.choice((newest, newest, max(1, newest - 1)))
+            due = self._is_due(node)
             asked_at, process = self.fleet.clock(), node.starts
             outcome = self.call(probe, f"/version-{version}/x", "", node)
-            if outcome == 200 and node.starts == process:
-                name = f"{node.name}#{process}"
+            if node.starts != process:
+                continue
+            name = f"{node.name}#{process}"
+            if outcome == 200:
                 self.fleet.promises.saw_version(name, asked_at, version)
+            if due and outcome == (404 if version == newest else 200):
+                self.fleet.promises.late_version(name, version, newest)
+
+    def _is_due(self, node):
+        """Return whether `node` has to serve by the newest version."""
+        now = self.fleet.clock()
+        confirmed = now - self.fleet.configured_at > IN_FORCE_S
+        return confirmed and node.in_touch(now - IN_TOUCH_S)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -1,6 +1,7 @@
 """What goes wrong while a seed is played, and when."""
 
 import signal
+import time
 from collections import Counter
 from dataclasses import dataclass
 
@@ -111,6 +112,7 @@
     lasted would put that one's value back, and the fault would never end.
     """
     under_way = thing.__dict__.setdefault("faults_under_way", Counter())
+    thing.faulty_at = float("inf")
     usual = thing.__dict__.setdefault("usual_values", {})
     if not under_way[attribute]:
         usual[attribute] = getattr(thing, attribute)
@@ -120,6 +122,8 @@
     under_way[attribute] -= 1
     if not under_way[attribute]:
         setattr(thing, attribute, usual[attribute])
+    if not under_way.total():
+        thing.faulty_at = time.monotonic()
 
 
 def store_down(fleet, fault):
@@ -130,6 +134,20 @@
     set_for(fleet.store, "losing", True, fault.for_s)
 
 
+def store_silent(fleet, fault):
+    set_for(fleet.store, "silent", True, fault.for_s)
+
+
+def links_fall_silent(fleet, fault):
+    """Let nothing more through on connections to the store, or to a server."""
+    if fault.x < 0.5:
+        link = node_of(fleet, fault).store_link
+    else:
+        link = backend_of(fleet, fault).link
+    link.deafen()
+    link.healed_at = fleet.clock()
+
+
 def cloud_down(fleet, fault):
     set_for(fleet.cloud, "down", True, fault.for_s)
 
@@ -211,6 +229,8 @@
         change_configuration,
         store_down,
         store_loses,
+        store_silent,
+        links_fall_silent,
         cloud_down,
         cloud_loses,
         store_link,
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -40,6 +40,8 @@
         When the last of them ended.
     starts : int
         How often it was started.
+    started_at : float
+        When it last was.
     """
 
     def __init__(self, fleet, number):
@@ -57,6 +59,7 @@
         self.harms = 0
         self.harmed_at = 0.0
         self.starts = 0
+        self.started_at = 0.0
         self.process = None
         self.busy = False
         self.write_settings()
@@ -92,6 +95,7 @@
         if self.process is not None and self.process.poll() is None:
             return
         self.starts += 1
+        self.started_at = self.fleet.clock()
         paths = [str(Path(__file__).parents[1]), os.environ.get("PYTHONPATH", "")]
         environment = os.environ | {
             "ENDIVESTACK_BOOT": str(self.settings),
@@ -164,6 +168,19 @@
         """Return whether nothing excused this node from `since` until now."""
         return not self.harms and self.harmed_at < since
 
+    def in_touch(self, since):
+        """Return whether nothing kept news from this node from `since` until now."""
+        store = self.fleet.store
+        calm_s = time.monotonic() - store.faulty_at
+        return (
+            self.was_well(since)
+            and not self.busy
+            and self.started_at < since
+            and self.store_link.is_well
+            and self.store_link.healed_at < since
+            and self.fleet.clock() - calm_s < since
+        )
+
     def close(self):
         if self.process.poll() is None:
             self.process.kill()
@@ -242,6 +259,7 @@
         self.slot = slot
         self.mutant = mutant
         self.version = 0
+        self.configured_at = 0.0
         self.started = time.monotonic()
         self.promises = Promises(self.clock, LIMITS)
         self.store = MadeStore(self.ip(6, 0), PORT)
@@ -284,6 +302,7 @@
         }
         value = json.dumps(document).encode()
         self.store.put(CONFIGURATION, "config", value)
+        self.configured_at = self.clock()
 
     def is_ready(self):
         """Return whether every node has the configuration and servers."""
--- a/tests/soak/launch.py
+++ b/tests/soak/launch.py
@@ -55,7 +55,19 @@
     DutyLog.may_claim = lambda self, node, now: True
 
 
-MUTANTS = {"limit": share_no_limit, "not-run": say_not_run, "holder": claim_at_once}
+def trust_silence():
+    """Let a node take a read without an answer for no news."""
+    from endive_gateway.configuration import ConfigurationFollower
+
+    ConfigurationFollower.check = lambda self: 60.0
+
+
+MUTANTS = {
+    "limit": share_no_limit,
+    "not-run": say_not_run,
+    "holder": claim_at_once,
+    "silence": trust_silence,
+}
 
 if __name__ == "__main__":
     mutant = os.environ.get("SOAK_MUTANT")
--- a/tests/soak/network.py
+++ b/tests/soak/network.py
@@ -36,6 +36,7 @@
         self.delay_s = 0.0
         self.healed_at = 0.0
         self.open = set()
+        self.deaf = set()
         self.server = StreamServer((host, port), self._serve)
         self.server.start()
 
@@ -54,6 +55,16 @@
         self.delay_s = 0.0
         self.healed_at = self.clock()
 
+    def deafen(self):
+        """Let nothing more through on connections that are open; new ones work."""
+        self.deaf |= self.open
+
+    @property
+    def is_well(self):
+        """Whether no fault is under way here."""
+        silent = self.silent_out or self.silent_back
+        return self.accepting and not silent and not self.delay_s
+
     def reset(self):
         """Reset all connections that are open."""
         for sock in list(self.open):
@@ -79,6 +90,7 @@
         ]
         gevent.joinall(pipes)
         self.open -= {sock, far}
+        self.deaf -= {sock, far}
         sock.close()
         far.close()
 
@@ -87,7 +99,8 @@
             while piece := source.recv(PIECE_BYTES):
                 gevent.sleep(self.delay_s)
                 self._hold(silence)
-                sink.sendall(piece)
+                if source not in self.deaf:
+                    sink.sendall(piece)
             self._hold(silence)
             sink.shutdown(socket.SHUT_WR)
         except OSError:
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -17,6 +17,13 @@
 LATE_S = 1.5
 """Time after a request's deadline by which it must have ended, seconds."""
 
+IN_FORCE_S = 2.0
+"""Time after its confirmation by which a configuration is in force, seconds."""
+
+IN_TOUCH_S = 3.0
+"""Time for which nothing may have kept news from a node that has to have them,
+seconds."""
+
 NOT_RUN = (408, 421, 429, 503)
 
 
@@ -120,6 +127,10 @@
         elif version > newest:
             self.versions[node] = (version, self.clock())
 
+    def late_version(self, node, version, newest):
+        """Take that `node`, in touch, was asked for `version` and answered wrongly."""
+        self.break_("configuration in time", f"{node}: {version}, newest {newest}")
+
     # Servers
 
     def ran(self, request_id, server, organisation):
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -96,12 +96,15 @@
         Whether appends are carried out and their answers lost.
     silent : bool
         Whether calls that come now are never answered, their connections kept.
+    faulty_at : float
+        When the last fault ended, seconds on the monotonic clock.
     """
 
     def __init__(self, host, port):
         self.topics = {}
         self.appended = Event()
         self.down = self.losing = self.silent = False
+        self.faulty_at = 0.0
         super().__init__(host, port)
 
     def put(self, topic, key, value):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,13 +2,18 @@
 
 import gevent
 import pytest
-from soak.faults import set_for
+from soak.faults import FAULTS, set_for
 from soak.play import play
 
 WORKER = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw"))
 SLOT = 60 + WORKER
 """Loopback addresses of this worker's own, so that runs beside it don't meet."""
 
+FIRST_KINDS = tuple(sorted(set(FAULTS) - {"store_silent", "links_fall_silent"}))
+"""Those of which the older seeds' faults are drawn; with others they play anew."""
+
+SILENCES = ("store_silent", "links_fall_silent", "change_configuration")
+
 SEEDS = (31, 21, 303924)
 """A short run, and two seeds that broke a promise before it was mended. 31, the short
 one, broke one too, when nodes served what had come while they started: six let through
@@ -27,11 +32,13 @@
 seconds after its start, was not counted."""
 
 MUTANTS = {
-    "limit": ("limit", "reload"),
-    "not-run": ("not run", "server_crash"),
-    "holder": ("one holder", "reload"),
+    "limit": ("limit", 1, ("reload",)),
+    "not-run": ("not run", 1, ("server_crash",)),
+    "holder": ("one holder", 1, ("reload",)),
+    "silence": ("configuration in time", 8, SILENCES),
 }
-"""By the fault that is put in: the promise that it breaks, and what goes wrong then."""
+"""By the fault that is put in: the promise that it breaks, the seed, and what goes
+wrong then."""
 
 
 @pytest.mark.parametrize("seed", SEEDS)
@@ -39,7 +46,15 @@
     """Nodes are killed, stopped, paused and restarted in series, links to callers,
     servers and the store are cut or slow, servers crash and leave, clocks jump. A
     caller still gets whole answers and true refusals, and service comes back."""
-    outcome = play(seed, slot=SLOT)
+    outcome = play(seed, slot=SLOT, kinds=FIRST_KINDS)
+    assert outcome.broken == [], outcome.directory
+
+
+@pytest.mark.parametrize("nodes", [6, 24])
+def test_changes_are_in_force_in_time_around_silences(nodes):
+    """The store or single connections fall silent for good while configurations
+    change, and a node goes on with an older one."""
+    outcome = play(8, slot=SLOT, nodes=nodes, kinds=SILENCES)
     assert outcome.broken == [], outcome.directory
 
 
@@ -47,7 +62,7 @@
 def test_a_seed_that_broke_a_promise(seed, nodes):
     """A fault that came up once, played as it came: among a hundred nodes a flood of
     one organisation's requests goes past its limit, and others' requests wait."""
-    outcome = play(seed, slot=SLOT, nodes=nodes)
+    outcome = play(seed, slot=SLOT, nodes=nodes, kinds=FIRST_KINDS)
     assert outcome.broken == [], outcome.directory
 
 
@@ -73,9 +88,9 @@
 @pytest.mark.parametrize("mutant", MUTANTS)
 def test_a_broken_promise_is_noticed(mutant):
     """A limit that each node keeps alone, a refusal that says "not run" of a request
-    that a server ran, and duties claimed while another node holds them: each is seen
-    within the twelve seconds of faults of one seed."""
-    rule, kind = MUTANTS[mutant]
-    outcome = play(1, slot=SLOT, mutant=mutant, kinds=(kind,))
+    that a server ran, duties claimed while another node holds them, and silence taken
+    for no news: each is seen within the twelve seconds of faults of one seed."""
+    rule, seed, kinds = MUTANTS[mutant]
+    outcome = play(seed, slot=SLOT, mutant=mutant, kinds=kinds)
     assert outcome.broken, outcome.counts
     assert f" s: {rule}: " in outcome.broken[0]
