Let a fleet ask a silent store at a rate that does not grow with it

Now twenty nodes may ask at the limit of 0.6 of the bound, and each further one 0.025 of the bound later; a node that got no answer waits as long for each live node. One answer is enough: the others hear of the proof, or of the newer version. A node in touch with no other still asks at once.

--- a/packages/endive_core/src/endive_core/freshness.py
+++ b/packages/endive_core/src/endive_core/freshness.py
@@ -15,7 +15,16 @@
 others hear of it before it is their turn."""
 
 LIMIT_PART = 0.6
-"""Part of the bound after which any node asks; the rest is for the answer."""
+"""Part of the bound after which any of a few nodes asks; the rest is for the answer."""
+
+AT_LIMIT = 20
+"""Nodes that may all ask by then. While nobody gets an answer, each node that asks for
+itself only adds to what the store has to turn away."""
+
+TURN_PART = 0.025
+"""Part of the bound by which each node beyond those waits longer, and by which all wait
+longer for each node when they ask again: at most twenty ask within half of the bound.
+If any of them gets an answer the others hear of it."""
 
 
 @dataclass
@@ -50,5 +59,10 @@
     def due_at(self, rank: int) -> float:
         """Return when a node asks that `rank` others may ask before."""
         part = min(LIMIT_PART, PERIOD_PART + RANK_PART * rank)
+        part += TURN_PART * max(0, rank - AT_LIMIT)
         since = self.started_at if self.proven_at is None else self.proven_at
         return since + part * self.bound_s
+
+    def turns_s(self, nodes: int) -> float:
+        """Return after how long a node asks again that got no answer, among `nodes`."""
+        return TURN_PART * nodes * self.bound_s
--- a/packages/endive_gateway/src/endive_gateway/configuration.py
+++ b/packages/endive_gateway/src/endive_gateway/configuration.py
@@ -132,13 +132,20 @@
             return CHECK_LOOK_S
         except StoreError as error:
             self._lost(error)
-            return max(CHECK_LOOK_S, asked_at + self._backed_off() - boot_time())
+            return self._check_again_s(asked_at)
         self._answered(asked_at)
         return CHECK_LOOK_S
 
     def _rank(self) -> int:
         return 0 if self.readers is None else self.readers.rank()
 
+    def _check_again_s(self, asked_at: float) -> float:
+        """Return the time to the next check after one that got no answer."""
+        nodes = 1 if self.readers is None else self.readers.live_nodes()
+        turns_s = self.freshness.turns_s(nodes) * self.context.random.uniform(0.7, 1.3)
+        pause_s = max(self._backed_off(), turns_s)
+        return max(CHECK_LOOK_S, asked_at + pause_s - boot_time())
+
     def _read_at_once(self) -> None:
         if not self.synced:
             self._read_newest()
--- a/packages/endive_gateway/src/endive_gateway/following.py
+++ b/packages/endive_gateway/src/endive_gateway/following.py
@@ -67,6 +67,10 @@
         """Return how many live nodes come before this one."""
         ...
 
+    def live_nodes(self) -> int:
+        """Return how many nodes are in touch, this one included."""
+        ...
+
     def hasten(self) -> None:
         """Tell the others soon, if this node reads for them."""
         ...
--- a/packages/endive_gateway/src/endive_gateway/peers.py
+++ b/packages/endive_gateway/src/endive_gateway/peers.py
@@ -151,6 +151,10 @@
         """Return how many live nodes have run for longer than this one."""
         return self.older_among(self.live())
 
+    def live_nodes(self) -> int:
+        """Return how many nodes are in touch, this one included."""
+        return len(self.live()) + 1
+
     def older_among(self, peers: list[Peer]) -> int:
         """Return how many of `peers` have run for longer than this node."""
         own = (self.context.incarnation, self.me)
--- a/packages/endive_gateway/tests/gateway_builders.py
+++ b/packages/endive_gateway/tests/gateway_builders.py
@@ -189,6 +189,9 @@
     def rank(self):
         return 9
 
+    def live_nodes(self):
+        return 100
+
     def hasten(self):
         self.hastened = True
 
--- a/packages/endive_gateway/tests/test_configuration_follower.py
+++ b/packages/endive_gateway/tests/test_configuration_follower.py
@@ -212,3 +212,12 @@
     overdue(follower)
     assert all(follower.check() <= MAX_FAILED_GAP_S for _ in range(6))
     assert follower.lost_at is not None
+
+
+def test_among_many_nodes_a_check_that_fails_waits_for_its_turn(context, store):
+    """A store that comes back is not met by all nodes at once."""
+    follower = ConfigurationFollower(context, FewReaders())
+    context.configure(make_table(version=3), b"3", "b")
+    store.fault = store_down
+    overdue(follower)
+    assert follower.check() > MAX_FAILED_GAP_S
