--- a/packages/endive_gateway/src/endive_gateway/configuration.py
+++ b/packages/endive_gateway/src/endive_gateway/configuration.py
@@ -13,7 +13,7 @@
 
 CONFIGURATION_WAIT_S = 20.0
 """How long a read of the configuration waits for a change, seconds: under the store's
-longest, and long enough that an idle hour costs few calls."""
+longest. Whether one was missed meanwhile is found out by short reads."""
 
 CONFIGURATION_GAP_S = 0.15
 """Least time between two reads of the configuration, seconds: a storm of changes is
