List that a node started in a silence of the store spends limits alone

Traced by the nodes' logs: node-5 started at 47.38 s while the store was silent, had its configuration at 49.25 s, and knew another node at 51.08 only. Its read of the list of nodes began at 48.90 s, in the silence, and was given up at 50.40 s; other reads had been answered since 49.12 s. Who knows of no other node spends the whole of every limit.

The test does it without a network and fails; without the silence it passes.

--- /dev/null
+++ b/packages/endive_gateway/tests/test_listing.py
@@ -0,0 +1,38 @@
+import gevent
+from endive_gateway.exceptions import StoreError
+from endive_gateway.interfaces import Topic
+from endive_gateway.listing import NodeList
+from gateway_builders import MemoryStore, make_context
+
+CALL_TIMEOUT_S = 1.5
+SILENT_S = 0.2
+SOON_S = 0.5
+
+
+class SilentStore(MemoryStore):
+    """Never answers a call that began while it was silent."""
+
+    silent = True
+
+    def _begin(self, name):
+        super()._begin(name)
+        if self.silent:
+            gevent.sleep(CALL_TIMEOUT_S)
+            raise StoreError("no answer in time")
+
+
+def test_a_node_knows_the_others_as_soon_as_the_store_answers_it():
+    """Until then it lets through the whole of every limit, beside the others."""
+    store = SilentStore()
+    store.silent = False
+    store.put(Topic.NODES, "n2", b'{"address":"127.0.0.2","incarnation":1}')
+    store.silent = True
+    found = []
+    following = gevent.spawn(NodeList(make_context(store=store), found.extend).follow)
+    try:
+        gevent.sleep(SILENT_S)
+        store.silent = False
+        gevent.sleep(SOON_S)
+        assert "127.0.0.2" in found
+    finally:
+        following.kill()
