--- a/packages/endive_gateway/tests/gateway_builders.py
+++ b/packages/endive_gateway/tests/gateway_builders.py
@@ -1,8 +1,6 @@
-"""Builders for tests of the gateway: scripted servers, callers, a store in memory."""
+"""Builders for tests of the gateway: its wire, its parts, and callers."""
 
 import json
-import time
-from collections import defaultdict
 
 import gevent
 from endive_core.clocks import TrueTime
@@ -18,31 +16,23 @@
 from endive_gateway.context import Context
 from endive_gateway.exceptions import (
     BadHeaderError,
-    CloudEmptyError,
-    CloudError,
-    StoreConflictError,
-    StoreError,
-    StoreForgottenError,
-    StoreUncertainError,
     UndecodableError,
 )
 from endive_gateway.forwarding import Forwarder
-from endive_gateway.http import RequestParser
 from endive_gateway.interfaces import (
     AnswerFacts,
     Bounds,
     GatewaySettings,
-    Page,
     Place,
     PromptPart,
-    Record,
     RequestFacts,
     ServerEntry,
     header_value,
 )
 from endive_node.sockets import listen_tcp
 from gevent import socket
-from gevent.server import StreamServer
+from server_builders import ScriptedServer, ok
+from store_builders import MemoryStore, RecordingCloud
 
 HOST = "a.example"
 SERVICE = "s"
@@ -108,250 +98,6 @@
     return header_value(headers, name).decode()
 
 
-class MemoryStore:
-    """The platform's store, with faults to order.
-
-    Attributes
-    ----------
-    fault : callable or None
-        Called with the name of each call; may raise what the call then raises.
-    lost : list
-        Appends are done and their answers lost while it holds entries.
-    """
-
-    def __init__(self):
-        self.topics = defaultdict(list)
-        self.kept_from = defaultdict(int)
-        self.fault = None
-        self.lost = []
-        self.calls = []
-
-    def _begin(self, name):
-        self.calls.append(name)
-        if self.fault is not None:
-            self.fault(name)
-
-    def newest(self, topic):
-        self._begin("newest")
-        newest = {}
-        for record in self.topics[topic]:
-            newest[record.key] = record
-        records = [r for r in newest.values() if r.value is not None]
-        return Page(0, len(self.topics[topic]), records)
-
-    def read(self, topic, start, *, wait_s=0.0):
-        self._begin("read")
-        first = self.kept_from[topic]
-        if start < first:
-            raise StoreForgottenError(first)
-        records = self.topics[topic]
-        return Page(first, len(records), records[start:])
-
-    def append(self, topic, value, *, at=None):
-        self._begin("append")
-        offset = len(self.topics[topic])
-        if at is not None and at != offset:
-            raise StoreConflictError(offset)
-        self.topics[topic].append(Record(offset, "", value))
-        if self.lost:
-            self.lost.pop()
-            raise StoreUncertainError("the answer was lost")
-        return offset
-
-    def put(self, topic, key, value):
-        self._begin("put")
-        offset = len(self.topics[topic])
-        self.topics[topic].append(Record(offset, key, value))
-
-
-def write(store, topic, key, value):
-    records = store.topics[topic]
-    value = None if value is None else json.dumps(value).encode()
-    records.append(Record(len(records), key, value))
-
-
-def store_down(_name):
-    raise StoreError("down")
-
-
-class FewReaders:
-    """Readers among which a node is not."""
-
-    def is_reader(self):
-        return False
-
-    def reads_alone(self):
-        return False
-
-    def await_first_configuration(self):
-        return True
-
-    def rank(self):
-        return 9
-
-    def live_nodes(self):
-        return 100
-
-    def hasten(self):
-        self.hastened = True
-
-
-class RecordingCloud:
-    """The platform's calls, recorded."""
-
-    def __init__(self):
-        self.usage = []
-        self.orders = []
-        self.empty = set()
-        self.down = False
-
-    def report_usage(self, holder, fence, window, counts):
-        if self.down:
-            raise CloudError("down")
-        self.usage.append((holder, fence, window, dict(counts)))
-
-    def order(self, holder, fence, order):
-        if self.down:
-            raise CloudError("down")
-        if order.reclaimable and order.zone in self.empty:
-            raise CloudEmptyError("none")
-        self.orders.append((holder, fence, order))
-
-
-class Seen:
-    """One request as a server got it."""
-
-    def __init__(self, message):
-        self.method = message.method.decode()
-        self.target = message.target.decode()
-        self.headers = {n.decode().lower(): v.decode() for n, v in message.headers}
-        self.body = b"".join(message.body)
-
-
-class ScriptedServer:
-    """A backend server that follows a script, one entry for each request.
-
-    An entry is called with the socket and the request seen; one that is missing
-    answers ``ok``.
-    """
-
-    def __init__(self, *script, server_id="i-1"):
-        self.id = server_id
-        self.script = list(script)
-        self.seen = []
-        self.connections = 0
-        self.closed = []
-        self.server = StreamServer(listen_tcp("127.0.0.1", 0), self._serve)
-        self.server.start()
-
-    @property
-    def address(self):
-        return f"127.0.0.1:{self.server.server_port}"
-
-    def stop(self):
-        self.server.stop(0)
-
-    def _serve(self, sock, _address):
-        self.connections += 1
-        parser = RequestParser(65_536, 10_000_000)
-        try:
-            while True:
-                while not (parser.messages and parser.messages[0].complete):
-                    data = sock.recv(65_536)
-                    if not data:
-                        self.closed.append(time.monotonic())
-                        return
-                    parser.feed(data)
-                seen = Seen(parser.messages.popleft())
-                self.seen.append(seen)
-                entry = self.script.pop(0) if self.script else ok
-                if entry(sock, seen) is False:
-                    return
-        except OSError:
-            self.closed.append(time.monotonic())
-        finally:
-            sock.close()
-
-
-def answer(status=200, body=b"fine", *, signed=True, extra="", request_id=None):
-    """Return a script entry that answers with a length."""
-
-    def send(sock, seen):
-        sock.sendall(encoded(seen, status, body, signed, extra, request_id))
-
-    return send
-
-
-def encoded(seen, status=200, body=b"fine", signed=True, extra="", request_id=None):
-    """Return the bytes of an answer."""
-    signature = "Signed: yes\r\n" if signed else ""
-    request_id = request_id or seen.headers["id"]
-    head = (
-        f"HTTP/1.1 {status} X\r\nId: {request_id}\r\n{signature}{extra}"
-        f"Content-Length: {len(body)}\r\n\r\n"
-    )
-    return head.encode() + body
-
-
-ok = answer()
-full = answer(503, b"full", extra="Refused: 1\r\n")
-elsewhere = answer(421, b"", extra="Refused: 1\r\n")
-failing = answer(500, b"failed")
-
-
-def reset(sock, _seen):
-    """Close without a word, as a crash does."""
-    sock.close()
-    return False
-
-
-def raw(data, *, close=False):
-    """Return a script entry that sends bytes as they are; ``%ID`` is the request's."""
-
-    def send(sock, seen):
-        sock.sendall(data.replace(b"%ID", seen.headers["id"].encode()))
-        return False if close else None
-
-    return send
-
-
-def events(first, last, *, cut=b"", end=True, gap_s=0.0):
-    """Return a script entry that streams events with ids from `first` to `last`."""
-
-    def send(sock, seen):
-        head = (
-            f"HTTP/1.1 200 OK\r\nId: {seen.headers['id']}\r\nSigned: yes\r\n"
-            "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
-        )
-        sock.sendall(head.encode())
-        for number in range(first, last + 1):
-            sock.sendall(chunk(event(number)))
-            gevent.sleep(gap_s)
-        if cut:
-            sock.sendall(chunk(cut))
-        if not end:
-            return False
-        sock.sendall(b"0\r\n\r\n")
-        return None
-
-    return send
-
-
-def event(number):
-    """Return the bytes of one event."""
-    return b"id: %d\ndata: t%d\n\n" % (number, number)
-
-
-def chunk(data):
-    """Return one chunk."""
-    return b"%x\r\n%b\r\n" % (len(data), data)
-
-
-def silent(_sock, _seen):
-    """Never answer."""
-    gevent.sleep(30)
-
-
 def make_route(**options):
     """Return a route with everything a test doesn't care for."""
     values = {
@@ -545,6 +291,25 @@
         self.sock.close()
 
 
+def two(first, second=ok, **route):
+    """Return a gateway before two servers of which the first asked follows `first`."""
+    script = [first, second]
+
+    def next_entry(sock, seen):
+        return (script.pop(0) if script else ok)(sock, seen)
+
+    servers = [
+        ScriptedServer(next_entry, next_entry, server_id=name)
+        for name in ("i-1", "i-2")
+    ]
+    return Running(*servers, table=make_table(make_route(**route)))
+
+
+def arrivals(running):
+    """Return how many requests reached the servers of a running gateway."""
+    return sum(len(server.seen) for server in running.servers)
+
+
 def fixed_time(context, wall):
     """Let the context's true time stand at `wall`."""
     context.true_time = TrueTime(lambda: 0.0, lambda: wall)
--- /dev/null
+++ b/packages/endive_gateway/tests/server_builders.py
@@ -0,0 +1,142 @@
+"""Builders for tests of the gateway: backend servers that follow a script."""
+
+import time
+
+import gevent
+from endive_gateway.http import RequestParser
+from endive_node.sockets import listen_tcp
+from gevent.server import StreamServer
+
+
+class Seen:
+    """One request as a server got it."""
+
+    def __init__(self, message):
+        self.method = message.method.decode()
+        self.target = message.target.decode()
+        self.headers = {n.decode().lower(): v.decode() for n, v in message.headers}
+        self.body = b"".join(message.body)
+
+
+class ScriptedServer:
+    """A backend server that follows a script, one entry for each request.
+
+    An entry is called with the socket and the request seen; one that is missing
+    answers ``ok``.
+    """
+
+    def __init__(self, *script, server_id="i-1"):
+        self.id = server_id
+        self.script = list(script)
+        self.seen = []
+        self.connections = 0
+        self.closed = []
+        self.server = StreamServer(listen_tcp("127.0.0.1", 0), self._serve)
+        self.server.start()
+
+    @property
+    def address(self):
+        return f"127.0.0.1:{self.server.server_port}"
+
+    def stop(self):
+        self.server.stop(0)
+
+    def _serve(self, sock, _address):
+        self.connections += 1
+        parser = RequestParser(65_536, 10_000_000)
+        try:
+            while True:
+                while not (parser.messages and parser.messages[0].complete):
+                    data = sock.recv(65_536)
+                    if not data:
+                        self.closed.append(time.monotonic())
+                        return
+                    parser.feed(data)
+                seen = Seen(parser.messages.popleft())
+                self.seen.append(seen)
+                entry = self.script.pop(0) if self.script else ok
+                if entry(sock, seen) is False:
+                    return
+        except OSError:
+            self.closed.append(time.monotonic())
+        finally:
+            sock.close()
+
+
+def answer(status=200, body=b"fine", *, signed=True, extra="", request_id=None):
+    """Return a script entry that answers with a length."""
+
+    def send(sock, seen):
+        sock.sendall(encoded(seen, status, body, signed, extra, request_id))
+
+    return send
+
+
+def encoded(seen, status=200, body=b"fine", signed=True, extra="", request_id=None):
+    """Return the bytes of an answer."""
+    signature = "Signed: yes\r\n" if signed else ""
+    request_id = request_id or seen.headers["id"]
+    head = (
+        f"HTTP/1.1 {status} X\r\nId: {request_id}\r\n{signature}{extra}"
+        f"Content-Length: {len(body)}\r\n\r\n"
+    )
+    return head.encode() + body
+
+
+ok = answer()
+full = answer(503, b"full", extra="Refused: 1\r\n")
+elsewhere = answer(421, b"", extra="Refused: 1\r\n")
+failing = answer(500, b"failed")
+
+
+def reset(sock, _seen):
+    """Close without a word, as a crash does."""
+    sock.close()
+    return False
+
+
+def raw(data, *, close=False):
+    """Return a script entry that sends bytes as they are; ``%ID`` is the request's."""
+
+    def send(sock, seen):
+        sock.sendall(data.replace(b"%ID", seen.headers["id"].encode()))
+        return False if close else None
+
+    return send
+
+
+def events(first, last, *, cut=b"", end=True, gap_s=0.0):
+    """Return a script entry that streams events with ids from `first` to `last`."""
+
+    def send(sock, seen):
+        head = (
+            f"HTTP/1.1 200 OK\r\nId: {seen.headers['id']}\r\nSigned: yes\r\n"
+            "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+        )
+        sock.sendall(head.encode())
+        for number in range(first, last + 1):
+            sock.sendall(chunk(event(number)))
+            gevent.sleep(gap_s)
+        if cut:
+            sock.sendall(chunk(cut))
+        if not end:
+            return False
+        sock.sendall(b"0\r\n\r\n")
+        return None
+
+    return send
+
+
+def event(number):
+    """Return the bytes of one event."""
+    return b"id: %d\ndata: t%d\n\n" % (number, number)
+
+
+def chunk(data):
+    """Return one chunk."""
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+def silent(_sock, _seen):
+    """Never answer."""
+    gevent.sleep(30)
--- a/packages/endive_gateway/tests/test_configuration_follower.py
+++ b/packages/endive_gateway/tests/test_configuration_follower.py
@@ -6,14 +6,8 @@
 from endive_gateway.exceptions import StoreError
 from endive_gateway.following import FAILED_GAP_S, MAX_FAILED_GAP_S
 from endive_gateway.interfaces import Bounds, Topic
-from gateway_builders import (
-    FewReaders,
-    MemoryStore,
-    make_context,
-    make_table,
-    store_down,
-    write,
-)
+from gateway_builders import make_context, make_table
+from store_builders import FewReaders, MemoryStore, store_down, write
 
 
 @pytest.fixture
--- a/packages/endive_gateway/tests/test_duties.py
+++ b/packages/endive_gateway/tests/test_duties.py
@@ -8,14 +8,8 @@
 from endive_gateway.interfaces import Topic
 from endive_gateway.ordering import Ordering
 from endive_gateway.peers import Peers
-from gateway_builders import (
-    MemoryStore,
-    RecordingCloud,
-    fixed_time,
-    make_context,
-    make_table,
-    store_down,
-)
+from gateway_builders import fixed_time, make_context, make_table
+from store_builders import MemoryStore, RecordingCloud, store_down
 
 WALL = 1_000_000.0
 WINDOW_S = 5.0
--- a/packages/endive_gateway/tests/test_following.py
+++ b/packages/endive_gateway/tests/test_following.py
@@ -9,7 +9,8 @@
     ServerFollower,
 )
 from endive_gateway.interfaces import ServerNews, Topic
-from gateway_builders import FewReaders, MemoryStore, make_context, store_down, write
+from gateway_builders import make_context
+from store_builders import FewReaders, MemoryStore, store_down, write
 
 
 @pytest.fixture
--- a/packages/endive_gateway/tests/test_forwarding.py
+++ b/packages/endive_gateway/tests/test_forwarding.py
@@ -3,29 +3,27 @@
 import gevent
 import pytest
 from endive_core.routing import (
-    CallerLimits,
-    Engine,
     OrganisationTerms,
     RouteKind,
-    Service,
 )
 from endive_gateway.interfaces import ServerState
 from gateway_builders import (
     HOST,
-    SERVICE,
     Running,
+    arrivals,
+    closed_table,
+    make_entry,
+    make_route,
+    make_table,
+    two,
+)
+from server_builders import (
     ScriptedServer,
     answer,
-    closed_table,
     elsewhere,
     encoded,
-    event,
-    events,
     failing,
     full,
-    make_entry,
-    make_route,
-    make_table,
     ok,
     raw,
     reset,
@@ -37,24 +35,6 @@
 RESUMABLE = STREAM | {"resumable": True}
 
 
-def two(first, second=ok, **route):
-    """Return a gateway before two servers of which the first asked follows `first`."""
-    script = [first, second]
-
-    def next_entry(sock, seen):
-        return (script.pop(0) if script else ok)(sock, seen)
-
-    servers = [
-        ScriptedServer(next_entry, next_entry, server_id=name)
-        for name in ("i-1", "i-2")
-    ]
-    return Running(*servers, table=make_table(make_route(**route)))
-
-
-def arrivals(running):
-    return sum(len(server.seen) for server in running.servers)
-
-
 def test_method_target_body_and_headers_arrive_unchanged():
     body = bytes(range(256)) * 300
     with Running(ScriptedServer()) as running:
@@ -418,165 +398,3 @@
             running.servers[1].script.clear()
             assert running.call().status == 200
         assert not leaving.seen
-
-
-# Streams
-
-
-def test_events_pass_as_they_come():
-    route = make_route(**STREAM)
-    server = ScriptedServer(events(1, 5, gap_s=0.1))
-    with Running(server, table=make_table(route)) as running:
-        caller = running.caller()
-        caller.send()
-        started = time.monotonic()
-        while event(1) not in caller.buffer:
-            caller._more()
-        assert time.monotonic() - started < 0.09
-        got = caller.receive()
-    assert got.whole
-    assert got.body == b"".join(event(number) for number in range(1, 6))
-
-
-def test_a_broken_stream_goes_on_at_another_server_after_its_last_event():
-    """A server crashes in the middle of an event. The caller sees one stream: each
-    event once, none missing, none made of two halves."""
-    with two(
-        events(1, 3, cut=b"id: 4\nda", end=False), events(4, 6), **RESUMABLE
-    ) as running:
-        got = running.call()
-        second = [s for server in running.servers for s in server.seen][-1]
-    assert got.whole
-    assert got.body == b"".join(event(number) for number in range(1, 7))
-    assert (
-        "after" in second.headers or running.servers[0].seen[-1].headers["after"] == "3"
-    )
-
-
-def test_a_broken_stream_that_can_not_be_resumed_does_not_look_whole():
-    with two(events(1, 3, end=False), events(4, 6), **STREAM) as running:
-        got = running.call()
-        assert arrivals(running) == 1
-    assert got.status == 200
-    assert not got.whole
-
-
-def test_a_stream_whose_second_server_fails_too_does_not_look_whole():
-    with two(events(1, 3, end=False), reset, **RESUMABLE) as running:
-        got = running.call()
-    assert not got.whole
-    assert got.body == b"".join(event(number) for number in range(1, 4))
-
-
-def test_a_callers_own_place_in_a_stream_is_passed_on():
-    server = ScriptedServer(events(8, 9))
-    with Running(server, table=make_table(make_route(**RESUMABLE))) as running:
-        got = running.call(After="7")
-    assert got.body == event(8) + event(9)
-    assert server.seen[0].headers["after"] == "7"
-
-
-# Callers' connections
-
-
-def limited(**limits):
-    return make_table(limits=CallerLimits(**limits))
-
-
-@pytest.mark.parametrize(
-    ("data", "status"),
-    [
-        (b"GET /x HTTP/1.1\r\nHost: a.example\r\nX: " + b"a" * 2000 + b"\r\n\r\n", 431),
-        (b"POST /x HTTP/1.1\r\nHost: a.example\r\nContent-Length: 5000\r\n\r\n", 413),
-        (b"GET /x HTTP/1.1\r\nHost: a.ex", 408),
-        (b"GET /x HTTP/1.1\r\nHost: a.example\r\n\r\n", 400),
-        (b"no request\r\n\r\n", 400),
-    ],
-)
-def test_a_bad_request_gets_a_clear_answer(data, status):
-    table = limited(max_header_bytes=1000, max_body_bytes=1000, header_timeout_s=0.2)
-    with Running(ScriptedServer(), table=table) as running:
-        caller = running.caller()
-        caller.raw(data)
-        got = caller.receive()
-        assert arrivals(running) == 0
-    assert got.status == status
-    assert got.json["error"]["message"]
-
-
-def test_a_caller_that_expects_to_be_asked_is_asked():
-    with Running(ScriptedServer()) as running:
-        caller = running.caller()
-        caller.raw(
-            b"POST /x HTTP/1.1\r\nHost: a.example\r\nId: q\r\nContent-Length: 2\r\n"
-            b"Expect: 100-continue\r\n\r\n"
-        )
-        assert caller.receive().status == 100
-        caller.raw(b"ab")
-        assert caller.receive().status == 200
-        assert "expect" not in running.servers[0].seen[0].headers
-
-
-def test_an_idle_connection_is_closed_only_after_its_time():
-    with Running(ScriptedServer(), table=limited(idle_timeout_s=0.3)) as running:
-        caller = running.caller()
-        caller.send()
-        caller.receive()
-        gevent.sleep(0.2)
-        caller.send()
-        assert caller.receive().status == 200
-        started = time.monotonic()
-        assert caller.ended()
-        assert time.monotonic() - started > 0.2
-
-
-def test_a_stopping_node_says_so_and_closes_quiet_connections_only():
-    """A node is stopped while a caller sends on a kept connection. A request that was
-    read is answered; the connection closes after it and not before."""
-    with Running(ScriptedServer(answer(body=b"one"))) as running:
-        busy, idle = running.caller(), running.caller()
-        running.listener.stopping = True
-        busy.send()
-        running.listener.close_idle()
-        got = busy.receive()
-        assert got.body == b"one"
-        assert got.headers["connection"] == "close"
-        assert busy.ended()
-        gevent.sleep(0.05)
-        running.listener.close_idle()
-        assert idle.ended()
-
-
-def test_a_request_that_just_came_survives_the_closing_of_idle_connections():
-    """Idle connections are closed at the very moment at which a request comes on one.
-    Ended by a kill, its greenlet would pass the request on and then drop it."""
-    with Running(ScriptedServer()) as running:
-        caller = running.caller()
-        gevent.sleep(0.05)
-        caller.send()
-        time.sleep(0.01)  # the bytes are there, and no greenlet has run yet
-        running.listener.close_idle()
-        assert caller.receive().status == 200
-
-
-def test_a_prompt_that_will_be_late_goes_behind_the_others_at_its_server():
-    """A prompt of 90,000 tokens holds the only engine for more than a second. Whoever
-    comes next is late by then, and must not make those late who come after it."""
-    route = STREAM | {"engine": True, "target_s": 0.3, "priority": 2, "max_attempts": 1}
-    table = make_table(make_route(**route))
-    table.services[SERVICE] = Service(SERVICE, engine=Engine(slots=64))
-    slow = events(1, 2, gap_s=0.3)
-
-    def begin_late(sock, seen):
-        gevent.sleep(0.2)
-        return slow(sock, seen)
-
-    with Running(ScriptedServer(begin_late, ok), table=table) as running:
-        first, second = running.caller(), running.caller()
-        first.send(method="POST", body=b"a", tokens="90000,5")
-        gevent.sleep(0.05)
-        second.send(method="POST", body=b"b", tokens="500,5")
-        assert second.receive().status == 200
-        assert first.receive().status == 200
-        ranks = [seen.headers["urgency"] for seen in running.servers[0].seen]
-    assert ranks == ["2", "9"]
--- a/packages/endive_gateway/tests/test_gateway.py
+++ b/packages/endive_gateway/tests/test_gateway.py
@@ -3,7 +3,8 @@
 import pytest
 from endive_gateway.gateway import Gateway
 from endive_gateway.interfaces import Bounds, GatewaySettings, Place
-from gateway_builders import Caller, MemoryStore, PlainWire, RecordingCloud, make_table
+from gateway_builders import Caller, PlainWire, make_table
+from store_builders import MemoryStore, RecordingCloud
 
 PLACE = Place("n1", "127.0.0.1", "z", 0, 0, 17_621)
 
--- a/packages/endive_gateway/tests/test_listing.py
+++ b/packages/endive_gateway/tests/test_listing.py
@@ -2,7 +2,8 @@
 from endive_gateway.exceptions import StoreError
 from endive_gateway.interfaces import Topic
 from endive_gateway.listing import NodeList
-from gateway_builders import MemoryStore, make_context
+from gateway_builders import make_context
+from store_builders import MemoryStore
 
 CALL_TIMEOUT_S = 1.5
 SILENT_S = 0.2
--- a/packages/endive_gateway/tests/test_metrics.py
+++ b/packages/endive_gateway/tests/test_metrics.py
@@ -1,12 +1,6 @@
 from endive_gateway.metrics import GatewayMetrics, Latencies, MetricsServer
-from gateway_builders import (
-    Caller,
-    Running,
-    ScriptedServer,
-    failing,
-    make_route,
-    make_table,
-)
+from gateway_builders import Caller, Running, make_route, make_table
+from server_builders import ScriptedServer, failing
 
 
 def test_times_fall_into_their_buckets():
--- a/packages/endive_gateway/tests/test_ordering.py
+++ b/packages/endive_gateway/tests/test_ordering.py
@@ -4,7 +4,8 @@
 from endive_gateway.interfaces import ServerState
 from endive_gateway.ordering import LOWER_AFTER_S, SETTLED_S, STARTED_S, Ordering
 from endive_gateway.peers import Peers
-from gateway_builders import RecordingCloud, make_context, make_entry, make_table
+from gateway_builders import make_context, make_entry, make_table
+from store_builders import RecordingCloud
 
 SCALING = Scaling(1, 6, 4.0, 0.22, {"a": 0.85, "b": 1.2, "c": 1.0})
 
--- a/packages/endive_gateway/tests/test_peers.py
+++ b/packages/endive_gateway/tests/test_peers.py
@@ -11,7 +11,8 @@
 from endive_gateway.interfaces import Topic
 from endive_gateway.peers import Peers
 from endive_gateway.tellings import DECODER, Telling
-from gateway_builders import MemoryStore, make_context, make_table, store_down
+from gateway_builders import make_context, make_table
+from store_builders import MemoryStore, store_down
 
 
 def telling(**options):
--- /dev/null
+++ b/packages/endive_gateway/tests/test_streams.py
@@ -0,0 +1,102 @@
+import time
+
+import gevent
+from endive_core.routing import (
+    Engine,
+    RouteKind,
+    Service,
+)
+from gateway_builders import (
+    SERVICE,
+    Running,
+    arrivals,
+    make_route,
+    make_table,
+    two,
+)
+from server_builders import (
+    ScriptedServer,
+    event,
+    events,
+    ok,
+    reset,
+)
+
+STREAM = {"kind": RouteKind.STREAM, "max_attempts": 2}
+RESUMABLE = STREAM | {"resumable": True}
+
+
+def test_events_pass_as_they_come():
+    route = make_route(**STREAM)
+    server = ScriptedServer(events(1, 5, gap_s=0.1))
+    with Running(server, table=make_table(route)) as running:
+        caller = running.caller()
+        caller.send()
+        started = time.monotonic()
+        while event(1) not in caller.buffer:
+            caller._more()
+        assert time.monotonic() - started < 0.09
+        got = caller.receive()
+    assert got.whole
+    assert got.body == b"".join(event(number) for number in range(1, 6))
+
+
+def test_a_broken_stream_goes_on_at_another_server_after_its_last_event():
+    """A server crashes in the middle of an event. The caller sees one stream: each
+    event once, none missing, none made of two halves."""
+    with two(
+        events(1, 3, cut=b"id: 4\nda", end=False), events(4, 6), **RESUMABLE
+    ) as running:
+        got = running.call()
+        second = [s for server in running.servers for s in server.seen][-1]
+    assert got.whole
+    assert got.body == b"".join(event(number) for number in range(1, 7))
+    assert (
+        "after" in second.headers or running.servers[0].seen[-1].headers["after"] == "3"
+    )
+
+
+def test_a_broken_stream_that_can_not_be_resumed_does_not_look_whole():
+    with two(events(1, 3, end=False), events(4, 6), **STREAM) as running:
+        got = running.call()
+        assert arrivals(running) == 1
+    assert got.status == 200
+    assert not got.whole
+
+
+def test_a_stream_whose_second_server_fails_too_does_not_look_whole():
+    with two(events(1, 3, end=False), reset, **RESUMABLE) as running:
+        got = running.call()
+    assert not got.whole
+    assert got.body == b"".join(event(number) for number in range(1, 4))
+
+
+def test_a_callers_own_place_in_a_stream_is_passed_on():
+    server = ScriptedServer(events(8, 9))
+    with Running(server, table=make_table(make_route(**RESUMABLE))) as running:
+        got = running.call(After="7")
+    assert got.body == event(8) + event(9)
+    assert server.seen[0].headers["after"] == "7"
+
+
+def test_a_prompt_that_will_be_late_goes_behind_the_others_at_its_server():
+    """A prompt of 90,000 tokens holds the only engine for more than a second. Whoever
+    comes next is late by then, and must not make those late who come after it."""
+    route = STREAM | {"engine": True, "target_s": 0.3, "priority": 2, "max_attempts": 1}
+    table = make_table(make_route(**route))
+    table.services[SERVICE] = Service(SERVICE, engine=Engine(slots=64))
+    slow = events(1, 2, gap_s=0.3)
+
+    def begin_late(sock, seen):
+        gevent.sleep(0.2)
+        return slow(sock, seen)
+
+    with Running(ScriptedServer(begin_late, ok), table=table) as running:
+        first, second = running.caller(), running.caller()
+        first.send(method="POST", body=b"a", tokens="90000,5")
+        gevent.sleep(0.05)
+        second.send(method="POST", body=b"b", tokens="500,5")
+        assert second.receive().status == 200
+        assert first.receive().status == 200
+        ranks = [seen.headers["urgency"] for seen in running.servers[0].seen]
+    assert ranks == ["2", "9"]
--- a/tests/test_platform_logs.py
+++ b/tests/test_platform_logs.py
@@ -6,7 +6,8 @@
 from endive_core.routing import OrganisationTerms, RouteKind
 from endive_gateway.connections import is_listening
 from endive_node import logs
-from gateway_builders import Running, ScriptedServer, make_route, make_table
+from gateway_builders import Running, make_route, make_table
+from server_builders import ScriptedServer
 
 PAGE = Path(__file__).resolve().parents[1] / "docs" / "OPERATIONS.md"
 LINE = re.compile(r"^event=(\S+) .*$", re.MULTILINE)
--- a/tests/test_platform_start.py
+++ b/tests/test_platform_start.py
@@ -11,13 +11,8 @@
 from endive_gateway.context import START_WAIT_S
 from endive_gateway.forwarding import Forwarder
 from endive_platform import listening
-from gateway_builders import (
-    Caller,
-    ScriptedServer,
-    make_context,
-    make_entry,
-    make_table,
-)
+from gateway_builders import Caller, make_context, make_entry, make_table
+from server_builders import ScriptedServer
 
 
 def free_port():
