--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -78,7 +78,7 @@
     thing = Thing()
     first = gevent.spawn(set_for, thing, "erring", 0.7, 0.02)
     gevent.sleep(0.01)
-    second = gevent.spawn(set_for, thing, "erring", 0.4, 0.04)
+    second = gevent.spawn(set_for, thing, "erring", 0.4, 1.0)
     first.join()
     assert thing.erring == 0.4
     second.join()
