List that a failed check of the configuration outlasts the store's return

Cause, by the code: a check without an answer waits 0.025 of the bound for each live node, 4 to 8 s with 85, in one sleep. An answer that another node gets meanwhile doesn't end it. The nodes of the lowest rank, whose turn it would be once that answer is 0.4 of the bound old, sleep, and readers keep waiting reads from the silence. With up to 20 nodes the wait is at most 1.3 s.

The test fails.

--- a/packages/endive_gateway/tests/test_configuration_follower.py
+++ b/packages/endive_gateway/tests/test_configuration_follower.py
@@ -215,3 +215,22 @@
     store.fault = store_down
     overdue(follower)
     assert follower.check() > MAX_FAILED_GAP_S
+
+
+def test_a_check_that_failed_does_not_outlast_the_stores_return(store):
+    """Among many nodes the first to ask sleeps on, though another got an answer."""
+    context = make_context(store=store, bounds=Bounds(config_s=0.3))
+    write(store, Topic.CONFIGURATION, "config", 3)
+    context.configure(make_table(version=3), b"3", "b")
+    follower = ConfigurationFollower(context, FewReaders())
+    store.fault = store_down
+    running = gevent.spawn(follower.run)
+    try:
+        gevent.sleep(0.3)
+        store.fault = None
+        follower.hear_proof(3, 0.0)
+        write(store, Topic.CONFIGURATION, "config", 4)
+        gevent.sleep(0.3)
+        assert context.version == 4
+    finally:
+        running.kill()
