Read the list of nodes again while the first read waits

A node that starts while the store is silent sent one registration and one read, each given up after 1.5 s. Both were sent into the silence and could never be answered, so the node knew no other node for up to 1.8 s after the store's return and admitted the whole of every rate limit meanwhile.

Until the list has been read, an attempt now starts every 0.4 s without waiting for the earlier ones. One registration at a time waits for its answer; other attempts only read, so that a fleet does not write more often than before. The addresses are passed on before the list counts as read.

The rate of reads in a silence rises from 0.5 to 2.5 a second and node.

--- a/packages/endive_gateway/src/endive_gateway/listing.py
+++ b/packages/endive_gateway/src/endive_gateway/listing.py
@@ -6,6 +6,7 @@
 import msgspec
 from endive_node.logs import log_event
 from gevent.event import Event
+from gevent.pool import Group
 
 from endive_gateway.context import Context
 from endive_gateway.exceptions import StoreError
@@ -23,7 +24,9 @@
 otherwise each node that the store rejects for 9 s would make 22, a third of the nodes
 at a time. Before that it stays short, since a node that has never read the list knows
 of no other. Nodes that start during an outage of the store would each admit the whole
-of every rate limit from the moment at which the store is available again."""
+of every rate limit from the moment at which the store is available again. A store that
+falls silent never answers a call sent to it meanwhile, so first reads don't wait for
+earlier ones."""
 
 
 class NodeList:
@@ -38,6 +41,10 @@
     ----------
     is_read : Event
         Set once the list has been read.
+    registered : bool
+        Whether the store has confirmed this node's entry.
+    is_registering : bool
+        Whether a registration waits for the store's answer.
     """
 
     def __init__(
@@ -48,24 +55,56 @@
         self.address = context.settings.location.address
         self.on_addresses = on_addresses
         self.is_read = Event()
+        self.registered = False
+        self.is_registering = False
 
     def follow(self) -> None:
         """Register this node and read the list repeatedly; the body of a greenlet."""
-        registered = False
+        first_attempts = Group()
+        try:
+            while not self.is_read.is_set():
+                first_attempts.spawn(self._attempt)
+                gevent.sleep(self._jitter(MIN_LIST_RETRY_S))
+            self._refresh()
+        finally:
+            first_attempts.kill()
+
+    def _refresh(self) -> None:
+        """Read the list again from time to time, once it has been read."""
         retry_s = MIN_LIST_RETRY_S
+        gap_s = self._gap_s()
         while True:
-            try:
-                registered = registered or self.register()
-                self.read()
-            except StoreError as error:
-                log_event("nodes_not_read", error=error)
-                gevent.sleep(retry_s * self.context.random.uniform(0.7, 1.3))
-                if self.is_read.is_set():
-                    retry_s = min(MAX_LIST_RETRY_S, 2 * retry_s)
-            else:
+            gevent.sleep(self._jitter(gap_s))
+            if self._attempt():
                 retry_s = MIN_LIST_RETRY_S
-                gap_s = LIST_READ_INTERVAL_S if registered else MIN_LIST_RETRY_S
-                gevent.sleep(gap_s * self.context.random.uniform(0.7, 1.3))
+                gap_s = self._gap_s()
+            else:
+                gap_s = retry_s = min(MAX_LIST_RETRY_S, 2 * retry_s)
+
+    def _gap_s(self) -> float:
+        """Return the time until the next read after one that was answered, seconds."""
+        return LIST_READ_INTERVAL_S if self.registered else MIN_LIST_RETRY_S
+
+    def _jitter(self, seconds: float) -> float:
+        return seconds * self.context.random.uniform(0.7, 1.3)
+
+    def _attempt(self) -> bool:
+        """Register this node if needed, and read the list; return whether it was read.
+
+        While another attempt still waits for its registration, this one only reads.
+        """
+        try:
+            if not self.registered and not self.is_registering:
+                self.is_registering = True
+                try:
+                    self.registered = self.register()
+                finally:
+                    self.is_registering = False
+            self.read()
+        except StoreError as error:
+            log_event("nodes_not_read", error=error)
+            return False
+        return True
 
     def register(self) -> bool:
         """Write this node's entry; return whether the store confirmed it.
@@ -92,5 +131,5 @@
                 log_event("node_entry_undecodable", node=record.key, error=error)
                 continue
             addresses.append(entry.address)
-        self.is_read.set()
         self.on_addresses(addresses)
+        self.is_read.set()
--- a/packages/endive_gateway/tests/test_listing.py
+++ b/packages/endive_gateway/tests/test_listing.py
@@ -8,6 +8,7 @@
 CALL_TIMEOUT_S = 1.5
 SILENT_S = 0.2
 SOON_S = 0.5
+LONG_SILENCE_S = 1.0
 
 
 class SilentStore(MemoryStore):
@@ -37,3 +38,16 @@
         assert "127.0.0.2" in found
     finally:
         following.kill()
+
+
+def test_the_first_attempts_write_one_entry_at_a_time():
+    """A fleet that starts in a silence of the store would write more often than the
+    store accepts writes, if each attempt to read the list also wrote an entry."""
+    store = SilentStore()
+    following = gevent.spawn(NodeList(make_context(store=store), list).follow)
+    try:
+        gevent.sleep(LONG_SILENCE_S)
+        assert store.calls.count("put") == 1
+        assert store.calls.count("newest") > 1
+    finally:
+        following.kill()
