End the wait after a failed check once a proof is heard

In a large fleet a node that checked its configuration in a silence of the store repeated the check after 0.025 of the bound times the number of nodes, 4 to 8 s at 85 nodes. A proof that a peer sent meanwhile counted, but did not end the wait. Checks are ordered by rank, so the nodes awake left the next one to nodes that slept, and a change made after the store's return was found late.

The failed check is now part of the schedule: Freshness.due_at() returns the time of its repetition only while no proof is newer than the check, and the loop of checks wakes when a proof ends that state.

--- a/packages/endive_core/src/endive_core/freshness.py
+++ b/packages/endive_core/src/endive_core/freshness.py
@@ -47,23 +47,43 @@
         Start of the schedule while there is no proof yet.
     proven_at : float or None
         Latest time at which the copy is known to have been the newest.
+    failed_at : float or None
+        When the last check was sent that got no answer.
+    retry_at : float
+        Earliest time of the next check while no proof is newer than that check.
     """
 
     bound_s: float
     started_at: float
     proven_at: float | None = None
+    failed_at: float | None = None
+    retry_at: float = 0.0
+
+    @property
+    def is_retrying(self) -> bool:
+        """Whether the last check got no answer and no proof is newer than it."""
+        if self.failed_at is None:
+            return False
+        return self.proven_at is None or self.proven_at <= self.failed_at
 
     def prove(self, at: float) -> None:
         """Record that the copy was the newest at time `at`."""
         if self.proven_at is None or at > self.proven_at:
             self.proven_at = at
 
+    def fail(self, sent_at: float, retry_at: float) -> None:
+        """Record that the check sent at `sent_at` got no answer."""
+        self.failed_at = sent_at
+        self.retry_at = retry_at
+
     def age_s(self, now: float) -> float | None:
         """Return the seconds since the latest proof, or ``None`` without one."""
         return None if self.proven_at is None else now - self.proven_at
 
     def due_at(self, rank: int) -> float:
         """Return when a node checks, if `rank` other nodes check before it."""
+        if self.is_retrying:
+            return self.retry_at
         part = min(
             LATEST_CHECK_FRACTION, FIRST_CHECK_FRACTION + RANK_DELAY_FRACTION * rank
         )
--- a/packages/endive_gateway/src/endive_gateway/configuration.py
+++ b/packages/endive_gateway/src/endive_gateway/configuration.py
@@ -3,6 +3,7 @@
 import gevent
 from endive_core.freshness import Freshness
 from endive_node.logs import log_event
+from gevent.event import Event
 
 from endive_gateway.clocks import boot_time
 from endive_gateway.context import Context
@@ -46,6 +47,8 @@
         Newest version in force when the long poll was last known to work.
     long_poll : Greenlet or None
         The loop of long polls.
+    due_earlier : Event
+        Set when a proof has ended the wait after a check without an answer.
     """
 
     topic = Topic.CONFIGURATION
@@ -55,6 +58,7 @@
         self.freshness = Freshness(context.settings.bounds.config_s, boot_time())
         self.long_poll_version = -1
         self.long_poll: gevent.Greenlet | None = None
+        self.due_earlier = Event()
 
     def run(self) -> None:
         """See :meth:`Follower.run`."""
@@ -62,7 +66,8 @@
             self.readers.await_first_configuration()
         self._restart_long_poll()
         while True:
-            gevent.sleep(self.check())
+            self.due_earlier.clear()
+            self.due_earlier.wait(self.check())
 
     def _restart_long_poll(self) -> None:
         if self.long_poll is not None:
@@ -111,7 +116,13 @@
 
     def _note_answer(self, read_started_at: float) -> None:
         super()._note_answer(read_started_at)
-        self.freshness.prove(read_started_at)
+        self._prove(read_started_at)
+
+    def _prove(self, at: float) -> None:
+        was_retrying = self.freshness.is_retrying
+        self.freshness.prove(at)
+        if was_retrying and not self.freshness.is_retrying:
+            self.due_earlier.set()
 
     # Confirming that the version in force is the newest
 
@@ -127,9 +138,8 @@
             return MIN_CHECK_INTERVAL_S
         self._check_long_poll()
         read_started_at = boot_time()
-        left_s = self.freshness.due_at(self._peer_rank()) - read_started_at
-        if left_s > 0:
-            return max(MIN_CHECK_INTERVAL_S, left_s)
+        if self.freshness.due_at(self._peer_rank()) > read_started_at:
+            return self._until_due_s()
         try:
             self._read_now()
         except StoreOffsetOutOfRangeError:
@@ -137,15 +147,20 @@
             return MIN_CHECK_INTERVAL_S
         except StoreError as error:
             self._note_failure(error)
-            return self._retry_delay_s(read_started_at)
-        self._note_answer(read_started_at)
-        return MIN_CHECK_INTERVAL_S
+            self.freshness.fail(read_started_at, self._retry_at(read_started_at))
+        else:
+            self._note_answer(read_started_at)
+        return self._until_due_s()
+
+    def _until_due_s(self) -> float:
+        left_s = self.freshness.due_at(self._peer_rank()) - boot_time()
+        return max(MIN_CHECK_INTERVAL_S, left_s)
 
     def _peer_rank(self) -> int:
         return 0 if self.readers is None else self.readers.rank()
 
-    def _retry_delay_s(self, read_started_at: float) -> float:
-        """Return the seconds until the next check after one that got no answer.
+    def _retry_at(self, read_started_at: float) -> float:
+        """Return when to check again after a check that got no answer.
 
         The delay grows with the number of nodes, so that they don't all read at once
         when the store is available again.
@@ -154,8 +169,7 @@
         retry_delay_s = self.freshness.retry_delay_s(
             nodes
         ) * self.context.random.uniform(0.7, 1.3)
-        pause_s = max(self._next_backoff_s(), retry_delay_s)
-        return max(MIN_CHECK_INTERVAL_S, read_started_at + pause_s - boot_time())
+        return read_started_at + max(self._next_backoff_s(), retry_delay_s)
 
     def _read_now(self) -> None:
         if not self.synced:
@@ -190,7 +204,7 @@
             Negative if the peer has no confirmation.
         """
         if age_s >= 0 and version <= self.context.version:
-            self.freshness.prove(boot_time() - age_s)
+            self._prove(boot_time() - age_s)
 
     def proof_age_s(self) -> float:
         """Return the seconds since the version was confirmed as the newest.
