Let the fleet read the list of nodes at a rate that does not grow

One node of eight now reads it in each 20 s. A small rest of a fleet, which knows few nodes, still reads often. After a partition that outlasted 30 s both sides have forgotten each other; a node that hears from three or more such nodes reads the list again, spread over 5 s (0.01 s a node). One node that comes back alone causes no read: it is known once it has sent a message.

--- a/packages/endive_gateway/src/endive_gateway/listing.py
+++ b/packages/endive_gateway/src/endive_gateway/listing.py
@@ -13,9 +13,28 @@
 from endive_gateway.interfaces import Topic
 from endive_gateway.nodes import NodeEntry
 
-LIST_READ_INTERVAL_S = 20.0
-"""Time between two reads of the list, seconds. Two nodes that have never received a
-message from each other find each other there."""
+MIN_LIST_READ_INTERVAL_S = 20.0
+"""Least time between two reads of a list that is complete as far as a node knows,
+seconds. Two nodes that have never received a message from each other find each other
+there."""
+
+NODES_PER_LIST_READ = 8
+"""Number of nodes of which one reads the list in each such interval. Whichever node
+reads it sends its state to all nodes in it, so more reads would find nothing new."""
+
+MAX_UNLISTED = 3
+"""Number of long-running nodes unknown here until they sent a message, from which on
+the list is read again soon. So many appear together when a partition ends. A single one
+was out of contact itself, and is known once it has sent a message."""
+
+UNLISTED_AFTER_S = 30.0
+"""Time since its start after which an unknown node counts as long-running, seconds. A
+node that has just started finds the others itself."""
+
+REREAD_SPREAD_S = 5.0
+REREAD_SPREAD_PER_NODE_S = 0.01
+"""Time over which the nodes spread their reads after a partition, seconds: at least,
+and for each known node. A read takes one call for each fifty nodes."""
 
 MIN_LIST_RETRY_S = 0.4
 MAX_LIST_RETRY_S = 3.0
@@ -29,6 +48,14 @@
 earlier ones."""
 
 
+def refresh_interval_s(nodes: int) -> float:
+    """Return the time between two reads of the list by one of `nodes` nodes, seconds.
+
+    All nodes together read it at the same rate at any number of nodes.
+    """
+    return MIN_LIST_READ_INTERVAL_S * max(1.0, nodes / NODES_PER_LIST_READ)
+
+
 class NodeList:
     """Keeps this node in the list, and passes on the addresses in it.
 
@@ -45,6 +72,10 @@
         Whether the store has confirmed this node's entry.
     is_registering : bool
         Whether a registration waits for the store's answer.
+    unlisted : set of str
+        Addresses of long-running nodes that the last list read did not contain.
+    outdated : Event
+        Set once there are so many of them that the list is read again soon.
     """
 
     def __init__(
@@ -57,6 +88,8 @@
         self.is_read = Event()
         self.registered = False
         self.is_registering = False
+        self.unlisted: set[str] = set()
+        self.outdated = Event()
 
     def follow(self) -> None:
         """Register this node and read the list repeatedly; the body of a greenlet."""
@@ -71,19 +104,37 @@
 
     def _refresh(self) -> None:
         """Read the list again from time to time, once it has been read."""
-        retry_s = MIN_LIST_RETRY_S
-        gap_s = self._gap_s()
+        retry_s, answered = MIN_LIST_RETRY_S, True
         while True:
-            gevent.sleep(self._jitter(gap_s))
-            if self._attempt():
-                retry_s = MIN_LIST_RETRY_S
-                gap_s = self._gap_s()
+            if answered and self.registered:
+                self._await_refresh()
             else:
-                gap_s = retry_s = min(MAX_LIST_RETRY_S, 2 * retry_s)
-
-    def _gap_s(self) -> float:
-        """Return the time until the next read after one that was answered, seconds."""
-        return LIST_READ_INTERVAL_S if self.registered else MIN_LIST_RETRY_S
+                gevent.sleep(self._jitter(retry_s))
+            answered = self._attempt()
+            retry_s = (
+                MIN_LIST_RETRY_S if answered else min(MAX_LIST_RETRY_S, 2 * retry_s)
+            )
+
+    def _await_refresh(self) -> None:
+        """Wait until the list is due to be read again, or known to be outdated."""
+        gevent.sleep(self._jitter(MIN_LIST_READ_INTERVAL_S))
+        nodes = self.context.nodes
+        left_s = refresh_interval_s(nodes) - MIN_LIST_READ_INTERVAL_S
+        if left_s > 0 and self.outdated.wait(self._jitter(left_s)):
+            spread_s = max(REREAD_SPREAD_S, REREAD_SPREAD_PER_NODE_S * nodes)
+            gevent.sleep(self.context.random.uniform(0, spread_s))
+
+    def observe_unknown(self, address: str, age_s: float) -> None:
+        """Record a message from a node that was unknown here, `age_s` after its start.
+
+        Such a node, or this one, was out of contact for so long that the others forgot
+        it. Where many were, each side of a partition has forgotten the other.
+        """
+        if not self.is_read.is_set() or age_s < UNLISTED_AFTER_S:
+            return
+        self.unlisted.add(address)
+        if len(self.unlisted) >= MAX_UNLISTED:
+            self.outdated.set()
 
     def _jitter(self, seconds: float) -> float:
         return seconds * self.context.random.uniform(0.7, 1.3)
@@ -131,5 +182,7 @@
                 log_event("node_entry_undecodable", node=record.key, error=error)
                 continue
             addresses.append(entry.address)
+        self.unlisted.clear()
+        self.outdated.clear()
         self.on_addresses(addresses)
         self.is_read.set()
--- a/packages/endive_gateway/src/endive_gateway/peers.py
+++ b/packages/endive_gateway/src/endive_gateway/peers.py
@@ -331,6 +331,8 @@
 
     def receive(self, message: "StateMessage", address: str) -> None:
         """Apply another node's state message, unless it arrived out of order."""
+        if address not in self.known and address != self.address:
+            self.node_list.observe_unknown(address, message.age_s)
         peer = self._add_peer(address)
         if peer is None:
             return
--- a/packages/endive_gateway/tests/test_peers.py
+++ b/packages/endive_gateway/tests/test_peers.py
@@ -137,6 +137,17 @@
     assert behind.version == 9
 
 
+def test_a_message_from_a_forgotten_node_is_noted_in_the_list(peers):
+    """After a partition the messages of forgotten nodes show that the list of nodes has
+    to be read again; messages of known nodes don't."""
+    peers.node_list.is_read.set()
+    peers.receive(state_message(age_s=60.0), "127.0.0.2")
+    peers.receive(state_message(age_s=60.0, sequence=2), "127.0.0.2")
+    peers.receive(state_message(age_s=1.0), "127.0.0.3")
+    peers.receive(state_message(age_s=60.0), peers.address)
+    assert peers.node_list.unlisted == {"127.0.0.2"}
+
+
 def test_nodes_that_send_less_often_in_a_large_fleet_are_not_silent(peers):
     """87 nodes send each other a message every 0.9 s. If they counted as silent between
     two messages, each node would reserve parts of every limit for them and refuse
