Let a coordinator that cannot decide decline instead of staying silent

A node that cannot decide now says so at once in a message of its own, which an older build drops like any it cannot decode. The requesting node leaves it out for three seconds as before and asks the next one, up to eight; two that do not answer at all still end it. Nothing is spent without a grant.

--- a/packages/endive_core/src/endive_core/limit_coordination.py
+++ b/packages/endive_core/src/endive_core/limit_coordination.py
@@ -45,8 +45,13 @@
 takes its place. By then it is either in contact again or no longer listed."""
 
 MAX_GRANT_ATTEMPTS = 2
-"""Coordinators asked for one request, one after the other. Two in a row are seldom gone
-together, and a caller within its limit then waits 0.1 s longer."""
+"""Coordinators that may leave one request unanswered, one after the other. Two in a row
+are seldom gone together, and a caller within its limit then waits 0.1 s longer."""
+
+MAX_GRANT_REQUESTS = 8
+"""Coordinators asked for one request, those that decline included. A node that has just
+started declines until it knows what the others have spent, which takes one state
+message of each; declining takes some milliseconds."""
 
 GRANT_RETRY_AFTER_S = 0.2
 """Retry-after for a caller refused because no coordinator answered, seconds. On the
--- a/packages/endive_gateway/src/endive_gateway/spending.py
+++ b/packages/endive_gateway/src/endive_gateway/spending.py
@@ -18,6 +18,7 @@
     GRANT_RETRY_AFTER_S,
     GRANT_TIMEOUT_S,
     MAX_GRANT_ATTEMPTS,
+    MAX_GRANT_REQUESTS,
     MAX_NODES_WITHOUT_GRANTS,
     UnsentSpending,
     coordinator_for,
@@ -101,7 +102,23 @@
     wait_s: float
 
 
-DECODER = msgspec.msgpack.Decoder(SpendingReport | GrantRequest | GrantReply)
+class GrantDeclined(msgspec.Struct, array_like=True, tag="declined"):
+    """Reply of a node that can't decide on a request for a grant.
+
+    It has no configuration yet, or does not know what the requesting node has spent. A
+    message of its own, since an unknown value in :class:`GrantReply` could be taken for
+    a grant.
+    """
+
+    number: int
+
+
+SpendingMessage = SpendingReport | GrantRequest | GrantReply | GrantDeclined
+
+DECODER = msgspec.msgpack.Decoder(SpendingMessage)
+
+DECLINED = -1.0
+"""Stands for a wait where a coordinator declined to decide."""
 
 
 class SpendingExchange:
@@ -164,14 +181,19 @@
         node has to request a grant for more than its even part of the rest.
         """
         limits = self.context.limits
-        for _ in range(MAX_GRANT_ATTEMPTS):
+        unanswered = 0
+        for _ in range(MAX_GRANT_REQUESTS):
             now = time.monotonic()
             left, _ = limits.left(terms.name, now, rate=terms.rate, burst=terms.burst)
             coordinator = self._coordinator(terms.name)
             if coordinator == self.address or not self._needs_grant(units, left):
                 return self._spend_locally(terms, units, now)
             wait_s = self._request_grant(coordinator, terms.name, units)
-            if wait_s is not None:
+            if wait_s is None:
+                unanswered += 1
+                if unanswered == MAX_GRANT_ATTEMPTS:
+                    break
+            elif wait_s != DECLINED:
                 return wait_s
         return GRANT_RETRY_AFTER_S
 
@@ -196,14 +218,15 @@
     ) -> float | None:
         """Request a grant from the coordinator, and spend if it is given.
 
-        A coordinator that doesn't reply is replaced for a while. If each request waited
-        in vain for one that was killed or hangs, the organisation's callers would be
-        refused until it no longer counts as live, up to three seconds.
+        A coordinator that declines or doesn't reply is replaced for a while. If each
+        request waited in vain for one that was killed or hangs, the organisation's
+        callers would be refused until it no longer counts as live, up to three seconds.
 
         Returns
         -------
         float or None
-            0 if the units were spent, the seconds to wait, or ``None`` without a reply.
+            0 if the units were spent, the seconds to wait, `DECLINED`, or ``None``
+            without a reply.
         """
         self.requests_sent += 1
         number, reply = self.requests_sent, AsyncResult()
@@ -220,7 +243,9 @@
         finally:
             del self.pending_replies[number]
             self.requested_units[organisation] -= units
-        if wait_s <= 0:
+        if wait_s == DECLINED:
+            self._skip_node(coordinator)
+        elif wait_s <= 0:
             self.context.limits.spend(organisation, units)
         return wait_s
 
@@ -233,12 +258,15 @@
     def grant(self, request: GrantRequest) -> None:
         """Reply to another node's request for a grant.
 
-        There is no reply if the organisation is unknown, or if what the node has spent
-        so far is.
+        It is declined if the organisation is unknown, or if what the node has spent so
+        far is.
         """
         total = request.total
+        if total.address == self.address:
+            return
         terms = self.context.terms(total.organisation)
-        if terms is None or total.address == self.address:
+        if terms is None:
+            self._send(GrantDeclined(request.number), [total.address])
             return
         known = self.context.limits.peers.get(total.address)
         before = known.spent.get(total.organisation, 0.0) if known else 0.0
@@ -251,6 +279,7 @@
             burst=terms.burst,
         )
         if wait_s is None:
+            self._send(GrantDeclined(request.number), [total.address])
             return
         self._send(GrantReply(request.number, wait_s), [total.address])
         if wait_s <= 0:
@@ -334,14 +363,10 @@
             units,
         )
 
-    def _send(
-        self, message: SpendingReport | GrantRequest | GrantReply, addresses: list[str]
-    ) -> None:
+    def _send(self, message: SpendingMessage, addresses: list[str]) -> None:
         self.datagrams.send(message, addresses)
 
-    def handle_message(
-        self, message: SpendingReport | GrantRequest | GrantReply, _address: str
-    ) -> None:
+    def handle_message(self, message: SpendingMessage, _address: str) -> None:
         """Handle a message from another node."""
         match message:
             case SpendingReport(entries):
@@ -349,5 +374,10 @@
             case GrantRequest():
                 self.grant(message)
             case GrantReply(number, wait_s):
-                if number in self.pending_replies:
-                    self.pending_replies[number].set(wait_s)
+                self._receive_reply(number, wait_s)
+            case GrantDeclined(number):
+                self._receive_reply(number, DECLINED)
+
+    def _receive_reply(self, number: int, wait_s: float) -> None:
+        if number in self.pending_replies:
+            self.pending_replies[number].set(wait_s)
--- a/packages/endive_gateway/tests/test_spending.py
+++ b/packages/endive_gateway/tests/test_spending.py
@@ -6,9 +6,11 @@
 import pytest
 from endive_core.limit_coordination import GRANT_TIMEOUT_S, coordinator_for
 from endive_core.routing import OrganisationLimits
+from endive_core.shared_limits import SharedLimits
 from endive_gateway import spending
 from endive_gateway.spending import (
     DECODER,
+    GrantDeclined,
     GrantReply,
     GrantRequest,
     NodeSpending,
@@ -294,16 +296,66 @@
     assert not requester.pending_replies
 
 
-def test_an_old_node_of_unknown_spending_gets_no_reply(fleet):
+def test_an_old_node_of_unknown_spending_is_declined(fleet, monkeypatch):
     """What a long-running node had spent before its first message is unknown, so what
     it requests can't be distinguished from what it has spent."""
     coordinator = fleet[coordinator_address(MANY_ADDRESSES)]
+    sent = []
+    monkeypatch.setattr(coordinator, "_send", lambda *message: sent.append(message))
     total = NodeSpending("127.0.9.9", 3, 5000, 3600.0, "o", 1e6)
     coordinator.grant(GrantRequest(1, total))
+    assert sent == [(GrantDeclined(1), ["127.0.9.9"])]
     assert coordinator.context.limits.own_totals().get("o", 0.0) == 0.0
     assert "127.0.9.9" not in coordinator.context.limits.peers
 
 
+def restart(exchange, requester):
+    """Let a node have just started among others that have run for an hour."""
+    requester.context.started_at -= 3600.0
+    origin = requester._own_entry("o").origin
+    for other in exchange.fleet.values():
+        other.context.limits.receive(origin, {"o": 0.0}, time.monotonic())
+    exchange.context.limits = SharedLimits(exchange.context.started_at)
+
+
+@pytest.mark.parametrize("cause", ["unknown spending", "no configuration"])
+def test_a_coordinator_that_has_just_started_delays_no_request(fleet, cause):
+    """Nodes are stopped and started in turn. For two seconds after its start one of 195
+    nodes doesn't know what the others have spent. If it didn't reply, each of them
+    would wait 0.1 s, and many refuse a caller within its limit."""
+    requester = requesting_node(fleet)
+    coordinator = fleet[coordinator_address(MANY_ADDRESSES)]
+    if cause == "no configuration":
+        coordinator.context.table = None
+    else:
+        restart(coordinator, requester)
+    started = time.monotonic()
+    assert requester.try_spend(TERMS, 60.0) == 0.0
+    assert time.monotonic() - started < GRANT_TIMEOUT_S
+    assert requester.requests_sent == 2
+
+
+def test_several_coordinators_may_decline(fleet):
+    """Many nodes start at once, among others that were not killed."""
+    requester = requesting_node(fleet)
+    left = [node for node in MANY_ADDRESSES if node != requester.address]
+    for _ in range(4):
+        first = coordinator_address([requester.address, *left])
+        left.remove(first)
+        fleet[first].context.table = None
+    assert requester.try_spend(TERMS, 60.0) == 0.0
+
+
+def test_declining_is_not_taken_for_a_grant(fleet):
+    """If all coordinators decline, nothing may be spent."""
+    requester = requesting_node(fleet)
+    for exchange in fleet.values():
+        exchange.context.table = None
+    assert requester.try_spend(TERMS, 60.0) > 0.0
+    assert requester.context.limits.own_totals().get("o", 0.0) == 0.0
+    assert not requester.pending_replies
+
+
 def test_a_late_reply_changes_nothing(fleet):
     requester = requesting_node(fleet)
     requester.handle_message(GrantReply(99, 0.0), "127.0.1.0")
