Let all nodes of a large fleet relay the changes of the servers

Only readers, a tenth of the nodes, relayed what they read.

In fleets of more than twenty nodes every state message now has the recent changes, with the age of the reader's read that they stem from, so that nodes cannot keep each other up to date without one. Four to eight nodes read. A node that is not a reader repeats a change for 1 s; the compressed changes are kept between messages, and a message without news is not unpacked.

--- a/packages/endive_gateway/src/endive_gateway/following.py
+++ b/packages/endive_gateway/src/endive_gateway/following.py
@@ -1,7 +1,7 @@
 """Follows keyed topics of the store: the common part, and the topic of servers.
 
 Only some nodes, the readers, have to read the servers from the store. They relay what
-changed to the others in their state messages.
+changed to the others in their state messages, and in a large fleet those relay it too.
 """
 
 import time
@@ -32,16 +32,23 @@
 delay adds to an outage of the store before a changed configuration is in force."""
 
 RELAY_TIMEOUT_S = 0.9
-"""Time without changes relayed by a reader after which a node reads the store itself,
-seconds. Each of at least four readers sends once in that time. A leaving server may get
-requests for two seconds, of which the reader's own read takes up to 0.7 s."""
+"""Age of the newest read of a reader, as relayed, from which on a node reads the store
+itself, seconds. A leaving server may get requests for two seconds, of which the
+reader's own read takes up to 0.7 s."""
 
 RELAY_CHECK_INTERVAL_S = 0.2
 """Time between two checks whether readers still relay to this node, seconds."""
 
 CHANGE_HISTORY_S = 3.0
-"""Time for which a change is sent again in each message, seconds. Several messages in a
-row may be lost before a node has to read the store itself."""
+"""Time for which a reader sends a change again in each message, seconds. Several
+messages in a row may be lost before a node has to read the store itself."""
+
+RELAYED_HISTORY_S = 1.0
+"""Time for which another node sends a change again, seconds. In a large fleet each node
+receives a hundred messages in that time."""
+
+MIN_CHECKPOINT_GAP_S = 0.1
+"""Least time between two checkpoints with the same offset, seconds."""
 
 MAX_DELTA_BYTES = 800
 """Largest compressed changes in one message, bytes, about twenty servers; the message
@@ -92,7 +99,8 @@
     readers : Readers or None
         Without it this node always reads the store itself.
     relayed_at : float
-        When a reader's changes were last applied, on the monotonic clock.
+        When a reader last read what is known here from messages, on the monotonic
+        clock.
     next_offset : int
         Offset from which the topic is read next.
     unavailable_since, available_since : float or None
@@ -268,6 +276,10 @@
         For each recent read its time on the monotonic clock and the next offset.
     history_start : int
         Offset from which `changes` is complete.
+    read_at : float
+        When this node last read the topic itself, on the monotonic clock.
+    packed : tuple of (int, int, bytes)
+        The compressed changes of the last message, and the offsets that they cover.
     """
 
     topic = Topic.SERVERS
@@ -279,11 +291,17 @@
         self.changes: deque[Record] = deque()
         self.checkpoints: deque[tuple[float, int]] = deque()
         self.history_start = 0
+        self.read_at = float("-inf")
+        self.packed: tuple[int, int, bytes] = (0, 0, b"")
 
     def pause_s(self) -> float:
         """See :meth:`Follower.pause_s`."""
         return SERVER_READ_INTERVAL_S
 
+    def _note_answer(self, read_started_at: float) -> None:
+        super()._note_answer(read_started_at)
+        self.read_at = time.monotonic() - (boot_time() - read_started_at)
+
     @property
     def after_outage(self) -> bool:
         """Whether an entry may have lapsed because of an outage of the store."""
@@ -332,26 +350,42 @@
             ``None`` if this node's own records are not up to date.
         """
         now = time.monotonic()
+        age_s = now - max(self.read_at, self.relayed_at)
         if not self.synced or self.unavailable_since is not None:
             return None
-        if not self.checkpoints or now - self.checkpoints[-1][0] > RELAY_TIMEOUT_S:
+        if age_s > RELAY_TIMEOUT_S:
             return None
-        while self.checkpoints and now - self.checkpoints[0][0] > CHANGE_HISTORY_S:
-            self.history_start = max(self.history_start, self.checkpoints.popleft()[1])
-        while self.changes and self.changes[0].offset < self.history_start:
-            self.changes.popleft()
-        changes = pack_changes(self.changes)
+        self._forget_changes(now - self._history_s())
+        changes = self._packed_changes()
         if len(changes) > MAX_DELTA_BYTES:
             # The other nodes have to read these changes from the store. History starts
             # anew after them, so that each node reads once. If the gap stayed in every
             # message for the whole history, each node would read five times.
             self.changes.clear()
             self.history_start = self.next_offset
-            changes = pack_changes(self.changes)
-        return ServerDelta(self.history_start, self.next_offset, changes)
+            changes = self._packed_changes()
+        return ServerDelta(self.history_start, self.next_offset, changes, age_s)
+
+    def _history_s(self) -> float:
+        is_reader = self.readers is None or self.readers.is_reader()
+        return CHANGE_HISTORY_S if is_reader else RELAYED_HISTORY_S
+
+    def _forget_changes(self, before: float) -> None:
+        """Remove the changes that were known `before`, on the monotonic clock."""
+        while self.checkpoints and self.checkpoints[0][0] < before:
+            self.history_start = max(self.history_start, self.checkpoints.popleft()[1])
+        while self.changes and self.changes[0].offset < self.history_start:
+            self.changes.popleft()
+
+    def _packed_changes(self) -> bytes:
+        """Return the changes compressed, once for each range of offsets."""
+        covered = (self.history_start, self.next_offset)
+        if self.packed[:2] != covered:
+            self.packed = (*covered, pack_changes(self.changes))
+        return self.packed[2]
 
     def apply_delta(self, server_delta: ServerDelta) -> None:
-        """Apply a reader's changes if they continue from this node's offset.
+        """Apply relayed changes if they continue from this node's offset.
 
         If they don't, the missing changes may include a server that leaves: when a zone
         is reclaimed, there are more changes than a datagram holds. The node then reads
@@ -364,6 +398,10 @@
             self.relayed_at = float("-inf")
             return
         self._note_recovery()
+        relayed_at = time.monotonic() - server_delta.age_s
+        if server_delta.next == self.next_offset:
+            self.relayed_at = max(self.relayed_at, relayed_at)
+            return
         try:
             changes = unpack_changes(server_delta.changes)
         except UndecodableError as error:
@@ -374,7 +412,7 @@
             if record.offset >= self.next_offset:
                 self.apply_record(record)
         self.next_offset = server_delta.next
-        self.relayed_at = time.monotonic()
+        self.relayed_at = max(self.relayed_at, relayed_at)
         self.on_applied(None)
 
     def on_applied(self, keys: set[str] | None) -> None:
@@ -388,13 +426,20 @@
                 )
         self.dirty |= not registry.is_loaded
         registry.is_loaded = True
-        self.checkpoints.append((now, self.next_offset))
+        self._add_checkpoint(now)
         if registry.has_lapsed:
             gevent.spawn_later(LAPSE_GRACE_S + TIMER_SLACK_S, self._sweep)
         if self.dirty:
             self.dirty = False
             registry.notify_listeners()
 
+    def _add_checkpoint(self, now: float) -> None:
+        if self.checkpoints:
+            at, offset = self.checkpoints[-1]
+            if offset == self.next_offset and now - at < MIN_CHECKPOINT_GAP_S:
+                return
+        self.checkpoints.append((now, self.next_offset))
+
     def _sweep(self) -> None:
         """Drop servers whose grace period is over, without waiting for a read."""
         if self.context.registry.sweep(time.monotonic()):
--- a/packages/endive_gateway/src/endive_gateway/interfaces.py
+++ b/packages/endive_gateway/src/endive_gateway/interfaces.py
@@ -181,7 +181,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ServerDelta:
-    """Recent changes of the servers, which a reader relays to the other nodes.
+    """Recent changes of the servers, which the nodes relay to each other.
 
     As a dataclass it is encoded with its field names in the datagrams.
 
@@ -191,11 +191,14 @@
         Range of offsets that `changes` covers; `next` is not included.
     changes : bytes
         The compressed records that changed the registry.
+    age_s : float
+        Seconds since a reader was told by the store that the topic ended at `next`.
     """
 
     first: int
     next: int
     changes: bytes
+    age_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/endive_gateway/src/endive_gateway/peers.py
+++ b/packages/endive_gateway/src/endive_gateway/peers.py
@@ -34,10 +34,11 @@
 any number of nodes. The shared rate limits are counted over 8 s."""
 
 MIN_READERS = 4
+MAX_READERS = 8
 NODES_PER_READER = 10
-"""Least number of nodes that read the servers' entries for all, and number of nodes for
-which there is one reader. The platform charges for each read, and 87 nodes made 290 a
-second when all of them read."""
+"""Least and largest number of nodes that read the servers' entries for all, and number
+of nodes between them for which there is one reader. The platform charges for each read,
+and 87 nodes made 290 a second when all of them read."""
 
 MAX_NODES_ALL_READ = 20
 """Largest number of nodes at which each reads the configuration from the store."""
@@ -159,12 +160,12 @@
     def is_reader(self) -> bool:
         """Return whether this node reads the store on behalf of the others.
 
-        The readers are the nodes that have run for longest, a tenth of all and at least
-        four. That is more than usually lose the network or the store together.
+        The readers are the nodes that have run for longest, four to eight of them. That
+        is more than usually lose the network or the store together.
         """
         live = self.live()
-        readers = max(MIN_READERS, (len(live) + 1) // NODES_PER_READER)
-        return self.older_among(live) < readers
+        tenth = (len(live) + 1) // NODES_PER_READER
+        return self.older_among(live) < min(MAX_READERS, max(MIN_READERS, tenth))
 
     def rank(self) -> int:
         """Return how many live nodes have run for longer than this one."""
@@ -315,7 +316,7 @@
             fence=self.fence,
             reported=context.reported,
             server_delta=self.servers.server_delta()
-            if self.servers and self.is_reader()
+            if self.servers and self._relays_servers()
             else None,
             duty_log_end=self.duty_log_end,
             server_failures=context.placer.ejection.own_counts(now),
@@ -324,6 +325,14 @@
             proof_age_s=self.configuration.proof_age_s() if self.configuration else -1,
         )
 
+    def _relays_servers(self) -> bool:
+        """Return whether this node's messages contain changes of the servers.
+
+        In a large fleet those of all nodes do. A message of a reader reaches each of
+        them only once in seconds.
+        """
+        return not self.every_node_reads() or self.is_reader()
+
     def _expire_peers(self) -> None:
         """Remove nodes that have been silent for long, and update the node count."""
         now = time.monotonic()
--- /dev/null
+++ b/packages/endive_gateway/tests/test_server_relay.py
@@ -0,0 +1,123 @@
+"""Tests of how changes of the servers spread among many nodes, without a network."""
+
+import heapq
+import random
+from types import SimpleNamespace
+
+import pytest
+from endive_gateway import following
+from endive_gateway.following import SERVER_READ_INTERVAL_S, ServerFollower
+from endive_gateway.interfaces import Topic
+from endive_gateway.peers import (
+    BROADCAST_INTERVAL_PER_NODE_S,
+    BROADCAST_INTERVAL_S,
+    DATAGRAMS_PER_STEP,
+    MAX_READERS,
+)
+from gateway_builders import make_context
+from store_builders import MemoryStore, NonReader, write
+
+WARM_UP_S = 3.0
+SERVERS = 40
+MAX_STALENESS_S = 0.4
+LOST_DATAGRAMS = 0.01
+
+
+class Reader(NonReader):
+    """Readers as a node of a large fleet sees them that is a reader itself."""
+
+    def is_reader(self):
+        return True
+
+
+class SimulatedFleet:
+    """Nodes that follow the servers and send each other what changed.
+
+    Each node sends its changes to some others at a time, and reaches all of them within
+    the regular time between two state messages to one node.
+    """
+
+    def __init__(self, nodes, monkeypatch):
+        self.now = 0.0
+        self.rng = random.Random(1)
+        monkeypatch.setattr(following, "time", SimpleNamespace(monotonic=self.clock))
+        monkeypatch.setattr(following, "boot_time", self.clock)
+        self.store = MemoryStore()
+        for number in range(SERVERS):
+            self.write_server(f"i-{number}", sequence=1)
+        self.followers = [
+            ServerFollower(
+                make_context(store=self.store),
+                Reader() if number < MAX_READERS else NonReader(),
+            )
+            for number in range(nodes)
+        ]
+        interval_s = max(BROADCAST_INTERVAL_S, BROADCAST_INTERVAL_PER_NODE_S * nodes)
+        self.step_s = interval_s * DATAGRAMS_PER_STEP / nodes
+        self.others = [self.rng.sample(self.followers, nodes) for _ in range(nodes)]
+        self.events = []
+        for number in range(nodes):
+            self.add(self.rng.uniform(0, SERVER_READ_INTERVAL_S), self.read, number)
+            self.add(self.rng.uniform(0, self.step_s), self.send, number, 0)
+
+    def clock(self):
+        return self.now
+
+    def write_server(self, server_id, **options):
+        entry = {"service": "s", "address": "127.0.0.1:1", "zone": "z", "slots": 8}
+        write(self.store, Topic.SERVERS, server_id, entry | options)
+
+    def add(self, at, action, *about):
+        heapq.heappush(self.events, (at, self.rng.random(), action, about))
+
+    def run_until(self, end, is_over=lambda: False):
+        while self.events[0][0] < end and not is_over():
+            self.now, _tie, action, about = heapq.heappop(self.events)
+            action(*about)
+
+    def read(self, number):
+        self.add(self.now + self.followers[number].step(), self.read, number)
+
+    def send(self, number, first):
+        delta = self.followers[number].server_delta()
+        others = self.others[number]
+        if delta is not None:
+            for other in others[first : first + DATAGRAMS_PER_STEP]:
+                if self.rng.random() >= LOST_DATAGRAMS:
+                    other.apply_delta(delta)
+        first = first + DATAGRAMS_PER_STEP
+        self.add(self.now + self.step_s, self.send, number, first % max(1, len(others)))
+
+    def knowing(self, server_id):
+        """Return the number of nodes that know that a server leaves."""
+        known = (
+            follower.context.registry.get(server_id) for follower in self.followers
+        )
+        return sum(not server.usable for server in known)
+
+
+SIZES = pytest.mark.parametrize("nodes", [30, 200, 375])
+
+
+@SIZES
+def test_all_nodes_know_a_leaving_server_soon(nodes, monkeypatch):
+    """A reader's messages reach 375 nodes only within 3.75 s. Until a node knows that a
+    server leaves, its requests are lost with the server."""
+    fleet = SimulatedFleet(nodes, monkeypatch)
+    fleet.run_until(WARM_UP_S)
+    fleet.write_server("i-7", sequence=2, state="leaving")
+    fleet.run_until(WARM_UP_S + 9.0, lambda: fleet.knowing("i-7"))
+    first_known_at = fleet.now
+    fleet.run_until(WARM_UP_S + 9.0, lambda: fleet.knowing("i-7") == nodes)
+    assert fleet.now - first_known_at < MAX_STALENESS_S
+
+
+@SIZES
+def test_reads_of_the_servers_do_not_grow_with_the_nodes(nodes, monkeypatch):
+    """The platform charges for each read."""
+    fleet = SimulatedFleet(nodes, monkeypatch)
+    fleet.run_until(WARM_UP_S)
+    before = len(fleet.store.calls)
+    fleet.run_until(2 * WARM_UP_S)
+    reads_per_s = (len(fleet.store.calls) - before) / WARM_UP_S
+    assert reads_per_s <= 1.1 * MAX_READERS / SERVER_READ_INTERVAL_S
