Let the report of a full server expire

A server reports its load with its responses. If the last report of each server showed it as full and a node had no request there, the node sent none, got no report, and refused every request with overloaded or deadline_exceeded for as long as it ran: 300 s after the last report still, at 1, 6, 24 and 195 nodes (by a script over the scheduler).

A report that shows a server as full, where the node has nothing in flight, now expires after the time in which the server works off the load reported, between 0.5 and 5 s; then one request may go there. A refusal by the server counts as a report. Servers are checked ten times a second at most.

The new test failed before, with 1, 24 and 195 nodes.

--- a/packages/endive_core/src/endive_core/failures.py
+++ b/packages/endive_core/src/endive_core/failures.py
@@ -101,7 +101,7 @@
     ) -> None:
         """Pause a server that failed, or treat one that was busy as full."""
         if reason is RetryReason.SERVER_BUSY:
-            self.servers.mark_full(server)
+            self.servers.mark_full(server, now)
         elif reason in PAUSE_REASONS and self.servers.pause(server):
             pause = self.policy.failed_pause_s * 2 ** min(server.failures - 1, 16)
             pause = min(pause, self.policy.max_failed_pause_s)
--- a/packages/endive_core/src/endive_core/scheduler.py
+++ b/packages/endive_core/src/endive_core/scheduler.py
@@ -141,6 +141,7 @@
 
     def offer(self, call: Call, now: float) -> Ticket | Refusal:
         """Admit `call` into the queue, or refuse it."""
+        self.servers.expire_reports(now, self.admission.rate.held_s)
         refusal = self.admission.refusal(call, now)
         if refusal is not None:
             self.refusals[refusal.kind] += 1
@@ -215,6 +216,7 @@
         return self.placement.choose(ticket, now, tier)
 
     def _tick(self, now: float) -> None:
+        self.servers.expire_reports(now, self.admission.rate.held_s)
         self.first_tokens.update_prefill_rates(now)
         self.outliers.update_outliers(now)
         self.failures.resume_paused(now)
--- a/packages/endive_core/src/endive_core/servers.py
+++ b/packages/endive_core/src/endive_core/servers.py
@@ -30,6 +30,15 @@
         """Return an integer from 0 up to `stop`."""
 
 
+MIN_REPORT_EXPIRY_S = 0.5
+MAX_REPORT_EXPIRY_S = 5.0
+"""Bounds of the age at which a report that shows a server as full expires, seconds.
+Between them it is the time in which the server works off the reported load."""
+
+REPORT_CHECK_INTERVAL_S = 0.1
+"""Time between two checks for expired reports, seconds."""
+
+
 @dataclass(slots=True, eq=False)
 class ServerLoad:
     """Load of one server as this node sees it.
@@ -68,6 +77,8 @@
         Smoothed ratio of observed to expected latency.
     samples : int
         Number of observed latencies.
+    reported_at : float
+        Clock time of the state that the last report describes.
     """
 
     view: ServerView
@@ -87,6 +98,7 @@
     next_probe_at: float = 0.0
     latency_ratio: float = 1.0
     samples: int = 0
+    reported_at: float = float("-inf")
 
     @property
     def id(self) -> str:
@@ -121,6 +133,10 @@
         """Return the free slots beyond those that the nodes divide among them."""
         return self.free - self.net_change - self.divided_slots - self.reserved[tier]
 
+    def has_free_slots(self, tier: Tier) -> bool:
+        """Return whether any slots are free for this node, as far as it knows."""
+        return self.remaining_grant(tier) > 0 or self.uncontended_slots(tier) > 0
+
     def adjust_in_flight(self, sign: int, now: float) -> None:
         """Count a request of this node that was sent (+1) or ended (-1) at `now`."""
         self.recent_changes.append((now, sign))
@@ -180,6 +196,7 @@
         self.reported_total = 0
         self.slots_total = 0
         self.yielding_total = 0.0
+        self.next_report_check_at = float("-inf")
 
     def set_servers(self, views: Iterable[ServerView]) -> bool:
         """Apply the declared servers; return whether the set changed."""
@@ -244,6 +261,7 @@
         if server is None:
             return
         view = server.view
+        server.reported_at = as_of
         self.reported_total += running + waiting
         self.reported_total -= view.reported_running + view.reported_waiting
         view.reported_running, view.reported_waiting = running, waiting
@@ -271,9 +289,35 @@
         whole = int(value // 1)
         return whole + (self.random.random() < value - whole)
 
-    def mark_full(self, server: ServerLoad) -> None:
+    def expire_reports(self, now: float, held_s: float) -> None:
+        """Make one slot available at each server whose last report has expired.
+
+        A server reports its load with its responses. If the last report of each server
+        shows it as full and this node has no request there, it sends none, so it gets
+        no report either, and would refuse all requests for good.
+
+        Parameters
+        ----------
+        held_s : float
+            Mean time for which a request holds its slot, seconds.
+        """
+        if now < self.next_report_check_at:
+            return
+        self.next_report_check_at = now + REPORT_CHECK_INTERVAL_S
+        for server in self.servers.values():
+            if server.view.in_flight or server.has_free_slots(Tier.WITHIN_SHARE):
+                continue
+            busy_s = held_s * server.utilisation
+            expiry_s = min(max(busy_s, MIN_REPORT_EXPIRY_S), MAX_REPORT_EXPIRY_S)
+            if now - server.reported_at >= expiry_s:
+                self.report(server.id, server.view.max_concurrent - 1, 0, as_of=now)
+                server.grants = [1 for _ in server.grants]
+                self.refresh(server)
+
+    def mark_full(self, server: ServerLoad, now: float) -> None:
         """Treat a server that refused a request as full until its next report."""
         view = server.view
+        server.reported_at = now
         server.grants = [min(grant, server.net_change) for grant in server.grants]
         waiting = view.reported_waiting
         self.reported_total += max(0, server.free - server.net_change)
@@ -375,10 +419,7 @@
         probing = server.failures > 0 and server.view.in_flight > 0
         usable = accepting and not server.slow and not probing
         for tier, members in self.available.items():
-            room = (
-                server.remaining_grant(tier) > 0 or server.uncontended_slots(tier) > 0
-            )
-            if usable and room:
+            if usable and server.has_free_slots(tier):
                 members.add(server)
             else:
                 members.discard(server)
--- a/packages/endive_core/tests/test_scheduler.py
+++ b/packages/endive_core/tests/test_scheduler.py
@@ -1,9 +1,11 @@
 from itertools import pairwise
 
+import pytest
 from core_builders import call, dispatch_all, scheduler
 from endive_core.calls import Refusal, Retry, Stage
 from endive_core.exceptions import ErrorKind, RetryReason
 from endive_core.retry_after import PERIOD_WINDOWS, WINDOW_S, in_window
+from endive_core.servers import MAX_REPORT_EXPIRY_S
 
 
 def test_call_is_sent_to_a_server_with_room():
@@ -61,3 +63,43 @@
     made.next_dispatch(0.0)
     decision = made.failed(ticket, 0.1, RetryReason.SERVER_FAILED, started=True)
     assert decision.kind is ErrorKind.OUTCOME_UNKNOWN
+
+
+def fill_all_servers(made, now=0.0):
+    for server_id in made.servers.servers:
+        made.report(server_id, 6, 4, as_of=now)
+
+
+@pytest.mark.parametrize("nodes", [1, 24, 195])
+def test_a_node_whose_servers_were_all_full_serves_again(nodes):
+    """Each server's last report shows it as full, and this node has no request there.
+    Since servers report their load with their responses, it would get no other report,
+    and refuse all requests for good."""
+    made = scheduler(servers=3, slots=6)
+    made.set_nodes(nodes)
+    fill_all_servers(made)
+    assert isinstance(made.offer(call(1, deadline=1.5), 0.5), Refusal)
+    admitted = made.offer(call(2, deadline=9.0), MAX_REPORT_EXPIRY_S + 0.1)
+    assert not isinstance(admitted, Refusal)
+    assert len(dispatch_all(made, MAX_REPORT_EXPIRY_S + 0.1)) == 1
+
+
+def test_a_server_that_was_full_is_tried_with_one_request():
+    """If a node sent as many as the server has slots, 195 nodes would overrun it."""
+    made = scheduler(servers=1, slots=6)
+    made.set_nodes(195)
+    fill_all_servers(made)
+    now = MAX_REPORT_EXPIRY_S + 0.1
+    for number in range(4):
+        made.offer(call(number, deadline=now + 30.0, target_s=30.0), now)
+    assert len(dispatch_all(made, now)) == 1
+    assert not dispatch_all(made, now + MAX_REPORT_EXPIRY_S)
+
+
+def test_a_server_that_refused_a_request_is_not_tried_again_at_once():
+    """A refusal says that the server is full now, however old its last report is."""
+    made = scheduler(servers=1, slots=6)
+    made.report("s0", 5, 0, as_of=0.0)
+    made.servers.mark_full(made.servers.servers["s0"], 100.0)
+    made.offer(call(1, deadline=200.0, target_s=30.0), 100.1)
+    assert not dispatch_all(made, 100.1)
