Admit a call again after a time in which servers hung

Admission refuses a call whose deadline the learned time to start a call exceeds. Once that time exceeded every deadline, a node refused every call, so it had no first token to learn from and never admitted one again: 21 to 3,000 s after all servers had hung for 20 s (by a script over the scheduler).

A node without a call under way, that has seen no first token for 2 s, now admits one as if servers started it at once; while it is under way the estimate holds for the others, so a service that still hangs gets one call at a time.

The new test failed before.

--- a/packages/endive_core/src/endive_core/admission.py
+++ b/packages/endive_core/src/endive_core/admission.py
@@ -29,6 +29,10 @@
 prefill takes longer than the target never meets it, now or later, so telling its caller
 to retry would mislead; it is admitted while the wait is short."""
 
+START_EXPIRY_S = 2.0
+"""Time after the last first token from which on a node without requests under way
+admits one as if servers started it at once, seconds."""
+
 
 @dataclass(frozen=True)
 class Prediction:
@@ -128,7 +132,7 @@
         return self._overloaded(call, now)
 
     def _overloaded(self, call: Call, now: float) -> Refusal | None:
-        prediction = self.predict(call)
+        prediction = self.predict(call, now)
         allowed = allowed_wait_s(
             call,
             prediction,
@@ -159,7 +163,7 @@
             ErrorKind.OVERLOADED, "the latency target can't be met now", retry_after
         )
 
-    def predict(self, call: Call) -> Prediction:
+    def predict(self, call: Call, now: float) -> Prediction:
         """Return when the first token of `call` is expected."""
         slots = max(
             1.0,
@@ -177,9 +181,23 @@
             call.organisation
         )
         return Prediction(
-            wait, allowance, self.rate.start_s + prefill, 1 / organisation_tokens_per_s
+            wait,
+            allowance,
+            self._start_s(now) + prefill,
+            1 / organisation_tokens_per_s,
         )
 
+    def _start_s(self, now: float) -> float:
+        """Return the time that a server is expected to take to start a call, seconds.
+
+        After a time in which servers hung, the estimate may exceed every deadline. A
+        node that then refused all calls would have no call to correct it with.
+        """
+        unknown = now - self.rate.started_at >= START_EXPIRY_S
+        if unknown and not self.servers.own_in_flight:
+            return 0.0
+        return self.rate.start_s
+
     def prefill_tokens_per_s(self) -> float:
         """Return the declared prefill rate, which all servers of a service share."""
         for server in self.servers.servers.values():
@@ -191,7 +209,7 @@
         cost = call.prompt_tokens + call.max_tokens * self.rate.answer_share
         ticket = Ticket(call, now, cost)
         ticket.suspect = self.crashes.count(call.fingerprint, now) > 0
-        ticket.predicted_s = self.predict(call).wait_s
+        ticket.predicted_s = self.predict(call, now).wait_s
         ticket.tier = self.usage.tier(call)
         quota = self.quotas.get(call.organisation)
         if quota is not None:
--- a/packages/endive_core/src/endive_core/estimators.py
+++ b/packages/endive_core/src/endive_core/estimators.py
@@ -36,12 +36,15 @@
         Mean seconds from dispatch to the first token, without the call's own prefill.
     answer_share : float
         Mean length of answers as a share of the ``max_tokens`` allowed.
+    started_at : float
+        Clock time of the last first token, seconds.
     """
 
     tokens_per_slot_s: float
     held_s: float
     start_s: float = 0.0
     answer_share: float = 1.0
+    started_at: float = float("-inf")
 
     @classmethod
     def for_service(cls, service_type: ServiceType) -> "ServiceRate":
@@ -58,8 +61,9 @@
                 tokens / held_s - self.tokens_per_slot_s
             )
 
-    def learn_start(self, start_s: float) -> None:
+    def learn_start(self, start_s: float, now: float) -> None:
         """Update the estimate with the start time of one call."""
+        self.started_at = now
         self.start_s += RATE_SMOOTHING * (max(0.0, start_s) - self.start_s)
 
     def learn_answer(self, tokens: int, max_tokens: int) -> None:
--- a/packages/endive_core/src/endive_core/first_tokens.py
+++ b/packages/endive_core/src/endive_core/first_tokens.py
@@ -52,6 +52,7 @@
         ticket: Ticket,
         server: ServerLoad | None,
         seconds: float,
+        now: float,
         *,
         tokens_per_s: float,
     ) -> None:
@@ -66,6 +67,8 @@
             The server, unless it has been removed meanwhile.
         seconds : float
             Time from dispatch to first token.
+        now : float
+            Clock time of the first token, seconds.
         tokens_per_s : float
             Prefill rate that the expected time is based on.
         """
@@ -74,7 +77,7 @@
         if self.prefill is not None:
             self.prefill.learn(ticket.uncached_tokens, seconds)
         prefill_s = ticket.uncached_tokens / tokens_per_s
-        self.rate.learn_start(seconds - prefill_s)
+        self.rate.learn_start(seconds - prefill_s, now)
         if server is not None:
             expected_s = self.rate.start_s + prefill_s
             self.outliers.observe(server, seconds=seconds, expected_s=expected_s)
--- a/packages/endive_core/src/endive_core/scheduler.py
+++ b/packages/endive_core/src/endive_core/scheduler.py
@@ -266,6 +266,7 @@
             ticket,
             server,
             now - ticket.dispatched_at,
+            now,
             tokens_per_s=self.admission.prefill_tokens_per_s(),
         )
 
--- a/packages/endive_core/tests/test_scheduler.py
+++ b/packages/endive_core/tests/test_scheduler.py
@@ -103,3 +103,34 @@
     made.servers.mark_full(made.servers.servers["s0"], 100.0)
     made.offer(call(1, deadline=200.0, target_s=30.0), 100.1)
     assert not dispatch_all(made, 100.1)
+
+
+def hang_all_servers(made, seconds):
+    """Let each of sixty calls get its first token after `seconds`."""
+    tickets = [
+        made.offer(call(n, deadline=900.0, target_s=300.0), 0.0) for n in range(60)
+    ]
+    dispatch_all(made)
+    for ticket in tickets:
+        made.started(ticket, seconds)
+        made.finished(ticket, seconds + 0.1)
+
+
+def test_a_node_whose_servers_hung_serves_again():
+    """All servers hung for 20 s. The learned time to start a call then exceeds every
+    deadline; a node that refused each call because of it would never learn better."""
+    made = scheduler(servers=3, slots=64)
+    hang_all_servers(made, 20.0)
+    assert isinstance(made.offer(call(1, deadline=24.0), 21.0), Refusal)
+    admitted = made.offer(call(2, deadline=26.0), 23.0)
+    assert not isinstance(admitted, Refusal)
+    assert len(dispatch_all(made, 23.0)) == 1
+
+
+def test_servers_that_may_still_hang_get_one_call_at_a_time():
+    """If they do, each call admitted meanwhile would miss its deadline too."""
+    made = scheduler(servers=3, slots=64)
+    hang_all_servers(made, 20.0)
+    made.offer(call(1, deadline=26.0), 23.0)
+    dispatch_all(made, 23.0)
+    assert isinstance(made.offer(call(2, deadline=26.0), 23.0), Refusal)
