--- a/packages/endive_ctl/src/endive_ctl/loglines.py
+++ b/packages/endive_ctl/src/endive_ctl/loglines.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, replace
 from pathlib import Path
+from sys import intern
 
 from endive_ctl.files import FileError
 
@@ -68,14 +69,21 @@
 
 def _read(path: str | Path) -> Iterator[LogLine]:
     try:
-        text = Path(path).read_text(encoding="utf-8", errors="replace")
+        with Path(path).open(encoding="utf-8", errors="replace") as file:
+            for text in file:
+                match = LOG_LINE_PATTERN.search(text)
+                if match is not None:
+                    yield _parse(match)
     except OSError as error:
         raise FileError(f"{path}: {error.strerror}") from None
-    for match in LOG_LINE_PATTERN.finditer(text):
-        pairs = {
-            key: value.strip('"')
-            for key, value in FIELD_PATTERN.findall(match["event"])
-        }
-        clock = int(match["hours"]) * 3600 + int(match["minutes"]) * 60
-        at = clock + float(match["seconds"])
-        yield LogLine(at, match["node"] or "", pairs.pop("event"), pairs)
+
+
+def _parse(match: re.Match[str]) -> LogLine:
+    """Return the event of a line. Texts that recur in many lines are kept once."""
+    pairs = {
+        intern(key): intern(value.strip('"'))
+        for key, value in FIELD_PATTERN.findall(match["event"])
+    }
+    clock = int(match["hours"]) * 3600 + int(match["minutes"]) * 60
+    at = clock + float(match["seconds"])
+    return LogLine(at, intern(match["node"] or ""), pairs.pop("event"), pairs)
--- a/packages/endive_ctl/tests/test_loglines.py
+++ b/packages/endive_ctl/tests/test_loglines.py
@@ -1,8 +1,15 @@
+import tracemalloc
+
 import pytest
 from endive_ctl.files import FileError
 from endive_ctl.loglines import read_lines
 from log_builders import log_line
 
+LARGE_FLEET_LINES = 200_000
+MEASURED_LINES = 5_000
+MAX_BYTES = 300e6 - 60e6
+"""300 MB without what the interpreter and the libraries take."""
+
 
 def written(tmp_path, *names_and_texts):
     paths = []
@@ -49,3 +56,23 @@
         path.write_text(text)
     with pytest.raises(FileError):
         read_lines([path])
+
+
+def test_the_log_of_a_large_fleet_fits_in_300_mb(tmp_path):
+    """Two hundred nodes log two hundred thousand lines in a minute and a half, most of
+    them on servers. An operator's machine has to hold them."""
+    entry = {"service": "plans", "zone": "brest", "state": "ready", "sequence": 1}
+    lines = [
+        log_line("server_entry", at=number / 100, server=f"i-{number % 80}", **entry)
+        for number in range(MEASURED_LINES)
+    ]
+    (path,) = written(tmp_path, ("a", "".join(lines)))
+    del lines
+    tracemalloc.start()
+    try:
+        read = read_lines([path])
+        _now, peak_bytes = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert len(read) == MEASURED_LINES
+    assert peak_bytes / MEASURED_LINES < MAX_BYTES / LARGE_FLEET_LINES
