Hold the pull of a rejected node to the operators' bound

The test now waits for the 2 s in which a change must be in force. The retry, which it left to chance, has a test of its own, bound by half of that.

--- a/packages/endive_gateway/tests/test_peers.py
+++ b/packages/endive_gateway/tests/test_peers.py
@@ -8,7 +8,7 @@
 from endive_gateway import peers as peers_module
 from endive_gateway.configuration_exchange import decompress
 from endive_gateway.exceptions import StoreOutcomeUnknownError
-from endive_gateway.interfaces import Topic
+from endive_gateway.interfaces import Bounds, Topic
 from endive_gateway.peers import Peers
 from endive_gateway.state_messages import DECODER, StateMessage
 from gateway_builders import make_context, make_table
@@ -131,10 +131,35 @@
     serving.start()
     try:
         asking.receive(state_message(version=9), "127.0.0.1")
-        gevent.sleep(0.7)
+        assert wait_for_version(behind, 9, Bounds().config_s)
     finally:
         serving.stop()
-    assert behind.version == 9
+
+
+def wait_for_version(context, version, seconds):
+    """Return whether `version` came into force within `seconds`."""
+    end = time.monotonic() + seconds
+    while context.version != version and time.monotonic() < end:
+        gevent.sleep(0.01)
+    return context.version == version
+
+
+def test_a_pull_without_an_answer_is_repeated_before_a_change_is_late(peers):
+    """The peer that was asked first hangs, or its answer comes too late. A node that
+    waited for it would go on serving the older configuration."""
+    asked = []
+
+    def pull_from(source, _port, timeout_s):
+        asked.append(source.node)
+        if len(asked) == 1:
+            gevent.sleep(timeout_s)
+        else:
+            peers.context.configure(make_table(version=9), b"9", "test")
+
+    peers.configuration_exchange._pull_from = pull_from
+    peers.receive(state_message(version=9), "127.0.0.2")
+    assert wait_for_version(peers.context, 9, Bounds().config_s / 2)
+    assert len(asked) == 2
 
 
 def test_a_message_from_a_forgotten_node_is_noted_in_the_list(peers):
