Show how old a node's knowledge of the servers and nodes is

With relays between all nodes, the time of a node's own read no longer says how old its list of servers is, and nothing showed operators whether a node hears the others. Three gauges say so: endive_servers_age_seconds (the age of the reader's read, however many nodes passed it on), endive_nodes_live and endive_nodes_known. A declined grant has a log line, limit_declined.

A test over 30 simulated nodes plays an outage of the store: no node's age stays small, and none passes anything on. It passed at once: the age was right, it was only not shown.

--- a/packages/endive_gateway/src/endive_gateway/following.py
+++ b/packages/endive_gateway/src/endive_gateway/following.py
@@ -349,13 +349,12 @@
         ServerDelta or None
             ``None`` if this node's own records are not up to date.
         """
-        now = time.monotonic()
-        age_s = now - max(self.read_at, self.relayed_at)
+        age_s = self.age_s()
         if not self.synced or self.unavailable_since is not None:
             return None
-        if age_s > RELAY_TIMEOUT_S:
+        if not 0 <= age_s <= RELAY_TIMEOUT_S:
             return None
-        self._forget_changes(now - self._history_s())
+        self._forget_changes(time.monotonic() - self._history_s())
         changes = self._packed_changes()
         if len(changes) > MAX_DELTA_BYTES:
             # The other nodes have to read these changes from the store. History starts
@@ -366,6 +365,14 @@
             changes = self._packed_changes()
         return ServerDelta(self.history_start, self.next_offset, changes, age_s)
 
+    def age_s(self) -> float:
+        """Return the age of the read that the known servers stem from, seconds.
+
+        It is this node's own read or another's; -1 if there was none.
+        """
+        read_at = max(self.read_at, self.relayed_at)
+        return -1.0 if read_at == float("-inf") else time.monotonic() - read_at
+
     def _history_s(self) -> float:
         is_reader = self.readers is None or self.readers.is_reader()
         return CHANGE_HISTORY_S if is_reader else RELAYED_HISTORY_S
--- a/packages/endive_gateway/src/endive_gateway/gateway.py
+++ b/packages/endive_gateway/src/endive_gateway/gateway.py
@@ -127,7 +127,7 @@
         self.callers.start()
 
     def _register_metrics(self) -> None:
-        """Register metrics that show how current this node's view of the store is."""
+        """Register metrics that show how current this node's view is."""
         add_gauge = self.context.metrics.add_gauge
         add_gauge("endive_configuration_version", lambda: self.context.version)
         add_gauge(
@@ -141,6 +141,9 @@
             add_gauge(
                 "endive_store_read_waiting_seconds", follower.waiting_s, topic=topic
             )
+        add_gauge("endive_servers_age_seconds", self.servers.age_s)
+        add_gauge("endive_nodes_live", self.peers.live_node_count)
+        add_gauge("endive_nodes_known", lambda: self.context.nodes)
 
     def _answer_ready(self, sock, _address) -> None:
         """Answer a readiness probe; the response is the same for every path."""
--- a/packages/endive_gateway/src/endive_gateway/spending.py
+++ b/packages/endive_gateway/src/endive_gateway/spending.py
@@ -245,6 +245,7 @@
             self.requested_units[organisation] -= units
         if wait_s == DECLINED:
             self._skip_node(coordinator)
+            log_event("limit_declined", peer=coordinator, organisation=organisation)
         elif wait_s <= 0:
             self.context.limits.spend(organisation, units)
         return wait_s
--- a/packages/endive_gateway/tests/test_server_relay.py
+++ b/packages/endive_gateway/tests/test_server_relay.py
@@ -6,7 +6,11 @@
 
 import pytest
 from endive_gateway import following
-from endive_gateway.following import SERVER_READ_INTERVAL_S, ServerFollower
+from endive_gateway.following import (
+    RELAY_TIMEOUT_S,
+    SERVER_READ_INTERVAL_S,
+    ServerFollower,
+)
 from endive_gateway.interfaces import Topic
 from endive_gateway.peers import (
     BROADCAST_INTERVAL_PER_NODE_S,
@@ -15,7 +19,7 @@
     MAX_READERS,
 )
 from gateway_builders import make_context
-from store_builders import MemoryStore, NonReader, write
+from store_builders import MemoryStore, NonReader, store_down, write
 
 WARM_UP_S = 3.0
 SERVERS = 40
@@ -121,3 +125,16 @@
     fleet.run_until(2 * WARM_UP_S)
     reads_per_s = (len(fleet.store.calls) - before) / WARM_UP_S
     assert reads_per_s <= 1.1 * MAX_READERS / SERVER_READ_INTERVAL_S
+
+
+def test_the_age_of_relayed_servers_counts_from_the_readers_read(monkeypatch):
+    """If each relay started the age anew, nodes would keep each other up to date with no
+    reader, and operators would not see that nobody reaches the store."""
+    fleet = SimulatedFleet(30, monkeypatch)
+    assert fleet.followers[-1].age_s() == -1.0
+    fleet.run_until(WARM_UP_S)
+    assert max(follower.age_s() for follower in fleet.followers) < RELAY_TIMEOUT_S
+    fleet.store.fault = store_down
+    fleet.run_until(WARM_UP_S + 3.0)
+    assert min(follower.age_s() for follower in fleet.followers) > 2.0
+    assert all(follower.server_delta() is None for follower in fleet.followers)
