--- a/packages/endive_gateway/tests/test_server_relay.py
+++ b/packages/endive_gateway/tests/test_server_relay.py
@@ -128,8 +128,8 @@
 
 
 def test_the_age_of_relayed_servers_counts_from_the_readers_read(monkeypatch):
-    """If each relay started the age anew, nodes would keep each other up to date with no
-    reader, and operators would not see that nobody reaches the store."""
+    """If each relay started the age anew, nodes would keep each other up to date
+    without a reader, and operators would not see that nobody reaches the store."""
     fleet = SimulatedFleet(30, monkeypatch)
     assert fleet.followers[-1].age_s() == -1.0
     fleet.run_until(WARM_UP_S)
