Wait until all servers have registered before any is released

The holder of the duties took the on-demand servers that had registered 2.5 s after it first read the list for all that operators had started, released them step by step, and ordered reclaimable ones for as many. On the large deployment 20 to 31 of a service register over 2.7 s.

The list now counts as complete once no on-demand server has registered for 1.5 s, besides the 2.5 s. On-demand servers run up to two seconds longer for it.

--- a/packages/endive_gateway/src/endive_gateway/autoscaling.py
+++ b/packages/endive_gateway/src/endive_gateway/autoscaling.py
@@ -62,6 +62,11 @@
 """Time after the first read of the servers' entries until the registry counts as
 complete, seconds: each server writes its entry every 1.2 s."""
 
+REGISTRATION_GAP_S = 1.5
+"""Time without a newly registered on-demand server after which all count as registered,
+seconds: longer than the 1.2 s between two entries of one server. The servers of a large
+service do not all start within that time."""
+
 MIN_NEEDED_SERVERS = 1.6
 """Lower bound of the needed servers at any load. With fewer, a single crash would leave
 one server."""
@@ -98,6 +103,7 @@
         self.clock: Callable[[], float] = boot_time
         self.load_meters: dict[str, LoadMeter] = {}
         self.initial_servers: dict[str, int] = {}
+        self.registered_at = float("-inf")
         self.traffic_since: float | None = None
         self.accepted: dict[tuple[str, Pool], tuple[int, float]] = {}
         self.backoffs: dict[tuple[str, Pool], PoolBackoff] = {}
@@ -171,7 +177,7 @@
         if self._is_measured(now):
             return needed
         if self.traffic_since is None:
-            self._count_initial(service)
+            self._count_initial(service, now)
         return max(needed, WARM_UP_PART * self.initial_servers.get(service.name, 0))
 
     def _is_measured(self, now: float) -> bool:
@@ -186,18 +192,18 @@
         """
         if self.list_known_since is None:
             self.list_known_since = now
-        return (
-            self.traffic_since is not None
-            or now - self.list_known_since >= LIST_SETTLE_S
+        return self.traffic_since is not None or (
+            now - self.list_known_since >= LIST_SETTLE_S
+            and now - self.registered_at >= REGISTRATION_GAP_S
         )
 
-    def _count_initial(self, service: Service) -> None:
+    def _count_initial(self, service: Service, now: float) -> None:
         """Record how many on-demand servers the operators started."""
         servers = self.context.registry.of_service(service.name)
         first = sum(s.usable and not s.entry.reclaimable for s in servers)
-        self.initial_servers[service.name] = max(
-            first, self.initial_servers.get(service.name, 0)
-        )
+        if first > self.initial_servers.get(service.name, 0):
+            self.initial_servers[service.name] = first
+            self.registered_at = now
 
     def _pool_states(self, service: Service) -> dict[Pool, PoolState]:
         """Count the registered servers by pool."""
--- a/packages/endive_gateway/tests/test_autoscaling.py
+++ b/packages/endive_gateway/tests/test_autoscaling.py
@@ -3,6 +3,7 @@
 from endive_core.routing import Scaling, Service
 from endive_gateway.autoscaling import (
     LIST_SETTLE_S,
+    REGISTRATION_GAP_S,
     REGISTRATION_S,
     SCALE_IN_DELAY_S,
     Autoscaler,
@@ -82,6 +83,19 @@
     assert set(orders.values()) == {2}
 
 
+def test_servers_that_register_late_count_before_any_is_released(fleet):
+    """The servers of a large service register over three seconds. If the holder sized
+    it by those of the first 2.5 s, a third of the load would have no server when
+    traffic begins."""
+    for _ in range(8):
+        fleet.add("a", 1, reclaimable=False)
+        orders = fleet.run_for(0.5, work=0.0)
+        assert all(reclaimable for _, reclaimable in orders)
+    orders = fleet.run_for(REGISTRATION_GAP_S + 0.5, work=0.0)
+    assert fleet.autoscaler.needed(fleet.context.table.services["s"], fleet.now) >= 8
+    assert not all(reclaimable for _, reclaimable in orders)
+
+
 def test_reclaimable_servers_are_ordered_at_once_and_more_as_more_register(fleet):
     """On-demand servers run at the start, at five times the price, until reclaimable
     ones replace them. Each second before those are ordered costs money."""
