--- a/packages/endive_gateway/src/endive_gateway/exceptions.py
+++ b/packages/endive_gateway/src/endive_gateway/exceptions.py
@@ -141,3 +141,21 @@
         super().__init__(
             ErrorKind.BACKEND_FAILED, "the server's response was forwarded"
         )
+
+
+class CallFailedError(Exception):
+    """A call to the platform without a usable response.
+
+    Attributes
+    ----------
+    sent : bool
+        Whether the platform may have executed the call.
+    """
+
+    def __init__(self, message: str, *, sent: bool) -> None:
+        super().__init__(message)
+        self.sent = sent
+
+
+class CallTimedOutError(CallFailedError):
+    """A call without a response in time."""
