Let starting nodes take the list of nodes and the servers from others

Cause: each node that starts needs its own answer to a read of the list and to one of the servers, and until then sent a new read of the list every 0.4 s with up to twelve calls under way.

Change: a node that has both says so in its state messages, and gives them to nodes that lack them, over TCP, as it does with the configuration. It greets such nodes at once, and the first six that are complete tell all. Nothing is taken that is older than a leaving server may be used, and a read that began before is dropped if it is older. The list counts as known, and is still read by each node itself, without haste. Attempts to read it become rarer with each one that is under way.

All tests of test_bootstrap.py are new. A state message grows by one byte; nodes of earlier builds ignore it, and serve no bootstrap, so the store is read as before.

--- a/packages/endive_gateway/src/endive_gateway/__init__.py
+++ b/packages/endive_gateway/src/endive_gateway/__init__.py
@@ -12,7 +12,8 @@
 - forwarding to servers: ``forwarding``, ``attempts``, ``connections``, ``events``,
   ``placing``, ``workload``
 - the platform's state, as this node knows it: ``following``, ``configuration``,
-  ``servers``, ``configuration_exchange``, ``listing``, ``service_client``
+  ``servers``, ``configuration_exchange``, ``listing``, ``bootstrap``,
+  ``service_client``
 - messages between nodes: ``peers``, ``nodes``, ``state_messages``, ``datagrams``,
   ``spending``, ``prompts``
 - cluster-wide duties, performed by one node at a time: ``duties``, ``autoscaling``
--- /dev/null
+++ b/packages/endive_gateway/src/endive_gateway/bootstrap.py
@@ -0,0 +1,149 @@
+"""What a starting node takes from another one: the list of nodes, and the servers.
+
+When hundreds of nodes start together, the store answers a few of them first. If each
+waited for its own answers, the last one would serve only after thousands of calls. Over
+TCP one answer reaches all of them within some milliseconds.
+"""
+
+import time
+import zlib
+from typing import Protocol
+
+import gevent
+import msgspec
+from endive_node.logs import log_event
+from endive_node.sockets import listen_tcp
+from gevent.server import StreamServer
+
+from endive_gateway.configuration_exchange import (
+    LENGTH_PREFIX,
+    MAX_CONCURRENT_SENDS,
+    MAX_PULL_TIMEOUT_S,
+    PULL_DEADLINE_S,
+    PULL_RETRY_S,
+    PULL_TIMEOUT_S,
+    Source,
+    receive_document,
+)
+from endive_gateway.context import Context
+
+
+class Bootstrap(msgspec.Struct, array_like=True):
+    """What a node knows of the others and of the servers.
+
+    Attributes
+    ----------
+    addresses : list of str
+        IP addresses of the nodes in the list.
+    servers : list of (int, str, bytes)
+        Offset, key and value of each server's newest record.
+    next_offset : int
+        Offset from which the servers' topic is to be read next.
+    age_s : float
+        Seconds since the read that the servers stem from.
+    """
+
+    addresses: list[str]
+    servers: list[tuple[int, str, bytes]]
+    next_offset: int
+    age_s: float
+
+
+DECODER = msgspec.msgpack.Decoder(Bootstrap)
+
+
+class Participant(Protocol):
+    """The node that gives or takes a bootstrap."""
+
+    def is_complete(self) -> bool:
+        """Return whether this node can pass on the list of nodes and the servers."""
+        ...
+
+    def lacks_bootstrap(self) -> bool:
+        """Return whether this node doesn't know the list of nodes or the servers."""
+        ...
+
+    def complete_peers(self) -> list[Source]:
+        """Return the live nodes that can pass on both."""
+        ...
+
+    def bootstrap(self) -> Bootstrap:
+        """Return what this node knows."""
+        ...
+
+    def apply_bootstrap(self, bootstrap: Bootstrap) -> None:
+        """Take what this node does not know yet."""
+        ...
+
+
+class BootstrapExchange:
+    """Gives starting nodes what this node knows, and takes it from another one."""
+
+    def __init__(self, context: Context, participant: Participant) -> None:
+        self.context = context
+        self.participant = participant
+        self.active_sends = 0
+        self.pulling = False
+
+    def start(self, address: str, port: int) -> None:
+        """Start serving at ``address:port``."""
+        self.listener = StreamServer(listen_tcp(address, port), self._serve)
+        self.listener.start()
+
+    def stop(self) -> None:
+        """Stop serving."""
+        self.listener.stop(0)
+
+    def _serve(self, sock, _address) -> None:
+        """Send what this node knows, or close the connection if it can't."""
+        if (
+            self.active_sends >= MAX_CONCURRENT_SENDS
+            or not self.participant.is_complete()
+        ):
+            return
+        self.active_sends += 1
+        try:
+            with gevent.Timeout(MAX_PULL_TIMEOUT_S, False):
+                data = msgspec.msgpack.encode(self.participant.bootstrap())
+                compressed = zlib.compress(data)
+                sock.sendall(LENGTH_PREFIX.pack(len(compressed)) + compressed)
+        finally:
+            self.active_sends -= 1
+
+    def pull(self, port: int) -> None:
+        """Start taking what this node lacks, unless it already does so."""
+        if not self.pulling:
+            self.pulling = True
+            gevent.spawn(self._pull, port)
+
+    def _pull(self, port: int) -> None:
+        random = self.context.random
+        end = time.monotonic() + PULL_DEADLINE_S
+        timeout_s = PULL_TIMEOUT_S
+        try:
+            while time.monotonic() < end and self.participant.lacks_bootstrap():
+                sources = self.participant.complete_peers()
+                if not sources:
+                    return
+                self._pull_from(random.choice(sources), port, timeout_s)
+                timeout_s = min(MAX_PULL_TIMEOUT_S, 1.3 * timeout_s)
+                gevent.sleep(random.uniform(0.5, 1.5) * PULL_RETRY_S)
+        finally:
+            self.pulling = False
+
+    def _pull_from(self, source: Source, port: int, timeout_s: float) -> None:
+        try:
+            with gevent.Timeout(timeout_s, TimeoutError("bootstrap timed out")):
+                document = receive_document(source.address, port)
+            bootstrap = DECODER.decode(document)
+        except (OSError, msgspec.MsgspecError) as error:
+            log_event("bootstrap_not_pulled", peer=source.node, error=error)
+            return
+        log_event(
+            "bootstrap",
+            peer=source.node,
+            nodes=len(bootstrap.addresses),
+            servers=len(bootstrap.servers),
+            age_s=bootstrap.age_s,
+        )
+        self.participant.apply_bootstrap(bootstrap)
--- a/packages/endive_gateway/src/endive_gateway/following.py
+++ b/packages/endive_gateway/src/endive_gateway/following.py
@@ -6,6 +6,7 @@
 
 import time
 from collections import deque
+from collections.abc import Iterable
 from typing import Protocol
 
 import gevent
@@ -36,6 +37,10 @@
 itself, seconds. A leaving server may get requests for two seconds, of which the
 reader's own read takes up to 0.7 s."""
 
+MAX_BOOTSTRAP_AGE_S = 2.0
+"""Largest age of the read that servers passed on to a starting node stem from, seconds.
+A leaving server may get requests for two seconds."""
+
 RELAY_CHECK_INTERVAL_S = 0.2
 """Time between two checks whether readers still relay to this node, seconds."""
 
@@ -86,10 +91,6 @@
         """Return how many nodes are live, this one included."""
         ...
 
-    def broadcast_soon(self) -> None:
-        """Send the next state messages early, if this node is a reader."""
-        ...
-
 
 class Follower:
     """Follows one keyed topic of the store.
@@ -190,11 +191,17 @@
     def _read_newest(self) -> None:
         page = self.context.store.newest(self.topic)
         self._note_recovery()
-        for record in page.records:
+        if self.synced and page.end < self.next_offset:
+            return  # another node has passed on a newer state meanwhile
+        self._set_newest(page.records, page.end)
+
+    def _set_newest(self, records: Iterable[Record], end: int) -> None:
+        """Apply the newest record of each key, as of offset `end`."""
+        for record in records:
             self.apply_record(record)
-        self.next_offset = max(self.next_offset, page.end)
+        self.next_offset = max(self.next_offset, end)
         self.synced = True
-        self.on_applied({record.key for record in page.records})
+        self.on_applied({record.key for record in records})
 
     def _read_on(self) -> None:
         read_started_at = boot_time()
@@ -280,6 +287,8 @@
         When this node last read the topic itself, on the monotonic clock.
     packed : tuple of (int, int, bytes)
         The compressed changes of the last message, and the offsets that they cover.
+    newest : dict of str to Record
+        The newest record of each server, for nodes that start.
     """
 
     topic = Topic.SERVERS
@@ -293,6 +302,7 @@
         self.history_start = 0
         self.read_at = float("-inf")
         self.packed: tuple[int, int, bytes] = (0, 0, b"")
+        self.newest: dict[str, Record] = {}
 
     def pause_s(self) -> float:
         """See :meth:`Follower.pause_s`."""
@@ -314,6 +324,7 @@
         registry = self.context.registry
         now = time.monotonic()
         if record.value is None:
+            self.newest.pop(record.key, None)
             self.changes.append(record)
             self.dirty |= registry.drop(record.key, now, after_outage=self.after_outage)
             return
@@ -322,6 +333,7 @@
         except UndecodableError as error:
             log_event("server_entry_undecodable", server=record.key, error=error)
             return
+        self.newest[record.key] = record
         if registry.put(entry):
             self.changes.append(record)
             self.dirty = True
@@ -333,8 +345,9 @@
             self.readers.broadcast_soon()
         self.has_leaving_server = False
 
-    def _read_newest(self) -> None:
-        super()._read_newest()
+    def _set_newest(self, records: Iterable[Record], end: int) -> None:
+        self.newest.clear()
+        super()._set_newest(records, end)
         self.has_leaving_server = False
         self.changes.clear()
         self.checkpoints.clear()
@@ -365,6 +378,21 @@
             changes = self._packed_changes()
         return ServerDelta(self.history_start, self.next_offset, changes, age_s)
 
+    @property
+    def is_current(self) -> bool:
+        """Whether the servers are recent enough to be passed on to a starting node."""
+        return self.synced and 0 <= self.age_s() <= MAX_BOOTSTRAP_AGE_S
+
+    def load(self, records: list[Record], end: int, age_s: float) -> None:
+        """Take the servers as another node read them `age_s` seconds ago.
+
+        They are ignored by a node that has read them itself, and if they are too old.
+        """
+        if self.synced or not 0 <= age_s <= MAX_BOOTSTRAP_AGE_S:
+            return
+        self._set_newest(records, end)
+        self.relayed_at = time.monotonic() - age_s
+
     def age_s(self) -> float:
         """Return the age of the read that the known servers stem from, seconds.
 
--- a/packages/endive_gateway/src/endive_gateway/listing.py
+++ b/packages/endive_gateway/src/endive_gateway/listing.py
@@ -36,16 +36,24 @@
 """Time over which the nodes spread their reads after a partition, seconds: at least,
 and for each known node. A read takes one call for each fifty nodes."""
 
+FIRST_ATTEMPT_GAP_S = 0.3
+ATTEMPT_GAP_GROWTH = 1.5
+MAX_ATTEMPT_GAP_S = 3.0
+"""Time between two attempts to read the list for the first time, seconds: with none
+under way, its growth with each that is, and the longest. A store that falls silent
+never answers a call sent to it meanwhile, so an attempt doesn't wait for earlier ones.
+A store that is slow answers them later, and gets fewer."""
+
+LEARNED_GAP_PER_NODE_S = 0.02
+"""Time between two such attempts for each node, once another node has passed the list
+on, seconds: about fifty calls a second of all nodes that start together."""
+
 MIN_LIST_RETRY_S = 0.4
 MAX_LIST_RETRY_S = 3.0
-"""Delay before a failed read of the list is retried, first and longest, seconds. It
-doubles each time once the list has been read: the platform charges for each call, and
+"""Delay before a failed read of a list that has been read before is retried, first and
+longest, seconds. It doubles each time: the platform charges for each call, and
 otherwise each node that the store rejects for 9 s would make 22, a third of the nodes
-at a time. Before that it stays short, since a node that has never read the list knows
-of no other. Nodes that start during an outage of the store would each admit the whole
-of every rate limit from the moment at which the store is available again. A store that
-falls silent never answers a call sent to it meanwhile, so first reads don't wait for
-earlier ones."""
+at a time."""
 
 
 def refresh_interval_s(nodes: int) -> float:
@@ -66,12 +74,18 @@
 
     Attributes
     ----------
+    is_known : Event
+        Set once the list has been read, or another node has passed it on.
     is_read : Event
-        Set once the list has been read.
+        Set once this node has read the list itself.
     registered : bool
         Whether the store has confirmed this node's entry.
     is_registering : bool
         Whether a registration waits for the store's answer.
+    attempts_under_way : int
+        Attempts that wait for the store's answer.
+    addresses : list of str
+        The addresses in the list as last read or passed on.
     unlisted : set of str
         Addresses of long-running nodes that the last list read did not contain.
     outdated : Event
@@ -85,9 +99,12 @@
         self.node = context.settings.location.node
         self.address = context.settings.location.address
         self.on_addresses = on_addresses
+        self.is_known = Event()
         self.is_read = Event()
         self.registered = False
         self.is_registering = False
+        self.attempts_under_way = 0
+        self.addresses: list[str] = []
         self.unlisted: set[str] = set()
         self.outdated = Event()
 
@@ -97,11 +114,18 @@
         try:
             while not self.is_read.is_set():
                 first_attempts.spawn(self._attempt)
-                gevent.sleep(self._jitter(MIN_LIST_RETRY_S))
+                gevent.sleep(self._jitter(self._first_attempts_gap_s()))
             self._refresh()
         finally:
             first_attempts.kill()
 
+    def _first_attempts_gap_s(self) -> float:
+        gap_s = FIRST_ATTEMPT_GAP_S * ATTEMPT_GAP_GROWTH**self.attempts_under_way
+        gap_s = min(MAX_ATTEMPT_GAP_S, gap_s)
+        if self.is_known.is_set():
+            gap_s = max(gap_s, LEARNED_GAP_PER_NODE_S * self.context.nodes)
+        return gap_s
+
     def _refresh(self) -> None:
         """Read the list again from time to time, once it has been read."""
         retry_s, answered = MIN_LIST_RETRY_S, True
@@ -144,6 +168,7 @@
 
         While another attempt still waits for its registration, this one only reads.
         """
+        self.attempts_under_way += 1
         try:
             if not self.registered and not self.is_registering:
                 self.is_registering = True
@@ -155,6 +180,8 @@
         except StoreError as error:
             log_event("nodes_not_read", error=error)
             return False
+        finally:
+            self.attempts_under_way -= 1
         return True
 
     def register(self) -> bool:
@@ -184,5 +211,19 @@
             addresses.append(entry.address)
         self.unlisted.clear()
         self.outdated.clear()
-        self.on_addresses(addresses)
+        self._set_addresses(addresses)
         self.is_read.set()
+
+    def learn(self, addresses: list[str]) -> None:
+        """Take the list from another node, unless this node knows it already.
+
+        This node still reads the list itself, without haste: the other node may have
+        read it before a third one registered.
+        """
+        if not self.is_known.is_set():
+            self._set_addresses(addresses)
+
+    def _set_addresses(self, addresses: list[str]) -> None:
+        self.addresses = addresses
+        self.on_addresses(addresses)
+        self.is_known.set()
--- a/packages/endive_gateway/src/endive_gateway/nodes.py
+++ b/packages/endive_gateway/src/endive_gateway/nodes.py
@@ -33,6 +33,8 @@
         Fencing number of the duties that it holds; 0 if it doesn't hold them.
     work : dict of str to float
         Servers of each service that its requests keep busy.
+    complete : bool
+        Whether it knows the list of nodes and the servers.
     """
 
     address: str
@@ -44,3 +46,4 @@
     version: int = -1
     fence: int = 0
     work: dict[str, float] = field(default_factory=dict)
+    complete: bool = False
--- a/packages/endive_gateway/src/endive_gateway/peers.py
+++ b/packages/endive_gateway/src/endive_gateway/peers.py
@@ -17,12 +17,14 @@
 from endive_node.logs import log_event
 from gevent.event import Event
 
+from endive_gateway.bootstrap import Bootstrap, BootstrapExchange
 from endive_gateway.clocks import boot_time
 from endive_gateway.configuration import ConfigurationFollower
 from endive_gateway.configuration_exchange import ConfigurationExchange
 from endive_gateway.context import Context
 from endive_gateway.datagrams import DatagramPort
 from endive_gateway.following import ServerFollower
+from endive_gateway.interfaces import Record
 from endive_gateway.listing import NodeList
 from endive_gateway.nodes import Peer
 from endive_gateway.state_messages import DECODER, StateMessage
@@ -73,9 +75,9 @@
 store usually returns it within 10 ms."""
 
 GREETERS = 6
-"""Mean number of nodes that send a starting node a message at once, to announce that
-they have a configuration. One would be enough; several spread the pulls of nodes that
-start together."""
+"""Mean number of nodes that send a starting node a message at once, to announce what it
+can take from them. One would be enough; several spread the pulls of nodes that start
+together."""
 
 
 class Peers:
@@ -98,6 +100,8 @@
         Time without a message after which a node no longer counts as live, seconds.
     urgent : Event
         Set while the next broadcast must be sent quickly.
+    announced : bool
+        Whether this node has been complete since its start.
     """
 
     def __init__(self, context: Context) -> None:
@@ -114,8 +118,10 @@
         self.logged_live = 0
         self.live_timeout_s = LIVE_TIMEOUT_S
         self.configuration_exchange = ConfigurationExchange(context, self.live)
+        self.bootstrap_exchange = BootstrapExchange(context, self)
         self.node_list = NodeList(context, self._add_listed)
         self.urgent = Event()
+        self.announced = False
         self.datagrams = DatagramPort("tellings", DECODER, self.receive)
         self.loops: list[gevent.Greenlet] = []
         self.servers: ServerFollower | None = None
@@ -127,6 +133,8 @@
         """Open the ports and start the loops."""
         self.datagrams.start(self.address, self.port)
         self.configuration_exchange.start(self.address, self.port + 1)
+        self.bootstrap_exchange.start(self.address, self.port)
+        self.context.registry.listeners.append(self._announce_servers)
         loops = (self._broadcast_loop, self.node_list.follow)
         self.loops = [gevent.spawn(loop) for loop in loops]
 
@@ -134,6 +142,7 @@
         """Stop the loops and close the ports."""
         gevent.killall(self.loops)
         self.configuration_exchange.stop()
+        self.bootstrap_exchange.stop()
         self.datagrams.stop()
 
     def live(self) -> list[Peer]:
@@ -193,14 +202,66 @@
         return not self.every_node_reads() and self.configuration_exchange.await_first()
 
     def _greet(self, peer: Peer) -> None:
-        """Send a message to a node without a configuration, with some probability.
+        """Send a message to a node that lacks what this one has, with some probability.
 
-        It announces that this node has one; `GREETERS` nodes do so on average.
+        It announces that this node has a configuration, or knows the nodes and servers;
+        `GREETERS` nodes do so on average.
         """
-        sources = 1 + sum(other.version >= 0 for other in self.live())
+        if peer.version < 0 <= self.context.version:
+            sources = 1 + sum(other.version >= 0 for other in self.live())
+        elif not peer.complete and self.is_complete():
+            sources = 1 + len(self.complete_peers())
+        else:
+            return
         if self.context.random.random() < GREETERS / sources:
             self.send_state([peer])
 
+    # Passing on the list of nodes and the servers
+
+    def is_complete(self) -> bool:
+        """See :meth:`endive_gateway.bootstrap.Participant.is_complete`."""
+        servers = self.servers
+        return (
+            self.node_list.is_known.is_set()
+            and servers is not None
+            and servers.is_current
+        )
+
+    def lacks_bootstrap(self) -> bool:
+        """See :meth:`endive_gateway.bootstrap.Participant.lacks_bootstrap`."""
+        return not self.node_list.is_known.is_set() or (
+            self.servers is not None and not self.servers.synced
+        )
+
+    def complete_peers(self) -> list[Peer]:
+        """See :meth:`endive_gateway.bootstrap.Participant.complete_peers`."""
+        return [peer for peer in self.live() if peer.complete]
+
+    def bootstrap(self) -> Bootstrap:
+        """See :meth:`endive_gateway.bootstrap.Participant.bootstrap`."""
+        servers = self.servers
+        return Bootstrap(
+            self.node_list.addresses,
+            [(r.offset, r.key, r.value) for r in servers.newest.values()],
+            servers.next_offset,
+            servers.age_s(),
+        )
+
+    def apply_bootstrap(self, bootstrap: Bootstrap) -> None:
+        """See :meth:`endive_gateway.bootstrap.Participant.apply_bootstrap`."""
+        self.node_list.learn(bootstrap.addresses)
+        if self.servers is not None:
+            records = [Record(*server) for server in bootstrap.servers]
+            self.servers.load(records, bootstrap.next_offset, bootstrap.age_s)
+
+    def _announce_servers(self) -> None:
+        """Tell all nodes that this one is complete, if it is one of the first."""
+        if self.announced or not self.is_complete():
+            return
+        self.announced = True
+        if len(self.complete_peers()) < GREETERS:
+            self.send_state()
+
     def _add_listed(self, addresses: list[str]) -> None:
         """Add the nodes in the list, and send them this node's state."""
         for address in addresses:
@@ -323,6 +384,7 @@
             age_s=now - context.started_at,
             pending_prompt_tokens=context.placer.own_backlogs(),
             proof_age_s=self.configuration.proof_age_s() if self.configuration else -1,
+            complete=self.is_complete(),
         )
 
     def _relays_servers(self) -> bool:
@@ -364,6 +426,7 @@
         peer.node, peer.incarnation, peer.sequence = message.node, *order
         peer.heard_at = now
         peer.version = message.version
+        peer.complete = message.complete
         peer.fence = message.fence
         peer.work = message.work
         context = self.context
@@ -377,8 +440,9 @@
             context.placer.crashes.add(Crash(fingerprint, server, now - age_s))
         context.placer.ejection.receive(address, message.server_failures, now)
         context.placer.backlogs.receive(address, message.pending_prompt_tokens, now)
-        if message.version < 0 <= context.version:
-            self._greet(peer)
+        self._greet(peer)
+        if message.complete and self.lacks_bootstrap():
+            self.bootstrap_exchange.pull(self.port)
         if message.version > context.version:
             self.configuration_exchange.pull(
                 self.port + 1, reads_store=self.every_node_reads()
--- a/packages/endive_gateway/src/endive_gateway/state_messages.py
+++ b/packages/endive_gateway/src/endive_gateway/state_messages.py
@@ -50,6 +50,9 @@
         Prompt tokens for which the sender still waits for a first token, by server.
     proof_age_s : float
         Seconds since `version` was confirmed as the store's newest; -1 if it never was.
+    complete : bool
+        Whether the sender knows the list of nodes and the servers, so that a starting
+        node can take them from it.
     """
 
     node: str
@@ -70,6 +73,7 @@
     age_s: float = 0.0
     pending_prompt_tokens: dict[str, float] = {}
     proof_age_s: float = -1.0
+    complete: bool = False
 
 
 DECODER = msgspec.msgpack.Decoder(StateMessage)
--- /dev/null
+++ b/packages/endive_gateway/tests/test_bootstrap.py
@@ -0,0 +1,149 @@
+"""Tests of what a starting node takes from another one."""
+
+import time
+import zlib
+
+import gevent
+import pytest
+from endive_gateway.configuration_exchange import LENGTH_PREFIX
+from endive_gateway.following import MAX_BOOTSTRAP_AGE_S, ServerFollower
+from endive_gateway.interfaces import Topic
+from endive_gateway.peers import Peers
+from gateway_builders import make_context, make_table
+from gevent.server import StreamServer
+from store_builders import MemoryStore, store_down, write
+from test_peers import state_message
+
+PORT = 17_631
+SOON_S = 1.0
+SERVER = {"service": "s", "address": "127.0.0.1:1", "zone": "z", "slots": 8}
+
+
+def make_peers(address, store):
+    peers = Peers(make_context(make_table(), store=store, node=address))
+    peers.address = peers.node_list.address = address
+    peers.port = PORT
+    peers.servers = ServerFollower(peers.context, peers)
+    return peers
+
+
+def make_silent_peers(address, store):
+    """Return the peers of a node that sends no messages."""
+    peers = make_peers(address, store)
+    peers.send_state = lambda *_peers, **_options: None
+    return peers
+
+
+@pytest.fixture
+def complete():
+    """A running node that knows another node and a server from the store."""
+    store = MemoryStore()
+    store.put(Topic.NODES, "n9", b'{"address":"127.0.0.9","incarnation":1}')
+    write(store, Topic.SERVERS, "i-1", SERVER)
+    peers = make_peers("127.0.0.1", store)
+    peers.start()
+    peers.node_list.read()
+    peers.servers.step()
+    yield peers
+    peers.stop()
+
+
+@pytest.fixture
+def starting():
+    """A node that has just started, and which the store does not answer."""
+    store = MemoryStore()
+    store.fault = store_down
+    return make_silent_peers("127.0.0.4", store)
+
+
+def is_soon(condition):
+    end = time.monotonic() + SOON_S
+    while not condition() and time.monotonic() < end:
+        gevent.sleep(0.01)
+    return condition()
+
+
+def test_a_starting_node_takes_nodes_and_servers_from_another(complete, starting):
+    """A hundred nodes start together before a store that answers a few calls at a time.
+    Without servers they refuse every request until each has its own answers."""
+    assert complete.is_complete()
+    assert starting.lacks_bootstrap()
+    starting.receive(state_message(complete=True), complete.address)
+    assert is_soon(lambda: not starting.lacks_bootstrap())
+    assert "127.0.0.9" in starting.known
+    assert starting.context.registry.get("i-1").usable
+    assert starting.servers.next_offset == complete.servers.next_offset
+
+
+def test_a_node_that_has_taken_the_list_still_reads_it(complete, starting):
+    """The other node may have read it before a third one registered."""
+    starting.apply_bootstrap(complete.bootstrap())
+    assert starting.node_list.is_known.is_set()
+    assert not starting.node_list.is_read.is_set()
+
+
+def test_a_complete_node_answers_a_starting_one_at_once(complete):
+    """In a large fleet its next regular message may come two seconds later."""
+    receivers = []
+    complete.send_state = receivers.extend
+    complete.receive(state_message(complete=False), "127.0.0.4")
+    complete.receive(state_message(complete=True), "127.0.0.5")
+    assert [peer.address for peer in receivers] == ["127.0.0.4"]
+
+
+def test_the_first_nodes_that_know_the_servers_tell_all(complete):
+    sent = []
+    complete.send_state = lambda *peers: sent.append(peers)
+    complete.context.registry.notify_listeners()
+    complete.context.registry.notify_listeners()
+    assert sent == [()]
+
+
+@pytest.mark.parametrize("age_s", [-1.0, MAX_BOOTSTRAP_AGE_S + 0.1])
+def test_old_servers_are_not_taken(complete, starting, age_s):
+    """Among them may be a server that has left since."""
+    bootstrap = complete.bootstrap()
+    bootstrap.age_s = age_s
+    starting.apply_bootstrap(bootstrap)
+    assert not starting.servers.synced
+
+
+def test_servers_that_a_node_has_read_itself_stay(complete):
+    write(complete.context.store, Topic.SERVERS, "i-2", SERVER)
+    bootstrap = complete.bootstrap()
+    complete.servers.step()
+    complete.apply_bootstrap(bootstrap)
+    assert complete.context.registry.get("i-2") is not None
+
+
+def test_a_read_that_began_before_a_bootstrap_removes_no_server(complete):
+    """The store's answer is slow, and older than what another node has passed on."""
+    store = complete.context.store
+    follower = make_silent_peers("127.0.0.5", store).servers
+    old_page = store.newest(Topic.SERVERS)
+    write(store, Topic.SERVERS, "i-2", SERVER)
+    complete.servers.step()
+    bootstrap = complete.bootstrap()
+
+    def answer_late(_topic):
+        follower.readers.apply_bootstrap(bootstrap)
+        return old_page
+
+    store.newest = answer_late
+    follower.step()
+    assert set(follower.context.registry.servers) == {"i-1", "i-2"}
+
+
+@pytest.mark.parametrize("data", [b"", b"junk", zlib.compress(b"\xc1")])
+def test_a_bootstrap_that_can_not_be_decoded_is_dropped(starting, data):
+    def send(sock, _address):
+        sock.sendall(LENGTH_PREFIX.pack(len(data)) + data)
+
+    server = StreamServer(("127.0.0.1", PORT), send)
+    server.start()
+    try:
+        starting.receive(state_message(complete=True), "127.0.0.1")
+        gevent.sleep(0.1)
+        assert starting.lacks_bootstrap()
+    finally:
+        server.stop(0)
