Let nodes read the servers one after the other where no reader does

Cause, found by looking for the same fault elsewhere: when the readers of the servers get no answer for 0.9 s, all other nodes read the store at once and go on doing so, each about once a second. A store that is slow for a moment gets 450 reads a second of 375 nodes instead of 11, and its answers, older than 0.9 s, are relayed by none.

Change: such a node takes its turn, drawn so that all of them together make forty reads a second at any number of nodes; the first answer is relayed to the others. A node that no messages reach any more reads at once, as before.

Result: test_server_relay.py, 200 and 375 nodes, failed before: at most sixty reads a second of a store that answers none. A leaving server is known to all but a hundredth of the nodes within 1.6 s when the store rejects all readers.

--- a/packages/endive_gateway/src/endive_gateway/following.py
+++ b/packages/endive_gateway/src/endive_gateway/following.py
@@ -37,6 +37,11 @@
 itself, seconds. A leaving server may get requests for two seconds, of which the
 reader's own read takes up to 0.7 s."""
 
+READ_GAP_PER_NODE_S = 0.025
+"""Mean time between two reads of the servers by a node that isn't a reader and hears of
+no new read, for each live node, seconds. All of them together make forty reads a
+second, so they don't hold up a store that is merely slow."""
+
 MAX_BOOTSTRAP_AGE_S = 2.0
 """Largest age of the read that servers passed on to a starting node stem from, seconds.
 A leaving server may get requests for two seconds."""
@@ -91,6 +96,14 @@
         """Return how many nodes are live, this one included."""
         ...
 
+    def is_isolated(self) -> bool:
+        """Return whether no node's messages arrive at this one any more."""
+        ...
+
+    def broadcast_soon(self) -> None:
+        """Send the next state messages early, if this node is a reader."""
+        ...
+
 
 class Follower:
     """Follows one keyed topic of the store.
@@ -289,6 +302,9 @@
         The compressed changes of the last message, and the offsets that they cover.
     newest : dict of str to Record
         The newest record of each server, for nodes that start.
+    reads_at : float or None
+        When this node reads next if no newer read of another node becomes known, on
+        the monotonic clock.
     """
 
     topic = Topic.SERVERS
@@ -303,6 +319,36 @@
         self.read_at = float("-inf")
         self.packed: tuple[int, int, bytes] = (0, 0, b"")
         self.newest: dict[str, Record] = {}
+        self.reads_at: float | None = None
+
+    def is_relayed(self) -> bool:
+        """See :meth:`Follower.is_relayed`.
+
+        A node that hears of no new read takes its turn. If all read at once, a store
+        that has become slow would get more reads than it can answer, and stay slow.
+        """
+        if super().is_relayed():
+            self.reads_at = None
+            return True
+        readers = self.readers
+        if (
+            readers is None
+            or readers.is_reader()
+            or readers.is_isolated()
+            or self.relayed_at == float("-inf")
+        ):
+            return False
+        now = time.monotonic()
+        if self.reads_at is None:
+            self.reads_at = self.relayed_at + RELAY_TIMEOUT_S + self._turn_s()
+        if now < self.reads_at:
+            return True
+        self.reads_at = now + self._turn_s()
+        return False
+
+    def _turn_s(self) -> float:
+        gap_s = READ_GAP_PER_NODE_S * self.readers.live_node_count()
+        return self.context.random.uniform(0.0, 2.0 * gap_s)
 
     def pause_s(self) -> float:
         """See :meth:`Follower.pause_s`."""
--- a/packages/endive_gateway/src/endive_gateway/peers.py
+++ b/packages/endive_gateway/src/endive_gateway/peers.py
@@ -23,7 +23,7 @@
 from endive_gateway.configuration_exchange import ConfigurationExchange
 from endive_gateway.context import Context
 from endive_gateway.datagrams import DatagramPort
-from endive_gateway.following import ServerFollower
+from endive_gateway.following import RELAY_TIMEOUT_S, ServerFollower
 from endive_gateway.interfaces import Record
 from endive_gateway.listing import NodeList
 from endive_gateway.nodes import Peer
@@ -100,6 +100,8 @@
         Time without a message after which a node no longer counts as live, seconds.
     urgent : Event
         Set while the next broadcast must be sent quickly.
+    heard_at : float
+        When the last state message of any node arrived, on the monotonic clock.
     announced : bool
         Whether this node has been complete since its start.
     """
@@ -121,6 +123,7 @@
         self.bootstrap_exchange = BootstrapExchange(context, self)
         self.node_list = NodeList(context, self._add_listed)
         self.urgent = Event()
+        self.heard_at = float("-inf")
         self.announced = False
         self.datagrams = DatagramPort("tellings", DECODER, self.receive)
         self.loops: list[gevent.Greenlet] = []
@@ -184,6 +187,10 @@
         """Return how many nodes are live, this one included."""
         return len(self.live()) + 1
 
+    def is_isolated(self) -> bool:
+        """Return whether no node's messages arrive at this one any more."""
+        return time.monotonic() - self.heard_at > RELAY_TIMEOUT_S
+
     def older_among(self, peers: list[Peer]) -> int:
         """Return how many of `peers` have run for longer than this node."""
         own = (self.context.incarnation, self.node_name)
@@ -424,7 +431,7 @@
             return
         now = time.monotonic()
         peer.node, peer.incarnation, peer.sequence = message.node, *order
-        peer.heard_at = now
+        peer.heard_at = self.heard_at = now
         peer.version = message.version
         peer.complete = message.complete
         peer.fence = message.fence
--- a/packages/endive_gateway/tests/store_builders.py
+++ b/packages/endive_gateway/tests/store_builders.py
@@ -102,6 +102,9 @@
     def live_node_count(self):
         return 100
 
+    def is_isolated(self):
+        return False
+
     def broadcast_soon(self):
         self.broadcast_requested = True
 
--- a/packages/endive_gateway/tests/test_server_relay.py
+++ b/packages/endive_gateway/tests/test_server_relay.py
@@ -27,8 +27,24 @@
 LOST_DATAGRAMS = 0.01
 
 
-class Reader(NonReader):
-    """Readers as a node of a large fleet sees them that is a reader itself."""
+OUTAGE_S = 6.0
+MAX_READS_PER_S = 60.0
+"""Reads that a store which answers none gets from a fleet of any size: ten of the
+readers, and those of the others one after the other."""
+
+
+class FleetMember(NonReader):
+    """Readers as a node of the simulated fleet sees them."""
+
+    def __init__(self, nodes):
+        self.nodes = nodes
+
+    def live_node_count(self):
+        return self.nodes
+
+
+class Reader(FleetMember):
+    """Readers as a node sees them that is a reader itself."""
 
     def is_reader(self):
         return True
@@ -52,7 +68,7 @@
         self.followers = [
             ServerFollower(
                 make_context(store=self.store),
-                Reader() if number < MAX_READERS else NonReader(),
+                (Reader if number < MAX_READERS else FleetMember)(nodes),
             )
             for number in range(nodes)
         ]
@@ -138,3 +154,32 @@
     fleet.run_until(WARM_UP_S + 3.0)
     assert min(follower.age_s() for follower in fleet.followers) > 2.0
     assert all(follower.server_delta() is None for follower in fleet.followers)
+
+
+@SIZES
+def test_reads_of_a_store_that_answers_none_do_not_grow_with_the_nodes(
+    nodes, monkeypatch
+):
+    """If all nodes read when their readers get no answers, a store that was slow for a
+    moment gets more reads than it can answer, and stays slow."""
+    fleet = SimulatedFleet(nodes, monkeypatch)
+    fleet.run_until(WARM_UP_S)
+    fleet.store.fault = store_down
+    before = len(fleet.store.calls)
+    fleet.run_until(WARM_UP_S + OUTAGE_S)
+    reads = len(fleet.store.calls) - before
+    assert reads <= MAX_READS_PER_S * OUTAGE_S
+
+
+@SIZES
+def test_another_node_soon_reads_for_readers_that_the_store_rejects(nodes, monkeypatch):
+    """The store rejects all readers and answers the other nodes. Until one of these
+    reads, none learns of a server that leaves."""
+    fleet = SimulatedFleet(nodes, monkeypatch)
+    fleet.run_until(WARM_UP_S)
+    for follower in fleet.followers[:MAX_READERS]:
+        follower.context.store = MemoryStore()
+        follower.context.store.fault = store_down
+    fleet.write_server("i-7", sequence=2, state="leaving")
+    fleet.run_until(WARM_UP_S + 9.0, lambda: fleet.knowing("i-7") >= 0.99 * nodes)
+    assert fleet.now - WARM_UP_S < RELAY_TIMEOUT_S + SERVER_READ_INTERVAL_S
