Spend nothing of a limit before a node knows the others

Cause: a node admits requests once it has a configuration and servers. If the list of nodes comes later, it counts the few nodes of which it has heard, asks none of them for a grant below twenty, and takes the whole limit for its own.

Change: such a node waits for the list, for half a second after its start as for the configuration, and then refuses at once, to be tried again 0.2 s later. It declines to decide for others. After ten seconds without the list it serves as before.

The five new tests of test_spending.py failed before.

--- a/packages/endive_gateway/src/endive_gateway/gateway.py
+++ b/packages/endive_gateway/src/endive_gateway/gateway.py
@@ -73,7 +73,10 @@
         )
         self.peers = Peers(self.context)
         self.spending = SpendingExchange(
-            self.context, self.peers.presumed_live, lambda: self.peers.sequence
+            self.context,
+            self.peers.presumed_live,
+            lambda: self.peers.sequence,
+            self.peers.node_list.is_known,
         )
         self.prompts = PromptAnnouncer(
             self.context.placer.backlogs, self.peers.presumed_live, time.monotonic
--- a/packages/endive_gateway/src/endive_gateway/spending.py
+++ b/packages/endive_gateway/src/endive_gateway/spending.py
@@ -27,11 +27,16 @@
 from endive_core.routing import OrganisationLimits
 from endive_core.shared_limits import SpendingOrigin
 from endive_node.logs import log_event
-from gevent.event import AsyncResult
+from gevent.event import AsyncResult, Event
 
-from endive_gateway.context import Context
+from endive_gateway.context import START_WAIT_S, Context
 from endive_gateway.datagrams import DatagramPort
 
+UNKNOWN_FLEET_S = 10.0
+"""Time after its start from which on a node that still doesn't know the list of nodes
+spends as the only one, seconds. The store answers its other reads, else there would be
+no servers to send a request to."""
+
 MAX_ENTRIES = 20
 """Most entries in one datagram, so that it fits one Ethernet frame of 1,500 bytes."""
 
@@ -130,6 +135,8 @@
         Returns the addresses of the other nodes that are presumed to be live.
     messages_sent : callable
         Returns the number of state messages that this node has sent.
+    fleet_known : Event or None
+        Set once this node knows the list of nodes; ``None`` if it needs none.
 
     Attributes
     ----------
@@ -152,8 +159,10 @@
         context: Context,
         peer_addresses: Callable[[], list[str]],
         messages_sent: Callable[[], int],
+        fleet_known: Event | None = None,
     ) -> None:
         self.context = context
+        self.fleet_known = fleet_known
         self.peer_addresses = peer_addresses
         self.messages_sent = messages_sent
         self.address = context.settings.location.address
@@ -179,7 +188,13 @@
 
         See :meth:`endive_core.shared_limits.SharedLimits.wait_s`. In a large fleet a
         node has to request a grant for more than its even part of the rest.
+
+        A node that doesn't know the others yet spends nothing: it would take the whole
+        limit for its own, as would each of hundreds of nodes that start together.
         """
+        if not self._await_fleet():
+            log_event("limit_undecided", organisation=terms.name, reason="nodes")
+            return GRANT_RETRY_AFTER_S
         limits = self.context.limits
         unanswered = 0
         for _ in range(MAX_GRANT_REQUESTS):
@@ -197,6 +212,24 @@
                 return wait_s
         return GRANT_RETRY_AFTER_S
 
+    def _knows_fleet(self) -> bool:
+        if self.fleet_known is None or self.fleet_known.is_set():
+            return True
+        return time.monotonic() - self.context.started_at >= UNKNOWN_FLEET_S
+
+    def _await_fleet(self) -> bool:
+        """Wait until the list of nodes is known, shortly after the start only.
+
+        Returns
+        -------
+        bool
+            Whether this node may spend.
+        """
+        if self._knows_fleet():
+            return True
+        left_s = self.context.started_at + START_WAIT_S - time.monotonic()
+        return left_s > 0 and self.fleet_known.wait(left_s)
+
     def _needs_grant(self, units: float, left: float) -> bool:
         nodes = len(self.context.limits.peers) + 1
         if nodes <= MAX_NODES_WITHOUT_GRANTS or left <= 0:
@@ -260,13 +293,13 @@
         """Reply to another node's request for a grant.
 
         It is declined if the organisation is unknown, or if what the node has spent so
-        far is.
+        far is, or if this node doesn't know the others yet.
         """
         total = request.total
         if total.address == self.address:
             return
         terms = self.context.terms(total.organisation)
-        if terms is None:
+        if terms is None or not self._knows_fleet():
             self._send(GrantDeclined(request.number), [total.address])
             return
         known = self.context.limits.peers.get(total.address)
--- a/packages/endive_gateway/tests/test_spending.py
+++ b/packages/endive_gateway/tests/test_spending.py
@@ -18,6 +18,7 @@
     SpendingReport,
 )
 from gateway_builders import make_context, make_route, make_table
+from gevent.event import Event
 
 TERMS = OrganisationLimits("o", rate=100.0, burst=100.0)
 OTHERS = ("127.0.0.2", "127.0.0.3", "127.0.0.4")
@@ -360,3 +361,51 @@
     requester = requesting_node(fleet)
     requester.handle_message(GrantReply(99, 0.0), "127.0.1.0")
     assert requester.context.limits.own_totals().get("o", 0.0) == 0.0
+
+
+@pytest.fixture
+def starting_node(fleet):
+    """The exchange of a node that has just started and knows no list of nodes."""
+    exchange = requesting_node(fleet)
+    exchange.fleet_known = Event()
+    exchange.peer_addresses = list
+    exchange.context.limits = SharedLimits(exchange.context.started_at)
+    exchange.context.started_at = time.monotonic()
+    return exchange
+
+
+def test_a_node_that_does_not_know_the_others_spends_nothing(starting_node):
+    """Nodes that had servers before they had the list of nodes each spent the whole
+    limit: a hundred of them 9,380 units of 3,000 in four seconds."""
+    assert starting_node.try_spend(TERMS, 60.0) > 0.0
+    assert starting_node.context.limits.own_totals().get("o", 0.0) == 0.0
+
+
+def test_a_request_waits_until_the_others_are_known(starting_node):
+    """The store answers the reads of a starting node in any order."""
+    spending_greenlet = gevent.spawn(starting_node.try_spend, TERMS, 3.0)
+    gevent.sleep(0.05)
+    starting_node.fleet_known.set()
+    spending_greenlet.join(0.2)
+    assert spending_greenlet.value == 0.0
+
+
+def test_after_a_while_a_request_waits_no_longer(starting_node):
+    """What can't be decided soon is refused at once."""
+    starting_node.context.started_at -= 1.0
+    started = time.monotonic()
+    assert starting_node.try_spend(TERMS, 3.0) > 0.0
+    assert time.monotonic() - started < 0.05
+
+
+def test_a_node_that_never_reads_the_list_serves_all_the_same(starting_node):
+    starting_node.context.started_at -= spending.UNKNOWN_FLEET_S
+    assert starting_node.try_spend(TERMS, 3.0) == 0.0
+
+
+def test_a_coordinator_that_does_not_know_the_others_declines(fleet):
+    requester = requesting_node(fleet)
+    coordinator = fleet[coordinator_address(MANY_ADDRESSES)]
+    coordinator.fleet_known = Event()
+    assert requester.try_spend(TERMS, 60.0) == 0.0
+    assert requester.requests_sent == 2
