Accept the messages of a node that restarts with its clock set back

A node that is killed and started again after its clock was set back counts as silent for up to half a minute: its spending, failing servers and duties don't reach the others, and a part of each limit stays reserved.

Change: a process also counts as newer if it started later by the age in its messages, which each node converts to its own monotonic clock. A message of the process before, which may carry the higher incarnation, is then dropped.

Result: the two new tests of test_peers.py failed before.

--- a/packages/endive_gateway/src/endive_gateway/nodes.py
+++ b/packages/endive_gateway/src/endive_gateway/nodes.py
@@ -12,6 +12,11 @@
     incarnation: int
 
 
+RESTART_MARGIN_S = 0.5
+"""Least difference between two start times that are derived from messages for them to
+count as different, seconds. Messages are delayed in the network and in queues."""
+
+
 @dataclass
 class Peer:
     """Another node.
@@ -25,6 +30,8 @@
     heard_at : float
         When its last state message arrived, seconds on the monotonic clock; 0 if none
         did.
+    started_at : float
+        When it started, as derived from its messages, seconds on the monotonic clock.
     added_at : float
         When it became known, seconds on the monotonic clock.
     version : int
@@ -42,8 +49,31 @@
     incarnation: int = 0
     sequence: int = 0
     heard_at: float = 0.0
+    started_at: float = float("-inf")
     added_at: float = 0.0
     version: int = -1
     fence: int = 0
     work: dict[str, float] = field(default_factory=dict)
     complete: bool = False
+
+    def is_superseded_by(
+        self, incarnation: int, sequence: int, started_at: float
+    ) -> bool:
+        """Return whether a message is newer than the last one that was received.
+
+        The incarnation alone does not tell: it is taken from the wall clock, which may
+        be set back between two starts.
+
+        Parameters
+        ----------
+        started_at : float
+            When the sender started, seconds on the monotonic clock.
+        """
+        if incarnation == self.incarnation:
+            return sequence > self.sequence
+        if started_at > self.started_at + RESTART_MARGIN_S:
+            return True
+        return (
+            incarnation > self.incarnation
+            and started_at >= self.started_at - RESTART_MARGIN_S
+        )
--- a/packages/endive_gateway/src/endive_gateway/peers.py
+++ b/packages/endive_gateway/src/endive_gateway/peers.py
@@ -426,10 +426,14 @@
         peer = self._add_peer(address)
         if peer is None:
             return
+        now = time.monotonic()
         order = (message.incarnation, message.sequence)
-        if order <= (peer.incarnation, peer.sequence):
+        started_at = now - message.age_s
+        if not peer.is_superseded_by(*order, started_at):
             return
-        now = time.monotonic()
+        if message.incarnation == peer.incarnation:
+            started_at = min(started_at, peer.started_at)
+        peer.started_at = started_at
         peer.node, peer.incarnation, peer.sequence = message.node, *order
         peer.heard_at = self.heard_at = now
         peer.version = message.version
--- a/packages/endive_gateway/tests/test_peers.py
+++ b/packages/endive_gateway/tests/test_peers.py
@@ -69,6 +69,23 @@
     assert peers.known["127.0.0.2"].fence == 0
 
 
+def test_a_node_that_restarts_with_its_clock_set_back_is_heard(peers):
+    """Its incarnation is lower than before. If its messages were dropped, it would
+    count as silent for half a minute, and what it spends would not count."""
+    peers.receive(state_message(incarnation=9_000_000, age_s=60.0), "127.0.0.2")
+    restarted = state_message(incarnation=5_000_000, fence=3, age_s=0.2)
+    peers.receive(restarted, "127.0.0.2")
+    assert peers.known["127.0.0.2"].fence == 3
+
+
+def test_a_late_message_of_the_process_before_a_restart_is_dropped(peers):
+    """Its incarnation is higher if the clock was set back."""
+    peers.receive(state_message(incarnation=5_000_000, fence=3, age_s=0.2), "127.0.0.2")
+    late = state_message(incarnation=9_000_000, sequence=700, age_s=60.0)
+    peers.receive(late, "127.0.0.2")
+    assert peers.known["127.0.0.2"].fence == 3
+
+
 def test_a_peer_that_stopped_is_removed_at_once(peers):
     peers.receive(state_message(), "127.0.0.2")
     peers.receive(state_message(sequence=2, gone=True), "127.0.0.2")
