Judge a probe by all versions that were the newest meanwhile

Cause: the check. The prober reads the newest version, then asks for it; a change that the store takes in between and that the node has in force makes 404 the right answer.

Change: an answer counts as stale if it is wrong for each version that was the newest between the probe's start and its end, no wider: an older version than the newest at the start may still not be served, whatever is written meanwhile. Other checks that compare with a value read before the question were looked for in the soak: the order of versions at one node uses the time of the probe, limits and runs are counted when a server starts a request. None is affected.

Result: seven cases as a test; the mutant that takes silence for currency is still to be detected by test_mutants_are_detected.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -194,7 +194,7 @@
             name = f"{node.name}#{process}"
             if outcome == 200:
                 self.fleet.checker.version_served(name, probed_at, version)
-            if due and outcome == (404 if version == newest else 200):
+            if due and is_stale(outcome, version, newest, self.fleet.version):
                 self.fleet.checker.version_stale(name, version, newest)
 
     def _is_due(self, node):
@@ -205,3 +205,18 @@
         return (
             confirmed and stalled_s < MAX_STALL_S and node.is_connected(now - CONTACT_S)
         )
+
+
+def is_stale(outcome, version, newest_before, newest_after):
+    """Return whether a probe of `version` shows that its node serves an older one.
+
+    Each version that was the newest between the probe's start and its end is right.
+
+    Parameters
+    ----------
+    newest_before, newest_after : int
+        Newest version in the store when the probe started and when it ended.
+    """
+    if version < newest_before:
+        return outcome == 200
+    return outcome == 404 and version == newest_after
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,6 +2,7 @@
 
 import gevent
 import pytest
+from soak.callers import is_stale
 from soak.faults import FAULTS, set_temporarily
 from soak.play import run_seed
 
@@ -89,6 +90,26 @@
     assert target.error_share == 0.0
 
 
+@pytest.mark.parametrize(
+    ("outcome", "version", "newest_before", "newest_after", "stale"),
+    [
+        (200, 2, 2, 2, False),
+        (404, 2, 2, 2, True),
+        (404, 2, 2, 3, False),
+        (200, 2, 2, 3, False),
+        (200, 1, 2, 2, True),
+        (404, 1, 2, 2, False),
+        (200, 1, 2, 3, True),
+    ],
+)
+def test_probes_are_judged_by_all_versions_newest_meanwhile(
+    outcome, version, newest_before, newest_after, stale
+):
+    """A change that is in force before a probe arrives makes the version asked for an
+    old one, which the node rightly doesn't serve any more."""
+    assert is_stale(outcome, version, newest_before, newest_after) is stale
+
+
 @pytest.mark.parametrize("mutant", MUTANTS)
 def test_mutants_are_detected(mutant):
     """The soak detects each mutant within the fault phase of one seed: a limit that
