--- a/tests/builders.py
+++ b/tests/builders.py
@@ -73,6 +73,11 @@
         time.sleep(0.02)
 
 
+def tail(output, lines=20):
+    """Return the last lines of a process's output."""
+    return "\n".join(output.read_text(errors="replace").splitlines()[-lines:])
+
+
 def responds_ok(url):
     """Return whether a GET of `url` returns 200 within two seconds."""
     try:
@@ -98,8 +103,14 @@
     def url(self):
         return f"http://{self.address}"
 
+    def assert_running(self):
+        """Fail with the process's output if it has ended."""
+        code = self.process.poll()
+        assert code is None, f"{self.name} ended with {code}: {tail(self.output)}"
+
     def is_ready(self):
         """Return whether the process has logged that it listens."""
+        self.assert_running()
         return "ready port=" in self.output.read_text()
 
     def faults(self, **order):
@@ -136,6 +147,7 @@
 
     def is_ready(self):
         """Return whether the node has a configuration."""
+        self.assert_running()
         return responds_ok(self.url + "/healthz")
 
     def post(self, path, body, **headers):
