Let proofs and reads that nodes pass on grow old as time passes

Cause: a state message says how old the sender's proof is, and the receiver counts from the message's arrival. Each time a proof is passed on it so becomes younger by what the message took; among 85 nodes that tell each other a hundred times a second it grew old at a quarter of true speed. Evidence, from all nodes' logs: the store was silent from 5 to 11 s; one node of 85 sent a check in that time, at 9.8 s instead of 6.2, none from 11.3 to 16.4 s, and no node put a version in force from 5 to 16.4 s.

Change: each read that proves something has an identity, which is passed on with its age, and a node counts a read from the least delayed message of it (endive_core.sightings). The same fault, in the age of the servers that nodes relay, is mended in the same way: there it hid for seconds that no reader reached the store.

--- a/packages/endive_core/src/endive_core/__init__.py
+++ b/packages/endive_core/src/endive_core/__init__.py
@@ -17,5 +17,5 @@
 - membership: ``membership``, ``members``, ``digests``, ``facts``, ``leases``,
   ``clocks``
 - configuration: ``resources``, ``catalogue``, ``routing``, ``records``, ``fold``,
-  ``history``, ``findings``, ``freshness``
+  ``history``, ``findings``, ``freshness``, ``sightings``
 """
--- a/packages/endive_gateway/src/endive_gateway/bootstrap.py
+++ b/packages/endive_gateway/src/endive_gateway/bootstrap.py
@@ -41,12 +41,15 @@
         Offset from which the servers' topic is to be read next.
     age_s : float
         Seconds since the read that the servers stem from.
+    read : int
+        Identity of that read.
     """
 
     addresses: list[str]
     servers: list[tuple[int, str, bytes]]
     next_offset: int
     age_s: float
+    read: int
 
 
 DECODER = msgspec.msgpack.Decoder(Bootstrap)
--- a/packages/endive_gateway/src/endive_gateway/configuration.py
+++ b/packages/endive_gateway/src/endive_gateway/configuration.py
@@ -2,6 +2,7 @@
 
 import gevent
 from endive_core.freshness import Freshness
+from endive_core.sightings import EVENT_BITS, Sightings
 from endive_node.logs import log_event
 from gevent.event import Event
 
@@ -48,6 +49,8 @@
     ----------
     freshness : Freshness
         When the version in force was last confirmed as the newest, on the boot clock.
+    proofs : Sightings
+        The reads, of this node and of others, that confirmed the version in force.
     long_poll_version : int
         Newest version in force when the long poll was last known to work.
     long_poll : Greenlet or None
@@ -61,6 +64,7 @@
     def __init__(self, context: Context, readers: Readers | None = None) -> None:
         super().__init__(context, readers)
         self.freshness = Freshness(context.settings.bounds.config_s, boot_time())
+        self.proofs = Sightings()
         self.long_poll_version = -1
         self.long_poll: gevent.Greenlet | None = None
         self.due_earlier = Event()
@@ -121,9 +125,12 @@
 
     def _note_answer(self, read_started_at: float) -> None:
         super()._note_answer(read_started_at)
-        self._prove(read_started_at)
+        self._prove(self.context.random.getrandbits(EVENT_BITS), read_started_at)
 
-    def _prove(self, at: float) -> None:
+    def _prove(self, read: int, at: float) -> None:
+        """Record that `read`, which began at `at`, confirmed the version in force."""
+        if read:
+            at = self.proofs.observe(read, at)
         was_retrying = self.freshness.is_retrying
         self.freshness.prove(at)
         if was_retrying and not self.freshness.is_retrying:
@@ -199,7 +206,7 @@
             log_event("store_read_renewed", topic=self.topic, waited_s=self.waiting_s())
             self._restart_long_poll()
 
-    def observe_peer_proof(self, version: int, age_s: float) -> None:
+    def observe_peer_proof(self, version: int, age_s: float, read: int = 0) -> None:
         """Record that `version` was the newest `age_s` seconds ago, as a peer reports.
 
         Parameters
@@ -209,9 +216,11 @@
             nothing here.
         age_s : float
             Negative if the peer has no confirmation.
+        read : int
+            Identity of the read that confirmed it; 0 if the peer doesn't know it.
         """
         if age_s >= 0 and version <= self.context.version:
-            self._prove(boot_time() - age_s)
+            self._prove(read, boot_time() - age_s)
 
     def proof_age_s(self) -> float:
         """Return the seconds since the version was confirmed as the newest.
--- a/packages/endive_gateway/src/endive_gateway/following.py
+++ b/packages/endive_gateway/src/endive_gateway/following.py
@@ -10,6 +10,7 @@
 from typing import Protocol
 
 import gevent
+from endive_core.sightings import EVENT_BITS, Sightings
 from endive_node.logs import log_event
 
 from endive_gateway.clocks import boot_time
@@ -302,6 +303,8 @@
         The compressed changes of the last message, and the offsets that they cover.
     newest : dict of str to Record
         The newest record of each server, for nodes that start.
+    reads : Sightings
+        The reads of the topic, of this node and of others, on the monotonic clock.
     reads_at : float or None
         When this node reads next if no newer read of another node becomes known, on
         the monotonic clock.
@@ -319,6 +322,7 @@
         self.read_at = float("-inf")
         self.packed: tuple[int, int, bytes] = (0, 0, b"")
         self.newest: dict[str, Record] = {}
+        self.reads = Sightings()
         self.reads_at: float | None = None
 
     def is_relayed(self) -> bool:
@@ -356,7 +360,9 @@
 
     def _note_answer(self, read_started_at: float) -> None:
         super()._note_answer(read_started_at)
-        self.read_at = time.monotonic() - (boot_time() - read_started_at)
+        read_at = time.monotonic() - (boot_time() - read_started_at)
+        read = self.context.random.getrandbits(EVENT_BITS)
+        self.read_at = self.reads.observe(read, read_at)
 
     @property
     def after_outage(self) -> bool:
@@ -422,22 +428,24 @@
             self.changes.clear()
             self.history_start = self.next_offset
             changes = self._packed_changes()
-        return ServerDelta(self.history_start, self.next_offset, changes, age_s)
+        return ServerDelta(
+            self.history_start, self.next_offset, changes, age_s, self.reads.newest
+        )
 
     @property
     def is_current(self) -> bool:
         """Whether the servers are recent enough to be passed on to a starting node."""
         return self.synced and 0 <= self.age_s() <= MAX_BOOTSTRAP_AGE_S
 
-    def load(self, records: list[Record], end: int, age_s: float) -> None:
-        """Take the servers as another node read them `age_s` seconds ago.
+    def load(self, records: list[Record], end: int, age_s: float, read: int) -> None:
+        """Take the servers as the given `read` found them, `age_s` seconds ago.
 
         They are ignored by a node that has read them itself, and if they are too old.
         """
         if self.synced or not 0 <= age_s <= MAX_BOOTSTRAP_AGE_S:
             return
         self._set_newest(records, end)
-        self.relayed_at = time.monotonic() - age_s
+        self.relayed_at = self.reads.observe(read, time.monotonic() - age_s)
 
     def age_s(self) -> float:
         """Return the age of the read that the known servers stem from, seconds.
@@ -480,6 +488,8 @@
             return
         self._note_recovery()
         relayed_at = time.monotonic() - server_delta.age_s
+        if server_delta.read:
+            relayed_at = self.reads.observe(server_delta.read, relayed_at)
         if server_delta.next == self.next_offset:
             self.relayed_at = max(self.relayed_at, relayed_at)
             return
--- a/packages/endive_gateway/src/endive_gateway/interfaces.py
+++ b/packages/endive_gateway/src/endive_gateway/interfaces.py
@@ -193,12 +193,15 @@
         The compressed records that changed the registry.
     age_s : float
         Seconds since a reader was told by the store that the topic ended at `next`.
+    read : int
+        Identity of that read; 0 if the sender doesn't know it.
     """
 
     first: int
     next: int
     changes: bytes
     age_s: float = 0.0
+    read: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/endive_gateway/src/endive_gateway/peers.py
+++ b/packages/endive_gateway/src/endive_gateway/peers.py
@@ -252,6 +252,7 @@
             [(r.offset, r.key, r.value) for r in servers.newest.values()],
             servers.next_offset,
             servers.age_s(),
+            servers.reads.newest,
         )
 
     def apply_bootstrap(self, bootstrap: Bootstrap) -> None:
@@ -259,7 +260,9 @@
         self.node_list.learn(bootstrap.addresses)
         if self.servers is not None:
             records = [Record(*server) for server in bootstrap.servers]
-            self.servers.load(records, bootstrap.next_offset, bootstrap.age_s)
+            self.servers.load(
+                records, bootstrap.next_offset, bootstrap.age_s, bootstrap.read
+            )
 
     def _announce_servers(self) -> None:
         """Tell all nodes that this one is complete, if it is one of the first."""
@@ -392,6 +395,7 @@
             pending_prompt_tokens=context.placer.own_backlogs(),
             proof_age_s=self.configuration.proof_age_s() if self.configuration else -1,
             complete=self.is_complete(),
+            proof=self.configuration.proofs.newest if self.configuration else 0,
         )
 
     def _relays_servers(self) -> bool:
@@ -461,7 +465,9 @@
         if message.server_delta is not None and self.servers is not None:
             self.servers.apply_delta(message.server_delta)
         if self.configuration is not None:
-            self.configuration.observe_peer_proof(message.version, message.proof_age_s)
+            self.configuration.observe_peer_proof(
+                message.version, message.proof_age_s, message.proof
+            )
         if message.gone:
             log_event("peer_gone", peer=message.node)
             context.limits.remove_peer(address)
--- a/packages/endive_gateway/src/endive_gateway/state_messages.py
+++ b/packages/endive_gateway/src/endive_gateway/state_messages.py
@@ -74,6 +74,7 @@
     pending_prompt_tokens: dict[str, float] = {}
     proof_age_s: float = -1.0
     complete: bool = False
+    proof: int = 0
 
 
 DECODER = msgspec.msgpack.Decoder(StateMessage)
--- a/packages/endive_gateway/tests/test_configuration_follower.py
+++ b/packages/endive_gateway/tests/test_configuration_follower.py
@@ -1,6 +1,6 @@
 import gevent
 import pytest
-from endive_gateway import following
+from endive_gateway import configuration, following
 from endive_gateway.clocks import boot_time
 from endive_gateway.configuration import ConfigurationFollower
 from endive_gateway.exceptions import StoreError, StoreHeldBackError
@@ -253,3 +253,24 @@
     store.fault = None
     follower.check()
     assert context.version == 4
+
+
+def test_a_proof_that_nodes_pass_on_grows_old(store, monkeypatch):
+    """Nodes tell each other how old their proof is, in messages that take a while. The
+    store was silent for 6 s, and 85 nodes believed a proof to be 1.2 s old, so that
+    none of them checked."""
+    now = [100.0]
+    monkeypatch.setattr(configuration, "boot_time", lambda: now[0])
+    write(store, Topic.CONFIGURATION, "config", 3)
+    followers = [
+        ConfigurationFollower(make_context(store=store), NonReader()) for _ in range(2)
+    ]
+    for follower in followers:
+        follower.context.configure(make_table(version=3), b"3", "b")
+    followers[0]._note_answer(now[0])
+    for step in range(100):
+        sender, receiver = followers[step % 2], followers[1 - step % 2]
+        age_s, read = sender.proof_age_s(), sender.proofs.newest
+        now[0] += 0.03
+        receiver.observe_peer_proof(3, age_s, read)
+    assert min(follower.proof_age_s() for follower in followers) > 2.9
--- a/packages/endive_gateway/tests/test_following.py
+++ b/packages/endive_gateway/tests/test_following.py
@@ -2,10 +2,13 @@
 import time
 import uuid
 import zlib
+from types import SimpleNamespace
 
 import pytest
+from endive_gateway import following
 from endive_gateway.following import (
     CHANGE_HISTORY_S,
+    RELAY_TIMEOUT_S,
     ServerFollower,
 )
 from endive_gateway.interfaces import ServerDelta, Topic
@@ -226,3 +229,25 @@
     write(store, Topic.SERVERS, "i-1", server(sequence=2, state="leaving"))
     reader.step()
     assert readers.broadcast_requested
+
+
+def test_a_read_that_nodes_pass_on_grows_old(store, monkeypatch):
+    """Messages take a while. If each node counted a read's age from their arrival, none
+    would notice for seconds that no reader reaches the store."""
+    now = [100.0]
+    monkeypatch.setattr(following, "time", SimpleNamespace(monotonic=lambda: now[0]))
+    monkeypatch.setattr(following, "boot_time", lambda: now[0])
+    write(store, Topic.SERVERS, "i-1", server(sequence=1))
+    followers = [
+        ServerFollower(make_context(store=store), NonReader()) for _ in range(3)
+    ]
+    for follower in followers:
+        follower.step()
+    for step in range(30):
+        delta = followers[step % 3].server_delta()
+        if delta is None:
+            break
+        now[0] += 0.03
+        followers[(step + 1) % 3].apply_delta(delta)
+    assert now[0] - 100.0 < RELAY_TIMEOUT_S + 0.1
+    assert all(follower.age_s() > 0.8 for follower in followers)
