Pass a request for a grant on to the coordinator that is known

Cause, as far as shown: nodes that have not heard of the coordinator yet ask another node, which decides from an allowance of its own.

Change: a node that is asked passes the request on to the coordinator that it knows of, once, unless the requesting node says that this one left it without a reply. The coordinator replies to the requesting node. Messages have a module of their own.

--- a/packages/endive_gateway/src/endive_gateway/__init__.py
+++ b/packages/endive_gateway/src/endive_gateway/__init__.py
@@ -15,7 +15,7 @@
   ``servers``, ``configuration_exchange``, ``listing``, ``bootstrap``,
   ``service_client``
 - messages between nodes: ``peers``, ``nodes``, ``state_messages``, ``datagrams``,
-  ``spending``, ``prompts``
+  ``spending``, ``spending_messages``, ``prompts``
 - cluster-wide duties, performed by one node at a time: ``duties``, ``autoscaling``
 - observability: ``logstream``, ``metrics``
 """
--- a/packages/endive_gateway/src/endive_gateway/spending.py
+++ b/packages/endive_gateway/src/endive_gateway/spending.py
@@ -12,7 +12,6 @@
 from collections.abc import Callable
 
 import gevent
-import msgspec
 from endive_core.limit_coordination import (
     COORDINATOR_BACKOFF_S,
     GRANT_RETRY_AFTER_S,
@@ -25,12 +24,20 @@
     may_spend_without_grant,
 )
 from endive_core.routing import OrganisationLimits
-from endive_core.shared_limits import SpendingOrigin
 from endive_node.logs import log_event
 from gevent.event import AsyncResult, Event
 
 from endive_gateway.context import START_WAIT_S, Context
 from endive_gateway.datagrams import DatagramPort
+from endive_gateway.spending_messages import (
+    DECODER,
+    GrantDeclined,
+    GrantReply,
+    GrantRequest,
+    NodeSpending,
+    SpendingMessage,
+    SpendingReport,
+)
 
 UNKNOWN_FLEET_S = 10.0
 """Time after its start from which on a node that still doesn't know the list of nodes
@@ -41,87 +48,6 @@
 """Most entries in one datagram, so that it fits one Ethernet frame of 1,500 bytes."""
 
 
-class NodeSpending(msgspec.Struct, array_like=True):
-    """What one node has spent of one organisation's limit since it started.
-
-    Attributes
-    ----------
-    address : str
-        IP address of the node that spent it.
-    incarnation : int
-        Differs with each start of that node.
-    messages_sent : int
-        Number of state messages that the node had sent by then.
-    age_s : float
-        Seconds since that node started.
-    units : float
-        Units spent since then.
-    """
-
-    address: str
-    incarnation: int
-    messages_sent: int
-    age_s: float
-    organisation: str
-    units: float
-
-    @property
-    def origin(self) -> SpendingOrigin:
-        """The node in the form that the shared limits use."""
-        return SpendingOrigin(
-            self.address, self.incarnation, self.messages_sent, self.age_s
-        )
-
-
-class SpendingReport(msgspec.Struct, array_like=True, tag="notes"):
-    """Spending of one or more nodes."""
-
-    entries: list[NodeSpending]
-
-
-class GrantRequest(msgspec.Struct, array_like=True, tag="ask"):
-    """A node's request to the coordinator for a grant to spend.
-
-    Attributes
-    ----------
-    number : int
-        Identifies the request in the reply.
-    total : NodeSpending
-        The node's spending, including what it requests.
-    """
-
-    number: int
-    total: NodeSpending
-
-
-class GrantReply(msgspec.Struct, array_like=True, tag="grant"):
-    """Reply to a request for a grant.
-
-    Attributes
-    ----------
-    wait_s : float
-        0 if the node may spend, otherwise the seconds to wait.
-    """
-
-    number: int
-    wait_s: float
-
-
-class GrantDeclined(msgspec.Struct, array_like=True, tag="declined"):
-    """Reply of a node that can't decide on a request for a grant.
-
-    It has no configuration yet, or does not know what the requesting node has spent. A
-    message of its own, since an unknown value in :class:`GrantReply` could be taken for
-    a grant.
-    """
-
-    number: int
-
-
-SpendingMessage = SpendingReport | GrantRequest | GrantReply | GrantDeclined
-
-DECODER = msgspec.msgpack.Decoder(SpendingMessage)
-
 DECLINED = -1.0
 """Stands for a wait where a coordinator declined to decide."""
 
@@ -152,6 +78,8 @@
         Awaited replies by request number.
     skipped_until : dict of str to float
         By address, until when a node that didn't reply is not asked.
+    decided_at : dict of str to float
+        By organisation, when this node last decided on another node's request.
     """
 
     def __init__(
@@ -172,6 +100,7 @@
         self.requested_units: Counter[str] = Counter()
         self.pending_replies: dict[int, AsyncResult] = {}
         self.skipped_until: dict[str, float] = {}
+        self.decided_at: dict[str, float] = {}
         self.datagrams = DatagramPort("spending", DECODER, self.handle_message)
 
     def start(self, port: int) -> None:
@@ -267,7 +196,9 @@
         self.requested_units[organisation] += units
         try:
             total = self._own_entry(organisation, self.requested_units[organisation])
-            self._send(GrantRequest(number, total), [coordinator])
+            now = time.monotonic()
+            skipped = [node for node, t in self.skipped_until.items() if t > now]
+            self._send(GrantRequest(number, total, skipped), [coordinator])
             wait_s = reply.get(timeout=GRANT_TIMEOUT_S)
         except gevent.Timeout:
             self._skip_node(coordinator)
@@ -302,6 +233,9 @@
         if terms is None or not self._knows_fleet():
             self._send(GrantDeclined(request.number), [total.address])
             return
+        if self._forward(request):
+            return
+        self._note_decision(total.organisation)
         known = self.context.limits.peers.get(total.address)
         before = known.spent.get(total.organisation, 0.0) if known else 0.0
         wait_s = self.context.limits.grant(
@@ -319,6 +253,40 @@
         if wait_s <= 0:
             self._add_unsent(total.organisation, total.address, total.units - before)
 
+    def _forward(self, request: GrantRequest) -> bool:
+        """Pass a request on to the coordinator that this node knows of, if any.
+
+        While many nodes start, some have not heard of the coordinator yet and ask
+        another node. If that one decided, both would grant a whole allowance.
+
+        Returns
+        -------
+        bool
+            Whether another node decides; it replies to the requesting node.
+        """
+        coordinator = self._coordinator(request.total.organisation)
+        if request.forwarded or coordinator in (self.address, request.total.address):
+            return False
+        if coordinator in request.skipped:
+            return False
+        request.forwarded = True
+        self._send(request, [coordinator])
+        return True
+
+    def _note_decision(self, organisation: str) -> None:
+        """Log when this node begins to decide for others, not each decision."""
+        now = time.monotonic()
+        last = self.decided_at.get(organisation, float("-inf"))
+        self.decided_at[organisation] = now
+        if now - last >= COORDINATOR_BACKOFF_S:
+            log_event(
+                "limit_coordinator",
+                organisation=organisation,
+                live=len(self.peer_addresses()) + 1,
+                known=len(self.context.limits.peers) + 1,
+                own_choice=self._coordinator(organisation),
+            )
+
     def report_spent(self, organisation: str, units: float) -> None:
         """Report that this node has spent `units` more of a limit."""
         coordinator = self._coordinator(organisation)
--- a/packages/endive_gateway/tests/test_spending.py
+++ b/packages/endive_gateway/tests/test_spending.py
@@ -363,6 +363,38 @@
     assert requester.context.limits.own_totals().get("o", 0.0) == 0.0
 
 
+def test_nodes_that_know_different_parts_of_the_fleet_get_one_allowance(
+    fleet, monkeypatch
+):
+    """Thirty nodes have just started, and half of them have not heard of the
+    coordinator. If they chose another one, two nodes would grant 100 units each."""
+    now = time.monotonic()
+    monkeypatch.setattr(
+        spending, "time", SimpleNamespace(monotonic=lambda: now, time=time.time)
+    )
+    monkeypatch.setattr(spending, "GRANT_TIMEOUT_S", 1.5)
+    coordinator = coordinator_address(MANY_ADDRESSES)
+    unaware = [a for a in MANY_ADDRESSES if a != coordinator][::2]
+    second = coordinator_address([a for a in MANY_ADDRESSES if a != coordinator])
+    for address in unaware:
+        if address == second:
+            continue
+        others = [a for a in MANY_ADDRESSES if a not in (address, coordinator)]
+        fleet[address].peer_addresses = lambda others=others: others
+    nodes, greenlets = request_all_at_once(fleet)
+    assert waits_of(greenlets).count(0.0) == 2
+
+
+def test_a_coordinator_that_left_the_requesting_node_without_a_reply_is_not_asked(
+    fleet,
+):
+    """The others still know it as live for seconds."""
+    requester = requesting_node(fleet)
+    requester.dead.add(coordinator_address(MANY_ADDRESSES))
+    assert requester.try_spend(TERMS, 60.0) == 0.0
+    assert requester.requests_sent == 2
+
+
 @pytest.fixture
 def starting_node(fleet):
     """The exchange of a node that has just started and knows no list of nodes."""
