Give the follower of the servers a module of its own

The common part stays there; the topic of servers and its constants move to server_following.py unchanged.

--- a/packages/endive_gateway/src/endive_gateway/__init__.py
+++ b/packages/endive_gateway/src/endive_gateway/__init__.py
@@ -12,6 +12,7 @@
 - forwarding to servers: ``forwarding``, ``attempts``, ``connections``, ``events``,
   ``placing``, ``workload``
 - the platform's state, as this node knows it: ``following``, ``configuration``,
+  ``server_following``,
   ``servers``, ``configuration_exchange``, ``listing``, ``bootstrap``,
   ``service_client``
 - messages between nodes: ``peers``, ``nodes``, ``state_messages``, ``datagrams``,
--- a/packages/endive_gateway/src/endive_gateway/gateway.py
+++ b/packages/endive_gateway/src/endive_gateway/gateway.py
@@ -15,13 +15,13 @@
 from endive_gateway.configuration import ConfigurationFollower
 from endive_gateway.context import Context
 from endive_gateway.duties import Duties
-from endive_gateway.following import ServerFollower
 from endive_gateway.forwarding import Forwarder
 from endive_gateway.interfaces import Cloud, GatewaySettings, Store, Wire
 from endive_gateway.loops import keep_running
 from endive_gateway.metrics import MetricsServer
 from endive_gateway.peers import Peers
 from endive_gateway.prompts import PromptAnnouncer
+from endive_gateway.server_following import ServerFollower
 from endive_gateway.spending import SpendingExchange
 
 POOL_SWEEP_INTERVAL_S = 0.5
--- a/packages/endive_gateway/src/endive_gateway/peers.py
+++ b/packages/endive_gateway/src/endive_gateway/peers.py
@@ -23,10 +23,11 @@
 from endive_gateway.configuration_exchange import ConfigurationExchange
 from endive_gateway.context import Context
 from endive_gateway.datagrams import DatagramPort
-from endive_gateway.following import RELAY_TIMEOUT_S, ServerFollower
+from endive_gateway.following import RELAY_TIMEOUT_S
 from endive_gateway.interfaces import Record
 from endive_gateway.listing import NodeList
 from endive_gateway.nodes import Peer
+from endive_gateway.server_following import ServerFollower
 from endive_gateway.state_messages import DECODER, StateMessage
 
 BROADCAST_INTERVAL_S = 0.2
--- a/packages/endive_gateway/tests/test_bootstrap.py
+++ b/packages/endive_gateway/tests/test_bootstrap.py
@@ -6,9 +6,9 @@
 import gevent
 import pytest
 from endive_gateway.configuration_exchange import LENGTH_PREFIX
-from endive_gateway.following import MAX_BOOTSTRAP_AGE_S, ServerFollower
 from endive_gateway.interfaces import Topic
 from endive_gateway.peers import Peers
+from endive_gateway.server_following import MAX_BOOTSTRAP_AGE_S, ServerFollower
 from gateway_builders import make_context, make_table
 from gevent.server import StreamServer
 from store_builders import MemoryStore, store_down, write
--- a/packages/endive_gateway/tests/test_following.py
+++ b/packages/endive_gateway/tests/test_following.py
@@ -5,13 +5,10 @@
 from types import SimpleNamespace
 
 import pytest
-from endive_gateway import following
-from endive_gateway.following import (
-    CHANGE_HISTORY_S,
-    RELAY_TIMEOUT_S,
-    ServerFollower,
-)
+from endive_gateway import following, server_following
+from endive_gateway.following import RELAY_TIMEOUT_S
 from endive_gateway.interfaces import ServerDelta, Topic
+from endive_gateway.server_following import CHANGE_HISTORY_S, ServerFollower
 from gateway_builders import make_context
 from store_builders import MemoryStore, NonReader, store_down, write
 
@@ -235,8 +232,10 @@
     """Messages take a while. If each node counted a read's age from their arrival, none
     would notice for seconds that no reader reaches the store."""
     now = [100.0]
-    monkeypatch.setattr(following, "time", SimpleNamespace(monotonic=lambda: now[0]))
-    monkeypatch.setattr(following, "boot_time", lambda: now[0])
+    for module in (following, server_following):
+        clock = SimpleNamespace(monotonic=lambda: now[0])
+        monkeypatch.setattr(module, "time", clock)
+        monkeypatch.setattr(module, "boot_time", lambda: now[0])
     write(store, Topic.SERVERS, "i-1", server(sequence=1))
     followers = [
         ServerFollower(make_context(store=store), NonReader()) for _ in range(3)
--- a/packages/endive_gateway/tests/test_server_relay.py
+++ b/packages/endive_gateway/tests/test_server_relay.py
@@ -5,12 +5,8 @@
 from types import SimpleNamespace
 
 import pytest
-from endive_gateway import following
-from endive_gateway.following import (
-    RELAY_TIMEOUT_S,
-    SERVER_READ_INTERVAL_S,
-    ServerFollower,
-)
+from endive_gateway import following, server_following
+from endive_gateway.following import RELAY_TIMEOUT_S
 from endive_gateway.interfaces import Topic
 from endive_gateway.peers import (
     BROADCAST_INTERVAL_PER_NODE_S,
@@ -18,6 +14,7 @@
     DATAGRAMS_PER_STEP,
     MAX_READERS,
 )
+from endive_gateway.server_following import SERVER_READ_INTERVAL_S, ServerFollower
 from gateway_builders import make_context
 from store_builders import MemoryStore, NonReader, store_down, write
 
@@ -60,8 +57,10 @@
     def __init__(self, nodes, monkeypatch):
         self.now = 0.0
         self.rng = random.Random(1)
-        monkeypatch.setattr(following, "time", SimpleNamespace(monotonic=self.clock))
-        monkeypatch.setattr(following, "boot_time", self.clock)
+        for module in (following, server_following):
+            clock = SimpleNamespace(monotonic=self.clock)
+            monkeypatch.setattr(module, "time", clock)
+            monkeypatch.setattr(module, "boot_time", self.clock)
         self.store = MemoryStore()
         for number in range(SERVERS):
             self.write_server(f"i-{number}", sequence=1)
