Answer a starting node twice a second at most

Nodes of earlier builds, which never say that they are complete, would have been answered for ever.

Change: a node answers another one at most every 0.5 s, and only while that one has run for less than ten seconds.

--- a/packages/endive_gateway/src/endive_gateway/nodes.py
+++ b/packages/endive_gateway/src/endive_gateway/nodes.py
@@ -42,6 +42,8 @@
         Servers of each service that its requests keep busy.
     complete : bool
         Whether it knows the list of nodes and the servers.
+    greeted_at : float
+        When it was last sent a message at once, seconds on the monotonic clock.
     """
 
     address: str
@@ -55,6 +57,7 @@
     fence: int = 0
     work: dict[str, float] = field(default_factory=dict)
     complete: bool = False
+    greeted_at: float = float("-inf")
 
     def is_superseded_by(
         self, incarnation: int, sequence: int, started_at: float
--- a/packages/endive_gateway/src/endive_gateway/peers.py
+++ b/packages/endive_gateway/src/endive_gateway/peers.py
@@ -81,6 +81,15 @@
 together."""
 
 
+GREETING_INTERVAL_S = 0.5
+"""Least time between two such messages to one node, seconds. A starting node sends many
+messages, and on a small instance each one that it receives delays its start."""
+
+STARTING_S = 10.0
+"""Time since its start for which a node may lack the list of nodes or the servers,
+seconds."""
+
+
 class Peers:
     """The other nodes, and the exchange of messages with them.
 
@@ -209,18 +218,22 @@
         self.node_list.is_read.wait(LIST_WAIT_S)
         return not self.every_node_reads() and self.configuration_exchange.await_first()
 
-    def _greet(self, peer: Peer) -> None:
+    def _greet(self, peer: Peer, now: float) -> None:
         """Send a message to a node that lacks what this one has, with some probability.
 
         It announces that this node has a configuration, or knows the nodes and servers;
         `GREETERS` nodes do so on average.
         """
+        if now - peer.greeted_at < GREETING_INTERVAL_S:
+            return
+        is_starting = now - peer.started_at < STARTING_S
         if peer.version < 0 <= self.context.version:
             sources = 1 + sum(other.version >= 0 for other in self.live())
-        elif not peer.complete and self.is_complete():
+        elif is_starting and not peer.complete and self.is_complete():
             sources = 1 + len(self.complete_peers())
         else:
             return
+        peer.greeted_at = now
         if self.context.random.random() < GREETERS / sources:
             self.send_state([peer])
 
@@ -456,7 +469,7 @@
             context.placer.crashes.add(Crash(fingerprint, server, now - age_s))
         context.placer.ejection.receive(address, message.server_failures, now)
         context.placer.backlogs.receive(address, message.pending_prompt_tokens, now)
-        self._greet(peer)
+        self._greet(peer, now)
         if message.complete and self.lacks_bootstrap():
             self.bootstrap_exchange.pull(self.port)
         if message.version > context.version:
--- a/packages/endive_gateway/tests/test_bootstrap.py
+++ b/packages/endive_gateway/tests/test_bootstrap.py
@@ -91,6 +91,24 @@
     assert [peer.address for peer in receivers] == ["127.0.0.4"]
 
 
+def test_a_starting_node_is_not_answered_each_time(complete):
+    """It sends many messages. On small instances the answers of all complete nodes
+    would delay its start."""
+    receivers = []
+    complete.send_state = receivers.extend
+    for sequence in range(1, 9):
+        complete.receive(state_message(sequence=sequence), "127.0.0.4")
+    assert len(receivers) == 1
+
+
+def test_a_node_that_has_run_for_long_is_not_answered(complete):
+    """It is of an earlier build, or the store does not answer it."""
+    receivers = []
+    complete.send_state = receivers.extend
+    complete.receive(state_message(age_s=60.0), "127.0.0.4")
+    assert receivers == []
+
+
 def test_the_first_nodes_that_know_the_servers_tell_all(complete):
     sent = []
     complete.send_state = lambda *peers: sent.append(peers)
