Refuse a queued call that has crashed two servers meanwhile

Callers saw: a request that its caller sends to several nodes at once crashed a third server, with all streams on it, although two crashes were known by then.

Cause, by reading: crashes were checked when a call was admitted and retried, not when it left the queue.

A call is now checked before its dispatch and expires as poison_request. The new test failed before: no call had expired.

--- a/packages/endive_core/src/endive_core/expiry.py
+++ b/packages/endive_core/src/endive_core/expiry.py
@@ -64,6 +64,14 @@
             "the deadline passed before a server was free",
         )
 
+    def expire_poison(self, ticket: Ticket) -> None:
+        """Expire one queued call that has crashed servers since it was admitted."""
+        self.expire(
+            ticket,
+            ErrorKind.POISON_REQUEST,
+            "servers crashed while running this request",
+        )
+
     def expire_late(self, ticket: Ticket, late_s: float) -> None:
         """Expire one queued call that no server can begin before its deadline.
 
--- a/packages/endive_core/src/endive_core/scheduler.py
+++ b/packages/endive_core/src/endive_core/scheduler.py
@@ -178,6 +178,9 @@
             if ticket.call.deadline is not None and now >= ticket.call.deadline:
                 self.expiry.expire_past_deadline(ticket)
                 continue
+            if self.crashes.is_poison(ticket.call.fingerprint, now):
+                self.expiry.expire_poison(ticket)
+                continue
             server = self._server_for(ticket, now)
             if server is not None:
                 server = self._server_in_time(ticket, server, now)
--- a/packages/endive_core/tests/test_expiry.py
+++ b/packages/endive_core/tests/test_expiry.py
@@ -2,6 +2,7 @@
 from core_builders import call, dispatch_all, scheduler
 from endive_core.backlogs import Backlogs
 from endive_core.calls import Stage
+from endive_core.crashes import Crash
 from endive_core.exceptions import ErrorKind
 
 
@@ -93,3 +94,17 @@
     made.moved(waiting, 0.5, tokens=3)
     made.placement.backlogs.receive("other", {"s0": 1e6, "s1": 1e6}, 0.5)
     assert made.next_dispatch(0.5) is not None
+
+
+def test_a_queued_call_that_has_crashed_two_servers_meanwhile_is_refused():
+    """Its caller sent it to several nodes. Otherwise it crashes a third server as soon
+    as one has room."""
+    made = scheduler(servers=1, slots=1, max_bulk_wait_s=1e6)
+    hold_all_slots(made)
+    queued = made.offer(call(9, bulk=True, fingerprint="f"), 0.0)
+    for crash in ("s0@1", "s1@1"):
+        made.crashes.add(Crash("f", crash, 0.5))
+    assert made.next_dispatch(1.0) is None
+    assert made.take_expired() == [queued]
+    assert queued.refusal.kind is ErrorKind.POISON_REQUEST
+    assert len(made.queue) == 0
