Process the news that has arrived before a request is dispatched

Callers saw: a request that had crashed two servers at one node crashed a third one at another node, with all requests on it.

Cause: the caller sends the request on as soon as the first node answers. Its connection and the datagram about the crashes then wait together at the other node, and the event loop may take the connection first.

Datagrams that have arrived are now processed before each dispatch. The new test produces the order and failed before.

--- a/packages/endive_node/src/endive_node/dispatching.py
+++ b/packages/endive_node/src/endive_node/dispatching.py
@@ -26,6 +26,7 @@
 from gevent.event import AsyncResult
 
 from endive_node.interfaces import BackendError, Clock
+from endive_node.logs import log_event
 from endive_node.scheduled_requests import ScheduledRequests, crash_id, refusal_error
 from endive_node.telemetry import Metrics
 
@@ -243,9 +244,15 @@
         if not error.started or error.reason is not RetryReason.SERVER_FAILED:
             return ""
         server = self.ticket_schedulers[ticket].servers.servers.get(ticket.server)
-        if server is None or self.is_listening(server.view.address):
+        if server is None:
             return ""
-        return crash_id(server.id, self.wall_time())
+        request_id = ticket.call.request_id
+        if self.is_listening(server.view.address):
+            log_event("server_still_listens", request_id=request_id, server=server.id)
+            return ""
+        crash = crash_id(server.id, self.wall_time())
+        log_event("server_crashed", request_id=request_id, crash=crash)
+        return crash
 
 
 def _view(
--- a/packages/endive_node/src/endive_node/fact_exchange.py
+++ b/packages/endive_node/src/endive_node/fact_exchange.py
@@ -4,6 +4,7 @@
 from endive_core.facts import Fact, FactKind
 
 from endive_node.gossip import Gossip
+from endive_node.logs import log_event
 from endive_node.notices import Notice, NoticeTable
 
 
@@ -46,7 +47,8 @@
         """Add a fact of another node to this node's tables; repeats have no effect."""
         now = self.gossip.clock.now()
         if fact.kind is FactKind.CRASH:
-            self.crashes.add(Crash(fact.subject, fact.origin, now))
+            if self.crashes.add(Crash(fact.subject, fact.origin, now)):
+                log_event("crash_learned", crash=fact.origin, request=fact.subject)
         elif fact.kind is FactKind.SERVER_LEAVING:
             self.notices.add_notice(fact.subject, "", fact.until - now)
         else:
--- a/packages/endive_node/src/endive_node/gossip.py
+++ b/packages/endive_node/src/endive_node/gossip.py
@@ -10,6 +10,7 @@
 from endive_core.facts import Fact, FactKind, FactTable
 from endive_core.members import Digest, Heartbeat, Member, MemberState
 from endive_core.membership import Membership, Timings
+from gevent.socket import wait_read
 from thriftpy2.protocol import TCompactProtocolFactory
 from thriftpy2.utils import deserialize, serialize
 
@@ -25,6 +26,9 @@
 PROTOCOL = TCompactProtocolFactory()
 STATES = (MemberState.STARTING, MemberState.LIVE, MemberState.LEAVING)
 MAX_DATAGRAM_BYTES = 65_535
+MAX_RECEIVED_AT_ONCE = 64
+"""Datagrams processed before the node's other work goes on."""
+
 HEADER_BYTES = 28
 """IP and UDP headers, counted with every datagram because the network carries them."""
 
@@ -73,6 +77,7 @@
         instance_list: InstanceList | None = None,
         seed: int | None = None,
     ) -> None:
+        udp.setblocking(False)
         self.socket = udp
         self.clock = clock
         self.round_s = 1.0 / datagrams_per_s
@@ -158,13 +163,26 @@
     def receive_all(self) -> None:
         """Receive datagrams in an endless loop; runs in a greenlet."""
         while True:
+            wait_read(self.socket.fileno())
+            if not self.receive_pending():
+                gevent.sleep(self.round_s)
+
+    def receive_pending(self) -> bool:
+        """Process the datagrams that have arrived; return false if the port fails.
+
+        A caller may send a request that crashed servers at another node here at once.
+        Its connection and that node's datagram then wait to be read together.
+        """
+        for _ in range(MAX_RECEIVED_AT_ONCE):
             try:
                 data, source = self.socket.recvfrom(MAX_DATAGRAM_BYTES)
+            except BlockingIOError:
+                break
             except OSError as error:
                 log_event("gossip_receive_failed", error=error)
-                gevent.sleep(self.round_s)
-                continue
+                return False
             self.receive(data, source)
+        return True
 
     def receive(self, data: bytes, source: tuple[str, int]) -> None:
         """Process one datagram; reply if either side lacks members."""
--- a/packages/endive_node/src/endive_node/node.py
+++ b/packages/endive_node/src/endive_node/node.py
@@ -104,6 +104,7 @@
         self.fact_exchange = FactExchange(
             self.gossip, self.notices, self.dispatcher.crashes
         )
+        self.dispatcher.before_dispatch = self.gossip.receive_pending
         self.stream_mover = StreamMover(self.serving, self.dispatcher, self.notices)
         self.configuration.listeners.append(
             lambda _: self.stream_mover.mark_leaving_servers()
--- a/packages/endive_node/src/endive_node/scheduled_requests.py
+++ b/packages/endive_node/src/endive_node/scheduled_requests.py
@@ -41,6 +41,8 @@
         The server of the ticket's next attempt, once one is assigned.
     queued : Event
         Set while any queue may hold requests.
+    before_dispatch : callable
+        Called before requests are dispatched; it takes what the others have reported.
     """
 
     def __init__(self, now: Callable[[], float]) -> None:
@@ -49,6 +51,7 @@
         self.ticket_schedulers: dict[Ticket, Scheduler] = {}
         self.waiting: dict[Ticket, AsyncResult] = {}
         self.queued = Event()
+        self.before_dispatch: Callable[[], object] = lambda: None
 
     def add_admitted(self, decision: Ticket | Refusal, scheduler: Scheduler) -> Ticket:
         """Add an admitted request; raise EndiveError if it was refused."""
@@ -102,6 +105,7 @@
 
         The greenlets of all tickets that are dispatched or have expired are woken.
         """
+        self.before_dispatch()
         now = self.now()
         while (dispatch := scheduler.next_dispatch(now)) is not None:
             view = scheduler.servers.servers[dispatch.server].view
--- a/packages/endive_node/tests/test_gossip.py
+++ b/packages/endive_node/tests/test_gossip.py
@@ -2,10 +2,13 @@
 
 import builders
 import pytest
+from endive_core.exceptions import EndiveError, ErrorKind
 from endive_core.facts import Fact, FactKind
 from endive_core.members import DATAGRAM_BYTES, Digest
 from endive_core.membership import Timings
+from endive_node.fact_exchange import FactExchange
 from endive_node.gossip import (
+    MAX_RECEIVED_AT_ONCE,
     REPLIES_PER_S,
     REPLY_BURST,
     DatagramError,
@@ -14,7 +17,8 @@
     encode_digest,
     listen_udp,
 )
-from node_builders import FakeClock
+from endive_node.notices import NoticeTable
+from node_builders import FakeClock, request, serving
 from simulated_network import SimulatedNetwork, member
 
 
@@ -127,3 +131,34 @@
     second.socket.settimeout(2.0)
     second.receive(*second.socket.recvfrom(65_535))
     assert second.facts.crashes("poison") == 1
+
+
+def test_a_request_that_crashed_servers_does_not_overtake_the_news():
+    """A request crashes two servers at one node, and its caller sends it to another
+    one, which reads the request before the datagram that has arrived already."""
+    first, second = make_gossip(1), make_gossip(2)
+    first.members.seeds = {second.members.me.gossip_address}
+    made = serving(None)
+    dispatcher = made.dispatcher
+    FactExchange(second, NoticeTable(second.clock), dispatcher.crashes)
+    dispatcher.before_dispatch = second.receive_pending
+    crashing = request(made, fingerprint="poison")
+    for server in ("engine-1@7", "engine-2@7"):
+        first.facts.crash("poison", server, 1)
+    first.announce()
+    ticket = dispatcher.admit(crashing)
+    with pytest.raises(EndiveError) as raised:
+        dispatcher.acquire(ticket)
+    assert raised.value.kind is ErrorKind.POISON_REQUEST
+    assert dispatcher.admit(request(made, fingerprint="other"))
+
+
+def test_more_datagrams_than_are_processed_at_once_are_left_for_later():
+    first, second = make_gossip(1), make_gossip(2)
+    for _ in range(MAX_RECEIVED_AT_ONCE + 1):
+        first.send(first.members.digest(), second.members.me.gossip_address)
+    second.receive_pending()
+    at_once = second.received_bytes
+    second.receive_pending()
+    assert 0 < second.received_bytes - at_once <= at_once / MAX_RECEIVED_AT_ONCE * 1.1
+    second.receive_pending()
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -4,8 +4,11 @@
 import pytest
 
 MAX_LINES = 60
-DECISIONS = re.compile("event=(reclaim_notice|handover_|peer_|moved|stopping)|Error")
-"""Lines of a node's log that show what it did after a notice."""
+DECISIONS = re.compile(
+    "event=(reclaim_notice|handover_|peer_|moved|stopping|crash_|server_(crash|still))"
+    "|Error"
+)
+"""Lines of a node's log that show what it did after a notice or a crash."""
 
 
 @pytest.fixture
