Tell the next coordinator of a limit what has been granted

Cause, shown by the new test: a coordinator tells all nodes once half of a limit is spent. If it doesn't answer in time before that, the nodes ask another one, which grants from its own replica: it learns of the earlier grants with the state messages of the nodes that got them, a second later among a hundred. Each change of coordinator thus adds up to half of the limit.

A node that grants now also tells the node that would be asked instead of it, and, if it was asked because another one is silent, that one: one or two datagrams a grant at any number of nodes. When it begins to decide it passes on all that it has been told.

Test, thirty nodes, limit 100, requests of 10, after one and two losses of the coordinator: 140 and 170 units before, at most 110 now (a limit may go below zero by one request).

--- a/packages/endive_gateway/src/endive_gateway/spending.py
+++ b/packages/endive_gateway/src/endive_gateway/spending.py
@@ -68,8 +68,8 @@
     ----------
     unsent_spending : SpendingCount
         As coordinator, the spending of which the other nodes have not been informed.
-    coordinator_cache : dict
-        By organisation, the nodes last considered and the coordinator among them.
+    coordinator_cache, successor_cache : dict
+        By organisation, the nodes last considered and the one chosen among them.
     requests_sent : int
         Number of grants that this node has requested.
     requested_units : Counter
@@ -96,6 +96,7 @@
         self.address = context.settings.location.address
         self.unsent_spending = UnsentSpending()
         self.coordinator_cache: dict[str, tuple[list[str], str]] = {}
+        self.successor_cache: dict[str, tuple[list[str], str]] = {}
         self.requests_sent = 0
         self.requested_units: Counter[str] = Counter()
         self.pending_replies: dict[int, AsyncResult] = {}
@@ -235,7 +236,7 @@
             return
         if self._forward(request):
             return
-        self._note_decision(total.organisation)
+        self._note_decision(request)
         known = self.context.limits.peers.get(total.address)
         before = known.spent.get(total.organisation, 0.0) if known else 0.0
         wait_s = self.context.limits.grant(
@@ -251,8 +252,32 @@
             return
         self._send(GrantReply(request.number, wait_s), [total.address])
         if wait_s <= 0:
+            self._inform_deciders(request, [total.address])
             self._add_unsent(total.organisation, total.address, total.units - before)
 
+    def _inform_deciders(self, request: GrantRequest, addresses: list[str]) -> None:
+        """Send what nodes have spent to those that may decide instead of this one.
+
+        These are the node that is asked if this one is silent and, if this one was
+        asked because another was, that one. They would otherwise grant again what was
+        granted since the nodes' last state messages.
+        """
+        organisation = request.total.organisation
+        peers = [n for n in self.peer_addresses() if n not in request.skipped]
+        receivers = {self._coordinator(organisation)}
+        if peers:
+            receivers.add(self._choose(self.successor_cache, organisation, peers))
+        self._send_entries(organisation, addresses, list(receivers - {self.address}))
+
+    def _send_entries(
+        self, organisation: str, addresses: list[str], receivers: list[str]
+    ) -> None:
+        """Send what the nodes at `addresses` have spent, as far as it is known."""
+        found = [self._entry_of(organisation, address) for address in addresses]
+        entries = [entry for entry in found if entry is not None]
+        for first in range(0, len(entries), MAX_ENTRIES):
+            self._send(SpendingReport(entries[first : first + MAX_ENTRIES]), receivers)
+
     def _forward(self, request: GrantRequest) -> bool:
         """Pass a request on to the coordinator that this node knows of, if any.
 
@@ -273,19 +298,26 @@
         self._send(request, [coordinator])
         return True
 
-    def _note_decision(self, organisation: str) -> None:
-        """Log when this node begins to decide for others, not each decision."""
+    def _note_decision(self, request: GrantRequest) -> None:
+        """Log when this node begins to decide for others, not each decision.
+
+        The others that may decide are then sent all that it knows of, since it may have
+        been told as one of them itself.
+        """
+        organisation = request.total.organisation
         now = time.monotonic()
         last = self.decided_at.get(organisation, float("-inf"))
         self.decided_at[organisation] = now
-        if now - last >= COORDINATOR_BACKOFF_S:
-            log_event(
-                "limit_coordinator",
-                organisation=organisation,
-                live=len(self.peer_addresses()) + 1,
-                known=len(self.context.limits.peers) + 1,
-                own_choice=self._coordinator(organisation),
-            )
+        if now - last < COORDINATOR_BACKOFF_S:
+            return
+        log_event(
+            "limit_coordinator",
+            organisation=organisation,
+            live=len(self.peer_addresses()) + 1,
+            known=len(self.context.limits.peers) + 1,
+            own_choice=self._coordinator(organisation),
+        )
+        self._inform_deciders(request, list(self.context.limits.peers))
 
     def report_spent(self, organisation: str, units: float) -> None:
         """Report that this node has spent `units` more of a limit."""
@@ -319,11 +351,17 @@
             n for n in self.peer_addresses() if self.skipped_until.get(n, 0.0) <= now
         ]
         nodes = [self.address, *candidates]
-        known, coordinator = self.coordinator_cache.get(organisation, (None, ""))
+        return self._choose(self.coordinator_cache, organisation, nodes)
+
+    @staticmethod
+    def _choose(
+        cache: dict[str, tuple[list[str], str]], organisation: str, nodes: list[str]
+    ) -> str:
+        known, chosen = cache.get(organisation, (None, ""))
         if known != nodes:
-            coordinator = coordinator_for(organisation, nodes)
-            self.coordinator_cache[organisation] = nodes, coordinator
-        return coordinator
+            chosen = coordinator_for(organisation, nodes)
+            cache[organisation] = nodes, chosen
+        return chosen
 
     def _add_unsent(self, organisation: str, address: str, units: float) -> None:
         """Add spending, and inform all other nodes when that is due."""
@@ -335,11 +373,7 @@
             organisation, time.monotonic(), rate=terms.rate, burst=terms.burst
         )
         due = self.unsent_spending.take_due(organisation, left=left, most=most)
-        found = [self._entry_of(organisation, origin) for origin in due]
-        entries = [entry for entry in found if entry is not None]
-        addresses = self.peer_addresses()
-        for first in range(0, len(entries), MAX_ENTRIES):
-            self._send(SpendingReport(entries[first : first + MAX_ENTRIES]), addresses)
+        self._send_entries(organisation, due, self.peer_addresses())
 
     def _entry_of(self, organisation: str, address: str) -> NodeSpending | None:
         """Return a node's entry for a report; ``None`` if it left or restarted."""
--- a/packages/endive_gateway/tests/test_spending.py
+++ b/packages/endive_gateway/tests/test_spending.py
@@ -385,6 +385,32 @@
     assert waits_of(greenlets).count(0.0) == 2
 
 
+def spend_one_after_the_other(fleet, addresses, units):
+    """Let the nodes request `units` in turn; return what they have spent together."""
+    for address in addresses:
+        gevent.spawn(fleet[address].try_spend, TERMS, units).join(2.0)
+        gevent.sleep(0)
+    totals = [fleet[address].context.limits.own_totals() for address in addresses]
+    return sum(total.get("o", 0.0) for total in totals)
+
+
+@pytest.mark.usefixtures("stopped_clock")
+@pytest.mark.parametrize("losses", [1, 2])
+def test_a_new_coordinator_does_not_grant_again_what_the_last_one_has(fleet, losses):
+    """A coordinator tells all nodes once half of the limit is spent. If it falls silent
+    before, the next one grants the whole limit, and so does each one after it."""
+    left, spent = list(MANY_ADDRESSES), 0.0
+    for _ in range(losses):
+        coordinator = coordinator_address(left)
+        left.remove(coordinator)
+        requesters, left = left[:4], left[4:]
+        spent += spend_one_after_the_other(fleet, requesters, 10.0)
+        for exchange in fleet.values():
+            exchange.dead.add(coordinator)
+            exchange.skipped_until[coordinator] = time.monotonic() + 60.0
+    assert spent + spend_one_after_the_other(fleet, left, 10.0) <= 110.0
+
+
 def test_a_coordinator_that_left_the_requesting_node_without_a_reply_is_not_asked(
     fleet,
 ):
