Log the fingerprints of requests that crash servers

server_crashed now has the fingerprint and the crash's id, crash_learned says which crash came from which node at what age, server_still_listens which broken connections are not counted, and request_has_crashed_servers why a request was refused. No logic changes.

--- a/packages/endive_gateway/src/endive_gateway/forwarding.py
+++ b/packages/endive_gateway/src/endive_gateway/forwarding.py
@@ -69,6 +69,8 @@
         of the service.
     units : float
         Units of the organisation's limit that the request has taken.
+    fingerprint : str
+        Identifies requests with the same content; empty before admission.
     """
 
     def __init__(self, context: Context, exchange: Exchange) -> None:
@@ -86,6 +88,7 @@
         self.start_counted = False
         self.uncounted_attempts = 0
         self.units = 0.0
+        self.fingerprint = ""
         self.outcome = ""
         self.servers: list[str] = []
 
@@ -194,6 +197,7 @@
         content = b"\0".join(
             (self.exchange.message.target, metadata.key.encode(), self.exchange.body)
         )
+        self.fingerprint = fingerprint(content.decode("latin-1"))
         return Call(
             request_id=metadata.id,
             organisation=self.organisation,
@@ -205,7 +209,7 @@
             block_ends=ends if route.engine else (),
             target_s=max(0.01, route.target_s - spent),
             deadline=now + self.left_s(),
-            fingerprint=fingerprint(content.decode("latin-1")),
+            fingerprint=self.fingerprint,
             non_idempotent=not route.retryable,
         )
 
@@ -394,6 +398,8 @@
         if isinstance(error, ResponseForwardedError):
             return
         self.outcome = str(error.kind)
+        if error.kind is ErrorKind.POISON_REQUEST:
+            self._log_crashes()
         if self.exchange.response_started:
             self.exchange.abort()
             return
@@ -404,6 +410,14 @@
             error, status, self.context.wire.own_response_headers(self.metadata)
         )
 
+    def _log_crashes(self) -> None:
+        log_event(
+            "request_has_crashed_servers",
+            request=self.metadata.id,
+            fingerprint=self.fingerprint,
+            crashes=self.context.placer.crashes.count(self.fingerprint, self.now),
+        )
+
     def _finish(self) -> None:
         if self.ticket is not None:
             if self.ticket.stage is not Stage.ENDED and self.in_flight:
--- a/packages/endive_gateway/src/endive_gateway/peers.py
+++ b/packages/endive_gateway/src/endive_gateway/peers.py
@@ -466,8 +466,7 @@
         origin = SpendingOrigin(address, *order, message.age_s)
         context.limits.receive(origin, message.spent, now)
         context.meter.receive(address, message.incarnation, message.windows)
-        for fingerprint, server, age_s in message.crashes:
-            context.placer.crashes.add(Crash(fingerprint, server, now - age_s))
+        self._learn_crashes(message, now)
         context.placer.ejection.receive(address, message.server_failures, now)
         context.placer.backlogs.receive(address, message.pending_prompt_tokens, now)
         self._greet(peer, now)
@@ -488,6 +487,17 @@
             context.limits.remove_peer(address)
             self.known.pop(address, None)
 
+    def _learn_crashes(self, message: "StateMessage", now: float) -> None:
+        for fingerprint, crash, age_s in message.crashes:
+            if self.context.placer.crashes.add(Crash(fingerprint, crash, now - age_s)):
+                log_event(
+                    "crash_learned",
+                    peer=message.node,
+                    fingerprint=fingerprint,
+                    crash=crash,
+                    age_s=round(age_s, 3),
+                )
+
     def observe_duty_log_end(self, end: int) -> None:
         """Record the end of the duties log, as read or as a peer reports it."""
         if end > self.duty_log_end:
--- a/packages/endive_gateway/src/endive_gateway/placing.py
+++ b/packages/endive_gateway/src/endive_gateway/placing.py
@@ -251,10 +251,18 @@
         view = self.views.get(ticket.server)
         if reason is not RetryReason.SERVER_FAILED or view is None:
             return
+        request_id = ticket.call.request_id
         if self.is_listening(view.address):
+            log_event("server_still_listens", server=view.id, request=request_id)
             return
-        log_event("server_crashed", server=view.id, request=ticket.call.request_id)
         crash = crash_id(view.id, self.wall_time())
+        log_event(
+            "server_crashed",
+            server=view.id,
+            request=request_id,
+            fingerprint=ticket.call.fingerprint,
+            crash=crash,
+        )
         self.ticket_schedulers[ticket].failures.attribute_crash(
             ticket, crash, self.now()
         )
