--- a/packages/endive_gateway/tests/gateway_builders.py
+++ b/packages/endive_gateway/tests/gateway_builders.py
@@ -1,6 +1,7 @@
 """Builders for tests of the gateway: a wire, gateways in front of servers, callers."""
 
 import json
+import time
 
 import gevent
 from endive_core.clocks import ClusterClock
@@ -29,6 +30,8 @@
     ServerEntry,
     header_value,
 )
+from endive_gateway.nodes import Peer
+from endive_gateway.peers import Peers
 from endive_node.sockets import listen_tcp
 from gevent import socket
 from server_builders import ScriptedServer, ok
@@ -152,6 +155,31 @@
     return context
 
 
+def connected_peers(count):
+    """Return `count` nodes that know each other and receive messages at once."""
+    addresses = [f"10.0.{number // 250}.{number % 250}" for number in range(count)]
+    nodes = {}
+
+    def deliver(sender):
+        def send(message, receivers):
+            for receiver in receivers:
+                nodes[receiver].receive(message, sender)
+
+        return send
+
+    for number, address in enumerate(addresses):
+        node = Peers(make_context(make_table(), node=f"n{number}"))
+        node.address = address
+        node.known = {
+            other: Peer(other, added_at=time.monotonic())
+            for other in addresses
+            if other != address
+        }
+        node.datagrams.send = deliver(address)
+        nodes[address] = node
+    return list(nodes.values())
+
+
 def make_entry(server_id="i-1", **options):
     """Return a server's registration entry."""
     values = {"service": SERVICE, "address": "127.0.0.1:1", "zone": "z", "slots": 8}
