Send new crashes before those that all nodes know

Cause: a state message has room for four crashes and took those added last. Hearing again of a known crash counted as adding it, so the four in every message made each other the newest at every node, several times a second, and a new crash was left out unless its node happened to broadcast before the next message arrived. Class: a bounded message whose selection is refreshed by its own repeats, so that what is new is never sent, not later.

A crash heard of again keeps its place and its earliest time: each repeat made it look younger, so it did not expire.

--- a/packages/endive_core/src/endive_core/__init__.py
+++ b/packages/endive_core/src/endive_core/__init__.py
@@ -8,8 +8,8 @@
   ``queueing``, ``slot_usage``, ``expiry``, ``retry_after``, ``estimators``
 - placement: ``placement``, ``prefixes``, ``ring``, ``hashing``, ``servers``,
   ``backlogs``, ``prefilling``, ``first_tokens``
-- failures: ``failures``, ``retrying``, ``crashes``, ``outliers``, ``ejection``,
-  ``response_times``, ``call_pacing``
+- failures: ``failures``, ``retrying``, ``crashes``, ``crash_news``, ``outliers``,
+  ``ejection``, ``response_times``, ``call_pacing``
 - limits and metering: ``quotas``, ``shared_limits``, ``limit_coordination``,
   ``metering``
 - capacity: ``capacity``, ``load_sizing``
--- a/packages/endive_core/src/endive_core/crashes.py
+++ b/packages/endive_core/src/endive_core/crashes.py
@@ -34,8 +34,9 @@
     """Crashes by fingerprint, bounded in number and age.
 
     By default a request is refused after two crashes: a single one may have any cause,
-    and a third would cost another server with all its streams. Nodes exchange crashes
-    with :meth:`recent` and :meth:`merge`; repeats and order do not matter.
+    and a third would cost another server with all its streams. Nodes send each other
+    crashes, by :class:`~endive_core.crash_news.CrashNews` or as facts; repeats and
+    order do not matter.
 
     Parameters
     ----------
@@ -75,13 +76,14 @@
         if not crash.fingerprint:
             return False
         servers = self.crashes.setdefault(crash.fingerprint, {})
-        known = crash.server in servers
-        servers[crash.server] = max(crash.at, servers.get(crash.server, crash.at))
+        if crash.server in servers:
+            # Each message delays the news, so the earliest time is the best known.
+            servers[crash.server] = min(crash.at, servers[crash.server])
+            return False
+        servers[crash.server] = crash.at
         self.crashes.move_to_end(crash.fingerprint)
         while len(self.crashes) > self.max_fingerprints:
             self.crashes.popitem(last=False)
-        if known:
-            return False
         for listener in self.listeners:
             listener(crash)
         return True
@@ -90,16 +92,10 @@
         """Record the crashes that another node saw; return how many were new."""
         return sum(self.add(crash) for crash in crashes)
 
-    def recent(self, now: float, *, limit: int) -> list[Crash]:
-        """Return the most recent crashes, newest first, to be sent to other nodes."""
-        found: list[Crash] = []
-        for fingerprint in reversed(self.crashes):
-            for server, at in self.crashes[fingerprint].items():
-                if now - at <= self.memory_s:
-                    found.append(Crash(fingerprint, server, at))
-            if len(found) >= limit:
-                break
-        return found[:limit]
+    def contains(self, crash: Crash, now: float) -> bool:
+        """Return whether `crash` is known and has not expired."""
+        at = self.crashes.get(crash.fingerprint, {}).get(crash.server)
+        return at is not None and now - at <= self.memory_s
 
     def count(self, fingerprint: str, now: float) -> int:
         """Return the number of crashes of `fingerprint` that have not expired."""
--- /dev/null
+++ b/packages/endive_core/tests/test_crash_news.py
@@ -0,0 +1,82 @@
+import pytest
+from endive_core.crash_news import FRESH_RECEIVERS, CrashNews
+from endive_core.crashes import Crash, CrashTable
+
+
+@pytest.fixture
+def table():
+    return CrashTable(refused_from=2, memory_s=60.0, max_fingerprints=100)
+
+
+def sent(news, now=0.0, limit=4, receivers=FRESH_RECEIVERS):
+    crashes = news.take(now, limit=limit, receivers=receivers)
+    return [(crash.fingerprint, crash.server) for crash in crashes]
+
+
+def test_a_crash_is_sent_again_until_enough_nodes_have_received_it(table):
+    news = CrashNews(table)
+    table.add(Crash("a", "s1", 0.0))
+    table.add(Crash("b", "s1", 0.0))
+    half = FRESH_RECEIVERS // 2
+    assert sent(news, limit=1, receivers=half) == [("b", "s1")]
+    assert sent(news, limit=1, receivers=half) == [("b", "s1")]
+    assert sent(news, limit=1, receivers=half) == [("a", "s1")]
+
+
+def test_own_crashes_go_before_learned_ones(table):
+    news = CrashNews(table)
+    assert news.learn(Crash("learned", "s1", 0.0))
+    assert not news.learn(Crash("learned", "s1", 0.0))
+    table.add(Crash("own", "s1", 0.0))
+    assert sent(news, limit=1) == [("own", "s1")]
+
+
+def test_every_crash_has_its_turn_though_it_is_heard_of_again(table):
+    """Repeats from other nodes used to keep the same few in every message."""
+    news = CrashNews(table)
+    for number in range(9):
+        table.add(Crash(f"f{number}", "s1", 0.0))
+    for _ in range(3):
+        sent(news)
+    found = set()
+    for _ in range(3):
+        for number in range(4):
+            news.learn(Crash(f"f{number}", "s1", 0.0))
+        found.update(sent(news))
+    assert len(found) == 9
+
+
+def test_a_message_has_no_crash_twice(table):
+    news = CrashNews(table)
+    for server in ("s1", "s2"):
+        table.add(Crash("refused", server, 0.0))
+    table.add(Crash("other", "s1", 0.0))
+    for _ in range(5):
+        crashes = sent(news)
+        assert len(crashes) == len(set(crashes)) == 3
+
+
+def test_crashes_of_refused_requests_take_most_turns(table):
+    news = CrashNews(table)
+    for server in ("s1", "s2", "s3"):
+        table.add(Crash("refused", server, 0.0))
+    for number in range(20):
+        table.add(Crash(f"f{number}", "s1", 0.0))
+    for _ in range(12):
+        sent(news)
+    for _ in range(4):
+        assert sum(fingerprint == "refused" for fingerprint, _ in sent(news)) == 3
+
+
+def test_expired_crashes_are_not_sent(table):
+    news = CrashNews(table)
+    table.add(Crash("a", "s1", 0.0))
+    assert sent(news, now=61.0) == []
+    assert len(news) == 0
+
+
+def test_a_crash_that_nodes_send_back_and_forth_expires(table):
+    """Each message makes a crash look a little younger, which kept it for ever."""
+    table.add(Crash("a", "s1", 0.0))
+    table.add(Crash("a", "s1", 50.0))
+    assert table.count("a", 61.0) == 0
--- a/packages/endive_core/tests/test_failures.py
+++ b/packages/endive_core/tests/test_failures.py
@@ -1,5 +1,6 @@
 from core_builders import call, dispatch_all, scheduler
 from endive_core.calls import Refusal, Retry
+from endive_core.crash_news import CrashNews
 from endive_core.crashes import Crash
 from endive_core.exceptions import ErrorKind, RetryReason
 
@@ -41,6 +42,7 @@
     """A request crashes each server that runs it. Its caller sends it again to another
     node, which knows of the crashes only from the first node."""
     made = scheduler(servers=4, slots=8)
+    news = CrashNews(made.crashes)
     ticket = made.offer(call(fingerprint="bad"), 0.0)
     for crash in ("s0@1", "s1@1"):
         made.next_dispatch(0.0)
@@ -51,7 +53,7 @@
             made.requeue(ticket)
     assert verdict.kind is ErrorKind.POISON_REQUEST
     other = scheduler()
-    other.crashes.merge(made.crashes.recent(1.0, limit=10))
+    other.crashes.merge(news.take(1.0, limit=10, receivers=1))
     assert other.offer(call(fingerprint="bad"), 1.0).kind is ErrorKind.POISON_REQUEST
     assert not isinstance(other.offer(call(fingerprint="good"), 1.0), Refusal)
 
--- a/packages/endive_gateway/src/endive_gateway/peers.py
+++ b/packages/endive_gateway/src/endive_gateway/peers.py
@@ -12,6 +12,7 @@
 import time
 
 import gevent
+from endive_core.crash_news import CrashNews
 from endive_core.crashes import Crash
 from endive_core.shared_limits import SILENCE_TIMEOUT_S, SpendingOrigin
 from endive_node.logs import log_event
@@ -54,7 +55,7 @@
 reaches 87 nodes within 0.23 s, at 3 Mbit/s."""
 
 MAX_CRASHES = 4
-"""Most crashes in one state message; each is repeated until it expires."""
+"""Most crashes in one state message."""
 
 LIVE_TIMEOUT_S = 1.5
 """Least time without a message after which a node no longer counts as live, seconds.
@@ -114,6 +115,8 @@
         When the last state message of any node arrived, on the monotonic clock.
     announced : bool
         Whether this node has been complete since its start.
+    crash_news : CrashNews
+        The crashes that this node sends to the others.
     """
 
     def __init__(self, context: Context) -> None:
@@ -132,6 +135,7 @@
         self.configuration_exchange = ConfigurationExchange(context, self.live)
         self.bootstrap_exchange = BootstrapExchange(context, self)
         self.node_list = NodeList(context, self._add_listed)
+        self.crash_news = CrashNews(context.placer.crashes)
         self.urgent = Event()
         self.heard_at = float("-inf")
         self.announced = False
@@ -377,15 +381,16 @@
         self.sequence += 1
         receivers = list(self.known.values()) if peers is None else peers
         self.datagrams.send(
-            self._state_message(gone), [peer.address for peer in receivers]
+            self._state_message(gone, len(receivers)),
+            [peer.address for peer in receivers],
         )
 
-    def _state_message(self, gone: bool) -> "StateMessage":
+    def _state_message(self, gone: bool, receivers: int = 1) -> "StateMessage":
         context = self.context
         for service, parts in context.placer.occupied_servers().items():
             context.work.set_running(service, parts)
         now = time.monotonic()
-        recent = context.placer.crashes.recent(now, limit=MAX_CRASHES)
+        crashes = self.crash_news.take(now, limit=MAX_CRASHES, receivers=receivers)
         return StateMessage(
             node=self.node_name,
             incarnation=context.incarnation,
@@ -397,7 +402,7 @@
             work=context.work.update(now),
             windows=context.meter.own_totals(),
             crashes=[
-                (crash.fingerprint, crash.server, now - crash.at) for crash in recent
+                (crash.fingerprint, crash.server, now - crash.at) for crash in crashes
             ],
             fence=self.fence,
             reported=context.reported,
@@ -489,7 +494,7 @@
 
     def _learn_crashes(self, message: "StateMessage", now: float) -> None:
         for fingerprint, crash, age_s in message.crashes:
-            if self.context.placer.crashes.add(Crash(fingerprint, crash, now - age_s)):
+            if self.crash_news.learn(Crash(fingerprint, crash, now - age_s)):
                 log_event(
                     "crash_learned",
                     peer=message.node,
