Announce a crash to some nodes at once

A request that crashes servers comes to another node within milliseconds of its answer, and up to 0.2 s before the next broadcast among six nodes, 3.75 s among 375. A node that sees a crash now sends its state to ten others, 10 ms later so that all requests on the same server are told together; they pass it on with their next messages. The test fails without the announcement: no node knows of the crashes.

--- a/packages/endive_gateway/src/endive_gateway/peers.py
+++ b/packages/endive_gateway/src/endive_gateway/peers.py
@@ -12,7 +12,7 @@
 import time
 
 import gevent
-from endive_core.crash_news import CrashNews
+from endive_core.crash_news import FRESH_RECEIVERS, CrashNews
 from endive_core.crashes import Crash
 from endive_core.shared_limits import SILENCE_TIMEOUT_S, SpendingOrigin
 from endive_node.logs import log_event
@@ -57,6 +57,10 @@
 MAX_CRASHES = 4
 """Most crashes in one state message."""
 
+CRASH_ANNOUNCEMENT_DELAY_S = 0.01
+"""Time after a crash in which others are awaited before both are announced, seconds:
+all requests on a server end together."""
+
 LIVE_TIMEOUT_S = 1.5
 """Least time without a message after which a node no longer counts as live, seconds.
 Several messages in a row may be lost."""
@@ -117,6 +121,8 @@
         Whether this node has been complete since its start.
     crash_news : CrashNews
         The crashes that this node sends to the others.
+    crash_announcement : Greenlet or None
+        Sends the crashes that this node has just seen.
     """
 
     def __init__(self, context: Context) -> None:
@@ -136,6 +142,8 @@
         self.bootstrap_exchange = BootstrapExchange(context, self)
         self.node_list = NodeList(context, self._add_listed)
         self.crash_news = CrashNews(context.placer.crashes)
+        self.crash_announcement: gevent.Greenlet | None = None
+        context.placer.on_crash = self._announce_crash_soon
         self.urgent = Event()
         self.heard_at = float("-inf")
         self.announced = False
@@ -366,6 +374,23 @@
         if self.is_reader() and not self.every_node_reads():
             self.urgent.set()
 
+    def _announce_crash_soon(self) -> None:
+        """Send the crashes that this node has seen to some nodes, which pass them on.
+
+        A request that crashes servers comes to another node within milliseconds.
+        """
+        if self.crash_announcement is None:
+            self.crash_announcement = gevent.spawn_later(
+                CRASH_ANNOUNCEMENT_DELAY_S, self._announce_crashes
+            )
+
+    def _announce_crashes(self) -> None:
+        self.crash_announcement = None
+        peers = list(self.known.values())
+        if len(peers) > FRESH_RECEIVERS:
+            peers = self.context.random.sample(peers, FRESH_RECEIVERS)
+        self.send_state(peers)
+
     def send_state(
         self, peers: list[Peer] | None = None, *, gone: bool = False
     ) -> None:
--- a/packages/endive_gateway/src/endive_gateway/placing.py
+++ b/packages/endive_gateway/src/endive_gateway/placing.py
@@ -65,6 +65,8 @@
         By server id, the responses lost since the last complete one.
     views : dict
         By id, the servers that may get requests, as the schedulers see them.
+    on_crash : callable
+        Called without arguments when a crash has been counted against a request.
     """
 
     def __init__(
@@ -87,6 +89,7 @@
         self.ejection = ClusterEjection()
         self.backlogs = Backlogs()
         self.is_listening = is_listening
+        self.on_crash: Callable[[], None] = lambda: None
         self.wall_time = time.time
         registry.listeners.append(self.refresh)
 
@@ -266,6 +269,7 @@
         self.ticket_schedulers[ticket].failures.attribute_crash(
             ticket, crash, self.now()
         )
+        self.on_crash()
 
 
 def _service_type(service: Service) -> ServiceType:
--- a/packages/endive_gateway/tests/test_crash_news.py
+++ b/packages/endive_gateway/tests/test_crash_news.py
@@ -1,11 +1,14 @@
 import random
 import time
 
+import gevent
 import pytest
+from endive_core.crash_news import FRESH_RECEIVERS
 from endive_core.crashes import Crash
 from endive_gateway.peers import (
     BROADCAST_INTERVAL_PER_NODE_S,
     BROADCAST_INTERVAL_S,
+    CRASH_ANNOUNCEMENT_DELAY_S,
     DATAGRAMS_PER_STEP,
 )
 from gateway_builders import connected_peers
@@ -66,3 +69,15 @@
         crash_servers([node], "earlier", ["i-1", "i-2"])
     crash_servers(nodes, "guilty", ["i-3", "i-4"])
     assert seconds_until_all_refuse(nodes, "guilty", CONTACT_S) < CONTACT_S
+
+
+def test_a_crash_that_a_node_sees_is_announced_at_once():
+    """Its caller sends the request to another node before the next broadcast."""
+    nodes = connected_peers(30)
+    placer = nodes[0].context.placer
+    for server in ("i-1", "i-2"):
+        add_crash(nodes[0], "guilty", server)
+        placer.on_crash()
+    gevent.sleep(2 * CRASH_ANNOUNCEMENT_DELAY_S)
+    assert sum(refuses(node, "guilty") for node in nodes) == 1 + FRESH_RECEIVERS
+    assert nodes[0].sequence == 1
