Identify a crash by its server's incarnation, not by the time

The id of a crash was its server and a window of ten seconds of the wall clock. Two nodes that saw one crash on both sides of a window's edge, or with clocks that differ, counted it twice, so an innocent request was refused after one crash; a server that crashed twice within a window counted once. Found by reading (no run has shown it). The gateway now uses the incarnation of the server's entry. The tests failed before: 2 and 1 crashes counted instead of 1 and 2.

endive-node knows no incarnation of its servers and keeps the window.

--- a/packages/endive_gateway/src/endive_gateway/placing.py
+++ b/packages/endive_gateway/src/endive_gateway/placing.py
@@ -17,7 +17,7 @@
 from endive_core.scheduler import Scheduler
 from endive_core.service_types import ServiceType
 from endive_node.logs import log_event
-from endive_node.scheduled_requests import ScheduledRequests, crash_id, refusal_error
+from endive_node.scheduled_requests import ScheduledRequests, refusal_error
 
 from endive_gateway.interfaces import ServerEntry
 from endive_gateway.servers import ServerRegistry
@@ -90,7 +90,6 @@
         self.backlogs = Backlogs()
         self.is_listening = is_listening
         self.on_crash: Callable[[], None] = lambda: None
-        self.wall_time = time.time
         registry.listeners.append(self.refresh)
 
     def configure(self, table: RoutingTable) -> None:
@@ -258,7 +257,7 @@
         if self.is_listening(view.address):
             log_event("server_still_listens", server=view.id, request=request_id)
             return
-        crash = crash_id(view.id, self.wall_time())
+        crash = self._crash_id(view.id)
         log_event(
             "server_crashed",
             server=view.id,
@@ -271,6 +270,11 @@
         )
         self.on_crash()
 
+    def _crash_id(self, server_id: str) -> str:
+        """Return the id that all nodes give to the end of a server's process."""
+        known = self.registry.get(server_id)
+        return f"{server_id}@{known.entry.incarnation if known else 0}"
+
 
 def _service_type(service: Service) -> ServiceType:
     return ServiceType.ENGINE if service.engine else ServiceType.PLAIN
--- a/packages/endive_gateway/tests/test_placing.py
+++ b/packages/endive_gateway/tests/test_placing.py
@@ -1,11 +1,14 @@
+import time
 from collections import Counter
 from random import Random
 
 import pytest
 from core_builders import call, dispatch_all, view
+from endive_core.exceptions import RetryReason
 from endive_core.prefixes import part_blocks
 from endive_core.scheduler import Scheduler
 from endive_gateway.placing import GATEWAY_POLICY
+from gateway_builders import SERVICE, make_context, make_entry, make_table
 
 NODES = 7
 SESSIONS = 40
@@ -59,3 +62,31 @@
                 node.cancelled(dispatch.ticket, 0.1)
         most += max(by_server.values())
     assert most / (NODES * SESSIONS) > 0.9
+
+
+def count_crash(context, request_id="q1"):
+    """Count the crash of server ``i-1`` against a request with the content ``f``."""
+    placer = context.placer
+    placer.is_listening = lambda address: False
+    ticket = placer.admit(SERVICE, call(request_id, fingerprint="f"))
+    placer.count_crash(ticket, RetryReason.SERVER_FAILED)
+
+
+def test_a_crash_counts_once_whenever_nodes_see_it(monkeypatch):
+    """Nodes' clocks differ, and a request must not be refused after a single crash."""
+    context = make_context(make_table())
+    context.registry.put(make_entry("i-1", incarnation=7))
+    context.registry.notify_listeners()
+    for wall_time in (1_000.0, 1_010.0):
+        monkeypatch.setattr(time, "time", lambda at=wall_time: at)
+        count_crash(context)
+    assert context.placer.crashes.count("f", time.monotonic()) == 1
+
+
+def test_a_server_that_crashes_again_counts_twice():
+    context = make_context(make_table())
+    for incarnation in (7, 8):
+        context.registry.put(make_entry("i-1", incarnation=incarnation))
+        context.registry.notify_listeners()
+        count_crash(context)
+    assert context.placer.crashes.count("f", time.monotonic()) == 2
