Count no crash against content that was answered

A crash counts against all requests that its server was starting. Callers of content that many send (a page without a key, the same lookup) would be refused for ten minutes after two servers had crashed with it, and since news of crashes now reaches all nodes, by all of them.

A complete response to the same content, up to five seconds before a crash or any time after it, shows that it is not the cause. Nodes tell each other of one by which crashes no longer count. A request that crashes every server never has one.

Not covered: content that several crashing servers run at once, and that no node had answered in the five seconds before, is refused until crashes expire.

--- a/packages/endive_core/src/endive_core/crash_news.py
+++ b/packages/endive_core/src/endive_core/crash_news.py
@@ -7,8 +7,9 @@
 """
 
 from collections import deque
+from itertools import islice
 
-from endive_core.crashes import Crash, CrashTable
+from endive_core.crashes import Crash, CrashTable, Success
 
 FRESH_RECEIVERS = 10
 """Nodes to which a crash is sent before it only takes its turn. If each node that
@@ -26,6 +27,8 @@
         To how many nodes each fresh crash was sent.
     refused, others : deque of Crash
         Those that were, by whether their requests are refused; the next one first.
+    successes : dict of Success to int
+        Successes by which crashes no longer count, and to how many nodes each was sent.
     """
 
     def __init__(self, table: CrashTable) -> None:
@@ -34,7 +37,9 @@
         self.receivers: dict[Crash, int] = {}
         self.refused: deque[Crash] = deque()
         self.others: deque[Crash] = deque()
+        self.successes: dict[Success, int] = {}
         table.listeners.append(self._add)
+        table.success_listeners.append(self._add_success)
 
     def __len__(self) -> int:
         return len(self.fresh) + len(self.refused) + len(self.others)
@@ -43,6 +48,9 @@
         self.fresh.appendleft(crash)
         self.receivers[crash] = 0
 
+    def _add_success(self, success: Success) -> None:
+        self.successes[success] = 0
+
     def learn(self, crash: Crash) -> bool:
         """Add a crash that another node has sent; return whether it was new."""
         is_new = self.table.add(crash)
@@ -61,6 +69,15 @@
         self._count_sent(taken, receivers)
         return taken + repeated
 
+    def take_successes(self, *, limit: int, receivers: int) -> list[Success]:
+        """Return up to `limit` successes for a message to `receivers` nodes."""
+        taken = list(islice(self.successes, limit))
+        for success in taken:
+            self.successes[success] += receivers
+            if self.successes[success] >= FRESH_RECEIVERS:
+                del self.successes[success]
+        return taken
+
     def _take_fresh(self, now: float, limit: int) -> list[Crash]:
         taken: list[Crash] = []
         while self.fresh and len(taken) < limit:
--- a/packages/endive_core/src/endive_core/crashes.py
+++ b/packages/endive_core/src/endive_core/crashes.py
@@ -3,14 +3,28 @@
 A request may crash each server that runs it, and its caller may send it again to any
 node. Unless it is recognised, it crashes the servers one by one, and breaks all streams
 on them. It is refused with the error kind ``poison_request``.
+
+A crash is counted against all requests that the server was starting, also those whose
+content many callers send. A complete response to the same content shows that it isn't
+the cause.
 """
 
+import math
 from collections import OrderedDict
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 from endive_core.policy import Policy
 
+SUCCESS_VALID_S = 5.0
+"""Time after a complete response in which crashes are not counted against the same
+content, seconds. A crash ends all requests on a server, so content that many callers
+send may run on several crashing servers at once. A new version of a server may crash on
+what the last one answered, so the time is short."""
+
+MAX_SUCCESSES = 512
+"""Contents of which the last complete response is remembered, at most."""
+
 
 @dataclass(frozen=True, slots=True)
 class Crash:
@@ -30,6 +44,14 @@
     at: float
 
 
+@dataclass(frozen=True, slots=True)
+class Success:
+    """A complete response to a request with `fingerprint`, at clock time `at`."""
+
+    fingerprint: str
+    at: float
+
+
 class CrashTable:
     """Crashes by fingerprint, bounded in number and age.
 
@@ -51,6 +73,10 @@
     ----------
     listeners : list of callable
         Called with each :class:`Crash` that was not known to this node.
+    successes : OrderedDict
+        Time of the last complete response by fingerprint, the newest last.
+    success_listeners : list of callable
+        Called with each :class:`Success` by which known crashes no longer count.
     """
 
     def __init__(
@@ -61,6 +87,8 @@
         self.max_fingerprints = max_fingerprints
         self.crashes: OrderedDict[str, dict[str, float]] = OrderedDict()
         self.listeners: list[Callable[[Crash], None]] = []
+        self.successes: OrderedDict[str, float] = OrderedDict()
+        self.success_listeners: list[Callable[[Success], None]] = []
 
     @classmethod
     def from_policy(cls, policy: Policy) -> "CrashTable":
@@ -86,26 +114,55 @@
             self.crashes.popitem(last=False)
         for listener in self.listeners:
             listener(crash)
+        if not self._counts(crash.fingerprint, crash.at):
+            self._tell_success(crash.fingerprint)
+        return True
+
+    def add_success(self, success: Success) -> bool:
+        """Record a complete response; return whether crashes no longer count by it."""
+        fingerprint = success.fingerprint
+        if not fingerprint or success.at <= self.successes.get(fingerprint, -math.inf):
+            return False
+        crashes = self.crashes.get(fingerprint, {})
+        counted = sum(self._counts(fingerprint, at) for at in crashes.values())
+        self.successes[fingerprint] = success.at
+        self.successes.move_to_end(fingerprint)
+        if len(self.successes) > MAX_SUCCESSES:
+            self.successes.popitem(last=False)
+        if counted == sum(self._counts(fingerprint, at) for at in crashes.values()):
+            return False
+        self._tell_success(fingerprint)
         return True
 
+    def _tell_success(self, fingerprint: str) -> None:
+        success = Success(fingerprint, self.successes[fingerprint])
+        for listener in self.success_listeners:
+            listener(success)
+
+    def _counts(self, fingerprint: str, at: float) -> bool:
+        """Return whether a crash at `at` counts, judged by the last success."""
+        return at > self.successes.get(fingerprint, -math.inf) + SUCCESS_VALID_S
+
     def merge(self, crashes: Iterable[Crash]) -> int:
         """Record the crashes that another node saw; return how many were new."""
         return sum(self.add(crash) for crash in crashes)
 
     def contains(self, crash: Crash, now: float) -> bool:
-        """Return whether `crash` is known and has not expired."""
+        """Return whether `crash` is known and counts."""
         at = self.crashes.get(crash.fingerprint, {}).get(crash.server)
-        return at is not None and now - at <= self.memory_s
+        if at is None or now - at > self.memory_s:
+            return False
+        return self._counts(crash.fingerprint, at)
 
     def count(self, fingerprint: str, now: float) -> int:
-        """Return the number of crashes of `fingerprint` that have not expired."""
+        """Return the number of crashes that count against `fingerprint`."""
         servers = self.crashes.get(fingerprint)
         if not servers:
             return 0
         for server, at in list(servers.items()):
             if now - at > self.memory_s:
                 del servers[server]
-        return len(servers)
+        return sum(self._counts(fingerprint, at) for at in servers.values())
 
     def is_poison(self, fingerprint: str, now: float) -> bool:
         """Return whether a request with `fingerprint` must be refused."""
--- a/packages/endive_core/src/endive_core/scheduler.py
+++ b/packages/endive_core/src/endive_core/scheduler.py
@@ -12,7 +12,7 @@
 
 from endive_core.admission import Admission
 from endive_core.calls import Call, Dispatch, Refusal, Retry, Stage, Ticket
-from endive_core.crashes import CrashTable
+from endive_core.crashes import CrashTable, Success
 from endive_core.exceptions import ErrorKind, RetryReason
 from endive_core.expiry import Expiry
 from endive_core.failures import FailureHandler
@@ -282,6 +282,7 @@
     def finished(self, ticket: Ticket, now: float, *, tokens: int = 1) -> None:
         """Record the complete answer; `tokens` is its length."""
         ticket.tokens = tokens
+        self.crashes.add_success(Success(ticket.call.fingerprint, now))
         self.queue.settle(ticket, ticket.call.prompt_tokens + tokens)
         self.admission.answered(ticket, now)
         self.failures.budget(ticket.call.deployment).earn()
--- a/packages/endive_core/tests/test_crash_news.py
+++ b/packages/endive_core/tests/test_crash_news.py
@@ -1,6 +1,12 @@
 import pytest
 from endive_core.crash_news import FRESH_RECEIVERS, CrashNews
-from endive_core.crashes import Crash, CrashTable
+from endive_core.crashes import (
+    MAX_SUCCESSES,
+    SUCCESS_VALID_S,
+    Crash,
+    CrashTable,
+    Success,
+)
 
 
 @pytest.fixture
@@ -80,3 +86,48 @@
     table.add(Crash("a", "s1", 0.0))
     table.add(Crash("a", "s1", 50.0))
     assert table.count("a", 61.0) == 0
+
+
+def test_content_that_was_answered_is_not_refused_for_crashes(table):
+    """Many callers send the same content, and several servers crash at once."""
+    for server in ("s1", "s2"):
+        table.add(Crash("popular", server, 10.0))
+    assert table.is_poison("popular", 10.0)
+    assert table.add_success(Success("popular", 11.0))
+    assert not table.is_poison("popular", 11.0)
+    for server in ("s3", "s4"):
+        table.add(Crash("popular", server, 11.0 + SUCCESS_VALID_S))
+    assert not table.is_poison("popular", 17.0)
+
+
+def test_content_that_crashes_servers_long_after_a_response_is_refused(table):
+    """A new version of a server may crash on what the last one answered."""
+    table.add_success(Success("f", 0.0))
+    for server in ("s1", "s2"):
+        table.add(Crash("f", server, 0.1 + SUCCESS_VALID_S))
+    assert table.is_poison("f", 6.0)
+
+
+def test_a_success_is_sent_until_enough_nodes_have_received_it(table):
+    news = CrashNews(table)
+    table.add_success(Success("unknown", 0.0))
+    table.add(Crash("f", "s1", 1.0))
+    table.add_success(Success("f", 2.0))
+    for _ in range(2):
+        taken = news.take_successes(limit=4, receivers=FRESH_RECEIVERS // 2)
+        assert [success.fingerprint for success in taken] == ["f"]
+    assert news.take_successes(limit=4, receivers=1) == []
+    assert sent(news, now=2.0) == []
+
+
+def test_a_node_that_knows_of_a_success_answers_news_of_a_crash_with_it(table):
+    news = CrashNews(table)
+    table.add_success(Success("f", 2.0))
+    news.learn(Crash("f", "s1", 1.0))
+    assert news.take_successes(limit=4, receivers=1) == [Success("f", 2.0)]
+
+
+def test_few_successes_are_remembered(table):
+    for number in range(MAX_SUCCESSES + 10):
+        table.add_success(Success(f"f{number}", float(number)))
+    assert len(table.successes) == MAX_SUCCESSES
--- a/packages/endive_gateway/src/endive_gateway/peers.py
+++ b/packages/endive_gateway/src/endive_gateway/peers.py
@@ -13,7 +13,7 @@
 
 import gevent
 from endive_core.crash_news import FRESH_RECEIVERS, CrashNews
-from endive_core.crashes import Crash
+from endive_core.crashes import Crash, Success
 from endive_core.shared_limits import SILENCE_TIMEOUT_S, SpendingOrigin
 from endive_node.logs import log_event
 from gevent.event import Event
@@ -55,7 +55,7 @@
 reaches 87 nodes within 0.23 s, at 3 Mbit/s."""
 
 MAX_CRASHES = 4
-"""Most crashes in one state message."""
+"""Most crashes in one state message, and most successes that clear some."""
 
 CRASH_ANNOUNCEMENT_DELAY_S = 0.01
 """Time after a crash in which others are awaited before both are announced, seconds:
@@ -416,6 +416,9 @@
             context.work.set_running(service, parts)
         now = time.monotonic()
         crashes = self.crash_news.take(now, limit=MAX_CRASHES, receivers=receivers)
+        successes = self.crash_news.take_successes(
+            limit=MAX_CRASHES, receivers=receivers
+        )
         return StateMessage(
             node=self.node_name,
             incarnation=context.incarnation,
@@ -441,6 +444,7 @@
             proof_age_s=self.configuration.proof_age_s() if self.configuration else -1,
             complete=self.is_complete(),
             proof=self.configuration.proofs.newest if self.configuration else 0,
+            successes=[(s.fingerprint, now - s.at) for s in successes],
         )
 
     def _relays_servers(self) -> bool:
@@ -528,6 +532,16 @@
                     age_s=round(age_s, 3),
                 )
 
+        for fingerprint, age_s in message.successes:
+            success = Success(fingerprint, now - age_s)
+            if self.context.placer.crashes.add_success(success):
+                log_event(
+                    "crashes_cleared",
+                    peer=message.node,
+                    fingerprint=fingerprint,
+                    age_s=round(age_s, 3),
+                )
+
     def observe_duty_log_end(self, end: int) -> None:
         """Record the end of the duties log, as read or as a peer reports it."""
         if end > self.duty_log_end:
--- a/packages/endive_gateway/src/endive_gateway/state_messages.py
+++ b/packages/endive_gateway/src/endive_gateway/state_messages.py
@@ -53,6 +53,9 @@
     complete : bool
         Whether the sender knows the list of nodes and the servers, so that a starting
         node can take them from it.
+    successes : list of (str, float)
+        Fingerprint and age in seconds of complete responses by which crashes no longer
+        count against a request.
     """
 
     node: str
@@ -75,6 +78,7 @@
     proof_age_s: float = -1.0
     complete: bool = False
     proof: int = 0
+    successes: list[tuple[str, float]] = []
 
 
 DECODER = msgspec.msgpack.Decoder(StateMessage)
--- a/packages/endive_gateway/tests/test_crash_news.py
+++ b/packages/endive_gateway/tests/test_crash_news.py
@@ -1,10 +1,9 @@
-import random
 import time
 
 import gevent
 import pytest
 from endive_core.crash_news import FRESH_RECEIVERS
-from endive_core.crashes import Crash
+from endive_core.crashes import Crash, Success
 from endive_gateway.peers import (
     BROADCAST_INTERVAL_PER_NODE_S,
     BROADCAST_INTERVAL_S,
@@ -40,24 +39,23 @@
     return node.context.placer.crashes.is_poison(fingerprint, time.monotonic())
 
 
-def seconds_until_all_refuse(nodes, fingerprint, limit_s, loss=0.0):
-    """Exchange state messages until all nodes refuse `fingerprint`.
+def seconds_until(nodes, holds, limit_s=CONTACT_S):
+    """Exchange state messages until `holds` is true of all nodes.
 
     Returns
     -------
     float
         Simulated seconds; infinite if it takes longer than `limit_s`.
     """
-    chance = random.Random(1)
     interval_s = max(BROADCAST_INTERVAL_S, BROADCAST_INTERVAL_PER_NODE_S * len(nodes))
     steps = -(-(len(nodes) - 1) // DATAGRAMS_PER_STEP)
     for step in range(int(limit_s * steps / interval_s)):
-        if all(refuses(node, fingerprint) for node in nodes):
+        if all(holds(node) for node in nodes):
             return step * interval_s / steps
         for number, node in reversed(list(enumerate(nodes))):
             first = (step + number) % steps * DATAGRAMS_PER_STEP
             receivers = list(node.known.values())[first : first + DATAGRAMS_PER_STEP]
-            node.send_state([r for r in receivers if chance.random() >= loss])
+            node.send_state(receivers)
     return float("inf")
 
 
@@ -68,7 +66,7 @@
     for node in nodes:
         crash_servers([node], "earlier", ["i-1", "i-2"])
     crash_servers(nodes, "guilty", ["i-3", "i-4"])
-    assert seconds_until_all_refuse(nodes, "guilty", CONTACT_S) < CONTACT_S
+    assert seconds_until(nodes, lambda node: refuses(node, "guilty")) < CONTACT_S
 
 
 def test_a_crash_that_a_node_sees_is_announced_at_once():
@@ -81,3 +79,14 @@
     gevent.sleep(2 * CRASH_ANNOUNCEMENT_DELAY_S)
     assert sum(refuses(node, "guilty") for node in nodes) == 1 + FRESH_RECEIVERS
     assert nodes[0].sequence == 1
+
+
+@pytest.mark.parametrize("count", [6, 30, 200, 375])
+def test_content_that_one_node_saw_answered_is_refused_by_no_node(count):
+    """Servers crash while they run content that many callers send."""
+    nodes = connected_peers(count)
+    crash_servers(nodes, "popular", ["i-1", "i-2"])
+    assert seconds_until(nodes, lambda node: refuses(node, "popular")) < CONTACT_S
+    success = Success("popular", time.monotonic())
+    nodes[-1].context.placer.crashes.add_success(success)
+    assert seconds_until(nodes, lambda node: not refuses(node, "popular")) < CONTACT_S
