Let requests crash servers in the soak

A new kind of fault sends one to all nodes in turn; after three crashes and contact_s, nodes in contact may crash three more. A server that ends now refuses connections: its link went on accepting them, so no crash in the soak was ever counted against a request.

The mutant in which nodes do not learn of others' crashes breaks the new rule.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -8,7 +8,7 @@
 from gevent import socket as gsocket
 
 from soak.invariants import CONTACT_S, DEADLINE_GRACE_S, IN_FORCE_S, SentRequest
-from soak.standins import EVENTS, event, plain_body
+from soak.standins import CRASHING_PATH, EVENTS, event, plain_body
 
 HOST = "made.example"
 CONNECT_S = 1.0
@@ -17,6 +17,11 @@
 PLAIN_UNITS = 20
 PROBE_GAP_S = 0.15
 REFUSED_PAUSE_S = 0.1
+CRASH_GAP_S = 0.6
+KNOWN_CRASHES, MAX_LATE_CRASHES = 3, 3
+"""Crashes of servers by one request after which all nodes in contact must know of it,
+and how many more it may then cause."""
+
 MAX_STALL_S = DEADLINE_GRACE_S / 2
 """Lag of the soak's own event loop up to which a missed deadline counts as the node's,
 seconds."""
@@ -207,6 +212,53 @@
         )
 
 
+class CrashingCaller(Caller):
+    """Sends a request that crashes servers to all nodes, and checks how often it runs.
+
+    Parameters
+    ----------
+    content : str
+        Distinguishes this request from others that crash servers.
+
+    Attributes
+    ----------
+    late_crashes : int
+        Servers that it has crashed at nodes that had to know of three crashes.
+    """
+
+    def __init__(self, fleet, random, content):
+        super().__init__(fleet, random, "")
+        self.path = f"{CRASHING_PATH}/{content}"
+        self.late_crashes = 0
+
+    def run_for(self, seconds):
+        """Send the request until `seconds` have passed."""
+        checker = self.fleet.checker
+        end = self.fleet.clock() + seconds
+        while self.fleet.clock() < end:
+            node = self.random.choice(self.fleet.nodes)
+            due, before = self._is_due(node), len(checker.crashes[self.path])
+            self.call(KINDS[0], self.path, "free", node)
+            self.late_crashes += due * (len(checker.crashes[self.path]) - before)
+            if self.late_crashes > MAX_LATE_CRASHES:
+                checker.record_violation(
+                    "crashing request", f"{self.path} at {node.name}"
+                )
+                return
+            gevent.sleep(CRASH_GAP_S)
+
+    def _is_due(self, node):
+        """Return whether `node` must know of three crashes by now."""
+        now = self.fleet.clock()
+        crashes = self.fleet.checker.crashes[self.path]
+        return (
+            len(crashes) >= KNOWN_CRASHES
+            and now - crashes[KNOWN_CRASHES - 1] > CONTACT_S
+            and self.fleet.lag.stalled_within(CONTACT_S) < MAX_STALL_S
+            and node.is_connected(now - CONTACT_S)
+        )
+
+
 def is_stale(outcome, version, newest_before, newest_after):
     """Return whether a probe of `version` shows that its node serves an older one.
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -1,5 +1,6 @@
 """Plans and injects the faults of a soak run."""
 
+import random
 import signal
 import time
 from collections import Counter
@@ -7,6 +8,8 @@
 
 import gevent
 
+from soak.callers import CrashingCaller
+
 SERIES_SHARE = 0.35
 MAX_IN_SERIES = 4
 MEAN_GAP_S = 0.9
@@ -38,7 +41,7 @@
     strength: float
 
 
-def plan(random, duration_s, kinds=()):
+def plan(rng, duration_s, kinds=()):
     """Draw the faults of a run; some form a series on different targets.
 
     Parameters
@@ -46,15 +49,15 @@
     kinds : tuple of str
         The kinds to draw from; all if empty.
     """
-    faults, at = [], random.expovariate(1 / MEAN_GAP_S)
+    faults, at = [], rng.expovariate(1 / MEAN_GAP_S)
     while at < duration_s:
-        kind = random.choice(sorted(kinds or FAULTS))
-        series = random.random() < SERIES_SHARE and random.randint(2, MAX_IN_SERIES)
+        kind = rng.choice(sorted(kinds or FAULTS))
+        series = rng.random() < SERIES_SHARE and rng.randint(2, MAX_IN_SERIES)
         for _ in range(series or 1):
-            target, for_s = random.randrange(1000), random.uniform(0.2, 3.0)
-            faults.append(Fault(at, kind, target, for_s, random.random()))
-            at += random.uniform(0.05, 0.6) if series else 0.0
-        at += random.expovariate(1 / MEAN_GAP_S)
+            target, for_s = rng.randrange(1000), rng.uniform(0.2, 3.0)
+            faults.append(Fault(at, kind, target, for_s, rng.random()))
+            at += rng.uniform(0.05, 0.6) if series else 0.0
+        at += rng.expovariate(1 / MEAN_GAP_S)
     return [fault for fault in faults if fault.at < duration_s]
 
 
@@ -219,6 +222,12 @@
         set_temporarily(server, "work_s", fault.strength, fault.for_s)
 
 
+def crashing_request(fleet, fault):
+    """Send a request that crashes each server that runs it to all nodes in turn."""
+    content = f"{fault.target}-{fault.strength}"
+    CrashingCaller(fleet, random.Random(content), content).run_for(fault.for_s + 8.0)
+
+
 FAULTS = {
     action.__name__: action
     for action in (
@@ -243,5 +252,6 @@
         server_leaves,
         server_errs,
         server_slow,
+        crashing_request,
     )
 }
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -23,6 +23,7 @@
 MISSED_HEARTBEATS_S = 2.4
 GRACE_S = 5.0
 EXIT_SLACK_S = 1.0
+CRASH_DOWNTIME_S = 0.5
 RESUME_CATCH_UP_S = 0.5
 """Time after a pause in which a process handles what arrived meanwhile, seconds."""
 
@@ -223,6 +224,7 @@
             service=self.service,
             born=int(time.time() * 1000),
             checker=self.fleet.checker,
+            crash=lambda: gevent.spawn(self.crash, CRASH_DOWNTIME_S),
         )
 
     def send_heartbeat(self):
@@ -239,10 +241,11 @@
             return
         server, self.server = self.server, None
         server.stop()
-        self.link.reset()
+        self.link.close_port()
         gevent.spawn_later(MISSED_HEARTBEATS_S, self._expire_entry, server.id)
         gevent.sleep(downtime_s)
         self._start()
+        self.link.listen()
         self.send_heartbeat()
 
     def leave(self, notice_s):
--- a/tests/soak/invariants.py
+++ b/tests/soak/invariants.py
@@ -90,6 +90,7 @@
         self.usage = {}
         self.versions = {}
         self.resumed_at = {}
+        self.crashes = defaultdict(list)
 
     def record_violation(self, rule, text):
         self.violations.append(f"{self.clock():.3f} s: {rule}: {text}")
@@ -168,6 +169,10 @@
         if len(runs) == 1:
             self._spend(organisation, request.units)
 
+    def server_crashed(self, path):
+        """Record that a request to `path` has crashed a server."""
+        self.crashes[path].append(self.clock())
+
     def _spend(self, organisation, units):
         limit = self.limits.get(organisation)
         if limit is None:
--- a/tests/soak/launch.py
+++ b/tests/soak/launch.py
@@ -62,11 +62,19 @@
     ConfigurationFollower.check = lambda self: 60.0
 
 
+def ignore_crashes_elsewhere():
+    """Let a node count only the crashes of servers that it has seen itself."""
+    from endive_gateway.peers import Peers
+
+    Peers._learn_crashes = lambda self, message, now: None
+
+
 MUTANTS = {
     "limit": disable_limit_sharing,
     "not-run": report_not_run,
     "holder": claim_without_lease_check,
     "silence": treat_silence_as_current,
+    "crashes": ignore_crashes_elsewhere,
 }
 
 if __name__ == "__main__":
--- a/tests/soak/network.py
+++ b/tests/soak/network.py
@@ -37,12 +37,19 @@
         self.healed_at = 0.0
         self.open = set()
         self.black_holed = set()
-        self.server = StreamServer((host, port), self._serve)
+        self.address = f"{host}:{port}"
+        self.listen()
+
+    def listen(self):
+        """Listen at this link's address, at first and after :meth:`close_port`."""
+        host, port = self.address.rsplit(":", 1)
+        self.server = StreamServer((host, int(port)), self._serve)
         self.server.start()
 
-    @property
-    def address(self):
-        return "{}:{}".format(*self.server.address)
+    def close_port(self):
+        """Refuse connections, as the port of a process that has ended does."""
+        self.server.close()
+        self.reset()
 
     def stop(self):
         self.server.stop(0)
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -25,6 +25,7 @@
 EVENTS = 8
 EVENT_GAP_S = 0.03
 WORK_S = 0.02
+CRASHING_PATH = "/safe/crash"
 SLOTS = 6
 QUEUE = 6
 
@@ -226,10 +227,13 @@
         Share of requests that get a 500 after they ran.
     work_s : float
         Time to run a plain request, seconds.
+    crash : callable
+        Ends this server; called when a request to `CRASHING_PATH` begins to run.
     """
 
-    def __init__(self, host, port, *, server_id, service, born, checker):
+    def __init__(self, host, port, *, server_id, service, born, checker, crash=None):
         self.id = server_id
+        self.crash = crash
         self.service = service
         self.born = born
         self.checker = checker
@@ -270,6 +274,10 @@
         )
         self.running += 1
         try:
+            if environ["PATH_INFO"].startswith(CRASHING_PATH):
+                self.checker.server_crashed(environ["PATH_INFO"])
+                self.crash()
+                Event().wait()
             if self._fails(request_id):
                 return respond(start, 500, b"no", headers)
             if environ["PATH_INFO"].startswith("/stream"):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -10,10 +10,18 @@
 SLOT = 60 + WORKER
 """Number of the loopback addresses that only this test worker uses."""
 
-FIRST_KINDS = tuple(sorted(set(FAULTS) - {"store_silent", "links_fall_silent"}))
-"""Kinds of which the seeds in `SEEDS` and `LARGE_CLUSTER_SEEDS` draw their faults. With
-more kinds the same seeds would draw other faults."""
-
+EARLIER_KINDS = tuple(sorted(set(FAULTS) - {"crashing_request"}))
+FIRST_KINDS = tuple(sorted(set(EARLIER_KINDS) - {"store_silent", "links_fall_silent"}))
+"""Kinds of which older seeds draw their faults. With more kinds the same seeds would
+draw other faults."""
+
+CRASHES = (
+    "crashing_request",
+    "reload",
+    "change_configuration",
+    "cloud_down",
+    "step_clock",
+)
 SILENCES = ("store_silent", "links_fall_silent", "change_configuration")
 
 SEEDS = (31, 21, 303924)
@@ -42,6 +50,7 @@
     "not-run": ("not run", 1, ("server_crash",)),
     "holder": ("one holder", 1, ("reload",)),
     "silence": ("configuration in time", 8, SILENCES),
+    "crashes": ("crashing request", 1, CRASHES),
 }
 """By mutant: the rule that it violates, the seed, and the kinds of faults to inject."""
 
@@ -63,6 +72,16 @@
     assert outcome.violations == [], outcome.directory
 
 
+@pytest.mark.parametrize(
+    "kinds", [CRASHES, ("crashing_request", "server_crash", "restart")]
+)
+def test_requests_that_crash_servers_stop_at_all_nodes(kinds):
+    """Requests that crash each server come again at all nodes. Where the news was lost,
+    each node crashed two; where it spread, requests with equal content were refused."""
+    outcome = run_seed(1, slot=SLOT, kinds=kinds)
+    assert outcome.violations == [], outcome.directory
+
+
 @pytest.mark.large
 @pytest.mark.parametrize(("seed", "nodes"), LARGE_CLUSTER_SEEDS.items())
 def test_a_seed_that_broke_a_promise(seed, nodes):
@@ -78,7 +97,9 @@
     """Regression test: a hundred nodes are killed four times, while clocks step. Nodes
     that did not know the others spent limits alone, and before a store of two hundred
     calls a second the cluster never served again."""
-    outcome = run_seed(21, slot=SLOT, nodes=100, store_call_s=store_call_s)
+    outcome = run_seed(
+        21, slot=SLOT, nodes=100, kinds=EARLIER_KINDS, store_call_s=store_call_s
+    )
     assert outcome.violations == [], outcome.directory
 
 
@@ -125,8 +146,8 @@
 def test_mutants_are_detected(mutant):
     """The soak detects each mutant within the fault phase of one seed: a limit that
     each node applies alone, "not run" reported for a request that a server ran, duties
-    claimed while another node holds them, and an unanswered read of the store treated
-    as proof that nothing has changed."""
+    claimed while another node holds them, an unanswered read of the store treated as
+    proof that nothing has changed, and crashes that nodes do not tell each other."""
     rule, seed, kinds = MUTANTS[mutant]
     outcome = run_seed(seed, slot=SLOT, mutant=mutant, kinds=kinds)
     assert outcome.violations, outcome.counts
