Decode and log the limits that servers name

Server-Limit in an answer is the requests a second that the server takes from all nodes together. It becomes a field of the response's metadata; what is no number, negative or infinite is kept for the log and counts as no statement. server_limit_named and server_limit_invalid say which node was told what. No decision uses it yet.

--- a/packages/endive_gateway/src/endive_gateway/attempts.py
+++ b/packages/endive_gateway/src/endive_gateway/attempts.py
@@ -6,6 +6,7 @@
 from endive_core.exceptions import RetryReason
 from endive_core.messages import ServerView
 from endive_core.routing import Engine, Route, RouteKind
+from endive_node.logs import log_event
 
 from endive_gateway.callers import Exchange
 from endive_gateway.connections import ServerConnection
@@ -156,6 +157,7 @@
                 started=False,
                 counts_as_attempt=False,
             )
+        self._log_limit(metadata)
         if metadata.not_run:
             self.connection.read_all(message)
             self._keep_connection(message)
@@ -181,6 +183,18 @@
             response=response,
         )
 
+    def _log_limit(self, metadata: ResponseMetadata) -> None:
+        if metadata.invalid_limit:
+            log_event(
+                "server_limit_invalid",
+                server=self.view.id,
+                found=metadata.invalid_limit,
+            )
+        elif metadata.request_limit is not None:
+            log_event(
+                "server_limit_named", server=self.view.id, limit=metadata.request_limit
+            )
+
     def _check_success(
         self, message: ResponseMessage, metadata: ResponseMetadata
     ) -> None:
--- a/packages/endive_gateway/src/endive_gateway/interfaces.py
+++ b/packages/endive_gateway/src/endive_gateway/interfaces.py
@@ -288,6 +288,11 @@
         Whether the server states that it did not run the request.
     running, waiting, slots : int or None
         The server's load: running and waiting requests, and slots.
+    request_limit : float or None
+        Requests a second that the server takes from all nodes together, if it names a
+        limit.
+    invalid_limit : str
+        What it named instead of a valid limit; empty if there is none.
     """
 
     request_id: str = ""
@@ -297,6 +302,8 @@
     running: int | None = None
     waiting: int | None = None
     slots: int | None = None
+    request_limit: float | None = None
+    invalid_limit: str = ""
 
 
 @dataclass(frozen=True)
--- a/packages/endive_gateway/tests/gateway_builders.py
+++ b/packages/endive_gateway/tests/gateway_builders.py
@@ -77,10 +77,12 @@
         return frozenset({b"id"})
 
     def decode_response(self, headers):
+        limit = _text(headers, b"limit")
         return ResponseMetadata(
             request_id=_text(headers, b"id"),
             signed=bool(header_value(headers, b"signed")),
             not_run=bool(header_value(headers, b"refused")),
+            request_limit=float(limit) if limit else None,
         )
 
     def own_response_headers(self, metadata):
--- a/tests/test_platform_headers.py
+++ b/tests/test_platform_headers.py
@@ -115,3 +115,15 @@
 @pytest.mark.parametrize("load", ["", "3", "3,1", "a,b,c", "3,1,8,9", "-1,0,8"])
 def test_an_invalid_load_is_none(load):
     assert decode_response(headers(Server_Load=load)).running is None
+
+
+@pytest.mark.parametrize(("value", "limit"), [("1", 1.0), (" 0.5 ", 0.5), ("0", 0.0)])
+def test_a_servers_limit_is_decoded(value, limit):
+    assert decode_response(headers(Server_Limit=value)).request_limit == limit
+
+
+@pytest.mark.parametrize("value", ["", "soon", "-1", "nan", "inf", "1e999", "x" * 99])
+def test_an_invalid_limit_is_none_and_kept_for_the_log(value):
+    metadata = decode_response(headers(Server_Limit=value))
+    assert metadata.request_limit is None
+    assert metadata.invalid_limit == value[:40]
