Keep the limits that backend servers name, all nodes together

Nothing read the header.

A node keeps what each server said last, and passes it on in its state messages, a limit's end too. A limit is shared by a few nodes that all choose alike by hashing, two and one for each whole request a second, with even rates; the others send nothing there. So no request waits for another node, no message is sent for one, and what nodes have saved up together does not grow with the fleet. Nodes that are out of contact keep their part. A server whose share is used up has no room: calls go elsewhere, those that hash to it all to the same other one. Where all servers of a service are limited, admission predicts the wait for the next place, refuses at once what would be late, and tells when any node may send again; a queued call that a new limit keeps beyond its deadline is refused too. A server that has not named its limit for a second is preferred for the next call, so that its end is seen.

--- a/packages/endive_core/src/endive_core/admission.py
+++ b/packages/endive_core/src/endive_core/admission.py
@@ -6,6 +6,7 @@
 will be admitted.
 """
 
+import math
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -20,6 +21,7 @@
 from endive_core.servers import ServerSet
 from endive_core.service_types import ServiceType
 from endive_core.slot_usage import SlotUsage
+from endive_core.throttling import Throttling
 
 if TYPE_CHECKING:
     from endive_core.resources import Organisation
@@ -92,12 +94,14 @@
         usage: SlotUsage,
         crashes: CrashTable,
         service_type: ServiceType,
+        throttling: Throttling,
     ) -> None:
         self.policy = policy
         self.servers = servers
         self.queue = queue
         self.usage = usage
         self.crashes = crashes
+        self.throttling = throttling
         self.rate = ServiceRate.for_service(service_type)
         self.wait_errors = {tier: WaitErrorEstimate() for tier in Tier}
         self.retry_windows = RetryWindows(
@@ -131,7 +135,24 @@
                 )
         return self._overloaded(call, now)
 
+    def throttled_refusal(self, wait_s: float) -> Refusal:
+        """Return the refusal of a call that servers' limits keep waiting for `wait_s`.
+
+        Other nodes share the limits too, so the caller is told to retry when any of
+        them may send a call.
+        """
+        policy = self.policy
+        retry_after_s = min(wait_s, self.throttling.gap_s(), policy.max_retry_after_s)
+        return Refusal.from_kind(
+            ErrorKind.OVERLOADED,
+            "the limits that the servers name are used up",
+            max(policy.min_retry_after_s, retry_after_s),
+        )
+
     def _overloaded(self, call: Call, now: float) -> Refusal | None:
+        throttled_s = self.throttling.wait_s(now, len(self.queue))
+        if throttled_s == math.inf:
+            return self.throttled_refusal(throttled_s)
         prediction = self.predict(call, now)
         allowed = allowed_wait_s(
             call,
@@ -176,6 +197,7 @@
         if ahead or not self.servers.available[tier]:
             wait += self.rate.held_s / slots
             allowance = self.wait_errors[tier].allowance_s(self.policy.wait_deviations)
+        wait = max(wait, self.throttling.wait_s(now, len(self.queue)))
         prefill = call.prompt_tokens / self.prefill_tokens_per_s()
         organisation_tokens_per_s = self.rate.tokens_per_slot_s * self.usage.slots_of(
             call.organisation
--- a/packages/endive_core/src/endive_core/expiry.py
+++ b/packages/endive_core/src/endive_core/expiry.py
@@ -5,6 +5,7 @@
 finding out when its own deadline has passed.
 """
 
+import math
 from collections import Counter
 
 from endive_core.admission import Admission
@@ -13,6 +14,7 @@
 from endive_core.policy import Policy
 from endive_core.queueing import FairQueue
 from endive_core.servers import ServerSet
+from endive_core.throttling import Throttling
 
 
 class Expiry:
@@ -33,12 +35,14 @@
         queue: FairQueue,
         admission: Admission,
         refusals: Counter[ErrorKind],
+        throttling: Throttling,
     ) -> None:
         self.policy = policy
         self.servers = servers
         self.queue = queue
         self.admission = admission
         self.refusals = refusals
+        self.throttling = throttling
         self.expired: list[Ticket] = []
         self.no_server_since: float | None = None
 
@@ -108,6 +112,19 @@
         if now - self.no_server_since >= self.policy.no_server_wait_s:
             self.expire_all("no server takes work")
 
+    def expire_throttled(self, now: float) -> None:
+        """Expire the queued calls that servers' limits keep beyond their deadlines."""
+        if not self.throttling.wait_s(now):
+            return
+        for ahead, ticket in enumerate(self.queue.tickets()):
+            wait_s = self.throttling.wait_s(now, ahead)
+            deadline = ticket.call.deadline
+            if wait_s == math.inf or (deadline is not None and now + wait_s > deadline):
+                refusal = self.admission.throttled_refusal(wait_s)
+                self.expire(
+                    ticket, refusal.kind, refusal.message, refusal.retry_after_s
+                )
+
     def take(self) -> list[Ticket]:
         """Return the tickets expired since the last call."""
         expired, self.expired = self.expired, []
--- a/packages/endive_core/src/endive_core/placement.py
+++ b/packages/endive_core/src/endive_core/placement.py
@@ -30,6 +30,10 @@
 MAX_HOLDER_CANDIDATES = 2
 """Candidates taken from the servers believed to hold the longest known prefix."""
 
+THROTTLED_CANDIDATES = 4
+"""Servers to which a prefix hashes, one after the other, that are tried if the first
+ones are throttled. All nodes then go to the same one."""
+
 
 @dataclass(frozen=True, slots=True)
 class StartPrediction:
@@ -114,16 +118,17 @@
         found += self.servers.available[tier].sample(
             self.policy.random_candidates, self.random.randrange
         )
-        allowed = [s for s in found if self._allowed(ticket, s, tier)]
+        allowed = [s for s in found if self.allows(ticket, s, tier)]
         if allowed or not (ticket.avoid or ticket.suspect):
             return allowed
         return self._all_allowed(ticket, tier)
 
     def _all_allowed(self, ticket: Ticket, tier: Tier) -> list[ServerLoad]:
         open_servers = self.servers.available[tier].items
-        return [s for s in open_servers if self._allowed(ticket, s, tier)]
+        return [s for s in open_servers if self.allows(ticket, s, tier)]
 
-    def _allowed(self, ticket: Ticket, server: ServerLoad, tier: Tier) -> bool:
+    def allows(self, ticket: Ticket, server: ServerLoad, tier: Tier) -> bool:
+        """Return whether `ticket` may be sent to `server` now."""
         if server.id in ticket.avoid:
             return False
         if not self.servers.has_room(server, tier):
@@ -166,10 +171,23 @@
         wanted = depths[-self.policy.affinity_candidates :] or [len(call.blocks)]
         found: dict[str, int] = {}
         for depth in reversed(wanted):
-            for name in self.ring.candidates(str(call.blocks[depth - 1]), 1):
+            name = self._affinity_server(str(call.blocks[depth - 1]))
+            if name is not None:
                 found.setdefault(name, depth)
         return found
 
+    def _affinity_server(self, key: str) -> str | None:
+        """Return the server to which `key` hashes, past those that are throttled."""
+        names = self.ring.candidates(key, 1)
+        if names and self._is_throttled(names[0]):
+            names = self.ring.candidates(key, THROTTLED_CANDIDATES)
+            names = [name for name in names if not self._is_throttled(name)]
+        return names[0] if names else None
+
+    def _is_throttled(self, name: str) -> bool:
+        server = self.servers.servers.get(name)
+        return server is not None and server.throttled
+
     def score(
         self, call: Call, server: ServerLoad, cached_blocks: int, now: float
     ) -> float:
--- a/packages/endive_core/src/endive_core/scheduler.py
+++ b/packages/endive_core/src/endive_core/scheduler.py
@@ -27,6 +27,7 @@
 from endive_core.service_types import ServiceType
 from endive_core.slot_usage import SlotUsage
 from endive_core.stream_moves import StreamMove, plan_moves
+from endive_core.throttling import Throttling
 
 if TYPE_CHECKING:
     from endive_core.resources import Deployment, Organisation
@@ -66,13 +67,20 @@
             divided_share=policy.divided_share,
             giving_way=policy.giving_way,
         )
+        self.throttling = Throttling(self.servers)
         self.placement = Placement(policy, self.servers, random)
         self.outliers = OutlierDetector(policy, self.servers)
         self.queue = FairQueue()
         self.crashes = crashes or CrashTable.from_policy(policy)
         self.usage = SlotUsage(self.servers, self.queue)
         self.admission = Admission(
-            policy, self.servers, self.queue, self.usage, self.crashes, service_type
+            policy,
+            self.servers,
+            self.queue,
+            self.usage,
+            self.crashes,
+            service_type,
+            self.throttling,
         )
         self.first_tokens = FirstTokenLearner(
             self.servers, self.admission.rate, self.outliers, prefill
@@ -81,7 +89,12 @@
         self.running = self.failures.running
         self.refusals: Counter[ErrorKind] = Counter()
         self.expiry = Expiry(
-            policy, self.servers, self.queue, self.admission, self.refusals
+            policy,
+            self.servers,
+            self.queue,
+            self.admission,
+            self.refusals,
+            self.throttling,
         )
         self.retries: Counter[RetryReason] = Counter()
 
@@ -211,6 +224,10 @@
 
     def _server_for(self, ticket: Ticket, now: float) -> ServerLoad | None:
         tier = self.usage.tier(ticket.call)
+        silent = self.throttling.silent_server(now)
+        if silent is not None and self.placement.allows(ticket, silent, tier):
+            ticket.uncached_tokens = float(ticket.call.prompt_tokens)
+            return silent
         if not ticket.call.non_idempotent and not ticket.suspect:
             probe = self.outliers.probe(now)
             if probe is not None and self.servers.has_room(probe, tier):
@@ -223,7 +240,9 @@
         self.first_tokens.update_prefill_rates(now)
         self.outliers.update_outliers(now)
         self.failures.resume_paused(now)
+        self.throttling.update(now)
         self.expiry.expire_without_servers(now)
+        self.expiry.expire_throttled(now)
 
     def close(self) -> None:
         """Expire all queued calls, since the service is no longer declared."""
@@ -250,6 +269,7 @@
         self.usage.acquire(ticket.call.organisation)
         self.running.setdefault(server.id, set()).add(ticket)
         self.servers.adjust_in_flight(server, 1, now)
+        self.throttling.sent(server.id, now)
         if ticket.call.blocks:
             self.placement.prefixes.add(server.id, ticket.call.blocks)
 
--- a/packages/endive_core/src/endive_core/servers.py
+++ b/packages/endive_core/src/endive_core/servers.py
@@ -71,6 +71,8 @@
         Latency ratio over the median of the peers, 1 or more.
     paused : bool
         Whether it gets no work for a while because it failed.
+    throttled : bool
+        Whether this node's share of the limit that it names is used up.
     failures : int
         Consecutive failures.
     latency_ratio : float
@@ -94,6 +96,7 @@
     slowness: float = 1.0
     slow: bool = False
     paused: bool = False
+    throttled: bool = False
     failures: int = 0
     next_probe_at: float = 0.0
     latency_ratio: float = 1.0
@@ -354,6 +357,8 @@
 
     def has_room(self, server: ServerLoad, tier: Tier) -> bool:
         """Return whether this node may send a call of `tier` to `server` now."""
+        if server.throttled:
+            return False
         if server.remaining_grant(tier) > 0:
             return True
         uncontended = server.uncontended_slots(tier)
@@ -417,7 +422,7 @@
         else:
             self.accepting.discard(server)
         probing = server.failures > 0 and server.view.in_flight > 0
-        usable = accepting and not server.slow and not probing
+        usable = accepting and not (server.slow or server.throttled or probing)
         for tier, members in self.available.items():
             if usable and server.has_free_slots(tier):
                 members.add(server)
--- a/packages/endive_gateway/src/endive_gateway/attempts.py
+++ b/packages/endive_gateway/src/endive_gateway/attempts.py
@@ -6,7 +6,6 @@
 from endive_core.exceptions import RetryReason
 from endive_core.messages import ServerView
 from endive_core.routing import Engine, Route, RouteKind
-from endive_node.logs import log_event
 
 from endive_gateway.callers import Exchange
 from endive_gateway.connections import ServerConnection
@@ -77,6 +76,8 @@
     ----------
     request : AttemptedRequest
         The state of the request, shared by all its attempts.
+    sent_at : float
+        When this attempt was sent, seconds on the monotonic clock.
     """
 
     def __init__(self, request: AttemptedRequest, view: ServerView) -> None:
@@ -84,6 +85,7 @@
         self.context = request.context
         self.view = view
         self.connection: ServerConnection | None = None
+        self.sent_at = 0.0
 
     def run(self) -> None:
         """Make the attempt; raises AttemptError unless a success was forwarded."""
@@ -108,6 +110,7 @@
             ) from None
         self.request.in_flight = True
         self.request.sent_at = self.context.cluster_clock.now()
+        self.sent_at = self.request.now
         try:
             self._send()
             message, metadata = self.connection.read_head(self.request.metadata.id)
@@ -157,7 +160,7 @@
                 started=False,
                 counts_as_attempt=False,
             )
-        self._log_limit(metadata)
+        self.context.limit_sharing.observe(view.id, metadata, self.sent_at)
         if metadata.not_run:
             self.connection.read_all(message)
             self._keep_connection(message)
@@ -183,18 +186,6 @@
             response=response,
         )
 
-    def _log_limit(self, metadata: ResponseMetadata) -> None:
-        if metadata.invalid_limit:
-            log_event(
-                "server_limit_invalid",
-                server=self.view.id,
-                found=metadata.invalid_limit,
-            )
-        elif metadata.request_limit is not None:
-            log_event(
-                "server_limit_named", server=self.view.id, limit=metadata.request_limit
-            )
-
     def _check_success(
         self, message: ResponseMessage, metadata: ResponseMetadata
     ) -> None:
--- a/packages/endive_gateway/src/endive_gateway/context.py
+++ b/packages/endive_gateway/src/endive_gateway/context.py
@@ -14,6 +14,7 @@
 
 from endive_gateway.connections import ConnectionPool, is_listening
 from endive_gateway.interfaces import Cloud, GatewaySettings, Store, Wire
+from endive_gateway.limit_sharing import LimitSharing
 from endive_gateway.metrics import GatewayMetrics
 from endive_gateway.placing import Placer
 from endive_gateway.servers import ServerRegistry
@@ -45,6 +46,8 @@
     on_prompt : callable
         Called with a server's id, the prompt's uncached tokens and the server's prefill
         time in seconds when a prompt is sent to that server.
+    limit_sharing : LimitSharing
+        The limits that backend servers name, shared with the other nodes.
     initialised : Event
         Set once the configuration and the list of servers have been read.
     incarnation : int
@@ -68,6 +71,13 @@
         self.placer = Placer(self.registry, is_listening=is_listening)
         self.pool = ConnectionPool(wire)
         self.limits = SharedLimits(time.monotonic(), slack=settings.bounds.quota_slack)
+        self.limit_sharing = LimitSharing(
+            settings.location.address,
+            self.registry,
+            self.placer,
+            self.limits,
+            self.random,
+        )
         self.meter = UsageMeter(settings.bounds.usage_window_s)
         self.cluster_clock = ClusterClock(time.monotonic, time.time)
         self.retry_budgets: dict[str, FleetRetryBudget] = {}
--- a/packages/endive_gateway/src/endive_gateway/gateway.py
+++ b/packages/endive_gateway/src/endive_gateway/gateway.py
@@ -145,6 +145,9 @@
                 "endive_store_read_waiting_seconds", follower.waiting_s, topic=topic
             )
         add_gauge("endive_servers_age_seconds", self.servers.age_s)
+        sharing = self.context.limit_sharing
+        add_gauge("endive_limited_servers", sharing.limited_servers)
+        add_gauge("endive_limited_servers_rate", sharing.shared_rate)
         add_gauge("endive_nodes_live", self.peers.live_node_count)
         add_gauge("endive_nodes_known", lambda: self.context.nodes)
 
--- a/packages/endive_gateway/src/endive_gateway/peers.py
+++ b/packages/endive_gateway/src/endive_gateway/peers.py
@@ -14,6 +14,7 @@
 import gevent
 from endive_core.crash_news import FRESH_RECEIVERS, CrashNews
 from endive_core.crashes import Crash, Success
+from endive_core.server_limits import LimitReport
 from endive_core.shared_limits import SILENCE_TIMEOUT_S, SpendingOrigin
 from endive_node.logs import log_event
 from gevent.event import Event
@@ -26,6 +27,7 @@
 from endive_gateway.datagrams import DatagramPort
 from endive_gateway.following import RELAY_TIMEOUT_S
 from endive_gateway.interfaces import Record
+from endive_gateway.limit_sharing import MAX_REPORTS
 from endive_gateway.listing import NodeList
 from endive_gateway.nodes import Peer
 from endive_gateway.server_following import ServerFollower
@@ -144,6 +146,7 @@
         self.crash_news = CrashNews(context.placer.crashes)
         self.crash_announcement: gevent.Greenlet | None = None
         context.placer.on_crash = self._announce_crash_soon
+        context.limit_sharing.peer_addresses = self.presumed_live
         self.urgent = Event()
         self.heard_at = float("-inf")
         self.announced = False
@@ -361,6 +364,7 @@
         peers = list(self.known.values())
         for first in range(0, max(1, len(peers)), DATAGRAMS_PER_STEP):
             self.send_state(peers[first : first + DATAGRAMS_PER_STEP])
+            self.context.limit_sharing.refresh()
             if self.urgent.wait(step_s):
                 return
 
@@ -445,6 +449,10 @@
             complete=self.is_complete(),
             proof=self.configuration.proofs.newest if self.configuration else 0,
             successes=[(s.fingerprint, now - s.at) for s in successes],
+            server_limits=[
+                (report.server, report.limit, now - report.at, report.id)
+                for report in context.limit_sharing.reports.take(MAX_REPORTS)
+            ],
         )
 
     def _relays_servers(self) -> bool:
@@ -501,6 +509,7 @@
         context.limits.receive(origin, message.spent, now)
         context.meter.receive(address, message.incarnation, message.windows)
         self._learn_crashes(message, now)
+        self._learn_limits(message, now)
         context.placer.ejection.receive(address, message.server_failures, now)
         context.placer.backlogs.receive(address, message.pending_prompt_tokens, now)
         self._greet(peer, now)
@@ -542,6 +551,14 @@
                     age_s=round(age_s, 3),
                 )
 
+    def _learn_limits(self, message: "StateMessage", now: float) -> None:
+        if message.server_limits:
+            reports = [
+                LimitReport(server, limit, now - age_s, report_id)
+                for server, limit, age_s, report_id in message.server_limits
+            ]
+            self.context.limit_sharing.learn(message.node, reports)
+
     def observe_duty_log_end(self, end: int) -> None:
         """Record the end of the duties log, as read or as a peer reports it."""
         if end > self.duty_log_end:
--- a/packages/endive_gateway/src/endive_gateway/placing.py
+++ b/packages/endive_gateway/src/endive_gateway/placing.py
@@ -3,7 +3,7 @@
 import random
 import time
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from endive_core.backlogs import Backlogs, largest_backlogs
 from endive_core.calls import Call, Retry, Ticket
@@ -15,6 +15,7 @@
 from endive_core.prefilling import PrefillRate
 from endive_core.routing import RoutingTable, Service
 from endive_core.scheduler import Scheduler
+from endive_core.server_limits import LimitShare
 from endive_core.service_types import ServiceType
 from endive_node.logs import log_event
 from endive_node.scheduled_requests import ScheduledRequests, refusal_error
@@ -65,6 +66,8 @@
         By server id, the responses lost since the last complete one.
     views : dict
         By id, the servers that may get requests, as the schedulers see them.
+    limit_shares : mapping of str to LimitShare
+        By server id, this node's shares of the limits that servers name.
     on_crash : callable
         Called without arguments when a crash has been counted against a request.
     """
@@ -85,6 +88,7 @@
         self.nodes = 1
         self.services: dict[str, Service] = {}
         self.views: dict[str, ServerView] = {}
+        self.limit_shares: Mapping[str, LimitShare] = {}
         self.consecutive_failures: Counter[str] = Counter()
         self.ejection = ClusterEjection()
         self.backlogs = Backlogs()
@@ -128,6 +132,7 @@
             rate = scheduler.prefill.tokens_per_s if scheduler.prefill else 1.0
             views = [self._view(entry, service, rate) for entry in usable]
             scheduler.set_servers(views)
+            self._set_shares(scheduler)
             self.dispatch_queued(scheduler)
         usable_ids = {s.entry.id for s in self.registry.servers.values() if s.usable}
         for gone in self.views.keys() - usable_ids:
@@ -146,6 +151,18 @@
         view.reclaimable = entry.reclaimable
         return view
 
+    def set_limit_shares(self, shares: Mapping[str, LimitShare]) -> None:
+        """Apply this node's shares of the limits that servers name, by server."""
+        self.limit_shares = shares
+        for scheduler in self.schedulers.values():
+            self._set_shares(scheduler)
+            self.dispatch_queued(scheduler)
+
+    def _set_shares(self, scheduler: Scheduler) -> None:
+        servers = scheduler.servers.servers
+        shares = {s: share for s, share in self.limit_shares.items() if s in servers}
+        scheduler.throttling.set_shares(shares, self.now())
+
     def occupied_servers(self) -> dict[str, float]:
         """Return by service how many servers' slots this node's requests fill."""
         parts = {}
--- a/packages/endive_gateway/src/endive_gateway/state_messages.py
+++ b/packages/endive_gateway/src/endive_gateway/state_messages.py
@@ -56,6 +56,9 @@
     successes : list of (str, float)
         Fingerprint and age in seconds of complete responses by which crashes no longer
         count against a request.
+    server_limits : list of (str, float or None, float, int)
+        Server, its limit in requests a second (``None`` if it names none any more), the
+        age of that statement in seconds, and its id.
     """
 
     node: str
@@ -79,6 +82,7 @@
     complete: bool = False
     proof: int = 0
     successes: list[tuple[str, float]] = []
+    server_limits: list[tuple[str, float | None, float, int]] = []
 
 
 DECODER = msgspec.msgpack.Decoder(StateMessage)
