Order servers for what limited ones don't take

A server that names a limit counted as a whole one in the orders, so the others got its load without replacement. The holder of the duties now counts it for the part that its limit allows, by the time that one request keeps a server busy. The test failed before: nothing was added to what is needed, 0.9 of a server now.

--- a/packages/endive_gateway/src/endive_gateway/autoscaling.py
+++ b/packages/endive_gateway/src/endive_gateway/autoscaling.py
@@ -174,12 +174,26 @@
         needed = max(
             MIN_NEEDED_SERVERS, load.peak() / TARGET_UTILISATION if load else 0.0
         )
+        needed += self._lost_to_limits(service)
         if self._is_measured(now):
             return needed
         if self.traffic_since is None:
             self._count_initial(service, now)
         return max(needed, WARM_UP_PART * self.initial_servers.get(service.name, 0))
 
+    def _lost_to_limits(self, service: Service) -> float:
+        """Return how many servers' work the limits that servers name take away."""
+        request_s = self.context.work.request_s(service.name)
+        if not request_s:
+            return 0.0
+        shares = self.context.limit_sharing.shares
+        full_rate = TARGET_UTILISATION / request_s
+        return sum(
+            1 - min(1.0, shares[known.entry.id].limit / full_rate)
+            for known in self.context.registry.of_service(service.name)
+            if known.usable and known.entry.id in shares
+        )
+
     def _is_measured(self, now: float) -> bool:
         since = self.traffic_since
         return since is not None and now - since >= LOAD_WARM_UP_S
--- a/packages/endive_gateway/src/endive_gateway/workload.py
+++ b/packages/endive_gateway/src/endive_gateway/workload.py
@@ -2,6 +2,7 @@
 
 import math
 import time
+from collections import Counter
 
 SMOOTHING_S = 1.5
 """Time constant of the smoothed workload, seconds: a burst must show within two
@@ -20,6 +21,9 @@
         By service, the prefill time of the prompts since the last update, seconds.
     running : dict
         By service, the number of servers whose slots this node's requests fill.
+    sent, rates : dict
+        By service, the requests sent since the last update, and the moving average of
+        the requests a second.
     averages : dict
         By service, the moving average of the workload.
     smoothed : dict
@@ -32,11 +36,14 @@
         self.prompts_s: dict[str, float] = {}
         self.averages: dict[str, float] = {}
         self.running: dict[str, float] = {}
+        self.sent: Counter[str] = Counter()
+        self.rates: dict[str, float] = {}
         self.smoothed: dict[str, float] = {}
         self.updated_at = time.monotonic()
 
     def add_prompt(self, service: str, prefill_s: float) -> None:
-        """Add the prefill time of a prompt sent to a server, seconds."""
+        """Add a request sent to a server, and its prompt's prefill time, seconds."""
+        self.sent[service] += 1
         self.prompts_s[service] = self.prompts_s.get(service, 0.0) + prefill_s
 
     def set_running(self, service: str, servers: float) -> None:
@@ -52,6 +59,17 @@
             work = prompts + self.running.get(service, 0.0)
             before = self.averages.get(service, 0.0)
             self.averages[service] = before + weight * (work - before)
+            rate, rate_before = (
+                self.sent[service] / passed,
+                self.rates.get(service, 0.0),
+            )
+            self.rates[service] = rate_before + weight * (rate - rate_before)
+        self.sent.clear()
         self.updated_at = now
         self.smoothed = dict(self.averages)
         return self.smoothed
+
+    def request_s(self, service: str) -> float:
+        """Return how long one request keeps a server busy, seconds; 0 if unknown."""
+        rate = self.rates.get(service, 0.0)
+        return self.averages.get(service, 0.0) / rate if rate > 0 else 0.0
--- a/packages/endive_gateway/tests/test_autoscaling.py
+++ b/packages/endive_gateway/tests/test_autoscaling.py
@@ -1,3 +1,5 @@
+import time
+
 import pytest
 from endive_core.leases import Lease
 from endive_core.routing import Scaling, Service
@@ -8,7 +10,7 @@
     SCALE_IN_DELAY_S,
     Autoscaler,
 )
-from endive_gateway.interfaces import ServerState
+from endive_gateway.interfaces import ResponseMetadata, ServerState
 from endive_gateway.peers import Peers
 from gateway_builders import make_context, make_entry, make_table
 from store_builders import RecordingCloud
@@ -22,7 +24,7 @@
     def __init__(self):
         self.cloud = RecordingCloud()
         table = make_table()
-        table.services["s"] = Service("s", scaling=SCALING)
+        self.service = table.services["s"] = Service("s", scaling=SCALING)
         self.context = make_context(table, cloud=self.cloud)
         self.context.registry.is_loaded = True
         self.autoscaler = Autoscaler(self.context, Peers(self.context))
@@ -232,3 +234,19 @@
     fleet.autoscaler.step("n1", fleet.lease, fleet.now)
     assert 1 <= len(given) <= 3
     assert all(at + 0.4 <= fleet.lease.until for at in given)
+
+
+def test_servers_that_name_limits_count_for_what_they_take(fleet):
+    """The others got their load, and were overloaded."""
+    for zone in "abc":
+        fleet.add(zone, 3)
+    fleet.context.work.averages = {"s": 2.0}
+    fleet.context.work.rates = {"s": 40.0}
+    fleet.run_for(12.0, work=2.0)
+    needed = fleet.autoscaler.needed(fleet.service, fleet.now)
+    for server, limit in (("i-1", 1.7), ("i-2", 100.0)):
+        named = ResponseMetadata(request_limit=limit)
+        fleet.context.limit_sharing.observe(server, named, time.monotonic())
+    with_limits = fleet.autoscaler.needed(fleet.service, fleet.now)
+    assert with_limits - needed == pytest.approx(0.9)
+    assert sum(fleet.run_for(2.0, work=2.0).values()) > 0
