Let servers name limits in the soak

A new kind of fault lets a server name a limit of 0.5 to 4.5 requests a second for some seconds; from contact_s after it the soak counts, over any four seconds, the requests of nodes that have passed on such a response half a second before, without nodes that were restarted or paused or whose link to the server had a fault. Older seeds draw from the older kinds.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -222,6 +222,14 @@
         set_temporarily(server, "work_s", fault.strength, fault.for_s)
 
 
+def server_limited(fleet, fault):
+    """Let a server name a limit, long enough that nodes in contact must keep it."""
+    server = backend_of(fleet, fault).server
+    if server is not None:
+        limit = 0.5 + 4 * fault.strength
+        set_temporarily(server, "limit", limit, fault.for_s + 6.0)
+
+
 def crashing_request(fleet, fault):
     """Send a request that crashes each server that runs it to all nodes in turn."""
     content = f"{fault.target}-{fault.strength}"
@@ -253,5 +261,6 @@
         server_errs,
         server_slow,
         crashing_request,
+        server_limited,
     )
 }
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -12,7 +12,7 @@
 import gevent
 
 from soak.callers import HOST, KINDS, PLAIN_UNITS
-from soak.invariants import InvariantChecker, Limit
+from soak.invariants import CONTACT_S, LIMIT_WINDOW_S, InvariantChecker, Limit
 from soak.lag import Lag, processor_wait_s
 from soak.network import Link
 from soak.standins import CONFIGURATION, SERVERS, FakeCloud, FakeServer, FakeStore
@@ -224,7 +224,23 @@
             service=self.service,
             born=int(time.time() * 1000),
             checker=self.fleet.checker,
-            crash=lambda: gevent.spawn(self.crash, CRASH_DOWNTIME_S),
+            backend=self,
+        )
+
+    def crash_soon(self):
+        """End the server after its present work, and start another one."""
+        gevent.spawn(self.crash, CRASH_DOWNTIME_S)
+
+    def is_undisturbed(self, node_name):
+        """Return whether a node and this server's link had no fault recently."""
+        since = self.fleet.clock() - LIMIT_WINDOW_S - CONTACT_S
+        node = next(n for n in self.fleet.nodes if n.name == node_name)
+        return (
+            node.was_healthy(since)
+            and not node.busy
+            and node.started_at < since
+            and self.link.is_healthy
+            and self.link.healed_at < since
         )
 
     def send_heartbeat(self):
--- a/tests/soak/invariants.py
+++ b/tests/soak/invariants.py
@@ -25,6 +25,11 @@
 """Time for which a node must have been able to receive changes before it has to serve
 the newest configuration, seconds."""
 
+LIMIT_WINDOW_S = 4.0
+LIMIT_TOLD_S = 0.5
+"""Window over which a server's limit holds, and time after which a node that has passed
+on a response with the limit must keep it, seconds."""
+
 NOT_RUN = (408, 421, 429, 503)
 """HTTP statuses that say that the request was not run."""
 
@@ -65,6 +70,34 @@
         return allowed * (1 + QUOTA_OVERAGE) + self.slack
 
 
+class LimitedServer:
+    """What a server that names a limit has received since.
+
+    Parameters
+    ----------
+    now : float
+        When it names the limit first, seconds since the beginning.
+    """
+
+    def __init__(self, limit, now):
+        self.limit = limit
+        self.since = now + CONTACT_S
+        self.told_at = {}
+        self.arrivals = deque()
+
+    def received(self, node, now):
+        """Count a request from `node` if the node has been told."""
+        if now - self.told_at.get(node, now) >= LIMIT_TOLD_S and now > self.since:
+            self.arrivals.append((now, node))
+        while self.arrivals and self.arrivals[0][0] < now - LIMIT_WINDOW_S:
+            self.arrivals.popleft()
+
+    def exceeded_by(self, is_counted):
+        """Return how many requests of the nodes that count were too many."""
+        count = sum(is_counted(node) for _, node in self.arrivals)
+        return count - (1.5 * LIMIT_WINDOW_S * self.limit + 5)
+
+
 class InvariantChecker:
     """Receives observations, and records a line for each violated invariant.
 
@@ -173,6 +206,25 @@
         """Record that a request to `path` has crashed a server."""
         self.crashes[path].append(self.clock())
 
+    def limited_server_received(self, server, limited, request_id, is_counted):
+        """Check the limit that a server names, at each request that it receives.
+
+        Parameters
+        ----------
+        is_counted : callable
+            Returns whether a node was neither restarted, paused nor cut off.
+        """
+        request = self.requests.get(request_id)
+        if request is None:
+            return
+        limited.received(request.node, self.clock())
+        if limited.exceeded_by(is_counted) > 0:
+            counts = [node for _, node in limited.arrivals]
+            self.record_violation(
+                "server limit", f"{server}, {limited.limit:g} a second: {counts}"
+            )
+            limited.arrivals.clear()
+
     def _spend(self, organisation, units):
         limit = self.limits.get(organisation)
         if limit is None:
--- a/tests/soak/launch.py
+++ b/tests/soak/launch.py
@@ -69,12 +69,23 @@
     Peers._learn_crashes = lambda self, message, now: None
 
 
+def keep_server_limits_alone():
+    """Let each node send a limited server as much as if it were the only node."""
+    from endive_gateway import limit_sharing
+
+    real_share = limit_sharing.share_of
+    limit_sharing.share_of = lambda node, nodes, report, **options: real_share(
+        node, {node}, report, **options
+    )
+
+
 MUTANTS = {
     "limit": disable_limit_sharing,
     "not-run": report_not_run,
     "holder": claim_without_lease_check,
     "silence": treat_silence_as_current,
     "crashes": ignore_crashes_elsewhere,
+    "server-limits": keep_server_limits_alone,
 }
 
 if __name__ == "__main__":
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -16,6 +16,7 @@
 from gevent.pool import Pool
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
+from soak.invariants import LimitedServer
 from soak.network import reset
 
 FRAME = struct.Struct(">I")
@@ -227,13 +228,17 @@
         Share of requests that get a 500 after they ran.
     work_s : float
         Time to run a plain request, seconds.
-    crash : callable
-        Ends this server; called when a request to `CRASHING_PATH` begins to run.
+    limit : float or None
+        Requests a second that it takes from all nodes together, named in its responses.
+    backend : Backend
+        What this server runs for.
     """
 
-    def __init__(self, host, port, *, server_id, service, born, checker, crash=None):
+    def __init__(self, host, port, *, server_id, service, born, checker, backend):
         self.id = server_id
-        self.crash = crash
+        self.backend = backend
+        self.limit = None
+        self.limited = None
         self.service = service
         self.born = born
         self.checker = checker
@@ -264,6 +269,7 @@
     def handle(self, environ, body, start):
         request_id = environ.get("HTTP_REQUEST_ID", "")
         headers = {"Request-Id": request_id, "Server-Load": f"{self.running},0,{SLOTS}"}
+        headers |= self._limit_headers(request_id)
         if environ.get("HTTP_EXPECT_INSTANCE", self.id) != self.id:
             return respond(start, 421, b"", headers | {"Not-Run": "1"})
         if not request_id or self.running >= SLOTS + QUEUE:
@@ -276,7 +282,7 @@
         try:
             if environ["PATH_INFO"].startswith(CRASHING_PATH):
                 self.checker.server_crashed(environ["PATH_INFO"])
-                self.crash()
+                self.backend.crash_soon()
                 Event().wait()
             if self._fails(request_id):
                 return respond(start, 500, b"no", headers)
@@ -287,6 +293,22 @@
         finally:
             self.running -= 1
 
+    def _limit_headers(self, request_id):
+        """Count a request against this server's limit; return the limit's header."""
+        if self.limit is None:
+            self.limited = None
+            return {}
+        now = self.checker.clock()
+        if self.limited is None or self.limited.limit != self.limit:
+            self.limited = LimitedServer(self.limit, now)
+        self.checker.limited_server_received(
+            self.id, self.limited, request_id, self.backend.is_undisturbed
+        )
+        request = self.checker.requests.get(request_id)
+        if request is not None:
+            self.limited.told_at.setdefault(request.node, now)
+        return {"Server-Limit": f"{self.limit:g}"}
+
     def _fails(self, request_id):
         # CRC-32, since the built-in hash of a string differs between processes.
         drawn = zlib.crc32(f"{request_id}/{self.id}".encode()) % 100
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -10,7 +10,7 @@
 SLOT = 60 + WORKER
 """Number of the loopback addresses that only this test worker uses."""
 
-EARLIER_KINDS = tuple(sorted(set(FAULTS) - {"crashing_request"}))
+EARLIER_KINDS = tuple(sorted(set(FAULTS) - {"crashing_request", "server_limited"}))
 FIRST_KINDS = tuple(sorted(set(EARLIER_KINDS) - {"store_silent", "links_fall_silent"}))
 """Kinds of which older seeds draw their faults. With more kinds the same seeds would
 draw other faults."""
@@ -45,12 +45,14 @@
 spent before its first message, two seconds after its start, was not counted.
 """
 
+LIMITED_SERVERS = ("server_limited", "reload", "change_configuration")
 MUTANTS = {
     "limit": ("limit", 1, ("reload",)),
     "not-run": ("not run", 1, ("server_crash",)),
     "holder": ("one holder", 1, ("reload",)),
     "silence": ("configuration in time", 8, SILENCES),
     "crashes": ("crashing request", 1, CRASHES),
+    "server-limits": ("server limit", 1, LIMITED_SERVERS),
 }
 """By mutant: the rule that it violates, the seed, and the kinds of faults to inject."""
 
@@ -82,6 +84,13 @@
     assert outcome.violations == [], outcome.directory
 
 
+@pytest.mark.parametrize("kinds", [LIMITED_SERVERS, ("server_limited", "restart")])
+def test_limits_that_servers_name_are_kept(kinds):
+    """Servers ask for a few requests a second, and nodes restart meanwhile."""
+    outcome = run_seed(1, slot=SLOT, kinds=kinds)
+    assert outcome.violations == [], outcome.directory
+
+
 @pytest.mark.large
 @pytest.mark.parametrize(("seed", "nodes"), LARGE_CLUSTER_SEEDS.items())
 def test_a_seed_that_broke_a_promise(seed, nodes):
@@ -147,7 +156,8 @@
     """The soak detects each mutant within the fault phase of one seed: a limit that
     each node applies alone, "not run" reported for a request that a server ran, duties
     claimed while another node holds them, an unanswered read of the store treated as
-    proof that nothing has changed, and crashes that nodes do not tell each other."""
+    proof that nothing has changed, crashes that nodes do not tell each other, and
+    limits of servers that are not shared."""
     rule, seed, kinds = MUTANTS[mutant]
     outcome = run_seed(seed, slot=SLOT, mutant=mutant, kinds=kinds)
     assert outcome.violations, outcome.counts
