Tell callers refused for servers' limits when their turn comes

A refused call now extends the backlog by the time that this node's shares take for one call. The test failed before: the ends of the backlog were 8 ms apart instead of 0.5 s.

--- a/packages/endive_core/src/endive_core/admission.py
+++ b/packages/endive_core/src/endive_core/admission.py
@@ -168,6 +168,7 @@
             )
         key = (call.organisation, call.rank)
         cost_s = call.tokens * prediction.seconds_per_token
+        cost_s = max(cost_s, self.throttling.call_s())
         in_turn = self.retry_windows.may_enqueue(key, call.fingerprint, now)
         if prediction.long_wait_s <= allowed and (in_turn or not prediction.wait_s):
             if not in_turn:
--- a/packages/endive_core/src/endive_core/throttling.py
+++ b/packages/endive_core/src/endive_core/throttling.py
@@ -114,12 +114,9 @@
         ahead : int
             Calls that are sent before it.
         """
-        accepting = self.servers.accepting.items
-        if not self.throttles or not accepting:
-            return 0.0
-        if any(server.id not in self.throttles for server in accepting):
+        throttles = self._limited()
+        if not throttles:
             return 0.0
-        throttles = [self.throttles[server.id] for server in accepting]
         saved = sum(max(0.0, t.tokens) for t in throttles if t.wait_s(now) <= 0)
         rate = sum(throttle.share.rate for throttle in throttles)
         first_s = min(throttle.wait_s(now) for throttle in throttles)
@@ -127,6 +124,24 @@
             return first_s
         return first_s + (ahead + 1 - max(1.0, saved)) / rate
 
+    def call_s(self) -> float:
+        """Return the time between two calls that this node may send, seconds.
+
+        It is 0 if a server without a limit accepts work, or this node has no share.
+        """
+        rate = sum(throttle.share.rate for throttle in self._limited())
+        return 1 / rate if rate else 0.0
+
+    def _limited(self) -> list[Throttle]:
+        """Return the throttles of the servers that accept work.
+
+        There are none if a server without a limit accepts work too.
+        """
+        accepting = self.servers.accepting.items
+        if not self.throttles or any(s.id not in self.throttles for s in accepting):
+            return []
+        return [self.throttles[server.id] for server in accepting]
+
     def gap_s(self) -> float:
         """Return the mean time between two calls that all nodes may send, seconds."""
         total = sum(throttle.share.limit for throttle in self.throttles.values())
--- a/packages/endive_core/tests/test_server_limits.py
+++ b/packages/endive_core/tests/test_server_limits.py
@@ -138,3 +138,15 @@
     made = limited_scheduler({"s0": 1.0}, servers=4)
     offer(made, 1, 5.0)
     assert dispatch_all(made, 5.0)[0].server == "s0"
+
+
+def test_callers_refused_for_limits_get_times_as_far_apart_as_the_limits_allow():
+    """They were all told to come back at once, and refused again."""
+    made = limited_scheduler({"s0": 1.0, "s1": 1.0})
+    ends = []
+    for number in range(4):
+        refused = call(number, prompt_tokens=0, target_s=0.3)
+        made.offer(refused, 0.0)
+        ends.append(made.admission.retry_windows.ends_at["org", refused.rank])
+    gaps = [later - earlier for earlier, later in zip(ends, ends[1:], strict=False)]
+    assert gaps == pytest.approx([0.5] * 3)
