--- a/packages/endive_core/src/endive_core/__init__.py
+++ b/packages/endive_core/src/endive_core/__init__.py
@@ -11,7 +11,7 @@
 - failures: ``failures``, ``retrying``, ``crashes``, ``crash_news``, ``outliers``,
   ``ejection``, ``response_times``, ``call_pacing``
 - limits and metering: ``quotas``, ``shared_limits``, ``limit_coordination``,
-  ``metering``
+  ``server_limits``, ``throttling``, ``metering``
 - capacity: ``capacity``, ``load_sizing``
 - moving streams and requests: ``stream_moves``, ``handover``, ``claims``
 - membership: ``membership``, ``members``, ``digests``, ``facts``, ``leases``,
