--- a/packages/endive_gateway/src/endive_gateway/peers.py
+++ b/packages/endive_gateway/src/endive_gateway/peers.py
@@ -12,8 +12,7 @@
 import time
 
 import gevent
-from endive_core.crash_news import FRESH_RECEIVERS, CrashNews
-from endive_core.crashes import Crash, Success
+from endive_core.crash_news import FRESH_RECEIVERS
 from endive_core.server_limits import LimitReport
 from endive_core.shared_limits import SILENCE_TIMEOUT_S, SpendingOrigin
 from endive_node.logs import log_event
@@ -24,6 +23,7 @@
 from endive_gateway.configuration import ConfigurationFollower
 from endive_gateway.configuration_exchange import ConfigurationExchange
 from endive_gateway.context import Context
+from endive_gateway.crash_exchange import CrashExchange
 from endive_gateway.datagrams import DatagramPort
 from endive_gateway.following import RELAY_TIMEOUT_S
 from endive_gateway.interfaces import Record
@@ -56,13 +56,6 @@
 """Time between two steps of an urgent broadcast, when a server leaves, seconds. It
 reaches 87 nodes within 0.23 s, at 3 Mbit/s."""
 
-MAX_CRASHES = 4
-"""Most crashes in one state message, and most successes that clear some."""
-
-CRASH_ANNOUNCEMENT_DELAY_S = 0.01
-"""Time after a crash in which others are awaited before both are announced, seconds:
-all requests on a server end together."""
-
 LIVE_TIMEOUT_S = 1.5
 """Least time without a message after which a node no longer counts as live, seconds.
 Several messages in a row may be lost."""
@@ -121,10 +114,8 @@
         When the last state message of any node arrived, on the monotonic clock.
     announced : bool
         Whether this node has been complete since its start.
-    crash_news : CrashNews
-        The crashes that this node sends to the others.
-    crash_announcement : Greenlet or None
-        Sends the crashes that this node has just seen.
+    crash_exchange : CrashExchange
+        The crashes that the nodes tell each other.
     """
 
     def __init__(self, context: Context) -> None:
@@ -143,9 +134,10 @@
         self.configuration_exchange = ConfigurationExchange(context, self.live)
         self.bootstrap_exchange = BootstrapExchange(context, self)
         self.node_list = NodeList(context, self._add_listed)
-        self.crash_news = CrashNews(context.placer.crashes)
-        self.crash_announcement: gevent.Greenlet | None = None
-        context.placer.on_crash = self._announce_crash_soon
+        self.crash_exchange = CrashExchange(
+            context.placer.crashes, self._announce_crashes
+        )
+        context.placer.on_crash = self.crash_exchange.announce_soon
         context.limit_sharing.peer_addresses = self.presumed_live
         self.urgent = Event()
         self.heard_at = float("-inf")
@@ -378,18 +370,8 @@
         if self.is_reader() and not self.every_node_reads():
             self.urgent.set()
 
-    def _announce_crash_soon(self) -> None:
-        """Send the crashes that this node has seen to some nodes, which pass them on.
-
-        A request that crashes servers comes to another node within milliseconds.
-        """
-        if self.crash_announcement is None:
-            self.crash_announcement = gevent.spawn_later(
-                CRASH_ANNOUNCEMENT_DELAY_S, self._announce_crashes
-            )
-
     def _announce_crashes(self) -> None:
-        self.crash_announcement = None
+        """Send a message to some nodes, which pass its crashes on."""
         peers = list(self.known.values())
         if len(peers) > FRESH_RECEIVERS:
             peers = self.context.random.sample(peers, FRESH_RECEIVERS)
@@ -419,10 +401,6 @@
         for service, parts in context.placer.occupied_servers().items():
             context.work.set_running(service, parts)
         now = time.monotonic()
-        crashes = self.crash_news.take(now, limit=MAX_CRASHES, receivers=receivers)
-        successes = self.crash_news.take_successes(
-            limit=MAX_CRASHES, receivers=receivers
-        )
         return StateMessage(
             node=self.node_name,
             incarnation=context.incarnation,
@@ -433,9 +411,7 @@
             spent=context.limits.own_totals(),
             work=context.work.update(now),
             windows=context.meter.own_totals(),
-            crashes=[
-                (crash.fingerprint, crash.server, now - crash.at) for crash in crashes
-            ],
+            crashes=self.crash_exchange.next_crashes(now, receivers),
             fence=self.fence,
             reported=context.reported,
             server_delta=self.servers.server_delta()
@@ -448,7 +424,7 @@
             proof_age_s=self.configuration.proof_age_s() if self.configuration else -1,
             complete=self.is_complete(),
             proof=self.configuration.proofs.newest if self.configuration else 0,
-            successes=[(s.fingerprint, now - s.at) for s in successes],
+            successes=self.crash_exchange.next_successes(now, receivers),
             server_limits=[
                 (report.server, report.limit, now - report.at, report.id)
                 for report in context.limit_sharing.reports.take(MAX_REPORTS)
@@ -508,7 +484,7 @@
         origin = SpendingOrigin(address, *order, message.age_s)
         context.limits.receive(origin, message.spent, now)
         context.meter.receive(address, message.incarnation, message.windows)
-        self._learn_crashes(message, now)
+        self.crash_exchange.learn(message.node, message.crashes, message.successes, now)
         self._learn_limits(message, now)
         context.placer.ejection.receive(address, message.server_failures, now)
         context.placer.backlogs.receive(address, message.pending_prompt_tokens, now)
@@ -530,27 +506,6 @@
             context.limits.remove_peer(address)
             self.known.pop(address, None)
 
-    def _learn_crashes(self, message: "StateMessage", now: float) -> None:
-        for fingerprint, crash, age_s in message.crashes:
-            if self.crash_news.learn(Crash(fingerprint, crash, now - age_s)):
-                log_event(
-                    "crash_learned",
-                    peer=message.node,
-                    fingerprint=fingerprint,
-                    crash=crash,
-                    age_s=round(age_s, 3),
-                )
-
-        for fingerprint, age_s in message.successes:
-            success = Success(fingerprint, now - age_s)
-            if self.context.placer.crashes.add_success(success):
-                log_event(
-                    "crashes_cleared",
-                    peer=message.node,
-                    fingerprint=fingerprint,
-                    age_s=round(age_s, 3),
-                )
-
     def _learn_limits(self, message: "StateMessage", now: float) -> None:
         if message.server_limits:
             reports = [
--- a/packages/endive_gateway/tests/test_crash_news.py
+++ b/packages/endive_gateway/tests/test_crash_news.py
@@ -4,10 +4,10 @@
 import pytest
 from endive_core.crash_news import FRESH_RECEIVERS
 from endive_core.crashes import Crash, Success
+from endive_gateway.crash_exchange import ANNOUNCEMENT_DELAY_S
 from endive_gateway.peers import (
     BROADCAST_INTERVAL_PER_NODE_S,
     BROADCAST_INTERVAL_S,
-    CRASH_ANNOUNCEMENT_DELAY_S,
     DATAGRAMS_PER_STEP,
 )
 from gateway_builders import connected_peers
@@ -76,7 +76,7 @@
     for server in ("i-1", "i-2"):
         add_crash(nodes[0], "guilty", server)
         placer.on_crash()
-    gevent.sleep(2 * CRASH_ANNOUNCEMENT_DELAY_S)
+    gevent.sleep(2 * ANNOUNCEMENT_DELAY_S)
     assert sum(refuses(node, "guilty") for node in nodes) == 1 + FRESH_RECEIVERS
     assert nodes[0].sequence == 1
 
--- a/tests/soak/launch.py
+++ b/tests/soak/launch.py
@@ -64,9 +64,9 @@
 
 def ignore_crashes_elsewhere():
     """Let a node count only the crashes of servers that it has seen itself."""
-    from endive_gateway.peers import Peers
+    from endive_gateway.crash_exchange import CrashExchange
 
-    Peers._learn_crashes = lambda self, message, now: None
+    CrashExchange.learn = lambda self, *message: None
 
 
 def keep_server_limits_alone():
