Prefer a limited server only if it takes work

Found on reading: a server that had not named its limit for a second was preferred for the next call though it was paused after a failure, slow or leaving, so a crashed one that had named a limit got one call after the other. It is now chosen among the servers with room. The test failed before.

--- a/packages/endive_core/src/endive_core/scheduler.py
+++ b/packages/endive_core/src/endive_core/scheduler.py
@@ -224,7 +224,7 @@
 
     def _server_for(self, ticket: Ticket, now: float) -> ServerLoad | None:
         tier = self.usage.tier(ticket.call)
-        silent = self.throttling.silent_server(now)
+        silent = self.throttling.silent_server(now, tier)
         if silent is not None and self.placement.allows(ticket, silent, tier):
             ticket.uncached_tokens = float(ticket.call.prompt_tokens)
             return silent
--- a/packages/endive_core/src/endive_core/throttling.py
+++ b/packages/endive_core/src/endive_core/throttling.py
@@ -8,6 +8,7 @@
 import math
 from collections.abc import Mapping
 
+from endive_core.calls import Tier
 from endive_core.server_limits import LimitShare
 from endive_core.servers import ServerLoad, ServerSet
 
@@ -93,14 +94,13 @@
             server.throttled = throttled
             self.servers.refresh(server)
 
-    def silent_server(self, now: float) -> ServerLoad | None:
-        """Return an open server that has been silent on its limit; ``None`` if none."""
+    def silent_server(self, now: float, tier: Tier) -> ServerLoad | None:
+        """Return a server with room that has been silent on its limit, or ``None``."""
+        with_room = self.servers.available[tier].positions
         for server_id, throttle in self.throttles.items():
-            server = self.servers.servers.get(server_id)
-            if server is None or server.throttled:
-                continue
-            if now - throttle.share.reported_at > REFRESH_S:
-                return server
+            is_silent = now - throttle.share.reported_at > REFRESH_S
+            if is_silent and server_id in with_room:
+                return self.servers.servers[server_id]
         return None
 
     def wait_s(self, now: float, ahead: int = 0) -> float:
--- a/packages/endive_core/tests/test_server_limits.py
+++ b/packages/endive_core/tests/test_server_limits.py
@@ -3,7 +3,7 @@
 
 import pytest
 from core_builders import call, dispatch_all, view
-from endive_core.exceptions import ErrorKind
+from endive_core.exceptions import ErrorKind, RetryReason
 from endive_core.policy import Policy
 from endive_core.scheduler import Scheduler
 from endive_core.server_limits import (
@@ -150,3 +150,12 @@
         ends.append(made.admission.retry_windows.ends_at["org", refused.rank])
     gaps = [later - earlier for earlier, later in zip(ends, ends[1:], strict=False)]
     assert gaps == pytest.approx([0.5] * 3)
+
+
+def test_a_limited_server_that_failed_is_not_preferred():
+    """It would get every call until it answers one."""
+    made = limited_scheduler({"s0": 1.0}, servers=4)
+    failed = made.servers.servers["s0"]
+    made.failures.penalise_server(failed, RetryReason.SERVER_FAILED, 5.0)
+    offer(made, 1, 5.0)
+    assert dispatch_all(made, 5.0)[0].server != "s0"
