End a server's limit only by a success without one

Found on reading: an answer of 500 or a refusal without the header ended a limit, though a server in need may fail a request before it gets to name its limit; for the time until its next answer all nodes sent freely. Now a signed success without the header ends it. The test failed before.

--- a/packages/endive_gateway/src/endive_gateway/attempts.py
+++ b/packages/endive_gateway/src/endive_gateway/attempts.py
@@ -160,7 +160,10 @@
                 started=False,
                 counts_as_attempt=False,
             )
-        self.context.limit_sharing.observe(view.id, metadata, self.sent_at)
+        is_success = 200 <= message.status < 300 and metadata.signed
+        self.context.limit_sharing.observe(
+            view.id, metadata, self.sent_at, is_success=is_success
+        )
         if metadata.not_run:
             self.connection.read_all(message)
             self._keep_connection(message)
--- a/packages/endive_gateway/src/endive_gateway/limit_sharing.py
+++ b/packages/endive_gateway/src/endive_gateway/limit_sharing.py
@@ -59,9 +59,19 @@
         self.shares: dict[str, LimitShare] = {}
         self.peer_addresses: Callable[[], list[str]] = list
 
-    def observe(self, server: str, metadata: ResponseMetadata, sent_at: float) -> None:
+    def observe(
+        self,
+        server: str,
+        metadata: ResponseMetadata,
+        sent_at: float,
+        *,
+        is_success: bool = True,
+    ) -> None:
         """Apply what a server's response says about its limit.
 
+        Only a success without a limit ends one: a server in need may fail a request
+        before it gets to name its limit.
+
         Parameters
         ----------
         sent_at : float
@@ -73,7 +83,7 @@
             )
             return
         before, limit = self.reports.limit(server), metadata.request_limit
-        if limit is None and before is None:
+        if limit is None and (before is None or not is_success):
             return
         # A server may have begun a response without a limit before it named one, and
         # the response may arrive later.
--- a/packages/endive_gateway/tests/test_server_limits.py
+++ b/packages/endive_gateway/tests/test_server_limits.py
@@ -124,6 +124,18 @@
     assert sharing.reports.limit("i-1") is None
 
 
+def test_a_failure_without_a_limit_does_not_end_it():
+    """A server in need may fail a request before it gets to name its limit."""
+    limited, failed = answer(extra="Limit: 1\r\n"), answer(500, b"failed")
+    server = ScriptedServer(limited, failed, *[limited] * 9)
+    with RunningGateway(server) as running:
+        statuses = []
+        while len(server.received) < 2:
+            statuses.append(running.call().status)
+            gevent.sleep(0.1)
+        assert running.context.limit_sharing.reports.limit("i-1") == 1.0
+
+
 def test_an_invalid_limit_changes_nothing():
     context = make_context(make_table())
     context.registry.put(make_entry("i-1"))
