--- a/packages/endive_gateway/src/endive_gateway/__init__.py
+++ b/packages/endive_gateway/src/endive_gateway/__init__.py
@@ -16,7 +16,8 @@
   ``servers``, ``configuration_exchange``, ``listing``, ``bootstrap``,
   ``service_client``
 - messages between nodes: ``peers``, ``nodes``, ``state_messages``, ``datagrams``,
-  ``spending``, ``spending_messages``, ``prompts``
+  ``spending``, ``spending_messages``, ``prompts``, ``crash_exchange``,
+  ``limit_sharing``
 - cluster-wide duties, performed by one node at a time: ``duties``, ``autoscaling``
 - observability: ``logstream``, ``metrics``
 """
