Work out the places of limited servers once for a whole queue

Each tick looked at all of a service's throttles for each queued call, where all servers name limits: 18 engines and 50 calls, a hundred times a second. The figures that follow for all calls are now worked out once.

--- a/packages/endive_core/src/endive_core/expiry.py
+++ b/packages/endive_core/src/endive_core/expiry.py
@@ -114,10 +114,11 @@
 
     def expire_throttled(self, now: float) -> None:
         """Expire the queued calls that servers' limits keep beyond their deadlines."""
-        if not self.throttling.wait_s(now):
+        places = self.throttling.places(now) if len(self.queue) else None
+        if places is None:
             return
         for ahead, ticket in enumerate(self.queue.tickets()):
-            wait_s = self.throttling.wait_s(now, ahead)
+            wait_s = places.wait_s(ahead)
             deadline = ticket.call.deadline
             if wait_s == math.inf or (deadline is not None and now + wait_s > deadline):
                 refusal = self.admission.throttled_refusal(wait_s)
--- a/packages/endive_core/src/endive_core/throttling.py
+++ b/packages/endive_core/src/endive_core/throttling.py
@@ -7,6 +7,7 @@
 
 import math
 from collections.abc import Mapping
+from dataclasses import dataclass
 
 from endive_core.calls import Tier
 from endive_core.server_limits import LimitShare
@@ -50,6 +51,31 @@
         self.updated_at = now
 
 
+@dataclass(frozen=True, slots=True)
+class Places:
+    """When the limits of a service's servers let this node send its next calls.
+
+    Attributes
+    ----------
+    first_s : float
+        Time until the first one, seconds; infinite if other nodes share all limits.
+    saved : float
+        Calls that may be sent at once.
+    rate : float
+        Calls a second after that.
+    """
+
+    first_s: float
+    saved: float
+    rate: float
+
+    def wait_s(self, ahead: int) -> float:
+        """Return the time until a call may be sent after `ahead` others, seconds."""
+        if ahead < self.saved or not self.rate:
+            return self.first_s
+        return self.first_s + (ahead + 1 - max(1.0, self.saved)) / self.rate
+
+
 class Throttling:
     """The throttles of a service's limited servers.
 
@@ -106,23 +132,27 @@
     def wait_s(self, now: float, ahead: int = 0) -> float:
         """Return the time until a call may be sent to any server, seconds.
 
-        It is 0 if a server without a limit accepts work, or none does, and infinite if
-        other nodes share all limits.
+        It is 0 if a server without a limit accepts work, or none does.
 
         Parameters
         ----------
         ahead : int
             Calls that are sent before it.
         """
+        places = self.places(now)
+        return places.wait_s(ahead) if places else 0.0
+
+    def places(self, now: float) -> Places | None:
+        """Return when calls may be sent, or ``None`` if no limit holds them up."""
         throttles = self._limited()
         if not throttles:
-            return 0.0
-        saved = sum(max(0.0, t.tokens) for t in throttles if t.wait_s(now) <= 0)
+            return None
+        waits = [throttle.wait_s(now) for throttle in throttles]
+        saved = sum(
+            t.tokens for t, wait in zip(throttles, waits, strict=True) if not wait
+        )
         rate = sum(throttle.share.rate for throttle in throttles)
-        first_s = min(throttle.wait_s(now) for throttle in throttles)
-        if ahead < saved or not rate:
-            return first_s
-        return first_s + (ahead + 1 - max(1.0, saved)) / rate
+        return Places(min(waits), saved, rate)
 
     def call_s(self) -> float:
         """Return the time between two calls that this node may send, seconds.
