Remember which responses cleared crashes as long as the crashes

Found on reading: the last 512 responses are remembered, forty seconds of a gateway's load. Once that of cleared content was forgotten, its crashes counted again, and it was refused. The time of a response that clears crashes is now kept with them. The test failed before.

--- a/packages/endive_core/src/endive_core/crashes.py
+++ b/packages/endive_core/src/endive_core/crashes.py
@@ -75,6 +75,8 @@
         Called with each :class:`Crash` that was not known to this node.
     successes : OrderedDict
         Time of the last complete response by fingerprint, the newest last.
+    cleared : dict of str to float
+        The same for fingerprints with known crashes, as long as these are known.
     success_listeners : list of callable
         Called with each :class:`Success` by which known crashes no longer count.
     """
@@ -88,6 +90,7 @@
         self.crashes: OrderedDict[str, dict[str, float]] = OrderedDict()
         self.listeners: list[Callable[[Crash], None]] = []
         self.successes: OrderedDict[str, float] = OrderedDict()
+        self.cleared: dict[str, float] = {}
         self.success_listeners: list[Callable[[Success], None]] = []
 
     @classmethod
@@ -111,17 +114,18 @@
         servers[crash.server] = crash.at
         self.crashes.move_to_end(crash.fingerprint)
         while len(self.crashes) > self.max_fingerprints:
-            self.crashes.popitem(last=False)
+            dropped, _ = self.crashes.popitem(last=False)
+            self.cleared.pop(dropped, None)
         for listener in self.listeners:
             listener(crash)
         if not self._counts(crash.fingerprint, crash.at):
-            self._tell_success(crash.fingerprint)
+            self._clear(crash.fingerprint)
         return True
 
     def add_success(self, success: Success) -> bool:
         """Record a complete response; return whether crashes no longer count by it."""
         fingerprint = success.fingerprint
-        if not fingerprint or success.at <= self.successes.get(fingerprint, -math.inf):
+        if not fingerprint or success.at <= self._last_success(fingerprint):
             return False
         crashes = self.crashes.get(fingerprint, {})
         counted = sum(self._counts(fingerprint, at) for at in crashes.values())
@@ -131,17 +135,22 @@
             self.successes.popitem(last=False)
         if counted == sum(self._counts(fingerprint, at) for at in crashes.values()):
             return False
-        self._tell_success(fingerprint)
+        self._clear(fingerprint)
         return True
 
-    def _tell_success(self, fingerprint: str) -> None:
-        success = Success(fingerprint, self.successes[fingerprint])
+    def _clear(self, fingerprint: str) -> None:
+        self.cleared[fingerprint] = self._last_success(fingerprint)
+        success = Success(fingerprint, self.cleared[fingerprint])
         for listener in self.success_listeners:
             listener(success)
 
     def _counts(self, fingerprint: str, at: float) -> bool:
         """Return whether a crash at `at` counts, judged by the last success."""
-        return at > self.successes.get(fingerprint, -math.inf) + SUCCESS_VALID_S
+        return at > self._last_success(fingerprint) + SUCCESS_VALID_S
+
+    def _last_success(self, fingerprint: str) -> float:
+        known = (self.successes, self.cleared)
+        return max(times.get(fingerprint, -math.inf) for times in known)
 
     def merge(self, crashes: Iterable[Crash]) -> int:
         """Record the crashes that another node saw; return how many were new."""
--- a/packages/endive_core/tests/test_crash_news.py
+++ b/packages/endive_core/tests/test_crash_news.py
@@ -131,3 +131,17 @@
     for number in range(MAX_SUCCESSES + 10):
         table.add_success(Success(f"f{number}", float(number)))
     assert len(table.successes) == MAX_SUCCESSES
+
+
+def test_cleared_content_stays_cleared_after_many_other_responses(table):
+    """It was refused again once its response was forgotten."""
+    for server in ("s1", "s2"):
+        table.add(Crash("popular", server, 0.0))
+    table.add_success(Success("popular", 1.0))
+    table.add_success(Success("early", 1.0))
+    table.add(Crash("early", "s1", 2.0))
+    table.add(Crash("early", "s2", 2.0))
+    for number in range(MAX_SUCCESSES + 1):
+        table.add_success(Success(f"f{number}", 2.0))
+    assert not table.is_poison("popular", 3.0)
+    assert not table.is_poison("early", 3.0)
