Choose the nodes that share a limit only after a change

Each step of the broadcasts, ten a second, hashed all nodes for each limited server; with 39 of them at 195 nodes that is 76,000 hashes a second. The choice is kept until the nodes or the limit change. No decision changes; the tests of limits and the soak's two pass.

--- a/packages/endive_core/src/endive_core/server_limits.py
+++ b/packages/endive_core/src/endive_core/server_limits.py
@@ -149,19 +149,18 @@
 
 
 def share_of(
-    node: str, nodes: Collection[str], report: LimitReport, *, reachable: float = 1.0
+    node: str, sharing: Collection[str], report: LimitReport, *, reachable: float = 1.0
 ) -> LimitShare:
     """Return the share of `node` in the limit that a server has reported.
 
     Parameters
     ----------
-    nodes : collection of str
-        All nodes that may send requests, `node` included.
+    sharing : collection of str
+        The nodes that share the limit; see :func:`sharers`.
     reachable : float
         Part of the limit that belongs to the nodes in contact. The others may have lost
         contact with this node only, and go on sending their part.
     """
-    sharing = sharers(report.server, report.limit, nodes)
     if node not in sharing:
         return LimitShare(report.limit, 0.0, 0.0, report.at)
     rate = max(MIN_RATE, report.limit * reachable) / len(sharing)
--- a/packages/endive_core/tests/test_server_limits.py
+++ b/packages/endive_core/tests/test_server_limits.py
@@ -23,12 +23,12 @@
     nodes = [f"10.0.{n // 250}.{n % 250}" for n in range(count)]
     report = LimitReport("i-1", limit, 0.0, 1)
     sharing = sharers("i-1", limit, nodes)
-    shares = [share_of(node, nodes, report) for node in sharing]
+    shares = [share_of(node, sharing, report) for node in sharing]
     assert sum(share.rate for share in shares) == pytest.approx(max(0.1, limit))
     in_four_s = sum(share.burst + 4 * share.rate for share in shares)
     assert in_four_s <= 1.5 * 4 * limit + 5
     others = [n for n in nodes if n not in sharing]
-    assert all(share_of(node, nodes, report).rate == 0 for node in others[:5])
+    assert all(share_of(node, sharing, report).rate == 0 for node in others[:5])
 
 
 def test_the_newest_report_counts():
--- a/packages/endive_gateway/src/endive_gateway/limit_sharing.py
+++ b/packages/endive_gateway/src/endive_gateway/limit_sharing.py
@@ -14,6 +14,7 @@
     LimitShare,
     ServerLimits,
     share_of,
+    sharers,
 )
 from endive_core.shared_limits import SharedLimits
 from endive_node.logs import log_event
@@ -38,6 +39,10 @@
         What servers have said, to this node or to others.
     shares : dict of str to LimitShare
         This node's shares by server, as the placer has them.
+    nodes : set of str
+        The nodes among which `sharers` were chosen.
+    sharers : dict
+        By server and limit, the nodes that share it.
     peer_addresses : callable
         Returns the addresses of the other nodes that are presumed to be live.
     """
@@ -57,6 +62,8 @@
         self.random = random
         self.reports = ServerLimits()
         self.shares: dict[str, LimitShare] = {}
+        self.nodes: set[str] = set()
+        self.sharers: dict[tuple[str, float], list[str]] = {}
         self.peer_addresses: Callable[[], list[str]] = list
 
     def observe(
@@ -127,7 +134,9 @@
         nodes = {self.address, *self.peer_addresses()} if limited else set()
         reachable = self.limits.reachable_share(now) if limited else 1.0
         shares = {
-            server: share_of(self.address, nodes, report, reachable=reachable)
+            server: share_of(
+                self.address, self._sharers(report, nodes), report, reachable=reachable
+            )
             for server, report in limited.items()
         }
         for server, share in shares.items():
@@ -143,6 +152,15 @@
         self.shares = shares
         self.placer.set_limit_shares(shares)
 
+    def _sharers(self, report: LimitReport, nodes: set[str]) -> list[str]:
+        """Return the nodes that share a limit, chosen anew only after a change."""
+        if nodes != self.nodes:
+            self.nodes, self.sharers = nodes, {}
+        key = (report.server, report.limit)
+        if key not in self.sharers:
+            self.sharers[key] = sharers(report.server, report.limit, nodes)
+        return self.sharers[key]
+
     def limited_servers(self) -> int:
         """Return how many servers name a limit."""
         return len(self.shares)
--- a/tests/soak/launch.py
+++ b/tests/soak/launch.py
@@ -74,7 +74,7 @@
     from endive_gateway import limit_sharing
 
     real_share = limit_sharing.share_of
-    limit_sharing.share_of = lambda node, nodes, report, **options: real_share(
+    limit_sharing.share_of = lambda node, sharing, report, **options: real_share(
         node, {node}, report, **options
     )
 
