Keep one choice of nodes for each limited server

The choices were kept by server and limit, so a server that names a new limit with each answer would have added one each time until the nodes change. The tests of limits pass.

--- a/packages/endive_gateway/src/endive_gateway/limit_sharing.py
+++ b/packages/endive_gateway/src/endive_gateway/limit_sharing.py
@@ -42,7 +42,7 @@
     nodes : set of str
         The nodes among which `sharers` were chosen.
     sharers : dict
-        By server and limit, the nodes that share it.
+        By server, its limit and the nodes that share it.
     peer_addresses : callable
         Returns the addresses of the other nodes that are presumed to be live.
     """
@@ -63,7 +63,7 @@
         self.reports = ServerLimits()
         self.shares: dict[str, LimitShare] = {}
         self.nodes: set[str] = set()
-        self.sharers: dict[tuple[str, float], list[str]] = {}
+        self.sharers: dict[str, tuple[float, list[str]]] = {}
         self.peer_addresses: Callable[[], list[str]] = list
 
     def observe(
@@ -156,10 +156,11 @@
         """Return the nodes that share a limit, chosen anew only after a change."""
         if nodes != self.nodes:
             self.nodes, self.sharers = nodes, {}
-        key = (report.server, report.limit)
-        if key not in self.sharers:
-            self.sharers[key] = sharers(report.server, report.limit, nodes)
-        return self.sharers[key]
+        limit, chosen = self.sharers.get(report.server, (None, []))
+        if limit != report.limit:
+            chosen = sharers(report.server, report.limit, nodes)
+            self.sharers[report.server] = (report.limit, chosen)
+        return chosen
 
     def limited_servers(self) -> int:
         """Return how many servers name a limit."""
