Start no server after its soak run has ended

A run that ends at its first violation leaves a crashed backend in its downtime; it started its next server in the middle of the following run in the same process, on the same address. A backend of a closed fleet now starts no server.

--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -260,6 +260,8 @@
         self.link.close_port()
         gevent.spawn_later(MISSED_HEARTBEATS_S, self._expire_entry, server.id)
         gevent.sleep(downtime_s)
+        if self.fleet.closed:
+            return
         self._start()
         self.link.listen()
         self.send_heartbeat()
@@ -288,6 +290,7 @@
         self.mutant = mutant
         self.version = 0
         self.configured_at = 0.0
+        self.closed = False
         self.started = time.monotonic()
         self.checker = InvariantChecker(self.clock, LIMITS)
         self.lag = Lag()
@@ -351,6 +354,7 @@
                 link.heal()
 
     def close(self):
+        self.closed = True
         for node in self.nodes:
             node.close()
         for backend in self.backends:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,9 +1,11 @@
 import os
+from types import SimpleNamespace
 
 import gevent
 import pytest
 from soak.callers import is_stale
 from soak.faults import FAULTS, set_temporarily
+from soak.fleet import Backend
 from soak.play import run_seed
 
 WORKER = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw"))
@@ -112,6 +114,30 @@
     assert outcome.violations == [], outcome.directory
 
 
+class ClosingFleet:
+    """What a backend needs of its fleet, which is closed while the backend is down."""
+
+    def __init__(self):
+        self.closed = False
+        self.checker = None
+        self.store = SimpleNamespace(put=lambda *entry: None)
+        self.clock = lambda: 0.0
+
+    def ip(self, purpose, number):
+        return f"127.{SLOT}.{purpose}.{number + 1}"
+
+
+def test_a_server_that_crashes_as_its_run_ends_is_not_started_again():
+    """Its port stayed in use, and the next run in the same process could not start."""
+    fleet = ClosingFleet()
+    backend = Backend(fleet, 0, "plain")
+    crash = gevent.spawn(backend.crash, 0.05)
+    gevent.sleep(0.01)
+    fleet.closed = True
+    crash.join()
+    assert backend.server is None
+
+
 class Target:
     """An object whose attribute is set by faults."""
 
