Log how a stream ended

The last line of a request now has the complete events, the bytes after them, and whether the end of the connection ended the answer; a metric counts the streams that end inside an event. What callers get is unchanged.

--- a/packages/endive_gateway/src/endive_gateway/attempts.py
+++ b/packages/endive_gateway/src/endive_gateway/attempts.py
@@ -233,13 +233,14 @@
         The head is sent with the first event only: until then the request can still be
         retried at another server.
         """
-        exchange = self.request.exchange
+        exchange, splitter = self.request.exchange, self.request.splitter
         resumable = self.request.route.resumable
-        while data := self.connection.read_body(message):
+        while data := self._read_events(message):
             self.context.placer.started(self.request.ticket)
             self.request.count_start()
+            whole = splitter.feed(data)
             if resumable:
-                data = self.request.splitter.feed(data)
+                data = whole
             if data and not exchange.response_started:
                 exchange.send_head(
                     message.status, message.reason, end_to_end(message.headers)
@@ -247,18 +248,39 @@
             if data:
                 self.request.progress.chunk_forwarded(self.request.now)
             exchange.send_chunk(data)
+        self._record_end(message)
         self._keep_connection(message)
         self.context.placer.finished(self.request.ticket, self._tokens())
         if not exchange.response_started:
             exchange.send_head(
                 message.status, message.reason, end_to_end(message.headers)
             )
-        exchange.send_chunk(self.request.splitter.rest())
+        rest = splitter.rest()
+        if resumable:
+            exchange.send_chunk(rest)
         self.request.outcome = "ok"
         exchange.end()
 
+    def _read_events(self, message: ResponseMessage) -> bytes:
+        """Return the next bytes of a stream; raises ConnectionBrokenError."""
+        try:
+            return self.connection.read_body(message)
+        except ConnectionBrokenError:
+            self._record_end(message)
+            raise
+
+    def _record_end(self, message: ResponseMessage) -> None:
+        """Record for the log how a stream ended."""
+        splitter, progress = self.request.splitter, self.request.progress
+        progress.events = splitter.count
+        progress.unfinished_bytes = len(splitter.pending)
+        progress.ends_with_connection = message.ends_with_connection
+        if splitter.is_inside_event:
+            self.context.metrics.events["stream_ended_inside_event"] += 1
+
     def _tokens(self) -> int:
-        if self.request.engine is None or not self.request.splitter.count:
+        splitter, resumable = self.request.splitter, self.request.route.resumable
+        if self.request.engine is None or not (resumable and splitter.count):
             return max(1, self.request.metadata.max_tokens or 1)
         return self.request.splitter.count * self.request.engine.tokens_per_event
 
--- a/packages/endive_gateway/src/endive_gateway/events.py
+++ b/packages/endive_gateway/src/endive_gateway/events.py
@@ -40,6 +40,13 @@
             self.last_id = match[1].decode("latin-1")
         return whole
 
+    @property
+    def is_inside_event(self) -> bool:
+        """Whether the data so far ends inside an event; comments are not events."""
+        return any(
+            line and not line.startswith(b":") for line in self.pending.splitlines()
+        )
+
     def rest(self) -> bytes:
         """Return what follows the last complete event of a stream that has ended."""
         rest, self.pending = self.pending, b""
--- a/packages/endive_gateway/src/endive_gateway/progress.py
+++ b/packages/endive_gateway/src/endive_gateway/progress.py
@@ -27,6 +27,12 @@
         Longest time between two chunks of the response.
     last_sent_at : float
         When the latest chunk was sent to the caller.
+    events : int
+        Complete events of the stream.
+    unfinished_bytes : int
+        Bytes received after the last complete event, when the stream ended.
+    ends_with_connection : bool
+        Whether the response has neither a length nor chunks.
     """
 
     received_at: float
@@ -37,6 +43,9 @@
     first_byte_s: float | None = None
     max_gap_s: float = 0.0
     last_sent_at: float = 0.0
+    events: int = 0
+    unfinished_bytes: int = 0
+    ends_with_connection: bool = False
 
     def dispatched(
         self, queued_s: float, uncached_tokens: float, *, yielded: bool = False
@@ -55,7 +64,10 @@
         self.last_sent_at = now
 
     def fields(self) -> dict[str, int]:
-        """Return the non-zero fields of the log line, in milliseconds and tokens."""
+        """Return the non-zero fields of the log line.
+
+        They are in milliseconds, tokens, events and bytes.
+        """
         values = {
             "queued_ms": self.queued_s * 1000,
             "first_ms": (self.first_byte_s or 0.0) * 1000,
@@ -63,5 +75,8 @@
             "prompt": self.prompt_tokens,
             "uncached": self.uncached_tokens,
             "yielded": self.yielded,
+            "events": self.events,
+            "unfinished": self.unfinished_bytes,
+            "unframed": self.ends_with_connection,
         }
         return {name: round(value) for name, value in values.items() if value >= 0.5}
--- a/packages/endive_gateway/tests/test_progress.py
+++ b/packages/endive_gateway/tests/test_progress.py
@@ -19,3 +19,10 @@
     progress.dispatched(0.1, 0.0)
     progress.dispatched(0.3, 0.0)
     assert progress.fields() == {"queued_ms": 400}
+
+
+def test_how_a_stream_ended():
+    progress = Progress(received_at=0.0)
+    progress.events, progress.unfinished_bytes = 3, 7
+    progress.ends_with_connection = True
+    assert progress.fields() == {"events": 3, "unfinished": 7, "unframed": 1}
