--- a/packages/endive_gateway/tests/server_builders.py
+++ b/packages/endive_gateway/tests/server_builders.py
@@ -131,6 +131,32 @@
     return send
 
 
+def whole_stream(first, last, *, cut=b"", framing="connection"):
+    """Return a script entry that sends the events at once, and ends in an orderly way.
+
+    `cut` is sent after them. With the framing ``connection`` the answer has neither a
+    length nor chunks; else ``length`` or ``chunked`` says that it is complete.
+    """
+
+    def send(sock, received):
+        body = b"".join(event(number) for number in range(first, last + 1)) + cut
+        header = {
+            "connection": "Connection: close",
+            "length": f"Content-Length: {len(body)}",
+            "chunked": "Transfer-Encoding: chunked",
+        }[framing]
+        head = (
+            f"HTTP/1.1 200 OK\r\nId: {received.headers['id']}\r\nSigned: yes\r\n"
+            f"Content-Type: text/event-stream\r\n{header}\r\n\r\n"
+        )
+        if framing == "chunked":
+            body = (chunk(body) if body else b"") + b"0\r\n\r\n"
+        sock.sendall(head.encode() + body)
+        return False if framing == "connection" else None
+
+    return send
+
+
 def event(number):
     """Return the bytes of one server-sent event."""
     return b"id: %d\ndata: t%d\n\n" % (number, number)
