End a stream as complete only after a whole event

Cause: the node judged a stream by the framing of its server's answer alone. An answer may have neither a length nor chunks, and then a server that breaks off closes the connection as one that is done does; an orderly end inside an event was passed on as the end of the stream, and on routes that can be resumed the half event with it.

Class: an end that only the transport shows is taken for the end of the content. Events are now split on all streams, so that a caller gets whole events only and can resume; a stream that ends inside an event, whatever frames it, is a failed attempt like a reset one: counted against the server, resumed where that is allowed, else cut at the caller. An answer whose end only the connection shows is none without an event.

The events of all streams, not only of those that can be resumed, now tell the tokens of an answer.

--- a/packages/endive_gateway/src/endive_gateway/attempts.py
+++ b/packages/endive_gateway/src/endive_gateway/attempts.py
@@ -228,39 +228,61 @@
         )
 
     def _forward_stream(self, message: ResponseMessage) -> None:
-        """Forward the events of a stream as they arrive.
+        """Forward the events of a stream as they arrive, each as a whole.
 
         The head is sent with the first event only: until then the request can still be
         retried at another server.
         """
         exchange, splitter = self.request.exchange, self.request.splitter
-        resumable = self.request.route.resumable
+        has_events = _is_event_stream(message)
+        events_before = splitter.count
         while data := self._read_events(message):
             self.context.placer.started(self.request.ticket)
             self.request.count_start()
-            whole = splitter.feed(data)
-            if resumable:
-                data = whole
-            if data and not exchange.response_started:
-                exchange.send_head(
-                    message.status, message.reason, end_to_end(message.headers)
-                )
+            if has_events:
+                data = splitter.feed(data)
             if data:
+                self._start_response(message)
                 self.request.progress.chunk_forwarded(self.request.now)
-            exchange.send_chunk(data)
+                exchange.send_chunk(data)
         self._record_end(message)
+        if has_events:
+            self._check_stream_complete(message, splitter.count - events_before)
         self._keep_connection(message)
         self.context.placer.finished(self.request.ticket, self._tokens())
-        if not exchange.response_started:
-            exchange.send_head(
-                message.status, message.reason, end_to_end(message.headers)
-            )
-        rest = splitter.rest()
-        if resumable:
-            exchange.send_chunk(rest)
+        self._start_response(message)
+        exchange.send_chunk(splitter.rest())
         self.request.outcome = "ok"
         exchange.end()
 
+    def _start_response(self, message: ResponseMessage) -> None:
+        """Send the head of a stream's response, unless it has been sent."""
+        if not self.request.exchange.response_started:
+            self.request.exchange.send_head(
+                message.status, message.reason, end_to_end(message.headers)
+            )
+
+    def _check_stream_complete(self, message: ResponseMessage, events: int) -> None:
+        """Reject a stream that its server broke off and then ended in an orderly way.
+
+        Parameters
+        ----------
+        events : int
+            Complete events of this response.
+
+        Raises
+        ------
+        ConnectionBrokenError
+            If the stream ended inside an event, or if only the end of the connection
+            says that a stream without any event is complete.
+        """
+        if self.request.splitter.is_inside_event:
+            raise ConnectionBrokenError("the stream ended inside an event", sent=True)
+        if message.ends_with_connection and not events:
+            raise ConnectionBrokenError(
+                "the connection ended before the first event", sent=True
+            )
+
     def _read_events(self, message: ResponseMessage) -> bytes:
         """Return the next bytes of a stream; raises ConnectionBrokenError."""
         try:
@@ -279,8 +301,7 @@
             self.context.metrics.events["stream_ended_inside_event"] += 1
 
     def _tokens(self) -> int:
-        splitter, resumable = self.request.splitter, self.request.route.resumable
-        if self.request.engine is None or not (resumable and splitter.count):
+        if self.request.engine is None or not self.request.splitter.count:
             return max(1, self.request.metadata.max_tokens or 1)
         return self.request.splitter.count * self.request.engine.tokens_per_event
 
@@ -296,3 +317,8 @@
         if self.connection is not None:
             self.connection.close()
             self.connection = None
+
+
+def _is_event_stream(message: ResponseMessage) -> bool:
+    content_type = header_value(message.headers, b"content-type")
+    return content_type.strip().lower().startswith(b"text/event-stream")
--- a/packages/endive_gateway/src/endive_gateway/events.py
+++ b/packages/endive_gateway/src/endive_gateway/events.py
@@ -2,8 +2,9 @@
 
 import re
 
-EVENT_END = re.compile(rb"\r?\n\r?\n")
-EVENT_ID = re.compile(rb"^id:[ ]?([^\r\n]*)\r?$", re.MULTILINE)
+LINE_END = rb"(?>\r\n|\r|\n)"
+EVENT_END = re.compile(LINE_END + LINE_END)
+EVENT_ID = re.compile(rb"(?:\A|[\r\n])id:[ ]?([^\r\n]*)")
 
 
 class EventSplitter:
@@ -11,7 +12,7 @@
 
     A server may fail in the middle of an event. If the partial event had been sent to
     the caller, the events of the server that resumes the stream would be appended to
-    it.
+    it, and a caller that resumes the stream would get a part of it twice.
 
     Attributes
     ----------
