Take no page of the store for more than it holds

A page of the store states the end of its topic, but holds less if it is large, or if its answer has no length and is cut between two records.

--- a/packages/endive_gateway/src/endive_gateway/configuration.py
+++ b/packages/endive_gateway/src/endive_gateway/configuration.py
@@ -14,7 +14,7 @@
     StoreOffsetOutOfRangeError,
     UndecodableError,
 )
-from endive_gateway.following import Follower, Readers
+from endive_gateway.following import Follower, Readers, read_to_end
 from endive_gateway.interfaces import Record, Topic
 from endive_gateway.loops import keep_running
 
@@ -189,7 +189,7 @@
         if not self.synced:
             self._read_newest()
             return
-        page = self.context.store.read(self.topic, self.next_offset)
+        page = read_to_end(self.context.store, self.topic, self.next_offset)
         version = self.context.version
         self._apply_page(page)
         if self.context.version > version:
--- a/packages/endive_gateway/src/endive_gateway/duties.py
+++ b/packages/endive_gateway/src/endive_gateway/duties.py
@@ -21,6 +21,7 @@
     StoreOffsetOutOfRangeError,
     StoreOutcomeUnknownError,
 )
+from endive_gateway.following import read_to_end
 from endive_gateway.interfaces import Topic
 from endive_gateway.peers import Peers
 
@@ -246,7 +247,7 @@
         )
 
     def _read(self) -> None:
-        page = self.context.store.read(Topic.DUTIES, self.next_offset)
+        page = read_to_end(self.context.store, Topic.DUTIES, self.next_offset)
         for entry in page.records:
             self.next_offset = entry.offset + 1
             try:
--- a/packages/endive_gateway/tests/store_builders.py
+++ b/packages/endive_gateway/tests/store_builders.py
@@ -27,9 +27,12 @@
         For each entry one append is done although its answer is lost.
     calls : list of str
         Names of the calls so far.
+    page_records : int or None
+        Most records in one page of a read.
     """
 
-    def __init__(self):
+    def __init__(self, page_records=None):
+        self.page_records = page_records
         self.topics = defaultdict(list)
         self.kept_from = defaultdict(int)
         self.fault = None
@@ -55,7 +58,7 @@
         if start < first:
             raise StoreOffsetOutOfRangeError(first)
         records = self.topics[topic]
-        return Page(first, len(records), records[start:])
+        return Page(first, len(records), records[start:][: self.page_records])
 
     def append(self, topic, value, *, at=None):
         self._begin("append")
