--- a/packages/endive_gateway/src/endive_gateway/attempts.py
+++ b/packages/endive_gateway/src/endive_gateway/attempts.py
@@ -165,7 +165,7 @@
             view.id, metadata, self.sent_at, is_success=is_success
         )
         if metadata.not_run:
-            self.connection.read_all(message)
+            self._read_response(message)
             self._keep_connection(message)
             raise AttemptError(
                 f"the server refused the request with {message.status}",
@@ -174,7 +174,7 @@
             )
         if 200 <= message.status < 300:
             self._check_success(message, metadata)
-            if self.request.route.kind is RouteKind.STREAM:
+            if self._is_stream(message):
                 self._forward_stream(message)
             else:
                 self._forward_whole(message)
@@ -189,6 +189,11 @@
             response=response,
         )
 
+    def _is_stream(self, message: ResponseMessage) -> bool:
+        has_body = self.request.exchange.message.method != b"HEAD"
+        has_body = has_body and message.status != 204
+        return has_body and self.request.route.kind is RouteKind.STREAM
+
     def _check_success(
         self, message: ResponseMessage, metadata: ResponseMetadata
     ) -> None:
--- a/packages/endive_gateway/tests/test_broken_streams.py
+++ b/packages/endive_gateway/tests/test_broken_streams.py
@@ -1,7 +1,7 @@
 import pytest
 from endive_core.routing import RouteKind
 from gateway_builders import count_received_requests, gateway_with_two_servers
-from server_builders import close_connection, event, whole_stream
+from server_builders import close_connection, event, raw, whole_stream
 
 STREAM = {"kind": RouteKind.STREAM, "max_attempts": 2}
 RESUMABLE = STREAM | {"resumable": True}
@@ -106,3 +106,19 @@
         metrics = running.context.metrics
     assert " events=3 unfinished=5 unframed=1" in caplog.text
     assert metrics.events["stream_ended_inside_event"] == 1
+
+
+@pytest.mark.parametrize("head", [b"200 OK", b"204 No Content"])
+@pytest.mark.parametrize("route", [STREAM, RESUMABLE])
+def test_an_answer_without_a_body_on_a_streaming_route_is_complete(route, head):
+    """A node that waits for events of an answer to HEAD holds it to its time-out."""
+    method = "GET" if head.startswith(b"204") else "HEAD"
+    answer = raw(b"HTTP/1.1 " + head + b"\r\nId: %ID\r\nSigned: yes\r\n\r\n")
+    with gateway_with_two_servers(answer, **route) as running:
+        caller = running.caller()
+        caller.send(method=method)
+        while b"\r\n\r\n" not in caller.buffer:
+            assert caller._more()
+        assert count_received_requests(running) == 1
+    assert caller.buffer.startswith(b"HTTP/1.1 " + head)
+    assert b"transfer-encoding" not in caller.buffer.lower()
