Let the soak's servers end answers with their connection, some inside an event

A new fault lets a server answer without them for some seconds and break off a part of its streams inside an event, with an orderly end. A mutant that takes each orderly end for complete breaks the rule on seed 1; the code passes seed 1. Older seeds keep their kinds.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -230,6 +230,18 @@
         set_temporarily(server, "limit", limit, fault.for_s + 6.0)
 
 
+def server_unframed(fleet, fault):
+    """Let a server's responses end with their connection, some inside an event."""
+    server = backend_of(fleet, fault).server
+    if server is not None:
+        for_s = fault.for_s + 3.0
+        share = gevent.spawn(
+            set_temporarily, server, "broken_share", fault.strength, for_s
+        )
+        set_temporarily(server, "unframed", True, for_s)
+        share.join()
+
+
 def crashing_request(fleet, fault):
     """Send a request that crashes each server that runs it to all nodes in turn."""
     content = f"{fault.target}-{fault.strength}"
@@ -262,5 +274,6 @@
         server_slow,
         crashing_request,
         server_limited,
+        server_unframed,
     )
 }
--- a/tests/soak/launch.py
+++ b/tests/soak/launch.py
@@ -79,6 +79,16 @@
     )
 
 
+def trust_orderly_ends():
+    """Let a node take each stream for complete that its server ends in an orderly way.
+
+    It then also sends what follows the last complete event.
+    """
+    from endive_gateway.attempts import Attempt
+
+    Attempt._check_stream_complete = lambda self, message, events: None
+
+
 MUTANTS = {
     "limit": disable_limit_sharing,
     "not-run": report_not_run,
@@ -86,6 +96,7 @@
     "silence": treat_silence_as_current,
     "crashes": ignore_crashes_elsewhere,
     "server-limits": keep_server_limits_alone,
+    "broken-streams": trust_orderly_ends,
 }
 
 if __name__ == "__main__":
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -6,6 +6,7 @@
 import base64
 import hashlib
 import json
+import socket
 import struct
 import zlib
 from urllib.parse import parse_qsl
@@ -88,6 +89,30 @@
     return [data]
 
 
+def send_unframed(sock, headers, pieces):
+    """Send a response without a length or chunks, which the connection's end ends."""
+    lines = [f"{name}: {value}" for name, value in headers.items()]
+    head = "\r\n".join(["HTTP/1.1 200 OK", *lines, "Connection: close"])
+    try:
+        sock.sendall(head.encode() + b"\r\n\r\n")
+        for piece in pieces:
+            sock.sendall(piece)
+        sock.shutdown(socket.SHUT_WR)
+    except OSError:
+        pass  # the node has closed the connection
+    return []
+
+
+def broken_off(events, drawn):
+    """Yield some of the events and a part of the next one, as `drawn` says."""
+    passed = drawn % EVENTS
+    for number, piece in enumerate(events):
+        if number == passed:
+            yield piece[: 1 + drawn // EVENTS % (len(piece) - 1)]
+            return
+        yield piece
+
+
 class FakeStore(Listener):
     """The platform's store: a log of records by topic.
 
@@ -230,6 +255,10 @@
         Time to run a plain request, seconds.
     limit : float or None
         Requests a second that it takes from all nodes together, named in its responses.
+    unframed : bool
+        Whether its responses have neither a length nor chunks.
+    broken_share : float
+        Share of its streams without a length or chunks that end inside an event.
     backend : Backend
         What this server runs for.
     """
@@ -244,6 +273,8 @@
         self.checker = checker
         self.running = 0
         self.error_share = 0.0
+        self.unframed = False
+        self.broken_share = 0.0
         self.work_s = WORK_S
         self.number = 0
         super().__init__(host, port)
@@ -284,11 +315,14 @@
                 self.checker.server_crashed(environ["PATH_INFO"])
                 self.backend.crash_soon()
                 Event().wait()
-            if self._fails(request_id):
+            if self._draws(request_id, self.error_share):
                 return respond(start, 500, b"no", headers)
             if environ["PATH_INFO"].startswith("/stream"):
                 return self._stream(request_id, environ, start, headers)
             gevent.sleep(self.work_s)
+            if self.unframed:
+                body = [plain_body(request_id)]
+                return send_unframed(environ["soak.socket"], headers, body)
             return respond(start, 200, plain_body(request_id), headers)
         finally:
             self.running -= 1
@@ -309,15 +343,21 @@
             self.limited.told_at.setdefault(request.node, now)
         return {"Server-Limit": f"{self.limit:g}"}
 
-    def _fails(self, request_id):
+    def _draws(self, request_id, share):
         # CRC-32, since the built-in hash of a string differs between processes.
         drawn = zlib.crc32(f"{request_id}/{self.id}".encode()) % 100
-        return drawn < self.error_share * 100
+        return drawn < share * 100
 
     def _stream(self, request_id, environ, start, headers):
         first = int(environ.get("HTTP_LAST_EVENT_ID") or 0) + 1
-        start("200 OK", [*headers.items(), ("Content-Type", "text/event-stream")])
-        return self._events(request_id, first)
+        headers |= {"Content-Type": "text/event-stream"}
+        events = self._events(request_id, first)
+        if self.unframed:
+            if self._draws(request_id, self.broken_share):
+                events = broken_off(events, zlib.crc32(request_id.encode()))
+            return send_unframed(environ["soak.socket"], headers, events)
+        start("200 OK", list(headers.items()))
+        return events
 
     def _events(self, request_id, first):
         self.running += 1
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -12,7 +12,9 @@
 SLOT = 60 + WORKER
 """Number of the loopback addresses that only this test worker uses."""
 
-EARLIER_KINDS = tuple(sorted(set(FAULTS) - {"crashing_request", "server_limited"}))
+EARLIER_KINDS = tuple(
+    sorted(set(FAULTS) - {"crashing_request", "server_limited", "server_unframed"})
+)
 FIRST_KINDS = tuple(sorted(set(EARLIER_KINDS) - {"store_silent", "links_fall_silent"}))
 """Kinds of which older seeds draw their faults. With more kinds the same seeds would
 draw other faults."""
@@ -48,6 +50,7 @@
 """
 
 LIMITED_SERVERS = ("server_limited", "reload", "change_configuration")
+UNFRAMED = ("server_unframed", "server_leaves", "restart")
 MUTANTS = {
     "limit": ("limit", 1, ("reload",)),
     "not-run": ("not run", 1, ("server_crash",)),
@@ -55,6 +58,7 @@
     "silence": ("configuration in time", 8, SILENCES),
     "crashes": ("crashing request", 1, CRASHES),
     "server-limits": ("server limit", 1, LIMITED_SERVERS),
+    "broken-streams": ("wrong response", 1, UNFRAMED),
 }
 """By mutant: the rule that it violates, the seed, and the kinds of faults to inject."""
 
@@ -93,6 +97,12 @@
     assert outcome.violations == [], outcome.directory
 
 
+def test_streams_that_servers_break_off_do_not_look_complete():
+    """Answers end with their connection, and some of them inside an event."""
+    outcome = run_seed(1, slot=SLOT, kinds=UNFRAMED)
+    assert outcome.violations == [], outcome.directory
+
+
 @pytest.mark.large
 @pytest.mark.parametrize(("seed", "nodes"), LARGE_CLUSTER_SEEDS.items())
 def test_a_seed_that_broke_a_promise(seed, nodes):
@@ -182,8 +192,8 @@
     """The soak detects each mutant within the fault phase of one seed: a limit that
     each node applies alone, "not run" reported for a request that a server ran, duties
     claimed while another node holds them, an unanswered read of the store treated as
-    proof that nothing has changed, crashes that nodes do not tell each other, and
-    limits of servers that are not shared."""
+    proof that nothing has changed, crashes that nodes do not tell each other, limits of
+    servers that are not shared, and streams that are complete as soon as they end."""
     rule, seed, kinds = MUTANTS[mutant]
     outcome = run_seed(seed, slot=SLOT, mutant=mutant, kinds=kinds)
     assert outcome.violations, outcome.counts
