Let an empty queue hold up no call

Cause: the cost of queued calls is a fraction, and the total from which all costs have been subtracted again is often 1e-11 instead of 0. Admission takes any total but 0 for a queue, and then adds the service time of a slot and three deviations of earlier errors to the predicted wait. After long waits these are over a second, so each prompt is refused; and as errors are learned from calls that are sent, they stay. Any node whose calls have ever been queued was in that state.

Totals now count tickets too and start at 0 when none is left. Both tests failed before.

Class: a rounding error tested for being 0.

--- a/packages/endive_core/src/endive_core/queueing.py
+++ b/packages/endive_core/src/endive_core/queueing.py
@@ -13,10 +13,34 @@
 from endive_core.calls import Stage, Ticket
 
 
+class QueuedTokens:
+    """Total cost of the queued tickets, in tokens.
+
+    Costs are fractions, and a sum from which all of them have been subtracted is not
+    always 0. It is reset when no ticket is left, since an empty queue holds up nobody.
+    """
+
+    __slots__ = ("tickets", "total")
+
+    def __init__(self) -> None:
+        self.tickets = 0
+        self.total = 0.0
+
+    def add(self, ticket: Ticket) -> None:
+        """Count a ticket that is queued."""
+        self.tickets += 1
+        self.total += ticket.cost
+
+    def subtract(self, ticket: Ticket) -> None:
+        """Uncount a ticket that leaves the queue."""
+        self.tickets -= 1
+        self.total = self.total - ticket.cost if self.tickets else 0.0
+
+
 class OrganisationQueue:
     """The queued tickets of one organisation at one priority, oldest first."""
 
-    __slots__ = ("debt", "in_heap", "organisation", "share", "tag", "tickets", "tokens")
+    __slots__ = ("debt", "in_heap", "organisation", "queued", "share", "tag", "tickets")
 
     def __init__(self, organisation: str, share: float) -> None:
         self.organisation = organisation
@@ -25,7 +49,7 @@
         self.debt = 0.0
         self.in_heap = False
         self.tickets: deque[Ticket] = deque()
-        self.tokens = 0.0
+        self.queued = QueuedTokens()
 
     def charge(self, tokens: float) -> None:
         """Advance the start tag by `tokens` and by the debt of earlier estimates.
@@ -52,7 +76,7 @@
         self.queues: dict[str, OrganisationQueue] = {}
         self.heap: list[tuple[float, str]] = []
         self.virtual_time = 0.0
-        self.tokens = 0.0
+        self.queued = QueuedTokens()
 
     def queue_of(self, organisation: str, share: float) -> OrganisationQueue:
         """Return the organisation's queue, made on first use."""
@@ -74,8 +98,8 @@
             queue.tickets.appendleft(ticket)
         else:
             queue.tickets.append(ticket)
-        queue.tokens += ticket.cost
-        self.tokens += ticket.cost
+        queue.queued.add(ticket)
+        self.queued.add(ticket)
 
     def heads(self, limit: int) -> Iterator[Ticket]:
         """Yield the head tickets of up to `limit` organisations, lowest tag first."""
@@ -123,19 +147,19 @@
 
     def subtract_tokens(self, ticket: Ticket) -> None:
         """Subtract the tokens of a ticket that leaves the queue from the totals."""
-        self.queues[ticket.call.organisation].tokens -= ticket.cost
-        self.tokens -= ticket.cost
+        self.queues[ticket.call.organisation].queued.subtract(ticket)
+        self.queued.subtract(ticket)
 
     def tokens_ahead(self, organisation: str, share: float) -> float:
         """Return the queued tokens served before a new ticket of `organisation`."""
         queue = self.queue_of(organisation, share)
-        start = max(queue.tag, self.virtual_time) + queue.tokens / share
-        ahead = queue.tokens
+        ahead = queue.queued.total
+        start = max(queue.tag, self.virtual_time) + ahead / share
         for _, name in self.heap:
             other = self.queues[name]
             if other is not queue:
                 earlier = max(0.0, start - other.tag) * other.share
-                ahead += min(other.tokens, earlier)
+                ahead += min(other.queued.total, earlier)
         return ahead
 
 
@@ -206,7 +230,9 @@
 
     def tokens_ahead(self, rank: int, organisation: str) -> float:
         """Return the queued tokens served before a new ticket."""
-        ahead = sum(self.ranks[other].tokens for other in self.order if other > rank)
+        ahead = sum(
+            self.ranks[other].queued.total for other in self.order if other > rank
+        )
         if rank in self.ranks:
             ahead += self.ranks[rank].tokens_ahead(
                 organisation, self.share(organisation)
--- a/packages/endive_core/tests/test_queueing.py
+++ b/packages/endive_core/tests/test_queueing.py
@@ -1,3 +1,4 @@
+import pytest
 from core_builders import call
 from endive_core.calls import Stage, Ticket
 from endive_core.queueing import FairQueue
@@ -77,3 +78,22 @@
         queue.push(ticket(number, "batch"))
     assert queue.tokens_ahead(0, "single") == 0
     assert queue.tokens_ahead(0, "batch") == 100_000
+
+
+@pytest.mark.parametrize("cancelled", [False, True])
+def test_an_empty_queue_holds_up_no_call(cancelled):
+    """A node refused prompts for good: a rest of 1e-11 tokens counted as a queue."""
+    queue = FairQueue()
+    tickets = [
+        ticket(number, tokens=cost) for number, cost in enumerate((0.1, 0.7, 0.3))
+    ]
+    for queued in tickets:
+        queue.push(queued)
+    if cancelled:
+        for queued in tickets:
+            queue.cancel(queued)
+    else:
+        drain(queue)
+    assert queue.tokens_ahead(0, "org") == 0
+    assert queue.tokens_ahead(0, "other") == 0
+    assert queue.tokens_ahead(-1, "org") == 0
--- a/packages/endive_core/tests/test_scheduler.py
+++ b/packages/endive_core/tests/test_scheduler.py
@@ -37,6 +37,20 @@
     assert made.refusals[ErrorKind.OVERLOADED] == len(times)
 
 
+def test_a_node_without_a_queue_admits_calls_after_long_waits():
+    """It added its wait errors to the prediction for each call, and went on refusing."""
+    made = scheduler()
+    made.admission.rate.answer_share = 0.1 / 3
+    calls = [call(n, prompt_tokens=n + 1, target_s=60.0) for n in range(3)]
+    sent = [made.offer(queued, 0.0) for queued in calls]
+    dispatch_all(made)
+    for ticket in sent:
+        made.cancelled(ticket, 0.0)
+    for _ in range(50):
+        made.admission.waited(sent[0], 3.0)
+    assert not isinstance(made.offer(call(9), 0.0), Refusal)
+
+
 def test_no_server_is_reported_when_all_zones_are_under_notice():
     made = scheduler()
     made.leaving_zone("z0")
