--- a/packages/endive_core/src/endive_core/admission.py
+++ b/packages/endive_core/src/endive_core/admission.py
@@ -182,7 +182,11 @@
             cost_s=cost_s,
         )
         return Refusal.from_kind(
-            ErrorKind.OVERLOADED, "the latency target can't be met now", retry_after
+            ErrorKind.OVERLOADED,
+            "the latency target can't be met now: "
+            f"{prediction.wait_s:.3f} s in the queue, {prediction.allowance_s:.3f} s"
+            f" of allowance, {allowed:.3f} s allowed",
+            retry_after,
         )
 
     def predict(self, call: Call, now: float) -> Prediction:
--- a/packages/endive_core/tests/test_scheduler.py
+++ b/packages/endive_core/tests/test_scheduler.py
@@ -38,7 +38,7 @@
 
 
 def test_a_node_without_a_queue_admits_calls_after_long_waits():
-    """It added its wait errors to the prediction for each call, and went on refusing."""
+    """It added its wait errors to each prediction, and went on refusing."""
     made = scheduler()
     made.admission.rate.answer_share = 0.1 / 3
     calls = [call(n, prompt_tokens=n + 1, target_s=60.0) for n in range(3)]
--- a/packages/endive_gateway/src/endive_gateway/forwarding.py
+++ b/packages/endive_gateway/src/endive_gateway/forwarding.py
@@ -71,6 +71,8 @@
         Units of the organisation's limit that the request has taken.
     fingerprint : str
         Identifies requests with the same content; empty before admission.
+    error : str
+        Why this node answered with an error of its own; empty if it did not.
     """
 
     def __init__(self, context: Context, exchange: Exchange) -> None:
@@ -90,6 +92,7 @@
         self.units = 0.0
         self.fingerprint = ""
         self.outcome = ""
+        self.error = ""
         self.servers: list[str] = []
 
     @property
@@ -397,7 +400,7 @@
         """Answer with an error that states truly whether the request may have run."""
         if isinstance(error, ResponseForwardedError):
             return
-        self.outcome = str(error.kind)
+        self.outcome, self.error = str(error.kind), str(error)
         if error.kind is ErrorKind.POISON_REQUEST:
             self._log_crashes()
         if self.exchange.response_started:
@@ -435,6 +438,7 @@
             version=self.context.version,
             **self._target_fields(),
             **self.progress.fields(),
+            **({"error": self.error} if self.error else {}),
         )
 
     def _target_fields(self) -> dict[str, int]:
--- a/packages/endive_gateway/tests/test_forwarding.py
+++ b/packages/endive_gateway/tests/test_forwarding.py
@@ -416,3 +416,11 @@
             running.servers[1].script.clear()
             assert running.call().status == 200
         assert not leaving.received
+
+
+def test_the_log_says_why_a_node_refuses(caplog):
+    """The outcome alone does not tell apart what admission predicted."""
+    with RunningGateway(table=make_table(make_route())) as running:
+        running.call()
+    assert 'outcome=no_server servers="" ' in caplog.text
+    assert 'error="no server takes work"' in caplog.text
