Add a failing rule of the soak: nodes that reach no server serve their callers

A new fault cuts one to five of six nodes off from all servers for five to eight seconds: their open connections hang, are reset or live on, while new ones hang or are refused, and callers, the store and the other nodes still reach them. The new rule compares the first tries of callers at these nodes from 3 s on with those at the others. Nodes connect to servers from their own address in the soak, so that a link can tell them apart.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -8,7 +8,8 @@
 
 import gevent
 
-from soak.callers import CrashingCaller
+from soak.callers import DEADLINE_S, CrashingCaller
+from soak.invariants import CONTACT_S, ServersCut
 
 SERIES_SHARE = 0.35
 MAX_IN_SERIES = 4
@@ -242,6 +243,27 @@
         share.join()
 
 
+def nodes_cut_from_servers(fleet, fault):
+    """Cut some or most nodes off from all servers, and check how they serve callers.
+
+    At least one node still reaches the servers.
+    """
+    first = int(fault.strength * len(fleet.nodes))
+    count = 1 + fault.target % (len(fleet.nodes) - 1)
+    reaching = [node for node in fleet.nodes if not node.is_cut]
+    nodes = [n for n in fleet.nodes[first:] + fleet.nodes[:first] if n in reaching]
+    nodes = nodes[: min(count, len(reaching) - 1)]
+    cut = ServersCut(fleet, nodes)
+    for node in nodes:
+        node.cut_from_servers(("hang", "reset", "live")[fault.target % 3])
+    gevent.sleep(CONTACT_S + 2.0 + fault.for_s)
+    cut.end()
+    for node in nodes:
+        node.rejoin_servers()
+    gevent.sleep(DEADLINE_S)
+    cut.check()
+
+
 def crashing_request(fleet, fault):
     """Send a request that crashes each server that runs it to all nodes in turn."""
     content = f"{fault.target}-{fault.strength}"
@@ -275,5 +297,6 @@
         crashing_request,
         server_limited,
         server_unframed,
+        nodes_cut_from_servers,
     )
 }
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -46,6 +46,10 @@
         When it was last started, seconds since the beginning.
     busy : bool
         Whether it is being restarted or is paused.
+    is_cut : bool
+        Whether it is cut off from all servers.
+    cut_ended_at : float
+        When it was last cut off, seconds since the beginning.
     """
 
     def __init__(self, fleet, number):
@@ -59,6 +63,7 @@
         self.cloud_link = Link(fleet.ip(4, number), PORT, fleet.cloud.address, clock)
         self.settings = fleet.directory / f"{self.name}.json"
         self.clock_file = fleet.directory / f"{self.name}.clock"
+        self.cut_file = fleet.directory / f"{self.name}.cut"
         self.output = fleet.directory / f"{self.name}.log"
         self.active_faults = 0
         self.recovered_at = 0.0
@@ -66,8 +71,11 @@
         self.started_at = 0.0
         self.process = None
         self.busy = False
+        self.is_cut = False
+        self.cut_ended_at = float("-inf")
         self.write_settings()
         self.clock_file.write_text("0")
+        self.cut_file.write_text("")
 
     def write_settings(self, grace_s=GRACE_S):
         document = {
@@ -104,6 +112,8 @@
         environment = os.environ | {
             "ENDIVESTACK_BOOT": str(self.settings),
             "SOAK_CLOCK": str(self.clock_file),
+            "SOAK_CUT": str(self.cut_file),
+            "SOAK_SERVERS": self.fleet.ip(5, 0).rpartition(".")[0] + ".",
             "SOAK_MUTANT": self.fleet.mutant,
             "PYTHONPATH": os.pathsep.join(paths),
         }
@@ -154,6 +164,25 @@
             gevent.sleep(RESUME_CATCH_UP_S)
         self.busy = False
 
+    def cut_from_servers(self, mode):
+        """Cut the links to all servers; see :meth:`Link.cut_source` for `mode`."""
+        self.is_cut = True
+        self.cut_file.write_text("hang" if mode == "hang" else "refused")
+        for backend in self.fleet.backends:
+            backend.link.cut_source(self.ip, mode)
+
+    def rejoin_servers(self):
+        """End the cut from all servers."""
+        self.cut_file.write_text("")
+        for backend in self.fleet.backends:
+            backend.link.rejoin_source(self.ip)
+        if self.is_cut:
+            self.is_cut, self.cut_ended_at = False, self.fleet.clock()
+
+    def was_cut(self, since):
+        """Return whether this node was cut off from servers at any time since."""
+        return self.is_cut or self.cut_ended_at >= since
+
     def processor_wait_s(self):
         """Return for how long the process has waited for a processor, seconds."""
         return processor_wait_s(self.process.pid)
@@ -350,6 +379,7 @@
         for node in self.nodes:
             node.signal(signal.SIGCONT)
             node.clock_file.write_text("0")
+            node.rejoin_servers()
             for link in (node.link, node.store_link, node.cloud_link):
                 link.heal()
 
--- a/tests/soak/invariants.py
+++ b/tests/soak/invariants.py
@@ -1,6 +1,6 @@
 """Checks what callers, servers and the platform observe during a soak run."""
 
-from collections import defaultdict, deque
+from collections import Counter, defaultdict, deque
 from dataclasses import dataclass
 
 QUOTA_WINDOW_S = 4.0
@@ -30,6 +30,9 @@
 """Window over which a server's limit holds, and time after which a node that has passed
 on a response with the limit must keep it, seconds."""
 
+MAX_FAILED_TRIES = 10
+"""First tries that may fail at nodes that reach no server, plus one in 50 of all."""
+
 NOT_RUN = (408, 421, 429, 503)
 """HTTP statuses that say that the request was not run."""
 
@@ -98,6 +101,50 @@
         return count - (1.5 * LIMIT_WINDOW_S * self.limit + 5)
 
 
+class ServersCut:
+    """Compares how nodes that reach no server serve their callers with the others.
+
+    Only nodes that have no other fault count, and requests from `CONTACT_S` after the
+    beginning on.
+    """
+
+    def __init__(self, fleet, nodes):
+        self.fleet = fleet
+        self.nodes = nodes
+        self.began_at = fleet.clock()
+        self.counted = {}
+
+    def end(self):
+        """Note which nodes count; called before the cut ends."""
+        own = {node.name for node in self.nodes}
+        for node in self.fleet.nodes:
+            is_counted = node.is_connected(self.began_at)
+            if is_counted and (node.name in own or not node.was_cut(self.began_at)):
+                self.counted[node.name] = node.name in own
+        self.ended_at = self.fleet.clock()
+
+    def check(self):
+        """Check the rule; called when all requests of the time have ended."""
+        checker = self.fleet.checker
+        tries, served = Counter(), Counter()
+        since = self.began_at + CONTACT_S
+        for request_id, request in checker.requests.items():
+            outcome = checker.outcomes.get(request_id)
+            if request.node not in self.counted or outcome == 429:
+                continue
+            if since <= request.sent_at < self.ended_at and request.kind != "probe":
+                tries[self.counted[request.node]] += 1
+                served[self.counted[request.node]] += outcome == 200
+        failed = tries[True] - served[True]
+        far_worse = served[True] * tries[False] * 3 < served[False] * tries[True] * 2
+        if far_worse and failed > MAX_FAILED_TRIES + tries.total() / 50:
+            checker.record_violation(
+                "cut off",
+                f"{[node.name for node in self.nodes]} served {served[True]} of "
+                f"{tries[True]}, the others {served[False]} of {tries[False]}",
+            )
+
+
 class InvariantChecker:
     """Receives observations, and records a line for each violated invariant.
 
@@ -124,6 +171,7 @@
         self.versions = {}
         self.resumed_at = {}
         self.crashes = defaultdict(list)
+        self.outcomes = {}
 
     def record_violation(self, rule, text):
         self.violations.append(f"{self.clock():.3f} s: {rule}: {text}")
@@ -136,6 +184,7 @@
     def request_ended(self, request_id, outcome, *, complete=False, correct=True):
         """Record the end of a request: a status, or how its connection ended."""
         request = self.requests[request_id]
+        self.outcomes[request_id] = outcome
         self.counts[f"{request.kind} {outcome}"] += 1
         if outcome in NOT_RUN:
             self.not_run[request_id] = outcome
--- a/tests/soak/launch.py
+++ b/tests/soak/launch.py
@@ -1,15 +1,23 @@
 """Starts a gateway with an adjustable wall clock and, if asked for, a mutant.
 
-The offset of the wall clock, in seconds, is read from a file. Each mutant makes the
-gateway violate one invariant, to show that the soak detects the violation.
+The offset of the wall clock, in seconds, is read from a file, and so is how connections
+to servers fail while the node is cut off from them. Each mutant makes the gateway
+violate one invariant, to show that the soak detects the violation.
 """
 
+import json
 import os
 import sys
 import time
 
+import gevent
+from gevent import socket as gsocket
+
 real_time = time.time
+real_connect = gsocket.socket.connect
 offset_path = os.environ["SOAK_CLOCK"]
+cut_path = os.environ["SOAK_CUT"]
+servers = os.environ["SOAK_SERVERS"]
 
 
 def skewed_time():
@@ -24,6 +32,37 @@
 time.time = skewed_time
 
 
+def cut_mode():
+    """Return how connections to servers fail; empty if they don't."""
+    try:
+        with open(cut_path) as file:
+            return file.read()
+    except OSError:
+        return ""  # not written yet
+
+
+def connect(sock, address):
+    """Connect from the node's own address, by which a server's link knows the node.
+
+    The kernel accepts each connection on loopback, so hanging ones hang here.
+    """
+    if not address[0].startswith(servers):
+        return real_connect(sock, address)
+    mode = cut_mode()
+    if mode == "hang":
+        gevent.sleep(sock.gettimeout() or 60.0)
+        raise TimeoutError("timed out")
+    if mode:
+        raise ConnectionRefusedError("refused")
+    sock.bind((own_address, 0))
+    return real_connect(sock, address)
+
+
+with open(os.environ["ENDIVESTACK_BOOT"]) as settings:
+    own_address = json.load(settings)["ip"]
+gsocket.socket.connect = connect
+
+
 def disable_limit_sharing():
     """Let each node spend the whole of every limit, whatever the others spend."""
     from endive_core.shared_limits import SharedLimits
--- a/tests/soak/network.py
+++ b/tests/soak/network.py
@@ -26,10 +26,16 @@
         Delay of each chunk in both directions, seconds.
     healed_at : float
         When the last fault of this link ended, seconds on `clock`.
+    cut_sources : set of str
+        IP addresses whose new connections are reset.
+    sources : dict of socket to str
+        IP address from which each open connection came.
     """
 
     def __init__(self, host, port, target, clock):
         self.target = target
+        self.cut_sources = set()
+        self.sources = {}
         self.clock = clock
         self.accepting = True
         self.silent_out = self.silent_back = False
@@ -66,6 +72,23 @@
         """Drop all further bytes of the open connections; new connections work."""
         self.black_holed |= self.open
 
+    def cut_source(self, source, mode):
+        """Cut off `source`; its open connections hang, are reset, or live on."""
+        self.cut_sources.add(source)
+        own = {sock for sock, ip in self.sources.items() if ip == source}
+        if mode == "hang":
+            self.black_holed |= own
+        elif mode == "reset":
+            for sock in own:
+                reset(sock)
+
+    def rejoin_source(self, source):
+        """End the cut of `source`; its connections that hang are reset."""
+        self.cut_sources.discard(source)
+        for sock in list(self.black_holed):
+            if self.sources.get(sock) == source:
+                reset(sock)
+
     @property
     def is_healthy(self):
         """Whether this link has no fault now."""
@@ -77,8 +100,9 @@
         for sock in list(self.open):
             reset(sock)
 
-    def _serve(self, sock, _address):
-        if not self.accepting:
+    def _serve(self, sock, address):
+        source = address[0]
+        if not self.accepting or source in self.cut_sources:
             reset(sock)
             return
         host, port = self.target.rsplit(":", 1)
@@ -91,6 +115,7 @@
         for end in (sock, upstream):
             end.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.open |= {sock, upstream}
+        self.sources |= {sock: source, upstream: source}
         pipes = [
             gevent.spawn(self._pipe, sock, upstream, "silent_out"),
             gevent.spawn(self._pipe, upstream, sock, "silent_back"),
@@ -98,6 +123,7 @@
         gevent.joinall(pipes)
         self.open -= {sock, upstream}
         self.black_holed -= {sock, upstream}
+        del self.sources[sock], self.sources[upstream]
         sock.close()
         upstream.close()
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -12,9 +12,13 @@
 SLOT = 60 + WORKER
 """Number of the loopback addresses that only this test worker uses."""
 
-EARLIER_KINDS = tuple(
-    sorted(set(FAULTS) - {"crashing_request", "server_limited", "server_unframed"})
-)
+LATER_KINDS = {
+    "crashing_request",
+    "server_limited",
+    "server_unframed",
+    "nodes_cut_from_servers",
+}
+EARLIER_KINDS = tuple(sorted(set(FAULTS) - LATER_KINDS))
 FIRST_KINDS = tuple(sorted(set(EARLIER_KINDS) - {"store_silent", "links_fall_silent"}))
 """Kinds of which older seeds draw their faults. With more kinds the same seeds would
 draw other faults."""
@@ -50,6 +54,7 @@
 """
 
 LIMITED_SERVERS = ("server_limited", "reload", "change_configuration")
+SERVERS_CUT = ("nodes_cut_from_servers", "change_configuration")
 UNFRAMED = ("server_unframed", "server_leaves", "restart")
 MUTANTS = {
     "limit": ("limit", 1, ("reload",)),
@@ -103,6 +108,13 @@
     assert outcome.violations == [], outcome.directory
 
 
+@pytest.mark.parametrize("kinds", [SERVERS_CUT, SERVERS_CUT + ("server_crash",)])
+def test_nodes_that_reach_no_server_serve_their_callers(kinds):
+    """Links of some or most nodes to all servers are cut, in different ways."""
+    outcome = run_seed(1, slot=SLOT, kinds=kinds)
+    assert outcome.violations == [], outcome.directory
+
+
 @pytest.mark.large
 @pytest.mark.parametrize(("seed", "nodes"), LARGE_CLUSTER_SEEDS.items())
 def test_a_seed_that_broke_a_promise(seed, nodes):
