--- a/packages/endive_gateway/src/endive_gateway/callers.py
+++ b/packages/endive_gateway/src/endive_gateway/callers.py
@@ -16,6 +16,7 @@
 from endive_gateway.exceptions import BadMessageError, CallerGoneError
 from endive_gateway.http import RequestMessage, RequestParser, encode_head, status_line
 from endive_gateway.interfaces import Headers
+from endive_gateway.tcp import is_idle
 
 READ_BYTES = 65_536
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -223,17 +224,6 @@
             connection.close_if_idle()
 
 
-def _is_idle(sock) -> bool:
-    """Return whether a socket is open and has no unread bytes."""
-    try:
-        sock._sock.recv(1, socket.MSG_PEEK)
-    except BlockingIOError:
-        return True
-    except OSError:
-        pass
-    return False
-
-
 class CallerConnection:
     """One connection of a caller.
 
@@ -268,7 +258,7 @@
         Killing the greenlet instead would take effect only when it next runs, when it
         may already have read a request and sent it to a server.
         """
-        if self.idle and _is_idle(self.sock):
+        if self.idle and is_idle(self.sock):
             self.sock.close()
 
     def _serve_next(self) -> bool:
--- a/packages/endive_gateway/src/endive_gateway/connections.py
+++ b/packages/endive_gateway/src/endive_gateway/connections.py
@@ -4,12 +4,10 @@
 over the same kind of connection.
 """
 
-import socket
 import time
 from collections import defaultdict, deque
 
 import gevent
-from gevent import socket as gsocket
 
 from endive_gateway.exceptions import (
     BadMessageError,
@@ -18,27 +16,7 @@
 )
 from endive_gateway.http import ResponseMessage, ResponseParser
 from endive_gateway.interfaces import ResponseMetadata, Wire, header_value
-
-CONNECT_TIMEOUT_S = 0.6
-"""Time-out for opening a connection, seconds. Within a region it takes a few
-milliseconds. A lost SYN packet is sent again only after one second, so after this time
-another server is the better choice."""
-
-TCP_USER_TIMEOUT_MS = 1500
-"""Time for which sent bytes may stay unacknowledged before the kernel closes the
-connection, milliseconds. An unreachable server acknowledges nothing. Five consecutive
-losses on a poor link take as long, so fewer do not break a connection."""
-
-KEEPALIVE_IDLE_S = 1
-KEEPALIVE_INTERVAL_S = 1
-KEEPALIVE_PROBES = 2
-"""TCP keep-alive: idle time and interval in seconds, and unanswered probes. They detect
-a server that becomes unreachable while it works, when nothing sent awaits an
-acknowledgement. They take three seconds, less than most callers wait."""
-
-LISTEN_PROBE_TIMEOUT_S = 0.05
-"""Time-out of the check whether a server still listens, seconds. A refusal arrives
-within a few milliseconds, and the caller of the failed request waits meanwhile."""
+from endive_gateway.tcp import ByteStream, TcpStream
 
 READ_BYTES = 65_536
 INLINE_BODY_BYTES = 32_768
@@ -65,8 +43,8 @@
         Sends the present request's body, if that is large.
     """
 
-    def __init__(self, sock: socket.socket) -> None:
-        self.sock = sock
+    def __init__(self, stream: ByteStream) -> None:
+        self.stream = stream
         self.parser = ResponseParser()
         self.last_used_at = time.monotonic()
         self.idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
@@ -82,13 +60,7 @@
         """
         if now - self.last_used_at > self.idle_timeout_s * IDLE_FRACTION:
             return False
-        try:
-            self.sock._sock.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return True
-        except OSError:
-            return False
-        return False
+        return self.stream.is_idle()
 
     def send(self, head: bytes, body: bytes) -> None:
         """Send a request; raises :class:`ConnectionBrokenError`."""
@@ -96,9 +68,9 @@
         self.parser.messages.clear()
         try:
             if len(body) <= INLINE_BODY_BYTES:
-                self.sock.sendall(head + body)
+                self.stream.sendall(head + body)
             else:
-                self.sock.sendall(head)
+                self.stream.sendall(head)
                 self.sender = gevent.spawn(self._send_body, body)
         except OSError as error:
             raise ConnectionBrokenError(
@@ -108,7 +80,7 @@
     def _send_body(self, body: bytes) -> None:
         """Send a large body while the response may already arrive."""
         try:
-            self.sock.sendall(body)
+            self.stream.sendall(body)
         except OSError:
             # Reading the response fails as well, and reports it.
             self.reusable = False
@@ -153,7 +125,7 @@
 
     def _read(self) -> None:
         try:
-            data = self.sock.recv(READ_BYTES)
+            data = self.stream.recv(READ_BYTES)
         except OSError as error:
             raise ConnectionBrokenError(
                 f"reading the response failed: {error}", sent=True
@@ -189,20 +161,20 @@
         """Close at once, which cancels a request in progress at the server."""
         if self.sender is not None:
             self.sender.kill(block=False)
-        self.sock.close()
+        self.stream.close()
 
 
 class ServerConnection(Connection):
     """A connection to a backend server, whose responses carry their requests' ids."""
 
-    def __init__(self, sock: socket.socket, wire: Wire) -> None:
-        super().__init__(sock)
+    def __init__(self, stream: ByteStream, wire: Wire) -> None:
+        super().__init__(stream)
         self.wire = wire
 
     @classmethod
     def open(cls, address: str, wire: Wire) -> "ServerConnection":
         """Connect to ``IP:port``; raises :class:`ConnectionBrokenError`."""
-        return cls(connect(address), wire)
+        return cls(TcpStream.connect(address), wire)
 
     def read_head(self, request_id: str) -> tuple[ResponseMessage, ResponseMetadata]:
         """Return the response to `request_id` as soon as its head is complete.
@@ -235,63 +207,6 @@
             self._read()
 
 
-def connect(address: str) -> socket.socket:
-    """Return a socket connected to ``IP:port``.
-
-    Raises
-    ------
-    ConnectionBrokenError
-        If the connection can't be opened.
-    """
-    host, _, port = address.rpartition(":")
-    sock = gsocket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    try:
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        sock.settimeout(CONNECT_TIMEOUT_S)
-        sock.connect((host, int(port)))
-        sock.settimeout(None)
-        enable_keepalive(sock)
-    except ConnectionRefusedError as error:
-        sock.close()
-        raise ConnectionBrokenError(str(error), sent=False, refused=True) from None
-    except (OSError, ValueError) as error:
-        sock.close()
-        raise ConnectionBrokenError(str(error), sent=False) from None
-    except BaseException:
-        sock.close()
-        raise
-    return sock
-
-
-def enable_keepalive(sock: socket.socket) -> None:
-    """Make the kernel close the connection to a peer that becomes unreachable."""
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
-
-
-def is_listening(address: str) -> bool:
-    """Return whether a process listens at ``IP:port``; True if that is uncertain.
-
-    Only a refused connection counts as no: a server that doesn't answer in time may be
-    slow or unreachable.
-    """
-    host, _, port = address.rpartition(":")
-    sock = gsocket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    sock.settimeout(LISTEN_PROBE_TIMEOUT_S)
-    try:
-        sock.connect((host, int(port)))
-    except ConnectionRefusedError:
-        return False
-    except OSError:
-        return True
-    finally:
-        sock.close()
-    return True
-
-
 def _is_response_to(
     message: ResponseMessage, metadata: ResponseMetadata, request_id: str
 ) -> bool:
--- a/packages/endive_gateway/src/endive_gateway/context.py
+++ b/packages/endive_gateway/src/endive_gateway/context.py
@@ -12,12 +12,13 @@
 from endive_node.logs import log_event
 from gevent.event import Event
 
-from endive_gateway.connections import ConnectionPool, is_listening
+from endive_gateway.connections import ConnectionPool
 from endive_gateway.interfaces import Cloud, GatewaySettings, Store, Wire
 from endive_gateway.limit_sharing import LimitSharing
 from endive_gateway.metrics import GatewayMetrics
 from endive_gateway.placing import Placer
 from endive_gateway.servers import ServerRegistry
+from endive_gateway.tcp import is_listening
 from endive_gateway.workload import WorkloadMeter
 
 START_WAIT_S = 0.5
--- a/packages/endive_gateway/src/endive_gateway/service_client.py
+++ b/packages/endive_gateway/src/endive_gateway/service_client.py
@@ -15,7 +15,7 @@
 from endive_core.response_times import MAX_TIMEOUT_S, ResponseTimes
 from gevent.event import Event
 
-from endive_gateway.connections import Connection, connect
+from endive_gateway.connections import Connection
 from endive_gateway.exceptions import (
     CallFailedError,
     CallHeldBackError,
@@ -23,6 +23,7 @@
     ConnectionBrokenError,
 )
 from endive_gateway.http import encode_head
+from endive_gateway.tcp import TcpStream
 
 
 @dataclass(frozen=True)
@@ -130,7 +131,7 @@
             if connection.is_reusable(monotonic()):
                 return connection
             connection.close()
-        return Connection(connect(self.address))
+        return Connection(TcpStream.connect(self.address))
 
     def _await_response(
         self, connection: Connection, head: bytes, body: bytes, wait_s: float
--- a/tests/test_platform_logs.py
+++ b/tests/test_platform_logs.py
@@ -4,7 +4,7 @@
 import gevent
 import pytest
 from endive_core.routing import OrganisationLimits, RouteKind
-from endive_gateway.connections import is_listening
+from endive_gateway.tcp import is_listening
 from endive_node import logs
 from gateway_builders import RunningGateway, make_route, make_table
 from server_builders import ScriptedServer
