Reach servers through another node where a node's own connections fail

Cause: a node had no way to a server but its own connections, and nothing told it that these failed while those of the others worked, so that each request paid for each server anew.

A connection that is refused, or not open after 0.1 s, is now opened through another node too, and the first to be open is used. If the other node's is, while this one's fails within 0.6 s, the server is blocked here: further connections go through other nodes at once, and idle ones that hang are not used again. Two blocked servers of a service, or of all, with nothing heard from any other, mean that the node is cut off from all of them. A blocked server is tried again each second, and the first that is reached ends all blocks.

The other node, the transit node, passes bytes on and decides nothing. The node that the caller reached goes on to choose the server, set the headers, check the answer and decide on retries, so at-most-once, limits, usage and the place in a stream stay as they were. Bytes from the server come in frames that end with how its connection ended: an answer without a length must not look complete because the transit node was lost. Each node tells in its state messages how many connections it carries, one number a message; one that reaches no server or stops carries none. A stopping node finishes those it carries.

Weighed and not taken: readiness alone (where most of a zone is cut off all of its nodes are used again), handing whole requests over (limits, retries and answers would be decided twice), and a preference for the own zone (the rest of a zone that is mostly cut off would carry all of it).

--- a/packages/endive_core/src/endive_core/reachability.py
+++ b/packages/endive_core/src/endive_core/reachability.py
@@ -10,8 +10,12 @@
 from enum import StrEnum
 
 CUT_OFF_SERVERS = 2
-"""Blocked servers from which on a node that hears nothing from any server is taken to
-be cut off from all. One may be the only server behind a broken link."""
+"""Blocked servers of a service, or of all, from which on a node that hears nothing from
+any other of them is taken to be cut off from all of them. One may be the only server
+behind a broken link."""
+
+ALL_SERVICES = ""
+"""Stands for all services."""
 
 
 class ServerCondition(StrEnum):
@@ -53,70 +57,113 @@
         return ServerCondition.UNKNOWN
 
 
+@dataclass(frozen=True, slots=True)
+class Block:
+    """A failed connection to a server that another node reached.
+
+    Attributes
+    ----------
+    service : str
+        The server's service.
+    began_at : float
+        When the connection was begun, clock time in seconds.
+    refused : bool
+        Whether it was refused, so that open connections may live on. If it got no
+        answer, they hang too.
+    """
+
+    service: str
+    began_at: float
+    refused: bool
+
+
 class Reachability:
     """The servers that this node can't connect to, though others can.
 
     Attributes
     ----------
-    blocked : dict of str to float
-        By server, the clock time at which the connection that failed was begun.
-    heard_at : float
-        Clock time at which anything last arrived from a server over a connection of
-        this node's own.
-    cut_off_since : float or None
-        Since when the node is taken to be cut off from all servers.
+    blocked : dict of str to Block
+        By server, its last failed connection.
+    heard_at : dict of str to float
+        By service, the clock time at which anything last arrived from one of its
+        servers over a connection of this node's own.
+    cut_off : set of str
+        Services from which the node is taken to be cut off; :data:`ALL_SERVICES` for
+        all of them.
     """
 
     def __init__(self) -> None:
-        self.blocked: dict[str, float] = {}
-        self.heard_at = float("-inf")
-        self.cut_off_since: float | None = None
+        self.blocked: dict[str, Block] = {}
+        self.heard_at: dict[str, float] = {}
+        self.cut_off: set[str] = set()
 
     @property
     def is_cut_off(self) -> bool:
         """Whether the node is taken to be cut off from all servers."""
-        return self.cut_off_since is not None
+        return ALL_SERVICES in self.cut_off
 
-    def is_blocked(self, server: str) -> bool:
+    def is_blocked(self, server: str, service: str) -> bool:
         """Return whether connections to `server` are to go through another node."""
-        return self.is_cut_off or server in self.blocked
+        return self._is_cut_off_from(service) or server in self.blocked
 
-    def block(self, server: str, began_at: float) -> bool:
-        """Record that another node reached a server that this one did not reach.
+    def _is_cut_off_from(self, service: str) -> bool:
+        return service in self.cut_off or self.is_cut_off
+
+    def may_reuse(self, server: str, service: str) -> bool:
+        """Return whether open connections to `server` may carry further requests."""
+        block = self.blocked.get(server)
+        hangs = block is not None and not block.refused
+        return not (hangs or self._is_cut_off_from(service))
 
-        Parameters
-        ----------
-        began_at : float
-            When the connection that failed was begun, clock time in seconds.
+    def block(self, server: str, block: Block) -> str | None:
+        """Record that another node reached a server that this one did not reach.
 
         Returns
         -------
-        bool
-            Whether the node is newly taken to be cut off.
+        str or None
+            The service from which the node is newly taken to be cut off, or
+            :data:`ALL_SERVICES`.
         """
-        self.blocked[server] = began_at
-        unheard = [at for at in self.blocked.values() if at > self.heard_at]
-        if self.is_cut_off or len(unheard) < CUT_OFF_SERVERS:
-            return False
-        self.cut_off_since = min(unheard)
-        return True
-
-    def connected(self, server: str, now: float) -> bool:
+        self.blocked[server] = block
+        heard_at = max(self.heard_at.values(), default=float("-inf"))
+        if self._count_blocked(ALL_SERVICES, heard_at) >= CUT_OFF_SERVERS:
+            return self._cut_off(ALL_SERVICES)
+        heard_at = self.heard_at.get(block.service, float("-inf"))
+        if self._count_blocked(block.service, heard_at) >= CUT_OFF_SERVERS:
+            return self._cut_off(block.service)
+        return None
+
+    def _count_blocked(self, service: str, since: float) -> int:
+        """Return the blocked servers of `service` that were tried after `since`."""
+        return sum(
+            block.began_at > since and service in (block.service, ALL_SERVICES)
+            for block in self.blocked.values()
+        )
+
+    def _cut_off(self, service: str) -> str | None:
+        if service in self.cut_off:
+            return None
+        self.cut_off.add(service)
+        return service
+
+    def connected(self, server: str, service: str, now: float) -> bool:
         """Record a connection that was opened; return whether a block has ended.
 
         If one blocked server is reached again, the others probably are too. If not, the
         next connection to each of them shows it.
         """
-        ended = self.is_blocked(server)
-        self.hear(now)
+        ended = self.is_blocked(server, service)
+        self.hear(service, now)
         if ended:
             self.blocked.clear()
+            self.cut_off.clear()
         return ended
 
-    def hear(self, now: float) -> None:
-        """Record that something arrived from a server over a connection of its own."""
-        self.heard_at = now
-        self.cut_off_since = None
+    def hear(self, service: str, now: float) -> None:
+        """Record that something arrived over a connection of this node's own."""
+        self.heard_at[service] = now
+        if self.cut_off:
+            self.cut_off -= {service, ALL_SERVICES}
 
     def forget(self, known: set[str]) -> None:
         """Forget the servers that are not in `known`."""
--- a/packages/endive_core/src/endive_core/transit.py
+++ b/packages/endive_core/src/endive_core/transit.py
@@ -7,14 +7,13 @@
 """
 
 from collections import Counter
-from collections.abc import Collection, Sequence
-from dataclasses import dataclass
+from collections.abc import Collection
 from typing import Protocol
 
 DRAWN = 2
 MAX_DRAWS = 12
-"""Nodes that are compared, and draws after which all are looked at: most nodes usually
-carry connections, so that few draws miss."""
+"""Nodes that are compared, and draws after which all are looked at: few draws miss,
+unless most nodes have been asked already."""
 
 AVOID_S = 2.0
 """Time for which a node that did not answer or declined is not asked again, seconds."""
@@ -28,20 +27,44 @@
         ...
 
 
-@dataclass(frozen=True, slots=True)
-class TransitOffer:
-    """What a node has said of the connections that it carries for others.
+class TransitOffers:
+    """The nodes that carry connections for others, as they have said last.
+
+    A node is found, changed or drawn at random in constant time.
 
     Attributes
     ----------
-    address : str
-        The node's IP address.
-    carried : int
-        Number of connections that it carries; negative if it carries none at all.
+    addresses : list of str
+        The nodes' IP addresses, in no order.
+    carried : dict of str to int
+        Number of connections that each of them carries.
     """
 
-    address: str
-    carried: int
+    def __init__(self) -> None:
+        self.addresses: list[str] = []
+        self.carried: dict[str, int] = {}
+        self.positions: dict[str, int] = {}
+
+    def set(self, address: str, carried: int) -> None:
+        """Record what a node says: a negative number if it carries none at all."""
+        if carried < 0:
+            self.discard(address)
+            return
+        self.carried[address] = carried
+        if address not in self.positions:
+            self.positions[address] = len(self.addresses)
+            self.addresses.append(address)
+
+    def discard(self, address: str) -> None:
+        """Remove a node if it is there."""
+        position = self.positions.pop(address, None)
+        if position is None:
+            return
+        del self.carried[address]
+        last = self.addresses.pop()
+        if last != address:
+            self.addresses[position] = last
+            self.positions[last] = position
 
 
 class TransitChoice:
@@ -49,6 +72,8 @@
 
     Attributes
     ----------
+    offers : TransitOffers
+        The nodes to choose from.
     opened : Counter of str
         This node's own connections through each node.
     avoided : dict of str to float
@@ -57,12 +82,11 @@
 
     def __init__(self, random: Random) -> None:
         self.random = random
+        self.offers = TransitOffers()
         self.opened: Counter[str] = Counter()
         self.avoided: dict[str, float] = {}
 
-    def choose(
-        self, offers: Sequence[TransitOffer], now: float, tried: Collection[str] = ()
-    ) -> str | None:
+    def choose(self, now: float, tried: Collection[str] = ()) -> str | None:
         """Return the address of a node, or ``None`` if none carries connections.
 
         Parameters
@@ -70,29 +94,26 @@
         tried : collection of str
             Nodes that have already been asked for this connection.
         """
-        drawn = self._draw(offers, now, tried)
-        if not drawn:
-            return None
-        return min(drawn, key=lambda o: o.carried + self.opened[o.address]).address
-
-    def _draw(
-        self, offers: Sequence[TransitOffer], now: float, tried: Collection[str]
-    ) -> list[TransitOffer]:
-        drawn: list[TransitOffer] = []
-        for _ in range(MAX_DRAWS if offers else 0):
-            offer = offers[self.random.randrange(len(offers))]
-            if self._is_eligible(offer, now, tried):
-                drawn.append(offer)
+        drawn = self._draw(now, tried)
+        return min(drawn, key=self._load, default=None)
+
+    def _load(self, address: str) -> int:
+        """Return the connections of a node; its own count may lack this node's."""
+        return self.offers.carried[address] + self.opened[address]
+
+    def _draw(self, now: float, tried: Collection[str]) -> list[str]:
+        addresses = self.offers.addresses
+        drawn: list[str] = []
+        for _ in range(MAX_DRAWS if addresses else 0):
+            address = addresses[self.random.randrange(len(addresses))]
+            if self._may_ask(address, now, tried):
+                drawn.append(address)
                 if len(drawn) == DRAWN:
                     return drawn
-        return drawn or [o for o in offers if self._is_eligible(o, now, tried)]
-
-    def _is_eligible(
-        self, offer: TransitOffer, now: float, tried: Collection[str]
-    ) -> bool:
-        if offer.carried < 0 or offer.address in tried:
-            return False
-        return self.avoided.get(offer.address, now) <= now
+        return drawn or [a for a in addresses if self._may_ask(a, now, tried)]
+
+    def _may_ask(self, address: str, now: float, tried: Collection[str]) -> bool:
+        return address not in tried and self.avoided.get(address, now) <= now
 
     def avoid(self, address: str, now: float) -> None:
         """Ask a node again only after some time."""
--- a/packages/endive_gateway/src/endive_gateway/__init__.py
+++ b/packages/endive_gateway/src/endive_gateway/__init__.py
@@ -9,8 +9,9 @@
 - the process as a whole: ``gateway``, ``context``, ``interfaces``, ``exceptions``,
   ``clocks``, ``loops``
 - callers' connections: ``callers``, ``http``, ``statuses``, ``progress``
-- forwarding to servers: ``forwarding``, ``attempts``, ``connections``, ``tcp``,
-  ``events``, ``placing``, ``workload``
+- forwarding to servers: ``forwarding``, ``attempts``, ``connections``, ``events``,
+  ``placing``, ``workload``
+- ways to the servers: ``paths``, ``transit``, ``tcp``
 - the platform's state, as this node knows it: ``following``, ``configuration``,
   ``server_following``,
   ``servers``, ``configuration_exchange``, ``listing``, ``bootstrap``,
--- a/packages/endive_gateway/src/endive_gateway/connections.py
+++ b/packages/endive_gateway/src/endive_gateway/connections.py
@@ -6,6 +6,7 @@
 
 import time
 from collections import defaultdict, deque
+from collections.abc import Callable
 
 import gevent
 
@@ -13,10 +14,13 @@
     BadMessageError,
     ConnectionBrokenError,
     ConnectionEndedError,
+    TransitBrokenError,
 )
 from endive_gateway.http import ResponseMessage, ResponseParser
 from endive_gateway.interfaces import ResponseMetadata, Wire, header_value
-from endive_gateway.tcp import ByteStream, TcpStream
+from endive_gateway.paths import ServerPaths
+from endive_gateway.tcp import ByteStream
+from endive_gateway.transit import TransitStream
 
 READ_BYTES = 65_536
 INLINE_BODY_BYTES = 32_768
@@ -128,7 +132,9 @@
             data = self.stream.recv(READ_BYTES)
         except OSError as error:
             raise ConnectionBrokenError(
-                f"reading the response failed: {error}", sent=True
+                f"reading the response failed: {error}",
+                sent=True,
+                on_the_way=isinstance(error, TransitBrokenError),
             ) from None
         if not data:
             raise ConnectionEndedError("the server closed the connection", sent=True)
@@ -165,16 +171,29 @@
 
 
 class ServerConnection(Connection):
-    """A connection to a backend server, whose responses carry their requests' ids."""
+    """A connection to a backend server, whose responses carry their requests' ids.
 
-    def __init__(self, stream: ByteStream, wire: Wire) -> None:
+    Attributes
+    ----------
+    on_heard : callable
+        Called when anything arrives over a connection of this node's own.
+    """
+
+    def __init__(
+        self, stream: ByteStream, wire: Wire, on_heard: Callable[[], None]
+    ) -> None:
         super().__init__(stream)
         self.wire = wire
+        self.on_heard = on_heard if self.transit_node is None else lambda: None
 
-    @classmethod
-    def open(cls, address: str, wire: Wire) -> "ServerConnection":
-        """Connect to ``IP:port``; raises :class:`ConnectionBrokenError`."""
-        return cls(TcpStream.connect(address), wire)
+    @property
+    def transit_node(self) -> str | None:
+        """IP address of the node through which the connection goes, if it does."""
+        return self.stream.node if isinstance(self.stream, TransitStream) else None
+
+    def _read(self) -> None:
+        super()._read()
+        self.on_heard()
 
     def read_head(self, request_id: str) -> tuple[ResponseMessage, ResponseMetadata]:
         """Return the response to `request_id` as soon as its head is complete.
@@ -233,8 +252,9 @@
     idle time-outs and are closed.
     """
 
-    def __init__(self, wire: Wire) -> None:
+    def __init__(self, wire: Wire, paths: ServerPaths) -> None:
         self.wire = wire
+        self.paths = paths
         self.idle: dict[str, deque[ServerConnection]] = defaultdict(deque)
         self.opened = 0
 
@@ -250,11 +270,18 @@
         now = time.monotonic()
         while idle:
             connection = idle.pop()
-            if connection.is_reusable(now):
+            if self._is_usable(server_id, connection, now):
                 return connection
             connection.close()
         self.opened += 1
-        return ServerConnection.open(address, self.wire)
+        stream = self.paths.open(server_id, address)
+        return ServerConnection(stream, self.wire, self.paths.heard_from(server_id))
+
+    def _is_usable(
+        self, server_id: str, connection: ServerConnection, now: float
+    ) -> bool:
+        may_reuse = self.paths.may_reuse(server_id, connection.transit_node)
+        return may_reuse and connection.is_reusable(now)
 
     def release(self, server_id: str, connection: ServerConnection) -> None:
         """Return a connection to the pool."""
@@ -269,7 +296,7 @@
         """Close the idle connections that can't be used again."""
         now = time.monotonic()
         for server_id, idle in list(self.idle.items()):
-            while idle and not idle[0].is_reusable(now):
+            while idle and not self._is_usable(server_id, idle[0], now):
                 idle.popleft().close()
             if not idle:
                 del self.idle[server_id]
--- a/packages/endive_gateway/src/endive_gateway/context.py
+++ b/packages/endive_gateway/src/endive_gateway/context.py
@@ -16,9 +16,11 @@
 from endive_gateway.interfaces import Cloud, GatewaySettings, Store, Wire
 from endive_gateway.limit_sharing import LimitSharing
 from endive_gateway.metrics import GatewayMetrics
+from endive_gateway.paths import ServerPaths
 from endive_gateway.placing import Placer
 from endive_gateway.servers import ServerRegistry
 from endive_gateway.tcp import is_listening
+from endive_gateway.transit import TransitPort
 from endive_gateway.workload import WorkloadMeter
 
 START_WAIT_S = 0.5
@@ -47,6 +49,10 @@
     on_prompt : callable
         Called with a server's id, the prompt's uncached tokens and the server's prefill
         time in seconds when a prompt is sent to that server.
+    paths : ServerPaths
+        The ways to the servers.
+    transit_port : TransitPort
+        Carries the connections of other nodes to servers.
     limit_sharing : LimitSharing
         The limits that backend servers name, shared with the other nodes.
     initialised : Event
@@ -69,8 +75,10 @@
         self.document = b""
         self.nodes = 1
         self.registry = ServerRegistry()
+        self.paths = ServerPaths(self.registry, self.random)
+        self.transit_port = TransitPort(self.registry, self.paths.reachability)
         self.placer = Placer(self.registry, is_listening=is_listening)
-        self.pool = ConnectionPool(wire)
+        self.pool = ConnectionPool(wire, self.paths)
         self.limits = SharedLimits(time.monotonic(), slack=settings.bounds.quota_slack)
         self.limit_sharing = LimitSharing(
             settings.location.address,
--- a/packages/endive_gateway/src/endive_gateway/exceptions.py
+++ b/packages/endive_gateway/src/endive_gateway/exceptions.py
@@ -72,12 +72,26 @@
         Whether any part of the request may have been sent.
     refused : bool
         Whether the connection was refused, so that no process listens there.
+    on_the_way : bool
+        Whether it broke between this node and another one through which it went.
     """
 
-    def __init__(self, message: str, *, sent: bool, refused: bool = False) -> None:
+    def __init__(
+        self,
+        message: str,
+        *,
+        sent: bool,
+        refused: bool = False,
+        on_the_way: bool = False,
+    ) -> None:
         super().__init__(message)
         self.sent = sent
         self.refused = refused
+        self.on_the_way = on_the_way
+
+
+class TransitBrokenError(OSError):
+    """The connection to a transit node broke, so the server's end is unknown."""
 
 
 class ConnectionEndedError(ConnectionBrokenError):
--- a/packages/endive_gateway/src/endive_gateway/gateway.py
+++ b/packages/endive_gateway/src/endive_gateway/gateway.py
@@ -62,6 +62,7 @@
     ) -> None:
         self.settings = settings
         self.context = Context(settings, wire, store, cloud)
+        self.transit = self.context.transit_port
         location = settings.location
         self.callers = CallerListener(
             caller_socket or listen_tcp(location.address, location.caller_port),
@@ -110,6 +111,7 @@
             self.configuration.run,
             self.servers.run,
             self.context.placer.poll_queues,
+            self.context.paths.probe_blocked,
             self._sweep,
         ]
         if self.settings.duties:
@@ -124,6 +126,8 @@
         self.spending.start(location.peer_port + 1)
         self.prompts.datagrams.start(location.address, location.peer_port + 2)
         self.context.on_prompt = self.prompts.announce
+        self.context.paths.transit_port = location.peer_port + 2
+        self.context.transit_port.start(location.address, location.peer_port + 2)
         for loop in loops:
             gevent.spawn(keep_running, loop)
         self.readiness.start()
@@ -183,8 +187,10 @@
         if self.stopping_at is not None:
             return
         self.stopping_at = time.monotonic()
-        log_event("stopping", busy=self.callers.busy)
+        log_event("stopping", busy=self.callers.busy, carried=self.transit.carried)
         self.callers.stopping = True
+        self.transit.accepting = False
+        self.peers.urgent.set()
         gevent.spawn(self.duties.release)
         grace = self.settings.bounds.grace_s - EXIT_MARGIN_S
         end = self.stopping_at + grace
@@ -192,9 +198,9 @@
         # A request accepted after this point could last longer than the grace period,
         # and the process would exit in the middle of its response.
         self.callers.stop_accepting()
-        while time.monotonic() < end and self.callers.busy:
+        while time.monotonic() < end and (self.callers.busy or self.transit.carried):
             self.callers.close_idle()
             gevent.sleep(DRAIN_POLL_S)
         self.peers.send_state(gone=True)
-        log_event("stopped", unfinished=self.callers.busy)
+        log_event("stopped", unfinished=self.callers.busy, carried=self.transit.carried)
         self.stopped.set()
--- a/packages/endive_gateway/src/endive_gateway/interfaces.py
+++ b/packages/endive_gateway/src/endive_gateway/interfaces.py
@@ -392,7 +392,8 @@
         IP address.
     peer_port : int
         UDP port of the state messages, the same on all nodes. The next port serves the
-        configuration by TCP and takes spending by UDP, the one after it takes prompts.
+        configuration by TCP and takes spending by UDP, the one after it takes prompts
+        by UDP and carries other nodes' connections to servers by TCP.
     seeds : tuple of str
         Addresses at which other nodes may run.
     """
--- a/packages/endive_gateway/src/endive_gateway/peers.py
+++ b/packages/endive_gateway/src/endive_gateway/peers.py
@@ -429,6 +429,7 @@
                 (report.server, report.limit, now - report.at, report.id)
                 for report in context.limit_sharing.reports.take(MAX_REPORTS)
             ],
+            carried=context.transit_port.offer(),
         )
 
     def _relays_servers(self) -> bool:
@@ -445,6 +446,8 @@
         for address, peer in list(self.known.items()):
             if now - max(peer.heard_at, peer.added_at) > FORGET_AFTER_S:
                 del self.known[address]
+            if now - peer.heard_at > self.live_timeout_s:
+                self.context.paths.transit.offers.discard(address)
         live = len(self.live())
         if live != self.logged_live:
             log_event(
@@ -486,6 +489,7 @@
         context.meter.receive(address, message.incarnation, message.windows)
         self.crash_exchange.learn(message.node, message.crashes, message.successes, now)
         self._learn_limits(message, now)
+        context.paths.transit.offers.set(address, message.carried)
         context.placer.ejection.receive(address, message.server_failures, now)
         context.placer.backlogs.receive(address, message.pending_prompt_tokens, now)
         self._greet(peer, now)
@@ -504,6 +508,7 @@
         if message.gone:
             log_event("peer_gone", peer=message.node)
             context.limits.remove_peer(address)
+            context.paths.transit.offers.discard(address)
             self.known.pop(address, None)
 
     def _learn_limits(self, message: "StateMessage", now: float) -> None:
--- a/packages/endive_gateway/src/endive_gateway/state_messages.py
+++ b/packages/endive_gateway/src/endive_gateway/state_messages.py
@@ -59,6 +59,9 @@
     server_limits : list of (str, float or None, float, int)
         Server, its limit in requests a second (``None`` if it names none any more), the
         age of that statement in seconds, and its id.
+    carried : int
+        Connections to servers that the sender carries for other nodes; -1 if it
+        carries none, for example because it reaches no server itself.
     """
 
     node: str
@@ -83,6 +86,7 @@
     proof: int = 0
     successes: list[tuple[str, float]] = []
     server_limits: list[tuple[str, float | None, float, int]] = []
+    carried: int = -1
 
 
 DECODER = msgspec.msgpack.Decoder(StateMessage)
--- a/packages/endive_gateway/src/endive_gateway/tcp.py
+++ b/packages/endive_gateway/src/endive_gateway/tcp.py
@@ -56,11 +56,11 @@
         self.sock = sock
 
     @classmethod
-    def connect(cls, address: str) -> "TcpStream":
+    def connect(cls, address: str, timeout_s: float = CONNECT_TIMEOUT_S) -> "TcpStream":
         """Connect to ``IP:port``; raises :class:`ConnectionBrokenError`."""
         pending = PendingStream(address)
         try:
-            return pending.finish(CONNECT_TIMEOUT_S)
+            return pending.finish(timeout_s)
         except TimeoutError as error:
             pending.close()
             raise ConnectionBrokenError(str(error), sent=False) from None
--- /dev/null
+++ b/packages/endive_gateway/tests/test_paths.py
@@ -0,0 +1,284 @@
+import socket
+import struct
+import time
+
+import gevent
+import pytest
+from endive_core.routing import RouteKind
+from endive_gateway.paths import CONNECT_TIMEOUT_S
+from endive_gateway.transit import MAX_CARRIED, TransitReply, open_transit
+from gateway_builders import RunningGateway, make_route, make_table
+from path_builders import CUTS, CutOffGateway, TransitNode
+from server_builders import (
+    ScriptedServer,
+    event,
+    events,
+    ok,
+    unresponsive,
+    whole_stream,
+)
+
+STREAM = {"kind": RouteKind.STREAM, "max_attempts": 2}
+UNSAFE = {"kind": RouteKind.NON_IDEMPOTENT, "max_attempts": 1}
+NO_LINGER = struct.pack("ii", 1, 0)
+
+
+def table(**options):
+    return make_table(make_route(**options))
+
+
+def wait_for(condition, seconds=3.0):
+    """Wait until `condition` returns something true; return whether it did."""
+    end = time.monotonic() + seconds
+    while time.monotonic() < end and not condition():
+        gevent.sleep(0.01)
+    return bool(condition())
+
+
+def servers(*scripts):
+    return [
+        ScriptedServer(*script, server_id=f"i-{number}")
+        for number, script in enumerate(scripts)
+    ]
+
+
+@pytest.mark.parametrize("cut", CUTS)
+@pytest.mark.parametrize("route", [{}, UNSAFE])
+def test_a_node_that_reaches_no_server_serves_its_callers(cut, route):
+    """Each request waited for connections in vain, server after server."""
+    with CutOffGateway(*servers([], [], []), cut=cut, table=table(**route)) as running:
+        for _ in range(6):
+            started_at = time.monotonic()
+            got = running.call(method="POST", body=b"a")
+            assert got.status == 200
+            assert time.monotonic() - started_at < 0.3
+        assert wait_for(lambda: running.paths.reachability.is_cut_off, 1.0)
+        started_at = time.monotonic()
+        assert running.call().status == 200
+        assert time.monotonic() - started_at < 0.05
+
+
+@pytest.mark.parametrize("cut", CUTS)
+def test_events_pass_through_another_node_as_they_come(cut):
+    server = ScriptedServer(events(1, 5, gap_s=0.1))
+    with CutOffGateway(server, cut=cut, table=table(**STREAM)) as running:
+        caller = running.caller()
+        caller.send()
+        while event(1) not in caller.buffer:
+            caller._more()
+        first_at = time.monotonic()
+        got = caller.receive()
+    assert got.whole
+    assert got.body == b"".join(event(number) for number in range(1, 6))
+    assert time.monotonic() - first_at > 0.3
+
+
+@pytest.mark.parametrize("framing", ["connection", "length", "chunked"])
+def test_a_response_is_as_whole_as_the_server_sent_it(framing):
+    """An answer without a length ends with the server's connection."""
+    whole, cut = whole_stream(1, 3, framing=framing), b"id: 4\nda"
+    broken = whole_stream(1, 3, cut=cut, framing=framing)
+    server = ScriptedServer(whole, broken)
+    with CutOffGateway(server, cut="refused", table=table(**STREAM)) as running:
+        assert running.call().whole
+        assert not running.call().whole
+
+
+def reset_after_events(sock, received):
+    """Send an answer without a length, and reset the connection."""
+    whole_stream(1, 3)(sock, received)
+    gevent.sleep(0.05)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+    return False
+
+
+def test_a_response_that_the_server_resets_does_not_look_whole():
+    """Passed on as an orderly end, it would be a complete answer without a length."""
+    server = ScriptedServer(reset_after_events)
+    with CutOffGateway(server, cut="refused", table=table(**STREAM)) as running:
+        got = running.call()
+    assert got.body == b"".join(event(number) for number in range(1, 4))
+    assert not got.whole
+
+
+def unframed_then_silent(sock, received):
+    """Send events of an answer without a length, and nothing more."""
+    head = (
+        f"HTTP/1.1 200 OK\r\nId: {received.headers['id']}\r\nSigned: yes\r\n"
+        "Content-Type: text/event-stream\r\nConnection: close\r\n\r\n"
+    )
+    sock.sendall(head.encode() + event(1) + event(2))
+    gevent.sleep(5)
+
+
+def test_a_response_does_not_look_whole_if_the_transit_node_is_lost():
+    """The kernel closes a killed node's connections in an orderly way."""
+    server = ScriptedServer(unframed_then_silent)
+    with CutOffGateway(server, cut="refused", table=table(**STREAM)) as running:
+        caller = running.caller()
+        caller.send()
+        while event(2) not in caller.buffer:
+            caller._more()
+        running.node.kill()
+        got = caller.receive()
+    assert not got.whole
+
+
+def test_a_server_learns_at_once_that_a_caller_has_left():
+    """It would go on working on a request that nobody waits for."""
+    server = ScriptedServer(unresponsive)
+    with CutOffGateway(server, cut="refused") as running:
+        caller = running.caller()
+        caller.send()
+        assert wait_for(lambda: server.received)
+        assert running.node.port.carried == 1
+        caller.close()
+        assert wait_for(lambda: running.node.port.carried == 0, 0.3)
+
+
+def test_connections_through_another_node_are_reused():
+    server = ScriptedServer()
+    with CutOffGateway(server, cut="refused") as running:
+        caller = running.caller()
+        for _ in range(5):
+            caller.send()
+            assert caller.receive().status == 200
+        assert server.connections == 1
+
+
+def test_open_connections_are_used_while_new_ones_are_refused():
+    """They may live on, and other nodes are spared."""
+    server = ScriptedServer()
+    with CutOffGateway(server, cut="refused") as running:
+        running.heal()
+        assert running.call().status == 200
+        running.cut("refused")
+        assert running.call().status == 200
+        assert server.connections == 1
+
+
+@pytest.mark.parametrize("cut", CUTS)
+def test_a_node_that_reaches_servers_again_uses_its_own_connections(cut):
+    with CutOffGateway(*servers([], []), cut=cut) as running:
+        for _ in range(4):
+            running.call()
+        assert wait_for(lambda: running.paths.reachability.blocked)
+        prober = gevent.spawn(running.paths.probe_blocked)
+        running.heal()
+        assert wait_for(lambda: not running.paths.reachability.blocked)
+        prober.kill()
+        assert running.call().status == 200
+        running.context.pool.sweep()
+        assert wait_for(lambda: running.node.port.carried == 0)
+
+
+def test_a_server_that_no_node_reaches_is_not_blocked():
+    """It has failed, and a request that it did not get has not run."""
+    server = ScriptedServer()
+    server.stop()
+    with CutOffGateway(server, cut="refused", table=table(max_attempts=1)) as running:
+        got = running.call()
+        assert got.status == 503
+        assert not running.paths.reachability.blocked
+
+
+def test_a_node_without_others_waits_for_its_own_connection():
+    server = ScriptedServer()
+    with CutOffGateway(server, cut="hang", table=table(max_attempts=1)) as running:
+        running.paths.transit.offers.discard("127.0.0.1")
+        started_at = time.monotonic()
+        assert running.call().status == 503
+        assert time.monotonic() - started_at > 0.9 * CONNECT_TIMEOUT_S
+
+
+def test_a_connection_that_is_only_slow_is_not_taken_for_a_cut():
+    """A lost packet delays a connection too."""
+
+    class SlowStream(CUTS["hang"]):
+        def __init__(self, address):
+            self.address = address
+
+        def finish(self, timeout_s):
+            if timeout_s < 0.2:
+                return super().finish(timeout_s)
+            gevent.sleep(0.05)
+            return RunningGateway().context.paths.dial(self.address).finish(1.0)
+
+    with CutOffGateway(*servers([], [])) as running:
+        running.paths.dial = SlowStream
+        assert running.call().status == 200
+        gevent.sleep(0.2)
+        assert not running.paths.reachability.blocked
+
+
+# Transit nodes
+
+
+def ask(node, server_id):
+    reply, stream = open_transit("127.0.0.1", node.number, server_id, lambda _: None)
+    if stream is not None:
+        stream.close()
+    return reply
+
+
+def test_a_transit_node_says_why_it_carries_no_connection():
+    server, gone = servers([], [])
+    gone.stop()
+    node = TransitNode(server, gone)
+    assert ask(node, "i-0") is TransitReply.CONNECTED
+    assert ask(node, "i-1") is TransitReply.REFUSED
+    assert ask(node, "i-9") is TransitReply.UNKNOWN_SERVER
+    assert ask(node, "x" * 1000) is TransitReply.NO_ANSWER
+    node.port.carried = MAX_CARRIED
+    assert ask(node, "i-0") is TransitReply.FULL
+    node.port.carried = 0
+    node.port.accepting = False
+    assert ask(node, "i-0") is TransitReply.CLOSED
+    node.port.stop()
+    assert ask(node, "i-0") is TransitReply.NO_ANSWER
+    server.stop()
+
+
+def test_a_node_that_reaches_no_server_carries_none():
+    """Requests would go in a circle among the nodes that are cut off."""
+    server = ScriptedServer()
+    node = TransitNode(server)
+    assert node.port.offer() == 0
+    for server_id in ("i-1", "i-2"):
+        node.context.paths._block(server_id, 1.0, "n", refused=False)
+    assert node.port.offer() == -1
+    assert ask(node, "i-1") is TransitReply.BLOCKED
+    node.port.stop()
+    server.stop()
+
+
+def test_another_node_is_asked_if_one_does_not_carry_the_connection():
+    server = ScriptedServer()
+    with CutOffGateway(server, cut="refused") as running:
+        running.paths.transit.offers.set("127.0.0.9", 0)
+        for _ in range(8):
+            assert running.call().status == 200
+
+
+def test_a_stopping_node_finishes_what_it_carries():
+    """A request would be cut that its own node has not finished."""
+    slow = ScriptedServer(
+        lambda sock, received: (gevent.sleep(0.5), ok(sock, received))
+    )
+    with CutOffGateway(slow, cut="refused") as running:
+        caller = running.caller()
+        caller.send()
+        assert wait_for(lambda: running.node.port.carried == 1)
+        running.node.port.accepting = False
+        assert caller.receive().status == 200
+
+
+def test_connections_through_a_node_that_stops_are_given_up():
+    """Idle ones would keep it from stopping until they time out."""
+    server = ScriptedServer()
+    with CutOffGateway(server, cut="refused") as running:
+        assert running.call().status == 200
+        assert running.node.port.carried == 1
+        running.paths.transit.offers.set("127.0.0.1", -1)
+        running.context.pool.sweep()
+        assert wait_for(lambda: running.node.port.carried == 0)
