Ask another node before a failure counts against a server

From a node that is cut off, servers look as if they had crashed: connections are reset, and new ones refused. Such failures also went into the counts by which all nodes eject servers, and two nodes are enough for that.

A connection that breaks now has its server tried here and from another node. Only a server that listens counts as before, and only one that no node finds listening as crashed, also where this node itself gets no answer. If just this node can't reach it, the attempt counts as path_failed: nothing is held against the server or the request, the server is blocked here, and a request that may run again may go to the same server another way. So does the loss of a transit node. What a server itself does to a request that goes through another node counts as ever. Connections that fail together share one check.

--- a/packages/endive_core/src/endive_core/exceptions.py
+++ b/packages/endive_core/src/endive_core/exceptions.py
@@ -145,6 +145,7 @@
     SERVER_LEAVING = "server_leaving"
     SERVER_SLOW = "server_slow"
     HANDED_OVER = "handed_over"
+    PATH_FAILED = "path_failed"
 
 
 class EndiveError(Exception):
--- a/packages/endive_core/src/endive_core/reachability.py
+++ b/packages/endive_core/src/endive_core/reachability.py
@@ -41,14 +41,19 @@
     directly: bool | None
     elsewhere: bool | None
 
-    @property
-    def condition(self) -> ServerCondition:
-        """Condition of the server that explains the results.
+    def condition(self, *, through_transit: bool) -> ServerCondition:
+        """Return the condition of the server that explains a failed connection.
 
         A refusal elsewhere tells of the server even if this node gets no answer. A
         refusal here is trusted only if no other node could be asked.
+
+        Parameters
+        ----------
+        through_transit : bool
+            Whether the connection went through another node. Its failure then does not
+            tell of this node's own link.
         """
-        if self.directly:
+        if self.directly or (through_transit and self.elsewhere):
             return ServerCondition.LISTENING
         if self.elsewhere:
             return ServerCondition.BLOCKED
--- a/packages/endive_core/src/endive_core/scheduler.py
+++ b/packages/endive_core/src/endive_core/scheduler.py
@@ -33,6 +33,13 @@
     from endive_core.resources import Deployment, Organisation
 
 
+NO_SERVER_FAULT = (RetryReason.SERVER_LEAVING, RetryReason.PATH_FAILED)
+"""Reasons that say nothing against a server although it may have run the call."""
+
+NO_REASON_TO_AVOID = (RetryReason.SERVER_BUSY, RetryReason.PATH_FAILED)
+"""Reasons for which the next attempt may go to the same server."""
+
+
 class Scheduler:
     """Schedules the calls of one service at one node.
 
@@ -345,7 +352,7 @@
         """
         server = self._server_load_of(ticket)
         self.failures.attribute_crash(ticket, crashed, now)
-        if reason is not RetryReason.SERVER_BUSY:
+        if reason not in NO_REASON_TO_AVOID:
             ticket.avoid.add(ticket.server)
         self._release(ticket, now)
         self._count_server_failure(server, now, reason, started=started)
@@ -382,7 +389,7 @@
         if server is None:
             return
         self.failures.penalise_server(server, reason, now)
-        if started and reason is not RetryReason.SERVER_LEAVING:
+        if started and reason not in NO_SERVER_FAULT:
             self.outliers.failed(server)
 
     def requeue(self, ticket: Ticket) -> None:
--- a/packages/endive_core/tests/test_reachability.py
+++ b/packages/endive_core/tests/test_reachability.py
@@ -25,7 +25,14 @@
     directly, elsewhere, condition
 ):
     """Servers behind a cut look as if they had crashed."""
-    assert ConnectResults(directly, elsewhere).condition is condition
+    results = ConnectResults(directly, elsewhere)
+    assert results.condition(through_transit=False) is condition
+
+
+def test_a_failure_through_another_node_is_not_put_down_to_the_own_link():
+    """A server that fails requests of nodes that are cut off would never count."""
+    results = ConnectResults(directly=None, elsewhere=True)
+    assert results.condition(through_transit=True) is ServerCondition.LISTENING
 
 
 def silent(began_at, service="a"):
--- a/packages/endive_gateway/src/endive_gateway/attempts.py
+++ b/packages/endive_gateway/src/endive_gateway/attempts.py
@@ -111,6 +111,7 @@
         self.request.in_flight = True
         self.request.sent_at = self.context.cluster_clock.now()
         self.sent_at = self.request.now
+        through_transit = self.connection.transit_node is not None
         try:
             self._send()
             message, metadata = self.connection.read_head(self.request.metadata.id)
@@ -118,7 +119,11 @@
         except ConnectionBrokenError as error:
             self.request.count_start_unless_stream()
             raise AttemptError(
-                str(error), RetryReason.SERVER_FAILED, started=True
+                str(error),
+                RetryReason.SERVER_FAILED,
+                started=True,
+                through_transit=through_transit,
+                on_the_way=error.on_the_way,
             ) from None
         finally:
             self._drop_connection()
--- a/packages/endive_gateway/src/endive_gateway/context.py
+++ b/packages/endive_gateway/src/endive_gateway/context.py
@@ -19,7 +19,6 @@
 from endive_gateway.paths import ServerPaths
 from endive_gateway.placing import Placer
 from endive_gateway.servers import ServerRegistry
-from endive_gateway.tcp import is_listening
 from endive_gateway.transit import TransitPort
 from endive_gateway.workload import WorkloadMeter
 
@@ -77,7 +76,7 @@
         self.registry = ServerRegistry()
         self.paths = ServerPaths(self.registry, self.random)
         self.transit_port = TransitPort(self.registry, self.paths.reachability)
-        self.placer = Placer(self.registry, is_listening=is_listening)
+        self.placer = Placer(self.registry, try_both=self.paths.try_both)
         self.pool = ConnectionPool(wire, self.paths)
         self.limits = SharedLimits(time.monotonic(), slack=settings.bounds.quota_slack)
         self.limit_sharing = LimitSharing(
--- a/packages/endive_gateway/src/endive_gateway/exceptions.py
+++ b/packages/endive_gateway/src/endive_gateway/exceptions.py
@@ -121,6 +121,11 @@
         Whether the attempt counts towards the route's maximum of attempts.
     response : ServerResponse or None
         The error response that the server itself gave.
+    through_transit : bool
+        Whether the connection went through another node.
+    on_the_way : bool
+        Whether it broke on the way to that node, so that nothing is known of the
+        server.
     """
 
     def __init__(
@@ -131,8 +136,12 @@
         started: bool,
         counts_as_attempt: bool = True,
         response: ServerResponse | None = None,
+        through_transit: bool = False,
+        on_the_way: bool = False,
     ) -> None:
         super().__init__(message)
+        self.through_transit = through_transit
+        self.on_the_way = on_the_way
         self.reason = reason
         self.started = started
         self.counts_as_attempt = counts_as_attempt
@@ -142,8 +151,11 @@
     def is_server_fault(self) -> bool:
         """Whether the failure is evidence against the server.
 
-        A rejection of the request is none, nor is the end of the caller's time.
+        A rejection of the request is none, nor is the end of the caller's time, nor a
+        fault of this node's own connections.
         """
+        if self.reason is RetryReason.PATH_FAILED:
+            return False
         if self.response is None:
             return self.counts_as_attempt
         return (
--- a/packages/endive_gateway/src/endive_gateway/forwarding.py
+++ b/packages/endive_gateway/src/endive_gateway/forwarding.py
@@ -302,6 +302,13 @@
         self.in_flight = False
         self.may_have_run |= error.started
         self.uncounted_attempts += not error.counts_as_attempt
+        if error.started:
+            error.reason = self.context.placer.explain_failure(
+                self.ticket,
+                error.reason,
+                through_transit=error.through_transit,
+                on_the_way=error.on_the_way,
+            )
         self.context.metrics.retries[str(error.reason)] += 1
         log_event(
             "attempt_failed",
@@ -312,8 +319,6 @@
             started=error.started,
             error=error,
         )
-        if error.started:
-            self.context.placer.count_crash(self.ticket, error.reason)
         try:
             self._requeue(error)
         except EndiveError:
--- a/packages/endive_gateway/src/endive_gateway/paths.py
+++ b/packages/endive_gateway/src/endive_gateway/paths.py
@@ -9,7 +9,6 @@
     Block,
     ConnectResults,
     Reachability,
-    ServerCondition,
 )
 from endive_core.transit import Random, TransitChoice
 from endive_node.logs import log_event
@@ -59,6 +58,8 @@
         Begins a connection of this node's own to ``IP:port``.
     blocked_any : Event
         Set while any server is blocked.
+    checks : dict of str to Greenlet
+        By server, the check of its condition that is under way.
     """
 
     def __init__(self, registry: ServerRegistry, random: Random) -> None:
@@ -69,6 +70,7 @@
         self.transit_port = 0
         self.dial = PendingStream
         self.blocked_any = Event()
+        self.checks: dict[str, gevent.Greenlet] = {}
         registry.listeners.append(self._forget_gone)
 
     def open(self, server_id: str, address: str) -> ByteStream:
@@ -192,23 +194,31 @@
             self.transit.close(node)
             raise
 
-    def condition(self, server_id: str, address: str) -> ServerCondition:
-        """Return what a connection that failed says of its server.
+    def try_both(self, server_id: str, address: str) -> ConnectResults:
+        """Try to reach a server to which a connection has failed, here and elsewhere.
 
         Other nodes are asked, since from a node that is cut off servers look as if they
-        had crashed.
+        had crashed. All connections that fail together share one check.
         """
+        check = self.checks.get(server_id)
+        if check is None:
+            check = gevent.spawn(self._check, server_id, address)
+            self.checks[server_id] = check
+            check.link(lambda _: self.checks.pop(server_id))
+        check.join()
+        return check.value or ConnectResults(directly=None, elsewhere=None)
+
+    def _check(self, server_id: str, address: str) -> ConnectResults:
         began_at = time.monotonic()
         directly = None
         if not self.is_blocked(server_id):
             directly = self._is_listening(address)
         if directly:
-            return ServerCondition.LISTENING
+            return ConnectResults(directly, None)
         elsewhere, node = self._is_listening_elsewhere(server_id)
-        condition = ConnectResults(directly, elsewhere).condition
-        if condition is ServerCondition.BLOCKED:
+        if elsewhere:
             self._block(server_id, began_at, node, refused=directly is False)
-        return condition
+        return ConnectResults(directly, elsewhere)
 
     def _is_listening(self, address: str) -> bool | None:
         """Return whether a server accepts a connection; ``None`` without an answer."""
--- a/packages/endive_gateway/src/endive_gateway/placing.py
+++ b/packages/endive_gateway/src/endive_gateway/placing.py
@@ -13,6 +13,7 @@
 from endive_core.messages import ServerView
 from endive_core.policy import Policy
 from endive_core.prefilling import PrefillRate
+from endive_core.reachability import ConnectResults, ServerCondition
 from endive_core.routing import RoutingTable, Service
 from endive_core.scheduler import Scheduler
 from endive_core.server_limits import LimitShare
@@ -78,7 +79,9 @@
         policy: Policy = GATEWAY_POLICY,
         *,
         seed: int | None = None,
-        is_listening: Callable[[str], bool] = lambda address: True,
+        try_both: Callable[[str, str], ConnectResults] = lambda *server: ConnectResults(
+            directly=True, elsewhere=None
+        ),
     ) -> None:
         super().__init__(time.monotonic)
         self.registry = registry
@@ -92,7 +95,7 @@
         self.consecutive_failures: Counter[str] = Counter()
         self.ejection = ClusterEjection()
         self.backlogs = Backlogs()
-        self.is_listening = is_listening
+        self.try_both = try_both
         self.on_crash: Callable[[], None] = lambda: None
         registry.listeners.append(self.refresh)
 
@@ -261,24 +264,50 @@
             return RetryReason.SERVER_SLOW
         return reason
 
-    def count_crash(self, ticket: Ticket, reason: RetryReason) -> None:
-        """Record a crash against a request if its server no longer listens.
-
-        A connection may break for many other reasons. A crash counts also if this node
-        does not retry the request, since its caller may.
+    def explain_failure(
+        self,
+        ticket: Ticket,
+        reason: RetryReason,
+        *,
+        through_transit: bool = False,
+        on_the_way: bool = False,
+    ) -> RetryReason:
+        """Return the reason with which an attempt counts that may have run.
+
+        A connection may break because its server has crashed, which counts against the
+        request even if this node does not retry it, since its caller may. It may also
+        break because this node, and not the server, has lost its link.
+
+        Parameters
+        ----------
+        through_transit : bool
+            Whether the connection went through another node.
+        on_the_way : bool
+            Whether it broke on the way to that node.
         """
         view = self.views.get(ticket.server)
         if reason is not RetryReason.SERVER_FAILED or view is None:
-            return
+            return reason
+        if on_the_way:
+            return RetryReason.PATH_FAILED
+        results = self.try_both(view.id, view.address)
+        condition = results.condition(through_transit=through_transit)
+        if condition is ServerCondition.CRASHED:
+            self._count_crash(ticket)
+            return reason
         request_id = ticket.call.request_id
-        if self.is_listening(view.address):
-            log_event("server_still_listens", server=view.id, request=request_id)
-            return
-        crash = self._crash_id(view.id)
+        if condition is ServerCondition.BLOCKED:
+            log_event("server_not_failed", server=view.id, request=request_id)
+            return RetryReason.PATH_FAILED
+        log_event("server_still_listens", server=view.id, request=request_id)
+        return reason
+
+    def _count_crash(self, ticket: Ticket) -> None:
+        crash = self._crash_id(ticket.server)
         log_event(
             "server_crashed",
-            server=view.id,
-            request=request_id,
+            server=ticket.server,
+            request=ticket.call.request_id,
             fingerprint=ticket.call.fingerprint,
             crash=crash,
         )
--- a/packages/endive_gateway/src/endive_gateway/tcp.py
+++ b/packages/endive_gateway/src/endive_gateway/tcp.py
@@ -148,23 +148,3 @@
     except OSError:
         pass
     return False
-
-
-def is_listening(address: str) -> bool:
-    """Return whether a process listens at ``IP:port``; True if that is uncertain.
-
-    Only a refused connection counts as no: a server that doesn't answer in time may be
-    slow or unreachable.
-    """
-    host, _, port = address.rpartition(":")
-    sock = gsocket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    sock.settimeout(LISTEN_PROBE_TIMEOUT_S)
-    try:
-        sock.connect((host, int(port)))
-    except ConnectionRefusedError:
-        return False
-    except OSError:
-        return True
-    finally:
-        sock.close()
-    return True
--- a/packages/endive_gateway/tests/test_paths.py
+++ b/packages/endive_gateway/tests/test_paths.py
@@ -4,6 +4,7 @@
 
 import gevent
 import pytest
+from endive_core.reachability import ConnectResults
 from endive_core.routing import RouteKind
 from endive_gateway.paths import CONNECT_TIMEOUT_S
 from endive_gateway.transit import MAX_CARRIED, TransitReply, open_transit
@@ -11,6 +12,7 @@
 from path_builders import CUTS, CutOffGateway, TransitNode
 from server_builders import (
     ScriptedServer,
+    close_connection,
     event,
     events,
     ok,
@@ -47,12 +49,13 @@
 def test_a_node_that_reaches_no_server_serves_its_callers(cut, route):
     """Each request waited for connections in vain, server after server."""
     with CutOffGateway(*servers([], [], []), cut=cut, table=table(**route)) as running:
-        for _ in range(6):
+        end = time.monotonic() + 3.0
+        while not running.paths.reachability.is_cut_off:
             started_at = time.monotonic()
             got = running.call(method="POST", body=b"a")
             assert got.status == 200
             assert time.monotonic() - started_at < 0.3
-        assert wait_for(lambda: running.paths.reachability.is_cut_off, 1.0)
+            assert started_at < end
         started_at = time.monotonic()
         assert running.call().status == 200
         assert time.monotonic() - started_at < 0.05
@@ -211,6 +214,84 @@
         assert not running.paths.reachability.blocked
 
 
+# What failed connections say of servers
+
+
+@pytest.mark.parametrize("cut", CUTS)
+@pytest.mark.parametrize("route", [{}, UNSAFE])
+def test_failures_of_a_nodes_own_link_do_not_count_against_servers(cut, route):
+    """Innocent requests were refused for crashes, and sound servers got no work."""
+    cuts = [cut]
+
+    def lose_link_once(sock, received):
+        if not cuts:
+            return ok(sock, received)
+        running.cut(cuts.pop())
+        return False
+
+    script = [lose_link_once] * 9
+    with CutOffGateway(*servers(script, script), table=table(**route)) as running:
+        running.heal()
+        got = running.call(method="POST", body=b"a")
+        placer = running.context.placer
+        assert got.status == (502 if route else 200)
+        assert not placer.crashes.crashes
+        assert not placer.ejection.own_counts(time.monotonic())
+        assert not placer.consecutive_failures
+        assert running.context.metrics.retries["path_failed"] == 1
+        assert running.paths.reachability.blocked
+
+
+@pytest.mark.parametrize("cut", CUTS)
+def test_a_crash_is_counted_by_a_node_that_does_not_reach_the_server(cut):
+    """Another node sees that nothing listens there any more."""
+    server = ScriptedServer()
+
+    def crash(sock, _received):
+        sock.close()
+        server.stop()
+        return False
+
+    server.script.append(crash)
+    with CutOffGateway(server, cut=cut, table=table(**UNSAFE)) as running:
+        assert running.call(method="POST", body=b"a").status == 502
+        assert len(running.context.placer.crashes.crashes) == 1
+        assert running.context.metrics.retries["server_failed"] == 1
+
+
+def test_the_loss_of_a_transit_node_does_not_count_against_the_server():
+    server = ScriptedServer(unresponsive)
+    with CutOffGateway(server, cut="refused", table=table(**UNSAFE)) as running:
+        caller = running.caller()
+        caller.send(method="POST", body=b"a")
+        assert wait_for(lambda: server.received)
+        running.node.kill()
+        assert caller.receive().status == 502
+        assert running.context.metrics.retries["path_failed"] == 1
+        assert not running.context.placer.consecutive_failures
+
+
+def test_a_server_that_fails_requests_through_another_node_is_counted():
+    server = ScriptedServer(ok, close_connection)
+    with CutOffGateway(server, cut="refused", table=table(**UNSAFE)) as running:
+        assert running.call().status == 200
+        assert running.call(method="POST", body=b"a").status == 502
+        assert running.context.metrics.retries["server_failed"] == 1
+        assert running.context.placer.ejection.own_counts(time.monotonic())
+
+
+def test_connections_that_fail_together_share_one_check():
+    """A server would get a connection for each of its requests that are lost."""
+    server = ScriptedServer()
+    with CutOffGateway(server, cut="refused") as running:
+        check = (running.paths.try_both, "i-1", server.address)
+        checks = [gevent.spawn(*check) for _ in range(9)]
+        gevent.joinall(checks)
+        refused_here = ConnectResults(directly=False, elsewhere=True)
+        assert {check.value for check in checks} == {refused_here}
+        assert server.connections == 1
+
+
 # Transit nodes
 
 
--- a/packages/endive_gateway/tests/test_placing.py
+++ b/packages/endive_gateway/tests/test_placing.py
@@ -6,6 +6,7 @@
 from core_builders import call, dispatch_all, view
 from endive_core.exceptions import RetryReason
 from endive_core.prefixes import part_blocks
+from endive_core.reachability import ConnectResults
 from endive_core.scheduler import Scheduler
 from endive_gateway.placing import GATEWAY_POLICY
 from gateway_builders import SERVICE, make_context, make_entry, make_table
@@ -67,9 +68,9 @@
 def count_crash(context, request_id="q1"):
     """Count the crash of server ``i-1`` against a request with the content ``f``."""
     placer = context.placer
-    placer.is_listening = lambda address: False
+    placer.try_both = lambda *server: ConnectResults(directly=False, elsewhere=False)
     ticket = placer.admit(SERVICE, call(request_id, fingerprint="f"))
-    placer.count_crash(ticket, RetryReason.SERVER_FAILED)
+    placer.explain_failure(ticket, RetryReason.SERVER_FAILED)
 
 
 def test_a_crash_counts_once_whenever_nodes_see_it(monkeypatch):
--- a/tests/test_platform_logs.py
+++ b/tests/test_platform_logs.py
@@ -3,14 +3,15 @@
 
 import gevent
 import pytest
+from endive_core.reachability import ConnectResults
 from endive_core.routing import OrganisationLimits, RouteKind
-from endive_gateway.tcp import is_listening
 from endive_node import logs
-from gateway_builders import RunningGateway, make_route, make_table
+from gateway_builders import RunningGateway, make_context, make_route, make_table
 from server_builders import ScriptedServer
 
 OPERATIONS_PAGE = Path(__file__).resolve().parents[1] / "docs" / "OPERATIONS.md"
 LINE_PATTERN = re.compile(r"^event=(\S+) .*$", re.MULTILINE)
+REFUSED = ConnectResults(directly=False, elsewhere=None)
 KEY_PATTERN = re.compile(r"(\w+)=(?:\"[^\"]*\"|\S+)")
 
 
@@ -64,7 +65,7 @@
     server.script.append(crash)
     unsafe = make_table(make_route(kind=RouteKind.NON_IDEMPOTENT, max_attempts=1))
     with RunningGateway(server, table=unsafe) as running:
-        running.context.placer.is_listening = lambda address: False
+        running.context.placer.try_both = lambda *server: REFUSED
         running.call(method="POST", body=b"x")
     gevent.sleep(0)
     assert documented_lines() - written_lines(log_lines) == set()
@@ -72,7 +73,7 @@
 
 
 def test_a_closed_port_is_detected():
-    server = ScriptedServer()
-    assert is_listening(server.address)
+    server, paths = ScriptedServer(), make_context().paths
+    assert paths.try_both("i-1", server.address).directly
     server.stop()
-    assert not is_listening(server.address)
+    assert paths.try_both("i-1", server.address) == REFUSED
