Notice that requests hang behind a cut, and send them another way

A request whose bytes nobody has acknowledged for 0.25 s, or to which nothing has come for 0.5 s while the whole service is silent, has its server now tried, here and from another node, and one more server of the service; at most twice a second. If the node turns out to be cut off, the attempts that hang and may be made again end, and go through another node. A request that may run once only waits as before.

The test of a request that hangs failed before.

--- a/packages/endive_core/src/endive_core/reachability.py
+++ b/packages/endive_core/src/endive_core/reachability.py
@@ -154,14 +154,14 @@
     def connected(self, server: str, service: str, now: float) -> bool:
         """Record a connection that was opened; return whether a block has ended.
 
-        If one blocked server is reached again, the others probably are too. If not, the
-        next connection to each of them shows it.
+        If one blocked server is reached again, the others of its service probably are
+        too. If not, the next connection to each of them shows it.
         """
         ended = self.is_blocked(server, service)
         self.hear(service, now)
-        if ended:
-            self.blocked.clear()
-            self.cut_off.clear()
+        if server in self.blocked:
+            blocked = self.blocked.items()
+            self.blocked = {s: b for s, b in blocked if b.service != service}
         return ended
 
     def hear(self, service: str, now: float) -> None:
--- a/packages/endive_gateway/src/endive_gateway/attempts.py
+++ b/packages/endive_gateway/src/endive_gateway/attempts.py
@@ -111,6 +111,7 @@
         self.request.in_flight = True
         self.request.sent_at = self.context.cluster_clock.now()
         self.sent_at = self.request.now
+        self.connection.repeatable = self.request.route.retryable
         through_transit = self.connection.transit_node is not None
         try:
             self._send()
--- a/packages/endive_gateway/src/endive_gateway/connections.py
+++ b/packages/endive_gateway/src/endive_gateway/connections.py
@@ -6,7 +6,6 @@
 
 import time
 from collections import defaultdict, deque
-from collections.abc import Callable
 
 import gevent
 
@@ -18,6 +17,7 @@
 )
 from endive_gateway.http import ResponseMessage, ResponseParser
 from endive_gateway.interfaces import ResponseMetadata, Wire, header_value
+from endive_gateway.path_monitor import PathMonitor
 from endive_gateway.paths import ServerPaths
 from endive_gateway.tcp import ByteStream
 from endive_gateway.transit import TransitStream
@@ -175,25 +175,44 @@
 
     Attributes
     ----------
-    on_heard : callable
-        Called when anything arrives over a connection of this node's own.
+    server_id : str
+        The server.
+    transit_node : str or None
+        IP address of the node through which the connection goes, if it does.
+    repeatable : bool
+        Whether the present request may be sent to a server again.
     """
 
     def __init__(
-        self, stream: ByteStream, wire: Wire, on_heard: Callable[[], None]
+        self, server_id: str, stream: ByteStream, wire: Wire, monitor: PathMonitor
     ) -> None:
         super().__init__(stream)
+        self.server_id = server_id
         self.wire = wire
-        self.on_heard = on_heard if self.transit_node is None else lambda: None
+        self.monitor = monitor
+        self.repeatable = False
+        self.transit_node = stream.node if isinstance(stream, TransitStream) else None
 
-    @property
-    def transit_node(self) -> str | None:
-        """IP address of the node through which the connection goes, if it does."""
-        return self.stream.node if isinstance(self.stream, TransitStream) else None
+    def send(self, head: bytes, body: bytes) -> None:
+        """See :meth:`Connection.send`."""
+        super().send(head, body)
+        if self.transit_node is None:
+            self.monitor.sent(self)
 
     def _read(self) -> None:
         super()._read()
-        self.on_heard()
+        if self.transit_node is None:
+            self.monitor.heard(self)
+
+    def finish(self, message: ResponseMessage) -> bool:
+        """See :meth:`Connection.finish`."""
+        self.monitor.ended(self)
+        return super().finish(message)
+
+    def close(self) -> None:
+        """See :meth:`Connection.close`."""
+        self.monitor.ended(self)
+        super().close()
 
     def read_head(self, request_id: str) -> tuple[ResponseMessage, ResponseMetadata]:
         """Return the response to `request_id` as soon as its head is complete.
@@ -252,9 +271,10 @@
     idle time-outs and are closed.
     """
 
-    def __init__(self, wire: Wire, paths: ServerPaths) -> None:
+    def __init__(self, wire: Wire, paths: ServerPaths, monitor: PathMonitor) -> None:
         self.wire = wire
         self.paths = paths
+        self.monitor = monitor
         self.idle: dict[str, deque[ServerConnection]] = defaultdict(deque)
         self.opened = 0
 
@@ -275,7 +295,7 @@
             connection.close()
         self.opened += 1
         stream = self.paths.open(server_id, address)
-        return ServerConnection(stream, self.wire, self.paths.heard_from(server_id))
+        return ServerConnection(server_id, stream, self.wire, self.monitor)
 
     def _is_usable(
         self, server_id: str, connection: ServerConnection, now: float
--- a/packages/endive_gateway/src/endive_gateway/context.py
+++ b/packages/endive_gateway/src/endive_gateway/context.py
@@ -16,6 +16,7 @@
 from endive_gateway.interfaces import Cloud, GatewaySettings, Store, Wire
 from endive_gateway.limit_sharing import LimitSharing
 from endive_gateway.metrics import GatewayMetrics
+from endive_gateway.path_monitor import PathMonitor
 from endive_gateway.paths import ServerPaths
 from endive_gateway.placing import Placer
 from endive_gateway.servers import ServerRegistry
@@ -50,6 +51,8 @@
         time in seconds when a prompt is sent to that server.
     paths : ServerPaths
         The ways to the servers.
+    path_monitor : PathMonitor
+        Notices that requests to servers hang.
     transit_port : TransitPort
         Carries the connections of other nodes to servers.
     limit_sharing : LimitSharing
@@ -77,7 +80,8 @@
         self.paths = ServerPaths(self.registry, self.random)
         self.transit_port = TransitPort(self.registry, self.paths.reachability)
         self.placer = Placer(self.registry, try_both=self.paths.try_both)
-        self.pool = ConnectionPool(wire, self.paths)
+        self.path_monitor = PathMonitor(self.paths)
+        self.pool = ConnectionPool(wire, self.paths, self.path_monitor)
         self.limits = SharedLimits(time.monotonic(), slack=settings.bounds.quota_slack)
         self.limit_sharing = LimitSharing(
             settings.location.address,
--- a/packages/endive_gateway/src/endive_gateway/gateway.py
+++ b/packages/endive_gateway/src/endive_gateway/gateway.py
@@ -112,6 +112,7 @@
             self.servers.run,
             self.context.placer.poll_queues,
             self.context.paths.probe_blocked,
+            self.context.path_monitor.run,
             self._sweep,
         ]
         if self.settings.duties:
--- a/packages/endive_gateway/src/endive_gateway/paths.py
+++ b/packages/endive_gateway/src/endive_gateway/paths.py
@@ -1,8 +1,6 @@
 """Opens connections to backend servers, directly or through another node."""
 
 import time
-from collections.abc import Callable
-from functools import partial
 
 import gevent
 from endive_core.reachability import (
@@ -214,6 +212,7 @@
         if not self.is_blocked(server_id):
             directly = self._is_listening(address)
         if directly:
+            self.connected(server_id)
             return ConnectResults(directly, None)
         elsewhere, node = self._is_listening_elsewhere(server_id)
         if elsewhere:
@@ -248,15 +247,16 @@
             given up once the server is reached directly, or the node stops.
         """
         if transit_node is None:
-            return self.reachability.may_reuse(server_id, self._service(server_id))
+            return self.reachability.may_reuse(server_id, self.service_of(server_id))
         is_offered = transit_node in self.transit.offers.carried
         return is_offered and self.is_blocked(server_id)
 
     def is_blocked(self, server_id: str) -> bool:
         """Return whether connections to a server go through another node."""
-        return self.reachability.is_blocked(server_id, self._service(server_id))
+        return self.reachability.is_blocked(server_id, self.service_of(server_id))
 
-    def _service(self, server_id: str) -> str:
+    def service_of(self, server_id: str) -> str:
+        """Return a server's service; empty if the server is unknown."""
         known = self.registry.get(server_id)
         return known.entry.service if known else ""
 
@@ -264,23 +264,19 @@
 
     def connected(self, server_id: str) -> None:
         """Record that a connection of this node's own to a server was opened."""
-        service, now = self._service(server_id), time.monotonic()
+        service, now = self.service_of(server_id), time.monotonic()
         if self.reachability.connected(server_id, service, now):
-            log_event("servers_reached", server=server_id)
-            self.blocked_any.clear()
+            blocked = len(self.reachability.blocked)
+            log_event("servers_reached", server=server_id, blocked=blocked)
 
-    def heard(self, service: str) -> None:
+    def heard(self, server_id: str) -> None:
         """Record that something arrived over a connection of this node's own."""
-        self.reachability.hear(service, time.monotonic())
-
-    def heard_from(self, server_id: str) -> Callable[[], None]:
-        """Return what is to be called when something arrives from a server."""
-        return partial(self.heard, self._service(server_id))
+        self.reachability.hear(self.service_of(server_id), time.monotonic())
 
     def _block(
         self, server_id: str, began_at: float, node: str, *, refused: bool
     ) -> None:
-        service = self._service(server_id)
+        service = self.service_of(server_id)
         is_new = server_id not in self.reachability.blocked
         cut_off = self.reachability.block(server_id, Block(service, began_at, refused))
         self.blocked_any.set()
--- a/packages/endive_gateway/src/endive_gateway/tcp.py
+++ b/packages/endive_gateway/src/endive_gateway/tcp.py
@@ -1,6 +1,9 @@
 """TCP connections to servers, to the platform's services and to other nodes."""
 
+import fcntl
 import socket
+import struct
+import termios
 from typing import Protocol
 
 from gevent import socket as gsocket
@@ -24,6 +27,8 @@
 a server that becomes unreachable while it works, when nothing sent awaits an
 acknowledgement. They take three seconds, less than most callers wait."""
 
+UNACKNOWLEDGED = struct.Struct("i")
+
 LISTEN_PROBE_TIMEOUT_S = 0.05
 """Time-out of the check whether a server still listens, seconds. A refusal arrives
 within a few milliseconds, and the caller of the failed request waits meanwhile."""
@@ -81,6 +86,15 @@
         """See :meth:`ByteStream.close`."""
         self.sock.close()
 
+    def unacknowledged_bytes(self) -> int:
+        """Return how many sent bytes the other side has not acknowledged."""
+        count = bytearray(UNACKNOWLEDGED.size)
+        try:
+            fcntl.ioctl(self.sock.fileno(), termios.TIOCOUTQ, count)
+        except OSError:
+            return 0  # closed, or not supported
+        return UNACKNOWLEDGED.unpack(count)[0]
+
 
 class PendingStream:
     """A TCP connection that is being opened.
--- a/packages/endive_gateway/tests/path_builders.py
+++ b/packages/endive_gateway/tests/path_builders.py
@@ -59,6 +59,7 @@
         self.paths = self.context.paths
         self.paths.transit_port = self.node.number
         self.paths.transit.offers.set("127.0.0.1", 0)
+        self.monitor = gevent.spawn(self.context.path_monitor.run)
         self.cut(cut)
 
     def cut(self, how):
@@ -71,4 +72,5 @@
 
     def __exit__(self, *exc_info):
         super().__exit__(*exc_info)
+        self.monitor.kill()
         self.node.port.stop()
--- a/packages/endive_gateway/tests/test_paths.py
+++ b/packages/endive_gateway/tests/test_paths.py
@@ -8,7 +8,12 @@
 from endive_core.routing import RouteKind
 from endive_gateway.paths import CONNECT_TIMEOUT_S
 from endive_gateway.transit import MAX_CARRIED, TransitReply, open_transit
-from gateway_builders import RunningGateway, make_route, make_table
+from gateway_builders import (
+    RunningGateway,
+    count_received_requests,
+    make_route,
+    make_table,
+)
 from path_builders import CUTS, CutOffGateway, TransitNode
 from server_builders import (
     ScriptedServer,
@@ -214,6 +219,60 @@
         assert not running.paths.reachability.blocked
 
 
+# Requests that hang
+
+
+def hang_once(running, cut="hang"):
+    """Return a script entry: the first request of all is lost with the node's link."""
+    cuts = [cut]
+
+    def lose_link(sock, received):
+        if not cuts:
+            return ok(sock, received)
+        running[0].cut(cuts.pop())
+        return unresponsive(sock, received)
+
+    return lose_link
+
+
+def test_a_request_that_hangs_behind_a_cut_is_sent_another_way():
+    """It waited until the kernel gave the connection up."""
+    gateways = []
+    script = [hang_once(gateways)] * 9
+    with CutOffGateway(*servers(script, script), table=table()) as running:
+        gateways.append(running)
+        running.heal()
+        started_at = time.monotonic()
+        assert running.call().status == 200
+        assert time.monotonic() - started_at < 1.5
+
+
+def test_a_request_that_may_run_once_only_is_not_sent_again():
+    gateways = []
+    script = [hang_once(gateways)] * 9
+    route = table(timeout_s=1.5, **UNSAFE)
+    with CutOffGateway(*servers(script, script), table=route) as running:
+        gateways.append(running)
+        running.heal()
+        assert running.call(method="POST", body=b"a").status == 504
+        assert count_received_requests(running) == 1
+
+
+def slowly(sock, received):
+    """Answer after a time in which a cut would have been noticed."""
+    gevent.sleep(1.2)
+    return ok(sock, received)
+
+
+def test_a_slow_response_of_a_server_that_is_reached_is_waited_for():
+    """A server may work for long, or fall silent for a second, and go on."""
+    with CutOffGateway(*servers([slowly] * 2, [slowly] * 2)) as running:
+        running.heal()
+        assert running.call().status == 200
+        assert count_received_requests(running) == 1
+        assert not running.paths.reachability.blocked
+
+
 # What failed connections say of servers
 
 
