Let nodes that are cut off say so at once, and name a way that works

A node that is asked and reaches the server neither now checks its own link, at most twice a second, so that the news spreads with the questions. One that knows that it is cut off refers to the less loaded of two nodes that it goes through itself. Ten nodes may be asked within 0.6 s, and an answer that tells of a cut takes the node out of the choice until its next message.

The same doubt about a refusal: a node that is refused by a server says so only if it reaches another server, of another service if there is one. Else nodes behind the same cut would confirm to each other that sound servers have crashed. A node on its own doubts its own refusals too.

The checks moved to a module of their own, and so did the port that carries connections.

--- a/packages/endive_core/src/endive_core/transit.py
+++ b/packages/endive_core/src/endive_core/transit.py
@@ -115,6 +115,14 @@
     def _may_ask(self, address: str, now: float, tried: Collection[str]) -> bool:
         return address not in tried and self.avoided.get(address, now) <= now
 
+    def referral(self) -> str | None:
+        """Return the less loaded of two nodes through which this one goes itself."""
+        used = [address for address in self.opened if address in self.offers.carried]
+        if not used:
+            return None
+        drawn = [used[self.random.randrange(len(used))] for _ in range(DRAWN)]
+        return min(drawn, key=self._load)
+
     def avoid(self, address: str, now: float) -> None:
         """Ask a node again only after some time."""
         self.avoided[address] = now + AVOID_S
--- a/packages/endive_core/tests/test_transit.py
+++ b/packages/endive_core/tests/test_transit.py
@@ -54,6 +54,16 @@
     assert not choice.opened
 
 
+def test_a_node_refers_others_to_the_less_loaded_of_those_it_uses():
+    choice = choice_of(9, 1, 0, 0)
+    assert choice.referral() is None
+    for address in ("n0", "n1", "n9"):
+        choice.open(address)
+    referrals = Counter(choice.referral() for _ in range(400))
+    assert referrals.keys() == {"n0", "n1"}
+    assert referrals["n1"] > 250
+
+
 class CountedAddresses(list):
     """A list that counts how many of its items are looked at."""
 
--- a/packages/endive_gateway/src/endive_gateway/__init__.py
+++ b/packages/endive_gateway/src/endive_gateway/__init__.py
@@ -11,7 +11,8 @@
 - callers' connections: ``callers``, ``http``, ``statuses``, ``progress``
 - forwarding to servers: ``forwarding``, ``attempts``, ``connections``, ``events``,
   ``placing``, ``workload``
-- ways to the servers: ``paths``, ``path_monitor``, ``transit``, ``tcp``
+- ways to the servers: ``paths``, ``path_monitor``, ``server_checks``, ``transit``,
+  ``transit_port``, ``tcp``
 - the platform's state, as this node knows it: ``following``, ``configuration``,
   ``server_following``,
   ``servers``, ``configuration_exchange``, ``listing``, ``bootstrap``,
--- a/packages/endive_gateway/src/endive_gateway/context.py
+++ b/packages/endive_gateway/src/endive_gateway/context.py
@@ -19,8 +19,9 @@
 from endive_gateway.path_monitor import PathMonitor
 from endive_gateway.paths import ServerPaths
 from endive_gateway.placing import Placer
+from endive_gateway.server_checks import ServerChecks
 from endive_gateway.servers import ServerRegistry
-from endive_gateway.transit import TransitPort
+from endive_gateway.transit_port import TransitPort
 from endive_gateway.workload import WorkloadMeter
 
 START_WAIT_S = 0.5
@@ -51,6 +52,8 @@
         time in seconds when a prompt is sent to that server.
     paths : ServerPaths
         The ways to the servers.
+    checks : ServerChecks
+        Tell a server that has failed from one that this node does not reach.
     path_monitor : PathMonitor
         Notices that requests to servers hang.
     transit_port : TransitPort
@@ -78,9 +81,10 @@
         self.nodes = 1
         self.registry = ServerRegistry()
         self.paths = ServerPaths(self.registry, self.random)
-        self.transit_port = TransitPort(self.registry, self.paths.reachability)
-        self.placer = Placer(self.registry, try_both=self.paths.try_both)
-        self.path_monitor = PathMonitor(self.paths)
+        self.checks = ServerChecks(self.paths)
+        self.transit_port = TransitPort(self.paths, self.checks)
+        self.placer = Placer(self.registry, try_both=self.checks.try_both)
+        self.path_monitor = PathMonitor(self.paths, self.checks)
         self.pool = ConnectionPool(wire, self.paths, self.path_monitor)
         self.limits = SharedLimits(time.monotonic(), slack=settings.bounds.quota_slack)
         self.limit_sharing = LimitSharing(
--- a/packages/endive_gateway/src/endive_gateway/gateway.py
+++ b/packages/endive_gateway/src/endive_gateway/gateway.py
@@ -127,7 +127,7 @@
         self.spending.start(location.peer_port + 1)
         self.prompts.datagrams.start(location.address, location.peer_port + 2)
         self.context.on_prompt = self.prompts.announce
-        self.context.paths.transit_port = location.peer_port + 2
+        self.context.paths.transit.port = location.peer_port + 2
         self.context.transit_port.start(location.address, location.peer_port + 2)
         for loop in loops:
             gevent.spawn(keep_running, loop)
--- a/packages/endive_gateway/src/endive_gateway/path_monitor.py
+++ b/packages/endive_gateway/src/endive_gateway/path_monitor.py
@@ -12,6 +12,7 @@
 from gevent.event import Event
 
 from endive_gateway.paths import ServerPaths
+from endive_gateway.server_checks import ServerChecks
 from endive_gateway.tcp import TcpStream
 
 CHECK_INTERVAL_S = 0.1
@@ -57,8 +58,9 @@
         Whether a check is under way.
     """
 
-    def __init__(self, paths: ServerPaths) -> None:
+    def __init__(self, paths: ServerPaths, checks: ServerChecks) -> None:
         self.paths = paths
+        self.checks = checks
         self.sent_at: dict[WatchedConnection, float] = {}
         self.suspects: set[WatchedConnection] = set()
         self.busy = Event()
@@ -144,7 +146,7 @@
         known = self.paths.registry.get(server_id)
         if known is None:
             return False
-        results = self.paths.try_both(server_id, known.entry.address)
+        results = self.checks.try_both(server_id, known.entry.address)
         return not results.directly and bool(results.elsewhere)
 
     def _abandon_hanging(self) -> None:
--- a/packages/endive_gateway/src/endive_gateway/peers.py
+++ b/packages/endive_gateway/src/endive_gateway/peers.py
@@ -447,7 +447,7 @@
             if now - max(peer.heard_at, peer.added_at) > FORGET_AFTER_S:
                 del self.known[address]
             if now - peer.heard_at > self.live_timeout_s:
-                self.context.paths.transit.offers.discard(address)
+                self.context.paths.transit.choice.offers.discard(address)
         live = len(self.live())
         if live != self.logged_live:
             log_event(
@@ -489,7 +489,7 @@
         context.meter.receive(address, message.incarnation, message.windows)
         self.crash_exchange.learn(message.node, message.crashes, message.successes, now)
         self._learn_limits(message, now)
-        context.paths.transit.offers.set(address, message.carried)
+        context.paths.transit.choice.offers.set(address, message.carried)
         context.placer.ejection.receive(address, message.server_failures, now)
         context.placer.backlogs.receive(address, message.pending_prompt_tokens, now)
         self._greet(peer, now)
@@ -508,7 +508,7 @@
         if message.gone:
             log_event("peer_gone", peer=message.node)
             context.limits.remove_peer(address)
-            context.paths.transit.offers.discard(address)
+            context.paths.transit.choice.offers.discard(address)
             self.known.pop(address, None)
 
     def _learn_limits(self, message: "StateMessage", now: float) -> None:
--- a/packages/endive_gateway/src/endive_gateway/tcp.py
+++ b/packages/endive_gateway/src/endive_gateway/tcp.py
@@ -63,12 +63,10 @@
     @classmethod
     def connect(cls, address: str, timeout_s: float = CONNECT_TIMEOUT_S) -> "TcpStream":
         """Connect to ``IP:port``; raises :class:`ConnectionBrokenError`."""
-        pending = PendingStream(address)
-        try:
-            return pending.finish(timeout_s)
-        except TimeoutError as error:
-            pending.close()
-            raise ConnectionBrokenError(str(error), sent=False) from None
+        result = PendingStream(address).result(timeout_s)
+        if isinstance(result, ConnectionBrokenError):
+            raise result
+        return result
 
     def sendall(self, data: bytes) -> None:
         """See :meth:`ByteStream.sendall`."""
@@ -139,6 +137,16 @@
             raise
         return TcpStream(self.sock)
 
+    def result(self, timeout_s: float) -> TcpStream | ConnectionBrokenError:
+        """Return the open connection, or the error that prevented one in time."""
+        try:
+            return self.finish(timeout_s)
+        except ConnectionBrokenError as error:
+            return error
+        except TimeoutError as error:
+            self.close()
+            return ConnectionBrokenError(str(error), sent=False)
+
     def close(self) -> None:
         """Give the connection up."""
         self.sock.close()
--- a/packages/endive_gateway/src/endive_gateway/transit.py
+++ b/packages/endive_gateway/src/endive_gateway/transit.py
@@ -13,38 +13,35 @@
 """
 
 import struct
-from collections.abc import Callable
+import time
+from collections.abc import Callable, Collection
+from dataclasses import dataclass
 from enum import StrEnum
 
 import gevent
-from endive_core.reachability import Reachability
+from endive_core.transit import TransitChoice
 from endive_node.logs import log_event
-from endive_node.sockets import listen_tcp
 from gevent import socket as gsocket
-from gevent.pool import Pool
-from gevent.server import StreamServer
 
 from endive_gateway.exceptions import ConnectionBrokenError, TransitBrokenError
-from endive_gateway.servers import ServerRegistry
-from endive_gateway.tcp import TcpStream, enable_keepalive
+from endive_gateway.tcp import TcpStream
 
 NODE_CONNECT_TIMEOUT_S = 0.25
 """Time-out for opening a connection to another node, seconds: forty round trips between
 zones. A node that does not answer in it is not worth waiting for."""
 
-REPLY_TIMEOUT_S = 0.75
-"""Time-out for the reply of a transit node, seconds. It may itself wait for the server
-until a connection's time-out has passed."""
+REPLY_TIMEOUT_S = 0.4
+"""Time-out for the reply of a transit node, seconds. It may itself wait for the
+server."""
 
-REQUEST_TIMEOUT_S = 1.0
-"""Time within which a node must name the server after it has connected, seconds."""
+MAX_NODES = 10
+ASK_TIMEOUT_S = 0.6
+"""Nodes that are asked for one connection, at most, and time after which no further one
+is asked, seconds. One that is cut off itself says so within a few milliseconds."""
 
 MAX_LINE_BYTES = 256
 READ_BYTES = 65_536
 
-MAX_CARRIED = 400
-"""Most connections carried at once; each takes two of a node's 4,000 descriptors."""
-
 FRAME_LENGTH = struct.Struct(">I")
 ORDERLY_END = 0
 BROKEN_END = 0xFFFF_FFFF
@@ -148,157 +145,123 @@
             self.on_close(self.node)
 
 
-def open_transit(
-    node: str, port: int, server_id: str, on_close: Callable[[str], None]
-) -> tuple[TransitReply, TransitStream | None]:
-    """Ask the node at IP address `node` for a connection to a server.
+@dataclass(frozen=True, slots=True)
+class TransitAnswer:
+    """The answer of a transit node.
 
-    Returns
-    -------
-    TransitReply, TransitStream or None
-        The stream is ``None`` unless the reply is ``CONNECTED``.
+    Attributes
+    ----------
+    stream : TransitStream or None
+        ``None`` unless the reply is ``CONNECTED``.
+    referral : str
+        IP address of another node to ask, if the one that was asked is blocked itself.
     """
+
+    reply: TransitReply
+    stream: TransitStream | None = None
+    referral: str = ""
+
+
+NO_ANSWER = TransitAnswer(TransitReply.NO_ANSWER)
+
+
+def open_transit(
+    node: str, port: int, server_id: str, on_close: Callable[[str], None]
+) -> TransitAnswer:
+    """Ask the node at IP address `node` for a connection to a server."""
     try:
         stream = TcpStream.connect(f"{node}:{port}", NODE_CONNECT_TIMEOUT_S)
     except ConnectionBrokenError:
-        return TransitReply.NO_ANSWER, None
+        return NO_ANSWER
     try:
         with gevent.Timeout(REPLY_TIMEOUT_S, TimeoutError("no reply")):
             stream.sendall(server_id.encode() + b"\n")
-            line, rest = _read_line(stream.sock)
-            reply = TransitReply(line)
+            line, rest = read_line(stream.sock)
+            word, _, referral = line.partition(" ")
+            reply = TransitReply(word)
     except (OSError, ValueError) as error:
         log_event("transit_failed", node=node, server=server_id, error=error)
         stream.close()
-        return TransitReply.NO_ANSWER, None
+        return NO_ANSWER
     except BaseException:
         stream.close()
         raise
     if reply is not TransitReply.CONNECTED:
         stream.close()
-        return reply, None
-    return reply, TransitStream(stream, node, on_close, rest)
+        return TransitAnswer(reply, referral=referral)
+    return TransitAnswer(reply, TransitStream(stream, node, on_close, rest))
 
 
-class TransitPort:
-    """Carries the connections of nodes that can't reach servers themselves.
+class TransitNodes:
+    """The other nodes, as far as they carry connections to servers.
 
     Attributes
     ----------
-    carried : int
-        Number of connections that are carried now.
-    accepting : bool
-        Whether further ones are accepted.
+    choice : TransitChoice
+        Chooses among them.
+    port : int
+        TCP port of all nodes for such connections.
     """
 
-    def __init__(self, registry: ServerRegistry, reachability: Reachability) -> None:
-        self.registry = registry
-        self.reachability = reachability
-        self.carried = 0
-        self.accepting = False
-
-    def start(self, address: str, port: int) -> None:
-        """Start carrying connections that other nodes open to ``address:port``."""
-        listener = listen_tcp(address, port)
-        self.server = StreamServer(listener, self._serve, spawn=Pool())
-        self.server.start()
-        self.accepting = True
-
-    def stop(self) -> None:
-        """Stop; carried connections are closed."""
-        self.accepting = False
-        self.server.stop(0)
-
-    def offer(self) -> int:
-        """Return how many connections are carried, or -1 if none can be."""
-        is_open = self.accepting and not self.reachability.is_cut_off
-        return self.carried if is_open else -1
-
-    def _serve(self, sock, address) -> None:
-        self.carried += 1
-        upstream = None
-        try:
-            with gevent.Timeout(REQUEST_TIMEOUT_S, TimeoutError("no server named")):
-                server_id, _ = _read_line(sock)
-            reply, upstream = self._open(server_id)
-            log_event(
-                "transit",
-                peer=address[0],
-                server=server_id,
-                reply=reply,
-                carried=self.carried,
-            )
-            sock.sendall(reply.encode() + b"\n")
-            if upstream is not None:
-                enable_keepalive(sock)
-                _carry(sock, upstream)
-        except (OSError, ValueError) as error:
-            log_event("transit_failed", peer=address[0], error=error)
-        finally:
-            self.carried -= 1
-            if upstream is not None:
-                upstream.close()
-
-    def _open(self, server_id: str) -> tuple[TransitReply, TcpStream | None]:
-        if not self.accepting:
-            return TransitReply.CLOSED, None
-        if self.carried > MAX_CARRIED:
-            return TransitReply.FULL, None
-        known = self.registry.get(server_id)
-        if known is None or not known.usable:
-            return TransitReply.UNKNOWN_SERVER, None
-        if self.reachability.is_blocked(server_id, known.entry.service):
-            return TransitReply.BLOCKED, None
-        try:
-            return TransitReply.CONNECTED, TcpStream.connect(known.entry.address)
-        except ConnectionBrokenError as error:
-            refused = TransitReply.REFUSED if error.refused else None
-            return refused or TransitReply.UNREACHABLE, None
-
+    def __init__(self, choice: TransitChoice) -> None:
+        self.choice = choice
+        self.port = 0
 
-def _carry(sock: gsocket.socket, upstream: TcpStream) -> None:
-    """Pass bytes on in both directions until either connection ends.
+    def open(self, server_id: str) -> tuple[TransitReply, TransitStream | None]:
+        """Open a connection to a server through another node.
 
-    Raises
-    ------
-    OSError
-        If the node that asked for the connection can't be sent what arrives.
-    """
-    uplink = gevent.spawn(_pass_requests_on, sock, upstream)
-    end = ORDERLY_END
-    try:
-        while data := _receive(upstream):
-            sock.sendall(FRAME_LENGTH.pack(len(data)) + data)
-    except ConnectionBrokenError:
-        end = BROKEN_END
-    finally:
-        closed = uplink.ready()
-        uplink.kill(block=False)
-    if not closed:
-        sock.sendall(FRAME_LENGTH.pack(end))
+        Returns
+        -------
+        TransitReply, TransitStream or None
+            The last reply; ``NO_ANSWER`` if no node could be asked.
+        """
+        reply, tried = TransitReply.NO_ANSWER, set()
+        end, referral = time.monotonic() + ASK_TIMEOUT_S, ""
+        while len(tried) < MAX_NODES and time.monotonic() <= end:
+            node = self._next(referral, tried)
+            if node is None:
+                break
+            tried.add(node)
+            self.choice.open(node)
+            answer = self._ask(node, server_id)
+            if answer.stream is not None:
+                return answer.reply, answer.stream
+            self.choice.close(node)
+            reply, referral = answer.reply, answer.referral
+            if reply is TransitReply.REFUSED:
+                break
+            self._learn(node, reply)
+        return reply, None
 
+    def _next(self, referral: str, tried: Collection[str]) -> str | None:
+        if referral and referral not in tried:
+            return referral
+        return self.choice.choose(time.monotonic(), tried)
 
-def _receive(upstream: TcpStream) -> bytes:
-    try:
-        return upstream.recv(READ_BYTES)
-    except OSError as error:
-        raise ConnectionBrokenError(str(error), sent=True) from None
+    def _ask(self, node: str, server_id: str) -> TransitAnswer:
+        try:
+            return self.ask(node, server_id)
+        except BaseException:
+            self.choice.close(node)
+            raise
 
+    def ask(self, node: str, server_id: str) -> TransitAnswer:
+        """Ask one node for a connection to a server."""
+        return open_transit(node, self.port, server_id, self.choice.close)
 
-def _pass_requests_on(sock: gsocket.socket, upstream: TcpStream) -> None:
-    """Pass bytes to the server until the node that asked closes its connection.
+    def _learn(self, node: str, reply: TransitReply) -> None:
+        """Ask a node that did not reach a server again only later, if at all.
 
-    The server's connection is closed too, which cancels a request in progress.
-    """
-    try:
-        while data := sock.recv(READ_BYTES):
-            upstream.sendall(data)
-    except OSError as error:
-        log_event("transit_ended", error=error)
-    upstream.close()
+        One that carries no connections now says so in its messages too, but among
+        hundreds of nodes these take seconds.
+        """
+        if reply in (TransitReply.BLOCKED, TransitReply.CLOSED):
+            self.choice.offers.discard(node)
+        elif reply is not TransitReply.UNREACHABLE:
+            self.choice.avoid(node, time.monotonic())
 
 
-def _read_line(sock: gsocket.socket) -> tuple[str, bytes]:
+def read_line(sock: gsocket.socket) -> tuple[str, bytes]:
     """Return the text up to the next line feed, and what has arrived after it.
 
     Raises
--- /dev/null
+++ b/packages/endive_gateway/src/endive_gateway/transit_port.py
@@ -0,0 +1,169 @@
+"""Carries the connections of nodes that can't reach backend servers themselves."""
+
+import gevent
+from endive_node.logs import log_event
+from endive_node.sockets import listen_tcp
+from gevent import socket as gsocket
+from gevent.pool import Pool
+from gevent.server import StreamServer
+
+from endive_gateway.exceptions import ConnectionBrokenError
+from endive_gateway.paths import ServerPaths
+from endive_gateway.server_checks import ServerChecks
+from endive_gateway.tcp import TcpStream, enable_keepalive
+from endive_gateway.transit import (
+    BROKEN_END,
+    FRAME_LENGTH,
+    ORDERLY_END,
+    READ_BYTES,
+    TransitReply,
+    read_line,
+)
+
+REQUEST_TIMEOUT_S = 1.0
+"""Time within which a node must name the server after it has connected, seconds."""
+
+SERVER_CONNECT_TIMEOUT_S = 0.15
+"""Time-out for opening a connection to the server, seconds. It usually takes a few
+milliseconds; if not, the node that asks has other nodes to ask."""
+
+MAX_CARRIED = 400
+"""Most connections carried at once; each takes two of a node's 4,000 descriptors."""
+
+
+class TransitPort:
+    """Carries the connections of nodes that can't reach servers themselves.
+
+    Attributes
+    ----------
+    carried : int
+        Number of connections that are carried now.
+    accepting : bool
+        Whether further ones are accepted.
+    """
+
+    def __init__(self, paths: ServerPaths, checks: ServerChecks) -> None:
+        self.paths = paths
+        self.checks = checks
+        self.carried = 0
+        self.accepting = False
+
+    def start(self, address: str, port: int) -> None:
+        """Start carrying connections that other nodes open to ``address:port``."""
+        listener = listen_tcp(address, port)
+        self.server = StreamServer(listener, self._serve, spawn=Pool())
+        self.server.start()
+        self.accepting = True
+
+    def stop(self) -> None:
+        """Stop; carried connections are closed."""
+        self.accepting = False
+        self.server.stop(0)
+
+    def offer(self) -> int:
+        """Return how many connections are carried, or -1 if none can be."""
+        is_open = self.accepting and not self.paths.reachability.is_cut_off
+        return self.carried if is_open else -1
+
+    def _serve(self, sock, address) -> None:
+        self.carried += 1
+        upstream = None
+        try:
+            with gevent.Timeout(REQUEST_TIMEOUT_S, TimeoutError("no server named")):
+                server_id, _ = read_line(sock)
+            reply, upstream = self._open(server_id)
+            log_event(
+                "transit",
+                peer=address[0],
+                server=server_id,
+                reply=reply,
+                carried=self.carried,
+            )
+            sock.sendall(self._line(reply))
+            if upstream is not None:
+                enable_keepalive(sock)
+                _carry(sock, upstream)
+        except (OSError, ValueError) as error:
+            log_event("transit_failed", peer=address[0], error=error)
+        finally:
+            self.carried -= 1
+            if upstream is not None:
+                upstream.close()
+
+    def _line(self, reply: TransitReply) -> bytes:
+        """Return the line that tells a node the reply.
+
+        A node that is cut off itself names another one, since what nodes know of each
+        other may be seconds old.
+        """
+        blocked = reply is TransitReply.BLOCKED
+        referral = self.paths.transit.choice.referral() if blocked else None
+        return f"{reply} {referral or ''}".rstrip().encode() + b"\n"
+
+    def _open(self, server_id: str) -> tuple[TransitReply, TcpStream | None]:
+        if not self.accepting:
+            return TransitReply.CLOSED, None
+        if self.carried > MAX_CARRIED:
+            return TransitReply.FULL, None
+        known = self.paths.registry.get(server_id)
+        if known is None or not known.usable:
+            return TransitReply.UNKNOWN_SERVER, None
+        if self.paths.is_blocked(server_id):
+            return TransitReply.BLOCKED, None
+        result = self.paths.dial(known.entry.address).result(SERVER_CONNECT_TIMEOUT_S)
+        if isinstance(result, TcpStream):
+            self.paths.connected(server_id)
+            return TransitReply.CONNECTED, result
+        return self._explain(server_id, refused=result.refused), None
+
+    def _explain(self, server_id: str, *, refused: bool) -> TransitReply:
+        """Return what a connection that this node could not open tells of the server.
+
+        It may be this node that reaches no server, and does not know that yet.
+        """
+        if refused and self.checks.reaches_another(server_id):
+            return TransitReply.REFUSED
+        self.checks.check_soon(server_id)
+        return TransitReply.UNREACHABLE
+
+
+def _carry(sock: gsocket.socket, upstream: TcpStream) -> None:
+    """Pass bytes on in both directions until either connection ends.
+
+    Raises
+    ------
+    OSError
+        If the node that asked for the connection can't be sent what arrives.
+    """
+    uplink = gevent.spawn(_pass_requests_on, sock, upstream)
+    end = ORDERLY_END
+    try:
+        while data := _receive(upstream):
+            sock.sendall(FRAME_LENGTH.pack(len(data)) + data)
+    except ConnectionBrokenError:
+        end = BROKEN_END
+    finally:
+        closed = uplink.ready()
+        uplink.kill(block=False)
+    if not closed:
+        sock.sendall(FRAME_LENGTH.pack(end))
+
+
+def _receive(upstream: TcpStream) -> bytes:
+    try:
+        return upstream.recv(READ_BYTES)
+    except OSError as error:
+        raise ConnectionBrokenError(str(error), sent=True) from None
+
+
+def _pass_requests_on(sock: gsocket.socket, upstream: TcpStream) -> None:
+    """Pass bytes to the server until the node that asked closes its connection.
+
+    The server's connection is closed too, which cancels a request in progress.
+    """
+    try:
+        while data := sock.recv(READ_BYTES):
+            upstream.sendall(data)
+    except OSError as error:
+        log_event("transit_ended", error=error)
+    upstream.close()
--- a/packages/endive_gateway/tests/limit_simulation.py
+++ b/packages/endive_gateway/tests/limit_simulation.py
@@ -1,34 +1,18 @@
 """Builder of a fleet in simulated time before servers of which some name limits."""
 
-import heapq
 import itertools
-import random
 
 from core_builders import call
 from endive_core.exceptions import EndiveError
 from endive_gateway.interfaces import ResponseMetadata
-from endive_gateway.peers import (
-    BROADCAST_INTERVAL_PER_NODE_S,
-    BROADCAST_INTERVAL_S,
-    DATAGRAMS_PER_STEP,
-)
-from gateway_builders import SERVICE, connected_peers, make_entry
+from fleet_simulation import SimulatedFleet
+from gateway_builders import SERVICE, make_entry
 
 SERVICE_S = 0.05
 WINDOW_S = 4.0
 
 
-class Clock:
-    """A clock that the simulation sets."""
-
-    def __init__(self):
-        self.now = 1_000.0
-
-    def __call__(self):
-        return self.now
-
-
-class LimitedFleet:
+class LimitedFleet(SimulatedFleet):
     """Nodes with the product's decisions and messages, without a network.
 
     Parameters
@@ -42,45 +26,28 @@
         By server, when it received requests.
     refused : list of (float, EndiveError, float)
         When requests were refused, why, and how long they were held, seconds.
-    reaches : callable
-        Returns whether messages of one node reach another.
     """
 
     def __init__(self, monkeypatch, nodes, limits, seed=1):
-        self.clock = Clock()
-        monkeypatch.setattr("time.monotonic", self.clock)
-        self.random = random.Random(seed)
         self.limits = limits
-        self.numbers = itertools.count()
-        self.events = []
         self.arrivals = {server: [] for server in limits}
         self.refused = []
-        self.reaches = lambda sender, receiver: True
-        self.nodes = connected_peers(nodes)
-        for node in self.nodes:
-            self._prepare(node)
-            self.at(self.clock.now + self.random.random(), self.broadcast, node, 0)
+        super().__init__(monkeypatch, nodes, seed)
 
-    def _prepare(self, node):
+    def prepare(self, node):
         context = node.context
         context.limit_sharing.address = node.address
         for server in self.limits:
             context.registry.put(make_entry(server, slots=64))
         context.registry.is_loaded = True
         context.registry.notify_listeners()
-        context.set_nodes(len(self.nodes))
-
-    def at(self, time, action, *args):
-        heapq.heappush(self.events, (time, next(self.numbers), action, args))
+        super().prepare(node)
 
     def run(self, seconds, per_s):
         """Let `per_s` requests a second arrive at random nodes for some seconds."""
         end = self.clock.now + seconds
         self.at(self.clock.now, self.request, per_s, end)
-        while self.events and self.events[0][0] <= end:
-            self.clock.now, _, action, args = heapq.heappop(self.events)
-            action(*args)
-        self.clock.now = end
+        self.run_until(end)
 
     def request(self, per_s, end):
         node = self.random.choice(self.nodes)
@@ -150,17 +117,6 @@
         since = self.clock.now - seconds
         return list(itertools.takewhile(since.__le__, reversed(self.arrivals[server])))
 
-    def broadcast(self, node, step):
-        count = len(self.nodes)
-        interval = max(BROADCAST_INTERVAL_S, BROADCAST_INTERVAL_PER_NODE_S * count)
-        steps = max(1, -(-(count - 1) // DATAGRAMS_PER_STEP))
-        first = step % steps * DATAGRAMS_PER_STEP
-        peers = list(node.known.values())[first : first + DATAGRAMS_PER_STEP]
-        node.send_state([p for p in peers if self.reaches(node.address, p.address)])
-        node._set_timeouts(interval)
-        node.context.limit_sharing.refresh()
-        self.at(self.clock.now + interval / steps, self.broadcast, node, step + 1)
-
     def received_since(self, server, since):
         """Return when `server` received requests since a time."""
         return [at for at in self.arrivals[server] if at >= since]
--- a/packages/endive_gateway/tests/path_builders.py
+++ b/packages/endive_gateway/tests/path_builders.py
@@ -3,23 +3,16 @@
 import gevent
 from endive_gateway.exceptions import ConnectionBrokenError
 from endive_gateway.tcp import PendingStream
-from endive_gateway.transit import TransitPort
 from gateway_builders import RunningGateway, make_context, make_entry
 
 
-class HangingStream:
+class HangingStream(PendingStream):
     """A connection that is never opened."""
 
-    def __init__(self, _address):
-        self.closed = False
-
     def finish(self, timeout_s):
         gevent.sleep(timeout_s)
         raise TimeoutError("timed out")
 
-    def close(self):
-        self.closed = True
-
 
 class RefusedStream(HangingStream):
     """A connection that is refused at once."""
@@ -38,7 +31,7 @@
         self.context = make_context()
         for server in servers:
             self.context.registry.put(make_entry(server.id, address=server.address))
-        self.port = TransitPort(self.context.registry, self.context.paths.reachability)
+        self.port = self.context.transit_port
         self.port.start("127.0.0.1", 0)
 
     @property
@@ -57,8 +50,8 @@
         super().__init__(*servers, table=table)
         self.node = TransitNode(*servers)
         self.paths = self.context.paths
-        self.paths.transit_port = self.node.number
-        self.paths.transit.offers.set("127.0.0.1", 0)
+        self.paths.transit.port = self.node.number
+        self.paths.transit.choice.offers.set("127.0.0.1", 0)
         self.monitor = gevent.spawn(self.context.path_monitor.run)
         self.cut(cut)
 
--- a/packages/endive_gateway/tests/test_paths.py
+++ b/packages/endive_gateway/tests/test_paths.py
@@ -1,16 +1,27 @@
 import socket
 import struct
 import time
+from random import Random
+from types import SimpleNamespace
 
 import gevent
 import pytest
 from endive_core.reachability import ConnectResults
 from endive_core.routing import RouteKind
+from endive_core.transit import TransitChoice
 from endive_gateway.paths import CONNECT_TIMEOUT_S
-from endive_gateway.transit import MAX_CARRIED, TransitReply, open_transit
+from endive_gateway.tcp import PendingStream
+from endive_gateway.transit import (
+    TransitAnswer,
+    TransitNodes,
+    TransitReply,
+    open_transit,
+)
+from endive_gateway.transit_port import MAX_CARRIED
 from gateway_builders import (
     RunningGateway,
     count_received_requests,
+    make_entry,
     make_route,
     make_table,
 )
@@ -193,7 +204,7 @@
 def test_a_node_without_others_waits_for_its_own_connection():
     server = ScriptedServer()
     with CutOffGateway(server, cut="hang", table=table(max_attempts=1)) as running:
-        running.paths.transit.offers.discard("127.0.0.1")
+        running.paths.transit.choice.offers.discard("127.0.0.1")
         started_at = time.monotonic()
         assert running.call().status == 503
         assert time.monotonic() - started_at > 0.9 * CONNECT_TIMEOUT_S
@@ -202,15 +213,12 @@
 def test_a_connection_that_is_only_slow_is_not_taken_for_a_cut():
     """A lost packet delays a connection too."""
 
-    class SlowStream(CUTS["hang"]):
-        def __init__(self, address):
-            self.address = address
-
+    class SlowStream(PendingStream):
         def finish(self, timeout_s):
-            if timeout_s < 0.2:
-                return super().finish(timeout_s)
-            gevent.sleep(0.05)
-            return RunningGateway().context.paths.dial(self.address).finish(1.0)
+            gevent.sleep(0.15)
+            if timeout_s < 0.15:
+                raise TimeoutError
+            return super().finish(timeout_s)
 
     with CutOffGateway(*servers([], [])) as running:
         running.paths.dial = SlowStream
@@ -330,6 +338,42 @@
         assert not running.context.placer.consecutive_failures
 
 
+@pytest.mark.parametrize("cut", CUTS)
+def test_nodes_that_are_all_cut_off_take_no_server_for_crashed(cut):
+    """The other node is cut off too, and neither of them knows yet."""
+    cuts = [cut]
+
+    def lose_links(sock, received):
+        if cuts:
+            running.node.context.paths.dial = CUTS[cut]
+            running.cut(cuts.pop())
+        return False
+
+    script = [lose_links] * 9
+    with CutOffGateway(*servers(script, script), table=table(**UNSAFE)) as running:
+        running.heal()
+        assert running.call(method="POST", body=b"a").status == 502
+        assert not running.context.placer.crashes.crashes
+
+
+def test_servers_of_one_service_that_have_all_crashed_are_counted():
+    """Another service's server shows that the node's own link works."""
+    plain, engine = servers([], [])
+
+    def crash(sock, _received):
+        sock.close()
+        plain.stop()
+        return False
+
+    plain.script.append(crash)
+    with RunningGateway(plain, table=table(**UNSAFE)) as running:
+        entry = make_entry("i-9", address=engine.address, service="other")
+        running.context.registry.put(entry)
+        assert running.call(method="POST", body=b"a").status == 502
+        assert len(running.context.placer.crashes.crashes) == 1
+    engine.stop()
+
+
 def test_a_server_that_fails_requests_through_another_node_is_counted():
     server = ScriptedServer(ok, close_connection)
     with CutOffGateway(server, cut="refused", table=table(**UNSAFE)) as running:
@@ -343,7 +387,7 @@
     """A server would get a connection for each of its requests that are lost."""
     server = ScriptedServer()
     with CutOffGateway(server, cut="refused") as running:
-        check = (running.paths.try_both, "i-1", server.address)
+        check = (running.context.checks.try_both, "i-1", server.address)
         checks = [gevent.spawn(*check) for _ in range(9)]
         gevent.joinall(checks)
         refused_here = ConnectResults(directly=False, elsewhere=True)
@@ -355,10 +399,10 @@
 
 
 def ask(node, server_id):
-    reply, stream = open_transit("127.0.0.1", node.number, server_id, lambda _: None)
-    if stream is not None:
-        stream.close()
-    return reply
+    answer = open_transit("127.0.0.1", node.number, server_id, lambda _: None)
+    if answer.stream is not None:
+        answer.stream.close()
+    return answer.reply
 
 
 def test_a_transit_node_says_why_it_carries_no_connection():
@@ -385,17 +429,45 @@
     node = TransitNode(server)
     assert node.port.offer() == 0
     for server_id in ("i-1", "i-2"):
-        node.context.paths._block(server_id, 1.0, "n", refused=False)
+        node.context.paths.block(server_id, 1.0, "n", refused=False)
     assert node.port.offer() == -1
     assert ask(node, "i-1") is TransitReply.BLOCKED
     node.port.stop()
     server.stop()
 
 
+def test_a_node_that_is_cut_off_names_the_one_that_it_goes_through():
+    """What nodes know of each other may be seconds old."""
+    server = ScriptedServer()
+    node = TransitNode(server)
+    for server_id in ("i-1", "i-2"):
+        node.context.paths.block(server_id, 1.0, "n", refused=False)
+    node.context.paths.transit.choice.offers.set("127.0.0.9", 0)
+    node.context.paths.transit.choice.open("127.0.0.9")
+    answer = open_transit("127.0.0.1", node.number, "i-1", lambda _: None)
+    assert answer.referral == "127.0.0.9"
+    node.port.stop()
+    server.stop()
+
+
+def test_a_node_that_is_named_is_asked_next():
+    nodes = TransitNodes(TransitChoice(Random(1)))
+    nodes.choice.offers.set("n1", 0)
+    answers = {
+        "n1": TransitAnswer(TransitReply.BLOCKED, referral="n2"),
+        "n2": TransitAnswer(TransitReply.CONNECTED, SimpleNamespace(node="n2")),
+    }
+    nodes.ask = lambda node, server: answers[node]
+    reply, stream = nodes.open("i-1")
+    assert reply is TransitReply.CONNECTED
+    assert stream.node == "n2"
+    assert not nodes.choice.offers.addresses
+
+
 def test_another_node_is_asked_if_one_does_not_carry_the_connection():
     server = ScriptedServer()
     with CutOffGateway(server, cut="refused") as running:
-        running.paths.transit.offers.set("127.0.0.9", 0)
+        running.paths.transit.choice.offers.set("127.0.0.9", 0)
         for _ in range(8):
             assert running.call().status == 200
 
@@ -419,6 +491,6 @@
     with CutOffGateway(server, cut="refused") as running:
         assert running.call().status == 200
         assert running.node.port.carried == 1
-        running.paths.transit.offers.set("127.0.0.1", -1)
+        running.paths.transit.choice.offers.set("127.0.0.1", -1)
         running.context.pool.sweep()
         assert wait_for(lambda: running.node.port.carried == 0)
--- a/tests/test_platform_logs.py
+++ b/tests/test_platform_logs.py
@@ -73,7 +73,7 @@
 
 
 def test_a_closed_port_is_detected():
-    server, paths = ScriptedServer(), make_context().paths
-    assert paths.try_both("i-1", server.address).directly
+    server, checks = ScriptedServer(), make_context().checks
+    assert checks.try_both("i-1", server.address).directly
     server.stop()
-    assert paths.try_both("i-1", server.address) == REFUSED
+    assert checks.try_both("i-1", server.address) == REFUSED
