--- a/packages/endive_gateway/src/endive_gateway/attempts.py
+++ b/packages/endive_gateway/src/endive_gateway/attempts.py
@@ -32,6 +32,8 @@
         Whether an attempt was sent and has not ended.
     servers : list of str
         Ids of the servers tried, in order.
+    transit_node : str or None
+        IP address of the node through which the latest attempt went, if it did.
     sent_at : float
         When the latest attempt was sent, seconds on the cluster clock.
     """
@@ -48,6 +50,7 @@
     server_priority: int
     in_flight: bool
     servers: list[str]
+    transit_node: str | None
     sent_at: float
     outcome: str
 
@@ -112,7 +115,7 @@
         self.request.sent_at = self.context.cluster_clock.now()
         self.sent_at = self.request.now
         self.connection.repeatable = self.request.route.retryable
-        through_transit = self.connection.transit_node is not None
+        transit_node = self.request.transit_node = self.connection.transit_node
         try:
             self._send()
             message, metadata = self.connection.read_head(self.request.metadata.id)
@@ -123,7 +126,7 @@
                 str(error),
                 RetryReason.SERVER_FAILED,
                 started=True,
-                through_transit=through_transit,
+                through_transit=transit_node is not None,
                 on_the_way=error.on_the_way,
             ) from None
         finally:
--- a/packages/endive_gateway/src/endive_gateway/context.py
+++ b/packages/endive_gateway/src/endive_gateway/context.py
@@ -82,7 +82,10 @@
         self.registry = ServerRegistry()
         self.paths = ServerPaths(self.registry, self.random)
         self.checks = ServerChecks(self.paths)
-        self.transit_port = TransitPort(self.paths, self.checks)
+        self.metrics = GatewayMetrics()
+        self.transit_port = TransitPort(
+            self.paths, self.checks, self.metrics.transit_replies
+        )
         self.placer = Placer(self.registry, try_both=self.checks.try_both)
         self.path_monitor = PathMonitor(self.paths, self.checks)
         self.pool = ConnectionPool(wire, self.paths, self.path_monitor)
@@ -97,7 +100,6 @@
         self.meter = UsageMeter(settings.bounds.usage_window_s)
         self.cluster_clock = ClusterClock(time.monotonic, time.time)
         self.retry_budgets: dict[str, FleetRetryBudget] = {}
-        self.metrics = GatewayMetrics()
         self.work = WorkloadMeter()
         self.take_units: Callable[[OrganisationLimits, float], float] = (
             self._take_locally
--- a/packages/endive_gateway/src/endive_gateway/forwarding.py
+++ b/packages/endive_gateway/src/endive_gateway/forwarding.py
@@ -94,6 +94,7 @@
         self.outcome = ""
         self.error = ""
         self.servers: list[str] = []
+        self.transit_node: str | None = None
 
     @property
     def now(self) -> float:
@@ -441,6 +442,7 @@
             servers=",".join(self.servers),
             ms=round((self.now - self.exchange.received_at) * 1000),
             version=self.context.version,
+            **({"through": self.transit_node} if self.transit_node else {}),
             **self._target_fields(),
             **self.progress.fields(),
             **({"error": self.error} if self.error else {}),
--- a/packages/endive_gateway/src/endive_gateway/gateway.py
+++ b/packages/endive_gateway/src/endive_gateway/gateway.py
@@ -153,6 +153,13 @@
         sharing = self.context.limit_sharing
         add_gauge("endive_limited_servers", sharing.limited_servers)
         add_gauge("endive_limited_servers_rate", sharing.shared_rate)
+        reachability = self.context.paths.reachability
+        add_gauge("endive_servers_blocked", lambda: len(reachability.blocked))
+        add_gauge("endive_services_cut_off", lambda: len(reachability.cut_off))
+        add_gauge("endive_transit_carried", lambda: self.transit.carried)
+        add_gauge(
+            "endive_transit_opened", self.context.paths.transit.choice.opened.total
+        )
         add_gauge("endive_nodes_live", self.peers.live_node_count)
         add_gauge("endive_nodes_known", lambda: self.context.nodes)
 
--- a/packages/endive_gateway/src/endive_gateway/metrics.py
+++ b/packages/endive_gateway/src/endive_gateway/metrics.py
@@ -54,6 +54,8 @@
         Failed attempts by reason.
     events : Counter
         Other counted events, by name.
+    transit_replies : Counter
+        Connections that other nodes have asked this one for, by reply.
     first_byte_times, response_times : LatencyHistogram
         Times from a request's first byte to the first byte of a server's response, or
         to the loss of that response, and to the end of a successful response.
@@ -65,6 +67,7 @@
         self.outcomes: Counter[str] = Counter()
         self.retries: Counter[str] = Counter()
         self.events: Counter[str] = Counter()
+        self.transit_replies: Counter[str] = Counter()
         self.first_byte_times = LatencyHistogram()
         self.response_times = LatencyHistogram()
         self.gauges: dict[str, dict[tuple[tuple[str, str], ...], Gauge]] = {}
@@ -115,6 +118,7 @@
         add_counter("endive_requests", "outcome", self.outcomes.items)
         add_counter("endive_retries", "reason", self.retries.items)
         add_counter("endive_events", "name", self.events.items)
+        add_counter("endive_transit_replies", "reply", self.transit_replies.items)
         add_counter("endive_first_byte_bucket", "le", self.first_byte_times.cumulative)
         add_counter("endive_answer_bucket", "le", self.response_times.cumulative)
         return lambda: generate_latest(registry)
--- a/packages/endive_gateway/src/endive_gateway/transit_port.py
+++ b/packages/endive_gateway/src/endive_gateway/transit_port.py
@@ -1,5 +1,7 @@
 """Carries the connections of nodes that can't reach backend servers themselves."""
 
+from collections import Counter
+
 import gevent
 from endive_node.logs import log_event
 from endive_node.sockets import listen_tcp
@@ -40,11 +42,16 @@
         Number of connections that are carried now.
     accepting : bool
         Whether further ones are accepted.
+    replies : Counter of str
+        Connections that nodes have asked for, by reply.
     """
 
-    def __init__(self, paths: ServerPaths, checks: ServerChecks) -> None:
+    def __init__(
+        self, paths: ServerPaths, checks: ServerChecks, replies: Counter[str]
+    ) -> None:
         self.paths = paths
         self.checks = checks
+        self.replies = replies
         self.carried = 0
         self.accepting = False
 
@@ -72,6 +79,7 @@
             with gevent.Timeout(REQUEST_TIMEOUT_S, TimeoutError("no server named")):
                 server_id, _ = read_line(sock)
             reply, upstream = self._open(server_id)
+            self.replies[str(reply)] += 1
             log_event(
                 "transit",
                 peer=address[0],
--- a/packages/endive_gateway/tests/test_paths.py
+++ b/packages/endive_gateway/tests/test_paths.py
@@ -155,6 +155,20 @@
         assert wait_for(lambda: running.node.port.carried == 0, 0.3)
 
 
+def test_log_and_metrics_show_the_way_of_a_request(caplog):
+    server = ScriptedServer()
+    with CutOffGateway(server, cut="refused") as running:
+        running.call()
+        node = running.node.context
+        assert running.paths.transit.choice.opened.total() == 1
+        assert node.transit_port.carried == 1
+        assert node.metrics.transit_replies["connected"] == 1
+    assert "event=server_blocked server=i-1 node=127.0.0.1 refused=True" in caplog.text
+    assert "event=transit peer=127.0.0.1 server=i-1 reply=connected" in caplog.text
+    assert "outcome=ok servers=i-1 ms=" in caplog.text
+    assert " through=127.0.0.1 " in caplog.text
+
+
 def test_connections_through_another_node_are_reused():
     server = ScriptedServer()
     with CutOffGateway(server, cut="refused") as running:
--- a/tests/soak/launch.py
+++ b/tests/soak/launch.py
@@ -128,6 +128,13 @@
     Attempt._check_stream_complete = lambda self, message, events: None
 
 
+def carry_no_connections():
+    """Let no node carry connections to servers for others."""
+    from endive_gateway.transit_port import TransitPort
+
+    TransitPort.offer = lambda self: -1
+
+
 MUTANTS = {
     "limit": disable_limit_sharing,
     "not-run": report_not_run,
@@ -136,6 +143,7 @@
     "crashes": ignore_crashes_elsewhere,
     "server-limits": keep_server_limits_alone,
     "broken-streams": trust_orderly_ends,
+    "no-transit": carry_no_connections,
 }
 
 if __name__ == "__main__":
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -64,6 +64,7 @@
     "crashes": ("crashing request", 1, CRASHES),
     "server-limits": ("server limit", 1, LIMITED_SERVERS),
     "broken-streams": ("wrong response", 1, UNFRAMED),
+    "no-transit": ("cut off", 1, SERVERS_CUT),
 }
 """By mutant: the rule that it violates, the seed, and the kinds of faults to inject."""
 
@@ -205,7 +206,8 @@
     each node applies alone, "not run" reported for a request that a server ran, duties
     claimed while another node holds them, an unanswered read of the store treated as
     proof that nothing has changed, crashes that nodes do not tell each other, limits of
-    servers that are not shared, and streams that are complete as soon as they end."""
+    servers that are not shared, streams that are complete as soon as they end, and
+    nodes that carry no connections for others."""
     rule, seed, kinds = MUTANTS[mutant]
     outcome = run_seed(seed, slot=SLOT, mutant=mutant, kinds=kinds)
     assert outcome.violations, outcome.counts
