Send nothing more to a server that answers nobody

A request whose bytes nobody acknowledges leads to a check already. If neither this node nor another one gets an answer, the server is now paused, again at each check, until something arrives from it; requests that may run again are sent elsewhere after a second without a sign. Others are waited for: a sound server may be silent for as long.

A connection whose bytes stay unacknowledged for a second while the server accepts new ones is dead: the server's idle connections are closed, and a request that may run again is sent anew. A long body on a thin link is none, since its bytes are acknowledged one after the other.

--- a/packages/endive_core/src/endive_core/scheduler.py
+++ b/packages/endive_core/src/endive_core/scheduler.py
@@ -151,6 +151,12 @@
             server.view.leaving = True
             self.servers.refresh(server)
 
+    def pause(self, server_id: str, now: float) -> None:
+        """Pause a server that does not answer; unless it is paused, or the last one."""
+        server = self.servers.servers.get(server_id)
+        if server is not None and not server.paused:
+            self.failures.penalise_server(server, RetryReason.CONNECT_FAILED, now)
+
     def leaving_zone(self, zone: str) -> None:
         """Mark all servers of a zone under reclaim notice as leaving."""
         for server in self.servers.servers.values():
--- a/packages/endive_gateway/src/endive_gateway/context.py
+++ b/packages/endive_gateway/src/endive_gateway/context.py
@@ -88,7 +88,9 @@
         )
         self.placer = Placer(self.registry, try_both=self.checks.try_both)
         self.path_monitor = PathMonitor(self.paths, self.checks)
+        self.path_monitor.on_silent = self.placer.pause_silent
         self.pool = ConnectionPool(wire, self.paths, self.path_monitor)
+        self.path_monitor.on_dead_connections = self.pool.drop
         self.limits = SharedLimits(time.monotonic(), slack=settings.bounds.quota_slack)
         self.limit_sharing = LimitSharing(
             settings.location.address,
--- a/packages/endive_gateway/src/endive_gateway/placing.py
+++ b/packages/endive_gateway/src/endive_gateway/placing.py
@@ -264,6 +264,13 @@
             return RetryReason.SERVER_SLOW
         return reason
 
+    def pause_silent(self, server_id: str) -> None:
+        """Send nothing to a server for a while that answers nobody."""
+        view = self.views.get(server_id)
+        scheduler = self.schedulers.get(view.service) if view else None
+        if scheduler is not None:
+            scheduler.pause(server_id, self.now())
+
     def explain_failure(
         self,
         ticket: Ticket,
