Wait four seconds for a silent server before its connection is closed

A sound server may fall silent for a second or so and go on. TCP_USER_TIMEOUT was 1.5 s, and it holds for three things: bytes that are not acknowledged, a receiver that takes none, and keep-alive probes, whatever their count, so that an idle connection was closed after some two seconds and not the three that the comment named. Checked on sockets: a receiver that reads nothing for 3 s loses its connection after 1.8 s with 1.5 s set, keeps it with 4 s, and loses it after 4.3 s if it reads nothing for 6 s. Requests that may not run twice were then lost.

Connections to servers and other nodes now wait for 4 s: a lost packet is sent again 1.4 and 3 s after the first time, so a shorter time would end a connection just as it would go on. Connections to the platform keep 1.5 s, since its calls are made again.

--- a/packages/endive_gateway/src/endive_gateway/service_client.py
+++ b/packages/endive_gateway/src/endive_gateway/service_client.py
@@ -23,7 +23,7 @@
     ConnectionBrokenError,
 )
 from endive_gateway.http import encode_head
-from endive_gateway.tcp import TcpStream
+from endive_gateway.tcp import PLATFORM_SILENCE_TIMEOUT_S, TcpStream
 
 
 @dataclass(frozen=True)
@@ -131,7 +131,10 @@
             if connection.is_reusable(monotonic()):
                 return connection
             connection.close()
-        return Connection(TcpStream.connect(self.address))
+        stream = TcpStream.connect(
+            self.address, silence_timeout_s=PLATFORM_SILENCE_TIMEOUT_S
+        )
+        return Connection(stream)
 
     def _await_response(
         self, connection: Connection, head: bytes, body: bytes, wait_s: float
--- a/packages/endive_gateway/src/endive_gateway/tcp.py
+++ b/packages/endive_gateway/src/endive_gateway/tcp.py
@@ -15,17 +15,19 @@
 milliseconds. A lost SYN packet is sent again only after one second, so after this time
 another server is the better choice."""
 
-TCP_USER_TIMEOUT_MS = 1500
-"""Time for which sent bytes may stay unacknowledged before the kernel closes the
-connection, milliseconds. An unreachable server acknowledges nothing. Five consecutive
-losses on a poor link take as long, so fewer do not break a connection."""
+SILENCE_TIMEOUT_S = 4.0
+PLATFORM_SILENCE_TIMEOUT_S = 1.5
+"""Time without a sign of the other side after which the kernel closes a connection to a
+server or another node, and to the platform, seconds. It holds for bytes that are not
+acknowledged, for a receiver that takes none, and for keep-alive probes, whatever their
+count. A sound server may fall silent for a second or two and go on, and a lost packet
+is sent again only 1.4 and 3 s after the first time. Calls to the platform are made
+again instead."""
 
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
-KEEPALIVE_PROBES = 2
-"""TCP keep-alive: idle time and interval in seconds, and unanswered probes. They detect
-a server that becomes unreachable while it works, when nothing sent awaits an
-acknowledgement. They take three seconds, less than most callers wait."""
+"""TCP keep-alive: idle time and interval, seconds. The probes detect a server that
+becomes unreachable while it works, when nothing sent awaits an acknowledgement."""
 
 UNACKNOWLEDGED = struct.Struct("i")
 
@@ -61,9 +63,14 @@
         self.sock = sock
 
     @classmethod
-    def connect(cls, address: str, timeout_s: float = CONNECT_TIMEOUT_S) -> "TcpStream":
+    def connect(
+        cls,
+        address: str,
+        timeout_s: float = CONNECT_TIMEOUT_S,
+        silence_timeout_s: float = SILENCE_TIMEOUT_S,
+    ) -> "TcpStream":
         """Connect to ``IP:port``; raises :class:`ConnectionBrokenError`."""
-        result = PendingStream(address).result(timeout_s)
+        result = PendingStream(address, silence_timeout_s).result(timeout_s)
         if isinstance(result, ConnectionBrokenError):
             raise result
         return result
@@ -101,9 +108,14 @@
     ----------
     address : str
         ``IP:port``.
+    silence_timeout_s : float
+        Time without a sign of the other side after which it is closed, seconds.
     """
 
-    def __init__(self, address: str) -> None:
+    def __init__(
+        self, address: str, silence_timeout_s: float = SILENCE_TIMEOUT_S
+    ) -> None:
+        self.silence_timeout_s = silence_timeout_s
         host, _, port = address.rpartition(":")
         self.host, self.port = host, port
         self.sock = gsocket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -123,7 +135,7 @@
             self.sock.settimeout(timeout_s)
             self.sock.connect((self.host, int(self.port)))
             self.sock.settimeout(None)
-            enable_keepalive(self.sock)
+            enable_keepalive(self.sock, self.silence_timeout_s)
         except TimeoutError:
             raise
         except ConnectionRefusedError as error:
@@ -152,13 +164,15 @@
         self.sock.close()
 
 
-def enable_keepalive(sock: socket.socket) -> None:
+def enable_keepalive(
+    sock: socket.socket, silence_timeout_s: float = SILENCE_TIMEOUT_S
+) -> None:
     """Make the kernel close the connection to a peer that becomes unreachable."""
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
+    timeout_ms = round(silence_timeout_s * 1000)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
 
 
 def is_idle(sock: gsocket.socket) -> bool:
