Let the soak's sound servers fall silent

All bytes from and to a server are held back for 0.8 to 1.8 s, and it goes on. A request that it runs must not be answered 502 or 504 meanwhile, unless its time is over or the server has another fault.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -127,6 +127,8 @@
         except (OSError, HTTPException) as error:
             self.close()
             return self._handle_disconnect(response, request_id, sent_at, error)
+        if response.status in (502, 504) and self.node.was_healthy(sent_at):
+            self._check_not_given_up(kind, request_id, sent_at)
         correct = _is_correct(kind, request_id, response, body)
         checker.request_ended(
             request_id,
@@ -138,6 +140,18 @@
             self.close()
         return response.status
 
+    def _check_not_given_up(self, kind, request_id, sent_at):
+        """Check that a request was not given up because its server was silent."""
+        fleet = self.fleet
+        running = fleet.checker.runs[request_id][-1:]
+        for backend in fleet.backends:
+            is_last = backend.server is not None and [backend.server.id] == running
+            in_time = fleet.clock() - sent_at < DEADLINE_S - MAX_STALL_S
+            if is_last and in_time and backend.silent and backend.is_sound(sent_at):
+                fleet.checker.record_violation(
+                    "silence", f"{kind.name} {request_id} at {running[0]}"
+                )
+
     def _handle_disconnect(self, response, request_id, sent_at, error):
         checker = self.fleet.checker
         if response is not None and response.headers is not None:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -217,6 +217,16 @@
         set_temporarily(server, "error_share", fault.strength, fault.for_s)
 
 
+def server_silent(fleet, fault):
+    """Hold back all bytes from and to a sound server for a second or so."""
+    backend = backend_of(fleet, fault)
+    if backend.server is None or not backend.link.is_healthy:
+        return
+    backend.silent = backend.link.silent_out = backend.link.silent_back = True
+    gevent.sleep(0.8 + fault.strength)
+    backend.silent = backend.link.silent_out = backend.link.silent_back = False
+
+
 def server_slow(fleet, fault):
     server = backend_of(fleet, fault).server
     if server is not None:
@@ -297,6 +307,7 @@
         crashing_request,
         server_limited,
         server_unframed,
+        server_silent,
         nodes_cut_from_servers,
     )
 }
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -239,6 +239,7 @@
         self.starts = 0
         self.state, self.leaves_s = "ready", None
         self.server = None
+        self.silent = False
         self._start()
         address = self.server.address
         self.link = Link(fleet.ip(5, number), PORT, address, fleet.clock)
@@ -260,6 +261,16 @@
         """End the server after its present work, and start another one."""
         gevent.spawn(self.crash, CRASH_DOWNTIME_S)
 
+    def is_sound(self, since):
+        """Return whether the server had no fault since then but silence."""
+        return (
+            self.server is not None
+            and self.server.error_share == 0
+            and self.state == "ready"
+            and self.link.accepting
+            and self.link.reset_at < since
+        )
+
     def is_undisturbed(self, node_name):
         """Return whether a node and this server's link had no fault recently."""
         since = self.fleet.clock() - LIMIT_WINDOW_S - CONTACT_S
--- a/tests/soak/launch.py
+++ b/tests/soak/launch.py
@@ -135,6 +135,21 @@
     TransitPort.offer = lambda self: -1
 
 
+def give_up_silent_servers():
+    """Let a node close a connection on which nothing comes for half a second."""
+    from endive_gateway.exceptions import ConnectionBrokenError
+    from endive_gateway.tcp import TcpStream
+
+    real_recv = TcpStream.recv
+
+    def recv(self, size):
+        silence = ConnectionBrokenError("silent", sent=True)
+        with gevent.Timeout(0.5, silence):
+            return real_recv(self, size)
+
+    TcpStream.recv = recv
+
+
 MUTANTS = {
     "limit": disable_limit_sharing,
     "not-run": report_not_run,
@@ -143,6 +158,7 @@
     "crashes": ignore_crashes_elsewhere,
     "server-limits": keep_server_limits_alone,
     "broken-streams": trust_orderly_ends,
+    "silence-ends": give_up_silent_servers,
     "no-transit": carry_no_connections,
 }
 
--- a/tests/soak/network.py
+++ b/tests/soak/network.py
@@ -26,6 +26,8 @@
         Delay of each chunk in both directions, seconds.
     healed_at : float
         When the last fault of this link ended, seconds on `clock`.
+    reset_at : float
+        When its open connections were last reset, seconds on `clock`.
     cut_sources : set of str
         IP addresses whose new connections are reset.
     sources : dict of socket to str
@@ -41,6 +43,7 @@
         self.silent_out = self.silent_back = False
         self.delay_s = 0.0
         self.healed_at = 0.0
+        self.reset_at = float("-inf")
         self.open = set()
         self.black_holed = set()
         self.address = f"{host}:{port}"
@@ -97,6 +100,7 @@
 
     def reset(self):
         """Reset all open connections."""
+        self.reset_at = self.clock()
         for sock in list(self.open):
             reset(sock)
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -16,6 +16,7 @@
     "crashing_request",
     "server_limited",
     "server_unframed",
+    "server_silent",
     "nodes_cut_from_servers",
 }
 EARLIER_KINDS = tuple(sorted(set(FAULTS) - LATER_KINDS))
@@ -55,6 +56,7 @@
 
 LIMITED_SERVERS = ("server_limited", "reload", "change_configuration")
 SERVERS_CUT = ("nodes_cut_from_servers", "change_configuration")
+SILENT = ("server_silent", "reload", "change_configuration")
 UNFRAMED = ("server_unframed", "server_leaves", "restart")
 MUTANTS = {
     "limit": ("limit", 1, ("reload",)),
@@ -64,6 +66,7 @@
     "crashes": ("crashing request", 1, CRASHES),
     "server-limits": ("server limit", 1, LIMITED_SERVERS),
     "broken-streams": ("wrong response", 1, UNFRAMED),
+    "silence-ends": ("silence", 1, SILENT),
     "no-transit": ("cut off", 1, SERVERS_CUT),
 }
 """By mutant: the rule that it violates, the seed, and the kinds of faults to inject."""
@@ -109,6 +112,12 @@
     assert outcome.violations == [], outcome.directory
 
 
+def test_requests_outlast_a_servers_silence():
+    """Sound servers fall silent for a second or two, and go on."""
+    outcome = run_seed(1, slot=SLOT, kinds=SILENT)
+    assert outcome.violations == [], outcome.directory
+
+
 @pytest.mark.parametrize("kinds", [SERVERS_CUT, SERVERS_CUT + ("server_crash",)])
 def test_nodes_that_reach_no_server_serve_their_callers(kinds):
     """Links of some or most nodes to all servers are cut, in different ways."""
@@ -206,8 +215,8 @@
     each node applies alone, "not run" reported for a request that a server ran, duties
     claimed while another node holds them, an unanswered read of the store treated as
     proof that nothing has changed, crashes that nodes do not tell each other, limits of
-    servers that are not shared, streams that are complete as soon as they end, and
-    nodes that carry no connections for others."""
+    servers that are not shared, streams that are complete as soon as they end, requests
+    that end with a server's silence, and nodes that carry no connections for others."""
     rule, seed, kinds = MUTANTS[mutant]
     outcome = run_seed(seed, slot=SLOT, mutant=mutant, kinds=kinds)
     assert outcome.violations, outcome.counts
