--- a/packages/endive_core/src/endive_core/__init__.py
+++ b/packages/endive_core/src/endive_core/__init__.py
@@ -10,6 +10,7 @@
   ``backlogs``, ``prefilling``, ``first_tokens``
 - failures: ``failures``, ``retrying``, ``crashes``, ``crash_news``, ``outliers``,
   ``ejection``, ``response_times``, ``call_pacing``
+- ways to servers: ``reachability``, ``transit``
 - limits and metering: ``quotas``, ``shared_limits``, ``limit_coordination``,
   ``server_limits``, ``throttling``, ``metering``
 - capacity: ``capacity``, ``load_sizing``
