Count the crash of a server soon after two others crashed

Cause: where no other node can be asked, a refused connection counts as a crash only if this node reaches another server, and one other server was drawn. Servers stay listed for a while after a crash, so the one drawn may have crashed too, and the crash was not counted against the request.

Change: up to three others are tried at once, those of other services first; one that accepts is enough. The test of servers that crash one after the other draws all orders in 20 tries; it failed before.

--- a/packages/endive_gateway/src/endive_gateway/server_checks.py
+++ b/packages/endive_gateway/src/endive_gateway/server_checks.py
@@ -14,6 +14,11 @@
 """Longest time for which other nodes are asked whether a server has crashed, seconds.
 The caller of the failed request waits meanwhile."""
 
+OTHERS_TRIED = 3
+"""Other servers that are tried to learn whether a refusal tells of this node's link.
+More than one, as several may have crashed within the time until the registry shows it.
+"""
+
 MIN_CHECK_GAP_S = 0.5
 """Least time between two checks on behalf of other nodes, seconds."""
 
@@ -80,13 +85,18 @@
         others = [s.entry for s in servers if s.usable and s.entry.id != server_id]
         if not others:
             return True
+        self.paths.random.shuffle(others)
         # The servers of one service may have crashed together.
-        other_services = [entry for entry in others if entry.service != service]
-        entry = self.paths.random.choice(other_services or others)
-        if not self._is_listening(entry.address):
-            return False
-        self.paths.connected(entry.id)
-        return True
+        others.sort(key=lambda entry: entry.service == service)
+        tried = others[:OTHERS_TRIED]
+        checks = [gevent.spawn(self._is_listening, entry.address) for entry in tried]
+        gevent.joinall(checks)
+        reached = [
+            entry.id for entry, check in zip(tried, checks, strict=True) if check.value
+        ]
+        for entry_id in reached:
+            self.paths.connected(entry_id)
+        return bool(reached)
 
     def _is_listening(self, address: str) -> bool | None:
         """Return whether a server accepts a connection; ``None`` without an answer."""
--- a/packages/endive_gateway/tests/test_paths.py
+++ b/packages/endive_gateway/tests/test_paths.py
@@ -388,6 +388,22 @@
     engine.stop()
 
 
+def test_a_crash_is_counted_soon_after_two_others():
+    """The registry still lists the servers that have crashed."""
+    running = RunningGateway(*servers([], [], [], []))
+    with running:
+        for server in running.servers[:3]:
+            server.stop()
+        first, last = running.servers[0], running.servers[3]
+        results = [
+            running.context.checks.try_both(first.id, first.address) for _ in range(20)
+        ]
+        assert set(results) == {ConnectResults(directly=False, elsewhere=None)}
+        last.stop()
+        results = running.context.checks.try_both(first.id, first.address)
+        assert results == ConnectResults(directly=None, elsewhere=None)
+
+
 def test_a_server_that_fails_requests_through_another_node_is_counted():
     server = ScriptedServer(ok, close_connection)
     with CutOffGateway(server, cut="refused", table=table(**UNSAFE)) as running:
