Log the server of a failed attempt that was not sent

An attempt at a server that is no longer listed fails before it is sent. Its line event=attempt_failed then named the server of the attempt before, or none. It names the server that the request was assigned to. Seen while the leases of slots were written, whose tests read the line.

--- a/packages/endive_gateway/src/endive_gateway/forwarding.py
+++ b/packages/endive_gateway/src/endive_gateway/forwarding.py
@@ -314,7 +314,7 @@
         log_event(
             "attempt_failed",
             request=self.metadata.id,
-            server=self.servers[-1] if self.servers else "",
+            server=self.ticket.server,
             attempt=self.ticket.attempt,
             reason=error.reason,
             started=error.started,
