Lease the slots of brittle servers

Servers may say (Server-Brittle: N) that they fail if they must reject more than N requests a second for lack of room.

The header is decoded, what a server says is passed on in the state messages as its limits are, and while one server of a service is brittle each request to that service holds a lease of a slot. One node for each server, chosen by hashing, leases them: it counts the leases and what the server states of its load, so requests without a lease count too, and two coordinators of parted nodes together lease what there is. It queues by priority and declines at once what will take too long; three declines refuse the request. Leases end when they are returned, when their time is over, or when their node is gone; a coordinator that does not reply is replaced.

Not measured: the processor time of the datagrams on small nodes.

--- a/packages/endive_gateway/src/endive_gateway/attempts.py
+++ b/packages/endive_gateway/src/endive_gateway/attempts.py
@@ -21,6 +21,17 @@
     header_value,
 )
 from endive_gateway.progress import Progress
+from endive_gateway.slot_leasing import SlotLease
+
+SLOT_WAIT_FRACTION = 0.5
+"""Part of the time left until the route's target for which a slot of a brittle server
+is waited for; the rest is for the response."""
+
+MIN_SLOT_WAIT_S = 0.02
+"""Least time for which such a slot is waited for, seconds."""
+
+MIN_LEASE_S = 0.1
+"""Least time for which such a slot is leased, seconds."""
 
 
 class AttemptedRequest(Protocol):
@@ -79,6 +90,8 @@
     ----------
     request : AttemptedRequest
         The state of the request, shared by all its attempts.
+    lease : SlotLease or None
+        The lease of the server's slot, if the server is brittle.
     sent_at : float
         When this attempt was sent, seconds on the monotonic clock.
     """
@@ -88,6 +101,7 @@
         self.context = request.context
         self.view = view
         self.connection: ServerConnection | None = None
+        self.lease: SlotLease | None = None
         self.sent_at = 0.0
 
     def run(self) -> None:
@@ -101,6 +115,25 @@
                 started=False,
                 counts_as_attempt=False,
             )
+        self.lease = self.context.slot_leasing.acquire(
+            view,
+            priority=self.request.server_priority,
+            wait_s=self._slot_wait_s(),
+            lease_s=max(MIN_LEASE_S, self.request.left_s()),
+        )
+        try:
+            self._run()
+        finally:
+            self.context.slot_leasing.release(self.lease)
+
+    def _slot_wait_s(self) -> float:
+        """Return how long the attempt may wait for a slot of a brittle server."""
+        waited_s = self.request.now - self.request.exchange.received_at
+        left_s = min(self.request.route.target_s - waited_s, self.request.left_s())
+        return max(MIN_SLOT_WAIT_S, SLOT_WAIT_FRACTION * left_s)
+
+    def _run(self) -> None:
+        view = self.view
         self.request.servers.append(view.id)
         try:
             self.connection = self.context.pool.acquire(view.id, view.address)
@@ -160,7 +193,9 @@
         """Forward a successful response; raises AttemptError for any other."""
         view = self.view
         if metadata.running is not None:
-            self.context.placer.report(view.id, metadata.running, metadata.waiting or 0)
+            waiting = metadata.waiting or 0
+            self.context.placer.report(view.id, metadata.running, waiting)
+            self.context.slot_leasing.report(self.lease, metadata.running + waiting)
         if message.status == 421:
             self.context.registry.mark_misidentified(view.id)
             raise AttemptError(
@@ -173,6 +208,9 @@
         self.context.limit_sharing.observe(
             view.id, metadata, self.sent_at, is_success=is_success
         )
+        self.context.brittle_services.observe(
+            view.id, metadata, self.sent_at, is_success=is_success
+        )
         if metadata.not_run:
             self._read_response(message)
             self._keep_connection(message)
--- a/packages/endive_gateway/src/endive_gateway/context.py
+++ b/packages/endive_gateway/src/endive_gateway/context.py
@@ -12,6 +12,7 @@
 from endive_node.logs import log_event
 from gevent.event import Event
 
+from endive_gateway.brittle_services import BrittleServices
 from endive_gateway.connections import ConnectionPool
 from endive_gateway.interfaces import Cloud, GatewaySettings, Store, Wire
 from endive_gateway.limit_sharing import LimitSharing
@@ -21,6 +22,7 @@
 from endive_gateway.placing import Placer
 from endive_gateway.server_checks import ServerChecks
 from endive_gateway.servers import ServerRegistry
+from endive_gateway.slot_leasing import SlotLeasing
 from endive_gateway.transit_port import TransitPort
 from endive_gateway.workload import WorkloadMeter
 
@@ -60,6 +62,10 @@
         Carries the connections of other nodes to servers.
     limit_sharing : LimitSharing
         The limits that backend servers name, shared with the other nodes.
+    brittle_services : BrittleServices
+        The services whose servers fail if they must reject much.
+    slot_leasing : SlotLeasing
+        Leases of those servers' slots, from the nodes that coordinate them.
     initialised : Event
         Set once the configuration and the list of servers have been read.
     incarnation : int
@@ -99,6 +105,13 @@
             self.limits,
             self.random,
         )
+        self.brittle_services = BrittleServices(self.registry, self.random)
+        self.slot_leasing = SlotLeasing(
+            settings.location.address,
+            self.placer,
+            self.brittle_services,
+            self.metrics.slot_replies,
+        )
         self.meter = UsageMeter(settings.bounds.usage_window_s)
         self.cluster_clock = ClusterClock(time.monotonic, time.time)
         self.retry_budgets: dict[str, FleetRetryBudget] = {}
--- a/packages/endive_gateway/src/endive_gateway/exceptions.py
+++ b/packages/endive_gateway/src/endive_gateway/exceptions.py
@@ -164,6 +164,15 @@
         )
 
 
+class SlotDeclinedError(AttemptError):
+    """No slot of a brittle server was leased, so nothing was sent to it."""
+
+    def __init__(self, message: str) -> None:
+        super().__init__(
+            message, RetryReason.SERVER_BUSY, started=False, counts_as_attempt=False
+        )
+
+
 class ResponseForwardedError(EndiveError):
     """Raised after a server's own error response has been forwarded to the caller."""
 
--- a/packages/endive_gateway/src/endive_gateway/forwarding.py
+++ b/packages/endive_gateway/src/endive_gateway/forwarding.py
@@ -20,6 +20,7 @@
     CallerGoneError,
     RequestTimeoutError,
     ResponseForwardedError,
+    SlotDeclinedError,
 )
 from endive_gateway.http import host_name
 from endive_gateway.interfaces import RequestMetadata, ServerResponse, header_value
@@ -40,6 +41,9 @@
 server can be expected to answer in less. Half of all first tokens come within a
 twentieth of their targets, but no complete response does."""
 
+MAX_SLOT_REQUESTS = 3
+"""Slots of brittle servers that are asked for until a request is refused."""
+
 LOWEST_SERVER_PRIORITY = 9
 """Number of the lowest priority that servers accept; 0 is the highest."""
 
@@ -67,6 +71,8 @@
     uncounted_attempts : int
         Attempts that don't count towards the route's maximum: they reached no server
         of the service.
+    declined_slots : int
+        Slots of brittle servers that were not leased for this request.
     units : float
         Units of the organisation's limit that the request has taken.
     fingerprint : str
@@ -89,6 +95,7 @@
         self.in_flight = False
         self.start_counted = False
         self.uncounted_attempts = 0
+        self.declined_slots = 0
         self.units = 0.0
         self.fingerprint = ""
         self.outcome = ""
@@ -357,6 +364,8 @@
             raise EndiveError(
                 ErrorKind.BACKEND_REJECTED, "the server rejected the request"
             )
+        if isinstance(error, SlotDeclinedError):
+            self._check_slot_request_allowed(error)
         if not error.counts_as_attempt:
             return
         if error.started and not self.route.retryable:
@@ -376,6 +385,18 @@
                 ErrorKind.RETRY_BUDGET_SPENT, "the service's retry budget is used up"
             )
 
+    def _check_slot_request_allowed(self, error: SlotDeclinedError) -> None:
+        """Check that a slot of another brittle server may be asked for."""
+        self.declined_slots += 1
+        is_late = self.now - self.exchange.received_at >= self.route.target_s
+        if is_late or self.declined_slots == MAX_SLOT_REQUESTS:
+            raise EndiveError(
+                ErrorKind.OVERLOADED,
+                f"{error}, and so are those of others",
+                retry_after_s=self.route.target_s,
+            )
+        self._check_time()
+
     def _forward_failure(self, response: ServerResponse) -> None:
         """Forward a server's own error response, then raise ResponseForwardedError.
 
--- a/packages/endive_gateway/src/endive_gateway/gateway.py
+++ b/packages/endive_gateway/src/endive_gateway/gateway.py
@@ -113,6 +113,7 @@
             self.context.placer.poll_queues,
             self.context.paths.probe_blocked,
             self.context.path_monitor.run,
+            self.context.slot_leasing.run,
             self._sweep,
         ]
         if self.settings.duties:
@@ -127,6 +128,8 @@
         self.spending.start(location.peer_port + 1)
         self.prompts.datagrams.start(location.address, location.peer_port + 2)
         self.context.on_prompt = self.prompts.announce
+        slot_leasing = self.context.slot_leasing
+        slot_leasing.datagrams.start(location.address, location.peer_port + 3)
         self.context.paths.transit.port = location.peer_port + 2
         self.context.transit_port.start(location.address, location.peer_port + 2)
         for loop in loops:
@@ -153,6 +156,11 @@
         sharing = self.context.limit_sharing
         add_gauge("endive_limited_servers", sharing.limited_servers)
         add_gauge("endive_limited_servers_rate", sharing.shared_rate)
+        leasing = self.context.slot_leasing
+        add_gauge(
+            "endive_services_brittle", lambda: len(self.context.brittle_services.names)
+        )
+        add_gauge("endive_slots_leased", leasing.leased)
         reachability = self.context.paths.reachability
         add_gauge("endive_servers_blocked", lambda: len(reachability.blocked))
         add_gauge("endive_services_cut_off", lambda: len(reachability.cut_off))
--- a/packages/endive_gateway/src/endive_gateway/interfaces.py
+++ b/packages/endive_gateway/src/endive_gateway/interfaces.py
@@ -293,6 +293,11 @@
         limit.
     invalid_limit : str
         What it named instead of a valid limit; empty if there is none.
+    brittle_rejections : float or None
+        Requests a second that the server may reject for lack of room before it fails,
+        if it says that it is brittle.
+    invalid_brittleness : str
+        What it said instead of a valid number; empty if there is none.
     """
 
     request_id: str = ""
@@ -304,6 +309,8 @@
     slots: int | None = None
     request_limit: float | None = None
     invalid_limit: str = ""
+    brittle_rejections: float | None = None
+    invalid_brittleness: str = ""
 
 
 @dataclass(frozen=True)
--- a/packages/endive_gateway/src/endive_gateway/peers.py
+++ b/packages/endive_gateway/src/endive_gateway/peers.py
@@ -13,7 +13,7 @@
 
 import gevent
 from endive_core.crash_news import FRESH_RECEIVERS
-from endive_core.server_limits import LimitReport
+from endive_core.server_limits import LimitReport, ServerLimits
 from endive_core.shared_limits import SILENCE_TIMEOUT_S, SpendingOrigin
 from endive_node.logs import log_event
 from gevent.event import Event
@@ -139,6 +139,7 @@
         )
         context.placer.on_crash = self.crash_exchange.announce_soon
         context.limit_sharing.peer_addresses = self.presumed_live
+        context.slot_leasing.peer_addresses = self.presumed_live
         self.urgent = Event()
         self.heard_at = float("-inf")
         self.announced = False
@@ -357,6 +358,7 @@
         for first in range(0, max(1, len(peers)), DATAGRAMS_PER_STEP):
             self.send_state(peers[first : first + DATAGRAMS_PER_STEP])
             self.context.limit_sharing.refresh()
+            self.context.brittle_services.refresh()
             if self.urgent.wait(step_s):
                 return
 
@@ -425,11 +427,9 @@
             complete=self.is_complete(),
             proof=self.configuration.proofs.newest if self.configuration else 0,
             successes=self.crash_exchange.next_successes(now, receivers),
-            server_limits=[
-                (report.server, report.limit, now - report.at, report.id)
-                for report in context.limit_sharing.reports.take(MAX_REPORTS)
-            ],
+            server_limits=_encode_reports(context.limit_sharing.reports, now),
             carried=context.transit_port.offer(),
+            brittle_servers=_encode_reports(context.brittle_services.reports, now),
         )
 
     def _relays_servers(self) -> bool:
@@ -513,14 +513,34 @@
 
     def _learn_limits(self, message: "StateMessage", now: float) -> None:
         if message.server_limits:
-            reports = [
-                LimitReport(server, limit, now - age_s, report_id)
-                for server, limit, age_s, report_id in message.server_limits
-            ]
+            reports = _decode_reports(message.server_limits, now)
             self.context.limit_sharing.learn(message.node, reports)
+        if message.brittle_servers:
+            reports = _decode_reports(message.brittle_servers, now)
+            self.context.brittle_services.learn(message.node, reports)
 
     def observe_duty_log_end(self, end: int) -> None:
         """Record the end of the duties log, as read or as a peer reports it."""
         if end > self.duty_log_end:
             self.duty_log_end = end
             self.duty_log_moved_at = boot_time()
+
+
+def _encode_reports(
+    reports: ServerLimits, now: float
+) -> list[tuple[str, float | None, float, int]]:
+    """Return the next reports for a message, with their ages."""
+    return [
+        (report.server, report.limit, now - report.at, report.id)
+        for report in reports.take(MAX_REPORTS)
+    ]
+
+
+def _decode_reports(
+    reports: list[tuple[str, float | None, float, int]], now: float
+) -> list[LimitReport]:
+    """Return the reports of a message that arrived at `now`."""
+    return [
+        LimitReport(server, limit, now - age_s, report_id)
+        for server, limit, age_s, report_id in reports
+    ]
--- a/packages/endive_gateway/src/endive_gateway/placing.py
+++ b/packages/endive_gateway/src/endive_gateway/placing.py
@@ -211,6 +211,13 @@
             scheduler.report(server_id, running, waiting, as_of=self.now())
             self.dispatch_queued(scheduler)
 
+    def known_load(self, server_id: str) -> int:
+        """Return the requests at a server, running and waiting, as this node knows."""
+        view = self.views.get(server_id)
+        scheduler = self.schedulers.get(view.service) if view else None
+        server = scheduler.servers.servers.get(server_id) if scheduler else None
+        return server.load if server else 0
+
     def finished(self, ticket: Ticket, tokens: int) -> None:
         """Record a complete response."""
         self.consecutive_failures.pop(ticket.server, None)
--- a/packages/endive_gateway/src/endive_gateway/state_messages.py
+++ b/packages/endive_gateway/src/endive_gateway/state_messages.py
@@ -62,6 +62,9 @@
     carried : int
         Connections to servers that the sender carries for other nodes; -1 if it
         carries none, for example because it reaches no server itself.
+    brittle_servers : list of (str, float or None, float, int)
+        Server, the rejections a second that it tolerates (``None`` if it is sound
+        again), the age of that statement in seconds, and its id.
     """
 
     node: str
@@ -87,6 +90,7 @@
     successes: list[tuple[str, float]] = []
     server_limits: list[tuple[str, float | None, float, int]] = []
     carried: int = -1
+    brittle_servers: list[tuple[str, float | None, float, int]] = []
 
 
 DECODER = msgspec.msgpack.Decoder(StateMessage)
--- a/tests/test_platform_headers.py
+++ b/tests/test_platform_headers.py
@@ -122,6 +122,19 @@
     assert decode_response(headers(Server_Limit=value)).request_limit == limit
 
 
+@pytest.mark.parametrize(("value", "number"), [("5", 5.0), (" 0.5 ", 0.5), ("0", 0.0)])
+def test_what_a_brittle_server_tolerates_is_decoded(value, number):
+    metadata = decode_response(headers(Server_Brittle=value))
+    assert metadata.brittle_rejections == number
+
+
+@pytest.mark.parametrize("value", ["", "very", "-1", "nan", "inf", "x" * 99])
+def test_an_invalid_brittleness_is_none_and_kept_for_the_log(value):
+    metadata = decode_response(headers(Server_Brittle=value))
+    assert metadata.brittle_rejections is None
+    assert metadata.invalid_brittleness == value[:40]
+
+
 @pytest.mark.parametrize("value", ["", "soon", "-1", "nan", "inf", "1e999", "x" * 99])
 def test_an_invalid_limit_is_none_and_kept_for_the_log(value):
     metadata = decode_response(headers(Server_Limit=value))
