Let the soak's servers be brittle

The servers of a service say that they tolerate one to three rejections a second, run two requests at once, from 3 s on let one wait, and crash at a further rejection. They may do so at most twice and a tenth of their number for what nodes without another fault sent.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -9,7 +9,7 @@
 import gevent
 
 from soak.callers import DEADLINE_S, CrashingCaller
-from soak.invariants import CONTACT_S, ServersCut
+from soak.invariants import CONTACT_S, BrittleTime, ServersCut
 
 SERIES_SHARE = 0.35
 MAX_IN_SERIES = 4
@@ -274,6 +274,21 @@
     cut.check()
 
 
+def servers_brittle(fleet, fault):
+    """Let a service's servers say that they fail if they reject much, and do so."""
+    service = backend_of(fleet, fault).service
+    backends = [backend for backend in fleet.backends if backend.service == service]
+    if any(backend.brittle for backend in backends):
+        return
+    brittle = BrittleTime(fleet, backends, rejections=1 + int(3 * fault.strength))
+    for backend in backends:
+        backend.set_brittle(brittle)
+    gevent.sleep(CONTACT_S + 4.0 + fault.for_s)
+    for backend in backends:
+        backend.set_brittle(None)
+    brittle.end()
+
+
 def crashing_request(fleet, fault):
     """Send a request that crashes each server that runs it to all nodes in turn."""
     content = f"{fault.target}-{fault.strength}"
@@ -308,6 +323,7 @@
         server_limited,
         server_unframed,
         server_silent,
+        servers_brittle,
         nodes_cut_from_servers,
     )
 }
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -15,7 +15,14 @@
 from soak.invariants import CONTACT_S, LIMIT_WINDOW_S, InvariantChecker, Limit
 from soak.lag import Lag, processor_wait_s
 from soak.network import Link
-from soak.standins import CONFIGURATION, SERVERS, FakeCloud, FakeServer, FakeStore
+from soak.standins import (
+    CONFIGURATION,
+    SERVERS,
+    SLOTS,
+    FakeCloud,
+    FakeServer,
+    FakeStore,
+)
 
 ZONES = ("a", "b", "c")
 PORT = 7100
@@ -240,6 +247,7 @@
         self.state, self.leaves_s = "ready", None
         self.server = None
         self.silent = False
+        self.brittle = None
         self._start()
         address = self.server.address
         self.link = Link(fleet.ip(5, number), PORT, address, fleet.clock)
@@ -257,6 +265,12 @@
             backend=self,
         )
 
+    def set_brittle(self, brittle):
+        """Let the servers here fail if they reject much, or be sound again."""
+        self.brittle = brittle
+        if self.server is not None:
+            self.server.slots = brittle.slots if brittle else SLOTS
+
     def crash_soon(self):
         """End the server after its present work, and start another one."""
         gevent.spawn(self.crash, CRASH_DOWNTIME_S)
--- a/tests/soak/invariants.py
+++ b/tests/soak/invariants.py
@@ -25,6 +25,10 @@
 """Time for which a node must have been able to receive changes before it has to serve
 the newest configuration, seconds."""
 
+BRITTLE_SLOTS = 2
+BRITTLE_ROOM = 1
+"""Requests that a brittle server runs at once, and that may wait there."""
+
 LIMIT_WINDOW_S = 4.0
 LIMIT_TOLD_S = 0.5
 """Window over which a server's limit holds, and time after which a node that has passed
@@ -101,6 +105,58 @@
         return count - (1.5 * LIMIT_WINDOW_S * self.limit + 5)
 
 
+class BrittleTime:
+    """A time in which the servers of a service fail if they reject much.
+
+    Attributes
+    ----------
+    rejections : int
+        Requests a second that each of them tolerates to reject, as it says.
+    slots, room : int
+        Requests that each runs at once, and that may wait there.
+    falls : int
+        How often a server has failed after most of what it had rejected came from nodes
+        without another fault.
+    """
+
+    def __init__(self, fleet, backends, rejections):
+        self.fleet = fleet
+        self.backends = backends
+        self.rejections = rejections
+        self.slots = BRITTLE_SLOTS
+        self.narrows_at = fleet.clock() + CONTACT_S
+        self.recent = defaultdict(deque)
+        self.falls = 0
+
+    @property
+    def room(self):
+        is_narrow = self.fleet.clock() >= self.narrows_at
+        return BRITTLE_ROOM if is_narrow else 5 * BRITTLE_SLOTS
+
+    def rejected(self, backend, request_id):
+        """Count a request that a server rejects for lack of room."""
+        request = self.fleet.checker.requests.get(request_id)
+        now, recent = self.fleet.clock(), self.recent[backend]
+        if request is None or now < self.narrows_at:
+            return
+        recent.append((now, backend.is_undisturbed(request.node)))
+        while recent[0][0] < now - 1.0:
+            recent.popleft()
+        if len(recent) > self.rejections:
+            self.falls += 2 * sum(counts for _, counts in recent) > len(recent)
+            recent.clear()
+            backend.crash_soon()
+
+    def end(self):
+        """Check the rule; called when the servers are sound again."""
+        if self.falls > 2 + len(self.backends) / 10:
+            self.fleet.checker.record_violation(
+                "brittle",
+                f"{len(self.backends)} servers that tolerate {self.rejections} "
+                f"rejections a second failed {self.falls} times",
+            )
+
+
 class ServersCut:
     """Compares how nodes that reach no server serve their callers with the others.
 
--- a/tests/soak/launch.py
+++ b/tests/soak/launch.py
@@ -135,6 +135,13 @@
     TransitPort.offer = lambda self: -1
 
 
+def lease_no_slots():
+    """Let each node send to brittle servers what it takes for free there."""
+    from endive_gateway.slot_leasing import SlotLeasing
+
+    SlotLeasing.ask = lambda self, view, **options: None
+
+
 def give_up_silent_servers():
     """Let a node close a connection on which nothing comes for half a second."""
     from endive_gateway.exceptions import ConnectionBrokenError
@@ -159,6 +166,7 @@
     "server-limits": keep_server_limits_alone,
     "broken-streams": trust_orderly_ends,
     "silence-ends": give_up_silent_servers,
+    "no-leases": lease_no_slots,
     "no-transit": carry_no_connections,
 }
 
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -266,6 +266,7 @@
     def __init__(self, host, port, *, server_id, service, born, checker, backend):
         self.id = server_id
         self.backend = backend
+        self.slots = SLOTS if backend.brittle is None else backend.brittle.slots
         self.limit = None
         self.limited = None
         self.service = service
@@ -287,7 +288,7 @@
             "address": address,
             "zone": zone,
             "version": "1",
-            "slots": SLOTS,
+            "slots": self.slots,
             "state": state,
             "cold_left_ms": 0,
             "sequence": self.number,
@@ -299,11 +300,20 @@
 
     def handle(self, environ, body, start):
         request_id = environ.get("HTTP_REQUEST_ID", "")
-        headers = {"Request-Id": request_id, "Server-Load": f"{self.running},0,{SLOTS}"}
+        headers = {
+            "Request-Id": request_id,
+            "Server-Load": f"{self.running},0,{self.slots}",
+        }
         headers |= self._limit_headers(request_id)
+        brittle = self.backend.brittle
+        if brittle is not None:
+            headers["Server-Brittle"] = str(brittle.rejections)
         if environ.get("HTTP_EXPECT_INSTANCE", self.id) != self.id:
             return respond(start, 421, b"", headers | {"Not-Run": "1"})
-        if not request_id or self.running >= SLOTS + QUEUE:
+        room = brittle.room if brittle is not None else QUEUE
+        if not request_id or self.running >= self.slots + room:
+            if brittle is not None:
+                brittle.rejected(self.backend, request_id)
             return respond(start, 503, b"", headers | {"Not-Run": "1"})
         headers["Response-Seal"] = "made"
         self.checker.request_started(
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -17,6 +17,7 @@
     "server_limited",
     "server_unframed",
     "server_silent",
+    "servers_brittle",
     "nodes_cut_from_servers",
 }
 EARLIER_KINDS = tuple(sorted(set(FAULTS) - LATER_KINDS))
@@ -56,6 +57,7 @@
 
 LIMITED_SERVERS = ("server_limited", "reload", "change_configuration")
 SERVERS_CUT = ("nodes_cut_from_servers", "change_configuration")
+BRITTLE = ("servers_brittle", "change_configuration", "restart")
 SILENT = ("server_silent", "reload", "change_configuration")
 UNFRAMED = ("server_unframed", "server_leaves", "restart")
 MUTANTS = {
@@ -67,6 +69,7 @@
     "server-limits": ("server limit", 1, LIMITED_SERVERS),
     "broken-streams": ("wrong response", 1, UNFRAMED),
     "silence-ends": ("silence", 1, SILENT),
+    "no-leases": ("brittle", 1, ("servers_brittle", "change_configuration")),
     "no-transit": ("cut off", 1, SERVERS_CUT),
 }
 """By mutant: the rule that it violates, the seed, and the kinds of faults to inject."""
@@ -112,6 +115,12 @@
     assert outcome.violations == [], outcome.directory
 
 
+def test_brittle_servers_do_not_have_to_reject_much():
+    """Servers that reject a few requests a second fail, and nodes restart meanwhile."""
+    outcome = run_seed(1, slot=SLOT, kinds=BRITTLE)
+    assert outcome.violations == [], outcome.directory
+
+
 def test_requests_outlast_a_servers_silence():
     """Sound servers fall silent for a second or two, and go on."""
     outcome = run_seed(1, slot=SLOT, kinds=SILENT)
@@ -216,7 +225,8 @@
     claimed while another node holds them, an unanswered read of the store treated as
     proof that nothing has changed, crashes that nodes do not tell each other, limits of
     servers that are not shared, streams that are complete as soon as they end, requests
-    that end with a server's silence, and nodes that carry no connections for others."""
+    that end with a server's silence, brittle servers without leases, and nodes that
+    carry no connections for others."""
     rule, seed, kinds = MUTANTS[mutant]
     outcome = run_seed(seed, slot=SLOT, mutant=mutant, kinds=kinds)
     assert outcome.violations, outcome.counts
