--- a/packages/endive_gateway/src/endive_gateway/forwarding.py
+++ b/packages/endive_gateway/src/endive_gateway/forwarding.py
@@ -392,7 +392,7 @@
         if is_late or self.declined_slots == MAX_SLOT_REQUESTS:
             raise EndiveError(
                 ErrorKind.OVERLOADED,
-                f"{error}, and so are those of others",
+                f"no slot of a brittle server was leased; last: {error}",
                 retry_after_s=self.route.target_s,
             )
         self._check_time()
