--- a/packages/endive_gateway/tests/brittle_simulation.py
+++ b/packages/endive_gateway/tests/brittle_simulation.py
@@ -24,18 +24,18 @@
 
 
 class BrittleServer:
-    """A server with slots, a queue, and a limit to what it may turn away.
+    """A server with slots, a queue, and a limit to what it may reject.
 
     Attributes
     ----------
     room : int
         Requests that may wait.
     brittle : float or None
-        Requests a second that it tolerates to turn away, as it says.
-    falls_over : bool
-        Whether it falls over if it turns more away.
-    falls : list of float
-        When it fell over.
+        Requests a second that it tolerates to reject, as it says.
+    is_fragile : bool
+        Whether it fails if it rejects more.
+    failures : list of float
+        When it failed.
     """
 
     def __init__(self, fleet, server_id):
@@ -43,12 +43,12 @@
         self.id = server_id
         self.room = 24
         self.brittle = None
-        self.falls_over = False
+        self.is_fragile = False
         self.running = 0
         self.waiting = deque()
         self.rejected = deque()
         self.rejected_total = 0
-        self.falls = []
+        self.failures = []
         self.starts = 0
         self.down_until = 0.0
 
@@ -57,7 +57,7 @@
         return self.fleet.clock.now >= self.down_until
 
     def arrive(self, request):
-        """Take a request, or turn it away."""
+        """Take a request, or reject it."""
         if not self.is_up:
             request.fail(RetryReason.CONNECT_FAILED, started=False)
         elif self.running < SLOTS:
@@ -87,15 +87,15 @@
         self.rejected.append(now)
         while self.rejected[0] < now - 1.0:
             self.rejected.popleft()
-        if self.falls_over and len(self.rejected) > self.brittle:
-            self.fall()
+        if self.is_fragile and len(self.rejected) > self.brittle:
+            self.restart()
             request.fail(RetryReason.SERVER_FAILED, started=True)
         else:
             request.reject()
 
-    def fall(self):
+    def restart(self):
         """End with all requests; another start follows."""
-        self.falls.append(self.fleet.clock.now)
+        self.failures.append(self.fleet.clock.now)
         self.down_until = self.fleet.clock.now + DOWN_S
         self.starts += 1
         self.running = 0
@@ -301,12 +301,12 @@
         """Let the servers say how many rejections they tolerate, or none."""
         for server in self.servers.values():
             server.brittle = rejections
-            server.falls_over &= rejections is not None
+            server.is_fragile &= rejections is not None
 
     def narrow(self, room):
-        """Let fewer requests wait, and servers that reject too many fall over."""
+        """Let fewer requests wait, and let servers fail that reject too many."""
         for server in self.servers.values():
-            server.room, server.falls_over = room, True
+            server.room, server.is_fragile = room, True
 
     def run(self, seconds, load):
         """Let requests arrive for some seconds, at `load` times the capacity."""
@@ -337,10 +337,12 @@
         if now < end:
             self.at(now + self.random.expovariate(per_s), self.request, per_s, end)
 
-    def falls_since(self, since):
-        """Return how often servers fell over since a time."""
-        falls = itertools.chain(*(server.falls for server in self.servers.values()))
-        return sum(at >= since for at in falls)
+    def failures_since(self, since):
+        """Return how often servers failed since a time."""
+        failures = itertools.chain(
+            *(server.failures for server in self.servers.values())
+        )
+        return sum(at >= since for at in failures)
 
     def served_share(self, since, *, within_s=TARGET_S):
         """Return the share of the requests since a time that were answered in time."""
--- a/packages/endive_gateway/tests/test_brittle_fleet.py
+++ b/packages/endive_gateway/tests/test_brittle_fleet.py
@@ -12,7 +12,7 @@
 ADJUST_S = 3.0
 """Time after the servers say that they are brittle, until they let fewer wait."""
 
-MOST_FALLS = 2 + SERVERS / 10
+MOST_FAILURES = 2 + SERVERS / 10
 LEAST_UTILISATION = 0.8
 
 
@@ -36,7 +36,7 @@
     fleet = adjusted_fleet(monkeypatch, nodes, load)
     since = fleet.clock.now
     fleet.run(4.0, load)
-    assert fleet.falls_since(since) <= MOST_FALLS
+    assert fleet.failures_since(since) <= MOST_FAILURES
     capacity = min(1.0, 1 / load)
     assert fleet.served_share(since) >= LEAST_UTILISATION * capacity
 
@@ -56,7 +56,7 @@
     fleet.reaches = lambda sender, receiver: lost not in (sender, receiver)
     since = fleet.clock.now
     fleet.run(4.0, 0.8)
-    assert fleet.falls_since(since) <= MOST_FALLS
+    assert fleet.failures_since(since) <= MOST_FAILURES
     assert fleet.served_share(since) >= LEAST_UTILISATION
 
 
@@ -67,7 +67,7 @@
     fleet.reaches = lambda sender, receiver: (sender in half) == (receiver in half)
     since = fleet.clock.now
     fleet.run(6.0, 1.2)
-    assert fleet.falls_since(since) <= MOST_FALLS
+    assert fleet.failures_since(since) <= MOST_FAILURES
 
 
 def test_leases_end_with_the_brittleness(monkeypatch):
--- a/tests/soak/invariants.py
+++ b/tests/soak/invariants.py
@@ -114,7 +114,7 @@
         Requests a second that each of them tolerates to reject, as it says.
     slots, room : int
         Requests that each runs at once, and that may wait there.
-    falls : int
+    failures : int
         How often a server has failed after most of what it had rejected came from nodes
         without another fault.
     """
@@ -126,7 +126,7 @@
         self.slots = BRITTLE_SLOTS
         self.narrows_at = fleet.clock() + CONTACT_S
         self.recent = defaultdict(deque)
-        self.falls = 0
+        self.failures = 0
 
     @property
     def room(self):
@@ -143,17 +143,17 @@
         while recent[0][0] < now - 1.0:
             recent.popleft()
         if len(recent) > self.rejections:
-            self.falls += 2 * sum(counts for _, counts in recent) > len(recent)
+            self.failures += 2 * sum(counts for _, counts in recent) > len(recent)
             recent.clear()
             backend.crash_soon()
 
     def end(self):
         """Check the rule; called when the servers are sound again."""
-        if self.falls > 2 + len(self.backends) / 10:
+        if self.failures > 2 + len(self.backends) / 10:
             self.fleet.checker.record_violation(
                 "brittle",
                 f"{len(self.backends)} servers that tolerate {self.rejections} "
-                f"rejections a second failed {self.falls} times",
+                f"rejections a second failed {self.failures} times",
             )
 
 
