Decode the rest that a server asks for and its word that it leaves, and log the rest

What the logs lacked: a refused attempt did not say what the server had asked for, so a time that is not read could not be told from one that is read and passed by.

--- a/packages/endive_gateway/src/endive_gateway/attempts.py
+++ b/packages/endive_gateway/src/endive_gateway/attempts.py
@@ -218,6 +218,7 @@
                 f"the server refused the request with {message.status}",
                 RetryReason.SERVER_BUSY,
                 started=False,
+                rest_s=metadata.rest_s,
             )
         if 200 <= message.status < 300:
             self._check_success(message, metadata)
--- a/packages/endive_gateway/src/endive_gateway/exceptions.py
+++ b/packages/endive_gateway/src/endive_gateway/exceptions.py
@@ -126,6 +126,8 @@
     on_the_way : bool
         Whether it broke on the way to that node, so that nothing is known of the
         server.
+    rest_s : float or None
+        Seconds for which the server wants no request from this node, if it said so.
     """
 
     def __init__(
@@ -138,8 +140,10 @@
         response: ServerResponse | None = None,
         through_transit: bool = False,
         on_the_way: bool = False,
+        rest_s: float | None = None,
     ) -> None:
         super().__init__(message)
+        self.rest_s = rest_s
         self.through_transit = through_transit
         self.on_the_way = on_the_way
         self.reason = reason
--- a/packages/endive_gateway/src/endive_gateway/forwarding.py
+++ b/packages/endive_gateway/src/endive_gateway/forwarding.py
@@ -328,6 +328,7 @@
             reason=error.reason,
             started=error.started,
             error=error,
+            **({} if error.rest_s is None else {"rest_s": error.rest_s}),
         )
         try:
             self._requeue(error)
--- a/packages/endive_gateway/src/endive_gateway/interfaces.py
+++ b/packages/endive_gateway/src/endive_gateway/interfaces.py
@@ -298,6 +298,14 @@
         if it says that it is brittle.
     invalid_brittleness : str
         What it said instead of a valid number; empty if there is none.
+    rest_s : float or None
+        Seconds for which it wants no request from this node, if it turned one away.
+    invalid_rest : str
+        What it asked for instead of a valid time; empty if there is none.
+    leaving : bool
+        Whether the server says that it leaves.
+    invalid_leaving : str
+        What it said of that instead; empty if there is none.
     """
 
     request_id: str = ""
@@ -311,6 +319,10 @@
     invalid_limit: str = ""
     brittle_rejections: float | None = None
     invalid_brittleness: str = ""
+    rest_s: float | None = None
+    invalid_rest: str = ""
+    leaving: bool = False
+    invalid_leaving: str = ""
 
 
 @dataclass(frozen=True)
--- a/packages/endive_gateway/tests/gateway_builders.py
+++ b/packages/endive_gateway/tests/gateway_builders.py
@@ -79,12 +79,15 @@
     def decode_response(self, headers):
         limit = _text(headers, b"limit")
         brittle = _text(headers, b"brittle")
+        rest = _text(headers, b"rest")
         return ResponseMetadata(
             request_id=_text(headers, b"id"),
             signed=bool(header_value(headers, b"signed")),
             not_run=bool(header_value(headers, b"refused")),
             request_limit=float(limit) if limit else None,
             brittle_rejections=float(brittle) if brittle else None,
+            rest_s=float(rest) if rest else None,
+            leaving=bool(header_value(headers, b"leaving")),
         )
 
     def own_response_headers(self, metadata):
--- a/tests/test_platform_headers.py
+++ b/tests/test_platform_headers.py
@@ -140,3 +140,43 @@
     metadata = decode_response(headers(Server_Limit=value))
     assert metadata.request_limit is None
     assert metadata.invalid_limit == value[:40]
+
+
+@pytest.mark.parametrize(
+    ("value", "rest_s"), [("3", 3.0), (" 0.25 ", 0.25), ("0", 0.0), ("86400", 86400.0)]
+)
+def test_the_rest_that_a_server_asks_for_is_decoded(value, rest_s):
+    assert decode_response(headers(Retry_After=value)).rest_s == rest_s
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        "",
+        "soon",
+        "-1",
+        "nan",
+        "inf",
+        "86401",
+        "Fri, 04 Dec 2026 03:00:00 GMT",
+        "9" * 99,
+    ],
+)
+def test_an_invalid_rest_is_none_and_kept_for_the_log(value):
+    metadata = decode_response(headers(Retry_After=value))
+    assert metadata.rest_s is None
+    assert metadata.invalid_rest == value[:40]
+
+
+@pytest.mark.parametrize(
+    ("value", "leaving"), [("1", True), (" 1 ", True), ("0", False)]
+)
+def test_a_servers_word_that_it_leaves_is_decoded(value, leaving):
+    metadata = decode_response(headers(Server_Leaving=value))
+    assert (metadata.leaving, metadata.invalid_leaving) == (leaving, "")
+
+
+@pytest.mark.parametrize("value", ["yes", "2", "-1", "x" * 99])
+def test_an_invalid_word_of_leaving_is_kept_for_the_log(value):
+    metadata = decode_response(headers(Server_Leaving=value))
+    assert (metadata.leaving, metadata.invalid_leaving) == (False, value[:40])
