Send nothing to a server that has asked for rest until its time

What callers saw: requests sent to servers that turned everybody away, though others had room; each cost an attempt and, where a route allows one, the whole request.

Cause: `Retry-After` in a server's 503 was read by nothing. The server counted as full until a report or the expiry of one, half a second. Class: a statement of a server about itself that nothing keeps, as with limits and brittleness before.

Change: a subsystem beside throttling and leases. `endive_core.resting` decides without I/O: nothing by placement, probe, retry or queue until the time on the node's own clock, then one request and twice as many after each that is answered; where all servers rest, what can wait waits and the rest is refused at once with a time after the rest, not the same for all; waits for a rest teach nothing about the queue. An attempt asks again right before it sends. `endive_gateway.server_rests` keeps rests by incarnation, at the node and at the one that carried the request, and tells the others; a server of which two nodes tell is unwilling, which all pass on: it gets requests only where no other has room. Being turned away is no failure of the server and counts as a retry.

--- a/packages/endive_core/src/endive_core/__init__.py
+++ b/packages/endive_core/src/endive_core/__init__.py
@@ -12,7 +12,7 @@
   ``ejection``, ``response_times``, ``call_pacing``
 - ways to servers: ``reachability``, ``transit``
 - limits and metering: ``quotas``, ``shared_limits``, ``limit_coordination``,
-  ``server_limits``, ``throttling``, ``slot_leases``, ``metering``
+  ``server_limits``, ``throttling``, ``resting``, ``slot_leases``, ``metering``
 - capacity: ``capacity``, ``load_sizing``
 - moving streams and requests: ``stream_moves``, ``handover``, ``claims``
 - membership: ``membership``, ``members``, ``digests``, ``facts``, ``leases``,
--- a/packages/endive_core/src/endive_core/admission.py
+++ b/packages/endive_core/src/endive_core/admission.py
@@ -17,6 +17,7 @@
 from endive_core.policy import Policy
 from endive_core.queueing import FairQueue
 from endive_core.quotas import Quota
+from endive_core.resting import Resting
 from endive_core.retry_after import RetryWindows
 from endive_core.servers import ServerSet
 from endive_core.service_types import ServiceType
@@ -95,7 +96,9 @@
         crashes: CrashTable,
         service_type: ServiceType,
         throttling: Throttling,
+        resting: Resting,
     ) -> None:
+        self.resting = resting
         self.policy = policy
         self.servers = servers
         self.queue = queue
@@ -149,6 +152,33 @@
             max(policy.min_retry_after_s, retry_after_s),
         )
 
+    def resting_refusal(self, call: Call, wait_s: float, now: float) -> Refusal:
+        """Return the refusal of a call that resting servers keep waiting for `wait_s`.
+
+        The callers are told different times after it, so that they don't all return in
+        the same moment.
+        """
+        retry_after_s = self.retry_windows.assign(
+            (call.organisation, call.rank),
+            call.fingerprint,
+            now,
+            excess_s=wait_s,
+            cost_s=self._cost_s(call),
+            closed_s=wait_s,
+        )
+        return Refusal.from_kind(
+            ErrorKind.OVERLOADED,
+            f"all servers have asked for rest, for {wait_s:.3f} s more",
+            retry_after_s,
+        )
+
+    def _cost_s(self, call: Call) -> float:
+        """Return the time in which the organisation's share of slots serves a call."""
+        return call.tokens / self._organisation_tokens_per_s(call.organisation)
+
+    def _organisation_tokens_per_s(self, organisation: str) -> float:
+        return self.rate.tokens_per_slot_s * self.usage.slots_of(organisation)
+
     def _overloaded(self, call: Call, now: float) -> Refusal | None:
         throttled_s = self.throttling.wait_s(now, len(self.queue))
         if throttled_s == math.inf:
@@ -166,6 +196,9 @@
                 "the deadline can't be met",
                 max(self.policy.min_retry_after_s, prediction.wait_s),
             )
+        resting_s = self.resting.wait_s(now)
+        if resting_s and prediction.long_wait_s > allowed:
+            return self.resting_refusal(call, resting_s, now)
         key = (call.organisation, call.rank)
         cost_s = call.tokens * prediction.seconds_per_token
         cost_s = max(cost_s, self.throttling.call_s())
@@ -199,19 +232,18 @@
         ahead = self.queue.tokens_ahead(call.rank, call.organisation)
         wait, allowance = ahead / tokens_per_s, 0.0
         tier = self.usage.tier(call)
-        if ahead or not self.servers.available[tier]:
+        resting_s = self.resting.wait_s(now)
+        if ahead or not (resting_s or self.servers.available[tier]):
             wait += self.rate.held_s / slots
             allowance = self.wait_errors[tier].allowance_s(self.policy.wait_deviations)
-        wait = max(wait, self.throttling.wait_s(now, len(self.queue)))
+        throttled_s = self.throttling.wait_s(now, len(self.queue))
+        wait = max(wait, throttled_s, resting_s)
         prefill = call.prompt_tokens / self.prefill_tokens_per_s()
-        organisation_tokens_per_s = self.rate.tokens_per_slot_s * self.usage.slots_of(
-            call.organisation
-        )
         return Prediction(
             wait,
             allowance,
             self._start_s(now) + prefill,
-            1 / organisation_tokens_per_s,
+            1 / self._organisation_tokens_per_s(call.organisation),
         )
 
     def _start_s(self, now: float) -> float:
--- a/packages/endive_core/src/endive_core/calls.py
+++ b/packages/endive_core/src/endive_core/calls.py
@@ -119,6 +119,8 @@
     yields : bool
         Whether its prompt is computed after all others at its server, see
         :mod:`.placement`.
+    waited_for_rest : bool
+        Whether it was queued while all servers rested.
     refusal : Refusal or None
         Why a queued ticket expired.
     """
@@ -139,6 +141,7 @@
     avoid: set[str] = field(default_factory=set)
     suspect: bool = False
     yields: bool = False
+    waited_for_rest: bool = False
     refusal: "Refusal | None" = None
 
 
--- a/packages/endive_core/src/endive_core/exceptions.py
+++ b/packages/endive_core/src/endive_core/exceptions.py
@@ -143,6 +143,7 @@
     SERVER_BUSY = "server_busy"
     SERVER_FAILED = "server_failed"
     SERVER_LEAVING = "server_leaving"
+    SERVER_RESTING = "server_resting"
     SERVER_SLOW = "server_slow"
     HANDED_OVER = "handed_over"
     PATH_FAILED = "path_failed"
--- a/packages/endive_core/src/endive_core/expiry.py
+++ b/packages/endive_core/src/endive_core/expiry.py
@@ -13,6 +13,7 @@
 from endive_core.exceptions import ErrorKind
 from endive_core.policy import Policy
 from endive_core.queueing import FairQueue
+from endive_core.resting import Resting
 from endive_core.servers import ServerSet
 from endive_core.throttling import Throttling
 
@@ -36,7 +37,9 @@
         admission: Admission,
         refusals: Counter[ErrorKind],
         throttling: Throttling,
+        resting: Resting,
     ) -> None:
+        self.resting = resting
         self.policy = policy
         self.servers = servers
         self.queue = queue
@@ -126,6 +129,20 @@
                     ticket, refusal.kind, refusal.message, refusal.retry_after_s
                 )
 
+    def expire_resting(self, now: float) -> None:
+        """Expire the queued calls whose deadlines pass before a server's rest does."""
+        wait_s = self.resting.wait_s(now) if len(self.queue) else 0.0
+        if not wait_s:
+            return
+        for ticket in self.queue.tickets():
+            ticket.waited_for_rest = True
+            deadline = ticket.call.deadline
+            if deadline is not None and now + wait_s > deadline:
+                refusal = self.admission.resting_refusal(ticket.call, wait_s, now)
+                self.expire(
+                    ticket, refusal.kind, refusal.message, refusal.retry_after_s
+                )
+
     def take(self) -> list[Ticket]:
         """Return the tickets expired since the last call."""
         expired, self.expired = self.expired, []
--- a/packages/endive_core/src/endive_core/placement.py
+++ b/packages/endive_core/src/endive_core/placement.py
@@ -30,9 +30,17 @@
 MAX_HOLDER_CANDIDATES = 2
 """Candidates taken from the servers believed to hold the longest known prefix."""
 
-THROTTLED_CANDIDATES = 4
+CLOSED_CANDIDATES = 4
 """Servers to which a prefix hashes, one after the other, that are tried if the first
-ones are throttled. All nodes then go to the same one."""
+ones are throttled or rest. All nodes then go to the same one."""
+
+MAX_SAMPLES = 4
+"""Random samples that are drawn while they have only servers that turn other nodes'
+requests away."""
+
+UNWILLING_COST_S = 1.0
+"""Cost of a server that turns other nodes' requests away, seconds: it gets requests
+only where no other server has room."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -89,9 +97,8 @@
         }
         expected = cached | expected
         best, best_score = None, 0.0
-        for server in self._candidates(
-            ticket, [*islice(cached, MAX_HOLDER_CANDIDATES), *hashed], tier
-        ):
+        names = [*islice(cached, MAX_HOLDER_CANDIDATES), *hashed]
+        for server in self._candidates(ticket, names, tier, now):
             if tier and server.prefill_paced_until > now + self.policy.prefill_burst_s:
                 continue
             score = self.score(call, server, expected.get(server.id, 0), now)
@@ -112,12 +119,15 @@
         server.prefill_paced_until = starts_at + tokens / rate
 
     def _candidates(
-        self, ticket: Ticket, names: list[str], tier: Tier
+        self, ticket: Ticket, names: list[str], tier: Tier, now: float
     ) -> list[ServerLoad]:
         found = self._within_bound(names, tier)
-        found += self.servers.available[tier].sample(
-            self.policy.random_candidates, self.random.randrange
-        )
+        for _ in range(MAX_SAMPLES):
+            found += self.servers.available[tier].sample(
+                self.policy.random_candidates, self.random.randrange
+            )
+            if not found or any(s.unwilling_until <= now for s in found):
+                break
         allowed = [s for s in found if self.allows(ticket, s, tier)]
         if allowed or not (ticket.avoid or ticket.suspect):
             return allowed
@@ -177,16 +187,16 @@
         return found
 
     def _affinity_server(self, key: str) -> str | None:
-        """Return the server to which `key` hashes, past those that are throttled."""
+        """Return the server to which `key` hashes, past those that are closed."""
         names = self.ring.candidates(key, 1)
-        if names and self._is_throttled(names[0]):
-            names = self.ring.candidates(key, THROTTLED_CANDIDATES)
-            names = [name for name in names if not self._is_throttled(name)]
+        if names and self._is_closed(names[0]):
+            names = self.ring.candidates(key, CLOSED_CANDIDATES)
+            names = [name for name in names if not self._is_closed(name)]
         return names[0] if names else None
 
-    def _is_throttled(self, name: str) -> bool:
+    def _is_closed(self, name: str) -> bool:
         server = self.servers.servers.get(name)
-        return server is not None and server.throttled
+        return server is not None and (server.throttled or server.resting)
 
     def score(
         self, call: Call, server: ServerLoad, cached_blocks: int, now: float
@@ -194,10 +204,11 @@
         """Return the weighted cost of sending `call` to `server`, seconds."""
         compute = _uncached(call, cached_blocks) / server.view.prefill_tokens_per_s
         weights = call.weights
-        return server.slowness * (
+        cost_s = server.slowness * (
             weights.wait * (self.wait_s(server, now) + compute)
             + weights.recompute * compute
         )
+        return cost_s + (UNWILLING_COST_S if server.unwilling_until > now else 0.0)
 
     def wait_s(self, server: ServerLoad, now: float) -> float:
         """Return the predicted wait for the first prefill step at `server`, seconds.
--- a/packages/endive_core/src/endive_core/retry_after.py
+++ b/packages/endive_core/src/endive_core/retry_after.py
@@ -72,6 +72,7 @@
         *,
         excess_s: float,
         cost_s: float,
+        closed_s: float = 0.0,
     ) -> float:
         """Return the seconds after which the refused call should retry.
 
@@ -85,11 +86,14 @@
             Time until the queue is short enough for one more call.
         cost_s : float
             Time in which the organisation's share of capacity serves this call.
+        closed_s : float
+            Time during which no call can be served; `max_s` counts from its end.
         """
-        earliest = now + max(self.min_s, excess_s)
+        latest = now + closed_s + self.max_s
+        earliest = now + max(self.min_s, excess_s, closed_s)
         end = max(earliest, self.ends_at.get(key, 0.0) + cost_s)
-        self.ends_at[key] = min(end, now + self.max_s)
-        return min(next_window_time(fingerprint, end) - now, self.max_s)
+        self.ends_at[key] = min(end, latest)
+        return min(next_window_time(fingerprint, end), latest) - now
 
 
 def in_window(fingerprint: str, now: float) -> bool:
--- a/packages/endive_core/src/endive_core/scheduler.py
+++ b/packages/endive_core/src/endive_core/scheduler.py
@@ -23,6 +23,7 @@
 from endive_core.policy import Policy
 from endive_core.prefilling import PrefillRate
 from endive_core.queueing import FairQueue
+from endive_core.resting import Resting
 from endive_core.servers import Random, ServerLoad, ServerSet
 from endive_core.service_types import ServiceType
 from endive_core.slot_usage import SlotUsage
@@ -36,7 +37,11 @@
 NO_SERVER_FAULT = (RetryReason.SERVER_LEAVING, RetryReason.PATH_FAILED)
 """Reasons that say nothing against a server although it may have run the call."""
 
-NO_REASON_TO_AVOID = (RetryReason.SERVER_BUSY, RetryReason.PATH_FAILED)
+NO_REASON_TO_AVOID = (
+    RetryReason.SERVER_BUSY,
+    RetryReason.SERVER_RESTING,
+    RetryReason.PATH_FAILED,
+)
 """Reasons for which the next attempt may go to the same server."""
 
 
@@ -75,6 +80,7 @@
             giving_way=policy.giving_way,
         )
         self.throttling = Throttling(self.servers)
+        self.resting = Resting(self.servers)
         self.placement = Placement(policy, self.servers, random)
         self.outliers = OutlierDetector(policy, self.servers)
         self.queue = FairQueue()
@@ -88,6 +94,7 @@
             self.crashes,
             service_type,
             self.throttling,
+            self.resting,
         )
         self.first_tokens = FirstTokenLearner(
             self.servers, self.admission.rate, self.outliers, prefill
@@ -102,6 +109,7 @@
             self.admission,
             self.refusals,
             self.throttling,
+            self.resting,
         )
         self.retries: Counter[RetryReason] = Counter()
 
@@ -254,8 +262,10 @@
         self.outliers.update_outliers(now)
         self.failures.resume_paused(now)
         self.throttling.update(now)
+        self.resting.update(now)
         self.expiry.expire_without_servers(now)
         self.expiry.expire_throttled(now)
+        self.expiry.expire_resting(now)
 
     def close(self) -> None:
         """Expire all queued calls, since the service is no longer declared."""
@@ -266,7 +276,7 @@
         return self.expiry.take()
 
     def _dispatched(self, ticket: Ticket, server: ServerLoad, now: float) -> None:
-        if not ticket.attempt:
+        if not (ticket.attempt or ticket.waited_for_rest):
             self.admission.waited(ticket, now - ticket.accepted_at)
         ticket.stage = Stage.DISPATCHED
         ticket.server = server.id
@@ -297,6 +307,7 @@
         server = self._server_load_of(ticket)
         if server is not None:
             self.servers.record_success(server)
+            self.resting.answered(server)
             self._prefill_ended(ticket, server)
         self.first_tokens.learn(
             ticket,
--- a/packages/endive_core/src/endive_core/servers.py
+++ b/packages/endive_core/src/endive_core/servers.py
@@ -73,6 +73,12 @@
         Whether it gets no work for a while because it failed.
     throttled : bool
         Whether this node's share of the limit that it names is used up.
+    resting : bool
+        Whether it wants no requests from this node for a while.
+    ramp : int or None
+        Requests that may be in flight at it after a rest, until it has answered more.
+    unwilling_until : float
+        Clock time until which several other nodes send it nothing at its request.
     failures : int
         Consecutive failures.
     latency_ratio : float
@@ -97,6 +103,9 @@
     slow: bool = False
     paused: bool = False
     throttled: bool = False
+    resting: bool = False
+    ramp: int | None = None
+    unwilling_until: float = float("-inf")
     failures: int = 0
     next_probe_at: float = 0.0
     latency_ratio: float = 1.0
@@ -140,6 +149,13 @@
         """Return whether any slots are free for this node, as far as it knows."""
         return self.remaining_grant(tier) > 0 or self.uncontended_slots(tier) > 0
 
+    @property
+    def is_closed(self) -> bool:
+        """Whether it gets no further request now, however many slots are free."""
+        if self.throttled or self.resting:
+            return True
+        return self.ramp is not None and self.view.in_flight >= self.ramp
+
     def adjust_in_flight(self, sign: int, now: float) -> None:
         """Count a request of this node that was sent (+1) or ended (-1) at `now`."""
         self.recent_changes.append((now, sign))
@@ -357,7 +373,7 @@
 
     def has_room(self, server: ServerLoad, tier: Tier) -> bool:
         """Return whether this node may send a call of `tier` to `server` now."""
-        if server.throttled:
+        if server.is_closed:
             return False
         if server.remaining_grant(tier) > 0:
             return True
@@ -422,7 +438,7 @@
         else:
             self.accepting.discard(server)
         probing = server.failures > 0 and server.view.in_flight > 0
-        usable = accepting and not (server.slow or server.throttled or probing)
+        usable = accepting and not (server.slow or server.is_closed or probing)
         for tier, members in self.available.items():
             if usable and server.has_free_slots(tier):
                 members.add(server)
--- a/packages/endive_core/src/endive_core/throttling.py
+++ b/packages/endive_core/src/endive_core/throttling.py
@@ -165,10 +165,13 @@
     def _limited(self) -> list[Throttle]:
         """Return the throttles of the servers that accept work.
 
-        There are none if a server without a limit accepts work too.
+        There are none if a server without a limit accepts work too. Those that rest
+        accept none.
         """
-        accepting = self.servers.accepting.items
-        if not self.throttles or any(s.id not in self.throttles for s in accepting):
+        if not self.throttles:
+            return []
+        accepting = [s for s in self.servers.accepting.items if not s.resting]
+        if any(s.id not in self.throttles for s in accepting):
             return []
         return [self.throttles[server.id] for server in accepting]
 
--- a/packages/endive_gateway/src/endive_gateway/__init__.py
+++ b/packages/endive_gateway/src/endive_gateway/__init__.py
@@ -19,7 +19,7 @@
   ``service_client``
 - messages between nodes: ``peers``, ``nodes``, ``state_messages``, ``datagrams``,
   ``spending``, ``spending_messages``, ``prompts``, ``crash_exchange``,
-  ``limit_sharing``, ``brittle_services``, ``slot_leasing``
+  ``limit_sharing``, ``brittle_services``, ``slot_leasing``, ``server_rests``
 - cluster-wide duties, performed by one node at a time: ``duties``, ``autoscaling``
 - observability: ``logstream``, ``metrics``
 """
--- a/packages/endive_gateway/src/endive_gateway/attempts.py
+++ b/packages/endive_gateway/src/endive_gateway/attempts.py
@@ -126,6 +126,28 @@
         finally:
             self.context.slot_leasing.release(self.lease)
 
+    def _check_wanted(self) -> None:
+        """Check that the server still wants the request; raises AttemptError if not.
+
+        The request may have waited for a slot or a connection since it was chosen.
+        """
+        rests, server = self.context.server_rests, self.view.id
+        node = self.connection.transit_node if self.connection else None
+        if rests.is_resting(server) or (node and rests.rests_for(node, server)):
+            self._give_connection_back()
+            raise AttemptError(
+                "the server has asked for rest",
+                RetryReason.SERVER_RESTING,
+                started=False,
+                counts_as_attempt=False,
+            )
+
+    def _give_connection_back(self) -> None:
+        """Return a connection that was not used to the pool."""
+        connection, self.connection = self.connection, None
+        if connection is not None:
+            self.context.pool.release(self.view.id, connection)
+
     def _slot_wait_s(self) -> float:
         """Return how long the attempt may wait for a slot of a brittle server."""
         waited_s = self.request.now - self.request.exchange.received_at
@@ -134,6 +156,7 @@
 
     def _run(self) -> None:
         view = self.view
+        self._check_wanted()
         self.request.servers.append(view.id)
         try:
             self.connection = self.context.pool.acquire(view.id, view.address)
@@ -144,6 +167,7 @@
                 started=False,
                 counts_as_attempt=False,
             ) from None
+        self._check_wanted()
         self.request.in_flight = True
         self.request.sent_at = self.context.cluster_clock.now()
         self.sent_at = self.request.now
@@ -192,6 +216,8 @@
     ) -> None:
         """Forward a successful response; raises AttemptError for any other."""
         view = self.view
+        through = self.request.transit_node or ""
+        self.context.server_rests.observe(view.id, message.status, metadata, through)
         if metadata.running is not None:
             waiting = metadata.waiting or 0
             self.context.placer.report(view.id, metadata.running, waiting)
@@ -214,9 +240,10 @@
         if metadata.not_run:
             self._read_response(message)
             self._keep_connection(message)
+            rests = self.context.server_rests.is_resting(view.id)
             raise AttemptError(
                 f"the server refused the request with {message.status}",
-                RetryReason.SERVER_BUSY,
+                RetryReason.SERVER_RESTING if rests else RetryReason.SERVER_BUSY,
                 started=False,
                 rest_s=metadata.rest_s,
             )
--- a/packages/endive_gateway/src/endive_gateway/autoscaling.py
+++ b/packages/endive_gateway/src/endive_gateway/autoscaling.py
@@ -175,6 +175,7 @@
             MIN_NEEDED_SERVERS, load.peak() / TARGET_UTILISATION if load else 0.0
         )
         needed += self._lost_to_limits(service)
+        needed += self.context.server_rests.closed_servers(service.name)
         if self._is_measured(now):
             return needed
         if self.traffic_since is None:
--- a/packages/endive_gateway/src/endive_gateway/context.py
+++ b/packages/endive_gateway/src/endive_gateway/context.py
@@ -21,6 +21,7 @@
 from endive_gateway.paths import ServerPaths
 from endive_gateway.placing import Placer
 from endive_gateway.server_checks import ServerChecks
+from endive_gateway.server_rests import ServerRests
 from endive_gateway.servers import ServerRegistry
 from endive_gateway.slot_leasing import SlotLeasing
 from endive_gateway.transit_port import TransitPort
@@ -64,6 +65,8 @@
         The limits that backend servers name, shared with the other nodes.
     brittle_services : BrittleServices
         The services whose servers fail if they must reject much.
+    server_rests : ServerRests
+        The rests that servers have asked for.
     slot_leasing : SlotLeasing
         Leases of those servers' slots, from the nodes that coordinate them.
     initialised : Event
@@ -106,6 +109,15 @@
             self.random,
         )
         self.brittle_services = BrittleServices(self.registry, self.random)
+        self.server_rests = ServerRests(
+            settings.location.address,
+            self.registry,
+            self.placer,
+            self.random,
+            self.metrics.events,
+        )
+        self.paths.rests_for = self.server_rests.rests_for
+        self.transit_port.is_resting = self.server_rests.is_resting
         self.slot_leasing = SlotLeasing(
             settings.location.address,
             self.placer,
--- a/packages/endive_gateway/src/endive_gateway/gateway.py
+++ b/packages/endive_gateway/src/endive_gateway/gateway.py
@@ -156,6 +156,7 @@
         sharing = self.context.limit_sharing
         add_gauge("endive_limited_servers", sharing.limited_servers)
         add_gauge("endive_limited_servers_rate", sharing.shared_rate)
+        add_gauge("endive_servers_resting", self.context.server_rests.resting_servers)
         leasing = self.context.slot_leasing
         add_gauge(
             "endive_services_brittle", lambda: len(self.context.brittle_services.names)
--- a/packages/endive_gateway/src/endive_gateway/paths.py
+++ b/packages/endive_gateway/src/endive_gateway/paths.py
@@ -1,6 +1,7 @@
 """Opens connections to backend servers, directly or through another node."""
 
 import time
+from collections.abc import Callable
 
 import gevent
 from endive_core.reachability import Block, Reachability
@@ -38,6 +39,8 @@
         Begins a connection of this node's own to ``IP:port``.
     blocked_any : Event
         Set while any server is blocked.
+    rests_for : callable
+        Returns whether a server wants no requests from a node, given its IP address.
     """
 
     def __init__(self, registry: ServerRegistry, random: Random) -> None:
@@ -47,6 +50,7 @@
         self.transit = TransitNodes(TransitChoice(random))
         self.dial = PendingStream
         self.blocked_any = Event()
+        self.rests_for: Callable[[str, str], bool] = lambda node, server: False
         registry.listeners.append(self._forget_gone)
 
     def open(self, server_id: str, address: str) -> ByteStream:
@@ -148,7 +152,8 @@
         if transit_node is None:
             return self.reachability.may_reuse(server_id, self.service_of(server_id))
         is_offered = transit_node in self.transit.choice.offers.carried
-        return is_offered and self.is_blocked(server_id)
+        rests = self.rests_for(transit_node, server_id)
+        return is_offered and not rests and self.is_blocked(server_id)
 
     def is_blocked(self, server_id: str) -> bool:
         """Return whether connections to a server go through another node."""
--- a/packages/endive_gateway/src/endive_gateway/peers.py
+++ b/packages/endive_gateway/src/endive_gateway/peers.py
@@ -140,6 +140,7 @@
         context.placer.on_crash = self.crash_exchange.announce_soon
         context.limit_sharing.peer_addresses = self.presumed_live
         context.slot_leasing.peer_addresses = self.presumed_live
+        context.server_rests.announce = self._announce_rest
         self.urgent = Event()
         self.heard_at = float("-inf")
         self.announced = False
@@ -359,6 +360,7 @@
             self.send_state(peers[first : first + DATAGRAMS_PER_STEP])
             self.context.limit_sharing.refresh()
             self.context.brittle_services.refresh()
+            self.context.server_rests.refresh()
             if self.urgent.wait(step_s):
                 return
 
@@ -379,6 +381,13 @@
             peers = self.context.random.sample(peers, FRESH_RECEIVERS)
         self.send_state(peers)
 
+    def _announce_rest(self, server: str, through: str) -> None:
+        """Tell the nodes whose requests a server's rest concerns, besides this one."""
+        addresses = {through, *self.context.transit_port.carried_for.get(server, ())}
+        peers = [self.known[a] for a in addresses if a in self.known]
+        if peers:
+            self.send_state(peers)
+
     def send_state(
         self, peers: list[Peer] | None = None, *, gone: bool = False
     ) -> None:
@@ -430,6 +439,8 @@
             server_limits=_encode_reports(context.limit_sharing.reports, now),
             carried=context.transit_port.offer(),
             brittle_servers=_encode_reports(context.brittle_services.reports, now),
+            rests=context.server_rests.next_rests(),
+            unwilling_servers=context.server_rests.next_unwilling(),
         )
 
     def _relays_servers(self) -> bool:
@@ -489,6 +500,11 @@
         context.meter.receive(address, message.incarnation, message.windows)
         self.crash_exchange.learn(message.node, message.crashes, message.successes, now)
         self._learn_limits(message, now)
+        if message.rests:
+            is_transit = address in context.paths.transit.choice.opened
+            context.server_rests.learn(address, message.rests, is_transit=is_transit)
+        if message.unwilling_servers:
+            context.server_rests.learn_unwilling(message.unwilling_servers)
         context.paths.transit.choice.offers.set(address, message.carried)
         context.placer.ejection.receive(address, message.server_failures, now)
         context.placer.backlogs.receive(address, message.pending_prompt_tokens, now)
--- a/packages/endive_gateway/src/endive_gateway/placing.py
+++ b/packages/endive_gateway/src/endive_gateway/placing.py
@@ -14,6 +14,7 @@
 from endive_core.policy import Policy
 from endive_core.prefilling import PrefillRate
 from endive_core.reachability import ConnectResults, ServerCondition
+from endive_core.resting import NO_RESTS, RestTimes
 from endive_core.routing import RoutingTable, Service
 from endive_core.scheduler import Scheduler
 from endive_core.server_limits import LimitShare
@@ -69,6 +70,8 @@
         By id, the servers that may get requests, as the schedulers see them.
     limit_shares : mapping of str to LimitShare
         By server id, this node's shares of the limits that servers name.
+    rest_times : RestTimes
+        Until when servers rest.
     on_crash : callable
         Called without arguments when a crash has been counted against a request.
     """
@@ -92,6 +95,7 @@
         self.services: dict[str, Service] = {}
         self.views: dict[str, ServerView] = {}
         self.limit_shares: Mapping[str, LimitShare] = {}
+        self.rest_times: RestTimes = NO_RESTS
         self.consecutive_failures: Counter[str] = Counter()
         self.ejection = ClusterEjection()
         self.backlogs = Backlogs()
@@ -136,6 +140,7 @@
             views = [self._view(entry, service, rate) for entry in usable]
             scheduler.set_servers(views)
             self._set_shares(scheduler)
+            scheduler.resting.set_times(self.rest_times, self.now())
             self.dispatch_queued(scheduler)
         usable_ids = {s.entry.id for s in self.registry.servers.values() if s.usable}
         for gone in self.views.keys() - usable_ids:
@@ -161,6 +166,12 @@
             self._set_shares(scheduler)
             self.dispatch_queued(scheduler)
 
+    def set_rests(self, times: RestTimes) -> None:
+        """Apply until when servers rest."""
+        self.rest_times = times
+        for scheduler in self.schedulers.values():
+            scheduler.resting.set_times(times, self.now())
+
     def _set_shares(self, scheduler: Scheduler) -> None:
         servers = scheduler.servers.servers
         shares = {s: share for s, share in self.limit_shares.items() if s in servers}
--- a/packages/endive_gateway/src/endive_gateway/server_checks.py
+++ b/packages/endive_gateway/src/endive_gateway/server_checks.py
@@ -114,4 +114,6 @@
         if stream is not None:
             stream.close()
             return True, stream.node
-        return (False if reply is TransitReply.REFUSED else None), ""
+        # A server that rests for the other node has accepted its connection.
+        answers = {TransitReply.REFUSED: False, TransitReply.RESTING: True}
+        return answers.get(reply), ""
--- /dev/null
+++ b/packages/endive_gateway/src/endive_gateway/server_rests.py
@@ -0,0 +1,327 @@
+"""Keeps the rests that backend servers ask for, and tells the other nodes of them.
+
+A server that turns a request away may say for how long it wants nothing from the node
+that sent it. Another node is not bound by that, but is likely to be turned away too.
+Each node therefore tells the others which servers have asked it. One that hears of
+several nodes for one server passes on that the server is unwilling, and all give it
+requests only where no other server has room.
+"""
+
+import time
+from collections import Counter, OrderedDict
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+
+from endive_core.resting import RestTimes
+from endive_node.logs import log_event
+
+from endive_gateway.interfaces import ResponseMetadata
+from endive_gateway.placing import Placer
+from endive_gateway.servers import ServerRegistry
+
+TURNED_AWAY_STATUS = 503
+"""Status of a response in which a server may ask for rest."""
+
+FIRST_REQUEST_GAP_S = 0.01
+"""Mean time between the first requests that nodes send to a server whose rest is over,
+seconds, if it asked all of them at the same time."""
+
+MAX_SPREAD = 0.5
+"""Largest part of a rest by which the first request after it is put off."""
+
+MIN_TELLERS = 2
+"""Other nodes that must have been asked for rest for a server to count as unwilling.
+What one was told says little of the others."""
+
+MAX_ENTRIES = 8
+"""Most rests in one state message, and most unwilling servers."""
+
+ID_BITS = 62
+"""Random bits of an id: the integers of the messages have up to 63."""
+
+FORGET_UNKNOWN_S = 60.0
+"""Time after which the rest of a server without an entry is forgotten, seconds. An
+entry that has lapsed is back within seconds."""
+
+ToldRest = tuple[str, float, str]
+"""A server, the rest of its rest in seconds, and the node through which it asked."""
+
+ToldUnwilling = tuple[str, float, int]
+"""A server, for how many seconds more it is unwilling, and the id of that statement."""
+
+
+@dataclass(frozen=True, slots=True)
+class Rest:
+    """A rest that a server has asked this node for.
+
+    Attributes
+    ----------
+    incarnation : int
+        Of the server that asked.
+    asked_at, ends_at : float
+        Between these it wants no requests from this node, seconds on the monotonic
+        clock.
+    until : float
+        When this node may send the first request again.
+    through : str
+        IP address of the node through which it asked; empty if it was asked directly.
+    """
+
+    incarnation: int
+    asked_at: float
+    ends_at: float
+    until: float
+    through: str
+
+
+@dataclass(frozen=True, slots=True)
+class Unwilling:
+    """That several nodes send a server nothing.
+
+    Attributes
+    ----------
+    until : float
+        Seconds on the monotonic clock.
+    id : int
+        Identifies the statement among all nodes. Passing it on delays it, so of the
+        same statement the earliest time is the best known.
+    """
+
+    until: float
+    id: int
+
+
+class ServerRests:
+    """The rests that servers have asked this node and others for.
+
+    Attributes
+    ----------
+    rests : OrderedDict of str to Rest
+        By server, in the order in which they are told to other nodes.
+    told : dict of str to dict of str to float
+        By server, up to `MIN_TELLERS` other nodes that it has asked, with the time on
+        the monotonic clock until which they send it nothing.
+    unwilling : OrderedDict of str to Unwilling
+        The unwilling servers, in the order in which they are told to other nodes.
+    told_by_transit : dict of (str, str) to float
+        The same by node and server, for the nodes through which this one goes.
+    invalid : set of str
+        Servers that asked for a rest that can't be read.
+    announce : callable
+        Called with a server that has asked for rest, and the node through which it did.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        registry: ServerRegistry,
+        placer: Placer,
+        random: Random,
+        events: Counter[str],
+    ) -> None:
+        self.address = address
+        self.registry = registry
+        self.placer = placer
+        self.random = random
+        self.events = events
+        self.rests: OrderedDict[str, Rest] = OrderedDict()
+        self.told: dict[str, dict[str, float]] = {}
+        self.unwilling: OrderedDict[str, Unwilling] = OrderedDict()
+        self.told_by_transit: dict[tuple[str, str], float] = {}
+        self.invalid: set[str] = set()
+        self.announce: Callable[[str, str], None] = lambda server, through: None
+        registry.listeners.append(self.refresh)
+
+    # What servers say
+
+    def observe(
+        self, server: str, status: int, metadata: ResponseMetadata, through: str
+    ) -> None:
+        """Apply what a server's response asks for.
+
+        Parameters
+        ----------
+        through : str
+            IP address of the node through which the response came, or empty.
+        """
+        if status != TURNED_AWAY_STATUS:
+            return
+        if metadata.invalid_rest and server not in self.invalid:
+            self.invalid.add(server)
+            found = metadata.invalid_rest
+            log_event("server_rest_invalid", server=server, found=found)
+        if metadata.rest_s:
+            self._begin(server, metadata.rest_s, through)
+            self.announce(server, through)
+
+    def _begin(self, server: str, rest_s: float, through: str, peer: str = "") -> None:
+        known, now = self.registry.get(server), time.monotonic()
+        if known is None:
+            return
+        spread_s = min(MAX_SPREAD * rest_s, FIRST_REQUEST_GAP_S * self.placer.nodes)
+        before = self.rests.get(server)
+        ends_at = now + rest_s
+        if before is not None and before.incarnation == known.entry.incarnation:
+            ends_at = max(ends_at, before.ends_at)
+        until = ends_at + self.random.uniform(0.0, spread_s)
+        self.rests[server] = Rest(known.entry.incarnation, now, ends_at, until, through)
+        self.rests.move_to_end(server, last=False)
+        self.events["server_rested"] += 1
+        log_event(
+            "server_rests",
+            server=server,
+            asked_s=rest_s,
+            rests_s=round(until - now, 3),
+            through=through,
+            peer=peer,
+        )
+        self._apply()
+
+    def is_resting(self, server: str) -> bool:
+        """Return whether a server wants no requests from this node now."""
+        rest = self.rests.get(server)
+        if rest is None or time.monotonic() >= rest.until:
+            return False
+        known = self.registry.get(server)
+        return known is None or known.entry.incarnation == rest.incarnation
+
+    def refresh(self) -> None:
+        """Forget the rests that are over, also because their server has restarted."""
+        self.invalid &= self.registry.servers.keys()
+        if not (self.rests or self.told or self.unwilling):
+            return
+        now = time.monotonic()
+        for server, rest in list(self.rests.items()):
+            if self._is_over(server, rest, now):
+                del self.rests[server]
+        for server, unwilling in list(self.unwilling.items()):
+            if unwilling.until <= now:
+                del self.unwilling[server]
+        for server, tellers in list(self.told.items()):
+            self.told[server] = {n: t for n, t in tellers.items() if t > now}
+            if not self.told[server]:
+                del self.told[server]
+        by_transit = self.told_by_transit.items()
+        self.told_by_transit = {key: t for key, t in by_transit if t > now}
+        self._apply()
+
+    def _is_over(self, server: str, rest: Rest, now: float) -> bool:
+        known = self.registry.get(server)
+        if known is None:
+            return now >= min(rest.until, rest.asked_at + FORGET_UNKNOWN_S)
+        return now >= rest.until or known.entry.incarnation != rest.incarnation
+
+    def _apply(self) -> None:
+        own = {server: rest.until for server, rest in self.rests.items()}
+        others = {server: found.until for server, found in self.unwilling.items()}
+        self.placer.set_rests(RestTimes(own, others))
+
+    # What nodes tell each other
+
+    def next_rests(self) -> list[ToldRest]:
+        """Return the next of this node's rests for a state message, in turn."""
+        taken, now = [], time.monotonic()
+        for _ in range(min(MAX_ENTRIES, len(self.rests))):
+            server, rest = self.rests.popitem(last=False)
+            self.rests[server] = rest
+            if rest.ends_at > now:
+                taken.append((server, rest.ends_at - now, rest.through))
+        return taken
+
+    def next_unwilling(self) -> list[ToldUnwilling]:
+        """Return the next of the unwilling servers for a state message, in turn."""
+        taken, now = [], time.monotonic()
+        for _ in range(min(MAX_ENTRIES, len(self.unwilling))):
+            server, unwilling = self.unwilling.popitem(last=False)
+            self.unwilling[server] = unwilling
+            if unwilling.until > now:
+                taken.append((server, unwilling.until - now, unwilling.id))
+        return taken
+
+    def learn_unwilling(self, servers: list[ToldUnwilling]) -> None:
+        """Apply the unwilling servers that another node knows."""
+        now = time.monotonic()
+        changed = [
+            self._note_unwilling(server, Unwilling(now + left_s, statement))
+            for server, left_s, statement in servers
+            if server in self.registry.servers
+        ]
+        if any(changed):
+            self._apply()
+
+    def _note_unwilling(self, server: str, found: Unwilling) -> bool:
+        """Record an unwilling server; return whether that changes anything."""
+        known = self.unwilling.get(server)
+        if known is None:
+            self.events["server_unwilling"] += 1
+            log_event(
+                "server_unwilling",
+                server=server,
+                left_s=round(found.until - time.monotonic(), 3),
+                tellers=",".join(self.told.get(server, ())),
+            )
+        elif found.id == known.id:
+            if found.until >= known.until:
+                return False
+        elif found.until <= known.until:
+            return False
+        self.unwilling[server] = found
+        return True
+
+    def learn(self, peer: str, rests: list[ToldRest], *, is_transit: bool) -> None:
+        """Apply the rests of the node at IP address `peer`.
+
+        Parameters
+        ----------
+        is_transit : bool
+            Whether connections of this node go through it.
+        """
+        now = time.monotonic()
+        for server, left_s, through in rests:
+            if through == self.address and not self.is_resting(server):
+                # To the server, the other node's request was this node's.
+                self._begin(server, left_s, "", peer)
+            if is_transit:
+                self.told_by_transit[peer, server] = now + left_s
+            if server in self.registry.servers:
+                self._note_teller(server, peer, now + left_s)
+        if rests:
+            self._apply()
+
+    def _note_teller(self, server: str, peer: str, until: float) -> None:
+        """Keep the tellers whose rests last longest."""
+        tellers = self.told.setdefault(server, {})
+        tellers[peer] = until
+        if len(tellers) > MIN_TELLERS:
+            del tellers[min(tellers, key=tellers.get)]
+        if len(tellers) == MIN_TELLERS:
+            statement = self.random.getrandbits(ID_BITS)
+            self._note_unwilling(server, Unwilling(min(tellers.values()), statement))
+
+    def rests_for(self, node: str, server: str) -> bool:
+        """Return whether a server rests for a node through which this one goes."""
+        until = self.told_by_transit.get((node, server))
+        return until is not None and time.monotonic() < until
+
+    # What the rests mean
+
+    def closed_servers(self, service: str) -> int:
+        """Return how many usable servers of a service several nodes send nothing."""
+        known = map(self.registry.get, self.rests.keys() | self.unwilling.keys())
+        return sum(
+            server.usable and self._is_closed(server.entry.id)
+            for server in known
+            if server is not None and server.entry.service == service
+        )
+
+    def _is_closed(self, server: str) -> bool:
+        now = time.monotonic()
+        if server in self.unwilling and self.unwilling[server].until > now:
+            return True
+        told = sum(until > now for until in self.told.get(server, {}).values())
+        return self.is_resting(server) and (told > 0 or self.placer.nodes == 1)
+
+    def resting_servers(self) -> int:
+        """Return how many servers rest for this node."""
+        return sum(self.is_resting(server) for server in self.rests)
--- a/packages/endive_gateway/src/endive_gateway/state_messages.py
+++ b/packages/endive_gateway/src/endive_gateway/state_messages.py
@@ -65,6 +65,12 @@
     brittle_servers : list of (str, float or None, float, int)
         Server, the rejections a second that it tolerates (``None`` if it is sound
         again), the age of that statement in seconds, and its id.
+    rests : list of (str, float, str)
+        Server that has asked the sender for rest, the rest of that time in seconds, and
+        the IP address of the node through which it asked, or an empty one.
+    unwilling_servers : list of (str, float, int)
+        Server to which several nodes send nothing at its request, the rest of that time
+        in seconds, and the id of that statement.
     """
 
     node: str
@@ -91,6 +97,8 @@
     server_limits: list[tuple[str, float | None, float, int]] = []
     carried: int = -1
     brittle_servers: list[tuple[str, float | None, float, int]] = []
+    rests: list[tuple[str, float, str]] = []
+    unwilling_servers: list[tuple[str, float, int]] = []
 
 
 DECODER = msgspec.msgpack.Decoder(StateMessage)
--- a/packages/endive_gateway/src/endive_gateway/transit.py
+++ b/packages/endive_gateway/src/endive_gateway/transit.py
@@ -56,6 +56,7 @@
     UNREACHABLE = "unreachable"
     BLOCKED = "blocked"
     UNKNOWN_SERVER = "unknown_server"
+    RESTING = "resting"
     FULL = "full"
     CLOSED = "closed"
     NO_ANSWER = "no_answer"
@@ -257,7 +258,7 @@
         """
         if reply in (TransitReply.BLOCKED, TransitReply.CLOSED):
             self.choice.offers.discard(node)
-        elif reply is not TransitReply.UNREACHABLE:
+        elif reply not in (TransitReply.UNREACHABLE, TransitReply.RESTING):
             self.choice.avoid(node, time.monotonic())
 
 
--- a/packages/endive_gateway/src/endive_gateway/transit_port.py
+++ b/packages/endive_gateway/src/endive_gateway/transit_port.py
@@ -1,6 +1,7 @@
 """Carries the connections of nodes that can't reach backend servers themselves."""
 
-from collections import Counter
+from collections import Counter, defaultdict
+from collections.abc import Callable
 
 import gevent
 from endive_node.logs import log_event
@@ -42,8 +43,12 @@
         Number of connections that are carried now.
     accepting : bool
         Whether further ones are accepted.
+    carried_for : dict of str to Counter of str
+        By server, the IP addresses of the nodes for which connections are carried.
     replies : Counter of str
         Connections that nodes have asked for, by reply.
+    is_resting : callable
+        Returns whether a server wants no requests from this node.
     """
 
     def __init__(
@@ -53,7 +58,9 @@
         self.checks = checks
         self.replies = replies
         self.carried = 0
+        self.carried_for: dict[str, Counter[str]] = defaultdict(Counter)
         self.accepting = False
+        self.is_resting: Callable[[str], bool] = lambda server: False
 
     def start(self, address: str, port: int) -> None:
         """Start carrying connections that other nodes open to ``address:port``."""
@@ -90,7 +97,7 @@
             sock.sendall(self._line(reply))
             if upstream is not None:
                 enable_keepalive(sock)
-                _carry(sock, upstream)
+                self._carry(sock, upstream, address[0], server_id)
         except (OSError, ValueError) as error:
             log_event("transit_failed", peer=address[0], error=error)
         finally:
@@ -98,6 +105,18 @@
             if upstream is not None:
                 upstream.close()
 
+    def _carry(
+        self, sock: gsocket.socket, upstream: TcpStream, node: str, server_id: str
+    ) -> None:
+        """Carry a connection; `node` is the IP address of the node that asked."""
+        self.carried_for[server_id][node] += 1
+        try:
+            _pass_bytes(sock, upstream)
+        finally:
+            self.carried_for[server_id] -= Counter([node])
+            if not self.carried_for[server_id]:
+                del self.carried_for[server_id]
+
     def _line(self, reply: TransitReply) -> bytes:
         """Return the line that tells a node the reply.
 
@@ -121,6 +140,9 @@
         result = self.paths.dial(known.entry.address).result(SERVER_CONNECT_TIMEOUT_S)
         if isinstance(result, TcpStream):
             self.paths.connected(server_id)
+            if self.is_resting(server_id):
+                result.close()
+                return TransitReply.RESTING, None
             return TransitReply.CONNECTED, result
         return self._explain(server_id, refused=result.refused), None
 
@@ -135,7 +157,7 @@
         return TransitReply.UNREACHABLE
 
 
-def _carry(sock: gsocket.socket, upstream: TcpStream) -> None:
+def _pass_bytes(sock: gsocket.socket, upstream: TcpStream) -> None:
     """Pass bytes on in both directions until either connection ends.
 
     Raises
--- a/packages/endive_gateway/tests/fleet_simulation.py
+++ b/packages/endive_gateway/tests/fleet_simulation.py
@@ -45,6 +45,7 @@
 
     def prepare(self, node):
         """Set a node up before it sends its first message."""
+        node.context.server_rests.address = node.address
         node.context.set_nodes(len(self.nodes))
 
     def at(self, time, action, *args):
@@ -66,4 +67,5 @@
         node.send_state([p for p in peers if self.reaches(node.address, p.address)])
         node._set_timeouts(interval)
         node.context.limit_sharing.refresh()
+        node.context.server_rests.refresh()
         self.at(self.clock.now + interval / steps, self.broadcast, node, step + 1)
--- a/packages/endive_gateway/tests/limit_simulation.py
+++ b/packages/endive_gateway/tests/limit_simulation.py
@@ -94,6 +94,10 @@
             self.refused.append((self.clock.now, error, self.clock.now - since))
             return
         self.arrivals[server].append(self.clock.now)
+        self.arrived(node, ticket, server)
+
+    def arrived(self, node, ticket, server):
+        """Let a server begin with a request."""
         self.at(
             self.clock.now + SERVICE_S,
             self.answer,
