Send nothing more to a server that says in its answers that it leaves

What callers would see: requests lost at a server that had said in its answers that it leaves, while its entry in the store still said ready or the store was silent.

Cause: nothing read `Server-Leaving`; a server left by its entry alone.

Change: any answer's head counts (2xx, 4xx, 5xx, a stream's, one that then breaks off; a 421 counts for the server that sent it, where it names itself). The word is kept by incarnation: an entry that still says ready does not undo it, nor one that lapses and returns, a restart does. A request that was chosen before is checked again right before it is sent. The node tells ten others at once, the one that carried the answer first, and all pass it on in their messages, eight at a time. Where all servers of a service leave by their word, the one that said so last is used for drain_s less 0.3 s; orders count it as leaving.

--- a/packages/endive_gateway/src/endive_gateway/__init__.py
+++ b/packages/endive_gateway/src/endive_gateway/__init__.py
@@ -19,7 +19,8 @@
   ``service_client``
 - messages between nodes: ``peers``, ``nodes``, ``state_messages``, ``datagrams``,
   ``spending``, ``spending_messages``, ``prompts``, ``crash_exchange``,
-  ``limit_sharing``, ``brittle_services``, ``slot_leasing``, ``server_rests``
+  ``limit_sharing``, ``brittle_services``, ``slot_leasing``, ``server_rests``,
+  ``leaving_servers``
 - cluster-wide duties, performed by one node at a time: ``duties``, ``autoscaling``
 - observability: ``logstream``, ``metrics``
 """
--- a/packages/endive_gateway/src/endive_gateway/attempts.py
+++ b/packages/endive_gateway/src/endive_gateway/attempts.py
@@ -107,14 +107,7 @@
     def run(self) -> None:
         """Make the attempt; raises AttemptError unless a success was forwarded."""
         view = self.view
-        known = self.context.registry.get(view.id)
-        if known is None or not known.usable:
-            raise AttemptError(
-                "the server is no longer available",
-                RetryReason.SERVER_LEAVING,
-                started=False,
-                counts_as_attempt=False,
-            )
+        self._check_usable()
         self.lease = self.context.slot_leasing.acquire(
             view,
             priority=self.request.server_priority,
@@ -131,6 +124,7 @@
 
         The request may have waited for a slot or a connection since it was chosen.
         """
+        self._check_usable()
         rests, server = self.context.server_rests, self.view.id
         node = self.connection.transit_node if self.connection else None
         if rests.is_resting(server) or (node and rests.rests_for(node, server)):
@@ -142,6 +136,18 @@
                 counts_as_attempt=False,
             )
 
+    def _check_usable(self) -> None:
+        """Check that the server may get requests; raises AttemptError if not."""
+        known = self.context.registry.get(self.view.id)
+        if known is None or not known.usable:
+            self._give_connection_back()
+            raise AttemptError(
+                "the server is no longer available",
+                RetryReason.SERVER_LEAVING,
+                started=False,
+                counts_as_attempt=False,
+            )
+
     def _give_connection_back(self) -> None:
         """Return a connection that was not used to the pool."""
         connection, self.connection = self.connection, None
@@ -218,6 +224,7 @@
         view = self.view
         through = self.request.transit_node or ""
         self.context.server_rests.observe(view.id, message.status, metadata, through)
+        self.context.leaving_servers.observe(view.id, message.status, metadata, through)
         if metadata.running is not None:
             waiting = metadata.waiting or 0
             self.context.placer.report(view.id, metadata.running, waiting)
--- a/packages/endive_gateway/src/endive_gateway/autoscaling.py
+++ b/packages/endive_gateway/src/endive_gateway/autoscaling.py
@@ -226,7 +226,7 @@
         for known in self.context.registry.of_service(service.name):
             pool = Pool(known.entry.zone, known.entry.reclaimable)
             state = pools.setdefault(pool, PoolState())
-            if known.usable:
+            if known.usable and not known.is_last:
                 state.ready += 1
             else:
                 state.leaving += 1
--- a/packages/endive_gateway/src/endive_gateway/context.py
+++ b/packages/endive_gateway/src/endive_gateway/context.py
@@ -15,6 +15,7 @@
 from endive_gateway.brittle_services import BrittleServices
 from endive_gateway.connections import ConnectionPool
 from endive_gateway.interfaces import Cloud, GatewaySettings, Store, Wire
+from endive_gateway.leaving_servers import LAST_SERVER_MARGIN_S, LeavingServers
 from endive_gateway.limit_sharing import LimitSharing
 from endive_gateway.metrics import GatewayMetrics
 from endive_gateway.path_monitor import PathMonitor
@@ -67,6 +68,8 @@
         The services whose servers fail if they must reject much.
     server_rests : ServerRests
         The rests that servers have asked for.
+    leaving_servers : LeavingServers
+        The servers that have said that they leave.
     slot_leasing : SlotLeasing
         Leases of those servers' slots, from the nodes that coordinate them.
     initialised : Event
@@ -80,7 +83,6 @@
     def __init__(
         self, settings: GatewaySettings, wire: Wire, store: Store, cloud: Cloud
     ) -> None:
-        self.settings = settings
         self.wire = wire
         self.store = store
         self.cloud = cloud
@@ -89,6 +91,7 @@
         self.document = b""
         self.nodes = 1
         self.registry = ServerRegistry()
+        self.apply_settings(settings)
         self.paths = ServerPaths(self.registry, self.random)
         self.checks = ServerChecks(self.paths)
         self.metrics = GatewayMetrics()
@@ -116,6 +119,7 @@
             self.random,
             self.metrics.events,
         )
+        self.leaving_servers = LeavingServers(self.registry, self.metrics.events)
         self.paths.rests_for = self.server_rests.rests_for
         self.transit_port.is_resting = self.server_rests.is_resting
         self.slot_leasing = SlotLeasing(
@@ -138,6 +142,11 @@
         self.started_at = time.monotonic()
         self.reported = -1
 
+    def apply_settings(self, settings: GatewaySettings) -> None:
+        """Use settings from now on."""
+        self.settings = settings
+        self.registry.last_server_s = settings.bounds.drain_s - LAST_SERVER_MARGIN_S
+
     @property
     def version(self) -> int:
         """Version of the configuration in force; -1 before the first."""
--- a/packages/endive_gateway/src/endive_gateway/gateway.py
+++ b/packages/endive_gateway/src/endive_gateway/gateway.py
@@ -156,6 +156,9 @@
         sharing = self.context.limit_sharing
         add_gauge("endive_limited_servers", sharing.limited_servers)
         add_gauge("endive_limited_servers_rate", sharing.shared_rate)
+        add_gauge(
+            "endive_servers_leaving", self.context.leaving_servers.leaving_servers
+        )
         add_gauge("endive_servers_resting", self.context.server_rests.resting_servers)
         leasing = self.context.slot_leasing
         add_gauge(
@@ -197,7 +200,8 @@
             log_event("reload", kept=self.settings.location, found=settings.location)
             settings = replace(settings, location=self.settings.location)
         log_event("reload", bounds=settings.bounds, duties=sorted(settings.duties))
-        self.settings = self.context.settings = settings
+        self.settings = settings
+        self.context.apply_settings(settings)
 
     def drain(self) -> None:
         """Stop: accept no new requests, finish those accepted, then set `stopped`."""
--- a/packages/endive_gateway/src/endive_gateway/peers.py
+++ b/packages/endive_gateway/src/endive_gateway/peers.py
@@ -141,6 +141,7 @@
         context.limit_sharing.peer_addresses = self.presumed_live
         context.slot_leasing.peer_addresses = self.presumed_live
         context.server_rests.announce = self._announce_rest
+        context.leaving_servers.announce = self._announce_leaving
         self.urgent = Event()
         self.heard_at = float("-inf")
         self.announced = False
@@ -361,6 +362,7 @@
             self.context.limit_sharing.refresh()
             self.context.brittle_services.refresh()
             self.context.server_rests.refresh()
+            self.context.leaving_servers.refresh()
             if self.urgent.wait(step_s):
                 return
 
@@ -376,9 +378,26 @@
 
     def _announce_crashes(self) -> None:
         """Send a message to some nodes, which pass its crashes on."""
+        self.send_state(self._some_peers())
+
+    def _some_peers(self) -> list[Peer]:
+        """Return some nodes that pass on what is new, drawn at random."""
         peers = list(self.known.values())
         if len(peers) > FRESH_RECEIVERS:
             peers = self.context.random.sample(peers, FRESH_RECEIVERS)
+        return peers
+
+    def _announce_leaving(self, through: str) -> None:
+        """Send a server's word that it leaves to some nodes, which pass it on.
+
+        Parameters
+        ----------
+        through : str
+            IP address of the node that carried it, which is told first, or empty.
+        """
+        peers = [p for p in self._some_peers() if p.address != through]
+        if through in self.known:
+            peers.insert(0, self.known[through])
         self.send_state(peers)
 
     def _announce_rest(self, server: str, through: str) -> None:
@@ -441,6 +460,7 @@
             brittle_servers=_encode_reports(context.brittle_services.reports, now),
             rests=context.server_rests.next_rests(),
             unwilling_servers=context.server_rests.next_unwilling(),
+            leaving_servers=context.leaving_servers.next_words(),
         )
 
     def _relays_servers(self) -> bool:
@@ -503,6 +523,8 @@
         if message.rests:
             is_transit = address in context.paths.transit.choice.opened
             context.server_rests.learn(address, message.rests, is_transit=is_transit)
+        if message.leaving_servers:
+            context.leaving_servers.learn(message.node, message.leaving_servers)
         if message.unwilling_servers:
             context.server_rests.learn_unwilling(message.unwilling_servers)
         context.paths.transit.choice.offers.set(address, message.carried)
--- a/packages/endive_gateway/src/endive_gateway/servers.py
+++ b/packages/endive_gateway/src/endive_gateway/servers.py
@@ -1,5 +1,6 @@
 """Registry of backend servers: the store's entries, corrected by observed responses."""
 
+import time
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -15,12 +16,32 @@
 0.3 s are left for the network."""
 
 
+@dataclass(frozen=True, slots=True)
+class LeavingWord:
+    """A server's own word that it leaves.
+
+    Attributes
+    ----------
+    incarnation : int
+        Of the server that said so. A later one is another process.
+    at : float
+        When it said so, seconds on the monotonic clock.
+    """
+
+    incarnation: int
+    at: float
+
+
 @dataclass(slots=True)
 class KnownServer:
     """What this node knows of one server.
 
     Attributes
     ----------
+    word : LeavingWord or None
+        Its word that it leaves, whatever its entry says.
+    is_last : bool
+        Whether it is used in spite of that, since its service has no other server.
     drop_at : float or None
         When it is to be dropped, if its entry lapsed during an outage of the store.
     contradicted : bool
@@ -30,11 +51,18 @@
     entry: ServerEntry
     drop_at: float | None = None
     contradicted: bool = False
+    word: LeavingWord | None = None
+    is_last: bool = False
+
+    @property
+    def is_sound(self) -> bool:
+        """Whether it is known to be ready at its address, but for its own word."""
+        return self.entry.state is ServerState.READY and not self.contradicted
 
     @property
     def usable(self) -> bool:
         """Whether it may get requests."""
-        return self.entry.state is ServerState.READY and not self.contradicted
+        return self.is_sound and (self.word is None or self.is_last)
 
 
 class ServerRegistry:
@@ -46,12 +74,19 @@
         Called without arguments after a change.
     is_loaded : bool
         Whether the servers have been read from the store at least once.
+    words : dict of str to LeavingWord
+        By server id, also of servers without an entry, which may return.
+    last_server_s : float
+        Time after its word for which the last server of a service is still used,
+        seconds.
     """
 
     def __init__(self) -> None:
         self.servers: dict[str, KnownServer] = {}
         self.listeners: list[Callable[[], None]] = []
         self.is_loaded = False
+        self.words: dict[str, LeavingWord] = {}
+        self.last_server_s = 0.0
 
     def get(self, server_id: str) -> KnownServer | None:
         """Return the server with this id, or ``None`` if it is unknown."""
@@ -62,7 +97,9 @@
         return [s for s in self.servers.values() if s.entry.service == service]
 
     def put(self, entry: ServerEntry) -> bool:
-        """Store an entry; return whether anything but its sequence number changed.
+        """Store an entry; return whether this changes what is known of the servers.
+
+        A new sequence number alone does not.
 
         An entry that is older than the known one arrived late. It ends a grace period
         and is ignored apart from that.
@@ -79,6 +116,10 @@
         elif _process_key(before) != _process_key(entry):
             known.contradicted = False
         known.entry = entry
+        word = self.words.get(entry.id)
+        is_same = word is not None and word.incarnation == entry.incarnation
+        known.word = word if is_same else None
+        last_changed = self._choose_last(entry.service)
         content_changed = before is None or _content(before) != _content(entry)
         if content_changed:
             log_event(
@@ -91,7 +132,7 @@
                 reclaimable=entry.reclaimable,
                 leaves_in_s=entry.leaves_in_s,
             )
-        return content_changed
+        return content_changed or last_changed
 
     def drop(self, server_id: str, now: float, *, after_outage: bool) -> bool:
         """Drop a server whose entry was deleted; return whether anything changed.
@@ -111,6 +152,7 @@
                 log_event("server_lapsed", server=server_id, grace_s=LAPSE_GRACE_S)
             return False
         del self.servers[server_id]
+        self._choose_last(known.entry.service)
         log_event("server_gone", server=server_id)
         return True
 
@@ -127,7 +169,8 @@
             if known.drop_at is not None and now >= known.drop_at
         ]
         for server_id in over:
-            del self.servers[server_id]
+            service = self.servers.pop(server_id).entry.service
+            self._choose_last(service)
             log_event("server_gone", server=server_id, after="grace")
         return bool(over)
 
@@ -139,9 +182,65 @@
         known = self.servers.get(server_id)
         if known is not None and not known.contradicted:
             known.contradicted = True
+            self._choose_last(known.entry.service)
             log_event("server_contradicted", server=server_id)
             self.notify_listeners()
 
+    def mark_leaving(self, server_id: str, word: LeavingWord) -> bool:
+        """Stop using a server that says that it leaves, until it has started again.
+
+        Returns
+        -------
+        bool
+            Whether the server is known, so that listeners are to be notified.
+        """
+        self.words[server_id] = word
+        known = self.servers.get(server_id)
+        if known is None or known.entry.incarnation != word.incarnation:
+            return False
+        known.word = word
+        self._choose_last(known.entry.service)
+        return True
+
+    def forget_leaving(self, server_id: str) -> None:
+        """Forget a word that is old, or that of a former incarnation."""
+        self.words.pop(server_id, None)
+
+    def settle(self) -> None:
+        """Stop using the last servers of services whose time is over."""
+        services = {s.entry.service for s in self.servers.values() if s.is_last}
+        changed = [self._choose_last(service) for service in services]
+        if any(changed):
+            self.notify_listeners()
+
+    def _choose_last(self, service: str) -> bool:
+        """Choose the leaving server to use where a service has no other.
+
+        It is the one that said so last, which is likely to serve for longest.
+
+        Returns
+        -------
+        bool
+            Whether another one, or none any more, is used.
+        """
+        if not self.words:
+            return False
+        leaving, now, chosen = [], time.monotonic(), None
+        for server in self.of_service(service):
+            if server.word is None:
+                if server.is_sound:
+                    leaving = []
+                    break
+            elif server.is_sound and now < server.word.at + self.last_server_s:
+                leaving.append(server)
+        if leaving:
+            chosen = max(leaving, key=lambda server: server.word.at)
+        changed = False
+        for server in self.of_service(service):
+            changed |= server.is_last != (server is chosen)
+            server.is_last = server is chosen
+        return changed
+
     def notify_listeners(self) -> None:
         """Call the listeners."""
         for listener in self.listeners:
--- a/packages/endive_gateway/src/endive_gateway/state_messages.py
+++ b/packages/endive_gateway/src/endive_gateway/state_messages.py
@@ -71,6 +71,9 @@
     unwilling_servers : list of (str, float, int)
         Server to which several nodes send nothing at its request, the rest of that time
         in seconds, and the id of that statement.
+    leaving_servers : list of (str, int, float)
+        Server that has said that it leaves, its incarnation, and the age of that word
+        in seconds.
     """
 
     node: str
@@ -99,6 +102,7 @@
     brittle_servers: list[tuple[str, float | None, float, int]] = []
     rests: list[tuple[str, float, str]] = []
     unwilling_servers: list[tuple[str, float, int]] = []
+    leaving_servers: list[tuple[str, int, float]] = []
 
 
 DECODER = msgspec.msgpack.Decoder(StateMessage)
