Let the soak's servers ask for rest and say that they leave

Two faults and two rules: one server of a service, or all, turn everybody away for some seconds and ask for 1 to 3 s of rest, after which a node in contact may send two requests at most until the end; and a server says in its answers that it leaves while its entry says that it is ready, after which no request sent 2 s later may come from that node. Servers that leave by their entry now say so too.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -9,7 +9,7 @@
 import gevent
 
 from soak.callers import DEADLINE_S, CrashingCaller
-from soak.invariants import CONTACT_S, BrittleTime, ServersCut
+from soak.invariants import CONTACT_S, DRAIN_S, BrittleTime, ServersCut
 
 SERIES_SHARE = 0.35
 MAX_IN_SERIES = 4
@@ -241,6 +241,34 @@
         set_temporarily(server, "limit", limit, fault.for_s + 6.0)
 
 
+def server_rests(fleet, fault):
+    """Let a server, or all of its service, turn requests away and ask for rest."""
+    first = backend_of(fleet, fault)
+    backends = [b for b in fleet.backends if b.service == first.service]
+    if fault.strength < 0.7:
+        backends = [first]
+    resting = [
+        gevent.spawn(
+            set_temporarily, b.server, "rest_s", 1.0 + 2 * fault.strength, fault.for_s
+        )
+        for b in backends
+        if b.server is not None
+    ]
+    gevent.joinall(resting)
+
+
+def server_says_it_leaves(fleet, fault):
+    """Let a server say that it leaves, while its entry says that it is ready."""
+    backend = backend_of(fleet, fault)
+    server = backend.server
+    if server is None:
+        return
+    server.leaving = True
+    gevent.sleep(DRAIN_S + 1.0 + fault.for_s)
+    if backend.server is server:
+        backend.crash(0.5)
+
+
 def server_unframed(fleet, fault):
     """Let a server's responses end with their connection, some inside an event."""
     server = backend_of(fleet, fault).server
@@ -321,6 +349,8 @@
         server_slow,
         crashing_request,
         server_limited,
+        server_rests,
+        server_says_it_leaves,
         server_unframed,
         server_silent,
         servers_brittle,
--- a/tests/soak/invariants.py
+++ b/tests/soak/invariants.py
@@ -34,6 +34,16 @@
 """Window over which a server's limit holds, and time after which a node that has passed
 on a response with the limit must keep it, seconds."""
 
+REST_TOLD_S = 0.5
+MAX_IN_REST = 2
+"""Time after which a node that was asked for rest must keep it, and requests that may
+reach the server until the end of the rest all the same."""
+
+DRAIN_S = 2.0
+LEAVING_GRACE_S = 0.2
+"""Time for which a server that has said that it leaves may get requests, and grace for
+the way of its response to the node, seconds."""
+
 MAX_FAILED_TRIES = 10
 """First tries that may fail at nodes that reach no server, plus one in 50 of all."""
 
@@ -105,6 +115,25 @@
         return count - (1.5 * LIMIT_WINDOW_S * self.limit + 5)
 
 
+class RestingServer:
+    """What a server receives from the nodes that it has asked for rest."""
+
+    def __init__(self):
+        self.windows = defaultdict(list)
+
+    def ask(self, node, now, rest_s):
+        """Note that the server asks a node for rest."""
+        self.windows[node].append([now + REST_TOLD_S, now + rest_s, 0])
+
+    def received(self, node, now):
+        """Count a request; return whether it is one too many in a rest."""
+        windows = [w for w in self.windows[node] if w[1] > now]
+        self.windows[node] = windows
+        for window in windows:
+            window[2] += window[0] < now
+        return any(window[2] > MAX_IN_REST for window in windows)
+
+
 class BrittleTime:
     """A time in which the servers of a service fail if they reject much.
 
@@ -330,6 +359,39 @@
             )
             limited.arrivals.clear()
 
+    def resting_server_received(self, server, resting, request_id, is_counted):
+        """Check the rests that a server has asked for, at each request it receives.
+
+        Parameters
+        ----------
+        is_counted : callable
+            Returns whether a node was neither restarted, paused nor cut off.
+        """
+        request = self.requests.get(request_id)
+        if request is None or not resting.received(request.node, self.clock()):
+            return
+        if is_counted(request.node):
+            self.record_violation("rest", f"{server} from {request.node}")
+
+    def leaving_server_received(self, server, told_at, request_id, is_counted):
+        """Check that a node sends nothing to a server that has told it that it leaves.
+
+        Parameters
+        ----------
+        told_at : dict of str to float
+            By node, when the server has told it first.
+        is_counted : callable
+            Returns whether a node was neither restarted, paused nor cut off.
+        """
+        request = self.requests.get(request_id)
+        if request is None or request.node not in told_at:
+            return
+        over_s = request.sent_at - told_at[request.node] - DRAIN_S
+        if over_s > LEAVING_GRACE_S and is_counted(request.node):
+            self.record_violation(
+                "leaving", f"{server} from {request.node}, {over_s:.1f} s too late"
+            )
+
     def _spend(self, organisation, units):
         limit = self.limits.get(organisation)
         if limit is None:
--- a/tests/soak/launch.py
+++ b/tests/soak/launch.py
@@ -118,6 +118,20 @@
     )
 
 
+def ignore_rests():
+    """Let a node send requests to servers that have asked it for rest."""
+    from endive_gateway.server_rests import ServerRests
+
+    ServerRests.observe = lambda self, *response: None
+
+
+def ignore_words_of_leaving():
+    """Let a node know of leaving servers by their entries alone."""
+    from endive_gateway.leaving_servers import LeavingServers
+
+    LeavingServers.observe = lambda self, *response: None
+
+
 def trust_orderly_ends():
     """Let a node take each stream for complete that its server ends in an orderly way.
 
@@ -164,6 +178,8 @@
     "silence": treat_silence_as_current,
     "crashes": ignore_crashes_elsewhere,
     "server-limits": keep_server_limits_alone,
+    "rests": ignore_rests,
+    "leaving": ignore_words_of_leaving,
     "broken-streams": trust_orderly_ends,
     "silence-ends": give_up_silent_servers,
     "no-leases": lease_no_slots,
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -17,7 +17,7 @@
 from gevent.pool import Pool
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
-from soak.invariants import LimitedServer
+from soak.invariants import LimitedServer, RestingServer
 from soak.network import reset
 
 FRAME = struct.Struct(">I")
@@ -255,6 +255,11 @@
         Time to run a plain request, seconds.
     limit : float or None
         Requests a second that it takes from all nodes together, named in its responses.
+    rest_s : float or None
+        Time for which it asks each node for rest whose request it turns away, as it
+        does with all; ``None`` if it serves requests.
+    leaving : bool
+        Whether it says in its responses that it leaves, whatever its entry says.
     unframed : bool
         Whether its responses have neither a length nor chunks.
     broken_share : float
@@ -269,6 +274,10 @@
         self.slots = SLOTS if backend.brittle is None else backend.brittle.slots
         self.limit = None
         self.limited = None
+        self.rest_s = None
+        self.resting = RestingServer()
+        self.leaving = False
+        self.told_at = {}
         self.service = service
         self.born = born
         self.checker = checker
@@ -305,11 +314,15 @@
             "Server-Load": f"{self.running},0,{self.slots}",
         }
         headers |= self._limit_headers(request_id)
+        headers |= self._leaving_headers(request_id)
         brittle = self.backend.brittle
         if brittle is not None:
             headers["Server-Brittle"] = str(brittle.rejections)
         if environ.get("HTTP_EXPECT_INSTANCE", self.id) != self.id:
             return respond(start, 421, b"", headers | {"Not-Run": "1"})
+        if self._turns_away(request_id):
+            rest = {"Not-Run": "1", "Retry-After": f"{self.rest_s:.3g}"}
+            return respond(start, 503, b"", headers | rest)
         room = brittle.room if brittle is not None else QUEUE
         if not request_id or self.running >= self.slots + room:
             if brittle is not None:
@@ -337,6 +350,34 @@
         finally:
             self.running -= 1
 
+    def _node_of(self, request_id):
+        """Return the node that sent a request; ``None`` if it is not known."""
+        request = self.checker.requests.get(request_id)
+        return request.node if request is not None else None
+
+    def _turns_away(self, request_id):
+        """Check the rests asked for, and return whether to ask for another one."""
+        self.checker.resting_server_received(
+            self.id, self.resting, request_id, self.backend.is_undisturbed
+        )
+        node = self._node_of(request_id)
+        if self.rest_s is None or node is None:
+            return False
+        self.resting.ask(node, self.checker.clock(), self.rest_s)
+        return True
+
+    def _leaving_headers(self, request_id):
+        """Return the word that this server leaves, if it does, and note who got it."""
+        self.checker.leaving_server_received(
+            self.id, self.told_at, request_id, self.backend.is_undisturbed
+        )
+        if not (self.leaving or self.backend.state == "draining"):
+            return {}
+        node = self._node_of(request_id)
+        if node is not None:
+            self.told_at.setdefault(node, self.checker.clock())
+        return {"Server-Leaving": "1"}
+
     def _limit_headers(self, request_id):
         """Count a request against this server's limit; return the limit's header."""
         if self.limit is None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -15,6 +15,8 @@
 LATER_KINDS = {
     "crashing_request",
     "server_limited",
+    "server_rests",
+    "server_says_it_leaves",
     "server_unframed",
     "server_silent",
     "servers_brittle",
@@ -56,6 +58,8 @@
 """
 
 LIMITED_SERVERS = ("server_limited", "reload", "change_configuration")
+RESTS = ("server_rests", "change_configuration")
+WORDS = ("server_says_it_leaves", "store_silent", "change_configuration")
 SERVERS_CUT = ("nodes_cut_from_servers", "change_configuration")
 BRITTLE = ("servers_brittle", "change_configuration", "restart")
 SILENT = ("server_silent", "reload", "change_configuration")
@@ -67,6 +71,8 @@
     "silence": ("configuration in time", 8, SILENCES),
     "crashes": ("crashing request", 1, CRASHES),
     "server-limits": ("server limit", 1, LIMITED_SERVERS),
+    "rests": ("rest", 1, RESTS),
+    "leaving": ("leaving", 1, WORDS),
     "broken-streams": ("wrong response", 1, UNFRAMED),
     "silence-ends": ("silence", 1, SILENT),
     "no-leases": ("brittle", 1, ("servers_brittle", "change_configuration")),
@@ -109,6 +115,20 @@
     assert outcome.violations == [], outcome.directory
 
 
+@pytest.mark.parametrize("kinds", [RESTS, RESTS + ("server_crash", "restart")])
+def test_servers_that_ask_for_rest_get_it(kinds):
+    """One server of a service, or all, turn everybody away; nodes restart meanwhile."""
+    outcome = run_seed(1, slot=SLOT, kinds=kinds)
+    assert outcome.violations == [], outcome.directory
+
+
+@pytest.mark.parametrize("kinds", [WORDS, WORDS + ("server_rests", "restart")])
+def test_servers_that_say_they_leave_get_nothing_more(kinds):
+    """Their entries say that they are ready, or the store is silent."""
+    outcome = run_seed(1, slot=SLOT, kinds=kinds)
+    assert outcome.violations == [], outcome.directory
+
+
 def test_streams_that_servers_break_off_do_not_look_complete():
     """Answers end with their connection, and some of them inside an event."""
     outcome = run_seed(1, slot=SLOT, kinds=UNFRAMED)
@@ -224,9 +244,9 @@
     each node applies alone, "not run" reported for a request that a server ran, duties
     claimed while another node holds them, an unanswered read of the store treated as
     proof that nothing has changed, crashes that nodes do not tell each other, limits of
-    servers that are not shared, streams that are complete as soon as they end, requests
-    that end with a server's silence, brittle servers without leases, and nodes that
-    carry no connections for others."""
+    servers that are not shared, rests and words of leaving that are not read, streams
+    that are complete as soon as they end, requests that end with a server's silence,
+    brittle servers without leases, and nodes that carry no connections for others."""
     rule, seed, kinds = MUTANTS[mutant]
     outcome = run_seed(seed, slot=SLOT, mutant=mutant, kinds=kinds)
     assert outcome.violations, outcome.counts
