Let one refusal of a server hold back no more than the next requests

What callers saw: a lone server that refuses one request of hundreds and tells no load made its node refuse 0.71 of the requests of the next 5 s, "the latency target can't be met now" with hardly anything in flight.

Cause: a refused request marked its server as full. Where nothing was in flight there, the mark expired after half a second, into a made-up report of one free slot that only a report of the server could replace; one that tells no load sends none. Class: a belief that only the traffic it holds back could end.

Change: a server that refuses a request of a gateway gets no more at a time than it has in flight, and more with its answers; one that has none is left alone for 20 ms, doubled to at most 1 s, then gets one request, and more as they are answered. Refusals are told to other nodes for a second, as rests are, so that a fleet probes a full server less. endive-node, which polls load reports, keeps the mark until the next one (policy.refused_pause_s is 0).

A full server gets at most one request a second from a node.

--- a/packages/endive_core/src/endive_core/failures.py
+++ b/packages/endive_core/src/endive_core/failures.py
@@ -6,6 +6,7 @@
 from endive_core.crashes import Crash, CrashTable
 from endive_core.exceptions import ErrorKind, RetryReason
 from endive_core.policy import Policy
+from endive_core.resting import Resting
 from endive_core.retrying import DEFAULT_RETRY_RATIO, RetryBudget, retry_delay_s
 from endive_core.servers import Random, ServerLoad, ServerSet
 
@@ -38,8 +39,14 @@
     """
 
     def __init__(
-        self, policy: Policy, servers: ServerSet, crashes: CrashTable, random: Random
+        self,
+        policy: Policy,
+        servers: ServerSet,
+        crashes: CrashTable,
+        random: Random,
+        resting: Resting,
     ) -> None:
+        self.resting = resting
         self.policy = policy
         self.servers = servers
         self.crashes = crashes
@@ -99,9 +106,9 @@
     def penalise_server(
         self, server: ServerLoad, reason: RetryReason, now: float
     ) -> None:
-        """Pause a server that failed, or treat one that was busy as full."""
+        """Pause a server that failed, or leave one alone that was busy."""
         if reason is RetryReason.SERVER_BUSY:
-            self.servers.mark_full(server, now)
+            self._refused(server, now)
         elif reason in PAUSE_REASONS and self.servers.pause(server):
             pause = self.policy.failed_pause_s * 2 ** min(server.failures - 1, 16)
             pause = min(pause, self.policy.max_failed_pause_s)
@@ -109,6 +116,14 @@
             self.paused.append(server)
             self.paused.sort(key=lambda paused: paused.view.failed_until)
 
+    def _refused(self, server: ServerLoad, now: float) -> None:
+        pause_s = self.policy.refused_pause_s
+        if pause_s:
+            max_pause_s = self.policy.max_refused_pause_s
+            self.resting.refused(server, now, pause_s=pause_s, max_pause_s=max_pause_s)
+        else:
+            self.servers.mark_full(server, now)
+
     def resume_paused(self, now: float) -> None:
         """Resume servers whose pause is over."""
         while self.paused and self.paused[0].view.failed_until <= now:
--- a/packages/endive_core/src/endive_core/policy.py
+++ b/packages/endive_core/src/endive_core/policy.py
@@ -178,6 +178,17 @@
         "retries that a deployment may make without any success",
         ge=0,
     )
+    refused_pause_s: float = parameter(
+        0.0,
+        "time for which a server that refused a request for lack of room gets none, "
+        "doubled for each further refusal, seconds; 0 until its next load report",
+        ge=0,
+    )
+    max_refused_pause_s: float = parameter(
+        1.0,
+        "longest such time, seconds",
+        gt=0,
+    )
     failed_pause_s: float = parameter(
         1.0,
         "time for which a failed server gets no work, doubled for each further "
--- a/packages/endive_core/src/endive_core/scheduler.py
+++ b/packages/endive_core/src/endive_core/scheduler.py
@@ -99,7 +99,9 @@
         self.first_tokens = FirstTokenLearner(
             self.servers, self.admission.rate, self.outliers, prefill
         )
-        self.failures = FailureHandler(policy, self.servers, self.crashes, random)
+        self.failures = FailureHandler(
+            policy, self.servers, self.crashes, random, self.resting
+        )
         self.running = self.failures.running
         self.refusals: Counter[ErrorKind] = Counter()
         self.expiry = Expiry(
--- a/packages/endive_core/src/endive_core/servers.py
+++ b/packages/endive_core/src/endive_core/servers.py
@@ -11,6 +11,7 @@
 load.
 """
 
+import math
 from collections import deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
@@ -75,12 +76,17 @@
         Whether this node's share of the limit that it names is used up.
     resting : bool
         Whether it wants no requests from this node for a while.
-    ramp : int or None
-        Requests that may be in flight at it after a rest, until it has answered more.
+    ramp : float or None
+        Requests that may be in flight at it after a rest or a refusal, until it has
+        answered more.
+    ramp_threshold : float
+        Value from which on `ramp` grows slowly.
     unwilling_until : float
         Clock time until which several other nodes send it nothing at its request.
     failures : int
         Consecutive failures.
+    refusals : int
+        Consecutive refusals for lack of room.
     latency_ratio : float
         Smoothed ratio of observed to expected latency.
     samples : int
@@ -104,7 +110,9 @@
     paused: bool = False
     throttled: bool = False
     resting: bool = False
-    ramp: int | None = None
+    ramp: float | None = None
+    ramp_threshold: float = math.inf
+    refusals: int = 0
     unwilling_until: float = float("-inf")
     failures: int = 0
     next_probe_at: float = 0.0
@@ -154,7 +162,7 @@
         """Whether it gets no further request now, however many slots are free."""
         if self.throttled or self.resting:
             return True
-        return self.ramp is not None and self.view.in_flight >= self.ramp
+        return self.ramp is not None and self.view.in_flight >= int(self.ramp)
 
     def adjust_in_flight(self, sign: int, now: float) -> None:
         """Count a request of this node that was sent (+1) or ended (-1) at `now`."""
--- a/packages/endive_gateway/src/endive_gateway/placing.py
+++ b/packages/endive_gateway/src/endive_gateway/placing.py
@@ -41,6 +41,7 @@
     max_retry_after_s=2.0,
     retry_base_s=0.005,
     retry_max_s=0.1,
+    refused_pause_s=0.02,
     failed_pause_s=0.5,
     max_failed_pause_s=4.0,
     retry_burst=1e9,
--- a/packages/endive_gateway/src/endive_gateway/server_rests.py
+++ b/packages/endive_gateway/src/endive_gateway/server_rests.py
@@ -40,6 +40,10 @@
 ID_BITS = 62
 """Random bits of an id: the integers of the messages have up to 63."""
 
+REFUSAL_TOLD_S = 1.0
+"""Time for which a node tells others that a server has refused a request of its own
+without asking for rest, seconds."""
+
 FORGET_UNKNOWN_S = 60.0
 """Time after which the rest of a server without an entry is forgotten, seconds. An
 entry that has lapsed is back within seconds."""
@@ -99,6 +103,9 @@
     ----------
     rests : OrderedDict of str to Rest
         By server, in the order in which they are told to other nodes.
+    refused : OrderedDict of str to float
+        By server that has refused a request without asking for rest, until when others
+        are told, seconds on the monotonic clock.
     told : dict of str to dict of str to float
         By server, up to `MIN_TELLERS` other nodes that it has asked, with the time on
         the monotonic clock until which they send it nothing.
@@ -126,6 +133,7 @@
         self.random = random
         self.events = events
         self.rests: OrderedDict[str, Rest] = OrderedDict()
+        self.refused: OrderedDict[str, float] = OrderedDict()
         self.told: dict[str, dict[str, float]] = {}
         self.unwilling: OrderedDict[str, Unwilling] = OrderedDict()
         self.told_by_transit: dict[tuple[str, str], float] = {}
@@ -154,6 +162,9 @@
         if metadata.rest_s:
             self._begin(server, metadata.rest_s, through)
             self.announce(server, through)
+        elif metadata.not_run:
+            self.refused[server] = time.monotonic() + REFUSAL_TOLD_S
+            self.refused.move_to_end(server)
 
     def _begin(self, server: str, rest_s: float, through: str, peer: str = "") -> None:
         known, now = self.registry.get(server), time.monotonic()
@@ -189,9 +200,11 @@
     def refresh(self) -> None:
         """Forget the rests that are over, also because their server has restarted."""
         self.invalid &= self.registry.servers.keys()
+        now = time.monotonic()
+        while self.refused and next(iter(self.refused.values())) <= now:
+            self.refused.popitem(last=False)
         if not (self.rests or self.told or self.unwilling):
             return
-        now = time.monotonic()
         for server, rest in list(self.rests.items()):
             if self._is_over(server, rest, now):
                 del self.rests[server]
@@ -220,13 +233,18 @@
     # What nodes tell each other
 
     def next_rests(self) -> list[ToldRest]:
-        """Return the next of this node's rests for a state message, in turn."""
+        """Return the next of this node's rests and refusals for a state message."""
         taken, now = [], time.monotonic()
         for _ in range(min(MAX_ENTRIES, len(self.rests))):
             server, rest = self.rests.popitem(last=False)
             self.rests[server] = rest
             if rest.ends_at > now:
                 taken.append((server, rest.ends_at - now, rest.through))
+        for server, until in reversed(self.refused.items()):
+            if len(taken) >= MAX_ENTRIES:
+                break
+            if until > now and server not in self.rests:
+                taken.append((server, until - now, ""))
         return taken
 
     def next_unwilling(self) -> list[ToldUnwilling]:
--- a/packages/endive_gateway/tests/limit_simulation.py
+++ b/packages/endive_gateway/tests/limit_simulation.py
@@ -28,8 +28,9 @@
         When requests were refused, why, and how long they were held, seconds.
     """
 
-    def __init__(self, monkeypatch, nodes, limits, seed=1):
+    def __init__(self, monkeypatch, nodes, limits, seed=1, slots=64):
         self.limits = limits
+        self.slots = slots
         self.arrivals = {server: [] for server in limits}
         self.refused = []
         super().__init__(monkeypatch, nodes, seed)
@@ -38,7 +39,7 @@
         context = node.context
         context.limit_sharing.address = node.address
         for server in self.limits:
-            context.registry.put(make_entry(server, slots=64))
+            context.registry.put(make_entry(server, slots=self.slots))
         context.registry.is_loaded = True
         context.registry.notify_listeners()
         super().prepare(node)
