Let a starting node earn no part of a limit that nodes before it may have spent

Cause: a node counts what older nodes spend from their first message on, but earned the rate from its own start on, a second more than that. What the others had spent in between was let through again by each node that started. Class: two sides of one account that begin at different times.

Change: a limit that has not been used yet is earned from the first message of a node that ran before, less one second; among nodes that start together from the start, as before.

Test: test_a_starting_node_earns_nothing_before_it_hears_of_nodes_that_ran_before failed (3,500 units in place of 1,000).

--- a/packages/endive_core/src/endive_core/shared_limits.py
+++ b/packages/endive_core/src/endive_core/shared_limits.py
@@ -133,11 +133,15 @@
     silence_timeout_s : float
         Seconds of silence after which a node counts as cut off; longer among many
         nodes, which broadcast less often.
+    credit_since : float
+        Time since which limits that have not been used yet are earned: the start, or
+        later if a node was heard that has run before.
     """
 
     def __init__(self, now: float = 0.0, *, slack: float = 0.0) -> None:
         self.slack = slack
         self.silence_timeout_s = SILENCE_TIMEOUT_S
+        self.started_at = now
         self.credit_since = now - INITIAL_CREDIT_S
         self.spent: dict[str, float] = {}
         self.peers: dict[str, PeerSpending] = {}
@@ -154,7 +158,11 @@
         """Apply a state broadcast: what another node has spent since it started."""
         peer = self._current_peer(origin)
         if peer is None:
-            before = {} if self._started_recently(origin, now) else dict(spent)
+            before: dict[str, float] = {}
+            if not self._started_recently(origin, now):
+                before = dict(spent)
+                # What that node has spent until now is not known, so nothing was left.
+                self.credit_since = max(self.credit_since, now - INITIAL_CREDIT_S)
             peer = self._reset_peer(origin, before, now)
         peer.last_seen_at = now
         for organisation, units in spent.items():
@@ -208,7 +216,8 @@
         return peer
 
     def _started_recently(self, origin: SpendingOrigin, now: float) -> bool:
-        return now - origin.age_s >= self.credit_since - START_SKEW_S
+        credit_since = self.started_at - INITIAL_CREDIT_S
+        return now - origin.age_s >= credit_since - START_SKEW_S
 
     def _charge(self, peer: PeerSpending, organisation: str, units: float) -> float:
         """Deduct what a node has spent since its last report; return those units."""
--- a/packages/endive_core/tests/test_shared_limits.py
+++ b/packages/endive_core/tests/test_shared_limits.py
@@ -106,6 +106,23 @@
     assert limits.wait_s("o", 1.0, 1.0, rate=RATE, burst=BURST) == 0.0
 
 
+def test_a_starting_node_earns_nothing_before_it_hears_of_nodes_that_ran_before():
+    """Two nodes restarted while the store was silent, and heard of the others after
+    2.5 s. Each had earned the whole rate of that time, which the others had spent."""
+    limits = SharedLimits(0.0)
+    limits.receive(SpendingOrigin("old", 1, 300, 60.0), {"o": 1e6}, 2.5)
+    left, _ = limits.left("o", 2.5, rate=RATE, burst=10 * RATE)
+    assert left <= INITIAL_CREDIT_S * RATE
+
+
+def test_nodes_that_start_together_have_earned_what_nobody_spent():
+    """After a loss of power no node has run before."""
+    limits = SharedLimits(0.0)
+    limits.receive(SpendingOrigin("new", 1, 10, 2.0), {"o": 100.0}, 2.5)
+    left, _ = limits.left("o", 2.5, rate=RATE, burst=10 * RATE)
+    assert left == (INITIAL_CREDIT_S + 2.5) * RATE - 100.0
+
+
 def test_all_spending_of_a_peer_counts_if_it_started_with_this_node():
     """A hundred nodes start together, and each receives the first broadcast of some
     others only two seconds later, when these have sent thirty. If their spending until
