Read, keep and pass on what servers state at one place

`server_statements` reads a response's statements and exchanges them with other nodes; attempts and peers each had a part of that.

--- a/packages/endive_gateway/src/endive_gateway/__init__.py
+++ b/packages/endive_gateway/src/endive_gateway/__init__.py
@@ -19,8 +19,9 @@
   ``service_client``
 - messages between nodes: ``peers``, ``nodes``, ``state_messages``, ``datagrams``,
   ``spending``, ``spending_messages``, ``prompts``, ``crash_exchange``,
-  ``limit_sharing``, ``brittle_services``, ``slot_leasing``, ``server_rests``,
-  ``leaving_servers``
+  ``slot_leasing``
+- what servers state of themselves: ``server_statements``, ``limit_sharing``,
+  ``brittle_services``, ``server_rests``, ``leaving_servers``
 - cluster-wide duties, performed by one node at a time: ``duties``, ``autoscaling``
 - observability: ``logstream``, ``metrics``
 """
--- a/packages/endive_gateway/src/endive_gateway/attempts.py
+++ b/packages/endive_gateway/src/endive_gateway/attempts.py
@@ -222,9 +222,13 @@
     ) -> None:
         """Forward a successful response; raises AttemptError for any other."""
         view = self.view
-        through = self.request.transit_node or ""
-        self.context.server_rests.observe(view.id, message.status, metadata, through)
-        self.context.leaving_servers.observe(view.id, message.status, metadata, through)
+        self.context.server_statements.observe(
+            view.id,
+            message.status,
+            metadata,
+            self.sent_at,
+            through=self.request.transit_node or "",
+        )
         if metadata.running is not None:
             waiting = metadata.waiting or 0
             self.context.placer.report(view.id, metadata.running, waiting)
@@ -237,13 +241,6 @@
                 started=False,
                 counts_as_attempt=False,
             )
-        is_success = 200 <= message.status < 300 and metadata.signed
-        self.context.limit_sharing.observe(
-            view.id, metadata, self.sent_at, is_success=is_success
-        )
-        self.context.brittle_services.observe(
-            view.id, metadata, self.sent_at, is_success=is_success
-        )
         if metadata.not_run:
             self._read_response(message)
             self._keep_connection(message)
--- a/packages/endive_gateway/src/endive_gateway/context.py
+++ b/packages/endive_gateway/src/endive_gateway/context.py
@@ -23,6 +23,7 @@
 from endive_gateway.placing import Placer
 from endive_gateway.server_checks import ServerChecks
 from endive_gateway.server_rests import ServerRests
+from endive_gateway.server_statements import ServerStatements
 from endive_gateway.servers import ServerRegistry
 from endive_gateway.slot_leasing import SlotLeasing
 from endive_gateway.transit_port import TransitPort
@@ -70,6 +71,8 @@
         The rests that servers have asked for.
     leaving_servers : LeavingServers
         The servers that have said that they leave.
+    server_statements : ServerStatements
+        All that servers state of themselves.
     slot_leasing : SlotLeasing
         Leases of those servers' slots, from the nodes that coordinate them.
     initialised : Event
@@ -120,6 +123,12 @@
             self.metrics.events,
         )
         self.leaving_servers = LeavingServers(self.registry, self.metrics.events)
+        self.server_statements = ServerStatements(
+            self.limit_sharing,
+            self.brittle_services,
+            self.server_rests,
+            self.leaving_servers,
+        )
         self.paths.rests_for = self.server_rests.rests_for
         self.transit_port.is_resting = self.server_rests.is_resting
         self.slot_leasing = SlotLeasing(
--- a/packages/endive_gateway/src/endive_gateway/peers.py
+++ b/packages/endive_gateway/src/endive_gateway/peers.py
@@ -13,7 +13,6 @@
 
 import gevent
 from endive_core.crash_news import FRESH_RECEIVERS
-from endive_core.server_limits import LimitReport, ServerLimits
 from endive_core.shared_limits import SILENCE_TIMEOUT_S, SpendingOrigin
 from endive_node.logs import log_event
 from gevent.event import Event
@@ -27,7 +26,6 @@
 from endive_gateway.datagrams import DatagramPort
 from endive_gateway.following import RELAY_TIMEOUT_S
 from endive_gateway.interfaces import Record
-from endive_gateway.limit_sharing import MAX_REPORTS
 from endive_gateway.listing import NodeList
 from endive_gateway.nodes import Peer
 from endive_gateway.server_following import ServerFollower
@@ -359,10 +357,7 @@
         peers = list(self.known.values())
         for first in range(0, max(1, len(peers)), DATAGRAMS_PER_STEP):
             self.send_state(peers[first : first + DATAGRAMS_PER_STEP])
-            self.context.limit_sharing.refresh()
-            self.context.brittle_services.refresh()
-            self.context.server_rests.refresh()
-            self.context.leaving_servers.refresh()
+            self.context.server_statements.refresh()
             if self.urgent.wait(step_s):
                 return
 
@@ -455,12 +450,8 @@
             complete=self.is_complete(),
             proof=self.configuration.proofs.newest if self.configuration else 0,
             successes=self.crash_exchange.next_successes(now, receivers),
-            server_limits=_encode_reports(context.limit_sharing.reports, now),
             carried=context.transit_port.offer(),
-            brittle_servers=_encode_reports(context.brittle_services.reports, now),
-            rests=context.server_rests.next_rests(),
-            unwilling_servers=context.server_rests.next_unwilling(),
-            leaving_servers=context.leaving_servers.next_words(),
+            **context.server_statements.next_fields(),
         )
 
     def _relays_servers(self) -> bool:
@@ -519,14 +510,8 @@
         context.limits.receive(origin, message.spent, now)
         context.meter.receive(address, message.incarnation, message.windows)
         self.crash_exchange.learn(message.node, message.crashes, message.successes, now)
-        self._learn_limits(message, now)
-        if message.rests:
-            is_transit = address in context.paths.transit.choice.opened
-            context.server_rests.learn(address, message.rests, is_transit=is_transit)
-        if message.leaving_servers:
-            context.leaving_servers.learn(message.node, message.leaving_servers)
-        if message.unwilling_servers:
-            context.server_rests.learn_unwilling(message.unwilling_servers)
+        is_transit = address in context.paths.transit.choice.opened
+        context.server_statements.learn(message, address, is_transit=is_transit)
         context.paths.transit.choice.offers.set(address, message.carried)
         context.placer.ejection.receive(address, message.server_failures, now)
         context.placer.backlogs.receive(address, message.pending_prompt_tokens, now)
@@ -549,36 +534,8 @@
             context.paths.transit.choice.offers.discard(address)
             self.known.pop(address, None)
 
-    def _learn_limits(self, message: "StateMessage", now: float) -> None:
-        if message.server_limits:
-            reports = _decode_reports(message.server_limits, now)
-            self.context.limit_sharing.learn(message.node, reports)
-        if message.brittle_servers:
-            reports = _decode_reports(message.brittle_servers, now)
-            self.context.brittle_services.learn(message.node, reports)
-
     def observe_duty_log_end(self, end: int) -> None:
         """Record the end of the duties log, as read or as a peer reports it."""
         if end > self.duty_log_end:
             self.duty_log_end = end
             self.duty_log_moved_at = boot_time()
-
-
-def _encode_reports(
-    reports: ServerLimits, now: float
-) -> list[tuple[str, float | None, float, int]]:
-    """Return the next reports for a message, with their ages."""
-    return [
-        (report.server, report.limit, now - report.at, report.id)
-        for report in reports.take(MAX_REPORTS)
-    ]
-
-
-def _decode_reports(
-    reports: list[tuple[str, float | None, float, int]], now: float
-) -> list[LimitReport]:
-    """Return the reports of a message that arrived at `now`."""
-    return [
-        LimitReport(server, limit, now - age_s, report_id)
-        for server, limit, age_s, report_id in reports
-    ]
--- a/packages/endive_gateway/src/endive_gateway/state_messages.py
+++ b/packages/endive_gateway/src/endive_gateway/state_messages.py
@@ -8,6 +8,10 @@
 from endive_gateway.exceptions import UndecodableError
 from endive_gateway.interfaces import Record, ServerDelta
 
+ToldReport = tuple[str, float | None, float, int]
+"""A server, what it states (``None`` if nothing any more), the age of that statement in
+seconds, and its id."""
+
 
 class StateMessage(msgspec.Struct, array_like=True):
     """State of a node, in totals rather than increments except for `server_delta`.
@@ -97,9 +101,9 @@
     complete: bool = False
     proof: int = 0
     successes: list[tuple[str, float]] = []
-    server_limits: list[tuple[str, float | None, float, int]] = []
+    server_limits: list[ToldReport] = []
     carried: int = -1
-    brittle_servers: list[tuple[str, float | None, float, int]] = []
+    brittle_servers: list[ToldReport] = []
     rests: list[tuple[str, float, str]] = []
     unwilling_servers: list[tuple[str, float, int]] = []
     leaving_servers: list[tuple[str, int, float]] = []
--- a/packages/endive_gateway/tests/fleet_simulation.py
+++ b/packages/endive_gateway/tests/fleet_simulation.py
@@ -66,6 +66,5 @@
         peers = list(node.known.values())[first : first + DATAGRAMS_PER_STEP]
         node.send_state([p for p in peers if self.reaches(node.address, p.address)])
         node._set_timeouts(interval)
-        node.context.limit_sharing.refresh()
-        node.context.server_rests.refresh()
+        node.context.server_statements.refresh()
         self.at(self.clock.now + interval / steps, self.broadcast, node, step + 1)
