--- a/packages/endive_core/src/endive_core/reachability.py
+++ b/packages/endive_core/src/endive_core/reachability.py
@@ -89,7 +89,7 @@
     ----------
     blocked : dict of str to Block
         By server, its last failed connection.
-    heard_at : dict of str to float
+    last_seen_at : dict of str to float
         By service, the clock time at which anything last arrived from one of its
         servers over a connection of this node's own.
     cut_off : set of str
@@ -99,7 +99,7 @@
 
     def __init__(self) -> None:
         self.blocked: dict[str, Block] = {}
-        self.heard_at: dict[str, float] = {}
+        self.last_seen_at: dict[str, float] = {}
         self.cut_off: set[str] = set()
 
     @property
@@ -130,11 +130,11 @@
             :data:`ALL_SERVICES`.
         """
         self.blocked[server] = block
-        heard_at = max(self.heard_at.values(), default=float("-inf"))
-        if self._count_blocked(ALL_SERVICES, heard_at) >= CUT_OFF_SERVERS:
+        last_seen_at = max(self.last_seen_at.values(), default=float("-inf"))
+        if self._count_blocked(ALL_SERVICES, last_seen_at) >= CUT_OFF_SERVERS:
             return self._cut_off(ALL_SERVICES)
-        heard_at = self.heard_at.get(block.service, float("-inf"))
-        if self._count_blocked(block.service, heard_at) >= CUT_OFF_SERVERS:
+        last_seen_at = self.last_seen_at.get(block.service, float("-inf"))
+        if self._count_blocked(block.service, last_seen_at) >= CUT_OFF_SERVERS:
             return self._cut_off(block.service)
         return None
 
@@ -166,7 +166,7 @@
 
     def hear(self, service: str, now: float) -> None:
         """Record that something arrived over a connection of this node's own."""
-        self.heard_at[service] = now
+        self.last_seen_at[service] = now
         if self.cut_off:
             self.cut_off -= {service, ALL_SERVICES}
 
--- a/packages/endive_gateway/src/endive_gateway/nodes.py
+++ b/packages/endive_gateway/src/endive_gateway/nodes.py
@@ -27,7 +27,7 @@
         Differs with each start of the node.
     sequence : int
         Number of its last state message; 0 if none was received.
-    heard_at : float
+    last_seen_at : float
         When its last state message arrived, seconds on the monotonic clock; 0 if none
         did.
     started_at : float
@@ -50,7 +50,7 @@
     node: str = ""
     incarnation: int = 0
     sequence: int = 0
-    heard_at: float = 0.0
+    last_seen_at: float = 0.0
     started_at: float = float("-inf")
     added_at: float = 0.0
     version: int = -1
--- a/packages/endive_gateway/src/endive_gateway/path_monitor.py
+++ b/packages/endive_gateway/src/endive_gateway/path_monitor.py
@@ -163,8 +163,8 @@
         if now - watch.checked_at < HOPELESS_S:
             return False
         service = self.paths.service_of(connection.server_id)
-        heard_at = self.paths.reachability.heard_at.get(service, float("-inf"))
-        return waited_s > SILENCE_S and now - heard_at > SILENCE_S
+        last_seen_at = self.paths.reachability.last_seen_at.get(service, float("-inf"))
+        return waited_s > SILENCE_S and now - last_seen_at > SILENCE_S
 
     def check(self, suspects: list[WatchedConnection]) -> None:
         """Try the servers of requests that hang, and act on the results."""
--- a/packages/endive_gateway/src/endive_gateway/peers.py
+++ b/packages/endive_gateway/src/endive_gateway/peers.py
@@ -108,7 +108,7 @@
         Time without a message after which a node no longer counts as live, seconds.
     urgent : Event
         Set while the next broadcast must be sent quickly.
-    heard_at : float
+    last_seen_at : float
         When the last state message of any node arrived, on the monotonic clock.
     announced : bool
         Whether this node has been complete since its start.
@@ -141,7 +141,7 @@
         context.server_rests.announce = self._announce_rest
         context.leaving_servers.announce = self._announce_leaving
         self.urgent = Event()
-        self.heard_at = float("-inf")
+        self.last_seen_at = float("-inf")
         self.announced = False
         self.datagrams = DatagramPort("tellings", DECODER, self.receive)
         self.loops: list[gevent.Greenlet] = []
@@ -170,7 +170,7 @@
         """Return the nodes from which a message arrived recently."""
         now = time.monotonic()
         return [
-            p for p in self.known.values() if now - p.heard_at < self.live_timeout_s
+            p for p in self.known.values() if now - p.last_seen_at < self.live_timeout_s
         ]
 
     def presumed_live(self) -> list[str]:
@@ -184,7 +184,7 @@
         return [
             peer.address
             for peer in self.known.values()
-            if now - max(peer.heard_at, peer.added_at) < self.live_timeout_s
+            if now - max(peer.last_seen_at, peer.added_at) < self.live_timeout_s
         ]
 
     def is_reader(self) -> bool:
@@ -207,7 +207,7 @@
 
     def is_isolated(self) -> bool:
         """Return whether no node's messages arrive at this one any more."""
-        return time.monotonic() - self.heard_at > RELAY_TIMEOUT_S
+        return time.monotonic() - self.last_seen_at > RELAY_TIMEOUT_S
 
     def older_among(self, peers: list[Peer]) -> int:
         """Return how many of `peers` have run for longer than this node."""
@@ -466,9 +466,9 @@
         """Remove nodes that have been silent for long, and update the node count."""
         now = time.monotonic()
         for address, peer in list(self.known.items()):
-            if now - max(peer.heard_at, peer.added_at) > FORGET_AFTER_S:
+            if now - max(peer.last_seen_at, peer.added_at) > FORGET_AFTER_S:
                 del self.known[address]
-            if now - peer.heard_at > self.live_timeout_s:
+            if now - peer.last_seen_at > self.live_timeout_s:
                 self.context.paths.transit.choice.offers.discard(address)
         live = len(self.live())
         if live != self.logged_live:
@@ -497,7 +497,7 @@
             started_at = min(started_at, peer.started_at)
         peer.started_at = started_at
         peer.node, peer.incarnation, peer.sequence = message.node, *order
-        peer.heard_at = self.heard_at = now
+        peer.last_seen_at = self.last_seen_at = now
         peer.version = message.version
         peer.complete = message.complete
         peer.fence = message.fence
--- a/packages/endive_gateway/tests/test_brittle_fleet.py
+++ b/packages/endive_gateway/tests/test_brittle_fleet.py
@@ -12,8 +12,8 @@
 ADJUST_S = 3.0
 """Time after the servers say that they are brittle, until they let fewer wait."""
 
-MOST_FAILURES = 2 + SERVERS / 10
-LEAST_UTILISATION = 0.8
+MAX_FAILURES = 2 + SERVERS / 10
+MIN_UTILISATION = 0.8
 
 
 def adjusted_fleet(monkeypatch, nodes, load):
@@ -36,9 +36,9 @@
     fleet = adjusted_fleet(monkeypatch, nodes, load)
     since = fleet.clock.now
     fleet.run(4.0, load)
-    assert fleet.failures_since(since) <= MOST_FAILURES
+    assert fleet.failures_since(since) <= MAX_FAILURES
     capacity = min(1.0, 1 / load)
-    assert fleet.served_share(since) >= LEAST_UTILISATION * capacity
+    assert fleet.served_share(since) >= MIN_UTILISATION * capacity
 
 
 def test_what_brittle_servers_can_not_serve_is_refused_soon(monkeypatch):
@@ -56,8 +56,8 @@
     fleet.reaches = lambda sender, receiver: lost not in (sender, receiver)
     since = fleet.clock.now
     fleet.run(4.0, 0.8)
-    assert fleet.failures_since(since) <= MOST_FAILURES
-    assert fleet.served_share(since) >= LEAST_UTILISATION
+    assert fleet.failures_since(since) <= MAX_FAILURES
+    assert fleet.served_share(since) >= MIN_UTILISATION
 
 
 def test_nodes_that_lose_contact_share_brittle_servers(monkeypatch):
@@ -67,7 +67,7 @@
     fleet.reaches = lambda sender, receiver: (sender in half) == (receiver in half)
     since = fleet.clock.now
     fleet.run(6.0, 1.2)
-    assert fleet.failures_since(since) <= MOST_FAILURES
+    assert fleet.failures_since(since) <= MAX_FAILURES
 
 
 def test_leases_end_with_the_brittleness(monkeypatch):
--- a/packages/endive_gateway/tests/test_duties.py
+++ b/packages/endive_gateway/tests/test_duties.py
@@ -122,7 +122,7 @@
 def test_a_node_with_a_live_holder_does_not_call_the_store(clock, store, cloud):
     node = Node("a", store, cloud)
     peer = node.peers._add_peer("127.0.0.9")
-    peer.heard_at, peer.fence, peer.node = time.monotonic(), 4, "b"
+    peer.last_seen_at, peer.fence, peer.node = time.monotonic(), 4, "b"
     node.step()
     assert not store.calls
 
@@ -139,7 +139,7 @@
     peer = second.peers._add_peer("127.0.0.9")
     peer.node, peer.fence = "a", 1
     clock.time += LEASE_S + LEASE_MARGIN_S - 0.1
-    peer.heard_at = clock.time
+    peer.last_seen_at = clock.time
     calls = len(store.calls)
     second.step()
     assert len(store.calls) == calls
@@ -152,11 +152,11 @@
 def test_the_node_that_has_run_for_longest_claims_first(clock, store, cloud):
     node = Node("a", store, cloud)
     peer = node.peers._add_peer("127.0.0.9")
-    peer.heard_at, peer.node, peer.incarnation = clock.time, "b", 1
+    peer.last_seen_at, peer.node, peer.incarnation = clock.time, "b", 1
     node.step()
     assert not node.holds
     clock.time += RANK_DELAY_S + 0.01
-    peer.heard_at = clock.time
+    peer.last_seen_at = clock.time
     node.step()
     assert node.holds
 
--- a/packages/endive_gateway/tests/test_path_monitor.py
+++ b/packages/endive_gateway/tests/test_path_monitor.py
@@ -59,7 +59,7 @@
     return monitor
 
 
-def let_pass(monitor, clock, seconds):
+def advance(monitor, clock, seconds):
     """Let the monitor look every tenth of a second."""
     for _ in range(round(seconds * 10)):
         clock.now += 0.1
@@ -72,7 +72,7 @@
     connection = FakeConnection()
     for _ in range(20):
         monitor.sent(connection)
-        let_pass(monitor, clock, 0.2)
+        advance(monitor, clock, 0.2)
         monitor.heard(connection)
         monitor.ended(connection)
     assert not monitor.checks.tried
@@ -81,7 +81,7 @@
 def test_a_silent_service_is_checked_once_a_second(monitor, clock):
     """A prompt may take a server for seconds."""
     monitor.sent(FakeConnection())
-    let_pass(monitor, clock, 5.0)
+    advance(monitor, clock, 5.0)
     assert monitor.checks.tried.count("i-1") <= 5
 
 
@@ -92,10 +92,10 @@
         connection.unacknowledged = 100
         monitor.sent(connection)
     monitor.checks.results["i-1"] = SILENT
-    let_pass(monitor, clock, 0.5)
+    advance(monitor, clock, 0.5)
     assert monitor.silenced == ["i-1"]
     assert not may.closed
-    let_pass(monitor, clock, HOPELESS_S + MIN_CHECK_GAP_S)
+    advance(monitor, clock, HOPELESS_S + MIN_CHECK_GAP_S)
     assert may.closed
     assert not must_not.closed
 
@@ -104,12 +104,12 @@
     connection = FakeConnection(unacknowledged=100)
     monitor.sent(connection)
     monitor.checks.results["i-1"] = SILENT
-    let_pass(monitor, clock, 0.8)
+    advance(monitor, clock, 0.8)
     connection.unacknowledged = 0
     monitor.heard(connection)
     assert not monitor.silent
     monitor.checks.results.clear()
-    let_pass(monitor, clock, 2.0)
+    advance(monitor, clock, 2.0)
     assert not connection.closed
 
 
@@ -117,7 +117,7 @@
     """Open connections may go silent for good while new ones work."""
     connection = FakeConnection(unacknowledged=100)
     monitor.sent(connection)
-    let_pass(monitor, clock, HOPELESS_S + 2 * MIN_CHECK_GAP_S)
+    advance(monitor, clock, HOPELESS_S + 2 * MIN_CHECK_GAP_S)
     assert connection.closed
     assert "i-1" in monitor.dropped
 
@@ -127,7 +127,7 @@
     connection = FakeConnection(unacknowledged=100_000)
     monitor.sent(connection)
     for _ in range(40):
-        let_pass(monitor, clock, 0.1)
+        advance(monitor, clock, 0.1)
         connection.unacknowledged -= 1_000
     assert not connection.closed
     assert not monitor.dropped
@@ -137,5 +137,5 @@
     """A node may have requests at dozens of servers."""
     for number in range(1, 7):
         monitor.sent(FakeConnection(f"i-{number}", unacknowledged=10))
-    let_pass(monitor, clock, 0.4)
+    advance(monitor, clock, 0.4)
     assert len(monitor.checks.tried) == 4
--- a/packages/endive_gateway/tests/test_transit_fleet.py
+++ b/packages/endive_gateway/tests/test_transit_fleet.py
@@ -36,7 +36,7 @@
     fleet.run(5.0, PER_S)
     cut_off(fleet, int(nodes * cut_share))
     fleet.run(10.0, PER_S)
-    assert max(fleet.most_carried.values()) <= MAX_CARRIED / 4
+    assert max(fleet.max_carried.values()) <= MAX_CARRIED / 4
 
 
 @pytest.mark.parametrize("nodes", [6, 30, 200, 375])
--- a/packages/endive_gateway/tests/transit_simulation.py
+++ b/packages/endive_gateway/tests/transit_simulation.py
@@ -32,7 +32,7 @@
     asked, unreachable : int
         Connections that transit nodes were asked for, and those that they tried to open
         in vain.
-    most_carried : dict of str to int
+    max_carried : dict of str to int
         Most connections that each node carried for others.
     """
 
@@ -40,7 +40,7 @@
         self.cut = set()
         self.tries = []
         self.asked = self.unreachable = 0
-        self.most_carried = {}
+        self.max_carried = {}
         super().__init__(monkeypatch, nodes, seed)
         self.by_address = {node.address: node for node in self.nodes}
 
@@ -129,8 +129,8 @@
             self.at(self.clock.now + LEARN_S, self.learn, carrier, server)
             return TransitAnswer(TransitReply.UNREACHABLE)
         port.carried += 1
-        most = max(port.carried, self.most_carried.get(address, 0))
-        self.most_carried[address] = most
+        most = max(port.carried, self.max_carried.get(address, 0))
+        self.max_carried[address] = most
         self.at(self.clock.now + HOLD_S, self.release, node, carrier)
         return TransitAnswer(TransitReply.CONNECTED, SimpleNamespace(node=address))
 
