Wait, while stopping, for a request that has come and is not read yet

Cause: a stopping node closes its idle connections but for those with unread bytes, and then exits once no connection is busy; one with unread bytes counted as idle. Its greenlet sent the request to a server while the process was about to exit. Class: two questions about the same state, answered differently.

Change: both ask `is_busy`. Test: test_a_stopping_node_waits_for_a_request_that_has_come_and_is_not_read_yet failed before.

--- a/packages/endive_gateway/src/endive_gateway/callers.py
+++ b/packages/endive_gateway/src/endive_gateway/callers.py
@@ -215,8 +215,8 @@
 
     @property
     def busy(self) -> int:
-        """Number of connections with a request being read or answered."""
-        return sum(not c.idle for c in self.connections.values())
+        """Number of connections with a request that is unread, read or answered."""
+        return sum(c.is_busy for c in self.connections.values())
 
     def close_idle(self) -> None:
         """Close the connections without a request in progress."""
@@ -252,13 +252,18 @@
             self.listener.connections.pop(self, None)
             self.sock.close()
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether a request is in progress, or has come and was not read yet."""
+        return self.sock.fileno() >= 0 and not (self.idle and is_idle(self.sock))
+
     def close_if_idle(self) -> None:
         """Close the connection unless a request is in progress or unread.
 
         Killing the greenlet instead would take effect only when it next runs, when it
         may already have read a request and sent it to a server.
         """
-        if self.idle and is_idle(self.sock):
+        if not self.is_busy:
             self.sock.close()
 
     def _serve_next(self) -> bool:
--- a/packages/endive_gateway/tests/test_callers.py
+++ b/packages/endive_gateway/tests/test_callers.py
@@ -84,6 +84,18 @@
         assert idle.ended()
 
 
+def test_a_stopping_node_waits_for_a_request_that_has_come_and_is_not_read_yet():
+    """It counted as idle, so the process could exit after sending it to a server."""
+    with RunningGateway(ScriptedServer()) as running:
+        caller = running.caller()
+        gevent.sleep(0.05)
+        caller.send()
+        time.sleep(0.01)  # the bytes have arrived, but no greenlet has run
+        running.listener.stop_accepting()
+        assert running.listener.busy == 1
+        assert caller.receive().status == 200
+
+
 def test_a_request_that_just_came_survives_the_closing_of_idle_connections():
     """A request arrives on an idle connection at the moment when those are closed. If
     the greenlet were killed, it could send the request to a server first and then drop
