Let a node that was idle or frozen earn no more of a limit than it holds

A log of every charge shows why: a node that had been frozen for 3.3 s charged 1,118 units that others had spent, then earned the rate of the whole time at once, and took the limit for full (720 units) while the others had none left; it spent 1,740 units in the next 2.7 s.

Cause: what others spend was deducted when it was heard, what is earned was added only at the node's own next request, and the capacity was applied then. What overflowed at the others, while nobody spent, counted at this node. A node that gets few requests of an organisation was as wrong as a frozen one. Class: a bound applied once at the end to a sum whose parts it bounds one by one.

Change: what was earned until now is added, and bounded, before each charge. The share of nodes in contact is counted at most each 50 ms for that, since reports come hundreds of times a second.

Test: test_a_node_that_was_idle_or_frozen_earns_no_more_than_the_limit_holds failed (full in place of a whole burst overspent).

--- a/packages/endive_core/src/endive_core/shared_limits.py
+++ b/packages/endive_core/src/endive_core/shared_limits.py
@@ -12,7 +12,7 @@
 the allowance is below zero until all nodes have paid it back.
 """
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
 SILENCE_TIMEOUT_S = 0.9
@@ -42,6 +42,10 @@
 nodes start within one second, and a hundred nodes have received each other's state
 within two more."""
 
+SHARE_VALID_S = 0.05
+"""Time for which the share of the nodes in contact is used for the reports of others,
+seconds: a part of the time after which a node counts as cut off."""
+
 SMALL_REQUEST_SHARE = 0.01
 """Share of a limit's burst up to which a request counts as small. A call to a plain
 service, such as a booking, has 200 units; a prompt has up to 23,000."""
@@ -136,6 +140,12 @@
     credit_since : float
         Time since which limits that have not been used yet are earned: the start, or
         later if a node was heard that has run before.
+    share : float
+        The share of the nodes in contact when it was last counted.
+    share_counted_at : float
+        When that was.
+    terms_of : callable
+        Returns an organisation's rate and burst, or ``None`` if it has no limit.
     """
 
     def __init__(self, now: float = 0.0, *, slack: float = 0.0) -> None:
@@ -147,6 +157,8 @@
         self.peers: dict[str, PeerSpending] = {}
         self.allowances: dict[str, Allowance] = {}
         self.small_request_allowances: dict[str, Allowance] = {}
+        self.share, self.share_counted_at = 1.0, float("-inf")
+        self.terms_of: Callable[[str], tuple[float, float] | None] = lambda name: None
 
     def own_totals(self) -> dict[str, float]:
         """Return what this node has spent since it started, by organisation."""
@@ -169,7 +181,7 @@
             update_sequence, update = peer.last_updates.get(organisation, (0, 0.0))
             if origin.sequence <= update_sequence:
                 units = max(units, update)
-            self._charge(peer, organisation, units)
+            self._charge(peer, organisation, units, now)
 
     def apply_update(
         self, origin: SpendingOrigin, organisation: str, units: float, now: float
@@ -193,9 +205,8 @@
         if newest <= peer.last_updates.get(organisation, (0, 0.0)):
             return 0.0
         peer.last_updates[organisation] = newest
-        return self._charge(
-            peer, organisation, max(units, peer.spent.get(organisation, 0.0))
-        )
+        total = max(units, peer.spent.get(organisation, 0.0))
+        return self._charge(peer, organisation, total, now)
 
     def _current_peer(self, origin: SpendingOrigin) -> PeerSpending | None:
         peer = self.peers.get(origin.node)
@@ -219,14 +230,34 @@
         credit_since = self.started_at - INITIAL_CREDIT_S
         return now - origin.age_s >= credit_since - START_SKEW_S
 
-    def _charge(self, peer: PeerSpending, organisation: str, units: float) -> float:
-        """Deduct what a node has spent since its last report; return those units."""
+    def _charge(
+        self, peer: PeerSpending, organisation: str, units: float, now: float
+    ) -> float:
+        """Deduct what a node has spent since its last report; return those units.
+
+        What was earned until now is added first, so that it is lost beyond the limit's
+        capacity as it was at the node that has spent.
+        """
         new = units - peer.spent.get(organisation, 0.0)
         peer.spent[organisation] = units
         if new:
+            self._earn(organisation, now)
             self._allowance(organisation).units -= new
         return new
 
+    def _earn(self, organisation: str, now: float) -> None:
+        """Add what was earned of a limit, with a recent share of the nodes in contact.
+
+        Reports arrive hundreds of times a second, and counting the nodes in contact
+        takes a time that grows with their number.
+        """
+        terms = self.terms_of(organisation)
+        if terms is None:
+            return
+        if now - self.share_counted_at > SHARE_VALID_S:
+            self.share, self.share_counted_at = self.reachable_share(now), now
+        self._refill(organisation, now, *terms, self.share)
+
     def add_peer(self, node: str, now: float) -> None:
         """Count a listed node from which nothing has been received yet.
 
@@ -331,6 +362,11 @@
     ) -> tuple[float, float]:
         """Return the units left of a limit, and its capacity when full."""
         share = self.reachable_share(now)
+        return self._refill(organisation, now, rate, burst, share)
+
+    def _refill(
+        self, organisation: str, now: float, rate: float, burst: float, share: float
+    ) -> tuple[float, float]:
         most = (burst + SLACK_BURST_SHARE * self.slack) * share
         allowance = self._allowance(organisation)
         allowance.refill(now, rate=rate * share, burst=most)
--- a/packages/endive_core/tests/test_shared_limits.py
+++ b/packages/endive_core/tests/test_shared_limits.py
@@ -123,6 +123,18 @@
     assert left == (INITIAL_CREDIT_S + 2.5) * RATE - 100.0
 
 
+def test_a_node_that_was_idle_or_frozen_earns_no_more_than_the_limit_holds():
+    """It charged what others had spent first and earned the rate of the whole time
+    after that, so it took the limit for full while the others had used it up."""
+    limits = SharedLimits(0.0)
+    limits.terms_of = lambda organisation: (RATE, BURST)
+    limits.receive(SpendingOrigin("p", 1, 1, 0.0), {"o": 0.0}, 0.0)
+    limits.left("o", 0.0, rate=RATE, burst=BURST)
+    limits.receive(SpendingOrigin("p", 1, 2, 10.0), {"o": 2.0 * BURST}, 10.0)
+    left, _ = limits.left("o", 10.0, rate=RATE, burst=BURST)
+    assert left == -BURST
+
+
 def test_all_spending_of_a_peer_counts_if_it_started_with_this_node():
     """A hundred nodes start together, and each receives the first broadcast of some
     others only two seconds later, when these have sent thirty. If their spending until
--- a/packages/endive_gateway/src/endive_gateway/context.py
+++ b/packages/endive_gateway/src/endive_gateway/context.py
@@ -107,6 +107,7 @@
         self.pool = ConnectionPool(wire, self.paths, self.path_monitor)
         self.path_monitor.on_dead_connections = self.pool.drop
         self.limits = SharedLimits(time.monotonic(), slack=settings.bounds.quota_slack)
+        self.limits.terms_of = self._rate_and_burst
         self.limit_sharing = LimitSharing(
             settings.location.address,
             self.registry,
@@ -170,6 +171,10 @@
         organisations = self.table.organisations if self.table else None
         return (organisations or {}).get(organisation)
 
+    def _rate_and_burst(self, organisation: str) -> tuple[float, float] | None:
+        terms = self.terms(organisation)
+        return (terms.rate, terms.burst) if terms and terms.rate > 0 else None
+
     def _take_locally(self, terms: OrganisationLimits, units: float) -> float:
         """Take units without notifying other nodes."""
         return self.limits.wait_s(
