Let a rest that the node forgets first still end bit by bit

By reading: rests that are over are forgotten with each broadcast, and a server that was no longer named got requests at once instead of one at a time, unless the scheduler had looked before. Rests that are over now end before changed ones are applied. Test: test_a_rest_that_is_forgotten_when_it_is_over_still_ends_bit_by_bit failed (four requests at once). And orders of servers count only servers that have asked several nodes for rest, not those that have refused a request in the last second.

--- a/packages/endive_core/src/endive_core/resting.py
+++ b/packages/endive_core/src/endive_core/resting.py
@@ -60,6 +60,7 @@
 
     def set_times(self, times: RestTimes, now: float) -> None:
         """Apply changed times; a server that is no longer named rests no more."""
+        self.update(now)
         self.times = times
         for server_id in self.resting - times.own.keys() - self.pauses.keys():
             self._end(server_id, ramps=False)
--- a/packages/endive_core/tests/test_resting.py
+++ b/packages/endive_core/tests/test_resting.py
@@ -134,6 +134,15 @@
     assert (["s0"] in sent) is others_full
 
 
+def test_a_rest_that_is_forgotten_when_it_is_over_still_ends_bit_by_bit():
+    """The node may forget it before the scheduler has seen its end."""
+    made = scheduler(servers=1, slots=8)
+    rest(made, ["s0"])
+    made.resting.set_times(RestTimes({}, {}), REST_S + 0.1)
+    sent = [offer(made, n, REST_S + 0.1, target_s=30.0)[1] for n in range(4)]
+    assert sent == [["s0"], [], [], []]
+
+
 def test_a_server_that_is_removed_and_added_again_still_rests():
     made = scheduler(servers=2)
     rest(made, ["s0"])
--- a/packages/endive_gateway/src/endive_gateway/server_rests.py
+++ b/packages/endive_gateway/src/endive_gateway/server_rests.py
@@ -325,7 +325,10 @@
     # What the rests mean
 
     def closed_servers(self, service: str) -> int:
-        """Return how many usable servers of a service several nodes send nothing."""
+        """Return how many usable servers of a service rest for several nodes.
+
+        Those that have only refused requests are not counted.
+        """
         known = map(self.registry.get, self.rests.keys() | self.unwilling.keys())
         return sum(
             server.usable and self._is_closed(server.entry.id)
@@ -335,7 +338,8 @@
 
     def _is_closed(self, server: str) -> bool:
         now = time.monotonic()
-        if server in self.unwilling and self.unwilling[server].until > now:
+        found = self.unwilling.get(server)
+        if found is not None and found.until > now + REFUSAL_TOLD_S:
             return True
         told = sum(until > now for until in self.told.get(server, {}).values())
         return self.is_resting(server) and (told > 0 or self.placer.nodes == 1)
