--- a/packages/endive_core/src/endive_core/admission.py
+++ b/packages/endive_core/src/endive_core/admission.py
@@ -168,7 +168,7 @@
         )
         return Refusal.from_kind(
             ErrorKind.OVERLOADED,
-            f"all servers have asked for rest, for {wait_s:.3f} s more",
+            f"all servers have turned requests away; none is sent for {wait_s:.3f} s",
             retry_after_s,
         )
 
