--- a/tests/test_platform_logs.py
+++ b/tests/test_platform_logs.py
@@ -7,7 +7,7 @@
 from endive_core.routing import OrganisationLimits, RouteKind
 from endive_node import logs
 from gateway_builders import RunningGateway, make_context, make_route, make_table
-from server_builders import ScriptedServer
+from server_builders import ScriptedServer, answer
 
 OPERATIONS_PAGE = Path(__file__).resolve().parents[1] / "docs" / "OPERATIONS.md"
 LINE_PATTERN = re.compile(r"^event=(\S+) .*$", re.MULTILINE)
@@ -67,9 +67,12 @@
     with RunningGateway(server, table=unsafe) as running:
         running.context.placer.try_both = lambda *server: REFUSED
         running.call(method="POST", body=b"x")
+    resting = answer(503, b"", extra="Refused: 1\r\nRest: 1.2\r\n")
+    with RunningGateway(ScriptedServer(resting)) as running:
+        running.call(wait_ms=200)
     gevent.sleep(0)
     assert documented_lines() - written_lines(log_lines) == set()
-    assert len(documented_lines()) == 4
+    assert len(documented_lines()) == 6
 
 
 def test_a_closed_port_is_detected():
