Spread the callers whose deadline comes before a rest ends

What callers saw: while all servers of a service rested, those whose deadline came before the end of the rest were refused with deadline_exceeded and all told the same Retry-After, the end. They would have come back in one moment, to servers that take one request at first. Only callers without such a deadline were spread.

Cause: the check of the deadline came before the check of resting servers, and its prediction has the rest in it. The rest is now looked at first, so they are refused as overloaded and told different times after the end.

test_callers_whose_deadline_comes_before_the_end_are_not_told_the_same_time failed before (deadline_exceeded, one time for all 20) and passes. The core's tests and the gateway's of rests pass.

--- a/packages/endive_core/src/endive_core/admission.py
+++ b/packages/endive_core/src/endive_core/admission.py
@@ -190,15 +190,16 @@
             margin=self.policy.admission_margin,
             max_bulk_wait_s=self.policy.max_bulk_wait_s,
         )
-        if call.deadline is not None and now + prediction.first_token_s > call.deadline:
+        is_late = now + prediction.first_token_s > (call.deadline or math.inf)
+        resting_s = self.resting.wait_s(now)
+        if resting_s and (is_late or prediction.long_wait_s > allowed):
+            return self.resting_refusal(call, resting_s, now)
+        if is_late:
             return Refusal.from_kind(
                 ErrorKind.DEADLINE_EXCEEDED,
                 "the deadline can't be met",
                 max(self.policy.min_retry_after_s, prediction.wait_s),
             )
-        resting_s = self.resting.wait_s(now)
-        if resting_s and prediction.long_wait_s > allowed:
-            return self.resting_refusal(call, resting_s, now)
         key = (call.organisation, call.rank)
         cost_s = call.tokens * prediction.seconds_per_token
         cost_s = max(cost_s, self.throttling.call_s())
--- a/packages/endive_core/tests/test_resting.py
+++ b/packages/endive_core/tests/test_resting.py
@@ -75,6 +75,19 @@
     assert max(told) - min(told) > 0.5
 
 
+def test_callers_whose_deadline_comes_before_the_end_are_not_told_the_same_time():
+    """All were told the end of the rest, and would have returned in one moment."""
+    made = scheduler(servers=2)
+    rest(made, ["s0", "s1"])
+    refusals = [
+        offer(made, n, 0.5, deadline=2.0, fingerprint=f"f{n}")[0] for n in range(20)
+    ]
+    assert {refusal.kind for refusal in refusals} == {ErrorKind.OVERLOADED}
+    told = [refusal.retry_after_s for refusal in refusals]
+    assert min(told) >= REST_S - 0.5
+    assert len(set(told)) == len(told)
+
+
 def test_a_call_that_can_wait_is_sent_when_the_rest_is_over():
     made = scheduler(servers=1)
     rest(made, ["s0"], until=0.3)
