Count the crash of a server that was wrongly taken for crashed before

What callers saw: nothing yet; found by reading. A node that had once taken a server for crashed, though it went on, didn't count that server's real crash: the requests that may have caused it stayed those that ran at the first report, so a request that crashes servers got one more of them.

Cause: the suspects of a crash were fixed by its name, server and incarnation, at the first report. A ticket that was sent after that report shows that the server still ran, and its end is a crash of its own. The other requests that a crash ends were sent before it is reported, and are judged as before.

test_a_crash_counts_though_the_server_was_taken_for_crashed_before failed before (count 0) and passes; test_a_request_that_was_sent_before_a_crash_was_reported_is_not_suspected passes before and after. All tests of the core and of crashes at the gateway pass.

--- a/packages/endive_core/src/endive_core/failures.py
+++ b/packages/endive_core/src/endive_core/failures.py
@@ -1,5 +1,6 @@
 """Handles failed attempts: server pauses, crash attribution, retries and refusals."""
 
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from endive_core.calls import Refusal, Retry, Stage, Ticket
@@ -21,6 +22,14 @@
 are reported one by one."""
 
 
+@dataclass(frozen=True, slots=True)
+class ReportedCrash:
+    """The tickets that may have caused a crash, as it was first reported."""
+
+    at: float
+    suspects: set[Ticket]
+
+
 class FailureHandler:
     """Decides after each failed attempt what becomes of the server and the request.
 
@@ -32,8 +41,8 @@
     ----------
     running : dict of str to set of Ticket
         Tickets dispatched to each server.
-    crash_suspects : dict of str to set of Ticket
-        Tickets that may have caused each recent crash.
+    reported_crashes : dict of str to ReportedCrash
+        The recent crashes, by server with its incarnation.
     paused : list of ServerLoad
         Paused servers, the first to be resumed first.
     """
@@ -53,7 +62,7 @@
         self.random = random
         self.budgets: dict[str, RetryBudget] = {}
         self.running: dict[str, set[Ticket]] = {}
-        self.crash_suspects: dict[str, set[Ticket]] = {}
+        self.reported_crashes: dict[str, ReportedCrash] = {}
         self.paused: list[ServerLoad] = []
 
     def set_deployments(self, deployments: dict[str, "Deployment"]) -> None:
@@ -79,29 +88,30 @@
         crashed : str
             Server with the number of its incarnation; empty if it did not crash.
         """
-        if crashed and self._may_have_caused(ticket, crashed):
+        if crashed and self._may_have_caused(ticket, crashed, now):
             self.crashes.add(Crash(ticket.call.fingerprint, crashed, now))
             ticket.suspect = True
 
-    def _may_have_caused(self, ticket: Ticket, crashed: str) -> bool:
+    def _may_have_caused(self, ticket: Ticket, crashed: str, now: float) -> bool:
         """Return whether `ticket` may have caused the crash that ended it.
 
         A crash ends all requests on the server, but those without a first token are the
         likeliest cause; streams are suspected only if there were none. A server under a
         reclaim notice was reclaimed and did not crash. If every stream were suspected,
         requests that crashed nothing would be refused after the second reclaimed zone.
+        A request that was sent after the report shows that the server still ran.
         """
-        if crashed not in self.crash_suspects:
+        reported = self.reported_crashes.get(crashed)
+        if reported is None or ticket.dispatched_at > reported.at:
             running = self.running.get(ticket.server, set())
             starting = {t for t in running if t.stage is Stage.DISPATCHED}
             server = self.servers.servers.get(ticket.server)
             leaving = server is not None and server.view.leaving
-            self.crash_suspects[crashed] = (
-                set() if leaving else starting or set(running)
-            )
-            if len(self.crash_suspects) > MAX_TRACKED_CRASHES:
-                del self.crash_suspects[next(iter(self.crash_suspects))]
-        return ticket in self.crash_suspects[crashed]
+            suspects = set() if leaving else starting or set(running)
+            reported = self.reported_crashes[crashed] = ReportedCrash(now, suspects)
+            if len(self.reported_crashes) > MAX_TRACKED_CRASHES:
+                del self.reported_crashes[next(iter(self.reported_crashes))]
+        return ticket in reported.suspects
 
     def penalise_server(
         self, server: ServerLoad, reason: RetryReason, now: float
--- a/packages/endive_core/tests/test_failures.py
+++ b/packages/endive_core/tests/test_failures.py
@@ -70,6 +70,27 @@
     assert made.crashes.count(streaming.call.fingerprint, 1.0) == 0
 
 
+def test_a_crash_counts_though_the_server_was_taken_for_crashed_before():
+    """Only the requests that ran at the first report were ever suspected."""
+    made = scheduler(servers=1, slots=8, admission_margin=1.0)
+    (first,) = start(made, 1)
+    made.failed(first, 0.2, RetryReason.SERVER_FAILED, started=True, crashed="s0@1")
+    made.next_dispatch(5.0)
+    later = made.offer(call(2, fingerprint="bad"), 5.0)
+    made.next_dispatch(5.0)
+    made.failed(later, 5.2, RetryReason.SERVER_FAILED, started=True, crashed="s0@1")
+    assert made.crashes.count("bad", 5.3) == 1
+
+
+def test_a_request_that_was_sent_before_a_crash_was_reported_is_not_suspected():
+    made = scheduler(servers=1, slots=8, admission_margin=1.0)
+    streaming, starting = start(made, 2)
+    made.started(streaming, 0.1)
+    made.failed(starting, 0.2, RetryReason.SERVER_FAILED, started=True, crashed="s0@1")
+    made.failed(streaming, 0.3, RetryReason.SERVER_FAILED, started=True, crashed="s0@1")
+    assert made.crashes.count(streaming.call.fingerprint, 1.0) == 0
+
+
 def test_the_end_of_a_reclaimed_server_is_not_counted_as_a_crash():
     made = scheduler(servers=2, slots=8)
     (ticket,) = start(made, 1)
