Do not pass on the end of a connection that fell silent in the soak

Cause: a stand-in's. A link that falls silent dropped all further bytes, but when the server then closed its connection, its end was passed on. A node saw the orderly end of a response without a length, between two events; no network does that. Faults that cut nodes off (mode "hang") and servers' unframed responses had to meet in one stream's quarter of a second.

The end is now dropped too, until the connection is reset. test_the_end_of_a_connection_that_fell_silent_is_not_passed_on failed before.

--- a/tests/soak/network.py
+++ b/tests/soak/network.py
@@ -72,7 +72,7 @@
         self.healed_at = self.clock()
 
     def black_hole(self):
-        """Drop all further bytes of the open connections; new connections work."""
+        """Drop what else the open connections send, and their end; new ones work."""
         self.black_holed |= self.open
 
     def cut_source(self, source, mode):
@@ -139,6 +139,8 @@
                 if source not in self.black_holed:
                     sink.sendall(chunk)
             self._hold(silence)
+            while source in self.black_holed and source.fileno() >= 0:
+                gevent.sleep(HOLD_POLL_S)
             sink.shutdown(socket.SHUT_WR)
         except OSError:
             # One side was reset, so the other side is reset too.
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,11 +1,18 @@
 import os
+import socket
+import time
+from contextlib import closing
 from types import SimpleNamespace
 
 import gevent
 import pytest
+from gevent import socket as gsocket
+from gevent.event import Event
+from gevent.server import StreamServer
 from soak.callers import is_stale
 from soak.faults import FAULTS, set_temporarily
-from soak.fleet import Backend
+from soak.fleet import PORT, Backend
+from soak.network import Link
 from soak.play import run_seed
 
 WORKER = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw"))
@@ -199,6 +206,32 @@
     assert backend.server is None
 
 
+def test_the_end_of_a_connection_that_fell_silent_is_not_passed_on():
+    """Its bytes were dropped, and its end was not: a node saw the orderly end of an
+    unframed response of which a part was missing."""
+
+    def respond(sock, address):
+        sock.sendall(b"first")
+        released.wait()
+        sock.sendall(b"second")
+        sock.shutdown(socket.SHUT_WR)
+
+    released = Event()
+    server = StreamServer((f"127.{SLOT}.9.1", 0), respond)
+    server.start()
+    target = "{}:{}".format(*server.address)
+    link = Link(f"127.{SLOT}.9.2", PORT, target, time.monotonic)
+    with closing(gsocket.create_connection((f"127.{SLOT}.9.2", PORT))) as sock:
+        assert sock.recv(5) == b"first"
+        link.black_hole()
+        released.set()
+        sock.settimeout(0.3)
+        with pytest.raises(TimeoutError):
+            sock.recv(1)
+    link.stop()
+    server.stop()
+
+
 class Target:
     """An object whose attribute is set by faults."""
 
