Let the soak's silent servers fall silent while they run something

Cause: a silence mostly began while its server ran nothing that the rule looks at.

A silence now begins while the server runs a request that may run once, if one comes within a second, and a stream that is cut counts as one that was given up, unless its node was cut off from servers.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -126,7 +126,7 @@
             return "hung"
         except (OSError, HTTPException) as error:
             self.close()
-            return self._handle_disconnect(response, request_id, sent_at, error)
+            return self._handle_disconnect(kind, response, request_id, sent_at, error)
         if response.status in (502, 504) and self.node.was_healthy(sent_at):
             self._check_not_given_up(kind, request_id, sent_at)
         correct = _is_correct(kind, request_id, response, body)
@@ -152,9 +152,11 @@
                     "silence", f"{kind.name} {request_id} at {running[0]}"
                 )
 
-    def _handle_disconnect(self, response, request_id, sent_at, error):
+    def _handle_disconnect(self, kind, response, request_id, sent_at, error):
         checker = self.fleet.checker
         if response is not None and response.headers is not None:
+            if self.node.was_healthy(sent_at) and not self.node.was_cut(sent_at):
+                self._check_not_given_up(kind, request_id, sent_at)
             checker.request_ended(request_id, "cut")
             return "cut"
         if self.node.was_healthy(sent_at):
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -13,6 +13,7 @@
 
 SERIES_SHARE = 0.35
 MAX_IN_SERIES = 4
+SILENCE_WAIT_S = 1.0
 MEAN_GAP_S = 0.9
 """Mean time between two faults, seconds: short enough that most of them overlap."""
 
@@ -218,8 +219,14 @@
 
 
 def server_silent(fleet, fault):
-    """Hold back all bytes from and to a sound server for a second or so."""
+    """Hold back all bytes from and to a sound server for a second or so.
+
+    It begins while the server runs a request that may run only once, if one comes soon.
+    """
     backend = backend_of(fleet, fault)
+    with gevent.Timeout(SILENCE_WAIT_S, False):
+        while not backend.runs_once():
+            gevent.sleep(0.005)
     if backend.server is None or not backend.link.is_healthy:
         return
     backend.silent = backend.link.silent_out = backend.link.silent_back = True
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -285,6 +285,12 @@
             and self.link.reset_at < since
         )
 
+    def runs_once(self):
+        """Return whether the server runs a request that may run only once."""
+        requests = self.fleet.checker.requests
+        running = self.server.running_ids if self.server is not None else ()
+        return any(requests[name].max_runs == 1 for name in running)
+
     def is_undisturbed(self, node_name):
         """Return whether a node and this server's link had no fault recently."""
         since = self.fleet.clock() - LIMIT_WINDOW_S - CONTACT_S
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -258,6 +258,8 @@
     rest_s : float or None
         Time for which it asks each node for rest whose request it turns away, as it
         does with all; ``None`` if it serves requests.
+    running_ids : set of str
+        The requests that it runs.
     leaving : bool
         Whether it says in its responses that it leaves, whatever its entry says.
     unframed : bool
@@ -282,6 +284,7 @@
         self.born = born
         self.checker = checker
         self.running = 0
+        self.running_ids = set()
         self.error_share = 0.0
         self.unframed = False
         self.broken_share = 0.0
@@ -333,6 +336,7 @@
             request_id, self.id, environ.get("HTTP_TENANT", "")
         )
         self.running += 1
+        self.running_ids.add(request_id)
         try:
             if environ["PATH_INFO"].startswith(CRASHING_PATH):
                 self.checker.server_crashed(environ["PATH_INFO"])
@@ -349,6 +353,7 @@
             return respond(start, 200, plain_body(request_id), headers)
         finally:
             self.running -= 1
+            self.running_ids.discard(request_id)
 
     def _node_of(self, request_id):
         """Return the node that sent a request; ``None`` if it is not known."""
@@ -412,9 +417,11 @@
 
     def _events(self, request_id, first):
         self.running += 1
+        self.running_ids.add(request_id)
         try:
             for number in range(first, EVENTS + 1):
                 gevent.sleep(EVENT_GAP_S)
                 yield event(request_id, number)
         finally:
             self.running -= 1
+            self.running_ids.discard(request_id)
