Send the soak's crashing requests first to some nodes, then to the others

Cause: the request went to nodes at random, and a node runs it until it has seen two crashes itself. When three crashes were known long enough for the rule to apply, most nodes had had the request already, so that too few were left to crash servers late.

Half of the nodes now get it first. Once three crashes must be known, or half of the time is over, the other nodes get it in turn, three times each, since at times no server is left to crash; then all at random as before. The bound is the same.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -18,6 +18,10 @@
 PROBE_GAP_S = 0.15
 REFUSED_PAUSE_S = 0.1
 CRASH_GAP_S = 0.6
+TURNS = 3
+"""How often each node gets a request that crashes servers after others have had it: at
+times no server is left to crash."""
+
 KNOWN_CRASHES, MAX_LATE_CRASHES = 3, 3
 """Crashes of servers by one request after which all nodes in contact must know of it,
 and how many more it may then cause."""
@@ -240,19 +244,28 @@
     ----------
     late_crashes : int
         Servers that it has crashed at nodes that had to know of three crashes.
+    first_nodes : list of NodeProcess
+        Nodes that get the request at first.
+    turns : list of NodeProcess
+        The other nodes, several times each, in the order in which they get it once the
+        first ones must have told them of it.
     """
 
     def __init__(self, fleet, random, content):
         super().__init__(fleet, random, "")
         self.path = f"{CRASHING_PATH}/{content}"
         self.late_crashes = 0
+        nodes = random.sample(fleet.nodes, len(fleet.nodes))
+        half = len(nodes) // 2
+        self.first_nodes, self.turns = nodes[:half], TURNS * nodes[half:]
 
     def run_for(self, seconds):
         """Send the request until `seconds` have passed."""
         checker = self.fleet.checker
-        end = self.fleet.clock() + seconds
+        began_at = self.fleet.clock()
+        end = began_at + seconds
         while self.fleet.clock() < end:
-            node = self.random.choice(self.fleet.nodes)
+            node = self._next_node(began_at + seconds / 2)
             due, before = self._is_due(node), len(checker.crashes[self.path])
             self.call(KINDS[0], self.path, "free", node)
             self.late_crashes += due * (len(checker.crashes[self.path]) - before)
@@ -263,13 +276,27 @@
                 return
             gevent.sleep(CRASH_GAP_S)
 
-    def _is_due(self, node):
-        """Return whether `node` must know of three crashes by now."""
-        now = self.fleet.clock()
+    def _next_node(self, spread_at):
+        """Return where to send next; all nodes get the request from `spread_at` on."""
+        if not self.turns:
+            return self.random.choice(self.fleet.nodes)
+        if self._is_known(self.fleet.clock()) or self.fleet.clock() > spread_at:
+            return self.turns.pop()
+        return self.random.choice(self.first_nodes)
+
+    def _is_known(self, now):
+        """Return whether three crashes lie far enough back that nodes know them."""
         crashes = self.fleet.checker.crashes[self.path]
         return (
             len(crashes) >= KNOWN_CRASHES
             and now - crashes[KNOWN_CRASHES - 1] > CONTACT_S
+        )
+
+    def _is_due(self, node):
+        """Return whether `node` must know of three crashes by now."""
+        now = self.fleet.clock()
+        return (
+            self._is_known(now)
             and self.fleet.lag.stalled_within(CONTACT_S) < MAX_STALL_S
             and node.is_connected(now - CONTACT_S)
         )
