Detect nodes without leases of slots in a seed that has enough of brittle servers

Cause: in its seed the engines were brittle for one time of 4.5 s. A first failure that sets off the next ones is likely there, not certain: in the run that was missed they refused five requests in all, none of them failed; else they failed 6 to 15 times.

With seed 87 and no other kind of fault, the engines are brittle twice, and tolerate one refusal a second both times.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -82,7 +82,7 @@
     "leaving": ("leaving", 1, WORDS),
     "broken-streams": ("wrong response", 1, UNFRAMED),
     "silence-ends": ("silence", 1, SILENT),
-    "no-leases": ("brittle", 1, ("servers_brittle", "change_configuration")),
+    "no-leases": ("brittle", 87, ("servers_brittle",)),
     "no-transit": ("cut off", 1, SERVERS_CUT),
 }
 """By mutant: the rule that it violates, the seed, and the kinds of faults to inject."""
