Try a server again some time after another one answered at its address

What callers saw: nothing yet; found by reading, as the one belief in the table of DECISIONS.md that only the traffic it holds back could end. A 421 that was given by mistake, or after which the server got its address back, kept the server out of use on that node until it registered with another address or incarnation.

The belief now ends after 5 s, doubled to 60 s for each further 421 of the same process. The entry of a server that has ended lapses before that. A 421 costs one request that isn't run and doesn't count as an attempt, so the price of a try is known and small.

test_a_server_that_stays_listed_is_tried_again_after_another_answered and the test of the bound failed before (never usable again); the gateway's tests of servers and of leaving pass. New log line: server_tried_again.

--- a/packages/endive_gateway/src/endive_gateway/servers.py
+++ b/packages/endive_gateway/src/endive_gateway/servers.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+import gevent
 from endive_node.logs import log_event
 
 from endive_gateway.interfaces import ServerEntry, ServerState
@@ -16,6 +17,16 @@
 0.3 s are left for the network."""
 
 
+CONTRADICTED_S = 5.0
+MAX_CONTRADICTED_S = 60.0
+"""Time after which a server is tried again though another one has answered at its
+address, the first and the longest, seconds. The entry of a server that has ended lapses
+within a few seconds."""
+
+TIMER_SLACK_S = 0.02
+"""Margin for timers that fire early, seconds."""
+
+
 @dataclass(frozen=True, slots=True)
 class LeavingWord:
     """A server's own word that it leaves.
@@ -46,11 +57,17 @@
         When it is to be dropped, if its entry lapsed during an outage of the store.
     contradicted : bool
         Whether another server answered at its address.
+    contradictions : int
+        How often one did while this process ran.
+    contradicted_until : float
+        When it is tried again, seconds on the monotonic clock.
     """
 
     entry: ServerEntry
     drop_at: float | None = None
     contradicted: bool = False
+    contradictions: int = 0
+    contradicted_until: float = 0.0
     word: LeavingWord | None = None
     is_last: bool = False
 
@@ -64,6 +81,13 @@
         """Whether it may get requests."""
         return self.is_sound and (self.word is None or self.is_last)
 
+    def contradict(self, now: float) -> None:
+        """Record that another server answered at its address."""
+        pause_s = CONTRADICTED_S * 2.0 ** min(self.contradictions, 32)
+        self.contradicted = True
+        self.contradictions += 1
+        self.contradicted_until = now + min(pause_s, MAX_CONTRADICTED_S)
+
 
 class ServerRegistry:
     """All known servers by id.
@@ -114,7 +138,7 @@
         if known is None:
             known = self.servers[entry.id] = KnownServer(entry)
         elif _process_key(before) != _process_key(entry):
-            known.contradicted = False
+            known.contradicted, known.contradictions = False, 0
         known.entry = entry
         word = self.words.get(entry.id)
         is_same = word is not None and word.incarnation == entry.incarnation
@@ -175,15 +199,21 @@
         return bool(over)
 
     def mark_misidentified(self, server_id: str) -> None:
-        """Stop using a server until it registers with another address or incarnation.
+        """Stop using a server, since another one answered at its address.
 
-        Called when another server answered at its address.
+        It is used again once it registers with another address or incarnation, or if
+        its entry is still there after a while.
         """
         known = self.servers.get(server_id)
         if known is not None and not known.contradicted:
-            known.contradicted = True
+            now = time.monotonic()
+            known.contradict(now)
+            left_s = known.contradicted_until - now
+            gevent.spawn_later(left_s + TIMER_SLACK_S, self.settle)
             self._choose_last(known.entry.service)
-            log_event("server_contradicted", server=server_id)
+            log_event(
+                "server_contradicted", server=server_id, times=known.contradictions
+            )
             self.notify_listeners()
 
     def mark_leaving(self, server_id: str, word: LeavingWord) -> bool:
@@ -207,12 +237,29 @@
         self.words.pop(server_id, None)
 
     def settle(self) -> None:
-        """Stop using the last servers of services whose time is over."""
+        """Apply what time alone changes.
+
+        The last servers of services whose time is over are no longer used, and those at
+        whose address another one answered a while ago are tried again.
+        """
         services = {s.entry.service for s in self.servers.values() if s.is_last}
-        changed = [self._choose_last(service) for service in services]
-        if any(changed):
+        ended = self._end_contradictions(time.monotonic())
+        changed = [self._choose_last(service) for service in services | ended]
+        if any(changed) or ended:
             self.notify_listeners()
 
+    def _end_contradictions(self, now: float) -> set[str]:
+        """Let servers be tried again whose time has come; return their services."""
+        services = set()
+        for server_id, known in self.servers.items():
+            if known.contradicted and now >= known.contradicted_until:
+                known.contradicted = False
+                services.add(known.entry.service)
+                log_event(
+                    "server_tried_again", server=server_id, times=known.contradictions
+                )
+        return services
+
     def _choose_last(self, service: str) -> bool:
         """Choose the leaving server to use where a service has no other.
 
--- a/packages/endive_gateway/tests/test_servers.py
+++ b/packages/endive_gateway/tests/test_servers.py
@@ -1,8 +1,23 @@
+from types import SimpleNamespace
+
+import pytest
 from endive_gateway.interfaces import ServerState
-from endive_gateway.servers import LAPSE_GRACE_S, ServerRegistry
+from endive_gateway.servers import (
+    CONTRADICTED_S,
+    LAPSE_GRACE_S,
+    MAX_CONTRADICTED_S,
+    ServerRegistry,
+)
 from gateway_builders import make_entry
 
 
+@pytest.fixture
+def clock(monkeypatch):
+    made = SimpleNamespace(now=100.0)
+    monkeypatch.setattr("time.monotonic", lambda: made.now)
+    return made
+
+
 def test_an_older_entry_that_arrives_late_is_ignored():
     """The store returns a leaving server's entry, and after it an older one. If that
     were applied, the server would get requests until it is gone, and they would be
@@ -66,6 +81,40 @@
     assert registry.drop("i-1", 2.0, after_outage=True)
 
 
+def test_a_server_that_stays_listed_is_tried_again_after_another_answered(clock):
+    """Nothing but a new address or process made it usable again."""
+    registry, notified = ServerRegistry(), []
+    registry.listeners.append(lambda: notified.append(clock.now))
+    registry.put(make_entry())
+    for pause_s in (5.0, 10.0, 20.0):
+        registry.mark_misidentified("i-1")
+        clock.now += pause_s - 0.1
+        registry.settle()
+        assert not registry.get("i-1").usable
+        clock.now += 0.1
+        registry.settle()
+        assert registry.get("i-1").usable
+        assert notified[-1] == clock.now
+
+
+def test_the_pause_after_another_server_answered_is_bounded(clock):
+    registry = ServerRegistry()
+    registry.put(make_entry())
+    for _ in range(2000):
+        registry.mark_misidentified("i-1")
+        clock.now += MAX_CONTRADICTED_S
+        registry.settle()
+        assert registry.get("i-1").usable
+
+
+def test_a_new_process_at_an_address_begins_with_the_first_pause(clock):
+    registry = ServerRegistry()
+    for incarnation in range(1, 9):
+        registry.put(make_entry(incarnation=incarnation))
+        registry.mark_misidentified("i-1")
+        assert registry.get("i-1").contradicted_until == clock.now + CONTRADICTED_S
+
+
 def test_a_server_whose_address_another_has_is_unusable_until_a_new_entry():
     registry = ServerRegistry()
     registry.put(make_entry(sequence=1))
