Hold the log back until the server is killed in the claims' test

Traced before: the server was killed too late. The log delayed each claim by 0.5 s, and a kill later than that finds the calls sent.

The log's stand-in is now suspended until the server has been killed, so no claim can be decided before. The nodes' time-out of a log call, 1.0 s in tests, is raised to 10 s, so that they don't give the log up meanwhile. What is asked for is unchanged.

--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -205,12 +205,16 @@
 def test_server_reclaimed_between_claim_and_dispatch(cluster):
     """A server is killed while the claim is being decided. Nothing was sent to it, so
     the request runs at the other server, under the same claim."""
-    patient = {"claims": {"timeout_s": 15.0, "peer_timeout_s": 10.0}}
+    patient = {
+        "claims": {"timeout_s": 15.0, "peer_timeout_s": 10.0},
+        "platform": {"timeout_s": 10.0},
+    }
     booking = BookingCluster(cluster, sections=patient)
-    cluster.log.faults(delay_s=0.5)
+    cluster.log.signal(signal.SIGSTOP)
     calls = [BackgroundCall(booking.book, booking.nodes[0], f"k{i}") for i in range(4)]
     time.sleep(0.2)
     booking.servers[0].kill()
+    cluster.log.signal(signal.SIGCONT)
     assert [code(call.result()) for call in calls] == ["ok"] * 4
     assert sum(booking.servers[1].stats()["executions"].values()) == 4
 
