Say in the soak what a node does that still runs after its grace period

KNOWN-RED.txt's entry of brittle servers' stop isn't traced since nothing says where the time went between event=stopped and the exit. The violation now names the process's state, the call of the kernel that it is in and its wait for a processor.

--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -13,7 +13,7 @@
 
 from soak.callers import HOST, KINDS, PLAIN_UNITS
 from soak.invariants import CONTACT_S, LIMIT_WINDOW_S, InvariantChecker, Limit
-from soak.lag import Lag, processor_wait_s
+from soak.lag import Lag, process_state, processor_wait_s
 from soak.network import Link
 from soak.standins import (
     CONFIGURATION,
@@ -150,8 +150,9 @@
         self.busy = True
         self.signal(signal.SIGTERM)
         if not self._wait(GRACE_S + EXIT_SLACK_S):
+            state = process_state(self.process.pid)
             self.fleet.checker.record_violation(
-                "stop", f"{self.name} still runs after its grace period"
+                "stop", f"{self.name} still runs after its grace period, {state}"
             )
             self.kill()
         self.busy = False
--- a/tests/soak/lag.py
+++ b/tests/soak/lag.py
@@ -46,6 +46,17 @@
         return sum(late_s for at, late_s in self.samples if at > since)
 
 
+def process_state(pid):
+    """Return what a process does now, and for how long it has waited for a processor."""
+    try:
+        state = Path(f"/proc/{pid}/stat").read_text().rpartition(") ")[2].split()[0]
+        call = Path(f"/proc/{pid}/wchan").read_text() or "no call"
+    except OSError as error:
+        return f"its state can't be read ({error})"
+    waited_s = processor_wait_s(pid)
+    return f"state {state} in {call}, waited {waited_s:.1f} s for a processor so far"
+
+
 def processor_wait_s(pid):
     """Return for how long a process has waited for a processor, seconds.
 
