--- a/tests/soak/lag.py
+++ b/tests/soak/lag.py
@@ -47,7 +47,7 @@
 
 
 def process_state(pid):
-    """Return what a process does now, and for how long it has waited for a processor."""
+    """Return what a process does, and for how long it has waited for a processor."""
     try:
         state = Path(f"/proc/{pid}/stat").read_text().rpartition(") ")[2].split()[0]
         call = Path(f"/proc/{pid}/wchan").read_text() or "no call"
