Keep the values that servers state at one place, and log unreadable ones once

limit_sharing and brittle_services each kept what servers state with the same code: who may end it, its time, its id, its log line, its rotation in messages.

With it a fault: a limit or brittleness that can't be read was logged with each response, not once by server as rests and leaving are. test_a_value_that_cannot_be_read_is_logged_once_by_server failed before (6 lines for 2). The line server_brittleness_invalid is now server_brittle_invalid, as the others' names are made.

--- a/packages/endive_gateway/src/endive_gateway/__init__.py
+++ b/packages/endive_gateway/src/endive_gateway/__init__.py
@@ -20,8 +20,8 @@
 - messages between nodes: ``peers``, ``nodes``, ``state_messages``, ``datagrams``,
   ``spending``, ``spending_messages``, ``prompts``, ``crash_exchange``,
   ``slot_leasing``
-- what servers state of themselves: ``server_statements``, ``limit_sharing``,
-  ``brittle_services``, ``server_rests``, ``leaving_servers``
+- what servers state of themselves: ``server_statements``, ``stated_values``,
+  ``limit_sharing``, ``brittle_services``, ``server_rests``, ``leaving_servers``
 - cluster-wide duties, performed by one node at a time: ``duties``, ``autoscaling``
 - observability: ``logstream``, ``metrics``
 """
--- a/packages/endive_gateway/src/endive_gateway/limit_sharing.py
+++ b/packages/endive_gateway/src/endive_gateway/limit_sharing.py
@@ -1,42 +1,28 @@
 """Shares the limits that backend servers name with the other gateways.
 
-Each node passes on in its state messages what servers have told it or others. Who may
-send how much follows from the limit and the nodes that are presumed to be live, so no
-message is needed for a request.
+Who may send how much follows from the limit and the nodes that are presumed to be live,
+so no message is needed for a request.
 """
 
 import time
 from collections.abc import Callable
 from random import Random
 
-from endive_core.server_limits import (
-    LimitReport,
-    LimitShare,
-    ServerLimits,
-    share_of,
-    sharers,
-)
+from endive_core.server_limits import LimitReport, LimitShare, share_of, sharers
 from endive_core.shared_limits import SharedLimits
 from endive_node.logs import log_event
 
 from endive_gateway.interfaces import ResponseMetadata
 from endive_gateway.placing import Placer
 from endive_gateway.servers import ServerRegistry
+from endive_gateway.stated_values import StatedValues
 
-MAX_REPORTS = 8
-"""Most servers' limits in one state message."""
 
-ID_BITS = 62
-"""Random bits of a report's id: the integers of the messages have up to 63."""
-
-
-class LimitSharing:
+class LimitSharing(StatedValues):
     """Keeps the limits of servers together with the other nodes.
 
     Attributes
     ----------
-    reports : ServerLimits
-        What servers have said, to this node or to others.
     shares : dict of str to LimitShare
         This node's shares by server, as the placer has them.
     nodes : set of str
@@ -47,6 +33,8 @@
         Returns the addresses of the other nodes that are presumed to be live.
     """
 
+    event, field = "server_limit", "limit"
+
     def __init__(
         self,
         address: str,
@@ -55,81 +43,24 @@
         limits: SharedLimits,
         random: Random,
     ) -> None:
+        super().__init__(registry, random)
         self.address = address
-        self.registry = registry
         self.placer = placer
         self.limits = limits
-        self.random = random
-        self.reports = ServerLimits()
         self.shares: dict[str, LimitShare] = {}
         self.nodes: set[str] = set()
         self.sharers: dict[str, tuple[float, list[str]]] = {}
         self.peer_addresses: Callable[[], list[str]] = list
 
-    def observe(
-        self,
-        server: str,
-        metadata: ResponseMetadata,
-        sent_at: float,
-        *,
-        is_success: bool = True,
-    ) -> None:
-        """Apply what a server's response says about its limit.
-
-        Only a success without a limit ends one: a server in need may fail a request
-        before it gets to name its limit.
-
-        Parameters
-        ----------
-        sent_at : float
-            When the request was sent, seconds on the monotonic clock.
-        """
-        if metadata.invalid_limit:
-            log_event(
-                "server_limit_invalid", server=server, found=metadata.invalid_limit
-            )
-            return
-        before, limit = self.reports.limit(server), metadata.request_limit
-        if limit is None and (before is None or not is_success):
-            return
-        # A server may have begun a response without a limit before it named one, and
-        # the response may arrive later.
-        at = sent_at if limit is None else time.monotonic()
-        report = LimitReport(server, limit, at, self.random.getrandbits(ID_BITS))
-        if self.reports.learn(report):
-            self._log_change(server, before, peer="", age_s=0.0)
-            self.refresh()
-
-    def learn(self, peer: str, reports: list[LimitReport]) -> None:
-        """Apply the reports that another node passes on."""
-        changed = False
-        for report in reports:
-            before = self.reports.limit(report.server)
-            if report.server in self.registry.servers and self.reports.learn(report):
-                changed = True
-                age_s = time.monotonic() - report.at
-                self._log_change(report.server, before, peer=peer, age_s=age_s)
-        if changed:
-            self.refresh()
-
-    def _log_change(
-        self, server: str, before: float | None, *, peer: str, age_s: float
-    ) -> None:
-        log_event(
-            "server_limit",
-            server=server,
-            limit=self.reports.limit(server),
-            before=before,
-            peer=peer,
-            age_s=round(age_s, 3),
-        )
+    def read(self, metadata: ResponseMetadata) -> tuple[float | None, str]:
+        """See :meth:`StatedValues.read`."""
+        return metadata.request_limit, metadata.invalid_limit
 
-    def refresh(self) -> None:
+    def apply(self) -> None:
         """Work out this node's shares anew, for the nodes that are live now."""
         if not self.reports.reports and not self.shares:
             return
         now = time.monotonic()
-        self.reports.forget(self.registry.servers, now)
         limited = self.reports.limited()
         nodes = {self.address, *self.peer_addresses()} if limited else set()
         reachable = self.limits.reachable_share(now) if limited else 1.0
--- a/packages/endive_gateway/src/endive_gateway/server_statements.py
+++ b/packages/endive_gateway/src/endive_gateway/server_statements.py
@@ -1,16 +1,13 @@
 """What backend servers state of themselves: read, kept and passed on at one place."""
 
-import time
 from typing import Any
 
-from endive_core.server_limits import LimitReport, ServerLimits
-
 from endive_gateway.brittle_services import BrittleServices
 from endive_gateway.interfaces import ResponseMetadata
 from endive_gateway.leaving_servers import MISDIRECTED_STATUS, LeavingServers
-from endive_gateway.limit_sharing import MAX_REPORTS, LimitSharing
+from endive_gateway.limit_sharing import LimitSharing
 from endive_gateway.server_rests import ServerRests
-from endive_gateway.state_messages import StateMessage, ToldReport
+from endive_gateway.state_messages import StateMessage
 
 
 class ServerStatements:
@@ -73,10 +70,9 @@
 
     def next_fields(self) -> dict[str, Any]:
         """Return the fields of the next state message that pass statements on."""
-        now = time.monotonic()
         return {
-            "server_limits": _encode(self.limits.reports, now),
-            "brittle_servers": _encode(self.brittle.reports, now),
+            "server_limits": self.limits.next_reports(),
+            "brittle_servers": self.brittle.next_reports(),
             "rests": self.rests.next_rests(),
             "unwilling_servers": self.rests.next_unwilling(),
             "leaving_servers": self.leaving.next_words(),
@@ -92,30 +88,13 @@
         is_transit : bool
             Whether connections of this node go through it.
         """
-        now = time.monotonic()
         if message.server_limits:
-            self.limits.learn(message.node, _decode(message.server_limits, now))
+            self.limits.learn_told(message.node, message.server_limits)
         if message.brittle_servers:
-            self.brittle.learn(message.node, _decode(message.brittle_servers, now))
+            self.brittle.learn_told(message.node, message.brittle_servers)
         if message.rests:
             self.rests.learn(address, message.rests, is_transit=is_transit)
         if message.leaving_servers:
             self.leaving.learn(message.node, message.leaving_servers)
         if message.unwilling_servers:
             self.rests.learn_unwilling(message.unwilling_servers)
-
-
-def _encode(reports: ServerLimits, now: float) -> list[ToldReport]:
-    """Return the next reports for a message, with their ages."""
-    return [
-        (report.server, report.limit, now - report.at, report.id)
-        for report in reports.take(MAX_REPORTS)
-    ]
-
-
-def _decode(reports: list[ToldReport], now: float) -> list[LimitReport]:
-    """Return the reports of a message that arrived at `now`."""
-    return [
-        LimitReport(server, limit, now - age_s, report_id)
-        for server, limit, age_s, report_id in reports
-    ]
--- a/packages/endive_gateway/tests/test_server_limits.py
+++ b/packages/endive_gateway/tests/test_server_limits.py
@@ -145,6 +145,19 @@
     assert sharing.reports.limit("i-1") == 1.0
 
 
+def test_a_value_that_cannot_be_read_is_logged_once_by_server(caplog):
+    """Each response of such a server wrote a line."""
+    context = make_context(make_table())
+    bad = ResponseMetadata(invalid_limit="soon", invalid_brittleness="very")
+    for server in ("i-1", "i-2"):
+        context.registry.put(make_entry(server))
+        for _ in range(3):
+            context.limit_sharing.observe(server, bad, time.monotonic())
+            context.brittle_services.observe(server, bad, time.monotonic())
+    assert caplog.text.count("event=server_limit_invalid") == 2
+    assert caplog.text.count("event=server_brittle_invalid") == 2
+
+
 def test_the_limit_of_an_unknown_server_is_not_kept():
     """Any node can send a message, and reports of servers that are gone pile up."""
     context = make_context(make_table())
