Read the load of a server with its other statements

Load was the one statement of servers that attempts still read itself, after the others and before it looked whether another server had answered. server_statements now reads all of them: what another server states than the one that was meant counts for that one only where it names itself. No fault was seen from it: the server meant is unusable from its 421 on.

--- a/packages/endive_gateway/src/endive_gateway/attempts.py
+++ b/packages/endive_gateway/src/endive_gateway/attempts.py
@@ -228,11 +228,8 @@
             metadata,
             self.sent_at,
             through=self.request.transit_node or "",
+            lease=self.lease,
         )
-        if metadata.running is not None:
-            waiting = metadata.waiting or 0
-            self.context.placer.report(view.id, metadata.running, waiting)
-            self.context.slot_leasing.report(self.lease, metadata.running + waiting)
         if message.status == 421:
             self.context.registry.mark_misidentified(view.id)
             raise AttemptError(
--- a/packages/endive_gateway/src/endive_gateway/context.py
+++ b/packages/endive_gateway/src/endive_gateway/context.py
@@ -124,20 +124,22 @@
             self.metrics.events,
         )
         self.leaving_servers = LeavingServers(self.registry, self.metrics.events)
+        self.slot_leasing = SlotLeasing(
+            settings.location.address,
+            self.placer,
+            self.brittle_services,
+            self.metrics.slot_replies,
+        )
         self.server_statements = ServerStatements(
             self.limit_sharing,
             self.brittle_services,
             self.server_rests,
             self.leaving_servers,
+            self.placer,
+            self.slot_leasing,
         )
         self.paths.rests_for = self.server_rests.rests_for
         self.transit_port.is_resting = self.server_rests.is_resting
-        self.slot_leasing = SlotLeasing(
-            settings.location.address,
-            self.placer,
-            self.brittle_services,
-            self.metrics.slot_replies,
-        )
         self.meter = UsageMeter(settings.bounds.usage_window_s)
         self.cluster_clock = ClusterClock(time.monotonic, time.time)
         self.retry_budgets: dict[str, FleetRetryBudget] = {}
--- a/packages/endive_gateway/src/endive_gateway/server_statements.py
+++ b/packages/endive_gateway/src/endive_gateway/server_statements.py
@@ -6,7 +6,9 @@
 from endive_gateway.interfaces import ResponseMetadata
 from endive_gateway.leaving_servers import MISDIRECTED_STATUS, LeavingServers
 from endive_gateway.limit_sharing import LimitSharing
+from endive_gateway.placing import Placer
 from endive_gateway.server_rests import ServerRests
+from endive_gateway.slot_leasing import SlotLease, SlotLeasing
 from endive_gateway.state_messages import StateMessage
 
 
@@ -23,6 +25,10 @@
         Which want no requests from a node for a while.
     leaving : LeavingServers
         Which leave.
+    placer : Placer
+        Keeps their loads.
+    leasing : SlotLeasing
+        Passes the loads of brittle servers on to the nodes that lease their slots.
     """
 
     def __init__(
@@ -31,11 +37,15 @@
         brittle: BrittleServices,
         rests: ServerRests,
         leaving: LeavingServers,
+        placer: Placer,
+        leasing: SlotLeasing,
     ) -> None:
         self.limits = limits
         self.brittle = brittle
         self.rests = rests
         self.leaving = leaving
+        self.placer = placer
+        self.leasing = leasing
 
     def observe(
         self,
@@ -45,15 +55,21 @@
         sent_at: float,
         *,
         through: str,
+        lease: SlotLease | None = None,
     ) -> None:
         """Apply what a server's response states.
 
+        What another server states than the one that was meant counts for that one only
+        where it names itself.
+
         Parameters
         ----------
         sent_at : float
             When the request was sent, seconds on the monotonic clock.
         through : str
             IP address of the node through which the response came, or empty.
+        lease : SlotLease or None
+            The lease with which the request was sent.
         """
         self.leaving.observe(server, status, metadata, through)
         if status == MISDIRECTED_STATUS:
@@ -62,6 +78,10 @@
         is_success = 200 <= status < 300 and metadata.signed
         self.limits.observe(server, metadata, sent_at, is_success=is_success)
         self.brittle.observe(server, metadata, sent_at, is_success=is_success)
+        if metadata.running is not None:
+            waiting = metadata.waiting or 0
+            self.placer.report(server, metadata.running, waiting)
+            self.leasing.report(lease, metadata.running + waiting)
 
     def refresh(self) -> None:
         """Forget what is over, and servers that are gone."""
