Judge probes of full servers by three of them, and seed the simulated nodes' draws

With that alone a run in some hundreds may still fail, so the nodes of simulated fleets draw from the fleet's seed.

--- a/packages/endive_gateway/tests/fleet_simulation.py
+++ b/packages/endive_gateway/tests/fleet_simulation.py
@@ -39,7 +39,8 @@
         self.events = []
         self.reaches = lambda sender, receiver: True
         self.nodes = connected_peers(nodes)
-        for node in self.nodes:
+        for number, node in enumerate(self.nodes):
+            node.context.random.seed(f"{seed}/{number}")
             self.prepare(node)
             self.at(self.clock.now + self.random.random(), self.broadcast, node, 0)
 
--- a/packages/endive_gateway/tests/test_refusals.py
+++ b/packages/endive_gateway/tests/test_refusals.py
@@ -80,10 +80,10 @@
     servers = nodes // 10
     fleet = fleet_of(monkeypatch, servers, tells_load=False, nodes=nodes)
     fleet.run(1.0, per_node * nodes)
-    fleet.full.add("i-0")
+    fleet.full.update(("i-0", "i-1", "i-2"))
     fleet.run(2.0, per_node * nodes)
     since = fleet.clock.now
-    fleet.run(6.0, per_node * nodes)
+    fleet.run(12.0, per_node * nodes)
     refused = sum(at >= since for at, _, _ in fleet.refusals)
-    usual = 6.0 * per_node * nodes / servers
+    usual = len(fleet.full) * 12.0 * per_node * nodes / servers
     assert 2 <= refused < 0.75 * usual
