Use the field's names for departures, reports and shedding load

A server's announcement that it leaves was a "word", nodes that pass a rest on were "tellers", and a server that turns several nodes away "unwilling".

The tests of the gateway and the core pass.

--- a/packages/endive_core/src/endive_core/placement.py
+++ b/packages/endive_core/src/endive_core/placement.py
@@ -38,7 +38,7 @@
 """Random samples that are drawn while they have only servers that turn other nodes'
 requests away."""
 
-UNWILLING_COST_S = 1.0
+SHEDDING_COST_S = 1.0
 """Cost of a server that turns other nodes' requests away, seconds: it gets requests
 only where no other server has room."""
 
@@ -126,7 +126,7 @@
             found += self.servers.available[tier].sample(
                 self.policy.random_candidates, self.random.randrange
             )
-            if not found or any(s.unwilling_until <= now for s in found):
+            if not found or any(s.shedding_until <= now for s in found):
                 break
         allowed = [s for s in found if self.allows(ticket, s, tier)]
         if allowed or not (ticket.avoid or ticket.suspect):
@@ -208,7 +208,7 @@
             weights.wait * (self.wait_s(server, now) + compute)
             + weights.recompute * compute
         )
-        return cost_s + (UNWILLING_COST_S if server.unwilling_until > now else 0.0)
+        return cost_s + (SHEDDING_COST_S if server.shedding_until > now else 0.0)
 
     def wait_s(self, server: ServerLoad, now: float) -> float:
         """Return the predicted wait for the first prefill step at `server`, seconds.
--- a/packages/endive_core/src/endive_core/resting.py
+++ b/packages/endive_core/src/endive_core/resting.py
@@ -70,7 +70,7 @@
         for server_id, until in times.others.items():
             server = self.servers.servers.get(server_id)
             if server is not None:
-                server.unwilling_until = until
+                server.shedding_until = until
 
     def update(self, now: float) -> None:
         """End the rests whose time has come."""
--- a/packages/endive_core/src/endive_core/servers.py
+++ b/packages/endive_core/src/endive_core/servers.py
@@ -81,7 +81,7 @@
         answered more.
     ramp_threshold : float
         Value from which on `ramp` grows slowly.
-    unwilling_until : float
+    shedding_until : float
         Clock time until which several other nodes send it nothing at its request.
     failures : int
         Consecutive failures.
@@ -113,7 +113,7 @@
     ramp: float | None = None
     ramp_threshold: float = math.inf
     refusals: int = 0
-    unwilling_until: float = float("-inf")
+    shedding_until: float = float("-inf")
     failures: int = 0
     next_probe_at: float = 0.0
     latency_ratio: float = 1.0
--- a/packages/endive_gateway/src/endive_gateway/peers.py
+++ b/packages/endive_gateway/src/endive_gateway/peers.py
@@ -383,7 +383,7 @@
         return peers
 
     def _announce_leaving(self, through: str) -> None:
-        """Send a server's word that it leaves to some nodes, which pass it on.
+        """Send a server's announced departure to some nodes, which pass it on.
 
         Parameters
         ----------
--- a/packages/endive_gateway/src/endive_gateway/server_rests.py
+++ b/packages/endive_gateway/src/endive_gateway/server_rests.py
@@ -3,7 +3,7 @@
 A server that turns a request away may say for how long it wants nothing from the node
 that sent it. Another node is not bound by that, but is likely to be turned away too.
 Each node therefore tells the others which servers have asked it. One that hears of
-several nodes for one server passes on that the server is unwilling, and all give it
+several nodes for one server passes on that the server is shedding load, and all give it
 requests only where no other server has room.
 """
 
@@ -30,12 +30,12 @@
 MAX_SPREAD = 0.5
 """Largest part of a rest by which the first request after it is put off."""
 
-MIN_TELLERS = 2
-"""Other nodes that must have been asked for rest for a server to count as unwilling.
+MIN_REPORTERS = 2
+"""Other nodes that must have been asked for rest for a server to count as shedding.
 What one was told says little of the others."""
 
 MAX_ENTRIES = 8
-"""Most rests in one state message, and most unwilling servers."""
+"""Most rests in one state message, and most shedding servers."""
 
 ID_BITS = 62
 """Random bits of an id: the integers of the messages have up to 63."""
@@ -48,11 +48,11 @@
 """Time after which the rest of a server without an entry is forgotten, seconds. An
 entry that has lapsed is back within seconds."""
 
-ToldRest = tuple[str, float, str]
-"""A server, the rest of its rest in seconds, and the node through which it asked."""
+RestReport = tuple[str, float, str]
+"""A server, the time left of its rest, seconds, and the node through which it asked."""
 
-ToldUnwilling = tuple[str, float, int]
-"""A server, for how many seconds more it is unwilling, and the id of that statement."""
+SheddingReport = tuple[str, float, int]
+"""A server, for how many seconds more it is shedding, and the id of that statement."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,7 +80,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Unwilling:
+class Shedding:
     """That several nodes send a server nothing.
 
     Attributes
@@ -106,12 +106,12 @@
     refused : OrderedDict of str to float
         By server that has refused a request without asking for rest, until when others
         are told, seconds on the monotonic clock.
-    told : dict of str to dict of str to float
-        By server, up to `MIN_TELLERS` other nodes that it has asked, with the time on
+    reported : dict of str to dict of str to float
+        By server, up to `MIN_REPORTERS` other nodes that it has asked, with the time on
         the monotonic clock until which they send it nothing.
-    unwilling : OrderedDict of str to Unwilling
-        The unwilling servers, in the order in which they are told to other nodes.
-    told_by_transit : dict of (str, str) to float
+    shedding : OrderedDict of str to Shedding
+        The shedding servers, in the order in which they are told to other nodes.
+    rests_by_transit : dict of (str, str) to float
         The same by node and server, for the nodes through which this one goes.
     invalid : set of str
         Servers that asked for a rest that can't be read.
@@ -134,9 +134,9 @@
         self.events = events
         self.rests: OrderedDict[str, Rest] = OrderedDict()
         self.refused: OrderedDict[str, float] = OrderedDict()
-        self.told: dict[str, dict[str, float]] = {}
-        self.unwilling: OrderedDict[str, Unwilling] = OrderedDict()
-        self.told_by_transit: dict[tuple[str, str], float] = {}
+        self.reported: dict[str, dict[str, float]] = {}
+        self.shedding: OrderedDict[str, Shedding] = OrderedDict()
+        self.rests_by_transit: dict[tuple[str, str], float] = {}
         self.invalid: set[str] = set()
         self.announce: Callable[[str, str], None] = lambda server, through: None
         registry.listeners.append(self.refresh)
@@ -203,20 +203,20 @@
         now = time.monotonic()
         while self.refused and next(iter(self.refused.values())) <= now:
             self.refused.popitem(last=False)
-        if not (self.rests or self.told or self.unwilling):
+        if not (self.rests or self.reported or self.shedding):
             return
         for server, rest in list(self.rests.items()):
             if self._is_over(server, rest, now):
                 del self.rests[server]
-        for server, unwilling in list(self.unwilling.items()):
-            if unwilling.until <= now:
-                del self.unwilling[server]
-        for server, tellers in list(self.told.items()):
-            self.told[server] = {n: t for n, t in tellers.items() if t > now}
-            if not self.told[server]:
-                del self.told[server]
-        by_transit = self.told_by_transit.items()
-        self.told_by_transit = {key: t for key, t in by_transit if t > now}
+        for server, shedding in list(self.shedding.items()):
+            if shedding.until <= now:
+                del self.shedding[server]
+        for server, reporters in list(self.reported.items()):
+            self.reported[server] = {n: t for n, t in reporters.items() if t > now}
+            if not self.reported[server]:
+                del self.reported[server]
+        by_transit = self.rests_by_transit.items()
+        self.rests_by_transit = {key: t for key, t in by_transit if t > now}
         self._apply()
 
     def _is_over(self, server: str, rest: Rest, now: float) -> bool:
@@ -227,12 +227,12 @@
 
     def _apply(self) -> None:
         own = {server: rest.until for server, rest in self.rests.items()}
-        others = {server: found.until for server, found in self.unwilling.items()}
+        others = {server: found.until for server, found in self.shedding.items()}
         self.placer.set_rests(RestTimes(own, others))
 
     # What nodes tell each other
 
-    def next_rests(self) -> list[ToldRest]:
+    def next_rests(self) -> list[RestReport]:
         """Return the next of this node's rests and refusals for a state message."""
         taken, now = [], time.monotonic()
         for _ in range(min(MAX_ENTRIES, len(self.rests))):
@@ -247,47 +247,47 @@
                 taken.append((server, until - now, ""))
         return taken
 
-    def next_unwilling(self) -> list[ToldUnwilling]:
-        """Return the next of the unwilling servers for a state message, in turn."""
+    def next_shedding(self) -> list[SheddingReport]:
+        """Return the next of the shedding servers for a state message, in turn."""
         taken, now = [], time.monotonic()
-        for _ in range(min(MAX_ENTRIES, len(self.unwilling))):
-            server, unwilling = self.unwilling.popitem(last=False)
-            self.unwilling[server] = unwilling
-            if unwilling.until > now:
-                taken.append((server, unwilling.until - now, unwilling.id))
+        for _ in range(min(MAX_ENTRIES, len(self.shedding))):
+            server, shedding = self.shedding.popitem(last=False)
+            self.shedding[server] = shedding
+            if shedding.until > now:
+                taken.append((server, shedding.until - now, shedding.id))
         return taken
 
-    def learn_unwilling(self, servers: list[ToldUnwilling]) -> None:
-        """Apply the unwilling servers that another node knows."""
+    def learn_shedding(self, servers: list[SheddingReport]) -> None:
+        """Apply the shedding servers that another node knows."""
         now = time.monotonic()
         changed = [
-            self._note_unwilling(server, Unwilling(now + left_s, statement))
+            self._note_shedding(server, Shedding(now + left_s, statement))
             for server, left_s, statement in servers
             if server in self.registry.servers
         ]
         if any(changed):
             self._apply()
 
-    def _note_unwilling(self, server: str, found: Unwilling) -> bool:
-        """Record an unwilling server; return whether that changes anything."""
-        known = self.unwilling.get(server)
+    def _note_shedding(self, server: str, found: Shedding) -> bool:
+        """Record a shedding server; return whether that changes anything."""
+        known = self.shedding.get(server)
         if known is None:
-            self.events["server_unwilling"] += 1
+            self.events["server_sheds"] += 1
             log_event(
-                "server_unwilling",
+                "server_sheds",
                 server=server,
                 left_s=round(found.until - time.monotonic(), 3),
-                tellers=",".join(self.told.get(server, ())),
+                reporters=",".join(self.reported.get(server, ())),
             )
         elif found.id == known.id:
             if found.until >= known.until:
                 return False
         elif found.until <= known.until:
             return False
-        self.unwilling[server] = found
+        self.shedding[server] = found
         return True
 
-    def learn(self, peer: str, rests: list[ToldRest], *, is_transit: bool) -> None:
+    def learn(self, peer: str, rests: list[RestReport], *, is_transit: bool) -> None:
         """Apply the rests of the node at IP address `peer`.
 
         Parameters
@@ -301,25 +301,25 @@
                 # To the server, the other node's request was this node's.
                 self._begin(server, left_s, "", peer)
             if is_transit:
-                self.told_by_transit[peer, server] = now + left_s
+                self.rests_by_transit[peer, server] = now + left_s
             if server in self.registry.servers:
-                self._note_teller(server, peer, now + left_s)
+                self._note_reporter(server, peer, now + left_s)
         if rests:
             self._apply()
 
-    def _note_teller(self, server: str, peer: str, until: float) -> None:
-        """Keep the tellers whose rests last longest."""
-        tellers = self.told.setdefault(server, {})
-        tellers[peer] = until
-        if len(tellers) > MIN_TELLERS:
-            del tellers[min(tellers, key=tellers.get)]
-        if len(tellers) == MIN_TELLERS:
+    def _note_reporter(self, server: str, peer: str, until: float) -> None:
+        """Keep the reporters whose rests last longest."""
+        reporters = self.reported.setdefault(server, {})
+        reporters[peer] = until
+        if len(reporters) > MIN_REPORTERS:
+            del reporters[min(reporters, key=reporters.get)]
+        if len(reporters) == MIN_REPORTERS:
             statement = self.random.getrandbits(ID_BITS)
-            self._note_unwilling(server, Unwilling(min(tellers.values()), statement))
+            self._note_shedding(server, Shedding(min(reporters.values()), statement))
 
     def rests_for(self, node: str, server: str) -> bool:
         """Return whether a server rests for a node through which this one goes."""
-        until = self.told_by_transit.get((node, server))
+        until = self.rests_by_transit.get((node, server))
         return until is not None and time.monotonic() < until
 
     # What the rests mean
@@ -329,7 +329,7 @@
 
         Those that have only refused requests are not counted.
         """
-        known = map(self.registry.get, self.rests.keys() | self.unwilling.keys())
+        known = map(self.registry.get, self.rests.keys() | self.shedding.keys())
         return sum(
             server.usable and self._is_closed(server.entry.id)
             for server in known
@@ -338,10 +338,10 @@
 
     def _is_closed(self, server: str) -> bool:
         now = time.monotonic()
-        found = self.unwilling.get(server)
+        found = self.shedding.get(server)
         if found is not None and found.until > now + REFUSAL_TOLD_S:
             return True
-        told = sum(until > now for until in self.told.get(server, {}).values())
+        told = sum(until > now for until in self.reported.get(server, {}).values())
         return self.is_resting(server) and (told > 0 or self.placer.nodes == 1)
 
     def resting_servers(self) -> int:
--- a/packages/endive_gateway/src/endive_gateway/server_statements.py
+++ b/packages/endive_gateway/src/endive_gateway/server_statements.py
@@ -94,8 +94,8 @@
             "server_limits": self.limits.next_reports(),
             "brittle_servers": self.brittle.next_reports(),
             "rests": self.rests.next_rests(),
-            "unwilling_servers": self.rests.next_unwilling(),
-            "leaving_servers": self.leaving.next_words(),
+            "shedding_servers": self.rests.next_shedding(),
+            "leaving_servers": self.leaving.next_departures(),
         }
 
     def learn(self, message: StateMessage, address: str, *, is_transit: bool) -> None:
@@ -116,5 +116,5 @@
             self.rests.learn(address, message.rests, is_transit=is_transit)
         if message.leaving_servers:
             self.leaving.learn(message.node, message.leaving_servers)
-        if message.unwilling_servers:
-            self.rests.learn_unwilling(message.unwilling_servers)
+        if message.shedding_servers:
+            self.rests.learn_shedding(message.shedding_servers)
--- a/packages/endive_gateway/src/endive_gateway/servers.py
+++ b/packages/endive_gateway/src/endive_gateway/servers.py
@@ -28,8 +28,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class LeavingWord:
-    """A server's own word that it leaves.
+class Departure:
+    """A server's departure, as it has announced it itself.
 
     Attributes
     ----------
@@ -49,8 +49,8 @@
 
     Attributes
     ----------
-    word : LeavingWord or None
-        Its word that it leaves, whatever its entry says.
+    departure : Departure or None
+        Its announced departure, whatever its entry says.
     is_last : bool
         Whether it is used in spite of that, since its service has no other server.
     drop_at : float or None
@@ -68,18 +68,18 @@
     contradicted: bool = False
     contradictions: int = 0
     contradicted_until: float = 0.0
-    word: LeavingWord | None = None
+    departure: Departure | None = None
     is_last: bool = False
 
     @property
     def is_sound(self) -> bool:
-        """Whether it is known to be ready at its address, but for its own word."""
+        """Whether it is known to be ready at its address, its departure aside."""
         return self.entry.state is ServerState.READY and not self.contradicted
 
     @property
     def usable(self) -> bool:
         """Whether it may get requests."""
-        return self.is_sound and (self.word is None or self.is_last)
+        return self.is_sound and (self.departure is None or self.is_last)
 
     def contradict(self, now: float) -> None:
         """Record that another server answered at its address."""
@@ -98,10 +98,10 @@
         Called without arguments after a change.
     is_loaded : bool
         Whether the servers have been read from the store at least once.
-    words : dict of str to LeavingWord
+    departures : dict of str to Departure
         By server id, also of servers without an entry, which may return.
     last_server_s : float
-        Time after its word for which the last server of a service is still used,
+        Time after its announcement for which the last server of a service is used,
         seconds.
     """
 
@@ -109,7 +109,7 @@
         self.servers: dict[str, KnownServer] = {}
         self.listeners: list[Callable[[], None]] = []
         self.is_loaded = False
-        self.words: dict[str, LeavingWord] = {}
+        self.departures: dict[str, Departure] = {}
         self.last_server_s = 0.0
 
     def get(self, server_id: str) -> KnownServer | None:
@@ -140,9 +140,9 @@
         elif _process_key(before) != _process_key(entry):
             known.contradicted, known.contradictions = False, 0
         known.entry = entry
-        word = self.words.get(entry.id)
-        is_same = word is not None and word.incarnation == entry.incarnation
-        known.word = word if is_same else None
+        departure = self.departures.get(entry.id)
+        is_same = departure is not None and departure.incarnation == entry.incarnation
+        known.departure = departure if is_same else None
         last_changed = self._choose_last(entry.service)
         content_changed = before is None or _content(before) != _content(entry)
         if content_changed:
@@ -216,7 +216,7 @@
             )
             self.notify_listeners()
 
-    def mark_leaving(self, server_id: str, word: LeavingWord) -> bool:
+    def mark_leaving(self, server_id: str, departure: Departure) -> bool:
         """Stop using a server that says that it leaves, until it has started again.
 
         Returns
@@ -224,17 +224,17 @@
         bool
             Whether the server is known, so that listeners are to be notified.
         """
-        self.words[server_id] = word
+        self.departures[server_id] = departure
         known = self.servers.get(server_id)
-        if known is None or known.entry.incarnation != word.incarnation:
+        if known is None or known.entry.incarnation != departure.incarnation:
             return False
-        known.word = word
+        known.departure = departure
         self._choose_last(known.entry.service)
         return True
 
     def forget_leaving(self, server_id: str) -> None:
-        """Forget a word that is old, or that of a former incarnation."""
-        self.words.pop(server_id, None)
+        """Forget a departure that is old, or that of a former incarnation."""
+        self.departures.pop(server_id, None)
 
     def settle(self) -> None:
         """Apply what time alone changes.
@@ -270,18 +270,18 @@
         bool
             Whether another one, or none any more, is used.
         """
-        if not self.words:
+        if not self.departures:
             return False
         leaving, now, chosen = [], time.monotonic(), None
         for server in self.of_service(service):
-            if server.word is None:
+            if server.departure is None:
                 if server.is_sound:
                     leaving = []
                     break
-            elif server.is_sound and now < server.word.at + self.last_server_s:
+            elif server.is_sound and now < server.departure.at + self.last_server_s:
                 leaving.append(server)
         if leaving:
-            chosen = max(leaving, key=lambda server: server.word.at)
+            chosen = max(leaving, key=lambda server: server.departure.at)
         changed = False
         for server in self.of_service(service):
             changed |= server.is_last != (server is chosen)
--- a/packages/endive_gateway/src/endive_gateway/state_messages.py
+++ b/packages/endive_gateway/src/endive_gateway/state_messages.py
@@ -8,7 +8,7 @@
 from endive_gateway.exceptions import UndecodableError
 from endive_gateway.interfaces import Record, ServerDelta
 
-ToldReport = tuple[str, float | None, float, int]
+ValueReport = tuple[str, float | None, float, int]
 """A server, what it states (``None`` if nothing any more), the age of that statement in
 seconds, and its id."""
 
@@ -72,11 +72,11 @@
     rests : list of (str, float, str)
         Server that has asked the sender for rest, the rest of that time in seconds, and
         the IP address of the node through which it asked, or an empty one.
-    unwilling_servers : list of (str, float, int)
+    shedding_servers : list of (str, float, int)
         Server to which several nodes send nothing at its request, the rest of that time
         in seconds, and the id of that statement.
     leaving_servers : list of (str, int, float)
-        Server that has said that it leaves, its incarnation, and the age of that word
+        Server that has said that it leaves, its incarnation, and the age of that news
         in seconds.
     """
 
@@ -101,11 +101,11 @@
     complete: bool = False
     proof: int = 0
     successes: list[tuple[str, float]] = []
-    server_limits: list[ToldReport] = []
+    server_limits: list[ValueReport] = []
     carried: int = -1
-    brittle_servers: list[ToldReport] = []
+    brittle_servers: list[ValueReport] = []
     rests: list[tuple[str, float, str]] = []
-    unwilling_servers: list[tuple[str, float, int]] = []
+    shedding_servers: list[tuple[str, float, int]] = []
     leaving_servers: list[tuple[str, int, float]] = []
 
 
--- a/packages/endive_gateway/src/endive_gateway/stated_values.py
+++ b/packages/endive_gateway/src/endive_gateway/stated_values.py
@@ -12,7 +12,7 @@
 
 from endive_gateway.interfaces import ResponseMetadata
 from endive_gateway.servers import ServerRegistry
-from endive_gateway.state_messages import ToldReport
+from endive_gateway.state_messages import ValueReport
 
 MAX_REPORTS = 8
 """Most servers' values in one state message."""
@@ -109,7 +109,7 @@
         )
         return True
 
-    def next_reports(self) -> list[ToldReport]:
+    def next_reports(self) -> list[ValueReport]:
         """Return the next reports for a state message, with their ages."""
         now = time.monotonic()
         return [
@@ -117,7 +117,7 @@
             for report in self.reports.take(MAX_REPORTS)
         ]
 
-    def learn_told(self, peer: str, told: list[ToldReport]) -> None:
+    def learn_told(self, peer: str, told: list[ValueReport]) -> None:
         """Apply the reports of another node's state message."""
         now = time.monotonic()
         reports = [
--- a/packages/endive_gateway/tests/test_leaving_servers.py
+++ b/packages/endive_gateway/tests/test_leaving_servers.py
@@ -189,11 +189,15 @@
     interval_s = max(BROADCAST_INTERVAL_S, BROADCAST_INTERVAL_PER_NODE_S * count)
     steps = -(-(count - 1) // DATAGRAMS_PER_STEP)
     for step in range(int(DRAIN_S * steps / interval_s)):
-        if all(len(node.context.leaving_servers.words) == leaving for node in nodes):
+        if all(
+            len(node.context.leaving_servers.departures) == leaving for node in nodes
+        ):
             break
         clock[0] += interval_s / steps
         for number, node in enumerate(nodes):
             first = (step + number) % steps * DATAGRAMS_PER_STEP
             node.send_state(list(node.known.values())[first:][:DATAGRAMS_PER_STEP])
-    assert all(len(node.context.leaving_servers.words) == leaving for node in nodes)
+    assert all(
+        len(node.context.leaving_servers.departures) == leaving for node in nodes
+    )
     assert clock[0] - began_at < DRAIN_S
--- a/packages/endive_gateway/tests/test_resting_fleet.py
+++ b/packages/endive_gateway/tests/test_resting_fleet.py
@@ -63,6 +63,6 @@
     with monkeypatch.context() as patch:
         told = len(play(patch, 30)[0].turned_away)
     with monkeypatch.context() as patch:
-        patch.setattr("endive_gateway.server_rests.MIN_TELLERS", 1_000)
+        patch.setattr("endive_gateway.server_rests.MIN_REPORTERS", 1_000)
         untold = len(play(patch, 30)[0].turned_away)
     assert told < 0.6 * untold
--- a/packages/endive_gateway/tests/test_resting_servers.py
+++ b/packages/endive_gateway/tests/test_resting_servers.py
@@ -189,12 +189,12 @@
         node.context.registry.put(make_entry("i-1"))
     ask_for_rest(nodes[0].context)
     nodes[0].send_state()
-    assert not nodes[2].context.server_rests.unwilling
+    assert not nodes[2].context.server_rests.shedding
     ask_for_rest(nodes[1].context)
     nodes[1].send_state([nodes[2].known[nodes[3].address]])
     nodes[3].send_state()
     for node in nodes[2:]:
-        assert "i-1" in node.context.server_rests.unwilling
+        assert "i-1" in node.context.server_rests.shedding
         assert not node.context.server_rests.is_resting("i-1")
 
 
@@ -212,7 +212,7 @@
         for node in nodes:
             node.context.server_rests.refresh()
             node.send_state()
-    assert not any(node.context.server_rests.unwilling for node in nodes)
+    assert not any(node.context.server_rests.shedding for node in nodes)
 
 
 def test_a_rest_asked_for_through_another_node_is_kept_by_both():
--- a/packages/endive_gateway/tests/test_server_statements.py
+++ b/packages/endive_gateway/tests/test_server_statements.py
@@ -43,5 +43,5 @@
     state(context, 421, server_id="i-2", running=1, request_limit=1.0, leaving=True)
     assert context.placer.known_load("i-1") == 5
     assert context.limit_sharing.reports.limit("i-1") is None
-    assert "i-1" not in context.leaving_servers.words
-    assert "i-2" in context.leaving_servers.words
+    assert "i-1" not in context.leaving_servers.departures
+    assert "i-2" in context.leaving_servers.departures
