--- a/tests/soak/launch.py
+++ b/tests/soak/launch.py
@@ -125,7 +125,7 @@
     ServerRests.observe = lambda self, *response: None
 
 
-def ignore_words_of_leaving():
+def ignore_departures():
     """Let a node know of leaving servers by their entries alone."""
     from endive_gateway.leaving_servers import LeavingServers
 
@@ -179,7 +179,7 @@
     "crashes": ignore_crashes_elsewhere,
     "server-limits": keep_server_limits_alone,
     "rests": ignore_rests,
-    "leaving": ignore_words_of_leaving,
+    "leaving": ignore_departures,
     "broken-streams": trust_orderly_ends,
     "silence-ends": give_up_silent_servers,
     "no-leases": lease_no_slots,
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -372,7 +372,7 @@
         return True
 
     def _leaving_headers(self, request_id):
-        """Return the word that this server leaves, if it does, and note who got it."""
+        """Return the announcement that this server leaves, and note who got it."""
         self.checker.leaving_server_received(
             self.id, self.told_at, request_id, self.backend.is_undisturbed
         )
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -66,7 +66,7 @@
 
 LIMITED_SERVERS = ("server_limited", "reload", "change_configuration")
 RESTS = ("server_rests", "change_configuration")
-WORDS = ("server_says_it_leaves", "store_silent", "change_configuration")
+DEPARTING = ("server_says_it_leaves", "store_silent", "change_configuration")
 SERVERS_CUT = ("nodes_cut_from_servers", "change_configuration")
 BRITTLE = ("servers_brittle", "change_configuration", "restart")
 SILENT = ("server_silent", "reload", "change_configuration")
@@ -79,7 +79,7 @@
     "crashes": ("crashing request", 1, CRASHES),
     "server-limits": ("server limit", 1, LIMITED_SERVERS),
     "rests": ("rest", 1, RESTS),
-    "leaving": ("leaving", 1, WORDS),
+    "leaving": ("leaving", 1, DEPARTING),
     "broken-streams": ("wrong response", 1, UNFRAMED),
     "silence-ends": ("silence", 1, SILENT),
     "no-leases": ("brittle", 87, ("servers_brittle",)),
@@ -129,7 +129,7 @@
     assert outcome.violations == [], outcome.directory
 
 
-@pytest.mark.parametrize("kinds", [WORDS, WORDS + ("server_rests", "restart")])
+@pytest.mark.parametrize("kinds", [DEPARTING, DEPARTING + ("server_rests", "restart")])
 def test_servers_that_say_they_leave_get_nothing_more(kinds):
     """Their entries say that they are ready, or the store is silent."""
     outcome = run_seed(1, slot=SLOT, kinds=kinds)
@@ -277,9 +277,9 @@
     each node applies alone, "not run" reported for a request that a server ran, duties
     claimed while another node holds them, an unanswered read of the store treated as
     proof that nothing has changed, crashes that nodes do not tell each other, limits of
-    servers that are not shared, rests and words of leaving that are not read, streams
-    that are complete as soon as they end, requests that end with a server's silence,
-    brittle servers without leases, and nodes that carry no connections for others."""
+    servers that are not shared, rests and departures that are not read, streams that
+    are complete as soon as they end, requests that end with a server's silence, brittle
+    servers without leases, and nodes that carry no connections for others."""
     rule, seed, kinds = MUTANTS[mutant]
     outcome = run_seed(seed, slot=SLOT, mutant=mutant, kinds=kinds)
     assert outcome.violations, outcome.counts
