--- a/packages/endive_core/src/endive_core/admission.py
+++ b/packages/endive_core/src/endive_core/admission.py
@@ -190,7 +190,8 @@
             margin=self.policy.admission_margin,
             max_bulk_wait_s=self.policy.max_bulk_wait_s,
         )
-        is_late = now + prediction.first_token_s > (call.deadline or math.inf)
+        deadline = math.inf if call.deadline is None else call.deadline
+        is_late = now + prediction.first_token_s > deadline
         resting_s = self.resting.wait_s(now)
         if resting_s and (is_late or prediction.long_wait_s > allowed):
             return self.resting_refusal(call, resting_s, now)
