--- /dev/null
+++ b/tests/soak/mixes.py
@@ -0,0 +1,35 @@
+"""Kinds of faults that are drawn together."""
+
+from soak.faults import FAULTS
+
+LATER_KINDS = {
+    "crashing_request",
+    "server_limited",
+    "server_rests",
+    "server_says_it_leaves",
+    "server_unframed",
+    "server_silent",
+    "servers_brittle",
+    "nodes_cut_from_servers",
+}
+EARLIER_KINDS = tuple(sorted(set(FAULTS) - LATER_KINDS))
+FIRST_KINDS = tuple(sorted(set(EARLIER_KINDS) - {"store_silent", "links_fall_silent"}))
+"""Kinds of which older seeds draw their faults. With more kinds the same seeds would
+draw other faults."""
+
+CRASHES = (
+    "crashing_request",
+    "reload",
+    "change_configuration",
+    "cloud_down",
+    "step_clock",
+)
+SILENCES = ("store_silent", "links_fall_silent", "change_configuration")
+
+LIMITED_SERVERS = ("server_limited", "reload", "change_configuration")
+RESTS = ("server_rests", "change_configuration")
+DEPARTING = ("server_says_it_leaves", "store_silent", "change_configuration")
+SERVERS_CUT = ("nodes_cut_from_servers", "change_configuration")
+BRITTLE = ("servers_brittle", "change_configuration", "restart")
+SILENT = ("server_silent", "reload", "change_configuration")
+UNFRAMED = ("server_unframed", "server_leaves", "restart")
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -10,8 +10,21 @@
 from gevent.event import Event
 from gevent.server import StreamServer
 from soak.callers import is_stale
-from soak.faults import FAULTS, set_temporarily
+from soak.faults import set_temporarily
 from soak.fleet import PORT, Backend
+from soak.mixes import (
+    BRITTLE,
+    CRASHES,
+    DEPARTING,
+    EARLIER_KINDS,
+    FIRST_KINDS,
+    LIMITED_SERVERS,
+    RESTS,
+    SERVERS_CUT,
+    SILENCES,
+    SILENT,
+    UNFRAMED,
+)
 from soak.network import Link
 from soak.play import run_seed
 
@@ -19,30 +32,6 @@
 SLOT = 60 + WORKER
 """Number of the loopback addresses that only this test worker uses."""
 
-LATER_KINDS = {
-    "crashing_request",
-    "server_limited",
-    "server_rests",
-    "server_says_it_leaves",
-    "server_unframed",
-    "server_silent",
-    "servers_brittle",
-    "nodes_cut_from_servers",
-}
-EARLIER_KINDS = tuple(sorted(set(FAULTS) - LATER_KINDS))
-FIRST_KINDS = tuple(sorted(set(EARLIER_KINDS) - {"store_silent", "links_fall_silent"}))
-"""Kinds of which older seeds draw their faults. With more kinds the same seeds would
-draw other faults."""
-
-CRASHES = (
-    "crashing_request",
-    "reload",
-    "change_configuration",
-    "cloud_down",
-    "step_clock",
-)
-SILENCES = ("store_silent", "links_fall_silent", "change_configuration")
-
 SEEDS = (31, 21, 303924)
 """Seeds that once let an organisation exceed its limit of 3,000 units in a window.
 
@@ -64,29 +53,6 @@
 spent before its first message, two seconds after its start, was not counted.
 """
 
-LIMITED_SERVERS = ("server_limited", "reload", "change_configuration")
-RESTS = ("server_rests", "change_configuration")
-DEPARTING = ("server_says_it_leaves", "store_silent", "change_configuration")
-SERVERS_CUT = ("nodes_cut_from_servers", "change_configuration")
-BRITTLE = ("servers_brittle", "change_configuration", "restart")
-SILENT = ("server_silent", "reload", "change_configuration")
-UNFRAMED = ("server_unframed", "server_leaves", "restart")
-MUTANTS = {
-    "limit": ("limit", 1, ("reload",)),
-    "not-run": ("not run", 1, ("server_crash",)),
-    "holder": ("one holder", 1, ("reload",)),
-    "silence": ("configuration in time", 8, SILENCES),
-    "crashes": ("crashing request", 1, CRASHES),
-    "server-limits": ("server limit", 1, LIMITED_SERVERS),
-    "rests": ("rest", 1, RESTS),
-    "leaving": ("leaving", 1, DEPARTING),
-    "broken-streams": ("wrong response", 1, UNFRAMED),
-    "silence-ends": ("silence", 1, SILENT),
-    "no-leases": ("brittle", 87, ("servers_brittle",)),
-    "no-transit": ("cut off", 1, SERVERS_CUT),
-}
-"""By mutant: the rule that it violates, the seed, and the kinds of faults to inject."""
-
 
 @pytest.mark.parametrize("seed", SEEDS)
 def test_invariants_hold_under_random_faults(seed):
@@ -269,18 +235,3 @@
     """A change that is in force before a probe arrives makes the version asked for an
     old one, which the node rightly doesn't serve any more."""
     assert is_stale(outcome, version, newest_before, newest_after) is stale
-
-
-@pytest.mark.parametrize("mutant", MUTANTS)
-def test_mutants_are_detected(mutant):
-    """The soak detects each mutant within the fault phase of one seed: a limit that
-    each node applies alone, "not run" reported for a request that a server ran, duties
-    claimed while another node holds them, an unanswered read of the store treated as
-    proof that nothing has changed, crashes that nodes do not tell each other, limits of
-    servers that are not shared, rests and departures that are not read, streams that
-    are complete as soon as they end, requests that end with a server's silence, brittle
-    servers without leases, and nodes that carry no connections for others."""
-    rule, seed, kinds = MUTANTS[mutant]
-    outcome = run_seed(seed, slot=SLOT, mutant=mutant, kinds=kinds)
-    assert outcome.violations, outcome.counts
-    assert f" s: {rule}: " in outcome.violations[0]
--- /dev/null
+++ b/tests/test_soak_mutants.py
@@ -0,0 +1,49 @@
+import os
+
+import pytest
+from soak.mixes import (
+    CRASHES,
+    DEPARTING,
+    LIMITED_SERVERS,
+    RESTS,
+    SERVERS_CUT,
+    SILENCES,
+    SILENT,
+    UNFRAMED,
+)
+from soak.play import run_seed
+
+WORKER = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw"))
+SLOT = 60 + WORKER
+"""Number of the loopback addresses that only this test worker uses."""
+
+MUTANTS = {
+    "limit": ("limit", 1, ("reload",)),
+    "not-run": ("not run", 1, ("server_crash",)),
+    "holder": ("one holder", 1, ("reload",)),
+    "silence": ("configuration in time", 8, SILENCES),
+    "crashes": ("crashing request", 1, CRASHES),
+    "server-limits": ("server limit", 1, LIMITED_SERVERS),
+    "rests": ("rest", 1, RESTS),
+    "leaving": ("leaving", 1, DEPARTING),
+    "broken-streams": ("wrong response", 1, UNFRAMED),
+    "silence-ends": ("silence", 1, SILENT),
+    "no-leases": ("brittle", 87, ("servers_brittle",)),
+    "no-transit": ("cut off", 1, SERVERS_CUT),
+}
+"""By mutant: the rule that it violates, the seed, and the kinds of faults to inject."""
+
+
+@pytest.mark.parametrize("mutant", MUTANTS)
+def test_mutants_are_detected(mutant):
+    """The soak detects each mutant within the fault phase of one seed: a limit that
+    each node applies alone, "not run" reported for a request that a server ran, duties
+    claimed while another node holds them, an unanswered read of the store treated as
+    proof that nothing has changed, crashes that nodes do not tell each other, limits of
+    servers that are not shared, rests and departures that are not read, streams that
+    are complete as soon as they end, requests that end with a server's silence, brittle
+    servers without leases, and nodes that carry no connections for others."""
+    rule, seed, kinds = MUTANTS[mutant]
+    outcome = run_seed(seed, slot=SLOT, mutant=mutant, kinds=kinds)
+    assert outcome.violations, outcome.counts
+    assert f" s: {rule}: " in outcome.violations[0]
