--- a/packages/endive_core/src/endive_core/resting.py
+++ b/packages/endive_core/src/endive_core/resting.py
@@ -4,7 +4,7 @@
 it; then one request is, and as requests are answered, more at a time. Where all servers
 of a service rest, admission and expiry learn from here how long.
 
-A server that turns a request away without such a word gets no more requests at a time
+A server that turns a request away without a time gets no more requests at a time
 than it has now, and more with its answers. If it has none, it is left alone for a short
 time that doubles with each further refusal: only a request shows whether it has room.
 """
--- a/packages/endive_core/src/endive_core/throttling.py
+++ b/packages/endive_core/src/endive_core/throttling.py
@@ -14,7 +14,7 @@
 from endive_core.servers import ServerLoad, ServerSet
 
 REFRESH_S = 1.0
-"""Time without a word from a limited server after which it is preferred for the next
+"""Time without a response of a limited server after which it is preferred for the next
 call, seconds, so that the end of its limit is noticed."""
 
 
