Log the software versions at which a stream is served, and what it resumes

The logs could not tell a further attempt within one answer from a caller's resumption, nor either from an attempt that had failed before its first event.

An entry's version and the Resumes header are decoded. An unreadable version leaves the rest of the entry usable. A stream's last log line has the version of each attempt's server with the events sent before it, and what its caller resumes; event=server_entry has the version. Last-Event-Id and Resumes may come once only, as the other headers that decide something.

--- a/packages/endive_core/src/endive_core/messages.py
+++ b/packages/endive_core/src/endive_core/messages.py
@@ -92,6 +92,8 @@
         Requests this node has sent since the state that the last report describes.
     reported_running, reported_waiting : int
         Requests running and waiting in the server's last report, which lags behind.
+    software_version : str
+        Version of its software, not of its weights.
     """
 
     id: str
@@ -109,3 +111,4 @@
     report_age_s: float = field(default=1e9)
     leaving: bool = False
     failed_until: float = 0.0
+    software_version: str = ""
--- a/packages/endive_gateway/src/endive_gateway/__init__.py
+++ b/packages/endive_gateway/src/endive_gateway/__init__.py
@@ -10,7 +10,7 @@
   ``clocks``, ``loops``
 - callers' connections: ``callers``, ``http``, ``statuses``, ``progress``
 - forwarding to servers: ``forwarding``, ``attempts``, ``connections``, ``events``,
-  ``placing``, ``workload``
+  ``placing``, ``workload``, ``stream_affinity``
 - ways to the servers: ``paths``, ``path_monitor``, ``server_checks``, ``transit``,
   ``transit_port``, ``tcp``
 - the platform's state, as this node knows it: ``following``, ``configuration``,
--- a/packages/endive_gateway/src/endive_gateway/attempts.py
+++ b/packages/endive_gateway/src/endive_gateway/attempts.py
@@ -22,6 +22,7 @@
 )
 from endive_gateway.progress import Progress
 from endive_gateway.slot_leasing import SlotLease
+from endive_gateway.stream_affinity import StreamAffinity
 
 SLOT_WAIT_FRACTION = 0.5
 """Part of the time left until the route's target for which a slot of a brittle server
@@ -57,6 +58,7 @@
     engine: Engine | None
     ticket: Ticket
     splitter: EventSplitter
+    affinity: StreamAffinity
     organisation: str
     server_priority: int
     in_flight: bool
@@ -164,6 +166,9 @@
         view = self.view
         self._check_wanted()
         self.request.servers.append(view.id)
+        self.request.affinity.attempted(
+            view.software_version, self.request.splitter.count
+        )
         try:
             self.connection = self.context.pool.acquire(view.id, view.address)
         except ConnectionBrokenError as error:
--- a/packages/endive_gateway/src/endive_gateway/forwarding.py
+++ b/packages/endive_gateway/src/endive_gateway/forwarding.py
@@ -26,6 +26,7 @@
 from endive_gateway.interfaces import RequestMetadata, ServerResponse, header_value
 from endive_gateway.progress import Progress
 from endive_gateway.statuses import NOT_RUN_STATUSES, complete_error
+from endive_gateway.stream_affinity import StreamAffinity
 
 RESPONSE_GRACE_S = 0.1
 """Time after a request's deadline for which its server's response is awaited, seconds:
@@ -91,6 +92,7 @@
         self.organisation = ""
         self.ticket: Ticket | None = None
         self.splitter = EventSplitter()
+        self.affinity = StreamAffinity(self.metadata)
         self.may_have_run = False
         self.in_flight = False
         self.start_counted = False
@@ -140,6 +142,7 @@
             self.metadata = context.wire.decode_request(message.headers)
         except BadHeaderError as error:
             raise EndiveError(ErrorKind.INVALID_FIELD, str(error)) from None
+        self.affinity = StreamAffinity(self.metadata)
         context.wait_until_initialised()
         table = context.table
         if table is None:
@@ -468,6 +471,7 @@
             version=self.context.version,
             **({"through": self.transit_node} if self.transit_node else {}),
             **self._target_fields(),
+            **self._stream_fields(),
             **self.progress.fields(),
             **({"error": self.error} if self.error else {}),
         )
@@ -481,6 +485,11 @@
             terms["pause_ms"] = round(self.route.pause_s * 1000)
         return terms
 
+    def _stream_fields(self) -> dict[str, str]:
+        """Return what the log line of a stream tells of its servers' versions."""
+        is_stream = self.route is not None and self.route.kind is RouteKind.STREAM
+        return self.affinity.fields() if is_stream else {}
+
     def _count_outcome(self) -> None:
         metrics = self.context.metrics
         metrics.outcomes[self.outcome or "failed"] += 1
--- a/packages/endive_gateway/src/endive_gateway/interfaces.py
+++ b/packages/endive_gateway/src/endive_gateway/interfaces.py
@@ -165,6 +165,9 @@
     leaves_in_s : float or None
         Seconds until the server is gone, counted from when the entry was written, if it
         is being reclaimed.
+    software_version : str or None
+        Version of the server's software, not of its weights; ``None`` if the entry has
+        no readable one.
     """
 
     id: str
@@ -177,6 +180,14 @@
     sequence: int = 0
     reclaimable: bool = False
     leaves_in_s: float | None = None
+    software_version: str | None = ""
+
+    @property
+    def software_version_label(self) -> str:
+        """The software version; unlike that of any other server if it is unreadable."""
+        if self.software_version is None:
+            return f"unreadable:{self.id}:{self.incarnation}"
+        return self.software_version
 
 
 @dataclass(frozen=True, slots=True)
@@ -238,6 +249,8 @@
         Parts of the prompt that other requests may share.
     last_event_id : str
         Id of the last event that the caller has received, if it resumes a stream.
+    resumes : str
+        Id of the caller's request that brought the first event of that stream.
     """
 
     id: str
@@ -248,6 +261,7 @@
     max_tokens: int | None = None
     parts: tuple[PromptPart, ...] = ()
     last_event_id: str = ""
+    resumes: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/endive_gateway/src/endive_gateway/placing.py
+++ b/packages/endive_gateway/src/endive_gateway/placing.py
@@ -158,6 +158,7 @@
         view.service = service.name
         view.max_concurrent = max(1, entry.slots)
         view.reclaimable = entry.reclaimable
+        view.software_version = entry.software_version_label
         return view
 
     def set_limit_shares(self, shares: Mapping[str, LimitShare]) -> None:
--- a/packages/endive_gateway/src/endive_gateway/servers.py
+++ b/packages/endive_gateway/src/endive_gateway/servers.py
@@ -152,6 +152,7 @@
                 service=entry.service,
                 zone=entry.zone,
                 state=entry.state,
+                software_version=entry.software_version,
                 sequence=entry.sequence,
                 reclaimable=entry.reclaimable,
                 leaves_in_s=entry.leaves_in_s,
@@ -307,4 +308,5 @@
         entry.state,
         entry.incarnation,
         entry.reclaimable,
+        entry.software_version,
     )
--- a/packages/endive_gateway/tests/gateway_builders.py
+++ b/packages/endive_gateway/tests/gateway_builders.py
@@ -52,6 +52,7 @@
         metadata.budget_s = float(budget) / 1000 if budget else None
         metadata.key = _text(headers, b"key")
         metadata.last_event_id = _text(headers, b"after")
+        metadata.resumes = _text(headers, b"resumes")
         tokens = _text(headers, b"tokens")
         if tokens:
             metadata.prompt_tokens, metadata.max_tokens = map(int, tokens.split(","))
@@ -200,7 +201,12 @@
         self.servers = servers
         self.context = make_context(table or make_table())
         for server in servers:
-            self.context.registry.put(make_entry(server.id, address=server.address))
+            entry = make_entry(
+                server.id,
+                address=server.address,
+                software_version=server.software_version,
+            )
+            self.context.registry.put(entry)
         self.context.registry.is_loaded = True
         self.context.registry.notify_listeners()
         self.listener = CallerListener(
--- a/packages/endive_gateway/tests/server_builders.py
+++ b/packages/endive_gateway/tests/server_builders.py
@@ -26,8 +26,9 @@
     connection.
     """
 
-    def __init__(self, *script, server_id="i-1"):
+    def __init__(self, *script, server_id="i-1", software_version=""):
         self.id = server_id
+        self.software_version = software_version
         self.script = list(script)
         self.received = []
         self.connections = 0
@@ -117,10 +118,11 @@
     return send
 
 
-def events(first, last, *, cut=b"", end=True, gap_s=0.0):
+def events(first, last, *, cut=b"", end=True, gap_s=0.0, data=None):
     """Return a script entry that streams events with ids from `first` to `last`.
 
-    `cut` is sent after them. Without `end` the connection closes inside the body.
+    They hold `data` if it is given. `cut` is sent after them. Without `end` the
+    connection closes inside the body.
     """
 
     def send(sock, received):
@@ -130,7 +132,7 @@
         )
         sock.sendall(head.encode())
         for number in range(first, last + 1):
-            sock.sendall(chunk(event(number)))
+            sock.sendall(chunk(event(number, data)))
             gevent.sleep(gap_s)
         if cut:
             sock.sendall(chunk(cut))
@@ -168,9 +170,10 @@
     return send
 
 
-def event(number):
+def event(number, data=None):
     """Return the bytes of one server-sent event."""
-    return b"id: %d\ndata: t%d\n\n" % (number, number)
+    data = f"t{number}" if data is None else data
+    return b"id: %d\ndata: %b\n\n" % (number, data.encode())
 
 
 def chunk(data):
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -121,6 +121,15 @@
     assert found.reclaimable
     assert found.leaves_in_s == 2.5
     assert (found.incarnation, found.sequence) == (1700000000000, 4)
+    assert found.software_version == "v1"
+
+
+@pytest.mark.parametrize("version", ["", None, 1, 1.5, ["v1"], {"v": 1}, "v" * 5000])
+def test_an_entry_without_a_readable_version_is_that_of_a_server_all_the_same(version):
+    found = decode_server("i-1", entry(version=version))
+    assert found.software_version is None
+    other = decode_server("i-2", entry(version=version))
+    assert found.software_version_label != other.software_version_label
 
 
 @pytest.mark.parametrize(
--- a/tests/test_platform_headers.py
+++ b/tests/test_platform_headers.py
@@ -18,6 +18,7 @@
             Token_Counts="1460,80",
             Prompt_Prefix="5c1e07a2:800,91bd3f06:410",
             Last_Event_Id="7",
+            Resumes="r0",
         )
     )
     assert metadata.id == "r1"
@@ -29,6 +30,7 @@
         (0x91BD3F06, 410),
     ]
     assert metadata.last_event_id == "7"
+    assert metadata.resumes == "r0"
 
 
 @pytest.mark.parametrize(
@@ -48,7 +50,10 @@
         decode_request(headers(**bad))
 
 
-@pytest.mark.parametrize("name", [b"Request-Id", b"authorization", b"DEADLINE-MS"])
+@pytest.mark.parametrize(
+    "name",
+    [b"Request-Id", b"authorization", b"DEADLINE-MS", b"Last-Event-Id", b"Resumes"],
+)
 def test_a_header_that_counts_may_come_once_only(name):
     """A request with two ids or two keys is rejected: the gateway could act on one of
     them and the server on the other."""
