--- a/packages/endive_gateway/tests/test_stream_affinity.py
+++ b/packages/endive_gateway/tests/test_stream_affinity.py
@@ -2,6 +2,7 @@
 
 import logging
 
+import pytest
 from endive_core.routing import RouteKind
 from gateway_builders import RunningGateway, make_route, make_table
 from server_builders import ScriptedServer, events
@@ -48,6 +49,43 @@
     return {line for line in body.decode().split("\n") if line.startswith("data")}
 
 
+@pytest.mark.parametrize("versions", ["aabbbb", "abcabc", "ab"])
+def test_an_answer_does_not_hold_events_of_two_software_versions(versions):
+    """A stream breaks inside its answer, and servers of other versions have room."""
+    with running_gateway(*versions) as running:
+        for _ in range(30):
+            assert len(versions_in(running.call().body)) == 1
+
+
+def test_a_stream_whose_version_has_no_other_server_does_not_look_whole():
+    """Only servers of other versions are left when a stream breaks."""
+    with running_gateway("a", "b", "c") as running:
+        for _ in range(10):
+            response = running.call()
+            assert not response.whole
+            assert response.body.count(b"data") == 3
+
+
+def test_a_stream_that_its_caller_takes_up_goes_on_at_its_version():
+    """A caller names the request that began its stream, at the same node."""
+    with running_gateway("a", "a", "b", "b", max_attempts=1) as running:
+        for number in range(30):
+            began = running.call(request_id=f"began-{number}")
+            resumed = running.call(After="3", Resumes=f"began-{number}")
+            assert resumed.status == 200
+            assert versions_in(resumed.body) == versions_in(began.body)
+
+
+@pytest.mark.parametrize("resumes", ["nobody", "x" * 5000, None])
+def test_a_stream_whose_beginning_nobody_knows_is_refused_among_versions(resumes):
+    """It could go on at another version than the one that began it."""
+    headers = {} if resumes is None else {"Resumes": resumes}
+    with running_gateway("a", "a", "b", "b") as running:
+        response = running.call(After="3", **headers)
+    assert response.status == 503
+    assert response.json["error"]["executed"] == "no"
+
+
 def test_the_log_tells_at_which_versions_a_stream_was_served(caplog):
     with caplog.at_level(logging.INFO), running_gateway("a", "a") as running:
         running.call(request_id="q")
