Let a stream go on only at the software version that began it, within one answer

Cause: the scheduler knew no versions, so nothing tied a further attempt to the first one. The version now belongs to the ticket, taken from the entry that the first event's server had when the request was sent (unknown if it has started again meanwhile), not looked up afterwards. Placement, probes, the check of all servers and the last check before sending keep to it. Such tickets wait apart by version, ahead of the others, so that one whose version is full holds up nobody. If its version has no server left, the stream is broken off at once; if only servers that failed it have its version, it may go back to them.

--- a/packages/endive_core/src/endive_core/__init__.py
+++ b/packages/endive_core/src/endive_core/__init__.py
@@ -5,7 +5,8 @@
 - one request: ``calls``, ``lifecycle``, ``bodies``, ``messages``, ``exceptions``,
   ``service_types``
 - scheduling, behind the facade ``scheduler``: ``policy``, ``admission``,
-  ``queueing``, ``slot_usage``, ``expiry``, ``retry_after``, ``estimators``
+  ``queueing``, ``bound_queue``, ``queued_tokens``, ``slot_usage``, ``expiry``,
+  ``retry_after``, ``estimators``
 - placement: ``placement``, ``prefixes``, ``ring``, ``hashing``, ``servers``,
   ``backlogs``, ``prefilling``, ``first_tokens``
 - failures: ``failures``, ``retrying``, ``crashes``, ``crash_news``, ``outliers``,
--- a/packages/endive_core/src/endive_core/admission.py
+++ b/packages/endive_core/src/endive_core/admission.py
@@ -32,6 +32,9 @@
 prefill takes longer than the target never meets it, now or later, so telling its caller
 to retry would mislead; it is admitted while the wait is short."""
 
+NO_SERVER_OF_VERSION = "no server has the software version that began the stream"
+"""Message of a refusal."""
+
 START_EXPIRY_S = 2.0
 """Time after the last first token from which on a node without requests under way
 admits one as if servers started it at once, seconds."""
@@ -127,6 +130,11 @@
             )
         if not self.servers.accepting:
             return Refusal.from_kind(ErrorKind.NO_SERVER, "no server takes work")
+        version = call.software_version
+        if version is not None and version not in self.servers.versions:
+            return Refusal.from_kind(
+                ErrorKind.STREAM_NOT_RESUMABLE, NO_SERVER_OF_VERSION
+            )
         quota = self.quotas.get(call.organisation)
         if quota is not None:
             wait = quota.wait_s(call.tokens, now, self.servers.nodes)
@@ -230,8 +238,11 @@
             1.0,
             self.servers.own_in_flight + len(self.servers.available[Tier.WITHIN_SHARE]),
         )
+        slots = max(1.0, slots * self._share_of_version(call.software_version))
         tokens_per_s = slots * self.rate.tokens_per_slot_s
-        ahead = self.queue.tokens_ahead(call.rank, call.organisation)
+        ahead = self.queue.tokens_ahead(
+            call.rank, call.organisation, call.software_version
+        )
         wait, allowance = ahead / tokens_per_s, 0.0
         tier = self.usage.tier(call)
         resting_s = self.resting.wait_s(now)
@@ -248,6 +259,13 @@
             1 / self._organisation_tokens_per_s(call.organisation),
         )
 
+    def _share_of_version(self, version: str | None) -> float:
+        """Return the part of the servers that a stream of `version` may go to."""
+        if version is None or not self.servers.servers:
+            return 1.0
+        servers = self.servers.versions.get(version, ())
+        return len(servers) / len(self.servers.servers)
+
     def _start_s(self, now: float) -> float:
         """Return the time that a server is expected to take to start a call, seconds.
 
@@ -269,6 +287,7 @@
         """Return the ticket of an admitted call and charge it to the quota."""
         cost = call.prompt_tokens + call.max_tokens * self.rate.answer_share
         ticket = Ticket(call, now, cost)
+        ticket.version = call.software_version
         ticket.suspect = self.crashes.count(call.fingerprint, now) > 0
         ticket.predicted_s = self.predict(call, now).wait_s
         ticket.tier = self.usage.tier(call)
--- a/packages/endive_core/src/endive_core/calls.py
+++ b/packages/endive_core/src/endive_core/calls.py
@@ -42,6 +42,9 @@
         Latency target for the first token, seconds.
     deadline : float or None
         Clock time in seconds after which the answer is of no use.
+    software_version : str or None
+        Version of the servers' software at which the stream goes on that the call takes
+        up; ``None`` if any will do.
     """
 
     request_id: str
@@ -58,6 +61,7 @@
     weights: CallWeights = DEFAULT_WEIGHTS
     fingerprint: str = ""
     non_idempotent: bool = False
+    software_version: str | None = None
 
     @property
     def rank(self) -> int:
@@ -123,6 +127,10 @@
         Whether it was queued while all servers rested.
     refusal : Refusal or None
         Why a queued ticket expired.
+    version : str or None
+        Software version of the server that began its stream, and at which alone the
+        stream goes on; ``None`` before that. It doesn't change while the ticket is
+        queued.
     """
 
     call: Call
@@ -143,6 +151,7 @@
     yields: bool = False
     waited_for_rest: bool = False
     refusal: "Refusal | None" = None
+    version: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/endive_core/src/endive_core/exceptions.py
+++ b/packages/endive_core/src/endive_core/exceptions.py
@@ -49,6 +49,7 @@
     BACKEND_REJECTED = "backend_rejected"
     BACKEND_FAILED = "backend_failed"
     OUTCOME_UNKNOWN = "outcome_unknown"
+    STREAM_NOT_RESUMABLE = "stream_not_resumable"
     CANCELLED = "cancelled"
     INTERNAL = "internal"
 
@@ -105,6 +106,7 @@
     ErrorKind.BACKEND_REJECTED: ErrorResponse(502, _NO),
     ErrorKind.BACKEND_FAILED: ErrorResponse(502, _UNKNOWN, 1.0),
     ErrorKind.OUTCOME_UNKNOWN: ErrorResponse(502, _UNKNOWN),
+    ErrorKind.STREAM_NOT_RESUMABLE: ErrorResponse(503, _NO, 0.0),
     ErrorKind.CANCELLED: ErrorResponse(499, _UNKNOWN),
     ErrorKind.INTERNAL: ErrorResponse(500, _UNKNOWN, 1.0),
 }
@@ -127,6 +129,7 @@
         ErrorKind.KEY_REUSED,
         ErrorKind.KEY_REQUIRED,
         ErrorKind.OUTCOME_UNKNOWN,
+        ErrorKind.STREAM_NOT_RESUMABLE,
         ErrorKind.BACKEND_REJECTED,
         ErrorKind.BACKEND_FAILED,
         ErrorKind.CANCELLED,
--- a/packages/endive_core/src/endive_core/expiry.py
+++ b/packages/endive_core/src/endive_core/expiry.py
@@ -8,7 +8,7 @@
 import math
 from collections import Counter
 
-from endive_core.admission import Admission
+from endive_core.admission import NO_SERVER_OF_VERSION, Admission
 from endive_core.calls import Refusal, Ticket
 from endive_core.exceptions import ErrorKind
 from endive_core.policy import Policy
@@ -115,6 +115,17 @@
         if now - self.no_server_since >= self.policy.no_server_wait_s:
             self.expire_all("no server takes work")
 
+    def expire_without_version(self) -> None:
+        """Expire the queued streams whose software version has no server any more."""
+        for version in self.queue.bound.versions():
+            if version in self.servers.versions:
+                continue
+            for ticket in self.queue.bound.tickets():
+                if ticket.version == version:
+                    self.expire(
+                        ticket, ErrorKind.STREAM_NOT_RESUMABLE, NO_SERVER_OF_VERSION
+                    )
+
     def expire_throttled(self, now: float) -> None:
         """Expire the queued calls that servers' limits keep beyond their deadlines."""
         places = self.throttling.places(now) if len(self.queue) else None
--- a/packages/endive_core/src/endive_core/placement.py
+++ b/packages/endive_core/src/endive_core/placement.py
@@ -122,6 +122,8 @@
         self, ticket: Ticket, names: list[str], tier: Tier, now: float
     ) -> list[ServerLoad]:
         found = self._within_bound(names, tier)
+        if ticket.version is not None:
+            return self._candidates_of_version(ticket, found, tier)
         for _ in range(MAX_SAMPLES):
             found += self.servers.available[tier].sample(
                 self.policy.random_candidates, self.random.randrange
@@ -133,14 +135,36 @@
             return allowed
         return self._all_allowed(ticket, tier)
 
+    def _candidates_of_version(
+        self, ticket: Ticket, found: list[ServerLoad], tier: Tier
+    ) -> list[ServerLoad]:
+        """Return candidates of the ticket's version: `found`, samples, or else all."""
+        servers = self.servers.versions.get(ticket.version, ())
+        if servers:
+            samples = range(self.policy.random_candidates)
+            found += [servers[self.random.randrange(len(servers))] for _ in samples]
+        allowed = [s for s in found if self.is_open(ticket, s, tier)]
+        return allowed or self._all_allowed(ticket, tier)
+
+    def is_open(self, ticket: Ticket, server: ServerLoad, tier: Tier) -> bool:
+        """Return whether `server` has room, and `ticket` may be sent to it now."""
+        return server.id in self.servers.available[tier].positions and self.allows(
+            ticket, server, tier
+        )
+
     def _all_allowed(self, ticket: Ticket, tier: Tier) -> list[ServerLoad]:
         open_servers = self.servers.available[tier].items
+        if ticket.version is not None:
+            servers = self.servers.versions.get(ticket.version, ())
+            return [s for s in servers if self.is_open(ticket, s, tier)]
         return [s for s in open_servers if self.allows(ticket, s, tier)]
 
     def allows(self, ticket: Ticket, server: ServerLoad, tier: Tier) -> bool:
         """Return whether `ticket` may be sent to `server` now."""
         if server.id in ticket.avoid:
             return False
+        if ticket.version not in (None, server.view.software_version):
+            return False
         if not self.servers.has_room(server, tier):
             return False
         # Of several requests that ran on a crashed server one may be the cause. On
--- a/packages/endive_core/src/endive_core/queueing.py
+++ b/packages/endive_core/src/endive_core/queueing.py
@@ -10,31 +10,9 @@
 from collections import deque
 from collections.abc import Iterator
 
+from endive_core.bound_queue import BoundQueue
 from endive_core.calls import Stage, Ticket
-
-
-class QueuedTokens:
-    """Total cost of the queued tickets, in tokens.
-
-    Costs are fractions, and a sum from which all of them have been subtracted is not
-    always 0. It is reset when no ticket is left, since an empty queue holds up nobody.
-    """
-
-    __slots__ = ("tickets", "total")
-
-    def __init__(self) -> None:
-        self.tickets = 0
-        self.total = 0.0
-
-    def add(self, ticket: Ticket) -> None:
-        """Count a ticket that is queued."""
-        self.tickets += 1
-        self.total += ticket.cost
-
-    def subtract(self, ticket: Ticket) -> None:
-        """Uncount a ticket that leaves the queue."""
-        self.tickets -= 1
-        self.total = self.total - ticket.cost if self.tickets else 0.0
+from endive_core.queued_tokens import QueuedTokens
 
 
 class OrganisationQueue:
@@ -168,11 +146,17 @@
 
     Callers experience it as the wait before their request is sent. Admission predicts
     that wait from :meth:`tokens_ahead`.
+
+    Attributes
+    ----------
+    bound : BoundQueue
+        Streams that go on at one software version.
     """
 
     def __init__(self, shares: dict[str, float] | None = None) -> None:
         self.shares = shares or {}
         self.ranks: dict[int, RankQueue] = {}
+        self.bound = BoundQueue()
         self.order: list[int] = []
         self.length = 0
 
@@ -185,9 +169,12 @@
 
     def push(self, ticket: Ticket, *, front: bool = False) -> None:
         """Queue `ticket`."""
+        self.length += 1
+        if ticket.version is not None:
+            self.bound.push(ticket)
+            return
         rank = self._rank(ticket.call.rank)
         rank.push(ticket, self.share(ticket.call.organisation), front=front)
-        self.length += 1
 
     def _rank(self, rank: int) -> RankQueue:
         if rank not in self.ranks:
@@ -197,28 +184,36 @@
 
     def heads(self, limit: int) -> Iterator[Ticket]:
         """Yield the tickets that may go next, best first, `limit` per priority."""
+        yield from self.bound.heads(limit)
         for rank in self.order:
             yield from self.ranks[rank].heads(limit)
 
     def tickets(self) -> list[Ticket]:
         """Return all queued tickets."""
-        return [
+        free = [
             ticket
             for rank in self.ranks.values()
             for queue in rank.queues.values()
             for ticket in queue.tickets
             if ticket.stage is Stage.QUEUED
         ]
+        return self.bound.tickets() + free
 
     def pop(self, ticket: Ticket) -> None:
         """Remove a ticket returned by :meth:`heads`."""
-        self.ranks[ticket.call.rank].pop(ticket)
         self.length -= 1
+        if ticket.version is not None:
+            self.bound.pop(ticket)
+        else:
+            self.ranks[ticket.call.rank].pop(ticket)
 
     def cancel(self, ticket: Ticket) -> None:
         """Uncount a queued ticket; the calling code marks it as ended."""
-        self.ranks[ticket.call.rank].subtract_tokens(ticket)
         self.length -= 1
+        if ticket.version is not None:
+            self.bound.subtract(ticket)
+        else:
+            self.ranks[ticket.call.rank].subtract_tokens(ticket)
 
     def settle(self, ticket: Ticket, tokens: float) -> None:
         """Replace the estimated cost of an ended ticket by its actual `tokens`."""
@@ -228,8 +223,18 @@
         )
         queue.debt += (tokens - ticket.cost) / queue.share
 
-    def tokens_ahead(self, rank: int, organisation: str) -> float:
-        """Return the queued tokens served before a new ticket."""
+    def tokens_ahead(
+        self, rank: int, organisation: str, version: str | None = None
+    ) -> float:
+        """Return the queued tokens served before a new ticket.
+
+        Parameters
+        ----------
+        version : str or None
+            The software version that it is bound to.
+        """
+        if version is not None:
+            return self.bound.tokens(version)
         ahead = sum(
             self.ranks[other].queued.total for other in self.order if other > rank
         )
--- a/packages/endive_core/src/endive_core/scheduler.py
+++ b/packages/endive_core/src/endive_core/scheduler.py
@@ -251,7 +251,8 @@
         if silent is not None and self.placement.allows(ticket, silent, tier):
             ticket.uncached_tokens = float(ticket.call.prompt_tokens)
             return silent
-        if not ticket.call.non_idempotent and not ticket.suspect:
+        may_probe = not (ticket.call.non_idempotent or ticket.suspect)
+        if may_probe and ticket.version is None:
             probe = self.outliers.probe(now)
             if probe is not None and self.servers.has_room(probe, tier):
                 ticket.uncached_tokens = float(ticket.call.prompt_tokens)
@@ -266,6 +267,7 @@
         self.throttling.update(now)
         self.resting.update(now)
         self.expiry.expire_without_servers(now)
+        self.expiry.expire_without_version()
         self.expiry.expire_throttled(now)
         self.expiry.expire_resting(now)
 
@@ -373,6 +375,7 @@
         self.failures.attribute_crash(ticket, crashed, now)
         if reason not in NO_REASON_TO_AVOID:
             ticket.avoid.add(ticket.server)
+            self._allow_last_servers(ticket)
         self._release(ticket, now)
         self._count_server_failure(server, now, reason, started=started)
         decision = self.failures.decide_retry(
@@ -385,6 +388,16 @@
             self.retries[reason] += 1
         return decision
 
+    def _allow_last_servers(self, ticket: Ticket) -> None:
+        """Let a stream go back to servers that failed it if no other has its version.
+
+        The server may have lost the connection only.
+        """
+        servers = self.servers.versions.get(ticket.version, ())
+        ids = {server.id for server in servers}
+        if ids <= ticket.avoid:
+            ticket.avoid -= ids
+
     def count_failure(
         self, ticket: Ticket, now: float, reason: RetryReason, *, started: bool
     ) -> None:
--- a/packages/endive_core/src/endive_core/servers.py
+++ b/packages/endive_core/src/endive_core/servers.py
@@ -198,6 +198,8 @@
         Servers with room, for each tier.
     accepting : ServerIndex
         Servers that accept work: neither leaving nor paused.
+    versions : dict of str to list of ServerLoad
+        All servers by the version of their software.
     own_in_flight : int
         Requests of this node in flight.
     """
@@ -217,6 +219,7 @@
         self.servers: dict[str, ServerLoad] = {}
         self.available = {tier: ServerIndex() for tier in Tier}
         self.accepting = ServerIndex()
+        self.versions: dict[str, list[ServerLoad]] = {}
         self.nodes = 1
         self.own_in_flight = 0
         self.net_change_total = 0
@@ -235,8 +238,10 @@
         for server_id in sorted(new):
             self.servers[server_id] = ServerLoad(declared[server_id])
         self.slots_total = sum(view.max_concurrent for view in declared.values())
+        self.versions = {}
         for server in self.servers.values():
             self._set_reservations(server)
+            self.versions.setdefault(server.view.software_version, []).append(server)
         return bool(gone or new)
 
     def _set_reservations(self, server: ServerLoad) -> None:
--- a/packages/endive_gateway/src/endive_gateway/attempts.py
+++ b/packages/endive_gateway/src/endive_gateway/attempts.py
@@ -17,6 +17,7 @@
     ForwardingMetadata,
     RequestMetadata,
     ResponseMetadata,
+    ServerEntry,
     ServerResponse,
     header_value,
 )
@@ -77,6 +78,15 @@
     def count_start(self) -> None:
         """Count the request's start at a server, at most once per request."""
 
+    def stream_begins(self, server: str, entry: ServerEntry) -> None:
+        """Bind the stream to the software version of the server that begins it.
+
+        Parameters
+        ----------
+        entry : ServerEntry
+            The server's entry when the request was sent there.
+        """
+
     def count_start_unless_stream(self) -> None:
         """Count the start of a non-streaming request whose response was lost.
 
@@ -96,6 +106,8 @@
         The lease of the server's slot, if the server is brittle.
     sent_at : float
         When this attempt was sent, seconds on the monotonic clock.
+    entry : ServerEntry or None
+        The server's entry at the latest check before the request was sent.
     """
 
     def __init__(self, request: AttemptedRequest, view: ServerView) -> None:
@@ -105,6 +117,7 @@
         self.connection: ServerConnection | None = None
         self.lease: SlotLease | None = None
         self.sent_at = 0.0
+        self.entry: ServerEntry | None = None
 
     def run(self) -> None:
         """Make the attempt; raises AttemptError unless a success was forwarded."""
@@ -149,6 +162,16 @@
                 started=False,
                 counts_as_attempt=False,
             )
+        self.entry = known.entry
+        version = known.entry.software_version_label
+        if self.request.ticket.version not in (None, version):
+            self._give_connection_back()
+            raise AttemptError(
+                "the server has started again with other software",
+                RetryReason.SERVER_LEAVING,
+                started=False,
+                counts_as_attempt=False,
+            )
 
     def _give_connection_back(self) -> None:
         """Return a connection that was not used to the pool."""
@@ -166,9 +189,6 @@
         view = self.view
         self._check_wanted()
         self.request.servers.append(view.id)
-        self.request.affinity.attempted(
-            view.software_version, self.request.splitter.count
-        )
         try:
             self.connection = self.context.pool.acquire(view.id, view.address)
         except ConnectionBrokenError as error:
@@ -179,6 +199,9 @@
                 counts_as_attempt=False,
             ) from None
         self._check_wanted()
+        self.request.affinity.attempted(
+            self.entry.software_version_label, self.request.splitter.count
+        )
         self.request.in_flight = True
         self.request.sent_at = self.context.cluster_clock.now()
         self.sent_at = self.request.now
@@ -344,6 +367,7 @@
     def _start_response(self, message: ResponseMessage) -> None:
         """Send the head of a stream's response, unless it has been sent."""
         if not self.request.exchange.response_started:
+            self.request.stream_begins(self.view.id, self.entry)
             self.request.exchange.send_head(
                 message.status, message.reason, end_to_end(message.headers)
             )
--- a/packages/endive_gateway/src/endive_gateway/forwarding.py
+++ b/packages/endive_gateway/src/endive_gateway/forwarding.py
@@ -3,6 +3,7 @@
 import time
 
 import gevent
+from endive_core.admission import NO_SERVER_OF_VERSION
 from endive_core.calls import Call, Stage, Ticket
 from endive_core.exceptions import EndiveError, ErrorKind
 from endive_core.hashing import fingerprint
@@ -23,10 +24,15 @@
     SlotDeclinedError,
 )
 from endive_gateway.http import host_name
-from endive_gateway.interfaces import RequestMetadata, ServerResponse, header_value
+from endive_gateway.interfaces import (
+    RequestMetadata,
+    ServerEntry,
+    ServerResponse,
+    header_value,
+)
 from endive_gateway.progress import Progress
 from endive_gateway.statuses import NOT_RUN_STATUSES, complete_error
-from endive_gateway.stream_affinity import StreamAffinity
+from endive_gateway.stream_affinity import UNKNOWN_VERSION, StreamAffinity
 
 RESPONSE_GRACE_S = 0.1
 """Time after a request's deadline for which its server's response is awaited, seconds:
@@ -280,6 +286,16 @@
             LOWEST_SERVER_PRIORITY if self.ticket.yields else self.base_server_priority
         )
 
+    def stream_begins(self, server: str, entry: ServerEntry) -> None:
+        """Bind the stream to the software version of the server that begins it."""
+        if self.ticket.version is not None or not self.route.resumable:
+            return
+        known = self.context.registry.get(server)
+        is_same = known is None or known.entry.incarnation == entry.incarnation
+        self.ticket.version = (
+            entry.software_version_label if is_same else UNKNOWN_VERSION
+        )
+
     def _count_prompt(self, server: str) -> None:
         """Count a prompt sent to a server; announce it to peers if it delays others.
 
@@ -372,6 +388,8 @@
             )
         if isinstance(error, SlotDeclinedError):
             self._check_slot_request_allowed(error)
+        if not self.context.placer.may_go_on(self.ticket):
+            raise EndiveError(ErrorKind.STREAM_NOT_RESUMABLE, NO_SERVER_OF_VERSION)
         if not error.counts_as_attempt:
             return
         if error.started and not self.route.retryable:
--- a/packages/endive_gateway/src/endive_gateway/interfaces.py
+++ b/packages/endive_gateway/src/endive_gateway/interfaces.py
@@ -9,6 +9,10 @@
 
 Headers = list[tuple[bytes, bytes]]
 
+NOT_A_VERSION = "\x1f"
+"""Begins what stands for a software version that is not known. No version that is read
+has a control character."""
+
 
 class Topic(StrEnum):
     """Topics of the store that the gateway reads or writes."""
@@ -186,7 +190,7 @@
     def software_version_label(self) -> str:
         """The software version; unlike that of any other server if it is unreadable."""
         if self.software_version is None:
-            return f"unreadable:{self.id}:{self.incarnation}"
+            return f"{NOT_A_VERSION}{self.id}:{self.incarnation}"
         return self.software_version
 
 
--- a/packages/endive_gateway/src/endive_gateway/placing.py
+++ b/packages/endive_gateway/src/endive_gateway/placing.py
@@ -231,6 +231,11 @@
         server = scheduler.servers.servers.get(server_id) if scheduler else None
         return server.load if server else 0
 
+    def may_go_on(self, ticket: Ticket) -> bool:
+        """Return whether a server has the software version of the ticket's stream."""
+        versions = self.ticket_schedulers[ticket].servers.versions
+        return ticket.version is None or ticket.version in versions
+
     def finished(self, ticket: Ticket, tokens: int) -> None:
         """Record a complete response."""
         self.consecutive_failures.pop(ticket.server, None)
--- a/packages/endive_gateway/src/endive_gateway/stream_affinity.py
+++ b/packages/endive_gateway/src/endive_gateway/stream_affinity.py
@@ -1,6 +1,9 @@
 """The software versions at which a stream begins and goes on, within one request."""
 
-from endive_gateway.interfaces import RequestMetadata
+from endive_gateway.interfaces import NOT_A_VERSION, RequestMetadata
+
+UNKNOWN_VERSION = f"{NOT_A_VERSION}unknown"
+"""Software version of a server that has started again while a stream began there."""
 
 MAX_LOGGED_CHARACTERS = 64
 """Longest part of a caller's own value in the log, characters."""
