Let a stream that its caller takes up go on at the version that began it, at any node

Cause: no code read Resumes, and no node knew where another node's stream had begun. The node that begins a resumable stream now tells two nodes in different availability zones, chosen by hashing, before it forwards the first event; a node that doesn't know a stream asks them. Those that are new or have started again are told anew, and a node that stops hands over what it keeps. Where nobody knows, the stream goes on only if one version of one service has been the only one for 60 s, as this node or an asked one has observed, and no asked one contradicts; else it is refused at once, as stream_not_resumable. The service is kept with the version, so a changed or split route joins no two of them.

Three older tests resume at a gateway that has just started; their gateway now has known its single version for an hour, since a fresh one must not guess, which has a test of its own.

--- a/packages/endive_core/src/endive_core/__init__.py
+++ b/packages/endive_core/src/endive_core/__init__.py
@@ -11,6 +11,7 @@
   ``backlogs``, ``prefilling``, ``first_tokens``
 - failures: ``failures``, ``retrying``, ``crashes``, ``crash_news``, ``outliers``,
   ``ejection``, ``response_times``, ``call_pacing``
+- streams that go on: ``stream_origins``, ``software_versions``
 - ways to servers: ``reachability``, ``transit``
 - limits and metering: ``quotas``, ``shared_limits``, ``limit_coordination``,
   ``server_limits``, ``throttling``, ``resting``, ``slot_leases``, ``metering``
--- a/packages/endive_core/src/endive_core/routing.py
+++ b/packages/endive_core/src/endive_core/routing.py
@@ -68,6 +68,11 @@
             return self.resumable
         return self.kind is RouteKind.IDEMPOTENT
 
+    @property
+    def services(self) -> frozenset[str]:
+        """The services to which its requests go."""
+        return frozenset(split.service for split in self.splits if split.weight > 0)
+
     def choose(self, draw: float) -> str:
         """Return the service for a request.
 
--- /dev/null
+++ b/packages/endive_core/src/endive_core/stream_origins.py
@@ -0,0 +1,151 @@
+"""Where streams began, and which nodes keep that for a stream.
+
+A stream goes on only at the software version that began it, also if its caller takes it
+up at another node. The node that begins a stream tells its owners: one node in each of
+two availability zones, chosen by hashing, so that a node, or a zone, can be lost. Any
+node computes the same owners and asks them. What a stream costs doesn't depend on the
+number of nodes.
+"""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+
+import xxhash
+
+from endive_core.hashing import rendezvous_order
+from endive_core.ring import HashRing
+
+OWNERS = 2
+"""Nodes that keep a stream's origin besides the one that began it."""
+
+RING_POINTS = 32
+"""Points of a node on its zone's ring: enough that no owner has over twice its part."""
+
+MAX_ORIGINS = 20_000
+"""Streams whose origins one node keeps at most."""
+
+
+@dataclass(frozen=True, slots=True)
+class StreamOrigin:
+    """Service and software version of the server that began a stream."""
+
+    service: str
+    version: str
+
+
+AMBIGUOUS = StreamOrigin("", "")
+"""Origin of several streams that were begun under one request id."""
+
+
+def stream_key(organisation: str, request_id: str) -> bytes:
+    """Return the key of a stream, 16 bytes, whatever the length of its request's id."""
+    return xxhash.xxh3_128_digest(f"{organisation}\0{request_id}".encode())
+
+
+class OriginTable:
+    """Origins of streams by key, each until its time is over.
+
+    Attributes
+    ----------
+    origins : dict of bytes to (StreamOrigin, float)
+        Origin, and clock time in seconds until which it is kept; least recently told
+        first.
+    """
+
+    def __init__(self, *, limit: int = MAX_ORIGINS) -> None:
+        self.limit = limit
+        self.origins: dict[bytes, tuple[StreamOrigin, float]] = {}
+
+    def __len__(self) -> int:
+        return len(self.origins)
+
+    def put(self, key: bytes, origin: StreamOrigin, until: float, now: float) -> None:
+        """Keep an origin until clock time `until`, seconds."""
+        known = self.origins.pop(key, None)
+        if known is not None and known[1] > now:
+            origin = origin if known[0] == origin else AMBIGUOUS
+            until = max(until, known[1])
+        self.origins[key] = (origin, until)
+        self._forget(now)
+
+    def _forget(self, now: float) -> None:
+        """Forget the oldest origins whose time is over, or that are too many."""
+        while self.origins:
+            key = next(iter(self.origins))
+            if self.origins[key][1] > now and len(self.origins) <= self.limit:
+                return
+            del self.origins[key]
+
+    def get(self, key: bytes, now: float) -> StreamOrigin | None:
+        """Return the origin of a stream; ``None`` if it is not known."""
+        origin, until = self.origins.get(key, (None, 0.0))
+        return origin if until > now else None
+
+    def left(self, now: float) -> list[tuple[bytes, StreamOrigin, float]]:
+        """Return key, origin and the rest of its time in seconds, of all origins."""
+        return [
+            (key, origin, until - now)
+            for key, (origin, until) in self.origins.items()
+            if until > now
+        ]
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """A node that may own origins.
+
+    Attributes
+    ----------
+    incarnation : int
+        Differs with each start of the node, which then knows no origins.
+    """
+
+    zone: str
+    incarnation: int
+
+
+class OwnerChoice:
+    """Chooses the owners of a stream's origin, alike on all nodes.
+
+    Attributes
+    ----------
+    members : dict of str to Member
+        The live nodes by address.
+    """
+
+    def __init__(self) -> None:
+        self.members: dict[str, Member] = {}
+        self.rings: dict[str, HashRing] = {}
+
+    def set_members(self, members: Mapping[str, Member]) -> bool:
+        """Set the live nodes; return whether any has come, gone or restarted."""
+        if members == self.members:
+            return False
+        before, after = _by_zone(self.members), _by_zone(members)
+        for zone in before.keys() | after.keys():
+            if before.get(zone) != after.get(zone):
+                self._set_ring(zone, after.get(zone, ()))
+        self.members = dict(members)
+        return True
+
+    def _set_ring(self, zone: str, addresses: Iterable[str]) -> None:
+        if not addresses:
+            self.rings.pop(zone, None)
+            return
+        ring = self.rings.setdefault(zone, HashRing(points=RING_POINTS))
+        ring.set_members(addresses)
+
+    def owners(self, key: bytes) -> list[str]:
+        """Return the addresses of up to `OWNERS` nodes, in different zones if any."""
+        name = key.hex()
+        zones = rendezvous_order(name, self.rings)
+        if len(zones) == 1:
+            return self.rings[zones[0]].candidates(name, OWNERS)
+        return [self.rings[zone].candidates(name, 1)[0] for zone in zones[:OWNERS]]
+
+
+def _by_zone(members: Mapping[str, Member]) -> dict[str, set[str]]:
+    zones: dict[str, set[str]] = {}
+    for address, member in members.items():
+        zones.setdefault(member.zone, set()).add(address)
+    return zones
--- a/packages/endive_gateway/src/endive_gateway/context.py
+++ b/packages/endive_gateway/src/endive_gateway/context.py
@@ -9,6 +9,7 @@
 from endive_core.retrying import FleetRetryBudget
 from endive_core.routing import CallerLimits, OrganisationLimits, RoutingTable
 from endive_core.shared_limits import SharedLimits
+from endive_core.software_versions import RouteHistory
 from endive_node.logs import log_event
 from gevent.event import Event
 
@@ -18,6 +19,7 @@
 from endive_gateway.leaving_servers import LAST_SERVER_MARGIN_S, LeavingServers
 from endive_gateway.limit_sharing import LimitSharing
 from endive_gateway.metrics import GatewayMetrics
+from endive_gateway.origin_exchange import OriginExchange
 from endive_gateway.path_monitor import PathMonitor
 from endive_gateway.paths import ServerPaths
 from endive_gateway.placing import Placer
@@ -26,6 +28,7 @@
 from endive_gateway.server_statements import ServerStatements
 from endive_gateway.servers import ServerRegistry
 from endive_gateway.slot_leasing import SlotLeasing
+from endive_gateway.stream_affinity import Resumptions
 from endive_gateway.transit_port import TransitPort
 from endive_gateway.workload import WorkloadMeter
 
@@ -73,6 +76,10 @@
         The servers that have said that they leave.
     server_statements : ServerStatements
         All that servers state of themselves.
+    origin_exchange : OriginExchange
+        Where streams began, shared with the other nodes.
+    resumptions : Resumptions
+        Decides where streams go on that callers take up.
     slot_leasing : SlotLeasing
         Leases of those servers' slots, from the nodes that coordinate them.
     initialised : Event
@@ -140,6 +147,16 @@
         )
         self.paths.rests_for = self.server_rests.rests_for
         self.transit_port.is_resting = self.server_rests.is_resting
+        location = settings.location
+        self.incarnation = time.time_ns() // 1000
+        self.origin_exchange = OriginExchange(
+            location.address, location.zone, self.incarnation
+        )
+        self.routes_seen = RouteHistory()
+        self.resumptions = Resumptions(
+            self.origin_exchange, self.routes_seen, self.metrics.resumptions
+        )
+        self.registry.listeners.append(self._observe_versions)
         self.meter = UsageMeter(settings.bounds.usage_window_s)
         self.cluster_clock = ClusterClock(time.monotonic, time.time)
         self.retry_budgets: dict[str, FleetRetryBudget] = {}
@@ -150,7 +167,6 @@
         self.on_prompt: Callable[[str, float, float], None] = lambda *sent: None
         self.initialised = Event()
         self.registry.listeners.append(self._update_initialised)
-        self.incarnation = time.time_ns() // 1000
         self.started_at = time.monotonic()
         self.reported = -1
 
@@ -198,6 +214,7 @@
             routes=len(table.routes),
         )
         self.table = table
+        self.routes_seen.observe(table.routes, time.monotonic())
         self.document = document
         self.placer.configure(table)
         self._update_initialised()
@@ -207,6 +224,17 @@
         if self.table is not None and self.registry.is_loaded:
             self.initialised.set()
 
+    def _observe_versions(self) -> None:
+        """Record the software versions of all servers, leaving ones included."""
+        versions: dict[str, set[str]] = {}
+        for known in self.registry.servers.values():
+            entry = known.entry
+            versions.setdefault(entry.service, set()).add(entry.software_version_label)
+        for service in versions.keys() | self.origin_exchange.history.services.keys():
+            self.origin_exchange.history.observe(
+                service, versions.get(service, ()), time.monotonic()
+            )
+
     def wait_until_initialised(self) -> None:
         """Wait until the configuration and servers are known, up to START_WAIT_S.
 
--- a/packages/endive_gateway/src/endive_gateway/forwarding.py
+++ b/packages/endive_gateway/src/endive_gateway/forwarding.py
@@ -1,6 +1,7 @@
 """Forwards requests: checks, admission, attempts at servers, and the response."""
 
 import time
+from dataclasses import replace
 
 import gevent
 from endive_core.admission import NO_SERVER_OF_VERSION
@@ -9,6 +10,7 @@
 from endive_core.hashing import fingerprint
 from endive_core.prefixes import part_blocks
 from endive_core.routing import OrganisationLimits, Route, RouteKind
+from endive_core.stream_origins import StreamOrigin
 from endive_node.logs import log_event, log_failure
 
 from endive_gateway.attempts import Attempt
@@ -192,9 +194,9 @@
             raise EndiveError(
                 ErrorKind.POISON_REQUEST, "servers crashed while running this request"
             )
+        service, call = self._choose_service(call)
         self._take_units(call)
         table = self.context.table
-        service = self.route.choose(self.context.random.random())
         self.context.retry_budget(service).request(self.now)
         self.service = service
         self.engine = (
@@ -202,6 +204,21 @@
         )
         self.ticket = self.context.placer.admit(service, call)
 
+    def _choose_service(self, call: Call) -> tuple[str, Call]:
+        """Return the request's service, and its call with a version if it is bound.
+
+        Raises
+        ------
+        EndiveError
+            If the caller takes up a stream that can't go on.
+        """
+        if not self.affinity.is_resumption(self.route):
+            return self.route.choose(self.context.random.random()), call
+        origin = self.context.resumptions.find(
+            self.route, self.organisation, self.metadata
+        )
+        return origin.service, replace(call, software_version=origin.version)
+
     def _make_call(self) -> Call:
         metadata, route = self.metadata, self.route
         priority = route.priority
@@ -288,12 +305,18 @@
 
     def stream_begins(self, server: str, entry: ServerEntry) -> None:
         """Bind the stream to the software version of the server that begins it."""
-        if self.ticket.version is not None or not self.route.resumable:
+        if not self.route.resumable:
             return
-        known = self.context.registry.get(server)
-        is_same = known is None or known.entry.incarnation == entry.incarnation
-        self.ticket.version = (
-            entry.software_version_label if is_same else UNKNOWN_VERSION
+        if self.ticket.version is None:
+            known = self.context.registry.get(server)
+            is_same = known is None or known.entry.incarnation == entry.incarnation
+            self.ticket.version = (
+                entry.software_version_label if is_same else UNKNOWN_VERSION
+            )
+        self.context.origin_exchange.tell(
+            self.affinity.key(self.organisation),
+            StreamOrigin(self.service, self.ticket.version),
+            self.left_s(),
         )
 
     def _count_prompt(self, server: str) -> None:
--- a/packages/endive_gateway/src/endive_gateway/gateway.py
+++ b/packages/endive_gateway/src/endive_gateway/gateway.py
@@ -114,6 +114,7 @@
             self.context.paths.probe_blocked,
             self.context.path_monitor.run,
             self.context.slot_leasing.run,
+            self.context.origin_exchange.run,
             self._sweep,
         ]
         if self.settings.duties:
@@ -128,6 +129,8 @@
         self.spending.start(location.peer_port + 1)
         self.prompts.datagrams.start(location.address, location.peer_port + 2)
         self.context.on_prompt = self.prompts.announce
+        origins = self.context.origin_exchange
+        origins.datagrams.start(location.address, location.peer_port + 4)
         slot_leasing = self.context.slot_leasing
         slot_leasing.datagrams.start(location.address, location.peer_port + 3)
         self.context.paths.transit.port = location.peer_port + 2
@@ -160,6 +163,8 @@
             "endive_servers_leaving", self.context.leaving_servers.leaving_servers
         )
         add_gauge("endive_servers_resting", self.context.server_rests.resting_servers)
+        origins = self.context.origin_exchange
+        add_gauge("endive_stream_origins", lambda: len(origins.table))
         leasing = self.context.slot_leasing
         add_gauge(
             "endive_services_brittle", lambda: len(self.context.brittle_services.names)
@@ -222,6 +227,7 @@
         while time.monotonic() < end and (self.callers.busy or self.transit.carried):
             self.callers.close_idle()
             gevent.sleep(DRAIN_POLL_S)
+        self.context.origin_exchange.hand_over()
         self.peers.send_state(gone=True)
         log_event("stopped", unfinished=self.callers.busy, carried=self.transit.carried)
         self.stopped.set()
--- a/packages/endive_gateway/src/endive_gateway/metrics.py
+++ b/packages/endive_gateway/src/endive_gateway/metrics.py
@@ -58,6 +58,8 @@
         Connections that other nodes have asked this one for, by reply.
     slot_replies : Counter
         Slots of brittle servers that this node has asked for, by reply.
+    resumptions : Counter
+        Streams that callers have taken up, by how it was known where they go on.
     first_byte_times, response_times : LatencyHistogram
         Times from a request's first byte to the first byte of a server's response, or
         to the loss of that response, and to the end of a successful response.
@@ -71,6 +73,7 @@
         self.events: Counter[str] = Counter()
         self.transit_replies: Counter[str] = Counter()
         self.slot_replies: Counter[str] = Counter()
+        self.resumptions: Counter[str] = Counter()
         self.first_byte_times = LatencyHistogram()
         self.response_times = LatencyHistogram()
         self.gauges: dict[str, dict[tuple[tuple[str, str], ...], Gauge]] = {}
@@ -123,6 +126,7 @@
         add_counter("endive_events", "name", self.events.items)
         add_counter("endive_transit_replies", "reply", self.transit_replies.items)
         add_counter("endive_slot_replies", "reply", self.slot_replies.items)
+        add_counter("endive_stream_resumptions", "outcome", self.resumptions.items)
         add_counter("endive_first_byte_bucket", "le", self.first_byte_times.cumulative)
         add_counter("endive_answer_bucket", "le", self.response_times.cumulative)
         return lambda: generate_latest(registry)
--- a/packages/endive_gateway/src/endive_gateway/nodes.py
+++ b/packages/endive_gateway/src/endive_gateway/nodes.py
@@ -42,6 +42,8 @@
         Servers of each service that its requests keep busy.
     complete : bool
         Whether it knows the list of nodes and the servers.
+    zone : str
+        Its availability zone; empty if it doesn't keep origins of streams.
     greeted_at : float
         When it was last sent a message at once, seconds on the monotonic clock.
     """
@@ -58,6 +60,7 @@
     work: dict[str, float] = field(default_factory=dict)
     complete: bool = False
     greeted_at: float = float("-inf")
+    zone: str = ""
 
     def is_superseded_by(
         self, incarnation: int, sequence: int, started_at: float
--- /dev/null
+++ b/packages/endive_gateway/src/endive_gateway/origin_exchange.py
@@ -0,0 +1,233 @@
+"""Tells the owners of a stream where it began, and asks them when it is taken up.
+
+For each resumable stream one datagram is sent to each of two nodes, and for one that is
+taken up where its origin is not known, a question and a reply with each of them.
+"""
+
+import time
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+import gevent
+from endive_core.software_versions import SoleVersion, VersionHistory
+from endive_core.stream_origins import (
+    Member,
+    OriginTable,
+    OwnerChoice,
+    StreamOrigin,
+)
+from gevent.event import Event
+
+from endive_gateway.datagrams import DatagramPort
+from endive_gateway.origin_messages import (
+    DECODER,
+    OriginMessage,
+    OriginNote,
+    OriginQuery,
+    OriginReply,
+)
+
+KEEP_S = 30.0
+"""Time after its deadline for which a stream's origin is kept, seconds."""
+
+REPLY_S = 0.1
+QUESTIONS = 3
+"""Time for which replies are waited for, seconds, and how often each owner is asked in
+it: datagrams may be lost."""
+
+CHOICE_INTERVAL_S = 0.2
+"""Time for which the nodes among which owners are chosen stay the same, seconds."""
+
+ORIGINS_PER_NOTE = 100
+"""Origins in one datagram, which then has some 6 KB."""
+
+
+@dataclass(eq=False)
+class Inquiry:
+    """A question to the owners of a stream's origin.
+
+    Attributes
+    ----------
+    unanswered : set of str
+        Addresses of the owners that have not replied.
+    origin : StreamOrigin or None
+        The origin, once an owner has told it.
+    views : list of SoleVersion
+        What the owners that don't know it have known of the service's versions.
+    ended : Event
+        Set once the origin is known, or all owners have replied.
+    """
+
+    unanswered: set[str]
+    origin: StreamOrigin | None = None
+    views: list[SoleVersion] = field(default_factory=list)
+    ended: Event = field(default_factory=Event)
+
+
+class OriginExchange:
+    """The origins of streams that this node keeps, and the exchange with other nodes.
+
+    Attributes
+    ----------
+    table : OriginTable
+        Origins of the streams that this node began or owns.
+    own : OriginTable
+        Those that it began.
+    history : VersionHistory
+        The software versions that this node has known.
+    live_members : callable
+        Returns the other live nodes by address.
+    """
+
+    def __init__(self, address: str, zone: str, incarnation: int) -> None:
+        self.address = address
+        self.self_member = Member(zone, incarnation)
+        self.table = OriginTable()
+        self.own = OriginTable()
+        self.history = VersionHistory()
+        self.choice = OwnerChoice()
+        self.choose_at = float("-inf")
+        self.live_members: Callable[[], dict[str, Member]] = dict
+        self.inquiries: dict[int, Inquiry] = {}
+        self.asked = 0
+        self.datagrams = DatagramPort("origins", DECODER, self.receive)
+
+    # Telling
+
+    def tell(self, key: bytes, origin: StreamOrigin, left_s: float) -> None:
+        """Keep the origin of a stream that begins here, and tell its owners.
+
+        Parameters
+        ----------
+        left_s : float
+            Time until the stream's deadline, seconds.
+        """
+        now, keep_s = time.monotonic(), max(0.0, left_s) + KEEP_S
+        self.own.put(key, origin, now + keep_s, now)
+        self.table.put(key, origin, now + keep_s, now)
+        self._send_notes([(key, origin, keep_s)], self._owners(key))
+
+    def _send_notes(
+        self, origins: list[tuple[bytes, StreamOrigin, float]], addresses: Iterable[str]
+    ) -> None:
+        others = [address for address in addresses if address != self.address]
+        for first in range(0, len(origins) if others else 0, ORIGINS_PER_NOTE):
+            note = OriginNote(
+                [
+                    (key, origin.service, origin.version, left_s)
+                    for key, origin, left_s in origins[first : first + ORIGINS_PER_NOTE]
+                ]
+            )
+            self.datagrams.send(note, others)
+
+    def _owners(self, key: bytes) -> list[str]:
+        now = time.monotonic()
+        if now >= self.choose_at:
+            self.update_members(now)
+        return self.choice.owners(key)
+
+    def update_members(self, now: float) -> None:
+        """Choose owners among the nodes that are live now.
+
+        Those of the streams that began here are told again if they are new.
+        """
+        self.choose_at = now + CHOICE_INTERVAL_S
+        before = dict(self.choice.members)
+        members = self.live_members() | {self.address: self.self_member}
+        if self.choice.set_members(members) and before:
+            self._tell_new_owners(before, self.own, now)
+
+    def run(self) -> None:
+        """Tell new owners in an endless loop."""
+        while True:
+            gevent.sleep(CHOICE_INTERVAL_S)
+            self.update_members(time.monotonic())
+
+    def hand_over(self) -> None:
+        """Tell the nodes that own this node's origins once it has stopped."""
+        before = dict(self.choice.members)
+        members = {a: m for a, m in before.items() if a != self.address}
+        if self.choice.set_members(members):
+            self._tell_new_owners({}, self.table, time.monotonic())
+
+    def _tell_new_owners(
+        self, before: dict[str, Member], table: OriginTable, now: float
+    ) -> None:
+        """Tell owners that are not `before`, or have started again since."""
+        new = {a for a, m in self.choice.members.items() if before.get(a) != m}
+        told: dict[str, list[tuple[bytes, StreamOrigin, float]]] = {}
+        for key, origin, left_s in table.left(now):
+            for address in new.intersection(self.choice.owners(key)):
+                told.setdefault(address, []).append((key, origin, left_s))
+        for address, origins in told.items():
+            self._send_notes(origins, [address])
+
+    # Asking
+
+    def known(self, key: bytes) -> StreamOrigin | None:
+        """Return the origin of a stream if this node keeps it."""
+        return self.table.get(key, time.monotonic())
+
+    def ask(self, key: bytes, service: str) -> Inquiry:
+        """Ask the owners of a stream's origin, and wait for their replies.
+
+        Parameters
+        ----------
+        service : str
+            The only service that the stream may have begun at, if there is only one.
+        """
+        owners = {address for address in self._owners(key) if address != self.address}
+        inquiry = Inquiry(owners)
+        if not owners:
+            return inquiry
+        self.asked += 1
+        number = self.asked
+        self.inquiries[number] = inquiry
+        try:
+            for _ in range(QUESTIONS):
+                question = OriginQuery(number, key, service)
+                self.datagrams.send(question, list(inquiry.unanswered))
+                if inquiry.ended.wait(REPLY_S / QUESTIONS):
+                    break
+        finally:
+            del self.inquiries[number]
+        return inquiry
+
+    # Messages
+
+    def receive(self, message: OriginMessage, address: str) -> None:
+        """Handle another node's message."""
+        if isinstance(message, OriginNote):
+            now = time.monotonic()
+            for key, service, version, left_s in message.origins:
+                origin = StreamOrigin(service, version)
+                self.table.put(key, origin, now + left_s, now)
+        elif isinstance(message, OriginQuery):
+            self.datagrams.send(self._reply_to(message), [address])
+        else:
+            self._handle_reply(message, address)
+
+    def _reply_to(self, question: OriginQuery) -> OriginReply:
+        now = time.monotonic()
+        origin = self.table.get(question.key, now)
+        sole = self.history.sole(question.service, now)
+        return OriginReply(
+            question.number,
+            origin.service if origin else "",
+            origin.version if origin else "",
+            origin is not None,
+            sole.version,
+            sole.since_s,
+        )
+
+    def _handle_reply(self, reply: OriginReply, address: str) -> None:
+        inquiry = self.inquiries.get(reply.number)
+        if inquiry is None or address not in inquiry.unanswered:
+            return
+        inquiry.unanswered.discard(address)
+        if reply.is_known:
+            inquiry.origin = StreamOrigin(reply.service, reply.version)
+        else:
+            inquiry.views.append(SoleVersion(reply.sole_version, reply.sole_s))
+        if reply.is_known or not inquiry.unanswered:
+            inquiry.ended.set()
--- a/packages/endive_gateway/src/endive_gateway/peers.py
+++ b/packages/endive_gateway/src/endive_gateway/peers.py
@@ -14,6 +14,7 @@
 import gevent
 from endive_core.crash_news import FRESH_RECEIVERS
 from endive_core.shared_limits import SILENCE_TIMEOUT_S, SpendingOrigin
+from endive_core.stream_origins import Member
 from endive_node.logs import log_event
 from gevent.event import Event
 
@@ -138,6 +139,7 @@
         context.placer.on_crash = self.crash_exchange.announce_soon
         context.limit_sharing.peer_addresses = self.presumed_live
         context.slot_leasing.peer_addresses = self.presumed_live
+        context.origin_exchange.live_members = self.live_members
         context.server_rests.announce = self._announce_rest
         context.leaving_servers.announce = self._announce_leaving
         self.urgent = Event()
@@ -187,6 +189,14 @@
             if now - max(peer.last_seen_at, peer.added_at) < self.live_timeout_s
         ]
 
+    def live_members(self) -> dict[str, Member]:
+        """Return the live nodes that keep origins of streams, by address."""
+        return {
+            peer.address: Member(peer.zone, peer.incarnation)
+            for peer in self.live()
+            if peer.zone
+        }
+
     def is_reader(self) -> bool:
         """Return whether this node reads the store on behalf of the others.
 
@@ -451,6 +461,7 @@
             proof=self.configuration.proofs.newest if self.configuration else 0,
             successes=self.crash_exchange.next_successes(now, receivers),
             carried=context.transit_port.offer(),
+            zone=context.settings.location.zone,
             **context.server_statements.next_fields(),
         )
 
@@ -499,6 +510,7 @@
         peer.node, peer.incarnation, peer.sequence = message.node, *order
         peer.last_seen_at = self.last_seen_at = now
         peer.version = message.version
+        peer.zone = message.zone
         peer.complete = message.complete
         peer.fence = message.fence
         peer.work = message.work
--- a/packages/endive_gateway/src/endive_gateway/state_messages.py
+++ b/packages/endive_gateway/src/endive_gateway/state_messages.py
@@ -78,6 +78,9 @@
     leaving_servers : list of (str, int, float)
         Server that has said that it leaves, its incarnation, and the age of that news
         in seconds.
+    zone : str
+        The sender's availability zone. Empty at nodes of an earlier version, which keep
+        no origins of streams.
     """
 
     node: str
@@ -107,6 +110,7 @@
     rests: list[tuple[str, float, str]] = []
     shedding_servers: list[tuple[str, float, int]] = []
     leaving_servers: list[tuple[str, int, float]] = []
+    zone: str = ""
 
 
 DECODER = msgspec.msgpack.Decoder(StateMessage)
--- a/packages/endive_gateway/tests/gateway_builders.py
+++ b/packages/endive_gateway/tests/gateway_builders.py
@@ -39,6 +39,7 @@
 
 HOST = "a.example"
 SERVICE = "s"
+LONG_S = 3600.0
 
 
 class PlainWire:
@@ -194,6 +195,15 @@
     return ServerEntry(server_id, **(values | options))
 
 
+def let_have_run(context, seconds):
+    """Let a gateway have known its routes and its servers' versions for some time."""
+    for history in context.origin_exchange.history.services.values():
+        history.observed_since -= seconds
+    routes = context.routes_seen.routes
+    for key, (services, since) in routes.items():
+        routes[key] = (services, since - seconds)
+
+
 class RunningGateway:
     """A gateway's request path in front of scripted servers."""
 
@@ -209,6 +219,7 @@
             self.context.registry.put(entry)
         self.context.registry.is_loaded = True
         self.context.registry.notify_listeners()
+        let_have_run(self.context, LONG_S)
         self.listener = CallerListener(
             listen_tcp("127.0.0.1", 0),
             Forwarder(self.context),
--- a/packages/endive_gateway/tests/server_builders.py
+++ b/packages/endive_gateway/tests/server_builders.py
@@ -26,7 +26,7 @@
     connection.
     """
 
-    def __init__(self, *script, server_id="i-1", software_version=""):
+    def __init__(self, *script, server_id="i-1", software_version="v1"):
         self.id = server_id
         self.software_version = software_version
         self.script = list(script)
--- a/packages/endive_gateway/tests/test_stream_affinity.py
+++ b/packages/endive_gateway/tests/test_stream_affinity.py
@@ -1,11 +1,27 @@
 """Streams go on only at the software version that began them."""
 
 import logging
+import random
 import time
+from dataclasses import replace
 
 import pytest
-from endive_core.routing import RouteKind
-from gateway_builders import RunningGateway, make_route, make_table
+from endive_core.calls import Call
+from endive_core.exceptions import ErrorKind
+from endive_core.messages import ServerView
+from endive_core.routing import RouteKind, Service, Split
+from endive_core.scheduler import Scheduler
+from endive_core.service_types import ServiceType
+from endive_core.software_versions import MAX_STREAM_AGE_S
+from endive_gateway.placing import GATEWAY_POLICY
+from gateway_builders import (
+    LONG_S,
+    SERVICE,
+    RunningGateway,
+    let_have_run,
+    make_route,
+    make_table,
+)
 from server_builders import ScriptedServer, events
 
 EVENTS = 6
@@ -56,6 +72,27 @@
     return RunningGateway(*servers_of(*versions), table=table)
 
 
+def view(server_id, version, *, slots):
+    view = ServerView(server_id, "", "", SERVICE, slots, 1000.0, 50.0)
+    view.software_version = version
+    return view
+
+
+def call(*, version=None):
+    return Call("q", "o", deadline=9.0, software_version=version)
+
+
+def scheduler_of(servers, *, slots):
+    """Return a scheduler of servers by id, each of a version."""
+    scheduler = Scheduler.from_policy(
+        GATEWAY_POLICY, random.Random(1), service_type=ServiceType.PLAIN
+    )
+    scheduler.set_servers([view(s, v, slots=slots) for s, v in servers.items()])
+    for server_id in servers:
+        scheduler.report(server_id, 0, 0, as_of=0.0)
+    return scheduler
+
+
 def versions_in(body):
     """Return the versions that made the events of a response."""
     return {line for line in body.decode().split("\n") if line.startswith("data")}
@@ -105,6 +142,101 @@
     assert response.json["error"]["executed"] == "no"
 
 
+def test_a_stream_is_not_resumed_at_another_version_after_a_rollout():
+    """Nobody knows the stream, and the only version has had a predecessor."""
+    with running_gateway("a", "b") as running:
+        registry = running.context.registry
+        registry.drop("i-0", time.monotonic(), after_outage=False)
+        registry.notify_listeners()
+        assert running.call(After="3", Resumes="nobody").status == 503
+        history = running.context.origin_exchange.history.services[SERVICE]
+        history.seen_at["a"] -= MAX_STREAM_AGE_S
+        assert running.call(After="3", Resumes="nobody").status == 200
+
+
+def test_a_node_that_has_just_started_does_not_guess_a_version():
+    """It can't know that no other version has served until now."""
+    with running_gateway("a", "a") as running:
+        let_have_run(running.context, 1.0 - LONG_S)
+        assert running.call(After="3", Resumes="nobody").status == 503
+
+
+@pytest.mark.parametrize("change", ["service", "split"])
+def test_a_stream_does_not_go_on_at_another_service(change):
+    """The route leads elsewhere when its caller takes the stream up again."""
+    with running_gateway("a", "a", max_attempts=1) as running:
+        running.call(request_id="began")
+        splits = {
+            "service": (Split("other", 1.0),),
+            "split": (Split(SERVICE, 0.5), Split("other", 0.5)),
+        }[change]
+        table = make_table(make_route(**RESUMABLE, splits=splits), version=2)
+        table.services["other"] = Service("other")
+        running.context.configure(table, b"", "test")
+        status = running.call(After="3", Resumes="began").status
+        assert status == (503 if change == "service" else 200)
+        assert running.call(After="3", Resumes="nobody").status == 503
+
+
+def test_a_server_that_returns_with_another_version_does_not_go_on_with_streams():
+    """A server starts again under its id and address, with other software."""
+    with running_gateway("a", "b", max_attempts=1) as running:
+        registry, entries = running.context.registry, {}
+        for number in range(10):
+            began = running.call(request_id=f"began-{number}")
+            entries[number] = versions_in(began.body)
+        old = registry.get("i-0").entry
+        registry.put(replace(old, incarnation=1, software_version="b"))
+        registry.notify_listeners()
+        for number, versions in entries.items():
+            response = running.call(After="3", Resumes=f"began-{number}")
+            assert response.status == (503 if versions == {"data: a"} else 200)
+
+
+def test_a_stream_at_a_server_that_restarts_as_it_begins_goes_on_nowhere():
+    """The version that made the first event isn't known."""
+    with running_gateway("a", "a") as running:
+        registry = running.context.registry
+
+        def restart(sock, received):
+            for known in list(registry.servers.values()):
+                registry.put(replace(known.entry, incarnation=1))
+            return stream_from("a", breaks_after=3)(sock, received)
+
+        for server in running.servers:
+            server.script = [restart]
+        response = running.call()
+    assert not response.whole
+    assert response.body.count(b"data") == 3
+
+
+def test_streams_without_room_at_their_version_hold_up_no_other_call():
+    """One of two servers is full of a version's streams."""
+    server_set = scheduler_of({"i-a": "a", "i-b": "b"}, slots=1)
+    calls = [call(version="a"), call(version="a"), call()]
+    tickets = [server_set.offer(c, 0.0) for c in calls]
+    dispatched = []
+    while (dispatch := server_set.next_dispatch(0.0)) is not None:
+        dispatched.append((dispatch.ticket, dispatch.server))
+    assert dispatched == [(tickets[0], "i-a"), (tickets[2], "i-b")]
+    server_set.finished(tickets[0], 1.0)
+    assert server_set.next_dispatch(1.0).ticket is tickets[1]
+
+
+def test_a_queued_stream_is_refused_as_soon_as_its_version_is_gone():
+    """Its caller can begin anew, and must not wait for its deadline."""
+    scheduler = scheduler_of({"i-a": "a", "i-b": "b"}, slots=1)
+    tickets = [scheduler.offer(call(version="a"), 0.0) for _ in range(2)]
+    assert scheduler.next_dispatch(0.0).ticket is tickets[0]
+    assert scheduler.next_dispatch(0.0) is None
+    scheduler.set_servers([view("i-b", "b", slots=1)])
+    scheduler.next_dispatch(0.1)
+    assert scheduler.take_expired() == [tickets[1]]
+    assert tickets[1].refusal.kind is ErrorKind.STREAM_NOT_RESUMABLE
+    refused = scheduler.offer(call(version="a"), 0.2)
+    assert refused.kind is ErrorKind.STREAM_NOT_RESUMABLE
+
+
 def test_the_log_tells_at_which_versions_a_stream_was_served(caplog):
     with caplog.at_level(logging.INFO), running_gateway("a", "a") as running:
         running.call(request_id="q")
