Roll versions out in the soak, and let its callers take up streams at other nodes

Half of the engines' servers are now replaced by some of another version while streams are broken off, callers go on elsewhere with Last-Event-Id and Resumes, and a server that continues a stream checks which version made the event before. Mutant no-affinity binds no stream to a version.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -54,6 +54,14 @@
 )
 
 
+@dataclass(frozen=True)
+class BrokenStream:
+    """A stream that was broken off, with the number of events that its caller has."""
+
+    request_id: str
+    events: int
+
+
 class Caller:
     """Sends requests one after the other, each with its own id."""
 
@@ -63,18 +71,36 @@
         self.organisation = organisation
         self.sock = None
         self.node = None
+        self.broken = None
+        self.received = b""
 
     def run(self):
         """Call until killed; the body of a greenlet."""
         while True:
             kind = self.random.choice(KINDS)
             outcome = self.call(kind, f"{kind.path}x", self.organisation)
+            if kind.resumable and self.broken is not None:
+                outcome = self._resume(kind)
             pause = self.random.expovariate(20)
             gevent.sleep(pause + (REFUSED_PAUSE_S if outcome != 200 else 0.0))
 
-    def call(self, kind, path, organisation, node=None):
-        """Send one request and check how it ends; return the status or the failure."""
+    def _resume(self, kind):
+        """Take up the stream that was broken off, at any node."""
+        broken, node = self.broken, self.random.choice(self.fleet.nodes)
+        outcome = self.call(kind, f"{kind.path}x", self.organisation, node, broken)
+        self.fleet.checker.counts[f"resumption {outcome}"] += 1
+        return outcome
+
+    def call(self, kind, path, organisation, node=None, resumes=None):
+        """Send one request and check how it ends; return the status or the failure.
+
+        Parameters
+        ----------
+        resumes : BrokenStream or None
+            The stream that it takes up.
+        """
         fleet = self.fleet
+        self.broken, self.received = None, b""
         if node is not None or self.sock is None or self.random.random() < 0.05:
             self.close()
             self.node = node or self.random.choice(fleet.nodes)
@@ -95,7 +121,7 @@
                 DEADLINE_S,
             ),
         )
-        return self._exchange(kind, path, request_id, organisation, sent_at)
+        return self._exchange(kind, path, request_id, organisation, sent_at, resumes)
 
     def close(self):
         if self.sock is not None:
@@ -111,16 +137,16 @@
         self.sock.settimeout(DEADLINE_S + DEADLINE_GRACE_S)
         return True
 
-    def _exchange(self, kind, path, request_id, organisation, sent_at):
+    def _exchange(self, kind, path, request_id, organisation, sent_at, resumes):
         checker = self.fleet.checker
         response = None
         stalled_s = self.fleet.lag.stalled_s
         try:
             with gevent.Timeout(DEADLINE_S + DEADLINE_GRACE_S, TimeoutError("hung")):
-                self.sock.sendall(_head(kind, path, request_id, organisation))
+                self.sock.sendall(_head(kind, path, request_id, organisation, resumes))
                 response = HTTPResponse(self.sock, method="POST")
                 response.begin()
-                body = response.read()
+                body = self._read(response)
         except TimeoutError:
             self.close()
             stalled = self.fleet.lag.stalled_s - stalled_s > MAX_STALL_S
@@ -130,10 +156,14 @@
             return "hung"
         except (OSError, HTTPException) as error:
             self.close()
+            if resumes is None:
+                events = self.received.count(b"\n\n")
+                self.broken = BrokenStream(request_id, events) if events else None
             return self._handle_disconnect(kind, response, request_id, sent_at, error)
         if response.status in (502, 504) and self.node.was_healthy(sent_at):
             self._check_not_given_up(kind, request_id, sent_at)
-        correct = _is_correct(kind, request_id, response, body)
+        received = resumes.events if resumes is not None else 0
+        correct = _is_correct(kind, request_id, response, body, received)
         checker.request_ended(
             request_id,
             response.status,
@@ -144,6 +174,15 @@
             self.close()
         return response.status
 
+    def _read(self, response):
+        """Return the body; keep what came of it should the stream break off."""
+        if not response.chunked:
+            return response.read()
+        self.received = b""
+        while data := response.read1():
+            self.received += data
+        return self.received
+
     def _check_not_given_up(self, kind, request_id, sent_at):
         """Check that a request was not given up because its server was silent."""
         fleet = self.fleet
@@ -169,7 +208,7 @@
         return f"closed ({error!r})"
 
 
-def _head(kind, path, request_id, organisation):
+def _head(kind, path, request_id, organisation, resumes=None):
     lines = [
         f"POST {path} HTTP/1.1",
         f"Host: {HOST}",
@@ -177,6 +216,8 @@
         f"Deadline-Ms: {int(DEADLINE_S * 1000)}",
         "Content-Length: 4",
     ]
+    if resumes is not None:
+        lines += [f"Last-Event-Id: {resumes.events}", f"Resumes: {resumes.request_id}"]
     if organisation:
         lines.append(f"Authorization: Bearer key-{organisation}")
     if kind.streams:
@@ -189,14 +230,15 @@
     return ("\r\n".join(lines) + "\r\n\r\nbody").encode()
 
 
-def _is_correct(kind, request_id, response, body):
+def _is_correct(kind, request_id, response, body, received=0):
     """Return whether a complete response of status 200 has the expected content."""
     if response.status != 200:
         return True
     if not response.headers.get("Response-Seal"):
         return False
     if kind.streams:
-        return body == b"".join(event(request_id, n + 1) for n in range(EVENTS))
+        numbers = range(received, EVENTS)
+        return body == b"".join(event(request_id, n + 1) for n in numbers)
     return body == plain_body(request_id)
 
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -14,6 +14,8 @@
 SERIES_SHARE = 0.35
 MAX_IN_SERIES = 4
 SILENCE_WAIT_S = 1.0
+ROLLOUT_PAUSE_S = 0.5
+BROKEN_OFF = 12
 MEAN_GAP_S = 0.9
 """Mean time between two faults, seconds: short enough that most of them overlap."""
 
@@ -324,6 +326,22 @@
     brittle.end()
 
 
+def rollout(fleet, fault):
+    """Let the engines' servers be of two versions, and break streams off meanwhile.
+
+    Every second server is replaced by one of another version.
+    """
+    backends = [b for b in fleet.backends if b.service == "engine"]
+    for backend in backends[fault.target % 2 :: 2]:
+        backend.version = f"v{1 + fault.target % 3}"
+        gevent.spawn(backend.crash, 0.2)
+        gevent.sleep(0.2)
+    gevent.sleep(ROLLOUT_PAUSE_S)
+    for number in range(BROKEN_OFF):
+        backends[(fault.target + number) % len(backends)].link.reset()
+        gevent.sleep(0.2 + 0.2 * fault.strength)
+
+
 def crashing_request(fleet, fault):
     """Send a request that crashes each server that runs it to all nodes in turn."""
     content = f"{fault.target}-{fault.strength}"
@@ -362,5 +380,6 @@
         server_silent,
         servers_brittle,
         nodes_cut_from_servers,
+        rollout,
     )
 }
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -237,7 +237,13 @@
 
 
 class Backend:
-    """Runs one backend server after another behind one link."""
+    """Runs one backend server after another behind one link.
+
+    Attributes
+    ----------
+    version : str
+        Version of the software of the servers that start from now on.
+    """
 
     def __init__(self, fleet, number, service):
         self.fleet = fleet
@@ -249,6 +255,7 @@
         self.server = None
         self.silent = False
         self.brittle = None
+        self.version = "v1"
         self._start()
         address = self.server.address
         self.link = Link(fleet.ip(5, number), PORT, address, fleet.clock)
--- a/tests/soak/invariants.py
+++ b/tests/soak/invariants.py
@@ -257,6 +257,7 @@
         self.resumed_at = {}
         self.crashes = defaultdict(list)
         self.outcomes = {}
+        self.event_versions = {}
 
     def record_violation(self, rule, text):
         self.violations.append(f"{self.clock():.3f} s: {rule}: {text}")
@@ -336,6 +337,24 @@
         if len(runs) == 1:
             self._spend(organisation, request.units)
 
+    def event_made(self, stream, number, version):
+        """Record the software version of the server that makes an event of a stream.
+
+        Parameters
+        ----------
+        stream : str
+            Id of the request that began the stream.
+        """
+        self.event_versions[stream, number] = version
+
+    def stream_goes_on(self, stream, after, version):
+        """Check the version of the server at which a stream goes on after an event."""
+        before = self.event_versions.get((stream, after), version)
+        if before != version:
+            self.record_violation(
+                "software version", f"{stream} after {after}: {before}, then {version}"
+            )
+
     def server_crashed(self, path):
         """Record that a request to `path` has crashed a server."""
         self.crashes[path].append(self.clock())
--- a/tests/soak/launch.py
+++ b/tests/soak/launch.py
@@ -171,6 +171,17 @@
     TcpStream.recv = recv
 
 
+def forget_where_streams_began():
+    """Let a node bind no stream to the software version that began it."""
+    from endive_gateway.forwarding import ForwardedRequest
+
+    ForwardedRequest.stream_begins = lambda self, server, entry: None
+    ForwardedRequest._choose_service = lambda self, call: (
+        self.route.choose(self.context.random.random()),
+        call,
+    )
+
+
 MUTANTS = {
     "limit": disable_limit_sharing,
     "not-run": report_not_run,
@@ -184,6 +195,7 @@
     "silence-ends": give_up_silent_servers,
     "no-leases": lease_no_slots,
     "no-transit": carry_no_connections,
+    "no-affinity": forget_where_streams_began,
 }
 
 if __name__ == "__main__":
--- a/tests/soak/mixes.py
+++ b/tests/soak/mixes.py
@@ -11,6 +11,7 @@
     "server_silent",
     "servers_brittle",
     "nodes_cut_from_servers",
+    "rollout",
 }
 EARLIER_KINDS = tuple(sorted(set(FAULTS) - LATER_KINDS))
 FIRST_KINDS = tuple(sorted(set(EARLIER_KINDS) - {"store_silent", "links_fall_silent"}))
@@ -32,4 +33,5 @@
 SERVERS_CUT = ("nodes_cut_from_servers", "change_configuration")
 BRITTLE = ("servers_brittle", "change_configuration", "restart")
 SILENT = ("server_silent", "reload", "change_configuration")
+ROLLOUTS = ("rollout", "kill", "server_crash")
 UNFRAMED = ("server_unframed", "server_leaves", "restart")
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -268,11 +268,14 @@
         Share of its streams without a length or chunks that end inside an event.
     backend : Backend
         What this server runs for.
+    version : str
+        Version of its software.
     """
 
     def __init__(self, host, port, *, server_id, service, born, checker, backend):
         self.id = server_id
         self.backend = backend
+        self.version = backend.version
         self.slots = SLOTS if backend.brittle is None else backend.brittle.slots
         self.limit = None
         self.limited = None
@@ -299,7 +302,7 @@
             "service": self.service,
             "address": address,
             "zone": zone,
-            "version": "1",
+            "version": self.version,
             "slots": self.slots,
             "state": state,
             "cold_left_ms": 0,
@@ -407,7 +410,10 @@
     def _stream(self, request_id, environ, start, headers):
         first = int(environ.get("HTTP_LAST_EVENT_ID") or 0) + 1
         headers |= {"Content-Type": "text/event-stream"}
-        events = self._events(request_id, first)
+        began_as = environ.get("HTTP_RESUMES") if first > 1 else None
+        stream = began_as or request_id
+        self.checker.stream_goes_on(stream, first - 1, self.version)
+        events = self._events(request_id, first, stream)
         if self.unframed:
             if self._draws(request_id, self.broken_share):
                 events = broken_off(events, zlib.crc32(request_id.encode()))
@@ -415,12 +421,13 @@
         start("200 OK", list(headers.items()))
         return events
 
-    def _events(self, request_id, first):
+    def _events(self, request_id, first, stream):
         self.running += 1
         self.running_ids.add(request_id)
         try:
             for number in range(first, EVENTS + 1):
                 gevent.sleep(EVENT_GAP_S)
+                self.checker.event_made(stream, number, self.version)
                 yield event(request_id, number)
         finally:
             self.running -= 1
--- a/tests/test_soak_mutants.py
+++ b/tests/test_soak_mutants.py
@@ -6,6 +6,7 @@
     DEPARTING,
     LIMITED_SERVERS,
     RESTS,
+    ROLLOUTS,
     SERVERS_CUT,
     SILENCES,
     SILENT,
@@ -30,6 +31,7 @@
     "silence-ends": ("silence", 1, SILENT),
     "no-leases": ("brittle", 87, ("servers_brittle",)),
     "no-transit": ("cut off", 1, SERVERS_CUT),
+    "no-affinity": ("software version", 1, ROLLOUTS),
 }
 """By mutant: the rule that it violates, the seed, and the kinds of faults to inject."""
 
@@ -42,7 +44,8 @@
     proof that nothing has changed, crashes that nodes do not tell each other, limits of
     servers that are not shared, rests and departures that are not read, streams that
     are complete as soon as they end, requests that end with a server's silence, brittle
-    servers without leases, and nodes that carry no connections for others."""
+    servers without leases, nodes that carry no connections for others, and streams that
+    go on at any software version."""
     rule, seed, kinds = MUTANTS[mutant]
     outcome = run_seed(seed, slot=SLOT, mutant=mutant, kinds=kinds)
     assert outcome.violations, outcome.counts
