Start the history of server changes before a whole read is applied

Cause: a whole read drops servers and calls the registry's listeners, one of which sends a state message. Its range of offsets reached from the old start of the history to the end of the read, without the deletion, so the other nodes skipped the record for good. The history now starts at the read's end before the read is applied; others then read for themselves. test_what_a_whole_read_drops_is_not_announced_as_no_change failed before.

--- a/packages/endive_gateway/src/endive_gateway/server_following.py
+++ b/packages/endive_gateway/src/endive_gateway/server_following.py
@@ -173,13 +173,20 @@
         self.has_leaving_server = False
 
     def _set_newest(self, records: Iterable[Record], end: int) -> None:
+        # The listeners of the registry send messages, which must not cover what this
+        # read drops: it is in no record.
+        self._start_history(max(self.next_offset, end))
         self.newest.clear()
         super()._set_newest(records, end)
         self.has_leaving_server = False
+        self._start_history(self.next_offset)
+
+    def _start_history(self, offset: int) -> None:
+        """Relay no change before `offset` from now on."""
         self.changes.clear()
         self.checkpoints.clear()
-        self.checkpoints.append((time.monotonic(), self.next_offset))
-        self.history_start = self.next_offset
+        self.checkpoints.append((time.monotonic(), offset))
+        self.history_start = offset
 
     def server_delta(self) -> ServerDelta | None:
         """Return the recent changes for the other nodes.
--- a/packages/endive_gateway/tests/test_following.py
+++ b/packages/endive_gateway/tests/test_following.py
@@ -250,3 +250,25 @@
         followers[(step + 1) % 3].apply_delta(delta)
     assert now[0] - 100.0 < RELAY_TIMEOUT_S + 0.1
     assert all(follower.age_s() > 0.8 for follower in followers)
+
+
+def test_what_a_whole_read_drops_is_not_announced_as_no_change(store):
+    """A starting node has taken the servers from another one, and its own read finds
+    one gone. A message that it then sends must not let others skip that."""
+    starting, other = (ServerFollower(make_context(store=store)) for _ in range(2))
+    write(store, Topic.SERVERS, "i-1", server())
+    write(store, Topic.SERVERS, "i-2", server())
+    other.step()
+    records = list(other.newest.values())
+    starting.load(records, other.next_offset, 0.0, other.reads.newest)
+    write(store, Topic.SERVERS, "i-1", None)
+    page, announced = store.newest(Topic.SERVERS), []
+    starting.context.registry.listeners.append(
+        lambda: announced.append(starting.server_delta())
+    )
+    starting._set_newest(page.records, page.end)
+    assert announced
+    for delta in announced:
+        other.apply_delta(delta)
+    other.step()
+    assert set(other.context.registry.servers) == {"i-2"}
