--- a/packages/endive_core/src/endive_core/ring.py
+++ b/packages/endive_core/src/endive_core/ring.py
@@ -6,7 +6,7 @@
 """
 
 from bisect import bisect_left
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 from endive_core.hashing import rendezvous_score
 
@@ -35,6 +35,23 @@
         self.hashes = [hashed for hashed, _ in placed]
         self.owners = [member for _, member in placed]
 
+    def change_members(self, added: Iterable[str], removed: Collection[str]) -> None:
+        """Add and remove some members, at less cost than that of a new ring."""
+        if removed:
+            kept = [
+                (hashed, owner)
+                for hashed, owner in zip(self.hashes, self.owners, strict=True)
+                if owner not in removed
+            ]
+            self.hashes = [hashed for hashed, _ in kept]
+            self.owners = [owner for _, owner in kept]
+        for member in added:
+            for point in range(self.points):
+                hashed = rendezvous_score(member, str(point))
+                position = bisect_left(self.hashes, hashed)
+                self.hashes.insert(position, hashed)
+                self.owners.insert(position, member)
+
     def candidates(self, key: str, count: int) -> list[str]:
         """Return up to `count` distinct members for `key` in order of preference.
 
--- a/packages/endive_core/src/endive_core/stream_origins.py
+++ b/packages/endive_core/src/endive_core/stream_origins.py
@@ -7,7 +7,7 @@
 number of nodes.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 import xxhash
@@ -123,18 +123,14 @@
             return False
         before, after = _by_zone(self.members), _by_zone(members)
         for zone in before.keys() | after.keys():
-            if before.get(zone) != after.get(zone):
-                self._set_ring(zone, after.get(zone, ()))
+            old, new = before.get(zone, set()), after.get(zone, set())
+            ring = self.rings.setdefault(zone, HashRing(points=RING_POINTS))
+            ring.change_members(new - old, old - new)
+            if not new:
+                del self.rings[zone]
         self.members = dict(members)
         return True
 
-    def _set_ring(self, zone: str, addresses: Iterable[str]) -> None:
-        if not addresses:
-            self.rings.pop(zone, None)
-            return
-        ring = self.rings.setdefault(zone, HashRing(points=RING_POINTS))
-        ring.set_members(addresses)
-
     def owners(self, key: bytes) -> list[str]:
         """Return the addresses of up to `OWNERS` nodes, in different zones if any."""
         name = key.hex()
