Refuse an unknown stream at a node that hears from none of its owners

Such a node may be cut off from the others and from the store, and so not know of a version that began to serve since; a stream begun there would have gone on at the version that this node takes for the only one. Found by reading.

--- a/packages/endive_gateway/src/endive_gateway/stream_affinity.py
+++ b/packages/endive_gateway/src/endive_gateway/stream_affinity.py
@@ -9,7 +9,6 @@
 from endive_core.software_versions import (
     MAX_STREAM_AGE_S,
     RouteHistory,
-    SoleVersion,
     certain_version,
 )
 from endive_core.stream_origins import StreamOrigin, stream_key
@@ -99,24 +98,28 @@
     def _resolve(
         self, route: Route, organisation: str, metadata: RequestMetadata
     ) -> Resumption:
-        views: list[SoleVersion] = []
+        key = stream_key(organisation, metadata.resumes or metadata.id)
+        origin = self.exchange.known(key)
+        if origin is not None:
+            return self._known("kept", origin, route)
         service, since_s = self.routes.only_service(route, time.monotonic())
-        if metadata.resumes:
-            key = stream_key(organisation, metadata.resumes)
-            outcome, origin = "kept", self.exchange.known(key)
-            if origin is None:
-                inquiry = self.exchange.ask(key, service)
-                outcome, origin, views = "told", inquiry.origin, inquiry.views
-            if origin is not None:
-                is_served = origin.service in route.services
-                return Resumption(
-                    outcome if is_served else "moved", origin if is_served else None
-                )
+        inquiry = self.exchange.ask(key, service)
+        if inquiry.origin is not None:
+            return self._known("told", inquiry.origin, route)
+        replies = len(inquiry.views)
         own = self.exchange.history.sole(service, time.monotonic())
-        version = certain_version(own, views, MAX_STREAM_AGE_S)
-        if version is None or since_s < MAX_STREAM_AGE_S:
-            return Resumption("unknown", None, len(views))
-        return Resumption("certain", StreamOrigin(service, version), len(views))
+        version = certain_version(own, inquiry.views, MAX_STREAM_AGE_S)
+        # Without a reply this node may be cut off, and not know of a version that serves.
+        is_cut_off = bool(inquiry.unanswered) and not replies
+        if version is None or is_cut_off or since_s < MAX_STREAM_AGE_S:
+            return Resumption("unknown", None, replies)
+        return Resumption("certain", StreamOrigin(service, version), replies)
+
+    @staticmethod
+    def _known(outcome: str, origin: StreamOrigin, route: Route) -> Resumption:
+        if origin.service not in route.services:
+            return Resumption("moved", None)
+        return Resumption(outcome, origin)
 
 
 class StreamAffinity:
--- a/packages/endive_gateway/tests/test_stream_affinity.py
+++ b/packages/endive_gateway/tests/test_stream_affinity.py
@@ -13,6 +13,7 @@
 from endive_core.scheduler import Scheduler
 from endive_core.service_types import ServiceType
 from endive_core.software_versions import MAX_STREAM_AGE_S
+from endive_core.stream_origins import Member
 from endive_gateway.placing import GATEWAY_POLICY
 from gateway_builders import (
     LONG_S,
@@ -237,6 +238,19 @@
     assert refused.kind is ErrorKind.STREAM_NOT_RESUMABLE
 
 
+@pytest.mark.parametrize("resumes", ["nobody", None])
+def test_a_node_that_hears_from_no_owner_does_not_guess_a_version(resumes):
+    """Cut off from the other nodes, it may not know of a version that has begun."""
+    headers = {} if resumes is None else {"Resumes": resumes}
+    with running_gateway("a", "a") as running:
+        exchange = running.context.origin_exchange
+        exchange.live_members = lambda: {"127.0.0.9": Member("y", 1)}
+        exchange.datagrams.send = lambda message, addresses: None
+        started = time.monotonic()
+        assert running.call(After="3", **headers).status == 503
+        assert time.monotonic() - started < 0.5
+
+
 def test_the_log_tells_at_which_versions_a_stream_was_served(caplog):
     with caplog.at_level(logging.INFO), running_gateway("a", "a") as running:
         running.call(request_id="q")
