--- a/packages/endive_gateway/src/endive_gateway/stream_affinity.py
+++ b/packages/endive_gateway/src/endive_gateway/stream_affinity.py
@@ -109,7 +109,7 @@
         replies = len(inquiry.views)
         own = self.exchange.history.sole(service, time.monotonic())
         version = certain_version(own, inquiry.views, MAX_STREAM_AGE_S)
-        # Without a reply this node may be cut off, and not know of a version that serves.
+        # Without a reply this node may be cut off, and not know all versions.
         is_cut_off = bool(inquiry.unanswered) and not replies
         if version is None or is_cut_off or since_s < MAX_STREAM_AGE_S:
             return Resumption("unknown", None, replies)
