--- a/packages/endive_gateway/tests/test_stream_origins.py
+++ b/packages/endive_gateway/tests/test_stream_origins.py
@@ -18,6 +18,8 @@
 ZONES = ("a", "b", "c")
 ORIGIN = StreamOrigin("s", "v1")
 STREAMS = 300
+LEFT_S = 3600.0
+"""Time until the streams' deadlines, seconds: longer than any of these tests."""
 
 
 class FleetOfExchanges:
@@ -64,7 +66,7 @@
                 stream_key("o", f"q{number}"),
                 addresses[number % len(addresses)],
             )
-            self.nodes[address].tell(key, ORIGIN, 5.0)
+            self.nodes[address].tell(key, ORIGIN, LEFT_S)
             began[key] = address
         return began
 
--- a/tests/test_not_run.py
+++ b/tests/test_not_run.py
@@ -19,6 +19,8 @@
 """Kinds of the administration API, which sends no requests to backend servers."""
 
 NOT_TRIGGERED = {ErrorKind.BACKEND_REJECTED}
+GATEWAYS_ONLY = {ErrorKind.STREAM_NOT_RESUMABLE}
+"""Kinds that only a gateway answers with, tested in test_stream_affinity."""
 """The engine stand-in rejects no request that the node's own validation accepts;
 packages/endive_node/tests/test_serving.py tests this kind with a fake engine."""
 
@@ -111,7 +113,10 @@
         k for k, response in ERROR_RESPONSES.items() if response.executed is Executed.NO
     }
     tested_below = {ErrorKind.OVERLOADED, ErrorKind.NOT_READY}
-    assert seen == not_run_kinds - OPERATORS_ONLY - NOT_TRIGGERED - tested_below
+    assert (
+        seen
+        == not_run_kinds - OPERATORS_ONLY - GATEWAYS_ONLY - NOT_TRIGGERED - tested_below
+    )
 
 
 def test_requests_refused_as_overloaded_reach_no_server(cluster):
--- a/tests/test_platform_logs.py
+++ b/tests/test_platform_logs.py
@@ -5,8 +5,15 @@
 import pytest
 from endive_core.reachability import ConnectResults
 from endive_core.routing import OrganisationLimits, RouteKind
+from endive_core.stream_origins import StreamOrigin, stream_key
 from endive_node import logs
-from gateway_builders import RunningGateway, make_context, make_route, make_table
+from gateway_builders import (
+    SERVICE,
+    RunningGateway,
+    make_context,
+    make_route,
+    make_table,
+)
 from server_builders import ScriptedServer, answer
 
 OPERATIONS_PAGE = Path(__file__).resolve().parents[1] / "docs" / "OPERATIONS.md"
@@ -70,9 +77,15 @@
     resting = answer(503, b"", extra="Refused: 1\r\nRest: 1.2\r\n")
     with RunningGateway(ScriptedServer(resting)) as running:
         running.call(wait_ms=200)
+    stream = make_table(make_route(kind=RouteKind.STREAM, resumable=True))
+    with RunningGateway(ScriptedServer(), table=stream) as running:
+        running.context.origin_exchange.tell(
+            stream_key("", "q4"), StreamOrigin(SERVICE, "v0"), 5.0
+        )
+        running.call(After="3", Resumes="q4")
     gevent.sleep(0)
     assert documented_lines() - written_lines(log_lines) == set()
-    assert len(documented_lines()) == 6
+    assert len(documented_lines()) == 8
 
 
 def test_a_closed_port_is_detected():
