Log the parts of a crashed request's prompt, and a server whose state is unknown

Keys are the same in every spelling of a part's id; parts of an invalid list count too, since such a request still reaches a server.

A server of which nobody can tell whether it has ended was logged as server_still_listens; it is server_state_unknown now. The test of that failed before. No decision reads the parts yet.

--- a/packages/endive_core/src/endive_core/calls.py
+++ b/packages/endive_core/src/endive_core/calls.py
@@ -42,6 +42,8 @@
         Latency target for the first token, seconds.
     deadline : float or None
         Clock time in seconds after which the answer is of no use.
+    shared_parts : tuple of int
+        Keys of the prompt's parts that other requests may share, each once.
     software_version : str or None
         Version of the servers' software at which the stream goes on that the call takes
         up; ``None`` if any will do.
@@ -61,6 +63,7 @@
     weights: CallWeights = DEFAULT_WEIGHTS
     fingerprint: str = ""
     non_idempotent: bool = False
+    shared_parts: tuple[int, ...] = ()
     software_version: str | None = None
 
     @property
--- a/packages/endive_core/src/endive_core/hashing.py
+++ b/packages/endive_core/src/endive_core/hashing.py
@@ -10,6 +10,20 @@
     return xxhash.xxh3_128_hexdigest(text.encode())
 
 
+def part_key(name: str) -> int:
+    """Return the 64-bit key of the part of a prompt that callers call `name`.
+
+    Names are hexadecimal numbers, which may be spelled in several ways.
+    """
+    try:
+        number = int(name, 16)
+    except ValueError:
+        return xxhash.xxh3_64_intdigest(name.lower().encode())
+    if 0 <= number < 2**64:
+        return number
+    return xxhash.xxh3_64_intdigest(f"{number:x}".encode())
+
+
 def rendezvous_score(key: str, member: str) -> int:
     """Return the weight of `member` for `key`; the highest weight wins."""
     return xxhash.xxh3_64_intdigest(f"{key}\x00{member}".encode())
--- a/packages/endive_gateway/src/endive_gateway/forwarding.py
+++ b/packages/endive_gateway/src/endive_gateway/forwarding.py
@@ -250,6 +250,7 @@
             deadline=now + self.left_s(),
             fingerprint=self.fingerprint,
             non_idempotent=not route.retryable,
+            shared_parts=metadata.shared_parts,
         )
 
     def _take_units(self, call: Call) -> None:
--- a/packages/endive_gateway/src/endive_gateway/interfaces.py
+++ b/packages/endive_gateway/src/endive_gateway/interfaces.py
@@ -250,7 +250,10 @@
     prompt_tokens, max_tokens : int or None
         Length of the prompt, and of the longest response, in tokens.
     parts : tuple of PromptPart
-        Parts of the prompt that other requests may share.
+        Parts of the prompt that other requests may share; none if the list is invalid.
+    shared_parts : tuple of int
+        Keys of all parts but the last one, each once, also of an invalid list; see
+        :func:`endive_core.hashing.part_key`.
     last_event_id : str
         Id of the last event that the caller has received, if it resumes a stream.
     resumes : str
@@ -264,6 +267,7 @@
     prompt_tokens: int | None = None
     max_tokens: int | None = None
     parts: tuple[PromptPart, ...] = ()
+    shared_parts: tuple[int, ...] = ()
     last_event_id: str = ""
     resumes: str = ""
 
--- a/packages/endive_gateway/src/endive_gateway/placing.py
+++ b/packages/endive_gateway/src/endive_gateway/placing.py
@@ -35,6 +35,9 @@
 """Consecutive failures after which a server is paused. A single lost response is weak
 evidence against a server; a second consecutive one is likely a crash."""
 
+MAX_LOGGED_PARTS = 8
+"""Parts of a prompt that a log line names, at most."""
+
 GATEWAY_POLICY = Policy(
     no_server_wait_s=0.4,
     affinity_belief=1.0,
@@ -331,7 +334,12 @@
         if condition is ServerCondition.BLOCKED:
             log_event("server_not_failed", server=view.id, request=request_id)
             return RetryReason.PATH_FAILED
-        log_event("server_still_listens", server=view.id, request=request_id)
+        listens = condition is ServerCondition.LISTENING
+        log_event(
+            "server_still_listens" if listens else "server_state_unknown",
+            server=view.id,
+            request=request_id,
+        )
         return reason
 
     def _count_crash(self, ticket: Ticket) -> None:
@@ -342,6 +350,8 @@
             request=ticket.call.request_id,
             fingerprint=ticket.call.fingerprint,
             crash=crash,
+            stage=ticket.stage,
+            parts=_format_parts(ticket.call.shared_parts),
         )
         self.ticket_schedulers[ticket].failures.attribute_crash(
             ticket, crash, self.now()
@@ -354,5 +364,11 @@
         return f"{server_id}@{known.entry.incarnation if known else 0}"
 
 
+def _format_parts(parts: tuple[int, ...]) -> str:
+    """Return the keys of the parts of a prompt as the log shows them."""
+    shown = ",".join(f"{part:x}" for part in parts[:MAX_LOGGED_PARTS])
+    return f"{shown},..." if len(parts) > MAX_LOGGED_PARTS else shown
+
+
 def _service_type(service: Service) -> ServiceType:
     return ServiceType.ENGINE if service.engine else ServiceType.PLAIN
--- a/packages/endive_gateway/tests/gateway_builders.py
+++ b/packages/endive_gateway/tests/gateway_builders.py
@@ -62,6 +62,9 @@
             metadata.parts = tuple(
                 PromptPart(int(part), 100) for part in parts.split(",")
             )
+            metadata.shared_parts = tuple(
+                dict.fromkeys(part.id for part in metadata.parts[:-1])
+            )
         return metadata
 
     def encode_request(self, headers, metadata, forwarding):
--- a/tests/test_platform_headers.py
+++ b/tests/test_platform_headers.py
@@ -29,10 +29,34 @@
         (0x5C1E07A2, 800),
         (0x91BD3F06, 410),
     ]
+    assert metadata.shared_parts == (0x5C1E07A2,)
     assert metadata.last_event_id == "7"
     assert metadata.resumes == "r0"
 
 
+@pytest.mark.parametrize(
+    ("prefix", "expected"),
+    [
+        ("", ()),
+        ("a:1", ()),
+        ("a:1,b:2,c:3", (0xA, 0xB)),
+        ("0A:5, 00b : 7 ,c:3", (0xA, 0xB)),
+        ("a:1,b:2,a:9,c:3", (0xA, 0xB)),
+        ("a:x,b,c:3,", (0xA, 0xB)),
+        (",".join(["a:1"] * 5000), (0xA,)),
+    ],
+)
+def test_the_shared_parts_of_a_prompt_have_one_key_in_all_spellings(prefix, expected):
+    assert decode_request(headers(Prompt_Prefix=prefix)).shared_parts == expected
+
+
+def test_parts_with_very_long_or_other_names_have_keys_of_64_bits():
+    names = ("f" * 5000, "g-h", "-1")
+    prefix = ",".join(f"{name}:1" for name in (*names, "1"))
+    parts = decode_request(headers(Prompt_Prefix=prefix)).shared_parts
+    assert len(parts) == 3 and all(0 <= part < 2**64 for part in parts)
+
+
 @pytest.mark.parametrize(
     "bad",
     [
--- a/tests/test_platform_logs.py
+++ b/tests/test_platform_logs.py
@@ -93,3 +93,23 @@
     assert checks.try_both("i-1", server.address).directly
     server.stop()
     assert checks.try_both("i-1", server.address) == REFUSED
+
+
+@pytest.mark.parametrize(
+    ("results", "event"),
+    [
+        (ConnectResults(directly=True, elsewhere=None), "server_still_listens"),
+        (ConnectResults(directly=None, elsewhere=None), "server_state_unknown"),
+    ],
+)
+def test_a_server_whose_state_is_unknown_is_not_logged_as_listening(
+    log_lines, results, event
+):
+    server = ScriptedServer()
+    server.script.append(lambda sock, _seen: sock.close() or False)
+    with RunningGateway(
+        server, table=make_table(make_route(max_attempts=1))
+    ) as running:
+        running.context.placer.try_both = lambda *server: results
+        running.call()
+    assert [line for line in log_lines if line.startswith(f"event={event} ")]
