--- a/packages/endive_gateway/tests/server_builders.py
+++ b/packages/endive_gateway/tests/server_builders.py
@@ -22,14 +22,15 @@
     """A backend server that follows a script, one entry for each request.
 
     An entry is called with the socket and the received request. After the last entry
-    every request is answered with ``ok``. An entry that returns False ends the
-    connection.
+    every request is answered with ``ok``, or by `answer_rest` if that is set. An entry
+    that returns False ends the connection.
     """
 
     def __init__(self, *script, server_id="i-1", software_version="v1"):
         self.id = server_id
         self.software_version = software_version
         self.script = list(script)
+        self.answer_rest = ok
         self.received = []
         self.connections = 0
         self.closed = []
@@ -56,7 +57,7 @@
                     parser.feed(data)
                 received = ReceivedRequest(parser.messages.popleft())
                 self.received.append(received)
-                entry = self.script.pop(0) if self.script else ok
+                entry = self.script.pop(0) if self.script else self.answer_rest
                 if entry(sock, received) is False:
                     return
         except OSError:
--- a/packages/endive_gateway/tests/test_crashing_requests.py
+++ b/packages/endive_gateway/tests/test_crashing_requests.py
@@ -1,3 +1,6 @@
+import functools
+
+import gevent
 import pytest
 from endive_core.routing import OrganisationLimits
 from gateway_builders import (
@@ -6,7 +9,7 @@
     make_route,
     make_table,
 )
-from server_builders import ScriptedServer, crash_server
+from server_builders import ScriptedServer, crash_server, ok
 
 TWO_KEYS = make_table(
     make_route(public=False),
@@ -40,3 +43,49 @@
             server.script.clear()
         options = {"method": "POST", "body": b"poison"} | other
         assert running.call(**options).status == 200
+
+
+BAD, SHARED, OTHER = "11", "12", "13"
+
+
+class PartServers:
+    """Servers that end when they begin an answer on a part of a prompt."""
+
+    def __init__(self, running, bad):
+        self.running = running
+        self.bad = bad
+        self.ended = 0
+        for server in running.servers:
+            server.answer_rest = functools.partial(self.answer, server)
+
+    def answer(self, server, sock, received):
+        parts = received.headers.get("parts", "").split(",")[:-1]
+        if self.bad not in parts:
+            return ok(sock, received)
+        gevent.sleep(0.02)
+        self.ended += 1
+        return crash_server(server)(sock, received)
+
+
+def call_parts(running, number, *parts):
+    """Send a request with these parts and one of its own; return its status."""
+    return running.call(
+        method="POST",
+        target=f"/{number}",
+        body=b"prompt %d" % number,
+        parts=",".join([*parts, str(1_000 + number)]),
+    ).status
+
+
+def test_requests_that_share_a_crashing_part_are_refused_and_sound_ones_go_on():
+    """Each request has another path and body, and cost servers of its own."""
+    servers = [ScriptedServer(server_id=f"i-{n}") for n in range(12)]
+    with RunningGateway(*servers) as running:
+        crashing = PartServers(running, BAD)
+        statuses = []
+        for number in range(0, 20, 2):
+            assert call_parts(running, number, SHARED, OTHER) == 200
+            statuses.append(call_parts(running, number + 1, SHARED, BAD))
+        assert crashing.ended <= 3
+        assert set(statuses[2:]) == {503}
+        assert call_parts(running, 99, OTHER) == 200
