Refuse requests that share a part of a prompt on which servers crash

Now a server's end implicates the parts (but the last) of the requests that it had not begun to answer, and an answer that begins clears its parts. Only independent crashes add up, of requests sent after the crash before; a crash says nothing against a part if one outside the prompt explains it. The evidence is in the state messages; whose turn a trial is follows from hashing. Checked at admission, dispatch, retry and right before sending.

--- a/packages/endive_core/src/endive_core/__init__.py
+++ b/packages/endive_core/src/endive_core/__init__.py
@@ -9,7 +9,8 @@
   ``retry_after``, ``estimators``
 - placement: ``placement``, ``prefixes``, ``ring``, ``hashing``, ``servers``,
   ``backlogs``, ``prefilling``, ``first_tokens``
-- failures: ``failures``, ``retrying``, ``crashes``, ``crash_news``, ``outliers``,
+- failures: ``failures``, ``retrying``, ``crashes``, ``crash_news``, ``part_crashes``,
+  ``part_trials``, ``outliers``,
   ``ejection``, ``response_times``, ``call_pacing``
 - streams that go on: ``stream_origins``, ``software_versions``
 - ways to servers: ``reachability``, ``transit``
--- a/packages/endive_core/src/endive_core/admission.py
+++ b/packages/endive_core/src/endive_core/admission.py
@@ -14,6 +14,7 @@
 from endive_core.crashes import CrashTable
 from endive_core.estimators import ServiceRate, WaitErrorEstimate
 from endive_core.exceptions import ErrorKind
+from endive_core.part_trials import PartTrials, Standing, part_refusal
 from endive_core.policy import Policy
 from endive_core.queueing import FairQueue
 from endive_core.quotas import Quota
@@ -100,8 +101,10 @@
         service_type: ServiceType,
         throttling: Throttling,
         resting: Resting,
+        trials: PartTrials,
     ) -> None:
         self.resting = resting
+        self.trials = trials
         self.policy = policy
         self.servers = servers
         self.queue = queue
@@ -128,6 +131,8 @@
             return Refusal.from_kind(
                 ErrorKind.POISON_REQUEST, "servers crashed while running this request"
             )
+        if self.trials.judge(call.shared_parts, now).standing is Standing.REFUSED:
+            return part_refusal(self.policy)
         if not self.servers.accepting:
             return Refusal.from_kind(ErrorKind.NO_SERVER, "no server takes work")
         version = call.software_version
--- a/packages/endive_core/src/endive_core/calls.py
+++ b/packages/endive_core/src/endive_core/calls.py
@@ -123,6 +123,13 @@
         The tier for which the wait was predicted.
     suspect : bool
         Whether a server crashed while it ran this call.
+    crashed : bool
+        Whether a server ended before it began to answer this call.
+    tried_parts : tuple of int
+        Suspected parts of its prompt for which this attempt is a trial, until its first
+        token.
+    held_at : float or None
+        When it began to wait for trials of other calls, clock time in seconds.
     yields : bool
         Whether its prompt is computed after all others at its server, see
         :mod:`.placement`.
@@ -151,6 +158,9 @@
     tier: Tier = Tier.WITHIN_SHARE
     avoid: set[str] = field(default_factory=set)
     suspect: bool = False
+    crashed: bool = False
+    tried_parts: tuple[int, ...] = ()
+    held_at: float | None = None
     yields: bool = False
     waited_for_rest: bool = False
     refusal: "Refusal | None" = None
--- a/packages/endive_core/src/endive_core/crashes.py
+++ b/packages/endive_core/src/endive_core/crashes.py
@@ -173,6 +173,10 @@
                 del servers[server]
         return sum(self._counts(fingerprint, at) for at in servers.values())
 
+    def is_refused(self, crash: Crash, now: float) -> bool:
+        """Return whether requests with the content of `crash` must be refused."""
+        return self.is_poison(crash.fingerprint, now)
+
     def is_poison(self, fingerprint: str, now: float) -> bool:
         """Return whether a request with `fingerprint` must be refused."""
         return self.count(fingerprint, now) >= self.refused_from
--- a/packages/endive_core/src/endive_core/exceptions.py
+++ b/packages/endive_core/src/endive_core/exceptions.py
@@ -149,6 +149,7 @@
     SERVER_RESTING = "server_resting"
     SERVER_SLOW = "server_slow"
     HANDED_OVER = "handed_over"
+    PART_SUSPECTED = "part_suspected"
     PATH_FAILED = "path_failed"
 
 
--- a/packages/endive_core/src/endive_core/failures.py
+++ b/packages/endive_core/src/endive_core/failures.py
@@ -6,6 +6,7 @@
 from endive_core.calls import Refusal, Retry, Stage, Ticket
 from endive_core.crashes import Crash, CrashTable
 from endive_core.exceptions import ErrorKind, RetryReason
+from endive_core.part_trials import PartTrials, Standing, part_refusal
 from endive_core.policy import Policy
 from endive_core.resting import Resting
 from endive_core.retrying import DEFAULT_RETRY_RATIO, RetryBudget, retry_delay_s
@@ -54,8 +55,10 @@
         crashes: CrashTable,
         random: Random,
         resting: Resting,
+        trials: PartTrials,
     ) -> None:
         self.resting = resting
+        self.trials = trials
         self.policy = policy
         self.servers = servers
         self.crashes = crashes
@@ -80,17 +83,30 @@
             )
         return self.budgets[deployment]
 
-    def attribute_crash(self, ticket: Ticket, crashed: str, now: float) -> None:
+    def attribute_crash(
+        self, ticket: Ticket, crashed: str, now: float, *, ended_at: float | None = None
+    ) -> None:
         """Count a server's crash against `ticket` if it may have caused the crash.
 
         Parameters
         ----------
         crashed : str
             Server with the number of its incarnation; empty if it did not crash.
+        ended_at : float or None
+            When its connection broke, clock time in seconds; ``None`` for now.
         """
-        if crashed and self._may_have_caused(ticket, crashed, now):
-            self.crashes.add(Crash(ticket.call.fingerprint, crashed, now))
-            ticket.suspect = True
+        if not (crashed and self._may_have_caused(ticket, crashed, now)):
+            return
+        self.crashes.add(Crash(ticket.call.fingerprint, crashed, now))
+        ticket.suspect = True
+        if ticket.stage is Stage.DISPATCHED:
+            ticket.crashed = True
+            self.trials.table.report(
+                crashed,
+                ticket.call.shared_parts,
+                ticket.dispatched_at,
+                now if ended_at is None else ended_at,
+            )
 
     def _may_have_caused(self, ticket: Ticket, crashed: str, now: float) -> bool:
         """Return whether `ticket` may have caused the crash that ended it.
@@ -173,6 +189,8 @@
             return Refusal.from_kind(
                 ErrorKind.POISON_REQUEST, "servers crashed while running this request"
             )
+        if self.trials.judge(call.shared_parts, now).standing is Standing.REFUSED:
+            return part_refusal(self.policy)
         if call.non_idempotent and started:
             return Refusal.from_kind(
                 ErrorKind.OUTCOME_UNKNOWN,
--- a/packages/endive_core/src/endive_core/queueing.py
+++ b/packages/endive_core/src/endive_core/queueing.py
@@ -9,11 +9,15 @@
 import heapq
 from collections import deque
 from collections.abc import Iterator
+from itertools import islice
 
 from endive_core.bound_queue import BoundQueue
 from endive_core.calls import Stage, Ticket
 from endive_core.queued_tokens import QueuedTokens
 
+MAX_HELD_HEADS = 64
+"""Held tickets that are tried for a free slot, at most."""
+
 
 class OrganisationQueue:
     """The queued tickets of one organisation at one priority, oldest first."""
@@ -151,12 +155,16 @@
     ----------
     bound : BoundQueue
         Streams that go on at one software version.
+    held : dict of Ticket to None
+        Tickets that wait for the outcome of others, the oldest first. They wait apart,
+        so that they hold up nothing behind them.
     """
 
     def __init__(self, shares: dict[str, float] | None = None) -> None:
         self.shares = shares or {}
         self.ranks: dict[int, RankQueue] = {}
         self.bound = BoundQueue()
+        self.held: dict[Ticket, None] = {}
         self.order: list[int] = []
         self.length = 0
 
@@ -184,6 +192,7 @@
 
     def heads(self, limit: int) -> Iterator[Ticket]:
         """Yield the tickets that may go next, best first, `limit` per priority."""
+        yield from list(islice(self.held, MAX_HELD_HEADS))
         yield from self.bound.heads(limit)
         for rank in self.order:
             yield from self.ranks[rank].heads(limit)
@@ -197,12 +206,21 @@
             for ticket in queue.tickets
             if ticket.stage is Stage.QUEUED
         ]
-        return self.bound.tickets() + free
+        return [*self.held, *self.bound.tickets(), *free]
+
+    def hold(self, ticket: Ticket) -> None:
+        """Let a ticket returned by :meth:`heads` wait apart from the others."""
+        if ticket not in self.held:
+            self.pop(ticket)
+            self.held[ticket] = None
+            self.length += 1
 
     def pop(self, ticket: Ticket) -> None:
         """Remove a ticket returned by :meth:`heads`."""
         self.length -= 1
-        if ticket.version is not None:
+        if ticket in self.held:
+            del self.held[ticket]
+        elif ticket.version is not None:
             self.bound.pop(ticket)
         else:
             self.ranks[ticket.call.rank].pop(ticket)
@@ -210,7 +228,9 @@
     def cancel(self, ticket: Ticket) -> None:
         """Uncount a queued ticket; the calling code marks it as ended."""
         self.length -= 1
-        if ticket.version is not None:
+        if ticket in self.held:
+            del self.held[ticket]
+        elif ticket.version is not None:
             self.bound.subtract(ticket)
         else:
             self.ranks[ticket.call.rank].subtract_tokens(ticket)
--- a/packages/endive_core/src/endive_core/scheduler.py
+++ b/packages/endive_core/src/endive_core/scheduler.py
@@ -19,6 +19,8 @@
 from endive_core.first_tokens import FirstTokenLearner
 from endive_core.messages import ServerView
 from endive_core.outliers import OutlierDetector
+from endive_core.part_crashes import PartTable
+from endive_core.part_trials import Judgement, PartTrials, Standing
 from endive_core.placement import Placement
 from endive_core.policy import Policy
 from endive_core.prefilling import PrefillRate
@@ -40,6 +42,7 @@
 NO_REASON_TO_AVOID = (
     RetryReason.SERVER_BUSY,
     RetryReason.SERVER_RESTING,
+    RetryReason.PART_SUSPECTED,
     RetryReason.PATH_FAILED,
 )
 """Reasons for which the next attempt may go to the same server."""
@@ -58,6 +61,8 @@
         Shared by the node's schedulers, and merged with other nodes'.
     prefill : PrefillRate or None
         Learns the servers' prefill rate if operators don't declare it.
+    trials : PartTrials or None
+        Decides on requests whose parts may crash servers, of all services.
     """
 
     def __init__(
@@ -68,8 +73,10 @@
         service_type: ServiceType = ServiceType.ENGINE,
         crashes: CrashTable | None = None,
         prefill: PrefillRate | None = None,
+        trials: PartTrials | None = None,
     ) -> None:
         self.prefill = prefill
+        self.trials = trials or PartTrials(PartTable(policy.crash_memory_s))
         self.policy = policy
         self.random = random
         self.service_type = service_type
@@ -95,12 +102,13 @@
             service_type,
             self.throttling,
             self.resting,
+            self.trials,
         )
         self.first_tokens = FirstTokenLearner(
             self.servers, self.admission.rate, self.outliers, prefill
         )
         self.failures = FailureHandler(
-            policy, self.servers, self.crashes, random, self.resting
+            policy, self.servers, self.crashes, random, self.resting, self.trials
         )
         self.running = self.failures.running
         self.refusals: Counter[ErrorKind] = Counter()
@@ -210,6 +218,14 @@
         To be called after each offer, end and report, until it returns ``None``.
         """
         self._tick(now)
+        while True:
+            queued = len(self.queue.held)
+            dispatch = self._next_of_heads(now)
+            if dispatch is not None or len(self.queue.held) <= queued:
+                return dispatch
+
+    def _next_of_heads(self, now: float) -> Dispatch | None:
+        """Return the next ticket to send, if it is among the heads of the queue."""
         for ticket in self.queue.heads(self.policy.queue_heads_tried):
             if ticket.call.deadline is not None and now >= ticket.call.deadline:
                 self.expiry.expire_past_deadline(ticket)
@@ -217,6 +233,15 @@
             if self.crashes.is_poison(ticket.call.fingerprint, now):
                 self.expiry.expire_poison(ticket)
                 continue
+            judgement = self._judge(ticket, now)
+            if judgement.standing is Standing.REFUSED:
+                self.expiry.expire_crashing_part(ticket)
+                continue
+            if judgement.standing is Standing.WAITING:
+                self._hold(ticket, now)
+                continue
+            ticket.tried_parts = judgement.parts
+            ticket.suspect |= bool(judgement.parts)
             server = self._server_for(ticket, now)
             if server is not None:
                 server = self._server_in_time(ticket, server, now)
@@ -226,6 +251,20 @@
                 return Dispatch(ticket, server.id)
         return None
 
+    def _judge(self, ticket: Ticket, now: float) -> Judgement:
+        """Return what the suspected parts of a ticket's prompt let become of it."""
+        waited_s = 0.0 if ticket.held_at is None else now - ticket.held_at
+        return self.trials.judge(
+            ticket.call.shared_parts, now, crashed=ticket.crashed, waited_s=waited_s
+        )
+
+    def _hold(self, ticket: Ticket, now: float) -> None:
+        """Let a ticket wait for the trials of others, and hold up nothing behind it."""
+        if ticket.held_at is None:
+            ticket.held_at = now
+        if ticket.version is None:
+            self.queue.hold(ticket)
+
     def _server_in_time(
         self, ticket: Ticket, server: ServerLoad, now: float
     ) -> ServerLoad | None:
@@ -293,6 +332,8 @@
         )
         self.placement.pace(server, ticket.uncached_tokens, now)
         server.starting_suspects += ticket.suspect
+        ticket.held_at = None
+        self.trials.begin(ticket.tried_parts)
         self.usage.acquire(ticket.call.organisation)
         self.running.setdefault(server.id, set()).add(ticket)
         self.servers.adjust_in_flight(server, 1, now)
@@ -308,6 +349,8 @@
             return
         ticket.stage = Stage.STREAMING
         ticket.first_token_at = now
+        self._end_trial(ticket)
+        self.trials.table.add_answers(ticket.call.shared_parts, now)
         server = self._server_load_of(ticket)
         if server is not None:
             self.servers.record_success(server)
@@ -321,6 +364,10 @@
             tokens_per_s=self.admission.prefill_tokens_per_s(),
         )
 
+    def _end_trial(self, ticket: Ticket) -> None:
+        self.trials.end(ticket.tried_parts)
+        ticket.tried_parts = ()
+
     def _prefill_ended(self, ticket: Ticket, server: ServerLoad) -> None:
         self.servers.adjust_prefill_backlog(
             server, -1, ticket.uncached_tokens, yields=ticket.yields
@@ -461,6 +508,7 @@
             return
         self.usage.release(ticket.call.organisation)
         self.running.get(ticket.server, set()).discard(ticket)
+        self._end_trial(ticket)
         server = self._server_load_of(ticket)
         if server is not None:
             if ticket.stage is Stage.DISPATCHED:
--- a/packages/endive_gateway/src/endive_gateway/attempts.py
+++ b/packages/endive_gateway/src/endive_gateway/attempts.py
@@ -140,6 +140,7 @@
         The request may have waited for a slot or a connection since it was chosen.
         """
         self._check_usable()
+        self._check_parts()
         rests, server = self.context.server_rests, self.view.id
         node = self.connection.transit_node if self.connection else None
         if rests.is_resting(server) or (node and rests.rests_for(node, server)):
@@ -151,6 +152,17 @@
                 counts_as_attempt=False,
             )
 
+    def _check_parts(self) -> None:
+        """Check that no part of the prompt has been suspected since; as above."""
+        if self.context.placer.has_new_suspicion(self.request.ticket):
+            self._give_connection_back()
+            raise AttemptError(
+                "a part of the prompt has crashed a server meanwhile",
+                RetryReason.PART_SUSPECTED,
+                started=False,
+                counts_as_attempt=False,
+            )
+
     def _check_usable(self) -> None:
         """Check that the server may get requests; raises AttemptError if not."""
         known = self.context.registry.get(self.view.id)
--- a/packages/endive_gateway/src/endive_gateway/context.py
+++ b/packages/endive_gateway/src/endive_gateway/context.py
@@ -109,6 +109,7 @@
             self.paths, self.checks, self.metrics.transit_replies
         )
         self.placer = Placer(self.registry, try_both=self.checks.try_both)
+        self.placer.trials.node = settings.location.address
         self.path_monitor = PathMonitor(self.paths, self.checks)
         self.path_monitor.on_silent = self.placer.pause_silent
         self.pool = ConnectionPool(wire, self.paths, self.path_monitor)
--- a/packages/endive_gateway/src/endive_gateway/forwarding.py
+++ b/packages/endive_gateway/src/endive_gateway/forwarding.py
@@ -79,8 +79,8 @@
         Slots of brittle servers that were not leased for this request.
     units : float
         Units of the organisation's limit that the request has taken.
-    fingerprint : str
-        Identifies requests with the same content; empty before admission.
+    call : Call or None
+        The request as the decisions see it; ``None`` before admission.
     error : str
         Why this node answered with an error of its own; empty if it did not.
     """
@@ -93,6 +93,7 @@
         self.route: Route | None = None
         self.terms: OrganisationLimits | None = None
         self.organisation = ""
+        self.call: Call | None = None
         self.ticket: Ticket | None = None
         self.splitter = EventSplitter()
         self.affinity = StreamAffinity(self.metadata)
@@ -102,7 +103,6 @@
         self.uncounted_attempts = 0
         self.declined_slots = 0
         self.units = 0.0
-        self.fingerprint = ""
         self.outcome = ""
         self.error = ""
         self.servers: list[str] = []
@@ -190,10 +190,8 @@
     def _admit(self) -> None:
         self.check_time()
         call = self._make_call()
-        if self.context.placer.crashes.is_poison(call.fingerprint, self.now):
-            raise EndiveError(
-                ErrorKind.POISON_REQUEST, "servers crashed while running this request"
-            )
+        self.call = call
+        self.context.placer.check_not_refused(call)
         service, call = self._choose_service(call)
         self._take_units(call)
         table = self.context.table
@@ -236,7 +234,6 @@
         content = b"\0".join(
             (self.exchange.message.target, caller.encode(), self.exchange.body)
         )
-        self.fingerprint = fingerprint(content.decode("latin-1"))
         return Call(
             request_id=metadata.id,
             organisation=self.organisation,
@@ -248,7 +245,7 @@
             block_ends=ends if route.engine else (),
             target_s=max(0.01, route.target_s - spent),
             deadline=now + self.left_s(),
-            fingerprint=self.fingerprint,
+            fingerprint=fingerprint(content.decode("latin-1")),
             non_idempotent=not route.retryable,
             shared_parts=metadata.shared_parts,
         )
@@ -357,7 +354,7 @@
             return
         self.outcome, self.error = str(error.kind), str(error)
         if error.kind is ErrorKind.POISON_REQUEST:
-            self._log_crashes()
+            self.context.placer.log_refusal(self.call)
         if self.exchange.response_started:
             self.exchange.abort()
             return
@@ -368,14 +365,6 @@
             error, status, self.context.wire.own_response_headers(self.metadata)
         )
 
-    def _log_crashes(self) -> None:
-        log_event(
-            "request_has_crashed_servers",
-            request=self.metadata.id,
-            fingerprint=self.fingerprint,
-            crashes=self.context.placer.crashes.count(self.fingerprint, self.now),
-        )
-
     def _finish(self) -> None:
         if self.ticket is not None:
             if self.ticket.stage is not Stage.ENDED and self.in_flight:
--- /dev/null
+++ b/packages/endive_gateway/src/endive_gateway/part_exchange.py
@@ -0,0 +1,80 @@
+"""Exchange of crashes by parts of prompts, and of answers that clear parts.
+
+Both are part of the state messages. A node that sees a crash also sends one at once.
+"""
+
+from collections.abc import Iterable
+
+from endive_core.crash_news import CrashNews
+from endive_core.part_crashes import PartAnswer, PartCrash, PartTable
+from endive_node.logs import log_event
+
+MAX_CRASHES = 3
+MAX_REPEATS = 1
+"""Most crashes in one state message, and how many of them may have been sent before: a
+crash takes up to 140 bytes."""
+
+MAX_ANSWERS = 6
+"""Most answers in one state message."""
+
+CrashReport = tuple[str, tuple[int, ...], float, float]
+"""A server with its incarnation, the keys of the parts of a prompt that it had not
+begun to answer, and the ages of the request and of the crash in seconds."""
+
+AnswerReport = tuple[int, float]
+"""The key of a part, and the age in seconds of the last answer that began on it."""
+
+
+class PartExchange:
+    """Sends what this node knows of crashing parts, and takes what others know."""
+
+    def __init__(self, table: PartTable) -> None:
+        self.table = table
+        self.news: CrashNews[PartCrash, PartAnswer] = CrashNews(table)
+        table.clearing_listeners.append(self._log_cleared)
+
+    def next_crashes(self, now: float, receivers: int) -> list[CrashReport]:
+        """Return the crashes for a message to some nodes."""
+        taken = self.news.take(
+            now, limit=MAX_CRASHES, receivers=receivers, repeats=MAX_REPEATS
+        )
+        return [(c.server, c.parts, now - c.sent_at, now - c.at) for c in taken]
+
+    def next_answers(self, now: float, receivers: int) -> list[AnswerReport]:
+        """Return the answers for a message to some nodes, the newest of each part."""
+        taken = self.news.take_successes(limit=MAX_ANSWERS, receivers=receivers)
+        return [(answer.part, now - answer.at) for answer in taken]
+
+    def learn(
+        self,
+        peer: str,
+        crashes: Iterable[CrashReport],
+        answers: Iterable[AnswerReport],
+        now: float,
+    ) -> None:
+        """Apply what another node has sent."""
+        for part, age_s in answers:
+            self.table.add_answer(PartAnswer(part, now - age_s))
+        for server, parts, sent_age_s, age_s in crashes:
+            crash = PartCrash(server, parts, now - sent_age_s, now - age_s)
+            if self.news.learn(crash):
+                log_event(
+                    "part_crash_learned",
+                    peer=peer,
+                    crash=server,
+                    parts=format_parts(parts),
+                    age_s=round(age_s, 3),
+                )
+
+    def _log_cleared(self, answer: PartAnswer) -> None:
+        log_event("part_cleared", part=f"{answer.part:x}")
+
+
+def format_parts(parts: tuple[int, ...]) -> str:
+    """Return the keys of the parts of a prompt as the log shows them."""
+    shown = ",".join(f"{part:x}" for part in parts[:MAX_LOGGED_PARTS])
+    return f"{shown},..." if len(parts) > MAX_LOGGED_PARTS else shown
+
+
+MAX_LOGGED_PARTS = 8
+"""Parts of a prompt that a log line names, at most."""
--- a/packages/endive_gateway/src/endive_gateway/peers.py
+++ b/packages/endive_gateway/src/endive_gateway/peers.py
@@ -29,6 +29,7 @@
 from endive_gateway.interfaces import Record
 from endive_gateway.listing import NodeList
 from endive_gateway.nodes import Peer
+from endive_gateway.part_exchange import PartExchange
 from endive_gateway.server_following import ServerFollower
 from endive_gateway.state_messages import DECODER, StateMessage
 
@@ -115,6 +116,8 @@
         Whether this node has been complete since its start.
     crash_exchange : CrashExchange
         The crashes that the nodes tell each other.
+    part_exchange : PartExchange
+        The same, by parts of prompts.
     """
 
     def __init__(self, context: Context) -> None:
@@ -136,6 +139,7 @@
         self.crash_exchange = CrashExchange(
             context.placer.crashes, self._announce_crashes
         )
+        self.part_exchange = PartExchange(context.placer.trials.table)
         context.placer.on_crash = self.crash_exchange.announce_soon
         context.limit_sharing.peer_addresses = self.presumed_live
         context.slot_leasing.peer_addresses = self.presumed_live
@@ -462,6 +466,8 @@
             successes=self.crash_exchange.next_successes(now, receivers),
             carried=context.transit_port.offer(),
             zone=context.settings.location.zone,
+            part_crashes=self.part_exchange.next_crashes(now, receivers),
+            part_answers=self.part_exchange.next_answers(now, receivers),
             **context.server_statements.next_fields(),
         )
 
@@ -522,6 +528,9 @@
         context.limits.receive(origin, message.spent, now)
         context.meter.receive(address, message.incarnation, message.windows)
         self.crash_exchange.learn(message.node, message.crashes, message.successes, now)
+        self.part_exchange.learn(
+            message.node, message.part_crashes, message.part_answers, now
+        )
         is_transit = address in context.paths.transit.choice.opened
         context.server_statements.learn(message, address, is_transit=is_transit)
         context.paths.transit.choice.offers.set(address, message.carried)
--- a/packages/endive_gateway/src/endive_gateway/placing.py
+++ b/packages/endive_gateway/src/endive_gateway/placing.py
@@ -11,6 +11,8 @@
 from endive_core.ejection import ClusterEjection
 from endive_core.exceptions import EndiveError, ErrorKind, RetryReason
 from endive_core.messages import ServerView
+from endive_core.part_crashes import PartTable
+from endive_core.part_trials import Judgement, PartTrials, Standing, part_refusal
 from endive_core.policy import Policy
 from endive_core.prefilling import PrefillRate
 from endive_core.reachability import ConnectResults, ServerCondition
@@ -23,6 +25,7 @@
 from endive_node.scheduled_requests import ScheduledRequests, refusal_error
 
 from endive_gateway.interfaces import ServerEntry
+from endive_gateway.part_exchange import format_parts
 from endive_gateway.servers import ServerRegistry
 
 INTERLEAVING_FACTOR = 1.46
@@ -35,8 +38,8 @@
 """Consecutive failures after which a server is paused. A single lost response is weak
 evidence against a server; a second consecutive one is likely a crash."""
 
-MAX_LOGGED_PARTS = 8
-"""Parts of a prompt that a log line names, at most."""
+MAX_LOGGED_CRASHES = 5
+"""Servers that the line of a refusal names, at most; the last that have ended."""
 
 GATEWAY_POLICY = Policy(
     no_server_wait_s=0.4,
@@ -95,6 +98,7 @@
         self.policy = policy
         self.random = random.Random(seed)
         self.crashes = CrashTable.from_policy(policy)
+        self.trials = PartTrials(PartTable(policy.crash_memory_s))
         self.nodes = 1
         self.services: dict[str, Service] = {}
         self.views: dict[str, ServerView] = {}
@@ -119,7 +123,7 @@
     def set_nodes(self, nodes: int) -> None:
         """Set the number of live nodes, this one included."""
         if nodes != self.nodes:
-            self.nodes = nodes
+            self.nodes = self.trials.nodes = nodes
             for scheduler in self.schedulers.values():
                 scheduler.set_nodes(nodes)
 
@@ -133,6 +137,7 @@
                     self.random,
                     service_type=_service_type(service),
                     crashes=self.crashes,
+                    trials=self.trials,
                     prefill=PrefillRate() if service.engine else None,
                 )
                 scheduler.set_nodes(self.nodes)
@@ -219,6 +224,48 @@
             raise EndiveError(ErrorKind.NO_SERVER, f"no service {service!r}")
         return self.add_admitted(scheduler.offer(call, self.now()), scheduler)
 
+    def check_not_refused(self, call: Call) -> None:
+        """Check that servers don't crash on a request; raises EndiveError if they do.
+
+        Schedulers check it too; this is for the time before a request is admitted.
+        """
+        if self.crashes.is_poison(call.fingerprint, self.now()):
+            raise EndiveError(
+                ErrorKind.POISON_REQUEST, "servers crashed while running this request"
+            )
+        if self.judge_parts(call).standing is Standing.REFUSED:
+            raise refusal_error(part_refusal(self.policy))
+
+    def judge_parts(self, call: Call) -> Judgement:
+        """Return what the parts of a request's prompt let become of it now."""
+        return self.trials.judge(call.shared_parts, self.now())
+
+    def log_refusal(self, call: Call) -> None:
+        """Log the evidence for which a request is refused."""
+        judgement = self.judge_parts(call)
+        if judgement.standing is not Standing.REFUSED:
+            log_event(
+                "request_has_crashed_servers",
+                request=call.request_id,
+                fingerprint=call.fingerprint,
+                crashes=self.crashes.count(call.fingerprint, self.now()),
+            )
+            return
+        evidence = self.trials.table.evidence(judgement.parts[0])
+        servers = [crash.server for crash in evidence.crashes[-MAX_LOGGED_CRASHES:]]
+        log_event(
+            "request_has_crashing_part",
+            request=call.request_id,
+            part=format_parts(judgement.parts),
+            crashes=judgement.crashes,
+            servers=",".join(dict.fromkeys(servers)),
+            age_s=round(self.now() - evidence.last_at, 3),
+        )
+
+    def has_new_suspicion(self, ticket: Ticket) -> bool:
+        """Return whether a part has crashed a server since a ticket was dispatched."""
+        return self.trials.is_outdated(ticket.call.shared_parts, ticket.dispatched_at)
+
     def report(self, server_id: str, running: int, waiting: int) -> None:
         """Record the load that a server reported with a response."""
         view = self.views.get(server_id)
@@ -325,10 +372,11 @@
             return reason
         if on_the_way:
             return RetryReason.PATH_FAILED
+        failed_at = self.now()
         results = self.try_both(view.id, view.address)
         condition = results.condition(through_transit=through_transit)
         if condition is ServerCondition.CRASHED:
-            self._count_crash(ticket)
+            self._count_crash(ticket, failed_at)
             return reason
         request_id = ticket.call.request_id
         if condition is ServerCondition.BLOCKED:
@@ -342,7 +390,7 @@
         )
         return reason
 
-    def _count_crash(self, ticket: Ticket) -> None:
+    def _count_crash(self, ticket: Ticket, failed_at: float) -> None:
         crash = self._crash_id(ticket.server)
         log_event(
             "server_crashed",
@@ -351,10 +399,10 @@
             fingerprint=ticket.call.fingerprint,
             crash=crash,
             stage=ticket.stage,
-            parts=_format_parts(ticket.call.shared_parts),
+            parts=format_parts(ticket.call.shared_parts),
         )
         self.ticket_schedulers[ticket].failures.attribute_crash(
-            ticket, crash, self.now()
+            ticket, crash, self.now(), ended_at=failed_at
         )
         self.on_crash()
 
@@ -364,11 +412,5 @@
         return f"{server_id}@{known.entry.incarnation if known else 0}"
 
 
-def _format_parts(parts: tuple[int, ...]) -> str:
-    """Return the keys of the parts of a prompt as the log shows them."""
-    shown = ",".join(f"{part:x}" for part in parts[:MAX_LOGGED_PARTS])
-    return f"{shown},..." if len(parts) > MAX_LOGGED_PARTS else shown
-
-
 def _service_type(service: Service) -> ServiceType:
     return ServiceType.ENGINE if service.engine else ServiceType.PLAIN
--- a/packages/endive_gateway/src/endive_gateway/state_messages.py
+++ b/packages/endive_gateway/src/endive_gateway/state_messages.py
@@ -7,6 +7,7 @@
 
 from endive_gateway.exceptions import UndecodableError
 from endive_gateway.interfaces import Record, ServerDelta
+from endive_gateway.part_exchange import AnswerReport, CrashReport
 
 ValueReport = tuple[str, float | None, float, int]
 """A server, what it states (``None`` if nothing any more), the age of that statement in
@@ -78,6 +79,10 @@
     leaving_servers : list of (str, int, float)
         Server that has said that it leaves, its incarnation, and the age of that news
         in seconds.
+    part_crashes : list of CrashReport
+        Recent crashes by parts of prompts.
+    part_answers : list of AnswerReport
+        Answers that clear parts of such crashes.
     zone : str
         The sender's availability zone. Empty at nodes of an earlier version, which keep
         no origins of streams.
@@ -111,6 +116,8 @@
     shedding_servers: list[tuple[str, float, int]] = []
     leaving_servers: list[tuple[str, int, float]] = []
     zone: str = ""
+    part_crashes: list[CrashReport] = []
+    part_answers: list[AnswerReport] = []
 
 
 DECODER = msgspec.msgpack.Decoder(StateMessage)
