Tell crashes of one prompt from those of several, and pass them on at once

A prompt that is sent twice and ends two servers makes all that is in it look as guilty as the cause, and so explained the cause away: with 200 nodes and other parts around the bad one each time, 8 and 24 servers ended. A crash now carries the hash of its request, and a part explains a crash only by as many different prompts, or two. A node that learns of a crash under a suspected part passes it on within 10 ms, at most ten times a second; before, it waited for its next broadcast.

--- a/packages/endive_core/src/endive_core/crash_news.py
+++ b/packages/endive_core/src/endive_core/crash_news.py
@@ -70,8 +70,9 @@
         return len(self.fresh) + len(self.refused) + len(self.others)
 
     def _add(self, crash: CrashT) -> None:
-        self.fresh.appendleft(crash)
-        self.receivers[crash] = 0
+        if crash not in self.receivers:
+            self.fresh.appendleft(crash)
+            self.receivers[crash] = 0
 
     def _add_success(self, success: SuccessT) -> None:
         self.successes[success] = 0
--- a/packages/endive_core/src/endive_core/failures.py
+++ b/packages/endive_core/src/endive_core/failures.py
@@ -6,6 +6,8 @@
 from endive_core.calls import Refusal, Retry, Stage, Ticket
 from endive_core.crashes import Crash, CrashTable
 from endive_core.exceptions import ErrorKind, RetryReason
+from endive_core.hashing import short_hash
+from endive_core.part_crashes import PartCrash
 from endive_core.part_trials import PartTrials, Standing, part_refusal
 from endive_core.policy import Policy
 from endive_core.resting import Resting
@@ -102,10 +104,13 @@
         if ticket.stage is Stage.DISPATCHED:
             ticket.crashed = True
             self.trials.table.report(
-                crashed,
-                ticket.call.shared_parts,
-                ticket.dispatched_at,
-                now if ended_at is None else ended_at,
+                PartCrash(
+                    crashed,
+                    short_hash(ticket.call.fingerprint),
+                    ticket.call.shared_parts,
+                    ticket.dispatched_at,
+                    now if ended_at is None else ended_at,
+                )
             )
 
     def _may_have_caused(self, ticket: Ticket, crashed: str, now: float) -> bool:
--- a/packages/endive_core/src/endive_core/hashing.py
+++ b/packages/endive_core/src/endive_core/hashing.py
@@ -10,6 +10,11 @@
     return xxhash.xxh3_128_hexdigest(text.encode())
 
 
+def short_hash(text: str) -> int:
+    """Return a 64-bit hash of `text`."""
+    return xxhash.xxh3_64_intdigest(text.encode())
+
+
 def part_key(name: str) -> int:
     """Return the 64-bit key of the part of a prompt that callers call `name`.
 
@@ -18,10 +23,10 @@
     try:
         number = int(name, 16)
     except ValueError:
-        return xxhash.xxh3_64_intdigest(name.lower().encode())
+        return short_hash(name.lower())
     if 0 <= number < 2**64:
         return number
-    return xxhash.xxh3_64_intdigest(f"{number:x}".encode())
+    return short_hash(f"{number:x}")
 
 
 def rendezvous_score(key: str, member: str) -> int:
--- a/packages/endive_core/src/endive_core/part_crashes.py
+++ b/packages/endive_core/src/endive_core/part_crashes.py
@@ -10,13 +10,14 @@
   crashes for a short time, since the news of it and of them takes different ways.
 - Only independent crashes add up: those of requests that were sent after the crash
   before. Many servers may end at one moment, of one cause, under the same part.
-- A crash says nothing against a part if another part under it is implicated better.
+- A crash says nothing against a part if another part under it explains it, by crashes
+  of as many different prompts, or of two.
 """
 
 import math
 from collections import OrderedDict
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 VOUCHED_S = 5.0
 VOUCHED_ROUNDS = 2
@@ -36,8 +37,10 @@
 MAX_ANSWERED_PARTS = 64
 """Parts of one prompt that its answer clears, at most. Callers may send thousands."""
 
-EXPLAINING_ROUNDS = 2
-"""Independent crashes with which a part explains the crashes that it was part of."""
+EXPLAINING_PROMPTS = 2
+"""Different prompts under which a part has crashed servers, from which on it explains
+all crashes that it was part of. One prompt may be sent several times, and all that is
+in it alone then looks as guilty as the cause."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,6 +51,8 @@
     ----------
     server : str
         Server with the number of its incarnation.
+    prompt : int
+        Hash of the request's content.
     parts : tuple of int
         Keys of the parts of its prompt, the last one aside.
     sent_at, at : float
@@ -55,10 +60,16 @@
     """
 
     server: str
+    prompt: int
     parts: tuple[int, ...]
     sent_at: float
     at: float
 
+    @property
+    def key(self) -> tuple[str, int]:
+        """What is the same in all reports of this crash and request."""
+        return self.server, self.prompt
+
 
 @dataclass(frozen=True, slots=True)
 class PartAnswer:
@@ -78,16 +89,20 @@
         The oldest first.
     rounds : tuple of float
         Times of the independent ones.
+    prompts : int
+        Number of different prompts among them.
     """
 
     crashes: tuple[PartCrash, ...] = ()
     rounds: tuple[float, ...] = ()
+    prompts: int = 0
 
     @classmethod
     def from_crashes(cls, crashes: Iterable[PartCrash]) -> "Evidence":
         """Return the evidence that `crashes`, in any order, make."""
         ordered = tuple(sorted(crashes, key=lambda crash: crash.at))
-        return cls(ordered, independent_times(ordered))
+        prompts = len({crash.prompt for crash in ordered})
+        return cls(ordered, independent_times(ordered), prompts)
 
     @property
     def last_at(self) -> float:
@@ -127,7 +142,7 @@
     Attributes
     ----------
     crashes : OrderedDict
-        Reports by server and parts, the newest last.
+        Reports by server and prompt, the newest last.
     by_part : dict of int to dict
         Of each implicated part, the reports after its last answer.
     by_server : dict of str to set of int
@@ -156,11 +171,11 @@
 
     def add(self, crash: PartCrash) -> bool:
         """Record a report; return whether it was new and implicates any part."""
-        key = (crash.server, crash.parts)
+        key = crash.key
         known = self.crashes.get(key)
         if known is not None and known.at <= crash.at:
             return False
-        implicated = [p for p in crash.parts if crash.at > self._answered_at(p)]
+        implicated = [part for part in crash.parts if self._implicates(crash, part)]
         if not implicated:
             return False
         if known is not None:
@@ -180,20 +195,26 @@
                 listener(crash)
         return known is None
 
-    def report(
-        self, server: str, parts: tuple[int, ...], sent_at: float, at: float
-    ) -> bool:
+    def _implicates(self, crash: PartCrash, part: int) -> bool:
+        """Return whether `crash` is to be kept as a report on `part`."""
+        if crash.at <= self._answered_at(part):
+            return False
+        reports = self.by_part.get(part, {})
+        is_full = len(reports) >= MAX_CRASHES_PER_PART
+        return not is_full or crash.at > min(kept.at for kept in reports.values())
+
+    def report(self, crash: PartCrash) -> bool:
         """Record a crash that this node has seen; return whether it was new.
 
         The answers that this node has seen on its parts are passed on with it.
         """
-        named = self.reported_parts(parts, at)
-        if not named:
+        crash = replace(crash, parts=self.reported_parts(crash.parts, crash.at))
+        if not crash.parts:
             return False
-        is_new = self.add(PartCrash(server, named, sent_at, at))
-        for part in named:
+        is_new = self.add(crash)
+        for part in crash.parts:
             answered_at = self._answered_at(part)
-            if part in self.by_part and at - answered_at <= VOUCHED_S:
+            if part in self.by_part and crash.at - answered_at <= VOUCHED_S:
                 self._tell(PartAnswer(part, answered_at))
         return is_new
 
@@ -215,14 +236,12 @@
 
     def contains(self, crash: PartCrash, now: float) -> bool:
         """Return whether `crash` is known and counts against any part."""
-        known = self.crashes.get((crash.server, crash.parts))
+        known = self.crashes.get(crash.key)
         return known is not None and now - known.at <= self.memory_s
 
     def is_refused(self, crash: PartCrash, now: float) -> bool:
-        """Return whether a part of `crash` has caused more than one."""
-        return any(
-            len(self.evidence(part).rounds) >= EXPLAINING_ROUNDS for part in crash.parts
-        )
+        """Return whether several crashes count against a part of `crash`."""
+        return any(len(self.evidence(part).rounds) > 1 for part in crash.parts)
 
     def expire(self, now: float) -> None:
         """Forget the reports that are too old."""
@@ -281,7 +300,8 @@
 
     def _drop_if_cleared(self, key: tuple) -> None:
         """Forget a report that implicates no part any more."""
-        if not any(key in self.by_part.get(part, ()) for part in key[1]):
+        parts = self.crashes[key].parts
+        if not any(key in self.by_part.get(part, ()) for part in parts):
             self._remove(key)
 
     def _tell(self, answer: PartAnswer) -> None:
@@ -318,21 +338,26 @@
         return bool(self.evidence(part).rounds)
 
     def unexplained(self, part: int, prompt: frozenset[int]) -> Evidence:
-        """Return the crashes that only parts of `prompt` explain, `part` among them.
+        """Return the crashes under `part` that no part outside of `prompt` explains.
 
-        A crash is explained otherwise if a part that is not in `prompt` was under it
-        and has crashed servers repeatedly.
+        Parameters
+        ----------
+        prompt : frozenset of int
+            The parts of a prompt, `part` among them.
         """
-        crashes = self.evidence(part).crashes
+        found = self.evidence(part)
+        least = min(found.prompts, EXPLAINING_PROMPTS)
         return Evidence.from_crashes(
-            crash for crash in crashes if not self._is_explained(crash, prompt)
+            crash
+            for crash in found.crashes
+            if not self._is_explained(crash, prompt, least)
         )
 
-    def _is_explained(self, crash: PartCrash, prompt: frozenset[int]) -> bool:
+    def _is_explained(
+        self, crash: PartCrash, prompt: frozenset[int], least: int
+    ) -> bool:
         others = self.by_server.get(crash.server, set()) - prompt
-        return any(
-            len(self.evidence(other).rounds) >= EXPLAINING_ROUNDS for other in others
-        )
+        return any(self.evidence(other).prompts >= least for other in others)
 
     def servers_ended(self, since: float, part: int) -> tuple[int, int]:
         """Return how many servers have ended under `part` since then, and without it.
--- a/packages/endive_gateway/src/endive_gateway/part_exchange.py
+++ b/packages/endive_gateway/src/endive_gateway/part_exchange.py
@@ -3,7 +3,7 @@
 Both are part of the state messages. A node that sees a crash also sends one at once.
 """
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from endive_core.crash_news import CrashNews
 from endive_core.part_crashes import PartAnswer, PartCrash, PartTable
@@ -17,19 +17,31 @@
 MAX_ANSWERS = 6
 """Most answers in one state message."""
 
-CrashReport = tuple[str, tuple[int, ...], float, float]
-"""A server with its incarnation, the keys of the parts of a prompt that it had not
-begun to answer, and the ages of the request and of the crash in seconds."""
+MIN_RELAY_GAP_S = 0.1
+"""Least time between two messages with which a node passes on at once what it has
+learned, seconds. Otherwise its regular messages take it along."""
+
+CrashReport = tuple[str, int, tuple[int, ...], float, float]
+"""A server with its incarnation, the hash of a request that it had not begun to answer,
+the keys of the parts of its prompt, and the ages of request and crash in seconds."""
 
 AnswerReport = tuple[int, float]
 """The key of a part, and the age in seconds of the last answer that began on it."""
 
 
 class PartExchange:
-    """Sends what this node knows of crashing parts, and takes what others know."""
+    """Sends what this node knows of crashing parts, and takes what others know.
+
+    Parameters
+    ----------
+    announce_soon : callable
+        Sends a state message to some other nodes within milliseconds.
+    """
 
-    def __init__(self, table: PartTable) -> None:
+    def __init__(self, table: PartTable, announce_soon: Callable[[], None]) -> None:
         self.table = table
+        self.announce_soon = announce_soon
+        self.next_relay_at = 0.0
         self.news: CrashNews[PartCrash, PartAnswer] = CrashNews(table)
         table.clearing_listeners.append(self._log_cleared)
 
@@ -38,7 +50,9 @@
         taken = self.news.take(
             now, limit=MAX_CRASHES, receivers=receivers, repeats=MAX_REPEATS
         )
-        return [(c.server, c.parts, now - c.sent_at, now - c.at) for c in taken]
+        return [
+            (c.server, c.prompt, c.parts, now - c.sent_at, now - c.at) for c in taken
+        ]
 
     def next_answers(self, now: float, receivers: int) -> list[AnswerReport]:
         """Return the answers for a message to some nodes, the newest of each part."""
@@ -55,8 +69,8 @@
         """Apply what another node has sent."""
         for part, age_s in answers:
             self.table.add_answer(PartAnswer(part, now - age_s))
-        for server, parts, sent_age_s, age_s in crashes:
-            crash = PartCrash(server, parts, now - sent_age_s, now - age_s)
+        for server, prompt, parts, sent_age_s, age_s in crashes:
+            crash = PartCrash(server, prompt, parts, now - sent_age_s, now - age_s)
             if self.news.learn(crash):
                 log_event(
                     "part_crash_learned",
@@ -65,6 +79,14 @@
                     parts=format_parts(parts),
                     age_s=round(age_s, 3),
                 )
+                self._relay(crash, now)
+
+    def _relay(self, crash: PartCrash, now: float) -> None:
+        """Pass a crash on at once if any part is suspected because of it."""
+        is_suspected = any(self.table.is_implicated(part) for part in crash.parts)
+        if is_suspected and now >= self.next_relay_at:
+            self.next_relay_at = now + MIN_RELAY_GAP_S
+            self.announce_soon()
 
     def _log_cleared(self, answer: PartAnswer) -> None:
         log_event("part_cleared", part=f"{answer.part:x}")
--- a/packages/endive_gateway/src/endive_gateway/peers.py
+++ b/packages/endive_gateway/src/endive_gateway/peers.py
@@ -139,7 +139,9 @@
         self.crash_exchange = CrashExchange(
             context.placer.crashes, self._announce_crashes
         )
-        self.part_exchange = PartExchange(context.placer.trials.table)
+        self.part_exchange = PartExchange(
+            context.placer.trials.table, self.crash_exchange.announce_soon
+        )
         context.placer.on_crash = self.crash_exchange.announce_soon
         context.limit_sharing.peer_addresses = self.presumed_live
         context.slot_leasing.peer_addresses = self.presumed_live
--- a/packages/endive_gateway/tests/part_simulation.py
+++ b/packages/endive_gateway/tests/part_simulation.py
@@ -239,7 +239,9 @@
     def prepare(self, node):
         context = node.context
         node.datagrams.send = self.deliver_later(node.address)
+        context.placer.trials.node = node.address
         context.placer.on_crash = self.announce_soon(node)
+        node.part_exchange.announce_soon = context.placer.on_crash
         context.placer.try_both = lambda *server: ConnectResults(False, False)
         for server in self.servers:
             context.registry.put(make_entry(server, slots=SLOTS))
