Let a part of a prompt crash servers in the soak, with two rules and two mutants

The soak's servers crash on a part, under requests that share nothing else that is their own; sound ones share their caller and first part. Rules: after the fifth server and 3 s, three more requests may reach servers from nodes in contact; sound requests begin at least half as often as before.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -1,6 +1,7 @@
 """Callers that reuse connections and check the responses."""
 
 import hashlib
+import itertools
 from dataclasses import dataclass
 from http.client import HTTPException, HTTPResponse
 
@@ -18,6 +19,10 @@
 PROBE_GAP_S = 0.15
 REFUSED_PAUSE_S = 0.1
 CRASH_GAP_S = 0.6
+PART_GAP_S = 0.25
+COMMON_PART = "aa"
+"""Part that the prompts of all sound requests share."""
+
 TURNS = 3
 """How often each node gets a request that crashes servers after others have had it: at
 times no server is left to crash."""
@@ -91,13 +96,17 @@
         self.fleet.checker.counts[f"resumption {outcome}"] += 1
         return outcome
 
-    def call(self, kind, path, organisation, node=None, resumes=None):
+    def call(
+        self, kind, path, organisation, node=None, resumes=None, parts=(COMMON_PART,)
+    ):
         """Send one request and check how it ends; return the status or the failure.
 
         Parameters
         ----------
         resumes : BrokenStream or None
             The stream that it takes up.
+        parts : tuple of str
+            Ids of the parts of its prompt, but for the last one, which is its own.
         """
         fleet = self.fleet
         self.broken, self.received = None, b""
@@ -119,9 +128,11 @@
                 units,
                 sent_at,
                 DEADLINE_S,
+                is_crashing=parts != (COMMON_PART,),
             ),
         )
-        return self._exchange(kind, path, request_id, organisation, sent_at, resumes)
+        head = _head(kind, path, request_id, organisation, resumes, parts)
+        return self._exchange(kind, head, request_id, sent_at, resumes)
 
     def close(self):
         if self.sock is not None:
@@ -137,13 +148,13 @@
         self.sock.settimeout(DEADLINE_S + DEADLINE_GRACE_S)
         return True
 
-    def _exchange(self, kind, path, request_id, organisation, sent_at, resumes):
+    def _exchange(self, kind, head, request_id, sent_at, resumes):
         checker = self.fleet.checker
         response = None
         stalled_s = self.fleet.lag.stalled_s
         try:
             with gevent.Timeout(DEADLINE_S + DEADLINE_GRACE_S, TimeoutError("hung")):
-                self.sock.sendall(_head(kind, path, request_id, organisation, resumes))
+                self.sock.sendall(head)
                 response = HTTPResponse(self.sock, method="POST")
                 response.begin()
                 body = self._read(response)
@@ -208,7 +219,7 @@
         return f"closed ({error!r})"
 
 
-def _head(kind, path, request_id, organisation, resumes=None):
+def _head(kind, path, request_id, organisation, resumes, parts):
     lines = [
         f"POST {path} HTTP/1.1",
         f"Host: {HOST}",
@@ -221,11 +232,12 @@
     if organisation:
         lines.append(f"Authorization: Bearer key-{organisation}")
     if kind.streams:
-        part = hashlib.sha256(request_id.encode()).hexdigest()[:8]
+        own = hashlib.sha256(request_id.encode()).hexdigest()[:8]
+        prefix = ",".join(f"{part}:20" for part in (*parts, own))
         lines += [
             "Model: m",
             f"Token-Counts: {PROMPT_TOKENS},{MAX_TOKENS}",
-            f"Prompt-Prefix: aa:40,{part}:20",
+            f"Prompt-Prefix: {prefix}",
         ]
     return ("\r\n".join(lines) + "\r\n\r\nbody").encode()
 
@@ -344,6 +356,32 @@
         )
 
 
+class CrashingPartCaller(Caller):
+    """Sends requests that share a part on which servers crash, and nothing else.
+
+    Parameters
+    ----------
+    part : str
+        Id of that part.
+    """
+
+    def __init__(self, fleet, random, part):
+        super().__init__(fleet, random, "")
+        self.part = part
+
+    def run_for(self, seconds):
+        """Send such requests to all nodes until `seconds` have passed."""
+        end = self.fleet.clock() + seconds
+        stream = KINDS[2]
+        for number in itertools.count():
+            if self.fleet.clock() >= end:
+                return
+            node = self.random.choice(self.fleet.nodes)
+            parts = (COMMON_PART, f"{number:04x}", self.part)
+            self.call(stream, f"{stream.path}{number}", "free", node, None, parts)
+            gevent.sleep(PART_GAP_S)
+
+
 def is_stale(outcome, version, newest_before, newest_after):
     """Return whether a probe of `version` shows that its node serves an older one.
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -8,8 +8,14 @@
 
 import gevent
 
-from soak.callers import DEADLINE_S, CrashingCaller
-from soak.invariants import CONTACT_S, DRAIN_S, BrittleTime, ServersCut
+from soak.callers import DEADLINE_S, CrashingCaller, CrashingPartCaller
+from soak.invariants import (
+    CONTACT_S,
+    DRAIN_S,
+    BrittleTime,
+    CrashingPart,
+    ServersCut,
+)
 
 SERIES_SHARE = 0.35
 MAX_IN_SERIES = 4
@@ -348,6 +354,22 @@
     CrashingCaller(fleet, random.Random(content), content).run_for(fault.for_s + 8.0)
 
 
+def crashing_part(fleet, fault):
+    """Send requests to all nodes that share a part of a prompt which crashes servers.
+
+    Meanwhile sound requests come that share their caller and their first part.
+    """
+    name = f"bad{fault.target:03x}"
+    if name in fleet.crashing_parts:
+        return
+    part = fleet.crashing_parts[name] = CrashingPart(fleet)
+    caller = CrashingPartCaller(fleet, random.Random(name), name)
+    caller.run_for(fault.for_s + 3 * CONTACT_S)
+    part.end()
+    gevent.sleep(DEADLINE_S)
+    part.check()
+
+
 FAULTS = {
     action.__name__: action
     for action in (
@@ -373,6 +395,7 @@
         server_errs,
         server_slow,
         crashing_request,
+        crashing_part,
         server_limited,
         server_rests,
         server_says_it_leaves,
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -350,7 +350,13 @@
 
 
 class Fleet:
-    """All processes, links and stand-ins of one soak run."""
+    """All processes, links and stand-ins of one soak run.
+
+    Attributes
+    ----------
+    crashing_parts : dict of str to CrashingPart
+        By its id, each part of a prompt on which servers crash.
+    """
 
     def __init__(self, directory, slot, *, nodes, mutant="", store_call_s=0.0):
         self.directory = Path(directory)
@@ -359,6 +365,7 @@
         self.version = 0
         self.configured_at = 0.0
         self.closed = False
+        self.crashing_parts = {}
         self.started = time.monotonic()
         self.checker = InvariantChecker(self.clock, LIMITS)
         self.lag = Lag()
@@ -377,6 +384,12 @@
         """Return the seconds since the beginning."""
         return time.monotonic() - self.started
 
+    def is_connected(self, node_name, since):
+        """Return whether the node of that name was in contact since then."""
+        return any(
+            node.name == node_name and node.is_connected(since) for node in self.nodes
+        )
+
     def ip(self, purpose, number):
         """Return a loopback address that belongs to this fleet's slot."""
         return f"127.{self.slot}.{purpose}.{number + 1}"
--- a/tests/soak/invariants.py
+++ b/tests/soak/invariants.py
@@ -47,6 +47,13 @@
 MAX_FAILED_TRIES = 10
 """First tries that may fail at nodes that reach no server, plus one in 50 of all."""
 
+KNOWN_PART_CRASHES, MAX_LATE_PART_REQUESTS = 5, 3
+"""Servers ended on a part of a prompt after which all nodes in contact must know of it,
+and requests with it that may then reach servers."""
+
+MIN_SOUND_TRIES = 20
+"""Least number of sound requests that are compared."""
+
 NOT_RUN = (408, 421, 429, 503)
 """HTTP statuses that say that the request was not run."""
 
@@ -70,6 +77,7 @@
     units: int
     sent_at: float
     deadline_s: float
+    is_crashing: bool = False
 
 
 @dataclass
@@ -230,6 +238,73 @@
             )
 
 
+class CrashingPart:
+    """A part of a prompt on which servers crash, and what nodes do meanwhile.
+
+    Sound requests share a part and the caller with those that hold it.
+
+    Attributes
+    ----------
+    ended : list of float
+        When servers ended on it.
+    late : int
+        Requests with it that reached servers from nodes that had to know of it.
+    """
+
+    def __init__(self, fleet):
+        self.fleet = fleet
+        self.began_at = fleet.clock()
+        self.ended_at = None
+        self.ended = []
+        self.late = 0
+
+    def server_ended(self):
+        self.ended.append(self.fleet.clock())
+
+    def received(self, node):
+        """Count a request with the part that a server has received from a node."""
+        if len(self.ended) < KNOWN_PART_CRASHES:
+            return
+        now = self.fleet.clock()
+        known_at = self.ended[KNOWN_PART_CRASHES - 1] + CONTACT_S
+        if now > known_at and self.fleet.is_connected(node, now - CONTACT_S):
+            self.late += 1
+            if self.late == MAX_LATE_PART_REQUESTS + 1:
+                self.fleet.checker.record_violation(
+                    "crashing part", f"{len(self.ended)} servers ended, from {node}"
+                )
+
+    def end(self):
+        """Note that no more such requests come."""
+        self.ended_at = self.fleet.clock()
+
+    def check(self):
+        """Check how sound requests were served; when all of the time have ended."""
+        last = self.ended[:KNOWN_PART_CRASHES][-1:] or [self.began_at]
+        since = last[0] + 2 * CONTACT_S
+        tries, served = Counter(), Counter()
+        for request_id, request in self.fleet.checker.requests.items():
+            outcome = self.fleet.checker.outcomes.get(request_id)
+            if request.kind not in ("stream", "resumable") or outcome == 429:
+                continue
+            if not self.fleet.is_connected(request.node, request.sent_at - CONTACT_S):
+                continue
+            is_meanwhile = since <= request.sent_at < self.ended_at
+            if is_meanwhile and not request.is_crashing:
+                tries[True] += 1
+                served[True] += outcome in (200, "cut")
+            elif request.sent_at < self.began_at:
+                tries[False] += 1
+                served[False] += outcome in (200, "cut")
+        enough = min(tries[True], tries[False]) >= MIN_SOUND_TRIES
+        if enough and served[True] * tries[False] * 2 < served[False] * tries[True]:
+            self.fleet.checker.record_violation(
+                "sound requests",
+                f"begun {served[True]} of {tries[True]}, before {served[False]} of "
+                f"{tries[False]}",
+            )
+
+
 class InvariantChecker:
     """Receives observations, and records a line for each violated invariant.
 
--- a/tests/soak/launch.py
+++ b/tests/soak/launch.py
@@ -108,6 +108,21 @@
     CrashExchange.learn = lambda self, *message: None
 
 
+def ignore_part_crashes_elsewhere():
+    """Let a node know only of the crashes under parts that it has seen itself."""
+    from endive_gateway.part_exchange import PartExchange
+
+    PartExchange.learn = lambda self, *message: None
+
+
+def clear_no_parts():
+    """Let a node refuse each part that was under two crashes, answered or not."""
+    from endive_core.part_crashes import PartTable
+
+    PartTable.add_answer = lambda self, answer: None
+    PartTable._explanations = lambda self, found, prompt: {}
+
+
 def keep_server_limits_alone():
     """Let each node send a limited server as much as if it were the only node."""
     from endive_gateway import limit_sharing
@@ -188,6 +203,8 @@
     "holder": claim_without_lease_check,
     "silence": treat_silence_as_current,
     "crashes": ignore_crashes_elsewhere,
+    "part-crashes": ignore_part_crashes_elsewhere,
+    "parts-not-cleared": clear_no_parts,
     "server-limits": keep_server_limits_alone,
     "rests": ignore_rests,
     "leaving": ignore_departures,
--- a/tests/soak/mixes.py
+++ b/tests/soak/mixes.py
@@ -4,6 +4,7 @@
 
 LATER_KINDS = {
     "crashing_request",
+    "crashing_part",
     "server_limited",
     "server_rests",
     "server_says_it_leaves",
@@ -25,6 +26,7 @@
     "cloud_down",
     "step_clock",
 )
+PARTS = ("crashing_part", "reload", "change_configuration", "step_clock")
 SILENCES = ("store_silent", "links_fall_silent", "change_configuration")
 
 LIMITED_SERVERS = ("server_limited", "reload", "change_configuration")
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -335,6 +335,8 @@
                 brittle.rejected(self.backend, request_id)
             return respond(start, 503, b"", headers | {"Not-Run": "1"})
         headers["Response-Seal"] = "made"
+        for part in self.crashing_parts(environ):
+            part.received(self._node_of(request_id))
         self.checker.request_started(
             request_id, self.id, environ.get("HTTP_TENANT", "")
         )
@@ -345,6 +347,10 @@
                 self.checker.server_crashed(environ["PATH_INFO"])
                 self.backend.crash_soon()
                 Event().wait()
+            for part in self.crashing_parts(environ):
+                self.backend.crash_soon()
+                part.server_ended()
+                Event().wait()
             if self._draws(request_id, self.error_share):
                 return respond(start, 500, b"no", headers)
             if environ["PATH_INFO"].startswith("/stream"):
@@ -358,6 +364,13 @@
             self.running -= 1
             self.running_ids.discard(request_id)
 
+    def crashing_parts(self, environ):
+        """Return the parts of a prompt, its last one aside, that crash servers now."""
+        entries = environ.get("HTTP_PROMPT_PREFIX", "").split(",")[:-1]
+        names = [entry.partition(":")[0] for entry in entries]
+        parts = self.backend.fleet.crashing_parts
+        return [parts[name] for name in names if name in parts]
+
     def _node_of(self, request_id):
         """Return the node that sent a request; ``None`` if it is not known."""
         request = self.checker.requests.get(request_id)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -19,6 +19,7 @@
     EARLIER_KINDS,
     FIRST_KINDS,
     LIMITED_SERVERS,
+    PARTS,
     RESTS,
     SERVERS_CUT,
     SILENCES,
@@ -81,6 +82,13 @@
     assert outcome.violations == [], outcome.directory
 
 
+@pytest.mark.parametrize("kinds", [PARTS, ("crashing_part", "server_crash", "kill")])
+def test_requests_that_share_a_crashing_part_stop_at_all_nodes(kinds):
+    """No two of them are alike, and sound requests share their caller and a part."""
+    outcome = run_seed(1, slot=SLOT, kinds=kinds)
+    assert outcome.violations == [], outcome.directory
+
+
 @pytest.mark.parametrize("kinds", [LIMITED_SERVERS, ("server_limited", "restart")])
 def test_limits_that_servers_name_are_kept(kinds):
     """Servers ask for a few requests a second, and nodes restart meanwhile."""
--- a/tests/test_soak_mutants.py
+++ b/tests/test_soak_mutants.py
@@ -5,6 +5,7 @@
     CRASHES,
     DEPARTING,
     LIMITED_SERVERS,
+    PARTS,
     RESTS,
     ROLLOUTS,
     SERVERS_CUT,
@@ -24,6 +25,8 @@
     "holder": ("one holder", 1, ("reload",)),
     "silence": ("configuration in time", 8, SILENCES),
     "crashes": ("crashing request", 1, CRASHES),
+    "part-crashes": ("crashing part", 1, PARTS),
+    "parts-not-cleared": ("sound requests", 1, PARTS),
     "server-limits": ("server limit", 1, LIMITED_SERVERS),
     "rests": ("rest", 1, RESTS),
     "leaving": ("leaving", 1, DEPARTING),
@@ -41,9 +44,10 @@
     """The soak detects each mutant within the fault phase of one seed: a limit that
     each node applies alone, "not run" reported for a request that a server ran, duties
     claimed while another node holds them, an unanswered read of the store treated as
-    proof that nothing has changed, crashes that nodes do not tell each other, limits of
-    servers that are not shared, rests and departures that are not read, streams that
-    are complete as soon as they end, requests that end with a server's silence, brittle
+    proof that nothing has changed, crashes that nodes do not tell each other, of whole
+    requests and of parts of prompts, parts that answers do not clear, limits of servers
+    that are not shared, rests and departures that are not read, streams that are
+    complete as soon as they end, requests that end with a server's silence, brittle
     servers without leases, nodes that carry no connections for others, and streams that
     go on at any software version."""
     rule, seed, kinds = MUTANTS[mutant]
