--- a/packages/endive_core/src/endive_core/admission.py
+++ b/packages/endive_core/src/endive_core/admission.py
@@ -14,7 +14,7 @@
 from endive_core.crashes import CrashTable
 from endive_core.estimators import ServiceRate, WaitErrorEstimate
 from endive_core.exceptions import ErrorKind
-from endive_core.part_trials import PartTrials, Standing, part_refusal
+from endive_core.part_trials import PartTrials, Standing
 from endive_core.policy import Policy
 from endive_core.queueing import FairQueue
 from endive_core.quotas import Quota
@@ -132,7 +132,7 @@
                 ErrorKind.POISON_REQUEST, "servers crashed while running this request"
             )
         if self.trials.judge(call.shared_parts, now).standing is Standing.REFUSED:
-            return part_refusal(self.policy)
+            return self.trials.refusal(self.policy)
         if not self.servers.accepting:
             return Refusal.from_kind(ErrorKind.NO_SERVER, "no server takes work")
         version = call.software_version
--- a/packages/endive_core/src/endive_core/expiry.py
+++ b/packages/endive_core/src/endive_core/expiry.py
@@ -11,7 +11,6 @@
 from endive_core.admission import NO_SERVER_OF_VERSION, Admission
 from endive_core.calls import Refusal, Ticket
 from endive_core.exceptions import ErrorKind
-from endive_core.part_trials import part_refusal
 from endive_core.policy import Policy
 from endive_core.queueing import FairQueue
 from endive_core.resting import Resting
@@ -82,7 +81,7 @@
 
     def expire_crashing_part(self, ticket: Ticket) -> None:
         """Expire one queued call with a part on which servers crash."""
-        refusal = part_refusal(self.policy)
+        refusal = self.admission.trials.refusal(self.policy)
         self.expire(ticket, refusal.kind, refusal.message, refusal.retry_after_s)
 
     def expire_late(self, ticket: Ticket, late_s: float) -> None:
--- a/packages/endive_core/src/endive_core/failures.py
+++ b/packages/endive_core/src/endive_core/failures.py
@@ -8,7 +8,7 @@
 from endive_core.exceptions import ErrorKind, RetryReason
 from endive_core.hashing import short_hash
 from endive_core.part_crashes import PartCrash
-from endive_core.part_trials import PartTrials, Standing, part_refusal
+from endive_core.part_trials import PartTrials, Standing
 from endive_core.policy import Policy
 from endive_core.resting import Resting
 from endive_core.retrying import DEFAULT_RETRY_RATIO, RetryBudget, retry_delay_s
@@ -195,7 +195,7 @@
                 ErrorKind.POISON_REQUEST, "servers crashed while running this request"
             )
         if self.trials.judge(call.shared_parts, now).standing is Standing.REFUSED:
-            return part_refusal(self.policy)
+            return self.trials.refusal(self.policy)
         if call.non_idempotent and started:
             return Refusal.from_kind(
                 ErrorKind.OUTCOME_UNKNOWN,
--- a/packages/endive_core/src/endive_core/part_crashes.py
+++ b/packages/endive_core/src/endive_core/part_crashes.py
@@ -354,6 +354,10 @@
         """Return whether any crash counts against a part."""
         return bool(self.evidence(part).rounds)
 
+    def suspected(self) -> list[int]:
+        """Return the parts against which crashes count."""
+        return [part for part in list(self.by_part) if self.is_implicated(part)]
+
     def unexplained(self, part: int, prompt: frozenset[int]) -> Evidence:
         """Return the crashes under `part` that no part outside of `prompt` explains.
 
--- a/packages/endive_core/src/endive_core/part_trials.py
+++ b/packages/endive_core/src/endive_core/part_trials.py
@@ -23,7 +23,7 @@
 from endive_core.calls import Refusal
 from endive_core.exceptions import ErrorKind
 from endive_core.hashing import rendezvous_score
-from endive_core.part_crashes import PartTable
+from endive_core.part_crashes import PartAnswer, PartTable
 from endive_core.policy import Policy
 
 REFUSED_FROM = 2
@@ -99,6 +99,8 @@
         Number of live nodes, this one included.
     under_way : Counter of int
         Requests of this node with each suspected part that wait for a first token.
+    outcomes : Counter of str
+        Requests that were refused, tried, or kept waiting, and parts that were cleared.
     """
 
     def __init__(self, table: PartTable, node: str = "") -> None:
@@ -106,6 +108,8 @@
         self.node = node
         self.nodes = 1
         self.under_way: Counter[int] = Counter()
+        self.outcomes: Counter[str] = Counter()
+        table.clearing_listeners.append(self._count_cleared)
 
     def judge(
         self,
@@ -176,9 +180,18 @@
         share = 2.0 ** min(since_s / step_s, 64.0) / self.nodes
         return rendezvous_score(key, self.node) < share * 2.0**64
 
+    def _count_cleared(self, answer: PartAnswer) -> None:
+        self.outcomes["cleared"] += 1
+
+    def count_waiting(self) -> None:
+        """Record that a request begins to wait for trials of others."""
+        self.outcomes["waited"] += 1
+
     def begin(self, parts: tuple[int, ...]) -> None:
-        """Record that a request with suspected parts has been sent."""
-        self.under_way.update(parts)
+        """Record that a request has been sent, with suspected parts or without any."""
+        if parts:
+            self.outcomes["tried"] += 1
+            self.under_way.update(parts)
 
     def end(self, parts: tuple[int, ...]) -> None:
         """Record that such a request waits for a first token no more."""
@@ -187,6 +200,19 @@
             if self.under_way[part] <= 0:
                 del self.under_way[part]
 
+    def refusal(self, policy: Policy) -> Refusal:
+        """Return the refusal of a request with a part on which servers crash.
+
+        Its caller is told to return as late as callers are ever told, since it can only
+        be served after a trial.
+        """
+        self.outcomes["refused"] += 1
+        return Refusal.from_kind(
+            ErrorKind.POISON_REQUEST,
+            "servers crashed when they began an answer on a part of this prompt",
+            policy.max_retry_after_s,
+        )
+
     def is_outdated(self, parts: tuple[int, ...], decided_at: float) -> bool:
         """Return whether a part has crashed a server since a request was dispatched.
 
@@ -205,19 +231,6 @@
         )
 
 
-def part_refusal(policy: Policy) -> Refusal:
-    """Return the refusal of a call with a part on which servers crash.
-
-    Its caller is told to return as late as callers are ever told, since it can only be
-    served after a trial.
-    """
-    return Refusal.from_kind(
-        ErrorKind.POISON_REQUEST,
-        "servers crashed when they began an answer on a part of this prompt",
-        policy.max_retry_after_s,
-    )
-
-
 def trial_delay_s(rounds: tuple[float, ...]) -> float:
     """Return the time from the last crash of a refused part to its next trial.
 
--- a/packages/endive_core/src/endive_core/scheduler.py
+++ b/packages/endive_core/src/endive_core/scheduler.py
@@ -262,6 +262,7 @@
         """Let a ticket wait for the trials of others, and hold up nothing behind it."""
         if ticket.held_at is None:
             ticket.held_at = now
+            self.trials.count_waiting()
         if ticket.version is None:
             self.queue.hold(ticket)
 
--- a/packages/endive_gateway/src/endive_gateway/context.py
+++ b/packages/endive_gateway/src/endive_gateway/context.py
@@ -110,6 +110,7 @@
         )
         self.placer = Placer(self.registry, try_both=self.checks.try_both)
         self.placer.trials.node = settings.location.address
+        self.metrics.part_outcomes = self.placer.trials.outcomes
         self.path_monitor = PathMonitor(self.paths, self.checks)
         self.path_monitor.on_silent = self.placer.pause_silent
         self.pool = ConnectionPool(wire, self.paths, self.path_monitor)
--- a/packages/endive_gateway/src/endive_gateway/forwarding.py
+++ b/packages/endive_gateway/src/endive_gateway/forwarding.py
@@ -30,6 +30,7 @@
     ServerEntry,
     header_value,
 )
+from endive_gateway.part_exchange import format_parts
 from endive_gateway.progress import Progress
 from endive_gateway.statuses import complete_error
 from endive_gateway.stream_affinity import UNKNOWN_VERSION, StreamAffinity
@@ -281,6 +282,13 @@
             queued_at = self.now
             view = self.context.placer.acquire(self.ticket)
             self.check_time()
+            if self.ticket.tried_parts:
+                log_event(
+                    "part_tried",
+                    request=self.metadata.id,
+                    server=view.id,
+                    parts=format_parts(self.ticket.tried_parts),
+                )
             self.progress.dispatched(
                 self.now - queued_at,
                 self.ticket.uncached_tokens,
--- a/packages/endive_gateway/src/endive_gateway/gateway.py
+++ b/packages/endive_gateway/src/endive_gateway/gateway.py
@@ -165,6 +165,8 @@
         add_gauge("endive_servers_resting", self.context.server_rests.resting_servers)
         origins = self.context.origin_exchange
         add_gauge("endive_stream_origins", lambda: len(origins.table))
+        parts = self.context.placer.trials.table
+        add_gauge("endive_parts_suspected", lambda: len(parts.suspected()))
         leasing = self.context.slot_leasing
         add_gauge(
             "endive_services_brittle", lambda: len(self.context.brittle_services.names)
--- a/packages/endive_gateway/src/endive_gateway/metrics.py
+++ b/packages/endive_gateway/src/endive_gateway/metrics.py
@@ -60,6 +60,8 @@
         Slots of brittle servers that this node has asked for, by reply.
     resumptions : Counter
         Streams that callers have taken up, by how it was known where they go on.
+    part_outcomes : Counter
+        Requests with suspected parts, and such parts, by what became of them.
     first_byte_times, response_times : LatencyHistogram
         Times from a request's first byte to the first byte of a server's response, or
         to the loss of that response, and to the end of a successful response.
@@ -74,6 +76,7 @@
         self.transit_replies: Counter[str] = Counter()
         self.slot_replies: Counter[str] = Counter()
         self.resumptions: Counter[str] = Counter()
+        self.part_outcomes: Counter[str] = Counter()
         self.first_byte_times = LatencyHistogram()
         self.response_times = LatencyHistogram()
         self.gauges: dict[str, dict[tuple[tuple[str, str], ...], Gauge]] = {}
@@ -127,6 +130,7 @@
         add_counter("endive_transit_replies", "reply", self.transit_replies.items)
         add_counter("endive_slot_replies", "reply", self.slot_replies.items)
         add_counter("endive_stream_resumptions", "outcome", self.resumptions.items)
+        add_counter("endive_suspected_parts", "outcome", self.part_outcomes.items)
         add_counter("endive_first_byte_bucket", "le", self.first_byte_times.cumulative)
         add_counter("endive_answer_bucket", "le", self.response_times.cumulative)
         return lambda: generate_latest(registry)
--- a/packages/endive_gateway/src/endive_gateway/part_exchange.py
+++ b/packages/endive_gateway/src/endive_gateway/part_exchange.py
@@ -21,6 +21,9 @@
 """Least time between two messages with which a node passes on at once what it has
 learned, seconds. Otherwise its regular messages take it along."""
 
+MAX_LOGGED_PARTS = 8
+"""Parts of a prompt that a log line names, at most."""
+
 CrashReport = tuple[str, int, tuple[int, ...], float, float]
 """A server with its incarnation, the hash of a request that it had not begun to answer,
 the keys of the parts of its prompt, and the ages of request and crash in seconds."""
@@ -96,7 +99,3 @@
     """Return the keys of the parts of a prompt as the log shows them."""
     shown = ",".join(f"{part:x}" for part in parts[:MAX_LOGGED_PARTS])
     return f"{shown},..." if len(parts) > MAX_LOGGED_PARTS else shown
-
-
-MAX_LOGGED_PARTS = 8
-"""Parts of a prompt that a log line names, at most."""
--- a/packages/endive_gateway/src/endive_gateway/placing.py
+++ b/packages/endive_gateway/src/endive_gateway/placing.py
@@ -12,7 +12,7 @@
 from endive_core.exceptions import EndiveError, ErrorKind, RetryReason
 from endive_core.messages import ServerView
 from endive_core.part_crashes import PartTable
-from endive_core.part_trials import Judgement, PartTrials, Standing, part_refusal
+from endive_core.part_trials import Judgement, PartTrials, Standing
 from endive_core.policy import Policy
 from endive_core.prefilling import PrefillRate
 from endive_core.reachability import ConnectResults, ServerCondition
@@ -237,7 +237,7 @@
                 ErrorKind.POISON_REQUEST, "servers crashed while running this request"
             )
         if self.judge_parts(call).standing is Standing.REFUSED:
-            raise refusal_error(part_refusal(self.policy))
+            raise refusal_error(self.trials.refusal(self.policy))
 
     def judge_parts(self, call: Call) -> Judgement:
         """Return what the parts of a request's prompt let become of it now."""
--- a/tests/test_platform_logs.py
+++ b/tests/test_platform_logs.py
@@ -74,6 +74,11 @@
     with RunningGateway(server, table=unsafe) as running:
         running.context.placer.try_both = lambda *server: REFUSED
         running.call(method="POST", body=b"x")
+    crashing = [ScriptedServer(crash, server_id=f"i-{n}") for n in range(2)]
+    with RunningGateway(*crashing, table=unsafe) as running:
+        running.context.placer.try_both = lambda *server: REFUSED
+        for number in range(3):
+            running.call(method="POST", body=b"%d" % number, parts=f"11,{90 + number}")
     resting = answer(503, b"", extra="Refused: 1\r\nRest: 1.2\r\n")
     with RunningGateway(ScriptedServer(resting)) as running:
         running.call(wait_ms=200)
@@ -85,7 +90,7 @@
         running.call(After="3", Resumes="q4")
     gevent.sleep(0)
     assert documented_lines() - written_lines(log_lines) == set()
-    assert len(documented_lines()) == 8
+    assert len(documented_lines()) == 9
 
 
 def test_a_closed_port_is_detected():
