Limit what a server may send without a body, an event or a request for it

A server that sent bytes without end took a gateway's memory (1.7 GB trials of header lines) and the time of all its callers: the parser of responses had no limits, bodies were collected whole, an event was searched from its beginning with each piece, and a connection that always had bytes never let another one run.

Now a response may have 128 KB without any of its body, an event 1 MB, and a connection 32 responses that nobody awaits; beyond that the server is left and the request goes on elsewhere. A body over 256 KB is forwarded as it comes. After 256 KB from one connection others run.

--- a/packages/endive_gateway/src/endive_gateway/attempts.py
+++ b/packages/endive_gateway/src/endive_gateway/attempts.py
@@ -11,7 +11,11 @@
 from endive_gateway.connections import ServerConnection
 from endive_gateway.context import Context
 from endive_gateway.events import EventSplitter
-from endive_gateway.exceptions import AttemptError, ConnectionBrokenError
+from endive_gateway.exceptions import (
+    AttemptError,
+    BadMessageError,
+    ConnectionBrokenError,
+)
 from endive_gateway.http import ResponseMessage, encode_head, end_to_end
 from endive_gateway.interfaces import (
     ForwardingMetadata,
@@ -36,6 +40,11 @@
 """Least time for which such a slot is leased, seconds."""
 
 
+MAX_HELD_BODY_BYTES = 262_144
+"""Largest body that is held until it is complete, bytes. A larger one is forwarded as
+it comes, and its request is not sent again elsewhere if it breaks off."""
+
+
 class AttemptedRequest(Protocol):
     """The state of a request that its attempts read and update.
 
@@ -328,7 +337,7 @@
 
     def _read_response(self, message: ResponseMessage) -> ServerResponse:
         body = (
-            self.connection.read_all(message)
+            self.connection.read_all(message, MAX_HELD_BODY_BYTES)
             if self.request.exchange.message.method != b"HEAD"
             else b""
         )
@@ -337,7 +346,16 @@
         )
 
     def _forward_whole(self, message: ResponseMessage) -> None:
-        response = self._read_response(message)
+        """Forward a successful response at its end, or a large one as it comes.
+
+        Until then the request can still be sent to another server.
+        """
+        body = b""
+        if self.request.exchange.message.method != b"HEAD":
+            body = self.connection.read_up_to(message, MAX_HELD_BODY_BYTES)
+        if len(body) > MAX_HELD_BODY_BYTES:
+            self._forward_large(message, body)
+            return
         self.context.placer.started(self.request.ticket)
         self.request.count_start()
         self._keep_connection(message)
@@ -345,9 +363,24 @@
         self.request.outcome = "ok"
         self.request.progress.chunk_forwarded(self.request.now)
         self.request.exchange.send_response(
-            response.status, response.reason, response.headers, response.body
+            message.status, message.reason, end_to_end(message.headers), body
         )
 
+    def _forward_large(self, message: ResponseMessage, body: bytes) -> None:
+        """Forward a response as it comes whose first bytes are `body`."""
+        self.context.placer.started(self.request.ticket)
+        self.request.count_start()
+        exchange = self.request.exchange
+        exchange.send_head(message.status, message.reason, end_to_end(message.headers))
+        while body:
+            self.request.progress.chunk_forwarded(self.request.now)
+            exchange.send_chunk(body)
+            body = self.connection.read_body(message)
+        self._keep_connection(message)
+        self.context.placer.finished(self.request.ticket, 1)
+        self.request.outcome = "ok"
+        exchange.end()
+
     def _forward_stream(self, message: ResponseMessage) -> None:
         """Forward the events of a stream as they arrive, each as a whole.
 
@@ -361,7 +394,7 @@
             self.context.placer.started(self.request.ticket)
             self.request.count_start()
             if has_events:
-                data = splitter.feed(data)
+                data = self._split(data)
             if data:
                 self._start_response(message)
                 self.request.progress.chunk_forwarded(self.request.now)
@@ -405,6 +438,19 @@
                 "the connection ended before the first event", sent=True
             )
 
+    def _split(self, data: bytes) -> bytes:
+        """Return the events that `data` completes.
+
+        Raises
+        ------
+        ConnectionBrokenError
+            If an event is too large.
+        """
+        try:
+            return self.request.splitter.feed(data)
+        except BadMessageError as error:
+            raise ConnectionBrokenError(str(error), sent=True) from None
+
     def _read_events(self, message: ResponseMessage) -> bytes:
         """Return the next bytes of a stream; raises ConnectionBrokenError."""
         try:
--- a/packages/endive_gateway/src/endive_gateway/connections.py
+++ b/packages/endive_gateway/src/endive_gateway/connections.py
@@ -23,6 +23,18 @@
 from endive_gateway.transit import TransitStream
 
 READ_BYTES = 65_536
+YIELD_BYTES = 4 * READ_BYTES
+"""Bytes read from one connection after which other greenlets run. A read doesn't wait
+while the other side sends faster than they are handled."""
+
+MAX_SKIPPED_RESPONSES = 32
+"""Interim responses, and late ones to earlier requests, that are skipped before the one
+that is awaited."""
+
+MAX_COLLECTED_BYTES = 16 * 2**20
+"""Largest body that is read as a whole, bytes: pages of the platform's store hold a
+megabyte or two."""
+
 INLINE_BODY_BYTES = 32_768
 """Largest body that is sent before the response is read, bytes. It fits into the socket
 buffers of both sides, so sending can't block on a server that answers before it has
@@ -55,6 +67,7 @@
         self.requests = 0
         self.reusable = True
         self.sender: gevent.Greenlet | None = None
+        self.read_bytes = 0
 
     def is_reusable(self, now: float) -> bool:
         """Return whether the idle connection can carry another request.
@@ -120,11 +133,33 @@
                     raise
                 message.complete = True
 
-    def read_all(self, message: ResponseMessage) -> bytes:
-        """Return the rest of the body; raises :class:`ConnectionBrokenError`."""
-        pieces = []
-        while data := self.read_body(message):
+    def read_all(
+        self, message: ResponseMessage, max_bytes: int = MAX_COLLECTED_BYTES
+    ) -> bytes:
+        """Return the rest of the body.
+
+        Raises
+        ------
+        ConnectionBrokenError
+            If the connection ends first, or the body is larger than `max_bytes`.
+        """
+        body = self.read_up_to(message, max_bytes)
+        if len(body) > max_bytes:
+            raise ConnectionBrokenError("the body is too large", sent=True)
+        return body
+
+    def read_up_to(self, message: ResponseMessage, max_bytes: int) -> bytes:
+        """Return the rest of the body, or more than `max_bytes` if it is larger.
+
+        Raises
+        ------
+        ConnectionBrokenError
+            If the connection ends first.
+        """
+        pieces, size = [], 0
+        while size <= max_bytes and (data := self.read_body(message)):
             pieces.append(data)
+            size += len(data)
         return b"".join(pieces)
 
     def _read(self) -> None:
@@ -138,6 +173,7 @@
             ) from None
         if not data:
             raise ConnectionEndedError("the server closed the connection", sent=True)
+        self._yield_after(len(data))
         try:
             self.parser.feed(data)
         except BadMessageError as error:
@@ -147,6 +183,13 @@
                     f"malformed response: {error}", sent=True
                 ) from None
 
+    def _yield_after(self, size: int) -> None:
+        """Let other greenlets run after each `YIELD_BYTES` that are read."""
+        self.read_bytes += size
+        if self.read_bytes >= YIELD_BYTES:
+            self.read_bytes = 0
+            gevent.sleep(0)
+
     def finish(self, message: ResponseMessage) -> bool:
         """Mark a response as read; return whether another request may be sent.
 
@@ -225,6 +268,7 @@
         ConnectionBrokenError
             If the connection ends first.
         """
+        skipped = 0
         while True:
             while self.parser.messages and self.parser.messages[0].head_done:
                 message = self.parser.messages[0]
@@ -242,6 +286,11 @@
                 if message.status >= 200:
                     self.reusable = False
                 self.parser.messages.popleft()
+                skipped += 1
+                if skipped > MAX_SKIPPED_RESPONSES:
+                    raise ConnectionBrokenError(
+                        "too many responses to other requests", sent=True
+                    )
             self._read()
 
 
--- a/packages/endive_gateway/src/endive_gateway/events.py
+++ b/packages/endive_gateway/src/endive_gateway/events.py
@@ -2,11 +2,18 @@
 
 import re
 
+from endive_gateway.exceptions import BadMessageError
+
 LINE_END = rb"(?>\r\n|\r|\n)"
 EVENT_END = re.compile(LINE_END + LINE_END)
+MAX_EVENT_END_BYTES = 4
 EVENT_ID = re.compile(rb"(?:\A|[\r\n])id:[ ]?([^\r\n]*)")
 
 
+MAX_EVENT_BYTES = 1_048_576
+"""Largest event that is read as a whole, bytes."""
+
+
 class EventSplitter:
     """Returns complete events only, and keeps the last event's id.
 
@@ -30,13 +37,22 @@
         self.count = 0
 
     def feed(self, data: bytes) -> bytes:
-        """Return the events that `data` completes."""
+        """Return the events that `data` completes.
+
+        Raises
+        ------
+        BadMessageError
+            If an event is too large.
+        """
+        searched = max(0, len(self.pending) - MAX_EVENT_END_BYTES)
         self.pending += data
         end = 0
-        for match in EVENT_END.finditer(self.pending):
+        for match in EVENT_END.finditer(self.pending, searched):
             end = match.end()
             self.count += 1
         whole, self.pending = self.pending[:end], self.pending[end:]
+        if len(self.pending) > MAX_EVENT_BYTES:
+            raise BadMessageError("an event is too large")
         for match in EVENT_ID.finditer(whole):
             self.last_id = match[1].decode("latin-1")
         return whole
--- a/packages/endive_gateway/src/endive_gateway/http.py
+++ b/packages/endive_gateway/src/endive_gateway/http.py
@@ -48,6 +48,15 @@
 }
 
 
+MAX_OVERHEAD_BYTES = 131_072
+"""Largest part of a response without any of its body, bytes. What is read at once may
+hold the end of a body before it."""
+
+MAX_WAITING_MESSAGES = 32
+"""Responses that a connection may hold: interim ones, late ones to earlier requests,
+and the one that is awaited."""
+
+
 class Message:
     """The common part of requests and responses, filled in by a parser.
 
@@ -256,20 +265,39 @@
 
 
 class ResponseParser(_Parser):
-    """Parses the responses on a connection to a server."""
+    """Parses the responses on a connection to a server.
+
+    Attributes
+    ----------
+    overhead_bytes : int
+        Bytes received since the last head, piece of a body or end of a message: a part
+        of a head, of a chunk's size line, or trailers.
+    """
 
     message_type = ResponseMessage
 
     def __init__(self) -> None:
         super().__init__()
+        self.overhead_bytes = 0
         self.parser = httptools.HttpResponseParser(self)
 
     def feed(self, data: bytes) -> None:
-        """Parse received bytes; raises :class:`BadMessageError`."""
+        """Parse received bytes.
+
+        Raises
+        ------
+        BadMessageError
+            If they are malformed, or too many that belong to no body.
+        """
+        self.overhead_bytes += len(data)
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             raise BadMessageError(str(error)) from None
+        if self.overhead_bytes > MAX_OVERHEAD_BYTES:
+            raise BadMessageError("a head, a chunk's size or trailers are too long")
+        if len(self.messages) > MAX_WAITING_MESSAGES:
+            raise BadMessageError("too many responses without a request")
 
     def on_status(self, reason: bytes) -> None:
         """Append a part of the reason phrase."""
@@ -277,6 +305,7 @@
 
     def on_headers_complete(self) -> None:
         """Determine the status, persistence and framing of a response."""
+        self.overhead_bytes = 0
         message = self.current
         message.head_done = True
         message.status = self.parser.get_status_code()
@@ -291,8 +320,14 @@
 
     def on_body(self, data: bytes) -> None:
         """Append a part of the body."""
+        self.overhead_bytes = 0
         self.current.body.append(data)
 
+    def on_message_complete(self) -> None:
+        """Mark the response as complete."""
+        super().on_message_complete()
+        self.overhead_bytes = 0
+
 
 def end_to_end(headers: Headers, kept: frozenset[bytes] = frozenset()) -> Headers:
     """Return the end-to-end headers, which are forwarded to the next hop.
