Let old reports of full servers expire for organisations over their share

While most new connections go to one node, it refused requests though two of five servers were idle. A server's load comes with its answers; a report that shows it as full expires after 0.5 s, unless a slot is free for an organisation within its share. Where only organisations over their share call, as at a node that gets the requests of all, such a report never expired: seen 5 s old, on servers with nothing to do.

The unit test failed before.

--- a/packages/endive_core/src/endive_core/servers.py
+++ b/packages/endive_core/src/endive_core/servers.py
@@ -326,7 +326,8 @@
 
         A server reports its load with its responses. If the last report of each server
         shows it as full and this node has no request there, it sends none, so it gets
-        no report either, and would refuse all requests for good.
+        no report either, and would refuse all requests for good. The same holds where
+        the report leaves a slot for organisations within their share, and none calls.
 
         Parameters
         ----------
@@ -337,7 +338,7 @@
             return
         self.next_report_check_at = now + REPORT_CHECK_INTERVAL_S
         for server in self.servers.values():
-            if server.view.in_flight or server.has_free_slots(Tier.WITHIN_SHARE):
+            if server.view.in_flight or server.has_free_slots(Tier.OVER_SHARE):
                 continue
             busy_s = held_s * server.utilisation
             expiry_s = min(max(busy_s, MIN_REPORT_EXPIRY_S), MAX_REPORT_EXPIRY_S)
--- a/packages/endive_core/tests/test_servers.py
+++ b/packages/endive_core/tests/test_servers.py
@@ -2,7 +2,7 @@
 
 from core_builders import view
 from endive_core.calls import Tier
-from endive_core.servers import ServerSet
+from endive_core.servers import MIN_REPORT_EXPIRY_S, ServerSet
 
 
 def servers(*, count=1, slots=32, nodes=7, seed=1):
@@ -134,3 +134,15 @@
         assert [s.id for s in made.available[tier].items] == [
             s.id for s in one_by_one.available[tier].items
         ]
+
+
+def test_an_old_report_of_a_full_server_expires_for_organisations_over_their_share():
+    """It left a slot for those within their share only, and none of them called."""
+    for seed in range(20):
+        made = servers(seed=seed, slots=6, nodes=6)
+        server = made.servers["s0"]
+        made.adjust_in_flight(server, 1, 0.1)
+        made.report("s0", 6, 1, as_of=0.2)
+        made.adjust_in_flight(server, -1, 0.3)
+        made.expire_reports(0.3 + MIN_REPORT_EXPIRY_S, 0.1)
+        assert server.has_free_slots(Tier.OVER_SHARE), seed
--- a/packages/endive_gateway/tests/brittle_simulation.py
+++ b/packages/endive_gateway/tests/brittle_simulation.py
@@ -247,6 +247,10 @@
         When requests came, ``ok`` or the kind of error, and their time, seconds.
     slot_messages : int
         Messages about slots that nodes have sent each other.
+    favoured, favoured_share : int, float
+        Index of a node, and the share of all requests that come there besides its own.
+    max_returns : int
+        How often a caller returns that was refused.
     """
 
     def __init__(self, monkeypatch, nodes, servers, seed=1):
@@ -257,6 +261,8 @@
         }
         self.ends = []
         self.slot_messages = 0
+        self.favoured, self.favoured_share = 0, 0.0
+        self.max_returns = 0
         super().__init__(monkeypatch, nodes, seed)
 
     @property
@@ -266,6 +272,7 @@
 
     def prepare(self, node):
         context = node.context
+        context.placer.random.seed(node.address)
         leasing = context.slot_leasing
         leasing.address = node.address
         leasing.datagrams.send = self.deliver_later(node.address)
@@ -316,7 +323,15 @@
 
     def request(self, per_s, end):
         node = self.random.choice(self.nodes)
-        number = next(self.numbers)
+        if self.random.random() < self.favoured_share:
+            node = self.nodes[self.favoured]
+        now = self.clock.now
+        self.admit(node, next(self.numbers), now + DEADLINE_S)
+        if now < end:
+            self.at(now + self.random.expovariate(per_s), self.request, per_s, end)
+
+    def admit(self, node, number, deadline, returns=0):
+        """Let a request come; one that is refused returns `returns` times as told."""
         now = self.clock.now
         try:
             ticket = node.context.placer.admit(
@@ -327,15 +342,18 @@
                     prompt_tokens=0,
                     max_tokens=1,
                     target_s=TARGET_S,
-                    deadline=now + DEADLINE_S,
+                    deadline=deadline,
                 ),
             )
         except EndiveError as error:
             self.ends.append((now, str(error.kind), 0.0))
+            wait_s = error.retry_after_s or 0.0
+            if returns < self.max_returns and wait_s <= (deadline - now) / 3:
+                again = self.random.choice(self.nodes)
+                due = now + wait_s
+                self.at(due, self.admit, again, number, deadline, returns + 1)
         else:
             SimulatedRequest(self, node, ticket).wait_for_server()
-        if now < end:
-            self.at(now + self.random.expovariate(per_s), self.request, per_s, end)
 
     def failures_since(self, since):
         """Return how often servers failed since a time."""
--- a/packages/endive_gateway/tests/test_brittle_fleet.py
+++ b/packages/endive_gateway/tests/test_brittle_fleet.py
@@ -41,6 +41,38 @@
     assert fleet.served_share(since) >= MIN_UTILISATION * capacity
 
 
+def check_uneven_connections(fleet):
+    """Check that most requests may come to one node, and then to another one."""
+    before = fleet.served_share(fleet.clock.now - 2.0)
+    fleet.favoured_share = 0.9
+    for node in (0, len(fleet.nodes) - 1):
+        fleet.favoured = node
+        fleet.run(ADJUST_S, 0.8)
+        since = fleet.clock.now
+        fleet.run(2.0, 0.8)
+        assert fleet.served_share(since) >= 0.75 * before
+
+
+@pytest.mark.parametrize("nodes", [6, 30, 200, 375])
+def test_one_node_serves_what_all_did_when_it_gets_most_connections(monkeypatch, nodes):
+    """It has the shares and load reports of one node among many."""
+    fleet = BrittleFleet(monkeypatch, nodes, SERVERS)
+    fleet.max_returns = 3
+    fleet.run(1.0 + ADJUST_S, 0.8)
+    check_uneven_connections(fleet)
+
+
+@pytest.mark.parametrize("nodes", [6, 30, 200])
+def test_one_node_gets_the_slots_of_brittle_servers_that_all_had(monkeypatch, nodes):
+    """It has the leases of one node among many."""
+    fleet = BrittleFleet(monkeypatch, nodes, SERVERS)
+    fleet.max_returns = 3
+    fleet.run(1.0, 0.8)
+    fleet.say_brittle(REJECTIONS)
+    fleet.run(ADJUST_S, 0.8)
+    check_uneven_connections(fleet)
+
+
 def test_what_brittle_servers_can_not_serve_is_refused_soon(monkeypatch):
     fleet = adjusted_fleet(monkeypatch, nodes=30, load=2.0)
     since = fleet.clock.now
