Hand most new connections to one node in the soak, with a rule and a mutant

For some seconds one node gets nine in ten new connections, of which callers open more, and another one when it stops. Rule: from 3 s on, requests that were read are served three quarters as often as before at least.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -20,6 +20,7 @@
 REFUSED_PAUSE_S = 0.1
 CRASH_GAP_S = 0.6
 PART_GAP_S = 0.25
+FAVOURED_SHARE = 0.9
 COMMON_PART = "aa"
 """Part that the prompts of all sound requests share."""
 
@@ -110,9 +111,10 @@
         """
         fleet = self.fleet
         self.broken, self.received = None, b""
-        if node is not None or self.sock is None or self.random.random() < 0.05:
+        opens = self.random.random() < (0.05 if fleet.favoured is None else 0.5)
+        if node is not None or self.sock is None or opens:
             self.close()
-            self.node = node or self.random.choice(fleet.nodes)
+            self.node = node or self._choose_node()
             if not self._connect():
                 return "no connection"
         request_id = f"{self.random.getrandbits(64):016x}"
@@ -134,6 +136,13 @@
         head = _head(kind, path, request_id, organisation, resumes, parts)
         return self._exchange(kind, head, request_id, sent_at, resumes)
 
+    def _choose_node(self):
+        """Return the node to which the platform hands a new connection."""
+        favoured = self.fleet.favoured
+        if favoured is not None and self.random.random() < FAVOURED_SHARE:
+            return favoured
+        return self.random.choice(self.fleet.nodes)
+
     def close(self):
         if self.sock is not None:
             self.sock.close()
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -15,6 +15,7 @@
     BrittleTime,
     CrashingPart,
     ServersCut,
+    UnevenConnections,
 )
 
 SERIES_SHARE = 0.35
@@ -354,6 +355,27 @@
     CrashingCaller(fleet, random.Random(content), content).run_for(fault.for_s + 8.0)
 
 
+def connections_at_one_node(fleet, fault):
+    """Hand most new connections to one node, of which callers open more than usual.
+
+    Halfway that node may be stopped, and another one gets them.
+    """
+    if fleet.favoured is not None:
+        return
+    uneven = UnevenConnections(fleet)
+    fleet.favoured = node_of(fleet, fault)
+    gevent.sleep(CONTACT_S + 2.0)
+    if fault.strength < 0.3:
+        stopped = fleet.favoured
+        fleet.favoured = fleet.nodes[(fault.target + 1) % len(fleet.nodes)]
+        stopped.restart()
+    gevent.sleep(2.0 + fault.for_s)
+    uneven.end()
+    fleet.favoured = None
+    gevent.sleep(DEADLINE_S)
+    uneven.check()
+
+
 def crashing_part(fleet, fault):
     """Send requests to all nodes that share a part of a prompt which crashes servers.
 
@@ -396,6 +418,7 @@
         server_slow,
         crashing_request,
         crashing_part,
+        connections_at_one_node,
         server_limited,
         server_rests,
         server_says_it_leaves,
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -356,6 +356,8 @@
     ----------
     crashing_parts : dict of str to CrashingPart
         By its id, each part of a prompt on which servers crash.
+    favoured : NodeProcess or None
+        The node that gets most new connections.
     """
 
     def __init__(self, directory, slot, *, nodes, mutant="", store_call_s=0.0):
@@ -366,6 +368,7 @@
         self.configured_at = 0.0
         self.closed = False
         self.crashing_parts = {}
+        self.favoured = None
         self.started = time.monotonic()
         self.checker = InvariantChecker(self.clock, LIMITS)
         self.lag = Lag()
--- a/tests/soak/invariants.py
+++ b/tests/soak/invariants.py
@@ -238,6 +238,42 @@
             )
 
 
+class UnevenConnections:
+    """Compares how callers are served while one node gets most new connections.
+
+    Counted are the requests that a node has read, from `CONTACT_S` after the beginning
+    on, and those of the time before.
+    """
+
+    def __init__(self, fleet):
+        self.fleet = fleet
+        self.began_at = fleet.clock()
+        self.ended_at = None
+
+    def end(self):
+        self.ended_at = self.fleet.clock()
+
+    def check(self):
+        """Check the rule; called when all requests of the time have ended."""
+        checker = self.fleet.checker
+        tries, served = Counter(), Counter()
+        for request_id, request in checker.requests.items():
+            outcome = checker.outcomes.get(request_id)
+            if outcome in (429, "closed", None) or request.kind == "probe":
+                continue
+            before = request.sent_at < self.began_at
+            if before or self.began_at + CONTACT_S <= request.sent_at < self.ended_at:
+                tries[before] += 1
+                served[before] += outcome == 200
+        worse = served[False] * tries[True] * 4 < served[True] * tries[False] * 3
+        if min(tries.values(), default=0) >= MIN_SOUND_TRIES and worse:
+            checker.record_violation(
+                "uneven",
+                f"served {served[False]} of {tries[False]}, before {served[True]} of "
+                f"{tries[True]}",
+            )
+
+
 class CrashingPart:
     """A part of a prompt on which servers crash, and what nodes do meanwhile.
 
--- a/tests/soak/launch.py
+++ b/tests/soak/launch.py
@@ -123,6 +123,28 @@
     PartTable._explanations = lambda self, found, prompt: {}
 
 
+def serve_an_even_share_only():
+    """Let a node refuse what exceeds its part of the connections of all nodes."""
+    from endive_core.exceptions import EndiveError, ErrorKind
+    from endive_gateway.forwarding import ForwardedRequest
+
+    real_admit = ForwardedRequest._admit
+    real_finish = ForwardedRequest._finish
+    under_way = set()
+
+    def admit(self):
+        if len(under_way) >= 3:
+            raise EndiveError(ErrorKind.OVERLOADED, "over this node's part")
+        under_way.add(self)
+        real_admit(self)
+
+    def finish(self):
+        under_way.discard(self)
+        real_finish(self)
+
+    ForwardedRequest._admit, ForwardedRequest._finish = admit, finish
+
+
 def keep_server_limits_alone():
     """Let each node send a limited server as much as if it were the only node."""
     from endive_gateway import limit_sharing
@@ -205,6 +227,7 @@
     "crashes": ignore_crashes_elsewhere,
     "part-crashes": ignore_part_crashes_elsewhere,
     "parts-not-cleared": clear_no_parts,
+    "even-share": serve_an_even_share_only,
     "server-limits": keep_server_limits_alone,
     "rests": ignore_rests,
     "leaving": ignore_departures,
--- a/tests/soak/mixes.py
+++ b/tests/soak/mixes.py
@@ -5,6 +5,7 @@
 LATER_KINDS = {
     "crashing_request",
     "crashing_part",
+    "connections_at_one_node",
     "server_limited",
     "server_rests",
     "server_says_it_leaves",
@@ -27,6 +28,7 @@
     "step_clock",
 )
 PARTS = ("crashing_part", "reload", "change_configuration", "step_clock")
+UNEVEN = ("connections_at_one_node", "change_configuration", "cloud_down")
 SILENCES = ("store_silent", "links_fall_silent", "change_configuration")
 
 LIMITED_SERVERS = ("server_limited", "reload", "change_configuration")
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -24,6 +24,7 @@
     SERVERS_CUT,
     SILENCES,
     SILENT,
+    UNEVEN,
     UNFRAMED,
 )
 from soak.network import Link
@@ -89,6 +90,13 @@
     assert outcome.violations == [], outcome.directory
 
 
+@pytest.mark.parametrize("kinds", [UNEVEN, ("connections_at_one_node", "kill")])
+def test_callers_are_served_while_one_node_gets_most_new_connections(kinds):
+    """Its share of limits, retries and slots was that of one node among many."""
+    outcome = run_seed(1, slot=SLOT, kinds=kinds)
+    assert outcome.violations == [], outcome.directory
+
+
 @pytest.mark.parametrize("kinds", [LIMITED_SERVERS, ("server_limited", "restart")])
 def test_limits_that_servers_name_are_kept(kinds):
     """Servers ask for a few requests a second, and nodes restart meanwhile."""
--- a/tests/test_soak_mutants.py
+++ b/tests/test_soak_mutants.py
@@ -11,6 +11,7 @@
     SERVERS_CUT,
     SILENCES,
     SILENT,
+    UNEVEN,
     UNFRAMED,
 )
 from soak.play import run_seed
@@ -27,6 +28,7 @@
     "crashes": ("crashing request", 1, CRASHES),
     "part-crashes": ("crashing part", 1, PARTS),
     "parts-not-cleared": ("sound requests", 1, PARTS),
+    "even-share": ("uneven", 1, UNEVEN),
     "server-limits": ("server limit", 1, LIMITED_SERVERS),
     "rests": ("rest", 1, RESTS),
     "leaving": ("leaving", 1, DEPARTING),
@@ -45,11 +47,11 @@
     each node applies alone, "not run" reported for a request that a server ran, duties
     claimed while another node holds them, an unanswered read of the store treated as
     proof that nothing has changed, crashes that nodes do not tell each other, of whole
-    requests and of parts of prompts, parts that answers do not clear, limits of servers
-    that are not shared, rests and departures that are not read, streams that are
-    complete as soon as they end, requests that end with a server's silence, brittle
-    servers without leases, nodes that carry no connections for others, and streams that
-    go on at any software version."""
+    requests and of parts of prompts, parts that answers do not clear, nodes that serve
+    an even share only, limits of servers that are not shared, rests and departures that
+    are not read, streams that are complete as soon as they end, requests that end with
+    a server's silence, brittle servers without leases, nodes that carry no connections
+    for others, and streams that go on at any software version."""
     rule, seed, kinds = MUTANTS[mutant]
     outcome = run_seed(seed, slot=SLOT, mutant=mutant, kinds=kinds)
     assert outcome.violations, outcome.counts
