--- a/packages/endive_core/src/endive_core/__init__.py
+++ b/packages/endive_core/src/endive_core/__init__.py
@@ -9,9 +9,10 @@
   ``retry_after``, ``estimators``
 - placement: ``placement``, ``prefixes``, ``ring``, ``hashing``, ``servers``,
   ``backlogs``, ``prefilling``, ``first_tokens``
-- failures: ``failures``, ``retrying``, ``crashes``, ``crash_news``, ``part_crashes``,
-  ``part_trials``, ``outliers``,
+- failures: ``failures``, ``retrying``, ``crashes``, ``crash_news``, ``outliers``,
   ``ejection``, ``response_times``, ``call_pacing``
+- parts of prompts that crash servers: ``part_reports``, ``part_crashes``,
+  ``part_trials``
 - streams that go on: ``stream_origins``, ``software_versions``
 - ways to servers: ``reachability``, ``transit``
 - limits and metering: ``quotas``, ``shared_limits``, ``limit_coordination``,
--- a/packages/endive_core/src/endive_core/failures.py
+++ b/packages/endive_core/src/endive_core/failures.py
@@ -7,7 +7,7 @@
 from endive_core.crashes import Crash, CrashTable
 from endive_core.exceptions import ErrorKind, RetryReason
 from endive_core.hashing import short_hash
-from endive_core.part_crashes import PartCrash
+from endive_core.part_reports import PartCrash
 from endive_core.part_trials import PartTrials, Standing
 from endive_core.policy import Policy
 from endive_core.resting import Resting
--- a/packages/endive_core/src/endive_core/part_trials.py
+++ b/packages/endive_core/src/endive_core/part_trials.py
@@ -23,7 +23,8 @@
 from endive_core.calls import Refusal
 from endive_core.exceptions import ErrorKind
 from endive_core.hashing import rendezvous_score
-from endive_core.part_crashes import PartAnswer, PartTable
+from endive_core.part_crashes import PartTable
+from endive_core.part_reports import PartAnswer
 from endive_core.policy import Policy
 
 REFUSED_FROM = 2
--- a/packages/endive_core/tests/test_part_crashes.py
+++ b/packages/endive_core/tests/test_part_crashes.py
@@ -10,10 +10,9 @@
     MAX_REPORTED_PARTS,
     VOUCHED_ROUNDS,
     VOUCHED_S,
-    PartAnswer,
-    PartCrash,
     PartTable,
 )
+from endive_core.part_reports import PartAnswer, PartCrash
 
 BAD, COMMON, OTHER = 1, 2, 3
 MEMORY_S = 600.0
--- a/packages/endive_core/tests/test_part_trials.py
+++ b/packages/endive_core/tests/test_part_trials.py
@@ -5,7 +5,8 @@
 from core_builders import call, dispatch_all, scheduler
 from endive_core.calls import Refusal, Stage
 from endive_core.exceptions import ErrorKind, RetryReason
-from endive_core.part_crashes import PartCrash, PartTable
+from endive_core.part_crashes import PartTable
+from endive_core.part_reports import PartCrash
 from endive_core.part_trials import (
     FIRST_TRIAL_S,
     MAX_TRIAL_S,
--- a/packages/endive_gateway/src/endive_gateway/__init__.py
+++ b/packages/endive_gateway/src/endive_gateway/__init__.py
@@ -19,7 +19,7 @@
   ``service_client``
 - messages between nodes: ``peers``, ``nodes``, ``state_messages``, ``datagrams``,
   ``spending``, ``spending_messages``, ``prompts``, ``crash_exchange``,
-  ``part_exchange``,   ``slot_leasing``, ``origin_exchange``, ``origin_messages``
+  ``part_exchange``, ``slot_leasing``, ``origin_exchange``, ``origin_messages``
 - what servers state of themselves: ``server_statements``, ``stated_values``,
   ``limit_sharing``, ``brittle_services``, ``server_rests``, ``leaving_servers``
 - cluster-wide duties, performed by one node at a time: ``duties``, ``autoscaling``
--- a/packages/endive_gateway/src/endive_gateway/part_exchange.py
+++ b/packages/endive_gateway/src/endive_gateway/part_exchange.py
@@ -6,7 +6,8 @@
 from collections.abc import Callable, Iterable
 
 from endive_core.crash_news import CrashNews
-from endive_core.part_crashes import PartAnswer, PartCrash, PartTable
+from endive_core.part_crashes import PartTable
+from endive_core.part_reports import PartAnswer, PartCrash
 from endive_node.logs import log_event
 
 MAX_CRASHES = 3
