Try more servers before a refused connection is put down to this node's link

Now up to nine are tried, three at a time. The test failed 5 of 6 before, passes 6 of 6; those of cut-off nodes pass.

--- a/packages/endive_gateway/src/endive_gateway/server_checks.py
+++ b/packages/endive_gateway/src/endive_gateway/server_checks.py
@@ -6,6 +6,7 @@
 from endive_core.reachability import ConnectResults
 
 from endive_gateway.exceptions import ConnectionBrokenError
+from endive_gateway.interfaces import ServerEntry
 from endive_gateway.paths import ServerPaths
 from endive_gateway.tcp import LISTEN_PROBE_TIMEOUT_S
 from endive_gateway.transit import TransitReply
@@ -15,9 +16,10 @@
 The caller of the failed request waits meanwhile."""
 
 OTHERS_TRIED = 3
-"""Other servers that are tried to learn whether a refusal tells of this node's link.
-More than one, as several may have crashed within the time until the registry shows it.
-"""
+MAX_OTHERS_TRIED = 9
+"""Other servers that are tried at once to learn whether a refusal tells of this node's
+link, and in all, if none listens. Many may have crashed within the time until the
+registry shows it."""
 
 MIN_CHECK_GAP_S = 0.5
 """Least time between two checks on behalf of other nodes, seconds."""
@@ -88,11 +90,19 @@
         self.paths.random.shuffle(others)
         # The servers of one service may have crashed together.
         others.sort(key=lambda entry: entry.service == service)
-        tried = others[:OTHERS_TRIED]
-        checks = [gevent.spawn(self._is_listening, entry.address) for entry in tried]
+        for first in range(0, min(len(others), MAX_OTHERS_TRIED), OTHERS_TRIED):
+            if self._reaches_any(others[first : first + OTHERS_TRIED]):
+                return True
+        return False
+
+    def _reaches_any(self, entries: list[ServerEntry]) -> bool:
+        """Return whether any of some servers accepts a connection; try them at once."""
+        checks = [gevent.spawn(self._is_listening, entry.address) for entry in entries]
         gevent.joinall(checks)
         reached = [
-            entry.id for entry, check in zip(tried, checks, strict=True) if check.value
+            entry.id
+            for entry, check in zip(entries, checks, strict=True)
+            if check.value
         ]
         for entry_id in reached:
             self.paths.connected(entry_id)
--- a/packages/endive_gateway/tests/test_crashing_requests.py
+++ b/packages/endive_gateway/tests/test_crashing_requests.py
@@ -89,3 +89,21 @@
         assert crashing.ended <= 3
         assert set(statuses[2:]) == {503}
         assert call_parts(running, 99, OTHER) == 200
+
+
+@pytest.mark.parametrize("attempt", range(6))
+def test_a_crash_counts_though_most_other_servers_have_ended_too(attempt):
+    """Those that were tried for comparison did not listen either, so that crashes went
+    uncounted just when many servers ended."""
+    servers = [ScriptedServer(server_id=f"i-{n}") for n in range(9)]
+    once = make_table(make_route(max_attempts=1))
+    with RunningGateway(*servers, table=once) as running:
+        crashing, sound, *ended = servers
+        for server in (sound, *ended):
+            running.context.placer.pause_silent(server.id)
+        for server in ended:
+            server.stop()
+        running.context.paths.random.seed(attempt)
+        crashing.script.append(crash_server(crashing))
+        running.call(method="POST", body=b"poison")
+        assert sum(map(len, running.context.placer.crashes.crashes.values())) == 1
