Limit a response's headers, and stop at the first response too many

What was limited was limited late: 128 KB of header lines are 18,000 headers, a read of 64 KB holds a thousand responses that nobody awaits, and all were parsed before they were counted. Now the parser stops at 256 headers and at the 33rd response, and an event may have 256 KB.

--- a/packages/endive_gateway/src/endive_gateway/events.py
+++ b/packages/endive_gateway/src/endive_gateway/events.py
@@ -10,7 +10,7 @@
 EVENT_ID = re.compile(rb"(?:\A|[\r\n])id:[ ]?([^\r\n]*)")
 
 
-MAX_EVENT_BYTES = 1_048_576
+MAX_EVENT_BYTES = 262_144
 """Largest event that is read as a whole, bytes."""
 
 
--- a/packages/endive_gateway/src/endive_gateway/http.py
+++ b/packages/endive_gateway/src/endive_gateway/http.py
@@ -52,6 +52,9 @@
 """Largest part of a response without any of its body, bytes. What is read at once may
 hold the end of a body before it."""
 
+MAX_HEADERS = 256
+"""Headers of a response, at most."""
+
 MAX_WAITING_MESSAGES = 32
 """Responses that a connection may hold: interim ones, late ones to earlier requests,
 and the one that is awaited."""
@@ -296,8 +299,18 @@
             raise BadMessageError(str(error)) from None
         if self.overhead_bytes > MAX_OVERHEAD_BYTES:
             raise BadMessageError("a head, a chunk's size or trailers are too long")
-        if len(self.messages) > MAX_WAITING_MESSAGES:
+
+    def on_message_begin(self) -> None:
+        """Begin a response; raises BadMessageError if too many are unread."""
+        if len(self.messages) >= MAX_WAITING_MESSAGES:
             raise BadMessageError("too many responses without a request")
+        super().on_message_begin()
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Append a header; raises BadMessageError if there are too many."""
+        if len(self.current.headers) >= MAX_HEADERS:
+            raise BadMessageError("too many headers")
+        super().on_header(name, value)
 
     def on_status(self, reason: bytes) -> None:
         """Append a part of the reason phrase."""
