--- a/packages/endive_core/src/endive_core/part_trials.py
+++ b/packages/endive_core/src/endive_core/part_trials.py
@@ -40,13 +40,13 @@
 """Time in which twice as many nodes may try a suspected part, seconds. A trial and the
 news of it take about as long."""
 
+REFUSED_STEP_S = 1.0
+"""The same for a refused part, of which no request waits, seconds."""
+
 CRASHED_HEAD_START_S = 0.4
 """Time by which a request under which a server has ended may be tried sooner than
 others, seconds."""
 
-REFUSED_STEP_S = 1.0
-"""The same for a refused part, of which no request waits, seconds."""
-
 MAX_WAIT_S = 1.0
 """Longest time for which a request waits for trials of other requests, seconds."""
 
