--- a/packages/endive_gateway/src/endive_gateway/attempts.py
+++ b/packages/endive_gateway/src/endive_gateway/attempts.py
@@ -162,7 +162,7 @@
             )
 
     def _check_parts(self) -> None:
-        """Check that no part of the prompt has been suspected since; as above."""
+        """Check that no part has been suspected since; raises AttemptError if so."""
         if self.context.placer.has_new_suspicion(self.request.ticket):
             self._give_connection_back()
             raise AttemptError(
