Read a server's load that states a fourth figure

Cause: a server may state, after running and waiting requests and its slots, how long work takes there now. The decoder required exactly three figures and dropped the whole header, so that placement, admission, slot leases and autoscaling knew no load of such servers.

Change: the first three figures count whatever follows them. A fourth one is kept as `slowdown`, a multiple of the usual time; nothing uses it yet. One that can't be read (empty, zero, negative, not a number, over 100 times the usual, or followed by a fifth) is logged once by server as event=server_load_invalid.

--- a/packages/endive_gateway/src/endive_gateway/interfaces.py
+++ b/packages/endive_gateway/src/endive_gateway/interfaces.py
@@ -310,6 +310,11 @@
         Whether the server states that it did not run the request.
     running, waiting, slots : int or None
         The server's load: running and waiting requests, and slots.
+    slowdown : float or None
+        How long work takes at the server at this moment, as a multiple of the usual
+        time, if it states that.
+    invalid_load : str
+        A load of which a part can't be read; empty if there is none.
     request_limit : float or None
         Requests a second that the server takes from all nodes together, if it names a
         limit.
@@ -337,6 +342,8 @@
     running: int | None = None
     waiting: int | None = None
     slots: int | None = None
+    slowdown: float | None = None
+    invalid_load: str = ""
     request_limit: float | None = None
     invalid_limit: str = ""
     brittle_rejections: float | None = None
--- a/packages/endive_gateway/src/endive_gateway/server_statements.py
+++ b/packages/endive_gateway/src/endive_gateway/server_statements.py
@@ -2,6 +2,8 @@
 
 from typing import Any
 
+from endive_node.logs import log_event
+
 from endive_gateway.brittle_services import BrittleServices
 from endive_gateway.interfaces import ResponseMetadata
 from endive_gateway.leaving_servers import MISDIRECTED_STATUS, LeavingServers
@@ -29,6 +31,8 @@
         Keeps their loads.
     leasing : SlotLeasing
         Passes the loads of brittle servers on to the nodes that lease their slots.
+    invalid_loads : set of str
+        Servers of whose loads a part can't be read.
     """
 
     def __init__(
@@ -46,6 +50,7 @@
         self.leaving = leaving
         self.placer = placer
         self.leasing = leasing
+        self.invalid_loads: set[str] = set()
 
     def observe(
         self,
@@ -78,13 +83,20 @@
         is_success = 200 <= status < 300 and metadata.signed
         self.limits.observe(server, metadata, sent_at, is_success=is_success)
         self.brittle.observe(server, metadata, sent_at, is_success=is_success)
+        self._log_invalid_load(server, metadata)
         if metadata.running is not None:
             waiting = metadata.waiting or 0
             self.placer.report(server, metadata.running, waiting)
             self.leasing.report(lease, metadata.running + waiting)
 
+    def _log_invalid_load(self, server: str, metadata: ResponseMetadata) -> None:
+        if metadata.invalid_load and server not in self.invalid_loads:
+            self.invalid_loads.add(server)
+            log_event("server_load_invalid", server=server, found=metadata.invalid_load)
+
     def refresh(self) -> None:
         """Forget what is over, and servers that are gone."""
+        self.invalid_loads &= self.placer.registry.servers.keys()
         for part in (self.limits, self.brittle, self.rests, self.leaving):
             part.refresh()
 
--- a/packages/endive_gateway/tests/test_server_statements.py
+++ b/packages/endive_gateway/tests/test_server_statements.py
@@ -45,3 +45,12 @@
     assert context.limit_sharing.reports.limit("i-1") is None
     assert "i-1" not in context.leaving_servers.departures
     assert "i-2" in context.leaving_servers.departures
+
+
+def test_a_load_that_is_partly_invalid_counts_and_is_logged_once(caplog):
+    """Guards against a log line a response, and a load lost for one bad figure."""
+    context = context_with_servers("i-1")
+    for running in (5, 6):
+        state(context, 200, running=running, waiting=1, invalid_load="5,1,8,often")
+    assert context.placer.known_load("i-1") == 7
+    assert caplog.text.count("event=server_load_invalid") == 1
