Tell nodes what is left of a limit, not what each of them has spent

Cause: the coordinator of a limit that is nearly used up sent all nodes what each of them had spent, every eighth of the allowance: at 86 nodes five datagrams to each of 85. A flooded organisation's coordinator so filled its link of 5 Mbit/s, and its replies to requests for grants came after the 0.1 s that nodes wait for them.

Change: the coordinator sends the units left (40 bytes at any number of nodes). A node lowers its own count to that, and does not deduct the spending again that others report later.

--- a/packages/endive_core/src/endive_core/shared_limits.py
+++ b/packages/endive_core/src/endive_core/shared_limits.py
@@ -12,6 +12,7 @@
 the allowance is below zero until all nodes have paid it back.
 """
 
+from collections import deque
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
@@ -108,10 +109,17 @@
 
     A request may take it below zero, which the next seconds pay back. Otherwise a
     request larger than what is left would never fit.
+
+    Attributes
+    ----------
+    anticipated : deque of [float, float]
+        Spending of other nodes that was deducted before those nodes reported it: until
+        when it is awaited, and the units.
     """
 
     units: float = 0.0
     updated_at: float = 0.0
+    anticipated: deque[list[float]] = field(default_factory=deque)
 
     def refill(self, now: float, *, rate: float, burst: float) -> None:
         """Add the units earned at `rate` since the last refill, up to `burst`."""
@@ -119,6 +127,23 @@
         self.units = min(self.units, burst)
         self.updated_at = now
 
+    def lower(self, units: float, until: float) -> None:
+        """Lower it to `units` for spending that other nodes report by `until`."""
+        if units < self.units:
+            self.anticipated.append([until, self.units - units])
+            self.units = units
+
+    def charge(self, units: float, now: float) -> None:
+        """Deduct reported spending, but for what was deducted for it before."""
+        while units > 0 and self.anticipated:
+            until, awaited = self.anticipated[0]
+            taken = min(units, awaited) if until >= now else 0.0
+            units -= taken
+            self.anticipated[0][1] -= taken
+            if until < now or self.anticipated[0][1] <= 0:
+                self.anticipated.popleft()
+        self.units -= units
+
 
 class SharedLimits:
     """Every organisation's limit, enforced by this node together with the others.
@@ -242,7 +267,7 @@
         peer.spent[organisation] = units
         if new:
             self._earn(organisation, now)
-            self._allowance(organisation).units -= new
+            self._allowance(organisation).charge(new, now)
         return new
 
     def _earn(self, organisation: str, now: float) -> None:
@@ -354,6 +379,18 @@
             return self._wait_until_positive(left, rate, now)
         return 0.0 if self.apply_update(origin, organisation, total, now) > 0 else None
 
+    def learn_left(self, organisation: str, left: float, now: float) -> None:
+        """Apply the units left of a limit as its coordinator counts them.
+
+        Only the coordinator knows at once what all nodes spend. Their own reports,
+        which arrive later, are not deducted a second time.
+        """
+        if self.terms_of(organisation) is None:
+            return
+        self._earn(organisation, now)
+        until = now + self.silence_timeout_s
+        self._allowance(organisation).lower(left, until)
+
     def _wait_until_positive(self, left: float, rate: float, now: float) -> float:
         return 0.001 - left / (rate * self.reachable_share(now))
 
--- a/packages/endive_gateway/src/endive_gateway/spending.py
+++ b/packages/endive_gateway/src/endive_gateway/spending.py
@@ -37,6 +37,7 @@
     NodeSpending,
     SpendingMessage,
     SpendingReport,
+    UnitsLeft,
 )
 
 UNKNOWN_FLEET_S = 10.0
@@ -372,8 +373,8 @@
         left, most = self.context.limits.left(
             organisation, time.monotonic(), rate=terms.rate, burst=terms.burst
         )
-        due = self.unsent_spending.take_due(organisation, left=left, most=most)
-        self._send_entries(organisation, due, self.peer_addresses())
+        if self.unsent_spending.take_due(organisation, left=left, most=most):
+            self._send(UnitsLeft(organisation, left), self.peer_addresses())
 
     def _entry_of(self, organisation: str, address: str) -> NodeSpending | None:
         """Return a node's entry for a report; ``None`` if it left or restarted."""
@@ -411,9 +412,20 @@
                 self.grant(message)
             case GrantReply(number, wait_s):
                 self._receive_reply(number, wait_s)
+            case UnitsLeft(organisation, units):
+                self._learn_left(organisation, units)
             case GrantDeclined(number):
                 self._receive_reply(number, DECLINED)
 
+    def _learn_left(self, organisation: str, units: float) -> None:
+        """Apply the units that are left as the coordinator counts them.
+
+        It may have counted what this node has requested, which this node deducts itself
+        when it gets the reply.
+        """
+        units += self.requested_units[organisation]
+        self.context.limits.learn_left(organisation, units, time.monotonic())
+
     def _receive_reply(self, number: int, wait_s: float) -> None:
         if number in self.pending_replies:
             self.pending_replies[number].set(wait_s)
--- a/packages/endive_gateway/src/endive_gateway/spending_messages.py
+++ b/packages/endive_gateway/src/endive_gateway/spending_messages.py
@@ -87,6 +87,18 @@
     number: int
 
 
-SpendingMessage = SpendingReport | GrantRequest | GrantReply | GrantDeclined
+class UnitsLeft(msgspec.Struct, array_like=True, tag="left"):
+    """Units left of an organisation's limit, as its coordinator counts them.
+
+    It has the same size for any number of nodes. If the coordinator instead sent all
+    nodes what each of them had spent, one that is flooded at 86 nodes would fill a link
+    of 5 Mbit/s, and its replies to requests for grants would arrive too late.
+    """
+
+    organisation: str
+    units: float
+
+
+SpendingMessage = SpendingReport | GrantRequest | GrantReply | GrantDeclined | UnitsLeft
 
 DECODER = msgspec.msgpack.Decoder(SpendingMessage)
