Forget a server's earlier incarnation when it starts again under its id

Cause: a server that starts again under its id holds and knows nothing of before, but the scheduler kept its load, failures, latencies and cached prompts, the statements its limit and brittleness, which other nodes passed on as well, the ejection its failures, and the pool its connections. The entry's incarnation was read for crashes, rests and announced departures only.

Change: the registry tells listeners when an entry names a later incarnation; each table forgets the server. What other nodes still report of the earlier one is ignored by the age of the statement, or for as long as a failure counts. event=server_restarted.

Leases of slots are not covered yet.

--- a/packages/endive_core/src/endive_core/ejection.py
+++ b/packages/endive_core/src/endive_core/ejection.py
@@ -65,17 +65,32 @@
         Times and servers of the failures that this node has seen.
     remote_counts : dict
         For each other node, when its last counts arrived, and its failures by server.
+    ignored_until : dict of str to float
+        By server that has started again, until when other nodes' counts are those of
+        its earlier incarnation.
     """
 
     def __init__(self) -> None:
         self.local_failures: deque[tuple[float, str]] = deque()
         self.remote_counts: dict[str, tuple[float, Mapping[str, int]]] = {}
         self.ejections: dict[str, Ejection] = {}
+        self.ignored_until: dict[str, float] = {}
 
     def failed(self, server: str, now: float) -> None:
         """Count a failure of `server` that this node has seen."""
         self.local_failures.append((now, server))
 
+    def forget_server(self, server: str, now: float) -> None:
+        """Forget the failures of a server that has started again.
+
+        Other nodes may go on reporting those of its earlier incarnation for as long as
+        a failure counts.
+        """
+        failures = [(at, s) for at, s in self.local_failures if s != server]
+        self.local_failures = deque(failures)
+        self.ejections.pop(server, None)
+        self.ignored_until[server] = now + WINDOW_S
+
     def own_counts(self, now: float) -> dict[str, int]:
         """Return this node's recent failures by server, to be sent to other nodes."""
         while self.local_failures and self.local_failures[0][0] < now - WINDOW_S:
@@ -113,13 +128,16 @@
     ) -> tuple[Counter[str], Counter[str]]:
         """Return by server the failures and the number of nodes that saw some."""
         totals, nodes = Counter(), Counter()
+        ignored = self.ignored_until
+        self.ignored_until = {s: t for s, t in ignored.items() if now < t}
         known = set(servers)
         for node, (received_at, counts) in list(self.remote_counts.items()):
             if now - received_at > WINDOW_S:
                 del self.remote_counts[node]
                 continue
-            totals.update({s: n for s, n in counts.items() if s in known})
-            nodes.update(known & counts.keys())
+            heard = counts.keys() & known - self.ignored_until.keys()
+            totals.update({s: counts[s] for s in heard})
+            nodes.update(heard)
         local_counts = {s: n for s, n in self.own_counts(now).items() if s in known}
         totals.update(local_counts)
         nodes.update(local_counts.keys())
--- a/packages/endive_core/src/endive_core/prefixes.py
+++ b/packages/endive_core/src/endive_core/prefixes.py
@@ -149,6 +149,17 @@
         """
         self.next_seq.pop(server, None)
 
+    def drop_server(self, server: str) -> None:
+        """Forget which blocks a server holds, since its memory is empty now.
+
+        It takes one pass over all blocks, as rarely as servers start again.
+        """
+        self.forget_server(server)
+        for blocks in (self.young, self.old):
+            for block, holders in blocks.items():
+                if server in holders:
+                    blocks[block] = tuple(h for h in holders if h != server)
+
     def prefix_holders(self, blocks: Sequence[int]) -> dict[str, int]:
         """Return the servers that hold leading `blocks`, and how many each holds.
 
--- a/packages/endive_core/src/endive_core/scheduler.py
+++ b/packages/endive_core/src/endive_core/scheduler.py
@@ -135,6 +135,15 @@
         if self.servers.set_servers(views):
             self.placement.set_members(list(self.servers.servers))
 
+    def forget_server(self, server_id: str) -> None:
+        """Forget a server that has started again under the same id.
+
+        Its load, latencies, failures and cached prompts are those of a process that is
+        gone. It is known again from the next :meth:`set_servers` on.
+        """
+        self.servers.remove(server_id)
+        self.placement.prefixes.drop_server(server_id)
+
     def set_nodes(self, nodes: int) -> None:
         """Set the number of live nodes, this one included."""
         self.servers.nodes = max(1, nodes)
--- a/packages/endive_core/src/endive_core/server_limits.py
+++ b/packages/endive_core/src/endive_core/server_limits.py
@@ -81,10 +81,14 @@
     ----------
     reports : OrderedDict
         By server, in the order in which they are passed on to other nodes.
+    restarted_at : dict of str to float
+        By server that has started again, when this was learned. Earlier statements are
+        those of its earlier incarnation.
     """
 
     def __init__(self) -> None:
         self.reports: OrderedDict[str, LimitReport] = OrderedDict()
+        self.restarted_at: dict[str, float] = {}
 
     def limit(self, server: str) -> float | None:
         """Return the limit of `server`; ``None`` if it names none."""
@@ -106,6 +110,8 @@
         bool
             Whether the limit changed.
         """
+        if report.at < self.restarted_at.get(report.server, -math.inf):
+            return False
         known = self.reports.get(report.server)
         if known is not None and report.id == known.id:
             if report.at < known.at:
@@ -119,6 +125,11 @@
         self.reports.move_to_end(report.server, last=False)
         return True
 
+    def restart(self, server: str, now: float) -> None:
+        """Forget what a server has stated that has started again."""
+        self.reports.pop(server, None)
+        self.restarted_at[server] = now
+
     def take(self, count: int) -> list[LimitReport]:
         """Return the next `count` reports for a message; each has its turn."""
         taken = []
@@ -134,6 +145,8 @@
             ended = report.limit is None and now - report.at > ENDED_MEMORY_S
             if ended or server not in known_servers:
                 del self.reports[server]
+        for server in self.restarted_at.keys() - known_servers:
+            del self.restarted_at[server]
 
 
 def sharers(server: str, limit: float, nodes: Iterable[str]) -> list[str]:
--- a/packages/endive_core/src/endive_core/servers.py
+++ b/packages/endive_core/src/endive_core/servers.py
@@ -253,6 +253,12 @@
         server.divided_slots = max(1, round(slots * self.divided_share))
         self._grant(server)
 
+    def remove(self, server_id: str) -> None:
+        """Remove a server with all that is known of it."""
+        server = self.servers.get(server_id)
+        if server is not None:
+            self._remove(server)
+
     def _remove(self, server: ServerLoad) -> None:
         view = server.view
         self.servers.pop(view.id)
--- a/packages/endive_gateway/src/endive_gateway/context.py
+++ b/packages/endive_gateway/src/endive_gateway/context.py
@@ -115,6 +115,7 @@
         self.path_monitor.on_silent = self.placer.pause_silent
         self.pool = ConnectionPool(wire, self.paths, self.path_monitor)
         self.path_monitor.on_dead_connections = self.pool.drop
+        self.registry.restart_listeners.append(self.pool.drop)
         self.limits = SharedLimits(time.monotonic(), slack=settings.bounds.quota_slack)
         self.limits.terms_of = self._rate_and_burst
         self.limit_sharing = LimitSharing(
--- a/packages/endive_gateway/src/endive_gateway/paths.py
+++ b/packages/endive_gateway/src/endive_gateway/paths.py
@@ -52,6 +52,7 @@
         self.blocked_any = Event()
         self.rests_for: Callable[[str, str], bool] = lambda node, server: False
         registry.listeners.append(self._forget_gone)
+        registry.restart_listeners.append(self._forget_server)
 
     def open(self, server_id: str, address: str) -> ByteStream:
         """Return a new connection to a server.
@@ -207,6 +208,10 @@
     def _forget_gone(self) -> None:
         self.reachability.forget(set(self.registry.servers))
 
+    def _forget_server(self, server_id: str) -> None:
+        """Try a server that has started again directly, like any other."""
+        self.reachability.blocked.pop(server_id, None)
+
     # The end of a block
 
     def probe_blocked(self) -> None:
--- a/packages/endive_gateway/src/endive_gateway/placing.py
+++ b/packages/endive_gateway/src/endive_gateway/placing.py
@@ -113,6 +113,7 @@
         self.try_both = try_both
         self.on_crash: Callable[[], None] = lambda: None
         registry.listeners.append(self.refresh)
+        registry.restart_listeners.append(self.forget_server)
 
     def configure(self, table: RoutingTable) -> None:
         """Apply the services of a configuration."""
@@ -159,6 +160,14 @@
             del self.views[gone]
             self.consecutive_failures.pop(gone, None)
 
+    def forget_server(self, server_id: str) -> None:
+        """Forget the earlier incarnation of a server that has started again."""
+        self.views.pop(server_id, None)
+        self.consecutive_failures.pop(server_id, None)
+        self.ejection.forget_server(server_id, self.now())
+        for scheduler in self.schedulers.values():
+            scheduler.forget_server(server_id)
+
     def _view(self, entry: ServerEntry, service: Service, rate: float) -> ServerView:
         view = self.views.get(entry.id)
         if view is None:
--- a/packages/endive_gateway/src/endive_gateway/servers.py
+++ b/packages/endive_gateway/src/endive_gateway/servers.py
@@ -96,6 +96,9 @@
     ----------
     listeners : list of callable
         Called without arguments after a change.
+    restart_listeners : list of callable
+        Called with the id of a server that has started again under the same id, before
+        its new entry applies. They forget what they know of the earlier incarnation.
     is_loaded : bool
         Whether the servers have been read from the store at least once.
     departures : dict of str to Departure
@@ -108,6 +111,7 @@
     def __init__(self) -> None:
         self.servers: dict[str, KnownServer] = {}
         self.listeners: list[Callable[[], None]] = []
+        self.restart_listeners: list[Callable[[str], None]] = []
         self.is_loaded = False
         self.departures: dict[str, Departure] = {}
         self.last_server_s = 0.0
@@ -135,6 +139,8 @@
             if order < (known.entry.incarnation, known.entry.sequence):
                 return False
         before = known.entry if known else None
+        if before is not None and before.incarnation < entry.incarnation:
+            self._note_restart(before, entry)
         if known is None:
             known = self.servers[entry.id] = KnownServer(entry)
         elif _process_key(before) != _process_key(entry):
@@ -159,6 +165,16 @@
             )
         return content_changed or last_changed
 
+    def _note_restart(self, before: ServerEntry, entry: ServerEntry) -> None:
+        log_event(
+            "server_restarted",
+            server=entry.id,
+            incarnation=entry.incarnation,
+            before=before.incarnation,
+        )
+        for listener in self.restart_listeners:
+            listener(entry.id)
+
     def drop(self, server_id: str, now: float, *, after_outage: bool) -> bool:
         """Drop a server whose entry was deleted; return whether anything changed.
 
--- a/packages/endive_gateway/src/endive_gateway/stated_values.py
+++ b/packages/endive_gateway/src/endive_gateway/stated_values.py
@@ -44,6 +44,7 @@
         self.random = random
         self.reports = ServerLimits()
         self.invalid: set[str] = set()
+        registry.restart_listeners.append(self.forget_server)
 
     def read(self, metadata: ResponseMetadata) -> tuple[float | None, str]:
         """Return the value in a response, if any, and what of it can't be read."""
@@ -125,6 +126,12 @@
         ]
         self.learn(peer, reports)
 
+    def forget_server(self, server: str) -> None:
+        """Forget what a server has stated that has started again."""
+        self.reports.restart(server, time.monotonic())
+        self.invalid.discard(server)
+        self.refresh()
+
     def refresh(self) -> None:
         """Forget servers that are gone, and act on what is known now."""
         self.invalid &= self.registry.servers.keys()
