Do not count a declined slot as a refusal by the server

A brittle server's coordinator that declines a slot has sent the server nothing. The decline was counted like a 503 of the server: it was paused and limited to the requests in flight. With nine in ten requests at one node these limits held most slots idle while requests waited (2 to 3 of 6 running).

Declines have a reason of their own, slot_declined. A new coordinator, and one that loses several nodes at once, now leaves half of the slots for a quarter of a second.

--- a/packages/endive_core/src/endive_core/exceptions.py
+++ b/packages/endive_core/src/endive_core/exceptions.py
@@ -148,6 +148,7 @@
     SERVER_LEAVING = "server_leaving"
     SERVER_RESTING = "server_resting"
     SERVER_SLOW = "server_slow"
+    SLOT_DECLINED = "slot_declined"
     HANDED_OVER = "handed_over"
     PART_SUSPECTED = "part_suspected"
     PATH_FAILED = "path_failed"
--- a/packages/endive_core/src/endive_core/scheduler.py
+++ b/packages/endive_core/src/endive_core/scheduler.py
@@ -42,6 +42,7 @@
 NO_REASON_TO_AVOID = (
     RetryReason.SERVER_BUSY,
     RetryReason.SERVER_RESTING,
+    RetryReason.SLOT_DECLINED,
     RetryReason.PART_SUSPECTED,
     RetryReason.PATH_FAILED,
 )
--- a/packages/endive_core/src/endive_core/slot_leases.py
+++ b/packages/endive_core/src/endive_core/slot_leases.py
@@ -26,6 +26,10 @@
 UNLEASED_MEMORY_S = 1.0
 """Time for which requests without a lease are taken into account, seconds."""
 
+TAKEOVER_S = 0.25
+"""Time for which half of a server's slots count as taken after a change of coordinator,
+seconds. The requests that another coordinator let through have mostly ended by then."""
+
 RETURN_DELAY_S = 0.02
 """Time for which a request whose lease was returned may still be part of the load that
 its server states, seconds."""
@@ -139,11 +143,30 @@
         if unleased >= self.unleased or now - self.unleased_at > UNLEASED_MEMORY_S:
             self.unleased, self.unleased_at = unleased, now
 
+    def take_over(self, now: float) -> None:
+        """Assume for a short time that another coordinator has leased half the slots.
+
+        The nodes that have just lost their coordinator all ask at the same moment.
+        """
+        self._assume_unleased(self.slots // 2, now)
+
+    def _assume_unleased(self, requests: int, now: float) -> None:
+        """Count requests as being at the server without a lease for a short time."""
+        if requests > self.unleased or now - self.unleased_at > UNLEASED_MEMORY_S:
+            self.unleased = requests
+            self.unleased_at = now - UNLEASED_MEMORY_S + TAKEOVER_S
+
     def withdraw(self, live_nodes: Collection[str], now: float) -> None:
-        """Take back the leases of nodes that are gone."""
+        """Take back the leases of nodes that are gone.
+
+        Several nodes that go at once have probably lost contact with this one. Their
+        requests still run then, and they ask another coordinator for the same slots.
+        """
         gone = [key for key in self.leases if key[0] not in live_nodes]
         for key in gone:
             del self.leases[key]
+        if len({node for node, _ in gone}) > 1:
+            self._assume_unleased(len(gone), now)
         self.update(now)
 
     def update(self, now: float) -> None:
--- a/packages/endive_core/tests/test_slot_leases.py
+++ b/packages/endive_core/tests/test_slot_leases.py
@@ -123,3 +123,27 @@
     coordinator.ask(1, now=0.2)
     coordinator.ask(2, now=0.2)
     assert coordinator.granted() == [0, 1]
+
+
+def test_a_new_coordinator_leases_half_until_it_knows_the_load():
+    """Another one that it can't reach may have leased the slots to the other nodes."""
+    coordinator = Coordinator(slots=4)
+    coordinator.slots.take_over(0.0)
+    for number in range(4):
+        coordinator.ask(number)
+    assert coordinator.granted() == [0, 1]
+    coordinator.slots.update(0.3)
+    assert coordinator.granted() == [0, 1, 2, 3]
+
+
+def test_requests_of_nodes_that_lose_contact_together_take_slots():
+    """Each half of a divided fleet otherwise leases all slots at the same moment."""
+    coordinator = Coordinator(slots=4)
+    coordinator.ask(0, node="lost-1")
+    coordinator.ask(1, node="lost-2")
+    coordinator.slots.withdraw({"n"}, 0.1)
+    for number in range(2, 6):
+        coordinator.ask(number, now=0.1)
+    assert coordinator.granted() == [0, 1, 2, 3]
+    coordinator.slots.update(0.4)
+    assert coordinator.granted() == [0, 1, 2, 3, 4, 5]
--- a/packages/endive_gateway/src/endive_gateway/exceptions.py
+++ b/packages/endive_gateway/src/endive_gateway/exceptions.py
@@ -173,7 +173,7 @@
 
     def __init__(self, message: str) -> None:
         super().__init__(
-            message, RetryReason.SERVER_BUSY, started=False, counts_as_attempt=False
+            message, RetryReason.SLOT_DECLINED, started=False, counts_as_attempt=False
         )
 
 
--- a/packages/endive_gateway/src/endive_gateway/slot_leasing.py
+++ b/packages/endive_gateway/src/endive_gateway/slot_leasing.py
@@ -300,6 +300,8 @@
         load = self.placer.known_load(view.id)
         slots.report(load, time.monotonic())
         nodes = len(self.peer_addresses()) + 1
+        if nodes > 1:
+            slots.take_over(time.monotonic())
         log_event("slot_coordinator", server=view.id, load=load, nodes=nodes)
         return slots
 
