Expect the duration of work from the speed that servers state

Cause: servers that share their machine work 2.5 times slower for 15 % of the time, in phases of half a second, and state it. Placement compared counts only, the outlier detector took a slow phase for a fault, and the learned prefill rate moved with it.

Change: server_speed keeps the last statement of each server, learns how long such a value holds and the mean of the service, and gives the expected slowdown now and over the time that work takes. Placement compares the time to completion, and draws a sample again that has slow servers only. Latencies are divided by the stated slowdown before outliers, prefill rate, time to start and time in a slot learn from them. Admission counts slots at the current speed. Where nothing is stated, all factors are 1.

--- a/packages/endive_core/src/endive_core/__init__.py
+++ b/packages/endive_core/src/endive_core/__init__.py
@@ -8,7 +8,7 @@
   ``queueing``, ``bound_queue``, ``queued_tokens``, ``slot_usage``, ``expiry``,
   ``retry_after``, ``estimators``
 - placement: ``placement``, ``prefixes``, ``ring``, ``hashing``, ``servers``,
-  ``backlogs``, ``prefilling``, ``first_tokens``
+  ``backlogs``, ``prefilling``, ``first_tokens``, ``server_speed``
 - failures: ``failures``, ``retrying``, ``crashes``, ``crash_news``, ``outliers``,
   ``ejection``, ``response_times``, ``call_pacing``
 - parts of prompts that crash servers: ``part_reports``, ``part_crashes``,
--- a/packages/endive_core/src/endive_core/admission.py
+++ b/packages/endive_core/src/endive_core/admission.py
@@ -244,6 +244,7 @@
             self.servers.own_in_flight + len(self.servers.available[Tier.WITHIN_SHARE]),
         )
         slots = max(1.0, slots * self._share_of_version(call.software_version))
+        slots *= self.servers.speeds.capacity
         tokens_per_s = slots * self.rate.tokens_per_slot_s
         ahead = self.queue.tokens_ahead(
             call.rank, call.organisation, call.software_version
@@ -260,7 +261,7 @@
         return Prediction(
             wait,
             allowance,
-            self._start_s(now) + prefill,
+            (self._start_s(now) + prefill) / self.servers.speeds.capacity,
             1 / self._organisation_tokens_per_s(call.organisation),
         )
 
@@ -314,8 +315,9 @@
 
     def answered(self, ticket: Ticket, now: float) -> None:
         """Update the rate estimates from a complete answer."""
-        self.rate.learn(
-            tokens=ticket.call.prompt_tokens + ticket.tokens,
-            held_s=now - ticket.dispatched_at,
-        )
+        held_s = now - ticket.dispatched_at
+        server = ticket.server_load
+        if server is not None:
+            held_s /= self.servers.speeds.over(server.slowdown, held_s)
+        self.rate.learn(tokens=ticket.call.prompt_tokens + ticket.tokens, held_s=held_s)
         self.rate.learn_answer(ticket.tokens, ticket.call.max_tokens)
--- a/packages/endive_core/src/endive_core/first_tokens.py
+++ b/packages/endive_core/src/endive_core/first_tokens.py
@@ -58,6 +58,9 @@
     ) -> None:
         """Update the estimates from a time to first token.
 
+        The time is divided by the slowdown that the server states, so that the
+        estimates hold for its usual speed.
+
         Calls that yielded are left out. They waited for others, the longer their
         prompts the more, so that engines would look slower the more prompts were late.
 
@@ -74,6 +77,8 @@
         """
         if ticket.yields:
             return
+        if server is not None:
+            seconds /= self.servers.speeds.over(server.slowdown, seconds)
         if self.prefill is not None:
             self.prefill.learn(ticket.uncached_tokens, seconds)
         prefill_s = ticket.uncached_tokens / tokens_per_s
--- a/packages/endive_core/src/endive_core/outliers.py
+++ b/packages/endive_core/src/endive_core/outliers.py
@@ -38,6 +38,12 @@
 90 callers then got a failure, instead of 5 to 8."""
 
 
+FALSE_SLOWDOWN_RATIO = 0.6
+"""Latency ratio below which a stated slowdown is taken to be false. Ratios of servers
+that state the truth lie between 0.7 and 1.4 most of the time, and would only disturb
+placement."""
+
+
 class OutlierDetector:
     """Compares each server's latency ratio with the median of its peers.
 
@@ -98,13 +104,24 @@
         judged = [s for s in peers if s.samples >= MIN_SAMPLES]
         peer_median = max(1e-6, median(server.latency_ratio for server in peers))
         for server in judged:
-            server.slowness = max(1.0, server.latency_ratio / peer_median)
+            server.slowness = self._slowness(server, server.latency_ratio / peer_median)
         max_slow = int(len(peers) * self.policy.max_slow_share)
         worst = sorted(judged, key=lambda s: s.slowness, reverse=True)
         for position, server in enumerate(worst):
             slow = position < max_slow and server.slowness >= self.policy.slow_ratio
             self._mark(server, slow or server.id in self.ejected, now)
 
+    def _slowness(self, server: ServerLoad, ratio: float) -> float:
+        """Return the slowness of a server with `ratio` of its peers' latency.
+
+        Latencies are divided by the stated slowdown. Where a server states one that it
+        does not have, the product of both is what it takes.
+        """
+        is_stated = server.id in self.servers.speeds.statements
+        if is_stated and ratio < FALSE_SLOWDOWN_RATIO:
+            return ratio
+        return max(1.0, ratio)
+
     def _update_ejected(self, now: float) -> None:
         """Mark the servers that are ejected because of all nodes' failures."""
         if self.ejection is None:
--- a/packages/endive_core/src/endive_core/placement.py
+++ b/packages/endive_core/src/endive_core/placement.py
@@ -36,7 +36,7 @@
 
 MAX_SAMPLES = 4
 """Random samples that are drawn while they have only servers that turn other nodes'
-requests away."""
+requests away or work slowly now."""
 
 SHEDDING_COST_S = 1.0
 """Cost of a server that turns other nodes' requests away, seconds: it gets requests
@@ -128,13 +128,17 @@
             found += self.servers.available[tier].sample(
                 self.policy.random_candidates, self.random.randrange
             )
-            if not found or any(s.shedding_until <= now for s in found):
+            if not found or any(self._is_sought(s, now) for s in found):
                 break
         allowed = [s for s in found if self.allows(ticket, s, tier)]
         if allowed or not (ticket.avoid or ticket.suspect):
             return allowed
         return self._all_allowed(ticket, tier)
 
+    def _is_sought(self, server: ServerLoad, now: float) -> bool:
+        """Return whether no other server need be looked for if `server` has room."""
+        return server.shedding_until <= now and not self.servers.speeds.is_slow(server)
+
     def _candidates_of_version(
         self, ticket: Ticket, found: list[ServerLoad], tier: Tier
     ) -> list[ServerLoad]:
@@ -227,10 +231,12 @@
     ) -> float:
         """Return the weighted cost of sending `call` to `server`, seconds."""
         compute = _uncached(call, cached_blocks) / server.view.prefill_tokens_per_s
-        weights = call.weights
+        weights, speeds = call.weights, self.servers.speeds
+        slowdown = speeds.over(server.slowdown, compute + speeds.work_s)
         cost_s = server.slowness * (
-            weights.wait * (self.wait_s(server, now) + compute)
-            + weights.recompute * compute
+            weights.wait * (self.wait_s(server, now) + slowdown * compute)
+            + weights.wait * slowdown * speeds.work_s
+            + weights.recompute * slowdown * compute
         )
         return cost_s + (SHEDDING_COST_S if server.shedding_until > now else 0.0)
 
@@ -241,13 +247,13 @@
         last one first, so that the request waits for a stream to end.
         """
         view = server.view
-        rate = view.prefill_tokens_per_s
+        rate = view.prefill_tokens_per_s / server.slowdown
         tokens = server.starting_tokens
         if self.backlogs is not None:
             tokens += self.backlogs.tokens(server.id, now, rate)
         waiting = tokens / rate
         free = max(0, view.max_concurrent - server.load)
-        return waiting + self.policy.crowding_s / (1 + free)
+        return waiting + server.slowdown * self.policy.crowding_s / (1 + free)
 
     def earliest_server(
         self, ticket: Ticket, now: float, tier: Tier
@@ -280,7 +286,7 @@
         """
         if self.backlogs is None or ticket.attempt:
             return ON_TIME
-        rate = server.view.prefill_tokens_per_s
+        rate = server.view.prefill_tokens_per_s / server.slowdown
         wait_s = self.wait_s(server, now)
         starts_s = wait_s + ticket.uncached_tokens / rate
         yields = self._should_yield(ticket, wait_s, starts_s, now)
--- a/packages/endive_core/src/endive_core/scheduler.py
+++ b/packages/endive_core/src/endive_core/scheduler.py
@@ -154,6 +154,12 @@
         """Apply a server's load report of its state at clock time `as_of`, seconds."""
         self.servers.report(server_id, running, waiting, as_of=as_of)
 
+    def state_speed(
+        self, server_id: str, incarnation: int, slowdown: float, *, at: float
+    ) -> bool:
+        """Apply a server's statement of its speed; return whether it is new."""
+        return self.servers.speeds.state(server_id, incarnation, slowdown, at)
+
     def cache_event(
         self, server_id: str, seq: int, *, stored: bool, blocks: list[int]
     ) -> None:
@@ -301,6 +307,7 @@
 
     def _tick(self, now: float) -> None:
         self.servers.expire_reports(now, self.admission.rate.held_s)
+        self.update_speeds(now)
         self.first_tokens.update_prefill_rates(now)
         self.outliers.update_outliers(now)
         self.failures.resume_paused(now)
@@ -311,6 +318,13 @@
         self.expiry.expire_throttled(now)
         self.expiry.expire_resting(now)
 
+    def update_speeds(self, now: float) -> None:
+        """Let the servers' stated slowdowns age."""
+        speeds = self.servers.speeds
+        is_used = speeds.statements and self.service_type is ServiceType.PLAIN
+        speeds.work_s = self.admission.rate.held_s if is_used else 0.0
+        speeds.update(self.servers.servers, now)
+
     def close(self) -> None:
         """Expire all queued calls, since the service is no longer declared."""
         self.expiry.expire_all("the service was deleted")
--- a/packages/endive_core/src/endive_core/servers.py
+++ b/packages/endive_core/src/endive_core/servers.py
@@ -19,6 +19,7 @@
 
 from endive_core.calls import Tier
 from endive_core.messages import ServerView
+from endive_core.server_speed import ServerSpeeds
 
 
 class Random(Protocol):
@@ -69,7 +70,11 @@
         Clock time at which this node's share of the prefill rate has processed all
         that this node has sent.
     slowness : float
-        Latency ratio over the median of the peers, 1 or more.
+        Latency ratio over the median of the peers, 1 or more, or less where the server
+        states a slowdown that its latencies don't show.
+    slowdown : float
+        How long work takes there now, as a multiple of the usual time, as expected from
+        what it has stated; 1 where nothing is stated.
     paused : bool
         Whether it gets no work for a while because it failed.
     throttled : bool
@@ -106,6 +111,7 @@
     starting_suspects: int = 0
     prefill_paced_until: float = 0.0
     slowness: float = 1.0
+    slowdown: float = 1.0
     slow: bool = False
     paused: bool = False
     throttled: bool = False
@@ -202,6 +208,8 @@
         All servers by the version of their software.
     own_in_flight : int
         Requests of this node in flight.
+    speeds : ServerSpeeds
+        What the servers state of their current speed.
     """
 
     def __init__(
@@ -222,6 +230,7 @@
         self.versions: dict[str, list[ServerLoad]] = {}
         self.nodes = 1
         self.own_in_flight = 0
+        self.speeds = ServerSpeeds()
         self.net_change_total = 0
         self.reported_total = 0
         self.slots_total = 0
