Read and pass on the speed that servers state

Cause: the fourth figure of a server's load was decoded and used nowhere, and at 120 nodes each hears from a server about every three seconds.

Change: speed_exchange takes the figure from responses and passes it on in the state message's server_slowdowns, 8 entries at most, those that tell others most first. Receivers add the time for which a message may have been unread, so that statements don't grow younger. Statements of an earlier incarnation are forgotten. Gauge endive_servers_slow_now, event server_speeds each 10 s, counters slowdown_stated and slowdown_told. Capacity counts prefill work at the mean slowdown.

--- a/packages/endive_gateway/src/endive_gateway/__init__.py
+++ b/packages/endive_gateway/src/endive_gateway/__init__.py
@@ -21,7 +21,8 @@
   ``spending``, ``spending_messages``, ``prompts``, ``crash_exchange``,
   ``part_exchange``, ``slot_leasing``, ``origin_exchange``, ``origin_messages``
 - what servers state of themselves: ``server_statements``, ``stated_values``,
-  ``limit_sharing``, ``brittle_services``, ``server_rests``, ``leaving_servers``
+  ``limit_sharing``, ``brittle_services``, ``server_rests``, ``leaving_servers``,
+  ``speed_exchange``
 - cluster-wide duties, performed by one node at a time: ``duties``, ``autoscaling``
 - observability: ``logstream``, ``metrics``
 """
--- a/packages/endive_gateway/src/endive_gateway/context.py
+++ b/packages/endive_gateway/src/endive_gateway/context.py
@@ -28,6 +28,7 @@
 from endive_gateway.server_statements import ServerStatements
 from endive_gateway.servers import ServerRegistry
 from endive_gateway.slot_leasing import SlotLeasing
+from endive_gateway.speed_exchange import SpeedExchange
 from endive_gateway.stream_affinity import Resumptions
 from endive_gateway.transit_port import TransitPort
 from endive_gateway.workload import WorkloadMeter
@@ -74,6 +75,8 @@
         The rests that servers have asked for.
     leaving_servers : LeavingServers
         The servers that have said that they leave.
+    speed_exchange : SpeedExchange
+        What servers state of their current speed.
     server_statements : ServerStatements
         All that servers state of themselves.
     origin_exchange : OriginExchange
@@ -139,6 +142,12 @@
             self.brittle_services,
             self.metrics.slot_replies,
         )
+        self.speed_exchange = SpeedExchange(
+            self.registry,
+            self.placer,
+            self.metrics.events,
+            lambda: self.settings.server_slowdowns,
+        )
         self.server_statements = ServerStatements(
             self.limit_sharing,
             self.brittle_services,
@@ -146,6 +155,7 @@
             self.leaving_servers,
             self.placer,
             self.slot_leasing,
+            self.speed_exchange,
         )
         self.paths.rests_for = self.server_rests.rests_for
         self.transit_port.is_resting = self.server_rests.is_resting
--- a/packages/endive_gateway/src/endive_gateway/gateway.py
+++ b/packages/endive_gateway/src/endive_gateway/gateway.py
@@ -163,6 +163,7 @@
             "endive_servers_leaving", self.context.leaving_servers.leaving_servers
         )
         add_gauge("endive_servers_resting", self.context.server_rests.resting_servers)
+        add_gauge("endive_servers_slow_now", self.context.speed_exchange.slow_servers)
         origins = self.context.origin_exchange
         add_gauge("endive_stream_origins", lambda: len(origins.table))
         parts = self.context.placer.trials.table
--- a/packages/endive_gateway/src/endive_gateway/interfaces.py
+++ b/packages/endive_gateway/src/endive_gateway/interfaces.py
@@ -465,11 +465,14 @@
     ----------
     duties : frozenset of str
         Names of the duties that the nodes perform, ``usage`` and ``scale``.
+    server_slowdowns : bool
+        Whether decisions use what servers state of their current speed.
     """
 
     location: NodeLocation
     bounds: Bounds = Bounds()
     duties: frozenset[str] = frozenset()
+    server_slowdowns: bool = True
 
 
 def header_value(headers: Iterable[tuple[bytes, bytes]], name: bytes) -> bytes:
--- a/packages/endive_gateway/src/endive_gateway/peers.py
+++ b/packages/endive_gateway/src/endive_gateway/peers.py
@@ -359,6 +359,7 @@
             self.datagrams.pause_s = min(
                 MAX_RECEIVE_PAUSE_S, RECEIVE_PAUSE_FRACTION * interval_s
             )
+        self.context.speed_exchange.hop_s = self.datagrams.pause_s
         self.context.limits.silence_timeout_s = max(
             SILENCE_TIMEOUT_S, MISSED_BROADCASTS * interval_s
         )
--- a/packages/endive_gateway/src/endive_gateway/placing.py
+++ b/packages/endive_gateway/src/endive_gateway/placing.py
@@ -212,11 +212,16 @@
         return largest_backlogs(tokens)
 
     def prefill_s(self, service: str, tokens: float) -> float:
-        """Return a server's own time to prefill `tokens` prompt tokens, seconds."""
+        """Return a server's own time to prefill `tokens` prompt tokens, seconds.
+
+        It is the mean over the times in which servers are slow and usual, also those
+        after which a server that is ordered now would be ready.
+        """
         scheduler = self.schedulers.get(service)
         if scheduler is None or scheduler.prefill is None:
             return 0.0
-        return tokens * scheduler.prefill.seconds_per_token / INTERLEAVING_FACTOR
+        prefill_s = tokens * scheduler.prefill.seconds_per_token / INTERLEAVING_FACTOR
+        return prefill_s * scheduler.servers.speeds.mean
 
     # Requests
 
--- a/packages/endive_gateway/src/endive_gateway/server_statements.py
+++ b/packages/endive_gateway/src/endive_gateway/server_statements.py
@@ -11,6 +11,7 @@
 from endive_gateway.placing import Placer
 from endive_gateway.server_rests import ServerRests
 from endive_gateway.slot_leasing import SlotLease, SlotLeasing
+from endive_gateway.speed_exchange import SpeedExchange
 from endive_gateway.state_messages import StateMessage
 
 
@@ -31,6 +32,8 @@
         Keeps their loads.
     leasing : SlotLeasing
         Passes the loads of brittle servers on to the nodes that lease their slots.
+    speeds : SpeedExchange
+        How long work takes at them now.
     invalid_loads : set of str
         Servers of whose loads a part can't be read.
     """
@@ -43,6 +46,7 @@
         leaving: LeavingServers,
         placer: Placer,
         leasing: SlotLeasing,
+        speeds: SpeedExchange,
     ) -> None:
         self.limits = limits
         self.brittle = brittle
@@ -50,6 +54,7 @@
         self.leaving = leaving
         self.placer = placer
         self.leasing = leasing
+        self.speeds = speeds
         self.invalid_loads: set[str] = set()
 
     def observe(
@@ -84,6 +89,7 @@
         self.limits.observe(server, metadata, sent_at, is_success=is_success)
         self.brittle.observe(server, metadata, sent_at, is_success=is_success)
         self._log_invalid_load(server, metadata)
+        self.speeds.observe(server, metadata)
         if metadata.running is not None:
             waiting = metadata.waiting or 0
             self.placer.report(server, metadata.running, waiting)
@@ -97,7 +103,7 @@
     def refresh(self) -> None:
         """Forget what is over, and servers that are gone."""
         self.invalid_loads &= self.placer.registry.servers.keys()
-        for part in (self.limits, self.brittle, self.rests, self.leaving):
+        for part in (self.limits, self.brittle, self.rests, self.leaving, self.speeds):
             part.refresh()
 
     def next_fields(self) -> dict[str, Any]:
@@ -108,6 +114,7 @@
             "rests": self.rests.next_rests(),
             "shedding_servers": self.rests.next_shedding(),
             "leaving_servers": self.leaving.next_departures(),
+            "server_slowdowns": self.speeds.next_reports(),
         }
 
     def learn(self, message: StateMessage, address: str, *, is_transit: bool) -> None:
@@ -130,3 +137,5 @@
             self.leaving.learn(message.node, message.leaving_servers)
         if message.shedding_servers:
             self.rests.learn_shedding(message.shedding_servers)
+        if message.server_slowdowns:
+            self.speeds.learn(message.server_slowdowns)
--- a/packages/endive_gateway/src/endive_gateway/state_messages.py
+++ b/packages/endive_gateway/src/endive_gateway/state_messages.py
@@ -83,6 +83,9 @@
         Recent crashes by parts of prompts.
     part_answers : list of AnswerReport
         Answers that clear parts of such crashes.
+    server_slowdowns : list of (str, float, float)
+        Server, how long work takes there as a multiple of the usual time, and the age
+        of that statement in seconds.
     zone : str
         The sender's availability zone. Empty at nodes of an earlier version, which keep
         no origins of streams.
@@ -118,6 +121,7 @@
     zone: str = ""
     part_crashes: list[CrashReport] = []
     part_answers: list[AnswerReport] = []
+    server_slowdowns: list[tuple[str, float, float]] = []
 
 
 DECODER = msgspec.msgpack.Decoder(StateMessage)
