Shift traffic to an ordered software version in stages

Cause: an operator's order to roll a service out to another version had no effect, and its servers were used as ordinary ones at once. Change: orders are read with the configuration and relayed in the state messages; servers of an unconfirmed version are withheld; the holder of the duties decides the stages on the totals of all nodes, in the log of the duties; each node divides requests by the stage and stops by itself on evidence. Without the contract and without an order nothing changes.

--- a/packages/endive_core/src/endive_core/failures.py
+++ b/packages/endive_core/src/endive_core/failures.py
@@ -48,6 +48,8 @@
         The recent crashes, by server with its incarnation.
     paused : list of ServerLoad
         Paused servers, the first to be resumed first.
+    goes_elsewhere : bool
+        Whether a retry may go to servers of another scheduler.
     """
 
     def __init__(
@@ -69,6 +71,7 @@
         self.running: dict[str, set[Ticket]] = {}
         self.reported_crashes: dict[str, ReportedCrash] = {}
         self.paused: list[ServerLoad] = []
+        self.goes_elsewhere = False
 
     def set_deployments(self, deployments: dict[str, "Deployment"]) -> None:
         """Apply the deployments with their retry ratios."""
@@ -201,7 +204,8 @@
                 ErrorKind.OUTCOME_UNKNOWN,
                 "the server may have run the request; it is not sent again",
             )
-        if ticket.attempt >= max_attempts or self.servers.all_tried(ticket.avoid):
+        no_server = self.servers.all_tried(ticket.avoid) and not self.goes_elsewhere
+        if ticket.attempt >= max_attempts or no_server:
             kind = ErrorKind.BACKEND_FAILED if started else ErrorKind.NO_SERVER
             return Refusal.from_kind(kind, "all attempts failed")
         # The budget limits repeated work; an attempt that was not started costs little.
--- a/packages/endive_core/src/endive_core/leases.py
+++ b/packages/endive_core/src/endive_core/leases.py
@@ -13,6 +13,8 @@
 from enum import StrEnum
 from typing import Any
 
+from endive_core.rollouts import RolloutRecord
+
 
 class DutyKind(StrEnum):
     """Type of a record of the duties' log."""
@@ -21,6 +23,7 @@
     RENEWAL = "renewal"
     RELEASE = "release"
     USAGE = "usage"
+    ROLLOUT = "rollout"
 
 
 @dataclass(frozen=True, slots=True)
@@ -83,6 +86,7 @@
         self.peer_end_at = 0.0
         self.usage: dict[int, dict[str, int]] = {}
         self.reported = -1
+        self.rollouts: dict[str, RolloutRecord] = {}
 
     def observe_end(self, end: int, now: float) -> None:
         """Record the log's end as read at `now`; a new end restarts the wait.
@@ -111,6 +115,7 @@
                 self.former_holders.append(self.tenure.holder)
                 del self.former_holders[:-4]
             self.tenure = Tenure(record.holder, record.incarnation, offset + 1)
+            self._fold_rollouts(record)
             return
         if self.tenure is None:
             # The log no longer keeps the claim; later records name the holder as well.
@@ -118,6 +123,7 @@
         if not self._by_holder(record):
             return
         self.reported = max(self.reported, record.reported)
+        self._fold_rollouts(record)
         if record.kind is DutyKind.RELEASE:
             self.tenure = Tenure(
                 record.holder, record.incarnation, self.tenure.fence, released=True
@@ -129,6 +135,14 @@
             for old in sorted(self.usage)[:-12]:
                 del self.usage[old]
 
+    def _fold_rollouts(self, record: DutyRecord) -> None:
+        """Take the rollouts of a record; it has all that its writer knew."""
+        for service, body in (record.body.get("rollouts") or {}).items():
+            try:
+                self.rollouts[service] = RolloutRecord.from_body(body)
+            except (KeyError, TypeError, ValueError):
+                continue  # written by a later version of the software
+
     def _by_holder(self, record: DutyRecord) -> bool:
         tenure = self.tenure
         return (tenure.holder, tenure.incarnation, tenure.fence) == (
--- a/packages/endive_core/src/endive_core/queueing.py
+++ b/packages/endive_core/src/endive_core/queueing.py
@@ -235,6 +235,14 @@
         else:
             self.ranks[ticket.call.rank].subtract_tokens(ticket)
 
+    def remove(self, ticket: Ticket) -> None:
+        """Remove a queued ticket that goes to another queue."""
+        is_held = ticket in self.held
+        self.cancel(ticket)
+        if ticket.version is None and not is_held:
+            queues = self.ranks[ticket.call.rank].queues
+            queues[ticket.call.organisation].tickets.remove(ticket)
+
     def settle(self, ticket: Ticket, tokens: float) -> None:
         """Replace the estimated cost of an ended ticket by its actual `tokens`."""
         organisation = ticket.call.organisation
--- a/packages/endive_gateway/src/endive_gateway/attempts.py
+++ b/packages/endive_gateway/src/endive_gateway/attempts.py
@@ -26,6 +26,7 @@
     header_value,
 )
 from endive_gateway.progress import Progress
+from endive_gateway.rollout_observation import Observation
 from endive_gateway.slot_leasing import SlotLease
 from endive_gateway.stream_affinity import StreamAffinity
 
@@ -58,6 +59,8 @@
         IP address of the node through which the latest attempt went, if it did.
     sent_at : float
         When the latest attempt was sent, seconds on the cluster clock.
+    observation : Observation or None
+        The latest attempt, as it is compared with others during a rollout.
     """
 
     context: Context
@@ -76,6 +79,7 @@
     transit_node: str | None
     sent_at: float
     outcome: str
+    observation: Observation | None
 
     @property
     def now(self) -> float:
@@ -183,6 +187,14 @@
                 started=False,
                 counts_as_attempt=False,
             )
+        if self.context.version_division.is_withheld(known.entry):
+            self._give_connection_back()
+            raise AttemptError(
+                "the server's software version gets no requests now",
+                RetryReason.SERVER_LEAVING,
+                started=False,
+                counts_as_attempt=False,
+            )
         self.entry = known.entry
         version = known.entry.software_version_label
         if self.request.ticket.version not in (None, version):
@@ -227,6 +239,9 @@
         self.request.sent_at = self.context.cluster_clock.now()
         self.sent_at = self.request.now
         self.connection.repeatable = self.request.route.retryable
+        self.request.observation = self.context.rollout_observer.begin(
+            self.entry, self.request.route, self.request.ticket
+        )
         transit_node = self.request.transit_node = self.connection.transit_node
         try:
             self._send()
@@ -243,6 +258,7 @@
             ) from None
         finally:
             self._drop_connection()
+        self.context.rollout_observer.succeeded(self.request.observation)
         self.request.in_flight = False
 
     def _send(self) -> None:
@@ -271,6 +287,8 @@
     ) -> None:
         """Forward a successful response; raises AttemptError for any other."""
         view = self.view
+        if self.request.observation and metadata.slowdown:
+            self.request.observation.slowdown = metadata.slowdown
         self.context.server_statements.observe(
             view.id,
             message.status,
--- a/packages/endive_gateway/src/endive_gateway/autoscaling.py
+++ b/packages/endive_gateway/src/endive_gateway/autoscaling.py
@@ -122,8 +122,9 @@
         """
         self.accepted.clear()
         for known in self.context.registry.servers.values():
-            if known.usable:
-                entry = known.entry
+            entry = known.entry
+            is_base = self.context.version_division.counts_as_base(entry)
+            if known.usable and is_base:
                 key = (entry.service, Pool(entry.zone, entry.reclaimable))
                 servers, _ = self.accepted.get(key, (0, 0.0))
                 self.accepted[key] = (servers + 1, now - ORDER_REPEAT_S)
@@ -224,6 +225,8 @@
         """Count the registered servers by pool."""
         pools: dict[Pool, PoolState] = {}
         for known in self.context.registry.of_service(service.name):
+            if not self.context.version_division.counts_as_base(known.entry):
+                continue
             pool = Pool(known.entry.zone, known.entry.reclaimable)
             state = pools.setdefault(pool, PoolState())
             if known.usable and not known.is_last:
@@ -296,6 +299,8 @@
         if servers >= accepted:
             self.scale_in_since.pop(key, None)
             return True
+        if self.context.rollouts.is_running(key[0]):
+            return False
         since = self.scale_in_since.setdefault(key, now)
         if self.traffic_since is None:
             return now - since >= IDLE_SCALE_IN_DELAY_S
--- a/packages/endive_gateway/src/endive_gateway/configuration.py
+++ b/packages/endive_gateway/src/endive_gateway/configuration.py
@@ -56,7 +56,10 @@
     long_poll : Greenlet or None
         The loop of long polls.
     due_earlier : Event
-        Set when a proof has ended the wait after a check without an answer.
+        Set when a proof has ended the wait after a check without an answer, or a check
+        is wanted.
+    is_check_wanted : bool
+        Whether the next check must not wait until it is due.
     """
 
     topic = Topic.CONFIGURATION
@@ -68,6 +71,7 @@
         self.long_poll_version = -1
         self.long_poll: gevent.Greenlet | None = None
         self.due_earlier = Event()
+        self.is_check_wanted = False
 
     def run(self) -> None:
         """See :meth:`Follower.run`."""
@@ -110,7 +114,10 @@
 
     def apply_record(self, record: Record) -> None:
         """See :meth:`Follower.apply_record`."""
-        if record.key != CONFIGURATION_KEY or not record.value:
+        if record.key != CONFIGURATION_KEY:
+            self._apply_rollout(record)
+            return
+        if not record.value:
             return
         try:
             table = self.context.wire.decode_configuration(record.value)
@@ -119,12 +126,33 @@
             return
         self.context.configure(table, record.value, "store")
 
+    def _apply_rollout(self, record: Record) -> None:
+        try:
+            order = self.context.wire.decode_rollout(record)
+        except UndecodableError as error:
+            log_event(
+                "rollout_undecodable",
+                key=record.key,
+                offset=record.offset,
+                error=error,
+            )
+            return
+        if order is not None:
+            self.context.rollouts.learn_order(order)
+
     def on_applied(self, keys: set[str] | None) -> None:
         """See :meth:`Follower.on_applied`."""
         self.long_poll_version = self.context.version
 
+    def check_soon(self) -> None:
+        """Read the store without a wait now, if this node reads it."""
+        if not self.is_relayed():
+            self.is_check_wanted = True
+            self.due_earlier.set()
+
     def _note_answer(self, read_started_at: float) -> None:
         super()._note_answer(read_started_at)
+        self.context.rollouts.prove(self.next_offset, read_started_at)
         self._prove(self.context.random.getrandbits(EVENT_BITS), read_started_at)
 
     def _prove(self, read: int, at: float) -> None:
@@ -150,8 +178,10 @@
             return MIN_CHECK_INTERVAL_S
         self._check_long_poll()
         read_started_at = boot_time()
-        if self.freshness.due_at(self._peer_rank()) > read_started_at:
+        is_due = self.freshness.due_at(self._peer_rank()) <= read_started_at
+        if not (is_due or self.is_check_wanted):
             return self._until_due_s()
+        self.is_check_wanted = False
         try:
             self._read_now()
         except StoreOffsetOutOfRangeError:
--- a/packages/endive_gateway/src/endive_gateway/context.py
+++ b/packages/endive_gateway/src/endive_gateway/context.py
@@ -23,6 +23,8 @@
 from endive_gateway.path_monitor import PathMonitor
 from endive_gateway.paths import ServerPaths
 from endive_gateway.placing import Placer
+from endive_gateway.rollout_observation import RolloutObserver
+from endive_gateway.rollouts import Rollouts
 from endive_gateway.server_checks import ServerChecks
 from endive_gateway.server_rests import ServerRests
 from endive_gateway.server_statements import ServerStatements
@@ -30,6 +32,7 @@
 from endive_gateway.slot_leasing import SlotLeasing
 from endive_gateway.stream_affinity import Resumptions
 from endive_gateway.transit_port import TransitPort
+from endive_gateway.version_division import VersionDivision
 from endive_gateway.workload import WorkloadMeter
 
 START_WAIT_S = 0.5
@@ -80,6 +83,12 @@
         Where streams began, shared with the other nodes.
     resumptions : Resumptions
         Decides where streams go on that callers take up.
+    rollouts : Rollouts
+        The rollouts that this node knows of.
+    version_division : VersionDivision
+        Divides servers and requests between the versions of a rollout.
+    rollout_observer : RolloutObserver
+        Counts the responses of both versions.
     slot_leasing : SlotLeasing
         Leases of those servers' slots, from the nodes that coordinate them.
     initialised : Event
@@ -111,6 +120,11 @@
         self.placer = Placer(self.registry, try_both=self.checks.try_both)
         self.placer.trials.node = settings.location.address
         self.metrics.part_outcomes = self.placer.trials.outcomes
+        self.rollouts = Rollouts(settings)
+        self.version_division = VersionDivision(self.placer, self.rollouts)
+        self.rollout_observer = RolloutObserver(
+            self.rollouts, self.version_division, self.placer
+        )
         self.path_monitor = PathMonitor(self.paths, self.checks)
         self.path_monitor.on_silent = self.placer.pause_silent
         self.pool = ConnectionPool(wire, self.paths, self.path_monitor)
@@ -161,6 +175,7 @@
         self.registry.listeners.append(self._observe_versions)
         self.meter = UsageMeter(settings.bounds.usage_window_s)
         self.cluster_clock = ClusterClock(time.monotonic, time.time)
+        self.rollouts.cluster_now = lambda: self.cluster_clock.now()
         self.retry_budgets: dict[str, FleetRetryBudget] = {}
         self.work = WorkloadMeter()
         self.take_units: Callable[[OrganisationLimits, float], float] = (
@@ -175,6 +190,8 @@
     def apply_settings(self, settings: GatewaySettings) -> None:
         """Use settings from now on."""
         self.settings = settings
+        if hasattr(self, "rollouts"):
+            self.rollouts.settings = settings
         self.registry.last_server_s = settings.bounds.drain_s - LAST_SERVER_MARGIN_S
 
     @property
--- a/packages/endive_gateway/src/endive_gateway/duties.py
+++ b/packages/endive_gateway/src/endive_gateway/duties.py
@@ -5,10 +5,12 @@
 """
 
 import time
+from collections.abc import Mapping
 
 import gevent
 import msgspec
 from endive_core.leases import DutyKind, DutyLog, DutyRecord, Lease
+from endive_core.rollouts import RolloutRecord
 from endive_node.logs import log_event
 
 from endive_gateway.autoscaling import Autoscaler
@@ -24,6 +26,7 @@
 from endive_gateway.following import read_to_end
 from endive_gateway.interfaces import Topic
 from endive_gateway.peers import Peers
+from endive_gateway.rollout_control import RolloutController
 
 LEASE_S = 2.4
 """Time after its last record for which a holder may act, seconds. When a holder dies,
@@ -73,6 +76,7 @@
         self.context = context
         self.peers = peers
         self.autoscaler = autoscaler
+        self.rollout_control = RolloutController(context, peers)
         self.node_name = context.settings.location.node
         self.log = DutyLog(lease_s=LEASE_S, margin_s=LEASE_MARGIN_S)
         self.lease = Lease()
@@ -171,6 +175,7 @@
         offset = self._append(DutyKind.CLAIM, {})
         self.lease.extend(offset + 1, sent_at, self.log)
         self.autoscaler.begin_tenure(boot_time())
+        self.rollout_control.begin_tenure()
         self.sent_windows.clear()
         log_event("duties_claimed", fence=self.lease.fence)
 
@@ -179,6 +184,7 @@
     def _act_as_holder(self) -> None:
         if self.lease.until - boot_time() < RENEW_BEFORE_END_S:
             self._renew()
+        self._step_rollouts()
         if "usage" in self.context.settings.duties:
             self._report_usage()
         if "scale" in self.context.settings.duties:
@@ -189,6 +195,17 @@
         self._append(DutyKind.RENEWAL, {})
         self.lease.extend(self.lease.fence, sent_at, self.log)
 
+    def _step_rollouts(self) -> None:
+        """Decide the next stages, write them to the log, and then carry them out."""
+        if not self.context.rollouts.is_enabled:
+            return
+        records = self.rollout_control.next_records(self.log.rollouts, self.lease.fence)
+        if records:
+            sent_at = boot_time()
+            self._append(DutyKind.ROLLOUT, rollouts_body(self.log.rollouts | records))
+            self.lease.extend(self.lease.fence, sent_at, self.log)
+        self.rollout_control.carry_out(self.log.rollouts)
+
     def release(self) -> None:
         """Release the duties, so that another node can claim them at once."""
         self.eligible = False
@@ -243,7 +260,11 @@
             self.context.incarnation,
             0 if kind is DutyKind.CLAIM else self.lease.fence,
             self.context.reported,
-            {**body, "append": self.append_count},
+            {
+                **rollouts_body(self.log.rollouts),
+                **body,
+                "append": self.append_count,
+            },
         )
 
     def _read(self) -> None:
@@ -318,3 +339,13 @@
             return
         self.sent_windows.add(window)
         log_event("usage_reported", window=window, counts=sum(counts.values()))
+
+
+def rollouts_body(rollouts: Mapping[str, RolloutRecord]) -> dict:
+    """Return the part of a record's body that keeps the rollouts.
+
+    Each record has all of them, since the store may drop older records.
+    """
+    if not rollouts:
+        return {}
+    return {"rollouts": {name: record.to_body() for name, record in rollouts.items()}}
--- a/packages/endive_gateway/src/endive_gateway/failed_attempts.py
+++ b/packages/endive_gateway/src/endive_gateway/failed_attempts.py
@@ -72,6 +72,11 @@
                 through_transit=error.through_transit,
                 on_the_way=error.on_the_way,
             )
+        request.context.rollout_observer.failed(
+            request.observation,
+            error,
+            request.context.placer.crash_id(request.ticket.server),
+        )
         request.context.metrics.retries[str(error.reason)] += 1
         log_event(
             "attempt_failed",
--- a/packages/endive_gateway/src/endive_gateway/forwarding.py
+++ b/packages/endive_gateway/src/endive_gateway/forwarding.py
@@ -32,6 +32,7 @@
 )
 from endive_gateway.part_exchange import format_parts
 from endive_gateway.progress import Progress
+from endive_gateway.rollout_observation import Observation
 from endive_gateway.statuses import complete_error
 from endive_gateway.stream_affinity import UNKNOWN_VERSION, StreamAffinity
 
@@ -108,6 +109,7 @@
         self.error = ""
         self.servers: list[str] = []
         self.transit_node: str | None = None
+        self.observation: Observation | None = None
 
     @property
     def now(self) -> float:
@@ -201,6 +203,7 @@
         self.engine = (
             table.services[service].engine if service in table.services else None
         )
+        self.context.rollout_observer.count_request(service)
         self.ticket = self.context.placer.admit(service, call)
 
     def _choose_service(self, call: Call) -> tuple[str, Call]:
@@ -378,6 +381,9 @@
             if self.ticket.stage is not Stage.ENDED and self.in_flight:
                 self.count_start_unless_stream()
             self.context.placer.end(self.ticket)
+        self.context.rollout_observer.abandoned(
+            self.observation, timed_out=self.outcome == ErrorKind.DEADLINE_EXCEEDED
+        )
         self._count_outcome()
         log_event(
             "request",
--- a/packages/endive_gateway/src/endive_gateway/gateway.py
+++ b/packages/endive_gateway/src/endive_gateway/gateway.py
@@ -86,6 +86,7 @@
         self.servers = ServerFollower(self.context, self.peers)
         self.peers.servers = self.servers
         self.peers.configuration = self.configuration
+        self.context.rollouts.check_orders = self.configuration.check_soon
         self.duties = Duties(
             self.context, self.peers, Autoscaler(self.context, self.peers)
         )
@@ -115,6 +116,7 @@
             self.context.path_monitor.run,
             self.context.slot_leasing.run,
             self.context.origin_exchange.run,
+            self.context.rollout_observer.run,
             self._sweep,
         ]
         if self.settings.duties:
@@ -172,6 +174,9 @@
             "endive_services_brittle", lambda: len(self.context.brittle_services.names)
         )
         add_gauge("endive_slots_leased", leasing.leased)
+        rollouts, division = self.context.rollouts, self.context.version_division
+        add_gauge("endive_rollouts_running", rollouts.running)
+        add_gauge("endive_servers_withheld", division.withheld_servers)
         reachability = self.context.paths.reachability
         add_gauge("endive_servers_blocked", lambda: len(reachability.blocked))
         add_gauge("endive_services_cut_off", lambda: len(reachability.cut_off))
--- a/packages/endive_gateway/src/endive_gateway/interfaces.py
+++ b/packages/endive_gateway/src/endive_gateway/interfaces.py
@@ -5,6 +5,7 @@
 from enum import StrEnum
 from typing import Protocol
 
+from endive_core.rollouts import RolloutOrder, StageKind
 from endive_core.routing import RoutingTable
 
 Headers = list[tuple[bytes, bytes]]
@@ -21,6 +22,7 @@
     SERVERS = "servers"
     NODES = "nodes"
     DUTIES = "duties"
+    STATUS = "status"
 
 
 @dataclass(frozen=True, slots=True)
@@ -404,6 +406,24 @@
         """Decode a server's entry; raises :class:`UndecodableError`."""
         ...
 
+    def decode_rollout(self, record: Record) -> RolloutOrder | None:
+        """Decode a record beside the configuration; ``None`` if it is no rollout order.
+
+        The time of the order is 0. A deleted record is an order for no version.
+
+        Raises
+        ------
+        UndecodableError
+            If it is an order that can't be read.
+        """
+        ...
+
+    def encode_rollout_status(
+        self, service: str, kind: StageKind, to: str
+    ) -> tuple[str, bytes]:
+        """Return key and value of the record that tells the outcome of a rollout."""
+        ...
+
 
 @dataclass(frozen=True, slots=True)
 class Bounds:
@@ -417,6 +437,11 @@
         Time between the signal to stop and the forced end of the process, seconds.
     config_s : float
         Time within which a confirmed change is in force at all nodes, seconds.
+    exposure_share, exposure_slack : float
+        Requests that a bad version may get while it is rolled out, as a part of the
+        service's requests and beyond that.
+    rollback_s : float
+        Time after its 50th bad response from which on it gets nothing, seconds.
     """
 
     drain_s: float = 2.0
@@ -428,6 +453,9 @@
     quota_slack: float = 0.0
     usage_window_s: float = 5.0
     usage_late_s: float = 10.0
+    exposure_share: float = 0.1
+    exposure_slack: float = 50.0
+    rollback_s: float = 5.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -465,11 +493,15 @@
     ----------
     duties : frozenset of str
         Names of the duties that the nodes perform, ``usage`` and ``scale``.
+    contracts : frozenset of str
+        Names of what the deployment calls for; with ``rollout``, operators may order
+        rollouts.
     """
 
     location: NodeLocation
     bounds: Bounds = Bounds()
     duties: frozenset[str] = frozenset()
+    contracts: frozenset[str] = frozenset()
 
 
 def header_value(headers: Iterable[tuple[bytes, bytes]], name: bytes) -> bytes:
--- a/packages/endive_gateway/src/endive_gateway/peers.py
+++ b/packages/endive_gateway/src/endive_gateway/peers.py
@@ -23,7 +23,7 @@
 from endive_gateway.configuration import ConfigurationFollower
 from endive_gateway.configuration_exchange import ConfigurationExchange
 from endive_gateway.context import Context
-from endive_gateway.crash_exchange import CrashExchange
+from endive_gateway.crash_exchange import ANNOUNCEMENT_DELAY_S, CrashExchange
 from endive_gateway.datagrams import DatagramPort
 from endive_gateway.following import RELAY_TIMEOUT_S
 from endive_gateway.interfaces import Record
@@ -56,6 +56,12 @@
 """Time between two steps of an urgent broadcast, when a server leaves, seconds. It
 reaches 87 nodes within 0.23 s, at 3 Mbit/s."""
 
+EVIDENCE_INTERVAL_S = 0.25
+EVIDENCE_INTERVAL_PER_NODE_S = 0.005
+"""Least time between two messages with new totals of a rollout to the holder of the
+duties, seconds: at least, and for each node. The holder then gets at most 200 a second
+at any number of nodes."""
+
 LIVE_TIMEOUT_S = 1.5
 """Least time without a message after which a node no longer counts as live, seconds.
 Several messages in a row may be lost."""
@@ -148,9 +154,16 @@
         context.origin_exchange.live_members = self.live_members
         context.server_rests.announce = self._announce_rest
         context.leaving_servers.announce = self._announce_leaving
+        context.rollouts.announce = self._announce_rollouts
+        context.rollouts.has_peers = lambda: bool(self.known)
+        context.rollouts.last_heard_at = lambda: self.last_seen_at
+        context.rollouts.is_holder = lambda: self.fence > 0
+        context.rollout_observer.send_evidence = self._send_evidence
         self.urgent = Event()
         self.last_seen_at = float("-inf")
         self.announced = False
+        self.next_evidence_at = 0.0
+        self.rollout_announcement: gevent.Greenlet | None = None
         self.datagrams = DatagramPort("tellings", DECODER, self.receive)
         self.loops: list[gevent.Greenlet] = []
         self.servers: ServerFollower | None = None
@@ -411,6 +424,38 @@
             peers.insert(0, self.known[through])
         self.send_state(peers)
 
+    def _announce_rollouts(self) -> None:
+        """Send what is new of a rollout; the holder and the readers send it to all."""
+        if self.rollout_announcement is None:
+            self.rollout_announcement = gevent.spawn_later(
+                ANNOUNCEMENT_DELAY_S, self._send_rollouts
+            )
+
+    def _send_rollouts(self) -> None:
+        self.rollout_announcement = None
+        if self.fence or self.is_reader():
+            self.urgent.set()
+        self.send_state(self._some_peers())
+
+    def _send_evidence(self) -> None:
+        """Send this node's totals to the holder of the duties and one other node.
+
+        Good and bad responses are sent alike. If only bad ones were sent at once, the
+        rate of failures would be overestimated.
+        """
+        now = time.monotonic()
+        if now < self.next_evidence_at:
+            self.context.rollout_observer.is_evidence_new = True
+            return
+        self.next_evidence_at = now + max(
+            EVIDENCE_INTERVAL_S, EVIDENCE_INTERVAL_PER_NODE_S * (len(self.known) + 1)
+        )
+        live = self.live()
+        peers = [peer for peer in live if peer.fence]
+        if live:
+            peers.append(self.context.random.choice(live))
+        self.send_state(peers)
+
     def _announce_rest(self, server: str, through: str) -> None:
         """Tell the nodes whose requests a server's rest concerns, besides this one."""
         addresses = {through, *self.context.transit_port.carried_for.get(server, ())}
@@ -470,6 +515,7 @@
             zone=context.settings.location.zone,
             part_crashes=self.part_exchange.next_crashes(now, receivers),
             part_answers=self.part_exchange.next_answers(now, receivers),
+            rollouts=context.rollouts.next_report(),
             **context.server_statements.next_fields(),
         )
 
@@ -538,6 +584,10 @@
         context.paths.transit.choice.offers.set(address, message.carried)
         context.placer.ejection.receive(address, message.server_failures, now)
         context.placer.backlogs.receive(address, message.pending_prompt_tokens, now)
+        if message.rollouts is not None:
+            context.rollouts.learn(
+                address, message.incarnation, message.node, message.rollouts
+            )
         self._greet(peer, now)
         if message.complete and self.lacks_bootstrap():
             self.bootstrap_exchange.pull(self.port)
@@ -554,6 +604,7 @@
         if message.gone:
             log_event("peer_gone", peer=message.node)
             context.limits.remove_peer(address)
+            context.rollouts.forget_node(address)
             context.paths.transit.choice.offers.discard(address)
             self.known.pop(address, None)
 
--- a/packages/endive_gateway/src/endive_gateway/placing.py
+++ b/packages/endive_gateway/src/endive_gateway/placing.py
@@ -3,7 +3,7 @@
 import random
 import time
 from collections import Counter
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterator, Mapping
 
 from endive_core.backlogs import Backlogs, largest_backlogs
 from endive_core.calls import Call, Retry, Ticket
@@ -38,6 +38,9 @@
 """Consecutive failures after which a server is paused. A single lost response is weak
 evidence against a server; a second consecutive one is likely a crash."""
 
+KEY_SEPARATOR = "\x1f"
+"""Ends the service's name in the key of a further scheduler of a service."""
+
 MAX_LOGGED_CRASHES = 5
 """Servers that the line of a refusal names, at most; the last that have ended."""
 
@@ -81,6 +84,14 @@
         Until when servers rest.
     on_crash : callable
         Called without arguments when a crash has been counted against a request.
+    groups : callable
+        Yields the key of each scheduler, its service and its servers. There is one
+        scheduler for each service, and one for the servers of another version while
+        that is rolled out.
+    schedulers_for : callable
+        Returns the schedulers to which a request for a service is offered, in order.
+    scheduler_for_retry : callable
+        Returns another scheduler for a ticket's next attempt, or ``None``.
     """
 
     def __init__(
@@ -112,12 +123,21 @@
         self.backlogs = Backlogs()
         self.try_both = try_both
         self.on_crash: Callable[[], None] = lambda: None
+        self.groups: Callable[[], Iterator[tuple[str, Service, list[ServerEntry]]]] = (
+            self._groups_by_service
+        )
+        self.schedulers_for: Callable[[str, Call], list[Scheduler]] = (
+            self._schedulers_for
+        )
+        self.scheduler_for_retry: Callable[[Ticket], Scheduler | None] = _keep
         registry.listeners.append(self.refresh)
 
     def configure(self, table: RoutingTable) -> None:
         """Apply the services of a configuration."""
         self.services = dict(table.services)
         for gone in self.schedulers.keys() - self.services.keys():
+            if service_of_key(gone) in self.services:
+                continue
             scheduler = self.schedulers.pop(gone)
             scheduler.close()
             self.dispatch_queued(scheduler)
@@ -132,41 +152,50 @@
 
     def refresh(self) -> None:
         """Update the schedulers with the servers that may get requests."""
-        for name, service in self.services.items():
-            scheduler = self.schedulers.get(name)
+        used: set[str] = set()
+        for key, service, entries in self.groups():
+            scheduler = self.schedulers.get(key)
             if scheduler is None:
-                scheduler = self.schedulers[name] = Scheduler.from_policy(
-                    self.policy,
-                    self.random,
-                    service_type=_service_type(service),
-                    crashes=self.crashes,
-                    trials=self.trials,
-                    prefill=PrefillRate() if service.engine else None,
-                )
-                scheduler.set_nodes(self.nodes)
-                scheduler.outliers.ejection = self.ejection
-                if service.engine:
-                    scheduler.placement.backlogs = self.backlogs
-            usable = [s.entry for s in self.registry.of_service(name) if s.usable]
+                scheduler = self.schedulers[key] = self._make_scheduler(service)
             rate = scheduler.prefill.tokens_per_s if scheduler.prefill else 1.0
-            views = [self._view(entry, service, rate) for entry in usable]
+            views = [self._view(entry, key, rate) for entry in entries]
+            used.update(view.id for view in views)
             scheduler.set_servers(views)
             self._set_shares(scheduler)
             scheduler.resting.set_times(self.rest_times, self.now())
             self.dispatch_queued(scheduler)
-        usable_ids = {s.entry.id for s in self.registry.servers.values() if s.usable}
-        for gone in self.views.keys() - usable_ids:
+        for gone in self.views.keys() - used:
             del self.views[gone]
             self.consecutive_failures.pop(gone, None)
 
-    def _view(self, entry: ServerEntry, service: Service, rate: float) -> ServerView:
+    def _groups_by_service(self) -> Iterator[tuple[str, Service, list[ServerEntry]]]:
+        for name, service in self.services.items():
+            usable = [s.entry for s in self.registry.of_service(name) if s.usable]
+            yield name, service, usable
+
+    def _make_scheduler(self, service: Service) -> Scheduler:
+        scheduler = Scheduler.from_policy(
+            self.policy,
+            self.random,
+            service_type=_service_type(service),
+            crashes=self.crashes,
+            trials=self.trials,
+            prefill=PrefillRate() if service.engine else None,
+        )
+        scheduler.set_nodes(self.nodes)
+        scheduler.outliers.ejection = self.ejection
+        if service.engine:
+            scheduler.placement.backlogs = self.backlogs
+        return scheduler
+
+    def _view(self, entry: ServerEntry, key: str, rate: float) -> ServerView:
         view = self.views.get(entry.id)
-        if view is None:
-            view = ServerView(entry.id, "", "", service.name, 1, rate, 50.0)
+        if view is None or view.service != key:
+            # A server that goes to another scheduler has no requests there yet.
+            view = ServerView(entry.id, "", "", key, 1, rate, 50.0)
             self.views[entry.id] = view
         view.address = entry.address
         view.zone = entry.zone
-        view.service = service.name
         view.max_concurrent = max(1, entry.slots)
         view.reclaimable = entry.reclaimable
         view.software_version = entry.software_version_label
@@ -222,10 +251,41 @@
 
     def admit(self, service: str, call: Call) -> Ticket:
         """Queue a request for a server of `service`; raises EndiveError."""
-        scheduler = self.schedulers.get(service)
-        if scheduler is None:
+        schedulers = self.schedulers_for(service, call)
+        if not schedulers:
             raise EndiveError(ErrorKind.NO_SERVER, f"no service {service!r}")
-        return self.add_admitted(scheduler.offer(call, self.now()), scheduler)
+        for scheduler in schedulers:
+            decision = scheduler.offer(call, self.now())
+            if isinstance(decision, Ticket):
+                break
+        return self.add_admitted(decision, scheduler)
+
+    def _schedulers_for(self, service: str, _call: Call) -> list[Scheduler]:
+        scheduler = self.schedulers.get(service)
+        return [] if scheduler is None else [scheduler]
+
+    def service_of(self, ticket: Ticket) -> str | None:
+        """Return the service of a ticket, or ``None`` if it is no longer declared."""
+        scheduler = self.ticket_schedulers.get(ticket)
+        for key, known in self.schedulers.items():
+            if known is scheduler:
+                return service_of_key(key)
+        return None
+
+    def move_queued(self, source: Scheduler, target: Scheduler) -> None:
+        """Let queued requests that are bound to no version go to other servers."""
+        moved = [t for t in source.queue.tickets() if t.version is None]
+        for ticket in moved:
+            source.queue.remove(ticket)
+            target.queue.push(ticket)
+            self.ticket_schedulers[ticket] = target
+        if moved:
+            self.dispatch_queued(target)
+
+    def retire(self, scheduler: Scheduler) -> None:
+        """Give a scheduler that is no longer used no servers; its requests end."""
+        scheduler.set_servers(())
+        self.dispatch_queued(scheduler)
 
     def check_not_refused(self, call: Call) -> None:
         """Check that servers don't crash on a request; raises EndiveError if they do.
@@ -315,6 +375,9 @@
         self.dispatch_queued(scheduler)
         if not isinstance(verdict, Retry):
             raise refusal_error(verdict)
+        other = self.scheduler_for_retry(ticket)
+        if other is not None:
+            self.ticket_schedulers[ticket] = other
         self.requeue(ticket, verdict.delay_s)
 
     def count_final_failure(
@@ -394,7 +457,7 @@
         return reason
 
     def _count_crash(self, ticket: Ticket, failed_at: float) -> None:
-        crash = self._crash_id(ticket.server)
+        crash = self.crash_id(ticket.server)
         log_event(
             "server_crashed",
             server=ticket.server,
@@ -409,11 +472,20 @@
         )
         self.on_crash()
 
-    def _crash_id(self, server_id: str) -> str:
+    def crash_id(self, server_id: str) -> str:
         """Return the id that all nodes give to the end of a server's process."""
         known = self.registry.get(server_id)
         return f"{server_id}@{known.entry.incarnation if known else 0}"
 
 
+def service_of_key(key: str) -> str:
+    """Return the service of a scheduler's key."""
+    return key.partition(KEY_SEPARATOR)[0]
+
+
+def _keep(_ticket: Ticket) -> None:
+    """Keep the scheduler of a ticket."""
+
+
 def _service_type(service: Service) -> ServiceType:
     return ServiceType.ENGINE if service.engine else ServiceType.PLAIN
--- a/packages/endive_gateway/src/endive_gateway/slot_leasing.py
+++ b/packages/endive_gateway/src/endive_gateway/slot_leasing.py
@@ -21,7 +21,7 @@
 from endive_gateway.brittle_services import BrittleServices
 from endive_gateway.datagrams import DatagramPort
 from endive_gateway.exceptions import SlotDeclinedError
-from endive_gateway.placing import Placer
+from endive_gateway.placing import Placer, service_of_key
 
 REPLY_MARGIN_S = 0.1
 """Time for the coordinator's reply beyond the wait that is asked for, seconds."""
@@ -199,7 +199,7 @@
         self, view: ServerView, *, priority: int, wait_s: float, lease_s: float
     ) -> SlotLease | None:
         """Ask for a slot of a server; return ``None`` if it is not brittle."""
-        if view.service not in self.brittle_services.names:
+        if service_of_key(view.service) not in self.brittle_services.names:
             return None
         self.sent += 1
         lease = SlotLease(self.sent, view.id, self._coordinator(view.id))
@@ -328,7 +328,9 @@
 
     def _is_brittle(self, server: str) -> bool:
         view = self.placer.views.get(server)
-        return view is not None and view.service in self.brittle_services.names
+        if view is None:
+            return False
+        return service_of_key(view.service) in self.brittle_services.names
 
     def leased(self) -> int:
         """Return how many slots this node has leased to requests."""
--- a/packages/endive_gateway/src/endive_gateway/state_messages.py
+++ b/packages/endive_gateway/src/endive_gateway/state_messages.py
@@ -8,6 +8,7 @@
 from endive_gateway.exceptions import UndecodableError
 from endive_gateway.interfaces import Record, ServerDelta
 from endive_gateway.part_exchange import AnswerReport, CrashReport
+from endive_gateway.rollout_messages import RolloutReport
 
 ValueReport = tuple[str, float | None, float, int]
 """A server, what it states (``None`` if nothing any more), the age of that statement in
@@ -86,6 +87,9 @@
     zone : str
         The sender's availability zone. Empty at nodes of an earlier version, which keep
         no origins of streams.
+    rollouts : RolloutReport or None
+        Orders of rollouts, their stages and the sender's totals; ``None`` where no
+        rollout may be ordered.
     """
 
     node: str
@@ -118,6 +122,7 @@
     zone: str = ""
     part_crashes: list[CrashReport] = []
     part_answers: list[AnswerReport] = []
+    rollouts: RolloutReport | None = None
 
 
 DECODER = msgspec.msgpack.Decoder(StateMessage)
--- a/packages/endive_gateway/tests/gateway_builders.py
+++ b/packages/endive_gateway/tests/gateway_builders.py
@@ -5,6 +5,7 @@
 
 import gevent
 from endive_core.clocks import ClusterClock
+from endive_core.rollouts import RolloutOrder, StageKind
 from endive_core.routing import (
     OrganisationLimits,
     Route,
@@ -104,6 +105,21 @@
         except ValueError as error:
             raise UndecodableError(str(error)) from None
 
+    def decode_rollout(self, record):
+        service = record.key.removeprefix("order/")
+        if service == record.key:
+            return None
+        try:
+            to, duration_s = json.loads(record.value or b'["", 0]')
+        except ValueError as error:
+            raise UndecodableError(str(error)) from None
+        return RolloutOrder(service, to, float(duration_s), record.offset)
+
+    def encode_rollout_status(self, service, kind, to):
+        is_final = kind in (StageKind.COMPLETED, StageKind.ROLLED_BACK)
+        state = kind.value if is_final else "serving"
+        return f"outcome/{service}", f"{state} {to}".encode()
+
     def decode_server(self, server_id, value):
         try:
             return ServerEntry(server_id, **json.loads(value))
