Compare times to first byte by their whole distribution

Cause: thresholds with a tolerance of 0.1 found a version of which half of the responses were four times slower in 1 of 4 simulated rollouts. Change: Bayes factor of slow parts and factors against any moderate shift, by route and over all routes; limits of the score at 7, 5 and 3.5.

--- a/packages/endive_core/src/endive_core/rollout_evidence.py
+++ b/packages/endive_core/src/endive_core/rollout_evidence.py
@@ -23,6 +23,10 @@
 """Lengths of the last parts of a rollout that are compared apart from the whole,
 seconds. A version that goes bad late has many good responses from before."""
 
+MIN_TIMES_WINDOW_S = 4.0
+"""Shortest part in which times to first byte are compared, seconds. Servers that share
+their machines are slow for fractions of a second."""
+
 
 @dataclass(slots=True)
 class RolloutTotals:
@@ -136,7 +140,8 @@
         for window_s in WINDOWS_S:
             recent = self._since(total, now - window_s)
             if recent is not None:
-                findings.append(compare(recent.routes))
+                with_times = window_s >= MIN_TIMES_WINDOW_S
+                findings.append(compare(recent.routes, with_times=with_times))
         return max(findings, key=lambda finding: finding.score)
 
     def _since(self, total: RolloutTotals, start: float) -> RolloutTotals | None:
--- a/packages/endive_core/src/endive_core/rollout_stages.py
+++ b/packages/endive_core/src/endive_core/rollout_stages.py
@@ -14,17 +14,17 @@
 from endive_core.rollouts import RolloutOrder, Stage, StageKind
 from endive_core.version_comparison import NO_FINDING, Finding
 
-STOP_SCORE = 8.0
+STOP_SCORE = 7.0
 """Score from which on a version counts as bad at any time. The comparison is repeated
 several times a second on some ten routes and limits."""
 
-FINAL_SCORE = 6.0
+FINAL_SCORE = 5.0
 """The same at the end, where the only other choice is to complete it."""
 
-HESITATION_SCORE = 4.0
+HESITATION_SCORE = 3.5
 """Score from which on the last stage is delayed, as far as the duration allows."""
 
-TRIAL_PART = 0.35
+TRIAL_PART = 0.45
 """Part of the bound on exposure that may be used before the last stage."""
 
 USED_PART = 0.93
@@ -34,7 +34,7 @@
 SMALL_PART = 0.4
 """Part of the time before the last stage for which the share stays small."""
 
-SMALL_SHARE_PART = 0.5
+SMALL_SHARE_PART = 0.6
 """The small share as a part of the mean one that the budget allows."""
 
 MIN_SHARE = 0.005
--- a/packages/endive_core/src/endive_core/version_comparison.py
+++ b/packages/endive_core/src/endive_core/version_comparison.py
@@ -17,18 +17,30 @@
 version that is several times slower moves a response by two or more."""
 
 FAILURE_TOLERANCE = 0.02
-SLOW_TOLERANCE = 0.10
-"""Increase of the rate of failures, and of the part of slow responses, that is no
-reason to roll back. Two sets of sound servers differ by a few hundredths in the part
-of slow ones because of their load."""
+"""Increase of the rate of failures that is no reason to roll back."""
 
-BASE_DEVIATIONS = 1.5
-"""Standard deviations by which the base's rate may be higher than observed."""
+BASE_DEVIATIONS = 1.0
+"""Standard deviations by which the base's rate of failures may be higher than
+observed."""
+
+SOUND_PARTS = (0.1, 0.4, 0.8)
+"""Parts of the responses of a sound version that may take one step longer in the
+histogram, 1.5 times or up to twice as long. Two sets of sound servers differ by that
+because of their load and of what their caches hold; the best explanation counts."""
+
+SLOW_PARTS = (0.3, 0.6, 0.95)
+SLOW_STEPS = (2, 3, 4)
+"""Parts of the responses of a slow version that are slow, and steps of the histogram by
+which they are: 2.5 to 7 times. All combinations are compared with the base."""
 
 SLOW_WEIGHT = 0.5
 """Weight of a response in the comparison of times. Responses of one server within a
 fraction of a second are slow together."""
 
+SMOOTHING = 3.0
+"""Responses by which the base's histogram is smoothed: that many are spread over all
+its steps."""
+
 MIN_CANDIDATE_RESPONSES = 4
 MIN_BASE_RESPONSES = 8
 """Responses of each version from which on a route is compared."""
@@ -36,6 +48,8 @@
 ALL_ROUTES = "*"
 """Name of the comparison over all routes together."""
 
+_STEPS = range(len(RATIO_LIMITS) + 1)
+
 
 @dataclass(slots=True)
 class VersionCounts:
@@ -120,46 +134,104 @@
 NO_FINDING = Finding()
 
 
-def compare(routes: Mapping[str, RouteCounts]) -> Finding:
-    """Return the strongest evidence that the candidate is worse than the base."""
-    findings = [NO_FINDING, *_pooled(routes)]
+def compare(routes: Mapping[str, RouteCounts], *, with_times: bool = True) -> Finding:
+    """Return the strongest evidence that the candidate is worse than the base.
+
+    Parameters
+    ----------
+    with_times : bool
+        Whether times to first byte are compared, besides failures.
+    """
+    findings = [NO_FINDING, _pooled_failures(routes)]
     for route, counts in routes.items():
-        findings += _route_findings(route, counts)
+        findings.append(_failures(route, counts))
+    if with_times:
+        scores = {route: _slow_scores(counts) for route, counts in routes.items()}
+        if len(routes) > 1:
+            score = _mean_score(list(scores.values()))
+            findings.append(_slow_finding(score, ALL_ROUTES, list(routes.values())))
+        for route, counts in routes.items():
+            score = _mean_score([scores[route]])
+            findings.append(_slow_finding(score, route, [counts]))
     return max(findings, key=lambda finding: finding.score)
 
 
-def _route_findings(route: str, counts: RouteCounts) -> list[Finding]:
+def _failures(route: str, counts: RouteCounts) -> Finding:
     candidate, base = counts.candidate, counts.base
-    findings = []
-    if candidate.responses >= MIN_CANDIDATE_RESPONSES:
-        bad, total = min(candidate.failures, candidate.responses), candidate.responses
-        rate = _base_rate(base.failures, base.responses, FAILURE_TOLERANCE)
-        findings.append(
-            Finding(
-                _score(bad, total, rate),
-                route,
-                "failures",
-                (bad, total),
-                (base.failures, base.responses),
-            )
-        )
-    total, base_total = sum(candidate.times), sum(base.times)
-    if total < MIN_CANDIDATE_RESPONSES or base_total < MIN_BASE_RESPONSES:
-        return findings
-    slow, base_slow = total, base_total
-    for index, limit in enumerate(RATIO_LIMITS):
-        slow -= candidate.times[index]
-        base_slow -= base.times[index]
-        rate = _base_rate(base_slow, base_total, SLOW_TOLERANCE)
-        score = _score(SLOW_WEIGHT * slow, SLOW_WEIGHT * total, rate)
-        measure = f"slower than {limit:g} times expected"
-        findings.append(
-            Finding(score, route, measure, (slow, total), (base_slow, base_total))
-        )
-    return findings
+    if candidate.responses < MIN_CANDIDATE_RESPONSES:
+        return NO_FINDING
+    bad, total = min(candidate.failures, candidate.responses), candidate.responses
+    rate = _base_rate(base.failures, base.responses, FAILURE_TOLERANCE)
+    return Finding(
+        _score(bad, total, rate),
+        route,
+        "failures",
+        (bad, total),
+        (base.failures, base.responses),
+    )
+
+
+def _slow_scores(counts: RouteCounts) -> list[float]:
+    """Return for each hypothesis how much better it explains the candidate's times."""
+    base_total = sum(counts.base.times)
+    if not any(counts.candidate.times) or base_total < MIN_BASE_RESPONSES:
+        return [0.0] * (len(SLOW_PARTS) * len(SLOW_STEPS))
+    steps = len(counts.base.times)
+    weight = base_total + SMOOTHING
+    base = [(n + SMOOTHING / steps) / weight for n in counts.base.times]
+    times = counts.candidate.times
+    sound = max(_log_likelihood(times, _shifted(base, 1, p)) for p in SOUND_PARTS)
+    return [
+        SLOW_WEIGHT * (_log_likelihood(times, _shifted(base, shift, part)) - sound)
+        for part in SLOW_PARTS
+        for shift in SLOW_STEPS
+    ]
+
+
+def _log_likelihood(counts: list[int], histogram: list[float]) -> float:
+    return sum(
+        count * math.log(part)
+        for count, part in zip(counts, histogram, strict=True)
+        if count
+    )
+
 
+def _shifted(histogram: list[float], steps: int, part: float) -> list[float]:
+    """Return a histogram of which a part takes some steps longer."""
+    result = [(1 - part) * value for value in histogram]
+    for step, value in enumerate(histogram):
+        result[min(step + steps, len(histogram) - 1)] += part * value
+    return result
 
-def _pooled(routes: Mapping[str, RouteCounts]) -> list[Finding]:
+
+def _mean_score(routes: list[list[float]]) -> float:
+    """Return the score of all hypotheses together, summed over routes."""
+    sums = [sum(scores) for scores in zip(*routes, strict=True)]
+    if not sums:
+        return 0.0
+    most = max(sums)
+    total = sum(math.exp(score - most) for score in sums)
+    return most + math.log(total / len(sums))
+
+
+def _slow_finding(score: float, route: str, counts: list[RouteCounts]) -> Finding:
+    if score <= 0.0:
+        return NO_FINDING
+    candidate = [sum(c.candidate.times[step] for c in counts) for step in _STEPS]
+    base = [sum(c.base.times[step] for c in counts) for step in _STEPS]
+    half = sum(base) / 2
+    median = next(step for step in _STEPS if sum(base[: step + 1]) >= half)
+    limit = min(median + 1, len(RATIO_LIMITS) - 1)
+    return Finding(
+        score,
+        route,
+        f"slower than {RATIO_LIMITS[limit]:g} times expected",
+        (sum(candidate[limit + 1 :]), sum(candidate)),
+        (sum(base[limit + 1 :]), sum(base)),
+    )
+
+
+def _pooled_failures(routes: Mapping[str, RouteCounts]) -> Finding:
     """Compare the failures on all routes, each weighted by what the base would have."""
     bad = total = base_bad = base_total = 0
     expected = 0.0
@@ -172,11 +244,9 @@
         base_bad += base.failures
         base_total += base.responses
     if total < MIN_CANDIDATE_RESPONSES:
-        return []
+        return NO_FINDING
     score = _score(bad, total, expected / total)
-    return [
-        Finding(score, ALL_ROUTES, "failures", (bad, total), (base_bad, base_total))
-    ]
+    return Finding(score, ALL_ROUTES, "failures", (bad, total), (base_bad, base_total))
 
 
 def _base_rate(bad: float, total: float, tolerance: float) -> float:
