Name a server from which cached prompt parts are fetched

Change: where the configuration says that engines make transfers, a request names a source in Kv-Fetch. The source is a server that answered this node's own requests with the part within the time in which an engine turns its cache over, or the one to which the part hashes on a ring of servers that have been there for that long. Servers under notice are sources until shortly before their end. Fetched tokens are no prefill work; the transfer counts in the predicted start and in placement. A source whose requests come late, compared with requests that fetch nothing, is paused. A request without its first event by half of the time left to its target is sent elsewhere without a fetch, if it may run again. Operators bound the bytes of all nodes together by bounds.fetch_bytes_per_s; 0 disables it.

RetryReason.FETCH_FAILED is new.

--- a/packages/endive_core/src/endive_core/__init__.py
+++ b/packages/endive_core/src/endive_core/__init__.py
@@ -7,8 +7,9 @@
 - scheduling, behind the facade ``scheduler``: ``policy``, ``admission``,
   ``queueing``, ``bound_queue``, ``queued_tokens``, ``slot_usage``, ``expiry``,
   ``retry_after``, ``estimators``
-- placement: ``placement``, ``prefixes``, ``ring``, ``hashing``, ``servers``,
-  ``backlogs``, ``prefilling``, ``first_tokens``
+- placement: ``placement``, ``prefixes``, ``prefix_fetch``, ``part_holders``,
+  ``source_trust``, ``ring``, ``hashing``, ``servers``, ``backlogs``, ``prefilling``,
+  ``first_tokens``
 - failures: ``failures``, ``retrying``, ``crashes``, ``crash_news``, ``outliers``,
   ``ejection``, ``response_times``, ``call_pacing``
 - parts of prompts that crash servers: ``part_reports``, ``part_crashes``,
--- a/packages/endive_core/src/endive_core/calls.py
+++ b/packages/endive_core/src/endive_core/calls.py
@@ -2,10 +2,14 @@
 
 from dataclasses import dataclass, field
 from enum import IntEnum, StrEnum
+from typing import TYPE_CHECKING
 
 from endive_core.exceptions import ERROR_RESPONSES, ErrorKind
 from endive_core.prefixes import BLOCK_TOKENS
 
+if TYPE_CHECKING:
+    from endive_core.prefix_fetch import Fetch
+
 BULK_LEVEL = -1000
 """Offset to the level of bulk calls, which puts them below every declared priority."""
 
@@ -137,6 +141,15 @@
         Whether it was queued while all servers rested.
     refusal : Refusal or None
         Why a queued ticket expired.
+    fetch : Fetch or None
+        The fetch of cached prompt parts that its server is asked for.
+    may_fetch : bool
+        Whether it may fetch; after a failure it may not.
+    predicted_start_s : float
+        Predicted time from its dispatch to its first token, seconds, where fetches are
+        planned.
+    fetch_due_at : float
+        Clock time by which its first token comes unless its fetch hangs, seconds.
     version : str or None
         Software version of the server that began its stream, and at which alone the
         stream goes on; ``None`` before that. It doesn't change while the ticket is
@@ -165,6 +178,10 @@
     waited_for_rest: bool = False
     refusal: "Refusal | None" = None
     version: str | None = None
+    fetch: "Fetch | None" = None
+    may_fetch: bool = True
+    predicted_start_s: float = 0.0
+    fetch_due_at: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/endive_core/src/endive_core/exceptions.py
+++ b/packages/endive_core/src/endive_core/exceptions.py
@@ -151,6 +151,7 @@
     HANDED_OVER = "handed_over"
     PART_SUSPECTED = "part_suspected"
     PATH_FAILED = "path_failed"
+    FETCH_FAILED = "fetch_failed"
 
 
 class EndiveError(Exception):
--- a/packages/endive_core/src/endive_core/first_tokens.py
+++ b/packages/endive_core/src/endive_core/first_tokens.py
@@ -60,6 +60,8 @@
 
         Calls that yielded are left out. They waited for others, the longer their
         prompts the more, so that engines would look slower the more prompts were late.
+        So are calls that fetched parts of their prompts, since the source may not have
+        had them.
 
         Parameters
         ----------
@@ -72,7 +74,7 @@
         tokens_per_s : float
             Prefill rate that the expected time is based on.
         """
-        if ticket.yields:
+        if ticket.yields or ticket.fetch is not None:
             return
         if self.prefill is not None:
             self.prefill.learn(ticket.uncached_tokens, seconds)
--- a/packages/endive_core/src/endive_core/placement.py
+++ b/packages/endive_core/src/endive_core/placement.py
@@ -16,6 +16,7 @@
 from endive_core.backlogs import Backlogs
 from endive_core.calls import Call, Ticket, Tier
 from endive_core.policy import Policy
+from endive_core.prefix_fetch import COST_SHARE, Fetch, FetchPlanner
 from endive_core.prefixes import PrefixIndex
 from endive_core.ring import HashRing
 from endive_core.servers import Random, ServerLoad, ServerSet
@@ -72,6 +73,8 @@
     backlogs : Backlogs or None
         Prompt tokens that other nodes have pending at each server, if the nodes
         exchange them.
+    fetching : FetchPlanner or None
+        Plans fetches of cached prompt parts, if the servers can make them.
     """
 
     def __init__(self, policy: Policy, servers: ServerSet, random: Random) -> None:
@@ -81,6 +84,7 @@
         self.ring = HashRing(points=policy.ring_points)
         self.prefixes = PrefixIndex(max_blocks=policy.max_known_blocks)
         self.backlogs: Backlogs | None = None
+        self.fetching: FetchPlanner | None = None
 
     def set_members(self, members: list[str]) -> None:
         """Set the servers of the hash ring."""
@@ -96,16 +100,19 @@
             for name, depth in hashed.items()
         }
         expected = cached | expected
-        best, best_score = None, 0.0
+        best, best_score, best_fetch = None, 0.0, None
+        offers = self.fetching.offers(ticket, now) if self.fetching else ()
         names = [*islice(cached, MAX_HOLDER_CANDIDATES), *hashed]
         for server in self._candidates(ticket, names, tier, now):
             if tier and server.prefill_paced_until > now + self.policy.prefill_burst_s:
                 continue
-            score = self.score(call, server, expected.get(server.id, 0), now)
+            fetch = self.fetching.plan(call, server, offers, now) if offers else None
+            score = self.score(call, server, expected.get(server.id, 0), now, fetch)
             if best is None or score < best_score:
-                best, best_score = server, score
+                best, best_score, best_fetch = server, score, fetch
         if best is not None:
-            ticket.uncached_tokens = _uncached(call, cached.get(best.id, 0))
+            ticket.uncached_tokens = _uncached(call, cached.get(best.id, 0), best_fetch)
+            ticket.fetch = best_fetch
         return best
 
     def pace(self, server: ServerLoad, tokens: float, now: float) -> None:
@@ -223,15 +230,28 @@
         return server is not None and (server.throttled or server.resting)
 
     def score(
-        self, call: Call, server: ServerLoad, cached_blocks: int, now: float
+        self,
+        call: Call,
+        server: ServerLoad,
+        cached_blocks: int,
+        now: float,
+        fetch: Fetch | None = None,
     ) -> float:
-        """Return the weighted cost of sending `call` to `server`, seconds."""
-        compute = _uncached(call, cached_blocks) / server.view.prefill_tokens_per_s
+        """Return the weighted cost of sending `call` to `server`, seconds.
+
+        A fetch counts by its time and by its cost to the servers, so that one with the
+        parts is preferred, and copies don't displace other parts everywhere.
+        """
+        rate = server.view.prefill_tokens_per_s
+        compute = _uncached(call, cached_blocks) / rate
         weights = call.weights
-        cost_s = server.slowness * (
-            weights.wait * (self.wait_s(server, now) + compute)
-            + weights.recompute * compute
-        )
+        work_s = (weights.wait + weights.recompute) * compute
+        if fetch is not None and fetch.end:
+            compute = _uncached(call, cached_blocks, fetch) / rate
+            fetch_s = weights.wait * fetch.transfer_s
+            fetch_s += weights.recompute * COST_SHARE * fetch.tokens / rate
+            work_s = min(work_s, fetch_s + (weights.wait + weights.recompute) * compute)
+        cost_s = server.slowness * (weights.wait * self.wait_s(server, now) + work_s)
         return cost_s + (SHEDDING_COST_S if server.shedding_until > now else 0.0)
 
     def wait_s(self, server: ServerLoad, now: float) -> float:
@@ -258,6 +278,7 @@
         all servers are compared before a call is given up.
         """
         ticket.uncached_tokens = float(ticket.call.prompt_tokens)
+        ticket.fetch = None
         allowed = self._all_allowed(ticket, tier)
         return min(allowed, key=lambda s: self.wait_s(s, now), default=None)
 
@@ -283,6 +304,8 @@
         rate = server.view.prefill_tokens_per_s
         wait_s = self.wait_s(server, now)
         starts_s = wait_s + ticket.uncached_tokens / rate
+        if ticket.fetch is not None:
+            starts_s += ticket.fetch.transfer_s
         yields = self._should_yield(ticket, wait_s, starts_s, now)
         deadline = ticket.call.deadline
         if deadline is None:
@@ -314,5 +337,6 @@
         return now + starts_s > ticket.accepted_at + target_s
 
 
-def _uncached(call: Call, cached_blocks: int) -> float:
-    return float(max(0, call.prompt_tokens - call.cached_tokens(cached_blocks)))
+def _uncached(call: Call, cached_blocks: int, fetch: Fetch | None = None) -> float:
+    cached = max(call.cached_tokens(cached_blocks), fetch.end if fetch else 0)
+    return float(max(0, call.prompt_tokens - cached))
--- /dev/null
+++ b/packages/endive_core/src/endive_core/prefix_fetch.py
@@ -0,0 +1,455 @@
+"""Chooses a server from which another one fetches cached parts of a prompt.
+
+A copy of a part's KV cache takes a small part of the time of its prefill. A request
+that is placed at a server without a shared part of its prompt therefore names another
+server that presumably has it. Nodes exchange nothing for this: a node knows which
+servers answered its own requests, and to which server a part hashes, where the requests
+of all nodes go. A wrong belief costs the set-up of a transfer that copies nothing, or a
+prefill that a fetch would have saved.
+"""
+
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass
+
+from endive_core.calls import Call, Ticket
+from endive_core.part_holders import PartHolders
+from endive_core.ring import HashRing
+from endive_core.servers import ServerLoad, ServerSet
+from endive_core.source_trust import SourceTrust
+
+SETUP_S = 0.003
+"""Time to set up a transfer, seconds, as the platform's pages state it."""
+
+OTHER_ZONE_FACTOR = 2.0
+"""Factor by which a transfer between zones takes longer."""
+
+COST_SHARE = 0.3
+"""Cost of a fetch over that of the prefill of the same tokens."""
+
+MIN_GAIN_SHARE = 0.01
+"""Least gain of a fetch, as a share of the call's target to its first token."""
+
+MIN_SAVED_TOKENS = 512
+"""Prefill tokens for which a fetch is made even if the gain in time is smaller: it
+relieves the server by some 10 ms of work."""
+
+TURNOVERS = 2.0
+"""Time for which a part is taken to stay at a server that doesn't use it again, as a
+multiple of the time in which the server can fill its whole cache: engines prefill at
+most half of the time on average."""
+
+UNKNOWN_CAPACITY_HOLD_S = 10.0
+MIN_HOLD_S = 2.0
+MAX_HOLD_S = 60.0
+"""That time where the capacity isn't stated, and its bounds, seconds."""
+
+BURST_S = 1.0
+"""Time over which the bound on fetched bytes may be used at once, seconds."""
+
+OVERDUE_SHARE = 0.5
+MIN_OVERDUE_SHARE = 0.1
+"""Part of the time left until the target, after the predicted first token, in which the
+first token may come before the source is suspected, and least such time as a share of
+the target."""
+
+
+@dataclass(frozen=True, slots=True)
+class TransferCosts:
+    """What transfers between a service's servers take.
+
+    Attributes
+    ----------
+    capacity_tokens : int
+        Tokens that a server's KV cache holds; 0 if it isn't known.
+    """
+
+    bytes_per_token: float
+    link_bytes_per_s: float
+    capacity_tokens: int = 0
+
+    def transfer_s(self, tokens: float, *, same_zone: bool) -> float:
+        """Return the time to fetch `tokens`, with its set-up, seconds."""
+        copy_s = tokens * self.bytes_per_token / self.link_bytes_per_s
+        return SETUP_S + copy_s * (1.0 if same_zone else OTHER_ZONE_FACTOR)
+
+    def hold_s(self, prefill_tokens_per_s: float) -> float:
+        """Return how long a part presumably stays that isn't used again, seconds."""
+        if not self.capacity_tokens:
+            return UNKNOWN_CAPACITY_HOLD_S
+        turnover_s = self.capacity_tokens / prefill_tokens_per_s
+        return min(MAX_HOLD_S, max(MIN_HOLD_S, TURNOVERS * turnover_s))
+
+
+@dataclass(frozen=True, slots=True)
+class FetchSource:
+    """A server that may be named as a source.
+
+    Attributes
+    ----------
+    since : float
+        Clock time since when it has been there, seconds; minus infinity if it was there
+        before this node.
+    until : float
+        Clock time until which it surely stays, seconds.
+    """
+
+    id: str
+    address: str
+    zone: str
+    incarnation: int = 0
+    since: float = float("-inf")
+    until: float = float("inf")
+
+
+@dataclass(frozen=True, slots=True)
+class Offer:
+    """A server that presumably holds the first `depth` parts of a prompt.
+
+    Attributes
+    ----------
+    is_known : bool
+        Whether this node has seen these parts in use lately, so that their prefill is
+        counted as saved.
+    """
+
+    source: FetchSource
+    depth: int
+    is_known: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Fetch:
+    """A fetch that a request asks its server for.
+
+    Attributes
+    ----------
+    tokens : int
+        Tokens that the source has beyond those of the destination.
+    end : int
+        Prompt tokens that the destination need not prefill afterwards; 0 if the source
+        may not have them.
+    transfer_s : float
+        Expected time, seconds.
+    size : float
+        Bytes to be copied.
+    """
+
+    source: FetchSource
+    tokens: int
+    end: int
+    transfer_s: float
+    size: float
+
+
+class ByteBudget:
+    """Bounds the bytes that this node's requests fetch.
+
+    The share may be smaller than one fetch, so the last fetch may overdraw it, and the
+    following ones wait until the debt is paid off.
+    """
+
+    def __init__(self, bytes_per_s: float = float("inf")) -> None:
+        self.bytes_per_s = bytes_per_s
+        self.balance = bytes_per_s * BURST_S
+        self.updated_at = float("-inf")
+
+    def set_rate(self, bytes_per_s: float) -> None:
+        """Set this node's share of the bound."""
+        self.bytes_per_s = bytes_per_s
+
+    def is_open(self, now: float) -> bool:
+        """Return whether a fetch may be made now."""
+        if self.bytes_per_s == float("inf"):
+            return True
+        if self.bytes_per_s <= 0:
+            return False
+        burst = self.bytes_per_s * BURST_S
+        earned = (now - self.updated_at) * self.bytes_per_s
+        self.balance = min(burst, self.balance + earned)
+        self.updated_at = now
+        return self.balance > 0
+
+    def take(self, size: float) -> None:
+        """Take the bytes of a fetch."""
+        if self.bytes_per_s != float("inf"):
+            self.balance -= size
+
+
+class FetchPlanner:
+    """Plans the fetches of the calls of one service at one node.
+
+    Parameters
+    ----------
+    servers : ServerSet
+        The servers that get calls, with their states.
+    ring_points, ring_depths : int
+        Points of a server on the ring, and number of longest shared prefixes whose
+        hashes are followed, both as for placement.
+
+    Attributes
+    ----------
+    sources : dict of str to FetchSource
+        The servers that may be named, those that leave included.
+    ring : HashRing
+        Hash ring of the servers that have been there for long enough to hold what
+        hashes to them, and of those that have just gone: what hashes to these is held
+        by nobody else for that reason.
+    trust : SourceTrust
+        Which sources delay their requests.
+    is_silent : callable
+        Returns whether the server with an id answers nobody.
+    on_distrust : callable
+        Called when a source is paused, with the ticket, whether its first token was
+        ``late`` or its attempt ``failed``, and the delay in seconds.
+    fetched_tokens, fetches : int
+        Totals, for metrics.
+    """
+
+    def __init__(
+        self,
+        costs: TransferCosts,
+        servers: ServerSet,
+        budget: ByteBudget,
+        *,
+        ring_points: int,
+        ring_depths: int,
+    ) -> None:
+        self.costs = costs
+        self.servers = servers
+        self.budget = budget
+        self.ring_depths = ring_depths
+        self.holders = PartHolders()
+        self.trust = SourceTrust()
+        self.sources: dict[str, FetchSource] = {}
+        self.ring = HashRing(points=ring_points)
+        self.ring_members: set[str] = set()
+        self.gone_at: dict[str, float] = {}
+        self.next_ring_change_at = float("-inf")
+        self.is_silent: Callable[[str], bool] = lambda server: False
+        self.on_distrust: Callable[[Ticket, str, float], None] = lambda *found: None
+        self.fetches = 0
+        self.fetched_tokens = 0
+
+    # Sources
+
+    def set_sources(self, sources: Mapping[str, FetchSource], now: float) -> None:
+        """Replace the servers that may be named, by id."""
+        if sources == self.sources:
+            return
+        for gone in self.ring_members - sources.keys():
+            self.gone_at.setdefault(gone, now)
+        for server_id, source in sources.items():
+            before = self.sources.get(server_id)
+            if before is not None and before.incarnation != source.incarnation:
+                self.trust.sources.pop(server_id, None)
+            self.gone_at.pop(server_id, None)
+        self.sources = dict(sources)
+        self.trust.keep(set(sources))
+        self._update_ring(now)
+
+    @property
+    def prefill_tokens_per_s(self) -> float:
+        """Prefill rate of the servers, which they all share."""
+        for server in self.servers.servers.values():
+            return server.view.prefill_tokens_per_s
+        return 1.0
+
+    def _update_ring(self, now: float) -> None:
+        hold_s = self.costs.hold_s(self.prefill_tokens_per_s)
+        members, changes_at = set(), []
+        for source in self.sources.values():
+            settles_at = source.since + hold_s
+            if settles_at <= now:
+                members.add(source.id)
+            else:
+                changes_at.append(settles_at)
+        for gone, gone_at in list(self.gone_at.items()):
+            if gone_at + hold_s <= now:
+                del self.gone_at[gone]
+            else:
+                members.add(gone)
+                changes_at.append(gone_at + hold_s)
+        self.next_ring_change_at = min(changes_at, default=float("inf"))
+        if members != self.ring_members:
+            added, removed = members - self.ring_members, self.ring_members - members
+            self.ring.change_members(sorted(added), removed)
+            self.ring_members = members
+
+    # Decisions
+
+    def offers(self, ticket: Ticket, now: float) -> list[Offer]:
+        """Return the servers that presumably hold shared parts of a ticket's prompt.
+
+        It includes those that may not be sources now, since they need no fetch. A call
+        that may have crashed a server fetches nothing: the cause may be a part that its
+        server must compute for this to show.
+        """
+        call = ticket.call
+        if (
+            not ticket.may_fetch
+            or ticket.suspect
+            or not call.block_ends
+            or len(call.blocks) < 2
+        ):
+            return []
+        if now >= self.next_ring_change_at:
+            self._update_ring(now)
+        since = now - self.costs.hold_s(self.prefill_tokens_per_s)
+        shared = call.blocks[:-1]
+        found: dict[str, Offer] = {}
+        seen_depth = 0
+        for depth in range(len(shared), 0, -1):
+            for server, holding in self.holders.of(shared[depth - 1]).items():
+                if max(holding.sent_at, holding.answered_at) >= since:
+                    seen_depth = max(seen_depth, depth)
+                source = self.sources.get(server)
+                if source is None or source.incarnation != holding.incarnation:
+                    continue
+                if holding.answered_at >= since and server not in found:
+                    found[server] = Offer(source, depth, is_known=True)
+        for depth in range(len(shared), max(0, len(shared) - self.ring_depths), -1):
+            for name in self.ring.candidates(str(shared[depth - 1]), 1):
+                source = self.sources.get(name)
+                if source is not None and name not in found:
+                    found[name] = Offer(source, depth, is_known=depth <= seen_depth)
+        return list(found.values())
+
+    def plan(
+        self, call: Call, server: ServerLoad, offers: Iterable[Offer], now: float
+    ) -> Fetch | None:
+        """Return the best fetch for a call at `server`, or ``None`` if none is."""
+        offers = list(offers)
+        if not offers or not self.budget.is_open(now):
+            return None
+        held = self._held_depth(call, server, offers, now)
+        held_tokens = call.cached_tokens(held)
+        best, best_rank = None, (False, 0.0)
+        for offer in offers:
+            if offer.depth <= held or not self._is_usable(offer.source, server, now):
+                continue
+            fetch = self._fetch(call, server, offer, held_tokens)
+            gain_s = self._gain_s(fetch, server)
+            rank = (offer.is_known, gain_s)
+            if self._is_worth(fetch, gain_s, call, now) and rank > best_rank:
+                best, best_rank = fetch, rank
+        return best
+
+    def _held_depth(
+        self, call: Call, server: ServerLoad, offers: Iterable[Offer], now: float
+    ) -> int:
+        """Return how many shared parts `server` presumably holds itself."""
+        held = max((o.depth for o in offers if o.source.id == server.id), default=0)
+        since = now - self.costs.hold_s(server.view.prefill_tokens_per_s)
+        source = self.sources.get(server.id)
+        for depth in range(len(call.blocks) - 1, held, -1):
+            holding = self.holders.of(call.blocks[depth - 1]).get(server.id)
+            if (
+                holding is not None
+                and source is not None
+                and holding.incarnation == source.incarnation
+                and holding.sent_at >= since
+            ):
+                return depth
+        return held
+
+    def _is_usable(self, source: FetchSource, server: ServerLoad, now: float) -> bool:
+        if source.id == server.id or source.address == server.view.address:
+            return False
+        load = self.servers.servers.get(source.id)
+        if load is not None and (load.paused or load.failures):
+            return False
+        if self.is_silent(source.id):
+            return False
+        return now < source.until and self.trust.may_name(source.id, now)
+
+    def _fetch(
+        self, call: Call, server: ServerLoad, offer: Offer, held_tokens: int
+    ) -> Fetch:
+        end = call.cached_tokens(offer.depth)
+        tokens = end - held_tokens
+        same_zone = offer.source.zone == server.view.zone
+        return Fetch(
+            offer.source,
+            tokens,
+            end if offer.is_known else 0,
+            self.costs.transfer_s(tokens, same_zone=same_zone),
+            tokens * self.costs.bytes_per_token,
+        )
+
+    def _gain_s(self, fetch: Fetch, server: ServerLoad) -> float:
+        read_s = fetch.tokens / server.view.prefill_tokens_per_s
+        delay_s = self.trust.expected_delay_s(fetch.source.id)
+        return read_s - fetch.transfer_s - delay_s
+
+    def _is_worth(self, fetch: Fetch, gain_s: float, call: Call, now: float) -> bool:
+        if now + fetch.transfer_s > fetch.source.until or gain_s <= 0:
+            return False
+        is_large = fetch.tokens >= MIN_SAVED_TOKENS
+        return is_large or gain_s > MIN_GAIN_SHARE * call.target_s
+
+    # Outcomes
+
+    def dispatched(
+        self, ticket: Ticket, server: ServerLoad, wait_s: float, now: float
+    ) -> None:
+        """Record that a ticket is sent to a server where its prefill waits `wait_s`."""
+        rate = server.view.prefill_tokens_per_s
+        predicted_s = wait_s + ticket.uncached_tokens / rate
+        fetch = ticket.fetch
+        if fetch is not None:
+            predicted_s += fetch.transfer_s
+            self.budget.take(fetch.size)
+            self.fetches += 1
+            self.fetched_tokens += fetch.tokens
+            left_s = ticket.accepted_at + ticket.call.target_s - now - predicted_s
+            grace_s = max(
+                OVERDUE_SHARE * left_s,
+                MIN_OVERDUE_SHARE * ticket.call.target_s,
+                self.trust.unusual_s,
+            )
+            ticket.fetch_due_at = now + predicted_s + grace_s
+            self.trust.begin(fetch.source.id, ticket, ticket.fetch_due_at)
+        ticket.predicted_start_s = predicted_s
+        self.holders.sent(
+            server.id, self._incarnation(server.id), ticket.call.blocks[:-1], now
+        )
+
+    def started(self, ticket: Ticket, now: float) -> None:
+        """Learn from the first token of a ticket's attempt."""
+        server = ticket.server
+        blocks = ticket.call.blocks[:-1]
+        self.holders.answered(server, self._incarnation(server), blocks, now)
+        delay_s = now - ticket.dispatched_at - ticket.predicted_start_s
+        fetch = ticket.fetch
+        if fetch is None:
+            if not ticket.yields:
+                self.trust.learn_unfetched(delay_s)
+            return
+        if ticket.yields:
+            self.trust.end(fetch.source.id, ticket)
+            return
+        target_s = ticket.call.target_s
+        if self.trust.started(fetch.source.id, ticket, delay_s, target_s, now):
+            self.on_distrust(ticket, "late", delay_s)
+
+    def ended(self, ticket: Ticket, now: float, *, failed: bool = False) -> None:
+        """Record that a ticket's attempt ended before its first token.
+
+        Parameters
+        ----------
+        failed : bool
+            Whether it failed after its server may have begun to fetch.
+        """
+        fetch = ticket.fetch
+        if fetch is None or not self.trust.awaits(fetch.source.id, ticket):
+            return
+        if failed or now >= ticket.fetch_due_at:
+            self.trust.failed(fetch.source.id, ticket, now)
+            delay_s = now - ticket.dispatched_at - ticket.predicted_start_s
+            self.on_distrust(ticket, "failed", delay_s)
+        else:
+            self.trust.end(fetch.source.id, ticket)
+
+    def _incarnation(self, server: str) -> int:
+        source = self.sources.get(server)
+        return source.incarnation if source else 0
--- a/packages/endive_core/src/endive_core/retrying.py
+++ b/packages/endive_core/src/endive_core/retrying.py
@@ -83,12 +83,16 @@
         self.requests.append(now)
         self._forget(self.requests, now)
 
-    def spend(self, now: float, *, nodes: int) -> bool:
-        """Take one retry; return whether there was one."""
+    def has_retry(self, now: float, *, nodes: int) -> bool:
+        """Return whether there is a retry left."""
         self._forget(self.requests, now)
         self._forget(self.retries, now)
         allowed = self.ratio * len(self.requests) + self.slack / max(1, nodes)
-        if len(self.retries) + 1 > FLEET_BUDGET_SHARE * allowed:
+        return len(self.retries) + 1 <= FLEET_BUDGET_SHARE * allowed
+
+    def spend(self, now: float, *, nodes: int) -> bool:
+        """Take one retry; return whether there was one."""
+        if not self.has_retry(now, nodes=nodes):
             return False
         self.retries.append(now)
         return True
--- a/packages/endive_core/src/endive_core/routing.py
+++ b/packages/endive_core/src/endive_core/routing.py
@@ -114,10 +114,31 @@
 
 @dataclass(frozen=True, slots=True)
 class Engine:
-    """Properties of the engines of a model service."""
+    """Properties of the engines of a model service.
+
+    Attributes
+    ----------
+    transfers : bool
+        Whether an engine can fetch cached parts of prompts from another one.
+    kv_bytes_per_token : int
+        Size of the KV cache of one token, bytes.
+    link_bytes_per_s : float
+        Speed of the links between engines, bytes per second.
+    kv_capacity_tokens : int
+        Tokens that an engine's KV cache holds; 0 if it isn't known.
+    """
 
     slots: int = 0
     tokens_per_event: int = 1
+    transfers: bool = False
+    kv_bytes_per_token: int = 0
+    link_bytes_per_s: float = 0.0
+    kv_capacity_tokens: int = 0
+
+    @property
+    def can_fetch(self) -> bool:
+        """Whether transfers are possible, and what they take is known."""
+        return self.transfers and self.kv_bytes_per_token > 0 < self.link_bytes_per_s
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/endive_core/src/endive_core/scheduler.py
+++ b/packages/endive_core/src/endive_core/scheduler.py
@@ -36,7 +36,11 @@
     from endive_core.resources import Deployment, Organisation
 
 
-NO_SERVER_FAULT = (RetryReason.SERVER_LEAVING, RetryReason.PATH_FAILED)
+NO_SERVER_FAULT = (
+    RetryReason.SERVER_LEAVING,
+    RetryReason.PATH_FAILED,
+    RetryReason.FETCH_FAILED,
+)
 """Reasons that say nothing against a server although it may have run the call."""
 
 NO_REASON_TO_AVOID = (
@@ -287,6 +291,7 @@
 
     def _server_for(self, ticket: Ticket, now: float) -> ServerLoad | None:
         tier = self.usage.tier(ticket.call)
+        ticket.fetch = None
         silent = self.throttling.silent_server(now, tier)
         if silent is not None and self.placement.allows(ticket, silent, tier):
             ticket.uncached_tokens = float(ticket.call.prompt_tokens)
@@ -328,6 +333,9 @@
         ticket.attempt += 1
         ticket.dispatched_at = now
         ticket.first_token_at = None
+        if self.placement.fetching is not None:
+            wait_s = self.placement.wait_s(server, now)
+            self.placement.fetching.dispatched(ticket, server, wait_s, now)
         self.servers.adjust_prefill_backlog(
             server, 1, ticket.uncached_tokens, yields=ticket.yields
         )
@@ -352,6 +360,8 @@
         ticket.first_token_at = now
         self._end_trial(ticket)
         self.trials.table.add_answers(ticket.call.shared_parts, now)
+        if self.placement.fetching is not None:
+            self.placement.fetching.started(ticket, now)
         server = self._server_load_of(ticket)
         if server is not None:
             self.servers.record_success(server)
@@ -424,6 +434,11 @@
         if reason not in NO_REASON_TO_AVOID:
             ticket.avoid.add(ticket.server)
             self._allow_last_servers(ticket)
+        if ticket.fetch is not None:
+            ticket.may_fetch = False
+            if ticket.stage is Stage.DISPATCHED:
+                may_blame = started and reason is not RetryReason.PATH_FAILED
+                self.placement.fetching.ended(ticket, now, failed=may_blame)
         self._release(ticket, now)
         self._count_server_failure(server, now, reason, started=started)
         decision = self.failures.decide_retry(
@@ -510,6 +525,8 @@
         self.usage.release(ticket.call.organisation)
         self.running.get(ticket.server, set()).discard(ticket)
         self._end_trial(ticket)
+        if ticket.fetch is not None and ticket.stage is Stage.DISPATCHED:
+            self.placement.fetching.ended(ticket, now)
         server = self._server_load_of(ticket)
         if server is not None:
             if ticket.stage is Stage.DISPATCHED:
--- /dev/null
+++ b/packages/endive_core/tests/test_source_trust.py
@@ -0,0 +1,59 @@
+from random import Random
+
+from endive_core.source_trust import FIRST_PAUSE_S, MAX_PAUSE_S, SourceTrust
+
+TARGET_S = 0.5
+
+
+def trained(deviation_s=0.02):
+    """Return trust that has seen requests without a fetch."""
+    trust, random = SourceTrust(), Random(1)
+    for _ in range(200):
+        trust.learn_unfetched(random.uniform(-deviation_s, deviation_s))
+    return trust
+
+
+def test_a_source_that_delays_a_request_by_half_its_target_is_paused():
+    """Each further request would miss its target as well."""
+    trust = trained()
+    assert trust.started("a", 1, 0.3, TARGET_S, 10.0)
+    assert not trust.may_name("a", 10.0 + FIRST_PAUSE_S - 0.1)
+    assert trust.may_name("a", 10.0 + FIRST_PAUSE_S)
+    assert trust.may_name("b", 10.0)
+
+
+def test_the_usual_delays_pause_nothing():
+    """Under load all first tokens come late, fetched or not."""
+    trust, random = trained(0.2), Random(2)
+    for number in range(200):
+        assert not trust.started("a", number, random.uniform(-0.2, 0.2), TARGET_S, 0.0)
+
+
+def test_small_delays_in_a_row_add_up():
+    """A congested link delays each request by less than half of its target."""
+    trust = trained()
+    paused = [trust.started("a", n, 0.11, TARGET_S, float(n)) for n in range(3)]
+    assert paused == [False, False, True]
+
+
+def test_pauses_grow_up_to_a_bound_and_end_with_a_good_fetch():
+    """A dead source costs one late request for each pause."""
+    trust, now, pauses = trained(), 0.0, []
+    for number in range(8):
+        trust.failed("a", number, now)
+        until = trust.sources["a"].paused_until
+        pauses.append(until - now)
+        now = until
+    assert pauses[:3] == [FIRST_PAUSE_S, 2 * FIRST_PAUSE_S, 4 * FIRST_PAUSE_S]
+    assert pauses[-1] == MAX_PAUSE_S
+    trust.started("a", 9, 0.0, TARGET_S, now)
+    trust.failed("a", 10, now)
+    assert trust.sources["a"].paused_until == now + FIRST_PAUSE_S
+
+
+def test_requests_that_failed_together_pause_once():
+    """One death of a source would count as five."""
+    trust = trained()
+    for number in range(5):
+        trust.failed("a", number, 1.0)
+    assert trust.sources["a"].paused_until == 1.0 + FIRST_PAUSE_S
--- a/packages/endive_gateway/src/endive_gateway/__init__.py
+++ b/packages/endive_gateway/src/endive_gateway/__init__.py
@@ -10,7 +10,8 @@
   ``clocks``, ``loops``
 - callers' connections: ``callers``, ``http``, ``statuses``, ``progress``
 - forwarding to servers: ``forwarding``, ``attempts``, ``failed_attempts``,
-  ``connections``, ``events``, ``placing``, ``workload``, ``stream_affinity``
+  ``connections``, ``events``, ``placing``, ``prefix_fetching``, ``workload``,
+  ``stream_affinity``
 - ways to the servers: ``paths``, ``path_monitor``, ``server_checks``, ``transit``,
   ``transit_port``, ``tcp``
 - the platform's state, as this node knows it: ``following``, ``configuration``,
--- a/packages/endive_gateway/src/endive_gateway/attempts.py
+++ b/packages/endive_gateway/src/endive_gateway/attempts.py
@@ -15,6 +15,7 @@
     AttemptError,
     BadMessageError,
     ConnectionBrokenError,
+    FetchOverdueError,
 )
 from endive_gateway.http import ResponseMessage, encode_head, end_to_end
 from endive_gateway.interfaces import (
@@ -65,6 +66,8 @@
     metadata: RequestMetadata
     progress: Progress
     route: Route
+    service: str
+    max_attempts: int
     engine: Engine | None
     ticket: Ticket
     splitter: EventSplitter
@@ -117,6 +120,8 @@
         When this attempt was sent, seconds on the monotonic clock.
     entry : ServerEntry or None
         The server's entry at the latest check before the request was sent.
+    fetch_timer : FetchOverdueError or None
+        Ends the attempt if its fetch of prompt parts hangs; until the first event.
     """
 
     def __init__(self, request: AttemptedRequest, view: ServerView) -> None:
@@ -127,6 +132,7 @@
         self.lease: SlotLease | None = None
         self.sent_at = 0.0
         self.entry: ServerEntry | None = None
+        self.fetch_timer: FetchOverdueError | None = None
 
     def run(self) -> None:
         """Make the attempt; raises AttemptError unless a success was forwarded."""
@@ -227,6 +233,7 @@
         self.request.sent_at = self.context.cluster_clock.now()
         self.sent_at = self.request.now
         self.connection.repeatable = self.request.route.retryable
+        self.fetch_timer = self.context.prefix_fetching.sent(self.request)
         transit_node = self.request.transit_node = self.connection.transit_node
         try:
             self._send()
@@ -241,10 +248,23 @@
                 through_transit=transit_node is not None,
                 on_the_way=error.on_the_way,
             ) from None
+        except FetchOverdueError as error:
+            if error is not self.fetch_timer:
+                raise
+            raise AttemptError(
+                "no first event came while the server fetched prompt parts",
+                RetryReason.FETCH_FAILED,
+                started=True,
+            ) from None
         finally:
+            self._stop_fetch_timer()
             self._drop_connection()
         self.request.in_flight = False
 
+    def _stop_fetch_timer(self) -> None:
+        if self.fetch_timer is not None:
+            self.fetch_timer.close()
+
     def _send(self) -> None:
         message = self.request.exchange.message
         forwarding = ForwardingMetadata(
@@ -254,6 +274,9 @@
             server_priority=self.request.server_priority,
             last_event_id=self.request.splitter.last_id
             or self.request.metadata.last_event_id,
+            fetch_source=self.context.prefix_fetching.source_address(
+                self.request.ticket
+            ),
         )
         headers = self.context.wire.encode_request(
             end_to_end(message.headers, self.context.wire.end_to_end_headers()),
@@ -297,6 +320,8 @@
                 started=False,
                 rest_s=metadata.rest_s,
             )
+        if not 200 <= message.status < 300 or not self._is_stream(message):
+            self._stop_fetch_timer()
         if 200 <= message.status < 300:
             self._check_success(message, metadata)
             if self._is_stream(message):
@@ -391,6 +416,7 @@
         has_events = _is_event_stream(message)
         events_before = splitter.count
         while data := self._read_events(message):
+            self._stop_fetch_timer()
             self.context.placer.started(self.request.ticket)
             self.request.count_start()
             if has_events:
--- a/packages/endive_gateway/src/endive_gateway/context.py
+++ b/packages/endive_gateway/src/endive_gateway/context.py
@@ -23,6 +23,7 @@
 from endive_gateway.path_monitor import PathMonitor
 from endive_gateway.paths import ServerPaths
 from endive_gateway.placing import Placer
+from endive_gateway.prefix_fetching import PrefixFetching
 from endive_gateway.server_checks import ServerChecks
 from endive_gateway.server_rests import ServerRests
 from endive_gateway.server_statements import ServerStatements
@@ -80,6 +81,8 @@
         Where streams began, shared with the other nodes.
     resumptions : Resumptions
         Decides where streams go on that callers take up.
+    prefix_fetching : PrefixFetching
+        Fetches of cached prompt parts from other servers.
     slot_leasing : SlotLeasing
         Leases of those servers' slots, from the nodes that coordinate them.
     initialised : Event
@@ -101,6 +104,7 @@
         self.document = b""
         self.nodes = 1
         self.registry = ServerRegistry()
+        self.prefix_fetching = PrefixFetching(self.registry)
         self.apply_settings(settings)
         self.paths = ServerPaths(self.registry, self.random)
         self.checks = ServerChecks(self.paths)
@@ -108,11 +112,17 @@
         self.transit_port = TransitPort(
             self.paths, self.checks, self.metrics.transit_replies
         )
-        self.placer = Placer(self.registry, try_both=self.checks.try_both)
+        self.placer = Placer(
+            self.registry,
+            try_both=self.checks.try_both,
+            fetching=self.prefix_fetching,
+        )
         self.placer.trials.node = settings.location.address
         self.metrics.part_outcomes = self.placer.trials.outcomes
+        self.metrics.fetch_outcomes = self.prefix_fetching.outcomes
         self.path_monitor = PathMonitor(self.paths, self.checks)
         self.path_monitor.on_silent = self.placer.pause_silent
+        self.prefix_fetching.is_silent = self.path_monitor.silent.__contains__
         self.pool = ConnectionPool(wire, self.paths, self.path_monitor)
         self.path_monitor.on_dead_connections = self.pool.drop
         self.limits = SharedLimits(time.monotonic(), slack=settings.bounds.quota_slack)
@@ -176,6 +186,7 @@
         """Use settings from now on."""
         self.settings = settings
         self.registry.last_server_s = settings.bounds.drain_s - LAST_SERVER_MARGIN_S
+        self.prefix_fetching.set_total(settings.bounds.fetch_bytes_per_s)
 
     @property
     def version(self) -> int:
--- a/packages/endive_gateway/src/endive_gateway/exceptions.py
+++ b/packages/endive_gateway/src/endive_gateway/exceptions.py
@@ -1,5 +1,6 @@
 """The exceptions of the gateway."""
 
+import gevent
 from endive_core.exceptions import EndiveError, ErrorKind, RetryReason
 
 from endive_gateway.interfaces import ServerResponse
@@ -177,6 +178,10 @@
         )
 
 
+class FetchOverdueError(gevent.Timeout):
+    """Ends the wait for a response whose server presumably waits for a fetch."""
+
+
 class ResponseForwardedError(EndiveError):
     """Raised after a server's own error response has been forwarded to the caller."""
 
--- a/packages/endive_gateway/src/endive_gateway/gateway.py
+++ b/packages/endive_gateway/src/endive_gateway/gateway.py
@@ -172,6 +172,9 @@
             "endive_services_brittle", lambda: len(self.context.brittle_services.names)
         )
         add_gauge("endive_slots_leased", leasing.leased)
+        fetching = self.context.prefix_fetching
+        add_gauge("endive_prefix_fetched_tokens", fetching.fetched_tokens)
+        add_gauge("endive_fetch_sources_paused", fetching.paused_sources)
         reachability = self.context.paths.reachability
         add_gauge("endive_servers_blocked", lambda: len(reachability.blocked))
         add_gauge("endive_services_cut_off", lambda: len(reachability.cut_off))
--- a/packages/endive_gateway/src/endive_gateway/interfaces.py
+++ b/packages/endive_gateway/src/endive_gateway/interfaces.py
@@ -288,6 +288,9 @@
         Id of the event after which the stream resumes; empty for a new run.
     kv_source : str
         Where a copy of the run's KV cache is stored; empty if there is none.
+    fetch_source : str
+        Address of the server from which the prompt's KV cache is to be fetched; empty
+        if it is to be computed.
     """
 
     server_id: str
@@ -296,6 +299,7 @@
     server_priority: int = 5
     last_event_id: str = ""
     kv_source: str = ""
+    fetch_source: str = ""
 
 
 @dataclass(slots=True)
@@ -405,6 +409,11 @@
         ...
 
 
+DEFAULT_FETCH_BYTES_PER_S = 1e12
+"""Default bound on fetched bytes, per second. The largest known deployment would fetch
+some 1.2e11 bytes per second if it fetched the shared part of every prompt."""
+
+
 @dataclass(frozen=True, slots=True)
 class Bounds:
     """Limits that the operators set, mostly as guarantees to callers.
@@ -417,6 +426,9 @@
         Time between the signal to stop and the forced end of the process, seconds.
     config_s : float
         Time within which a confirmed change is in force at all nodes, seconds.
+    fetch_bytes_per_s : float
+        Bytes of KV cache that servers may fetch from each other for the requests of all
+        nodes together, per second; 0 for none.
     """
 
     drain_s: float = 2.0
@@ -428,6 +440,7 @@
     quota_slack: float = 0.0
     usage_window_s: float = 5.0
     usage_late_s: float = 10.0
+    fetch_bytes_per_s: float = DEFAULT_FETCH_BYTES_PER_S
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/endive_gateway/src/endive_gateway/metrics.py
+++ b/packages/endive_gateway/src/endive_gateway/metrics.py
@@ -62,6 +62,9 @@
         Streams that callers have taken up, by how it was known where they go on.
     part_outcomes : Counter
         Requests with suspected parts, and such parts, by what became of them.
+    fetch_outcomes : Counter
+        Fetches of cached prompt parts that requests asked for, and those that paused
+        their sources, by cause.
     first_byte_times, response_times : LatencyHistogram
         Times from a request's first byte to the first byte of a server's response, or
         to the loss of that response, and to the end of a successful response.
@@ -77,6 +80,7 @@
         self.slot_replies: Counter[str] = Counter()
         self.resumptions: Counter[str] = Counter()
         self.part_outcomes: Counter[str] = Counter()
+        self.fetch_outcomes: Counter[str] = Counter()
         self.first_byte_times = LatencyHistogram()
         self.response_times = LatencyHistogram()
         self.gauges: dict[str, dict[tuple[tuple[str, str], ...], Gauge]] = {}
@@ -127,6 +131,7 @@
         add_counter("endive_requests", "outcome", self.outcomes.items)
         add_counter("endive_retries", "reason", self.retries.items)
         add_counter("endive_events", "name", self.events.items)
+        add_counter("endive_prefix_fetches", "outcome", self.fetch_outcomes.items)
         add_counter("endive_transit_replies", "reply", self.transit_replies.items)
         add_counter("endive_slot_replies", "reply", self.slot_replies.items)
         add_counter("endive_stream_resumptions", "outcome", self.resumptions.items)
--- a/packages/endive_gateway/src/endive_gateway/placing.py
+++ b/packages/endive_gateway/src/endive_gateway/placing.py
@@ -26,6 +26,7 @@
 
 from endive_gateway.interfaces import ServerEntry
 from endive_gateway.part_exchange import format_parts
+from endive_gateway.prefix_fetching import PrefixFetching
 from endive_gateway.servers import ServerRegistry
 
 INTERLEAVING_FACTOR = 1.46
@@ -92,6 +93,7 @@
         try_both: Callable[[str, str], ConnectResults] = lambda *server: ConnectResults(
             directly=True, elsewhere=None
         ),
+        fetching: PrefixFetching | None = None,
     ) -> None:
         super().__init__(time.monotonic)
         self.registry = registry
@@ -112,6 +114,7 @@
         self.backlogs = Backlogs()
         self.try_both = try_both
         self.on_crash: Callable[[], None] = lambda: None
+        self.fetching = fetching or PrefixFetching(registry)
         registry.listeners.append(self.refresh)
 
     def configure(self, table: RoutingTable) -> None:
@@ -127,6 +130,7 @@
         """Set the number of live nodes, this one included."""
         if nodes != self.nodes:
             self.nodes = self.trials.nodes = nodes
+            self.fetching.set_nodes(nodes)
             for scheduler in self.schedulers.values():
                 scheduler.set_nodes(nodes)
 
@@ -151,9 +155,11 @@
             rate = scheduler.prefill.tokens_per_s if scheduler.prefill else 1.0
             views = [self._view(entry, service, rate) for entry in usable]
             scheduler.set_servers(views)
+            self.fetching.refresh(name, service, scheduler)
             self._set_shares(scheduler)
             scheduler.resting.set_times(self.rest_times, self.now())
             self.dispatch_queued(scheduler)
+        self.fetching.settle()
         usable_ids = {s.entry.id for s in self.registry.servers.values() if s.usable}
         for gone in self.views.keys() - usable_ids:
             del self.views[gone]
--- a/packages/endive_gateway/tests/gateway_builders.py
+++ b/packages/endive_gateway/tests/gateway_builders.py
@@ -59,9 +59,7 @@
             metadata.prompt_tokens, metadata.max_tokens = map(int, tokens.split(","))
         parts = _text(headers, b"parts")
         if parts:
-            metadata.parts = tuple(
-                PromptPart(int(part), 100) for part in parts.split(",")
-            )
+            metadata.parts = tuple(map(_part, parts.split(",")))
             metadata.shared_parts = tuple(
                 dict.fromkeys(part.id for part in metadata.parts[:-1])
             )
@@ -76,6 +74,8 @@
         sent.append((b"Urgency", b"%d" % forwarding.server_priority))
         if forwarding.last_event_id:
             sent.append((b"After", forwarding.last_event_id.encode()))
+        if forwarding.fetch_source:
+            sent.append((b"Fetch", forwarding.fetch_source.encode()))
         return sent
 
     def end_to_end_headers(self):
@@ -111,6 +111,12 @@
             raise UndecodableError(str(error)) from None
 
 
+def _part(value):
+    """Return a part with 100 tokens, or as many as stand behind a colon."""
+    part_id, _, tokens = value.partition(":")
+    return PromptPart(int(part_id), int(tokens or 100))
+
+
 def _text(headers, name):
     return header_value(headers, name).decode()
 
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -75,10 +75,27 @@
     ) == (10, 20, True)
     service = table.services["s"]
     assert service.engine.tokens_per_event == 3
+    assert not service.engine.can_fetch
     assert service.scaling.zone_prices == {"a": 0.85}
     assert table.limits.idle_timeout_s == 15
 
 
+@pytest.mark.parametrize(
+    ("missing", "transfers"),
+    [({}, True), ({"moves": False}, False), ({"link_mbps": 0}, False)],
+)
+def test_transfers_between_engines_need_all_their_figures(missing, transfers):
+    """A transfer whose time is not known can't be compared with a prefill."""
+    figures = {"moves": True, "kv_token_bytes": 18_432, "link_mbps": 550_000}
+    service = {"name": "s", "engine": {"kv_capacity": 9} | figures | missing}
+    engine = decode_configuration(document(services=[service])).services["s"].engine
+    assert engine.can_fetch == transfers
+    assert engine.kv_bytes_per_token == 18_432
+    assert engine.kv_capacity_tokens == 9
+    if transfers:
+        assert engine.link_bytes_per_s == 550e9 / 8
+
+
 def test_without_tenants_no_key_is_needed():
     assert decode_configuration(document(tenants=None)).organisations is None
 
@@ -168,7 +185,12 @@
         "listen": {"front": "10.1.0.14:8221", "ready_addr": "10.1.0.14:8224"},
         "port_range": [7600, 7615],
         "seeds": ["10.2.0.4:8229"],
-        "bounds": {"drain_ms": 2000, "config_ms": 1500, "new_bound": 1},
+        "bounds": {
+            "drain_ms": 2000,
+            "config_ms": 1500,
+            "new_bound": 1,
+            "fetch_bytes_per_s": 0,
+        },
         "platform": {"address": "10.200.1.7:8225", "form": "log"},
         "cloud": {"address": "10.200.0.35:8225", "duties": ["usage", "scale"]},
         "unknown": {"x": 1},
@@ -185,6 +207,7 @@
     assert found.location.seeds == ("10.2.0.4",)
     assert found.bounds.drain_s == 2.0
     assert found.bounds.config_s == 1.5
+    assert found.bounds.fetch_bytes_per_s == 0
     assert found.duties == {"usage", "scale"}
 
 
--- a/tests/test_platform_headers.py
+++ b/tests/test_platform_headers.py
@@ -130,6 +130,15 @@
     assert b"Tenant" not in sent
 
 
+def test_a_request_names_the_server_from_which_to_fetch():
+    """Without the header the server would prefill what another one has."""
+    forwarding = ForwardingMetadata("i-1", "", 1.0, fetch_source="1.2.3.4:5")
+    sent = encode_request(
+        headers(Kv_Fetch="9.9.9.9:9"), RequestMetadata("r1"), forwarding
+    )
+    assert [v for n, v in sent if n == b"Kv-Fetch"] == [b"1.2.3.4:5"]
+
+
 def test_all_headers_of_a_response_are_decoded():
     metadata = decode_response(
         headers(Response_Seal="3e", Not_Run="1", Server_Load="3,1,8", Instance_Id="i-1")
