--- a/packages/endive_core/src/endive_core/__init__.py
+++ b/packages/endive_core/src/endive_core/__init__.py
@@ -7,13 +7,16 @@
 - scheduling, behind the facade ``scheduler``: ``policy``, ``admission``,
   ``queueing``, ``bound_queue``, ``queued_tokens``, ``slot_usage``, ``expiry``,
   ``retry_after``, ``estimators``
-- placement: ``placement``, ``prefixes``, ``ring``, ``hashing``, ``servers``,
-  ``backlogs``, ``prefilling``, ``first_tokens``, ``server_speed``
+- placement: ``placement``, ``prefixes``, ``prefix_fetch``, ``part_holders``,
+  ``source_trust``, ``ring``, ``hashing``, ``servers``, ``backlogs``, ``prefilling``,
+  ``first_tokens``, ``server_speed``
 - failures: ``failures``, ``retrying``, ``crashes``, ``crash_news``, ``outliers``,
   ``ejection``, ``response_times``, ``call_pacing``
 - parts of prompts that crash servers: ``part_reports``, ``part_crashes``,
   ``part_trials``
 - streams that go on: ``stream_origins``, ``software_versions``
+- rollouts: ``rollouts``, ``rollout_stages``, ``rollout_evidence``,
+  ``version_comparison``, ``version_admission``, ``traffic_shares``
 - ways to servers: ``reachability``, ``transit``
 - limits and metering: ``quotas``, ``shared_limits``, ``limit_coordination``,
   ``server_limits``, ``throttling``, ``resting``, ``slot_leases``, ``metering``
--- a/packages/endive_gateway/src/endive_gateway/__init__.py
+++ b/packages/endive_gateway/src/endive_gateway/__init__.py
@@ -7,10 +7,11 @@
 Its modules by purpose:
 
 - the process as a whole: ``gateway``, ``context``, ``interfaces``, ``exceptions``,
-  ``clocks``, ``loops``
+  ``clocks``, ``loops``, ``file_watching``
 - callers' connections: ``callers``, ``http``, ``statuses``, ``progress``
 - forwarding to servers: ``forwarding``, ``attempts``, ``failed_attempts``,
-  ``connections``, ``events``, ``placing``, ``workload``, ``stream_affinity``
+  ``connections``, ``events``, ``placing``, ``prefix_fetching``, ``workload``,
+  ``stream_affinity``
 - ways to the servers: ``paths``, ``path_monitor``, ``server_checks``, ``transit``,
   ``transit_port``, ``tcp``
 - the platform's state, as this node knows it: ``following``, ``configuration``,
@@ -23,6 +24,8 @@
 - what servers state of themselves: ``server_statements``, ``stated_values``,
   ``limit_sharing``, ``brittle_services``, ``server_rests``, ``leaving_servers``,
   ``speed_exchange``
+- rollouts: ``rollouts``, ``rollout_control``, ``rollout_messages``,
+  ``rollout_observation``, ``version_division``
 - cluster-wide duties, performed by one node at a time: ``duties``, ``autoscaling``
 - observability: ``logstream``, ``metrics``
 """
--- a/packages/endive_gateway/src/endive_gateway/context.py
+++ b/packages/endive_gateway/src/endive_gateway/context.py
@@ -23,6 +23,7 @@
 from endive_gateway.path_monitor import PathMonitor
 from endive_gateway.paths import ServerPaths
 from endive_gateway.placing import Placer
+from endive_gateway.prefix_fetching import PrefixFetching
 from endive_gateway.rollout_observation import RolloutObserver
 from endive_gateway.rollouts import Rollouts
 from endive_gateway.server_checks import ServerChecks
@@ -92,6 +93,8 @@
         Divides servers and requests between the versions of a rollout.
     rollout_observer : RolloutObserver
         Counts the responses of both versions.
+    prefix_fetching : PrefixFetching
+        Fetches of cached prompt parts from other servers.
     slot_leasing : SlotLeasing
         Leases of those servers' slots, from the nodes that coordinate them.
     initialised : Event
@@ -113,6 +116,7 @@
         self.document = b""
         self.nodes = 1
         self.registry = ServerRegistry()
+        self.prefix_fetching = PrefixFetching(self.registry)
         self.apply_settings(settings)
         self.paths = ServerPaths(self.registry, self.random)
         self.checks = ServerChecks(self.paths)
@@ -120,7 +124,11 @@
         self.transit_port = TransitPort(
             self.paths, self.checks, self.metrics.transit_replies
         )
-        self.placer = Placer(self.registry, try_both=self.checks.try_both)
+        self.placer = Placer(
+            self.registry,
+            try_both=self.checks.try_both,
+            fetching=self.prefix_fetching,
+        )
         self.placer.trials.node = settings.location.address
         self.metrics.part_outcomes = self.placer.trials.outcomes
         self.rollouts = Rollouts(settings)
@@ -128,8 +136,10 @@
         self.rollout_observer = RolloutObserver(
             self.rollouts, self.version_division, self.placer
         )
+        self.metrics.fetch_outcomes = self.prefix_fetching.outcomes
         self.path_monitor = PathMonitor(self.paths, self.checks)
         self.path_monitor.on_silent = self.placer.pause_silent
+        self.prefix_fetching.is_silent = self.path_monitor.silent.__contains__
         self.pool = ConnectionPool(wire, self.paths, self.path_monitor)
         self.path_monitor.on_dead_connections = self.pool.drop
         self.registry.restart_listeners.append(self.pool.drop)
@@ -204,6 +214,7 @@
         if hasattr(self, "rollouts"):
             self.rollouts.settings = settings
         self.registry.last_server_s = settings.bounds.drain_s - LAST_SERVER_MARGIN_S
+        self.prefix_fetching.set_total(settings.bounds.fetch_bytes_per_s)
 
     @property
     def version(self) -> int:
--- a/packages/endive_gateway/src/endive_gateway/gateway.py
+++ b/packages/endive_gateway/src/endive_gateway/gateway.py
@@ -178,6 +178,9 @@
         rollouts, division = self.context.rollouts, self.context.version_division
         add_gauge("endive_rollouts_running", rollouts.running)
         add_gauge("endive_servers_withheld", division.withheld_servers)
+        fetching = self.context.prefix_fetching
+        add_gauge("endive_prefix_fetched_tokens", fetching.fetched_tokens)
+        add_gauge("endive_fetch_sources_paused", fetching.paused_sources)
         reachability = self.context.paths.reachability
         add_gauge("endive_servers_blocked", lambda: len(reachability.blocked))
         add_gauge("endive_services_cut_off", lambda: len(reachability.cut_off))
--- a/packages/endive_gateway/src/endive_gateway/interfaces.py
+++ b/packages/endive_gateway/src/endive_gateway/interfaces.py
@@ -290,6 +290,9 @@
         Id of the event after which the stream resumes; empty for a new run.
     kv_source : str
         Where a copy of the run's KV cache is stored; empty if there is none.
+    fetch_source : str
+        Address of the server from which the prompt's KV cache is to be fetched; empty
+        if it is to be computed.
     """
 
     server_id: str
@@ -298,6 +301,7 @@
     server_priority: int = 5
     last_event_id: str = ""
     kv_source: str = ""
+    fetch_source: str = ""
 
 
 @dataclass(slots=True)
@@ -425,6 +429,11 @@
         ...
 
 
+DEFAULT_FETCH_BYTES_PER_S = 1e12
+"""Default bound on fetched bytes, per second. The largest known deployment would fetch
+some 1.2e11 bytes per second if it fetched the shared part of every prompt."""
+
+
 @dataclass(frozen=True, slots=True)
 class Bounds:
     """Limits that the operators set, mostly as guarantees to callers.
@@ -442,6 +451,9 @@
         service's requests and beyond that.
     rollback_s : float
         Time after its 50th bad response from which on it gets nothing, seconds.
+    fetch_bytes_per_s : float
+        Bytes of KV cache that servers may fetch from each other for the requests of all
+        nodes together, per second; 0 for none.
     """
 
     drain_s: float = 2.0
@@ -456,6 +468,7 @@
     exposure_share: float = 0.1
     exposure_slack: float = 50.0
     rollback_s: float = 5.0
+    fetch_bytes_per_s: float = DEFAULT_FETCH_BYTES_PER_S
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/endive_gateway/src/endive_gateway/placing.py
+++ b/packages/endive_gateway/src/endive_gateway/placing.py
@@ -26,6 +26,7 @@
 
 from endive_gateway.interfaces import ServerEntry
 from endive_gateway.part_exchange import format_parts
+from endive_gateway.prefix_fetching import PrefixFetching
 from endive_gateway.servers import ServerRegistry
 
 INTERLEAVING_FACTOR = 1.46
@@ -103,6 +104,7 @@
         try_both: Callable[[str, str], ConnectResults] = lambda *server: ConnectResults(
             directly=True, elsewhere=None
         ),
+        fetching: PrefixFetching | None = None,
     ) -> None:
         super().__init__(time.monotonic)
         self.registry = registry
@@ -130,6 +132,7 @@
             self._schedulers_for
         )
         self.scheduler_for_retry: Callable[[Ticket], Scheduler | None] = _keep
+        self.fetching = fetching or PrefixFetching(registry)
         registry.listeners.append(self.refresh)
         registry.restart_listeners.append(self.forget_server)
 
@@ -148,6 +151,7 @@
         """Set the number of live nodes, this one included."""
         if nodes != self.nodes:
             self.nodes = self.trials.nodes = nodes
+            self.fetching.set_nodes(nodes)
             for scheduler in self.schedulers.values():
                 scheduler.set_nodes(nodes)
 
@@ -162,9 +166,11 @@
             views = [self._view(entry, key, rate) for entry in entries]
             used.update(view.id for view in views)
             scheduler.set_servers(views)
+            self.fetching.refresh(key, service, scheduler)
             self._set_shares(scheduler)
             scheduler.resting.set_times(self.rest_times, self.now())
             self.dispatch_queued(scheduler)
+        self.fetching.settle()
         for gone in self.views.keys() - used:
             del self.views[gone]
             self.consecutive_failures.pop(gone, None)
