Follow two rings for sources, and test hanging fetches in the soak

A server that had been there for less than the time of a cache's turnover was never a source, so that after a wave of reclaims, with all servers new, nothing was fetched. The mean delay of a source counted only late first tokens, so that noise of the destinations made short fetches look worthless. What hashed to a lost server was unknown for 24 s.

Change: what hashes to a server 2 s after its start is taken to be there; a second ring of long-standing servers names its predecessor as well. The delay of a source is a signed mean. The soak has engines whose links hang (fetches_hang), the rule "fetch" (no request is lost, and a node names no source again and again) and the mutant no-distrust. The experiments simulate fetches over serialised links.

--- a/benchmarks/experiments/deployment.py
+++ b/benchmarks/experiments/deployment.py
@@ -27,6 +27,10 @@
     memory_tokens : int
         Capacity of an engine's KV cache, tokens. Running requests and cached prompts
         share it in an engine; the simulation counts cached prompts only.
+    kv_token_bytes, link_mbps : float
+        Size of one token's KV cache, and speed of the links between engines.
+    dead_source_ms : float
+        Time after which an engine gives a fetch up whose source is gone.
     start_s : float
         Time from an autoscaling order until the engine is ready, seconds.
     reclaimable_price : float
@@ -43,6 +47,9 @@
     at_start_in_zone: int = Field(gt=0)
     start_s: float = Field(gt=0)
     reclaimable_price: float = Field(gt=0, le=1)
+    kv_token_bytes: float = Field(default=0, ge=0)
+    link_mbps: float = Field(default=0, ge=0)
+    dead_source_ms: float = Field(default=250, ge=0)
 
 
 class Length(Model):
--- a/benchmarks/experiments/engines.py
+++ b/benchmarks/experiments/engines.py
@@ -81,11 +81,12 @@
                 continue
             if now - self.last_used.get(part, float("-inf")) < RECENT_USE_S:
                 self.read_again += tokens
-            self._cache_part(part, tokens)
+            self.add_part(part, tokens)
         self.last_used.update((part, now) for part, _ in stream.parts[:-1])
         (self.yielding_queue if stream.yields else self.prefill_queue).append(stream)
 
-    def _cache_part(self, part: int, tokens: float) -> None:
+    def add_part(self, part: int, tokens: float) -> None:
+        """Cache a part; parts that were not used for long make room for it."""
         self.cache[part] = tokens
         self.cached_tokens += tokens
         while self.cached_tokens > self.figures.memory_tokens:
--- a/benchmarks/experiments/play.py
+++ b/benchmarks/experiments/play.py
@@ -22,6 +22,7 @@
 
 from experiments.deployment import Deployment
 from experiments.engines import Engine, Stream
+from experiments.fetching import Links, add_planner, set_sources
 from experiments.traffic import Arrival, arrivals
 
 LOAD_WEIGHT = 0.15
@@ -43,6 +44,8 @@
 
     Attributes
     ----------
+    fetching : str
+        Which planner lets engines fetch prompt parts from each other; empty for none.
     backlogs : bool
         Whether nodes send each other their prefill backlogs.
     learned_rate : bool
@@ -53,6 +56,7 @@
     """
 
     policy: Policy = GATEWAY_POLICY
+    fetching: str = ""
     backlogs: bool = True
     learned_rate: bool = True
     target_utilisation: float = TARGET_UTILISATION
@@ -82,6 +86,7 @@
     """
 
     ended: list[EndedRequest] = field(default_factory=list)
+    links: Links | None = None
     servers_s: float = 0.0
     read: float = 0.0
     read_again: float = 0.0
@@ -112,6 +117,9 @@
         self.backlogs = Backlogs()
         if options.backlogs:
             self.scheduler.placement.backlogs = self.backlogs
+        if options.fetching:
+            engines = simulation.deployment.engines
+            add_planner(self.scheduler, engines, options.fetching)
         self.prefill_work_s = 0.0
 
 
@@ -132,6 +140,7 @@
         self.engine_numbers = itertools.count()
         self.zones = [f"z{n}" for n in range(deployment.zones)]
         self.nodes = [Node(self, n, options) for n in range(deployment.nodes)]
+        self.links = Links(deployment.engines)
         self.running: dict[Ticket, RunningRequest] = {}
         self.load = LoadMeter()
         self.smoothed_load = 0.0
@@ -169,6 +178,7 @@
             action(*arguments)
         for engine in self.engines.values():
             self._add_usage(engine)
+        self.result.links = self.links
         return self.result
 
     def schedule(self, time: float, action: Callable[..., None], *arguments) -> None:
@@ -228,6 +238,22 @@
         if engine.name not in self.engines:
             self._lose(stream)
             return
+        fetch = stream.owner.ticket.fetch
+        if fetch is None:
+            self._submit(engine, stream)
+            return
+        source = self.engines.get(fetch.source.id)
+        ends_at = self.links.begin(stream, engine, source, self.now)
+        self.schedule(ends_at, self._end_fetch, engine, stream, source)
+
+    def _end_fetch(self, engine: Engine, stream: Stream, source: Engine | None) -> None:
+        if engine.name not in self.engines:
+            self._lose(stream)
+            return
+        self.links.end(stream, engine, source)
+        self._submit(engine, stream)
+
+    def _submit(self, engine: Engine, stream: Stream) -> None:
         engine.submit(stream, self.now)
         if engine.busy_until <= self.now:
             self._step(engine)
@@ -302,6 +328,7 @@
                 for engine in usable
             ]
             node.scheduler.set_servers(views)
+            set_sources(node.scheduler, self.engines.values(), self.now)
             self._dispatch_queued(node)
 
     def _view(self, engine: Engine, rate: float) -> ServerView:
@@ -376,6 +403,7 @@
             self.schedule(ready_at + LISTING_DELAY_S, self._list_servers)
         for engine in mine[servers:]:
             engine.leaving = True
+            engine.leaves_at = self.now + REMOVAL_DELAY_S
             self.schedule(self.now + LISTING_DELAY_S, self._list_servers)
             self.schedule(self.now + REMOVAL_DELAY_S, self._remove, engine)
 
@@ -387,6 +415,7 @@
         for engine in self.engines.values():
             if engine.zone == zone and engine.reclaimable:
                 engine.leaving = True
+                engine.leaves_at = self.now + wave.notice_s
                 self.schedule(self.now + wave.notice_s, self._remove, engine)
         self.schedule(self.now + LISTING_DELAY_S, self._list_servers)
 
--- a/packages/endive_core/src/endive_core/prefix_fetch.py
+++ b/packages/endive_core/src/endive_core/prefix_fetch.py
@@ -43,6 +43,11 @@
 MAX_HOLD_S = 60.0
 """That time where the capacity isn't stated, and its bounds, seconds."""
 
+RING_DELAY_S = 2.0
+"""Time after the start or loss of a server after which the servers to which parts hash
+since then are taken to hold them, seconds: by then the requests of all nodes go
+there."""
+
 BURST_S = 1.0
 """Time over which the bound on fetched bytes may be used at once, seconds."""
 
@@ -175,6 +180,25 @@
             self.balance -= size
 
 
+class Ring:
+    """A hash ring whose members are compared before it is rebuilt."""
+
+    def __init__(self, points: int) -> None:
+        self.ring = HashRing(points=points)
+        self.members: set[str] = set()
+
+    def set_members(self, members: set[str]) -> None:
+        """Replace the members."""
+        if members != self.members:
+            added, removed = members - self.members, self.members - members
+            self.ring.change_members(sorted(added), removed)
+            self.members = members
+
+    def owner(self, block: int) -> str:
+        """Return the member to which a part hashes; empty if there is none."""
+        return next(iter(self.ring.candidates(str(block), 1)), "")
+
+
 class FetchPlanner:
     """Plans the fetches of the calls of one service at one node.
 
@@ -190,10 +214,10 @@
     ----------
     sources : dict of str to FetchSource
         The servers that may be named, those that leave included.
-    ring : HashRing
-        Hash ring of the servers that have been there for long enough to hold what
-        hashes to them, and of those that have just gone: what hashes to these is held
-        by nobody else for that reason.
+    ring, old_ring : Ring
+        The ring that placement has used for a while, and that of the servers which have
+        been there for so long that no part stays longer: what hashes to a server that
+        started after these may still be where it hashed before.
     trust : SourceTrust
         Which sources delay their requests.
     is_silent : callable
@@ -221,8 +245,7 @@
         self.holders = PartHolders()
         self.trust = SourceTrust()
         self.sources: dict[str, FetchSource] = {}
-        self.ring = HashRing(points=ring_points)
-        self.ring_members: set[str] = set()
+        self.ring, self.old_ring = Ring(ring_points), Ring(ring_points)
         self.gone_at: dict[str, float] = {}
         self.next_ring_change_at = float("-inf")
         self.is_silent: Callable[[str], bool] = lambda server: False
@@ -236,7 +259,7 @@
         """Replace the servers that may be named, by id."""
         if sources == self.sources:
             return
-        for gone in self.ring_members - sources.keys():
+        for gone in self.ring.members - sources.keys():
             self.gone_at.setdefault(gone, now)
         for server_id, source in sources.items():
             before = self.sources.get(server_id)
@@ -245,7 +268,7 @@
             self.gone_at.pop(server_id, None)
         self.sources = dict(sources)
         self.trust.keep(set(sources))
-        self._update_ring(now)
+        self._update_rings(now)
 
     @property
     def prefill_tokens_per_s(self) -> float:
@@ -254,26 +277,25 @@
             return server.view.prefill_tokens_per_s
         return 1.0
 
-    def _update_ring(self, now: float) -> None:
+    def _update_rings(self, now: float) -> None:
         hold_s = self.costs.hold_s(self.prefill_tokens_per_s)
-        members, changes_at = set(), []
-        for source in self.sources.values():
-            settles_at = source.since + hold_s
-            if settles_at <= now:
-                members.add(source.id)
-            else:
-                changes_at.append(settles_at)
-        for gone, gone_at in list(self.gone_at.items()):
-            if gone_at + hold_s <= now:
-                del self.gone_at[gone]
-            else:
-                members.add(gone)
-                changes_at.append(gone_at + hold_s)
-        self.next_ring_change_at = min(changes_at, default=float("inf"))
-        if members != self.ring_members:
-            added, removed = members - self.ring_members, self.ring_members - members
-            self.ring.change_members(sorted(added), removed)
-            self.ring_members = members
+        ages = {source.id: now - source.since for source in self.sources.values()}
+        lost = {name: now - at for name, at in self.gone_at.items()}
+        for name, age_s in lost.items():
+            if age_s >= RING_DELAY_S:
+                del self.gone_at[name]
+        recent = {name for name, age_s in lost.items() if age_s < RING_DELAY_S}
+        self.ring.set_members(
+            recent | {name for name, age_s in ages.items() if age_s >= RING_DELAY_S}
+        )
+        self.old_ring.set_members(
+            {name for name, age_s in ages.items() if age_s >= hold_s}
+        )
+        waits = [RING_DELAY_S - age_s for age_s in (*ages.values(), *lost.values())]
+        waits += [hold_s - age_s for age_s in ages.values()]
+        self.next_ring_change_at = now + min(
+            (wait_s for wait_s in waits if wait_s > 0), default=float("inf")
+        )
 
     # Decisions
 
@@ -293,7 +315,7 @@
         ):
             return []
         if now >= self.next_ring_change_at:
-            self._update_ring(now)
+            self._update_rings(now)
         since = now - self.costs.hold_s(self.prefill_tokens_per_s)
         shared = call.blocks[:-1]
         found: dict[str, Offer] = {}
@@ -308,10 +330,12 @@
                 if holding.answered_at >= since and server not in found:
                     found[server] = Offer(source, depth, is_known=True)
         for depth in range(len(shared), max(0, len(shared) - self.ring_depths), -1):
-            for name in self.ring.candidates(str(shared[depth - 1]), 1):
-                source = self.sources.get(name)
-                if source is not None and name not in found:
-                    found[name] = Offer(source, depth, is_known=depth <= seen_depth)
+            for ring in (self.ring, self.old_ring):
+                source = self.sources.get(ring.owner(shared[depth - 1]))
+                if source is not None and source.id not in found:
+                    found[source.id] = Offer(
+                        source, depth, is_known=depth <= seen_depth
+                    )
         return list(found.values())
 
     def plan(
--- a/packages/endive_core/src/endive_core/source_trust.py
+++ b/packages/endive_core/src/endive_core/source_trust.py
@@ -43,7 +43,8 @@
     paused_until : float
         Clock time, seconds.
     delay_s : float
-        Smoothed delay of the requests that named it, seconds.
+        Smoothed delay of the requests that named it, seconds; negative if they came
+        earlier than others. Only its mean is free of the noise of their destinations.
     due : dict of object to float
         Requests that named it and await their first token, with the clock time at
         which that puts the source under suspicion.
@@ -90,7 +91,7 @@
     def expected_delay_s(self, source: str) -> float:
         """Return the delay to expect of a request that names `source`, seconds."""
         record = self.sources.get(source)
-        return record.delay_s if record else 0.0
+        return max(0.0, record.delay_s) if record else 0.0
 
     def awaits(self, source: str, request: object) -> bool:
         """Return whether `request` names a source and has no first token yet."""
@@ -120,7 +121,7 @@
         self.end(source, request)
         record = self.sources.setdefault(source, SourceRecord())
         excess_s = delay_s - self.usual_s
-        late_s = max(0.0, min(excess_s, target_s))
+        late_s = max(-target_s, min(excess_s, target_s))
         record.delay_s += SOURCE_SMOOTHING * (late_s - record.delay_s)
         counted_s = max(
             MIN_COUNTED_SHARE * target_s, DEVIATIONS * max(0.0, self.deviation_s)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -9,6 +9,7 @@
 import gevent
 
 from soak.callers import DEADLINE_S, CrashingCaller, CrashingPartCaller
+from soak.fetches import fetches_hang
 from soak.invariants import (
     CONTACT_S,
     DRAIN_S,
@@ -427,5 +428,6 @@
         servers_brittle,
         nodes_cut_from_servers,
         rollout,
+        fetches_hang,
     )
 }
--- a/tests/soak/launch.py
+++ b/tests/soak/launch.py
@@ -219,6 +219,13 @@
     )
 
 
+def trust_all_sources():
+    """Let a node name servers as sources however late its requests become."""
+    from endive_core.source_trust import SourceTrust
+
+    SourceTrust.may_name = lambda self, source, now: True
+
+
 MUTANTS = {
     "limit": disable_limit_sharing,
     "not-run": report_not_run,
@@ -235,6 +242,7 @@
     "silence-ends": give_up_silent_servers,
     "no-leases": lease_no_slots,
     "no-transit": carry_no_connections,
+    "no-distrust": trust_all_sources,
     "no-affinity": forget_where_streams_began,
 }
 
--- a/tests/soak/mixes.py
+++ b/tests/soak/mixes.py
@@ -14,6 +14,7 @@
     "servers_brittle",
     "nodes_cut_from_servers",
     "rollout",
+    "fetches_hang",
 }
 EARLIER_KINDS = tuple(sorted(set(FAULTS) - LATER_KINDS))
 FIRST_KINDS = tuple(sorted(set(EARLIER_KINDS) - {"store_silent", "links_fall_silent"}))
@@ -38,4 +39,5 @@
 BRITTLE = ("servers_brittle", "change_configuration", "restart")
 SILENT = ("server_silent", "reload", "change_configuration")
 ROLLOUTS = ("rollout", "kill", "server_crash")
+FETCHES = ("fetches_hang",)
 UNFRAMED = ("server_unframed", "server_leaves", "restart")
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -28,6 +28,10 @@
 EVENT_GAP_S = 0.03
 WORK_S = 0.02
 CRASHING_PATH = "/safe/crash"
+LONG_PART_TOKENS = 1_000
+PREFILL_TOKENS_PER_S = 60_000
+"""Least length of a part of a prompt that takes time to compute, and the rate."""
+
 SLOTS = 6
 QUEUE = 6
 
@@ -270,6 +274,8 @@
         What this server runs for.
     version : str
         Version of its software.
+    parts : set of str
+        The long parts of prompts that it has computed.
     """
 
     def __init__(self, host, port, *, server_id, service, born, checker, backend):
@@ -293,6 +299,7 @@
         self.broken_share = 0.0
         self.work_s = WORK_S
         self.number = 0
+        self.parts = set()
         super().__init__(host, port)
 
     def entry(self, address, zone, state="ready", leaves_s=None):
@@ -343,6 +350,10 @@
         self.running += 1
         self.running_ids.add(request_id)
         try:
+            hanging = self.backend.fleet.hanging_fetches
+            if hanging is not None and "HTTP_KV_FETCH" in environ:
+                hanging.fetch(request_id, environ["HTTP_KV_FETCH"])
+            self._prefill(environ)
             if environ["PATH_INFO"].startswith(CRASHING_PATH):
                 self.checker.server_crashed(environ["PATH_INFO"])
                 self.backend.crash_soon()
@@ -364,6 +375,14 @@
             self.running -= 1
             self.running_ids.discard(request_id)
 
+    def _prefill(self, environ):
+        """Compute the long parts of a prompt that this server has not computed yet."""
+        for entry in environ.get("HTTP_PROMPT_PREFIX", "").split(","):
+            part, _, tokens = entry.partition(":")
+            if int(tokens or 0) >= LONG_PART_TOKENS and part not in self.parts:
+                gevent.sleep(int(tokens) / PREFILL_TOKENS_PER_S)
+                self.parts.add(part)
+
     def crashing_parts(self, environ):
         """Return the parts of a prompt, its last one aside, that crash servers now."""
         entries = environ.get("HTTP_PROMPT_PREFIX", "").split(",")[:-1]
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -17,6 +17,7 @@
     CRASHES,
     DEPARTING,
     EARLIER_KINDS,
+    FETCHES,
     FIRST_KINDS,
     LIMITED_SERVERS,
     PARTS,
@@ -130,6 +131,12 @@
     assert outcome.violations == [], outcome.directory
 
 
+def test_fetches_that_hang_lose_no_request():
+    """No engine reaches another one while prompts name them as sources."""
+    outcome = run_seed(1, slot=SLOT, kinds=FETCHES)
+    assert outcome.violations == [], outcome.directory
+
+
 def test_requests_outlast_a_servers_silence():
     """Sound servers fall silent for a second or two, and go on."""
     outcome = run_seed(1, slot=SLOT, kinds=SILENT)
