Tell other nodes which sources delay fetches

Cause: each node had to find a silent source by a late request of its own.

Change: state messages have the sources that the sender's own requests forbid (slow_sources, at the end, eight at most); a source that two other nodes report is not named. The first pause is 4 s instead of 2 s, longer than the interval of messages among 375 nodes.

--- a/packages/endive_core/src/endive_core/prefix_fetch.py
+++ b/packages/endive_core/src/endive_core/prefix_fetch.py
@@ -265,6 +265,7 @@
             before = self.sources.get(server_id)
             if before is not None and before.incarnation != source.incarnation:
                 self.trust.sources.pop(server_id, None)
+                self.trust.reports.pop(server_id, None)
             self.gone_at.pop(server_id, None)
         self.sources = dict(sources)
         self.trust.keep(set(sources))
--- a/packages/endive_core/src/endive_core/source_trust.py
+++ b/packages/endive_core/src/endive_core/source_trust.py
@@ -24,10 +24,15 @@
 """Shares of a request's target: below the first a delay is never counted, the second
 alone pauses the source. Smaller delays in a row add up to it."""
 
-FIRST_PAUSE_S = 2.0
+FIRST_PAUSE_S = 4.0
 MAX_PAUSE_S = 30.0
 """Time for which a source is not named: first, doubled each time, and longest, seconds.
-The entry of a server that has ended lapses within a few seconds."""
+The first is longer than the interval of state messages among 375 nodes, 3.75 s, so that
+the others hear of it, and than the time until the entry of a dead server lapses."""
+
+MIN_REPORTERS = 2
+"""Other nodes that must report a source for it not to be named here: each of hundreds
+of nodes takes the noise of a destination for a delay of its source now and then."""
 
 
 @dataclass(slots=True)
@@ -58,10 +63,18 @@
 
 
 class SourceTrust:
-    """The sources of one service as this node's requests find them."""
+    """The sources of one service as this node's requests find them.
+
+    Attributes
+    ----------
+    reports : dict of str to dict of str to float
+        By source, the other nodes that don't name it, with the clock time until which
+        their reports count.
+    """
 
     def __init__(self) -> None:
         self.sources: dict[str, SourceRecord] = {}
+        self.reports: dict[str, dict[str, float]] = {}
         self.usual_s = 0.0
         self.deviation_s = 0.0
         self.samples = 0
@@ -81,12 +94,25 @@
 
     def may_name(self, source: str, now: float) -> bool:
         """Return whether a request may name `source` now."""
+        if self.left_s(source, now) > 0:
+            return False
+        reports = self.reports.get(source)
+        if not reports:
+            return True
+        return sum(now < until for until in reports.values()) < MIN_REPORTERS
+
+    def left_s(self, source: str, now: float) -> float:
+        """Return for how long this node's own requests forbid a source, seconds."""
         record = self.sources.get(source)
         if record is None:
-            return True
-        if now < record.paused_until:
-            return False
-        return all(now < due_at for due_at in record.due.values())
+            return 0.0
+        if any(now >= due_at for due_at in record.due.values()):
+            return max(FIRST_PAUSE_S, record.paused_until - now)
+        return max(0.0, record.paused_until - now)
+
+    def report(self, source: str, node: str, until: float) -> None:
+        """Record that another node doesn't name a source until a clock time."""
+        self.reports.setdefault(source, {})[node] = until
 
     def expected_delay_s(self, source: str) -> float:
         """Return the delay to expect of a request that names `source`, seconds."""
@@ -155,5 +181,6 @@
 
     def keep(self, sources: set[str]) -> None:
         """Forget all sources but `sources`."""
-        for gone in self.sources.keys() - sources:
-            del self.sources[gone]
+        for known in (self.sources, self.reports):
+            for gone in known.keys() - sources:
+                del known[gone]
--- a/packages/endive_core/tests/test_prefix_fetch.py
+++ b/packages/endive_core/tests/test_prefix_fetch.py
@@ -12,6 +12,7 @@
 )
 from endive_core.prefixes import part_blocks
 from endive_core.ring import HashRing
+from endive_core.source_trust import FIRST_PAUSE_S
 
 COSTS = TransferCosts(20_000, 60e9, 400_000)
 SHARED = 6_000
@@ -227,7 +228,7 @@
     assert again.fetch is None
     third = other_than(made, holder, ticket.server, again.server)
     assert fetch_to(made, third, 0.3) is None
-    assert fetch_to(made, third, 2.5).source.id == holder
+    assert fetch_to(made, third, 0.4 + FIRST_PAUSE_S).source.id == holder
 
 
 def test_a_source_is_not_named_while_a_request_hangs_on_it():
--- a/packages/endive_gateway/src/endive_gateway/peers.py
+++ b/packages/endive_gateway/src/endive_gateway/peers.py
@@ -470,6 +470,7 @@
             zone=context.settings.location.zone,
             part_crashes=self.part_exchange.next_crashes(now, receivers),
             part_answers=self.part_exchange.next_answers(now, receivers),
+            slow_sources=context.prefix_fetching.next_reports(),
             **context.server_statements.next_fields(),
         )
 
@@ -538,6 +539,7 @@
         context.paths.transit.choice.offers.set(address, message.carried)
         context.placer.ejection.receive(address, message.server_failures, now)
         context.placer.backlogs.receive(address, message.pending_prompt_tokens, now)
+        context.prefix_fetching.receive(address, message.slow_sources)
         self._greet(peer, now)
         if message.complete and self.lacks_bootstrap():
             self.bootstrap_exchange.pull(self.port)
--- a/packages/endive_gateway/src/endive_gateway/prefix_fetching.py
+++ b/packages/endive_gateway/src/endive_gateway/prefix_fetching.py
@@ -2,7 +2,7 @@
 
 import time
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any, Protocol
 
 from endive_core.calls import Ticket
@@ -14,6 +14,7 @@
 )
 from endive_core.routing import Route, Service
 from endive_core.scheduler import Scheduler
+from endive_core.source_trust import MAX_PAUSE_S
 from endive_node.logs import log_event
 
 from endive_gateway.exceptions import FetchOverdueError
@@ -33,6 +34,13 @@
 times, as in installations that count them, give a larger one."""
 
 
+MAX_REPORTS = 8
+"""Sources in one state message, those paused for longest; about 120 bytes."""
+
+SourceReport = tuple[str, int, float]
+"""A server, its incarnation, and the time for which it isn't to be named, seconds."""
+
+
 class FetchingRequest(Protocol):
     """The state of a request that decides on the time-out of its fetch."""
 
@@ -228,6 +236,30 @@
             pause_s=round(max(0.0, pause_s), 3),
         )
 
+    # Exchange with other nodes
+
+    def next_reports(self) -> list[SourceReport]:
+        """Return the sources that this node's own requests forbid, for a message."""
+        now = time.monotonic()
+        found = [
+            (source, planner.sources[source].incarnation, left_s)
+            for planner in self.planners.values()
+            for source in planner.trust.sources.keys() & planner.sources.keys()
+            if (left_s := planner.trust.left_s(source, now)) > 0
+        ]
+        found.sort(key=lambda report: report[2], reverse=True)
+        return found[:MAX_REPORTS]
+
+    def receive(self, node: str, reports: Iterable[SourceReport]) -> None:
+        """Record which sources another node doesn't name."""
+        now = time.monotonic()
+        for server, incarnation, left_s in reports:
+            for planner in self.planners.values():
+                source = planner.sources.get(server)
+                if source is not None and source.incarnation == incarnation:
+                    until = now + min(left_s, MAX_PAUSE_S)
+                    planner.trust.report(server, node, until)
+
     def fetches(self) -> int:
         """Return the fetches asked for, of all services."""
         return sum(planner.fetches for planner in self.planners.values())
--- a/packages/endive_gateway/src/endive_gateway/state_messages.py
+++ b/packages/endive_gateway/src/endive_gateway/state_messages.py
@@ -86,6 +86,9 @@
     zone : str
         The sender's availability zone. Empty at nodes of an earlier version, which keep
         no origins of streams.
+    slow_sources : list of (str, int, float)
+        Server that the sender doesn't name as the source of fetches since they delay
+        its requests, its incarnation, and the rest of that time in seconds.
     """
 
     node: str
@@ -118,6 +121,7 @@
     zone: str = ""
     part_crashes: list[CrashReport] = []
     part_answers: list[AnswerReport] = []
+    slow_sources: list[tuple[str, int, float]] = []
 
 
 DECODER = msgspec.msgpack.Decoder(StateMessage)
--- a/packages/endive_gateway/tests/test_prefix_fetching.py
+++ b/packages/endive_gateway/tests/test_prefix_fetching.py
@@ -11,6 +11,7 @@
 from gateway_builders import (
     SERVICE,
     RunningGateway,
+    connected_peers,
     make_context,
     make_entry,
     make_route,
@@ -218,3 +219,26 @@
     assert scheduler.placement.fetching is not None
     fetching.refresh(SERVICE, Service(SERVICE, engine=Engine(64)), scheduler)
     assert scheduler.placement.fetching is None
+
+
+def test_nodes_tell_each_other_which_sources_delay():
+    """Each node had to find a silent source by a late request of its own."""
+    first, second, third = nodes = connected_peers(3)
+    for node in nodes:
+        node.context.placer.configure(fetching_table())
+        node.context.registry.put(make_entry(incarnation=7))
+        node.context.placer.refresh()
+        node.trust = node.context.prefix_fetching.planners[SERVICE].trust
+    now = time.monotonic()
+    for node in (first, second):
+        node.trust.failed("i-1", 1, now)
+        assert third.trust.may_name("i-1", now)
+        node.send_state()
+    assert not third.trust.may_name("i-1", now)
+    assert not third.context.prefix_fetching.next_reports()
+    restarted = make_entry(incarnation=8)
+    third.context.registry.put(restarted)
+    third.context.placer.refresh()
+    assert third.trust.may_name("i-1", now)
+    first.send_state()
+    assert third.trust.may_name("i-1", now)
