--- a/tests/soak/fetches.py
+++ b/tests/soak/fetches.py
@@ -25,8 +25,9 @@
 ROUND_REQUESTS = 4
 FETCHES_S = 10.0
 MAX_HUNG = 8
-"""Requests of a node that may hang on one source within the time of the fault: three
-pauses fall into it, and some requests are under way when the first of them is late."""
+"""Time for which such requests come, seconds, and those of a node that may hang on one
+source meanwhile: two pauses end in that time, and some requests are under way when the
+first of them is late."""
 
 
 class HangingFetches:
