--- a/packages/endive_gateway/src/endive_gateway/peers.py
+++ b/packages/endive_gateway/src/endive_gateway/peers.py
@@ -517,6 +517,7 @@
             part_crashes=self.part_exchange.next_crashes(now, receivers),
             part_answers=self.part_exchange.next_answers(now, receivers),
             rollouts=context.rollouts.next_report(),
+            slow_sources=context.prefix_fetching.next_reports(),
             **context.server_statements.next_fields(),
         )
 
@@ -589,6 +590,7 @@
             context.rollouts.learn(
                 address, message.incarnation, message.node, message.rollouts
             )
+        context.prefix_fetching.receive(address, message.slow_sources)
         self._greet(peer, now)
         if message.complete and self.lacks_bootstrap():
             self.bootstrap_exchange.pull(self.port)
--- a/packages/endive_gateway/src/endive_gateway/prefix_fetching.py
+++ b/packages/endive_gateway/src/endive_gateway/prefix_fetching.py
@@ -2,7 +2,7 @@
 
 import time
 from collections import Counter
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Iterable
 from typing import Any, Protocol
 
 from endive_core.calls import Ticket
@@ -14,6 +14,7 @@
 )
 from endive_core.routing import Route, Service
 from endive_core.scheduler import Scheduler
+from endive_core.source_trust import MAX_PAUSE_S
 from endive_node.logs import log_event
 
 from endive_gateway.exceptions import FetchOverdueError
@@ -33,6 +34,13 @@
 times, as in installations that count them, give a larger one."""
 
 
+MAX_REPORTS = 8
+"""Sources in one state message, those paused for longest; about 120 bytes."""
+
+SourceReport = tuple[str, int, float]
+"""A server, its incarnation, and the time for which it isn't to be named, seconds."""
+
+
 class FetchingRequest(Protocol):
     """The state of a request that decides on the time-out of its fetch."""
 
@@ -120,7 +128,7 @@
         planner.costs = costs
         now = time.monotonic()
         versions = scheduler.servers.versions
-        planner.set_sources(self._sources(name, versions, now), now)
+        planner.set_sources(self._sources(name, now, versions), now)
 
     def settle(self) -> None:
         """Forget servers that are gone, after all services have been refreshed."""
@@ -134,7 +142,7 @@
         self.has_listed |= self.registry.is_loaded
 
     def _sources(
-        self, service: str, versions: Collection[str], now: float
+        self, service: str, now: float, versions: Collection[str] | None = None
     ) -> dict[str, FetchSource]:
         """Return the servers of a service that may be named, those that leave included.
 
@@ -142,9 +150,9 @@
 
         Parameters
         ----------
-        versions : collection of str
-            Software versions of the servers that fetch. Others are not named: they may
-            be under a rollout.
+        versions : collection of str or None
+            Software versions of the servers that fetch, if others are not to be named,
+            which may be under a rollout.
         """
         by_address: dict[str, KnownServer] = {}
         for known in self.registry.servers.values():
@@ -156,7 +164,10 @@
             entry = known.entry
             if entry.service != service or known.contradicted or known.drop_at:
                 continue
-            if entry.software_version_label not in versions:
+            is_other = versions is not None and (
+                entry.software_version_label not in versions
+            )
+            if is_other:
                 continue
             sources[entry.id] = FetchSource(
                 entry.id,
@@ -248,6 +259,30 @@
             pause_s=round(max(0.0, pause_s), 3),
         )
 
+    # Exchange with other nodes
+
+    def next_reports(self) -> list[SourceReport]:
+        """Return the sources that this node's own requests forbid, for a message."""
+        now = time.monotonic()
+        found = [
+            (source, planner.sources[source].incarnation, left_s)
+            for planner in self.planners.values()
+            for source in planner.trust.sources.keys() & planner.sources.keys()
+            if (left_s := planner.trust.left_s(source, now)) > 0
+        ]
+        found.sort(key=lambda report: report[2], reverse=True)
+        return found[:MAX_REPORTS]
+
+    def receive(self, node: str, reports: Iterable[SourceReport]) -> None:
+        """Record which sources another node doesn't name."""
+        now = time.monotonic()
+        for server, incarnation, left_s in reports:
+            for planner in self.planners.values():
+                source = planner.sources.get(server)
+                if source is not None and source.incarnation == incarnation:
+                    until = now + min(left_s, MAX_PAUSE_S)
+                    planner.trust.report(server, node, until)
+
     def fetches(self) -> int:
         """Return the fetches asked for, of all services."""
         return sum(planner.fetches for planner in self.planners.values())
--- a/packages/endive_gateway/src/endive_gateway/state_messages.py
+++ b/packages/endive_gateway/src/endive_gateway/state_messages.py
@@ -93,6 +93,9 @@
     rollouts : RolloutReport or None
         Orders of rollouts, their stages and the sender's totals; ``None`` where no
         rollout may be ordered.
+    slow_sources : list of (str, int, float)
+        Server that the sender doesn't name as the source of fetches since they delay
+        its requests, its incarnation, and the rest of that time in seconds.
     """
 
     node: str
@@ -127,6 +130,7 @@
     part_answers: list[AnswerReport] = []
     server_slowdowns: list[tuple[str, float, float]] = []
     rollouts: RolloutReport | None = None
+    slow_sources: list[tuple[str, int, float]] = []
 
 
 DECODER = msgspec.msgpack.Decoder(StateMessage)
