Check in the soak that servers which state to be slow get little

Cause: no rule of the soak noticed whether nodes use what servers state of their speed.

Change: the fault servers_uneven makes the plain servers six times slower in turn, for about a second each, and lets them state it. Rule: of the requests from nodes to which a server stated 0.1 to 0.6 s ago that it is slow, as it still is, slow servers get at most half of their even share, which is a sixth. Mutant no-speeds ignores the statements.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -16,6 +16,7 @@
     CrashingPart,
     ServersCut,
     UnevenConnections,
+    UnevenSpeeds,
 )
 
 SERIES_SHARE = 0.35
@@ -23,6 +24,8 @@
 SILENCE_WAIT_S = 1.0
 ROLLOUT_PAUSE_S = 0.5
 BROKEN_OFF = 12
+SLOWDOWN = 6.0
+MEAN_PHASE_S = 1.2
 MEAN_GAP_S = 0.9
 """Mean time between two faults, seconds: short enough that most of them overlap."""
 
@@ -333,6 +336,28 @@
     brittle.end()
 
 
+def servers_uneven(fleet, fault):
+    """Let the servers of the plain service become slow in turn, and state that."""
+    backends = [backend for backend in fleet.backends if backend.service == "plain"]
+    if any(backend.uneven for backend in backends):
+        return
+    uneven = UnevenSpeeds(fleet, backends)
+    for backend in backends:
+        backend.uneven = uneven
+    rng = random.Random(fault.target)
+    ends_at = fleet.clock() + CONTACT_S + 4.0 + fault.for_s
+    while fleet.clock() < ends_at:
+        server = rng.choice(backends).server
+        if server is not None:
+            server.slowdown = SLOWDOWN
+            gevent.sleep(rng.uniform(0.5, 1.5) * MEAN_PHASE_S)
+            server.slowdown = 1.0
+        gevent.sleep(rng.uniform(0.5, 1.5) * MEAN_PHASE_S / 2)
+    for backend in backends:
+        backend.uneven = None
+    uneven.end()
+
+
 def rollout(fleet, fault):
     """Let the engines' servers be of two versions, and break streams off meanwhile.
 
@@ -425,6 +450,7 @@
         server_unframed,
         server_silent,
         servers_brittle,
+        servers_uneven,
         nodes_cut_from_servers,
         rollout,
     )
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -255,6 +255,7 @@
         self.server = None
         self.silent = False
         self.brittle = None
+        self.uneven = None
         self.version = "v1"
         self._start()
         address = self.server.address
--- a/tests/soak/invariants.py
+++ b/tests/soak/invariants.py
@@ -51,6 +51,11 @@
 """Servers ended on a part of a prompt after which all nodes in contact must know of it,
 and requests with it that may then reach servers."""
 
+SLOW_TOLD_S = (0.1, 0.6)
+MAX_SLOW_SHARE = 0.5
+"""Times since a server has stated to a node that it is slow between which the node must
+know that, seconds, and share of its even share that it may get meanwhile."""
+
 MIN_SOUND_TRIES = 20
 """Least number of sound requests that are compared."""
 
@@ -274,6 +279,55 @@
             )
 
 
+class UnevenSpeeds:
+    """What servers get that state how fast they work, while it changes.
+
+    Counted are requests from nodes to which one server of the service has just stated
+    that it is slow, as it still is, if no server of the service has another fault.
+
+    Attributes
+    ----------
+    counted, at_slow : int
+        Requests at all servers, and at the slow ones.
+    """
+
+    def __init__(self, fleet, backends):
+        self.fleet = fleet
+        self.backends = backends
+        self.told_at = {}
+        self.counted = self.at_slow = 0
+
+    def told(self, server, node, slowdown):
+        """Note that a response with a server's slowdown went to a node."""
+        self.told_at.pop((server, node), None)
+        if slowdown > 1.0:
+            self.told_at[server, node] = self.fleet.clock()
+
+    def received(self, server, node):
+        """Count a request that a server has received from a node."""
+        now = self.fleet.clock()
+        least, most = SLOW_TOLD_S
+        servers = [b.server for b in self.backends if b.server is not None]
+        is_known = any(
+            s.slowdown > 1.0
+            and least <= now - self.told_at.get((s.id, node), 0.0) <= most
+            for s in servers
+        )
+        if is_known and all(b.is_undisturbed(node) for b in self.backends):
+            self.counted += 1
+            self.at_slow += server.slowdown > 1.0
+
+    def end(self):
+        """Check the rule; called when the servers work as usual again."""
+        even_share = 1 / len(self.backends)
+        is_much = self.at_slow > MAX_SLOW_SHARE * even_share * self.counted
+        if self.counted >= MIN_SOUND_TRIES and is_much:
+            self.fleet.checker.record_violation(
+                "slow server",
+                f"servers that stated to be slow got {self.at_slow} of {self.counted}",
+            )
+
+
 class CrashingPart:
     """A part of a prompt on which servers crash, and what nodes do meanwhile.
 
--- a/tests/soak/launch.py
+++ b/tests/soak/launch.py
@@ -219,6 +219,13 @@
     )
 
 
+def ignore_speeds():
+    """Let a node take each server to work as usual, whatever it states."""
+    from endive_core.server_speed import ServerSpeeds
+
+    ServerSpeeds.state = lambda self, *statement: False
+
+
 MUTANTS = {
     "limit": disable_limit_sharing,
     "not-run": report_not_run,
@@ -236,6 +243,7 @@
     "no-leases": lease_no_slots,
     "no-transit": carry_no_connections,
     "no-affinity": forget_where_streams_began,
+    "no-speeds": ignore_speeds,
 }
 
 if __name__ == "__main__":
--- a/tests/soak/mixes.py
+++ b/tests/soak/mixes.py
@@ -12,6 +12,7 @@
     "server_unframed",
     "server_silent",
     "servers_brittle",
+    "servers_uneven",
     "nodes_cut_from_servers",
     "rollout",
 }
@@ -38,4 +39,5 @@
 BRITTLE = ("servers_brittle", "change_configuration", "restart")
 SILENT = ("server_silent", "reload", "change_configuration")
 ROLLOUTS = ("rollout", "kill", "server_crash")
+SPEEDS = ("servers_uneven", "reload", "change_configuration")
 UNFRAMED = ("server_unframed", "server_leaves", "restart")
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -270,6 +270,8 @@
         What this server runs for.
     version : str
         Version of its software.
+    slowdown : float
+        How long work takes there now, as a multiple of the usual time.
     """
 
     def __init__(self, host, port, *, server_id, service, born, checker, backend):
@@ -292,6 +294,7 @@
         self.unframed = False
         self.broken_share = 0.0
         self.work_s = WORK_S
+        self.slowdown = 1.0
         self.number = 0
         super().__init__(host, port)
 
@@ -317,7 +320,7 @@
         request_id = environ.get("HTTP_REQUEST_ID", "")
         headers = {
             "Request-Id": request_id,
-            "Server-Load": f"{self.running},0,{self.slots}",
+            "Server-Load": self._load(),
         }
         headers |= self._limit_headers(request_id)
         headers |= self._leaving_headers(request_id)
@@ -337,6 +340,8 @@
         headers["Response-Seal"] = "made"
         for part in self.crashing_parts(environ):
             part.received(self._node_of(request_id))
+        if self.backend.uneven is not None:
+            self.backend.uneven.received(self, self._node_of(request_id))
         self.checker.request_started(
             request_id, self.id, environ.get("HTTP_TENANT", "")
         )
@@ -355,7 +360,11 @@
                 return respond(start, 500, b"no", headers)
             if environ["PATH_INFO"].startswith("/stream"):
                 return self._stream(request_id, environ, start, headers)
-            gevent.sleep(self.work_s)
+            gevent.sleep(self.work_s * self.slowdown)
+            headers["Server-Load"] = self._load()
+            if self.backend.uneven is not None:
+                node = self._node_of(request_id)
+                self.backend.uneven.told(self.id, node, self.slowdown)
             if self.unframed:
                 body = [plain_body(request_id)]
                 return send_unframed(environ["soak.socket"], headers, body)
@@ -364,6 +373,13 @@
             self.running -= 1
             self.running_ids.discard(request_id)
 
+    def _load(self):
+        """Return the load that this server states, with its slowdown if it changes."""
+        load = f"{self.running},0,{self.slots}"
+        if self.backend.uneven is None:
+            return load
+        return f"{load},{100 * self.slowdown:.0f}"
+
     def crashing_parts(self, environ):
         """Return the parts of a prompt, its last one aside, that crash servers now."""
         entries = environ.get("HTTP_PROMPT_PREFIX", "").split(",")[:-1]
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -24,6 +24,7 @@
     SERVERS_CUT,
     SILENCES,
     SILENT,
+    SPEEDS,
     UNEVEN,
     UNFRAMED,
 )
@@ -130,6 +131,13 @@
     assert outcome.violations == [], outcome.directory
 
 
+@pytest.mark.parametrize("kinds", [SPEEDS, SPEEDS + ("restart", "server_crash")])
+def test_servers_that_state_to_be_slow_get_little(kinds):
+    """Servers become slow in turn and state it, while nodes restart and servers end."""
+    outcome = run_seed(1, slot=SLOT, kinds=kinds)
+    assert outcome.violations == [], outcome.directory
+
+
 def test_requests_outlast_a_servers_silence():
     """Sound servers fall silent for a second or two, and go on."""
     outcome = run_seed(1, slot=SLOT, kinds=SILENT)
