Simulate engines whose speed changes

Cause: the experiments had engines of one speed only.

Change: a deployment may have phases in which engines are slow and state it with the first token; nodes pass the statements on as the state messages do. The policies no-speeds and untold-speeds leave out the statements, or passing them on.

--- a/benchmarks/experiments/__main__.py
+++ b/benchmarks/experiments/__main__.py
@@ -22,6 +22,8 @@
     "fixed-rate": Options(learned_rate=False),
     "fewer-servers": Options(target_utilisation=1.15),
     "more-servers": Options(target_utilisation=0.65),
+    "no-speeds": Options(speeds=False),
+    "untold-speeds": Options(told_speeds=False),
 }
 """Policies by name: the decisions of a gateway, unchanged or with one changed."""
 
--- a/benchmarks/experiments/deployment.py
+++ b/benchmarks/experiments/deployment.py
@@ -101,6 +101,22 @@
     refused_s: float = Field(ge=0)
 
 
+class Speed(Model):
+    """Phases in which engines work slowly, and state it.
+
+    Attributes
+    ----------
+    slowdown : float
+        Duration of work in such a phase, as a multiple of the usual one.
+    slow_s, usual_s : float
+        Mean lengths of the slow phases and of those between them, seconds.
+    """
+
+    slowdown: float = Field(ge=1)
+    slow_s: float = Field(gt=0)
+    usual_s: float = Field(gt=0)
+
+
 class Deployment(Model):
     """All parameters of one file.
 
@@ -112,6 +128,8 @@
         Amplitude of the load's sine wave, as a fraction of the mean.
     period_s : float
         Period of that wave, seconds.
+    speed : Speed or None
+        How the engines' speed changes, if it does.
     """
 
     nodes: int = Field(gt=0)
@@ -123,6 +141,7 @@
     engines: Engines
     requests: dict[str, Requests]
     wave: Wave
+    speed: Speed | None = None
 
     @classmethod
     def from_file(cls, path: str | Path) -> "Deployment":
--- a/benchmarks/experiments/engines.py
+++ b/benchmarks/experiments/engines.py
@@ -3,8 +3,9 @@
 from collections import OrderedDict, deque
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
+from random import Random
 
-from experiments.deployment import Engines
+from experiments.deployment import Engines, Speed
 
 RECENT_USE_S = 10.0
 """Time after its last use in which a new prefill of a prompt part counts as avoidable,
@@ -38,6 +39,31 @@
     yields: bool = False
 
 
+class SpeedPhases:
+    """Slow and usual phases of an engine, of exponentially distributed lengths.
+
+    Times must be asked for in ascending order.
+    """
+
+    def __init__(self, speed: Speed, random: Random) -> None:
+        self.speed = speed
+        self.random = random
+        share = speed.slow_s / (speed.slow_s + speed.usual_s)
+        self.is_slow = random.random() < share
+        self.ends_at = self._length_s()
+
+    def _length_s(self) -> float:
+        mean_s = self.speed.slow_s if self.is_slow else self.speed.usual_s
+        return self.random.expovariate(1 / mean_s)
+
+    def slowdown(self, now: float) -> float:
+        """Return the duration of work at `now` as a multiple of the usual one."""
+        while self.ends_at <= now:
+            self.is_slow = not self.is_slow
+            self.ends_at += self._length_s()
+        return self.speed.slowdown if self.is_slow else 1.0
+
+
 @dataclass(eq=False)
 class Engine:
     """One engine, simulated step by step.
@@ -51,6 +77,8 @@
     read, read_again : float
         Prompt tokens prefilled, and those of parts that some engine had used within
         `RECENT_USE_S`.
+    phases : SpeedPhases or None
+        How its speed changes, if it does.
     """
 
     name: str
@@ -69,6 +97,11 @@
     busy_until: float = 0.0
     read: float = 0.0
     read_again: float = 0.0
+    phases: SpeedPhases | None = None
+
+    def slowdown(self, now: float) -> float:
+        """Return the duration of work at `now` as a multiple of the usual one."""
+        return self.phases.slowdown(now) if self.phases else 1.0
 
     def submit(self, stream: Stream, now: float) -> None:
         """Queue a request; the cached prefix of its prompt needs no prefill."""
@@ -117,7 +150,8 @@
             decode_ms = figures.step_ms + figures.step_ms_per_request * len(
                 self.decoding
             )
-        ends = now + (decode_ms + chunk / figures.tokens_per_ms) / 1000
+        step_s = (decode_ms + chunk / figures.tokens_per_ms) / 1000
+        ends = now + self.slowdown(now) * step_s
         self._decode(ends)
         if chunk:
             self._prefill(chunk, ends)
--- a/benchmarks/experiments/play.py
+++ b/benchmarks/experiments/play.py
@@ -17,11 +17,17 @@
 from endive_core.scheduler import Scheduler
 from endive_gateway.autoscaling import LOAD_WARM_UP_S, MIN_NEEDED_SERVERS
 from endive_gateway.duties import DUTY_INTERVAL_S as AUTOSCALING_INTERVAL_S
-from endive_gateway.peers import BROADCAST_INTERVAL_PER_NODE_S, BROADCAST_INTERVAL_S
+from endive_gateway.peers import (
+    BROADCAST_INTERVAL_PER_NODE_S,
+    BROADCAST_INTERVAL_S,
+    DATAGRAMS_PER_STEP,
+    MAX_RECEIVE_PAUSE_S,
+)
 from endive_gateway.placing import GATEWAY_POLICY, INTERLEAVING_FACTOR
+from endive_gateway.speed_exchange import MAX_REPORTS
 
 from experiments.deployment import Deployment
-from experiments.engines import Engine, Stream
+from experiments.engines import Engine, SpeedPhases, Stream
 from experiments.traffic import Arrival, arrivals
 
 LOAD_WEIGHT = 0.15
@@ -50,12 +56,18 @@
         estimate.
     target_utilisation : float
         Fraction of a server's time that the load may use.
+    speeds : bool
+        Whether nodes use what engines state of their speed.
+    told_speeds : bool
+        Whether they pass it on to each other.
     """
 
     policy: Policy = GATEWAY_POLICY
     backlogs: bool = True
     learned_rate: bool = True
     target_utilisation: float = TARGET_UTILISATION
+    speeds: bool = True
+    told_speeds: bool = True
 
     def limits(self, **changes) -> "Options":
         """Return these options with some limits of the policy changed."""
@@ -157,6 +169,8 @@
                 node,
                 interval_s,
             )
+            if self.deployment.speed and self.options.told_speeds:
+                self.schedule(interval_s, self._tell_speeds, node, number, interval_s)
         zones = self.random.sample(self.zones, len(self.zones))
         for zone, at in zip(zones, self.deployment.wave.at_s, strict=False):
             self.schedule(at, self._reclaim, zone)
@@ -209,9 +223,9 @@
         run = self.running[ticket]
         arrival = run.arrival
         engine = self.engines[server]
-        node.prefill_work_s += (
-            ticket.uncached_tokens * node.rate.seconds_per_token / INTERLEAVING_FACTOR
-        )
+        prefill_s = ticket.uncached_tokens * node.rate.seconds_per_token
+        prefill_s *= node.scheduler.servers.speeds.mean
+        node.prefill_work_s += prefill_s / INTERLEAVING_FACTOR
         stream = Stream(
             arrival.parts,
             arrival.call.prompt_tokens,
@@ -238,6 +252,7 @@
 
     def _first_token(self, run: RunningRequest) -> None:
         if run.ticket.server in self.engines:
+            self._state_speed(run)
             run.node.scheduler.started(run.ticket, self.now)
             run.first_s = self.now - run.arrival.at
 
@@ -260,6 +275,38 @@
             run.node.scheduler.cancelled(run.ticket, self.now)
             self._record_end(run, "lost")
 
+    # Speeds of engines
+
+    def _state_speed(self, run: RunningRequest) -> None:
+        """Let a response's head state how fast its engine works."""
+        if self.deployment.speed and self.options.speeds:
+            scheduler, server = run.node.scheduler, run.ticket.server
+            slowdown = self.engines[server].slowdown(self.now)
+            scheduler.state_speed(server, 0, slowdown, at=self.now)
+            scheduler.update_speeds(self.now)
+
+    def _tell_speeds(self, node: Node, first: int, interval_s: float) -> None:
+        """Pass the engines' speeds on to some nodes, as state messages do."""
+        count = min(DATAGRAMS_PER_STEP, len(self.nodes) - 1)
+        speeds = node.scheduler.servers.speeds
+        reports = speeds.next_reports(self.now, MAX_REPORTS)
+        for position in range(first, first + count):
+            other = self.nodes[(position + 1) % len(self.nodes)]
+            if other is not node and reports:
+                delay_s = self.random.random() * MAX_RECEIVE_PAUSE_S
+                told = [(s, x, self.now - age) for s, x, age in reports]
+                self.schedule(self.now + delay_s, self._learn_speeds, other, told)
+        step_s = interval_s * count / max(1, len(self.nodes) - 1)
+        self.schedule(
+            self.now + step_s, self._tell_speeds, node, first + count, interval_s
+        )
+
+    def _learn_speeds(self, node: Node, told: list) -> None:
+        for server, slowdown, at in told:
+            if server in node.scheduler.servers.servers:
+                node.scheduler.state_speed(server, 0, slowdown, at=at)
+        node.scheduler.update_speeds(self.now)
+
     # Exchange of backlogs between nodes
 
     def _broadcast_backlogs(self, node: Node, interval_s: float) -> None:
@@ -277,6 +324,8 @@
 
     def _add_engine(self, zone: str, *, reclaimable: bool, ready_at: float) -> None:
         name = f"e{next(self.engine_numbers)}"
+        speed, seed = self.deployment.speed, f"{self.seed}/{name}"
+        phases = SpeedPhases(speed, Random(seed)) if speed else None
         self.engines[name] = Engine(
             name,
             zone,
@@ -284,6 +333,7 @@
             reclaimable,
             ready_at,
             self.last_used,
+            phases=phases,
         )
 
     def _list_servers(self) -> None:
