--- a/tests/soak/launch.py
+++ b/tests/soak/launch.py
@@ -226,6 +226,13 @@
     SourceTrust.may_name = lambda self, source, now: True
 
 
+def ignore_speeds():
+    """Let a node take each server to work as usual, whatever it states."""
+    from endive_core.server_speed import ServerSpeeds
+
+    ServerSpeeds.state = lambda self, *statement: False
+
+
 MUTANTS = {
     "limit": disable_limit_sharing,
     "not-run": report_not_run,
@@ -244,6 +251,7 @@
     "no-transit": carry_no_connections,
     "no-distrust": trust_all_sources,
     "no-affinity": forget_where_streams_began,
+    "no-speeds": ignore_speeds,
 }
 
 if __name__ == "__main__":
--- a/tests/soak/mixes.py
+++ b/tests/soak/mixes.py
@@ -12,6 +12,7 @@
     "server_unframed",
     "server_silent",
     "servers_brittle",
+    "servers_uneven",
     "nodes_cut_from_servers",
     "rollout",
     "fetches_hang",
@@ -40,4 +41,5 @@
 SILENT = ("server_silent", "reload", "change_configuration")
 ROLLOUTS = ("rollout", "kill", "server_crash")
 FETCHES = ("fetches_hang",)
+SPEEDS = ("servers_uneven", "reload", "change_configuration")
 UNFRAMED = ("server_unframed", "server_leaves", "restart")
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -276,6 +276,8 @@
         Version of its software.
     parts : set of str
         The long parts of prompts that it has computed.
+    slowdown : float
+        How long work takes there now, as a multiple of the usual time.
     """
 
     def __init__(self, host, port, *, server_id, service, born, checker, backend):
@@ -298,6 +300,7 @@
         self.unframed = False
         self.broken_share = 0.0
         self.work_s = WORK_S
+        self.slowdown = 1.0
         self.number = 0
         self.parts = set()
         super().__init__(host, port)
@@ -324,7 +327,7 @@
         request_id = environ.get("HTTP_REQUEST_ID", "")
         headers = {
             "Request-Id": request_id,
-            "Server-Load": f"{self.running},0,{self.slots}",
+            "Server-Load": self._load(),
         }
         headers |= self._limit_headers(request_id)
         headers |= self._leaving_headers(request_id)
@@ -344,6 +347,8 @@
         headers["Response-Seal"] = "made"
         for part in self.crashing_parts(environ):
             part.received(self._node_of(request_id))
+        if self.backend.uneven is not None:
+            self.backend.uneven.received(self, self._node_of(request_id))
         self.checker.request_started(
             request_id, self.id, environ.get("HTTP_TENANT", "")
         )
@@ -366,7 +371,11 @@
                 return respond(start, 500, b"no", headers)
             if environ["PATH_INFO"].startswith("/stream"):
                 return self._stream(request_id, environ, start, headers)
-            gevent.sleep(self.work_s)
+            gevent.sleep(self.work_s * self.slowdown)
+            headers["Server-Load"] = self._load()
+            if self.backend.uneven is not None:
+                node = self._node_of(request_id)
+                self.backend.uneven.told(self.id, node, self.slowdown)
             if self.unframed:
                 body = [plain_body(request_id)]
                 return send_unframed(environ["soak.socket"], headers, body)
@@ -383,6 +392,13 @@
                 gevent.sleep(int(tokens) / PREFILL_TOKENS_PER_S)
                 self.parts.add(part)
 
+    def _load(self):
+        """Return the load that this server states, with its slowdown if it changes."""
+        load = f"{self.running},0,{self.slots}"
+        if self.backend.uneven is None:
+            return load
+        return f"{load},{100 * self.slowdown:.0f}"
+
     def crashing_parts(self, environ):
         """Return the parts of a prompt, its last one aside, that crash servers now."""
         entries = environ.get("HTTP_PROMPT_PREFIX", "").split(",")[:-1]
--- a/tests/test_soak_mutants.py
+++ b/tests/test_soak_mutants.py
@@ -12,6 +12,7 @@
     SERVERS_CUT,
     SILENCES,
     SILENT,
+    SPEEDS,
     UNEVEN,
     UNFRAMED,
 )
@@ -39,6 +40,7 @@
     "no-transit": ("cut off", 1, SERVERS_CUT),
     "no-distrust": ("fetch", 1, FETCHES),
     "no-affinity": ("software version", 1, ROLLOUTS),
+    "no-speeds": ("slow server", 1, SPEEDS),
 }
 """By mutant: the rule that it violates, the seed, and the kinds of faults to inject."""
 
@@ -53,8 +55,8 @@
     an even share only, limits of servers that are not shared, rests and departures that
     are not read, streams that are complete as soon as they end, requests that end with
     a server's silence, brittle servers without leases, nodes that carry no connections
-    for others, sources of fetches that are named although they hang, and streams that
-    go on at any software version."""
+    for others, sources of fetches that are named although they hang, streams that go on
+    at any software version, and requests for servers that state to be slow."""
     rule, seed, kinds = MUTANTS[mutant]
     outcome = run_seed(seed, slot=SLOT, mutant=mutant, kinds=kinds)
     assert outcome.violations, outcome.counts
