Lease the slots of plain services with few of them from one queue

A service with fewer slots than nodes gets about one request a second from each, whose view of the servers is older than the time for which a slot is held. One node now coordinates the slots of all its servers: a request takes the first free slot anywhere, by priority, organisation and deadline, and what can't be served in time is declined at once. Off by the setting pools_slots; other services, and those with more slots than nodes, are served as before.

--- a/packages/endive_core/src/endive_core/admission.py
+++ b/packages/endive_core/src/endive_core/admission.py
@@ -125,8 +125,16 @@
         for gone in self.quotas.keys() - organisations.keys():
             del self.quotas[gone]
 
-    def refusal(self, call: Call, now: float) -> Refusal | None:
-        """Return why `call` is refused, or ``None`` if it may be admitted."""
+    def refusal(
+        self, call: Call, now: float, *, pooled: bool = False
+    ) -> Refusal | None:
+        """Return why `call` is refused, or ``None`` if it may be admitted.
+
+        Parameters
+        ----------
+        pooled : bool
+            Whether another node decides if a slot is free in time.
+        """
         if self.crashes.is_poison(call.fingerprint, now):
             return Refusal.from_kind(
                 ErrorKind.POISON_REQUEST, "servers crashed while running this request"
@@ -149,7 +157,7 @@
                     "the organisation's limit is used up",
                     wait,
                 )
-        return self._overloaded(call, now)
+        return None if pooled else self._overloaded(call, now)
 
     def throttled_refusal(self, wait_s: float) -> Refusal:
         """Return the refusal of a call that servers' limits keep waiting for `wait_s`.
--- a/packages/endive_core/src/endive_core/calls.py
+++ b/packages/endive_core/src/endive_core/calls.py
@@ -141,6 +141,9 @@
         Software version of the server that began its stream, and at which alone the
         stream goes on; ``None`` before that. It doesn't change while the ticket is
         queued.
+    pooled : bool
+        Whether the coordinator of its service's slots assigns its server, so that it is
+        in no queue of this node.
     """
 
     call: Call
@@ -165,6 +168,7 @@
     waited_for_rest: bool = False
     refusal: "Refusal | None" = None
     version: str | None = None
+    pooled: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/endive_core/src/endive_core/scheduler.py
+++ b/packages/endive_core/src/endive_core/scheduler.py
@@ -184,14 +184,39 @@
 
     # Admission and dispatch
 
-    def offer(self, call: Call, now: float) -> Ticket | Refusal:
-        """Admit `call` into the queue, or refuse it."""
+    def offer(
+        self, call: Call, now: float, *, pooled: bool = False
+    ) -> Ticket | Refusal:
+        """Admit `call` into the queue, or refuse it.
+
+        Parameters
+        ----------
+        pooled : bool
+            Whether the call gets its server by :meth:`assign` and is not queued.
+        """
         self.servers.expire_reports(now, self.admission.rate.held_s)
-        refusal = self.admission.refusal(call, now)
+        refusal = self.admission.refusal(call, now, pooled=pooled)
         if refusal is not None:
             self.refusals[refusal.kind] += 1
             return refusal
-        return self._enter(call, now)
+        if not pooled:
+            return self._enter(call, now)
+        ticket = self.admission.enter(call, now)
+        ticket.pooled = True
+        return ticket
+
+    def assign(self, ticket: Ticket, server_id: str, now: float) -> bool:
+        """Dispatch a pooled ticket to a server; return whether it may go there."""
+        server = self.servers.servers.get(server_id)
+        if server is None or server.view.leaving:
+            return False
+        self._dispatched(ticket, server, now)
+        return True
+
+    def leave_pool(self, ticket: Ticket) -> None:
+        """Queue a pooled ticket here after all."""
+        ticket.pooled = False
+        self.queue.push(ticket, front=True)
 
     def take_over(self, call: Call, now: float) -> Ticket | Refusal:
         """Queue a call that was accepted already, here or at another node.
@@ -390,10 +415,10 @@
         """Record that the caller disconnected."""
         if ticket.stage is Stage.ENDED:
             return
-        if ticket.stage is Stage.QUEUED:
-            self.queue.cancel(ticket)
-        else:
+        if ticket.stage is not Stage.QUEUED:
             self._release(ticket, now)
+        elif not ticket.pooled:
+            self.queue.cancel(ticket)
         self.admission.end(ticket)
 
     def failed(
@@ -476,7 +501,8 @@
     def requeue(self, ticket: Ticket) -> None:
         """Queue a failed or moving ticket again, at its organisation's head."""
         ticket.stage = Stage.QUEUED
-        self.queue.push(ticket, front=True)
+        if not ticket.pooled:
+            self.queue.push(ticket, front=True)
 
     def plan_moves(self, server_id: str, *, seconds_left: float) -> list[StreamMove]:
         """Return how this node's streams leave a server under reclaim notice.
--- a/packages/endive_core/src/endive_core/slot_leases.py
+++ b/packages/endive_core/src/endive_core/slot_leases.py
@@ -17,6 +17,8 @@
 from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
 
+from endive_core.slot_queue import LeaseKey
+
 INITIAL_HOLD_S = 0.1
 """Assumed time for which a slot is held, seconds, until leases have ended."""
 
@@ -34,9 +36,6 @@
 """Time for which a request whose lease was returned may still be part of the load that
 its server states, seconds."""
 
-LeaseKey = tuple[str, int]
-"""The node that asks for a lease, and the number that it gave the request."""
-
 
 @dataclass(order=True, slots=True)
 class LeaseRequest:
@@ -91,11 +90,21 @@
         that were sent before it was brittle, or under another coordinator.
     hold_s : float
         Mean time for which a slot is held, seconds.
+    peak_memory_s : float
+        Time for which the most requests without a lease count, seconds; 0 if the
+        latest load alone does.
     """
 
-    def __init__(self, slots: int, reply: Callable[[LeaseKey, bool], None]) -> None:
+    def __init__(
+        self,
+        slots: int,
+        reply: Callable[[LeaseKey, bool], None],
+        *,
+        peak_memory_s: float = UNLEASED_MEMORY_S,
+    ) -> None:
         self.slots = slots
         self.reply = reply
+        self.peak_memory_s = peak_memory_s
         self.leases: dict[LeaseKey, Lease] = {}
         self.queue: list[LeaseRequest] = []
         self.numbers = itertools.count()
@@ -140,7 +149,7 @@
         """
         returned = sum(now - at < RETURN_DELAY_S for at in self.returned_at)
         unleased = max(0, load - len(self.leases) - returned)
-        if unleased >= self.unleased or now - self.unleased_at > UNLEASED_MEMORY_S:
+        if unleased >= self.unleased or now - self.unleased_at >= self.peak_memory_s:
             self.unleased, self.unleased_at = unleased, now
 
     def take_over(self, now: float) -> None:
@@ -173,7 +182,7 @@
         """End leases that were not returned; serve and decline those that wait."""
         for key in [key for key, lease in self.leases.items() if lease.ends_at <= now]:
             del self.leases[key]
-        while self.queue and self._free(now) > 0:
+        while self.queue and self.free(now) > 0:
             request = heapq.heappop(self.queue)
             is_in_time = request.wait_until >= now
             if is_in_time:
@@ -186,7 +195,7 @@
             for request in late:
                 self.reply(request.key, False)
 
-    def _free(self, now: float) -> int:
+    def free(self, now: float) -> int:
         """Return how many slots may be leased now.
 
         Half of them may be leased in any case: nodes that have lost contact with each
@@ -200,7 +209,7 @@
     def _expected_wait_s(self, priority: int, now: float) -> float:
         """Return the time until a slot is free for a further request, seconds."""
         ahead = sum(request.rank[0] <= priority for request in self.queue)
-        places = self._free(now) - ahead
+        places = self.free(now) - ahead
         if places > 0:
             return 0.0
         return (1 - places) * self.hold_s / max(1, self.slots)
--- a/packages/endive_gateway/src/endive_gateway/attempts.py
+++ b/packages/endive_gateway/src/endive_gateway/attempts.py
@@ -6,6 +6,7 @@
 from endive_core.exceptions import RetryReason
 from endive_core.messages import ServerView
 from endive_core.routing import Engine, Route, RouteKind
+from endive_core.slot_pool import Outcome
 
 from endive_gateway.callers import Exchange
 from endive_gateway.connections import ServerConnection
@@ -27,6 +28,7 @@
 )
 from endive_gateway.progress import Progress
 from endive_gateway.slot_leasing import SlotLease
+from endive_gateway.slot_pooling import PoolLease
 from endive_gateway.stream_affinity import StreamAffinity
 
 SLOT_WAIT_FRACTION = 0.5
@@ -111,25 +113,34 @@
     ----------
     request : AttemptedRequest
         The state of the request, shared by all its attempts.
-    lease : SlotLease or None
-        The lease of the server's slot, if the server is brittle.
+    lease : SlotLease, PoolLease or None
+        The lease of the server's slot, if the server is brittle or its service's slots
+        are pooled.
     sent_at : float
         When this attempt was sent, seconds on the monotonic clock.
     entry : ServerEntry or None
         The server's entry at the latest check before the request was sent.
     """
 
-    def __init__(self, request: AttemptedRequest, view: ServerView) -> None:
+    def __init__(
+        self,
+        request: AttemptedRequest,
+        view: ServerView,
+        pool_lease: PoolLease | None = None,
+    ) -> None:
         self.request = request
         self.context = request.context
         self.view = view
         self.connection: ServerConnection | None = None
-        self.lease: SlotLease | None = None
+        self.lease: SlotLease | PoolLease | None = pool_lease
         self.sent_at = 0.0
         self.entry: ServerEntry | None = None
 
     def run(self) -> None:
         """Make the attempt; raises AttemptError unless a success was forwarded."""
+        if self.lease is not None:
+            self._run_pooled(self.lease)
+            return
         view = self.view
         self._check_usable()
         self.lease = self.context.slot_leasing.acquire(
@@ -143,6 +154,16 @@
         finally:
             self.context.slot_leasing.release(self.lease)
 
+    def _run_pooled(self, lease: PoolLease) -> None:
+        """Make the attempt with a slot that is leased already; see :meth:`run`."""
+        try:
+            self._check_usable()
+            self._run()
+        except AttemptError as error:
+            lease.failed(error.reason)
+            raise
+        lease.outcome = Outcome.ANSWERED
+
     def _check_wanted(self) -> None:
         """Check that the server still wants the request; raises AttemptError if not.
 
--- a/packages/endive_gateway/src/endive_gateway/context.py
+++ b/packages/endive_gateway/src/endive_gateway/context.py
@@ -28,6 +28,7 @@
 from endive_gateway.server_statements import ServerStatements
 from endive_gateway.servers import ServerRegistry
 from endive_gateway.slot_leasing import SlotLeasing
+from endive_gateway.slot_pooling import SlotPooling
 from endive_gateway.stream_affinity import Resumptions
 from endive_gateway.transit_port import TransitPort
 from endive_gateway.workload import WorkloadMeter
@@ -82,6 +83,8 @@
         Decides where streams go on that callers take up.
     slot_leasing : SlotLeasing
         Leases of those servers' slots, from the nodes that coordinate them.
+    slot_pooling : SlotPooling
+        Leases of any server's slot of a plain service with few of them.
     initialised : Event
         Set once the configuration and the list of servers have been read.
     incarnation : int
@@ -139,6 +142,12 @@
             self.brittle_services,
             self.metrics.slot_replies,
         )
+        self.slot_pooling = SlotPooling(
+            self.slot_leasing,
+            self.placer,
+            self.metrics.slot_replies,
+            lambda: self.settings.pools_slots,
+        )
         self.server_statements = ServerStatements(
             self.limit_sharing,
             self.brittle_services,
--- a/packages/endive_gateway/src/endive_gateway/forwarding.py
+++ b/packages/endive_gateway/src/endive_gateway/forwarding.py
@@ -7,6 +7,7 @@
 from endive_core.calls import Call, Stage, Ticket
 from endive_core.exceptions import EndiveError, ErrorKind
 from endive_core.hashing import fingerprint
+from endive_core.messages import ServerView
 from endive_core.prefixes import part_blocks
 from endive_core.routing import OrganisationLimits, Route, RouteKind
 from endive_core.stream_origins import StreamOrigin
@@ -32,6 +33,7 @@
 )
 from endive_gateway.part_exchange import format_parts
 from endive_gateway.progress import Progress
+from endive_gateway.slot_pooling import PoolLease
 from endive_gateway.statuses import complete_error
 from endive_gateway.stream_affinity import UNKNOWN_VERSION, StreamAffinity
 
@@ -201,7 +203,9 @@
         self.engine = (
             table.services[service].engine if service in table.services else None
         )
-        self.ticket = self.context.placer.admit(service, call)
+        pooled = call.software_version is None
+        pooled = pooled and self.context.slot_pooling.is_pooled(service)
+        self.ticket = self.context.placer.admit(service, call, pooled=pooled)
 
     def _choose_service(self, call: Call) -> tuple[str, Call]:
         """Return the request's service, and its call with a version if it is bound.
@@ -280,7 +284,19 @@
         self._admit()
         while True:
             queued_at = self.now
-            view = self.context.placer.acquire(self.ticket)
+            view, lease = self._next_server()
+            try:
+                self._attempt(view, lease, queued_at)
+            except AttemptError as error:
+                FailedAttempt(self, error).handle()
+            else:
+                return
+
+    def _attempt(
+        self, view: ServerView, lease: PoolLease | None, queued_at: float
+    ) -> None:
+        """Make one attempt; raises AttemptError unless a success was forwarded."""
+        try:
             self.check_time()
             if self.ticket.tried_parts:
                 log_event(
@@ -295,12 +311,19 @@
                 yielded=self.ticket.yields,
             )
             self._count_prompt(view.id)
-            try:
-                Attempt(self, view).run()
-            except AttemptError as error:
-                FailedAttempt(self, error).handle()
-            else:
-                return
+            Attempt(self, view, lease).run()
+        finally:
+            self.context.slot_pooling.release(lease)
+
+    def _next_server(self) -> tuple[ServerView, PoolLease | None]:
+        """Wait for the server of the next attempt; raises EndiveError."""
+        if self.ticket.pooled:
+            return self.context.slot_pooling.acquire(self)
+        return self.context.placer.acquire(self.ticket), None
+
+    def target_left_s(self) -> float:
+        """Return the time left until the route's target, seconds."""
+        return self.route.target_s - (self.now - self.exchange.received_at)
 
     @property
     def server_priority(self) -> int:
--- a/packages/endive_gateway/src/endive_gateway/interfaces.py
+++ b/packages/endive_gateway/src/endive_gateway/interfaces.py
@@ -465,11 +465,15 @@
     ----------
     duties : frozenset of str
         Names of the duties that the nodes perform, ``usage`` and ``scale``.
+    pools_slots : bool
+        Whether the slots of plain services with fewer slots than nodes are leased from
+        one queue for all nodes.
     """
 
     location: NodeLocation
     bounds: Bounds = Bounds()
     duties: frozenset[str] = frozenset()
+    pools_slots: bool = True
 
 
 def header_value(headers: Iterable[tuple[bytes, bytes]], name: bytes) -> bytes:
--- a/packages/endive_gateway/src/endive_gateway/nodes.py
+++ b/packages/endive_gateway/src/endive_gateway/nodes.py
@@ -44,6 +44,8 @@
         Whether it knows the list of nodes and the servers.
     zone : str
         Its availability zone; empty if it doesn't keep origins of streams.
+    pools_slots : bool
+        Whether it coordinates the slots of plain services with few of them.
     greeted_at : float
         When it was last sent a message at once, seconds on the monotonic clock.
     """
@@ -61,6 +63,7 @@
     complete: bool = False
     greeted_at: float = float("-inf")
     zone: str = ""
+    pools_slots: bool = False
 
     def is_superseded_by(
         self, incarnation: int, sequence: int, started_at: float
--- a/packages/endive_gateway/src/endive_gateway/peers.py
+++ b/packages/endive_gateway/src/endive_gateway/peers.py
@@ -145,6 +145,7 @@
         context.placer.on_crash = self.crash_exchange.announce_soon
         context.limit_sharing.peer_addresses = self.presumed_live
         context.slot_leasing.peer_addresses = self.presumed_live
+        context.slot_pooling.peer_addresses = self.pool_coordinators
         context.origin_exchange.live_members = self.live_members
         context.server_rests.announce = self._announce_rest
         context.leaving_servers.announce = self._announce_leaving
@@ -195,6 +196,10 @@
             if now - max(peer.last_seen_at, peer.added_at) < self.live_timeout_s
         ]
 
+    def pool_coordinators(self) -> list[str]:
+        """Return the addresses of live nodes that coordinate pools of slots."""
+        return [peer.address for peer in self.live() if peer.pools_slots]
+
     def live_members(self) -> dict[str, Member]:
         """Return the live nodes that keep origins of streams, by address."""
         return {
@@ -470,6 +475,7 @@
             zone=context.settings.location.zone,
             part_crashes=self.part_exchange.next_crashes(now, receivers),
             part_answers=self.part_exchange.next_answers(now, receivers),
+            pools_slots=context.settings.pools_slots,
             **context.server_statements.next_fields(),
         )
 
@@ -520,6 +526,7 @@
         peer.version = message.version
         peer.zone = message.zone
         peer.complete = message.complete
+        peer.pools_slots = message.pools_slots
         peer.fence = message.fence
         peer.work = message.work
         context = self.context
--- a/packages/endive_gateway/src/endive_gateway/placing.py
+++ b/packages/endive_gateway/src/endive_gateway/placing.py
@@ -220,12 +220,33 @@
 
     # Requests
 
-    def admit(self, service: str, call: Call) -> Ticket:
-        """Queue a request for a server of `service`; raises EndiveError."""
+    def admit(self, service: str, call: Call, *, pooled: bool = False) -> Ticket:
+        """Queue a request for a server of `service`; raises EndiveError.
+
+        Parameters
+        ----------
+        pooled : bool
+            Whether the request is not queued here, but gets its server by `assign`.
+        """
         scheduler = self.schedulers.get(service)
         if scheduler is None:
             raise EndiveError(ErrorKind.NO_SERVER, f"no service {service!r}")
-        return self.add_admitted(scheduler.offer(call, self.now()), scheduler)
+        decision = scheduler.offer(call, self.now(), pooled=pooled)
+        return self.add_admitted(decision, scheduler)
+
+    def assign(self, ticket: Ticket, server_id: str) -> ServerView | None:
+        """Assign a server to a pooled request; return ``None`` if it is not usable."""
+        scheduler = self.ticket_schedulers[ticket]
+        if not scheduler.assign(ticket, server_id, self.now()):
+            return None
+        return scheduler.servers.servers[server_id].view
+
+    def leave_pool(self, ticket: Ticket) -> None:
+        """Queue a pooled request here after all."""
+        if ticket.pooled:
+            scheduler = self.ticket_schedulers[ticket]
+            scheduler.leave_pool(ticket)
+            self.dispatch_queued(scheduler)
 
     def check_not_refused(self, call: Call) -> None:
         """Check that servers don't crash on a request; raises EndiveError if they do.
--- a/packages/endive_gateway/src/endive_gateway/server_statements.py
+++ b/packages/endive_gateway/src/endive_gateway/server_statements.py
@@ -11,6 +11,7 @@
 from endive_gateway.placing import Placer
 from endive_gateway.server_rests import ServerRests
 from endive_gateway.slot_leasing import SlotLease, SlotLeasing
+from endive_gateway.slot_pooling import PoolLease
 from endive_gateway.state_messages import StateMessage
 
 
@@ -60,7 +61,7 @@
         sent_at: float,
         *,
         through: str,
-        lease: SlotLease | None = None,
+        lease: SlotLease | PoolLease | None = None,
     ) -> None:
         """Apply what a server's response states.
 
@@ -87,7 +88,13 @@
         if metadata.running is not None:
             waiting = metadata.waiting or 0
             self.placer.report(server, metadata.running, waiting)
-            self.leasing.report(lease, metadata.running + waiting)
+            if isinstance(lease, PoolLease):
+                lease.load, lease.slowdown = (
+                    metadata.running + waiting,
+                    metadata.slowdown,
+                )
+            else:
+                self.leasing.report(lease, metadata.running + waiting)
 
     def _log_invalid_load(self, server: str, metadata: ResponseMetadata) -> None:
         if metadata.invalid_load and server not in self.invalid_loads:
--- a/packages/endive_gateway/src/endive_gateway/slot_leasing.py
+++ b/packages/endive_gateway/src/endive_gateway/slot_leasing.py
@@ -9,31 +9,34 @@
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import Protocol
 
 import gevent
-import msgspec
-from endive_core.hashing import rendezvous_choice
 from endive_core.messages import ServerView
 from endive_core.slot_leases import LeaseKey, ServerSlots
 from endive_node.logs import log_event
 from gevent.event import AsyncResult
 
 from endive_gateway.brittle_services import BrittleServices
+from endive_gateway.coordinators import CoordinatorChoice
 from endive_gateway.datagrams import DatagramPort
 from endive_gateway.exceptions import SlotDeclinedError
 from endive_gateway.placing import Placer
+from endive_gateway.slot_messages import (
+    DECODER,
+    LoadReport,
+    PoolSlotReply,
+    PoolSlotRequest,
+    PoolSlotReturn,
+    SlotMessage,
+    SlotReply,
+    SlotRequest,
+    SlotReturn,
+)
 
 REPLY_MARGIN_S = 0.1
 """Time for the coordinator's reply beyond the wait that is asked for, seconds."""
 
-COORDINATOR_BACKOFF_S = 3.0
-"""Time for which a coordinator that did not reply is not asked again, seconds. By then
-it is either in contact again or no longer counts as live."""
-
-CHOICE_INTERVAL_S = 0.2
-"""Time for which the nodes among which coordinators are chosen stay the same, seconds.
-Finding the live ones takes a time that grows with their number."""
-
 MAX_LEASE_S = 60.0
 """Longest time for which a slot is leased, seconds, should its return be lost."""
 
@@ -44,55 +47,6 @@
 """Time between two checks for leases of nodes that are gone, seconds."""
 
 
-class SlotRequest(msgspec.Struct, array_like=True, tag="ask"):
-    """A node's request for a slot of a server.
-
-    Attributes
-    ----------
-    number : int
-        Identifies the request in the reply and in the return.
-    priority : int
-        0 is served first.
-    wait_s : float
-        Longest time for which it may wait, seconds.
-    lease_s : float
-        Time after which the lease ends if it is not returned, seconds.
-    """
-
-    number: int
-    server: str
-    priority: int
-    wait_s: float
-    lease_s: float
-
-
-class SlotReply(msgspec.Struct, array_like=True, tag="reply"):
-    """The coordinator's reply: whether the slot is leased."""
-
-    number: int
-    server: str
-    granted: bool
-
-
-class SlotReturn(msgspec.Struct, array_like=True, tag="return"):
-    """The return of a lease."""
-
-    number: int
-    server: str
-
-
-class LoadReport(msgspec.Struct, array_like=True, tag="load"):
-    """Requests at a server, running and waiting, as it has just stated."""
-
-    server: str
-    load: int
-
-
-SlotMessage = SlotRequest | SlotReply | SlotReturn | LoadReport
-
-DECODER = msgspec.msgpack.Decoder(SlotMessage)
-
-
 @dataclass(eq=False)
 class SlotLease:
     """A lease that was asked for.
@@ -113,6 +67,18 @@
     granted: AsyncResult = field(default_factory=AsyncResult)
 
 
+class PoolMessages(Protocol):
+    """Handles the messages about slots of whole services."""
+
+    def receive(
+        self, message: PoolSlotRequest | PoolSlotReply | PoolSlotReturn, address: str
+    ) -> None:
+        """Handle another node's message, or one of this node to itself."""
+
+    def update(self, now: float) -> None:
+        """End what has waited too long, and the leases of nodes that are gone."""
+
+
 class SlotLeasing:
     """Asks for leases, and coordinates those of some servers.
 
@@ -122,10 +88,10 @@
         By server, the leases that this node coordinates.
     asked : dict of int to SlotLease
         Leases without a reply, by number.
-    skipped_until : dict of str to float
-        By address, until when a node that didn't reply is not asked.
-    nodes : set of str
-        The nodes among which `coordinators` were chosen, by server.
+    choice : CoordinatorChoice
+        The node that coordinates each server.
+    pooling : PoolMessages or None
+        Leases slots of whole services, by the same port.
     replies : Counter
         Replies that this node got, by kind.
     peer_addresses : callable
@@ -144,14 +110,14 @@
         self.brittle_services = brittle_services
         self.coordinated: dict[str, ServerSlots] = {}
         self.asked: dict[int, SlotLease] = {}
-        self.skipped_until: dict[str, float] = {}
-        self.coordinators: dict[str, str] = {}
-        self.nodes: set[str] = set()
         self.sent = 0
         self.withdraw_at = 0.0
-        self.choose_at = float("-inf")
         self.replies = replies
         self.peer_addresses: Callable[[], list[str]] = list
+        self.choice = CoordinatorChoice(
+            lambda: self.address, lambda: self.peer_addresses()
+        )
+        self.pooling: PoolMessages | None = None
         self.datagrams = DatagramPort("slots", DECODER, self.receive)
 
     # Asking for leases
@@ -185,7 +151,7 @@
     def give_up(self, lease: SlotLease) -> None:
         """Ask another node for a while in place of one that has not replied."""
         self._abandon(lease)
-        self._skip(lease.coordinator)
+        self.choice.skip(lease.coordinator)
         self.replies["none"] += 1
         log_event("slot_not_answered", server=lease.server, peer=lease.coordinator)
 
@@ -206,45 +172,27 @@
         self.asked[lease.number] = lease
         lease_s = min(lease_s, MAX_LEASE_S)
         request = SlotRequest(lease.number, view.id, priority, wait_s, lease_s)
-        self._send(request, lease.coordinator)
+        self.send(request, lease.coordinator)
         return lease
 
     def release(self, lease: SlotLease | None) -> None:
         """Return a lease."""
         if lease is not None:
-            self._send(SlotReturn(lease.number, lease.server), lease.coordinator)
+            self.send(SlotReturn(lease.number, lease.server), lease.coordinator)
 
     def report(self, lease: SlotLease | None, load: int) -> None:
         """Pass on the load that a server has stated with its response."""
         if lease is not None:
-            self._send(LoadReport(lease.server, load), lease.coordinator)
+            self.send(LoadReport(lease.server, load), lease.coordinator)
 
     def _coordinator(self, server: str) -> str:
         """Return the node that leases the slots of a server."""
-        now = time.monotonic()
-        if now >= self.choose_at:
-            self.choose_at = now + CHOICE_INTERVAL_S
-            skipped = {n for n, until in self.skipped_until.items() if until > now}
-            nodes = {self.address, *self.peer_addresses()} - skipped
-            if nodes != self.nodes:
-                self.nodes, self.coordinators = nodes, {}
-        chosen = self.coordinators.get(server)
-        if chosen is None:
-            chosen = rendezvous_choice(server, list(self.nodes))
-            self.coordinators[server] = chosen
-        return chosen
-
-    def _skip(self, coordinator: str) -> None:
-        """Ask another coordinator for a while."""
-        now = time.monotonic()
-        self.skipped_until = {n: t for n, t in self.skipped_until.items() if t > now}
-        if coordinator != self.address:
-            self.skipped_until[coordinator] = now + COORDINATOR_BACKOFF_S
-            self.choose_at = now
+        return self.choice.coordinator(server)
 
     # Messages
 
-    def _send(self, message: SlotMessage, node: str) -> None:
+    def send(self, message: SlotMessage, node: str) -> None:
+        """Send a message to the node with an IP address, which may be this one."""
         if node == self.address:
             self.receive(message, node)
         else:
@@ -252,7 +200,10 @@
 
     def receive(self, message: SlotMessage, address: str) -> None:
         """Handle another node's message, or one of this node to itself."""
-        if isinstance(message, SlotReply):
+        if isinstance(message, PoolSlotRequest | PoolSlotReply | PoolSlotReturn):
+            if self.pooling is not None:
+                self.pooling.receive(message, address)
+        elif isinstance(message, SlotReply):
             self._handle_reply(message, address)
         elif isinstance(message, SlotReturn):
             slots = self.coordinated.get(message.server)
@@ -270,14 +221,14 @@
         if lease is not None:
             lease.granted.set(reply.granted)
         elif reply.granted:
-            self._send(SlotReturn(reply.number, reply.server), address)
+            self.send(SlotReturn(reply.number, reply.server), address)
 
     # Coordinating
 
     def _handle_request(self, request: SlotRequest, address: str) -> None:
         view = self.placer.views.get(request.server)
         if view is None:
-            self._send(SlotReply(request.number, request.server, False), address)
+            self.send(SlotReply(request.number, request.server, False), address)
             return
         slots = self.coordinated.get(request.server) or self._coordinate(view)
         slots.slots = view.max_concurrent
@@ -294,7 +245,7 @@
 
         def reply(key: LeaseKey, granted: bool) -> None:
             node, number = key
-            self._send(SlotReply(number, view.id, granted), node)
+            self.send(SlotReply(number, view.id, granted), node)
 
         slots = self.coordinated[view.id] = ServerSlots(view.max_concurrent, reply)
         load = self.placer.known_load(view.id)
@@ -312,8 +263,7 @@
         """
         while True:
             gevent.sleep(UPDATE_INTERVAL_S)
-            if self.coordinated:
-                self.update()
+            self.update()
 
     def update(self) -> None:
         """See :meth:`run`."""
@@ -322,7 +272,9 @@
             slots.update(now)
             if slots.is_idle and not self._is_brittle(server):
                 del self.coordinated[server]
-        if now >= self.withdraw_at:
+        if self.pooling is not None:
+            self.pooling.update(now)
+        if self.coordinated and now >= self.withdraw_at:
             self.withdraw_at = now + WITHDRAW_INTERVAL_S
             live = {self.address, *self.peer_addresses()}
             for slots in self.coordinated.values():
--- a/packages/endive_gateway/src/endive_gateway/state_messages.py
+++ b/packages/endive_gateway/src/endive_gateway/state_messages.py
@@ -86,6 +86,8 @@
     zone : str
         The sender's availability zone. Empty at nodes of an earlier version, which keep
         no origins of streams.
+    pools_slots : bool
+        Whether the sender coordinates the slots of plain services with few of them.
     """
 
     node: str
@@ -118,6 +120,7 @@
     zone: str = ""
     part_crashes: list[CrashReport] = []
     part_answers: list[AnswerReport] = []
+    pools_slots: bool = False
 
 
 DECODER = msgspec.msgpack.Decoder(StateMessage)
