--- a/packages/endive_core/src/endive_core/slot_pool.py
+++ b/packages/endive_core/src/endive_core/slot_pool.py
@@ -42,6 +42,10 @@
 """Steps in which the wait of a new request is found: those who overtake it prolong it,
 so that more do."""
 
+REJECTION_MEMORY_S = 10.0
+"""Time for which a server that rejected a request gets none beyond its slots, seconds:
+it may have no queue."""
+
 REMINDER_S = 0.1
 """Time after which a request that waits is told so again, seconds, so that its node
 notices within that time if the coordinator ends."""
@@ -59,9 +63,14 @@
 """Time for which a server that failed gets nothing, seconds, doubled for each further
 failure up to the maximum. Then one request at a time tries it."""
 
-FAILURES_BEFORE_PAUSE = 2
-"""Consecutive failures that pause a server. One alone may be that of its node's link:
-where that happens, other nodes' requests are answered in between."""
+PAUSED_FROM = 4
+"""Weight of consecutive failures from which a server is paused. A server may fail part
+of its requests by itself: with one in seven, four in a row are one in 2,400."""
+
+NOT_REACHED_WEIGHT = 2
+"""Weight of a request that did not reach its server, against 1 of a broken response.
+One alone may be the fault of its node's link: other nodes' requests are then answered
+in between."""
 
 
 class Outcome(IntEnum):
@@ -111,8 +120,12 @@
         Time that work takes there over the usual time, as last reported.
     is_suspect : bool
         Whether it gets requests only where no other server has a free slot.
-    failures : int
-        Consecutive failures.
+    is_brittle : bool
+        Whether it fails if it must reject requests.
+    rejected_at : float
+        When a request that it rejected was reported, clock time in seconds.
+    failures, pauses : int
+        Weight of the consecutive failures, and the pauses since the last answer.
     paused_at, paused_until : float
         From when until when it gets nothing after failures, clock time in seconds.
     """
@@ -125,8 +138,9 @@
         self.usual_slowdown = 1.0
         self.slowdown = 1.0
         self.slowdown_at = float("-inf")
-        self.is_suspect = False
-        self.failures = 0
+        self.is_suspect = self.is_brittle = False
+        self.rejected_at = float("-inf")
+        self.failures = self.pauses = 0
         self.paused_at = float("-inf")
         self.paused_until = float("-inf")
 
@@ -134,10 +148,16 @@
         """Return how many requests it may get now; negative if it has some too many."""
         if now < self.paused_until:
             return -IN_ADVANCE
-        if self.failures >= FAILURES_BEFORE_PAUSE:
+        if self.pauses:
             return -IN_ADVANCE if self.slots.leases else 1
         return self.slots.free(now)
 
+    def has_place(self, now: float) -> bool:
+        """Return whether it may get a request in advance."""
+        if self.is_brittle or now - self.rejected_at < REJECTION_MEMORY_S:
+            return False
+        return self.free(now) > -IN_ADVANCE
+
     def slowdown_now(self, now: float) -> float:
         """Return the slowdown to expect: the report if it is recent."""
         is_recent = now - self.slowdown_at < REPORT_EXPIRY_S
@@ -154,20 +174,24 @@
     def ended(self, lease: Lease, outcome: Outcome, now: float) -> None:
         """Learn from the end of a request."""
         if outcome is Outcome.ANSWERED:
-            self.failures = 0
+            self.failures = self.pauses = 0
             held_s = (now - lease.granted_at) / self.slowdown_now(now)
             self.base_hold_s += HOLD_WEIGHT * (held_s - self.base_hold_s)
+        elif outcome is Outcome.REJECTED:
+            self.rejected_at = now
         elif outcome in (Outcome.BROKEN, Outcome.NOT_REACHED):
-            self._failed(lease, now)
+            is_unreached = outcome is Outcome.NOT_REACHED
+            self._failed(lease, NOT_REACHED_WEIGHT if is_unreached else 1, now)
 
-    def _failed(self, lease: Lease, now: float) -> None:
+    def _failed(self, lease: Lease, weight: int, now: float) -> None:
         if lease.granted_at <= self.paused_at:
             return
-        self.failures += 1
-        if self.failures >= FAILURES_BEFORE_PAUSE:
-            doubled = 2.0 ** min(self.failures - FAILURES_BEFORE_PAUSE, 8)
+        self.failures += weight
+        if self.failures >= PAUSED_FROM or self.pauses:
+            doubled = FAILURE_PAUSE_S * 2.0 ** min(self.pauses, 8)
+            self.pauses += 1
             self.paused_at = now
-            self.paused_until = now + min(MAX_PAUSE_S, FAILURE_PAUSE_S * doubled)
+            self.paused_until = now + min(MAX_PAUSE_S, doubled)
 
 
 class SlotPool:
@@ -187,7 +211,7 @@
     leased_at : dict
         By request, the server whose slot it has.
     granted, declined : int
-        Requests so far.
+        Requests since the last report.
     """
 
     def __init__(self, reply: Callable[[LeaseKey, SlotReply], None]) -> None:
@@ -326,7 +350,7 @@
         """Grant a slot to the next request that can get one; return whether it did."""
         servers = self.servers.values()
         free = [s for s in servers if s.free(now) > 0]
-        free = free or [s for s in servers if s.free(now) > -IN_ADVANCE]
+        free = free or [s for s in servers if s.has_place(now)]
         if not free:
             return False
         request = self.queue.pop_next(lambda r: any(s.id not in r.avoid for s in free))
--- a/packages/endive_core/tests/test_slot_pool.py
+++ b/packages/endive_core/tests/test_slot_pool.py
@@ -175,11 +175,25 @@
     assert pool.granted() == [0, 1, 2, 3]
 
 
+def test_servers_that_fail_a_part_of_their_requests_are_not_paused():
+    """One in seven fails by itself on some routes."""
+    pool = Pool(slots=4)
+    fill(pool, range(5))
+    for number in range(3):
+        pool.end(number, 0.1, Outcome.BROKEN)
+    pool.ask(5, 0.11)
+    assert 5 in pool.granted()
+    pool.end(3, 0.12)
+    pool.end(4, 0.13, Outcome.BROKEN)
+    pool.ask(6, 0.14)
+    assert 6 in pool.granted()
+
+
 def test_a_restarted_server_starts_without_leases_and_failures():
     pool = Pool(slots=1)
     fill(pool, range(2))
     for number in range(2):
-        pool.end(number, 0.1, Outcome.BROKEN)
+        pool.end(number, 0.1, Outcome.NOT_REACHED)
     pool.ask(2, 0.11, due_s=4.0)
     assert pool.granted() == [0, 1]
     pool.declare({"i-0": (2, 1)})
@@ -246,3 +260,18 @@
     for number in range(6):
         pool.ask(number, 0.01)
     assert len(pool.granted()) == 3
+
+
+@pytest.mark.parametrize("rejects", [True, False])
+def test_servers_that_must_not_reject_get_nothing_in_advance(rejects):
+    """A server without a queue rejects it, and a brittle one then fails."""
+    pool = Pool(slots=1)
+    if rejects:
+        pool.ask(0)
+        pool.end(0, 0.0, Outcome.REJECTED)
+    pool.pool.servers["i-0"].is_brittle = not rejects
+    for number in (1, 2):
+        pool.ask(number, 0.01)
+    assert pool.granted()[-1] == 1
+    pool.end(1, 0.05)
+    assert pool.granted()[-1] == 2
--- a/packages/endive_gateway/src/endive_gateway/gateway.py
+++ b/packages/endive_gateway/src/endive_gateway/gateway.py
@@ -172,6 +172,10 @@
             "endive_services_brittle", lambda: len(self.context.brittle_services.names)
         )
         add_gauge("endive_slots_leased", leasing.leased)
+        pooling = self.context.slot_pooling
+        add_gauge("endive_services_pooled", lambda: len(pooling.pooled))
+        add_gauge("endive_pool_slots_leased", pooling.coordinator.leased)
+        add_gauge("endive_pool_requests_waiting", pooling.coordinator.queued)
         reachability = self.context.paths.reachability
         add_gauge("endive_servers_blocked", lambda: len(reachability.blocked))
         add_gauge("endive_services_cut_off", lambda: len(reachability.cut_off))
--- a/packages/endive_gateway/src/endive_gateway/pool_coordination.py
+++ b/packages/endive_gateway/src/endive_gateway/pool_coordination.py
@@ -8,6 +8,7 @@
 from endive_core.slot_queue import LeaseKey, PoolRequest
 from endive_node.logs import log_event
 
+from endive_gateway.brittle_services import BrittleServices
 from endive_gateway.placing import Placer
 from endive_gateway.slot_messages import (
     PoolSlotReply,
@@ -19,6 +20,9 @@
 MAX_RETRY_AFTER_S = 2.0
 """Longest time that a declined request is told to wait, seconds."""
 
+REPORT_INTERVAL_S = 10.0
+"""Time between two log lines of what a pool has done, seconds."""
+
 IDLE_S = 10.0
 """Time without a request after which a pool is forgotten, seconds."""
 
@@ -35,12 +39,17 @@
     """
 
     def __init__(
-        self, placer: Placer, send: Callable[[SlotMessage, str], None]
+        self,
+        placer: Placer,
+        brittle_services: BrittleServices,
+        send: Callable[[SlotMessage, str], None],
     ) -> None:
         self.placer = placer
+        self.brittle_services = brittle_services
         self.send = send
         self.pools: dict[str, SlotPool] = {}
         self.requested_at: dict[str, float] = {}
+        self.report_at = 0.0
 
     def handle_request(self, message: PoolSlotRequest, node: str, nodes: int) -> None:
         """Decide on another node's request for a slot, or one of this node's own.
@@ -122,6 +131,7 @@
         )
         for server in pool.servers.values():
             load = loads[server.id]
+            server.is_brittle = service in self.brittle_services.names
             server.is_suspect = server.id in scheduler.outliers.ejected
             server.usual_slowdown = getattr(load, "slowdown", 1.0) or 1.0
         return new
@@ -137,6 +147,29 @@
             pool.update(now)
             if pool.is_idle and now - self.requested_at[service] > IDLE_S:
                 del self.pools[service]
+        if now >= self.report_at:
+            self.report_at = now + REPORT_INTERVAL_S
+            self._report(now)
+
+    def _report(self, now: float) -> None:
+        """Log what the pools have done since the last report."""
+        for service, pool in self.pools.items():
+            log_event(
+                "slot_pool",
+                service=service,
+                slots=pool.slots,
+                leased=len(pool.leased_at),
+                waiting=len(pool.queue),
+                granted=pool.granted,
+                declined=pool.declined,
+                paused=",".join(
+                    s.id for s in pool.servers.values() if now < s.paused_until
+                ),
+                slow=",".join(
+                    s.id for s in pool.servers.values() if s.slowdown_now(now) > 1.5
+                ),
+            )
+            pool.granted = pool.declined = 0
 
     def withdraw(self, live: set[str], now: float) -> None:
         """End the leases and requests of nodes that are gone."""
--- a/packages/endive_gateway/src/endive_gateway/slot_pooling.py
+++ b/packages/endive_gateway/src/endive_gateway/slot_pooling.py
@@ -149,7 +149,9 @@
         self.placer = placer
         self.replies = replies
         self.is_enabled = is_enabled
-        self.coordinator = PoolCoordinator(placer, leasing.send)
+        self.coordinator = PoolCoordinator(
+            placer, leasing.brittle_services, leasing.send
+        )
         self.asked: dict[int, PoolLease] = {}
         self.returned: deque[tuple[int, str]] = deque(maxlen=REPEATED_RETURNS)
         self.pooled: set[str] = set()
--- a/packages/endive_gateway/tests/simulated_requests.py
+++ b/packages/endive_gateway/tests/simulated_requests.py
@@ -29,7 +29,7 @@
         self.server = None
         self.lease = None
         self.pool_lease = None
-        self.declined = self.silent = 0
+        self.declined = self.silent = self.runs = 0
         self.asked_at = self.sent_at = self.wait_s = 0.0
 
     def wait_for_server(self):
--- a/packages/endive_gateway/tests/simulated_servers.py
+++ b/packages/endive_gateway/tests/simulated_servers.py
@@ -117,6 +117,7 @@
     def run(self, request):
         self.running += 1
         self.active.append(request)
+        request.runs += 1
         work_s = self.work_s()
         due = self.end_of(work_s)
         self.busy_s += due - self.fleet.clock.now
--- a/packages/endive_gateway/tests/single_queue.py
+++ b/packages/endive_gateway/tests/single_queue.py
@@ -14,6 +14,7 @@
 
     def __init__(self, bound):
         self.bound = bound
+        self.runs = 0
         self.came_at = bound.clock.now
 
     def answer(self):
@@ -26,7 +27,8 @@
 class SingleQueue:
     """A single queue before all slots, without delays between queue and servers.
 
-    It gives up what can't begin a mean time of work before its target.
+    It gives up what can't begin two mean times of work before its target: with one, 17
+    in 100 requests were late at 1.2 times the capacity.
     """
 
     def __init__(self, workload, seed=1):
@@ -68,7 +70,7 @@
     def serve(self):
         """Run what waits while slots are free."""
         now, workload = self.clock.now, self.workload
-        latest_s = workload.target_s - workload.mean_work_s
+        latest_s = workload.target_s - 2 * workload.mean_work_s
         while self.waiting:
             if now - self.waiting[0].came_at > latest_s:
                 self.ends.append((self.waiting.popleft().came_at, "late", latest_s))
--- a/packages/endive_gateway/tests/slot_simulation.py
+++ b/packages/endive_gateway/tests/slot_simulation.py
@@ -4,6 +4,7 @@
 
 from core_builders import call
 from endive_core.exceptions import EndiveError
+from endive_core.hashing import rendezvous_choice
 from endive_gateway.slot_leasing import UPDATE_INTERVAL_S
 from endive_gateway.slot_messages import PoolSlotReply
 from fleet_simulation import SimulatedFleet
@@ -25,6 +26,8 @@
         Index of a node, and the share of all requests that come there besides its own.
     max_returns : int
         How often a caller returns that was refused.
+    requests : list of SimulatedRequest
+        Those that were admitted.
     loses : callable
         Returns whether a message about slots is lost.
     """
@@ -103,6 +106,21 @@
         leasing.update()
         self.at(self.clock.now + UPDATE_INTERVAL_S, self.update_slots, leasing)
 
+    def coordinator(self):
+        """Return the node that coordinates the pool, as all nodes choose it."""
+        addresses = [node.address for node in self.nodes]
+        return rendezvous_choice(SERVICE, addresses)
+
+    def pools(self):
+        """Return the pools of all nodes."""
+        for node in self.nodes:
+            yield from node.context.slot_pooling.coordinator.pools.values()
+
+    def switch_pools(self, enabled):
+        """Let operators switch pools on or off at all nodes."""
+        for node in self.nodes:
+            node.context.slot_pooling.is_enabled = lambda: enabled
+
     def run(self, seconds, load):
         """Let requests arrive for some seconds, at `load` times the capacity."""
         end = self.clock.now + seconds
