--- a/packages/endive_core/src/endive_core/calls.py
+++ b/packages/endive_core/src/endive_core/calls.py
@@ -154,6 +154,9 @@
         Software version of the server that began its stream, and at which alone the
         stream goes on; ``None`` before that. It doesn't change while the ticket is
         queued.
+    pooled : bool
+        Whether the coordinator of its service's slots assigns its server, so that it is
+        in no queue of this node.
     """
 
     call: Call
@@ -182,6 +185,7 @@
     may_fetch: bool = True
     predicted_start_s: float = 0.0
     fetch_due_at: float = 0.0
+    pooled: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/endive_gateway/src/endive_gateway/__init__.py
+++ b/packages/endive_gateway/src/endive_gateway/__init__.py
@@ -20,7 +20,9 @@
   ``service_client``
 - messages between nodes: ``peers``, ``nodes``, ``state_messages``, ``datagrams``,
   ``spending``, ``spending_messages``, ``prompts``, ``crash_exchange``,
-  ``part_exchange``, ``slot_leasing``, ``origin_exchange``, ``origin_messages``
+  ``part_exchange``, ``origin_exchange``, ``origin_messages``
+- slots leased from other nodes: ``slot_leasing``, ``slot_pooling``,
+  ``pool_coordination``, ``coordinators``, ``slot_messages``
 - what servers state of themselves: ``server_statements``, ``stated_values``,
   ``limit_sharing``, ``brittle_services``, ``server_rests``, ``leaving_servers``,
   ``speed_exchange``
--- a/packages/endive_gateway/src/endive_gateway/gateway.py
+++ b/packages/endive_gateway/src/endive_gateway/gateway.py
@@ -181,6 +181,10 @@
         fetching = self.context.prefix_fetching
         add_gauge("endive_prefix_fetched_tokens", fetching.fetched_tokens)
         add_gauge("endive_fetch_sources_paused", fetching.paused_sources)
+        pooling = self.context.slot_pooling
+        add_gauge("endive_services_pooled", lambda: len(pooling.pooled))
+        add_gauge("endive_pool_slots_leased", pooling.coordinator.leased)
+        add_gauge("endive_pool_requests_waiting", pooling.coordinator.queued)
         reachability = self.context.paths.reachability
         add_gauge("endive_servers_blocked", lambda: len(reachability.blocked))
         add_gauge("endive_services_cut_off", lambda: len(reachability.cut_off))
--- a/packages/endive_gateway/src/endive_gateway/interfaces.py
+++ b/packages/endive_gateway/src/endive_gateway/interfaces.py
@@ -511,6 +511,9 @@
     contracts : frozenset of str
         Names of what the deployment calls for; with ``rollout``, operators may order
         rollouts.
+    pools_slots : bool
+        Whether the slots of plain services with fewer slots than nodes are leased from
+        one queue for all nodes.
     """
 
     location: NodeLocation
@@ -518,6 +521,7 @@
     duties: frozenset[str] = frozenset()
     server_slowdowns: bool = True
     contracts: frozenset[str] = frozenset()
+    pools_slots: bool = True
 
 
 def header_value(headers: Iterable[tuple[bytes, bytes]], name: bytes) -> bytes:
--- a/packages/endive_gateway/src/endive_gateway/state_messages.py
+++ b/packages/endive_gateway/src/endive_gateway/state_messages.py
@@ -96,6 +96,8 @@
     slow_sources : list of (str, int, float)
         Server that the sender doesn't name as the source of fetches since they delay
         its requests, its incarnation, and the rest of that time in seconds.
+    pools_slots : bool
+        Whether the sender coordinates the slots of plain services with few of them.
     """
 
     node: str
@@ -131,6 +133,7 @@
     server_slowdowns: list[tuple[str, float, float]] = []
     rollouts: RolloutReport | None = None
     slow_sources: list[tuple[str, int, float]] = []
+    pools_slots: bool = False
 
 
 DECODER = msgspec.msgpack.Decoder(StateMessage)
--- a/packages/endive_gateway/tests/test_server_restarts.py
+++ b/packages/endive_gateway/tests/test_server_restarts.py
@@ -157,9 +157,9 @@
 
 def test_its_crashes_count_anew(context):
     """Guards against the second crash of one request that is taken for the first."""
-    first = context.placer._crash_id("i-1")
+    first = context.placer.crash_id("i-1")
     register(context, "i-1", incarnation=2)
-    assert context.placer._crash_id("i-1") != first
+    assert context.placer.crash_id("i-1") != first
 
 
 def test_its_connections_and_blocks_are_forgotten(context):
