Explain where a request would go now, and why, without sending it

Cause: operators can trace where a request went, and not ask where one would go.

Change: `endivectl explain-placement ROUTE` asks a gateway's metrics port. The answer has the prediction and refusal of admission, the organisation's limit as the node counts it, and each server with the figures that placement compares, their age and what rules it out. An invalid query is answered 400 with the field.

--- a/packages/endive_core/src/endive_core/__init__.py
+++ b/packages/endive_core/src/endive_core/__init__.py
@@ -9,7 +9,7 @@
   ``retry_after``, ``estimators``
 - placement: ``placement``, ``prefixes``, ``prefix_fetch``, ``part_holders``,
   ``source_trust``, ``ring``, ``hashing``, ``servers``, ``backlogs``, ``prefilling``,
-  ``first_tokens``, ``server_speed``
+  ``first_tokens``, ``server_speed``, ``placement_explanation``
 - failures: ``failures``, ``retrying``, ``crashes``, ``crash_news``, ``outliers``,
   ``ejection``, ``response_times``, ``call_pacing``
 - parts of prompts that crash servers: ``part_reports``, ``part_crashes``,
--- a/packages/endive_core/src/endive_core/placement.py
+++ b/packages/endive_core/src/endive_core/placement.py
@@ -94,7 +94,7 @@
         """Return the candidate with the lowest cost, or ``None`` if none has room."""
         call = ticket.call
         cached = self.prefixes.prefix_holders(call.blocks)
-        hashed = self._affinity_servers(call) if call.blocks else {}
+        hashed = self.affinity_servers(call) if call.blocks else {}
         expected = {
             name: max(cached.get(name, 0), int(depth * self.policy.affinity_belief))
             for name, depth in hashed.items()
@@ -198,7 +198,7 @@
                 found.append(server)
         return found
 
-    def _affinity_servers(self, call: Call) -> dict[str, int]:
+    def affinity_servers(self, call: Call) -> dict[str, int]:
         """Return the servers to which the longest prefixes hash, with prefix lengths.
 
         They are assumed to hold part of the prefix even if no cache event said so,
--- a/packages/endive_ctl/src/endive_ctl/cli.py
+++ b/packages/endive_ctl/src/endive_ctl/cli.py
@@ -20,6 +20,7 @@
 from endive_ctl.losses import LossReport
 
 DEFAULT_SERVERS = "http://127.0.0.1:8081"
+DEFAULT_GATEWAY = "127.0.0.1:9464"
 WATCH_RETRY_DELAY_S = 1.0
 """Delay before a broken watch is resumed, seconds."""
 
@@ -146,6 +147,39 @@
         response = self._client.explain(request_id)
         self._show(response, tables.explanation(response))
 
+    def explain_placement(
+        self,
+        route: str,
+        node: str = "",
+        organisation: str = "",
+        prompt_tokens: int = 0,
+        max_tokens: int = 1,
+        model: str = "",
+        parts: str = "",
+        deadline_s: float | None = None,
+        software_version: str = "",
+    ) -> None:
+        """Show where a request to ROUTE would go now, and why, without sending it.
+
+        --node names the metrics address of the gateway that is asked, IP:PORT. Default:
+        ``ENDIVE_GATEWAY``, or 127.0.0.1:9464. --parts lists the prompt's parts as
+        ID:TOKENS, separated by commas. It changes nothing at the node.
+        """
+        query = {
+            "route": route,
+            "organisation": organisation,
+            "prompt_tokens": prompt_tokens,
+            "max_tokens": max_tokens,
+            "model": model,
+            "parts": ",".join(map(str, parts)) if isinstance(parts, tuple) else parts,
+            "deadline_s": deadline_s,
+            "software_version": software_version,
+        }
+        address = node or os.environ.get("ENDIVE_GATEWAY", DEFAULT_GATEWAY)
+        gateway = OperatorClient([f"http://{address}"], "")
+        response = gateway.call("GET", "/placement", **query)
+        self._show(response, tables.placement(response))
+
     def losses(self, *files: str, every: float = 2.0) -> None:
         """Count requests in time, late and failed, by cause, from gateways' log FILES.
 
--- a/packages/endive_ctl/src/endive_ctl/tables.py
+++ b/packages/endive_ctl/src/endive_ctl/tables.py
@@ -157,3 +157,67 @@
 def clock(at: float) -> str:
     """Return a Unix time as an ISO 8601 timestamp in UTC."""
     return time.strftime("%Y-%m-%dT%H:%M:%SZ", time.gmtime(at))
+
+
+def placement(response: dict) -> str:
+    """Return where a request would go, with all candidates, as text."""
+    parts = [
+        f"node {response['node']}, configuration {response['configuration_version']}, "
+        f"route {response['route']}, priority {response['priority']}, "
+        f"target {response['target_s']:.3f} s"
+    ]
+    limit = response["limit"]
+    if limit is not None:
+        verdict = "refused with 429" if limit["is_refused"] else "allowed"
+        parts.append(
+            f"limit: {limit['units']:.0f} units, {limit['units_left']:.0f} left of "
+            f"{limit['units_when_full']:.0f}: {verdict}"
+        )
+    parts += map(_placement_in_service, response["services"])
+    return "\n\n".join(parts)
+
+
+def _placement_in_service(service: dict) -> str:
+    candidates = service["candidates"]
+    open_ones = [c for c in candidates if not c["ruled_out_by"]]
+    verdict = "no server is open: it would be queued"
+    if service["refusal"]:
+        after_s = service["retry_after_s"]
+        told = "no time to retry" if after_s is None else f"Retry-After {after_s:.3f} s"
+        verdict = f"refused, {service['refusal']}; {told}"
+    elif service["pooled_slots"]:
+        verdict = "to the first free slot, from the service's coordinator"
+    elif open_ones:
+        verdict = f"to {open_ones[0]['id']} if it is compared with the others"
+    lines = [
+        f"service {service['service']}: {verdict}",
+        f"queue {service['queue_s']:.3f} s, allowance {service['allowance_s']:.3f} s, "
+        f"start {service['start_s']:.3f} s",
+        f"{service['queued_tokens_ahead']:.0f} tokens queued ahead, "
+        f"{service['tier']}, share of this node {service['node_share']:.4f}",
+        table(
+            (
+                *("SERVER", "ZONE", "COST", "WAIT", "CACHED", "HASHED", "LOAD", "AGE"),
+                *("OWN", "SLOWDOWN", "RULED OUT BY"),
+            ),
+            map(_candidate_row, candidates),
+        ),
+    ]
+    return "\n".join(lines)
+
+
+def _candidate_row(candidate: dict) -> tuple:
+    age_s = candidate["report_age_s"]
+    return (
+        candidate["id"],
+        candidate["zone"],
+        f"{candidate['cost_s']:.3f}",
+        f"{candidate['wait_s']:.3f}",
+        candidate["cached_tokens"],
+        "yes" if candidate["is_hashed"] else "no",
+        f"{candidate['running']}+{candidate['waiting']}/{candidate['slots']}",
+        NO_VALUE if age_s is None else f"{age_s:.1f}",
+        candidate["own_in_flight"],
+        f"{candidate['slowness'] * candidate['slowdown']:.2f}",
+        "; ".join(candidate["ruled_out_by"]) or NO_VALUE,
+    )
--- a/packages/endive_gateway/src/endive_gateway/__init__.py
+++ b/packages/endive_gateway/src/endive_gateway/__init__.py
@@ -29,5 +29,5 @@
 - rollouts: ``rollouts``, ``rollout_control``, ``rollout_messages``,
   ``rollout_observation``, ``version_division``
 - cluster-wide duties, performed by one node at a time: ``duties``, ``autoscaling``
-- observability: ``logstream``, ``metrics``
+- observability: ``logstream``, ``metrics``, ``placement_queries``
 """
--- a/packages/endive_gateway/src/endive_gateway/exceptions.py
+++ b/packages/endive_gateway/src/endive_gateway/exceptions.py
@@ -214,3 +214,7 @@
 
     def __init__(self) -> None:
         super().__init__("earlier calls got no response", sent=False)
+
+
+class QueryError(Exception):
+    """An operator's query that is invalid or names something unknown."""
--- a/packages/endive_gateway/src/endive_gateway/gateway.py
+++ b/packages/endive_gateway/src/endive_gateway/gateway.py
@@ -3,6 +3,7 @@
 import socket
 import time
 from dataclasses import replace
+from functools import partial
 
 import gevent
 from endive_node.logs import log_event
@@ -20,6 +21,7 @@
 from endive_gateway.loops import keep_running
 from endive_gateway.metrics import MetricsServer
 from endive_gateway.peers import Peers
+from endive_gateway.placement_queries import explain_placement
 from endive_gateway.prompts import PromptAnnouncer
 from endive_gateway.server_following import ServerFollower
 from endive_gateway.spending import SpendingExchange
@@ -126,6 +128,9 @@
             self.metrics = MetricsServer(
                 location.address, location.metrics_port, self.context.metrics
             )
+            self.metrics.queries["/placement"] = partial(
+                explain_placement, self.context
+            )
             self.metrics.start()
         self.peers.start()
         self.spending.start(location.peer_port + 1)
--- a/packages/endive_gateway/src/endive_gateway/metrics.py
+++ b/packages/endive_gateway/src/endive_gateway/metrics.py
@@ -8,17 +8,24 @@
 from bisect import bisect_left
 from collections import Counter
 from collections.abc import Callable, Iterable
+from typing import Any
+from urllib.parse import parse_qsl, urlsplit
 
+import msgspec
 from endive_node.sockets import listen_tcp
 from gevent import Timeout
 from gevent.server import StreamServer
 
+from endive_gateway.exceptions import QueryError
 from endive_gateway.http import encode_head, status_line
 
 BUCKET_BOUNDS_S = (0.01, 0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.6, 1.0, 2.0, 5.0, 15.0)
 """Upper bounds of the latency buckets, seconds: fine around the targets of 0.15 to 0.6
 that routes declare."""
 
+MAX_QUERY_BYTES = 4096
+"""Bytes of a request that are read; its first line has to be among them."""
+
 SCRAPE_TIMEOUT_S = 1.0
 """Longest time to serve one scrape, seconds."""
 
@@ -142,10 +149,18 @@
 
 
 class MetricsServer:
-    """Serves the metrics page over HTTP."""
+    """Serves the metrics page over HTTP, and answers operators' queries.
+
+    Attributes
+    ----------
+    queries : dict of str to callable
+        By path, functions that return the body of an answer from the fields of a query,
+        or raise QueryError. Every other path gets the metrics page.
+    """
 
     def __init__(self, address: str, port: int, metrics: GatewayMetrics) -> None:
         self.metrics = metrics
+        self.queries: dict[str, Callable[[dict[str, str]], Any]] = {}
         self.server = StreamServer(listen_tcp(address, port), self._serve_page)
 
     def start(self) -> None:
@@ -158,12 +173,29 @@
 
     def _serve_page(self, sock, _address) -> None:
         with Timeout(SCRAPE_TIMEOUT_S, False):
-            if not sock.recv(4096):
+            received = sock.recv(MAX_QUERY_BYTES)
+            if not received:
                 return
-            body = self.metrics.page()
+            status, content_type, body = self._answer(received)
             headers = [
-                (b"Content-Type", b"text/plain; version=0.0.4"),
+                (b"Content-Type", content_type),
                 (b"Content-Length", b"%d" % len(body)),
                 (b"Connection", b"close"),
             ]
-            sock.sendall(encode_head(status_line(200), headers) + body)
+            sock.sendall(encode_head(status_line(status), headers) + body)
+
+    def _answer(self, received: bytes) -> tuple[int, bytes, bytes]:
+        """Return status, content type and body of the answer to a request."""
+        words = received.split(b"\r\n", 1)[0].decode("latin-1").split(" ")
+        target = urlsplit(words[1] if len(words) > 1 else "")
+        query = self.queries.get(target.path)
+        if query is None:
+            return 200, b"text/plain; version=0.0.4", self.metrics.page()
+        try:
+            status, answer = 200, query(dict(parse_qsl(target.query)))
+        except QueryError as error:
+            status, answer = (
+                400,
+                {"error": {"code": "bad_query", "message": str(error)}},
+            )
+        return status, b"application/json", msgspec.json.encode(answer)
