Decide by priority and organisation when demand exceeds capacity

Cause: with 86 nodes in front of 45 engines the most urgent kind was served worst.

Change: nodes tell each other their demand by priority and organisation. Each derives from the sum which part of a priority's requests can be served in time, and divides it among organisations by max-min fairness. The rest is refused at once where it may wait, else sent behind all that can be in time. Request-Priority follows from priority, lateness and the organisation's excess. Waits count tokens that are at least as urgent, the prefill rate is learned within each priority, and slots are not taken for used by a burst at the other nodes. Services are unchanged where no less urgent route has at least twice the target of the most urgent one.

--- a/packages/endive_core/src/endive_core/admission.py
+++ b/packages/endive_core/src/endive_core/admission.py
@@ -11,6 +11,7 @@
 from typing import TYPE_CHECKING
 
 from endive_core.calls import Call, Refusal, Stage, Ticket, Tier
+from endive_core.contention import Contention
 from endive_core.crashes import CrashTable
 from endive_core.estimators import ServiceRate, WaitErrorEstimate
 from endive_core.exceptions import ErrorKind
@@ -102,7 +103,9 @@
         throttling: Throttling,
         resting: Resting,
         trials: PartTrials,
+        contention: Contention,
     ) -> None:
+        self.contention = contention
         self.resting = resting
         self.trials = trials
         self.policy = policy
@@ -149,7 +152,7 @@
                     "the organisation's limit is used up",
                     wait,
                 )
-        return self._overloaded(call, now)
+        return self.contention.refusal(call, now) or self._overloaded(call, now)
 
     def throttled_refusal(self, wait_s: float) -> Refusal:
         """Return the refusal of a call that servers' limits keep waiting for `wait_s`.
@@ -296,6 +299,7 @@
         ticket.suspect = self.crashes.count(call.fingerprint, now) > 0
         ticket.predicted_s = self.predict(call, now).wait_s
         ticket.tier = self.usage.tier(call)
+        ticket.excess = self.contention.exceeds(call, now)
         quota = self.quotas.get(call.organisation)
         if quota is not None:
             quota.spend(call.tokens)
--- a/packages/endive_core/src/endive_core/calls.py
+++ b/packages/endive_core/src/endive_core/calls.py
@@ -141,6 +141,8 @@
         Software version of the server that began its stream, and at which alone the
         stream goes on; ``None`` before that. It doesn't change while the ticket is
         queued.
+    excess : bool
+        Whether it is beyond what can be served in time, see :mod:`.contention`.
     """
 
     call: Call
@@ -165,6 +167,7 @@
     waited_for_rest: bool = False
     refusal: "Refusal | None" = None
     version: str | None = None
+    excess: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/packages/endive_core/src/endive_core/demand.py
@@ -0,0 +1,273 @@
+"""The nodes' demand for prefill of one service, by priority and organisation.
+
+A node sees a small part of the requests. Each therefore tells the others, in every
+state message, how many prompt tokens a second its callers ask for and how many are
+pending at servers, by priority, and which organisations ask for most.
+"""
+
+import math
+from dataclasses import dataclass, field, replace
+
+from endive_core.calls import Call, Ticket
+
+WINDOW_S = 1.0
+"""Time constant of the rates, seconds. It averages over the requests of a node that
+gets a few a second, and follows a burst of three seconds."""
+
+MAX_ORGANISATIONS = 6
+"""Pairs of priority and organisation in one report, those with most demand."""
+
+MIN_SHARE_REPORTED = 0.1
+"""Part of a node's demand of a priority from which an organisation is reported."""
+
+MISSED_REPORTS = 3
+"""Intervals between reports after which a node's last one no longer counts."""
+
+LevelReport = tuple[int, int, int]
+"""Prompt tokens offered a second, pending at servers, and begun to be answered a
+second."""
+
+OrganisationReport = tuple[int, str, int]
+"""Index of the priority, organisation, prompt tokens offered a second."""
+
+DemandReport = tuple[list[LevelReport], list[OrganisationReport]]
+"""A node's demand of one service: its priorities, the most urgent first, and the
+organisations that ask for most."""
+
+
+@dataclass(slots=True)
+class Rate:
+    """Exponentially smoothed rate of tokens."""
+
+    value: float = 0.0
+    updated_at: float = -math.inf
+
+    def add(self, tokens: float, now: float) -> None:
+        """Count `tokens` at `now`."""
+        self.value = self.at(now) + tokens / WINDOW_S
+        self.updated_at = now
+
+    def at(self, now: float) -> float:
+        """Return the rate at `now`, tokens a second."""
+        return self.value * math.exp(min(0.0, (self.updated_at - now) / WINDOW_S))
+
+
+@dataclass(slots=True)
+class LevelDemand:
+    """Prompt tokens of one priority.
+
+    Attributes
+    ----------
+    offered : float
+        Tokens a second that callers ask for.
+    pending : float
+        Tokens sent to servers that have not begun to answer.
+    answered : float
+        Tokens a second whose answers begin.
+    """
+
+    offered: float = 0.0
+    pending: float = 0.0
+    answered: float = 0.0
+
+
+@dataclass
+class Demand:
+    """Demand of several nodes.
+
+    Attributes
+    ----------
+    nodes : int
+        Number of nodes whose demand is included.
+    organisations : dict of (int, str) to float
+        Tokens offered a second, by index of the priority and organisation.
+    """
+
+    levels: list[LevelDemand]
+    organisations: dict[tuple[int, str], float] = field(default_factory=dict)
+    nodes: int = 0
+
+    def add(self, report: DemandReport, sign: int = 1) -> None:
+        """Add one node's report, or subtract it if `sign` is -1.
+
+        Further priorities than expected are left out.
+        """
+        for level, found in zip(self.levels, report[0], strict=False):
+            offered, pending, answered = found
+            level.offered += sign * offered
+            level.pending += sign * pending
+            level.answered += sign * answered
+        for rank, name, offered in report[1]:
+            key = (rank, name)
+            tokens = self.organisations.get(key, 0.0) + sign * offered
+            if tokens > 0:
+                self.organisations[key] = tokens
+            else:
+                self.organisations.pop(key, None)
+        self.nodes += sign
+
+
+class DemandMeter:
+    """Demand of one node, as it sees it itself.
+
+    Attributes
+    ----------
+    mean_tokens, small_share : list of float
+        By priority, the mean length of a prompt, and the part of the tokens that is in
+        prompts up to that length.
+    """
+
+    def __init__(self) -> None:
+        self.rates: list[Rate] = []
+        self.answers: list[Rate] = []
+        self.mean_tokens: list[float] = []
+        self.small_share: list[float] = []
+        self.organisations: dict[tuple[int, str], Rate] = {}
+        self.uncached: list[float] = []
+        self.sent: dict[Ticket, tuple[int, str, float]] = {}
+        self.by_server: dict[str, list[float]] = {}
+
+    def set_levels(self, count: int) -> None:
+        """Start anew with `count` priorities."""
+        self.rates = [Rate() for _ in range(count)]
+        self.answers = [Rate() for _ in range(count)]
+        self.mean_tokens = [0.0] * count
+        self.small_share = [1.0] * count
+        self.uncached = [1.0] * count
+        self.organisations.clear()
+        self.sent.clear()
+        self.by_server.clear()
+
+    def offered(self, rank: int, call: Call, now: float) -> None:
+        """Count a call that a caller asks for."""
+        tokens = max(1.0, call.prompt_tokens * self.uncached[rank])
+        mean = self.mean_tokens[rank] or call.prompt_tokens
+        weight = LENGTH_SMOOTHING * call.prompt_tokens / max(1.0, mean)
+        is_small = call.prompt_tokens <= mean
+        self.small_share[rank] += weight * (is_small - self.small_share[rank])
+        self.mean_tokens[rank] = mean + LENGTH_SMOOTHING * (call.prompt_tokens - mean)
+        self.rates[rank].add(tokens, now)
+        key = (rank, call.organisation)
+        self.organisations.setdefault(key, Rate()).add(tokens, now)
+
+    def dispatched(self, rank: int, ticket: Ticket) -> None:
+        """Count a prompt as pending at its server, unless it is sent as late."""
+        self.ended(ticket)
+        if ticket.call.prompt_tokens:
+            part = ticket.uncached_tokens / ticket.call.prompt_tokens
+            self.uncached[rank] += UNCACHED_SMOOTHING * (part - self.uncached[rank])
+        if not ticket.yields:
+            self.sent[ticket] = (rank, ticket.server, ticket.uncached_tokens)
+            pending = self.by_server.setdefault(ticket.server, [0.0] * len(self.rates))
+            pending[rank] += ticket.uncached_tokens
+
+    def started(self, rank: int, ticket: Ticket, now: float) -> None:
+        """Count a prompt whose answer has begun."""
+        self.answers[rank].add(ticket.uncached_tokens, now)
+        self.ended(ticket)
+
+    def ended(self, ticket: Ticket) -> None:
+        """Count a prompt as no longer pending."""
+        rank, server, tokens = self.sent.pop(ticket, (0, "", 0.0))
+        pending = self.by_server.get(server)
+        if pending is None:
+            return
+        pending[rank] -= tokens
+        if max(pending) < 1.0:
+            del self.by_server[server]
+
+    def pending_at(self, server: str) -> list[float]:
+        """Return the tokens pending at a server, by priority."""
+        return self.by_server.get(server, [0.0] * len(self.rates))
+
+    def report(self, now: float) -> DemandReport:
+        """Return the demand as it is sent to other nodes."""
+        offered = [rate.at(now) for rate in self.rates]
+        pending = [0.0] * len(offered)
+        for rank, _, tokens in self.sent.values():
+            pending[rank] += tokens
+        largest = []
+        for (rank, name), rate in list(self.organisations.items()):
+            tokens = rate.at(now)
+            if tokens < 1.0:
+                del self.organisations[rank, name]
+            elif tokens >= MIN_SHARE_REPORTED * offered[rank]:
+                largest.append((rank, name, round(tokens)))
+        largest.sort(key=lambda entry: -entry[2])
+        answers = [rate.at(now) for rate in self.answers]
+        figures = zip(offered, pending, answers, strict=True)
+        levels = [(round(a), round(b), round(c)) for a, b, c in figures]
+        return levels, largest[:MAX_ORGANISATIONS]
+
+
+LENGTH_SMOOTHING = 0.01
+"""Weight of the newest prompt in the lengths: the last hundred count."""
+
+UNCACHED_SMOOTHING = 0.02
+"""Weight of the newest prompt in the part that a server has to compute."""
+
+
+class FleetDemand:
+    """The newest reports of the other nodes, and their sum.
+
+    Attributes
+    ----------
+    interval_s : float
+        Time between two reports of one node, seconds. A report counts for
+        `MISSED_REPORTS` times as long; what a silent node has is then left out, both
+        its demand and its part of the capacity.
+    others : Demand
+        Sum of the reports; kept up to date with each, so that its cost does not grow
+        with the number of nodes.
+    known : Demand
+        That sum with this node's own demand, as of the last :meth:`total`.
+    """
+
+    def __init__(self) -> None:
+        self.reports: dict[str, tuple[DemandReport, float]] = {}
+        self.interval_s = 0.2
+        self.next_sweep_at = -math.inf
+        self.others = Demand([])
+        self.known = Demand([])
+
+    def set_levels(self, count: int) -> None:
+        """Start anew with `count` priorities."""
+        self.reports.clear()
+        self.others = Demand([LevelDemand() for _ in range(count)])
+        self.known = Demand([LevelDemand() for _ in range(count)])
+
+    def receive(self, node: str, report: DemandReport, now: float) -> None:
+        """Replace a node's report."""
+        self.remove(node)
+        self.reports[node] = (report, now)
+        self.others.add(report)
+
+    def remove(self, node: str) -> None:
+        """Remove what a node has reported."""
+        report, _ = self.reports.pop(node, (None, 0.0))
+        if report is not None:
+            self.others.add(report, -1)
+
+    def total(self, own: DemandReport, now: float) -> Demand:
+        """Return the demand of all nodes that are heard of, with `own`."""
+        self._sweep(now)
+        others = self.others
+        levels = [replace(level) for level in others.levels]
+        self.known = Demand(levels, dict(others.organisations), others.nodes)
+        self.known.add(own)
+        return self.known
+
+    def _sweep(self, now: float) -> None:
+        """Remove reports that no longer count, once per interval."""
+        if now < self.next_sweep_at:
+            return
+        self.next_sweep_at = now + self.interval_s
+        oldest = now - MISSED_REPORTS * self.interval_s
+        for node in [n for n, (_, at) in self.reports.items() if at < oldest]:
+            self.remove(node)
+
+    def pending_share(self, rank: int) -> float:
+        """Return the part of all pending tokens that is at least as urgent."""
+        pending = [level.pending for level in self.known.levels]
+        total = sum(pending)
+        return sum(pending[: rank + 1]) / total if total else 1.0
--- a/packages/endive_core/src/endive_core/first_tokens.py
+++ b/packages/endive_core/src/endive_core/first_tokens.py
@@ -55,6 +55,7 @@
         now: float,
         *,
         tokens_per_s: float,
+        group: int = 0,
     ) -> None:
         """Update the estimates from a time to first token.
 
@@ -71,11 +72,13 @@
             Clock time of the first token, seconds.
         tokens_per_s : float
             Prefill rate that the expected time is based on.
+        group : int
+            Level of urgency; see :mod:`.prefilling`.
         """
         if ticket.yields:
             return
         if self.prefill is not None:
-            self.prefill.learn(ticket.uncached_tokens, seconds)
+            self.prefill.learn(ticket.uncached_tokens, seconds, group)
         prefill_s = ticket.uncached_tokens / tokens_per_s
         self.rate.learn_start(seconds - prefill_s, now)
         if server is not None:
--- a/packages/endive_core/src/endive_core/placement.py
+++ b/packages/endive_core/src/endive_core/placement.py
@@ -15,6 +15,7 @@
 
 from endive_core.backlogs import Backlogs
 from endive_core.calls import Call, Ticket, Tier
+from endive_core.contention import Contention
 from endive_core.policy import Policy
 from endive_core.prefixes import PrefixIndex
 from endive_core.ring import HashRing
@@ -74,8 +75,15 @@
         exchange them.
     """
 
-    def __init__(self, policy: Policy, servers: ServerSet, random: Random) -> None:
+    def __init__(
+        self,
+        policy: Policy,
+        servers: ServerSet,
+        random: Random,
+        contention: Contention,
+    ) -> None:
         self.policy = policy
+        self.contention = contention
         self.servers = servers
         self.random = random
         self.ring = HashRing(points=policy.ring_points)
@@ -229,12 +237,12 @@
         compute = _uncached(call, cached_blocks) / server.view.prefill_tokens_per_s
         weights = call.weights
         cost_s = server.slowness * (
-            weights.wait * (self.wait_s(server, now) + compute)
+            weights.wait * (self.wait_s(call, server, now) + compute)
             + weights.recompute * compute
         )
         return cost_s + (SHEDDING_COST_S if server.shedding_until > now else 0.0)
 
-    def wait_s(self, server: ServerLoad, now: float) -> float:
+    def wait_s(self, call: Call, server: ServerLoad, now: float) -> float:
         """Return the predicted wait for the first prefill step at `server`, seconds.
 
         The fewer free slots the last report shows, the likelier another node takes the
@@ -242,10 +250,11 @@
         """
         view = server.view
         rate = view.prefill_tokens_per_s
-        tokens = server.starting_tokens
+        others = 0.0
         if self.backlogs is not None:
-            tokens += self.backlogs.tokens(server.id, now, rate)
-        waiting = tokens / rate
+            others = self.backlogs.tokens(server.id, now, rate)
+        own = server.starting_tokens
+        waiting = self.contention.tokens_ahead(call, server.id, own, others) / rate
         free = max(0, view.max_concurrent - server.load)
         return waiting + self.policy.crowding_s / (1 + free)
 
@@ -259,7 +268,9 @@
         """
         ticket.uncached_tokens = float(ticket.call.prompt_tokens)
         allowed = self._all_allowed(ticket, tier)
-        return min(allowed, key=lambda s: self.wait_s(s, now), default=None)
+        return min(
+            allowed, key=lambda s: self.wait_s(ticket.call, s, now), default=None
+        )
 
     def predict_start(
         self, ticket: Ticket, server: ServerLoad, now: float
@@ -281,7 +292,7 @@
         if self.backlogs is None or ticket.attempt:
             return ON_TIME
         rate = server.view.prefill_tokens_per_s
-        wait_s = self.wait_s(server, now)
+        wait_s = self.wait_s(ticket.call, server, now)
         starts_s = wait_s + ticket.uncached_tokens / rate
         yields = self._should_yield(ticket, wait_s, starts_s, now)
         deadline = ticket.call.deadline
@@ -308,6 +319,8 @@
         A prompt whose own computation takes longer than its target does not yield
         while the wait is short, since it would otherwise always be last.
         """
+        if ticket.excess:
+            return True
         target_s = ticket.call.target_s
         if wait_s <= self.policy.yield_wait_part * target_s:
             return False
--- a/packages/endive_core/src/endive_core/policy.py
+++ b/packages/endive_core/src/endive_core/policy.py
@@ -92,6 +92,33 @@
         "that is predicted to miss its target is queued behind the others there",
         ge=0,
     )
+    contention_target_ratio: float = parameter(
+        2.0,
+        "ratio of a priority's target to that of the service's most urgent one from "
+        "which its requests leave room for others and are refused first; 0 never",
+        ge=0,
+    )
+    contention_backlog_part: float = parameter(
+        0.25,
+        "prompts pending at the servers that are admitted as in time, as a fraction of "
+        "what the servers prefill within the priority's target",
+        gt=0,
+        le=1,
+    )
+    contention_min_share: float = parameter(
+        0.25,
+        "least part of the requests of any priority or organisation that is admitted "
+        "as in time, as a fraction of that of all requests",
+        ge=0,
+        le=1,
+    )
+    contention_long_share: float = parameter(
+        0.5,
+        "the same for prompts longer than the mean of their priority, as a fraction of "
+        "that of their priority",
+        ge=0,
+        le=1,
+    )
     queue_heads_tried: int = parameter(
         8,
         "organisations whose first queued request is tried for one free slot",
--- a/packages/endive_core/src/endive_core/prefilling.py
+++ b/packages/endive_core/src/endive_core/prefilling.py
@@ -10,8 +10,16 @@
 about 1.45 times as long as the engine alone needs for it, since prefill is interleaved
 with the tokens of other requests; the estimate includes this, as it is what a caller
 waits for.
+
+Where servers admit by priority, prompts of different priorities wait for different
+times. If the urgent prompts are the long ones, the line over all of them falls in an
+overload, since the short ones wait longer: in simulations the estimate then rose to 20
+times the rate. The slope is therefore that within each group of prompts, whose samples
+count from the group's own means.
 """
 
+from dataclasses import dataclass
+
 PRIOR_TOKENS_PER_S = 60_000.0
 """Prior estimate, tokens per second, about the median of three kinds of engines with
 39,000, 63,000 and 75,000. Until the rate is learned, too low a prior orders more
@@ -37,6 +45,24 @@
 """Greatest factor by which the learned rate may differ from the prior."""
 
 
+@dataclass(slots=True)
+class GroupMeans:
+    """Moving averages of the prompts of one group."""
+
+    samples: float = 0.0
+    tokens: float = 0.0
+    seconds: float = 0.0
+
+    def add(self, tokens: float, seconds: float) -> tuple[float, float]:
+        """Add a sample; return its deviations from the means before it."""
+        self.samples = min(self.samples + 1, 1 / SMOOTHING)
+        weight = 1 / self.samples
+        deviations = tokens - self.tokens, seconds - self.seconds
+        self.tokens += weight * deviations[0]
+        self.seconds += weight * deviations[1]
+        return deviations
+
+
 class PrefillRate:
     """Online estimate of the prefill rate, by exponentially weighted regression.
 
@@ -49,24 +75,26 @@
     def __init__(self, tokens_per_s: float = PRIOR_TOKENS_PER_S) -> None:
         self.prior_s = 1 / tokens_per_s
         self.samples = 0.0
-        self.mean_tokens = 0.0
-        self.mean_s = 0.0
+        self.means: dict[int, GroupMeans] = {}
         self.variance = 0.0
         self.covariance = 0.0
 
-    def learn(self, tokens: float, seconds: float) -> None:
-        """Add the time to first token of a prompt with `tokens` to compute."""
-        if self.samples:
-            expected = (
-                self.mean_s + (tokens - self.mean_tokens) * self.seconds_per_token
-            )
+    def learn(self, tokens: float, seconds: float, group: int = 0) -> None:
+        """Add the time to first token of a prompt with `tokens` to compute.
+
+        Parameters
+        ----------
+        group : int
+            Prompts of one group wait for the same time on average.
+        """
+        means = self.means.setdefault(group, GroupMeans())
+        if means.samples:
+            expected = means.seconds + (tokens - means.tokens) * self.seconds_per_token
             bound = max(MIN_BOUND_S, MAX_TIMES_EXPECTED * expected)
             seconds = min(seconds, bound)
         self.samples = min(self.samples + 1, 1 / SMOOTHING)
+        deviation_tokens, deviation_s = means.add(tokens, seconds)
         weight = 1 / self.samples
-        deviation_tokens, deviation_s = tokens - self.mean_tokens, seconds - self.mean_s
-        self.mean_tokens += weight * deviation_tokens
-        self.mean_s += weight * deviation_s
         decay = 1 - weight
         self.variance = decay * (self.variance + weight * deviation_tokens**2)
         self.covariance = decay * (
--- a/packages/endive_core/src/endive_core/scheduler.py
+++ b/packages/endive_core/src/endive_core/scheduler.py
@@ -12,6 +12,7 @@
 
 from endive_core.admission import Admission
 from endive_core.calls import Call, Dispatch, Refusal, Retry, Stage, Ticket
+from endive_core.contention import Contention
 from endive_core.crashes import CrashTable, Success
 from endive_core.exceptions import ErrorKind, RetryReason
 from endive_core.expiry import Expiry
@@ -88,7 +89,8 @@
         )
         self.throttling = Throttling(self.servers)
         self.resting = Resting(self.servers)
-        self.placement = Placement(policy, self.servers, random)
+        self.contention = Contention(policy, self.servers)
+        self.placement = Placement(policy, self.servers, random, self.contention)
         self.outliers = OutlierDetector(policy, self.servers)
         self.queue = FairQueue()
         self.crashes = crashes or CrashTable.from_policy(policy)
@@ -103,6 +105,7 @@
             self.throttling,
             self.resting,
             self.trials,
+            self.contention,
         )
         self.first_tokens = FirstTokenLearner(
             self.servers, self.admission.rate, self.outliers, prefill
@@ -143,6 +146,7 @@
         """Apply the declared organisations with their shares and limits."""
         self.admission.set_organisations(organisations)
         self.queue.shares = {name: o.share for name, o in organisations.items()}
+        self.contention.weights = self.queue.shares
 
     def set_deployments(self, deployments: dict[str, "Deployment"]) -> None:
         """Apply the deployments that use this service."""
@@ -331,6 +335,7 @@
         self.servers.adjust_prefill_backlog(
             server, 1, ticket.uncached_tokens, yields=ticket.yields
         )
+        self.contention.dispatched(ticket)
         self.placement.pace(server, ticket.uncached_tokens, now)
         server.starting_suspects += ticket.suspect
         ticket.held_at = None
@@ -351,6 +356,7 @@
         ticket.stage = Stage.STREAMING
         ticket.first_token_at = now
         self._end_trial(ticket)
+        self.contention.started(ticket, now)
         self.trials.table.add_answers(ticket.call.shared_parts, now)
         server = self._server_load_of(ticket)
         if server is not None:
@@ -363,6 +369,7 @@
             now - ticket.dispatched_at,
             now,
             tokens_per_s=self.admission.prefill_tokens_per_s(),
+            group=self.contention.rank(-ticket.call.level),
         )
 
     def _end_trial(self, ticket: Ticket) -> None:
@@ -510,6 +517,7 @@
         self.usage.release(ticket.call.organisation)
         self.running.get(ticket.server, set()).discard(ticket)
         self._end_trial(ticket)
+        self.contention.ended(ticket)
         server = self._server_load_of(ticket)
         if server is not None:
             if ticket.stage is Stage.DISPATCHED:
--- a/packages/endive_core/src/endive_core/servers.py
+++ b/packages/endive_core/src/endive_core/servers.py
@@ -202,6 +202,9 @@
         All servers by the version of their software.
     own_in_flight : int
         Requests of this node in flight.
+    expects_bursts : bool
+        Whether a burst at this node is taken for one at all nodes. Not so where the
+        nodes tell each other their demand.
     """
 
     def __init__(
@@ -222,6 +225,7 @@
         self.versions: dict[str, list[ServerLoad]] = {}
         self.nodes = 1
         self.own_in_flight = 0
+        self.expects_bursts = True
         self.net_change_total = 0
         self.reported_total = 0
         self.slots_total = 0
@@ -408,6 +412,8 @@
         for each one, and a fifth of the requests waited a second for no reason.
         """
         free = max(1, self.slots_total - self.reported_total)
+        if not self.expects_bursts:
+            return 0.0
         growth = max(0, self.net_change_total) + min(1.0, self.mean_utilisation)
         growth *= 1 / self.share - 1
         return growth * max(0, server.free) / free
--- a/packages/endive_gateway/src/endive_gateway/context.py
+++ b/packages/endive_gateway/src/endive_gateway/context.py
@@ -15,6 +15,7 @@
 
 from endive_gateway.brittle_services import BrittleServices
 from endive_gateway.connections import ConnectionPool
+from endive_gateway.contention_exchange import ContentionExchange
 from endive_gateway.interfaces import Cloud, GatewaySettings, Store, Wire
 from endive_gateway.leaving_servers import LAST_SERVER_MARGIN_S, LeavingServers
 from endive_gateway.limit_sharing import LimitSharing
@@ -82,6 +83,8 @@
         Decides where streams go on that callers take up.
     slot_leasing : SlotLeasing
         Leases of those servers' slots, from the nodes that coordinate them.
+    contention_exchange : ContentionExchange
+        The nodes' demand by priority and organisation.
     initialised : Event
         Set once the configuration and the list of servers have been read.
     incarnation : int
@@ -161,6 +164,7 @@
         self.registry.listeners.append(self._observe_versions)
         self.meter = UsageMeter(settings.bounds.usage_window_s)
         self.cluster_clock = ClusterClock(time.monotonic, time.time)
+        self.contention_exchange = ContentionExchange(self.placer, self.cluster_clock)
         self.retry_budgets: dict[str, FleetRetryBudget] = {}
         self.work = WorkloadMeter()
         self.take_units: Callable[[OrganisationLimits, float], float] = (
@@ -219,6 +223,7 @@
         self.routes_seen.observe(table.routes, time.monotonic())
         self.document = document
         self.placer.configure(table)
+        self.contention_exchange.configure(table)
         self._update_initialised()
         return True
 
--- a/packages/endive_gateway/src/endive_gateway/gateway.py
+++ b/packages/endive_gateway/src/endive_gateway/gateway.py
@@ -167,6 +167,10 @@
         add_gauge("endive_stream_origins", lambda: len(origins.table))
         parts = self.context.placer.trials.table
         add_gauge("endive_parts_suspected", lambda: len(parts.suspected()))
+        contention = self.context.contention_exchange
+        add_gauge("endive_contention_refused", contention.shed)
+        add_gauge("endive_contention_late", contention.late)
+        add_gauge("endive_contention_least_part", contention.least_part)
         leasing = self.context.slot_leasing
         add_gauge(
             "endive_services_brittle", lambda: len(self.context.brittle_services.names)
--- a/packages/endive_gateway/src/endive_gateway/peers.py
+++ b/packages/endive_gateway/src/endive_gateway/peers.py
@@ -359,6 +359,7 @@
             self.datagrams.pause_s = min(
                 MAX_RECEIVE_PAUSE_S, RECEIVE_PAUSE_FRACTION * interval_s
             )
+        self.context.contention_exchange.set_interval(interval_s)
         self.context.limits.silence_timeout_s = max(
             SILENCE_TIMEOUT_S, MISSED_BROADCASTS * interval_s
         )
@@ -470,6 +471,7 @@
             zone=context.settings.location.zone,
             part_crashes=self.part_exchange.next_crashes(now, receivers),
             part_answers=self.part_exchange.next_answers(now, receivers),
+            demand=context.contention_exchange.next_demand(),
             **context.server_statements.next_fields(),
         )
 
@@ -538,6 +540,7 @@
         context.paths.transit.choice.offers.set(address, message.carried)
         context.placer.ejection.receive(address, message.server_failures, now)
         context.placer.backlogs.receive(address, message.pending_prompt_tokens, now)
+        context.contention_exchange.learn(address, message.demand)
         self._greet(peer, now)
         if message.complete and self.lacks_bootstrap():
             self.bootstrap_exchange.pull(self.port)
@@ -554,6 +557,7 @@
         if message.gone:
             log_event("peer_gone", peer=message.node)
             context.limits.remove_peer(address)
+            context.contention_exchange.remove(address)
             context.paths.transit.choice.offers.discard(address)
             self.known.pop(address, None)
 
--- a/packages/endive_gateway/src/endive_gateway/state_messages.py
+++ b/packages/endive_gateway/src/endive_gateway/state_messages.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 
 import msgspec
+from endive_core.demand import DemandReport
 
 from endive_gateway.exceptions import UndecodableError
 from endive_gateway.interfaces import Record, ServerDelta
@@ -86,6 +87,8 @@
     zone : str
         The sender's availability zone. Empty at nodes of an earlier version, which keep
         no origins of streams.
+    demand : dict of str to DemandReport
+        The sender's demand for prefill of the services that admit by it.
     """
 
     node: str
@@ -118,6 +121,7 @@
     zone: str = ""
     part_crashes: list[CrashReport] = []
     part_answers: list[AnswerReport] = []
+    demand: dict[str, DemandReport] = {}
 
 
 DECODER = msgspec.msgpack.Decoder(StateMessage)
