--- a/packages/endive_core/src/endive_core/calls.py
+++ b/packages/endive_core/src/endive_core/calls.py
@@ -157,6 +157,8 @@
     pooled : bool
         Whether the coordinator of its service's slots assigns its server, so that it is
         in no queue of this node.
+    excess : bool
+        Whether it is beyond what can be served in time, see :mod:`.contention`.
     """
 
     call: Call
@@ -186,6 +188,7 @@
     predicted_start_s: float = 0.0
     fetch_due_at: float = 0.0
     pooled: bool = False
+    excess: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/endive_core/src/endive_core/placement.py
+++ b/packages/endive_core/src/endive_core/placement.py
@@ -15,6 +15,7 @@
 
 from endive_core.backlogs import Backlogs
 from endive_core.calls import Call, Ticket, Tier
+from endive_core.contention import Contention
 from endive_core.policy import Policy
 from endive_core.prefix_fetch import COST_SHARE, Fetch, FetchPlanner
 from endive_core.prefixes import PrefixIndex
@@ -77,8 +78,15 @@
         Plans fetches of cached prompt parts, if the servers can make them.
     """
 
-    def __init__(self, policy: Policy, servers: ServerSet, random: Random) -> None:
+    def __init__(
+        self,
+        policy: Policy,
+        servers: ServerSet,
+        random: Random,
+        contention: Contention,
+    ) -> None:
         self.policy = policy
+        self.contention = contention
         self.servers = servers
         self.random = random
         self.ring = HashRing(points=policy.ring_points)
@@ -258,10 +266,12 @@
             fetch_s += weights.recompute * COST_SHARE * fetch.tokens / rate
             work_s = min(work_s, fetch_s + compute_weight * compute)
         work_s += weights.wait * slowdown * speeds.work_s
-        cost_s = server.slowness * (weights.wait * self.wait_s(server, now) + work_s)
+        cost_s = server.slowness * (
+            weights.wait * self.wait_s(call, server, now) + work_s
+        )
         return cost_s + (SHEDDING_COST_S if server.shedding_until > now else 0.0)
 
-    def wait_s(self, server: ServerLoad, now: float) -> float:
+    def wait_s(self, call: Call, server: ServerLoad, now: float) -> float:
         """Return the predicted wait for the first prefill step at `server`, seconds.
 
         The fewer free slots the last report shows, the likelier another node takes the
@@ -269,10 +279,11 @@
         """
         view = server.view
         rate = view.prefill_tokens_per_s / server.slowdown
-        tokens = server.starting_tokens
+        others = 0.0
         if self.backlogs is not None:
-            tokens += self.backlogs.tokens(server.id, now, rate)
-        waiting = tokens / rate
+            others = self.backlogs.tokens(server.id, now, rate)
+        own = server.starting_tokens
+        waiting = self.contention.tokens_ahead(call, server.id, own, others) / rate
         free = max(0, view.max_concurrent - server.load)
         return waiting + server.slowdown * self.policy.crowding_s / (1 + free)
 
@@ -287,7 +298,9 @@
         ticket.uncached_tokens = float(ticket.call.prompt_tokens)
         ticket.fetch = None
         allowed = self._all_allowed(ticket, tier)
-        return min(allowed, key=lambda s: self.wait_s(s, now), default=None)
+        return min(
+            allowed, key=lambda s: self.wait_s(ticket.call, s, now), default=None
+        )
 
     def predict_start(
         self, ticket: Ticket, server: ServerLoad, now: float
@@ -309,7 +322,7 @@
         if self.backlogs is None or ticket.attempt:
             return ON_TIME
         rate = server.view.prefill_tokens_per_s / server.slowdown
-        wait_s = self.wait_s(server, now)
+        wait_s = self.wait_s(ticket.call, server, now)
         starts_s = wait_s + ticket.uncached_tokens / rate
         if ticket.fetch is not None:
             starts_s += ticket.fetch.transfer_s
@@ -338,6 +351,8 @@
         A prompt whose own computation takes longer than its target does not yield
         while the wait is short, since it would otherwise always be last.
         """
+        if ticket.excess:
+            return True
         target_s = ticket.call.target_s
         if wait_s <= self.policy.yield_wait_part * target_s:
             return False
--- a/packages/endive_core/src/endive_core/placement_explanation.py
+++ b/packages/endive_core/src/endive_core/placement_explanation.py
@@ -124,9 +124,11 @@
     """Restore what a refusal changes: the windows of refused callers, and counts."""
     windows, trials = scheduler.admission.retry_windows, scheduler.trials
     ends_at, outcomes = dict(windows.ends_at), Counter(trials.outcomes)
+    scheduler.contention.counts_offers = False
     try:
         yield
     finally:
+        scheduler.contention.counts_offers = True
         windows.ends_at = ends_at
         trials.outcomes.clear()
         trials.outcomes.update(outcomes)
@@ -172,7 +174,7 @@
         free_slots=server.free - server.net_change,
         slowness=server.slowness,
         slowdown=server.slowdown,
-        wait_s=placement.wait_s(server, now),
+        wait_s=placement.wait_s(call, server, now),
         cached_tokens=call.cached_tokens(blocks),
         is_hashed=server.id in hashed,
         cost_s=placement.score(call, server, blocks, now),
--- a/packages/endive_core/src/endive_core/scheduler.py
+++ b/packages/endive_core/src/endive_core/scheduler.py
@@ -12,6 +12,7 @@
 
 from endive_core.admission import Admission
 from endive_core.calls import Call, Dispatch, Refusal, Retry, Stage, Ticket
+from endive_core.contention import Contention
 from endive_core.crashes import CrashTable, Success
 from endive_core.exceptions import ErrorKind, RetryReason
 from endive_core.expiry import Expiry
@@ -93,7 +94,8 @@
         )
         self.throttling = Throttling(self.servers)
         self.resting = Resting(self.servers)
-        self.placement = Placement(policy, self.servers, random)
+        self.contention = Contention(policy, self.servers)
+        self.placement = Placement(policy, self.servers, random, self.contention)
         self.outliers = OutlierDetector(policy, self.servers)
         self.queue = FairQueue()
         self.crashes = crashes or CrashTable.from_policy(policy)
@@ -108,6 +110,7 @@
             self.throttling,
             self.resting,
             self.trials,
+            self.contention,
         )
         self.first_tokens = FirstTokenLearner(
             self.servers, self.admission.rate, self.outliers, prefill
@@ -157,6 +160,7 @@
         """Apply the declared organisations with their shares and limits."""
         self.admission.set_organisations(organisations)
         self.queue.shares = {name: o.share for name, o in organisations.items()}
+        self.contention.weights = self.queue.shares
 
     def set_deployments(self, deployments: dict[str, "Deployment"]) -> None:
         """Apply the deployments that use this service."""
@@ -383,11 +387,12 @@
         ticket.dispatched_at = now
         ticket.first_token_at = None
         if self.placement.fetching is not None:
-            wait_s = self.placement.wait_s(server, now)
+            wait_s = self.placement.wait_s(ticket.call, server, now)
             self.placement.fetching.dispatched(ticket, server, wait_s, now)
         self.servers.adjust_prefill_backlog(
             server, 1, ticket.uncached_tokens, yields=ticket.yields
         )
+        self.contention.dispatched(ticket)
         self.placement.pace(server, ticket.uncached_tokens, now)
         server.starting_suspects += ticket.suspect
         ticket.held_at = None
@@ -408,6 +413,7 @@
         ticket.stage = Stage.STREAMING
         ticket.first_token_at = now
         self._end_trial(ticket)
+        self.contention.started(ticket, now)
         self.trials.table.add_answers(ticket.call.shared_parts, now)
         if self.placement.fetching is not None:
             self.placement.fetching.started(ticket, now)
@@ -422,6 +428,7 @@
             now - ticket.dispatched_at,
             now,
             tokens_per_s=self.admission.prefill_tokens_per_s(),
+            group=self.contention.rank(-ticket.call.level),
         )
 
     def _end_trial(self, ticket: Ticket) -> None:
@@ -577,6 +584,7 @@
         self._end_trial(ticket)
         if ticket.fetch is not None and ticket.stage is Stage.DISPATCHED:
             self.placement.fetching.ended(ticket, now)
+        self.contention.ended(ticket)
         server = self._server_load_of(ticket)
         if server is not None:
             if ticket.stage is Stage.DISPATCHED:
--- a/packages/endive_gateway/src/endive_gateway/peers.py
+++ b/packages/endive_gateway/src/endive_gateway/peers.py
@@ -378,6 +378,7 @@
                 MAX_RECEIVE_PAUSE_S, RECEIVE_PAUSE_FRACTION * interval_s
             )
         self.context.speed_exchange.hop_s = self.datagrams.pause_s
+        self.context.contention_exchange.set_interval(interval_s)
         self.context.limits.silence_timeout_s = max(
             SILENCE_TIMEOUT_S, MISSED_BROADCASTS * interval_s
         )
@@ -524,6 +525,7 @@
             rollouts=context.rollouts.next_report(),
             slow_sources=context.prefix_fetching.next_reports(),
             pools_slots=context.settings.pools_slots,
+            demand=context.contention_exchange.next_demand(),
             **context.server_statements.next_fields(),
         )
 
@@ -598,6 +600,7 @@
                 address, message.incarnation, message.node, message.rollouts
             )
         context.prefix_fetching.receive(address, message.slow_sources)
+        context.contention_exchange.learn(address, message.demand)
         self._greet(peer, now)
         if message.complete and self.lacks_bootstrap():
             self.bootstrap_exchange.pull(self.port)
@@ -615,6 +618,7 @@
             log_event("peer_gone", peer=message.node)
             context.limits.remove_peer(address)
             context.rollouts.forget_node(address)
+            context.contention_exchange.remove(address)
             context.paths.transit.choice.offers.discard(address)
             self.known.pop(address, None)
 
--- a/packages/endive_gateway/src/endive_gateway/state_messages.py
+++ b/packages/endive_gateway/src/endive_gateway/state_messages.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 
 import msgspec
+from endive_core.demand import DemandReport
 
 from endive_gateway.exceptions import UndecodableError
 from endive_gateway.interfaces import Record, ServerDelta
@@ -98,6 +99,8 @@
         its requests, its incarnation, and the rest of that time in seconds.
     pools_slots : bool
         Whether the sender coordinates the slots of plain services with few of them.
+    demand : dict of str to DemandReport
+        The sender's demand for prefill of the services that admit by it.
     """
 
     node: str
@@ -134,6 +137,7 @@
     rollouts: RolloutReport | None = None
     slow_sources: list[tuple[str, int, float]] = []
     pools_slots: bool = False
+    demand: dict[str, DemandReport] = {}
 
 
 DECODER = msgspec.msgpack.Decoder(StateMessage)
