Shift the routes with the longest requests first

Cause: with all routes shifted together the bound on exposure left 0.7 s, and of 60 to 90 old requests left at completion most were long streams. Change: the last stage has a lead for each route, in proportion to its mean duration and within the bound; a server of the candidate gets the load of an old one before it where the bound allows; times of new servers don't count.

--- a/packages/endive_core/src/endive_core/rollout_stages.py
+++ b/packages/endive_core/src/endive_core/rollout_stages.py
@@ -24,7 +24,7 @@
 HESITATION_SCORE = 3.5
 """Score from which on the last stage is delayed, as far as the duration allows."""
 
-TRIAL_PART = 0.45
+TRIAL_PART = 0.4
 """Part of the bound on exposure that may be used before the last stage."""
 
 USED_PART = 0.93
@@ -38,7 +38,7 @@
 """The small share as a part of the mean one that the budget allows."""
 
 MIN_SHARE = 0.005
-MAX_TRIAL_SHARE = 0.25
+MAX_TRIAL_SHARE = 0.34
 MARGIN_PART, MIN_MARGIN_S, MAX_MARGIN_S = 0.1, 0.6, 4.0
 """Time between the planned completion and the end of the duration, as a part of it and
 within bounds, seconds: for the write, which an unstable store delays."""
@@ -48,10 +48,21 @@
 """Length of the last stage, at least and at most, seconds and as a part of the
 duration. Old requests need up to a few seconds to end."""
 
+LEAD_FACTOR = 2.5
+"""Time for which a route's requests go to the candidate before it is completed, as a
+multiple of their mean duration: nearly all old ones have ended then."""
+
+APPLY_S = 0.4
+"""Time that a stage needs to reach the nodes, seconds."""
+
 MIN_TRIAL_S, MIN_TRIAL_PART = 1.0, 0.1
 """Time for which a version is tried at least before the last stage, seconds and as a
 part of the duration."""
 
+MIN_FULL_LOAD_S = 0.8
+"""Time for which a server of the candidate must be able to get the load of an old one
+within the budget, seconds. If it can, the share stays small until then."""
+
 MIN_JUDGED = 20
 """Responses of the candidate that are awaited before the share grows, where its share
 of the traffic brings them."""
@@ -102,6 +113,8 @@
         Why a node has stopped sending to the candidate; empty if none has.
     lag_s : float
         Mean age of the other nodes' totals, seconds.
+    reach_s : float
+        Mean time that a stop needs to reach the nodes, seconds.
     is_applied : bool
         Whether all live nodes apply the newest stage.
     """
@@ -113,6 +126,7 @@
     finding: Finding = NO_FINDING
     stopped: str = ""
     lag_s: float = 0.0
+    reach_s: float = 0.0
     is_applied: bool = True
 
 
@@ -161,13 +175,14 @@
         if not view.candidate_servers:
             return None
         if not view.base_servers and stage.kind is not StageKind.ALL:
-            return Decision(Stage(StageKind.ALL, share=1.0), "no other server is left")
+            return _all("no other server is left")
         if stage.kind is StageKind.NONE:
-            return self._share(StageKind.SMALL, view, "servers are ready")
+            return self._share(StageKind.SMALL, stage, view, "servers are ready")
         if stage.kind is StageKind.ALL:
             return None
         if view.elapsed_s >= self._all_s(view) and self._is_sound(view):
-            return _all("no evidence against it")
+            leads = tuple(sorted(self._leads(view).items()))
+            return _all("no evidence against it", self.done_s, leads)
         return self._grow(stage, view)
 
     # Time and budget
@@ -203,25 +218,63 @@
 
     def _all_s(self, view: RolloutView) -> float:
         """Return when the last stage begins, seconds since the order."""
-        duration_s = self.order.duration_s
-        left = (1 - TRIAL_PART) * self.budget(view)
-        longest_s = min(MAX_ALL_S, MAX_ALL_PART * duration_s)
-        length_s = left / max(0.01, self.rate(view))
-        start_s = self.done_s - max(MIN_ALL_S, min(longest_s, length_s))
-        trial_s = max(MIN_TRIAL_S, MIN_TRIAL_PART * duration_s)
+        longest_s = max(self._leads(view).values(), default=0.0)
+        start_s = self.done_s - max(MIN_ALL_S, longest_s) - APPLY_S
+        trial_s = max(MIN_TRIAL_S, MIN_TRIAL_PART * self.order.duration_s)
         began_s = view.elapsed_s if self.began_s is None else self.began_s
         return max(start_s, min(began_s + trial_s, self.done_s - MIN_ALL_S))
 
-    # Stages
+    def _leads(self, view: RolloutView) -> dict[str, float]:
+        """Return by route how long before the end its requests go to the candidate.
 
-    def _share(self, kind: StageKind, view: RolloutView, reason: str) -> Decision:
+        The routes whose requests take longest are shifted first, so that few requests
+        are left at the old servers when these stop. If all were shifted together, the
+        bound on exposure would leave less than a second for all of them.
+        """
+        left = (1 - TRIAL_PART) * self.budget(view)
+        left = min(left, self.budget(view) - view.totals.exposed)
+        left -= self.rate(view) * view.reach_s
+        counts = {name: c.base for name, c in view.totals.routes.items()}
+        total = sum(base.responses for base in counts.values())
+        if not total:
+            return {}
         rate = max(0.01, self.rate(view))
-        stage = Stage(kind)
+        wanted = {
+            name: LEAD_FACTOR * base.busy_ms / 1000 / max(1, base.ended) + 0.1
+            for name, base in counts.items()
+        }
+        cost = sum(
+            rate * counts[name].responses / total * wanted[name] for name in counts
+        )
+        part = min(1.0, max(0.0, left) / cost)
+        longest_s = min(MAX_ALL_S, MAX_ALL_PART * self.order.duration_s)
+        return {
+            name: round(min(longest_s, max(MIN_ALL_S, part * lead_s)), 2)
+            for name, lead_s in wanted.items()
+        }
+
+    # Stages
+
+    def _trial_left(self, stage: Stage, view: RolloutView) -> float:
+        """Return the requests that it may still get before the last stage."""
         left = TRIAL_PART * self.budget(view) - self.exposed(stage, view)
+        return max(0.0, left)
+
+    def _full_share(self, view: RolloutView) -> float:
+        """Return the share that gives one server the load of an old one."""
+        return min(MAX_TRIAL_SHARE, 1 / max(1, view.base_servers))
+
+    def _share(
+        self, kind: StageKind, stage: Stage, view: RolloutView, reason: str
+    ) -> Decision:
+        rate = max(0.01, self.rate(view))
+        left = self._trial_left(stage, view)
         left_s = max(0.3, self._all_s(view) - view.elapsed_s)
-        share = max(0.0, left) / (rate * left_s)
+        share = left / (rate * left_s)
         if kind is StageKind.SMALL:
             share *= SMALL_SHARE_PART
+        elif left >= MIN_FULL_LOAD_S * rate * self._full_share(view):
+            share = max(share, self._full_share(view))
         most = view.candidate_servers / max(1, view.base_servers)
         share = max(MIN_SHARE, min(share, MAX_TRIAL_SHARE, most))
         return Decision(
@@ -229,20 +282,29 @@
             f"{reason}; {share:.3f} of {rate:.0f} requests a second",
         )
 
+    def _grow_s(self, stage: Stage, view: RolloutView) -> float:
+        """Return when the share is to grow, seconds since the order."""
+        began_s = self.began_s or 0.0
+        all_s = self._all_s(view)
+        grow_s = began_s + SMALL_PART * (all_s - began_s)
+        full = max(0.01, self.rate(view)) * self._full_share(view)
+        full_load_s = self._trial_left(stage, view) / full
+        if full_load_s < MIN_FULL_LOAD_S:
+            return grow_s
+        return max(grow_s, all_s - full_load_s)
+
     def _grow(self, stage: Stage, view: RolloutView) -> Decision | None:
         if view.finding.score >= HESITATION_SCORE:
             return None
-        began_s = self.began_s or 0.0
-        trial_s = self._all_s(view) - began_s
         if stage.kind is StageKind.SMALL:
-            if view.elapsed_s < began_s + SMALL_PART * trial_s:
+            if view.elapsed_s < self._grow_s(stage, view):
                 return None
             if self._judged(view) < MIN_JUDGED and not self._is_idle(view):
                 return None
-            return self._share(StageKind.GROWING, view, "no evidence against it")
+            return self._share(StageKind.GROWING, stage, view, "no evidence against it")
         if view.elapsed_s - self.staged_s < READJUST_S:
             return None
-        decision = self._share(StageKind.GROWING, view, "adjusted to the rate")
+        decision = self._share(StageKind.GROWING, stage, view, "adjusted to the rate")
         factor = decision.stage.share / max(MIN_SHARE, stage.share)
         changed = not 1 / READJUST_FACTOR < factor < READJUST_FACTOR
         return decision if changed else None
@@ -295,8 +357,11 @@
         return self.exposed(stage, view) < self.budget(view)
 
 
-def _all(reason: str) -> Decision:
-    return Decision(Stage(StageKind.ALL, share=1.0), reason)
+def _all(
+    reason: str, until_s: float = 0.0, leads: tuple[tuple[str, float], ...] = ()
+) -> Decision:
+    stage = Stage(StageKind.ALL, share=1.0, until_s=until_s, leads=leads)
+    return Decision(stage, reason)
 
 
 def _end(kind: StageKind, reason: str) -> Decision:
--- a/packages/endive_core/src/endive_core/rollouts.py
+++ b/packages/endive_core/src/endive_core/rollouts.py
@@ -75,12 +75,26 @@
         Part of the new requests that go to the candidate.
     servers : int
         Number of the candidate's servers that get them; 0 for all.
+    until_s : float
+        When the candidate is to be completed, seconds since the order.
+    leads : tuple of (str, float)
+        At ``all``, by route how long before that its requests go to the candidate,
+        seconds. Those of other routes go there at once.
     """
 
     kind: StageKind = StageKind.NONE
     number: int = 0
     share: float = 0.0
     servers: int = 0
+    until_s: float = 0.0
+    leads: tuple[tuple[str, float], ...] = ()
+
+    def has_begun(self, route: str, elapsed_s: float) -> bool:
+        """Return whether a route's requests all go to the candidate now."""
+        if self.kind is not StageKind.ALL:
+            return self.kind is StageKind.COMPLETED
+        lead_s = dict(self.leads).get(route)
+        return lead_s is None or elapsed_s >= self.until_s - lead_s
 
 
 NO_STAGE = Stage()
@@ -106,7 +120,9 @@
 
     def to_body(self) -> dict[str, Any]:
         """Return the record as it is written to the log."""
-        return asdict(self)
+        body = asdict(self)
+        body["stage"]["leads"] = [list(lead) for lead in self.stage.leads]
+        return body
 
     @classmethod
     def from_body(cls, body: dict[str, Any]) -> "RolloutRecord":
@@ -114,7 +130,13 @@
         stage = body["stage"]
         return cls(
             RolloutOrder(**body["order"]),
-            Stage(**{**stage, "kind": StageKind(stage["kind"])}),
+            Stage(
+                **{
+                    **stage,
+                    "kind": StageKind(stage["kind"]),
+                    "leads": tuple((r, s) for r, s in stage.get("leads", ())),
+                }
+            ),
             str(body.get("reason", "")),
             str(body.get("replaced", "")),
         )
--- a/packages/endive_core/src/endive_core/version_comparison.py
+++ b/packages/endive_core/src/endive_core/version_comparison.py
@@ -63,10 +63,14 @@
         Those that failed, also after their first byte.
     times : list of int
         Histogram of times to first byte, one more than `RATIO_LIMITS`.
+    ended, busy_ms : int
+        Complete responses, and the sum of the times that they took, milliseconds.
     """
 
     responses: int = 0
     failures: int = 0
+    ended: int = 0
+    busy_ms: int = 0
     times: list[int] = field(default_factory=lambda: [0] * (len(RATIO_LIMITS) + 1))
 
     def add_time(self, ratio: float) -> None:
@@ -77,12 +81,16 @@
         """Add the counts of another one, or subtract them."""
         self.responses += sign * other.responses
         self.failures += sign * other.failures
+        self.ended += sign * other.ended
+        self.busy_ms += sign * other.busy_ms
         for index, count in enumerate(other.times[: len(self.times)]):
             self.times[index] += sign * count
 
     def copy(self) -> "VersionCounts":
         """Return a copy."""
-        return VersionCounts(self.responses, self.failures, list(self.times))
+        return VersionCounts(
+            self.responses, self.failures, self.ended, self.busy_ms, list(self.times)
+        )
 
 
 @dataclass(slots=True)
--- a/packages/endive_gateway/src/endive_gateway/interfaces.py
+++ b/packages/endive_gateway/src/endive_gateway/interfaces.py
@@ -174,6 +174,9 @@
     software_version : str or None
         Version of the server's software, not of its weights; ``None`` if the entry has
         no readable one.
+    cold_left_s : float
+        Seconds for which the server says that it is slower than usual after its start,
+        counted from when the entry was written.
     """
 
     id: str
@@ -187,6 +190,7 @@
     reclaimable: bool = False
     leaves_in_s: float | None = None
     software_version: str | None = ""
+    cold_left_s: float = 0.0
 
     @property
     def software_version_label(self) -> str:
--- a/packages/endive_gateway/src/endive_gateway/placing.py
+++ b/packages/endive_gateway/src/endive_gateway/placing.py
@@ -272,9 +272,15 @@
                 return service_of_key(key)
         return None
 
-    def move_queued(self, source: Scheduler, target: Scheduler) -> None:
+    def move_queued(
+        self,
+        source: Scheduler,
+        target: Scheduler,
+        is_moved: Callable[[Ticket], bool] = lambda ticket: True,
+    ) -> None:
         """Let queued requests that are bound to no version go to other servers."""
         moved = [t for t in source.queue.tickets() if t.version is None]
+        moved = [ticket for ticket in moved if is_moved(ticket)]
         for ticket in moved:
             source.queue.remove(ticket)
             target.queue.push(ticket)
--- a/packages/endive_gateway/src/endive_gateway/rollout_control.py
+++ b/packages/endive_gateway/src/endive_gateway/rollout_control.py
@@ -4,10 +4,12 @@
 stop is announced at once.
 """
 
+import math
 import time
 from collections.abc import Mapping
 from dataclasses import dataclass, replace
 
+from endive_core.crash_news import FRESH_RECEIVERS
 from endive_core.rollout_stages import (
     Decision,
     ExposureBounds,
@@ -28,8 +30,8 @@
 from endive_gateway.context import Context
 from endive_gateway.interfaces import Topic
 from endive_gateway.peers import (
-    BROADCAST_INTERVAL_PER_NODE_S,
-    BROADCAST_INTERVAL_S,
+    EVIDENCE_INTERVAL_PER_NODE_S,
+    EVIDENCE_INTERVAL_S,
     Peers,
 )
 from endive_gateway.rollouts import Rollout
@@ -38,6 +40,14 @@
 """Time after an outcome was written until it is read back, seconds. A former holder's
 write may arrive as late."""
 
+HOP_S = 0.06
+"""Time until a node that learns of a stop has told others, seconds: the delay of the
+announcement and the pause between two batches of received messages."""
+
+MAX_LAG_S = 0.6
+"""Largest mean age of the totals of the candidate's requests, seconds. In a large fleet
+a node has few of them, and sends its totals after each."""
+
 READ_BACKS = 3
 """Times that an outcome is read back."""
 
@@ -169,7 +179,9 @@
     def _view(self, record: RolloutRecord, rollout: Rollout) -> RolloutView:
         division = self.context.version_division.divisions.get(record.order.service)
         nodes = len(self.peers.known) + 1
-        interval_s = max(BROADCAST_INTERVAL_S, BROADCAST_INTERVAL_PER_NODE_S * nodes)
+        interval_s = max(EVIDENCE_INTERVAL_S, EVIDENCE_INTERVAL_PER_NODE_S * nodes)
+        lag_s = min(interval_s, MAX_LAG_S)
+        reach_s = HOP_S * (1 + math.log(nodes, FRESH_RECEIVERS))
         finding = NO_FINDING
         if not rollout.stop and record.stage.kind is not StageKind.NONE:
             finding = rollout.evidence.finding(time.monotonic())
@@ -180,7 +192,8 @@
             totals=rollout.evidence.total(),
             finding=finding,
             stopped=rollout.stop,
-            lag_s=interval_s if nodes > 1 else 0.0,
+            lag_s=lag_s if nodes > 1 else 0.0,
+            reach_s=reach_s if nodes > 1 else 0.0,
             is_applied=self._is_applied(record, rollout),
         )
 
--- a/packages/endive_gateway/src/endive_gateway/rollout_messages.py
+++ b/packages/endive_gateway/src/endive_gateway/rollout_messages.py
@@ -56,10 +56,19 @@
     share: float
     servers: int
     stop: str = ""
+    until_s: float = 0.0
+    leads: list[tuple[str, float]] = []
 
     def to_stage(self) -> Stage:
         """Return the stage; raises ValueError if its kind is unknown."""
-        return Stage(StageKind(self.kind), self.number, self.share, self.servers)
+        return Stage(
+            StageKind(self.kind),
+            self.number,
+            self.share,
+            self.servers,
+            self.until_s,
+            tuple(self.leads),
+        )
 
 
 class TotalsReport(msgspec.Struct, array_like=True):
@@ -70,7 +79,8 @@
     stage : int
         Number of the stage that the sender applies.
     routes : list of (str, list of int, list of int)
-        Route, and for candidate and base the responses, failures and histogram.
+        Route, and for candidate and base the responses, failures, complete responses,
+        their milliseconds, and the histogram.
     """
 
     service: str
@@ -128,13 +138,13 @@
 
 
 def _to_list(counts: VersionCounts) -> list[int]:
-    return [counts.responses, counts.failures, *counts.times]
+    head = (counts.responses, counts.failures, counts.ended, counts.busy_ms)
+    return [*head, *counts.times]
 
 
 def _to_counts(values: list[int]) -> VersionCounts:
     counts = VersionCounts()
-    if len(values) >= 2:
-        counts.responses, counts.failures = values[:2]
-        for index, count in enumerate(values[2 : 2 + len(counts.times)]):
-            counts.times[index] = count
+    if len(values) == 4 + len(counts.times):
+        counts.responses, counts.failures, counts.ended, counts.busy_ms = values[:4]
+        counts.times = values[4:]
     return counts
--- a/packages/endive_gateway/src/endive_gateway/rollout_observation.py
+++ b/packages/endive_gateway/src/endive_gateway/rollout_observation.py
@@ -32,11 +32,14 @@
     ----------
     slowdown : float
         What the server states of its speed.
+    is_cold : bool
+        Whether the server may be slow since it is new, so that times don't count.
     """
 
     __slots__ = (
         "ended",
         "expected_s",
+        "is_cold",
         "is_counted",
         "is_timed",
         "route",
@@ -64,7 +67,7 @@
         self.expected_s = expected_s
         self.sent_at = time.monotonic()
         self.slowdown = 1.0
-        self.is_timed = self.is_counted = self.ended = False
+        self.is_timed = self.is_counted = self.ended = self.is_cold = False
 
     def update(self, now: float) -> bool:
         """Count what has become known; return whether anything has."""
@@ -82,9 +85,13 @@
 
     def finish(self, *, failed: bool) -> None:
         """Count the end of the attempt, if the version is answerable for it."""
-        self.update(time.monotonic())
+        now = time.monotonic()
+        self.update(now)
         self._count()
         self.side.failures += failed
+        if not failed:
+            self.side.ended += 1
+            self.side.busy_ms += int(1000 * (now - self.sent_at))
         self.ended = True
 
     def abandon(self, *, timed_out: bool) -> None:
@@ -100,6 +107,8 @@
 
     def _add_time(self, seconds: float) -> None:
         self.is_timed = True
+        if self.is_cold:
+            return
         slowdown = min(MAX_STATED_SLOWDOWN, max(1.0, self.slowdown))
         self.side.add_time(seconds / (self.expected_s * slowdown))
 
@@ -186,6 +195,7 @@
             self._expected_s(route, entry.service, ticket),
             is_candidate=is_candidate,
         )
+        observation.is_cold = is_candidate and self.division.is_cold(entry)
         self.open[observation] = None
         return observation
 
--- a/packages/endive_gateway/src/endive_gateway/rollouts.py
+++ b/packages/endive_gateway/src/endive_gateway/rollouts.py
@@ -197,6 +197,10 @@
             return NO_STAGE
         return stage
 
+    def elapsed_s(self, service: str) -> float:
+        """Return the seconds since a service's order."""
+        return self.cluster_now() - self.rollouts[service].order.at
+
     def is_isolated(self) -> bool:
         """Return whether no node's messages arrive at this one any more."""
         if not self.has_peers():
@@ -345,4 +349,6 @@
         stage.share,
         stage.servers,
         rollout.stop,
+        stage.until_s,
+        list(stage.leads),
     )
--- a/packages/endive_gateway/src/endive_gateway/version_division.py
+++ b/packages/endive_gateway/src/endive_gateway/version_division.py
@@ -5,6 +5,7 @@
 """
 
 import hashlib
+import time
 from collections.abc import Iterator
 
 from endive_core.calls import Call, Ticket
@@ -23,6 +24,10 @@
 CANDIDATE_SUFFIX = f"{KEY_SEPARATOR}candidate"
 """Ends the key of a candidate's scheduler."""
 
+COLD_S = 1.5
+"""Time for which the times to first byte of a candidate's server aren't counted after
+it is first used, seconds: its caches fill then."""
+
 
 class VersionDivision:
     """Divides the servers and requests of the services of one node.
@@ -31,6 +36,8 @@
     ----------
     divisions : dict of str to Division
         By service, as last computed.
+    used_since : dict of str to float
+        By id, when a candidate's server was first chosen, on the monotonic clock.
     """
 
     def __init__(self, placer: Placer, rollouts: Rollouts) -> None:
@@ -40,6 +47,7 @@
         self.accumulators: dict[str, ShareAccumulator] = {}
         self.logged_withheld: dict[str, frozenset[str]] = {}
         self.applied: dict[str, Stage] = {}
+        self.used_since: dict[str, float] = {}
         placer.groups = self.groups
         placer.schedulers_for = self.schedulers_for
         placer.scheduler_for_retry = self.scheduler_for_retry
@@ -50,6 +58,11 @@
     def groups(self) -> Iterator[tuple[str, Service, list[ServerEntry]]]:
         """Yield the key of each scheduler, its service and its servers."""
         registry = self.placer.registry
+        self.used_since = {
+            server: at
+            for server, at in self.used_since.items()
+            if server in registry.servers
+        }
         waiting = False
         for name, service in self.placer.services.items():
             usable = [s.entry for s in registry.of_service(name) if s.usable]
@@ -122,10 +135,18 @@
         """
         entries = [e for e in usable if e.id in division.candidates]
         stage = self.rollouts.stage(service)
-        if not stage.servers or not division.ordinary:
-            return entries
-        entries.sort(key=lambda entry: _rank(entry.id))
-        return entries[: stage.servers]
+        if stage.servers and division.ordinary:
+            entries.sort(key=lambda entry: _rank(entry.id))
+            entries = entries[: stage.servers]
+        if stage.share:
+            for entry in entries:
+                self.used_since.setdefault(entry.id, time.monotonic())
+        return entries
+
+    def is_cold(self, entry: ServerEntry) -> bool:
+        """Return whether a candidate's server may be slow since it is new."""
+        used_s = time.monotonic() - self.used_since.get(entry.id, 0.0)
+        return entry.cold_left_s > 0 or used_s < COLD_S
 
     def is_withheld(self, entry: ServerEntry) -> bool:
         """Return whether a server may get nothing now."""
@@ -161,6 +182,10 @@
         """Apply a stage that changed without a message, by this node's isolation."""
         if self._stages() != self.applied or self.rollouts.is_waiting():
             self.refresh()
+            return
+        for service, stage in self.applied.items():
+            if stage.kind is StageKind.ALL:
+                self._move_queued(service)
 
     def _stages(self) -> dict[str, Stage]:
         return {name: self.rollouts.stage(name) for name in self.rollouts.rollouts}
@@ -170,8 +195,13 @@
         candidate = self.placer.schedulers.get(service + CANDIDATE_SUFFIX)
         if base is None or candidate is None:
             return
-        if self._candidate_gets_all(service):
-            self.placer.move_queued(base, candidate)
+        stage = self.rollouts.stage(service)
+        if stage.kind is StageKind.ALL or not base.servers.servers:
+            self.placer.move_queued(
+                base,
+                candidate,
+                lambda ticket: self._gets_all(service, ticket.call.deployment),
+            )
         elif not candidate.servers.servers or not self.rollouts.stage(service).share:
             self.placer.move_queued(candidate, base)
 
@@ -186,30 +216,33 @@
         if call.software_version is not None:
             is_candidate = call.software_version in candidate.servers.versions
             return [candidate if is_candidate else base]
-        if self._candidate_gets_all(service):
+        if self._gets_all(service, call.deployment):
             return [candidate]
-        if not candidate.servers.servers:
+        stage = self.rollouts.stage(service)
+        if not candidate.servers.servers or stage.kind is StageKind.ALL:
             return [base]
         accumulator = self.accumulators.setdefault(
             service, ShareAccumulator(self.placer.random)
         )
-        if not accumulator.takes_next(self.rollouts.stage(service).share):
+        if not accumulator.takes_next(stage.share):
             return [base]
         if not candidate.servers.available[candidate.usage.tier(call)]:
             accumulator.give_back()
             return [base]
         return [candidate, base]
 
-    def _candidate_gets_all(self, service: str) -> bool:
-        """Return whether all requests that are bound to no version go to it."""
+    def _gets_all(self, service: str, route: str) -> bool:
+        """Return whether all requests of a route go to the candidate if not bound."""
         base = self.placer.schedulers.get(service)
         candidate = self.placer.schedulers.get(service + CANDIDATE_SUFFIX)
         if candidate is None or not candidate.servers.servers:
             return False
         if base is None or not base.servers.servers:
             return True
-        is_all = self.rollouts.stage(service).kind is StageKind.ALL
-        return is_all and bool(candidate.servers.accepting)
+        stage = self.rollouts.stage(service)
+        if stage.kind is not StageKind.ALL or not candidate.servers.accepting:
+            return False
+        return stage.has_begun(route, self.rollouts.elapsed_s(service))
 
     def scheduler_for_retry(self, ticket: Ticket) -> Scheduler | None:
         """Return the scheduler for the next attempt; ``None`` to keep the present one.
@@ -221,7 +254,7 @@
         if service is None or ticket.version is not None:
             return None
         key = service + CANDIDATE_SUFFIX
-        if self._candidate_gets_all(service):
+        if self._gets_all(service, ticket.call.deployment):
             return self.placer.schedulers[key]
         base = self.placer.schedulers.get(service)
         return base if base is not None and base.servers.servers else None
--- a/packages/endive_gateway/tests/rollout_builders.py
+++ b/packages/endive_gateway/tests/rollout_builders.py
@@ -6,7 +6,14 @@
 from endive_core.rollouts import RolloutOrder, Stage, StageKind
 from endive_core.version_admission import PROOF_MARGIN_S
 from endive_gateway.clocks import boot_time
-from gateway_builders import SERVICE, RunningGateway, make_entry, make_route, make_table
+from gateway_builders import (
+    LONG_S,
+    SERVICE,
+    RunningGateway,
+    make_entry,
+    make_route,
+    make_table,
+)
 from server_builders import ScriptedServer, ok
 
 OLD, NEW = "v1", "v2"
@@ -60,6 +67,7 @@
         prove(self.context, margin_s=PROOF_MARGIN_S + 0.01)
         gevent.sleep(0.02)
         put_server(self.context, self.new, NEW)
+        self.context.version_division.used_since[self.new.id] = -LONG_S
 
     def begin(self, offset=7):
         """Let the order arrive."""
