--- a/packages/endive_core/src/endive_core/rollout_stages.py
+++ b/packages/endive_core/src/endive_core/rollout_stages.py
@@ -64,8 +64,9 @@
 within the budget, seconds. If it can, the share stays small until then."""
 
 MIN_JUDGED = 20
-"""Responses of the candidate that are awaited before the share grows, where its share
-of the traffic brings them."""
+MIN_JUDGED_PART = 0.3
+"""Responses of the candidate that are awaited before the share grows, at most, and as a
+part of those that it may get before the last stage."""
 
 EXPECTED_RATE_PART = 0.9
 """Part of the present rate of requests that is expected to stay until the end."""
@@ -299,7 +300,7 @@
         if stage.kind is StageKind.SMALL:
             if view.elapsed_s < self._grow_s(stage, view):
                 return None
-            if self._judged(view) < MIN_JUDGED and not self._is_idle(view):
+            if not self._is_judged(view):
                 return None
             return self._share(StageKind.GROWING, stage, view, "no evidence against it")
         if view.elapsed_s - self.staged_s < READJUST_S:
@@ -309,12 +310,14 @@
         changed = not 1 / READJUST_FACTOR < factor < READJUST_FACTOR
         return decision if changed else None
 
-    def _judged(self, view: RolloutView) -> int:
-        return sum(c.candidate.responses for c in view.totals.routes.values())
+    def _is_judged(self, view: RolloutView) -> bool:
+        """Return whether enough responses have been judged.
 
-    def _is_idle(self, view: RolloutView) -> bool:
-        """Return whether the service has too few requests to wait for responses."""
-        return self.rate(view) * self.order.duration_s * self.bounds.share < MIN_JUDGED
+        In a service with few requests, a part of those that the budget allows is.
+        """
+        judged = sum(c.candidate.responses for c in view.totals.routes.values())
+        possible = min(TRIAL_PART * self.budget(view), 0.25 * view.totals.requests)
+        return judged >= min(MIN_JUDGED, MIN_JUDGED_PART * possible)
 
     def _is_sound(self, view: RolloutView) -> bool:
         """Return whether the last stage may begin."""
@@ -322,7 +325,7 @@
             return False
         if 2 * view.candidate_servers < view.base_servers:
             return False
-        return self._judged(view) >= MIN_JUDGED or self._is_idle(view)
+        return self._is_judged(view)
 
     def _finish(self, stage: Stage, view: RolloutView) -> Decision | None:
         """Decide the outcome at the planned end, or later if nobody could before."""
@@ -332,14 +335,11 @@
             return _end(StageKind.ROLLED_BACK, "no server has the version")
         if stage.kind is StageKind.NONE:
             return _end(StageKind.ROLLED_BACK, "no time was left to try it")
-        if not (self._judged(view) >= MIN_JUDGED or self._is_idle(view)):
+        if not self._is_judged(view):
             return _end(StageKind.ROLLED_BACK, "too few responses to judge it")
         if stage.kind is not StageKind.ALL:
-            if view.elapsed_s < self.order.duration_s:
-                return _end(StageKind.COMPLETED, "no evidence against it")
-            return _all("late, since no holder could decide before")
-        late_s = view.elapsed_s - self.staged_s
-        if view.elapsed_s >= self.order.duration_s and late_s < MIN_ALL_S:
+            return _all("late; no evidence against it")
+        if view.elapsed_s - self.staged_s < MIN_ALL_S:
             return None
         is_drained = view.is_applied and view.totals.base_left == 0
         if not is_drained and self._may_wait(stage, view):
--- a/packages/endive_core/src/endive_core/version_admission.py
+++ b/packages/endive_core/src/endive_core/version_admission.py
@@ -14,8 +14,8 @@
 age of a relayed proof leaves out the time that its message took."""
 
 VERSION_MEMORY_S = 2.0
-"""Time for which a version without servers stays ordinary, seconds. After a completed
-rollout, an order may lead back to it."""
+"""Time for which a version without servers stays ordinary, or rejected, seconds. After
+a completed rollout, an order may lead back to it."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,12 +67,25 @@
         Offset of the order that was completed last; -1 if none was.
     replaced : frozenset of VersionedServer
         The servers that it replaced, which stop.
+    candidate : str
+        The version that the newest order named, unless that was completed.
+    rejected : dict of str to float
+        By version that was a candidate and not completed, when a server last had it.
     """
 
     seen_at: dict[VersionedServer, float] = field(default_factory=dict)
     ordinary: dict[str, float] = field(default_factory=dict)
     completed: int = -1
     replaced: frozenset[VersionedServer] = frozenset()
+    candidate: str = ""
+    rejected: dict[str, float] = field(default_factory=dict)
+
+    def set_candidate(self, candidate: str, now: float) -> None:
+        """Note the candidate; a former one that was not completed is rejected."""
+        if self.candidate and candidate != self.candidate:
+            self.rejected[self.candidate] = now
+        self.candidate = candidate
+        self.rejected.pop(candidate, None)
 
 
 class VersionAdmission:
@@ -118,13 +131,15 @@
         candidate = order.to if order is not None else ""
         if candidate and stage.kind is StageKind.COMPLETED:
             self._complete(versions, order, by_id.values(), now, is_recent=is_recent)
-            candidate = ""
+            candidate = versions.candidate = ""
+            versions.rejected.pop(order.to, None)
         elif candidate:
             versions.ordinary.pop(candidate, None)
+        versions.set_candidate(candidate, now)
         ordinary, candidates, unproven, replaced = set(), set(), set(), set()
         for server in by_id.values():
             seen_at = versions.seen_at.setdefault(server, now)
-            if server in versions.replaced:
+            if server in versions.replaced or server.version in versions.rejected:
                 replaced.add(server.id)
             elif candidate and server.version == candidate:
                 candidates.add(server.id)
@@ -169,11 +184,12 @@
         for gone in versions.seen_at.keys() - set(servers.values()):
             del versions.seen_at[gone]
         present = {server.version for server in servers.values()}
-        for version, at in list(versions.ordinary.items()):
-            if version in present:
-                versions.ordinary[version] = now
-            elif now - at > VERSION_MEMORY_S:
-                del versions.ordinary[version]
+        for known in (versions.ordinary, versions.rejected):
+            for version, at in list(known.items()):
+                if version in present:
+                    known[version] = now
+                elif now - at > VERSION_MEMORY_S:
+                    del known[version]
 
 
 def _division(
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -17,6 +17,7 @@
     ServersCut,
     UnevenConnections,
 )
+from soak.rollouts import OrderedRollout
 
 SERIES_SHARE = 0.35
 MAX_IN_SERIES = 4
@@ -349,6 +350,16 @@
         gevent.sleep(0.2 + 0.2 * fault.strength)
 
 
+def ordered_rollout(fleet, fault):
+    """Order that a service be shifted to a version that is started now, good or bad."""
+    service = ("plain", "engine")[fault.target % 2]
+    if service in fleet.rollouts:
+        return
+    failing = 0.0 if fault.strength < 0.5 else fault.strength - 0.2
+    version = f"v{10 + int(fleet.clock() * 10)}"
+    OrderedRollout(fleet, service, version, failing).run()
+
+
 def crashing_request(fleet, fault):
     """Send a request that crashes each server that runs it to all nodes in turn."""
     content = f"{fault.target}-{fault.strength}"
@@ -427,5 +438,6 @@
         servers_brittle,
         nodes_cut_from_servers,
         rollout,
+        ordered_rollout,
     )
 }
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -1,5 +1,6 @@
 """The gateway processes, links and stand-ins of one soak run."""
 
+import itertools
 import json
 import os
 import signal
@@ -107,6 +108,8 @@
                 "usage_window_s": 2,
             },
         }
+        if self.fleet.contracts:
+            document["contracts"] = list(self.fleet.contracts)
         self.settings.write_text(json.dumps(document))
 
     def start(self):
@@ -243,11 +246,17 @@
     ----------
     version : str
         Version of the software of the servers that start from now on.
+    failing : float
+        Part of the responses of that version that are failures.
+    is_retired : bool
+        Whether no further servers start here.
     """
 
-    def __init__(self, fleet, number, service):
+    def __init__(self, fleet, number, service, *, version="v1"):
         self.fleet = fleet
         self.number = number
+        self.failing = 0.0
+        self.is_retired = False
         self.service = service
         self.zone = ZONES[number % len(ZONES)]
         self.starts = 0
@@ -255,7 +264,7 @@
         self.server = None
         self.silent = False
         self.brittle = None
-        self.version = "v1"
+        self.version = version
         self._start()
         address = self.server.address
         self.link = Link(fleet.ip(5, number), PORT, address, fleet.clock)
@@ -328,12 +337,20 @@
         self.link.close_port()
         gevent.spawn_later(MISSED_HEARTBEATS_S, self._expire_entry, server.id)
         gevent.sleep(downtime_s)
-        if self.fleet.closed:
+        if self.fleet.closed or self.is_retired:
             return
         self._start()
         self.link.listen()
         self.send_heartbeat()
 
+    def retire(self):
+        """Stop the server at once, as at the end of a rollout; start no other one."""
+        self.is_retired = True
+        if self in self.fleet.backends:
+            self.fleet.backends.remove(self)
+        self.fleet.retired.append(self)
+        gevent.spawn(self.crash, 0.0)
+
     def leave(self, notice_s):
         """Announce the server's reclaim, and end the server after `notice_s`."""
         if self.server is None or self.state != "ready":
@@ -358,9 +375,17 @@
         By its id, each part of a prompt on which servers crash.
     favoured : NodeProcess or None
         The node that gets most new connections.
+    contracts : tuple of str
+        The contracts in the nodes' settings.
+    rollouts : dict of str to OrderedRollout
+        Those that run, by service.
+    retired : list of Backend
+        Where no servers run any more.
     """
 
-    def __init__(self, directory, slot, *, nodes, mutant="", store_call_s=0.0):
+    def __init__(
+        self, directory, slot, *, nodes, mutant="", store_call_s=0.0, contracts=()
+    ):
         self.directory = Path(directory)
         self.slot = slot
         self.mutant = mutant
@@ -369,6 +394,9 @@
         self.closed = False
         self.crashing_parts = {}
         self.favoured = None
+        self.contracts = contracts
+        self.rollouts = {}
+        self.retired = []
         self.started = time.monotonic()
         self.checker = InvariantChecker(self.clock, LIMITS)
         self.lag = Lag()
@@ -377,6 +405,7 @@
         self.configure()
         services = ("plain", "plain", "plain", "engine", "engine", "engine")
         self.backends = [Backend(self, *pair) for pair in enumerate(services)]
+        self.backend_numbers = itertools.count(len(services))
         self.nodes = [NodeProcess(self, number) for number in range(nodes)]
         for backend in self.backends:
             backend.send_heartbeat()
@@ -442,7 +471,7 @@
         self.closed = True
         for node in self.nodes:
             node.close()
-        for backend in self.backends:
+        for backend in (*self.backends, *self.retired):
             backend.link.stop()
             if backend.server is not None:
                 backend.server.stop()
--- a/tests/soak/launch.py
+++ b/tests/soak/launch.py
@@ -219,6 +219,13 @@
     )
 
 
+def take_candidates_for_ordinary():
+    """Let a node use the servers of an ordered version as any others."""
+    from endive_gateway.rollouts import Rollouts
+
+    Rollouts.is_enabled = property(lambda self: False)
+
+
 MUTANTS = {
     "limit": disable_limit_sharing,
     "not-run": report_not_run,
@@ -236,6 +243,7 @@
     "no-leases": lease_no_slots,
     "no-transit": carry_no_connections,
     "no-affinity": forget_where_streams_began,
+    "no-rollouts": take_candidates_for_ordinary,
 }
 
 if __name__ == "__main__":
--- a/tests/soak/mixes.py
+++ b/tests/soak/mixes.py
@@ -14,6 +14,7 @@
     "servers_brittle",
     "nodes_cut_from_servers",
     "rollout",
+    "ordered_rollout",
 }
 EARLIER_KINDS = tuple(sorted(set(FAULTS) - LATER_KINDS))
 FIRST_KINDS = tuple(sorted(set(EARLIER_KINDS) - {"store_silent", "links_fall_silent"}))
@@ -38,4 +39,6 @@
 BRITTLE = ("servers_brittle", "change_configuration", "restart")
 SILENT = ("server_silent", "reload", "change_configuration")
 ROLLOUTS = ("rollout", "kill", "server_crash")
+ORDERED = ("ordered_rollout",)
+ORDERED_AMID_FAULTS = ("ordered_rollout", "kill", "server_crash", "store_down")
 UNFRAMED = ("server_unframed", "server_leaves", "restart")
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -93,8 +93,14 @@
     rng = random.Random(seed)
     directory = tempfile.mkdtemp(prefix=f"soak-{seed}-")
     faults = plan(rng, faults_s, kinds)
+    contracts = ("rollout",) if "ordered_rollout" in kinds else ()
     fleet = Fleet(
-        directory, slot, nodes=nodes, mutant=mutant, store_call_s=store_call_s
+        directory,
+        slot,
+        nodes=nodes,
+        mutant=mutant,
+        store_call_s=store_call_s,
+        contracts=contracts,
     )
     loops = []
     try:
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -23,6 +23,7 @@
 FRAME = struct.Struct(">I")
 ENDS = struct.Struct(">QQ")
 CONFIGURATION = "keyed.op"
+STATUS = "keyed.status"
 SERVERS = "keyed.servers"
 EVENTS = 8
 EVENT_GAP_S = 0.03
@@ -335,6 +336,9 @@
                 brittle.rejected(self.backend, request_id)
             return respond(start, 503, b"", headers | {"Not-Run": "1"})
         headers["Response-Seal"] = "made"
+        rollout = self.backend.fleet.rollouts.get(self.service)
+        if rollout is not None:
+            rollout.received(self.backend)
         for part in self.crashing_parts(environ):
             part.received(self._node_of(request_id))
         self.checker.request_started(
@@ -351,6 +355,10 @@
                 self.backend.crash_soon()
                 part.server_ended()
                 Event().wait()
+            if self._draws(f"{request_id}/version", self.backend.failing):
+                if rollout is not None:
+                    rollout.failed()
+                return respond(start, 500, b"no", headers)
             if self._draws(request_id, self.error_share):
                 return respond(start, 500, b"no", headers)
             if environ["PATH_INFO"].startswith("/stream"):
