Read rollouts back from logs, and order them in the soak

Cause: an operator could not see why a version was rolled back, and no run with real processes ordered one.

--- a/packages/endive_core/src/endive_core/version_comparison.py
+++ b/packages/endive_core/src/endive_core/version_comparison.py
@@ -86,6 +86,15 @@
         for index, count in enumerate(other.times[: len(self.times)]):
             self.times[index] += sign * count
 
+    def median_ratio(self) -> float:
+        """Return a limit of the histogram below which half of the times are."""
+        below, half = 0, sum(self.times) / 2
+        for limit, count in zip(RATIO_LIMITS, self.times, strict=False):
+            below += count
+            if below >= half:
+                return limit
+        return math.inf
+
     def copy(self) -> "VersionCounts":
         """Return a copy."""
         return VersionCounts(
--- a/packages/endive_core/tests/rollout_simulation.py
+++ b/packages/endive_core/tests/rollout_simulation.py
@@ -28,7 +28,7 @@
 STEP_S = 0.25
 LOSS = 0.2
 EVERY_S = 0.2
-COLD_S = 1.5
+COLD_S = 2.5
 """Time for which the times of a server that is new in use aren't counted."""
 CRASH_COUNTED = 0.1
 """Part of the requests on a crashed server whose failure counts as the version's."""
--- a/packages/endive_ctl/src/endive_ctl/cli.py
+++ b/packages/endive_ctl/src/endive_ctl/cli.py
@@ -18,6 +18,7 @@
 from endive_ctl.files import FileError, read_resources
 from endive_ctl.loglines import read_lines
 from endive_ctl.losses import LossReport
+from endive_ctl.rollouts import rollout_histories
 
 DEFAULT_SERVERS = "http://127.0.0.1:8081"
 WATCH_RETRY_DELAY_S = 1.0
@@ -170,6 +171,15 @@
         body = {"lines": [dataclasses.asdict(line) for line in lines]}
         self._show(body, tables.trace(lines))
 
+    def rollout(self, *files: str, service: str = "") -> None:
+        """Show orders, stages and evidence of rollouts, from gateways' log FILES.
+
+        With --service NAME only those of one service.
+        """
+        histories = rollout_histories(read_lines(files), service)
+        body = {"rollouts": [history.to_body() for history in histories]}
+        self._show(body, tables.rollouts(histories))
+
     def _show(self, body: dict, text: str) -> None:
         print(json_text(body) if self._json else text, flush=True)
 
--- a/packages/endive_ctl/src/endive_ctl/tables.py
+++ b/packages/endive_ctl/src/endive_ctl/tables.py
@@ -6,6 +6,7 @@
 
 from endive_ctl.loglines import LogLine
 from endive_ctl.losses import LossReport
+from endive_ctl.rollouts import RolloutHistory
 
 COLUMN_SEPARATOR = "  "
 NO_VALUE = "-"
@@ -154,6 +155,46 @@
     return table(("AT", "NODE", "EVENT", "FIELDS"), rows)
 
 
+def rollouts(histories: Iterable[RolloutHistory]) -> str:
+    """Return for each rollout its order, its steps, and its evidence by route."""
+    parts = []
+    for history in histories:
+        parts.append(
+            f"{history.service} to {history.to} within {history.duration_s:g} s: "
+            f"{history.state}"
+        )
+        steps = [
+            (
+                f"{line.at - history.ordered_at:.2f} s",
+                line.node or NO_VALUE,
+                line.event.removeprefix("rollout_"),
+                line.fields.get("stage") or line.fields.get("value", NO_VALUE),
+                line.fields.get("share", NO_VALUE),
+                line.fields.get("exposed", NO_VALUE),
+                line.fields.get("reason", NO_VALUE),
+            )
+            for line in history.steps
+        ]
+        parts.append(
+            table(("AFTER", "NODE", "STEP", "STAGE", "SHARE", "EXPOSED", "WHY"), steps)
+        )
+        parts.append(table(EVIDENCE_HEAD, _evidence_rows(history)))
+    return "\n\n".join(parts) or "no rollout in the given files"
+
+
+EVIDENCE_HEAD = ("ROUTE", "VERSION", "RESPONSES", "FAILURES", "MEDIAN OF EXPECTED")
+
+
+def _evidence_rows(history: RolloutHistory) -> list[tuple]:
+    rows = []
+    for route, line in sorted(history.evidence.items()):
+        for prefix, version in (("", history.to), ("base_", "others")):
+            figures = ("responses", "failures", "median")
+            values = (line.fields.get(prefix + name, NO_VALUE) for name in figures)
+            rows.append((route, version, *values))
+    return rows
+
+
 def clock(at: float) -> str:
     """Return a Unix time as an ISO 8601 timestamp in UTC."""
     return time.strftime("%Y-%m-%dT%H:%M:%SZ", time.gmtime(at))
--- a/packages/endive_gateway/src/endive_gateway/rollout_control.py
+++ b/packages/endive_gateway/src/endive_gateway/rollout_control.py
@@ -161,6 +161,7 @@
             budget=round(plan.budget(view), 1),
             score=round(view.finding.score, 2),
         )
+        _log_evidence(record.order, view)
         if decision.stage.kind is StageKind.ROLLED_BACK:
             self.context.rollouts.stop(
                 record.order.service, record.order.offset, decision.reason, "holder"
@@ -262,3 +263,20 @@
     def _put(self, key: str, value: bytes) -> None:
         self.context.store.put(Topic.STATUS, key, value)
         log_event("rollout_status", key=key, value=value.decode("utf-8", "replace"))
+
+
+def _log_evidence(order: RolloutOrder, view: RolloutView) -> None:
+    """Log the counts of both versions by route, as a decision is based on them."""
+    for route, counts in view.totals.routes.items():
+        log_event(
+            "rollout_evidence",
+            service=order.service,
+            to=order.to,
+            route=route,
+            responses=counts.candidate.responses,
+            failures=counts.candidate.failures,
+            median=counts.candidate.median_ratio(),
+            base_responses=counts.base.responses,
+            base_failures=counts.base.failures,
+            base_median=counts.base.median_ratio(),
+        )
--- a/packages/endive_gateway/src/endive_gateway/version_division.py
+++ b/packages/endive_gateway/src/endive_gateway/version_division.py
@@ -24,7 +24,7 @@
 CANDIDATE_SUFFIX = f"{KEY_SEPARATOR}candidate"
 """Ends the key of a candidate's scheduler."""
 
-COLD_S = 1.5
+COLD_S = 2.5
 """Time for which the times to first byte of a candidate's server aren't counted after
 it is first used, seconds: its caches fill then."""
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -19,6 +19,8 @@
     EARLIER_KINDS,
     FIRST_KINDS,
     LIMITED_SERVERS,
+    ORDERED,
+    ORDERED_AMID_FAULTS,
     PARTS,
     RESTS,
     SERVERS_CUT,
@@ -118,6 +120,13 @@
     assert outcome.violations == [], outcome.directory
 
 
+@pytest.mark.parametrize("kinds", [ORDERED, ORDERED_AMID_FAULTS])
+def test_ordered_versions_are_completed_or_rolled_back(kinds):
+    """Good and bad versions are ordered, and nodes, servers and the store fail."""
+    outcome = run_seed(3, slot=SLOT, kinds=kinds)
+    assert outcome.violations == [], outcome.directory
+
+
 def test_streams_that_servers_break_off_do_not_look_complete():
     """Answers end with their connection, and some of them inside an event."""
     outcome = run_seed(1, slot=SLOT, kinds=UNFRAMED)
--- a/tests/test_soak_mutants.py
+++ b/tests/test_soak_mutants.py
@@ -5,6 +5,7 @@
     CRASHES,
     DEPARTING,
     LIMITED_SERVERS,
+    ORDERED,
     PARTS,
     RESTS,
     ROLLOUTS,
@@ -37,6 +38,7 @@
     "no-leases": ("brittle", 87, ("servers_brittle",)),
     "no-transit": ("cut off", 1, SERVERS_CUT),
     "no-affinity": ("software version", 1, ROLLOUTS),
+    "no-rollouts": ("rollout", 5, ORDERED),
 }
 """By mutant: the rule that it violates, the seed, and the kinds of faults to inject."""
 
@@ -51,7 +53,8 @@
     an even share only, limits of servers that are not shared, rests and departures that
     are not read, streams that are complete as soon as they end, requests that end with
     a server's silence, brittle servers without leases, nodes that carry no connections
-    for others, and streams that go on at any software version."""
+    for others, streams that go on at any software version, and nodes that use the
+    servers of an ordered version as any others."""
     rule, seed, kinds = MUTANTS[mutant]
     outcome = run_seed(seed, slot=SLOT, mutant=mutant, kinds=kinds)
     assert outcome.violations, outcome.counts
