Count neither a candidate nor a rejected version as capacity

Cause: servers of a version that was rolled back counted as ready until they were gone, so that as many others could be released. Change: only ordinary servers and unconfirmed ones count while both run. Result: two tests of the autoscaler, which fail without it; reading of orders, outcomes and settings is tested.

--- a/packages/endive_core/src/endive_core/version_admission.py
+++ b/packages/endive_core/src/endive_core/version_admission.py
@@ -44,14 +44,19 @@
         Server ids.
     withheld : frozenset of str
         Ids of servers that get nothing.
-    is_waiting : bool
-        Whether any server is withheld only until the orders are confirmed.
+    unproven : frozenset of str
+        Those of them that are withheld until the orders are confirmed.
     """
 
     ordinary: frozenset[str]
     candidates: frozenset[str] = frozenset()
     withheld: frozenset[str] = frozenset()
-    is_waiting: bool = False
+    unproven: frozenset[str] = frozenset()
+
+    @property
+    def is_waiting(self) -> bool:
+        """Whether any server is withheld until the orders are confirmed."""
+        return bool(self.unproven)
 
 
 @dataclass(slots=True)
@@ -202,19 +207,15 @@
     replaced: set[str],
 ) -> Division:
     withheld = unproven | replaced
-    if not ordinary and candidates:
-        # Nothing else is left, so the version's own servers are used.
-        return Division(
-            frozenset(), frozenset(candidates), frozenset(withheld), bool(unproven)
-        )
-    if order is not None and stage.kind is StageKind.ROLLED_BACK:
-        withheld |= candidates
-        candidates = set()
+    is_last = not ordinary and bool(candidates)
+    is_out = order is not None and stage.kind is StageKind.ROLLED_BACK
+    if is_out and not is_last:  # if nothing else is left, its own servers are used
+        withheld, candidates = withheld | candidates, set()
     return Division(
         frozenset(ordinary),
         frozenset(candidates),
         frozenset(withheld),
-        bool(unproven),
+        frozenset(unproven),
     )
 
 
--- a/packages/endive_gateway/src/endive_gateway/version_division.py
+++ b/packages/endive_gateway/src/endive_gateway/version_division.py
@@ -160,9 +160,11 @@
     def counts_as_base(self, entry: ServerEntry) -> bool:
         """Return whether a server counts as capacity of its service."""
         division = self.divisions.get(entry.service)
-        if division is None or not self.rollouts.is_running(entry.service):
+        if division is None or not division.ordinary:
             return True
-        return entry.id in division.ordinary or not division.ordinary
+        if entry.id in division.candidates:
+            return False
+        return entry.id in division.unproven or entry.id not in division.withheld
 
     def is_candidate(self, entry: ServerEntry) -> bool:
         """Return whether a server has the version of its service's order."""
--- a/packages/endive_gateway/tests/test_autoscaling.py
+++ b/packages/endive_gateway/tests/test_autoscaling.py
@@ -2,6 +2,7 @@
 
 import pytest
 from endive_core.leases import Lease
+from endive_core.rollouts import Stage, StageKind
 from endive_core.routing import Scaling, Service
 from endive_gateway.autoscaling import (
     LIST_SETTLE_S,
@@ -13,6 +14,7 @@
 from endive_gateway.interfaces import ResponseMetadata, ServerState
 from endive_gateway.peers import Peers
 from gateway_builders import make_context, make_entry, make_table
+from rollout_builders import NEW, allow_rollouts, order
 from store_builders import RecordingCloud
 
 SCALING = Scaling(1, 6, 4.0, 0.22, {"a": 0.85, "b": 1.2, "c": 1.0})
@@ -250,3 +252,45 @@
     with_limits = fleet.autoscaler.needed(fleet.service, fleet.now)
     assert with_limits - needed == pytest.approx(0.9)
     assert sum(fleet.run_for(2.0, work=2.0).values()) > 0
+
+
+def begin_rollout(fleet, kind=StageKind.SMALL):
+    """Let servers of another version run beside the old ones, at some stage."""
+    allow_rollouts(fleet.context)
+    for number in range(3):
+        fleet.context.registry.put(
+            make_entry(
+                f"new-{number}",
+                zone="a",
+                reclaimable=True,
+                software_version=NEW,
+                incarnation=9,
+            )
+        )
+    fleet.context.rollouts.learn_order(order())
+    fleet.context.rollouts.set_stage("s", 7, Stage(kind, 1, 0.05, 1))
+    fleet.context.registry.notify_listeners()
+
+
+def test_no_server_is_released_while_a_rollout_runs():
+    """The base loses servers that it needs if the candidate is rolled back."""
+    fleet = Fleet()
+    fleet.add("a", 4)
+    fleet.context.registry.notify_listeners()
+    fleet.run_for(20.0, work=3.0)
+    begin_rollout(fleet)
+    before = dict(fleet.autoscaler.accepted)
+    fleet.run_for(30.0, work=0.1)
+    for key, (servers, _) in before.items():
+        assert fleet.autoscaler.accepted[key][0] >= servers
+
+
+@pytest.mark.parametrize("kind", [StageKind.SMALL, StageKind.ROLLED_BACK])
+def test_a_candidates_servers_are_no_capacity(kind):
+    """The holder takes the service for twice as large as it is."""
+    fleet = Fleet()
+    fleet.add("a", 2)
+    fleet.context.registry.notify_listeners()
+    begin_rollout(fleet, kind)
+    pools = fleet.autoscaler._pool_states(fleet.service)
+    assert sum(state.ready for state in pools.values()) == 2
--- a/packages/endive_gateway/tests/test_configuration_follower.py
+++ b/packages/endive_gateway/tests/test_configuration_follower.py
@@ -274,3 +274,37 @@
         now[0] += 0.03
         receiver.observe_peer_proof(3, age_s, read)
     assert min(follower.proof_age_s() for follower in followers) > 2.9
+
+
+def test_orders_are_read_beside_the_configuration(context, store):
+    """An order is passed over, or one that can't be read ends the reading."""
+    write(store, Topic.CONFIGURATION, "order/s", ["v2", 10.0])
+    write(store, Topic.CONFIGURATION, "order/t", "unreadable")
+    write(store, Topic.CONFIGURATION, "config", 3)
+    follower = ConfigurationFollower(context)
+    follower.step()
+    assert context.version == 3
+    assert context.rollouts.rollouts["s"].order.to == "v2"
+    write(store, Topic.CONFIGURATION, "order/s", ["v3", 10.0])
+    follower.step()
+    assert context.rollouts.rollouts["s"].order.to == "v3"
+
+
+def test_a_read_proves_that_no_order_was_missed(context, store):
+    """Servers of a version without an order are withheld although the store answers."""
+    write(store, Topic.CONFIGURATION, "config", 3)
+    follower = ConfigurationFollower(context)
+    before = boot_time()
+    follower.step()
+    assert context.rollouts.book.is_proven_since(before)
+
+
+def test_a_node_that_withholds_a_server_reads_at_once(context, store):
+    """It waits for the next regular check, nearly a second later."""
+    write(store, Topic.CONFIGURATION, "config", 3)
+    follower = ConfigurationFollower(context)
+    follower.step()
+    reads = store.calls.count("read")
+    follower.check_soon()
+    follower.check()
+    assert store.calls.count("read") == reads + 1
