--- a/packages/endive_core/src/endive_core/scheduler.py
+++ b/packages/endive_core/src/endive_core/scheduler.py
@@ -311,6 +311,15 @@
         self.expiry.expire_throttled(now)
         self.expiry.expire_resting(now)
 
+    def take_estimates(self, other: "Scheduler") -> None:
+        """Start from another scheduler's estimates of rates and times.
+
+        The servers of a new version are taken to be as fast as the others at first.
+        """
+        vars(self.admission.rate).update(vars(other.admission.rate))
+        if self.prefill is not None and other.prefill is not None:
+            vars(self.prefill).update(vars(other.prefill))
+
     def close(self) -> None:
         """Expire all queued calls, since the service is no longer declared."""
         self.expiry.expire_all("the service was deleted")
--- a/packages/endive_gateway/src/endive_gateway/placing.py
+++ b/packages/endive_gateway/src/endive_gateway/placing.py
@@ -221,12 +221,13 @@
 
     def occupied_servers(self) -> dict[str, float]:
         """Return by service how many servers' slots this node's requests fill."""
-        parts = {}
-        for name, scheduler in self.schedulers.items():
+        parts: Counter[str] = Counter()
+        for key, scheduler in self.schedulers.items():
             servers = scheduler.servers
             slots = servers.slots_total / max(1, len(servers.servers))
-            parts[name] = servers.own_in_flight / slots if slots else 0.0
-        return parts
+            busy = servers.own_in_flight / slots if slots else 0.0
+            parts[service_of_key(key)] += busy
+        return dict(parts)
 
     def own_backlogs(self) -> dict[str, float]:
         """Return by server the prompt tokens whose first tokens this node awaits.
--- a/packages/endive_gateway/src/endive_gateway/rollout_observation.py
+++ b/packages/endive_gateway/src/endive_gateway/rollout_observation.py
@@ -21,6 +21,9 @@
 the times: half of the first tokens come within a twentieth of their targets, and plain
 responses within a fifth."""
 
+CHECK_INTERVAL_S = 0.5
+"""Time between two reads of the orders while servers are withheld, seconds."""
+
 MAX_STATED_SLOWDOWN = 4.0
 """Largest slowdown stated by a server that is taken into account."""
 
@@ -142,6 +145,7 @@
         self.open: dict[Observation, None] = {}
         self.crashed: dict[str, float] = {}
         self.is_evidence_new = False
+        self.next_check_at = 0.0
         self.send_evidence = lambda: None
         placer.crashes.listeners.append(
             lambda crash: self.crashed.__setitem__(crash.server, crash.at)
@@ -162,7 +166,8 @@
         for service, rollout in self.rollouts.rollouts.items():
             rollout.evidence.own.base_left = self.division.base_left(service)
         self.rollouts.judge()
-        if self.rollouts.is_waiting():
+        if self.rollouts.is_waiting() and now >= self.next_check_at:
+            self.next_check_at = now + CHECK_INTERVAL_S
             self.rollouts.check_orders()
         if self.rollouts.is_waiting() or self.rollouts.rollouts:
             self.division.refresh_if_due()
--- a/packages/endive_gateway/src/endive_gateway/version_division.py
+++ b/packages/endive_gateway/src/endive_gateway/version_division.py
@@ -73,9 +73,12 @@
             waiting |= division.is_waiting
             yield name, service, [e for e in usable if e.id in division.ordinary]
             chosen = self._chosen_candidates(name, usable, division)
-            if chosen or name + CANDIDATE_SUFFIX in self.placer.schedulers:
+            is_new = name + CANDIDATE_SUFFIX not in self.placer.schedulers
+            if chosen or not is_new:
                 yield name + CANDIDATE_SUFFIX, service, chosen
                 candidate = self.placer.schedulers[name + CANDIDATE_SUFFIX]
+                if is_new:
+                    candidate.take_estimates(self.placer.schedulers[name])
                 candidate.failures.goes_elsewhere = bool(division.ordinary)
         if waiting and not self.rollouts.admission.is_waiting:
             self.rollouts.check_orders()
