--- a/packages/endive_core/src/endive_core/rollout_evidence.py
+++ b/packages/endive_core/src/endive_core/rollout_evidence.py
@@ -110,6 +110,8 @@
         """Apply the totals in another node's message, which is its newest."""
         self.stages[address] = stage
         before = self.nodes.get((address, incarnation))
+        if before is None:
+            self._forget_left(address)  # the node has started again
         if before is not None:
             self.others.add(before, -1)
         self.nodes[address, incarnation] = totals
@@ -118,6 +120,9 @@
     def forget_left(self, address: str) -> None:
         """Stop waiting for requests of a node that is gone."""
         self.stages.pop(address, None)
+        self._forget_left(address)
+
+    def _forget_left(self, address: str) -> None:
         for (other, _), totals in self.nodes.items():
             if other == address:
                 self.others.base_left -= totals.base_left
--- a/packages/endive_core/src/endive_core/version_admission.py
+++ b/packages/endive_core/src/endive_core/version_admission.py
@@ -27,11 +27,14 @@
     ----------
     incarnation : int
         Increases with each start, over all servers.
+    is_readable : bool
+        Whether its version could be read. If not, it is unlike any other.
     """
 
     id: str
     version: str
     incarnation: int
+    is_readable: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -157,8 +160,13 @@
             else:
                 unproven.add(server.id)
         if not ordinary and unproven:
-            used = _oldest_version(by_id[server_id] for server_id in unproven)
-            ordinary = {name for name in unproven if by_id[name].version == used}
+            oldest = _oldest(by_id[server_id] for server_id in unproven)
+            ordinary = {
+                name
+                for name in unproven
+                if by_id[name].version == oldest.version
+                or not (by_id[name].is_readable or oldest.is_readable)
+            }
             unproven -= ordinary
         if not (ordinary or candidates):
             ordinary, replaced = replaced, set()
@@ -219,10 +227,8 @@
     )
 
 
-def _oldest_version(servers: Iterable[VersionedServer]) -> str:
-    """Return the version that started first; of several, that of most servers."""
+def _oldest(servers: Iterable[VersionedServer]) -> VersionedServer:
+    """Return a server that started first; of several, one of the largest version."""
     servers = list(servers)
     counts = Counter(server.version for server in servers)
-    return min(
-        servers, key=lambda s: (s.incarnation, -counts[s.version], s.version)
-    ).version
+    return min(servers, key=lambda s: (s.incarnation, -counts[s.version], s.version))
--- a/packages/endive_core/tests/test_version_admission.py
+++ b/packages/endive_core/tests/test_version_admission.py
@@ -88,6 +88,13 @@
     assert division.withheld == ids(NEW)
 
 
+def test_servers_without_a_readable_version_are_used_at_the_start():
+    """Each is unlike any other, and only one of them gets requests."""
+    unreadable = [VersionedServer(f"u-{n}", f"?{n}", n, False) for n in range(3)]
+    division = VersionAdmission(OrderBook()).divide("s", unreadable, NO_STAGE, 1.0)
+    assert division.ordinary == ids(unreadable)
+
+
 def test_a_completed_version_replaces_the_others(node):
     """Old servers stop without notice, and get requests until their entries lapse."""
     node.order()
--- a/packages/endive_gateway/src/endive_gateway/rollout_control.py
+++ b/packages/endive_gateway/src/endive_gateway/rollout_control.py
@@ -178,6 +178,9 @@
         return not self.context.rollouts.is_isolated()
 
     def _view(self, record: RolloutRecord, rollout: Rollout) -> RolloutView:
+        live = {peer.address for peer in self.peers.live()}
+        for address in rollout.evidence.stages.keys() - live:
+            rollout.evidence.forget_left(address)
         division = self.context.version_division.divisions.get(record.order.service)
         nodes = len(self.peers.known) + 1
         interval_s = max(EVIDENCE_INTERVAL_S, EVIDENCE_INTERVAL_PER_NODE_S * nodes)
--- a/packages/endive_gateway/src/endive_gateway/version_division.py
+++ b/packages/endive_gateway/src/endive_gateway/version_division.py
@@ -88,10 +88,7 @@
         stage = self.rollouts.stage(service)
         division = self.rollouts.admission.divide(
             service,
-            [
-                VersionedServer(e.id, e.software_version_label, e.incarnation)
-                for e in usable
-            ],
+            [_versioned(entry) for entry in usable],
             stage,
             boot_time(),
             is_recent=self.rollouts.is_recent(service),
@@ -272,5 +269,11 @@
         return base.servers.own_in_flight + len(base.queue)
 
 
+def _versioned(entry: ServerEntry) -> VersionedServer:
+    label = entry.software_version_label
+    is_readable = not label.startswith(NOT_A_VERSION)
+    return VersionedServer(entry.id, label, entry.incarnation, is_readable)
+
+
 def _rank(server_id: str) -> bytes:
     return hashlib.blake2b(server_id.encode(), digest_size=8).digest()
