--- a/packages/endive_core/src/endive_core/rollout_stages.py
+++ b/packages/endive_core/src/endive_core/rollout_stages.py
@@ -60,12 +60,15 @@
 """Time for which a version is tried at least before the last stage, seconds and as a
 part of the duration."""
 
-MIN_FULL_LOAD_S = 0.8
-"""Time for which a server of the candidate must be able to get the load of an old one
-within the budget, seconds. If it can, the share stays small until then."""
+FULL_LOAD_S, MIN_FULL_LOAD_S = 1.2, 0.8
+"""Time for which a server of the candidate is to get the load of an old one within the
+budget, and must at least, seconds. If it can, the share stays small until then."""
+
+MIN_SMALL_PART = 0.35
+"""Least small share, as a part of the mean one."""
 
 MIN_JUDGED = 20
-MIN_JUDGED_PART = 0.3
+MIN_JUDGED_PART = 0.2
 """Responses of the candidate that are awaited before the share grows, at most, and as a
 part of those that it may get before the last stage."""
 
@@ -290,7 +293,7 @@
         left_s = max(0.3, self._all_s(view) - view.elapsed_s)
         share = left / (rate * left_s)
         if kind is StageKind.SMALL:
-            share *= SMALL_SHARE_PART
+            share *= self._small_part(share, left, rate, view)
         elif left >= MIN_FULL_LOAD_S * rate * self._full_share(view):
             share = max(share, self._full_share(view))
         most = view.candidate_servers / max(1, view.base_servers)
@@ -303,6 +306,20 @@
             f"{reason}; {share:.3f} of {rate:.0f} requests a second",
         )
 
+    def _small_part(
+        self, share: float, left: float, rate: float, view: RolloutView
+    ) -> float:
+        """Return the part of the mean share that is given while it is small.
+
+        Where one server with the load of an old one takes more than the mean share,
+        the requests for that are kept.
+        """
+        full = self._full_share(view)
+        if full <= share or not left:
+            return SMALL_SHARE_PART
+        kept = FULL_LOAD_S * rate * full
+        return max(MIN_SMALL_PART, min(SMALL_SHARE_PART, 1 - kept / left))
+
     def _grow_s(self, stage: Stage, view: RolloutView) -> float:
         """Return when the share is to grow, seconds since the order."""
         began_s = self.began_s or 0.0
