--- a/packages/endive_core/src/endive_core/rollout_evidence.py
+++ b/packages/endive_core/src/endive_core/rollout_evidence.py
@@ -146,7 +146,9 @@
             recent = self._since(total, now - window_s)
             if recent is not None:
                 with_times = window_s >= MIN_TIMES_WINDOW_S
-                findings.append(compare(recent.routes, with_times=with_times))
+                findings.append(
+                    compare(recent.routes, with_times=with_times, longer=total.routes)
+                )
         return max(findings, key=lambda finding: finding.score)
 
     def _since(self, total: RolloutTotals, start: float) -> RolloutTotals | None:
--- a/packages/endive_core/src/endive_core/rollout_stages.py
+++ b/packages/endive_core/src/endive_core/rollout_stages.py
@@ -14,12 +14,12 @@
 from endive_core.rollouts import RolloutOrder, Stage, StageKind
 from endive_core.version_comparison import NO_FINDING, Finding
 
-STOP_SCORE = 7.0
+STOP_SCORE = 6.5
 """Score from which on a version counts as bad at any time. The comparison is repeated
 several times a second. With 6, two of 800 simulated good versions were
 rolled back."""
 
-FINAL_SCORE = 5.0
+FINAL_SCORE = 4.0
 """The same at the end, where the only other choice is to complete it."""
 
 HESITATION_SCORE = 3.5
--- a/packages/endive_core/src/endive_core/version_comparison.py
+++ b/packages/endive_core/src/endive_core/version_comparison.py
@@ -151,17 +151,29 @@
 NO_FINDING = Finding()
 
 
-def compare(routes: Mapping[str, RouteCounts], *, with_times: bool = True) -> Finding:
+def compare(
+    routes: Mapping[str, RouteCounts],
+    *,
+    with_times: bool = True,
+    longer: Mapping[str, RouteCounts] | None = None,
+) -> Finding:
     """Return the strongest evidence that the candidate is worse than the base.
 
     Parameters
     ----------
     with_times : bool
         Whether times to first byte are compared, besides failures.
+    longer : mapping of str to RouteCounts or None
+        The counts of a longer time, of which `routes` is a part. The base may fail as
+        often as in the worse of both: within seconds a route that fails one call in
+        seven may have none of 37 fail.
     """
-    findings = [NO_FINDING, _pooled_failures(routes)]
+    rates = _base_rates(routes)
+    for route, rate in _base_rates(longer or {}).items():
+        rates[route] = max(rate, rates.get(route, 0.0))
+    findings = [NO_FINDING, _pooled_failures(routes, rates)]
     for route, counts in routes.items():
-        findings.append(_failures(route, counts))
+        findings.append(_failures(route, counts, rates[route]))
     if with_times:
         scores = {route: _slow_scores(counts) for route, counts in routes.items()}
         if len(routes) > 1:
@@ -173,12 +185,18 @@
     return max(findings, key=lambda finding: finding.score)
 
 
-def _failures(route: str, counts: RouteCounts) -> Finding:
+def _base_rates(routes: Mapping[str, RouteCounts]) -> dict[str, float]:
+    return {
+        route: _base_rate(counts.base.failures, counts.base.responses)
+        for route, counts in routes.items()
+    }
+
+
+def _failures(route: str, counts: RouteCounts, rate: float) -> Finding:
     candidate, base = counts.candidate, counts.base
     if candidate.responses < MIN_CANDIDATE_RESPONSES:
         return NO_FINDING
     bad, total = min(candidate.failures, candidate.responses), candidate.responses
-    rate = _base_rate(base.failures, base.responses, FAILURE_TOLERANCE)
     return Finding(
         _score(bad, total, rate),
         route,
@@ -248,16 +266,17 @@
     )
 
 
-def _pooled_failures(routes: Mapping[str, RouteCounts]) -> Finding:
+def _pooled_failures(
+    routes: Mapping[str, RouteCounts], rates: Mapping[str, float]
+) -> Finding:
     """Compare the failures on all routes, each weighted by what the base would have."""
     bad = total = base_bad = base_total = 0
     expected = 0.0
-    for counts in routes.values():
+    for route, counts in routes.items():
         candidate, base = counts.candidate, counts.base
-        rate = _base_rate(base.failures, base.responses, FAILURE_TOLERANCE)
         bad += min(candidate.failures, candidate.responses)
         total += candidate.responses
-        expected += rate * candidate.responses
+        expected += rates[route] * candidate.responses
         base_bad += base.failures
         base_total += base.responses
     if total < MIN_CANDIDATE_RESPONSES:
@@ -266,11 +285,11 @@
     return Finding(score, ALL_ROUTES, "failures", (bad, total), (base_bad, base_total))
 
 
-def _base_rate(bad: float, total: float, tolerance: float) -> float:
+def _base_rate(bad: float, total: float) -> float:
     """Return the highest plausible rate of the base, plus the tolerance."""
     rate = (bad + 0.5) / (total + 1)
     deviation = math.sqrt(rate * (1 - rate) / (total + 1))
-    return min(0.99, rate + BASE_DEVIATIONS * deviation + tolerance)
+    return min(0.99, rate + BASE_DEVIATIONS * deviation + FAILURE_TOLERANCE)
 
 
 def _score(bad: float, total: float, rate: float) -> float:
