--- a/packages/endive_core/src/endive_core/scheduler.py
+++ b/packages/endive_core/src/endive_core/scheduler.py
@@ -8,6 +8,7 @@
 
 from collections import Counter
 from collections.abc import Iterable
+from copy import deepcopy
 from typing import TYPE_CHECKING
 
 from endive_core.admission import Admission
@@ -369,6 +370,15 @@
         speeds.work_s = self.admission.rate.held_s if is_used else 0.0
         speeds.update(self.servers.servers, now)
 
+    def take_estimates(self, other: "Scheduler") -> None:
+        """Start from another scheduler's estimates of rates and times.
+
+        The servers of a new version are taken to be as fast as the others at first.
+        """
+        vars(self.admission.rate).update(deepcopy(vars(other.admission.rate)))
+        if self.prefill is not None and other.prefill is not None:
+            vars(self.prefill).update(deepcopy(vars(other.prefill)))
+
     def close(self) -> None:
         """Expire all queued calls, since the service is no longer declared."""
         self.expiry.expire_all("the service was deleted")
--- a/packages/endive_core/src/endive_core/version_admission.py
+++ b/packages/endive_core/src/endive_core/version_admission.py
@@ -4,6 +4,7 @@
 received yet. It gets no requests until the node knows that there is no such order.
 """
 
+from collections import Counter
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
@@ -14,8 +15,8 @@
 age of a relayed proof leaves out the time that its message took."""
 
 VERSION_MEMORY_S = 2.0
-"""Time for which a version without servers stays ordinary, seconds. After a completed
-rollout, an order may lead back to it."""
+"""Time for which a version without servers stays ordinary, or rejected, seconds. After
+a completed rollout, an order may lead back to it."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -26,11 +27,14 @@
     ----------
     incarnation : int
         Increases with each start, over all servers.
+    is_readable : bool
+        Whether its version could be read. If not, it is unlike any other.
     """
 
     id: str
     version: str
     incarnation: int
+    is_readable: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,14 +47,19 @@
         Server ids.
     withheld : frozenset of str
         Ids of servers that get nothing.
-    is_waiting : bool
-        Whether any server is withheld only until the orders are confirmed.
+    unproven : frozenset of str
+        Those of them that are withheld until the orders are confirmed.
     """
 
     ordinary: frozenset[str]
     candidates: frozenset[str] = frozenset()
     withheld: frozenset[str] = frozenset()
-    is_waiting: bool = False
+    unproven: frozenset[str] = frozenset()
+
+    @property
+    def is_waiting(self) -> bool:
+        """Whether any server is withheld until the orders are confirmed."""
+        return bool(self.unproven)
 
 
 @dataclass(slots=True)
@@ -67,12 +76,25 @@
         Offset of the order that was completed last; -1 if none was.
     replaced : frozenset of VersionedServer
         The servers that it replaced, which stop.
+    candidate : str
+        The version that the newest order named, unless that was completed.
+    rejected : dict of str to float
+        By version that was a candidate and not completed, when a server last had it.
     """
 
     seen_at: dict[VersionedServer, float] = field(default_factory=dict)
     ordinary: dict[str, float] = field(default_factory=dict)
     completed: int = -1
     replaced: frozenset[VersionedServer] = frozenset()
+    candidate: str = ""
+    rejected: dict[str, float] = field(default_factory=dict)
+
+    def set_candidate(self, candidate: str, now: float) -> None:
+        """Note the candidate; a former one that was not completed is rejected."""
+        if self.candidate and candidate != self.candidate:
+            self.rejected[self.candidate] = now
+        self.candidate = candidate
+        self.rejected.pop(candidate, None)
 
 
 class VersionAdmission:
@@ -118,13 +140,15 @@
         candidate = order.to if order is not None else ""
         if candidate and stage.kind is StageKind.COMPLETED:
             self._complete(versions, order, by_id.values(), now, is_recent=is_recent)
-            candidate = ""
+            candidate = versions.candidate = ""
+            versions.rejected.pop(order.to, None)
         elif candidate:
             versions.ordinary.pop(candidate, None)
+        versions.set_candidate(candidate, now)
         ordinary, candidates, unproven, replaced = set(), set(), set(), set()
         for server in by_id.values():
             seen_at = versions.seen_at.setdefault(server, now)
-            if server in versions.replaced:
+            if server in versions.replaced or server.version in versions.rejected:
                 replaced.add(server.id)
             elif candidate and server.version == candidate:
                 candidates.add(server.id)
@@ -136,8 +160,13 @@
             else:
                 unproven.add(server.id)
         if not ordinary and unproven:
-            used = _oldest_version(by_id[server_id] for server_id in unproven)
-            ordinary = {name for name in unproven if by_id[name].version == used}
+            oldest = _oldest(by_id[server_id] for server_id in unproven)
+            ordinary = {
+                name
+                for name in unproven
+                if by_id[name].version == oldest.version
+                or not (by_id[name].is_readable or oldest.is_readable)
+            }
             unproven -= ordinary
         if not (ordinary or candidates):
             ordinary, replaced = replaced, set()
@@ -169,11 +198,12 @@
         for gone in versions.seen_at.keys() - set(servers.values()):
             del versions.seen_at[gone]
         present = {server.version for server in servers.values()}
-        for version, at in list(versions.ordinary.items()):
-            if version in present:
-                versions.ordinary[version] = now
-            elif now - at > VERSION_MEMORY_S:
-                del versions.ordinary[version]
+        for known in (versions.ordinary, versions.rejected):
+            for version, at in list(known.items()):
+                if version in present:
+                    known[version] = now
+                elif now - at > VERSION_MEMORY_S:
+                    del known[version]
 
 
 def _division(
@@ -185,21 +215,20 @@
     replaced: set[str],
 ) -> Division:
     withheld = unproven | replaced
-    if not ordinary and candidates:
-        # Nothing else is left, so the version's own servers are used.
-        return Division(
-            frozenset(), frozenset(candidates), frozenset(withheld), bool(unproven)
-        )
-    if order is not None and stage.kind is StageKind.ROLLED_BACK:
-        withheld |= candidates
-        candidates = set()
+    is_last = not ordinary and bool(candidates)
+    is_out = order is not None and stage.kind is StageKind.ROLLED_BACK
+    if is_out and not is_last:  # if nothing else is left, its own servers are used
+        withheld, candidates = withheld | candidates, set()
     return Division(
         frozenset(ordinary),
         frozenset(candidates),
         frozenset(withheld),
-        bool(unproven),
+        frozenset(unproven),
     )
 
 
-def _oldest_version(servers: Iterable[VersionedServer]) -> str:
-    return min(servers, key=lambda server: (server.incarnation, server.id)).version
+def _oldest(servers: Iterable[VersionedServer]) -> VersionedServer:
+    """Return a server that started first; of several, one of the largest version."""
+    servers = list(servers)
+    counts = Counter(server.version for server in servers)
+    return min(servers, key=lambda s: (s.incarnation, -counts[s.version], s.version))
--- a/packages/endive_gateway/src/endive_gateway/placing.py
+++ b/packages/endive_gateway/src/endive_gateway/placing.py
@@ -236,12 +236,13 @@
 
     def occupied_servers(self) -> dict[str, float]:
         """Return by service how many servers' slots this node's requests fill."""
-        parts = {}
-        for name, scheduler in self.schedulers.items():
+        parts: Counter[str] = Counter()
+        for key, scheduler in self.schedulers.items():
             servers = scheduler.servers
             slots = servers.slots_total / max(1, len(servers.servers))
-            parts[name] = servers.own_in_flight / slots if slots else 0.0
-        return parts
+            busy = servers.own_in_flight / slots if slots else 0.0
+            parts[service_of_key(key)] += busy
+        return dict(parts)
 
     def own_backlogs(self) -> dict[str, float]:
         """Return by server the prompt tokens whose first tokens this node awaits.
@@ -281,9 +282,15 @@
                 return service_of_key(key)
         return None
 
-    def move_queued(self, source: Scheduler, target: Scheduler) -> None:
+    def move_queued(
+        self,
+        source: Scheduler,
+        target: Scheduler,
+        is_moved: Callable[[Ticket], bool] = lambda ticket: True,
+    ) -> None:
         """Let queued requests that are bound to no version go to other servers."""
         moved = [t for t in source.queue.tickets() if t.version is None]
+        moved = [ticket for ticket in moved if is_moved(ticket)]
         for ticket in moved:
             source.queue.remove(ticket)
             target.queue.push(ticket)
--- a/packages/endive_gateway/src/endive_gateway/rollout_observation.py
+++ b/packages/endive_gateway/src/endive_gateway/rollout_observation.py
@@ -21,6 +21,9 @@
 the times: half of the first tokens come within a twentieth of their targets, and plain
 responses within a fifth."""
 
+CHECK_INTERVAL_S = 0.5
+"""Time between two reads of the orders while servers are withheld, seconds."""
+
 MAX_STATED_SLOWDOWN = 4.0
 """Largest slowdown stated by a server that is taken into account."""
 
@@ -32,11 +35,14 @@
     ----------
     slowdown : float
         What the server states of its speed.
+    is_cold : bool
+        Whether the server may be slow since it is new, so that times don't count.
     """
 
     __slots__ = (
         "ended",
         "expected_s",
+        "is_cold",
         "is_counted",
         "is_timed",
         "route",
@@ -64,7 +70,7 @@
         self.expected_s = expected_s
         self.sent_at = time.monotonic()
         self.slowdown = 1.0
-        self.is_timed = self.is_counted = self.ended = False
+        self.is_timed = self.is_counted = self.ended = self.is_cold = False
 
     def update(self, now: float) -> bool:
         """Count what has become known; return whether anything has."""
@@ -82,9 +88,13 @@
 
     def finish(self, *, failed: bool) -> None:
         """Count the end of the attempt, if the version is answerable for it."""
-        self.update(time.monotonic())
+        now = time.monotonic()
+        self.update(now)
         self._count()
         self.side.failures += failed
+        if not failed:
+            self.side.ended += 1
+            self.side.busy_ms += int(1000 * (now - self.sent_at))
         self.ended = True
 
     def abandon(self, *, timed_out: bool) -> None:
@@ -100,6 +110,8 @@
 
     def _add_time(self, seconds: float) -> None:
         self.is_timed = True
+        if self.is_cold:
+            return
         slowdown = min(MAX_STATED_SLOWDOWN, max(1.0, self.slowdown))
         self.side.add_time(seconds / (self.expected_s * slowdown))
 
@@ -133,6 +145,7 @@
         self.open: dict[Observation, None] = {}
         self.crashed: dict[str, float] = {}
         self.is_evidence_new = False
+        self.next_check_at = 0.0
         self.send_evidence = lambda: None
         placer.crashes.listeners.append(
             lambda crash: self.crashed.__setitem__(crash.server, crash.at)
@@ -153,7 +166,8 @@
         for service, rollout in self.rollouts.rollouts.items():
             rollout.evidence.own.base_left = self.division.base_left(service)
         self.rollouts.judge()
-        if self.rollouts.is_waiting():
+        if self.rollouts.is_waiting() and now >= self.next_check_at:
+            self.next_check_at = now + CHECK_INTERVAL_S
             self.rollouts.check_orders()
         if self.rollouts.is_waiting() or self.rollouts.rollouts:
             self.division.refresh_if_due()
@@ -186,6 +200,7 @@
             self._expected_s(route, entry.service, ticket),
             is_candidate=is_candidate,
         )
+        observation.is_cold = is_candidate and self.division.is_cold(entry)
         self.open[observation] = None
         return observation
 
--- a/tests/soak/launch.py
+++ b/tests/soak/launch.py
@@ -233,6 +233,13 @@
     ServerSpeeds.state = lambda self, *statement: False
 
 
+def take_candidates_for_ordinary():
+    """Let a node use the servers of an ordered version as any others."""
+    from endive_gateway.rollouts import Rollouts
+
+    Rollouts.is_enabled = property(lambda self: False)
+
+
 MUTANTS = {
     "limit": disable_limit_sharing,
     "not-run": report_not_run,
@@ -252,6 +259,7 @@
     "no-distrust": trust_all_sources,
     "no-affinity": forget_where_streams_began,
     "no-speeds": ignore_speeds,
+    "no-rollouts": take_candidates_for_ordinary,
 }
 
 if __name__ == "__main__":
--- a/tests/soak/mixes.py
+++ b/tests/soak/mixes.py
@@ -16,6 +16,7 @@
     "nodes_cut_from_servers",
     "rollout",
     "fetches_hang",
+    "ordered_rollout",
 }
 EARLIER_KINDS = tuple(sorted(set(FAULTS) - LATER_KINDS))
 FIRST_KINDS = tuple(sorted(set(EARLIER_KINDS) - {"store_silent", "links_fall_silent"}))
@@ -42,4 +43,6 @@
 ROLLOUTS = ("rollout", "kill", "server_crash")
 FETCHES = ("fetches_hang",)
 SPEEDS = ("servers_uneven", "reload", "change_configuration")
+ORDERED = ("ordered_rollout",)
+ORDERED_AMID_FAULTS = ("ordered_rollout", "kill", "server_crash", "store_down")
 UNFRAMED = ("server_unframed", "server_leaves", "restart")
--- a/tests/test_soak_mutants.py
+++ b/tests/test_soak_mutants.py
@@ -6,6 +6,7 @@
     DEPARTING,
     FETCHES,
     LIMITED_SERVERS,
+    ORDERED,
     PARTS,
     RESTS,
     ROLLOUTS,
@@ -41,6 +42,7 @@
     "no-distrust": ("fetch", 1, FETCHES),
     "no-affinity": ("software version", 1, ROLLOUTS),
     "no-speeds": ("slow server", 1, SPEEDS),
+    "no-rollouts": ("rollout", 5, ORDERED),
 }
 """By mutant: the rule that it violates, the seed, and the kinds of faults to inject."""
 
@@ -56,7 +58,8 @@
     are not read, streams that are complete as soon as they end, requests that end with
     a server's silence, brittle servers without leases, nodes that carry no connections
     for others, sources of fetches that are named although they hang, streams that go on
-    at any software version, and requests for servers that state to be slow."""
+    at any software version, requests for servers that state to be slow, and nodes that
+    use the servers of an ordered version as any others."""
     rule, seed, kinds = MUTANTS[mutant]
     outcome = run_seed(seed, slot=SLOT, mutant=mutant, kinds=kinds)
     assert outcome.violations, outcome.counts
