Check in the soak that requests take the slots that are free

Plain servers have one slot each for some seconds, fewer than there are nodes. Few requests may come to a server that has too many while another one has a free slot.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -9,6 +9,7 @@
 import gevent
 
 from soak.callers import DEADLINE_S, CrashingCaller, CrashingPartCaller
+from soak.few_slots import FewSlots
 from soak.invariants import (
     CONTACT_S,
     DRAIN_S,
@@ -333,6 +334,20 @@
     brittle.end()
 
 
+def few_slots(fleet, fault):
+    """Let the plain servers have fewer slots together than there are nodes."""
+    backends = [backend for backend in fleet.backends if backend.service == "plain"]
+    if any(backend.few_slots or backend.brittle for backend in backends):
+        return
+    few = FewSlots(fleet, backends)
+    for backend in backends:
+        backend.set_few_slots(few)
+    gevent.sleep(CONTACT_S + 4.0 + fault.for_s)
+    for backend in backends:
+        backend.set_few_slots(None)
+    few.end()
+
+
 def rollout(fleet, fault):
     """Let the engines' servers be of two versions, and break streams off meanwhile.
 
@@ -425,6 +440,7 @@
         server_unframed,
         server_silent,
         servers_brittle,
+        few_slots,
         nodes_cut_from_servers,
         rollout,
     )
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -255,6 +255,7 @@
         self.server = None
         self.silent = False
         self.brittle = None
+        self.few_slots = None
         self.version = "v1"
         self._start()
         address = self.server.address
@@ -273,11 +274,23 @@
             backend=self,
         )
 
+    @property
+    def usual_slots(self):
+        """Slots of the servers that start from now on."""
+        special = self.brittle or self.few_slots
+        return special.slots if special else SLOTS
+
     def set_brittle(self, brittle):
         """Let the servers here fail if they reject much, or be sound again."""
         self.brittle = brittle
         if self.server is not None:
-            self.server.slots = brittle.slots if brittle else SLOTS
+            self.server.slots = self.usual_slots
+
+    def set_few_slots(self, few_slots):
+        """Let the servers here have few slots, or the usual number again."""
+        self.few_slots = few_slots
+        if self.server is not None:
+            self.server.slots = self.usual_slots
 
     def crash_soon(self):
         """End the server after its present work, and start another one."""
--- a/tests/soak/launch.py
+++ b/tests/soak/launch.py
@@ -193,6 +193,13 @@
     SlotLeasing.ask = lambda self, view, **options: None
 
 
+def pool_no_slots():
+    """Let each node place requests by its own view of servers with few slots."""
+    from endive_gateway.slot_pooling import SlotPooling
+
+    SlotPooling.is_pooled = lambda self, service: False
+
+
 def give_up_silent_servers():
     """Let a node close a connection on which nothing comes for half a second."""
     from endive_gateway.exceptions import ConnectionBrokenError
@@ -234,6 +241,7 @@
     "broken-streams": trust_orderly_ends,
     "silence-ends": give_up_silent_servers,
     "no-leases": lease_no_slots,
+    "no-pools": pool_no_slots,
     "no-transit": carry_no_connections,
     "no-affinity": forget_where_streams_began,
 }
--- a/tests/soak/mixes.py
+++ b/tests/soak/mixes.py
@@ -12,6 +12,7 @@
     "server_unframed",
     "server_silent",
     "servers_brittle",
+    "few_slots",
     "nodes_cut_from_servers",
     "rollout",
 }
@@ -36,6 +37,7 @@
 DEPARTING = ("server_says_it_leaves", "store_silent", "change_configuration")
 SERVERS_CUT = ("nodes_cut_from_servers", "change_configuration")
 BRITTLE = ("servers_brittle", "change_configuration", "restart")
+FEW_SLOTS = ("few_slots", "change_configuration")
 SILENT = ("server_silent", "reload", "change_configuration")
 ROLLOUTS = ("rollout", "kill", "server_crash")
 UNFRAMED = ("server_unframed", "server_leaves", "restart")
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -276,7 +276,7 @@
         self.id = server_id
         self.backend = backend
         self.version = backend.version
-        self.slots = SLOTS if backend.brittle is None else backend.brittle.slots
+        self.slots = backend.usual_slots
         self.limit = None
         self.limited = None
         self.rest_s = None
@@ -329,6 +329,9 @@
         if self._turns_away(request_id):
             rest = {"Not-Run": "1", "Retry-After": f"{self.rest_s:.3g}"}
             return respond(start, 503, b"", headers | rest)
+        few_slots = self.backend.few_slots
+        if few_slots is not None:
+            few_slots.arrived(self.backend, request_id)
         room = brittle.room if brittle is not None else QUEUE
         if not request_id or self.running >= self.slots + room:
             if brittle is not None:
@@ -355,7 +358,7 @@
                 return respond(start, 500, b"no", headers)
             if environ["PATH_INFO"].startswith("/stream"):
                 return self._stream(request_id, environ, start, headers)
-            gevent.sleep(self.work_s)
+            gevent.sleep(self.work_s + (few_slots.work_s if few_slots else 0.0))
             if self.unframed:
                 body = [plain_body(request_id)]
                 return send_unframed(environ["soak.socket"], headers, body)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -17,6 +17,7 @@
     CRASHES,
     DEPARTING,
     EARLIER_KINDS,
+    FEW_SLOTS,
     FIRST_KINDS,
     LIMITED_SERVERS,
     PARTS,
@@ -130,6 +131,13 @@
     assert outcome.violations == [], outcome.directory
 
 
+@pytest.mark.parametrize("kinds", [FEW_SLOTS, FEW_SLOTS + ("kill", "server_crash")])
+def test_requests_take_the_slots_that_are_free(kinds):
+    """A service has fewer slots than there are nodes, and coordinators are killed."""
+    outcome = run_seed(1, slot=SLOT, kinds=kinds)
+    assert outcome.violations == [], outcome.directory
+
+
 def test_requests_outlast_a_servers_silence():
     """Sound servers fall silent for a second or two, and go on."""
     outcome = run_seed(1, slot=SLOT, kinds=SILENT)
--- a/tests/test_soak_mutants.py
+++ b/tests/test_soak_mutants.py
@@ -4,6 +4,7 @@
 from soak.mixes import (
     CRASHES,
     DEPARTING,
+    FEW_SLOTS,
     LIMITED_SERVERS,
     PARTS,
     RESTS,
@@ -35,6 +36,7 @@
     "broken-streams": ("wrong response", 1, UNFRAMED),
     "silence-ends": ("silence", 1, SILENT),
     "no-leases": ("brittle", 87, ("servers_brittle",)),
+    "no-pools": ("idle slots", 2, FEW_SLOTS),
     "no-transit": ("cut off", 1, SERVERS_CUT),
     "no-affinity": ("software version", 1, ROLLOUTS),
 }
@@ -50,7 +52,8 @@
     requests and of parts of prompts, parts that answers do not clear, nodes that serve
     an even share only, limits of servers that are not shared, rests and departures that
     are not read, streams that are complete as soon as they end, requests that end with
-    a server's silence, brittle servers without leases, nodes that carry no connections
+    a server's silence, brittle servers without leases, few slots that no node
+    coordinates, nodes that carry no connections
     for others, and streams that go on at any software version."""
     rule, seed, kinds = MUTANTS[mutant]
     outcome = run_seed(seed, slot=SLOT, mutant=mutant, kinds=kinds)
