--- a/packages/endive_core/src/endive_core/slot_leases.py
+++ b/packages/endive_core/src/endive_core/slot_leases.py
@@ -61,10 +61,18 @@
 
 @dataclass(slots=True)
 class Lease:
-    """A leased slot: since when, and when it ends if it is not returned."""
+    """A leased slot: since when, and when it ends if it is not returned.
+
+    Attributes
+    ----------
+    crowding : float
+        Requests that hold leases of its server's slots, over slots, 1 or more: beyond
+        1 it waits there for a slot.
+    """
 
     granted_at: float
     ends_at: float
+    crowding: float = 1.0
 
 
 class ServerSlots:
--- a/packages/endive_core/src/endive_core/slot_queue.py
+++ b/packages/endive_core/src/endive_core/slot_queue.py
@@ -8,7 +8,7 @@
 import heapq
 import itertools
 import math
-from collections import Counter, defaultdict
+from collections import Counter, defaultdict, deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
@@ -182,15 +182,15 @@
             by_organisation[request.organisation].append(request)
         heap = []
         for number, (organisation, waiting) in enumerate(by_organisation.items()):
-            waiting.sort(key=lambda request: request.due, reverse=True)
-            due = waiting[-1].due
+            waiting = deque(sorted(waiting, key=lambda request: request.due))
+            due = waiting[0].due
             heap.append((self._tag(organisation), due, number, waiting))
         heapq.heapify(heap)
         while heap:
             tag, _, number, waiting = heapq.heappop(heap)
-            yield waiting.pop()
+            yield waiting.popleft()
             if waiting:
-                heapq.heappush(heap, (tag + 1.0, waiting[-1].due, number, waiting))
+                heapq.heappush(heap, (tag + 1.0, waiting[0].due, number, waiting))
 
     def _rank(self, request: PoolRequest) -> tuple[int, float, float]:
         return (request.priority, self._tag(request.organisation), request.due)
--- a/packages/endive_core/tests/test_slot_pool.py
+++ b/packages/endive_core/tests/test_slot_pool.py
@@ -1,5 +1,6 @@
 import pytest
-from endive_core.slot_pool import FAILURE_PAUSE_S, MIN_WAIT_S, Outcome, SlotPool
+from endive_core.pooled_servers import FAILURE_PAUSE_S, Outcome
+from endive_core.slot_pool import MIN_WAIT_S, SlotPool
 from endive_core.slot_queue import PoolRequest
 
 TARGET_S = 0.4
--- a/packages/endive_gateway/src/endive_gateway/attempts.py
+++ b/packages/endive_gateway/src/endive_gateway/attempts.py
@@ -5,8 +5,8 @@
 from endive_core.calls import Ticket
 from endive_core.exceptions import RetryReason
 from endive_core.messages import ServerView
+from endive_core.pooled_servers import Outcome
 from endive_core.routing import Engine, Route, RouteKind
-from endive_core.slot_pool import Outcome
 
 from endive_gateway.callers import Exchange
 from endive_gateway.connections import ServerConnection
--- a/packages/endive_gateway/src/endive_gateway/pool_coordination.py
+++ b/packages/endive_gateway/src/endive_gateway/pool_coordination.py
@@ -3,7 +3,8 @@
 import time
 from collections.abc import Callable
 
-from endive_core.slot_pool import Outcome, SlotPool
+from endive_core.pooled_servers import Outcome, PooledServer
+from endive_core.slot_pool import SlotPool
 from endive_core.slot_pool import SlotReply as PoolDecision
 from endive_core.slot_queue import LeaseKey, PoolRequest
 from endive_node.logs import log_event
@@ -62,7 +63,6 @@
         now = time.monotonic()
         pool = self.pools.get(message.service) or self._begin(message.service, nodes)
         self.requested_at[message.service] = now
-        self._set_servers(message.service, pool)
         for number in message.returned:
             if (node, number) in pool.leased_at:
                 pool.release((node, number), Outcome.UNUSED, now)
@@ -118,7 +118,7 @@
         )
         return pool
 
-    def _set_servers(self, service: str, pool: SlotPool) -> list:
+    def _set_servers(self, service: str, pool: SlotPool) -> list[PooledServer]:
         """Apply the servers that accept work; return the new ones."""
         scheduler = self.placer.schedulers.get(service)
         loads = scheduler.servers.servers if scheduler else {}
--- a/packages/endive_gateway/src/endive_gateway/slot_messages.py
+++ b/packages/endive_gateway/src/endive_gateway/slot_messages.py
@@ -104,7 +104,7 @@
     server : str
         Empty if the node knows of no lease.
     outcome : int
-        An :class:`endive_core.slot_pool.Outcome`.
+        An :class:`endive_core.pooled_servers.Outcome`.
     load : int
         Requests at the server, running and waiting, as stated with the response; -1 if
         it stated none.
--- a/packages/endive_gateway/src/endive_gateway/slot_pooling.py
+++ b/packages/endive_gateway/src/endive_gateway/slot_pooling.py
@@ -15,7 +15,7 @@
 from endive_core.calls import Ticket
 from endive_core.exceptions import EndiveError, ErrorKind, RetryReason
 from endive_core.messages import ServerView
-from endive_core.slot_pool import Outcome
+from endive_core.pooled_servers import Outcome
 from endive_node.logs import log_event
 from gevent.event import AsyncResult
 
--- a/packages/endive_gateway/tests/simulated_requests.py
+++ b/packages/endive_gateway/tests/simulated_requests.py
@@ -1,7 +1,7 @@
 """Builder of requests at a node in simulated time, with the product's decisions."""
 
 from endive_core.exceptions import EndiveError, ErrorKind, RetryReason
-from endive_core.slot_pool import Outcome
+from endive_core.pooled_servers import Outcome
 from endive_gateway.attempts import SLOT_WAIT_FRACTION
 from endive_gateway.exceptions import SlotDeclinedError
 from endive_gateway.failed_attempts import MAX_SLOT_REQUESTS
@@ -16,7 +16,10 @@
 class SimulatedRequest:
     """A request at one node."""
 
-    def __init__(self, fleet, node, ticket, *, retryable=True):
+    def __init__(self, fleet, node, ticket, arrival, *, retryable=True):
+        self.arrival = arrival
+        self.work_s = arrival.work_s
+        self.returns = 0
         self.retryable = retryable
         self.fleet = fleet
         self.node = node
@@ -81,7 +84,11 @@
         self.declined += 1
         is_late = self.fleet.clock.now - self.received_at >= self.workload.target_s
         if is_late or self.declined == MAX_SLOT_REQUESTS:
-            self.end_with(EndiveError(ErrorKind.OVERLOADED, "no slot"))
+            retry_after_s = self.workload.target_s
+            error = EndiveError(
+                ErrorKind.OVERLOADED, "no slot", retry_after_s=retry_after_s
+            )
+            self.end_with(error)
         else:
             reason = SlotDeclinedError("no slot").reason
             self.retry(reason, started=False, extra=self.declined)
@@ -224,5 +231,9 @@
 
     def end_with(self, error):
         self.placer.end(self.ticket)
+        if error.kind is ErrorKind.OVERLOADED:
+            arrival, returns = self.arrival, self.returns
+            self.fleet.refused(error, arrival, self.received_at, returns)
+            return
         held_s = self.fleet.clock.now - self.received_at
         self.fleet.ends.append((self.received_at, str(error.kind), held_s))
--- a/packages/endive_gateway/tests/simulated_servers.py
+++ b/packages/endive_gateway/tests/simulated_servers.py
@@ -2,6 +2,7 @@
 
 from collections import deque
 from dataclasses import dataclass
+from random import Random
 
 from endive_core.exceptions import RetryReason
 
@@ -58,6 +59,38 @@
         return self.servers * self.slots / self.mean_work_s * speed
 
 
+@dataclass(frozen=True)
+class Arrival:
+    """A request as its caller sends it, each time that it does."""
+
+    number: int
+    deadline: float
+    work_s: float
+    organisation: str
+
+
+class Arrivals:
+    """When requests come and what work they are, drawn apart from all else.
+
+    Fleets that place them in different ways thus get the same ones.
+    """
+
+    def __init__(self, workload, seed):
+        self.workload = workload
+        self.gaps = Random(f"gaps/{seed}")
+        self.works = Random(f"works/{seed}")
+
+    def gap_s(self, per_s):
+        """Return the time until the next request, seconds."""
+        return self.gaps.expovariate(per_s)
+
+    def work_s(self):
+        """Return the work of the next request, seconds while servers run as usual."""
+        work_s = self.workload.work_s * self.works.lognormvariate(-0.125, 0.5)
+        is_outlier = self.works.random() < self.workload.outliers
+        return 5 * work_s if is_outlier else work_s
+
+
 MESSAGES = Workload(4, work_s=0.0686, outliers=0.01, target_s=0.344, deadline_s=4.18)
 MESSAGES_NODES = 86
 CATALOGUE = Workload(3, work_s=0.045, outliers=0.01, target_s=0.215, deadline_s=1.07)
@@ -90,6 +123,7 @@
         self.busy_s = 0.0
         self.starts = 0
         self.down_until = 0.0
+        self.phase_random = Random(f"{fleet.seed}/{server_id}")
         self.phases = [(fleet.clock.now, 1.0)]
 
     @property
@@ -118,19 +152,10 @@
         self.running += 1
         self.active.append(request)
         request.runs += 1
-        work_s = self.work_s()
-        due = self.end_of(work_s)
+        due = self.end_of(request.work_s)
         self.busy_s += due - self.fleet.clock.now
         self.fleet.at(due, self.end, request, self.starts)
 
-    def work_s(self):
-        """Return the work of the next request, seconds while it runs as usual."""
-        random, workload = self.fleet.random, self.workload
-        work_s = workload.work_s * random.lognormvariate(-0.125, 0.5)
-        if workload.outliers and random.random() < workload.outliers:
-            work_s *= 5
-        return work_s
-
     def end_of(self, work_s):
         """Return when work that begins now ends, with the server's slow phases."""
         now = self.fleet.clock.now
@@ -151,7 +176,7 @@
     def phase_end(self, position):
         """Return when a phase ends; later ones are drawn when they are needed."""
         if position + 1 == len(self.phases):
-            random, workload = self.fleet.random, self.workload
+            random, workload = self.phase_random, self.workload
             is_slow = random.random() < workload.slow_share
             at = self.phases[position][0] + random.expovariate(1 / workload.slow_s)
             self.phases.append((at, workload.slow_ratio if is_slow else 1.0))
--- a/packages/endive_gateway/tests/single_queue.py
+++ b/packages/endive_gateway/tests/single_queue.py
@@ -6,7 +6,7 @@
 from collections import deque
 
 from fleet_simulation import Clock
-from simulated_servers import SimulatedServer
+from simulated_servers import Arrivals, SimulatedServer
 
 
 class QueuedRequest:
@@ -14,6 +14,7 @@
 
     def __init__(self, bound):
         self.bound = bound
+        self.work_s = bound.arrivals.work_s()
         self.runs = 0
         self.came_at = bound.clock.now
 
@@ -35,6 +36,8 @@
         self.workload = workload
         self.clock = Clock()
         self.random = random.Random(seed)
+        self.seed = seed
+        self.arrivals = Arrivals(workload, seed)
         self.events, self.numbers = [], itertools.count()
         self.waiting = deque()
         self.ends = []
@@ -65,7 +68,7 @@
         self.waiting.append(QueuedRequest(self))
         self.serve()
         if now < end:
-            self.at(now + self.random.expovariate(per_s), self.request, per_s, end)
+            self.at(now + self.arrivals.gap_s(per_s), self.request, per_s, end)
 
     def serve(self):
         """Run what waits while slots are free."""
--- a/packages/endive_gateway/tests/slot_simulation.py
+++ b/packages/endive_gateway/tests/slot_simulation.py
@@ -10,7 +10,7 @@
 from fleet_simulation import SimulatedFleet
 from gateway_builders import SERVICE, make_entry
 from simulated_requests import SimulatedRequest
-from simulated_servers import SimulatedServer
+from simulated_servers import Arrival, Arrivals, SimulatedServer
 
 
 class SlotFleet(SimulatedFleet):
@@ -37,6 +37,8 @@
     def __init__(self, monkeypatch, nodes, workload, seed=1):
         monkeypatch.setattr("gevent.sleep", lambda seconds=0: None)
         self.workload = workload
+        self.seed = seed
+        self.arrivals = Arrivals(workload, seed)
         self.ends = []
         self.requests = []
         self.slot_messages = 0
@@ -132,12 +134,14 @@
         if self.random.random() < self.favoured_share:
             node = self.nodes[self.favoured]
         now = self.clock.now
-        self.admit(node, next(self.numbers), now + self.workload.deadline_s)
+        deadline = now + self.workload.deadline_s
+        number, work_s = next(self.numbers), self.arrivals.work_s()
+        self.admit(node, Arrival(number, deadline, work_s, self.organisation()))
         if now < end:
-            self.at(now + self.random.expovariate(per_s), self.request, per_s, end)
+            self.at(now + self.arrivals.gap_s(per_s), self.request, per_s, end)
 
-    def admit(self, node, number, deadline, returns=0):
-        """Let a request come; one that is refused returns `returns` times as told."""
+    def admit(self, node, arrival, returns=0):
+        """Let a request come for the first time, or after it was refused."""
         now = self.clock.now
         context = node.context
         workload = self.workload
@@ -148,29 +152,34 @@
             ticket = context.placer.admit(
                 SERVICE,
                 call(
-                    f"q{number}",
-                    fingerprint=f"f{number}",
+                    f"q{arrival.number}",
+                    fingerprint=f"f{arrival.number}",
                     prompt_tokens=0,
                     max_tokens=1,
                     target_s=self.workload.target_s,
-                    deadline=deadline,
-                    organisation=self.organisation(),
+                    deadline=arrival.deadline,
+                    organisation=arrival.organisation,
                     non_idempotent=not retryable,
                 ),
                 pooled=context.slot_pooling.is_pooled(SERVICE),
             )
         except EndiveError as error:
-            self.ends.append((now, str(error.kind), 0.0))
-            wait_s = error.retry_after_s or 0.0
-            if returns < self.max_returns and wait_s <= (deadline - now) / 3:
-                again = self.random.choice(self.nodes)
-                due = now + wait_s
-                self.at(due, self.admit, again, number, deadline, returns + 1)
+            self.refused(error, arrival, now, returns)
         else:
-            request = SimulatedRequest(self, node, ticket, retryable=retryable)
+            request = SimulatedRequest(self, node, ticket, arrival, retryable=retryable)
+            request.returns = returns
             self.requests.append(request)
             request.wait_for_server()
 
+    def refused(self, error, arrival, came_at, returns):
+        """Note a refusal, and let the caller return once it is told to."""
+        now = self.clock.now
+        self.ends.append((came_at, str(error.kind), now - came_at))
+        wait_s = error.retry_after_s or 0.0
+        if returns < self.max_returns and wait_s <= (arrival.deadline - now) / 3:
+            again = self.random.choice(self.nodes)
+            self.at(now + wait_s, self.admit, again, arrival, returns + 1)
+
     def organisation(self):
         """Return the organisation of the next request; few send most."""
         if self.workload.organisations == 1:
