Lease slots of a service where it pays

Requests now take leases while the node knows that so many slots are busy that a random server is full for 8 in 100 requests (half of them with six slots a server), or where servers state how fast they are, since the coordinator knows that a second earlier than each node.

--- a/benchmarks/bench_slot_pools.py
+++ b/benchmarks/bench_slot_pools.py
@@ -19,6 +19,7 @@
 for package in ("endive_core", "endive_gateway"):
     sys.path.insert(0, str(ROOT / "packages" / package / "tests"))
 
+from gateway_builders import SERVICE  # noqa: E402
 from simulated_servers import (  # noqa: E402
     CATALOGUE,
     CATALOGUE_NODES,
@@ -34,38 +35,23 @@
     "catalogue": (replace(CATALOGUE, one_way_s=0.0005), CATALOGUE_NODES),
     "earlier": (Workload(5), 195),
 }
-WAYS = ("views", "servers", "scarce", "pools", "queue")
-"""By each node's view; with a coordinator for each server; with pools where the node
-knows more than `SCARCE` of the slots in use; with pools; a single queue, the bound."""
+WAYS = ("views", "servers", "always", "pools", "queue")
+"""By each node's view; with a coordinator for each server; with leases from a pool for
+all requests; with them where they pay, as the product has it; a single queue."""
 
-SCARCE = 0.5
-SCARCE_END = 0.3
 SAMPLE_S = 0.005
 START_S = 4.0
 BURST_S, BURST_EVERY_S = 1.0, 4.0
 
 
-def is_scarce(pooling):
-    """Return a function that tells whether a node knows that slots are scarce."""
-    scarce = [False]
-
-    def decide(service):
-        servers = pooling.placer.schedulers[service].servers
-        threshold = SCARCE_END if scarce[0] else SCARCE
-        scarce[0] = servers.mean_utilisation > threshold
-        return scarce[0]
-
-    return decide
-
-
 def choose_way(fleet, way):
     """Let the nodes of a fleet place requests in one of `WAYS`."""
     for node in fleet.nodes:
         pooling = node.context.slot_pooling
         if way in ("views", "servers"):
             pooling.is_enabled = lambda: False
-        elif way == "scarce":
-            pooling._has_few_slots = is_scarce(pooling)
+        elif way == "always":
+            pooling.speeds.add(SERVICE)
     if way == "servers":
         for server in fleet.servers.values():
             server.brittle = 1000.0
--- a/packages/endive_gateway/src/endive_gateway/context.py
+++ b/packages/endive_gateway/src/endive_gateway/context.py
@@ -155,6 +155,7 @@
             self.leaving_servers,
             self.placer,
             self.slot_leasing,
+            self.slot_pooling,
         )
         self.paths.rests_for = self.server_rests.rests_for
         self.transit_port.is_resting = self.server_rests.is_resting
--- a/packages/endive_gateway/src/endive_gateway/server_statements.py
+++ b/packages/endive_gateway/src/endive_gateway/server_statements.py
@@ -11,7 +11,7 @@
 from endive_gateway.placing import Placer
 from endive_gateway.server_rests import ServerRests
 from endive_gateway.slot_leasing import SlotLease, SlotLeasing
-from endive_gateway.slot_pooling import PoolLease
+from endive_gateway.slot_pooling import PoolLease, SlotPooling
 from endive_gateway.state_messages import StateMessage
 
 
@@ -32,6 +32,8 @@
         Keeps their loads.
     leasing : SlotLeasing
         Passes the loads of brittle servers on to the nodes that lease their slots.
+    pooling : SlotPooling
+        Is told which servers state how fast they are.
     invalid_loads : set of str
         Servers of whose loads a part can't be read.
     """
@@ -44,6 +46,7 @@
         leaving: LeavingServers,
         placer: Placer,
         leasing: SlotLeasing,
+        pooling: SlotPooling,
     ) -> None:
         self.limits = limits
         self.brittle = brittle
@@ -51,6 +54,7 @@
         self.leaving = leaving
         self.placer = placer
         self.leasing = leasing
+        self.pooling = pooling
         self.invalid_loads: set[str] = set()
 
     def observe(
@@ -88,6 +92,8 @@
         if metadata.running is not None:
             waiting = metadata.waiting or 0
             self.placer.report(server, metadata.running, waiting)
+            if metadata.slowdown is not None:
+                self.pooling.states_speed(server)
             if isinstance(lease, PoolLease):
                 lease.load, lease.slowdown = (
                     metadata.running + waiting,
--- a/packages/endive_gateway/src/endive_gateway/slot_pooling.py
+++ b/packages/endive_gateway/src/endive_gateway/slot_pooling.py
@@ -16,6 +16,7 @@
 from endive_core.exceptions import EndiveError, ErrorKind, RetryReason
 from endive_core.messages import ServerView
 from endive_core.pooled_servers import Outcome
+from endive_core.slot_scarcity import SlotScarcity
 from endive_node.logs import log_event
 from gevent.event import AsyncResult
 
@@ -129,7 +130,11 @@
     asked : dict of int to PoolLease
         Requests without a final reply, by number.
     pooled : set of str
-        The services that were pooled when last asked.
+        The services whose slots could be leased when last asked.
+    speeds : set of str
+        The services whose servers state how fast they are.
+    scarcity : SlotScarcity
+        The services whose slots are scarce.
     returned : deque of (int, str)
         The latest returns and their coordinators.
     replies : Counter
@@ -155,6 +160,8 @@
         self.asked: dict[int, PoolLease] = {}
         self.returned: deque[tuple[int, str]] = deque(maxlen=REPEATED_RETURNS)
         self.pooled: set[str] = set()
+        self.speeds: set[str] = set()
+        self.scarcity = SlotScarcity()
         self.sent = 0
         self.peer_addresses: Callable[[], list[str]] = list
         self.choice = CoordinatorChoice(
@@ -166,7 +173,27 @@
     # Which services are pooled
 
     def is_pooled(self, service: str) -> bool:
-        """Return whether requests to a service need a slot from its coordinator."""
+        """Return whether a new request to a service takes a slot from its coordinator.
+
+        It does where slots are scarce, or where servers state how fast they are: the
+        coordinator knows that from each response, and a node a second later.
+        """
+        if not self.may_pool(service):
+            return False
+        if service in self.speeds:
+            return True
+        servers = self.placer.schedulers[service].servers
+        slots = servers.slots_total // len(servers.servers)
+        return self.scarcity.is_scarce(service, servers.mean_utilisation, slots)
+
+    def states_speed(self, server: str) -> None:
+        """Note that a server states how fast it is."""
+        view = self.placer.views.get(server)
+        if view is not None:
+            self.speeds.add(view.service)
+
+    def may_pool(self, service: str) -> bool:
+        """Return whether the slots of a service can be leased from a coordinator."""
         pooled = self.is_enabled() and self._has_few_slots(service)
         if pooled != (service in self.pooled):
             self.pooled ^= {service}
@@ -205,7 +232,7 @@
         ticket = request.ticket
         silent = unknown = 0
         bound = ticket.version is not None or ticket.suspect
-        while not bound and self.is_pooled(request.service):
+        while not bound and self.may_pool(request.service):
             lease = self.ask(
                 request.service,
                 priority=request.server_priority,
--- a/packages/endive_gateway/tests/simulated_requests.py
+++ b/packages/endive_gateway/tests/simulated_requests.py
@@ -167,6 +167,8 @@
         metadata = self.metadata()
         metadata.not_run = not_run
         self.placer.report(self.server.id, metadata.running, metadata.waiting)
+        if metadata.slowdown is not None:
+            self.pooling.states_speed(self.server.id)
         load = metadata.running + metadata.waiting
         self.leasing.report(self.lease, load)
         if self.pool_lease is not None:
--- a/packages/endive_gateway/tests/test_slot_pooling.py
+++ b/packages/endive_gateway/tests/test_slot_pooling.py
@@ -39,6 +39,7 @@
         self.context.registry.notify_listeners()
         self.context.set_nodes(5)
         self.pooling = self.context.slot_pooling
+        self.pooling.speeds.add(SERVICE)
         self.updater = gevent.spawn(self.context.slot_leasing.run)
 
     def lease(self, **options):
@@ -136,7 +137,7 @@
     pooled = []
     for nodes in (6, 18, 19, 14, 13, 18):
         context.set_nodes(nodes)
-        pooled.append(context.slot_pooling.is_pooled(SERVICE))
+        pooled.append(context.slot_pooling.may_pool(SERVICE))
     assert pooled == [False, False, True, True, False, False]
 
 
@@ -149,7 +150,7 @@
     )
     few_slots(context)
     context.set_nodes(MANY_NODES)
-    assert not context.slot_pooling.is_pooled(SERVICE)
+    assert not context.slot_pooling.may_pool(SERVICE)
 
 
 def test_large_services_are_not_pooled():
@@ -157,7 +158,7 @@
     context = make_context(make_table())
     few_slots(context, servers=17)
     context.set_nodes(200)
-    assert not context.slot_pooling.is_pooled(SERVICE)
+    assert not context.slot_pooling.may_pool(SERVICE)
 
 
 def test_services_with_limited_servers_are_not_pooled():
@@ -166,17 +167,33 @@
     few_slots(context)
     context.set_nodes(MANY_NODES)
     context.placer.set_limit_shares({"i-0": LimitShare(1.0, 1.0, 1.0, 0.0)})
-    assert not context.slot_pooling.is_pooled(SERVICE)
+    assert not context.slot_pooling.may_pool(SERVICE)
+
+
+def test_leases_are_taken_where_they_pay():
+    """While few slots are busy, the round trip gains nothing."""
+    context = make_context(make_table())
+    few_slots(context)
+    context.set_nodes(MANY_NODES)
+    pooling, placer = context.slot_pooling, context.placer
+    pooled = [pooling.is_pooled(SERVICE)]
+    for running in (6, 4, 0):
+        for number in range(3):
+            placer.report(f"i-{number}", running, 0)
+        pooled.append(pooling.is_pooled(SERVICE))
+    assert pooled == [False, True, True, False]
+    pooling.states_speed("i-0")
+    assert pooling.is_pooled(SERVICE)
 
 
 def test_operators_switch_pools_off():
     context = make_context(make_table())
     few_slots(context)
     context.set_nodes(MANY_NODES)
-    assert context.slot_pooling.is_pooled(SERVICE)
+    assert context.slot_pooling.may_pool(SERVICE)
     location = context.settings.location
     context.apply_settings(GatewaySettings(location, pools_slots=False))
-    assert not context.slot_pooling.is_pooled(SERVICE)
+    assert not context.slot_pooling.may_pool(SERVICE)
 
 
 def test_only_nodes_that_pool_slots_coordinate():
