--- a/packages/endive_gateway/src/endive_gateway/slot_pooling.py
+++ b/packages/endive_gateway/src/endive_gateway/slot_pooling.py
@@ -176,11 +176,13 @@
         """Return whether a new request to a service takes a slot from its coordinator.
 
         It does where slots are scarce, or where servers state how fast they are: the
-        coordinator knows that from each response, and a node a second later.
+        coordinator knows that from each response, and a node a second later. Brittle
+        servers have one coordinator at all times.
         """
         if not self.may_pool(service):
             return False
-        if service in self.speeds:
+        is_brittle = service in self.leasing.brittle_services.names
+        if is_brittle or service in self.speeds:
             return True
         servers = self.placer.schedulers[service].servers
         slots = servers.slots_total // len(servers.servers)
--- a/packages/endive_gateway/tests/test_slot_pooling.py
+++ b/packages/endive_gateway/tests/test_slot_pooling.py
@@ -4,7 +4,7 @@
 import pytest
 from endive_core.routing import Engine, RouteKind, RoutingTable, Service
 from endive_core.server_limits import LimitShare
-from endive_gateway.interfaces import GatewaySettings
+from endive_gateway.interfaces import GatewaySettings, ResponseMetadata
 from endive_gateway.slot_messages import PoolSlotReply, PoolSlotRequest, PoolSlotReturn
 from gateway_builders import (
     SERVICE,
@@ -186,6 +186,17 @@
     assert pooling.is_pooled(SERVICE)
 
 
+def test_brittle_servers_have_one_coordinator_at_all_times():
+    """Two would lease the same slots to different nodes, and the servers fail."""
+    context = make_context(make_table())
+    few_slots(context)
+    context.set_nodes(MANY_NODES)
+    assert not context.slot_pooling.is_pooled(SERVICE)
+    brittle = ResponseMetadata(brittle_rejections=3.0)
+    context.brittle_services.observe("i-1", brittle, time.monotonic())
+    assert context.slot_pooling.is_pooled(SERVICE)
+
+
 def test_operators_switch_pools_off():
     context = make_context(make_table())
     few_slots(context)
