--- a/packages/endive_core/src/endive_core/__init__.py
+++ b/packages/endive_core/src/endive_core/__init__.py
@@ -16,7 +16,9 @@
 - streams that go on: ``stream_origins``, ``software_versions``
 - ways to servers: ``reachability``, ``transit``
 - limits and metering: ``quotas``, ``shared_limits``, ``limit_coordination``,
-  ``server_limits``, ``throttling``, ``resting``, ``slot_leases``, ``metering``
+  ``server_limits``, ``throttling``, ``resting``, ``metering``
+- leases of servers' slots: ``slot_leases``, ``slot_pool``, ``slot_queue``,
+  ``pooled_servers``, ``slot_scarcity``
 - capacity: ``capacity``, ``load_sizing``
 - moving streams and requests: ``stream_moves``, ``handover``, ``claims``
 - membership: ``membership``, ``members``, ``digests``, ``facts``, ``leases``,
--- a/packages/endive_gateway/src/endive_gateway/__init__.py
+++ b/packages/endive_gateway/src/endive_gateway/__init__.py
@@ -19,7 +19,9 @@
   ``service_client``
 - messages between nodes: ``peers``, ``nodes``, ``state_messages``, ``datagrams``,
   ``spending``, ``spending_messages``, ``prompts``, ``crash_exchange``,
-  ``part_exchange``, ``slot_leasing``, ``origin_exchange``, ``origin_messages``
+  ``part_exchange``, ``origin_exchange``, ``origin_messages``
+- leases of servers' slots: ``slot_leasing``, ``slot_pooling``, ``pool_coordination``,
+  ``coordinators``, ``slot_messages``
 - what servers state of themselves: ``server_statements``, ``stated_values``,
   ``limit_sharing``, ``brittle_services``, ``server_rests``, ``leaving_servers``
 - cluster-wide duties, performed by one node at a time: ``duties``, ``autoscaling``
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -188,6 +188,15 @@
     assert found.duties == {"usage", "scale"}
 
 
+@pytest.mark.parametrize(
+    ("options", "pools"), [({}, True), ({"pools_slots": False}, False)]
+)
+def test_operators_switch_pools_of_slots_off(tmp_path, options, pools):
+    path = tmp_path / "local.json"
+    path.write_text(json.dumps(settings(**options)))
+    assert to_gateway_settings(read_settings(str(path))).pools_slots is pools
+
+
 @pytest.mark.parametrize(
     "value", ["", "{", "[]", json.dumps(settings(port_range="x")), "{}"]
 )
