Tell callers that are declined slots when those before them are served

All that a pool declined within a moment were told about the same time and returned together. Each is now told a time by one service later, 2 s at most.

--- a/packages/endive_core/src/endive_core/slot_pool.py
+++ b/packages/endive_core/src/endive_core/slot_pool.py
@@ -35,6 +35,9 @@
 """Most requests in the queue of a pool. It takes far more than one target to serve as
 many with the few slots of a pool."""
 
+MAX_RETRY_AFTER_S = 2.0
+"""Longest time after which a declined request is told to return, seconds."""
+
 MIN_RATE = 0.1
 """Least number of requests a second that are assumed to be served."""
 
@@ -91,6 +94,8 @@
         The requests that wait.
     leased_at : dict
         By request, the server whose slot it has.
+    declined_until : float
+        When the requests declined so far could all be served, clock time in seconds.
     granted, declined : int
         Requests since the last report.
     """
@@ -100,6 +105,7 @@
         self.servers: dict[str, PooledServer] = {}
         self.queue = SlotQueue()
         self.leased_at: dict[LeaseKey, str] = {}
+        self.declined_until = float("-inf")
         self.granted = 0
         self.declined = 0
 
@@ -146,7 +152,7 @@
         work_s = WORK_MARGIN * self._hold_s(now)
         request.wait_until = max(now + MIN_WAIT_S, request.due - work_s)
         if len(self.queue) >= MAX_QUEUED:
-            self._decline(request, self.wait_s(len(self.queue), now))
+            self._decline(request, self.wait_s(len(self.queue), now), now)
             return
         self.queue.push(request, now)
         self._grant(now)
@@ -157,7 +163,7 @@
         wait_s = self._overtaken_wait_s(request, ordered.index(request), left_s, now)
         if wait_s > left_s:
             self.queue.remove(request.key)
-            self._decline(request, wait_s - left_s)
+            self._decline(request, wait_s - left_s, now)
         else:
             self._remind(request, now)
 
@@ -277,7 +283,7 @@
             left_s = request.wait_until - now
             if wait_s > left_s + DECLINE_MARGIN * max(0.0, left_s) or left_s < 0:
                 self.queue.remove(request.key)
-                self._decline(request, wait_s - left_s)
+                self._decline(request, wait_s - left_s, now)
             else:
                 position += 1
                 if now >= request.remind_at:
@@ -298,9 +304,16 @@
                 break
         return wait_s
 
-    def _decline(self, request: PoolRequest, excess_s: float) -> None:
+    def _decline(self, request: PoolRequest, excess_s: float, now: float) -> None:
+        """Decline a request, with the time at which those before it are served.
+
+        If all that are declined were told the same time, they would return together.
+        """
         self.declined += 1
-        self.reply(request.key, SlotReply(retry_after_s=max(0.0, excess_s)))
+        _, per_s = self._rate(now)
+        until = max(now + max(0.0, excess_s), self.declined_until + 1 / per_s)
+        self.declined_until = min(until, now + MAX_RETRY_AFTER_S)
+        self.reply(request.key, SlotReply(retry_after_s=self.declined_until - now))
 
     def wait_s(self, ahead: int, now: float) -> float:
         """Return the time until a slot is free after `ahead` others, seconds."""
--- a/packages/endive_core/tests/test_slot_pool.py
+++ b/packages/endive_core/tests/test_slot_pool.py
@@ -1,6 +1,6 @@
 import pytest
 from endive_core.pooled_servers import FAILURE_PAUSE_S, Outcome
-from endive_core.slot_pool import MIN_WAIT_S, SlotPool
+from endive_core.slot_pool import MAX_RETRY_AFTER_S, MIN_WAIT_S, SlotPool
 from endive_core.slot_queue import PoolRequest
 
 TARGET_S = 0.4
@@ -276,3 +276,15 @@
     assert pool.granted()[-1] == 1
     pool.end(1, 0.05)
     assert pool.granted()[-1] == 2
+
+
+def test_declined_requests_are_told_different_times():
+    """If all returned together, all but a few would be declined again."""
+    pool = Pool(slots=2)
+    fill(pool, range(3))
+    for number in range(3, 60):
+        pool.ask(number)
+    times = [pool.replies[number].retry_after_s for number in pool.declined()]
+    assert times == sorted(times)
+    assert times[-1] - times[0] > 1.0
+    assert times[-1] <= MAX_RETRY_AFTER_S
--- a/packages/endive_gateway/src/endive_gateway/pool_coordination.py
+++ b/packages/endive_gateway/src/endive_gateway/pool_coordination.py
@@ -18,9 +18,6 @@
     SlotMessage,
 )
 
-MAX_RETRY_AFTER_S = 2.0
-"""Longest time that a declined request is told to wait, seconds."""
-
 REPORT_INTERVAL_S = 10.0
 """Time between two log lines of what a pool has done, seconds."""
 
@@ -100,7 +97,7 @@
             retry_after_s = decision.retry_after_s
             message = PoolSlotReply(number, service, decision.server, decision.wait_s)
             if retry_after_s is not None:
-                message.retry_after_s = min(MAX_RETRY_AFTER_S, retry_after_s)
+                message.retry_after_s = retry_after_s
             self.send(message, node)
 
         now = time.monotonic()
