--- a/packages/endive_gateway/src/endive_gateway/context.py
+++ b/packages/endive_gateway/src/endive_gateway/context.py
@@ -193,6 +193,7 @@
             self.placer,
             self.slot_leasing,
             self.speed_exchange,
+            self.slot_pooling,
         )
         self.paths.rests_for = self.server_rests.rests_for
         self.transit_port.is_resting = self.server_rests.is_resting
--- a/packages/endive_gateway/src/endive_gateway/pool_coordination.py
+++ b/packages/endive_gateway/src/endive_gateway/pool_coordination.py
@@ -3,7 +3,8 @@
 import time
 from collections.abc import Callable
 
-from endive_core.slot_pool import Outcome, SlotPool
+from endive_core.pooled_servers import Outcome, PooledServer
+from endive_core.slot_pool import SlotPool
 from endive_core.slot_pool import SlotReply as PoolDecision
 from endive_core.slot_queue import LeaseKey, PoolRequest
 from endive_node.logs import log_event
@@ -17,9 +18,6 @@
     SlotMessage,
 )
 
-MAX_RETRY_AFTER_S = 2.0
-"""Longest time that a declined request is told to wait, seconds."""
-
 REPORT_INTERVAL_S = 10.0
 """Time between two log lines of what a pool has done, seconds."""
 
@@ -62,7 +60,6 @@
         now = time.monotonic()
         pool = self.pools.get(message.service) or self._begin(message.service, nodes)
         self.requested_at[message.service] = now
-        self._set_servers(message.service, pool)
         for number in message.returned:
             if (node, number) in pool.leased_at:
                 pool.release((node, number), Outcome.UNUSED, now)
@@ -100,7 +97,7 @@
             retry_after_s = decision.retry_after_s
             message = PoolSlotReply(number, service, decision.server, decision.wait_s)
             if retry_after_s is not None:
-                message.retry_after_s = min(MAX_RETRY_AFTER_S, retry_after_s)
+                message.retry_after_s = retry_after_s
             self.send(message, node)
 
         now = time.monotonic()
@@ -118,7 +115,7 @@
         )
         return pool
 
-    def _set_servers(self, service: str, pool: SlotPool) -> list:
+    def _set_servers(self, service: str, pool: SlotPool) -> list[PooledServer]:
         """Apply the servers that accept work; return the new ones."""
         scheduler = self.placer.schedulers.get(service)
         loads = scheduler.servers.servers if scheduler else {}
--- a/packages/endive_gateway/src/endive_gateway/server_statements.py
+++ b/packages/endive_gateway/src/endive_gateway/server_statements.py
@@ -11,7 +11,7 @@
 from endive_gateway.placing import Placer
 from endive_gateway.server_rests import ServerRests
 from endive_gateway.slot_leasing import SlotLease, SlotLeasing
-from endive_gateway.slot_pooling import PoolLease
+from endive_gateway.slot_pooling import PoolLease, SlotPooling
 from endive_gateway.speed_exchange import SpeedExchange
 from endive_gateway.state_messages import StateMessage
 
@@ -35,6 +35,8 @@
         Passes the loads of brittle servers on to the nodes that lease their slots.
     speeds : SpeedExchange
         How long work takes at them now.
+    pooling : SlotPooling
+        Is told which servers state how fast they are.
     invalid_loads : set of str
         Servers of whose loads a part can't be read.
     """
@@ -48,6 +50,7 @@
         placer: Placer,
         leasing: SlotLeasing,
         speeds: SpeedExchange,
+        pooling: SlotPooling,
     ) -> None:
         self.limits = limits
         self.brittle = brittle
@@ -56,6 +59,7 @@
         self.placer = placer
         self.leasing = leasing
         self.speeds = speeds
+        self.pooling = pooling
         self.invalid_loads: set[str] = set()
 
     def observe(
@@ -94,6 +98,8 @@
         if metadata.running is not None:
             waiting = metadata.waiting or 0
             self.placer.report(server, metadata.running, waiting)
+            if metadata.slowdown is not None:
+                self.pooling.states_speed(server)
             if isinstance(lease, PoolLease):
                 lease.load, lease.slowdown = (
                     metadata.running + waiting,
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -10,6 +10,7 @@
 
 from soak.callers import DEADLINE_S, CrashingCaller, CrashingPartCaller
 from soak.fetches import fetches_hang
+from soak.few_slots import FewSlots
 from soak.invariants import (
     CONTACT_S,
     DRAIN_S,
@@ -360,6 +361,20 @@
     uneven.end()
 
 
+def few_slots(fleet, fault):
+    """Let the plain servers have fewer slots together than there are nodes."""
+    backends = [backend for backend in fleet.backends if backend.service == "plain"]
+    if any(backend.few_slots or backend.brittle for backend in backends):
+        return
+    few = FewSlots(fleet, backends)
+    for backend in backends:
+        backend.set_few_slots(few)
+    gevent.sleep(CONTACT_S + 4.0 + fault.for_s)
+    for backend in backends:
+        backend.set_few_slots(None)
+    few.end()
+
+
 def rollout(fleet, fault):
     """Let the engines' servers be of two versions, and break streams off meanwhile.
 
@@ -463,6 +478,7 @@
         server_silent,
         servers_brittle,
         servers_uneven,
+        few_slots,
         nodes_cut_from_servers,
         rollout,
         fetches_hang,
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -18,6 +18,7 @@
     DEPARTING,
     EARLIER_KINDS,
     FETCHES,
+    FEW_SLOTS,
     FIRST_KINDS,
     LIMITED_SERVERS,
     ORDERED,
@@ -154,6 +155,13 @@
     assert outcome.violations == [], outcome.directory
 
 
+@pytest.mark.parametrize("kinds", [FEW_SLOTS, FEW_SLOTS + ("kill", "server_crash")])
+def test_requests_take_the_slots_that_are_free(kinds):
+    """A service has fewer slots than there are nodes, and coordinators are killed."""
+    outcome = run_seed(1, slot=SLOT, kinds=kinds)
+    assert outcome.violations == [], outcome.directory
+
+
 def test_requests_outlast_a_servers_silence():
     """Sound servers fall silent for a second or two, and go on."""
     outcome = run_seed(1, slot=SLOT, kinds=SILENT)
--- a/tests/test_soak_mutants.py
+++ b/tests/test_soak_mutants.py
@@ -5,6 +5,7 @@
     CRASHES,
     DEPARTING,
     FETCHES,
+    FEW_SLOTS,
     LIMITED_SERVERS,
     ORDERED,
     PARTS,
@@ -38,6 +39,7 @@
     "broken-streams": ("wrong response", 1, UNFRAMED),
     "silence-ends": ("silence", 1, SILENT),
     "no-leases": ("brittle", 87, ("servers_brittle",)),
+    "no-pools": ("idle slots", 2, FEW_SLOTS),
     "no-transit": ("cut off", 1, SERVERS_CUT),
     "no-distrust": ("fetch", 1, FETCHES),
     "no-affinity": ("software version", 1, ROLLOUTS),
@@ -56,10 +58,11 @@
     requests and of parts of prompts, parts that answers do not clear, nodes that serve
     an even share only, limits of servers that are not shared, rests and departures that
     are not read, streams that are complete as soon as they end, requests that end with
-    a server's silence, brittle servers without leases, nodes that carry no connections
-    for others, sources of fetches that are named although they hang, streams that go on
-    at any software version, requests for servers that state to be slow, and nodes that
-    use the servers of an ordered version as any others."""
+    a server's silence, brittle servers without leases, few slots that no node
+    coordinates, nodes that carry no connections for others, sources of fetches that are
+    named although they hang, streams that go on at any software version, requests for
+    servers that state to be slow, and nodes that use the servers of an ordered version
+    as any others."""
     rule, seed, kinds = MUTANTS[mutant]
     outcome = run_seed(seed, slot=SLOT, mutant=mutant, kinds=kinds)
     assert outcome.violations, outcome.counts
