Let the earliest server fetch, and split off transfers

Change: a fetch is planned for the earliest server too. What transfers take and their bound are in endive_core.transfers.

Core tests pass.

--- a/benchmarks/experiments/fetching.py
+++ b/benchmarks/experiments/fetching.py
@@ -3,16 +3,16 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
-from endive_core.prefix_fetch import (
+from endive_core.prefix_fetch import FetchPlanner
+from endive_core.scheduler import Scheduler
+from endive_core.transfers import (
     SETUP_S,
     ByteBudget,
     Fetch,
-    FetchPlanner,
     FetchSource,
     Offer,
     TransferCosts,
 )
-from endive_core.scheduler import Scheduler
 
 from experiments.deployment import Engines
 from experiments.engines import Engine, Stream
--- a/packages/endive_core/src/endive_core/__init__.py
+++ b/packages/endive_core/src/endive_core/__init__.py
@@ -8,8 +8,8 @@
   ``queueing``, ``bound_queue``, ``queued_tokens``, ``slot_usage``, ``expiry``,
   ``retry_after``, ``estimators``
 - placement: ``placement``, ``prefixes``, ``prefix_fetch``, ``part_holders``,
-  ``source_trust``, ``ring``, ``hashing``, ``servers``, ``backlogs``, ``prefilling``,
-  ``first_tokens``
+  ``source_trust``, ``transfers``, ``ring``, ``hashing``, ``servers``, ``backlogs``,
+  ``prefilling``, ``first_tokens``
 - failures: ``failures``, ``retrying``, ``crashes``, ``crash_news``, ``outliers``,
   ``ejection``, ``response_times``, ``call_pacing``
 - parts of prompts that crash servers: ``part_reports``, ``part_crashes``,
--- a/packages/endive_core/src/endive_core/calls.py
+++ b/packages/endive_core/src/endive_core/calls.py
@@ -8,7 +8,7 @@
 from endive_core.prefixes import BLOCK_TOKENS
 
 if TYPE_CHECKING:
-    from endive_core.prefix_fetch import Fetch
+    from endive_core.transfers import Fetch
 
 BULK_LEVEL = -1000
 """Offset to the level of bulk calls, which puts them below every declared priority."""
--- a/packages/endive_core/src/endive_core/placement.py
+++ b/packages/endive_core/src/endive_core/placement.py
@@ -16,10 +16,11 @@
 from endive_core.backlogs import Backlogs
 from endive_core.calls import Call, Ticket, Tier
 from endive_core.policy import Policy
-from endive_core.prefix_fetch import COST_SHARE, Fetch, FetchPlanner
+from endive_core.prefix_fetch import COST_SHARE, FetchPlanner
 from endive_core.prefixes import PrefixIndex
 from endive_core.ring import HashRing
 from endive_core.servers import Random, ServerLoad, ServerSet
+from endive_core.transfers import Fetch
 
 AFFINITY_DEPTHS = (8, 12, 18, 27, 41, 61, 92, 138)
 """Prefix lengths, in blocks, whose hashes choose affinity servers. Of those that a
@@ -280,7 +281,13 @@
         ticket.uncached_tokens = float(ticket.call.prompt_tokens)
         ticket.fetch = None
         allowed = self._all_allowed(ticket, tier)
-        return min(allowed, key=lambda s: self.wait_s(s, now), default=None)
+        server = min(allowed, key=lambda s: self.wait_s(s, now), default=None)
+        if server is not None and self.fetching is not None:
+            offers = self.fetching.offers(ticket, now)
+            fetch = self.fetching.plan(ticket.call, server, offers, now)
+            ticket.uncached_tokens = _uncached(ticket.call, 0, fetch)
+            ticket.fetch = fetch
+        return server
 
     def predict_start(
         self, ticket: Ticket, server: ServerLoad, now: float
--- a/packages/endive_core/tests/test_prefix_fetch.py
+++ b/packages/endive_core/tests/test_prefix_fetch.py
@@ -1,18 +1,13 @@
 import pytest
 from core_builders import call, dispatch_all, scheduler
 from endive_core.backlogs import Backlogs
-from endive_core.calls import Ticket
+from endive_core.calls import Ticket, Tier
 from endive_core.exceptions import RetryReason
-from endive_core.prefix_fetch import (
-    RING_DELAY_S,
-    ByteBudget,
-    FetchPlanner,
-    FetchSource,
-    TransferCosts,
-)
+from endive_core.prefix_fetch import RING_DELAY_S, FetchPlanner
 from endive_core.prefixes import part_blocks
 from endive_core.ring import HashRing
 from endive_core.source_trust import FIRST_PAUSE_S
+from endive_core.transfers import ByteBudget, FetchSource, TransferCosts
 
 COSTS = TransferCosts(20_000, 60e9, 400_000)
 SHARED = 6_000
@@ -276,3 +271,16 @@
     made.offer(prompt(1), 0.2)
     next(iter(made.queue.heads(1))).suspect = True
     assert dispatch_all(made, 0.2)[0].ticket.fetch is None
+
+
+def test_the_earliest_server_is_expected_to_fetch():
+    """It was taken to compute the whole prompt, and calls that it could have served in
+    time were given up."""
+    made = fetching_scheduler()
+    holder = serve(made).server
+    overload(made, holder)
+    ticket = Ticket(prompt(1), 0.2, 0.0)
+    server = made.placement.earliest_server(ticket, 0.2, Tier.WITHIN_SHARE)
+    assert server.id != holder
+    assert ticket.fetch.source.id == holder
+    assert ticket.uncached_tokens == 1_000
--- a/packages/endive_gateway/src/endive_gateway/prefix_fetching.py
+++ b/packages/endive_gateway/src/endive_gateway/prefix_fetching.py
@@ -6,15 +6,11 @@
 from typing import Any, Protocol
 
 from endive_core.calls import Ticket
-from endive_core.prefix_fetch import (
-    ByteBudget,
-    FetchPlanner,
-    FetchSource,
-    TransferCosts,
-)
+from endive_core.prefix_fetch import FetchPlanner
 from endive_core.routing import Route, Service
 from endive_core.scheduler import Scheduler
 from endive_core.source_trust import MAX_PAUSE_S
+from endive_core.transfers import ByteBudget, FetchSource, TransferCosts
 from endive_node.logs import log_event
 
 from endive_gateway.exceptions import FetchOverdueError
