Give up a hanging fetch only while a retry is left

Cause: whether a retry was left was decided when the request was sent. If the budget was used up by the time its fetch hung, the request was given up, refused for the spent budget and lost, although its server would have answered it late.

Change: the timer asks the budget when it expires, and lets the request wait otherwise. Sizes in the engine's configuration may be fractions, so that one of them does not make the configuration undecodable.

Measured: test_a_retry_budget_spent_meanwhile_ends_no_wait_for_a_fetch.

--- a/packages/endive_core/src/endive_core/routing.py
+++ b/packages/endive_core/src/endive_core/routing.py
@@ -120,20 +120,20 @@
     ----------
     transfers : bool
         Whether an engine can fetch cached parts of prompts from another one.
-    kv_bytes_per_token : int
+    kv_bytes_per_token : float
         Size of the KV cache of one token, bytes.
     link_bytes_per_s : float
         Speed of the links between engines, bytes per second.
-    kv_capacity_tokens : int
+    kv_capacity_tokens : float
         Tokens that an engine's KV cache holds; 0 if it isn't known.
     """
 
     slots: int = 0
     tokens_per_event: int = 1
     transfers: bool = False
-    kv_bytes_per_token: int = 0
+    kv_bytes_per_token: float = 0
     link_bytes_per_s: float = 0.0
-    kv_capacity_tokens: int = 0
+    kv_capacity_tokens: float = 0
 
     @property
     def can_fetch(self) -> bool:
--- a/packages/endive_gateway/src/endive_gateway/attempts.py
+++ b/packages/endive_gateway/src/endive_gateway/attempts.py
@@ -26,6 +26,7 @@
     ServerResponse,
     header_value,
 )
+from endive_gateway.prefix_fetching import FetchTimer
 from endive_gateway.progress import Progress
 from endive_gateway.slot_leasing import SlotLease
 from endive_gateway.stream_affinity import StreamAffinity
@@ -120,7 +121,7 @@
         When this attempt was sent, seconds on the monotonic clock.
     entry : ServerEntry or None
         The server's entry at the latest check before the request was sent.
-    fetch_timer : FetchOverdueError or None
+    fetch_timer : FetchTimer or None
         Ends the attempt if its fetch of prompt parts hangs; until the first event.
     """
 
@@ -132,7 +133,7 @@
         self.lease: SlotLease | None = None
         self.sent_at = 0.0
         self.entry: ServerEntry | None = None
-        self.fetch_timer: FetchOverdueError | None = None
+        self.fetch_timer: FetchTimer | None = None
 
     def run(self) -> None:
         """Make the attempt; raises AttemptError unless a success was forwarded."""
@@ -248,9 +249,7 @@
                 through_transit=transit_node is not None,
                 on_the_way=error.on_the_way,
             ) from None
-        except FetchOverdueError as error:
-            if error is not self.fetch_timer:
-                raise
+        except FetchOverdueError:
             raise AttemptError(
                 "no first event came while the server fetched prompt parts",
                 RetryReason.FETCH_FAILED,
@@ -262,8 +261,9 @@
         self.request.in_flight = False
 
     def _stop_fetch_timer(self) -> None:
-        if self.fetch_timer is not None:
-            self.fetch_timer.close()
+        timer, self.fetch_timer = self.fetch_timer, None
+        if timer is not None:
+            timer.close()
 
     def _send(self) -> None:
         message = self.request.exchange.message
--- a/packages/endive_gateway/src/endive_gateway/exceptions.py
+++ b/packages/endive_gateway/src/endive_gateway/exceptions.py
@@ -1,6 +1,5 @@
 """The exceptions of the gateway."""
 
-import gevent
 from endive_core.exceptions import EndiveError, ErrorKind, RetryReason
 
 from endive_gateway.interfaces import ServerResponse
@@ -178,7 +177,7 @@
         )
 
 
-class FetchOverdueError(gevent.Timeout):
+class FetchOverdueError(Exception):
     """Ends the wait for a response whose server presumably waits for a fetch."""
 
 
--- a/packages/endive_gateway/src/endive_gateway/prefix_fetching.py
+++ b/packages/endive_gateway/src/endive_gateway/prefix_fetching.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Iterable
 from typing import Any, Protocol
 
+import gevent
 from endive_core.calls import Ticket
 from endive_core.prefix_fetch import FetchPlanner
 from endive_core.routing import Route, Service
@@ -48,6 +49,31 @@
     now: float
 
 
+class FetchTimer:
+    """Raises FetchOverdueError in the greenlet that started it once a fetch hangs.
+
+    It doesn't if the retry budget is used up by then: the request would be lost.
+    """
+
+    def __init__(self, request: FetchingRequest) -> None:
+        self.request = request
+        self.greenlet = gevent.getcurrent()
+        left_s = max(0.0, request.ticket.fetch_due_at - request.now)
+        self.timer = gevent.get_hub().loop.timer(left_s)
+        self.timer.start(self._expire)
+
+    def _expire(self) -> None:
+        request, context = self.request, self.request.context
+        budget = context.retry_budget(request.service)
+        if budget.has_retry(request.now, nodes=context.nodes):
+            self.greenlet.throw(FetchOverdueError())
+
+    def close(self) -> None:
+        """Stop the timer."""
+        self.timer.stop()
+        self.timer.close()
+
+
 class PrefixFetching:
     """The fetch planners of all services, and the servers that they may name.
 
@@ -180,13 +206,13 @@
         """Return the address that a ticket's request names; empty for none."""
         return ticket.fetch.source.address if ticket.fetch else ""
 
-    def sent(self, request: FetchingRequest) -> FetchOverdueError | None:
+    def sent(self, request: FetchingRequest) -> FetchTimer | None:
         """Count and log the fetch of a request that is sent to its server, if any.
 
         Returns
         -------
-        FetchOverdueError or None
-            A started timer that ends the attempt if its first event doesn't come, if
+        FetchTimer or None
+            A started timer that ends the attempt if its first event doesn't come and
             the request may then be sent to another server.
         """
         ticket = request.ticket
@@ -203,18 +229,9 @@
             known=fetch.end > 0,
             ms=round(fetch.transfer_s * 1000, 1),
         )
-        return self._overdue_timer(request)
-
-    def _overdue_timer(self, request: FetchingRequest) -> FetchOverdueError | None:
-        ticket, context = request.ticket, request.context
         if not request.route.retryable or ticket.attempt >= request.max_attempts:
             return None
-        budget = context.retry_budget(request.service)
-        if not budget.has_retry(request.now, nodes=context.nodes):
-            return None
-        timer = FetchOverdueError(max(0.0, ticket.fetch_due_at - request.now))
-        timer.start()
-        return timer
+        return FetchTimer(request)
 
     def _log_distrust(self, ticket: Ticket, outcome: str, delay_s: float) -> None:
         self.outcomes[outcome] += 1
--- a/packages/endive_gateway/tests/test_prefix_fetching.py
+++ b/packages/endive_gateway/tests/test_prefix_fetching.py
@@ -132,6 +132,20 @@
         assert engines.running.call(**PROMPT).whole
 
 
+def test_a_retry_budget_spent_meanwhile_ends_no_wait_for_a_fetch():
+    """The budget had a retry when the request was sent, and none when it was late."""
+    with Engines(target_s=0.4, timeout_s=5.0) as engines:
+        for server in engines.others:
+            server.answer_rest = late
+        caller = engines.running.caller()
+        caller.send(**PROMPT)
+        gevent.sleep(0.05)
+        budget = engines.context.retry_budget(SERVICE)
+        while budget.spend(time.monotonic(), nodes=1):
+            pass
+        assert caller.receive().whole
+
+
 def test_a_request_that_fails_after_a_fetch_is_retried_without_one():
     """The same source would fail it again."""
     with Engines() as engines:
