Fetch only from servers of the same software version

Cause: during a rollout both versions serve, and a cache that a bad version has computed would have reached responses of the other.

Change: a source needs the destination's software version.

Measured: core and gateway tests of fetches pass.

--- a/packages/endive_core/src/endive_core/prefix_fetch.py
+++ b/packages/endive_core/src/endive_core/prefix_fetch.py
@@ -245,6 +245,8 @@
     def _is_usable(self, source: FetchSource, server: ServerLoad, now: float) -> bool:
         if source.id == server.id or source.address == server.view.address:
             return False
+        if source.software_version != server.view.software_version:
+            return False
         load = self.servers.servers.get(source.id)
         if load is not None and (load.paused or load.failures):
             return False
--- a/packages/endive_core/src/endive_core/transfers.py
+++ b/packages/endive_core/src/endive_core/transfers.py
@@ -60,6 +60,8 @@
         before this node.
     until : float
         Clock time until which it surely stays, seconds.
+    software_version : str
+        Version of its software; servers of another one don't fetch from it.
     """
 
     id: str
@@ -68,6 +70,7 @@
     incarnation: int = 0
     since: float = float("-inf")
     until: float = float("inf")
+    software_version: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/endive_core/tests/test_prefix_fetch.py
+++ b/packages/endive_core/tests/test_prefix_fetch.py
@@ -148,11 +148,12 @@
     "changed",
     [
         FetchSource("s", "a", "z0", incarnation=1),
+        FetchSource("s", "a", "z0", software_version="v2"),
         FetchSource("s", "a", "z0", until=0.2),
         FetchSource("s", "a", "z0", until=0.2015),
         None,
     ],
-    ids=["restarted", "gone", "ends during the transfer", "unknown"],
+    ids=["restarted", "other version", "gone", "ends during the transfer", "unknown"],
 )
 def test_a_server_that_can_not_be_a_source_is_not_named(changed):
     """The request would wait for a server that has nothing or does not answer."""
@@ -163,7 +164,12 @@
     sources = {k: v for k, v in planner.sources.items() if k != holder}
     if changed is not None:
         sources[holder] = FetchSource(
-            holder, "a", changed.zone, changed.incarnation, until=changed.until
+            holder,
+            "a",
+            changed.zone,
+            changed.incarnation,
+            until=changed.until,
+            software_version=changed.software_version,
         )
     planner.set_sources(sources, 0.2)
     assert send(made, 1, 0.2).fetch is None
--- a/packages/endive_gateway/src/endive_gateway/prefix_fetching.py
+++ b/packages/endive_gateway/src/endive_gateway/prefix_fetching.py
@@ -175,6 +175,7 @@
                 entry.incarnation,
                 self._since(entry, now),
                 self._until(known, now),
+                entry.software_version_label,
             )
         return sources
 
