--- a/packages/endive_core/tests/test_prefix_fetch.py
+++ b/packages/endive_core/tests/test_prefix_fetch.py
@@ -1,18 +1,13 @@
 import pytest
 from core_builders import call, dispatch_all, scheduler
 from endive_core.backlogs import Backlogs
-from endive_core.calls import Ticket
+from endive_core.calls import Ticket, Tier
 from endive_core.exceptions import RetryReason
-from endive_core.prefix_fetch import (
-    RING_DELAY_S,
-    ByteBudget,
-    FetchPlanner,
-    FetchSource,
-    TransferCosts,
-)
+from endive_core.prefix_fetch import RING_DELAY_S, FetchPlanner
 from endive_core.prefixes import part_blocks
 from endive_core.ring import HashRing
 from endive_core.source_trust import FIRST_PAUSE_S
+from endive_core.transfers import ByteBudget, FetchSource, TransferCosts
 
 COSTS = TransferCosts(20_000, 60e9, 400_000)
 SHARED = 6_000
@@ -153,11 +148,12 @@
     "changed",
     [
         FetchSource("s", "a", "z0", incarnation=1),
+        FetchSource("s", "a", "z0", software_version="v2"),
         FetchSource("s", "a", "z0", until=0.2),
         FetchSource("s", "a", "z0", until=0.2015),
         None,
     ],
-    ids=["restarted", "gone", "ends during the transfer", "unknown"],
+    ids=["restarted", "other version", "gone", "ends during the transfer", "unknown"],
 )
 def test_a_server_that_can_not_be_a_source_is_not_named(changed):
     """The request would wait for a server that has nothing or does not answer."""
@@ -168,7 +164,12 @@
     sources = {k: v for k, v in planner.sources.items() if k != holder}
     if changed is not None:
         sources[holder] = FetchSource(
-            holder, "a", changed.zone, changed.incarnation, until=changed.until
+            holder,
+            "a",
+            changed.zone,
+            changed.incarnation,
+            until=changed.until,
+            software_version=changed.software_version,
         )
     planner.set_sources(sources, 0.2)
     assert send(made, 1, 0.2).fetch is None
@@ -276,3 +277,16 @@
     made.offer(prompt(1), 0.2)
     next(iter(made.queue.heads(1))).suspect = True
     assert dispatch_all(made, 0.2)[0].ticket.fetch is None
+
+
+def test_the_earliest_server_is_expected_to_fetch():
+    """It was taken to compute the whole prompt, and calls that it could have served in
+    time were given up."""
+    made = fetching_scheduler()
+    holder = serve(made).server
+    overload(made, holder)
+    ticket = Ticket(prompt(1), 0.2, 0.0)
+    server = made.placement.earliest_server(ticket, 0.2, Tier.WITHIN_SHARE)
+    assert server.id != holder
+    assert ticket.fetch.source.id == holder
+    assert ticket.uncached_tokens == 1_000
--- a/packages/endive_gateway/src/endive_gateway/prefix_fetching.py
+++ b/packages/endive_gateway/src/endive_gateway/prefix_fetching.py
@@ -2,19 +2,16 @@
 
 import time
 from collections import Counter
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Iterable
 from typing import Any, Protocol
 
+import gevent
 from endive_core.calls import Ticket
-from endive_core.prefix_fetch import (
-    ByteBudget,
-    FetchPlanner,
-    FetchSource,
-    TransferCosts,
-)
+from endive_core.prefix_fetch import FetchPlanner
 from endive_core.routing import Route, Service
 from endive_core.scheduler import Scheduler
 from endive_core.source_trust import MAX_PAUSE_S
+from endive_core.transfers import ByteBudget, FetchSource, TransferCosts
 from endive_node.logs import log_event
 
 from endive_gateway.exceptions import FetchOverdueError
@@ -52,6 +49,31 @@
     now: float
 
 
+class FetchTimer:
+    """Raises FetchOverdueError in the greenlet that started it once a fetch hangs.
+
+    It doesn't if the retry budget is used up by then: the request would be lost.
+    """
+
+    def __init__(self, request: FetchingRequest) -> None:
+        self.request = request
+        self.greenlet = gevent.getcurrent()
+        left_s = max(0.0, request.ticket.fetch_due_at - request.now)
+        self.timer = gevent.get_hub().loop.timer(left_s)
+        self.timer.start(self._expire)
+
+    def _expire(self) -> None:
+        request, context = self.request, self.request.context
+        budget = context.retry_budget(request.service)
+        if budget.has_retry(request.now, nodes=context.nodes):
+            self.greenlet.throw(FetchOverdueError())
+
+    def close(self) -> None:
+        """Stop the timer."""
+        self.timer.stop()
+        self.timer.close()
+
+
 class PrefixFetching:
     """The fetch planners of all services, and the servers that they may name.
 
@@ -127,8 +149,7 @@
             scheduler.placement.fetching = self.planners[name] = planner
         planner.costs = costs
         now = time.monotonic()
-        versions = scheduler.servers.versions
-        planner.set_sources(self._sources(name, now, versions), now)
+        planner.set_sources(self._sources(name, now), now)
 
     def settle(self) -> None:
         """Forget servers that are gone, after all services have been refreshed."""
@@ -141,18 +162,10 @@
                 del times[gone]
         self.has_listed |= self.registry.is_loaded
 
-    def _sources(
-        self, service: str, now: float, versions: Collection[str] | None = None
-    ) -> dict[str, FetchSource]:
+    def _sources(self, service: str, now: float) -> dict[str, FetchSource]:
         """Return the servers of a service that may be named, those that leave included.
 
         Of several at one address only the one that started last is there.
-
-        Parameters
-        ----------
-        versions : collection of str or None
-            Software versions of the servers that fetch, if others are not to be named,
-            which may be under a rollout.
         """
         by_address: dict[str, KnownServer] = {}
         for known in self.registry.servers.values():
@@ -164,11 +177,6 @@
             entry = known.entry
             if entry.service != service or known.contradicted or known.drop_at:
                 continue
-            is_other = versions is not None and (
-                entry.software_version_label not in versions
-            )
-            if is_other:
-                continue
             sources[entry.id] = FetchSource(
                 entry.id,
                 entry.address,
@@ -176,6 +184,7 @@
                 entry.incarnation,
                 self._since(entry, now),
                 self._until(known, now),
+                entry.software_version_label,
             )
         return sources
 
@@ -207,13 +216,13 @@
         """Return the address that a ticket's request names; empty for none."""
         return ticket.fetch.source.address if ticket.fetch else ""
 
-    def sent(self, request: FetchingRequest) -> FetchOverdueError | None:
+    def sent(self, request: FetchingRequest) -> FetchTimer | None:
         """Count and log the fetch of a request that is sent to its server, if any.
 
         Returns
         -------
-        FetchOverdueError or None
-            A started timer that ends the attempt if its first event doesn't come, if
+        FetchTimer or None
+            A started timer that ends the attempt if its first event doesn't come and
             the request may then be sent to another server.
         """
         ticket = request.ticket
@@ -230,18 +239,9 @@
             known=fetch.end > 0,
             ms=round(fetch.transfer_s * 1000, 1),
         )
-        return self._overdue_timer(request)
-
-    def _overdue_timer(self, request: FetchingRequest) -> FetchOverdueError | None:
-        ticket, context = request.ticket, request.context
         if not request.route.retryable or ticket.attempt >= request.max_attempts:
             return None
-        budget = context.retry_budget(request.service)
-        if not budget.has_retry(request.now, nodes=context.nodes):
-            return None
-        timer = FetchOverdueError(max(0.0, ticket.fetch_due_at - request.now))
-        timer.start()
-        return timer
+        return FetchTimer(request)
 
     def _log_distrust(self, ticket: Ticket, outcome: str, delay_s: float) -> None:
         self.outcomes[outcome] += 1
