Don't pace organisations over their share where demand is divided by tokens

Cause: in an overload, a node holds back the prompts of an organisation over its share until its own part of each engine's prefill rate has worked them off.

Change: where the nodes divide the demand of the fleet by tokens, that pacing is left out; bulk is still paced. Streams that go on are not refused for lack of capacity.

--- a/packages/endive_core/src/endive_core/contention.py
+++ b/packages/endive_core/src/endive_core/contention.py
@@ -188,13 +188,17 @@
     # Decisions
 
     def refusal(self, call: Call, now: float) -> Refusal | None:
-        """Count an offered call; return why it is refused, or ``None``."""
+        """Count an offered call; return why it is refused, or ``None``.
+
+        A stream that goes on is not refused: its caller has a part of the response.
+        """
         if not self.active:
             return None
         rank = self.rank(-call.level)
         self.meter.offered(rank, call, now)
         self._update(now)
-        if not self.levels[rank].may_wait or not self.exceeds(call, now):
+        is_resumed = call.software_version is not None
+        if is_resumed or not self.levels[rank].may_wait or not self.exceeds(call, now):
             return None
         self.shed += 1
         return Refusal.from_kind(
--- a/packages/endive_core/src/endive_core/placement.py
+++ b/packages/endive_core/src/endive_core/placement.py
@@ -107,7 +107,7 @@
         best, best_score = None, 0.0
         names = [*islice(cached, MAX_HOLDER_CANDIDATES), *hashed]
         for server in self._candidates(ticket, names, tier, now):
-            if tier and server.prefill_paced_until > now + self.policy.prefill_burst_s:
+            if self._is_paced(server, tier, now):
                 continue
             score = self.score(call, server, expected.get(server.id, 0), now)
             if best is None or score < best_score:
@@ -116,6 +116,19 @@
             ticket.uncached_tokens = _uncached(call, cached.get(best.id, 0))
         return best
 
+    def _is_paced(self, server: ServerLoad, tier: Tier, now: float) -> bool:
+        """Return whether calls of `tier` have used up this node's part of the prefill.
+
+        Organisations over their share are not paced where their demand is divided over
+        all nodes: in an overload, engines were idle while a fifth of the requests was
+        refused.
+        """
+        if tier is Tier.WITHIN_SHARE:
+            return False
+        if tier is Tier.OVER_SHARE and self.contention.active:
+            return False
+        return server.prefill_paced_until > now + self.policy.prefill_burst_s
+
     def pace(self, server: ServerLoad, tokens: float, now: float) -> None:
         """Count prefill work sent to `server` against this node's share of its rate.
 
