Give less urgent requests their minimum while more urgent ones are late

Cause: the budget of a priority that works off its backlog was smaller than the capacity, and the rest went to the less urgent priorities, as did a credit for backlogs below the intended length. While only a fifth of the most urgent tokens was admitted as in time, no shop reply was refused.

Change: if a priority is short, its late requests and its backlog take what is left, and less urgent ones get their minimum.

--- a/packages/endive_core/src/endive_core/contention.py
+++ b/packages/endive_core/src/endive_core/contention.py
@@ -321,21 +321,28 @@
         least = self.policy.contention_min_share * overall
         backlog = 0.0
         urgent = 0.0
+        is_short = False  # whether more urgent requests are already late or refused
         reserved = [least * level.offered for level in known.levels]
         for rank, level in enumerate(self.levels):
             found = known.levels[rank]
             backlog += found.pending
             target = capacity * level.target_s * self.policy.contention_backlog_part
             settle_s = max(self.fleet.interval_s, level.target_s)
-            budget = capacity - urgent - sum(reserved[rank + 1 :])
-            budget += (target - backlog) / settle_s
+            budget = max(0.0, capacity - urgent - sum(reserved[rank + 1 :]))
+            correction = (target - backlog) / settle_s
+            budget += min(0.0, correction) if is_short else correction
             budget = max(budget, reserved[rank])
             spare = max(1e-9, capacity - urgent - found.offered)
             self.shares[rank] = self._divide(rank, found, known.organisations, budget)
             self.shares[rank].recovery_s = max(0.0, backlog - target) / max(
                 spare, capacity * least
             )
-            urgent += min(found.offered, budget)
+            urgent += found.offered
+            if (
+                budget < found.offered
+            ):  # its late requests and its backlog take the rest
+                is_short = True
+                urgent = capacity
 
     def _capacity(self, known: Demand, now: float) -> float:
         """Return the prompt tokens per second that the servers begin to answer.
