--- a/benchmarks/experiments/__main__.py
+++ b/benchmarks/experiments/__main__.py
@@ -14,9 +14,8 @@
 POLICIES = {
     "all": Options(),
     "before": Options(contention=False),
-    "contention-rate-only": Options().limits(
-        contention_backlog_part=1.0, contention_min_share=1.0
-    ),
+    "half-ratio": Options().limits(contention_target_ratio=1.0),
+    "double-ratio": Options().limits(contention_target_ratio=4.0),
     "half-backlog": Options().limits(contention_backlog_part=0.125),
     "double-backlog": Options().limits(contention_backlog_part=0.5),
     "half-min-share": Options().limits(contention_min_share=0.125),
