Predict long waits at the speed over the time that they take

Cause: the predicted wait and start at a server used the slowdown of the moment. A prompt behind seconds of work was predicted two and a half times too late for a phase of half a second, and yielded or was given up for it.

Change: tokens ahead, those of the prompt and yielding ones take the mean slowdown over their own time.

The new test fails on the code before.

--- a/packages/endive_core/src/endive_core/placement.py
+++ b/packages/endive_core/src/endive_core/placement.py
@@ -247,14 +247,19 @@
         last one first, so that the request waits for a stream to end.
         """
         view = server.view
-        rate = view.prefill_tokens_per_s / server.slowdown
+        rate = view.prefill_tokens_per_s
         tokens = server.starting_tokens
         if self.backlogs is not None:
-            tokens += self.backlogs.tokens(server.id, now, rate)
-        waiting = tokens / rate
+            current_rate = rate / server.slowdown
+            tokens += self.backlogs.tokens(server.id, now, current_rate)
+        waiting = self._work_s(server, tokens / rate)
         free = max(0, view.max_concurrent - server.load)
         return waiting + server.slowdown * self.policy.crowding_s / (1 + free)
 
+    def _work_s(self, server: ServerLoad, usual_s: float) -> float:
+        """Return the expected time of work that takes `usual_s` at the usual speed."""
+        return usual_s * self.servers.speeds.over(server.slowdown, usual_s)
+
     def earliest_server(
         self, ticket: Ticket, now: float, tier: Tier
     ) -> ServerLoad | None:
@@ -286,15 +291,16 @@
         """
         if self.backlogs is None or ticket.attempt:
             return ON_TIME
-        rate = server.view.prefill_tokens_per_s / server.slowdown
+        rate = server.view.prefill_tokens_per_s
         wait_s = self.wait_s(server, now)
-        starts_s = wait_s + ticket.uncached_tokens / rate
+        starts_s = wait_s + self._work_s(server, ticket.uncached_tokens / rate)
         yields = self._should_yield(ticket, wait_s, starts_s, now)
         deadline = ticket.call.deadline
         if deadline is None:
             return StartPrediction(0.0, yields)
         if yields:
-            starts_s += self.servers.yielding_tokens_at(server) / rate
+            yielding_s = self.servers.yielding_tokens_at(server) / rate
+            starts_s += self._work_s(server, yielding_s)
         return StartPrediction(max(0.0, now + starts_s - deadline), yields)
 
     def _should_yield(
--- a/packages/endive_core/tests/test_server_speed.py
+++ b/packages/endive_core/tests/test_server_speed.py
@@ -242,3 +242,19 @@
         made.state_speed(server, 1, 2.5, at=1.0)
     made.update_speeds(1.0)
     assert made.admission.predict(asked, 1.0).wait_s > 2 * before
+
+
+def test_a_long_wait_is_predicted_at_the_mean_speed():
+    """Guards against long prompts that yield, or are given up, for a short phase."""
+    made = scheduler(servers=2, slots=32)
+    servers = made.servers
+    servers.speeds.state("s0", 1, 2.5, 1.0)
+    servers.speeds.update(servers.servers, 1.0)
+    server = servers.servers["s0"]
+    waits = []
+    for tokens in (400.0, 100_000.0):
+        server.starting_tokens = tokens
+        usual_s = tokens / server.view.prefill_tokens_per_s
+        waits.append(made.placement.wait_s(server, 1.0) / usual_s)
+    assert waits[0] > 2.3
+    assert waits[1] < 1.5
