Leave the first statement that is told of a server out of the mean

Cause: nodes pass unusual statements on first, so that the first one told of a server is mostly a slow one. Counted in the mean it gave 1.24 to 1.37 where 1.23 is right.

Change: a first statement counts only if the server made it to this node.

--- a/benchmarks/experiments/play.py
+++ b/benchmarks/experiments/play.py
@@ -304,7 +304,7 @@
     def _learn_speeds(self, node: Node, told: list) -> None:
         for server, slowdown, at in told:
             if server in node.scheduler.servers.servers:
-                node.scheduler.state_speed(server, 0, slowdown, at=at)
+                node.scheduler.state_speed(server, 0, slowdown, at=at, is_told=True)
         node.scheduler.update_speeds(self.now)
 
     # Exchange of backlogs between nodes
--- a/packages/endive_core/src/endive_core/scheduler.py
+++ b/packages/endive_core/src/endive_core/scheduler.py
@@ -155,10 +155,17 @@
         self.servers.report(server_id, running, waiting, as_of=as_of)
 
     def state_speed(
-        self, server_id: str, incarnation: int, slowdown: float, *, at: float
+        self,
+        server_id: str,
+        incarnation: int,
+        slowdown: float,
+        *,
+        at: float,
+        is_told: bool = False,
     ) -> bool:
         """Apply a server's statement of its speed; return whether it is new."""
-        return self.servers.speeds.state(server_id, incarnation, slowdown, at)
+        speeds = self.servers.speeds
+        return speeds.state(server_id, incarnation, slowdown, at, is_told=is_told)
 
     def cache_event(
         self, server_id: str, seq: int, *, stored: bool, blocks: list[int]
--- a/packages/endive_core/src/endive_core/server_speed.py
+++ b/packages/endive_core/src/endive_core/server_speed.py
@@ -152,11 +152,25 @@
 
     # Statements
 
-    def state(self, server: str, incarnation: int, slowdown: float, at: float) -> bool:
+    def state(
+        self,
+        server: str,
+        incarnation: int,
+        slowdown: float,
+        at: float,
+        *,
+        is_told: bool = False,
+    ) -> bool:
         """Record that a server stated `slowdown` at `at`; return whether that is new.
 
         An older statement than the known one is ignored, as is one of an earlier
         incarnation.
+
+        Parameters
+        ----------
+        is_told : bool
+            Whether another node has passed it on. Unusual ones are passed on first, so
+            that the first one that is told of a server does not count in the mean.
         """
         if not slowdown > 0:
             return False
@@ -166,7 +180,8 @@
             self.statements[server] = SpeedStatement(
                 incarnation, slowdown, at, self.mean, at, slowdown, at
             )
-            self._average(slowdown)
+            if not is_told:
+                self._average(slowdown)
         elif incarnation < known.incarnation or at <= known.at:
             return False
         else:
--- a/packages/endive_gateway/src/endive_gateway/speed_exchange.py
+++ b/packages/endive_gateway/src/endive_gateway/speed_exchange.py
@@ -89,16 +89,20 @@
                 continue
             at = received_at - age_s
             _, since = self.incarnations.get(server, (0, math.inf))
-            if at > since and self._state(server, slowdown, at):
+            if at > since and self._state(server, slowdown, at, is_told=True):
                 self.events["slowdown_told"] += 1
         self._update(time.monotonic())
 
-    def _state(self, server: str, slowdown: float, at: float) -> bool:
+    def _state(
+        self, server: str, slowdown: float, at: float, *, is_told: bool = False
+    ) -> bool:
         scheduler = self._scheduler(server)
         if scheduler is None or server not in self.incarnations:
             return False
         incarnation, _ = self.incarnations[server]
-        return scheduler.state_speed(server, incarnation, slowdown, at=at)
+        return scheduler.state_speed(
+            server, incarnation, slowdown, at=at, is_told=is_told
+        )
 
     def _scheduler(self, server: str) -> Scheduler | None:
         view = self.placer.views.get(server)
