Give each service its part of the speeds passed on

Change: services with few servers choose first, each up to its part of the entries that are left. Incarnations are noted when the registry changes.

--- a/packages/endive_gateway/src/endive_gateway/speed_exchange.py
+++ b/packages/endive_gateway/src/endive_gateway/speed_exchange.py
@@ -66,7 +66,7 @@
         self.hop_s = TRANSIT_S
         self.incarnations: dict[str, tuple[int, float]] = {}
         self.next_summary_at = float("-inf")
-        registry.listeners.append(self.refresh)
+        registry.listeners.append(self.apply_servers)
 
     def observe(self, server: str, metadata: ResponseMetadata) -> None:
         """Apply what a server's response states."""
@@ -109,27 +109,33 @@
         return self.placer.schedulers.get(view.service) if view else None
 
     def next_reports(self) -> list[SlowdownReport]:
-        """Return the statements that the next state message passes on."""
+        """Return the statements that the next state message passes on.
+
+        Each service has its part of them. A service with many servers would otherwise
+        leave no room for those of one with few, each of which matters more.
+        """
         now = time.monotonic()
+        stated = sorted(self._stated().values(), key=lambda s: len(s.statements))
         reports: list[SlowdownReport] = []
-        for speeds in self._stated().values():
-            reports += speeds.next_reports(now, MAX_REPORTS - len(reports))
+        for number, speeds in enumerate(stated):
+            part = (MAX_REPORTS - len(reports)) // (len(stated) - number)
+            reports += speeds.next_reports(now, part)
         return reports
 
     def refresh(self) -> None:
         """Forget what is old or not wanted, and let the rest age."""
         now = time.monotonic()
-        if self.is_enabled():
-            self._update_incarnations(now)
-        else:
-            self.incarnations.clear()
-        for speeds in self._stated().values():
-            speeds.keep({s: i for s, (i, _) in self.incarnations.items()}, now)
+        if stated := self._stated():
+            kept = self.incarnations if self.is_enabled() else {}
+            incarnations = {server: number for server, (number, _) in kept.items()}
+            for speeds in stated.values():
+                speeds.keep(incarnations, now)
         self._update(now)
         self._log_summary(now)
 
-    def _update_incarnations(self, now: float) -> None:
-        known = self.registry.servers
+    def apply_servers(self) -> None:
+        """Note which servers are new or have started again."""
+        now, known = time.monotonic(), self.registry.servers
         for gone in self.incarnations.keys() - known.keys():
             del self.incarnations[gone]
         for server, state in known.items():
@@ -137,6 +143,7 @@
             before = self.incarnations.get(server)
             if before is None or before[0] != incarnation:
                 self.incarnations[server] = (incarnation, now)
+        self.refresh()
 
     def _update(self, now: float) -> None:
         for scheduler in self.placer.schedulers.values():
--- a/packages/endive_gateway/tests/test_speed_exchange.py
+++ b/packages/endive_gateway/tests/test_speed_exchange.py
@@ -4,8 +4,9 @@
 
 import msgspec
 import pytest
+from endive_core.routing import Service
 from endive_gateway.interfaces import ResponseMetadata
-from gateway_builders import SERVICE, connected_peers, make_entry
+from gateway_builders import SERVICE, connected_peers, make_entry, make_table
 
 
 def make_nodes(count=2, servers=3):
@@ -126,6 +127,24 @@
     assert len(msgspec.msgpack.encode(message.server_slowdowns)) < 300
 
 
+def test_a_service_with_few_servers_has_its_part_of_a_message():
+    """Guards against plain servers whose speed many slow engines crowd out."""
+    node, _ = make_nodes(servers=0)
+    context = node.context
+    table = make_table(version=2)
+    services = table.services | {"few": Service("few")}
+    context.configure(replace(table, services=services), b"", "test")
+    for number in range(45):
+        service = "few" if number < 3 else SERVICE
+        context.registry.put(make_entry(f"i-{number}", service=service))
+    context.registry.notify_listeners()
+    for number in range(45):
+        state(node, 2.5, f"i-{number}")
+    told = {server for server, _, _ in node._state_message(False).server_slowdowns}
+    assert len(told) == 8
+    assert {"i-0", "i-1", "i-2"} < told
+
+
 def test_where_nothing_is_stated_nothing_is_passed_on():
     node, _ = make_nodes()
     state(node, None)
