--- a/benchmarks/experiments/play.py
+++ b/benchmarks/experiments/play.py
@@ -169,7 +169,8 @@
                 node,
                 interval_s,
             )
-            if self.deployment.speed and self.options.told_speeds:
+            is_told = self.options.told_speeds and len(self.nodes) > 1
+            if self.deployment.speed and is_told:
                 self.schedule(interval_s, self._tell_speeds, node, number, interval_s)
         zones = self.random.sample(self.zones, len(self.zones))
         for zone, at in zip(zones, self.deployment.wave.at_s, strict=False):
