--- a/benchmarks/experiments/play.py
+++ b/benchmarks/experiments/play.py
@@ -178,7 +178,8 @@
                 node,
                 interval_s,
             )
-            if self.deployment.speed and self.options.told_speeds:
+            is_told = self.options.told_speeds and len(self.nodes) > 1
+            if self.deployment.speed and is_told:
                 self.schedule(interval_s, self._tell_speeds, node, number, interval_s)
         zones = self.random.sample(self.zones, len(self.zones))
         for zone, at in zip(zones, self.deployment.wave.at_s, strict=False):
@@ -330,7 +331,7 @@
     def _learn_speeds(self, node: Node, told: list) -> None:
         for server, slowdown, at in told:
             if server in node.scheduler.servers.servers:
-                node.scheduler.state_speed(server, 0, slowdown, at=at)
+                node.scheduler.state_speed(server, 0, slowdown, at=at, is_told=True)
         node.scheduler.update_speeds(self.now)
 
     # Exchange of backlogs between nodes
--- a/packages/endive_core/src/endive_core/server_speed.py
+++ b/packages/endive_core/src/endive_core/server_speed.py
@@ -43,7 +43,7 @@
 
 ERROR_DECAY = 0.995
 MEAN_WEIGHT = 0.01
-PRIOR_VALUES = 20
+PRIOR_VALUES = 10
 """Weights of the errors before, and of the newest value in the mean, and the number of
 usual values with which the mean begins. About the last 200 pairs and 100 values count,
 which is half a minute of three servers."""
@@ -152,11 +152,25 @@
 
     # Statements
 
-    def state(self, server: str, incarnation: int, slowdown: float, at: float) -> bool:
+    def state(
+        self,
+        server: str,
+        incarnation: int,
+        slowdown: float,
+        at: float,
+        *,
+        is_told: bool = False,
+    ) -> bool:
         """Record that a server stated `slowdown` at `at`; return whether that is new.
 
         An older statement than the known one is ignored, as is one of an earlier
         incarnation.
+
+        Parameters
+        ----------
+        is_told : bool
+            Whether another node has passed it on. Unusual ones are passed on first, so
+            that the first one that is told of a server does not count in the mean.
         """
         if not slowdown > 0:
             return False
@@ -166,6 +180,8 @@
             self.statements[server] = SpeedStatement(
                 incarnation, slowdown, at, self.mean, at, slowdown, at
             )
+            if not is_told:
+                self._average(slowdown)
         elif incarnation < known.incarnation or at <= known.at:
             return False
         else:
@@ -182,12 +198,15 @@
             return
         value = statement.slowdown
         self.hold.learn(statement.pair_slowdown - self.mean, value - self.mean, lag_s)
-        self.values += 1
-        weight = max(MEAN_WEIGHT, 1 / self.values)
-        self.mean += weight * (value - self.mean)
+        self._average(value)
         statement.pair_slowdown, statement.pair_at = value, statement.at
         statement.lag = (statement.lag + 1) % len(LAGS_S)
 
+    def _average(self, value: float) -> None:
+        """Include a value in the mean."""
+        self.values += 1
+        self.mean += max(MEAN_WEIGHT, 1 / self.values) * (value - self.mean)
+
     def keep(self, incarnations: Mapping[str, int], now: float) -> None:
         """Forget what is old, servers that are gone, and their earlier incarnations.
 
--- a/packages/endive_gateway/tests/test_contention_exchange.py
+++ b/packages/endive_gateway/tests/test_contention_exchange.py
@@ -26,7 +26,9 @@
 
 
 def table(*routes, version=2):
-    services = {name: Service(name, engine=Engine(slots=8)) for name in (SERVICE, OTHER)}
+    services = {
+        name: Service(name, engine=Engine(slots=8)) for name in (SERVICE, OTHER)
+    }
     return RoutingTable(version, routes, services, None, {})
 
 
