Split the simulation by callers, attempts, servers and messages

Change: callers.py, attempts.py, servers.py and exchange.py each do one job of the simulation; nodes.py, options.py and outcomes.py hold its data.

--- /dev/null
+++ b/benchmarks/experiments/exchange.py
@@ -0,0 +1,77 @@
+"""Messages between simulated nodes: backlogs and speeds of engines."""
+
+from typing import TYPE_CHECKING
+
+from endive_core.backlogs import largest_backlogs
+from endive_gateway.peers import (
+    BROADCAST_INTERVAL_PER_NODE_S,
+    BROADCAST_INTERVAL_S,
+    DATAGRAMS_PER_STEP,
+    MAX_RECEIVE_PAUSE_S,
+)
+from endive_gateway.speed_exchange import MAX_REPORTS
+
+from experiments.nodes import Node
+
+if TYPE_CHECKING:
+    from experiments.play import Simulation
+
+
+class Exchange:
+    """Passes on between nodes what their state messages contain.
+
+    Attributes
+    ----------
+    interval_s : float
+        Time in which a node sends to every other one, seconds.
+    """
+
+    def __init__(self, simulation: "Simulation") -> None:
+        self.simulation = simulation
+        self.nodes = simulation.nodes
+        self.interval_s = max(
+            BROADCAST_INTERVAL_S, BROADCAST_INTERVAL_PER_NODE_S * len(self.nodes)
+        )
+
+    def begin(self) -> None:
+        """Schedule the first messages of each node."""
+        simulation = self.simulation
+        for number, node in enumerate(self.nodes):
+            first_at = self.interval_s * number / len(self.nodes)
+            simulation.schedule(first_at, self._broadcast, node)
+            if simulation.deployment.speed and simulation.options.told_speeds:
+                simulation.schedule(self.interval_s, self._tell_speeds, node, number)
+
+    def _broadcast(self, node: Node) -> None:
+        """Tell all other nodes of a node's backlogs."""
+        simulation = self.simulation
+        loads = node.scheduler.servers.servers.values()
+        own_backlogs = largest_backlogs(
+            {load.id: load.starting_tokens for load in loads}
+        )
+        for other in self.nodes:
+            if other is not node:
+                other.backlogs.receive(node.name, own_backlogs, simulation.now)
+        simulation.attempts.dispatch_queued(node)
+        simulation.schedule(simulation.now + self.interval_s, self._broadcast, node)
+
+    def _tell_speeds(self, node: Node, first: int) -> None:
+        """Pass the engines' speeds on to some nodes, as state messages do."""
+        simulation = self.simulation
+        now = simulation.now
+        count = min(DATAGRAMS_PER_STEP, len(self.nodes) - 1)
+        reports = node.scheduler.servers.speeds.next_reports(now, MAX_REPORTS)
+        for position in range(first, first + count):
+            other = self.nodes[(position + 1) % len(self.nodes)]
+            if other is not node and reports:
+                delay_s = simulation.random.random() * MAX_RECEIVE_PAUSE_S
+                told = [(s, x, now - age) for s, x, age in reports]
+                simulation.schedule(now + delay_s, self._learn_speeds, other, told)
+        step_s = self.interval_s * count / max(1, len(self.nodes) - 1)
+        simulation.schedule(now + step_s, self._tell_speeds, node, first + count)
+
+    def _learn_speeds(self, node: Node, told: list) -> None:
+        for server, slowdown, at in told:
+            if server in node.scheduler.servers.servers:
+                node.scheduler.state_speed(server, 0, slowdown, at=at)
+        node.scheduler.update_speeds(self.simulation.now)
