Let simulated engines admit by priority, share memory and preempt

Cause: engines admitted in order with a second queue for late prompts, and only cached parts took memory, so that overload could not be simulated as the engines show it.

Change: a stream has the priority of its request. Running requests and cached parts share the memory; unused parts are evicted first, then the newest of the least urgent requests is preempted and computed again. Speed phases lengthen each step. A fetched part takes memory when it arrives; unused parts make room for it, running requests don't, and the rest of the fetch is dropped.

--- a/benchmarks/experiments/attempts.py
+++ b/benchmarks/experiments/attempts.py
@@ -36,12 +36,11 @@
         node.prefill_work_s += prefill_s / INTERLEAVING_FACTOR
         stream = Stream(
             arrival.parts,
-            arrival.call.prompt_tokens,
             arrival.answer_tokens,
             lambda at: self.simulation.schedule(at, self._first_token, run),
             lambda at: self.simulation.schedule(at, self._end, run),
             run,
-            ticket.yields,
+            node.server_priority(ticket),
         )
         delay_s = self.simulation.deployment.one_way_ms / 1000
         self.simulation.schedule(
@@ -70,7 +69,7 @@
         self._submit(engine, stream)
 
     def _submit(self, engine: Engine, stream: Stream) -> None:
-        engine.submit(stream, self.simulation.now)
+        engine.submit(stream)
         if engine.busy_until <= self.simulation.now:
             self._step(engine)
 
--- a/benchmarks/experiments/fetching.py
+++ b/benchmarks/experiments/fetching.py
@@ -74,8 +74,7 @@
     def end(self, stream: Stream, engine: Engine, source: Engine | None) -> None:
         """Cache at an engine what its source still has at the end of a fetch."""
         if source is not None:
-            for part, tokens in self._missing(stream, engine, source):
-                engine.add_part(part, tokens)
+            engine.store(stream, list(self._missing(stream, engine, source)))
 
     @property
     def _bytes_per_s(self) -> float:
--- a/benchmarks/experiments/nodes.py
+++ b/benchmarks/experiments/nodes.py
@@ -7,6 +7,7 @@
 from endive_core.calls import Ticket
 from endive_core.prefilling import PrefillRate
 from endive_core.scheduler import Scheduler
+from endive_gateway.forwarding import LOWEST_SERVER_PRIORITY
 
 from experiments.deployment import Deployment
 from experiments.fetching import add_planner
@@ -36,6 +37,13 @@
             add_planner(self.scheduler, engines, options.fetching)
         self.prefill_work_s = 0.0
 
+    def server_priority(self, ticket: Ticket) -> int:
+        """Return the `Request-Priority` with which a ticket is sent."""
+        if self.scheduler.contention.active:
+            return self.scheduler.contention.server_priority(ticket)
+        lowest = LOWEST_SERVER_PRIORITY
+        return lowest if ticket.yields else min(lowest, -ticket.call.level)
+
 
 @dataclass(eq=False)
 class RunningRequest:
--- a/benchmarks/experiments/outcomes.py
+++ b/benchmarks/experiments/outcomes.py
@@ -20,8 +20,8 @@
 class Result:
     """The result of one simulation.
 
-    `servers_s` is the time of all engines in seconds, weighted by their price; `read`
-    and `read_again` count prefilled tokens as :class:`Engine` does.
+    `servers_s` is the time of all engines in seconds, weighted by their price; `read`,
+    `read_again` and `preemptions` count as :class:`Engine` does.
     """
 
     ended: list[EndedRequest] = field(default_factory=list)
@@ -29,3 +29,4 @@
     servers_s: float = 0.0
     read: float = 0.0
     read_again: float = 0.0
+    preemptions: int = 0
--- a/benchmarks/experiments/servers.py
+++ b/benchmarks/experiments/servers.py
@@ -228,3 +228,4 @@
         self.simulation.result.servers_s += price * max(0.0, end - started)
         self.simulation.result.read += engine.read
         self.simulation.result.read_again += engine.read_again
+        self.simulation.result.preemptions += engine.preemptions
--- a/tests/test_experiments.py
+++ b/tests/test_experiments.py
@@ -1,10 +1,11 @@
 from dataclasses import replace
 from pathlib import Path
+from random import Random
 
 import pytest
 from experiments.__main__ import POLICIES, compare
-from experiments.deployment import Deployment
-from experiments.engines import Engine, Stream
+from experiments.deployment import Deployment, Speed
+from experiments.engines import Engine, SpeedPhases, Stream
 from experiments.play import Options, Simulation
 from experiments.report import figures_of, table
 from pydantic import ValidationError
@@ -26,14 +27,13 @@
     return Engine("e", "z", short.engines, True, 0.0, {})
 
 
-def stream(parts, answer, times, name="s"):
-    tokens = sum(tokens for _, tokens in parts)
+def stream(parts, answer, times, name="s", priority=0):
     return Stream(
         parts,
-        tokens,
         answer,
         lambda at: times.append((name, "first", at)),
         lambda at: times.append((name, "end", at)),
+        priority=priority,
     )
 
 
@@ -62,7 +62,7 @@
 
 def test_an_engine_prefills_a_prompt_at_its_rate(engine):
     times = []
-    engine.submit(stream([(1, 56_600)], 1, times), 0.0)
+    engine.submit(stream([(1, 56_600)], 1, times))
     drain(engine)
     assert times[0] == ("s", "first", pytest.approx(1.0))
     assert times[1][1] == "end"
@@ -70,8 +70,8 @@
 
 def test_a_long_prompt_delays_later_prompts(engine):
     times = []
-    engine.submit(stream([(1, 28_300)], 1, times, "long"), 0.0)
-    engine.submit(stream([(2, 566)], 1, times, "short"), 0.0)
+    engine.submit(stream([(1, 28_300)], 1, times, "long"))
+    engine.submit(stream([(2, 566)], 1, times, "short"))
     drain(engine)
     firsts = {name: at for name, what, at in times if what == "first"}
     assert firsts["short"] == pytest.approx(0.51)
@@ -79,15 +79,87 @@
 
 def test_cached_parts_are_not_prefilled_again(engine):
     times = []
-    engine.submit(stream([(1, 5_000), (2, 600)], 1, times), 0.0)
+    engine.submit(stream([(1, 5_000), (2, 600)], 1, times))
     drain(engine)
     before = engine.read
-    engine.submit(stream([(1, 5_000), (3, 700)], 1, times), 1.0)
+    engine.submit(stream([(1, 5_000), (3, 700)], 1, times))
     drain(engine, 1.0)
     assert engine.read - before == 700
     assert engine.read_again == 0
 
 
+def test_an_engine_admits_by_priority_then_in_order(engine):
+    """A waiting prompt must not delay a more urgent one, but one begun does."""
+    times = []
+    engine.submit(stream([(1, 5_660)], 1, times, "begun", priority=9))
+    now = engine.step(0.0)
+    for number, priority in enumerate((2, 1, 2, 0)):
+        made = stream([(number + 2, 566)], 1, times, f"p{priority}-{number}", priority)
+        engine.submit(made)
+    drain(engine, now)
+    names = [name for name, what, _ in times if what == "first"]
+    assert names == ["begun", "p0-3", "p1-1", "p2-0", "p2-2"]
+
+
+def test_an_engine_preempts_the_newest_of_the_least_urgent(short):
+    """Running requests hold memory, so that an urgent one may find none."""
+    figures = short.engines.model_copy(update={"memory_tokens": 3_000})
+    engine, times = Engine("e", "z", figures, True, 0.0, {}), []
+    now = 0.0
+    for number, priority in enumerate((2, 2, 1)):
+        engine.submit(
+            stream([(number, 900)], 50, times, f"p{priority}-{number}", priority)
+        )
+        now = engine.step(now)
+    engine.submit(stream([(9, 900)], 2, times, "urgent", 0))
+    drain(engine, now)
+    ends = [name for name, what, _ in times if what == "end"]
+    assert engine.preemptions == 1
+    assert ends == ["urgent", "p2-0", "p1-2", "p2-1"]
+    assert engine.used_tokens == 0
+
+
+def test_a_part_behind_one_that_is_not_cached_is_prefilled_again(engine):
+    """A part counts as cached only if all parts before it are."""
+    engine.store(stream([(1, 1_000), (2, 500), (3, 10)], 1, []), [(2, 500)])
+    engine.submit(stream([(1, 1_000), (2, 500), (3, 10)], 1, []))
+    drain(engine)
+    assert engine.read == 1_510
+    assert engine.used_tokens == 1_500
+
+
+def test_fetched_parts_take_memory_but_preempt_no_running_request(short):
+    """A fetch for a request that isn't admitted must not stop a running one."""
+    figures = short.engines.model_copy(update={"memory_tokens": 3_000})
+    engine, times = Engine("e", "z", figures, True, 0.0, {}), []
+    engine.submit(stream([(1, 600), (2, 900)], 50, times, "running", priority=2))
+    engine.store(stream([(3, 700), (4, 10)], 1, times), [(3, 700)])
+    now = engine.step(0.0)
+    while engine.prefilling is not None:
+        now = engine.step(now)
+    urgent = stream([(5, 1_000), (6, 600), (7, 10)], 1, times, "urgent")
+    engine.store(urgent, urgent.parts[:-1])
+    assert set(engine.cache) == {1, 5}
+    assert engine.used_tokens == 2_500
+    assert engine.preemptions == 0
+    engine.submit(urgent)
+    drain(engine, now)
+    assert engine.preemptions == 1  # its admission does
+    assert engine.read == 1_500 + 610 + 900
+
+
+def test_a_slow_phase_lengthens_prefill_and_decoding(short):
+    """Priorities and memory must not hide that an engine is slow."""
+    ends = {}
+    for slowdown in (1.0, 2.5):
+        speed = Speed(slowdown=slowdown, slow_s=1e9, usual_s=1e-9)
+        engine = Engine("e", "z", short.engines, True, 0.0, {})
+        engine.phases = SpeedPhases(speed, Random(1))
+        engine.submit(stream([(1, 5_660)], 20, []))
+        ends[slowdown] = drain(engine)
+    assert ends[2.5] == pytest.approx(2.5 * ends[1.0])
+
+
 def test_the_same_seed_gives_the_same_outcomes(short):
     one, other = (Simulation(short, Options(), 3).run() for _ in range(2))
     assert one.ended == other.ended
