Simulate bursts, organisations, crashes and callers that retry

Cause: the deployment whose demand exceeds its capacity could not be simulated: requests of one organisation came at a periodic rate, engines didn't crash, and a refused or broken request ended.

A stream whose engine is lost in its last step is lost or continued; it never ended before.

--- a/benchmarks/experiments/__main__.py
+++ b/benchmarks/experiments/__main__.py
@@ -6,6 +6,7 @@
 import fire
 
 from experiments.deployment import Deployment
+from experiments.kinds import kinds_table
 from experiments.play import Options, Simulation
 from experiments.report import Figures, figures_of, plot, table
 
@@ -37,6 +38,8 @@
     seeds: int = 6,
     page: str = "",
     picture: str = "",
+    nodes: int = 0,
+    workers: int = WORKERS,
 ) -> None:
     """Simulate policies on the same seeds; print a table with paired differences.
 
@@ -49,19 +52,26 @@
     seeds
         Number of seeds, from 1 upwards.
     page, picture
-        Files to which the table and the plot are written, if given.
+        Files to which the tables and the plot are written, if given.
+    nodes
+        Number of nodes, if it is to differ from the deployment's.
+    workers
+        Processes that simulate at the same time.
     """
     names = policies.split(",") if isinstance(policies, str) else list(policies)
     unknown = set(names) - POLICIES.keys()
     if unknown:
         raise SystemExit(f"no policy {sorted(unknown)}, allowed: {', '.join(POLICIES)}")
-    jobs = [(file, name, seed) for name in names for seed in range(1, seeds + 1)]
-    with ProcessPoolExecutor(WORKERS) as pool:
+    jobs = [(file, name, seed, nodes) for name in names for seed in range(1, seeds + 1)]
+    with ProcessPoolExecutor(workers) as pool:
         found = list(pool.map(run_job, jobs))
     results = {name: [] for name in names}
-    for (_, name, _), figures in zip(jobs, found, strict=True):
+    for (_, name, *_), figures in zip(jobs, found, strict=True):
         results[name].append(figures)
-    markdown = table(results)
+    kinds = {
+        name: [figures.kinds for figures in found] for name, found in results.items()
+    }
+    markdown = table(results) + "\n\n" + kinds_table(kinds)
     print(markdown)
     if page:
         Path(page).write_text(markdown + "\n")
@@ -69,10 +79,15 @@
         plot(results, Path(picture))
 
 
-def run_job(job: tuple[str, str, int]) -> Figures:
-    """Simulate one policy on one seed; `job` is a file, a policy and a seed."""
-    file, name, seed = job
+def run_job(job: tuple[str, str, int, int]) -> Figures:
+    """Simulate one policy on one seed.
+
+    `job` is a file, a policy, a seed and a number of nodes, or 0 for the deployment's.
+    """
+    file, name, seed, nodes = job
     deployment = Deployment.from_file(file)
+    if nodes:
+        deployment = deployment.model_copy(update={"nodes": nodes})
     return figures_of(deployment, Simulation(deployment, POLICIES[name], seed).run())
 
 
--- a/benchmarks/experiments/nodes.py
+++ b/benchmarks/experiments/nodes.py
@@ -1,6 +1,6 @@
 """A simulated node and the requests that it has admitted."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from random import Random
 
 from endive_core.backlogs import Backlogs
@@ -10,6 +10,7 @@
 from endive_gateway.forwarding import LOWEST_SERVER_PRIORITY
 
 from experiments.deployment import Deployment
+from experiments.engines import Stream
 from experiments.fetching import add_planner
 from experiments.options import Options
 from experiments.traffic import Arrival
@@ -32,8 +33,8 @@
         self.backlogs = Backlogs()
         if options.backlogs:
             self.scheduler.placement.backlogs = self.backlogs
-        if options.fetching:
-            engines = deployment.engines
+        engines = deployment.engines
+        if options.fetching and engines.link_mbps:
             add_planner(self.scheduler, engines, options.fetching)
         self.prefill_work_s = 0.0
 
@@ -47,9 +48,27 @@
 
 @dataclass(eq=False)
 class RunningRequest:
-    """One admitted request."""
+    """One request, from its arrival to its end.
+
+    Attributes
+    ----------
+    ticket : Ticket or None
+        Its ticket at the node, once that has admitted it.
+    offered_at : float
+        When the caller sent it, the last time.
+    refused_s : list of float
+        How long each refusal took, seconds.
+    stream : Stream or None
+        Its last attempt at an engine.
+    yielded : bool
+        Whether it was sent as late from the start.
+    """
 
     node: Node
-    ticket: Ticket
+    ticket: Ticket | None
     arrival: Arrival
     first_s: float = 0.0
+    offered_at: float = 0.0
+    refused_s: list[float] = field(default_factory=list)
+    stream: Stream | None = None
+    yielded: bool = False
--- a/benchmarks/experiments/outcomes.py
+++ b/benchmarks/experiments/outcomes.py
@@ -7,13 +7,30 @@
 
 @dataclass
 class EndedRequest:
-    """The outcome of one request; times in seconds from its arrival at `at`."""
+    """The outcome of one request; times in seconds from its arrival at `at`.
+
+    Attributes
+    ----------
+    tokens : int
+        Tokens of its prompt.
+    refused_s : list of float
+        How long each refusal took.
+    why : str
+        Why it was refused last.
+    yielded : bool
+        Whether it was sent as late from the start.
+    """
 
     kind: str
     at: float
     outcome: str
     first_s: float = 0.0
     total_s: float = 0.0
+    organisation: str = ""
+    tokens: int = 0
+    refused_s: list[float] = field(default_factory=list)
+    why: str = ""
+    yielded: bool = False
 
 
 @dataclass
--- a/benchmarks/experiments/report.py
+++ b/benchmarks/experiments/report.py
@@ -6,15 +6,13 @@
 from pathlib import Path
 
 from experiments.deployment import Deployment
-from experiments.play import Result
+from experiments.kinds import KindFigures, late_worth_of
+from experiments.outcomes import Result
 
 SERVER_PRICE = 3.2
 """Price of one second of an on-demand engine, in the unit of the requests' worth: the
 price in the users' price lists."""
 
-LATE_WORTH_SHARE = 0.1
-"""Worth of a request answered after its target, as a fraction of one in time."""
-
 CONFIDENCE_FACTOR = 1.96
 """Half width of a 95 % confidence interval in standard errors."""
 
@@ -44,6 +42,10 @@
         had none, and whose source was gone.
     fetched_mtokens : float
         Tokens that they copied, millions.
+    kinds : dict of str to KindFigures
+        Summary of each class.
+    preemptions : int
+        Requests that an engine preempted.
     """
 
     served: float
@@ -60,6 +62,8 @@
     empty_fetches: int
     dead_fetches: int
     fetched_mtokens: float
+    kinds: Mapping[str, KindFigures]
+    preemptions: int
 
     @property
     def worth(self) -> float:
@@ -70,14 +74,16 @@
 def figures_of(deployment: Deployment, result: Result) -> Figures:
     """Summarise the result of one simulation."""
     requested_worth = served_worth = 0.0
-    late, lost, p99, p50 = {}, {}, {}, {}
+    late, lost, p99, p50, kinds = {}, {}, {}, {}, {}
     for name, kind in deployment.requests.items():
         ended = [end for end in result.ended if end.kind == name]
         target_s = kind.target_ms / 1000
         ok = [end for end in ended if end.outcome == "ok"]
         late_count = sum(end.first_s > target_s for end in ok)
         requested_worth += kind.worth * len(ended)
-        served_worth += kind.worth * (len(ok) - (1 - LATE_WORTH_SHARE) * late_count)
+        served_worth += kind.worth * len(ok)
+        served_worth -= (kind.worth - late_worth_of(kind)) * late_count
+        kinds[name] = KindFigures.from_requests(kind, ended)
         late[name] = late_count / max(1, len(ended))
         lost[name] = 1 - len(ok) / max(1, len(ended))
         first_token_times = sorted(end.first_s for end in ok) or [0.0]
@@ -101,6 +107,8 @@
         links.empty,
         links.dead,
         links.fetched / 1e6,
+        kinds,
+        result.preemptions,
     )
 
 
@@ -115,6 +123,7 @@
     first = next(iter(results.values()))
     kinds = list(first[0].late)
     head = ["policy", "worth", "difference", "served", "engines", "read again"]
+    head.append("preempted")
     head += [f"{kind} late, lost, p50 and p99 s" for kind in kinds]
     has_fetches = any(f.fetches for found in results.values() for f in found)
     if has_fetches:
@@ -131,6 +140,7 @@
             f"{_mean(f.served for f in found):.3f}",
             f"{_mean(f.servers for f in found):.3f}",
             f"{_mean(f.read_again for f in found):.3f}",
+            f"{_mean(f.preemptions for f in found):.0f}",
         ]
         for kind in kinds:
             late = _mean(f.late[kind] for f in found)
--- a/benchmarks/experiments/servers.py
+++ b/benchmarks/experiments/servers.py
@@ -58,14 +58,19 @@
         """Add and list the engines that run at the start."""
         figures = self.simulation.deployment.engines
         for zone in self.zones:
-            self.ordered[Pool(zone, False)] = figures.at_start_in_zone
+            reclaimable = figures.reclaimable_at_start
+            self.ordered[Pool(zone, reclaimable)] = figures.at_start_in_zone
             for _ in range(figures.at_start_in_zone):
-                self._add_engine(zone, reclaimable=False, ready_at=0.0)
+                self._add_engine(zone, reclaimable=reclaimable, ready_at=0.0)
         self._list_servers()
 
     def begin(self) -> None:
-        """Schedule the reclaims and the autoscaling."""
+        """Schedule the crashes, the reclaims and the autoscaling."""
         simulation = self.simulation
+        crash_times = Random(f"crashes {simulation.seed}")
+        for crash in simulation.deployment.crashes:
+            at = crash_times.uniform(*crash.at_s)
+            simulation.schedule(at, self._crash, crash.share)
         zones = simulation.random.sample(self.zones, len(self.zones))
         for zone, at in zip(zones, simulation.deployment.wave.at_s, strict=False):
             simulation.schedule(at, self._reclaim, zone)
@@ -211,14 +216,23 @@
             self.simulation.now + LISTING_DELAY_S, self._list_servers
         )
 
-    def _remove(self, engine: Engine) -> None:
-        if engine.name not in self.engines:
-            return
+    def _crash(self, share: float) -> None:
+        simulation = self.simulation
+        ready = [e for e in self.engines.values() if e.ready_at <= simulation.now]
+        for engine in simulation.random.sample(ready, round(share * len(ready))):
+            self._lose_engine(engine)
+        simulation.schedule(simulation.now + LISTING_DELAY_S, self._list_servers)
+
+    def _lose_engine(self, engine: Engine) -> None:
         self._add_usage(engine)
         del self.engines[engine.name]
         for stream in engine.lose_all():
             self.simulation.attempts.lose(stream)
-        self._list_servers()
+
+    def _remove(self, engine: Engine) -> None:
+        if engine.name in self.engines:
+            self._lose_engine(engine)
+            self._list_servers()
 
     def _add_usage(self, engine: Engine) -> None:
         figures = self.simulation.deployment.engines
