Exchange demand between simulated nodes, and combine policies by name

Change: nodes decide by priority and organisation and tell each other their demand; the policy "before" leaves this out. Policies are joined by plus signs on the command line, as in before+fetch+no-speeds; two that change the same decision differently are an error.

Result: with crashes, reclaims, slow phases, retries and fetches in one run, each request ends once and engines hold only cached parts afterwards, under four combinations.

--- a/benchmarks/experiments/__main__.py
+++ b/benchmarks/experiments/__main__.py
@@ -7,30 +7,12 @@
 
 from experiments.deployment import Deployment
 from experiments.kinds import kinds_table
-from experiments.play import Options, Simulation
+from experiments.play import Simulation
+from experiments.policies import POLICIES, options_of
 from experiments.report import Figures, figures_of, plot, table
 
 WORKERS = 4
 
-POLICIES = {
-    "all": Options(),
-    "no-backlogs": Options(backlogs=False),
-    "no-affinity": Options().limits(affinity_candidates=0, max_known_blocks=2),
-    "half-belief": Options().limits(affinity_belief=0.5),
-    "no-load-bound": Options().limits(load_bound=100.0),
-    "no-yielding": Options().limits(yield_wait_part=1e9),
-    "no-crowding": Options().limits(crowding_s=0.0),
-    "fetch": Options(fetching="all"),
-    "fetch-seen": Options(fetching="seen"),
-    "fetch-hidden": Options(fetching="hidden"),
-    "fixed-rate": Options(learned_rate=False),
-    "fewer-servers": Options(target_utilisation=1.15),
-    "more-servers": Options(target_utilisation=0.65),
-    "no-speeds": Options(speeds=False),
-    "untold-speeds": Options(told_speeds=False),
-}
-"""Policies by name: the decisions of a gateway, unchanged or with one changed."""
-
 
 def compare(
     file: str,
@@ -48,7 +30,8 @@
     file
         A deployment in TOML; see ``benchmarks/experiments/deployments``.
     policies
-        Names separated by commas; the others are compared with the first.
+        Names separated by commas; the others are compared with the first. A name may
+        join several by a plus sign, as in ``before+fetch``.
     seeds
         Number of seeds, from 1 upwards.
     page, picture
@@ -59,9 +42,8 @@
         Processes that simulate at the same time.
     """
     names = policies.split(",") if isinstance(policies, str) else list(policies)
-    unknown = set(names) - POLICIES.keys()
-    if unknown:
-        raise SystemExit(f"no policy {sorted(unknown)}, allowed: {', '.join(POLICIES)}")
+    for name in names:
+        options_of(name)
     jobs = [(file, name, seed, nodes) for name in names for seed in range(1, seeds + 1)]
     with ProcessPoolExecutor(workers) as pool:
         found = list(pool.map(run_job, jobs))
@@ -88,7 +70,7 @@
     deployment = Deployment.from_file(file)
     if nodes:
         deployment = deployment.model_copy(update={"nodes": nodes})
-    return figures_of(deployment, Simulation(deployment, POLICIES[name], seed).run())
+    return figures_of(deployment, Simulation(deployment, options_of(name), seed).run())
 
 
 if __name__ == "__main__":
--- a/benchmarks/experiments/exchange.py
+++ b/benchmarks/experiments/exchange.py
@@ -1,4 +1,4 @@
-"""Messages between simulated nodes: backlogs and speeds of engines."""
+"""Messages between simulated nodes: backlogs, demand and speeds of engines."""
 
 from typing import TYPE_CHECKING
 
@@ -43,15 +43,21 @@
                 simulation.schedule(self.interval_s, self._tell_speeds, node, number)
 
     def _broadcast(self, node: Node) -> None:
-        """Tell all other nodes of a node's backlogs."""
+        """Tell all other nodes of a node's backlogs and of its demand."""
         simulation = self.simulation
         loads = node.scheduler.servers.servers.values()
         own_backlogs = largest_backlogs(
             {load.id: load.starting_tokens for load in loads}
         )
+        contention = node.scheduler.contention
+        contention.fleet.interval_s = self.interval_s
+        demand = contention.report(simulation.now) if contention.active else None
         for other in self.nodes:
             if other is not node:
                 other.backlogs.receive(node.name, own_backlogs, simulation.now)
+                if demand is not None:
+                    fleet = other.scheduler.contention.fleet
+                    fleet.receive(node.name, demand, simulation.now)
         simulation.attempts.dispatch_queued(node)
         simulation.schedule(simulation.now + self.interval_s, self._broadcast, node)
 
--- a/benchmarks/experiments/nodes.py
+++ b/benchmarks/experiments/nodes.py
@@ -5,6 +5,7 @@
 
 from endive_core.backlogs import Backlogs
 from endive_core.calls import Ticket
+from endive_core.contention import levels_of
 from endive_core.prefilling import PrefillRate
 from endive_core.scheduler import Scheduler
 from endive_gateway.forwarding import LOWEST_SERVER_PRIORITY
@@ -37,6 +38,11 @@
         if options.fetching and engines.link_mbps:
             add_planner(self.scheduler, engines, options.fetching)
         self.prefill_work_s = 0.0
+        if options.contention:
+            kinds = deployment.requests.values()
+            targets = [(kind.priority, kind.target_ms / 1000) for kind in kinds]
+            ratio = options.policy.contention_target_ratio
+            self.scheduler.contention.set_levels(levels_of(targets, ratio))
 
     def server_priority(self, ticket: Ticket) -> int:
         """Return the `Request-Priority` with which a ticket is sent."""
--- a/benchmarks/experiments/options.py
+++ b/benchmarks/experiments/options.py
@@ -17,6 +17,8 @@
         Which planner lets engines fetch prompt parts from each other; empty for none.
     backlogs : bool
         Whether nodes send each other their prefill backlogs.
+    contention : bool
+        Whether nodes exchange their demand by priority and decide on it.
     learned_rate : bool
         Whether the engines' prefill rate is learned rather than fixed at its initial
         estimate.
@@ -31,6 +33,7 @@
     policy: Policy = GATEWAY_POLICY
     fetching: str = ""
     backlogs: bool = True
+    contention: bool = True
     learned_rate: bool = True
     target_utilisation: float = TARGET_UTILISATION
     speeds: bool = True
--- a/tests/test_experiments.py
+++ b/tests/test_experiments.py
@@ -4,10 +4,12 @@
 
 import pytest
 from experiments.__main__ import POLICIES, compare
-from experiments.deployment import Deployment, Speed
+from experiments.deployment import Crash, Deployment, Speed
 from experiments.engines import Engine, SpeedPhases, Stream
 from experiments.play import Options, Simulation
+from experiments.policies import options_of
 from experiments.report import figures_of, table
+from experiments.traffic import arrivals
 from pydantic import ValidationError
 
 FOLDER = Path(__file__).parents[1] / "benchmarks" / "experiments" / "deployments"
@@ -200,3 +202,33 @@
 def test_an_unknown_policy_is_named():
     with pytest.raises(SystemExit, match="no policy"):
         compare(str(SEVEN), policies="all,nonsense")
+
+
+def test_policies_of_contention_fetching_and_speeds_combine():
+    """A combination must keep every change of its parts."""
+    made = options_of("before+fetch-seen+no-speeds+half-belief+no-crowding")
+    assert (made.contention, made.fetching, made.speeds) == (False, "seen", False)
+    assert (made.policy.affinity_belief, made.policy.crowding_s) == (0.5, 0.0)
+    assert all(options_of(name) == options for name, options in POLICIES.items())
+    with pytest.raises(SystemExit, match="two policies change fetching"):
+        options_of("fetch+fetch-seen")
+
+
+@pytest.mark.parametrize("name", ["all", "before", "fetch", "before+fetch+no-speeds"])
+def test_every_request_ends_once_through_crashes_retries_and_fetches(name):
+    """An attempt that ends late, after its engine or caller is gone, counts once."""
+    whole = Deployment.from_file(FOLDER / "messages-8.toml")
+    speed = Speed(slowdown=2.5, slow_s=0.6, usual_s=3.4)
+    crashes = [Crash(at_s=(4.0, 4.5), share=0.5), Crash(at_s=(6.0, 6.5), share=0.3)]
+    wave = whole.wave.model_copy(update={"at_s": [2.0, 5.0]})
+    changes = {"seconds": 8.0, "speed": speed, "crashes": crashes, "wave": wave}
+    harsh = whole.model_copy(update=changes)
+    simulation = Simulation(harsh, options_of(name), 2)
+    result = simulation.run()
+    assert not simulation.running
+    assert len(result.ended) == sum(1 for _ in arrivals(harsh, 2))
+    assert {end.outcome for end in result.ended} == {"ok", "lost", "refused"}
+    assert (result.links.fetches > 0) == ("fetch" in name)
+    for engine in simulation.servers.engines.values():
+        assert engine.used_tokens == sum(engine.cache.values())
+        assert not engine.users
