--- a/benchmarks/experiments/engines.py
+++ b/benchmarks/experiments/engines.py
@@ -29,7 +29,7 @@
     owner : object
         The request, as the caller of the engine keeps it.
     priority : int
-        Its `Request-Priority`; lower numbers are admitted first.
+        The priority it was sent with; lower numbers are admitted first.
     prompt_tokens_left : float
         Prompt tokens to prefill, once it is admitted.
     private_tokens : float
@@ -89,7 +89,7 @@
 class Engine:
     """One engine, simulated step by step.
 
-    It admits by `Request-Priority`, then in order. Running requests and cached prompt
+    It admits by priority, then in order of arrival. Running requests and cached prompt
     parts share its memory: a cached part is evicted once no running request uses it,
     and if that isn't enough for a more urgent request, the newest of the least urgent
     running ones is preempted and computed again later.
--- a/benchmarks/experiments/nodes.py
+++ b/benchmarks/experiments/nodes.py
@@ -45,7 +45,7 @@
             self.scheduler.contention.set_levels(levels_of(targets, ratio))
 
     def server_priority(self, ticket: Ticket) -> int:
-        """Return the `Request-Priority` with which a ticket is sent."""
+        """Return the priority with which a ticket is sent."""
         if self.scheduler.contention.active:
             return self.scheduler.contention.server_priority(ticket)
         lowest = LOWEST_SERVER_PRIORITY
