--- a/packages/endive_gateway/src/endive_gateway/http.py
+++ b/packages/endive_gateway/src/endive_gateway/http.py
@@ -53,7 +53,7 @@
 hold the end of a body before it."""
 
 MAX_HEADERS = 256
-"""Headers of a response, at most."""
+"""Headers of a response, and trailers, at most."""
 
 MAX_WAITING_MESSAGES = 32
 """Responses that a connection may hold: interim ones, late ones to earlier requests,
@@ -275,6 +275,8 @@
     overhead_bytes : int
         Bytes received since the last head, piece of a body or end of a message: a part
         of a head, of a chunk's size line, or trailers.
+    trailers : int
+        Trailers of the current response.
     """
 
     message_type = ResponseMessage
@@ -282,6 +284,7 @@
     def __init__(self) -> None:
         super().__init__()
         self.overhead_bytes = 0
+        self.trailers = 0
         self.parser = httptools.HttpResponseParser(self)
 
     def feed(self, data: bytes) -> None:
@@ -308,7 +311,8 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Append a header; raises BadMessageError if there are too many."""
-        if len(self.current.headers) >= MAX_HEADERS:
+        self.trailers += self.current.head_done
+        if len(self.current.headers) >= MAX_HEADERS or self.trailers > MAX_HEADERS:
             raise BadMessageError("too many headers")
         super().on_header(name, value)
 
@@ -319,6 +323,7 @@
     def on_headers_complete(self) -> None:
         """Determine the status, persistence and framing of a response."""
         self.overhead_bytes = 0
+        self.trailers = 0
         message = self.current
         message.head_done = True
         message.status = self.parser.get_status_code()
--- a/packages/endive_gateway/tests/test_http.py
+++ b/packages/endive_gateway/tests/test_http.py
@@ -144,3 +144,12 @@
         (b"X-Kept", b"1"),
     ]
     assert end_to_end(headers, frozenset({b"id"})) == [(b"Id", b"7"), (b"X-Kept", b"1")]
+
+
+def test_trailers_without_end_are_refused_after_as_many_as_headers():
+    """Parsing 128 KB of short trailers held up the other requests for half a second."""
+    parser = ResponseParser()
+    parser.feed(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n")
+    parser.feed(b"A: b\r\n" * 256)
+    with pytest.raises(BadMessageError):
+        parser.feed(b"A: b\r\n" * 2)
