Send a request that is late anyway again only after half of its time

Cause: a request whose fetch of prompt parts seems to hang is sent to another server after half of the time left to its target beyond the prediction. Change: where the second server couldn't begin it within the target either, the request is sent again only after half of its time budget. A source is suspected as early as before. Result: the new test failed before.

--- a/packages/endive_core/src/endive_core/calls.py
+++ b/packages/endive_core/src/endive_core/calls.py
@@ -150,6 +150,9 @@
         planned.
     fetch_due_at : float
         Clock time by which its first token comes unless its fetch hangs, seconds.
+    fetch_resend_at : float
+        Clock time at which it is sent elsewhere without a fetch if no first token has
+        come, seconds.
     version : str or None
         Software version of the server that began its stream, and at which alone the
         stream goes on; ``None`` before that. It doesn't change while the ticket is
@@ -187,6 +190,7 @@
     may_fetch: bool = True
     predicted_start_s: float = 0.0
     fetch_due_at: float = 0.0
+    fetch_resend_at: float = 0.0
     pooled: bool = False
     excess: bool = False
 
--- a/packages/endive_core/src/endive_core/prefix_fetch.py
+++ b/packages/endive_core/src/endive_core/prefix_fetch.py
@@ -44,6 +44,11 @@
 first token may come before the source is suspected, and least such time as a share of
 the target."""
 
+LATE_RESEND_SHARE = 0.5
+"""Part of the time budget after which a request whose fetch may hang is sent elsewhere
+if it is late there too. In an overload most requests begin late without any hanging
+source, and each that is sent again adds its prefill to the overload."""
+
 
 class Ring:
     """A hash ring whose members are compared before it is rebuilt."""
@@ -300,6 +305,7 @@
                 self.trust.unusual_s,
             )
             ticket.fetch_due_at = now + predicted_s + grace_s
+            ticket.fetch_resend_at = _resend_at(ticket, predicted_s, now)
             self.trust.begin(fetch.source.id, ticket, ticket.fetch_due_at)
         ticket.predicted_start_s = predicted_s
         self.holders.sent(
@@ -345,3 +351,19 @@
     def _incarnation(self, server: str) -> int:
         source = self.sources.get(server)
         return source.incarnation if source else 0
+
+
+def _resend_at(ticket: Ticket, predicted_s: float, now: float) -> float:
+    """Return when a request whose fetch may hang is sent to another server.
+
+    Parameters
+    ----------
+    predicted_s : float
+        Predicted time from its dispatch to its first token, seconds.
+    """
+    call, due_at = ticket.call, ticket.fetch_due_at
+    if due_at + predicted_s <= ticket.accepted_at + call.target_s:
+        return due_at
+    if call.deadline is None:
+        return due_at + call.target_s
+    return max(due_at, now + LATE_RESEND_SHARE * (call.deadline - now))
--- a/packages/endive_core/tests/test_prefix_fetch.py
+++ b/packages/endive_core/tests/test_prefix_fetch.py
@@ -243,6 +243,19 @@
     assert fetch_to(made, third, ticket.fetch_due_at + 0.01) is None
 
 
+def test_a_request_that_is_late_anyway_is_not_soon_sent_again():
+    """In an overload all requests begin late. Those that fetch were sent again after
+    their target, and computed twice."""
+    tickets = []
+    for target_s in (2.0, 0.001):
+        made = fetching_scheduler()
+        overload(made, serve(made).server)
+        tickets.append(send(made, 1, 0.2, target_s=target_s, deadline=10.2))
+    soon, late = tickets
+    assert soon.fetch_resend_at == soon.fetch_due_at < 2.2
+    assert late.fetch_due_at < late.fetch_resend_at == pytest.approx(5.2)
+
+
 def test_fetched_tokens_do_not_teach_the_prefill_rate():
     """Engines would look as fast as links, and autoscaling would order too few."""
     made = fetching_scheduler()
--- a/packages/endive_gateway/src/endive_gateway/prefix_fetching.py
+++ b/packages/endive_gateway/src/endive_gateway/prefix_fetching.py
@@ -58,7 +58,7 @@
     def __init__(self, request: FetchingRequest) -> None:
         self.request = request
         self.greenlet = gevent.getcurrent()
-        left_s = max(0.0, request.ticket.fetch_due_at - request.now)
+        left_s = max(0.0, request.ticket.fetch_resend_at - request.now)
         self.timer = gevent.get_hub().loop.timer(left_s)
         self.timer.start(self._expire)
 
