Report the newest stages, and the totals of all running rollouts

Cause: a state message has room for 12 stages and 2 totals. The stages were those of the first 12 services that ever had an order, so that a later service's stage reached no node and its rollout never began. The totals were those of the newest two orders, ended ones included: the evidence of a third rollout reached nobody, neither the holder of the duties, which rolls back a version with too few responses, nor any other node.

Change: stages and totals of rollouts that have not ended come first, then the newest. If more run than one message has room for, the totals are drawn at random.

--- a/packages/endive_gateway/src/endive_gateway/rollouts.py
+++ b/packages/endive_gateway/src/endive_gateway/rollouts.py
@@ -4,6 +4,7 @@
 compares the versions too, and stops sending to a bad one without waiting for it.
 """
 
+import random
 import time
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
@@ -113,6 +114,7 @@
         self.book = OrderBook()
         self.admission = VersionAdmission(self.book)
         self.rollouts: dict[str, Rollout] = {}
+        self.random = random.Random()
         self.cluster_now: Callable[[], float] = time.time
         self.last_heard_at: Callable[[], float] = time.monotonic
         self.has_peers: Callable[[], bool] = lambda: False
@@ -287,8 +289,6 @@
         if not self.is_enabled:
             return None
         orders = sorted(self.book.orders.values(), key=lambda order: -order.offset)
-        recent = [r for r in self.rollouts.values() if self.is_recent(r.order.service)]
-        recent.sort(key=lambda rollout: -rollout.order.offset)
         proof_age_s = -1.0
         if self.book.proven_at is not None and len(orders) <= MAX_ORDERS:
             proof_age_s = round(max(0.0, boot_time() - self.book.proven_at), 3)
@@ -296,17 +296,40 @@
             self.book.end,
             proof_age_s,
             [OrderReport.from_order(order) for order in orders[:MAX_ORDERS]],
-            [_stage_report(r) for r in self.rollouts.values() if r.stage.number][
-                :MAX_ORDERS
-            ],
+            self._stage_reports(),
             [
                 TotalsReport.from_totals(
                     r.order, self.stage(r.order.service).number, r.evidence.own
                 )
-                for r in recent[:MAX_TOTALS]
+                for r in self._reported_totals()
             ],
         )
 
+    def _stage_reports(self) -> list[StageReport]:
+        """Return the newest stages, those of rollouts that have not ended first."""
+        staged = [r for r in self.rollouts.values() if r.stage.number]
+        staged.sort(
+            key=lambda r: (not self.is_running(r.order.service), -r.order.offset)
+        )
+        return [_stage_report(rollout) for rollout in staged[:MAX_ORDERS]]
+
+    def _reported_totals(self) -> list[Rollout]:
+        """Return the rollouts whose totals the next message contains.
+
+        If more run than one message has room for, they are drawn at random: totals only
+        grow, so that each message makes up for those that left a rollout out.
+        """
+        running = [r for name, r in self.rollouts.items() if self.is_running(name)]
+        if len(running) > MAX_TOTALS:
+            return self.random.sample(running, MAX_TOTALS)
+        ended = [
+            rollout
+            for name, rollout in self.rollouts.items()
+            if self.is_recent(name) and not self.is_running(name)
+        ]
+        ended.sort(key=lambda rollout: -rollout.order.offset)
+        return [*running, *ended][:MAX_TOTALS]
+
     def learn(
         self, address: str, incarnation: int, node: str, report: RolloutReport
     ) -> None:
--- a/packages/endive_gateway/tests/test_rollouts.py
+++ b/packages/endive_gateway/tests/test_rollouts.py
@@ -2,6 +2,8 @@
 
 import gevent
 import pytest
+from endive_core.rollouts import Stage, StageKind
+from endive_gateway.rollout_messages import MAX_ORDERS, MAX_TOTALS
 from endive_gateway.rollouts import ISOLATED_S
 from gateway_builders import SERVICE
 from rollout_builders import NEW, OLD, TwoVersions, order, prove, put_server
@@ -184,3 +186,31 @@
     bound = type("BoundCall", (), {"software_version": OLD})()
     (scheduler,) = division.schedulers_for(SERVICE, bound)
     assert scheduler is versions.context.placer.schedulers[SERVICE]
+
+
+def test_the_newest_stage_is_reported_after_many_rollouts_of_other_services(versions):
+    """Only the stages of the first dozen services that ever had an order were sent, so
+    that the nodes never learned of a later one's."""
+    rollouts = versions.context.rollouts
+    for offset in range(MAX_ORDERS + 1):
+        name = f"service-{offset}"
+        rollouts.learn_order(order(offset, service=name, duration_s=0.001))
+        rollouts.set_stage(name, offset, Stage(StageKind.COMPLETED, 1))
+    versions.begin(offset=100)
+    versions.stage("small", 1, share=0.1, offset=100)
+    told = rollouts.next_report().stages
+    assert (told[0].service, told[0].offset) == (SERVICE, 100)
+    assert len(told) == MAX_ORDERS
+
+
+def test_the_totals_of_all_running_rollouts_are_reported(versions):
+    """The evidence of a third rollout reached no other node, so that a good version was
+    rolled back for too few responses, and a bad one was not noticed."""
+    rollouts = versions.context.rollouts
+    names = {f"service-{offset}" for offset in range(4)}
+    for offset, name in enumerate(sorted(names)):
+        rollouts.learn_order(order(offset, service=name))
+    rollouts.learn_order(order(9, service="ended", to=""))
+    reports = [rollouts.next_report().totals for _ in range(60)]
+    assert {totals.service for report in reports for totals in report} == names
+    assert {len(report) for report in reports} == {MAX_TOTALS}
