Settle on one order where an order is replaced or repeated

Cause: which of two orders is in force depended on the sequence in which a node heard of them. An order, the one that replaced it and its repetition within the first one's duration each won over one of the others, so that nodes that told each other went on to change theirs, and the rollout began anew each time. A node that started after the rollout had ended read only the repetition, with the present time as its time, took it for a new order, and told the others: a version that had been rolled back was rolled out once more.

Change: an order in force keeps the offset of the newest record that repeats it, and that of the order for another version that it replaced. Both are in the state messages, at the end of each order, and in the records of the duties log, outside the order's own fields, which nodes of an earlier version don't extend.

Tests: two assertions of test_version_admission.py compare the order in force with these offsets too; what they checked before is checked as before.

--- a/packages/endive_core/src/endive_core/rollouts.py
+++ b/packages/endive_core/src/endive_core/rollouts.py
@@ -29,6 +29,11 @@
         Offset of its record in the store, which identifies it.
     at : float
         When it was first seen by any node, seconds on the cluster clock.
+    repeated : int
+        Offset of the newest record that repeats it; -1 if none is known.
+    after : int
+        Offset of the newest order for another version that it is known to have
+        replaced, so that it repeats none before that; -1 if none is known.
     """
 
     service: str
@@ -36,6 +41,13 @@
     duration_s: float
     offset: int
     at: float = 0.0
+    repeated: int = -1
+    after: int = -1
+
+    @property
+    def latest(self) -> int:
+        """Offset of its newest record."""
+        return max(self.offset, self.repeated)
 
     def repeats(self, earlier: "RolloutOrder") -> bool:
         """Return whether this is the same order again, within the earlier's duration.
@@ -44,7 +56,31 @@
         against the bound on exposure of both.
         """
         is_same = bool(self.to) and self.to == earlier.to
-        return is_same and self.at < earlier.at + earlier.duration_s
+        is_next = earlier.offset > self.after
+        return is_same and is_next and self.at < earlier.at + earlier.duration_s
+
+    def merged(self, other: "RolloutOrder") -> "RolloutOrder":
+        """Return the order in force of two of one service, in any sequence.
+
+        A result is never older than either. Otherwise nodes that tell each other an
+        order, the one that replaced it and its repetition would go on to change theirs.
+        """
+        earlier, later = sorted((self, other), key=lambda o: (o.latest, -o.offset))
+        if earlier.offset == later.offset:
+            return replace(
+                earlier,
+                at=min(earlier.at, later.at),
+                repeated=max(earlier.repeated, later.repeated),
+                after=max(earlier.after, later.after),
+            )
+        if earlier.latest == later.latest:  # one of them repeats the other
+            first, again = later, earlier
+            return first if first.offset > again.after else again
+        if later.repeats(earlier):
+            return replace(earlier, repeated=later.latest)
+        if later.to == earlier.to:
+            return later
+        return replace(later, after=max(later.after, earlier.latest))
 
 
 class StageKind(StrEnum):
@@ -122,14 +158,17 @@
         """Return the record as it is written to the log."""
         body = asdict(self)
         body["stage"]["leads"] = [list(lead) for lead in self.stage.leads]
+        # Nodes of an earlier version accept no further fields of the order.
+        body["records"] = [body["order"].pop("repeated"), body["order"].pop("after")]
         return body
 
     @classmethod
     def from_body(cls, body: dict[str, Any]) -> "RolloutRecord":
         """Return the record of a body; raises KeyError, TypeError or ValueError."""
         stage = body["stage"]
+        repeated, after = body.get("records", (-1, -1))
         return cls(
-            RolloutOrder(**body["order"]),
+            RolloutOrder(**body["order"], repeated=int(repeated), after=int(after)),
             Stage(
                 **{
                     **stage,
@@ -169,20 +208,12 @@
         self.proven_at: float | None = None
 
     def put(self, order: RolloutOrder) -> bool:
-        """Add an order; return whether it is newer than the known one."""
-        self.end = max(self.end, order.offset + 1)
+        """Add an order; return whether another one is in force now."""
+        self.end = max(self.end, order.latest + 1)
         known = self.orders.get(order.service)
-        if known is None:
-            self.orders[order.service] = order
-            return True
-        if known.offset == order.offset:
-            if order.at < known.at:
-                self.orders[order.service] = replace(known, at=order.at)
-            return False
-        earlier, later = sorted((known, order), key=lambda o: o.offset)
-        kept = earlier if later.repeats(earlier) else later
-        self.orders[order.service] = kept
-        return kept is order
+        merged = order if known is None else known.merged(order)
+        self.orders[order.service] = merged
+        return known is None or merged.offset != known.offset
 
     def merge(
         self, orders: Iterable[RolloutOrder], end: int, proven_at: float | None
--- a/packages/endive_core/tests/test_version_admission.py
+++ b/packages/endive_core/tests/test_version_admission.py
@@ -1,5 +1,8 @@
 """Tests of which servers are ordinary, candidates, or withheld."""
 
+from dataclasses import replace
+from itertools import permutations
+
 import pytest
 from endive_core.rollouts import NO_STAGE, OrderBook, RolloutOrder, Stage, StageKind
 from endive_core.version_admission import (
@@ -139,7 +142,7 @@
         book = OrderBook()
         for order in orders:
             book.put(order)
-        assert book.orders["s"] == second
+        assert book.orders["s"] == replace(second, after=7)
 
 
 def test_a_repeated_order_is_the_same_rollout():
@@ -151,11 +154,45 @@
         book = OrderBook()
         for order in orders:
             book.put(order)
-        assert book.orders["s"] == first
+        assert book.orders["s"] == replace(first, repeated=9)
     book.put(later)
     assert book.orders["s"] == later
 
 
+def test_a_repetition_that_a_node_reads_late_begins_no_rollout():
+    """A node that started after the rollout had ended took the record of an operator's
+    retry for a new order, and all others took it from there."""
+    fleet, started = OrderBook(), OrderBook()
+    for book, orders in ((fleet, ((7, 1.0), (9, 4.0))), (started, ((9, 60.0),))):
+        for offset, at in orders:
+            book.put(RolloutOrder("s", "v2", 10.0, offset, at))
+    told = fleet.orders["s"], started.orders["s"]
+    assert not fleet.put(told[1])
+    started.put(told[0])
+    assert fleet.orders == started.orders
+    assert fleet.orders["s"].offset == 7
+
+
+def test_an_order_that_was_replaced_and_repeated_settles():
+    """Nodes that told each other three orders changed theirs again and again, and the
+    rollout began anew each time."""
+    orders = [
+        RolloutOrder("s", to, 10.0, offset, float(offset))
+        for offset, to in ((7, "v2"), (8, ""), (9, "v2"))
+    ]
+    read = OrderBook()
+    for order in orders:
+        read.put(order)
+    for sequence in permutations((*orders, read.orders["s"])):
+        book = OrderBook()
+        for order in sequence * 2:
+            book.put(order)
+        for order in (*sequence, read.orders["s"]):
+            assert not book.put(order)
+    assert not read.put(orders[0])
+    assert read.orders["s"].offset == 9
+
+
 def test_a_list_of_orders_that_ends_earlier_proves_nothing():
     """Another node's proof is of a list without the newest order."""
     book = OrderBook()
--- a/packages/endive_gateway/src/endive_gateway/rollout_control.py
+++ b/packages/endive_gateway/src/endive_gateway/rollout_control.py
@@ -110,6 +110,9 @@
             record = records.get(service)
             if record is None or record.order.offset != rollout.order.offset:
                 record = changed[service] = self._first_record(record, rollout)
+            elif record.order.latest < rollout.order.latest:
+                # A successor that reads the repetition in the store must know it.
+                record = changed[service] = replace(record, order=rollout.order)
             decided = self._decide(record, rollout, fence)
             if decided is not None:
                 changed[service] = decided
--- a/packages/endive_gateway/src/endive_gateway/rollout_messages.py
+++ b/packages/endive_gateway/src/endive_gateway/rollout_messages.py
@@ -23,18 +23,32 @@
     duration_s: float
     offset: int
     at: float
+    repeated: int = -1
+    after: int = -1
 
     @classmethod
     def from_order(cls, order: RolloutOrder) -> "OrderReport":
         """Return the report of an order."""
         return cls(
-            order.service, order.to, order.duration_s, order.offset, round(order.at, 3)
+            order.service,
+            order.to,
+            order.duration_s,
+            order.offset,
+            round(order.at, 3),
+            order.repeated,
+            order.after,
         )
 
     def to_order(self) -> RolloutOrder:
         """Return the order."""
         return RolloutOrder(
-            self.service, self.to, self.duration_s, self.offset, self.at
+            self.service,
+            self.to,
+            self.duration_s,
+            self.offset,
+            self.at,
+            self.repeated,
+            self.after,
         )
 
 
--- a/packages/endive_gateway/src/endive_gateway/rollouts.py
+++ b/packages/endive_gateway/src/endive_gateway/rollouts.py
@@ -142,9 +142,7 @@
         """
         before = self.book.proven_at
         is_new = self.book.merge(orders, end, proven_at)
-        for service, rollout in self.rollouts.items():
-            if rollout.order.offset == self.book.orders[service].offset:
-                rollout.order = self.book.orders[service]
+        self._update_orders()
         if is_new:
             self._apply_orders()
         elif before != self.book.proven_at and self.is_waiting():
@@ -159,13 +157,21 @@
             order.offset,
             self.cluster_now(),
         )
-        if self.book.put(order):
+        is_new = self.book.put(order)
+        self._update_orders()
+        if is_new:
             self._apply_orders()
 
     def prove(self, end: int, at: float) -> None:
         """Record that the store had no order after `end` at `at` on the boot clock."""
         self.learn_orders((), end, at)
 
+    def _update_orders(self) -> None:
+        """Apply what has become known of the orders of known rollouts."""
+        for service, rollout in self.rollouts.items():
+            if rollout.order.offset == self.book.orders[service].offset:
+                rollout.order = self.book.orders[service]
+
     def _apply_orders(self) -> None:
         for service, order in self.book.orders.items():
             known = self.rollouts.get(service)
--- a/packages/endive_gateway/tests/test_rollout_control.py
+++ b/packages/endive_gateway/tests/test_rollout_control.py
@@ -12,6 +12,7 @@
 from endive_gateway.exceptions import StoreError, StoreOutcomeUnknownError
 from endive_gateway.interfaces import Topic
 from endive_gateway.peers import Peers
+from endive_gateway.rollouts import KEPT_S
 from gateway_builders import SERVICE, freeze_time, make_context, make_entry, make_table
 from rollout_builders import NEW, OLD, allow_rollouts, order
 from store_builders import MemoryStore, RecordingCloud, store_down
@@ -234,6 +235,24 @@
     assert fleet.statuses() == [f"serving {NEW}", f"completed {NEW}"]
 
 
+def test_a_successor_that_reads_only_the_repeated_order_begins_no_rollout(fleet):
+    """The store keeps the newest record of an order only. A successor that started
+    later took it for a new one, and rolled out a version that had been rolled back."""
+    fleet.step("a")
+    fleet.order()
+    fleet.run("a", 2.0)
+    fleet.nodes["a"].context.rollouts.learn_order(order(9, duration_s=DURATION_S))
+    fleet.run("a", DURATION_S, failures=5)
+    before = fleet.statuses()
+    assert before == [f"serving {NEW}", f"rolled_back {NEW}"]
+    fleet.time += 3 * KEPT_S
+    fleet.nodes = {"c": fleet.make_node("c")}
+    fleet.order(offset=9)
+    fleet.run("c", 2 * DURATION_S)
+    assert fleet.stage("c") is StageKind.ROLLED_BACK
+    assert fleet.statuses() == before
+
+
 def test_an_isolated_holder_completes_nothing(fleet):
     """A holder that receives no messages judges by its own requests alone."""
     fleet.step("a")
