Keep the part of short prompts within 0 and 1

Cause: the part of a priority's tokens that is in short prompts is smoothed with a weight in proportion to the prompt's length. A prompt of over 100 times the mean has a weight above 1, which takes the part below 0, and with it the part of short prompts that is admitted where not all can be served.

Change: the weight is 1 at most.

Result: the new test fails without the change (-2.0 after a prompt of 300 times the mean). The 16 tests of test_contention.py pass.

--- a/packages/endive_core/src/endive_core/demand.py
+++ b/packages/endive_core/src/endive_core/demand.py
@@ -142,7 +142,8 @@
         """Count a call that a caller asks for."""
         tokens = max(1.0, call.prompt_tokens * self.uncached[rank])
         mean = self.mean_tokens[rank] or call.prompt_tokens
-        weight = LENGTH_SMOOTHING * call.prompt_tokens / max(1.0, mean)
+        # Beyond a weight of 1, one very long prompt would take the part below 0.
+        weight = min(1.0, LENGTH_SMOOTHING * call.prompt_tokens / max(1.0, mean))
         is_small = call.prompt_tokens <= mean
         self.small_share[rank] += weight * (is_small - self.small_share[rank])
         self.mean_tokens[rank] = mean + LENGTH_SMOOTHING * (call.prompt_tokens - mean)
--- a/packages/endive_core/tests/test_contention.py
+++ b/packages/endive_core/tests/test_contention.py
@@ -253,3 +253,17 @@
         apart.learn(tokens, seconds, rank)
     assert together.tokens_per_s > 5 * RATE
     assert apart.tokens_per_s == pytest.approx(RATE, rel=0.3)
+
+
+def test_a_prompt_of_many_times_the_mean_leaves_the_part_of_short_ones():
+    """One prompt of many times the mean took the part of tokens in short prompts below
+    zero. After one of 1,000 times, the next 400 short ones were all refused."""
+    meter = DemandMeter()
+    meter.set_levels(1)
+    for number in range(100):
+        meter.offered(0, call(0, f"short-{number}"), 0.0)
+    meter.offered(0, call(0, "long", tokens=300_000), 0.0)
+    assert 0.0 <= meter.small_share[0] <= 1.0
+    for number in range(100):
+        meter.offered(0, call(0, f"next-{number}"), 0.0)
+    assert 0.2 <= meter.small_share[0] <= 1.0
