Count a prompt as demand up to what a server can compute in time

Cause: a caller states the length of its prompt, and the demand for prefill counted any number. One request that stated 100 million tokens made the demand 500 times the capacity of four servers, so that all others were refused or sent as late at every node, until the rate had decayed.

Change: a prompt counts for at most the tokens that a server computes until its deadline, or within the target of its priority if that is longer.

The new test fails without it; the 49 tests of contention, scheduler, yielding, purity and test_contention_exchange.py pass.

--- a/packages/endive_core/src/endive_core/contention.py
+++ b/packages/endive_core/src/endive_core/contention.py
@@ -23,6 +23,7 @@
     DemandReport,
     FleetDemand,
     LevelDemand,
+    most_tokens,
 )
 from endive_core.exceptions import ErrorKind
 from endive_core.hashing import shard_of
@@ -200,7 +201,8 @@
             return None
         rank = self.rank(-call.level)
         if self.counts_offers:
-            self.meter.offered(rank, call, now)
+            most = most_tokens(call, self.servers, self.levels[rank].target_s, now)
+            self.meter.offered(rank, call, now, most=most)
         self._update(now)
         is_resumed = call.software_version is not None
         if is_resumed or not self.levels[rank].may_wait or not self.exceeds(call, now):
--- a/packages/endive_core/src/endive_core/demand.py
+++ b/packages/endive_core/src/endive_core/demand.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field, replace
 
 from endive_core.calls import Call, Ticket
+from endive_core.servers import ServerSet
 
 WINDOW_S = 1.0
 """Time constant of the rates, seconds. It averages over the requests of a node that
@@ -107,6 +108,24 @@
         self.nodes += sign
 
 
+def most_tokens(call: Call, servers: ServerSet, least_s: float, now: float) -> float:
+    """Return the prompt tokens that a server can compute before a call's deadline.
+
+    A caller may state any number. What no server can do is no demand that others must
+    leave room for.
+
+    Parameters
+    ----------
+    least_s : float
+        Time for which it counts at least, seconds.
+    """
+    items = servers.accepting.items
+    if not items or call.deadline is None:
+        return math.inf
+    left_s = max(least_s, call.deadline - now)
+    return items[0].view.prefill_tokens_per_s * left_s
+
+
 class DemandMeter:
     """Demand of one node, as it sees it itself.
 
@@ -138,15 +157,24 @@
         self.sent.clear()
         self.by_server.clear()
 
-    def offered(self, rank: int, call: Call, now: float) -> None:
-        """Count a call that a caller asks for."""
-        tokens = max(1.0, call.prompt_tokens * self.uncached[rank])
-        mean = self.mean_tokens[rank] or call.prompt_tokens
+    def offered(
+        self, rank: int, call: Call, now: float, *, most: float = math.inf
+    ) -> None:
+        """Count a call that a caller asks for.
+
+        Parameters
+        ----------
+        most : float
+            Prompt tokens that it may count for.
+        """
+        length = min(call.prompt_tokens, most)
+        tokens = max(1.0, length * self.uncached[rank])
+        mean = self.mean_tokens[rank] or length
         # Beyond a weight of 1, one very long prompt would take the part below 0.
-        weight = min(1.0, LENGTH_SMOOTHING * call.prompt_tokens / max(1.0, mean))
-        is_small = call.prompt_tokens <= mean
+        weight = min(1.0, LENGTH_SMOOTHING * length / max(1.0, mean))
+        is_small = length <= mean
         self.small_share[rank] += weight * (is_small - self.small_share[rank])
-        self.mean_tokens[rank] = mean + LENGTH_SMOOTHING * (call.prompt_tokens - mean)
+        self.mean_tokens[rank] = mean + LENGTH_SMOOTHING * (length - mean)
         self.rates[rank].add(tokens, now)
         key = (rank, call.organisation)
         self.organisations.setdefault(key, Rate()).add(tokens, now)
--- a/packages/endive_core/tests/test_contention.py
+++ b/packages/endive_core/tests/test_contention.py
@@ -1,5 +1,6 @@
 """Decisions when demand exceeds capacity, for one node that hears of many."""
 
+from dataclasses import replace
 from random import Random
 
 import pytest
@@ -267,3 +268,16 @@
     for number in range(100):
         meter.offered(0, call(0, f"next-{number}"), 0.0)
     assert 0.2 <= meter.small_share[0] <= 1.0
+
+
+def test_a_prompt_that_no_server_can_compute_leaves_room_for_others():
+    """After a prompt that stated 100 million tokens, all others were refused or sent as
+    late at every node for seconds."""
+    contention = make_contention()
+    hear(contention, (5_000, 5_000, 5_000))
+    huge = replace(call(0, "huge", tokens=100_000_000), deadline=2.0)
+    contention.refusal(huge, 0.0)
+    offer_little(contention)
+    assert contention.meter.mean_tokens[0] <= 2.0 * RATE
+    assert admitted(contention, 0) == admitted(contention, 1) == 1.0
+    assert admitted(contention, 2) > 0.15
