--- a/packages/endive_core/src/endive_core/source_trust.py
+++ b/packages/endive_core/src/endive_core/source_trust.py
@@ -69,7 +69,7 @@
     ----------
     reports : dict of str to dict of str to float
         By source, the other nodes that don't name it, with the clock time until which
-        their reports count.
+        their reports count; only the `MIN_REPORTERS` whose reports count longest.
     """
 
     def __init__(self) -> None:
@@ -112,7 +112,10 @@
 
     def report(self, source: str, node: str, until: float) -> None:
         """Record that another node doesn't name a source until a clock time."""
-        self.reports.setdefault(source, {})[node] = until
+        reports = self.reports.setdefault(source, {})
+        reports[node] = until
+        if len(reports) > MIN_REPORTERS:
+            del reports[min(reports, key=reports.__getitem__)]
 
     def expected_delay_s(self, source: str) -> float:
         """Return the delay to expect of a request that names `source`, seconds."""
--- a/packages/endive_core/tests/test_source_trust.py
+++ b/packages/endive_core/tests/test_source_trust.py
@@ -1,7 +1,12 @@
 from random import Random
 
 import pytest
-from endive_core.source_trust import FIRST_PAUSE_S, MAX_PAUSE_S, SourceTrust
+from endive_core.source_trust import (
+    FIRST_PAUSE_S,
+    MAX_PAUSE_S,
+    MIN_REPORTERS,
+    SourceTrust,
+)
 
 TARGET_S = 0.5
 
@@ -70,6 +75,17 @@
     assert trust.may_name("a", 5.0)
 
 
+def test_reports_of_many_nodes_are_not_all_kept():
+    """The table grew with each node that ever reported a source, and each placement
+    counted all of them."""
+    trust = trained()
+    for number in range(400):
+        trust.report("a", f"n{number}", 5.0 + number % 7)
+    assert len(trust.reports["a"]) == MIN_REPORTERS
+    assert not trust.may_name("a", 10.9)
+    assert trust.may_name("a", 11.0)
+
+
 class FleetNode:
     """A node whose requests name one source, and their first tokens to come."""
 
