Ignore what a server's earlier incarnation stated in a pool of slots

Cause: the coordinator of a pool applied the load and the slowdown in each return to the server with that id, also where the lease was of its earlier incarnation. A server that had just started counted as slow, and up to half of its slots were not leased for a second.

Change: they are applied only if the lease is known, which it no longer is once the coordinator has learned that the server started again.

--- a/packages/endive_gateway/src/endive_gateway/pool_coordination.py
+++ b/packages/endive_gateway/src/endive_gateway/pool_coordination.py
@@ -76,18 +76,23 @@
         )
 
     def handle_return(self, message: PoolSlotReturn, node: str) -> None:
-        """Take a lease back with what the server has stated."""
+        """Take a lease back with what the server has stated.
+
+        A lease that is not known any more may be of the server's earlier incarnation,
+        which says nothing of the present one.
+        """
         pool = self.pools.get(message.service)
         if pool is None:
             return
         now = time.monotonic()
-        if message.server:
+        key = (node, message.number)
+        if message.server and pool.leased_at.get(key) == message.server:
             pool.report(message.server, message.load, message.slowdown, now)
         try:
             outcome = Outcome(message.outcome)
         except ValueError:
             outcome = Outcome.UNUSED
-        pool.release((node, message.number), outcome, now)
+        pool.release(key, outcome, now)
 
     def _begin(self, service: str, nodes: int) -> SlotPool:
         """Begin to coordinate a service's slots."""
--- a/packages/endive_gateway/tests/test_slot_pooling.py
+++ b/packages/endive_gateway/tests/test_slot_pooling.py
@@ -356,6 +356,24 @@
         assert coordinator.leased() == 0
 
 
+def test_a_server_that_started_again_has_no_load_of_its_earlier_incarnation():
+    """Half of its slots were not leased for a second, and it counted as slow, although
+    it had just started."""
+    with PooledGateway(ScriptedServer(), slots=4) as running:
+        lease = running.lease()
+        server = running.servers[0]
+        entry = make_entry(server.id, address=server.address, slots=4, incarnation=2)
+        running.context.registry.put(entry)
+        running.context.registry.notify_listeners()
+        pool = running.pooling.coordinator.pools[SERVICE]
+        assert wait_for(lambda: pool.servers[server.id].incarnation == 2)
+        lease.load, lease.slowdown = 24, 5.0
+        running.pooling.release(lease)
+        now = time.monotonic()
+        assert pool.servers[server.id].slots.free(now) == 4
+        assert pool.servers[server.id].slowdown_now(now) == 1.0
+
+
 def test_messages_that_name_unknown_services_change_nothing():
     context = make_context(make_table())
     leasing = context.slot_leasing
