--- a/packages/endive_gateway/src/endive_gateway/__init__.py
+++ b/packages/endive_gateway/src/endive_gateway/__init__.py
@@ -24,8 +24,8 @@
 - leases of servers' slots: ``slot_leasing``, ``slot_pooling``, ``pool_coordination``,
   ``coordinators``, ``slot_messages``
 - what servers state of themselves: ``server_statements``, ``stated_values``,
-  ``limit_sharing``, ``brittle_services``, ``server_rests``, ``leaving_servers``,
-  ``speed_exchange``
+  ``header_values``, ``limit_sharing``, ``brittle_services``, ``server_rests``,
+  ``leaving_servers``, ``speed_exchange``
 - rollouts: ``rollouts``, ``rollout_control``, ``rollout_messages``,
   ``rollout_observation``, ``version_division``
 - cluster-wide duties, performed by one node at a time: ``duties``, ``autoscaling``
--- /dev/null
+++ b/packages/endive_gateway/src/endive_gateway/header_values.py
@@ -0,0 +1,32 @@
+"""Parsing of numbers that callers and servers state in headers."""
+
+import math
+
+MAX_LOAD_FIGURE = 1_000_000
+"""Largest number of requests or slots that a server may state. A larger one is a
+mistake: the state messages and the computations with it would overflow."""
+
+MAX_TOKENS = 100_000_000
+"""Largest number of tokens that a caller may state, of a prompt, of one of its parts or
+of a response. Prompts are a thousand times shorter, and a larger number would count for
+more than the demand of all others."""
+
+
+def parse_count(value: bytes, most: int) -> int | None:
+    """Return a number of digits only; ``None`` if it is another one or too large."""
+    digits = value.strip()
+    # Python refuses to convert thousands of digits; zeros may precede the number.
+    significant = digits.lstrip(b"0") or b"0"
+    if not digits.isdigit() or len(significant) > len(str(most)):
+        return None
+    number = int(significant)
+    return number if number <= most else None
+
+
+def parse_rate(value: bytes) -> float | None:
+    """Return a finite number of at least 0; ``None`` if it is another value."""
+    try:
+        rate = float(value)
+    except ValueError:
+        return None
+    return rate if math.isfinite(rate) and rate >= 0 else None
