Let the shortest prompts of a service overtake longer ones

Engines prefill by priority, then in order of arrival, so that in a service where a route has a shorter target than a more urgent one, its short prompts wait behind long ones that have more time. The shortest prompts, up to policy.overtaking_share of the prefill work that all nodes have sent lately, are now sent before the others in classes of length, and predictions count only what precedes a prompt.

--- a/benchmarks/experiments/exchange.py
+++ b/benchmarks/experiments/exchange.py
@@ -53,12 +53,18 @@
         contention = node.scheduler.contention
         contention.fleet.interval_s = self.interval_s
         demand = contention.report(simulation.now) if contention.active else None
+        order = node.scheduler.order
+        order.fleet.interval_s = self.interval_s
+        work = order.report(simulation.now) if order.active else None
         for other in self.nodes:
             if other is not node:
                 other.backlogs.receive(node.name, own_backlogs, simulation.now)
                 if demand is not None:
                     fleet = other.scheduler.contention.fleet
                     fleet.receive(node.name, demand, simulation.now)
+                if work is not None:
+                    fleet = other.scheduler.order.fleet
+                    fleet.receive(node.name, work, simulation.now)
         simulation.attempts.dispatch_queued(node)
         simulation.schedule(simulation.now + self.interval_s, self._broadcast, node)
 
--- a/benchmarks/experiments/nodes.py
+++ b/benchmarks/experiments/nodes.py
@@ -7,6 +7,7 @@
 from endive_core.calls import Ticket
 from endive_core.contention import levels_of
 from endive_core.prefilling import PrefillRate
+from endive_core.prompt_order import order_routes
 from endive_core.scheduler import Scheduler
 from endive_gateway.forwarding import LOWEST_SERVER_PRIORITY
 
@@ -38,9 +39,10 @@
         if options.fetching and engines.link_mbps:
             add_planner(self.scheduler, engines, options.fetching)
         self.prefill_work_s = 0.0
+        kinds = deployment.requests.values()
+        targets = [(kind.priority, kind.target_ms / 1000) for kind in kinds]
+        self.scheduler.order.set_routes(order_routes(targets))
         if options.contention:
-            kinds = deployment.requests.values()
-            targets = [(kind.priority, kind.target_ms / 1000) for kind in kinds]
             ratio = options.policy.contention_target_ratio
             self.scheduler.contention.set_levels(levels_of(targets, ratio))
 
@@ -48,6 +50,8 @@
         """Return the priority with which a ticket is sent."""
         if self.scheduler.contention.active:
             return self.scheduler.contention.server_priority(ticket)
+        if self.scheduler.order.active:
+            return self.scheduler.order.server_priority(ticket)
         lowest = LOWEST_SERVER_PRIORITY
         return lowest if ticket.yields else min(lowest, -ticket.call.level)
 
--- a/packages/endive_core/src/endive_core/calls.py
+++ b/packages/endive_core/src/endive_core/calls.py
@@ -159,6 +159,9 @@
         in no queue of this node.
     excess : bool
         Whether it is beyond what can be served in time, see :mod:`.contention`.
+    order : int
+        Number of its priority at its server unless it yields, where prompts may
+        overtake others; see :mod:`.prompt_order`.
     """
 
     call: Call
@@ -189,6 +192,7 @@
     fetch_due_at: float = 0.0
     pooled: bool = False
     excess: bool = False
+    order: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/endive_core/src/endive_core/placement.py
+++ b/packages/endive_core/src/endive_core/placement.py
@@ -19,6 +19,7 @@
 from endive_core.policy import Policy
 from endive_core.prefix_fetch import COST_SHARE, FetchPlanner
 from endive_core.prefixes import PrefixIndex
+from endive_core.prompt_order import PromptOrder
 from endive_core.ring import HashRing
 from endive_core.servers import Random, ServerLoad, ServerSet
 from endive_core.transfers import Fetch
@@ -85,8 +86,10 @@
         servers: ServerSet,
         random: Random,
         contention: Contention,
+        order: PromptOrder,
     ) -> None:
         self.policy = policy
+        self.order = order
         self.contention = contention
         self.servers = servers
         self.random = random
@@ -269,27 +272,36 @@
         parts is preferred, and copies don't displace other parts everywhere.
         """
         rate = server.view.prefill_tokens_per_s
-        compute = _uncached(call, cached_blocks) / rate
+        tokens = _uncached(call, cached_blocks)
+        compute = tokens / rate
         weights, speeds = call.weights, self.servers.speeds
         slowdown = speeds.over(server.slowdown, compute + speeds.work_s)
         compute_weight = slowdown * (weights.wait + weights.recompute)
         work_s = compute_weight * compute
         if fetch is not None and fetch.end:
-            compute = _uncached(call, cached_blocks, fetch) / rate
+            tokens = _uncached(call, cached_blocks, fetch)
+            compute = tokens / rate
             fetch_s = weights.wait * fetch.transfer_s
             fetch_s += weights.recompute * COST_SHARE * fetch.tokens / rate
             work_s = min(work_s, fetch_s + compute_weight * compute)
         work_s += weights.wait * slowdown * speeds.work_s
         cost_s = server.slowness * (
-            weights.wait * self.wait_s(call, server, now) + work_s
+            weights.wait * self.wait_s(call, server, now, tokens) + work_s
         )
         return cost_s + (SHEDDING_COST_S if server.shedding_until > now else 0.0)
 
-    def wait_s(self, call: Call, server: ServerLoad, now: float) -> float:
+    def wait_s(
+        self, call: Call, server: ServerLoad, now: float, uncached: float | None = None
+    ) -> float:
         """Return the predicted wait for the first prefill step at `server`, seconds.
 
         The fewer free slots the last report shows, the likelier another node takes the
         last one first, so that the request waits for a stream to end.
+
+        Parameters
+        ----------
+        uncached : float or None
+            Prompt tokens that `server` would have to compute; by default all.
         """
         view = server.view
         rate = view.prefill_tokens_per_s
@@ -298,7 +310,11 @@
             current_rate = rate / server.slowdown
             others = self.backlogs.tokens(server.id, now, current_rate)
         own = server.starting_tokens
-        tokens = self.contention.tokens_ahead(call, server.id, own, others)
+        if self.order.active:
+            own_s = (call.prompt_tokens if uncached is None else uncached) / rate
+            tokens = self.order.tokens_ahead(call, server.id, own_s, own, others)
+        else:
+            tokens = self.contention.tokens_ahead(call, server.id, own, others)
         waiting = self._work_s(server, tokens / rate)
         free = max(0, view.max_concurrent - server.load)
         return waiting + server.slowdown * self.policy.crowding_s / (1 + free)
@@ -348,7 +364,7 @@
         if self.backlogs is None or ticket.attempt:
             return ON_TIME
         rate = server.view.prefill_tokens_per_s
-        wait_s = self.wait_s(ticket.call, server, now)
+        wait_s = self.wait_s(ticket.call, server, now, ticket.uncached_tokens)
         starts_s = wait_s + self._work_s(server, ticket.uncached_tokens / rate)
         if ticket.fetch is not None:
             starts_s += ticket.fetch.transfer_s
--- a/packages/endive_core/src/endive_core/policy.py
+++ b/packages/endive_core/src/endive_core/policy.py
@@ -119,6 +119,14 @@
         ge=0,
         le=1,
     )
+    overtaking_share: float = parameter(
+        0.25,
+        "part of a service's prefill work, that of its shortest prompts, which may "
+        "overtake other prompts at the servers, if a route has a shorter target than "
+        "one with a more urgent priority; 0 disables it",
+        ge=0,
+        le=1,
+    )
     queue_heads_tried: int = parameter(
         8,
         "organisations whose first queued request is tried for one free slot",
--- a/packages/endive_core/src/endive_core/scheduler.py
+++ b/packages/endive_core/src/endive_core/scheduler.py
@@ -26,6 +26,7 @@
 from endive_core.placement import Placement
 from endive_core.policy import Policy
 from endive_core.prefilling import PrefillRate
+from endive_core.prompt_order import PromptOrder
 from endive_core.queueing import FairQueue
 from endive_core.resting import Resting
 from endive_core.servers import Random, ServerLoad, ServerSet
@@ -96,7 +97,10 @@
         self.throttling = Throttling(self.servers)
         self.resting = Resting(self.servers)
         self.contention = Contention(policy, self.servers)
-        self.placement = Placement(policy, self.servers, random, self.contention)
+        self.order = PromptOrder(policy, self.contention)
+        self.placement = Placement(
+            policy, self.servers, random, self.contention, self.order
+        )
         self.outliers = OutlierDetector(policy, self.servers)
         self.queue = FairQueue()
         self.crashes = crashes or CrashTable.from_policy(policy)
@@ -404,12 +408,16 @@
         ticket.dispatched_at = now
         ticket.first_token_at = None
         if self.placement.fetching is not None:
-            wait_s = self.placement.wait_s(ticket.call, server, now)
+            wait_s = self.placement.wait_s(
+                ticket.call, server, now, ticket.uncached_tokens
+            )
             self.placement.fetching.dispatched(ticket, server, wait_s, now)
         self.servers.adjust_prefill_backlog(
             server, 1, ticket.uncached_tokens, yields=ticket.yields
         )
         self.contention.dispatched(ticket)
+        prefill_s = ticket.uncached_tokens / server.view.prefill_tokens_per_s
+        self.order.dispatched(ticket, prefill_s, now)
         self.placement.pace(server, ticket.uncached_tokens, now)
         server.starting_suspects += ticket.suspect
         ticket.held_at = None
@@ -431,6 +439,7 @@
         ticket.first_token_at = now
         self._end_trial(ticket)
         self.contention.started(ticket, now)
+        self.order.ended(ticket)
         self.trials.table.add_answers(ticket.call.shared_parts, now)
         if self.placement.fetching is not None:
             self.placement.fetching.started(ticket, now)
@@ -602,6 +611,7 @@
         if ticket.fetch is not None and ticket.stage is Stage.DISPATCHED:
             self.placement.fetching.ended(ticket, now)
         self.contention.ended(ticket)
+        self.order.ended(ticket)
         server = self._server_load_of(ticket)
         if server is not None:
             if ticket.stage is Stage.DISPATCHED:
--- a/packages/endive_gateway/src/endive_gateway/context.py
+++ b/packages/endive_gateway/src/endive_gateway/context.py
@@ -20,6 +20,7 @@
 from endive_gateway.leaving_servers import LAST_SERVER_MARGIN_S, LeavingServers
 from endive_gateway.limit_sharing import LimitSharing
 from endive_gateway.metrics import GatewayMetrics
+from endive_gateway.order_exchange import OrderExchange
 from endive_gateway.origin_exchange import OriginExchange
 from endive_gateway.path_monitor import PathMonitor
 from endive_gateway.paths import ServerPaths
@@ -103,6 +104,8 @@
         Leases of any server's slot of a plain service with few of them.
     contention_exchange : ContentionExchange
         The nodes' demand by priority and organisation.
+    order_exchange : OrderExchange
+        The nodes' recent prefill work by length of the prompts.
     initialised : Event
         Set once the configuration and the list of servers have been read.
     incarnation : int
@@ -211,6 +214,7 @@
         self.cluster_clock = ClusterClock(time.monotonic, time.time)
         self.rollouts.cluster_now = lambda: self.cluster_clock.now()
         self.contention_exchange = ContentionExchange(self.placer, self.cluster_clock)
+        self.order_exchange = OrderExchange(self.placer)
         self.retry_budgets: dict[str, FleetRetryBudget] = {}
         self.work = WorkloadMeter()
         self.take_units: Callable[[OrganisationLimits, float], float] = (
@@ -273,6 +277,7 @@
         self.document = document
         self.placer.configure(table)
         self.contention_exchange.configure(table)
+        self.order_exchange.configure(table)
         self._update_initialised()
         return True
 
--- a/packages/endive_gateway/src/endive_gateway/forwarding.py
+++ b/packages/endive_gateway/src/endive_gateway/forwarding.py
@@ -331,9 +331,11 @@
     @property
     def server_priority(self) -> int:
         """Priority at the server, from 0, the highest, to LOWEST_SERVER_PRIORITY."""
-        contention = self.context.placer.ticket_schedulers[self.ticket].contention
-        if contention.active:
-            return contention.server_priority(self.ticket)
+        scheduler = self.context.placer.ticket_schedulers[self.ticket]
+        if scheduler.contention.active:
+            return scheduler.contention.server_priority(self.ticket)
+        if scheduler.order.active:
+            return scheduler.order.server_priority(self.ticket)
         return (
             LOWEST_SERVER_PRIORITY if self.ticket.yields else self.base_server_priority
         )
--- a/packages/endive_gateway/src/endive_gateway/gateway.py
+++ b/packages/endive_gateway/src/endive_gateway/gateway.py
@@ -179,6 +179,9 @@
         add_gauge("endive_contention_refused", contention.shed)
         add_gauge("endive_contention_late", contention.late)
         add_gauge("endive_contention_least_part", contention.least_part)
+        order = self.context.order_exchange
+        add_gauge("endive_prompts_overtaking", order.overtakers)
+        add_gauge("endive_prompts_overtaking_longest_seconds", order.longest_s)
         leasing = self.context.slot_leasing
         add_gauge(
             "endive_services_brittle", lambda: len(self.context.brittle_services.names)
--- a/packages/endive_gateway/src/endive_gateway/peers.py
+++ b/packages/endive_gateway/src/endive_gateway/peers.py
@@ -379,6 +379,7 @@
             )
         self.context.speed_exchange.hop_s = self.datagrams.pause_s
         self.context.contention_exchange.set_interval(interval_s)
+        self.context.order_exchange.set_interval(interval_s)
         self.context.limits.silence_timeout_s = max(
             SILENCE_TIMEOUT_S, MISSED_BROADCASTS * interval_s
         )
@@ -526,6 +527,7 @@
             slow_sources=context.prefix_fetching.next_reports(),
             pools_slots=context.settings.pools_slots,
             demand=context.contention_exchange.next_demand(),
+            prompt_work=context.order_exchange.next_work(),
             **context.server_statements.next_fields(),
         )
 
@@ -601,6 +603,7 @@
             )
         context.prefix_fetching.receive(address, message.slow_sources)
         context.contention_exchange.learn(address, message.demand)
+        context.order_exchange.learn(address, message.prompt_work)
         self._greet(peer, now)
         if message.complete and self.lacks_bootstrap():
             self.bootstrap_exchange.pull(self.port)
@@ -619,6 +622,7 @@
             context.limits.remove_peer(address)
             context.rollouts.forget_node(address)
             context.contention_exchange.remove(address)
+            context.order_exchange.remove(address)
             context.paths.transit.choice.offers.discard(address)
             self.known.pop(address, None)
 
--- a/packages/endive_gateway/src/endive_gateway/state_messages.py
+++ b/packages/endive_gateway/src/endive_gateway/state_messages.py
@@ -5,6 +5,7 @@
 
 import msgspec
 from endive_core.demand import DemandReport
+from endive_core.prompt_work import WorkReport
 
 from endive_gateway.exceptions import UndecodableError
 from endive_gateway.interfaces import Record, ServerDelta
@@ -101,6 +102,9 @@
         Whether the sender coordinates the slots of plain services with few of them.
     demand : dict of str to DemandReport
         The sender's demand for prefill of the services that admit by it.
+    prompt_work : dict of str to list of int
+        The sender's recent prefill work by length of the prompts, milliseconds, of the
+        services where short prompts may overtake others.
     """
 
     node: str
@@ -138,6 +142,7 @@
     slow_sources: list[tuple[str, int, float]] = []
     pools_slots: bool = False
     demand: dict[str, DemandReport] = {}
+    prompt_work: dict[str, WorkReport] = {}
 
 
 DECODER = msgspec.msgpack.Decoder(StateMessage)
