Bound the servers whose crashes are remembered for rollouts

Cause: each node kept the id of every server that had crashed since the node's start, whether or not a rollout was ever ordered.

Change: the last 512 are kept.

Result: the new test fails without the change (522 entries); the tests of packages/endive_gateway/tests/test_rollout*.py pass.

--- a/packages/endive_gateway/src/endive_gateway/rollout_observation.py
+++ b/packages/endive_gateway/src/endive_gateway/rollout_observation.py
@@ -28,6 +28,11 @@
 """Largest slowdown stated by a server that is taken into account."""
 
 
+MAX_CRASHED = 512
+"""Most ends of servers that are remembered. The attempts that one ends fail within
+seconds."""
+
+
 class Observation:
     """One attempt at a server of a service under a rollout.
 
@@ -128,8 +133,8 @@
     ----------
     open : dict of Observation to None
         Attempts that have not ended.
-    crashed : set of str
-        Ids with incarnations of servers that have crashed.
+    crashed : dict of str to None
+        Ids with incarnations of the servers that crashed last, as an ordered set.
     is_evidence_new : bool
         Whether responses of a candidate have been counted since the last report.
     send_evidence : callable
@@ -143,13 +148,17 @@
         self.division = division
         self.placer = placer
         self.open: dict[Observation, None] = {}
-        self.crashed: dict[str, float] = {}
+        self.crashed: dict[str, None] = {}
         self.is_evidence_new = False
         self.next_check_at = 0.0
         self.send_evidence = lambda: None
-        placer.crashes.listeners.append(
-            lambda crash: self.crashed.__setitem__(crash.server, crash.at)
-        )
+        placer.crashes.listeners.append(lambda crash: self._note_crash(crash.server))
+
+    def _note_crash(self, server: str) -> None:
+        self.crashed.pop(server, None)
+        self.crashed[server] = None
+        if len(self.crashed) > MAX_CRASHED:
+            del self.crashed[next(iter(self.crashed))]
 
     def run(self) -> None:
         """Update the counts and compare, without end; the body of a greenlet."""
--- a/packages/endive_gateway/tests/test_rollouts.py
+++ b/packages/endive_gateway/tests/test_rollouts.py
@@ -2,8 +2,10 @@
 
 import gevent
 import pytest
+from endive_core.crashes import Crash
 from endive_core.rollouts import Stage, StageKind
 from endive_gateway.rollout_messages import MAX_ORDERS, MAX_TOTALS
+from endive_gateway.rollout_observation import MAX_CRASHED
 from endive_gateway.rollouts import ISOLATED_S
 from gateway_builders import SERVICE
 from rollout_builders import NEW, OLD, TwoVersions, order, prove, put_server
@@ -214,3 +216,14 @@
     reports = [rollouts.next_report().totals for _ in range(60)]
     assert {totals.service for report in reports for totals in report} == names
     assert {len(report) for report in reports} == {MAX_TOTALS}
+
+
+def test_crashes_are_not_remembered_for_ever(versions):
+    """The table grew with each crash of any server since the node's start, also in
+    deployments that never had a rollout."""
+    observer = versions.context.rollout_observer
+    crashes = versions.context.placer.crashes
+    for number in range(MAX_CRASHED + 10):
+        crashes.add(Crash("f", f"i-{number}@1", float(number)))
+    assert len(observer.crashed) == MAX_CRASHED
+    assert f"i-{MAX_CRASHED + 9}@1" in observer.crashed
