--- a/packages/endive_gateway/src/endive_gateway/__init__.py
+++ b/packages/endive_gateway/src/endive_gateway/__init__.py
@@ -25,7 +25,7 @@
   ``coordinators``, ``slot_messages``
 - what servers state of themselves: ``server_statements``, ``stated_values``,
   ``limit_sharing``, ``brittle_services``, ``server_rests``, ``leaving_servers``,
-  ``speed_exchange``
+  ``speed_exchange``, ``figures``
 - rollouts: ``rollouts``, ``rollout_control``, ``rollout_messages``,
   ``rollout_observation``, ``version_division``
 - cluster-wide duties, performed by one node at a time: ``duties``, ``autoscaling``
