--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -230,6 +230,19 @@
         read_settings(str(path))
 
 
+@pytest.mark.parametrize(
+    "address", ["", "10.1.0.14", "10.1.0.14:", "10.1.0.14:x", "10.1.0.14:0"]
+)
+def test_an_address_without_a_port_is_an_error_of_the_settings(tmp_path, address):
+    """Other errors end the greenlet that watches the file, so that the corrected file
+    is not read."""
+    path = tmp_path / "local.json"
+    listen = {"front": "10.1.0.14:8221", "ready_addr": address}
+    path.write_text(json.dumps(settings(listen=listen)))
+    with pytest.raises(SettingsError, match=r"local\.json: .*listen"):
+        to_gateway_settings(read_settings(str(path)))
+
+
 def test_missing_settings_name_the_environment_variable(monkeypatch):
     monkeypatch.delenv("ENDIVESTACK_BOOT", raising=False)
     with pytest.raises(SettingsError, match="ENDIVESTACK_BOOT"):
