Close the connection of a call that is given up before it is sent

Cause: a call is sent by a greenlet, which closes its connection if it is killed. A node that gets no processor time for as long as the call's time-out kills it before it has begun; it then never runs. The connection stayed open for as long as anything referred to it, such as the frames of the error.

Change: the connection is closed when the greenlet ends by being killed, begun or not.

Result: the new test fails without the change (4 connections open of 4 calls); with it the tests of test_platform_overload.py and test_platform_store.py pass.

--- a/packages/endive_gateway/src/endive_gateway/service_client.py
+++ b/packages/endive_gateway/src/endive_gateway/service_client.py
@@ -141,6 +141,7 @@
     ) -> CallResponse:
         sent_at = monotonic()
         exchange = gevent.spawn(self._exchange, connection, head, body, wait_s)
+        exchange.rawlink(lambda ended: _close_if_killed(ended, connection))
         try:
             while not exchange.ready():
                 left_s = sent_at + self._timeout_s() + wait_s - monotonic()
@@ -192,3 +193,9 @@
         else:
             connection.close()
         return response
+
+
+def _close_if_killed(exchange: gevent.Greenlet, connection: Connection) -> None:
+    """Close the connection of a killed exchange, which may not have begun."""
+    if isinstance(exchange.value, gevent.GreenletExit):
+        connection.close()
--- a/tests/test_platform_overload.py
+++ b/tests/test_platform_overload.py
@@ -96,3 +96,18 @@
     gevent.killall(loops)
     gevent.sleep(0.05)
     assert len(connections) <= 1
+
+
+def test_a_call_given_up_before_it_was_sent_keeps_no_connection(
+    silent_platform, connections
+):
+    """A node that gets no processor time for a while gives a call up before the
+    greenlet that was to send it has begun, so that this can't close its connection."""
+    silent_platform._timeout_s = lambda: 0.0
+    errors = []
+    for _ in range(4):
+        with pytest.raises(CallFailedError) as failure:
+            silent_platform.call("GET", "/x", wait_s=1e-9)
+        errors.append(failure)  # with the frames, which refer to the connection
+    gevent.sleep(0.05)
+    assert not connections
