Move the state of shared limits to a module of its own

Moves SpendingOrigin, PeerSpending and Allowance unchanged. The tests of shared limits and of their coordination pass.

--- /dev/null
+++ b/packages/endive_core/src/endive_core/allowances.py
@@ -0,0 +1,91 @@
+"""State of shared limits: nodes' reported spending, and the token bucket."""
+
+from collections import deque
+from dataclasses import dataclass, field
+
+
+@dataclass(frozen=True, slots=True)
+class SpendingOrigin:
+    """The node that reports its spending, and how recent the report is.
+
+    Attributes
+    ----------
+    incarnation : int
+        Differs with each start of the node.
+    sequence : int
+        Number of state broadcasts the node had sent since it started.
+    age_s : float
+        Seconds since the node started.
+    """
+
+    node: str
+    incarnation: int
+    sequence: int
+    age_s: float
+
+
+@dataclass
+class PeerSpending:
+    """What another node has spent since it started, as last reported.
+
+    Attributes
+    ----------
+    spent : dict
+        Units by organisation.
+    last_updates : dict
+        For each organisation the newest update sent outside the state broadcasts: the
+        sequence number of the node's last broadcast before it, and the units. A
+        broadcast up to that number is older than the update.
+    last_seen_at : float
+        When the node was last in contact, on this node's clock.
+    started_at : float
+        When the node started, on this node's clock.
+    """
+
+    spent: dict[str, float] = field(default_factory=dict)
+    last_updates: dict[str, tuple[int, float]] = field(default_factory=dict)
+    incarnation: int = 0
+    last_seen_at: float = 0.0
+    started_at: float = 0.0
+
+
+@dataclass
+class Allowance:
+    """Token bucket of one organisation's limit, as all nodes together have spent it.
+
+    A request may take it below zero, which the next seconds pay back. Otherwise a
+    request larger than what is left would never fit.
+
+    Attributes
+    ----------
+    anticipated : deque of [float, float]
+        Spending of other nodes that was deducted before those nodes reported it: until
+        when it is awaited, and the units.
+    """
+
+    units: float = 0.0
+    updated_at: float = 0.0
+    anticipated: deque[list[float]] = field(default_factory=deque)
+
+    def refill(self, now: float, *, rate: float, burst: float) -> None:
+        """Add the units earned at `rate` since the last refill, up to `burst`."""
+        self.units += rate * max(0.0, now - self.updated_at)
+        self.units = min(self.units, burst)
+        self.updated_at = now
+
+    def lower(self, units: float, until: float) -> None:
+        """Lower it to `units` for spending that other nodes report by `until`."""
+        if units < self.units:
+            self.anticipated.append([until, self.units - units])
+            self.units = units
+
+    def charge(self, units: float, now: float) -> None:
+        """Deduct reported spending, but for what was deducted for it before."""
+        while units > 0 and self.anticipated:
+            until, awaited = self.anticipated[0]
+            taken = min(units, awaited) if until >= now else 0.0
+            units -= taken
+            self.anticipated[0][1] -= taken
+            if until < now or self.anticipated[0][1] <= 0:
+                self.anticipated.popleft()
+        self.units -= units
