Tell requests beyond a limit a time at which they are admitted

Cause: the Retry-After of a refused request was the time until the limit is positive for one caller, and hundreds were told the same.

Change: nodes count the units that all of them have refused, from a total in the state messages, and tell a request a time behind them. The time lies in a window that follows from the request's fingerprint and the clock that all nodes share, so no node keeps a record. First requests leave a reserve to those that return, and less urgent ones a larger one while the limit is short; one in four of each kind is treated as the most urgent. Grant requests carry the reserve.

--- a/packages/endive_core/src/endive_core/allowances.py
+++ b/packages/endive_core/src/endive_core/allowances.py
@@ -40,6 +40,8 @@
         When the node was last in contact, on this node's clock.
     started_at : float
         When the node started, on this node's clock.
+    refused : dict
+        Units by organisation that it has refused since it started.
     """
 
     spent: dict[str, float] = field(default_factory=dict)
@@ -47,6 +49,7 @@
     incarnation: int = 0
     last_seen_at: float = 0.0
     started_at: float = 0.0
+    refused: dict[str, float] = field(default_factory=dict)
 
 
 @dataclass
--- a/packages/endive_core/src/endive_core/shared_limits.py
+++ b/packages/endive_core/src/endive_core/shared_limits.py
@@ -13,8 +13,10 @@
 """
 
 from collections.abc import Callable, Mapping
+from types import MappingProxyType
 
 from endive_core.allowances import Allowance, PeerSpending, SpendingOrigin
+from endive_core.limit_order import LimitOrder, SpendingClaim
 
 SILENCE_TIMEOUT_S = 0.9
 """Seconds of silence after which a node counts as cut off. It may go on spending, so
@@ -82,6 +84,8 @@
         The share of the nodes in contact when it was last counted.
     share_counted_at : float
         When that was.
+    order : LimitOrder
+        The requests that were refused and may return, and which go first.
     terms_of : callable
         Returns an organisation's rate and burst, or ``None`` if it has no limit.
     """
@@ -96,6 +100,7 @@
         self.allowances: dict[str, Allowance] = {}
         self.small_request_allowances: dict[str, Allowance] = {}
         self.share, self.share_counted_at = 1.0, float("-inf")
+        self.order = LimitOrder()
         self.terms_of: Callable[[str], tuple[float, float] | None] = lambda name: None
 
     def own_totals(self) -> dict[str, float]:
@@ -103,23 +108,41 @@
         return self.spent
 
     def receive(
-        self, origin: SpendingOrigin, spent: Mapping[str, float], now: float
+        self,
+        origin: SpendingOrigin,
+        spent: Mapping[str, float],
+        now: float,
+        refused: Mapping[str, float] = MappingProxyType({}),
     ) -> None:
-        """Apply a state broadcast: what another node has spent since it started."""
+        """Apply a state broadcast: what another node has done since it started.
+
+        Parameters
+        ----------
+        spent, refused : mapping of str to float
+            Units by organisation.
+        """
         peer = self._current_peer(origin)
         if peer is None:
             before: dict[str, float] = {}
+            refused_before: dict[str, float] = {}
             if not self._started_recently(origin, now):
                 before = dict(spent)
+                refused_before = dict(refused)
                 # What that node has spent until now is not known, so nothing was left.
                 self.credit_since = max(self.credit_since, now - INITIAL_CREDIT_S)
             peer = self._reset_peer(origin, before, now)
+            peer.refused = refused_before
         peer.last_seen_at = now
         for organisation, units in spent.items():
             update_sequence, update = peer.last_updates.get(organisation, (0, 0.0))
             if origin.sequence <= update_sequence:
                 units = max(units, update)
             self._charge(peer, organisation, units, now)
+        for organisation, units in refused.items():
+            new = units - peer.refused.get(organisation, 0.0)
+            peer.refused[organisation] = units
+            if new > 0:
+                self.order.add(organisation, new, now)
 
     def apply_update(
         self, origin: SpendingOrigin, organisation: str, units: float, now: float
@@ -225,7 +248,14 @@
         return (nodes - silent) / nodes
 
     def wait_s(
-        self, organisation: str, units: float, now: float, *, rate: float, burst: float
+        self,
+        organisation: str,
+        units: float,
+        now: float,
+        *,
+        rate: float,
+        burst: float,
+        claim: SpendingClaim | None = None,
     ) -> float:
         """Spend `units` and return 0 if they are admitted, else the seconds to wait.
 
@@ -233,13 +263,45 @@
         ----------
         rate, burst : float
             The whole limit of all nodes together, in units per second and units.
+        claim : SpendingClaim, optional
+            The request's turn; without one it is in order of arrival, and the time to
+            wait is until units are left for one request.
         """
-        left, _ = self.left(organisation, now, rate=rate, burst=burst)
-        if left <= 0 and not self._take_reserved(organisation, units, now, rate, burst):
-            return self._wait_until_positive(left, rate, now)
+        left, most = self.left(organisation, now, rate=rate, burst=burst)
+        reserve = self.order.reserve_share(organisation, claim, now) * most
+        if left <= reserve and not self._take_reserved(
+            organisation, units, now, rate, burst
+        ):
+            return self.refuse(organisation, units, now, rate=rate, claim=claim)
         self.spend(organisation, units)
         return 0.0
 
+    def refuse(
+        self,
+        organisation: str,
+        units: float,
+        now: float,
+        *,
+        rate: float,
+        claim: SpendingClaim | None,
+        wait_s: float = 0.0,
+    ) -> float:
+        """Return the seconds after which a refused request is admitted, and count it.
+
+        Parameters
+        ----------
+        wait_s : float
+            Seconds until units are left, as the limit's coordinator counts them.
+        """
+        left = self._allowance(organisation).units
+        wait_s = max(wait_s, self._wait_until_above(0.0, left, rate, now))
+        if claim is None:
+            return wait_s
+        rate *= self.reachable_share(now)
+        return self.order.return_in_s(
+            organisation, claim, units, now, rate=rate, earliest_s=wait_s
+        )
+
     def _take_reserved(
         self, organisation: str, units: float, now: float, rate: float, burst: float
     ) -> bool:
@@ -273,6 +335,7 @@
         *,
         rate: float,
         burst: float,
+        reserve_share: float = 0.0,
     ) -> float | None:
         """Decide on another node's request to spend, and charge it if granted.
 
@@ -280,6 +343,8 @@
         ----------
         total : float
             Units the node has spent since it started, including what it asks for.
+        reserve_share : float
+            Part of the limit's capacity that is left to other requests.
 
         Returns
         -------
@@ -287,9 +352,10 @@
             0 if granted, else the seconds to wait; ``None`` if the node's spending
             isn't known well enough to decide.
         """
-        left, _ = self.left(organisation, now, rate=rate, burst=burst)
-        if left <= 0:
-            return self._wait_until_positive(left, rate, now)
+        left, most = self.left(organisation, now, rate=rate, burst=burst)
+        reserve = reserve_share * most
+        if left <= reserve:
+            return self._wait_until_above(reserve, left, rate, now)
         return 0.0 if self.apply_update(origin, organisation, total, now) > 0 else None
 
     def learn_left(self, organisation: str, left: float, now: float) -> None:
@@ -304,8 +370,11 @@
         until = now + self.silence_timeout_s
         self._allowance(organisation).lower(left, until)
 
-    def _wait_until_positive(self, left: float, rate: float, now: float) -> float:
-        return 0.001 - left / (rate * self.reachable_share(now))
+    def _wait_until_above(
+        self, reserve: float, left: float, rate: float, now: float
+    ) -> float:
+        missing = max(0.0, reserve - left)
+        return 0.001 + missing / (rate * self.reachable_share(now))
 
     def left(
         self, organisation: str, now: float, *, rate: float, burst: float
@@ -320,6 +389,13 @@
         most = (burst + SLACK_BURST_SHARE * self.slack) * share
         allowance = self._allowance(organisation)
         allowance.refill(now, rate=rate * share, burst=most)
+        if most > 0:
+            self.order.update(
+                organisation,
+                now,
+                rate=rate * share,
+                left_share=allowance.units / most,
+            )
         return allowance.units, most
 
     def refund(self, organisation: str, units: float) -> None:
--- a/packages/endive_gateway/src/endive_gateway/context.py
+++ b/packages/endive_gateway/src/endive_gateway/context.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 from endive_core.clocks import ClusterClock
+from endive_core.limit_order import SpendingClaim
 from endive_core.metering import UsageMeter
 from endive_core.retrying import FleetRetryBudget
 from endive_core.routing import CallerLimits, OrganisationLimits, RoutingTable
@@ -213,9 +214,9 @@
         self.contention_exchange = ContentionExchange(self.placer, self.cluster_clock)
         self.retry_budgets: dict[str, FleetRetryBudget] = {}
         self.work = WorkloadMeter()
-        self.take_units: Callable[[OrganisationLimits, float], float] = (
-            self._take_locally
-        )
+        self.take_units: Callable[
+            [OrganisationLimits, float, SpendingClaim | None], float
+        ] = self._take_locally
         self.on_prompt: Callable[[str, float, float], None] = lambda *sent: None
         self.initialised = Event()
         self.registry.listeners.append(self._update_initialised)
@@ -248,10 +249,20 @@
         terms = self.terms(organisation)
         return (terms.rate, terms.burst) if terms and terms.rate > 0 else None
 
-    def _take_locally(self, terms: OrganisationLimits, units: float) -> float:
+    def _take_locally(
+        self,
+        terms: OrganisationLimits,
+        units: float,
+        claim: SpendingClaim | None = None,
+    ) -> float:
         """Take units without notifying other nodes."""
         return self.limits.wait_s(
-            terms.name, units, time.monotonic(), rate=terms.rate, burst=terms.burst
+            terms.name,
+            units,
+            time.monotonic(),
+            rate=terms.rate,
+            burst=terms.burst,
+            claim=claim,
         )
 
     def configure(self, table: RoutingTable, document: bytes, source: str) -> bool:
@@ -273,6 +284,7 @@
         self.document = document
         self.placer.configure(table)
         self.contention_exchange.configure(table)
+        self.limits.order.set_priorities(route.priority for route in table.routes)
         self._update_initialised()
         return True
 
--- a/packages/endive_gateway/src/endive_gateway/forwarding.py
+++ b/packages/endive_gateway/src/endive_gateway/forwarding.py
@@ -263,7 +263,10 @@
         if terms is None or terms.rate <= 0:
             return
         units = terms.units(self.metadata.prompt_tokens, self.metadata.max_tokens)
-        wait = self.context.take_units(terms, units)
+        order = self.context.limits.order
+        claim = order.claim(call.fingerprint, -call.level)
+        returns = order.in_window(claim, self.now)
+        wait = self.context.take_units(terms, units, claim)
         if wait > 0:
             log_event(
                 "limit_exceeded",
@@ -272,6 +275,9 @@
                 units=units,
                 rate=terms.rate,
                 wait_s=wait,
+                ahead=order.units_ahead(terms.name),
+                deferral=claim.deferral,
+                in_window=returns,
                 part=self.context.limits.reachable_share(self.now),
             )
             raise EndiveError(
--- a/packages/endive_gateway/src/endive_gateway/spending.py
+++ b/packages/endive_gateway/src/endive_gateway/spending.py
@@ -23,6 +23,7 @@
     coordinator_for,
     may_spend_without_grant,
 )
+from endive_core.limit_order import SpendingClaim
 from endive_core.routing import OrganisationLimits
 from endive_node.logs import log_event
 from gevent.event import AsyncResult, Event
@@ -114,7 +115,12 @@
         """Stop receiving and close the port."""
         self.datagrams.stop()
 
-    def try_spend(self, terms: OrganisationLimits, units: float) -> float:
+    def try_spend(
+        self,
+        terms: OrganisationLimits,
+        units: float,
+        claim: SpendingClaim | None = None,
+    ) -> float:
         """Spend `units` and return 0 if a request is allowed, else the seconds to wait.
 
         See :meth:`endive_core.shared_limits.SharedLimits.wait_s`. In a large fleet a
@@ -130,17 +136,30 @@
         unanswered = 0
         for _ in range(MAX_GRANT_REQUESTS):
             now = time.monotonic()
-            left, _ = limits.left(terms.name, now, rate=terms.rate, burst=terms.burst)
+            left, most = limits.left(
+                terms.name, now, rate=terms.rate, burst=terms.burst
+            )
+            reserve_share = limits.order.reserve_share(terms.name, claim, now)
+            left -= reserve_share * most
             coordinator = self._coordinator(terms.name)
             if coordinator == self.address or not self._needs_grant(units, left):
-                return self._spend_locally(terms, units, now)
-            wait_s = self._request_grant(coordinator, terms.name, units)
+                return self._spend_locally(terms, units, now, claim)
+            wait_s = self._request_grant(coordinator, terms.name, units, reserve_share)
             if wait_s is None:
                 unanswered += 1
                 if unanswered == MAX_GRANT_ATTEMPTS:
                     break
+            elif wait_s == 0.0:
+                return 0.0
             elif wait_s != DECLINED:
-                return wait_s
+                return limits.refuse(
+                    terms.name,
+                    units,
+                    time.monotonic(),
+                    rate=terms.rate,
+                    claim=claim,
+                    wait_s=wait_s,
+                )
         return GRANT_RETRY_AFTER_S
 
     def _knows_fleet(self) -> bool:
@@ -168,17 +187,21 @@
         return not may_spend_without_grant(units, left=left, nodes=nodes)
 
     def _spend_locally(
-        self, terms: OrganisationLimits, units: float, now: float
+        self,
+        terms: OrganisationLimits,
+        units: float,
+        now: float,
+        claim: SpendingClaim | None,
     ) -> float:
         wait_s = self.context.limits.wait_s(
-            terms.name, units, now, rate=terms.rate, burst=terms.burst
+            terms.name, units, now, rate=terms.rate, burst=terms.burst, claim=claim
         )
         if wait_s <= 0:
             self.report_spent(terms.name, units)
         return wait_s
 
     def _request_grant(
-        self, coordinator: str, organisation: str, units: float
+        self, coordinator: str, organisation: str, units: float, reserve_share: float
     ) -> float | None:
         """Request a grant from the coordinator, and spend if it is given.
 
@@ -200,7 +223,8 @@
             total = self._own_entry(organisation, self.requested_units[organisation])
             now = time.monotonic()
             skipped = [node for node, t in self.skipped_until.items() if t > now]
-            self._send(GrantRequest(number, total, skipped), [coordinator])
+            request = GrantRequest(number, total, skipped, reserve_share=reserve_share)
+            self._send(request, [coordinator])
             wait_s = reply.get(timeout=GRANT_TIMEOUT_S)
         except gevent.Timeout:
             self._skip_node(coordinator)
@@ -247,6 +271,7 @@
             time.monotonic(),
             rate=terms.rate,
             burst=terms.burst,
+            reserve_share=request.reserve_share,
         )
         if wait_s is None:
             self._send(GrantDeclined(request.number), [total.address])
--- a/packages/endive_gateway/src/endive_gateway/spending_messages.py
+++ b/packages/endive_gateway/src/endive_gateway/spending_messages.py
@@ -1,5 +1,7 @@
 """Messages with which gateways report spending, and request and give grants."""
 
+from typing import Annotated
+
 import msgspec
 from endive_core.shared_limits import SpendingOrigin
 
@@ -55,12 +57,15 @@
         Addresses of nodes that lately left the requesting node without a reply.
     forwarded : bool
         Whether it comes from another node than the requesting one.
+    reserve_share : float
+        Part of the limit's capacity that the request leaves to others.
     """
 
     number: int
     total: NodeSpending
     skipped: list[str] = []
     forwarded: bool = False
+    reserve_share: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.0
 
 
 class GrantReply(msgspec.Struct, array_like=True, tag="grant"):
--- a/packages/endive_gateway/src/endive_gateway/state_messages.py
+++ b/packages/endive_gateway/src/endive_gateway/state_messages.py
@@ -101,6 +101,9 @@
         Whether the sender coordinates the slots of plain services with few of them.
     demand : dict of str to DemandReport
         The sender's demand for prefill of the services that admit by it.
+    refused : dict of str to float
+        Units of each organisation's limit that the sender has refused since its start
+        and told to return.
     """
 
     node: str
@@ -138,6 +141,7 @@
     slow_sources: list[tuple[str, int, float]] = []
     pools_slots: bool = False
     demand: dict[str, DemandReport] = {}
+    refused: dict[str, float] = {}
 
 
 DECODER = msgspec.msgpack.Decoder(StateMessage)
