Promise less of a limit to requests that return while first ones can be in time

Cause: half of the rate went to requests that return, most of them after their targets.

Change: a tenth of the rate is promised within 5 s, half of it beyond. Refusals of organisations that have no limit are not counted.

--- a/packages/endive_core/src/endive_core/limit_order.py
+++ b/packages/endive_core/src/endive_core/limit_order.py
@@ -32,10 +32,18 @@
 """Time over which the returns within one window are spread, seconds. The rest of the
 window allows for the delays of callers and the network."""
 
-RETURN_RATE_SHARE = 0.5
-"""Share of a limit's rate that is promised to requests that were refused. Most of them
-have missed their target when they return, so the larger part goes to first requests:
-this share, less what returns for other reasons than a promise."""
+NEAR_S = 5.0
+"""Time for which less of the rate is promised, seconds. Callers' deadlines are 3 to 15
+s, and the longest target is 3 s."""
+
+NEAR_RATE_SHARE = 0.1
+"""Share of a limit's rate that is promised to requests that return within that time.
+Most have missed their target by then, while first requests can still be in time: with
+half of the rate, simulated callers got 0.40 of the value instead of 0.46."""
+
+LATER_RATE_SHARE = 0.5
+"""Share of a limit's rate that is promised beyond `NEAR_S`. The other half is for first
+requests, also where the excess lasts until then."""
 
 RETURN_RESERVE = 0.2
 """Share of a limit's capacity that first requests leave while refused ones are awaited,
@@ -138,10 +146,9 @@
         if left_share >= FULL_SHARE:
             del self.backlogs[organisation]
             return
-        promised = RETURN_RATE_SHARE * rate
         passed_s = max(0.0, now - backlog.updated_at)
-        backlog.units = min(backlog.units, MAX_BACKLOG_S * promised)
-        backlog.units = max(0.0, backlog.units - promised * passed_s)
+        left_s = min(MAX_BACKLOG_S, _time_of(backlog.units / rate)) - passed_s
+        backlog.units = rate * _rate_seconds_of(max(0.0, left_s))
         backlog.updated_at = now
 
     def add(self, organisation: str, units: float, now: float) -> None:
@@ -186,7 +193,7 @@
         earliest_s : float
             Seconds until units are left.
         """
-        ahead_s = self.units_ahead(organisation) / (RETURN_RATE_SHARE * rate)
+        ahead_s = _time_of(self.units_ahead(organisation) / rate)
         earliest_s = max(earliest_s, min(ahead_s, MAX_BACKLOG_S))
         awaited = 0.0 if self.in_window(claim, now) else units
         self.add(organisation, awaited, now)
@@ -213,3 +220,22 @@
     spread = shard_of(f"spread {fingerprint}", 1024) / 1024
     phase = own + EARLY_S + spread * SPREAD_S
     return start + (phase - start) % period_s
+
+
+def _time_of(rate_seconds: float) -> float:
+    """Return the time for which a backlog of so many seconds of the rate is promised.
+
+    What is promised at a moment follows from the backlog when it was promised, so the
+    promises for any moment are within the shares above.
+    """
+    later = rate_seconds - NEAR_S * NEAR_RATE_SHARE
+    if later <= 0:
+        return rate_seconds / NEAR_RATE_SHARE
+    return NEAR_S + later / LATER_RATE_SHARE
+
+
+def _rate_seconds_of(time_s: float) -> float:
+    """Return the backlog that is promised for so long, in seconds of the rate."""
+    if time_s <= NEAR_S:
+        return time_s * NEAR_RATE_SHARE
+    return NEAR_S * NEAR_RATE_SHARE + (time_s - NEAR_S) * LATER_RATE_SHARE
--- a/packages/endive_core/src/endive_core/shared_limits.py
+++ b/packages/endive_core/src/endive_core/shared_limits.py
@@ -141,7 +141,7 @@
         for organisation, units in refused.items():
             new = units - peer.refused.get(organisation, 0.0)
             peer.refused[organisation] = units
-            if new > 0:
+            if new > 0 and self.terms_of(organisation) is not None:
                 self.order.add(organisation, new, now)
 
     def apply_update(
--- a/packages/endive_core/tests/limit_order_simulation.py
+++ b/packages/endive_core/tests/limit_order_simulation.py
@@ -1,9 +1,12 @@
 """Builder of callers that exceed a limit at simulated nodes, and return when told."""
 
 import heapq
+import itertools
+import sys
 from collections import Counter
 from dataclasses import dataclass, field
 from random import Random
+from statistics import median
 
 from endive_core.hashing import fingerprint
 from endive_core.limit_coordination import (
@@ -13,6 +16,7 @@
 )
 from test_limit_coordination import BURST, RATE, SLACK, WINDOW_S, Fleet
 
+FLOOD_AT_S, FLOOD_S = 6.0, 11.0
 BOUND = RATE * WINDOW_S + BURST + 0.4 * SLACK
 
 
@@ -41,7 +45,6 @@
     fingerprint: str
     first_at: float
     told: list[float] = field(default_factory=list)
-    refused_at: list[float] = field(default_factory=list)
     admitted_at: float | None = None
 
 
@@ -91,8 +94,8 @@
 
     # Requests
 
-    def coordinator(self, node):
-        if node.name in self.cut_off:
+    def coordinator(self, node=None):
+        if node is not None and node.name in self.cut_off:
             return node
         names = self.live.keys() - self.cut_off
         return self.live[coordinator_for("o", sorted(names))]
@@ -118,7 +121,7 @@
         if wait_s:
             self.refused(caller, wait_s)
             return
-        self.admitted_at(caller)
+        self.admit(caller, node)
         if node is coordinator:
             self.count_at_coordinator(node, node.name, caller.units)
         else:
@@ -154,19 +157,18 @@
         node.requested -= caller.units
         if wait_s == 0.0:
             node.limits.spend("o", caller.units)
-            self.admitted_at(caller)
+            self.admit(caller, node)
             return
         wait_s = node.limits.refuse(
             "o", caller.units, self.now, rate=RATE, claim=claim, wait_s=wait_s or 0.0
         )
         self.refused(caller, wait_s)
 
-    def admitted_at(self, caller):
+    def admit(self, caller, node):
         caller.admitted_at = self.now
-        self.spent.append((self.now, caller.units))
+        self.spent.append((self.now, caller.units, node.name))
 
     def refused(self, caller, wait_s):
-        caller.refused_at.append(self.now)
         caller.told.append(wait_s)
         at = self.now + wait_s
         in_time = at < caller.first_at + caller.kind.deadline_s
@@ -197,9 +199,6 @@
 
     # Results
 
-    def since(self, start=0.0):
-        return [caller for caller in self.callers if caller.first_at >= start]
-
     def honest(self):
         """Return how many callers returned when told, and how many were admitted."""
         returned = [
@@ -210,19 +209,25 @@
         admitted = sum(caller.admitted_at is not None for caller in returned)
         return len(returned), admitted
 
-    def served(self, start, end):
-        """Return the part of each kind's requests that was admitted."""
+    def served(self):
+        """Return the part of each kind's requests in the flood that was admitted."""
         sent, served = Counter(), Counter()
         for caller in self.callers:
-            if start <= caller.first_at < end:
+            if FLOOD_AT_S <= caller.first_at < FLOOD_AT_S + FLOOD_S:
                 sent[caller.kind.name] += 1
                 served[caller.kind.name] += caller.admitted_at is not None
         return {name: served[name] / sent[name] for name in sent}
 
+    def spent_by(self, name, start, end):
+        """Return the units that a node has spent from `start` to `end`."""
+        return sum(
+            u for at, u, node in self.spent if node == name and start <= at < end
+        )
+
     def most_in_window(self):
         """Return the most units spent in any window."""
         first, total, most = 0, 0.0, 0.0
-        for at, units in self.spent:
+        for at, units, _ in self.spent:
             total += units
             while self.spent[first][0] <= at - WINDOW_S:
                 total -= self.spent[first][1]
@@ -231,11 +236,39 @@
         return most
 
 
-def flooded(size, *, factor=2.6, **options):
-    """Return a fleet after a flood of 11 s and the 20 s after it."""
+def flooded(size, *, factor=2.6, after_s=20.0, fault=lambda fleet: None, **options):
+    """Return a fleet after a flood of 11 s and the time after it.
+
+    Parameters
+    ----------
+    fault : callable
+        Called 3 s after the flood's begin.
+    """
     fleet = CallerFleet(size, **options)
-    fleet.load(6.0, 0.6 * RATE)
-    fleet.load(11.0, factor * RATE)
-    fleet.load(20.0, 0.6 * RATE)
-    fleet.run_until(fleet.now + 10.0)
+    fleet.load(FLOOD_AT_S, 0.6 * RATE)
+    fleet.schedule(3.0, fault, fleet)
+    fleet.load(FLOOD_S, factor * RATE)
+    fleet.load(after_s, 0.6 * RATE)
+    fleet.run_until(fleet.now + after_s / 2)
     return fleet
+
+
+def row(size, **options):
+    """Return the figures of one simulation as a line of text."""
+    fleet = flooded(size, **options)
+    returned, admitted = fleet.honest()
+    told = [caller.told[0] for caller in fleet.callers if caller.told]
+    parts = fleet.served()
+    return (
+        f"{size} nodes, {options}: {len(told)} refused, told {median(told):.2f} s, "
+        f"{admitted} of {returned} admitted on return, {fleet.most_in_window():.0f} of "
+        f"{BOUND:.0f} in a window; admitted "
+        + ", ".join(f"{name} {part:.2f}" for name, part in parts.items())
+    )
+
+
+if __name__ == "__main__":
+    for nodes, ordered, patient in itertools.product(
+        map(int, sys.argv[1:]), (False, True), (False, True)
+    ):
+        print(row(nodes, ordered=ordered, patient=patient), flush=True)
