--- a/packages/endive_core/src/endive_core/allowances.py
+++ b/packages/endive_core/src/endive_core/allowances.py
@@ -3,6 +3,16 @@
 from collections import deque
 from dataclasses import dataclass, field
 
+SMALL_REQUEST_SHARE = 0.01
+"""Share of a limit's burst up to which a request counts as small. A call to a plain
+service, such as a booking, has 200 units; a prompt has up to 23,000."""
+
+RESERVED_RATE_SHARE = 0.05
+"""Share of each limit's rate that small requests may take although nothing is left,
+divided among the nodes. It is charged like all other spending, so the rate holds. The
+debt grows by at most this share of the rate per second, half of what operators
+tolerate."""
+
 
 @dataclass(frozen=True, slots=True)
 class SpendingOrigin:
@@ -92,3 +102,33 @@
             if until < now or self.anticipated[0][1] <= 0:
                 self.anticipated.popleft()
         self.units -= units
+
+
+class SmallRequestReserve(Allowance):
+    """A node's part of the units that small requests may take of a used-up limit.
+
+    If an organisation sends several times its limit in long prompts, a prompt of 23,000
+    units takes the limit so far below zero that nothing is admitted for 0.2 s, again
+    and again. 135 of 195 requests of 200 units were refused in nine seconds, although
+    all such requests together are 2% of the limit. With a reserved share, 0 and 6 small
+    requests a day were refused instead of 40 and 65 (two simulated days, one run each).
+    """
+
+    def take(
+        self, units: float, now: float, *, rate: float, burst: float, nodes: int
+    ) -> bool:
+        """Take a small request's units if they fit; return whether they did.
+
+        Parameters
+        ----------
+        rate : float
+            This node's part of the limit's rate.
+        burst : float
+            The limit's whole burst.
+        """
+        part = RESERVED_RATE_SHARE * burst / nodes
+        self.refill(now, rate=RESERVED_RATE_SHARE * rate, burst=max(units, part))
+        if self.units < units:
+            return False
+        self.units -= units
+        return True
--- a/packages/endive_core/src/endive_core/limit_order.py
+++ b/packages/endive_core/src/endive_core/limit_order.py
@@ -149,7 +149,7 @@
         passed_s = max(0.0, now - backlog.updated_at)
         left_s = min(MAX_BACKLOG_S, _time_of(backlog.units / rate)) - passed_s
         backlog.units = rate * _rate_seconds_of(max(0.0, left_s))
-        backlog.updated_at = now
+        backlog.updated_at = max(now, backlog.updated_at)
 
     def add(self, organisation: str, units: float, now: float) -> None:
         """Count units that were refused, at this node or another."""
--- a/packages/endive_core/src/endive_core/shared_limits.py
+++ b/packages/endive_core/src/endive_core/shared_limits.py
@@ -15,7 +15,13 @@
 from collections.abc import Callable, Mapping
 from types import MappingProxyType
 
-from endive_core.allowances import Allowance, PeerSpending, SpendingOrigin
+from endive_core.allowances import (
+    SMALL_REQUEST_SHARE,
+    Allowance,
+    PeerSpending,
+    SmallRequestReserve,
+    SpendingOrigin,
+)
 from endive_core.limit_order import LimitOrder, SpendingClaim
 
 SILENCE_TIMEOUT_S = 0.9
@@ -49,16 +55,6 @@
 """Time for which the share of the nodes in contact is used for the reports of others,
 seconds: a part of the time after which a node counts as cut off."""
 
-SMALL_REQUEST_SHARE = 0.01
-"""Share of a limit's burst up to which a request counts as small. A call to a plain
-service, such as a booking, has 200 units; a prompt has up to 23,000."""
-
-RESERVED_RATE_SHARE = 0.05
-"""Share of each limit's rate that small requests may take although nothing is left,
-divided among the nodes. It is charged like all other spending, so the rate holds. The
-debt grows by at most this share of the rate per second, half of what operators
-tolerate."""
-
 
 class SharedLimits:
     """Every organisation's limit, enforced by this node together with the others.
@@ -98,7 +94,7 @@
         self.spent: dict[str, float] = {}
         self.peers: dict[str, PeerSpending] = {}
         self.allowances: dict[str, Allowance] = {}
-        self.small_request_allowances: dict[str, Allowance] = {}
+        self.small_request_reserves: dict[str, SmallRequestReserve] = {}
         self.share, self.share_counted_at = 1.0, float("-inf")
         self.order = LimitOrder()
         self.terms_of: Callable[[str], tuple[float, float] | None] = lambda name: None
@@ -305,26 +301,14 @@
     def _take_reserved(
         self, organisation: str, units: float, now: float, rate: float, burst: float
     ) -> bool:
-        """Take a small request's units from the reserve; return whether they fit.
-
-        If an organisation sends several times its limit in long prompts, a prompt of
-        23,000 units takes the limit so far below zero that nothing is admitted for 0.2
-        s, again and again. 135 of 195 requests of 200 units were refused in nine
-        seconds, although all such requests together are 2% of the limit. With a
-        reserved share, 0 and 6 small requests a day were refused instead of 40 and 65
-        (two simulated days, one run each).
-        """
+        """Take a small request's units from this node's part of the reserve."""
         if units > SMALL_REQUEST_SHARE * burst:
             return False
-        share = RESERVED_RATE_SHARE / (len(self.peers) + 1)
-        reserved = self.small_request_allowances.setdefault(
-            organisation, Allowance(updated_at=now - 1.0)
+        reserve = self.small_request_reserves.setdefault(
+            organisation, SmallRequestReserve(updated_at=now - 1.0)
         )
-        reserved.refill(now, rate=share * rate, burst=max(units, share * burst))
-        if reserved.units < units:
-            return False
-        reserved.units -= units
-        return True
+        nodes = len(self.peers) + 1
+        return reserve.take(units, now, rate=rate / nodes, burst=burst, nodes=nodes)
 
     def grant(
         self,
--- a/packages/endive_core/tests/test_limit_order.py
+++ b/packages/endive_core/tests/test_limit_order.py
@@ -29,7 +29,7 @@
     against promises that admit more than the limit."""
     fleet = flooded(size, patient=patient)
     assert share_admitted_on_return(fleet) >= 0.95
-    assert fleet.most_in_window() <= MOST
+    assert fleet.most_in_window() <= 0.8 * MOST
     in_order_of_arrival = flooded(size, ordered=False, patient=patient)
     assert share_admitted_on_return(in_order_of_arrival) <= 0.4
 
@@ -51,14 +51,14 @@
         30, patient=True, fault=lambda fleet: fleet.kill(fleet.coordinator().name)
     )
     assert share_admitted_on_return(fleet) >= 0.9
-    assert fleet.most_in_window() <= MOST
+    assert fleet.most_in_window() <= 0.8 * MOST
 
 
 def test_nodes_that_hear_nothing_keep_to_their_even_part():
     """Guards against a node that takes the whole limit because it doesn't hear of the
     others' refusals: two of six are cut off from each other and from the rest."""
     fleet = flooded(6, fault=lambda fleet: fleet.cut_off.update(("n0", "n1")))
-    assert fleet.most_in_window() <= MOST
+    assert fleet.most_in_window() <= 0.8 * MOST
     for name in ("n0", "n1"):
         assert fleet.spent_by(name, 11.0, 17.0) <= (6.0 * RATE + BURST) / 6 * 1.1
 
--- a/packages/endive_gateway/src/endive_gateway/spending_messages.py
+++ b/packages/endive_gateway/src/endive_gateway/spending_messages.py
@@ -3,7 +3,13 @@
 from typing import Annotated
 
 import msgspec
-from endive_core.shared_limits import SpendingOrigin
+from endive_core.allowances import PeerSpending, SpendingOrigin
+
+DECLINED = -1.0
+"""Stands for a wait where a coordinator declined to decide."""
+
+MAX_ENTRIES = 20
+"""Most entries in one datagram, so that it fits one Ethernet frame of 1,500 bytes."""
 
 
 class NodeSpending(msgspec.Struct, array_like=True):
@@ -30,6 +36,15 @@
     organisation: str
     units: float
 
+    @classmethod
+    def of_peer(
+        cls, address: str, peer: PeerSpending, organisation: str, now: float
+    ) -> "NodeSpending":
+        """Return what another node has spent by its newest update."""
+        messages_sent, units = peer.last_updates[organisation]
+        age_s = now - peer.started_at
+        return cls(address, peer.incarnation, messages_sent, age_s, organisation, units)
+
     @property
     def origin(self) -> SpendingOrigin:
         """The node in the form that the shared limits use."""
@@ -43,6 +58,12 @@
 
     entries: list[NodeSpending]
 
+    @classmethod
+    def split(cls, entries: list[NodeSpending]) -> "list[SpendingReport]":
+        """Return reports with `entries` that fit a datagram each."""
+        starts = range(0, len(entries), MAX_ENTRIES)
+        return [cls(entries[start : start + MAX_ENTRIES]) for start in starts]
+
 
 class GrantRequest(msgspec.Struct, array_like=True, tag="ask"):
     """A node's request to the coordinator for a grant to spend.
