Read the shared clock for refused requests once per state message

Cause: each received state message took the median of all nodes' clocks, a time that grows with the number of nodes, and a node that hears nothing kept its own monotonic clock, by which no other node admits its refused requests.

Change: the clock is read where a node's own state message is made.

--- a/packages/endive_gateway/src/endive_gateway/context.py
+++ b/packages/endive_gateway/src/endive_gateway/context.py
@@ -265,6 +265,16 @@
             claim=claim,
         )
 
+    def next_refused(self) -> dict[str, float]:
+        """Return what this node has refused of limits, for a state message.
+
+        The clock by which refused requests return is read as well: it takes a time that
+        grows with the number of nodes.
+        """
+        order = self.limits.order
+        order.clock_offset_s = self.cluster_clock.now() - time.monotonic()
+        return order.refused
+
     def configure(self, table: RoutingTable, document: bytes, source: str) -> bool:
         """Put a configuration in force if it is newer; return whether it was.
 
--- a/packages/endive_gateway/src/endive_gateway/peers.py
+++ b/packages/endive_gateway/src/endive_gateway/peers.py
@@ -526,7 +526,7 @@
             slow_sources=context.prefix_fetching.next_reports(),
             pools_slots=context.settings.pools_slots,
             demand=context.contention_exchange.next_demand(),
-            refused=context.limits.order.refused,
+            refused=context.next_refused(),
             **context.server_statements.next_fields(),
         )
 
@@ -586,7 +586,6 @@
         context.cluster_clock.receive(address, message.wall_ms / 1000)
         origin = SpendingOrigin(address, *order, message.age_s)
         context.limits.receive(origin, message.spent, now, message.refused)
-        context.limits.order.clock_offset_s = context.cluster_clock.now() - now
         context.meter.receive(address, message.incarnation, message.windows)
         self.crash_exchange.learn(message.node, message.crashes, message.successes, now)
         self.part_exchange.learn(
--- a/packages/endive_gateway/src/endive_gateway/spending.py
+++ b/packages/endive_gateway/src/endive_gateway/spending.py
@@ -72,8 +72,6 @@
         By organisation, units for which a reply is awaited.
     pending_replies : dict
         Awaited replies by request number.
-    skipped_until : dict of str to float
-        By address, until when a node that didn't reply is not asked.
     decided_at : dict of str to float
         By organisation, when this node last decided on another node's request.
     """
