Explain the order within a limit, and log what decides on it

Cause: the log line of a request beyond a limit says nothing of the requests refused before it.

Change: limit_exceeded has the units ahead, the reserve left to more urgent requests and whether the request was in its window.

--- a/packages/endive_gateway/src/endive_gateway/forwarding.py
+++ b/packages/endive_gateway/src/endive_gateway/forwarding.py
@@ -265,7 +265,7 @@
         units = terms.units(self.metadata.prompt_tokens, self.metadata.max_tokens)
         order = self.context.limits.order
         claim = order.claim(call.fingerprint, -call.level)
-        returns = order.in_window(claim, self.now)
+        ahead, returns = order.units_ahead(terms.name), order.in_window(claim, self.now)
         wait = self.context.take_units(terms, units, claim)
         if wait > 0:
             log_event(
@@ -275,7 +275,7 @@
                 units=units,
                 rate=terms.rate,
                 wait_s=wait,
-                ahead=order.units_ahead(terms.name),
+                ahead=ahead,
                 deferral=claim.deferral,
                 in_window=returns,
                 part=self.context.limits.reachable_share(self.now),
--- a/packages/endive_gateway/tests/test_limit_claims.py
+++ b/packages/endive_gateway/tests/test_limit_claims.py
@@ -1,11 +1,15 @@
+import re
 import time
 
 import msgspec
 import pytest
 from endive_core.limit_order import RETURN_RESERVE, SpendingClaim
+from endive_core.routing import OrganisationLimits
 from endive_gateway.spending import DECODER, GrantRequest
 from endive_gateway.state_messages import DECODER as STATE_DECODER
 from endive_gateway.state_messages import StateMessage
+from gateway_builders import RunningGateway, make_route, make_table
+from server_builders import ScriptedServer
 from test_spending import (
     MANY_ADDRESSES,
     TERMS,
@@ -46,6 +50,23 @@
     assert coordinator.context.limits.peers[requester.address].spent["o"] > 0.0
 
 
+def test_a_refusal_says_what_is_ahead_and_later_ones_wait_longer(caplog):
+    """Guards against callers of whom each is told a time as if it were the only one."""
+    terms = OrganisationLimits("o", rate=1.0, burst=1.0)
+    table = make_table(
+        make_route(public=False), organisations={"o": terms}, keys={"k": "o"}
+    )
+    with RunningGateway(ScriptedServer(), table=table) as running:
+        got = [running.call(Key="k", body=b"%d" % n) for n in range(12)]
+    told = [float(r.headers["retry-after"]) for r in got if r.status == 429]
+    ahead = [float(units) for units in re.findall(r" ahead=([\d.]+) ", caplog.text)]
+    # One in twenty is in its window by chance, and then not awaited.
+    assert len(ahead) == len(told) >= 9
+    assert ahead[0] == 0.0
+    assert ahead[-1] >= 5.0
+    assert max(told[5:]) >= 9.0 >= told[0]
+
+
 def test_messages_of_earlier_versions_are_read():
     """Guards against a fleet that falls apart while nodes are replaced in turn."""
     request = msgspec.msgpack.encode(GrantRequest(1, entry("127.0.0.1", 5.0)))
