Keep no reserve for urgent requests where an organisation has one priority

Cause: an organisation's own priority was compared with those of the routes, so all of its requests left the reserve of the least urgent to nobody.

Change: its requests have no deferral.

--- a/packages/endive_core/src/endive_core/limit_order.py
+++ b/packages/endive_core/src/endive_core/limit_order.py
@@ -119,11 +119,18 @@
         """Apply the priorities of the routes in force."""
         self.priorities = sorted(set(priorities))
 
-    def claim(self, fingerprint: str, priority: int) -> SpendingClaim:
-        """Return the claim of a request with a priority, 0 the most urgent."""
+    def claim(self, fingerprint: str, priority: int | None) -> SpendingClaim:
+        """Return the claim of a request.
+
+        Parameters
+        ----------
+        priority : int or None
+            Priority of its route, 0 the most urgent; ``None`` if all requests of the
+            organisation have one priority.
+        """
         last = len(self.priorities) - 1
         is_even = shard_of(f"even {fingerprint}", EVEN_SHARES) == 0
-        if last < 1 or is_even:
+        if priority is None or last < 1 or is_even:
             return SpendingClaim(fingerprint)
         rank = min(last, bisect_left(self.priorities, priority))
         return SpendingClaim(fingerprint, rank / last)
--- a/packages/endive_core/tests/test_limit_order.py
+++ b/packages/endive_core/tests/test_limit_order.py
@@ -97,6 +97,7 @@
     order.set_priorities([0, 1, 3])
     claims = [order.claim(name, 3) for name in FINGERPRINTS]
     assert {claim.deferral for claim in claims} == {0.0, 1.0}
+    assert {order.claim(name, None).deferral for name in FINGERPRINTS} == {0.0}
     assert {order.reserve_share("o", claim, 0.0) for claim in claims} == {0.0}
 
 
--- a/packages/endive_gateway/src/endive_gateway/forwarding.py
+++ b/packages/endive_gateway/src/endive_gateway/forwarding.py
@@ -264,7 +264,8 @@
             return
         units = terms.units(self.metadata.prompt_tokens, self.metadata.max_tokens)
         order = self.context.limits.order
-        claim = order.claim(call.fingerprint, -call.level)
+        priority = self.route.priority if terms.priority is None else None
+        claim = order.claim(call.fingerprint, priority)
         ahead, returns = order.units_ahead(terms.name), order.in_window(claim, self.now)
         wait = self.context.take_units(terms, units, claim)
         if wait > 0:
