--- a/packages/endive_core/tests/test_limit_order.py
+++ b/packages/endive_core/tests/test_limit_order.py
@@ -34,6 +34,14 @@
     assert share_admitted_on_return(in_order_of_arrival) <= 0.4
 
 
+@pytest.mark.parametrize("size", [200, 375])
+def test_promises_hold_among_many_nodes(size):
+    """Guards against times that hold only while nodes hear of each other at once."""
+    fleet = flooded(size, after_s=4.0)
+    assert share_admitted_on_return(fleet) >= 0.95
+    assert fleet.most_in_window() <= 0.8 * MOST
+
+
 def test_each_kind_keeps_its_least_share_and_the_most_urgent_gets_more():
     """Guards against an urgent kind refused like the others, and against a kind that is
     never admitted while a more urgent one takes the limit."""
