Cut state messages of earlier versions at the field that they lack

Cause: test_a_message_of_an_earlier_version_has_no_demand cut the last field, which is no longer the demand since messages have the refused units after it, so the message still had its demand.

Change: the message ends before the field by its name, as strict as before, and holds when further fields follow.

Result: the tests of the exchange of demand and of limits pass.

--- a/packages/endive_gateway/tests/test_contention_exchange.py
+++ b/packages/endive_gateway/tests/test_contention_exchange.py
@@ -90,7 +90,8 @@
     fields = msgspec.msgpack.decode(
         msgspec.msgpack.encode(nodes[1]._state_message(False))
     )
-    message = DECODER.decode(msgspec.msgpack.encode(fields[:-1]))
+    earlier = fields[: StateMessage.__struct_fields__.index("demand")]
+    message = DECODER.decode(msgspec.msgpack.encode(earlier))
     assert isinstance(message, StateMessage)
     nodes[0].receive(message, nodes[1].address)
     assert offer(nodes[0], 1).fleet.reports == {}
--- a/packages/endive_gateway/tests/test_limit_claims.py
+++ b/packages/endive_gateway/tests/test_limit_claims.py
@@ -73,7 +73,8 @@
     earlier = msgspec.msgpack.encode(msgspec.msgpack.decode(request)[:-1])
     assert DECODER.decode(earlier).reserve_share == 0.0
     state = StateMessage("n", 1, 1, 0, 1, False, {}, {}, {}, [], 0, 0)
-    earlier = msgspec.to_builtins(state)[:-1]
+    fields = StateMessage.__struct_fields__
+    earlier = msgspec.to_builtins(state)[: fields.index("refused")]
     assert STATE_DECODER.decode(msgspec.msgpack.encode(earlier)).refused == {}
 
 
