--- a/packages/endive_gateway/src/endive_gateway/state_messages.py
+++ b/packages/endive_gateway/src/endive_gateway/state_messages.py
@@ -105,6 +105,9 @@
     prompt_work : dict of str to list of int
         The sender's recent prefill work by length of the prompts, milliseconds, of the
         services where short prompts may overtake others.
+    refused : dict of str to float
+        Units of each organisation's limit that the sender has refused since its start
+        and told to return.
     """
 
     node: str
@@ -143,6 +146,7 @@
     pools_slots: bool = False
     demand: dict[str, DemandReport] = {}
     prompt_work: dict[str, WorkReport] = {}
+    refused: dict[str, float] = {}
 
 
 DECODER = msgspec.msgpack.Decoder(StateMessage)
