Check in the soak that the most urgent requests are in time as often

Cause: admission by demand had neither a rule nor a mutant in the soak, so a change that lets a burst of the least urgent kind delay the most urgent one would have gone unnoticed with real processes.

The share of the most urgent kind that is in time must not be lower than that of the least urgent one by more than 5 in 100. The mutant no-contention lets nodes neither refuse nor order by demand.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -9,6 +9,7 @@
 import gevent
 
 from soak.callers import DEADLINE_S, CrashingCaller, CrashingPartCaller
+from soak.demand import demand_burst
 from soak.fetches import fetches_hang
 from soak.few_slots import FewSlots
 from soak.invariants import (
@@ -483,5 +484,6 @@
         rollout,
         fetches_hang,
         ordered_rollout,
+        demand_burst,
     )
 }
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -290,6 +290,8 @@
     def usual_slots(self):
         """Slots of the servers that start from now on."""
         special = self.brittle or self.few_slots
+        if special is None and self.service == "engine":
+            special = self.fleet.demand
         return special.slots if special else SLOTS
 
     def set_brittle(self, brittle):
@@ -395,6 +397,8 @@
         Properties of the engines in the configuration.
     hanging_fetches : HangingFetches or None
         Set once servers don't reach each other.
+    demand : DemandBurst or None
+        Set while demand exceeds what the engines begin.
     contracts : tuple of str
         The contracts in the nodes' settings.
     rollouts : dict of str to OrderedRollout
@@ -416,6 +420,7 @@
         self.favoured = None
         self.engine = {"slots": 6}
         self.hanging_fetches = None
+        self.demand = None
         self.contracts = contracts
         self.rollouts = {}
         self.retired = []
@@ -458,7 +463,8 @@
     def configure(self):
         """Write the next version of the configuration to the store."""
         self.version += 1
-        routes = [_route(kind.path, kind) for kind in KINDS]
+        urgency = self.demand.urgency if self.demand is not None else {}
+        routes = [_route(k.path, k) | urgency.get(k.name, {}) for k in KINDS]
         routes.append(_route(f"/version-{self.version}/", KINDS[0], public=True))
         document = {
             "version": self.version,
--- a/tests/soak/launch.py
+++ b/tests/soak/launch.py
@@ -247,6 +247,13 @@
     Rollouts.is_enabled = property(lambda self: False)
 
 
+def serve_in_order_of_arrival():
+    """Let a node neither refuse nor order requests by the demand of all nodes."""
+    from endive_core.contention import Contention
+
+    Contention.active = property(lambda self: False)
+
+
 MUTANTS = {
     "limit": disable_limit_sharing,
     "not-run": report_not_run,
@@ -267,6 +274,7 @@
     "no-distrust": trust_all_sources,
     "no-affinity": forget_where_streams_began,
     "no-speeds": ignore_speeds,
+    "no-contention": serve_in_order_of_arrival,
     "no-rollouts": take_candidates_for_ordinary,
 }
 
--- a/tests/soak/mixes.py
+++ b/tests/soak/mixes.py
@@ -18,6 +18,7 @@
     "rollout",
     "fetches_hang",
     "ordered_rollout",
+    "demand_burst",
 }
 EARLIER_KINDS = tuple(sorted(set(FAULTS) - LATER_KINDS))
 FIRST_KINDS = tuple(sorted(set(EARLIER_KINDS) - {"store_silent", "links_fall_silent"}))
@@ -45,6 +46,7 @@
 ROLLOUTS = ("rollout", "kill", "server_crash")
 FETCHES = ("fetches_hang",)
 SPEEDS = ("servers_uneven", "reload", "change_configuration")
+DEMAND = ("demand_burst",)
 ORDERED = ("ordered_rollout",)
 ORDERED_AMID_FAULTS = ("ordered_rollout", "kill", "server_crash", "store_down")
 UNFRAMED = ("server_unframed", "server_leaves", "restart")
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -365,7 +365,7 @@
             hanging = self.backend.fleet.hanging_fetches
             if hanging is not None and "HTTP_KV_FETCH" in environ:
                 hanging.fetch(request_id, environ["HTTP_KV_FETCH"])
-            self._prefill(environ)
+            self._prefill(request_id, environ)
             if environ["PATH_INFO"].startswith(CRASHING_PATH):
                 self.checker.server_crashed(environ["PATH_INFO"])
                 self.backend.crash_soon()
@@ -396,8 +396,15 @@
             self.running -= 1
             self.running_ids.discard(request_id)
 
-    def _prefill(self, environ):
-        """Compute the long parts of a prompt that this server has not computed yet."""
+    def _prefill(self, request_id, environ):
+        """Compute the long parts of a prompt that this server has not computed yet.
+
+        While demand exceeds what the engines begin, each prompt takes its time.
+        """
+        demand = self.backend.fleet.demand
+        if demand is not None and "HTTP_TOKEN_COUNTS" in environ:
+            demand.prefill(self, request_id, environ)
+            return
         for entry in environ.get("HTTP_PROMPT_PREFIX", "").split(","):
             part, _, tokens = entry.partition(":")
             if int(tokens or 0) >= LONG_PART_TOKENS and part not in self.parts:
--- a/tests/test_soak_mutants.py
+++ b/tests/test_soak_mutants.py
@@ -3,6 +3,7 @@
 import pytest
 from soak.mixes import (
     CRASHES,
+    DEMAND,
     DEPARTING,
     FETCHES,
     FEW_SLOTS,
@@ -44,6 +45,7 @@
     "no-distrust": ("fetch", 1, FETCHES),
     "no-affinity": ("software version", 1, ROLLOUTS),
     "no-speeds": ("slow server", 1, SPEEDS),
+    "no-contention": ("priority", 1, DEMAND),
     "no-rollouts": ("rollout", 5, ORDERED),
 }
 """By mutant: the rule that it violates, the seed, and the kinds of faults to inject."""
@@ -61,7 +63,8 @@
     a server's silence, brittle servers without leases, few slots that no node
     coordinates, nodes that carry no connections for others, sources of fetches that are
     named although they hang, streams that go on at any software version, requests for
-    servers that state to be slow, and nodes that use the servers of an ordered version
+    servers that state to be slow, requests that are admitted and sent without regard to
+    the demand of all nodes, and nodes that use the servers of an ordered version
     as any others."""
     rule, seed, kinds = MUTANTS[mutant]
     outcome = run_seed(seed, slot=SLOT, mutant=mutant, kinds=kinds)
--- a/tests/test_soak_servers.py
+++ b/tests/test_soak_servers.py
@@ -5,6 +5,7 @@
 
 import pytest
 from soak.mixes import (
+    DEMAND,
     DEPARTING,
     FETCHES,
     FEW_SLOTS,
@@ -69,6 +70,13 @@
     assert outcome.violations == [], outcome.directory
 
 
+@pytest.mark.parametrize("kinds", [DEMAND, DEMAND + ("kill",)])
+def test_the_most_urgent_requests_are_in_time_as_often_as_the_least_urgent(kinds):
+    """A burst of the least urgent kind asks for more than all engines compute."""
+    outcome = run_seed(1, slot=SLOT, kinds=kinds)
+    assert outcome.violations == [], outcome.directory
+
+
 def test_requests_outlast_a_servers_silence():
     """Sound servers fall silent for a second or two, and go on."""
     outcome = run_seed(1, slot=SLOT, kinds=SILENT)
