Move the division of demand among organisations to a module of its own

Change: Shares and the max-min division are in endive_core.demand_shares, as a function without state. No decision changes.

--- a/packages/endive_core/src/endive_core/__init__.py
+++ b/packages/endive_core/src/endive_core/__init__.py
@@ -6,7 +6,7 @@
   ``service_types``
 - scheduling, behind the facade ``scheduler``: ``policy``, ``admission``,
   ``queueing``, ``bound_queue``, ``queued_tokens``, ``slot_usage``, ``expiry``,
-  ``retry_after``, ``estimators``, ``contention``, ``demand``
+  ``retry_after``, ``estimators``, ``contention``, ``demand``, ``demand_shares``
 - placement: ``placement``, ``prefixes``, ``prefix_fetch``, ``part_holders``,
   ``source_trust``, ``transfers``, ``ring``, ``hashing``, ``servers``, ``backlogs``,
   ``prefilling``, ``first_tokens``, ``server_speed``, ``placement_explanation``
--- a/packages/endive_core/src/endive_core/contention.py
+++ b/packages/endive_core/src/endive_core/contention.py
@@ -14,16 +14,11 @@
 
 import math
 from collections.abc import Iterable, Mapping, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from endive_core.calls import Call, Refusal, Ticket
-from endive_core.demand import (
-    Demand,
-    DemandMeter,
-    DemandReport,
-    FleetDemand,
-    LevelDemand,
-)
+from endive_core.demand import Demand, DemandMeter, DemandReport, FleetDemand
+from endive_core.demand_shares import Shares, divide
 from endive_core.exceptions import ErrorKind
 from endive_core.hashing import shard_of
 from endive_core.policy import Policy
@@ -96,35 +91,6 @@
     return levels if any(level.may_wait for level in levels) else ()
 
 
-@dataclass
-class Shares:
-    """What part of a level's requests can be served in time.
-
-    Attributes
-    ----------
-    overall : float
-        Part of all tokens asked for.
-    fraction : float
-        Part of the requests of organisations that no node names.
-    organisations : dict of str to float
-        Part of the requests of those that are named.
-    within : dict of str to bool
-        Whether the named ones ask for no more than an equal share of the capacity.
-    recovery_s : float
-        Time until the backlog allows all requests again, seconds.
-    """
-
-    overall: float = 1.0
-    fraction: float = 1.0
-    organisations: dict[str, float] = field(default_factory=dict)
-    within: dict[str, bool] = field(default_factory=dict)
-    recovery_s: float = 0.0
-
-    def of(self, organisation: str) -> float:
-        """Return the part of an organisation's requests that can be in time."""
-        return self.organisations.get(organisation, self.fraction)
-
-
 class Contention:
     """Decides on a service's requests at one node; inactive without levels.
 
@@ -338,7 +304,18 @@
             budget += min(0.0, correction) if is_short else correction
             budget = max(budget, reserved[rank])
             spare = max(1e-9, capacity - urgent - found.offered)
-            self.shares[rank] = self._divide(rank, found, known.organisations, budget)
+            named = {
+                name: offered
+                for (level, name), offered in known.organisations.items()
+                if level == rank
+            }
+            self.shares[rank] = divide(
+                budget,
+                found.offered,
+                named,
+                self.weights,
+                min_share=self.policy.contention_min_share,
+            )
             self.shares[rank].recovery_s = max(0.0, backlog - target) / max(
                 spare, capacity * least
             )
@@ -366,45 +343,3 @@
         self.observed_at = now
         rates = sum(server.view.prefill_tokens_per_s for server in items)
         return max(rates, self.observed * len(items))
-
-    def _divide(
-        self,
-        rank: int,
-        found: LevelDemand,
-        organisations: Mapping[tuple[int, str], float],
-        budget: float,
-    ) -> Shares:
-        """Divide a level's budget among the organisations by max-min fairness."""
-        named = {
-            name: offered
-            for (level, name), offered in organisations.items()
-            if level == rank
-        }
-        rest = max(0.0, found.offered - sum(named.values()))
-        overall = min(1.0, budget / max(1e-9, found.offered))
-        if overall >= 1.0:
-            return Shares(within=self._within(named, budget))
-        remaining, ceiling = budget - rest, 0.0
-        if remaining <= 0:
-            return Shares(overall, overall, dict.fromkeys(named, overall))
-        weights = {name: self.weights.get(name, 1.0) for name in named}
-        total_weight = sum(weights.values())
-        for name in sorted(named, key=lambda n: named[n] / weights[n]):
-            ceiling = remaining / total_weight
-            if named[name] > ceiling * weights[name]:
-                break
-            remaining -= named[name]
-            total_weight -= weights[name]
-        least = self.policy.contention_min_share * overall
-        fractions = {
-            name: max(least, min(1.0, ceiling * weights[name] / max(1e-9, offered)))
-            for name, offered in named.items()
-        }
-        return Shares(
-            overall, 1.0, fractions, {n: f >= 1.0 for n, f in fractions.items()}
-        )
-
-    def _within(self, named: Mapping[str, float], budget: float) -> dict[str, bool]:
-        """Return which organisations would keep their part if all asked for more."""
-        active = max(2, len(named))
-        return {name: offered <= budget / active for name, offered in named.items()}
