Refuse by demand only while prompts wait at the servers

Cause: a quarter of the refusals by demand came while the engines had less than a tenth of the target to compute. The learned prefill rate is up to half below the real one, so demand appeared to exceed the capacity; and a prompt that a server computes counted as waiting until its first token, which alone exceeded the intended backlog of the most urgent kind.

Change: tokens of one prompt of the mean length for each server don't count as waiting. While less waits than can begin in time, up to the priority of a request, nothing of that priority exceeds its share.

--- a/packages/endive_core/src/endive_core/contention.py
+++ b/packages/endive_core/src/endive_core/contention.py
@@ -8,6 +8,8 @@
   urgent priorities, less what the backlog exceeds its target by.
 - Within a priority, which organisations get it: each gets what it asks for up to a
   common level, so that one that sends several times its rate slows itself first.
+- While less waits at the servers than can begin in time, nothing exceeds its share:
+  the capacity is an estimate and may be too low.
 - What exceeds this and may wait is refused before it is queued. What may not wait is
   sent as late: behind all requests that can still be in time.
 """
@@ -293,16 +295,19 @@
         backlog = 0.0
         urgent = 0.0
         is_short = False  # whether more urgent requests are already late or refused
+        waiting = self._waiting(known, covered)
         reserved = [least * level.offered for level in known.levels]
         for rank, level in enumerate(self.levels):
             found = known.levels[rank]
-            backlog += found.pending
+            backlog += waiting[rank]
             target = capacity * level.target_s * self.policy.contention_backlog_part
             settle_s = max(self.fleet.interval_s, level.target_s)
             budget = max(0.0, capacity - urgent - sum(reserved[rank + 1 :]))
             correction = (target - backlog) / settle_s
             budget += min(0.0, correction) if is_short else correction
             budget = max(budget, reserved[rank])
+            if backlog < target:
+                budget = max(budget, found.offered)
             spare = max(1e-9, capacity - urgent - found.offered)
             named = {
                 name: offered
@@ -326,6 +331,26 @@
                 is_short = True
                 urgent = capacity
 
+    def _waiting(self, known: Demand, covered: float) -> list[float]:
+        """Return the tokens that wait at the servers behind others, by priority.
+
+        Each server computes one prompt at a time, the most urgent first. Its tokens
+        count as pending until the first token of the response, but no longer wait.
+
+        Parameters
+        ----------
+        covered : float
+            Part of the nodes whose demand is known.
+        """
+        idle = len(self.servers.accepting.items) * covered
+        waiting = []
+        for rank, level in enumerate(known.levels):
+            tokens = max(1.0, self.meter.prompt_tokens(rank))
+            begun = min(idle, level.pending / tokens)
+            idle -= begun
+            waiting.append(level.pending - begun * tokens)
+        return waiting
+
     def _capacity(self, known: Demand, now: float) -> float:
         """Return the prompt tokens per second that the servers begin to answer.
 
--- a/packages/endive_core/src/endive_core/demand.py
+++ b/packages/endive_core/src/endive_core/demand.py
@@ -180,6 +180,10 @@
         """Return the tokens pending at a server, by priority."""
         return self.by_server.get(server, [0.0] * len(self.rates))
 
+    def prompt_tokens(self, rank: int) -> float:
+        """Return the mean tokens of a prompt that a server has to compute."""
+        return self.mean_tokens[rank] * self.uncached[rank]
+
     def report(self, now: float) -> DemandReport:
         """Return the demand as it is sent to other nodes."""
         offered = [rate.at(now) for rate in self.rates]
