Credit no time twice to a limit whose clock readings come out of order

Cause: a report of several nodes' spending is applied with the time of its arrival, and between two entries the coordinator looks up what is left with the present time. Each entry set the allowance's time back, so that the time in between was credited again. Change: the time of an allowance never goes back. The new test fails without the change (120 of 100 units).

--- a/packages/endive_core/src/endive_core/allowances.py
+++ b/packages/endive_core/src/endive_core/allowances.py
@@ -84,7 +84,7 @@
         """Add the units earned at `rate` since the last refill, up to `burst`."""
         self.units += rate * max(0.0, now - self.updated_at)
         self.units = min(self.units, burst)
-        self.updated_at = now
+        self.updated_at = max(now, self.updated_at)
 
     def lower(self, units: float, until: float) -> None:
         """Lower it to `units` for spending that other nodes report by `until`."""
--- a/packages/endive_gateway/tests/test_spending.py
+++ b/packages/endive_gateway/tests/test_spending.py
@@ -115,14 +115,25 @@
         address = coordinator_address(addresses)
         addresses.remove(address)
         exchange = make_exchange(address, addresses)
-        exchange.context.limits.left("o", 1e9, rate=100.0, burst=100.0)
-        exchange.receive_report([entry(other, 0.5) for other in addresses])
+        now = time.monotonic()
+        exchange.context.limits.credit_since = now - 10.0
+        exchange.context.limits.left("o", now, rate=100.0, burst=100.0)
+        exchange.receive_report([entry(other, 15.0 / nodes) for other in addresses])
         exchange.receive_report([entry(addresses[0], 60.0)])
         sizes.append(max(len(msgspec.msgpack.encode(m)) for m, _ in exchange.sent))
         assert len(exchange.sent) <= 3
     assert max(sizes) < 100
 
 
+def test_no_time_is_credited_twice_if_it_is_read_out_of_order():
+    """Guards against limits that are exceeded: the entries of a report are applied with
+    the time of its arrival, and what is left is looked up in between."""
+    allowance = Allowance()
+    for now in (1.0, 0.9, 1.0, 0.9, 1.0):
+        allowance.refill(now, rate=100.0, burst=1000.0)
+    assert allowance.units == 100.0
+
+
 def test_reported_spending_is_not_deducted_a_second_time():
     """Guards against refusals below the limit: a node hears from the coordinator what
     is left, and then from the others what they have spent."""
