Learn the prefill rate within each class of prompts

Where short prompts overtake long ones, the long ones wait longer, and one regression line over all lengths takes that for slower prefill. The samples of a class now count from the class's own means.

--- a/packages/endive_core/src/endive_core/first_tokens.py
+++ b/packages/endive_core/src/endive_core/first_tokens.py
@@ -78,7 +78,7 @@
         tokens_per_s : float
             Prefill rate that the expected time is based on.
         group : int
-            Level of urgency; see :mod:`.prefilling`.
+            Prompts of one group wait equally long; see :mod:`.prefilling`.
         """
         if ticket.yields or ticket.fetch is not None:
             return
--- a/packages/endive_core/src/endive_core/prefilling.py
+++ b/packages/endive_core/src/endive_core/prefilling.py
@@ -15,7 +15,8 @@
 times. If the urgent prompts are the long ones, the line over all of them falls in an
 overload, since the short ones wait longer: in simulations the estimate then rose to 20
 times the rate. The slope is therefore that within each group of prompts, whose samples
-count from the group's own means.
+count from the group's own means. The same holds where short prompts overtake long ones,
+since the line over all lengths then rises with the wait, too.
 """
 
 from dataclasses import dataclass
--- a/packages/endive_core/src/endive_core/scheduler.py
+++ b/packages/endive_core/src/endive_core/scheduler.py
@@ -454,9 +454,15 @@
             now - ticket.dispatched_at,
             now,
             tokens_per_s=self.admission.prefill_tokens_per_s(),
-            group=self.contention.rank(-ticket.call.level),
+            group=self._wait_group(ticket),
         )
 
+    def _wait_group(self, ticket: Ticket) -> int:
+        """Return a number that tickets share whose prompts wait equally long."""
+        if self.order.active:
+            return ticket.order
+        return self.contention.rank(-ticket.call.level)
+
     def _end_trial(self, ticket: Ticket) -> None:
         self.trials.end(ticket.tried_parts)
         ticket.tried_parts = ()
--- a/packages/endive_core/tests/test_prompt_order.py
+++ b/packages/endive_core/tests/test_prompt_order.py
@@ -4,6 +4,7 @@
 from random import Random
 
 import pytest
+from endive_core.prefilling import PrefillRate
 from endive_core.prompt_order import order_routes
 from endive_core.prompt_work import (
     BINS,
@@ -142,6 +143,24 @@
     assert scheduler.placement.wait_s(short, server, 0.1) < 0.5
 
 
+def test_the_prefill_rate_is_learned_within_each_class():
+    """Long prompts wait longer, so that one line over all of them is too steep."""
+    scheduler = make_scheduler(share=0.25)
+    scheduler.first_tokens.prefill = rate = PrefillRate(RATE)
+    fill(scheduler.order)
+    random, now = Random(2), 0.1
+    for number in range(300):
+        priority, tokens = ((1, LONG), (2, SHORT))[number % 2]
+        tokens = round(tokens * random.uniform(0.5, 1.5))
+        ticket = scheduler.offer(make_call(priority, tokens, f"{number}"), now)
+        scheduler.next_dispatch(now)
+        waited_s = 0.5 if ticket.order >= scheduler.order.routes.classes else 0.0
+        now += tokens / RATE + waited_s
+        scheduler.started(ticket, now)
+        scheduler.finished(ticket, now)
+    assert rate.tokens_per_s == pytest.approx(RATE, rel=0.05)
+
+
 def test_what_is_long_follows_from_targets_and_rate():
     """The same tokens are short for engines that are ten times faster."""
     assert bin_of(0.0) == 0
