Ask the order of prompts for the tokens ahead in every case

The order of prompts now passes on to admission control by demand where that decides. No change of behaviour.

--- a/packages/endive_core/src/endive_core/placement.py
+++ b/packages/endive_core/src/endive_core/placement.py
@@ -15,7 +15,6 @@
 
 from endive_core.backlogs import Backlogs
 from endive_core.calls import Call, Ticket, Tier
-from endive_core.contention import Contention
 from endive_core.policy import Policy
 from endive_core.prefix_fetch import COST_SHARE, FetchPlanner
 from endive_core.prefixes import PrefixIndex
@@ -81,16 +80,10 @@
     """
 
     def __init__(
-        self,
-        policy: Policy,
-        servers: ServerSet,
-        random: Random,
-        contention: Contention,
-        order: PromptOrder,
+        self, policy: Policy, servers: ServerSet, random: Random, order: PromptOrder
     ) -> None:
         self.policy = policy
         self.order = order
-        self.contention = contention
         self.servers = servers
         self.random = random
         self.ring = HashRing(points=policy.ring_points)
@@ -136,7 +129,7 @@
         """
         if tier is Tier.WITHIN_SHARE:
             return False
-        if tier is Tier.OVER_SHARE and self.contention.active:
+        if tier is Tier.OVER_SHARE and self.order.contention.active:
             return False
         return server.prefill_paced_until > now + self.policy.prefill_burst_s
 
@@ -310,11 +303,8 @@
             current_rate = rate / server.slowdown
             others = self.backlogs.tokens(server.id, now, current_rate)
         own = server.starting_tokens
-        if self.order.active:
-            own_s = (call.prompt_tokens if uncached is None else uncached) / rate
-            tokens = self.order.tokens_ahead(call, server.id, own_s, own, others)
-        else:
-            tokens = self.contention.tokens_ahead(call, server.id, own, others)
+        own_s = (call.prompt_tokens if uncached is None else uncached) / rate
+        tokens = self.order.tokens_ahead(call, server.id, own_s, own, others)
         waiting = self._work_s(server, tokens / rate)
         free = max(0, view.max_concurrent - server.load)
         return waiting + server.slowdown * self.policy.crowding_s / (1 + free)
--- a/packages/endive_core/src/endive_core/prompt_order.py
+++ b/packages/endive_core/src/endive_core/prompt_order.py
@@ -101,6 +101,8 @@
 
     Attributes
     ----------
+    contention : Contention
+        Admission control by demand, whose order takes precedence where it is active.
     routes : OrderRoutes or None
         What the service's routes ask for; ``None`` if the usual order serves them.
     limits : list of int
@@ -182,7 +184,7 @@
             Tokens of this node and of the others there, of all prompts.
         """
         if not self.active:
-            return own + others
+            return self.contention.tokens_ahead(call, server_id, own, others)
         number = self.number(call, prefill_s)
         pending = self.pending.get(server_id, ())
         return sum(pending[: number + 1]) + others * self.ahead_share[number]
--- a/packages/endive_core/src/endive_core/scheduler.py
+++ b/packages/endive_core/src/endive_core/scheduler.py
@@ -98,9 +98,7 @@
         self.resting = Resting(self.servers)
         self.contention = Contention(policy, self.servers)
         self.order = PromptOrder(policy, self.contention)
-        self.placement = Placement(
-            policy, self.servers, random, self.contention, self.order
-        )
+        self.placement = Placement(policy, self.servers, random, self.order)
         self.outliers = OutlierDetector(policy, self.servers)
         self.queue = FairQueue()
         self.crashes = crashes or CrashTable.from_policy(policy)
