Explain waits for the uncached part, drop stale reports of work without requests

The explanation of a placement named the wait of a prompt without cached parts, which may be in another class. Reports of silent nodes were dropped only with the next request. Tests the priority that a server gets, over a connection.

--- a/packages/endive_core/src/endive_core/placement_explanation.py
+++ b/packages/endive_core/src/endive_core/placement_explanation.py
@@ -162,6 +162,7 @@
     belief = int(hashed.get(server.id, 0) * placement.policy.affinity_belief)
     blocks = max(cached.get(server.id, 0), belief)
     is_reported = server.reported_at > float("-inf")
+    cached_tokens = call.cached_tokens(blocks)
     return CandidateExplanation(
         id=server.id,
         zone=view.zone,
@@ -174,8 +175,8 @@
         free_slots=server.free - server.net_change,
         slowness=server.slowness,
         slowdown=server.slowdown,
-        wait_s=placement.wait_s(call, server, now),
-        cached_tokens=call.cached_tokens(blocks),
+        wait_s=placement.wait_s(call, server, now, call.prompt_tokens - cached_tokens),
+        cached_tokens=cached_tokens,
         is_hashed=server.id in hashed,
         cost_s=placement.score(call, server, blocks, now),
         ruled_out_by=tuple(_reasons(scheduler, ticket, server, tier)),
--- a/packages/endive_core/src/endive_core/prompt_order.py
+++ b/packages/endive_core/src/endive_core/prompt_order.py
@@ -237,6 +237,7 @@
 
     def report(self, now: float) -> WorkReport:
         """Return this node's recent work for its state message."""
+        self.fleet.sweep(now)
         return self.meter.report(now)
 
     def _update(self, now: float) -> None:
--- a/packages/endive_gateway/tests/test_streams.py
+++ b/packages/endive_gateway/tests/test_streams.py
@@ -108,3 +108,30 @@
             received.headers["urgency"] for received in running.servers[0].received
         ]
     assert priorities == ["2", "9"]
+
+
+def test_a_short_prompt_is_sent_as_more_urgent_than_long_ones():
+    """Its route has a shorter target and less priority than that of the long ones,
+    behind which it waited."""
+    engine = STREAM | {"engine": True, "max_attempts": 1}
+    long = make_route(**engine | {"target_s": 0.8, "priority": 0})
+    short = make_route(
+        **engine | {"target_s": 0.5, "priority": 1, "path_prefix": "/short/"}
+    )
+    table = make_table(long, short)
+    table.services[SERVICE] = Service(SERVICE, engine=Engine(slots=64))
+    answers = [events(1, 2)] * 8
+    with RunningGateway(ScriptedServer(*answers), table=table) as running:
+        order = running.context.placer.schedulers[SERVICE].order
+        for number in range(7):
+            order.next_update_at = 0.0
+            caller = running.caller()
+            target = "/short/x" if number == 6 else long.path_prefix + "x"
+            tokens = "100,5" if number % 2 == 0 else "30000,5"
+            caller.send(method="POST", target=target, body=b"a", tokens=tokens)
+            assert caller.receive().status == 200
+        priorities = [
+            received.headers["urgency"] for received in running.servers[0].received
+        ]
+    assert priorities[0] == "5"
+    assert priorities[-2:] == ["5", "0"]
