--- a/tests/test_experiments.py
+++ b/tests/test_experiments.py
@@ -50,6 +50,17 @@
         assert Deployment.from_file(path).requests
 
 
+def test_only_the_deployment_with_inverted_targets_changes_its_order():
+    """Earlier deployments must be served as before; there is no run to compare then."""
+    active = set()
+    for path in FOLDER.glob("*.toml"):
+        deployment = Deployment.from_file(path).model_copy(update={"nodes": 1})
+        node = Simulation(deployment, Options(), 1).nodes[0]
+        if node.scheduler.order.active:
+            active.add(path.stem)
+    assert active == {"uneven-engines"}
+
+
 def test_a_missing_or_unknown_field_is_named(tmp_path):
     text = SEVEN.read_text()
     for bad, name in (
