--- a/packages/endive_core/src/endive_core/scheduler.py
+++ b/packages/endive_core/src/endive_core/scheduler.py
@@ -98,9 +98,7 @@
         self.resting = Resting(self.servers)
         self.contention = Contention(policy, self.servers)
         self.order = PromptOrder(policy, self.contention)
-        self.placement = Placement(
-            policy, self.servers, random, self.contention, self.order
-        )
+        self.placement = Placement(policy, self.servers, random, self.order)
         self.outliers = OutlierDetector(policy, self.servers)
         self.queue = FairQueue()
         self.crashes = crashes or CrashTable.from_policy(policy)
@@ -454,9 +452,15 @@
             now - ticket.dispatched_at,
             now,
             tokens_per_s=self.admission.prefill_tokens_per_s(),
-            group=self.contention.rank(-ticket.call.level),
+            group=self._wait_group(ticket),
         )
 
+    def _wait_group(self, ticket: Ticket) -> int:
+        """Return a number that tickets share whose prompts wait equally long."""
+        if self.order.active:
+            return ticket.order
+        return self.contention.rank(-ticket.call.level)
+
     def _end_trial(self, ticket: Ticket) -> None:
         self.trials.end(ticket.tried_parts)
         ticket.tried_parts = ()
