Keep the counts of routes that a node's report leaves out

Cause: of a service with over six routes a node reported the six with most responses of the candidate. When that choice changed, what it had told of the route that it left out was subtracted. The difference to some seconds before then had counts below zero, which the comparison of times took for evidence: a good version was found slow. Routes with few requests were never reported, so that a version that was bad on one of them alone was judged by each node's own few responses.

Change: routes that a report leaves out stay as they were told last. Four routes are the busiest ones, and two are drawn from the others.

--- a/packages/endive_core/src/endive_core/rollout_evidence.py
+++ b/packages/endive_core/src/endive_core/rollout_evidence.py
@@ -6,6 +6,7 @@
 from collections import deque
 from dataclasses import dataclass, field
 
+from endive_core.servers import Random
 from endive_core.version_comparison import (
     NO_FINDING,
     Finding,
@@ -14,7 +15,11 @@
 )
 
 MAX_ROUTES = 6
-"""Routes of a service whose counts a node sends, those with most responses."""
+"""Routes of a service whose counts one message of a node contains."""
+
+DRAWN_ROUTES = 2
+"""Those of them that are drawn from all but the busiest ones, where there are more: a
+fault may be on any route."""
 
 SNAPSHOT_INTERVAL_S = 0.5
 """Time between two snapshots of the totals, seconds."""
@@ -64,8 +69,8 @@
         for name, counts in other.routes.items():
             self.route(name).add(counts, sign)
 
-    def busiest_routes(self) -> dict[str, RouteCounts]:
-        """Return the routes to send to other nodes, the busiest ones."""
+    def reported_routes(self, random: Random) -> dict[str, RouteCounts]:
+        """Return the routes to send to other nodes now."""
         if len(self.routes) <= MAX_ROUTES:
             return self.routes
         names = sorted(
@@ -75,7 +80,10 @@
                 -self.routes[name].base.responses,
             ),
         )
-        return {name: self.routes[name] for name in names[:MAX_ROUTES]}
+        busiest = MAX_ROUTES - DRAWN_ROUTES
+        others = sorted(names[busiest:], key=lambda name: random.random())
+        names = names[:busiest] + others[:DRAWN_ROUTES]
+        return {name: self.routes[name] for name in names}
 
     def copy(self) -> "RolloutTotals":
         """Return a copy."""
@@ -107,12 +115,17 @@
     def receive(
         self, address: str, incarnation: int, totals: RolloutTotals, stage: int
     ) -> None:
-        """Apply the totals in another node's message, which is its newest."""
+        """Apply the totals in another node's message, which is its newest.
+
+        Routes that it leaves out stay as they were told last. If they were dropped, the
+        difference to an earlier time would have counts below zero.
+        """
         self.stages[address] = stage
         before = self.nodes.get((address, incarnation))
         if before is None:
             self._forget_left(address)  # the node has started again
         if before is not None:
+            totals.routes = before.routes | totals.routes
             self.others.add(before, -1)
         self.nodes[address, incarnation] = totals
         self.others.add(totals)
--- a/packages/endive_gateway/src/endive_gateway/rollout_messages.py
+++ b/packages/endive_gateway/src/endive_gateway/rollout_messages.py
@@ -1,5 +1,7 @@
 """The part of the state messages that concerns rollouts."""
 
+from random import Random
+
 import msgspec
 from endive_core.rollout_evidence import RolloutTotals
 from endive_core.rollouts import RolloutOrder, Stage, StageKind
@@ -107,12 +109,12 @@
 
     @classmethod
     def from_totals(
-        cls, order: RolloutOrder, stage: int, totals: RolloutTotals
+        cls, order: RolloutOrder, stage: int, totals: RolloutTotals, random: Random
     ) -> "TotalsReport":
         """Return the report of a node's totals."""
         routes = [
             (name, _to_list(counts.candidate), _to_list(counts.base))
-            for name, counts in totals.busiest_routes().items()
+            for name, counts in totals.reported_routes(random).items()
         ]
         return cls(
             order.service,
--- a/packages/endive_gateway/src/endive_gateway/rollouts.py
+++ b/packages/endive_gateway/src/endive_gateway/rollouts.py
@@ -305,7 +305,10 @@
             self._stage_reports(),
             [
                 TotalsReport.from_totals(
-                    r.order, self.stage(r.order.service).number, r.evidence.own
+                    r.order,
+                    self.stage(r.order.service).number,
+                    r.evidence.own,
+                    self.random,
                 )
                 for r in self._reported_totals()
             ],
