Log the late tokens that are pending at the servers

Cause: an operator could not see why late requests are refused at once. Result: test_contention_exchange.py and test_docs.py pass.

--- a/packages/endive_gateway/src/endive_gateway/contention_exchange.py
+++ b/packages/endive_gateway/src/endive_gateway/contention_exchange.py
@@ -141,4 +141,8 @@
             pending=",".join(
                 str(round(level.pending)) for level in contention.fleet.known.levels
             ),
+            late_pending=",".join(
+                str(round(level.late_pending))
+                for level in contention.fleet.known.levels
+            ),
         )
