--- a/benchmarks/experiments/exchange.py
+++ b/benchmarks/experiments/exchange.py
@@ -56,12 +56,13 @@
         order = node.scheduler.order
         order.fleet.interval_s = self.interval_s
         work = order.report(simulation.now) if order.active else None
+        late = contention.late_report(simulation.now) if contention.active else []
         for other in self.nodes:
             if other is not node:
                 other.backlogs.receive(node.name, own_backlogs, simulation.now)
                 if demand is not None:
                     fleet = other.scheduler.contention.fleet
-                    fleet.receive(node.name, demand, simulation.now)
+                    fleet.receive(node.name, demand, simulation.now, late)
                 if work is not None:
                     fleet = other.scheduler.order.fleet
                     fleet.receive(node.name, work, simulation.now)
--- a/packages/endive_gateway/src/endive_gateway/peers.py
+++ b/packages/endive_gateway/src/endive_gateway/peers.py
@@ -529,6 +529,7 @@
             demand=context.contention_exchange.next_demand(),
             prompt_work=context.order_exchange.next_work(),
             refused=context.next_refused(),
+            late_prompts=context.contention_exchange.next_late(),
             **context.server_statements.next_fields(),
         )
 
@@ -603,7 +604,7 @@
                 address, message.incarnation, message.node, message.rollouts
             )
         context.prefix_fetching.receive(address, message.slow_sources)
-        context.contention_exchange.learn(address, message.demand)
+        context.contention_exchange.learn(address, message.demand, message.late_prompts)
         context.order_exchange.learn(address, message.prompt_work)
         self._greet(peer, now)
         if message.complete and self.lacks_bootstrap():
--- a/packages/endive_gateway/src/endive_gateway/state_messages.py
+++ b/packages/endive_gateway/src/endive_gateway/state_messages.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable
 
 import msgspec
-from endive_core.demand import DemandReport
+from endive_core.demand import DemandReport, LateReport
 from endive_core.prompt_work import WorkReport
 
 from endive_gateway.exceptions import UndecodableError
@@ -108,6 +108,9 @@
     refused : dict of str to float
         Units of each organisation's limit that the sender has refused since its start
         and told to return.
+    late_prompts : dict of str to LateReport
+        The sender's prompts of these services that were sent as late; only services
+        with any.
     """
 
     node: str
@@ -147,6 +150,7 @@
     demand: dict[str, DemandReport] = {}
     prompt_work: dict[str, WorkReport] = {}
     refused: dict[str, float] = {}
+    late_prompts: dict[str, LateReport] = {}
 
 
 DECODER = msgspec.msgpack.Decoder(StateMessage)
