--- a/packages/endive_core/src/endive_core/placement.py
+++ b/packages/endive_core/src/endive_core/placement.py
@@ -365,7 +365,7 @@
         if yields:
             yielding_s = self.servers.yielding_tokens_at(server) / rate
             starts_s += self._work_s(server, yielding_s)
-            starts_s = max(starts_s, self.contention.late_start_s(ticket))
+            starts_s = max(starts_s, self.order.contention.late_start_s(ticket))
         return StartPrediction(max(0.0, now + starts_s - deadline), yields)
 
     def _should_yield(
