--- a/benchmarks/experiments/__main__.py
+++ b/benchmarks/experiments/__main__.py
@@ -5,6 +5,7 @@
 
 import fire
 
+from experiments.causes import causes_of, causes_table
 from experiments.deployment import Deployment
 from experiments.kinds import kinds_table
 from experiments.play import Simulation
@@ -61,6 +62,27 @@
         plot(results, Path(picture))
 
 
+def causes(
+    file: str,
+    policies: str = "all",
+    seeds: int = 3,
+    nodes: int = 0,
+    workers: int = WORKERS,
+) -> None:
+    """Print why parts are prefilled again and how late servers are, by seed.
+
+    The parameters are those of :func:`compare`.
+    """
+    names = policies.split(",") if isinstance(policies, str) else list(policies)
+    jobs = [(file, name, seed, nodes) for name in names for seed in range(1, seeds + 1)]
+    with ProcessPoolExecutor(workers) as pool:
+        found = list(pool.map(causes_of, jobs))
+    results = {name: [] for name in names}
+    for (_, name, *_), row in zip(jobs, found, strict=True):
+        results[name].append(row)
+    print(causes_table(results))
+
+
 def run_job(job: tuple[str, str, int, int]) -> Figures:
     """Simulate one policy on one seed.
 
@@ -74,4 +96,10 @@
 
 
 if __name__ == "__main__":
-    fire.Fire({"compare": compare, "policies": lambda: print(*POLICIES, sep="\n")})
+    fire.Fire(
+        {
+            "compare": compare,
+            "causes": causes,
+            "policies": lambda: print(*POLICIES, sep="\n"),
+        }
+    )
--- a/benchmarks/experiments/callers.py
+++ b/benchmarks/experiments/callers.py
@@ -30,6 +30,7 @@
 
     def _arrive(self, arrival: Arrival, upcoming) -> None:
         self._next_arrival(upcoming)
+        self.simulation.servers.sizing.arrive(arrival)
         node = self.simulation.nodes[arrival.node]
         self._offer(RunningRequest(node, None, arrival))
 
--- a/benchmarks/experiments/engines.py
+++ b/benchmarks/experiments/engines.py
@@ -8,6 +8,7 @@
 from random import Random
 
 from experiments.deployment import Engines, Speed
+from experiments.recomputed import Recomputed
 
 RECENT_USE_S = 10.0
 """Time after its last use in which a new prefill of a prompt part counts as avoidable,
@@ -115,6 +116,8 @@
         Requests preempted.
     phases : SpeedPhases or None
         How its speed changes, if it does.
+    recomputed : Recomputed or None
+        Counts why parts are prefilled again; shared by all engines.
     """
 
     name: str
@@ -137,6 +140,7 @@
     preemptions: int = 0
     order: Iterator[int] = field(default_factory=itertools.count)
     phases: SpeedPhases | None = None
+    recomputed: Recomputed | None = None
 
     def slowdown(self, now: float) -> float:
         """Return the duration of work at `now` as a multiple of the usual one."""
@@ -193,9 +197,14 @@
             self._release_parts(stream)
             return
         heapq.heappop(self.waiting_heap)
-        for part, tokens in uncached:
-            if now - self.last_used.get(part, float("-inf")) < RECENT_USE_S:
-                self.read_again += tokens
+        again = [
+            (part, tokens)
+            for part, tokens in uncached
+            if now - self.last_used.get(part, float("-inf")) < RECENT_USE_S
+        ]
+        self.read_again += sum(tokens for _, tokens in again)
+        if self.recomputed is not None:
+            self.recomputed.count(self, stream, again, now)
         self.cache.update(new)
         for part in stream.shared:
             self.cache.move_to_end(part)
@@ -205,6 +214,8 @@
         stream.admitted = next(self.order)
         self.used_tokens += needed
         self.prefilling = stream
+        if self.recomputed is not None:
+            self.recomputed.use(self, stream, now)
 
     def _uncached_parts(self, stream: Stream) -> list[tuple[int, int]]:
         """Return the shared parts from the first one on that is not cached.
--- a/benchmarks/experiments/servers.py
+++ b/benchmarks/experiments/servers.py
@@ -13,6 +13,8 @@
 
 from experiments.engines import Engine, SpeedPhases
 from experiments.fetching import set_sources
+from experiments.recomputed import Recomputed
+from experiments.sizing import Sample, SizingTrace
 
 if TYPE_CHECKING:
     from experiments.play import Simulation
@@ -46,6 +48,8 @@
         self.simulation = simulation
         self.last_used: dict[int, float] = {}
         self.engines: dict[str, Engine] = {}
+        self.recomputed = Recomputed(self.engines)
+        self.sizing = SizingTrace(simulation.deployment)
         self.engine_numbers = itertools.count()
         self.zones = [f"z{n}" for n in range(simulation.deployment.zones)]
         self.load = LoadMeter()
@@ -73,6 +77,7 @@
             simulation.schedule(at, self._crash, crash.share)
         zones = simulation.random.sample(self.zones, len(self.zones))
         for zone, at in zip(zones, simulation.deployment.wave.at_s, strict=False):
+            self.sizing.events.append(("reclaim", at))
             simulation.schedule(at, self._reclaim, zone)
         simulation.schedule(AUTOSCALING_INTERVAL_S, self._scale)
 
@@ -93,6 +98,7 @@
             ready_at,
             self.last_used,
             phases=phases,
+            recomputed=self.recomputed,
         )
 
     def _list_servers(self) -> None:
@@ -145,6 +151,15 @@
         running = sum(len(e.decoding) for e in self.engines.values()) / slots
         self.smoothed_load += LOAD_WEIGHT * (prompts + running - self.smoothed_load)
         self.load.add(self.smoothed_load, self.simulation.now)
+        ready = [e for e in self.engines.values() if e.ready_at <= self.simulation.now]
+        self.sizing.samples.append(
+            Sample(
+                self.simulation.now,
+                sum(not engine.leaving for engine in ready),
+                len(self.engines),
+                prompts + running,
+            )
+        )
 
     def _capacity_view(self) -> CapacityView:
         figures = self.simulation.deployment.engines
