Put further copies of prompt parts on servers that all nodes agree on

Change: with policy.affinity_copies above 1, the next server in the part's order on the ring counts as a holder while the wait at those before it exceeds affinity_copy_wait of the part's prefill time. The servers to which prefixes hash are found in a module of their own, part_copies; a log line and a gauge count the requests that go to a further copy. The default of 1 leaves the placement as it was.

--- a/packages/endive_core/src/endive_core/__init__.py
+++ b/packages/endive_core/src/endive_core/__init__.py
@@ -7,9 +7,10 @@
 - scheduling, behind the facade ``scheduler``: ``policy``, ``admission``,
   ``queueing``, ``bound_queue``, ``queued_tokens``, ``slot_usage``, ``expiry``,
   ``retry_after``, ``estimators``, ``contention``, ``demand``
-- placement: ``placement``, ``prefixes``, ``prefix_fetch``, ``part_holders``,
-  ``source_trust``, ``transfers``, ``ring``, ``hashing``, ``servers``, ``backlogs``,
-  ``prefilling``, ``first_tokens``, ``server_speed``, ``placement_explanation``
+- placement: ``placement``, ``part_copies``, ``prefixes``, ``prefix_fetch``,
+  ``part_holders``, ``source_trust``, ``transfers``, ``ring``, ``hashing``,
+  ``servers``, ``backlogs``, ``prefilling``, ``first_tokens``, ``server_speed``,
+  ``placement_explanation``
 - failures: ``failures``, ``retrying``, ``crashes``, ``crash_news``, ``outliers``,
   ``ejection``, ``response_times``, ``call_pacing``
 - parts of prompts that crash servers: ``part_reports``, ``part_crashes``,
--- a/packages/endive_core/src/endive_core/calls.py
+++ b/packages/endive_core/src/endive_core/calls.py
@@ -145,6 +145,8 @@
         The fetch of cached prompt parts that its server is asked for.
     may_fetch : bool
         Whether it may fetch; after a failure it may not.
+    at_further_copy : bool
+        Whether its server was chosen to hold a further copy of its shared prompt parts.
     predicted_start_s : float
         Predicted time from its dispatch to its first token, seconds, where fetches are
         planned.
@@ -185,6 +187,7 @@
     version: str | None = None
     fetch: "Fetch | None" = None
     may_fetch: bool = True
+    at_further_copy: bool = False
     predicted_start_s: float = 0.0
     fetch_due_at: float = 0.0
     pooled: bool = False
--- a/packages/endive_core/src/endive_core/placement.py
+++ b/packages/endive_core/src/endive_core/placement.py
@@ -16,6 +16,7 @@
 from endive_core.backlogs import Backlogs
 from endive_core.calls import Call, Ticket, Tier
 from endive_core.contention import Contention
+from endive_core.part_copies import PartCopies
 from endive_core.policy import Policy
 from endive_core.prefix_fetch import COST_SHARE, FetchPlanner
 from endive_core.prefixes import PrefixIndex
@@ -23,20 +24,9 @@
 from endive_core.servers import Random, ServerLoad, ServerSet
 from endive_core.transfers import Fetch
 
-AFFINITY_DEPTHS = (8, 12, 18, 27, 41, 61, 92, 138)
-"""Prefix lengths, in blocks, whose hashes choose affinity servers. Of those that a
-prompt reaches, the longest are used, by default two. A single length would be too short
-for a long system prompt, so that all calls of one organisation hash to one server, or
-too long for a short one. With two, a conversation that grows past a length still hashes
-to the server of its previous turn."""
-
 MAX_HOLDER_CANDIDATES = 2
 """Candidates taken from the servers believed to hold the longest known prefix."""
 
-CLOSED_CANDIDATES = 4
-"""Servers to which a prefix hashes, one after the other, that are tried if the first
-ones are throttled or rest. All nodes then go to the same one."""
-
 MAX_SAMPLES = 4
 """Random samples that are drawn while they have only servers that turn other nodes'
 requests away or work slowly now."""
@@ -75,6 +65,8 @@
     backlogs : Backlogs or None
         Prompt tokens that other nodes have pending at each server, if the nodes
         exchange them.
+    copies : PartCopies
+        Decides on how many servers a shared part is held.
     fetching : FetchPlanner or None
         Plans fetches of cached prompt parts, if the servers can make them.
     """
@@ -91,6 +83,7 @@
         self.servers = servers
         self.random = random
         self.ring = HashRing(points=policy.ring_points)
+        self.copies = PartCopies(policy, servers, self.ring)
         self.prefixes = PrefixIndex(max_blocks=policy.max_known_blocks)
         self.backlogs: Backlogs | None = None
         self.fetching: FetchPlanner | None = None
@@ -103,7 +96,7 @@
         """Return the candidate with the lowest cost, or ``None`` if none has room."""
         call = ticket.call
         cached = self.prefixes.prefix_holders(call.blocks)
-        hashed = self.affinity_servers(call) if call.blocks else {}
+        hashed = self.affinity_servers(call, tier, now)
         expected = {
             name: max(cached.get(name, 0), int(depth * self.policy.affinity_belief))
             for name, depth in hashed.items()
@@ -122,8 +115,18 @@
         if best is not None:
             ticket.uncached_tokens = _uncached(call, cached.get(best.id, 0), best_fetch)
             ticket.fetch = best_fetch
+            ticket.at_further_copy = best.id in self.copies.further
         return best
 
+    def affinity_servers(self, call: Call, tier: Tier, now: float) -> dict[str, int]:
+        """Return the servers to which a call's prefixes hash, with prefix lengths."""
+
+        def wait_s(name: str) -> float:
+            within = self._within_bound([name], tier)
+            return self.wait_s(call, within[0], now) if within else float("inf")
+
+        return self.copies.servers_of(call, wait_s)
+
     def _is_paced(self, server: ServerLoad, tier: Tier, now: float) -> bool:
         """Return whether calls of `tier` have used up this node's part of the prefill.
 
@@ -220,41 +223,6 @@
                 found.append(server)
         return found
 
-    def affinity_servers(self, call: Call) -> dict[str, int]:
-        """Return the servers to which the longest prefixes hash, with prefix lengths.
-
-        They are assumed to hold part of the prefix even if no cache event said so,
-        because every node sends the prefix to them. A node that has just started, or
-        that has lost events, thus still finds what other nodes have had computed.
-        """
-        if not self.policy.affinity_candidates:
-            return {}
-        if call.block_ends:
-            # Requests share the parts before the last, which belongs to one request
-            # or session.
-            depths = list(range(1, max(2, len(call.blocks))))
-        else:
-            depths = [depth for depth in AFFINITY_DEPTHS if depth <= len(call.blocks)]
-        wanted = depths[-self.policy.affinity_candidates :] or [len(call.blocks)]
-        found: dict[str, int] = {}
-        for depth in reversed(wanted):
-            name = self._affinity_server(str(call.blocks[depth - 1]))
-            if name is not None:
-                found.setdefault(name, depth)
-        return found
-
-    def _affinity_server(self, key: str) -> str | None:
-        """Return the server to which `key` hashes, past those that are closed."""
-        names = self.ring.candidates(key, 1)
-        if names and self._is_closed(names[0]):
-            names = self.ring.candidates(key, CLOSED_CANDIDATES)
-            names = [name for name in names if not self._is_closed(name)]
-        return names[0] if names else None
-
-    def _is_closed(self, name: str) -> bool:
-        server = self.servers.servers.get(name)
-        return server is not None and (server.throttled or server.resting)
-
     def score(
         self,
         call: Call,
--- a/packages/endive_core/src/endive_core/placement_explanation.py
+++ b/packages/endive_core/src/endive_core/placement_explanation.py
@@ -139,7 +139,7 @@
 ) -> list[CandidateExplanation]:
     placement = scheduler.placement
     cached = placement.prefixes.prefix_holders(call.blocks)
-    hashed = placement.affinity_servers(call) if call.blocks else {}
+    hashed = placement.affinity_servers(call, tier, now)
     ticket = Ticket(call, now, 0.0)
     ticket.version = call.software_version
     found = [
--- a/packages/endive_core/src/endive_core/policy.py
+++ b/packages/endive_core/src/endive_core/policy.py
@@ -136,6 +136,19 @@
         ge=0,
         le=1,
     )
+    affinity_copies: int = parameter(
+        1,
+        "servers, in the order of the hash ring, that may hold a copy of the longest "
+        "shared prefix of a prompt; 1 disables further copies",
+        ge=1,
+        le=8,
+    )
+    affinity_copy_wait: float = parameter(
+        0.25,
+        "wait at the servers that hold a shared prefix, as a fraction of the time of "
+        "its prefill, above which the next server may hold a copy",
+        ge=0,
+    )
     random_candidates: int = parameter(
         2,
         "randomly chosen servers with free slots that are tried",
--- a/packages/endive_gateway/src/endive_gateway/attempts.py
+++ b/packages/endive_gateway/src/endive_gateway/attempts.py
@@ -271,6 +271,7 @@
             self.entry, self.request.route, self.request.ticket
         )
         self.fetch_timer = self.context.prefix_fetching.sent(self.request)
+        self.context.part_copying.sent(self.request.ticket)
         transit_node = self.request.transit_node = self.connection.transit_node
         try:
             self._send()
--- a/packages/endive_gateway/src/endive_gateway/context.py
+++ b/packages/endive_gateway/src/endive_gateway/context.py
@@ -21,6 +21,7 @@
 from endive_gateway.limit_sharing import LimitSharing
 from endive_gateway.metrics import GatewayMetrics
 from endive_gateway.origin_exchange import OriginExchange
+from endive_gateway.part_copying import PartCopying
 from endive_gateway.path_monitor import PathMonitor
 from endive_gateway.paths import ServerPaths
 from endive_gateway.placing import Placer
@@ -97,6 +98,8 @@
         Counts the responses of both versions.
     prefix_fetching : PrefixFetching
         Fetches of cached prompt parts from other servers.
+    part_copying : PartCopying
+        Requests sent to further copies of their prompt parts.
     slot_leasing : SlotLeasing
         Leases of those servers' slots, from the nodes that coordinate them.
     slot_pooling : SlotPooling
@@ -123,6 +126,7 @@
         self.nodes = 1
         self.registry = ServerRegistry()
         self.prefix_fetching = PrefixFetching(self.registry)
+        self.part_copying = PartCopying()
         self.apply_settings(settings)
         self.paths = ServerPaths(self.registry, self.random)
         self.checks = ServerChecks(self.paths)
--- a/packages/endive_gateway/src/endive_gateway/gateway.py
+++ b/packages/endive_gateway/src/endive_gateway/gateway.py
@@ -190,6 +190,8 @@
         fetching = self.context.prefix_fetching
         add_gauge("endive_prefix_fetched_tokens", fetching.fetched_tokens)
         add_gauge("endive_fetch_sources_paused", fetching.paused_sources)
+        copying = self.context.part_copying
+        add_gauge("endive_further_copy_requests", lambda: copying.requests)
         pooling = self.context.slot_pooling
         add_gauge("endive_services_pooled", lambda: len(pooling.pooled))
         add_gauge("endive_pool_slots_leased", pooling.coordinator.leased)
