Let gateways hold a hot prompt part on two servers

Cause: gateways sent the requests that a part's first server was too busy for to servers drawn at random, which prefilled the part again.

--- a/packages/endive_gateway/src/endive_gateway/placing.py
+++ b/packages/endive_gateway/src/endive_gateway/placing.py
@@ -48,6 +48,7 @@
 GATEWAY_POLICY = Policy(
     no_server_wait_s=0.4,
     affinity_belief=1.0,
+    affinity_copies=2,
     max_retry_after_s=2.0,
     retry_base_s=0.005,
     retry_max_s=0.1,
