Say why gateways hold hot prompt parts on two servers

Cause: the value of affinity_copies in the gateways' policy stood without its reason. Change: the doc comment gives the reason and the measured difference. Result: no change of behaviour.

--- a/packages/endive_gateway/src/endive_gateway/placing.py
+++ b/packages/endive_gateway/src/endive_gateway/placing.py
@@ -68,7 +68,12 @@
 coordinate sent each request to the server that looked least loaded: 54 in 100 requests
 of a session reached the same server, instead of all. The value 1 reduces the
 recomputation of shared parts by 0.3, which is 0.015 of the value of all requests
-(standard error 0.005 over 25 paired simulations)."""
+(standard error 0.005 over 25 paired simulations).
+
+With `affinity_copies` at 2, requests that the first server of their parts is too busy
+for share one other server instead of leaving a copy at servers drawn at random:
+0.0085 of the value of all requests in the messages deployment (95 % interval 0.0016
+over 3 paired simulations)."""
 
 
 class Placer(ScheduledRequests):
