Start servers of the ordered version in the soak's rollouts

Change: the second assignment is gone; a test starts a backend of another version.

Measured: the new test failed before.

--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -267,7 +267,6 @@
         self.uneven = None
         self.version = version
         self.few_slots = None
-        self.version = "v1"
         self._start()
         address = self.server.address
         self.link = Link(fleet.ip(5, number), PORT, address, fleet.clock)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -177,6 +177,15 @@
     server.stop()
 
 
+def test_a_backend_starts_servers_of_its_version():
+    """The version was overwritten with the first one, so that no run with an ordered
+    rollout had any server of the ordered version."""
+    backend = Backend(ClosingFleet(), 1, "plain", version="v2")
+    assert backend.server.version == "v2"
+    backend.link.stop()
+    backend.server.stop()
+
+
 class Target:
     """An object whose attribute is set by faults."""
 
