Keep in the store where streams began, so that they go on after losses of all nodes

Cause: a node took a software version for the only one if any asked node had known no other for 60 s. A survivor that had been cut off from the store and the other nodes had known one version, and nothing for minutes; nodes that had just returned believed it. And after a loss of all nodes every take-up was refused for 60 s, also where only one version had ever served.

Change: the store has a list of the origins that streams of each route may have, to which one is added before the first stream begins there and from which it is removed 60 s after its last use, and, while a route has several, a log of the streams that begin. One node, chosen by hashing, writes both for all, in batches of 50 ms. Nothing is concluded any more from what nodes have seen. A caller may name its first try or its last one. A server that starts again under its id with other software, or whose process was found to have ended, begins no stream that goes on elsewhere.

--- a/packages/endive_core/src/endive_core/__init__.py
+++ b/packages/endive_core/src/endive_core/__init__.py
@@ -16,7 +16,7 @@
   ``ejection``, ``response_times``, ``call_pacing``
 - parts of prompts that crash servers: ``part_reports``, ``part_crashes``,
   ``part_trials``
-- streams that go on: ``stream_origins``, ``software_versions``
+- streams that go on: ``stream_origins``, ``possible_origins``
 - rollouts: ``rollouts``, ``rollout_stages``, ``rollout_evidence``,
   ``version_comparison``, ``version_admission``, ``traffic_shares``
 - ways to servers: ``reachability``, ``transit``
--- a/packages/endive_core/src/endive_core/exceptions.py
+++ b/packages/endive_core/src/endive_core/exceptions.py
@@ -153,6 +153,7 @@
     PART_SUSPECTED = "part_suspected"
     PATH_FAILED = "path_failed"
     FETCH_FAILED = "fetch_failed"
+    ORIGIN_UNRECORDED = "origin_unrecorded"
 
 
 class EndiveError(Exception):
--- a/packages/endive_core/src/endive_core/scheduler.py
+++ b/packages/endive_core/src/endive_core/scheduler.py
@@ -43,6 +43,7 @@
     RetryReason.SERVER_LEAVING,
     RetryReason.PATH_FAILED,
     RetryReason.FETCH_FAILED,
+    RetryReason.ORIGIN_UNRECORDED,
 )
 """Reasons that say nothing against a server although it may have run the call."""
 
--- a/packages/endive_core/src/endive_core/stream_origins.py
+++ b/packages/endive_core/src/endive_core/stream_origins.py
@@ -7,6 +7,7 @@
 number of nodes.
 """
 
+from collections import deque
 from collections.abc import Mapping
 from dataclasses import dataclass
 
@@ -21,6 +22,10 @@
 RING_POINTS = 32
 """Points of a node on its zone's ring: enough that no owner has over twice its part."""
 
+RESTART_NOTICE_S = 4.0
+"""Time within which a node knows the entry of a server that has started again,
+seconds."""
+
 MAX_ORIGINS = 20_000
 """Streams whose origins one node keeps at most."""
 
@@ -90,6 +95,34 @@
         ]
 
 
+class RecentBeginnings:
+    """The streams that one node has begun lately at each server.
+
+    A server that starts again under its id may answer for some seconds before its new
+    entry is known.
+    """
+
+    def __init__(self) -> None:
+        self.streams: deque[tuple[float, tuple[str, int], bytes]] = deque()
+
+    def add(self, server: tuple[str, int], key: bytes, now: float) -> None:
+        """Add a stream that begins now at a server, given by id and incarnation."""
+        self._forget_old(now)
+        self.streams.append((now, server, key))
+
+    def take(self, server: tuple[str, int], now: float) -> list[bytes]:
+        """Return the keys of the streams begun lately at a server."""
+        self._forget_old(now)
+        return [key for _, at, key in self.streams if at == server]
+
+    def _forget_old(self, now: float) -> None:
+        while self.streams and (
+            now - self.streams[0][0] > RESTART_NOTICE_S
+            or len(self.streams) > MAX_ORIGINS
+        ):
+            self.streams.popleft()
+
+
 @dataclass(frozen=True, slots=True)
 class Member:
     """A node that may own origins.
--- a/packages/endive_gateway/src/endive_gateway/__init__.py
+++ b/packages/endive_gateway/src/endive_gateway/__init__.py
@@ -15,13 +15,14 @@
 - ways to the servers: ``paths``, ``path_monitor``, ``server_checks``, ``transit``,
   ``transit_port``, ``tcp``
 - the platform's state, as this node knows it: ``following``, ``configuration``,
-  ``server_following``,
-  ``servers``, ``configuration_exchange``, ``listing``, ``bootstrap``,
-  ``service_client``
+  ``server_following``, ``servers``, ``configuration_exchange``, ``listing``,
+  ``bootstrap``, ``service_client``, ``store_reading``
 - messages between nodes: ``peers``, ``nodes``, ``state_messages``, ``datagrams``,
   ``spending``, ``spending_messages``, ``prompts``, ``crash_exchange``,
   ``part_exchange``, ``origin_exchange``, ``origin_messages``, ``contention_exchange``,
   ``order_exchange``
+- records of where streams began: ``origin_records``, ``origin_recorder``,
+  ``origin_documents``, ``origin_view``
 - leases of servers' slots: ``slot_leasing``, ``slot_pooling``, ``pool_coordination``,
   ``coordinators``, ``slot_messages``
 - what servers state of themselves: ``server_statements``, ``stated_values``,
--- a/packages/endive_gateway/src/endive_gateway/attempts.py
+++ b/packages/endive_gateway/src/endive_gateway/attempts.py
@@ -97,6 +97,20 @@
     def count_start(self) -> None:
         """Count the request's start at a server, at most once per request."""
 
+    def record_origin(self, entry: ServerEntry) -> None:
+        """Have recorded where the stream begins, if the request is sent to a server."""
+
+    def check_recorded(self, entry: ServerEntry) -> None:
+        """Wait until it is recorded where the stream begins.
+
+        Called before any event is taken for forwarded.
+
+        Raises
+        ------
+        AttemptError
+            If that can't be recorded, while the stream could begin at other versions.
+        """
+
     def stream_begins(self, server: str, entry: ServerEntry) -> None:
         """Bind the stream to the software version of the server that begins it.
 
@@ -263,6 +277,7 @@
         self.request.affinity.attempted(
             self.entry.software_version_label, self.request.splitter.count
         )
+        self.request.record_origin(self.entry)
         self.request.in_flight = True
         self.request.sent_at = self.context.cluster_clock.now()
         self.sent_at = self.request.now
@@ -459,6 +474,8 @@
             self._stop_fetch_timer()
             self.context.placer.started(self.request.ticket)
             self.request.count_start()
+            if not exchange.response_started:
+                self.request.check_recorded(self.entry)
             if has_events:
                 data = self._split(data)
             if data:
--- a/packages/endive_gateway/src/endive_gateway/configuration.py
+++ b/packages/endive_gateway/src/endive_gateway/configuration.py
@@ -14,9 +14,10 @@
     StoreOffsetOutOfRangeError,
     UndecodableError,
 )
-from endive_gateway.following import Follower, Readers, read_to_end
+from endive_gateway.following import Follower, Readers
 from endive_gateway.interfaces import Record, Topic
 from endive_gateway.loops import keep_running
+from endive_gateway.store_reading import read_to_end
 
 LONG_POLL_WAIT_S = 20.0
 """Time for which a long poll of the configuration waits for a change, seconds; below
--- a/packages/endive_gateway/src/endive_gateway/context.py
+++ b/packages/endive_gateway/src/endive_gateway/context.py
@@ -6,22 +6,31 @@
 
 from endive_core.clocks import ClusterClock
 from endive_core.metering import UsageMeter
+from endive_core.possible_origins import Confirmations
 from endive_core.retrying import FleetRetryBudget
 from endive_core.routing import CallerLimits, OrganisationLimits, RoutingTable
 from endive_core.shared_limits import SharedLimits
-from endive_core.software_versions import RouteHistory
 from endive_node.logs import log_event
 from gevent.event import Event
 
 from endive_gateway.brittle_services import BrittleServices
 from endive_gateway.connections import ConnectionPool
 from endive_gateway.contention_exchange import ContentionExchange
-from endive_gateway.interfaces import Cloud, GatewaySettings, Store, Wire
+from endive_gateway.interfaces import (
+    Cloud,
+    GatewaySettings,
+    ServerEntry,
+    Store,
+    Wire,
+)
 from endive_gateway.leaving_servers import LAST_SERVER_MARGIN_S, LeavingServers
 from endive_gateway.limit_sharing import LimitSharing
 from endive_gateway.metrics import GatewayMetrics
 from endive_gateway.order_exchange import OrderExchange
 from endive_gateway.origin_exchange import OriginExchange
+from endive_gateway.origin_recorder import OriginRecorder
+from endive_gateway.origin_records import OriginRecords
+from endive_gateway.origin_view import OriginView
 from endive_gateway.part_copying import PartCopying
 from endive_gateway.path_monitor import PathMonitor
 from endive_gateway.paths import ServerPaths
@@ -89,6 +98,12 @@
         All that servers state of themselves.
     origin_exchange : OriginExchange
         Where streams began, shared with the other nodes.
+    origin_view : OriginView
+        Where streams can begin now, as this node knows it.
+    origin_recorder : OriginRecorder
+        Reads and writes what the store keeps of origins.
+    origin_records : OriginRecords
+        Has origins recorded, and looks them up.
     resumptions : Resumptions
         Decides where streams go on that callers take up.
     rollouts : Rollouts
@@ -209,11 +224,23 @@
         self.origin_exchange = OriginExchange(
             location.address, location.zone, self.incarnation
         )
-        self.routes_seen = RouteHistory()
+        self.origin_view = OriginView(self.registry, lambda: self.table)
+        confirmations = Confirmations()
+        self.origin_recorder = OriginRecorder(
+            store,
+            self.origin_view,
+            confirmations,
+            is_first_start=settings.is_first_start,
+        )
+        self.origin_records = OriginRecords(
+            location.address, self.origin_recorder, confirmations, self.origin_view
+        )
+        self._connect_origins()
         self.resumptions = Resumptions(
-            self.origin_exchange, self.routes_seen, self.metrics.resumptions
+            self.origin_exchange, self.origin_records, self.metrics.resumptions
         )
         self.registry.listeners.append(self._observe_versions)
+        self.registry.version_listeners.append(self._doubt_streams)
         self.meter = UsageMeter(settings.bounds.usage_window_s)
         self.cluster_clock = ClusterClock(time.monotonic, time.time)
         self.rollouts.cluster_now = lambda: self.cluster_clock.now()
@@ -277,8 +304,8 @@
             routes=len(table.routes),
         )
         self.table = table
-        self.routes_seen.observe(table.routes, time.monotonic())
         self.document = document
+        self.origin_records.observe_view()
         self.placer.configure(table)
         self.contention_exchange.configure(table)
         self.order_exchange.configure(table)
@@ -289,16 +316,25 @@
         if self.table is not None and self.registry.is_loaded:
             self.initialised.set()
 
+    def _connect_origins(self) -> None:
+        """Let the exchange and the records of origins use one port and one view."""
+        exchange, records = self.origin_exchange, self.origin_records
+        exchange.receive_record = records.receive
+        records.send = exchange.datagrams.send
+        records.running = exchange.running
+        self.origin_view.recorder = lambda: (
+            records.recorder_address() == records.address
+        )
+
     def _observe_versions(self) -> None:
-        """Record the software versions of all servers, leaving ones included."""
-        versions: dict[str, set[str]] = {}
-        for known in self.registry.servers.values():
-            entry = known.entry
-            versions.setdefault(entry.service, set()).add(entry.software_version_label)
-        for service in versions.keys() | self.origin_exchange.history.services.keys():
-            self.origin_exchange.history.observe(
-                service, versions.get(service, ()), time.monotonic()
-            )
+        """Apply the software versions of all servers, leaving ones included."""
+        self.origin_view.refresh()
+        self.origin_records.observe_view()
+
+    def _doubt_streams(self, former: ServerEntry) -> None:
+        """Let no stream go on at a version that may not have begun it."""
+        keys = self.origin_exchange.doubt((former.id, former.incarnation))
+        self.origin_records.doubt(keys)
 
     def wait_until_initialised(self) -> None:
         """Wait until the configuration and servers are known, up to START_WAIT_S.
--- a/packages/endive_gateway/src/endive_gateway/duties.py
+++ b/packages/endive_gateway/src/endive_gateway/duties.py
@@ -23,10 +23,10 @@
     StoreOffsetOutOfRangeError,
     StoreOutcomeUnknownError,
 )
-from endive_gateway.following import read_to_end
 from endive_gateway.interfaces import Topic
 from endive_gateway.peers import Peers
 from endive_gateway.rollout_control import RolloutController
+from endive_gateway.store_reading import read_to_end
 
 LEASE_S = 2.4
 """Time after its last record for which a holder may act, seconds. When a holder dies,
--- a/packages/endive_gateway/src/endive_gateway/exceptions.py
+++ b/packages/endive_gateway/src/endive_gateway/exceptions.py
@@ -158,7 +158,7 @@
         A rejection of the request is none, nor is the end of the caller's time, nor a
         fault of this node's own connections.
         """
-        if self.reason is RetryReason.PATH_FAILED:
+        if self.reason in (RetryReason.PATH_FAILED, RetryReason.ORIGIN_UNRECORDED):
             return False
         if self.response is None:
             return self.counts_as_attempt
--- a/packages/endive_gateway/src/endive_gateway/failed_attempts.py
+++ b/packages/endive_gateway/src/endive_gateway/failed_attempts.py
@@ -41,6 +41,9 @@
     def max_attempts(self) -> int:
         """Attempts that the request may have, those that don't count included."""
 
+    def check_version(self) -> None:
+        """Let the stream go on nowhere if another process than was known began it."""
+
     def check_time(self) -> None:
         """Refuse a request with too little time for a response; raises EndiveError."""
 
@@ -129,6 +132,7 @@
             )
         if isinstance(error, SlotDeclinedError):
             self._check_slot_request_allowed()
+        request.check_version()
         if not request.context.placer.may_go_on(request.ticket):
             raise EndiveError(ErrorKind.STREAM_NOT_RESUMABLE, NO_SERVER_OF_VERSION)
         if not error.counts_as_attempt:
--- a/packages/endive_gateway/src/endive_gateway/following.py
+++ b/packages/endive_gateway/src/endive_gateway/following.py
@@ -13,7 +13,8 @@
     StoreError,
     StoreOffsetOutOfRangeError,
 )
-from endive_gateway.interfaces import Page, Record, Store, Topic
+from endive_gateway.interfaces import Page, Record, Topic
+from endive_gateway.store_reading import read_to_end
 
 MIN_READ_BACKOFF_S = 0.25
 MAX_READ_BACKOFF_S = 1.0
@@ -61,27 +62,6 @@
         ...
 
 
-def read_to_end(store: Store, topic: Topic, start: int, *, wait_s: float = 0.0) -> Page:
-    """Read all records from offset `start` to the end that the store states.
-
-    One page may hold fewer: pages have a largest size, and a response may be truncated
-    between two records. What is known from such a page alone is not the newest.
-
-    Raises
-    ------
-    StoreError
-        If the store does not answer, or returns no records before the end.
-    """
-    page = store.read(topic, start, wait_s=wait_s)
-    records = list(page.records)
-    while start + len(records) < page.end:
-        if not page.records:
-            raise StoreError(f"no records before offset {page.end}")
-        page = store.read(topic, start + len(records))
-        records += page.records
-    return Page(page.first, page.end, records)
-
-
 class Follower:
     """Follows one keyed topic of the store.
 
--- a/packages/endive_gateway/src/endive_gateway/forwarding.py
+++ b/packages/endive_gateway/src/endive_gateway/forwarding.py
@@ -5,9 +5,10 @@
 
 import gevent
 from endive_core.calls import Call, Stage, Ticket
-from endive_core.exceptions import EndiveError, ErrorKind
+from endive_core.exceptions import EndiveError, ErrorKind, RetryReason
 from endive_core.hashing import fingerprint
 from endive_core.messages import ServerView
+from endive_core.possible_origins import PossibleOrigin
 from endive_core.prefixes import part_blocks
 from endive_core.routing import OrganisationLimits, Route, RouteKind
 from endive_core.stream_origins import StreamOrigin
@@ -109,6 +110,8 @@
         self.units = 0.0
         self.outcome = ""
         self.error = ""
+        self.path = ""
+        self.began_at: ServerEntry | None = None
         self.servers: list[str] = []
         self.transit_node: str | None = None
         self.observation: Observation | None = None
@@ -165,8 +168,8 @@
                 retry_after_s=0.5,
             )
         host = header_value(message.headers, b"host").decode("latin-1").lower()
-        path = message.target.decode("latin-1").partition("?")[0]
-        self.route = table.match(host_name(host), path)
+        self.path = message.target.decode("latin-1").partition("?")[0]
+        self.route = table.match(host_name(host), self.path)
         if self.route is None:
             raise EndiveError(ErrorKind.NOT_FOUND, "no route matches the host and path")
         if not table.allows(self.route, self.metadata.key):
@@ -221,7 +224,7 @@
         if not self.affinity.is_resumption(self.route):
             return self.route.choose(self.context.random.random()), call
         origin = self.context.resumptions.find(
-            self.route, self.organisation, self.metadata
+            self.route, self.path, self.organisation, self.metadata
         )
         return origin.service, replace(call, software_version=origin.version)
 
@@ -340,21 +343,68 @@
             LOWEST_SERVER_PRIORITY if self.ticket.yields else self.base_server_priority
         )
 
+    def record_origin(self, entry: ServerEntry) -> None:
+        """Have recorded where the stream begins, if the request is sent to a server."""
+        if self.route.resumable and not self.exchange.response_started:
+            origin = StreamOrigin(self.service, self._version_of(entry))
+            self.affinity.record(
+                self.context.origin_records,
+                PossibleOrigin.of(self.route, origin),
+                self.organisation,
+                is_resumed=self.ticket.version is not None,
+            )
+
     def stream_begins(self, server: str, entry: ServerEntry) -> None:
         """Bind the stream to the software version of the server that begins it."""
         if not self.route.resumable:
             return
         if self.ticket.version is None:
-            known = self.context.registry.get(server)
-            is_same = known is None or known.entry.incarnation == entry.incarnation
-            self.ticket.version = (
-                entry.software_version_label if is_same else UNKNOWN_VERSION
+            self.ticket.version = self._version_of(entry)
+        self.began_at = entry
+        for key in self.affinity.keys(self.organisation):
+            self.context.origin_exchange.tell(
+                key,
+                StreamOrigin(self.service, self.ticket.version),
+                self.left_s(),
+                (entry.id, entry.incarnation),
             )
-        self.context.origin_exchange.tell(
-            self.affinity.key(self.organisation),
-            StreamOrigin(self.service, self.ticket.version),
-            self.left_s(),
+
+    def _version_of(self, entry: ServerEntry) -> str:
+        """Return the software version of the server that answers, if it is known.
+
+        The server may have started again since the entry was read.
+        """
+        known = self.context.registry.get(entry.id)
+        is_same = known is None or known.runs(entry)
+        return entry.software_version_label if is_same else UNKNOWN_VERSION
+
+    def check_version(self) -> None:
+        """Let the stream go on nowhere if another process than was known began it."""
+        entry = self.began_at
+        known = self.context.registry.get(entry.id) if entry else None
+        if known is None or known.entry.incarnation == entry.incarnation:
+            return
+        if known.entry.software_version_label != entry.software_version_label:
+            self.ticket.version = UNKNOWN_VERSION
+
+    def check_recorded(self, entry: ServerEntry) -> None:
+        """Wait until it is recorded where the stream begins; raises AttemptError."""
+        if self.affinity.is_recorded():
+            return
+        version = entry.software_version_label
+        log_event(
+            "stream_origin_not_recorded",
+            request=self.metadata.id,
+            service=self.service,
+            software_version=version,
         )
+        self.context.metrics.events["stream_origin_not_recorded"] += 1
+        if self.context.origin_view.has_other_origins(self.route, version):
+            raise AttemptError(
+                "it could not be recorded where the stream begins",
+                RetryReason.ORIGIN_UNRECORDED,
+                started=True,
+            )
 
     def _count_prompt(self, server: str) -> None:
         """Count a prompt sent to a server; announce it to peers if it delays others.
--- a/packages/endive_gateway/src/endive_gateway/gateway.py
+++ b/packages/endive_gateway/src/endive_gateway/gateway.py
@@ -89,6 +89,10 @@
         self.peers.servers = self.servers
         self.peers.configuration = self.configuration
         self.context.rollouts.check_orders = self.configuration.check_soon
+        self.context.origin_view.ages_s = [
+            self.configuration.proof_age_s,
+            self.servers.age_s,
+        ]
         self.duties = Duties(
             self.context, self.peers, Autoscaler(self.context, self.peers)
         )
@@ -118,6 +122,8 @@
             self.context.path_monitor.run,
             self.context.slot_leasing.run,
             self.context.origin_exchange.run,
+            self.context.origin_records.run,
+            self.context.origin_recorder.run,
             self.context.rollout_observer.run,
             self._sweep,
         ]
--- a/packages/endive_gateway/src/endive_gateway/interfaces.py
+++ b/packages/endive_gateway/src/endive_gateway/interfaces.py
@@ -23,6 +23,8 @@
     NODES = "nodes"
     DUTIES = "duties"
     STATUS = "status"
+    POSSIBLE_ORIGINS = "possible_origins"
+    STREAMS = "streams"
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,8 +96,10 @@
         """
         ...
 
-    def put(self, topic: Topic, key: str, value: bytes) -> None:
-        """Append a record with a key; raises :class:`StoreError`."""
+    def put(
+        self, topic: Topic, key: str, value: bytes, *, at: int | None = None
+    ) -> int:
+        """Append a record with a key, and return its offset; see :meth:`append`."""
         ...
 
 
@@ -518,6 +522,8 @@
     pools_slots : bool
         Whether the slots of plain services with fewer slots than nodes are leased from
         one queue for all nodes.
+    is_first_start : bool
+        Whether the whole system starts for the first time.
     """
 
     location: NodeLocation
@@ -526,6 +532,7 @@
     server_slowdowns: bool = True
     contracts: frozenset[str] = frozenset()
     pools_slots: bool = True
+    is_first_start: bool = False
 
 
 def header_value(headers: Iterable[tuple[bytes, bytes]], name: bytes) -> bytes:
--- a/packages/endive_gateway/src/endive_gateway/nodes.py
+++ b/packages/endive_gateway/src/endive_gateway/nodes.py
@@ -46,6 +46,8 @@
         Its availability zone; empty if it doesn't keep origins of streams.
     pools_slots : bool
         Whether it coordinates the slots of plain services with few of them.
+    records_origins : bool
+        Whether it lists and records in the store where streams begin.
     greeted_at : float
         When it was last sent a message at once, seconds on the monotonic clock.
     """
@@ -64,6 +66,7 @@
     greeted_at: float = float("-inf")
     zone: str = ""
     pools_slots: bool = False
+    records_origins: bool = False
 
     def is_superseded_by(
         self, incarnation: int, sequence: int, started_at: float
--- a/packages/endive_gateway/src/endive_gateway/origin_exchange.py
+++ b/packages/endive_gateway/src/endive_gateway/origin_exchange.py
@@ -9,11 +9,12 @@
 from dataclasses import dataclass, field
 
 import gevent
-from endive_core.software_versions import SoleVersion, VersionHistory
 from endive_core.stream_origins import (
+    AMBIGUOUS,
     Member,
     OriginTable,
     OwnerChoice,
+    RecentBeginnings,
     StreamOrigin,
 )
 from gevent.event import Event
@@ -25,6 +26,7 @@
     OriginNote,
     OriginQuery,
     OriginReply,
+    RecordMessage,
 )
 
 KEEP_S = 30.0
@@ -52,15 +54,15 @@
         Addresses of the owners that have not replied.
     origin : StreamOrigin or None
         The origin, once an owner has told it.
-    views : list of SoleVersion
-        What the owners that don't know it have known of the service's versions.
+    replies : int
+        Owners that have replied without knowing it.
     ended : Event
         Set once the origin is known, or all owners have replied.
     """
 
     unanswered: set[str]
     origin: StreamOrigin | None = None
-    views: list[SoleVersion] = field(default_factory=list)
+    replies: int = 0
     ended: Event = field(default_factory=Event)
 
 
@@ -73,10 +75,12 @@
         Origins of the streams that this node began or owns.
     own : OriginTable
         Those that it began.
-    history : VersionHistory
-        The software versions that this node has known.
+    recent : RecentBeginnings
+        Those that it began lately, by server.
     live_members : callable
         Returns the other live nodes by address.
+    receive_record : callable
+        Called with each message about the store's records, and its sender.
     """
 
     def __init__(self, address: str, zone: str, incarnation: int) -> None:
@@ -84,29 +88,52 @@
         self.self_member = Member(zone, incarnation)
         self.table = OriginTable()
         self.own = OriginTable()
-        self.history = VersionHistory()
+        self.recent = RecentBeginnings()
         self.choice = OwnerChoice()
         self.choose_at = float("-inf")
         self.live_members: Callable[[], dict[str, Member]] = dict
+        self.receive_record: Callable[[RecordMessage, str], None] = lambda *sent: None
         self.inquiries: dict[int, Inquiry] = {}
         self.asked = 0
         self.datagrams = DatagramPort("origins", DECODER, self.receive)
 
     # Telling
 
-    def tell(self, key: bytes, origin: StreamOrigin, left_s: float) -> None:
+    def tell(
+        self,
+        key: bytes,
+        origin: StreamOrigin,
+        left_s: float,
+        server: tuple[str, int] = ("", 0),
+    ) -> None:
         """Keep the origin of a stream that begins here, and tell its owners.
 
         Parameters
         ----------
         left_s : float
             Time until the stream's deadline, seconds.
+        server : tuple of (str, int)
+            Id and incarnation of the server that begins it.
         """
         now, keep_s = time.monotonic(), max(0.0, left_s) + KEEP_S
+        self.recent.add(server, key, now)
         self.own.put(key, origin, now + keep_s, now)
         self.table.put(key, origin, now + keep_s, now)
         self._send_notes([(key, origin, keep_s)], self._owners(key))
 
+    def doubt(self, server: tuple[str, int]) -> list[bytes]:
+        """Let the streams go on nowhere that may have begun after a server's end.
+
+        Returns
+        -------
+        list of bytes
+            Their keys.
+        """
+        keys = self.recent.take(server, time.monotonic())
+        for key in keys:
+            self.tell(key, AMBIGUOUS, 0.0)
+        return keys
+
     def _send_notes(
         self, origins: list[tuple[bytes, StreamOrigin, float]], addresses: Iterable[str]
     ) -> None:
@@ -168,14 +195,13 @@
         """Return the origin of a stream if this node keeps it."""
         return self.table.get(key, time.monotonic())
 
-    def ask(self, key: bytes, service: str) -> Inquiry:
-        """Ask the owners of a stream's origin, and wait for their replies.
+    def running(self) -> list[tuple[bytes, StreamOrigin]]:
+        """Return key and origin of the streams that began here, while they are kept."""
+        left = self.own.left(time.monotonic())
+        return [(key, origin) for key, origin, _ in left if origin != AMBIGUOUS]
 
-        Parameters
-        ----------
-        service : str
-            The only service that the stream may have begun at, if there is only one.
-        """
+    def ask(self, key: bytes) -> Inquiry:
+        """Ask the owners of a stream's origin, and wait for their replies."""
         owners = {address for address in self._owners(key) if address != self.address}
         inquiry = Inquiry(owners)
         if not owners:
@@ -185,7 +211,7 @@
         self.inquiries[number] = inquiry
         try:
             for _ in range(QUESTIONS):
-                question = OriginQuery(number, key, service)
+                question = OriginQuery(number, key, "")
                 self.datagrams.send(question, list(inquiry.unanswered))
                 if inquiry.ended.wait(REPLY_S / QUESTIONS):
                     break
@@ -204,20 +230,18 @@
                 self.table.put(key, origin, now + left_s, now)
         elif isinstance(message, OriginQuery):
             self.datagrams.send(self._reply_to(message), [address])
-        else:
+        elif isinstance(message, OriginReply):
             self._handle_reply(message, address)
+        else:
+            self.receive_record(message, address)
 
     def _reply_to(self, question: OriginQuery) -> OriginReply:
-        now = time.monotonic()
-        origin = self.table.get(question.key, now)
-        sole = self.history.sole(question.service, now)
+        origin = self.table.get(question.key, time.monotonic())
         return OriginReply(
             question.number,
             origin.service if origin else "",
             origin.version if origin else "",
             origin is not None,
-            sole.version,
-            sole.since_s,
         )
 
     def _handle_reply(self, reply: OriginReply, address: str) -> None:
@@ -228,6 +252,6 @@
         if reply.is_known:
             inquiry.origin = StreamOrigin(reply.service, reply.version)
         else:
-            inquiry.views.append(SoleVersion(reply.sole_version, reply.sole_s))
+            inquiry.replies += 1
         if reply.is_known or not inquiry.unanswered:
             inquiry.ended.set()
--- a/packages/endive_gateway/src/endive_gateway/origin_messages.py
+++ b/packages/endive_gateway/src/endive_gateway/origin_messages.py
@@ -24,7 +24,7 @@
     number : int
         Identifies the question in the reply.
     service : str
-        The service that the stream's route leads to; empty if it is not the only one.
+        Empty; nodes of an earlier version ask for what the other one has seen of it.
     """
 
     number: int
@@ -41,20 +41,80 @@
         The stream's origin; empty if it is not known.
     is_known : bool
         Whether it is known.
-    sole_version : str
-        The only software version of the service asked for; empty if there are several.
-    sole_s : float
-        For how long the replying node has known no other, seconds.
+    sole_version, sole_s : str, float
+        Left at their defaults, by which nodes of an earlier version conclude nothing.
     """
 
     number: int
     service: str
     version: str
     is_known: bool
-    sole_version: str
-    sole_s: float
+    sole_version: str = ""
+    sole_s: float = 0.0
 
 
-OriginMessage = OriginNote | OriginQuery | OriginReply
+class RecordRequest(msgspec.Struct, array_like=True, tag="record"):
+    """Origins for the recorder to list, and streams for it to record.
+
+    Attributes
+    ----------
+    number : int
+        Identifies the request in the reply.
+    entries : list of (str, str, str, str)
+        Host, path prefix, service and software version of possible origins.
+    streams : list of (bytes, str, str, int, int)
+        Key of a stream, service, software version, and numbers of the request and the
+        attempt that begin it.
+    """
+
+    number: int
+    entries: list[tuple[str, str, str, str]]
+    streams: list[tuple[bytes, str, str, int, int]]
+
+
+class RecordReply(msgspec.Struct, array_like=True, tag="recorded"):
+    """The recorder's reply.
+
+    Attributes
+    ----------
+    is_recorded : bool
+        Whether the store has all that was asked for.
+    shared : list of bool
+        For each entry whether its route's streams may have other origins.
+    """
+
+    number: int
+    is_recorded: bool
+    shared: list[bool]
+
+
+class LookupRequest(msgspec.Struct, array_like=True, tag="find"):
+    """A question for what the store tells of a stream.
+
+    Attributes
+    ----------
+    key : bytes
+        Key of the stream.
+    """
+
+    number: int
+    key: bytes
+    host: str
+    path: str
+
+
+class LookupReply(msgspec.Struct, array_like=True, tag="found"):
+    """The reply; see :class:`endive_gateway.origin_recorder.Finding`."""
+
+    number: int
+    source: str
+    is_known: bool
+    service: str
+    version: str
+    possible: int
+
+
+RecordMessage = RecordRequest | RecordReply | LookupRequest | LookupReply
+OriginMessage = OriginNote | OriginQuery | OriginReply | RecordMessage
 
 DECODER = msgspec.msgpack.Decoder(OriginMessage)
--- a/packages/endive_gateway/src/endive_gateway/peers.py
+++ b/packages/endive_gateway/src/endive_gateway/peers.py
@@ -153,6 +153,8 @@
         context.slot_leasing.peer_addresses = self.presumed_live
         context.slot_pooling.peer_addresses = self.pool_coordinators
         context.origin_exchange.live_members = self.live_members
+        context.origin_records.recorders = self.origin_recorders
+        context.origin_view.unlisting_nodes = self.unlisting_nodes
         context.server_rests.announce = self._announce_rest
         context.leaving_servers.announce = self._announce_leaving
         context.rollouts.announce = self._announce_rollouts
@@ -221,6 +223,14 @@
             if peer.zone
         }
 
+    def origin_recorders(self) -> list[str]:
+        """Return the addresses of live nodes that record where streams begin."""
+        return [peer.address for peer in self.live() if peer.records_origins]
+
+    def unlisting_nodes(self) -> int:
+        """Return how many live nodes begin streams and list no origins."""
+        return sum(not peer.records_origins for peer in self.live())
+
     def is_reader(self) -> bool:
         """Return whether this node reads the store on behalf of the others.
 
@@ -529,6 +539,7 @@
             demand=context.contention_exchange.next_demand(),
             prompt_work=context.order_exchange.next_work(),
             late_prompts=context.contention_exchange.next_late(),
+            records_origins=True,
             **context.server_statements.next_fields(),
         )
 
@@ -580,6 +591,7 @@
         peer.zone = message.zone
         peer.complete = message.complete
         peer.pools_slots = message.pools_slots
+        peer.records_origins = message.records_origins
         peer.fence = message.fence
         peer.work = message.work
         context = self.context
--- a/packages/endive_gateway/src/endive_gateway/placing.py
+++ b/packages/endive_gateway/src/endive_gateway/placing.py
@@ -511,6 +511,7 @@
 
     def _count_crash(self, ticket: Ticket, failed_at: float) -> None:
         crash = self.crash_id(ticket.server)
+        self.registry.mark_ended(ticket.server)
         log_event(
             "server_crashed",
             server=ticket.server,
--- a/packages/endive_gateway/src/endive_gateway/servers.py
+++ b/packages/endive_gateway/src/endive_gateway/servers.py
@@ -17,6 +17,10 @@
 0.3 s are left for the network."""
 
 
+ENDED_S = 2.0
+"""Time after the end of a server's process from which on an entry shows that it runs
+after all, seconds. Entries arrive up to a second after they were written."""
+
 CONTRADICTED_S = 5.0
 MAX_CONTRADICTED_S = 60.0
 """Time after which a server is tried again though another one has answered at its
@@ -61,6 +65,9 @@
         How often one did while this process ran.
     contradicted_until : float
         When it is tried again, seconds on the monotonic clock.
+    ended_at : float or None
+        When its process was found to have ended, seconds on the monotonic clock.
+        Another one may have started since whose entry is not known yet.
     """
 
     entry: ServerEntry
@@ -70,6 +77,21 @@
     contradicted_until: float = 0.0
     departure: Departure | None = None
     is_last: bool = False
+    ended_at: float | None = None
+
+    def renew(self, entry: ServerEntry, now: float) -> None:
+        """Take a newer entry."""
+        is_restarted = entry.incarnation > self.entry.incarnation
+        if self.ended_at is not None and (
+            is_restarted or now - self.ended_at > ENDED_S
+        ):
+            self.ended_at = None
+        self.entry = entry
+
+    def runs(self, entry: ServerEntry) -> bool:
+        """Return whether what answers is the process that wrote an entry."""
+        is_same = self.entry.incarnation == entry.incarnation
+        return is_same and self.ended_at is None
 
     @property
     def is_sound(self) -> bool:
@@ -99,6 +121,9 @@
     restart_listeners : list of callable
         Called with the id of a server that has started again under the same id, before
         its new entry applies. They forget what they know of the earlier incarnation.
+    version_listeners : list of callable
+        Called with the former entry of a server that has started again with other
+        software.
     is_loaded : bool
         Whether the servers have been read from the store at least once.
     departures : dict of str to Departure
@@ -112,6 +137,7 @@
         self.servers: dict[str, KnownServer] = {}
         self.listeners: list[Callable[[], None]] = []
         self.restart_listeners: list[Callable[[str], None]] = []
+        self.version_listeners: list[Callable[[ServerEntry], None]] = []
         self.is_loaded = False
         self.departures: dict[str, Departure] = {}
         self.last_server_s = 0.0
@@ -145,7 +171,7 @@
             known = self.servers[entry.id] = KnownServer(entry)
         elif _process_key(before) != _process_key(entry):
             known.contradicted, known.contradictions = False, 0
-        known.entry = entry
+        known.renew(entry, time.monotonic())
         departure = self.departures.get(entry.id)
         is_same = departure is not None and departure.incarnation == entry.incarnation
         known.departure = departure if is_same else None
@@ -174,6 +200,9 @@
         )
         for listener in self.restart_listeners:
             listener(entry.id)
+        if before.software_version_label != entry.software_version_label:
+            for listener in self.version_listeners:
+                listener(before)
 
     def drop(self, server_id: str, now: float, *, after_outage: bool) -> bool:
         """Drop a server whose entry was deleted; return whether anything changed.
@@ -233,6 +262,12 @@
             )
             self.notify_listeners()
 
+    def mark_ended(self, server_id: str) -> None:
+        """Record that a server's process has ended."""
+        known = self.servers.get(server_id)
+        if known is not None:
+            known.ended_at = time.monotonic()
+
     def mark_leaving(self, server_id: str, departure: Departure) -> bool:
         """Stop using a server that says that it leaves, until it has started again.
 
--- a/packages/endive_gateway/src/endive_gateway/state_messages.py
+++ b/packages/endive_gateway/src/endive_gateway/state_messages.py
@@ -108,6 +108,8 @@
     late_prompts : dict of str to LateReport
         The sender's prompts of these services that were sent as late; only services
         with any.
+    records_origins : bool
+        Whether the sender lists and records in the store where streams begin.
     """
 
     node: str
@@ -147,6 +149,7 @@
     demand: dict[str, DemandReport] = {}
     prompt_work: dict[str, WorkReport] = {}
     late_prompts: dict[str, LateReport] = {}
+    records_origins: bool = False
 
 
 DECODER = msgspec.msgpack.Decoder(StateMessage)
--- a/packages/endive_gateway/src/endive_gateway/stream_affinity.py
+++ b/packages/endive_gateway/src/endive_gateway/stream_affinity.py
@@ -2,24 +2,25 @@
 
 import time
 from collections import Counter
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from endive_core.exceptions import EndiveError, ErrorKind
+from endive_core.possible_origins import PossibleOrigin
 from endive_core.routing import Route, RouteKind
-from endive_core.software_versions import (
-    MAX_STREAM_AGE_S,
-    RouteHistory,
-    certain_version,
-)
 from endive_core.stream_origins import StreamOrigin, stream_key
 from endive_node.logs import log_event
 
 from endive_gateway.interfaces import NOT_A_VERSION, RequestMetadata
 from endive_gateway.origin_exchange import OriginExchange
+from endive_gateway.origin_records import OriginRecords, Recording, random_number
 
 UNKNOWN_VERSION = f"{NOT_A_VERSION}unknown"
 """Software version of a server that has started again while a stream began there."""
 
+RECORDING_S = 0.35
+"""Time for which a stream's first event waits for the recording of its origin, seconds:
+enough to ask the recorder twice, and then the store."""
+
 MAX_LOGGED_CHARACTERS = 64
 """Longest part of a caller's own value in the log, characters."""
 
@@ -31,18 +32,40 @@
     Attributes
     ----------
     outcome : str
-        How that is known: ``kept`` here, ``told`` by another node, or ``certain`` as no
-        other version can have begun the stream; else ``unknown``, or ``moved`` if the
-        route no longer leads to the service that began it.
+        How that is known: ``kept`` here, ``told`` by another node, ``recorded`` in the
+        store, or ``certain`` as the stream can have no other origin; else ``unknown``,
+        ``unread`` if the store does not answer, or ``moved`` if the route no longer
+        leads to the service that began it.
     origin : StreamOrigin or None
         ``None`` if the stream can't go on.
     replies : int
         Owners of its origin that have replied without knowing it.
+    possible : int
+        Number of the origins that it may have, if the store tells that.
     """
 
     outcome: str
     origin: StreamOrigin | None
     replies: int = 0
+    possible: int = 0
+
+
+REFUSALS = {
+    "unknown": (
+        ErrorKind.STREAM_NOT_RESUMABLE,
+        "it is not known which software version began the stream",
+    ),
+    "moved": (
+        ErrorKind.STREAM_NOT_RESUMABLE,
+        "the route no longer leads to the service that began the stream",
+    ),
+    "unread": (
+        ErrorKind.NOT_READY,
+        "the store does not tell now which software version began the stream",
+    ),
+}
+"""By outcome, why a stream does not go on. What the store did not tell, it may tell
+later."""
 
 
 class Resumptions:
@@ -55,14 +78,14 @@
     """
 
     def __init__(
-        self, exchange: OriginExchange, routes: RouteHistory, outcomes: Counter[str]
+        self, exchange: OriginExchange, records: OriginRecords, outcomes: Counter[str]
     ) -> None:
         self.exchange = exchange
-        self.routes = routes
+        self.records = records
         self.outcomes = outcomes
 
     def find(
-        self, route: Route, organisation: str, metadata: RequestMetadata
+        self, route: Route, path: str, organisation: str, metadata: RequestMetadata
     ) -> StreamOrigin:
         """Return where a stream goes on.
 
@@ -72,7 +95,7 @@
             If nobody knows the software version that began it.
         """
         began_at = time.monotonic()
-        resumption = self._resolve(route, organisation, metadata)
+        resumption = self._resolve(route, path, organisation, metadata)
         self.outcomes[resumption.outcome] += 1
         origin = resumption.origin
         log_event(
@@ -84,42 +107,35 @@
             service=origin.service if origin else "",
             software_version=origin.version if origin else "",
             replies=resumption.replies,
+            possible=resumption.possible,
             ms=round((time.monotonic() - began_at) * 1000),
         )
         if origin is None:
-            raise EndiveError(
-                ErrorKind.STREAM_NOT_RESUMABLE,
-                "it is not known which software version began the stream"
-                if resumption.outcome == "unknown"
-                else "the route no longer leads to the service that began the stream",
-            )
+            raise EndiveError(*REFUSALS[resumption.outcome])
         return origin
 
     def _resolve(
-        self, route: Route, organisation: str, metadata: RequestMetadata
+        self, route: Route, path: str, organisation: str, metadata: RequestMetadata
     ) -> Resumption:
         key = stream_key(organisation, metadata.resumes or metadata.id)
         origin = self.exchange.known(key)
         if origin is not None:
-            return self._known("kept", origin, route)
-        service, since_s = self.routes.only_service(route, time.monotonic())
-        inquiry = self.exchange.ask(key, service)
+            return _resumption("kept", origin, route)
+        inquiry = self.exchange.ask(key)
         if inquiry.origin is not None:
-            return self._known("told", inquiry.origin, route)
-        replies = len(inquiry.views)
-        own = self.exchange.history.sole(service, time.monotonic())
-        version = certain_version(own, inquiry.views, MAX_STREAM_AGE_S)
-        # Without a reply this node may be cut off, and not know all versions.
-        is_cut_off = bool(inquiry.unanswered) and not replies
-        if version is None or is_cut_off or since_s < MAX_STREAM_AGE_S:
-            return Resumption("unknown", None, replies)
-        return Resumption("certain", StreamOrigin(service, version), replies)
-
-    @staticmethod
-    def _known(outcome: str, origin: StreamOrigin, route: Route) -> Resumption:
-        if origin.service not in route.services:
-            return Resumption("moved", None)
-        return Resumption(outcome, origin)
+            return _resumption("told", inquiry.origin, route)
+        finding = self.records.look_up(key, route.host, path)
+        return replace(
+            _resumption(finding.source, finding.origin, route),
+            replies=inquiry.replies,
+            possible=finding.possible,
+        )
+
+
+def _resumption(outcome: str, origin: StreamOrigin | None, route: Route) -> Resumption:
+    if origin is not None and origin.service not in route.services:
+        return Resumption("moved", None)
+    return Resumption(outcome, origin)
 
 
 class StreamAffinity:
@@ -130,22 +146,70 @@
     attempts : list of (str, int)
         Software version of the server of each attempt, and the events that the caller
         had been sent before it.
+    number : int
+        Tells this request's records from those of others under its id.
+    recorded : StreamOrigin or None
+        The origin that may have been recorded last.
+    records : int
+        How often one has been.
+    recording : Recording or None
+        The recording that the stream's first event may have to wait for.
+    waits : bool
+        Whether it has to, if that is required.
     """
 
     def __init__(self, metadata: RequestMetadata) -> None:
         self.metadata = metadata
         self.attempts: list[tuple[str, int]] = []
+        self.number = random_number()
+        self.recorded: StreamOrigin | None = None
+        self.records = 0
+        self.recording: Recording | None = None
+        self.waits = False
+
+    def record(
+        self,
+        records: OriginRecords,
+        entry: PossibleOrigin,
+        organisation: str,
+        *,
+        is_resumed: bool,
+    ) -> None:
+        """Have recorded that the stream is about to begin, or go on, at an origin.
+
+        Where it goes on, nothing waits for that: it began there before.
+        """
+        has_failed = self.recording is not None and self.recording.has_failed
+        if self.recorded == entry.origin and not has_failed:
+            return
+        self.records += 1
+        self.recorded = entry.origin
+        self.recording = records.begin(
+            entry, self.keys(organisation), self.number, self.records
+        )
+        self.waits = not is_resumed
+
+    def is_recorded(self) -> bool:
+        """Wait for what must be recorded before the stream begins, and return it."""
+        recording = self.recording
+        if recording is None or not (recording.is_required and self.waits):
+            return True
+        return recording.wait(RECORDING_S)
 
     def is_resumption(self, route: Route) -> bool:
         """Return whether the caller takes up a stream."""
         return route.kind is RouteKind.STREAM and bool(self.metadata.last_event_id)
 
-    def key(self, organisation: str) -> bytes:
-        """Return the key under which the stream's origin is kept."""
-        began_as = self.metadata.id
-        if self.metadata.last_event_id:
-            began_as = self.metadata.resumes or began_as
-        return stream_key(organisation, began_as)
+    def keys(self, organisation: str) -> list[bytes]:
+        """Return the keys under which the stream's origin is kept.
+
+        A caller that takes a stream up repeatedly may name its first try or a later
+        one.
+        """
+        names = [self.metadata.id]
+        if self.metadata.last_event_id and self.metadata.resumes:
+            names.append(self.metadata.resumes)
+        return [stream_key(organisation, name) for name in dict.fromkeys(names)]
 
     def attempted(self, version: str, events: int) -> None:
         """Record that the request is sent to a server of `version`."""
--- a/packages/endive_gateway/tests/test_broken_streams.py
+++ b/packages/endive_gateway/tests/test_broken_streams.py
@@ -1,6 +1,10 @@
 import pytest
 from endive_core.routing import RouteKind
-from gateway_builders import count_received_requests, gateway_with_two_servers
+from gateway_builders import (
+    count_received_requests,
+    gateway_with_two_servers,
+    list_origins,
+)
 from server_builders import close_connection, event, raw, whole_stream
 
 STREAM = {"kind": RouteKind.STREAM, "max_attempts": 2}
@@ -92,6 +96,7 @@
     with gateway_with_two_servers(
         whole_stream(4, 3, framing=framing), **RESUMABLE
     ) as running:
+        list_origins(running.context, "v1")
         got = running.call(After="3")
     assert got.whole
     assert got.body == b""
--- a/packages/endive_gateway/tests/test_pages.py
+++ b/packages/endive_gateway/tests/test_pages.py
@@ -5,10 +5,10 @@
 from endive_gateway.configuration import CONFIGURATION_KEY, ConfigurationFollower
 from endive_gateway.duties import Duties
 from endive_gateway.exceptions import StoreError
-from endive_gateway.following import read_to_end
 from endive_gateway.interfaces import Topic
 from endive_gateway.peers import Peers
 from endive_gateway.server_following import ServerFollower
+from endive_gateway.store_reading import read_to_end
 from gateway_builders import make_context
 from store_builders import MemoryStore, write
 
--- a/packages/endive_gateway/tests/test_streams.py
+++ b/packages/endive_gateway/tests/test_streams.py
@@ -11,6 +11,7 @@
     RunningGateway,
     count_received_requests,
     gateway_with_two_servers,
+    list_origins,
     make_route,
     make_table,
 )
@@ -79,6 +80,7 @@
 def test_a_callers_own_place_in_a_stream_is_passed_on():
     server = ScriptedServer(events(8, 9))
     with RunningGateway(server, table=make_table(make_route(**RESUMABLE))) as running:
+        list_origins(running.context, "v1")
         got = running.call(After="7")
     assert got.body == event(8) + event(9)
     assert server.received[0].headers["after"] == "7"
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -27,6 +27,10 @@
 MAX_IN_SERIES = 4
 SILENCE_WAIT_S = 1.0
 ROLLOUT_PAUSE_S = 0.5
+LEARNED_S, SLOW_EVENT_S, TAKEN_UP_S = 1.2, 0.2, 4.0
+"""Time in which nodes learn of servers and streams of them begin, time between events
+then, and time in which streams are taken up, seconds."""
+
 BROKEN_OFF = 12
 SLOWDOWN = 6.0
 MEAN_PHASE_S = 1.2
@@ -392,6 +396,25 @@
         gevent.sleep(0.2 + 0.2 * fault.strength)
 
 
+def lost_amid_versions(fleet, fault):
+    """Kill all nodes at once while streams of two software versions run."""
+    if fleet.versions_change:
+        return
+    fleet.versions_change = True
+    backends = [b for b in fleet.backends if b.service == "engine"]
+    for backend in backends[fault.target % 2 :: 2]:
+        backend.version = f"v{1 + int(backend.version[1:])}"
+        gevent.spawn(backend.crash, 0.2)
+    gevent.sleep(LEARNED_S)
+    for backend in backends:
+        if backend.server is not None:
+            backend.server.event_gap_s = SLOW_EVENT_S
+    gevent.sleep(LEARNED_S)
+    kill_all(fleet, fault)
+    gevent.sleep(TAKEN_UP_S)
+    fleet.versions_change = False
+
+
 def ordered_rollout(fleet, fault):
     """Order that a service be shifted to a version that is started now, good or bad."""
     service = ("plain", "engine")[fault.target % 2]
@@ -482,6 +505,7 @@
         few_slots,
         nodes_cut_from_servers,
         rollout,
+        lost_amid_versions,
         fetches_hang,
         ordered_rollout,
         demand_burst,
--- a/tests/soak/invariants.py
+++ b/tests/soak/invariants.py
@@ -412,6 +412,8 @@
     violations : list of str
     counts : dict of str to int
         Requests by kind and outcome.
+    only : str
+        The rule whose violations are recorded; all if empty.
     """
 
     def __init__(self, clock, limits):
@@ -432,8 +434,11 @@
         self.crashes = defaultdict(list)
         self.outcomes = {}
         self.event_versions = {}
+        self.only = ""
 
     def record_violation(self, rule, text):
+        if self.only not in ("", rule):
+            return
         self.violations.append(f"{self.clock():.3f} s: {rule}: {text}")
 
     # Callers
@@ -529,6 +534,11 @@
                 "software version", f"{stream} after {after}: {before}, then {version}"
             )
 
+    def check_text(self, stream, versions):
+        """Check that all events that a caller has of a stream are of one version."""
+        if len(set(versions)) > 1:
+            self.record_violation("joined text", f"{stream}: {' '.join(versions)}")
+
     def server_crashed(self, path):
         """Record that a request to `path` has crashed a server."""
         self.crashes[path].append(self.clock())
--- a/tests/soak/launch.py
+++ b/tests/soak/launch.py
@@ -13,6 +13,9 @@
 import gevent
 from gevent import socket as gsocket
 
+EARLIER_BUILD = "lists-nothing"
+"""As in :mod:`soak.fleet`, which starts threads and must not be imported here."""
+
 real_time = time.time
 real_connect = gsocket.socket.connect
 offset_path = os.environ["SOAK_CLOCK"]
@@ -226,6 +229,42 @@
     )
 
 
+def list_no_origins():
+    """Let a node do as those of a build that keeps no origins in the store."""
+    from endive_gateway import state_messages
+    from endive_gateway.origin_recorder import Finding, OriginRecorder
+    from endive_gateway.origin_records import OriginRecords
+
+    OriginRecords.begin = lambda self, *stream: None
+    OriginRecords.receive = lambda self, *message: None
+    OriginRecords.look_up = lambda self, *stream: Finding(source="unknown")
+    OriginRecorder.run = lambda self: gevent.sleep(3600.0)
+    real_message = state_messages.StateMessage
+
+    def message(**fields):
+        return real_message(**fields | {"records_origins": False})
+
+    from endive_gateway import peers
+
+    peers.StateMessage = message
+
+
+def guess_a_version():
+    """Let a node take the newest server's version for one that nobody knows."""
+    from endive_core.stream_origins import StreamOrigin
+    from endive_gateway.origin_recorder import Finding
+    from endive_gateway.origin_records import OriginRecords
+
+    def look_up(self, key, host, path):
+        servers = self.view.registry.servers.values()
+        engines = [s.entry for s in servers if s.entry.service == "engine"]
+        newest = max(engines, key=lambda entry: entry.incarnation)
+        origin = StreamOrigin(newest.service, newest.software_version)
+        return Finding(origin, "certain", 1)
+
+    OriginRecords.look_up = look_up
+
+
 def trust_all_sources():
     """Let a node name servers as sources however late its requests become."""
     from endive_core.source_trust import SourceTrust
@@ -254,6 +293,35 @@
     Contention.active = property(lambda self: False)
 
 
+def watch_partition(path):
+    """Drop the datagrams from and to other nodes while the file has content."""
+    from endive_gateway.datagrams import DatagramPort
+
+    real_send, real_handle = DatagramPort.send, DatagramPort._handle_datagram
+
+    def is_partitioned():
+        return os.path.exists(path) and os.path.getsize(path) > 0
+
+    def send(self, message, addresses):
+        if not is_partitioned():
+            real_send(self, message, addresses)
+
+    def handle(self, *datagram):
+        if not is_partitioned():
+            real_handle(self, *datagram)
+
+    DatagramPort.send, DatagramPort._handle_datagram = send, handle
+
+
+def shorten_streams(age_s):
+    """Let a node assume that a stream is taken up within `age_s` seconds."""
+    from endive_core import possible_origins
+    from endive_gateway import origin_recorder
+
+    possible_origins.MAX_STREAM_AGE_S = age_s
+    origin_recorder.MAX_STREAM_AGE_S = age_s
+
+
 MUTANTS = {
     "limit": disable_limit_sharing,
     "not-run": report_not_run,
@@ -273,6 +341,8 @@
     "no-transit": carry_no_connections,
     "no-distrust": trust_all_sources,
     "no-affinity": forget_where_streams_began,
+    "guessed-version": guess_a_version,
+    EARLIER_BUILD: list_no_origins,
     "no-speeds": ignore_speeds,
     "no-contention": serve_in_order_of_arrival,
     "no-rollouts": take_candidates_for_ordinary,
@@ -282,6 +352,10 @@
     mutant = os.environ.get("SOAK_MUTANT")
     if mutant:
         MUTANTS[mutant]()
+    if "SOAK_PARTITION" in os.environ:
+        watch_partition(os.environ["SOAK_PARTITION"])
+    if "SOAK_STREAM_AGE_S" in os.environ:
+        shorten_streams(float(os.environ["SOAK_STREAM_AGE_S"]))
     from endive_platform import __main__ as program
 
     sys.argv = ["endive-platform", "gateway"]
--- a/tests/soak/mixes.py
+++ b/tests/soak/mixes.py
@@ -16,6 +16,7 @@
     "few_slots",
     "nodes_cut_from_servers",
     "rollout",
+    "lost_amid_versions",
     "fetches_hang",
     "ordered_rollout",
     "demand_burst",
@@ -44,6 +45,7 @@
 FEW_SLOTS = ("few_slots", "change_configuration")
 SILENT = ("server_silent", "reload", "change_configuration")
 ROLLOUTS = ("rollout", "kill", "server_crash")
+REJOINED = ("lost_amid_versions",)
 FETCHES = ("fetches_hang",)
 SPEEDS = ("servers_uneven", "reload", "change_configuration")
 DEMAND = ("demand_burst",)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -20,6 +20,7 @@
     ORDERED,
     ORDERED_AMID_FAULTS,
     PARTS,
+    REJOINED,
     SILENCES,
     UNEVEN,
 )
@@ -100,6 +101,13 @@
     assert outcome.violations == [], outcome.directory
 
 
+def test_no_stream_is_joined_from_two_versions_after_losses_of_all_nodes():
+    """All nodes are killed while streams of two versions run, and callers take them
+    up again, naming their first try or the last."""
+    outcome = run_seed(1, slot=SLOT, kinds=REJOINED)
+    assert outcome.violations == [], outcome.directory
+
+
 def test_brittle_servers_do_not_have_to_reject_much():
     """Servers that reject a few requests a second fail, and nodes restart meanwhile."""
     outcome = run_seed(1, slot=SLOT, kinds=BRITTLE)
--- a/tests/test_soak_mutants.py
+++ b/tests/test_soak_mutants.py
@@ -10,6 +10,7 @@
     LIMITED_SERVERS,
     ORDERED,
     PARTS,
+    REJOINED,
     RESTS,
     ROLLOUTS,
     SERVERS_CUT,
@@ -70,3 +71,12 @@
     outcome = run_seed(seed, slot=SLOT, mutant=mutant, kinds=kinds)
     assert outcome.violations, outcome.counts
     assert f" s: {rule}: " in outcome.violations[0]
+
+
+def test_a_guessed_version_is_detected_in_the_text():
+    """Nodes that return after the loss of all guess a version where nobody knows it;
+    callers then hold text of two."""
+    outcome = run_seed(
+        1, slot=SLOT, mutant="guessed-version", kinds=REJOINED, only="joined text"
+    )
+    assert outcome.violations, outcome.counts
