Answer the token counts of streams to callers that ask for them

Cause: client libraries send stream_options, and n, stop, seed, user and top_p, with chats; stream_options and n were refused with 400 as unknown fields.

Change: a stream whose caller asks for its usage ends with a chunk that has no choices and holds the token counts; other chunks have a usage of null. It has no id, so a caller that lost it resumes after the last token and gets it. What the caller asked for travels with the request, to a node that relays the answer and to one that continues it. stream_options without stream is refused, as is n beyond 1; other fields of that API are still refused, since an ignored one changes the answer.

--- a/packages/endive_core/src/endive_core/bodies.py
+++ b/packages/endive_core/src/endive_core/bodies.py
@@ -1,9 +1,9 @@
 """Validation of request bodies for the endpoints that reach model engines."""
 
-from typing import Annotated, Any, Literal
+from typing import Annotated, Any, Literal, Self
 
 import msgspec
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic import BaseModel, ConfigDict, Field, ValidationError, model_validator
 
 from endive_core.exceptions import EndiveError, ErrorKind
 from endive_core.messages import Endpoint
@@ -13,6 +13,14 @@
 MAX_MAX_TOKENS = 131_072
 
 
+class StreamOptions(BaseModel):
+    """What a streamed answer holds besides its tokens."""
+
+    model_config = ConfigDict(extra="forbid")
+
+    include_usage: bool = False
+
+
 class _Body(BaseModel):
     """Fields common to both endpoints; unknown fields are rejected, not ignored."""
 
@@ -21,12 +29,30 @@
     model: str = Field(min_length=1, max_length=200)
     max_tokens: int = Field(DEFAULT_MAX_TOKENS, ge=1, le=MAX_MAX_TOKENS)
     stream: bool = False
+    stream_options: StreamOptions | None = None
+    n: Literal[1] | None = None
     temperature: float | None = Field(None, ge=0, le=2)
     top_p: float | None = Field(None, ge=0, le=1)
     seed: int | None = None
     stop: str | list[str] | None = None
     user: str | None = None
 
+    @model_validator(mode="after")
+    def _check_stream_options(self) -> Self:
+        if self.stream_options is not None and not self.stream:
+            raise ValueError("stream_options is allowed only with stream: true")
+        return self
+
+    @property
+    def include_usage(self) -> bool:
+        """Whether a streamed answer ends with its token counts."""
+        return self.stream_options is not None and self.stream_options.include_usage
+
+    def server_fields(self) -> dict[str, Any]:
+        """Return the fields that are sent on to the backend server."""
+        own = {"stream", "stream_options"}
+        return self.model_dump(mode="json", exclude_none=True, exclude=own)
+
 
 class Message(BaseModel):
     """One message of a chat."""
--- a/packages/endive_core/src/endive_core/handover.py
+++ b/packages/endive_core/src/endive_core/handover.py
@@ -32,6 +32,7 @@
     stream: bool = False
     key: str = ""
     fingerprint: str = ""
+    include_usage: bool = False
 
 
 @dataclass(frozen=True)
@@ -220,6 +221,7 @@
         stream=request.stream,
         key=request.key,
         fingerprint=request.fingerprint,
+        include_usage=request.include_usage,
     )
 
 
@@ -246,4 +248,5 @@
         path=transfer.path,
         method=transfer.method,
         fingerprint=head.fingerprint,
+        include_usage=head.include_usage,
     )
--- a/packages/endive_core/src/endive_core/messages.py
+++ b/packages/endive_core/src/endive_core/messages.py
@@ -36,6 +36,8 @@
         Whether the request may run at most once.
     key_time : float or None
         When the caller first sent the key, seconds since 1970, if given.
+    include_usage : bool
+        Whether a streamed answer ends with its token counts.
     """
 
     request_id: str
@@ -54,6 +56,7 @@
     path: str = ""
     method: str = "POST"
     fingerprint: str = ""
+    include_usage: bool = False
 
     @property
     def prompt_tokens(self) -> int:
--- a/packages/endive_node/src/endive_node/callers.py
+++ b/packages/endive_node/src/endive_node/callers.py
@@ -158,10 +158,11 @@
             organisation=organisation,
             model=body.model,
             endpoint=endpoint,
-            body=body.model_dump(mode="json", exclude_none=True, exclude={"stream"}),
+            body=body.server_fields(),
             prompt=body.prompt_text(),
             max_tokens=body.max_tokens,
             stream=body.stream,
+            include_usage=body.include_usage,
             **self._common_fields(),
         )
 
@@ -314,11 +315,17 @@
         "created": int(time.time()),
         "model": request.model,
         "choices": [choice],
-        "usage": {
-            "prompt_tokens": request.prompt_tokens,
-            "completion_tokens": len(record.tokens),
-            "total_tokens": request.prompt_tokens + len(record.tokens),
-        },
+        "usage": usage(record),
+    }
+
+
+def usage(record: RequestRecord) -> dict[str, int]:
+    """Return the token counts of an answer."""
+    prompt_tokens, tokens = record.request.prompt_tokens, len(record.tokens)
+    return {
+        "prompt_tokens": prompt_tokens,
+        "completion_tokens": tokens,
+        "total_tokens": prompt_tokens + tokens,
     }
 
 
@@ -337,7 +344,9 @@
             "created": int(time.time()),
             "model": request.model,
         }
-        self.head = b"data: " + encode_json(head)[:-1] + b',"choices":[{"index":0,'
+        self.stem = b"data: " + encode_json(head)[:-1] + b',"choices":['
+        self.head = self.stem + b'{"index":0,'
+        self.end = b',"usage":null}\n\n' if request.include_usage else b"}\n\n"
         self.text_key = b'"delta":{"content":' if self.chat else b'"text":'
         self.text_end = b"}" if self.chat else b""
 
@@ -353,15 +362,23 @@
                 self.text_end,
                 b',"finish_reason":',
                 reason,
-                b"}]}\n\n",
+                b"}]",
+                self.end,
             )
         )
 
+    def usage_event(self, counts: dict[str, int]) -> bytes:
+        """Return the event after the last token.
+
+        It has no id, so that a caller that has lost it resumes after the last token.
+        """
+        return self.stem + b'],"usage":' + encode_json(counts) + b"}\n\n"
+
 
 def stream_events(
     record: RequestRecord, first: list[str] | None, batches: Iterator, start: int
 ) -> Iterator[bytes]:
-    """Yield one chunk of events for each batch of tokens, then ``[DONE]``.
+    """Yield one chunk of events for each batch of tokens, the usage, and ``[DONE]``.
 
     An error after the first token can no longer change the status, so it is sent as
     an event.
@@ -374,6 +391,8 @@
             yield b"".join(_batch_events(writer, record, index, batch))
             index += len(batch)
             batch = next(batches, None)
+        if record.request.include_usage:
+            yield writer.usage_event(usage(record))
         yield b"data: [DONE]\n\n"
     except EndiveError as error:
         body = error.to_body(record.request.request_id)
