--- a/packages/endive_ctl/src/endive_ctl/cli.py
+++ b/packages/endive_ctl/src/endive_ctl/cli.py
@@ -13,7 +13,7 @@
 import fire
 import msgspec
 
-from endive_ctl import tables
+from endive_ctl import overview, tables
 from endive_ctl.client import UNREACHABLE, ApiError, OperatorClient
 from endive_ctl.files import FileError, read_resources
 from endive_ctl.loglines import read_lines
@@ -36,6 +36,14 @@
     CONFLICT = 4
 
 
+EXIT_CODE_TEXTS = {
+    ExitCode.DONE: "success",
+    ExitCode.REFUSED: "the node refused the request",
+    ExitCode.BAD_INPUT: "invalid input or usage",
+    ExitCode.UNREACHABLE: "no node responded",
+    ExitCode.CONFLICT: "version conflict: another change was applied first",
+}
+
 EXIT_CODES = {UNREACHABLE: ExitCode.UNREACHABLE, "version_conflict": ExitCode.CONFLICT}
 """Exit codes by error code; any other error code exits with ``REFUSED``."""
 
@@ -240,6 +248,9 @@
 
 def main() -> None:
     """Run ``endivectl``; an error is printed as one line on standard error."""
+    if overview.is_asked(sys.argv[1:]):
+        print(overview.overview(Commands, DEFAULT_SERVERS, EXIT_CODE_TEXTS), end="")
+        return
     try:
         fire.Fire(Commands, name="endivectl")
     except FileError as error:
