--- a/packages/endive_core/src/endive_core/capacity.py
+++ b/packages/endive_core/src/endive_core/capacity.py
@@ -34,20 +34,13 @@
 TOLERATED_ZONE_LOSSES = 2
 """Zones whose reclaimable servers may be lost while the rest still carries the load.
 Servers ordered at the first notice need 4 s to start, and a second zone is reclaimed
-within 5 to 6 s, when the cloud has no reclaimable servers available. In simulations
-with one zone only, six servers served 0.83 of the requests, weighted by value and with
-late ones counted in part, instead of 0.90 at the same cost; 45 servers served 0.67
-instead of 0.80."""
+within 5 to 6 s, when the cloud has no reclaimable servers available."""
 
 ZONES_AT_RISK = 2
 COVERED_FRACTION = 0.5
 """Further zones that may be lost in a wave of reclaims, and the fraction of the load
 that on-demand servers must then carry together with the remaining ones. On-demand
-servers need 4 s to start, and two zones may be reclaimed within 0.1 s of each other.
-In simulations with five to nine servers and half of the load covered, two zones at risk
-served 0.01 to 0.04 more of the weighted requests than one. A fraction of 0.4 served
-0.02 less than 0.6 where three zones were lost, 0.01 more where two were, and 0.03 more
-with 45 servers; 0.5 is a compromise."""
+servers need 4 s to start, and two zones may be reclaimed within 0.1 s of each other."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/endive_core/src/endive_core/contention.py
+++ b/packages/endive_core/src/endive_core/contention.py
@@ -44,9 +44,8 @@
 """Number of different draws of a request's fingerprint."""
 
 MIN_LATE_SHARE = 0.1
-"""Least part of the capacity that late prompts are taken to get. With 0.25 more of the
-most urgent kind were lost (0.038, not 0.021); with 0.05 more were refused (0.039, not
-0.032; messages-8, 8 nodes, seeds 1 to 6)."""
+"""Least part of the capacity that late prompts are taken to get, so that the predicted
+wait stays finite while they get none."""
 
 LATE_PRIORITY = 6
 """Priority at the server of the late requests of the most urgent level. Levels below it
