Name the loop, record and stream that an odd entry or event spoils

Six gateways logged loop=Follower.run, the loop of both topics, without a topic, key or offset, and nothing about what a forwarded event held. So the log could not tell the hypotheses of the two incidents apart.

A failed loop is now named with the class of its object, a record that can't be applied with topic, key, offset and the age of the store's last answer, and the line of a request counts its events without an id. Forwarding and following are unchanged.

--- a/packages/endive_gateway/src/endive_gateway/attempts.py
+++ b/packages/endive_gateway/src/endive_gateway/attempts.py
@@ -546,6 +546,7 @@
         """Record for the log how a stream ended."""
         splitter, progress = self.request.splitter, self.request.progress
         progress.events = splitter.count
+        progress.unnumbered = splitter.unnumbered
         progress.unfinished_bytes = len(splitter.pending)
         progress.ends_with_connection = message.ends_with_connection
         if splitter.is_inside_event:
--- a/packages/endive_gateway/src/endive_gateway/events.py
+++ b/packages/endive_gateway/src/endive_gateway/events.py
@@ -29,12 +29,15 @@
         Id of the last complete event that has one.
     count : int
         Number of complete events.
+    unnumbered : int
+        Number of those without an id.
     """
 
     def __init__(self) -> None:
         self.pending = b""
         self.last_id = ""
         self.count = 0
+        self.unnumbered = 0
 
     def feed(self, data: bytes) -> bytes:
         """Return the events that `data` completes.
@@ -46,15 +49,18 @@
         """
         searched = max(0, len(self.pending) - MAX_EVENT_END_BYTES)
         self.pending += data
-        end = 0
+        end, count_before = 0, self.count
         for match in EVENT_END.finditer(self.pending, searched):
             end = match.end()
             self.count += 1
         whole, self.pending = self.pending[:end], self.pending[end:]
         if len(self.pending) > MAX_EVENT_BYTES:
             raise BadMessageError("an event is too large")
-        for match in EVENT_ID.finditer(whole):
-            self.last_id = match[1].decode("latin-1")
+        ids = [match[1] for match in EVENT_ID.finditer(whole)]
+        if ids:
+            self.last_id = ids[-1].decode("latin-1")
+        numbered = sum(map(bool, ids))
+        self.unnumbered += max(0, self.count - count_before - numbered)
         return whole
 
     @property
--- a/packages/endive_gateway/src/endive_gateway/following.py
+++ b/packages/endive_gateway/src/endive_gateway/following.py
@@ -5,7 +5,7 @@
 from typing import Protocol
 
 import gevent
-from endive_node.logs import log_event
+from endive_node.logs import log_event, log_failure
 
 from endive_gateway.clocks import boot_time
 from endive_gateway.context import Context
@@ -145,8 +145,23 @@
         """Return how long a read waits for a record, seconds."""
         return 0.0
 
+    def apply(self, record: Record) -> None:
+        """Apply one record, and log which one fails."""
+        try:
+            self.apply_record(record)
+        except Exception:
+            self.context.metrics.events["record_failed"] += 1
+            log_failure(
+                "record_failed",
+                topic=self.topic,
+                key=record.key,
+                offset=record.offset,
+                answer_age_s=self.answer_age_s(),
+            )
+            raise
+
     def apply_record(self, record: Record) -> None:
-        """Apply one record."""
+        """Apply one record, whose content may have been written by anyone."""
         raise NotImplementedError
 
     def on_applied(self, keys: set[str] | None) -> None:
@@ -168,7 +183,7 @@
     def _set_newest(self, records: Iterable[Record], end: int) -> None:
         """Apply the newest record of each key, as of offset `end`."""
         for record in records:
-            self.apply_record(record)
+            self.apply(record)
         self.next_offset = max(self.next_offset, end)
         self.synced = True
         self.on_applied({record.key for record in records})
@@ -185,7 +200,7 @@
         self._note_recovery()
         for record in page.records:
             if record.offset >= self.next_offset:
-                self.apply_record(record)
+                self.apply(record)
                 self.next_offset = record.offset + 1
         self.on_applied(None)
 
--- a/packages/endive_gateway/src/endive_gateway/loops.py
+++ b/packages/endive_gateway/src/endive_gateway/loops.py
@@ -19,5 +19,13 @@
         try:
             loop()
         except Exception as error:
-            log_failure("loop_failed", loop=loop.__qualname__, error=repr(error))
+            log_failure("loop_failed", loop=_loop_name(loop), error=repr(error))
             gevent.sleep(LOOP_RESTART_S)
+
+
+def _loop_name(loop: Callable[[], None]) -> str:
+    """Return the loop's name, with the class of its object for an inherited method."""
+    owner = getattr(loop, "__self__", None)
+    if owner is None:
+        return loop.__qualname__
+    return f"{type(owner).__name__}.{loop.__name__}"
--- a/packages/endive_gateway/src/endive_gateway/server_following.py
+++ b/packages/endive_gateway/src/endive_gateway/server_following.py
@@ -283,7 +283,7 @@
             return
         for record in changes:
             if record.offset >= self.next_offset:
-                self.apply_record(record)
+                self.apply(record)
         self.next_offset = server_delta.next
         self.relayed_at = max(self.relayed_at, relayed_at)
         self.on_applied(None)
