--- /dev/null
+++ b/tests/odd_documents.py
@@ -0,0 +1,61 @@
+"""Builders of documents that another writer may have left among our own."""
+
+import json
+
+DEEP = 2_000
+MANY_DIGITS = "9" * 400
+
+
+def entry(**options):
+    """Return a server's entry in the store."""
+    values = {
+        "service": "s",
+        "address": "127.0.0.1:8000",
+        "zone": "z",
+        "version": "v1",
+        "slots": 8,
+        "state": "ready",
+        "cold_left_ms": 0,
+        "sequence": 1,
+        "born": 1,
+    }
+    return json.dumps(values | options).encode()
+
+
+def with_raw(name, value):
+    """Return an entry whose field `name` holds the bytes `value`, whatever they are."""
+    return entry(**{name: "%RAW"}).replace(b'"%RAW"', value)
+
+
+def nested(depth=DEEP):
+    """Return an array in an array, and so on."""
+    return b"[" * depth + b"]" * depth
+
+
+ODD_ENTRIES = {
+    "breaks off in nested arrays": b'{"hosts": ' + b"[" * DEEP,
+    "nested arrays": with_raw("hosts", nested()),
+    "nested objects": with_raw("hosts", b'{"a":' * DEEP + b"1" + b"}" * DEEP),
+    "nested version": with_raw("version", nested()),
+    "large slots": with_raw("slots", MANY_DIGITS.encode()),
+    "large start time": with_raw("born", MANY_DIGITS.encode()),
+    "large sequence": with_raw("sequence", MANY_DIGITS.encode()),
+    "negative sequence": entry(sequence=-1),
+    "large cold time": with_raw("cold_left_ms", MANY_DIGITS.encode()),
+    "large leaving time": with_raw("leaves_ms", MANY_DIGITS.encode()),
+    "infinite leaving time": with_raw("leaves_ms", b"1e999"),
+    "not UTF-8": b'{"service": "\xff\xfe"}',
+    "too long": entry(note="x" * 100_000),
+    "port 0": entry(address="127.0.0.1:0"),
+    "port 65536": entry(address="127.0.0.1:65536"),
+    "port 99999": entry(address="127.0.0.1:99999"),
+    "octet 300": entry(address="300.0.0.1:80"),
+    "no host": entry(address="0.0.0.0:80"),
+    "multicast": entry(address="224.0.0.1:80"),
+    "line end": entry(address="127.0.0.1:80\n"),
+    "digits of another script": entry(address="127.0.0.1:٨٠٨٠"),
+}
+"""By name, entries that name no server, though some look like one."""
+
+ODD_SERVER_IDS = ["", "i-1\r\nA: b", "i 1", "i-ж", "i-\x00", "i" * 300]
+"""Keys that no server's id can be: a request could not name the server."""
--- /dev/null
+++ b/tests/test_unreadable_entries.py
@@ -0,0 +1,70 @@
+"""Entries of the store that can't be read, and what stands beside them."""
+
+import pytest
+from endive_gateway.interfaces import Record, Topic
+from endive_gateway.server_following import ServerFollower
+from endive_platform.wire import PlatformWire
+from gateway_builders import make_context
+from odd_documents import ODD_ENTRIES, ODD_SERVER_IDS, entry
+from store_builders import MemoryStore
+
+
+def put(store, key, value):
+    """Append a record to the list of servers."""
+    records = store.topics[Topic.SERVERS]
+    records.append(Record(len(records), key, value))
+
+
+def read(follower):
+    """Read the list; a failure is only logged, as in the running loop."""
+    try:
+        follower.step()
+    except Exception:
+        return
+
+
+@pytest.fixture
+def store():
+    return MemoryStore()
+
+
+@pytest.fixture
+def follower(store):
+    context = make_context(store=store)
+    context.wire = PlatformWire()
+    return ServerFollower(context)
+
+
+@pytest.mark.parametrize("odd", ODD_ENTRIES.values(), ids=ODD_ENTRIES)
+def test_a_departure_after_an_unreadable_entry_is_seen(store, follower, odd):
+    """Requests reached servers that had left, since no node read past the entry."""
+    put(store, "i-1", entry())
+    read(follower)
+    put(store, "odd", odd)
+    put(store, "i-1", entry(state="draining", sequence=2))
+    put(store, "i-2", entry())
+    read(follower)
+    assert not follower.context.registry.get("i-1").usable
+    assert set(follower.context.registry.servers) == {"i-1", "i-2"}
+
+
+@pytest.mark.parametrize("odd", ODD_ENTRIES.values(), ids=ODD_ENTRIES)
+def test_a_node_that_starts_beside_an_unreadable_entry_knows_the_others(
+    store, follower, odd
+):
+    """After all nodes had restarted, none knew a server while the entry lay there."""
+    put(store, "i-1", entry())
+    put(store, "odd", odd)
+    put(store, "i-2", entry())
+    read(follower)
+    assert set(follower.context.registry.servers) == {"i-1", "i-2"}
+    assert follower.context.registry.is_loaded
+
+
+@pytest.mark.parametrize("server_id", ODD_SERVER_IDS)
+def test_an_entry_under_an_impossible_id_names_no_server(store, follower, server_id):
+    """Each request placed there ended with an internal error."""
+    put(store, server_id, entry())
+    put(store, "i-2", entry())
+    read(follower)
+    assert set(follower.context.registry.servers) == {"i-2"}
