--- a/packages/endive_gateway/src/endive_gateway/configuration.py
+++ b/packages/endive_gateway/src/endive_gateway/configuration.py
@@ -12,7 +12,6 @@
     StoreError,
     StoreHeldBackError,
     StoreOffsetOutOfRangeError,
-    UndecodableError,
 )
 from endive_gateway.following import Follower, Readers
 from endive_gateway.interfaces import Record, Topic
@@ -120,24 +119,11 @@
             return
         if not record.value:
             return
-        try:
-            table = self.context.wire.decode_configuration(record.value)
-        except UndecodableError as error:
-            log_event("configuration_undecodable", offset=record.offset, error=error)
-            return
+        table = self.context.wire.decode_configuration(record.value)
         self.context.configure(table, record.value, "store")
 
     def _apply_rollout(self, record: Record) -> None:
-        try:
-            order = self.context.wire.decode_rollout(record)
-        except UndecodableError as error:
-            log_event(
-                "rollout_undecodable",
-                key=record.key,
-                offset=record.offset,
-                error=error,
-            )
-            return
+        order = self.context.wire.decode_rollout(record)
         if order is not None:
             self.context.rollouts.learn_order(order)
 
--- a/packages/endive_gateway/src/endive_gateway/following.py
+++ b/packages/endive_gateway/src/endive_gateway/following.py
@@ -1,7 +1,8 @@
 """Follows a keyed topic of the store, or what other nodes relay of it."""
 
 import time
-from collections.abc import Iterable
+from collections import OrderedDict
+from collections.abc import Callable, Iterable
 from typing import Protocol
 
 import gevent
@@ -12,6 +13,7 @@
 from endive_gateway.exceptions import (
     StoreError,
     StoreOffsetOutOfRangeError,
+    UndecodableError,
 )
 from endive_gateway.interfaces import Page, Record, Topic
 from endive_gateway.store_reading import read_to_end
@@ -30,6 +32,12 @@
 """Time between two checks whether readers still relay to this node, seconds."""
 
 
+MAX_SKIPPED = 1_000
+"""Records that are remembered as skipped. Another writer may leave any number."""
+
+MAX_LOGGED_CHARACTERS = 128
+
+
 class Readers(Protocol):
     """Which nodes read the store on behalf of the others."""
 
@@ -81,6 +89,8 @@
         When the read under way began, on the boot clock; ``None`` between two reads.
     last_answer_at : float or None
         When the store last answered a read, on the boot clock.
+    skipped : OrderedDict of str to int
+        Offsets of records that could not be applied, by key, the newest ones last.
     synced : bool
         Whether the newest records have been read, and all later changes since.
     """
@@ -97,6 +107,7 @@
         self.available_since: float | None = None
         self.read_started_at: float | None = None
         self.last_answer_at: float | None = None
+        self.skipped: OrderedDict[str, int] = OrderedDict()
         self.synced = False
 
     def run(self) -> None:
@@ -146,22 +157,38 @@
         return 0.0
 
     def apply(self, record: Record) -> None:
-        """Apply one record, and log which one fails."""
+        """Apply one record; one that can't be applied is skipped and logged once.
+
+        If an error ended the read, each later one would end at the same record, and
+        nothing that follows it would become known.
+        """
         try:
             self.apply_record(record)
-        except Exception:
-            self.context.metrics.events["record_failed"] += 1
-            log_failure(
-                "record_failed",
-                topic=self.topic,
-                key=record.key,
-                offset=record.offset,
-                answer_age_s=self.answer_age_s(),
-            )
-            raise
+        except UndecodableError as error:
+            self._note_skipped(record, "record_undecodable", log_event, error)
+        except Exception as error:
+            self._note_skipped(record, "record_failed", log_failure, repr(error))
+
+    def _note_skipped(
+        self, record: Record, event: str, log: Callable[..., None], error: object
+    ) -> None:
+        if self.skipped.get(record.key) == record.offset:
+            return
+        self.skipped[record.key] = record.offset
+        self.skipped.move_to_end(record.key)
+        if len(self.skipped) > MAX_SKIPPED:
+            self.skipped.popitem(last=False)
+        self.context.metrics.events[event] += 1
+        log(
+            event,
+            topic=self.topic,
+            key=record.key[:MAX_LOGGED_CHARACTERS],
+            offset=record.offset,
+            error=str(error)[:MAX_LOGGED_CHARACTERS],
+        )
 
     def apply_record(self, record: Record) -> None:
-        """Apply one record, whose content may have been written by anyone."""
+        """Apply one record; raises UndecodableError if it can't be read."""
         raise NotImplementedError
 
     def on_applied(self, keys: set[str] | None) -> None:
--- a/packages/endive_gateway/src/endive_gateway/server_following.py
+++ b/packages/endive_gateway/src/endive_gateway/server_following.py
@@ -155,11 +155,7 @@
             self.changes.append(record)
             self.dirty |= registry.drop(record.key, now, after_outage=self.after_outage)
             return
-        try:
-            entry = self.context.wire.decode_server(record.key, record.value)
-        except UndecodableError as error:
-            log_event("server_entry_undecodable", server=record.key, error=error)
-            return
+        entry = self.context.wire.decode_server(record.key, record.value)
         self.newest[record.key] = record
         if registry.put(entry):
             self.changes.append(record)
