Forward only what is an event of the stream

The splitter took whatever ended with a blank line for an event and forwarded it without a look at it.

Class: bytes of another process taken for sound because their framing is.

Each event is now checked before a byte of it goes out: fields of the format, one id, some data, text throughout, one kind of line end, and ids that count up by one, within one run, over its resumptions at other servers, and from the caller's own Last-Event-Id on. What an event may hold is said in one place, EventFormat. What isn't one ends the server's part like a broken connection: the stream goes on elsewhere where it may be resumed, and ends as incomplete where not.

--- a/packages/endive_gateway/src/endive_gateway/attempts.py
+++ b/packages/endive_gateway/src/endive_gateway/attempts.py
@@ -14,7 +14,6 @@
 from endive_gateway.events import EventSplitter
 from endive_gateway.exceptions import (
     AttemptError,
-    BadMessageError,
     ConnectionBrokenError,
     FetchOverdueError,
 )
@@ -477,11 +476,13 @@
             if not exchange.response_started:
                 self.request.check_recorded(self.entry)
             if has_events:
-                data = self._split(data)
+                data = splitter.feed(data)
             if data:
                 self._start_response(message)
                 self.request.progress.chunk_forwarded(self.request.now)
                 exchange.send_chunk(data)
+            if splitter.violation:
+                self._reject_events(message)
         self._record_end(message)
         if has_events:
             self._check_stream_complete(message, splitter.count - events_before)
@@ -521,18 +522,17 @@
                 "the connection ended before the first event", sent=True
             )
 
-    def _split(self, data: bytes) -> bytes:
-        """Return the events that `data` completes.
+    def _reject_events(self, message: ResponseMessage) -> None:
+        """Leave a server that sent what is no event, as if it had broken off.
 
         Raises
         ------
         ConnectionBrokenError
-            If an event is too large.
+            In each case.
         """
-        try:
-            return self.request.splitter.feed(data)
-        except BadMessageError as error:
-            raise ConnectionBrokenError(str(error), sent=True) from None
+        self._record_end(message)
+        self.context.metrics.events["stream_event_invalid"] += 1
+        raise ConnectionBrokenError(self.request.splitter.violation, sent=True)
 
     def _read_events(self, message: ResponseMessage) -> bytes:
         """Return the next bytes of a stream; raises ConnectionBrokenError."""
@@ -546,7 +546,6 @@
         """Record for the log how a stream ended."""
         splitter, progress = self.request.splitter, self.request.progress
         progress.events = splitter.count
-        progress.unnumbered = splitter.unnumbered
         progress.unfinished_bytes = len(splitter.pending)
         progress.ends_with_connection = message.ends_with_connection
         if splitter.is_inside_event:
--- a/packages/endive_gateway/src/endive_gateway/decoding.py
+++ b/packages/endive_gateway/src/endive_gateway/decoding.py
@@ -13,6 +13,9 @@
 
 from endive_gateway.exceptions import UndecodableError
 
+MAX_RECORD_BYTES = 16_384
+"""Largest record of one server, node or order, bytes."""
+
 MAX_DEPTH = 32
 """Deepest nesting of a document. The decoder's own limit is that of the interpreter's
 stack, so the same document would be read at one place and not at another."""
@@ -42,7 +45,10 @@
 
 
 def decode_json(
-    data: bytes, document_type: type[Document], *, max_bytes: int
+    data: bytes,
+    document_type: type[Document],
+    *,
+    max_bytes: int = MAX_RECORD_BYTES,
 ) -> Document:
     """Decode a JSON document of a type.
 
--- a/packages/endive_gateway/src/endive_gateway/forwarding.py
+++ b/packages/endive_gateway/src/endive_gateway/forwarding.py
@@ -100,7 +100,7 @@
         self.organisation = ""
         self.call: Call | None = None
         self.ticket: Ticket | None = None
-        self.splitter = EventSplitter()
+        self.splitter = EventSplitter(context.wire.event_format())
         self.affinity = StreamAffinity(self.metadata)
         self.may_have_run = False
         self.in_flight = False
@@ -159,6 +159,9 @@
         except BadHeaderError as error:
             raise EndiveError(ErrorKind.INVALID_FIELD, str(error)) from None
         self.affinity = StreamAffinity(self.metadata)
+        self.splitter = EventSplitter(
+            context.wire.event_format(), self.metadata.last_event_id
+        )
         context.wait_until_initialised()
         table = context.table
         if table is None:
--- a/packages/endive_gateway/src/endive_gateway/interfaces.py
+++ b/packages/endive_gateway/src/endive_gateway/interfaces.py
@@ -282,6 +282,24 @@
     resumes: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class EventFormat:
+    """What the events of streams hold. Each has one id and data; comments have none.
+
+    Attributes
+    ----------
+    fields : frozenset of bytes
+        Names of the fields that an event may have: those of the event-stream format of
+        the HTML standard, and others of the platform's.
+    first_id : int or None
+        Id of a stream's first event; ``None`` if it may be any. From it on, ids count
+        up by one, within one run and over its resumptions.
+    """
+
+    fields: frozenset[bytes] = frozenset({b"id", b"data", b"event", b"retry"})
+    first_id: int | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class ForwardingMetadata:
     """What the gateway adds to a request's headers when it sends it to a server.
@@ -406,6 +424,10 @@
         """Decode the headers of a server's response."""
         ...
 
+    def event_format(self) -> EventFormat:
+        """Return what the events of the servers' streams hold."""
+        ...
+
     def own_response_headers(self, metadata: RequestMetadata) -> Headers:
         """Return the headers of a response that the gateway generates itself."""
         ...
--- a/packages/endive_gateway/src/endive_gateway/progress.py
+++ b/packages/endive_gateway/src/endive_gateway/progress.py
@@ -29,8 +29,6 @@
         When the latest chunk was sent to the caller.
     events : int
         Complete events of the stream.
-    unnumbered : int
-        Those of them without an id.
     unfinished_bytes : int
         Bytes received after the last complete event, when the stream ended.
     ends_with_connection : bool
@@ -46,7 +44,6 @@
     max_gap_s: float = 0.0
     last_sent_at: float = 0.0
     events: int = 0
-    unnumbered: int = 0
     unfinished_bytes: int = 0
     ends_with_connection: bool = False
 
@@ -79,7 +76,6 @@
             "uncached": self.uncached_tokens,
             "yielded": self.yielded,
             "events": self.events,
-            "unnumbered": self.unnumbered,
             "unfinished": self.unfinished_bytes,
             "unframed": self.ends_with_connection,
         }
--- a/packages/endive_gateway/tests/gateway_builders.py
+++ b/packages/endive_gateway/tests/gateway_builders.py
@@ -25,6 +25,7 @@
 from endive_gateway.forwarding import Forwarder
 from endive_gateway.interfaces import (
     Bounds,
+    EventFormat,
     GatewaySettings,
     NodeLocation,
     PromptPart,
@@ -83,6 +84,9 @@
             sent.append((b"Fetch", forwarding.fetch_source.encode()))
         return sent
 
+    def event_format(self):
+        return EventFormat(first_id=1)
+
     def end_to_end_headers(self):
         return frozenset({b"id"})
 
