--- a/tests/test_platform_start.py
+++ b/tests/test_platform_start.py
@@ -2,9 +2,11 @@
 
 import json
 import os
+import signal
 import socket
 import subprocess
 import sys
+import time
 
 import gevent
 from endive_gateway.callers import CallerListener
@@ -123,3 +125,44 @@
         check=True,
     )
     return done.stdout.strip()
+
+
+def test_a_change_of_settings_during_the_start_does_not_end_the_process(tmp_path):
+    """A process that got SIGHUP before it had a handler ended, with its callers."""
+    port, ready = free_port(), free_port()
+    path = tmp_path / "local.json"
+    nowhere = f"127.0.0.1:{free_port()}"
+    document = {
+        "node_name": "n1",
+        "ip": "127.0.0.1",
+        "zone": "z",
+        "listen": {"front": f"127.0.0.1:{port}", "ready_addr": f"127.0.0.1:{ready}"},
+        "port_range": [free_port(), free_port()],
+        "platform": {"address": nowhere},
+        "cloud": {"address": nowhere},
+    }
+    path.write_text(json.dumps(document))
+    process = subprocess.Popen(
+        [sys.executable, "-m", "endive_platform", "gateway"],
+        env={**os.environ, listening.SETTINGS_PATH_VARIABLE: str(path)},
+        stdout=subprocess.DEVNULL,
+    )
+    try:
+        is_open = False
+        while process.poll() is None and not (is_open and accepts(ready)):
+            is_open = is_open or accepts(port)
+            if is_open:
+                process.send_signal(signal.SIGHUP)
+            time.sleep(0.005)
+        assert process.poll() is None
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(10) == 0
+    finally:
+        process.kill()
+        process.wait()
+
+
+def accepts(port):
+    """Return whether a connection to a local port opens."""
+    with socket.socket() as sock:
+        return sock.connect_ex(("127.0.0.1", port)) == 0
