Go on receiving after a message that can't be read or handled

What callers would see: a node that hears nothing of the others any more, so that limits, crashes and departures of servers reach it only through the store.

Cause: the greenlet that receives was not supervised, and expected MsgspecError alone. A datagram of 60,000 nested arrays raises RecursionError, and an error of a handler ended the exchange for good as well. So did one in the two loops of Peers. A send asked the resolver for the name in an odd address, which holds up every greenlet, and one that raises UnicodeError or TypeError kept the message from all later addresses.

Change: a port decodes through decoding.py, drops what its handler can't use, logs one line a second at most, and sends to IPv4 addresses of hosts only. Both loops and the receiver are restarted after an error.

--- a/packages/endive_gateway/src/endive_gateway/datagrams.py
+++ b/packages/endive_gateway/src/endive_gateway/datagrams.py
@@ -1,15 +1,20 @@
 """A UDP port over which gateways exchange msgpack messages of one type."""
 
 import socket
+import time
 from collections.abc import Callable, Iterable
 from typing import Any
 
 import gevent
 import msgspec
-from endive_node.logs import log_event
+from endive_node.logs import log_event, log_failure
 from endive_node.sockets import listen_udp
 from gevent.socket import wait_read, wait_write
 
+from endive_gateway.decoding import decode_msgpack, is_ip_address
+from endive_gateway.exceptions import UndecodableError
+from endive_gateway.loops import keep_running
+
 MAX_DATAGRAM_BYTES = 65_535
 RECEIVE_RETRY_S = 0.2
 """Pause after a failed receive call, seconds."""
@@ -17,11 +22,16 @@
 MAX_BATCH = 64
 """Datagrams handled before other greenlets run; one takes some 40 microseconds."""
 
+LOG_INTERVAL_S = 1.0
+"""Least time between two log lines on messages that were dropped, seconds. Anyone may
+send any number of them."""
+
 
 class DatagramPort:
     """Sends messages, and passes received ones to a handler.
 
-    Delivery is not guaranteed. A message that can't be decoded is logged and dropped.
+    Delivery is not guaranteed. A message that can't be decoded or handled is dropped
+    and logged, and later ones are received.
 
     Parameters
     ----------
@@ -38,6 +48,8 @@
         Time for which nothing is received after each batch, seconds. The datagrams that
         arrive meanwhile are handled together: most of the processor time of a small
         datagram that arrives alone is that of waking up for it.
+    dropped : int
+        Messages that were dropped since the last log line on one.
     """
 
     def __init__(
@@ -51,6 +63,8 @@
         self.handle = handle
         self.encoder = msgspec.msgpack.Encoder()
         self.pause_s = 0.0
+        self.dropped = 0
+        self.next_log_at = 0.0
         self.port = 0
         self.socket: socket.socket | None = None
         self.receiver: gevent.Greenlet | None = None
@@ -60,7 +74,7 @@
         self.port = port
         self.socket = listen_udp(address, port)
         self.socket.setblocking(False)
-        self.receiver = gevent.spawn(self._receive_all)
+        self.receiver = gevent.spawn(keep_running, self._receive_all)
 
     def stop(self) -> None:
         """Stop receiving and close the port."""
@@ -70,11 +84,14 @@
     def send(self, message: Any, addresses: Iterable[str]) -> None:
         """Send a message to the nodes at `addresses`, which are IP addresses.
 
-        A send that fails is logged.
+        A send that fails is logged, as is an address that is none: the resolver would
+        be asked for its name, and hold up all greenlets.
         """
         data = self.encoder.encode(message)
         for address in addresses:
             try:
+                if not is_ip_address(address):
+                    raise OSError("not an IPv4 address")
                 self._send_data(data, address)
             except OSError as error:
                 log_event("not_told", subject=self.subject, peer=address, error=error)
@@ -112,8 +129,21 @@
 
     def _handle_datagram(self, data: bytes, source: str) -> None:
         try:
-            message = self.decoder.decode(data)
-        except msgspec.MsgspecError as error:
-            log_event("rejected", subject=self.subject, source=source, error=error)
+            message = decode_msgpack(data, self.decoder)
+        except UndecodableError as error:
+            self._note_dropped("rejected", log_event, source, error)
+            return
+        try:
+            self.handle(message, source)
+        except Exception as error:
+            self._note_dropped("message_failed", log_failure, source, repr(error))
+
+    def _note_dropped(
+        self, event: str, log: Callable[..., None], source: str, error: object
+    ) -> None:
+        self.dropped += 1
+        if time.monotonic() < self.next_log_at:
             return
-        self.handle(message, source)
+        self.next_log_at = time.monotonic() + LOG_INTERVAL_S
+        dropped, self.dropped = self.dropped, 0
+        log(event, subject=self.subject, source=source, error=error, dropped=dropped)
--- a/packages/endive_gateway/src/endive_gateway/decoding.py
+++ b/packages/endive_gateway/src/endive_gateway/decoding.py
@@ -122,12 +122,17 @@
     return bool(TOKEN.fullmatch(text))
 
 
-def is_host_address(address: str) -> bool:
-    """Return whether a text is the IPv4 address of a host, with a port."""
-    host, _, port = address.partition(":")
+def is_ip_address(address: str) -> bool:
+    """Return whether a text is the IPv4 address of a host."""
     try:
-        octets = socket.inet_pton(socket.AF_INET, host)
+        octets = socket.inet_pton(socket.AF_INET, address)
     except (OSError, ValueError):
         return False
-    is_host = 0 < octets[0] < FIRST_MULTICAST_OCTET
-    return is_host and bool(PORT.fullmatch(port)) and int(port) <= MAX_PORT
+    return 0 < octets[0] < FIRST_MULTICAST_OCTET
+
+
+def is_host_address(address: str) -> bool:
+    """Return whether a text is the IPv4 address of a host, with a port."""
+    host, _, port = address.partition(":")
+    is_port = bool(PORT.fullmatch(port)) and int(port) <= MAX_PORT
+    return is_port and is_ip_address(host)
--- a/packages/endive_gateway/src/endive_gateway/peers.py
+++ b/packages/endive_gateway/src/endive_gateway/peers.py
@@ -28,6 +28,7 @@
 from endive_gateway.following import RELAY_TIMEOUT_S
 from endive_gateway.interfaces import Record
 from endive_gateway.listing import NodeList
+from endive_gateway.loops import keep_running
 from endive_gateway.nodes import Peer
 from endive_gateway.part_exchange import PartExchange
 from endive_gateway.server_following import ServerFollower
@@ -181,7 +182,7 @@
         self.bootstrap_exchange.start(self.address, self.port)
         self.context.registry.listeners.append(self._announce_servers)
         loops = (self._broadcast_loop, self.node_list.follow)
-        self.loops = [gevent.spawn(loop) for loop in loops]
+        self.loops = [gevent.spawn(keep_running, loop) for loop in loops]
 
     def stop(self) -> None:
         """Stop the loops and close the ports."""
--- a/packages/endive_gateway/tests/test_datagrams.py
+++ b/packages/endive_gateway/tests/test_datagrams.py
@@ -77,6 +77,55 @@
     assert [number for number, _at in received] == [7]
 
 
+def send_bytes(data):
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+        sender.sendto(data, ("127.0.0.1", PORT))
+
+
+class Pair(msgspec.Struct, array_like=True):
+    first: int
+
+
+def test_a_message_that_nests_too_deeply_does_not_end_the_reception(port, received):
+    """One datagram ended the exchange of a node for good, with a RecursionError."""
+    port.decoder = msgspec.msgpack.Decoder(Pair)
+    send_bytes(b"\x92\x01" + b"\x91" * 60_000)
+    send_bytes(b"\x91\x07")
+    gevent.sleep(0.05)
+    assert [pair.first for pair, _at in received] == [7]
+
+
+def test_a_message_that_a_handler_cannot_use_does_not_end_the_reception(port):
+    """One message with an impossible value ended the exchange of a node for good."""
+    handled = []
+
+    def handle(number, _address):
+        handled.append(10 / number)
+
+    port.handle = handle
+    send(0)
+    send(5)
+    gevent.sleep(0.05)
+    assert handled == [2]
+
+
+def test_messages_that_cannot_be_used_are_logged_once_a_second(port, caplog):
+    """Anyone can send a thousand such messages a second, each with a traceback."""
+    for _ in range(50):
+        send_bytes(b"\xc1")
+    gevent.sleep(0.05)
+    assert len(caplog.records) == 1
+
+
+@pytest.mark.parametrize("odd", ["", "name.invalid", "x" * 300, "\0", "0.0.0.0", "é"])
+def test_a_message_goes_out_beside_one_to_an_impossible_address(odd):
+    """An odd address in the list of nodes kept the messages from the nodes after it."""
+    port = DatagramPort("test", msgspec.msgpack.Decoder(int), print)
+    port.socket = FullSocket(refusals=0)
+    port.send(1, [odd, "127.0.0.2"])
+    assert port.socket.sent == [("127.0.0.2", 0)]
+
+
 class FullSocket:
     """A socket whose buffer is full for the first datagrams."""
 
--- a/packages/endive_gateway/tests/test_loops.py
+++ b/packages/endive_gateway/tests/test_loops.py
@@ -4,6 +4,7 @@
 from endive_gateway.following import Follower
 from endive_gateway.interfaces import Topic
 from endive_gateway.loops import keep_running
+from endive_gateway.peers import Peers
 from endive_gateway.server_following import ServerFollower
 from gateway_builders import make_context
 from store_builders import MemoryStore, write
@@ -41,3 +42,27 @@
     keep.kill()
     assert "event=record_failed topic=servers key=i-odd offset=0" in caplog.text
     assert context.metrics.events["record_failed"] == 1
+
+
+def test_a_failing_read_of_the_nodes_is_tried_again(monkeypatch):
+    """One unexpected failure ended the reads of the list of nodes for good."""
+    monkeypatch.setattr(loops, "LOOP_RESTART_S", 0.01)
+    peers = Peers(make_context())
+    steps = []
+
+    def fail():
+        steps.append(1)
+        raise RecursionError("too deep")
+
+    monkeypatch.setattr(peers.node_list, "follow", fail)
+    monkeypatch.setattr(peers, "_broadcast_loop", fail)
+    for part in (
+        peers.datagrams,
+        peers.configuration_exchange,
+        peers.bootstrap_exchange,
+    ):
+        monkeypatch.setattr(part, "start", lambda *_address: None)
+    peers.start()
+    gevent.sleep(0.1)
+    gevent.killall(peers.loops)
+    assert len(steps) > 4
