Skip entries of the list of nodes that name no node

What others would see: one entry of another writer in the list, and no node finds the others through the store, so that each admits the whole of every limit by itself; or each sends its state to a text that is no address.

Change: entries are decoded through decoding.py, and an address has to be one of a host. What is skipped is counted, and logged once with its offset instead of at each read.

Of the 17 new cases of tests/test_unreadable_entries.py all failed before, one of them for its second log line alone; all pass now.

--- a/packages/endive_gateway/src/endive_gateway/listing.py
+++ b/packages/endive_gateway/src/endive_gateway/listing.py
@@ -1,6 +1,7 @@
 """The list of nodes in the store: registers this node and reads the other entries."""
 
 from collections.abc import Callable
+from itertools import islice
 
 import gevent
 import msgspec
@@ -9,8 +10,10 @@
 from gevent.pool import Group
 
 from endive_gateway.context import Context
-from endive_gateway.exceptions import StoreError
-from endive_gateway.interfaces import Topic
+from endive_gateway.decoding import decode_json, is_ip_address
+from endive_gateway.exceptions import StoreError, UndecodableError
+from endive_gateway.following import MAX_LOGGED_CHARACTERS, MAX_SKIPPED
+from endive_gateway.interfaces import Record, Topic
 from endive_gateway.nodes import NodeEntry
 
 MIN_LIST_READ_INTERVAL_S = 20.0
@@ -91,6 +94,8 @@
         Addresses of long-running nodes that the last list read did not contain.
     outdated : Event
         Set once there are so many of them that the list is read again soon.
+    skipped : set of int
+        Offsets of entries that could not be read.
     """
 
     def __init__(
@@ -108,6 +113,7 @@
         self.addresses: list[str] = []
         self.unlisted: set[str] = set()
         self.outdated = Event()
+        self.skipped: set[int] = set()
 
     def follow(self) -> None:
         """Register this node and read the list repeatedly; the body of a greenlet."""
@@ -205,16 +211,26 @@
         addresses = []
         for record in self.context.store.newest(Topic.NODES).records:
             try:
-                entry = msgspec.json.decode(record.value or b"", type=NodeEntry)
-            except msgspec.MsgspecError as error:
-                log_event("node_entry_undecodable", node=record.key, error=error)
-                continue
-            addresses.append(entry.address)
+                addresses.append(_decode_address(record.value or b""))
+            except UndecodableError as error:
+                self._note_skipped(record, error)
         self.unlisted.clear()
         self.outdated.clear()
         self._set_addresses(addresses)
         self.is_read.set()
 
+    def _note_skipped(self, record: Record, error: UndecodableError) -> None:
+        if record.offset in self.skipped:
+            return
+        self.skipped = {*islice(self.skipped, MAX_SKIPPED), record.offset}
+        self.context.metrics.events["node_entry_undecodable"] += 1
+        log_event(
+            "node_entry_undecodable",
+            node=record.key[:MAX_LOGGED_CHARACTERS],
+            offset=record.offset,
+            error=str(error)[:MAX_LOGGED_CHARACTERS],
+        )
+
     def learn(self, addresses: list[str]) -> None:
         """Take the list from another node, unless this node knows it already.
 
@@ -222,10 +238,18 @@
         read it before a third one registered.
         """
         if not self.is_known.is_set():
-            self._set_addresses(addresses)
+            self._set_addresses([a for a in addresses if is_ip_address(a)])
 
     def _set_addresses(self, addresses: list[str]) -> None:
         self.addresses = addresses
         # Set first, since `on_addresses` tells the others whether the list is known.
         self.is_known.set()
         self.on_addresses(addresses)
+
+
+def _decode_address(value: bytes) -> str:
+    """Return the address in a node's entry; raises UndecodableError."""
+    entry = decode_json(value, NodeEntry)
+    if not is_ip_address(entry.address):
+        raise UndecodableError(f"{entry.address!r} is not the address of a node")
+    return entry.address
--- a/packages/endive_gateway/src/endive_gateway/nodes.py
+++ b/packages/endive_gateway/src/endive_gateway/nodes.py
@@ -4,12 +4,14 @@
 
 import msgspec
 
+from endive_gateway.decoding import Count
+
 
 class NodeEntry(msgspec.Struct):
     """A node's entry in the list of nodes in the store."""
 
     address: str
-    incarnation: int
+    incarnation: Count
 
 
 RESTART_MARGIN_S = 0.5
--- a/tests/odd_documents.py
+++ b/tests/odd_documents.py
@@ -59,3 +59,37 @@
 
 ODD_SERVER_IDS = ["", "i-1\r\nA: b", "i 1", "i-ж", "i-\x00", "i" * 300]
 """Keys that no server's id can be: a request could not name the server."""
+
+ODD_ADDRESSES = [
+    "",
+    "name.invalid",
+    "300.0.0.1",
+    "0.0.0.0",
+    "224.0.0.1",
+    "127.0.0.1\n",
+    "127.0.0.1:80",
+    "127.0.0.\u0661",
+    "\0",
+    "x" * 300,
+]
+"""Texts that no node's address can be."""
+
+
+def node_entry(**options):
+    """Return a node's entry in the store."""
+    return json.dumps({"address": "127.0.0.7", "incarnation": 1} | options).encode()
+
+
+ODD_NODE_ENTRIES = {
+    "empty": b"",
+    "nested arrays": b'{"address": ' + nested() + b"}",
+    "nested unknown field": node_entry(note=1).replace(b"1}", nested() + b"}"),
+    "large incarnation": node_entry(incarnation=10**400),
+    "not UTF-8": b'{"address": "\xff\xfe", "incarnation": 1}',
+    "too long": node_entry(note="x" * 100_000),
+    **{
+        f"address {address[:12]!r}": node_entry(address=address)
+        for address in ODD_ADDRESSES
+    },
+}
+"""By name, entries that name no node, though some look like one."""
--- a/tests/test_unreadable_entries.py
+++ b/tests/test_unreadable_entries.py
@@ -2,10 +2,18 @@
 
 import pytest
 from endive_gateway.interfaces import Record, Topic
+from endive_gateway.listing import NodeList
 from endive_gateway.server_following import ServerFollower
 from endive_platform.wire import PlatformWire
 from gateway_builders import make_context
-from odd_documents import ODD_ENTRIES, ODD_SERVER_IDS, entry
+from odd_documents import (
+    ODD_ADDRESSES,
+    ODD_ENTRIES,
+    ODD_NODE_ENTRIES,
+    ODD_SERVER_IDS,
+    entry,
+    node_entry,
+)
 from store_builders import MemoryStore
 
 
@@ -68,3 +76,24 @@
     put(store, "i-2", entry())
     read(follower)
     assert set(follower.context.registry.servers) == {"i-2"}
+
+
+@pytest.mark.parametrize("odd", ODD_NODE_ENTRIES.values(), ids=ODD_NODE_ENTRIES)
+def test_the_nodes_beside_an_unreadable_entry_are_found(store, odd, caplog):
+    """No node found the others, or each sent its messages to an address of none."""
+    found = []
+    nodes = NodeList(make_context(store=store), found.extend)
+    store.put(Topic.NODES, "n-1", node_entry(address="127.0.0.2"))
+    store.put(Topic.NODES, "odd", odd)
+    store.put(Topic.NODES, "n-2", node_entry(address="127.0.0.3"))
+    nodes.read()
+    assert found == ["127.0.0.2", "127.0.0.3"]
+    nodes.read()
+    assert caplog.text.count("node_entry_undecodable") == 1
+
+
+def test_addresses_of_no_node_are_not_taken_from_another_one(store):
+    """A starting node passed on what an odd snapshot held, and sent messages there."""
+    nodes = NodeList(make_context(store=store), lambda _addresses: None)
+    nodes.learn([*ODD_ADDRESSES, "127.0.0.2"])
+    assert nodes.addresses == ["127.0.0.2"]
