Scan strings of a document in one step each

The check of a document's depth took a step for each character of a string: 205 ms for 600 KB, as large as a configuration may be, and meanwhile no request goes on.

Change: the expression takes a string's characters at once, and doesn't backtrack.

--- a/packages/endive_gateway/src/endive_gateway/decoding.py
+++ b/packages/endive_gateway/src/endive_gateway/decoding.py
@@ -39,7 +39,7 @@
 FIRST_MULTICAST_OCTET = 224
 """First octet from which on an IPv4 address is not that of a single host."""
 
-BRACKET_OR_STRING = re.compile(rb'"(?:[^"\\]|\\.)*"?|[\[{]|[\]}]', re.DOTALL)
+BRACKET_OR_STRING = re.compile(rb'"[^"\\]*+(?:\\.[^"\\]*+)*+"?|[\[{]|[\]}]', re.DOTALL)
 
 Document = TypeVar("Document")
 
