Keep an unreadable record of the store from hiding or deleting others

What callers would see: with a value that is no Base64 among the newest records, no node that starts reads the servers at all (binascii.Error is no StoreError, so the loop ended and began again at the same page). A record shorter than its key, such as ff "i-1", was read as the deletion of server i-1, at every node.

Cause: the client of the store relied on records being well-formed.

Change: a record that can't be read stands in its page with a value that no document can be decoded from, so that its reader skips it by its offset; a record shorter than its key belongs to no key.

--- a/packages/endive_gateway/src/endive_gateway/store_reading.py
+++ b/packages/endive_gateway/src/endive_gateway/store_reading.py
@@ -1,11 +1,21 @@
-"""Reads of the store that take several calls."""
+"""Reads of the store that take several calls, and records as it returns them."""
+
+import base64
 
 from endive_gateway.exceptions import StoreConflictError, StoreError
-from endive_gateway.interfaces import Page, Store, Topic
+from endive_gateway.interfaces import Page, Record, Store, Topic
 
 NO_OFFSET = 2**53 - 1
 """An offset that no topic reaches."""
 
+MAX_PAGE_BYTES = 33_554_432
+"""Largest page that is read, bytes. The largest configuration that is accepted takes
+two thirds of it, in Base64."""
+
+UNREADABLE = b"\xff"
+"""Value of a record that can't be read. No document can be decoded from it. Without any
+value, the record would delete its key."""
+
 
 def end_of(store: Store, topic: Topic) -> int:
     """Return where a topic ends now; raises StoreError.
@@ -38,3 +48,25 @@
         page = store.read(topic, start + len(records))
         records += page.records
     return Page(page.first, page.end, records)
+
+
+def read_item(offset: int, key: str, value: str) -> Record:
+    """Return the record of a key and its value in Base64; no value if that is empty."""
+    try:
+        decoded = base64.b64decode(value, validate=True)
+    except ValueError:
+        decoded = UNREADABLE
+    return Record(offset, key, decoded or None)
+
+
+def read_keyed(offset: int, content: bytes) -> Record:
+    """Return the record that begins with the length of its key, one byte, and the key.
+
+    One that is shorter than its key belongs to no key: the beginning of a key may be
+    another one.
+    """
+    end = 1 + content[0] if content else 1
+    if len(content) < end:
+        return Record(offset, "", UNREADABLE)
+    key = content[1:end].decode("utf-8", "replace")
+    return Record(offset, key, content[end:] or None)
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -11,11 +11,13 @@
     StoreError,
     StoreOffsetOutOfRangeError,
     StoreOutcomeUnknownError,
+    UndecodableError,
 )
 from endive_gateway.interfaces import Order, Topic
 from endive_platform import calls as calls_module
 from endive_platform.calls import CallFailedError, PlatformCalls
 from endive_platform.cloud import PlatformCloud
+from endive_platform.entries import decode_server
 from endive_platform.store import PlatformStore
 from gevent.server import StreamServer
 
@@ -75,6 +77,54 @@
         store(Response(200, data)).read(Topic.DUTIES, 0)
 
 
+@pytest.mark.parametrize("odd", [b"", b"\x04i-1", b"\xffi-1", b"\xff"])
+def test_a_record_that_is_shorter_than_its_key_deletes_no_other_key(odd):
+    """A server was dropped at all nodes by a record that began like its own."""
+    data = framed(odd, keyed(b"i-2", b"{}"), end=2)
+    page = store(Response(200, data)).read(Topic.SERVERS, 0)
+    first, second = page.records
+    assert (first.key, bool(first.value)) == ("", True)
+    assert (second.offset, second.key, second.value) == (1, "i-2", b"{}")
+
+
+def test_a_key_that_is_no_text_spoils_no_other_record():
+    """One record with a key of other bytes must not end the read of the topic."""
+    data = framed(keyed(b"\xff\xfe", b"{}"), keyed(b"i-2", b"{}"), end=2)
+    page = store(Response(200, data)).read(Topic.SERVERS, 0)
+    assert [record.key for record in page.records] == ["\ufffd\ufffd", "i-2"]
+
+
+@pytest.mark.parametrize("odd", ["=", "abc", "é", "{}", "e30\n="])
+def test_a_value_that_is_not_base64_spoils_no_other_record(odd):
+    """No node read the servers at its start while one such value lay among them."""
+    items = [
+        {"key": "odd", "value": odd, "offset": 1},
+        {"key": "i-2", "value": base64.b64encode(b"{}").decode(), "offset": 2},
+    ]
+    response = Response(200, {"items": items, "truncated": False, "end": 3})
+    first, second = store(response).newest(Topic.SERVERS).records
+    assert first.value
+    assert (second.key, second.value) == ("i-2", b"{}")
+    with pytest.raises(UndecodableError):
+        decode_server("i-1", first.value)
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b'{"items": [], "truncated": false, "end": ' + b"9" * 400 + b"}",
+        b'{"items": [], "truncated": false, "end": -1}',
+        b'{"items": ' + b"[" * 60_000 + b"]" * 60_000 + b"}",
+        b'{"items": [], "truncated": false, "end": 1, "x": ' + b'{"a":' * 60_000,
+        b"\xff",
+    ],
+)
+def test_a_page_that_cannot_be_read_is_an_error_of_the_store(data):
+    """Any other error ended the loop of its reader in place of a retry."""
+    with pytest.raises(StoreError):
+        store(Response(200, data)).newest(Topic.SERVERS)
+
+
 def test_an_offset_out_of_range_reports_the_oldest_offset():
     with pytest.raises(StoreOffsetOutOfRangeError) as caught:
         store(Response(410, {"first": 12})).read(Topic.SERVERS, 7)
