Keep an origin listed that another node has just confirmed

In the case reported, streams at a version that had returned during a release broke and went on at the other version.

Cause: a node removes an origin that it has seen no use for in 60 s. It decides that from its own view, and may stand still, or be cut off from the others, before it writes. Another node that begins streams at the origin meanwhile finds it listed and wrote nothing, so the condition on the end of the topic held and the origin was removed. The list then had one version, and a node that heard from no owner took the streams of the other one for certain to be of it.

Change: confirming an origin always writes the list. A node whose write meets that of another one removes nothing, and begins its 60 s anew.

The test failed before in both its cases (the entry was not listed).

--- a/packages/endive_gateway/src/endive_gateway/origin_recorder.py
+++ b/packages/endive_gateway/src/endive_gateway/origin_recorder.py
@@ -363,7 +363,9 @@
             return
         self._read_list()
         beside = self.view.usable_beside(entries | self._listed())
-        self._change(lambda origins: origins.extended(entries | beside))
+        # Even an unchanged list is written: a node that is about to remove an entry
+        # then finds that the topic has gone on.
+        self._change(lambda origins: origins.extended(entries | beside), is_needed=True)
 
     def _listed(self) -> frozenset[PossibleOrigin]:
         return self.origins.entries if self.origins is not None else frozenset()
@@ -381,6 +383,8 @@
         values = [r.value for r in page.records if r.key == LIST_KEY]
         if page.end != self.end:
             self.incomplete_since = time.monotonic()
+            # Another node may have confirmed entries that this one sees no use for.
+            self.disuse.clear()
         self.end, self.origins, self.streams_from = page.end, None, 0
         self.is_replaceable = True
         if not values:
@@ -391,15 +395,23 @@
             self.is_replaceable = not isinstance(error, OtherFormatError)
             self._log_failure("origin_list_undecodable", error)
 
-    def _change(self, change: Callable[[OriginList], OriginList]) -> None:
-        """Write a changed list, unless it is as it should be; raises StoreError."""
+    def _change(
+        self, change: Callable[[OriginList], OriginList], *, is_needed: bool = False
+    ) -> None:
+        """Write a changed list; raises StoreError.
+
+        Parameters
+        ----------
+        is_needed : bool
+            Whether the list is written even if it is as it should be.
+        """
         while True:
             before = self.origins
             if before is None and not self.is_replaceable:
                 raise StoreError("the list of origins has another format")
             is_new = self.end == 0 and self.is_first_start
             changed = change(before or OriginList(is_complete=is_new))
-            if changed == before:
+            if changed == before and not is_needed:
                 return
             streams_from = self._streams_from()
             try:
@@ -420,6 +432,8 @@
             return
 
     def _log_change(self, before: OriginList | None, after: OriginList) -> None:
+        if before == after:
+            return
         old = before.entries if before is not None else frozenset()
         log_event(
             "origins_listed",
@@ -508,7 +522,11 @@
                 return
             unused = self.disuse.observe(self._listed(), view.is_usable, now)
             beside = view.usable_beside(self._listed())
-            self._change(lambda origins: self._swept(origins, unused, beside, is_mixed))
+            self._change(
+                lambda origins: self._swept(
+                    origins, unused & self.disuse.since.keys(), beside, is_mixed
+                )
+            )
         except StoreError as error:
             self._log_failure("origins_not_swept", error)
 
--- a/packages/endive_gateway/tests/origin_builders.py
+++ b/packages/endive_gateway/tests/origin_builders.py
@@ -135,3 +135,14 @@
 def written_lists(store):
     """Return the lists that were written to a store."""
     return [record.value for record in store.topics[Topic.POSSIBLE_ORIGINS]]
+
+
+def cut_off(fleet, node, *versions):
+    """Let a node hear of nothing but servers of some versions."""
+    registry = ServerRegistry()
+    for version in versions:
+        registry.put(make_entry(f"i-{version}", software_version=version))
+    view = OriginView(registry, lambda: fleet.table)
+    view.refresh()
+    node.view = node.recorder.view = view
+    node.recorders = tuple
--- a/packages/endive_gateway/tests/test_origin_records.py
+++ b/packages/endive_gateway/tests/test_origin_records.py
@@ -15,10 +15,11 @@
     encode_list,
     encode_streams,
 )
-from endive_gateway.origin_recorder import BATCH_S, LIST_KEY, SWEEP_S
+from endive_gateway.origin_recorder import BATCH_S, LIST_KEY, SWEEP_S, LookupJob
 from gateway_builders import HOST
 from origin_builders import (
     RecorderFleet,
+    cut_off,
     make_origin,
     make_possible,
     written_lists,
@@ -318,3 +319,44 @@
 
 def test_sweeps_are_rarer_than_the_times_that_they_measure():
     assert SWEEP_S < MAX_STREAM_AGE_S / 10
+
+
+def find_alone(node, number):
+    """Look a stream up as a node that hears from no other one."""
+    findings = []
+    key = stream_key("o", f"q{number}")
+    node.recorder.look_up(LookupJob(key, HOST, "/x", findings.append))
+    node.recorder._serve()
+    return findings[0]
+
+
+@pytest.mark.parametrize("others_see_it", [False, True], ids=["list", "sweep"])
+def test_a_node_out_of_step_removes_no_version_that_has_returned(fleet, others_see_it):
+    """Guards against streams of that version that go on at the only listed one."""
+    nodes = fleet(2, "v1", "v2")
+    settle([nodes.begin(0, "v1"), nodes.begin(1, "v2")])
+    nodes.stop()
+    stale, other = nodes.nodes
+    cut_off(nodes, stale, "v1")
+    stale.recorder.sweep()
+    for entry in stale.recorder.disuse.since:
+        stale.recorder.disuse.since[entry] -= MAX_STREAM_AGE_S
+    cut_off(nodes, other, "v1")
+    other.observe_view()
+    cut_off(nodes, other, "v1", "v2")
+    put, returned = nodes.store.put, []
+
+    def put_late(*args, **options):
+        """Stand still before the first write, while the version returns elsewhere."""
+        if not returned:
+            returned.append(other.begin(make_possible("v2"), [KEY], 5, 1))
+            other.recorder._serve()
+        return put(*args, **options)
+
+    nodes.store.put = put_late
+    stale.recorder.sweep()
+    assert returned[0].is_recorded
+    if others_see_it:
+        stale.recorder.sweep()
+    assert make_possible("v2") in list_record(nodes.store)[0].entries
+    assert find_alone(stale, 77).origin is None
