Conclude nothing from a list that lacks a version that serves

An origin is listed before its first stream, but the first event goes out all the same if the node can't record and knows no other version. A node that took such a stream up then found one listed version and took it for certain, though it knew servers of another.

Now the list proves nothing while the node that reads it knows servers of the route whose version isn't listed. The test failed before: the stream was certain to be of v1 while v2 served.

--- a/packages/endive_gateway/src/endive_gateway/origin_recorder.py
+++ b/packages/endive_gateway/src/endive_gateway/origin_recorder.py
@@ -344,7 +344,10 @@
     def _only_origin(self, job: LookupJob) -> StreamOrigin | None:
         if self.origins is None or self.view.has_unlisting_nodes():
             return None
-        return self.origins.only_origin(job.host, job.path)
+        certain = self.origins.only_origin(job.host, job.path)
+        beside = self.view.usable_beside(self.origins.entries)
+        is_used = OriginList(beside).origins(job.host, job.path) <= {certain}
+        return certain if is_used else None
 
     def _is_shared(self, entry: PossibleOrigin) -> bool:
         """Return whether streams of an entry's route may have other origins."""
--- a/packages/endive_gateway/tests/test_origin_records.py
+++ b/packages/endive_gateway/tests/test_origin_records.py
@@ -360,3 +360,14 @@
         stale.recorder.sweep()
     assert make_possible("v2") in list_record(nodes.store)[0].entries
     assert find_alone(stale, 77).origin is None
+
+
+def test_a_list_without_a_version_that_serves_proves_nothing(fleet):
+    """Guards against streams that began there while the store didn't answer."""
+    nodes = fleet(1, "v1")
+    settle([nodes.begin(0, "v1")])
+    assert nodes.look_up(77).origin == make_origin("v1")
+    nodes.set_versions("v1", "v2")
+    assert find_alone(nodes.nodes[0], 77).origin is None
+    settle([nodes.begin(1, "v1")])
+    nodes.set_versions("v1")
