Let a confirmation that has lapsed not be renewed by a later view

A node that stood still for over a minute, while a version left, was removed from the list and returned, took it for listed again with its first look at the servers, and began streams there that the list doesn't have.

A confirmation is now renewed only within the time for which it holds; then the origin is listed again. The test failed before: the origin was still confirmed after 120 s without a look.

--- a/packages/endive_core/src/endive_core/possible_origins.py
+++ b/packages/endive_core/src/endive_core/possible_origins.py
@@ -24,6 +24,8 @@
 a use for it. A node confirms it to another one, so these times add up, and one that
 removes it must have seen no use for the whole age."""
 
+CONFIRMED_S = CONFIRMED_PART * MAX_STREAM_AGE_S
+
 
 @dataclass(frozen=True, slots=True)
 class PossibleOrigin:
@@ -155,12 +157,13 @@
     ) -> None:
         """Record which entries are usable as of a view of the time `seen_at`.
 
-        One that is not may have been removed when it returns.
+        One that is not may have been removed when it returns, and so may one that was
+        not seen for too long.
         """
         self.confirmed_at = {
             entry: max(at, seen_at)
             for entry, at in self.confirmed_at.items()
-            if is_usable(entry)
+            if is_usable(entry) and seen_at - at <= CONFIRMED_S
         }
 
     def is_confirmed(self, entry: PossibleOrigin, now: float) -> bool:
@@ -168,7 +171,7 @@
         confirmed_at = self.confirmed_at.get(entry)
         if confirmed_at is None:
             return False
-        return now - confirmed_at <= CONFIRMED_PART * MAX_STREAM_AGE_S
+        return now - confirmed_at <= CONFIRMED_S
 
     def is_shared(self, entry: PossibleOrigin, now: float) -> bool:
         """Return whether streams of an entry's route may have other origins."""
--- a/packages/endive_gateway/tests/test_origin_records.py
+++ b/packages/endive_gateway/tests/test_origin_records.py
@@ -371,3 +371,15 @@
     assert find_alone(nodes.nodes[0], 77).origin is None
     settle([nodes.begin(1, "v1")])
     nodes.set_versions("v1")
+
+
+def test_a_node_that_stood_still_confirms_no_origin_that_was_removed_since(fleet):
+    """Guards against streams at a version that left and returned meanwhile."""
+    nodes = fleet(1, "v1", "v2")
+    settle([nodes.begin(0, "v1"), nodes.begin(1, "v2")])
+    node, now = nodes.nodes[0], time.monotonic()
+    confirmations = node.confirmations
+    for entry in confirmations.confirmed_at:
+        confirmations.confirmed_at[entry] -= 2 * MAX_STREAM_AGE_S
+    node.observe_view()
+    assert not confirmations.is_confirmed(make_possible("v2"), now)
