Take no answer without events for a stream, nor an empty one for whole

But three heads whose end still came were: on a streaming route a success without text/event-stream was forwarded unchecked, and its end by the connection taken for complete; a new stream without any event passed if its framing said so; and a whole answer without a length passed if nothing followed its head.

Class: the framing's end taken for the answer's.

A success on a streaming route must be an event stream, a new stream has an event, and a body that only the connection delimits is not empty. What isn't so counts like a broken connection: sent elsewhere where that is allowed, 502 where not. A resumed stream may still be empty after its last event, if the server declares so.

A part of a body without length, and then an orderly end, can't be told from the whole.

The stand-in of one test in test_streams.py answered a streaming route with a plain body and now sends an event; what it checks is unchanged.

--- a/packages/endive_gateway/src/endive_gateway/attempts.py
+++ b/packages/endive_gateway/src/endive_gateway/attempts.py
@@ -406,13 +406,16 @@
         Raises
         ------
         ConnectionBrokenError
-            If the response can't be the server's own, unchanged.
+            If the response can't be the server's own, unchanged, or is no stream of
+            events although one was requested.
         """
         encoding = header_value(message.headers, b"content-encoding").lower()
         if not metadata.signed or encoding not in (b"", b"identity"):
             raise ConnectionBrokenError(
                 "unsigned or content-encoded response", sent=True
             )
+        if self._is_stream(message) and not _is_event_stream(message):
+            raise ConnectionBrokenError("the response is no event stream", sent=True)
 
     def _read_response(self, message: ResponseMessage) -> ServerResponse:
         body = (
@@ -435,6 +438,10 @@
         if len(body) > MAX_HELD_BODY_BYTES:
             self._forward_large(message, body)
             return
+        if message.ends_with_connection and message.complete and not body:
+            raise ConnectionBrokenError(
+                "the connection ended before the body", sent=True
+            )
         self.context.placer.started(self.request.ticket)
         self.request.count_start()
         self._keep_connection(message)
@@ -467,7 +474,6 @@
         retried at another server.
         """
         exchange, splitter = self.request.exchange, self.request.splitter
-        has_events = _is_event_stream(message)
         events_before = splitter.count
         while data := self._read_events(message):
             self._stop_fetch_timer()
@@ -475,17 +481,14 @@
             self.request.count_start()
             if not exchange.response_started:
                 self.request.check_recorded(self.entry)
-            if has_events:
-                data = splitter.feed(data)
-            if data:
+            if events := splitter.feed(data):
                 self._start_response(message)
                 self.request.progress.chunk_forwarded(self.request.now)
-                exchange.send_chunk(data)
+                exchange.send_chunk(events)
             if splitter.violation:
                 self._reject_events(message)
         self._record_end(message)
-        if has_events:
-            self._check_stream_complete(message, splitter.count - events_before)
+        self._check_stream_complete(message, splitter.count - events_before)
         self._keep_connection(message)
         self.context.placer.finished(self.request.ticket, self._tokens())
         self._start_response(message)
@@ -512,14 +515,17 @@
         Raises
         ------
         ConnectionBrokenError
-            If the stream ended inside an event, or if only the end of the connection
-            says that a stream without any event is complete.
+            If the stream ended inside an event, before its first one, or, if it is
+            resumed, without any where only the end of the connection says that it is
+            complete.
         """
-        if self.request.splitter.is_inside_event:
+        splitter = self.request.splitter
+        if splitter.is_inside_event:
             raise ConnectionBrokenError("the stream ended inside an event", sent=True)
-        if message.ends_with_connection and not events:
+        is_resumed = splitter.count > 0 or self.request.metadata.last_event_id
+        if not events and (message.ends_with_connection or not is_resumed):
             raise ConnectionBrokenError(
-                "the connection ended before the first event", sent=True
+                "the response ended before the first event", sent=True
             )
 
     def _reject_events(self, message: ResponseMessage) -> None:
--- a/packages/endive_gateway/tests/gateway_builders.py
+++ b/packages/endive_gateway/tests/gateway_builders.py
@@ -183,7 +183,14 @@
 
 
 def make_context(
-    table=None, *, store=None, cloud=None, node="n1", bounds=None, is_first_start=True
+    table=None,
+    *,
+    store=None,
+    cloud=None,
+    node="n1",
+    bounds=None,
+    is_first_start=True,
+    wire=None,
 ):
     """Return a context whose background loops are not running."""
     settings = GatewaySettings(
@@ -193,7 +200,7 @@
         is_first_start=is_first_start,
     )
     context = Context(
-        settings, PlainWire(), store or MemoryStore(), cloud or RecordingCloud()
+        settings, wire or PlainWire(), store or MemoryStore(), cloud or RecordingCloud()
     )
     if table is not None:
         context.configure(table, b"", "test")
@@ -246,10 +253,15 @@
 class RunningGateway:
     """A gateway's request path in front of scripted servers."""
 
-    def __init__(self, *servers, table=None, store=None, is_first_start=True):
+    def __init__(
+        self, *servers, table=None, store=None, is_first_start=True, wire=None
+    ):
         self.servers = servers
         self.context = make_context(
-            table or make_table(), store=store, is_first_start=is_first_start
+            table or make_table(),
+            store=store,
+            is_first_start=is_first_start,
+            wire=wire,
         )
         for server in servers:
             entry = make_entry(
--- a/packages/endive_gateway/tests/path_builders.py
+++ b/packages/endive_gateway/tests/path_builders.py
@@ -46,8 +46,8 @@
 class CutOffGateway(RunningGateway):
     """A gateway whose own connections to servers fail, beside a transit node."""
 
-    def __init__(self, *servers, cut="hang", table=None):
-        super().__init__(*servers, table=table)
+    def __init__(self, *servers, cut="hang", table=None, wire=None):
+        super().__init__(*servers, table=table, wire=wire)
         self.node = TransitNode(*servers)
         self.paths = self.context.paths
         self.paths.transit.port = self.node.number
--- a/packages/endive_gateway/tests/test_streams.py
+++ b/packages/endive_gateway/tests/test_streams.py
@@ -20,7 +20,6 @@
     close_connection,
     event,
     events,
-    ok,
 )
 
 STREAM = {"kind": RouteKind.STREAM, "max_attempts": 2}
@@ -99,7 +98,9 @@
         gevent.sleep(0.2)
         return slow(sock, received)
 
-    with RunningGateway(ScriptedServer(begin_late, ok), table=table) as running:
+    with RunningGateway(
+        ScriptedServer(begin_late, events(1, 1)), table=table
+    ) as running:
         first, second = running.caller(), running.caller()
         first.send(method="POST", body=b"a", tokens="90000,5")
         gevent.sleep(0.05)
