Let a stream go on at a server with other line ends

A review of the check of events. A stream that was taken up at another server after its first event kept the line end of the server before. If the next one ended its lines otherwise, no event of it was ever found: the caller waited, and a sound stream ended as broken. The line end is now learned anew from each server; within one server's part it still may not change.

--- a/packages/endive_gateway/src/endive_gateway/events.py
+++ b/packages/endive_gateway/src/endive_gateway/events.py
@@ -46,7 +46,7 @@
     next_number : int or None
         The only id that the next event may have; ``None`` if that is unknown.
     line_end : bytes
-        Line end of the stream; empty until its first line has ended.
+        Line end of the present server; empty until its first line has ended.
     violation : str
         Why the data after the last sound event is no event; empty if it may be one.
     count : int
@@ -150,8 +150,7 @@
         """Discard what is no sound event; the next server sends that event again."""
         self.pending = b""
         self.violation = ""
-        if not self.count:
-            self.line_end = b""
+        self.line_end = b""
 
 
 def _is_text(data: bytes) -> bool:
