Bound the numbers in messages between nodes

What others would see: a peer's message, or a server's statement that it passes on, holds an age below zero, a number that is none, or one that no sum can hold. A departure, a limit or a crash of the future never grew old and outlived every later statement, a negative age of a read was taken for a current list of servers, and an offset of 2**60 kept each later change of the servers from being applied.

Cause: the types of the messages said int and float, which msgpack's nan, inf and 64 bits are. Two sources beyond the peers could bring such numbers into sound nodes' messages: a server's header (1e300 requests a second) and the operators' duration of a rollout.

Change: the types say what range each number has (quantities.py); the decoder refuses the message. Rates of servers and durations of rollouts have the same range at their border, so that no sound node's message is refused because of them. A plausible lie of a peer is still believed.

--- a/packages/endive_gateway/src/endive_gateway/__init__.py
+++ b/packages/endive_gateway/src/endive_gateway/__init__.py
@@ -16,7 +16,7 @@
   ``transit_port``, ``tcp``
 - the platform's state, as this node knows it: ``following``, ``configuration``,
   ``server_following``, ``servers``, ``configuration_exchange``, ``listing``,
-  ``bootstrap``, ``service_client``, ``store_reading``, ``decoding``
+  ``bootstrap``, ``service_client``, ``store_reading``, ``decoding``, ``quantities``
 - messages between nodes: ``peers``, ``nodes``, ``state_messages``, ``datagrams``,
   ``spending``, ``spending_messages``, ``prompts``, ``crash_exchange``,
   ``part_exchange``, ``origin_exchange``, ``origin_messages``, ``contention_exchange``,
--- a/packages/endive_gateway/src/endive_gateway/decoding.py
+++ b/packages/endive_gateway/src/endive_gateway/decoding.py
@@ -7,11 +7,12 @@
 
 import re
 import socket
-from typing import Annotated, Any, TypeVar
+from typing import Any, TypeVar
 
 import msgspec
 
 from endive_gateway.exceptions import UndecodableError
+from endive_gateway.quantities import MAX_NUMBER
 
 MAX_RECORD_BYTES = 16_384
 """Largest record of one server, node or order, bytes."""
@@ -20,16 +21,6 @@
 """Deepest nesting of a document. The decoder's own limit is that of the interpreter's
 stack, so the same document would be read at one place and not at another."""
 
-MAX_NUMBER = 2**53
-"""Largest count or time in a document. Each format and each floating-point number can
-hold it exactly."""
-
-Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
-"""A count, a number in a sequence, or a time in whole units."""
-
-Quantity = Annotated[float, msgspec.Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
-"""A time that may be over."""
-
 TOKEN = re.compile(r"[!-~]{1,128}")
 PORT = re.compile(r"[1-9][0-9]{0,4}")
 MAX_PORT = 65_535
--- a/packages/endive_gateway/src/endive_gateway/header_values.py
+++ b/packages/endive_gateway/src/endive_gateway/header_values.py
@@ -1,6 +1,6 @@
 """Parsing of numbers that callers and servers state in headers."""
 
-import math
+from endive_gateway.quantities import MAX_NUMBER
 
 MAX_LOAD_FIGURE = 1_000_000
 """Largest number of requests or slots that a server may state. A larger one is a
@@ -24,9 +24,9 @@
 
 
 def parse_rate(value: bytes) -> float | None:
-    """Return a finite number of at least 0; ``None`` if it is another value."""
+    """Return a number from 0 to `MAX_NUMBER`; ``None`` if it is another value."""
     try:
         rate = float(value)
     except ValueError:
         return None
-    return rate if math.isfinite(rate) and rate >= 0 else None
+    return rate if 0 <= rate <= MAX_NUMBER else None
--- a/packages/endive_gateway/src/endive_gateway/interfaces.py
+++ b/packages/endive_gateway/src/endive_gateway/interfaces.py
@@ -8,6 +8,8 @@
 from endive_core.rollouts import RolloutOrder, StageKind
 from endive_core.routing import RoutingTable
 
+from endive_gateway.quantities import Age, Count
+
 Headers = list[tuple[bytes, bytes]]
 
 NOT_A_VERSION = "\x1f"
@@ -222,11 +224,11 @@
         Identity of that read; 0 if the sender doesn't know it.
     """
 
-    first: int
-    next: int
+    first: Count
+    next: Count
     changes: bytes
-    age_s: float = 0.0
-    read: int = 0
+    age_s: Age = 0.0
+    read: Count = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/endive_gateway/src/endive_gateway/nodes.py
+++ b/packages/endive_gateway/src/endive_gateway/nodes.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from endive_gateway.decoding import Count
+from endive_gateway.quantities import Count
 
 
 class NodeEntry(msgspec.Struct):
--- a/packages/endive_gateway/src/endive_gateway/origin_messages.py
+++ b/packages/endive_gateway/src/endive_gateway/origin_messages.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from endive_gateway.quantities import Quantity
+
 
 class OriginNote(msgspec.Struct, array_like=True, tag="note"):
     """Origins for an owner to keep.
@@ -13,7 +15,7 @@
         origin is kept.
     """
 
-    origins: list[tuple[bytes, str, str, float]]
+    origins: list[tuple[bytes, str, str, Quantity]]
 
 
 class OriginQuery(msgspec.Struct, array_like=True, tag="ask"):
@@ -50,7 +52,7 @@
     version: str
     is_known: bool
     sole_version: str = ""
-    sole_s: float = 0.0
+    sole_s: Quantity = 0.0
 
 
 class RecordRequest(msgspec.Struct, array_like=True, tag="record"):
--- a/packages/endive_gateway/src/endive_gateway/part_exchange.py
+++ b/packages/endive_gateway/src/endive_gateway/part_exchange.py
@@ -10,6 +10,8 @@
 from endive_core.part_reports import PartAnswer, PartCrash
 from endive_node.logs import log_event
 
+from endive_gateway.quantities import Age
+
 MAX_CRASHES = 3
 MAX_REPEATS = 1
 """Most crashes in one state message, and how many of them may have been sent before: a
@@ -25,11 +27,11 @@
 MAX_LOGGED_PARTS = 8
 """Parts of a prompt that a log line names, at most."""
 
-CrashReport = tuple[str, int, tuple[int, ...], float, float]
+CrashReport = tuple[str, int, tuple[int, ...], Age, Age]
 """A server with its incarnation, the hash of a request that it had not begun to answer,
 the keys of the parts of its prompt, and the ages of request and crash in seconds."""
 
-AnswerReport = tuple[int, float]
+AnswerReport = tuple[int, Age]
 """The key of a part, and the age in seconds of the last answer that began on it."""
 
 
--- a/packages/endive_gateway/src/endive_gateway/prompts.py
+++ b/packages/endive_gateway/src/endive_gateway/prompts.py
@@ -12,6 +12,7 @@
 from endive_core.backlogs import Backlogs
 
 from endive_gateway.datagrams import DatagramPort
+from endive_gateway.quantities import Age
 
 MIN_ANNOUNCED_PREFILL_S = 0.3
 """Shortest prefill time of a prompt that is announced, seconds: that of 12,000 to
@@ -24,7 +25,7 @@
     """A prompt that was sent to a server."""
 
     server: str
-    tokens: float
+    tokens: Age
 
 
 class PromptAnnouncer:
--- /dev/null
+++ b/packages/endive_gateway/src/endive_gateway/quantities.py
@@ -0,0 +1,25 @@
+"""Types of the numbers in documents and messages.
+
+A number is in range or its document can't be decoded, so that sums and times computed
+from it are numbers too.
+"""
+
+from typing import Annotated
+
+import msgspec
+
+MAX_NUMBER = 2**53
+"""Largest count or time in a document. Each format and each floating-point number can
+hold it exactly."""
+
+Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
+"""A count, a number in a sequence, or a time in whole units."""
+
+Quantity = Annotated[float, msgspec.Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
+"""A time that may be over, or a sum that is rounded."""
+
+Age = Annotated[float, msgspec.Meta(ge=0, le=MAX_NUMBER)]
+"""A time that has passed, or another quantity of at least 0."""
+
+OptionalCount = Annotated[int, msgspec.Meta(ge=-1, le=MAX_NUMBER)]
+"""A count, or -1 if there is none."""
--- a/packages/endive_gateway/src/endive_gateway/rollout_messages.py
+++ b/packages/endive_gateway/src/endive_gateway/rollout_messages.py
@@ -7,6 +7,8 @@
 from endive_core.rollouts import RolloutOrder, Stage, StageKind
 from endive_core.version_comparison import RouteCounts, VersionCounts
 
+from endive_gateway.quantities import Age, Count, OptionalCount, Quantity
+
 MAX_ORDERS = 12
 """Most orders in one message, the newest ones. A message with fewer orders than the
 node knows proves nothing."""
@@ -22,11 +24,11 @@
 
     service: str
     to: str
-    duration_s: float
-    offset: int
-    at: float
-    repeated: int = -1
-    after: int = -1
+    duration_s: Age
+    offset: Count
+    at: Quantity
+    repeated: OptionalCount = -1
+    after: OptionalCount = -1
 
     @classmethod
     def from_order(cls, order: RolloutOrder) -> "OrderReport":
@@ -66,14 +68,14 @@
     """
 
     service: str
-    offset: int
+    offset: Count
     kind: str
-    number: int
-    share: float
-    servers: int
+    number: Count
+    share: Quantity
+    servers: Count
     stop: str = ""
-    until_s: float = 0.0
-    leads: list[tuple[str, float]] = []
+    until_s: Quantity = 0.0
+    leads: list[tuple[str, Quantity]] = []
 
     def to_stage(self) -> Stage:
         """Return the stage; raises ValueError if its kind is unknown."""
@@ -100,12 +102,12 @@
     """
 
     service: str
-    offset: int
-    stage: int
-    requests: int
-    exposed: int
+    offset: Count
+    stage: OptionalCount
+    requests: Count
+    exposed: Count
     base_left: int
-    routes: list[tuple[str, list[int], list[int]]] = []
+    routes: list[tuple[str, list[Count], list[Count]]] = []
 
     @classmethod
     def from_totals(
@@ -146,8 +148,8 @@
         Seconds since its list of orders was known to be current; -1 if it never was.
     """
 
-    end: int
-    proof_age_s: float = -1.0
+    end: Count
+    proof_age_s: Quantity = -1.0
     orders: list[OrderReport] = []
     stages: list[StageReport] = []
     totals: list[TotalsReport] = []
--- a/packages/endive_gateway/src/endive_gateway/slot_messages.py
+++ b/packages/endive_gateway/src/endive_gateway/slot_messages.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from endive_gateway.quantities import Age, Count, OptionalCount, Quantity
+
 
 class SlotRequest(msgspec.Struct, array_like=True, tag="ask"):
     """A node's request for a slot of a server.
@@ -21,8 +23,8 @@
     number: int
     server: str
     priority: int
-    wait_s: float
-    lease_s: float
+    wait_s: Quantity
+    lease_s: Quantity
 
 
 class SlotReply(msgspec.Struct, array_like=True, tag="reply"):
@@ -44,7 +46,7 @@
     """Requests at a server, running and waiting, as it has just stated."""
 
     server: str
-    load: int
+    load: Count
 
 
 class PoolSlotRequest(msgspec.Struct, array_like=True, tag="pool_ask"):
@@ -70,8 +72,8 @@
     service: str
     priority: int
     organisation: str
-    due_s: float
-    lease_s: float
+    due_s: Quantity
+    lease_s: Quantity
     avoid: list[str] = []
     returned: list[int] = []
 
@@ -92,8 +94,8 @@
     number: int
     service: str
     server: str
-    wait_s: float = 0.0
-    retry_after_s: float = -1.0
+    wait_s: Quantity = 0.0
+    retry_after_s: Quantity = -1.0
 
 
 class PoolSlotReturn(msgspec.Struct, array_like=True, tag="pool_return"):
@@ -116,8 +118,8 @@
     service: str
     server: str = ""
     outcome: int = 0
-    load: int = -1
-    slowdown: float | None = None
+    load: OptionalCount = -1
+    slowdown: Age | None = None
 
 
 SlotMessage = (
--- a/packages/endive_gateway/src/endive_gateway/spending_messages.py
+++ b/packages/endive_gateway/src/endive_gateway/spending_messages.py
@@ -3,6 +3,8 @@
 import msgspec
 from endive_core.shared_limits import SpendingOrigin
 
+from endive_gateway.quantities import Count, Quantity
+
 
 class NodeSpending(msgspec.Struct, array_like=True):
     """What one node has spent of one organisation's limit since it started.
@@ -22,11 +24,11 @@
     """
 
     address: str
-    incarnation: int
-    messages_sent: int
-    age_s: float
+    incarnation: Count
+    messages_sent: Count
+    age_s: Quantity
     organisation: str
-    units: float
+    units: Quantity
 
     @property
     def origin(self) -> SpendingOrigin:
@@ -57,7 +59,7 @@
         Whether it comes from another node than the requesting one.
     """
 
-    number: int
+    number: Count
     total: NodeSpending
     skipped: list[str] = []
     forwarded: bool = False
@@ -72,8 +74,8 @@
         0 if the node may spend, otherwise the seconds to wait.
     """
 
-    number: int
-    wait_s: float
+    number: Count
+    wait_s: Quantity
 
 
 class GrantDeclined(msgspec.Struct, array_like=True, tag="declined"):
@@ -84,7 +86,7 @@
     a grant.
     """
 
-    number: int
+    number: Count
 
 
 class UnitsLeft(msgspec.Struct, array_like=True, tag="left"):
@@ -96,7 +98,7 @@
     """
 
     organisation: str
-    units: float
+    units: Quantity
 
 
 SpendingMessage = SpendingReport | GrantRequest | GrantReply | GrantDeclined | UnitsLeft
--- a/packages/endive_gateway/src/endive_gateway/state_messages.py
+++ b/packages/endive_gateway/src/endive_gateway/state_messages.py
@@ -7,12 +7,14 @@
 from endive_core.demand import DemandReport, LateReport
 from endive_core.prompt_work import WorkReport
 
+from endive_gateway.decoding import decode_msgpack
 from endive_gateway.exceptions import UndecodableError
 from endive_gateway.interfaces import Record, ServerDelta
 from endive_gateway.part_exchange import AnswerReport, CrashReport
+from endive_gateway.quantities import Age, Count, OptionalCount, Quantity
 from endive_gateway.rollout_messages import RolloutReport
 
-ValueReport = tuple[str, float | None, float, int]
+ValueReport = tuple[str, Age | None, Age, int]
 """A server, what it states (``None`` if nothing any more), the age of that statement in
 seconds, and its id."""
 
@@ -113,38 +115,38 @@
     """
 
     node: str
-    incarnation: int
-    sequence: int
-    wall_ms: int
-    version: int
+    incarnation: Count
+    sequence: Count
+    wall_ms: Count
+    version: OptionalCount
     gone: bool
-    spent: dict[str, float]
-    work: dict[str, float]
-    windows: dict[int, dict[str, int]]
-    crashes: list[tuple[str, str, float]]
-    fence: int
-    reported: int
+    spent: dict[str, Quantity]
+    work: dict[str, Quantity]
+    windows: dict[Count, dict[str, Count]]
+    crashes: list[tuple[str, str, Age]]
+    fence: Count
+    reported: OptionalCount
     server_delta: ServerDelta | None = None
-    duty_log_end: int = 0
-    server_failures: dict[str, int] = {}
-    age_s: float = 0.0
-    pending_prompt_tokens: dict[str, float] = {}
-    proof_age_s: float = -1.0
+    duty_log_end: Count = 0
+    server_failures: dict[str, Count] = {}
+    age_s: Age = 0.0
+    pending_prompt_tokens: dict[str, Quantity] = {}
+    proof_age_s: Quantity = -1.0
     complete: bool = False
-    proof: int = 0
-    successes: list[tuple[str, float]] = []
+    proof: Count = 0
+    successes: list[tuple[str, Age]] = []
     server_limits: list[ValueReport] = []
-    carried: int = -1
+    carried: OptionalCount = -1
     brittle_servers: list[ValueReport] = []
-    rests: list[tuple[str, float, str]] = []
-    shedding_servers: list[tuple[str, float, int]] = []
-    leaving_servers: list[tuple[str, int, float]] = []
+    rests: list[tuple[str, Age, str]] = []
+    shedding_servers: list[tuple[str, Age, int]] = []
+    leaving_servers: list[tuple[str, Count, Age]] = []
     zone: str = ""
     part_crashes: list[CrashReport] = []
     part_answers: list[AnswerReport] = []
-    server_slowdowns: list[tuple[str, float, float]] = []
+    server_slowdowns: list[tuple[str, Age, Age]] = []
     rollouts: RolloutReport | None = None
-    slow_sources: list[tuple[str, int, float]] = []
+    slow_sources: list[tuple[str, Count, Age]] = []
     pools_slots: bool = False
     demand: dict[str, DemandReport] = {}
     prompt_work: dict[str, WorkReport] = {}
@@ -154,7 +156,7 @@
 
 DECODER = msgspec.msgpack.Decoder(StateMessage)
 
-CHANGES_DECODER = msgspec.msgpack.Decoder(list[tuple[int, str, bytes | None]])
+CHANGES_DECODER = msgspec.msgpack.Decoder(list[tuple[Count, str, bytes | None]])
 MAX_UNPACKED_BYTES = 1_000_000
 """Largest size of decompressed changes, bytes. Without a limit, a datagram of
 compressed zeros could decompress to more memory than a node has."""
@@ -184,6 +186,6 @@
         return []
     try:
         data = zlib.decompressobj().decompress(packed, MAX_UNPACKED_BYTES)
-        return [Record(*change) for change in CHANGES_DECODER.decode(data)]
-    except (zlib.error, msgspec.MsgspecError) as error:
+    except zlib.error as error:
         raise UndecodableError(str(error)) from None
+    return [Record(*change) for change in decode_msgpack(data, CHANGES_DECODER)]
--- a/tests/odd_documents.py
+++ b/tests/odd_documents.py
@@ -2,6 +2,8 @@
 
 import json
 
+from endive_gateway.state_messages import StateMessage
+
 DEEP = 2_000
 MANY_DIGITS = "9" * 400
 
@@ -93,3 +95,22 @@
     },
 }
 """By name, entries that name no node, though some look like one."""
+
+
+def state_message(**options):
+    """Return another node's state message."""
+    values = {
+        "node": "b",
+        "incarnation": 1,
+        "sequence": 1,
+        "wall_ms": 1_000_000,
+        "version": 1,
+        "gone": False,
+        "spent": {},
+        "work": {},
+        "windows": {},
+        "crashes": [],
+        "fence": 0,
+        "reported": 4,
+    }
+    return StateMessage(**(values | options))
