--- a/packages/endive_gateway/src/endive_gateway/bootstrap.py
+++ b/packages/endive_gateway/src/endive_gateway/bootstrap.py
@@ -26,6 +26,9 @@
     receive_document,
 )
 from endive_gateway.context import Context
+from endive_gateway.decoding import decode_msgpack
+from endive_gateway.exceptions import UndecodableError
+from endive_gateway.quantities import Age, Count
 
 
 class Bootstrap(msgspec.Struct, array_like=True):
@@ -46,10 +49,10 @@
     """
 
     addresses: list[str]
-    servers: list[tuple[int, str, bytes]]
-    next_offset: int
-    age_s: float
-    read: int
+    servers: list[tuple[Count, str, bytes]]
+    next_offset: Count
+    age_s: Age
+    read: Count
 
 
 DECODER = msgspec.msgpack.Decoder(Bootstrap)
@@ -138,8 +141,8 @@
         try:
             with gevent.Timeout(timeout_s, TimeoutError("bootstrap timed out")):
                 document = receive_document(source.address, port)
-            bootstrap = DECODER.decode(document)
-        except (OSError, msgspec.MsgspecError) as error:
+            bootstrap = decode_msgpack(document, DECODER)
+        except (OSError, UndecodableError) as error:
             log_event("bootstrap_not_pulled", peer=source.node, error=error)
             return
         log_event(
--- a/tests/test_odd_messages.py
+++ b/tests/test_odd_messages.py
@@ -5,6 +5,7 @@
 import msgspec
 import pytest
 from endive_gateway import (
+    bootstrap,
     origin_messages,
     prompts,
     rollout_messages,
@@ -16,11 +17,14 @@
 from endive_gateway.exceptions import UndecodableError
 from endive_gateway.header_values import parse_rate
 from endive_gateway.interfaces import ServerDelta
+from endive_gateway.nodes import Peer
 from endive_gateway.peers import Peers
 from endive_gateway.quantities import MAX_NUMBER
+from endive_gateway.server_following import ServerFollower
 from endive_platform.rollouts import OrderDocument
+from endive_platform.wire import PlatformWire
 from gateway_builders import make_context, make_table
-from odd_documents import state_message
+from odd_documents import ODD_ADDRESSES, ODD_ENTRIES, entry, state_message
 
 OUT_OF_RANGE = [-5, 2**60]
 OUT_OF_RANGE_FLOATS = [math.nan, math.inf, -math.inf, 1e300]
@@ -32,6 +36,29 @@
     return decode_msgpack(msgspec.msgpack.encode(message), decoder)
 
 
+@pytest.fixture
+def peers():
+    context = make_context(make_table())
+    context.wire = PlatformWire()
+    peers = Peers(context)
+    peers.send_state = lambda *_peers, **_options: None
+    peers.servers = ServerFollower(context, peers)
+    return peers
+
+
+def pull(peers, monkeypatch, document):
+    """Let a starting node take a snapshot, whatever its bytes are."""
+    monkeypatch.setattr(bootstrap, "receive_document", lambda *_address: document)
+    source = Peer("127.0.0.2", node="n2")
+    peers.bootstrap_exchange._pull_from(source, 1, 1.0)
+
+
+def snapshot(*servers, addresses=(), next_offset=9, age_s=0.1, read=1):
+    """Return the bytes of a snapshot."""
+    fields = (list(addresses), list(servers), next_offset, age_s, read)
+    return msgspec.msgpack.encode(fields)
+
+
 def report(**options):
     """Return a report of rollouts with the fields of one order."""
     fields = {"service": "s", "to": "v2", "duration_s": 9.0, "offset": 1, "at": 1.0}
@@ -144,3 +171,46 @@
     """A node whose messages are out of range is not heard by any other."""
     peers = Peers(make_context(make_table()))
     assert decode(peers._state_message(gone=False)).node == "n1"
+
+
+@pytest.mark.parametrize(
+    "document",
+    [
+        b"",
+        b"\xc1",
+        b"\x96\x90\x90\x09\x00\x01" + b"\x91" * 60_000,
+        snapshot(next_offset=2**60),
+        snapshot(next_offset=-1),
+        snapshot(age_s=-1e9),
+        snapshot(age_s=math.nan),
+        snapshot(read=2**63),
+        snapshot((-1, "i-1", entry())),
+    ],
+)
+def test_a_snapshot_that_cannot_be_read_is_not_taken(peers, monkeypatch, document):
+    """A node that started beside one followed no change of the servers."""
+    pull(peers, monkeypatch, document)
+    assert peers.lacks_bootstrap()
+    assert not peers.context.registry.servers
+    pull(peers, monkeypatch, snapshot((1, "i-2", entry())))
+    assert set(peers.context.registry.servers) == {"i-2"}
+
+
+@pytest.mark.parametrize("odd", ODD_ENTRIES.values(), ids=ODD_ENTRIES)
+def test_an_odd_entry_in_a_snapshot_is_neither_taken_nor_passed_on(
+    peers, monkeypatch, odd
+):
+    """One odd entry spread from node to node, past the store."""
+    pull(peers, monkeypatch, snapshot((1, "odd", odd), (2, "i-2", entry())))
+    assert set(peers.context.registry.servers) == {"i-2"}
+    assert [key for _, key, _ in peers.bootstrap().servers] == ["i-2"]
+
+
+def test_an_odd_address_in_a_snapshot_is_neither_taken_nor_passed_on(
+    peers, monkeypatch
+):
+    """Each message was sent to it too, after a question to the resolver."""
+    addresses = [*ODD_ADDRESSES, "127.0.0.3"]
+    pull(peers, monkeypatch, snapshot(addresses=addresses))
+    assert set(peers.known) == {"127.0.0.3"}
+    assert peers.bootstrap().addresses == ["127.0.0.3"]
