Keep a departure that a peer's report of another start would hide

What callers would see: requests at a server that says that it leaves (DRAIN). A report of a peer with a start far in the future counted for newer than the server's own word, for as long as the server was known. Such reports could also name any number of any texts.

Cause: departures were ordered by the start that a message names, which no node can check.

Change: a departure of the start that the server's entry names is kept until the entry names a later one, and replaces any other. What is told of a later start is kept beside it, and counts as soon as the entry names that start. A message's reports are as many as a node sends, and name servers.

--- a/packages/endive_gateway/src/endive_gateway/leaving_servers.py
+++ b/packages/endive_gateway/src/endive_gateway/leaving_servers.py
@@ -11,6 +11,7 @@
 import gevent
 from endive_node.logs import log_event
 
+from endive_gateway.decoding import is_token
 from endive_gateway.interfaces import ResponseMetadata
 from endive_gateway.servers import Departure, ServerRegistry
 
@@ -42,6 +43,8 @@
     ----------
     departures : OrderedDict of str to Departure
         By server, in the order in which they are told to other nodes.
+    of_later_start : dict of str to Departure
+        By server, what was told of a start that its entry does not name yet.
     invalid : set of str
         Servers whose announcement can't be read.
     announce : callable
@@ -52,8 +55,10 @@
         self.registry = registry
         self.events = events
         self.departures: OrderedDict[str, Departure] = OrderedDict()
+        self.of_later_start: dict[str, Departure] = {}
         self.invalid: set[str] = set()
         self.announce: Callable[[str], None] = lambda through: None
+        registry.restart_listeners.append(self._apply_kept)
 
     def observe(
         self, server: str, status: int, metadata: ResponseMetadata, through: str
@@ -86,16 +91,15 @@
         now = time.monotonic()
         applied = [
             self._apply(server, Departure(incarnation, now - age_s), peer)
-            for server, incarnation, age_s in departures
-            if age_s < MEMORY_S
+            for server, incarnation, age_s in departures[:MAX_DEPARTURES]
+            if age_s < MEMORY_S and is_token(server)
         ]
         if any(applied):
             self.registry.notify_listeners()
 
     def _apply(self, server: str, departure: Departure, peer: str) -> bool:
         """Record a server's departure; return whether it is new, of a known server."""
-        known = self.departures.get(server)
-        if known is not None and known.incarnation >= departure.incarnation:
+        if not self._is_newer(server, departure):
             return False
         self.departures[server] = departure
         self.departures.move_to_end(server, last=False)
@@ -114,6 +118,40 @@
         gevent.spawn_later(max(0.0, left_s) + TIMER_SLACK_S, self.registry.settle)
         return is_known
 
+    def _is_newer(self, server: str, departure: Departure) -> bool:
+        """Return whether a departure replaces the one that is known.
+
+        One of the start that the server's entry names is kept until the entry names a
+        later one, and replaces any other: a peer may tell of a start that never was.
+        """
+        before = self.departures.get(server)
+        if before is None:
+            return True
+        known = self.registry.get(server)
+        current = known.entry.incarnation if known else None
+        if before.incarnation == current:
+            self._keep_for_restart(server, departure, current)
+            return False
+        is_current = departure.incarnation == current
+        return is_current or departure.incarnation > before.incarnation
+
+    def _keep_for_restart(
+        self, server: str, departure: Departure, current: int
+    ) -> None:
+        """Keep the next departure of a later start than the current one."""
+        kept = self.of_later_start.get(server)
+        if departure.incarnation > current and (
+            kept is None or departure.incarnation < kept.incarnation
+        ):
+            self.of_later_start[server] = departure
+
+    def _apply_kept(self, server: str) -> None:
+        """Apply a departure that may be that of a server's new start."""
+        departure = self.of_later_start.pop(server, None)
+        if departure is not None:
+            self.departures.pop(server, None)
+            self._apply(server, departure, peer="")
+
     def next_departures(self) -> list[DepartureReport]:
         """Return the next departures for a state message; each has its turn."""
         taken, now = [], time.monotonic()
@@ -128,6 +166,8 @@
         """Forget old departures, and those of servers that have started again."""
         now, servers = time.monotonic(), self.registry.servers
         self.invalid &= servers.keys()
+        for server in self.of_later_start.keys() - servers.keys():
+            del self.of_later_start[server]
         for server, departure in list(self.departures.items()):
             known = servers.get(server)
             is_old = now - departure.at > MEMORY_S and known is None
--- a/packages/endive_gateway/tests/test_leaving_servers.py
+++ b/packages/endive_gateway/tests/test_leaving_servers.py
@@ -5,7 +5,7 @@
 from endive_core.exceptions import RetryReason
 from endive_core.routing import RouteKind
 from endive_gateway.interfaces import Bounds, ResponseMetadata, ServerState
-from endive_gateway.leaving_servers import LAST_SERVER_MARGIN_S
+from endive_gateway.leaving_servers import LAST_SERVER_MARGIN_S, MAX_DEPARTURES
 from endive_gateway.peers import (
     BROADCAST_INTERVAL_PER_NODE_S,
     BROADCAST_INTERVAL_S,
@@ -201,3 +201,44 @@
         len(node.context.leaving_servers.departures) == leaving for node in nodes
     )
     assert clock[0] - began_at < DRAIN_S
+
+
+@pytest.mark.parametrize("peer_is_first", [True, False])
+def test_a_report_of_a_start_that_never_was_hides_no_departure(peer_is_first):
+    """The server that left went on getting requests: its own word came second."""
+    context = make_context(make_table())
+    context.registry.put(make_entry("i-1", incarnation=5))
+    context.registry.put(make_entry("i-2"))
+    leaving = context.leaving_servers
+
+    def hear_peer():
+        leaving.learn("n2", [("i-1", 2**50, 0.1)])
+
+    if peer_is_first:
+        hear_peer()
+    leaving.observe("i-1", 200, LEAVING, "")
+    hear_peer()
+    context.registry.put(make_entry("i-1", incarnation=5, sequence=9))
+    assert not context.registry.get("i-1").usable
+    assert leaving.next_departures()[0][:2] == ("i-1", 5)
+
+
+def test_a_departure_of_a_later_start_counts_as_soon_as_its_entry_is_read():
+    """What is kept of an earlier start must not hide a later departure."""
+    context = make_context(make_table())
+    context.registry.put(make_entry("i-1", incarnation=5))
+    context.registry.put(make_entry("i-2"))
+    leaving = context.leaving_servers
+    leaving.observe("i-1", 200, LEAVING, "")
+    leaving.learn("n2", [("i-1", 6, 0.1)])
+    context.registry.put(make_entry("i-1", incarnation=6))
+    assert not context.registry.get("i-1").usable
+
+
+def test_reports_of_impossible_servers_are_not_passed_on():
+    """A peer could fill the memory of all nodes, and their messages, with any names."""
+    context = make_context(make_table())
+    odd = [("i 1", 1, 0.1), ("", 1, 0.1), ("i" * 300, 1, 0.1), ("i-\x00", 1, 0.1)]
+    context.leaving_servers.learn("n2", odd)
+    context.leaving_servers.learn("n2", [(f"i-{n}", 1, 0.1) for n in range(100)])
+    assert len(context.leaving_servers.departures) == MAX_DEPARTURES
