Follow the servers past an offset that their topic never reached

What callers would see: requests at servers that have left. That lasted until the process was restarted.

Cause: an offset only grows, and one from another node was believed whatever it was.

Change: relayed changes that cover more than 10,000 records are ignored; where so many are new, the follower reads them as soon as nothing is relayed to it. A topic that ends before the follower's offset for 5 s is read anew as a whole, with a log line.

The builder's count of nodes that know a server no longer fails at a node that knows of no such server.

--- a/packages/endive_gateway/src/endive_gateway/server_following.py
+++ b/packages/endive_gateway/src/endive_gateway/server_following.py
@@ -16,7 +16,13 @@
 from endive_gateway.context import Context
 from endive_gateway.exceptions import UndecodableError
 from endive_gateway.following import RELAY_TIMEOUT_S, Follower, Readers
-from endive_gateway.interfaces import Record, ServerDelta, ServerState, Topic
+from endive_gateway.interfaces import (
+    Page,
+    Record,
+    ServerDelta,
+    ServerState,
+    Topic,
+)
 from endive_gateway.servers import LAPSE_GRACE_S
 from endive_gateway.state_messages import pack_changes, unpack_changes
 
@@ -48,6 +54,15 @@
 """Largest compressed changes in one message, bytes, about twenty servers; the message
 then fits one Ethernet frame. Nodes that miss changes left out read the store."""
 
+MAX_DELTA_RECORDS = 10_000
+"""Most records that relayed changes may cover, the unchanged ones included. Thousands
+of servers write as many in the time for which changes are relayed. An offset beyond the
+end of the topic would keep this node from later changes."""
+
+BEHIND_TIMEOUT_S = 5.0
+"""Time after which a topic that ends before this node's offset is read anew, seconds.
+Reads of the store may be out of date for some seconds."""
+
 OUTAGE_RECOVERY_S = 4.0
 """Time after an outage of the store for which an entry may have lapsed because of the
 outage, seconds: servers write their entries again within one heartbeat and a margin."""
@@ -83,6 +98,9 @@
     reads_at : float or None
         When this node reads next if no newer read of another node becomes known, on
         the monotonic clock.
+    behind_since : float or None
+        Since when the topic, as read, ends before the next offset, on the monotonic
+        clock.
     """
 
     topic = Topic.SERVERS
@@ -99,6 +117,7 @@
         self.newest: dict[str, Record] = {}
         self.reads = Sightings()
         self.reads_at: float | None = None
+        self.behind_since: float | None = None
 
     def is_relayed(self) -> bool:
         """See :meth:`Follower.is_relayed`.
@@ -131,7 +150,7 @@
 
     def pause_s(self) -> float:
         """See :meth:`Follower.pause_s`."""
-        return SERVER_READ_INTERVAL_S
+        return SERVER_READ_INTERVAL_S if self.synced else 0.0
 
     def _note_answer(self, read_started_at: float) -> None:
         super()._note_answer(read_started_at)
@@ -168,6 +187,18 @@
             self.readers.broadcast_soon()
         self.has_leaving_server = False
 
+    def _apply_page(self, page: Page) -> None:
+        super()._apply_page(page)
+        if page.end >= self.next_offset:
+            self.behind_since = None
+        elif self.behind_since is None:
+            self.behind_since = time.monotonic()
+        elif time.monotonic() - self.behind_since > BEHIND_TIMEOUT_S:
+            log_event("topic_behind", end=page.end, next=self.next_offset)
+            self.behind_since = None
+            self.next_offset = 0
+            self.synced = False
+
     def _set_newest(self, records: Iterable[Record], end: int) -> None:
         # The listeners of the registry send messages, which must not cover what this
         # read drops: it is in no record.
@@ -258,9 +289,14 @@
         is reclaimed, there are more changes than a datagram holds. The node then reads
         the store at its next step. If it waited for a message that continues from its
         offset, the server would get requests for over two seconds.
+
+        Changes that cover too much are ignored. If that many records are new, no node
+        relays what continues from this node's offset, and it reads them soon.
         """
         if not self.synced or server_delta.next < self.next_offset:
             return
+        if server_delta.next - self.next_offset > MAX_DELTA_RECORDS:
+            return
         if server_delta.first > self.next_offset:
             self.relayed_at = float("-inf")
             return
--- a/packages/endive_gateway/tests/test_server_relay.py
+++ b/packages/endive_gateway/tests/test_server_relay.py
@@ -7,20 +7,28 @@
 import pytest
 from endive_gateway import following, server_following
 from endive_gateway.following import RELAY_TIMEOUT_S
-from endive_gateway.interfaces import Topic
+from endive_gateway.interfaces import ServerDelta, Topic
 from endive_gateway.peers import (
     BROADCAST_INTERVAL_PER_NODE_S,
     BROADCAST_INTERVAL_S,
     DATAGRAMS_PER_STEP,
     MAX_READERS,
 )
-from endive_gateway.server_following import SERVER_READ_INTERVAL_S, ServerFollower
+from endive_gateway.server_following import (
+    BEHIND_TIMEOUT_S,
+    SERVER_READ_INTERVAL_S,
+    ServerFollower,
+)
 from gateway_builders import make_context
 from store_builders import MemoryStore, NonReader, store_down, write
 
 WARM_UP_S = 3.0
 SERVERS = 40
+
 MAX_STALENESS_S = 0.4
+MAX_LEAVING_REQUESTS_S = 2.0
+"""Time for which a leaving server may get requests, seconds."""
+
 LOST_DATAGRAMS = 0.01
 
 
@@ -112,7 +120,7 @@
         known = (
             follower.context.registry.get(server_id) for follower in self.followers
         )
-        return sum(not server.usable for server in known)
+        return sum(server is not None and not server.usable for server in known)
 
 
 SIZES = pytest.mark.parametrize("nodes", [30, 200, 375])
@@ -182,3 +190,28 @@
     fleet.write_server("i-7", sequence=2, state="leaving")
     fleet.run_until(WARM_UP_S + 9.0, lambda: fleet.knowing("i-7") >= 0.99 * nodes)
     assert fleet.now - WARM_UP_S < RELAY_TIMEOUT_S + SERVER_READ_INTERVAL_S
+
+
+@SIZES
+def test_changes_that_never_were_keep_no_node_from_later_ones(nodes, monkeypatch):
+    """All nodes read on from an offset that the topic never reached."""
+    fleet = SimulatedFleet(nodes, monkeypatch)
+    fleet.run_until(WARM_UP_S)
+    end = fleet.followers[0].next_offset
+    odd = ServerDelta(end, 2**50, b"", 0.1, 77)
+    for follower in fleet.followers:
+        follower.apply_delta(odd)
+    fleet.write_server("i-7", sequence=2, state="leaving")
+    fleet.run_until(WARM_UP_S + 9.0, lambda: fleet.knowing("i-7") == nodes)
+    assert fleet.now - WARM_UP_S < MAX_LEAVING_REQUESTS_S
+
+
+@SIZES
+def test_an_offset_that_the_topic_does_not_reach_is_given_up(nodes, monkeypatch):
+    """A node that took it from another one's snapshot followed no change any more."""
+    fleet = SimulatedFleet(nodes, monkeypatch)
+    fleet.followers[0].load([], 2**40, 0.1, 77)
+    fleet.run_until(WARM_UP_S)
+    fleet.write_server("i-7", sequence=2, state="leaving")
+    fleet.run_until(BEHIND_TIMEOUT_S + 2 * SERVER_READ_INTERVAL_S + MAX_STALENESS_S)
+    assert fleet.knowing("i-7") == nodes
