Keep nothing of a response that is skipped

A response to another request was parsed like the awaited one: its body was kept whole until its end, and only the request's deadline ended it. A refusal's body was collected too, up to its limit, and never used.

Class: bytes of others that are collected before it is known whether anybody reads them.

Whether a response is awaited is now decided when its head is complete. The body of any other one is dropped as it comes, and the connection is left after 1 MiB of it, so the request goes on elsewhere instead of waiting for its deadline. A refusal's body is dropped too.

--- a/packages/endive_gateway/src/endive_gateway/attempts.py
+++ b/packages/endive_gateway/src/endive_gateway/attempts.py
@@ -365,7 +365,8 @@
                 counts_as_attempt=False,
             )
         if metadata.not_run:
-            self._read_response(message)
+            if self._has_body:
+                self.connection.skip_body(message)
             self._keep_connection(message)
             rests = self.context.server_rests.is_resting(view.id)
             raise AttemptError(
@@ -393,9 +394,12 @@
             response=response,
         )
 
+    @property
+    def _has_body(self) -> bool:
+        return self.request.exchange.message.method != b"HEAD"
+
     def _is_stream(self, message: ResponseMessage) -> bool:
-        has_body = self.request.exchange.message.method != b"HEAD"
-        has_body = has_body and message.status != 204
+        has_body = self._has_body and message.status != 204
         return has_body and self.request.route.kind is RouteKind.STREAM
 
     def _check_success(
@@ -420,7 +424,7 @@
     def _read_response(self, message: ResponseMessage) -> ServerResponse:
         body = (
             self.connection.read_all(message, MAX_HELD_BODY_BYTES)
-            if self.request.exchange.message.method != b"HEAD"
+            if self._has_body
             else b""
         )
         return ServerResponse(
@@ -433,7 +437,7 @@
         Until then the request can still be sent to another server.
         """
         body = b""
-        if self.request.exchange.message.method != b"HEAD":
+        if self._has_body:
             body = self.connection.read_up_to(message, MAX_HELD_BODY_BYTES)
         if len(body) > MAX_HELD_BODY_BYTES:
             self._forward_large(message, body)
--- a/packages/endive_gateway/src/endive_gateway/connections.py
+++ b/packages/endive_gateway/src/endive_gateway/connections.py
@@ -83,6 +83,7 @@
         """Send a request; raises :class:`ConnectionBrokenError`."""
         self.requests += 1
         self.parser.messages.clear()
+        self.parser.skipped_bytes = 0
         try:
             if len(body) <= INLINE_BODY_BYTES:
                 self.stream.sendall(head + body)
@@ -162,6 +163,17 @@
             size += len(data)
         return b"".join(pieces)
 
+    def skip_body(self, message: ResponseMessage) -> None:
+        """Read the rest of the body and keep nothing of it.
+
+        Raises
+        ------
+        ConnectionBrokenError
+            If the connection ends first, or the body is too large.
+        """
+        message.skip_body()
+        self.read_body(message)
+
     def _read(self) -> None:
         try:
             data = self.stream.recv(READ_BYTES)
@@ -224,6 +236,8 @@
         IP address of the node through which the connection goes, if it does.
     repeatable : bool
         Whether the present request may be sent to a server again.
+    awaited_id : str
+        Id of the request whose response is read.
     """
 
     def __init__(
@@ -234,6 +248,8 @@
         self.wire = wire
         self.monitor = monitor
         self.repeatable = False
+        self.awaited_id = ""
+        self.parser.is_awaited = self._is_awaited
         self.transit_node = stream.node if isinstance(stream, TransitStream) else None
 
     def send(self, head: bytes, body: bytes) -> None:
@@ -266,17 +282,15 @@
         Raises
         ------
         ConnectionBrokenError
-            If the connection ends first.
+            If the connection ends first, or what is discarded is too long.
         """
+        self.awaited_id = request_id
         skipped = 0
         while True:
             while self.parser.messages and self.parser.messages[0].head_done:
                 message = self.parser.messages[0]
-                metadata = self.wire.decode_response(message.headers)
-                if message.status >= 200 and _is_response_to(
-                    message, metadata, request_id
-                ):
-                    return message, metadata
+                if not message.is_skipped:
+                    return message, message.metadata
                 if message.ends_with_connection:
                     raise ConnectionBrokenError(
                         "the server answered another request", sent=True
@@ -293,15 +307,16 @@
                     )
             self._read()
 
-
-def _is_response_to(
-    message: ResponseMessage, metadata: ResponseMetadata, request_id: str
-) -> bool:
-    if metadata.request_id:
-        return metadata.request_id == request_id
-    # A server that refuses before it has read the request may send no id. A success
-    # without an id could answer any request.
-    return message.status >= 400 and metadata.not_run
+    def _is_awaited(self, message: ResponseMessage) -> bool:
+        """Return whether a response is that to the present request."""
+        message.metadata = self.wire.decode_response(message.headers)
+        if message.status < 200:
+            return False
+        if message.metadata.request_id:
+            return message.metadata.request_id == self.awaited_id
+        # A server that refuses before it has read the request may send no id. A success
+        # without an id could answer any request.
+        return message.status >= 400 and message.metadata.not_run
 
 
 def _advertised_idle_timeout(message: ResponseMessage) -> float | None:
--- a/packages/endive_gateway/src/endive_gateway/http.py
+++ b/packages/endive_gateway/src/endive_gateway/http.py
@@ -7,11 +7,12 @@
 """
 
 from collections import deque
+from collections.abc import Callable
 
 import httptools
 
 from endive_gateway.exceptions import BadMessageError
-from endive_gateway.interfaces import Headers
+from endive_gateway.interfaces import Headers, ResponseMetadata
 
 HOP_BY_HOP_HEADERS = frozenset(
     {
@@ -60,6 +61,11 @@
 and the one that is awaited."""
 
 
+MAX_SKIPPED_BYTES = 2**20
+"""Largest part of bodies that is read and dropped before the awaited response, bytes.
+None of it is kept."""
+
+
 class Message:
     """The common part of requests and responses, filled in by a parser.
 
@@ -119,9 +125,20 @@
     ends_with_connection : bool
         Whether it has neither a length nor chunks, so that the end of the connection
         ends it.
+    is_skipped : bool
+        Whether its body is dropped as it comes, since nobody reads it.
+    metadata : ResponseMetadata or None
+        What its headers state, if they have been decoded.
     """
 
-    __slots__ = ("ends_with_connection", "keep_alive", "reason", "status")
+    __slots__ = (
+        "ends_with_connection",
+        "is_skipped",
+        "keep_alive",
+        "metadata",
+        "reason",
+        "status",
+    )
 
     def __init__(self) -> None:
         super().__init__()
@@ -129,6 +146,13 @@
         self.reason = b""
         self.keep_alive = True
         self.ends_with_connection = False
+        self.is_skipped = False
+        self.metadata: ResponseMetadata | None = None
+
+    def skip_body(self) -> None:
+        """Drop the body, as far as it was received, and what follows of it."""
+        self.is_skipped = True
+        self.body.clear()
 
     def take_body(self) -> bytes:
         """Return the bytes of the body received since the last call."""
@@ -272,6 +296,11 @@
 
     Attributes
     ----------
+    is_awaited : callable
+        Returns whether a response whose head is complete is read. The body of any other
+        one is dropped.
+    skipped_bytes : int
+        Bytes of bodies that were dropped since the request was sent.
     overhead_bytes : int
         Bytes received since the last head, piece of a body or end of a message: a part
         of a head, of a chunk's size line, or trailers.
@@ -283,6 +312,8 @@
 
     def __init__(self) -> None:
         super().__init__()
+        self.is_awaited: Callable[[ResponseMessage], bool] = lambda message: True
+        self.skipped_bytes = 0
         self.overhead_bytes = 0
         self.trailers = 0
         self.parser = httptools.HttpResponseParser(self)
@@ -302,6 +333,8 @@
             raise BadMessageError(str(error)) from None
         if self.overhead_bytes > MAX_OVERHEAD_BYTES:
             raise BadMessageError("a head, a chunk's size or trailers are too long")
+        if self.skipped_bytes > MAX_SKIPPED_BYTES:
+            raise BadMessageError("what is no awaited response is too long")
 
     def on_message_begin(self) -> None:
         """Begin a response; raises BadMessageError if too many are unread."""
@@ -335,11 +368,15 @@
         message.ends_with_connection = not (framed or bodiless)
         if message.ends_with_connection:
             message.keep_alive = False
+        message.is_skipped = not self.is_awaited(message)
 
     def on_body(self, data: bytes) -> None:
-        """Append a part of the body."""
+        """Append a part of the body unless it is skipped."""
         self.overhead_bytes = 0
-        self.current.body.append(data)
+        if self.current.is_skipped:
+            self.skipped_bytes += len(data)
+        else:
+            self.current.body.append(data)
 
     def on_message_complete(self) -> None:
         """Mark the response as complete."""
--- a/packages/endive_gateway/tests/test_endless_answers.py
+++ b/packages/endive_gateway/tests/test_endless_answers.py
@@ -33,6 +33,18 @@
         b"HTTP/1.1 500 No\r\nId: %ID\r\nTransfer-Encoding: chunked\r\n\r\n",
         CHUNK,
     ),
+    "a refusal's body": (
+        b"HTTP/1.1 503 No\r\nRefused: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+        CHUNK,
+    ),
+    "the body of no answer, in chunks": (
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+        CHUNK,
+    ),
+    "the body of another request's answer": (
+        b"HTTP/1.1 200 OK\r\nId: none\r\nContent-Length: 99999999999\r\n\r\n",
+        b"x" * PIECE,
+    ),
 }
 """By name, what a server sends first, and then without end. None is an answer."""
 
