Tell a server of another version from another server

Class: one caller's header counted against what all callers share.

If the request expects a version, and the server that refuses does not name itself as another one, the refusal is the caller's own: it counts as an attempt, so at most max_attempts servers get the request, but neither against the server nor on the service's budget of retries. Where no attempt is left it is refused at once, with a 503 that says that nothing has run. A server that names itself as another one is withheld as before.

Open: if all callers of a service expect a version, and servers don't name themselves in their refusals, an address with a new owner is found out only by its entry.

--- a/packages/endive_core/src/endive_core/exceptions.py
+++ b/packages/endive_core/src/endive_core/exceptions.py
@@ -154,6 +154,7 @@
     PATH_FAILED = "path_failed"
     FETCH_FAILED = "fetch_failed"
     ORIGIN_UNRECORDED = "origin_unrecorded"
+    VERSION_MISMATCH = "version_mismatch"
 
 
 class EndiveError(Exception):
--- a/packages/endive_core/src/endive_core/scheduler.py
+++ b/packages/endive_core/src/endive_core/scheduler.py
@@ -44,6 +44,7 @@
     RetryReason.PATH_FAILED,
     RetryReason.FETCH_FAILED,
     RetryReason.ORIGIN_UNRECORDED,
+    RetryReason.VERSION_MISMATCH,
 )
 """Reasons that say nothing against a server although it may have run the call."""
 
--- a/packages/endive_gateway/src/endive_gateway/attempts.py
+++ b/packages/endive_gateway/src/endive_gateway/attempts.py
@@ -16,6 +16,7 @@
     AttemptError,
     ConnectionBrokenError,
     FetchOverdueError,
+    VersionMismatchError,
 )
 from endive_gateway.http import ResponseMessage, encode_head, end_to_end
 from endive_gateway.interfaces import (
@@ -26,6 +27,7 @@
     ServerResponse,
     header_value,
 )
+from endive_gateway.leaving_servers import MISDIRECTED_STATUS
 from endive_gateway.prefix_fetching import FetchTimer
 from endive_gateway.progress import Progress
 from endive_gateway.rollout_observation import Observation
@@ -356,7 +358,8 @@
             through=self.request.transit_node or "",
             lease=self.lease,
         )
-        if message.status == 421:
+        if message.status == MISDIRECTED_STATUS:
+            self._check_version_expected(message, metadata)
             self.context.registry.mark_misidentified(view.id)
             raise AttemptError(
                 "another server answered at this server's address",
@@ -394,6 +397,24 @@
             response=response,
         )
 
+    def _check_version_expected(
+        self, message: ResponseMessage, metadata: ResponseMetadata
+    ) -> None:
+        """Tell a server that refuses the version expected from another server.
+
+        Raises
+        ------
+        VersionMismatchError
+            If it is not another server, as far as the response tells.
+        """
+        is_meant = metadata.server_id in ("", self.view.id)
+        if not (self.request.metadata.expects_version and is_meant):
+            return
+        if self._has_body:
+            self.connection.skip_body(message)
+        self._keep_connection(message)
+        raise VersionMismatchError
+
     @property
     def _has_body(self) -> bool:
         return self.request.exchange.message.method != b"HEAD"
--- a/packages/endive_gateway/src/endive_gateway/exceptions.py
+++ b/packages/endive_gateway/src/endive_gateway/exceptions.py
@@ -110,6 +110,14 @@
 """Status with which a server answers a request whose deadline has passed."""
 
 
+NO_SERVER_FAULT = (
+    RetryReason.PATH_FAILED,
+    RetryReason.ORIGIN_UNRECORDED,
+    RetryReason.VERSION_MISMATCH,
+)
+"""Reasons that say nothing against the server."""
+
+
 class AttemptError(Exception):
     """An attempt at one server that failed.
 
@@ -158,7 +166,7 @@
         A rejection of the request is none, nor is the end of the caller's time, nor a
         fault of this node's own connections.
         """
-        if self.reason in (RetryReason.PATH_FAILED, RetryReason.ORIGIN_UNRECORDED):
+        if self.reason in NO_SERVER_FAULT:
             return False
         if self.response is None:
             return self.counts_as_attempt
@@ -177,6 +185,20 @@
         )
 
 
+class VersionMismatchError(AttemptError):
+    """The server does not hold the version that the caller expects.
+
+    It counts as an attempt, but neither against the server nor as a retry.
+    """
+
+    def __init__(self) -> None:
+        super().__init__(
+            "the server does not hold the version that the caller expects",
+            RetryReason.VERSION_MISMATCH,
+            started=False,
+        )
+
+
 class FetchOverdueError(Exception):
     """Ends the wait for a response whose server presumably waits for a fetch."""
 
--- a/packages/endive_gateway/src/endive_gateway/failed_attempts.py
+++ b/packages/endive_gateway/src/endive_gateway/failed_attempts.py
@@ -11,6 +11,7 @@
     AttemptError,
     ResponseForwardedError,
     SlotDeclinedError,
+    VersionMismatchError,
 )
 from endive_gateway.interfaces import ServerResponse
 from endive_gateway.statuses import NOT_RUN_STATUSES
@@ -137,6 +138,9 @@
             raise EndiveError(ErrorKind.STREAM_NOT_RESUMABLE, NO_SERVER_OF_VERSION)
         if not error.counts_as_attempt:
             return
+        if isinstance(error, VersionMismatchError):
+            self._check_server_of_version_left()
+            return
         if error.started and not request.route.retryable:
             raise EndiveError(
                 ErrorKind.OUTCOME_UNKNOWN,
@@ -155,6 +159,16 @@
                 ErrorKind.RETRY_BUDGET_SPENT, "the service's retry budget is used up"
             )
 
+    def _check_server_of_version_left(self) -> None:
+        """Check that another server may hold the version that the caller expects.
+
+        Such a request spends none of the service's retry budget.
+        """
+        request = self.request
+        if request.ticket.attempt >= request.max_attempts:
+            raise EndiveError(ErrorKind.NO_SERVER, str(self.error))
+        request.check_time()
+
     def _check_slot_request_allowed(self) -> None:
         """Check that a slot of another brittle server may be asked for."""
         request, error = self.request, self.error
--- a/packages/endive_gateway/src/endive_gateway/header_values.py
+++ b/packages/endive_gateway/src/endive_gateway/header_values.py
@@ -23,10 +23,10 @@
     return number if number <= most else None
 
 
-def parse_rate(value: bytes) -> float | None:
-    """Return a finite number of at least 0; ``None`` if it is another value."""
+def parse_rate(value: bytes, most: float = math.inf) -> float | None:
+    """Return a finite number from 0 to `most`; ``None`` if it is another value."""
     try:
         rate = float(value)
     except ValueError:
         return None
-    return rate if math.isfinite(rate) and rate >= 0 else None
+    return rate if math.isfinite(rate) and 0 <= rate <= most else None
--- a/packages/endive_gateway/src/endive_gateway/interfaces.py
+++ b/packages/endive_gateway/src/endive_gateway/interfaces.py
@@ -268,6 +268,9 @@
         Id of the last event that the caller has received, if it resumes a stream.
     resumes : str
         Id of the caller's request that brought the first event of that stream.
+    expects_version : bool
+        Whether servers that hold another version than the caller names refuse it, with
+        the status of a server that was not meant.
     """
 
     id: str
@@ -280,6 +283,7 @@
     shared_parts: tuple[int, ...] = ()
     last_event_id: str = ""
     resumes: str = ""
+    expects_version: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/endive_gateway/tests/gateway_builders.py
+++ b/packages/endive_gateway/tests/gateway_builders.py
@@ -60,6 +60,7 @@
         metadata.key = _text(headers, b"key")
         metadata.last_event_id = _text(headers, b"after")
         metadata.resumes = _text(headers, b"resumes")
+        metadata.expects_version = bool(_text(headers, b"weights"))
         tokens = _text(headers, b"tokens")
         if tokens:
             metadata.prompt_tokens, metadata.max_tokens = map(int, tokens.split(","))
@@ -98,6 +99,7 @@
             request_id=_text(headers, b"id"),
             signed=bool(header_value(headers, b"signed")),
             not_run=bool(header_value(headers, b"refused")),
+            server_id=_text(headers, b"server"),
             request_limit=float(limit) if limit else None,
             brittle_rejections=float(brittle) if brittle else None,
             rest_s=float(rest) if rest else None,
--- a/tests/test_platform_headers.py
+++ b/tests/test_platform_headers.py
@@ -19,6 +19,7 @@
             Prompt_Prefix="5c1e07a2:800,91bd3f06:410",
             Last_Event_Id="7",
             Resumes="r0",
+            Expect_Version="4",
         )
     )
     assert metadata.id == "r1"
@@ -32,6 +33,7 @@
     assert metadata.shared_parts == (0x5C1E07A2,)
     assert metadata.last_event_id == "7"
     assert metadata.resumes == "r0"
+    assert metadata.expects_version
 
 
 @pytest.mark.parametrize(
