Bound the memory of the bodies of callers' requests

Nothing bounded the bodies of all requests together, and each was held twice, in pieces and joined.

Class: bytes of others that are collected up to a bound for one, without one for all.

What doesn't fit is refused at once, with a 503 that says that nothing has run, by its length if it has one, or at the piece that no longer fits; the rest is dropped as it comes. Each piece counts with what it takes beside its bytes, and the pieces go once they are joined.

Two faults beside it: the value of a trailer was collected without a bound, and reading from a caller that sends faster than the node reads let nothing else run.

--- a/packages/endive_gateway/src/endive_gateway/__init__.py
+++ b/packages/endive_gateway/src/endive_gateway/__init__.py
@@ -8,7 +8,8 @@
 
 - the process as a whole: ``gateway``, ``context``, ``interfaces``, ``exceptions``,
   ``clocks``, ``loops``, ``file_watching``
-- callers' connections: ``callers``, ``http``, ``statuses``, ``progress``
+- callers' connections: ``callers``, ``http``, ``statuses``, ``progress``,
+  ``memory_budget``
 - forwarding to servers: ``forwarding``, ``attempts``, ``failed_attempts``,
   ``connections``, ``events``, ``placing``, ``prefix_fetching``, ``workload``,
   ``stream_affinity``, ``part_copying``
--- a/packages/endive_gateway/src/endive_gateway/callers.py
+++ b/packages/endive_gateway/src/endive_gateway/callers.py
@@ -16,9 +16,14 @@
 from endive_gateway.exceptions import BadMessageError, CallerGoneError
 from endive_gateway.http import RequestMessage, RequestParser, encode_head, status_line
 from endive_gateway.interfaces import Headers
+from endive_gateway.memory_budget import MemoryBudget
 from endive_gateway.tcp import is_idle
 
 READ_BYTES = 65_536
+YIELD_BYTES = 2 * READ_BYTES
+"""Bytes read from one caller after which other greenlets run. A read doesn't wait while
+the caller sends faster than they are handled."""
+
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -42,7 +47,7 @@
     ) -> None:
         self.sock = sock
         self.message = message
-        self.body = b"".join(message.body)
+        self.body = message.take_body()
         self.received_at = received_at
         self.response_started = False
         self.broken = False
@@ -168,6 +173,8 @@
     ----------
     stopping : bool
         Whether each response carries ``Connection: close``.
+    body_memory : MemoryBudget
+        Memory for the bodies of all requests.
     """
 
     def __init__(
@@ -181,6 +188,7 @@
         self.handler = handler
         self.limits = limits
         self.stopping = False
+        self.body_memory = MemoryBudget()
         self.connections: dict[object, CallerConnection] = {}
         self.acceptor: gevent.Greenlet | None = None
 
@@ -237,9 +245,12 @@
         self.listener = listener
         self.sock = sock
         self.idle = True
+        self.read_bytes = 0
         self.greenlet: gevent.Greenlet | None = None
         limits = listener.limits()
-        self.parser = RequestParser(limits.max_header_bytes, limits.max_body_bytes)
+        self.parser = RequestParser(
+            limits.max_header_bytes, limits.max_body_bytes, listener.body_memory
+        )
 
     def run(self) -> None:
         """Serve requests until the connection ends; runs in a greenlet of its own."""
@@ -249,6 +260,8 @@
         except (CallerGoneError, OSError):
             pass
         finally:
+            for message in self.parser.messages:
+                self.parser.release(message)
             self.listener.connections.pop(self, None)
             self.sock.close()
 
@@ -278,17 +291,18 @@
         exchange = Exchange(
             self.sock, message, received_at, lambda: self.listener.stopping
         )
-        with DisconnectWatcher(self.sock, self.greenlet):
-            self.listener.handler.serve(exchange)
+        try:
+            with DisconnectWatcher(self.sock, self.greenlet):
+                self.listener.handler.serve(exchange)
+        finally:
+            self.parser.release(message)
+        if not message.complete:
+            self._drain()
         self.idle = True
         return exchange.keep_alive
 
     def _reject(self, error: BadMessageError) -> None:
-        """Answer a malformed request, then drain the connection for up to 1 s.
-
-        Closing a connection with unread bytes resets it, and the caller may lose the
-        response.
-        """
+        """Answer a malformed request, and close the connection."""
         body = json.dumps({"error": {"message": str(error)}}).encode()
         headers = [
             (b"Content-Type", b"application/json"),
@@ -296,14 +310,24 @@
             (b"Connection", b"close"),
         ]
         self.sock.sendall(encode_head(status_line(error.status), headers) + body)
+        self._drain()
+
+    def _drain(self) -> None:
+        """Read and drop what the caller still sends, for up to 1 s.
+
+        Closing a connection with unread bytes resets it, and the caller may lose the
+        response.
+        """
         self.sock.shutdown(socket.SHUT_WR)
         with gevent.Timeout(1.0, False):
-            while self.sock.recv(READ_BYTES):
-                pass
+            while data := self.sock.recv(READ_BYTES):
+                self._yield_after(len(data))
 
     def _read_request(self) -> tuple[RequestMessage | None, float]:
         """Return the next request and when its first byte came.
 
+        One for whose body there is no memory is returned before it is complete.
+
         The request is ``None`` if the caller closed the connection or was idle for
         longer than the idle time-out.
 
@@ -326,7 +350,7 @@
         continued = False
         while True:
             message = self.parser.messages[0] if self.parser.messages else None
-            if message is not None and message.complete:
+            if message is not None and (message.complete or message.has_no_room):
                 self.parser.messages.popleft()
                 if not self.parser.messages:
                     self.parser.current = None
@@ -349,8 +373,17 @@
         """Return received bytes, ``b""`` at the end of the connection, None if late."""
         self.sock.settimeout(timeout_s)
         try:
-            return self.sock.recv(READ_BYTES)
+            data = self.sock.recv(READ_BYTES)
         except TimeoutError:
             return None
         finally:
             self.sock.settimeout(None)
+        self._yield_after(len(data))
+        return data
+
+    def _yield_after(self, size: int) -> None:
+        """Let other greenlets run after each `YIELD_BYTES` that are read."""
+        self.read_bytes += size
+        if self.read_bytes >= YIELD_BYTES:
+            self.read_bytes = 0
+            gevent.sleep(0)
--- a/packages/endive_gateway/src/endive_gateway/forwarding.py
+++ b/packages/endive_gateway/src/endive_gateway/forwarding.py
@@ -180,6 +180,10 @@
                 ErrorKind.UNAUTHENTICATED, "the key is missing or unknown"
             )
         self.organisation = table.keys.get(self.metadata.key, "")
+        if message.has_no_room:
+            raise EndiveError(
+                ErrorKind.OVERLOADED, "there is no memory for the request's body"
+            )
         if table.organisations is not None:
             self.terms = table.organisations.get(self.organisation)
 
--- a/packages/endive_gateway/src/endive_gateway/http.py
+++ b/packages/endive_gateway/src/endive_gateway/http.py
@@ -13,6 +13,7 @@
 
 from endive_gateway.exceptions import BadMessageError
 from endive_gateway.interfaces import Headers, ResponseMetadata
+from endive_gateway.memory_budget import PIECE_BYTES, MemoryBudget
 
 HOP_BY_HOP_HEADERS = frozenset(
     {
@@ -104,9 +105,21 @@
         Whether it has a Content-Length or a transfer coding.
     expects_continue : bool
         Whether the caller waits for ``100 Continue`` before it sends the body.
+    held_bytes : int
+        Memory that its body takes, bytes.
+    has_no_room : bool
+        Whether there is no memory for its body, which is dropped as it comes.
     """
 
-    __slots__ = ("expects_continue", "has_length", "keep_alive", "method", "target")
+    __slots__ = (
+        "expects_continue",
+        "has_length",
+        "has_no_room",
+        "held_bytes",
+        "keep_alive",
+        "method",
+        "target",
+    )
 
     def __init__(self) -> None:
         super().__init__()
@@ -115,6 +128,14 @@
         self.keep_alive = True
         self.has_length = False
         self.expects_continue = False
+        self.held_bytes = 0
+        self.has_no_room = False
+
+    def take_body(self) -> bytes:
+        """Return the body, which is kept by the receiver only from then on."""
+        taken = b"".join(self.body)
+        self.body.clear()
+        return taken
 
 
 class ResponseMessage(Message):
@@ -190,15 +211,29 @@
     ----------
     max_header_bytes, max_body_bytes : int
         Size limits of one request.
+    memory : MemoryBudget
+        Memory that the bodies of all requests share.
+
+    Attributes
+    ----------
+    head_bytes, trailer_bytes : int
+        Bytes received of a head, and since the last piece of a body.
     """
 
     message_type = RequestMessage
 
-    def __init__(self, max_header_bytes: int, max_body_bytes: int) -> None:
+    def __init__(
+        self,
+        max_header_bytes: int,
+        max_body_bytes: int,
+        memory: MemoryBudget | None = None,
+    ) -> None:
         super().__init__()
         self.max_header_bytes = max_header_bytes
         self.max_body_bytes = max_body_bytes
+        self.memory = memory or MemoryBudget()
         self.head_bytes = 0
+        self.trailer_bytes = 0
         self.body_bytes = 0
         self.rejection: BadMessageError | None = None
         self.parser = httptools.HttpRequestParser(self)
@@ -214,6 +249,8 @@
         in_head = self.current is None or not self.current.head_done
         if in_head:
             self.head_bytes += len(data)
+        else:
+            self.trailer_bytes += len(data)
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -223,6 +260,14 @@
         unfinished = self.current is not None and not self.current.head_done
         if unfinished and self.head_bytes > self.max_header_bytes:
             raise BadMessageError("the header is too large", 431)
+        if self.trailer_bytes > max(len(data), self.max_header_bytes):
+            raise BadMessageError("the trailers are too large", 431)
+
+    def release(self, message: RequestMessage) -> None:
+        """Give back the memory of a request whose body is no longer held."""
+        self.memory.give_back(message.held_bytes)
+        message.held_bytes = 0
+        message.body.clear()
 
     def _decline_upgrade(self) -> None:
         """Ignore a request's ``Upgrade``, and close the connection after the response.
@@ -254,6 +299,7 @@
         if self.rejection is not None:
             raise self.rejection
         self.body_bytes = 0
+        self.trailer_bytes = 0
 
     def _validate_head(self, message: RequestMessage) -> BadMessageError | None:
         if self.parser.get_http_version() not in ("1.1", "1.0"):
@@ -275,6 +321,8 @@
         message.has_length = bool(lengths or codings)
         expects = values.get(b"expect", [b""])[0].lower()
         message.expects_continue = expects == b"100-continue"
+        if lengths and not self.memory.has_room(0, int(lengths[0])):
+            self._drop_body(message)
         return None
 
     def on_body(self, data: bytes) -> None:
@@ -283,12 +331,27 @@
         if self.body_bytes > self.max_body_bytes:
             self.rejection = BadMessageError("the body is too large", 413)
             raise self.rejection
-        self.current.body.append(data)
+        self.trailer_bytes = 0
+        message, size = self.current, len(data) + PIECE_BYTES
+        if message.has_no_room:
+            return
+        if not self.memory.has_room(message.held_bytes, size):
+            self._drop_body(message)
+            return
+        self.memory.take(size)
+        message.held_bytes += size
+        message.body.append(data)
+
+    def _drop_body(self, message: RequestMessage) -> None:
+        message.has_no_room = True
+        message.keep_alive = False
+        self.release(message)
 
     def on_message_complete(self) -> None:
         """Mark the request as complete."""
         super().on_message_complete()
         self.head_bytes = 0
+        self.trailer_bytes = 0
 
 
 class ResponseParser(_Parser):
