--- a/packages/endive_gateway/src/endive_gateway/attempts.py
+++ b/packages/endive_gateway/src/endive_gateway/attempts.py
@@ -16,6 +16,7 @@
     AttemptError,
     ConnectionBrokenError,
     FetchOverdueError,
+    VersionMismatchError,
 )
 from endive_gateway.http import ResponseMessage, encode_head, end_to_end
 from endive_gateway.interfaces import (
@@ -26,6 +27,7 @@
     ServerResponse,
     header_value,
 )
+from endive_gateway.leaving_servers import MISDIRECTED_STATUS
 from endive_gateway.prefix_fetching import FetchTimer
 from endive_gateway.progress import Progress
 from endive_gateway.rollout_observation import Observation
@@ -356,7 +358,8 @@
             through=self.request.transit_node or "",
             lease=self.lease,
         )
-        if message.status == 421:
+        if message.status == MISDIRECTED_STATUS:
+            self._check_version_expected(message, metadata)
             self.context.registry.mark_misidentified(view.id)
             raise AttemptError(
                 "another server answered at this server's address",
@@ -365,7 +368,8 @@
                 counts_as_attempt=False,
             )
         if metadata.not_run:
-            self._read_response(message)
+            if self._has_body:
+                self.connection.skip_body(message)
             self._keep_connection(message)
             rests = self.context.server_rests.is_resting(view.id)
             raise AttemptError(
@@ -393,9 +397,30 @@
             response=response,
         )
 
+    def _check_version_expected(
+        self, message: ResponseMessage, metadata: ResponseMetadata
+    ) -> None:
+        """Tell a server that refuses the version expected from another server.
+
+        Raises
+        ------
+        VersionMismatchError
+            If it is not another server, as far as the response tells.
+        """
+        is_meant = metadata.server_id in ("", self.view.id)
+        if not (self.request.metadata.expects_version and is_meant):
+            return
+        if self._has_body:
+            self.connection.skip_body(message)
+        self._keep_connection(message)
+        raise VersionMismatchError
+
+    @property
+    def _has_body(self) -> bool:
+        return self.request.exchange.message.method != b"HEAD"
+
     def _is_stream(self, message: ResponseMessage) -> bool:
-        has_body = self.request.exchange.message.method != b"HEAD"
-        has_body = has_body and message.status != 204
+        has_body = self._has_body and message.status != 204
         return has_body and self.request.route.kind is RouteKind.STREAM
 
     def _check_success(
@@ -420,7 +445,7 @@
     def _read_response(self, message: ResponseMessage) -> ServerResponse:
         body = (
             self.connection.read_all(message, MAX_HELD_BODY_BYTES)
-            if self.request.exchange.message.method != b"HEAD"
+            if self._has_body
             else b""
         )
         return ServerResponse(
@@ -433,7 +458,7 @@
         Until then the request can still be sent to another server.
         """
         body = b""
-        if self.request.exchange.message.method != b"HEAD":
+        if self._has_body:
             body = self.connection.read_up_to(message, MAX_HELD_BODY_BYTES)
         if len(body) > MAX_HELD_BODY_BYTES:
             self._forward_large(message, body)
--- a/packages/endive_gateway/src/endive_gateway/header_values.py
+++ b/packages/endive_gateway/src/endive_gateway/header_values.py
@@ -23,10 +23,10 @@
     return number if number <= most else None
 
 
-def parse_rate(value: bytes) -> float | None:
-    """Return a number from 0 to `MAX_NUMBER`; ``None`` if it is another value."""
+def parse_rate(value: bytes, most: float = MAX_NUMBER) -> float | None:
+    """Return a number from 0 to `most`; ``None`` if it is another value."""
     try:
         rate = float(value)
     except ValueError:
         return None
-    return rate if 0 <= rate <= MAX_NUMBER else None
+    return rate if 0 <= rate <= most else None
