Let another writer leave odd entries among the servers' in the soak

Nothing in the soak wrote to the list of servers but the servers, and each server that left also said so in its responses, so a follower that stopped reading the list went unnoticed.

odd_entries leaves several unreadable entries under changing keys, which stay after the fault; server_leaves_by_its_entry lets servers leave that only the list tells. Rule drain: a node in contact with the store sends nothing to a server later than DRAIN_S after its entry said that it leaves. Rule process: no node process ends by itself; until now the next fault or the check of the recovery started it again. Nodes that know no server after a loss of all are seen by the rule recovery.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -21,6 +21,7 @@
     UnevenConnections,
     UnevenSpeeds,
 )
+from soak.other_writers import odd_entries, server_leaves_by_its_entry
 from soak.rollouts import OrderedRollout
 
 SERIES_SHARE = 0.35
@@ -509,5 +510,7 @@
         fetches_hang,
         ordered_rollout,
         demand_burst,
+        odd_entries,
+        server_leaves_by_its_entry,
     )
 }
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -12,7 +12,7 @@
 
 import gevent
 
-from soak.callers import HOST, KINDS, PLAIN_UNITS
+from soak.callers import HOST, KINDS, MAX_STALL_S, PLAIN_UNITS
 from soak.invariants import CONTACT_S, LIMIT_WINDOW_S, InvariantChecker, Limit
 from soak.lag import Lag, process_state, processor_wait_s
 from soak.network import Link
@@ -56,6 +56,8 @@
         When it was last started, seconds since the beginning.
     busy : bool
         Whether it is being restarted or is paused.
+    was_ended : bool
+        Whether the soak has ended the process since its last start.
     mutant : str
         What it does other than it should; empty if nothing.
     is_cut : bool
@@ -83,6 +85,7 @@
         self.starts = 0
         self.started_at = 0.0
         self.process = None
+        self.was_ended = False
         self.busy = False
         self.is_cut = False
         self.cut_ended_at = float("-inf")
@@ -123,6 +126,8 @@
         """Start the process unless it is running."""
         if self.process is not None and self.process.poll() is None:
             return
+        self.check_process()
+        self.was_ended = False
         self.starts += 1
         self.write_settings()
         self.started_at = self.fleet.clock()
@@ -152,6 +157,8 @@
 
     def begin_kill(self):
         """Send SIGKILL without waiting for the end of the process."""
+        self.check_process()
+        self.was_ended = True
         self.signal(signal.SIGCONT)
         self.signal(signal.SIGKILL)
 
@@ -165,7 +172,8 @@
         """Stop the process with SIGTERM, as the platform does, and start it again."""
         if self.busy:
             return
-        self.busy = True
+        self.check_process()
+        self.busy = self.was_ended = True
         self.signal(signal.SIGTERM)
         if not self._wait(GRACE_S + EXIT_SLACK_S):
             state = process_state(self.process.pid)
@@ -221,6 +229,15 @@
         """Return for how long the process has waited for a processor, seconds."""
         return processor_wait_s(self.process.pid)
 
+    def check_process(self):
+        """Check that the process hasn't ended by itself."""
+        ended = self.process is not None and self.process.poll() is not None
+        if ended and not self.was_ended:
+            self.was_ended = True
+            self.fleet.checker.record_violation(
+                "process", f"{self.name} ended with {self.process.returncode}"
+            )
+
     def _wait(self, seconds):
         end = time.monotonic() + seconds
         while self.process.poll() is None and time.monotonic() < end:
@@ -255,6 +272,7 @@
         )
 
     def close(self):
+        self.check_process()
         if self.process.poll() is None:
             self.process.kill()
         self.process.wait()
@@ -410,13 +428,21 @@
         self.fleet.retired.append(self)
         gevent.spawn(self.crash, 0.0)
 
-    def leave(self, notice_s):
-        """Announce the server's reclaim, and end the server after `notice_s`."""
+    def leave(self, notice_s, *, only_by_entry=False):
+        """Announce the server's reclaim, and end the server after `notice_s`.
+
+        Parameters
+        ----------
+        only_by_entry : bool
+            Whether the server's responses don't say that it leaves.
+        """
         if self.server is None or self.state != "ready":
             return
         server = self.server
         self.state, self.leaves_s = "draining", notice_s
+        server.says_state = not only_by_entry
         self.send_heartbeat()
+        server.drained_at = self.fleet.clock()
         gevent.sleep(notice_s)
         if self.server is server:
             self.crash(0.5)
@@ -509,6 +535,12 @@
             node.name == node_name and node.is_connected(since) for node in self.nodes
         )
 
+    def is_in_contact(self, node_name):
+        """Return whether a node could read the store, and this process kept up."""
+        return self.lag.stalled_within(CONTACT_S) < MAX_STALL_S and self.is_connected(
+            node_name, self.clock() - CONTACT_S
+        )
+
     def ip(self, purpose, number):
         """Return a loopback address that belongs to this fleet's slot."""
         return f"127.{self.slot}.{purpose}.{number + 1}"
--- a/tests/soak/invariants.py
+++ b/tests/soak/invariants.py
@@ -595,6 +595,25 @@
                 "leaving", f"{server} from {request.node}, {over_s:.1f} s too late"
             )
 
+    def drained_server_received(self, server, drained_at, request_id, is_counted):
+        """Check that a server gets nothing once its entry has said that it leaves.
+
+        Parameters
+        ----------
+        drained_at : float or None
+            When the store had that entry.
+        is_counted : callable
+            Returns whether a node could read the store all the time.
+        """
+        request = self.requests.get(request_id)
+        if request is None or drained_at is None:
+            return
+        over_s = request.sent_at - drained_at - DRAIN_S
+        if over_s > LEAVING_GRACE_S and is_counted(request.node):
+            self.record_violation(
+                "drain", f"{server} from {request.node}, {over_s:.1f} s too late"
+            )
+
     def _spend(self, organisation, units):
         limit = self.limits.get(organisation)
         if limit is None:
--- a/tests/soak/launch.py
+++ b/tests/soak/launch.py
@@ -172,6 +172,13 @@
     LeavingServers.observe = lambda self, *response: None
 
 
+def stop_at_unreadable_records():
+    """Let a node end its read of the store at a record that can't be applied."""
+    from endive_gateway.following import Follower
+
+    Follower.apply = lambda self, record: self.apply_record(record)
+
+
 def trust_orderly_ends():
     """Let a node take each stream for complete that its server ends in an orderly way.
 
@@ -334,6 +341,7 @@
     "server-limits": keep_server_limits_alone,
     "rests": ignore_rests,
     "leaving": ignore_departures,
+    "unreadable-ends": stop_at_unreadable_records,
     "broken-streams": trust_orderly_ends,
     "silence-ends": give_up_silent_servers,
     "no-leases": lease_no_slots,
--- a/tests/soak/mixes.py
+++ b/tests/soak/mixes.py
@@ -20,6 +20,8 @@
     "fetches_hang",
     "ordered_rollout",
     "demand_burst",
+    "odd_entries",
+    "server_leaves_by_its_entry",
 }
 EARLIER_KINDS = tuple(sorted(set(FAULTS) - LATER_KINDS))
 FIRST_KINDS = tuple(sorted(set(EARLIER_KINDS) - {"store_silent", "links_fall_silent"}))
@@ -51,4 +53,5 @@
 DEMAND = ("demand_burst",)
 ORDERED = ("ordered_rollout",)
 ORDERED_AMID_FAULTS = ("ordered_rollout", "kill", "server_crash", "store_down")
+ODD_ENTRIES = ("odd_entries", "server_leaves_by_its_entry")
 UNFRAMED = ("server_unframed", "server_leaves", "restart")
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -285,6 +285,10 @@
         The requests that it runs.
     leaving : bool
         Whether it says in its responses that it leaves, whatever its entry says.
+    says_state : bool
+        Whether it says in its responses that it leaves as soon as its entry does.
+    drained_at : float or None
+        When its entry first said that it leaves, seconds since the beginning.
     unframed : bool
         Whether its responses have neither a length nor chunks.
     broken_share : float
@@ -309,6 +313,8 @@
         self.rest_s = None
         self.resting = RestingServer()
         self.leaving = False
+        self.says_state = True
+        self.drained_at = None
         self.told_at = {}
         self.service = service
         self.born = born
@@ -465,7 +471,11 @@
         self.checker.leaving_server_received(
             self.id, self.told_at, request_id, self.backend.is_undisturbed
         )
-        if not (self.leaving or self.backend.state == "draining"):
+        self.checker.drained_server_received(
+            self.id, self.drained_at, request_id, self.backend.fleet.is_in_contact
+        )
+        says_so = self.says_state and self.backend.state == "draining"
+        if not (self.leaving or says_so):
             return {}
         node = self._node_of(request_id)
         if node is not None:
--- a/tests/test_soak_servers.py
+++ b/tests/test_soak_servers.py
@@ -10,6 +10,7 @@
     FETCHES,
     FEW_SLOTS,
     LIMITED_SERVERS,
+    ODD_ENTRIES,
     RESTS,
     SERVERS_CUT,
     SILENT,
@@ -44,6 +45,12 @@
     assert outcome.violations == [], outcome.directory
 
 
+def test_departures_beside_unreadable_entries_are_seen():
+    """Another writer leaves entries at which all nodes ended their reads."""
+    outcome = run_seed(3, slot=SLOT, kinds=ODD_ENTRIES + ("restart", "kill_all"))
+    assert outcome.violations == [], outcome.directory
+
+
 def test_streams_that_servers_break_off_do_not_look_complete():
     """Answers end with their connection, and some of them inside an event."""
     outcome = run_seed(1, slot=SLOT, kinds=UNFRAMED)
