Let servers write foreign bytes into their streams in the soak

A caller's stream was compared with what it should be only if it ended as complete; what a caller held of one that broke off was not looked at, and no server wrote anything but its events.

server_writes_foreign_bytes lets a server write binary data with blank lines, events with a missing, repeated, lower or skipped id, or a head of another response after none to three sound events, in chunks, with a length, or ended by the connection, and end or go on. Rule foreign piece: whatever a caller holds of a stream, also of one that was cut, are events in order that servers have made for it. That no stream is complete without its last piece is the rule wrong response. A caller also takes a body shorter than its length for cut.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -3,7 +3,7 @@
 import hashlib
 import itertools
 from dataclasses import dataclass, replace
-from http.client import HTTPException, HTTPResponse
+from http.client import HTTPException, HTTPResponse, IncompleteRead
 
 import gevent
 from gevent import socket as gsocket
@@ -238,7 +238,8 @@
             return "hung"
         except (OSError, HTTPException) as error:
             self.close()
-            self._note_events(request_id, self.received)
+            if kind.streams and getattr(response, "status", None) == 200:
+                self._note_events(request_id, self.received)
             return self._handle_disconnect(kind, response, request_id, sent_at, error)
         if response.status == 200 and kind.streams:
             self._note_events(request_id, body)
@@ -260,16 +261,18 @@
 
     def _read(self, response):
         """Return the body; keep what came of it should the stream break off."""
-        if not response.chunked:
-            return response.read()
         self.received = b""
         while data := response.read1():
             self.first_event_at = self.first_event_at or self.fleet.clock()
             self.received += data
+        if response.length:
+            raise IncompleteRead(self.received, response.length)
         return self.received
 
     def _note_events(self, request_id, body):
         """Note the complete events of a try, and check the versions of all so far."""
+        after = self.broken.events if self.broken is not None else 0
+        self.fleet.checker.stream_received(request_id, body, after)
         versions = tuple(versions_in(body[: body.rfind(b"\n\n") + 2]))
         if not versions:
             return
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -309,6 +309,14 @@
         share.join()
 
 
+def server_writes_foreign_bytes(fleet, fault):
+    """Let a server write bytes into many of its streams that are no part of them."""
+    server = backend_of(fleet, fault).server
+    if server is not None:
+        share = 0.3 + 0.7 * fault.strength
+        set_temporarily(server, "foreign_share", share, fault.for_s + 1.0)
+
+
 def nodes_cut_from_servers(fleet, fault):
     """Cut some or most nodes off from all servers, and check how they serve callers.
 
@@ -512,5 +520,6 @@
         demand_burst,
         odd_entries,
         server_leaves_by_its_entry,
+        server_writes_foreign_bytes,
     )
 }
--- a/tests/soak/invariants.py
+++ b/tests/soak/invariants.py
@@ -3,6 +3,8 @@
 from collections import Counter, defaultdict, deque
 from dataclasses import dataclass
 
+from soak.foreign_bytes import first_foreign
+
 QUOTA_WINDOW_S = 4.0
 QUOTA_OVERAGE = 0.1
 """Window over which a limit holds, seconds, and share by which it may be exceeded in
@@ -434,6 +436,7 @@
         self.crashes = defaultdict(list)
         self.outcomes = {}
         self.event_versions = {}
+        self.pieces = defaultdict(set)
         self.only = ""
 
     def record_violation(self, rule, text):
@@ -539,6 +542,20 @@
         if len(set(versions)) > 1:
             self.record_violation("joined text", f"{stream}: {' '.join(versions)}")
 
+    def stream_received(self, request_id, body, after):
+        """Check that a caller holds nothing of a stream but what servers have made.
+
+        Parameters
+        ----------
+        body : bytes
+            What came of the response, complete or not.
+        after : int
+            Id of the event after which the caller took the stream up; 0 if it began.
+        """
+        foreign = first_foreign(body, self.pieces[request_id], after)
+        if foreign:
+            self.record_violation("foreign piece", f"{request_id}: {foreign!r}")
+
     def server_crashed(self, path):
         """Record that a request to `path` has crashed a server."""
         self.crashes[path].append(self.clock())
--- a/tests/soak/launch.py
+++ b/tests/soak/launch.py
@@ -179,6 +179,19 @@
     Follower.apply = lambda self, record: self.apply_record(record)
 
 
+def forward_whatever_ends_with_a_blank_line():
+    """Let a node take each block of bytes before a blank line for an event."""
+    from endive_gateway.events import EventSplitter
+
+    real_check = EventSplitter._check
+
+    def check(self, block):
+        real_check(self, block)
+        return ""
+
+    EventSplitter._check = check
+
+
 def trust_orderly_ends():
     """Let a node take each stream for complete that its server ends in an orderly way.
 
@@ -342,6 +355,7 @@
     "rests": ignore_rests,
     "leaving": ignore_departures,
     "unreadable-ends": stop_at_unreadable_records,
+    "foreign-bytes": forward_whatever_ends_with_a_blank_line,
     "broken-streams": trust_orderly_ends,
     "silence-ends": give_up_silent_servers,
     "no-leases": lease_no_slots,
--- a/tests/soak/mixes.py
+++ b/tests/soak/mixes.py
@@ -22,6 +22,7 @@
     "demand_burst",
     "odd_entries",
     "server_leaves_by_its_entry",
+    "server_writes_foreign_bytes",
 }
 EARLIER_KINDS = tuple(sorted(set(FAULTS) - LATER_KINDS))
 FIRST_KINDS = tuple(sorted(set(EARLIER_KINDS) - {"store_silent", "links_fall_silent"}))
@@ -53,5 +54,6 @@
 DEMAND = ("demand_burst",)
 ORDERED = ("ordered_rollout",)
 ORDERED_AMID_FAULTS = ("ordered_rollout", "kill", "server_crash", "store_down")
+FOREIGN_BYTES = ("server_writes_foreign_bytes", "server_leaves", "restart")
 ODD_ENTRIES = ("odd_entries", "server_leaves_by_its_entry")
 UNFRAMED = ("server_unframed", "server_leaves", "restart")
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -19,6 +19,7 @@
 from gevent.pool import Pool
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
+from soak.foreign_bytes import SpoiltStream
 from soak.invariants import LimitedServer, RestingServer
 from soak.network import reset
 
@@ -293,6 +294,8 @@
         Whether its responses have neither a length nor chunks.
     broken_share : float
         Share of its streams without a length or chunks that end inside an event.
+    foreign_share : float
+        Share of its streams that hold bytes that are no part of them.
     backend : Backend
         What this server runs for.
     version : str
@@ -324,6 +327,7 @@
         self.error_share = 0.0
         self.unframed = False
         self.broken_share = 0.0
+        self.foreign_share = 0.0
         self.work_s = WORK_S
         self.slowdown = 1.0
         self.event_gap_s = EVENT_GAP_S
@@ -510,6 +514,8 @@
         stream = began_as or request_id
         self.checker.stream_goes_on(stream, first - 1, self.version)
         events = self._events(request_id, first, stream)
+        if self._draws(f"{request_id}/foreign", self.foreign_share):
+            return self._spoilt(request_id, first, environ, start, headers, events)
         if self.unframed:
             if self._draws(request_id, self.broken_share):
                 events = broken_off(events, zlib.crc32(request_id.encode()))
@@ -517,14 +523,30 @@
         start("200 OK", list(headers.items()))
         return events
 
+    def _spoilt(self, request_id, first, environ, start, headers, events):
+        """Send a stream that holds foreign bytes."""
+        spoilt = SpoiltStream.draw(f"{request_id}/{self.id}", first - 1)
+        if spoilt.framing == "connection":
+            pieces = spoilt.pieces(events)
+            return send_unframed(environ["soak.socket"], headers, pieces)
+        if spoilt.framing == "length":
+            numbers = range(first, EVENTS + 1)
+            planned = [event(request_id, number, self.version) for number in numbers]
+            length = sum(map(len, spoilt.pieces(planned)))
+            headers = headers | {"Content-Length": str(length)}
+        start("200 OK", list(headers.items()))
+        return spoilt.pieces(events)
+
     def _events(self, request_id, first, stream):
         self.running += 1
         self.running_ids.add(request_id)
         try:
             for number in range(first, EVENTS + 1):
                 gevent.sleep(self.event_gap_s)
+                piece = event(request_id, number, self.version)
                 self.checker.event_made(stream, number, self.version)
-                yield event(request_id, number, self.version)
+                self.checker.pieces[request_id].add(piece)
+                yield piece
         finally:
             self.running -= 1
             self.running_ids.discard(request_id)
--- a/tests/test_soak_mutants.py
+++ b/tests/test_soak_mutants.py
@@ -7,6 +7,7 @@
     DEPARTING,
     FETCHES,
     FEW_SLOTS,
+    FOREIGN_BYTES,
     LIMITED_SERVERS,
     ODD_ENTRIES,
     ORDERED,
@@ -40,6 +41,7 @@
     "rests": ("rest", 1, RESTS),
     "leaving": ("leaving", 1, DEPARTING),
     "unreadable-ends": ("drain", 4, ODD_ENTRIES),
+    "foreign-bytes": ("foreign piece", 1, FOREIGN_BYTES),
     "broken-streams": ("wrong response", 1, UNFRAMED),
     "silence-ends": ("silence", 1, SILENT),
     "no-leases": ("brittle", 87, ("servers_brittle",)),
@@ -62,13 +64,14 @@
     proof that nothing has changed, crashes that nodes do not tell each other, of whole
     requests and of parts of prompts, parts that answers do not clear, nodes that serve
     an even share only, limits of servers that are not shared, rests and departures that
-    are not read, reads of the store that end at an unreadable record, streams that are
-    complete as soon as they end, requests that end with a server's silence, brittle
-    servers without leases, few slots that no node coordinates, nodes that carry no
-    connections for others, sources of fetches that are named although they hang,
-    streams that go on at any software version, requests for servers that state to be
-    slow, requests that are admitted and sent without regard to the demand of all nodes,
-    and nodes that use the servers of an ordered version as any others."""
+    are not read, reads of the store that end at an unreadable record, bytes in a stream
+    that are no event of it and are forwarded, streams that are complete as soon as they
+    end, requests that end with a server's silence, brittle servers without leases, few
+    slots that no node coordinates, nodes that carry no connections for others, sources
+    of fetches that are named although they hang, streams that go on at any software
+    version, requests for servers that state to be slow, requests that are admitted and
+    sent without regard to the demand of all nodes, and nodes that use the servers of an
+    ordered version as any others."""
     rule, seed, kinds = MUTANTS[mutant]
     outcome = run_seed(seed, slot=SLOT, mutant=mutant, kinds=kinds)
     assert outcome.violations, outcome.counts
--- a/tests/test_soak_servers.py
+++ b/tests/test_soak_servers.py
@@ -9,6 +9,7 @@
     DEPARTING,
     FETCHES,
     FEW_SLOTS,
+    FOREIGN_BYTES,
     LIMITED_SERVERS,
     ODD_ENTRIES,
     RESTS,
@@ -57,6 +58,12 @@
     assert outcome.violations == [], outcome.directory
 
 
+def test_callers_hold_no_bytes_that_no_run_made():
+    """Servers write other data into the bodies of their streams, framed in all ways."""
+    outcome = run_seed(1, slot=SLOT, kinds=FOREIGN_BYTES)
+    assert outcome.violations == [], outcome.directory
+
+
 def test_fetches_that_hang_lose_no_request():
     """No engine reaches another one while prompts name them as sources."""
     outcome = run_seed(1, slot=SLOT, kinds=FETCHES)
