--- a/tests/test_soak_servers.py
+++ b/tests/test_soak_servers.py
@@ -9,7 +9,9 @@
     DEPARTING,
     FETCHES,
     FEW_SLOTS,
+    FOREIGN_BYTES,
     LIMITED_SERVERS,
+    ODD_ENTRIES,
     RESTS,
     SERVERS_CUT,
     SILENT,
@@ -44,12 +46,24 @@
     assert outcome.violations == [], outcome.directory
 
 
+def test_departures_beside_unreadable_entries_are_seen():
+    """Another writer leaves entries at which all nodes ended their reads."""
+    outcome = run_seed(3, slot=SLOT, kinds=ODD_ENTRIES + ("restart", "kill_all"))
+    assert outcome.violations == [], outcome.directory
+
+
 def test_streams_that_servers_break_off_do_not_look_complete():
     """Answers end with their connection, and some of them inside an event."""
     outcome = run_seed(1, slot=SLOT, kinds=UNFRAMED)
     assert outcome.violations == [], outcome.directory
 
 
+def test_callers_hold_no_bytes_that_no_run_made():
+    """Servers write other data into the bodies of their streams, framed in all ways."""
+    outcome = run_seed(1, slot=SLOT, kinds=FOREIGN_BYTES)
+    assert outcome.violations == [], outcome.directory
+
+
 def test_fetches_that_hang_lose_no_request():
     """No engine reaches another one while prompts name them as sources."""
     outcome = run_seed(1, slot=SLOT, kinds=FETCHES)
