Release the duties after the end of the holder's last call

Cause: the release was appended by a greenlet of its own while the one that performs the duties was inside a call. A holder that dies keeps its successor waiting for the lease, which covers calls on their way; one that released did not, and nothing waited for the call.

Change: performing the duties and giving them up exclude each other, and a holder that stops begins no further call. If a call of the last 2.9 s ended without an answer (a time-out, or a connection broken after sending), it may still arrive: the holder then appends a renewal in place of the release, and the successor waits for a whole lease from there. Stopping doesn't wait for either. A status of a rollout whose write has no answer counts as such a call.

--- a/packages/endive_core/src/endive_core/leases.py
+++ b/packages/endive_core/src/endive_core/leases.py
@@ -180,20 +180,33 @@
         The fencing token; 0 while the lease is not held.
     until : float
         End of the lease, in seconds on the boot clock.
+    ending : bool
+        Whether this node gives up the duties: it begins no call any more.
+    unanswered_at : float
+        When a call under the lease last ended without an answer, on the boot clock.
     """
 
     fence: int = 0
     until: float = 0.0
+    ending: bool = False
+    unanswered_at: float = float("-inf")
 
     def held(self, now: float) -> bool:
         """Return whether this node may perform the duties at `now`."""
-        return self.fence > 0 and now < self.until
+        return self.fence > 0 and now < self.until and not self.ending
 
     def extend(self, fence: int, sent_at: float, log: DutyLog) -> None:
         """Extend the lease, counted from before its claim or renewal was sent."""
         self.fence = fence
         self.until = sent_at + log.lease_s - log.margin_s
 
+    def is_settled(self, now: float, log: DutyLog) -> bool:
+        """Return whether no call under the lease may arrive after `now`.
+
+        A successor of a holder that died waits as long for its calls.
+        """
+        return now - self.unanswered_at > log.lease_s + log.margin_s
+
     def drop(self) -> None:
         """Give up the lease."""
         self.fence = 0
--- a/packages/endive_gateway/src/endive_gateway/autoscaling.py
+++ b/packages/endive_gateway/src/endive_gateway/autoscaling.py
@@ -330,6 +330,8 @@
             self._note_refusal(key, backoff, now)
             return
         except CloudError as error:
+            if error.sent:
+                lease.unanswered_at = self.clock()
             log_event("order_failed", order=order, error=error)
             self.next_try_at = now + RETRY_S
             return
--- a/packages/endive_gateway/src/endive_gateway/duties.py
+++ b/packages/endive_gateway/src/endive_gateway/duties.py
@@ -12,6 +12,7 @@
 from endive_core.leases import DutyKind, DutyLog, DutyRecord, Lease
 from endive_core.rollouts import RolloutRecord
 from endive_node.logs import log_event
+from gevent.lock import BoundedSemaphore
 
 from endive_gateway.autoscaling import Autoscaler
 from endive_gateway.clocks import boot_time
@@ -70,6 +71,8 @@
         clock.
     sent_windows : set of int
         Usage windows that this node has reported to the platform in this tenure.
+    acting : BoundedSemaphore
+        Held by the greenlet that performs the duties or gives them up.
     """
 
     def __init__(self, context: Context, peers: Peers, autoscaler: Autoscaler) -> None:
@@ -87,24 +90,33 @@
         self.next_try_at = 0.0
         self.append_count = 0
         self.last_record: DutyRecord | None = None
+        self.acting = BoundedSemaphore()
 
     def run(self) -> None:
         """Hold the duties or wait to claim them; the body of a greenlet."""
         while True:
-            try:
-                self.step()
-            except StoreOffsetOutOfRangeError as error:
-                self.next_offset = error.first
-            except StoreConflictError:
-                self._read_ignoring_errors()
-            except StoreError as error:
-                log_event("duties_store_failed", error=error)
+            with self.acting:
+                succeeded = self._try_step()
+            if not succeeded:
                 gevent.sleep(RETRY_S)
             self.autoscaler.sample_load(boot_time())
             self.peers.fence = self.lease.fence if self._is_holder() else 0
             self.peers.observe_duty_log_end(self.log.end)
             gevent.sleep(DUTY_INTERVAL_S)
 
+    def _try_step(self) -> bool:
+        """Act once; return whether the store could be used."""
+        try:
+            self.step()
+        except StoreOffsetOutOfRangeError as error:
+            self.next_offset = error.first
+        except StoreConflictError:
+            self._read_ignoring_errors()
+        except StoreError as error:
+            log_event("duties_store_failed", error=error)
+            return False
+        return True
+
     def step(self) -> None:
         """Act once, as holder or as candidate.
 
@@ -113,13 +125,15 @@
         StoreError
             If a call to the store fails.
         """
-        if self._is_holder() and self.eligible:
+        if not self.eligible:
+            return
+        if self._is_holder():
             self._act_as_holder()
         else:
             if self.lease.fence:
                 log_event("duties_lost", fence=self.lease.fence)
                 self.lease.drop()
-            if self.eligible and self._should_claim():
+            if self._should_claim():
                 self._try_claim()
 
     def _is_holder(self) -> bool:
@@ -204,20 +218,33 @@
             sent_at = boot_time()
             self._append(DutyKind.ROLLOUT, rollouts_body(self.log.rollouts | records))
             self.lease.extend(self.lease.fence, sent_at, self.log)
-        self.rollout_control.carry_out(self.log.rollouts)
+        try:
+            self.rollout_control.carry_out(self.log.rollouts)
+        except StoreOutcomeUnknownError:
+            self.lease.unanswered_at = boot_time()
+            raise
 
     def release(self) -> None:
-        """Release the duties, so that another node can claim them at once."""
+        """Give up the duties for good, once the step under way has ended.
+
+        Another node can claim them at once, and its calls must not come before one of
+        this node. If a call has had no answer and may still arrive, the duties are not
+        released, and the successor waits for a whole lease.
+        """
         self.eligible = False
-        if not self._is_holder():
-            return
-        try:
-            self._append(DutyKind.RELEASE, {})
-        except StoreError as error:
-            log_event("duties_not_released", error=error)
-        self.lease.drop()
-        self.peers.fence = 0
-        log_event("duties_released")
+        self.lease.ending = True
+        with self.acting:
+            if not self.lease.fence:
+                return
+            is_settled = self.lease.is_settled(boot_time(), self.log)
+            try:
+                self._append(DutyKind.RELEASE if is_settled else DutyKind.RENEWAL, {})
+            except StoreError as error:
+                log_event("duties_not_released", error=error)
+            else:
+                log_event("duties_released" if is_settled else "duties_left_to_lapse")
+            self.lease.drop()
+            self.peers.fence = 0
 
     def _append(self, kind: DutyKind, body: dict) -> int:
         """Append a record at the log's known end and return its offset.
@@ -334,6 +361,8 @@
                 self.node_name, self.lease.fence, window, counts
             )
         except CloudError as error:
+            if error.sent:
+                self.lease.unanswered_at = boot_time()
             log_event("usage_not_reported", window=window, error=error)
             self.next_try_at = time.monotonic() + RETRY_S
             return
--- a/packages/endive_gateway/src/endive_gateway/exceptions.py
+++ b/packages/endive_gateway/src/endive_gateway/exceptions.py
@@ -34,7 +34,17 @@
 
 
 class CloudError(Exception):
-    """A call to the cloud's API that was refused or not answered."""
+    """A call to the cloud's API that was refused or not answered.
+
+    Parameters
+    ----------
+    sent : bool
+        Whether it was sent and not answered, so that it may take effect, even later.
+    """
+
+    def __init__(self, message: str, *, sent: bool = False) -> None:
+        super().__init__(message)
+        self.sent = sent
 
 
 class CloudCapacityError(CloudError):
--- a/packages/endive_gateway/tests/store_builders.py
+++ b/packages/endive_gateway/tests/store_builders.py
@@ -95,6 +95,10 @@
     raise StoreError("down")
 
 
+def call_without_answer(_holder):
+    raise CloudError("no answer", sent=True)
+
+
 class NonReader:
     """Readers as a node of a large fleet sees them that isn't a reader itself."""
 
@@ -121,22 +125,34 @@
 
 
 class RecordingCloud:
-    """A cloud that records its calls."""
+    """A cloud that records its calls.
+
+    Attributes
+    ----------
+    on_call : callable or None
+        Called with the holder's name before a call arrives; what it raises fails the
+        call.
+    """
 
     def __init__(self):
+        self.on_call = None
         self.usage = []
         self.orders = []
         self.empty = set()
         self.down = False
 
-    def report_usage(self, holder, fence, window, counts):
+    def _begin(self, holder):
         if self.down:
             raise CloudError("down")
+        if self.on_call is not None:
+            self.on_call(holder)
+
+    def report_usage(self, holder, fence, window, counts):
+        self._begin(holder)
         self.usage.append((holder, fence, window, dict(counts)))
 
     def order(self, holder, fence, order):
-        if self.down:
-            raise CloudError("down")
+        self._begin(holder)
         if order.reclaimable and order.zone in self.empty:
             raise CloudCapacityError("none")
         self.orders.append((holder, fence, order))
--- a/packages/endive_gateway/tests/test_autoscaling.py
+++ b/packages/endive_gateway/tests/test_autoscaling.py
@@ -1,7 +1,7 @@
 import time
 
 import pytest
-from endive_core.leases import Lease
+from endive_core.leases import DutyLog, Lease
 from endive_core.rollouts import Stage, StageKind
 from endive_core.routing import Scaling, Service
 from endive_gateway.autoscaling import (
@@ -15,7 +15,7 @@
 from endive_gateway.peers import Peers
 from gateway_builders import make_context, make_entry, make_table
 from rollout_builders import NEW, allow_rollouts, order
-from store_builders import RecordingCloud
+from store_builders import RecordingCloud, call_without_answer
 
 SCALING = Scaling(1, 6, 4.0, 0.22, {"a": 0.85, "b": 1.2, "c": 1.0})
 
@@ -238,6 +238,16 @@
     assert all(at + 0.4 <= fleet.lease.until for at in given)
 
 
+def test_an_order_without_an_answer_may_still_arrive(fleet):
+    """A call that timed out arrives after the successor's, with a lower token."""
+    fleet.add("a", 3)
+    fleet.cloud.on_call = call_without_answer
+    log = DutyLog(lease_s=2.4, margin_s=0.5)
+    assert fleet.lease.is_settled(fleet.now, log)
+    fleet.run_for(5.0, work=4.0)
+    assert not fleet.lease.is_settled(fleet.now, log)
+
+
 def test_servers_that_name_limits_count_for_what_they_take(fleet):
     """The others got their load, and were overloaded."""
     for zone in "abc":
--- a/packages/endive_gateway/tests/test_duties.py
+++ b/packages/endive_gateway/tests/test_duties.py
@@ -1,5 +1,6 @@
 import time
 
+import gevent
 import pytest
 from endive_gateway import duties as duties_module
 from endive_gateway import peers as peers_module
@@ -9,7 +10,13 @@
 from endive_gateway.interfaces import Topic
 from endive_gateway.peers import Peers
 from gateway_builders import freeze_time, make_context, make_table
-from store_builders import MemoryStore, RecordingCloud, store_down
+from gevent.event import Event
+from store_builders import (
+    MemoryStore,
+    RecordingCloud,
+    call_without_answer,
+    store_down,
+)
 
 WALL = 1_000_000.0
 WINDOW_S = 5.0
@@ -119,6 +126,80 @@
     assert second.holds
 
 
+def test_a_stopping_holder_releases_the_duties_after_the_end_of_its_call(
+    clock, store, cloud
+):
+    """The call arrives after the successor's, with a lower fencing token."""
+    first, second = Node("a", store, cloud), Node("b", store, cloud)
+    first.step()
+    first.at(WALL + WINDOW_S + 2)
+    may_arrive = Event()
+    cloud.on_call = lambda holder: holder == "a" and may_arrive.wait(5.0)
+    running = gevent.spawn(first.duties.run)
+    gevent.sleep(0.02)
+    stopping = gevent.spawn(first.duties.release)
+    gevent.sleep(0.02)
+    second.step()
+    assert not second.holds
+    may_arrive.set()
+    stopping.join(1.0)
+    running.kill()
+    assert len(cloud.usage) == 1
+    second.step()
+    assert second.holds
+
+
+def test_a_stopping_holder_whose_call_had_no_answer_leaves_the_lease_to_lapse(
+    clock, store, cloud
+):
+    """A call that timed out arrives after the successor's, with a lower token."""
+    first, second = Node("a", store, cloud), Node("b", store, cloud)
+    first.step()
+    first.at(WALL + WINDOW_S + 2)
+    cloud.on_call = call_without_answer
+    first.step()
+    clock.time += 1.0
+    first.duties.release()
+    assert not first.holds
+    second.step()
+    assert not second.holds
+    clock.time += LEASE_S + LEASE_MARGIN_S - 0.1
+    second.step()
+    assert not second.holds
+    clock.time += 0.2
+    second.step()
+    assert second.holds
+
+
+def test_a_holder_releases_the_duties_when_an_unanswered_call_is_old(
+    clock, store, cloud
+):
+    first, second = Node("a", store, cloud), Node("b", store, cloud)
+    first.step()
+    first.at(WALL + WINDOW_S + 2)
+    cloud.on_call = call_without_answer
+    first.step()
+    cloud.on_call = None
+    for _ in range(4):
+        clock.time += 1.0
+        first.step()
+    first.duties.release()
+    second.step()
+    assert second.holds
+
+
+def test_a_holder_that_stops_during_a_step_begins_no_further_call(clock, store, cloud):
+    node = Node("a", store, cloud)
+    node.step()
+    node.at(WALL + 2 * WINDOW_S + 2)
+    node.duties.log.usage = {window: {} for window in (199_999, 200_000, 200_001)}
+    cloud.on_call = lambda holder: gevent.spawn(node.duties.release).join(0.02)
+    running = gevent.spawn(node.duties.run)
+    running.join(0.1)
+    running.kill()
+    assert len(cloud.usage) == 1
+
+
 def test_a_node_with_a_live_holder_does_not_call_the_store(clock, store, cloud):
     node = Node("a", store, cloud)
     peer = node.peers._add_peer("127.0.0.9")
