Skip a record of the duties' log that can't be read

A record in the duties' log that nests deeply, or whose window is missing or out of range, made every node that reads it fail at it again and again, or took all later windows for reported (RecursionError passes `except MsgspecError`; `fold` read the window and its counts unchecked).

Records are now decoded in endive_gateway.duty_records: bounded size and depth, typed fields, numbers in range, a fence below the record's offset, and no window far ahead of the clock. An odd rollout is left out of its record.

A record that can't be read may be a claim of a later version.

--- a/packages/endive_core/src/endive_core/leases.py
+++ b/packages/endive_core/src/endive_core/leases.py
@@ -73,6 +73,12 @@
     margin_s : float
         Part of the lease that the holder leaves unused, in seconds: its clock may run
         slightly slower than the successor's, and a call takes time to arrive.
+
+    Attributes
+    ----------
+    is_uncertain : bool
+        Whether a record after the newest claim could not be read. It may be a claim of
+        a later version of the software.
     """
 
     def __init__(self, *, lease_s: float, margin_s: float) -> None:
@@ -81,6 +87,7 @@
         self.end = 0
         self.tenure: Tenure | None = None
         self.former_holders: list[str] = []
+        self.is_uncertain = False
         self.moved_at: float | None = None
         self.peer_end = 0
         self.peer_end_at = 0.0
@@ -111,6 +118,7 @@
         ended.
         """
         if record.kind is DutyKind.CLAIM:
+            self.is_uncertain = False
             if self.tenure is not None:
                 self.former_holders.append(self.tenure.holder)
                 del self.former_holders[:-4]
@@ -135,6 +143,10 @@
             for old in sorted(self.usage)[:-12]:
                 del self.usage[old]
 
+    def skip(self) -> None:
+        """Pass over a record that can't be read."""
+        self.is_uncertain = True
+
     def _fold_rollouts(self, record: DutyRecord) -> None:
         """Take the rollouts of a record; it has all that its writer knew."""
         for service, body in (record.body.get("rollouts") or {}).items():
@@ -160,6 +172,8 @@
         """
         if self.moved_at is None:
             return False
+        if self.is_uncertain:
+            return self._lease_elapsed(now)
         if self.tenure is None:
             return True
         if self.tenure.released and node not in self.former_holders[-2:]:
--- a/packages/endive_gateway/src/endive_gateway/__init__.py
+++ b/packages/endive_gateway/src/endive_gateway/__init__.py
@@ -30,6 +30,7 @@
   ``leaving_servers``, ``speed_exchange``
 - rollouts: ``rollouts``, ``rollout_control``, ``rollout_messages``,
   ``rollout_observation``, ``version_division``
-- cluster-wide duties, performed by one node at a time: ``duties``, ``autoscaling``
+- cluster-wide duties, performed by one node at a time: ``duties``, ``duty_records``,
+  ``autoscaling``
 - observability: ``logstream``, ``metrics``, ``placement_queries``
 """
--- a/packages/endive_gateway/src/endive_gateway/duties.py
+++ b/packages/endive_gateway/src/endive_gateway/duties.py
@@ -17,12 +17,14 @@
 from endive_gateway.autoscaling import Autoscaler
 from endive_gateway.clocks import boot_time
 from endive_gateway.context import Context
+from endive_gateway.duty_records import decode_duty_record
 from endive_gateway.exceptions import (
     CloudError,
     StoreConflictError,
     StoreError,
     StoreOffsetOutOfRangeError,
     StoreOutcomeUnknownError,
+    UndecodableError,
 )
 from endive_gateway.interfaces import Topic
 from endive_gateway.peers import Peers
@@ -296,12 +298,17 @@
 
     def _read(self) -> None:
         page = read_to_end(self.context.store, Topic.DUTIES, self.next_offset)
+        newest = self.context.meter.window_of(self.context.cluster_clock.now())
         for entry in page.records:
             self.next_offset = entry.offset + 1
             try:
-                record = msgspec.json.decode(entry.value or b"", type=DutyRecord)
-            except msgspec.MsgspecError as error:
+                record = decode_duty_record(
+                    entry.value or b"", offset=entry.offset, newest_window=newest
+                )
+            except UndecodableError as error:
                 log_event("duty_undecodable", offset=entry.offset, error=error)
+                self.last_record = None
+                self.log.skip()
                 continue
             self.last_record = record
             self.log.fold(entry.offset, record)
--- a/packages/endive_gateway/tests/test_duties.py
+++ b/packages/endive_gateway/tests/test_duties.py
@@ -1,13 +1,24 @@
 import time
 
 import gevent
+import msgspec
 import pytest
+from duty_builders import odd_duty_records
+from endive_core.leases import DutyKind, DutyRecord
+from endive_core.rollouts import RolloutOrder, RolloutRecord, Stage, StageKind
 from endive_gateway import duties as duties_module
 from endive_gateway import peers as peers_module
 from endive_gateway.autoscaling import Autoscaler
-from endive_gateway.duties import LEASE_MARGIN_S, LEASE_S, RANK_DELAY_S, Duties
+from endive_gateway.duties import (
+    LEASE_MARGIN_S,
+    LEASE_S,
+    RANK_DELAY_S,
+    Duties,
+    rollouts_body,
+)
+from endive_gateway.duty_records import decode_duty_record
 from endive_gateway.exceptions import StoreError, StoreOutcomeUnknownError
-from endive_gateway.interfaces import Topic
+from endive_gateway.interfaces import Record, Topic
 from endive_gateway.peers import Peers
 from gateway_builders import freeze_time, make_context, make_table
 from gevent.event import Event
@@ -20,6 +31,7 @@
 
 WALL = 1_000_000.0
 WINDOW_S = 5.0
+ORDER = RolloutOrder("s", "v2", 30.0, 5, 1.5)
 
 
 class Clock:
@@ -274,6 +286,78 @@
     assert not cloud.usage
 
 
+def append(store, value):
+    records = store.topics[Topic.DUTIES]
+    records.append(Record(len(records), "", value))
+
+
+@pytest.mark.parametrize("name", odd_duty_records("", 0, 0))
+def test_an_odd_record_does_not_stop_the_duties(clock, store, cloud, name):
+    """All nodes failed at the record again and again, or took its numbers for true."""
+    nodes = [Node("a", store, cloud), Node("b", store, cloud)]
+    nodes[0].step()
+    lease = nodes[0].duties.lease
+    odd = odd_duty_records("a", nodes[0].context.incarnation, lease.fence)
+    append(store, odd[name])
+    for _ in range(20):
+        for node in nodes:
+            node.duties._try_step()
+        assert sum(node.holds for node in nodes) <= 1
+        clock.time += 0.25
+    assert any(node.holds for node in nodes)
+    for node in nodes:
+        node.at(WALL + WINDOW_S + 2)
+        node.duties._try_step()
+    assert int(WALL // WINDOW_S) in {window for _, _, window, _ in cloud.usage}
+
+
+def test_a_successor_waits_for_a_lease_after_a_record_that_it_can_not_read(
+    clock, store, cloud
+):
+    """A node of a later version may have claimed the released duties by that record."""
+    first, second = Node("a", store, cloud), Node("b", store, cloud)
+    first.step()
+    first.duties.release()
+    append(store, b'{"kind": "later"}')
+    second.step()
+    assert not second.holds
+    clock.time += LEASE_S + LEASE_MARGIN_S + 0.1
+    second.step()
+    assert second.holds
+
+
+def test_the_first_claim_waits_after_a_record_that_can_not_be_read(clock, store, cloud):
+    append(store, b'{"kind": "later"}')
+    node = Node("a", store, cloud)
+    node.step()
+    assert not node.holds
+    clock.time += LEASE_S + LEASE_MARGIN_S + 0.1
+    node.step()
+    assert node.holds
+
+
+@pytest.mark.parametrize("rollout", [1, [], {"order": {}, "stage": {}}, {"order": 1}])
+def test_an_odd_rollout_costs_only_itself(rollout):
+    body = {"rollouts": {"odd": rollout, "sound": RolloutRecord(ORDER).to_body()}}
+    record = DutyRecord(DutyKind.CLAIM, "a", 1, body=body)
+    value = msgspec.json.encode(record)
+    decoded = decode_duty_record(value, offset=0, newest_window=0)
+    assert list(decoded.body["rollouts"]) == ["sound"]
+
+
+def test_what_a_holder_writes_is_read_as_it_was_written():
+    rollout = RolloutRecord(ORDER, Stage(StageKind.ALL, 7, 0.5, 2, 3.5, (("r", 1.5),)))
+    bodies = {
+        DutyKind.ROLLOUT: rollouts_body({"s": rollout}),
+        DutyKind.USAGE: {"window": 3, "counts": {"o": 2}, "append": 9},
+        DutyKind.RELEASE: {},
+    }
+    for kind, body in bodies.items():
+        record = DutyRecord(kind, "a", time.time_ns() // 1000, 4, 2, body)
+        value = msgspec.json.encode(record)
+        assert decode_duty_record(value, offset=4, newest_window=3) == record
+
+
 def test_windows_are_reported_once_with_all_nodes_counts(clock, store, cloud):
     node = Node("a", store, cloud)
     window = int(WALL // WINDOW_S)
