--- a/packages/endive_gateway/tests/test_duties.py
+++ b/packages/endive_gateway/tests/test_duties.py
@@ -1,18 +1,37 @@
 import time
 
+import gevent
+import msgspec
 import pytest
+from duty_builders import odd_duty_records
+from endive_core.leases import DutyKind, DutyRecord
+from endive_core.rollouts import RolloutOrder, RolloutRecord, Stage, StageKind
 from endive_gateway import duties as duties_module
 from endive_gateway import peers as peers_module
 from endive_gateway.autoscaling import Autoscaler
-from endive_gateway.duties import LEASE_MARGIN_S, LEASE_S, RANK_DELAY_S, Duties
+from endive_gateway.duties import (
+    LEASE_MARGIN_S,
+    LEASE_S,
+    RANK_DELAY_S,
+    Duties,
+    rollouts_body,
+)
+from endive_gateway.duty_records import decode_duty_record
 from endive_gateway.exceptions import StoreError, StoreOutcomeUnknownError
-from endive_gateway.interfaces import Topic
+from endive_gateway.interfaces import Record, Topic
 from endive_gateway.peers import Peers
 from gateway_builders import freeze_time, make_context, make_table
-from store_builders import MemoryStore, RecordingCloud, store_down
+from gevent.event import Event
+from store_builders import (
+    MemoryStore,
+    RecordingCloud,
+    call_without_answer,
+    store_down,
+)
 
 WALL = 1_000_000.0
 WINDOW_S = 5.0
+ORDER = RolloutOrder("s", "v2", 30.0, 5, 1.5)
 
 
 class Clock:
@@ -119,6 +138,80 @@
     assert second.holds
 
 
+def test_a_stopping_holder_releases_the_duties_after_the_end_of_its_call(
+    clock, store, cloud
+):
+    """The call arrives after the successor's, with a lower fencing token."""
+    first, second = Node("a", store, cloud), Node("b", store, cloud)
+    first.step()
+    first.at(WALL + WINDOW_S + 2)
+    may_arrive = Event()
+    cloud.on_call = lambda holder: holder == "a" and may_arrive.wait(5.0)
+    running = gevent.spawn(first.duties.run)
+    gevent.sleep(0.02)
+    stopping = gevent.spawn(first.duties.release)
+    gevent.sleep(0.02)
+    second.step()
+    assert not second.holds
+    may_arrive.set()
+    stopping.join(1.0)
+    running.kill()
+    assert len(cloud.usage) == 1
+    second.step()
+    assert second.holds
+
+
+def test_a_stopping_holder_whose_call_had_no_answer_leaves_the_lease_to_lapse(
+    clock, store, cloud
+):
+    """A call that timed out arrives after the successor's, with a lower token."""
+    first, second = Node("a", store, cloud), Node("b", store, cloud)
+    first.step()
+    first.at(WALL + WINDOW_S + 2)
+    cloud.on_call = call_without_answer
+    first.step()
+    clock.time += 1.0
+    first.duties.release()
+    assert not first.holds
+    second.step()
+    assert not second.holds
+    clock.time += LEASE_S + LEASE_MARGIN_S - 0.1
+    second.step()
+    assert not second.holds
+    clock.time += 0.2
+    second.step()
+    assert second.holds
+
+
+def test_a_holder_releases_the_duties_when_an_unanswered_call_is_old(
+    clock, store, cloud
+):
+    first, second = Node("a", store, cloud), Node("b", store, cloud)
+    first.step()
+    first.at(WALL + WINDOW_S + 2)
+    cloud.on_call = call_without_answer
+    first.step()
+    cloud.on_call = None
+    for _ in range(4):
+        clock.time += 1.0
+        first.step()
+    first.duties.release()
+    second.step()
+    assert second.holds
+
+
+def test_a_holder_that_stops_during_a_step_begins_no_further_call(clock, store, cloud):
+    node = Node("a", store, cloud)
+    node.step()
+    node.at(WALL + 2 * WINDOW_S + 2)
+    node.duties.log.usage = {window: {} for window in (199_999, 200_000, 200_001)}
+    cloud.on_call = lambda holder: gevent.spawn(node.duties.release).join(0.02)
+    running = gevent.spawn(node.duties.run)
+    running.join(0.1)
+    running.kill()
+    assert len(cloud.usage) == 1
+
+
 def test_a_node_with_a_live_holder_does_not_call_the_store(clock, store, cloud):
     node = Node("a", store, cloud)
     peer = node.peers._add_peer("127.0.0.9")
@@ -193,6 +286,78 @@
     assert not cloud.usage
 
 
+def append(store, value):
+    records = store.topics[Topic.DUTIES]
+    records.append(Record(len(records), "", value))
+
+
+@pytest.mark.parametrize("name", odd_duty_records("", 0, 0))
+def test_an_odd_record_does_not_stop_the_duties(clock, store, cloud, name):
+    """All nodes failed at the record again and again, or took its numbers for true."""
+    nodes = [Node("a", store, cloud), Node("b", store, cloud)]
+    nodes[0].step()
+    lease = nodes[0].duties.lease
+    odd = odd_duty_records("a", nodes[0].context.incarnation, lease.fence)
+    append(store, odd[name])
+    for _ in range(20):
+        for node in nodes:
+            node.duties._try_step()
+        assert sum(node.holds for node in nodes) <= 1
+        clock.time += 0.25
+    assert any(node.holds for node in nodes)
+    for node in nodes:
+        node.at(WALL + WINDOW_S + 2)
+        node.duties._try_step()
+    assert int(WALL // WINDOW_S) in {window for _, _, window, _ in cloud.usage}
+
+
+def test_a_successor_waits_for_a_lease_after_a_record_that_it_can_not_read(
+    clock, store, cloud
+):
+    """A node of a later version may have claimed the released duties by that record."""
+    first, second = Node("a", store, cloud), Node("b", store, cloud)
+    first.step()
+    first.duties.release()
+    append(store, b'{"kind": "later"}')
+    second.step()
+    assert not second.holds
+    clock.time += LEASE_S + LEASE_MARGIN_S + 0.1
+    second.step()
+    assert second.holds
+
+
+def test_the_first_claim_waits_after_a_record_that_can_not_be_read(clock, store, cloud):
+    append(store, b'{"kind": "later"}')
+    node = Node("a", store, cloud)
+    node.step()
+    assert not node.holds
+    clock.time += LEASE_S + LEASE_MARGIN_S + 0.1
+    node.step()
+    assert node.holds
+
+
+@pytest.mark.parametrize("rollout", [1, [], {"order": {}, "stage": {}}, {"order": 1}])
+def test_an_odd_rollout_costs_only_itself(rollout):
+    body = {"rollouts": {"odd": rollout, "sound": RolloutRecord(ORDER).to_body()}}
+    record = DutyRecord(DutyKind.CLAIM, "a", 1, body=body)
+    value = msgspec.json.encode(record)
+    decoded = decode_duty_record(value, offset=0, newest_window=0)
+    assert list(decoded.body["rollouts"]) == ["sound"]
+
+
+def test_what_a_holder_writes_is_read_as_it_was_written():
+    rollout = RolloutRecord(ORDER, Stage(StageKind.ALL, 7, 0.5, 2, 3.5, (("r", 1.5),)))
+    bodies = {
+        DutyKind.ROLLOUT: rollouts_body({"s": rollout}),
+        DutyKind.USAGE: {"window": 3, "counts": {"o": 2}, "append": 9},
+        DutyKind.RELEASE: {},
+    }
+    for kind, body in bodies.items():
+        record = DutyRecord(kind, "a", time.time_ns() // 1000, 4, 2, body)
+        value = msgspec.json.encode(record)
+        assert decode_duty_record(value, offset=4, newest_window=3) == record
+
+
 def test_windows_are_reported_once_with_all_nodes_counts(clock, store, cloud):
     node = Node("a", store, cloud)
     window = int(WALL // WINDOW_S)
