--- a/packages/endive_gateway/src/endive_gateway/origin_recorder.py
+++ b/packages/endive_gateway/src/endive_gateway/origin_recorder.py
@@ -345,6 +345,8 @@
         if self.origins is None or self.view.has_unlisting_nodes():
             return None
         certain = self.origins.only_origin(job.host, job.path)
+        if certain is None:
+            return None
         beside = self.view.usable_beside(self.origins.entries)
         is_used = OriginList(beside).origins(job.host, job.path) <= {certain}
         return certain if is_used else None
