--- a/packages/endive_gateway/src/endive_gateway/duty_records.py
+++ b/packages/endive_gateway/src/endive_gateway/duty_records.py
@@ -6,8 +6,9 @@
 from endive_core.leases import DutyKind, DutyRecord
 from endive_core.rollouts import StageKind
 
-from endive_gateway.decoding import MAX_NUMBER, Count, Quantity, decode_json
+from endive_gateway.decoding import decode_json
 from endive_gateway.exceptions import UndecodableError
+from endive_gateway.quantities import MAX_NUMBER, Count, Quantity
 
 MAX_DUTY_RECORD_BYTES = 1_048_576
 """Largest record, bytes: it may hold a window's counts of all organisations."""
