Let an error of connecting of any type count against its server alone

Cause: a port out of range raises OverflowError, which no one expected of a connection. A socket that could not be made (too many files) raised outside of the handling of errors, also in the loop that tries blocked servers. A transit node's referral was connected to whatever it named, after a question to the resolver.

Change: each error of making or connecting a socket means that the connection broke before anything was sent. A referral that is no address of a host is not followed.

--- a/packages/endive_gateway/src/endive_gateway/tcp.py
+++ b/packages/endive_gateway/src/endive_gateway/tcp.py
@@ -118,8 +118,7 @@
         self.silence_timeout_s = silence_timeout_s
         host, _, port = address.rpartition(":")
         self.host, self.port = host, port
-        self.sock = gsocket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.sock: gsocket.socket | None = None
 
     def finish(self, timeout_s: float) -> TcpStream:
         """Return the open connection.
@@ -132,6 +131,9 @@
             If it is not open in time. It may be waited for again.
         """
         try:
+            if self.sock is None:
+                self.sock = gsocket.socket(socket.AF_INET, socket.SOCK_STREAM)
+                self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             self.sock.settimeout(timeout_s)
             self.sock.connect((self.host, int(self.port)))
             self.sock.settimeout(None)
@@ -141,7 +143,8 @@
         except ConnectionRefusedError as error:
             self.close()
             raise ConnectionBrokenError(str(error), sent=False, refused=True) from None
-        except (OSError, ValueError) as error:
+        except Exception as error:
+            # An address may also cause an OverflowError or a TypeError.
             self.close()
             raise ConnectionBrokenError(str(error), sent=False) from None
         except BaseException:
@@ -161,7 +164,8 @@
 
     def close(self) -> None:
         """Give the connection up."""
-        self.sock.close()
+        if self.sock is not None:
+            self.sock.close()
 
 
 def enable_keepalive(
--- a/packages/endive_gateway/src/endive_gateway/transit.py
+++ b/packages/endive_gateway/src/endive_gateway/transit.py
@@ -23,6 +23,7 @@
 from endive_node.logs import log_event
 from gevent import socket as gsocket
 
+from endive_gateway.decoding import is_ip_address
 from endive_gateway.exceptions import ConnectionBrokenError, TransitBrokenError
 from endive_gateway.tcp import TcpStream
 
@@ -169,7 +170,12 @@
 def open_transit(
     node: str, port: int, server_id: str, on_close: Callable[[str], None]
 ) -> TransitAnswer:
-    """Ask the node at IP address `node` for a connection to a server."""
+    """Ask the node at IP address `node` for a connection to a server.
+
+    The address may come from another node's referral.
+    """
+    if not is_ip_address(node):
+        return NO_ANSWER
     try:
         stream = TcpStream.connect(f"{node}:{port}", NODE_CONNECT_TIMEOUT_S)
     except ConnectionBrokenError:
--- a/packages/endive_gateway/tests/test_paths.py
+++ b/packages/endive_gateway/tests/test_paths.py
@@ -9,6 +9,8 @@
 from endive_core.reachability import ConnectResults
 from endive_core.routing import RouteKind
 from endive_core.transit import TransitChoice
+from endive_gateway import tcp, transit
+from endive_gateway.exceptions import ConnectionBrokenError
 from endive_gateway.paths import CONNECT_TIMEOUT_S
 from endive_gateway.tcp import PendingStream
 from endive_gateway.transit import (
@@ -524,3 +526,61 @@
         running.paths.transit.choice.offers.set("127.0.0.1", -1)
         running.context.pool.sweep()
         assert wait_for(lambda: running.node.port.carried == 0)
+
+
+ODD_SERVER_ADDRESSES = [
+    "127.0.0.1:99999",
+    "127.0.0.1:-1",
+    "127.0.0.1:" + "9" * 30,
+    "127.0.0.1:" + "9" * 5_000,
+    "127.0.0.1:\u0661",
+    "127.0.0.1",
+    "",
+    "x" * 300 + ":80",
+    "a..b:80",
+    "\0:80",
+    "\ud800:80",
+]
+
+
+@pytest.mark.parametrize("address", ODD_SERVER_ADDRESSES)
+def test_an_address_that_cannot_be_connected_to_breaks_the_connection(address):
+    """Requests ended with an internal error, and the tries of blocked servers ended."""
+    result = PendingStream(address).result(0.5)
+    assert isinstance(result, ConnectionBrokenError)
+    assert not result.sent
+
+
+@pytest.mark.parametrize("address", ODD_SERVER_ADDRESSES)
+def test_an_address_that_cannot_be_connected_to_costs_only_its_server(address, caplog):
+    """Each request that was placed there ended with an internal error."""
+    staying = ScriptedServer(*[ok] * 9, server_id="i-1")
+    with RunningGateway(staying) as running:
+        registry = running.context.registry
+        registry.put(make_entry("i-odd", address=address, slots=800))
+        registry.notify_listeners()
+        assert [running.call().status for _ in range(6)] == [200] * 6
+    assert "server=i-odd attempt=1" in caplog.text
+
+
+@pytest.mark.parametrize("error", [OSError(24, "too many files"), TypeError("odd")])
+def test_a_socket_that_cannot_be_made_is_an_error_of_the_connection(monkeypatch, error):
+    """Requests ended with an internal error, and the tries of blocked servers ended."""
+
+    def fail(*_family):
+        raise error
+
+    monkeypatch.setattr(tcp.gsocket, "socket", fail)
+    result = PendingStream("127.0.0.1:80").result(0.1)
+    assert isinstance(result, ConnectionBrokenError)
+    assert not result.sent
+
+
+@pytest.mark.parametrize("node", ["name.invalid", "", "0.0.0.0", "\0", "x" * 300])
+def test_a_referral_to_no_address_is_not_followed(monkeypatch, node):
+    """Another node's referral was a question to the resolver, which takes seconds."""
+    asked = []
+    monkeypatch.setattr(transit.TcpStream, "connect", lambda *to: asked.append(to))
+    answer = open_transit(node, 1, "i-1", lambda _node: None)
+    assert answer.stream is None
+    assert not asked
