Take the servers from another node where this one can't read them

What others relay is of no use to such a node once it has missed a change, or one was too large to relay: it stays at its offset.

Cause: a follower that can't read had only one way back, the read that fails. An error that no one expected did not even count for a failed read.

Change: any error of a read marks the store as lost, so that such a node relays nothing. No node asks while none can read.

--- a/packages/endive_gateway/src/endive_gateway/bootstrap.py
+++ b/packages/endive_gateway/src/endive_gateway/bootstrap.py
@@ -30,6 +30,10 @@
 from endive_gateway.exceptions import UndecodableError
 from endive_gateway.quantities import Age, Count
 
+REFRESH_INTERVAL_S = 0.5
+"""Mean time between two tries of a node that is not starting to take the servers from
+another one, seconds. One is mostly enough: what is relayed continues from there."""
+
 
 class Bootstrap(msgspec.Struct, array_like=True):
     """What a node knows of the others and of the servers.
@@ -90,6 +94,7 @@
         self.participant = participant
         self.active_sends = 0
         self.pulling = False
+        self.next_refresh_at = 0.0
 
     def start(self, address: str, port: int) -> None:
         """Start serving at ``address:port``."""
@@ -122,6 +127,24 @@
             self.pulling = True
             gevent.spawn(self._pull, port)
 
+    def refresh(self, port: int) -> None:
+        """Take the servers from another node once, unless this was done just now."""
+        now, random = time.monotonic(), self.context.random
+        if self.pulling or now < self.next_refresh_at:
+            return
+        self.next_refresh_at = now + random.uniform(0.5, 1.5) * REFRESH_INTERVAL_S
+        self.pulling = True
+        gevent.spawn(self._refresh, port)
+
+    def _refresh(self, port: int) -> None:
+        try:
+            sources = self.participant.complete_peers()
+            if sources:
+                source = self.context.random.choice(sources)
+                self._pull_from(source, port, MAX_PULL_TIMEOUT_S)
+        finally:
+            self.pulling = False
+
     def _pull(self, port: int) -> None:
         random = self.context.random
         end = time.monotonic() + PULL_DEADLINE_S
--- a/packages/endive_gateway/src/endive_gateway/following.py
+++ b/packages/endive_gateway/src/endive_gateway/following.py
@@ -132,6 +132,9 @@
         except StoreError as error:
             self._note_failure(error)
             return self._next_backoff_s()
+        except Exception as error:
+            self._note_failure(error)
+            raise
         finally:
             self.read_started_at = None
         self._note_answer(read_started_at)
@@ -254,7 +257,7 @@
                 waited_s=waited_s,
             )
 
-    def _note_failure(self, error: StoreError) -> None:
+    def _note_failure(self, error: Exception) -> None:
         if self.unavailable_since is None:
             self.unavailable_since = time.monotonic()
             age_s = self.answer_age_s()
--- a/packages/endive_gateway/src/endive_gateway/peers.py
+++ b/packages/endive_gateway/src/endive_gateway/peers.py
@@ -621,6 +621,8 @@
         self._greet(peer, now)
         if message.complete and self.lacks_bootstrap():
             self.bootstrap_exchange.pull(self.port)
+        elif message.complete and self.servers and self.servers.is_outdated:
+            self.bootstrap_exchange.refresh(self.port)
         if message.version > context.version:
             self.configuration_exchange.pull(
                 self.port + 1, reads_store=self.every_node_reads()
--- a/packages/endive_gateway/src/endive_gateway/server_following.py
+++ b/packages/endive_gateway/src/endive_gateway/server_following.py
@@ -101,6 +101,9 @@
     behind_since : float or None
         Since when the topic, as read, ends before the next offset, on the monotonic
         clock.
+    has_missed_changes : bool
+        Whether another node has told of changes that don't continue from the next
+        offset, since this node last knew all.
     """
 
     topic = Topic.SERVERS
@@ -118,6 +121,7 @@
         self.reads = Sightings()
         self.reads_at: float | None = None
         self.behind_since: float | None = None
+        self.has_missed_changes = False
 
     def is_relayed(self) -> bool:
         """See :meth:`Follower.is_relayed`.
@@ -154,6 +158,7 @@
 
     def _note_answer(self, read_started_at: float) -> None:
         super()._note_answer(read_started_at)
+        self.has_missed_changes = False
         read_at = time.monotonic() - (boot_time() - read_started_at)
         read = self.context.random.getrandbits(EVENT_BITS)
         self.read_at = self.reads.observe(read, read_at)
@@ -206,6 +211,7 @@
         self.newest.clear()
         super()._set_newest(records, end)
         self.has_leaving_server = False
+        self.has_missed_changes = False
         self._start_history(self.next_offset)
 
     def _start_history(self, offset: int) -> None:
@@ -246,12 +252,26 @@
         """Whether the servers are recent enough to be passed on to a starting node."""
         return self.synced and 0 <= self.age_s() <= MAX_BOOTSTRAP_AGE_S
 
+    def _note_missed(self) -> None:
+        """Record that another node knows changes that this one can't apply."""
+        if self.unavailable_since is not None and not self.has_missed_changes:
+            log_event("servers_missed", next=self.next_offset, age_s=self.age_s())
+        self.has_missed_changes = True
+
+    @property
+    def is_outdated(self) -> bool:
+        """Whether other nodes know more, and this one can't read the topic itself."""
+        return self.has_missed_changes and self.unavailable_since is not None
+
     def load(self, records: list[Record], end: int, age_s: float, read: int) -> None:
         """Take the servers as the given `read` found them, `age_s` seconds ago.
 
-        They are ignored by a node that has read them itself, and if they are too old.
+        They are ignored by a node that has read them itself, unless others have known
+        more since then and its own reads fail, and if they are too old.
         """
-        if self.synced or not 0 <= age_s <= MAX_BOOTSTRAP_AGE_S:
+        if not 0 <= age_s <= MAX_BOOTSTRAP_AGE_S:
+            return
+        if self.synced and not (self.is_outdated and end > self.next_offset):
             return
         self._set_newest(records, end)
         self.relayed_at = self.reads.observe(read, time.monotonic() - age_s)
@@ -296,8 +316,10 @@
         if not self.synced or server_delta.next < self.next_offset:
             return
         if server_delta.next - self.next_offset > MAX_DELTA_RECORDS:
+            self._note_missed()
             return
         if server_delta.first > self.next_offset:
+            self._note_missed()
             self.relayed_at = float("-inf")
             return
         self._note_recovery()
--- a/packages/endive_gateway/tests/test_bootstrap.py
+++ b/packages/endive_gateway/tests/test_bootstrap.py
@@ -2,11 +2,12 @@
 
 import time
 import zlib
+from contextlib import suppress
 
 import gevent
 import pytest
 from endive_gateway.configuration_exchange import LENGTH_PREFIX
-from endive_gateway.interfaces import Topic
+from endive_gateway.interfaces import ServerDelta, Topic
 from endive_gateway.peers import Peers
 from endive_gateway.server_following import MAX_BOOTSTRAP_AGE_S, ServerFollower
 from gateway_builders import make_context, make_table
@@ -179,3 +180,51 @@
         assert starting.lacks_bootstrap()
     finally:
         server.stop(0)
+
+
+def broken(_name):
+    raise RecursionError("too deep")
+
+
+@pytest.mark.parametrize("fault", [store_down, broken])
+def test_a_node_whose_reads_fail_learns_of_a_departure_from_others(complete, fault):
+    """It missed a change that was told, and went on sending requests to the server."""
+    store = MemoryStore()
+    write(store, Topic.SERVERS, "i-1", SERVER)
+    cut_off = make_silent_peers("127.0.0.4", store)
+    cut_off.servers.step()
+    cut_off.node_list.learn([])
+    store.fault = fault
+    for sequence in range(2, 40):
+        write(
+            complete.context.store,
+            Topic.SERVERS,
+            "i-1",
+            SERVER | {"state": "leaving", "sequence": sequence},
+        )
+    complete.servers.step()
+    with suppress(RecursionError):
+        cut_off.servers.step()
+    end = complete.servers.next_offset
+    delta = ServerDelta(end - 1, end, b"", 0.1, 1)
+    message = state_message(complete=True, server_delta=delta)
+    cut_off.receive(message, complete.address)
+    cut_off.receive(
+        state_message(complete=True, server_delta=delta, sequence=2), complete.address
+    )
+    assert is_soon(lambda: not cut_off.context.registry.get("i-1").usable)
+    assert not cut_off.servers.is_outdated
+
+
+def test_a_node_that_can_read_takes_no_servers_from_others(complete):
+    """It knows the list from the store sooner, and of its own."""
+    store = MemoryStore()
+    write(store, Topic.SERVERS, "i-1", SERVER)
+    peers = make_silent_peers("127.0.0.4", store)
+    peers.servers.step()
+    peers.node_list.learn([])
+    delta = ServerDelta(8, 9, b"", 0.1, 1)
+    for sequence in (1, 2):
+        message = state_message(complete=True, server_delta=delta, sequence=sequence)
+        peers.receive(message, complete.address)
+    assert not peers.bootstrap_exchange.pulling
--- a/packages/endive_gateway/tests/test_server_relay.py
+++ b/packages/endive_gateway/tests/test_server_relay.py
@@ -6,6 +6,7 @@
 
 import pytest
 from endive_gateway import following, server_following
+from endive_gateway.bootstrap import REFRESH_INTERVAL_S
 from endive_gateway.following import RELAY_TIMEOUT_S
 from endive_gateway.interfaces import ServerDelta, Topic
 from endive_gateway.peers import (
@@ -124,6 +125,7 @@
 
 
 SIZES = pytest.mark.parametrize("nodes", [30, 200, 375])
+SIZES_OF_ALL = pytest.mark.parametrize("nodes", [6, 30, 200, 375])
 
 
 @SIZES
@@ -215,3 +217,59 @@
     fleet.write_server("i-7", sequence=2, state="leaving")
     fleet.run_until(BEHIND_TIMEOUT_S + 2 * SERVER_READ_INTERVAL_S + MAX_STALENESS_S)
     assert fleet.knowing("i-7") == nodes
+
+
+class RefreshingFleet(SimulatedFleet):
+    """A fleet whose outdated nodes take the servers from others.
+
+    Attributes
+    ----------
+    refreshes : int
+        How often one has tried to.
+    """
+
+    def __init__(self, nodes, monkeypatch):
+        super().__init__(nodes, monkeypatch)
+        self.refreshes = 0
+        for number in range(nodes):
+            self.add(self.rng.uniform(0, REFRESH_INTERVAL_S), self.refresh, number)
+
+    def refresh(self, number):
+        follower = self.followers[number]
+        sources = [other for other in self.followers if other.is_current]
+        if follower.is_outdated and sources:
+            self.refreshes += 1
+            source = self.rng.choice(sources)
+            records = list(source.newest.values())
+            read = source.reads.newest
+            follower.load(records, source.next_offset, source.age_s(), read)
+        self.add(self.now + REFRESH_INTERVAL_S, self.refresh, number)
+
+
+@SIZES_OF_ALL
+def test_nodes_that_cannot_read_get_past_a_change_that_they_missed(nodes, monkeypatch):
+    """A node that the store rejects stayed at a change that was too large to relay."""
+    fleet = RefreshingFleet(nodes, monkeypatch)
+    fleet.run_until(WARM_UP_S)
+    for follower in fleet.followers[nodes // 2 :]:
+        follower.context.store = MemoryStore()
+        follower.context.store.fault = store_down
+    for number in range(SERVERS):
+        version = (
+            f"{fleet.rng.getrandbits(200):x}"  # keeps the changes from one message
+        )
+        options = {"state": "leaving", "software_version": version}
+        fleet.write_server(f"i-{number}", sequence=2, **options)
+    fleet.run_until(WARM_UP_S + 9.0, lambda: fleet.knowing("i-7") == nodes)
+    assert fleet.now - WARM_UP_S < MAX_LEAVING_REQUESTS_S
+    assert fleet.refreshes <= 2 * nodes
+
+
+@SIZES_OF_ALL
+def test_no_node_asks_others_for_servers_that_none_can_read(nodes, monkeypatch):
+    """All nodes would send each other the whole list while the store is away."""
+    fleet = RefreshingFleet(nodes, monkeypatch)
+    fleet.run_until(WARM_UP_S)
+    fleet.store.fault = store_down
+    fleet.run_until(WARM_UP_S + OUTAGE_S)
+    assert fleet.refreshes == 0
