Keep what a node passes on within the range that others read

What others would see: a node whose messages no other reads any more. It had taken a value at the limit of its range, and passed it on as one beyond: an order at the last offset ends after it, and a server's statement grows older.

Cause: the range of a message's numbers was the same for what is read and for what is computed from it.

Change: offsets of records have half of the range, and the age of a statement is sent as the largest one where it is larger.

--- a/packages/endive_gateway/src/endive_gateway/quantities.py
+++ b/packages/endive_gateway/src/endive_gateway/quantities.py
@@ -23,3 +23,10 @@
 
 OptionalCount = Annotated[int, msgspec.Meta(ge=-1, le=MAX_NUMBER)]
 """A count, or -1 if there is none."""
+
+MAX_OFFSET = 2**52
+"""Largest offset of a record. What follows it is in the range of a count as well."""
+
+Offset = Annotated[int, msgspec.Meta(ge=0, le=MAX_OFFSET)]
+OptionalOffset = Annotated[int, msgspec.Meta(ge=-1, le=MAX_OFFSET)]
+"""The offset of a record, or -1 if there is none."""
--- a/packages/endive_gateway/src/endive_gateway/rollout_messages.py
+++ b/packages/endive_gateway/src/endive_gateway/rollout_messages.py
@@ -7,7 +7,14 @@
 from endive_core.rollouts import RolloutOrder, Stage, StageKind
 from endive_core.version_comparison import RouteCounts, VersionCounts
 
-from endive_gateway.quantities import Age, Count, OptionalCount, Quantity
+from endive_gateway.quantities import (
+    Age,
+    Count,
+    Offset,
+    OptionalCount,
+    OptionalOffset,
+    Quantity,
+)
 
 MAX_ORDERS = 12
 """Most orders in one message, the newest ones. A message with fewer orders than the
@@ -25,10 +32,10 @@
     service: str
     to: str
     duration_s: Age
-    offset: Count
+    offset: Offset
     at: Quantity
-    repeated: OptionalCount = -1
-    after: OptionalCount = -1
+    repeated: OptionalOffset = -1
+    after: OptionalOffset = -1
 
     @classmethod
     def from_order(cls, order: RolloutOrder) -> "OrderReport":
@@ -68,7 +75,7 @@
     """
 
     service: str
-    offset: Count
+    offset: Offset
     kind: str
     number: Count
     share: Quantity
@@ -102,7 +109,7 @@
     """
 
     service: str
-    offset: Count
+    offset: Offset
     stage: OptionalCount
     requests: Count
     exposed: Count
--- a/packages/endive_gateway/src/endive_gateway/state_messages.py
+++ b/packages/endive_gateway/src/endive_gateway/state_messages.py
@@ -11,7 +11,7 @@
 from endive_gateway.exceptions import UndecodableError
 from endive_gateway.interfaces import Record, ServerDelta
 from endive_gateway.part_exchange import AnswerReport, CrashReport
-from endive_gateway.quantities import Age, Count, OptionalCount, Quantity
+from endive_gateway.quantities import Age, Count, Offset, OptionalCount, Quantity
 from endive_gateway.rollout_messages import RolloutReport
 
 ValueReport = tuple[str, Age | None, Age, int]
@@ -156,7 +156,7 @@
 
 DECODER = msgspec.msgpack.Decoder(StateMessage)
 
-CHANGES_DECODER = msgspec.msgpack.Decoder(list[tuple[Count, str, bytes | None]])
+CHANGES_DECODER = msgspec.msgpack.Decoder(list[tuple[Offset, str, bytes | None]])
 MAX_UNPACKED_BYTES = 1_000_000
 """Largest size of decompressed changes, bytes. Without a limit, a datagram of
 compressed zeros could decompress to more memory than a node has."""
--- a/packages/endive_gateway/src/endive_gateway/stated_values.py
+++ b/packages/endive_gateway/src/endive_gateway/stated_values.py
@@ -11,6 +11,7 @@
 from endive_node.logs import log_event
 
 from endive_gateway.interfaces import ResponseMetadata
+from endive_gateway.quantities import MAX_NUMBER
 from endive_gateway.servers import ServerRegistry
 from endive_gateway.state_messages import ValueReport
 
@@ -114,7 +115,7 @@
         """Return the next reports for a state message, with their ages."""
         now = time.monotonic()
         return [
-            (report.server, report.limit, now - report.at, report.id)
+            (report.server, report.limit, min(MAX_NUMBER, now - report.at), report.id)
             for report in self.reports.take(MAX_REPORTS)
         ]
 
--- a/tests/test_odd_messages.py
+++ b/tests/test_odd_messages.py
@@ -1,6 +1,8 @@
 """Messages between nodes with values that no node can mean."""
 
 import math
+import time
+from types import SimpleNamespace
 
 import msgspec
 import pytest
@@ -12,6 +14,7 @@
     slot_messages,
     spending_messages,
     state_messages,
+    stated_values,
 )
 from endive_gateway.decoding import decode_msgpack
 from endive_gateway.exceptions import UndecodableError
@@ -19,7 +22,7 @@
 from endive_gateway.interfaces import ServerDelta
 from endive_gateway.nodes import Peer
 from endive_gateway.peers import Peers
-from endive_gateway.quantities import MAX_NUMBER
+from endive_gateway.quantities import MAX_NUMBER, MAX_OFFSET
 from endive_gateway.server_following import ServerFollower
 from endive_platform.rollouts import OrderDocument
 from endive_platform.wire import PlatformWire
@@ -173,6 +176,27 @@
     assert decode(peers._state_message(gone=False)).node == "n1"
 
 
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"server_limits": [("i-1", 1.0, MAX_NUMBER, 1)]},
+        {"brittle_servers": [("i-1", 1.0, MAX_NUMBER, 1)]},
+        {"rollouts": report(offset=MAX_NUMBER)},
+        {"rollouts": report(repeated=MAX_NUMBER)},
+        {"rollouts": report(offset=MAX_OFFSET)},
+    ],
+)
+def test_a_value_at_the_limit_of_its_range_silences_no_node(peers, fields, monkeypatch):
+    """Passed on, it was out of range, and no node heard that one any more."""
+    message = msgspec.msgpack.encode(state_message(**fields))
+    peers.context.registry.put(peers.context.wire.decode_server("i-1", entry()))
+    peers.datagrams._handle_datagram(message, "127.0.0.2")
+    later = time.monotonic() + 10
+    clock = SimpleNamespace(monotonic=lambda: later)
+    monkeypatch.setattr(stated_values, "time", clock)
+    assert decode(peers._state_message(gone=False)).node == "n1"
+
+
 @pytest.mark.parametrize(
     "document",
     [
