Bound the memory of what is held of all responses

A response is held until it is complete, and an event until it is, each up to 256 KiB: a hundred connections to servers that fall silent before took 26 to 32 MiB. They now share a budget of 12 MiB. What is over 32 KiB is held only while less than 6 MiB are in use; else a body is forwarded as it comes, an error's body or an event counts like a broken connection.

Looked at and not changed: a transit node holds one read of 64 KiB for each connection that it carries; messages between nodes are bounded by their datagrams. A page of the store or a configuration may take 16 MiB, and twice that while it is joined, which is more than the bound for one faulty connection; that stays open.

--- a/packages/endive_gateway/src/endive_gateway/attempts.py
+++ b/packages/endive_gateway/src/endive_gateway/attempts.py
@@ -28,6 +28,7 @@
     header_value,
 )
 from endive_gateway.leaving_servers import MISDIRECTED_STATUS
+from endive_gateway.memory_budget import HeldMemory
 from endive_gateway.prefix_fetching import FetchTimer
 from endive_gateway.progress import Progress
 from endive_gateway.rollout_observation import Observation
@@ -145,6 +146,8 @@
         The server's entry at the latest check before the request was sent.
     fetch_timer : FetchTimer or None
         Ends the attempt if its fetch of prompt parts hangs; until the first event.
+    held : HeldMemory
+        Memory for the part of the response that is held.
     """
 
     def __init__(
@@ -161,6 +164,7 @@
         self.sent_at = 0.0
         self.entry: ServerEntry | None = None
         self.fetch_timer: FetchTimer | None = None
+        self.held = HeldMemory(self.context.pool.response_memory)
 
     def run(self) -> None:
         """Make the attempt; raises AttemptError unless a success was forwarded."""
@@ -311,6 +315,7 @@
         finally:
             self._stop_fetch_timer()
             self._drop_connection()
+            self.held.resize(0)
         self.context.rollout_observer.succeeded(self.request.observation)
         self.request.in_flight = False
 
@@ -443,15 +448,23 @@
             raise ConnectionBrokenError("the response is no event stream", sent=True)
 
     def _read_response(self, message: ResponseMessage) -> ServerResponse:
-        body = (
-            self.connection.read_all(message, MAX_HELD_BODY_BYTES)
-            if self._has_body
-            else b""
-        )
+        body = b""
+        if self._has_body:
+            body = self._read_held(message)
+            if not self._is_whole(message, body):
+                raise ConnectionBrokenError("the body is too large", sent=True)
         return ServerResponse(
             message.status, message.reason, end_to_end(message.headers), body
         )
 
+    def _read_held(self, message: ResponseMessage) -> bytes:
+        """Return the body, or its beginning if it is too large to be held."""
+        return self.connection.read_up_to(message, MAX_HELD_BODY_BYTES, self.held)
+
+    @staticmethod
+    def _is_whole(message: ResponseMessage, body: bytes) -> bool:
+        return message.complete and len(body) <= MAX_HELD_BODY_BYTES
+
     def _forward_whole(self, message: ResponseMessage) -> None:
         """Forward a successful response at its end, or a large one as it comes.
 
@@ -459,8 +472,8 @@
         """
         body = b""
         if self._has_body:
-            body = self.connection.read_up_to(message, MAX_HELD_BODY_BYTES)
-        if len(body) > MAX_HELD_BODY_BYTES:
+            body = self._read_held(message)
+        if self._has_body and not self._is_whole(message, body):
             self._forward_large(message, body)
             return
         if message.ends_with_connection and message.complete and not body:
@@ -510,6 +523,8 @@
                 self._start_response(message)
                 self.request.progress.chunk_forwarded(self.request.now)
                 exchange.send_chunk(events)
+            if not splitter.violation and not self.held.resize(len(splitter.pending)):
+                splitter.violation = "there is no memory for an event of this size"
             if splitter.violation:
                 self._reject_events(message)
         self._record_end(message)
--- a/packages/endive_gateway/src/endive_gateway/connections.py
+++ b/packages/endive_gateway/src/endive_gateway/connections.py
@@ -17,6 +17,7 @@
 )
 from endive_gateway.http import ResponseMessage, ResponseParser
 from endive_gateway.interfaces import ResponseMetadata, Wire, header_value
+from endive_gateway.memory_budget import HeldMemory, MemoryBudget
 from endive_gateway.path_monitor import PathMonitor
 from endive_gateway.paths import ServerPaths
 from endive_gateway.tcp import ByteStream
@@ -149,9 +150,17 @@
             raise ConnectionBrokenError("the body is too large", sent=True)
         return body
 
-    def read_up_to(self, message: ResponseMessage, max_bytes: int) -> bytes:
+    def read_up_to(
+        self,
+        message: ResponseMessage,
+        max_bytes: int,
+        held: HeldMemory | None = None,
+    ) -> bytes:
         """Return the rest of the body, or more than `max_bytes` if it is larger.
 
+        Without room for it in `held`, what has been read of it is returned, and the
+        message is not complete.
+
         Raises
         ------
         ConnectionBrokenError
@@ -161,6 +170,8 @@
         while size <= max_bytes and (data := self.read_body(message)):
             pieces.append(data)
             size += len(data)
+            if held is not None and not held.resize(size):
+                break
         return b"".join(pieces)
 
     def skip_body(self, message: ResponseMessage) -> None:
@@ -333,6 +344,11 @@
 
     The most recently used one is taken first, so under low load the others reach their
     idle time-outs and are closed.
+
+    Attributes
+    ----------
+    response_memory : MemoryBudget
+        Memory for what is held of the responses on all connections.
     """
 
     def __init__(self, wire: Wire, paths: ServerPaths, monitor: PathMonitor) -> None:
@@ -341,6 +357,7 @@
         self.monitor = monitor
         self.idle: dict[str, deque[ServerConnection]] = defaultdict(deque)
         self.opened = 0
+        self.response_memory = MemoryBudget.for_responses()
 
     def acquire(self, server_id: str, address: str) -> ServerConnection:
         """Return an idle or new connection to a server.
