Tell several crashing parts from one that all their prompts share

Up to four other parts are now taken for the causes if they explain all ends of servers, each at least two that the others don't. Once a server ends that they don't explain, it counts as the one cause again.

Failed before: test_a_part_beside_two_causes_is_not_taken_for_one.

--- a/packages/endive_core/src/endive_core/part_crashes.py
+++ b/packages/endive_core/src/endive_core/part_crashes.py
@@ -16,7 +16,7 @@
 
 import math
 from collections import OrderedDict
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import replace
 
 from endive_core.part_reports import (
@@ -51,7 +51,13 @@
 
 ROUNDS_OF_ONE_CAUSE = 3
 """Independent crashes from which on one part is taken for their cause rather than
-several others, each of some of them."""
+several others, unless a few of these explain all."""
+
+MAX_CAUSES = 4
+LEAST_EXPLAINED = 2
+"""Most parts that are taken for the causes in place of one, and the servers whose end
+each of them must explain beyond the others: chance alone seldom has so few parts in all
+prompts."""
 
 
 class PartTable:
@@ -282,7 +288,8 @@
     def unexplained(self, part: int, prompt: frozenset[int]) -> Evidence:
         """Return the crashes under `part` that no part outside of `prompt` explains.
 
-        Several others together explain only a few: one cause is likelier than two.
+        Several others together explain only a few, unless each is known from several
+        crashes of its own: one cause is likelier than two.
 
         Parameters
         ----------
@@ -294,6 +301,8 @@
         servers = {crash.server for crash in found.crashes}
         if any(ended == servers for ended in explained.values()):
             return NO_EVIDENCE
+        if _explain_together(explained.values(), servers):
+            return NO_EVIDENCE
         if len(found.rounds) >= ROUNDS_OF_ONE_CAUSE:
             return found
         explained_servers = set().union(*explained.values())
@@ -330,3 +339,22 @@
     def _is_explained_end(self, server: str) -> bool:
         parts = self.by_server.get(server, ())
         return any(self.evidence(p).prompts >= EXPLAINING_PROMPTS for p in parts)
+
+
+def _explain_together(explained: Collection[set[str]], servers: set[str]) -> bool:
+    """Return whether the ends of `servers` have a few separate causes.
+
+    Parameters
+    ----------
+    explained : collection of set of str
+        The servers whose end each other part explains.
+    """
+    left = set(servers)
+    for _ in range(MAX_CAUSES):
+        most = max(explained, key=lambda ended: len(ended & left), default=set())
+        if len(most & left) < LEAST_EXPLAINED:
+            return False
+        left -= most
+        if not left:
+            return True
+    return False
--- a/packages/endive_core/tests/test_part_crashes.py
+++ b/packages/endive_core/tests/test_part_crashes.py
@@ -89,6 +89,25 @@
     assert table.unexplained(BAD, frozenset({COMMON, BAD})).rounds
 
 
+def test_a_part_beside_two_causes_is_not_taken_for_one(table):
+    """All prompts of a route share it, and each cause is in half of the crashes."""
+    for number in range(3):
+        table.add(crash(number, COMMON, BAD, at=float(number)))
+        table.add(crash(10 + number, COMMON, OTHER, at=10.0 + number))
+    assert not table.unexplained(COMMON, frozenset({COMMON})).rounds
+    assert len(table.unexplained(BAD, frozenset({COMMON, BAD})).rounds) == 3
+    table.add(crash(20, COMMON, at=20.0))
+    assert len(table.unexplained(COMMON, frozenset({COMMON})).rounds) == 7
+
+
+def test_a_cause_is_not_excused_by_a_part_for_each_of_its_crashes(table):
+    """Many callers send it, each with parts of its own."""
+    for number in range(6):
+        table.add(crash(number, 100 + number, BAD, at=float(number)))
+        table.add(crash(10 + number, 100 + number, at=20.0 + number))
+    assert len(table.unexplained(BAD, frozenset({BAD})).rounds) == 6
+
+
 def test_what_only_one_prompt_has_explains_no_others_crash(table):
     for number in range(2):
         table.add(crash(number, 100, BAD, at=float(number), prompt=5))
