Put off the trial of a part by failed trials only

The time to the next trial of a refused part was four times the time between its last two crashes, also where these were of two unrelated parts: a part under crashes at 10 and 60 s was refused for 200 s. It is now 10 s, and four times as much after each crash that comes when a trial is due.

test_a_refused_part_is_tried_again_more_and_more_rarely took the second delay for four times the time between two crashes, 40.8 s where the first delay is 10 s and its crash follows 0.2 s later. That is the rule at fault. It checks four times the first delay now, 40 s, with the same tolerance of 0.5 s; its other checks are unchanged.

--- a/packages/endive_core/src/endive_core/part_trials.py
+++ b/packages/endive_core/src/endive_core/part_trials.py
@@ -15,7 +15,7 @@
 moment, and none has to wait for one that gets no such request.
 """
 
-import math
+import itertools
 from collections import Counter
 from dataclasses import dataclass
 from enum import StrEnum
@@ -54,7 +54,7 @@
 MAX_TRIAL_S = 300.0
 TRIAL_GROWTH = 4.0
 """Time from the last crash of a refused part to its next trial: the first, the longest,
-seconds, and the growth over the time between its last two crashes."""
+seconds, and its growth with each trial that ends a server."""
 
 
 class Standing(StrEnum):
@@ -235,10 +235,16 @@
 def trial_delay_s(rounds: tuple[float, ...]) -> float:
     """Return the time from the last crash of a refused part to its next trial.
 
+    A crash counts as that of a trial if one was due; how long after the crash before it
+    came says nothing.
+
     Parameters
     ----------
     rounds : tuple of float
-        Times of its independent crashes, two at least, seconds.
+        Times of its independent crashes, seconds.
     """
-    gap_s = rounds[-1] - rounds[-2] if len(rounds) > 1 else -math.inf
-    return min(MAX_TRIAL_S, max(FIRST_TRIAL_S, TRIAL_GROWTH * gap_s))
+    delay_s = FIRST_TRIAL_S
+    for earlier, later in itertools.pairwise(rounds[REFUSED_FROM - 1 :]):
+        if later - earlier >= delay_s:
+            delay_s = min(MAX_TRIAL_S, TRIAL_GROWTH * delay_s)
+    return delay_s
--- a/packages/endive_core/tests/test_part_trials.py
+++ b/packages/endive_core/tests/test_part_trials.py
@@ -123,10 +123,16 @@
         trials.table.add(crash(BAD, at=times[-1]))
     gaps = [later - sooner for sooner, later in itertools.pairwise(times[1:])]
     assert gaps[0] == pytest.approx(FIRST_TRIAL_S, abs=0.5)
-    assert gaps[1] == pytest.approx(TRIAL_GROWTH * gaps[0], abs=0.5)
+    assert gaps[1] == pytest.approx(TRIAL_GROWTH * FIRST_TRIAL_S, abs=0.5)
     assert gaps[-1] <= MAX_TRIAL_S + 1.0
 
 
+@pytest.mark.parametrize("times", [(10.0, 16.0), (10.0, 60.0), (0.0, 0.5, 1.0, 8.0)])
+def test_a_trial_is_not_put_off_by_the_time_between_unrelated_crashes(times):
+    """A part that two causes share was refused for four times the time between them."""
+    assert trial_delay_s(times) == FIRST_TRIAL_S
+
+
 @pytest.mark.parametrize("nodes", [6, 30, 200, 375])
 def test_few_nodes_try_a_refused_part_at_the_same_moment(nodes):
     fleet = [make_trials(nodes, f"n{n}") for n in range(nodes)]
