Let a node that has just started try no refused part

It learns of the earlier crashes one by one, since a message repeats one of them. One that had not yet heard of the last, a failed trial, took the next trial for due and ended a server.

A node tries no refused part in its first 3 s. It refuses such requests meanwhile; the other nodes try them when they are due.

Failed before: test_a_node_that_has_just_started_tries_no_refused_part.

--- a/packages/endive_core/src/endive_core/part_trials.py
+++ b/packages/endive_core/src/endive_core/part_trials.py
@@ -16,6 +16,7 @@
 """
 
 import itertools
+import math
 from collections import Counter
 from dataclasses import dataclass
 from enum import StrEnum
@@ -100,6 +101,9 @@
         Number of live nodes, this one included.
     under_way : Counter of int
         Requests of this node with each suspected part that wait for a first token.
+    informed_from : float
+        When this node knows what the others know, clock time in seconds. Before that it
+        tries no refused part: it may not have heard of the latest trial.
     outcomes : Counter of str
         Requests that were refused, tried, or kept waiting, and parts that were cleared.
     """
@@ -108,6 +112,7 @@
         self.table = table
         self.node = node
         self.nodes = 1
+        self.informed_from = -math.inf
         self.under_way: Counter[int] = Counter()
         self.outcomes: Counter[str] = Counter()
         table.clearing_listeners.append(self._count_cleared)
@@ -166,7 +171,7 @@
 
     def _is_trial_due(self, part: int, now: float) -> bool:
         """Return whether this node may try a refused part now."""
-        if self.under_way[part]:
+        if self.under_way[part] or now < self.informed_from:
             return False
         evidence = self.table.evidence(part)
         late_s = now - evidence.last_at - trial_delay_s(evidence.rounds)
--- a/packages/endive_core/tests/test_part_trials.py
+++ b/packages/endive_core/tests/test_part_trials.py
@@ -133,6 +133,16 @@
     assert trial_delay_s(times) == FIRST_TRIAL_S
 
 
+def test_a_node_that_has_just_started_tries_no_refused_part():
+    """It knows some earlier crashes and not yet that the latest trial has failed."""
+    trials = make_trials()
+    trials.informed_from = 31.0
+    for at in (1.0, 1.2):
+        trials.table.add(crash(BAD, at=at))
+    assert standing(trials, BAD, now=30.9) is Standing.REFUSED
+    assert standing(trials, BAD, now=31.1) is Standing.TRIED
+
+
 @pytest.mark.parametrize("nodes", [6, 30, 200, 375])
 def test_few_nodes_try_a_refused_part_at_the_same_moment(nodes):
     fleet = [make_trials(nodes, f"n{n}") for n in range(nodes)]
--- a/packages/endive_gateway/src/endive_gateway/context.py
+++ b/packages/endive_gateway/src/endive_gateway/context.py
@@ -56,6 +56,10 @@
 slow one within a few times that. Callers give up on a node that does not answer within
 one second."""
 
+CRASHES_LEARNED_S = 3.0
+"""Time after the start until this node has learned of earlier crashes, seconds. Each
+message of another node repeats one of them."""
+
 
 class Context:
     """The state of one gateway, and its adapters to the platform.
@@ -255,6 +259,7 @@
         self.initialised = Event()
         self.registry.listeners.append(self._update_initialised)
         self.started_at = time.monotonic()
+        self.placer.trials.informed_from = self.started_at + CRASHES_LEARNED_S
         self.reported = -1
 
     def apply_settings(self, settings: GatewaySettings) -> None:
