Send the answers on a crash's parts along with it

Cause: a crash is told to nodes that start later, with all parts of its prompt. The answers that have cleared some of them were told to ten nodes and forgotten. A node that starts took the part that all requests share for the cause.

Change: a message that holds a crash also holds the answers that matter for its parts, within the six that a message had room for before, in turn if there are more. Times of a message are corrected by how late it tells a known crash: otherwise an answer that is told again and again comes to seem newer than a crash which it preceded. The messages have the same fields as before.

--- a/packages/endive_core/src/endive_core/part_crashes.py
+++ b/packages/endive_core/src/endive_core/part_crashes.py
@@ -242,6 +242,14 @@
             for listener in self.clearing_listeners:
                 listener(answer)
 
+    def answers_on(self, crash: PartCrash) -> list[PartAnswer]:
+        """Return the answers by which a crash does not count against its parts."""
+        return [
+            PartAnswer(part, self.answers[part])
+            for part in crash.parts
+            if crash.at - self._answered_at(part) <= VOUCHED_S
+        ]
+
     def _drop_if_cleared(self, key: tuple) -> None:
         """Forget a report that implicates no part any more."""
         parts = self.crashes[key].parts
--- a/packages/endive_gateway/src/endive_gateway/part_exchange.py
+++ b/packages/endive_gateway/src/endive_gateway/part_exchange.py
@@ -1,6 +1,10 @@
 """Exchange of crashes by parts of prompts, and of answers that clear parts.
 
 Both are part of the state messages. A node that sees a crash also sends one at once.
+
+A report of a crash names all parts of its prompt, also those that answers have cleared.
+So the answers on its parts go along with it whenever it is sent, also to nodes that
+started after these answers.
 """
 
 from collections.abc import Callable, Iterable
@@ -40,12 +44,21 @@
     ----------
     announce_soon : callable
         Sends a state message to some other nodes within milliseconds.
+
+    Attributes
+    ----------
+    accompanying : dict of int to PartAnswer
+        By part, the answers that matter for the crashes of the current message.
+    turn : int
+        Number of such answers that were sent; of many, others are sent each time.
     """
 
     def __init__(self, table: PartTable, announce_soon: Callable[[], None]) -> None:
         self.table = table
         self.announce_soon = announce_soon
         self.next_relay_at = 0.0
+        self.accompanying: dict[int, PartAnswer] = {}
+        self.turn = 0
         self.news: CrashNews[PartCrash, PartAnswer] = CrashNews(table)
         table.clearing_listeners.append(self._log_cleared)
 
@@ -54,15 +67,35 @@
         taken = self.news.take(
             now, limit=MAX_CRASHES, receivers=receivers, repeats=MAX_REPEATS
         )
+        self.accompanying = {
+            answer.part: answer
+            for crash in taken
+            for answer in self.table.answers_on(crash)
+        }
         return [
             (c.server, c.prompt, c.parts, now - c.sent_at, now - c.at) for c in taken
         ]
 
     def next_answers(self, now: float, receivers: int) -> list[AnswerReport]:
-        """Return the answers for a message to some nodes, the newest of each part."""
+        """Return the answers for a message to some nodes, the newest of each part.
+
+        Those that no node has yet been told of precede those that accompany crashes.
+        """
         taken = self.news.take_successes(limit=MAX_ANSWERS, receivers=receivers)
+        for answer in taken:
+            self.accompanying.pop(answer.part, None)
+        taken += self._next_accompanying(MAX_ANSWERS - len(taken))
         return [(answer.part, now - answer.at) for answer in taken]
 
+    def _next_accompanying(self, limit: int) -> list[PartAnswer]:
+        """Return up to `limit` of the answers that go along with crashes."""
+        answers = list(self.accompanying.values())
+        if len(answers) <= limit:
+            return answers
+        first = self.turn % len(answers)
+        self.turn += limit
+        return (answers[first:] + answers[:first])[:limit]
+
     def learn(
         self,
         peer: str,
@@ -71,20 +104,42 @@
         now: float,
     ) -> None:
         """Apply what another node has sent."""
+        learned = [
+            PartCrash(server, prompt, parts, now - sent_age_s, now - age_s)
+            for server, prompt, parts, sent_age_s, age_s in crashes
+        ]
+        delays_s = self._delays_s(learned)
         for part, age_s in answers:
-            self.table.add_answer(PartAnswer(part, now - age_s))
-        for server, prompt, parts, sent_age_s, age_s in crashes:
-            crash = PartCrash(server, prompt, parts, now - sent_age_s, now - age_s)
+            at = now - age_s - delays_s.get(part, 0.0)
+            self.table.add_answer(PartAnswer(part, at))
+        for crash in learned:
             if self.news.learn(crash):
                 log_event(
                     "part_crash_learned",
                     peer=peer,
-                    crash=server,
-                    parts=format_parts(parts),
-                    age_s=round(age_s, 3),
+                    crash=crash.server,
+                    parts=format_parts(crash.parts),
+                    age_s=round(now - crash.at, 3),
                 )
                 self._relay(crash, now)
 
+    def _delays_s(self, crashes: Iterable[PartCrash]) -> dict[int, float]:
+        """Return by part how late a message's times are, by crashes known before.
+
+        Each message delays the news. The time of a crash is that of the earliest one,
+        but an answer that is told again and again would seem to follow a crash which it
+        has preceded.
+        """
+        delays_s: dict[int, float] = {}
+        for crash in crashes:
+            known = self.table.crashes.get(crash.key)
+            if known is None:
+                continue
+            for part in crash.parts:
+                late_s = max(crash.at - known.at, delays_s.get(part, 0.0))
+                delays_s[part] = late_s
+        return delays_s
+
     def _relay(self, crash: PartCrash, now: float) -> None:
         """Pass a crash on at once if any part is suspected because of it."""
         is_suspected = any(self.table.is_implicated(part) for part in crash.parts)
--- a/packages/endive_gateway/tests/part_simulation.py
+++ b/packages/endive_gateway/tests/part_simulation.py
@@ -3,12 +3,14 @@
 import itertools
 from dataclasses import dataclass, field
 
+import msgspec
 from core_builders import call
 from endive_core.exceptions import EndiveError, RetryReason
 from endive_core.reachability import ConnectResults
 from endive_gateway.crash_exchange import ANNOUNCEMENT_DELAY_S
+from endive_gateway.peers import Peer, Peers
 from fleet_simulation import SimulatedFleet
-from gateway_builders import SERVICE, make_entry
+from gateway_builders import SERVICE, make_context, make_entry, make_table
 
 ONE_WAY_S = 0.002
 """Time of a message between two nodes, or a node and a server, seconds."""
@@ -217,6 +219,8 @@
         By part, when servers ended on it, and when requests with it reached servers.
     ended : int
         Servers that have ended, whatever the cause.
+    sent_bytes : int
+        Bytes that the nodes have sent of crashes and answers.
     """
 
     def __init__(
@@ -230,6 +234,7 @@
         self.ended = 0
         self.ends = []
         self.sent_messages = 0
+        self.sent_bytes = 0
         self.count = servers
         self.servers = {}
         self.starts = itertools.count()
@@ -246,8 +251,9 @@
         context.placer.on_crash = self.announce_soon(node)
         node.part_exchange.announce_soon = context.placer.on_crash
         context.placer.try_both = lambda *server: ConnectResults(False, False)
-        for server in self.servers:
-            context.registry.put(make_entry(server, slots=SLOTS))
+        for server in self.servers.values():
+            if server.is_up:
+                context.registry.put(make_entry(server.id, slots=SLOTS))
         context.registry.is_loaded = True
         context.registry.notify_listeners()
         super().prepare(node)
@@ -271,8 +277,11 @@
         """Return a function that sends messages over a network that loses some."""
 
         def send(message, receivers):
+            news = message.part_crashes, message.part_answers
+            size = len(msgspec.msgpack.encode(news))
             for receiver in receivers:
                 self.sent_messages += 1
+                self.sent_bytes += size
                 if self.random.random() >= self.loss and self.reaches(sender, receiver):
                     due = self.clock.now + ONE_WAY_S
                     self.at(due, self.node_at(receiver).receive, message, sender)
@@ -284,6 +293,22 @@
             self.by_address = {node.address: node for node in self.nodes}
         return self.by_address[address]
 
+    def restart(self, nodes):
+        """Start nodes again, which then know nothing of earlier crashes."""
+        for former in nodes:
+            node = Peers(make_context(make_table(), node=former.node_name))
+            node.address = former.address
+            for address in former.known:
+                node.known[address] = Peer(address, added_at=self.clock.now)
+            self.nodes[self.nodes.index(former)] = node
+            self.by_address[node.address] = node
+            self.prepare(node)
+            self.at(self.clock.now, self.broadcast, node, 0)
+
+    def broadcast(self, node, step):
+        if self.node_at(node.address) is node:
+            super().broadcast(node, step)
+
     def replace(self, server):
         """Start a server again under a new id, which nodes learn at various times."""
         started = PartServer(self, f"i-{next(self.starts)}")
--- a/packages/endive_gateway/tests/test_crashing_parts.py
+++ b/packages/endive_gateway/tests/test_crashing_parts.py
@@ -3,7 +3,11 @@
 import itertools
 
 import pytest
+from endive_core.crash_news import FRESH_RECEIVERS
+from endive_core.part_crashes import MAX_REPORTED_PARTS, PartTable
+from endive_core.part_reports import PartCrash
 from endive_core.part_trials import Standing
+from endive_gateway.part_exchange import MAX_ANSWERS, PartExchange
 from part_simulation import KNOWN_CRASHES, PartFleet
 
 BAD, OTHER_BAD = 0xBAD, 0xBAD2
@@ -205,6 +209,67 @@
     assert standing is Standing.REFUSED
 
 
+@pytest.mark.parametrize(("nodes", "seed"), [(6, 6), (30, 1)])
+def test_nodes_that_start_after_two_waves_do_not_refuse_what_was_cleared(
+    monkeypatch, nodes, seed
+):
+    """They learn of the crashes, and not of the answers that have cleared the part
+    which all requests share."""
+    fleet = PartFleet(monkeypatch, nodes, seed=seed, crashing=[BAD, OTHER_BAD])
+    begins = fleet.clock.now
+    ends = begins + 42.0
+    fleet.send_every(1 / 6, sound_parts(fleet, COMMON), until=ends)
+    for starts, part in ((1.0, BAD), (9.0, OTHER_BAD)):
+        fleet.run_until(begins + starts)
+        fleet.send_every(1 / 2, lambda p=part: (COMMON, p), until=ends)
+    fleet.run_until(begins + 23.0)
+    fleet.restart(fleet.nodes[::2])
+    fleet.run_until(begins + 28.0)
+    fleet.restart(fleet.nodes[1::2])
+    fleet.run_until(ends + 4.0)
+    assert fleet.ended <= 2 * (KNOWN_CRASHES + MAX_LATE)
+    assert fleet.sound_share(begins + 23.0) >= MIN_SOUND
+
+
+def make_exchange():
+    return PartExchange(PartTable(memory_s=600.0), lambda: None)
+
+
+def test_a_node_that_starts_later_learns_the_answers_with_the_crashes():
+    """An answer was forgotten once ten nodes knew it, and the crash told for ever."""
+    former, later = make_exchange(), make_exchange()
+    cleared = tuple(range(10, 10 + MAX_REPORTED_PARTS - 1))
+    for number in range(3):
+        parts = (*cleared, BAD)
+        former.table.add(PartCrash(f"i-{number}@1", number, parts, 0.9, 1.0))
+    former.table.add_answers(cleared, 2.0)
+    while former.news.successes:
+        former.next_answers(3.0, FRESH_RECEIVERS)
+    for step in range(10):
+        now = 4.0 + step
+        crashes = former.next_crashes(now, FRESH_RECEIVERS)
+        answers = former.next_answers(now, FRESH_RECEIVERS)
+        assert len(answers) <= MAX_ANSWERS
+        later.learn("n", crashes, answers, now)
+    assert later.table.suspected() == [BAD]
+
+
+def test_an_answer_that_is_told_again_and_again_stays_before_a_later_crash():
+    """Each message delays it, until a part that has become bad seems to be answered."""
+    nodes = [make_exchange(), make_exchange()]
+    nodes[0].table.add_answers((BAD,), 0.5)
+    for number in range(5):
+        at = 1.0 + number
+        nodes[0].table.report(PartCrash(f"i-{number}@1", number, (BAD,), at - 0.1, at))
+    for step in range(200):
+        sent_at = 6.0 + 0.1 * step
+        sender, receiver = nodes[step % 2], nodes[(step + 1) % 2]
+        crashes = sender.next_crashes(sent_at, FRESH_RECEIVERS)
+        answers = sender.next_answers(sent_at, FRESH_RECEIVERS)
+        receiver.learn("n", crashes, answers, sent_at + 0.05)
+    assert all(node.table.suspected() == [BAD] for node in nodes)
+
+
 def test_waves_of_several_parts_each_cost_few_servers(monkeypatch):
     parts = [BAD + number for number in range(4)]
     fleet = PartFleet(monkeypatch, 6, servers=24, crashing=parts)
