--- a/packages/endive_core/src/endive_core/part_trials.py
+++ b/packages/endive_core/src/endive_core/part_trials.py
@@ -15,6 +15,7 @@
 moment, and none has to wait for one that gets no such request.
 """
 
+import itertools
 import math
 from collections import Counter
 from dataclasses import dataclass
@@ -54,7 +55,7 @@
 MAX_TRIAL_S = 300.0
 TRIAL_GROWTH = 4.0
 """Time from the last crash of a refused part to its next trial: the first, the longest,
-seconds, and the growth over the time between its last two crashes."""
+seconds, and its growth with each trial that ends a server."""
 
 
 class Standing(StrEnum):
@@ -100,6 +101,9 @@
         Number of live nodes, this one included.
     under_way : Counter of int
         Requests of this node with each suspected part that wait for a first token.
+    informed_from : float
+        When this node knows what the others know, clock time in seconds. Before that it
+        tries no refused part: it may not have heard of the latest trial.
     outcomes : Counter of str
         Requests that were refused, tried, or kept waiting, and parts that were cleared.
     """
@@ -108,6 +112,7 @@
         self.table = table
         self.node = node
         self.nodes = 1
+        self.informed_from = -math.inf
         self.under_way: Counter[int] = Counter()
         self.outcomes: Counter[str] = Counter()
         table.clearing_listeners.append(self._count_cleared)
@@ -166,7 +171,7 @@
 
     def _is_trial_due(self, part: int, now: float) -> bool:
         """Return whether this node may try a refused part now."""
-        if self.under_way[part]:
+        if self.under_way[part] or now < self.informed_from:
             return False
         evidence = self.table.evidence(part)
         late_s = now - evidence.last_at - trial_delay_s(evidence.rounds)
@@ -235,10 +240,16 @@
 def trial_delay_s(rounds: tuple[float, ...]) -> float:
     """Return the time from the last crash of a refused part to its next trial.
 
+    A crash counts as that of a trial if one was due; how long after the crash before it
+    came says nothing.
+
     Parameters
     ----------
     rounds : tuple of float
-        Times of its independent crashes, two at least, seconds.
+        Times of its independent crashes, seconds.
     """
-    gap_s = rounds[-1] - rounds[-2] if len(rounds) > 1 else -math.inf
-    return min(MAX_TRIAL_S, max(FIRST_TRIAL_S, TRIAL_GROWTH * gap_s))
+    delay_s = FIRST_TRIAL_S
+    for earlier, later in itertools.pairwise(rounds[REFUSED_FROM - 1 :]):
+        if later - earlier >= delay_s:
+            delay_s = min(MAX_TRIAL_S, TRIAL_GROWTH * delay_s)
+    return delay_s
