Take a stream for that of the process that writes it

Cause: the version of a stream was that of its server's entry as last read, up to a second ago, unless an attempt had broken off and other nodes confirmed that the process had ended. A server that had started again with other software while no request ran answered under its former entry; owners, log and other nodes took its streams for the former version's.

Change: the version is known if a read of the servers that began after the connection was opened finds the same entry, or if the connection was opened while another one was open of which it is known. So no sign of the end of a process is needed, and nodes needn't tell each other of one. Until then owners know the stream as unconfirmed, the log doesn't get it, a stream that breaks or is taken up waits for the next read, and a server to which it is sent on has its first event held back. That also covers a node out of step, whose list of servers is old.

The builders stream_from and versions_in move to a module that both tests use; no check has changed.

--- a/packages/endive_core/src/endive_core/stream_origins.py
+++ b/packages/endive_core/src/endive_core/stream_origins.py
@@ -41,6 +41,9 @@
 AMBIGUOUS = StreamOrigin("", "")
 """Origin of several streams that were begun under one request id."""
 
+UNCONFIRMED = StreamOrigin("", "unconfirmed")
+"""Origin of a stream while it isn't known which process of its server began it."""
+
 
 def stream_key(organisation: str, request_id: str) -> bytes:
     """Return the key of a stream, 16 bytes, whatever the length of its request's id."""
@@ -67,7 +70,7 @@
     def put(self, key: bytes, origin: StreamOrigin, until: float, now: float) -> None:
         """Keep an origin until clock time `until`, seconds."""
         known = self.origins.pop(key, None)
-        if known is not None and known[1] > now:
+        if known is not None and known[1] > now and known[0] != UNCONFIRMED:
             origin = origin if known[0] == origin else AMBIGUOUS
             until = max(until, known[1])
         self.origins[key] = (origin, until)
--- a/packages/endive_gateway/src/endive_gateway/__init__.py
+++ b/packages/endive_gateway/src/endive_gateway/__init__.py
@@ -11,7 +11,7 @@
 - callers' connections: ``callers``, ``http``, ``statuses``, ``progress``
 - forwarding to servers: ``forwarding``, ``attempts``, ``failed_attempts``,
   ``connections``, ``events``, ``placing``, ``prefix_fetching``, ``workload``,
-  ``stream_affinity``, ``part_copying``
+  ``stream_affinity``, ``part_copying``, ``server_processes``
 - ways to the servers: ``paths``, ``path_monitor``, ``server_checks``, ``transit``,
   ``transit_port``, ``tcp``
 - the platform's state, as this node knows it: ``following``, ``configuration``,
--- a/packages/endive_gateway/src/endive_gateway/attempts.py
+++ b/packages/endive_gateway/src/endive_gateway/attempts.py
@@ -29,6 +29,7 @@
 from endive_gateway.prefix_fetching import FetchTimer
 from endive_gateway.progress import Progress
 from endive_gateway.rollout_observation import Observation
+from endive_gateway.server_processes import Writer
 from endive_gateway.slot_leasing import SlotLease
 from endive_gateway.slot_pooling import PoolLease
 from endive_gateway.stream_affinity import StreamAffinity
@@ -64,6 +65,8 @@
         When the latest attempt was sent, seconds on the cluster clock.
     observation : Observation or None
         The latest attempt, as it is compared with others during a rollout.
+    writer : Writer or None
+        The process that answers the latest attempt.
     """
 
     context: Context
@@ -85,6 +88,7 @@
     sent_at: float
     outcome: str
     observation: Observation | None
+    writer: Writer | None
 
     @property
     def now(self) -> float:
@@ -110,6 +114,13 @@
             If that can't be recorded, while the stream could begin at other versions.
         """
 
+    def check_writer(self) -> None:
+        """Check that a stream goes on at its version; raises AttemptError if not.
+
+        Waits until it is known which process answers. Called before any event of an
+        attempt is forwarded.
+        """
+
     def stream_begins(self, server: str, entry: ServerEntry) -> None:
         """Bind the stream to the software version of the server that begins it.
 
@@ -276,6 +287,9 @@
         self.request.affinity.attempted(
             self.entry.software_version_label, self.request.splitter.count
         )
+        self.request.writer = self.context.processes.writer(
+            self.connection.link, self.entry
+        )
         self.request.record_origin(self.entry)
         self.request.in_flight = True
         self.request.sent_at = self.context.cluster_clock.now()
@@ -473,6 +487,8 @@
             self._stop_fetch_timer()
             self.context.placer.started(self.request.ticket)
             self.request.count_start()
+            if splitter.count == events_before:
+                self.request.check_writer()
             if not exchange.response_started:
                 self.request.check_recorded(self.entry)
             if has_events:
--- a/packages/endive_gateway/src/endive_gateway/connections.py
+++ b/packages/endive_gateway/src/endive_gateway/connections.py
@@ -19,6 +19,7 @@
 from endive_gateway.interfaces import ResponseMetadata, Wire, header_value
 from endive_gateway.path_monitor import PathMonitor
 from endive_gateway.paths import ServerPaths
+from endive_gateway.server_processes import Link, ServerProcesses
 from endive_gateway.tcp import ByteStream
 from endive_gateway.transit import TransitStream
 
@@ -224,12 +225,20 @@
         IP address of the node through which the connection goes, if it does.
     repeatable : bool
         Whether the present request may be sent to a server again.
+    link : Link
+        Tells which process of the server it leads to.
     """
 
     def __init__(
-        self, server_id: str, stream: ByteStream, wire: Wire, monitor: PathMonitor
+        self,
+        server_id: str,
+        stream: ByteStream,
+        wire: Wire,
+        monitor: PathMonitor,
+        link: Link,
     ) -> None:
         super().__init__(stream)
+        self.link = link
         self.server_id = server_id
         self.wire = wire
         self.monitor = monitor
@@ -320,10 +329,17 @@
     idle time-outs and are closed.
     """
 
-    def __init__(self, wire: Wire, paths: ServerPaths, monitor: PathMonitor) -> None:
+    def __init__(
+        self,
+        wire: Wire,
+        paths: ServerPaths,
+        monitor: PathMonitor,
+        processes: ServerProcesses,
+    ) -> None:
         self.wire = wire
         self.paths = paths
         self.monitor = monitor
+        self.processes = processes
         self.idle: dict[str, deque[ServerConnection]] = defaultdict(deque)
         self.opened = 0
 
@@ -343,8 +359,13 @@
                 return connection
             connection.close()
         self.opened += 1
+        entry = self.processes.entry(server_id)
         stream = self.paths.open(server_id, address)
-        return ServerConnection(server_id, stream, self.wire, self.monitor)
+        is_direct = not isinstance(stream, TransitStream)
+        link = self.processes.opened(
+            server_id, address if is_direct else "", stream, entry
+        )
+        return ServerConnection(server_id, stream, self.wire, self.monitor, link)
 
     def _is_usable(
         self, server_id: str, connection: ServerConnection, now: float
@@ -358,6 +379,7 @@
 
     def drop(self, server_id: str) -> None:
         """Close all idle connections to a removed server."""
+        self.processes.forget(server_id)
         for connection in self.idle.pop(server_id, ()):
             connection.close()
 
--- a/packages/endive_gateway/src/endive_gateway/context.py
+++ b/packages/endive_gateway/src/endive_gateway/context.py
@@ -39,6 +39,7 @@
 from endive_gateway.rollout_observation import RolloutObserver
 from endive_gateway.rollouts import Rollouts
 from endive_gateway.server_checks import ServerChecks
+from endive_gateway.server_processes import ServerProcesses
 from endive_gateway.server_rests import ServerRests
 from endive_gateway.server_statements import ServerStatements
 from endive_gateway.servers import ServerRegistry
@@ -78,6 +79,8 @@
         time in seconds when a prompt is sent to that server.
     paths : ServerPaths
         The ways to the servers.
+    processes : ServerProcesses
+        Which processes of the servers the connections lead to.
     checks : ServerChecks
         Tell a server that has failed from one that this node does not reach.
     path_monitor : PathMonitor
@@ -168,7 +171,8 @@
         self.path_monitor = PathMonitor(self.paths, self.checks)
         self.path_monitor.on_silent = self.placer.pause_silent
         self.prefix_fetching.is_silent = self.path_monitor.silent.__contains__
-        self.pool = ConnectionPool(wire, self.paths, self.path_monitor)
+        self.processes = ServerProcesses(self.registry)
+        self.pool = ConnectionPool(wire, self.paths, self.path_monitor, self.processes)
         self.path_monitor.on_dead_connections = self.pool.drop
         self.registry.restart_listeners.append(self.pool.drop)
         self.limits = SharedLimits(time.monotonic(), slack=settings.bounds.quota_slack)
--- a/packages/endive_gateway/src/endive_gateway/forwarding.py
+++ b/packages/endive_gateway/src/endive_gateway/forwarding.py
@@ -11,7 +11,7 @@
 from endive_core.possible_origins import PossibleOrigin
 from endive_core.prefixes import part_blocks
 from endive_core.routing import OrganisationLimits, Route, RouteKind
-from endive_core.stream_origins import StreamOrigin
+from endive_core.stream_origins import AMBIGUOUS, UNCONFIRMED, StreamOrigin
 from endive_node.logs import log_event, log_failure
 
 from endive_gateway.attempts import Attempt
@@ -35,6 +35,7 @@
 from endive_gateway.part_exchange import format_parts
 from endive_gateway.progress import Progress
 from endive_gateway.rollout_observation import Observation
+from endive_gateway.server_processes import Writer
 from endive_gateway.slot_pooling import PoolLease
 from endive_gateway.statuses import complete_error
 from endive_gateway.stream_affinity import UNKNOWN_VERSION, StreamAffinity
@@ -53,6 +54,13 @@
 server can be expected to answer in less. Half of all first tokens come within a
 twentieth of their targets, but no complete response does."""
 
+WRITER_WAIT_S = 1.5
+"""Longest time for which a stream that is to go on waits until it is known which
+process began it, or answers now, seconds: two reads of the servers."""
+
+WRITER_KNOWN_S = 10.0
+"""Time for which that is waited for on behalf of other nodes, seconds."""
+
 LOWEST_SERVER_PRIORITY = 9
 """Number of the lowest priority that servers accept; 0 is the highest."""
 
@@ -111,7 +119,8 @@
         self.outcome = ""
         self.error = ""
         self.path = ""
-        self.began_at: ServerEntry | None = None
+        self.began_at: Writer | None = None
+        self.writer: Writer | None = None
         self.servers: list[str] = []
         self.transit_node: str | None = None
         self.observation: Observation | None = None
@@ -355,6 +364,18 @@
                 PossibleOrigin.of(self.route, origin),
                 self.organisation,
                 is_resumed=self.ticket.version is not None,
+                is_proven=self.writer.is_proven,
+            )
+
+    def check_writer(self) -> None:
+        """Check that a stream goes on at its version; raises AttemptError if not."""
+        if not self.route.resumable or self.ticket.version is None:
+            return
+        if self.writer is not self.began_at and not self.writer.wait(WRITER_WAIT_S):
+            raise AttemptError(
+                "it is not known which process of the server answers",
+                RetryReason.ORIGIN_UNRECORDED,
+                started=True,
             )
 
     def stream_begins(self, server: str, entry: ServerEntry) -> None:
@@ -363,15 +384,46 @@
             return
         if self.ticket.version is None:
             self.ticket.version = self._version_of(entry)
-        self.began_at = entry
+        self.began_at = self.writer
+        if self.writer.is_proven:
+            self._tell_origin(StreamOrigin(self.service, self.ticket.version))
+            return
+        self._tell_origin(UNCONFIRMED)
+        gevent.spawn(self._settle_origin, self.ticket.version)
+
+    def _tell_origin(self, origin: StreamOrigin) -> None:
+        """Tell the owners of the stream where it began."""
+        entry = self.began_at.entry
         for key in self.affinity.keys(self.organisation):
             self.context.origin_exchange.tell(
-                key,
-                StreamOrigin(self.service, self.ticket.version),
-                self.left_s(),
-                (entry.id, entry.incarnation),
+                key, origin, self.left_s(), (entry.id, entry.incarnation)
             )
 
+    def _settle_origin(self, version: str) -> None:
+        """Tell where the stream began once that is known."""
+        writer = self.began_at
+        is_known = writer.wait(WRITER_KNOWN_S)
+        log_event(
+            "stream_version_settled",
+            request=self.metadata.id,
+            server=writer.entry.id,
+            software_version=version,
+            is_known=is_known,
+            ms=round((self.now - writer.link.opened_at) * 1000),
+        )
+        if not is_known:
+            self._tell_origin(AMBIGUOUS)
+            return
+        origin = StreamOrigin(self.service, version)
+        self._tell_origin(origin)
+        self.affinity.record(
+            self.context.origin_records,
+            PossibleOrigin.of(self.route, origin),
+            self.organisation,
+            is_resumed=True,
+            is_proven=True,
+        )
+
     def _version_of(self, entry: ServerEntry) -> str:
         """Return the software version of the server that answers, if it is known.
 
@@ -382,9 +434,16 @@
         return entry.software_version_label if is_same else UNKNOWN_VERSION
 
     def check_version(self) -> None:
-        """Let the stream go on nowhere if another process than was known began it."""
-        entry = self.began_at
-        known = self.context.registry.get(entry.id) if entry else None
+        """Let the stream go on nowhere if another process than was known began it.
+
+        Waits until that is known.
+        """
+        if self.began_at is None:
+            return
+        if not self.began_at.wait(min(WRITER_WAIT_S, self.left_s())):
+            self.ticket.version = UNKNOWN_VERSION
+        entry = self.began_at.entry
+        known = self.context.registry.get(entry.id)
         if known is None or known.entry.incarnation == entry.incarnation:
             return
         if known.entry.software_version_label != entry.software_version_label:
--- a/packages/endive_gateway/src/endive_gateway/origin_exchange.py
+++ b/packages/endive_gateway/src/endive_gateway/origin_exchange.py
@@ -11,6 +11,7 @@
 import gevent
 from endive_core.stream_origins import (
     AMBIGUOUS,
+    UNCONFIRMED,
     Member,
     OriginTable,
     OwnerChoice,
@@ -198,7 +199,8 @@
     def running(self) -> list[tuple[bytes, StreamOrigin]]:
         """Return key and origin of the streams that began here, while they are kept."""
         left = self.own.left(time.monotonic())
-        return [(key, origin) for key, origin, _ in left if origin != AMBIGUOUS]
+        unknown = (AMBIGUOUS, UNCONFIRMED)
+        return [(key, origin) for key, origin, _ in left if origin not in unknown]
 
     def ask(self, key: bytes) -> Inquiry:
         """Ask the owners of a stream's origin, and wait for their replies."""
@@ -250,8 +252,11 @@
             return
         inquiry.unanswered.discard(address)
         if reply.is_known:
-            inquiry.origin = StreamOrigin(reply.service, reply.version)
+            # Another owner may have heard more.
+            if inquiry.origin in (None, UNCONFIRMED):
+                inquiry.origin = StreamOrigin(reply.service, reply.version)
         else:
             inquiry.replies += 1
-        if reply.is_known or not inquiry.unanswered:
+        is_final = reply.is_known and inquiry.origin != UNCONFIRMED
+        if is_final or not inquiry.unanswered:
             inquiry.ended.set()
--- a/packages/endive_gateway/src/endive_gateway/server_following.py
+++ b/packages/endive_gateway/src/endive_gateway/server_following.py
@@ -230,9 +230,16 @@
 
         It is this node's own read or another's; -1 if there was none.
         """
-        read_at = max(self.read_at, self.relayed_at)
+        read_at = self.newest_read_at()
         return -1.0 if read_at == float("-inf") else time.monotonic() - read_at
 
+    def newest_read_at(self) -> float:
+        """Return when the read began that the known servers stem from.
+
+        It is this node's own read or another's, on the monotonic clock.
+        """
+        return max(self.read_at, self.relayed_at)
+
     def _history_s(self) -> float:
         is_reader = self.readers is None or self.readers.is_reader()
         return CHANGE_HISTORY_S if is_reader else RELAYED_HISTORY_S
--- a/packages/endive_gateway/src/endive_gateway/stream_affinity.py
+++ b/packages/endive_gateway/src/endive_gateway/stream_affinity.py
@@ -4,10 +4,11 @@
 from collections import Counter
 from dataclasses import dataclass, replace
 
+import gevent
 from endive_core.exceptions import EndiveError, ErrorKind
 from endive_core.possible_origins import PossibleOrigin
 from endive_core.routing import Route, RouteKind
-from endive_core.stream_origins import StreamOrigin, stream_key
+from endive_core.stream_origins import UNCONFIRMED, StreamOrigin, stream_key
 from endive_node.logs import log_event
 
 from endive_gateway.interfaces import NOT_A_VERSION, RequestMetadata
@@ -21,6 +22,11 @@
 """Time for which a stream's first event waits for the recording of its origin, seconds:
 enough to ask the recorder twice, and then the store."""
 
+CONFIRMATION_S = 1.0
+CONFIRMATION_POLL_S = 0.1
+"""Time for which a stream that its caller takes up waits until its version is known,
+and time between two questions, seconds."""
+
 MAX_LOGGED_CHARACTERS = 64
 """Longest part of a caller's own value in the log, characters."""
 
@@ -34,7 +40,8 @@
     outcome : str
         How that is known: ``kept`` here, ``told`` by another node, ``recorded`` in the
         store, or ``certain`` as the stream can have no other origin; else ``unknown``,
-        ``unread`` if the store does not answer, or ``moved`` if the route no longer
+        ``unread`` if the store does not answer, ``unconfirmed`` if the process that
+        began it is not known yet, or ``moved`` if the route no longer
         leads to the service that began it.
     origin : StreamOrigin or None
         ``None`` if the stream can't go on.
@@ -63,6 +70,10 @@
         ErrorKind.NOT_READY,
         "the store does not tell now which software version began the stream",
     ),
+    "unconfirmed": (
+        ErrorKind.NOT_READY,
+        "it is not known yet which software version began the stream",
+    ),
 }
 """By outcome, why a stream does not go on. What the store did not tell, it may tell
 later."""
@@ -118,6 +129,14 @@
         self, route: Route, path: str, organisation: str, metadata: RequestMetadata
     ) -> Resumption:
         key = stream_key(organisation, metadata.resumes or metadata.id)
+        end = time.monotonic() + CONFIRMATION_S
+        resumption = self._look_up(route, path, key)
+        while resumption.outcome == "unconfirmed" and time.monotonic() < end:
+            gevent.sleep(CONFIRMATION_POLL_S)
+            resumption = self._look_up(route, path, key)
+        return resumption
+
+    def _look_up(self, route: Route, path: str, key: bytes) -> Resumption:
         origin = self.exchange.known(key)
         if origin is not None:
             return _resumption("kept", origin, route)
@@ -133,6 +152,8 @@
 
 
 def _resumption(outcome: str, origin: StreamOrigin | None, route: Route) -> Resumption:
+    if origin == UNCONFIRMED:
+        return Resumption("unconfirmed", None)
     if origin is not None and origin.service not in route.services:
         return Resumption("moved", None)
     return Resumption(outcome, origin)
@@ -174,19 +195,20 @@
         organisation: str,
         *,
         is_resumed: bool,
+        is_proven: bool,
     ) -> None:
         """Have recorded that the stream is about to begin, or go on, at an origin.
 
-        Where it goes on, nothing waits for that: it began there before.
+        Where it goes on, nothing waits for that: it began there before. Until it is
+        known which process of the server answers, only the origin itself is listed.
         """
         has_failed = self.recording is not None and self.recording.has_failed
         if self.recorded == entry.origin and not has_failed:
             return
         self.records += 1
-        self.recorded = entry.origin
-        self.recording = records.begin(
-            entry, self.keys(organisation), self.number, self.records
-        )
+        self.recorded = entry.origin if is_proven else None
+        keys = self.keys(organisation) if is_proven else []
+        self.recording = records.begin(entry, keys, self.number, self.records)
         self.waits = not is_resumed
 
     def is_recorded(self) -> bool:
--- a/packages/endive_gateway/tests/server_builders.py
+++ b/packages/endive_gateway/tests/server_builders.py
@@ -7,6 +7,9 @@
 from endive_node.sockets import listen_tcp
 from gevent.server import StreamServer
 
+EVENTS = 6
+"""Events of a whole stream of `stream_from`."""
+
 
 class ReceivedRequest:
     """One request as a server received it."""
@@ -185,3 +188,23 @@
 def unresponsive(_sock, _received):
     """Send no response within 30 s."""
     gevent.sleep(30)
+
+
+def stream_from(version, *, breaks_after=None):
+    """Return a script entry that goes on where the caller says.
+
+    A stream that starts at its first event breaks after `breaks_after` events.
+    """
+
+    def send(sock, received):
+        first = int(received.headers.get("after", 0)) + 1
+        is_cut = breaks_after is not None and first == 1
+        last = breaks_after if is_cut else EVENTS
+        return events(first, last, end=not is_cut, data=version)(sock, received)
+
+    return send
+
+
+def versions_in(body):
+    """Return the versions that made the events of a response."""
+    return {line for line in body.decode().split("\n") if line.startswith("data")}
--- a/packages/endive_gateway/tests/test_stream_affinity.py
+++ b/packages/endive_gateway/tests/test_stream_affinity.py
@@ -22,28 +22,12 @@
     make_route,
     make_table,
 )
-from server_builders import ScriptedServer, events
+from server_builders import EVENTS, ScriptedServer, events, stream_from, versions_in
 from store_builders import MemoryStore, store_down
 
-EVENTS = 6
 RESUMABLE = {"kind": RouteKind.STREAM, "max_attempts": 4, "resumable": True}
 
 
-def stream_from(version, *, breaks_after=None):
-    """Return a script entry that goes on where the caller says.
-
-    A stream that starts at its first event breaks after `breaks_after` events.
-    """
-
-    def send(sock, received):
-        first = int(received.headers.get("after", 0)) + 1
-        is_cut = breaks_after is not None and first == 1
-        last = breaks_after if is_cut else EVENTS
-        return events(first, last, end=not is_cut, data=version)(sock, received)
-
-    return send
-
-
 def stream_that_breaks_twice(version):
     """Return a script entry that breaks a stream again after its fourth event."""
 
@@ -109,11 +93,6 @@
     return scheduler
 
 
-def versions_in(body):
-    """Return the versions that made the events of a response."""
-    return {line for line in body.decode().split("\n") if line.startswith("data")}
-
-
 @pytest.mark.parametrize("versions", ["aabbbb", "abcabc", "ab"])
 def test_an_answer_does_not_hold_events_of_two_software_versions(versions):
     """A stream breaks inside its answer, and servers of other versions have room."""
