Go on past a record of origins that can't be read

What callers would see: no stream is taken up after a loss of nodes, since the loop that reads where streams began ends at one record, and begins again there.

Cause: a document that nests deeply in what an array has beyond its fields raised RecursionError, and an offset of 64 bits was taken for one to read from.

Change: both documents are decoded through decoding.py, and the offset is in range. The reader already left out what can't be read, with its log line, and doubts for 60 s.

--- a/packages/endive_gateway/src/endive_gateway/origin_documents.py
+++ b/packages/endive_gateway/src/endive_gateway/origin_documents.py
@@ -7,7 +7,9 @@
 from endive_core.possible_origins import OriginList, PossibleOrigin
 from endive_core.stream_origins import StreamOrigin
 
+from endive_gateway.decoding import decode_msgpack
 from endive_gateway.exceptions import UndecodableError
+from endive_gateway.quantities import Offset
 
 FORMAT = 1
 """Number of the encoding. Documents of another one are neither used nor replaced."""
@@ -37,7 +39,7 @@
     format: int
     entries: list[tuple[str, str, str, str]]
     is_complete: bool
-    streams_from: int
+    streams_from: Offset
 
 
 class StreamsDocument(msgspec.Struct, array_like=True):
@@ -112,8 +114,8 @@
         If it can't be decoded.
     """
     document = _decode(value, LIST_DECODER)
-    if len(document.entries) > MAX_ENTRIES or document.streams_from < 0:
-        raise UndecodableError("too many possible origins, or an offset below 0")
+    if len(document.entries) > MAX_ENTRIES:
+        raise UndecodableError("too many possible origins")
     if any(len(text) > MAX_TEXT for entry in document.entries for text in entry):
         raise UndecodableError("a possible origin is too long")
     entries = frozenset(
@@ -147,10 +149,7 @@
 
 
 def _decode(value: bytes, decoder: msgspec.msgpack.Decoder):
-    try:
-        found = FORMAT_DECODER.decode(value).format
-        if found != FORMAT:
-            raise OtherFormatError(f"the format is {found}, not {FORMAT}")
-        return decoder.decode(value)
-    except msgspec.MsgspecError as error:
-        raise UndecodableError(str(error)) from None
+    found = decode_msgpack(value, FORMAT_DECODER).format
+    if found != FORMAT:
+        raise OtherFormatError(f"the format is {found}, not {FORMAT}")
+    return decode_msgpack(value, decoder)
