Bound the numbers in queries for a placement

What callers could see: a node that stands still while it answers an operator's query with a part of 999,999,999,999 tokens, which it divides into blocks.

Cause: the numbers of a query had no range, unlike those of callers' headers.

Change: they have the range of the headers; a time has to be a number of at least 0.

Of the 5 new cases of test_a_bad_query_names_the_field all failed before; all pass now. That a node stands still for so long was not measured.

--- a/packages/endive_gateway/src/endive_gateway/placement_queries.py
+++ b/packages/endive_gateway/src/endive_gateway/placement_queries.py
@@ -2,7 +2,7 @@
 
 import time
 from dataclasses import asdict
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
 from endive_core.calls import Call
@@ -13,11 +13,15 @@
 
 from endive_gateway.context import Context
 from endive_gateway.exceptions import QueryError
+from endive_gateway.header_values import MAX_TOKENS, parse_count
 from endive_gateway.placing import service_of_key
+from endive_gateway.quantities import Age
 
 MAX_PARTS = 64
 """Parts of a prompt that a query may name; callers send a few."""
 
+Tokens = Annotated[int, msgspec.Meta(ge=0, le=MAX_TOKENS)]
+
 
 class PlacementQuery(msgspec.Struct, forbid_unknown_fields=True):
     """A request as an operator describes it.
@@ -42,11 +46,11 @@
 
     route: str
     organisation: str = ""
-    prompt_tokens: int = 0
-    max_tokens: int = 1
+    prompt_tokens: Tokens = 0
+    max_tokens: Tokens = 1
     model: str = ""
     parts: str = ""
-    deadline_s: float | None = None
+    deadline_s: Age | None = None
     software_version: str = ""
 
     @classmethod
@@ -62,12 +66,14 @@
         found = []
         for entry in filter(None, self.parts.split(",")):
             name, _, tokens = entry.strip().partition(":")
+            count = parse_count(tokens.encode(errors="replace"), MAX_TOKENS)
             try:
-                found.append((int(name, 16), int(tokens)))
+                part = int(name, 16)
             except ValueError:
-                raise QueryError(
-                    f"parts: found {entry!r}, allowed: ID:TOKENS"
-                ) from None
+                part = None
+            if part is None or count is None:
+                raise QueryError(f"parts: found {entry!r}, allowed: ID:TOKENS")
+            found.append((part, count))
         if len(found) > MAX_PARTS:
             raise QueryError(f"parts: found {len(found)}, allowed: {MAX_PARTS}")
         return found
--- a/packages/endive_gateway/tests/test_placement_queries.py
+++ b/packages/endive_gateway/tests/test_placement_queries.py
@@ -97,6 +97,11 @@
         ({"route": "r", "parts": "zz:1"}, "parts"),
         ({"route": "r", "parts": ",".join(["a:1"] * 65)}, "parts"),
         ({"route": "r", "colour": "red"}, "colour"),
+        ({"route": "r", "prompt_tokens": "9" * 15}, "prompt_tokens"),
+        ({"route": "r", "max_tokens": "-1"}, "max_tokens"),
+        ({"route": "r", "deadline_s": "nan"}, "deadline_s"),
+        ({"route": "r", "parts": "a:-1"}, "parts"),
+        ({"route": "r", "parts": "a:" + "9" * 12}, "parts"),
     ],
 )
 def test_a_bad_query_names_the_field(context, query, message):
