Record the origin of a stream at once, and a doubt if it proves wrong

The form of kept streams out of the log of origins until it was known which process began them. After a loss of all nodes 6 of 16 streams of a version went on, and nine of the first 15 cases of test_streams_after_loss and test_streams_after_partial_loss failed.

The log now gets the entry's version at once, since it has to outlive all nodes, and a doubt if that proves wrong. Six cases of test_streams_after_loss ran within 100 s and passed.

--- a/packages/endive_gateway/src/endive_gateway/forwarding.py
+++ b/packages/endive_gateway/src/endive_gateway/forwarding.py
@@ -368,7 +368,6 @@
                 PossibleOrigin.of(self.route, origin),
                 self.organisation,
                 is_resumed=self.ticket.version is not None,
-                is_proven=self.writer.is_proven,
             )
 
     def check_writer(self) -> None:
@@ -415,18 +414,12 @@
             is_known=is_known,
             ms=round((self.now - writer.link.opened_at) * 1000),
         )
-        if not is_known:
+        if is_known:
+            self._tell_origin(StreamOrigin(self.service, version))
+        else:
             self._tell_origin(AMBIGUOUS)
-            return
-        origin = StreamOrigin(self.service, version)
-        self._tell_origin(origin)
-        self.affinity.record(
-            self.context.origin_records,
-            PossibleOrigin.of(self.route, origin),
-            self.organisation,
-            is_resumed=True,
-            is_proven=True,
-        )
+            keys = self.affinity.keys(self.organisation)
+            self.context.origin_records.doubt(keys)
 
     def _version_of(self, entry: ServerEntry) -> str:
         """Return the software version of the server that answers, if it is known.
--- a/packages/endive_gateway/src/endive_gateway/stream_affinity.py
+++ b/packages/endive_gateway/src/endive_gateway/stream_affinity.py
@@ -195,20 +195,19 @@
         organisation: str,
         *,
         is_resumed: bool,
-        is_proven: bool,
     ) -> None:
         """Have recorded that the stream is about to begin, or go on, at an origin.
 
-        Where it goes on, nothing waits for that: it began there before. Until it is
-        known which process of the server answers, only the origin itself is listed.
+        Where it goes on, nothing waits for that: it began there before.
         """
         has_failed = self.recording is not None and self.recording.has_failed
         if self.recorded == entry.origin and not has_failed:
             return
         self.records += 1
-        self.recorded = entry.origin if is_proven else None
-        keys = self.keys(organisation) if is_proven else []
-        self.recording = records.begin(entry, keys, self.number, self.records)
+        self.recorded = entry.origin
+        self.recording = records.begin(
+            entry, self.keys(organisation), self.number, self.records
+        )
         self.waits = not is_resumed
 
     def is_recorded(self) -> bool:
