Wait for the process that was stopped, not for its successor, in the soak

The process that got the signal had ended in its first moments, and a kill of all nodes that overlapped had started the next one, for whose end the restart then waited.

The wait keeps the process that it began with; the new test failed before.

--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -239,10 +239,11 @@
             )
 
     def _wait(self, seconds):
-        end = time.monotonic() + seconds
-        while self.process.poll() is None and time.monotonic() < end:
+        """Wait for the end of the process, whatever is started meanwhile."""
+        process, end = self.process, time.monotonic() + seconds
+        while process.poll() is None and time.monotonic() < end:
             gevent.sleep(0.02)
-        return self.process.poll() is not None
+        return process.poll() is not None
 
     @contextmanager
     def under_fault(self):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -11,7 +11,7 @@
 from gevent.server import StreamServer
 from soak.callers import is_stale
 from soak.faults import set_temporarily
-from soak.fleet import PORT, Backend
+from soak.fleet import PORT, Backend, NodeProcess
 from soak.mixes import (
     BRITTLE,
     CRASHES,
@@ -185,6 +185,15 @@
     server.stop()
 
 
+def test_a_stop_is_judged_by_the_process_that_was_stopped():
+    """A kill of all nodes had started its successor, whose life counted as its own."""
+    node = object.__new__(NodeProcess)
+    polls = iter([None, 0])
+    node.process = SimpleNamespace(poll=lambda: next(polls, 0))
+    gevent.spawn(setattr, node, "process", SimpleNamespace(poll=lambda: None))
+    assert node._wait(0.2)
+
+
 def test_a_backend_starts_servers_of_its_version():
     """The version was overwritten with the first one, so that no run with an ordered
     rollout had any server of the ordered version."""
