--- a/tests/test_platform_start.py
+++ b/tests/test_platform_start.py
@@ -149,7 +149,7 @@
     )
     try:
         is_open = False
-        while process.poll() is None and not (is_open and accepts(ready)):
+        while process.poll() is None and not (is_open and answers(ready)):
             is_open = is_open or accepts(port)
             if is_open:
                 process.send_signal(signal.SIGHUP)
@@ -162,6 +162,18 @@
         process.wait()
 
 
+def answers(port):
+    """Return whether a probe of a local port is answered."""
+    with socket.socket() as sock:
+        sock.settimeout(0.1)
+        try:
+            sock.connect(("127.0.0.1", port))
+            sock.sendall(b"GET /ready HTTP/1.1\r\n\r\n")
+            return sock.recv(12) == b"HTTP/1.1 503"
+        except OSError:
+            return False
+
+
 def accepts(port):
     """Return whether a connection to a local port opens."""
     with socket.socket() as sock:
