Tell all listeners of a change of the servers, also if one fails

One listener that failed kept all later ones from learning of a change, for good: the change was marked as told before. The new test failed before.

--- a/packages/endive_gateway/src/endive_gateway/servers.py
+++ b/packages/endive_gateway/src/endive_gateway/servers.py
@@ -1,11 +1,11 @@
 """Registry of backend servers: the store's entries, corrected by observed responses."""
 
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 import gevent
-from endive_node.logs import log_event
+from endive_node.logs import log_event, log_failure
 
 from endive_gateway.interfaces import ServerEntry, ServerState
 
@@ -198,11 +198,9 @@
             incarnation=entry.incarnation,
             before=before.incarnation,
         )
-        for listener in self.restart_listeners:
-            listener(entry.id)
+        _call_each(self.restart_listeners, entry.id)
         if before.software_version_label != entry.software_version_label:
-            for listener in self.version_listeners:
-                listener(before)
+            _call_each(self.version_listeners, before)
 
     def drop(self, server_id: str, now: float, *, after_outage: bool) -> bool:
         """Drop a server whose entry was deleted; return whether anything changed.
@@ -342,8 +340,18 @@
 
     def notify_listeners(self) -> None:
         """Call the listeners."""
-        for listener in self.listeners:
-            listener()
+        _call_each(self.listeners)
+
+
+def _call_each(listeners: Iterable[Callable[..., None]], *args: object) -> None:
+    """Call listeners; one that fails keeps no other from learning of the change."""
+    for listener in listeners:
+        try:
+            listener(*args)
+        except Exception as error:
+            log_failure(
+                "listener_failed", listener=listener.__qualname__, error=repr(error)
+            )
 
 
 def _process_key(entry: ServerEntry) -> tuple:
--- a/tests/test_unreadable_entries.py
+++ b/tests/test_unreadable_entries.py
@@ -97,3 +97,19 @@
     nodes = NodeList(make_context(store=store), lambda _addresses: None)
     nodes.learn([*ODD_ADDRESSES, "127.0.0.2"])
     assert nodes.addresses == ["127.0.0.2"]
+
+
+def test_a_listener_that_fails_keeps_no_other_from_a_change(store, follower):
+    """A departure reached none of the parts that were to be told of it later."""
+    registry, seen = follower.context.registry, []
+
+    def fail():
+        raise RuntimeError("no")
+
+    registry.listeners.insert(0, fail)
+    registry.listeners.append(lambda: seen.append(registry.get("i-1").usable))
+    put(store, "i-1", entry())
+    read(follower)
+    put(store, "i-1", entry(state="draining", sequence=2))
+    read(follower)
+    assert seen == [True, False]
