See a departure in an entry that is otherwise unreadable

A server's own entry that said draining and had one odd field was skipped, so the ready one before it held, and the server got requests until it was gone (DRAIN). The state is now read apart from the rest: a known server whose newest entry says that it leaves, leaves, until it writes another one.

The six new cases failed before.

--- a/packages/endive_gateway/src/endive_gateway/decoding.py
+++ b/packages/endive_gateway/src/endive_gateway/decoding.py
@@ -84,6 +84,15 @@
     return False
 
 
+def decode_text_field(data: bytes, name: str) -> str:
+    """Return a text of a JSON object, whatever the rest of it is; empty without one."""
+    try:
+        fields = decode_json(data, dict[str, msgspec.Raw])
+        return decode_json(bytes(fields.get(name, b'""')), str)
+    except UndecodableError:
+        return ""
+
+
 def decode_seconds(milliseconds: Any) -> float:
     """Return a stated time in seconds; 0 if it is no number.
 
--- a/packages/endive_gateway/src/endive_gateway/exceptions.py
+++ b/packages/endive_gateway/src/endive_gateway/exceptions.py
@@ -52,7 +52,15 @@
 
 
 class UndecodableError(ValueError):
-    """Bytes that are no valid server entry or configuration."""
+    """Bytes that are no valid server entry or configuration.
+
+    Attributes
+    ----------
+    says_leaving : bool
+        Whether they say all the same that a server leaves.
+    """
+
+    says_leaving = False
 
 
 class BadHeaderError(ValueError):
--- a/packages/endive_gateway/src/endive_gateway/server_following.py
+++ b/packages/endive_gateway/src/endive_gateway/server_following.py
@@ -7,6 +7,7 @@
 import time
 from collections import deque
 from collections.abc import Iterable
+from dataclasses import replace
 
 import gevent
 from endive_core.sightings import EVENT_BITS, Sightings
@@ -179,13 +180,28 @@
             self.changes.append(record)
             self.dirty |= registry.drop(record.key, now, after_outage=self.after_outage)
             return
-        entry = self.context.wire.decode_server(record.key, record.value)
+        try:
+            entry = self.context.wire.decode_server(record.key, record.value)
+        except UndecodableError as error:
+            self.newest.pop(record.key, None)
+            if error.says_leaving:
+                self._note_leaving(record)
+            raise
         self.newest[record.key] = record
         if registry.put(entry):
             self.changes.append(record)
             self.dirty = True
             self.has_leaving_server |= entry.state == ServerState.LEAVING
 
+    def _note_leaving(self, record: Record) -> None:
+        """Let a server leave whose entry says so, and can't be read otherwise."""
+        known = self.context.registry.get(record.key)
+        if known is None or known.entry.state is ServerState.LEAVING:
+            return
+        self.context.registry.put(replace(known.entry, state=ServerState.LEAVING))
+        self.changes.append(record)
+        self.dirty = self.has_leaving_server = True
+
     def _read_on(self) -> None:
         super()._read_on()
         if self.has_leaving_server and self.readers is not None:
--- a/tests/test_unreadable_entries.py
+++ b/tests/test_unreadable_entries.py
@@ -99,6 +99,33 @@
     assert nodes.addresses == ["127.0.0.2"]
 
 
+@pytest.mark.parametrize(
+    "odd",
+    [
+        {"cold_left_ms": 2**60},
+        {"leaves_ms": "soon"},
+        {"slots": 0},
+        {"born": 1.5},
+        {"address": ""},
+        {"zone": None},
+    ],
+)
+def test_a_departure_is_seen_in_an_entry_that_is_otherwise_unreadable(
+    store, follower, odd
+):
+    """A server that leaves got requests for as long as its entry had one odd field."""
+    put(store, "i-1", entry())
+    put(store, "i-2", entry())
+    read(follower)
+    put(store, "i-1", entry(state="draining", sequence=2, **odd))
+    read(follower)
+    assert not follower.context.registry.get("i-1").usable
+    assert "i-1" not in follower.newest
+    put(store, "i-1", entry(sequence=3))
+    read(follower)
+    assert follower.context.registry.get("i-1").usable
+
+
 def test_a_listener_that_fails_keeps_no_other_from_a_change(store, follower):
     """A departure reached none of the parts that were to be told of it later."""
     registry, seen = follower.context.registry, []
