Bound the texts in what a node passes on

An order for a version of 16,000 characters went into each state message, which with five of them was larger than a datagram: the node sent none any more. Names in messages of other nodes, and the parts of a prompt in a report of a crash, had no bound either.

--- a/packages/endive_gateway/src/endive_gateway/part_exchange.py
+++ b/packages/endive_gateway/src/endive_gateway/part_exchange.py
@@ -8,13 +8,15 @@
 """
 
 from collections.abc import Callable, Iterable
+from typing import Annotated
 
+import msgspec
 from endive_core.crash_news import CrashNews
-from endive_core.part_crashes import PartTable
+from endive_core.part_crashes import MAX_REPORTED_PARTS, PartTable
 from endive_core.part_reports import PartAnswer, PartCrash
 from endive_node.logs import log_event
 
-from endive_gateway.quantities import Age
+from endive_gateway.quantities import Age, Name
 
 MAX_CRASHES = 3
 MAX_REPEATS = 1
@@ -31,7 +33,8 @@
 MAX_LOGGED_PARTS = 8
 """Parts of a prompt that a log line names, at most."""
 
-CrashReport = tuple[str, int, tuple[int, ...], Age, Age]
+Parts = Annotated[tuple[int, ...], msgspec.Meta(max_length=MAX_REPORTED_PARTS)]
+CrashReport = tuple[Name, int, Parts, Age, Age]
 """A server with its incarnation, the hash of a request that it had not begun to answer,
 the keys of the parts of its prompt, and the ages of request and crash in seconds."""
 
--- a/packages/endive_gateway/src/endive_gateway/quantities.py
+++ b/packages/endive_gateway/src/endive_gateway/quantities.py
@@ -30,3 +30,6 @@
 Offset = Annotated[int, msgspec.Meta(ge=0, le=MAX_OFFSET)]
 OptionalOffset = Annotated[int, msgspec.Meta(ge=-1, le=MAX_OFFSET)]
 """The offset of a record, or -1 if there is none."""
+
+Name = Annotated[str, msgspec.Meta(max_length=256)]
+"""The name or id of something, which a node may pass on."""
--- a/packages/endive_gateway/src/endive_gateway/state_messages.py
+++ b/packages/endive_gateway/src/endive_gateway/state_messages.py
@@ -11,10 +11,17 @@
 from endive_gateway.exceptions import UndecodableError
 from endive_gateway.interfaces import Record, ServerDelta
 from endive_gateway.part_exchange import AnswerReport, CrashReport
-from endive_gateway.quantities import Age, Count, Offset, OptionalCount, Quantity
+from endive_gateway.quantities import (
+    Age,
+    Count,
+    Name,
+    Offset,
+    OptionalCount,
+    Quantity,
+)
 from endive_gateway.rollout_messages import RolloutReport
 
-ValueReport = tuple[str, Age | None, Age, int]
+ValueReport = tuple[Name, Age | None, Age, int]
 """A server, what it states (``None`` if nothing any more), the age of that statement in
 seconds, and its id."""
 
@@ -123,7 +130,7 @@
     spent: dict[str, Quantity]
     work: dict[str, Quantity]
     windows: dict[Count, dict[str, Count]]
-    crashes: list[tuple[str, str, Age]]
+    crashes: list[tuple[Name, Name, Age]]
     fence: Count
     reported: OptionalCount
     server_delta: ServerDelta | None = None
@@ -134,19 +141,19 @@
     proof_age_s: Quantity = -1.0
     complete: bool = False
     proof: Count = 0
-    successes: list[tuple[str, Age]] = []
+    successes: list[tuple[Name, Age]] = []
     server_limits: list[ValueReport] = []
     carried: OptionalCount = -1
     brittle_servers: list[ValueReport] = []
-    rests: list[tuple[str, Age, str]] = []
-    shedding_servers: list[tuple[str, Age, int]] = []
-    leaving_servers: list[tuple[str, Count, Age]] = []
+    rests: list[tuple[Name, Age, Name]] = []
+    shedding_servers: list[tuple[Name, Age, int]] = []
+    leaving_servers: list[tuple[Name, Count, Age]] = []
     zone: str = ""
     part_crashes: list[CrashReport] = []
     part_answers: list[AnswerReport] = []
-    server_slowdowns: list[tuple[str, Age, Age]] = []
+    server_slowdowns: list[tuple[Name, Age, Age]] = []
     rollouts: RolloutReport | None = None
-    slow_sources: list[tuple[str, Count, Age]] = []
+    slow_sources: list[tuple[Name, Count, Age]] = []
     pools_slots: bool = False
     demand: dict[str, DemandReport] = {}
     prompt_work: dict[str, WorkReport] = {}
--- a/tests/test_platform_rollouts.py
+++ b/tests/test_platform_rollouts.py
@@ -34,6 +34,13 @@
     assert WIRE.decode_rollout(record(key)) is None
 
 
+@pytest.mark.parametrize("to", ["v" * 200, "v\n1", "\x00"])
+def test_an_order_for_what_can_not_be_a_version_is_none(to):
+    """Five orders of 16,000 characters kept a node from sending any state message."""
+    with pytest.raises(UndecodableError):
+        WIRE.decode_rollout(record(to=to))
+
+
 def test_a_deleted_order_is_a_withdrawal():
     """A rollout goes on after its order was deleted."""
     assert WIRE.decode_rollout(record(value=b"")).to == ""
