Follow a page of the store that ends with the empty key

The next page was asked for without its place, so the first one came again, without end. The new test failed before.

--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -234,3 +234,12 @@
     with pytest.raises(CallFailedError) as caught:
         PlatformCalls("127.0.0.1:1").call("GET", "/x")
     assert not caught.value.sent
+
+
+def test_a_page_that_ends_with_the_empty_key_is_followed_by_the_next_one():
+    """The first page was asked for again without end."""
+    first = {"items": [{"key": "", "value": "", "offset": 0}], "truncated": True}
+    second = {"items": [], "truncated": False}
+    read = store(Response(200, first | {"end": 1}), Response(200, second | {"end": 1}))
+    read.newest(Topic.SERVERS)
+    assert read.calls.recorded[1][2]["after"] == ""
