Give back the memory of a large response's beginning once it is sent

The beginning is released with its first piece sent, and a want of memory here counts against no server.

The new test failed before: 1.8 MB counted as held while none was.

--- a/packages/endive_gateway/src/endive_gateway/attempts.py
+++ b/packages/endive_gateway/src/endive_gateway/attempts.py
@@ -488,7 +488,8 @@
         if self._has_body:
             body = self._read_held(message)
         if self._has_body and not self._is_whole(message, body):
-            self._forward_large(message, body)
+            beginning, body = [body], b""
+            self._forward_large(message, beginning)
             return
         if message.ends_with_connection and message.complete and not body:
             raise ConnectionBrokenError(
@@ -504,15 +505,24 @@
             message.status, message.reason, end_to_end(message.headers), body
         )
 
-    def _forward_large(self, message: ResponseMessage, body: bytes) -> None:
-        """Forward a response as it comes whose first bytes are `body`."""
+    def _forward_large(self, message: ResponseMessage, beginning: list[bytes]) -> None:
+        """Forward a response as it comes.
+
+        Parameters
+        ----------
+        beginning : list of bytes
+            Its first bytes, which are not kept once they are sent.
+        """
         self.context.placer.started(self.request.ticket)
         self.request.count_start()
         exchange = self.request.exchange
         exchange.send_head(message.status, message.reason, end_to_end(message.headers))
+        body = beginning.pop()
         while body:
             self.request.progress.chunk_forwarded(self.request.now)
             exchange.send_chunk(body)
+            body = b""
+            self.held.resize(0)
             body = self.connection.read_body(message)
         self._keep_connection(message)
         self.context.placer.finished(self.request.ticket, 1)
@@ -539,10 +549,9 @@
                 self._start_response(message)
                 self.request.progress.chunk_forwarded(self.request.now)
                 exchange.send_chunk(events)
-            if not splitter.violation and not self.held.resize(len(splitter.pending)):
-                splitter.violation = "there is no memory for an event of this size"
             if splitter.violation:
                 self._reject_events(message)
+            self._hold_partial_event(message)
         self._record_end(message)
         self._check_stream_complete(message, splitter.count - events_before)
         self._keep_connection(message)
@@ -584,6 +593,22 @@
                 "the response ended before the first event", sent=True
             )
 
+    def _hold_partial_event(self, message: ResponseMessage) -> None:
+        """Count the memory of an incomplete event.
+
+        Raises
+        ------
+        ConnectionBrokenError
+            If this node has none left, which says nothing against the server.
+        """
+        if not self.held.resize(len(self.request.splitter.pending)):
+            self._record_end(message)
+            raise ConnectionBrokenError(
+                "there is no memory for an event of this size",
+                sent=True,
+                on_the_way=True,
+            )
+
     def _reject_events(self, message: ResponseMessage) -> None:
         """Leave a server that sent what is no event, as if it had broken off.
 
--- a/packages/endive_gateway/tests/test_held_responses.py
+++ b/packages/endive_gateway/tests/test_held_responses.py
@@ -83,3 +83,33 @@
     """A server in trouble takes the memory of the process, and all its streams."""
     assert memory_of(kind, 1) < MOST_OF_ONE
     assert memory_of(kind, 100) < MOST_OF_A_HUNDRED
+
+
+def test_large_responses_that_are_forwarded_leave_room_for_an_event():
+    """Streams broke off for want of memory that downloads had long given back."""
+    route = make_route(timeout_s=TIMEOUT_S, target_s=1.0, max_attempts=1)
+    server = ScriptedServer()
+    with RunningGateway(server, table=make_table(route)) as running:
+        server.answer_rest = endless_body
+        callers = [running.caller() for _ in range(6)]
+        for caller in callers:
+            caller.send()
+        for caller in callers:
+            read_bytes(caller, 300_000)
+        assert running.context.pool.response_memory.used == 0
+        for caller in callers:
+            caller.close()
+
+
+def endless_body(sock, received):
+    """Send a body of 9 MB as slowly as it is read, and stop after 400 KB."""
+    head = OK_HEAD.replace(b"%ID", received.headers["id"].encode())
+    sock.sendall(head + b"Content-Length: 9000000\r\n\r\n" + b"x" * 400_000)
+    gevent.sleep(TIMEOUT_S)
+    return False
+
+
+def read_bytes(caller, size):
+    """Read as many bytes of a response."""
+    while len(caller.buffer) < size:
+        assert caller._more()
