--- a/packages/endive_gateway/src/endive_gateway/events.py
+++ b/packages/endive_gateway/src/endive_gateway/events.py
@@ -19,7 +19,8 @@
 MAX_ID_DIGITS = 18
 MAX_BLANK_LINE_BYTES = 4
 
-USUAL_EVENT = re.compile(rb"id: ?([0-9]{1,18})\ndata:[^\r\n\0]*")
+EVENT_ID = re.compile(rb"0|[1-9][0-9]{0,17}")
+USUAL_EVENT = re.compile(rb"id: ?(0|[1-9][0-9]{0,17})\ndata:[^\r\n\0]*")
 """An event with an id and one line of data, which needs no closer look."""
 
 
@@ -124,7 +125,7 @@
 
     def _accept(self, event_id: bytes) -> str:
         """Count an event unless its id is wrong; return why it is."""
-        if not event_id.isdigit() or len(event_id) > MAX_ID_DIGITS:
+        if not EVENT_ID.fullmatch(event_id):
             return "the id of an event is not a number"
         number = int(event_id)
         if self.next_number not in (None, number):
--- a/packages/endive_gateway/tests/test_foreign_events.py
+++ b/packages/endive_gateway/tests/test_foreign_events.py
@@ -23,6 +23,7 @@
     "an id in digits of another script": "id: ٤\ndata: x\n\n".encode(),
     "an endless id": b"id: " + b"4" * 400 + b"\ndata: x\n\n",
     "a NUL in the id": b"id: 4\x00\ndata: x\n\n",
+    "an id with a leading zero": b"id: 04\ndata: x\n\n",
     "two ids": b"id: 4\nid: 5\ndata: x\n\n",
     "a repeated id": event(3),
     "a lower id": event(1),
