Keep an entry with a number ahead from hiding the server's own

An entry that another writer leaves under the id of a server, with a sequence or a start time in range but ahead of the server's, counted as newer than all that the server wrote later: requests went on to a server that had said it was leaving, or went to the other writer's address until the server ended.

An entry that counts as older but was written after the known one now lets the server leave if its process says so. Three of them in a row, with rising sequences, replace the known one: a write that the store carried out late comes alone. They are relayed, so that nodes that do not read the store count them too.

Entries that come late one at a time refute nothing, and a late one of an earlier start changes nothing, as before.

--- a/packages/endive_gateway/src/endive_gateway/interfaces.py
+++ b/packages/endive_gateway/src/endive_gateway/interfaces.py
@@ -198,6 +198,11 @@
     software_version: str | None = ""
     cold_left_s: float = 0.0
 
+    @property
+    def order(self) -> tuple[int, int]:
+        """Where the entry stands among those that its server wrote."""
+        return (self.incarnation, self.sequence)
+
     @property
     def software_version_label(self) -> str:
         """The software version; unlike that of any other server if it is unreadable."""
--- a/packages/endive_gateway/src/endive_gateway/servers.py
+++ b/packages/endive_gateway/src/endive_gateway/servers.py
@@ -2,7 +2,7 @@
 
 import time
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import gevent
 from endive_node.logs import log_event, log_failure
@@ -27,6 +27,11 @@
 address, the first and the longest, seconds. The entry of a server that has ended lapses
 within a few seconds."""
 
+LATE_ENTRIES = 3
+"""Entries in a row that count as older than the known one, and were written after it,
+from which on they are the server's and the known one is not. An entry that the store
+wrote late comes alone, between newer ones."""
+
 TIMER_SLACK_S = 0.02
 """Margin for timers that fire early, seconds."""
 
@@ -68,6 +73,10 @@
     ended_at : float or None
         When its process was found to have ended, seconds on the monotonic clock.
         Another one may have started since whose entry is not known yet.
+    late : ServerEntry or None
+        The last entry that was written after `entry` and counts as older.
+    late_count : int
+        How many such entries came one after the other.
     """
 
     entry: ServerEntry
@@ -78,6 +87,8 @@
     departure: Departure | None = None
     is_last: bool = False
     ended_at: float | None = None
+    late: ServerEntry | None = None
+    late_count: int = 0
 
     def renew(self, entry: ServerEntry, now: float) -> None:
         """Take a newer entry."""
@@ -87,6 +98,24 @@
         ):
             self.ended_at = None
         self.entry = entry
+        self.late, self.late_count = None, 0
+
+    def is_refuted_by(self, entry: ServerEntry) -> bool:
+        """Count an entry that was written later and counts as older.
+
+        Returns
+        -------
+        bool
+            Whether there are so many of them that the known one is not the server's.
+        """
+        before, self.late = self.late, entry
+        if before is not None and before.order == entry.order:
+            return False
+        is_next = before is not None and (
+            before.incarnation == entry.incarnation and before.sequence < entry.sequence
+        )
+        self.late_count = self.late_count + 1 if is_next else 1
+        return self.late_count >= LATE_ENTRIES
 
     def runs(self, entry: ServerEntry) -> bool:
         """Return whether what answers is the process that wrote an entry."""
@@ -155,17 +184,20 @@
 
         A new sequence number alone does not.
 
-        An entry that is older than the known one arrived late. It ends a grace period
-        and is ignored apart from that.
+        An entry that is older than the known one arrived late. It ends a grace period,
+        and tells that the server leaves if the same process says so. It is ignored
+        apart from that, unless several of them in a row show that another writer left
+        the known one.
         """
         known = self.servers.get(entry.id)
         if known is not None:
             known.drop_at = None
-            order = (entry.incarnation, entry.sequence)
-            if order < (known.entry.incarnation, known.entry.sequence):
-                return False
+            if entry.order < known.entry.order:
+                if not known.is_refuted_by(entry):
+                    return self._leave_late(known, entry)
+                self._note_refuted(known, entry)
         before = known.entry if known else None
-        if before is not None and before.incarnation < entry.incarnation:
+        if before is not None and before.incarnation != entry.incarnation:
             self._note_restart(before, entry)
         if known is None:
             known = self.servers[entry.id] = KnownServer(entry)
@@ -191,6 +223,47 @@
             )
         return content_changed or last_changed
 
+    def is_late(self, entry: ServerEntry) -> bool:
+        """Return whether an entry is the last one of its server that came late."""
+        known = self.servers.get(entry.id)
+        return known is not None and known.late == entry
+
+    def _leave_late(self, known: KnownServer, entry: ServerEntry) -> bool:
+        """Let a server leave if its process says so in an entry that came late.
+
+        Returns
+        -------
+        bool
+            Whether this changes what is known of the server.
+        """
+        is_same = known.entry.incarnation == entry.incarnation
+        states = (known.entry.state, entry.state)
+        if not is_same or states != (ServerState.READY, ServerState.LEAVING):
+            return False
+        known.entry = replace(known.entry, state=ServerState.LEAVING)
+        self._choose_last(known.entry.service)
+        log_event(
+            "server_leaves_by_late_entry",
+            server=entry.id,
+            sequence=entry.sequence,
+            known=known.entry.sequence,
+        )
+        return True
+
+    def _note_refuted(self, known: KnownServer, entry: ServerEntry) -> None:
+        log_event(
+            "server_entry_refuted",
+            server=entry.id,
+            incarnation=entry.incarnation,
+            sequence=entry.sequence,
+            known=known.entry.order,
+        )
+        departure = self.departures.get(entry.id)
+        if departure is not None and departure is known.departure:
+            # The server said so itself, whatever its entry was at that time.
+            kept = replace(departure, incarnation=entry.incarnation)
+            self.departures[entry.id] = kept
+
     def _note_restart(self, before: ServerEntry, entry: ServerEntry) -> None:
         log_event(
             "server_restarted",
--- a/packages/endive_gateway/tests/test_server_relay.py
+++ b/packages/endive_gateway/tests/test_server_relay.py
@@ -20,6 +20,7 @@
     SERVER_READ_INTERVAL_S,
     ServerFollower,
 )
+from endive_gateway.servers import LATE_ENTRIES
 from gateway_builders import make_context
 from store_builders import MemoryStore, NonReader, store_down, write
 
@@ -32,6 +33,9 @@
 
 LOST_DATAGRAMS = 0.01
 
+HEARTBEAT_S = 1.2
+"""Time between two entries of a server, seconds."""
+
 
 OUTAGE_S = 6.0
 MAX_READS_PER_S = 60.0
@@ -208,6 +212,20 @@
     assert fleet.now - WARM_UP_S < MAX_LEAVING_REQUESTS_S
 
 
+@SIZES_OF_ALL
+def test_all_nodes_return_from_an_entry_with_a_number_ahead(nodes, monkeypatch):
+    """They went on using another writer's entry under a server's id."""
+    fleet = SimulatedFleet(nodes, monkeypatch)
+    fleet.run_until(WARM_UP_S)
+    fleet.write_server("i-7", sequence=2**50, address="127.0.0.1:9")
+    for sequence in range(2, 2 + LATE_ENTRIES):
+        fleet.run_until(fleet.now + HEARTBEAT_S)
+        fleet.write_server("i-7", sequence=sequence)
+    fleet.run_until(fleet.now + SERVER_READ_INTERVAL_S + MAX_STALENESS_S)
+    registries = [follower.context.registry for follower in fleet.followers]
+    assert {r.get("i-7").entry.address for r in registries} == {"127.0.0.1:1"}
+
+
 @SIZES
 def test_an_offset_that_the_topic_does_not_reach_is_given_up(nodes, monkeypatch):
     """A node that took it from another one's snapshot followed no change any more."""
--- a/packages/endive_gateway/tests/test_servers.py
+++ b/packages/endive_gateway/tests/test_servers.py
@@ -28,6 +28,41 @@
     assert not registry.get("i-1").usable
 
 
+@pytest.mark.parametrize("ahead", [4, 2**50])
+def test_a_departure_is_seen_after_an_entry_with_a_number_ahead(ahead):
+    """Requests reached a server that had left, since another writer's entry under its
+    id counted as newer than its own."""
+    registry = ServerRegistry()
+    registry.put(make_entry(sequence=1))
+    registry.put(make_entry(sequence=ahead))
+    assert registry.put(make_entry(sequence=3, state=ServerState.LEAVING))
+    assert not registry.get("i-1").usable
+
+
+@pytest.mark.parametrize("state", ServerState)
+@pytest.mark.parametrize("ahead", [{"sequence": 2**50}, {"incarnation": 2}])
+def test_an_entry_with_a_number_ahead_gives_way_to_the_servers_own(ahead, state):
+    """A server was used at another writer's address, or not at all, until it ended."""
+    registry = ServerRegistry()
+    own = {"incarnation": 1, "address": "127.0.0.1:1"}
+    registry.put(make_entry(**own, sequence=1))
+    foreign = own | {"sequence": 2, "address": "127.0.0.1:9", "state": state} | ahead
+    registry.put(make_entry(**foreign))
+    changed = [registry.put(make_entry(**own, sequence=n)) for n in (3, 4, 4, 5, 6)]
+    assert changed == [False, False, False, True, False]
+    assert registry.get("i-1").entry == make_entry(**own, sequence=6)
+    assert registry.get("i-1").usable
+
+
+def test_entries_that_come_late_one_at_a_time_refute_nothing():
+    """A write without an answer may be carried out seconds later, after newer ones."""
+    registry = ServerRegistry()
+    for sequence in (3, 1, 6, 2, 9, 4, 12, 5):
+        state = ServerState.LEAVING if sequence % 3 == 0 else ServerState.READY
+        registry.put(make_entry(sequence=sequence, state=state))
+        assert not registry.get("i-1").usable
+
+
 def test_a_restarted_server_begins_a_new_sequence():
     """A server crashes and restarts under its id, with sequence numbers from one. If
     its entries were ignored as old ones, it would stay unused for as long as it had run
