Start the gateway of a test at an address that no other test uses

The test took free ports of 127.0.0.1 from the range from which the system chooses those of connections, and the gateway listens at the port after the first of its range as well, which nobody had looked at. With that port held by another socket the test fails each time, in the same way.

It now has a loopback address of its own for each test worker, and ports outside that range. What it checks is unchanged: with SIGHUP's default action it still fails.

--- a/tests/test_platform_start.py
+++ b/tests/test_platform_start.py
@@ -16,6 +16,13 @@
 from gateway_builders import Caller, make_context, make_entry, make_table
 from server_builders import ScriptedServer
 
+WORKER = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw"))
+ADDRESS = f"127.{120 + WORKER}.0.1"
+"""Loopback address that only this test worker uses."""
+
+CALLER_PORT, READY_PORT, FIRST_PORT, UNUSED_PORT = 8221, 8224, 7600, 8229
+"""Ports outside the range from which the system chooses those of connections."""
+
 
 def free_port():
     with socket.socket() as sock:
@@ -129,15 +136,17 @@
 
 def test_a_change_of_settings_during_the_start_does_not_end_the_process(tmp_path):
     """A process that got SIGHUP before it had a handler ended, with its callers."""
-    port, ready = free_port(), free_port()
     path = tmp_path / "local.json"
-    nowhere = f"127.0.0.1:{free_port()}"
+    nowhere = f"{ADDRESS}:{UNUSED_PORT}"
     document = {
         "node_name": "n1",
-        "ip": "127.0.0.1",
+        "ip": ADDRESS,
         "zone": "z",
-        "listen": {"front": f"127.0.0.1:{port}", "ready_addr": f"127.0.0.1:{ready}"},
-        "port_range": [free_port(), free_port()],
+        "listen": {
+            "front": f"{ADDRESS}:{CALLER_PORT}",
+            "ready_addr": f"{ADDRESS}:{READY_PORT}",
+        },
+        "port_range": [FIRST_PORT, FIRST_PORT + 15],
         "platform": {"address": nowhere},
         "cloud": {"address": nowhere},
     }
@@ -149,8 +158,8 @@
     )
     try:
         is_open = False
-        while process.poll() is None and not (is_open and answers(ready)):
-            is_open = is_open or accepts(port)
+        while process.poll() is None and not (is_open and answers(READY_PORT)):
+            is_open = is_open or accepts(CALLER_PORT)
             if is_open:
                 process.send_signal(signal.SIGHUP)
             time.sleep(0.005)
@@ -163,11 +172,11 @@
 
 
 def answers(port):
-    """Return whether a probe of a local port is answered."""
+    """Return whether a probe of a port of this worker's address is answered."""
     with socket.socket() as sock:
         sock.settimeout(0.1)
         try:
-            sock.connect(("127.0.0.1", port))
+            sock.connect((ADDRESS, port))
             sock.sendall(b"GET /ready HTTP/1.1\r\n\r\n")
             return sock.recv(12) == b"HTTP/1.1 503"
         except OSError:
@@ -175,6 +184,6 @@
 
 
 def accepts(port):
-    """Return whether a connection to a local port opens."""
+    """Return whether a connection to a port of this worker's address opens."""
     with socket.socket() as sock:
-        return sock.connect_ex(("127.0.0.1", port)) == 0
+        return sock.connect_ex((ADDRESS, port)) == 0
