Let no number of late entries bring a leaving server back

The store may carry out several calls without an answer seconds later. Three ready entries behind the leaving one made the server usable again, and three of a process that had ended replaced its successor, so that streams were joined. Nodes that don't read the store were told of late entries and not of the newer ones between, and counted single ones as if in a row; a node that missed one never returned.

The rule now needs no count. An entry of the same process that is behind the known one by more than 1,000 can't be late, so the known one is another writer's and gives way; any other that counts as older is ignored, but for a departure of the same process at the same address. A start time is bounded by the year 2109 instead of this node's clock.

What is left: a foreign start time that is later than the server's but in range hides its entries, as before.

--- a/packages/endive_gateway/src/endive_gateway/decoding.py
+++ b/packages/endive_gateway/src/endive_gateway/decoding.py
@@ -7,7 +7,6 @@
 
 import re
 import socket
-import time
 from typing import Any, TypeVar
 
 import msgspec
@@ -28,9 +27,6 @@
 MAX_LABEL_LENGTH = 128
 """Longest label that is read, characters."""
 
-MAX_CLOCK_AHEAD_S = 86_400.0
-"""Time by which the clock of another process may be ahead of this one, seconds."""
-
 FIRST_MULTICAST_OCTET = 224
 """First octet from which on an IPv4 address is not that of a single host."""
 
@@ -112,19 +108,6 @@
     return max(0.0, milliseconds / 1000)
 
 
-def decode_start_time(milliseconds: int) -> int:
-    """Return the start time of a process, Unix milliseconds.
-
-    Raises
-    ------
-    UndecodableError
-        If it is to come. No later start of the process would count as newer.
-    """
-    if milliseconds / 1000 > time.time() + MAX_CLOCK_AHEAD_S:
-        raise UndecodableError("the start time is to come")
-    return milliseconds
-
-
 def decode_label(value: Any) -> str | None:
     """Return a short printable text, such as a version; ``None`` if it is none.
 
--- a/packages/endive_gateway/src/endive_gateway/quantities.py
+++ b/packages/endive_gateway/src/endive_gateway/quantities.py
@@ -15,6 +15,10 @@
 Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
 """A count, a number in a sequence, or a time in whole units."""
 
+StartTime = Annotated[int, msgspec.Meta(ge=0, le=2**42)]
+"""When a process started, Unix milliseconds until the year 2109. A number beyond that
+would hide all later starts. The range doesn't depend on a clock, which may be wrong."""
+
 Quantity = Annotated[float, msgspec.Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
 """A time that may be over, or a sum that is rounded."""
 
--- a/packages/endive_gateway/src/endive_gateway/server_following.py
+++ b/packages/endive_gateway/src/endive_gateway/server_following.py
@@ -188,10 +188,8 @@
                 self._note_leaving(record)
             raise
         self.newest[record.key] = record
-        is_changed = registry.put(entry)
-        if is_changed or registry.is_late(entry):
+        if registry.put(entry):
             self.changes.append(record)
-        if is_changed:
             self.dirty = True
             self.has_leaving_server |= entry.state == ServerState.LEAVING
 
--- a/packages/endive_gateway/src/endive_gateway/servers.py
+++ b/packages/endive_gateway/src/endive_gateway/servers.py
@@ -27,10 +27,9 @@
 address, the first and the longest, seconds. The entry of a server that has ended lapses
 within a few seconds."""
 
-LATE_ENTRIES = 3
-"""Entries in a row that count as older than the known one, and were written after it,
-from which on they are the server's and the known one is not. An entry that the store
-wrote late comes alone, between newer ones."""
+MAX_LATE_ENTRIES = 1_000
+"""Entries of a process that it may have written since one that the store carries out
+late. Calls without an answer are carried out seconds later at most."""
 
 TIMER_SLACK_S = 0.02
 """Margin for timers that fire early, seconds."""
@@ -73,10 +72,6 @@
     ended_at : float or None
         When its process was found to have ended, seconds on the monotonic clock.
         Another one may have started since whose entry is not known yet.
-    late : ServerEntry or None
-        The last entry that was written after `entry` and counts as older.
-    late_count : int
-        How many such entries came one after the other.
     """
 
     entry: ServerEntry
@@ -87,8 +82,6 @@
     departure: Departure | None = None
     is_last: bool = False
     ended_at: float | None = None
-    late: ServerEntry | None = None
-    late_count: int = 0
 
     def renew(self, entry: ServerEntry, now: float) -> None:
         """Take a newer entry."""
@@ -98,24 +91,18 @@
         ):
             self.ended_at = None
         self.entry = entry
-        self.late, self.late_count = None, 0
 
-    def is_refuted_by(self, entry: ServerEntry) -> bool:
-        """Count an entry that was written later and counts as older.
+    def is_newer_than(self, entry: ServerEntry) -> bool:
+        """Return whether an entry that was written later tells less of the server.
 
-        Returns
-        -------
-        bool
-            Whether there are so many of them that the known one is not the server's.
+        That is so for one that the store carried out late. If the same process has
+        written it long before, by its number, another writer has left the known one.
         """
-        before, self.late = self.late, entry
-        if before is not None and before.order == entry.order:
-            return False
-        is_next = before is not None and (
-            before.incarnation == entry.incarnation and before.sequence < entry.sequence
+        is_same = self.entry.incarnation == entry.incarnation
+        behind = self.entry.sequence - entry.sequence
+        return entry.order < self.entry.order and not (
+            is_same and behind > MAX_LATE_ENTRIES
         )
-        self.late_count = self.late_count + 1 if is_next else 1
-        return self.late_count >= LATE_ENTRIES
 
     def runs(self, entry: ServerEntry) -> bool:
         """Return whether what answers is the process that wrote an entry."""
@@ -186,18 +173,15 @@
 
         An entry that is older than the known one arrived late. It ends a grace period,
         and tells that the server leaves if the same process says so. It is ignored
-        apart from that, unless several of them in a row show that another writer left
-        the known one.
+        apart from that.
         """
         known = self.servers.get(entry.id)
         if known is not None:
             known.drop_at = None
-            if entry.order < known.entry.order:
-                if not known.is_refuted_by(entry):
-                    return self._leave_late(known, entry)
-                self._note_refuted(known, entry)
+            if known.is_newer_than(entry):
+                return self._leave_late(known, entry)
         before = known.entry if known else None
-        if before is not None and before.incarnation != entry.incarnation:
+        if before is not None and before.incarnation < entry.incarnation:
             self._note_restart(before, entry)
         if known is None:
             known = self.servers[entry.id] = KnownServer(entry)
@@ -223,11 +207,6 @@
             )
         return content_changed or last_changed
 
-    def is_late(self, entry: ServerEntry) -> bool:
-        """Return whether an entry is the last one of its server that came late."""
-        known = self.servers.get(entry.id)
-        return known is not None and known.late == entry
-
     def _leave_late(self, known: KnownServer, entry: ServerEntry) -> bool:
         """Let a server leave if its process says so in an entry that came late.
 
@@ -236,7 +215,7 @@
         bool
             Whether this changes what is known of the server.
         """
-        is_same = known.entry.incarnation == entry.incarnation
+        is_same = _process_key(known.entry) == _process_key(entry)
         states = (known.entry.state, entry.state)
         if not is_same or states != (ServerState.READY, ServerState.LEAVING):
             return False
@@ -250,20 +229,6 @@
         )
         return True
 
-    def _note_refuted(self, known: KnownServer, entry: ServerEntry) -> None:
-        log_event(
-            "server_entry_refuted",
-            server=entry.id,
-            incarnation=entry.incarnation,
-            sequence=entry.sequence,
-            known=known.entry.order,
-        )
-        departure = self.departures.get(entry.id)
-        if departure is not None and departure is known.departure:
-            # The server said so itself, whatever its entry was at that time.
-            kept = replace(departure, incarnation=entry.incarnation)
-            self.departures[entry.id] = kept
-
     def _note_restart(self, before: ServerEntry, entry: ServerEntry) -> None:
         log_event(
             "server_restarted",
--- a/packages/endive_gateway/tests/test_server_relay.py
+++ b/packages/endive_gateway/tests/test_server_relay.py
@@ -20,7 +20,6 @@
     SERVER_READ_INTERVAL_S,
     ServerFollower,
 )
-from endive_gateway.servers import LATE_ENTRIES
 from gateway_builders import make_context
 from store_builders import MemoryStore, NonReader, store_down, write
 
@@ -218,14 +217,30 @@
     fleet = SimulatedFleet(nodes, monkeypatch)
     fleet.run_until(WARM_UP_S)
     fleet.write_server("i-7", sequence=2**50, address="127.0.0.1:9")
-    for sequence in range(2, 2 + LATE_ENTRIES):
-        fleet.run_until(fleet.now + HEARTBEAT_S)
-        fleet.write_server("i-7", sequence=sequence)
+    fleet.run_until(fleet.now + HEARTBEAT_S)
+    fleet.write_server("i-7", sequence=2)
     fleet.run_until(fleet.now + SERVER_READ_INTERVAL_S + MAX_STALENESS_S)
     registries = [follower.context.registry for follower in fleet.followers]
     assert {r.get("i-7").entry.address for r in registries} == {"127.0.0.1:1"}
 
 
+@SIZES_OF_ALL
+def test_late_entries_between_newer_ones_bring_no_leaving_server_back(
+    nodes, monkeypatch
+):
+    """Nodes that don't read the store are told of changes only."""
+    fleet = SimulatedFleet(nodes, monkeypatch)
+    fleet.run_until(WARM_UP_S)
+    fleet.write_server("i-7", sequence=30, state="leaving")
+    fleet.run_until(fleet.now + MAX_LEAVING_REQUESTS_S)
+    for newer in range(31, 36):
+        fleet.write_server("i-7", sequence=newer - 5)
+        fleet.run_until(fleet.now + HEARTBEAT_S / 2)
+        fleet.write_server("i-7", sequence=newer, state="leaving")
+        fleet.run_until(fleet.now + HEARTBEAT_S / 2)
+        assert fleet.knowing("i-7") == nodes
+
+
 @SIZES
 def test_an_offset_that_the_topic_does_not_reach_is_given_up(nodes, monkeypatch):
     """A node that took it from another one's snapshot followed no change any more."""
--- a/packages/endive_gateway/tests/test_servers.py
+++ b/packages/endive_gateway/tests/test_servers.py
@@ -40,29 +40,46 @@
 
 
 @pytest.mark.parametrize("state", ServerState)
-@pytest.mark.parametrize("ahead", [{"sequence": 2**50}, {"incarnation": 2}])
-def test_an_entry_with_a_number_ahead_gives_way_to_the_servers_own(ahead, state):
+def test_an_entry_with_a_number_far_ahead_gives_way_to_the_servers_own(state):
     """A server was used at another writer's address, or not at all, until it ended."""
     registry = ServerRegistry()
-    own = {"incarnation": 1, "address": "127.0.0.1:1"}
-    registry.put(make_entry(**own, sequence=1))
-    foreign = own | {"sequence": 2, "address": "127.0.0.1:9", "state": state} | ahead
-    registry.put(make_entry(**foreign))
-    changed = [registry.put(make_entry(**own, sequence=n)) for n in (3, 4, 4, 5, 6)]
-    assert changed == [False, False, False, True, False]
-    assert registry.get("i-1").entry == make_entry(**own, sequence=6)
+    registry.put(make_entry(sequence=1))
+    foreign = {"address": "127.0.0.1:9", "state": state}
+    registry.put(make_entry(sequence=2**50, **foreign))
+    assert registry.put(make_entry(sequence=2))
+    assert registry.get("i-1").entry == make_entry(sequence=2)
     assert registry.get("i-1").usable
 
 
-def test_entries_that_come_late_one_at_a_time_refute_nothing():
-    """A write without an answer may be carried out seconds later, after newer ones."""
+def test_late_entries_bring_no_leaving_server_back():
+    """A slow store carries out the last ready entries behind the leaving one."""
     registry = ServerRegistry()
-    for sequence in (3, 1, 6, 2, 9, 4, 12, 5):
-        state = ServerState.LEAVING if sequence % 3 == 0 else ServerState.READY
-        registry.put(make_entry(sequence=sequence, state=state))
+    registry.put(make_entry(sequence=6, state=ServerState.LEAVING))
+    for sequence in (3, 4, 5):
+        registry.put(make_entry(sequence=sequence))
         assert not registry.get("i-1").usable
 
 
+def test_late_entries_of_a_process_that_ended_do_not_replace_its_successor():
+    """Streams would go on at the former software version."""
+    registry = ServerRegistry()
+    registry.put(make_entry(incarnation=1, sequence=6, software_version="v1"))
+    registry.put(make_entry(incarnation=2, sequence=1, software_version="v2"))
+    for sequence in (7, 8, 9):
+        late = make_entry(incarnation=1, sequence=sequence, software_version="v1")
+        registry.put(late)
+    assert registry.get("i-1").entry.software_version == "v2"
+
+
+def test_a_late_entry_of_another_address_does_not_make_a_server_leave():
+    """A sound server got no requests for an entry under its id that isn't its own."""
+    registry = ServerRegistry()
+    registry.put(make_entry(sequence=9))
+    other = {"address": "127.0.0.1:9", "state": ServerState.LEAVING}
+    registry.put(make_entry(sequence=1, **other))
+    assert registry.get("i-1").usable
+
+
 def test_a_restarted_server_begins_a_new_sequence():
     """A server crashes and restarts under its id, with sequence numbers from one. If
     its entries were ignored as old ones, it would stay unused for as long as it had run
--- a/tests/odd_documents.py
+++ b/tests/odd_documents.py
@@ -41,7 +41,7 @@
     "nested version": with_raw("version", nested()),
     "large slots": with_raw("slots", MANY_DIGITS.encode()),
     "large start time": with_raw("born", MANY_DIGITS.encode()),
-    "start time to come": entry(born=2**50),
+    "start time beyond any clock": entry(born=2**50),
     "large sequence": with_raw("sequence", MANY_DIGITS.encode()),
     "negative sequence": entry(sequence=-1),
     "large cold time": with_raw("cold_left_ms", MANY_DIGITS.encode()),
