--- a/packages/endive_gateway/src/endive_gateway/decoding.py
+++ b/packages/endive_gateway/src/endive_gateway/decoding.py
@@ -31,6 +31,7 @@
 """First octet from which on an IPv4 address is not that of a single host."""
 
 BRACKET_OR_STRING = re.compile(rb'"[^"\\]*+(?:\\.[^"\\]*+)*+"?|[\[{]|[\]}]', re.DOTALL)
+TEXT_VALUE = re.compile(rb'\s*:\s*"([^"\\]*)"')
 
 Document = TypeVar("Document")
 
@@ -86,11 +87,17 @@
 
 def decode_text_field(data: bytes, name: str) -> str:
     """Return a text of a JSON object, whatever the rest of it is; empty without one."""
-    try:
-        fields = decode_json(data, dict[str, msgspec.Raw])
-        return decode_json(bytes(fields.get(name, b'""')), str)
-    except UndecodableError:
-        return ""
+    key, text, depth = b'"%b"' % name.encode(), b"", 0
+    for match in BRACKET_OR_STRING.finditer(data):
+        first = match[0][:1]
+        if first in b"[{":
+            depth += 1
+        elif first in b"]}":
+            depth -= 1
+        elif depth == 1 and match[0] == key:
+            found = TEXT_VALUE.match(data, match.end())
+            text = found[1] if found else b""
+    return text.decode(errors="replace")
 
 
 def decode_seconds(milliseconds: Any) -> float:
--- a/tests/test_unreadable_entries.py
+++ b/tests/test_unreadable_entries.py
@@ -7,11 +7,13 @@
 from endive_platform.wire import PlatformWire
 from gateway_builders import make_context
 from odd_documents import (
+    DEEP,
     ODD_ADDRESSES,
     ODD_ENTRIES,
     ODD_NODE_ENTRIES,
     ODD_SERVER_IDS,
     entry,
+    nested,
     node_entry,
 )
 from store_builders import MemoryStore
@@ -126,6 +128,40 @@
     assert follower.context.registry.get("i-1").usable
 
 
+@pytest.mark.parametrize(
+    "odd",
+    [b"[" * DEEP, nested(), nested(33), b'{"state": "ready"', b"9" * 20_000],
+    ids=["breaks off", "deep", "one too deep", "an open object", "large"],
+)
+def test_a_departure_is_seen_beside_what_nests_deeply_or_is_large(store, follower, odd):
+    """A server that said in such an entry that it leaves went on getting requests."""
+    put(store, "i-1", entry())
+    read(follower)
+    leaving = entry(state="draining", hosts="%RAW", sequence=2)
+    put(store, "i-1", leaving.replace(b'"%RAW"', odd))
+    read(follower)
+    assert not follower.context.registry.get("i-1").usable
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        b'{"note": {"state": "draining"}, "state": "ready", "slots": 0}',
+        b'{"note": "\\"state\\": \\"draining\\"", "state": "ready", "slots": 0}',
+        b'["state", "draining"]',
+        b'{"state": ["draining"]}',
+    ],
+)
+def test_no_departure_is_read_from_another_field(store, follower, value):
+    """A sound server would get no requests for what does not concern its state."""
+    put(store, "i-1", entry())
+    read(follower)
+    put(store, "i-1", value)
+    read(follower)
+    assert follower.skipped
+    assert follower.context.registry.get("i-1").usable
+
+
 def test_a_listener_that_fails_keeps_no_other_from_a_change(store, follower):
     """A departure reached none of the parts that were to be told of it later."""
     registry, seen = follower.context.registry, []
