Report no window twice where the holder's clock is behind

A record of the duties' log more than 12 usage windows ahead of the reader's clock, one minute, was refused as one that no holder can have written. Clocks may be set back by minutes; the bound was there for numbers that no clock reaches, and is 20,000 windows now.

--- a/packages/endive_gateway/src/endive_gateway/duty_records.py
+++ b/packages/endive_gateway/src/endive_gateway/duty_records.py
@@ -13,8 +13,9 @@
 MAX_DUTY_RECORD_BYTES = 1_048_576
 """Largest record, bytes: it may hold a window's counts of all organisations."""
 
-MAX_WINDOWS_AHEAD = 12
-"""Most usage windows by which a record may be ahead of the clock. What follows a
+MAX_WINDOWS_AHEAD = 20_000
+"""Most usage windows by which a record may be ahead of the clock, which may be set back
+by minutes: a sound record that was refused would be reported once more. What follows a
 decided window is all that is reported later."""
 
 Decided = Annotated[int, msgspec.Meta(ge=-1, le=MAX_NUMBER)]
--- a/packages/endive_gateway/tests/test_duties.py
+++ b/packages/endive_gateway/tests/test_duties.py
@@ -358,6 +358,33 @@
         assert decode_duty_record(value, offset=4, newest_window=3) == record
 
 
+@pytest.mark.parametrize("behind_s", [90.0, 300.0])
+def test_a_holder_whose_clock_is_behind_reports_no_window_twice(
+    behind_s, clock, store, cloud
+):
+    """A node that started alone took the duties' records for those of another writer,
+    and reported their windows again with other counts."""
+    first = Node("a", store, cloud)
+    newest, kept_records = int(WALL // WINDOW_S), 5
+    begun = newest - int(behind_s // WINDOW_S) - 2
+    for window in range(begun, newest + 1):
+        begin(first, window, 3)
+        first.at((window + 1) * WINDOW_S + 2)
+        clock.time += 0.3
+        first.step()
+    first.duties.release()
+    store.kept_from[Topic.DUTIES] = len(store.topics[Topic.DUTIES]) - kept_records
+    second = Node("b", store, cloud)
+    second.at(WALL - behind_s)
+    for _ in range(40):
+        second.duties._try_step()
+        clock.time += 0.3
+    assert second.holds
+    counts = {}
+    for _holder, _fence, window, told in cloud.usage:
+        assert counts.setdefault(window, told) == told
+
+
 def test_windows_are_reported_once_with_all_nodes_counts(clock, store, cloud):
     node = Node("a", store, cloud)
     window = int(WALL // WINDOW_S)
