Take no id of thousands of digits for a part of a prompt

A prompt list with an id of 4,000 hexadecimal digits was taken, and the id could not be written in decimals later: the request ended with an internal error. Ids of more than 64 digits, a hash of 256 bits, make the list invalid, which is ignored as other invalid ones are. A review showed it; the new case failed before.

--- a/packages/endive_gateway/src/endive_gateway/header_values.py
+++ b/packages/endive_gateway/src/endive_gateway/header_values.py
@@ -6,12 +6,23 @@
 """Largest number of requests or slots that a server may state. A larger one is a
 mistake: the state messages and the computations with it would overflow."""
 
+MAX_PART_DIGITS = 64
+"""Digits of the longest id of a part of a prompt, a hash of 256 bits."""
+
 MAX_TOKENS = 100_000_000
 """Largest number of tokens that a caller may state, of a prompt, of one of its parts or
 of a response. Prompts are a thousand times shorter, and a larger number would count for
 more than the demand of all others."""
 
 
+def parse_part_id(value: bytes) -> int | None:
+    """Return the id of a part, in hexadecimal digits; ``None`` if it is invalid."""
+    try:
+        return int(value, 16) if len(value) <= MAX_PART_DIGITS else None
+    except ValueError:
+        return None
+
+
 def parse_count(value: bytes, most: int) -> int | None:
     """Return a number of digits only; ``None`` if it is another one or too large."""
     digits = value.strip()
--- a/tests/test_platform_headers.py
+++ b/tests/test_platform_headers.py
@@ -92,7 +92,7 @@
 
 
 @pytest.mark.parametrize(
-    "prefix", ["x:y", "a:5,b:-5", "a:100000001", "a:" + "9" * 5000]
+    "prefix", ["x:y", "a:5,b:-5", "a:100000001", "a:" + "9" * 5000, "f" * 4000 + ":5"]
 )
 def test_an_invalid_prompt_list_is_ignored(prefix):
     """A negative length lets later parts end before earlier ones, and thousands of
