Bound the figures of demand and prompt work in state messages

A node's figures of demand, of late prompts and of prompt work had no range in its state messages. One of 2**62 made the sum of all nodes' figures lose the others' digits, and it stayed wrong after that node's next message had replaced it. They have the range of the other numbers now. A review showed it; all 15 new cases failed before.

--- a/packages/endive_gateway/src/endive_gateway/quantities.py
+++ b/packages/endive_gateway/src/endive_gateway/quantities.py
@@ -25,6 +25,9 @@
 Age = Annotated[float, msgspec.Meta(ge=0, le=MAX_NUMBER)]
 """A time that has passed, or another quantity of at least 0."""
 
+Figure = Annotated[int, msgspec.Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
+"""A quantity in whole units, of which sums are formed."""
+
 OptionalCount = Annotated[int, msgspec.Meta(ge=-1, le=MAX_NUMBER)]
 """A count, or -1 if there is none."""
 
--- a/packages/endive_gateway/src/endive_gateway/state_messages.py
+++ b/packages/endive_gateway/src/endive_gateway/state_messages.py
@@ -4,8 +4,6 @@
 from collections.abc import Iterable
 
 import msgspec
-from endive_core.demand import DemandReport, LateReport
-from endive_core.prompt_work import WorkReport
 
 from endive_gateway.decoding import decode_msgpack
 from endive_gateway.exceptions import UndecodableError
@@ -14,6 +12,7 @@
 from endive_gateway.quantities import (
     Age,
     Count,
+    Figure,
     Name,
     Offset,
     OptionalCount,
@@ -25,6 +24,13 @@
 """A server, what it states (``None`` if nothing any more), the age of that statement in
 seconds, and its id."""
 
+LevelReport = tuple[Figure, Figure, Figure]
+OrganisationReport = tuple[Count, Name, Figure]
+DemandReport = tuple[list[LevelReport], list[OrganisationReport]]
+LateReport = list[tuple[Figure, Figure]]
+WorkReport = list[Figure]
+"""As in `endive_core`, with numbers in range."""
+
 
 class StateMessage(msgspec.Struct, array_like=True):
     """State of a node, in totals rather than increments except for `server_delta`.
--- a/tests/test_odd_messages.py
+++ b/tests/test_odd_messages.py
@@ -80,6 +80,23 @@
         decode(state_message(**{field: odd}))
 
 
+@pytest.mark.parametrize("odd", [2**53 + 1, -(2**62), 2**64 - 1])
+@pytest.mark.parametrize(
+    "fields",
+    [
+        lambda odd: {"demand": {"s": ([(odd, 0, 0)], [])}},
+        lambda odd: {"demand": {"s": ([(0, 0, odd)], [(0, "o", 1)])}},
+        lambda odd: {"demand": {"s": ([], [(0, "o", odd)])}},
+        lambda odd: {"late_prompts": {"s": [(odd, 0)]}},
+        lambda odd: {"prompt_work": {"s": [0, odd]}},
+    ],
+)
+def test_a_figure_out_of_range_is_not_taken_from_a_message(fields, odd):
+    """The sum of all nodes' figures stayed wrong after the message was replaced."""
+    with pytest.raises(UndecodableError):
+        decode(state_message(**fields(odd)))
+
+
 @pytest.mark.parametrize("odd", [*OUT_OF_RANGE_FLOATS, *NEGATIVE])
 @pytest.mark.parametrize(
     "fields",
