--- a/packages/endive_gateway/src/endive_gateway/decoding.py
+++ b/packages/endive_gateway/src/endive_gateway/decoding.py
@@ -7,7 +7,6 @@
 
 import re
 import socket
-import time
 from typing import Any, TypeVar
 
 import msgspec
@@ -28,13 +27,11 @@
 MAX_LABEL_LENGTH = 128
 """Longest label that is read, characters."""
 
-MAX_CLOCK_AHEAD_S = 86_400.0
-"""Time by which the clock of another process may be ahead of this one, seconds."""
-
 FIRST_MULTICAST_OCTET = 224
 """First octet from which on an IPv4 address is not that of a single host."""
 
 BRACKET_OR_STRING = re.compile(rb'"[^"\\]*+(?:\\.[^"\\]*+)*+"?|[\[{]|[\]}]', re.DOTALL)
+TEXT_VALUE = re.compile(rb'\s*:\s*"([^"\\]*)"')
 
 Document = TypeVar("Document")
 
@@ -90,11 +87,17 @@
 
 def decode_text_field(data: bytes, name: str) -> str:
     """Return a text of a JSON object, whatever the rest of it is; empty without one."""
-    try:
-        fields = decode_json(data, dict[str, msgspec.Raw])
-        return decode_json(bytes(fields.get(name, b'""')), str)
-    except UndecodableError:
-        return ""
+    key, text, depth = b'"%b"' % name.encode(), b"", 0
+    for match in BRACKET_OR_STRING.finditer(data):
+        first = match[0][:1]
+        if first in b"[{":
+            depth += 1
+        elif first in b"]}":
+            depth -= 1
+        elif depth == 1 and match[0] == key:
+            found = TEXT_VALUE.match(data, match.end())
+            text = found[1] if found else b""
+    return text.decode(errors="replace")
 
 
 def decode_seconds(milliseconds: Any) -> float:
@@ -112,19 +115,6 @@
     return max(0.0, milliseconds / 1000)
 
 
-def decode_start_time(milliseconds: int) -> int:
-    """Return the start time of a process, Unix milliseconds.
-
-    Raises
-    ------
-    UndecodableError
-        If it is to come. No later start of the process would count as newer.
-    """
-    if milliseconds / 1000 > time.time() + MAX_CLOCK_AHEAD_S:
-        raise UndecodableError("the start time is to come")
-    return milliseconds
-
-
 def decode_label(value: Any) -> str | None:
     """Return a short printable text, such as a version; ``None`` if it is none.
 
