Let simulated servers end their requests in the order of arrival

Cause: a server of the simulated fleet kept its requests in a set, so when it ended they failed in the order of their memory addresses.

Change: the requests are kept in the order in which they arrived.

--- a/packages/endive_gateway/tests/part_simulation.py
+++ b/packages/endive_gateway/tests/part_simulation.py
@@ -41,18 +41,24 @@
 
 @dataclass
 class PartServer:
-    """A server that ends when it begins to write an answer on a crashing part."""
+    """A server that ends when it begins to write an answer on a crashing part.
+
+    Attributes
+    ----------
+    requests : dict of PartRequest to None
+        Its requests in the order of their arrival; that of a set would vary by run.
+    """
 
     fleet: "PartFleet"
     id: str
     is_up: bool = True
-    requests: set = field(default_factory=set)
+    requests: dict = field(default_factory=dict)
 
     def arrive(self, request):
         if not self.is_up:
             request.fail(RetryReason.CONNECT_FAILED, started=False)
             return
-        self.requests.add(request)
+        self.requests[request] = None
         wait_s = START_S * self.fleet.random.lognormvariate(-0.125, 0.5)
         self.fleet.at(self.fleet.clock.now + wait_s, self.begin, request)
         for part in request.crashing_parts:
@@ -72,7 +78,7 @@
 
     def finish(self, request):
         if request in self.requests:
-            self.requests.discard(request)
+            del self.requests[request]
             self.fleet.at(self.fleet.clock.now + ONE_WAY_S, request.finished)
 
     def crash(self):
