Ask a second recorder where the first has lost the store

The recorder replied that it could not record, and the nodes took that for the store's answer. Only silence made them use their own recorders; those all change one list, and are in each other's way in a large fleet.

A request that the recorder refuses, or doesn't answer within 0.12 s, goes to the node that all choose next, and only then to the node's own recorder. Each recorder gets its 0.12 s; before, requests were sent again at fixed times, however lately they had been sent.

--- a/packages/endive_gateway/src/endive_gateway/origin_records.py
+++ b/packages/endive_gateway/src/endive_gateway/origin_records.py
@@ -1,7 +1,8 @@
 """Has the origins of a node's streams recorded, and looks up those of others.
 
-Both go to the node that all nodes choose as the recorder, or, where that one doesn't
-reply, to this node's own one.
+Both go to the node that all nodes choose as the recorder. Where that one doesn't reply
+or doesn't reach the store, requests go to a second one, and what both fail to do, and
+lookups, to this node's own one.
 """
 
 import itertools
@@ -37,10 +38,13 @@
 
 RESEND_S = 0.12
 SENDS = 2
-"""Time after which a request without a reply is sent again, seconds, and how often it
-is sent before this node's own recorder gets it. Datagrams may be lost, and a reply
+"""Time after which a request without a reply is sent to the next recorder, seconds, and
+how many get it before this node's own one does. Datagrams may be lost, and a reply
 takes as long as a call to the store and the pause before it."""
 
+RESEND_POLL_S = 0.02
+"""Time between two looks for requests without a reply, seconds."""
+
 QUESTION_S = 0.04
 QUESTIONS = 3
 """The same times for lookups, which the recorder doesn't put off."""
@@ -68,6 +72,10 @@
         Whether the stream's first event waits for it.
     ended : Event
         Set once it is known whether it is recorded.
+    sends : int
+        Recorders that have got the request.
+    sent_at : float
+        When the last one got it, seconds on the monotonic clock.
     """
 
     job: RecordJob
@@ -75,6 +83,7 @@
     is_recorded: bool = False
     ended: Event = field(default_factory=Event)
     sends: int = 0
+    sent_at: float = 0.0
 
     @property
     def has_failed(self) -> bool:
@@ -124,6 +133,13 @@
         """Return the node that records for all, as this one sees it."""
         return rendezvous_choice(RECORDER_KEY, [self.address, *self.recorders()])
 
+    def _next_recorder(self, failed: int) -> str:
+        """Return the node that is to record after some recorders have failed."""
+        addresses = [self.address, *self.recorders()]
+        for _ in range(min(failed, len(addresses) - 1)):
+            addresses.remove(rendezvous_choice(RECORDER_KEY, addresses))
+        return rendezvous_choice(RECORDER_KEY, addresses)
+
     def run(self) -> None:
         """Send requests without a reply again; the body of a greenlet."""
         next_look_at = time.monotonic()
@@ -134,9 +150,10 @@
             if not self.recordings:
                 self.wanted.wait(max(0.0, next_look_at - time.monotonic()))
             self.wanted.clear()
-            gevent.sleep(RESEND_S)
+            gevent.sleep(RESEND_POLL_S)
             for number, recording in list(self.recordings.items()):
-                self._send(number, recording)
+                if time.monotonic() - recording.sent_at >= RESEND_S:
+                    self._send(number, recording)
 
     def observe_view(self) -> None:
         """Apply what this node knows now of servers and configuration.
@@ -223,10 +240,17 @@
         return recording
 
     def _send(self, number: int, recording: Recording) -> None:
-        """Send a request to the recorder, or give it to this node's own one."""
-        address, job = self.recorder_address(), recording.job
+        """Send a request to a recorder, or give it to this node's own one.
+
+        Where the recorder fails, all nodes turn to the same second one: their own ones
+        would be in each other's way when they change the list.
+        """
+        job, sends = recording.job, recording.sends
+        address = self._next_recorder(sends) if sends < SENDS else self.address
         recording.sends += 1
-        if address != self.address and recording.sends <= SENDS:
+        recording.sent_at = time.monotonic()
+        if address != self.address:
+            self.recordings[number] = recording
             self.send(_encode(number, job), [address])
             return
         self.recordings.pop(number, None)
@@ -283,8 +307,12 @@
             self._serve_lookup(message, address)
         elif isinstance(message, RecordReply):
             recording = self.recordings.pop(message.number, None)
-            if recording is not None:
-                self._end(recording, message.is_recorded, message.shared)
+            if recording is None:
+                return
+            if message.is_recorded:
+                self._end(recording, True, message.shared)
+            else:
+                self._send(message.number, recording)
         else:
             found = self.lookups.get(message.number)
             if found is not None:
--- a/packages/endive_gateway/tests/test_origin_records.py
+++ b/packages/endive_gateway/tests/test_origin_records.py
@@ -16,6 +16,7 @@
     encode_streams,
 )
 from endive_gateway.origin_recorder import BATCH_S, LIST_KEY, SWEEP_S, LookupJob
+from endive_gateway.stream_affinity import RECORDING_S
 from gateway_builders import HOST
 from origin_builders import (
     RecorderFleet,
@@ -29,6 +30,9 @@
 FLEETS = [6, 71, 200, 375]
 STREAMS = 300
 RECORDED_S = 1.0
+RECORDED_SHARE = 0.98
+"""Share of the streams that are recorded in time: of some, two datagrams are lost."""
+
 KEY = stream_key("o", "q")
 
 
@@ -120,6 +124,26 @@
     assert nodes.look_up(0).origin != make_origin("v2")
 
 
+@pytest.mark.parametrize("count", [6, 71, 200])
+def test_streams_begin_where_the_recorder_has_lost_the_store(fleet, count):
+    """Guards against a node out of step whose refusals all others pass on."""
+    nodes = fleet(count, "v1", "v2")
+    address = nodes.nodes[0].recorder_address()
+    recorder = next(n for n in nodes.nodes if n.address == address)
+    recorder.recorder.store = MemoryStore()
+    recorder.recorder.store.fault = store_down
+
+    def begin(number):
+        recording = nodes.begin(number, "v1")
+        return recording is None or recording.wait(RECORDING_S)
+
+    others = [n for n in range(STREAMS) if nodes.nodes[n % count] is not recorder]
+    begun = [gevent.spawn_later(n / STREAMS, begin, n) for n in others]
+    gevent.joinall(begun)
+    assert sum(greenlet.value for greenlet in begun) >= RECORDED_SHARE * len(begun)
+    assert nodes.recorded_calls().total() < STREAMS / 2
+
+
 def test_streams_that_run_when_a_second_version_comes_are_recorded(fleet):
     """They began while there was no need to record them."""
     nodes = fleet(6, "v1")
