Let owners prove which process began a stream

Callers were told to come back again and again, and never taken up, where a stream had begun over the first connection to a server and its node was lost before its next read of the servers.

The node tells owners that the stream is unconfirmed, and only that node could confirm it. The log had the version, but not whether it is certain.

Owners are now told which entry the process is taken to have: service, version, and the server's id and incarnation. An owner's own read of the servers that began 0.2 s or more after it was told, and still finds that entry, proves what a read of the node itself would have proven, since the connection was open by then. No clocks are compared, and nothing is sent beyond some bytes in the note that says the stream is unconfirmed. Two claims under one request id prove nothing, and the doubt of the node that began the stream counts more than a claim. Nodes of an earlier build ignore the claims and send none.

--- a/packages/endive_gateway/src/endive_gateway/context.py
+++ b/packages/endive_gateway/src/endive_gateway/context.py
@@ -329,6 +329,9 @@
         """Let the exchange and the records of origins use one port and one view."""
         exchange, records = self.origin_exchange, self.origin_records
         exchange.receive_record = records.receive
+        exchange.is_true = lambda claim, told_at: self.processes.is_still(
+            claim.server_id, claim.incarnation, told_at
+        )
         records.send = exchange.datagrams.send
         records.running = exchange.running
         self.origin_view.recorder = lambda: (
--- a/packages/endive_gateway/src/endive_gateway/forwarding.py
+++ b/packages/endive_gateway/src/endive_gateway/forwarding.py
@@ -32,6 +32,7 @@
     ServerEntry,
     header_value,
 )
+from endive_gateway.origin_claims import OriginClaim
 from endive_gateway.part_exchange import format_parts
 from endive_gateway.progress import Progress
 from endive_gateway.rollout_observation import Observation
@@ -391,15 +392,25 @@
         if self.writer.is_proven:
             self._tell_origin(StreamOrigin(self.service, self.ticket.version))
             return
-        self._tell_origin(UNCONFIRMED)
+        self._tell_origin(UNCONFIRMED, StreamOrigin(self.service, self.ticket.version))
         gevent.spawn(self._settle_origin, self.ticket.version)
 
-    def _tell_origin(self, origin: StreamOrigin) -> None:
-        """Tell the owners of the stream where it began."""
-        entry = self.began_at.entry
+    def _tell_origin(
+        self, origin: StreamOrigin, claimed: StreamOrigin | None = None
+    ) -> None:
+        """Tell the owners of the stream where it began.
+
+        Parameters
+        ----------
+        claimed : StreamOrigin or None
+            Where it began if the process that began it is that of its server's entry.
+        """
+        writer, entry, claim = self.began_at, self.began_at.entry, None
+        if claimed is not None and not writer.is_refuted:
+            claim = OriginClaim(claimed, entry.id, entry.incarnation)
         for key in self.affinity.keys(self.organisation):
             self.context.origin_exchange.tell(
-                key, origin, self.left_s(), (entry.id, entry.incarnation)
+                key, origin, self.left_s(), (entry.id, entry.incarnation), claim
             )
 
     def _settle_origin(self, version: str) -> None:
--- a/packages/endive_gateway/src/endive_gateway/origin_exchange.py
+++ b/packages/endive_gateway/src/endive_gateway/origin_exchange.py
@@ -21,6 +21,7 @@
 from gevent.event import Event
 
 from endive_gateway.datagrams import DatagramPort
+from endive_gateway.origin_claims import OriginClaim, OriginClaims
 from endive_gateway.origin_messages import (
     DECODER,
     OriginMessage,
@@ -42,7 +43,7 @@
 """Time for which the nodes among which owners are chosen stay the same, seconds."""
 
 ORIGINS_PER_NOTE = 100
-"""Origins in one datagram, which then has some 6 KB."""
+"""Origins in one datagram, which then has some 6 KB, or 15 KB with their claims."""
 
 
 @dataclass(eq=False)
@@ -78,6 +79,11 @@
         Those that it began.
     recent : RecentBeginnings
         Those that it began lately, by server.
+    claims : OriginClaims
+        What unconfirmed origins are taken for.
+    is_true : callable
+        Returns whether a claim is certain to be true, given a time at which the
+        connection was open.
     live_members : callable
         Returns the other live nodes by address.
     receive_record : callable
@@ -90,6 +96,8 @@
         self.table = OriginTable()
         self.own = OriginTable()
         self.recent = RecentBeginnings()
+        self.claims = OriginClaims()
+        self.is_true: Callable[[OriginClaim, float], bool] = lambda *claim: False
         self.choice = OwnerChoice()
         self.choose_at = float("-inf")
         self.live_members: Callable[[], dict[str, Member]] = dict
@@ -106,6 +114,7 @@
         origin: StreamOrigin,
         left_s: float,
         server: tuple[str, int] = ("", 0),
+        claim: OriginClaim | None = None,
     ) -> None:
         """Keep the origin of a stream that begins here, and tell its owners.
 
@@ -115,11 +124,13 @@
             Time until the stream's deadline, seconds.
         server : tuple of (str, int)
             Id and incarnation of the server that begins it.
+        claim : OriginClaim or None
+            What an unconfirmed origin is taken for.
         """
         now, keep_s = time.monotonic(), max(0.0, left_s) + KEEP_S
         self.recent.add(server, key, now)
         self.own.put(key, origin, now + keep_s, now)
-        self.table.put(key, origin, now + keep_s, now)
+        self._keep(key, origin, keep_s, claim)
         self._send_notes([(key, origin, keep_s)], self._owners(key))
 
     def doubt(self, server: tuple[str, int]) -> list[bytes]:
@@ -135,19 +146,58 @@
             self.tell(key, AMBIGUOUS, 0.0)
         return keys
 
+    def _keep(
+        self, key: bytes, origin: StreamOrigin, keep_s: float, claim: OriginClaim | None
+    ) -> None:
+        """Keep an origin, unless a claim of it is known to be true already."""
+        now = time.monotonic()
+        if origin != UNCONFIRMED:
+            self.claims.discard(key)
+        elif claim is not None:
+            if self.claims.settled.get(key) == claim:
+                return
+            self.claims.add(key, claim, now)
+        self.table.put(key, origin, now + keep_s, now)
+
+    def settle(self) -> None:
+        """Take the claims for origins that are certain to be true by now."""
+        now, kept = time.monotonic(), self.table
+        for key, origin in self.claims.settle(self.is_true):
+            known, until = kept.origins.get(key, (None, 0.0))
+            if known == UNCONFIRMED:
+                kept.put(key, origin, until, now)
+        self.claims.forget_unless(kept.origins.__contains__)
+
     def _send_notes(
         self, origins: list[tuple[bytes, StreamOrigin, float]], addresses: Iterable[str]
     ) -> None:
         others = [address for address in addresses if address != self.address]
         for first in range(0, len(origins) if others else 0, ORIGINS_PER_NOTE):
+            part = origins[first : first + ORIGINS_PER_NOTE]
             note = OriginNote(
                 [
                     (key, origin.service, origin.version, left_s)
-                    for key, origin, left_s in origins[first : first + ORIGINS_PER_NOTE]
-                ]
+                    for key, origin, left_s in part
+                ],
+                self._encoded_claims(part),
             )
             self.datagrams.send(note, others)
 
+    def _encoded_claims(
+        self, origins: list[tuple[bytes, StreamOrigin, float]]
+    ) -> list[tuple[bytes, str, str, str, int]]:
+        """Return the claims of those of some origins that are unconfirmed."""
+        claims = [
+            (key, self.claims.get(key))
+            for key, origin, _ in origins
+            if origin == UNCONFIRMED
+        ]
+        return [
+            (key, c.origin.service, c.origin.version, c.server_id, c.incarnation)
+            for key, c in claims
+            if c is not None
+        ]
+
     def _owners(self, key: bytes) -> list[str]:
         now = time.monotonic()
         if now >= self.choose_at:
@@ -166,9 +216,10 @@
             self._tell_new_owners(before, self.own, now)
 
     def run(self) -> None:
-        """Tell new owners in an endless loop."""
+        """Tell new owners, and settle claims, in an endless loop."""
         while True:
             gevent.sleep(CHOICE_INTERVAL_S)
+            self.settle()
             self.update_members(time.monotonic())
 
     def hand_over(self) -> None:
@@ -226,10 +277,13 @@
     def receive(self, message: OriginMessage, address: str) -> None:
         """Handle another node's message."""
         if isinstance(message, OriginNote):
-            now = time.monotonic()
+            claims = {
+                key: OriginClaim(StreamOrigin(service, version), server_id, incarnation)
+                for key, service, version, server_id, incarnation in message.claims
+            }
             for key, service, version, left_s in message.origins:
                 origin = StreamOrigin(service, version)
-                self.table.put(key, origin, now + left_s, now)
+                self._keep(key, origin, left_s, claims.get(key))
         elif isinstance(message, OriginQuery):
             self.datagrams.send(self._reply_to(message), [address])
         elif isinstance(message, OriginReply):
--- a/packages/endive_gateway/src/endive_gateway/origin_messages.py
+++ b/packages/endive_gateway/src/endive_gateway/origin_messages.py
@@ -13,9 +13,13 @@
     origins : list of (bytes, str, str, float)
         Key of the stream, service, software version, and time in seconds for which the
         origin is kept.
+    claims : list of (bytes, str, str, str, int)
+        Of streams whose origins are unconfirmed: key, service, software version, and
+        the server's id and incarnation. Nodes of an earlier version send none.
     """
 
     origins: list[tuple[bytes, str, str, Quantity]]
+    claims: list[tuple[bytes, str, str, str, int]] = []
 
 
 class OriginQuery(msgspec.Struct, array_like=True, tag="ask"):
--- a/packages/endive_gateway/src/endive_gateway/server_processes.py
+++ b/packages/endive_gateway/src/endive_gateway/server_processes.py
@@ -140,6 +140,19 @@
         is_alike = known.software_version_label == link.entry.software_version_label
         return is_alike and self.read_at() - link.read_at <= MAX_UNSEEN_S
 
+    def is_still(self, server_id: str, incarnation: int, open_at: float) -> bool:
+        """Return whether an entry is certain to be that of a connection's process.
+
+        Parameters
+        ----------
+        open_at : float
+            When a connection was open that was begun after the entry was known, at this
+            node or another, seconds on the monotonic clock of this node.
+        """
+        known = self.entry(server_id)
+        is_same = known is not None and known.incarnation == incarnation
+        return is_same and self.read_at() >= open_at + REGISTRATION_S
+
     def writer(self, link: Link, entry: ServerEntry) -> "Writer":
         """Return the process that answers over a connection."""
         return Writer(self, link, entry)
