Play the loss of the recorder's store in simulated time

The test failed once in four runs at 200 nodes in one process (load 21), where requests are sent again after 0.12 s of the process's time.

--- a/packages/endive_gateway/tests/test_origin_records.py
+++ b/packages/endive_gateway/tests/test_origin_records.py
@@ -133,6 +133,7 @@
     assert nodes.look_up(0).origin != make_origin("v2")
 
 
+@pytest.mark.usefixtures("simulated_clock")
 @pytest.mark.parametrize("count", [6, 71, 200])
 def test_streams_begin_where_the_recorder_has_lost_the_store(fleet, count):
     """Guards against a node out of step whose refusals all others pass on."""
