--- a/packages/endive_gateway/src/endive_gateway/origin_messages.py
+++ b/packages/endive_gateway/src/endive_gateway/origin_messages.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from endive_gateway.quantities import Quantity
+from endive_gateway.quantities import Count, Name, Quantity
 
 
 class OriginNote(msgspec.Struct, array_like=True, tag="note"):
@@ -19,7 +19,7 @@
     """
 
     origins: list[tuple[bytes, str, str, Quantity]]
-    claims: list[tuple[bytes, str, str, str, int]] = []
+    claims: list[tuple[bytes, str, str, Name, Count]] = []
 
 
 class OriginQuery(msgspec.Struct, array_like=True, tag="ask"):
--- a/tests/test_odd_messages.py
+++ b/tests/test_odd_messages.py
@@ -80,6 +80,14 @@
         decode(state_message(**{field: odd}))
 
 
+@pytest.mark.parametrize("odd", [2**53 + 1, 2**64 - 1])
+def test_a_claim_of_an_impossible_start_is_not_taken_from_a_message(odd):
+    """An owner could not pass it on with the origins that it hands over."""
+    note = origin_messages.OriginNote([], [(b"k", "s", "v1", "i-1", odd)])
+    with pytest.raises(UndecodableError):
+        decode(note, origin_messages.DECODER)
+
+
 @pytest.mark.parametrize("odd", [2**53 + 1, -(2**62), 2**64 - 1])
 @pytest.mark.parametrize(
     "fields",
