Start servers again under their ids with other software in the soak

The version of a stream was once that of an entry read up to 0.7 s ago. Tests of single nodes guard the fix, and the soak, whose servers came back under new ids, could not see the fault.

server_starts_again ends an idle engine and starts it under its id with other software, lets callers begin streams there, and breaks them off before and after nodes read the new entry. They are taken up in the answer and by callers. The rule is "joined text", on what callers hold.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -22,6 +22,7 @@
     UnevenSpeeds,
 )
 from soak.other_writers import odd_entries, server_leaves_by_its_entry
+from soak.restarts import server_starts_again
 from soak.rollouts import OrderedRollout
 
 SERIES_SHARE = 0.35
@@ -521,5 +522,6 @@
         odd_entries,
         server_leaves_by_its_entry,
         server_writes_foreign_bytes,
+        server_starts_again,
     )
 }
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -382,18 +382,23 @@
             and self.link.healed_at < since
         )
 
-    def restart_under(self, server_id, *, holds_entry):
+    def restart_under(self, server_id, *, holds_entry, down_s=RESTART_S):
         """End the server and start it again under its id.
 
         Parameters
         ----------
         holds_entry : bool
             Whether it writes no entry until that is changed.
+        down_s : float
+            Time until it has started, seconds.
         """
         self.holds_entry = holds_entry
-        self.server.stop()
+        server, self.server = self.server, None
+        server.stop()
         self.link.close_port()
-        gevent.sleep(RESTART_S)
+        gevent.sleep(down_s)
+        if self.fleet.closed or self.is_retired:
+            return
         self._start(server_id)
         self.link.listen()
         self.send_heartbeat()
--- a/tests/soak/launch.py
+++ b/tests/soak/launch.py
@@ -285,6 +285,13 @@
     OriginRecords.look_up = look_up
 
 
+def trust_entries():
+    """Let a node take the version of a stream from its server's entry at once."""
+    from endive_gateway.server_processes import Writer
+
+    Writer.is_proven = property(lambda self: True)
+
+
 def trust_all_sources():
     """Let a node name servers as sources however late its requests become."""
     from endive_core.source_trust import SourceTrust
@@ -364,6 +371,7 @@
     "no-distrust": trust_all_sources,
     "no-affinity": forget_where_streams_began,
     "guessed-version": guess_a_version,
+    "trusted-entries": trust_entries,
     EARLIER_BUILD: list_no_origins,
     "no-speeds": ignore_speeds,
     "no-contention": serve_in_order_of_arrival,
--- a/tests/soak/mixes.py
+++ b/tests/soak/mixes.py
@@ -23,6 +23,7 @@
     "odd_entries",
     "server_leaves_by_its_entry",
     "server_writes_foreign_bytes",
+    "server_starts_again",
 }
 EARLIER_KINDS = tuple(sorted(set(FAULTS) - LATER_KINDS))
 FIRST_KINDS = tuple(sorted(set(EARLIER_KINDS) - {"store_silent", "links_fall_silent"}))
@@ -56,4 +57,5 @@
 ORDERED_AMID_FAULTS = ("ordered_rollout", "kill", "server_crash", "store_down")
 FOREIGN_BYTES = ("server_writes_foreign_bytes", "server_leaves", "restart")
 ODD_ENTRIES = ("odd_entries", "server_leaves_by_its_entry")
+STARTED_AGAIN = ("server_starts_again",)
 UNFRAMED = ("server_unframed", "server_leaves", "restart")
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -304,6 +304,9 @@
         The long parts of prompts that it has computed.
     slowdown : float
         How long work takes there now, as a multiple of the usual time.
+    may_be_mistaken : bool
+        Whether nodes may take it for an earlier server of other software. They may then
+        send a stream on to it, though they must pass none of its events on.
     """
 
     def __init__(self, host, port, *, server_id, service, born, checker, backend):
@@ -330,6 +333,7 @@
         self.foreign_share = 0.0
         self.work_s = WORK_S
         self.slowdown = 1.0
+        self.may_be_mistaken = False
         self.event_gap_s = EVENT_GAP_S
         self.number = 0
         self.parts = set()
@@ -512,7 +516,8 @@
         headers |= {"Content-Type": "text/event-stream"}
         began_as = environ.get("HTTP_RESUMES") if first > 1 else None
         stream = began_as or request_id
-        self.checker.stream_goes_on(stream, first - 1, self.version)
+        if not self.may_be_mistaken:
+            self.checker.stream_goes_on(stream, first - 1, self.version)
         events = self._events(request_id, first, stream)
         if self._draws(f"{request_id}/foreign", self.foreign_share):
             return self._spoilt(request_id, first, environ, start, headers, events)
@@ -544,7 +549,8 @@
             for number in range(first, EVENTS + 1):
                 gevent.sleep(self.event_gap_s)
                 piece = event(request_id, number, self.version)
-                self.checker.event_made(stream, number, self.version)
+                if not self.may_be_mistaken:
+                    self.checker.event_made(stream, number, self.version)
                 self.checker.pieces[request_id].add(piece)
                 yield piece
         finally:
--- a/tests/test_soak_mutants.py
+++ b/tests/test_soak_mutants.py
@@ -19,6 +19,7 @@
     SILENCES,
     SILENT,
     SPEEDS,
+    STARTED_AGAIN,
     UNEVEN,
     UNFRAMED,
 )
@@ -78,10 +79,13 @@
     assert f" s: {rule}: " in outcome.violations[0]
 
 
-def test_a_guessed_version_is_detected_in_the_text():
-    """Nodes that return after the loss of all guess a version where nobody knows it;
+@pytest.mark.parametrize(
+    ("mutant", "seed", "kinds"),
+    [("guessed-version", 1, REJOINED), ("trusted-entries", 5, STARTED_AGAIN)],
+)
+def test_a_guessed_version_is_detected_in_the_text(mutant, seed, kinds):
+    """Nodes that return after the loss of all guess a version where nobody knows it, or
+    nodes take it from the entry of a server that has started again under its id;
     callers then hold text of two."""
-    outcome = run_seed(
-        1, slot=SLOT, mutant="guessed-version", kinds=REJOINED, only="joined text"
-    )
+    outcome = run_seed(seed, slot=SLOT, mutant=mutant, kinds=kinds, only="joined text")
     assert outcome.violations, outcome.counts
--- a/tests/test_soak_servers.py
+++ b/tests/test_soak_servers.py
@@ -16,6 +16,7 @@
     SERVERS_CUT,
     SILENT,
     SPEEDS,
+    STARTED_AGAIN,
     UNFRAMED,
 )
 from soak.play import run_seed
@@ -64,6 +65,13 @@
     assert outcome.violations == [], outcome.directory
 
 
+@pytest.mark.parametrize("rule", ["joined text", ""], ids=["text", "all_rules"])
+def test_no_stream_is_joined_where_servers_start_again_under_their_id(rule):
+    """They have other software, and their former entries stand for a moment."""
+    outcome = run_seed(1, slot=SLOT, kinds=STARTED_AGAIN, faults_s=6.0, only=rule)
+    assert outcome.violations == [], outcome.directory
+
+
 def test_fetches_that_hang_lose_no_request():
     """No engine reaches another one while prompts name them as sources."""
     outcome = run_seed(1, slot=SLOT, kinds=FETCHES)
