Leave a server that gets work where marks add up to all of them

Its prediction adds the time for which a slot is held if no server is open to it, and it has no call that could correct that. A dump of what nodes know in such a refusal (a trial on a scratch copy) shows all three servers marked as slow at one node of six. A comparison marks a third of the servers at most, but marks of earlier comparisons stay where too few peers have latencies, since some have started again, and ejections for all nodes' failures come on top.

If all servers that accept work are marked, the least slow one that is not ejected is unmarked. The new test failed before.

--- a/packages/endive_core/src/endive_core/outliers.py
+++ b/packages/endive_core/src/endive_core/outliers.py
@@ -89,13 +89,30 @@
     def update_outliers(self, now: float) -> None:
         """Update each server's slowness and mark the slow ones, once per interval.
 
-        It takes one pass over all servers. Only a limited share of them is marked: if
-        most are slow the cause lies elsewhere, and the rest could not carry the load.
+        It takes one pass over all servers. A comparison marks only a limited share of
+        them: if most are slow the cause lies elsewhere, and the rest could not carry
+        the load.
         """
         if now < self.next_comparison_at:
             return
         self.next_comparison_at = now + self.policy.compare_every_s
         self._update_ejected(now)
+        self._compare(now)
+        self._spare_one(now)
+
+    def _spare_one(self, now: float) -> None:
+        """Unmark a server if all that accept work are marked.
+
+        Marks of different comparisons, and ejections, may add up to all of them. A node
+        that then refused all calls would have none whose latency could unmark a server.
+        """
+        accepting = self.servers.accepting.items
+        if accepting and all(server.slow for server in accepting):
+            best = min(accepting, key=lambda s: (s.id in self.ejected, s.slowness))
+            self._mark(best, False, now)
+
+    def _compare(self, now: float) -> None:
+        """Mark the servers that are slow in comparison with their peers."""
         servers = self.servers.servers.values()
         peers = [s for s in servers if s.samples >= MIN_PEER_SAMPLES]
         if len(peers) < 3:
--- a/packages/endive_core/tests/test_outliers.py
+++ b/packages/endive_core/tests/test_outliers.py
@@ -1,4 +1,5 @@
 from random import Random
+from types import SimpleNamespace
 
 from core_builders import view
 from endive_core.calls import Tier
@@ -140,3 +141,20 @@
     assert made.probe(4.5) is None
     made.update_outliers(2.0 + BASE_EJECTION_S + 0.1)
     assert "s2" in made.servers.available[Tier.WITHIN_SHARE].positions
+
+
+def test_marks_of_different_causes_leave_a_server_that_gets_work():
+    """A node refused all requests although its servers were idle: those marked before
+    two others restarted, and those ejected, were all that there were."""
+    made = detector([0.1, 0.4, 0.1])
+    assert [server.id for server in made.slow] == ["s1"]
+    made.ejection = SimpleNamespace(ejected=lambda servers, now: {"s0", "s2"})
+    for server in made.servers.servers.values():
+        server.samples = 0
+    for second in range(2, 9):
+        made.update_outliers(float(second))
+        available = made.servers.available[Tier.WITHIN_SHARE].positions
+        assert set(available) == {"s1"}
+    made.ejection = SimpleNamespace(ejected=lambda servers, now: {"s0"})
+    made.update_outliers(9.0)
+    assert set(available) == {"s1", "s2"}
