End pauses and marks of servers also while all calls are refused

The scheduler ended pauses, marks, rests and limits only where it looked for the next call to send. A node that refuses all calls sends none. All that time alone changes of the servers is now applied there as well.

Both new tests failed before: a paused server that was refused for good, and servers that were all marked.

--- a/packages/endive_core/src/endive_core/scheduler.py
+++ b/packages/endive_core/src/endive_core/scheduler.py
@@ -229,7 +229,8 @@
         pooled : bool
             Whether the call gets its server by :meth:`assign` and is not queued.
         """
-        self.servers.expire_reports(now, self.admission.rate.held_s)
+        # A node that refuses all calls dispatches none, and has no other occasion.
+        self._update_servers(now)
         refusal = self.admission.refusal(call, now, pooled=pooled)
         if refusal is not None:
             self.refusals[refusal.kind] += 1
@@ -361,14 +362,18 @@
                 return probe
         return self.placement.choose(ticket, now, tier)
 
-    def _tick(self, now: float) -> None:
+    def _update_servers(self, now: float) -> None:
+        """Apply what time alone changes of which servers get work."""
         self.servers.expire_reports(now, self.admission.rate.held_s)
         self.update_speeds(now)
-        self.first_tokens.update_prefill_rates(now)
         self.outliers.update_outliers(now)
         self.failures.resume_paused(now)
         self.throttling.update(now)
         self.resting.update(now)
+
+    def _tick(self, now: float) -> None:
+        self._update_servers(now)
+        self.first_tokens.update_prefill_rates(now)
         self.expiry.expire_without_servers(now)
         self.expiry.expire_without_version()
         self.expiry.expire_throttled(now)
--- a/packages/endive_core/tests/test_scheduler.py
+++ b/packages/endive_core/tests/test_scheduler.py
@@ -2,7 +2,7 @@
 
 import pytest
 from core_builders import call, dispatch_all, scheduler
-from endive_core.calls import Refusal, Retry, Stage
+from endive_core.calls import Refusal, Retry, Stage, Ticket
 from endive_core.exceptions import ErrorKind, RetryReason
 from endive_core.retry_after import PERIOD_WINDOWS, WINDOW_S, in_window
 from endive_core.servers import MAX_REPORT_EXPIRY_S
@@ -148,3 +148,24 @@
     made.offer(call(1, deadline=26.0), 23.0)
     dispatch_all(made, 23.0)
     assert isinstance(made.offer(call(2, deadline=26.0), 23.0), Refusal)
+
+
+def test_a_paused_server_gets_work_again_though_all_calls_are_refused():
+    """A node whose other servers were full refused each call, also long after the
+    pause was over: only what is dispatched ended pauses."""
+    made = scheduler(servers=2, slots=1)
+    made.admission.rate.held_s = 10.0
+    made.pause("s0", 0.0)
+    made.report("s1", 1, 20, as_of=0.0)
+    assert made.offer(call(target_s=0.3), 0.1).kind is ErrorKind.OVERLOADED
+    made.report("s1", 1, 20, as_of=5.0)
+    assert isinstance(made.offer(call(1, target_s=0.3), 5.1), Ticket)
+
+
+def test_a_marked_server_gets_work_again_though_all_calls_are_refused():
+    """The same for servers that were marked as slow or ejected."""
+    made = scheduler(servers=2, slots=1)
+    made.admission.rate.held_s = 10.0
+    for server in made.servers.servers.values():
+        made.outliers._mark(server, True, 0.0)
+    assert isinstance(made.offer(call(target_s=0.3), 5.0), Ticket)
