Check in the soak that a source on which a request has hung is paused

Cause: the mutant no-distrust, whose nodes pause no source, was missed. A node also learns by how much a source delays its requests, and names it no more once that exceeds what its fetch saves: 0.1 s for the 6,000 tokens of the fault, against a delay that counts up to the target, 0.3 s.

Change: the shared parts have 24,000 tokens, whose prefill takes longer than the target, so that nothing but the pause keeps a node from naming a source. The rule "fetch" also forbids a node to name a source within 2.5 s after a request has hung on it, but for two requests, all sources together. A pause takes 4 s. The bound of eight requests a source and the check that no request is lost are as before.

--- a/tests/soak/fetches.py
+++ b/tests/soak/fetches.py
@@ -2,7 +2,7 @@
 
 import itertools
 import random
-from collections import Counter
+from collections import Counter, defaultdict
 
 import gevent
 
@@ -20,7 +20,10 @@
 """Time for which a server waits for a source that doesn't answer, seconds: within the
 callers' deadline, so that no request is lost by waiting once."""
 
-SHARED_TOKENS = 6_000
+SHARED_TOKENS = 24_000
+"""Tokens of the shared part of a round. Their prefill takes longer than the target, so
+that even a source of which that delay is expected would be worth its fetch."""
+
 ROUND_S = 0.2
 ROUND_REQUESTS = 4
 FETCHES_S = 10.0
@@ -29,6 +32,12 @@
 source meanwhile: two pauses end in that time, and some requests are under way when the
 first of them is late."""
 
+PAUSED_S = 2.5
+MAX_AGAIN = 2
+"""Time after a request has hung on a source in which its node must not name that
+source, seconds, and requests of a node that may all the same, all sources together. A
+pause takes 4 s from the time on at which a request is late."""
+
 
 class HangingFetches:
     """What nodes ask servers to fetch while no server reaches another one.
@@ -39,12 +48,18 @@
         Requests that waited for a source, by node and source.
     requests : set of str
         Their ids.
+    ended_at : dict of (str, str) to list of float
+        When such requests had waited, by node and source, seconds since the beginning.
+    again : Counter
+        Requests for a source on which one had hung just before, by node.
     """
 
     def __init__(self, fleet):
         self.fleet = fleet
         self.hung = Counter()
         self.requests = set()
+        self.ended_at = defaultdict(list)
+        self.again = Counter()
         self.is_over = False
 
     def fetch(self, request_id, source):
@@ -57,7 +72,19 @@
         self.hung[key] += 1
         if self.hung[key] == MAX_HUNG + 1:
             self.fleet.checker.record_violation("fetch", f"{key} named again and again")
+        self._check_pause(key)
         gevent.sleep(HANG_S)
+        self.ended_at[key].append(self.fleet.clock())
+
+    def _check_pause(self, key):
+        """Check that a node leaves a source alone on which a request has hung."""
+        since = self.fleet.clock() - PAUSED_S
+        if not any(ended_at >= since for ended_at in self.ended_at[key]):
+            return
+        node = key[0]
+        self.again[node] += 1
+        if self.again[node] == MAX_AGAIN + 1:
+            self.fleet.checker.record_violation("fetch", f"{node} pauses no source")
 
     def check(self):
         """Check that no request was lost; called when all of the time have ended."""
