Let demand fill the engines up to a bound before it exceeds them in the soak

Cause: the mutant no-contention, which neither refuses nor orders by demand, was missed when its prompts waited for so long that both kinds were late: 1 of 78 of the most urgent in time and 12 of 303 of the least urgent, for example, less than the 5 in 100 that the rule tolerates. The fault also drew the ids of its burst from the beginning again, so that the first requests had the ids of earlier ones.

Change: before the burst there is one in which the least urgent kind pauses while 48 prompts are at the engines. In order of arrival, prompts then wait for about 0.8 s, longer than the most urgent target and not as long as the least urgent one. The rule and its tolerance are the same, and hold for each burst by itself. Each request has an id of its own.

--- a/tests/soak/demand.py
+++ b/tests/soak/demand.py
@@ -2,6 +2,7 @@
 
 import heapq
 import itertools
+import math
 import random
 
 import gevent
@@ -26,9 +27,16 @@
 
 URGENT_PER_S = 12
 PATIENT_PER_S = {False: 12, True: 90}
-"""Requests a second; the least urgent ones outside the burst and in it: together 1.7
+"""Requests a second; the least urgent ones outside bursts and in them: together 1.7
 times what three engines begin."""
 
+BACKLOG = 48
+BACKLOG_S = 4.0
+"""Prompts at the engines from which on none of the least urgent kind is sent in the
+first burst, and the time for which that one is counted, seconds. In order of arrival,
+prompts then wait for longer than the most urgent target and not as long as the least
+urgent one. Without a bound all may be late, whatever their order."""
+
 TOLERATED = 0.05
 """Share of its requests by which the most urgent kind may be in time less often."""
 
@@ -58,24 +66,37 @@
 
 
 class DemandBurst:
-    """Time in which routes of two priorities share engines, and demand exceeds them.
+    """Times in which routes of two priorities share engines, and demand exceeds them.
 
-    Counted are requests in the burst from `CONTACT_S` after its beginning on, at nodes
-    without a fault.
+    Counted are requests in each of them from `CONTACT_S` after its beginning on, at
+    nodes without a fault.
 
     Attributes
     ----------
     begun : dict of str to float
         When the prompt of each request was computed, seconds since the beginning.
+    times : list of (float, float)
+        Beginning and end of each, seconds since the beginning.
+    random : dict of str to random.Random
+        By kind, what its requests are drawn from, their ids among it.
     """
 
     slots, urgency = SLOTS, URGENCY
 
-    def __init__(self, fleet):
+    def __init__(self, fleet, seed):
         self.fleet = fleet
         self.queues = {}
         self.begun = {}
-        self.began_at = self.ended_at = float("inf")
+        self.times = []
+        self.random = {
+            kind.name: random.Random(f"{kind.name}/{seed}")
+            for kind in (URGENT, PATIENT)
+        }
+
+    @property
+    def backlog(self):
+        """Prompts that the engines have and have not computed."""
+        return sum(len(q.waiting) + q.is_busy for q in self.queues.values())
 
     def prefill(self, server, request_id, environ):
         """Compute a prompt at a server's rate, in the order of priority."""
@@ -85,12 +106,25 @@
         queue.run(priority, tokens / TOKENS_PER_S)
         self.begun[request_id] = self.fleet.clock()
 
-    def send(self, kind, seconds, per_s):
+    def send_burst(self, seconds, max_backlog=math.inf):
+        """Send many requests of the least urgent kind, and note when.
+
+        Parameters
+        ----------
+        max_backlog : float
+            Prompts at the engines from which on none is sent.
+        """
+        began_at = self.fleet.clock()
+        self.send(PATIENT, seconds, PATIENT_PER_S[True], max_backlog)
+        self.times.append((began_at, self.fleet.clock()))
+
+    def send(self, kind, seconds, per_s, max_backlog=math.inf):
         """Send requests of one kind, each to any node, until `seconds` have passed."""
-        rng = random.Random(kind.name)
+        rng = self.random[kind.name]
         end = self.fleet.clock() + seconds
         while self.fleet.clock() < end:
-            gevent.spawn(self._send_one, kind, rng)
+            if self.backlog < max_backlog:
+                gevent.spawn(self._send_one, kind, rng)
             gevent.sleep(rng.expovariate(per_s))
 
     def _send_one(self, kind, rng):
@@ -101,10 +135,15 @@
         caller.close()
 
     def check(self):
-        """Check the rule; called when all requests of the burst have ended."""
+        """Check the rule; called when all requests of the times have ended."""
+        for began_at, ended_at in self.times:
+            self._check_time(began_at, ended_at)
+
+    def _check_time(self, began_at, ended_at):
         in_time = {URGENT.name: [], PATIENT.name: []}
         for request_id, request in self.fleet.checker.requests.items():
-            if not self._is_counted(request_id, request):
+            is_meanwhile = began_at + CONTACT_S <= request.sent_at < ended_at
+            if not is_meanwhile or not self._is_counted(request_id, request, began_at):
                 continue
             late_at = request.sent_at + TARGETS_S[request.kind]
             begun_at = self.begun.get(request_id, float("inf"))
@@ -120,32 +159,32 @@
                 f"least urgent {sum(patient)} of {len(patient)}",
             )
 
-    def _is_counted(self, request_id, request):
-        """Return whether a request came in the burst, within its limit, to a node
-        that had to serve it."""
+    def _is_counted(self, request_id, request, since):
+        """Return whether a request came within its limit to a node that had to serve
+        it, one without a fault since then."""
         return (
             request.kind in TARGETS_S
-            and self.began_at + CONTACT_S <= request.sent_at < self.ended_at
             and self.fleet.checker.outcomes.get(request_id) != 429
-            and self.fleet.is_connected(request.node, self.began_at)
+            and self.fleet.is_connected(request.node, since)
         )
 
 
 def demand_burst(fleet, fault):
-    """Let demand of the least urgent kind exceed what the engines begin for a while."""
+    """Let demand of the least urgent kind exceed what the engines begin for a while, up
+    to a backlog at first."""
     if fleet.demand is not None:
         return
     usual = fleet.engine
-    fleet.demand = demand = DemandBurst(fleet)
+    fleet.demand = demand = DemandBurst(fleet, fault.target)
     fleet.engine = usual | {"slots": SLOTS}
     _configure(fleet)
     before_s, burst_s = CONTACT_S + 1.0, CONTACT_S + 4.0 + fault.for_s
-    whole_s = before_s + burst_s
+    limited_s = CONTACT_S + BACKLOG_S
+    whole_s = before_s + limited_s + burst_s
     senders = [gevent.spawn(demand.send, URGENT, whole_s, URGENT_PER_S)]
     demand.send(PATIENT, before_s, PATIENT_PER_S[False])
-    demand.began_at = fleet.clock()
-    demand.send(PATIENT, burst_s, PATIENT_PER_S[True])
-    demand.ended_at = fleet.clock()
+    demand.send_burst(limited_s, BACKLOG)
+    demand.send_burst(burst_s)
     gevent.joinall(senders)
     gevent.sleep(DEADLINE_S)
     demand.check()
