Stop holders of the duties amid a call in the soak

A holder that got SIGTERM once released the duties while its usage report was on its way, and a lower fencing token arrived after its successor's. Restarts in the soak seldom met a call, and its calls took no time.

holder_stops_amid_its_call delays the next usage report by the 1.4 s that a lost packet costs, and stops its sender meanwhile. The rule is "one holder", as it was: tokens that fall, or turns A, B, A. Reports of nodes that are resuming are not delayed, since they don't count.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -24,6 +24,7 @@
 from soak.other_writers import odd_entries, server_leaves_by_its_entry
 from soak.restarts import server_starts_again
 from soak.rollouts import OrderedRollout
+from soak.stopping_holders import holder_stops_amid_its_call
 
 SERIES_SHARE = 0.35
 MAX_IN_SERIES = 4
@@ -523,5 +524,6 @@
         server_leaves_by_its_entry,
         server_writes_foreign_bytes,
         server_starts_again,
+        holder_stops_amid_its_call,
     )
 }
--- a/tests/soak/invariants.py
+++ b/tests/soak/invariants.py
@@ -648,9 +648,14 @@
 
     # The platform
 
+    def is_resuming(self, holder):
+        """Return whether calls of a node don't count, as it was paused or cut off."""
+        resumed_at = self.resumed_at.get(holder, -RESUME_GRACE_S)
+        return self.clock() - resumed_at < RESUME_GRACE_S
+
     def duty_called(self, path, body, holder, fencing_token):
         """Record a call that only the holder of the duties may make."""
-        if self.clock() - self.resumed_at.get(holder, -RESUME_GRACE_S) < RESUME_GRACE_S:
+        if self.is_resuming(holder):
             return
         subject = (path, body.get("service"), body.get("zone"))
         if fencing_token < self.newest_tokens.get(subject, 0):
--- a/tests/soak/launch.py
+++ b/tests/soak/launch.py
@@ -292,6 +292,22 @@
     Writer.is_proven = property(lambda self: True)
 
 
+def release_at_once():
+    """Let a node give up the duties while a call of it may be on its way."""
+    from endive_core.leases import Lease
+    from endive_gateway.duties import Duties
+    from gevent.lock import DummySemaphore
+
+    real_release = Duties.release
+
+    def release(self):
+        self.acting = DummySemaphore()
+        real_release(self)
+
+    Duties.release = release
+    Lease.is_settled = lambda self, now, log: True
+
+
 def trust_all_sources():
     """Let a node name servers as sources however late its requests become."""
     from endive_core.source_trust import SourceTrust
@@ -372,6 +388,7 @@
     "no-affinity": forget_where_streams_began,
     "guessed-version": guess_a_version,
     "trusted-entries": trust_entries,
+    "early-release": release_at_once,
     EARLIER_BUILD: list_no_origins,
     "no-speeds": ignore_speeds,
     "no-contention": serve_in_order_of_arrival,
--- a/tests/soak/mixes.py
+++ b/tests/soak/mixes.py
@@ -24,6 +24,7 @@
     "server_leaves_by_its_entry",
     "server_writes_foreign_bytes",
     "server_starts_again",
+    "holder_stops_amid_its_call",
 }
 EARLIER_KINDS = tuple(sorted(set(FAULTS) - LATER_KINDS))
 FIRST_KINDS = tuple(sorted(set(EARLIER_KINDS) - {"store_silent", "links_fall_silent"}))
@@ -58,4 +59,5 @@
 FOREIGN_BYTES = ("server_writes_foreign_bytes", "server_leaves", "restart")
 ODD_ENTRIES = ("odd_entries", "server_leaves_by_its_entry")
 STARTED_AGAIN = ("server_starts_again",)
+STOPPING_HOLDERS = ("holder_stops_amid_its_call",)
 UNFRAMED = ("server_unframed", "server_leaves", "restart")
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -231,20 +231,33 @@
 
 
 class FakeCloud(Listener):
-    """The cloud service that receives orders of servers and usage reports."""
+    """The cloud service that receives orders of servers and usage reports.
+
+    Attributes
+    ----------
+    late_report : LateReport or None
+        Set while one usage report is late.
+    """
 
     def __init__(self, host, port, checker):
         self.checker = checker
+        self.late_report = None
         self.down = self.losing_responses = False
         super().__init__(host, port)
 
     def handle(self, environ, body, start):
         if self.down:
             return respond(start, 503)
+        holder = environ["HTTP_DUTY_HOLDER"]
+        counts = environ["PATH_INFO"] == "/usage" and not self.checker.is_resuming(
+            holder
+        )
+        if self.late_report is not None and counts:
+            self.late_report.receive(holder)
         self.checker.duty_called(
             environ["PATH_INFO"],
             json.loads(body),
-            environ["HTTP_DUTY_HOLDER"],
+            holder,
             int(environ["HTTP_FENCING_TOKEN"]),
         )
         if self.losing_responses:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -22,6 +22,7 @@
     PARTS,
     REJOINED,
     SILENCES,
+    STOPPING_HOLDERS,
     UNEVEN,
 )
 from soak.network import Link
@@ -108,6 +109,12 @@
     assert outcome.violations == [], outcome.directory
 
 
+def test_the_duties_pass_on_after_the_last_call_of_a_holder_that_stops():
+    """A packet of its usage report is lost, and it is stopped meanwhile."""
+    outcome = run_seed(1, slot=SLOT, kinds=STOPPING_HOLDERS, faults_s=6.0)
+    assert outcome.violations == [], outcome.directory
+
+
 def test_brittle_servers_do_not_have_to_reject_much():
     """Servers that reject a few requests a second fail, and nodes restart meanwhile."""
     outcome = run_seed(1, slot=SLOT, kinds=BRITTLE)
--- a/tests/test_soak_mutants.py
+++ b/tests/test_soak_mutants.py
@@ -20,6 +20,7 @@
     SILENT,
     SPEEDS,
     STARTED_AGAIN,
+    STOPPING_HOLDERS,
     UNEVEN,
     UNFRAMED,
 )
@@ -33,6 +34,7 @@
     "limit": ("limit", 1, ("reload",)),
     "not-run": ("not run", 1, ("server_crash",)),
     "holder": ("one holder", 1, ("reload",)),
+    "early-release": ("one holder", 1, STOPPING_HOLDERS),
     "silence": ("configuration in time", 8, SILENCES),
     "crashes": ("crashing request", 1, CRASHES),
     "part-crashes": ("crashing part", 1, PARTS),
@@ -61,17 +63,18 @@
 def test_mutants_are_detected(mutant):
     """The soak detects each mutant within the fault phase of one seed: a limit that
     each node applies alone, "not run" reported for a request that a server ran, duties
-    claimed while another node holds them, an unanswered read of the store treated as
-    proof that nothing has changed, crashes that nodes do not tell each other, of whole
-    requests and of parts of prompts, parts that answers do not clear, nodes that serve
-    an even share only, limits of servers that are not shared, rests and departures that
-    are not read, reads of the store that end at an unreadable record, bytes in a stream
-    that are no event of it and are forwarded, streams that are complete as soon as they
-    end, requests that end with a server's silence, brittle servers without leases, few
-    slots that no node coordinates, nodes that carry no connections for others, sources
-    of fetches that are named although they hang, streams that go on at any software
-    version, requests for servers that state to be slow, requests that are admitted and
-    sent without regard to the demand of all nodes, and nodes that use the servers of an
+    claimed while another node holds them, duties released before the end of the last
+    call, an unanswered read of the store treated as proof that nothing has changed,
+    crashes that nodes do not tell each other, of whole requests and of parts of
+    prompts, parts that answers do not clear, nodes that serve an even share only,
+    limits of servers that are not shared, rests and departures that are not read, reads
+    of the store that end at an unreadable record, bytes in a stream that are no event
+    of it and are forwarded, streams that are complete as soon as they end, requests
+    that end with a server's silence, brittle servers without leases, few slots that no
+    node coordinates, nodes that carry no connections for others, sources of fetches
+    that are named although they hang, streams that go on at any software version,
+    requests for servers that state to be slow, requests that are admitted and sent
+    without regard to the demand of all nodes, and nodes that use the servers of an
     ordered version as any others."""
     rule, seed, kinds = MUTANTS[mutant]
     outcome = run_seed(seed, slot=SLOT, mutant=mutant, kinds=kinds)
