Record further attempts whatever the recorder's list says

The first attempt was at v2, and another recorder recorded it, too late for its event. The second was at v1. The recorder out of step held v1 for the only origin, by a list that it had read before v2 was listed: it took the record for needless, wrote nothing, called the store for nothing, and replied that all was recorded. So the log had the attempt that had been given up.

A further attempt at another origin shows by itself that there are several. It is always recorded, by the node that begins it and by the recorder, and its event is not passed on if it can't be.

--- a/packages/endive_gateway/src/endive_gateway/forwarding.py
+++ b/packages/endive_gateway/src/endive_gateway/forwarding.py
@@ -469,7 +469,8 @@
             software_version=version,
         )
         self.context.metrics.events["stream_origin_not_recorded"] += 1
-        if self.context.origin_view.has_other_origins(self.route, version):
+        has_others = self.context.origin_view.has_other_origins(self.route, version)
+        if has_others or self.affinity.has_moved:
             raise AttemptError(
                 "it could not be recorded where the stream begins",
                 RetryReason.ORIGIN_UNRECORDED,
--- a/packages/endive_gateway/src/endive_gateway/origin_recorder.py
+++ b/packages/endive_gateway/src/endive_gateway/origin_recorder.py
@@ -122,7 +122,8 @@
     Attributes
     ----------
     streams : tuple of BegunStream
-        Not recorded if they begin at entries whose routes have no further origins.
+        Not recorded if they begin at entries whose routes have no further origins, at
+        the first attempt.
     done : callable
         Called with whether all is recorded, and for each entry whether its route has
         further origins.
@@ -315,8 +316,12 @@
         return len(streams)
 
     def _is_needed(self, job: RecordJob) -> bool:
-        """Return whether a job's streams may have several origins."""
-        return not job.entries or any(map(self._is_shared, job.entries))
+        """Return whether a job's streams may have several origins.
+
+        A further attempt shows that, whatever the list said when it was last read.
+        """
+        is_further = any(stream.attempt > 1 for stream in job.streams)
+        return is_further or not job.entries or any(map(self._is_shared, job.entries))
 
     def _serve_lookups(self, jobs: list[LookupJob]) -> None:
         try:
--- a/packages/endive_gateway/src/endive_gateway/origin_records.py
+++ b/packages/endive_gateway/src/endive_gateway/origin_records.py
@@ -218,7 +218,7 @@
             return None  # lookups of such paths tell nothing
         is_confirmed = self.confirmations.is_confirmed(entry, now)
         is_shared = self.confirmations.is_shared(entry, now)
-        if is_confirmed and not is_shared:
+        if is_confirmed and not is_shared and attempt == 1:
             return None
         entries = () if is_confirmed else (entry,)
         streams = ()
--- a/packages/endive_gateway/src/endive_gateway/stream_affinity.py
+++ b/packages/endive_gateway/src/endive_gateway/stream_affinity.py
@@ -195,6 +195,8 @@
         organisation: str,
         *,
         is_resumed: bool,
+    has_moved : bool
+        Whether several origins may have been recorded.
     ) -> None:
         """Have recorded that the stream is about to begin, or go on, at an origin.
 
@@ -205,6 +207,7 @@
             return
         self.records += 1
         self.recorded = entry.origin
+        self.has_moved = False
         self.recording = records.begin(
             entry, self.keys(organisation), self.number, self.records
         )
@@ -222,6 +225,7 @@
         return route.kind is RouteKind.STREAM and bool(self.metadata.last_event_id)
 
     def keys(self, organisation: str) -> list[bytes]:
+        self.has_moved |= self.recorded not in (None, entry.origin)
         """Return the keys under which the stream's origin is kept.
 
         A caller that takes a stream up repeatedly may name its first try or a later
--- a/packages/endive_gateway/tests/test_origin_records.py
+++ b/packages/endive_gateway/tests/test_origin_records.py
@@ -169,6 +169,27 @@
     assert nodes.nodes[3].look_up(KEY, HOST, "/x").origin == make_origin("v2")
 
 
+@pytest.mark.parametrize("answers", [True, False])
+def test_a_recorder_out_of_step_hides_no_later_attempt(fleet, answers):
+    """Guards against a stream that goes on at the version of its first attempt, since
+    a recorder with an old list took the record of the second one for needless."""
+    nodes = fleet(6, "v1")
+    address = nodes.nodes[0].recorder_address()
+    recorder = next(n for n in nodes.nodes if n.address == address)
+    other = next(n for n in nodes.nodes if n is not recorder)
+    settle([nodes.begin(nodes.nodes.index(recorder), "v1")])
+    cut_off(nodes, recorder, "v1")
+    recorder.recorder.store = MemoryStore()
+    recorder.recorder.store.fault = store_down
+    nodes.set_versions("v1", "v2")
+    recorders = other.recorders
+    for attempt, version in enumerate(("v2", "v1"), 1):
+        other.recorders = recorders if answers or attempt > 1 else tuple
+        recording = other.begin(make_possible(version), [KEY], 7, attempt)
+        assert recording.wait(RECORDED_S) or not answers
+    assert other.look_up(KEY, HOST, "/x").origin in (make_origin("v1"), None)
+
+
 def test_two_streams_under_one_id_are_not_taken_for_each_other(fleet):
     """A caller reuses an id; what it takes up may be either stream."""
     nodes = fleet(6, "v1", "v2")
