Refuse a stream for good only after a later read of the servers

The node learned the version from the log, and held it against a list of servers that it had read before they joined.

It now waits for a read that began after the question, for 1 s at most, and then tells the caller to come back. Streams of a version that has left are refused at the next read instead of at once.

--- a/packages/endive_gateway/src/endive_gateway/gateway.py
+++ b/packages/endive_gateway/src/endive_gateway/gateway.py
@@ -90,6 +90,7 @@
         self.peers.configuration = self.configuration
         self.context.rollouts.check_orders = self.configuration.check_soon
         self.context.processes.read_at = self.servers.newest_read_at
+        self.context.resumptions.read_at = self.servers.newest_read_at
         self.context.origin_view.ages_s = [
             self.configuration.proof_age_s,
             self.servers.age_s,
--- a/packages/endive_gateway/src/endive_gateway/stream_affinity.py
+++ b/packages/endive_gateway/src/endive_gateway/stream_affinity.py
@@ -2,6 +2,7 @@
 
 import time
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass, replace
 
 import gevent
@@ -24,8 +25,8 @@
 
 CONFIRMATION_S = 1.0
 CONFIRMATION_POLL_S = 0.1
-"""Time for which a stream that its caller takes up waits until its version is known,
-and time between two questions, seconds."""
+"""Time for which a stream that its caller takes up waits until its version and servers
+are known, and time between two questions, seconds."""
 
 MAX_LOGGED_CHARACTERS = 64
 """Longest part of a caller's own value in the log, characters."""
@@ -41,7 +42,8 @@
         How that is known: ``kept`` here, ``told`` by another node, ``recorded`` in the
         store, or ``certain`` as the stream can have no other origin; else ``unknown``,
         ``unread`` if the store does not answer, ``unconfirmed`` if the process that
-        began it is not known yet, or ``moved`` if the route no longer
+        began it is not known yet, ``unserved`` if this node knows no server of the
+        version and has not read the servers since, or ``moved`` if the route no longer
         leads to the service that began it.
     origin : StreamOrigin or None
         ``None`` if the stream can't go on.
@@ -74,9 +76,13 @@
         ErrorKind.NOT_READY,
         "it is not known yet which software version began the stream",
     ),
+    "unserved": (
+        ErrorKind.NOT_READY,
+        "it is not known yet which servers have the version that began the stream",
+    ),
 }
 """By outcome, why a stream does not go on. What the store did not tell, it may tell
-later."""
+later, and a node may have read the servers before one of them joined."""
 
 
 class Resumptions:
@@ -86,6 +92,9 @@
     ----------
     outcomes : Counter
         Resumptions by outcome; see :class:`Resumption`.
+    read_at : callable
+        Returns when the read began that the known servers stem from, seconds on the
+        monotonic clock.
     """
 
     def __init__(
@@ -94,6 +103,7 @@
         self.exchange = exchange
         self.records = records
         self.outcomes = outcomes
+        self.read_at: Callable[[], float] = lambda: float("inf")
 
     def find(
         self, route: Route, path: str, organisation: str, metadata: RequestMetadata
@@ -129,11 +139,19 @@
         self, route: Route, path: str, organisation: str, metadata: RequestMetadata
     ) -> Resumption:
         key = stream_key(organisation, metadata.resumes or metadata.id)
-        end = time.monotonic() + CONFIRMATION_S
+        asked_at = time.monotonic()
+        end = asked_at + CONFIRMATION_S
         resumption = self._look_up(route, path, key)
         while resumption.outcome == "unconfirmed" and time.monotonic() < end:
             gevent.sleep(CONFIRMATION_POLL_S)
             resumption = self._look_up(route, path, key)
+        if resumption.origin is None:
+            return resumption
+        entry = PossibleOrigin.of(route, resumption.origin)
+        while not (self.records.view.is_usable(entry) or self.read_at() >= asked_at):
+            if time.monotonic() >= end:
+                return replace(resumption, outcome="unserved", origin=None)
+            gevent.sleep(CONFIRMATION_POLL_S)
         return resumption
 
     def _look_up(self, route: Route, path: str, key: bytes) -> Resumption:
@@ -177,6 +195,8 @@
         The recording that the stream's first event may have to wait for.
     waits : bool
         Whether it has to, if that is required.
+    has_moved : bool
+        Whether several origins may have been recorded.
     """
 
     def __init__(self, metadata: RequestMetadata) -> None:
@@ -187,6 +207,7 @@
         self.records = 0
         self.recording: Recording | None = None
         self.waits = False
+        self.has_moved = False
 
     def record(
         self,
@@ -195,8 +216,6 @@
         organisation: str,
         *,
         is_resumed: bool,
-    has_moved : bool
-        Whether several origins may have been recorded.
     ) -> None:
         """Have recorded that the stream is about to begin, or go on, at an origin.
 
@@ -206,8 +225,8 @@
         if self.recorded == entry.origin and not has_failed:
             return
         self.records += 1
+        self.has_moved |= self.recorded not in (None, entry.origin)
         self.recorded = entry.origin
-        self.has_moved = False
         self.recording = records.begin(
             entry, self.keys(organisation), self.number, self.records
         )
@@ -225,7 +244,6 @@
         return route.kind is RouteKind.STREAM and bool(self.metadata.last_event_id)
 
     def keys(self, organisation: str) -> list[bytes]:
-        self.has_moved |= self.recorded not in (None, entry.origin)
         """Return the keys under which the stream's origin is kept.
 
         A caller that takes a stream up repeatedly may name its first try or a later
--- a/packages/endive_gateway/tests/test_server_processes.py
+++ b/packages/endive_gateway/tests/test_server_processes.py
@@ -27,6 +27,7 @@
 )
 from server_builders import EVENTS, ScriptedServer, stream_from, versions_in
 
+KEPT_S = 10.0
 READ_S = 0.4
 """Time until the servers are read again, seconds."""
 
@@ -153,6 +154,39 @@
     assert versions_in(response.body) == set()
 
 
+class TakenUpElsewhere:
+    """A node that is told of a stream of a version of which it knows no server."""
+
+    def __init__(self, nodes):
+        self.nodes = nodes
+        context = nodes.running.context
+        context.resumptions.read_at = lambda: nodes.read_at
+        key = stream_key("", "q")
+        context.origin_exchange.tell(key, StreamOrigin(SERVICE, "b"), KEPT_S)
+
+    def call(self):
+        """Take the stream up; return the status, and how its origin was known."""
+        outcomes = self.nodes.running.context.resumptions.outcomes
+        before = outcomes.copy()
+        status = self.nodes.running.call(After="3", Resumes="q").status
+        return status, *(outcomes - before)
+
+
+def test_a_stream_of_servers_that_have_not_been_read_yet_may_come_back(unread):
+    """Guards against a node with an old list of servers that refuses it for good."""
+    elsewhere = TakenUpElsewhere(unread("b"))
+    assert elsewhere.call() == (503, "unserved")
+    elsewhere.nodes.read_later(i_0="b")
+    assert elsewhere.call() == (200, "kept")
+
+
+def test_a_stream_whose_servers_are_gone_by_a_later_read_is_refused(unread):
+    """Guards against callers that come back for a version that has left."""
+    elsewhere = TakenUpElsewhere(unread("a"))
+    elsewhere.nodes.read_later()
+    assert elsewhere.call() == (503, "kept")
+
+
 class FakeStream:
     """A connection that is open and has no unread bytes, or neither."""
 
