Test streams at a node that is out of step with a release

Six gateway processes now play it: one stands still, or is cut off from the others, the store or both, while servers of a second version join and streams begin there at the others; connections of callers or servers are reset, the new servers end, or the other nodes are killed, and callers take their streams up at that node, some before it is back, some at once, some up to 1 s later. It has served streams of the old version, and its list of servers is from before the new ones joined. In some releases the second version has served before, and its origin is about to be removed.

--- a/tests/losses.py
+++ b/tests/losses.py
@@ -120,7 +120,7 @@
                 backend.server.event_gap_s = self.event_gap_s
                 backend.send_heartbeat()
 
-    def start_engines(self, version, count=3):
+    def start_engines(self, version, count=3, known_after_s=KNOWN_WITHIN_S):
         """Start engines of a software version, and let the nodes learn of them."""
         fleet = self.fleet
         for _ in range(count):
@@ -129,7 +129,7 @@
             fleet.backends.append(backend)
             self.engines.setdefault(version, []).append(backend)
         self._slow_down()
-        gevent.sleep(KNOWN_WITHIN_S)
+        gevent.sleep(known_after_s)
 
     def restart_as(self, version, *, entries_known):
         """Let the first engine start again under its id, with other software.
@@ -159,13 +159,34 @@
             backend.retire()
             backend.expire_entry(server.id)
 
-    def begin_streams(self, count=STREAMS, nodes=None, event_gap_s=EVENT_GAP_S):
+    def refuse_engines(self):
+        """Reset all connections to engines, and let no new ones open."""
+        for backend in (b for backends in self.engines.values() for b in backends):
+            backend.link.accepting = False
+            backend.link.reset()
+
+    def accept_engines(self):
+        """Let connections to engines open again."""
+        for backend in (b for backends in self.engines.values() for b in backends):
+            backend.link.heal()
+
+    def forget_streams(self):
+        """Let no caller take its stream up."""
+        self.callers = []
+
+    def begin_streams(
+        self,
+        count=STREAMS,
+        nodes=None,
+        event_gap_s=EVENT_GAP_S,
+        caller_type=StreamCaller,
+    ):
         """Begin streams at all nodes in turn, and wait for their first events."""
         self.event_gap_s = event_gap_s
         self._slow_down()
         nodes = nodes or self.fleet.nodes
         callers = [
-            StreamCaller(self.fleet, random.Random(self.random.random()), "free")
+            caller_type(self.fleet, random.Random(self.random.random()), "free")
             for _ in range(count)
         ]
         for number, caller in enumerate(callers):
