--- a/packages/endive_gateway/src/endive_gateway/__init__.py
+++ b/packages/endive_gateway/src/endive_gateway/__init__.py
@@ -23,7 +23,7 @@
   ``part_exchange``, ``origin_exchange``, ``origin_messages``, ``contention_exchange``,
   ``order_exchange``
 - records of where streams began: ``origin_records``, ``origin_recorder``,
-  ``origin_documents``, ``origin_view``
+  ``origin_documents``, ``origin_view``, ``origin_claims``
 - leases of servers' slots: ``slot_leasing``, ``slot_pooling``, ``pool_coordination``,
   ``coordinators``, ``slot_messages``
 - what servers state of themselves: ``server_statements``, ``stated_values``,
