Send bodies without end that are no answers in the soak

What servers send without end and nobody reads once filled a process's memory. Tests of one gateway guard the fix; in the soak no server sent more than it should, and no rule looked at memory.

server_sends_without_end lets a server send such bodies, in three framings, in place of 30 to 100 % of its answers. The rule "memory" lets no process that ran for 3 s before take 16 MiB more meanwhile, the target for a hundred faulty connections; that no process ends by itself is checked as before.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -10,6 +10,7 @@
 
 from soak.callers import DEADLINE_S, CrashingCaller, CrashingPartCaller
 from soak.demand import demand_burst
+from soak.endless_bodies import server_sends_without_end
 from soak.fetches import fetches_hang
 from soak.few_slots import FewSlots
 from soak.invariants import (
@@ -525,5 +526,6 @@
         server_writes_foreign_bytes,
         server_starts_again,
         holder_stops_amid_its_call,
+        server_sends_without_end,
     )
 }
--- a/tests/soak/launch.py
+++ b/tests/soak/launch.py
@@ -308,6 +308,17 @@
     Lease.is_settled = lambda self, now, log: True
 
 
+def keep_what_is_skipped():
+    """Let a node keep the bodies of responses that nobody reads."""
+    from endive_gateway.http import ResponseParser
+
+    def on_body(self, data):
+        self.overhead_bytes = 0
+        self.current.body.append(data)
+
+    ResponseParser.on_body = on_body
+
+
 def trust_all_sources():
     """Let a node name servers as sources however late its requests become."""
     from endive_core.source_trust import SourceTrust
@@ -389,6 +400,7 @@
     "guessed-version": guess_a_version,
     "trusted-entries": trust_entries,
     "early-release": release_at_once,
+    "kept-bodies": keep_what_is_skipped,
     EARLIER_BUILD: list_no_origins,
     "no-speeds": ignore_speeds,
     "no-contention": serve_in_order_of_arrival,
--- a/tests/soak/mixes.py
+++ b/tests/soak/mixes.py
@@ -25,6 +25,7 @@
     "server_writes_foreign_bytes",
     "server_starts_again",
     "holder_stops_amid_its_call",
+    "server_sends_without_end",
 }
 EARLIER_KINDS = tuple(sorted(set(FAULTS) - LATER_KINDS))
 FIRST_KINDS = tuple(sorted(set(EARLIER_KINDS) - {"store_silent", "links_fall_silent"}))
@@ -60,4 +61,5 @@
 ODD_ENTRIES = ("odd_entries", "server_leaves_by_its_entry")
 STARTED_AGAIN = ("server_starts_again",)
 STOPPING_HOLDERS = ("holder_stops_amid_its_call",)
+ENDLESS = ("server_sends_without_end", "server_leaves", "restart")
 UNFRAMED = ("server_unframed", "server_leaves", "restart")
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -19,6 +19,7 @@
 from gevent.pool import Pool
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
+from soak.endless_bodies import send_without_end
 from soak.foreign_bytes import SpoiltStream
 from soak.invariants import LimitedServer, RestingServer
 from soak.network import reset
@@ -307,6 +308,8 @@
         Whether its responses have neither a length nor chunks.
     broken_share : float
         Share of its streams without a length or chunks that end inside an event.
+    endless_share : float
+        Share of its answers in place of which it sends bytes without end.
     foreign_share : float
         Share of its streams that hold bytes that are no part of them.
     backend : Backend
@@ -343,6 +346,7 @@
         self.error_share = 0.0
         self.unframed = False
         self.broken_share = 0.0
+        self.endless_share = 0.0
         self.foreign_share = 0.0
         self.work_s = WORK_S
         self.slowdown = 1.0
@@ -426,6 +430,8 @@
                 return respond(start, 500, b"no", headers)
             if self._draws(request_id, self.error_share):
                 return respond(start, 500, b"no", headers)
+            if self._draws(f"{request_id}/endless", self.endless_share):
+                return send_without_end(environ["soak.socket"], request_id)
             if environ["PATH_INFO"].startswith("/stream"):
                 return self._stream(request_id, environ, start, headers)
             more_s = few_slots.work_s if few_slots else 0.0
--- a/tests/test_soak_mutants.py
+++ b/tests/test_soak_mutants.py
@@ -5,6 +5,7 @@
     CRASHES,
     DEMAND,
     DEPARTING,
+    ENDLESS,
     FETCHES,
     FEW_SLOTS,
     FOREIGN_BYTES,
@@ -46,6 +47,7 @@
     "unreadable-ends": ("drain", 4, ODD_ENTRIES),
     "foreign-bytes": ("foreign piece", 1, FOREIGN_BYTES),
     "broken-streams": ("wrong response", 1, UNFRAMED),
+    "kept-bodies": ("memory", 1, ENDLESS),
     "silence-ends": ("silence", 1, SILENT),
     "no-leases": ("brittle", 87, ("servers_brittle",)),
     "no-pools": ("idle slots", 2, FEW_SLOTS),
@@ -69,13 +71,13 @@
     prompts, parts that answers do not clear, nodes that serve an even share only,
     limits of servers that are not shared, rests and departures that are not read, reads
     of the store that end at an unreadable record, bytes in a stream that are no event
-    of it and are forwarded, streams that are complete as soon as they end, requests
-    that end with a server's silence, brittle servers without leases, few slots that no
-    node coordinates, nodes that carry no connections for others, sources of fetches
-    that are named although they hang, streams that go on at any software version,
-    requests for servers that state to be slow, requests that are admitted and sent
-    without regard to the demand of all nodes, and nodes that use the servers of an
-    ordered version as any others."""
+    of it and are forwarded, streams that are complete as soon as they end, bodies that
+    nobody reads and that are kept, requests that end with a server's silence, brittle
+    servers without leases, few slots that no node coordinates, nodes that carry no
+    connections for others, sources of fetches that are named although they hang,
+    streams that go on at any software version, requests for servers that state to be
+    slow, requests that are admitted and sent without regard to the demand of all nodes,
+    and nodes that use the servers of an ordered version as any others."""
     rule, seed, kinds = MUTANTS[mutant]
     outcome = run_seed(seed, slot=SLOT, mutant=mutant, kinds=kinds)
     assert outcome.violations, outcome.counts
--- a/tests/test_soak_servers.py
+++ b/tests/test_soak_servers.py
@@ -7,6 +7,7 @@
 from soak.mixes import (
     DEMAND,
     DEPARTING,
+    ENDLESS,
     FETCHES,
     FEW_SLOTS,
     FOREIGN_BYTES,
@@ -59,6 +60,12 @@
     assert outcome.violations == [], outcome.directory
 
 
+def test_bodies_without_end_take_little_memory():
+    """Servers send them in place of their answers, and none is an answer."""
+    outcome = run_seed(1, slot=SLOT, kinds=ENDLESS, faults_s=6.0)
+    assert outcome.violations == [], outcome.directory
+
+
 def test_callers_hold_no_bytes_that_no_run_made():
     """Servers write other data into the bodies of their streams, framed in all ways."""
     outcome = run_seed(1, slot=SLOT, kinds=FOREIGN_BYTES)
