--- a/packages/endive_gateway/src/endive_gateway/service_client.py
+++ b/packages/endive_gateway/src/endive_gateway/service_client.py
@@ -22,7 +22,7 @@
     CallTimedOutError,
     ConnectionBrokenError,
 )
-from endive_gateway.http import encode_head
+from endive_gateway.http import ResponseMessage, encode_head
 from endive_gateway.tcp import PLATFORM_SILENCE_TIMEOUT_S, TcpStream
 
 
@@ -42,6 +42,9 @@
     least_timeout_s : float
         Time-out of a response while responses are quick, seconds, in addition to the
         time that a call asks the service to wait.
+    keeps_bodies : bool
+        Whether the bodies of responses are read; else they are dropped as they come,
+        and responses have none.
 
     Attributes
     ----------
@@ -57,9 +60,12 @@
         it takes. A service that has fallen silent never sends it; a slow one does.
     """
 
-    def __init__(self, address: str, least_timeout_s: float) -> None:
+    def __init__(
+        self, address: str, least_timeout_s: float, *, keeps_bodies: bool = True
+    ) -> None:
         self.address = address
         self.least_timeout_s = least_timeout_s
+        self.keeps_bodies = keeps_bodies
         self.idle_connections: deque[Connection] = deque()
         self.pacing = CallPacing()
         self.call_ended = Event()
@@ -177,7 +183,7 @@
         try:
             connection.send(head, body)
             message = connection.next_message()
-            response = CallResponse(message.status, connection.read_all(message))
+            response = CallResponse(message.status, self._read(connection, message))
         except ConnectionBrokenError as error:
             connection.close()
             return error
@@ -194,6 +200,12 @@
             connection.close()
         return response
 
+    def _read(self, connection: Connection, message: ResponseMessage) -> bytes:
+        if self.keeps_bodies:
+            return connection.read_all(message)
+        connection.skip_body(message)
+        return b""
+
 
 def _close_if_killed(exchange: gevent.Greenlet, connection: Connection) -> None:
     """Close the connection of a killed exchange, which may not have begun."""
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -1,6 +1,8 @@
 import base64
 import json
 import struct
+import time
+import tracemalloc
 
 import gevent
 import pytest
@@ -230,6 +232,31 @@
     assert caught.value.sent
 
 
+def send_without_end(sock, _address):
+    """Answer a call with a body without end."""
+    sock.recv(65_536)
+    sock.sendall(b"HTTP/1.1 200 OK\r\n\r\n")
+    end = time.monotonic() + 2.0
+    while time.monotonic() < end:
+        sock.sendall(b"x" * 16_384)
+
+
+def test_an_answer_of_the_cloud_without_end_takes_no_memory():
+    """16 MiB of an answer whose body nobody reads were kept, and copied once."""
+    server = StreamServer(("127.0.0.1", 0), send_without_end)
+    server.start()
+    address = f"127.0.0.1:{server.server_port}"
+    cloud = PlatformCloud(PlatformCalls(address, keeps_bodies=False))
+    tracemalloc.start()
+    with pytest.raises(CloudError) as caught:
+        cloud.report_usage("n1", 1, 1, {"o": 1})
+    most = tracemalloc.get_traced_memory()[1]
+    tracemalloc.stop()
+    server.stop(0)
+    assert caught.value.sent
+    assert most < 2**20
+
+
 def test_a_refused_connection_has_sent_nothing():
     with pytest.raises(CallFailedError) as caught:
         PlatformCalls("127.0.0.1:1").call("GET", "/x")
