--- a/packages/endive_gateway/src/endive_gateway/following.py
+++ b/packages/endive_gateway/src/endive_gateway/following.py
@@ -17,6 +17,7 @@
 )
 from endive_gateway.interfaces import Page, Record, Topic
 from endive_gateway.store_reading import read_to_end
+from endive_gateway.turns import Worker
 
 MIN_READ_BACKOFF_S = 0.25
 MAX_READ_BACKOFF_S = 1.0
@@ -93,6 +94,8 @@
         Offsets of records that could not be applied, by key, the newest ones last.
     synced : bool
         Whether the newest records have been read, and all later changes since.
+    worker : Worker
+        The work of applying records.
     """
 
     topic: Topic
@@ -109,6 +112,7 @@
         self.last_answer_at: float | None = None
         self.skipped: OrderedDict[str, int] = OrderedDict()
         self.synced = False
+        self.worker = Worker(f"store {self.topic}")
 
     def run(self) -> None:
         """Follow the topic indefinitely; the body of a greenlet."""
@@ -229,6 +233,8 @@
     def _apply_page(self, page: Page) -> None:
         self._note_recovery()
         for record in page.records:
+            # Meanwhile another greenlet may apply some of these records.
+            self.worker.checkpoint()
             if record.offset >= self.next_offset:
                 self.apply(record)
                 self.next_offset = record.offset + 1
--- a/packages/endive_gateway/tests/test_following.py
+++ b/packages/endive_gateway/tests/test_following.py
@@ -11,6 +11,7 @@
 from endive_gateway.server_following import CHANGE_HISTORY_S, ServerFollower
 from gateway_builders import make_context
 from store_builders import MemoryStore, NonReader, store_down, write
+from ticks import MAX_GAP_S, largest_gap_until_end_s
 
 
 @pytest.fixture
@@ -73,6 +74,40 @@
     assert set(context.registry.servers) == {"i-2"}
 
 
+def test_many_unreadable_records_hold_up_nothing(context, store):
+    """All records of another writer were applied in one turn of the event loop."""
+    follower = ServerFollower(context)
+    follower.step()
+    for number in range(5_000):
+        store.put(Topic.SERVERS, f"i-{number}", b"?")
+    write(store, Topic.SERVERS, "i-last", server())
+    assert largest_gap_until_end_s(follower.step) < MAX_GAP_S
+    assert context.registry.get("i-last").usable
+
+
+def test_records_that_a_peer_relays_while_a_page_is_applied_count_once(store):
+    """Others run between two records, and may apply the same ones."""
+    reader, listener = make_reader_and_listener(store)
+    for number in range(2, 200):
+        write(store, Topic.SERVERS, f"i-{number}", server(sequence=1))
+    write(store, Topic.SERVERS, "i-1", server(sequence=2, state="draining"))
+    reader.step()
+    page = store.read(Topic.SERVERS, listener.next_offset)
+    applied = []
+
+    class Relaying:
+        def checkpoint(self):
+            applied.append(listener.next_offset)
+            if len(applied) == 50:
+                listener.apply_delta(reader.server_delta())
+
+    listener.worker = Relaying()
+    listener._apply_page(page)
+    assert listener.next_offset == page.end
+    assert len({record.offset for record in listener.changes}) == len(listener.changes)
+    assert len(listener.context.registry.servers) == 199
+
+
 def make_reader_and_listener(store):
     """Return a reader and a node that it relays to; both know one server."""
     write(store, Topic.SERVERS, "i-1", server(sequence=1))
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -22,6 +22,7 @@
 from endive_platform.entries import decode_server
 from endive_platform.store import PlatformStore
 from gevent.server import StreamServer
+from ticks import MAX_GAP_S, largest_gap_until_end_s
 
 
 class Response:
@@ -73,6 +74,18 @@
     assert page.records[0].value == b"abc"
 
 
+def test_a_page_of_many_records_holds_up_nothing():
+    """A page of the smallest records was read in one turn of the event loop."""
+    data = framed(*[keyed(b"i", b"x")] * 80_000, end=80_000)
+    reads = []
+
+    def read():
+        reads.append(store(Response(200, data)).read(Topic.SERVERS, 0))
+
+    assert largest_gap_until_end_s(read) < MAX_GAP_S
+    assert len(reads[0].records) == 80_000
+
+
 @pytest.mark.parametrize("data", [b"", b"short", framed(b"abc", end=1)[:-1]])
 def test_a_truncated_response_is_an_error(data):
     with pytest.raises(StoreError):
