Let a starting node take all reports of crashes before it tries a part

What it takes from another node when it starts now holds all reports and the answers that clear parts; also after a time without contact. Nodes that start together take nothing.

--- a/packages/endive_core/src/endive_core/crash_news.py
+++ b/packages/endive_core/src/endive_core/crash_news.py
@@ -84,6 +84,13 @@
             self.fresh.rotate(-1)
         return is_new
 
+    def learn_known(self, crash: CrashT) -> None:
+        """Add a crash that the other nodes know already, and only this one does not."""
+        if self.table.add(crash) and crash in self.receivers:
+            self.fresh.remove(crash)
+            del self.receivers[crash]
+            self.others.append(crash)
+
     def take(
         self, now: float, *, limit: int, receivers: int, repeats: int | None = None
     ) -> list[CrashT]:
--- a/packages/endive_gateway/src/endive_gateway/bootstrap.py
+++ b/packages/endive_gateway/src/endive_gateway/bootstrap.py
@@ -1,4 +1,4 @@
-"""What a starting node takes from another one: the list of nodes, and the servers.
+"""What a starting node takes from another one: nodes, servers, and known crashes.
 
 When hundreds of nodes start together, the store answers a few of them first. If each
 waited for its own answers, the last one would serve only after thousands of calls. Over
@@ -28,6 +28,7 @@
 from endive_gateway.context import Context
 from endive_gateway.decoding import decode_msgpack
 from endive_gateway.exceptions import UndecodableError
+from endive_gateway.part_exchange import PartEvidence
 from endive_gateway.quantities import Age, Count
 
 REFRESH_INTERVAL_S = 0.5
@@ -50,6 +51,9 @@
         Seconds since the read that the servers stem from.
     read : int
         Identity of that read.
+    parts : PartEvidence or None
+        Crashes by parts of prompts, and what clears them; ``None`` from a node of an
+        earlier build.
     """
 
     addresses: list[str]
@@ -57,6 +61,7 @@
     next_offset: Count
     age_s: Age
     read: Count
+    parts: PartEvidence | None = None
 
 
 DECODER = msgspec.msgpack.Decoder(Bootstrap)
@@ -70,11 +75,11 @@
         ...
 
     def lacks_bootstrap(self) -> bool:
-        """Return whether this node doesn't know the list of nodes or the servers."""
+        """Return whether this node lacks nodes, servers or crashes that others know."""
         ...
 
-    def complete_peers(self) -> list[Source]:
-        """Return the live nodes that can pass on both."""
+    def bootstrap_sources(self) -> list[Source]:
+        """Return the live nodes that can pass on what this one lacks."""
         ...
 
     def bootstrap(self) -> Bootstrap:
@@ -138,7 +143,7 @@
 
     def _refresh(self, port: int) -> None:
         try:
-            sources = self.participant.complete_peers()
+            sources = self.participant.bootstrap_sources()
             if sources:
                 source = self.context.random.choice(sources)
                 self._pull_from(source, port, MAX_PULL_TIMEOUT_S)
@@ -151,7 +156,7 @@
         timeout_s = PULL_TIMEOUT_S
         try:
             while time.monotonic() < end and self.participant.lacks_bootstrap():
-                sources = self.participant.complete_peers()
+                sources = self.participant.bootstrap_sources()
                 if not sources:
                     return
                 self._pull_from(random.choice(sources), port, timeout_s)
@@ -174,5 +179,6 @@
             nodes=len(bootstrap.addresses),
             servers=len(bootstrap.servers),
             age_s=bootstrap.age_s,
+            part_crashes=len(bootstrap.parts.crashes) if bootstrap.parts else 0,
         )
         self.participant.apply_bootstrap(bootstrap)
--- a/packages/endive_gateway/src/endive_gateway/part_exchange.py
+++ b/packages/endive_gateway/src/endive_gateway/part_exchange.py
@@ -4,13 +4,15 @@
 
 A report of a crash names all parts of its prompt, also those that answers have cleared.
 So the answers on its parts go along with it whenever it is sent, also to nodes that
-started after these answers.
+started after these answers. A node that starts beside others takes all of both at once:
+with a few reports of a part it would try again what the others refuse.
 """
 
 from collections.abc import Callable, Iterable
 from typing import Annotated
 
 import msgspec
+from endive_core import part_crashes
 from endive_core.crash_news import CrashNews
 from endive_core.part_crashes import MAX_REPORTED_PARTS, PartTable
 from endive_core.part_reports import PartAnswer, PartCrash
@@ -42,6 +44,27 @@
 """The key of a part, and the age in seconds of the last answer that began on it."""
 
 
+KnownCrashes = Annotated[
+    list[CrashReport], msgspec.Meta(max_length=part_crashes.MAX_CRASHES)
+]
+KnownAnswers = Annotated[
+    list[AnswerReport], msgspec.Meta(max_length=part_crashes.MAX_ANSWERS)
+]
+
+
+class PartEvidence(msgspec.Struct, array_like=True):
+    """All that a node knows of crashes by parts, and the answers that matter for them.
+
+    Attributes
+    ----------
+    crashes : list of CrashReport
+    answers : list of AnswerReport
+    """
+
+    crashes: KnownCrashes
+    answers: KnownAnswers
+
+
 class PartExchange:
     """Sends what this node knows of crashing parts, and takes what others know.
 
@@ -72,14 +95,30 @@
         taken = self.news.take(
             now, limit=MAX_CRASHES, receivers=receivers, repeats=MAX_REPEATS
         )
-        self.accompanying = {
+        self.accompanying = self._answers_on(taken)
+        return _crash_reports(taken, now)
+
+    def _answers_on(self, crashes: Iterable[PartCrash]) -> dict[int, PartAnswer]:
+        """Return by part the answers by which crashes don't count against it."""
+        return {
             answer.part: answer
-            for crash in taken
+            for crash in crashes
             for answer in self.table.answers_on(crash)
         }
-        return [
-            (c.server, c.prompt, c.parts, now - c.sent_at, now - c.at) for c in taken
-        ]
+
+    def evidence(self, now: float) -> PartEvidence:
+        """Return all that counts against parts and for them, for a starting node."""
+        self.table.expire(now)
+        crashes = list(self.table.crashes.values())
+        answers = self._answers_on(crashes).values()
+        return PartEvidence(_crash_reports(crashes, now), _answer_reports(answers, now))
+
+    def learn_evidence(self, evidence: PartEvidence, now: float) -> None:
+        """Apply what another node knew when this one started."""
+        for part, age_s in evidence.answers:
+            self.table.add_answer(PartAnswer(part, now - age_s))
+        for crash in _read_crashes(evidence.crashes, now):
+            self.news.learn_known(crash)
 
     def next_answers(self, now: float, receivers: int) -> list[AnswerReport]:
         """Return the answers for a message to some nodes, the newest of each part.
@@ -90,7 +129,7 @@
         for answer in taken:
             self.accompanying.pop(answer.part, None)
         taken += self._next_accompanying(MAX_ANSWERS - len(taken))
-        return [(answer.part, now - answer.at) for answer in taken]
+        return _answer_reports(taken, now)
 
     def _next_accompanying(self, limit: int) -> list[PartAnswer]:
         """Return up to `limit` of the answers that go along with crashes."""
@@ -109,10 +148,7 @@
         now: float,
     ) -> None:
         """Apply what another node has sent."""
-        learned = [
-            PartCrash(server, prompt, parts, now - sent_age_s, now - age_s)
-            for server, prompt, parts, sent_age_s, age_s in crashes
-        ]
+        learned = _read_crashes(crashes, now)
         delays_s = self._delays_s(learned)
         for part, age_s in answers:
             at = now - age_s - delays_s.get(part, 0.0)
@@ -156,6 +192,21 @@
         log_event("part_cleared", part=f"{answer.part:x}")
 
 
+def _crash_reports(crashes: Iterable[PartCrash], now: float) -> list[CrashReport]:
+    return [(c.server, c.prompt, c.parts, now - c.sent_at, now - c.at) for c in crashes]
+
+
+def _answer_reports(answers: Iterable[PartAnswer], now: float) -> list[AnswerReport]:
+    return [(answer.part, now - answer.at) for answer in answers]
+
+
+def _read_crashes(reports: Iterable[CrashReport], now: float) -> list[PartCrash]:
+    return [
+        PartCrash(server, prompt, parts, now - sent_age_s, now - age_s)
+        for server, prompt, parts, sent_age_s, age_s in reports
+    ]
+
+
 def format_parts(parts: tuple[int, ...]) -> str:
     """Return the keys of the parts of a prompt as the log shows them."""
     shown = ",".join(f"{part:x}" for part in parts[:MAX_LOGGED_PARTS])
--- a/packages/endive_gateway/src/endive_gateway/peers.py
+++ b/packages/endive_gateway/src/endive_gateway/peers.py
@@ -29,7 +29,7 @@
 from endive_gateway.interfaces import Record
 from endive_gateway.listing import NodeList
 from endive_gateway.loops import keep_running
-from endive_gateway.nodes import Peer
+from endive_gateway.nodes import RESTART_MARGIN_S, Peer
 from endive_gateway.part_exchange import PartExchange
 from endive_gateway.server_following import ServerFollower
 from endive_gateway.state_messages import DECODER, StateMessage
@@ -121,6 +121,13 @@
         When the last state message of any node arrived, on the monotonic clock.
     announced : bool
         Whether this node has been complete since its start.
+    away_until : float
+        Until when this node heard of no other, on the monotonic clock: when it started,
+        or when messages arrive again.
+    has_evidence : bool
+        Whether this node has taken since then what another one knows of crashes.
+    lacks_crashes : bool
+        Whether it has not, although another one tells of crashes.
     crash_exchange : CrashExchange
         The crashes that the nodes tell each other.
     part_exchange : PartExchange
@@ -166,6 +173,9 @@
         self.urgent = Event()
         self.last_seen_at = float("-inf")
         self.announced = False
+        self.away_until = context.started_at
+        self.has_evidence = False
+        self.lacks_crashes = False
         self.next_evidence_at = 0.0
         self.rollout_announcement: gevent.Greenlet | None = None
         self.datagrams = DatagramPort("tellings", DECODER, self.receive)
@@ -303,12 +313,42 @@
 
     def lacks_bootstrap(self) -> bool:
         """See :meth:`endive_gateway.bootstrap.Participant.lacks_bootstrap`."""
-        return not self.node_list.is_known.is_set() or (
-            self.servers is not None and not self.servers.synced
+        return (
+            self.lacks_crashes
+            or not self.node_list.is_known.is_set()
+            or (self.servers is not None and not self.servers.synced)
         )
 
+    def bootstrap_sources(self) -> list[Peer]:
+        """See :meth:`endive_gateway.bootstrap.Participant.bootstrap_sources`.
+
+        A node that has just started itself may not know of earlier crashes.
+        """
+        complete = self.complete_peers()
+        return [peer for peer in complete if self._knows_earlier(peer)] or complete
+
+    def _knows_earlier(self, peer: Peer) -> bool:
+        """Return whether a node has run since before this one came."""
+        return peer.started_at < self.away_until - RESTART_MARGIN_S
+
+    def _note_contact(self, now: float) -> None:
+        """Record that a message has come, maybe after a time without any."""
+        if now - self.last_seen_at > self.live_timeout_s:
+            self.away_until = now
+            self.has_evidence = self.lacks_crashes = False
+        self.last_seen_at = now
+
+    def _note_crashes(self, peer: Peer, now: float) -> None:
+        """Record that a node has told of crashes.
+
+        Nodes that start together know of none; there would be nothing to take.
+        """
+        is_new_here = now - self.away_until < STARTING_S
+        if is_new_here and not self.has_evidence and self._knows_earlier(peer):
+            self.lacks_crashes = True
+
     def complete_peers(self) -> list[Peer]:
-        """See :meth:`endive_gateway.bootstrap.Participant.complete_peers`."""
+        """Return the live nodes that can pass on the list of nodes and the servers."""
         return [peer for peer in self.live() if peer.complete]
 
     def bootstrap(self) -> Bootstrap:
@@ -320,6 +360,7 @@
             servers.next_offset,
             servers.age_s(),
             servers.reads.newest,
+            self.part_exchange.evidence(time.monotonic()),
         )
 
     def apply_bootstrap(self, bootstrap: Bootstrap) -> None:
@@ -330,6 +371,9 @@
             self.servers.load(
                 records, bootstrap.next_offset, bootstrap.age_s, bootstrap.read
             )
+        if bootstrap.parts is not None:
+            self.part_exchange.learn_evidence(bootstrap.parts, time.monotonic())
+        self.has_evidence, self.lacks_crashes = True, False
 
     def _announce_servers(self) -> None:
         """Tell all nodes that this one is complete, if it is one of the first."""
@@ -587,7 +631,8 @@
             started_at = min(started_at, peer.started_at)
         peer.started_at = started_at
         peer.node, peer.incarnation, peer.sequence = message.node, *order
-        peer.last_seen_at = self.last_seen_at = now
+        peer.last_seen_at = now
+        self._note_contact(now)
         peer.version = message.version
         peer.zone = message.zone
         peer.complete = message.complete
@@ -609,6 +654,8 @@
         is_transit = address in context.paths.transit.choice.opened
         context.server_statements.learn(message, address, is_transit=is_transit)
         context.paths.transit.choice.offers.set(address, message.carried)
+        if message.part_crashes:
+            self._note_crashes(peer, now)
         context.placer.ejection.receive(address, message.server_failures, now)
         context.placer.backlogs.receive(address, message.pending_prompt_tokens, now)
         if message.rollouts is not None:
--- a/packages/endive_gateway/tests/part_simulation.py
+++ b/packages/endive_gateway/tests/part_simulation.py
@@ -2,11 +2,13 @@
 
 import itertools
 from dataclasses import dataclass, field
+from types import SimpleNamespace
 
 import msgspec
 from core_builders import call
 from endive_core.exceptions import EndiveError, RetryReason
 from endive_core.reachability import ConnectResults
+from endive_gateway.bootstrap import DECODER
 from endive_gateway.crash_exchange import ANNOUNCEMENT_DELAY_S
 from endive_gateway.peers import Peer, Peers
 from fleet_simulation import SimulatedFleet
@@ -27,6 +29,9 @@
 DOWN_S = 3.0
 """Time until a server that has ended is back under a new id, seconds."""
 
+PULL_S = 0.05
+"""Time in which a node takes what another one knows, seconds."""
+
 SLOTS = 8
 MAX_ATTEMPTS = 3
 DEADLINE_S = 3.0
@@ -214,6 +219,27 @@
     took_s: float
 
 
+class KnownServers:
+    """The servers that a node has read; here all nodes learn of them by themselves."""
+
+    is_current = synced = True
+    is_outdated = False
+
+    def __init__(self):
+        self.newest = {}
+        self.next_offset = 0
+        self.reads = SimpleNamespace(newest=0)
+
+    def age_s(self):
+        return 0.0
+
+    def load(self, records, end, age_s, read):
+        pass
+
+    def server_delta(self):
+        return None
+
+
 class PartFleet(SimulatedFleet):
     """Nodes before servers that end when they begin an answer on some parts.
 
@@ -262,8 +288,18 @@
                 context.registry.put(make_entry(server.id, slots=SLOTS))
         context.registry.is_loaded = True
         context.registry.notify_listeners()
+        node.servers = KnownServers()
+        node.node_list.is_known.set()
+        node.bootstrap_exchange.pull = lambda _port: self.pull_later(node)
         super().prepare(node)
 
+    def pull_later(self, node):
+        """Let a node take what another one knows, some time after it has asked."""
+        source = self.random.choice(node.bootstrap_sources())
+        data = msgspec.msgpack.encode(self.node_at(source.address).bootstrap())
+        due = self.clock.now + PULL_S
+        self.at(due, node.apply_bootstrap, DECODER.decode(data))
+
     def announce_soon(self, node):
         """Return what announces a node's new crashes after a short delay."""
         due = []
--- a/packages/endive_gateway/tests/test_bootstrap.py
+++ b/packages/endive_gateway/tests/test_bootstrap.py
@@ -5,8 +5,12 @@
 from contextlib import suppress
 
 import gevent
+import msgspec
 import pytest
+from endive_core.part_reports import PartCrash
+from endive_gateway.bootstrap import DECODER
 from endive_gateway.configuration_exchange import LENGTH_PREFIX
+from endive_gateway.decoding import decode_msgpack
 from endive_gateway.interfaces import ServerDelta, Topic
 from endive_gateway.peers import Peers
 from endive_gateway.server_following import MAX_BOOTSTRAP_AGE_S, ServerFollower
@@ -17,6 +21,7 @@
 
 PORT = 17_631
 SOON_S = 1.0
+COMMON, BAD = 0xC0, tuple(range(0xBAD, 0xBAD + 6))
 SERVER = {"service": "s", "address": "127.0.0.1:1", "zone": "z", "slots": 8}
 
 
@@ -35,6 +40,22 @@
     return peers
 
 
+def table_of(peers):
+    """Return what a node knows of crashes by parts."""
+    return peers.context.placer.trials.table
+
+
+def note_crashes(peers, parts, rounds=3):
+    """Let a node know of several crashes under each part, and of answers to others."""
+    now = time.monotonic()
+    table = table_of(peers)
+    table.add_answers((COMMON,), now - 20.0)
+    for number, part in enumerate(parts * rounds):
+        at = now - 20.0 + number
+        table.add(PartCrash(f"i-{number}@1", number, (COMMON, part), at - 0.1, at))
+    table.add_answers((COMMON,), now)
+
+
 @pytest.fixture
 def complete():
     """A running node that knows another node and a server from the store."""
@@ -76,6 +97,57 @@
     assert starting.servers.next_offset == complete.servers.next_offset
 
 
+def tell_of_crashes(peers, source, **options):
+    """Let a node get a message of one that knows of crashes."""
+    crash = ("i-0@1", 0, (COMMON, BAD[0]), 20.1, 20.0)
+    message = state_message(complete=True, part_crashes=[crash], **options)
+    peers.receive(message, source.address)
+
+
+def test_a_node_that_starts_takes_all_crashes_that_others_know(complete):
+    """It learned of them one by one, and tried again each part that others refused."""
+    note_crashes(complete, BAD)
+    peers = make_silent_peers("127.0.0.4", complete.context.store)
+    peers.node_list.read()
+    peers.servers.step()
+    tell_of_crashes(peers, complete, age_s=60.0)
+    assert is_soon(lambda: not peers.lacks_bootstrap())
+    for part in BAD:
+        assert len(table_of(peers).evidence(part).rounds) == 3
+    assert set(table_of(peers).suspected()) == set(BAD)
+    told = [crash.server for crash in peers.part_exchange.news.fresh]
+    assert told == ["i-0@1"]
+
+
+def test_a_node_that_was_cut_off_takes_the_crashes_of_that_time(complete):
+    """It tried again what the others had refused meanwhile."""
+    peers = make_silent_peers("127.0.0.4", complete.context.store)
+    peers.node_list.read()
+    peers.servers.step()
+    peers.receive(state_message(complete=True, age_s=60.0), complete.address)
+    peers.last_seen_at -= 30.0
+    note_crashes(complete, BAD)
+    tell_of_crashes(peers, complete, age_s=61.0, sequence=2)
+    assert is_soon(lambda: set(table_of(peers).suspected()) == set(BAD))
+
+
+def test_nodes_that_start_together_do_not_take_crashes_from_each_other(complete):
+    """Hundreds of nodes that start would send each other what none of them knows."""
+    peers = make_silent_peers("127.0.0.4", complete.context.store)
+    peers.node_list.read()
+    peers.servers.step()
+    tell_of_crashes(peers, complete, age_s=0.1)
+    assert not peers.lacks_bootstrap()
+
+
+def test_a_bootstrap_of_an_earlier_build_is_read(complete, starting):
+    """Nodes of two builds run beside each other while one replaces the other."""
+    *fields, _parts = msgspec.structs.astuple(complete.bootstrap())
+    bootstrap = decode_msgpack(msgspec.msgpack.encode(fields), DECODER)
+    starting.apply_bootstrap(bootstrap)
+    assert not starting.lacks_bootstrap()
+
+
 def test_a_node_that_has_taken_the_list_still_reads_it(complete, starting):
     """The other node may have read it before a third one registered."""
     starting.apply_bootstrap(complete.bootstrap())
--- a/packages/endive_gateway/tests/test_crashing_parts.py
+++ b/packages/endive_gateway/tests/test_crashing_parts.py
@@ -231,6 +231,26 @@
     assert fleet.sound_share(begins + 23.0) >= MIN_SOUND
 
 
+@pytest.mark.parametrize("nodes", [6, 30])
+def test_nodes_that_start_do_not_try_what_others_refuse(monkeypatch, nodes):
+    """They heard of the crashes one by one, and tried each part once more."""
+    parts = [BAD + number for number in range(8)]
+    fleet = PartFleet(monkeypatch, nodes, servers=40, crashing=parts)
+    begins = fleet.clock.now
+    ends = begins + 9.0
+    fleet.send_every(1 / 40, sound_parts(fleet, COMMON), until=ends)
+    for part in parts:
+        fleet.send_every(1 / 8, lambda p=part: (COMMON, p), until=ends)
+    fleet.run_until(begins + 5.0)
+    ended = fleet.ended
+    fleet.restart(fleet.nodes[::2])
+    fleet.run_until(begins + 7.0)
+    fleet.restart(fleet.nodes[1::2])
+    fleet.run_until(begins + 9.0)
+    assert fleet.ended - ended <= len(parts)
+    assert fleet.sound_share(begins + 5.0) >= MIN_SOUND
+
+
 def make_exchange():
     return PartExchange(PartTable(memory_s=600.0), lambda: None)
 
