Answer lookups of streams while the store is slow

Cause: a lookup was given 0.35 s for four calls made one after the other, so a call had to take less than some 30 ms.

The calls of a reading run at the same time; all begin after the question, so nothing is concluded from an older state. A late answer of the recorder counts, and a lookup without records writes nothing. A lookup may take 1 s, less where its request is due before. Records of the log are checkpoints.

--- a/packages/endive_gateway/src/endive_gateway/forwarding.py
+++ b/packages/endive_gateway/src/endive_gateway/forwarding.py
@@ -204,10 +204,14 @@
             budget = min(budget, self.metadata.budget_s)
         return budget - (self.now - self.exchange.received_at)
 
+    def sendable_s(self) -> float:
+        """Return the time left in which the request can be sent, seconds."""
+        least = max(MIN_REMAINING_S, MIN_REMAINING_FRACTION * self.route.target_s)
+        return self.left_s() - least
+
     def check_time(self) -> None:
         """Refuse a request with too little time for a response; raises EndiveError."""
-        least = max(MIN_REMAINING_S, MIN_REMAINING_FRACTION * self.route.target_s)
-        if self.left_s() <= least:
+        if self.sendable_s() <= 0:
             raise EndiveError(
                 ErrorKind.DEADLINE_EXCEEDED, "too little time is left for a response"
             )
@@ -241,7 +245,11 @@
         if not self.affinity.is_resumption(self.route):
             return self.route.choose(self.context.random.random()), call
         origin = self.context.resumptions.find(
-            self.route, self.path, self.organisation, self.metadata
+            self.route,
+            self.path,
+            self.organisation,
+            self.metadata,
+            self.sendable_s(),
         )
         return origin.service, replace(call, software_version=origin.version)
 
--- a/packages/endive_gateway/src/endive_gateway/origin_recorder.py
+++ b/packages/endive_gateway/src/endive_gateway/origin_recorder.py
@@ -9,7 +9,7 @@
 from collections import deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
-from typing import Protocol
+from typing import Any, Protocol
 
 import gevent
 from endive_core.possible_origins import (
@@ -22,6 +22,7 @@
 from endive_core.stream_origins import StreamOrigin
 from endive_node.logs import log_event
 from gevent.event import Event
+from gevent.pool import Group
 
 from endive_gateway.exceptions import (
     StoreConflictError,
@@ -39,6 +40,7 @@
     encode_streams,
 )
 from endive_gateway.store_reading import end_of, read_to_end
+from endive_gateway.turns import Worker
 
 LIST_KEY = "origins"
 
@@ -49,7 +51,7 @@
 LOOKUP_GAP_S = 0.01
 """Time between two reads for streams that are taken up, seconds."""
 
-STALE_PAUSES_S = (0.03, 0.06, 0.0)
+STALE_PAUSES_S = (0.03, 0.06)
 """Pauses after reads that are out of date, seconds. Then the store is taken for
 silent."""
 
@@ -288,7 +290,7 @@
         records, self.records = self.records, []
         lookups, self.lookups = self.lookups, []
         self.waiting_streams = 0
-        appended = self._serve_records(records)
+        appended = self._serve_records(records) if records else 0
         if lookups:
             self._serve_lookups(lookups)
         return BATCH_S if appended else LOOKUP_GAP_S
@@ -325,9 +327,7 @@
 
     def _serve_lookups(self, jobs: list[LookupJob]) -> None:
         try:
-            self._read_list()
-            if any(self._only_origin(job) is None for job in jobs):
-                self._read_streams()
+            self._read_for(jobs)
         except StoreError as error:
             self._log_failure("origins_not_read", error)
             for job in jobs:
@@ -336,6 +336,24 @@
         for job in jobs:
             job.done(self._find(job))
 
+    def _read_for(self, jobs: list[LookupJob]) -> None:
+        """Read what the findings of some jobs depend on; raises StoreError.
+
+        Where the list as last read doesn't suffice, it is read together with the log.
+        Before the first read of both it isn't known where the log's reading begins.
+        """
+        knows_both = self.origins is not None and self.recorded.next_offset is not None
+        if knows_both and self._depends_on_streams(jobs):
+            _call_together(self._read_list, self._read_streams)
+            return
+        self._read_list()
+        if self._depends_on_streams(jobs):
+            self._read_streams()
+
+    def _depends_on_streams(self, jobs: list[LookupJob]) -> bool:
+        """Return whether the list alone does not tell where the streams began."""
+        return any(self._only_origin(job) is None for job in jobs)
+
     def _find(self, job: LookupJob) -> Finding:
         """Return what the list and the log, as they were just read, tell."""
         origins = self.origins.origins(job.host, job.path) if self.origins else ()
@@ -484,7 +502,9 @@
         start = recorded.next_offset
         start = self.streams_from if start is None else max(start, self.streams_from)
         page = self._current(Topic.STREAMS, lambda: self._read_streams_from(start))
+        worker = Worker("log of streams")
         for record in page.records:
+            worker.checkpoint()
             try:
                 for stream in decode_streams(record.value or b""):
                     recorded.add(stream, now)
@@ -504,13 +524,19 @@
             return read_to_end(self.store, Topic.STREAMS, error.first)
 
     def _current(self, topic: Topic, read: Callable[[], Page]) -> Page:
-        """Return a page that is not out of date; raises StoreError."""
-        end = end_of(self.store, topic)
+        """Return a page that is not out of date; raises StoreError.
+
+        Nothing that was appended before this call lies beyond the end, so the page may
+        be read while the end is asked for.
+        """
+        end, page = _call_together(lambda: end_of(self.store, topic), read)
         for pause_s in STALE_PAUSES_S:
-            page = read()
             if page.end >= end:
                 return page
             gevent.sleep(pause_s)
+            page = read()
+        if page.end >= end:
+            return page
         raise StoreError(f"pages of {topic} end at {page.end}, the topic at {end}")
 
     # Housekeeping
@@ -559,6 +585,28 @@
             log_event(event, error=error)
 
 
+def _call_together(*calls: Callable[[], Any]) -> list[Any]:
+    """Return the results of calls to the store that run at the same time.
+
+    Raises
+    ------
+    StoreError
+        The first one of the calls in their order, once all have ended.
+    """
+
+    def run(call: Callable[[], Any]) -> Any:
+        try:
+            return call()
+        except StoreError as error:
+            return error
+
+    results = Group().map(run, calls)
+    for result in results:
+        if isinstance(result, StoreError):
+            raise result
+    return results
+
+
 def _names(entries: Iterable[PossibleOrigin]) -> str:
     return ",".join(
         sorted(
--- a/packages/endive_gateway/src/endive_gateway/origin_records.py
+++ b/packages/endive_gateway/src/endive_gateway/origin_records.py
@@ -49,8 +49,10 @@
 QUESTIONS = 3
 """The same times for lookups, which the recorder doesn't put off."""
 
-LOOKUP_S = 0.35
-"""Longest time for which an answer to a lookup is waited for, seconds."""
+LOOKUP_S = 1.0
+"""Longest time for which an answer to a lookup is waited for, seconds. A lookup may
+wait for two readings of the store, whose calls take 0.25 s when the platform is slow.
+"""
 
 NUMBER_BITS = 63
 
@@ -270,32 +272,39 @@
 
     # Looking up
 
-    def look_up(self, key: bytes, host: str, path: str) -> Finding:
-        """Return what the store tells of a stream, as of now."""
+    def look_up(
+        self, key: bytes, host: str, path: str, within_s: float = LOOKUP_S
+    ) -> Finding:
+        """Return what the store tells of a stream, as of now.
+
+        The recorder's answer counts until the end, even if it comes after this node has
+        turned to its own one.
+
+        Parameters
+        ----------
+        within_s : float
+            Time left for an answer, seconds; `LOOKUP_S` is the most.
+        """
         if max(len(host), len(path)) > MAX_TEXT:
             return Finding(source="unknown")
-        end = time.monotonic() + LOOKUP_S
-        address = self.recorder_address()
-        if address != self.address:
-            finding = self._ask(address, key, host, path)
-            if finding is not None and finding.source != "unread":
-                return finding
-        found = _Answer()
-        self.recorder.look_up(LookupJob(key, host, path, found.set))
-        return found.wait(end - time.monotonic()) or Finding()
-
-    def _ask(self, address: str, key: bytes, host: str, path: str) -> Finding | None:
-        """Return the recorder's answer; ``None`` if none comes."""
-        number, found = next(self.numbers), _Answer()
-        self.lookups[number] = found.set
+        end = time.monotonic() + min(within_s, LOOKUP_S)
+        address, number = self.recorder_address(), next(self.numbers)
+        answer = _Answer()
         try:
-            for _ in range(QUESTIONS):
-                self.send(LookupRequest(number, key, host, path), [address])
-                if found.wait(QUESTION_S) is not None:
-                    break
+            if address != self.address:
+                self.lookups[number] = answer.expect()
+                request = LookupRequest(number, key, host, path)
+                for _ in range(QUESTIONS):
+                    self.send(request, [address])
+                    left_s = end - time.monotonic()
+                    if answer.wait(min(QUESTION_S, left_s)) or left_s <= QUESTION_S:
+                        break
+            if not answer.is_told:
+                self.recorder.look_up(LookupJob(key, host, path, answer.expect()))
+                answer.wait(end - time.monotonic())
         finally:
-            del self.lookups[number]
-        return found.finding
+            self.lookups.pop(number, None)
+        return answer.finding
 
     # Messages
 
@@ -314,7 +323,7 @@
             else:
                 self._send(message.number, recording)
         else:
-            found = self.lookups.get(message.number)
+            found = self.lookups.pop(message.number, None)
             if found is not None:
                 origin = StreamOrigin(message.service, message.version)
                 origin = origin if message.is_known else None
@@ -355,19 +364,34 @@
 
 
 class _Answer:
-    """A finding that arrives later."""
+    """The first finding that tells something, of those that are expected."""
 
     def __init__(self) -> None:
-        self.finding: Finding | None = None
-        self.arrived = Event()
+        self.finding = Finding()
+        self.expected = 0
+        self.ended = Event()
 
-    def set(self, finding: Finding) -> None:
-        self.finding = finding
-        self.arrived.set()
+    @property
+    def is_told(self) -> bool:
+        """Whether the store has answered."""
+        return self.finding.source != "unread"
+
+    def expect(self) -> Callable[[Finding], None]:
+        """Expect one more finding; return what is to be called with it."""
+        self.expected += 1
+        self.ended.clear()
+        return self._add
+
+    def _add(self, finding: Finding) -> None:
+        self.expected -= 1
+        if not self.is_told:
+            self.finding = finding
+        if self.is_told or not self.expected:
+            self.ended.set()
 
-    def wait(self, seconds: float) -> Finding | None:
-        self.arrived.wait(max(0.0, seconds))
-        return self.finding
+    def wait(self, seconds: float) -> bool:
+        """Wait for the answer; return whether there is one, or none is expected."""
+        return self.ended.wait(max(0.0, seconds))
 
 
 def random_number() -> int:
--- a/packages/endive_gateway/src/endive_gateway/stream_affinity.py
+++ b/packages/endive_gateway/src/endive_gateway/stream_affinity.py
@@ -106,17 +106,27 @@
         self.read_at: Callable[[], float] = lambda: float("inf")
 
     def find(
-        self, route: Route, path: str, organisation: str, metadata: RequestMetadata
+        self,
+        route: Route,
+        path: str,
+        organisation: str,
+        metadata: RequestMetadata,
+        within_s: float,
     ) -> StreamOrigin:
         """Return where a stream goes on.
 
+        Parameters
+        ----------
+        within_s : float
+            Time that the request can wait for an answer, seconds.
+
         Raises
         ------
         EndiveError
             If nobody knows the software version that began it.
         """
         began_at = time.monotonic()
-        resumption = self._resolve(route, path, organisation, metadata)
+        resumption = self._resolve(route, path, organisation, metadata, within_s)
         self.outcomes[resumption.outcome] += 1
         origin = resumption.origin
         log_event(
@@ -136,15 +146,21 @@
         return origin
 
     def _resolve(
-        self, route: Route, path: str, organisation: str, metadata: RequestMetadata
+        self,
+        route: Route,
+        path: str,
+        organisation: str,
+        metadata: RequestMetadata,
+        within_s: float,
     ) -> Resumption:
         key = stream_key(organisation, metadata.resumes or metadata.id)
         asked_at = time.monotonic()
-        end = asked_at + CONFIRMATION_S
-        resumption = self._look_up(route, path, key)
+        latest = asked_at + within_s
+        end = min(asked_at + CONFIRMATION_S, latest)
+        resumption = self._look_up(route, path, key, latest)
         while resumption.outcome == "unconfirmed" and time.monotonic() < end:
             gevent.sleep(CONFIRMATION_POLL_S)
-            resumption = self._look_up(route, path, key)
+            resumption = self._look_up(route, path, key, latest)
         if resumption.origin is None:
             return resumption
         entry = PossibleOrigin.of(route, resumption.origin)
@@ -154,14 +170,24 @@
             gevent.sleep(CONFIRMATION_POLL_S)
         return resumption
 
-    def _look_up(self, route: Route, path: str, key: bytes) -> Resumption:
+    def _look_up(
+        self, route: Route, path: str, key: bytes, latest: float
+    ) -> Resumption:
+        """Look a stream up.
+
+        Parameters
+        ----------
+        latest : float
+            Until when an answer is waited for at most, seconds on the monotonic clock.
+        """
         origin = self.exchange.known(key)
         if origin is not None:
             return _resumption("kept", origin, route)
         inquiry = self.exchange.ask(key)
         if inquiry.origin is not None:
             return _resumption("told", inquiry.origin, route)
-        finding = self.records.look_up(key, route.host, path)
+        left_s = latest - time.monotonic()
+        finding = self.records.look_up(key, route.host, path, left_s)
         return replace(
             _resumption(finding.source, finding.origin, route),
             replies=inquiry.replies,
--- a/packages/endive_gateway/tests/origin_builders.py
+++ b/packages/endive_gateway/tests/origin_builders.py
@@ -23,11 +23,21 @@
 
 
 class SlowStore(MemoryStore):
-    """A store whose calls take their time."""
+    """A store whose calls take their time.
+
+    Attributes
+    ----------
+    call_s : float
+        Time of each call, seconds.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.call_s = STORE_CALL_S
 
     def _begin(self, name):
         super()._begin(name)
-        gevent.sleep(STORE_CALL_S)
+        gevent.sleep(self.call_s)
 
 
 def make_origin(version, service=SERVICE):
--- a/packages/endive_gateway/tests/test_origin_records.py
+++ b/packages/endive_gateway/tests/test_origin_records.py
@@ -16,7 +16,14 @@
     encode_list,
     encode_streams,
 )
-from endive_gateway.origin_recorder import BATCH_S, LIST_KEY, SWEEP_S, LookupJob
+from endive_gateway.origin_recorder import (
+    BATCH_S,
+    LIST_KEY,
+    SWEEP_S,
+    Finding,
+    LookupJob,
+)
+from endive_gateway.origin_records import LOOKUP_S
 from endive_gateway.stream_affinity import RECORDING_S
 from gateway_builders import HOST
 from origin_builders import (
@@ -27,6 +34,7 @@
     written_lists,
 )
 from store_builders import MemoryStore, store_down
+from ticks import MAX_GAP_S, largest_gap_until_end_s
 
 FLEETS = [6, 71, 200, 375]
 STREAMS = 300
@@ -328,6 +336,50 @@
     assert nodes.nodes[1].look_up(KEY, HOST, "/x").origin == make_origin("v2")
 
 
+@pytest.mark.usefixtures("simulated_clock")
+@pytest.mark.parametrize("call_s", [0.06, 0.25])
+def test_a_slow_store_tells_where_each_stream_began(fleet, call_s):
+    """Guards against refusals of streams while the store answers, though slowly."""
+    nodes = fleet(6, "v1", "v2")
+    settle(nodes.begin(number, ("v1", "v2")[number % 2]) for number in range(STREAMS))
+    nodes.start(6)
+    nodes.store.call_s = call_s
+    lookups = []
+    for number in range(STREAMS):
+        lookups.append(gevent.spawn(nodes.look_up, number))
+        gevent.sleep(0.01)
+    gevent.joinall(lookups)
+    found = [lookup.value.origin for lookup in lookups]
+    assert found == [make_origin(("v1", "v2")[n % 2]) for n in range(STREAMS)]
+
+
+@pytest.mark.usefixtures("simulated_clock")
+def test_the_answer_of_a_recorder_counts_while_its_node_fails_to_read(fleet):
+    """Guards against refusals where the recorder answers after the questions end."""
+    nodes = fleet(6, "v1", "v2")
+    settle([nodes.begin(0, "v1"), nodes.begin(1, "v2")])
+    recorder = nodes.nodes[0].recorder_address()
+    nodes.store.call_s = 0.1
+    for node in nodes.nodes:
+        if node.address != recorder:
+            node.recorder.look_up = lambda job: job.done(Finding())
+    for _ in range(10):
+        assert nodes.look_up(1).origin == make_origin("v2")
+
+
+@pytest.mark.usefixtures("simulated_clock")
+@pytest.mark.parametrize("within_s", [0.0, 0.02, 0.3, 10.0])
+def test_a_lookup_ends_before_its_request_is_due(fleet, within_s):
+    """Guards against late responses while the store is silent."""
+    nodes = fleet(6, "v1", "v2")
+    settle([nodes.begin(0, "v1"), nodes.begin(1, "v2")])
+    nodes.store.call_s = 1.5
+    for node in nodes.nodes:
+        began = time.monotonic()
+        assert node.look_up(KEY, HOST, "/x", within_s).source == "unread"
+        assert time.monotonic() - began <= min(within_s, LOOKUP_S) + 0.001
+
+
 def test_a_silent_store_makes_no_stream_go_on_at_a_guess(fleet):
     nodes = fleet(6, "v1")
     settle([nodes.begin(0, "v1")])
@@ -374,6 +426,32 @@
     assert len(encode_streams(streams)) < 40_000
 
 
+def unreadable_records():
+    return [b"\xc1"] * 5_000
+
+
+def sound_records():
+    streams = [
+        BegunStream(stream_key("o", f"q{n}"), make_origin("v1"), n, 1)
+        for n in range(40_000)
+    ]
+    return [encode_streams(streams[n : n + 500]) for n in range(0, len(streams), 500)]
+
+
+@pytest.mark.parametrize("make_records", [unreadable_records, sound_records])
+def test_a_long_log_of_streams_holds_up_nothing(fleet, make_records):
+    """Guards against a node whose loop stands still while it reads the whole log."""
+    nodes = fleet(1, "v1", "v2", store=MemoryStore())
+    settle([nodes.begin(0, "v1"), nodes.begin(1, "v2")])
+    log = nodes.store.topics[Topic.STREAMS]
+    for value in make_records():
+        log.append(Record(len(log), "", value))
+    nodes.start(1)
+    recorder = nodes.nodes[0].recorder
+    assert largest_gap_until_end_s(recorder._read_streams) < MAX_GAP_S
+    assert recorder.recorded.next_offset == len(log)
+
+
 def test_sweeps_are_rarer_than_the_times_that_they_measure():
     assert SWEEP_S < MAX_STREAM_AGE_S / 10
 
