Add callers that flood, expect odd versions and send long prompts to the soak

Callers that pipeline without end must not hold up a node's probes; a caller whose expected version no server has must cost others nothing; long prompts at once must not take a process's memory. The rule on sound requests is shared with crashing parts, unchanged. Each kind has a mutant that breaks its rule: no-turns, blamed-versions and no-budget.

launch.py ignores SIGHUP in its first line, as the program does, since a reload that came before ended the process; and a mutant's lookup has the parameter that lookups now have.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -11,8 +11,10 @@
 from soak.callers import DEADLINE_S, CrashingCaller, CrashingPartCaller
 from soak.demand import demand_burst
 from soak.endless_bodies import server_sends_without_end
+from soak.expected_versions import callers_expect_versions
 from soak.fetches import fetches_hang
 from soak.few_slots import FewSlots
+from soak.floods import callers_flood, callers_send_long_prompts
 from soak.invariants import (
     CONTACT_S,
     DRAIN_S,
@@ -527,5 +529,8 @@
         server_starts_again,
         holder_stops_amid_its_call,
         server_sends_without_end,
+        callers_flood,
+        callers_expect_versions,
+        callers_send_long_prompts,
     )
 }
--- a/tests/soak/invariants.py
+++ b/tests/soak/invariants.py
@@ -339,6 +339,50 @@
             )
 
 
+class SoundRequests:
+    """How many sound requests begin, before and while others cause trouble.
+
+    Attributes
+    ----------
+    kinds : tuple of str
+        The kinds of requests that are counted.
+    """
+
+    def __init__(self, fleet, kinds):
+        self.fleet = fleet
+        self.kinds = kinds
+        self.began_at = fleet.clock()
+        self.ended_at = None
+
+    def end(self):
+        """Note that no more troublesome requests come."""
+        self.ended_at = self.fleet.clock()
+
+    def check(self, since):
+        """Check how many began from `since` on; when all of the time have ended."""
+        tries, served = Counter(), Counter()
+        for request_id, request in self.fleet.checker.requests.items():
+            outcome = self.fleet.checker.outcomes.get(request_id)
+            if request.kind not in self.kinds or outcome == 429:
+                continue
+            if not self.fleet.is_connected(request.node, request.sent_at - CONTACT_S):
+                continue
+            is_meanwhile = since <= request.sent_at < self.ended_at
+            if is_meanwhile and not request.is_crashing:
+                tries[True] += 1
+                served[True] += outcome in (200, "cut")
+            elif request.sent_at < self.began_at:
+                tries[False] += 1
+                served[False] += outcome in (200, "cut")
+        enough = min(tries[True], tries[False]) >= MIN_SOUND_TRIES
+        if enough and served[True] * tries[False] * 2 < served[False] * tries[True]:
+            self.fleet.checker.record_violation(
+                "sound requests",
+                f"begun {served[True]} of {tries[True]}, before {served[False]} of "
+                f"{tries[False]}",
+            )
+
+
 class CrashingPart:
     """A part of a prompt on which servers crash, and what nodes do meanwhile.
 
@@ -354,8 +398,7 @@
 
     def __init__(self, fleet):
         self.fleet = fleet
-        self.began_at = fleet.clock()
-        self.ended_at = None
+        self.sound = SoundRequests(fleet, ("stream", "resumable"))
         self.ended = []
         self.late = 0
 
@@ -377,33 +420,12 @@
 
     def end(self):
         """Note that no more such requests come."""
-        self.ended_at = self.fleet.clock()
+        self.sound.end()
 
     def check(self):
         """Check how sound requests were served; when all of the time have ended."""
-        last = self.ended[:KNOWN_PART_CRASHES][-1:] or [self.began_at]
-        since = last[0] + 2 * CONTACT_S
-        tries, served = Counter(), Counter()
-        for request_id, request in self.fleet.checker.requests.items():
-            outcome = self.fleet.checker.outcomes.get(request_id)
-            if request.kind not in ("stream", "resumable") or outcome == 429:
-                continue
-            if not self.fleet.is_connected(request.node, request.sent_at - CONTACT_S):
-                continue
-            is_meanwhile = since <= request.sent_at < self.ended_at
-            if is_meanwhile and not request.is_crashing:
-                tries[True] += 1
-                served[True] += outcome in (200, "cut")
-            elif request.sent_at < self.began_at:
-                tries[False] += 1
-                served[False] += outcome in (200, "cut")
-        enough = min(tries[True], tries[False]) >= MIN_SOUND_TRIES
-        if enough and served[True] * tries[False] * 2 < served[False] * tries[True]:
-            self.fleet.checker.record_violation(
-                "sound requests",
-                f"begun {served[True]} of {tries[True]}, before {served[False]} of "
-                f"{tries[False]}",
-            )
+        last = self.ended[:KNOWN_PART_CRASHES][-1:] or [self.sound.began_at]
+        self.sound.check(since=last[0] + 2 * CONTACT_S)
 
 
 class InvariantChecker:
--- a/tests/soak/launch.py
+++ b/tests/soak/launch.py
@@ -7,11 +7,15 @@
 
 import json
 import os
+import signal
 import sys
 import time
 
-import gevent
-from gevent import socket as gsocket
+# As the program does in its first line, which comes later here.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+import gevent  # noqa: E402
+from gevent import socket as gsocket  # noqa: E402
 
 EARLIER_BUILD = "lists-nothing"
 """As in :mod:`soak.fleet`, which starts threads and must not be imported here."""
@@ -275,7 +279,7 @@
     from endive_gateway.origin_recorder import Finding
     from endive_gateway.origin_records import OriginRecords
 
-    def look_up(self, key, host, path):
+    def look_up(self, key, host, path, within_s):
         servers = self.view.registry.servers.values()
         engines = [s.entry for s in servers if s.entry.service == "engine"]
         newest = max(engines, key=lambda entry: entry.incarnation)
@@ -319,6 +323,27 @@
     ResponseParser.on_body = on_body
 
 
+def blame_servers_for_versions():
+    """Let a node take a server without the expected version for another server."""
+    from endive_gateway.attempts import Attempt
+
+    Attempt._check_version_expected = lambda self, message, metadata: None
+
+
+def hold_all_bodies():
+    """Let a node hold the bodies of requests whatever memory they take together."""
+    from endive_gateway.memory_budget import MemoryBudget
+
+    MemoryBudget.has_room = lambda self, held, size: True
+
+
+def never_end_turns():
+    """Let a connection that always has bytes keep the event loop from polling."""
+    from endive_gateway import turns
+
+    turns.MAX_TURN_S = float("inf")
+
+
 def trust_all_sources():
     """Let a node name servers as sources however late its requests become."""
     from endive_core.source_trust import SourceTrust
@@ -401,6 +426,9 @@
     "trusted-entries": trust_entries,
     "early-release": release_at_once,
     "kept-bodies": keep_what_is_skipped,
+    "no-turns": never_end_turns,
+    "no-budget": hold_all_bodies,
+    "blamed-versions": blame_servers_for_versions,
     EARLIER_BUILD: list_no_origins,
     "no-speeds": ignore_speeds,
     "no-contention": serve_in_order_of_arrival,
--- a/tests/soak/mixes.py
+++ b/tests/soak/mixes.py
@@ -26,6 +26,9 @@
     "server_starts_again",
     "holder_stops_amid_its_call",
     "server_sends_without_end",
+    "callers_flood",
+    "callers_expect_versions",
+    "callers_send_long_prompts",
 }
 EARLIER_KINDS = tuple(sorted(set(FAULTS) - LATER_KINDS))
 FIRST_KINDS = tuple(sorted(set(EARLIER_KINDS) - {"store_silent", "links_fall_silent"}))
@@ -62,4 +65,7 @@
 STARTED_AGAIN = ("server_starts_again",)
 STOPPING_HOLDERS = ("holder_stops_amid_its_call",)
 ENDLESS = ("server_sends_without_end", "server_leaves", "restart")
+ODD_VERSIONS = ("callers_expect_versions", "reload", "change_configuration")
+LONG_PROMPTS = ("callers_send_long_prompts", "reload", "change_configuration")
+FLOODS = ("callers_flood", "server_leaves", "restart")
 UNFRAMED = ("server_unframed", "server_leaves", "restart")
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -387,6 +387,9 @@
             headers["Server-Brittle"] = str(brittle.rejections)
         if environ.get("HTTP_EXPECT_INSTANCE", self.id) != self.id:
             return respond(start, 421, b"", headers | {"Not-Run": "1"})
+        if environ.get("HTTP_EXPECT_VERSION", self.version) != self.version:
+            told = {"Not-Run": "1", "Instance-Id": self.id}
+            return respond(start, 421, b"", headers | told)
         if self._turns_away(request_id):
             rest = {"Not-Run": "1", "Retry-After": f"{self.rest_s:.3g}"}
             return respond(start, 503, b"", headers | rest)
--- a/tests/test_soak_mutants.py
+++ b/tests/test_soak_mutants.py
@@ -8,9 +8,12 @@
     ENDLESS,
     FETCHES,
     FEW_SLOTS,
+    FLOODS,
     FOREIGN_BYTES,
     LIMITED_SERVERS,
+    LONG_PROMPTS,
     ODD_ENTRIES,
+    ODD_VERSIONS,
     ORDERED,
     PARTS,
     REJOINED,
@@ -48,6 +51,9 @@
     "foreign-bytes": ("foreign piece", 1, FOREIGN_BYTES),
     "broken-streams": ("wrong response", 1, UNFRAMED),
     "kept-bodies": ("memory", 1, ENDLESS),
+    "no-turns": ("others wait", 1, FLOODS),
+    "no-budget": ("memory", 1, LONG_PROMPTS),
+    "blamed-versions": ("sound requests", 1, ODD_VERSIONS),
     "silence-ends": ("silence", 1, SILENT),
     "no-leases": ("brittle", 87, ("servers_brittle",)),
     "no-pools": ("idle slots", 2, FEW_SLOTS),
@@ -72,12 +78,14 @@
     limits of servers that are not shared, rests and departures that are not read, reads
     of the store that end at an unreadable record, bytes in a stream that are no event
     of it and are forwarded, streams that are complete as soon as they end, bodies that
-    nobody reads and that are kept, requests that end with a server's silence, brittle
-    servers without leases, few slots that no node coordinates, nodes that carry no
-    connections for others, sources of fetches that are named although they hang,
-    streams that go on at any software version, requests for servers that state to be
-    slow, requests that are admitted and sent without regard to the demand of all nodes,
-    and nodes that use the servers of an ordered version as any others."""
+    nobody reads and that are kept, connections that always have bytes and that keep the
+    event loop, bodies of any size that are held, servers that lack a version and that
+    are taken for others, requests that end with a server's silence, brittle servers
+    without leases, few slots that no node coordinates, nodes that carry no connections
+    for others, sources of fetches that are named although they hang, streams that go on
+    at any software version, requests for servers that state to be slow, requests that
+    are admitted and sent without regard to the demand of all nodes, and nodes that use
+    the servers of an ordered version as any others."""
     rule, seed, kinds = MUTANTS[mutant]
     outcome = run_seed(seed, slot=SLOT, mutant=mutant, kinds=kinds)
     assert outcome.violations, outcome.counts
--- a/tests/test_soak_servers.py
+++ b/tests/test_soak_servers.py
@@ -10,9 +10,12 @@
     ENDLESS,
     FETCHES,
     FEW_SLOTS,
+    FLOODS,
     FOREIGN_BYTES,
     LIMITED_SERVERS,
+    LONG_PROMPTS,
     ODD_ENTRIES,
+    ODD_VERSIONS,
     RESTS,
     SERVERS_CUT,
     SILENT,
@@ -66,6 +69,24 @@
     assert outcome.violations == [], outcome.directory
 
 
+def test_callers_that_send_without_end_hold_up_no_others():
+    """One that pipelined requests stopped a node: no probe had an answer."""
+    outcome = run_seed(1, slot=SLOT, kinds=FLOODS, faults_s=6.0)
+    assert outcome.violations == [], outcome.directory
+
+
+def test_callers_that_expect_a_version_of_no_server_cost_others_nothing():
+    """One caller's header took all servers of the service out of use."""
+    outcome = run_seed(1, slot=SLOT, kinds=ODD_VERSIONS, faults_s=6.0)
+    assert outcome.violations == [], outcome.directory
+
+
+def test_long_prompts_at_once_do_not_end_a_process():
+    """Bodies within the limits took more memory than a process may have."""
+    outcome = run_seed(1, slot=SLOT, kinds=LONG_PROMPTS, faults_s=6.0)
+    assert outcome.violations == [], outcome.directory
+
+
 def test_callers_hold_no_bytes_that_no_run_made():
     """Servers write other data into the bodies of their streams, framed in all ways."""
     outcome = run_seed(1, slot=SLOT, kinds=FOREIGN_BYTES)
