--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -388,7 +388,7 @@
     few = FewSlots(fleet, backends)
     for backend in backends:
         backend.set_few_slots(few)
-    gevent.sleep(CONTACT_S + 4.0 + fault.for_s)
+    gevent.sleep(CONTACT_S + 6.0 + fault.for_s)
     for backend in backends:
         backend.set_few_slots(None)
     few.end()
--- a/tests/soak/few_slots.py
+++ b/tests/soak/few_slots.py
@@ -9,7 +9,7 @@
 IN_ADVANCE = 1
 """Requests that may be at a server beyond its slots while others wait."""
 
-TOLERATED, TOLERATED_SHARE = 4, 0.02
+TOLERATED, TOLERATED_SHARE = 2, 0.01
 """Requests, and share of all, that may come to a server that has too many while another
 one has a free slot."""
 
