--- a/tests/soak/restarts.py
+++ b/tests/soak/restarts.py
@@ -15,8 +15,9 @@
 IDLE_WAIT_S, IDLE_POLL_S = 1.0, 0.005
 """Longest wait for a moment without a request, and time between two looks, seconds."""
 
-DOWN_S = 0.05
-"""Time between the end of a server and its next start, seconds."""
+UNLISTED_S = 0.12
+"""Time from a start until the store has the server's new entry, seconds. Streams that
+begin and break off meanwhile are those of a process that no node knows."""
 
 CALLERS, BEGIN_S = 12, 1.0
 """Callers that begin streams once a server has started again, and for how long they do,
@@ -88,7 +89,8 @@
 def _break_streams(fleet, backend, fault):
     """Start a server again, begin streams and break its own off; return their ends."""
     backend.version = "v1" if backend.version != "v1" else "v2"
-    backend.restart_under(backend.server.id, holds_entry=False, down_s=DOWN_S)
+    # A node that is refused a connection knows that the process has ended.
+    backend.restart_under(backend.server.id, holds_entry=True, down_s=0.0)
     server = backend.server
     if server is None:
         return []
@@ -97,6 +99,10 @@
     rng = random.Random(fault.target)
     callers = [StreamCaller(fleet, rng, "free") for _ in range(CALLERS)]
     streams = [gevent.spawn(caller.run_for, BEGIN_S) for caller in callers]
+    gevent.sleep(UNLISTED_S)
+    backend.link.reset()
+    backend.holds_entry = False
+    backend.send_heartbeat()
     for _ in range(BREAKS):
         gevent.sleep(rng.uniform(*BREAK_GAP_S))
         backend.link.reset()
