--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -54,6 +54,10 @@
 """
 
 
+MIXED_SEEDS = (209957, 210207, 200221, 293210, 209980)
+"""Seeds that broke rules under faults of all kinds."""
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_invariants_hold_under_random_faults(seed):
     """Nodes are killed, stopped, paused and restarted in series, links to callers,
@@ -63,6 +67,13 @@
     assert outcome.violations == [], outcome.directory
 
 
+@pytest.mark.parametrize("seed", MIXED_SEEDS)
+def test_invariants_hold_under_faults_of_all_kinds(seed):
+    """Faults of all kinds are drawn together, each with the rule that it checks."""
+    outcome = run_seed(seed, slot=SLOT)
+    assert outcome.violations == [], outcome.directory
+
+
 @pytest.mark.parametrize("nodes", [6, 24])
 def test_changes_are_in_force_in_time_around_silences(nodes):
     """The store or single open connections stop responding while the configuration
