Answer late requests of a stopping node before it exits

Cause: a request's time-out is not held against the end of its node. At 0.1 s before the end of the drain, requests whose responses have not begun are given up and answered: 503 with Retry-After if no server may have run them, else 502. Those whose response has begun are untouched.

The test has one request at a silent server and one in the queue; both were closed without an answer before.

--- a/packages/endive_gateway/src/endive_gateway/callers.py
+++ b/packages/endive_gateway/src/endive_gateway/callers.py
@@ -13,7 +13,11 @@
 from gevent import socket as gsocket
 from gevent.hub import get_hub
 
-from endive_gateway.exceptions import BadMessageError, CallerGoneError
+from endive_gateway.exceptions import (
+    BadMessageError,
+    CallerGoneError,
+    NodeStoppingError,
+)
 from endive_gateway.http import RequestMessage, RequestParser, encode_head, status_line
 from endive_gateway.interfaces import Headers
 from endive_gateway.memory_budget import USUAL_BODY_BYTES, MemoryBudget
@@ -225,6 +229,11 @@
         """Number of connections with a request that is unread, read or answered."""
         return sum(c.is_busy for c in self.connections.values())
 
+    def refuse_unanswered(self) -> None:
+        """Give up the requests whose responses have not begun, and answer them."""
+        for connection in list(self.connections.values()):
+            get_hub().loop.run_callback(connection.refuse_unanswered)
+
     def close_idle(self) -> None:
         """Close the connections without a request in progress."""
         for connection in list(self.connections.values()):
@@ -238,12 +247,15 @@
     ----------
     idle : bool
         Whether no request is being read or answered.
+    exchange : Exchange or None
+        The request that is being answered.
     """
 
     def __init__(self, listener: CallerListener, sock) -> None:
         self.listener = listener
         self.sock = sock
         self.idle = True
+        self.exchange: Exchange | None = None
         self.worker = Worker("caller")
         self.greenlet: gevent.Greenlet | None = None
         limits = listener.limits()
@@ -269,6 +281,14 @@
         """Whether a request is in progress, or has come and was not read yet."""
         return self.sock.fileno() >= 0 and not (self.idle and is_idle(self.sock))
 
+    def refuse_unanswered(self) -> None:
+        """Give up the present request, unless its response has begun.
+
+        Called by the hub, so that no response begins before the exception is raised.
+        """
+        if self.exchange is not None and not self.exchange.response_started:
+            self.greenlet.throw(NodeStoppingError)
+
     def close_if_idle(self) -> None:
         """Close the connection unless a request is in progress or unread.
 
@@ -294,10 +314,12 @@
         exchange = Exchange(
             self.sock, message, received_at, lambda: self.listener.stopping
         )
+        self.exchange = exchange
         try:
             with DisconnectWatcher(self.sock, self.greenlet):
                 self.listener.handler.serve(exchange)
         finally:
+            self.exchange = None
             self.parser.release(message)
         if not message.complete:
             self._drain()
--- a/packages/endive_gateway/src/endive_gateway/exceptions.py
+++ b/packages/endive_gateway/src/endive_gateway/exceptions.py
@@ -124,6 +124,10 @@
     """Raised in a request's greenlet when its time-out has passed."""
 
 
+class NodeStoppingError(Exception):
+    """Raised in a request's greenlet when its node is about to exit."""
+
+
 DEADLINE_EXCEEDED_STATUS = 504
 """Status with which a server answers a request whose deadline has passed."""
 
--- a/packages/endive_gateway/src/endive_gateway/forwarding.py
+++ b/packages/endive_gateway/src/endive_gateway/forwarding.py
@@ -22,6 +22,7 @@
     AttemptError,
     BadHeaderError,
     CallerGoneError,
+    NodeStoppingError,
     RequestTimeoutError,
     ResponseForwardedError,
 )
@@ -145,7 +146,11 @@
             ):
                 self._forward()
         except RequestTimeoutError:
-            self._refuse_timed_out()
+            self._refuse_unanswered(
+                ErrorKind.DEADLINE_EXCEEDED, "the request's time-out has passed"
+            )
+        except NodeStoppingError:
+            self._refuse_unanswered(ErrorKind.STOPPING, "the node stops")
         except EndiveError as error:
             self._refuse(error)
         except CallerGoneError:
@@ -508,13 +513,10 @@
 
     # Responses of this node
 
-    def _refuse_timed_out(self) -> None:
+    def _refuse_unanswered(self, kind: ErrorKind, reason: str) -> None:
+        """Answer with an error for which the present attempt was given up."""
         self.may_have_run |= self.in_flight
-        self._refuse(
-            EndiveError(
-                ErrorKind.DEADLINE_EXCEEDED, "the request's time-out has passed"
-            )
-        )
+        self._refuse(EndiveError(kind, reason))
 
     def _refuse(self, error: EndiveError) -> None:
         """Answer with an error that states truly whether the request may have run."""
--- a/packages/endive_gateway/src/endive_gateway/gateway.py
+++ b/packages/endive_gateway/src/endive_gateway/gateway.py
@@ -39,6 +39,10 @@
 DRAIN_POLL_S = 0.05
 """Time between two checks of a stopping node for unfinished requests, seconds."""
 
+ANSWERING_S = 0.1
+"""Time before the end of a drain at which requests whose responses have not begun are
+refused, seconds."""
+
 EXIT_MARGIN_S = 0.4
 """Time before the end of the grace period at which the process exits, seconds. It then
 closes its connections properly; SIGKILL would not."""
@@ -263,10 +267,16 @@
         # A request accepted after this point could last longer than the grace period,
         # and the process would exit in the middle of its response.
         self.callers.stop_accepting()
-        while time.monotonic() < end and (self.callers.busy or self.transit.carried):
-            self.callers.close_idle()
-            gevent.sleep(DRAIN_POLL_S)
+        self._wait_until_idle(end - ANSWERING_S)
+        self.callers.refuse_unanswered()
+        self._wait_until_idle(end)
         self.context.origin_exchange.hand_over()
         self.peers.send_state(gone=True)
         log_event("stopped", unfinished=self.callers.busy, carried=self.transit.carried)
         self.stopped.set()
+
+    def _wait_until_idle(self, end: float) -> None:
+        """Wait until all requests are answered, at most until `end`."""
+        while time.monotonic() < end and (self.callers.busy or self.transit.carried):
+            self.callers.close_idle()
+            gevent.sleep(DRAIN_POLL_S)
--- a/packages/endive_gateway/tests/test_gateway.py
+++ b/packages/endive_gateway/tests/test_gateway.py
@@ -1,9 +1,11 @@
 from dataclasses import replace
 
+import gevent
 import pytest
 from endive_gateway.gateway import Gateway
 from endive_gateway.interfaces import Bounds, GatewaySettings, NodeLocation
-from gateway_builders import Caller, PlainWire, make_table
+from gateway_builders import Caller, PlainWire, make_entry, make_table
+from server_builders import ScriptedServer
 from store_builders import MemoryStore, RecordingCloud
 
 PLACE = NodeLocation("n1", "127.0.0.1", "z", 0, 0, 17_621)
@@ -45,3 +47,32 @@
     gateway.reload(GatewaySettings(moved, Bounds(grace_s=20)))
     assert gateway.settings.location == PLACE
     assert gateway.context.settings.bounds.grace_s == 20
+
+
+@pytest.mark.parametrize(
+    ("slots", "statuses", "received"), [(2, [502, 502], 2), (1, [502, 503], 1)]
+)
+def test_a_node_answers_what_its_servers_do_not_before_it_exits(
+    gateway, slots, statuses, received
+):
+    """The process exited in the middle of late requests, which got no answer."""
+    silent = [lambda _sock, _received: gevent.sleep(10)] * slots
+    server = ScriptedServer(*silent)
+    gateway.reload(GatewaySettings(PLACE, Bounds(grace_s=1.0)))
+    gateway.context.configure(make_table(), b"", "test")
+    gateway.context.registry.put(make_entry(address=server.address, slots=slots))
+    gateway.context.registry.is_loaded = True
+    gateway.context.registry.notify_listeners()
+    gateway.callers.start()
+    queues = gevent.spawn(gateway.context.placer.poll_queues)
+    callers = [Caller(gateway.callers.port) for _ in statuses]
+    for caller in callers:
+        caller.send()
+        gevent.sleep(0.05)
+    gateway.drain()
+    responses = [caller.receive() for caller in callers]
+    queues.kill()
+    server.stop()
+    assert [response.status for response in responses] == statuses
+    assert len(server.received) == received
+    assert gateway.callers.busy == 0
