Allow a process in the soak the memory of long prompts beside endless bodies

Large bodies may take 48 MiB in a process, which has a rule of its own, so the rule was wrong for that process: it may grow by both. Others may as before.

--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -64,6 +64,8 @@
         Whether it is cut off from all servers.
     cut_ended_at : float
         When it was last cut off, seconds since the beginning.
+    long_prompts_start : int or None
+        Number of the start since which callers have sent it long prompts.
     """
 
     def __init__(self, fleet, number):
@@ -81,6 +83,7 @@
         self.partition_file = fleet.directory / f"{self.name}.partition"
         self.output = fleet.directory / f"{self.name}.log"
         self.active_faults = 0
+        self.long_prompts_start = None
         self.recovered_at = 0.0
         self.starts = 0
         self.started_at = 0.0
--- a/tests/soak/floods.py
+++ b/tests/soak/floods.py
@@ -69,6 +69,7 @@
     node = fleet.nodes[fault.target % len(fleet.nodes)]
     if node.busy or node.process.poll() is not None:
         return
+    node.long_prompts_start = node.starts
     end = fleet.clock() + 1.0 + fault.for_s
     with Flood("caller", "long bodies", f"{node.ip}:{PORT}", LONG_BODIES):
         while fleet.clock() < end:
