Count the slots of a server that has just started as free again in the soak

The rule "idle slots" had been narrowed by more than its trace shows: a server without a process counted as one that turns requests away, so its slots did not count for 3 s after its start, which the commit did not say. Only limits, rests and departures are left out now.

--- a/tests/soak/few_slots.py
+++ b/tests/soak/few_slots.py
@@ -53,7 +53,9 @@
         """Note which servers turn requests away now."""
         for backend in self.backends:
             server = backend.server
-            if server is None or server.limit or server.rest_s or server.leaving:
+            if server is None:
+                continue
+            if server.limit or server.rest_s or server.leaving:
                 self.refused_at[backend] = self.fleet.clock()
 
     def _has_free_slot(self, backend):
