--- /dev/null
+++ b/tests/crowds.py
@@ -0,0 +1,176 @@
+"""Callers that hold connections to a gateway, in a process of their own.
+
+Started as a program, since the callers would share the event loop of the tests:
+
+    crowds.py KIND ADDRESS COUNT
+
+It prints a line once all connections have sent what they send, and holds them until its
+standard input ends.
+"""
+
+import itertools
+import os
+import signal
+import subprocess
+import sys
+from contextlib import contextmanager, suppress
+
+import gevent
+from gevent import socket as gsocket
+from gevent.pool import Group
+
+MAX_CROWD_S = 90
+SEND_TIMEOUT_S = 5.0
+READ_BYTES = 65_536
+MAX_HEADER_BYTES = 16_384
+"""Largest head of a request within the limits, bytes."""
+
+BODY_BYTES = 1_000
+PIPELINED_HEADS = 40
+PIPELINED_REQUESTS = 2_000
+REOPENED = 3
+"""How often a caller opens its connection again when that is closed."""
+
+END = b"\r\n"
+ALPHABET = b"abcdefghijklmnopqrstuvwxyz0123456789"
+
+
+def head(number, lines=b"", framing=b""):
+    """Return the head of a request, without the blank line that ends it."""
+    return (
+        b"POST /safe/x HTTP/1.1\r\nHost: made.example\r\nDeadline-Ms: 3000\r\n"
+        b"Request-Id: crowd-%d\r\n" % number + framing + lines
+    )
+
+
+def short_lines(count):
+    """Return header lines of one letter, all with the same name."""
+    return b"a:\r\n" * count
+
+
+def short_names(count):
+    """Return header lines without values, each with another short name."""
+    names = itertools.product(ALPHABET, repeat=3)
+    return b"".join(bytes(name) + b":\r\n" for name in itertools.islice(names, count))
+
+
+SHORT_LINES = short_lines(3_800)
+SHORT_NAMES = short_names(2_400)
+BODY_TO_COME = b"Content-Length: %d\r\n" % BODY_BYTES
+
+
+def pipelined_heads(number, lines):
+    """Return a small request and many heads after it."""
+    request = head(number, framing=b"Content-Length: 0\r\n")
+    return request + END + (request + lines + END) * PIPELINED_HEADS
+
+
+def pipelined_requests(number):
+    """Return many small requests."""
+    return (head(number, framing=b"Content-Length: 0\r\n") + END) * PIPELINED_REQUESTS
+
+
+KINDS = {
+    "idle": lambda number: b"",
+    "short lines": lambda number: head(number, SHORT_LINES) + END,
+    "short names": lambda number: head(number, SHORT_NAMES) + END,
+    "short lines, unfinished": lambda number: head(number, SHORT_LINES),
+    "short names, unfinished": lambda number: head(number, SHORT_NAMES),
+    "short lines, body to come": lambda number: (
+        head(number, SHORT_LINES, BODY_TO_COME) + END
+    ),
+    "short names, body to come": lambda number: (
+        head(number, SHORT_NAMES, BODY_TO_COME) + END
+    ),
+    "short lines, pipelined": lambda number: pipelined_heads(number, SHORT_LINES),
+    "short names, pipelined": lambda number: pipelined_heads(number, SHORT_NAMES),
+    "small requests, pipelined": pipelined_requests,
+    "small requests, responses unread": pipelined_requests,
+}
+"""By name, what the caller of a number sends on its connection."""
+
+UNREAD_KINDS = {"small requests, responses unread"}
+
+
+class Caller:
+    """One connection, which is opened again a few times when it is closed."""
+
+    def __init__(self, address, content, *, reads=True):
+        host, _, port = address.rpartition(":")
+        self.address = host, int(port)
+        self.content = content
+        self.reads = reads
+        self.sent = gevent.event.Event()
+
+    def run(self):
+        """Hold the connection until killed; the body of a greenlet."""
+        for _ in range(1 + REOPENED):
+            try:
+                self._hold()
+            except OSError:
+                gevent.sleep(0.1)
+            finally:
+                self.sent.set()
+
+    def _hold(self):
+        with gsocket.create_connection(self.address) as sock:
+            sender = gevent.spawn(self._send, sock)
+            try:
+                if not self.reads:
+                    gevent.sleep(MAX_CROWD_S)
+                while sock.recv(READ_BYTES):
+                    pass
+            finally:
+                sender.kill()
+
+    def _send(self, sock):
+        sock.settimeout(SEND_TIMEOUT_S)
+        with suppress(OSError):  # closed by the gateway, or not read by it
+            sock.sendall(self.content)
+        sock.settimeout(None)
+        self.sent.set()
+
+
+@contextmanager
+def crowd(kind, address, count):
+    """Hold so many connections of a kind to ``IP:port`` in a process of their own.
+
+    Yields once each has sent what it sends, or was closed.
+    """
+    process = subprocess.Popen(
+        [sys.executable, __file__, kind, address, str(count)],
+        stdin=subprocess.PIPE,
+        stdout=subprocess.PIPE,
+        bufsize=0,
+    )
+    os.set_blocking(process.stdout.fileno(), False)
+    try:
+        while not process.stdout.read(READ_BYTES):
+            gevent.sleep(0.05)
+        yield
+    finally:
+        process.kill()
+        process.wait()
+        process.stdin.close()
+        process.stdout.close()
+
+
+def main(kind, address, count):
+    """Hold the connections until the standard input ends."""
+    signal.alarm(MAX_CROWD_S)
+    reads = kind not in UNREAD_KINDS
+    callers = [
+        Caller(address, KINDS[kind](number), reads=reads)
+        for number in range(int(count))
+    ]
+    group = Group()
+    for caller in callers:
+        group.spawn(caller.run)
+    for caller in callers:
+        caller.sent.wait()
+    print("sent", flush=True)
+    gevent.os.tp_read(sys.stdin.fileno(), 1)
+
+
+if __name__ == "__main__":
+    main(*sys.argv[1:])
