Count the lines of a head by the bytes that they take

Callers got 431 for heads below max_header_bytes: 3,800 lines "a:" in 15.5 KB of 16,384. The parser counted four bytes a line beside name and value, for a colon, a space and the line's end, and a line needs no space. It now counts three, the least that a line takes, so what it counts is never above what was sent.

--- a/packages/endive_gateway/src/endive_gateway/http.py
+++ b/packages/endive_gateway/src/endive_gateway/http.py
@@ -49,6 +49,8 @@
     505: "HTTP Version Not Supported",
 }
 
+LINE_BYTES = len(b":\r\n")
+"""Least bytes of a header line beside its name and value."""
 
 MAX_OVERHEAD_BYTES = 131_072
 """Largest part of a response without any of its body, bytes. What is read at once may
@@ -305,7 +307,7 @@
         if self.parser.get_http_version() not in ("1.1", "1.0"):
             return BadMessageError("the HTTP version is not supported", 505)
         values = message.values_by_name()
-        size = sum(len(n) + len(v) + 4 for n, v in message.headers)
+        size = sum(len(n) + len(v) + LINE_BYTES for n, v in message.headers)
         if size + len(message.target) > self.max_header_bytes:
             return BadMessageError("the header is too large", 431)
         if not message.target.startswith(b"/"):
--- a/packages/endive_gateway/tests/test_http.py
+++ b/packages/endive_gateway/tests/test_http.py
@@ -53,6 +53,15 @@
         feed(data)
 
 
+def test_a_head_of_the_largest_size_is_accepted_however_many_lines_it_has():
+    """A head within the limit was refused if its lines had no space after the colon."""
+    head = HEAD + b"a:\r\n" * 200 + b"\r\n"
+    (message,) = feed(head, max_header=len(head))
+    assert message.complete
+    with pytest.raises(BadMessageError):
+        feed(head, max_header=len(HEAD) + 150 * len(b"a:\r\n"))
+
+
 def test_pieces_make_the_same_message_wherever_they_are_cut():
     data = (
         HEAD
