Count the heads of callers' requests in a budget that follows from the machine

Requests of legal size ended a process: each connection with a head of many short lines took 0.3 MB, twenty times its bytes, whether the head was whole, unfinished, followed by a body that never came or pipelined. No budget counted heads, a line was a tuple of two objects, a refused connection kept its head while it was drained, and the budgets were constants whatever the machine's memory.

A request's headers are now one array of bytes. Long heads and pipelined requests have a share of it, so that small heads keep room. A head without room gets 503 with Retry-After after the requests before it, and is dropped before its connection is drained.

--- a/packages/endive_gateway/src/endive_gateway/attempts.py
+++ b/packages/endive_gateway/src/endive_gateway/attempts.py
@@ -339,6 +339,10 @@
             timer.close()
 
     def _send(self) -> None:
+        # Of many short headers, a list takes many times the bytes of the encoded head.
+        self.connection.send(self._encoded_head(), self.request.exchange.body)
+
+    def _encoded_head(self) -> bytes:
         message = self.request.exchange.message
         forwarding = ForwardingMetadata(
             server_id=self.view.id,
@@ -360,7 +364,7 @@
         if message.has_length or body:
             headers.append((b"Content-Length", b"%d" % len(body)))
         line = b"%s %s HTTP/1.1" % (message.method, message.target)
-        self.connection.send(encode_head(line, headers), body)
+        return encode_head(line, headers)
 
     def _handle_response(
         self, message: ResponseMessage, metadata: ResponseMetadata
--- a/packages/endive_gateway/src/endive_gateway/callers.py
+++ b/packages/endive_gateway/src/endive_gateway/callers.py
@@ -17,10 +17,12 @@
     BadMessageError,
     CallerGoneError,
     NodeStoppingError,
+    NoMemoryError,
 )
 from endive_gateway.http import RequestMessage, RequestParser, encode_head, status_line
 from endive_gateway.interfaces import Headers
-from endive_gateway.memory_budget import USUAL_BODY_BYTES, MemoryBudget
+from endive_gateway.memory_budget import USUAL_BODY_BYTES, RequestMemory
+from endive_gateway.statuses import DEFAULT_RETRY_AFTER_S
 from endive_gateway.tcp import is_idle
 from endive_gateway.turns import Worker
 
@@ -176,8 +178,8 @@
     ----------
     stopping : bool
         Whether each response carries ``Connection: close``.
-    body_memory : MemoryBudget
-        Memory for the bodies of all requests.
+    request_memory : RequestMemory
+        Memory that all requests share.
     """
 
     def __init__(
@@ -185,13 +187,14 @@
         listener: socket.socket,
         handler: RequestHandler,
         limits: Callable[[], CallerLimits],
+        request_memory: RequestMemory,
     ) -> None:
         self.listener = listener
         self.port = self.listener.getsockname()[1]
         self.handler = handler
         self.limits = limits
         self.stopping = False
-        self.body_memory = MemoryBudget()
+        self.request_memory = request_memory
         self.connections: dict[object, CallerConnection] = {}
         self.acceptor: gevent.Greenlet | None = None
 
@@ -260,7 +263,7 @@
         self.greenlet: gevent.Greenlet | None = None
         limits = listener.limits()
         self.parser = RequestParser(
-            limits.max_header_bytes, limits.max_body_bytes, listener.body_memory
+            limits.max_header_bytes, limits.max_body_bytes, listener.request_memory
         )
 
     def run(self) -> None:
@@ -271,8 +274,7 @@
         except (CallerGoneError, OSError):
             pass
         finally:
-            for message in self.parser.messages:
-                self.parser.release(message)
+            self.parser.release()
             self.listener.connections.pop(self, None)
             self.sock.close()
 
@@ -301,15 +303,18 @@
     def _serve_next(self) -> bool:
         if self.parser.messages:  # requests that have been read need no further read
             self.worker.checkpoint()
+        message, received_at, rejection = None, 0.0, None
         try:
             message, received_at = self._read_request()
         except BadMessageError as error:
-            log_event("request_malformed", status=error.status, error=error)
-            self._reject(error)
+            # Its traceback would keep what was read.
+            rejection = error.with_traceback(None)
+        if rejection is not None:
+            self._reject(rejection)
             return False
         if message is None:
             return False
-        if message.held_bytes > USUAL_BODY_BYTES:
+        if message.held.body > USUAL_BODY_BYTES:
             self.worker.before_long_work()
         exchange = Exchange(
             self.sock, message, received_at, lambda: self.listener.stopping
@@ -320,20 +325,24 @@
                 self.listener.handler.serve(exchange)
         finally:
             self.exchange = None
-            self.parser.release(message)
+            message.release()
         if not message.complete:
             self._drain()
         self.idle = True
         return exchange.keep_alive
 
     def _reject(self, error: BadMessageError) -> None:
-        """Answer a malformed request, and close the connection."""
+        """Answer a request that was not read, and close the connection."""
+        log_event("request_malformed", status=error.status, error=error)
+        self.parser.release()
         body = json.dumps({"error": {"message": str(error)}}).encode()
         headers = [
             (b"Content-Type", b"application/json"),
             (b"Content-Length", b"%d" % len(body)),
             (b"Connection", b"close"),
         ]
+        if isinstance(error, NoMemoryError):
+            headers.append((b"Retry-After", b"%.3f" % DEFAULT_RETRY_AFTER_S))
         self.sock.sendall(encode_head(status_line(error.status), headers) + body)
         self._drain()
 
@@ -359,7 +368,8 @@
         Raises
         ------
         BadMessageError
-            If the request is malformed, exceeds a limit or comes too slowly.
+            If the request is malformed, exceeds a limit or comes too slowly, or if
+            there is no memory for its head.
         """
         limits = self.listener.limits()
         received_at = time.monotonic()
@@ -375,6 +385,8 @@
         continued = False
         while True:
             message = self.parser.messages[0] if self.parser.messages else None
+            if message is not None and message.has_no_room and not message.head_done:
+                raise NoMemoryError("there is no memory for the request's head")
             if message is not None and (message.complete or message.has_no_room):
                 self.parser.messages.popleft()
                 if not self.parser.messages:
--- a/packages/endive_gateway/src/endive_gateway/connections.py
+++ b/packages/endive_gateway/src/endive_gateway/connections.py
@@ -17,7 +17,7 @@
 )
 from endive_gateway.http import ResponseMessage, ResponseParser
 from endive_gateway.interfaces import ResponseMetadata, Wire, header_value
-from endive_gateway.memory_budget import HeldMemory, MemoryBudget
+from endive_gateway.memory_budget import HeldMemory, ResponseMemory
 from endive_gateway.path_monitor import PathMonitor
 from endive_gateway.paths import ServerPaths
 from endive_gateway.server_processes import Link, ServerProcesses
@@ -350,7 +350,7 @@
 
     Attributes
     ----------
-    response_memory : MemoryBudget
+    response_memory : ResponseMemory
         Memory for what is held of the responses on all connections.
     """
 
@@ -360,6 +360,7 @@
         paths: ServerPaths,
         monitor: PathMonitor,
         processes: ServerProcesses,
+        response_memory: ResponseMemory,
     ) -> None:
         self.wire = wire
         self.paths = paths
@@ -367,7 +368,7 @@
         self.processes = processes
         self.idle: dict[str, deque[ServerConnection]] = defaultdict(deque)
         self.opened = 0
-        self.response_memory = MemoryBudget.for_responses()
+        self.response_memory = response_memory
 
     def acquire(self, server_id: str, address: str) -> ServerConnection:
         """Return an idle or new connection to a server.
--- a/packages/endive_gateway/src/endive_gateway/context.py
+++ b/packages/endive_gateway/src/endive_gateway/context.py
@@ -25,6 +25,7 @@
 )
 from endive_gateway.leaving_servers import LAST_SERVER_MARGIN_S, LeavingServers
 from endive_gateway.limit_sharing import LimitSharing
+from endive_gateway.memory_budget import RequestMemory, ResponseMemory
 from endive_gateway.metrics import GatewayMetrics
 from endive_gateway.order_exchange import OrderExchange
 from endive_gateway.origin_exchange import OriginExchange
@@ -152,6 +153,8 @@
         self.registry = ServerRegistry()
         self.prefix_fetching = PrefixFetching(self.registry)
         self.part_copying = PartCopying()
+        self.request_memory = RequestMemory.from_machine(settings.machine)
+        self.response_memory = ResponseMemory.from_machine(settings.machine)
         self.apply_settings(settings)
         self.paths = ServerPaths(self.registry, self.random)
         self.checks = ServerChecks(self.paths)
@@ -176,7 +179,13 @@
         self.path_monitor.on_silent = self.placer.pause_silent
         self.prefix_fetching.is_silent = self.path_monitor.silent.__contains__
         self.processes = ServerProcesses(self.registry)
-        self.pool = ConnectionPool(wire, self.paths, self.path_monitor, self.processes)
+        self.pool = ConnectionPool(
+            wire,
+            self.paths,
+            self.path_monitor,
+            self.processes,
+            self.response_memory,
+        )
         self.path_monitor.on_dead_connections = self.pool.drop
         self.registry.restart_listeners.append(self.pool.drop)
         self.limits = SharedLimits(time.monotonic(), slack=settings.bounds.quota_slack)
@@ -273,6 +282,8 @@
             self.rollouts.settings = settings
         self.registry.last_server_s = settings.bounds.drain_s - LAST_SERVER_MARGIN_S
         self.prefix_fetching.set_total(settings.bounds.fetch_bytes_per_s)
+        for memory in (self.request_memory, self.response_memory):
+            memory.resize(settings.machine)
 
     @property
     def version(self) -> int:
--- a/packages/endive_gateway/src/endive_gateway/exceptions.py
+++ b/packages/endive_gateway/src/endive_gateway/exceptions.py
@@ -81,6 +81,13 @@
         self.status = status
 
 
+class NoMemoryError(BadMessageError):
+    """A request for whose head there is no memory."""
+
+    def __init__(self, message: str) -> None:
+        super().__init__(message, 503)
+
+
 class ConnectionBrokenError(Exception):
     """A connection to a server that could not be opened, failed or ended early.
 
--- a/packages/endive_gateway/src/endive_gateway/gateway.py
+++ b/packages/endive_gateway/src/endive_gateway/gateway.py
@@ -75,6 +75,7 @@
             caller_socket or listen_tcp(location.address, location.caller_port),
             Forwarder(self.context),
             self.context.caller_limits,
+            self.context.request_memory,
         )
         self.readiness = StreamServer(
             listen_tcp(location.address, location.ready_port), self._answer_ready
--- a/packages/endive_gateway/src/endive_gateway/http.py
+++ b/packages/endive_gateway/src/endive_gateway/http.py
@@ -7,13 +7,19 @@
 """
 
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Iterator
 
 import httptools
 
-from endive_gateway.exceptions import BadMessageError
+from endive_gateway.exceptions import BadMessageError, NoMemoryError
 from endive_gateway.interfaces import Headers, ResponseMetadata
-from endive_gateway.memory_budget import PIECE_BYTES, MemoryBudget
+from endive_gateway.memory_budget import (
+    MESSAGE_BYTES,
+    PIECE_BYTES,
+    HeldRequest,
+    Machine,
+    RequestMemory,
+)
 
 HOP_BY_HOP_HEADERS = frozenset(
     {
@@ -32,6 +38,11 @@
 )
 """Headers that concern a single connection, or that the gateway encodes itself."""
 
+FRAMING_HEADERS = frozenset(
+    {b"host", b"connection", b"content-length", b"transfer-encoding", b"expect"}
+)
+"""Headers that the parsers themselves read."""
+
 REASON_PHRASES = {
     200: "OK",
     400: "Bad Request",
@@ -49,9 +60,6 @@
     505: "HTTP Version Not Supported",
 }
 
-LINE_BYTES = len(b":\r\n")
-"""Least bytes of a header line beside its name and value."""
-
 MAX_OVERHEAD_BYTES = 131_072
 """Largest part of a response without any of its body, bytes. What is read at once may
 hold the end of a body before it."""
@@ -91,13 +99,44 @@
         self.complete = False
 
     def values_by_name(self) -> dict[bytes, list[bytes]]:
-        """Return the header values by lower-case name."""
+        """Return the values of the headers that frame the message, by name."""
         values: dict[bytes, list[bytes]] = {}
         for name, value in self.headers:
-            values.setdefault(name.lower(), []).append(value)
+            lower_name = name.lower()
+            if lower_name in FRAMING_HEADERS:
+                values.setdefault(lower_name, []).append(value)
         return values
 
 
+class CompactHeaders:
+    """Headers in a single object.
+
+    A tuple of two objects takes 150 bytes, and a header line may have four.
+    """
+
+    __slots__ = ("lines",)
+
+    def __init__(self) -> None:
+        self.lines = bytearray()
+
+    def append(self, header: tuple[bytes, bytes]) -> None:
+        """Append a header, whose value the parser has checked to be a single line."""
+        self.lines += b"%b:%b\n" % header
+
+    def wire_bytes(self) -> int:
+        """Return the least bytes that the lines took as sent."""
+        return len(self.lines) + self.lines.count(b"\n")
+
+    def clear(self) -> None:
+        """Remove all headers."""
+        self.lines = bytearray()
+
+    def __iter__(self) -> Iterator[tuple[bytes, bytes]]:
+        for line in bytes(self.lines).split(b"\n")[:-1]:
+            name, _, value = line.partition(b":")
+            yield name, value
+
+
 class RequestMessage(Message):
     """A caller's request.
 
@@ -107,30 +146,32 @@
         Whether it has a Content-Length or a transfer coding.
     expects_continue : bool
         Whether the caller waits for ``100 Continue`` before it sends the body.
-    held_bytes : int
-        Memory that its body takes, bytes.
+    held : HeldRequest
+        The memory that it takes.
     has_no_room : bool
-        Whether there is no memory for its body, which is dropped as it comes.
+        Whether there is no memory for its head, or for its body. The rest is dropped as
+        it comes.
     """
 
     __slots__ = (
         "expects_continue",
         "has_length",
         "has_no_room",
-        "held_bytes",
+        "held",
         "keep_alive",
         "method",
         "target",
     )
 
-    def __init__(self) -> None:
+    def __init__(self, held: HeldRequest) -> None:
         super().__init__()
+        self.headers = CompactHeaders()
         self.method = b""
         self.target = b""
         self.keep_alive = True
         self.has_length = False
         self.expects_continue = False
-        self.held_bytes = 0
+        self.held = held
         self.has_no_room = False
 
     def take_body(self) -> bytes:
@@ -139,6 +180,12 @@
         self.body.clear()
         return taken
 
+    def release(self) -> None:
+        """Drop head and body, and give their memory back."""
+        self.headers.clear()
+        self.body.clear()
+        self.held.release()
+
 
 class ResponseMessage(Message):
     """A server's response.
@@ -194,7 +241,7 @@
         self.current = None
 
     def on_message_begin(self) -> None:
-        self.current = self.message_type()
+        self.current = self._new_message()
         self.messages.append(self.current)
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -213,8 +260,8 @@
     ----------
     max_header_bytes, max_body_bytes : int
         Size limits of one request.
-    memory : MemoryBudget
-        Memory that the bodies of all requests share.
+    memory : RequestMemory
+        Memory that all requests share.
 
     Attributes
     ----------
@@ -222,18 +269,16 @@
         Bytes received of a head, and since the last piece of a body.
     """
 
-    message_type = RequestMessage
-
     def __init__(
         self,
         max_header_bytes: int,
         max_body_bytes: int,
-        memory: MemoryBudget | None = None,
+        memory: RequestMemory | None = None,
     ) -> None:
         super().__init__()
         self.max_header_bytes = max_header_bytes
         self.max_body_bytes = max_body_bytes
-        self.memory = memory or MemoryBudget()
+        self.memory = memory or RequestMemory.from_machine(Machine())
         self.head_bytes = 0
         self.trailer_bytes = 0
         self.body_bytes = 0
@@ -243,6 +288,8 @@
     def feed(self, data: bytes) -> None:
         """Parse bytes received on the connection.
 
+        A request for whose head there is no memory is the last one that is parsed.
+
         Raises
         ------
         BadMessageError
@@ -254,22 +301,50 @@
         else:
             self.trailer_bytes += len(data)
         try:
-            self.parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._decline_upgrade()
-        except httptools.HttpParserError as error:
-            raise self.rejection or BadMessageError(str(error)) from None
+            self._parse(data)
+        except NoMemoryError:
+            return  # the request tells by itself that there is no room for it
         unfinished = self.current is not None and not self.current.head_done
         if unfinished and self.head_bytes > self.max_header_bytes:
             raise BadMessageError("the header is too large", 431)
         if self.trailer_bytes > max(len(data), self.max_header_bytes):
             raise BadMessageError("the trailers are too large", 431)
 
-    def release(self, message: RequestMessage) -> None:
-        """Give back the memory of a request whose body is no longer held."""
-        self.memory.give_back(message.held_bytes)
-        message.held_bytes = 0
-        message.body.clear()
+    def _parse(self, data: bytes) -> None:
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._decline_upgrade()
+        except httptools.HttpParserError as error:
+            raise self.rejection or BadMessageError(str(error)) from None
+        if self.current is not None and not self.current.head_done:
+            self._hold_head()
+
+    def release(self) -> None:
+        """Drop all requests that have not been taken, and give their memory back."""
+        for message in self.messages:
+            message.release()
+        self.messages.clear()
+        self.current = None
+
+    def _new_message(self) -> RequestMessage:
+        return RequestMessage(HeldRequest(self.memory, is_long=bool(self.messages)))
+
+    def on_message_begin(self) -> None:
+        """Begin a request; raises NoMemoryError without room for it."""
+        super().on_message_begin()
+        self._hold_head()
+
+    def _hold_head(self) -> None:
+        """Hold the head as far as it has come; raises NoMemoryError without room."""
+        message = self.current
+        size = MESSAGE_BYTES + len(message.target) + len(message.headers.lines)
+        if not message.held.grow_head(size - message.held.head):
+            message.has_no_room = True
+            message.keep_alive = False
+            message.release()
+            self.rejection = NoMemoryError("there is no memory for the request's head")
+            raise self.rejection
 
     def _decline_upgrade(self) -> None:
         """Ignore a request's ``Upgrade``, and close the connection after the response.
@@ -293,6 +368,7 @@
 
     def on_headers_complete(self) -> None:
         """Validate the head of a request; raises :class:`BadMessageError`."""
+        self._hold_head()
         message = self.current
         message.head_done = True
         message.method = self.parser.get_method()
@@ -307,8 +383,7 @@
         if self.parser.get_http_version() not in ("1.1", "1.0"):
             return BadMessageError("the HTTP version is not supported", 505)
         values = message.values_by_name()
-        size = sum(len(n) + len(v) + LINE_BYTES for n, v in message.headers)
-        if size + len(message.target) > self.max_header_bytes:
+        if message.headers.wire_bytes() + len(message.target) > self.max_header_bytes:
             return BadMessageError("the header is too large", 431)
         if not message.target.startswith(b"/"):
             return BadMessageError("the request target is not a path")
@@ -323,7 +398,7 @@
         message.has_length = bool(lengths or codings)
         expects = values.get(b"expect", [b""])[0].lower()
         message.expects_continue = expects == b"100-continue"
-        if lengths and not self.memory.has_room(0, int(lengths[0])):
+        if lengths and not message.held.fits_body(int(lengths[0])):
             self._drop_body(message)
         return None
 
@@ -337,17 +412,16 @@
         message, size = self.current, len(data) + PIECE_BYTES
         if message.has_no_room:
             return
-        if not self.memory.has_room(message.held_bytes, size):
+        if not message.held.grow_body(size):
             self._drop_body(message)
             return
-        self.memory.take(size)
-        message.held_bytes += size
         message.body.append(data)
 
     def _drop_body(self, message: RequestMessage) -> None:
         message.has_no_room = True
         message.keep_alive = False
-        self.release(message)
+        message.held.release_body()
+        message.body.clear()
 
     def on_message_complete(self) -> None:
         """Mark the request as complete."""
@@ -373,8 +447,6 @@
         Trailers of the current response.
     """
 
-    message_type = ResponseMessage
-
     def __init__(self) -> None:
         super().__init__()
         self.is_awaited: Callable[[ResponseMessage], bool] = lambda message: True
@@ -383,6 +455,9 @@
         self.trailers = 0
         self.parser = httptools.HttpResponseParser(self)
 
+    def _new_message(self) -> ResponseMessage:
+        return ResponseMessage()
+
     def feed(self, data: bytes) -> None:
         """Parse received bytes.
 
@@ -449,7 +524,9 @@
         self.overhead_bytes = 0
 
 
-def end_to_end(headers: Headers, kept: frozenset[bytes] = frozenset()) -> Headers:
+def end_to_end(
+    headers: Iterable[tuple[bytes, bytes]], kept: frozenset[bytes] = frozenset()
+) -> Headers:
     """Return the end-to-end headers, which are forwarded to the next hop.
 
     Parameters
--- a/packages/endive_gateway/src/endive_gateway/interfaces.py
+++ b/packages/endive_gateway/src/endive_gateway/interfaces.py
@@ -8,6 +8,7 @@
 from endive_core.rollouts import RolloutOrder, StageKind
 from endive_core.routing import RoutingTable
 
+from endive_gateway.memory_budget import Machine
 from endive_gateway.quantities import Age, Count
 
 Headers = list[tuple[bytes, bytes]]
@@ -557,6 +558,8 @@
         one queue for all nodes.
     is_first_start : bool
         Whether the whole system starts for the first time.
+    machine : Machine
+        What the process may take of its machine.
     """
 
     location: NodeLocation
@@ -566,6 +569,7 @@
     contracts: frozenset[str] = frozenset()
     pools_slots: bool = True
     is_first_start: bool = False
+    machine: Machine = Machine()
 
 
 def header_value(headers: Iterable[tuple[bytes, bytes]], name: bytes) -> bytes:
--- a/packages/endive_gateway/src/endive_gateway/memory_budget.py
+++ b/packages/endive_gateway/src/endive_gateway/memory_budget.py
@@ -1,65 +1,201 @@
-"""Bounds on the memory that the bodies of all requests, or of all responses, take."""
+"""Bounds on the memory that callers' requests and servers' responses take.
+
+They follow from the memory of the machine.
+"""
 
 from dataclasses import dataclass
 
-TOTAL_BYTES = 80 * 2**20
-"""Memory for the bodies of all requests of a process, bytes."""
+PROCESS_BYTES = 40_000_000
+PROCESS_SHARE = 0.1
+"""Memory that a process takes beside what callers and servers send: bytes, and a
+further share of the machine's memory."""
+
+REQUESTS_SHARE = 0.4
+RESPONSES_SHARE = 0.055
+"""Shares of the other memory for requests, and for what is held of responses. The rest
+is left to connections, and to copies that are made while a request is handled."""
 
-LARGE_BODIES_BYTES = 48 * 2**20
-"""Part of it that large bodies may take, bytes. The rest is left to usual ones."""
+BODIES_SHARE = 0.85
+LARGE_BODIES_SHARE = 0.55
+LONG_HEADS_SHARE = 0.25
+"""Shares of the memory for requests: up to which usual bodies and long heads, and up to
+which large bodies may fill it, and what long heads may take of it together. The rest is
+left to smaller requests."""
 
 USUAL_BODY_BYTES = 131_072
 """Largest body that is not a large one, bytes."""
 
+SMALL_HEAD_BYTES = 4_096
+"""Memory that the head of a request may take without counting as long, bytes."""
+
+MESSAGE_BYTES = 1_024
+"""Memory that a request takes beside its head and its body, bytes."""
+
 PIECE_BYTES = 64
 """Memory that a piece of a body takes beside its bytes, bytes."""
 
-
-RESPONSES_BYTES = 12 * 2**20
-LARGE_RESPONSES_BYTES = 6 * 2**20
-"""Memory for what is held of the responses of a process, and the part of it that large
-ones may take, bytes. A response is held until it, or its next event, is complete."""
+LARGE_RESPONSES_SHARE = 0.5
+"""Share of the memory for responses up to which large ones may fill it."""
 
 USUAL_RESPONSE_BYTES = 32_768
 """Largest part of a response that does not count as large, bytes."""
 
 
+@dataclass(frozen=True)
+class Machine:
+    """What a process may take of its machine.
+
+    Attributes
+    ----------
+    memory_bytes : int
+        Memory, bytes.
+    sockets : int
+        Sockets that it may have open at once.
+    """
+
+    memory_bytes: int = 300_000_000
+    sockets: int = 3_900
+
+    @property
+    def traffic_bytes(self) -> int:
+        """Memory for requests, responses and connections, bytes."""
+        free = (1 - PROCESS_SHARE) * self.memory_bytes - PROCESS_BYTES
+        return max(0, int(free))
+
+
 @dataclass
-class MemoryBudget:
-    """The memory that bodies may take, and what they take now.
+class RequestMemory:
+    """The memory that callers' requests may take, and what they take now.
 
     Attributes
     ----------
-    total, large : int
-        What all bodies may take, and up to which sum a large one may take more, bytes.
-    usual : int
-        Largest body that is not a large one, bytes.
+    total : int
+        What all requests may take together, bytes.
     used : int
         What they take, bytes.
+    long_heads : int
+        What long heads take of it, and requests that wait behind another one on their
+        connection, bytes.
     """
 
-    total: int = TOTAL_BYTES
-    large: int = LARGE_BODIES_BYTES
-    usual: int = USUAL_BODY_BYTES
+    total: int
     used: int = 0
+    long_heads: int = 0
 
     @classmethod
-    def for_responses(cls) -> "MemoryBudget":
-        """Return the budget of what is held of responses."""
-        return cls(RESPONSES_BYTES, LARGE_RESPONSES_BYTES, USUAL_RESPONSE_BYTES)
+    def from_machine(cls, machine: Machine) -> "RequestMemory":
+        """Return the memory for requests on a machine."""
+        return cls(int(REQUESTS_SHARE * machine.traffic_bytes))
 
-    def has_room(self, held: int, size: int) -> bool:
-        """Return whether a body that takes `held` bytes may take `size` more."""
-        most = self.total if held + size <= self.usual else self.large
-        return self.used + size <= most
+    def resize(self, machine: Machine) -> None:
+        """Follow a change of the machine's limits."""
+        self.total = self.from_machine(machine).total
+
+    def fits(self, size: int, share: float = 1.0) -> bool:
+        """Return whether there is room for `size` bytes in a share of the memory."""
+        return self.used + size <= share * self.total
+
+    def fits_long_heads(self, size: int) -> bool:
+        """Return whether long heads may take `size` bytes more."""
+        is_within_share = self.long_heads + size <= LONG_HEADS_SHARE * self.total
+        return is_within_share and self.fits(size, BODIES_SHARE)
+
+
+@dataclass
+class HeldRequest:
+    """The memory that one request takes.
+
+    Attributes
+    ----------
+    head, body : int
+        What its head and its body take, bytes.
+    is_long : bool
+        Whether its head counts as a long one.
+    """
 
-    def take(self, size: int) -> None:
-        """Count `size` bytes as taken."""
-        self.used += size
+    memory: RequestMemory
+    is_long: bool = False
+    head: int = 0
+    body: int = 0
+
+    def grow_head(self, size: int) -> bool:
+        """Hold `size` bytes more of the head; return whether there is room for them."""
+        memory, head = self.memory, self.head + size
+        if self.is_long:
+            if not memory.fits_long_heads(size):
+                return False
+            memory.long_heads += size
+        elif head > SMALL_HEAD_BYTES:
+            # What the head already takes counts in the sum of long heads from now on.
+            if not memory.fits_long_heads(head):
+                return False
+            self.is_long = True
+            memory.long_heads += head
+        elif not memory.fits(size):
+            return False
+        memory.used += size
+        self.head = head
+        return True
+
+    def fits_body(self, size: int) -> bool:
+        """Return whether there is room for `size` bytes more of the body."""
+        is_usual = self.body + size <= USUAL_BODY_BYTES
+        share = BODIES_SHARE if is_usual else LARGE_BODIES_SHARE
+        return self.memory.fits(size, share)
+
+    def grow_body(self, size: int) -> bool:
+        """Hold `size` bytes more of the body; return whether there is room for them."""
+        if not self.fits_body(size):
+            return False
+        self.memory.used += size
+        self.body += size
+        return True
+
+    def release_body(self) -> None:
+        """Give the body's memory back."""
+        self.memory.used -= self.body
+        self.body = 0
+
+    def release(self) -> None:
+        """Give all memory back."""
+        self.release_body()
+        self.memory.used -= self.head
+        if self.is_long:
+            self.memory.long_heads -= self.head
+        self.head = 0
+
+
+@dataclass
+class ResponseMemory:
+    """The memory that may be held of responses, and what is held now.
+
+    A response is held until it, or its next event, is complete.
 
-    def give_back(self, size: int) -> None:
-        """Count `size` bytes as free again."""
-        self.used -= size
+    Attributes
+    ----------
+    total : int
+        What may be held of all responses together, bytes.
+    used : int
+        What is held, bytes.
+    """
+
+    total: int
+    used: int = 0
+
+    @classmethod
+    def from_machine(cls, machine: Machine) -> "ResponseMemory":
+        """Return the memory for responses on a machine."""
+        return cls(int(RESPONSES_SHARE * machine.traffic_bytes))
+
+    def resize(self, machine: Machine) -> None:
+        """Follow a change of the machine's limits."""
+        self.total = self.from_machine(machine).total
+
+    def has_room(self, held: int, size: int) -> bool:
+        """Return whether a response that takes `held` bytes may take `size` more."""
+        is_usual = held + size <= USUAL_RESPONSE_BYTES
+        share = 1.0 if is_usual else LARGE_RESPONSES_SHARE
+        return self.used + size <= share * self.total
 
 
 @dataclass
@@ -72,7 +208,7 @@
         What it takes, bytes.
     """
 
-    budget: MemoryBudget
+    budget: ResponseMemory
     size: int = 0
 
     def resize(self, size: int) -> bool:
@@ -80,6 +216,6 @@
         more = size - self.size
         if more > 0 and not self.budget.has_room(self.size, more):
             return False
-        self.budget.take(more)
+        self.budget.used += more
         self.size = size
         return True
--- a/packages/endive_gateway/tests/gateway_builders.py
+++ b/packages/endive_gateway/tests/gateway_builders.py
@@ -278,6 +278,7 @@
             listen_tcp("127.0.0.1", 0),
             Forwarder(self.context),
             self.context.caller_limits,
+            self.context.request_memory,
         )
         self.listener.start()
         loops = (
--- a/packages/endive_gateway/tests/test_body_memory.py
+++ b/packages/endive_gateway/tests/test_body_memory.py
@@ -125,8 +125,8 @@
 
 
 def held(running):
-    """Return the bytes of bodies that the gateway holds."""
-    return running.listener.body_memory.used
+    """Return the bytes of requests that the gateway holds."""
+    return running.listener.request_memory.used
 
 
 @pytest.mark.parametrize("chunk_bytes", [0, 32_768], ids=["length", "chunked"])
--- a/tests/soak/launch.py
+++ b/tests/soak/launch.py
@@ -332,9 +332,9 @@
 
 def hold_all_bodies():
     """Let a node hold the bodies of requests whatever memory they take together."""
-    from endive_gateway.memory_budget import MemoryBudget
+    from endive_gateway.memory_budget import RequestMemory
 
-    MemoryBudget.has_room = lambda self, held, size: True
+    RequestMemory.fits = lambda self, size, share=1.0: True
 
 
 def never_end_turns():
--- a/tests/test_platform_start.py
+++ b/tests/test_platform_start.py
@@ -37,7 +37,9 @@
 
 
 def serve(context, listener):
-    found = CallerListener(listener, Forwarder(context), context.caller_limits)
+    found = CallerListener(
+        listener, Forwarder(context), context.caller_limits, context.request_memory
+    )
     found.start()
     return found
 
