Keep descriptors for servers when callers open many connections

700 idle connections took all 500 descriptors of a gateway, and an ordinary request beside them got no answer. The port for callers accepted connections until there were no descriptors, which connections to servers, other nodes and the platform need too, and closed idle ones after their idle time-out only.

At the limit the one that has been idle, unfinished or drained longest is closed for a new one; the caller of an unfinished request is told with 503 that it has not run. One whose request has come is never given up: if all have one, the new one gets 503 with Retry-After.

--- a/packages/endive_gateway/src/endive_gateway/callers.py
+++ b/packages/endive_gateway/src/endive_gateway/callers.py
@@ -4,6 +4,8 @@
 import socket
 import time
 from collections.abc import Callable
+from contextlib import suppress
+from itertools import islice
 from typing import Protocol
 
 import gevent
@@ -12,16 +14,18 @@
 from endive_node.logs import log_event
 from gevent import socket as gsocket
 from gevent.hub import get_hub
+from gevent.pool import Pool
 
 from endive_gateway.exceptions import (
     BadMessageError,
     CallerGoneError,
     NodeStoppingError,
-    NoMemoryError,
+    NoRoomError,
 )
 from endive_gateway.http import RequestMessage, RequestParser, encode_head, status_line
 from endive_gateway.interfaces import Headers
 from endive_gateway.memory_budget import USUAL_BODY_BYTES, RequestMemory
+from endive_gateway.refusals import RefusalLog, RefusalReason
 from endive_gateway.statuses import DEFAULT_RETRY_AFTER_S
 from endive_gateway.tcp import is_idle
 from endive_gateway.turns import Worker
@@ -29,6 +33,19 @@
 READ_BYTES = 16_384
 """Bytes that are read and handled between two checkpoints."""
 
+ACCEPT_RETRY_S = 0.05
+"""Time after a failure until the next connection is accepted, seconds."""
+
+LINGER_S = 1.0
+"""Longest time for which a refused connection is read on, seconds."""
+
+MAX_LINGERING = 32
+"""Refused connections that are read on at the same time, so that the responses reach
+their callers."""
+
+MAX_EXAMINED = 32
+"""Waiting connections that are examined for one that can be closed."""
+
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -180,6 +197,13 @@
         Whether each response carries ``Connection: close``.
     request_memory : RequestMemory
         Memory that all requests share.
+    connections : dict of CallerConnection
+        The open connections.
+    waiting : dict of CallerConnection
+        Those of them on which no request, or only a part of one, has come; the one
+        that waits longest first.
+    most_connections : int
+        Connections that may be open at once.
     """
 
     def __init__(
@@ -188,6 +212,8 @@
         handler: RequestHandler,
         limits: Callable[[], CallerLimits],
         request_memory: RequestMemory,
+        most_connections: int,
+        refusals: RefusalLog,
     ) -> None:
         self.listener = listener
         self.port = self.listener.getsockname()[1]
@@ -195,7 +221,11 @@
         self.limits = limits
         self.stopping = False
         self.request_memory = request_memory
-        self.connections: dict[object, CallerConnection] = {}
+        self.most_connections = most_connections
+        self.refusals = refusals
+        self.connections: dict[CallerConnection, None] = {}
+        self.waiting: dict[CallerConnection, None] = {}
+        self.lingering = Pool(MAX_LINGERING)
         self.acceptor: gevent.Greenlet | None = None
 
     def start(self) -> None:
@@ -215,31 +245,53 @@
         self.close_idle()
 
     def _accept(self) -> None:
+        worker = Worker("accept")
         while True:
+            worker.checkpoint()
             try:
                 accepted, _ = self.listener.accept()
             except OSError as error:
                 # For example out of descriptors, which become free as connections end.
                 log_event("accept_failed", error=error)
-                gevent.sleep(0.05)
+                gevent.sleep(ACCEPT_RETRY_S)
                 continue
-            connection = CallerConnection(self, accepted)
-            self.connections[connection] = connection
-            connection.greenlet = gevent.spawn(connection.run)
+            if self._has_room():
+                connection = CallerConnection(self, accepted)
+                self.connections[connection] = None
+                connection.greenlet = gevent.spawn(connection.run)
+            else:
+                self._refuse(accepted)
+
+    def _has_room(self) -> bool:
+        """Return whether another connection may open; close waiting ones if needed."""
+        if len(self.connections) < self.most_connections:
+            return True
+        examined = islice(self.waiting, MAX_EXAMINED)
+        return any(connection.give_way() for connection in examined)
+
+    def _refuse(self, sock: gsocket.socket) -> None:
+        """Tell a caller to come back, and close its connection."""
+        self.refusals.add(RefusalReason.CONNECTIONS, open=len(self.connections))
+        error = NoRoomError("too many connections have requests in progress")
+        send_at_once(sock, encode_rejection(error))
+        if self.lingering.full():
+            sock.close()
+        else:
+            self.lingering.spawn(_linger, sock)
 
     @property
     def busy(self) -> int:
         """Number of connections with a request that is unread, read or answered."""
-        return sum(c.is_busy for c in self.connections.values())
+        return sum(c.is_busy for c in self.connections)
 
     def refuse_unanswered(self) -> None:
         """Give up the requests whose responses have not begun, and answer them."""
-        for connection in list(self.connections.values()):
+        for connection in list(self.connections):
             get_hub().loop.run_callback(connection.refuse_unanswered)
 
     def close_idle(self) -> None:
         """Close the connections without a request in progress."""
-        for connection in list(self.connections.values()):
+        for connection in list(self.connections):
             connection.close_if_idle()
 
 
@@ -250,6 +302,8 @@
     ----------
     idle : bool
         Whether no request is being read or answered.
+    is_drained : bool
+        Whether all that still comes is dropped.
     exchange : Exchange or None
         The request that is being answered.
     """
@@ -258,6 +312,7 @@
         self.listener = listener
         self.sock = sock
         self.idle = True
+        self.is_drained = False
         self.exchange: Exchange | None = None
         self.worker = Worker("caller")
         self.greenlet: gevent.Greenlet | None = None
@@ -275,7 +330,7 @@
             pass
         finally:
             self.parser.release()
-            self.listener.connections.pop(self, None)
+            self._forget()
             self.sock.close()
 
     @property
@@ -309,6 +364,8 @@
         except BadMessageError as error:
             # Its traceback would keep what was read.
             rejection = error.with_traceback(None)
+        finally:
+            self.listener.waiting.pop(self, None)
         if rejection is not None:
             self._reject(rejection)
             return False
@@ -333,29 +390,44 @@
 
     def _reject(self, error: BadMessageError) -> None:
         """Answer a request that was not read, and close the connection."""
-        log_event("request_malformed", status=error.status, error=error)
+        no_room = isinstance(error, NoRoomError)
+        reason = RefusalReason.HEAD_MEMORY if no_room else RefusalReason.MALFORMED
+        self.listener.refusals.add(reason, status=error.status, error=error)
         self.parser.release()
-        body = json.dumps({"error": {"message": str(error)}}).encode()
-        headers = [
-            (b"Content-Type", b"application/json"),
-            (b"Content-Length", b"%d" % len(body)),
-            (b"Connection", b"close"),
-        ]
-        if isinstance(error, NoMemoryError):
-            headers.append((b"Retry-After", b"%.3f" % DEFAULT_RETRY_AFTER_S))
-        self.sock.sendall(encode_head(status_line(error.status), headers) + body)
+        self.sock.sendall(encode_rejection(error))
         self._drain()
 
     def _drain(self) -> None:
-        """Read and drop what the caller still sends, for up to 1 s.
+        """Drop what the caller still sends, and close the connection soon."""
+        self.is_drained = True
+        self.listener.waiting[self] = None
+        linger(self.sock, self.worker)
+
+    def give_way(self) -> bool:
+        """Close the connection unless a request has come; return whether it closed.
 
-        Closing a connection with unread bytes resets it, and the caller may lose the
-        response.
+        The caller of a request of which a part has come is told that it has not run.
         """
-        self.sock.shutdown(socket.SHUT_WR)
-        with gevent.Timeout(1.0, False):
-            while self.sock.recv(READ_BYTES):
-                self.worker.checkpoint()
+        if self.idle and not is_idle(self.sock):
+            return False  # a request has come and is read next
+        if not (self.idle or self.is_drained):
+            self.listener.refusals.add(RefusalReason.UNFINISHED_CLOSED)
+            error = NoRoomError("the request was not received before others came")
+            send_at_once(self.sock, encode_rejection(error))
+        else:
+            self.listener.refusals.add(RefusalReason.IDLE_CLOSED)
+        self._forget()
+        self.sock.close()
+        return True
+
+    def _forget(self) -> None:
+        self.listener.waiting.pop(self, None)
+        self.listener.connections.pop(self, None)
+
+    def _wait_for_request(self) -> None:
+        """Count as waiting, from now on."""
+        self.listener.waiting.pop(self, None)
+        self.listener.waiting[self] = None
 
     def _read_request(self) -> tuple[RequestMessage | None, float]:
         """Return the next request and when its first byte came.
@@ -374,11 +446,13 @@
         limits = self.listener.limits()
         received_at = time.monotonic()
         if not self.parser.messages:
+            self._wait_for_request()
             data = self._receive(limits.idle_timeout_s)
             if not data:
                 return None, 0.0
             received_at = time.monotonic()
             self.idle = False
+            self._wait_for_request()
             self.parser.feed(data)
         self.idle = False
         header_until = received_at + limits.header_timeout_s
@@ -386,12 +460,14 @@
         while True:
             message = self.parser.messages[0] if self.parser.messages else None
             if message is not None and message.has_no_room and not message.head_done:
-                raise NoMemoryError("there is no memory for the request's head")
+                raise NoRoomError("there is no memory for the request's head")
             if message is not None and (message.complete or message.has_no_room):
                 self.parser.messages.popleft()
                 if not self.parser.messages:
                     self.parser.current = None
                 return message, received_at
+            if self not in self.listener.waiting:
+                self._wait_for_request()
             if message is not None and message.head_done:
                 if message.expects_continue and not continued:
                     self.sock.sendall(CONTINUE)
@@ -416,3 +492,39 @@
             return None
         finally:
             self.sock.settimeout(None)
+
+
+def encode_rejection(error: BadMessageError) -> bytes:
+    """Return the response to a request that was not read; the connection ends."""
+    body = json.dumps({"error": {"message": str(error)}}).encode()
+    headers = [
+        (b"Content-Type", b"application/json"),
+        (b"Content-Length", b"%d" % len(body)),
+        (b"Connection", b"close"),
+    ]
+    if isinstance(error, NoRoomError):
+        headers.append((b"Retry-After", b"%.3f" % DEFAULT_RETRY_AFTER_S))
+    return encode_head(status_line(error.status), headers) + body
+
+
+def send_at_once(sock: gsocket.socket, data: bytes) -> None:
+    """Send as much as fits into the socket's buffer, which a short response does."""
+    with suppress(OSError):
+        sock._sock.send(data)
+
+
+def linger(sock: gsocket.socket, worker: Worker) -> None:
+    """Read and drop what the caller still sends, for up to `LINGER_S`.
+
+    Closing a connection with unread bytes resets it, and the caller may lose the
+    response.
+    """
+    sock.shutdown(socket.SHUT_WR)
+    with gevent.Timeout(LINGER_S, False):
+        while sock.recv(READ_BYTES):
+            worker.checkpoint()
+
+
+def _linger(sock: gsocket.socket) -> None:
+    with sock, suppress(OSError):
+        linger(sock, Worker("refused caller"))
--- a/packages/endive_gateway/src/endive_gateway/context.py
+++ b/packages/endive_gateway/src/endive_gateway/context.py
@@ -37,6 +37,7 @@
 from endive_gateway.paths import ServerPaths
 from endive_gateway.placing import Placer
 from endive_gateway.prefix_fetching import PrefixFetching
+from endive_gateway.refusals import RefusalLog
 from endive_gateway.rollout_observation import RolloutObserver
 from endive_gateway.rollouts import Rollouts
 from endive_gateway.server_checks import ServerChecks
@@ -179,6 +180,7 @@
         self.path_monitor.on_silent = self.placer.pause_silent
         self.prefix_fetching.is_silent = self.path_monitor.silent.__contains__
         self.processes = ServerProcesses(self.registry)
+        self.refusals = RefusalLog(self.metrics.refusals)
         self.pool = ConnectionPool(
             wire,
             self.paths,
--- a/packages/endive_gateway/src/endive_gateway/exceptions.py
+++ b/packages/endive_gateway/src/endive_gateway/exceptions.py
@@ -81,8 +81,8 @@
         self.status = status
 
 
-class NoMemoryError(BadMessageError):
-    """A request for whose head there is no memory."""
+class NoRoomError(BadMessageError):
+    """A request, or a connection, for which there is no room."""
 
     def __init__(self, message: str) -> None:
         super().__init__(message, 503)
--- a/packages/endive_gateway/src/endive_gateway/gateway.py
+++ b/packages/endive_gateway/src/endive_gateway/gateway.py
@@ -76,6 +76,8 @@
             Forwarder(self.context),
             self.context.caller_limits,
             self.context.request_memory,
+            settings.machine.caller_connections,
+            self.context.refusals,
         )
         self.readiness = StreamServer(
             listen_tcp(location.address, location.ready_port), self._answer_ready
@@ -221,6 +223,13 @@
         add_gauge(
             "endive_transit_opened", self.context.paths.transit.choice.opened.total
         )
+        memory, callers = self.context.request_memory, self.callers
+        add_gauge("endive_request_memory_bytes", lambda: memory.used)
+        add_gauge("endive_request_memory_limit_bytes", lambda: memory.total)
+        add_gauge("endive_long_head_bytes", lambda: memory.long_heads)
+        add_gauge("endive_caller_connections", lambda: len(callers.connections))
+        add_gauge("endive_caller_connections_waiting", lambda: len(callers.waiting))
+        add_gauge("endive_caller_connections_limit", lambda: callers.most_connections)
         add_gauge("endive_nodes_live", self.peers.live_node_count)
         add_gauge("endive_nodes_known", lambda: self.context.nodes)
 
@@ -251,6 +260,7 @@
         log_event("reload", bounds=settings.bounds, duties=sorted(settings.duties))
         self.settings = settings
         self.context.apply_settings(settings)
+        self.callers.most_connections = settings.machine.caller_connections
 
     def drain(self) -> None:
         """Stop: accept no new requests, finish those accepted, then set `stopped`."""
--- a/packages/endive_gateway/src/endive_gateway/http.py
+++ b/packages/endive_gateway/src/endive_gateway/http.py
@@ -11,13 +11,13 @@
 
 import httptools
 
-from endive_gateway.exceptions import BadMessageError, NoMemoryError
+from endive_gateway.exceptions import BadMessageError, NoRoomError
 from endive_gateway.interfaces import Headers, ResponseMetadata
+from endive_gateway.machine import Machine
 from endive_gateway.memory_budget import (
     MESSAGE_BYTES,
     PIECE_BYTES,
     HeldRequest,
-    Machine,
     RequestMemory,
 )
 
@@ -302,7 +302,7 @@
             self.trailer_bytes += len(data)
         try:
             self._parse(data)
-        except NoMemoryError:
+        except NoRoomError:
             return  # the request tells by itself that there is no room for it
         unfinished = self.current is not None and not self.current.head_done
         if unfinished and self.head_bytes > self.max_header_bytes:
@@ -331,19 +331,19 @@
         return RequestMessage(HeldRequest(self.memory, is_long=bool(self.messages)))
 
     def on_message_begin(self) -> None:
-        """Begin a request; raises NoMemoryError without room for it."""
+        """Begin a request; raises NoRoomError without room for it."""
         super().on_message_begin()
         self._hold_head()
 
     def _hold_head(self) -> None:
-        """Hold the head as far as it has come; raises NoMemoryError without room."""
+        """Hold the head as far as it has come; raises NoRoomError without room."""
         message = self.current
         size = MESSAGE_BYTES + len(message.target) + len(message.headers.lines)
         if not message.held.grow_head(size - message.held.head):
             message.has_no_room = True
             message.keep_alive = False
             message.release()
-            self.rejection = NoMemoryError("there is no memory for the request's head")
+            self.rejection = NoRoomError("there is no memory for the request's head")
             raise self.rejection
 
     def _decline_upgrade(self) -> None:
--- a/packages/endive_gateway/src/endive_gateway/interfaces.py
+++ b/packages/endive_gateway/src/endive_gateway/interfaces.py
@@ -8,7 +8,7 @@
 from endive_core.rollouts import RolloutOrder, StageKind
 from endive_core.routing import RoutingTable
 
-from endive_gateway.memory_budget import Machine
+from endive_gateway.machine import Machine
 from endive_gateway.quantities import Age, Count
 
 Headers = list[tuple[bytes, bytes]]
--- a/packages/endive_gateway/src/endive_gateway/memory_budget.py
+++ b/packages/endive_gateway/src/endive_gateway/memory_budget.py
@@ -5,15 +5,13 @@
 
 from dataclasses import dataclass
 
-PROCESS_BYTES = 40_000_000
-PROCESS_SHARE = 0.1
-"""Memory that a process takes beside what callers and servers send: bytes, and a
-further share of the machine's memory."""
+from endive_gateway.machine import Machine
 
 REQUESTS_SHARE = 0.4
 RESPONSES_SHARE = 0.055
-"""Shares of the other memory for requests, and for what is held of responses. The rest
-is left to connections, and to copies that are made while a request is handled."""
+"""Shares of the memory for traffic that go to requests, and to what is held of
+responses. The rest is left to connections, and to copies that are made while a request
+is handled."""
 
 BODIES_SHARE = 0.85
 LARGE_BODIES_SHARE = 0.55
@@ -41,28 +39,6 @@
 """Largest part of a response that does not count as large, bytes."""
 
 
-@dataclass(frozen=True)
-class Machine:
-    """What a process may take of its machine.
-
-    Attributes
-    ----------
-    memory_bytes : int
-        Memory, bytes.
-    sockets : int
-        Sockets that it may have open at once.
-    """
-
-    memory_bytes: int = 300_000_000
-    sockets: int = 3_900
-
-    @property
-    def traffic_bytes(self) -> int:
-        """Memory for requests, responses and connections, bytes."""
-        free = (1 - PROCESS_SHARE) * self.memory_bytes - PROCESS_BYTES
-        return max(0, int(free))
-
-
 @dataclass
 class RequestMemory:
     """The memory that callers' requests may take, and what they take now.
--- a/packages/endive_gateway/src/endive_gateway/metrics.py
+++ b/packages/endive_gateway/src/endive_gateway/metrics.py
@@ -72,6 +72,9 @@
     fetch_outcomes : Counter
         Fetches of cached prompt parts that requests asked for, and those that paused
         their sources, by cause.
+    refusals : Counter
+        Requests refused and connections closed for want of room, and malformed
+        requests, by reason.
     first_byte_times, response_times : LatencyHistogram
         Times from a request's first byte to the first byte of a server's response, or
         to the loss of that response, and to the end of a successful response.
@@ -90,6 +93,7 @@
         self.resumptions: Counter[str] = Counter()
         self.part_outcomes: Counter[str] = Counter()
         self.fetch_outcomes: Counter[str] = Counter()
+        self.refusals: Counter[str] = Counter()
         self.first_byte_times = LatencyHistogram()
         self.response_times = LatencyHistogram()
         self.turn_lengths = LatencyHistogram()
@@ -146,6 +150,7 @@
         add_counter("endive_slot_replies", "reply", self.slot_replies.items)
         add_counter("endive_stream_resumptions", "outcome", self.resumptions.items)
         add_counter("endive_suspected_parts", "outcome", self.part_outcomes.items)
+        add_counter("endive_refusals", "reason", self.refusals.items)
         add_counter("endive_first_byte_bucket", "le", self.first_byte_times.cumulative)
         add_counter("endive_answer_bucket", "le", self.response_times.cumulative)
         add_counter("endive_turn_bucket", "le", self.turn_lengths.cumulative)
--- a/packages/endive_gateway/tests/gateway_builders.py
+++ b/packages/endive_gateway/tests/gateway_builders.py
@@ -279,6 +279,8 @@
             Forwarder(self.context),
             self.context.caller_limits,
             self.context.request_memory,
+            self.context.settings.machine.caller_connections,
+            self.context.refusals,
         )
         self.listener.start()
         loops = (
--- a/packages/endive_gateway/tests/test_request_memory.py
+++ b/packages/endive_gateway/tests/test_request_memory.py
@@ -3,13 +3,13 @@
 import gevent
 import pytest
 from endive_gateway.http import RequestParser
+from endive_gateway.machine import Machine
 from endive_gateway.memory_budget import (
     BODIES_SHARE,
     LONG_HEADS_SHARE,
     MESSAGE_BYTES,
     SMALL_HEAD_BYTES,
     HeldRequest,
-    Machine,
     RequestMemory,
 )
 from gateway_builders import RunningGateway
--- a/tests/test_platform_start.py
+++ b/tests/test_platform_start.py
@@ -38,7 +38,12 @@
 
 def serve(context, listener):
     found = CallerListener(
-        listener, Forwarder(context), context.caller_limits, context.request_memory
+        listener,
+        Forwarder(context),
+        context.caller_limits,
+        context.request_memory,
+        context.settings.machine.caller_connections,
+        context.refusals,
     )
     found.start()
     return found
