Bound the connections that wait at a gateway's other ports

700 idle connections to the readiness, metrics or transit port had 495 sockets of a process open at once, 300 allowed: each kept its descriptor for a second, and their number had no bound. A connection that was reset printed a traceback.

These ports, and those of the configuration and of the bootstrap, now close the connection that has waited longest for its request when a new one exceeds the bound; a connection whose request has come is not closed. The number of carried connections follows from the machine's sockets, 400 at most as before. Broken connections are counted and logged once a second.

--- a/packages/endive_gateway/src/endive_gateway/bootstrap.py
+++ b/packages/endive_gateway/src/endive_gateway/bootstrap.py
@@ -13,12 +13,13 @@
 import msgspec
 from endive_node.logs import log_event
 from endive_node.sockets import listen_tcp
-from gevent.server import StreamServer
 
+from endive_gateway.bounded_server import BoundedServer
 from endive_gateway.configuration_exchange import (
     LENGTH_PREFIX,
     MAX_CONCURRENT_SENDS,
     MAX_PULL_TIMEOUT_S,
+    MAX_PULLS,
     PULL_DEADLINE_S,
     PULL_RETRY_S,
     PULL_TIMEOUT_S,
@@ -103,7 +104,13 @@
 
     def start(self, address: str, port: int) -> None:
         """Start serving at ``address:port``."""
-        self.listener = StreamServer(listen_tcp(address, port), self._serve)
+        self.listener = BoundedServer(
+            listen_tcp(address, port),
+            self._serve,
+            lambda: MAX_PULLS,
+            self.context.refusals,
+            "bootstrap",
+        )
         self.listener.start()
 
     def stop(self) -> None:
@@ -118,6 +125,7 @@
         ):
             return
         self.active_sends += 1
+        self.listener.received(sock)
         try:
             with gevent.Timeout(MAX_PULL_TIMEOUT_S, False):
                 data = msgspec.msgpack.encode(self.participant.bootstrap())
--- a/packages/endive_gateway/src/endive_gateway/configuration_exchange.py
+++ b/packages/endive_gateway/src/endive_gateway/configuration_exchange.py
@@ -16,8 +16,8 @@
 from endive_node.logs import log_event
 from endive_node.sockets import listen_tcp
 from gevent import socket as gsocket
-from gevent.server import StreamServer
 
+from endive_gateway.bounded_server import BoundedServer
 from endive_gateway.context import Context
 from endive_gateway.exceptions import UndecodableError
 
@@ -50,6 +50,9 @@
 pulled from one node with a link of 10 Mbit/s after a power loss timed out after a
 second, and served no requests meanwhile."""
 
+MAX_PULLS = 32
+"""Connections at which nodes may pull at once; all but a few are closed unserved."""
+
 POLL_INTERVAL_S = 0.01
 """Time between two checks whether a starting node has a configuration, seconds."""
 
@@ -88,7 +91,13 @@
 
     def start(self, address: str, port: int) -> None:
         """Start serving the configuration at ``address:port``."""
-        self.listener = StreamServer(listen_tcp(address, port), self._serve)
+        self.listener = BoundedServer(
+            listen_tcp(address, port),
+            self._serve,
+            lambda: MAX_PULLS,
+            self.context.refusals,
+            "configuration",
+        )
         self.listener.start()
 
     def stop(self) -> None:
@@ -100,6 +109,7 @@
         if self.active_sends >= MAX_CONCURRENT_SENDS:
             return
         self.active_sends += 1
+        self.listener.received(sock)
         try:
             with gevent.Timeout(MAX_PULL_TIMEOUT_S, False):
                 compressed = self._compressed_document()
--- a/packages/endive_gateway/src/endive_gateway/context.py
+++ b/packages/endive_gateway/src/endive_gateway/context.py
@@ -160,8 +160,13 @@
         self.paths = ServerPaths(self.registry, self.random)
         self.checks = ServerChecks(self.paths)
         self.metrics = GatewayMetrics()
+        self.refusals = RefusalLog(self.metrics.refusals)
         self.transit_port = TransitPort(
-            self.paths, self.checks, self.metrics.transit_replies
+            self.paths,
+            self.checks,
+            self.metrics.transit_replies,
+            lambda: self.settings.machine.carried_connections,
+            self.refusals,
         )
         self.placer = Placer(
             self.registry,
@@ -180,7 +185,6 @@
         self.path_monitor.on_silent = self.placer.pause_silent
         self.prefix_fetching.is_silent = self.path_monitor.silent.__contains__
         self.processes = ServerProcesses(self.registry)
-        self.refusals = RefusalLog(self.metrics.refusals)
         self.pool = ConnectionPool(
             wire,
             self.paths,
--- a/packages/endive_gateway/src/endive_gateway/gateway.py
+++ b/packages/endive_gateway/src/endive_gateway/gateway.py
@@ -9,9 +9,9 @@
 from endive_node.logs import log_event
 from endive_node.sockets import listen_tcp
 from gevent.event import Event
-from gevent.server import StreamServer
 
 from endive_gateway.autoscaling import Autoscaler
+from endive_gateway.bounded_server import BoundedServer
 from endive_gateway.callers import CallerListener
 from endive_gateway.configuration import ConfigurationFollower
 from endive_gateway.context import Context
@@ -47,6 +47,9 @@
 """Time before the end of the grace period at which the process exits, seconds. It then
 closes its connections properly; SIGKILL would not."""
 
+MAX_PROBES = 32
+"""Readiness probes that may be open at once. A load balancer has one or two."""
+
 READINESS_RESPONSE = b"HTTP/1.1 %s\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 
 
@@ -79,8 +82,12 @@
             settings.machine.caller_connections,
             self.context.refusals,
         )
-        self.readiness = StreamServer(
-            listen_tcp(location.address, location.ready_port), self._answer_ready
+        self.readiness = BoundedServer(
+            listen_tcp(location.address, location.ready_port),
+            self._answer_ready,
+            lambda: MAX_PROBES,
+            self.context.refusals,
+            "readiness",
         )
         self.peers = Peers(self.context)
         self.spending = SpendingExchange(
--- a/packages/endive_gateway/src/endive_gateway/metrics.py
+++ b/packages/endive_gateway/src/endive_gateway/metrics.py
@@ -14,10 +14,11 @@
 import msgspec
 from endive_node.sockets import listen_tcp
 from gevent import Timeout
-from gevent.server import StreamServer
 
+from endive_gateway.bounded_server import BoundedServer
 from endive_gateway.exceptions import QueryError
 from endive_gateway.http import encode_head, status_line
+from endive_gateway.refusals import RefusalLog
 
 BUCKET_BOUNDS_S = (0.01, 0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.6, 1.0, 2.0, 5.0, 15.0)
 """Upper bounds of the latency buckets, seconds: fine around the targets of 0.15 to 0.6
@@ -29,6 +30,9 @@
 SCRAPE_TIMEOUT_S = 1.0
 """Longest time to serve one scrape, seconds."""
 
+MAX_SCRAPES = 8
+"""Scrapes that may be served at once. There are a few scrapers."""
+
 Gauge = Callable[[], float]
 
 
@@ -170,7 +174,13 @@
     def __init__(self, address: str, port: int, metrics: GatewayMetrics) -> None:
         self.metrics = metrics
         self.queries: dict[str, Callable[[dict[str, str]], Any]] = {}
-        self.server = StreamServer(listen_tcp(address, port), self._serve_page)
+        self.server = BoundedServer(
+            listen_tcp(address, port),
+            self._serve_page,
+            lambda: MAX_SCRAPES,
+            RefusalLog(metrics.refusals),
+            "metrics",
+        )
 
     def start(self) -> None:
         """Start serving."""
--- a/packages/endive_gateway/src/endive_gateway/refusals.py
+++ b/packages/endive_gateway/src/endive_gateway/refusals.py
@@ -19,6 +19,7 @@
     IDLE_CLOSED = "idle_closed"
     UNFINISHED_CLOSED = "unfinished_closed"
     PORT_CLOSED = "port_closed"
+    PORT_BROKEN = "port_broken"
     MALFORMED = "malformed"
 
 
--- a/packages/endive_gateway/src/endive_gateway/transit_port.py
+++ b/packages/endive_gateway/src/endive_gateway/transit_port.py
@@ -7,11 +7,11 @@
 from endive_node.logs import log_event
 from endive_node.sockets import listen_tcp
 from gevent import socket as gsocket
-from gevent.pool import Pool
-from gevent.server import StreamServer
 
+from endive_gateway.bounded_server import BoundedServer
 from endive_gateway.exceptions import ConnectionBrokenError
 from endive_gateway.paths import ServerPaths
+from endive_gateway.refusals import RefusalLog
 from endive_gateway.server_checks import ServerChecks
 from endive_gateway.tcp import TcpStream, enable_keepalive
 from endive_gateway.transit import (
@@ -31,13 +31,15 @@
 """Time-out for opening a connection to the server, seconds. It usually takes a few
 milliseconds; if not, the node that asks has other nodes to ask."""
 
-MAX_CARRIED = 400
-"""Most connections carried at once; each takes two of a node's 4,000 descriptors."""
-
 
 class TransitPort:
     """Carries the connections of nodes that can't reach servers themselves.
 
+    Parameters
+    ----------
+    most_carried : callable
+        Returns how many connections may be carried at once.
+
     Attributes
     ----------
     carried : int
@@ -53,11 +55,18 @@
     """
 
     def __init__(
-        self, paths: ServerPaths, checks: ServerChecks, replies: Counter[str]
+        self,
+        paths: ServerPaths,
+        checks: ServerChecks,
+        replies: Counter[str],
+        most_carried: Callable[[], int],
+        refusals: RefusalLog,
     ) -> None:
         self.paths = paths
         self.checks = checks
         self.replies = replies
+        self.most_carried = most_carried
+        self.refusals = refusals
         self.carried = 0
         self.carried_for: dict[str, Counter[str]] = defaultdict(Counter)
         self.accepting = False
@@ -66,7 +75,9 @@
     def start(self, address: str, port: int) -> None:
         """Start carrying connections that other nodes open to ``address:port``."""
         listener = listen_tcp(address, port)
-        self.server = StreamServer(listener, self._serve, spawn=Pool())
+        self.server = BoundedServer(
+            listener, self._serve, self.most_carried, self.refusals, "transit"
+        )
         self.server.start()
         self.accepting = True
 
@@ -86,6 +97,7 @@
         try:
             with gevent.Timeout(REQUEST_TIMEOUT_S, TimeoutError("no server named")):
                 server_id, _ = read_line(sock)
+            self.server.received(sock)
             reply, upstream = self._open(server_id)
             self.replies[str(reply)] += 1
             log_event(
@@ -131,7 +143,7 @@
     def _open(self, server_id: str) -> tuple[TransitReply, TcpStream | None]:
         if not self.accepting:
             return TransitReply.CLOSED, None
-        if self.carried > MAX_CARRIED:
+        if self.carried > self.most_carried():
             return TransitReply.FULL, None
         known = self.paths.registry.get(server_id)
         if known is None or not known.usable:
--- a/packages/endive_gateway/tests/test_paths.py
+++ b/packages/endive_gateway/tests/test_paths.py
@@ -11,6 +11,7 @@
 from endive_core.transit import TransitChoice
 from endive_gateway import tcp, transit
 from endive_gateway.exceptions import ConnectionBrokenError
+from endive_gateway.machine import MAX_CARRIED
 from endive_gateway.paths import CONNECT_TIMEOUT_S
 from endive_gateway.tcp import PendingStream
 from endive_gateway.transit import (
@@ -19,7 +20,6 @@
     TransitReply,
     open_transit,
 )
-from endive_gateway.transit_port import MAX_CARRIED
 from gateway_builders import (
     RunningGateway,
     count_received_requests,
--- a/packages/endive_gateway/tests/test_transit_fleet.py
+++ b/packages/endive_gateway/tests/test_transit_fleet.py
@@ -1,5 +1,5 @@
 import pytest
-from endive_gateway.transit_port import MAX_CARRIED
+from endive_gateway.machine import MAX_CARRIED
 from transit_simulation import TransitFleet
 
 CONTACT_S = 3.0
