--- a/packages/endive_gateway/tests/test_configuration_exchange.py
+++ b/packages/endive_gateway/tests/test_configuration_exchange.py
@@ -12,7 +12,7 @@
 from gevent import socket as gsocket
 from gevent.server import StreamServer
 
-PORT = 17_631
+PORT = 17_650
 
 
 @dataclass
