Give up a response that its caller does not read

A caller that pipelined requests without a route and read no responses kept its connection, a request and two descriptors' share of the limits for as long as it liked: a response of this node's own was sent without a time-out, after the request's own had ended.

Such a response now has 5 s to be sent. It fits into the buffer of the socket unless many responses were left unread. The test did not end in 20 s before.

--- a/packages/endive_gateway/src/endive_gateway/callers.py
+++ b/packages/endive_gateway/src/endive_gateway/callers.py
@@ -3,8 +3,8 @@
 import json
 import socket
 import time
-from collections.abc import Callable
-from contextlib import suppress
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager, suppress
 from itertools import islice
 from typing import Protocol
 
@@ -39,6 +39,10 @@
 LINGER_S = 1.0
 """Longest time for which a refused connection is read on, seconds."""
 
+OWN_RESPONSE_TIMEOUT_S = 5.0
+"""Longest time to send a response of this node's own, seconds. It fits into the buffer
+of the socket unless the caller has left many responses unread."""
+
 MAX_LINGERING = 32
 """Refused connections that are read on at the same time, so that the responses reach
 their callers."""
@@ -119,7 +123,8 @@
         headers = [(b"Content-Type", b"application/json"), *headers]
         if error.retry_after_s is not None:
             headers.append((b"Retry-After", b"%.3f" % error.retry_after_s))
-        self.send_response(status, b"", headers, body)
+        with timeout(self.sock, OWN_RESPONSE_TIMEOUT_S):
+            self.send_response(status, b"", headers, body)
 
     def abort(self) -> None:
         """Abandon a response that can't be completed.
@@ -394,7 +399,8 @@
         reason = RefusalReason.HEAD_MEMORY if no_room else RefusalReason.MALFORMED
         self.listener.refusals.add(reason, status=error.status, error=error)
         self.parser.release()
-        self.sock.sendall(encode_rejection(error))
+        with timeout(self.sock, OWN_RESPONSE_TIMEOUT_S):
+            self.sock.sendall(encode_rejection(error))
         self._drain()
 
     def _drain(self) -> None:
@@ -485,13 +491,21 @@
     def _receive(self, timeout_s: float) -> bytes | None:
         """Return received bytes, ``b""`` at the end of the connection, None if late."""
         self.worker.checkpoint()
-        self.sock.settimeout(timeout_s)
         try:
-            return self.sock.recv(READ_BYTES)
+            with timeout(self.sock, timeout_s):
+                return self.sock.recv(READ_BYTES)
         except TimeoutError:
             return None
-        finally:
-            self.sock.settimeout(None)
+
+
+@contextmanager
+def timeout(sock: gsocket.socket, timeout_s: float) -> Iterator[None]:
+    """Let the operations on a socket time out, with TimeoutError, for a while."""
+    sock.settimeout(timeout_s)
+    try:
+        yield
+    finally:
+        sock.settimeout(None)
 
 
 def encode_rejection(error: BadMessageError) -> bytes:
--- a/packages/endive_gateway/tests/test_connection_limit.py
+++ b/packages/endive_gateway/tests/test_connection_limit.py
@@ -4,13 +4,17 @@
 
 import gevent
 import pytest
+from endive_gateway import callers
 from endive_gateway.machine import Machine
 from endive_gateway.refusals import LOG_INTERVAL_S, RefusalLog, RefusalReason
 from gateway_builders import RunningGateway
 from gevent.event import Event
+from gevent.socket import SO_RCVBUF, SOL_SOCKET
 from server_builders import ScriptedServer, ok
 
 MOST = 3
+GIVE_UP_S = 20.0
+NO_ROUTE = b"GET / HTTP/1.1\r\nHost: none.example\r\nId: odd\r\n\r\n"
 UNFINISHED = b"POST /x HTTP/1.1\r\nHost: a.example\r\nId: part\r\n"
 
 
@@ -77,23 +81,39 @@
 
 
 def test_a_request_that_has_come_is_never_given_up_for_a_connection(running, server):
-    callers = [connected(running) for _ in range(MOST)]
-    for caller in callers:
+    served = [connected(running) for _ in range(MOST)]
+    for caller in served:
         caller.send()
     gevent.sleep(0.1)
     refused = connected(running).receive()
     assert refused.status == 503
     assert float(refused.headers["retry-after"]) > 0
     server.may_answer.set()
-    assert [caller.receive().status for caller in callers] == [200] * MOST
+    assert [caller.receive().status for caller in served] == [200] * MOST
     assert len(running.listener.waiting) == len(running.listener.connections) == MOST
-    for caller in callers:
+    for caller in served:
         caller.close()
     gevent.sleep(0.1)
     assert not running.listener.waiting
     assert not running.listener.connections
 
 
+def test_a_caller_that_reads_no_responses_keeps_its_connection_for_a_while_only(
+    running, monkeypatch
+):
+    """A response that did not fit into the socket's buffer was sent without end."""
+    monkeypatch.setattr(callers, "OWN_RESPONSE_TIMEOUT_S", 0.2)
+    caller = running.caller()
+    caller.sock.setsockopt(SOL_SOCKET, SO_RCVBUF, 1)
+    sender = gevent.spawn(caller.raw, NO_ROUTE * 50_000)
+    with gevent.Timeout(GIVE_UP_S):
+        while not running.context.metrics.outcomes:
+            gevent.sleep(0.02)
+        while running.listener.connections:
+            gevent.sleep(0.02)
+    sender.kill()
+
+
 @pytest.mark.parametrize(
     ("memory_mb", "sockets"), [(160, 3_900), (200, 7_992), (300, 3_900), (552, 7_992)]
 )
