Bound the connections to an endive-node's ports

700 idle connections to the callers', operators' or peers' port of an endive-node took all of its 300 descriptors, and ordinary calls beside them got no answer or 503. Each port accepted what came, and the HTTP ports close no idle connection.

Each port now takes a share of the descriptors that the process may open. At the limit, the connection that has waited longest for a request, its body included, is closed for a new one; if all have a call in progress the new one gets 503 with Retry-After. Both are counted in endive_connections_refused and logged once a second. The log of refusals moves to endive_node, which both programs use.

--- a/benchmarks/bench_claims.py
+++ b/benchmarks/bench_claims.py
@@ -14,6 +14,7 @@
 import sys  # noqa: E402
 import tempfile  # noqa: E402
 import time  # noqa: E402
+from collections import Counter  # noqa: E402
 from dataclasses import dataclass  # noqa: E402
 from pathlib import Path  # noqa: E402
 
@@ -23,8 +24,10 @@
 from endive_core.membership import Member  # noqa: E402
 from endive_core.messages import Endpoint, Request  # noqa: E402
 from endive_node.claiming import LogClaims  # noqa: E402
+from endive_node.connection_limit import ConnectionLimit  # noqa: E402
 from endive_node.peers import PeerHandler, PeerListener  # noqa: E402
 from endive_node.platform import HttpLog  # noqa: E402
+from endive_node.refusals import RefusalLog  # noqa: E402
 from endive_node.settings import ClaimsSection  # noqa: E402
 from endive_node.telemetry import Metrics, MonotonicClock  # noqa: E402
 
@@ -105,7 +108,12 @@
             name, CountingLog(url, 2.0), members, clock, settings, Metrics()
         )
         handler = PeerHandler(name, None, None, claims=claims)
-        listener = PeerListener(handler, "127.0.0.1", 0)
+        listener = PeerListener(
+            handler,
+            "127.0.0.1",
+            0,
+            ConnectionLimit(0.5, "peers", RefusalLog(Counter())),
+        )
         listener.start()
         members.members.append(Member(name, "zone", f"127.0.0.1:{listener.port}"))
         nodes.append(claims)
--- a/packages/endive_gateway/src/endive_gateway/__init__.py
+++ b/packages/endive_gateway/src/endive_gateway/__init__.py
@@ -7,9 +7,9 @@
 Its modules by purpose:
 
 - the process as a whole: ``gateway``, ``context``, ``interfaces``, ``exceptions``,
-  ``clocks``, ``loops``, ``turns``, ``file_watching``
+  ``clocks``, ``loops``, ``turns``, ``file_watching``, ``machine``
 - callers' connections: ``callers``, ``http``, ``statuses``, ``progress``,
-  ``memory_budget``
+  ``memory_budget``, ``bounded_server``, ``refusal_reasons``
 - forwarding to servers: ``forwarding``, ``attempts``, ``failed_attempts``,
   ``connections``, ``events``, ``placing``, ``prefix_fetching``, ``workload``,
   ``stream_affinity``, ``part_copying``, ``server_processes``
--- a/packages/endive_gateway/src/endive_gateway/bounded_server.py
+++ b/packages/endive_gateway/src/endive_gateway/bounded_server.py
@@ -3,11 +3,12 @@
 import socket
 from collections.abc import Callable
 
+from endive_node.refusals import RefusalLog
 from gevent import socket as gsocket
 from gevent.pool import Pool
 from gevent.server import StreamServer
 
-from endive_gateway.refusals import RefusalLog, RefusalReason
+from endive_gateway.refusal_reasons import RefusalReason
 
 Address = tuple[str, int]
 
--- a/packages/endive_gateway/src/endive_gateway/callers.py
+++ b/packages/endive_gateway/src/endive_gateway/callers.py
@@ -12,6 +12,7 @@
 from endive_core.exceptions import EndiveError
 from endive_core.routing import CallerLimits
 from endive_node.logs import log_event
+from endive_node.refusals import RefusalLog
 from gevent import socket as gsocket
 from gevent.hub import get_hub
 from gevent.pool import Pool
@@ -25,7 +26,7 @@
 from endive_gateway.http import RequestMessage, RequestParser, encode_head, status_line
 from endive_gateway.interfaces import Headers
 from endive_gateway.memory_budget import USUAL_BODY_BYTES, RequestMemory
-from endive_gateway.refusals import RefusalLog, RefusalReason
+from endive_gateway.refusal_reasons import RefusalReason
 from endive_gateway.statuses import DEFAULT_RETRY_AFTER_S
 from endive_gateway.tcp import is_idle
 from endive_gateway.turns import Worker
--- a/packages/endive_gateway/src/endive_gateway/context.py
+++ b/packages/endive_gateway/src/endive_gateway/context.py
@@ -11,6 +11,7 @@
 from endive_core.routing import CallerLimits, OrganisationLimits, RoutingTable
 from endive_core.shared_limits import SharedLimits
 from endive_node.logs import log_event
+from endive_node.refusals import RefusalLog
 from gevent.event import Event
 
 from endive_gateway.brittle_services import BrittleServices
@@ -37,7 +38,6 @@
 from endive_gateway.paths import ServerPaths
 from endive_gateway.placing import Placer
 from endive_gateway.prefix_fetching import PrefixFetching
-from endive_gateway.refusals import RefusalLog
 from endive_gateway.rollout_observation import RolloutObserver
 from endive_gateway.rollouts import Rollouts
 from endive_gateway.server_checks import ServerChecks
--- a/packages/endive_gateway/src/endive_gateway/machine.py
+++ b/packages/endive_gateway/src/endive_gateway/machine.py
@@ -38,6 +38,12 @@
     memory_bytes: int = 300_000_000
     sockets: int = 3_900
 
+    @classmethod
+    def from_limits(cls, memory_bytes: float, sockets: int) -> "Machine":
+        """Return a machine; limits that are not positive count as not known."""
+        known = {"memory_bytes": int(memory_bytes), "sockets": sockets}
+        return cls(**{name: limit for name, limit in known.items() if limit > 0})
+
     @property
     def traffic_bytes(self) -> int:
         """Memory for requests, responses and connections, bytes."""
--- a/packages/endive_gateway/src/endive_gateway/metrics.py
+++ b/packages/endive_gateway/src/endive_gateway/metrics.py
@@ -12,13 +12,13 @@
 from urllib.parse import parse_qsl, urlsplit
 
 import msgspec
+from endive_node.refusals import RefusalLog
 from endive_node.sockets import listen_tcp
 from gevent import Timeout
 
 from endive_gateway.bounded_server import BoundedServer
 from endive_gateway.exceptions import QueryError
 from endive_gateway.http import encode_head, status_line
-from endive_gateway.refusals import RefusalLog
 
 BUCKET_BOUNDS_S = (0.01, 0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.6, 1.0, 2.0, 5.0, 15.0)
 """Upper bounds of the latency buckets, seconds: fine around the targets of 0.15 to 0.6
--- a/packages/endive_gateway/src/endive_gateway/transit_port.py
+++ b/packages/endive_gateway/src/endive_gateway/transit_port.py
@@ -5,13 +5,13 @@
 
 import gevent
 from endive_node.logs import log_event
+from endive_node.refusals import RefusalLog
 from endive_node.sockets import listen_tcp
 from gevent import socket as gsocket
 
 from endive_gateway.bounded_server import BoundedServer
 from endive_gateway.exceptions import ConnectionBrokenError
 from endive_gateway.paths import ServerPaths
-from endive_gateway.refusals import RefusalLog
 from endive_gateway.server_checks import ServerChecks
 from endive_gateway.tcp import TcpStream, enable_keepalive
 from endive_gateway.transit import (
--- a/packages/endive_gateway/tests/test_bounded_server.py
+++ b/packages/endive_gateway/tests/test_bounded_server.py
@@ -5,7 +5,8 @@
 import gevent
 import pytest
 from endive_gateway.bounded_server import BoundedServer
-from endive_gateway.refusals import RefusalLog, RefusalReason
+from endive_gateway.refusal_reasons import RefusalReason
+from endive_node.refusals import RefusalLog
 from endive_node.sockets import listen_tcp
 from gateway_builders import Caller
 
--- a/packages/endive_gateway/tests/test_connection_limit.py
+++ b/packages/endive_gateway/tests/test_connection_limit.py
@@ -6,7 +6,8 @@
 import pytest
 from endive_gateway import callers
 from endive_gateway.machine import Machine
-from endive_gateway.refusals import LOG_INTERVAL_S, RefusalLog, RefusalReason
+from endive_gateway.refusal_reasons import RefusalReason
+from endive_node.refusals import LOG_INTERVAL_S, RefusalLog
 from gateway_builders import RunningGateway
 from gevent.event import Event
 from gevent.socket import SO_RCVBUF, SOL_SOCKET
--- a/packages/endive_node/src/endive_node/node.py
+++ b/packages/endive_node/src/endive_node/node.py
@@ -8,6 +8,7 @@
 from endive_node.callers import CallerApi
 from endive_node.claiming import LogClaims
 from endive_node.configuration import Configuration
+from endive_node.connection_limit import ConnectionLimit
 from endive_node.dispatching import Dispatcher
 from endive_node.fact_exchange import FactExchange
 from endive_node.gossip import Gossip
@@ -26,6 +27,10 @@
 from endive_node.stream_mover import StreamMover
 from endive_node.telemetry import Metrics, MonotonicClock
 
+DESCRIPTOR_SHARES = {"callers": 0.5, "operators": 0.1, "peers": 0.1}
+"""Shares of the process's descriptors that connections to its ports may take. The rest
+is left to connections to servers, to the platform and to other nodes."""
+
 DRAIN_POLL_S = 0.05
 MAX_DRAIN_S = 600.0
 """Longest time that a planned stop waits for unfinished answers, seconds."""
@@ -128,11 +133,19 @@
             self.handover,
             self.claims,
         )
-        self.callers = HttpListener(callers.app, section.address, section.caller_port)
+        limits = {
+            name: ConnectionLimit(share, name, self.metrics.refusal_log)
+            for name, share in DESCRIPTOR_SHARES.items()
+        }
+        self.callers = HttpListener(
+            callers.app, section.address, section.caller_port, limits["callers"]
+        )
         self.operators = HttpListener(
-            operators.app, section.address, section.operator_port
+            operators.app, section.address, section.operator_port, limits["operators"]
+        )
+        self.peers = PeerListener(
+            handler, section.address, section.peer_port, limits["peers"]
         )
-        self.peers = PeerListener(handler, section.address, section.peer_port)
         self.members.set_peer_address(f"{section.address}:{self.peers.port}")
 
     def _make_gossip(self) -> None:
--- a/packages/endive_node/src/endive_node/peers.py
+++ b/packages/endive_node/src/endive_node/peers.py
@@ -1,7 +1,9 @@
 """Thrift calls between nodes: handler, listener and clients."""
 
 from collections.abc import Callable
+from contextlib import suppress
 from pathlib import Path
+from socket import SHUT_RDWR
 from typing import Protocol
 
 import msgspec
@@ -10,12 +12,14 @@
 from endive_core.membership import Membership
 from endive_core.records import Snapshot, decode, encode
 from gevent.server import StreamServer
+from gevent.socket import wait_read
 from thriftpy2.protocol import TBinaryProtocolFactory
 from thriftpy2.rpc import make_client
 from thriftpy2.thrift import TException, TProcessor
 from thriftpy2.transport import TBufferedTransportFactory, TSocket, TTransportException
 
 from endive_node.configuration import Configuration
+from endive_node.connection_limit import ConnectionLimit
 from endive_node.logs import log_event
 from endive_node.request_traces import TraceStore
 from endive_node.sockets import listen_tcp
@@ -145,6 +149,37 @@
         ...
 
 
+class PeerConnectionServer:
+    """Processes the calls on one connection from another node."""
+
+    def __init__(self, connection, processor: TProcessor) -> None:
+        self.connection = connection
+        self.processor = processor
+
+    def serve(self, limit: ConnectionLimit) -> None:
+        """Process calls until the peer disconnects or the idle time-out is over."""
+        transport = TSocket()
+        transport.set_handle(self.connection)
+        transport.set_timeout(IDLE_TIMEOUT_S * 1000)
+        buffered = TBufferedTransportFactory().get_transport(transport)
+        protocol = TBinaryProtocolFactory().get_protocol(buffered)
+        try:
+            while True:
+                limit.waits(self)
+                wait_read(self.connection.fileno(), timeout=IDLE_TIMEOUT_S)
+                limit.received(self)
+                self.processor.process(protocol, protocol)
+        except (TTransportException, OSError):
+            pass
+        finally:
+            buffered.close()
+
+    def give_way(self) -> None:
+        """See :meth:`endive_node.connection_limit.OpenConnection.give_way`."""
+        with suppress(OSError):
+            self.connection.shutdown(SHUT_RDWR)
+
+
 class PeerListener:
     """The thrift listener of a node.
 
@@ -152,8 +187,11 @@
     out. This one closes the connection without one.
     """
 
-    def __init__(self, handler: PeerHandler, address: str, port: int) -> None:
+    def __init__(
+        self, handler: PeerHandler, address: str, port: int, limit: ConnectionLimit
+    ) -> None:
         self.processor = TProcessor(IDL.Peer, handler)
+        self.limit = limit
         self.socket = listen_tcp(address, port)
         self.port = self.socket.getsockname()[1]
         self.server = StreamServer(self.socket, self.serve_connection)
@@ -167,19 +205,14 @@
         self.server.stop(timeout=0)
 
     def serve_connection(self, connection, _address) -> None:
-        """Process calls until the peer disconnects or the idle time-out is over."""
-        transport = TSocket()
-        transport.set_handle(connection)
-        transport.set_timeout(IDLE_TIMEOUT_S * 1000)
-        buffered = TBufferedTransportFactory().get_transport(transport)
-        protocol = TBinaryProtocolFactory().get_protocol(buffered)
+        """Process calls on a connection, or close it if there are too many."""
+        served = PeerConnectionServer(connection, self.processor)
+        if not self.limit.admit(served):
+            return
         try:
-            while True:
-                self.processor.process(protocol, protocol)
-        except (TTransportException, OSError):
-            pass
+            served.serve(self.limit)
         finally:
-            buffered.close()
+            self.limit.ended(served)
 
 
 class PeerClient:
--- a/packages/endive_gateway/src/endive_gateway/refusals.py
+++ b/packages/endive_node/src/endive_node/refusals.py
@@ -3,7 +3,6 @@
 import time
 from collections import Counter
 from collections.abc import Callable
-from enum import StrEnum
 
 from endive_node.logs import log_event
 
@@ -11,18 +10,6 @@
 """Least time between two log lines for one reason, seconds."""
 
 
-class RefusalReason(StrEnum):
-    """Why a caller was refused, or its connection closed."""
-
-    HEAD_MEMORY = "head_memory"
-    CONNECTIONS = "connections"
-    IDLE_CLOSED = "idle_closed"
-    UNFINISHED_CLOSED = "unfinished_closed"
-    PORT_CLOSED = "port_closed"
-    PORT_BROKEN = "port_broken"
-    MALFORMED = "malformed"
-
-
 class RefusalLog:
     """Refusals by reason.
 
@@ -40,7 +27,7 @@
         self.unlogged: Counter[str] = Counter()
         self.next_log_at: dict[str, float] = {}
 
-    def add(self, reason: RefusalReason, **fields: object) -> None:
+    def add(self, reason: str, **fields: object) -> None:
         """Count one refusal; log it with those since the last line for its reason."""
         self.counts[reason] += 1
         self.unlogged[reason] += 1
--- a/packages/endive_node/src/endive_node/telemetry.py
+++ b/packages/endive_node/src/endive_node/telemetry.py
@@ -9,6 +9,8 @@
 from opentelemetry.sdk.metrics import MeterProvider
 from prometheus_client import CollectorRegistry, generate_latest
 
+from endive_node.refusals import RefusalLog
+
 DROP_REASONS = ("late", "repeated", "reordered", "foreign")
 """Reasons for which a piece of an answer is dropped instead of sent to a caller."""
 
@@ -62,6 +64,11 @@
             reason: self.counter(f"endive_pieces_dropped_{reason}")
             for reason in DROP_REASONS
         }
+        self.refused_connections: Counter[str] = Counter()
+        self.refusal_log = RefusalLog(self.refused_connections)
+        self.meter.create_observable_counter(
+            "endive_connections_refused", [self._observe_refused_connections]
+        )
         self.accepted = self.counter("endive_requests_accepted")
         self.finished = self.counter("endive_requests_finished")
         self.tokens = self.fast_counter("endive_tokens_sent")
@@ -69,6 +76,10 @@
             "endive_first_token_seconds", unit="s"
         )
 
+    def _observe_refused_connections(self, _options) -> list[Observation]:
+        counts = self.refused_connections.items()
+        return [Observation(count, {"reason": reason}) for reason, count in counts]
+
     def counter(self, name: str, description: str = ""):
         """Return a new counter, which is exported from the start with the value 0."""
         counter = self.meter.create_counter(name, description=description)
--- a/packages/endive_node/tests/test_listeners.py
+++ b/packages/endive_node/tests/test_listeners.py
@@ -1,7 +1,10 @@
 import time
+from collections import Counter
 
 import gevent
+from endive_node.connection_limit import ConnectionLimit
 from endive_node.listeners import HttpListener
+from endive_node.refusals import RefusalLog
 from gevent import socket
 
 CALLS = 20
@@ -13,6 +16,13 @@
 call takes over a hundred times as long."""
 
 
+def listener_of(application, most=1_000):
+    """Return a listener that takes so many connections."""
+    refusals = RefusalLog(Counter())
+    limit = ConnectionLimit(1.0, "test", refusals, descriptors=lambda: most)
+    return HttpListener(application, "127.0.0.1", 0, limit)
+
+
 def application(environ, start_response):
     start_response("200 OK", [("Content-Type", "text/event-stream")])
     if environ["PATH_INFO"] == "/large":
@@ -55,30 +65,65 @@
 
 def slowdown(listener):
     """Return how many times as long many small events take as one large one."""
-    large = fastest_seconds(
-        HttpListener(application, "127.0.0.1", 0), "/large", runs=30
-    )
+    large = fastest_seconds(listener_of(application), "/large", runs=30)
     return fastest_seconds(listener, "/small", runs=9) / large
 
 
 def test_small_events_are_not_delayed():
     """Nagle's algorithm waits for the receiver's delayed ACK before it sends the next
     small write, so that a caller gets a stream's tokens in bursts 40 ms apart."""
-    assert slowdown(HttpListener(application, "127.0.0.1", 0)) < MAX_SLOWDOWN
+    assert slowdown(listener_of(application)) < MAX_SLOWDOWN
 
 
 def test_the_check_fails_without_tcp_nodelay():
     """The same measurement without the option shows the stall, so the check above can
     fail."""
-    listener = HttpListener(application, "127.0.0.1", 0)
+    listener = listener_of(application)
     listener.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 0)
     assert slowdown(listener) > MAX_SLOWDOWN
 
 
 def test_accepted_connections_inherit_the_option():
-    listener = HttpListener(application, "127.0.0.1", 0)
+    listener = listener_of(application)
     client = socket.create_connection(("127.0.0.1", listener.port))
     accepted, _ = listener.socket.accept()
     assert accepted.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
     for each in (client, accepted, listener.socket):
         each.close()
+
+
+UNFINISHED_BODY = b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\nabc"
+
+
+def read_body(environ, start_response):
+    environ["wsgi.input"].read()
+    start_response("200 OK", [("Content-Length", "0")])
+    return [b""]
+
+
+def test_connections_that_wait_give_way_and_others_do_not():
+    """Idle connections took all descriptors, and no call was answered."""
+    is_released = gevent.event.Event()
+
+    def wait(environ, start_response):
+        is_released.wait()
+        return read_body(environ, start_response)
+
+    listener = listener_of(wait, most=2)
+    listener.start()
+    callers = []
+    for data in (b"GET / HTTP/1.1\r\nHost: x\r\n\r\n", UNFINISHED_BODY, b""):
+        callers.append(socket.create_connection(("127.0.0.1", listener.port)))
+        callers[-1].sendall(data)
+        gevent.sleep(0.05)
+    busy, unfinished, idle = callers
+    assert unfinished.recv(100) in (b"", b"HTTP/1.1 500")
+    idle.sendall(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+    gevent.sleep(0.05)
+    refused = socket.create_connection(("127.0.0.1", listener.port)).recv(1_000)
+    assert refused.startswith(b"HTTP/1.1 503 ")
+    assert b"Retry-After: " in refused
+    is_released.set()
+    for caller in (busy, idle):
+        assert caller.recv(100).startswith(b"HTTP/1.1 200 ")
+    listener.stop(0)
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -5,7 +5,7 @@
 from endive_core.routing import RouteKind
 from endive_gateway.exceptions import UndecodableError
 from endive_gateway.file_watching import FileWatcher
-from endive_gateway.interfaces import ServerState
+from endive_gateway.interfaces import Machine, ServerState
 from endive_platform.configuration import decode_configuration
 from endive_platform.entries import decode_server
 from endive_platform.settings import (
@@ -259,3 +259,17 @@
     assert not watcher.has_changed()
     path.unlink()
     assert not watcher.has_changed()
+
+
+@pytest.mark.parametrize(
+    ("limits", "machine"),
+    [
+        ({"memory_mb": 200, "max_fds": 1_000}, Machine(200_000_000, 800)),
+        ({"memory_mb": 0, "max_fds": 100}, Machine()),
+        ({"memory_mb": None, "cpu_cores": 2}, Machine()),
+    ],
+)
+def test_the_limits_of_the_machine_are_read(tmp_path, limits, machine):
+    path = tmp_path / "local.json"
+    path.write_text(json.dumps(settings(limits=limits)))
+    assert to_gateway_settings(read_settings(str(path))).machine == machine
