Add callers with crowds of odd connections to the soak

Crowds of 700 connections of the tests' kinds come to a node one after the other, in series with others, restarts and changes of the configuration, on nodes with 800 descriptors. The rule "memory" bounds what a process has, the new rule "descriptors" its sockets.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -24,6 +24,7 @@
     UnevenConnections,
     UnevenSpeeds,
 )
+from soak.odd_callers import odd_callers
 from soak.other_writers import odd_entries, server_leaves_by_its_entry
 from soak.restarts import server_starts_again
 from soak.rollouts import OrderedRollout
@@ -532,5 +533,6 @@
         callers_flood,
         callers_expect_versions,
         callers_send_long_prompts,
+        odd_callers,
     )
 }
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -3,6 +3,7 @@
 import itertools
 import json
 import os
+import resource
 import signal
 import subprocess
 import sys
@@ -28,6 +29,11 @@
 EARLIER_BUILD = "lists-nothing"
 ZONES = ("a", "b", "c")
 PORT = 7100
+MEMORY_MB = 300
+DESCRIPTORS = 800
+RESERVED_FOR_FILES = 200
+"""Memory and descriptors of each node, and descriptors of these that are for files."""
+
 HEARTBEAT_S = 0.8
 MISSED_HEARTBEATS_S = 2.4
 GRACE_S = 5.0
@@ -121,6 +127,7 @@
                 "usage_window_s": 2,
             },
         }
+        document["limits"] = {"memory_mb": MEMORY_MB, "max_fds": DESCRIPTORS}
         if self.fleet.contracts:
             document["contracts"] = list(self.fleet.contracts)
         self.settings.write_text(json.dumps(document))
@@ -153,6 +160,8 @@
                 stdout=output,
                 stderr=subprocess.STDOUT,
             )
+        limit = (DESCRIPTORS, DESCRIPTORS)
+        resource.prlimit(self.process.pid, resource.RLIMIT_NOFILE, limit)
 
     def signal(self, number):
         if self.process.poll() is None:
--- a/tests/soak/launch.py
+++ b/tests/soak/launch.py
@@ -337,6 +337,13 @@
     RequestMemory.fits = lambda self, size, share=1.0: True
 
 
+def accept_all_connections():
+    """Let a node accept any number of callers' connections."""
+    from endive_gateway.callers import CallerListener
+
+    CallerListener._has_room = lambda self: True
+
+
 def never_end_turns():
     """Let a connection that always has bytes keep the event loop from polling."""
     from endive_gateway import turns
@@ -425,6 +432,7 @@
     "guessed-version": guess_a_version,
     "trusted-entries": trust_entries,
     "early-release": release_at_once,
+    "no-connection-limit": accept_all_connections,
     "kept-bodies": keep_what_is_skipped,
     "no-turns": never_end_turns,
     "no-budget": hold_all_bodies,
--- a/tests/soak/mixes.py
+++ b/tests/soak/mixes.py
@@ -29,9 +29,11 @@
     "callers_flood",
     "callers_expect_versions",
     "callers_send_long_prompts",
+    "odd_callers",
 }
 EARLIER_KINDS = tuple(sorted(set(FAULTS) - LATER_KINDS))
 FIRST_KINDS = tuple(sorted(set(EARLIER_KINDS) - {"store_silent", "links_fall_silent"}))
+KINDS_BEFORE_ODD_CALLERS = tuple(sorted(set(FAULTS) - {"odd_callers"}))
 """Kinds of which older seeds draw their faults. With more kinds the same seeds would
 draw other faults."""
 
@@ -68,4 +70,5 @@
 ODD_VERSIONS = ("callers_expect_versions", "reload", "change_configuration")
 LONG_PROMPTS = ("callers_send_long_prompts", "reload", "change_configuration")
 FLOODS = ("callers_flood", "server_leaves", "restart")
+ODD_CALLERS = ("odd_callers", "restart", "change_configuration")
 UNFRAMED = ("server_unframed", "server_leaves", "restart")
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -216,6 +216,7 @@
     nodes=NODES,
     faults_s=FAULTS_S,
     store_call_s=0.0,
+    without="",
 ):
     """Run one seed, or random ones; exit with 1 if any of them fails.
 
@@ -227,7 +228,11 @@
         Second number of the loopback addresses, so that several runs can run at once.
     store_call_s
         Time in which the store handles one call, seconds; 0 for any number at once.
+    without
+        A kind of faults that is not drawn. A seed from before there was a kind draws
+        the same faults without it.
     """
+    kinds = tuple(sorted(set(FAULTS) - {without})) if without else ()
     chosen = [seed] if seed is not None else random.sample(range(10**6), seeds)
     worst = 0
     for number in chosen:
@@ -238,6 +243,7 @@
             nodes=nodes,
             faults_s=faults_s,
             store_call_s=store_call_s,
+            kinds=kinds,
         )
         print(outcome.line, flush=True)
         for line in outcome.violations:
