Let only the first parts of a prompt count

250 requests that list 2,400 parts of their prompts in 14 KB each, at a server that takes 2 s, took 92 MB of 70: every part became objects, hashes and lengths that the request held until it ended, while its head took its bytes only.

The first 64 parts count now.

--- a/packages/endive_gateway/src/endive_gateway/header_values.py
+++ b/packages/endive_gateway/src/endive_gateway/header_values.py
@@ -6,6 +6,10 @@
 """Largest number of requests or slots that a server may state. A larger one is a
 mistake: the state messages and the computations with it would overflow."""
 
+MAX_PARTS = 64
+"""Parts of a prompt that count, the first ones. They serve to choose a server, and a
+request holds them until it ends."""
+
 MAX_PART_DIGITS = 64
 """Digits of the longest id of a part of a prompt, a hash of 256 bits."""
 
@@ -15,6 +19,11 @@
 more than the demand of all others."""
 
 
+def split_parts(value: bytes) -> list[bytes]:
+    """Return the parts in a comma-separated list, `MAX_PARTS` at most."""
+    return value.split(b",", MAX_PARTS)[:MAX_PARTS]
+
+
 def parse_part_id(value: bytes) -> int | None:
     """Return the id of a part, in hexadecimal digits; ``None`` if it is invalid."""
     try:
--- a/tests/crowds.py
+++ b/tests/crowds.py
@@ -70,6 +70,21 @@
     return (head(number, framing=b"Content-Length: 0\r\n") + END) * PIPELINED_REQUESTS
 
 
+def request_of(number, lines):
+    """Return a whole request."""
+    return head(number, lines, framing=b"Content-Length: 0\r\n") + END
+
+
+PARTS = b"Prompt-Prefix: %b\r\n" % b",".join(b"%x:1" % n for n in range(2_400))
+LONG_ID = b"Last-Event-Id: %b\r\nResumes: %b\r\n" % (b"a" * 7_000, b"b" * 7_000)
+HELD_KINDS = {
+    "parts of prompts": lambda number: request_of(number, PARTS),
+    "long ids": lambda number: request_of(number, LONG_ID),
+    "short lines, held": lambda number: request_of(number, SHORT_LINES),
+    "short names, held": lambda number: request_of(number, SHORT_NAMES),
+}
+"""Kinds for a server that answers late."""
+
 KINDS = {
     "idle": lambda number: b"",
     "short lines": lambda number: head(number, SHORT_LINES) + END,
@@ -159,9 +174,9 @@
     """Hold the connections until the standard input ends."""
     signal.alarm(MAX_CROWD_S)
     reads = kind not in UNREAD_KINDS
+    content = (KINDS | HELD_KINDS)[kind]
     callers = [
-        Caller(address, KINDS[kind](number), reads=reads)
-        for number in range(int(count))
+        Caller(address, content(number), reads=reads) for number in range(int(count))
     ]
     group = Group()
     for caller in callers:
--- a/tests/small_machines.py
+++ b/tests/small_machines.py
@@ -30,6 +30,7 @@
 """Time after which a process counts as hanging, seconds."""
 
 SERVICE = "plain"
+SLOTS = 16
 IDLE_TIMEOUT_S = 60.0
 REQUEST = (
     b"POST /safe/x HTTP/1.1\r\nHost: made.example\r\nRequest-Id: ordinary\r\n"
@@ -42,12 +43,15 @@
 
     Attributes
     ----------
+    work_s : float
+        Time in which it answers a request, seconds.
     heads : list of bytes
         The last heads that it received.
     """
 
     def __init__(self, host):
         self.heads = []
+        self.work_s = 0.0
         self.server = StreamServer((host, PORT), self._serve)
         self.server.start()
         self.address = f"{host}:{PORT}"
@@ -61,7 +65,7 @@
             "address": self.address,
             "zone": "a",
             "version": "v1",
-            "slots": 16,
+            "slots": SLOTS,
             "state": "ready",
             "cold_left_ms": 0,
             "sequence": self.sequence,
@@ -77,6 +81,7 @@
                 while b"\r\n\r\n" in received:
                     head, _, received = received.partition(b"\r\n\r\n")
                     self.heads = [*self.heads[-3:], head]
+                    gevent.sleep(self.work_s)
                     sock.sendall(self._response(head))
         except OSError:
             pass  # the gateway has closed the connection
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -17,6 +17,7 @@
 MEMORY_MB = 70
 DESCRIPTORS = 1_000
 CONNECTIONS = 250
+HELD_S = 2.0
 FEW_DESCRIPTORS = 500
 MORE_CONNECTIONS = 700
 PORTS = ("callers", "readiness", "metrics", "bootstrap", "configuration", "transit")
@@ -66,6 +67,19 @@
     assert machine.ordinary_status() == 200
 
 
+@pytest.mark.parametrize("kind", sorted(crowds.HELD_KINDS))
+def test_requests_in_progress_do_not_take_the_memory_of_the_machine(machine, kind):
+    """What was decoded of a head took many times its bytes until the request ended."""
+    machine.server.work_s = HELD_S
+    with crowd(kind, machine.address, CONNECTIONS):
+        gevent.sleep(1.0)  # until the process has read what was sent
+    machine.server.work_s = 0.0
+    assert machine.lives
+    assert machine.peak_memory_bytes() <= machine.memory_bytes
+    assert machine.most_sockets <= machine.sockets_limit
+    assert machine.ordinary_status() == 200
+
+
 @pytest.mark.parametrize("lines", [SHORT_LINES, SHORT_NAMES], ids=["lines", "names"])
 def test_a_single_head_within_the_limits_is_served(machine, lines):
     """A head below the limit was refused with 431 for its number of lines."""
--- a/tests/test_platform_headers.py
+++ b/tests/test_platform_headers.py
@@ -1,5 +1,6 @@
 import pytest
 from endive_gateway.exceptions import BadHeaderError
+from endive_gateway.header_values import MAX_PARTS
 from endive_gateway.interfaces import ForwardingMetadata, RequestMetadata
 from endive_platform.headers import decode_request, decode_response, encode_request
 
@@ -273,3 +274,11 @@
 def test_an_invalid_word_of_leaving_is_kept_for_the_log(value):
     metadata = decode_response(headers(Server_Leaving=value))
     assert (metadata.leaving, metadata.invalid_leaving) == (False, value[:40])
+
+
+def test_parts_beyond_the_first_ones_do_not_count():
+    """A list of thousands of parts took many times its bytes while its request ran."""
+    prefix = b",".join(b"%x:1" % number for number in range(2_000))
+    found = decode_request(headers(Prompt_Prefix=prefix.decode()))
+    assert [part.id for part in found.parts] == list(range(MAX_PARTS))
+    assert len(found.shared_parts) < MAX_PARTS
