Count the heads of responses in the memory for responses

Found on a related path: a response's head may have 256 lines and 128 KB, for each request in progress, and was in no budget. 250 ordinary requests at a server that sends such heads took 75 to 91 MB of 70, with lines, one long value, and interim responses.

What a head takes beyond 4 KB, which usual ones stay below, is held in the memory for responses as it comes. Without room the connection is closed, as with a malformed response. A connection that is kept holds no heads any more: the last response's lay there until the next request.

--- a/packages/endive_gateway/src/endive_gateway/connections.py
+++ b/packages/endive_gateway/src/endive_gateway/connections.py
@@ -62,10 +62,15 @@
         The work of reading from it.
     """
 
-    def __init__(self, stream: ByteStream, peer: str = "platform") -> None:
+    def __init__(
+        self,
+        stream: ByteStream,
+        peer: str = "platform",
+        heads: HeldMemory | None = None,
+    ) -> None:
         self.stream = stream
         self.worker = Worker(peer)
-        self.parser = ResponseParser()
+        self.parser = ResponseParser(heads)
         self.last_used_at = time.monotonic()
         self.idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
         self.requests = 0
@@ -85,8 +90,7 @@
     def send(self, head: bytes, body: bytes) -> None:
         """Send a request; raises :class:`ConnectionBrokenError`."""
         self.requests += 1
-        self.parser.messages.clear()
-        self.parser.skipped_bytes = 0
+        self.parser.clear()
         try:
             if len(body) <= INLINE_BODY_BYTES:
                 self.stream.sendall(head + body)
@@ -222,12 +226,14 @@
         sending = self.sender is not None and not self.sender.ready()
         is_only_message = len(self.parser.messages) == 1
         is_complete = message.complete and is_only_message and not sending
+        self.parser.clear()
         return self.reusable and message.keep_alive and is_complete
 
     def close(self) -> None:
         """Close at once, which cancels a request in progress at the server."""
         if self.sender is not None:
             self.sender.kill(block=False)
+        self.parser.clear()
         self.stream.close()
 
 
@@ -255,8 +261,9 @@
         wire: Wire,
         monitor: PathMonitor,
         link: Link,
+        heads: HeldMemory,
     ) -> None:
-        super().__init__(stream, f"server {server_id}")
+        super().__init__(stream, f"server {server_id}", heads)
         self.link = link
         self.server_id = server_id
         self.wire = wire
@@ -392,7 +399,8 @@
         link = self.processes.opened(
             server_id, address if is_direct else "", stream, entry
         )
-        return ServerConnection(server_id, stream, self.wire, self.monitor, link)
+        heads = HeldMemory(self.response_memory)
+        return ServerConnection(server_id, stream, self.wire, self.monitor, link, heads)
 
     def _is_usable(
         self, server_id: str, connection: ServerConnection, now: float
--- a/packages/endive_gateway/src/endive_gateway/http.py
+++ b/packages/endive_gateway/src/endive_gateway/http.py
@@ -15,8 +15,11 @@
 from endive_gateway.interfaces import Headers, ResponseMetadata
 from endive_gateway.machine import Machine
 from endive_gateway.memory_budget import (
+    FREE_HEAD_BYTES,
+    HEADER_BYTES,
     MESSAGE_BYTES,
     PIECE_BYTES,
+    HeldMemory,
     HeldRequest,
     RequestMemory,
 )
@@ -445,10 +448,16 @@
         of a head, of a chunk's size line, or trailers.
     trailers : int
         Trailers of the current response.
+    headers_bytes : int
+        Memory that the headers received since the request was sent take, bytes.
+    held : HeldMemory or None
+        Memory for the heads; ``None`` if it is not bounded.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, held: HeldMemory | None = None) -> None:
         super().__init__()
+        self.held = held
+        self.headers_bytes = 0
         self.is_awaited: Callable[[ResponseMessage], bool] = lambda message: True
         self.skipped_bytes = 0
         self.overhead_bytes = 0
@@ -464,7 +473,8 @@
         Raises
         ------
         BadMessageError
-            If they are malformed, or too many that belong to no body.
+            If they are malformed, or too many that belong to no body, or if there is no
+            memory for the head.
         """
         self.overhead_bytes += len(data)
         try:
@@ -475,6 +485,24 @@
             raise BadMessageError("a head, a chunk's size or trailers are too long")
         if self.skipped_bytes > MAX_SKIPPED_BYTES:
             raise BadMessageError("what is no awaited response is too long")
+        if not self._holds_heads():
+            raise BadMessageError("there is no memory for the head")
+
+    def _holds_heads(self) -> bool:
+        """Hold what has come of heads; return whether there is room for it."""
+        if self.held is None:
+            return True
+        is_in_head = self.current is not None and not self.current.head_done
+        size = self.headers_bytes + self.overhead_bytes * is_in_head
+        return self.held.resize(max(0, size - FREE_HEAD_BYTES))
+
+    def clear(self) -> None:
+        """Drop all responses, and give the memory of their heads back."""
+        self.messages.clear()
+        self.skipped_bytes = 0
+        self.headers_bytes = 0
+        if self.held is not None:
+            self.held.resize(0)
 
     def on_message_begin(self) -> None:
         """Begin a response; raises BadMessageError if too many are unread."""
@@ -487,6 +515,7 @@
         self.trailers += self.current.head_done
         if len(self.current.headers) >= MAX_HEADERS or self.trailers > MAX_HEADERS:
             raise BadMessageError("too many headers")
+        self.headers_bytes += len(name) + len(value) + HEADER_BYTES
         super().on_header(name, value)
 
     def on_status(self, reason: bytes) -> None:
--- a/packages/endive_gateway/src/endive_gateway/memory_budget.py
+++ b/packages/endive_gateway/src/endive_gateway/memory_budget.py
@@ -35,6 +35,13 @@
 LARGE_RESPONSES_SHARE = 0.5
 """Share of the memory for responses up to which large ones may fill it."""
 
+FREE_HEAD_BYTES = 4_096
+"""Part of a response's head that does not count, so that usual ones always have room,
+bytes."""
+
+HEADER_BYTES = 150
+"""Memory that a header of a response takes beside its name and value, bytes."""
+
 USUAL_RESPONSE_BYTES = 32_768
 """Largest part of a response that does not count as large, bytes."""
 
--- a/tests/crowds.py
+++ b/tests/crowds.py
@@ -86,6 +86,7 @@
 """Kinds for a server that answers late."""
 
 KINDS = {
+    "ordinary": lambda number: request_of(number, b""),
     "idle": lambda number: b"",
     "short lines": lambda number: head(number, SHORT_LINES) + END,
     "short names": lambda number: head(number, SHORT_NAMES) + END,
--- a/tests/small_machines.py
+++ b/tests/small_machines.py
@@ -30,7 +30,7 @@
 """Time after which a process counts as hanging, seconds."""
 
 SERVICE = "plain"
-SLOTS = 16
+SLOTS = 400
 IDLE_TIMEOUT_S = 60.0
 REQUEST = (
     b"POST /safe/x HTTP/1.1\r\nHost: made.example\r\nRequest-Id: ordinary\r\n"
@@ -45,6 +45,8 @@
     ----------
     work_s : float
         Time in which it answers a request, seconds.
+    first_bytes : bytes
+        What it sends before that.
     heads : list of bytes
         The last heads that it received.
     """
@@ -52,6 +54,7 @@
     def __init__(self, host):
         self.heads = []
         self.work_s = 0.0
+        self.first_bytes = b""
         self.server = StreamServer((host, PORT), self._serve)
         self.server.start()
         self.address = f"{host}:{PORT}"
@@ -81,6 +84,7 @@
                 while b"\r\n\r\n" in received:
                     head, _, received = received.partition(b"\r\n\r\n")
                     self.heads = [*self.heads[-3:], head]
+                    sock.sendall(self.first_bytes)
                     gevent.sleep(self.work_s)
                     sock.sendall(self._response(head))
         except OSError:
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -23,7 +23,14 @@
 PORTS = ("callers", "readiness", "metrics", "bootstrap", "configuration", "transit")
 NODE_DESCRIPTORS = 300
 NODE_PORTS = ("port", "operator_port", "peer_port")
-MEMORY_KINDS = sorted(set(crowds.KINDS) - {"idle"})
+MEMORY_KINDS = sorted(set(crowds.KINDS) - {"idle", "ordinary"})
+HEADER_LINES = b"".join(b"A%d: %b\r\n" % (n, b"x" * 500) for n in range(250))
+LARGE_HEADS = {
+    "lines": b"HTTP/1.1 200 OK\r\n" + HEADER_LINES,
+    "a value": b"HTTP/1.1 200 OK\r\nA: " + b"x" * 130_000,
+    "interim": (b"HTTP/1.1 102 Wait\r\n" + HEADER_LINES + b"\r\n") * 20,
+}
+"""Parts of responses with the largest heads that a gateway reads."""
 
 
 def started_node(cluster):
@@ -80,6 +87,19 @@
     assert machine.ordinary_status() == 200
 
 
+@pytest.mark.parametrize("kind", LARGE_HEADS)
+def test_heads_of_responses_do_not_take_the_memory_of_the_machine(machine, kind):
+    """A head of a response could have 128 KB, once for each request in progress."""
+    machine.server.work_s, machine.server.first_bytes = HELD_S, LARGE_HEADS[kind]
+    with crowd("ordinary", machine.address, CONNECTIONS):
+        gevent.sleep(1.0)  # until the process has read what was sent
+        machine.server.work_s, machine.server.first_bytes = 0.0, b""
+    assert machine.lives
+    assert machine.peak_memory_bytes() <= machine.memory_bytes
+    assert machine.most_sockets <= machine.sockets_limit
+    assert machine.ordinary_status() == 200
+
+
 @pytest.mark.parametrize("lines", [SHORT_LINES, SHORT_NAMES], ids=["lines", "names"])
 def test_a_single_head_within_the_limits_is_served(machine, lines):
     """A head below the limit was refused with 431 for its number of lines."""
