Cut long values short in log lines

A caller chooses its request's id, of up to 16 KB, and each request writes a line with it: at 400 lines a second, the most that a gateway writes, 6 MB a second, in which other lines are lost. A value has 1,024 characters at most now. The test failed before. That lines of other events have longer values is not known.

--- a/packages/endive_gateway/tests/test_logstream.py
+++ b/packages/endive_gateway/tests/test_logstream.py
@@ -3,6 +3,7 @@
 
 import pytest
 from endive_gateway.logstream import BURST_LINES, MAX_PENDING_BYTES, LogStream
+from endive_node.logs import MAX_VALUE_CHARACTERS, format_event
 
 
 @pytest.fixture
@@ -76,3 +77,10 @@
     stream.write("event=x\n")
     stream.close()
     assert read_all(pipe[0]) == "event=x\n"
+
+
+def test_a_long_value_that_a_caller_chose_is_cut_short():
+    """Ids of 14,000 characters made lines of that length, hundreds of them a second."""
+    line = format_event("request", request="q" * 14_000, outcome="ok")
+    assert len(line) < MAX_VALUE_CHARACTERS + 100
+    assert line.endswith("... outcome=ok")
--- a/packages/endive_node/src/endive_node/logs.py
+++ b/packages/endive_node/src/endive_node/logs.py
@@ -8,6 +8,9 @@
 import logging
 from typing import Any
 
+MAX_VALUE_CHARACTERS = 1_024
+"""Longest value in a line, characters. Callers choose some of them, such as ids."""
+
 logger = logging.getLogger("endive")
 """The logger of all packages."""
 
@@ -25,10 +28,12 @@
 
 
 def format_event(event: str, **fields: Any) -> str:
-    """Return the line that :func:`log_event` writes."""
+    """Return the line that :func:`log_event` writes; long values are cut short."""
     pairs = [f"event={event}"]
     for key, value in fields.items():
         text = f"{value:.6g}" if isinstance(value, float) else str(value)
+        if len(text) > MAX_VALUE_CHARACTERS:
+            text = text[:MAX_VALUE_CHARACTERS] + "..."
         if not text or any(c in text for c in ' ="\n'):
             text = '"' + text.replace('"', "'").replace("\n", "\\n") + '"'
         pairs.append(f"{key}={text}")
