Close a connection before its successor is accepted

The event loop closes a socket that a greenlet waits for only in its next callbacks. A burst of connections was accepted before that, so that 4,500 connections left 3,338 sockets open at once, where the limit for callers is 1,902 (trial, 300 MB and 4,100 descriptors, one run). The greenlet that accepts lets the loop close the socket first: 1,918 in the same trial.

--- a/packages/endive_gateway/src/endive_gateway/callers.py
+++ b/packages/endive_gateway/src/endive_gateway/callers.py
@@ -273,7 +273,10 @@
         if len(self.connections) < self.most_connections:
             return True
         examined = islice(self.waiting, MAX_EXAMINED)
-        return any(connection.give_way() for connection in examined)
+        if not any(connection.give_way() for connection in examined):
+            return False
+        gevent.sleep(0)  # the event loop closes the socket
+        return True
 
     def _refuse(self, sock: gsocket.socket) -> None:
         """Tell a caller to come back, and close its connection."""
@@ -282,6 +285,7 @@
         send_at_once(sock, encode_rejection(error))
         if self.lingering.full():
             sock.close()
+            gevent.sleep(0)
         else:
             self.lingering.spawn(_linger, sock)
 
