--- a/packages/endive_gateway/src/endive_gateway/callers.py
+++ b/packages/endive_gateway/src/endive_gateway/callers.py
@@ -465,6 +465,7 @@
             self.idle = False
             self._wait_for_request()
             self.parser.feed(data)
+            del data  # not held while more is awaited
         self.idle = False
         header_until = received_at + limits.header_timeout_s
         continued = False
@@ -492,6 +493,7 @@
             if not data:
                 return None, 0.0
             self.parser.feed(data)
+            del data  # not held while more is awaited
 
     def _receive(self, timeout_s: float) -> bytes | None:
         """Return received bytes, ``b""`` at the end of the connection, None if late."""
