Bound the memory that calls to an endive-node take

Found on a related path: 60 callers whose heads have 90 lines of 60 KB took 754 MB of an endive-node, 392 MB if unfinished, and 60 unfinished bodies of 3.9 MB 303 MB; the bound of the tests is 200 MB. Only the size of one body and the number of headers were limited, lines up to 64 KB each, and what callers send was in no budget.

A head may have limits.max_header_bytes (65,536 by default), and heads and bodies share a part of limits.memory_mb, by default half of the machine's memory; they are held as they come, and given back when the call is answered or its caller gone. Without room the caller gets 503 with Retry-After; a head that is too large gets 431 and says so, as do over 99 headers, which got a bare 400 and a traceback in the log.

--- a/packages/endive_node/src/endive_node/__init__.py
+++ b/packages/endive_node/src/endive_node/__init__.py
@@ -12,6 +12,6 @@
 - platform: ``platform``, ``configuration``, ``snapshots``,
   ``snapshot_writer``, ``claiming``, ``shards``, ``notices``
 - between nodes: ``gossip``, ``peers``, ``fact_exchange``
-- infrastructure: ``listeners``, ``connection_limit``, ``sockets``, ``refusals``,
-  ``logs``, ``telemetry``
+- infrastructure: ``listeners``, ``connection_limit``, ``call_memory``,
+  ``sockets``, ``refusals``, ``logs``, ``telemetry``
 """
--- a/packages/endive_node/src/endive_node/node.py
+++ b/packages/endive_node/src/endive_node/node.py
@@ -5,6 +5,7 @@
 from gevent.event import Event
 
 from endive_node.backends import BackendClients
+from endive_node.call_memory import CallMemory
 from endive_node.callers import CallerApi
 from endive_node.claiming import LogClaims
 from endive_node.configuration import Configuration
@@ -137,11 +138,23 @@
             name: ConnectionLimit(share, name, self.metrics.refusal_log)
             for name, share in DESCRIPTOR_SHARES.items()
         }
+        memory = CallMemory.from_config(self.settings.limits.memory_mb)
+        max_header_bytes = self.settings.limits.max_header_bytes
         self.callers = HttpListener(
-            callers.app, section.address, section.caller_port, limits["callers"]
+            callers.app,
+            section.address,
+            section.caller_port,
+            limits["callers"],
+            memory,
+            max_header_bytes,
         )
         self.operators = HttpListener(
-            operators.app, section.address, section.operator_port, limits["operators"]
+            operators.app,
+            section.address,
+            section.operator_port,
+            limits["operators"],
+            memory,
+            max_header_bytes,
         )
         self.peers = PeerListener(
             handler, section.address, section.peer_port, limits["peers"]
--- a/packages/endive_node/src/endive_node/settings.py
+++ b/packages/endive_node/src/endive_node/settings.py
@@ -103,6 +103,15 @@
     max_body_bytes: int = Field(
         4_000_000, ge=1, description="largest body a caller may send, bytes"
     )
+    max_header_bytes: int = Field(
+        65_536, ge=1_024, description="largest head of a call, bytes"
+    )
+    memory_mb: float = Field(
+        0.0,
+        ge=0,
+        description="memory that the process may take, millions of bytes; the calls "
+        "that it holds are bounded by it; 0 for half of the machine's memory",
+    )
     max_attempts: int = Field(
         4, ge=1, le=20, description="attempts at backend servers for one request"
     )
--- a/packages/endive_node/tests/test_listeners.py
+++ b/packages/endive_node/tests/test_listeners.py
@@ -2,11 +2,14 @@
 from collections import Counter
 
 import gevent
+from endive_node.call_memory import COPIES, CallMemory
 from endive_node.connection_limit import ConnectionLimit
 from endive_node.listeners import HttpListener
 from endive_node.refusals import RefusalLog
 from gevent import socket
 
+MEMORY_BYTES = 10**6
+MAX_HEADER_BYTES = 10_000
 CALLS = 20
 EVENTS = 30
 EVENT = b"data: token\n\n"
@@ -20,7 +23,8 @@
     """Return a listener that takes so many connections."""
     refusals = RefusalLog(Counter())
     limit = ConnectionLimit(1.0, "test", refusals, descriptors=lambda: most)
-    return HttpListener(application, "127.0.0.1", 0, limit)
+    memory = CallMemory(MEMORY_BYTES)
+    return HttpListener(application, "127.0.0.1", 0, limit, memory, MAX_HEADER_BYTES)
 
 
 def application(environ, start_response):
@@ -127,3 +131,62 @@
     for caller in (busy, idle):
         assert caller.recv(100).startswith(b"HTTP/1.1 200 ")
     listener.stop(0)
+
+
+def response_to(listener, data):
+    """Return the response to the bytes of a request, on a connection of its own."""
+    with socket.create_connection(("127.0.0.1", listener.port)) as caller:
+        caller.settimeout(10)
+        caller.sendall(data)
+        received = b""
+        while piece := caller.recv(65_536):
+            received += piece
+    return received
+
+
+LAST = b"Connection: close\r\n\r\n"
+GET = b"GET / HTTP/1.1\r\nHost: x\r\n"
+
+
+def test_heads_are_bounded_one_by_one_and_together():
+    """A head of 90 long lines took 5 MB, on any number of connections."""
+    listener = listener_of(read_body)
+    listener.start()
+    line = b"A: " + b"x" * 3_000 + b"\r\n"
+    too_large = response_to(listener, GET + 4 * line + LAST)
+    assert too_large.startswith(b"HTTP/1.1 431 ")
+    assert b"larger than 10000 bytes" in too_large
+    many = response_to(listener, GET + b"A: b\r\n" * 100 + LAST)
+    assert many.startswith(b"HTTP/1.1 431 ")
+    assert response_to(listener, GET + 3 * line + LAST).startswith(b"HTTP/1.1 200 ")
+    memory = listener.server.memory
+    memory.used = MEMORY_BYTES - 9_000 * COPIES
+    refused = response_to(listener, GET + 3 * line + LAST)
+    assert refused.startswith(b"HTTP/1.1 503 ")
+    assert b"Retry-After: " in refused
+    assert response_to(listener, GET + LAST).startswith(b"HTTP/1.1 200 ")
+    gevent.sleep(0.05)
+    assert memory.used == MEMORY_BYTES - 9_000 * COPIES
+    listener.stop(0)
+
+
+def test_a_caller_that_goes_gives_back_the_memory_of_its_call():
+    """Memory that is never given back leaves no room for any call."""
+    listener = listener_of(read_body)
+    listener.start()
+    with socket.create_connection(("127.0.0.1", listener.port)) as caller:
+        caller.sendall(UNFINISHED_BODY)
+        gevent.sleep(0.05)
+        assert listener.server.memory.used > 0
+    gevent.sleep(0.05)
+    assert listener.server.memory.used == 0
+    listener.stop(0)
+
+
+def test_the_lines_of_a_chunked_body_do_not_count_as_its_head():
+    listener = listener_of(read_body)
+    listener.start()
+    body = b"1\r\na\r\n" * MAX_HEADER_BYTES + b"0\r\n\r\n"
+    head = b"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n"
+    assert response_to(listener, head + LAST + body).startswith(b"HTTP/1.1 200 ")
+    listener.stop(0)
--- a/tests/crowds.py
+++ b/tests/crowds.py
@@ -85,6 +85,21 @@
 }
 """Kinds for a server that answers late."""
 
+NODE_HEAD = (
+    b"POST /v1/completions HTTP/1.1\r\nHost: made.example\r\n"
+    b"Authorization: Bearer demo\r\nContent-Type: application/json\r\n"
+)
+LONG_LINES = b"".join(b"A%d: %b\r\n" % (n, b"x" * 60_000) for n in range(90))
+BODY = b'{"model": "chat", "prompt": "%b"' % (b"x" * 3_900_000)
+NODE_KINDS = {
+    "long lines, unfinished": lambda number: NODE_HEAD + LONG_LINES,
+    "long lines": lambda number: NODE_HEAD + LONG_LINES + END,
+    "long bodies, unfinished": lambda number: (
+        NODE_HEAD + b"Content-Length: %d\r\n\r\n" % (len(BODY) + 1) + BODY
+    ),
+}
+"""Kinds for the callers' port of an ``endive-node``."""
+
 KINDS = {
     "ordinary": lambda number: request_of(number, b""),
     "idle": lambda number: b"",
@@ -175,7 +190,7 @@
     """Hold the connections until the standard input ends."""
     signal.alarm(MAX_CROWD_S)
     reads = kind not in UNREAD_KINDS
-    content = (KINDS | HELD_KINDS)[kind]
+    content = (KINDS | HELD_KINDS | NODE_KINDS)[kind]
     callers = [
         Caller(address, content(number), reads=reads) for number in range(int(count))
     ]
--- a/tests/small_machines.py
+++ b/tests/small_machines.py
@@ -38,6 +38,13 @@
 )
 
 
+def peak_memory_bytes(pid):
+    """Return the most memory that a process had at any time."""
+    lines = Path(f"/proc/{pid}/status").read_text().splitlines()
+    (peak,) = (line.split()[1] for line in lines if line.startswith("VmHWM:"))
+    return int(peak) * 1024
+
+
 class PlainServer:
     """A backend server that answers each request, whatever its head holds.
 
@@ -219,9 +226,7 @@
 
     def peak_memory_bytes(self):
         """Return the most memory that the process had at any time."""
-        lines = Path(f"/proc/{self.process.pid}/status").read_text().splitlines()
-        (peak,) = (line.split()[1] for line in lines if line.startswith("VmHWM:"))
-        return int(peak) * 1024
+        return peak_memory_bytes(self.process.pid)
 
     def ordinary_status(self):
         """Return the status of the answer to an ordinary request; 0 without one.
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -9,7 +9,7 @@
 import pytest
 import urllib3
 from crowds import END, MAX_HEADER_BYTES, SHORT_LINES, SHORT_NAMES, crowd, head
-from small_machines import SmallMachine
+from small_machines import SmallMachine, peak_memory_bytes
 
 pytestmark = pytest.mark.crowd
 
@@ -22,6 +22,8 @@
 MORE_CONNECTIONS = 700
 PORTS = ("callers", "readiness", "metrics", "bootstrap", "configuration", "transit")
 NODE_DESCRIPTORS = 300
+NODE_CONNECTIONS = 60
+NODE_MEMORY_BYTES = 200 * 10**6
 NODE_PORTS = ("port", "operator_port", "peer_port")
 MEMORY_KINDS = sorted(set(crowds.KINDS) - {"idle", "ordinary"})
 HEADER_LINES = b"".join(b"A%d: %b\r\n" % (n, b"x" * 500) for n in range(250))
@@ -33,11 +35,11 @@
 """Parts of responses with the largest heads that a gateway reads."""
 
 
-def started_node(cluster):
+def started_node(cluster, **sections):
     """Return an ``endive-node`` process that serves a model."""
     cluster.with_log()
     engine = cluster.engine("engine-1", decode_tokens_per_s=2000)
-    (node,) = cluster.add_nodes(1)
+    (node,) = cluster.add_nodes(1, **sections)
     service = builders.service("engines", [engine])
     cluster.apply(builders.organisation(), service, builders.deployment())
     cluster.wait_in_force(node)
@@ -123,6 +125,17 @@
         assert machine.ordinary_status() == 200
 
 
+@pytest.mark.parametrize("kind", sorted(crowds.NODE_KINDS))
+def test_a_crowd_does_not_take_the_memory_of_a_nodes_machine(cluster, kind):
+    """Heads of 90 long lines, and bodies, were held whatever they took together."""
+    node = started_node(cluster, limits={"memory_mb": NODE_MEMORY_BYTES / 10**6})
+    with crowd(kind, node.address, NODE_CONNECTIONS):
+        gevent.sleep(1.0)  # until the process has read what was sent
+    node.assert_running()
+    assert peak_memory_bytes(node.process.pid) <= NODE_MEMORY_BYTES
+    assert completion_status(node) == 200
+
+
 @pytest.mark.parametrize("port", NODE_PORTS)
 def test_idle_connections_leave_a_node_descriptors(cluster, port):
     """Idle connections took all descriptors of a node, and no call was answered."""
