--- a/packages/endive_gateway/src/endive_gateway/__init__.py
+++ b/packages/endive_gateway/src/endive_gateway/__init__.py
@@ -8,7 +8,7 @@
 
 - the process as a whole: ``gateway``, ``context``, ``interfaces``, ``exceptions``,
   ``clocks``, ``loops``, ``turns``, ``file_watching``, ``machine``
-- callers' connections: ``callers``, ``http``, ``statuses``, ``progress``,
+- callers' connections: ``callers``, ``exchange``, ``http``, ``statuses``, ``progress``,
   ``memory_budget``, ``bounded_server``, ``refusal_reasons``
 - forwarding to servers: ``forwarding``, ``attempts``, ``failed_attempts``,
   ``connections``, ``events``, ``placing``, ``prefix_fetching``, ``workload``,
--- a/packages/endive_gateway/src/endive_gateway/attempts.py
+++ b/packages/endive_gateway/src/endive_gateway/attempts.py
@@ -8,7 +8,6 @@
 from endive_core.pooled_servers import Outcome
 from endive_core.routing import Engine, Route, RouteKind
 
-from endive_gateway.callers import Exchange
 from endive_gateway.connections import ServerConnection
 from endive_gateway.context import Context
 from endive_gateway.events import EventSplitter
@@ -18,6 +17,7 @@
     FetchOverdueError,
     VersionMismatchError,
 )
+from endive_gateway.exchange import Exchange
 from endive_gateway.http import ResponseMessage, encode_head, end_to_end
 from endive_gateway.interfaces import (
     ForwardingMetadata,
--- a/packages/endive_gateway/src/endive_gateway/forwarding.py
+++ b/packages/endive_gateway/src/endive_gateway/forwarding.py
@@ -15,7 +15,6 @@
 from endive_node.logs import log_event, log_failure
 
 from endive_gateway.attempts import Attempt
-from endive_gateway.callers import Exchange
 from endive_gateway.context import Context
 from endive_gateway.events import EventSplitter
 from endive_gateway.exceptions import (
@@ -26,6 +25,7 @@
     RequestTimeoutError,
     ResponseForwardedError,
 )
+from endive_gateway.exchange import Exchange
 from endive_gateway.failed_attempts import FailedAttempt
 from endive_gateway.http import host_name
 from endive_gateway.interfaces import (
--- a/packages/endive_gateway/tests/test_connection_limit.py
+++ b/packages/endive_gateway/tests/test_connection_limit.py
@@ -4,7 +4,7 @@
 
 import gevent
 import pytest
-from endive_gateway import callers
+from endive_gateway import exchange
 from endive_gateway.machine import Machine
 from endive_gateway.refusal_reasons import RefusalReason
 from endive_node.refusals import LOG_INTERVAL_S, RefusalLog
@@ -103,7 +103,7 @@
     running, monkeypatch
 ):
     """A response that did not fit into the socket's buffer was sent without end."""
-    monkeypatch.setattr(callers, "OWN_RESPONSE_TIMEOUT_S", 0.2)
+    monkeypatch.setattr(exchange, "OWN_RESPONSE_TIMEOUT_S", 0.2)
     caller = running.caller()
     caller.sock.setsockopt(SOL_SOCKET, SO_RCVBUF, 1)
     sender = gevent.spawn(caller.raw, NO_ROUTE * 50_000)
