Name the eviction of connections and the headers that frame a message

On reading the change as a newcomer: evict for what closes a waiting connection, framing_values for the headers that the parsers read, and one place for a rejection.

--- a/packages/endive_gateway/src/endive_gateway/callers.py
+++ b/packages/endive_gateway/src/endive_gateway/callers.py
@@ -148,7 +148,7 @@
         if len(self.connections) < self.most_connections:
             return True
         examined = islice(self.waiting, MAX_EXAMINED)
-        return any(connection.give_way() for connection in examined)
+        return any(connection.evict() for connection in examined)
 
     def _refuse(self, sock: gsocket.socket) -> None:
         """Tell a caller to come back, and close its connection."""
@@ -282,11 +282,11 @@
     def _drain(self) -> None:
         """Drop what the caller still sends, and close the connection soon."""
         self.is_drained = True
-        self.listener.waiting[self] = None
+        self._count_as_waiting()
         linger(self.sock, self.worker)
 
-    def give_way(self) -> bool:
-        """Close the connection unless a request has come; return whether it closed.
+    def evict(self) -> bool:
+        """Close the connection unless a request has come; return whether it was closed.
 
         The caller of a request of which a part has come is told that it has not run.
         """
@@ -306,8 +306,8 @@
         self.listener.waiting.pop(self, None)
         self.listener.connections.pop(self, None)
 
-    def _wait_for_request(self) -> None:
-        """Count as waiting, from now on."""
+    def _count_as_waiting(self) -> None:
+        """Count the connection as one that waits, from now on."""
         self.listener.waiting.pop(self, None)
         self.listener.waiting[self] = None
 
@@ -328,13 +328,13 @@
         limits = self.listener.limits()
         received_at = time.monotonic()
         if not self.parser.messages:
-            self._wait_for_request()
+            self._count_as_waiting()
             data = self._receive(limits.idle_timeout_s)
             if not data:
                 return None, 0.0
             received_at = time.monotonic()
             self.idle = False
-            self._wait_for_request()
+            self._count_as_waiting()
             self.parser.feed(data)
             del data  # not held while more is awaited
         self.idle = False
@@ -343,14 +343,14 @@
         while True:
             message = self.parser.messages[0] if self.parser.messages else None
             if message is not None and message.has_no_room and not message.head_done:
-                raise NoRoomError("there is no memory for the request's head")
+                raise self.parser.rejection
             if message is not None and (message.complete or message.has_no_room):
                 self.parser.messages.popleft()
                 if not self.parser.messages:
                     self.parser.current = None
                 return message, received_at
             if self not in self.listener.waiting:
-                self._wait_for_request()
+                self._count_as_waiting()
             if message is not None and message.head_done:
                 if message.expects_continue and not continued:
                     self.sock.sendall(CONTINUE)
--- a/packages/endive_gateway/src/endive_gateway/http.py
+++ b/packages/endive_gateway/src/endive_gateway/http.py
@@ -15,10 +15,10 @@
 from endive_gateway.interfaces import Headers, ResponseMetadata
 from endive_gateway.machine import Machine
 from endive_gateway.memory_budget import (
-    FREE_HEAD_BYTES,
     HEADER_BYTES,
     MESSAGE_BYTES,
     PIECE_BYTES,
+    UNCOUNTED_HEAD_BYTES,
     HeldMemory,
     HeldRequest,
     RequestMemory,
@@ -101,7 +101,7 @@
         self.head_done = False
         self.complete = False
 
-    def values_by_name(self) -> dict[bytes, list[bytes]]:
+    def framing_values(self) -> dict[bytes, list[bytes]]:
         """Return the values of the headers that frame the message, by name."""
         values: dict[bytes, list[bytes]] = {}
         for name, value in self.headers:
@@ -306,7 +306,7 @@
         try:
             self._parse(data)
         except NoRoomError:
-            return  # the request tells by itself that there is no room for it
+            return  # `has_no_room` of the request says so, after those before it
         unfinished = self.current is not None and not self.current.head_done
         if unfinished and self.head_bytes > self.max_header_bytes:
             raise BadMessageError("the header is too large", 431)
@@ -385,7 +385,7 @@
     def _validate_head(self, message: RequestMessage) -> BadMessageError | None:
         if self.parser.get_http_version() not in ("1.1", "1.0"):
             return BadMessageError("the HTTP version is not supported", 505)
-        values = message.values_by_name()
+        values = message.framing_values()
         if message.headers.wire_bytes() + len(message.target) > self.max_header_bytes:
             return BadMessageError("the header is too large", 431)
         if not message.target.startswith(b"/"):
@@ -494,7 +494,7 @@
             return True
         is_in_head = self.current is not None and not self.current.head_done
         size = self.headers_bytes + self.overhead_bytes * is_in_head
-        return self.held.resize(max(0, size - FREE_HEAD_BYTES))
+        return self.held.resize(max(0, size - UNCOUNTED_HEAD_BYTES))
 
     def clear(self) -> None:
         """Drop all responses, and give the memory of their heads back."""
@@ -529,7 +529,7 @@
         message = self.current
         message.head_done = True
         message.status = self.parser.get_status_code()
-        values = message.values_by_name()
+        values = message.framing_values()
         connection = b",".join(values.get(b"connection", ())).lower()
         message.keep_alive = b"close" not in connection
         framed = b"content-length" in values or b"transfer-encoding" in values
--- a/packages/endive_gateway/src/endive_gateway/memory_budget.py
+++ b/packages/endive_gateway/src/endive_gateway/memory_budget.py
@@ -35,7 +35,7 @@
 LARGE_RESPONSES_SHARE = 0.5
 """Share of the memory for responses up to which large ones may fill it."""
 
-FREE_HEAD_BYTES = 4_096
+UNCOUNTED_HEAD_BYTES = 4_096
 """Part of a response's head that does not count, so that usual ones always have room,
 bytes."""
 
--- a/packages/endive_node/src/endive_node/connection_limit.py
+++ b/packages/endive_node/src/endive_node/connection_limit.py
@@ -10,7 +10,7 @@
 class OpenConnection(Protocol):
     """A connection that a :class:`ConnectionLimit` counts."""
 
-    def give_way(self) -> None:
+    def evict(self) -> None:
         """End the connection, on which no request is in progress."""
         ...
 
@@ -66,7 +66,7 @@
                 return False
             self.refusals.add(f"{self.name}_closed", open=len(self.open))
             self.ended(oldest)
-            oldest.give_way()
+            oldest.evict()
         self.open.add(connection)
         return True
 
--- a/packages/endive_node/src/endive_node/listeners.py
+++ b/packages/endive_node/src/endive_node/listeners.py
@@ -132,7 +132,7 @@
 
 
 class BoundedHandler(WSGIHandler):
-    """Handler of a connection that gives way while no request is in progress.
+    """Handler of a connection that is evicted only while no request is in progress.
 
     The memory that its requests take is bounded, and the calls are counted whose
     responses are not yet written.
@@ -158,7 +158,7 @@
             connections.ended(self)
 
     def handle_one_request(self):
-        """Handle the next request; until it has come, the connection gives way."""
+        """Handle the next request; until it has come, the connection may be evicted."""
         self.server.connections.waits(self)
         self.held.release()
         self.rfile.begin()
@@ -188,8 +188,8 @@
         finally:
             self.server.calls_in_progress -= 1
 
-    def give_way(self) -> None:
-        """See :meth:`endive_node.connection_limit.OpenConnection.give_way`."""
+    def evict(self) -> None:
+        """See :meth:`endive_node.connection_limit.OpenConnection.evict`."""
         if self.socket is not None:
             with suppress(OSError):
                 self.socket.shutdown(socket.SHUT_RDWR)
--- a/packages/endive_node/src/endive_node/peers.py
+++ b/packages/endive_node/src/endive_node/peers.py
@@ -174,8 +174,8 @@
         finally:
             buffered.close()
 
-    def give_way(self) -> None:
-        """See :meth:`endive_node.connection_limit.OpenConnection.give_way`."""
+    def evict(self) -> None:
+        """See :meth:`endive_node.connection_limit.OpenConnection.evict`."""
         with suppress(OSError):
             self.connection.shutdown(SHUT_RDWR)
 
--- a/packages/endive_node/tests/test_listeners.py
+++ b/packages/endive_node/tests/test_listeners.py
@@ -105,7 +105,7 @@
     return [b""]
 
 
-def test_connections_that_wait_give_way_and_others_do_not():
+def test_connections_that_wait_evict_and_others_do_not():
     """Idle connections took all descriptors, and no call was answered."""
     is_released = gevent.event.Event()
 
