Hold no more for a chunked call than has come

The most that a body may have, 16 MB with its copies, was held for a chunked call until its answer, so that a node of 200 MB took two such calls at once, however short. What did not come is given back. The test failed before (by 400,000 bytes).

--- a/packages/endive_node/src/endive_node/call_memory.py
+++ b/packages/endive_node/src/endive_node/call_memory.py
@@ -71,6 +71,12 @@
         self.size += size
         return True
 
+    def shrink(self, missing: int) -> None:
+        """Give back what was held for bytes that did not come."""
+        size = COPIES * missing
+        self.memory.used -= size
+        self.size -= size
+
     def release(self) -> None:
         """Give all memory back."""
         self.memory.used -= self.size
--- a/packages/endive_node/src/endive_node/connection_limit.py
+++ b/packages/endive_node/src/endive_node/connection_limit.py
@@ -7,6 +7,11 @@
 from endive_node.refusals import RefusalLog
 
 
+def soft_descriptor_limit() -> int:
+    """Return how many descriptors the process may have open."""
+    return resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+
+
 class OpenConnection(Protocol):
     """A connection that a :class:`ConnectionLimit` counts."""
 
@@ -43,7 +48,7 @@
         share: float,
         name: str,
         refusals: RefusalLog,
-        descriptors: Callable[[], int] = lambda: soft_descriptor_limit(),
+        descriptors: Callable[[], int] = soft_descriptor_limit,
     ) -> None:
         self.share = share
         self.name = name
@@ -84,8 +89,3 @@
         """Count a connection no longer."""
         self.waiting.pop(connection, None)
         self.open.discard(connection)
-
-
-def soft_descriptor_limit() -> int:
-    """Return how many descriptors the process may have open."""
-    return resource.getrlimit(resource.RLIMIT_NOFILE)[0]
--- a/packages/endive_node/src/endive_node/listeners.py
+++ b/packages/endive_node/src/endive_node/listeners.py
@@ -118,8 +118,8 @@
             ``overloaded`` if there is no memory for it, ``malformed_body`` if the
             caller has gone.
         """
-        expected = self.body.content_length if length is None else length
-        if not self.held.grow(expected or 0):
+        expected = (self.body.content_length if length is None else length) or 0
+        if not self.held.grow(expected):
             raise EndiveError(
                 ErrorKind.OVERLOADED, "there is no memory for the request's body"
             )
@@ -127,6 +127,7 @@
             data = self.body.read(length)
         except OSError as error:
             raise EndiveError(ErrorKind.MALFORMED_BODY, str(error)) from None
+        self.held.shrink(max(0, expected - len(data)))
         self.on_read()
         return data
 
--- a/packages/endive_node/tests/test_listeners.py
+++ b/packages/endive_node/tests/test_listeners.py
@@ -183,6 +183,25 @@
     listener.stop(0)
 
 
+def test_a_short_chunked_body_takes_no_more_than_its_bytes():
+    """The most that a body may have was held for it until its call was answered."""
+    sizes = []
+
+    def read_most(environ, start_response):
+        environ["wsgi.input"].read(100_000)
+        sizes.append(listener.server.memory.used)
+        start_response("200 OK", [("Content-Length", "0")])
+        return [b""]
+
+    listener = listener_of(read_most)
+    listener.start()
+    head = b"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n" + LAST
+    response = response_to(listener, head + b"1\r\na\r\n0\r\n\r\n")
+    assert response.startswith(b"HTTP/1.1 200 ")
+    assert sizes == [COPIES * (len(head) + 1)]
+    listener.stop(0)
+
+
 def test_the_lines_of_a_chunked_body_do_not_count_as_its_head():
     listener = listener_of(read_body)
     listener.start()
