Accept connections in batches beside other work

The greenlet that accepts took its turn among all connections after each accepted one, since the limit on connections: a busy node with 252 connections would accept some nine a second, and callers wait in the backlog. It accepts up to 64 at a time now, and the loop closes the sockets of evicted connections after each batch.

--- a/packages/endive_gateway/src/endive_gateway/callers.py
+++ b/packages/endive_gateway/src/endive_gateway/callers.py
@@ -48,6 +48,10 @@
 """Refused connections that are read on at the same time, so that the responses reach
 their callers."""
 
+MAX_ACCEPTED = 64
+"""Connections that are accepted before others run. A node that is busy would accept
+them one by one too slowly for their callers."""
+
 MAX_EXAMINED = 32
 """Waiting connections that are examined for one that can be closed."""
 
@@ -126,22 +130,25 @@
     def _accept(self) -> None:
         worker = Worker("accept")
         while True:
+            for _ in range(MAX_ACCEPTED):
+                self._accept_one()
+            gevent.sleep(0)  # the event loop closes the sockets of evicted connections
             worker.checkpoint()
-            try:
-                accepted, _ = self.listener.accept()
-            except OSError as error:
-                # For example out of descriptors, which become free as connections end.
-                log_event("accept_failed", error=error)
-                gevent.sleep(ACCEPT_RETRY_S)
-                continue
-            if self._has_room():
-                connection = CallerConnection(self, accepted)
-                self.connections[connection] = None
-                connection.greenlet = gevent.spawn(connection.run)
-            else:
-                self._refuse(accepted)
-            if len(self.connections) >= self.most_connections:
-                gevent.sleep(0)  # the event loop closes the sockets that were given up
+
+    def _accept_one(self) -> None:
+        try:
+            accepted, _ = self.listener.accept()
+        except OSError as error:
+            # For example out of descriptors, which become free as connections end.
+            log_event("accept_failed", error=error)
+            gevent.sleep(ACCEPT_RETRY_S)
+            return
+        if not self._has_room():
+            self._refuse(accepted)
+            return
+        connection = CallerConnection(self, accepted)
+        self.connections[connection] = None
+        connection.greenlet = gevent.spawn(connection.run)
 
     def _has_room(self) -> bool:
         """Return whether another connection may open; close waiting ones if needed."""
