--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -76,7 +76,7 @@
     assert outcome.violations == [], outcome.directory
 
 
-@pytest.mark.parametrize("seed", [46510, 374928, 503962, 658831])
+@pytest.mark.parametrize("seed", [46510, 374928, 503962, 658831, 223156])
 def test_invariants_hold_beside_odd_callers(seed):
     """Crowds of odd callers are among the kinds of faults that are drawn."""
     outcome = run_seed(seed, slot=SLOT)
@@ -269,7 +269,7 @@
     assert is_stale(outcome, version, newest_before, newest_after) is stale
 
 
-@pytest.mark.parametrize("seed", [3, 11, 25502, 675344])
+@pytest.mark.parametrize("seed", [3, 11, 25502, 675344, 715867])
 def test_odd_callers_take_neither_memory_nor_descriptors(seed):
     """Crowds of them come in series, amid restarts. They ended a process, or left it no
     descriptor for other callers."""
