--- a/tests/test_platform_logs.py
+++ b/tests/test_platform_logs.py
@@ -52,6 +52,20 @@
     }
 
 
+def refuse_for_want_of_room():
+    """Let a gateway refuse a head, and close an idle connection for a new one."""
+    with RunningGateway(ScriptedServer()) as running:
+        running.context.request_memory.total = 0
+        caller = running.caller()
+        caller.raw(b"GET /x HTTP/1.1\r\n")
+        assert caller.receive().status == 503
+        running.listener.most_connections = 1
+        callers = [running.caller() for _ in range(3)]
+        gevent.sleep(0.05)
+        for caller in callers:
+            caller.close()
+
+
 def test_the_documented_log_lines_are_those_written(log_lines):
     limits = OrganisationLimits("o", rate=0.01, burst=0.001)
     limited = make_table(
@@ -62,6 +76,7 @@
             running.call(Key="k")
     with RunningGateway(table=make_table()) as running:
         running.call()
+    refuse_for_want_of_room()
     server = ScriptedServer()
 
     def crash(sock, _seen):
@@ -90,7 +105,7 @@
         running.call(After="3", Resumes="q4")
     gevent.sleep(0)
     assert documented_lines() - written_lines(log_lines) == set()
-    assert len(documented_lines()) == 9
+    assert len(documented_lines()) == 11
 
 
 def test_a_closed_port_is_detected():
