Show cut answers that pass for whole ones (review 6), and renumber the others

Cause: a look at whether a connection is idle takes the pending error of its reset, so the request that reads from it sees an orderly end. Change: review/6 with its script; the other cases are 7 to 9; code lies in folders named tests, since the layout test allows the platform's names there only; KNOWN-RED.txt lists the four scripts.

--- a/review/7/case.py
+++ b/review/8/tests/case.py
@@ -7,8 +7,8 @@
 import time
 from pathlib import Path
 
-HERE = Path(__file__).resolve().parent
-sys.path.insert(0, str(HERE.parent / "common-2"))
+HERE = Path(__file__).resolve().parents[1]
+sys.path.insert(0, str(HERE.parent / "common-2" / "tests"))
 
 import harness  # noqa: E402
 
--- a/review/common-2/harness.py
+++ b/review/common-2/tests/harness.py
@@ -25,7 +25,7 @@
 from pathlib import Path
 from urllib.parse import parse_qsl, urlsplit
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[3]
 RECORD_LENGTH = struct.Struct(">I")
 OFFSETS = struct.Struct(">QQ")
 NO_LINGER = struct.pack("ii", 1, 0)
@@ -441,8 +441,12 @@
     headers: dict[str, str],
     body: bytes = b"",
     timeout_s: float = 10.0,
+    on_sent: Callable[[], None] = lambda: None,
 ) -> Answer:
-    """Send one request on a channel of its own and return the answer."""
+    """Send one request on a channel of its own and return the answer.
+
+    `on_sent` is called once the request has been sent.
+    """
     writer = None
     try:
         async with asyncio.timeout(timeout_s):
@@ -452,6 +456,7 @@
             lines.append(f"Content-Length: {len(body)}")
             writer.write("\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + body)
             await writer.drain()
+            on_sent()
             return await read_answer(reader)
     except (OSError, EOFError, ValueError, TimeoutError) as error:
         return Answer(0, [("error", repr(error))], b"", keeps=False)
