--- a/review/common-2/tests/harness.py
+++ b/review/common-2/tests/harness.py
@@ -512,7 +512,9 @@
         return f"{self.prefix}.{number}"
 
     def write(self, text: str) -> None:
-        """Write a line of the record."""
+        """Write a line of the record, until it is closed."""
+        if self.record.closed:
+            return
         self.record.write(f"{time.monotonic() - self.began_at:8.3f} {text}\n")
         self.record.flush()
 
