--- a/review/6/tests/case.py
+++ b/review/6/tests/case.py
@@ -13,7 +13,7 @@
 import harness  # noqa: E402
 
 PLAY_S = 95.0
-BURST, BURST_GAP_S = 6, 0.1
+BURSTS, BURST_GAP_S = (6, 2, 2), 0.1
 WORK_S, REST_S = 0.03, 0.5
 UNFRAMED_SHARE = 0.3
 RESET_SHARE, RESET_GAP_S = 0.5, 2.0
@@ -25,19 +25,24 @@
 
     Attributes
     ----------
-    writers : set of StreamWriter
-        The open channels.
+    writers : dict of StreamWriter to str
+        The open channels, and the gateway that each comes from.
+    gateways : dict of str to str
+        The gateway to which each request was sent, by its id.
     bodies : dict of str to bytes
         The whole body of each answer, by the request's id.
     cut : set of str
         Ids of the requests whose channels were reset amid an answer without a length.
     """
 
-    def __init__(self, case: harness.Case, number: int) -> None:
+    def __init__(
+        self, case: harness.Case, number: int, gateways: dict[str, str]
+    ) -> None:
         super().__init__(case.ip(210 + number), case.port)
+        self.gateways = gateways
         self.case, self.id, self.zone = case, f"i-{number}", "abc"[number]
         self.random = random.Random(number)
-        self.writers: set[asyncio.StreamWriter] = set()
+        self.writers: dict[asyncio.StreamWriter, str] = {}
         self.bodies: dict[str, bytes] = {}
         self.cut: set[str] = set()
         self.kinds: Counter[str] = Counter()
@@ -57,12 +62,14 @@
 
     async def serve(self, reader, writer) -> None:
         """See :meth:`harness.Listener.serve`."""
-        self.writers.add(writer)
         try:
-            while await self._answer(await harness.read_request(reader), writer):
-                pass
+            while True:
+                request = await harness.read_request(reader)
+                self.writers[writer] = self.gateways[request.header("request-id")]
+                if not await self._answer(request, writer):
+                    return
         finally:
-            self.writers.discard(writer)
+            self.writers.pop(writer, None)
 
     async def _answer(self, request, writer) -> bool:
         """Run and answer a request; return whether its channel is kept."""
@@ -99,22 +106,24 @@
             await writer.drain()
         return False
 
-    def reset_some(self) -> None:
-        """Reset a share of the channels, idle ones and others."""
-        for writer in list(self.writers):
-            if self.random.random() < RESET_SHARE:
-                self.writers.discard(writer)
+    def reset_some(self, gateway: str) -> None:
+        """Reset a share of a gateway's channels, idle ones and others."""
+        for writer, name in list(self.writers.items()):
+            if name == gateway and self.random.random() < RESET_SHARE:
+                del self.writers[writer]
                 harness.reset(writer)
 
 
 async def call(
     case: harness.Case,
     gateway: harness.Gateway,
+    gateways: dict[str, str],
     answers: dict,
     sent: asyncio.Event,
 ) -> None:
     """Send one request, and record it with its answer."""
     request_id = f"{random.getrandbits(64):016x}"
+    gateways[request_id] = gateway.name
     headers = {
         "Host": "desk.example",
         "Request-Id": request_id,
@@ -131,22 +140,30 @@
 
 
 async def clients(
-    case: harness.Case, gateway: harness.Gateway, servers: list[Server], answers: dict
+    case: harness.Case,
+    gateway: harness.Gateway,
+    burst: int,
+    servers: list[Server],
+    answers: dict,
 ) -> None:
-    """Send a few requests at a time; reset channels now and then, amid them."""
+    """Send a few requests at a time to one gateway.
+
+    Amid those to the first one, some of its channels are reset now and then.
+    """
     generator = random.Random(gateway.name)
     loop = asyncio.get_running_loop()
+    is_hit = case.has_trouble and gateway is case.gateways[0]
     next_reset_at = loop.time() + RESET_GAP_S
     while True:
         sent = asyncio.Event()
-        for _ in range(BURST):
-            case.spawn(call(case, gateway, answers, sent))
-        if case.has_trouble and loop.time() >= next_reset_at:
+        for _ in range(burst):
+            case.spawn(call(case, gateway, servers[0].gateways, answers, sent))
+        if is_hit and loop.time() >= next_reset_at:
             next_reset_at += RESET_GAP_S
             await sent.wait()
-            case.write("half of the channels to the servers are reset")
+            case.write(f"half of the channels of {gateway.name} to servers are reset")
             for server in servers:
-                server.reset_some()
+                server.reset_some(gateway.name)
         await asyncio.sleep(generator.uniform(0.5, 1.5) * BURST_GAP_S)
 
 
@@ -168,20 +185,27 @@
 
 async def play(case: harness.Case) -> bool:
     """Play the case; return whether the rule was broken."""
-    servers = [Server(case, number) for number in range(2)]
+    sent_to: dict[str, str] = {}
+    servers = [Server(case, number, sent_to) for number in range(2)]
     for server in servers:
         await server.start()
         case.heartbeat(server.id, server.entry)
     routes = [harness.route("stock", "unsafe", "stock", timeout_ms=3000)]
     services = [{"name": "stock", "health_path": "/health"}]
     case.store.put("keyed.op", "config", harness.configuration(routes, services))
-    gateway = case.gateway()
-    gateway.start()
+    gateways = [case.gateway() for _ in BURSTS]
+    for gateway in gateways:
+        gateway.start()
     answers: dict[str, harness.Answer] = {}
-    await case.wait_ready(gateway)
-    work = case.spawn(clients(case, gateway, servers, answers))
+    for gateway in gateways:
+        await case.wait_ready(gateway)
+    work = [
+        case.spawn(clients(case, gateway, burst, servers, answers))
+        for gateway, burst in zip(gateways, BURSTS, strict=True)
+    ]
     await asyncio.sleep(PLAY_S)
-    work.cancel()
+    for task in work:
+        task.cancel()
     await asyncio.sleep(5.0)
     return judge(case, servers, answers)
 
