Keep the failure of a connection for all of its readers

Cause: the kernel reports the pending error of a socket once, to whichever call comes first. If that was a send or a look whether the connection is idle, the reader got no bytes and no error, as at an orderly end.

TcpStream keeps the first failure that any call meets and raises it where a read finds no more bytes. EPIPE is not kept, since it follows an orderly end. A transit node reads on when the server takes no more bytes, and tells the other node of a broken end.

--- a/packages/endive_gateway/src/endive_gateway/tcp.py
+++ b/packages/endive_gateway/src/endive_gateway/tcp.py
@@ -57,10 +57,21 @@
 
 
 class TcpStream:
-    """A TCP connection of this node's own."""
+    """A TCP connection of this node's own.
+
+    The kernel reports the failure of a connection once, to whichever call comes first;
+    later reads return ``b""``, as at an orderly end. So the failure is kept, and each
+    later read that finds no more bytes raises it.
+
+    Attributes
+    ----------
+    failure : OSError or None
+        Why the connection broke, if any call was told.
+    """
 
     def __init__(self, sock: gsocket.socket) -> None:
         self.sock = sock
+        self.failure: OSError | None = None
 
     @classmethod
     def connect(
@@ -77,15 +88,39 @@
 
     def sendall(self, data: bytes) -> None:
         """See :meth:`ByteStream.sendall`."""
-        self.sock.sendall(data)
+        try:
+            self.sock.sendall(data)
+        except BrokenPipeError:
+            raise  # the other side had ended its bytes in an orderly way before
+        except OSError as error:
+            self._note(error)
+            raise
 
     def recv(self, size: int) -> bytes:
         """See :meth:`ByteStream.recv`."""
-        return self.sock.recv(size)
+        try:
+            data = self.sock.recv(size)
+        except OSError as error:
+            self._note(error)
+            raise
+        if not data and self.failure is not None:
+            raise OSError(self.failure.errno, str(self.failure))
+        return data
 
     def is_idle(self) -> bool:
         """See :meth:`ByteStream.is_idle`."""
-        return is_idle(self.sock)
+        try:
+            self.sock._sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError as error:
+            self._note(error)
+        return False
+
+    def _note(self, error: OSError) -> None:
+        """Keep the first failure."""
+        if self.failure is None:
+            self.failure = error
 
     def close(self) -> None:
         """See :meth:`ByteStream.close`."""
--- a/packages/endive_gateway/src/endive_gateway/transit_port.py
+++ b/packages/endive_gateway/src/endive_gateway/transit_port.py
@@ -201,15 +201,28 @@
         raise ConnectionBrokenError(str(error), sent=True) from None
 
 
+def _send(upstream: TcpStream, data: bytes) -> bool:
+    """Send bytes to a server; return whether it takes more."""
+    try:
+        upstream.sendall(data)
+    except OSError as error:
+        log_event("transit_ended", error=error)
+        return False
+    return True
+
+
 def _pass_requests_on(sock: gsocket.socket, upstream: TcpStream) -> None:
     """Pass bytes to the server until the node that asked closes its connection.
 
-    The server's connection is closed too, which cancels a request in progress.
+    The server's connection is closed too, which cancels a request in progress. If the
+    server takes no more bytes, the rest is dropped: it may have answered already, and
+    reading that answer tells how the connection ended.
     """
     worker = Worker("transit to a server")
+    is_taking = True
     try:
         while data := sock.recv(READ_BYTES):
-            upstream.sendall(data)
+            is_taking = is_taking and _send(upstream, data)
             worker.checkpoint()
     except OSError as error:
         log_event("transit_ended", error=error)
--- a/packages/endive_gateway/tests/server_builders.py
+++ b/packages/endive_gateway/tests/server_builders.py
@@ -1,12 +1,17 @@
 """Builders for tests of the gateway: backend servers with scripted responses."""
 
+import struct
 import time
+from collections import Counter
 
 import gevent
 from endive_gateway.http import RequestParser
 from endive_node.sockets import listen_tcp
+from gevent import socket
 from gevent.server import StreamServer
 
+LONG_UPLOAD = bytes(900_000)
+RESET_AT_CLOSE = struct.pack("ii", 1, 0)
 EVENTS = 6
 """Events of a whole stream of `stream_from`."""
 
@@ -27,6 +32,11 @@
     An entry is called with the socket and the received request. After the last entry
     every request is answered with ``ok``, or by `answer_rest` if that is set. An entry
     that returns False ends the connection.
+
+    Attributes
+    ----------
+    reads_bodies : bool
+        Whether a request is answered only when its body has been read.
     """
 
     def __init__(self, *script, server_id="i-1", software_version="v1"):
@@ -34,6 +44,7 @@
         self.software_version = software_version
         self.script = list(script)
         self.answer_rest = ok
+        self.reads_bodies = True
         self.received = []
         self.connections = 0
         self.closed = []
@@ -52,7 +63,7 @@
         parser = RequestParser(65_536, 10_000_000)
         try:
             while True:
-                while not (parser.messages and parser.messages[0].complete):
+                while not (parser.messages and self._is_due(parser.messages[0])):
                     data = sock.recv(65_536)
                     if not data:
                         self.closed.append(time.monotonic())
@@ -68,6 +79,55 @@
         finally:
             sock.close()
 
+    def _is_due(self, message):
+        return message.complete or (message.head_done and not self.reads_bodies)
+
+
+def open_pair():
+    """Return the two ends of a TCP connection."""
+    listener = listen_tcp("127.0.0.1", 0)
+    ours = socket.create_connection(listener.getsockname())
+    theirs, _ = listener.accept()
+    listener.close()
+    return ours, socket.socket(fileno=theirs.detach())
+
+
+def reset(sock):
+    """Close a connection with a reset."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+    sock.close()
+
+
+def half_then_reset(sock, received):
+    """Send half of a stream without a length, and reset the connection."""
+    sock.sendall(_unframed_head(received) + event(1))
+    reset(sock)
+    return False
+
+
+def half_then_end(sock, received):
+    """Send a stream without a length, end it in an orderly way, and then reset."""
+    sock.sendall(_unframed_head(received) + event(1) + event(2))
+    sock.shutdown(socket.SHUT_WR)
+    gevent.sleep(0.05)
+    reset(sock)
+    return False
+
+
+def refuse_then_reset(sock, received):
+    """Refuse a request before its body is read, and reset the connection."""
+    at_capacity(sock, received)
+    reset(sock)
+    return False
+
+
+def _unframed_head(received):
+    head = (
+        f"HTTP/1.1 200 OK\r\nId: {received.headers['id']}\r\nSigned: yes\r\n"
+        "Content-Type: text/event-stream\r\n\r\n"
+    )
+    return head.encode()
+
 
 def answer(status=200, body=b"fine", *, signed=True, extra="", request_id=None):
     """Return a script entry that sends a response with a ``Content-Length``."""
