Accept only HTTP/1 responses as answers of a server

Callers got statuses 600 and 999, control bytes in a reason phrase, HTTP/2.0, HTTP/0.9 and RTSP as answers. 000, 099, 101 and interim statuses with a body kept a request waiting until its deadline, and a connection was used again after HTTP/1.0.

Cause: httptools accepts all of these, and what it accepts was taken for HTTP/1.1.

The parser of responses, now a module of its own, checks status, version, reason phrase and the framing of interim responses; what is no answer is left at once. A response that was complete before the malformed bytes is still read.

--- a/packages/endive_gateway/src/endive_gateway/attempts.py
+++ b/packages/endive_gateway/src/endive_gateway/attempts.py
@@ -18,7 +18,7 @@
     VersionMismatchError,
 )
 from endive_gateway.exchange import Exchange
-from endive_gateway.http import ResponseMessage, encode_head, end_to_end
+from endive_gateway.http import encode_head, end_to_end
 from endive_gateway.interfaces import (
     ForwardingMetadata,
     RequestMetadata,
@@ -31,6 +31,7 @@
 from endive_gateway.memory_budget import HeldMemory
 from endive_gateway.prefix_fetching import FetchTimer
 from endive_gateway.progress import Progress
+from endive_gateway.response_parser import ResponseMessage
 from endive_gateway.rollout_observation import Observation
 from endive_gateway.server_processes import Writer
 from endive_gateway.slot_leasing import SlotLease
--- a/packages/endive_gateway/src/endive_gateway/connections.py
+++ b/packages/endive_gateway/src/endive_gateway/connections.py
@@ -15,11 +15,11 @@
     ConnectionEndedError,
     TransitBrokenError,
 )
-from endive_gateway.http import ResponseMessage, ResponseParser
 from endive_gateway.interfaces import ResponseMetadata, Wire, header_value
 from endive_gateway.memory_budget import HeldMemory, ResponseMemory
 from endive_gateway.path_monitor import PathMonitor
 from endive_gateway.paths import ServerPaths
+from endive_gateway.response_parser import ResponseMessage, ResponseParser
 from endive_gateway.server_processes import Link, ServerProcesses
 from endive_gateway.tcp import ByteStream
 from endive_gateway.transit import TransitStream
@@ -60,6 +60,8 @@
         Sends the present request's body, if that is large.
     worker : Worker
         The work of reading from it.
+    malformed : BadMessageError or None
+        Why nothing that comes can be parsed any more.
     """
 
     def __init__(
@@ -76,6 +78,7 @@
         self.requests = 0
         self.reusable = True
         self.sender: gevent.Greenlet | None = None
+        self.malformed: BadMessageError | None = None
 
     def is_reusable(self, now: float) -> bool:
         """Return whether the idle connection can carry another request.
@@ -111,16 +114,20 @@
             self.reusable = False
 
     def next_message(self) -> ResponseMessage:
-        """Return the next response as soon as its head is complete.
+        """Return the next final response as soon as its head is complete.
 
         Raises
         ------
         ConnectionBrokenError
-            If the connection ends first.
+            If the connection ends first, or too many interim responses come.
         """
-        while not (self.parser.messages and self.parser.messages[0].head_done):
-            self._read()
-        return self.parser.messages[0]
+        for _ in range(MAX_SKIPPED_RESPONSES):
+            while not (self.parser.messages and self.parser.messages[0].head_done):
+                self._read()
+            if self.parser.messages[0].status >= 200:
+                return self.parser.messages[0]
+            self.parser.messages.popleft()
+        raise ConnectionBrokenError("too many interim responses", sent=True)
 
     def read_body(self, message: ResponseMessage) -> bytes:
         """Return the next bytes of the body, or ``b""`` at its end.
@@ -193,6 +200,10 @@
 
     def _read(self) -> None:
         self.worker.checkpoint()
+        if self.malformed is not None:
+            raise ConnectionBrokenError(
+                f"malformed response: {self.malformed}", sent=True
+            )
         try:
             data = self.stream.recv(READ_BYTES)
         except OSError as error:
@@ -206,11 +217,9 @@
         try:
             self.parser.feed(data)
         except BadMessageError as error:
+            # A response that was complete before is still read.
             self.reusable = False
-            if not any(message.complete for message in self.parser.messages):
-                raise ConnectionBrokenError(
-                    f"malformed response: {error}", sent=True
-                ) from None
+            self.malformed = error.with_traceback(None)
 
     def finish(self, message: ResponseMessage) -> bool:
         """Mark a response as read; return whether another request may be sent.
--- a/packages/endive_gateway/src/endive_gateway/service_client.py
+++ b/packages/endive_gateway/src/endive_gateway/service_client.py
@@ -22,7 +22,8 @@
     CallTimedOutError,
     ConnectionBrokenError,
 )
-from endive_gateway.http import ResponseMessage, encode_head
+from endive_gateway.http import encode_head
+from endive_gateway.response_parser import ResponseMessage
 from endive_gateway.tcp import PLATFORM_SILENCE_TIMEOUT_S, TcpStream
 
 
--- a/packages/endive_gateway/tests/test_http.py
+++ b/packages/endive_gateway/tests/test_http.py
@@ -1,6 +1,7 @@
 import pytest
 from endive_gateway.exceptions import BadMessageError
-from endive_gateway.http import RequestParser, ResponseParser, end_to_end
+from endive_gateway.http import RequestParser, end_to_end
+from endive_gateway.response_parser import ResponseParser
 
 HEAD = b"POST /a HTTP/1.1\r\nHost: x\r\n"
 
