Carry each request id once over a connection to a server

Cause: a late second refusal is told from the awaited answer by the id of its request alone, and a retry took the connection that had carried this id before.

The pool passes over connections that have carried the id.

--- a/packages/endive_gateway/src/endive_gateway/__init__.py
+++ b/packages/endive_gateway/src/endive_gateway/__init__.py
@@ -11,8 +11,9 @@
 - callers' connections: ``callers``, ``exchange``, ``http``, ``statuses``, ``progress``,
   ``memory_budget``, ``bounded_server``, ``refusal_reasons``
 - forwarding to servers: ``forwarding``, ``attempts``, ``failed_attempts``,
-  ``connections``, ``events``, ``placing``, ``prefix_fetching``, ``workload``,
-  ``stream_affinity``, ``part_copying``, ``server_processes``
+  ``connections``, ``carried_ids``, ``response_parser``, ``events``, ``placing``,
+  ``prefix_fetching``, ``workload``, ``stream_affinity``, ``part_copying``,
+  ``server_processes``
 - ways to the servers: ``paths``, ``path_monitor``, ``server_checks``, ``transit``,
   ``transit_port``, ``tcp``
 - the platform's state, as this node knows it: ``following``, ``configuration``,
--- a/packages/endive_gateway/src/endive_gateway/attempts.py
+++ b/packages/endive_gateway/src/endive_gateway/attempts.py
@@ -282,7 +282,9 @@
         self._check_wanted()
         self.request.servers.append(view.id)
         try:
-            self.connection = self.context.pool.acquire(view.id, view.address)
+            self.connection = self.context.pool.acquire(
+                view.id, view.address, self.request.metadata.id
+            )
         except ConnectionBrokenError as error:
             raise AttemptError(
                 f"connecting to the server failed: {error}",
@@ -310,7 +312,7 @@
         transit_node = self.request.transit_node = self.connection.transit_node
         try:
             self._send()
-            message, metadata = self.connection.read_head(self.request.metadata.id)
+            message, metadata = self.connection.read_head()
             self._handle_response(message, metadata)
         except ConnectionBrokenError as error:
             self.request.count_start_unless_stream()
@@ -341,7 +343,9 @@
 
     def _send(self) -> None:
         # Of many short headers, a list takes many times the bytes of the encoded head.
-        self.connection.send(self._encoded_head(), self.request.exchange.body)
+        self.connection.send_request(
+            self.request.metadata.id, self._encoded_head(), self.request.exchange.body
+        )
 
     def _encoded_head(self) -> bytes:
         message = self.request.exchange.message
--- a/packages/endive_gateway/src/endive_gateway/connections.py
+++ b/packages/endive_gateway/src/endive_gateway/connections.py
@@ -9,6 +9,7 @@
 
 import gevent
 
+from endive_gateway.carried_ids import CarriedIds
 from endive_gateway.exceptions import (
     BadMessageError,
     ConnectionBrokenError,
@@ -41,6 +42,9 @@
 buffers of both sides, so sending can't block on a server that answers before it has
 read the whole body."""
 
+MAX_REQUESTS = 1_000
+"""Requests that a connection to a server carries at most. It remembers their ids."""
+
 IDLE_FRACTION = 0.7
 """Fraction of a server's idle time-out after which its connection isn't used again. A
 request sent while the server closes the connection is lost."""
@@ -249,8 +253,13 @@
 class ServerConnection(Connection):
     """A connection to a backend server, whose responses carry their requests' ids.
 
+    A server may send a second, late response, which only the id tells from that to the
+    present request. So a connection carries no id twice.
+
     Attributes
     ----------
+    carried : CarriedIds
+        The ids of its requests.
     server_id : str
         The server.
     transit_node : str or None
@@ -279,12 +288,21 @@
         self.monitor = monitor
         self.repeatable = False
         self.awaited_id = ""
+        self.carried = CarriedIds()
         self.parser.is_awaited = self._is_awaited
         self.transit_node = stream.node if isinstance(stream, TransitStream) else None
 
-    def send(self, head: bytes, body: bytes) -> None:
-        """See :meth:`Connection.send`."""
-        super().send(head, body)
+    def send_request(self, request_id: str, head: bytes, body: bytes) -> None:
+        """Send the request with an id that the connection has not carried yet.
+
+        Raises
+        ------
+        ConnectionBrokenError
+            If sending fails.
+        """
+        self.awaited_id = request_id
+        self.carried.add(request_id)
+        self.send(head, body)
         if self.transit_node is None:
             self.monitor.sent(self)
 
@@ -296,25 +314,24 @@
     def finish(self, message: ResponseMessage) -> bool:
         """See :meth:`Connection.finish`."""
         self.monitor.ended(self)
-        return super().finish(message)
+        return super().finish(message) and len(self.carried) < MAX_REQUESTS
 
     def close(self) -> None:
         """See :meth:`Connection.close`."""
         self.monitor.ended(self)
         super().close()
 
-    def read_head(self, request_id: str) -> tuple[ResponseMessage, ResponseMetadata]:
-        """Return the response to `request_id` as soon as its head is complete.
+    def read_head(self) -> tuple[ResponseMessage, ResponseMetadata]:
+        """Return the response to the request as soon as its head is complete.
 
-        A server may send a second, late response to an earlier request. Such a response
-        carries another id and is discarded.
+        A second, late response to an earlier request carries another id and is
+        discarded.
 
         Raises
         ------
         ConnectionBrokenError
             If the connection ends first, or what is discarded is too long.
         """
-        self.awaited_id = request_id
         skipped = 0
         while True:
             while self.parser.messages and self.parser.messages[0].head_done:
@@ -386,21 +403,19 @@
         self.opened = 0
         self.response_memory = response_memory
 
-    def acquire(self, server_id: str, address: str) -> ServerConnection:
-        """Return an idle or new connection to a server.
+    def acquire(
+        self, server_id: str, address: str, request_id: str
+    ) -> ServerConnection:
+        """Return an idle or new connection to a server for a request.
 
         Raises
         ------
         ConnectionBrokenError
             If a new connection can't be opened.
         """
-        idle = self.idle[server_id]
-        now = time.monotonic()
-        while idle:
-            connection = idle.pop()
-            if self._is_usable(server_id, connection, now):
-                return connection
-            connection.close()
+        connection = self._take_idle(server_id, request_id)
+        if connection is not None:
+            return connection
         self.opened += 1
         entry = self.processes.entry(server_id)
         stream = self.paths.open(server_id, address)
@@ -411,6 +426,23 @@
         heads = HeldMemory(self.response_memory)
         return ServerConnection(server_id, stream, self.wire, self.monitor, link, heads)
 
+    def _take_idle(self, server_id: str, request_id: str) -> ServerConnection | None:
+        """Take the idle connection that was used last and may carry a request."""
+        idle = self.idle[server_id]
+        now = time.monotonic()
+        passed_over: list[ServerConnection] = []
+        taken = None
+        while idle and taken is None:
+            connection = idle.pop()
+            if not self._is_usable(server_id, connection, now):
+                connection.close()
+            elif request_id in connection.carried:
+                passed_over.append(connection)
+            else:
+                taken = connection
+        idle.extend(reversed(passed_over))
+        return taken
+
     def _is_usable(
         self, server_id: str, connection: ServerConnection, now: float
     ) -> bool:
--- a/packages/endive_gateway/tests/server_builders.py
+++ b/packages/endive_gateway/tests/server_builders.py
@@ -16,6 +16,38 @@
 """Events of a whole stream of `stream_from`."""
 
 
+class LateCopies:
+    """Script entries of a server that sends each refusal a second time, late.
+
+    The copy comes on the same connection when the next request has arrived there.
+
+    Attributes
+    ----------
+    refusals : int
+        Times that the server refuses each request.
+    ran : Counter of str
+        How often each request ran, by its id.
+    """
+
+    def __init__(self, refusals):
+        self.refusals = refusals
+        self.refused = Counter()
+        self.ran = Counter()
+        self.late = {}
+
+    def answer(self, sock, received):
+        """Answer a request; see :class:`ScriptedServer`."""
+        request_id = received.headers["id"]
+        sock.sendall(self.late.pop(sock, b""))
+        if self.refused[request_id] < self.refusals:
+            self.refused[request_id] += 1
+            self.late[sock] = encoded(received, 503, b"full", extra="Refused: 1\r\n")
+            at_capacity(sock, received)
+        else:
+            self.ran[request_id] += 1
+            ok(sock, received)
+
+
 class ReceivedRequest:
     """One request as a server received it."""
 
--- a/packages/endive_gateway/tests/test_leaving_servers.py
+++ b/packages/endive_gateway/tests/test_leaving_servers.py
@@ -121,8 +121,8 @@
     with RunningGateway(*servers) as running:
         pool, real_acquire = running.context.pool, running.context.pool.acquire
 
-        def acquire(server, address):
-            connection = real_acquire(server, address)
+        def acquire(server, address, request_id):
+            connection = real_acquire(server, address, request_id)
             say(running.context)
             return connection
 
--- a/packages/endive_gateway/tests/test_resting_servers.py
+++ b/packages/endive_gateway/tests/test_resting_servers.py
@@ -108,8 +108,8 @@
     with RunningGateway(*two_servers(ok)) as running:
         pool, real_acquire = running.context.pool, running.context.pool.acquire
 
-        def acquire(server, address):
-            connection = real_acquire(server, address)
+        def acquire(server, address, request_id):
+            connection = real_acquire(server, address, request_id)
             ask_for_rest(running.context)
             return connection
 
