Check and bound the answers that an endive-node reads

Cause: http.client ends a head at its first malformed line, and urllib3 reads bodies without a limit and drops the error of a body that could not be sent.

checked_http opens pools whose connections check each line of a head, bound heads, bodies and events, and leave an answer without a length whose request could not be sent whole.

--- a/packages/endive_node/src/endive_node/__init__.py
+++ b/packages/endive_node/src/endive_node/__init__.py
@@ -4,7 +4,7 @@
 
 - process: ``node``, ``settings``, ``interfaces``, ``contexts``, ``cli``, ``embedded``
 - callers: ``callers``, ``serving``, ``runs``, ``request_registry``, ``watching``
-- backend servers: ``attempts``, ``backends``, ``dispatching``,
+- backend servers: ``attempts``, ``backends``, ``checked_http``, ``dispatching``,
   ``scheduled_requests``, ``server_polling``
 - transfer of requests: ``pending_moves``, ``stream_mover``, ``handover``, ``takeover``,
   ``request_lookup``
--- a/packages/endive_node/src/endive_node/backends.py
+++ b/packages/endive_node/src/endive_node/backends.py
@@ -9,6 +9,7 @@
 from endive_core.exceptions import RetryReason
 from endive_core.messages import Piece, Request
 
+from endive_node.checked_http import open_pools, read_body
 from endive_node.interfaces import BackendError
 from endive_node.platform import CONNECT_ERRORS
 from endive_node.settings import BackendSection
@@ -21,6 +22,9 @@
 """Time-out, in seconds, of a command about one stream, and of a load request. A
 reclaim notice lasts about three seconds."""
 
+MAX_EVENT_BYTES = 262_144
+"""Largest event of an engine, bytes."""
+
 RESPONSE_END_TIMEOUT_S = 0.05
 """Seconds to wait for the end of a response after its last piece. Engines write both
 together; waiting longer costs more than a new connection."""
@@ -85,7 +89,7 @@
 
     def __init__(self, settings: BackendSection) -> None:
         self.settings = settings
-        self.pool = urllib3.PoolManager(num_pools=4096, maxsize=256, retries=False)
+        self.pool = open_pools(num_pools=4096, maxsize=256)
 
     @classmethod
     def from_settings(cls, settings: BackendSection) -> "BackendClients":
@@ -167,9 +171,12 @@
             Seconds; by default the time-outs of an attempt apply.
         """
         response = self.pool.request(
-            "GET", f"http://{address}{path}", timeout=timeout or self.timeout()
+            "GET",
+            f"http://{address}{path}",
+            timeout=timeout or self.timeout(),
+            preload_content=False,
         )
-        return msgspec.json.decode(response.data)
+        return msgspec.json.decode(read_body(response))
 
 
 class EngineServer:
@@ -235,8 +242,9 @@
                 body=msgspec.json.encode(body),
                 headers={"Content-Type": "application/json"},
                 timeout=COMMAND_TIMEOUT_S,
+                preload_content=False,
             )
-            value = msgspec.json.decode(response.data)
+            value = msgspec.json.decode(read_body(response))
         except (urllib3.exceptions.HTTPError, OSError, msgspec.DecodeError):
             return None
         return value if response.status == 200 else None
@@ -247,6 +255,8 @@
         try:
             for data in self.response.stream(READ_BYTES, decode_content=False):
                 events, buffer = split_events(buffer + data)
+                if len(buffer) > MAX_EVENT_BYTES:
+                    raise urllib3.exceptions.ProtocolError("an event is too large")
                 pieces = [decode_piece(event) for event in events if event != DONE]
                 finished = finished or any(p.finish_reason for p in pieces)
                 if pieces:
@@ -317,8 +327,10 @@
     """
     if response.status == 200:
         return
-    data = response.read()
-    response.release_conn()
+    try:
+        data = read_body(response)
+    except (urllib3.exceptions.HTTPError, OSError):
+        data = b""  # without its body no refusal counts as one
     if response.status == 503 and b'"executed":"no"' in data.replace(b" ", b""):
         raise BackendError(
             "the server is busy", started=False, reason=RetryReason.SERVER_BUSY
@@ -360,11 +372,10 @@
         if response.status == 503:
             check_status(response)
         try:
-            body = response.read()
+            body = read_body(response)
         except (urllib3.exceptions.HTTPError, OSError) as error:
             raise BackendError(
                 str(error), started=True, reason=RetryReason.SERVER_FAILED
             ) from None
-        response.release_conn()
         content_type = response.headers.get("Content-Type", "application/octet-stream")
         return PlainResponse(response.status, content_type, body)
--- a/packages/endive_node/src/endive_node/platform.py
+++ b/packages/endive_node/src/endive_node/platform.py
@@ -6,6 +6,7 @@
 import msgspec
 import urllib3
 
+from endive_node.checked_http import open_pools, read_body
 from endive_node.interfaces import (
     READ_LIMIT,
     LogEntry,
@@ -29,7 +30,7 @@
     def __init__(self, base: str, timeout_s: float) -> None:
         self.base = base
         self.timeout_s = timeout_s
-        self.pool = urllib3.PoolManager(maxsize=16, retries=False)
+        self.pool = open_pools(maxsize=16)
 
     def call(
         self, method: str, path: str, body: Any = None, *, extra_s: float = 0.0
@@ -51,8 +52,9 @@
             timeout=urllib3.Timeout(
                 connect=self.timeout_s, read=self.timeout_s + extra_s
             ),
+            preload_content=False,
         )
-        return response.status, msgspec.json.decode(response.data or b"null")
+        return response.status, msgspec.json.decode(read_body(response) or b"null")
 
 
 class HttpLog:
--- a/packages/endive_node/tests/test_backends.py
+++ b/packages/endive_node/tests/test_backends.py
@@ -1,3 +1,5 @@
+import io
+
 import gevent
 import urllib3
 from endive_node.backends import BackendClients
@@ -40,7 +42,7 @@
 
 
 def test_server_that_responds_or_hangs_did_not_crash():
-    response = urllib3.HTTPResponse(body=b"{}", status=200)
+    response = urllib3.HTTPResponse(io.BytesIO(b"{}"), preload_content=False)
     assert clients(reset(), response).is_listening("127.0.0.1:1")
     hangs = [urllib3.exceptions.ReadTimeoutError(None, "", "slow") for _ in range(9)]
     assert clients(*hangs).is_listening("127.0.0.1:1")
