Let a refusal count once its head has come

A request that a server had refused as not run waited for the rest of the refusal, or got 502, if its body was slow, missing, cut or endless (operators' report of bytes without end).

Cause: the body was read to its end before the refusal counted.

The head alone promises that the request has not run. The body is skipped for 50 ms at most; then the connection is closed.

--- a/packages/endive_gateway/src/endive_gateway/attempts.py
+++ b/packages/endive_gateway/src/endive_gateway/attempts.py
@@ -2,11 +2,13 @@
 
 from typing import Protocol
 
+import gevent
 from endive_core.calls import Ticket
 from endive_core.exceptions import RetryReason
 from endive_core.messages import ServerView
 from endive_core.pooled_servers import Outcome
 from endive_core.routing import Engine, Route, RouteKind
+from endive_node.logs import log_event
 
 from endive_gateway.connections import ServerConnection
 from endive_gateway.context import Context
@@ -49,6 +51,10 @@
 """Least time for which such a slot is leased, seconds."""
 
 
+REFUSAL_BODY_S = 0.05
+"""Longest time for which the body of a refusal is read, seconds; servers send it with
+its head. A new connection costs less than a request that waits."""
+
 MAX_HELD_BODY_BYTES = 262_144
 """Largest body that is held until it is complete, bytes. A larger one is forwarded as
 it comes, and its request is not sent again elsewhere if it breaks off."""
@@ -396,9 +402,7 @@
                 counts_as_attempt=False,
             )
         if metadata.not_run:
-            if self._has_body:
-                self.connection.skip_body(message)
-            self._keep_connection(message)
+            self._finish_refusal(message)
             rests = self.context.server_rests.is_resting(view.id)
             raise AttemptError(
                 f"the server refused the request with {message.status}",
@@ -438,10 +442,21 @@
         is_meant = metadata.server_id in ("", self.view.id)
         if not (self.request.metadata.expects_version and is_meant):
             return
+        self._finish_refusal(message)
+        raise VersionMismatchError
+
+    def _finish_refusal(self, message: ResponseMessage) -> None:
+        """Skip the body of a refusal; close the connection unless it ends soon.
+
+        The head alone promises that the request has not run.
+        """
         if self._has_body:
-            self.connection.skip_body(message)
+            try:
+                with gevent.Timeout(REFUSAL_BODY_S, False):
+                    self.connection.skip_body(message)
+            except ConnectionBrokenError as error:
+                log_event("refusal_body_left", server=self.view.id, error=error)
         self._keep_connection(message)
-        raise VersionMismatchError
 
     @property
     def _has_body(self) -> bool:
--- a/packages/endive_gateway/tests/test_endless_answers.py
+++ b/packages/endive_gateway/tests/test_endless_answers.py
@@ -163,6 +163,67 @@
     assert ends.memory < MAX_MEMORY
 
 
+def refuse_and(rest):
+    """Return a script entry that refuses a request and does not end its body soon."""
+    head = (
+        b"HTTP/1.1 503 No\r\nId: %ID\r\nRefused: 1\r\nContent-Length: 9999999\r\n\r\n"
+    )
+
+    def send(sock, received):
+        sock.sendall(head.replace(b"%ID", received.headers["id"].encode()))
+        return rest(sock)
+
+    return send
+
+
+def trickle(sock):
+    """Send a body byte by byte."""
+    for _ in range(200):
+        sock.sendall(b"x")
+        gevent.sleep(0.01)
+
+
+def flood(sock):
+    """Send a body as fast as it is read."""
+    sock.sendall(b"x" * 9_999_999)
+
+
+REFUSAL_BODIES = {
+    "a body without end": flood,
+    "a slow body": trickle,
+    "no body": lambda sock: gevent.sleep(2 * TIMEOUT_S),
+    "a cut body": lambda sock: False,
+}
+
+
+@pytest.mark.parametrize("attempts", [1, 2])
+@pytest.mark.parametrize("rest", REFUSAL_BODIES)
+def test_a_refusal_counts_whatever_follows_its_head(rest, attempts):
+    """Requests that had not run got 502, or waited for the rest of the refusal."""
+    script = [refuse_and(REFUSAL_BODIES[rest])]
+
+    def respond(*args):
+        return (script.pop() if script else ok)(*args)
+
+    servers = [ScriptedServer(server_id=name) for name in ("i-1", "i-2")]
+    for server in servers:
+        server.answer_rest = respond
+    table = make_table(
+        make_route(
+            kind=RouteKind.NON_IDEMPOTENT,
+            timeout_s=TIMEOUT_S,
+            target_s=TARGET_S,
+            max_attempts=attempts,
+        )
+    )
+    with RunningGateway(*servers, table=table) as running:
+        began_at = time.monotonic()
+        got = running.call()
+        took_s = time.monotonic() - began_at
+    assert got.status == (200 if attempts == 2 else 503)
+    assert took_s < TARGET_S
+
+
 def test_a_large_body_arrives_whole():
     body = bytes(range(256)) * 4_000
     large = ScriptedServer()
