Decide nothing again that dropped records may have decided

Cause: a log that had dropped records was read on as if nothing had been there, so a node took records of a holder whose claim it had never read for those of a former one.

The log knows up to which offset records were not read, and a record with a token of that part begins its writer's tenure. If no record is left that tells what was decided, a successor takes the windows that have ended for decided and the announced stage of a rollout for its stage. The same holds for claims that could not be decoded.

--- a/packages/endive_core/src/endive_core/leases.py
+++ b/packages/endive_core/src/endive_core/leases.py
@@ -78,7 +78,12 @@
     ----------
     is_uncertain : bool
         Whether a record after the newest claim could not be read. It may be a claim of
-        a later version of the software.
+        a later version of the software, or one that the log no longer keeps.
+    unread_end : int
+        Offset after the last record that could not be read; 0 if there is none.
+    is_history_lost : bool
+        Whether the log has dropped unread records, and none has been read since that
+        tells what they decided.
     """
 
     def __init__(self, *, lease_s: float, margin_s: float) -> None:
@@ -88,6 +93,8 @@
         self.tenure: Tenure | None = None
         self.former_holders: list[str] = []
         self.is_uncertain = False
+        self.unread_end = 0
+        self.is_history_lost = False
         self.moved_at: float | None = None
         self.peer_end = 0
         self.peer_end_at = 0.0
@@ -119,19 +126,15 @@
         """
         if record.kind is DutyKind.CLAIM:
             self.is_uncertain = False
-            if self.tenure is not None:
-                self.former_holders.append(self.tenure.holder)
-                del self.former_holders[:-4]
-            self.tenure = Tenure(record.holder, record.incarnation, offset + 1)
-            self._fold_rollouts(record)
+            self._begin_tenure(Tenure(record.holder, record.incarnation, offset + 1))
+            self._fold_decisions(record)
             return
-        if self.tenure is None:
-            # The log no longer keeps the claim; later records name the holder as well.
-            self.tenure = Tenure(record.holder, record.incarnation, record.fence)
+        if self.tenure is None or self.tenure.fence < record.fence <= self.unread_end:
+            # The claim was not read; later records name the holder as well.
+            self._begin_tenure(Tenure(record.holder, record.incarnation, record.fence))
         if not self._by_holder(record):
             return
-        self.reported = max(self.reported, record.reported)
-        self._fold_rollouts(record)
+        self._fold_decisions(record)
         if record.kind is DutyKind.RELEASE:
             self.tenure = Tenure(
                 record.holder, record.incarnation, self.tenure.fence, released=True
@@ -143,9 +146,32 @@
             for old in sorted(self.usage)[:-12]:
                 del self.usage[old]
 
-    def skip(self) -> None:
+    def _begin_tenure(self, tenure: Tenure) -> None:
+        if self.tenure is not None:
+            self.former_holders.append(self.tenure.holder)
+            del self.former_holders[:-4]
+        self.tenure = tenure
+
+    def _fold_decisions(self, record: DutyRecord) -> None:
+        """Take what a record tells of the decisions before it."""
+        self.is_history_lost = False
+        self.reported = max(self.reported, record.reported)
+        self._fold_rollouts(record)
+
+    def skip(self, offset: int) -> None:
         """Pass over a record that can't be read."""
         self.is_uncertain = True
+        self.unread_end = offset + 1
+
+    def skip_to(self, first: int) -> None:
+        """Pass over the records before offset `first`, which the log has dropped."""
+        self.is_uncertain = True
+        self.is_history_lost = True
+        self.unread_end = first
+
+    def assume_reported(self, window: int) -> None:
+        """Take the usage windows up to `window` as decided, with unknown counts."""
+        self.reported = max(self.reported, window)
 
     def _fold_rollouts(self, record: DutyRecord) -> None:
         """Take the rollouts of a record; it has all that its writer knew."""
--- a/packages/endive_core/src/endive_core/rollouts.py
+++ b/packages/endive_core/src/endive_core/rollouts.py
@@ -185,6 +185,12 @@
         number = max(self.stage.number, fence << FENCE_SHIFT) + 1
         return replace(self, stage=replace(stage, number=number), reason=reason)
 
+    def caught_up(self, announced: Stage) -> "RolloutRecord":
+        """Return the record with the stage that was announced, if that is newer."""
+        if announced.number <= self.stage.number:
+            return self
+        return replace(self, stage=announced, reason="announced before")
+
 
 class OrderBook:
     """The newest order of each service, and when the list was known to be current.
--- a/packages/endive_gateway/src/endive_gateway/duties.py
+++ b/packages/endive_gateway/src/endive_gateway/duties.py
@@ -111,7 +111,7 @@
         try:
             self.step()
         except StoreOffsetOutOfRangeError as error:
-            self.next_offset = error.first
+            self._skip_to(error.first)
         except StoreConflictError:
             self._read_ignoring_errors()
         except StoreError as error:
@@ -187,6 +187,8 @@
         self._read()
         if not self.log.may_claim(self.node_name, boot_time()):
             return
+        if self.log.is_history_lost:
+            self._assume_lost_decisions()
         sent_at = boot_time()
         offset = self._append(DutyKind.CLAIM, {})
         self.lease.extend(offset + 1, sent_at, self.log)
@@ -195,6 +197,23 @@
         self.sent_windows.clear()
         log_event("duties_claimed", fence=self.lease.fence)
 
+    def _assume_lost_decisions(self) -> None:
+        """Take all for decided that dropped records may have decided.
+
+        A window that was reported must not be reported again with other counts, and a
+        rollout must not go back to a stage before the one that was announced last.
+        """
+        newest = self.context.meter.window_of(self.context.cluster_clock.now()) - 1
+        self.log.assume_reported(newest)
+        for service, rollout in self.context.rollouts.rollouts.items():
+            if not rollout.stage.number:
+                continue
+            record = self.log.rollouts.get(service)
+            if record is None or record.order.offset != rollout.order.offset:
+                record = RolloutRecord(rollout.order)
+            self.log.rollouts[service] = record.caught_up(rollout.stage)
+        log_event("duties_history_assumed", reported=newest)
+
     # Holding
 
     def _act_as_holder(self) -> None:
@@ -308,7 +327,7 @@
             except UndecodableError as error:
                 log_event("duty_undecodable", offset=entry.offset, error=error)
                 self.last_record = None
-                self.log.skip()
+                self.log.skip(entry.offset)
                 continue
             self.last_record = record
             self.log.fold(entry.offset, record)
@@ -318,10 +337,17 @@
         try:
             self._read()
         except StoreOffsetOutOfRangeError as error:
-            self.next_offset = error.first
+            self._skip_to(error.first)
         except StoreError as error:
             log_event("duties_store_failed", error=error)
 
+    def _skip_to(self, first: int) -> None:
+        """Go on at the first record that the store retains."""
+        log_event("duties_records_lost", unread=self.next_offset, first=first)
+        self.next_offset = first
+        self.last_record = None
+        self.log.skip_to(first)
+
     # Usage
 
     def _report_usage(self) -> None:
--- a/packages/endive_gateway/tests/duty_builders.py
+++ b/packages/endive_gateway/tests/duty_builders.py
@@ -1,11 +1,75 @@
-"""Builders of records of the duties' log that no holder of the duties writes."""
+"""Builders of nodes with duties, and of records that no holder of the duties writes."""
 
 import json
+import time
+
+from endive_gateway import duties as duties_module
+from endive_gateway import peers as peers_module
+from endive_gateway.autoscaling import Autoscaler
+from endive_gateway.duties import Duties
+from endive_gateway.exceptions import StoreError
+from endive_gateway.peers import Peers
+from gateway_builders import freeze_time, make_context, make_table
+
+WALL = 1_000_000.0
+WINDOW_S = 5.0
 
 DEEP = 100_000
 LONG_NUMBER = "9" * 400
 
 
+class Clock:
+    """The boot clock and the monotonic clock of the duties, advanced by a test."""
+
+    def __init__(self):
+        self.time = time.monotonic()
+
+    @classmethod
+    def installed(cls, monkeypatch):
+        """Return a clock that the duties of all nodes use."""
+        made = cls()
+        monkeypatch.setattr(duties_module, "boot_time", made.now)
+        monkeypatch.setattr(duties_module.time, "monotonic", made.now)
+        monkeypatch.setattr(peers_module, "boot_time", made.now)
+        return made
+
+    def now(self):
+        return self.time
+
+
+class Node:
+    """One node's duties with a shared store and cloud."""
+
+    def __init__(self, name, store, cloud):
+        self.context = make_context(make_table(), store=store, cloud=cloud, node=name)
+        self.context.started_at -= 3600
+        self.peers = Peers(self.context)
+        self.duties = Duties(
+            self.context, self.peers, Autoscaler(self.context, self.peers)
+        )
+        self.at(WALL)
+
+    def at(self, wall):
+        freeze_time(self.context, wall)
+
+    def step(self):
+        try:
+            self.duties.step()
+        except StoreError as error:
+            return error
+        return None
+
+    @property
+    def holds(self):
+        return self.duties._is_holder()
+
+
+def begin(node, window, count, organisation="o"):
+    """Count requests that began in a usage window at a node."""
+    for _ in range(count):
+        node.context.meter.begin(organisation, window * WINDOW_S + 1)
+
+
 def odd_duty_records(holder, incarnation, fence):
     """Return records that can't be taken for one of a holder, by what is wrong."""
     sound = {
--- a/packages/endive_gateway/tests/test_duties.py
+++ b/packages/endive_gateway/tests/test_duties.py
@@ -3,24 +3,18 @@
 import gevent
 import msgspec
 import pytest
-from duty_builders import odd_duty_records
+from duty_builders import WALL, WINDOW_S, Clock, Node, begin, odd_duty_records
 from endive_core.leases import DutyKind, DutyRecord
 from endive_core.rollouts import RolloutOrder, RolloutRecord, Stage, StageKind
-from endive_gateway import duties as duties_module
-from endive_gateway import peers as peers_module
-from endive_gateway.autoscaling import Autoscaler
 from endive_gateway.duties import (
     LEASE_MARGIN_S,
     LEASE_S,
     RANK_DELAY_S,
-    Duties,
     rollouts_body,
 )
 from endive_gateway.duty_records import decode_duty_record
-from endive_gateway.exceptions import StoreError, StoreOutcomeUnknownError
+from endive_gateway.exceptions import StoreOutcomeUnknownError
 from endive_gateway.interfaces import Record, Topic
-from endive_gateway.peers import Peers
-from gateway_builders import freeze_time, make_context, make_table
 from gevent.event import Event
 from store_builders import (
     MemoryStore,
@@ -29,55 +23,12 @@
     store_down,
 )
 
-WALL = 1_000_000.0
-WINDOW_S = 5.0
 ORDER = RolloutOrder("s", "v2", 30.0, 5, 1.5)
 
 
-class Clock:
-    """The boot clock and the monotonic clock of the duties, advanced by a test."""
-
-    def __init__(self):
-        self.time = time.monotonic()
-
-    def now(self):
-        return self.time
-
-
 @pytest.fixture
 def clock(monkeypatch):
-    made = Clock()
-    monkeypatch.setattr(duties_module, "boot_time", made.now)
-    monkeypatch.setattr(duties_module.time, "monotonic", made.now)
-    monkeypatch.setattr(peers_module, "boot_time", made.now)
-    return made
-
-
-class Node:
-    """One node's duties with a shared store and cloud."""
-
-    def __init__(self, name, store, cloud):
-        self.context = make_context(make_table(), store=store, cloud=cloud, node=name)
-        self.context.started_at -= 3600
-        self.peers = Peers(self.context)
-        self.duties = Duties(
-            self.context, self.peers, Autoscaler(self.context, self.peers)
-        )
-        self.at(WALL)
-
-    def at(self, wall):
-        freeze_time(self.context, wall)
-
-    def step(self):
-        try:
-            self.duties.step()
-        except StoreError as error:
-            return error
-        return None
-
-    @property
-    def holds(self):
-        return self.duties._is_holder()
+    return Clock.installed(monkeypatch)
 
 
 @pytest.fixture
@@ -90,11 +41,6 @@
     return RecordingCloud()
 
 
-def begin(node, window, count, organisation="o"):
-    for _ in range(count):
-        node.context.meter.begin(organisation, window * WINDOW_S + 1)
-
-
 def test_one_of_two_claimants_becomes_the_holder(clock, store, cloud):
     first, second = Node("a", store, cloud), Node("b", store, cloud)
     first.step()
