Refuse at once what a stopping node can't answer before its end

In a planned stop, requests that came late in the grace period were sent to servers and cut at its end, among them some that may not be repeated (LOST).

From SIGTERM on a request is sent only if its deadline, or the slowest response of its route in the last 30 to 60 s, comes before the node's end. Others get 503 with Retry-After at once, also while they are read, wait for a server or for their turn.

--- a/packages/endive_core/src/endive_core/__init__.py
+++ b/packages/endive_core/src/endive_core/__init__.py
@@ -13,7 +13,7 @@
   ``servers``, ``backlogs``, ``prefilling``, ``first_tokens``, ``server_speed``,
   ``placement_explanation``
 - failures: ``failures``, ``retrying``, ``crashes``, ``crash_news``, ``outliers``,
-  ``ejection``, ``response_times``, ``call_pacing``
+  ``ejection``, ``response_times``, ``call_pacing``, ``planned_stop``
 - parts of prompts that crash servers: ``part_reports``, ``part_crashes``,
   ``part_trials``
 - streams that go on: ``stream_origins``, ``possible_origins``
--- a/packages/endive_gateway/src/endive_gateway/callers.py
+++ b/packages/endive_gateway/src/endive_gateway/callers.py
@@ -21,6 +21,7 @@
     CallerGoneError,
     NodeStoppingError,
     NoRoomError,
+    StoppingError,
 )
 from endive_gateway.exchange import (
     OWN_RESPONSE_TIMEOUT_S,
@@ -177,6 +178,12 @@
         for connection in list(self.connections):
             get_hub().loop.run_callback(connection.refuse_unanswered)
 
+    def refuse_hopeless(self) -> None:
+        """Refuse the requests that wait and can't be answered before the node's end."""
+        for connection in list(self.connections):
+            if connection.is_hopeless:
+                get_hub().loop.run_callback(connection.refuse_hopeless)
+
     def close_idle(self) -> None:
         """Close the connections without a request in progress."""
         for connection in list(self.connections):
@@ -214,7 +221,7 @@
         try:
             while self._serve_next():
                 pass
-        except (CallerGoneError, OSError):
+        except (CallerGoneError, NodeStoppingError, OSError):
             pass
         finally:
             self.parser.release()
@@ -226,12 +233,33 @@
         """Whether a request is in progress, or has come and was not read yet."""
         return self.sock.fileno() >= 0 and not (self.idle and is_idle(self.sock))
 
+    @property
+    def is_hopeless(self) -> bool:
+        """Whether a request waits that can't be answered before the node's end."""
+        exchange = self.exchange
+        return (
+            exchange is not None
+            and not exchange.response_started
+            and exchange.is_hopeless()
+        )
+
+    @property
+    def is_reading(self) -> bool:
+        """Whether a part of a request has come, and the rest is awaited."""
+        return self.exchange is None and not self.idle and not self.is_drained
+
     def refuse_unanswered(self) -> None:
         """Give up the present request, unless its response has begun.
 
         Called by the hub, so that no response begins before the exception is raised.
         """
-        if self.exchange is not None and not self.exchange.response_started:
+        is_unanswered = self.exchange and not self.exchange.response_started
+        if is_unanswered or self.is_reading:
+            self.greenlet.throw(NodeStoppingError)
+
+    def refuse_hopeless(self) -> None:
+        """Give up a request that waits in vain; called by the hub."""
+        if self.is_hopeless:
             self.greenlet.throw(NodeStoppingError)
 
     def close_if_idle(self) -> None:
@@ -252,15 +280,21 @@
         except BadMessageError as error:
             # Its traceback would keep what was read.
             rejection = error.with_traceback(None)
+        except NodeStoppingError:
+            rejection = StoppingError("the node stops before the request was read")
         finally:
             self.listener.waiting.pop(self, None)
+        if message is not None and message.held.body > USUAL_BODY_BYTES:
+            try:
+                self.worker.before_long_work()
+            except NodeStoppingError:
+                message.release()
+                rejection = StoppingError("the node stops before the request's turn")
         if rejection is not None:
             self._reject(rejection)
             return False
         if message is None:
             return False
-        if message.held.body > USUAL_BODY_BYTES:
-            self.worker.before_long_work()
         exchange = Exchange(
             self.sock, message, received_at, lambda: self.listener.stopping
         )
@@ -278,8 +312,11 @@
 
     def _reject(self, error: BadMessageError) -> None:
         """Answer a request that was not read, and close the connection."""
-        no_room = isinstance(error, NoRoomError)
-        reason = RefusalReason.HEAD_MEMORY if no_room else RefusalReason.MALFORMED
+        reason = RefusalReason.MALFORMED
+        if isinstance(error, StoppingError):
+            reason = RefusalReason.STOPPING
+        elif isinstance(error, NoRoomError):
+            reason = RefusalReason.HEAD_MEMORY
         self.listener.refusals.add(reason, status=error.status, error=error)
         self.parser.release()
         with timeout(self.sock, OWN_RESPONSE_TIMEOUT_S):
@@ -391,7 +428,7 @@
         (b"Content-Length", b"%d" % len(body)),
         (b"Connection", b"close"),
     ]
-    if isinstance(error, NoRoomError):
+    if isinstance(error, (NoRoomError, StoppingError)):
         headers.append((b"Retry-After", b"%.3f" % DEFAULT_RETRY_AFTER_S))
     return encode_head(status_line(error.status), headers) + body
 
--- a/packages/endive_gateway/src/endive_gateway/context.py
+++ b/packages/endive_gateway/src/endive_gateway/context.py
@@ -6,6 +6,7 @@
 
 from endive_core.clocks import ClusterClock
 from endive_core.metering import UsageMeter
+from endive_core.planned_stop import PlannedStop
 from endive_core.possible_origins import Confirmations
 from endive_core.retrying import FleetRetryBudget
 from endive_core.routing import CallerLimits, OrganisationLimits, RoutingTable
@@ -137,6 +138,8 @@
         Set once the configuration and the list of servers have been read.
     incarnation : int
         Identifies this start of the node, and grows with each start.
+    planned_stop : PlannedStop
+        When this node ends, if it stops, and which requests it can answer until then.
     reported : int
         Newest usage window that any node is known to have reported.
     """
@@ -279,6 +282,7 @@
         self.registry.listeners.append(self._update_initialised)
         self.started_at = time.monotonic()
         self.placer.trials.informed_from = self.started_at + CRASHES_LEARNED_S
+        self.planned_stop = PlannedStop()
         self.reported = -1
 
     def apply_settings(self, settings: GatewaySettings) -> None:
--- a/packages/endive_gateway/src/endive_gateway/exceptions.py
+++ b/packages/endive_gateway/src/endive_gateway/exceptions.py
@@ -88,6 +88,13 @@
         super().__init__(message, 503)
 
 
+class StoppingError(BadMessageError):
+    """A request that was not read before its node's end."""
+
+    def __init__(self, message: str) -> None:
+        super().__init__(message, 503)
+
+
 class ConnectionBrokenError(Exception):
     """A connection to a server that could not be opened, failed or ended early.
 
--- a/packages/endive_gateway/src/endive_gateway/exchange.py
+++ b/packages/endive_gateway/src/endive_gateway/exchange.py
@@ -19,6 +19,11 @@
 of the socket unless the caller has left many responses unread."""
 
 
+def is_never_hopeless() -> bool:
+    """Return that a request may be answered before the node's end."""
+    return False
+
+
 class Exchange:
     """One request of a caller, and the state of its response.
 
@@ -28,6 +33,8 @@
         When its first byte came, seconds on the monotonic clock.
     response_started : bool
         Whether any byte of a response has been sent.
+    is_hopeless : callable
+        Returns whether the request waits and can't be answered before the node's end.
     """
 
     def __init__(
@@ -44,6 +51,7 @@
         self.response_started = False
         self.broken = False
         self.is_closing = is_closing
+        self.is_hopeless: Callable[[], bool] = is_never_hopeless
 
     @property
     def keep_alive(self) -> bool:
--- a/packages/endive_gateway/src/endive_gateway/forwarding.py
+++ b/packages/endive_gateway/src/endive_gateway/forwarding.py
@@ -25,7 +25,7 @@
     RequestTimeoutError,
     ResponseForwardedError,
 )
-from endive_gateway.exchange import Exchange
+from endive_gateway.exchange import Exchange, is_never_hopeless
 from endive_gateway.failed_attempts import FailedAttempt
 from endive_gateway.http import host_name
 from endive_gateway.interfaces import (
@@ -103,6 +103,7 @@
     def __init__(self, context: Context, exchange: Exchange) -> None:
         self.context = context
         self.exchange = exchange
+        self.read_at = time.monotonic()
         self.metadata = RequestMetadata("")
         self.progress = Progress(exchange.received_at)
         self.route: Route | None = None
@@ -139,6 +140,7 @@
 
     def run(self) -> None:
         """Process the request and answer it in every case."""
+        self.exchange.is_hopeless = self._is_hopeless
         try:
             self._check()
             with gevent.Timeout(
@@ -162,6 +164,8 @@
             self._refuse(EndiveError(ErrorKind.INTERNAL, repr(error)))
         finally:
             self._finish()
+            # A reference cycle would keep what the request holds for a while.
+            self.exchange.is_hopeless = is_never_hopeless
 
     # Checks and admission
 
@@ -220,6 +224,24 @@
             raise EndiveError(
                 ErrorKind.DEADLINE_EXCEEDED, "too little time is left for a response"
             )
+        if not self._ends_before_node():
+            raise EndiveError(
+                ErrorKind.STOPPING, "the node stops before it could be answered"
+            )
+
+    def _ends_before_node(self) -> bool:
+        """Return whether the request can be answered before a planned stop ends."""
+        left_s = self.left_s() + RESPONSE_GRACE_S
+        stop = self.context.planned_stop
+        return stop.can_answer(self.route.name, left_s, self.now)
+
+    def _is_hopeless(self) -> bool:
+        """Return whether the request waits and can't be answered before a stop ends."""
+        return (
+            self.route is not None
+            and not self.in_flight
+            and not self._ends_before_node()
+        )
 
     def _admit(self) -> None:
         self.check_time()
@@ -579,6 +601,9 @@
         metrics.outcomes[self.outcome or "failed"] += 1
         if self.outcome == "ok":
             metrics.response_times.observe(self.now - self.exchange.received_at)
+            self.context.planned_stop.slowest.observe(
+                self.route.name, self.now - self.read_at, self.now
+            )
 
     def count_start_unless_stream(self) -> None:
         """Count the start of a non-streaming request whose response was lost."""
--- a/packages/endive_gateway/src/endive_gateway/gateway.py
+++ b/packages/endive_gateway/src/endive_gateway/gateway.py
@@ -40,8 +40,8 @@
 """Time between two checks of a stopping node for unfinished requests, seconds."""
 
 ANSWERING_S = 0.1
-"""Time before the end of a drain at which requests whose responses have not begun are
-refused, seconds."""
+"""Time before the end of a drain at which requests are refused that have not been read
+whole, or whose responses have not begun, seconds."""
 
 EXIT_MARGIN_S = 0.4
 """Time before the end of the grace period at which the process exits, seconds. It then
@@ -281,9 +281,11 @@
         gevent.spawn(self.duties.release)
         grace = self.settings.bounds.grace_s - EXIT_MARGIN_S
         end = self.stopping_at + grace
-        gevent.sleep(min(DEREGISTRATION_S, grace))
-        # A request accepted after this point could last longer than the grace period,
-        # and the process would exit in the middle of its response.
+        self.context.planned_stop.ends_at = end - ANSWERING_S
+        deregistered_at = self.stopping_at + min(DEREGISTRATION_S, grace)
+        while time.monotonic() < deregistered_at:
+            self.callers.refuse_hopeless()
+            gevent.sleep(DRAIN_POLL_S)
         self.callers.stop_accepting()
         self._wait_until_idle(end - ANSWERING_S)
         self.callers.refuse_unanswered()
@@ -297,4 +299,5 @@
         """Wait until all requests are answered, at most until `end`."""
         while time.monotonic() < end and (self.callers.busy or self.transit.carried):
             self.callers.close_idle()
+            self.callers.refuse_hopeless()
             gevent.sleep(DRAIN_POLL_S)
--- a/packages/endive_gateway/src/endive_gateway/refusal_reasons.py
+++ b/packages/endive_gateway/src/endive_gateway/refusal_reasons.py
@@ -13,3 +13,4 @@
     PORT_CLOSED = "port_closed"
     PORT_BROKEN = "port_broken"
     MALFORMED = "malformed"
+    STOPPING = "stopping"
