Take a server for its entry's process once a heartbeat has passed

It writes its entry about once in a heartbeat, 1.2 s by default.

A read of the servers proves where a connection leads only if it began 1.25 heartbeats after the connection was open, with the heartbeat from the settings; the same holds for what owners of a stream are told. What waits for that proof waits until 1.5 s after it is due.

--- a/packages/endive_gateway/src/endive_gateway/context.py
+++ b/packages/endive_gateway/src/endive_gateway/context.py
@@ -187,7 +187,7 @@
         self.path_monitor = PathMonitor(self.paths, self.checks)
         self.path_monitor.on_silent = self.placer.pause_silent
         self.prefix_fetching.is_silent = self.path_monitor.silent.__contains__
-        self.processes = ServerProcesses(self.registry)
+        self.processes = ServerProcesses(self.registry, settings.server_heartbeat_s)
         self.pool = ConnectionPool(
             wire,
             self.paths,
--- a/packages/endive_gateway/src/endive_gateway/forwarding.py
+++ b/packages/endive_gateway/src/endive_gateway/forwarding.py
@@ -56,10 +56,6 @@
 server can be expected to answer in less. Half of all first tokens come within a
 twentieth of their targets, but no complete response does."""
 
-WRITER_WAIT_S = 1.5
-"""Longest time for which a stream that is to go on waits until it is known which
-process began it, or answers now, seconds: two reads of the servers."""
-
 WRITER_KNOWN_S = 10.0
 """Time for which that is waited for on behalf of other nodes, seconds."""
 
@@ -83,6 +79,8 @@
 
     Attributes
     ----------
+    read_at : float
+        When the request had been read whole, seconds on the monotonic clock.
     may_have_run : bool
         Whether any server may have run the request.
     start_counted : bool
@@ -410,7 +408,9 @@
         """Check that a stream goes on at its version; raises AttemptError if not."""
         if not self.route.resumable or self.ticket.version is None:
             return
-        if self.writer is not self.began_at and not self.writer.wait(WRITER_WAIT_S):
+        if self.writer is self.began_at:
+            return
+        if not self.writer.wait(self.writer.known_in_s):
             raise AttemptError(
                 "it is not known which process of the server answers",
                 RetryReason.ORIGIN_UNRECORDED,
@@ -483,7 +483,7 @@
         """
         if self.began_at is None:
             return
-        if not self.began_at.wait(min(WRITER_WAIT_S, self.left_s())):
+        if not self.began_at.wait(min(self.began_at.known_in_s, self.left_s())):
             self.ticket.version = UNKNOWN_VERSION
         entry = self.began_at.entry
         known = self.context.registry.get(entry.id)
--- a/packages/endive_gateway/src/endive_gateway/interfaces.py
+++ b/packages/endive_gateway/src/endive_gateway/interfaces.py
@@ -560,6 +560,8 @@
         Whether the whole system starts for the first time.
     machine : Machine
         What the process may take of its machine.
+    server_heartbeat_s : float
+        Time between two entries that a server writes, approximately, seconds.
     """
 
     location: NodeLocation
@@ -570,6 +572,7 @@
     pools_slots: bool = True
     is_first_start: bool = False
     machine: Machine = Machine()
+    server_heartbeat_s: float = 1.2
 
 
 def header_value(headers: Iterable[tuple[bytes, bytes]], name: bytes) -> bytes:
--- a/packages/endive_gateway/src/endive_gateway/server_processes.py
+++ b/packages/endive_gateway/src/endive_gateway/server_processes.py
@@ -1,10 +1,10 @@
 """Tells which process of a server a connection leads to.
 
 A server may start again under its id, with other software, and answer requests before
-its new entry is read. Its process lives at least as long as its connections, and it
-registers when it begins to listen. So a connection leads to the process of an entry if
-a later read of the servers still finds that entry. A further connection leads there too
-if it is opened while such a one is open.
+its new entry is written and read. Its process lives at least as long as its
+connections, and writes its entry once in each heartbeat. So a connection leads to the
+process of an entry if a read of the servers still finds that entry when a heartbeat has
+passed. A further connection leads there too if it is opened while such a one is open.
 """
 
 import time
@@ -19,8 +19,12 @@
 from endive_gateway.servers import ServerRegistry
 from endive_gateway.tcp import ByteStream
 
-REGISTRATION_S = 0.2
-"""Time after a server begins to listen until the store has its entry, seconds."""
+REGISTRATION_HEARTBEATS = 1.25
+"""Longest time after a server begins to listen until the store has its entry, in
+heartbeats: servers keep to theirs only approximately."""
+
+READS_S = 1.5
+"""Time within which the servers are read twice, seconds."""
 
 MAX_UNSEEN_S = 2.0
 """Time between two reads of the servers within which none is taken to start twice,
@@ -74,10 +78,14 @@
     read_at : callable
         Returns when the read began that the known servers stem from, seconds on the
         monotonic clock.
+    registration_s : float
+        Longest time after a server begins to listen until the store has its entry,
+        seconds.
     """
 
-    def __init__(self, registry: ServerRegistry) -> None:
+    def __init__(self, registry: ServerRegistry, heartbeat_s: float) -> None:
         self.registry = registry
+        self.registration_s = REGISTRATION_HEARTBEATS * heartbeat_s
         self.read_at: Callable[[], float] = lambda: float("inf")
         self.links: defaultdict[str, WeakSet[Link]] = defaultdict(WeakSet)
 
@@ -122,8 +130,12 @@
 
     def is_proven(self, link: Link) -> bool:
         """Return whether it is known to which version a connection leads."""
-        if not link.is_proven and self.read_at() >= link.opened_at + REGISTRATION_S:
-            link.is_proven = self.may_prove(link)
+        if not link.is_proven and self.may_prove(link):
+            if self.entry(link.server_id).incarnation == link.incarnation:
+                link.is_proven = self._is_registered_since(link.opened_at)
+            else:
+                # It leads to the former process or to the new one, which are alike.
+                link.is_proven = self.read_at() >= link.opened_at
         return link.is_proven
 
     def may_prove(self, link: Link) -> bool:
@@ -151,7 +163,11 @@
         """
         known = self.entry(server_id)
         is_same = known is not None and known.incarnation == incarnation
-        return is_same and self.read_at() >= open_at + REGISTRATION_S
+        return is_same and self._is_registered_since(open_at)
+
+    def _is_registered_since(self, open_at: float) -> bool:
+        """Return whether the known servers include all that listened at a time."""
+        return self.read_at() >= open_at + self.registration_s
 
     def writer(self, link: Link, entry: ServerEntry) -> "Writer":
         """Return the process that answers over a connection."""
@@ -186,6 +202,15 @@
         is_other = self.link.incarnation != self.entry.incarnation
         return is_other or not self.processes.may_prove(self.link)
 
+    @property
+    def known_in_s(self) -> float:
+        """Longest time until it is known which process answers, seconds.
+
+        It is known by then if the servers are read as usual.
+        """
+        registered_at = self.link.opened_at + self.processes.registration_s
+        return max(0.0, registered_at - time.monotonic()) + READS_S
+
     def wait(self, seconds: float) -> bool:
         """Wait until it is known which process answers; return whether it is."""
         end = time.monotonic() + seconds
--- a/packages/endive_gateway/tests/test_origin_claims.py
+++ b/packages/endive_gateway/tests/test_origin_claims.py
@@ -8,13 +8,15 @@
 from endive_gateway.origin_claims import OriginClaim, OriginClaims
 from endive_gateway.origin_exchange import OriginExchange
 from endive_gateway.origin_messages import OriginNote
-from endive_gateway.server_processes import REGISTRATION_S, ServerProcesses
+from endive_gateway.server_processes import ServerProcesses
 from endive_gateway.servers import ServerRegistry
 from gateway_builders import make_entry
 from test_stream_origins import FLEETS, LEFT_S, STREAMS, FleetOfExchanges
 
 ORIGIN = StreamOrigin("s", "v1")
 CLAIM = OriginClaim(ORIGIN, "i-1", 1)
+HEARTBEAT_S = 1.2
+REGISTERED_S = ServerProcesses(ServerRegistry(), HEARTBEAT_S).registration_s
 SETTLING_S = 0.3
 KEY = stream_key("o", "q")
 
@@ -164,11 +166,11 @@
 @pytest.mark.parametrize(
     ("read_after_s", "incarnation", "is_true"),
     [
-        (REGISTRATION_S, 1, True),
-        (REGISTRATION_S - 0.01, 1, False),
+        (REGISTERED_S, 1, True),
+        (REGISTERED_S - 0.01, 1, False),
         (-1.0, 1, False),
-        (REGISTRATION_S, 2, False),
-        (REGISTRATION_S, None, False),
+        (REGISTERED_S, 2, False),
+        (REGISTERED_S, None, False),
     ],
 )
 def test_only_a_later_read_that_finds_the_entry_confirms_a_claim(
@@ -176,7 +178,7 @@
 ):
     """Guards against a guess at the software of a server that has started again."""
     registry = ServerRegistry()
-    processes = ServerProcesses(registry)
+    processes = ServerProcesses(registry, HEARTBEAT_S)
     told_at = time.monotonic()
     processes.read_at = lambda: told_at + read_after_s
     if incarnation is not None:
--- a/packages/endive_gateway/tests/test_server_processes.py
+++ b/packages/endive_gateway/tests/test_server_processes.py
@@ -14,7 +14,6 @@
 )
 from endive_gateway.server_processes import (
     MAX_UNSEEN_S,
-    REGISTRATION_S,
     ServerProcesses,
 )
 from endive_gateway.servers import ServerRegistry
@@ -31,6 +30,9 @@
 READ_S = 0.4
 """Time until the servers are read again, seconds."""
 
+HEARTBEAT_S = 1.2
+"""Time between two entries that a server writes, seconds; the settings' default."""
+
 
 class UnreadServers:
     """A gateway that reads its servers' entries only when it is told to."""
@@ -91,6 +93,19 @@
     assert not response.whole
 
 
+def test_a_process_that_registers_late_joins_no_stream(unread):
+    """Guards against reads that find the former entry of a process that serves."""
+    nodes = unread("b", "a")
+    nodes.servers[1].script = [stream_from("a")] * 10
+    processes = nodes.running.context.processes
+    began_at = time.monotonic()
+    processes.read_at = time.monotonic
+    gevent.spawn_later(HEARTBEAT_S / 2, nodes.read, i_0="b")
+    response = nodes.running.call()
+    assert len(versions_in(response.body)) == 1
+    assert time.monotonic() - began_at < HEARTBEAT_S
+
+
 def test_a_stream_goes_on_once_its_process_is_known(unread):
     """Guards against streams that are refused although no version has changed."""
     nodes = unread("a", "a")
@@ -201,7 +216,7 @@
 def processes():
     registry = ServerRegistry()
     registry.put(make_entry("i-1", incarnation=1, software_version="a"))
-    found = ServerProcesses(registry)
+    found = ServerProcesses(registry, HEARTBEAT_S)
     found.read_at = lambda: 0.0
     return found
 
@@ -227,7 +242,7 @@
 ):
     """Guards against streams that can't go on whenever the store doesn't answer."""
     old = open_link(processes, **first)
-    processes.read_at = lambda: old.opened_at + REGISTRATION_S
+    processes.read_at = lambda: old.opened_at + processes.registration_s
     assert processes.is_proven(old)
     new = open_link(processes, **second)
     processes.read_at = lambda: 0.0
@@ -235,9 +250,9 @@
 
 
 def test_a_read_that_a_server_may_have_registered_after_proves_nothing(processes):
-    """Guards against a process that listens a moment before its entry is written."""
+    """Guards against a process that listens for a heartbeat before it is registered."""
     link = open_link(processes)
-    processes.read_at = lambda: link.opened_at + REGISTRATION_S / 2
+    processes.read_at = lambda: link.opened_at + HEARTBEAT_S
     assert not processes.is_proven(link)
 
 
--- a/tests/test_platform_rollouts.py
+++ b/tests/test_platform_rollouts.py
@@ -107,3 +107,8 @@
     assert (bounds.exposure_share, bounds.exposure_slack) == (0.2, 10)
     assert bounds.rollback_s == 4.0
     assert settings().contracts == frozenset()
+
+
+def test_the_servers_heartbeat_is_read_from_the_settings():
+    """Guards against a node that takes a process for known before it must register."""
+    assert settings(heartbeat_ms=600).server_heartbeat_s == 0.6
