Vouch for no version before the servers have been read

Cause: a recorder that had just started and had read neither servers nor configuration told another node that the only listed version is certain. That it was this node that answered is inferred from its log; the answer itself is not logged.

Such a recorder answers that it can't tell.

test_a_recorder_that_has_read_no_servers_vouches_for_no_version failed before with 1, 2 and 6 nodes.

--- a/packages/endive_gateway/src/endive_gateway/origin_recorder.py
+++ b/packages/endive_gateway/src/endive_gateway/origin_recorder.py
@@ -5,6 +5,7 @@
 together share the calls, so their number depends on neither the nodes nor the streams.
 """
 
+import math
 import time
 from collections import deque
 from collections.abc import Callable, Iterable
@@ -358,6 +359,8 @@
         """Return what the list and the log, as they were just read, tell."""
         origins = self.origins.origins(job.host, job.path) if self.origins else ()
         certain = self._only_origin(job)
+        if certain is not None and math.isinf(self.view.age_s()):
+            return Finding()  # servers of other versions may be there
         if certain is not None:
             return Finding(certain, "certain", 1)
         origin = self.recorded.origin(job.key, time.monotonic())
--- a/packages/endive_gateway/tests/origin_builders.py
+++ b/packages/endive_gateway/tests/origin_builders.py
@@ -156,3 +156,9 @@
     view.refresh()
     node.view = node.recorder.view = view
     node.recorders = tuple
+
+
+def forget_servers(fleet, node):
+    """Let a node know what one does that has just started, before it has read any."""
+    cut_off(fleet, node)
+    node.view.ages_s = [lambda: -1.0]
--- a/packages/endive_gateway/tests/test_origin_records.py
+++ b/packages/endive_gateway/tests/test_origin_records.py
@@ -29,6 +29,7 @@
 from origin_builders import (
     RecorderFleet,
     cut_off,
+    forget_servers,
     make_origin,
     make_possible,
     written_lists,
@@ -508,6 +509,22 @@
     nodes.set_versions("v1")
 
 
+@pytest.mark.parametrize("count", [1, 2, 6])
+def test_a_recorder_that_has_read_no_servers_vouches_for_no_version(fleet, count):
+    """Guards against streams joined where the recorder has just started."""
+    nodes = fleet(count, "v1")
+    settle([nodes.begin(0, "v1")])
+    nodes.set_versions("v1", "v2")
+    nodes.start(count)
+    addresses = {node.address: node for node in nodes.nodes}
+    recorder = addresses[nodes.nodes[0].recorder_address()]
+    forget_servers(nodes, recorder)
+    findings = [
+        node.look_up(stream_key("o", "q77"), HOST, "/x") for node in nodes.nodes
+    ]
+    assert {finding.origin for finding in findings} == {None}
+
+
 def test_a_node_that_stood_still_confirms_no_origin_that_was_removed_since(fleet):
     """Guards against streams at a version that left and returned meanwhile."""
     nodes = fleet(1, "v1", "v2")
