Play faulty answers, late senders and late registration in the soak

Servers reset answers, send what is no answer and refuse twice; callers send long uploads and end their requests late in a stop; entries are written half a heartbeat after the server listens. Rules: wrong response, not run, late request. Mutants: forgotten resets, ids again, late requests, early registration.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -107,8 +107,12 @@
         When the first bytes of the last answer came, seconds since the beginning.
     retry_after_s : float
         When the last answer says to come back, seconds; not a number if never.
+    body : bytes
+        The body of each request.
     """
 
+    body = b"body"
+
     def __init__(self, fleet, random, organisation):
         self.versions, self.first_event_at = (), None
         self.retry_after_s = float("nan")
@@ -177,12 +181,21 @@
         if node is not None or self.sock is None or opens:
             self.close()
             self.node = node or self._choose_node()
-            if not self._connect():
+            if not self.connect():
                 return "no connection"
+        is_crashing = parts != (COMMON_PART,)
+        request_id, sent_at = self.register(kind, organisation, is_crashing=is_crashing)
+        head = encode_request(
+            kind, path, request_id, organisation, resumes, parts, self.body
+        )
+        return self.exchange(kind, head, request_id, sent_at, resumes)
+
+    def register(self, kind, organisation, *, is_crashing=False):
+        """Note a request that is sent now; return its id and when that is."""
         request_id = f"{self.random.getrandbits(64):016x}"
         units = PROMPT_TOKENS + MAX_TOKENS if kind.streams else PLAIN_UNITS
-        sent_at = fleet.clock()
-        fleet.checker.request_sent(
+        sent_at = self.fleet.clock()
+        self.fleet.checker.request_sent(
             request_id,
             SentRequest(
                 kind.name,
@@ -192,11 +205,10 @@
                 units,
                 sent_at,
                 DEADLINE_S,
-                is_crashing=parts != (COMMON_PART,),
+                is_crashing=is_crashing,
             ),
         )
-        head = _head(kind, path, request_id, organisation, resumes, parts)
-        return self._exchange(kind, head, request_id, sent_at, resumes)
+        return request_id, sent_at
 
     def _choose_node(self):
         """Return the node to which the platform hands a new connection."""
@@ -210,7 +222,8 @@
             self.sock.close()
         self.sock = None
 
-    def _connect(self):
+    def connect(self):
+        """Connect to the node; return whether it accepted."""
         host, port = self.node.link.address.rsplit(":", 1)
         try:
             self.sock = gsocket.create_connection((host, int(port)), CONNECT_S)
@@ -219,7 +232,8 @@
         self.sock.settimeout(DEADLINE_S + DEADLINE_GRACE_S)
         return True
 
-    def _exchange(self, kind, head, request_id, sent_at, resumes):
+    def exchange(self, kind, head, request_id, sent_at, resumes):
+        """Send bytes and check what comes; return the status or the failure."""
         checker = self.fleet.checker
         response = None
         stalled_s = self.fleet.lag.stalled_s
@@ -308,13 +322,22 @@
         return f"closed ({error!r})"
 
 
-def _head(kind, path, request_id, organisation, resumes, parts):
+def encode_request(
+    kind,
+    path,
+    request_id,
+    organisation,
+    resumes=None,
+    parts=(COMMON_PART,),
+    body=b"body",
+):
+    """Return the bytes of a request."""
     lines = [
         f"POST {path} HTTP/1.1",
         f"Host: {HOST}",
         f"Request-Id: {request_id}",
         f"Deadline-Ms: {int(DEADLINE_S * 1000)}",
-        "Content-Length: 4",
+        f"Content-Length: {len(body)}",
     ]
     if resumes is not None:
         lines.append(f"Last-Event-Id: {resumes.events}")
@@ -332,7 +355,7 @@
             f"Token-Counts: {max(PROMPT_TOKENS, tokens)},{MAX_TOKENS}",
             f"Prompt-Prefix: {prefix}",
         ]
-    return ("\r\n".join(lines) + "\r\n\r\nbody").encode()
+    return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
 
 
 def _is_correct(kind, request_id, response, body, received=0):
--- a/tests/soak/expected_versions.py
+++ b/tests/soak/expected_versions.py
@@ -33,7 +33,7 @@
 
     def _send(self):
         """Send one request; the node may be stopped or cut off meanwhile."""
-        if not self._connect():
+        if not self.connect():
             return
         request_id = self.random.getrandbits(64)
         try:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -12,6 +12,11 @@
 from soak.demand import demand_burst
 from soak.endless_bodies import server_sends_without_end
 from soak.expected_versions import callers_expect_versions
+from soak.faulty_servers import (
+    server_cuts_answers,
+    server_refuses_twice,
+    server_sends_no_answers,
+)
 from soak.fetches import fetches_hang
 from soak.few_slots import FewSlots
 from soak.floods import callers_flood, callers_send_long_prompts
@@ -24,6 +29,7 @@
     UnevenConnections,
     UnevenSpeeds,
 )
+from soak.late_senders import late_senders_at_a_stop
 from soak.odd_callers import odd_callers
 from soak.other_writers import odd_entries, server_leaves_by_its_entry
 from soak.restarts import server_starts_again
@@ -534,5 +540,9 @@
         callers_expect_versions,
         callers_send_long_prompts,
         odd_callers,
+        server_cuts_answers,
+        server_sends_no_answers,
+        server_refuses_twice,
+        late_senders_at_a_stop,
     )
 }
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -518,6 +518,7 @@
         self.closed = False
         self.crashing_parts = {}
         self.favoured = None
+        self.late_senders = False
         self.engine = {"slots": 6}
         self.hanging_fetches = None
         self.demand = None
--- a/tests/soak/invariants.py
+++ b/tests/soak/invariants.py
@@ -452,6 +452,10 @@
     violations : list of str
     counts : dict of str to int
         Requests by kind and outcome.
+    late_requests : dict of str to bool
+        The requests that came late in a planned stop, and whether they came whole.
+    spoilt : set of str
+        The requests that got a cut answer, or none, from a faulty server.
     only : str
         The rule whose violations are recorded; all if empty.
     """
@@ -475,6 +479,8 @@
         self.outcomes = {}
         self.event_versions = {}
         self.pieces = defaultdict(set)
+        self.late_requests = {}
+        self.spoilt = set()
         self.only = ""
 
     def record_violation(self, rule, text):
@@ -498,9 +504,29 @@
                 self.record_violation(
                     "not run", f"{request.kind} {request_id} ran and got {outcome}"
                 )
+        if isinstance(outcome, int) and not 200 <= outcome <= 599:
+            self.record_violation("wrong response", f"{request_id} got {outcome}")
         if complete and not correct:
             self.record_violation("wrong response", f"{request.kind} {request_id}")
 
+    def check_late_requests(self, *, is_planned):
+        """Check how requests ended that came late in the planned stop of their node.
+
+        Parameters
+        ----------
+        is_planned : bool
+            Whether the node met no other fault meanwhile.
+        """
+        late, self.late_requests = self.late_requests, {}
+        for request_id, is_finished in late.items() if is_planned else ():
+            outcome = self.outcomes.get(request_id, "no answer")
+            is_right = outcome == 503 or (is_finished and outcome == 200)
+            if not is_right and request_id not in self.spoilt:
+                ran = "ran" if self.runs[request_id] else "did not run"
+                self.record_violation(
+                    "late request", f"{request_id} {ran} and got {outcome}"
+                )
+
     def connection_closed(self, request_id):
         """Record that a healthy node closed a connection without a response."""
         request = self.requests[request_id]
--- a/tests/soak/launch.py
+++ b/tests/soak/launch.py
@@ -296,6 +296,18 @@
     Writer.is_proven = property(lambda self: True)
 
 
+def expect_early_registration():
+    """Let any later read of the servers tell which process a connection leads to."""
+    from endive_gateway.server_processes import ServerProcesses
+
+    real_init = ServerProcesses.__init__
+
+    def init(self, registry, heartbeat_s):
+        real_init(self, registry, heartbeat_s=0.0)
+
+    ServerProcesses.__init__ = init
+
+
 def release_at_once():
     """Let a node give up the duties while a call of it may be on its way."""
     from endive_core.leases import Lease
@@ -314,7 +326,7 @@
 
 def keep_what_is_skipped():
     """Let a node keep the bodies of responses that nobody reads."""
-    from endive_gateway.http import ResponseParser
+    from endive_gateway.response_parser import ResponseParser
 
     def on_body(self, data):
         self.overhead_bytes = 0
@@ -330,6 +342,42 @@
     Attempt._check_version_expected = lambda self, message, metadata: None
 
 
+def forget_resets():
+    """Let a node take the end of a connection for orderly if no read was told why."""
+    from endive_gateway.tcp import TcpStream
+
+    real_recv = TcpStream.recv
+
+    def recv(self, size):
+        gsocket.wait_read(self.sock.fileno())
+        self.is_idle()  # any other call may be told before the read
+        self.failure = None
+        return real_recv(self, size)
+
+    TcpStream.recv = recv
+
+
+def accept_odd_heads():
+    """Let a node take for a response whatever its parser accepts."""
+    from endive_gateway.response_parser import ResponseParser
+
+    ResponseParser._validate_head = lambda self, message, values, *, framed: None
+
+
+def send_ids_again():
+    """Let a node send an id over the connection that has carried it before."""
+    from endive_gateway.connections import CarriedIds
+
+    CarriedIds.__contains__ = lambda self, request_id: False
+
+
+def take_late_requests():
+    """Let a node that stops send requests whatever time it has left."""
+    from endive_core.planned_stop import PlannedStop
+
+    PlannedStop.can_answer = lambda self, route, left_s, now: True
+
+
 def hold_all_bodies():
     """Let a node hold the bodies of requests whatever memory they take together."""
     from endive_gateway.memory_budget import RequestMemory
@@ -431,12 +479,17 @@
     "no-affinity": forget_where_streams_began,
     "guessed-version": guess_a_version,
     "trusted-entries": trust_entries,
+    "early-registration": expect_early_registration,
     "early-release": release_at_once,
     "no-connection-limit": accept_all_connections,
     "kept-bodies": keep_what_is_skipped,
     "no-turns": never_end_turns,
     "no-budget": hold_all_bodies,
     "blamed-versions": blame_servers_for_versions,
+    "forgotten-resets": forget_resets,
+    "odd-heads": accept_odd_heads,
+    "ids-again": send_ids_again,
+    "late-requests": take_late_requests,
     EARLIER_BUILD: list_no_origins,
     "no-speeds": ignore_speeds,
     "no-contention": serve_in_order_of_arrival,
--- a/tests/soak/mixes.py
+++ b/tests/soak/mixes.py
@@ -30,10 +30,21 @@
     "callers_expect_versions",
     "callers_send_long_prompts",
     "odd_callers",
+    "server_cuts_answers",
+    "server_sends_no_answers",
+    "server_refuses_twice",
+    "late_senders_at_a_stop",
+}
+FAULTY_ANSWERS = {
+    "server_cuts_answers",
+    "server_sends_no_answers",
+    "server_refuses_twice",
+    "late_senders_at_a_stop",
 }
 EARLIER_KINDS = tuple(sorted(set(FAULTS) - LATER_KINDS))
 FIRST_KINDS = tuple(sorted(set(EARLIER_KINDS) - {"store_silent", "links_fall_silent"}))
-KINDS_BEFORE_ODD_CALLERS = tuple(sorted(set(FAULTS) - {"odd_callers"}))
+KINDS_WITH_ODD_CALLERS = tuple(sorted(set(FAULTS) - FAULTY_ANSWERS))
+KINDS_BEFORE_ODD_CALLERS = tuple(sorted(set(KINDS_WITH_ODD_CALLERS) - {"odd_callers"}))
 """Kinds of which older seeds draw their faults. With more kinds the same seeds would
 draw other faults."""
 
@@ -65,6 +76,11 @@
 FOREIGN_BYTES = ("server_writes_foreign_bytes", "server_leaves", "restart")
 ODD_ENTRIES = ("odd_entries", "server_leaves_by_its_entry")
 STARTED_AGAIN = ("server_starts_again",)
+STARTED_AGAIN_AMID_LOSSES = STARTED_AGAIN + (
+    "lost_amid_versions",
+    "kill",
+    "server_crash",
+)
 STOPPING_HOLDERS = ("holder_stops_amid_its_call",)
 ENDLESS = ("server_sends_without_end", "server_leaves", "restart")
 ODD_VERSIONS = ("callers_expect_versions", "reload", "change_configuration")
@@ -72,3 +88,7 @@
 FLOODS = ("callers_flood", "server_leaves", "restart")
 ODD_CALLERS = ("odd_callers", "restart", "change_configuration")
 UNFRAMED = ("server_unframed", "server_leaves", "restart")
+CUT_ANSWERS = ("server_cuts_answers", "server_leaves", "restart")
+NO_ANSWERS = ("server_sends_no_answers", "server_leaves", "restart")
+SECOND_REFUSALS = ("server_refuses_twice", "reload", "change_configuration")
+LATE_SENDERS = ("late_senders_at_a_stop", "change_configuration")
--- a/tests/soak/network.py
+++ b/tests/soak/network.py
@@ -156,7 +156,7 @@
     """Close `sock` with a reset; unsent data is discarded."""
     try:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
-        sock.shutdown(socket.SHUT_RDWR)
+        sock.shutdown(socket.SHUT_RD)  # for writing, it would end in an orderly way
     except OSError:
         pass  # already closed or reset by the other side
     sock.close()
--- a/tests/soak/restarts.py
+++ b/tests/soak/restarts.py
@@ -15,9 +15,10 @@
 IDLE_WAIT_S, IDLE_POLL_S = 1.0, 0.005
 """Longest wait for a moment without a request, and time between two looks, seconds."""
 
-UNLISTED_S = 0.12
-"""Time from a start until the store has the server's new entry, seconds. Streams that
-begin and break off meanwhile are those of a process that no node knows."""
+UNLISTED_S = 0.6
+"""Time from a start until the store has the server's new entry, seconds: half of a
+heartbeat. Streams that begin and break off meanwhile are those of a process that no
+node knows."""
 
 CALLERS, BEGIN_S = 12, 1.0
 """Callers that begin streams once a server has started again, and for how long they do,
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -20,6 +20,7 @@
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
 from soak.endless_bodies import send_without_end
+from soak.faulty_answers import LONG_BODY_BYTES, send_half, send_invalid
 from soak.foreign_bytes import SpoiltStream
 from soak.invariants import LimitedServer, RestingServer
 from soak.network import reset
@@ -33,6 +34,9 @@
 EVENT_GAP_S = 0.03
 WORK_S = 0.02
 CRASHING_PATH = "/safe/crash"
+SLOW_PATH, SLOW_S = "/slow", 0.7
+"""End of the paths of slow requests, and the time that they take, seconds."""
+
 LONG_PART_TOKENS = 1_000
 PREFILL_TOKENS_PER_S = 60_000
 """Least length of a part of a prompt that takes time to compute, and the rate."""
@@ -312,6 +316,12 @@
         Share of its answers in place of which it sends bytes without end.
     foreign_share : float
         Share of its streams that hold bytes that are no part of them.
+    cut_share : float
+        Share of its answers that have no length and are reset amid their bodies.
+    invalid_share : float
+        Share of its answers in place of which it sends what is none.
+    copies : SecondCopies or None
+        The refusals that it sends twice, while it does.
     backend : Backend
         What this server runs for.
     version : str
@@ -348,6 +358,8 @@
         self.broken_share = 0.0
         self.endless_share = 0.0
         self.foreign_share = 0.0
+        self.cut_share = self.invalid_share = 0.0
+        self.copies = None
         self.work_s = WORK_S
         self.slowdown = 1.0
         self.may_be_mistaken = False
@@ -374,6 +386,30 @@
             entry |= {"spot": True, "leaves_ms": leaves_s * 1000}
         return json.dumps(entry).encode()
 
+    def application(self, environ, start):
+        """Handle a request; answer a long one before it is read if it is to be cut."""
+        sock = environ["soak.socket"]
+        if self.copies is not None:
+            self.copies.send_pending(sock)
+        request_id = environ.get("HTTP_REQUEST_ID", "")
+        is_long = int(environ.get("CONTENT_LENGTH") or 0) >= LONG_BODY_BYTES
+        if is_long and self._draws(f"{request_id}/cut", self.cut_share):
+            return send_half(sock, *self._cut_answer(environ, request_id))
+        return super().application(environ, start)
+
+    def _cut_answer(self, environ, request_id):
+        """Return the headers and the first part of the body of an answer."""
+        self.checker.spoilt.add(request_id)
+        headers = {"Request-Id": request_id, "Response-Seal": "made"}
+        if not environ["PATH_INFO"].startswith("/stream"):
+            body = plain_body(request_id)
+            return headers, body[: len(body) // 2]
+        headers["Content-Type"] = "text/event-stream"
+        first = int(environ.get("HTTP_LAST_EVENT_ID") or 0) + 1
+        pieces = [event(request_id, first, self.version)]
+        self.checker.pieces[request_id].update(pieces)
+        return headers, b"".join(pieces)
+
     def handle(self, environ, body, start):
         request_id = environ.get("HTTP_REQUEST_ID", "")
         headers = {
@@ -401,6 +437,10 @@
             if brittle is not None:
                 brittle.rejected(self.backend, request_id)
             return respond(start, 503, b"", headers | {"Not-Run": "1"})
+        if self.copies is not None:
+            refusal = headers | {"Not-Run": "1"}
+            if self.copies.refuses(request_id, environ["soak.socket"], refusal):
+                return respond(start, 503, b"", refusal)
         headers["Response-Seal"] = "made"
         rollout = self.backend.fleet.rollouts.get(self.service)
         if rollout is not None:
@@ -435,6 +475,14 @@
                 return respond(start, 500, b"no", headers)
             if self._draws(f"{request_id}/endless", self.endless_share):
                 return send_without_end(environ["soak.socket"], request_id)
+            if self._draws(f"{request_id}/invalid", self.invalid_share):
+                self.checker.spoilt.add(request_id)
+                return send_invalid(environ["soak.socket"], request_id)
+            if environ["PATH_INFO"].endswith(SLOW_PATH):
+                gevent.sleep(SLOW_S)
+            if self._draws(f"{request_id}/cut", self.cut_share):
+                answer = self._cut_answer(environ, request_id)
+                return send_half(environ["soak.socket"], *answer)
             if environ["PATH_INFO"].startswith("/stream"):
                 return self._stream(request_id, environ, start, headers)
             more_s = few_slots.work_s if few_slots else 0.0
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -15,15 +15,22 @@
 from soak.mixes import (
     BRITTLE,
     CRASHES,
+    CUT_ANSWERS,
     EARLIER_KINDS,
+    FAULTY_ANSWERS,
     FIRST_KINDS,
     KINDS_BEFORE_ODD_CALLERS,
+    KINDS_WITH_ODD_CALLERS,
+    LATE_SENDERS,
+    NO_ANSWERS,
     ODD_CALLERS,
     ORDERED,
     ORDERED_AMID_FAULTS,
     PARTS,
     REJOINED,
+    SECOND_REFUSALS,
     SILENCES,
+    STARTED_AGAIN_AMID_LOSSES,
     STOPPING_HOLDERS,
     UNEVEN,
 )
@@ -79,10 +86,26 @@
 @pytest.mark.parametrize("seed", [46510, 374928, 503962, 658831, 223156])
 def test_invariants_hold_beside_odd_callers(seed):
     """Crowds of odd callers are among the kinds of faults that are drawn."""
+    outcome = run_seed(seed, slot=SLOT, kinds=KINDS_WITH_ODD_CALLERS)
+    assert outcome.violations == [], outcome.directory
+
+
+@pytest.mark.parametrize(
+    "seed",
+    [31001, 31004, 31005, 31006, 31007, 31009, 32007, 32009, 32010],
+)
+def test_invariants_hold_beside_faulty_answers(seed):
+    """Faulty answers and late requests are among the kinds of faults that are drawn."""
     outcome = run_seed(seed, slot=SLOT)
     assert outcome.violations == [], outcome.directory
 
 
+@pytest.mark.parametrize("seed", [1024, 1102])
+def test_faulty_answers_of_all_kinds_mislead_no_caller(seed):
+    outcome = run_seed(seed, slot=SLOT, kinds=tuple(sorted(FAULTY_ANSWERS)))
+    assert outcome.violations == [], outcome.directory
+
+
 @pytest.mark.parametrize("nodes", [6, 24])
 def test_changes_are_in_force_in_time_around_silences(nodes):
     """The store or single open connections stop responding while the configuration
@@ -129,6 +152,13 @@
     assert outcome.violations == [], outcome.directory
 
 
+@pytest.mark.parametrize("seed", [5001, 5002, 5011])
+def test_streams_end_in_time_where_servers_start_again_amid_losses(seed):
+    """Servers start again with other software, and one or all nodes are killed."""
+    outcome = run_seed(seed, slot=SLOT, kinds=STARTED_AGAIN_AMID_LOSSES)
+    assert outcome.violations == [], outcome.directory
+
+
 def test_the_duties_pass_on_after_the_last_call_of_a_holder_that_stops():
     """A packet of its usage report is lost, and it is stopped meanwhile."""
     outcome = run_seed(1, slot=SLOT, kinds=STOPPING_HOLDERS, faults_s=6.0)
@@ -275,3 +305,13 @@
     descriptor for other callers."""
     outcome = run_seed(seed, slot=SLOT, kinds=ODD_CALLERS)
     assert outcome.violations == [], outcome.directory
+
+
+@pytest.mark.parametrize(
+    "kinds", [CUT_ANSWERS, NO_ANSWERS, SECOND_REFUSALS, LATE_SENDERS]
+)
+def test_faulty_answers_and_late_requests_mislead_no_caller(kinds):
+    """Callers got cut answers as whole, what was no answer, refusals of requests that
+    ran, and nothing for requests that came late in a planned stop."""
+    outcome = run_seed(1, slot=SLOT, kinds=kinds)
+    assert outcome.violations == [], outcome.directory
--- a/tests/test_soak_mutants.py
+++ b/tests/test_soak_mutants.py
@@ -3,6 +3,7 @@
 import pytest
 from soak.mixes import (
     CRASHES,
+    CUT_ANSWERS,
     DEMAND,
     DEPARTING,
     ENDLESS,
@@ -10,8 +11,10 @@
     FEW_SLOTS,
     FLOODS,
     FOREIGN_BYTES,
+    LATE_SENDERS,
     LIMITED_SERVERS,
     LONG_PROMPTS,
+    NO_ANSWERS,
     ODD_CALLERS,
     ODD_ENTRIES,
     ODD_VERSIONS,
@@ -20,6 +23,7 @@
     REJOINED,
     RESTS,
     ROLLOUTS,
+    SECOND_REFUSALS,
     SERVERS_CUT,
     SILENCES,
     SILENT,
@@ -65,6 +69,10 @@
     "no-speeds": ("slow server", 1, SPEEDS),
     "no-contention": ("priority", 1, DEMAND),
     "no-rollouts": ("rollout", 5, ORDERED),
+    "forgotten-resets": ("wrong response", 1, CUT_ANSWERS),
+    "odd-heads": ("wrong response", 1, NO_ANSWERS),
+    "ids-again": ("not run", 1, SECOND_REFUSALS),
+    "late-requests": ("late request", 1, LATE_SENDERS),
 }
 """By mutant: the rule that it violates, the seed, and the kinds of faults to inject."""
 
@@ -87,8 +95,11 @@
     without leases, few slots that no node coordinates, nodes that carry no connections
     for others, sources of fetches that are named although they hang, streams that go on
     at any software version, requests for servers that state to be slow, requests that
-    are admitted and sent without regard to the demand of all nodes, and nodes that use
-    the servers of an ordered version as any others."""
+    are admitted and sent without regard to the demand of all nodes, nodes that use
+    the servers of an ordered version as any others, resets that another call than a
+    read is told of and that are forgotten, heads that are taken for those of answers,
+    ids that are sent again over a connection, and late requests that are taken whatever
+    time is left."""
     rule, seed, kinds = MUTANTS[mutant]
     outcome = run_seed(seed, slot=SLOT, mutant=mutant, kinds=kinds)
     assert outcome.violations, outcome.counts
@@ -97,11 +108,16 @@
 
 @pytest.mark.parametrize(
     ("mutant", "seed", "kinds"),
-    [("guessed-version", 1, REJOINED), ("trusted-entries", 5, STARTED_AGAIN)],
+    [
+        ("guessed-version", 1, REJOINED),
+        ("trusted-entries", 5, STARTED_AGAIN),
+        ("early-registration", 1, STARTED_AGAIN),
+    ],
 )
 def test_a_guessed_version_is_detected_in_the_text(mutant, seed, kinds):
     """Nodes that return after the loss of all guess a version where nobody knows it, or
-    nodes take it from the entry of a server that has started again under its id;
-    callers then hold text of two."""
+    nodes take it from the entry of a server that has started again under its id, or
+    from one that they read before a heartbeat has passed; callers then hold text of
+    two."""
     outcome = run_seed(seed, slot=SLOT, mutant=mutant, kinds=kinds, only="joined text")
     assert outcome.violations, outcome.counts
