Run tests of short waits by themselves

Tests that measure waits of some 0.1 s have the marker "timing" and run after the others, one at a time. Bounds and cases are unchanged, but what shows only beside other workers is no longer found there.

--- a/packages/endive_gateway/tests/test_endless_answers.py
+++ b/packages/endive_gateway/tests/test_endless_answers.py
@@ -9,6 +9,7 @@
 from gateway_builders import RunningGateway, make_route, make_table
 from server_builders import ScriptedServer, ok, whole_stream
 
+pytestmark = pytest.mark.timing
 TIMEOUT_S = 2.0
 TARGET_S = 0.5
 REQUESTS = 20
--- a/packages/endive_gateway/tests/test_fairness.py
+++ b/packages/endive_gateway/tests/test_fairness.py
@@ -14,9 +14,11 @@
     make_route,
     make_table,
 )
+from gevent.hub import get_hub
 from server_builders import ScriptedServer, events
 from ticks import short_collections
 
+pytestmark = pytest.mark.timing
 FLOODED = "flooded"
 TIMEOUT_S = 1.0
 LONG_TIMEOUT_S = 8.0
@@ -36,6 +38,7 @@
 def _short_collections(monkeypatch):
     """Keep the test runner from working between the events that are measured."""
     monkeypatch.setattr(logger, "propagate", False)
+    get_hub().loop.update_now()  # stale after tests that did not run the loop
     with short_collections():
         yield
 
--- a/packages/endive_gateway/tests/test_paths.py
+++ b/packages/endive_gateway/tests/test_paths.py
@@ -62,6 +62,7 @@
     ]
 
 
+@pytest.mark.timing
 @pytest.mark.parametrize("cut", CUTS)
 @pytest.mark.parametrize("route", [{}, UNSAFE])
 def test_a_node_that_reaches_no_server_serves_its_callers(cut, route):
