Keep the hub's error handler when a test simulates time

Cause: tests, not the product. simulated_time puts a stand-in in place of the hub's loop. If the hub of a test worker began to run meanwhile, it set its error handler on the stand-in, and the real loop kept none for the rest of the process. A loop without one prints the first error that is reported to it and ends. Whether it happened depended on which files the worker had run before.

The stand-in passes the error handler on to the real loop.

--- a/packages/endive_gateway/tests/simulated_time.py
+++ b/packages/endive_gateway/tests/simulated_time.py
@@ -68,6 +68,15 @@
     def __getattr__(self, name):
         return getattr(self.loop, name)
 
+    @property
+    def error_handler(self):
+        """The hub, once it runs. A loop without one ends at the first error."""
+        return self.loop.error_handler
+
+    @error_handler.setter
+    def error_handler(self, handler):
+        self.loop.error_handler = handler
+
     def clock(self):
         return self.now_s
 
