Ask a coordinator of slots again as soon as it has started again

If it had been killed and started again meanwhile, it and all nodes that had not asked it chose it at once, and the others another one, so two nodes leased the same slots.

A lease names the start of the node that was asked, and a skipped node is asked again once a later start of it is known. A request to the former process that is given up late does not skip the new one.

--- a/packages/endive_gateway/src/endive_gateway/coordinators.py
+++ b/packages/endive_gateway/src/endive_gateway/coordinators.py
@@ -2,6 +2,7 @@
 
 import time
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from endive_core.hashing import rendezvous_choice
 
@@ -14,6 +15,22 @@
 Finding the live ones takes a time that grows with their number."""
 
 
+@dataclass(frozen=True)
+class SkippedNode:
+    """A node that did not reply.
+
+    Attributes
+    ----------
+    incarnation : int
+        The start of the node that was asked.
+    until : float
+        Until when it is not asked, seconds on the monotonic clock.
+    """
+
+    incarnation: int
+    until: float
+
+
 class CoordinatorChoice:
     """The coordinators of servers or services, by hashing.
 
@@ -25,8 +42,10 @@
         Returns the IP address of this node.
     peer_addresses : callable
         Returns the addresses of the other nodes that may coordinate.
-    skipped_until : dict of str to float
-        By address, until when a node that didn't reply is not asked.
+    incarnation : callable
+        Returns the latest known start of the node with an address, 0 if none is known.
+    skipped : dict of str to SkippedNode
+        Nodes that didn't reply, by address.
     chosen : dict of str to str
         By name, the coordinators among `nodes`.
     """
@@ -36,7 +55,8 @@
     ) -> None:
         self.address = address
         self.peer_addresses = peer_addresses
-        self.skipped_until: dict[str, float] = {}
+        self.incarnation: Callable[[str], int] = lambda address: 0
+        self.skipped: dict[str, SkippedNode] = {}
         self.chosen: dict[str, str] = {}
         self.nodes: set[str] = set()
         self.choose_at = float("-inf")
@@ -46,8 +66,8 @@
         now = time.monotonic()
         if now >= self.choose_at:
             self.choose_at = now + CHOICE_INTERVAL_S
-            skipped = {n for n, until in self.skipped_until.items() if until > now}
-            nodes = {self.address(), *self.peer_addresses()} - skipped
+            peers = [n for n in self.peer_addresses() if not self._is_skipped(n, now)]
+            nodes = {self.address(), *peers}
             if nodes != self.nodes:
                 self.nodes, self.chosen = nodes, {}
         chosen = self.chosen.get(name)
@@ -56,10 +76,23 @@
             self.chosen[name] = chosen
         return chosen
 
-    def skip(self, coordinator: str) -> None:
-        """Choose another coordinator for a while."""
+    def skip(self, coordinator: str, incarnation: int) -> None:
+        """Choose another coordinator for a while, or until this one starts again.
+
+        Nodes that have not asked it choose it as soon as it has started again. If
+        others went on to skip it, two nodes would lease the same slots.
+        """
         now = time.monotonic()
-        self.skipped_until = {n: t for n, t in self.skipped_until.items() if t > now}
+        self.skipped = {n: s for n, s in self.skipped.items() if s.until > now}
         if coordinator != self.address():
-            self.skipped_until[coordinator] = now + COORDINATOR_BACKOFF_S
+            until = now + COORDINATOR_BACKOFF_S
+            self.skipped[coordinator] = SkippedNode(incarnation, until)
             self.choose_at = now
+
+    def _is_skipped(self, node: str, now: float) -> bool:
+        skipped = self.skipped.get(node)
+        return (
+            skipped is not None
+            and skipped.until > now
+            and skipped.incarnation == self.incarnation(node)
+        )
--- a/packages/endive_gateway/src/endive_gateway/peers.py
+++ b/packages/endive_gateway/src/endive_gateway/peers.py
@@ -160,6 +160,8 @@
         context.limit_sharing.peer_addresses = self.presumed_live
         context.slot_leasing.peer_addresses = self.presumed_live
         context.slot_pooling.peer_addresses = self.pool_coordinators
+        context.slot_leasing.choice.incarnation = self.incarnation_of
+        context.slot_pooling.choice.incarnation = self.incarnation_of
         context.origin_exchange.live_members = self.live_members
         context.origin_records.recorders = self.origin_recorders
         context.origin_view.unlisting_nodes = self.unlisting_nodes
@@ -222,6 +224,11 @@
             if now - max(peer.last_seen_at, peer.added_at) < self.live_timeout_s
         ]
 
+    def incarnation_of(self, address: str) -> int:
+        """Return the latest known start of the node with an address, or 0."""
+        peer = self.known.get(address)
+        return 0 if peer is None else peer.incarnation
+
     def pool_coordinators(self) -> list[str]:
         """Return the addresses of live nodes that coordinate pools of slots."""
         return [peer.address for peer in self.live() if peer.pools_slots]
--- a/packages/endive_gateway/src/endive_gateway/slot_leasing.py
+++ b/packages/endive_gateway/src/endive_gateway/slot_leasing.py
@@ -57,6 +57,8 @@
         This node's number for it.
     coordinator : str
         IP address of the node that leases it.
+    incarnation : int
+        The start of that node that was known when it was asked.
     granted : AsyncResult
         Whether it was granted, once the coordinator has replied.
     """
@@ -64,6 +66,7 @@
     number: int
     server: str
     coordinator: str
+    incarnation: int
     granted: AsyncResult = field(default_factory=AsyncResult)
 
 
@@ -151,7 +154,7 @@
     def give_up(self, lease: SlotLease) -> None:
         """Ask another node for a while in place of one that has not replied."""
         self._abandon(lease)
-        self.choice.skip(lease.coordinator)
+        self.choice.skip(lease.coordinator, lease.incarnation)
         self.replies["none"] += 1
         log_event("slot_not_answered", server=lease.server, peer=lease.coordinator)
 
@@ -168,7 +171,9 @@
         if service_of_key(view.service) not in self.brittle_services.names:
             return None
         self.sent += 1
-        lease = SlotLease(self.sent, view.id, self._coordinator(view.id))
+        coordinator = self._coordinator(view.id)
+        incarnation = self.choice.incarnation(coordinator)
+        lease = SlotLease(self.sent, view.id, coordinator, incarnation)
         self.asked[lease.number] = lease
         lease_s = min(lease_s, MAX_LEASE_S)
         request = SlotRequest(lease.number, view.id, priority, wait_s, lease_s)
--- a/packages/endive_gateway/src/endive_gateway/slot_pooling.py
+++ b/packages/endive_gateway/src/endive_gateway/slot_pooling.py
@@ -77,6 +77,8 @@
     ----------
     coordinator : str
         IP address of the node that was asked.
+    incarnation : int
+        The start of that node that was known when it was asked.
     reply_by : float
         Until when its next reply is awaited, seconds on the monotonic clock.
     granted : AsyncResult
@@ -92,6 +94,7 @@
     number: int
     service: str
     coordinator: str
+    incarnation: int
     reply_by: float
     granted: AsyncResult = field(default_factory=AsyncResult)
     server: str = ""
@@ -283,10 +286,12 @@
         """Ask the service's coordinator for a slot."""
         self.sent += 1
         reply_s = min(MAX_REPLY_S, max(0.02, REPLY_FRACTION * due_s))
+        coordinator = self.choice.coordinator(service)
         lease = PoolLease(
             self.sent,
             service,
-            self.choice.coordinator(service),
+            coordinator,
+            self.choice.incarnation(coordinator),
             time.monotonic() + reply_s,
         )
         self.asked[lease.number] = lease
@@ -328,7 +333,7 @@
     def give_up(self, lease: PoolLease) -> None:
         """Ask another node for a while in place of one that has not replied."""
         self.release(lease)
-        self.choice.skip(lease.coordinator)
+        self.choice.skip(lease.coordinator, lease.incarnation)
         self.replies["pool_none"] += 1
         log_event("pool_not_answered", service=lease.service, peer=lease.coordinator)
 
