Let kinds of work wait for their turn apart from each other

Cause: greenlets that go on in a later turn of the event loop stood in one queue. The one that accepts connections waited there behind hundreds of callers whose sections take milliseconds, so a node took no connection for seconds.

Greenlets wait by kind of work, and of each kind at least one goes on in each turn.

test_a_kind_of_work_does_not_wait_for_another_one fails with one queue for all kinds.

--- a/packages/endive_gateway/src/endive_gateway/callers.py
+++ b/packages/endive_gateway/src/endive_gateway/callers.py
@@ -34,7 +34,7 @@
 from endive_gateway.refusal_reasons import RefusalReason
 from endive_gateway.statuses import DEFAULT_RETRY_AFTER_S
 from endive_gateway.tcp import is_idle
-from endive_gateway.turns import Worker
+from endive_gateway.turns import Worker, WorkKind
 
 READ_BYTES = 16_384
 """Bytes that are read and handled between two checkpoints."""
@@ -129,7 +129,7 @@
         self.close_idle()
 
     def _accept(self) -> None:
-        worker = Worker("accept")
+        worker = Worker("accept", WorkKind.ACCEPTING)
         while True:
             for _ in range(MAX_ACCEPTED):
                 self._accept_one()
@@ -209,7 +209,7 @@
         self.idle = True
         self.is_drained = False
         self.exchange: Exchange | None = None
-        self.worker = Worker("caller")
+        self.worker = Worker("caller", WorkKind.CALLERS)
         self.greenlet: gevent.Greenlet | None = None
         limits = listener.limits()
         self.parser = RequestParser(
@@ -453,4 +453,4 @@
 
 def _linger(sock: gsocket.socket) -> None:
     with sock, suppress(OSError):
-        linger(sock, Worker("refused caller"))
+        linger(sock, Worker("refused caller", WorkKind.CALLERS))
--- a/packages/endive_gateway/src/endive_gateway/connections.py
+++ b/packages/endive_gateway/src/endive_gateway/connections.py
@@ -24,7 +24,7 @@
 from endive_gateway.server_processes import Link, ServerProcesses
 from endive_gateway.tcp import ByteStream
 from endive_gateway.transit import TransitStream
-from endive_gateway.turns import Worker
+from endive_gateway.turns import Worker, WorkKind
 
 READ_BYTES = 16_384
 """Bytes that are read and handled between two checkpoints."""
@@ -68,6 +68,8 @@
         Why nothing that comes can be parsed any more.
     """
 
+    work_kind = WorkKind.PLATFORM
+
     def __init__(
         self,
         stream: ByteStream,
@@ -75,7 +77,7 @@
         heads: HeldMemory | None = None,
     ) -> None:
         self.stream = stream
-        self.worker = Worker(peer)
+        self.worker = Worker(peer, self.work_kind)
         self.parser = ResponseParser(heads)
         self.last_used_at = time.monotonic()
         self.idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
@@ -272,6 +274,8 @@
         Tells which process of the server it leads to.
     """
 
+    work_kind = WorkKind.SERVERS
+
     def __init__(
         self,
         server_id: str,
--- a/packages/endive_gateway/src/endive_gateway/datagrams.py
+++ b/packages/endive_gateway/src/endive_gateway/datagrams.py
@@ -14,7 +14,7 @@
 from endive_gateway.decoding import decode_msgpack, is_ip_address
 from endive_gateway.exceptions import UndecodableError
 from endive_gateway.loops import keep_running
-from endive_gateway.turns import end_turn
+from endive_gateway.turns import WorkKind, end_turn
 
 MAX_DATAGRAM_BYTES = 65_535
 RECEIVE_RETRY_S = 0.2
@@ -110,7 +110,7 @@
         while True:
             wait_read(self.socket.fileno())
             while self._receive_batch() == MAX_BATCH:
-                end_turn()
+                end_turn(WorkKind.MESSAGES)
             if self.pause_s:
                 gevent.sleep(self.pause_s)
 
--- a/packages/endive_gateway/src/endive_gateway/following.py
+++ b/packages/endive_gateway/src/endive_gateway/following.py
@@ -17,7 +17,7 @@
 )
 from endive_gateway.interfaces import Page, Record, Topic
 from endive_gateway.store_reading import read_to_end
-from endive_gateway.turns import Worker
+from endive_gateway.turns import Worker, WorkKind
 
 MIN_READ_BACKOFF_S = 0.25
 MAX_READ_BACKOFF_S = 1.0
@@ -112,7 +112,7 @@
         self.last_answer_at: float | None = None
         self.skipped: OrderedDict[str, int] = OrderedDict()
         self.synced = False
-        self.worker = Worker(f"store {self.topic}")
+        self.worker = Worker(f"store {self.topic}", WorkKind.PLATFORM)
 
     def run(self) -> None:
         """Follow the topic indefinitely; the body of a greenlet."""
--- a/packages/endive_gateway/src/endive_gateway/origin_recorder.py
+++ b/packages/endive_gateway/src/endive_gateway/origin_recorder.py
@@ -41,7 +41,7 @@
     encode_streams,
 )
 from endive_gateway.store_reading import end_of, read_to_end
-from endive_gateway.turns import Worker
+from endive_gateway.turns import Worker, WorkKind
 
 LIST_KEY = "origins"
 
@@ -505,7 +505,7 @@
         start = recorded.next_offset
         start = self.streams_from if start is None else max(start, self.streams_from)
         page = self._current(Topic.STREAMS, lambda: self._read_streams_from(start))
-        worker = Worker("log of streams")
+        worker = Worker("log of streams", WorkKind.PLATFORM)
         for record in page.records:
             worker.checkpoint()
             try:
--- a/packages/endive_gateway/src/endive_gateway/transit_port.py
+++ b/packages/endive_gateway/src/endive_gateway/transit_port.py
@@ -22,7 +22,7 @@
     TransitReply,
     read_line,
 )
-from endive_gateway.turns import Worker
+from endive_gateway.turns import Worker, WorkKind
 
 REQUEST_TIMEOUT_S = 1.0
 """Time within which a node must name the server after it has connected, seconds."""
@@ -179,7 +179,7 @@
         If the node that asked for the connection can't be sent what arrives.
     """
     uplink = gevent.spawn(_pass_requests_on, sock, upstream)
-    worker = Worker("transit from a server")
+    worker = Worker("transit from a server", WorkKind.TRANSIT)
     end = ORDERLY_END
     try:
         while data := _receive(upstream):
@@ -218,7 +218,7 @@
     server takes no more bytes, the rest is dropped: it may have answered already, and
     reading that answer tells how the connection ended.
     """
-    worker = Worker("transit to a server")
+    worker = Worker("transit to a server", WorkKind.TRANSIT)
     is_taking = True
     try:
         while data := sock.recv(READ_BYTES):
--- a/packages/endive_gateway/src/endive_gateway/turns.py
+++ b/packages/endive_gateway/src/endive_gateway/turns.py
@@ -8,6 +8,7 @@
 
 import time
 from collections import deque
+from enum import StrEnum
 from functools import cache
 
 from endive_node.logs import log_event
@@ -28,12 +29,24 @@
 """A timer that expires after the next poll, seconds. One of 0 s may expire before."""
 
 
+class WorkKind(StrEnum):
+    """What greenlets work for; those of one kind wait for each other only."""
+
+    ACCEPTING = "accepting"
+    CALLERS = "callers"
+    SERVERS = "servers"
+    TRANSIT = "transit"
+    PLATFORM = "platform"
+    MESSAGES = "messages"
+
+
 class TurnScheduler:
     """Ends turns of the event loop that last for long, and measures all turns.
 
-    Greenlets go on in the order in which they reached their checkpoints, so however
-    many of them have work, a turn takes little longer than the one with the most work
-    between two checkpoints.
+    Of each kind, one greenlet goes on in each turn, in the order in which they reached
+    their checkpoints. So however many of them have work, a turn takes little longer
+    than the most work between two checkpoints of each kind, and connections are
+    accepted whatever the open ones send.
 
     Attributes
     ----------
@@ -43,8 +56,8 @@
         When the loop last polled, seconds on the monotonic clock.
     checked_at : float
         When the latest checkpoint of the present turn was reached, or the turn began.
-    waiting : deque of Waiter
-        Greenlets that go on in a later turn, the first one first.
+    waiting : dict of WorkKind to deque of Waiter
+        Greenlets that go on in a later turn by kind, the first one first.
     lengths : LatencyHistogram
         Times from the end of a poll to the begin of the next one.
     worker : str
@@ -57,7 +70,7 @@
         self.lengths = LatencyHistogram()
         self.number = 0
         self.polled_at = self.checked_at = time.monotonic()
-        self.waiting: deque[Waiter] = deque()
+        self.waiting: dict[WorkKind, deque[Waiter]] = {}
         self.worker = ""
         self.section_s = 0.0
         self.next_log_at = 0.0
@@ -79,28 +92,47 @@
             self.worker, self.section_s = worker, section_s
         return now - self.polled_at < MAX_TURN_S
 
-    def wait(self) -> None:
+    def wait(self, kind: WorkKind) -> None:
         """Go on in a later turn."""
         waiter = Waiter(self.hub)
-        self.waiting.append(waiter)
+        self.waiting.setdefault(kind, deque()).append(waiter)
         if not self.resume_timer.active:
             self.resume_timer.start(self._resume)
         try:
             waiter.get()
-        finally:
-            if waiter in self.waiting:
-                self.waiting.remove(waiter)
+        except BaseException:
+            self._forget(kind, waiter)
+            raise
+
+    def _forget(self, kind: WorkKind, waiter: Waiter) -> None:
+        """Remove a greenlet that may still wait."""
+        waiters = self.waiting.get(kind, ())
+        if waiter in waiters:
+            waiters.remove(waiter)
+            if not waiters:
+                del self.waiting[kind]
 
     def _resume(self) -> None:
-        """Let waiting greenlets go on, one at least; runs in the hub."""
+        """Let waiting greenlets go on, one of each kind at least; runs in the hub."""
         self.resume_timer.stop()
-        while self.waiting:
-            self.waiting.popleft().switch(None)
-            if time.monotonic() - self.polled_at >= MAX_TURN_S:
-                break
+        has_time = True
+        while self.waiting and has_time:
+            for kind in list(self.waiting):
+                self._resume_first(kind)
+            has_time = time.monotonic() - self.polled_at < MAX_TURN_S
         if self.waiting and not self.resume_timer.active:
             self.resume_timer.start(self._resume)
 
+    def _resume_first(self, kind: WorkKind) -> None:
+        """Let the greenlet of a kind go on that has waited longest, if one waits."""
+        waiters = self.waiting.get(kind)
+        if not waiters:
+            return
+        first = waiters.popleft()
+        if not waiters:
+            del self.waiting[kind]
+        first.switch(None)
+
     def _begin_turn(self) -> None:
         self.number += 1
         self.polled_at = self.checked_at = time.monotonic()
@@ -133,12 +165,15 @@
     ----------
     name : str
         For whom it works, for the log.
+    kind : WorkKind
+        What it works for.
     turn : int
         Number of the turn in which it reached its last checkpoint.
     """
 
-    def __init__(self, name: str) -> None:
+    def __init__(self, name: str, kind: WorkKind) -> None:
         self.name = name
+        self.kind = kind
         self.turn = 0
 
     def checkpoint(self) -> None:
@@ -149,7 +184,7 @@
         """
         turns = turn_scheduler()
         if not turns.has_time(self.name) and self.turn == turns.number:
-            turns.wait()
+            turns.wait(self.kind)
         self.turn = turns.number
 
     def before_long_work(self) -> None:
@@ -160,10 +195,10 @@
         """
         turns = turn_scheduler()
         if not turns.has_time(self.name):
-            turns.wait()
+            turns.wait(self.kind)
         self.turn = turns.number
 
 
-def end_turn() -> None:
+def end_turn(kind: WorkKind) -> None:
     """Let the event loop poll, and others run, before the calling greenlet goes on."""
-    turn_scheduler().wait()
+    turn_scheduler().wait(kind)
--- a/packages/endive_gateway/tests/test_turns.py
+++ b/packages/endive_gateway/tests/test_turns.py
@@ -13,6 +13,7 @@
 
 WORK_S = 0.004
 MAX_READ_S = 1.0
+KIND = turns.WorkKind.CALLERS
 
 
 class AlwaysReady:
@@ -77,7 +78,7 @@
     differences = []
 
     def always(name):
-        worker = turns.Worker(name)
+        worker = turns.Worker(name, KIND)
         for _ in range(10):
             worker.checkpoint()
             work(2 * turns.MAX_TURN_S)
@@ -88,12 +89,35 @@
     assert max(differences) <= 2
 
 
+def test_a_kind_of_work_does_not_wait_for_another_one():
+    """Callers that sent much kept a node from accepting others for seconds."""
+    done = Counter()
+
+    def always(kind):
+        worker = turns.Worker(kind, kind)
+        while True:
+            worker.checkpoint()
+            work(turns.MAX_TURN_S)
+            done[kind] += 1
+
+    callers, accepting = turns.WorkKind.CALLERS, turns.WorkKind.ACCEPTING
+    greenlets = [gevent.spawn(always, callers) for _ in range(40)]
+    while done[callers] < len(greenlets):
+        gevent.sleep(turns.MAX_TURN_S)
+    before = done[callers]
+    greenlets.append(gevent.spawn(always, accepting))
+    while done[accepting] < 20:
+        gevent.sleep(turns.MAX_TURN_S)
+    gevent.killall(greenlets)
+    assert done[callers] - before <= 2 * done[accepting]
+
+
 def test_a_greenlet_that_is_killed_while_it_waits_is_forgotten():
     """A waiter that is gone would be switched to in place of a living one."""
     scheduler = turns.turn_scheduler()
 
     def always():
-        worker = turns.Worker("w")
+        worker = turns.Worker("w", KIND)
         while True:
             worker.checkpoint()
             work(turns.MAX_TURN_S)
@@ -102,19 +126,19 @@
     gevent.sleep(4 * turns.MAX_TURN_S)
     gevent.killall(greenlets)
     assert not scheduler.waiting
-    turns.end_turn()
+    turns.end_turn(KIND)
 
 
 def test_a_long_turn_is_logged_with_who_worked(caplog):
     """No log or metric told what had held up a slow request."""
     scheduler = turns.turn_scheduler()
-    turns.end_turn()  # may log a turn that another test began
+    turns.end_turn(KIND)  # may log a turn that another test began
     scheduler.next_log_at = 0.0
     caplog.clear()
-    worker = turns.Worker("server i-1")
+    worker = turns.Worker("server i-1", KIND)
     worker.checkpoint()
     work(2 * turns.SLOW_TURN_S)
     worker.checkpoint()
-    turns.end_turn()
+    turns.end_turn(KIND)
     line = next(m for m in caplog.messages if "event=slow_turn" in m)
     assert 'longest="server i-1"' in line
