--- a/tests/soak/launch.py
+++ b/tests/soak/launch.py
@@ -399,6 +399,14 @@
     turns.MAX_TURN_S = float("inf")
 
 
+def wait_in_one_queue():
+    """Let each kind of work wait for its turn behind all others."""
+    from endive_gateway.turns import TurnScheduler, WorkKind
+
+    real_wait = TurnScheduler.wait
+    TurnScheduler.wait = lambda self, kind: real_wait(self, WorkKind.CALLERS)
+
+
 def trust_all_sources():
     """Let a node name servers as sources however late its requests become."""
     from endive_core.source_trust import SourceTrust
@@ -484,6 +492,7 @@
     "no-connection-limit": accept_all_connections,
     "kept-bodies": keep_what_is_skipped,
     "no-turns": never_end_turns,
+    "one-queue": wait_in_one_queue,
     "no-budget": hold_all_bodies,
     "blamed-versions": blame_servers_for_versions,
     "forgotten-resets": forget_resets,
--- a/tests/test_soak_mutants.py
+++ b/tests/test_soak_mutants.py
@@ -57,6 +57,7 @@
     "broken-streams": ("wrong response", 1, UNFRAMED),
     "kept-bodies": ("memory", 1, ENDLESS),
     "no-turns": ("others wait", 1, FLOODS),
+    "one-queue": ("deadline", 25502, ODD_CALLERS),
     "no-budget": ("memory", 1, LONG_PROMPTS),
     "no-connection-limit": ("descriptors", 1, ODD_CALLERS),
     "blamed-versions": ("sound requests", 1, ODD_VERSIONS),
@@ -89,7 +90,8 @@
     of the store that end at an unreadable record, bytes in a stream that are no event
     of it and are forwarded, streams that are complete as soon as they end, bodies that
     nobody reads and that are kept, connections that always have bytes and that keep the
-    event loop, bodies of any size that are held, any number of connections that are
+    event loop, connections that are accepted behind the work for open ones, bodies of
+    any size that are held, any number of connections that are
     accepted, servers that lack a version and that
     are taken for others, requests that end with a server's silence, brittle servers
     without leases, few slots that no node coordinates, nodes that carry no connections
